Workspace, events, effects and the first reducer

Cause: everything else is measured on a running path, and parts can only be built side by side on agreed types. Conclusion: compiles; nothing is run yet.

--- /dev/null
+++ b/crates/basilbank_core/src/lib.rs
@@ -0,0 +1,33 @@
+//! The decisions of basilbank, without I/O: one reducer over all events, effects as data.
+//!
+//! The caller of this crate owns sockets, threads and clocks. It feeds [`Event`]s to [`reduce`] and
+//! carries out the [`Effect`]s that come back. The same events at the same times always give the
+//! same effects.
+//!
+//! ```
+//! use std::time::{Duration, SystemTime};
+//!
+//! use basilbank_core::prelude::*;
+//!
+//! let now = Now { mono: Duration::ZERO, wall: SystemTime::UNIX_EPOCH };
+//! let mut state = State::new(Local::default().with_name("entry-1"), now);
+//! let mut effects = Vec::new();
+//! reduce(&mut state, now, Event::Tick, &mut effects);
+//! ```
+
+pub mod catalogue;
+pub mod effect;
+pub mod event;
+pub mod ids;
+pub mod prelude;
+pub mod reason;
+pub mod state;
+pub mod time;
+pub mod tuning;
+
+mod reduce;
+
+pub use effect::Effect;
+pub use event::Event;
+pub use reduce::reduce;
+pub use state::State;
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/catalogue.rs
@@ -0,0 +1,48 @@
+//! The catalogue comes into force.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    catalogue::Catalogue,
+    effect::{Effect, Progress},
+    state::{State, Timer, View},
+    time::Now,
+};
+
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Asks the platform.
+pub fn read(state: &State, out: &mut Vec<Effect>) {
+    out.push(Effect::WatchCatalogue { after: state.view.catalogue.revision });
+}
+
+/// Takes a checked catalogue into force, unless it is older than the one in force.
+pub fn checked(
+    state: &mut State,
+    now: Now,
+    revision: u64,
+    result: Result<Arc<Catalogue>, usize>,
+    out: &mut Vec<Effect>,
+) {
+    state.timers.set(now.mono, Timer::Platform);
+    if revision <= state.view.catalogue.revision {
+        return;
+    }
+    match result {
+        Ok(catalogue) => {
+            state.view = View::new(catalogue);
+            let pairs = vec![("revision", revision.to_string())];
+            out.push(Effect::Progress(Progress::Note { name: "catalogue_in_force", pairs }));
+        }
+        Err(findings) => {
+            let pairs =
+                vec![("revision", revision.to_string()), ("findings", findings.to_string())];
+            out.push(Effect::Progress(Progress::Note { name: "catalogue_rejected", pairs }));
+        }
+    }
+}
+
+/// The platform did not answer.
+pub fn failed(state: &mut State, now: Now) {
+    state.timers.set(now.mono + RETRY, Timer::Platform);
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state.rs
@@ -0,0 +1,133 @@
+//! All that a daemon's decisions know.
+
+mod members;
+mod requests;
+mod rng;
+mod timers;
+mod view;
+
+use std::time::Duration;
+
+pub use self::{
+    members::{Member, Members},
+    requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
+    rng::Rng,
+    timers::{Timer, Timers},
+    view::View,
+};
+use crate::{
+    ids::{DataCentreId, VmId},
+    time::Now,
+    tuning::Tuning,
+};
+
+/// What a daemon knows of itself, from its settings and its start.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Local {
+    /// Its VM's name on the platform's list.
+    pub name: String,
+    /// Hash of the name.
+    pub vm: VmId,
+    /// Where it is.
+    pub data_centre: DataCentreId,
+    /// Its process's start, milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Constants.
+    pub tuning: Tuning,
+}
+
+impl Default for Local {
+    fn default() -> Local {
+        Local {
+            name: String::new(),
+            vm: VmId::of(""),
+            data_centre: DataCentreId::of(""),
+            incarnation: 1,
+            seed: 1,
+            tuning: Tuning::default(),
+        }
+    }
+}
+
+impl Local {
+    /// Sets the VM's name.
+    #[must_use]
+    pub fn with_name(mut self, name: &str) -> Local {
+        self.vm = VmId::of(name);
+        self.name = name.to_owned();
+        self
+    }
+
+    /// Sets the data centre by name.
+    #[must_use]
+    pub fn with_data_centre(mut self, name: &str) -> Local {
+        self.data_centre = DataCentreId::of(name);
+        self
+    }
+
+    /// Sets the incarnation, and a seed that depends on it.
+    #[must_use]
+    pub fn with_incarnation(mut self, incarnation: u64) -> Local {
+        self.incarnation = incarnation;
+        self.seed = incarnation ^ self.vm.0;
+        self
+    }
+
+    /// Sets the constants.
+    #[must_use]
+    pub fn with_tuning(mut self, tuning: Tuning) -> Local {
+        self.tuning = tuning;
+        self
+    }
+}
+
+/// The state of one daemon.
+#[derive(Debug)]
+pub struct State {
+    /// What the daemon is.
+    pub local: Local,
+    /// The catalogue in force, indexed.
+    pub view: View,
+    /// Peers.
+    pub members: Members,
+    /// Requests in progress.
+    pub requests: Requests,
+    /// What is due when.
+    pub timers: Timers,
+    /// Seeded random numbers.
+    pub rng: Rng,
+    /// SIGTERM came: no new work.
+    pub leaving: bool,
+}
+
+impl State {
+    /// A daemon that has just started and knows nothing yet.
+    #[must_use]
+    pub fn new(local: Local, now: Now) -> State {
+        let mut timers = Timers::default();
+        timers.set(now.mono, Timer::Platform);
+        State {
+            view: View::default(),
+            members: Members::new(&local),
+            requests: Requests::default(),
+            timers,
+            rng: Rng::new(local.seed),
+            leaving: false,
+            local,
+        }
+    }
+
+    /// When the next `Event::Tick` is due, on the monotonic clock.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<Duration> {
+        self.timers.next()
+    }
+
+    /// Whether callers may be sent here: there is a catalogue, and no shutdown.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.leaving && self.view.catalogue.revision > 0
+    }
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state/members.rs
@@ -0,0 +1,45 @@
+//! Peers: who may exist, and who does.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{ids::VmId, state::Local};
+
+/// One VM of the system.
+#[derive(Clone, PartialEq, Debug, Default)]
+pub struct Member {
+    /// It has been heard lately.
+    pub live: bool,
+}
+
+/// All VMs on the platform's list.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// This daemon's own VM.
+    pub own: VmId,
+    /// All of them, this daemon's own too.
+    pub all: BTreeMap<VmId, Member>,
+}
+
+impl Members {
+    /// Knows only this daemon.
+    #[must_use]
+    pub fn new(local: &Local) -> Members {
+        Members { own: local.vm, all: BTreeMap::from([(local.vm, Member { live: true })]) }
+    }
+
+    /// The live member that decides for a subject: the one that ranks highest by rendezvous hashing,
+    /// so that a member's coming or going moves only its own subjects.
+    #[must_use]
+    pub fn steward(&self, subject: u64) -> Option<VmId> {
+        let live = self.all.iter().filter(|(_, m)| m.live).map(|(vm, _)| *vm);
+        live.max_by_key(|vm| rank(*vm, subject))
+    }
+}
+
+/// A member's rank for a subject.
+#[must_use]
+fn rank(vm: VmId, subject: u64) -> u64 {
+    xxh3_64_with_seed(&vm.0.to_le_bytes(), subject)
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state/timers.rs
@@ -0,0 +1,45 @@
+//! What is due when.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use crate::ids::{AttemptKey, RequestKey};
+
+/// What a timer is for. A timer whose subject is gone fires without effect, so none is ever removed.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Timer {
+    /// An attempt's time limit.
+    Attempt(AttemptKey),
+    /// A request's next step: its backoff or its wait is over.
+    Request(RequestKey),
+    /// Read the platform again.
+    Platform,
+}
+
+/// A heap of timers.
+#[derive(Debug, Default)]
+pub struct Timers {
+    heap: BinaryHeap<Reverse<(Duration, u64, Timer)>>,
+    sequence: u64,
+}
+
+impl Timers {
+    /// Sets a timer.
+    pub fn set(&mut self, at: Duration, timer: Timer) {
+        self.sequence += 1;
+        self.heap.push(Reverse((at, self.sequence, timer)));
+    }
+
+    /// When the next one is due.
+    #[must_use]
+    pub fn next(&self) -> Option<Duration> {
+        self.heap.peek().map(|Reverse((at, _, _))| *at)
+    }
+
+    /// Takes the next one that is due.
+    pub fn pop_due(&mut self, mono: Duration) -> Option<Timer> {
+        if mono < self.next()? {
+            return None;
+        }
+        self.heap.pop().map(|Reverse((_, _, timer))| timer)
+    }
+}
--- /dev/null
+++ b/crates/basilbank_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
