Seams for membership, slots, limits, claims, orders and reaping

Cause: several parts are to be built at once without touching the same files. Change: one module and one piece of state for each concern, dispatched by the reducer; the registry of open calls between callers and core. Conclusion: compiles; the concerns themselves follow.

--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -2,13 +2,23 @@
 
 mod admit;
 mod catalogue;
+mod claim;
 mod deliver;
+mod limit;
+mod load;
+mod member;
+mod order;
 mod place;
+mod reap;
 mod settle;
+mod slots;
+
+use basilbank_wire::Body;
 
 use crate::{
     effect::Effect,
-    event::{CallerEvent, EngineEvent, Event, PlatformEvent},
+    event::{CallerEvent, EngineEvent, EngineReport, Event, PlatformEvent},
+    ids::{EndpointId, VmId},
     state::{State, Timer},
     time::Now,
 };
@@ -19,7 +29,11 @@
         Event::Tick => {}
         Event::Caller(event) => on_caller(state, now, event, out),
         Event::Engine(event) => on_engine(state, now, event, out),
-        Event::Peer { .. } => {}
+        Event::Peer { from, incarnation, message } => {
+            if let Some(body) = message.body {
+                on_peer(state, now, from, incarnation, body, out);
+            }
+        }
         Event::Platform(event) => on_platform(state, now, event, out),
         Event::Shutdown => state.leaving = true,
     }
@@ -35,7 +49,14 @@
     match timer {
         Timer::Attempt(_) => {}
         Timer::Request(key) => place::start(state, now, key, out),
+        Timer::Claim(key) => claim::timed_out(state, now, key, out),
         Timer::Platform => catalogue::read(state, out),
+        Timer::Heartbeat => member::tick(state, now, out),
+        Timer::Slots => slots::tick(state, now, out),
+        Timer::Limits => limit::tick(state, now, out),
+        Timer::Loads => load::tick(state, now, out),
+        Timer::Orders => order::tick(state, now, out),
+        Timer::Reap => reap::tick(state, now, out),
     }
 }
 
@@ -62,7 +83,7 @@
         EngineEvent::Failed { attempt, failure } => {
             settle::failed(state, now, attempt, failure, out);
         }
-        EngineEvent::Report { .. } => {}
+        EngineEvent::Report { endpoint, report } => on_report(state, now, endpoint, &report, out),
     }
 }
 
@@ -78,3 +99,46 @@
         PlatformEvent::Vms { .. } | PlatformEvent::VmsFailed => {}
     }
 }
+
+fn on_report(
+    state: &mut State,
+    now: Now,
+    endpoint: EndpointId,
+    report: &EngineReport,
+    out: &mut Vec<Effect>,
+) {
+    if let EngineReport::Streams(streams) = report {
+        reap::listed(state, now, endpoint, streams, out);
+    }
+    load::reported(state, now, endpoint, report, out);
+    order::reported(state, now, endpoint, report, out);
+}
+
+fn on_peer(
+    state: &mut State,
+    now: Now,
+    from: VmId,
+    incarnation: u64,
+    body: Body,
+    out: &mut Vec<Effect>,
+) {
+    match body {
+        Body::Heartbeat(beat) => member::heard(state, now, from, incarnation, &beat, out),
+        Body::Reserve(ask) => slots::asked(state, now, from, &ask, out),
+        Body::Grant(grant) => slots::granted(state, now, from, &grant, out),
+        Body::Deny(deny) => slots::denied(state, now, from, &deny, out),
+        Body::Release(release) => slots::released(state, now, from, &release, out),
+        Body::AskHolds(ask) => slots::holds_asked(state, now, from, &ask, out),
+        Body::Holds(holds) => slots::holds(state, now, from, &holds, out),
+        Body::Preempt(preempt) => slots::preempted(state, now, from, &preempt, out),
+        Body::Claim(claim) => claim::asked(state, now, from, &claim, out),
+        Body::Vote(vote) => claim::voted(state, now, from, &vote, out),
+        Body::Settle(settle) => claim::told(state, now, from, &settle),
+        Body::FetchCatalogue(fetch) => catalogue::fetched(state, from, &fetch, out),
+        Body::Catalogue(delta) => catalogue::delta(state, now, from, delta, out),
+        Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
+        Body::Vms(list) => catalogue::vms(state, now, list, out),
+        Body::AskLimit(ask) => limit::asked(state, now, from, &ask, out),
+        Body::Lease(lease) => limit::leased(state, now, from, &lease),
+    }
+}
--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -1,10 +1,12 @@
 //! Who may run what.
 
+use basilbank_wire::KeyRecord;
+
 use crate::{
     catalogue::EntryTarget,
     effect::{Answer, Effect, Progress},
-    event::{Call, Work},
-    ids::{EntryId, RequestId, TeamId},
+    event::{Call, ResumePoint, Work},
+    ids::{EndpointId, EntryId, RequestId, RequestKey, TeamId},
     reason::Refusal,
     reduce::place,
     state::{Request, State},
@@ -35,6 +37,28 @@
     place::start(state, now, key, out);
 }
 
+/// The request's idempotency key is its own: it may run.
+pub fn claimed(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
+    place::start(state, now, key, out);
+}
+
+/// The request's idempotency key belongs to a stream that runs elsewhere: read that from its start.
+pub fn joined(
+    state: &mut State,
+    now: Now,
+    key: RequestKey,
+    record: &KeyRecord,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.arena.get_mut(key) else { return };
+    let (endpoint, entry) = (EndpointId(record.endpoint), request.entry);
+    if let Some(draft) = &mut request.draft {
+        draft.resume =
+            Some(ResumePoint { endpoint, stream: record.stream.clone(), offset: 0, entry });
+    }
+    place::start(state, now, key, out);
+}
+
 fn authorize(state: &State, call: &Call) -> Result<(TeamId, EntryId), Refusal> {
     if state.leaving {
         return Err(Refusal::ShuttingDown);
--- a/crates/basilbank_core/src/reduce/catalogue.rs
+++ b/crates/basilbank_core/src/reduce/catalogue.rs
@@ -2,9 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use basilbank_wire::{CatalogueDelta, FetchCatalogue, FetchVms, VmList};
+
 use crate::{
     catalogue::Catalogue,
     effect::{Effect, Progress},
+    ids::VmId,
     state::{State, Timer, View},
     time::Now,
 };
@@ -46,3 +49,22 @@
 pub fn failed(state: &mut State, now: Now) {
     state.timers.set(now.mono + RETRY, Timer::Platform);
 }
+
+/// A peer asks for documents.
+pub fn fetched(_state: &State, _from: VmId, _fetch: &FetchCatalogue, _out: &mut Vec<Effect>) {}
+
+/// A peer sent documents.
+pub fn delta(
+    _state: &mut State,
+    _now: Now,
+    _from: VmId,
+    _delta: CatalogueDelta,
+    _out: &mut Vec<Effect>,
+) {
+}
+
+/// A peer asks for the VM list.
+pub fn vms_fetched(_state: &State, _from: VmId, _fetch: &FetchVms, _out: &mut Vec<Effect>) {}
+
+/// A VM list came, from the platform or from a peer.
+pub fn vms(_state: &mut State, _now: Now, _list: VmList, _out: &mut Vec<Effect>) {}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -1,17 +1,31 @@
 //! All that a daemon's decisions know.
 
+mod claims;
+mod documents;
+mod health;
+mod limits;
 mod members;
+mod orders;
+mod reaper;
 mod requests;
 mod rng;
+mod slots;
 mod timers;
 mod view;
 
 use std::time::Duration;
 
 pub use self::{
+    claims::Claims,
+    documents::Documents,
+    health::Health,
+    limits::LimitTable,
     members::{Member, Members},
+    orders::Orders,
+    reaper::Reaper,
     requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
     rng::Rng,
+    slots::Slots,
     timers::{Timer, Timers},
     view::View,
 };
@@ -92,8 +106,22 @@
     pub view: View,
     /// Peers.
     pub members: Members,
+    /// The catalogue's documents and the VM list, and how far they have spread.
+    pub documents: Documents,
     /// Requests in progress.
     pub requests: Requests,
+    /// What is known of endpoints: load, prefix caches, failures.
+    pub health: Health,
+    /// Slots held at endpoints, and those that this daemon decides on as steward.
+    pub slots: Slots,
+    /// Entries' limits: leases had, and those given as steward.
+    pub limits: LimitTable,
+    /// Idempotency keys: claims made, and votes given.
+    pub claims: Claims,
+    /// Orders to endpoints.
+    pub orders: Orders,
+    /// Streams and KV caches that nobody owns any more.
+    pub reaper: Reaper,
     /// What is due when.
     pub timers: Timers,
     /// Seeded random numbers.
@@ -111,7 +139,14 @@
         State {
             view: View::default(),
             members: Members::new(&local),
+            documents: Documents::default(),
             requests: Requests::default(),
+            health: Health::default(),
+            slots: Slots::default(),
+            limits: LimitTable::default(),
+            claims: Claims::default(),
+            orders: Orders::default(),
+            reaper: Reaper::default(),
             timers,
             rng: Rng::new(local.seed),
             leaving: false,
--- /dev/null
+++ b/crates/basilbank_core/src/state/health.rs
@@ -0,0 +1,5 @@
+//! What is known of endpoints.
+
+/// What is known of endpoints.
+#[derive(Debug, Default)]
+pub struct Health {}
--- /dev/null
+++ b/crates/basilbank_core/src/state/limits.rs
@@ -0,0 +1,5 @@
+//! Entries' limits.
+
+/// Entries' limits.
+#[derive(Debug, Default)]
+pub struct LimitTable {}
--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -29,6 +29,28 @@
         Members { own: local.vm, all: BTreeMap::from([(local.vm, Member { live: true })]) }
     }
 
+    /// Whether this daemon may decide as a steward: it was not paused lately and is not cut off.
+    #[must_use]
+    pub fn may_decide(&self) -> bool {
+        true
+    }
+
+    /// Whether a VM has been heard lately.
+    #[must_use]
+    pub fn is_live(&self, vm: VmId) -> bool {
+        self.all.get(&vm).is_some_and(|m| m.live)
+    }
+
+    /// The VMs that vote on a key: the three that rank highest on the platform's list, heard or not,
+    /// so that both sides of a partition ask the same three.
+    #[must_use]
+    pub fn voters(&self, subject: u64) -> Vec<VmId> {
+        let mut all: Vec<_> = self.all.keys().copied().collect();
+        all.sort_by_key(|vm| std::cmp::Reverse(rank(*vm, subject)));
+        all.truncate(3);
+        all
+    }
+
     /// The live member that decides for a subject: the one that ranks highest by rendezvous hashing,
     /// so that a member's coming or going moves only its own subjects.
     #[must_use]
--- /dev/null
+++ b/crates/basilbank_core/src/state/orders.rs
@@ -0,0 +1,5 @@
+//! Orders to endpoints.
+
+/// Orders to endpoints.
+#[derive(Debug, Default)]
+pub struct Orders {}
--- /dev/null
+++ b/crates/basilbank_core/src/state/reaper.rs
@@ -0,0 +1,5 @@
+//! Streams and KV caches without a live owner.
+
+/// Streams and KV caches without a live owner.
+#[derive(Debug, Default)]
+pub struct Reaper {}
--- /dev/null
+++ b/crates/basilbank_core/src/state/slots.rs
@@ -0,0 +1,5 @@
+//! Slots at endpoints.
+
+/// Slots at endpoints.
+#[derive(Debug, Default)]
+pub struct Slots {}
--- a/crates/basilbank_core/src/state/timers.rs
+++ b/crates/basilbank_core/src/state/timers.rs
@@ -11,8 +11,22 @@
     Attempt(AttemptKey),
     /// A request's next step: its backoff or its wait is over.
     Request(RequestKey),
+    /// A claim's votes did not come in time.
+    Claim(RequestKey),
     /// Read the platform again.
     Platform,
+    /// Send heartbeats, and look for pauses and dead members.
+    Heartbeat,
+    /// Renew leases of slots, expire those of others, grant waiting reservations.
+    Slots,
+    /// Renew leases of limits.
+    Limits,
+    /// Read endpoints' loads.
+    Loads,
+    /// Look for orders that are due.
+    Orders,
+    /// List endpoints' streams.
+    Reap,
 }
 
 /// A heap of timers.
