Finished says how many tokens the stream has; requests keep their idempotency key

Cause: an end that overtakes tokens was taken for a whole answer, and the claims need the caller's key after admission.

--- a/crates/basilbank_core/src/event.rs
+++ b/crates/basilbank_core/src/event.rs
@@ -143,6 +143,8 @@
         attempt: AttemptKey,
         /// `stop` or `length`.
         reason: String,
+        /// All tokens of the stream, so that an end which overtakes tokens isn't taken for whole.
+        tokens: u32,
     },
     /// A plain service answered. The shell holds the answer.
     Answered {
--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -76,7 +76,7 @@
         EngineEvent::Token { attempt, offset, texts } => {
             deliver::tokens(state, now, attempt, offset, texts, out);
         }
-        EngineEvent::Finished { attempt, reason } => {
+        EngineEvent::Finished { attempt, reason, .. } => {
             settle::finished(state, now, attempt, reason, out);
         }
         EngineEvent::Answered { attempt, .. } => settle::answered(state, now, attempt, out),
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -24,6 +24,8 @@
     pub draft: Option<Draft>,
     /// It may be run more than once.
     pub repeatable: bool,
+    /// The caller's idempotency key.
+    pub idempotency: Option<String>,
     /// When it was accepted.
     pub accepted: Duration,
     /// When the first token went out.
@@ -126,6 +128,7 @@
             entry,
             draft: None,
             repeatable: false,
+            idempotency: call.idempotency.clone(),
             accepted: at,
             first: None,
             last: None,
--- a/crates/basilbank_core/src/tuning.rs
+++ b/crates/basilbank_core/src/tuning.rs
@@ -25,6 +25,10 @@
     pub backoff: Duration,
     /// Longest backoff.
     pub max_backoff: Duration,
+    /// How long a prefill endpoint keeps a KV cache that no decode endpoint has taken.
+    pub kv_life: Duration,
+    /// A stream that gives no token for this long counts as broken.
+    pub stall: Duration,
     /// Requests that wait in this daemon.
     pub queue: usize,
     /// How long an idempotency key is remembered.
@@ -52,6 +56,8 @@
             retry_ratio: 0.2,
             backoff: Duration::from_millis(10),
             max_backoff: Duration::from_millis(500),
+            kv_life: Duration::from_millis(800),
+            stall: Duration::from_secs(3),
             queue: 1000,
             key_window: Duration::from_secs(600),
             keys: 100_000,
