--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -1,15 +1,26 @@
 //! The reducer: one function over all events, one module per concern.
 
 mod admit;
+mod candidates;
 mod catalogue;
+mod charge;
 mod claim;
+mod decode;
 mod deliver;
+mod estimate;
 mod limit;
 mod load;
 mod member;
 mod order;
+mod peer;
 mod place;
+mod plain;
+mod prefill;
+mod queue;
 mod reap;
+mod reserve;
+mod resume;
+mod retry;
 mod settle;
 mod slots;
 
@@ -19,6 +30,7 @@
     effect::Effect,
     event::{CallerEvent, EngineEvent, EngineReport, Event, PlatformEvent},
     ids::{EndpointId, VmId},
+    reduce::prefill::Prefilled,
     state::{State, Timer},
     time::Now,
 };
@@ -37,17 +49,27 @@
         Event::Platform(event) => on_platform(state, now, event, out),
         Event::Shutdown => state.leaving = true,
     }
+    hear_self(state, now, out);
     while let Some(timer) = state.timers.pop_due(now.mono) {
         on_timer(state, now, timer, out);
+        hear_self(state, now, out);
     }
     if state.leaving && state.requests.arena.is_empty() {
         out.push(Effect::Exit);
     }
 }
 
+/// Takes in what this daemon said to itself.
+fn hear_self(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    while let Some(body) = state.slots.inbox.pop_front() {
+        let (vm, incarnation) = (state.local.vm, state.local.incarnation);
+        on_peer(state, now, vm, incarnation, body, out);
+    }
+}
+
 fn on_timer(state: &mut State, now: Now, timer: Timer, out: &mut Vec<Effect>) {
     match timer {
-        Timer::Attempt(_) => {}
+        Timer::Attempt(key) => retry::timed_out(state, now, key, out),
         Timer::Request(key) => place::start(state, now, key, out),
         Timer::Claim(key) => claim::timed_out(state, now, key, out),
         Timer::Platform => catalogue::read(state, out),
@@ -69,19 +91,22 @@
 
 fn on_engine(state: &mut State, now: Now, event: EngineEvent, out: &mut Vec<Effect>) {
     match event {
-        EngineEvent::Prefilled { attempt, handle, tokens, cached, .. } => {
-            deliver::prefilled(state, attempt, handle, tokens, cached, out);
+        EngineEvent::Prefilled { attempt, handle, tokens, cached, bytes, spent } => {
+            let done = Prefilled { handle, tokens, cached, bytes, spent };
+            prefill::done(state, now, attempt, done, out);
+        }
+        EngineEvent::Started { attempt, stream } => {
+            decode::started(state, now, attempt, stream, out);
         }
-        EngineEvent::Started { attempt, stream } => deliver::started(state, attempt, stream, out),
         EngineEvent::Token { attempt, offset, texts } => {
             deliver::tokens(state, now, attempt, offset, texts, out);
         }
-        EngineEvent::Finished { attempt, reason, .. } => {
-            settle::finished(state, now, attempt, reason, out);
+        EngineEvent::Finished { attempt, reason, tokens } => {
+            deliver::finished(state, now, attempt, reason, tokens, out);
         }
-        EngineEvent::Answered { attempt, .. } => settle::answered(state, now, attempt, out),
+        EngineEvent::Answered { attempt, .. } => plain::answered(state, now, attempt, out),
         EngineEvent::Failed { attempt, failure } => {
-            settle::failed(state, now, attempt, failure, out);
+            retry::failed(state, now, attempt, failure, out);
         }
         EngineEvent::Report { endpoint, report } => on_report(state, now, endpoint, &report, out),
     }
@@ -125,12 +150,12 @@
     match body {
         Body::Heartbeat(beat) => member::heard(state, now, from, incarnation, &beat, out),
         Body::Reserve(ask) => slots::asked(state, now, from, &ask, out),
-        Body::Grant(grant) => slots::granted(state, now, from, &grant, out),
-        Body::Deny(deny) => slots::denied(state, now, from, &deny, out),
-        Body::Release(release) => slots::released(state, now, from, &release, out),
-        Body::AskHolds(ask) => slots::holds_asked(state, now, from, &ask, out),
+        Body::Grant(grant) => reserve::granted(state, now, from, &grant, out),
+        Body::Deny(deny) => reserve::denied(state, now, &deny, out),
+        Body::Release(release) => slots::released(state, now, &release, out),
+        Body::AskHolds(ask) => slots::holds_asked(state, from, &ask, out),
         Body::Holds(holds) => slots::holds(state, now, from, &holds, out),
-        Body::Preempt(preempt) => slots::preempted(state, now, from, &preempt, out),
+        Body::Preempt(preempt) => reserve::preempted(state, now, &preempt, out),
         Body::Claim(claim) => claim::asked(state, now, from, &claim, out),
         Body::Vote(vote) => claim::voted(state, now, from, &vote, out),
         Body::Settle(settle) => claim::told(state, now, from, &settle),
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/candidates.rs
@@ -0,0 +1,111 @@
+//! Which endpoints a request asks for a slot.
+
+use std::time::Duration;
+
+use crate::{
+    catalogue::{Endpoint, EntryTarget, Role},
+    ids::{AttemptKey, DataCentreId, EndpointId},
+    reduce::{estimate, order},
+    state::State,
+    time::Now,
+};
+
+/// Endpoints that are looked at for one choice; of larger pools a random sample this large.
+const SAMPLE: usize = 16;
+/// How much worse an endpoint in another data centre counts.
+const ELSEWHERE: Duration = Duration::from_millis(5);
+/// How much worse an endpoint counts whose steward had no slot.
+const FULL: Duration = Duration::from_millis(200);
+/// How much worse a full endpoint counts than an empty one, by the last grant's word.
+const LOADED: Duration = Duration::from_millis(50);
+/// How long a grant's word on free slots is worth something.
+const HINT_LIFE: Duration = Duration::from_secs(2);
+/// Random part, so that daemons that know the same do not choose the same.
+const JITTER: Duration = Duration::from_millis(10);
+
+/// What is looked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Want {
+    /// The model or service.
+    pub target: EntryTarget,
+    /// The role.
+    pub role: Role,
+    /// The attempt; endpoints that it has asked already are left out.
+    pub attempt: AttemptKey,
+    /// How many endpoints.
+    pub count: usize,
+}
+
+/// The endpoints that promise to serve an attempt soonest, best first.
+#[must_use]
+pub fn choose(state: &mut State, now: Now, want: &Want) -> Vec<EndpointId> {
+    let sample = sample(state, want);
+    let mut scored: Vec<_> = Vec::with_capacity(sample.len());
+    for endpoint in sample {
+        let jitter = JITTER.mul_f64(state.rng.unit());
+        if let Some(cost) = cost(state, now, want, endpoint) {
+            scored.push((cost + jitter, endpoint));
+        }
+    }
+    scored.sort_unstable();
+    scored.truncate(want.count);
+    scored.into_iter().map(|(_, endpoint)| endpoint).collect()
+}
+
+fn sample(state: &mut State, want: &Want) -> Vec<EndpointId> {
+    let id = |i: usize| state.view.catalogue.endpoints[i].id;
+    let positions = state.view.positions(want.target, want.role);
+    if positions.len() <= SAMPLE {
+        return positions.iter().map(|i| id(*i)).collect();
+    }
+    let mut sample: Vec<_> =
+        (0..SAMPLE).map(|_| id(positions[state.rng.index(positions.len())])).collect();
+    let request = state.requests.attempts.get(want.attempt).map(|a| a.request);
+    let draft = request.and_then(|r| state.requests.arena[r].draft.as_ref());
+    if let (Role::Prefill, Some(draft)) = (want.role, draft) {
+        let holders = state.health.prefixes.holders(&draft.blocks).iter();
+        let serving = holders.filter(|e| state.view.endpoint(**e).is_some_and(|e| !e.leaving));
+        sample.extend(serving.take(SAMPLE));
+    }
+    sample.sort_unstable();
+    sample.dedup();
+    sample
+}
+
+fn cost(state: &State, now: Now, want: &Want, id: EndpointId) -> Option<Duration> {
+    let endpoint = state.view.endpoint(id)?;
+    let attempt = state.requests.attempts.get(want.attempt)?;
+    let is_asked = attempt.asks.iter().any(|a| a.endpoint == id);
+    if is_asked || !state.health.is_usable(id) || order::is_draining(state, id) {
+        return None;
+    }
+    let mut cost = hint(state, now, endpoint);
+    if endpoint.data_centre != near(state, want) {
+        cost += ELSEWHERE;
+    }
+    if want.role == Role::Prefill {
+        cost += estimate::prefill_at(state, &state.requests.arena[attempt.request], id);
+    }
+    Some(cost)
+}
+
+/// Where the endpoint should be: a prefill near its decode endpoint, all else near this daemon.
+fn near(state: &State, want: &Want) -> DataCentreId {
+    let slot = state.requests.attempts.get(want.attempt).and_then(|a| a.slot);
+    let decode = slot.and_then(|s| state.view.endpoint(s.endpoint));
+    match (want.role, decode) {
+        (Role::Prefill, Some(decode)) => decode.data_centre,
+        _ => state.local.data_centre,
+    }
+}
+
+fn hint(state: &State, now: Now, endpoint: &Endpoint) -> Duration {
+    let Some(known) = state.health.known.get(&endpoint.id) else { return Duration::ZERO };
+    let full = if known.full.is_some_and(|until| now.mono < until) { FULL } else { Duration::ZERO };
+    let Some((free, at)) = known.free else { return full };
+    if at + HINT_LIFE < now.mono || endpoint.slots == 0 {
+        return full;
+    }
+    let used = 1.0 - (f64::from(free) / f64::from(endpoint.slots)).min(1.0);
+    full + LOADED.mul_f64(used)
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/charge.rs
@@ -0,0 +1,33 @@
+//! Work that no caller received is charged to nobody, and counted by cause.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{Effect, Progress},
+    ids::{AttemptKey, RequestId},
+    reason::Waste,
+    state::{AttemptStage, State},
+    time::Now,
+};
+
+/// The prefill of an attempt that ends without its result's use.
+pub fn prefill(state: &State, now: Now, attempt: AttemptKey, waste: Waste, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let prefill = match found.stage {
+        AttemptStage::Prefill => now.mono.saturating_sub(found.since),
+        AttemptStage::Move | AttemptStage::Import | AttemptStage::Stream => found.spent,
+        AttemptStage::Slot | AttemptStage::Queue | AttemptStage::Plain => Duration::ZERO,
+    };
+    if prefill.is_zero() {
+        return;
+    }
+    let request = state.requests.arena[found.request].id;
+    out.push(Effect::Progress(Progress::Wasted { request, waste, prefill, tokens: 0 }));
+}
+
+/// Tokens that the caller had already.
+pub fn duplicate(request: RequestId, tokens: u32, out: &mut Vec<Effect>) {
+    let waste = Waste::Duplicate;
+    let prefill = Duration::ZERO;
+    out.push(Effect::Progress(Progress::Wasted { request, waste, prefill, tokens }));
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -0,0 +1,91 @@
+//! From a KV cache to a stream.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{Answer, Effect, EngineCall},
+    ids::AttemptKey,
+    reduce::{claim, estimate, place, prefill, retry},
+    state::{AttemptStage, State, Timer},
+    time::Now,
+};
+
+/// Time that a transfer gets beyond its estimate before it counts as stalled.
+const MARGIN: Duration = Duration::from_millis(60);
+/// Time limit of the whole stream's call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// The KV cache and the decode slot are there: import it.
+pub fn import(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    let (Some(slot), Some(cache)) = (found.slot, found.cache.clone()) else { return };
+    found.enter(AttemptStage::Import, now.mono);
+    let draft = prefill::call(state, attempt, slot.endpoint, CALL_TIMEOUT);
+    let limit = limit(state, attempt);
+    state.timers.set(now.mono + limit, Timer::Attempt(attempt));
+    let (source, handle) = (cache.endpoint, cache.handle);
+    out.push(Effect::Engine(EngineCall::Decode { draft, source, handle }));
+}
+
+/// How long an import may take.
+///
+/// A transfer that stalls is seen only by its silence. Waiting until the KV cache is evicted would
+/// waste the whole prefill, so the transfer is abandoned while there is time for another one.
+#[must_use]
+pub fn limit(state: &State, attempt: AttemptKey) -> Duration {
+    let Some(found) = state.requests.attempts.get(attempt) else { return MARGIN };
+    let (Some(slot), Some(cache)) = (found.slot, &found.cache) else { return MARGIN };
+    let transfer = estimate::transfer_between(state, cache.bytes, cache.endpoint, slot.endpoint);
+    let left = cache.until.saturating_sub(found.since);
+    let spare = left.saturating_sub(transfer + MARGIN);
+    (transfer * 3 + MARGIN).min(spare).max(transfer * 3 / 2 + MARGIN)
+}
+
+/// The KV cache is still there but its decode endpoint is not: look for another.
+pub fn relocate(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let attempt = state.requests.renew(attempt);
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    found.enter(AttemptStage::Move, now.mono);
+    let until = found.cache.as_ref().map_or(now.mono, |c| c.until);
+    state.timers.set(until, Timer::Attempt(attempt));
+    place::seek(state, now, attempt, usize::MAX, out);
+    if state.requests.attempts.get(attempt).is_some_and(|a| a.asks.is_empty()) {
+        retry::evicted(state, now, attempt, out);
+    }
+}
+
+/// The decode endpoint streams.
+pub fn started(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    stream: String,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    if !matches!(found.stage, AttemptStage::Import | AttemptStage::Stream) {
+        return;
+    }
+    found.enter(AttemptStage::Stream, now.mono);
+    found.stream = Some(stream.clone());
+    found.cache = None;
+    found.heard = now.mono;
+    let (request, base, slot) = (found.request, found.base, found.slot);
+    let Some(slot) = slot else { return };
+    state.timers.set(now.mono + state.local.tuning.stall, Timer::Attempt(attempt));
+    state.health.entry(slot.endpoint).failures = 0;
+    let caller = state.requests.arena[request].caller;
+    let base = resumed_at(state, attempt) - i64::from(base);
+    let answer = Answer::Located { endpoint: slot.endpoint, stream, base };
+    out.push(Effect::Answer { caller, answer });
+    claim::located(state, request, out);
+}
+
+/// The stream's token at which this call started to read it; 0 unless a cursor said otherwise.
+fn resumed_at(state: &State, attempt: AttemptKey) -> i64 {
+    let found = &state.requests.attempts[attempt];
+    let draft = state.requests.arena[found.request].draft.as_ref();
+    let is_first = found.base == 0;
+    let resume = draft.and_then(|d| d.resume.as_ref()).filter(|_| is_first && found.resumed);
+    resume.map_or(0, |r| i64::from(r.offset))
+}
--- a/crates/basilbank_core/src/reduce/deliver.rs
+++ b/crates/basilbank_core/src/reduce/deliver.rs
@@ -1,47 +1,14 @@
-//! From the prefill's end to the caller's tokens.
+//! Tokens to the caller: in order, and each once.
 
 use crate::{
-    catalogue::Role,
-    effect::{Answer, Effect, EngineCall, Progress},
+    effect::{Answer, Effect, Progress},
     ids::AttemptKey,
-    reduce::place,
+    reason::{Outcome, Waste},
+    reduce::{charge, reserve, resume, retry, settle},
     state::{AttemptStage, State},
     time::Now,
 };
 
-/// The prefill is done: its KV cache goes to a decode endpoint.
-pub fn prefilled(
-    state: &mut State,
-    key: AttemptKey,
-    handle: String,
-    tokens: u32,
-    cached: u32,
-    out: &mut Vec<Effect>,
-) {
-    let Some(attempt) = state.requests.attempts.get(key) else { return };
-    let (request_key, source) = (attempt.request, attempt.endpoint);
-    let request = &mut state.requests.arena[request_key];
-    request.prompt = tokens;
-    request.cached = cached;
-    let Some(entry) = state.view.entry(request.entry) else { return };
-    let Some(endpoint) = place::choose(state, entry.target, Role::Decode, 0) else { return };
-    let attempt = &mut state.requests.attempts[key];
-    attempt.endpoint = endpoint;
-    attempt.stage = AttemptStage::Decode { held: Some(handle.clone()) };
-    let draft = place::draft_call(state, request_key, endpoint);
-    out.push(Effect::Engine(EngineCall::Decode { draft, source, handle }));
-}
-
-/// The decode endpoint streams.
-pub fn started(state: &mut State, key: AttemptKey, stream: String, out: &mut Vec<Effect>) {
-    let Some(attempt) = state.requests.attempts.get_mut(key) else { return };
-    attempt.stage = AttemptStage::Decode { held: Some(stream.clone()) };
-    let caller = state.requests.arena[attempt.request].caller;
-    let base = -i64::from(attempt.base);
-    let answer = Answer::Located { endpoint: attempt.endpoint, stream, base };
-    out.push(Effect::Answer { caller, answer });
-}
-
 /// Tokens came: pass on those that the caller lacks.
 pub fn tokens(
     state: &mut State,
@@ -52,16 +19,27 @@
     out: &mut Vec<Effect>,
 ) {
     let Some(attempt) = state.requests.attempts.get_mut(key) else { return };
-    if attempt.taken < offset {
+    if attempt.stage != AttemptStage::Stream {
         return;
     }
-    let fresh: Vec<_> = texts.into_iter().skip((attempt.taken - offset) as usize).collect();
+    if attempt.taken < offset {
+        return missing(state, now, key, out);
+    }
+    let doubled = (attempt.taken - offset) as usize;
+    let request = &mut state.requests.arena[attempt.request];
+    if 0 < doubled {
+        let tokens = doubled.min(texts.len()) as u32;
+        charge::duplicate(request.id, tokens, out);
+    }
+    let fresh: Vec<_> = texts.into_iter().skip(doubled).collect();
     if fresh.is_empty() {
         return;
     }
     let count = fresh.len() as u32;
     attempt.taken += count;
-    let request = &mut state.requests.arena[attempt.request];
+    attempt.heard = now.mono;
+    attempt.rereads = 0;
+    request.failures = 0;
     if request.first.is_none() {
         request.first = Some(now.mono);
         let ttft = now.mono - request.accepted;
@@ -73,3 +51,57 @@
     request.delivered += count;
     out.push(Effect::Answer { caller: request.caller, answer });
 }
+
+/// The stream ended by itself: the answer is whole if no token is missing.
+pub fn finished(
+    state: &mut State,
+    now: Now,
+    key: AttemptKey,
+    reason: String,
+    tokens: u32,
+    out: &mut Vec<Effect>,
+) {
+    let Some(attempt) = state.requests.attempts.get(key) else { return };
+    if attempt.stage != AttemptStage::Stream {
+        return;
+    }
+    if attempt.taken < tokens {
+        return missing(state, now, key, out);
+    }
+    let (request, slot) = (attempt.request, attempt.slot);
+    if let Some(slot) = slot {
+        reserve::release(state, slot, out);
+    }
+    whole(state, now, request, reason, out);
+}
+
+/// A request's answer is whole.
+pub fn whole(
+    state: &mut State,
+    now: Now,
+    key: crate::ids::RequestKey,
+    reason: String,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.remove(key) else { return };
+    let answer = Answer::Done {
+        reason,
+        prompt: request.prompt,
+        cached: request.cached,
+        generated: request.delivered,
+    };
+    out.push(Effect::Answer { caller: request.caller, answer });
+    settle::end(state, now, &request, Outcome::Done, out);
+}
+
+/// Tokens are missing before those that came, or before the end.
+///
+/// Passing on what came would leave a hole in the caller's text that nobody notices, so the stream
+/// is read again from the first token that is missing.
+fn missing(state: &mut State, now: Now, key: AttemptKey, out: &mut Vec<Effect>) {
+    if state.requests.attempts[key].rereads < resume::REREADS {
+        resume::again(state, now, key, out);
+    } else {
+        retry::stream_died(state, now, key, Waste::DecodeFailed, out);
+    }
+}
--- a/crates/basilbank_core/src/reduce/place.rs
+++ b/crates/basilbank_core/src/reduce/place.rs
@@ -1,83 +1,126 @@
-//! Where a request runs.
+//! Where a request runs: from its start to its slots.
 
 use std::time::Duration;
 
 use crate::{
     catalogue::{EntryTarget, Role},
-    effect::{DraftCall, Effect, EngineCall},
-    ids::{EndpointId, RequestKey},
+    effect::{Effect, Progress},
+    ids::{AttemptKey, RequestKey},
     reason::Refusal,
-    reduce::settle,
-    state::{Attempt, AttemptStage, RequestStage, State},
+    reduce::{
+        candidates::{self, Want},
+        decode, estimate, plain, prefill, reserve,
+        reserve::Terms,
+        resume, retry,
+    },
+    state::{AttemptStage, RequestStage, SlotKey, State},
     time::Now,
 };
 
-/// Time limit of one call to an endpoint.
-pub const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Endpoints that are asked at once for a slot.
+const FIRST_ASKS: usize = 2;
+/// Most endpoints at which one attempt waits.
+const MOST_ASKS: usize = 8;
 
 /// Starts a request's next attempt.
 pub fn start(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
     let Some(request) = state.requests.arena.get(key) else { return };
-    let Some(entry) = state.view.entry(request.entry) else { return };
-    let target = entry.target;
-    let role = match target {
-        EntryTarget::Model(_) => Role::Prefill,
-        EntryTarget::Service(_) => Role::Plain,
-    };
-    let Some(endpoint) = choose(state, target, role, request.attempts) else {
-        settle::refuse(state, now, key, Refusal::NoEndpoint, out);
+    if request.stage != RequestStage::Waiting {
         return;
+    }
+    if request.draft.as_ref().is_some_and(|d| d.resume.is_some()) && request.attempts == 0 {
+        return resume::start(state, now, key, out);
+    }
+    let attempt = state.requests.begin(key, now.mono);
+    seek(state, now, attempt, FIRST_ASKS, out);
+    if state.requests.attempts.get(attempt).is_some_and(|a| a.asks.is_empty() && a.slot.is_none()) {
+        retry::no_endpoint(state, now, attempt, out);
+    }
+}
+
+/// An attempt has waited for a while: it waits at more endpoints.
+pub fn widen(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    if found.asks.len() < MOST_ASKS {
+        seek(state, now, attempt, FIRST_ASKS, out);
+    }
+}
+
+/// Asks up to `more` further endpoints for the slot that an attempt needs next.
+pub fn seek(state: &mut State, now: Now, attempt: AttemptKey, more: usize, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let request = &state.requests.arena[found.request];
+    let Some(entry) = state.view.entry(request.entry) else { return };
+    let role = match (entry.target, found.stage) {
+        (EntryTarget::Service(_), _) => Role::Plain,
+        (EntryTarget::Model(_), AttemptStage::Queue) => Role::Prefill,
+        (EntryTarget::Model(_), _) => Role::Decode,
     };
-    let stage = if role == Role::Plain { AttemptStage::Plain } else { AttemptStage::Prefill };
-    let attempt = Attempt {
-        request: key,
-        number: request.attempts,
-        endpoint,
-        stage,
-        base: request.delivered,
-        taken: 0,
-    };
-    let attempt = state.requests.attempts.insert(attempt);
-    let request = &mut state.requests.arena[key];
-    request.attempts += 1;
-    request.stage = RequestStage::Running(attempt);
-    let call = match role {
-        Role::Plain => EngineCall::Plain {
-            attempt,
-            caller: request.caller,
-            request: request.id,
-            endpoint,
-            timeout: CALL_TIMEOUT,
-        },
-        _ => EngineCall::Prefill(draft_call(state, key, endpoint)),
+    let terms = terms(state, now, attempt, role);
+    let want = Want { target: entry.target, role, attempt, count: more };
+    for endpoint in candidates::choose(state, now, &want) {
+        reserve::ask(state, now, attempt, endpoint, terms, out);
+    }
+}
+
+fn terms(state: &State, now: Now, attempt: AttemptKey, role: Role) -> Terms {
+    let found = &state.requests.attempts[attempt];
+    let request = &state.requests.arena[found.request];
+    let prefill = estimate::prefill(state, request);
+    let transfer = estimate::transfer(state, request);
+    let (lead, until) = match (role, found.stage) {
+        (Role::Decode, AttemptStage::Move) => {
+            let last = found.cache.as_ref().map_or(now.mono, |c| c.until);
+            (Duration::ZERO, last.saturating_sub(transfer))
+        }
+        (Role::Decode, _) => (prefill + transfer, request.until),
+        (Role::Prefill, _) => (prefill + transfer, request.until),
+        (Role::Plain, _) => (Duration::ZERO, request.until),
     };
-    out.push(Effect::Engine(call));
+    Terms { tokens: request.prompt_tokens() + request.remaining(), lead, until }
 }
 
-/// What an endpoint needs to know of a request's current attempt.
-pub fn draft_call(state: &State, key: RequestKey, endpoint: EndpointId) -> DraftCall {
-    let request = &state.requests.arena[key];
-    let RequestStage::Running(attempt) = request.stage else {
-        unreachable!("a draft call is made for a running attempt only")
+/// A slot was granted to an attempt.
+pub fn granted(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    slot: SlotKey,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    let stage = found.stage;
+    let (request, since) = (found.request, found.since);
+    let is_draft = state.requests.arena[request].draft.is_some();
+    let role = match stage {
+        AttemptStage::Queue => "prefill",
+        _ if is_draft => "decode",
+        _ => "plain",
     };
-    let class = state.view.entry(request.entry).and_then(|e| state.view.class(e.class));
-    let max = request.draft.as_ref().map_or(0, |d| d.max_tokens);
-    DraftCall {
-        attempt,
-        caller: request.caller,
-        request: request.id,
-        number: state.requests.attempts[attempt].number,
-        endpoint,
-        delivered: request.delivered,
-        remaining: max.saturating_sub(request.delivered),
-        priority: class.map_or(0, |c| c.priority),
-        timeout: CALL_TIMEOUT,
+    match stage {
+        AttemptStage::Queue => found.prefill = Some(slot),
+        _ => found.slot = Some(slot),
+    }
+    let id = state.requests.arena[request].id;
+    let waited = now.mono - since;
+    out.push(Effect::Progress(Progress::Placed {
+        request: id,
+        endpoint: slot.endpoint,
+        role,
+        waited,
+    }));
+    match stage {
+        AttemptStage::Queue => prefill::run(state, now, attempt, out),
+        AttemptStage::Move => decode::import(state, now, attempt, out),
+        AttemptStage::Slot if is_draft => prefill::seek(state, now, attempt, out),
+        AttemptStage::Slot => plain::run(state, now, attempt, out),
+        _ => reserve::release(state, slot, out),
     }
 }
 
-/// The endpoint of a role for a request.
-pub fn choose(state: &State, target: EntryTarget, role: Role, salt: u32) -> Option<EndpointId> {
-    let all: Vec<_> = state.view.serving(target, role).map(|e| e.id).collect();
-    let turn = state.requests.counter as usize + salt as usize;
-    (!all.is_empty()).then(|| all[turn % all.len()])
+/// How a request that no endpoint can take is refused.
+#[must_use]
+pub fn refusal_of(state: &State, key: RequestKey) -> Refusal {
+    let Some(request) = state.requests.arena.get(key) else { return Refusal::NoEndpoint };
+    if request.due < request.until { Refusal::WaitedOut } else { Refusal::TargetMissed }
 }
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/prefill.rs
@@ -0,0 +1,124 @@
+//! A draft's prefill.
+
+use std::time::Duration;
+
+use crate::{
+    effect::{DraftCall, Effect, EngineCall},
+    ids::{AttemptKey, EndpointId},
+    reduce::{decode, estimate, place, reserve, retry},
+    state::{AttemptStage, KvCache, State, Timer},
+    time::Now,
+};
+
+/// Prefill endpoints that are asked at once.
+const ASKS: usize = 2;
+/// A prefill that takes this many times its estimate counts as broken.
+const PATIENCE: u32 = 3;
+/// And this much longer.
+const MARGIN: Duration = Duration::from_secs(2);
+
+/// What a prefill endpoint reported at its end.
+#[derive(Clone, Debug)]
+pub struct Prefilled {
+    /// The KV cache's name.
+    pub handle: String,
+    /// Prompt tokens.
+    pub tokens: u32,
+    /// Prompt tokens that came from the prefix cache.
+    pub cached: u32,
+    /// Size of the KV cache.
+    pub bytes: u64,
+    /// Time spent.
+    pub spent: Duration,
+}
+
+/// The decode slot is there: look for a prefill slot.
+pub fn seek(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    found.enter(AttemptStage::Queue, now.mono);
+    place::seek(state, now, attempt, ASKS, out);
+    if state.requests.attempts.get(attempt).is_some_and(|a| a.asks.is_empty()) {
+        retry::no_endpoint(state, now, attempt, out);
+    }
+}
+
+/// The prefill slot is there too: run it.
+pub fn run(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    let Some(slot) = found.prefill else { return };
+    found.enter(AttemptStage::Prefill, now.mono);
+    let request = found.request;
+    state.requests.set_served(request);
+    let timeout = timeout(state, attempt);
+    state.timers.set(now.mono + timeout, Timer::Attempt(attempt));
+    let call = call(state, attempt, slot.endpoint, timeout);
+    out.push(Effect::Engine(EngineCall::Prefill(call)));
+}
+
+/// How long a prefill may take.
+#[must_use]
+pub fn timeout(state: &State, attempt: AttemptKey) -> Duration {
+    let request = state.requests.attempts.get(attempt).map(|a| a.request);
+    let request = request.and_then(|r| state.requests.arena.get(r));
+    request.map_or(MARGIN, |r| estimate::prefill(state, r) * PATIENCE + MARGIN)
+}
+
+/// What an endpoint needs to know of an attempt.
+///
+/// # Panics
+/// When the attempt's key is dead.
+#[must_use]
+pub fn call(
+    state: &State,
+    attempt: AttemptKey,
+    endpoint: EndpointId,
+    timeout: Duration,
+) -> DraftCall {
+    let found = &state.requests.attempts[attempt];
+    let request = &state.requests.arena[found.request];
+    let class = state.view.entry(request.entry).and_then(|e| state.view.class(e.class));
+    DraftCall {
+        attempt,
+        caller: request.caller,
+        request: request.id,
+        number: found.number,
+        endpoint,
+        delivered: request.delivered,
+        remaining: request.remaining(),
+        priority: class.map_or(0, |c| c.priority),
+        timeout,
+    }
+}
+
+/// The prefill is done: its KV cache goes to the decode endpoint.
+pub fn done(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    done: Prefilled,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    if found.stage != AttemptStage::Prefill {
+        return;
+    }
+    let Some(slot) = found.prefill.take() else { return };
+    let until = now.mono + state.local.tuning.kv_life;
+    let endpoint = slot.endpoint;
+    found.cache = Some(KvCache { endpoint, handle: done.handle, bytes: done.bytes, until });
+    found.spent = done.spent;
+    let request = &mut state.requests.arena[found.request];
+    request.risked = true;
+    if request.delivered == 0 {
+        request.prompt = done.tokens;
+        request.cached = done.cached;
+    }
+    if let Some(draft) = &request.draft {
+        for block in draft.blocks.iter() {
+            state.health.prefixes.add(*block, endpoint);
+        }
+    }
+    state.health.entry(endpoint).failures = 0;
+    reserve::release(state, slot, out);
+    decode::import(state, now, attempt, out);
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/reserve.rs
@@ -0,0 +1,273 @@
+//! The holder's side of slots: asking for them, renewing them, giving them back.
+
+use std::time::Duration;
+
+use basilbank_wire::{Body, Deny, DenyReason, Grant, Hold, Holds, Preempt, Release, Reserve};
+
+use crate::{
+    effect::{Effect, Progress},
+    ids::{AttemptKey, EndpointId, EntryId, RequestId, VmId},
+    reduce::{peer, place, retry},
+    state::{OwnSlot, SlotKey, State},
+    time::Now,
+};
+
+/// A waiting reservation is sent again after this, in case it or its grant was lost.
+const RESEND: Duration = Duration::from_millis(200);
+
+/// What a slot is wanted for.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Tokens expected to be held or prefilled.
+    pub tokens: u32,
+    /// From the grant until its use.
+    pub lead: Duration,
+    /// How long it may wait.
+    pub until: Duration,
+}
+
+/// Asks an endpoint's steward for a slot.
+pub fn ask(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    endpoint: EndpointId,
+    terms: Terms,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    let request = &state.requests.arena[found.request];
+    let key = SlotKey { endpoint, request: request.id, attempt: found.number };
+    if found.asks.contains(&key) {
+        return;
+    }
+    found.asks.push(key);
+    let own = OwnSlot {
+        attempt,
+        entry: request.entry,
+        tokens: terms.tokens,
+        lead: millis(terms.lead),
+        held: false,
+        asked: now.mono,
+        asks: 0,
+        until: terms.until,
+    };
+    state.slots.own.insert(key, own);
+    send(state, now, key, out);
+}
+
+fn send(state: &mut State, now: Now, key: SlotKey, out: &mut Vec<Effect>) {
+    let Some(steward) = state.members.steward(key.endpoint.0) else { return };
+    let Some(own) = state.slots.own.get_mut(&key) else { return };
+    let Some(attempt) = state.requests.attempts.get(own.attempt) else { return };
+    own.asked = now.mono;
+    own.asks += 1;
+    let due = state.requests.arena[attempt.request].due;
+    let reserve = Reserve {
+        endpoint: key.endpoint.0,
+        request: key.request.0,
+        attempt: key.attempt,
+        entry: own.entry.0,
+        tokens: own.tokens,
+        wait: millis(own.until.saturating_sub(now.mono)),
+        slack: signed_millis(now.mono, due),
+        lead: own.lead,
+    };
+    peer::say(state, steward, Body::Reserve(reserve), out);
+}
+
+/// Gives a slot, or the wait for it, back.
+pub fn release(state: &mut State, key: SlotKey, out: &mut Vec<Effect>) {
+    if state.slots.own.remove(&key).is_none() {
+        return;
+    }
+    let Some(steward) = state.members.steward(key.endpoint.0) else { return };
+    peer::say(state, steward, Body::Release(release_of(key)), out);
+}
+
+/// Withdraws all that an attempt waits for.
+pub fn withdraw(state: &mut State, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    for key in std::mem::take(&mut found.asks) {
+        release(state, key, out);
+    }
+}
+
+/// Registers a slot that is in use without having been asked for: a stream that is read on.
+pub fn adopt(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    endpoint: EndpointId,
+    entry: EntryId,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    let request = state.requests.arena[found.request].id;
+    let key = SlotKey { endpoint, request, attempt: found.number };
+    found.slot = Some(key);
+    let own = OwnSlot {
+        attempt,
+        entry,
+        tokens: 0,
+        lead: 0,
+        held: true,
+        asked: now.mono,
+        asks: 0,
+        until: now.mono,
+    };
+    state.slots.own.insert(key, own);
+    tell(state, endpoint, out);
+}
+
+/// A steward granted a slot.
+pub fn granted(state: &mut State, now: Now, from: VmId, grant: &Grant, out: &mut Vec<Effect>) {
+    let key = SlotKey {
+        endpoint: EndpointId(grant.endpoint),
+        request: RequestId(grant.request),
+        attempt: grant.attempt,
+    };
+    let known = state.health.entry(key.endpoint);
+    known.free = Some((grant.free, now.mono));
+    known.full = None;
+    let Some(own) = state.slots.own.get_mut(&key) else {
+        // The request took another slot or ended: without this answer the slot would stay leased
+        // until the next list of holds.
+        peer::say(state, from, Body::Release(release_of(key)), out);
+        return;
+    };
+    if own.held {
+        return;
+    }
+    own.held = true;
+    let attempt = own.attempt;
+    state.slots.known.insert(key.endpoint, from);
+    if let Some(found) = state.requests.attempts.get_mut(attempt) {
+        found.asks.retain(|a| *a != key);
+    }
+    withdraw(state, attempt, out);
+    place::granted(state, now, attempt, key, out);
+}
+
+/// A steward denied a slot.
+pub fn denied(state: &mut State, now: Now, deny: &Deny, out: &mut Vec<Effect>) {
+    let key = SlotKey {
+        endpoint: EndpointId(deny.endpoint),
+        request: RequestId(deny.request),
+        attempt: deny.attempt,
+    };
+    let retry = Duration::from_millis(deny.retry.into());
+    let reason = deny.reason();
+    if matches!(reason, DenyReason::Full | DenyReason::Owed) {
+        state.health.entry(key.endpoint).full = Some(now.mono + retry);
+    }
+    let waits = state.slots.own.get(&key).is_some_and(|own| !own.held);
+    if !waits {
+        return;
+    }
+    let Some(own) = state.slots.own.remove(&key) else { return };
+    let Some(found) = state.requests.attempts.get_mut(own.attempt) else { return };
+    found.asks.retain(|a| *a != key);
+    if found.asks.is_empty() {
+        retry::unplaced(state, now, own.attempt, reason, retry, out);
+    }
+}
+
+/// A steward takes a slot back.
+pub fn preempted(state: &mut State, now: Now, preempt: &Preempt, out: &mut Vec<Effect>) {
+    let key = SlotKey {
+        endpoint: EndpointId(preempt.endpoint),
+        request: RequestId(preempt.request),
+        attempt: preempt.attempt,
+    };
+    let Some(own) = state.slots.own.get(&key) else { return };
+    retry::preempted(state, now, own.attempt, key, out);
+}
+
+/// Sends reservations again that wait, and renews what is held.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let waiting = state.slots.own.iter().filter(|(_, own)| !own.held);
+    let stale = waiting.filter(|(_, own)| own.asked + RESEND * own.asks.min(5) <= now.mono);
+    let stale: Vec<_> = stale.map(|(key, own)| (*key, own.attempt)).collect();
+    for (key, attempt) in stale {
+        note_queued(state, attempt, key, out);
+        send(state, now, key, out);
+        place::widen(state, now, attempt, out);
+    }
+    if state.slots.told + state.local.tuning.slot_lease / 3 <= now.mono {
+        state.slots.told = now.mono;
+        tell_all(state, out);
+    }
+}
+
+fn note_queued(state: &State, attempt: AttemptKey, key: SlotKey, out: &mut Vec<Effect>) {
+    let first = state.requests.attempts.get(attempt).is_some_and(|a| a.asks.first() == Some(&key));
+    if first && state.slots.own[&key].asks == 1 {
+        out.push(Effect::Progress(Progress::Queued { request: key.request }));
+    }
+}
+
+/// Tells the stewards what is held, also where nothing is any more.
+fn tell_all(state: &mut State, out: &mut Vec<Effect>) {
+    let mut endpoints: Vec<_> = state.slots.known.keys().copied().collect();
+    endpoints.extend(state.slots.held().map(|(key, _)| key.endpoint));
+    endpoints.sort_unstable();
+    endpoints.dedup();
+    for endpoint in endpoints {
+        tell(state, endpoint, out);
+    }
+}
+
+/// Tells an endpoint's steward what is held there.
+pub fn tell(state: &mut State, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    let Some(steward) = state.members.steward(endpoint.0) else { return };
+    let holds = holds_at(state, endpoint);
+    if holds.holds.is_empty() {
+        state.slots.known.remove(&endpoint);
+    } else {
+        state.slots.known.insert(endpoint, steward);
+    }
+    peer::say(state, steward, Body::Holds(holds), out);
+}
+
+/// What this daemon holds at an endpoint.
+pub fn holds_at(state: &State, endpoint: EndpointId) -> Holds {
+    let own = state.slots.own.range(SlotKey::all_of(endpoint)).filter(|(_, own)| own.held);
+    let holds = own.map(|(key, own)| Hold {
+        request: key.request.0,
+        attempt: key.attempt,
+        entry: own.entry.0,
+        tokens: own.tokens,
+    });
+    Holds { endpoint: endpoint.0, holds: holds.collect() }
+}
+
+/// Stewardships may have moved: new stewards hear at once what is held and what waits.
+pub fn members_changed(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let known = &state.slots.known;
+    let moved = known.iter().filter(|(e, vm)| state.members.steward(e.0) != Some(**vm));
+    let moved: Vec<_> = moved.map(|(endpoint, _)| *endpoint).collect();
+    for endpoint in moved {
+        tell(state, endpoint, out);
+    }
+    let waiting = state.slots.own.iter().filter(|(_, own)| !own.held);
+    let waiting: Vec<_> = waiting.map(|(key, _)| *key).collect();
+    for key in waiting {
+        send(state, now, key, out);
+    }
+}
+
+fn release_of(key: SlotKey) -> Release {
+    Release { endpoint: key.endpoint.0, request: key.request.0, attempt: key.attempt }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Milliseconds from one moment to another; negative when that has passed.
+fn signed_millis(from: Duration, to: Duration) -> i32 {
+    let ahead = i32::try_from(to.saturating_sub(from).as_millis()).unwrap_or(i32::MAX);
+    let behind = i32::try_from(from.saturating_sub(to).as_millis()).unwrap_or(i32::MAX);
+    if ahead == 0 { -behind } else { ahead }
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/resume.rs
@@ -0,0 +1,63 @@
+//! Streams that are read on: from a caller's cursor, or after a connection broke.
+
+use crate::{
+    effect::{Effect, EngineCall},
+    ids::{AttemptKey, RequestKey},
+    reason::Refusal,
+    reduce::{reserve, settle},
+    state::{AttemptStage, State, Timer},
+    time::Now,
+};
+
+/// Times that one stream is read again without a token coming.
+pub const REREADS: u32 = 2;
+
+/// Reads the stream that a caller's cursor names.
+pub fn start(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
+    let request = &mut state.requests.arena[key];
+    request.risked = true;
+    let entry = request.entry;
+    let resume = request.draft.as_ref().and_then(|d| d.resume.clone());
+    let known = resume.filter(|r| state.view.endpoint(r.endpoint).is_some());
+    let Some(resume) = known else {
+        return settle::refuse(state, now, key, Refusal::StreamGone, out);
+    };
+    let attempt = state.requests.begin(key, now.mono);
+    state.requests.set_served(key);
+    let found = &mut state.requests.attempts[attempt];
+    found.resumed = true;
+    found.taken = resume.offset;
+    found.stream = Some(resume.stream);
+    reserve::adopt(state, now, attempt, resume.endpoint, entry, out);
+    read(state, now, attempt, out);
+}
+
+/// Reads an attempt's stream again from the first token that is missing.
+pub fn again(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    // The slot goes on under its old number; only the answers of the earlier call are dropped.
+    let attempt = state.requests.renew(attempt);
+    let found = &mut state.requests.attempts[attempt];
+    found.rereads += 1;
+    if let Some(own) = found.slot.and_then(|slot| state.slots.own.get_mut(&slot)) {
+        own.attempt = attempt;
+    }
+    read(state, now, attempt, out);
+}
+
+fn read(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let found = &mut state.requests.attempts[attempt];
+    found.enter(AttemptStage::Stream, now.mono);
+    found.heard = now.mono;
+    let (Some(slot), Some(stream)) = (found.slot, found.stream.clone()) else { return };
+    let request = &state.requests.arena[found.request];
+    let call = EngineCall::Resume {
+        attempt,
+        caller: request.caller,
+        request: request.id,
+        endpoint: slot.endpoint,
+        stream,
+        offset: found.taken,
+    };
+    out.push(Effect::Engine(call));
+    state.timers.set(now.mono + state.local.tuning.stall, Timer::Attempt(attempt));
+}
--- a/crates/basilbank_core/src/reduce/settle.rs
+++ b/crates/basilbank_core/src/reduce/settle.rs
@@ -4,94 +4,145 @@
 
 use crate::{
     effect::{Answer, Effect, EngineCall, Progress},
-    event::Failure,
-    ids::{AttemptKey, CallerId, RequestKey},
-    reason::{Outcome, Refusal},
+    ids::{AttemptKey, CallerId, EndpointId, RequestKey},
+    reason::{Outcome, Refusal, Waste},
+    reduce::{charge, claim, limit, reserve},
     state::{AttemptStage, Request, RequestStage, State},
     time::Now,
 };
 
-/// The stream ended by itself: the answer is whole.
-pub fn finished(
+/// When a caller should come back after a refusal that knows nothing better.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// Most retries that successes can save up.
+const MOST_BUDGET: f64 = 50.0;
+
+/// The caller left: cancel what is held for it.
+pub fn abandoned(state: &mut State, now: Now, caller: CallerId, out: &mut Vec<Effect>) {
+    let Some(key) = state.requests.callers.get(&caller).copied() else { return };
+    if let RequestStage::Running(attempt) = state.requests.arena[key].stage {
+        let found = &state.requests.attempts[attempt];
+        let is_read = found.stage == AttemptStage::Stream && 0 < found.taken;
+        if !is_read {
+            charge::prefill(state, now, attempt, Waste::CallerLeft, out);
+        }
+        drop_attempt(state, attempt, out);
+    }
+    let Some(request) = state.requests.remove(key) else { return };
+    end(state, now, &request, Outcome::Abandoned, out);
+}
+
+/// Refuses an accepted request of which nothing was run.
+pub fn refuse(
     state: &mut State,
     now: Now,
-    attempt: AttemptKey,
-    reason: String,
+    key: RequestKey,
+    refusal: Refusal,
     out: &mut Vec<Effect>,
 ) {
-    let Some(key) = state.requests.attempts.get(attempt).map(|a| a.request) else { return };
-    let Some(request) = state.requests.remove(key) else { return };
-    let answer = Answer::Done {
-        reason,
-        prompt: request.prompt,
-        cached: request.cached,
-        generated: request.delivered,
-    };
-    out.push(Effect::Answer { caller: request.caller, answer });
-    settle(&request, now, Outcome::Done, out);
+    let after = refusal.is_temporary().then_some(COME_BACK);
+    refuse_until(state, now, key, refusal, after, out);
 }
 
-/// A plain service answered.
-pub fn answered(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
-    let Some(key) = state.requests.attempts.get(attempt).map(|a| a.request) else { return };
+/// Refuses an accepted request of which nothing was run, and says when to come back.
+pub fn refuse_until(
+    state: &mut State,
+    now: Now,
+    key: RequestKey,
+    refusal: Refusal,
+    after: Option<Duration>,
+    out: &mut Vec<Effect>,
+) {
+    drop_current(state, key, out);
     let Some(request) = state.requests.remove(key) else { return };
-    out.push(Effect::Answer { caller: request.caller, answer: Answer::Plain { attempt } });
-    settle(&request, now, Outcome::Done, out);
+    let answer = Answer::Refused { refusal, after };
+    out.push(Effect::Answer { caller: request.caller, answer });
+    let progress =
+        Progress::Refused { request: Some(request.id), team: Some(request.team), refusal };
+    out.push(Effect::Progress(progress));
+    let outcome = if request.risked { Outcome::Unknown } else { Outcome::NotRun };
+    end(state, now, &request, outcome, out);
 }
 
-/// An attempt failed.
-pub fn failed(
+/// Gives a request up: refuses it if nothing of it can have run, else says that it is unknown.
+pub fn give_up(
     state: &mut State,
     now: Now,
-    attempt: AttemptKey,
-    _failure: Failure,
+    key: RequestKey,
+    refusal: Refusal,
+    after: Option<Duration>,
     out: &mut Vec<Effect>,
 ) {
-    let Some(key) = state.requests.attempts.get(attempt).map(|a| a.request) else { return };
+    let Some(request) = state.requests.arena.get(key) else { return };
+    if request.risked {
+        unknown(state, now, key, out);
+    } else {
+        refuse_until(state, now, key, refusal, after, out);
+    }
+}
+
+/// A request may have run and can't be finished.
+pub fn unknown(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
+    drop_current(state, key, out);
     let Some(request) = state.requests.remove(key) else { return };
     out.push(Effect::Answer { caller: request.caller, answer: Answer::Unknown });
-    settle(&request, now, Outcome::Unknown, out);
+    end(state, now, &request, Outcome::Unknown, out);
 }
 
-/// The caller left: cancel what is held for it.
-pub fn abandoned(state: &mut State, now: Now, caller: CallerId, out: &mut Vec<Effect>) {
-    let Some(key) = state.requests.callers.get(&caller).copied() else { return };
-    let running = match state.requests.arena[key].stage {
-        RequestStage::Running(attempt) => Some(attempt),
-        RequestStage::Waiting => None,
+fn drop_current(state: &mut State, key: RequestKey, out: &mut Vec<Effect>) {
+    if let Some((attempt, _)) = state.requests.current(key) {
+        drop_attempt(state, attempt, out);
+    }
+}
+
+/// Ends an attempt: cancels what endpoints hold for it, and gives its slots back.
+pub fn drop_attempt(state: &mut State, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    cancel(state, attempt, out);
+    reserve::withdraw(state, attempt, out);
+    let Some(found) = state.requests.attempts.remove(attempt) else { return };
+    for slot in [found.slot, found.prefill].into_iter().flatten() {
+        reserve::release(state, slot, out);
+    }
+    if let Some(request) = state.requests.arena.get_mut(found.request) {
+        request.stage = RequestStage::Waiting;
+    }
+}
+
+/// Cancels what endpoints hold for an attempt.
+pub fn cancel(state: &State, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let request = state.requests.arena[found.request].id;
+    let mut push = |endpoint: EndpointId, held: Option<String>| {
+        out.push(Effect::Engine(EngineCall::Cancel { attempt, endpoint, request, held }));
     };
-    let attempt = running.and_then(|a| state.requests.attempts.get(a).cloned().map(|v| (a, v)));
-    let Some(request) = state.requests.remove(key) else { return };
-    if let Some((key, attempt)) = attempt {
-        let held = match attempt.stage {
-            AttemptStage::Decode { held } => held,
-            AttemptStage::Prefill | AttemptStage::Plain => None,
-        };
-        let (endpoint, request) = (attempt.endpoint, request.id);
-        out.push(Effect::Engine(EngineCall::Cancel { attempt: key, endpoint, request, held }));
+    let (slot, prefill) = (found.slot.map(|s| s.endpoint), found.prefill.map(|s| s.endpoint));
+    match (found.stage, slot, prefill) {
+        (AttemptStage::Prefill, _, Some(endpoint)) => push(endpoint, None),
+        (AttemptStage::Import | AttemptStage::Plain, Some(endpoint), _) => push(endpoint, None),
+        (AttemptStage::Stream, Some(endpoint), _) => push(endpoint, found.stream.clone()),
+        _ => {}
+    }
+    if let Some(cache) = &found.cache {
+        push(cache.endpoint, Some(cache.handle.clone()));
     }
-    settle(&request, now, Outcome::Abandoned, out);
 }
 
-/// Refuses an accepted request of which nothing was run.
-pub fn refuse(
+/// What is done at every end.
+pub fn end(
     state: &mut State,
     now: Now,
-    key: RequestKey,
-    refusal: Refusal,
+    request: &Request,
+    outcome: Outcome,
     out: &mut Vec<Effect>,
 ) {
-    let Some(request) = state.requests.remove(key) else { return };
-    let after = refusal.is_temporary().then_some(Duration::from_secs(1));
-    let answer = Answer::Refused { refusal, after };
-    out.push(Effect::Answer { caller: request.caller, answer });
-    let progress =
-        Progress::Refused { request: Some(request.id), team: Some(request.team), refusal };
-    out.push(Effect::Progress(progress));
-    settle(&request, now, Outcome::NotRun, out);
-}
-
-fn settle(request: &Request, now: Now, outcome: Outcome, out: &mut Vec<Effect>) {
+    if outcome == Outcome::Done {
+        let ratio = state.local.tuning.retry_ratio;
+        state.requests.budget = (state.requests.budget + ratio).min(MOST_BUDGET);
+    }
+    let is_resumed = request.draft.as_ref().is_some_and(|d| d.resume.is_some());
+    let prompt = if 0 < request.delivered && !is_resumed { request.prompt } else { 0 };
+    let unused = request.taken.saturating_sub(prompt + request.delivered);
+    limit::give_back(state, now, request.entry, unused);
+    claim::ended(state, request, outcome as u32 + 1, out);
     let streamed = match (request.first, request.last) {
         (Some(first), Some(last)) => last - first,
         _ => Duration::ZERO,
@@ -103,7 +154,7 @@
         entry: request.entry,
         outcome,
         took: now.mono - request.accepted,
-        prompt: request.prompt,
+        prompt,
         generated: request.delivered,
         tbt: streamed / gaps,
     }));
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -1,54 +1,308 @@
-//! Slots at endpoints: reservations, and the steward's side of them.
+//! The steward's side of slots: who gets one, and when.
 
-use basilbank_wire::{AskHolds, Deny, Grant, Holds, Preempt, Release, Reserve};
+use std::{collections::BTreeSet, time::Duration};
 
-use crate::{effect::Effect, ids::VmId, state::State, time::Now};
+use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Release, Reserve};
+
+use crate::{
+    effect::{Effect, Progress},
+    ids::{EndpointId, EntryId, RequestId, VmId},
+    reduce::{order, peer, queue, reserve},
+    state::{Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
+    time::Now,
+};
+
+/// Time between two looks at leases and waiting reservations.
+const TICK: Duration = Duration::from_millis(100);
+/// A lease this young may be missing from its holder's list, which was made before the grant came.
+const GRACE: Duration = Duration::from_millis(500);
+/// How long a new steward waits for peers' lists.
+const LEARN: Duration = Duration::from_secs(2);
 
 /// A daemon asks this one, as an endpoint's steward, for a slot.
-pub fn asked(_state: &mut State, _now: Now, _from: VmId, _ask: &Reserve, _out: &mut Vec<Effect>) {}
+pub fn asked(state: &mut State, now: Now, from: VmId, ask: &Reserve, out: &mut Vec<Effect>) {
+    let endpoint = EndpointId(ask.endpoint);
+    let key = SlotKey { endpoint, request: RequestId(ask.request), attempt: ask.attempt };
+    if let Some(reason) = bar(state, endpoint) {
+        return deny(state, key, from, reason, Duration::ZERO, out);
+    }
+    open(state, now, endpoint, out);
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    if let Some(lease) = ledger.leases.get_mut(&key) {
+        lease.until = now.mono + state.local.tuning.slot_lease;
+        let lent = lease.lent;
+        return grant(state, key, from, lent, out);
+    }
+    let waiter = waiter(now, key, from, ask);
+    match ledger.waiting.iter_mut().find(|w| w.key == key) {
+        Some(known) => *known = Waiter { since: known.since, ..waiter },
+        None => ledger.waiting.push(waiter),
+    }
+    serve(state, now, endpoint, out);
+    drop_hopeless(state, now, endpoint, out);
+}
+
+fn waiter(now: Now, key: SlotKey, vm: VmId, ask: &Reserve) -> Waiter {
+    let ahead = i64::from(ask.slack) - i64::from(ask.lead);
+    let ahead = Duration::from_millis(ahead.max(0).unsigned_abs());
+    // A request whose target has passed is due since the start of time: it is late.
+    let due = if ahead.is_zero() { Duration::ZERO } else { now.mono + ahead };
+    Waiter {
+        key,
+        vm,
+        entry: EntryId(ask.entry),
+        tokens: ask.tokens,
+        due,
+        until: now.mono + Duration::from_millis(ask.wait.into()),
+        since: now.mono,
+    }
+}
+
+/// Why this daemon may grant nothing at an endpoint.
+fn bar(state: &State, endpoint: EndpointId) -> Option<DenyReason> {
+    if state.members.steward(endpoint.0) != Some(state.local.vm) {
+        return Some(DenyReason::NotSteward);
+    }
+    if !state.members.may_decide() {
+        return Some(DenyReason::Isolated);
+    }
+    let known = state.view.endpoint(endpoint);
+    let serves = known.is_some_and(|e| !e.leaving) && state.health.is_usable(endpoint);
+    if !serves || order::is_draining(state, endpoint) {
+        return Some(DenyReason::Leaving);
+    }
+    None
+}
+
+/// Opens an endpoint's ledger when this daemon has become its steward.
+///
+/// A steward that is new does not know what its predecessor granted. Granting all slots then would
+/// put up to twice as many requests on the endpoint as it has slots, seen as refusals after whole
+/// prefills. So it asks all peers first.
+fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    let Some(known) = state.view.endpoint(endpoint) else { return };
+    let slots = if known.slots == 0 { u32::MAX } else { known.slots };
+    if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
+        ledger.slots = slots;
+        return;
+    }
+    let own = state.local.vm;
+    let live = state.members.all.keys().copied().filter(|vm| state.members.is_live(*vm));
+    let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
+    let mut ledger = Ledger { slots, ..Ledger::default() };
+    for vm in &missing {
+        let ask = AskHolds { endpoint: endpoint.0 };
+        out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
+    }
+    if !missing.is_empty() {
+        ledger.learning = Some(Learning { missing, until: now.mono + LEARN });
+    }
+    state.slots.ledgers.insert(endpoint, ledger);
+    let held = reserve::holds_at(state, endpoint);
+    adopt(state, now, own, &held, out);
+}
 
-/// A steward granted a slot.
-pub fn granted(_state: &mut State, _now: Now, _from: VmId, _grant: &Grant, _out: &mut Vec<Effect>) {
+/// Grants slots to those that wait, as far as there are any.
+pub fn serve(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    loop {
+        let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+        let Some(choice) = queue::next(ledger, &state.view, now) else { return };
+        let waiter = ledger.waiting.swap_remove(choice.index);
+        let lease = Lease {
+            vm: waiter.vm,
+            entry: waiter.entry,
+            tokens: waiter.tokens,
+            since: now.mono,
+            until: now.mono + state.local.tuning.slot_lease,
+            lent: choice.lent,
+            preempted: false,
+        };
+        ledger.lease(waiter.key, lease);
+        grant(state, waiter.key, waiter.vm, choice.lent, out);
+    }
 }
 
-/// A steward denied a slot.
-pub fn denied(_state: &mut State, _now: Now, _from: VmId, _deny: &Deny, _out: &mut Vec<Effect>) {}
+fn grant(state: &mut State, key: SlotKey, to: VmId, lent: bool, out: &mut Vec<Effect>) {
+    let free = state.slots.ledgers.get(&key.endpoint).map_or(0, Ledger::free);
+    let lease = u32::try_from(state.local.tuning.slot_lease.as_millis()).unwrap_or(u32::MAX);
+    let grant = Grant {
+        endpoint: key.endpoint.0,
+        request: key.request.0,
+        attempt: key.attempt,
+        lease,
+        free,
+        lent,
+    };
+    peer::say(state, to, Body::Grant(grant), out);
+}
 
-/// A holder gave a slot back.
-pub fn released(
-    _state: &mut State,
-    _now: Now,
-    _from: VmId,
-    _release: &Release,
-    _out: &mut Vec<Effect>,
+fn deny(
+    state: &mut State,
+    key: SlotKey,
+    to: VmId,
+    reason: DenyReason,
+    retry: Duration,
+    out: &mut Vec<Effect>,
 ) {
+    let deny = Deny {
+        endpoint: key.endpoint.0,
+        request: key.request.0,
+        attempt: key.attempt,
+        reason: reason.into(),
+        retry: u32::try_from(retry.as_millis()).unwrap_or(u32::MAX),
+    };
+    peer::say(state, to, Body::Deny(deny), out);
+}
+
+/// Denies those that will not be served in the time they have, at once: they may find a slot
+/// elsewhere, and their callers learn it now and not at the end of the wait.
+fn drop_hopeless(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    for (waiter, wait) in queue::take_hopeless(ledger, &state.view, now) {
+        deny(state, waiter.key, waiter.vm, DenyReason::Full, wait, out);
+    }
+}
+
+/// A holder gave a slot, or the wait for it, back.
+pub fn released(state: &mut State, now: Now, release: &Release, out: &mut Vec<Effect>) {
+    let endpoint = EndpointId(release.endpoint);
+    let key = SlotKey { endpoint, request: RequestId(release.request), attempt: release.attempt };
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    let waited = ledger.waiting.len();
+    ledger.waiting.retain(|w| w.key != key);
+    let moved = ledger.waiting.len() < waited || ledger.end(key, now.mono).is_some();
+    if moved {
+        ledger.note_move(now.mono);
+        serve(state, now, endpoint, out);
+    }
 }
 
 /// A new steward asks what this daemon holds.
-pub fn holds_asked(
-    _state: &mut State,
-    _now: Now,
-    _from: VmId,
-    _ask: &AskHolds,
-    _out: &mut Vec<Effect>,
-) {
+pub fn holds_asked(state: &mut State, from: VmId, ask: &AskHolds, out: &mut Vec<Effect>) {
+    let holds = reserve::holds_at(state, EndpointId(ask.endpoint));
+    peer::say(state, from, Body::Holds(holds), out);
 }
 
-/// A holder tells what it holds.
-pub fn holds(_state: &mut State, _now: Now, _from: VmId, _holds: &Holds, _out: &mut Vec<Effect>) {}
+/// A holder tells what it holds: its leases are renewed, and those it does not list are over.
+pub fn holds(state: &mut State, now: Now, from: VmId, holds: &Holds, out: &mut Vec<Effect>) {
+    let endpoint = EndpointId(holds.endpoint);
+    if bar(state, endpoint) == Some(DenyReason::NotSteward) {
+        return;
+    }
+    open(state, now, endpoint, out);
+    adopt(state, now, from, holds, out);
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    let listed: BTreeSet<_> = holds.holds.iter().map(|h| (h.request, h.attempt)).collect();
+    let is_over = |key: &SlotKey, lease: &Lease| {
+        let is_listed = listed.contains(&(key.request.0, key.attempt));
+        lease.vm == from && !is_listed && lease.since + GRACE < now.mono
+    };
+    let leases = ledger.leases.iter().filter(|(key, lease)| is_over(key, lease));
+    let over: Vec<_> = leases.map(|(key, _)| *key).collect();
+    for key in over {
+        ledger.end(key, now.mono);
+    }
+    if let Some(learning) = &mut ledger.learning {
+        learning.missing.remove(&from);
+        if learning.missing.is_empty() {
+            ledger.learning = None;
+        }
+    }
+    serve(state, now, endpoint, out);
+}
 
-/// A steward takes a slot back.
-pub fn preempted(
-    _state: &mut State,
-    _now: Now,
-    _from: VmId,
-    _preempt: &Preempt,
-    _out: &mut Vec<Effect>,
-) {
+fn adopt(state: &mut State, now: Now, from: VmId, holds: &Holds, out: &mut Vec<Effect>) {
+    let endpoint = EndpointId(holds.endpoint);
+    let until = now.mono + state.local.tuning.slot_lease;
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    let before = ledger.leases.len();
+    for hold in &holds.holds {
+        let request = RequestId(hold.request);
+        let key = SlotKey { endpoint, request, attempt: hold.attempt };
+        if let Some(lease) = ledger.leases.get_mut(&key) {
+            lease.until = until;
+            continue;
+        }
+        let entry = EntryId(hold.entry);
+        let lease = Lease {
+            vm: from,
+            entry,
+            tokens: hold.tokens,
+            since: now.mono,
+            until,
+            lent: false,
+            preempted: false,
+        };
+        ledger.lease(key, lease);
+    }
+    let over = ledger.leases.len().saturating_sub(ledger.slots as usize);
+    if before < ledger.leases.len() && 0 < over {
+        let pairs = vec![("endpoint", endpoint.to_string()), ("over", over.to_string())];
+        out.push(Effect::Progress(Progress::Note { name: "slot_over_commit", pairs }));
+    }
 }
 
 /// The live members changed, so stewardships may have moved.
-pub fn members_changed(_state: &mut State, _now: Now, _out: &mut Vec<Effect>) {}
+pub fn members_changed(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    follow(state, now, out);
+    reserve::members_changed(state, now, out);
+}
 
-/// Renews own leases, expires others', grants what waits.
-pub fn tick(_state: &mut State, _now: Now, _out: &mut Vec<Effect>) {}
+/// Opens ledgers of endpoints that this daemon has become the steward of, and closes others.
+fn follow(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.slots.revision = state.view.catalogue.revision;
+    let own = state.local.vm;
+    let catalogue = state.view.catalogue.clone();
+    let mine = catalogue.endpoints.iter().map(|e| e.id);
+    let mine: BTreeSet<_> = mine.filter(|e| state.members.steward(e.0) == Some(own)).collect();
+    let closed: Vec<_> =
+        state.slots.ledgers.keys().filter(|e| !mine.contains(e)).copied().collect();
+    for endpoint in closed {
+        let Some(ledger) = state.slots.ledgers.remove(&endpoint) else { continue };
+        for waiter in ledger.waiting {
+            deny(state, waiter.key, waiter.vm, DenyReason::NotSteward, Duration::ZERO, out);
+        }
+    }
+    for endpoint in mine {
+        open(state, now, endpoint, out);
+    }
+}
+
+/// Expires leases and reservations, grants what waits, and does the holder's part.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.timers.set(now.mono + TICK, Timer::Slots);
+    if state.slots.revision != state.view.catalogue.revision {
+        follow(state, now, out);
+    }
+    let endpoints: Vec<_> = state.slots.ledgers.keys().copied().collect();
+    for endpoint in endpoints {
+        expire(state, now, endpoint, out);
+        serve(state, now, endpoint, out);
+        drop_hopeless(state, now, endpoint, out);
+    }
+    reserve::tick(state, now, out);
+}
+
+fn expire(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    let barred = bar(state, endpoint);
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    if ledger.learning.as_ref().is_some_and(|l| l.until <= now.mono) {
+        ledger.learning = None;
+    }
+    let over = ledger.leases.iter().filter(|(_, lease)| lease.until <= now.mono);
+    let over: Vec<_> = over.map(|(key, _)| *key).collect();
+    for key in &over {
+        ledger.end(*key, now.mono);
+    }
+    if !over.is_empty() {
+        let pairs = vec![("endpoint", endpoint.to_string()), ("leases", over.len().to_string())];
+        out.push(Effect::Progress(Progress::Note { name: "slot_leases_expired", pairs }));
+    }
+    let is_over = |w: &Waiter| barred.is_some() || w.until <= now.mono;
+    let ended: Vec<_> = ledger.waiting.extract_if(.., |w| is_over(w)).collect();
+    let retry = ledger.pace.unwrap_or_default();
+    let reason = barred.unwrap_or(DenyReason::Full);
+    for waiter in ended {
+        deny(state, waiter.key, waiter.vm, reason, retry, out);
+    }
+}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -1,11 +1,14 @@
 //! All that a daemon's decisions know.
 
+mod attempt;
 mod claims;
 mod documents;
 mod health;
+mod ledger;
 mod limits;
 mod members;
 mod orders;
+mod prefixes;
 mod reaper;
 mod requests;
 mod rng;
@@ -16,16 +19,19 @@
 use std::time::Duration;
 
 pub use self::{
+    attempt::{Attempt, AttemptStage, KvCache},
     claims::Claims,
     documents::Documents,
-    health::Health,
+    health::{Health, Known},
+    ledger::{Learning, Lease, Ledger, Seen, Waiter},
     limits::LimitTable,
     members::{Member, Members},
     orders::Orders,
+    prefixes::Prefixes,
     reaper::Reaper,
-    requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
+    requests::{Request, RequestStage, Requests},
     rng::Rng,
-    slots::Slots,
+    slots::{OwnSlot, SlotKey, Slots},
     timers::{Timer, Timers},
     view::View,
 };
@@ -135,7 +141,9 @@
     #[must_use]
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
-        timers.set(now.mono, Timer::Platform);
+        for timer in [Timer::Platform, Timer::Slots, Timer::Loads] {
+            timers.set(now.mono, timer);
+        }
         State {
             view: View::default(),
             members: Members::new(&local),
--- /dev/null
+++ b/crates/basilbank_core/src/state/attempt.rs
@@ -0,0 +1,115 @@
+//! One attempt of a request.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{EndpointId, RequestKey},
+    state::SlotKey,
+};
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The request.
+    pub request: RequestKey,
+    /// Its number; no two attempts of a request share one.
+    pub number: u32,
+    /// What it is doing.
+    pub stage: AttemptStage,
+    /// Since when.
+    pub since: Duration,
+    /// Slots that were asked for and not granted yet.
+    pub asks: Vec<SlotKey>,
+    /// The slot at a decode endpoint or a plain service.
+    pub slot: Option<SlotKey>,
+    /// The slot at a prefill endpoint.
+    pub prefill: Option<SlotKey>,
+    /// The KV cache that waits to be imported.
+    pub cache: Option<KvCache>,
+    /// The stream's name at the decode endpoint.
+    pub stream: Option<String>,
+    /// Tokens that the caller had when the stream's token 0 came.
+    pub base: u32,
+    /// The next token of the stream that is wanted.
+    pub taken: u32,
+    /// Prefill time spent on it.
+    pub spent: Duration,
+    /// When a token last came.
+    pub heard: Duration,
+    /// It started by reading a stream that a cursor named.
+    pub resumed: bool,
+    /// Times that its stream was read again since a token last came.
+    pub rereads: u32,
+}
+
+/// A KV cache at a prefill endpoint.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct KvCache {
+    /// Where it is.
+    pub endpoint: EndpointId,
+    /// Its name there.
+    pub handle: String,
+    /// Its size in bytes.
+    pub bytes: u64,
+    /// When it is evicted if no decode endpoint takes it.
+    pub until: Duration,
+}
+
+/// What an attempt is doing.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum AttemptStage {
+    /// It waits for a slot at a decode endpoint or a plain service.
+    Slot,
+    /// It has a decode slot and waits for one at a prefill endpoint.
+    Queue,
+    /// The prefill runs.
+    Prefill,
+    /// Its KV cache is there, but its decode slot is not: it waits for another.
+    Move,
+    /// The decode endpoint imports the KV cache.
+    Import,
+    /// The decode endpoint streams.
+    Stream,
+    /// A plain service works on it.
+    Plain,
+}
+
+impl Attempt {
+    /// An attempt that starts.
+    #[must_use]
+    pub fn new(request: RequestKey, number: u32, base: u32, now: Duration) -> Attempt {
+        Attempt {
+            request,
+            number,
+            stage: AttemptStage::Slot,
+            since: now,
+            asks: Vec::new(),
+            slot: None,
+            prefill: None,
+            cache: None,
+            stream: None,
+            base,
+            taken: 0,
+            spent: Duration::ZERO,
+            heard: now,
+            resumed: false,
+            rereads: 0,
+        }
+    }
+
+    /// Goes on to a stage.
+    pub fn enter(&mut self, stage: AttemptStage, now: Duration) {
+        self.stage = stage;
+        self.since = now;
+    }
+
+    /// Where it runs now.
+    #[must_use]
+    pub fn endpoint(&self) -> Option<EndpointId> {
+        let slot = match self.stage {
+            AttemptStage::Queue | AttemptStage::Prefill => self.prefill,
+            _ => self.slot,
+        };
+        slot.map(|s| s.endpoint)
+    }
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -0,0 +1,159 @@
+//! The slots of one endpoint, as its steward knows them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use crate::{
+    ids::{EntryId, VmId},
+    state::SlotKey,
+};
+
+/// How long the ends of leases are remembered, to be compared with late reports.
+const REMEMBER: Duration = Duration::from_secs(3);
+
+/// A slot that is leased to a daemon.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Lease {
+    /// The holder.
+    pub vm: VmId,
+    /// The entry whose share it uses.
+    pub entry: EntryId,
+    /// Tokens expected to be held.
+    pub tokens: u32,
+    /// When it was granted or adopted.
+    pub since: Duration,
+    /// When it ends unless it is renewed.
+    pub until: Duration,
+    /// Its entry was above its owed share.
+    pub lent: bool,
+    /// It is to be given back: the holder was told.
+    pub preempted: bool,
+}
+
+/// A reservation that waits.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Waiter {
+    /// The slot's name.
+    pub key: SlotKey,
+    /// Who waits.
+    pub vm: VmId,
+    /// The entry whose share it would use.
+    pub entry: EntryId,
+    /// Tokens expected to be held.
+    pub tokens: u32,
+    /// The grant that comes later than this misses the request's target.
+    pub due: Duration,
+    /// When it has waited long enough.
+    pub until: Duration,
+    /// When it came.
+    pub since: Duration,
+}
+
+/// What a steward that is new to an endpoint still has to hear.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Learning {
+    /// Peers that have not told what they hold.
+    pub missing: BTreeSet<VmId>,
+    /// When it stops waiting for them.
+    pub until: Duration,
+}
+
+/// What the endpoint itself reported.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Seen {
+    /// Requests running.
+    pub running: u32,
+    /// When that was so.
+    pub at: Duration,
+}
+
+/// The slots of one endpoint.
+#[derive(Clone, PartialEq, Debug, Default)]
+pub struct Ledger {
+    /// Slots that the endpoint has.
+    pub slots: u32,
+    /// Leases.
+    pub leases: BTreeMap<SlotKey, Lease>,
+    /// Reservations that wait.
+    pub waiting: Vec<Waiter>,
+    /// Leases of each entry.
+    pub used: BTreeMap<EntryId, u32>,
+    /// Set while this steward is new.
+    pub learning: Option<Learning>,
+    /// The endpoint's last report.
+    pub seen: Option<Seen>,
+    /// Slots in use that no daemon is known to hold.
+    pub foreign: u32,
+    /// When leases ended lately, oldest first.
+    pub ended: VecDeque<Duration>,
+    /// Mean time between two slots' coming free, while some wait.
+    pub pace: Option<Duration>,
+    /// When a slot last came free or a reservation was last withdrawn.
+    pub moved: Duration,
+}
+
+impl Ledger {
+    /// Slots that can be granted now.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        let held = self.leases.len() as u32;
+        if self.learning.is_none() {
+            return self.slots.saturating_sub(held + self.foreign);
+        }
+        // What others hold is not known yet: only what the endpoint's own report proves free is
+        // granted, less what was granted since then.
+        let Some(seen) = self.seen else { return 0 };
+        let since = self.leases.values().filter(|l| seen.at < l.since).count() as u32;
+        self.slots.saturating_sub((seen.running + since).max(held))
+    }
+
+    /// Adds or renews a lease.
+    pub fn lease(&mut self, key: SlotKey, lease: Lease) {
+        let entry = lease.entry;
+        if self.leases.insert(key, lease).is_none() {
+            *self.used.entry(entry).or_default() += 1;
+        }
+    }
+
+    /// Ends a lease.
+    pub fn end(&mut self, key: SlotKey, now: Duration) -> Option<Lease> {
+        let lease = self.leases.remove(&key)?;
+        self.ended.push_back(now);
+        while self.ended.front().is_some_and(|at| *at + REMEMBER < now) {
+            self.ended.pop_front();
+        }
+        if let Some(used) = self.used.get_mut(&lease.entry) {
+            *used -= 1;
+            if *used == 0 {
+                self.used.remove(&lease.entry);
+            }
+        }
+        Some(lease)
+    }
+
+    /// Leases that ended after a moment that is not long ago.
+    #[must_use]
+    pub fn ended_since(&self, at: Duration) -> u32 {
+        self.ended.iter().filter(|ended| at <= **ended).count() as u32
+    }
+
+    /// Leases of an entry.
+    #[must_use]
+    pub fn used_by(&self, entry: EntryId) -> u32 {
+        self.used.get(&entry).copied().unwrap_or_default()
+    }
+
+    /// Notes that a slot came free or that a reservation was withdrawn, for `pace`.
+    pub fn note_move(&mut self, now: Duration) {
+        const WEIGHT: u32 = 8;
+        const LONGEST: Duration = Duration::from_secs(5);
+        let gap = now.saturating_sub(self.moved).min(LONGEST);
+        self.moved = now;
+        self.pace = Some(match self.pace {
+            Some(pace) => (pace * (WEIGHT - 1) + gap) / WEIGHT,
+            None => gap,
+        });
+    }
+}
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -7,6 +7,7 @@
 use crate::{
     event::{Call, Draft},
     ids::{AttemptKey, CallerId, EndpointId, EntryId, RequestId, RequestKey, TeamId},
+    state::Attempt,
 };
 
 /// One accepted request.
@@ -28,6 +29,10 @@
     pub idempotency: Option<String>,
     /// When it was accepted.
     pub accepted: Duration,
+    /// When its first token, or a plain call's answer, is due by its class's target.
+    pub due: Duration,
+    /// How long it may wait for capacity before it is refused.
+    pub until: Duration,
     /// When the first token went out.
     pub first: Option<Duration>,
     /// When the last token went out.
@@ -38,8 +43,16 @@
     pub prompt: u32,
     /// Prompt tokens that came from the prefix cache.
     pub cached: u32,
-    /// Attempts so far.
+    /// Attempts so far; each has its own number.
     pub attempts: u32,
+    /// Failures since a token was last delivered.
+    pub failures: u32,
+    /// Part of it may have run: it can't be called not run any more.
+    pub risked: bool,
+    /// Tokens that were taken from the entry's limit.
+    pub taken: u32,
+    /// It counts as waiting for capacity.
+    pub queued: bool,
     /// What it is doing.
     pub stage: RequestStage,
 }
@@ -47,45 +60,16 @@
 /// What a request is doing.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RequestStage {
-    /// It waits for a slot or a backoff.
+    /// Its idempotency key is being claimed.
+    Claiming,
+    /// It waits for a backoff.
     Waiting,
-    /// An attempt runs.
+    /// An attempt waits for slots or runs.
     Running(AttemptKey),
 }
 
-/// One attempt of a request.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    /// The request.
-    pub request: RequestKey,
-    /// Its number, from 0.
-    pub number: u32,
-    /// Where it runs now.
-    pub endpoint: EndpointId,
-    /// What it is doing.
-    pub stage: AttemptStage,
-    /// Tokens that the caller had when it started.
-    pub base: u32,
-    /// Tokens of this attempt's stream that were taken.
-    pub taken: u32,
-}
-
-/// What an attempt is doing.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum AttemptStage {
-    /// The prefill runs.
-    Prefill,
-    /// The decode endpoint imports the KV cache or streams.
-    Decode {
-        /// The KV cache's name, then the stream's.
-        held: Option<String>,
-    },
-    /// A plain service works on it.
-    Plain,
-}
-
 /// The arenas of requests and attempts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Requests {
     /// Requests.
     pub arena: SlotMap<RequestKey, Request>,
@@ -95,6 +79,26 @@
     pub callers: HashMap<CallerId, RequestKey>,
     /// Requests ever accepted by this incarnation.
     pub counter: u64,
+    /// Requests that wait for capacity.
+    pub queued: usize,
+    /// Retries that may be made now; successes add to it.
+    pub budget: f64,
+}
+
+/// Retries that a daemon which has just started may make.
+const FIRST_BUDGET: f64 = 10.0;
+
+impl Default for Requests {
+    fn default() -> Requests {
+        Requests {
+            arena: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            callers: HashMap::new(),
+            counter: 0,
+            queued: 0,
+            budget: FIRST_BUDGET,
+        }
+    }
 }
 
 impl Requests {
@@ -103,18 +107,78 @@
         let caller = request.caller;
         let key = self.arena.insert(request);
         self.callers.insert(caller, key);
+        self.set_queued(key);
         key
     }
 
-    /// Removes a request with its attempts' keys, so that late answers are dropped.
+    /// A request waits for capacity from now on.
+    pub fn set_queued(&mut self, key: RequestKey) {
+        let Some(request) = self.arena.get_mut(key) else { return };
+        self.queued += usize::from(!request.queued);
+        request.queued = true;
+    }
+
+    /// An endpoint works for a request from now on.
+    pub fn set_served(&mut self, key: RequestKey) {
+        let Some(request) = self.arena.get_mut(key) else { return };
+        self.queued -= usize::from(request.queued);
+        request.queued = false;
+    }
+
+    /// Removes a request with its attempt's key, so that late answers are dropped.
     pub fn remove(&mut self, key: RequestKey) -> Option<Request> {
         let request = self.arena.remove(key)?;
         self.callers.remove(&request.caller);
+        self.queued -= usize::from(request.queued);
         if let RequestStage::Running(attempt) = request.stage {
             self.attempts.remove(attempt);
         }
         Some(request)
     }
+
+    /// Starts a request's next attempt.
+    ///
+    /// # Panics
+    /// When the request's key is dead.
+    pub fn begin(&mut self, key: RequestKey, now: Duration) -> AttemptKey {
+        let request = &mut self.arena[key];
+        let attempt = Attempt::new(key, request.attempts, request.delivered, now);
+        request.attempts += 1;
+        let attempt = self.attempts.insert(attempt);
+        request.stage = RequestStage::Running(attempt);
+        attempt
+    }
+
+    /// Gives an attempt a new key and number, so that answers to its earlier calls are dropped.
+    ///
+    /// Without it an answer of the endpoint that was given up could pass for one of its successor.
+    ///
+    /// # Panics
+    /// When the attempt's key is dead.
+    pub fn renew(&mut self, key: AttemptKey) -> AttemptKey {
+        let mut attempt = self.attempts.remove(key).expect("the caller checked that it lives");
+        let request = &mut self.arena[attempt.request];
+        attempt.number = request.attempts;
+        request.attempts += 1;
+        let owner = attempt.request;
+        let key = self.attempts.insert(attempt);
+        self.arena[owner].stage = RequestStage::Running(key);
+        key
+    }
+
+    /// A request's current attempt.
+    #[must_use]
+    pub fn current(&self, key: RequestKey) -> Option<(AttemptKey, &Attempt)> {
+        let RequestStage::Running(attempt) = self.arena.get(key)?.stage else { return None };
+        Some((attempt, self.attempts.get(attempt)?))
+    }
+
+    /// Where a request's stream lives and its name there, once it has one.
+    #[must_use]
+    pub fn stream(&self, key: RequestKey) -> Option<(EndpointId, &str)> {
+        let (_, attempt) = self.current(key)?;
+        Some((attempt.slot?.endpoint, attempt.stream.as_deref()?))
+    }
 }
 
 impl Request {
@@ -130,13 +194,31 @@
             repeatable: false,
             idempotency: call.idempotency.clone(),
             accepted: at,
+            due: at,
+            until: at,
             first: None,
             last: None,
             delivered: 0,
             prompt: 0,
             cached: 0,
             attempts: 0,
+            failures: 0,
+            risked: false,
+            taken: 0,
+            queued: false,
             stage: RequestStage::Waiting,
         }
     }
+
+    /// Most tokens that it still may generate.
+    #[must_use]
+    pub fn remaining(&self) -> u32 {
+        self.draft.as_ref().map_or(0, |d| d.max_tokens.saturating_sub(self.delivered))
+    }
+
+    /// Tokens that a prefill has to turn into KV cache: the prompt, and what was delivered since.
+    #[must_use]
+    pub fn prompt_tokens(&self) -> u32 {
+        self.draft.as_ref().map_or(0, |d| d.tokens.saturating_add(self.delivered))
+    }
 }
--- a/crates/basilbank_core/src/state/view.rs
+++ b/crates/basilbank_core/src/state/view.rs
@@ -1,12 +1,14 @@
 //! The catalogue in force, indexed for decisions.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{cmp::Reverse, collections::HashMap, sync::Arc};
 
 use subtle::ConstantTimeEq;
 
 use crate::{
-    catalogue::{Catalogue, Class, Endpoint, Entry, EntryTarget, KeyHash, Role, Service},
-    ids::{ClassId, EndpointId, EntryId, TeamId},
+    catalogue::{
+        Catalogue, Class, Endpoint, Entry, EntryTarget, KeyHash, ModelSpec, Role, Service,
+    },
+    ids::{ClassId, EndpointId, EntryId, ModelId, ServiceId, TeamId},
 };
 
 /// The catalogue with its indices. Indices hold positions in the catalogue's vectors.
@@ -18,6 +20,11 @@
     entries: HashMap<EntryId, usize>,
     endpoints: HashMap<EndpointId, usize>,
     classes: HashMap<ClassId, usize>,
+    models: HashMap<ModelId, usize>,
+    prefixes: HashMap<String, usize>,
+    lengths: Vec<usize>,
+    plain: HashMap<(TeamId, ServiceId), usize>,
+    serving: HashMap<(EntryTarget, Role), Vec<usize>>,
 }
 
 impl View {
@@ -31,10 +38,29 @@
         view.entries = catalogue.entries.iter().enumerate().map(|(i, e)| (e.id, i)).collect();
         view.endpoints = catalogue.endpoints.iter().enumerate().map(|(i, e)| (e.id, i)).collect();
         view.classes = catalogue.classes.iter().enumerate().map(|(i, c)| (c.id, i)).collect();
+        view.models = catalogue.models.iter().enumerate().map(|(i, m)| (m.id, i)).collect();
+        view.index_services(&catalogue);
+        for (i, endpoint) in catalogue.endpoints.iter().enumerate().filter(|(_, e)| !e.leaving) {
+            view.serving.entry((endpoint.serves, endpoint.role)).or_default().push(i);
+        }
         view.catalogue = catalogue;
         view
     }
 
+    fn index_services(&mut self, catalogue: &Catalogue) {
+        for (i, service) in catalogue.services.iter().enumerate() {
+            self.prefixes.insert(service.prefix.clone(), i);
+            self.lengths.push(service.prefix.len());
+        }
+        self.lengths.sort_unstable_by_key(|length| Reverse(*length));
+        self.lengths.dedup();
+        for (i, entry) in catalogue.entries.iter().enumerate() {
+            if let EntryTarget::Service(service) = entry.target {
+                self.plain.entry((entry.owner, service)).or_insert(i);
+            }
+        }
+    }
+
     /// The team that a presented key belongs to.
     ///
     /// The table is found by the key's SHA-256, so its timing says nothing of a key; the last
@@ -63,15 +89,16 @@
     /// The service whose prefix a path starts with; the longest prefix wins.
     #[must_use]
     pub fn service(&self, path: &str) -> Option<&Service> {
-        let matching = self.catalogue.services.iter().filter(|s| path.starts_with(&s.prefix));
-        matching.max_by_key(|s| s.prefix.len())
+        let starts = self.lengths.iter().filter_map(|length| path.get(..*length));
+        let found = starts.filter_map(|start| self.prefixes.get(start)).next()?;
+        Some(&self.catalogue.services[*found])
     }
 
     /// A team's entry for a service.
     #[must_use]
     pub fn plain_entry(&self, team: TeamId, service: &Service) -> Option<&Entry> {
-        let target = EntryTarget::Service(service.id);
-        self.catalogue.entries.iter().find(|e| e.owner == team && e.target == target)
+        let found = self.plain.get(&(team, service.id))?;
+        Some(&self.catalogue.entries[*found])
     }
 
     /// An endpoint.
@@ -86,9 +113,20 @@
         self.classes.get(&id).map(|i| &self.catalogue.classes[*i])
     }
 
-    /// The endpoints of one role for one target that take new work.
+    /// A model.
+    #[must_use]
+    pub fn model(&self, id: ModelId) -> Option<&ModelSpec> {
+        self.models.get(&id).map(|i| &self.catalogue.models[*i])
+    }
+
+    /// The endpoints of one role for one target that the catalogue does not take away.
     pub fn serving(&self, target: EntryTarget, role: Role) -> impl Iterator<Item = &Endpoint> {
-        let all = self.catalogue.endpoints.iter();
-        all.filter(move |e| e.serves == target && e.role == role && !e.leaving)
+        self.positions(target, role).iter().map(|i| &self.catalogue.endpoints[*i])
+    }
+
+    /// Their positions in the catalogue, for a choice without a look at each.
+    #[must_use]
+    pub fn positions(&self, target: EntryTarget, role: Role) -> &[usize] {
+        self.serving.get(&(target, role)).map_or(&[], Vec::as_slice)
     }
 }
