Membership by heartbeats: compact beats, pauses, isolation, stewards

Cause: members were all taken for live, and a daemon that slept or was cut off still decided. Change: heartbeats carry all live members' counters in four bytes each and shift round by round; news of restarts and departures goes round in full records; a daemon that slept or hears fewer than half of the list decides nothing until it has heard its peers again.

--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -13,7 +13,7 @@
 mod settle;
 mod slots;
 
-use basilbank_wire::Body;
+use basilbank_wire::{Body, VmList};
 
 use crate::{
     effect::Effect,
@@ -25,6 +25,7 @@
 
 /// Takes one event in and pushes what is to be done about it.
 pub fn reduce(state: &mut State, now: Now, event: Event, out: &mut Vec<Effect>) {
+    member::awake(state, now, out);
     match event {
         Event::Tick => {}
         Event::Caller(event) => on_caller(state, now, event, out),
@@ -35,7 +36,10 @@
             }
         }
         Event::Platform(event) => on_platform(state, now, event, out),
-        Event::Shutdown => state.leaving = true,
+        Event::Shutdown => {
+            state.leaving = true;
+            member::leaving(state, now, out);
+        }
     }
     while let Some(timer) = state.timers.pop_due(now.mono) {
         on_timer(state, now, timer, out);
@@ -96,7 +100,10 @@
             catalogue::checked(state, now, revision, result, out);
         }
         PlatformEvent::CatalogueFailed => catalogue::failed(state, now),
-        PlatformEvent::Vms { .. } | PlatformEvent::VmsFailed => {}
+        PlatformEvent::Vms { revision, vms } => {
+            catalogue::vms(state, now, VmList { revision, vms }, out);
+        }
+        PlatformEvent::VmsFailed => {}
     }
 }
 
@@ -122,8 +129,11 @@
     body: Body,
     out: &mut Vec<Effect>,
 ) {
+    if !member::is_current(state, now, from, incarnation, out) {
+        return;
+    }
     match body {
-        Body::Heartbeat(beat) => member::heard(state, now, from, incarnation, &beat, out),
+        Body::Heartbeat(beat) => member::heard(state, now, from, &beat, out),
         Body::Reserve(ask) => slots::asked(state, now, from, &ask, out),
         Body::Grant(grant) => slots::granted(state, now, from, &grant, out),
         Body::Deny(deny) => slots::denied(state, now, from, &deny, out),
--- a/crates/basilbank_core/src/reduce/catalogue.rs
+++ b/crates/basilbank_core/src/reduce/catalogue.rs
@@ -8,6 +8,7 @@
     catalogue::Catalogue,
     effect::{Effect, Progress},
     ids::VmId,
+    reduce::member,
     state::{State, Timer, View},
     time::Now,
 };
@@ -67,4 +68,11 @@
 pub fn vms_fetched(_state: &State, _from: VmId, _fetch: &FetchVms, _out: &mut Vec<Effect>) {}
 
 /// A VM list came, from the platform or from a peer.
-pub fn vms(_state: &mut State, _now: Now, _list: VmList, _out: &mut Vec<Effect>) {}
+pub fn vms(state: &mut State, now: Now, list: VmList, out: &mut Vec<Effect>) {
+    if list.revision <= state.documents.vms.revision || list.vms.is_empty() {
+        return;
+    }
+    state.members.adopt(&list.vms);
+    state.documents.vms = list;
+    member::adopted(state, now, out);
+}
--- a/crates/basilbank_core/src/reduce/member.rs
+++ b/crates/basilbank_core/src/reduce/member.rs
@@ -1,19 +1,227 @@
-//! Who is alive.
+//! Who is alive: heartbeats, pauses, isolation.
 
-use basilbank_wire::Heartbeat;
+mod beats;
+mod spread;
 
-use crate::{effect::Effect, ids::VmId, state::State, time::Now};
+use std::time::Duration;
+
+use basilbank_wire::{Heartbeat, Seen};
+
+use crate::{
+    effect::{Effect, Progress},
+    ids::VmId,
+    reduce::slots,
+    state::{State, Timer},
+    time::Now,
+};
+
+/// After a pause, news counts from this many heartbeats on: packets that arrived during the pause
+/// and waited in the socket are read within less.
+const SETTLE: u32 = 2;
+
+/// Looks for a pause of this process; comes before each event, since the first thing that a process
+/// reads after a pause may be a request for a slot that is another steward's by now.
+pub fn awake(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let gap = now.mono.saturating_sub(state.members.presence.last_event);
+    state.members.presence.last_event = now.mono;
+    if gap <= state.local.tuning.pause {
+        return;
+    }
+    state.members.shift(gap);
+    state.members.presence.waiting = Some(now.mono + state.local.tuning.heartbeat * SETTLE);
+    note(out, "paused", vec![("gap_ms", gap.as_millis().to_string())]);
+    judge(state, now, out);
+}
+
+/// Takes in that a message came from a peer, and says whether it is current. A message of an
+/// incarnation that was followed by another is from a process that is gone.
+pub fn is_current(
+    state: &mut State,
+    now: Now,
+    from: VmId,
+    incarnation: u64,
+    out: &mut Vec<Effect>,
+) -> bool {
+    if !state.members.is_current(from, incarnation) {
+        note(out, "stale_incarnation", vec![("vm", from.to_string())]);
+        return false;
+    }
+    if from == state.local.vm || !state.members.all.contains_key(&from) {
+        return true;
+    }
+    let epoch = state.members.epoch;
+    found(state, now, from, incarnation, out);
+    changed(state, epoch, now, out);
+    true
+}
 
 /// A peer's heartbeat.
-pub fn heard(
-    _state: &mut State,
-    _now: Now,
-    _from: VmId,
-    _incarnation: u64,
-    _beat: &Heartbeat,
-    _out: &mut Vec<Effect>,
-) {
-}
-
-/// Sends heartbeats, and looks for pauses and dead members.
-pub fn tick(_state: &mut State, _now: Now, _out: &mut Vec<Effect>) {}
+pub fn heard(state: &mut State, now: Now, from: VmId, beat: &Heartbeat, out: &mut Vec<Effect>) {
+    let epoch = state.members.epoch;
+    let rumours = spread::rumours(&state.members);
+    if let Some(member) = state.members.all.get_mut(&from) {
+        member.counter = member.counter.max(beat.counter);
+        if beat.leaving && !member.says_leaving {
+            member.says_leaving = true;
+            member.rumours = rumours;
+            state.members.changed();
+        }
+    }
+    for seen in &beat.seen {
+        told(state, now, seen, out);
+    }
+    for vm in beats::apply(&mut state.members, &beat.beats, now.mono) {
+        came(state, vm, out);
+    }
+    changed(state, epoch, now, out);
+    if beat.probe {
+        spread::answer(state, from, out);
+    }
+}
+
+/// Sends heartbeats, and looks for dead members.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.timers.set(now.mono + state.local.tuning.heartbeat, Timer::Heartbeat);
+    let epoch = state.members.epoch;
+    bury(state, now, out);
+    changed(state, epoch, now, out);
+    judge(state, now, out);
+    spread::beat(state, now, out);
+}
+
+/// The VM list changed.
+pub fn adopted(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    judge(state, now, out);
+    slots::members_changed(state, now, out);
+    spread::push(state, now, out);
+}
+
+/// This daemon is shutting down: it gives its stewardships up and says so at once.
+pub fn leaving(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    if let Some(own) = state.members.all.get_mut(&state.local.vm) {
+        own.says_leaving = true;
+    }
+    let epoch = state.members.epoch;
+    state.members.changed();
+    changed(state, epoch, now, out);
+    spread::push(state, now, out);
+}
+
+/// A peer tells what it knows of a member that it has heard of lately.
+fn told(state: &mut State, now: Now, seen: &Seen, out: &mut Vec<Effect>) {
+    let vm = VmId(seen.vm);
+    if vm == state.local.vm {
+        superseded(state, seen, out);
+        return;
+    }
+    let rumours = spread::rumours(&state.members);
+    let Some(member) = state.members.all.get(&vm) else { return };
+    let is_new = member.incarnation < seen.incarnation;
+    let is_news = seen.incarnation == member.incarnation && member.counter < seen.counter;
+    if is_new || is_news {
+        found(state, now, vm, seen.incarnation, out);
+    }
+    let Some(member) = state.members.all.get_mut(&vm) else { return };
+    if member.incarnation != seen.incarnation {
+        return;
+    }
+    member.counter = member.counter.max(seen.counter);
+    if seen.leaving && !member.says_leaving {
+        member.says_leaving = true;
+        member.rumours = rumours;
+        state.members.changed();
+    }
+}
+
+/// There is news of a member, of an incarnation that is current.
+fn found(state: &mut State, now: Now, vm: VmId, incarnation: u64, out: &mut Vec<Effect>) {
+    let rumours = spread::rumours(&state.members);
+    let Some(member) = state.members.all.get_mut(&vm) else { return };
+    member.heard = Some(now.mono);
+    let former = member.incarnation;
+    if former < incarnation {
+        member.incarnation = incarnation;
+        member.counter = 0;
+        member.says_leaving = false;
+        member.rumours = rumours;
+    }
+    if !member.live {
+        came(state, vm, out);
+    } else if former != 0 && former < incarnation {
+        note(out, "member_restarted", vec![("vm", vm.to_string())]);
+        state.members.changed();
+    }
+}
+
+fn came(state: &mut State, vm: VmId, out: &mut Vec<Effect>) {
+    let rumours = spread::rumours(&state.members);
+    let Some(member) = state.members.all.get_mut(&vm) else { return };
+    member.live = true;
+    member.rumours = rumours;
+    state.members.changed();
+    note(out, "member_up", vec![("vm", vm.to_string())]);
+}
+
+fn bury(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let own = state.local.vm;
+    let limit = state.local.tuning.dead_after;
+    let mut any = false;
+    for (vm, member) in state.members.all.iter_mut().filter(|(vm, m)| m.live && **vm != own) {
+        let silent = member.heard.map_or(Duration::MAX, |heard| now.mono.saturating_sub(heard));
+        if silent <= limit {
+            continue;
+        }
+        member.live = false;
+        any = true;
+        let pairs = vec![("vm", vm.to_string()), ("silent_ms", silent.as_millis().to_string())];
+        note(out, "member_dead", pairs);
+    }
+    if any {
+        state.members.changed();
+    }
+}
+
+/// Passes on that the live members changed, if they did.
+fn changed(state: &mut State, epoch: u64, now: Now, out: &mut Vec<Effect>) {
+    if state.members.epoch == epoch {
+        return;
+    }
+    slots::members_changed(state, now, out);
+    judge(state, now, out);
+}
+
+/// Judges anew whether this daemon may decide.
+fn judge(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let before = state.members.may_decide();
+    if let Some(from) = state.members.presence.waiting {
+        let census = state.members.census(|m| m.heard.is_some_and(|heard| from <= heard));
+        if !state.members.presence.listed || census.is_minority() {
+            return;
+        }
+        state.members.presence.waiting = None;
+    }
+    let census = state.members.census(|m| m.live);
+    let isolated = census.is_minority();
+    if isolated != state.members.presence.isolated {
+        state.members.presence.isolated = isolated;
+        let pairs = vec![("live", census.heard.to_string()), ("listed", census.of.to_string())];
+        note(out, if isolated { "isolated" } else { "rejoined" }, pairs);
+    }
+    if !before && state.members.may_decide() {
+        state.members.presence.since = now.mono;
+        note(out, "recovered", vec![("live", census.heard.to_string())]);
+        slots::members_changed(state, now, out);
+    }
+}
+
+/// Peers know a higher incarnation of this VM: another process has its name, or the VM's clock went
+/// back across a restart. Peers drop all that this daemon says; only an operator can mend it.
+fn superseded(state: &State, seen: &Seen, out: &mut Vec<Effect>) {
+    if state.local.incarnation < seen.incarnation {
+        note(out, "incarnation_superseded", vec![("incarnation", seen.incarnation.to_string())]);
+    }
+}
+
+fn note(out: &mut Vec<Effect>, name: &'static str, pairs: Vec<(&'static str, String)>) {
+    out.push(Effect::Progress(Progress::Note { name, pairs }));
+}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -20,7 +20,7 @@
     documents::Documents,
     health::Health,
     limits::LimitTable,
-    members::{Member, Members},
+    members::{Census, Member, Members, Presence, rank},
     orders::Orders,
     reaper::Reaper,
     requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
@@ -136,9 +136,12 @@
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
         timers.set(now.mono, Timer::Platform);
+        let mut rng = Rng::new(local.seed);
+        let phase = local.tuning.heartbeat.mul_f64(rng.unit());
+        timers.set(now.mono + phase, Timer::Heartbeat);
         State {
             view: View::default(),
-            members: Members::new(&local),
+            members: Members::new(&local, now.mono),
             documents: Documents::default(),
             requests: Requests::default(),
             health: Health::default(),
@@ -148,7 +151,7 @@
             orders: Orders::default(),
             reaper: Reaper::default(),
             timers,
-            rng: Rng::new(local.seed),
+            rng,
             leaving: false,
             local,
         }
--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -1,67 +1,180 @@
 //! Peers: who may exist, and who does.
 
-use std::collections::BTreeMap;
+mod census;
+mod departed;
+mod member;
+mod presence;
+mod rank;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use std::{collections::BTreeMap, time::Duration};
 
+use basilbank_wire::VmRecord;
+
+pub use self::{census::Census, member::Member, presence::Presence, rank::rank};
+use self::{
+    departed::Departed,
+    rank::{highest, top},
+};
 use crate::{ids::VmId, state::Local};
 
-/// One VM of the system.
-#[derive(Clone, PartialEq, Debug, Default)]
-pub struct Member {
-    /// It has been heard lately.
-    pub live: bool,
-}
+/// VMs that vote on one key.
+pub const VOTERS: usize = 3;
 
-/// All VMs on the platform's list.
+/// All VMs on the platform's list, and which of them are alive.
+///
+/// The list says who may exist; heartbeats say who does. Before a list is known, `all` has this
+/// daemon's own VM only, and the daemon decides nothing.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     /// This daemon's own VM.
     pub own: VmId,
-    /// All of them, this daemon's own too.
+    /// The listed VMs, this daemon's own too if it is listed.
     pub all: BTreeMap<VmId, Member>,
+    /// Whether this daemon may decide for others.
+    pub presence: Presence,
+    /// Rises whenever a member comes, dies, restarts or starts to leave.
+    pub epoch: u64,
+    /// Heartbeats that this daemon has sent.
+    pub counter: u64,
+    ring: Vec<VmId>,
+    candidates: Vec<VmId>,
+    departed: Departed,
 }
 
 impl Members {
     /// Knows only this daemon.
     #[must_use]
-    pub fn new(local: &Local) -> Members {
-        Members { own: local.vm, all: BTreeMap::from([(local.vm, Member { live: true })]) }
+    pub fn new(local: &Local, mono: Duration) -> Members {
+        let own = Member::own(local.data_centre, local.incarnation, mono);
+        Members {
+            own: local.vm,
+            all: BTreeMap::from([(local.vm, own)]),
+            presence: Presence::new(mono),
+            ring: vec![local.vm],
+            candidates: vec![local.vm],
+            ..Members::default()
+        }
+    }
+
+    /// Takes over a VM list. Members that stay keep what is known of them.
+    pub fn adopt(&mut self, vms: &[VmRecord]) {
+        let mut old = std::mem::take(&mut self.all);
+        for record in vms {
+            let vm = VmId::of(&record.name);
+            let known = old.remove(&vm).or_else(|| self.departed.take(vm));
+            let mut member = known.unwrap_or_default();
+            member.list(record);
+            self.all.insert(vm, member);
+        }
+        old.remove(&self.own);
+        for (vm, member) in old {
+            self.departed.put(vm, member);
+        }
+        self.ring = self.all.keys().copied().collect();
+        self.presence.listed = true;
+        self.changed();
     }
 
-    /// Whether this daemon may decide as a steward: it was not paused lately and is not cut off.
+    /// Call it whenever a member came, died, restarted or started to leave.
+    pub fn changed(&mut self) {
+        self.epoch += 1;
+        let live = |stays: bool| {
+            let members =
+                self.all.iter().filter(move |(_, m)| m.live && (stays || !m.is_leaving()));
+            members.map(|(vm, _)| *vm).collect::<Vec<_>>()
+        };
+        // When all are leaving, the last ones still decide for the requests they have in progress.
+        let staying = live(false);
+        self.candidates = if staying.is_empty() { live(true) } else { staying };
+    }
+
+    /// Whether this daemon may decide as a steward: it knows the VM list, was not paused lately and
+    /// is not cut off. A daemon that is alone on the list may.
     #[must_use]
     pub fn may_decide(&self) -> bool {
-        true
+        self.presence.may_decide()
     }
 
     /// Whether a VM has been heard lately.
     #[must_use]
     pub fn is_live(&self, vm: VmId) -> bool {
-        self.all.get(&vm).is_some_and(|m| m.live)
+        vm == self.own || self.all.get(&vm).is_some_and(|m| m.live)
+    }
+
+    /// Whether a VM is on the platform's list.
+    #[must_use]
+    pub fn is_listed(&self, vm: VmId) -> bool {
+        self.presence.listed && self.all.contains_key(&vm)
+    }
+
+    /// The highest incarnation of a VM that was heard of; also of one that left the list lately.
+    #[must_use]
+    pub fn incarnation(&self, vm: VmId) -> Option<u64> {
+        let member = self.all.get(&vm).or_else(|| self.departed.get(vm))?;
+        (member.incarnation != 0).then_some(member.incarnation)
+    }
+
+    /// Time since the last news of a VM, time in which this daemon itself was paused not counted;
+    /// `None` for one that was never heard.
+    #[must_use]
+    pub fn silent_for(&self, vm: VmId) -> Option<Duration> {
+        if vm == self.own {
+            return Some(Duration::ZERO);
+        }
+        let member = self.all.get(&vm).or_else(|| self.departed.get(vm))?;
+        member.heard.map(|heard| self.presence.last_event.saturating_sub(heard))
     }
 
-    /// The VMs that vote on a key: the three that rank highest on the platform's list, heard or not,
-    /// so that both sides of a partition ask the same three.
+    /// The VMs that vote on a key: those that rank highest on the platform's list, heard or not, so
+    /// that both sides of a partition ask the same ones.
     #[must_use]
     pub fn voters(&self, subject: u64) -> Vec<VmId> {
-        let mut all: Vec<_> = self.all.keys().copied().collect();
-        all.sort_by_key(|vm| std::cmp::Reverse(rank(*vm, subject)));
-        all.truncate(3);
-        all
+        top::<VOTERS>(self.ring.iter().copied(), subject)
     }
 
     /// The live member that decides for a subject: the one that ranks highest by rendezvous hashing,
-    /// so that a member's coming or going moves only its own subjects.
+    /// so that a member's coming or going moves only its own subjects. Members that are leaving
+    /// decide only when there are no others.
     #[must_use]
     pub fn steward(&self, subject: u64) -> Option<VmId> {
-        let live = self.all.iter().filter(|(_, m)| m.live).map(|(vm, _)| *vm);
-        live.max_by_key(|vm| rank(*vm, subject))
+        highest(&self.candidates, subject)
+    }
+
+    /// The live members that may be stewards, sorted.
+    #[must_use]
+    pub fn candidates(&self) -> &[VmId] {
+        &self.candidates
+    }
+
+    /// The listed VMs, sorted.
+    #[must_use]
+    pub fn ring(&self) -> &[VmId] {
+        &self.ring
     }
-}
 
-/// A member's rank for a subject.
-#[must_use]
-fn rank(vm: VmId, subject: u64) -> u64 {
-    xxh3_64_with_seed(&vm.0.to_le_bytes(), subject)
+    /// Counts the members that may decide, and those of them for which `heard` holds. This daemon's
+    /// own is always heard.
+    #[must_use]
+    pub fn census(&self, heard: impl Fn(&Member) -> bool) -> Census {
+        let mut census = Census::default();
+        for (vm, member) in self.all.iter().filter(|(_, m)| !m.is_leaving()) {
+            census.of += 1;
+            census.heard += usize::from(*vm == self.own || heard(member));
+        }
+        census
+    }
+
+    /// Moves the times of last news on by a pause, in which nothing could be heard.
+    pub fn shift(&mut self, gap: Duration) {
+        for member in self.all.values_mut() {
+            member.heard = member.heard.map(|heard| heard + gap);
+        }
+        self.departed.shift(gap);
+    }
+
+    /// Whether a message of this incarnation is current: none with a higher one was seen.
+    #[must_use]
+    pub fn is_current(&self, vm: VmId, incarnation: u64) -> bool {
+        self.incarnation(vm).is_none_or(|known| known <= incarnation)
+    }
 }
--- /dev/null
+++ b/crates/basilbank_core/src/state/members/departed.rs
@@ -0,0 +1,49 @@
+//! VMs that left the list.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::Member;
+use crate::ids::VmId;
+
+/// Departed VMs that are remembered.
+const MOST: usize = 512;
+
+/// The VMs that left the list last, with what was known of them.
+///
+/// A stream at an endpoint may name a VM that is no longer listed. Without this memory its silence
+/// could not be told from that of a VM that was never there.
+#[derive(Clone, Debug, Default)]
+pub struct Departed {
+    vms: VecDeque<(VmId, Member)>,
+}
+
+impl Departed {
+    /// Remembers one, and forgets the one that left first when there are too many.
+    pub fn put(&mut self, vm: VmId, mut member: Member) {
+        member.live = false;
+        member.rumours = 0;
+        self.vms.push_back((vm, member));
+        if MOST < self.vms.len() {
+            self.vms.pop_front();
+        }
+    }
+
+    /// What was known of one.
+    #[must_use]
+    pub fn get(&self, vm: VmId) -> Option<&Member> {
+        self.vms.iter().find(|(other, _)| *other == vm).map(|(_, member)| member)
+    }
+
+    /// Forgets one that came back.
+    pub fn take(&mut self, vm: VmId) -> Option<Member> {
+        let place = self.vms.iter().position(|(other, _)| *other == vm)?;
+        self.vms.remove(place).map(|(_, member)| member)
+    }
+
+    /// Moves the times of last news on by a pause.
+    pub fn shift(&mut self, gap: Duration) {
+        for (_, member) in &mut self.vms {
+            member.heard = member.heard.map(|heard| heard + gap);
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state/members/rank.rs
@@ -0,0 +1,41 @@
+//! Rendezvous hashing.
+
+use std::cmp::Reverse;
+
+use crate::ids::VmId;
+
+/// A VM's rank for a subject. Names are hashed already, so mixing two numbers is enough; it costs
+/// about a nanosecond, which matters with hundreds of members on the path of each request.
+#[must_use]
+pub fn rank(vm: VmId, subject: u64) -> u64 {
+    mix(vm.0 ^ mix(subject))
+}
+
+/// The VM with the highest rank for a subject.
+pub(super) fn highest(vms: &[VmId], subject: u64) -> Option<VmId> {
+    let salt = mix(subject);
+    vms.iter().copied().max_by_key(|vm| mix(vm.0 ^ salt))
+}
+
+/// The `N` VMs with the highest ranks for a subject, highest first.
+pub(super) fn top<const N: usize>(vms: impl Iterator<Item = VmId>, subject: u64) -> Vec<VmId> {
+    let mut best: Vec<(Reverse<u64>, VmId)> = Vec::with_capacity(N + 1);
+    for vm in vms {
+        let ranked = (Reverse(rank(vm, subject)), vm);
+        let place = best.partition_point(|other| *other < ranked);
+        if place < N {
+            best.insert(place, ranked);
+            best.truncate(N);
+        }
+    }
+    best.into_iter().map(|(_, vm)| vm).collect()
+}
+
+/// The finalizer of MurmurHash3: each bit of the input moves each bit of the output.
+fn mix(mut x: u64) -> u64 {
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
--- a/crates/basilbank_core/src/tuning.rs
+++ b/crates/basilbank_core/src/tuning.rs
@@ -42,8 +42,8 @@
 impl Default for Tuning {
     fn default() -> Tuning {
         Tuning {
-            heartbeat: Duration::from_millis(500),
-            fan_out: 3,
+            heartbeat: Duration::from_millis(250),
+            fan_out: 1,
             dead_after: Duration::from_secs(4),
             pause: Duration::from_secs(1),
             slot_lease: Duration::from_secs(6),
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -111,9 +111,13 @@
     /// What the sender knows of others.
     #[prost(message, repeated, tag = "5")]
     pub seen: Vec<Seen>,
-    /// The receiver should answer with a heartbeat of its own.
+    /// The sender lacks members' records: the receiver should answer with all that it has.
     #[prost(bool, tag = "6")]
     pub probe: bool,
+    /// Live members in short form, four bytes each: upper 16 bits of the id, 8 bits that tell the
+    /// incarnation, low 8 bits of the counter.
+    #[prost(bytes = "vec", tag = "7")]
+    pub beats: Vec<u8>,
 }
 
 /// What one daemon knows of another.
