Catalogue and VM list spread between peers; three members watch the platform

Cause: each daemon read the platform by itself and took whatever came. Change: revisions only rise; heartbeats show them, peers fetch what is newer from the peer that showed it; a rejected change leaves the last good in force while the documents go on; a fresh or woken daemon serves nobody new until it has heard its peers; reads of daemons that do not watch slow down with the list's length.

--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -13,7 +13,7 @@
 mod settle;
 mod slots;
 
-use basilbank_wire::{Body, VmList};
+use basilbank_wire::Body;
 
 use crate::{
     effect::Effect,
@@ -54,7 +54,7 @@
         Timer::Attempt(_) => {}
         Timer::Request(key) => place::start(state, now, key, out),
         Timer::Claim(key) => claim::timed_out(state, now, key, out),
-        Timer::Platform => catalogue::read(state, out),
+        Timer::Platform => catalogue::tick(state, now, out),
         Timer::Heartbeat => member::tick(state, now, out),
         Timer::Slots => slots::tick(state, now, out),
         Timer::Limits => limit::tick(state, now, out),
@@ -93,17 +93,17 @@
 
 fn on_platform(state: &mut State, now: Now, event: PlatformEvent, out: &mut Vec<Effect>) {
     match event {
-        PlatformEvent::Documents { revision, documents, .. } => {
-            out.push(Effect::CheckCatalogue { revision, documents });
+        PlatformEvent::Documents { after, revision, documents } => {
+            catalogue::documents(state, now, after, revision, documents, out);
         }
         PlatformEvent::Checked { revision, result } => {
             catalogue::checked(state, now, revision, result, out);
         }
-        PlatformEvent::CatalogueFailed => catalogue::failed(state, now),
+        PlatformEvent::CatalogueFailed => catalogue::documents_failed(state, now),
         PlatformEvent::Vms { revision, vms } => {
-            catalogue::vms(state, now, VmList { revision, vms }, out);
+            catalogue::platform_vms(state, now, revision, vms, out);
         }
-        PlatformEvent::VmsFailed => {}
+        PlatformEvent::VmsFailed => catalogue::vms_failed(state, now),
     }
 }
 
@@ -144,8 +144,8 @@
         Body::Claim(claim) => claim::asked(state, now, from, &claim, out),
         Body::Vote(vote) => claim::voted(state, now, from, &vote, out),
         Body::Settle(settle) => claim::told(state, now, from, &settle),
-        Body::FetchCatalogue(fetch) => catalogue::fetched(state, from, &fetch, out),
-        Body::Catalogue(delta) => catalogue::delta(state, now, from, delta, out),
+        Body::FetchCatalogue(fetch) => catalogue::fetched(state, now, from, &fetch, out),
+        Body::Catalogue(delta) => catalogue::delta(state, now, delta, out),
         Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
         Body::Vms(list) => catalogue::vms(state, now, list, out),
         Body::AskLimit(ask) => limit::asked(state, now, from, &ask, out),
--- a/crates/basilbank_core/src/reduce/catalogue.rs
+++ b/crates/basilbank_core/src/reduce/catalogue.rs
@@ -1,78 +1,111 @@
-//! The catalogue comes into force.
+//! The catalogue and the VM list: from the platform or a peer, into force, and on to peers.
 
-use std::{sync::Arc, time::Duration};
+mod check;
+mod currency;
+mod peers;
+mod platform;
 
-use basilbank_wire::{CatalogueDelta, FetchCatalogue, FetchVms, VmList};
+use std::time::Duration;
 
+use basilbank_wire::{Document, VmList};
+
+pub use self::{
+    check::checked,
+    currency::awake,
+    peers::{delta, fetched, shown, vms, vms_fetched},
+    platform::{documents, documents_failed, platform_vms, vms_failed},
+};
 use crate::{
-    catalogue::Catalogue,
     effect::{Effect, Progress},
-    ids::VmId,
     reduce::member,
-    state::{State, Timer, View},
+    state::{Applied, State, Timer},
     time::Now,
 };
 
-const RETRY: Duration = Duration::from_millis(500);
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(250);
+/// Least time between two rounds of telling peers of new revisions, so that a burst of changes is
+/// told together.
+const TELL_GAP: Duration = Duration::from_millis(200);
 
-/// Asks the platform.
-pub fn read(state: &State, out: &mut Vec<Effect>) {
-    out.push(Effect::WatchCatalogue { after: state.view.catalogue.revision });
+/// Reads, fetches, checks and tells what is due.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.timers.set(now.mono + TICK, Timer::Platform);
+    platform::tick(state, now, out);
+    peers::tick(state, now, out);
+    check::tick(state, now, out);
+    currency::settle(state, now, out);
+    tell(state, now, out);
 }
 
-/// Takes a checked catalogue into force, unless it is older than the one in force.
-pub fn checked(
+/// Takes documents in, from wherever they come.
+fn apply(
     state: &mut State,
     now: Now,
+    after: u64,
     revision: u64,
-    result: Result<Arc<Catalogue>, usize>,
+    documents: Vec<Document>,
     out: &mut Vec<Effect>,
-) {
-    state.timers.set(now.mono, Timer::Platform);
-    if revision <= state.view.catalogue.revision {
-        return;
-    }
-    match result {
-        Ok(catalogue) => {
-            state.view = View::new(catalogue);
-            let pairs = vec![("revision", revision.to_string())];
-            out.push(Effect::Progress(Progress::Note { name: "catalogue_in_force", pairs }));
+) -> Taken {
+    match state.documents.store.apply(after, revision, documents) {
+        Applied::Stale => {
+            let known = state.documents.store.revision;
+            let pairs = vec![("revision", revision.to_string()), ("known", known.to_string())];
+            note(out, "documents_stale", pairs);
+            Taken::Dropped
         }
-        Err(findings) => {
-            let pairs =
-                vec![("revision", revision.to_string()), ("findings", findings.to_string())];
-            out.push(Effect::Progress(Progress::Note { name: "catalogue_rejected", pairs }));
+        Applied::Gap => Taken::Dropped,
+        Applied::Same => Taken::Known,
+        Applied::Changed(former) => {
+            state.documents.accepted.changed(former);
+            check::tick(state, now, out);
+            state.documents.untold = true;
+            tell(state, now, out);
+            Taken::Known
         }
     }
 }
 
-/// The platform did not answer.
-pub fn failed(state: &mut State, now: Now) {
-    state.timers.set(now.mono + RETRY, Timer::Platform);
-}
-
-/// A peer asks for documents.
-pub fn fetched(_state: &State, _from: VmId, _fetch: &FetchCatalogue, _out: &mut Vec<Effect>) {}
-
-/// A peer sent documents.
-pub fn delta(
-    _state: &mut State,
-    _now: Now,
-    _from: VmId,
-    _delta: CatalogueDelta,
-    _out: &mut Vec<Effect>,
-) {
-}
-
-/// A peer asks for the VM list.
-pub fn vms_fetched(_state: &State, _from: VmId, _fetch: &FetchVms, _out: &mut Vec<Effect>) {}
-
-/// A VM list came, from the platform or from a peer.
-pub fn vms(state: &mut State, now: Now, list: VmList, out: &mut Vec<Effect>) {
-    if list.revision <= state.documents.vms.revision || list.vms.is_empty() {
+/// Takes a VM list in, unless one as new is known.
+fn adopt(state: &mut State, now: Now, list: VmList, out: &mut Vec<Effect>) {
+    if list.revision <= state.documents.vms.revision {
         return;
     }
+    if list.vms.is_empty() {
+        // A platform that lost its data would otherwise dissolve the fleet.
+        note(out, "vm_list_empty", vec![("revision", list.revision.to_string())]);
+        return;
+    }
+    let pairs = vec![("revision", list.revision.to_string()), ("vms", list.vms.len().to_string())];
+    note(out, "vm_list", pairs);
     state.members.adopt(&list.vms);
     state.documents.vms = list;
+    currency::listed(state, now);
+    state.documents.told = now.mono;
     member::adopted(state, now, out);
+    currency::settle(state, now, out);
+}
+
+/// Tells a few peers of new revisions at once; heartbeats tell the rest.
+fn tell(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let documents = &mut state.documents;
+    if !documents.untold || now.mono < documents.told + TELL_GAP {
+        return;
+    }
+    documents.untold = false;
+    documents.told = now.mono;
+    member::push(state, now, out);
+}
+
+/// Whether documents that came are known now.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Taken {
+    /// They are, or something newer is not contradicted by them.
+    Known,
+    /// They were of no use.
+    Dropped,
+}
+
+fn note(out: &mut Vec<Effect>, name: &'static str, pairs: Vec<(&'static str, String)>) {
+    out.push(Effect::Progress(Progress::Note { name, pairs }));
 }
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/catalogue/check.rs
@@ -0,0 +1,71 @@
+//! Documents are checked and come into force.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{currency, note};
+use crate::{
+    catalogue::Catalogue,
+    effect::Effect,
+    state::{Check, State, View},
+    time::Now,
+};
+
+/// Least time between two checks, so that a burst of changes is compiled together.
+const GAP: Duration = Duration::from_millis(300);
+/// A check that was not answered for this long is asked for again.
+const LOST: Duration = Duration::from_secs(30);
+
+/// Asks for a check of the newest documents if they were not checked yet.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let store = &state.documents.store;
+    let accepted = &mut state.documents.accepted;
+    if let Some(check) = &accepted.check {
+        if now.mono < check.since + LOST {
+            return;
+        }
+        accepted.checked = accepted.checked.min(check.revision.saturating_sub(1));
+        accepted.failed();
+    }
+    let too_soon = 0 < accepted.checked && now.mono < accepted.asked + GAP;
+    if store.revision <= accepted.checked || too_soon {
+        return;
+    }
+    let revision = store.revision;
+    accepted.start(Check { revision, since: now.mono, accepted: None });
+    out.push(Effect::CheckCatalogue { revision, documents: store.whole() });
+}
+
+/// Takes a checked catalogue into force, unless it is older than the one in force.
+pub fn checked(
+    state: &mut State,
+    now: Now,
+    revision: u64,
+    result: Result<Arc<Catalogue>, usize>,
+    out: &mut Vec<Effect>,
+) {
+    let documents = &mut state.documents;
+    let is_awaited = documents.accepted.check.as_ref().is_some_and(|c| c.revision == revision);
+    match result {
+        Ok(catalogue) if state.view.catalogue.revision < revision => {
+            if is_awaited {
+                documents.accepted.passed(&documents.store);
+            }
+            state.view = View::new(catalogue);
+            documents.untold = true;
+            note(out, "catalogue_in_force", vec![("revision", revision.to_string())]);
+        }
+        Ok(_) if is_awaited => documents.accepted.failed(),
+        Ok(_) => {}
+        Err(findings) => {
+            if is_awaited {
+                documents.accepted.failed();
+            }
+            let pairs =
+                vec![("revision", revision.to_string()), ("findings", findings.to_string())];
+            note(out, "catalogue_rejected", pairs);
+        }
+    }
+    tick(state, now, out);
+    currency::settle(state, now, out);
+    super::tell(state, now, out);
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/catalogue/peers.rs
@@ -0,0 +1,149 @@
+//! Peers show, ask for and send documents and VM lists.
+
+use std::time::Duration;
+
+use basilbank_wire::{Body, CatalogueDelta, FetchCatalogue, FetchVms, Heartbeat, Message, VmList};
+
+use super::{Taken, adopt, apply, currency, note};
+use crate::{
+    effect::Effect,
+    ids::VmId,
+    state::{Check, Offer, Shown, State, Wholes},
+    time::Now,
+};
+
+/// Without an answer for this long another peer is asked.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Whole catalogues that a daemon sends to peers in one second; others ask elsewhere.
+const MOST_WHOLES: u32 = 4;
+
+/// A peer's heartbeat shows what it has.
+pub fn shown(state: &mut State, now: Now, from: VmId, beat: &Heartbeat, out: &mut Vec<Effect>) {
+    let shown = Shown::by(from, beat);
+    state.documents.shown.merge(&shown);
+    if 0 < beat.confirmed {
+        let age = Duration::from_millis(u64::from(beat.confirmed));
+        let at = now.mono.saturating_sub(age);
+        state.documents.confirmed = state.documents.confirmed.max(Some(at));
+    }
+    ask(state, now, &shown, out);
+    currency::settle(state, now, out);
+}
+
+/// Asks again for what was not answered.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let shown = state.documents.shown;
+    ask(state, now, &shown, out);
+}
+
+/// A peer asks for documents.
+pub fn fetched(
+    state: &mut State,
+    now: Now,
+    from: VmId,
+    fetch: &FetchCatalogue,
+    out: &mut Vec<Effect>,
+) {
+    let documents = &state.documents;
+    let delta = if fetch.accepted {
+        let revision = state.view.catalogue.revision;
+        if revision <= fetch.after || documents.store.revision == 0 {
+            return;
+        }
+        CatalogueDelta { after: 0, revision, documents: documents.accepted.whole(&documents.store) }
+    } else {
+        if documents.store.revision <= fetch.after {
+            return;
+        }
+        documents.store.since(fetch.after)
+    };
+    if delta.after == 0 && !may_send_whole(&mut state.documents.wholes, now) {
+        note(out, "whole_put_off", vec![("vm", from.to_string())]);
+        return;
+    }
+    send(out, from, Body::Catalogue(delta));
+}
+
+/// A peer sent documents.
+pub fn delta(state: &mut State, now: Now, delta: CatalogueDelta, out: &mut Vec<Effect>) {
+    state.documents.fetch.since = None;
+    let CatalogueDelta { after, revision, documents } = delta;
+    let is_accepted = after == 0
+        && revision < state.documents.store.revision
+        && state.view.catalogue.revision < revision;
+    if !is_accepted {
+        if apply(state, now, after, revision, documents, out) == Taken::Known {
+            tick(state, now, out);
+        }
+        return;
+    }
+    if state.documents.accepted.check.is_some() {
+        return;
+    }
+    let accepted = Some(documents.clone());
+    state.documents.accepted.start(Check { revision, since: now.mono, accepted });
+    out.push(Effect::CheckCatalogue { revision, documents });
+}
+
+/// A peer asks for the VM list.
+pub fn vms_fetched(state: &State, from: VmId, fetch: &FetchVms, out: &mut Vec<Effect>) {
+    if fetch.after < state.documents.vms.revision {
+        send(out, from, Body::Vms(state.documents.vms.clone()));
+    }
+}
+
+/// A peer sent the VM list.
+pub fn vms(state: &mut State, now: Now, list: VmList, out: &mut Vec<Effect>) {
+    state.documents.vms_fetch.since = None;
+    adopt(state, now, list, out);
+}
+
+fn ask(state: &mut State, now: Now, shown: &Shown, out: &mut Vec<Effect>) {
+    ask_vms(state, now, shown.vms, out);
+    ask_documents(state, now, shown, out);
+}
+
+fn ask_vms(state: &mut State, now: Now, offer: Offer, out: &mut Vec<Effect>) {
+    let documents = &mut state.documents;
+    let after = documents.vms.revision;
+    if offer.revision <= after || !documents.vms_fetch.is_idle(now.mono, TIMEOUT) {
+        return;
+    }
+    documents.vms_fetch.since = Some(now.mono);
+    send(out, offer.from, Body::FetchVms(FetchVms { after }));
+}
+
+/// Asks for newer documents; when the newest are known and were rejected here, for those that are
+/// in force elsewhere. Two daemons that skipped different revisions of a burst agree by that.
+fn ask_documents(state: &mut State, now: Now, shown: &Shown, out: &mut Vec<Effect>) {
+    let documents = &mut state.documents;
+    if !documents.fetch.is_idle(now.mono, TIMEOUT) {
+        return;
+    }
+    let known = documents.store.revision;
+    let in_force = state.view.catalogue.revision;
+    let (newest, accepted) = (shown.documents, shown.catalogue);
+    let is_disputed = accepted.revision <= documents.accepted.disputed;
+    let is_checked = documents.accepted.check.is_none() && documents.accepted.checked == known;
+    let (from, fetch) = if known < newest.revision {
+        (newest.from, FetchCatalogue { after: known, accepted: false })
+    } else if in_force < accepted.revision && is_checked && !is_disputed {
+        (accepted.from, FetchCatalogue { after: in_force, accepted: true })
+    } else {
+        return;
+    };
+    documents.fetch.since = Some(now.mono);
+    send(out, from, Body::FetchCatalogue(fetch));
+}
+
+fn may_send_whole(wholes: &mut Wholes, now: Now) -> bool {
+    if wholes.since + Duration::from_secs(1) <= now.mono {
+        *wholes = Wholes { since: now.mono, sent: 0 };
+    }
+    wholes.sent += 1;
+    wholes.sent <= MOST_WHOLES
+}
+
+fn send(out: &mut Vec<Effect>, to: VmId, body: Body) {
+    out.push(Effect::Send { to, message: Message::from(body) });
+}
--- a/crates/basilbank_core/src/reduce/member.rs
+++ b/crates/basilbank_core/src/reduce/member.rs
@@ -7,10 +7,11 @@
 
 use basilbank_wire::{Heartbeat, Seen};
 
+pub use self::spread::push;
 use crate::{
     effect::{Effect, Progress},
     ids::VmId,
-    reduce::slots,
+    reduce::{catalogue, slots},
     state::{State, Timer},
     time::Now,
 };
@@ -31,6 +32,7 @@
     state.members.presence.waiting = Some(now.mono + state.local.tuning.heartbeat * SETTLE);
     note(out, "paused", vec![("gap_ms", gap.as_millis().to_string())]);
     judge(state, now, out);
+    catalogue::awake(state, now, out);
 }
 
 /// Takes in that a message came from a peer, and says whether it is current. A message of an
@@ -74,6 +76,7 @@
         came(state, vm, out);
     }
     changed(state, epoch, now, out);
+    catalogue::shown(state, now, from, beat, out);
     if beat.probe {
         spread::answer(state, from, out);
     }
@@ -93,7 +96,7 @@
 pub fn adopted(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     judge(state, now, out);
     slots::members_changed(state, now, out);
-    spread::push(state, now, out);
+    push(state, now, out);
 }
 
 /// This daemon is shutting down: it gives its stewardships up and says so at once.
@@ -104,7 +107,7 @@
     let epoch = state.members.epoch;
     state.members.changed();
     changed(state, epoch, now, out);
-    spread::push(state, now, out);
+    push(state, now, out);
 }
 
 /// A peer tells what it knows of a member that it has heard of lately.
--- a/crates/basilbank_core/src/reduce/member/spread.rs
+++ b/crates/basilbank_core/src/reduce/member/spread.rs
@@ -112,6 +112,9 @@
     Heartbeat {
         counter: state.members.counter,
         catalogue: state.view.catalogue.revision,
+        documents: state.documents.store.revision,
+        vms: state.documents.vms.revision,
+        confirmed: confirmed(state),
         leaving: state.leaving,
         ..Heartbeat::default()
     }
@@ -158,3 +161,10 @@
     let length = state.local.tuning.heartbeat.as_millis();
     u64::try_from(length).unwrap_or(u64::MAX).max(1)
 }
+
+/// Milliseconds since the platform confirmed the documents, 0 when it never did.
+fn confirmed(state: &State) -> u32 {
+    let Some(at) = state.documents.confirmed else { return 0 };
+    let age = state.members.presence.last_event.saturating_sub(at).as_millis();
+    u32::try_from(age).unwrap_or(u32::MAX).max(1)
+}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -17,7 +17,9 @@
 
 pub use self::{
     claims::Claims,
-    documents::Documents,
+    documents::{
+        Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
+    },
     health::Health,
     limits::LimitTable,
     members::{Census, Member, Members, Presence, rank},
@@ -128,6 +130,8 @@
     pub rng: Rng,
     /// SIGTERM came: no new work.
     pub leaving: bool,
+    /// When the daemon started, on the monotonic clock.
+    pub started: Duration,
 }
 
 impl State {
@@ -153,6 +157,7 @@
             timers,
             rng,
             leaving: false,
+            started: now.mono,
             local,
         }
     }
@@ -163,9 +168,10 @@
         self.timers.next()
     }
 
-    /// Whether callers may be sent here: there is a catalogue, and no shutdown.
+    /// Whether callers may be sent here: there is a catalogue that peers have not left behind, and
+    /// no shutdown.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.leaving && self.view.catalogue.revision > 0
+        !self.leaving && self.documents.currency.current
     }
 }
--- /dev/null
+++ b/crates/basilbank_core/src/state/documents/store.rs
@@ -0,0 +1,130 @@
+//! The documents, as the platform published them.
+
+use std::collections::BTreeMap;
+
+use basilbank_wire::{CatalogueDelta, Document};
+
+/// Removed documents that are remembered, so that peers can be told of the removal alone.
+const MOST_REMOVED: usize = 1024;
+
+/// What became of documents that came.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Applied {
+    /// They are older than what is known, and were dropped.
+    Stale,
+    /// Nothing is new.
+    Same,
+    /// They apply to a revision that is not known here, and were dropped.
+    Gap,
+    /// They are known now. Holds the former versions of what changed; `None` for a new document.
+    Changed(BTreeMap<String, Option<Document>>),
+}
+
+/// The documents of one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    /// Their revision; 0 when there are none.
+    pub revision: u64,
+    documents: BTreeMap<String, Document>,
+    removed: usize,
+    floor: u64,
+}
+
+impl Store {
+    /// Takes documents in that lead from one revision to another; `after` is 0 when they are the
+    /// whole. Each document carries the revision of its own last change, so a delta that starts
+    /// before the known revision does no harm.
+    pub fn apply(&mut self, after: u64, revision: u64, documents: Vec<Document>) -> Applied {
+        if revision < self.revision {
+            return Applied::Stale;
+        }
+        if revision == self.revision {
+            return Applied::Same;
+        }
+        if self.revision < after {
+            return Applied::Gap;
+        }
+        let mut former = BTreeMap::new();
+        if after == 0 {
+            self.remove_others(&documents, revision, &mut former);
+        }
+        if self.revision == 0 {
+            // Nothing is known of what was removed before.
+            self.floor = revision;
+        }
+        for document in documents {
+            self.put(document, &mut former);
+        }
+        self.revision = revision;
+        self.forget();
+        Applied::Changed(former)
+    }
+
+    /// What leads from a revision to this one. The whole if removals since then are forgotten.
+    #[must_use]
+    pub fn since(&self, after: u64) -> CatalogueDelta {
+        if after == 0 || after < self.floor {
+            return CatalogueDelta { after: 0, revision: self.revision, documents: self.whole() };
+        }
+        let changed = self.documents.values().filter(|d| after < d.revision);
+        CatalogueDelta { after, revision: self.revision, documents: changed.cloned().collect() }
+    }
+
+    /// All documents.
+    #[must_use]
+    pub fn whole(&self) -> Vec<Document> {
+        self.documents.values().filter(|d| d.text.is_some()).cloned().collect()
+    }
+
+    /// A document.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&Document> {
+        self.documents.get(key).filter(|d| d.text.is_some())
+    }
+
+    /// Bytes of all texts and keys.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let size = |d: &Document| d.key.len() + d.text.as_ref().map_or(0, String::len);
+        self.documents.values().map(size).sum()
+    }
+
+    fn remove_others(
+        &mut self,
+        kept: &[Document],
+        revision: u64,
+        former: &mut BTreeMap<String, Option<Document>>,
+    ) {
+        let kept: std::collections::HashSet<_> = kept.iter().map(|d| d.key.as_str()).collect();
+        let gone = self.documents.values().filter(|d| d.text.is_some());
+        let gone = gone.filter(|d| !kept.contains(d.key.as_str())).map(|d| d.key.clone());
+        for key in gone.collect::<Vec<_>>() {
+            self.put(Document { key, text: None, revision }, former);
+        }
+    }
+
+    fn put(&mut self, document: Document, former: &mut BTreeMap<String, Option<Document>>) {
+        let known = self.documents.get(&document.key);
+        if known.is_some_and(|k| document.revision <= k.revision) {
+            return;
+        }
+        let was_removed = known.is_some_and(|k| k.text.is_none());
+        self.removed -= usize::from(was_removed);
+        self.removed += usize::from(document.text.is_none());
+        let key = document.key.clone();
+        let old = self.documents.insert(key.clone(), document);
+        former.entry(key).or_insert(old.filter(|d| d.text.is_some()));
+    }
+
+    /// Forgets the removals that are longest ago when there are too many.
+    fn forget(&mut self) {
+        while MOST_REMOVED < self.removed {
+            let removed = self.documents.values().filter(|d| d.text.is_none());
+            let Some(oldest) = removed.min_by_key(|d| d.revision) else { return };
+            let (key, revision) = (oldest.key.clone(), oldest.revision);
+            self.documents.remove(&key);
+            self.removed -= 1;
+            self.floor = self.floor.max(revision);
+        }
+    }
+}
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -118,6 +118,13 @@
     /// incarnation, low 8 bits of the counter.
     #[prost(bytes = "vec", tag = "7")]
     pub beats: Vec<u8>,
+    /// The revision of the newest documents that the sender knows, accepted or not.
+    #[prost(uint64, tag = "8")]
+    pub documents: u64,
+    /// Milliseconds since the platform confirmed that a daemon's documents were the newest, as far
+    /// as the sender has heard; 0 when it never did.
+    #[prost(uint32, tag = "9")]
+    pub confirmed: u32,
 }
 
 /// What one daemon knows of another.
@@ -361,6 +368,10 @@
     /// The revision that the sender has.
     #[prost(uint64, tag = "1")]
     pub after: u64,
+    /// It wants the whole of the catalogue in force at the receiver, because it has the newest
+    /// documents and they were rejected.
+    #[prost(bool, tag = "2")]
+    pub accepted: bool,
 }
 
 /// Documents that changed.
