Several cores in virtual time, for tests and benches

Cause: policy, fleet and fault tests need the same fakes at the interfaces. Change: tests/world: queue, network, platform, prefill, decode and plain endpoints, callers, record and report; usable from benches by #[path].

--- /dev/null
+++ b/crates/basilbank_core/tests/world/ask.rs
@@ -0,0 +1,139 @@
+//! What callers ask for, and how it may end.
+
+use std::{sync::Arc, time::Duration};
+
+use basilbank_core::prelude::*;
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub enum Job {
+    /// A text.
+    Draft {
+        /// Prompt tokens.
+        tokens: u32,
+        /// The prompt's blocks.
+        blocks: Arc<[u64]>,
+        /// Tokens that the model makes of it.
+        output: u32,
+        /// Most tokens that the caller wants.
+        max_tokens: u32,
+    },
+    /// A call to the plain service.
+    Plain {
+        /// The method.
+        method: &'static str,
+    },
+}
+
+/// One thing that a caller wants, over all its tries.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// When.
+    pub at: Duration,
+    /// The team's number.
+    pub team: usize,
+    /// What.
+    pub job: Job,
+    /// The idempotency key, the same on all tries.
+    pub key: Option<String>,
+    /// What the caller says on repeating it.
+    pub repeatable: Option<bool>,
+    /// A try that has not ended after this is left.
+    pub patience: Duration,
+    /// Tries beyond the first, each through another daemon if there is one.
+    pub retries: u32,
+    /// Time between tries.
+    pub pause: Duration,
+    /// Tries after a broken stream resume it where it stopped.
+    pub resumes: bool,
+    /// The daemon of the first try; else the balancer's choice.
+    pub daemon: Option<usize>,
+    /// A second copy goes out through another daemon after this, though the first still runs.
+    pub copy: Option<Duration>,
+}
+
+impl Ask {
+    /// A draft.
+    #[must_use]
+    pub fn draft(team: usize, tokens: u32, output: u32) -> Ask {
+        let blocks = Arc::from([]);
+        Ask::new(team, Job::Draft { tokens, blocks, output, max_tokens: output })
+    }
+
+    /// A plain call.
+    #[must_use]
+    pub fn plain(team: usize, method: &'static str) -> Ask {
+        Ask::new(team, Job::Plain { method })
+    }
+
+    fn new(team: usize, job: Job) -> Ask {
+        Ask {
+            at: Duration::ZERO,
+            team,
+            job,
+            key: None,
+            repeatable: None,
+            patience: Duration::from_secs(60),
+            retries: 0,
+            pause: Duration::from_millis(200),
+            resumes: false,
+            daemon: None,
+            copy: None,
+        }
+    }
+
+    /// Sets the moment.
+    #[must_use]
+    pub fn at(mut self, at: Duration) -> Ask {
+        self.at = at;
+        self
+    }
+
+    /// Sets the idempotency key and how often the caller tries again.
+    #[must_use]
+    pub fn with_key(mut self, key: &str, retries: u32) -> Ask {
+        self.key = Some(key.into());
+        self.retries = retries;
+        self
+    }
+
+    /// Sets how long the caller waits for one try.
+    #[must_use]
+    pub fn with_patience(mut self, patience: Duration) -> Ask {
+        self.patience = patience;
+        self
+    }
+
+    /// Tokens of the whole answer.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        match self.job {
+            Job::Draft { output, max_tokens, .. } => output.min(max_tokens),
+            Job::Plain { .. } => 0,
+        }
+    }
+
+    /// Whether this may be run more than once, as the service's methods and the caller say.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        self.repeatable.unwrap_or(match self.job {
+            Job::Draft { .. } => true,
+            Job::Plain { method } => matches!(method, "GET" | "HEAD"),
+        })
+    }
+}
+
+/// How a try ended, as its caller sees it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum End {
+    /// With the whole answer.
+    Done,
+    /// Told that it was not run.
+    Refused(Refusal),
+    /// Told that it may have run.
+    Unknown,
+    /// The connection broke.
+    Broken,
+    /// The caller left.
+    Left,
+}
