--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -37,6 +37,7 @@
 
 /// Takes one event in and pushes what is to be done about it.
 pub fn reduce(state: &mut State, now: Now, event: Event, out: &mut Vec<Effect>) {
+    member::awake(state, now, out);
     match event {
         Event::Tick => {}
         Event::Caller(event) => on_caller(state, now, event, out),
@@ -47,7 +48,10 @@
             }
         }
         Event::Platform(event) => on_platform(state, now, event, out),
-        Event::Shutdown => state.leaving = true,
+        Event::Shutdown => {
+            state.leaving = true;
+            member::leaving(state, now, out);
+        }
     }
     hear_self(state, now, out);
     while let Some(timer) = state.timers.pop_due(now.mono) {
@@ -72,7 +76,7 @@
         Timer::Attempt(key) => retry::timed_out(state, now, key, out),
         Timer::Request(key) => place::start(state, now, key, out),
         Timer::Claim(key) => claim::timed_out(state, now, key, out),
-        Timer::Platform => catalogue::read(state, out),
+        Timer::Platform => catalogue::tick(state, now, out),
         Timer::Heartbeat => member::tick(state, now, out),
         Timer::Slots => slots::tick(state, now, out),
         Timer::Limits => limit::tick(state, now, out),
@@ -114,14 +118,17 @@
 
 fn on_platform(state: &mut State, now: Now, event: PlatformEvent, out: &mut Vec<Effect>) {
     match event {
-        PlatformEvent::Documents { revision, documents, .. } => {
-            out.push(Effect::CheckCatalogue { revision, documents });
+        PlatformEvent::Documents { after, revision, documents } => {
+            catalogue::documents(state, now, after, revision, documents, out);
         }
         PlatformEvent::Checked { revision, result } => {
             catalogue::checked(state, now, revision, result, out);
         }
-        PlatformEvent::CatalogueFailed => catalogue::failed(state, now),
-        PlatformEvent::Vms { .. } | PlatformEvent::VmsFailed => {}
+        PlatformEvent::CatalogueFailed => catalogue::documents_failed(state, now),
+        PlatformEvent::Vms { revision, vms } => {
+            catalogue::platform_vms(state, now, revision, vms, out);
+        }
+        PlatformEvent::VmsFailed => catalogue::vms_failed(state, now),
     }
 }
 
@@ -147,8 +154,11 @@
     body: Body,
     out: &mut Vec<Effect>,
 ) {
+    if !member::is_current(state, now, from, incarnation, out) {
+        return;
+    }
     match body {
-        Body::Heartbeat(beat) => member::heard(state, now, from, incarnation, &beat, out),
+        Body::Heartbeat(beat) => member::heard(state, now, from, &beat, out),
         Body::Reserve(ask) => slots::asked(state, now, from, &ask, out),
         Body::Grant(grant) => reserve::granted(state, now, from, &grant, out),
         Body::Deny(deny) => reserve::denied(state, now, &deny, out),
@@ -159,8 +169,8 @@
         Body::Claim(claim) => claim::asked(state, now, from, &claim, out),
         Body::Vote(vote) => claim::voted(state, now, from, &vote, out),
         Body::Settle(settle) => claim::told(state, now, from, &settle),
-        Body::FetchCatalogue(fetch) => catalogue::fetched(state, from, &fetch, out),
-        Body::Catalogue(delta) => catalogue::delta(state, now, from, delta, out),
+        Body::FetchCatalogue(fetch) => catalogue::fetched(state, now, from, &fetch, out),
+        Body::Catalogue(delta) => catalogue::delta(state, now, delta, out),
         Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
         Body::Vms(list) => catalogue::vms(state, now, list, out),
         Body::AskLimit(ask) => limit::asked(state, now, from, &ask, out),
