--- /dev/null
+++ b/crates/basilbank_core/benches/policy/time.rs
@@ -0,0 +1,4 @@
+//! Decision time per event.
+
+/// Prints all figures.
+pub fn run() {}
--- a/crates/basilbank_core/src/lib.rs
+++ b/crates/basilbank_core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod effect;
 pub mod event;
 pub mod ids;
+pub mod naive;
 pub mod prelude;
 pub mod reason;
 pub mod state;
--- /dev/null
+++ b/crates/basilbank_core/src/naive.rs
@@ -0,0 +1,193 @@
+//! A baseline with the same events and effects, to measure the decisions against: round robin,
+//! no reservation, no queue, and another try on any failure.
+
+mod call;
+mod job;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use slotmap::SlotMap;
+
+pub use self::job::{Job, Stage};
+use crate::{
+    catalogue::{Catalogue, EntryTarget},
+    effect::{Answer, Effect, Progress},
+    event::{Call, CallerEvent, EngineEvent, Event, PlatformEvent, Work},
+    ids::{AttemptKey, CallerId, EntryId, RequestId, RequestKey, TeamId},
+    reason::Refusal,
+    state::{Local, Timer, Timers, View},
+    time::Now,
+};
+
+/// Pause before a failed request is tried again.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time between two looks at the platform after it failed.
+const PLATFORM_PAUSE: Duration = Duration::from_millis(500);
+
+/// A daemon that decides naively.
+#[derive(Debug)]
+pub struct Naive {
+    /// What the daemon is.
+    pub local: Local,
+    /// The catalogue in force.
+    pub view: View,
+    /// Requests in progress.
+    pub jobs: SlotMap<RequestKey, Job>,
+    /// The request of each attempt that is alive.
+    pub attempts: SlotMap<AttemptKey, RequestKey>,
+    /// Requests by caller.
+    pub callers: HashMap<CallerId, RequestKey>,
+    /// What is due when.
+    pub timers: Timers,
+    /// SIGTERM came.
+    pub leaving: bool,
+    counter: u64,
+    turn: usize,
+}
+
+impl Naive {
+    /// A daemon that has just started.
+    #[must_use]
+    pub fn new(local: Local, now: Now) -> Naive {
+        let mut timers = Timers::default();
+        timers.set(now.mono, Timer::Platform);
+        Naive {
+            view: View::default(),
+            jobs: SlotMap::with_key(),
+            attempts: SlotMap::with_key(),
+            callers: HashMap::new(),
+            timers,
+            leaving: false,
+            counter: 0,
+            turn: local.seed as usize % 1024,
+            local,
+        }
+    }
+
+    /// Takes one event in and pushes what is to be done about it.
+    pub fn reduce(&mut self, now: Now, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Caller(CallerEvent::Arrived(call)) => self.arrived(now, *call, out),
+            Event::Caller(CallerEvent::Left(caller)) => self.left(now, caller, out),
+            Event::Engine(event) => self.engine(now, event, out),
+            Event::Platform(event) => self.platform(now, event, out),
+            Event::Shutdown => self.leaving = true,
+            Event::Tick | Event::Peer { .. } => {}
+        }
+        while let Some(timer) = self.timers.pop_due(now.mono) {
+            match timer {
+                Timer::Platform => {
+                    out.push(Effect::WatchCatalogue { after: self.view.catalogue.revision });
+                }
+                Timer::Request(key) => self.start(key, out),
+                _ => {}
+            }
+        }
+        if self.leaving && self.jobs.is_empty() {
+            out.push(Effect::Exit);
+        }
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.leaving && 0 < self.view.catalogue.revision
+    }
+
+    fn platform(&mut self, now: Now, event: PlatformEvent, out: &mut Vec<Effect>) {
+        match event {
+            PlatformEvent::Documents { after, documents, .. } if 0 < after => {
+                let seen = if documents.is_empty() { after } else { 0 };
+                out.push(Effect::WatchCatalogue { after: seen });
+            }
+            PlatformEvent::Documents { revision, documents, .. } => {
+                out.push(Effect::CheckCatalogue { revision, documents });
+            }
+            PlatformEvent::Checked { revision, result } => {
+                self.checked(revision, result);
+                out.push(Effect::WatchCatalogue { after: revision });
+            }
+            PlatformEvent::CatalogueFailed => {
+                self.timers.set(now.mono + PLATFORM_PAUSE, Timer::Platform);
+            }
+            PlatformEvent::Vms { .. } | PlatformEvent::VmsFailed => {}
+        }
+    }
+
+    fn checked(&mut self, revision: u64, result: Result<Arc<Catalogue>, usize>) {
+        if let Ok(catalogue) = result
+            && self.view.catalogue.revision < revision
+        {
+            self.view = View::new(catalogue);
+        }
+    }
+
+    fn arrived(&mut self, now: Now, call: Call, out: &mut Vec<Effect>) {
+        let caller = call.caller;
+        let (team, entry, target) = match self.authorize(&call) {
+            Ok(found) => found,
+            Err(refusal) => {
+                let progress = Progress::Refused { request: None, team: None, refusal };
+                out.push(Effect::Progress(progress));
+                let answer = Answer::Refused { refusal, after: None };
+                out.push(Effect::Answer { caller, answer });
+                return;
+            }
+        };
+        self.counter += 1;
+        let id = RequestId::new(self.local.vm, self.local.incarnation, self.counter);
+        let job = Job::new(id, call, team, entry, target, now.mono);
+        let key = self.jobs.insert(job);
+        self.callers.insert(caller, key);
+        out.push(Effect::Progress(Progress::Accepted { request: id, team, entry }));
+        out.push(Effect::Answer { caller, answer: Answer::Accepted { request: id, entry } });
+        self.start(key, out);
+    }
+
+    fn authorize(&self, call: &Call) -> Result<(TeamId, EntryId, EntryTarget), Refusal> {
+        if !self.is_ready() {
+            return Err(Refusal::NotReady);
+        }
+        let team = self.view.team(&call.key).ok_or(Refusal::UnknownKey)?;
+        let entry = match &call.work {
+            Work::Draft(draft) => {
+                self.view.draft_entry(team, &draft.model).ok_or(Refusal::UnknownModel)?
+            }
+            Work::Plain(plain) => {
+                let service = self.view.service(&plain.path).ok_or(Refusal::UnknownPath)?;
+                self.view.plain_entry(team, service).ok_or(Refusal::UnknownPath)?
+            }
+        };
+        Ok((team, entry.id, entry.target))
+    }
+
+    fn engine(&mut self, now: Now, event: EngineEvent, out: &mut Vec<Effect>) {
+        match event {
+            EngineEvent::Prefilled { attempt, handle, tokens, cached, .. } => {
+                self.prefilled(attempt, handle, tokens, cached, out);
+            }
+            EngineEvent::Started { attempt, stream } => self.started(attempt, stream, out),
+            EngineEvent::Token { attempt, offset, texts } => {
+                self.tokens(now, attempt, offset, texts, out);
+            }
+            EngineEvent::Finished { attempt, reason, .. } => {
+                self.finished(now, attempt, reason, out);
+            }
+            EngineEvent::Answered { attempt, .. } => self.answered(now, attempt, out),
+            EngineEvent::Failed { attempt, .. } => self.failed(now, attempt, out),
+            EngineEvent::Report { .. } => {}
+        }
+    }
+
+    /// Tries again whatever the failure was.
+    fn failed(&mut self, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+        let Some(key) = self.attempts.remove(attempt) else { return };
+        let job = &mut self.jobs[key];
+        job.stage = Stage::Waiting;
+        if job.attempts < self.local.tuning.attempts {
+            self.timers.set(now.mono + PAUSE, Timer::Request(key));
+            return;
+        }
+        self.end(now, key, Answer::Unknown, crate::reason::Outcome::Unknown, out);
+    }
+}
