Stand-ins for the platform, engines and plain services

Cause: daemons need something on the other side of docs/PROTOCOLS.md that can fail on purpose. Change: Platform, Engine (either role) and PlainService over loopback, with faults as switches.

--- /dev/null
+++ b/crates/basilbank_standin/tests/standin/main.rs
@@ -0,0 +1,5 @@
+//! The stand-ins do what `docs/PROTOCOLS.md` says, over real sockets.
+
+mod engine;
+mod platform;
+mod support;
