--- a/crates/basilbank_standin/src/engine/calls.rs
+++ b/crates/basilbank_standin/src/engine/calls.rs
@@ -288,15 +288,16 @@
                 Found::Texts(texts) => {
                     for text in texts {
                         let line = json!({ "offset": offset, "texts": [text] });
-                        if send(&shared, &out, line).await.is_err() {
+                        let lost = shared.lock().faults.lose == Some(offset);
+                        if !lost && send(&shared, &out, line).await.is_err() {
                             return;
                         }
                         offset += 1;
                     }
                 }
-                Found::Done(reason) => {
+                Found::Done { reason, tokens } => {
                     // A reader that left does not need the end.
-                    let _ = send(&shared, &out, json!({ "done": reason })).await;
+                    let _ = send(&shared, &out, json!({ "done": reason, "tokens": tokens })).await;
                     let _ = out.send(Line::End).await;
                     return;
                 }
--- a/crates/basilbank_standin/src/faults.rs
+++ b/crates/basilbank_standin/src/faults.rs
@@ -15,6 +15,8 @@
     pub late: Duration,
     /// Each line of a stream is sent twice.
     pub doubled: bool,
+    /// The token at this offset is never sent.
+    pub lose: Option<usize>,
     /// KV caches are evicted at once.
     pub evict: bool,
     /// Orders with an old fencing number are taken.
--- a/crates/basilbank_standin/src/lib.rs
+++ b/crates/basilbank_standin/src/lib.rs
@@ -18,6 +18,7 @@
 mod platform;
 mod prefix;
 mod queue;
+mod site;
 mod spec;
 mod stream;
 mod text;
@@ -27,6 +28,7 @@
     faults::Faults,
     plain::{PlainService, Run},
     platform::{Platform, PlatformCounters, PlatformFaults, Vm},
+    site::{ADMIN_KEY, CALLER_KEY, ENTRY, Site, SiteSpec},
     spec::{EngineSpec, Role},
     text::{expected_answer, prefix_blocks},
 };
--- a/crates/basilbank_standin/src/stream.rs
+++ b/crates/basilbank_standin/src/stream.rs
@@ -35,7 +35,7 @@
     /// New tokens.
     Texts(Vec<String>),
     /// The end.
-    Done(&'static str),
+    Done { reason: &'static str, tokens: usize },
     /// Nothing yet.
     Nothing,
 }
@@ -61,7 +61,8 @@
             self.read_at = Instant::now();
             return Some(Found::Texts(self.texts[offset..].to_vec()));
         }
-        Some(self.done.map_or(Found::Nothing, Found::Done))
+        let tokens = self.texts.len();
+        Some(self.done.map_or(Found::Nothing, |reason| Found::Done { reason, tokens }))
     }
 }
 
--- a/crates/basilbank_standin/src/text.rs
+++ b/crates/basilbank_standin/src/text.rs
@@ -12,19 +12,15 @@
     text.split_whitespace()
 }
 
-/// Hashes of a text's whole blocks of `size` tokens. Each covers the text from its start: a token's
-/// XXH3-64 is seeded with the hash of all before it, beginning with 0.
+/// Names of a text's whole blocks of `size` tokens, as `docs/PROTOCOLS.md` has them.
 #[must_use]
 pub fn prefix_blocks(text: &str, size: usize) -> Vec<u64> {
-    let mut hash = 0;
-    let mut blocks = Vec::new();
-    for (i, token) in tokens(text).enumerate() {
-        hash = xxh3_64_with_seed(token.as_bytes(), hash);
-        if (i + 1) % size == 0 {
-            blocks.push(hash);
-        }
-    }
-    blocks
+    let tokens: Vec<&str> = tokens(text).collect();
+    let names = tokens.chunks_exact(size).scan(0, |before, block| {
+        *before = xxh3_64_with_seed(block.join(" ").as_bytes(), *before);
+        Some(*before)
+    });
+    names.collect()
 }
 
 /// The whole right answer to a prompt: one text for each token. Prompts that differ only in blanks
--- a/crates/basilbank_standin/tests/standin/engine.rs
+++ b/crates/basilbank_standin/tests/standin/engine.rs
@@ -98,7 +98,7 @@
     let rest: Vec<Value> = later.collect();
     let doubled = rest.iter().filter(|line| line["offset"] == 8).count();
     assert_eq!(doubled, 2);
-    assert_eq!(rest.last().unwrap()["done"], "stop");
+    assert_eq!(rest.last().unwrap(), &json!({ "done": "stop", "tokens": 9 }));
 }
 
 #[test]
--- a/crates/basilbank_standin/tests/standin/main.rs
+++ b/crates/basilbank_standin/tests/standin/main.rs
@@ -2,4 +2,5 @@
 
 mod engine;
 mod platform;
+mod site;
 mod support;
