Peers' packets: seals, replay guard and frames

Cause: peers' messages must be authenticated, taken once, and framed on streams. Change: Sealer (HMAC-SHA256, half of it sent), ReplayGuard (a window of 4096 sequence numbers for each sender, old incarnations dropped), Frames (LengthDelimitedCodec on std streams), DropReason for the counters.

--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -116,6 +116,7 @@
         skew: millis("skew_ms", default.skew),
         load_interval: millis("load_interval_ms", default.load_interval),
         reap_interval: millis("reap_interval_ms", default.reap_interval),
+        ..default
     };
     check_tuning(report, fields, &tuning);
     tuning
--- /dev/null
+++ b/crates/basilbank_wire/src/codec.rs
@@ -0,0 +1,76 @@
+//! Frames over a stream: a length of four bytes, then as many bytes.
+
+use std::io::{self, Read, Write};
+
+use bytes::{Bytes, BytesMut};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// Bytes that are read from the stream at a time.
+const CHUNK: usize = 16 << 10;
+
+/// Reads and writes frames on a blocking stream. The codec is `tokio-util`'s; no runtime is needed.
+///
+/// ```
+/// use basilbank_wire::Frames;
+///
+/// let mut stream = std::io::Cursor::new(Vec::new());
+/// Frames::new(&mut stream, 1024).write(b"hello".to_vec().into())?;
+/// stream.set_position(0);
+/// let frame = Frames::new(&mut stream, 1024).read()?;
+/// assert_eq!(frame.as_deref(), Some(&b"hello"[..]));
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Frames<S> {
+    stream: S,
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl<S> Frames<S> {
+    /// Frames of at most `longest` bytes.
+    pub fn new(stream: S, longest: usize) -> Frames<S> {
+        let codec = LengthDelimitedCodec::builder().max_frame_length(longest).new_codec();
+        Frames { stream, codec, buffer: BytesMut::new() }
+    }
+}
+
+impl<S: Read> Frames<S> {
+    /// The next frame; `None` when the stream ended between two frames.
+    ///
+    /// # Errors
+    /// `InvalidData` when the frame is too long, `UnexpectedEof` when the stream ended within one,
+    /// and the stream's own errors.
+    pub fn read(&mut self) -> io::Result<Option<BytesMut>> {
+        loop {
+            if let Some(frame) = self.codec.decode(&mut self.buffer)? {
+                return Ok(Some(frame));
+            }
+            if self.fill()? == 0 {
+                let whole = self.buffer.is_empty();
+                return if whole { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+            }
+        }
+    }
+
+    fn fill(&mut self) -> io::Result<usize> {
+        let len = self.buffer.len();
+        self.buffer.resize(len + CHUNK, 0);
+        let read = self.stream.read(&mut self.buffer[len..]);
+        self.buffer.truncate(len + *read.as_ref().unwrap_or(&0));
+        read
+    }
+}
+
+impl<S: Write> Frames<S> {
+    /// Writes a frame.
+    ///
+    /// # Errors
+    /// `InvalidInput` when it is too long, and the stream's own errors.
+    pub fn write(&mut self, frame: Bytes) -> io::Result<()> {
+        let mut bytes = BytesMut::new();
+        self.codec.encode(frame, &mut bytes)?;
+        self.stream.write_all(&bytes)?;
+        self.stream.flush()
+    }
+}
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -7,6 +7,14 @@
 //! assert!(message.body.is_some());
 //! ```
 
+mod codec;
+mod drop_reason;
 mod message;
+mod replay;
+mod seal;
 
+pub use codec::Frames;
+pub use drop_reason::DropReason;
 pub use message::*;
+pub use replay::{ReplayGuard, SENDERS, WINDOW};
+pub use seal::{SEAL_LEN, Sealer};
