A catalogue's changes are told by name and field

Cause: operators want to know what a document changes before it is published.

Change: diff of two catalogues, with consequences (drains, rolls, owed shares, access, keys); an example that measures parsing, comparing and rejecting 10,000 accounts.

--- /dev/null
+++ b/crates/basilbank_config/examples/parse_10k.rs
@@ -0,0 +1,153 @@
+//! Parses a catalogue of 10,000 teams, each with an entry, and 840 endpoints, spread over several
+//! documents, and prints one `name=value` line for each figure.
+//!
+//! `cargo run --release -p basilbank_config --example parse_10k`
+
+use std::{
+    fmt::Write as _,
+    io::{self, Write as _},
+    time::{Duration, Instant},
+};
+
+use basilbank_config::{Document, diff, key_hash, parse_catalogue};
+
+const TEAMS: usize = 10_000;
+const TEAMS_EACH: usize = 2_000;
+const MODELS: usize = 5;
+const ENDPOINTS: usize = 840;
+const ROUNDS: usize = 5;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let documents = documents()?;
+    let bytes: usize = documents.iter().filter_map(|d| d.text.as_ref()).map(String::len).sum();
+    let largest = documents.iter().filter_map(|d| d.text.as_ref()).map(String::len).max();
+    let before = peak_memory();
+    drop(parse_catalogue(1, &documents)?);
+    let peak = peak_memory() - before;
+    let (parse, catalogue) = timed(|| parse_catalogue(1, &documents));
+    let catalogue = catalogue?;
+    let mut changed = catalogue.clone();
+    for entry in &mut changed.entries {
+        entry.limits.requests += 1.0;
+    }
+    let (compare, changes) = timed(|| diff(&catalogue, &changed));
+    let wrong = misspelt(&documents);
+    let (reject, findings) = timed(|| parse_catalogue(1, &wrong).err().map_or(0, |f| f.len()));
+    let mut out = io::stdout().lock();
+    writeln!(out, "documents={}", documents.len())?;
+    writeln!(out, "bytes={bytes}")?;
+    writeln!(out, "largest_document_bytes={}", largest.unwrap_or(0))?;
+    writeln!(out, "teams={}", catalogue.teams.len())?;
+    writeln!(out, "entries={}", catalogue.entries.len())?;
+    writeln!(out, "endpoints={}", catalogue.endpoints.len())?;
+    writeln!(out, "parse_ms={:.1}", ms(parse))?;
+    writeln!(out, "parse_peak_kb={peak}")?;
+    writeln!(out, "changes={}", changes.len())?;
+    writeln!(out, "diff_ms={:.1}", ms(compare))?;
+    writeln!(out, "findings={findings}")?;
+    writeln!(out, "reject_ms={:.1}", ms(reject))?;
+    Ok(())
+}
+
+/// The process's largest memory so far in kilobytes; 0 where the system does not say.
+fn peak_memory() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+fn ms(took: Duration) -> f64 {
+    took.as_secs_f64() * 1000.0
+}
+
+/// The median time of some rounds, and the last round's result.
+fn timed<T>(mut run: impl FnMut() -> T) -> (Duration, T) {
+    let mut times = Vec::new();
+    let mut round = || {
+        let start = Instant::now();
+        let result = run();
+        times.push(start.elapsed());
+        result
+    };
+    for _ in 1..ROUNDS {
+        round();
+    }
+    let result = round();
+    times.sort();
+    (times[ROUNDS / 2], result)
+}
+
+/// Each entry names a class that isn't there.
+fn misspelt(documents: &[Document]) -> Vec<Document> {
+    let wrong = |text: &String| text.replace("\"class\": \"draft\"", "\"class\": \"drafd\"");
+    let document = |d: &Document| Document { text: d.text.as_ref().map(wrong), ..d.clone() };
+    documents.iter().map(document).collect()
+}
+
+fn document(key: &str, text: String) -> Document {
+    Document { key: key.to_owned(), text: Some(text), revision: 1 }
+}
+
+fn documents() -> Result<Vec<Document>, std::fmt::Error> {
+    let mut all = vec![document("catalogue/models", models()?)];
+    all.push(document("catalogue/endpoints", endpoints()?));
+    for shard in 0..TEAMS / TEAMS_EACH {
+        let (key, text) = (format!("catalogue/teams-{shard}"), teams(shard)?);
+        all.push(document(&key, text));
+    }
+    Ok(all)
+}
+
+fn models() -> Result<String, std::fmt::Error> {
+    let mut text = String::from(
+        "{ \"classes\": [{ \"name\": \"draft\", \"ttft_ms\": 340, \"tbt_ms\": 44, \"wait_ms\": 2000 }],\n\"models\": [",
+    );
+    for model in 0..MODELS {
+        writeln!(
+            text,
+            "  {{ \"name\": \"model-{model}\", \"version\": \"v1\", \"weight_bytes\": 16e9, \"kv_bytes_per_token\": 131072 }},"
+        )?;
+    }
+    text.push_str("] }");
+    Ok(text)
+}
+
+fn endpoints() -> Result<String, std::fmt::Error> {
+    let mut text = String::from("{ \"endpoints\": [\n");
+    for i in 0..ENDPOINTS {
+        let (role, slots) = if i % 3 == 0 { ("prefill", 2) } else { ("decode", 20) };
+        writeln!(
+            text,
+            "  {{ \"name\": \"runner-{i}\", \"address\": \"10.{}.{}.1:8000\", \"data_centre\": \"dc-{}\", \"role\": \"{role}\", \
+             \"model\": \"model-{}\", \"slots\": {slots}, \"prefill_tokens_per_s\": 8000, \"link_bytes_per_s\": 1.25e9, \
+             \"fencing\": true, \"orders\": true }},",
+            i / 200,
+            i % 200,
+            i % 5,
+            i / 3 % MODELS
+        )?;
+    }
+    text.push_str("] }");
+    Ok(text)
+}
+
+fn teams(shard: usize) -> Result<String, std::fmt::Error> {
+    let range = shard * TEAMS_EACH..(shard + 1) * TEAMS_EACH;
+    let mut text = String::from("{ \"teams\": [\n");
+    for i in range.clone() {
+        let hash = key_hash(&format!("key of account {i}"));
+        let digits = hash.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+        writeln!(text, "  {{ \"name\": \"account-{i}\", \"keys\": [\"{digits}\"] }},")?;
+    }
+    text.push_str("], \"entries\": [\n");
+    for i in range {
+        writeln!(
+            text,
+            "  {{ \"name\": \"account-{i}-draft\", \"owner\": \"account-{i}\", \"class\": \"draft\", \"model\": \"model-{}\", \
+             \"limits\": {{ \"requests_per_s\": 20, \"tokens_per_s\": 40000, \"concurrent\": 50, \"owed\": 0.0004 }} }},",
+            i % MODELS
+        )?;
+    }
+    text.push_str("] }");
+    Ok(text)
+}
--- a/crates/basilbank_config/src/lib.rs
+++ b/crates/basilbank_config/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod catalogue;
+mod diff;
 mod fields;
 mod finding;
 mod key;
@@ -24,6 +25,7 @@
 pub use basilbank_wire::Document;
 
 pub use catalogue::{CATALOGUE, CheckedCatalogue, MAX_DOCUMENT, check_catalogue, parse_catalogue};
+pub use diff::{Change, Consequence, Item, Step, diff};
 pub use finding::{Finding, Findings, Severity};
 pub use key::key_hash;
 pub use schema::{Field, Kind, Need, Section};
