--- a/crates/basilbank_standin/src/engine/jobs.rs
+++ b/crates/basilbank_standin/src/engine/jobs.rs
@@ -190,6 +190,7 @@
             request: body.request.clone(),
             attempt: body.attempt,
             texts: Vec::new(),
+            times: Vec::new(),
             done: None,
             reader: 0,
             read_at: Instant::now(),
@@ -213,6 +214,7 @@
             let mut inner = self.lock();
             let Some(stream) = inner.streams.get_mut(name) else { return };
             stream.texts.extend(generator.next());
+            stream.times.push(Instant::now());
             stream.changed.notify_waiters();
             inner.counters.tokens += 1;
             made += 1;
--- a/crates/basilbank_standin/src/lib.rs
+++ b/crates/basilbank_standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert_eq!(expected_answer("two oak worktops", 3).len(), 3);
 //! ```
 
+mod client;
 mod engine;
 mod faults;
 mod http;
@@ -24,6 +25,7 @@
 mod text;
 
 pub use self::{
+    client::{Client, DraftStream, WholeDraft, chat_prompt},
     engine::{Engine, EngineCounters},
     faults::Faults,
     plain::{PlainService, Run},
--- a/crates/basilbank_standin/src/stream.rs
+++ b/crates/basilbank_standin/src/stream.rs
@@ -20,6 +20,8 @@
     pub(crate) request: String,
     pub(crate) attempt: u32,
     pub(crate) texts: Vec<String>,
+    /// When each of them was generated.
+    pub(crate) times: Vec<Instant>,
     pub(crate) done: Option<&'static str>,
     /// Number of its latest reader; earlier ones are cut off.
     pub(crate) reader: u64,
