--- a/crates/basilbank/src/callers.rs
+++ b/crates/basilbank/src/callers.rs
@@ -1,5 +1,30 @@
 //! The callers' side: HTTP, server-sent events, cursors.
+//!
+//! [`Server`] turns sockets into events for the core; [`Callers`] is the way back. Tokio and hyper
+//! are used in this module only: everything else works with threads and standard channels.
 
+mod body;
+mod chunk;
+mod config;
+mod connection;
+mod cursor;
+mod draft;
+mod error;
+mod form;
+mod headers;
+mod models;
+mod open_call;
+mod plain;
+mod prompt;
 mod registry;
+mod server;
+mod service;
+mod socket;
+mod stream;
+mod whole;
 
+pub use config::{ModelLookup, RefusalHook, ServerConfig};
+pub use error::{EdgeRefusal, ErrorCode};
+pub use prompt::{BLOCK_TOKENS, block_hashes, count_tokens};
 pub use registry::{Callers, Delivery, HeldDraft, HeldPlain, PlainAnswer, Reply};
+pub use server::Server;
--- /dev/null
+++ b/crates/basilbank/src/callers/error.rs
@@ -0,0 +1,379 @@
+//! What a caller is told when its call does not succeed.
+
+use std::time::Duration;
+
+use basilbank_core::{
+    ids::RequestId,
+    reason::{Outcome, Refusal},
+};
+use bytes::Bytes;
+use hyper::{
+    Response, StatusCode,
+    header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
+};
+use serde::Serialize;
+
+use super::{
+    body::{Outgoing, whole},
+    headers::{X_OUTCOME, X_REQUEST_ID},
+};
+
+/// Why a call was refused before the core heard of it, where no [`Refusal`] fits.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub enum EdgeRefusal {
+    /// No bearer key was presented.
+    MissingKey,
+    /// The body is not JSON.
+    BadJson,
+    /// The body asks for something that is not supported.
+    Unsupported,
+    /// A header that the API reads has a value that it does not know.
+    BadHeader,
+    /// The path does not take this method.
+    WrongMethod,
+    /// The request is not HTTP/1.1.
+    BadHttp,
+    /// The headers are too large.
+    HeadersTooLarge,
+    /// The headers did not arrive in time.
+    SlowHeader,
+    /// The body did not arrive in time.
+    SlowBody,
+    /// Too many connections are open.
+    Connections,
+}
+
+impl EdgeRefusal {
+    /// All of them, in order.
+    pub const ALL: &[EdgeRefusal] = &[
+        EdgeRefusal::MissingKey,
+        EdgeRefusal::BadJson,
+        EdgeRefusal::Unsupported,
+        EdgeRefusal::BadHeader,
+        EdgeRefusal::WrongMethod,
+        EdgeRefusal::BadHttp,
+        EdgeRefusal::HeadersTooLarge,
+        EdgeRefusal::SlowHeader,
+        EdgeRefusal::SlowBody,
+        EdgeRefusal::Connections,
+    ];
+
+    /// The stable name, used as error code and metric label.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EdgeRefusal::MissingKey => "missing_key",
+            EdgeRefusal::BadJson => "bad_json",
+            EdgeRefusal::Unsupported => "unsupported",
+            EdgeRefusal::BadHeader => "bad_header",
+            EdgeRefusal::WrongMethod => "wrong_method",
+            EdgeRefusal::BadHttp => "bad_http",
+            EdgeRefusal::HeadersTooLarge => "headers_too_large",
+            EdgeRefusal::SlowHeader => "slow_header",
+            EdgeRefusal::SlowBody => "slow_body",
+            EdgeRefusal::Connections => "connections",
+        }
+    }
+}
+
+/// The `code` of an error.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum ErrorCode {
+    /// Nothing was run. The core says so, or this daemon's edge where the same reason fits.
+    Refused(Refusal),
+    /// Nothing was run: the core never heard of the call.
+    Edge(EdgeRefusal),
+    /// It may have run.
+    Unknown,
+}
+
+impl ErrorCode {
+    /// The stable name.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ErrorCode::Refused(refusal) => refusal.as_str(),
+            ErrorCode::Edge(refusal) => refusal.as_str(),
+            ErrorCode::Unknown => Outcome::Unknown.as_str(),
+        }
+    }
+
+    /// The HTTP status.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            ErrorCode::Refused(refusal) => refusal_status(refusal),
+            ErrorCode::Edge(refusal) => edge_status(refusal),
+            ErrorCode::Unknown => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// The value of `X-Outcome`.
+    ///
+    /// A caller that repeats a call with its idempotency key while the first one still runs gets
+    /// `key_running`. Nothing was run for this repeat, but the work itself may well be done; a
+    /// client that retries by itself would report the last answer as that of the whole, so this one
+    /// must not read as "not run".
+    #[must_use]
+    pub fn outcome(self) -> &'static str {
+        match self {
+            ErrorCode::Unknown | ErrorCode::Refused(Refusal::KeyRunning) => "unknown",
+            ErrorCode::Refused(_) | ErrorCode::Edge(_) => "not-run",
+        }
+    }
+
+    /// The OpenAI API's family of errors.
+    #[must_use]
+    pub fn family(self) -> &'static str {
+        match self.status() {
+            StatusCode::UNAUTHORIZED => "authentication_error",
+            StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
+            status if status.is_server_error() => "server_error",
+            _ => "invalid_request_error",
+        }
+    }
+
+    /// What is said when there is nothing more precise.
+    #[must_use]
+    pub fn message(self) -> &'static str {
+        match self {
+            ErrorCode::Refused(refusal) => refusal_message(refusal),
+            ErrorCode::Edge(refusal) => edge_message(refusal),
+            ErrorCode::Unknown => "the call may have run, but its answer can't be completed",
+        }
+    }
+}
+
+fn refusal_status(refusal: Refusal) -> StatusCode {
+    match refusal {
+        Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
+        Refusal::UnknownModel | Refusal::UnknownPath => StatusCode::NOT_FOUND,
+        Refusal::BadRequest | Refusal::BadCursor => StatusCode::BAD_REQUEST,
+        Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Refusal::StreamGone => StatusCode::GONE,
+        Refusal::KeyRunning => StatusCode::CONFLICT,
+        Refusal::RequestLimit | Refusal::TokenLimit | Refusal::ConcurrentLimit => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        Refusal::TargetMissed
+        | Refusal::WaitedOut
+        | Refusal::QueueFull
+        | Refusal::NoEndpoint
+        | Refusal::RetriesSpent
+        | Refusal::KeyUnclaimed
+        | Refusal::ShuttingDown
+        | Refusal::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn edge_status(refusal: EdgeRefusal) -> StatusCode {
+    match refusal {
+        EdgeRefusal::MissingKey => StatusCode::UNAUTHORIZED,
+        EdgeRefusal::BadJson
+        | EdgeRefusal::Unsupported
+        | EdgeRefusal::BadHeader
+        | EdgeRefusal::BadHttp => StatusCode::BAD_REQUEST,
+        EdgeRefusal::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
+        EdgeRefusal::HeadersTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        EdgeRefusal::SlowHeader | EdgeRefusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
+        EdgeRefusal::Connections => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn refusal_message(refusal: Refusal) -> &'static str {
+    match refusal {
+        Refusal::UnknownKey => "the key is not known",
+        Refusal::UnknownModel => "there is no such model for this key",
+        Refusal::UnknownPath => "there is no such path for this key",
+        Refusal::BadRequest => "the request is not valid",
+        Refusal::TooLarge => "the body is too large",
+        Refusal::BadCursor => "the cursor in Last-Event-ID is not valid for this call",
+        Refusal::StreamGone => "the stream that the cursor names is gone",
+        Refusal::RequestLimit => "the limit of requests a second is used up",
+        Refusal::TokenLimit => "the limit of tokens a second is used up",
+        Refusal::ConcurrentLimit => "too many requests are in progress",
+        Refusal::TargetMissed => "the request can't be answered in time now",
+        Refusal::WaitedOut => "no capacity came free in time",
+        Refusal::QueueFull => "too many requests wait",
+        Refusal::NoEndpoint => "no endpoint serves this now",
+        Refusal::RetriesSpent => "no endpoint took the request",
+        Refusal::KeyUnclaimed => "the idempotency key could not be claimed",
+        Refusal::KeyRunning => "a request with this idempotency key is still running",
+        Refusal::ShuttingDown => "this daemon is shutting down",
+        Refusal::NotReady => "this daemon is starting",
+    }
+}
+
+fn edge_message(refusal: EdgeRefusal) -> &'static str {
+    match refusal {
+        EdgeRefusal::MissingKey => "send the key as Authorization: Bearer KEY",
+        EdgeRefusal::BadJson => "the body is not JSON",
+        EdgeRefusal::Unsupported => "this is not supported",
+        EdgeRefusal::BadHeader => "a header is not valid",
+        EdgeRefusal::WrongMethod => "the path does not take this method",
+        EdgeRefusal::BadHttp => "the request is not valid HTTP/1.1",
+        EdgeRefusal::HeadersTooLarge => "the headers are too large",
+        EdgeRefusal::SlowHeader => "the headers did not arrive in time",
+        EdgeRefusal::SlowBody => "the body did not arrive in time",
+        EdgeRefusal::Connections => "too many connections are open",
+    }
+}
+
+/// Who refused a call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Origin {
+    /// The callers' side, which counts it itself.
+    Edge,
+    /// The core, which has counted it already.
+    Core,
+}
+
+/// A call that does not succeed, with what its caller is told.
+#[derive(Clone, Debug)]
+pub struct ApiError {
+    /// Why.
+    pub code: ErrorCode,
+    /// Who says so.
+    pub origin: Origin,
+    /// For people; never holds a key or a prompt.
+    pub message: String,
+    /// The field that is wrong.
+    pub param: Option<&'static str>,
+    /// When another try may succeed.
+    pub after: Option<Duration>,
+    /// The methods that the path takes.
+    pub allow: Option<&'static str>,
+    /// The request, when the core accepted it.
+    pub request: Option<RequestId>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorFields<'a> {
+    message: &'a str,
+    #[serde(rename = "type")]
+    family: &'static str,
+    param: Option<&'static str>,
+    code: &'static str,
+    request_id: &'a str,
+}
+
+impl ApiError {
+    /// A refusal by the callers' side.
+    #[must_use]
+    pub fn edge(refusal: EdgeRefusal) -> ApiError {
+        ApiError::new(ErrorCode::Edge(refusal), Origin::Edge)
+    }
+
+    /// A refusal by the callers' side for a reason that the core knows too.
+    #[must_use]
+    pub fn early(refusal: Refusal) -> ApiError {
+        ApiError::new(ErrorCode::Refused(refusal), Origin::Edge)
+    }
+
+    /// A refusal by the core.
+    #[must_use]
+    pub fn refused(refusal: Refusal, after: Option<Duration>) -> ApiError {
+        ApiError { after, ..ApiError::new(ErrorCode::Refused(refusal), Origin::Core) }
+    }
+
+    /// A call that may have run.
+    #[must_use]
+    pub fn unknown() -> ApiError {
+        ApiError::new(ErrorCode::Unknown, Origin::Core)
+    }
+
+    fn new(code: ErrorCode, origin: Origin) -> ApiError {
+        let message = code.message().to_owned();
+        ApiError { code, origin, message, param: None, after: None, allow: None, request: None }
+    }
+
+    /// Says more precisely what is wrong.
+    #[must_use]
+    pub fn with_message(mut self, message: impl Into<String>) -> ApiError {
+        self.message = message.into();
+        self
+    }
+
+    /// Names the field that is wrong.
+    #[must_use]
+    pub fn with_param(mut self, param: &'static str) -> ApiError {
+        self.param = Some(param);
+        self
+    }
+
+    /// Names the methods that the path takes.
+    #[must_use]
+    pub fn with_allow(mut self, allow: &'static str) -> ApiError {
+        self.allow = Some(allow);
+        self
+    }
+
+    /// Says when another try may succeed.
+    #[must_use]
+    pub fn with_after(mut self, after: Duration) -> ApiError {
+        self.after = Some(after);
+        self
+    }
+
+    /// The JSON, in the OpenAI API's shape.
+    #[must_use]
+    pub fn json(&self, request_id: &str) -> String {
+        let fields = ErrorFields {
+            message: &self.message,
+            family: self.code.family(),
+            param: self.param,
+            code: self.code.as_str(),
+            request_id,
+        };
+        serde_json::to_string(&ErrorBody { error: fields }).unwrap_or_default()
+    }
+
+    /// `Retry-After` in whole seconds, rounded up: a caller that trusts it does not come too early.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<u64> {
+        let after = self.after?;
+        Some(after.as_secs() + u64::from(0 < after.subsec_nanos()))
+    }
+
+    /// The whole response.
+    #[must_use]
+    pub fn response(&self, request_id: &str) -> Response<Outgoing> {
+        let mut response = Response::new(whole(Bytes::from(self.json(request_id))));
+        *response.status_mut() = self.code.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(X_OUTCOME, HeaderValue::from_static(self.code.outcome()));
+        if let Ok(id) = HeaderValue::from_str(request_id) {
+            headers.insert(X_REQUEST_ID, id);
+        }
+        if let Some(seconds) = self.retry_after() {
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        if let Some(allow) = self.allow {
+            headers.insert(ALLOW, HeaderValue::from_static(allow));
+        }
+        if self.code.status() == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+        }
+        response
+    }
+
+    /// The response as bytes, for a connection that hyper does not serve (any more).
+    #[must_use]
+    pub fn raw_response(&self, request_id: &str) -> Vec<u8> {
+        let status = self.code.status();
+        let body = self.json(request_id);
+        let mut text = format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\n");
+        text += &format!("X-Outcome: {}\r\nX-Request-Id: {request_id}\r\n", self.code.outcome());
+        if let Some(seconds) = self.retry_after() {
+            text += &format!("Retry-After: {seconds}\r\n");
+        }
+        text += &format!("Connection: close\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        text.into_bytes()
+    }
+}
--- /dev/null
+++ b/crates/basilbank/src/callers/server.rs
@@ -0,0 +1,142 @@
+//! The listener, and the one tokio runtime of a daemon.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, mpsc::Sender},
+    time::Duration,
+};
+
+use anyhow::Context;
+use basilbank_core::event::Event;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime::{Builder, Runtime},
+    sync::{Semaphore, watch},
+    time::{sleep, timeout},
+};
+
+use super::{
+    config::ServerConfig,
+    connection,
+    error::{ApiError, EdgeRefusal},
+    registry::Callers,
+    service::Api,
+    socket::Socket,
+};
+
+const THREADS: usize = 2;
+/// Connections over the limit that are told so at once; further ones are just closed.
+const REJECTIONS: usize = 64;
+/// How long to wait when the system can't accept a connection, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The callers' HTTP server.
+///
+/// Dropping it cuts what is open; call [`Server::wait`] for a graceful end.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    closing: watch::Sender<bool>,
+    permits: Arc<Semaphore>,
+    connections: u32,
+    runtime: Runtime,
+}
+
+impl Server {
+    /// Listens, and serves on threads of its own.
+    ///
+    /// # Errors
+    /// The address can't be had, or the threads can't be started.
+    pub fn start(
+        config: ServerConfig,
+        events: Sender<Event>,
+        callers: Arc<Callers>,
+    ) -> anyhow::Result<Server> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .thread_name("callers")
+            .enable_all()
+            .build()
+            .context("can't start the callers' threads")?;
+        let listener = runtime
+            .block_on(TcpListener::bind(config.address))
+            .with_context(|| format!("can't listen at {}", config.address))?;
+        let address = listener.local_addr().context("the listener has no address")?;
+        let connections = u32::try_from(config.limits.connections).unwrap_or(u32::MAX);
+        let permits = Arc::new(Semaphore::new(connections as usize));
+        let (closing, closed) = watch::channel(false);
+        let api = Arc::new(Api::new(config, events, callers, closed.clone()));
+        runtime.spawn(accept(listener, api, Arc::clone(&permits), closed));
+        Ok(Server { address, closing, permits, connections, runtime })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting. What is open goes on; each connection ends with its current answer.
+    pub fn shutdown(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Shuts down and waits, without limit, until all connections have ended.
+    pub fn wait(self) {
+        self.shutdown();
+        // The permits come back as connections end. The semaphore is never closed.
+        let _ = self.runtime.block_on(self.permits.acquire_many(self.connections));
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    api: Arc<Api>,
+    permits: Arc<Semaphore>,
+    closing: watch::Receiver<bool>,
+) {
+    let rejections = Arc::new(Semaphore::new(REJECTIONS));
+    let serve = |stream: TcpStream| {
+        let (api, closing) = (Arc::clone(&api), closing.clone());
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            reject(stream, api, &rejections);
+            return;
+        };
+        tokio::spawn(async move {
+            connection::serve(stream, api, closing).await;
+            drop(permit);
+        });
+    };
+    let mut closed = closing.clone();
+    loop {
+        tokio::select! {
+            _ = closed.changed() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => serve(stream),
+                Err(error) => {
+                    log::warn!("event=accept_failed error=\"{error}\"");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+    // Connections that the system has accepted for us get an answer; closing the listener would
+    // reset them, and their callers could not know that nothing was run.
+    while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+        serve(stream);
+    }
+}
+
+/// Tells a caller that there are too many connections.
+fn reject(stream: TcpStream, api: Arc<Api>, rejections: &Arc<Semaphore>) {
+    let id = api.edge_id();
+    let refusal = EdgeRefusal::Connections;
+    api.count(refusal.as_str(), &id);
+    let Ok(permit) = Arc::clone(rejections).try_acquire_owned() else { return };
+    tokio::spawn(async move {
+        let error = ApiError::edge(refusal).with_after(Duration::from_secs(1));
+        let mut socket = Socket::new(stream, api.config.write_timeout);
+        socket.reject(&error.raw_response(&id)).await;
+        drop(permit);
+    });
+}
--- /dev/null
+++ b/crates/basilbank/src/callers/service.rs
@@ -0,0 +1,174 @@
+//! From a request to what serves it.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::Sender,
+    },
+    time::SystemTime,
+};
+
+use basilbank_core::{
+    event::Event,
+    ids::{RequestId, VmId},
+    reason::Refusal,
+};
+use hyper::{
+    HeaderMap, Method, Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
+use tokio::sync::watch;
+
+use super::{
+    body::{self, Outgoing},
+    config::ServerConfig,
+    cursor::CursorKey,
+    error::{ApiError, EdgeRefusal, Origin},
+    form::Shape,
+    headers::{X_REQUEST_ID, bearer},
+    registry::Callers,
+};
+
+const API_PREFIX: &str = "/v1/";
+
+/// What all connections share.
+pub struct Api {
+    /// Settings and hooks.
+    pub config: ServerConfig,
+    /// The way to the core.
+    pub events: Sender<Event>,
+    /// The way back.
+    pub callers: Arc<Callers>,
+    /// Makes and checks cursors.
+    pub cursors: CursorKey,
+    closing: watch::Receiver<bool>,
+    ids: EdgeIds,
+}
+
+/// Ids of answers that the core gave none: a hash of the start time and a counter.
+struct EdgeIds {
+    start: u64,
+    counter: AtomicU64,
+}
+
+/// What a path asks for.
+enum Route<'a> {
+    Draft(Shape),
+    Models,
+    Model(&'a str),
+    Plain,
+}
+
+impl Api {
+    /// The state of a server that starts now.
+    #[must_use]
+    pub fn new(
+        config: ServerConfig,
+        events: Sender<Event>,
+        callers: Arc<Callers>,
+        closing: watch::Receiver<bool>,
+    ) -> Api {
+        let cursors = CursorKey::new(&config.peer_key);
+        let start = since_epoch(config.clock.now().wall).as_nanos() as u64;
+        let ids = EdgeIds { start, counter: AtomicU64::new(0) };
+        Api { config, events, callers, cursors, closing, ids }
+    }
+
+    /// Seconds since the Unix epoch.
+    #[must_use]
+    pub fn unix_seconds(&self) -> u64 {
+        since_epoch(self.config.clock.now().wall).as_secs()
+    }
+
+    /// A new id for an answer of a call that the core did not accept.
+    #[must_use]
+    pub fn edge_id(&self) -> String {
+        let counter = self.ids.counter.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(VmId::of("callers"), self.ids.start, counter).to_string()
+    }
+
+    /// Counts and logs a refusal made here.
+    pub fn count(&self, refusal: &'static str, request_id: &str) {
+        (self.config.refused)(refusal);
+        log::debug!("event=edge_refused code={refusal} request={request_id}");
+    }
+
+    /// Serves one request.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<Outgoing> {
+        let mut response = match self.serve(request).await {
+            Ok(response) => response,
+            Err(error) => self.fail(&error),
+        };
+        if !response.headers().contains_key(X_REQUEST_ID)
+            && let Ok(id) = HeaderValue::from_str(&self.edge_id())
+        {
+            response.headers_mut().insert(X_REQUEST_ID, id);
+        }
+        if *self.closing.borrow() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    fn fail(&self, error: &ApiError) -> Response<Outgoing> {
+        let id = error.request.map_or_else(|| self.edge_id(), |id| id.to_string());
+        if error.origin == Origin::Edge {
+            self.count(error.code.as_str(), &id);
+        }
+        error.response(&id)
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Result<Response<Outgoing>, ApiError> {
+        let (head, body) = request.into_parts();
+        let limits = &self.config.limits;
+        if limits.headers < header_bytes(&head.headers) {
+            return Err(ApiError::edge(EdgeRefusal::HeadersTooLarge));
+        }
+        let route = route(&head.method, head.uri.path())?;
+        // A body is read only for a caller that has shown a key.
+        bearer(&head.headers)?;
+        match route {
+            Route::Models => self.models(&head.headers),
+            Route::Model(name) => self.model(&head.headers, name),
+            Route::Draft(shape) => {
+                let body = body::read(body, limits.body, limits.body_timeout).await?;
+                self.draft(shape, &head.headers, &body).await
+            }
+            Route::Plain => {
+                let body = body::read(body, limits.body, limits.body_timeout).await?;
+                self.plain(&head.method, &head.uri, &head.headers, body).await
+            }
+        }
+    }
+}
+
+fn since_epoch(wall: SystemTime) -> std::time::Duration {
+    wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
+}
+
+/// The headers' size as they came: name, value, and four bytes of punctuation each.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
+}
+
+fn route<'a>(method: &Method, path: &'a str) -> Result<Route<'a>, ApiError> {
+    if *method == Method::CONNECT {
+        return Err(ApiError::edge(EdgeRefusal::WrongMethod));
+    }
+    let Some(rest) = path.strip_prefix(API_PREFIX) else { return Ok(Route::Plain) };
+    let (route, allow) = match rest {
+        "chat/completions" => (Route::Draft(Shape::Chat), "POST"),
+        "completions" => (Route::Draft(Shape::Text), "POST"),
+        "models" => (Route::Models, "GET, HEAD"),
+        _ => match rest.strip_prefix("models/") {
+            Some(name) => (Route::Model(name), "GET, HEAD"),
+            None => return Err(ApiError::early(Refusal::UnknownPath)),
+        },
+    };
+    if allow.split(", ").any(|allowed| allowed == method.as_str()) {
+        return Ok(route);
+    }
+    Err(ApiError::edge(EdgeRefusal::WrongMethod).with_allow(allow))
+}
--- /dev/null
+++ b/crates/basilbank/tests/callers_http/edge.rs
@@ -0,0 +1,91 @@
+//! A server, and the core's end of it.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc, Mutex,
+        mpsc::{Receiver, channel},
+    },
+    time::{Duration, SystemTime},
+};
+
+use basilbank::callers::{Callers, Delivery, Server, ServerConfig};
+use basilbank_core::prelude::*;
+
+use crate::client::Client;
+
+/// Ends a wait for what never comes.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+struct FixedClock;
+
+impl Clock for FixedClock {
+    fn now(&self) -> Now {
+        let wall = SystemTime::UNIX_EPOCH + Duration::from_secs(1_700_000_000);
+        Now { mono: Duration::ZERO, wall }
+    }
+}
+
+/// A server whose core is the test.
+pub struct Edge {
+    pub server: Server,
+    pub callers: Arc<Callers>,
+    pub events: Receiver<Event>,
+    pub refused: Arc<Mutex<Vec<&'static str>>>,
+}
+
+/// A default configuration on a free port, with one team whose key is `key-a`.
+pub fn config() -> ServerConfig {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    ServerConfig::new(address, b"shared by all daemons", Arc::new(FixedClock))
+}
+
+impl Edge {
+    pub fn start(config: ServerConfig) -> Edge {
+        let (sender, events) = channel();
+        let callers = Arc::new(Callers::default());
+        let refused = Arc::new(Mutex::new(Vec::new()));
+        let counter = Arc::clone(&refused);
+        let config = config.with_refused(Arc::new(move |name| counter.lock().unwrap().push(name)));
+        let server = Server::start(config, sender, Arc::clone(&callers)).unwrap();
+        Edge { server, callers, events, refused }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.server.address())
+    }
+
+    /// The next call.
+    pub fn arrived(&self) -> Call {
+        match self.events.recv_timeout(LIMIT) {
+            Ok(Event::Caller(CallerEvent::Arrived(call))) => *call,
+            other => panic!("expected a call, got {other:?}"),
+        }
+    }
+
+    /// The next caller that left.
+    pub fn left(&self) -> CallerId {
+        match self.events.recv_timeout(LIMIT) {
+            Ok(Event::Caller(CallerEvent::Left(caller))) => caller,
+            other => panic!("expected a departure, got {other:?}"),
+        }
+    }
+
+    pub fn say(&self, caller: CallerId, answer: Answer) {
+        assert_eq!(self.callers.answer(caller, answer), Delivery::Sent);
+    }
+
+    /// Accepts a call, as request 1 of the entry `writer`.
+    pub fn accept(&self, caller: CallerId) {
+        self.say(caller, Answer::Accepted { request: RequestId(1), entry: EntryId::of("writer") });
+    }
+
+    pub fn token(&self, caller: CallerId, offset: u32, text: &str) {
+        self.say(caller, Answer::Tokens { offset, texts: vec![text.to_owned()] });
+    }
+
+    pub fn done(&self, caller: CallerId, generated: u32) {
+        let reason = "stop".to_owned();
+        self.say(caller, Answer::Done { reason, prompt: 7, cached: 3, generated });
+    }
+}
--- /dev/null
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -0,0 +1,9 @@
+//! The callers' API over real loopback sockets; the tests play the core.
+//!
+//! No test measures time. Reads and waits end after a long limit, so that a failure is reported in
+//! place of a hang.
+
+mod client;
+mod edge;
+mod refusals;
+mod streams;
