Settings know all constants of the decisions

Cause: the decisions gained constants that the settings' reader did not know; the example's test failed on it. Change: kv_life_ms and stall_ms; heartbeat and fan-out by their new defaults.

--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -116,7 +116,8 @@
         skew: millis("skew_ms", default.skew),
         load_interval: millis("load_interval_ms", default.load_interval),
         reap_interval: millis("reap_interval_ms", default.reap_interval),
-        ..default
+        kv_life: millis("kv_life_ms", default.kv_life),
+        stall: millis("stall_ms", default.stall),
     };
     check_tuning(report, fields, &tuning);
     tuning
--- a/crates/basilbank_config/src/settings/schema.rs
+++ b/crates/basilbank_config/src/settings/schema.rs
@@ -65,8 +65,8 @@
 const TUNING: Section = Section {
     noun: "tuning object",
     fields: &[
-        Field::optional("heartbeat_ms", Kind::millis(10), "500", "250"),
-        Field::optional("fan_out", Kind::Whole { min: 1, max: 100 }, "3", "4"),
+        Field::optional("heartbeat_ms", Kind::millis(10), "250", "500"),
+        Field::optional("fan_out", Kind::Whole { min: 1, max: 100 }, "1", "2"),
         Field::optional("dead_after_ms", Kind::millis(20), "4000", "3000"),
         Field::optional("pause_ms", Kind::millis(150), "1000", "2000"),
         Field::optional("slot_lease_ms", Kind::millis(100), "6000", "8000"),
@@ -81,5 +81,7 @@
         Field::optional("skew_ms", Kind::millis(0), "5000", "2000"),
         Field::optional("load_interval_ms", Kind::millis(10), "500", "250"),
         Field::optional("reap_interval_ms", Kind::millis(10), "2000", "1000"),
+        Field::optional("kv_life_ms", Kind::millis(1), "800", "1000"),
+        Field::optional("stall_ms", Kind::millis(10), "3000", "2000"),
     ],
 };
