--- a/crates/basilbank_core/src/reason.rs
+++ b/crates/basilbank_core/src/reason.rs
@@ -127,6 +127,19 @@
     }
 );
 
+impl Outcome {
+    /// The outcome as peers write it. 0 stands for a request that still runs.
+    #[must_use]
+    pub fn code(self) -> u32 {
+        match self {
+            Outcome::Done => 1,
+            Outcome::NotRun => 2,
+            Outcome::Unknown => 3,
+            Outcome::Abandoned => 4,
+        }
+    }
+}
+
 impl Refusal {
     /// Whether the caller should try again, so that `Retry-After` helps.
     #[must_use]
--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -25,6 +25,7 @@
 
 /// Takes one event in and pushes what is to be done about it.
 pub fn reduce(state: &mut State, now: Now, event: Event, out: &mut Vec<Effect>) {
+    claim::expire(state, now, out);
     match event {
         Event::Tick => {}
         Event::Caller(event) => on_caller(state, now, event, out),
@@ -40,7 +41,7 @@
     while let Some(timer) = state.timers.pop_due(now.mono) {
         on_timer(state, now, timer, out);
     }
-    if state.leaving && state.requests.arena.is_empty() {
+    if state.leaving && state.requests.arena.is_empty() && state.claims.own.is_empty() {
         out.push(Effect::Exit);
     }
 }
@@ -49,7 +50,7 @@
     match timer {
         Timer::Attempt(_) => {}
         Timer::Request(key) => place::start(state, now, key, out),
-        Timer::Claim(key) => claim::timed_out(state, now, key, out),
+        Timer::Claim(id) => claim::timed_out(state, now, id, out),
         Timer::Platform => catalogue::read(state, out),
         Timer::Heartbeat => member::tick(state, now, out),
         Timer::Slots => slots::tick(state, now, out),
@@ -96,7 +97,8 @@
             catalogue::checked(state, now, revision, result, out);
         }
         PlatformEvent::CatalogueFailed => catalogue::failed(state, now),
-        PlatformEvent::Vms { .. } | PlatformEvent::VmsFailed => {}
+        PlatformEvent::Vms { .. } => claim::list_changed(state, now),
+        PlatformEvent::VmsFailed => {}
     }
 }
 
@@ -133,11 +135,14 @@
         Body::Preempt(preempt) => slots::preempted(state, now, from, &preempt, out),
         Body::Claim(claim) => claim::asked(state, now, from, &claim, out),
         Body::Vote(vote) => claim::voted(state, now, from, &vote, out),
-        Body::Settle(settle) => claim::told(state, now, from, &settle),
+        Body::Settle(settle) => claim::told(state, now, from, &settle, out),
         Body::FetchCatalogue(fetch) => catalogue::fetched(state, from, &fetch, out),
         Body::Catalogue(delta) => catalogue::delta(state, now, from, delta, out),
         Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
-        Body::Vms(list) => catalogue::vms(state, now, list, out),
+        Body::Vms(list) => {
+            catalogue::vms(state, now, list, out);
+            claim::list_changed(state, now);
+        }
         Body::AskLimit(ask) => limit::asked(state, now, from, &ask, out),
         Body::Lease(lease) => limit::leased(state, now, from, &lease),
     }
--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -8,7 +8,7 @@
     event::{Call, ResumePoint, Work},
     ids::{EndpointId, EntryId, RequestId, RequestKey, TeamId},
     reason::Refusal,
-    reduce::place,
+    reduce::{claim, place},
     state::{Request, State},
     time::Now,
 };
@@ -34,7 +34,11 @@
     let key = state.requests.insert(request);
     out.push(Effect::Progress(Progress::Accepted { request: id, team, entry }));
     out.push(Effect::Answer { caller, answer: Answer::Accepted { request: id, entry } });
-    place::start(state, now, key, out);
+    if call.idempotency.is_some() {
+        claim::begin(state, now, key, out);
+    } else {
+        place::start(state, now, key, out);
+    }
 }
 
 /// The request's idempotency key is its own: it may run.
--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -1,32 +1,305 @@
-//! At most one run for an idempotency key.
+//! At most one run for an idempotency key: the side of the daemon that wants to run a request.
 
-use basilbank_wire::{Claim, Settle, Vote};
+mod vote;
 
+use std::time::Duration;
+
+use basilbank_wire::{Body, Claim, KeyRecord, Settle, Verdict, Vote};
+
+pub use self::vote::{asked, list_changed, told};
 use crate::{
-    effect::Effect,
-    ids::{RequestKey, VmId},
-    state::{Request, State},
+    effect::{Effect, Progress},
+    ids::{RequestId, RequestKey, VmId},
+    reason::{Outcome, Refusal},
+    reduce::{admit, settle},
+    state::{
+        AttemptStage, Ballot, ClaimKey, ClaimPhase, OwnClaim, Request, RequestStage, Standing,
+        State, Timer, Waited, made_at,
+    },
     time::Now,
 };
 
-/// Claims an accepted request's key. The request waits; `admit::claimed`, `admit::joined` or
-/// `settle::refuse` follows.
-pub fn begin(_state: &mut State, _now: Now, _key: RequestKey, _out: &mut Vec<Effect>) {}
+/// Times that a voter is asked before a claim is given up.
+const ASK_ROUNDS: u32 = 4;
+/// Times that a voter is told something before it is left to find out by expiry.
+const TELL_ROUNDS: u32 = 5;
+/// Each wait for a voter's confirmation is this many times the one before.
+const TELL_GROWTH: u32 = 4;
+/// A running request's key is renewed this many times in a key window.
+const RENEWALS: u32 = 4;
 
-/// A peer claims a key at this daemon.
-pub fn asked(_state: &mut State, _now: Now, _from: VmId, _claim: &Claim, _out: &mut Vec<Effect>) {}
+/// Claims an accepted request's key. The request waits; `admit::claimed`, `admit::joined` or
+/// `settle::refuse` follows, perhaps at once.
+pub fn begin(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
+    let Some(request) = state.requests.arena.get_mut(key) else { return };
+    let Some(text) = &request.idempotency else { return };
+    let name = ClaimKey::new(request.team, text);
+    let made = made_at(text);
+    let id = request.id;
+    request.stage = RequestStage::Waiting;
+    let voters = state.members.voters(name.subject());
+    let ballots =
+        voters.into_iter().map(|vm| Ballot { vm, verdict: None, record: None, told: false });
+    let claim = OwnClaim {
+        request: key,
+        key: name,
+        made,
+        ballots: ballots.collect(),
+        phase: ClaimPhase::Asking,
+        record: KeyRecord { request: id.0, vm: state.local.vm.0, ..KeyRecord::default() },
+        deadline: now.mono + state.local.tuning.peer_timeout * ASK_ROUNDS,
+        sent: 0,
+        due: now.mono,
+    };
+    state.claims.own.insert(id, claim);
+    ask(state, now, id, out);
+    decide(state, now, id, Waited::Little, out);
+}
 
 /// A voter answered.
-pub fn voted(_state: &mut State, _now: Now, _from: VmId, _vote: &Vote, _out: &mut Vec<Effect>) {}
+pub fn voted(state: &mut State, now: Now, from: VmId, vote: &Vote, out: &mut Vec<Effect>) {
+    let id = RequestId(vote.request);
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    if ClaimKey::from_bytes(&vote.key) != Some(claim.key) {
+        return;
+    }
+    if claim.phase != ClaimPhase::Asking {
+        if vote.verdict() == Verdict::Done {
+            claim.note_told(from);
+            forget_if_told(state, id);
+        }
+        return;
+    }
+    claim.note_vote(from, vote.verdict(), vote.record.clone());
+    // A process that was paused finds votes in its socket that are older than the claim's time
+    // limit. By then voters that came up in between may have begun to grant the key to others, so
+    // such votes no longer add up: the claim ends as it would have without the pause.
+    if claim.deadline <= now.mono {
+        give_up(state, now, id, out);
+        return;
+    }
+    decide(state, now, id, Waited::Little, out);
+}
 
-/// A peer tells where a key's request runs or how it ended.
-pub fn told(_state: &mut State, _now: Now, _from: VmId, _settle: &Settle) {}
+/// Votes or confirmations did not come in time, or there is something to tell the voters.
+pub fn timed_out(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    if now.mono < claim.due {
+        return;
+    }
+    let is_settled = claim.sent != 0 && (claim.is_told() || TELL_ROUNDS <= claim.sent);
+    match claim.phase {
+        ClaimPhase::Asking if claim.deadline <= now.mono => give_up(state, now, id, out),
+        ClaimPhase::Asking => {
+            decide(state, now, id, Waited::Enough, out);
+            ask(state, now, id, out);
+            decide(state, now, id, Waited::Little, out);
+        }
+        ClaimPhase::Held if is_settled => {
+            claim.renew();
+            wait(state, now, id, renewal(state));
+        }
+        ClaimPhase::Ending if is_settled => {
+            state.claims.own.remove(&id);
+        }
+        ClaimPhase::Held | ClaimPhase::Ending => tell(state, now, id, out),
+    }
+}
 
-/// Votes did not come in time.
-pub fn timed_out(_state: &mut State, _now: Now, _key: RequestKey, _out: &mut Vec<Effect>) {}
-
-/// A request's stream has a place now: its voters should know.
-pub fn located(_state: &mut State, _key: RequestKey, _out: &mut Vec<Effect>) {}
+/// A request's stream has a place now: its voters should know, so that a repeat can join it.
+pub fn located(state: &mut State, key: RequestKey) {
+    let Some(request) = state.requests.arena.get(key) else { return };
+    let RequestStage::Running(attempt) = request.stage else { return };
+    let Some(attempt) = state.requests.attempts.get(attempt) else { return };
+    let AttemptStage::Decode { held: Some(stream) } = &attempt.stage else { return };
+    let id = request.id;
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    if claim.phase != ClaimPhase::Held {
+        return;
+    }
+    claim.record.endpoint = attempt.endpoint.0;
+    claim.record.stream.clone_from(stream);
+    publish(state, id);
+}
 
 /// A request ended: its voters should know.
-pub fn ended(_state: &mut State, _request: &Request, _outcome: u32, _out: &mut Vec<Effect>) {}
+///
+/// A request of which nothing was run gives its key back, so that the caller's retry can run. So does
+/// a repeatable one whose caller left before the end: the caller that comes again with the same key
+/// has not had its answer.
+pub fn ended(state: &mut State, request: &Request, outcome: Outcome) {
+    let unsent = request.attempts == 0;
+    let is_freed = outcome == Outcome::Abandoned && (unsent || request.repeatable);
+    let outcome = if is_freed { Outcome::NotRun } else { outcome };
+    end(state, request.id, outcome);
+}
+
+/// Refuses requests that won their key so long ago that voters may forget it before they hear that
+/// the request was sent.
+///
+/// A process that is paused after it won a key, and wakes up when the key window is over, would send
+/// a request that a repeat may have run in the meantime. The symptom is one order placed twice, with
+/// the first daemon's log silent in between. Called before each event, as any event may lead to
+/// sending.
+pub fn expire(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    while let Some(&(at, id)) = state.claims.unsent.front() {
+        if now.mono < at {
+            return;
+        }
+        state.claims.unsent.pop_front();
+        let Some(claim) = state.claims.own.get(&id) else { continue };
+        let key = claim.request;
+        let request = state.requests.arena.get(key);
+        let unsent = request.is_some_and(|r| r.attempts == 0);
+        if claim.phase == ClaimPhase::Held && unsent {
+            settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
+        }
+    }
+}
+
+/// Asks the voters that have not granted the key. One that gave it to another request is asked
+/// again, for that request may give it back.
+fn ask(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    if claim.phase != ClaimPhase::Asking {
+        return;
+    }
+    let may_grant = |b: &&Ballot| matches!(b.verdict, None | Some(Verdict::Running));
+    let voters: Vec<_> = claim.ballots.iter().filter(may_grant).map(|b| b.vm).collect();
+    let message = Claim { key: claim.key.0.to_vec(), request: id.0, made: claim.made };
+    let own = state.local.vm;
+    for vm in voters {
+        if vm == own {
+            let vote = vote::cast(state, now, own, &message, out);
+            if let Some(claim) = state.claims.own.get_mut(&id) {
+                claim.note_vote(own, vote.verdict(), vote.record);
+            }
+        } else {
+            out.push(Effect::Send { to: vm, message: Body::Claim(message.clone()).into() });
+        }
+    }
+    wait(state, now, id, state.local.tuning.peer_timeout);
+}
+
+/// Acts on the votes so far.
+fn decide(state: &mut State, now: Now, id: RequestId, waited: Waited, out: &mut Vec<Effect>) {
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    if claim.phase != ClaimPhase::Asking {
+        return;
+    }
+    let key = claim.request;
+    match claim.standing(waited) {
+        Standing::Open => {}
+        Standing::Won => {
+            claim.phase = ClaimPhase::Held;
+            claim.renew();
+            wait(state, now, id, renewal(state));
+            let lapse = now.mono + state.local.tuning.key_window / 2;
+            state.claims.unsent.push_back((lapse, id));
+            admit::claimed(state, now, key, out);
+        }
+        Standing::Lost(record) => {
+            end(state, id, Outcome::NotRun);
+            repeat(state, now, key, record, out);
+        }
+    }
+}
+
+/// The votes did not come in time.
+fn give_up(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
+    let Some(claim) = state.claims.own.get(&id) else { return };
+    let key = claim.request;
+    let record = match claim.standing(Waited::Enough) {
+        Standing::Lost(record) => record,
+        Standing::Open | Standing::Won => None,
+    };
+    end(state, id, Outcome::NotRun);
+    repeat(state, now, key, record, out);
+}
+
+/// Another request has the key, or nobody can tell: answer without a run.
+fn repeat(
+    state: &mut State,
+    now: Now,
+    key: RequestKey,
+    record: Option<KeyRecord>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.arena.get(key) else { return };
+    let Some(record) = record else {
+        settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
+        return;
+    };
+    let pairs = vec![
+        ("request", request.id.to_string()),
+        ("first", RequestId(record.request).to_string()),
+        ("outcome", record.outcome.to_string()),
+    ];
+    out.push(Effect::Progress(Progress::Note { name: "key_repeated", pairs }));
+    let is_whole = record.outcome == 0 || record.outcome == Outcome::Done.code();
+    if request.draft.is_some() && is_whole && !record.stream.is_empty() {
+        admit::joined(state, now, key, &record, out);
+    } else if record.outcome == 0 {
+        settle::refuse(state, now, key, Refusal::KeyRunning, out);
+    } else {
+        settle::unknown(state, now, key, out);
+    }
+}
+
+/// A request ended: the voters are told until they confirm it.
+fn end(state: &mut State, id: RequestId, outcome: Outcome) {
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    if claim.phase == ClaimPhase::Ending {
+        return;
+    }
+    claim.phase = ClaimPhase::Ending;
+    claim.record.outcome = outcome.code();
+    publish(state, id);
+}
+
+/// Has the voters told what changed: the timer fires within the same event, and there the time is
+/// known.
+fn publish(state: &mut State, id: RequestId) {
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    claim.renew();
+    claim.due = Duration::ZERO;
+    state.timers.set(Duration::ZERO, Timer::Claim(id));
+}
+
+/// Sends the record to the voters that have not confirmed it.
+fn tell(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
+    let own = state.local.vm;
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    let message = Settle { key: claim.key.0.to_vec(), record: Some(claim.record.clone()) };
+    let pause = state.local.tuning.peer_timeout * TELL_GROWTH.pow(claim.sent);
+    claim.sent += 1;
+    let untold: Vec<_> = claim.ballots.iter().filter(|b| !b.told).map(|b| b.vm).collect();
+    claim.note_told(own);
+    for vm in untold {
+        if vm == own {
+            vote::note(state, now, &message);
+        } else {
+            out.push(Effect::Send { to: vm, message: Body::Settle(message.clone()).into() });
+        }
+    }
+    wait(state, now, id, pause);
+    forget_if_told(state, id);
+}
+
+/// Sets when to ask or tell again.
+fn wait(state: &mut State, now: Now, id: RequestId, pause: Duration) {
+    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    claim.due = now.mono + pause;
+    state.timers.set(claim.due, Timer::Claim(id));
+}
+
+fn renewal(state: &State) -> Duration {
+    state.local.tuning.key_window / RENEWALS
+}
+
+fn forget_if_told(state: &mut State, id: RequestId) {
+    let claim = state.claims.own.get(&id);
+    if claim.is_some_and(|c| c.phase == ClaimPhase::Ending && c.is_told()) {
+        state.claims.own.remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/claim/vote.rs
@@ -0,0 +1,125 @@
+//! At most one run for an idempotency key: the voter's side.
+
+use std::time::Duration;
+
+use basilbank_wire::{Body, Claim, KeyRecord, Settle, Verdict, Vote};
+
+use crate::{
+    effect::{Effect, Progress},
+    ids::VmId,
+    reason::Outcome,
+    state::{ClaimKey, State},
+    time::Now,
+};
+
+/// A peer claims a key at this daemon.
+pub fn asked(state: &mut State, now: Now, from: VmId, claim: &Claim, out: &mut Vec<Effect>) {
+    let vote = cast(state, now, from, claim, out);
+    out.push(Effect::Send { to: from, message: Body::Vote(vote).into() });
+}
+
+/// A peer tells where a key's request runs or how it ended. The vote that goes back confirms it.
+pub fn told(state: &mut State, now: Now, from: VmId, settle: &Settle, out: &mut Vec<Effect>) {
+    let Some(record) = &settle.record else { return };
+    state.claims.table.expire(now.mono);
+    note(state, now, settle);
+    let vote = Vote {
+        key: settle.key.clone(),
+        request: record.request,
+        verdict: Verdict::Done.into(),
+        record: None,
+    };
+    out.push(Effect::Send { to: from, message: Body::Vote(vote).into() });
+}
+
+/// The platform's list may have changed, and with it the keys that this daemon votes on.
+pub fn list_changed(state: &mut State, now: Now) {
+    let window = state.local.tuning.key_window;
+    state.claims.tenure.update(now, window, &state.members);
+}
+
+/// This daemon's vote on a claim by `from`. A key that is granted is remembered.
+pub fn cast(state: &mut State, now: Now, from: VmId, claim: &Claim, out: &mut Vec<Effect>) -> Vote {
+    state.claims.table.expire(now.mono);
+    let (verdict, record) = match ClaimKey::from_bytes(&claim.key) {
+        Some(key) => judge(state, now, from, key, claim, out),
+        None => (Verdict::Abstain, None),
+    };
+    Vote { key: claim.key.clone(), request: claim.request, verdict: verdict.into(), record }
+}
+
+/// Notes what became of a key's request.
+///
+/// Only a request that won its key says anything but 'not run', so what it says goes before a grant
+/// to another. A record that has ended is not opened again by news that was overtaken on the way.
+pub fn note(state: &mut State, now: Now, settle: &Settle) {
+    let Some(key) = ClaimKey::from_bytes(&settle.key) else { return };
+    let Some(record) = &settle.record else { return };
+    let known = state.claims.table.get(&key).map(|entry| &entry.record);
+    let is_own = known.is_some_and(|k| k.request == record.request);
+    if record.outcome == Outcome::NotRun.code() {
+        if is_own {
+            state.claims.table.remove(&key);
+        }
+        return;
+    }
+    if known.is_some_and(|k| k.outcome != 0) && record.outcome == 0 {
+        return;
+    }
+    let expires = now.mono + state.local.tuning.key_window;
+    state.claims.table.put(key, record.clone(), expires);
+}
+
+fn judge(
+    state: &mut State,
+    now: Now,
+    from: VmId,
+    key: ClaimKey,
+    claim: &Claim,
+    out: &mut Vec<Effect>,
+) -> (Verdict, Option<KeyRecord>) {
+    if let Some(entry) = state.claims.table.get(&key) {
+        let verdict = match entry.record.outcome {
+            0 if entry.record.request == claim.request => return (Verdict::Granted, None),
+            0 => Verdict::Running,
+            _ => Verdict::Done,
+        };
+        return (verdict, Some(entry.record.clone()));
+    }
+    if !state.members.may_decide() || !would_know(state, now, key, claim.made) {
+        return (Verdict::Abstain, None);
+    }
+    if state.local.tuning.keys <= state.claims.table.len() {
+        let pairs = vec![("keys", state.claims.table.len().to_string())];
+        out.push(Effect::Progress(Progress::Note { name: "key_table_full", pairs }));
+        return (Verdict::Overflow, None);
+    }
+    let record = KeyRecord { request: claim.request, vm: from.0, ..KeyRecord::default() };
+    state.claims.table.put(key, record, now.mono + state.local.tuning.key_window);
+    (Verdict::Granted, None)
+}
+
+/// Whether this daemon would remember the key if an earlier request had claimed it.
+///
+/// It does when it has been a voter of the key for the whole window. A younger one does when the key
+/// was made after it became a voter; and no voter does when the key was made before the window, as
+/// its first request may have come and been forgotten. A key from the future has a wrong clock
+/// behind it, so its time says nothing.
+fn would_know(state: &State, now: Now, key: ClaimKey, made: u64) -> bool {
+    let Some(since) = state.claims.tenure.since(state.local.vm, key.subject()) else {
+        return false;
+    };
+    let tuning = &state.local.tuning;
+    let skew = millis(tuning.skew);
+    let window = millis(tuning.key_window);
+    let is_timed = made != 0 && made <= now.unix_ms() + skew;
+    if is_timed && made + window < now.unix_ms() + skew {
+        return false;
+    }
+    let is_old = since.mono + tuning.key_window <= now.mono;
+    is_old || (is_timed && since.wall + skew < made)
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/basilbank_core/src/reduce/deliver.rs
+++ b/crates/basilbank_core/src/reduce/deliver.rs
@@ -4,7 +4,7 @@
     catalogue::Role,
     effect::{Answer, Effect, EngineCall, Progress},
     ids::AttemptKey,
-    reduce::place,
+    reduce::{claim, place},
     state::{AttemptStage, State},
     time::Now,
 };
@@ -36,10 +36,12 @@
 pub fn started(state: &mut State, key: AttemptKey, stream: String, out: &mut Vec<Effect>) {
     let Some(attempt) = state.requests.attempts.get_mut(key) else { return };
     attempt.stage = AttemptStage::Decode { held: Some(stream.clone()) };
-    let caller = state.requests.arena[attempt.request].caller;
+    let request = attempt.request;
+    let caller = state.requests.arena[request].caller;
     let base = -i64::from(attempt.base);
     let answer = Answer::Located { endpoint: attempt.endpoint, stream, base };
     out.push(Effect::Answer { caller, answer });
+    claim::located(state, request);
 }
 
 /// Tokens came: pass on those that the caller lacks.
--- a/crates/basilbank_core/src/reduce/settle.rs
+++ b/crates/basilbank_core/src/reduce/settle.rs
@@ -7,6 +7,7 @@
     event::Failure,
     ids::{AttemptKey, CallerId, RequestKey},
     reason::{Outcome, Refusal},
+    reduce::claim,
     state::{AttemptStage, Request, RequestStage, State},
     time::Now,
 };
@@ -28,7 +29,7 @@
         generated: request.delivered,
     };
     out.push(Effect::Answer { caller: request.caller, answer });
-    settle(&request, now, Outcome::Done, out);
+    settle(state, &request, now, Outcome::Done, out);
 }
 
 /// A plain service answered.
@@ -36,7 +37,7 @@
     let Some(key) = state.requests.attempts.get(attempt).map(|a| a.request) else { return };
     let Some(request) = state.requests.remove(key) else { return };
     out.push(Effect::Answer { caller: request.caller, answer: Answer::Plain { attempt } });
-    settle(&request, now, Outcome::Done, out);
+    settle(state, &request, now, Outcome::Done, out);
 }
 
 /// An attempt failed.
@@ -50,7 +51,7 @@
     let Some(key) = state.requests.attempts.get(attempt).map(|a| a.request) else { return };
     let Some(request) = state.requests.remove(key) else { return };
     out.push(Effect::Answer { caller: request.caller, answer: Answer::Unknown });
-    settle(&request, now, Outcome::Unknown, out);
+    settle(state, &request, now, Outcome::Unknown, out);
 }
 
 /// The caller left: cancel what is held for it.
@@ -70,7 +71,7 @@
         let (endpoint, request) = (attempt.endpoint, request.id);
         out.push(Effect::Engine(EngineCall::Cancel { attempt: key, endpoint, request, held }));
     }
-    settle(&request, now, Outcome::Abandoned, out);
+    settle(state, &request, now, Outcome::Abandoned, out);
 }
 
 /// Refuses an accepted request of which nothing was run.
@@ -88,10 +89,18 @@
     let progress =
         Progress::Refused { request: Some(request.id), team: Some(request.team), refusal };
     out.push(Effect::Progress(progress));
-    settle(&request, now, Outcome::NotRun, out);
+    settle(state, &request, now, Outcome::NotRun, out);
 }
 
-fn settle(request: &Request, now: Now, outcome: Outcome, out: &mut Vec<Effect>) {
+/// Ends an accepted request that can't be answered: its key's first request may have run.
+pub fn unknown(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
+    let Some(request) = state.requests.remove(key) else { return };
+    out.push(Effect::Answer { caller: request.caller, answer: Answer::Unknown });
+    settle(state, &request, now, Outcome::Unknown, out);
+}
+
+fn settle(state: &mut State, request: &Request, now: Now, outcome: Outcome, out: &mut Vec<Effect>) {
+    claim::ended(state, request, outcome);
     let streamed = match (request.first, request.last) {
         (Some(first), Some(last)) => last - first,
         _ => Duration::ZERO,
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -16,7 +16,10 @@
 use std::time::Duration;
 
 pub use self::{
-    claims::Claims,
+    claims::{
+        Ballot, ClaimKey, ClaimPhase, Claims, KeyEntry, KeyTable, OwnClaim, Standing, Tenure,
+        TenureSince, Waited, made_at,
+    },
     documents::Documents,
     health::Health,
     limits::LimitTable,
--- /dev/null
+++ b/crates/basilbank_core/src/state/claims/own_claim.rs
@@ -0,0 +1,166 @@
+//! A claim that this daemon made for one of its requests.
+
+use std::time::Duration;
+
+use basilbank_wire::{KeyRecord, Verdict};
+
+use crate::{
+    ids::{RequestKey, VmId},
+    state::claims::ClaimKey,
+};
+
+/// One voter of a claim.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Ballot {
+    /// The voter.
+    pub vm: VmId,
+    /// Its last answer.
+    pub verdict: Option<Verdict>,
+    /// What it knows of another request that has the key.
+    pub record: Option<KeyRecord>,
+    /// It has confirmed the claim's newest record.
+    pub told: bool,
+}
+
+/// How far a claim is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ClaimPhase {
+    /// Votes are awaited.
+    Asking,
+    /// The key is this request's.
+    Held,
+    /// The request has ended; the voters are told.
+    Ending,
+}
+
+/// How a claim stands after the votes so far.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Standing {
+    /// More votes may decide it.
+    Open,
+    /// The key is this request's.
+    Won,
+    /// It can't be won; what is known of the request that has the key, if any.
+    Lost(Option<KeyRecord>),
+}
+
+/// A claim that this daemon made.
+#[derive(Clone, Debug)]
+pub struct OwnClaim {
+    /// The request in this daemon's arena.
+    pub request: RequestKey,
+    /// The key.
+    pub key: ClaimKey,
+    /// When the key says it was made, milliseconds since the Unix epoch; 0 when it says nothing.
+    pub made: u64,
+    /// The voters, in the order of their rank.
+    pub ballots: Vec<Ballot>,
+    /// How far it is.
+    pub phase: ClaimPhase,
+    /// What the voters are told.
+    pub record: KeyRecord,
+    /// When the votes must be there.
+    pub deadline: Duration,
+    /// Times that the voters were asked or told the current thing.
+    pub sent: u32,
+    /// When to ask or tell again.
+    pub due: Duration,
+}
+
+impl OwnClaim {
+    /// Notes a voter's answer.
+    pub fn note_vote(&mut self, vm: VmId, verdict: Verdict, record: Option<KeyRecord>) {
+        let Some(ballot) = self.ballots.iter_mut().find(|b| b.vm == vm) else { return };
+        ballot.verdict = Some(verdict);
+        ballot.record = record;
+    }
+
+    /// Notes that a voter knows the newest record.
+    pub fn note_told(&mut self, vm: VmId) {
+        let Some(ballot) = self.ballots.iter_mut().find(|b| b.vm == vm) else { return };
+        ballot.told = true;
+    }
+
+    /// Whether all voters know the newest record.
+    #[must_use]
+    pub fn is_told(&self) -> bool {
+        self.ballots.iter().all(|b| b.told)
+    }
+
+    /// Changes what the voters are told.
+    pub fn renew(&mut self) {
+        for ballot in &mut self.ballots {
+            ballot.told = false;
+        }
+        self.sent = 0;
+    }
+
+    /// Votes that win the key: a majority of the voters.
+    #[must_use]
+    pub fn needed(&self) -> usize {
+        self.ballots.len() / 2 + 1
+    }
+
+    /// How the claim stands. `waited`: the voters that did not answer had the time to.
+    ///
+    /// Two daemons that claim one key at once may split the votes one to one while the third voter
+    /// is dead, and each would wait for the other's vote until both are refused. So the one that
+    /// lost the highest-ranking vote gives way, and the other finds the key free when it asks again.
+    #[must_use]
+    pub fn standing(&self, waited: Waited) -> Standing {
+        if let Some(record) = self.winner() {
+            return Standing::Lost(Some(record));
+        }
+        let granted = self.count(Some(Verdict::Granted));
+        if self.needed() <= granted {
+            return Standing::Won;
+        }
+        let silent = self.count(None);
+        let contended = self.count(Some(Verdict::Running));
+        if granted + silent + contended < self.needed() {
+            return Standing::Lost(self.rival());
+        }
+        let is_split = contended != 0 && (silent == 0 || waited == Waited::Enough);
+        if is_split && !self.has_first() {
+            return Standing::Lost(self.rival());
+        }
+        Standing::Open
+    }
+
+    fn count(&self, verdict: Option<Verdict>) -> usize {
+        self.ballots.iter().filter(|b| b.verdict == verdict).count()
+    }
+
+    /// The request that has the key for certain: it was sent somewhere, or it ended, or a majority
+    /// of the voters names it.
+    fn winner(&self) -> Option<KeyRecord> {
+        let records = || self.ballots.iter().filter_map(|b| b.record.as_ref());
+        let ended = records().find(|r| r.outcome != 0);
+        let streamed = || records().find(|r| !r.stream.is_empty());
+        let elected = || {
+            let votes = |r: &KeyRecord| records().filter(|o| o.request == r.request).count();
+            records().find(|r| self.needed() <= votes(r))
+        };
+        ended.or_else(streamed).or_else(elected).cloned()
+    }
+
+    fn rival(&self) -> Option<KeyRecord> {
+        self.ballots.iter().find_map(|b| b.record.clone())
+    }
+
+    /// Whether the highest-ranking vote that was given to any request was given to this one.
+    fn has_first(&self) -> bool {
+        let mut given = self.ballots.iter().filter_map(|b| b.verdict);
+        let first = given.find(|v| matches!(v, Verdict::Granted | Verdict::Running));
+        first == Some(Verdict::Granted)
+    }
+}
+
+/// Whether the voters that have not answered had the time to.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Waited {
+    /// Their answers may be on the way.
+    Little,
+    /// A whole peer timeout has passed.
+    Enough,
+}
--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -62,6 +62,6 @@
 
 /// A member's rank for a subject.
 #[must_use]
-fn rank(vm: VmId, subject: u64) -> u64 {
+pub fn rank(vm: VmId, subject: u64) -> u64 {
     xxh3_64_with_seed(&vm.0.to_le_bytes(), subject)
 }
--- a/crates/basilbank_core/src/state/timers.rs
+++ b/crates/basilbank_core/src/state/timers.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use crate::ids::{AttemptKey, RequestKey};
+use crate::ids::{AttemptKey, RequestId, RequestKey};
 
 /// What a timer is for. A timer whose subject is gone fires without effect, so none is ever removed.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -12,7 +12,7 @@
     /// A request's next step: its backoff or its wait is over.
     Request(RequestKey),
     /// A claim's votes did not come in time.
-    Claim(RequestKey),
+    Claim(RequestId),
     /// Read the platform again.
     Platform,
     /// Send heartbeats, and look for pauses and dead members.
--- /dev/null
+++ b/crates/basilbank_core/tests/claims.rs
@@ -0,0 +1,408 @@
+//! Idempotency keys over several daemons: at most one run, and the truth to everyone who asks.
+
+mod fleet;
+
+use std::time::Duration;
+
+use basilbank_core::{
+    effect::Answer,
+    prelude::*,
+    state::{ClaimKey, made_at},
+};
+use basilbank_wire::{KeyRecord, Settle, Verdict};
+use test_case::test_case;
+
+use crate::fleet::{EPOCH_MS, Fleet, catalogue, draft, stock_order, vm};
+
+const WINDOW: Duration = Duration::from_secs(600);
+const STEP: Duration = Duration::from_millis(400);
+
+/// Daemons that have all been voters for a whole key window.
+fn settled(count: usize) -> Fleet {
+    let mut fleet = Fleet::new(count, Tuning::default(), catalogue());
+    fleet.skip(WINDOW);
+    fleet
+}
+
+/// The daemons that vote on a key, by rank, and one that does not.
+fn voters(fleet: &Fleet, key: &str) -> (Vec<usize>, usize) {
+    let subject = ClaimKey::new(TeamId::of("fitters"), key).subject();
+    let index = |v: VmId| (0..fleet.states.len()).find(|i| vm(*i) == v).unwrap();
+    let voters: Vec<_> = fleet.states[0].members.voters(subject).into_iter().map(index).collect();
+    let other = (0..fleet.states.len()).find(|i| !voters.contains(i)).unwrap();
+    (voters, other)
+}
+
+/// A UUIDv7 made at a moment of virtual time.
+fn uuid_v7(mono: Duration, tail: u32) -> String {
+    let ms = EPOCH_MS + mono.as_millis() as u64;
+    format!("{:08x}-{:04x}-7abc-8def-{tail:012x}", ms >> 16, ms & 0xffff)
+}
+
+fn refusal(answer: &Answer) -> Option<Refusal> {
+    match answer {
+        Answer::Refused { refusal, .. } => Some(*refusal),
+        _ => None,
+    }
+}
+
+fn finish_plain(fleet: &mut Fleet, run: usize) {
+    let (index, attempt) = fleet.runs()[run];
+    fleet.feed(index, Event::Engine(EngineEvent::Answered { attempt, status: 200 }));
+}
+
+fn stream_draft(fleet: &mut Fleet, run: usize) {
+    let (index, attempt) = fleet.runs()[run];
+    let prefilled = EngineEvent::Prefilled {
+        attempt,
+        handle: "kv1".to_owned(),
+        tokens: 100,
+        cached: 0,
+        bytes: 1000,
+        spent: Duration::from_millis(10),
+    };
+    fleet.feed(index, Event::Engine(prefilled));
+    let started = EngineEvent::Started { attempt, stream: "s1".to_owned() };
+    fleet.feed(index, Event::Engine(started));
+    fleet.deliver();
+}
+
+/// The stream that a caller reads from its start in place of a run of its own.
+fn resumed_stream(fleet: &Fleet, index: usize, caller: CallerId) -> Option<String> {
+    let requests = &fleet.states[index].requests;
+    let request = &requests.arena[*requests.callers.get(&caller)?];
+    let resume = request.draft.as_ref()?.resume.as_ref()?;
+    (resume.offset == 0).then(|| resume.stream.clone())
+}
+
+#[test]
+fn a_claimed_request_runs_and_its_repeat_does_not() {
+    let mut fleet = settled(8);
+    let first = fleet.call(0, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(fleet.runs().len(), 1);
+    let early = fleet.call(1, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(early)), Some(Refusal::KeyRunning));
+    finish_plain(&mut fleet, 0);
+    fleet.run(STEP);
+    assert!(matches!(fleet.last_answer(first), Answer::Plain { .. }));
+    let late = fleet.call(2, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(fleet.last_answer(late), &Answer::Unknown);
+    assert_eq!(fleet.runs().len(), 1);
+    let other = fleet.call(3, Some("order-2"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(other)), None);
+    assert_eq!(fleet.runs().len(), 2);
+}
+
+/// Symptom: a stock order is placed twice. A caller's connection breaks, it sends the order again
+/// through another VM, and one of the key's voters has died in between. Cause would be a claim that
+/// counts on a single voter.
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(2)]
+fn one_dead_voter_neither_stops_nor_doubles_a_request(dead: usize) {
+    let mut fleet = settled(8);
+    let (voters, other) = voters(&fleet, "order-1");
+    fleet.call(other, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(fleet.runs().len(), 1);
+    fleet.down.insert(voters[dead]);
+    let second = (0..8).find(|i| *i != other && !fleet.down.contains(i)).unwrap();
+    let repeat = fleet.call(second, Some("order-1"), stock_order());
+    let fresh = fleet.call(second, Some("order-2"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyRunning));
+    assert_eq!(refusal(fleet.last_answer(fresh)), None);
+    assert_eq!(fleet.runs().len(), 2);
+}
+
+/// Symptom: one order is placed on each side of a partition. The caller's first try reaches one side,
+/// its retry the other, and each side believes that the rest is dead. Cause would be voters that are
+/// picked from the live members, which differ from side to side.
+#[test]
+fn only_one_side_of_a_partition_runs_a_key() {
+    let mut fleet = settled(8);
+    let keys: Vec<_> = (0..40).map(|i| format!("order-{i}")).collect();
+    fleet.holds = |p| (p.from < 4) != (p.to < 4);
+    for key in &keys {
+        let left = fleet.call(0, Some(key), stock_order());
+        let right = fleet.call(7, Some(key), stock_order());
+        fleet.run(STEP);
+        let ran = [left, right].map(|c| refusal(fleet.last_answer(c)).is_none());
+        assert_eq!(ran.iter().filter(|r| **r).count(), 1, "{key}: {ran:?}");
+    }
+    assert_eq!(fleet.runs().len(), keys.len());
+}
+
+/// Symptom: two daemons that get the same key at the same moment both run it, or both refuse it while
+/// a voter is dead. Sequence: the votes split one to one. The one that lost the highest-ranking vote
+/// gives way and the other gets the vote when it asks again.
+#[test]
+fn of_two_at_once_exactly_one_runs_also_with_a_dead_voter() {
+    for dead in [None, Some(0), Some(1), Some(2)] {
+        let mut fleet = settled(8);
+        let (voters, _) = voters(&fleet, "order-1");
+        fleet.down.extend(dead.map(|d| voters[d]));
+        let alive: Vec<_> = voters.iter().filter(|v| !fleet.down.contains(v)).copied().collect();
+        // Each of the two takes its own vote before it hears of the other.
+        let a = fleet.call(alive[0], Some("order-1"), stock_order());
+        let b = fleet.call(alive[1], Some("order-1"), stock_order());
+        fleet.run(STEP);
+        assert_eq!(fleet.runs().len(), 1, "dead voter {dead:?}");
+        let refused = [a, b].iter().filter(|c| refusal(fleet.last_answer(**c)).is_some()).count();
+        assert_eq!(refused, 1, "dead voter {dead:?}");
+    }
+}
+
+/// Symptom: a caller is told that its order was not run, and then it runs. Sequence: all votes are
+/// late, the daemon gives the claim up and refuses, then the votes arrive. Cause would be a claim that
+/// outlives its refusal.
+#[test]
+fn votes_that_come_after_the_refusal_run_nothing() {
+    let mut fleet = settled(8);
+    let (_, other) = voters(&fleet, "order-1");
+    fleet.holds = |p| matches!(p.message.body, Some(Body::Vote(_)));
+    let caller = fleet.call(other, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    fleet.release();
+    fleet.run(STEP);
+    assert_eq!(fleet.runs().len(), 0);
+    // What the voters had granted was given back, so the caller's retry runs.
+    let retry = fleet.call(other, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(retry)), None);
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+/// Symptom: an order is sent by a process that was paused with its votes in the socket, long after
+/// its time limit. Sequence: claim, pause, votes are read before the timer fires.
+#[test]
+fn a_daemon_that_was_paused_while_it_claimed_runs_nothing() {
+    let mut fleet = settled(8);
+    let (_, other) = voters(&fleet, "order-1");
+    fleet.holds = |p| matches!(p.message.body, Some(Body::Vote(_)));
+    let caller = fleet.call(other, Some("order-1"), stock_order());
+    fleet.deliver();
+    fleet.skip(Duration::from_secs(20));
+    fleet.release();
+    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.runs().len(), 0);
+}
+
+/// Symptom: a caller's retry with its key is run although the first try still counts. Sequence: a
+/// voter restarts and has forgotten the key; with the voter that never heard of it that would be two
+/// votes. Cause would be a young voter that says 'never seen'.
+#[test]
+fn a_restarted_voter_abstains_until_a_window_has_passed() {
+    let mut fleet = settled(8);
+    let (voters, other) = voters(&fleet, "order-1");
+    fleet.down.insert(voters[2]);
+    fleet.call(other, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(fleet.runs().len(), 1);
+    fleet.down.clear();
+    fleet.restart(voters[1]);
+    let repeat = fleet.call(voters[1], Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert!(refusal(fleet.last_answer(repeat)).is_some());
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+/// Symptom: a change of the platform's list moves a key's voters, and a repeat runs at the new ones.
+#[test]
+fn a_voter_that_the_list_brought_in_abstains() {
+    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
+    let early = [0, 1, 2];
+    for index in 0..8 {
+        fleet.list(index, &early);
+    }
+    fleet.skip(WINDOW);
+    fleet.call(0, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(fleet.runs().len(), 1);
+    for index in 0..8 {
+        fleet.list(index, &[3, 4, 5, 6, 7]);
+    }
+    let repeat = fleet.call(3, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn a_key_with_its_time_is_claimed_from_young_voters_only_when_made_after_them() {
+    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
+    let before = uuid_v7(fleet.mono, 1);
+    fleet.skip(Duration::from_secs(20));
+    let after = uuid_v7(fleet.mono, 2);
+    let ahead = uuid_v7(fleet.mono + Duration::from_secs(60), 3);
+    for (key, runs) in [(&before, false), (&after, true), (&ahead, false)] {
+        let caller = fleet.call(0, Some(key), stock_order());
+        fleet.run(STEP);
+        assert_eq!(refusal(fleet.last_answer(caller)).is_none(), runs, "{key}");
+    }
+}
+
+/// Symptom: a client that was offline sends an order again after the key window and it runs twice.
+/// A key that carries its time is refused then; the voters can't have it in memory any more.
+#[test]
+fn a_key_older_than_the_window_is_refused() {
+    let mut fleet = settled(8);
+    let key = uuid_v7(fleet.mono, 1);
+    fleet.call(0, Some(&key), stock_order());
+    fleet.run(STEP);
+    finish_plain(&mut fleet, 0);
+    fleet.run(STEP);
+    fleet.skip(WINDOW * 2);
+    let caller = fleet.call(1, Some(&key), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+#[test]
+fn a_request_that_was_not_run_frees_its_key() {
+    let mut without = catalogue();
+    without.endpoints.clear();
+    let mut fleet = Fleet::new(8, Tuning::default(), without);
+    fleet.skip(WINDOW);
+    let first = fleet.call(0, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(first)), Some(Refusal::NoEndpoint));
+    let mut full = catalogue();
+    full.revision = 2;
+    for index in 0..8 {
+        let result = Ok(full.clone().into());
+        fleet.feed(index, Event::Platform(PlatformEvent::Checked { revision: 2, result }));
+    }
+    fleet.call(1, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+/// Symptom: a draft whose VM died is run a second time for the caller that comes again with its key.
+/// The voters know where the stream lives, so the caller reads it from its start.
+#[test]
+fn a_repeat_of_a_draft_whose_vm_died_joins_its_stream() {
+    let mut fleet = settled(8);
+    let (voters, other) = voters(&fleet, "draft-1");
+    fleet.call(other, Some("draft-1"), draft());
+    fleet.run(STEP);
+    stream_draft(&mut fleet, 0);
+    fleet.down.insert(other);
+    let repeat = fleet.call(voters[0], Some("draft-1"), draft());
+    fleet.run(STEP);
+    assert_eq!(resumed_stream(&fleet, voters[0], repeat).as_deref(), Some("s1"));
+}
+
+/// Symptom: a key stays taken for ten minutes though its request was never run, because the message
+/// that gives it back was lost.
+#[test]
+fn a_lost_withdrawal_is_sent_again() {
+    let mut fleet = settled(8);
+    let (voters, other) = voters(&fleet, "order-1");
+    let caller = fleet.call(other, Some("order-1"), stock_order());
+    // The caller leaves before a vote is back; the first messages are lost.
+    fleet.feed(other, Event::Caller(CallerEvent::Left(caller)));
+    fleet.holds = |p| matches!(p.message.body, Some(Body::Settle(_)));
+    fleet.run(Duration::from_millis(30));
+    assert!(voters.iter().all(|v| !fleet.states[*v].claims.table.is_empty()));
+    fleet.held.clear();
+    fleet.holds = |_| false;
+    fleet.run(STEP);
+    assert!(voters.iter().all(|v| fleet.states[*v].claims.table.is_empty()));
+    assert!(fleet.states[other].claims.own.is_empty());
+    assert_eq!(fleet.runs().len(), 0);
+}
+
+/// Symptom: memory of a voter grows without bound, or a full voter forgets keys that still count and
+/// they run twice. A full voter refuses new keys and keeps the old.
+#[test]
+fn a_full_table_refuses_new_keys_and_keeps_the_old() {
+    let tuning = Tuning { keys: 10, ..Tuning::default() };
+    let mut fleet = Fleet::new(3, tuning, catalogue());
+    fleet.skip(WINDOW);
+    let callers: Vec<_> = (0..12)
+        .map(|i| {
+            let caller = fleet.call(0, Some(&format!("order-{i}")), stock_order());
+            fleet.run(STEP);
+            caller
+        })
+        .collect();
+    let refused = callers.iter().map(|c| refusal(fleet.last_answer(*c))).collect::<Vec<_>>();
+    assert!(refused[..10].iter().all(Option::is_none));
+    assert!(refused[10..].iter().all(|r| *r == Some(Refusal::KeyUnclaimed)));
+    assert!(fleet.notes.iter().any(|(_, name)| *name == "key_table_full"));
+    let repeat = fleet.call(1, Some("order-0"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyRunning));
+    assert_eq!(fleet.runs().len(), 10);
+}
+
+/// Symptom: a stream that runs longer than the key window is run a second time by a repeat, because
+/// its voters forgot it while it ran.
+#[test]
+fn a_key_is_remembered_while_its_request_runs() {
+    let mut fleet = settled(4);
+    fleet.call(0, Some("draft-1"), draft());
+    fleet.run(STEP);
+    stream_draft(&mut fleet, 0);
+    for _ in 0..6 {
+        fleet.skip(WINDOW / 4);
+        fleet.run(STEP);
+    }
+    let repeat = fleet.call(1, Some("draft-1"), draft());
+    fleet.run(STEP);
+    assert_eq!(resumed_stream(&fleet, 1, repeat).as_deref(), Some("s1"));
+}
+
+#[test]
+fn a_daemon_without_a_vm_list_grants_nothing() {
+    let mut fleet = Fleet::new(1, Tuning::default(), catalogue());
+    fleet.states[0].claims = Default::default();
+    fleet.skip(WINDOW);
+    let caller = fleet.call(0, Some("order-1"), stock_order());
+    fleet.run(STEP);
+    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+}
+
+#[test]
+fn news_that_was_overtaken_does_not_open_an_ended_key() {
+    let mut fleet = settled(3);
+    let key = ClaimKey([1; 16]);
+    let settle = |outcome| {
+        let record = KeyRecord { request: 9, outcome, ..KeyRecord::default() };
+        Settle { key: key.0.to_vec(), record: Some(record) }
+    };
+    for outcome in [Outcome::Done.code(), 0] {
+        let message = Body::Settle(settle(outcome)).into();
+        fleet.feed(0, Event::Peer { from: vm(1), incarnation: 1, message });
+    }
+    let entry = fleet.states[0].claims.table.get(&key).unwrap();
+    assert_eq!(entry.record.outcome, Outcome::Done.code());
+}
+
+#[test]
+fn messages_with_a_wrong_key_length_do_nothing() {
+    let mut fleet = settled(3);
+    let claim = basilbank_wire::Claim { key: vec![1, 2], request: 1, made: 0 };
+    let message = Body::Claim(claim).into();
+    fleet.feed(0, Event::Peer { from: vm(1), incarnation: 1, message });
+    let Some(Body::Vote(vote)) = &fleet.parcels[0].message.body else { panic!() };
+    assert_eq!(vote.verdict(), Verdict::Abstain);
+    assert!(fleet.states[0].claims.table.is_empty());
+}
+
+#[test_case("0190163d-8694-739b-aea5-966c26f8ad91", 1_718_360_049_300; "version 7")]
+#[test_case("0190163d-8694-439b-aea5-966c26f8ad91", 0; "version 4")]
+#[test_case("0190163d-8694-739b-0ea5-966c26f8ad91", 0; "another variant")]
+#[test_case("0190163d-8694-739b-aea5-966c26f8ad9", 0; "too short")]
+#[test_case("order-1", 0; "not a UUID")]
+#[test_case("0190163dx8694-739b-aea5-966c26f8ad91", 0; "no hyphen")]
+fn a_key_carries_its_time_only_as_uuid_v7(key: &str, made: u64) {
+    assert_eq!(made_at(key), made);
+}
--- /dev/null
+++ b/crates/basilbank_core/tests/fleet/mod.rs
@@ -0,0 +1,313 @@
+//! A few daemons in virtual time with a message queue between them, for tests of what they agree on.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::{Duration, SystemTime},
+};
+
+use basilbank_core::{
+    effect::{Answer, EngineCall},
+    prelude::*,
+    state::Member,
+};
+
+/// Wall time at virtual time zero, in milliseconds since the Unix epoch.
+pub const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// One message on its way.
+#[derive(Clone, Debug)]
+pub struct Parcel {
+    pub from: usize,
+    pub incarnation: u64,
+    pub to: usize,
+    pub message: Message,
+}
+
+/// Daemons, and the messages between them.
+pub struct Fleet {
+    pub states: Vec<State>,
+    pub mono: Duration,
+    pub parcels: VecDeque<Parcel>,
+    /// Daemons that neither send nor receive nor wake up.
+    pub down: BTreeSet<usize>,
+    /// Parcels for which this is true stay in `held`.
+    pub holds: fn(&Parcel) -> bool,
+    pub held: Vec<Parcel>,
+    pub answers: Vec<(usize, CallerId, Answer)>,
+    pub calls: Vec<(usize, EngineCall)>,
+    pub notes: Vec<(usize, &'static str)>,
+    pub exits: BTreeSet<usize>,
+    tuning: Tuning,
+    catalogue: Catalogue,
+    callers: u64,
+}
+
+impl Fleet {
+    /// Daemons that have just come up, and know the VM list and the catalogue.
+    pub fn new(count: usize, tuning: Tuning, catalogue: Catalogue) -> Fleet {
+        let mut fleet = Fleet {
+            states: Vec::new(),
+            mono: Duration::from_secs(1),
+            parcels: VecDeque::new(),
+            down: BTreeSet::new(),
+            holds: |_| false,
+            held: Vec::new(),
+            answers: Vec::new(),
+            calls: Vec::new(),
+            notes: Vec::new(),
+            exits: BTreeSet::new(),
+            tuning,
+            catalogue,
+            callers: 0,
+        };
+        for index in 0..count {
+            let state = fleet.fresh(index);
+            fleet.states.push(state);
+        }
+        let names: Vec<_> = (0..count).collect();
+        for index in 0..count {
+            fleet.start(index, &names);
+        }
+        fleet
+    }
+
+    /// A daemon's process is replaced by a new one that knows the list and the catalogue.
+    pub fn restart(&mut self, index: usize) {
+        self.parcels.retain(|p| p.to != index);
+        let names: Vec<_> = (0..self.states.len()).collect();
+        self.states[index] = self.fresh(index);
+        self.start(index, &names);
+    }
+
+    /// The platform's list as one daemon sees it.
+    pub fn list(&mut self, index: usize, names: &[usize]) {
+        let members = &mut self.states[index].members.all;
+        members.clear();
+        for name in names {
+            members.insert(vm(*name), Member { live: true });
+        }
+        let event = PlatformEvent::Vms { revision: 1, vms: Vec::new() };
+        self.feed(index, Event::Platform(event));
+    }
+
+    fn fresh(&self, index: usize) -> State {
+        let local = Local::default()
+            .with_name(&name(index))
+            .with_incarnation(EPOCH_MS + self.mono.as_millis() as u64)
+            .with_tuning(self.tuning.clone());
+        State::new(local, self.now())
+    }
+
+    fn start(&mut self, index: usize, names: &[usize]) {
+        self.list(index, names);
+        let result = Ok(self.catalogue.clone().into());
+        let revision = self.catalogue.revision;
+        self.feed(index, Event::Platform(PlatformEvent::Checked { revision, result }));
+    }
+
+    pub fn now(&self) -> Now {
+        let epoch = SystemTime::UNIX_EPOCH + Duration::from_millis(EPOCH_MS);
+        Now { mono: self.mono, wall: epoch + self.mono }
+    }
+
+    /// One event at one daemon.
+    pub fn feed(&mut self, index: usize, event: Event) {
+        let mut effects = Vec::new();
+        let now = self.now();
+        reduce(&mut self.states[index], now, event, &mut effects);
+        let incarnation = self.states[index].local.incarnation;
+        for effect in effects {
+            match effect {
+                Effect::Answer { caller, answer } => self.answers.push((index, caller, answer)),
+                Effect::Engine(call) => self.calls.push((index, call)),
+                Effect::Send { to, message } => {
+                    let to = (0..self.states.len()).find(|i| vm(*i) == to);
+                    let Some(to) = to else { continue };
+                    self.parcels.push_back(Parcel { from: index, incarnation, to, message });
+                }
+                Effect::Progress(Progress::Note { name, .. }) => self.notes.push((index, name)),
+                Effect::Exit => {
+                    self.exits.insert(index);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Delivers all messages, at once.
+    pub fn deliver(&mut self) {
+        while let Some(parcel) = self.parcels.pop_front() {
+            if self.down.contains(&parcel.from) || self.down.contains(&parcel.to) {
+                continue;
+            }
+            if (self.holds)(&parcel) {
+                self.held.push(parcel);
+                continue;
+            }
+            self.hand_over(parcel);
+        }
+    }
+
+    /// Delivers what was held back.
+    pub fn release(&mut self) {
+        self.holds = |_| false;
+        for parcel in std::mem::take(&mut self.held) {
+            self.hand_over(parcel);
+        }
+        self.deliver();
+    }
+
+    fn hand_over(&mut self, parcel: Parcel) {
+        let Parcel { from, incarnation, to, message } = parcel;
+        self.feed(to, Event::Peer { from: vm(from), incarnation, message });
+    }
+
+    /// Lets time go on in steps of 10 ms, with messages and timers.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.mono + time;
+        self.deliver();
+        while self.mono < end {
+            self.mono += Duration::from_millis(10);
+            for index in 0..self.states.len() {
+                let is_due = self.states[index].wake_at().is_some_and(|at| at <= self.mono);
+                if is_due && !self.down.contains(&index) {
+                    self.feed(index, Event::Tick);
+                }
+            }
+            self.deliver();
+        }
+    }
+
+    /// Lets time go by with nothing happening.
+    pub fn skip(&mut self, time: Duration) {
+        self.mono += time;
+    }
+
+    /// A call arrives at a daemon.
+    pub fn call(&mut self, index: usize, key: Option<&str>, work: Work) -> CallerId {
+        self.callers += 1;
+        let caller = CallerId(self.callers);
+        let call = Call {
+            caller,
+            key: TEAM_KEY,
+            idempotency: key.map(str::to_owned),
+            repeatable: None,
+            work,
+        };
+        self.feed(index, Event::Caller(CallerEvent::Arrived(Box::new(call))));
+        caller
+    }
+
+    /// The last that a caller was told.
+    pub fn last_answer(&self, caller: CallerId) -> &Answer {
+        let mut all = self.answers.iter().rev();
+        &all.find(|(_, c, _)| *c == caller).expect("every call is answered").2
+    }
+
+    /// Calls to endpoints that run something.
+    pub fn runs(&self) -> Vec<(usize, AttemptKey)> {
+        let runs = self.calls.iter().filter_map(|(index, call)| match call {
+            EngineCall::Prefill(draft) => Some((*index, draft.attempt)),
+            EngineCall::Plain { attempt, .. } => Some((*index, *attempt)),
+            _ => None,
+        });
+        runs.collect()
+    }
+}
+
+/// The bearer key's hash of the only team.
+pub const TEAM_KEY: KeyHash = [7; 32];
+
+/// A daemon's name on the platform's list.
+pub fn name(index: usize) -> String {
+    format!("entry-{index}")
+}
+
+/// A daemon's VM.
+pub fn vm(index: usize) -> VmId {
+    VmId::of(&name(index))
+}
+
+/// A call to the plain service.
+pub fn stock_order() -> Work {
+    Work::Plain(Plain { method: "POST".to_owned(), path: "/desk/orders".to_owned() })
+}
+
+/// A draft.
+pub fn draft() -> Work {
+    Work::Draft(Draft {
+        model: "writer".to_owned(),
+        tokens: 100,
+        blocks: Vec::new().into(),
+        max_tokens: 50,
+        resume: None,
+    })
+}
+
+/// One team with a model on two endpoints and a plain service on one.
+pub fn catalogue() -> Catalogue {
+    let team = TeamId::of("fitters");
+    let class = ClassId::of("steady");
+    let model = EntryTarget::Model(ModelId::of("writer"));
+    let service = EntryTarget::Service(ServiceId::of("desk"));
+    let entry = |name: &str, target| Entry {
+        id: EntryId::of(name),
+        name: name.to_owned(),
+        owner: team,
+        class,
+        target,
+        limits: Limits::default(),
+    };
+    Catalogue {
+        revision: 1,
+        teams: vec![Team { id: team, name: "fitters".to_owned(), keys: vec![TEAM_KEY] }],
+        classes: vec![Class {
+            id: class,
+            name: "steady".to_owned(),
+            ttft: Duration::from_secs(2),
+            tbt: Duration::from_millis(100),
+            wait: Duration::from_secs(30),
+            priority: 1,
+        }],
+        models: vec![ModelSpec {
+            id: ModelId::of("writer"),
+            name: "writer".to_owned(),
+            version: "v1".to_owned(),
+            adapter: String::new(),
+            weights: 1_000_000_000,
+            token_bytes: 1000,
+            block_tokens: 16,
+        }],
+        services: vec![Service {
+            id: ServiceId::of("desk"),
+            name: "desk".to_owned(),
+            prefix: "/desk/".to_owned(),
+            repeatable: vec!["GET".to_owned()],
+        }],
+        entries: vec![entry("writer", model), entry("desk", service)],
+        endpoints: vec![
+            endpoint("prefill-0", Role::Prefill, model),
+            endpoint("decode-0", Role::Decode, model),
+            endpoint("desk-0", Role::Plain, service),
+        ],
+        weight_rate: 0,
+    }
+}
+
+/// An endpoint that takes orders and checks fencing numbers.
+pub fn endpoint(name: &str, role: Role, serves: EntryTarget) -> Endpoint {
+    Endpoint {
+        id: EndpointId::of(name),
+        name: name.to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: DataCentreId::of("hall-a"),
+        role,
+        serves,
+        slots: 20,
+        prefill_rate: 10_000.0,
+        link_rate: 1_000_000_000,
+        fencing: true,
+        orders: role != Role::Plain,
+        leaving: false,
+    }
+}
