Streams without an owner are cancelled

Cause: when a daemon dies, or its one cancel is lost, its streams hold decode slots until they end by themselves.

Change: an endpoint's steward lists its streams every two seconds and cancels those whose daemon is gone and that nobody read for ten seconds, and those that nobody read for a minute. Each daemon looks after its own cancels until the endpoint no longer shows them. A stream that is read stays, whatever is thought of its owner. The tests of several daemons are one test target, tests/daemons.

--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -25,6 +25,7 @@
 
 /// Takes one event in and pushes what is to be done about it.
 pub fn reduce(state: &mut State, now: Now, event: Event, out: &mut Vec<Effect>) {
+    let first = out.len();
     member::awake(state, now, out);
     claim::expire(state, now, out);
     match event {
@@ -45,6 +46,7 @@
     while let Some(timer) = state.timers.pop_due(now.mono) {
         on_timer(state, now, timer, out);
     }
+    reap::remember(state, now, &out[first..]);
     if state.leaving && state.requests.arena.is_empty() && state.claims.own.is_empty() {
         out.push(Effect::Exit);
     }
@@ -116,7 +118,7 @@
     out: &mut Vec<Effect>,
 ) {
     if let EngineReport::Streams(streams) = report {
-        reap::listed(state, now, endpoint, streams, out);
+        reap::listed(state, endpoint, streams, out);
     }
     load::reported(state, now, endpoint, report, out);
     order::reported(state, now, endpoint, report, out);
--- a/crates/basilbank_core/src/reduce/reap.rs
+++ b/crates/basilbank_core/src/reduce/reap.rs
@@ -1,16 +1,200 @@
 //! Streams and KV caches that nobody owns any more are cancelled.
+//!
+//! An endpoint's steward lists what the endpoint holds. It cancels what a daemon left behind that is
+//! gone, once it was unread for long enough that no caller comes back for it. Each daemon looks after
+//! its own cancels: where it cancelled something it lists the endpoint until that is gone.
 
-use crate::{effect::Effect, event::StreamInfo, ids::EndpointId, state::State, time::Now};
+use std::{collections::HashSet, time::Duration};
+
+use crate::{
+    catalogue::Role,
+    effect::{Effect, EngineCall, Progress},
+    event::StreamInfo,
+    ids::{EndpointId, RequestId},
+    state::{Cancelled, Check, State, Timer},
+    time::Now,
+};
+
+/// Time from a cancel until the endpoint is looked at: most cancels have arrived by then.
+const CHECK_DELAY: Duration = Duration::from_secs(1);
+/// How long a daemon looks after a cancel of its own. After that the endpoint's steward sees to it.
+const CHECK_LIMIT: Duration = Duration::from_secs(60);
+/// A KV cache is of use for less than this; endpoints evict it by themselves in less.
+const KV_LIMIT: Duration = Duration::from_secs(2);
+
+/// Why something is cancelled.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Cause {
+    /// Its daemon cancelled it before, and the cancel was lost.
+    Cancelled,
+    /// Its daemon is gone, or has not been heard, and nobody read it since.
+    Orphaned,
+    /// Nobody read it for so long that nobody will.
+    Unread,
+}
 
 /// An endpoint listed what it holds.
 pub fn listed(
-    _state: &mut State,
-    _now: Now,
-    _endpoint: EndpointId,
-    _streams: &[StreamInfo],
-    _out: &mut Vec<Effect>,
+    state: &mut State,
+    endpoint: EndpointId,
+    streams: &[StreamInfo],
+    out: &mut Vec<Effect>,
 ) {
+    let live: HashSet<_> = state.requests.arena.values().map(|r| r.id).collect();
+    for info in streams {
+        if let Some(cause) = judge(state, endpoint, info, &live) {
+            cancel(endpoint, info, cause, out);
+        }
+    }
+    forget_gone(state, endpoint, streams);
 }
 
 /// Lists endpoints' streams.
-pub fn tick(_state: &mut State, _now: Now, _out: &mut Vec<Effect>) {}
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    let interval = state.local.tuning.reap_interval;
+    let mut listed = Vec::new();
+    if state.reaper.due <= now.mono {
+        state.reaper.due = now.mono + interval;
+        state.timers.set(state.reaper.due, Timer::Reap);
+        listed.extend(stewarded(state));
+    }
+    for check in state.reaper.checks.values_mut() {
+        check.cancelled.retain(|c| now.mono < c.at + CHECK_LIMIT);
+    }
+    state.reaper.checks.retain(|_, check| !check.cancelled.is_empty());
+    for (endpoint, check) in &mut state.reaper.checks {
+        if now.mono < check.due {
+            continue;
+        }
+        check.asked = now.mono;
+        check.due = now.mono + interval;
+        state.timers.set(check.due, Timer::Reap);
+        listed.push(*endpoint);
+    }
+    listed.sort_unstable();
+    listed.dedup();
+    let calls = listed.into_iter().map(|endpoint| EngineCall::ListStreams { endpoint });
+    out.extend(calls.map(Effect::Engine));
+}
+
+/// Remembers the cancels among the effects of one event.
+///
+/// A cancel is one call without an answer. When it is lost, the endpoint goes on with a stream whose
+/// caller has left and whose daemon has forgotten it: a slot stays taken until the stream ends by
+/// itself, and no error is seen anywhere.
+pub fn remember(state: &mut State, now: Now, effects: &[Effect]) {
+    for effect in effects {
+        let Effect::Engine(EngineCall::Cancel { endpoint, request, held, .. }) = effect else {
+            continue;
+        };
+        if state.view.endpoint(*endpoint).is_none_or(|e| e.role == Role::Plain) {
+            continue;
+        }
+        let due = now.mono + CHECK_DELAY;
+        let check = state.reaper.checks.entry(*endpoint).or_insert_with(|| {
+            state.timers.set(due, Timer::Reap);
+            Check { due, asked: Duration::ZERO, cancelled: Vec::new() }
+        });
+        let (request, held) = (*request, held.clone());
+        check.cancelled.push(Cancelled { request, held, at: now.mono });
+    }
+}
+
+/// The endpoints that this daemon decides on as steward.
+fn stewarded(state: &State) -> impl Iterator<Item = EndpointId> {
+    let members = &state.members;
+    let endpoints = state.view.catalogue.endpoints.iter();
+    let engines = endpoints.filter(|e| e.role != Role::Plain).map(|e| e.id);
+    let may_decide = members.may_decide();
+    engines.filter(move |e| may_decide && members.steward(e.0) == Some(members.own))
+}
+
+/// Forgets the cancels that had time to arrive before the list was asked for, and of whose requests
+/// nothing is on it.
+fn forget_gone(state: &mut State, endpoint: EndpointId, streams: &[StreamInfo]) {
+    let own = (state.local.vm, state.local.incarnation);
+    let own_streams = streams.iter().filter(|info| (info.vm, info.incarnation) == own);
+    let listed: HashSet<_> = own_streams.map(|info| info.request).collect();
+    let Some(check) = state.reaper.checks.get_mut(&endpoint) else { return };
+    let asked = check.asked;
+    check.cancelled.retain(|c| asked < c.at + CHECK_DELAY || listed.contains(&c.request.0));
+    if check.cancelled.is_empty() {
+        state.reaper.checks.remove(&endpoint);
+    }
+}
+
+fn cancel(endpoint: EndpointId, info: &StreamInfo, cause: Cause, out: &mut Vec<Effect>) {
+    let name = match cause {
+        Cause::Cancelled => "reaped_cancelled",
+        Cause::Orphaned => "reaped_orphaned",
+        Cause::Unread => "reaped_unread",
+    };
+    let pairs = vec![
+        ("endpoint", endpoint.to_string()),
+        ("stream", info.stream.clone()),
+        ("owner", info.vm.to_string()),
+        ("idle_ms", info.idle.as_millis().to_string()),
+    ];
+    out.push(Effect::Progress(Progress::Note { name, pairs }));
+    out.push(Effect::Engine(EngineCall::Reap {
+        endpoint,
+        stream: info.stream.clone(),
+        vm: info.vm,
+        incarnation: info.incarnation,
+    }));
+}
+
+/// Why a stream or KV cache is to be cancelled; `None` when it is not.
+fn judge(
+    state: &State,
+    endpoint: EndpointId,
+    info: &StreamInfo,
+    live: &HashSet<RequestId>,
+) -> Option<Cause> {
+    let local = &state.local;
+    let is_own = info.vm == local.vm && info.incarnation == local.incarnation;
+    if is_own {
+        let is_live = live.contains(&RequestId(info.request));
+        if was_cancelled(state, endpoint, info, is_live) {
+            return Some(Cause::Cancelled);
+        }
+        let is_unread = local.tuning.unread_limit <= info.idle;
+        return (is_unread && !is_live).then_some(Cause::Unread);
+    }
+    let members = &state.members;
+    if !members.may_decide() || members.steward(endpoint.0) != Some(members.own) {
+        return None;
+    }
+    if info.kv {
+        return (KV_LIMIT <= info.idle && is_gone(state, info)).then_some(Cause::Orphaned);
+    }
+    if local.tuning.unread_limit <= info.idle {
+        return Some(Cause::Unread);
+    }
+    (local.tuning.stream_grace <= info.idle && is_gone(state, info)).then_some(Cause::Orphaned)
+}
+
+/// Whether this daemon cancelled it and the cancel has had no effect. A request that lives may hold
+/// another stream at the same endpoint by now, so without a name only a dead request's are meant.
+fn was_cancelled(state: &State, endpoint: EndpointId, info: &StreamInfo, is_live: bool) -> bool {
+    let Some(check) = state.reaper.checks.get(&endpoint) else { return false };
+    let mut of_request = check.cancelled.iter().filter(|c| c.request.0 == info.request);
+    of_request.any(|c| !is_live || c.held.as_ref() == Some(&info.stream))
+}
+
+/// Whether the daemon that owns a stream is gone: it was replaced, is off the platform's list, or has
+/// not been heard for the time after which members count as dead.
+///
+/// A daemon on the other side of a partition looks dead as well, though its caller reads on. Its
+/// stream is not idle then, so callers of this function look at that too.
+fn is_gone(state: &State, info: &StreamInfo) -> bool {
+    let members = &state.members;
+    if !members.is_listed(info.vm) {
+        return true;
+    }
+    match members.incarnation(info.vm) {
+        Some(known) if info.incarnation < known => true,
+        Some(known) => info.incarnation == known && !members.is_live(info.vm),
+        None => false,
+    }
+}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -25,7 +25,7 @@
     limits::LimitTable,
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
-    reaper::Reaper,
+    reaper::{Cancelled, Check, Reaper},
     requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
     rng::Rng,
     slots::Slots,
@@ -142,6 +142,8 @@
         let mut rng = Rng::new(local.seed);
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
+        let phase = local.tuning.reap_interval.mul_f64(rng.unit());
+        timers.set(now.mono + phase, Timer::Reap);
         State {
             view: View::default(),
             members: Members::new(&local, now.mono),
--- a/crates/basilbank_core/src/tuning.rs
+++ b/crates/basilbank_core/src/tuning.rs
@@ -41,6 +41,10 @@
     pub load_interval: Duration,
     /// Time between two lists of an endpoint's streams.
     pub reap_interval: Duration,
+    /// How long the unread stream of a daemon that is gone is kept for a caller that resumes it.
+    pub stream_grace: Duration,
+    /// After this long a stream that nobody reads is cancelled, whoever owns it.
+    pub unread_limit: Duration,
 }
 
 impl Default for Tuning {
@@ -64,6 +68,8 @@
             skew: Duration::from_secs(5),
             load_interval: Duration::from_millis(500),
             reap_interval: Duration::from_secs(2),
+            stream_grace: Duration::from_secs(10),
+            unread_limit: Duration::from_secs(60),
         }
     }
 }
--- a/crates/basilbank_core/tests/claims.rs
+++ b/crates/basilbank_core/tests/daemons/claims.rs
@@ -1,7 +1,5 @@
 //! Idempotency keys over several daemons: at most one run, and the truth to everyone who asks.
 
-mod fleet;
-
 use std::time::Duration;
 
 use basilbank_core::{
