--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -8,13 +8,12 @@
 
 pub use self::vote::{asked, list_changed, told};
 use crate::{
-    effect::{Effect, Progress},
+    effect::{Effect, EngineCall, Progress},
     ids::{RequestId, RequestKey, VmId},
     reason::{Outcome, Refusal},
     reduce::{admit, settle},
     state::{
-        AttemptStage, Ballot, ClaimKey, ClaimPhase, OwnClaim, Request, RequestStage, Standing,
-        State, Timer, Waited, made_at,
+        Ballot, ClaimKey, ClaimPhase, OwnClaim, Request, Standing, State, Timer, Waited, made_at,
     },
     time::Now,
 };
@@ -31,12 +30,11 @@
 /// Claims an accepted request's key. The request waits; `admit::claimed`, `admit::joined` or
 /// `settle::refuse` follows, perhaps at once.
 pub fn begin(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
-    let Some(request) = state.requests.arena.get_mut(key) else { return };
+    let Some(request) = state.requests.arena.get(key) else { return };
     let Some(text) = &request.idempotency else { return };
     let name = ClaimKey::new(request.team, text);
     let made = made_at(text);
     let id = request.id;
-    request.stage = RequestStage::Waiting;
     let voters = state.members.voters(name.subject());
     let ballots =
         voters.into_iter().map(|vm| Ballot { vm, verdict: None, record: None, told: false });
@@ -46,6 +44,7 @@
         made,
         ballots: ballots.collect(),
         phase: ClaimPhase::Asking,
+        is_sent: false,
         record: KeyRecord { request: id.0, vm: state.local.vm.0, ..KeyRecord::default() },
         deadline: now.mono + state.local.tuning.peer_timeout * ASK_ROUNDS,
         sent: 0,
@@ -109,16 +108,14 @@
 /// A request's stream has a place now: its voters should know, so that a repeat can join it.
 pub fn located(state: &mut State, key: RequestKey) {
     let Some(request) = state.requests.arena.get(key) else { return };
-    let RequestStage::Running(attempt) = request.stage else { return };
-    let Some(attempt) = state.requests.attempts.get(attempt) else { return };
-    let AttemptStage::Decode { held: Some(stream) } = &attempt.stage else { return };
-    let id = request.id;
-    let Some(claim) = state.claims.own.get_mut(&id) else { return };
+    let Some((endpoint, stream)) = state.requests.stream(key) else { return };
+    let Some(claim) = state.claims.own.get_mut(&request.id) else { return };
     if claim.phase != ClaimPhase::Held {
         return;
     }
-    claim.record.endpoint = attempt.endpoint.0;
-    claim.record.stream.clone_from(stream);
+    claim.record.endpoint = endpoint.0;
+    claim.record.stream = stream.to_owned();
+    let id = request.id;
     publish(state, id);
 }
 
@@ -128,8 +125,8 @@
 /// a repeatable one whose caller left before the end: the caller that comes again with the same key
 /// has not had its answer.
 pub fn ended(state: &mut State, request: &Request, outcome: Outcome) {
-    let unsent = request.attempts == 0;
-    let is_freed = outcome == Outcome::Abandoned && (unsent || request.repeatable);
+    let is_sent = state.claims.own.get(&request.id).is_some_and(|claim| claim.is_sent);
+    let is_freed = outcome == Outcome::Abandoned && (!is_sent || request.repeatable);
     let outcome = if is_freed { Outcome::NotRun } else { outcome };
     end(state, request.id, outcome);
 }
@@ -149,14 +146,30 @@
         state.claims.unsent.pop_front();
         let Some(claim) = state.claims.own.get(&id) else { continue };
         let key = claim.request;
-        let request = state.requests.arena.get(key);
-        let unsent = request.is_some_and(|r| r.attempts == 0);
-        if claim.phase == ClaimPhase::Held && unsent {
+        if claim.phase == ClaimPhase::Held && !claim.is_sent {
             settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
         }
     }
 }
 
+/// Remembers the claims whose requests were sent somewhere by the effects of one event.
+pub fn remember(state: &mut State, effects: &[Effect]) {
+    if state.claims.own.is_empty() {
+        return;
+    }
+    for effect in effects {
+        let Effect::Engine(call) = effect else { continue };
+        let request = match call {
+            EngineCall::Prefill(draft) | EngineCall::Decode { draft, .. } => draft.request,
+            EngineCall::Resume { request, .. } | EngineCall::Plain { request, .. } => *request,
+            _ => continue,
+        };
+        if let Some(claim) = state.claims.own.get_mut(&request) {
+            claim.is_sent = true;
+        }
+    }
+}
+
 /// Asks the voters that have not granted the key. One that gave it to another request is asked
 /// again, for that request may give it back.
 fn ask(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
--- a/crates/basilbank_core/src/reduce/reap.rs
+++ b/crates/basilbank_core/src/reduce/reap.rs
@@ -11,7 +11,7 @@
     effect::{Effect, EngineCall, Progress},
     event::StreamInfo,
     ids::{EndpointId, RequestId},
-    state::{Cancelled, Check, State, Timer},
+    state::{Cancelled, State, Timer, Watch},
     time::Now,
 };
 
@@ -58,17 +58,17 @@
         state.timers.set(state.reaper.due, Timer::Reap);
         listed.extend(stewarded(state));
     }
-    for check in state.reaper.checks.values_mut() {
-        check.cancelled.retain(|c| now.mono < c.at + CHECK_LIMIT);
+    for watch in state.reaper.watches.values_mut() {
+        watch.cancelled.retain(|c| now.mono < c.at + CHECK_LIMIT);
     }
-    state.reaper.checks.retain(|_, check| !check.cancelled.is_empty());
-    for (endpoint, check) in &mut state.reaper.checks {
-        if now.mono < check.due {
+    state.reaper.watches.retain(|_, watch| !watch.cancelled.is_empty());
+    for (endpoint, watch) in &mut state.reaper.watches {
+        if now.mono < watch.due {
             continue;
         }
-        check.asked = now.mono;
-        check.due = now.mono + interval;
-        state.timers.set(check.due, Timer::Reap);
+        watch.asked = now.mono;
+        watch.due = now.mono + interval;
+        state.timers.set(watch.due, Timer::Reap);
         listed.push(*endpoint);
     }
     listed.sort_unstable();
@@ -91,12 +91,12 @@
             continue;
         }
         let due = now.mono + CHECK_DELAY;
-        let check = state.reaper.checks.entry(*endpoint).or_insert_with(|| {
+        let watch = state.reaper.watches.entry(*endpoint).or_insert_with(|| {
             state.timers.set(due, Timer::Reap);
-            Check { due, asked: Duration::ZERO, cancelled: Vec::new() }
+            Watch { due, asked: Duration::ZERO, cancelled: Vec::new() }
         });
         let (request, held) = (*request, held.clone());
-        check.cancelled.push(Cancelled { request, held, at: now.mono });
+        watch.cancelled.push(Cancelled { request, held, at: now.mono });
     }
 }
 
@@ -115,11 +115,11 @@
     let own = (state.local.vm, state.local.incarnation);
     let own_streams = streams.iter().filter(|info| (info.vm, info.incarnation) == own);
     let listed: HashSet<_> = own_streams.map(|info| info.request).collect();
-    let Some(check) = state.reaper.checks.get_mut(&endpoint) else { return };
-    let asked = check.asked;
-    check.cancelled.retain(|c| asked < c.at + CHECK_DELAY || listed.contains(&c.request.0));
-    if check.cancelled.is_empty() {
-        state.reaper.checks.remove(&endpoint);
+    let Some(watch) = state.reaper.watches.get_mut(&endpoint) else { return };
+    let asked = watch.asked;
+    watch.cancelled.retain(|c| asked < c.at + CHECK_DELAY || listed.contains(&c.request.0));
+    if watch.cancelled.is_empty() {
+        state.reaper.watches.remove(&endpoint);
     }
 }
 
@@ -177,8 +177,8 @@
 /// Whether this daemon cancelled it and the cancel has had no effect. A request that lives may hold
 /// another stream at the same endpoint by now, so without a name only a dead request's are meant.
 fn was_cancelled(state: &State, endpoint: EndpointId, info: &StreamInfo, is_live: bool) -> bool {
-    let Some(check) = state.reaper.checks.get(&endpoint) else { return false };
-    let mut of_request = check.cancelled.iter().filter(|c| c.request.0 == info.request);
+    let Some(watch) = state.reaper.watches.get(&endpoint) else { return false };
+    let mut of_request = watch.cancelled.iter().filter(|c| c.request.0 == info.request);
     of_request.any(|c| !is_live || c.held.as_ref() == Some(&info.stream))
 }
 
--- a/crates/basilbank_core/src/state/claims/own_claim.rs
+++ b/crates/basilbank_core/src/state/claims/own_claim.rs
@@ -57,6 +57,8 @@
     pub ballots: Vec<Ballot>,
     /// How far it is.
     pub phase: ClaimPhase,
+    /// Something was sent to an endpoint under it.
+    pub is_sent: bool,
     /// What the voters are told.
     pub record: KeyRecord,
     /// When the votes must be there.
--- a/crates/basilbank_core/src/state/reaper.rs
+++ b/crates/basilbank_core/src/state/reaper.rs
@@ -17,7 +17,7 @@
 
 /// An endpoint where something was cancelled.
 #[derive(Clone, PartialEq, Eq, Debug)]
-pub struct Check {
+pub struct Watch {
     /// When to list its streams.
     pub due: Duration,
     /// When its streams were asked for last.
@@ -32,5 +32,5 @@
     /// When this daemon next lists the endpoints that it is the steward of.
     pub due: Duration,
     /// Endpoints where this daemon cancelled something lately.
-    pub checks: BTreeMap<EndpointId, Check>,
+    pub watches: BTreeMap<EndpointId, Watch>,
 }
