A repeat whose stream is gone is told 'unknown'

Cause: a repeat joins its key's stream as a resumed request; when the stream was gone it was refused as not run, though its key's first request may have run.

Change: requests that joined say so and end as unknown. A call with both a cursor and a key follows the cursor.

--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -66,6 +66,7 @@
     let (endpoint, entry) = (EndpointId(record.endpoint), request.entry);
     // The run is another request's: whatever becomes of this one, it can't be called not run.
     request.risked = true;
+    request.joined = true;
     request.repeatable = false;
     if let Some(draft) = &mut request.draft {
         draft.resume =
--- a/crates/basilbank_core/src/reduce/resume.rs
+++ b/crates/basilbank_core/src/reduce/resume.rs
@@ -20,7 +20,7 @@
     let resume = request.draft.as_ref().and_then(|d| d.resume.clone());
     let known = resume.filter(|r| state.view.endpoint(r.endpoint).is_some());
     let Some(resume) = known else {
-        return settle::refuse(state, now, key, Refusal::StreamGone, out);
+        return gone(state, now, key, out);
     };
     let attempt = state.requests.begin(key, now.mono);
     state.requests.set_served(key);
@@ -32,6 +32,18 @@
     read(state, now, attempt, out);
 }
 
+/// The stream to be read is not there any more.
+///
+/// Who asked by idempotency key did not ask for a stream but for the answer of the key's first request.
+/// To be refused would tell it that nothing was run, and it would send its request under a new key.
+pub fn gone(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
+    if state.requests.arena[key].joined {
+        settle::unknown(state, now, key, out);
+    } else {
+        settle::refuse(state, now, key, Refusal::StreamGone, out);
+    }
+}
+
 /// Reads an attempt's stream again from the first token that is missing.
 pub fn again(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
     // The slot goes on under its old number; only the answers of the earlier call are dropped.
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -241,7 +241,7 @@
 /// it can't be continued elsewhere.
 fn resumed_died(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
     if state.requests.arena[key].delivered == 0 {
-        settle::refuse(state, now, key, Refusal::StreamGone, out);
+        resume::gone(state, now, key, out);
     } else {
         settle::unknown(state, now, key, out);
     }
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -27,6 +27,8 @@
     pub repeatable: bool,
     /// The caller's idempotency key.
     pub idempotency: Option<String>,
+    /// It reads the stream of its key's first request.
+    pub joined: bool,
     /// When it was accepted.
     pub accepted: Duration,
     /// When its first token, or a plain call's answer, is due by its class's target.
@@ -193,6 +195,7 @@
             draft: None,
             repeatable: false,
             idempotency: call.idempotency.clone(),
+            joined: false,
             accepted: at,
             due: at,
             until: at,
--- a/crates/basilbank_core/tests/daemons/claims.rs
+++ b/crates/basilbank_core/tests/daemons/claims.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use basilbank_core::{
-    effect::Answer,
+    effect::{Answer, EngineCall},
+    event::ResumePoint,
     prelude::*,
     state::{ClaimKey, made_at},
 };
@@ -335,6 +336,52 @@
     assert_eq!(resumed_stream(&fleet, voters[0], repeat).as_deref(), Some("s1"));
 }
 
+/// Symptom: a caller whose draft was run is told that it was not, sends it under a new key and gets
+/// two. Sequence: the stream that the repeat wants to join is gone.
+#[test]
+fn a_repeat_whose_stream_is_gone_is_told_that_it_is_unknown() {
+    let mut fleet = settled(8);
+    let (voters, other) = voters(&fleet, "draft-1");
+    fleet.call(other, Some("draft-1"), draft());
+    fleet.run(SHORT);
+    fleet.import(0);
+    fleet.stream(0, "s1");
+    fleet.down.insert(other);
+    let repeat = fleet.call(voters[0], Some("draft-1"), draft());
+    fleet.run(SHORT);
+    let mut resumes = fleet.calls.iter().filter_map(|(_, call)| match call {
+        EngineCall::Resume { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    let attempt = resumes.next_back().expect("the repeat resumes");
+    let failed = EngineEvent::Failed { attempt, failure: Failure::Refused };
+    fleet.feed(voters[0], Event::Engine(failed));
+    assert_eq!(fleet.last_answer(repeat), &Answer::Unknown);
+    assert_eq!(fleet.runs().len(), 1);
+}
+
+/// Symptom: a caller that resumes its stream with a cursor gets it from the start. Sequence: its client
+/// sends the cursor and the key of the first try together. A cursor names a stream, so nothing is run.
+#[test]
+fn a_cursor_goes_before_a_key() {
+    let mut fleet = settled(8);
+    fleet.call(0, Some("draft-1"), draft());
+    fleet.run(SHORT);
+    fleet.import(0);
+    fleet.stream(0, "s1");
+    let endpoint = EndpointId::of("decode-0");
+    let entry = EntryId::of("writer");
+    let Work::Draft(mut again) = draft() else { panic!("a draft") };
+    again.resume = Some(ResumePoint { endpoint, stream: "s1".to_owned(), offset: 7, entry });
+    fleet.call(1, Some("draft-1"), Work::Draft(again));
+    fleet.run(SHORT);
+    let offsets = fleet.calls.iter().filter_map(|(_, call)| match call {
+        EngineCall::Resume { offset, .. } => Some(*offset),
+        _ => None,
+    });
+    assert_eq!(offsets.collect::<Vec<_>>(), [7]);
+}
+
 /// Symptom: a key stays taken for ten minutes though its request was never run, because the message
 /// that gives it back was lost.
 #[test]
