--- a/crates/basilbank_core/benches/policy/figures.rs
+++ b/crates/basilbank_core/benches/policy/figures.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     mix::START,
-    world::{Ask, AskReport, Brain, Report, Spec, World},
+    world::{Ask, AskReport, Brain, End, Report, Spec, World},
 };
 
 /// After the last ask this much time is left for answers.
@@ -81,6 +81,13 @@
     good as f64 / all.len().max(1) as f64
 }
 
+/// Share of asks that were answered whole, in time or not.
+pub fn done(report: &Report, keep: impl Fn(&AskReport) -> bool) -> f64 {
+    let all: Vec<_> = report.asks.iter().filter(|a| keep(a)).collect();
+    let done = all.iter().filter(|a| a.end == Some(End::Done)).count();
+    done as f64 / all.len().max(1) as f64
+}
+
 /// The time to the first token that a share of asks stays below; those without count as endless.
 pub fn ttft_at(report: &Report, share: f64, keep: impl Fn(&AskReport) -> bool) -> Duration {
     let mut all: Vec<_> =
--- a/crates/basilbank_core/benches/policy/sweep.rs
+++ b/crates/basilbank_core/benches/policy/sweep.rs
@@ -5,7 +5,7 @@
 use basilbank_core::prelude::*;
 
 use crate::{
-    figures::{Version, goodput, millis, play, ttft_at, wasted},
+    figures::{Version, done, goodput, millis, play, ttft_at, wasted},
     mix::{Deployment, Maker, START, Stream},
     world::{AskReport, Report, Spec},
 };
@@ -49,6 +49,8 @@
     let call = |a: &AskReport| !a.draft && counted(a);
     println!("{name}.draft_goodput={:.4}", goodput(&report, &draft_class, draft));
     println!("{name}.call_goodput={:.4}", goodput(&report, &call_class, call));
+    println!("{name}.draft_done={:.4}", done(&report, draft));
+    println!("{name}.call_done={:.4}", done(&report, call));
     println!("{name}.draft_ttft_p95_ms={}", millis(ttft_at(&report, 0.95, draft)));
     println!("{name}.call_ttft_p95_ms={}", millis(ttft_at(&report, 0.95, call)));
     print_waste(&name, &report);
--- a/crates/basilbank_core/src/reduce/deliver.rs
+++ b/crates/basilbank_core/src/reduce/deliver.rs
@@ -45,6 +45,12 @@
         let ttft = now.mono - request.accepted;
         let progress = Progress::FirstToken { request: request.id, entry: request.entry, ttft };
         out.push(Effect::Progress(progress));
+        let entry = state.view.entry(request.entry);
+        if let (Some(entry), false) = (entry, attempt.resumed) {
+            let lags = state.health.lags.entry(entry.target).or_default();
+            lags.placed.add(attempt.expected, now.mono - attempt.placed);
+            lags.run.add(attempt.expected, now.mono - attempt.run);
+        }
     }
     request.last = Some(now.mono);
     let answer = Answer::Tokens { offset: request.delivered, texts: fresh };
--- a/crates/basilbank_core/src/reduce/estimate.rs
+++ b/crates/basilbank_core/src/reduce/estimate.rs
@@ -5,7 +5,7 @@
 use crate::{
     catalogue::{Endpoint, EntryTarget, ModelSpec, Role},
     ids::{EndpointId, EntryId},
-    state::{Request, State},
+    state::{Lags, Request, State},
 };
 
 /// Assumed where the catalogue gives no rate, in tokens a second.
@@ -52,6 +52,13 @@
     over_link(bytes, rate(a)).max(over_link(bytes, rate(b)))
 }
 
+/// How much longer the first token takes than the estimates say.
+#[must_use]
+pub fn lags(state: &State, entry: EntryId) -> Lags {
+    let target = state.view.entry(entry).map(|e| e.target);
+    target.and_then(|t| state.health.lags.get(&t)).copied().unwrap_or_default()
+}
+
 fn over_link(bytes: u64, rate: u64) -> Duration {
     if rate == 0 {
         return Duration::ZERO;
--- a/crates/basilbank_core/src/reduce/place.rs
+++ b/crates/basilbank_core/src/reduce/place.rs
@@ -13,12 +13,14 @@
         reserve::Terms,
         resume, retry,
     },
-    state::{AttemptStage, RequestStage, SlotKey, State},
+    state::{AttemptStage, Request, RequestStage, SlotKey, State},
     time::Now,
 };
 
 /// Endpoints that are asked at once for a slot.
 const FIRST_ASKS: usize = 2;
+/// How long a late draft may hold a decode slot without a prefill slot.
+const LATE_HOLD: Duration = Duration::from_millis(500);
 /// Most endpoints at which one attempt waits.
 const MOST_ASKS: usize = 8;
 
@@ -68,18 +70,32 @@
     let request = &state.requests.arena[found.request];
     let prefill = estimate::prefill(state, request);
     let transfer = estimate::transfer(state, request);
+    let lags = estimate::lags(state, request.entry);
     let (lead, until) = match (role, found.stage) {
         (Role::Decode, AttemptStage::Move) => {
             let last = found.cache.as_ref().map_or(now.mono, |c| c.until);
             (Duration::ZERO, last.saturating_sub(transfer))
         }
-        (Role::Decode, _) => (prefill + transfer, request.until),
-        (Role::Prefill, _) => (prefill + transfer, request.until),
+        (Role::Decode, _) => (prefill + transfer + lags.placed.margin(), request.until),
+        (Role::Prefill, _) => {
+            let lead = prefill + transfer + lags.run.margin();
+            (lead, give_way(now, request, lead))
+        }
         (Role::Plain, _) => (Duration::ZERO, request.until),
     };
     Terms { tokens: request.prompt_tokens() + request.remaining(), lead, until }
 }
 
+/// How long a draft that holds a decode slot may wait for a prefill slot.
+///
+/// Where prefill is scarce, drafts that are late already would wait there with all decode slots in
+/// their hands, and those that could still be in time would not even get to the queue. So a draft
+/// that has become late gives its decode slot back and waits behind the others.
+fn give_way(now: Now, request: &Request, lead: Duration) -> Duration {
+    let latest = request.due.saturating_sub(lead).max(now.mono + LATE_HOLD);
+    latest.min(request.until)
+}
+
 /// A slot was granted to an attempt.
 pub fn granted(
     state: &mut State,
--- a/crates/basilbank_core/src/reduce/prefill.rs
+++ b/crates/basilbank_core/src/reduce/prefill.rs
@@ -36,6 +36,7 @@
 pub fn seek(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
     found.enter(AttemptStage::Queue, now.mono);
+    found.placed = now.mono;
     place::seek(state, now, attempt, ASKS, out);
     if state.requests.attempts.get(attempt).is_some_and(|a| a.asks.is_empty()) {
         retry::no_endpoint(state, now, attempt, out);
@@ -47,7 +48,14 @@
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
     let Some(slot) = found.prefill else { return };
     found.enter(AttemptStage::Prefill, now.mono);
+    found.run = now.mono;
     let request = found.request;
+    let expected = state
+        .requests
+        .arena
+        .get(request)
+        .map(|r| estimate::prefill(state, r) + estimate::transfer(state, r));
+    state.requests.attempts[attempt].expected = expected.unwrap_or_default();
     state.requests.set_served(request);
     let timeout = timeout(state, attempt);
     state.timers.set(now.mono + timeout, Timer::Attempt(attempt));
--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -23,10 +23,12 @@
 /// What a reservation is ordered by: less is served first.
 #[derive(Clone, Copy, PartialEq, PartialOrd, Debug)]
 struct Rank {
-    /// 0 while its entry holds less than it is owed, else how many times its share it holds.
-    level: f64,
+    /// Its entry holds its owed share already, so what it gets is lent.
+    lent: bool,
     /// Its target can't be met any more.
     late: bool,
+    /// How many times its share its entry holds; 0 below the owed share.
+    level: f64,
     /// When it is due, or when it came if it is late.
     due: Duration,
 }
@@ -40,7 +42,7 @@
     let ranks = ledger.waiting.iter().map(|w| rank(ledger, view, w, now));
     let best = ranks.enumerate().min_by(|(_, a), (_, b)| a.partial_cmp(b).expect("no NaN"))?;
     let (index, rank) = best;
-    Some(Choice { index, lent: 0.0 < rank.level })
+    Some(Choice { index, lent: rank.lent })
 }
 
 /// Takes out those that can't be served in the time they have, with the time they would wait.
@@ -67,7 +69,8 @@
 fn rank(ledger: &Ledger, view: &View, waiter: &Waiter, now: Now) -> Rank {
     let late = waiter.due < now.mono;
     let due = if late { waiter.since } else { waiter.due };
-    Rank { level: level(ledger, view, waiter.entry), late, due }
+    let level = level(ledger, view, waiter.entry);
+    Rank { lent: 0.0 < level, late, level, due }
 }
 
 fn level(ledger: &Ledger, view: &View, entry: EntryId) -> f64 {
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -18,6 +18,10 @@
 const CONTINUE_WAIT: Duration = Duration::from_secs(30);
 /// An answer that has begun should go on within this.
 const CONTINUE_DUE: Duration = Duration::from_secs(1);
+/// Pause before a draft that found no prefill slot asks for a decode slot again.
+const GIVE_WAY: Duration = Duration::from_millis(250);
+/// It grows with each time, up to this many times.
+const LONGEST_WAY: u32 = 8;
 /// Pause before a steward is asked again that could not decide.
 const STEWARD_PAUSE: Duration = Duration::from_millis(50);
 
@@ -301,6 +305,13 @@
         let pause = STEWARD_PAUSE.mul_f64(0.5 + state.rng.unit());
         return later(state, now, key, pause, out);
     }
+    if stage == AttemptStage::Queue && now.mono + GIVE_WAY < until {
+        // It held a decode slot in vain: others come first now, and it waits behind them.
+        let longer = GIVE_WAY * state.requests.arena[key].attempts.min(LONGEST_WAY);
+        let pause = longer.mul_f64(0.5 + state.rng.unit());
+        note(state, key, Retry::NoSlot, pause, out);
+        return later(state, now, key, pause, out);
+    }
     let refusal = if is_undecided { Refusal::NoEndpoint } else { place::refusal_of(state, key) };
     settle::give_up(state, now, key, refusal, Some(retry), out);
 }
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod documents;
 mod health;
+mod lag;
 mod ledger;
 mod limits;
 mod members;
@@ -27,7 +28,8 @@
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
-    health::{Health, Known},
+    health::{Health, Known, Lags},
+    lag::Lag,
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
     limits::LimitTable,
     members::{Census, Member, Members, Presence, rank},
--- a/crates/basilbank_core/src/state/attempt.rs
+++ b/crates/basilbank_core/src/state/attempt.rs
@@ -32,6 +32,12 @@
     pub base: u32,
     /// The next token of the stream that is wanted.
     pub taken: u32,
+    /// When its decode slot was granted.
+    pub placed: Duration,
+    /// When its prefill was sent.
+    pub run: Duration,
+    /// Estimate of its prefill and transfer.
+    pub expected: Duration,
     /// Prefill time spent on it.
     pub spent: Duration,
     /// When a token last came.
@@ -90,6 +96,9 @@
             stream: None,
             base,
             taken: 0,
+            placed: now,
+            run: now,
+            expected: Duration::ZERO,
             spent: Duration::ZERO,
             heard: now,
             resumed: false,
--- a/crates/basilbank_core/src/state/health.rs
+++ b/crates/basilbank_core/src/state/health.rs
@@ -1,8 +1,15 @@
 //! What is known of endpoints.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
-use crate::{ids::EndpointId, state::Prefixes};
+use crate::{
+    catalogue::EntryTarget,
+    ids::EndpointId,
+    state::{Lag, Prefixes},
+};
 
 /// What is known of one endpoint.
 #[derive(Clone, PartialEq, Debug, Default)]
@@ -19,6 +26,15 @@
     pub full: Option<Duration>,
 }
 
+/// How late a draft's first token is, beyond the estimate of its prefill and transfer.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct Lags {
+    /// Counted from the grant of its decode slot.
+    pub placed: Lag,
+    /// Counted from the grant of its prefill slot.
+    pub run: Lag,
+}
+
 /// What is known of endpoints.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -26,6 +42,8 @@
     pub known: BTreeMap<EndpointId, Known>,
     /// Where prompt prefixes are cached.
     pub prefixes: Prefixes,
+    /// By what is served.
+    pub lags: HashMap<EntryTarget, Lags>,
 }
 
 impl Health {
--- /dev/null
+++ b/crates/basilbank_core/src/state/lag.rs
@@ -0,0 +1,30 @@
+//! How much longer work takes than its estimate, learned from what it took.
+
+use std::time::Duration;
+
+/// Weight of the newest sample in the mean.
+const GAIN: f64 = 1.0 / 16.0;
+/// Deviations added to the mean, so that most work takes less than promised.
+const DEVIATIONS: f64 = 2.0;
+
+/// Mean and mean deviation of the time beyond an estimate, in seconds.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct Lag {
+    mean: f64,
+    deviation: f64,
+}
+
+impl Lag {
+    /// Takes a sample in: what was expected, and what it took.
+    pub fn add(&mut self, expected: Duration, took: Duration) {
+        let error = took.as_secs_f64() - expected.as_secs_f64() - self.mean;
+        self.mean += GAIN * error;
+        self.deviation += GAIN * (error.abs() - self.deviation);
+    }
+
+    /// The time to add to an estimate, so that most work takes no longer.
+    #[must_use]
+    pub fn margin(&self) -> Duration {
+        Duration::from_secs_f64((self.mean + DEVIATIONS * self.deviation).max(0.0))
+    }
+}
