--- a/crates/basilbank_core/src/reduce/place.rs
+++ b/crates/basilbank_core/src/reduce/place.rs
@@ -81,7 +81,10 @@
             let lead = prefill + transfer + lags.run.margin();
             (lead, give_way(now, request, lead))
         }
-        (Role::Plain, _) => (Duration::ZERO, request.until),
+        (Role::Plain, _) => {
+            let lead = lags.run.margin();
+            (lead, request.until.saturating_sub(lead))
+        }
     };
     Terms { tokens: request.prompt_tokens() + request.remaining(), lead, until }
 }
--- a/crates/basilbank_core/src/reduce/plain.rs
+++ b/crates/basilbank_core/src/reduce/plain.rs
@@ -38,6 +38,10 @@
 pub fn answered(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let (key, slot) = (found.request, found.slot);
+    let took = now.mono - found.since;
+    if let Some(entry) = state.view.entry(state.requests.arena[key].entry) {
+        state.health.lags.entry(entry.target).or_default().run.add(Duration::ZERO, took);
+    }
     if let Some(slot) = slot {
         state.health.entry(slot.endpoint).failures = 0;
         reserve::release(state, slot, out);
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -5,6 +5,7 @@
 use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Release, Reserve};
 
 use crate::{
+    catalogue::{Endpoint, Role},
     effect::{Effect, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
     reduce::{order, peer, queue, reserve},
@@ -81,7 +82,7 @@
 /// prefills. So it asks all peers first.
 fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     let Some(known) = state.view.endpoint(endpoint) else { return };
-    let slots = if known.slots == 0 { u32::MAX } else { known.slots };
+    let slots = grantable(known);
     if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
         ledger.slots = slots;
         return;
@@ -102,6 +103,19 @@
     adopt(state, now, own, &held, out);
 }
 
+/// Slots of an endpoint that may be leased at once; all that are asked for where it has no limit.
+///
+/// Between a plain call's end and the next one's start lie three messages. A call takes hardly longer
+/// than these, so a service whose slots were leased just once would often be idle. One in four more
+/// waits at the service's own door, which refuses provably what is too much for it.
+fn grantable(endpoint: &Endpoint) -> u32 {
+    match (endpoint.role, endpoint.slots) {
+        (_, 0) => u32::MAX,
+        (Role::Plain, slots) => slots + slots.div_ceil(4),
+        (_, slots) => slots,
+    }
+}
+
 /// Grants slots to those that wait, as far as there are any.
 pub fn serve(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     loop {
