--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -37,7 +37,7 @@
     let waiter = waiter(now, key, from, ask);
     match ledger.waiting.iter_mut().find(|w| w.key == key) {
         Some(known) => *known = Waiter { since: known.since, ..waiter },
-        None => ledger.waiting.push(waiter),
+        None => ledger.wait(waiter, now.mono),
     }
     serve(state, now, endpoint, out);
     drop_hopeless(state, now, endpoint, out);
@@ -186,7 +186,9 @@
     ledger.waiting.retain(|w| w.key != key);
     let moved = ledger.waiting.len() < waited || ledger.end(key, now.mono).is_some();
     if moved {
-        ledger.note_move(now.mono);
+        if 0 < waited {
+            ledger.note_move(now.mono);
+        }
         serve(state, now, endpoint, out);
     }
 }
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Adds a reservation that waits.
+    pub fn wait(&mut self, waiter: Waiter, now: Duration) {
+        if self.waiting.is_empty() {
+            self.moved = now;
+        }
+        self.waiting.push(waiter);
+    }
+
     /// Ends a lease.
     pub fn end(&mut self, key: SlotKey, now: Duration) -> Option<Lease> {
         let lease = self.leases.remove(&key)?;
