--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -36,7 +36,7 @@
 /// The reservation that gets the next free slot.
 #[must_use]
 pub fn next(ledger: &Ledger, view: &View, now: Now) -> Option<Choice> {
-    if ledger.waiting.is_empty() || ledger.free() == 0 {
+    if ledger.waiting.is_empty() || ledger.free() == 0 || now.mono < ledger.ready_at() {
         return None;
     }
     let ranks = ledger.waiting.iter().map(|w| rank(ledger, view, w, now));
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -84,13 +84,13 @@
     let Some(known) = state.view.endpoint(endpoint) else { return };
     let slots = grantable(known);
     if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
-        ledger.slots = slots;
+        (ledger.slots, ledger.rate) = (slots, known.prefill_rate);
         return;
     }
     let own = state.local.vm;
     let live = state.members.all.keys().copied().filter(|vm| state.members.is_live(*vm));
     let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
-    let mut ledger = Ledger { slots, ..Ledger::default() };
+    let mut ledger = Ledger { slots, rate: known.prefill_rate, ..Ledger::default() };
     for vm in &missing {
         let ask = AskHolds { endpoint: endpoint.0 };
         out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
@@ -120,7 +120,7 @@
 pub fn serve(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     loop {
         let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
-        let Some(choice) = queue::next(ledger, &state.view, now) else { return };
+        let Some(choice) = queue::next(ledger, &state.view, now) else { break };
         let waiter = ledger.waiting.swap_remove(choice.index);
         let lease = Lease {
             vm: waiter.vm,
@@ -134,6 +134,12 @@
         ledger.lease(waiter.key, lease);
         grant(state, waiter.key, waiter.vm, choice.lent, out);
     }
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    let at = ledger.ready_at();
+    if !ledger.waiting.is_empty() && 0 < ledger.free() && ledger.alarm < at {
+        ledger.alarm = at;
+        state.timers.set(at, Timer::Serve(endpoint));
+    }
 }
 
 fn grant(state: &mut State, key: SlotKey, to: VmId, lent: bool, out: &mut Vec<Effect>) {
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -13,6 +13,10 @@
 /// How long the ends of leases are remembered, to be compared with late reports.
 const REMEMBER: Duration = Duration::from_secs(3);
 
+/// How long before a prefill endpoint has done its work it is given more: the grant and the call
+/// take this long to reach it.
+const AHEAD: Duration = Duration::from_millis(20);
+
 /// A slot that is leased to a daemon.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Lease {
@@ -74,6 +78,12 @@
 pub struct Ledger {
     /// Slots that the endpoint has.
     pub slots: u32,
+    /// Tokens a second of a prefill endpoint; 0 elsewhere.
+    pub rate: f64,
+    /// Until when the prefills that were granted keep the endpoint busy.
+    pub busy: Duration,
+    /// The latest moment for which a timer is set.
+    pub alarm: Duration,
     /// Leases.
     pub leases: BTreeMap<SlotKey, Lease>,
     /// Reservations that wait.
@@ -109,9 +119,23 @@
         self.slots.saturating_sub((seen.running + since).max(held))
     }
 
+    /// When a prefill endpoint that has free slots may get its next prefill.
+    ///
+    /// It computes one prompt after the other however many it takes, so what it is given early waits
+    /// there, while another endpoint may come free first. It gets the next one just before it has
+    /// done all others.
+    #[must_use]
+    pub fn ready_at(&self) -> Duration {
+        if self.leases.is_empty() { Duration::ZERO } else { self.busy.saturating_sub(AHEAD) }
+    }
+
     /// Adds or renews a lease.
     pub fn lease(&mut self, key: SlotKey, lease: Lease) {
         let entry = lease.entry;
+        if 0.0 < self.rate {
+            let work = Duration::from_secs_f64(f64::from(lease.tokens) / self.rate);
+            self.busy = self.busy.max(lease.since) + work;
+        }
         if self.leases.insert(key, lease).is_none() {
             *self.used.entry(entry).or_default() += 1;
         }
@@ -129,6 +153,9 @@
     pub fn end(&mut self, key: SlotKey, now: Duration) -> Option<Lease> {
         let lease = self.leases.remove(&key)?;
         self.ended.push_back(now);
+        if self.leases.is_empty() {
+            self.busy = now;
+        }
         while self.ended.front().is_some_and(|at| *at + REMEMBER < now) {
             self.ended.pop_front();
         }
--- a/crates/basilbank_core/src/state/timers.rs
+++ b/crates/basilbank_core/src/state/timers.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use crate::ids::{AttemptKey, RequestId, RequestKey};
+use crate::ids::{AttemptKey, EndpointId, RequestId, RequestKey};
 
 /// What a timer is for. A timer whose subject is gone fires without effect, so none is ever removed.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -19,6 +19,8 @@
     Heartbeat,
     /// Renew leases of slots, expire those of others, grant waiting reservations.
     Slots,
+    /// Grant slots of an endpoint that has done most of its work by now.
+    Serve(EndpointId),
     /// Renew leases of limits.
     Limits,
     /// Read endpoints' loads.
