--- a/crates/basilbank_core/benches/policy/mix.rs
+++ b/crates/basilbank_core/benches/policy/mix.rs
@@ -9,7 +9,10 @@
 /// Tokens of one block of the prefix cache.
 const BLOCK: u32 = 16;
 /// Before this the daemons find each other; nothing is asked.
-pub const START: Duration = Duration::from_secs(4);
+pub const START: Duration = Duration::from_secs(20);
+/// Time between two questions on one prompt.
+const LEAST_GAP: Duration = Duration::from_secs(2);
+const MOST_GAP: Duration = Duration::from_secs(6);
 
 /// One deployment.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -32,14 +35,15 @@
         }
     }
 
-    /// Its parts and sizes. The plain service is made small, so that its load stays quick to run.
+    /// Its parts and sizes. The plain service is made small, so that its load stays quick to run;
+    /// prefix caches hold about as much as the prompts of a decode endpoint's slots.
     pub fn spec(self) -> Spec {
         let base = match self {
             Deployment::Kitafuji => Spec::kitafuji(),
             Deployment::Kommunkalkyl => Spec::kommunkalkyl(),
         };
         let plain = Pool { slots: 4, backlog: 16, ..base.plain };
-        Spec { plain, texts: false, ..base }
+        Spec { plain, texts: false, cache_blocks: 2 * base.cache_blocks, ..base }
     }
 
     /// Prompt tokens that all drafts begin with.
@@ -82,6 +86,11 @@
         }
     }
 
+    /// The longest conversation.
+    fn longest(self) -> Duration {
+        MOST_GAP * (self.questions() - 1)
+    }
+
     /// Drafts a second that the scarcer of the two pools can serve when the shared part of all
     /// prompts is cached, and a share of what was asked before.
     pub fn draft_capacity(self, spec: &Spec) -> f64 {
@@ -133,18 +142,20 @@
     pub fn asks(&mut self, stream: &Stream) -> Vec<Ask> {
         let mut asks = Vec::new();
         let prompts = stream.drafts / f64::from(self.deployment.questions());
-        for at in self.moments(prompts, stream) {
+        // Conversations that began earlier go on within the run, so its load is the same all along.
+        let begun = stream.from.saturating_sub(self.deployment.longest());
+        for at in self.moments(prompts, begun, stream.until) {
             self.conversation(stream, at, &mut asks);
         }
-        for at in self.moments(stream.calls, stream) {
+        for at in self.moments(stream.calls, stream.from, stream.until) {
             let method = if self.rng.unit() < 0.1 { "POST" } else { "GET" };
             asks.push(Ask::plain(stream.team, method).at(at));
         }
         asks
     }
 
-    fn moments(&mut self, rate: f64, stream: &Stream) -> Vec<Duration> {
-        let mut at = stream.from;
+    fn moments(&mut self, rate: f64, from: Duration, until: Duration) -> Vec<Duration> {
+        let mut at = from;
         let mut all = Vec::new();
         if rate <= 0.0 {
             return all;
@@ -152,7 +163,7 @@
         loop {
             let gap = -(1.0 - self.rng.unit()).ln() / rate;
             at += Duration::from_secs_f64(gap);
-            if stream.until <= at {
+            if until <= at {
                 return all;
             }
             all.push(at);
@@ -167,11 +178,10 @@
         let mut at = at;
         for question in 0..self.deployment.questions() {
             let extra = if question == 0 { 0 } else { self.between((50, 200)) };
-            asks.push(self.draft(stream.team, prompt, own, extra).at(at));
-            at += Duration::from_secs_f64(4.0 + 8.0 * self.rng.unit());
-            if stream.until <= at {
-                return;
+            if (stream.from..stream.until).contains(&at) {
+                asks.push(self.draft(stream.team, prompt, own, extra).at(at));
             }
+            at += LEAST_GAP + (MOST_GAP - LEAST_GAP).mul_f64(self.rng.unit());
         }
     }
 
--- a/crates/basilbank_core/benches/policy/sweep.rs
+++ b/crates/basilbank_core/benches/policy/sweep.rs
@@ -11,9 +11,9 @@
 };
 
 const LOADS: [f64; 6] = [0.5, 0.75, 1.0, 1.25, 1.5, 2.0];
-const LASTING: Duration = Duration::from_secs(24);
+const LASTING: Duration = Duration::from_secs(30);
 /// Asks before this find empty pools; they are not counted.
-const WARM: Duration = Duration::from_secs(6);
+const WARM: Duration = Duration::from_secs(10);
 /// The teams' parts of the load. The third is owed nothing.
 const PARTS: [f64; 3] = [0.4, 0.35, 0.25];
 
@@ -53,6 +53,9 @@
     println!("{name}.call_done={:.4}", done(&report, call));
     println!("{name}.draft_ttft_p95_ms={}", millis(ttft_at(&report, 0.95, draft)));
     println!("{name}.call_ttft_p95_ms={}", millis(ttft_at(&report, 0.95, call)));
+    let drafts = report.decode_taken.max(1) as f64;
+    let spent = report.prefill_spent.as_secs_f64() * 1e3 / drafts;
+    println!("{name}.prefill_ms_a_draft={spent:.1}");
     print_waste(&name, &report);
     let asked = (report.decode_taken + report.decode_full).max(1);
     println!("{name}.slot_over_commit={:.5}", report.decode_full as f64 / asked as f64);
--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -1,6 +1,7 @@
 //! The reducer: one function over all events, one module per concern.
 
 mod admit;
+mod affinity;
 mod candidates;
 mod catalogue;
 mod charge;
--- a/crates/basilbank_core/src/reduce/candidates.rs
+++ b/crates/basilbank_core/src/reduce/candidates.rs
@@ -5,7 +5,7 @@
 use crate::{
     catalogue::{Endpoint, EntryTarget, Role},
     ids::{AttemptKey, DataCentreId, EndpointId},
-    reduce::{estimate, order},
+    reduce::{affinity, estimate, order},
     state::State,
     time::Now,
 };
@@ -23,6 +23,9 @@
 /// Random part, so that daemons that know the same do not choose the same.
 const JITTER: Duration = Duration::from_millis(10);
 
+/// What a prefill counts where its prompt belongs: the next one with the same beginning finds it.
+const AT_HOME: f64 = 0.1;
+
 /// What is looked for.
 #[derive(Clone, Copy, Debug)]
 pub struct Want {
@@ -36,23 +39,43 @@
     pub count: usize,
 }
 
-/// The endpoints that promise to serve an attempt soonest, best first.
+/// What is known of a prompt's prefix.
+#[derive(Debug, Default)]
+struct Prefix {
+    /// Where it is cached or should be.
+    home: Option<EndpointId>,
+    /// Blocks that endpoints have of it.
+    matches: Vec<(EndpointId, usize)>,
+}
+
+/// The endpoints that promise to serve an attempt soonest, best first, and how they compare.
 #[must_use]
-pub fn choose(state: &mut State, now: Now, want: &Want) -> Vec<EndpointId> {
-    let sample = sample(state, want);
+pub fn choose(state: &mut State, now: Now, want: &Want) -> Vec<(Duration, EndpointId)> {
+    let prefix = prefix(state, want);
+    let sample = sample(state, want, &prefix);
     let mut scored: Vec<_> = Vec::with_capacity(sample.len());
     for endpoint in sample {
         let jitter = JITTER.mul_f64(state.rng.unit());
-        if let Some(cost) = cost(state, now, want, endpoint) {
+        if let Some(cost) = cost(state, now, want, &prefix, endpoint) {
             scored.push((cost + jitter, endpoint));
         }
     }
     scored.sort_unstable();
     scored.truncate(want.count);
-    scored.into_iter().map(|(_, endpoint)| endpoint).collect()
+    scored
 }
 
-fn sample(state: &mut State, want: &Want) -> Vec<EndpointId> {
+fn prefix(state: &State, want: &Want) -> Prefix {
+    let attempt = state.requests.attempts.get(want.attempt);
+    let draft = attempt.and_then(|a| state.requests.arena[a.request].draft.as_ref());
+    let Some(draft) = draft.filter(|_| want.role == Role::Prefill) else {
+        return Prefix::default();
+    };
+    let home = affinity::home(state, want.target, draft);
+    Prefix { home, matches: state.health.prefixes.matches(&draft.blocks) }
+}
+
+fn sample(state: &mut State, want: &Want, prefix: &Prefix) -> Vec<EndpointId> {
     let id = |i: usize| state.view.catalogue.endpoints[i].id;
     let positions = state.view.positions(want.target, want.role);
     if positions.len() <= SAMPLE {
@@ -60,19 +83,16 @@
     }
     let mut sample: Vec<_> =
         (0..SAMPLE).map(|_| id(positions[state.rng.index(positions.len())])).collect();
-    let request = state.requests.attempts.get(want.attempt).map(|a| a.request);
-    let draft = request.and_then(|r| state.requests.arena[r].draft.as_ref());
-    if let (Role::Prefill, Some(draft)) = (want.role, draft) {
-        let holders = state.health.prefixes.holders(&draft.blocks).iter();
-        let serving = holders.filter(|e| state.view.endpoint(**e).is_some_and(|e| !e.leaving));
-        sample.extend(serving.take(SAMPLE));
-    }
+    let known = prefix.matches.iter().map(|(endpoint, _)| *endpoint).take(SAMPLE);
+    let serves = |e: &EndpointId| state.view.endpoint(*e).is_some_and(|e| !e.leaving);
+    sample.extend(known.filter(serves));
+    sample.extend(prefix.home);
     sample.sort_unstable();
     sample.dedup();
     sample
 }
 
-fn cost(state: &State, now: Now, want: &Want, id: EndpointId) -> Option<Duration> {
+fn cost(state: &State, now: Now, want: &Want, prefix: &Prefix, id: EndpointId) -> Option<Duration> {
     let endpoint = state.view.endpoint(id)?;
     let attempt = state.requests.attempts.get(want.attempt)?;
     let is_asked = attempt.asks.iter().any(|a| a.endpoint == id);
@@ -84,7 +104,10 @@
         cost += ELSEWHERE;
     }
     if want.role == Role::Prefill {
-        cost += estimate::prefill_at(state, &state.requests.arena[attempt.request], id);
+        let request = &state.requests.arena[attempt.request];
+        let blocks = prefix.matches.iter().find(|(e, _)| *e == id).map_or(0, |(_, blocks)| *blocks);
+        let prefill = estimate::prefill_at(state, request, id, blocks);
+        cost += if prefix.home == Some(id) { prefill.mul_f64(AT_HOME) } else { prefill };
     }
     Some(cost)
 }
--- a/crates/basilbank_core/src/reduce/decode.rs
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -5,7 +5,7 @@
 use crate::{
     effect::{Answer, Effect, EngineCall},
     ids::AttemptKey,
-    reduce::{claim, estimate, place, prefill, retry},
+    reduce::{claim, estimate, place, prefill, reserve, retry},
     state::{AttemptStage, State, Timer},
     time::Now,
 };
@@ -37,8 +37,7 @@
     let (Some(slot), Some(cache)) = (found.slot, &found.cache) else { return MARGIN };
     let transfer = estimate::transfer_between(state, cache.bytes, cache.endpoint, slot.endpoint);
     let left = cache.until.saturating_sub(found.since);
-    let spare = left.saturating_sub(transfer + MARGIN);
-    (transfer * 3 + MARGIN).min(spare).max(transfer * 3 / 2 + MARGIN)
+    left.saturating_sub(transfer + MARGIN).max(transfer * 3 / 2 + MARGIN)
 }
 
 /// The KV cache is still there but its decode endpoint is not: look for another.
@@ -71,6 +70,11 @@
     found.cache = None;
     found.heard = now.mono;
     let (request, base, slot) = (found.request, found.base, found.slot);
+    // The prefill slot was kept until here: were it given back when the prefill was done, prompts with
+    // a cached prefix would fill the endpoint's memory faster than its link empties it.
+    if let Some(slot) = found.prefill.take() {
+        reserve::release(state, slot, out);
+    }
     let Some(slot) = slot else { return };
     state.timers.set(now.mono + state.local.tuning.stall, Timer::Attempt(attempt));
     state.health.entry(slot.endpoint).failures = 0;
--- a/crates/basilbank_core/src/reduce/estimate.rs
+++ b/crates/basilbank_core/src/reduce/estimate.rs
@@ -5,7 +5,7 @@
 use crate::{
     catalogue::{Endpoint, EntryTarget, ModelSpec, Role},
     ids::{EndpointId, EntryId},
-    state::{Lags, Request, State},
+    state::{Lags, Prefixes, Request, State, View},
 };
 
 /// Assumed where the catalogue gives no rate, in tokens a second.
@@ -19,11 +19,17 @@
     Duration::from_secs_f64(f64::from(request.prompt_tokens()) / rate)
 }
 
-/// The prefill of a request at one endpoint, with what is known of its prefix cache.
+/// The prefill of a request at one endpoint that has some of its blocks cached.
 #[must_use]
-pub fn prefill_at(state: &State, request: &Request, endpoint: EndpointId) -> Duration {
+pub fn prefill_at(
+    state: &State,
+    request: &Request,
+    endpoint: EndpointId,
+    blocks: usize,
+) -> Duration {
     let rate = state.view.endpoint(endpoint).map_or(DEFAULT_RATE, rate_of);
-    let fresh = request.prompt_tokens().saturating_sub(cached(state, request, endpoint));
+    let cached = blocks as u32 * model(state, request.entry).map_or(0, |m| m.block_tokens);
+    let fresh = request.prompt_tokens().saturating_sub(cached);
     Duration::from_secs_f64(f64::from(fresh) / rate)
 }
 
@@ -32,8 +38,22 @@
 pub fn cached(state: &State, request: &Request, endpoint: EndpointId) -> u32 {
     let Some(draft) = &request.draft else { return 0 };
     let Some(model) = model(state, request.entry) else { return 0 };
-    let blocks = state.health.prefixes.cached(&draft.blocks, endpoint) as u32;
-    blocks.saturating_mul(model.block_tokens)
+    let matches = state.health.prefixes.matches(&draft.blocks);
+    let found = matches.iter().find(|(e, _)| *e == endpoint);
+    found.map_or(0, |(_, blocks)| *blocks as u32 * model.block_tokens)
+}
+
+/// A block near the end of a request's prompt, and the tokens up to its end; zeros for none.
+#[must_use]
+pub fn last_block(view: &View, request: &Request) -> (u64, u32) {
+    let last = request.draft.as_ref().and_then(|d| Prefixes::last(&d.blocks));
+    let Some((block, blocks)) = last else { return (0, 0) };
+    let target = view.entry(request.entry).map(|e| e.target);
+    let model = match target {
+        Some(EntryTarget::Model(id)) => view.model(id),
+        _ => None,
+    };
+    (block, model.map_or(0, |m| m.block_tokens * blocks as u32))
 }
 
 /// The transfer of a request's KV cache over an idle link.
@@ -52,6 +72,17 @@
     over_link(bytes, rate(a)).max(over_link(bytes, rate(b)))
 }
 
+/// Tokens a second whose KV cache an endpoint's link carries; 0 when that is not known or no matter.
+#[must_use]
+pub fn link_tokens(state: &State, endpoint: &Endpoint) -> f64 {
+    let EntryTarget::Model(id) = endpoint.serves else { return 0.0 };
+    let token_bytes = state.view.model(id).map_or(0, |m| m.token_bytes);
+    match (endpoint.role, token_bytes) {
+        (Role::Prefill, 1..) => endpoint.link_rate as f64 / token_bytes as f64,
+        _ => 0.0,
+    }
+}
+
 /// How much longer the first token takes than the estimates say.
 #[must_use]
 pub fn lags(state: &State, entry: EntryId) -> Lags {
--- a/crates/basilbank_core/src/reduce/place.rs
+++ b/crates/basilbank_core/src/reduce/place.rs
@@ -13,7 +13,7 @@
         reserve::Terms,
         resume, retry,
     },
-    state::{AttemptStage, Request, RequestStage, SlotKey, State},
+    state::{AttemptStage, Request, RequestStage, SlotKey, State, Timer},
     time::Now,
 };
 
@@ -23,6 +23,13 @@
 const LATE_HOLD: Duration = Duration::from_millis(500);
 /// Most endpoints at which one attempt waits.
 const MOST_ASKS: usize = 8;
+/// An endpoint is asked later than the best one by this many times what its prefill takes longer: a
+/// prefix that is computed again takes prefill time from others, and cache from other prompts.
+const DETOUR: u32 = 2;
+/// How long a draft that is late already waits for the best one alone.
+const LATE_DETOUR: Duration = Duration::from_secs(2);
+/// Prefill endpoints that differ by less are asked at the same time.
+const NEARLY: Duration = Duration::from_millis(10);
 
 /// Starts a request's next attempt.
 pub fn start(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
@@ -43,7 +50,7 @@
 /// An attempt has waited for a while: it waits at more endpoints.
 pub fn widen(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
-    if found.asks.len() < MOST_ASKS {
+    if found.asks.len() < MOST_ASKS && found.stage != AttemptStage::Queue {
         seek(state, now, attempt, FIRST_ASKS, out);
     }
 }
@@ -60,7 +67,44 @@
     };
     let terms = terms(state, now, attempt, role);
     let want = Want { target: entry.target, role, attempt, count: more };
-    for endpoint in candidates::choose(state, now, &want) {
+    for (_, endpoint) in candidates::choose(state, now, &want) {
+        reserve::ask(state, now, attempt, endpoint, terms, out);
+    }
+}
+
+/// Asks prefill endpoints for a slot: at once the one that promises to be done first, the others
+/// later, by how much later they would be done.
+///
+/// The first grant wins. Were all asked at once, an endpoint without the prompt's prefix would often
+/// be a little quicker to grant and much slower to compute.
+pub fn seek_prefill(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let request = &state.requests.arena[found.request];
+    let (due, entry) = (request.due, request.entry);
+    let Some(entry) = state.view.entry(entry) else { return };
+    let want = Want { target: entry.target, role: Role::Prefill, attempt, count: MOST_ASKS };
+    let ranked = candidates::choose(state, now, &want);
+    let terms = terms(state, now, attempt, Role::Prefill);
+    let spare = due.saturating_sub(now.mono + terms.lead);
+    let longest = if spare.is_zero() { LATE_DETOUR } else { spare };
+    let least = ranked.first().map_or(Duration::ZERO, |(cost, _)| *cost);
+    let delay = |cost: Duration| ((cost - least) * DETOUR).min(longest);
+    let plan = ranked.iter().map(|(cost, endpoint)| (now.mono + delay(*cost), *endpoint));
+    let plan = plan.rev().collect();
+    state.requests.attempts[attempt].plan = plan;
+    ask_planned(state, now, attempt, out);
+}
+
+/// Asks the endpoints whose time has come.
+pub fn ask_planned(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let terms = terms(state, now, attempt, Role::Prefill);
+    loop {
+        let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+        let Some((at, endpoint)) = found.plan.last().copied() else { return };
+        if now.mono + NEARLY < at {
+            return state.timers.set(at, Timer::Attempt(attempt));
+        }
+        found.plan.pop();
         reserve::ask(state, now, attempt, endpoint, terms, out);
     }
 }
@@ -86,7 +130,10 @@
             (lead, request.until.saturating_sub(lead))
         }
     };
-    Terms { tokens: request.prompt_tokens() + request.remaining(), lead, until }
+    let sent = if role == Role::Prefill { request.prompt_tokens() } else { 0 };
+    let tokens =
+        request.prompt_tokens() + if role == Role::Prefill { 0 } else { request.remaining() };
+    Terms { tokens, sent, lead, until }
 }
 
 /// How long a draft that holds a decode slot may wait for a prefill slot.
--- a/crates/basilbank_core/src/reduce/prefill.rs
+++ b/crates/basilbank_core/src/reduce/prefill.rs
@@ -5,13 +5,11 @@
 use crate::{
     effect::{DraftCall, Effect, EngineCall},
     ids::{AttemptKey, EndpointId},
-    reduce::{decode, estimate, place, reserve, retry},
+    reduce::{decode, estimate, place, retry},
     state::{AttemptStage, KvCache, State, Timer},
     time::Now,
 };
 
-/// Prefill endpoints that are asked at once.
-const ASKS: usize = 2;
 /// A prefill that takes this many times its estimate counts as broken.
 const PATIENCE: u32 = 3;
 /// And this much longer.
@@ -37,7 +35,7 @@
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
     found.enter(AttemptStage::Queue, now.mono);
     found.placed = now.mono;
-    place::seek(state, now, attempt, ASKS, out);
+    place::seek_prefill(state, now, attempt, out);
     if state.requests.attempts.get(attempt).is_some_and(|a| a.asks.is_empty()) {
         retry::no_endpoint(state, now, attempt, out);
     }
@@ -110,7 +108,7 @@
     if found.stage != AttemptStage::Prefill {
         return;
     }
-    let Some(slot) = found.prefill.take() else { return };
+    let Some(slot) = found.prefill else { return };
     let until = now.mono + state.local.tuning.kv_life;
     let endpoint = slot.endpoint;
     found.cache = Some(KvCache { endpoint, handle: done.handle, bytes: done.bytes, until });
@@ -127,6 +125,5 @@
         }
     }
     state.health.entry(endpoint).failures = 0;
-    reserve::release(state, slot, out);
     decode::import(state, now, attempt, out);
 }
--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -11,6 +11,9 @@
 /// The weight of an entry that is owed nothing.
 const LEAST_SHARE: f64 = 0.02;
 
+/// A prompt that takes this many times less prefill than its length says goes before others.
+const CACHED: u32 = 4;
+
 /// The reservation to serve next.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Choice {
@@ -27,6 +30,8 @@
     lent: bool,
     /// Its target can't be met any more.
     late: bool,
+    /// Most of its prompt has to be computed.
+    fresh: bool,
     /// How many times its share its entry holds; 0 below the owed share.
     level: f64,
     /// When it is due, or when it came if it is late.
@@ -70,7 +75,8 @@
     let late = waiter.due < now.mono;
     let due = if late { waiter.since } else { waiter.due };
     let level = level(ledger, view, waiter.entry);
-    Rank { lent: 0.0 < level, late, level, due }
+    let fresh = waiter.sent < waiter.tokens.saturating_mul(CACHED);
+    Rank { lent: 0.0 < level, late, fresh, level, due }
 }
 
 fn level(ledger: &Ledger, view: &View, entry: EntryId) -> f64 {
--- a/crates/basilbank_core/src/reduce/reserve.rs
+++ b/crates/basilbank_core/src/reduce/reserve.rs
@@ -7,8 +7,8 @@
 use crate::{
     effect::{Effect, Progress},
     ids::{AttemptKey, EndpointId, EntryId, RequestId, VmId},
-    reduce::{peer, place, retry},
-    state::{OwnSlot, SlotKey, State},
+    reduce::{estimate, peer, place, retry},
+    state::{AttemptStage, OwnSlot, SlotKey, State},
     time::Now,
 };
 
@@ -20,6 +20,8 @@
 pub struct Terms {
     /// Tokens expected to be held or prefilled.
     pub tokens: u32,
+    /// Tokens whose KV cache leaves the endpoint afterwards.
+    pub sent: u32,
     /// From the grant until its use.
     pub lead: Duration,
     /// How long it may wait.
@@ -35,6 +37,13 @@
     terms: Terms,
     out: &mut Vec<Effect>,
 ) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let cached = match found.stage {
+        AttemptStage::Queue => {
+            estimate::cached(state, &state.requests.arena[found.request], endpoint)
+        }
+        _ => 0,
+    };
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
     let request = &state.requests.arena[found.request];
     let key = SlotKey { endpoint, request: request.id, attempt: found.number };
@@ -45,7 +54,8 @@
     let own = OwnSlot {
         attempt,
         entry: request.entry,
-        tokens: terms.tokens,
+        tokens: terms.tokens.saturating_sub(cached),
+        sent: terms.sent,
         lead: millis(terms.lead),
         held: false,
         asked: now.mono,
@@ -62,7 +72,12 @@
     let Some(attempt) = state.requests.attempts.get(own.attempt) else { return };
     own.asked = now.mono;
     own.asks += 1;
-    let due = state.requests.arena[attempt.request].due;
+    let request = &state.requests.arena[attempt.request];
+    let due = request.due;
+    let (block, cached) = match attempt.stage {
+        AttemptStage::Queue => estimate::last_block(&state.view, request),
+        _ => (0, 0),
+    };
     let reserve = Reserve {
         endpoint: key.endpoint.0,
         request: key.request.0,
@@ -72,6 +87,9 @@
         wait: millis(own.until.saturating_sub(now.mono)),
         slack: signed_millis(now.mono, due),
         lead: own.lead,
+        sent: own.sent,
+        block,
+        cached,
     };
     peer::say(state, steward, Body::Reserve(reserve), out);
 }
@@ -110,6 +128,7 @@
         attempt,
         entry,
         tokens: 0,
+        sent: 0,
         lead: 0,
         held: true,
         asked: now.mono,
@@ -144,6 +163,7 @@
     state.slots.known.insert(key.endpoint, from);
     if let Some(found) = state.requests.attempts.get_mut(attempt) {
         found.asks.retain(|a| *a != key);
+        found.plan.clear();
     }
     withdraw(state, attempt, out);
     place::granted(state, now, attempt, key, out);
@@ -168,7 +188,13 @@
     let Some(own) = state.slots.own.remove(&key) else { return };
     let Some(found) = state.requests.attempts.get_mut(own.attempt) else { return };
     found.asks.retain(|a| *a != key);
-    if found.asks.is_empty() {
+    if !found.asks.is_empty() {
+        return;
+    }
+    if let Some(next) = found.plan.last_mut() {
+        next.0 = now.mono;
+        place::ask_planned(state, now, own.attempt, out);
+    } else {
         retry::unplaced(state, now, own.attempt, reason, retry, out);
     }
 }
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -8,7 +8,7 @@
     catalogue::{Endpoint, Role},
     effect::{Effect, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
-    reduce::{order, peer, queue, reserve},
+    reduce::{estimate, order, peer, queue, reserve},
     state::{Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
     time::Now,
 };
@@ -34,7 +34,11 @@
         let lent = lease.lent;
         return grant(state, key, from, lent, out);
     }
-    let waiter = waiter(now, key, from, ask);
+    let mut waiter = waiter(now, key, from, ask);
+    // This daemon reads the endpoint's cache events, so it may know more than the one that asks.
+    if ask.block != 0 && state.health.prefixes.has(ask.block, endpoint) {
+        waiter.tokens = waiter.tokens.min(ask.sent.saturating_sub(ask.cached));
+    }
     match ledger.waiting.iter_mut().find(|w| w.key == key) {
         Some(known) => *known = Waiter { since: known.since, ..waiter },
         None => ledger.wait(waiter, now.mono),
@@ -53,6 +57,7 @@
         vm,
         entry: EntryId(ask.entry),
         tokens: ask.tokens,
+        sent: ask.sent,
         due,
         until: now.mono + Duration::from_millis(ask.wait.into()),
         since: now.mono,
@@ -83,14 +88,17 @@
 fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     let Some(known) = state.view.endpoint(endpoint) else { return };
     let slots = grantable(known);
+    let link_rate = estimate::link_tokens(state, known);
     if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
         (ledger.slots, ledger.rate) = (slots, known.prefill_rate);
+        ledger.link_rate = link_rate;
         return;
     }
     let own = state.local.vm;
     let live = state.members.all.keys().copied().filter(|vm| state.members.is_live(*vm));
     let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
-    let mut ledger = Ledger { slots, rate: known.prefill_rate, ..Ledger::default() };
+    let rate = known.prefill_rate;
+    let mut ledger = Ledger { slots, rate, link_rate, ..Ledger::default() };
     for vm in &missing {
         let ask = AskHolds { endpoint: endpoint.0 };
         out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
@@ -126,6 +134,7 @@
             vm: waiter.vm,
             entry: waiter.entry,
             tokens: waiter.tokens,
+            sent: waiter.sent,
             since: now.mono,
             until: now.mono + state.local.tuning.slot_lease,
             lent: choice.lent,
@@ -250,6 +259,7 @@
             vm: from,
             entry,
             tokens: hold.tokens,
+            sent: 0,
             since: now.mono,
             until,
             lent: false,
--- a/crates/basilbank_core/src/state/attempt.rs
+++ b/crates/basilbank_core/src/state/attempt.rs
@@ -18,6 +18,8 @@
     pub stage: AttemptStage,
     /// Since when.
     pub since: Duration,
+    /// Prefill endpoints to be asked later, and when; the next one last.
+    pub plan: Vec<(Duration, EndpointId)>,
     /// Slots that were asked for and not granted yet.
     pub asks: Vec<SlotKey>,
     /// The slot at a decode endpoint or a plain service.
@@ -89,6 +91,7 @@
             number,
             stage: AttemptStage::Slot,
             since: now,
+            plan: Vec::new(),
             asks: Vec::new(),
             slot: None,
             prefill: None,
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -17,6 +17,9 @@
 /// take this long to reach it.
 const AHEAD: Duration = Duration::from_millis(20);
 
+/// KV caches that wait for the link of a prefill endpoint wait no longer than about this.
+const LINK_AHEAD: Duration = Duration::from_millis(150);
+
 /// A slot that is leased to a daemon.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Lease {
@@ -26,6 +29,8 @@
     pub entry: EntryId,
     /// Tokens expected to be held.
     pub tokens: u32,
+    /// Tokens whose KV cache leaves the endpoint afterwards.
+    pub sent: u32,
     /// When it was granted or adopted.
     pub since: Duration,
     /// When it ends unless it is renewed.
@@ -47,6 +52,8 @@
     pub entry: EntryId,
     /// Tokens expected to be held.
     pub tokens: u32,
+    /// Tokens whose KV cache leaves the endpoint afterwards.
+    pub sent: u32,
     /// The grant that comes later than this misses the request's target.
     pub due: Duration,
     /// When it has waited long enough.
@@ -82,6 +89,10 @@
     pub rate: f64,
     /// Until when the prefills that were granted keep the endpoint busy.
     pub busy: Duration,
+    /// Tokens a second that its link carries; 0 when that is not known.
+    pub link_rate: f64,
+    /// Until when the KV caches of granted prefills keep its link busy.
+    pub link_busy: Duration,
     /// The latest moment for which a timer is set.
     pub alarm: Duration,
     /// Leases.
@@ -123,10 +134,12 @@
     ///
     /// It computes one prompt after the other however many it takes, so what it is given early waits
     /// there, while another endpoint may come free first. It gets the next one just before it has
-    /// done all others.
+    /// done all others, and not before its link can carry the KV cache off soon: prompts whose prefix
+    /// is cached are computed faster than they are sent, and what waits for the link is evicted.
     #[must_use]
     pub fn ready_at(&self) -> Duration {
-        if self.leases.is_empty() { Duration::ZERO } else { self.busy.saturating_sub(AHEAD) }
+        let work = if self.leases.is_empty() { Duration::ZERO } else { self.busy };
+        work.saturating_sub(AHEAD).max(self.link_busy.saturating_sub(LINK_AHEAD))
     }
 
     /// Adds or renews a lease.
@@ -136,6 +149,10 @@
             let work = Duration::from_secs_f64(f64::from(lease.tokens) / self.rate);
             self.busy = self.busy.max(lease.since) + work;
         }
+        if 0.0 < self.link_rate {
+            let sending = Duration::from_secs_f64(f64::from(lease.sent) / self.link_rate);
+            self.link_busy = self.link_busy.max(self.busy) + sending;
+        }
         if self.leases.insert(key, lease).is_none() {
             *self.used.entry(entry).or_default() += 1;
         }
--- a/crates/basilbank_core/src/state/prefixes.rs
+++ b/crates/basilbank_core/src/state/prefixes.rs
@@ -1,58 +1,106 @@
 //! Where prompt prefixes are cached: hints from endpoints' late and gapped events, and from own
 //! recent prefills. A wrong hint costs a longer prefill than expected, nothing else.
+//!
+//! One block in eight is remembered, chosen by its hash, so that all daemons and all prompts agree on
+//! which: the rest says nothing more, for an engine that holds a block holds those before it.
 
 use std::collections::{HashMap, VecDeque};
 
 use crate::ids::EndpointId;
 
-/// Most pairs of block and endpoint that are remembered.
-const CAPACITY: usize = 1 << 16;
+/// Most pairs of block and endpoint that are remembered, 3 MB with their tables.
+const CAPACITY: usize = 1 << 15;
+/// One block in so many is remembered.
+const SAMPLING: u64 = 8;
+/// A block at more endpoints than this is held everywhere; the others are not remembered.
+const MOST_HOLDERS: usize = 16;
 
-/// Which endpoints have which blocks. The oldest are forgotten first.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Holder {
+    endpoint: EndpointId,
+    /// When it was last said, as a count of all that was said.
+    stamp: u64,
+}
+
+/// Which endpoints have which blocks. What was not said again for longest is forgotten first.
 #[derive(Debug, Default)]
 pub struct Prefixes {
-    holders: HashMap<u64, Vec<EndpointId>>,
-    order: VecDeque<(u64, EndpointId)>,
+    holders: HashMap<u64, Vec<Holder>>,
+    order: VecDeque<(u64, Holder)>,
+    stamp: u64,
 }
 
 impl Prefixes {
     /// An endpoint has a block.
     pub fn add(&mut self, block: u64, endpoint: EndpointId) {
-        let holders = self.holders.entry(block).or_default();
-        if holders.contains(&endpoint) {
+        if !is_sampled(block) {
             return;
         }
-        holders.push(endpoint);
-        self.order.push_back((block, endpoint));
+        self.stamp += 1;
+        let holder = Holder { endpoint, stamp: self.stamp };
+        let holders = self.holders.entry(block).or_default();
+        match holders.iter().position(|h| h.endpoint == endpoint) {
+            Some(at) => holders[at] = holder,
+            None if holders.len() < MOST_HOLDERS => holders.push(holder),
+            None => return,
+        }
+        self.order.push_back((block, holder));
         if CAPACITY < self.order.len()
-            && let Some((block, endpoint)) = self.order.pop_front()
+            && let Some((block, oldest)) = self.order.pop_front()
         {
-            self.remove(block, endpoint);
+            self.drop_holder(block, |h| h == oldest);
         }
     }
 
     /// An endpoint has lost a block.
     pub fn remove(&mut self, block: u64, endpoint: EndpointId) {
+        self.drop_holder(block, |h| h.endpoint == endpoint);
+    }
+
+    fn drop_holder(&mut self, block: u64, is_it: impl Fn(Holder) -> bool) {
         let Some(holders) = self.holders.get_mut(&block) else { return };
-        holders.retain(|h| *h != endpoint);
+        holders.retain(|h| !is_it(*h));
         if holders.is_empty() {
             self.holders.remove(&block);
         }
     }
 
-    /// How many of a prompt's blocks an endpoint has from its start on.
-    ///
-    /// A block's hash covers all before it and engines evict from the end, so the boundary is found
-    /// by bisection.
+    /// How many of a prompt's blocks each endpoint has from its start on, as far as is known.
+    #[must_use]
+    pub fn matches(&self, blocks: &[u64]) -> Vec<(EndpointId, usize)> {
+        let mut found: Vec<(EndpointId, usize)> = Vec::new();
+        for (i, block) in blocks.iter().enumerate().rev().filter(|(_, b)| is_sampled(**b)) {
+            for holder in self.holders.get(block).into_iter().flatten() {
+                if found.iter().all(|(endpoint, _)| *endpoint != holder.endpoint) {
+                    found.push((holder.endpoint, i + 1));
+                }
+            }
+        }
+        found
+    }
+
+    /// The last block of a prompt that is remembered, and how many blocks it ends.
+    #[must_use]
+    pub fn last(blocks: &[u64]) -> Option<(u64, usize)> {
+        let at = blocks.iter().rposition(|b| is_sampled(*b))?;
+        Some((blocks[at], at + 1))
+    }
+
+    /// Whether an endpoint has a block.
     #[must_use]
-    pub fn cached(&self, blocks: &[u64], endpoint: EndpointId) -> usize {
-        let has = |block: &u64| self.holders.get(block).is_some_and(|h| h.contains(&endpoint));
-        blocks.partition_point(has)
+    pub fn has(&self, block: u64, endpoint: EndpointId) -> bool {
+        self.holders.get(&block).is_some_and(|h| h.iter().any(|h| h.endpoint == endpoint))
     }
 
-    /// The endpoints that have a prompt's first block.
+    /// The first block of a prompt that at most so many endpoints have.
     #[must_use]
-    pub fn holders(&self, blocks: &[u64]) -> &[EndpointId] {
-        blocks.first().and_then(|b| self.holders.get(b)).map_or(&[], Vec::as_slice)
+    pub fn first_own(&self, blocks: &[u64], most: usize) -> Option<u64> {
+        let holders = |block: u64| self.holders.get(&block).map_or(0, Vec::len);
+        blocks.iter().copied().find(|b| is_sampled(*b) && holders(*b) <= most)
     }
 }
+
+/// Whether a block is one of those that are remembered.
+fn is_sampled(block: u64) -> bool {
+    block.wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(8).is_multiple_of(SAMPLING)
+}
--- a/crates/basilbank_core/src/state/slots.rs
+++ b/crates/basilbank_core/src/state/slots.rs
@@ -43,6 +43,8 @@
     pub entry: EntryId,
     /// Tokens expected to be held or prefilled.
     pub tokens: u32,
+    /// Tokens whose KV cache leaves the endpoint afterwards.
+    pub sent: u32,
     /// Milliseconds from the grant until its use.
     pub lead: u32,
     /// The grant came.
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -171,6 +171,16 @@
     /// Milliseconds from the grant until the slot will be used.
     #[prost(uint32, tag = "8")]
     pub lead: u32,
+    /// Tokens whose KV cache will leave the endpoint over its link afterwards.
+    #[prost(uint32, tag = "9")]
+    pub sent: u32,
+    /// A block near the prompt's end, 0 for none: when the endpoint has it cached, `cached` fewer
+    /// tokens are prefilled.
+    #[prost(fixed64, tag = "10")]
+    pub block: u64,
+    /// Tokens up to that block's end.
+    #[prost(uint32, tag = "11")]
+    pub cached: u32,
 }
 
 /// A granted slot.
