--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -1,24 +1,25 @@
 //! The order in which reservations that wait at one endpoint are served.
+//!
+//! First come entries that hold less than they are owed. What is left is lent: to requests whose
+//! target can still be met before others, and among these to the entry that holds the least of its
+//! share.
 
 use std::time::Duration;
 
 use crate::{
     ids::EntryId,
-    state::{Ledger, View, Waiter},
+    state::{Group, Ledger, SlotKey, View, Waiter, Waiting},
     time::Now,
 };
 
 /// The weight of an entry that is owed nothing.
 const LEAST_SHARE: f64 = 0.02;
 
-/// A prompt that takes this many times less prefill than its length says goes before others.
-const CACHED: u32 = 4;
-
 /// The reservation to serve next.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Choice {
-    /// Its place among those that wait.
-    pub index: usize,
+    /// Its slot's name.
+    pub key: SlotKey,
     /// Its entry holds its owed share already.
     pub lent: bool,
 }
@@ -26,62 +27,102 @@
 /// What a reservation is ordered by: less is served first.
 #[derive(Clone, Copy, PartialEq, PartialOrd, Debug)]
 struct Rank {
-    /// Its entry holds its owed share already, so what it gets is lent.
     lent: bool,
-    /// Its target can't be met any more.
-    late: bool,
-    /// Most of its prompt has to be computed.
-    fresh: bool,
+    group: Group,
     /// How many times its share its entry holds; 0 below the owed share.
     level: f64,
     /// When it is due, or when it came if it is late.
-    due: Duration,
+    at: Duration,
+}
+
+/// What an entry may have of an endpoint, and has.
+#[derive(Clone, Copy, PartialEq, Debug)]
+struct Share {
+    /// Slots that it is owed.
+    owed: f64,
+    /// Slots by which entries are compared.
+    weight: f64,
+    /// Slots that it holds.
+    used: f64,
+}
+
+impl Share {
+    fn of(ledger: &Ledger, view: &View, entry: EntryId) -> Share {
+        let share = view.entry(entry).map_or(0.0, |e| e.limits.owed);
+        let slots = f64::from(ledger.slots);
+        let weight = share.max(LEAST_SHARE) * slots;
+        Share { owed: share * slots, weight, used: f64::from(ledger.used_by(entry)) }
+    }
 }
 
 /// The reservation that gets the next free slot.
 #[must_use]
-pub fn next(ledger: &Ledger, view: &View, now: Now) -> Option<Choice> {
+pub fn next(ledger: &mut Ledger, view: &View, now: Now) -> Option<Choice> {
     if ledger.waiting.is_empty() || ledger.free() == 0 || now.mono < ledger.ready_at() {
         return None;
     }
-    let ranks = ledger.waiting.iter().map(|w| rank(ledger, view, w, now));
-    let best = ranks.enumerate().min_by(|(_, a), (_, b)| a.partial_cmp(b).expect("no NaN"))?;
-    let (index, rank) = best;
-    Some(Choice { index, lent: rank.lent })
+    ledger.waiting.note_late(now.mono);
+    let mut best: Option<(Rank, SlotKey)> = None;
+    for (entry, line) in ledger.waiting.lines() {
+        let Some((group, at, waiter)) = line.first() else { continue };
+        let share = Share::of(ledger, view, entry);
+        let lent = share.owed <= share.used;
+        let level = if lent { share.used / share.weight } else { 0.0 };
+        let rank = Rank { lent, group, level, at };
+        if best.is_none_or(|(other, _)| rank < other) {
+            best = Some((rank, waiter.key));
+        }
+    }
+    best.map(|(rank, key)| Choice { key, lent: rank.lent })
 }
 
-/// Takes out those that can't be served in the time they have, with the time they would wait.
+/// How long a reservation will wait, as far as can be told.
 #[must_use]
-pub fn take_hopeless(ledger: &mut Ledger, view: &View, now: Now) -> Vec<(Waiter, Duration)> {
-    let Some(pace) = ledger.pace else { return Vec::new() };
-    let mut ranked: Vec<_> =
-        ledger.waiting.iter().map(|w| (rank(ledger, view, w, now), w.key)).collect();
-    ranked.sort_by(|(a, _), (b, _)| a.partial_cmp(b).expect("no NaN"));
-    let mut hopeless = Vec::new();
-    let mut place = 0;
-    for (_, key) in ranked {
-        let Some(index) = ledger.waiting.iter().position(|w| w.key == key) else { continue };
-        let wait = pace * (place + 1);
-        if ledger.waiting[index].until < now.mono + wait {
-            hopeless.push((ledger.waiting.swap_remove(index), wait));
-        } else {
-            place += 1;
-        }
-    }
-    hopeless
+pub fn expected(ledger: &Ledger, view: &View, key: SlotKey) -> Option<Duration> {
+    let waiter = ledger.waiting.get(key)?;
+    let (group, ahead) = ledger.waiting.place(key)?;
+    let before = before(ledger, &ledger.waiting, view, waiter.entry, group, ahead);
+    Some(ledger.pace? * (1 + before))
 }
 
-fn rank(ledger: &Ledger, view: &View, waiter: &Waiter, now: Now) -> Rank {
-    let late = waiter.due < now.mono;
-    let due = if late { waiter.since } else { waiter.due };
-    let level = level(ledger, view, waiter.entry);
-    let fresh = waiter.sent < waiter.tokens.saturating_mul(CACHED);
-    Rank { lent: 0.0 < level, late, fresh, level, due }
+/// Takes out those that can't be served in the time they have, and tells how long a new one would
+/// wait behind all others.
+#[must_use]
+pub fn take_hopeless(ledger: &mut Ledger, view: &View, now: Now) -> (Vec<Waiter>, Duration) {
+    let Some(pace) = ledger.pace else { return Default::default() };
+    let mut waiting = std::mem::take(&mut ledger.waiting);
+    let hopeless = waiting.take(|waiting, waiter, group, ahead| {
+        let before = before(ledger, waiting, view, waiter.entry, group, ahead);
+        waiter.until < now.mono + pace * (1 + before)
+    });
+    ledger.waiting = waiting;
+    let behind = pace * (1 + ledger.waiting.len() as u32);
+    (hopeless, behind)
 }
 
-fn level(ledger: &Ledger, view: &View, entry: EntryId) -> f64 {
-    let share = view.entry(entry).map_or(0.0, |e| e.limits.owed);
-    let used = f64::from(ledger.used_by(entry));
-    let owed = share * f64::from(ledger.slots);
-    if used < owed { 0.0 } else { used / (share.max(LEAST_SHARE) * f64::from(ledger.slots)) }
+/// How many reservations are served before one that has `ahead` of its own entry before it.
+///
+/// Entries take turns by what they hold of their shares, so of each other entry only as many count as
+/// bring it to the same level.
+fn before(
+    ledger: &Ledger,
+    waiting: &Waiting,
+    view: &View,
+    entry: EntryId,
+    group: Group,
+    ahead: usize,
+) -> u32 {
+    let share = Share::of(ledger, view, entry);
+    let used = share.used + ahead as f64;
+    if used < share.owed {
+        return ahead as u32;
+    }
+    let level = used / share.weight;
+    let others = waiting.lines().filter(|(other, _)| *other != entry);
+    let turns = others.map(|(other, line)| {
+        let share = Share::of(ledger, view, other);
+        let turns = (level * share.weight - share.used).ceil().max(0.0);
+        turns.min(line.up_to(group) as f64)
+    });
+    ahead as u32 + turns.sum::<f64>() as u32
 }
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -39,12 +39,21 @@
     if ask.block != 0 && state.health.prefixes.has(ask.block, endpoint) {
         waiter.tokens = waiter.tokens.min(ask.sent.saturating_sub(ask.cached));
     }
-    match ledger.waiting.iter_mut().find(|w| w.key == key) {
-        Some(known) => *known = Waiter { since: known.since, ..waiter },
-        None => ledger.wait(waiter, now.mono),
-    }
+    ledger.wait(waiter, now.mono);
     serve(state, now, endpoint, out);
-    drop_hopeless(state, now, endpoint, out);
+    refuse_hopeless(state, now, key, out);
+}
+
+/// Denies a reservation that would not be served in the time it has.
+fn refuse_hopeless(state: &mut State, now: Now, key: SlotKey, out: &mut Vec<Effect>) {
+    let Some(ledger) = state.slots.ledgers.get_mut(&key.endpoint) else { return };
+    let Some(wait) = queue::expected(ledger, &state.view, key) else { return };
+    if ledger.waiting.get(key).is_none_or(|w| now.mono + wait <= w.until) {
+        return;
+    }
+    if let Some(waiter) = ledger.waiting.remove(key) {
+        deny(state, key, waiter.vm, DenyReason::Full, wait, out);
+    }
 }
 
 fn waiter(now: Now, key: SlotKey, vm: VmId, ask: &Reserve) -> Waiter {
@@ -129,7 +138,7 @@
     loop {
         let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
         let Some(choice) = queue::next(ledger, &state.view, now) else { break };
-        let waiter = ledger.waiting.swap_remove(choice.index);
+        let Some(waiter) = ledger.waiting.remove(choice.key) else { break };
         let lease = Lease {
             vm: waiter.vm,
             entry: waiter.entry,
@@ -187,7 +196,8 @@
 /// elsewhere, and their callers learn it now and not at the end of the wait.
 fn drop_hopeless(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
-    for (waiter, wait) in queue::take_hopeless(ledger, &state.view, now) {
+    let (hopeless, wait) = queue::take_hopeless(ledger, &state.view, now);
+    for waiter in hopeless {
         deny(state, waiter.key, waiter.vm, DenyReason::Full, wait, out);
     }
 }
@@ -197,11 +207,10 @@
     let endpoint = EndpointId(release.endpoint);
     let key = SlotKey { endpoint, request: RequestId(release.request), attempt: release.attempt };
     let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
-    let waited = ledger.waiting.len();
-    ledger.waiting.retain(|w| w.key != key);
-    let moved = ledger.waiting.len() < waited || ledger.end(key, now.mono).is_some();
+    let waited = !ledger.waiting.is_empty();
+    let moved = ledger.waiting.remove(key).is_some() || ledger.end(key, now.mono).is_some();
     if moved {
-        if 0 < waited {
+        if waited {
             ledger.note_move(now.mono);
         }
         serve(state, now, endpoint, out);
@@ -290,8 +299,8 @@
     let closed: Vec<_> =
         state.slots.ledgers.keys().filter(|e| !mine.contains(e)).copied().collect();
     for endpoint in closed {
-        let Some(ledger) = state.slots.ledgers.remove(&endpoint) else { continue };
-        for waiter in ledger.waiting {
+        let Some(mut ledger) = state.slots.ledgers.remove(&endpoint) else { continue };
+        for waiter in ledger.waiting.take(|_, _, _, _| true) {
             deny(state, waiter.key, waiter.vm, DenyReason::NotSteward, Duration::ZERO, out);
         }
     }
@@ -331,7 +340,7 @@
         out.push(Effect::Progress(Progress::Note { name: "slot_leases_expired", pairs }));
     }
     let is_over = |w: &Waiter| barred.is_some() || w.until <= now.mono;
-    let ended: Vec<_> = ledger.waiting.extract_if(.., |w| is_over(w)).collect();
+    let ended = ledger.waiting.take(|_, waiter, _, _| is_over(waiter));
     let retry = ledger.pace.unwrap_or_default();
     let reason = barred.unwrap_or(DenyReason::Full);
     for waiter in ended {
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -16,6 +16,7 @@
 mod slots;
 mod timers;
 mod view;
+mod waiting;
 
 use std::time::Duration;
 
@@ -30,7 +31,7 @@
     },
     health::{Health, Known, Lags},
     lag::Lag,
-    ledger::{Learning, Lease, Ledger, Seen, Waiter},
+    ledger::{Learning, Lease, Ledger, Seen},
     limits::LimitTable,
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
@@ -41,6 +42,7 @@
     slots::{OwnSlot, SlotKey, Slots},
     timers::{Timer, Timers},
     view::View,
+    waiting::{Group, Line, Waiter, Waiting},
 };
 use crate::{
     ids::{DataCentreId, VmId},
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ids::{EntryId, VmId},
-    state::SlotKey,
+    state::{SlotKey, Waiter, Waiting},
 };
 
 /// How long the ends of leases are remembered, to be compared with late reports.
@@ -41,27 +41,6 @@
     pub preempted: bool,
 }
 
-/// A reservation that waits.
-#[derive(Clone, PartialEq, Debug)]
-pub struct Waiter {
-    /// The slot's name.
-    pub key: SlotKey,
-    /// Who waits.
-    pub vm: VmId,
-    /// The entry whose share it would use.
-    pub entry: EntryId,
-    /// Tokens expected to be held.
-    pub tokens: u32,
-    /// Tokens whose KV cache leaves the endpoint afterwards.
-    pub sent: u32,
-    /// The grant that comes later than this misses the request's target.
-    pub due: Duration,
-    /// When it has waited long enough.
-    pub until: Duration,
-    /// When it came.
-    pub since: Duration,
-}
-
 /// What a steward that is new to an endpoint still has to hear.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Learning {
@@ -98,7 +77,7 @@
     /// Leases.
     pub leases: BTreeMap<SlotKey, Lease>,
     /// Reservations that wait.
-    pub waiting: Vec<Waiter>,
+    pub waiting: Waiting,
     /// Leases of each entry.
     pub used: BTreeMap<EntryId, u32>,
     /// Set while this steward is new.
@@ -163,7 +142,7 @@
         if self.waiting.is_empty() {
             self.moved = now;
         }
-        self.waiting.push(waiter);
+        self.waiting.insert(waiter, now);
     }
 
     /// Ends a lease.
--- /dev/null
+++ b/crates/basilbank_core/src/state/waiting.rs
@@ -0,0 +1,198 @@
+//! Reservations that wait at one endpoint, by entry and in the order in which each entry's are served.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use crate::{
+    ids::{EntryId, VmId},
+    state::SlotKey,
+};
+
+/// A prompt that takes this many times less prefill than its length says goes before others.
+const CACHED: u32 = 4;
+
+/// A reservation that waits.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Waiter {
+    /// The slot's name.
+    pub key: SlotKey,
+    /// Who waits.
+    pub vm: VmId,
+    /// The entry whose share it would use.
+    pub entry: EntryId,
+    /// Tokens expected to be held.
+    pub tokens: u32,
+    /// Tokens whose KV cache leaves the endpoint afterwards.
+    pub sent: u32,
+    /// The grant that comes later than this misses the request's target.
+    pub due: Duration,
+    /// When it has waited long enough.
+    pub until: Duration,
+    /// When it came.
+    pub since: Duration,
+}
+
+/// Groups of one entry's reservations; earlier ones are served first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Group {
+    /// In time, and most of the prompt is cached.
+    Cached,
+    /// In time.
+    InTime,
+    /// The target can't be met any more.
+    Late,
+}
+
+/// A reservation's place in its group: when it is due, or when it came if it is late; then by arrival.
+type Order = (Duration, u64);
+
+/// One entry's reservations.
+#[derive(Clone, PartialEq, Debug, Default)]
+pub struct Line {
+    groups: [BTreeMap<Order, Waiter>; 3],
+}
+
+/// All reservations that wait at one endpoint.
+#[derive(Clone, PartialEq, Debug, Default)]
+pub struct Waiting {
+    lines: BTreeMap<EntryId, Line>,
+    places: HashMap<SlotKey, (EntryId, Group, Order)>,
+    sequence: u64,
+}
+
+impl Waiting {
+    /// Adds a reservation, or replaces what was known of it.
+    pub fn insert(&mut self, mut waiter: Waiter, now: Duration) {
+        if let Some(known) = self.remove(waiter.key) {
+            waiter.since = known.since;
+        }
+        self.sequence += 1;
+        let group = group(&waiter, now);
+        self.put(waiter, group, self.sequence);
+    }
+
+    fn put(&mut self, waiter: Waiter, group: Group, sequence: u64) {
+        let at = if group == Group::Late { waiter.since } else { waiter.due };
+        let order = (at, sequence);
+        self.places.insert(waiter.key, (waiter.entry, group, order));
+        let line = self.lines.entry(waiter.entry).or_default();
+        line.groups[group as usize].insert(order, waiter);
+    }
+
+    /// Takes a reservation out.
+    pub fn remove(&mut self, key: SlotKey) -> Option<Waiter> {
+        let (entry, group, order) = self.places.remove(&key)?;
+        let line = self.lines.get_mut(&entry)?;
+        let waiter = line.groups[group as usize].remove(&order);
+        if line.is_empty() {
+            self.lines.remove(&entry);
+        }
+        waiter
+    }
+
+    /// Takes those out that a test picks, entry by entry in their order. The test is told the group
+    /// and how many of the entry's own are ahead.
+    pub fn take(&mut self, is_it: impl Fn(&Waiting, &Waiter, Group, usize) -> bool) -> Vec<Waiter> {
+        let mut keys = Vec::new();
+        for line in self.lines.values() {
+            let mut ahead = 0;
+            for (group, waiter) in line.iter() {
+                if is_it(self, waiter, group, ahead) {
+                    keys.push(waiter.key);
+                } else {
+                    ahead += 1;
+                }
+            }
+        }
+        keys.into_iter().filter_map(|key| self.remove(key)).collect()
+    }
+
+    /// Puts those whose target has passed behind the others of their entries.
+    pub fn note_late(&mut self, now: Duration) {
+        let mut late = Vec::new();
+        for line in self.lines.values() {
+            for group in [Group::Cached, Group::InTime] {
+                let passed = line.groups[group as usize].range(..(now, 0));
+                late.extend(passed.map(|(order, waiter)| (waiter.key, order.1)));
+            }
+        }
+        for (key, sequence) in late {
+            if let Some(waiter) = self.remove(key) {
+                self.put(waiter, Group::Late, sequence);
+            }
+        }
+    }
+
+    /// The entries that wait.
+    pub fn lines(&self) -> impl Iterator<Item = (EntryId, &Line)> {
+        self.lines.iter().map(|(entry, line)| (*entry, line))
+    }
+
+    /// How many of its own entry's a reservation would have ahead of it, and its group.
+    #[must_use]
+    pub fn place(&self, key: SlotKey) -> Option<(Group, usize)> {
+        let (entry, group, order) = self.places.get(&key)?;
+        let line = self.lines.get(entry)?;
+        let before: usize = line.groups[..*group as usize].iter().map(BTreeMap::len).sum();
+        let own = line.groups[*group as usize].range(..*order).count();
+        Some((*group, before + own))
+    }
+
+    /// A reservation.
+    #[must_use]
+    pub fn get(&self, key: SlotKey) -> Option<&Waiter> {
+        let (entry, group, order) = self.places.get(&key)?;
+        self.lines.get(entry)?.groups[*group as usize].get(order)
+    }
+
+    /// How many wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+}
+
+impl Line {
+    /// All of them, in order.
+    pub fn iter(&self) -> impl Iterator<Item = (Group, &Waiter)> {
+        let groups = [Group::Cached, Group::InTime, Group::Late];
+        let each = groups.into_iter().zip(&self.groups);
+        each.flat_map(|(group, waiters)| waiters.values().map(move |w| (group, w)))
+    }
+
+    /// The first one, and what it is ordered by within its group.
+    #[must_use]
+    pub fn first(&self) -> Option<(Group, Duration, &Waiter)> {
+        let groups = [Group::Cached, Group::InTime, Group::Late];
+        let mut firsts = groups.into_iter().zip(&self.groups);
+        firsts.find_map(|(group, w)| w.first_key_value().map(|(order, w)| (group, order.0, w)))
+    }
+
+    /// How many are in a group or in one before it.
+    #[must_use]
+    pub fn up_to(&self, group: Group) -> usize {
+        self.groups[..=group as usize].iter().map(BTreeMap::len).sum()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.groups.iter().all(BTreeMap::is_empty)
+    }
+}
+
+fn group(waiter: &Waiter, now: Duration) -> Group {
+    if waiter.due < now {
+        Group::Late
+    } else if waiter.tokens.saturating_mul(CACHED) <= waiter.sent {
+        Group::Cached
+    } else {
+        Group::InTime
+    }
+}
