--- a/crates/basilbank_standin/src/lib.rs
+++ b/crates/basilbank_standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! assert_eq!(expected_answer("two oak worktops", 3).len(), 3);
 //! ```
 
+mod client;
 mod engine;
 mod faults;
 mod http;
@@ -18,15 +19,18 @@
 mod platform;
 mod prefix;
 mod queue;
+mod site;
 mod spec;
 mod stream;
 mod text;
 
 pub use self::{
+    client::{Client, DraftStream, WholeDraft, chat_prompt},
     engine::{Engine, EngineCounters},
     faults::Faults,
     plain::{PlainService, Run},
     platform::{Platform, PlatformCounters, PlatformFaults, Vm},
+    site::{ADMIN_KEY, CALLER_KEY, ENTRY, Site, SiteSpec},
     spec::{EngineSpec, Role},
     text::{expected_answer, prefix_blocks},
 };
--- a/crates/basilbank_standin/src/stream.rs
+++ b/crates/basilbank_standin/src/stream.rs
@@ -20,6 +20,8 @@
     pub(crate) request: String,
     pub(crate) attempt: u32,
     pub(crate) texts: Vec<String>,
+    /// When each of them was generated.
+    pub(crate) times: Vec<Instant>,
     pub(crate) done: Option<&'static str>,
     /// Number of its latest reader; earlier ones are cut off.
     pub(crate) reader: u64,
@@ -35,7 +37,7 @@
     /// New tokens.
     Texts(Vec<String>),
     /// The end.
-    Done(&'static str),
+    Done { reason: &'static str, tokens: usize },
     /// Nothing yet.
     Nothing,
 }
@@ -61,7 +63,8 @@
             self.read_at = Instant::now();
             return Some(Found::Texts(self.texts[offset..].to_vec()));
         }
-        Some(self.done.map_or(Found::Nothing, Found::Done))
+        let tokens = self.texts.len();
+        Some(self.done.map_or(Found::Nothing, |reason| Found::Done { reason, tokens }))
     }
 }
 
