The thin path runs: a daemon between callers, platform and endpoints

Cause: everything else is measured on a running path. Change: Daemon with its event loop, inbox, worker pool, engines' protocol over ureq, platform reads, health and status for operators, logs, and basilbankd with signals. Peers are bound but say nothing yet.

--- /dev/null
+++ b/crates/basilbank/src/engine/plain.rs
@@ -0,0 +1,136 @@
+//! Calls to plain services.
+
+use std::time::Duration;
+
+use basilbank_core::{
+    event::{EngineEvent, Failure},
+    ids::{AttemptKey, CallerId, EndpointId, RequestId},
+};
+use bytes::Bytes;
+use ureq::{
+    Body, SendBody,
+    http::{HeaderMap, Method, Request, Response, header},
+};
+
+use crate::{
+    callers::{HeldPlain, PlainAnswer},
+    engine::{Worker, agent},
+};
+
+/// The header by which a plain service proves that nothing was run.
+const NOT_RUN: &str = "x-not-run";
+
+/// Headers of one connection, which a proxy must not pass on.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// A call to a plain service.
+#[derive(Clone, Copy, Debug)]
+pub struct PlainCall {
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// The caller.
+    pub caller: CallerId,
+    /// The request.
+    pub request: RequestId,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Give up after this.
+    pub timeout: Duration,
+}
+
+impl Worker {
+    /// Makes the call and keeps its answer for the core to dispose of.
+    pub fn plain(&self, call: &PlainCall) {
+        if !self.attempts.is_live(call.attempt) {
+            return;
+        }
+        let answer = match self.run_plain(call) {
+            Ok(answer) => answer,
+            Err(failure) => return self.fail(call.attempt, failure),
+        };
+        let (attempt, status) = (call.attempt, answer.status);
+        self.callers.hold_answer(attempt, answer);
+        if self.attempts.take(attempt).is_some() {
+            self.send(EngineEvent::Answered { attempt, status });
+        } else {
+            self.callers.drop_answer(attempt);
+        }
+    }
+
+    fn run_plain(&self, call: &PlainCall) -> Result<PlainAnswer, Failure> {
+        let held = self.callers.plain(call.caller).ok_or(Failure::Unreachable)?;
+        let base = self.base(call.endpoint).ok_or(Failure::Unreachable)?;
+        let request = self.request(&held, &base, call).ok_or(Failure::Unreachable)?;
+        let mut response = self.send_plain(request, &held.body).map_err(|e| agent::failure(&e))?;
+        if response.status() == 503 && is_not_run(response.headers()) {
+            return Err(Failure::Full);
+        }
+        let limit = u64::try_from(self.config.answer).unwrap_or(u64::MAX);
+        let body = response.body_mut().with_config().limit(limit).read_to_vec();
+        let body = body.map_err(|_| Failure::Broken)?;
+        Ok(answer(&response, body))
+    }
+
+    fn request(&self, held: &HeldPlain, base: &str, call: &PlainCall) -> Option<Request<()>> {
+        let request = Request::builder();
+        let mut request =
+            request.method(held.method.as_str()).uri(format!("{base}{}", held.target));
+        for (name, value) in &held.headers {
+            // The length is the client's to say, and it must not wait for a `100 Continue`.
+            if !name.eq_ignore_ascii_case("content-length") && !name.eq_ignore_ascii_case("expect")
+            {
+                request = request.header(name, value.as_ref());
+            }
+        }
+        request = request.header("x-request-id", call.request.to_string());
+        let request = request.body(()).ok()?;
+        let config = self.agent.configure_request(request);
+        let config = config.timeout_per_read(Some(call.timeout));
+        Some(config.timeout_global(Some(call.timeout)).build())
+    }
+
+    fn send_plain(
+        &self,
+        request: Request<()>,
+        body: &Bytes,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let takes_body = matches!(*request.method(), Method::POST | Method::PUT | Method::PATCH);
+        if body.is_empty() && !takes_body {
+            return self.agent.run(request);
+        }
+        let request =
+            request.map(|()| SendBody::from_owned_reader(std::io::Cursor::new(body.clone())));
+        self.agent.run(request)
+    }
+}
+
+fn is_not_run(headers: &HeaderMap) -> bool {
+    headers.get(NOT_RUN).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"true"))
+}
+
+fn answer(response: &Response<Body>, body: Vec<u8>) -> PlainAnswer {
+    let named = connection_headers(response.headers());
+    let passed = response.headers().iter().filter(|(name, _)| {
+        let name = name.as_str();
+        !HOP_BY_HOP.contains(&name) && !named.iter().any(|n| n == name)
+    });
+    let headers = passed
+        .map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())))
+        .collect();
+    PlainAnswer { status: response.status().as_u16(), headers, body: body.into() }
+}
+
+/// Headers that the service named as its connection's own.
+fn connection_headers(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    values.flat_map(|v| v.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect()
+}
--- /dev/null
+++ b/crates/basilbank/src/logs.rs
@@ -0,0 +1,135 @@
+//! Logs: one line of key=value pairs for each event.
+//!
+//! A request's id stands in all its lines as `request`. Keys, prompts and answers never do: the
+//! core's reports carry none.
+
+use std::{
+    fmt::{Display, Write},
+    fs::OpenOptions,
+    time::Duration,
+};
+
+use anyhow::Context;
+use basilbank_config::LogSettings;
+use basilbank_core::effect::Progress;
+use log::LevelFilter;
+use simplelog::{ConfigBuilder, WriteLogger};
+
+/// Starts the process's logger.
+///
+/// # Errors
+/// The file can't be opened, the level is unknown, or a logger was started before.
+pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
+    let level: LevelFilter = settings.level.parse().context("log level")?;
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        // The libraries' own lines are not key=value pairs, and may carry headers.
+        .add_filter_allow_str("basilbank")
+        .build();
+    match &settings.file {
+        Some(path) => {
+            let file =
+                OpenOptions::new().create(true).append(true).open(path).context("log file")?;
+            WriteLogger::init(level, config, file)?;
+        }
+        None => WriteLogger::init(level, config, std::io::stderr())?,
+    }
+    Ok(())
+}
+
+/// One line: pairs in the order in which they were added.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Line(String);
+
+impl Line {
+    /// A line for an event.
+    #[must_use]
+    pub fn new(event: &str) -> Line {
+        Line(format!("event={event}"))
+    }
+
+    /// Adds a pair. A value with blanks, quotes or control characters is quoted, so that no value
+    /// can pass for another pair or another line.
+    #[must_use]
+    pub fn with(mut self, key: &str, value: impl Display) -> Line {
+        let value = value.to_string();
+        let plain = !value.is_empty() && value.chars().all(is_plain);
+        let written = match plain {
+            true => write!(self.0, " {key}={value}"),
+            false => write!(self.0, " {key}={value:?}"),
+        };
+        debug_assert!(written.is_ok(), "a string takes all that is written");
+        self
+    }
+
+    /// Adds a duration in milliseconds.
+    #[must_use]
+    pub fn with_ms(self, key: &str, value: Duration) -> Line {
+        self.with(key, format_args!("{:.3}", value.as_secs_f64() * 1e3))
+    }
+}
+
+impl Display for Line {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn is_plain(c: char) -> bool {
+    !c.is_whitespace() && !c.is_control() && !matches!(c, '"' | '=' | '\\')
+}
+
+/// The line for a report of the core.
+#[must_use]
+pub fn line(progress: &Progress) -> Line {
+    match progress {
+        Progress::Accepted { request, team, entry } => {
+            Line::new("accepted").with("request", request).with("team", team).with("entry", entry)
+        }
+        Progress::Queued { request } => Line::new("queued").with("request", request),
+        Progress::Placed { request, endpoint, role, waited } => Line::new("placed")
+            .with("request", request)
+            .with("endpoint", endpoint)
+            .with("role", role)
+            .with_ms("waited_ms", *waited),
+        Progress::Refused { request, team, refusal } => {
+            let mut line = Line::new("refused");
+            if let Some(request) = request {
+                line = line.with("request", request);
+            }
+            if let Some(team) = team {
+                line = line.with("team", team);
+            }
+            line.with("reason", refusal.as_str())
+        }
+        Progress::Retried { request, retry, backoff } => Line::new("retried")
+            .with("request", request)
+            .with("reason", retry.as_str())
+            .with_ms("backoff_ms", *backoff),
+        Progress::FirstToken { request, entry, ttft } => Line::new("first_token")
+            .with("request", request)
+            .with("entry", entry)
+            .with_ms("ttft_ms", *ttft),
+        Progress::Wasted { request, waste, prefill, tokens } => Line::new("wasted")
+            .with("request", request)
+            .with("reason", waste.as_str())
+            .with_ms("prefill_ms", *prefill)
+            .with("tokens", tokens),
+        Progress::Settled { request, team, entry, outcome, took, prompt, generated, tbt } => {
+            Line::new("settled")
+                .with("request", request)
+                .with("team", team)
+                .with("entry", entry)
+                .with("outcome", outcome.as_str())
+                .with_ms("took_ms", *took)
+                .with("prompt", prompt)
+                .with("generated", generated)
+                .with_ms("tbt_ms", *tbt)
+        }
+        Progress::Note { name, pairs } => {
+            pairs.iter().fold(Line::new(name), |line, (key, value)| line.with(key, value))
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilbankd/src/signals.rs
@@ -0,0 +1,39 @@
+//! SIGTERM and SIGINT.
+
+use std::{io, process, thread};
+
+use basilbank::{Daemon, Shutdown, logs};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+
+/// Exit code after a second signal.
+const CUT: i32 = 1;
+
+/// Shuts the daemon down on the first signal, and ends the process on the second.
+///
+/// # Errors
+/// The signals can't be caught.
+pub fn watch(daemon: &Daemon) -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let shutdown = daemon.handle();
+    let serve = move || {
+        let mut caught = signals.forever();
+        if caught.next().is_some() {
+            log::info!("{}", logs::Line::new("shutdown"));
+            shutdown.start();
+        }
+        if caught.next().is_some() {
+            cut(&shutdown);
+        }
+    };
+    thread::Builder::new().name("signals".to_owned()).spawn(serve)?;
+    Ok(())
+}
+
+fn cut(shutdown: &Shutdown) -> ! {
+    let line = logs::Line::new("cut").with("requests", shutdown.in_progress());
+    log::error!("{line}");
+    process::exit(CUT)
+}
