Notice every caller that leaves, and tests over real sockets

Cause: hyper stops looking for a caller's end once it has read a byte beyond the request; a caller that vanished without closing, or that stops reading, was not noticed at all.

--- a/crates/basilbank/src/callers.rs
+++ b/crates/basilbank/src/callers.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod chunk;
+mod closing;
 mod config;
 mod connection;
 mod cursor;
--- /dev/null
+++ b/crates/basilbank/src/callers/closing.rs
@@ -0,0 +1,44 @@
+//! How a connection is closed so that its caller can read what was written.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+/// How long a closing connection is read from, and how many bytes, until its caller closes it too.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 4 << 20;
+
+/// Writes a last message, then closes the connection.
+pub async fn reject(mut stream: TcpStream, message: &[u8]) {
+    if let Ok(Ok(())) = timeout(LINGER, stream.write_all(message)).await {
+        linger(stream).await;
+    }
+}
+
+/// Closes the connection.
+///
+/// To close a socket with bytes unread resets the connection, and the reset can overtake the answer:
+/// a caller that still sends its too large body would see a broken connection in place of the 413. So
+/// this end is closed for writing first, and what still comes is read and dropped.
+pub async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    // Either way the connection ends now.
+    let _ = timeout(LINGER, drain(&mut stream)).await;
+}
+
+async fn drain(stream: &mut TcpStream) {
+    let mut buffer = [0; 4096];
+    let mut total = 0;
+    while total < LINGER_BYTES {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(read) => total += read,
+        }
+    }
+}
--- a/crates/basilbank/src/callers/server.rs
+++ b/crates/basilbank/src/callers/server.rs
@@ -12,16 +12,17 @@
     net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
     sync::{Semaphore, watch},
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
 use super::{
+    closing::reject,
     config::ServerConfig,
     connection,
     error::{ApiError, EdgeRefusal},
     registry::Callers,
     service::Api,
-    socket::Socket,
 };
 
 const THREADS: usize = 2;
@@ -39,6 +40,7 @@
     closing: watch::Sender<bool>,
     permits: Arc<Semaphore>,
     connections: u32,
+    accepting: JoinHandle<()>,
     runtime: Runtime,
 }
 
@@ -66,8 +68,8 @@
         let permits = Arc::new(Semaphore::new(connections as usize));
         let (closing, closed) = watch::channel(false);
         let api = Arc::new(Api::new(config, events, callers, closed.clone()));
-        runtime.spawn(accept(listener, api, Arc::clone(&permits), closed));
-        Ok(Server { address, closing, permits, connections, runtime })
+        let accepting = runtime.spawn(accept(listener, api, Arc::clone(&permits), closed));
+        Ok(Server { address, closing, permits, connections, accepting, runtime })
     }
 
     /// Where it listens.
@@ -84,8 +86,13 @@
     /// Shuts down and waits, without limit, until all connections have ended.
     pub fn wait(self) {
         self.shutdown();
-        // The permits come back as connections end. The semaphore is never closed.
-        let _ = self.runtime.block_on(self.permits.acquire_many(self.connections));
+        let Server { permits, connections, accepting, runtime, .. } = self;
+        runtime.block_on(async {
+            // A panic there leaves nothing to wait for. The permits come back as connections end, and
+            // the semaphore is never closed.
+            let _ = accepting.await;
+            let _ = permits.acquire_many(connections).await;
+        });
     }
 }
 
@@ -99,7 +106,7 @@
     let serve = |stream: TcpStream| {
         let (api, closing) = (Arc::clone(&api), closing.clone());
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            reject(stream, api, &rejections);
+            turn_away(stream, &api, &rejections);
             return;
         };
         tokio::spawn(async move {
@@ -128,15 +135,14 @@
 }
 
 /// Tells a caller that there are too many connections.
-fn reject(stream: TcpStream, api: Arc<Api>, rejections: &Arc<Semaphore>) {
+fn turn_away(stream: TcpStream, api: &Arc<Api>, rejections: &Arc<Semaphore>) {
     let id = api.edge_id();
     let refusal = EdgeRefusal::Connections;
     api.count(refusal.as_str(), &id);
     let Ok(permit) = Arc::clone(rejections).try_acquire_owned() else { return };
     tokio::spawn(async move {
         let error = ApiError::edge(refusal).with_after(Duration::from_secs(1));
-        let mut socket = Socket::new(stream, api.config.write_timeout);
-        socket.reject(&error.raw_response(&id)).await;
+        reject(stream, &error.raw_response(&id)).await;
         drop(permit);
     });
 }
--- a/crates/basilbank/src/callers/socket.rs
+++ b/crates/basilbank/src/callers/socket.rs
@@ -1,74 +1,121 @@
-//! A caller's socket, with a time limit on its reading.
+//! A caller's socket, and the watch on whether the caller is still there.
 
 use std::{
     future::Future,
     io::{self, ErrorKind},
     pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, ready},
     time::Duration,
 };
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::{Sleep, sleep, timeout},
+    time::{Sleep, sleep},
 };
 
-/// How long a closing connection is read from, and how many bytes, until its caller closes it too.
-const LINGER: Duration = Duration::from_secs(1);
-const LINGER_BYTES: usize = 4 << 20;
+/// Bytes read ahead of hyper. Beyond them a caller's end is noticed only when hyper reads on.
+const AHEAD: usize = 16 << 10;
+/// Silence before a caller's system is asked whether it is still there, and time between questions.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// A socket whose writes fail when the caller takes nothing for a while.
-///
-/// A caller that stays connected but does not read would otherwise hold its connection, and what
-/// waits for it, for ever: TCP itself never gives up on a closed receive window. It would show as
-/// connections that stay open long after their requests were settled.
 #[derive(Debug)]
-pub struct Socket {
+struct Shared {
     stream: TcpStream,
     timeout: Duration,
     stalled: Option<Pin<Box<Sleep>>>,
+    ahead: Vec<u8>,
+    ended: bool,
+    end_seen: bool,
 }
 
-impl Socket {
-    /// Wraps a connection. Tokens are sent at once, not collected by Nagle's algorithm.
-    #[must_use]
-    pub fn new(stream: TcpStream, timeout: Duration) -> Socket {
-        // Without the option tokens only come a little later.
-        let _ = stream.set_nodelay(true);
-        Socket { stream, timeout, stalled: None }
-    }
+/// hyper's end of a connection.
+///
+/// Writes fail when the caller takes nothing for a while. A caller that stays connected but does not
+/// read would otherwise hold its connection, and what waits for it, for ever: TCP itself never gives
+/// up on a closed receive window. It would show as connections that stay open long after their
+/// requests were settled.
+#[derive(Debug)]
+pub struct Socket(Arc<Mutex<Shared>>);
+
+/// The connection task's end of a connection.
+///
+/// hyper looks for a caller's end while a request is in progress, but not once it has read bytes
+/// beyond that request: one more line break after the body is enough. The caller could then leave a
+/// queued request unnoticed, and the request would run for nobody. So the task reads ahead of hyper
+/// into a small buffer of its own and sees the end all the same.
+#[derive(Debug)]
+pub struct Watch(Arc<Mutex<Shared>>);
+
+/// What was found by reading ahead.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ahead {
+    /// There are more bytes.
+    Data,
+    /// The caller has closed its end, or the connection is broken.
+    End,
+}
+
+/// Both ends of a connection.
+#[must_use]
+pub fn split(stream: TcpStream, timeout: Duration) -> (Socket, Watch) {
+    // Without these options the connection works, but tokens come later, and a caller whose system
+    // vanished is noticed only by the kernel's default times.
+    let _ = set_options(&stream, timeout);
+    let shared =
+        Shared { stream, timeout, stalled: None, ahead: Vec::new(), ended: false, end_seen: false };
+    let shared = Arc::new(Mutex::new(shared));
+    (Socket(Arc::clone(&shared)), Watch(shared))
+}
+
+/// Sends tokens at once instead of collecting them by Nagle's algorithm, and lets the kernel find
+/// callers that vanish without closing their connection, such as a phone that lost its network.
+fn set_options(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)?;
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(timeout))?;
+    Ok(())
+}
 
-    /// Writes a last message, then closes the connection.
-    pub async fn reject(&mut self, message: &[u8]) {
-        if self.write_all(message).await.is_ok() {
-            self.linger().await;
+impl Watch {
+    /// Reads ahead of hyper. After `Data`, hyper must be polled again: it may wait for these bytes.
+    pub fn poll_ahead(&self, cx: &mut Context<'_>) -> Poll<Ahead> {
+        let mut shared = lock(&self.0);
+        if shared.ended || AHEAD <= shared.ahead.len() {
+            return Poll::Pending;
         }
+        let mut bytes = [0; 4096];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        let read = ready!(Pin::new(&mut shared.stream).poll_read(cx, &mut buffer));
+        if read.is_err() || buffer.filled().is_empty() {
+            shared.ended = true;
+            return Poll::Ready(Ahead::End);
+        }
+        shared.ahead.extend(buffer.filled());
+        Poll::Ready(Ahead::Data)
     }
 
-    /// Closes the connection so that the caller can read what was written.
-    ///
-    /// To close a socket with bytes unread resets the connection, and the reset can overtake the
-    /// answer: a caller that still sends its too large body would see a broken connection in place of
-    /// the 413. So this end is closed for writing first, and what still comes is read and dropped.
-    pub async fn linger(&mut self) {
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let drain = async {
-            let mut buffer = [0; 4096];
-            let mut total = 0;
-            while total < LINGER_BYTES {
-                match self.stream.read(&mut buffer).await {
-                    Ok(0) | Err(_) => return,
-                    Ok(read) => total += read,
-                }
-            }
-        };
-        // Either way the connection ends now.
-        let _ = timeout(LINGER, drain).await;
+    /// Whether hyper knows that the caller has closed its end.
+    #[must_use]
+    pub fn end_seen(&self) -> bool {
+        lock(&self.0).end_seen
     }
 
+    /// The connection, once hyper's end is dropped.
+    #[must_use]
+    pub fn into_stream(self) -> Option<TcpStream> {
+        let shared = Arc::into_inner(self.0)?;
+        Some(shared.into_inner().unwrap_or_else(PoisonError::into_inner).stream)
+    }
+}
+
+impl Shared {
     fn watch(
         &mut self,
         cx: &mut Context<'_>,
@@ -78,51 +125,75 @@
             self.stalled = None;
             return written;
         }
-        let limit = self.timeout;
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
+        let timeout = self.timeout;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(timeout)));
         ready!(stalled.as_mut().poll(cx));
         Poll::Ready(Err(ErrorKind::TimedOut.into()))
     }
+
+    fn take_ahead(&mut self, buffer: &mut ReadBuf<'_>) {
+        let count = self.ahead.len().min(buffer.remaining());
+        buffer.put_slice(&self.ahead[..count]);
+        self.ahead.drain(..count);
+    }
 }
 
 impl AsyncRead for Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let mut shared = lock(&self.0);
+        if !shared.ahead.is_empty() {
+            shared.take_ahead(buffer);
+            return Poll::Ready(Ok(()));
+        }
+        if !shared.ended {
+            let before = buffer.filled().len();
+            ready!(Pin::new(&mut shared.stream).poll_read(cx, buffer))?;
+            shared.ended = buffer.filled().len() == before;
+        }
+        shared.end_seen = shared.ended;
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Socket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
-        self.watch(cx, written)
+        let mut shared = lock(&self.0);
+        let written = Pin::new(&mut shared.stream).poll_write(cx, bytes);
+        shared.watch(cx, written)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
-        self.watch(cx, written)
+        let mut shared = lock(&self.0);
+        let written = Pin::new(&mut shared.stream).poll_write_vectored(cx, slices);
+        shared.watch(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut lock(&self.0).stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut lock(&self.0).stream).poll_shutdown(cx)
     }
 }
+
+/// Only one task uses both ends, so the lock is never waited for. A panic leaves it whole.
+fn lock(shared: &Mutex<Shared>) -> MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/basilbank/tests/callers_http/client.rs
+++ b/crates/basilbank/tests/callers_http/client.rs
@@ -9,7 +9,7 @@
 
 /// One connection.
 pub struct Client {
-    pub reader: BufReader<TcpStream>,
+    reader: BufReader<TcpStream>,
 }
 
 /// Status and headers.
@@ -39,10 +39,15 @@
 
     /// Posts a body with the key `key-a`; `headers` are whole lines.
     pub fn post(&mut self, path: &str, headers: &str, body: &str) {
+        self.post_with(path, headers, body, "");
+    }
+
+    /// Posts a body, followed by bytes that do not belong to it, in one write.
+    pub fn post_with(&mut self, path: &str, headers: &str, body: &str, beyond: &str) {
         let length = body.len();
         self.send(&format!(
             "POST {path} HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n{headers}\
-             Content-Length: {length}\r\n\r\n{body}"
+             Content-Length: {length}\r\n\r\n{body}{beyond}"
         ));
     }
 
--- a/crates/basilbank/tests/callers_http/edge.rs
+++ b/crates/basilbank/tests/callers_http/edge.rs
@@ -16,6 +16,13 @@
 
 /// Ends a wait for what never comes.
 pub const LIMIT: Duration = Duration::from_secs(20);
+/// The id that [`Edge::accept`] gives.
+pub const REQUEST: &str = "0000000000000001";
+/// A chat that wants its answer in one piece.
+pub const WHOLE: &str = r#"{"model": "writer", "messages": [{"role": "user", "content": "hi"}]}"#;
+/// A chat that wants its answer token by token.
+pub const STREAM: &str =
+    r#"{"model": "writer", "stream": true, "messages": [{"role": "user", "content": "hi"}]}"#;
 
 struct FixedClock;
 
@@ -34,7 +41,7 @@
     pub refused: Arc<Mutex<Vec<&'static str>>>,
 }
 
-/// A default configuration on a free port, with one team whose key is `key-a`.
+/// A default configuration on a free port.
 pub fn config() -> ServerConfig {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     ServerConfig::new(address, b"shared by all daemons", Arc::new(FixedClock))
@@ -55,6 +62,11 @@
         Client::connect(self.server.address())
     }
 
+    /// What was refused at the edge so far.
+    pub fn refused(&self) -> Vec<&'static str> {
+        self.refused.lock().unwrap().clone()
+    }
+
     /// The next call.
     pub fn arrived(&self) -> Call {
         match self.events.recv_timeout(LIMIT) {
@@ -71,6 +83,14 @@
         }
     }
 
+    /// Posts a chat and accepts it.
+    pub fn begin(&self, client: &mut Client, body: &str) -> CallerId {
+        client.post("/v1/chat/completions", "", body);
+        let caller = self.arrived().caller;
+        self.accept(caller);
+        caller
+    }
+
     pub fn say(&self, caller: CallerId, answer: Answer) {
         assert_eq!(self.callers.answer(caller, answer), Delivery::Sent);
     }
@@ -80,6 +100,11 @@
         self.say(caller, Answer::Accepted { request: RequestId(1), entry: EntryId::of("writer") });
     }
 
+    pub fn locate(&self, caller: CallerId, stream: &str, base: i64) {
+        let (endpoint, stream) = (EndpointId::of("decode-1"), stream.to_owned());
+        self.say(caller, Answer::Located { endpoint, stream, base });
+    }
+
     pub fn token(&self, caller: CallerId, offset: u32, text: &str) {
         self.say(caller, Answer::Tokens { offset, texts: vec![text.to_owned()] });
     }
--- /dev/null
+++ b/crates/basilbank/tests/callers_http/limits.rs
@@ -0,0 +1,110 @@
+//! Limits of sizes, times and numbers.
+
+use std::time::Duration;
+
+use basilbank_config::ApiLimits;
+
+use crate::edge::{Edge, WHOLE, config};
+
+fn limited(change: impl Fn(&mut ApiLimits)) -> Edge {
+    let mut limits = ApiLimits::default();
+    change(&mut limits);
+    Edge::start(config().with_limits(limits))
+}
+
+/// Symptom: a few slow clients take all connections. Sequence: one caller sends half a header and
+/// then nothing; others call meanwhile. Cause: no limit on the time for headers, or one that holds up
+/// other connections.
+#[test]
+fn a_slow_header_is_cut_off_while_others_are_served() {
+    let edge = limited(|l| l.header_timeout = Duration::from_millis(200));
+    let mut slow = edge.client();
+    slow.send("POST /v1/chat/completions HTTP/1.1\r\nHost: te");
+    for _ in 0..5 {
+        let mut client = edge.client();
+        let caller = edge.begin(&mut client, WHOLE);
+        edge.done(caller, 0);
+        assert_eq!(client.head().status, 200);
+    }
+    let head = slow.head();
+    assert_eq!((head.status, head.get("connection")), (408, Some("close")));
+    assert_eq!(head.get("x-outcome"), Some("not-run"));
+    assert!(slow.body(&head).contains(r#""code":"slow_header""#));
+    assert!(slow.is_closed());
+    assert_eq!(edge.refused(), ["slow_header"]);
+}
+
+#[test]
+fn an_idle_connection_is_closed_without_a_word() {
+    let edge = limited(|l| l.header_timeout = Duration::from_millis(100));
+    let mut client = edge.client();
+    let caller = edge.begin(&mut client, WHOLE);
+    edge.done(caller, 0);
+    let head = client.head();
+    client.body(&head);
+    client.send("\r\n");
+    assert!(client.is_closed());
+    assert_eq!(edge.refused(), [""; 0]);
+}
+
+#[test]
+fn a_slow_body_is_cut_off() {
+    let edge = limited(|l| l.body_timeout = Duration::from_millis(100));
+    let mut client = edge.client();
+    client.send("POST /v1/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n");
+    client.send("Content-Length: 50\r\n\r\n{");
+    let head = client.head();
+    assert_eq!(head.status, 408);
+    assert!(client.body(&head).contains(r#""code":"slow_body""#));
+    assert!(client.is_closed());
+    assert_eq!(edge.refused(), ["slow_body"]);
+}
+
+/// Symptom: the caller sees a broken connection and can't know why. Sequence: it sends a body over
+/// the limit and reads the answer only then. Cause: a server that closes its socket with bytes
+/// unread, which resets the connection before the answer was read.
+#[test]
+fn an_oversized_body_is_refused_while_it_is_sent() {
+    let edge = limited(|l| l.body = 1000);
+    let mut client = edge.client();
+    client.post("/v1/completions", "", &"x".repeat(2 << 20));
+    let head = client.head();
+    assert_eq!(head.status, 413);
+    assert!(client.body(&head).contains(r#""code":"too_large""#));
+    let mut client = edge.client();
+    client.send("POST /v1/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n");
+    client.send("Transfer-Encoding: chunked\r\n\r\n7d0\r\n");
+    client.send(&"x".repeat(2000));
+    assert_eq!(client.head().status, 413);
+    assert_eq!(edge.refused(), ["too_large"; 2]);
+}
+
+#[test]
+fn oversized_headers_are_refused() {
+    let edge = limited(|l| l.headers = 1000);
+    let mut client = edge.client();
+    client.post("/v1/completions", &format!("X-Long: {}\r\n", "x".repeat(1000)), "{}");
+    let head = client.head();
+    assert_eq!(head.status, 431);
+    assert!(client.body(&head).contains(r#""code":"headers_too_large""#));
+    let mut client = edge.client();
+    client.post("/v1/completions", &format!("X-Long: {}\r\n", "x".repeat(5000)), "{}");
+    assert_eq!(client.head().status, 431);
+    assert!(client.is_closed());
+    assert_eq!(edge.refused(), ["headers_too_large"; 2]);
+}
+
+#[test]
+fn connections_over_the_limit_are_told_so() {
+    let edge = limited(|l| l.connections = 1);
+    let mut first = edge.client();
+    let caller = edge.begin(&mut first, WHOLE);
+    let mut second = edge.client();
+    let head = second.head();
+    assert_eq!((head.status, head.get("retry-after")), (503, Some("1")));
+    assert!(second.body(&head).contains(r#""code":"connections""#));
+    assert!(second.is_closed());
+    edge.done(caller, 0);
+    assert_eq!(first.head().status, 200);
+    assert_eq!(edge.refused(), ["connections"]);
+}
--- a/crates/basilbank/tests/callers_http/main.rs
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -4,6 +4,13 @@
 //! place of a hang.
 
 mod client;
+mod cursors;
 mod edge;
+mod leaving;
+mod limits;
+mod models;
+mod plain;
 mod refusals;
+mod shutdown;
 mod streams;
+mod whole;
--- /dev/null
+++ b/crates/basilbank/tests/callers_http/shutdown.rs
@@ -0,0 +1,64 @@
+//! A graceful end.
+
+use std::net::TcpStream;
+
+use basilbank_core::prelude::*;
+
+use crate::edge::{Edge, STREAM, WHOLE, config};
+
+/// Symptom: a caller's answer is cut by an update. Sequence: a stream is open; the daemon is told to
+/// end; more tokens come. Cause: a server that closes its connections.
+#[test]
+fn an_open_stream_is_finished() {
+    let edge = Edge::start(config());
+    let mut client = edge.client();
+    let caller = edge.begin(&mut client, STREAM);
+    edge.token(caller, 0, "a");
+    client.head();
+    client.chunk().unwrap();
+    edge.server.shutdown();
+    edge.token(caller, 1, "b");
+    assert!(client.chunk().unwrap().contains("\"b\""));
+    edge.done(caller, 2);
+    assert!(client.chunk().unwrap().contains("finish_reason"));
+    assert_eq!(client.chunk().unwrap(), "data: [DONE]\n\n");
+    assert_eq!(client.chunk(), None);
+    assert!(client.is_closed());
+    let address = edge.server.address();
+    edge.server.wait();
+    assert!(TcpStream::connect(address).is_err());
+}
+
+/// Symptom: a caller's call ends in a broken connection, and it can't know whether it ran. Sequence:
+/// it has connected, the daemon is told to end, then it calls. Cause: a server that closes a
+/// connection that has not been used yet.
+#[test]
+fn a_new_connection_still_gets_an_answer_that_closes_it() {
+    let edge = Edge::start(config());
+    let mut other = edge.client();
+    let caller = edge.begin(&mut other, WHOLE);
+    let mut client = edge.client();
+    edge.server.shutdown();
+    client.post("/v1/chat/completions", "", WHOLE);
+    let refused = edge.arrived().caller;
+    edge.say(refused, Answer::Refused { refusal: Refusal::ShuttingDown, after: None });
+    let head = client.head();
+    assert_eq!((head.status, head.get("connection")), (503, Some("close")));
+    client.body(&head);
+    assert!(client.is_closed());
+    edge.done(caller, 0);
+    assert_eq!(other.head().status, 200);
+}
+
+#[test]
+fn an_idle_connection_does_not_hold_the_end_up() {
+    let edge = Edge::start(config());
+    let mut client = edge.client();
+    let caller = edge.begin(&mut client, WHOLE);
+    edge.done(caller, 0);
+    let head = client.head();
+    client.body(&head);
+    edge.server.shutdown();
+    assert!(client.is_closed());
+    edge.server.wait();
+}
