Peers over UDP and TCP, metrics, log writer and the admin API

Cause: daemons could not speak to each other, and operators saw little. Change: sealed packets over UDP in batches, over TCP what is large or must not be lost; addresses from the VM list of the state; metrics with all labels made beforehand; log lines written by a thread of their own; /metrics, /admin lists, requests explained, dry run of a catalogue. An attempt's number is kept after its failure, since the core cancels by it; a cancel touches a named stream only while it is this daemon's.

--- a/crates/basilbank/src/daemon.rs
+++ b/crates/basilbank/src/daemon.rs
@@ -13,7 +13,7 @@
 use anyhow::Context;
 use basilbank_config::{Settings, key_hash};
 use basilbank_core::{
-    catalogue::{Catalogue, EntryTarget, KeyHash},
+    catalogue::{EntryTarget, KeyHash},
     event::Event,
     state::{Local, State},
     time::{Clock, Now},
@@ -26,6 +26,8 @@
     engine::{Engine, EngineConfig},
     event_loop::{EventLoop, LoopControl, Parts},
     inbox::{Feed, inbox},
+    metrics::Metrics,
+    names::Names,
     observer::Observer,
     peers::Peers,
     platform::Platform,
@@ -81,17 +83,21 @@
         let (inbox, events, feed) = inbox();
         let callers = Arc::new(Callers::default());
         let published = Arc::new(Published::default());
-        let observer = Arc::new(Observer::default());
-        let peers = Peers::start(settings.peers).context("peers' address")?;
+        let metrics = Arc::new(Metrics::default());
+        let observer = Observer::new(Arc::clone(&metrics), Arc::clone(&published));
+        let key = settings.peer_key.as_bytes();
+        let peers = Peers::start(settings.peers, key, &local, feed.clone(), &metrics)
+            .context("peers' address")?;
         let peers_address = peers.address();
         let engine = engine(&settings, &local, &callers, &published, &feed);
         let (queries, questions) = queries(events.clone());
         let key = key_hash(&settings.admin_key);
-        let access = Access { key, published: Arc::clone(&published), queries };
+        let history = Arc::clone(&observer.history);
+        let access = Access { key, published: Arc::clone(&published), queries, metrics, history };
         let admin = Admin::start(settings.admin, access)?;
-        let server = server_config(&settings, &published, &clock);
+        let server = server_config(&settings, &published, &observer.metrics, &clock);
         let server = Server::start(server, events.clone(), Arc::clone(&callers))?;
-        let platform = Platform::start(&settings.platform, &feed)?;
+        let platform = Platform::start(&settings.platform, &feed, &observer.metrics)?;
         let handle = Shutdown { events, published: Arc::clone(&published) };
         let parts = Parts { callers, engine, peers, platform, observer, published };
         let (control, done, stop) = control();
@@ -195,18 +201,20 @@
 fn server_config(
     settings: &Settings,
     published: &Arc<Published>,
+    metrics: &Arc<Metrics>,
     clock: &Arc<dyn Clock>,
 ) -> ServerConfig {
-    let published = Arc::clone(published);
+    let (published, metrics) = (Arc::clone(published), Arc::clone(metrics));
     ServerConfig::new(settings.callers, settings.peer_key.as_bytes(), Arc::clone(clock))
         .with_limits(settings.limits.clone())
-        .with_models(Arc::new(move |key| models(&published.catalogue(), key)))
+        .with_refused(Arc::new(move |reason| metrics.refused(reason)))
+        .with_models(Arc::new(move |key| models(&published.names(), key)))
 }
 
 /// The names that a key's team may use in `model`.
-fn models(catalogue: &Catalogue, key: &KeyHash) -> Option<Vec<String>> {
-    let team = catalogue.teams.iter().find(|t| t.keys.contains(key))?;
-    let entries = catalogue.entries.iter().filter(|e| e.owner == team.id);
+fn models(names: &Names, key: &KeyHash) -> Option<Vec<String>> {
+    let team = names.view.team(key)?;
+    let entries = names.catalogue().entries.iter().filter(|e| e.owner == team);
     let drafts = entries.filter(|e| matches!(e.target, EntryTarget::Model(_)));
     Some(drafts.map(|e| e.name.clone()).collect())
 }
--- a/crates/basilbank/src/engine.rs
+++ b/crates/basilbank/src/engine.rs
@@ -28,7 +28,7 @@
 use ureq::Agent;
 
 use self::{
-    attempts::{Attempts, Holding},
+    attempts::{Attempts, Phase},
     protocol::Owner,
 };
 use crate::{callers::Callers, inbox::Feed, pool::Pool, published::Published};
@@ -163,16 +163,16 @@
         match call {
             EngineCall::Prefill(draft) => {
                 let attempt = draft.attempt;
-                self.begin(attempt, draft.number, Holding::Prefill, move |w| w.prefill(&draft))
+                self.begin(attempt, draft.number, Phase::Prefill, move |w| w.prefill(&draft))
             }
             EngineCall::Decode { draft, source, handle } => self.decode(draft, source, handle),
             EngineCall::Resume { attempt, endpoint, stream, offset, .. } => {
                 let resume = draft::ResumeCall { attempt, endpoint, stream, offset };
-                self.begin(attempt, 0, Holding::Stream, move |w| w.resume(&resume))
+                self.begin(attempt, 0, Phase::Stream, move |w| w.resume(&resume))
             }
             EngineCall::Plain { attempt, caller, request, endpoint, timeout } => {
                 let call = plain::PlainCall { attempt, caller, request, endpoint, timeout };
-                self.begin(attempt, 0, Holding::Plain, move |w| w.plain(&call))
+                self.begin(attempt, 0, Phase::Plain, move |w| w.plain(&call))
             }
             EngineCall::Cancel { attempt, endpoint, request, held } => {
                 self.worker.cancel(attempt, endpoint, request, held);
@@ -203,25 +203,24 @@
         let Some(source) = self.worker.published.address(source) else {
             return Some(EngineEvent::Failed { attempt, failure: Failure::Evicted });
         };
-        let holding = Holding::Import { source: Arc::clone(&source), handle: handle.clone() };
         let number = draft.number;
-        self.begin(attempt, number, holding, move |w| w.decode(&draft, &source, &handle))
+        self.begin(attempt, number, Phase::Import, move |w| w.decode(&draft, &source, &handle))
     }
 
     fn begin(
         &self,
         attempt: AttemptKey,
         number: u32,
-        holding: Holding,
+        phase: Phase,
         job: impl FnOnce(&Worker) + Send + 'static,
     ) -> Option<EngineEvent> {
-        self.worker.attempts.begin(attempt, number, holding);
+        self.worker.attempts.begin(attempt, number, phase);
         let worker = Arc::clone(&self.worker);
         let started = self.calls.run(move || job(&worker));
         if started.is_ok() {
             return None;
         }
-        self.worker.attempts.take(attempt);
+        self.worker.attempts.forget(attempt);
         Some(EngineEvent::Failed { attempt, failure: Failure::Unreachable })
     }
 
@@ -251,7 +250,7 @@
 
     /// Ends an attempt with a failure, unless it has ended or was cancelled.
     fn fail(&self, attempt: AttemptKey, failure: Failure) {
-        if self.attempts.take(attempt).is_some() {
+        if self.attempts.end(attempt).is_some() {
             self.send(EngineEvent::Failed { attempt, failure });
         }
     }
--- a/crates/basilbank/src/engine/control.rs
+++ b/crates/basilbank/src/engine/control.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use basilbank_core::{
+    catalogue::Role,
     event::EngineReport,
     ids::{AttemptKey, EndpointId, RequestId},
 };
@@ -10,7 +11,6 @@
 
 use crate::engine::{
     CONTROL_TIMEOUT, Worker,
-    attempts::Holding,
     protocol::{OrderBody, Ordered, Owner},
 };
 
@@ -48,43 +48,32 @@
         held: Option<String>,
     ) {
         self.callers.drop_answer(attempt);
-        let live = self.attempts.take(attempt);
-        let Some(base) = self.base(endpoint) else { return };
-        let mut urls = Vec::new();
-        match live.map(|l| (l.number, l.holding)) {
-            Some((_, Holding::Plain)) => return,
-            Some((number, holding)) => {
-                urls.push(format!("{base}/requests/{request}/{number}"));
-                match holding {
-                    Holding::Import { source, handle } => {
-                        urls.push(format!("http://{source}/kv/{handle}"));
-                    }
-                    Holding::Stream => urls.extend(held.map(|s| self.stream_url(&base, &s))),
-                    Holding::Prefill => urls.extend(held.map(|h| format!("{base}/kv/{h}"))),
-                    Holding::Plain => {}
-                }
+        let number = self.attempts.cancel(attempt);
+        let url = match (held, number) {
+            (Some(held), _) => self.held_url(endpoint, &held),
+            // Nobody else knows what an attempt holds before its stream has a name, so this can't
+            // touch a stream that another daemon has taken over.
+            (None, Some(number)) => {
+                self.base(endpoint).map(|base| format!("{base}/requests/{request}/{number}"))
             }
-            None => urls.extend(held.map(|s| self.stream_url(&base, &s))),
+            (None, None) => None,
+        };
+        if let Some(url) = url.filter(|_| !self.is_plain(endpoint)) {
+            self.delete(url);
         }
-        self.delete(urls);
     }
 
     /// Cancels a stream or KV cache if it still belongs to an owner.
     pub fn reap(self: &Arc<Worker>, endpoint: EndpointId, stream: &str, owner: &Owner) {
         let Some(base) = self.base(endpoint) else { return };
-        self.delete(vec![format!("{base}/streams/{stream}?{}", owner.query())]);
-    }
-
-    /// Frees a KV cache of this daemon's.
-    pub fn drop_kv(&self, endpoint: EndpointId, handle: &str) {
-        let Some(base) = self.base(endpoint) else { return };
-        self.delete_now(&[format!("{base}/kv/{handle}")]);
+        self.delete(format!("{base}/streams/{stream}?{}", owner.query()));
     }
 
-    /// Cancels a stream of this daemon's.
-    pub fn drop_stream(&self, endpoint: EndpointId, stream: &str) {
-        let Some(base) = self.base(endpoint) else { return };
-        self.delete_now(&[self.stream_url(&base, stream)]);
+    /// Frees what a call of a dead attempt brought.
+    pub fn drop_held(&self, endpoint: EndpointId, held: &str) {
+        if let Some(url) = self.held_url(endpoint, held) {
+            self.delete_now(&url);
+        }
     }
 
     /// States what an endpoint shall serve.
@@ -112,25 +101,35 @@
         }
     }
 
-    /// A stream's URL that touches the stream only while it is this daemon's: another daemon may
-    /// have taken it over for a caller who came back there.
-    fn stream_url(&self, base: &str, stream: &str) -> String {
-        format!("{base}/streams/{stream}?{}", self.config.owner.query())
+    /// The URL of a KV cache at a prefill endpoint, or of a stream. A stream's touches it only while
+    /// it is this daemon's: another one may have taken it over for a caller who came back there.
+    fn held_url(&self, endpoint: EndpointId, held: &str) -> Option<String> {
+        let base = self.base(endpoint)?;
+        match self.role(endpoint) {
+            Some(Role::Prefill) => Some(format!("{base}/kv/{held}")),
+            _ => Some(format!("{base}/streams/{held}?{}", self.config.owner.query())),
+        }
+    }
+
+    fn is_plain(&self, endpoint: EndpointId) -> bool {
+        self.role(endpoint) == Some(Role::Plain)
     }
 
-    fn delete(self: &Arc<Worker>, urls: Vec<String>) {
+    fn role(&self, endpoint: EndpointId) -> Option<Role> {
+        self.published.names().view.endpoint(endpoint).map(|e| e.role)
+    }
+
+    fn delete(self: &Arc<Worker>, url: String) {
         let worker = Arc::clone(self);
-        if self.controls.run(move || worker.delete_now(&urls)).is_err() {
+        if self.controls.run(move || worker.delete_now(&url)).is_err() {
             log::warn!("event=cancel_dropped reason=pool_full");
         }
     }
 
-    fn delete_now(&self, urls: &[String]) {
-        for url in urls {
-            let done = (0..TRIES).any(|_| self.try_delete(url));
-            if !done {
-                log::warn!("event=cancel_failed url={url}");
-            }
+    fn delete_now(&self, url: &str) {
+        let done = (0..TRIES).any(|_| self.try_delete(url));
+        if !done {
+            log::warn!("event=cancel_failed url={url}");
         }
     }
 
--- a/crates/basilbank/src/engine/draft.rs
+++ b/crates/basilbank/src/engine/draft.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use basilbank_core::{
-    catalogue::EntryTarget,
     effect::DraftCall,
     event::{EngineEvent, Failure},
     ids::{AttemptKey, EndpointId},
@@ -14,7 +13,7 @@
     callers::HeldDraft,
     engine::{
         Worker, agent,
-        attempts::Holding,
+        attempts::Phase,
         lines::{Lines, NoLine},
         protocol::{DecodeBody, NotRun, PrefillBody, Prefilled, StreamLine},
     },
@@ -53,10 +52,10 @@
             Ok(done) => done,
             Err(failure) => return self.fail(call.attempt, failure),
         };
-        if !self.attempts.pause(call.attempt) {
+        if self.attempts.end(call.attempt).is_none() {
             // The core gave the attempt up while the prefill ran. Its DELETE may have overtaken the
             // POST, and the KV cache would stay until it is evicted.
-            self.drop_kv(call.endpoint, &done.handle);
+            self.drop_held(call.endpoint, &done.handle);
             return;
         }
         self.send(EngineEvent::Prefilled {
@@ -71,8 +70,9 @@
 
     fn run_prefill(&self, call: &DraftCall) -> Result<Prefilled, Failure> {
         let draft = self.callers.draft(call.caller).ok_or(Failure::Unreachable)?;
-        let model = self.model(call.endpoint).ok_or(Failure::Unreachable)?;
-        let body = self.prefill_body(call, &model, &draft);
+        let names = self.published.names();
+        let model = names.model_at(call.endpoint).ok_or(Failure::Unreachable)?.name.as_str();
+        let body = self.prefill_body(call, model, &draft);
         let silence = call.timeout;
         let mut response =
             self.post(call, "/prefill", body, silence).map_err(|e| agent::failure(&e))?;
@@ -113,12 +113,13 @@
     }
 
     fn start_decode(&self, call: &DraftCall, source: &str, handle: &str) -> Result<Body, Failure> {
-        let model = self.model(call.endpoint).ok_or(Failure::Unreachable)?;
+        let names = self.published.names();
+        let model = names.model_at(call.endpoint).ok_or(Failure::Unreachable)?.name.as_str();
         let body = encode(&DecodeBody {
             request: call.request.to_string(),
             attempt: call.number,
             owner: &self.config.owner,
-            model: &model,
+            model,
             source,
             handle,
             max_tokens: call.remaining,
@@ -171,7 +172,7 @@
                 if let Some(stream) = line.stream {
                     // The core gave the attempt up while the endpoint imported: the stream has
                     // started since, and nobody else knows its name.
-                    self.drop_stream(endpoint, &stream);
+                    self.drop_held(endpoint, &stream);
                 }
                 return;
             }
@@ -183,9 +184,8 @@
 
     /// A stream ended without its last line.
     fn lost(&self, attempt: AttemptKey, reason: NoLine) {
-        let Some(live) = self.attempts.take(attempt) else { return };
-        let importing = matches!(live.holding, Holding::Import { .. });
-        let stalled = importing && reason == NoLine::Silent;
+        let Some(phase) = self.attempts.end(attempt) else { return };
+        let stalled = phase == Phase::Import && reason == NoLine::Silent;
         let failure = if stalled { Failure::Stalled } else { Failure::Broken };
         self.send(EngineEvent::Failed { attempt, failure });
     }
@@ -202,7 +202,7 @@
                 self.fail(attempt, Failure::Broken);
                 return false;
             };
-            if self.attempts.take(attempt).is_some() {
+            if self.attempts.forget(attempt) {
                 self.send(EngineEvent::Finished { attempt, reason, tokens });
             }
             return false;
@@ -224,14 +224,6 @@
         true
     }
 
-    /// The name of the model that an endpoint serves.
-    fn model(&self, endpoint: EndpointId) -> Option<String> {
-        let catalogue = self.published.catalogue();
-        let endpoint = catalogue.endpoints.iter().find(|e| e.id == endpoint)?;
-        let EntryTarget::Model(id) = endpoint.serves else { return None };
-        catalogue.models.iter().find(|m| m.id == id).map(|m| m.name.clone())
-    }
-
     /// Posts to a draft's endpoint. No piece of the answer may take longer than `silence`.
     fn post(
         &self,
--- a/crates/basilbank/src/engine/plain.rs
+++ b/crates/basilbank/src/engine/plain.rs
@@ -59,7 +59,7 @@
         };
         let (attempt, status) = (call.attempt, answer.status);
         self.callers.hold_answer(attempt, answer);
-        if self.attempts.take(attempt).is_some() {
+        if self.attempts.forget(attempt) {
             self.send(EngineEvent::Answered { attempt, status });
         } else {
             self.callers.drop_answer(attempt);
--- a/crates/basilbank/src/event_loop.rs
+++ b/crates/basilbank/src/event_loop.rs
@@ -49,7 +49,7 @@
     /// The platform's side.
     pub platform: Platform,
     /// Metrics, logs and requests' histories.
-    pub observer: Arc<Observer>,
+    pub observer: Observer,
     /// Snapshots for other threads.
     pub published: Arc<Published>,
 }
@@ -107,8 +107,10 @@
                 let Some(event) = self.inbox.try_recv() else { break };
                 self.step(event);
             }
+            self.parts.peers.learn(&self.state.documents.vms);
             self.parts.peers.flush();
             self.parts.published.publish(&self.state);
+            self.parts.observer.metrics.measure(&self.state);
             for query in self.queries.try_iter() {
                 query(&self.state);
             }
@@ -123,7 +125,6 @@
     fn step(&mut self, event: Event) {
         self.made.push_back(event);
         while let Some(event) = self.made.pop_front() {
-            self.parts.peers.overhear(&event);
             let start = Instant::now();
             reduce(&mut self.state, self.clock.now(), event, &mut self.effects);
             self.parts.observer.decided(start.elapsed());
@@ -148,7 +149,7 @@
             Effect::CheckCatalogue { revision, documents } => {
                 self.parts.platform.check(revision, documents);
             }
-            Effect::Progress(progress) => self.parts.observer.progress(&progress),
+            Effect::Progress(progress) => self.parts.observer.progress(self.clock.now(), &progress),
             // A full channel holds the same word already.
             Effect::Exit => drop(self.control.done.try_send(())),
         }
--- a/crates/basilbank/src/logs.rs
+++ b/crates/basilbank/src/logs.rs
@@ -3,9 +3,12 @@
 //! A request's id stands in all its lines as `request`. Keys, prompts and answers never do: the
 //! core's reports carry none.
 
+mod writer;
+
 use std::{
-    fmt::{Display, Write},
+    fmt::{Display, Write as _},
     fs::OpenOptions,
+    io::Write,
     time::Duration,
 };
 
@@ -15,12 +18,16 @@
 use log::LevelFilter;
 use simplelog::{ConfigBuilder, WriteLogger};
 
-/// Starts the process's logger.
+pub use self::writer::{LineWriter, LogFlush};
+use crate::names::Names;
+
+/// Starts the process's logger. What it returns flushes the log, before the process exits.
 ///
 /// # Errors
 /// The file can't be opened, the level is unknown, or a logger was started before.
-pub fn start(settings: &LogSettings) -> anyhow::Result<()> {
+pub fn start(settings: &LogSettings) -> anyhow::Result<LogFlush> {
     let level: LevelFilter = settings.level.parse().context("log level")?;
+    let (writer, flush) = LineWriter::start(target(settings)?)?;
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_thread_level(LevelFilter::Off)
@@ -28,26 +35,40 @@
         // The libraries' own lines are not key=value pairs, and may carry headers.
         .add_filter_allow_str("basilbank")
         .build();
-    match &settings.file {
-        Some(path) => {
-            let file =
-                OpenOptions::new().create(true).append(true).open(path).context("log file")?;
-            WriteLogger::init(level, config, file)?;
-        }
-        None => WriteLogger::init(level, config, std::io::stderr())?,
-    }
-    Ok(())
+    WriteLogger::init(level, config, writer)?;
+    Ok(flush)
+}
+
+fn target(settings: &LogSettings) -> anyhow::Result<Box<dyn Write + Send>> {
+    let Some(path) = &settings.file else { return Ok(Box::new(std::io::stderr())) };
+    let file = OpenOptions::new().create(true).append(true).open(path).context("log file")?;
+    Ok(Box::new(file))
 }
 
-/// One line: pairs in the order in which they were added.
+/// One line: an event, and pairs in the order in which they were added.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
-pub struct Line(String);
+pub struct Line {
+    event: String,
+    pairs: String,
+}
 
 impl Line {
     /// A line for an event.
     #[must_use]
     pub fn new(event: &str) -> Line {
-        Line(format!("event={event}"))
+        Line { event: event.to_owned(), pairs: String::new() }
+    }
+
+    /// The event's name.
+    #[must_use]
+    pub fn event(&self) -> &str {
+        &self.event
+    }
+
+    /// The pairs, without the event.
+    #[must_use]
+    pub fn detail(&self) -> &str {
+        self.pairs.trim_start()
     }
 
     /// Adds a pair. A value with blanks, quotes or control characters is quoted, so that no value
@@ -57,13 +78,22 @@
         let value = value.to_string();
         let plain = !value.is_empty() && value.chars().all(is_plain);
         let written = match plain {
-            true => write!(self.0, " {key}={value}"),
-            false => write!(self.0, " {key}={value:?}"),
+            true => write!(self.pairs, " {key}={value}"),
+            false => write!(self.pairs, " {key}={value:?}"),
         };
         debug_assert!(written.is_ok(), "a string takes all that is written");
         self
     }
 
+    /// Adds a pair if there is a value.
+    #[must_use]
+    pub fn with_some(self, key: &str, value: Option<impl Display>) -> Line {
+        match value {
+            Some(value) => self.with(key, value),
+            None => self,
+        }
+    }
+
     /// Adds a duration in milliseconds.
     #[must_use]
     pub fn with_ms(self, key: &str, value: Duration) -> Line {
@@ -73,7 +103,7 @@
 
 impl Display for Line {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
+        write!(f, "event={}{}", self.event, self.pairs)
     }
 }
 
@@ -83,53 +113,55 @@
 
 /// The line for a report of the core.
 #[must_use]
-pub fn line(progress: &Progress) -> Line {
+pub fn line(progress: &Progress, names: &Names) -> Line {
     match progress {
-        Progress::Accepted { request, team, entry } => {
-            Line::new("accepted").with("request", request).with("team", team).with("entry", entry)
-        }
+        Progress::Accepted { request, team, entry } => Line::new("accepted")
+            .with("request", request)
+            .with("team", names.team(*team))
+            .with("entry", names.entry(*entry)),
         Progress::Queued { request } => Line::new("queued").with("request", request),
         Progress::Placed { request, endpoint, role, waited } => Line::new("placed")
             .with("request", request)
-            .with("endpoint", endpoint)
+            .with("endpoint", names.endpoint(*endpoint))
             .with("role", role)
             .with_ms("waited_ms", *waited),
-        Progress::Refused { request, team, refusal } => {
-            let mut line = Line::new("refused");
-            if let Some(request) = request {
-                line = line.with("request", request);
-            }
-            if let Some(team) = team {
-                line = line.with("team", team);
-            }
-            line.with("reason", refusal.as_str())
-        }
+        Progress::Refused { request, team, refusal } => Line::new("refused")
+            .with_some("request", *request)
+            .with_some("team", team.map(|id| names.team(id)))
+            .with("reason", refusal.as_str()),
         Progress::Retried { request, retry, backoff } => Line::new("retried")
             .with("request", request)
             .with("reason", retry.as_str())
             .with_ms("backoff_ms", *backoff),
         Progress::FirstToken { request, entry, ttft } => Line::new("first_token")
             .with("request", request)
-            .with("entry", entry)
+            .with("entry", names.entry(*entry))
             .with_ms("ttft_ms", *ttft),
         Progress::Wasted { request, waste, prefill, tokens } => Line::new("wasted")
             .with("request", request)
             .with("reason", waste.as_str())
             .with_ms("prefill_ms", *prefill)
             .with("tokens", tokens),
-        Progress::Settled { request, team, entry, outcome, took, prompt, generated, tbt } => {
-            Line::new("settled")
-                .with("request", request)
-                .with("team", team)
-                .with("entry", entry)
-                .with("outcome", outcome.as_str())
-                .with_ms("took_ms", *took)
-                .with("prompt", prompt)
-                .with("generated", generated)
-                .with_ms("tbt_ms", *tbt)
-        }
+        Progress::Settled { .. } => settled(progress, names),
         Progress::Note { name, pairs } => {
             pairs.iter().fold(Line::new(name), |line, (key, value)| line.with(key, value))
         }
     }
 }
+
+fn settled(progress: &Progress, names: &Names) -> Line {
+    let line = Line::new("settled");
+    let Progress::Settled { request, team, entry, outcome, took, prompt, generated, tbt } =
+        progress
+    else {
+        return line;
+    };
+    line.with("request", request)
+        .with("team", names.team(*team))
+        .with("entry", names.entry(*entry))
+        .with("outcome", outcome.as_str())
+        .with_ms("took_ms", *took)
+        .with("prompt", prompt)
+        .with("generated", generated)
+        .with_ms("tbt_ms", *tbt)
+}
--- a/crates/basilbank/src/platform.rs
+++ b/crates/basilbank/src/platform.rs
@@ -24,7 +24,7 @@
 use ureq::Agent;
 
 use self::protocol::{Changes, VmTable};
-use crate::{engine::agent, inbox::Feed, sync::lock};
+use crate::{engine::agent, inbox::Feed, metrics::Metrics, sync::lock};
 
 /// How long the platform holds a watch back when nothing changes.
 const WATCH: Duration = Duration::from_secs(10);
@@ -63,6 +63,37 @@
     base: String,
     agent: Agent,
     feed: Feed,
+    metrics: Arc<Metrics>,
+}
+
+/// How a read of the platform ended.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub enum ReadResult {
+    /// An answer came.
+    Done,
+    /// The platform forgot the changes since the revision asked for.
+    Compacted,
+    /// The platform's budget of calls is used up.
+    Limited,
+    /// It was not reached, or its answer could not be read.
+    Failed,
+}
+
+impl ReadResult {
+    /// All of them.
+    pub const ALL: &[ReadResult] =
+        &[ReadResult::Done, ReadResult::Compacted, ReadResult::Limited, ReadResult::Failed];
+
+    /// The stable name, used as metric label.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ReadResult::Done => "done",
+            ReadResult::Compacted => "compacted",
+            ReadResult::Limited => "limited",
+            ReadResult::Failed => "failed",
+        }
+    }
 }
 
 impl Platform {
@@ -70,12 +101,13 @@
     ///
     /// # Errors
     /// No thread could be started.
-    pub fn start(base: &str, feed: &Feed) -> anyhow::Result<Platform> {
+    pub fn start(base: &str, feed: &Feed, metrics: &Arc<Metrics>) -> anyhow::Result<Platform> {
         let agent = agent::agent(WATCH + ANSWER_TIME);
         let reader = || Reader {
             base: base.trim_end_matches('/').to_owned(),
             agent: agent.clone(),
             feed: feed.clone(),
+            metrics: Arc::clone(metrics),
         };
         let (watching, listing, checking) = (reader(), reader(), reader());
         Ok(Platform {
@@ -151,19 +183,19 @@
 
     fn read_changes(&self, after: u64) -> Option<Changes> {
         if after == 0 {
-            return self.get("/v1/range?prefix=catalogue/", ANSWER_TIME).ok();
+            return self.get("range", "/v1/range?prefix=catalogue/", ANSWER_TIME).ok();
         }
         let wait = WATCH.as_millis();
         let path = format!("/v1/watch?prefix=catalogue/&after={after}&wait_ms={wait}");
-        match self.get::<Changes>(&path, WATCH + ANSWER_TIME) {
+        match self.get::<Changes>("watch", &path, WATCH + ANSWER_TIME) {
             Ok(changes) => Some(Changes { after, ..changes }),
-            Err(Refused::Status(410)) => self.read_changes(0),
+            Err(ReadResult::Compacted) => self.read_changes(0),
             Err(_) => None,
         }
     }
 
     fn list(&self) {
-        let event = match self.get::<VmTable>("/v1/vms", ANSWER_TIME) {
+        let event = match self.get::<VmTable>("vms", "/v1/vms", ANSWER_TIME) {
             Ok(table) => PlatformEvent::Vms {
                 revision: table.revision,
                 vms: table.vms.into_iter().map(Into::into).collect(),
@@ -190,32 +222,37 @@
         Err(findings.errors())
     }
 
-    fn get<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T, Refused> {
+    fn get<T: DeserializeOwned>(
+        &self,
+        kind: &'static str,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, ReadResult> {
+        let result = self.read(path, timeout);
+        let outcome = result.as_ref().map_or_else(|failed| *failed, |_| ReadResult::Done);
+        self.metrics.platform(kind, outcome);
+        if outcome != ReadResult::Done {
+            log::warn!("event=platform_read kind={kind} result={}", outcome.as_str());
+        }
+        result
+    }
+
+    fn read<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T, ReadResult> {
         let request = self.agent.get(format!("{}{path}", self.base)).config();
-        let mut response = request.timeout_global(Some(timeout)).build().call()?;
-        let status = response.status().as_u16();
-        if status != 200 {
-            return Err(Refused::Status(status));
+        let response = request.timeout_global(Some(timeout)).build().call();
+        let mut response = response.map_err(|_| ReadResult::Failed)?;
+        match response.status().as_u16() {
+            200 => {}
+            410 => return Err(ReadResult::Compacted),
+            429 => return Err(ReadResult::Limited),
+            _ => return Err(ReadResult::Failed),
         }
-        let text = response.body_mut().with_config().limit(ANSWER).read_to_vec()?;
-        serde_json::from_slice(&text).map_err(|_| Refused::Broken)
+        let text = response.body_mut().with_config().limit(ANSWER).read_to_vec();
+        let text = text.map_err(|_| ReadResult::Failed)?;
+        serde_json::from_slice(&text).map_err(|_| ReadResult::Failed)
     }
 
     fn send(&self, event: PlatformEvent) {
         let _ = self.feed.send(Event::Platform(event));
     }
 }
-
-/// Why the platform gave no answer.
-enum Refused {
-    /// It answered with this status.
-    Status(u16),
-    /// It could not be reached, or its answer could not be read.
-    Broken,
-}
-
-impl From<ureq::Error> for Refused {
-    fn from(_: ureq::Error) -> Refused {
-        Refused::Broken
-    }
-}
--- a/crates/basilbank/src/published.rs
+++ b/crates/basilbank/src/published.rs
@@ -8,21 +8,17 @@
     },
 };
 
-use basilbank_core::{
-    catalogue::{Catalogue, Endpoint},
-    ids::EndpointId,
-    state::State,
-};
+use basilbank_core::{catalogue::Catalogue, ids::EndpointId, state::State};
 
-use crate::sync::lock;
+use crate::{names::Names, sync::lock};
 
 /// Addresses of endpoints that left the catalogue are kept up to this many times the catalogue's.
 const ADDRESSES_KEPT: usize = 4;
 
-/// Snapshots of the state, taken by the event loop after each event.
+/// Snapshots of the state, taken by the event loop.
 #[derive(Debug, Default)]
 pub struct Published {
-    catalogue: Mutex<Arc<Catalogue>>,
+    names: Mutex<Arc<Names>>,
     addresses: Mutex<HashMap<EndpointId, Arc<str>>>,
     progress: AtomicUsize,
     ready: AtomicBool,
@@ -33,25 +29,23 @@
     pub fn publish(&self, state: &State) {
         self.progress.store(state.requests.arena.len(), Ordering::Relaxed);
         self.ready.store(state.is_ready(), Ordering::Relaxed);
-        let mut published = lock(&self.catalogue);
-        if Arc::ptr_eq(&published, &state.view.catalogue) {
-            return;
-        }
-        *published = Arc::clone(&state.view.catalogue);
-        drop(published);
-        self.learn_addresses(&state.view.catalogue);
+        self.publish_catalogue(&state.view.catalogue);
     }
 
-    /// The catalogue in force.
-    #[must_use]
-    pub fn catalogue(&self) -> Arc<Catalogue> {
-        Arc::clone(&lock(&self.catalogue))
+    /// Takes over a catalogue, if it is another one.
+    pub fn publish_catalogue(&self, catalogue: &Arc<Catalogue>) {
+        if Arc::ptr_eq(lock(&self.names).catalogue(), catalogue) {
+            return;
+        }
+        self.learn_addresses(catalogue);
+        let names = Arc::new(Names::new(Arc::clone(catalogue)));
+        *lock(&self.names) = names;
     }
 
-    /// An endpoint of the catalogue in force.
+    /// The catalogue in force, with its names.
     #[must_use]
-    pub fn endpoint(&self, id: EndpointId) -> Option<Endpoint> {
-        self.catalogue().endpoints.iter().find(|e| e.id == id).cloned()
+    pub fn names(&self) -> Arc<Names> {
+        Arc::clone(&lock(&self.names))
     }
 
     /// Where an endpoint is, or was when the catalogue last named it: what it holds must be
@@ -75,7 +69,7 @@
 
     fn learn_addresses(&self, catalogue: &Catalogue) {
         let mut addresses = lock(&self.addresses);
-        if addresses.len() > ADDRESSES_KEPT * catalogue.endpoints.len() {
+        if ADDRESSES_KEPT * catalogue.endpoints.len() < addresses.len() {
             addresses.clear();
         }
         for endpoint in &catalogue.endpoints {
--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -118,6 +118,7 @@
         reap_interval: millis("reap_interval_ms", default.reap_interval),
         kv_life: millis("kv_life_ms", default.kv_life),
         stall: millis("stall_ms", default.stall),
+        ..default
     };
     check_tuning(report, fields, &tuning);
     tuning
--- a/crates/basilbankd/src/main.rs
+++ b/crates/basilbankd/src/main.rs
@@ -54,10 +54,10 @@
 
 /// Serves until a signal, and then until all in progress is done.
 fn serve(settings: Settings) -> anyhow::Result<()> {
-    logs::start(&settings.log).context("logs")?;
+    let log = logs::start(&settings.log).context("logs")?;
     let name = settings.name.clone();
     let daemon = Daemon::start(settings)?;
-    signals::watch(&daemon).context("signals")?;
+    signals::watch(&daemon, log.clone()).context("signals")?;
     let line = logs::Line::new("started")
         .with("vm", name)
         .with("callers", daemon.callers())
@@ -66,6 +66,7 @@
     log::info!("{line}");
     daemon.wait()?;
     log::info!("{}", logs::Line::new("stopped"));
+    log.flush();
     Ok(())
 }
 
--- a/crates/basilbankd/src/signals.rs
+++ b/crates/basilbankd/src/signals.rs
@@ -2,7 +2,10 @@
 
 use std::{io, process, thread};
 
-use basilbank::{Daemon, Shutdown, logs};
+use basilbank::{
+    Daemon, Shutdown,
+    logs::{self, LogFlush},
+};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
@@ -15,7 +18,7 @@
 ///
 /// # Errors
 /// The signals can't be caught.
-pub fn watch(daemon: &Daemon) -> io::Result<()> {
+pub fn watch(daemon: &Daemon, log: LogFlush) -> io::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let shutdown = daemon.handle();
     let serve = move || {
@@ -25,15 +28,16 @@
             shutdown.start();
         }
         if caught.next().is_some() {
-            cut(&shutdown);
+            cut(&shutdown, &log);
         }
     };
     thread::Builder::new().name("signals".to_owned()).spawn(serve)?;
     Ok(())
 }
 
-fn cut(shutdown: &Shutdown) -> ! {
+fn cut(shutdown: &Shutdown, log: &LogFlush) -> ! {
     let line = logs::Line::new("cut").with("requests", shutdown.in_progress());
     log::error!("{line}");
+    log.flush();
     process::exit(CUT)
 }
