Tests of the endpoints' side against a few bytes of the other side

Cause: what an error proves, and what a cancel frees, was not tested. They found two faults, both mended: a plain call's body went out in chunks instead of with its length, and the addresses of endpoints were forgotten when a small catalogue followed a larger one.

--- a/crates/basilbank/src/engine/plain.rs
+++ b/crates/basilbank/src/engine/plain.rs
@@ -8,7 +8,7 @@
 };
 use bytes::Bytes;
 use ureq::{
-    Body, SendBody,
+    Body,
     http::{HeaderMap, Method, Request, Response, header},
 };
 
@@ -107,9 +107,7 @@
         if body.is_empty() && !takes_body {
             return self.agent.run(request);
         }
-        let request =
-            request.map(|()| SendBody::from_owned_reader(std::io::Cursor::new(body.clone())));
-        self.agent.run(request)
+        self.agent.run(request.map(|()| body.as_ref()))
     }
 }
 
--- a/crates/basilbank/src/lib.rs
+++ b/crates/basilbank/src/lib.rs
@@ -7,18 +7,18 @@
 pub mod logs;
 pub mod published;
 
-mod admin;
+pub mod admin;
 mod daemon;
 mod event_loop;
-mod history;
-mod inbox;
-mod metrics;
-mod names;
+pub mod history;
+pub mod inbox;
+pub mod metrics;
+pub mod names;
 mod observer;
-mod peers;
-mod platform;
-mod pool;
-mod queries;
+pub mod peers;
+pub mod platform;
+pub mod pool;
+pub mod queries;
 mod sync;
 
 pub use daemon::{Daemon, Shutdown};
--- a/crates/basilbank/src/published.rs
+++ b/crates/basilbank/src/published.rs
@@ -12,8 +12,10 @@
 
 use crate::{names::Names, sync::lock};
 
-/// Addresses of endpoints that left the catalogue are kept up to this many times the catalogue's.
+/// Addresses of endpoints that left the catalogue are kept until there are this many for each
+/// endpoint in it, and some.
 const ADDRESSES_KEPT: usize = 4;
+const ADDRESSES_MORE: usize = 1024;
 
 /// Snapshots of the state, taken by the event loop.
 #[derive(Debug, Default)]
@@ -69,7 +71,7 @@
 
     fn learn_addresses(&self, catalogue: &Catalogue) {
         let mut addresses = lock(&self.addresses);
-        if ADDRESSES_KEPT * catalogue.endpoints.len() < addresses.len() {
+        if ADDRESSES_KEPT * catalogue.endpoints.len() + ADDRESSES_MORE < addresses.len() {
             addresses.clear();
         }
         for endpoint in &catalogue.endpoints {
--- /dev/null
+++ b/crates/basilbank/tests/shell/engine_draft.rs
@@ -0,0 +1,214 @@
+//! What prefill and decode endpoints do, and what the core hears of it.
+
+use std::{io::Write, net::TcpListener, sync::mpsc::channel};
+
+use basilbank_core::{
+    effect::EngineCall,
+    event::{EngineEvent, Failure},
+};
+use test_case::test_case;
+
+use crate::{
+    responder::{PATIENCE, Responder, STREAM_HEAD, answer},
+    rig::{OWNER, REQUEST, Rig, attempt, endpoint_id},
+};
+
+const FIRST: &str = r#"{"request":"0000000000000abc","attempt":3,"stream":"s1"}"#;
+
+#[test]
+fn a_prefill_that_succeeds() {
+    let body = r#"{"request":"0000000000000abc","attempt":3,"handle":"k1","tokens":7,"cached":2,"bytes":900,"spent_ms":12}"#;
+    let endpoint = Responder::fixed(200, body);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.prefill(1));
+    let EngineEvent::Prefilled { handle, tokens, cached, bytes, spent, .. } = rig.next() else {
+        panic!("no prefill");
+    };
+    assert_eq!((handle.as_str(), tokens, cached, bytes), ("k1", 7, 2, 900));
+    assert_eq!(spent.as_millis(), 12);
+    let seen = endpoint.next();
+    assert_eq!(seen.line, "POST /prefill");
+    let sent: serde_json::Value = serde_json::from_str(&seen.body).unwrap();
+    assert_eq!(sent["prompt"], "two oak worktops");
+    assert_eq!(sent["model"], "writer");
+    assert_eq!(sent["owner"]["vm"], "0000000000000007");
+}
+
+/// Symptom: a call that may not be repeated is told 'unknown' though nothing was sent. Sequence: the
+/// endpoint's process is gone, its port refuses. Cause: all failures are taken for alike.
+#[test]
+fn a_refused_connection_is_unreachable() {
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let rig = Rig::new(address);
+    rig.call(rig.prefill(1));
+    assert_eq!(rig.failure(), Failure::Unreachable);
+    rig.call(rig.decode(2));
+    assert_eq!(rig.failure(), Failure::Unreachable);
+}
+
+#[test_case(r#"{"not_run":true,"reason":"full"}"#, Failure::Full; "full")]
+#[test_case(r#"{"not_run":true,"reason":"leaving"}"#, Failure::Leaving; "leaving")]
+#[test_case(r#"{"not_run":true,"reason":"evicted"}"#, Failure::Evicted; "evicted")]
+#[test_case(r#"{"not_run":true,"reason":"model"}"#, Failure::Refused; "model")]
+#[test_case(r#"{"not_run":true}"#, Failure::Refused; "no reason")]
+#[test_case(r#"{"not_run":false,"reason":"full"}"#, Failure::Broken; "no proof")]
+#[test_case("busy", Failure::Broken; "no json")]
+fn a_503_counts_by_its_proof(body: &str, expected: Failure) {
+    let endpoint = Responder::fixed(503, body);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.prefill(1));
+    assert_eq!(rig.failure(), expected);
+    rig.call(rig.decode(2));
+    assert_eq!(rig.failure(), expected);
+}
+
+/// Symptom: a caller gets another's answer. Sequence: an endpoint, or a proxy before it, mixes two
+/// answers up. Cause: answers are taken for the request that waits for one.
+#[test_case(r#"{"request":"0000000000000abd","attempt":3,"handle":"k","tokens":1}"#; "another request")]
+#[test_case(r#"{"request":"0000000000000abc","attempt":2,"handle":"k","tokens":1}"#; "another attempt")]
+#[test_case(r#"{"handle":"k","tokens":1}"#; "nobody")]
+fn an_answer_to_another_prefill_is_dropped(body: &str) {
+    let endpoint = Responder::fixed(200, body);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.prefill(1));
+    assert_eq!(rig.failure(), Failure::Broken);
+}
+
+/// Anything that breaks after bytes went out may have run.
+#[test_case(""; "no answer")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"; "half an answer")]
+#[test_case("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"; "status 500")]
+#[test_case("not HTTP at all"; "nonsense")]
+fn what_breaks_after_sending_is_broken(bytes: &'static str) {
+    let endpoint = Responder::start(move |_, stream| {
+        stream.write_all(bytes.as_bytes()).unwrap();
+        stream.shutdown(std::net::Shutdown::Both).unwrap();
+    });
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.prefill(1));
+    assert_eq!(rig.failure(), Failure::Broken);
+    rig.call(rig.decode(2));
+    assert_eq!(rig.failure(), Failure::Broken);
+}
+
+fn stream(lines: &'static [&'static str]) -> Responder {
+    Responder::start(move |_, stream| {
+        stream.write_all(STREAM_HEAD.as_bytes()).unwrap();
+        for line in lines {
+            stream.write_all(line.as_bytes()).unwrap();
+            stream.write_all(b"\n").unwrap();
+        }
+        stream.shutdown(std::net::Shutdown::Both).unwrap();
+    })
+}
+
+#[test]
+fn a_decode_streams_its_lines() {
+    let endpoint = stream(&[
+        FIRST,
+        r#"{"offset":0,"texts":["oak"]}"#,
+        r#"{"offset":1,"texts":[" at"," 40"]}"#,
+        r#"{"done":"stop","tokens":3}"#,
+    ]);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.decode(1));
+    assert!(matches!(rig.next(), EngineEvent::Started { stream, .. } if stream == "s1"));
+    assert!(matches!(rig.next(), EngineEvent::Token { offset: 0, texts, .. } if texts == ["oak"]));
+    assert!(
+        matches!(rig.next(), EngineEvent::Token { offset: 1, texts, .. } if texts == [" at", " 40"])
+    );
+    let end = rig.next();
+    assert!(matches!(end, EngineEvent::Finished { tokens: 3, reason, .. } if reason == "stop"));
+    let sent: serde_json::Value = serde_json::from_str(&endpoint.next().body).unwrap();
+    assert_eq!(sent["source"], endpoint.address.to_string());
+    assert_eq!((sent["handle"].as_str(), sent["max_tokens"].as_u64()), (Some("k1"), Some(16)));
+}
+
+/// Symptom: half a quote passes for a whole one. Sequence: the decode endpoint dies after some
+/// tokens, and its connection closes like after a whole answer. Cause: the end of the connection is
+/// taken for the end of the stream.
+#[test]
+fn a_stream_without_its_last_line_is_broken() {
+    let endpoint = stream(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#]);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.decode(1));
+    assert!(matches!(rig.next(), EngineEvent::Started { .. }));
+    assert!(matches!(rig.next(), EngineEvent::Token { .. }));
+    assert_eq!(rig.failure(), Failure::Broken);
+    assert!(rig.is_quiet());
+}
+
+#[test_case(&[r#"{"request":"0000000000000abd","attempt":3,"stream":"s1"}"#]; "another request")]
+#[test_case(&[r#"{"request":"0000000000000abc","attempt":4,"stream":"s1"}"#]; "another attempt")]
+#[test_case(&["nonsense"]; "nonsense")]
+fn a_stream_of_another_is_dropped(lines: &'static [&'static str]) {
+    let endpoint = stream(lines);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.decode(1));
+    assert_eq!(rig.failure(), Failure::Broken);
+    assert!(rig.is_quiet());
+}
+
+/// Symptom: a request waits for ever. Sequence: the endpoint takes the call, and the KV cache's
+/// transfer stalls; or it streams and then hangs. Cause: a read without a time limit.
+#[test_case("", Failure::Stalled; "before the stream starts")]
+#[test_case("{\"request\":\"0000000000000abc\",\"attempt\":3,\"stream\":\"s1\"}\n", Failure::Broken; "after it has started")]
+fn a_silent_endpoint_is_given_up(line: &'static str, expected: Failure) {
+    let (release, held) = channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let endpoint = Responder::start(move |_, stream| {
+        stream.write_all(STREAM_HEAD.as_bytes()).unwrap();
+        stream.write_all(line.as_bytes()).unwrap();
+        let _ = held.lock().unwrap().recv_timeout(PATIENCE);
+    });
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.decode(1));
+    if !line.is_empty() {
+        assert!(matches!(rig.next(), EngineEvent::Started { .. }));
+    }
+    assert_eq!(rig.failure(), expected);
+    drop(release);
+}
+
+#[test]
+fn a_stream_is_resumed_under_this_daemons_name() {
+    let endpoint = stream(&[r#"{"offset":4,"texts":["x"]}"#, r#"{"done":"stop","tokens":5}"#]);
+    let rig = Rig::new(endpoint.address);
+    rig.call(resume(1));
+    assert!(matches!(rig.next(), EngineEvent::Started { stream, .. } if stream == "s9"));
+    assert!(matches!(rig.next(), EngineEvent::Token { offset: 4, .. }));
+    assert!(matches!(rig.next(), EngineEvent::Finished { tokens: 5, .. }));
+    assert_eq!(endpoint.next().line, format!("GET /streams/s9?from=4&{OWNER}"));
+}
+
+#[test]
+fn a_stream_that_is_gone_can_not_be_resumed() {
+    let endpoint = Responder::fixed(404, "{}");
+    let rig = Rig::new(endpoint.address);
+    rig.call(resume(1));
+    assert_eq!(rig.failure(), Failure::Evicted);
+}
+
+fn resume(key: u64) -> EngineCall {
+    EngineCall::Resume {
+        attempt: attempt(key),
+        caller: Default::default(),
+        request: REQUEST,
+        endpoint: endpoint_id("d1"),
+        stream: "s9".to_owned(),
+        offset: 4,
+    }
+}
+
+/// Symptom: a caller's tokens stop. Sequence: its endpoint's entry is removed from the catalogue
+/// while the answer comes in. Cause: the address is looked up anew for each call.
+#[test]
+fn an_endpoint_that_left_the_catalogue_can_still_be_called() {
+    let endpoint = Responder::start(|_, stream| {
+        stream.write_all(answer(404, "{}").as_bytes()).unwrap();
+    });
+    let rig = Rig::new(endpoint.address);
+    rig.published.publish_catalogue(&Default::default());
+    rig.call(resume(1));
+    assert_eq!(rig.failure(), Failure::Evicted);
+}
--- /dev/null
+++ b/crates/basilbank/tests/shell/rig.rs
@@ -0,0 +1,158 @@
+//! An endpoints' side with one prefill, one decode and one plain endpoint.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use basilbank::{
+    callers::{Callers, HeldDraft, HeldPlain},
+    engine::{Engine, EngineConfig},
+    inbox::{Inbox, inbox},
+    published::Published,
+};
+use basilbank_core::{
+    catalogue::{Catalogue, Endpoint, EntryTarget, ModelSpec, Role},
+    effect::{DraftCall, EngineCall},
+    event::{EngineEvent, Event, Failure},
+    ids::{AttemptKey, CallerId, DataCentreId, EndpointId, ModelId, RequestId, ServiceId},
+    state::Local,
+};
+use slotmap::KeyData;
+
+use crate::responder::PATIENCE;
+
+/// Longest silence of an endpoint.
+pub const SILENCE: Duration = Duration::from_millis(300);
+
+/// The request of all tests.
+pub const REQUEST: RequestId = RequestId(0xabc);
+
+/// The owner tag of this daemon's streams, as a query.
+pub const OWNER: &str = "vm=0000000000000007&incarnation=9";
+
+/// The endpoints' side and what a test needs around it.
+pub struct Rig {
+    pub engine: Engine,
+    pub callers: Arc<Callers>,
+    pub published: Arc<Published>,
+    inbox: Inbox,
+}
+
+impl Rig {
+    /// All endpoints at one address.
+    pub fn new(address: SocketAddr) -> Rig {
+        let (inbox, _, feed) = inbox();
+        let callers = Arc::new(Callers::default());
+        let published = Arc::new(Published::default());
+        published.publish_catalogue(&catalogue(address));
+        let local = Local { vm: basilbank_core::ids::VmId(7), incarnation: 9, ..Local::default() };
+        let config = EngineConfig::new(&local).with_silence(SILENCE).with_answer(1000);
+        let engine = Engine::new(config, Arc::clone(&callers), Arc::clone(&published), feed);
+        Rig { engine, callers, published, inbox }
+    }
+
+    /// Makes a call that starts at once.
+    pub fn call(&self, call: EngineCall) {
+        assert_eq!(format!("{:?}", self.engine.call(call)), "None");
+    }
+
+    /// The next event.
+    pub fn next(&self) -> EngineEvent {
+        match self.inbox.recv_timeout(PATIENCE) {
+            Ok(Event::Engine(event)) => event,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// The next event, which is a failure.
+    pub fn failure(&self) -> Failure {
+        match self.next() {
+            EngineEvent::Failed { failure, .. } => failure,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Whether events wait.
+    pub fn is_quiet(&self) -> bool {
+        self.inbox.try_recv().is_none()
+    }
+
+    /// Opens a draft's call and prepares its prefill as attempt `key`.
+    pub fn prefill(&self, key: u64) -> EngineCall {
+        EngineCall::Prefill(self.draft(key, endpoint_id("p1")))
+    }
+
+    /// Opens a draft's call and prepares its decode as attempt `key`.
+    pub fn decode(&self, key: u64) -> EngineCall {
+        let draft = self.draft(key, endpoint_id("d1"));
+        EngineCall::Decode { draft, source: endpoint_id("p1"), handle: "k1".to_owned() }
+    }
+
+    /// Opens a plain call and prepares it as attempt `key`.
+    pub fn plain(&self, key: u64, held: HeldPlain) -> EngineCall {
+        let (caller, _replies) = self.callers.open_plain(held);
+        let (attempt, endpoint, timeout) = (attempt(key), endpoint_id("f1"), PATIENCE);
+        EngineCall::Plain { attempt, caller, request: REQUEST, endpoint, timeout }
+    }
+
+    fn draft(&self, key: u64, endpoint: EndpointId) -> DraftCall {
+        let prompt = "two oak worktops".to_owned();
+        let held = HeldDraft { prompt, ..HeldDraft::default() };
+        let (caller, _replies): (CallerId, _) = self.callers.open_draft(held, 8);
+        DraftCall {
+            attempt: attempt(key),
+            caller,
+            request: REQUEST,
+            number: 3,
+            endpoint,
+            delivered: 0,
+            remaining: 16,
+            priority: 5,
+            timeout: SILENCE,
+        }
+    }
+}
+
+/// An attempt's key.
+pub fn attempt(key: u64) -> AttemptKey {
+    AttemptKey::from(KeyData::from_ffi(key))
+}
+
+/// An endpoint's id by its name: `p1`, `d1` or `f1`.
+pub fn endpoint_id(name: &str) -> EndpointId {
+    EndpointId::of(name)
+}
+
+fn catalogue(address: SocketAddr) -> Arc<Catalogue> {
+    let model = ModelSpec {
+        id: ModelId::of("writer"),
+        name: "writer".to_owned(),
+        version: String::new(),
+        adapter: String::new(),
+        weights: 0,
+        token_bytes: 0,
+        block_tokens: 16,
+    };
+    let target = EntryTarget::Model(model.id);
+    let endpoints = vec![
+        endpoint("p1", address, Role::Prefill, target),
+        endpoint("d1", address, Role::Decode, target),
+        endpoint("f1", address, Role::Plain, EntryTarget::Service(ServiceId::of("desk"))),
+    ];
+    Arc::new(Catalogue { revision: 1, models: vec![model], endpoints, ..Catalogue::default() })
+}
+
+fn endpoint(name: &str, address: SocketAddr, role: Role, serves: EntryTarget) -> Endpoint {
+    Endpoint {
+        id: EndpointId::of(name),
+        name: name.to_owned(),
+        address: address.to_string(),
+        data_centre: DataCentreId::of("hall-a"),
+        role,
+        serves,
+        slots: 4,
+        prefill_rate: 1000.0,
+        link_rate: 0,
+        fencing: false,
+        orders: false,
+        leaving: false,
+    }
+}
