--- a/crates/basilbank_standin/src/http.rs
+++ b/crates/basilbank_standin/src/http.rs
@@ -2,7 +2,6 @@
 //! and all connections at once, which is how a stand-in dies.
 
 use std::{
-    convert::Infallible,
     fmt, io,
     net::SocketAddr,
     pin::Pin,
@@ -236,9 +235,3 @@
 }
 
 impl std::error::Error for Broken {}
-
-impl From<Infallible> for Broken {
-    fn from(never: Infallible) -> Broken {
-        match never {}
-    }
-}
--- a/crates/basilbank_standin/src/spec.rs
+++ b/crates/basilbank_standin/src/spec.rs
@@ -94,20 +94,6 @@
         self
     }
 
-    /// Sets the address.
-    #[must_use]
-    pub fn with_address(mut self, address: SocketAddr) -> EngineSpec {
-        self.address = address;
-        self
-    }
-
-    /// Sets the model.
-    #[must_use]
-    pub fn with_model(mut self, model: &str) -> EngineSpec {
-        self.model = model.to_owned();
-        self
-    }
-
     /// Sets how many requests run at once.
     #[must_use]
     pub fn with_slots(mut self, slots: usize) -> EngineSpec {
--- /dev/null
+++ b/crates/basilbankd/tests/e2e/main.rs
@@ -0,0 +1,7 @@
+//! The real daemon between a caller and stand-ins, over real sockets.
+
+mod drafts;
+mod faults;
+mod harness;
+mod plain;
+mod shutdown;
