--- a/crates/basilbank/src/lib.rs
+++ b/crates/basilbank/src/lib.rs
@@ -2,3 +2,20 @@
 //! core's effects out.
 
 pub mod callers;
+pub mod clock;
+pub mod engine;
+pub mod logs;
+pub mod published;
+
+mod admin;
+mod daemon;
+mod event_loop;
+mod inbox;
+mod observer;
+mod peers;
+mod platform;
+mod pool;
+mod queries;
+mod sync;
+
+pub use daemon::{Daemon, Shutdown};
--- /dev/null
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -0,0 +1,16 @@
+//! The callers' API over real loopback sockets; the tests play the core.
+//!
+//! No test measures time. Reads and waits end after a long limit, so that a failure is reported in
+//! place of a hang.
+
+mod client;
+mod cursors;
+mod edge;
+mod leaving;
+mod limits;
+mod models;
+mod plain;
+mod refusals;
+mod shutdown;
+mod streams;
+mod whole;
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -1,11 +1,14 @@
 //! All that a daemon's decisions know.
 
+mod attempt;
 mod claims;
 mod documents;
 mod health;
+mod ledger;
 mod limits;
 mod members;
 mod orders;
+mod prefixes;
 mod reaper;
 mod requests;
 mod rng;
@@ -16,16 +19,24 @@
 use std::time::Duration;
 
 pub use self::{
-    claims::Claims,
-    documents::Documents,
-    health::Health,
+    attempt::{Attempt, AttemptStage, KvCache},
+    claims::{
+        Ballot, ClaimKey, ClaimPhase, Claims, KeyEntry, KeyTable, OwnClaim, Standing, Tenure,
+        TenureSince, Waited, made_at,
+    },
+    documents::{
+        Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
+    },
+    health::{Health, Known},
+    ledger::{Learning, Lease, Ledger, Seen, Waiter},
     limits::LimitTable,
-    members::{Member, Members},
+    members::{Census, Member, Members, Presence, rank},
     orders::Orders,
-    reaper::Reaper,
-    requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
+    prefixes::Prefixes,
+    reaper::{Cancelled, Reaper, Watch},
+    requests::{Request, RequestStage, Requests},
     rng::Rng,
-    slots::Slots,
+    slots::{OwnSlot, SlotKey, Slots},
     timers::{Timer, Timers},
     view::View,
 };
@@ -128,6 +139,8 @@
     pub rng: Rng,
     /// SIGTERM came: no new work.
     pub leaving: bool,
+    /// When the daemon started, on the monotonic clock.
+    pub started: Duration,
 }
 
 impl State {
@@ -135,10 +148,17 @@
     #[must_use]
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
-        timers.set(now.mono, Timer::Platform);
+        for timer in [Timer::Platform, Timer::Slots, Timer::Loads] {
+            timers.set(now.mono, timer);
+        }
+        let mut rng = Rng::new(local.seed);
+        let phase = local.tuning.heartbeat.mul_f64(rng.unit());
+        timers.set(now.mono + phase, Timer::Heartbeat);
+        let phase = local.tuning.reap_interval.mul_f64(rng.unit());
+        timers.set(now.mono + phase, Timer::Reap);
         State {
             view: View::default(),
-            members: Members::new(&local),
+            members: Members::new(&local, now.mono),
             documents: Documents::default(),
             requests: Requests::default(),
             health: Health::default(),
@@ -148,8 +168,9 @@
             orders: Orders::default(),
             reaper: Reaper::default(),
             timers,
-            rng: Rng::new(local.seed),
+            rng,
             leaving: false,
+            started: now.mono,
             local,
         }
     }
@@ -160,9 +181,10 @@
         self.timers.next()
     }
 
-    /// Whether callers may be sent here: there is a catalogue, and no shutdown.
+    /// Whether callers may be sent here: there is a catalogue that peers have not left behind, and
+    /// no shutdown.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.leaving && self.view.catalogue.revision > 0
+        !self.leaving && self.documents.currency.current
     }
 }
