The operators' command

Cause: operators need to check texts before they publish them and to see what a daemon does.

Change: basilbank check, diff (two sets of files, or a daemon's dry run), status, endpoints, teams, peers, requests, explain, orders, watch and hash-key; tables are made from whatever flat objects the admin API answers. A text's kind shows in its fields.

Conclusion: cargo test -p basilbank_cli: 38 tests and a doc test pass; the daemon's side is played by a responder in the tests, the real admin API was not met yet.

--- /dev/null
+++ b/crates/basilbank_cli/src/admin.rs
@@ -0,0 +1,98 @@
+//! The daemon's admin API.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::{Agent, Body, http::Response};
+
+use crate::{args::Options, failure::Failure};
+
+/// A daemon that takes longer is as good as unreachable.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Most bytes of an answer: a list of 10,000 teams has some megabytes.
+const MAX_ANSWER: u64 = 64 << 20;
+
+/// A daemon's admin API.
+#[derive(Debug)]
+pub struct Admin {
+    agent: Agent,
+    base: String,
+    key: Option<String>,
+}
+
+impl Admin {
+    /// The daemon that the options name.
+    ///
+    /// # Errors
+    ///
+    /// They name none.
+    pub fn new(options: &Options) -> Result<Admin, Failure> {
+        let Some(admin) = &options.admin else {
+            let message = "no daemon is named: give --admin URL or set BASILBANK_ADMIN";
+            return Err(Failure::Usage(message.to_owned()));
+        };
+        let admin = admin.trim_end_matches('/');
+        let base = if admin.contains("://") { admin.to_owned() } else { format!("http://{admin}") };
+        // The key must not go to a proxy that some variable of the environment names.
+        let config = Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .build();
+        Ok(Admin { agent: Agent::new_with_config(config), base, key: options.key.clone() })
+    }
+
+    /// Reads a path under `/admin/`.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` with `what` when the daemon says so; others.
+    pub fn get(&self, path: &str, what: &str) -> Result<Value, Failure> {
+        let mut request = self.agent.get(format!("{}/admin/{path}", self.base));
+        if let Some(key) = &self.key {
+            request = request.header("Authorization", format!("Bearer {key}"));
+        }
+        let answer = request.call().map_err(|error| self.unreachable(&error))?;
+        self.read(answer, what)
+    }
+
+    /// Posts to a path under `/admin/`.
+    ///
+    /// # Errors
+    ///
+    /// Like `get`.
+    pub fn post(&self, path: &str, body: &Value) -> Result<Value, Failure> {
+        let mut request = self.agent.post(format!("{}/admin/{path}", self.base));
+        if let Some(key) = &self.key {
+            request = request.header("Authorization", format!("Bearer {key}"));
+        }
+        let request = request.header("Content-Type", "application/json");
+        let answer = request.send(body.to_string()).map_err(|error| self.unreachable(&error))?;
+        self.read(answer, path)
+    }
+
+    fn unreachable(&self, error: &ureq::Error) -> Failure {
+        match error {
+            ureq::Error::Http(_) => Failure::Usage("the key can't be sent in a header".to_owned()),
+            ureq::Error::BadUri(_) => Failure::Usage(format!("{} is not a URL", self.base)),
+            _ => Failure::Unreachable(format!("{}: {error}", self.base)),
+        }
+    }
+
+    fn read(&self, mut answer: Response<Body>, what: &str) -> Result<Value, Failure> {
+        match answer.status().as_u16() {
+            200 => {}
+            401 | 403 => return Err(Failure::Key),
+            404 => return Err(Failure::NotFound(what.to_owned())),
+            status => {
+                return Err(Failure::Unreachable(format!("{} answered {status}", self.base)));
+            }
+        }
+        let text = answer.body_mut().with_config().limit(MAX_ANSWER).read_to_string();
+        let text = text.map_err(|error| self.unreachable(&error))?;
+        let wrong = |_| Failure::Unreachable(format!("{}: the answer is not JSON", self.base));
+        serde_json::from_str(&text).map_err(wrong)
+    }
+}
--- /dev/null
+++ b/crates/basilbank_cli/src/failure.rs
@@ -0,0 +1,98 @@
+//! How a command ends.
+
+use std::{fmt, io};
+
+/// The exit status.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Status {
+    /// All went well.
+    Ok,
+    /// Texts have errors, or what was asked for isn't there.
+    Found,
+    /// The command line, a file named on it or the key is wrong.
+    Usage,
+    /// The daemon can't be reached, or gave no proper answer.
+    Unreachable,
+}
+
+impl Status {
+    /// The process's exit code.
+    #[must_use]
+    pub fn code(self) -> u8 {
+        match self {
+            Status::Ok => 0,
+            Status::Found => 1,
+            Status::Usage => 2,
+            Status::Unreachable => 3,
+        }
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum Failure {
+    /// The command line is wrong.
+    Usage(String),
+    /// A file can't be read.
+    File {
+        /// Its name.
+        name: String,
+        /// Why.
+        error: io::Error,
+    },
+    /// The daemon does not take the key.
+    Key,
+    /// The daemon has no such thing.
+    NotFound(String),
+    /// The daemon can't be reached, or gave no proper answer.
+    Unreachable(String),
+    /// Nobody reads the output any more.
+    Output(io::Error),
+}
+
+impl Failure {
+    /// The exit status that goes with it.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        match self {
+            Failure::Usage(_) | Failure::File { .. } | Failure::Key => Status::Usage,
+            Failure::NotFound(_) => Status::Found,
+            Failure::Unreachable(_) => Status::Unreachable,
+            // A reader like `head` that has seen enough is no failure.
+            Failure::Output(error) if error.kind() == io::ErrorKind::BrokenPipe => Status::Ok,
+            Failure::Output(_) => Status::Usage,
+        }
+    }
+}
+
+impl From<io::Error> for Failure {
+    fn from(error: io::Error) -> Failure {
+        Failure::Output(error)
+    }
+}
+
+impl From<pico_args::Error> for Failure {
+    fn from(error: pico_args::Error) -> Failure {
+        Failure::Usage(error.to_string())
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Usage(message) => write!(f, "{message}; `basilbank --help` tells more"),
+            Failure::File { name, error } => write!(f, "{name}: {error}"),
+            Failure::Key => {
+                write!(
+                    f,
+                    "the daemon refuses the key; give its admin_key by --key-file or BASILBANK_KEY"
+                )
+            }
+            Failure::NotFound(what) => write!(f, "the daemon does not know {what}"),
+            Failure::Unreachable(message) => write!(f, "{message}"),
+            Failure::Output(error) => write!(f, "output: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/basilbank_cli/src/help.rs
@@ -0,0 +1,148 @@
+//! Help texts.
+
+use crate::args::{List, Topic};
+
+/// The help text on a topic.
+pub fn text(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Overview => OVERVIEW,
+        Topic::Check => CHECK,
+        Topic::Diff => DIFF,
+        Topic::Status => STATUS,
+        Topic::List(List::Endpoints) => ENDPOINTS,
+        Topic::List(List::Teams) => TEAMS,
+        Topic::List(List::Peers) => PEERS,
+        Topic::List(List::Requests) => REQUESTS,
+        Topic::List(List::Orders) => ORDERS,
+        Topic::Explain => EXPLAIN,
+        Topic::Watch => WATCH,
+        Topic::HashKey => HASH_KEY,
+    }
+}
+
+const OVERVIEW: &str = "\
+basilbank: checks settings and catalogues, and asks a daemon what it is doing
+
+usage: basilbank COMMAND [OPTIONS]
+
+on files:
+  check FILE…             check settings and catalogue documents
+  diff OLD… -- NEW…       what a new catalogue changes
+  hash-key                read a bearer key from standard input, print its hash
+
+on a daemon:
+  diff FILE…              what a catalogue would change, by the daemon's dry run
+  status                  the daemon's state
+  endpoints               endpoints: load, slots, health
+  teams                   teams: use and charges
+  peers                   the other daemons
+  requests                requests, running and ended
+  explain REQUEST_ID      why a request was placed, queued, retried or refused
+  orders                  orders to endpoints
+  watch                   print changes until Ctrl-C
+
+options:
+  --admin URL             the daemon's admin address; or BASILBANK_ADMIN
+  --key-file FILE         a file with the admin key; or the key itself in BASILBANK_KEY
+  --json                  print JSON instead of tables
+  -h, --help              this text, or a command's
+
+exit status: 0 well, 1 errors in texts or not found, 2 wrong use or key, 3 daemon unreachable
+";
+
+const CHECK: &str = "\
+usage: basilbank check FILE… [--json]
+
+Checks settings and catalogue documents; which of the two a file is shows in its fields. All
+documents named are checked together as one catalogue. Prints each finding as
+FILE:LINE:COLUMN: SEVERITY: what is wrong; what to write instead.
+
+exit status: 0 no errors (there may be warnings), 1 errors, 2 a file can't be read
+";
+
+const DIFF: &str = "\
+usage: basilbank diff OLD… -- NEW… [--json]
+       basilbank diff FILE… --admin URL [--key-file FILE] [--json]
+
+Says what a new catalogue adds (+), removes (-) and changes (~), and what follows. The first form
+compares two sets of documents. The second has a daemon compare the documents with the catalogue
+that it has in force: nothing is changed by it. The documents are the whole new catalogue.
+
+exit status: 0 the new catalogue is sound, 1 errors in texts, 2 wrong use or key, 3 daemon unreachable
+";
+
+const STATUS: &str = "\
+usage: basilbank status --admin URL [--key-file FILE] [--json]
+
+Shows the state of one daemon: revisions, members, requests, queue.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const ENDPOINTS: &str = "\
+usage: basilbank endpoints --admin URL [--key-file FILE] [--json]
+
+Lists endpoints as the daemon sees them.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const TEAMS: &str = "\
+usage: basilbank teams --admin URL [--key-file FILE] [--json]
+
+Lists teams with their use and charges at this daemon.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const PEERS: &str = "\
+usage: basilbank peers --admin URL [--key-file FILE] [--json]
+
+Lists the daemons that this one knows, and whether it hears them.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const REQUESTS: &str = "\
+usage: basilbank requests --admin URL [--key-file FILE] [--json]
+
+Lists the requests of this daemon. `basilbank explain` tells more about one.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const ORDERS: &str = "\
+usage: basilbank orders --admin URL [--key-file FILE] [--json]
+
+Lists the orders to endpoints that this daemon decides on.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const EXPLAIN: &str = "\
+usage: basilbank explain REQUEST_ID --admin URL [--key-file FILE] [--json]
+
+Tells step by step what became of a request. Ask the daemon that accepted it; the id is in the
+X-Request-Id header of each answer.
+
+exit status: 0 well, 1 the daemon does not know the request, 2 wrong use or key, 3 daemon unreachable
+";
+
+const WATCH: &str = "\
+usage: basilbank watch --admin URL [--key-file FILE] [--interval SECONDS] [--count N] [--json]
+
+Asks every two seconds, or as often as --interval says, and prints what changed in status,
+endpoints, peers and orders, until Ctrl-C or N rounds. A daemon that can't be reached is a change
+too. With --json each change is one line.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable in the last round
+";
+
+const HASH_KEY: &str = "\
+usage: basilbank hash-key [--json] < FILE
+
+Reads a bearer key from standard input and prints the hash that goes into a team's \"keys\". A
+line break at the end is not part of the key.
+
+exit status: 0 well, 2 no key, or one that can't be sent in a header
+";
--- /dev/null
+++ b/crates/basilbank_cli/src/key.rs
@@ -0,0 +1,39 @@
+//! `hash-key`
+
+use std::io::Read as _;
+
+use basilbank_config::key_hash;
+use serde_json::json;
+
+use crate::{
+    args::{Format, Options},
+    failure::{Failure, Status},
+    shell::Shell,
+    show::write_json,
+};
+
+/// Longest key: a caller's headers are limited too.
+const MAX_KEY: u64 = 4096;
+
+/// Reads a key and prints its hash.
+pub fn run(shell: &mut Shell<'_>, options: &Options) -> Result<Status, Failure> {
+    let mut text = String::new();
+    let mut input = shell.input.take(MAX_KEY + 1);
+    let read = input.read_to_string(&mut text);
+    read.map_err(|error| Failure::File { name: "standard input".to_owned(), error })?;
+    let key = text.strip_suffix('\n').unwrap_or(&text);
+    let key = key.strip_suffix('\r').unwrap_or(key);
+    // A key with a blank or a line break in it can't be sent in a header: its hash would lock the
+    // team out, and only a refused call would show it.
+    let right = !key.is_empty() && key.chars().all(|c| c.is_ascii_graphic());
+    if !right || MAX_KEY < text.len() as u64 {
+        let message = format!("a key has 1 to {MAX_KEY} printable ASCII characters, no blanks");
+        return Err(Failure::Usage(message));
+    }
+    let hash: String = key_hash(key).iter().map(|byte| format!("{byte:02x}")).collect();
+    match options.format {
+        Format::Json => write_json(shell, &json!({ "hash": hash }))?,
+        Format::Table => writeln!(shell.out, "{hash}")?,
+    }
+    Ok(Status::Ok)
+}
--- a/crates/basilbank_cli/src/main.rs
+++ b/crates/basilbank_cli/src/main.rs
@@ -1,3 +1,19 @@
-//! Thin.
+//! The operators' command. All of it is in the library, so that tests can call it.
 
-fn main() {}
+use std::{env, io, process::ExitCode, thread};
+
+use basilbank_cli::{Shell, run};
+
+fn main() -> ExitCode {
+    let (mut input, mut out, mut err) =
+        (io::stdin().lock(), io::stdout().lock(), io::stderr().lock());
+    let mut shell = Shell {
+        input: &mut input,
+        out: &mut out,
+        err: &mut err,
+        env: &|name| env::var(name).ok(),
+        sleep: &thread::sleep,
+    };
+    let status = run(&mut shell, env::args_os().skip(1).collect());
+    ExitCode::from(status.code())
+}
--- /dev/null
+++ b/crates/basilbank_cli/src/table.rs
@@ -0,0 +1,139 @@
+//! Tables out of flat JSON objects. Which columns there are, the daemon says; their order is set
+//! here, so that a new column needs no change.
+
+use serde_json::{Map, Value};
+
+/// A flat JSON object.
+pub type Flat = Map<String, Value>;
+
+/// Columns that come first, in this order; others follow by name.
+const FIRST: &[&str] = &[
+    "time",
+    "at_ms",
+    "name",
+    "vm",
+    "id",
+    "request",
+    "peer",
+    "endpoint",
+    "event",
+    "state",
+    "stage",
+    "outcome",
+    "team",
+    "owner",
+    "entry",
+    "class",
+    "model",
+    "service",
+    "target",
+    "role",
+    "data_centre",
+    "address",
+    "live",
+    "leaving",
+    "draining",
+    "version",
+    "adapter",
+    "fence",
+    "fencing",
+    "orders",
+    "slots",
+    "running",
+    "queued",
+    "free",
+    "age_ms",
+];
+
+/// Columns whose text is a number stand to the right.
+fn is_number(value: &Value) -> bool {
+    matches!(value, Value::Number(_) | Value::Null)
+}
+
+/// One value as a cell. Control characters, which could change the terminal, are replaced.
+pub fn cell(value: &Value) -> String {
+    let text = match value {
+        Value::Null => "-".to_owned(),
+        Value::Bool(true) => "yes".to_owned(),
+        Value::Bool(false) => "no".to_owned(),
+        Value::String(text) if text.is_empty() => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        Value::Array(all) if all.is_empty() => "-".to_owned(),
+        Value::Array(all) => all.iter().map(cell).collect::<Vec<_>>().join(" "),
+        other => other.to_string(),
+    };
+    text.chars().map(|c| if c.is_control() { '?' } else { c }).collect()
+}
+
+/// A list of objects as a table with a head; one line says so when there are none.
+#[must_use]
+pub fn render_list(items: &[Flat]) -> String {
+    if items.is_empty() {
+        return "none\n".to_owned();
+    }
+    let columns = columns(items);
+    let mut rows = vec![columns.iter().map(|c| c.to_uppercase()).collect::<Vec<_>>()];
+    let of = |item: &Flat, column: &str| item.get(column).map_or("-".to_owned(), cell);
+    rows.extend(items.iter().map(|item| columns.iter().map(|c| of(item, c)).collect()));
+    let right: Vec<bool> = columns
+        .iter()
+        .map(|c| items.iter().all(|item| item.get(*c).is_none_or(is_number)))
+        .collect();
+    align(&rows, &right)
+}
+
+/// An object as lines of name and value; lists of objects within it follow as tables.
+#[must_use]
+pub fn render_object(object: &Flat) -> String {
+    let (tables, flat): (Vec<_>, Vec<_>) = object
+        .iter()
+        .map(|(name, value)| (name, value, objects(value)))
+        .partition(|t| t.2.is_some());
+    let mut names: Vec<&str> = flat.iter().map(|(name, ..)| name.as_str()).collect();
+    sort(&mut names);
+    let rows: Vec<_> =
+        names.iter().map(|name| vec![(*name).to_owned(), cell(&object[*name])]).collect();
+    let mut text = align(&rows, &[false, false]);
+    for (name, _, items) in tables {
+        text.push_str(&format!("\n{name}:\n{}", render_list(&items.unwrap_or_default())));
+    }
+    text
+}
+
+/// The objects of a list that holds nothing else.
+fn objects(value: &Value) -> Option<Vec<Flat>> {
+    let list = value.as_array().filter(|list| !list.is_empty())?;
+    list.iter().map(|item| item.as_object().cloned()).collect()
+}
+
+fn columns(items: &[Flat]) -> Vec<&str> {
+    let mut columns: Vec<&str> = items.iter().flat_map(Map::keys).map(String::as_str).collect();
+    columns.sort_unstable();
+    columns.dedup();
+    sort(&mut columns);
+    columns
+}
+
+fn sort(names: &mut [&str]) {
+    let rank = |name: &str| FIRST.iter().position(|first| *first == name).unwrap_or(FIRST.len());
+    names.sort_by_key(|name| (rank(name), name.to_owned()));
+}
+
+fn align(rows: &[Vec<String>], right: &[bool]) -> String {
+    let width = |column: usize| rows.iter().map(|row| row[column].chars().count()).max();
+    let widths: Vec<usize> = (0..right.len()).filter_map(width).collect();
+    let mut text = String::new();
+    for row in rows {
+        let mut line = String::new();
+        for ((cell, width), right) in row.iter().zip(&widths).zip(right) {
+            if *right {
+                line.push_str(&format!("{cell:>width$}  "));
+            } else {
+                line.push_str(&format!("{cell:<width$}  "));
+            }
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
--- /dev/null
+++ b/crates/basilbank_cli/tests/commands/daemon.rs
@@ -0,0 +1,140 @@
+//! Commands that ask a daemon.
+
+use basilbank_cli::Status;
+use test_case::test_case;
+
+use crate::common::{Daemon, Ran, command};
+
+const KEY: &str = "fedcba9876543210";
+
+/// Answers one path with one text.
+fn daemon(line: &'static str, status: u16, text: &'static str) -> Daemon {
+    Daemon::start(Box::new(move |asked| {
+        if asked == line { (status, text.to_owned()) } else { (404, String::new()) }
+    }))
+}
+
+fn ask(daemon: &Daemon, args: &[&str]) -> Ran {
+    let admin = format!("http://{}/", daemon.address);
+    command(args, "", &[("BASILBANK_ADMIN", &admin), ("BASILBANK_KEY", KEY)])
+}
+
+#[test]
+fn a_list_is_an_aligned_table() {
+    let text = r#"{"items":[
+        {"slots":20,"name":"writer-d1","zeta":true,"running":7,"version":""},
+        {"slots":2,"name":"p\u001b[2J","zeta":false,"running":null,"role":"prefill"}]}"#;
+    let daemon = daemon("GET /admin/endpoints", 200, text);
+    let ran = ask(&daemon, &["endpoints"]);
+    let lines: Vec<_> = ran.out.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "NAME       ROLE     VERSION  SLOTS  RUNNING  ZETA",
+            "writer-d1  -        -           20        7  yes",
+            "p?[2J      prefill  -            2        -  no",
+        ]
+    );
+    assert_eq!(ran.status, Status::Ok);
+    assert_eq!(daemon.seen.lock().unwrap()[0].authorization, format!("Bearer {KEY}"));
+}
+
+#[test]
+fn json_is_the_daemons() {
+    let daemon = daemon("GET /admin/teams", 200, r#"{"items":[{"name":"fitters"}]}"#);
+    let ran = ask(&daemon, &["teams", "--json"]);
+    assert_eq!(ran.out, "{\n  \"items\": [\n    {\n      \"name\": \"fitters\"\n    }\n  ]\n}\n");
+}
+
+#[test]
+fn status_is_one_line_a_field() {
+    let text = r#"{"name":"entry-1","catalogue_revision":12,"ready":true}"#;
+    let ran = ask(&daemon("GET /admin/status", 200, text), &["status"]);
+    assert_eq!(
+        ran.out,
+        "name                entry-1\ncatalogue_revision  12\nready               yes\n"
+    );
+}
+
+#[test]
+fn explain_shows_fields_and_steps() {
+    let text = r#"{"request":"00ff","team":"fitters","steps":[{"at_ms":0,"event":"accepted"},{"at_ms":12,"event":"placed","endpoint":"p1"}]}"#;
+    let ran = ask(&daemon("GET /admin/requests/00ff", 200, text), &["explain", "00ff"]);
+    assert_eq!(
+        ran.out,
+        "request  00ff\nteam     fitters\n\nsteps:\nAT_MS  ENDPOINT  EVENT\n    0  -         accepted\n   12  p1        placed\n"
+    );
+}
+
+#[test_case("GET /admin/requests/other", 200, &["explain", "00ff"], Status::Found, "does not know request 00ff"; "not found")]
+#[test_case("GET /admin/status", 401, &["status"], Status::Usage, "refuses the key"; "wrong key")]
+#[test_case("GET /admin/status", 500, &["status"], Status::Unreachable, "answered 500"; "server error")]
+#[test_case("GET /admin/status", 302, &["status"], Status::Unreachable, "answered 302"; "redirect")]
+#[test_case("GET /admin/orders", 200, &["orders"], Status::Unreachable, "not JSON"; "not json")]
+#[test_case("GET /admin/orders", 200, &["explain", "../status"], Status::Usage, "not a request's id"; "path for an id")]
+fn a_failure(line: &'static str, status: u16, args: &[&str], expected: Status, part: &str) {
+    let ran = ask(&daemon(line, status, "<html>"), args);
+    assert_eq!(ran.status, expected, "{}", ran.err);
+    assert!(ran.err.contains(part), "{}", ran.err);
+    assert!(!ran.err.contains(KEY), "{}", ran.err);
+}
+
+#[test]
+fn nobody_listens() {
+    // Port 1 has had no use for decades.
+    let ran = command(&["status", "--admin", "127.0.0.1:1"], "", &[]);
+    assert_eq!(ran.status, Status::Unreachable);
+}
+
+#[test]
+fn a_dry_run_sends_the_documents() {
+    let text = r#"{"findings":[{"file":"c","line":1,"column":2,"severity":"warning","message":"m","help":"h"}],"changes":["~ endpoint d1: leaving false -> true; endpoint drains"]}"#;
+    let daemon = daemon("POST /admin/check", 200, text);
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/office.jsonc");
+    let ran = ask(&daemon, &["diff", file]);
+    assert_eq!(
+        ran.out,
+        "c:1:2: warning: m; h\n~ endpoint d1: leaving false -> true; endpoint drains\n1 changes\n"
+    );
+    assert_eq!(ran.status, Status::Ok);
+    let body = daemon.seen.lock().unwrap()[0].body.clone();
+    assert!(body.contains("\"key\":") && body.contains("office"), "{body}");
+}
+
+#[test]
+fn a_dry_run_with_errors_is_found() {
+    let text = r#"{"findings":[{"file":"c","line":1,"column":2,"severity":"error","message":"m","help":"h"}],"changes":[]}"#;
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/data/office.jsonc");
+    let ran = ask(&daemon("POST /admin/check", 200, text), &["diff", file]);
+    assert_eq!((ran.status, ran.out.as_str()), (Status::Found, "c:1:2: error: m; h\n"));
+}
+
+#[test]
+fn watch_prints_what_changes() {
+    let mut polls = 0;
+    let daemon = Daemon::start(Box::new(move |line| match line {
+        "GET /admin/status" => {
+            polls += 1;
+            let status = format!("{{\"catalogue\":{},\"uptime_s\":{polls}}}", 11 + polls / 2);
+            (if polls == 3 { 503 } else { 200 }, status)
+        }
+        "GET /admin/endpoints" if 1 < polls => {
+            (200, r#"{"items":[{"name":"d1","leaving":true}]}"#.to_owned())
+        }
+        _ => (200, r#"{"items":[]}"#.to_owned()),
+    }));
+    let ran = ask(&daemon, &["watch", "--count", "4", "--interval", "0.1"]);
+    assert_eq!(
+        ran.out.lines().collect::<Vec<_>>(),
+        [
+            "daemon reached: - -> yes",
+            "endpoints d1 leaving: - -> yes",
+            "endpoints d1 name: - -> d1",
+            "status catalogue: 11 -> 12",
+            "daemon reached: yes -> no",
+            "daemon reached: no -> yes",
+            "status catalogue: 12 -> 13",
+        ]
+    );
+    assert_eq!(ran.status, Status::Ok);
+}
--- /dev/null
+++ b/crates/basilbank_cli/tests/commands/main.rs
@@ -0,0 +1,5 @@
+//! Commands, run as `main` runs them.
+
+mod common;
+mod daemon;
+mod files;
--- a/crates/basilbank_config/src/lib.rs
+++ b/crates/basilbank_config/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod catalogue;
 mod diff;
+mod document;
 mod fields;
 mod finding;
 mod key;
@@ -26,6 +27,7 @@
 
 pub use catalogue::{CATALOGUE, CheckedCatalogue, MAX_DOCUMENT, check_catalogue, parse_catalogue};
 pub use diff::{Change, Consequence, Item, Step, diff};
+pub use document::TextKind;
 pub use finding::{Finding, Findings, Severity};
 pub use key::key_hash;
 pub use schema::{Field, Kind, Need, Section};
