Each field says what it is for

Change: the tables of fields carry a sentence each, and can be printed as Markdown for the operators' reference.

--- a/crates/basilbank_config/src/schema.rs
+++ b/crates/basilbank_config/src/schema.rs
@@ -21,6 +21,8 @@
     pub kind: Kind,
     /// A value that it may have, as JSON.
     pub example: &'static str,
+    /// What it is for.
+    pub doc: &'static str,
 }
 
 /// Whether a field may be left out.
@@ -77,6 +79,22 @@
         self.fields.iter().find(|f| f.name == name)
     }
 
+    /// The fields as a Markdown table, for the operators' reference.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut table =
+            "| field | holds | when left out | |\n| --- | --- | --- | --- |\n".to_owned();
+        for Field { name, need, kind, doc, .. } in self.fields {
+            let default = match need {
+                Need::Required => "must be there",
+                Need::Optional(default) => default,
+            };
+            let holds = kind.describe();
+            table.push_str(&format!("| `{name}` | {holds} | {default} | {doc} |\n"));
+        }
+        table
+    }
+
     /// This section and those within it, each with the path of fields that leads to it.
     #[must_use]
     pub fn walk(&'static self) -> Vec<(String, &'static Section)> {
@@ -98,7 +116,7 @@
 impl Field {
     /// A field that must be there.
     pub(crate) const fn required(name: &'static str, kind: Kind, example: &'static str) -> Field {
-        Field { name, need: Need::Required, kind, example }
+        Field { name, need: Need::Required, kind, example, doc: "" }
     }
 
     /// A field that may be left out.
@@ -108,7 +126,12 @@
         default: &'static str,
         example: &'static str,
     ) -> Field {
-        Field { name, need: Need::Optional(default), kind, example }
+        Field { name, need: Need::Optional(default), kind, example, doc: "" }
+    }
+
+    /// Says what it is for.
+    pub(crate) const fn doc(self, doc: &'static str) -> Field {
+        Field { doc, ..self }
     }
 }
 
