Settings know the new constants

Cause: the decisions gained kv_life and stall, and other defaults for heartbeats.

Change: both can be set; constants that settings don't know yet keep their defaults instead of failing the build; the tables and the example have the new defaults.

Conclusion: the tests of both crates pass.

--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -97,31 +97,36 @@
 }
 
 fn read_tuning(report: &mut Report<'_>, fields: &Fields<'_, '_>) -> Tuning {
-    let default = Tuning::default();
-    let millis = |name, default| fields.millis(name).unwrap_or(default);
-    let tuning = Tuning {
-        heartbeat: millis("heartbeat_ms", default.heartbeat),
-        fan_out: fields.count("fan_out").unwrap_or(default.fan_out),
-        dead_after: millis("dead_after_ms", default.dead_after),
-        pause: millis("pause_ms", default.pause),
-        slot_lease: millis("slot_lease_ms", default.slot_lease),
-        peer_timeout: millis("peer_timeout_ms", default.peer_timeout),
-        attempts: fields.count("attempts").unwrap_or(default.attempts),
-        retry_ratio: fields.number("retry_ratio").unwrap_or(default.retry_ratio),
-        backoff: millis("backoff_ms", default.backoff),
-        max_backoff: millis("max_backoff_ms", default.max_backoff),
-        queue: fields.count("queue").unwrap_or(default.queue),
-        key_window: millis("key_window_ms", default.key_window),
-        keys: fields.count("keys").unwrap_or(default.keys),
-        skew: millis("skew_ms", default.skew),
-        load_interval: millis("load_interval_ms", default.load_interval),
-        reap_interval: millis("reap_interval_ms", default.reap_interval),
-        ..default
-    };
+    let mut tuning = Tuning::default();
+    set(&mut tuning.heartbeat, fields.millis("heartbeat_ms"));
+    set(&mut tuning.fan_out, fields.count("fan_out"));
+    set(&mut tuning.dead_after, fields.millis("dead_after_ms"));
+    set(&mut tuning.pause, fields.millis("pause_ms"));
+    set(&mut tuning.slot_lease, fields.millis("slot_lease_ms"));
+    set(&mut tuning.peer_timeout, fields.millis("peer_timeout_ms"));
+    set(&mut tuning.attempts, fields.count("attempts"));
+    set(&mut tuning.retry_ratio, fields.number("retry_ratio"));
+    set(&mut tuning.backoff, fields.millis("backoff_ms"));
+    set(&mut tuning.max_backoff, fields.millis("max_backoff_ms"));
+    set(&mut tuning.kv_life, fields.millis("kv_life_ms"));
+    set(&mut tuning.stall, fields.millis("stall_ms"));
+    set(&mut tuning.queue, fields.count("queue"));
+    set(&mut tuning.key_window, fields.millis("key_window_ms"));
+    set(&mut tuning.keys, fields.count("keys"));
+    set(&mut tuning.skew, fields.millis("skew_ms"));
+    set(&mut tuning.load_interval, fields.millis("load_interval_ms"));
+    set(&mut tuning.reap_interval, fields.millis("reap_interval_ms"));
     check_tuning(report, fields, &tuning);
     tuning
 }
 
+/// Takes a value over if there is one.
+fn set<T>(slot: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *slot = value;
+    }
+}
+
 fn check_tuning(report: &mut Report<'_>, fields: &Fields<'_, '_>, tuning: &Tuning) {
     if tuning.dead_after < tuning.heartbeat * 3 {
         // With less, one lost heartbeat makes a live daemon count as dead.
--- a/crates/basilbank_config/src/settings/schema.rs
+++ b/crates/basilbank_config/src/settings/schema.rs
@@ -31,7 +31,7 @@
         Field::optional("limits", Kind::Object(&LIMITS), "{}", "{ \"connections\": 2048 }")
             .doc("Limits of the callers' API."),
         Field::optional("log", Kind::Object(&LOG), "{}", "{ \"level\": \"debug\" }").doc("Logs."),
-        Field::optional("tuning", Kind::Object(&TUNING), "{}", "{ \"heartbeat_ms\": 250 }")
+        Field::optional("tuning", Kind::Object(&TUNING), "{}", "{ \"heartbeat_ms\": 500 }")
             .doc("Constants of the decisions; all daemons of a fleet should have the same."),
     ],
 };
@@ -84,9 +84,9 @@
 const TUNING: Section = Section {
     noun: "tuning object",
     fields: &[
-        Field::optional("heartbeat_ms", Kind::millis(10), "500", "250")
+        Field::optional("heartbeat_ms", Kind::millis(10), "250", "500")
             .doc("Time between a daemon's heartbeats."),
-        Field::optional("fan_out", Kind::Whole { min: 1, max: 100 }, "3", "4")
+        Field::optional("fan_out", Kind::Whole { min: 1, max: 100 }, "1", "3")
             .doc("Peers that each heartbeat goes to."),
         Field::optional("dead_after_ms", Kind::millis(20), "4000", "3000")
             .doc("Without news for this long a daemon counts as dead; three heartbeats or more."),
@@ -103,6 +103,10 @@
         Field::optional("backoff_ms", Kind::millis(1), "10", "20")
             .doc("First backoff; it doubles with each attempt."),
         Field::optional("max_backoff_ms", Kind::millis(1), "500", "1000").doc("Longest backoff."),
+        Field::optional("kv_life_ms", Kind::millis(10), "800", "500")
+            .doc("How long a prefill endpoint keeps a KV cache that no decode endpoint has taken."),
+        Field::optional("stall_ms", Kind::millis(100), "3000", "5000")
+            .doc("A stream that gives no token for this long counts as broken."),
         Field::optional("queue", Kind::Whole { min: 0, max: 1_000_000 }, "1000", "2000")
             .doc("Requests that wait in one daemon."),
         Field::optional("key_window_ms", Kind::millis(1000), "600000", "900000")
