Settings know the constants of reaping

Change: stream_grace_ms and unread_limit_ms; a test holds that each constant of the decisions can be set. An example prints the fields' tables for the operators' page.

--- /dev/null
+++ b/crates/basilbank_config/examples/reference.rs
@@ -0,0 +1,18 @@
+//! Prints the tables of fields as they stand in the operators' page.
+//!
+//! `cargo run -p basilbank_config --example reference`
+
+use std::io::{self, Write as _};
+
+use basilbank_config::{CATALOGUE, SETTINGS};
+
+fn main() -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    for (kind, section) in [("catalogue", &CATALOGUE), ("settings", &SETTINGS)] {
+        for (path, section) in section.walk() {
+            let title = if path.is_empty() { kind } else { &path };
+            writeln!(out, "### `{title}`\n\n{}", section.table())?;
+        }
+    }
+    Ok(())
+}
--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -116,6 +116,8 @@
     set(&mut tuning.skew, fields.millis("skew_ms"));
     set(&mut tuning.load_interval, fields.millis("load_interval_ms"));
     set(&mut tuning.reap_interval, fields.millis("reap_interval_ms"));
+    set(&mut tuning.stream_grace, fields.millis("stream_grace_ms"));
+    set(&mut tuning.unread_limit, fields.millis("unread_limit_ms"));
     check_tuning(report, fields, &tuning);
     tuning
 }
--- a/crates/basilbank_config/src/settings/schema.rs
+++ b/crates/basilbank_config/src/settings/schema.rs
@@ -119,5 +119,9 @@
             .doc("Time between two reads of an endpoint's load."),
         Field::optional("reap_interval_ms", Kind::millis(10), "2000", "1000")
             .doc("Time between two lists of an endpoint's streams."),
+        Field::optional("stream_grace_ms", Kind::millis(0), "10000", "20000")
+            .doc("How long the unread stream of a daemon that is gone is kept for its caller."),
+        Field::optional("unread_limit_ms", Kind::millis(1000), "60000", "120000")
+            .doc("After this long a stream that nobody reads is cancelled, whoever owns it."),
     ],
 };
--- a/crates/basilbank_config/tests/settings_findings.rs
+++ b/crates/basilbank_config/tests/settings_findings.rs
@@ -62,6 +62,21 @@
     assert_eq!(Settings::parse("s", &text).unwrap(), plain);
 }
 
+/// Symptom: a constant can't be set. Sequence: the decisions gain one, the settings don't. Cause:
+/// each is named in both.
+#[test]
+fn every_constant_can_be_set() {
+    let tuning = SETTINGS.field("tuning").unwrap();
+    let Kind::Object(section) = tuning.kind else { panic!("tuning is an object") };
+    let shown = format!("{:?}", Tuning::default());
+    let inner = shown.trim_start_matches("Tuning { ").trim_end_matches(" }");
+    for constant in inner.split(", ").filter_map(|pair| pair.split(':').next()) {
+        let millis = format!("{constant}_ms");
+        let known = section.field(constant).or(section.field(&millis));
+        assert!(known.is_some(), "{constant} can't be set");
+    }
+}
+
 #[test_case("\"nme\": 1", "6:3", "the settings object has no field \"nme\"; did you mean \"name\"?"; "unknown field")]
 #[test_case("\"limits\": { \"body\": 1 }", "6:15", "did you mean"; "unknown limit")]
 #[test_case("\"limits\": { \"connections\": 0 }", "6:30", "can't be 0; write a whole number from 1"; "no connections")]
