--- a/crates/basilbank_config/src/report.rs
+++ b/crates/basilbank_config/src/report.rs
@@ -116,7 +116,7 @@
     let (mut line, mut column, mut at) = (1, 1, 0);
     let mut found = Vec::with_capacity(spots.len());
     for spot in spots {
-        let end = spot.start.min(text.len());
+        let end = text.floor_char_boundary(spot.start);
         for c in text[at..end].chars() {
             column += 1;
             if c == '\n' {
