Operators' page: catalogue, settings, and how to change things

Change: docs/OPERATORS.md with the fields' tables; a test parses its examples and holds its tables against the reader's.

--- /dev/null
+++ b/crates/basilbank_config/tests/operators_page.rs
@@ -0,0 +1,50 @@
+//! The operators' page: its examples are sound, and its tables are the ones that the reader goes by.
+
+use basilbank_config::{
+    CATALOGUE, Document, SETTINGS, Section, Settings, TextKind, check_catalogue,
+};
+use test_case::test_case;
+
+const PAGE: &str = include_str!("../../../docs/OPERATORS.md");
+
+/// The fenced blocks of JSON with comments.
+fn blocks() -> Vec<&'static str> {
+    let parts = PAGE.split("```jsonc\n").skip(1);
+    parts.map(|part| part.split("```").next().unwrap()).collect()
+}
+
+fn findings(texts: &[&str]) -> String {
+    let document = |(i, text): (usize, &&str)| Document {
+        key: format!("block-{i}"),
+        text: Some((*text).to_owned()),
+        revision: 1,
+    };
+    let documents: Vec<_> = texts.iter().enumerate().map(document).collect();
+    check_catalogue(1, &documents).findings.to_string()
+}
+
+/// The first block is a whole catalogue, the others are documents beside it, or settings.
+#[test]
+fn examples_are_sound() {
+    let blocks = blocks();
+    assert!(3 < blocks.len());
+    assert_eq!(findings(&blocks[..1]), "");
+    for block in &blocks[1..] {
+        match TextKind::of(block) {
+            TextKind::Catalogue => assert_eq!(findings(&[blocks[0], block]), "", "{block}"),
+            TextKind::Settings => {
+                let parsed = Settings::parse("block", block);
+                assert!(parsed.is_ok(), "{}", parsed.unwrap_err());
+            }
+        }
+    }
+}
+
+#[test_case(&CATALOGUE; "catalogue")]
+#[test_case(&SETTINGS; "settings")]
+fn tables_are_the_readers(section: &'static Section) {
+    for (path, section) in section.walk() {
+        let table = section.table();
+        assert!(PAGE.contains(&table), "{path}: run the example `reference`\n{table}");
+    }
+}
