Findings repeat no secret, and addresses that nobody can reach are found

Cause: a finding about a short key showed the key, and a field's name could break a finding's line in two.

Change: keys have a kind of their own whose findings don't repeat them; one key for peers and operators is a finding; so are an endpoint's port 0 and unspecified or multicast addresses; fields' names are escaped.

--- a/crates/basilbank_config/src/catalogue/read.rs
+++ b/crates/basilbank_config/src/catalogue/read.rs
@@ -209,6 +209,7 @@
     if let Some(name) = data_centre {
         parts.data_centres.add(DataCentreId::of(name).0, name, fields.spot_of("data_centre"));
     }
+    check_address(report, fields);
     let serves = read_target(report, parts, fields);
     let role = read_role(fields);
     if let (Some(role), Some(serves)) = (role, serves) {
@@ -232,6 +233,16 @@
     Some(())
 }
 
+/// An address that a listener may have, but that nobody can connect to.
+fn check_address(report: &mut Report<'_>, fields: &Fields<'_, '_>) {
+    let Some(address) = fields.address("address") else { return };
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        let help = "write the endpoint's own IP number and port, for example \"10.0.1.1:8000\"";
+        let message = format!("nobody can connect to {address}");
+        report.error(fields.spot_of("address"), message, help);
+    }
+}
+
 fn read_role(fields: &Fields<'_, '_>) -> Option<Role> {
     match fields.text("role")? {
         "prefill" => Some(Role::Prefill),
--- a/crates/basilbank_config/src/catalogue/schema.rs
+++ b/crates/basilbank_config/src/catalogue/schema.rs
@@ -83,7 +83,7 @@
     noun: "service",
     fields: &[
         Field::required("name", Kind::Name, "\"fitter-desk\"").doc("Its name."),
-        Field::required("prefix", Kind::Text { min: 1 }, "\"/desk/\"")
+        Field::required("prefix", Kind::Text, "\"/desk/\"")
             .doc("Paths that start with it go to the service; it starts and ends with `/`."),
         Field::optional(
             "repeatable",
--- a/crates/basilbank_config/src/fields.rs
+++ b/crates/basilbank_config/src/fields.rs
@@ -131,7 +131,7 @@
             let name = prop.name.as_str();
             let spot = self.at(&prop.name);
             if let Some(first) = seen.insert(name, spot) {
-                let message = format!("\"{name}\" is given twice");
+                let message = format!("{name:?} is given twice");
                 report.clash(spot, first, message, "remove one of the two");
                 continue;
             }
@@ -177,7 +177,7 @@
             Some(near) => format!("did you mean \"{near}\"?"),
             None => format!("it may have {}", known.collect::<Vec<_>>().join(", ")),
         };
-        report.error(spot, format!("the {} has no field \"{name}\"", self.section.noun), help);
+        report.error(spot, format!("the {} has no field {name:?}", self.section.noun), help);
     }
 }
 
@@ -186,7 +186,8 @@
     let name = field.name;
     let right = match (&field.kind, value) {
         (Kind::Name, Value::StringLit(s)) => is_name(&s.value),
-        (Kind::Text { min }, Value::StringLit(s)) => is_text(&s.value, *min),
+        (Kind::Text, Value::StringLit(s)) => is_text(&s.value, 1),
+        (Kind::Secret { min }, Value::StringLit(s)) => is_text(&s.value, *min),
         (Kind::Address, Value::StringLit(s)) => s.value.parse::<SocketAddr>().is_ok(),
         (Kind::Choice(all), Value::StringLit(s)) => all.contains(&s.value.as_ref()),
         (Kind::Whole { min, max }, Value::NumberLit(n)) => {
@@ -204,6 +205,7 @@
         return None;
     }
     Some(match value {
+        _ if matches!(field.kind, Kind::Secret { .. }) => format!("\"{name}\" can't be this"),
         Value::StringLit(s) if s.value.is_empty() => format!("\"{name}\" is empty"),
         Value::StringLit(s) => format!("\"{name}\" can't be {:?}", brief(&s.value)),
         Value::NumberLit(n) => format!("\"{name}\" can't be {}", n.value),
--- a/crates/basilbank_config/src/schema.rs
+++ b/crates/basilbank_config/src/schema.rs
@@ -39,8 +39,10 @@
 pub enum Kind {
     /// Letters, digits, `.`, `_` and `-`: at most 100, the first a letter or digit.
     Name,
-    /// Text without control characters, of at least so many characters.
-    Text {
+    /// Text without control characters.
+    Text,
+    /// Text that findings don't repeat.
+    Secret {
         /// Least characters.
         min: usize,
     },
@@ -146,8 +148,8 @@
     pub fn describe(&self) -> String {
         match self {
             Kind::Name => "a name of letters, digits, '.', '_' and '-'".to_owned(),
-            Kind::Text { min: 0 | 1 } => "a text".to_owned(),
-            Kind::Text { min } => format!("a text of at least {min} characters"),
+            Kind::Text => "a text".to_owned(),
+            Kind::Secret { min } => format!("a text of at least {min} characters"),
             Kind::Address => "an IP number with a port".to_owned(),
             Kind::Choice(all) => format!("one of {}", all.join(", ")),
             Kind::Flag => "true or false".to_owned(),
--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -33,6 +33,7 @@
 fn read(report: &mut Report<'_>, fields: &Fields<'_, '_>) -> Settings {
     check_platform(report, fields);
     check_addresses(report, fields);
+    check_keys(report, fields);
     let default = Settings::default();
     let text = |name| fields.text(name).unwrap_or_default().to_owned();
     let address = |name, default: SocketAddr| fields.address(name).unwrap_or(default);
@@ -63,6 +64,17 @@
     }
 }
 
+/// Operators' key and peers' key are different people's: whoever has the one could otherwise forge
+/// peers' messages and callers' cursors with it.
+fn check_keys(report: &mut Report<'_>, fields: &Fields<'_, '_>) {
+    let (peer, admin) = (fields.text("peer_key"), fields.text("admin_key"));
+    if peer.is_some() && peer == admin {
+        let (spot, other) = (fields.spot_of("admin_key"), fields.spot_of("peer_key"));
+        let message = "\"admin_key\" is the same as \"peer_key\"";
+        report.clash(spot, other, message, "write another random text");
+    }
+}
+
 /// Two listeners can't have one address. Callers and admin are both TCP, and peers is TCP and UDP.
 fn check_addresses(report: &mut Report<'_>, fields: &Fields<'_, '_>) {
     let names = ["callers", "peers", "admin"];
--- a/crates/basilbank_config/src/settings/schema.rs
+++ b/crates/basilbank_config/src/settings/schema.rs
@@ -22,11 +22,11 @@
             .doc("Where other daemons are heard, by UDP and TCP."),
         Field::required("admin", Kind::Address, "\"10.0.0.1:9090\"")
             .doc("Where operators connect."),
-        Field::required("platform", Kind::Text { min: 1 }, "\"http://10.0.0.9:2379\"")
+        Field::required("platform", Kind::Text, "\"http://10.0.0.9:2379\"")
             .doc("Base URL of the platform's configuration service."),
-        Field::required("peer_key", Kind::Text { min: MIN_KEY }, "\"a-long-random-text\"")
+        Field::required("peer_key", Kind::Secret { min: MIN_KEY }, "\"a-long-random-text\"")
             .doc("The secret that all daemons of the fleet share."),
-        Field::required("admin_key", Kind::Text { min: MIN_KEY }, "\"another-random-text\"")
+        Field::required("admin_key", Kind::Secret { min: MIN_KEY }, "\"another-random-text\"")
             .doc("The bearer key of operators."),
         Field::optional("limits", Kind::Object(&LIMITS), "{}", "{ \"connections\": 2048 }")
             .doc("Limits of the callers' API."),
@@ -76,7 +76,7 @@
             "\"debug\"",
         )
         .doc("Least severity that is written."),
-        Field::optional("file", Kind::Text { min: 1 }, "standard error", "\"basilbankd.log\"")
+        Field::optional("file", Kind::Text, "standard error", "\"basilbankd.log\"")
             .doc("A file to append to."),
     ],
 };
--- a/crates/basilbank_config/tests/settings_findings.rs
+++ b/crates/basilbank_config/tests/settings_findings.rs
@@ -95,11 +95,13 @@
 #[test_case("10.0.0.1:9090", "localhost:80", "write an IP number with a port"; "host name")]
 #[test_case("http://10.0.0.9:2379/", "https://10.0.0.9:2379", "not a base URL"; "https")]
 #[test_case("http://10.0.0.9:2379/", "http://10.0.0.9:2379/x", "not a base URL"; "path")]
-#[test_case("fedcba9876543210", "short", "\"admin_key\" can't be"; "short key")]
+#[test_case("fedcba9876543210", "short", "\"admin_key\" can't be this; write a text of at least 16"; "short key")]
+#[test_case("fedcba9876543210", "0123456789abcdef", "\"admin_key\" is the same as \"peer_key\""; "one key for two")]
 fn a_wrong_value(right: &str, wrong: &str, part: &str) {
     let text = with("").replace(right, wrong);
     let findings = Settings::parse("s", &text).unwrap_err().to_string();
     assert!(findings.contains(part), "{findings}");
+    assert!(!findings.contains("0123456789abcdef") && !findings.contains("short"), "{findings}");
 }
 
 #[test]
