--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -116,6 +116,8 @@
         skew: millis("skew_ms", default.skew),
         load_interval: millis("load_interval_ms", default.load_interval),
         reap_interval: millis("reap_interval_ms", default.reap_interval),
+        stream_grace: millis("stream_grace_ms", default.stream_grace),
+        unread_limit: millis("unread_limit_ms", default.unread_limit),
         kv_life: millis("kv_life_ms", default.kv_life),
         stall: millis("stall_ms", default.stall),
     };
--- a/crates/basilbank_config/src/settings/schema.rs
+++ b/crates/basilbank_config/src/settings/schema.rs
@@ -81,6 +81,8 @@
         Field::optional("skew_ms", Kind::millis(0), "5000", "2000"),
         Field::optional("load_interval_ms", Kind::millis(10), "500", "250"),
         Field::optional("reap_interval_ms", Kind::millis(10), "2000", "1000"),
+        Field::optional("stream_grace_ms", Kind::millis(10), "10000", "20000"),
+        Field::optional("unread_limit_ms", Kind::millis(10), "60000", "120000"),
         Field::optional("kv_life_ms", Kind::millis(1), "800", "1000"),
         Field::optional("stall_ms", Kind::millis(10), "3000", "2000"),
     ],
--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -50,13 +50,11 @@
 }
 
 /// The request's idempotency key is its own: it may run.
-#[expect(dead_code, reason = "claims are not merged yet")]
 pub fn claimed(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
     begin(state, now, key, out);
 }
 
 /// The request's idempotency key belongs to a stream that runs elsewhere: read that from its start.
-#[expect(dead_code, reason = "claims are not merged yet")]
 pub fn joined(
     state: &mut State,
     now: Now,
