--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -50,13 +50,11 @@
 }
 
 /// The request's idempotency key is its own: it may run.
-#[expect(dead_code, reason = "claims are not merged yet")]
 pub fn claimed(state: &mut State, now: Now, key: RequestKey, out: &mut Vec<Effect>) {
     begin(state, now, key, out);
 }
 
 /// The request's idempotency key belongs to a stream that runs elsewhere: read that from its start.
-#[expect(dead_code, reason = "claims are not merged yet")]
 pub fn joined(
     state: &mut State,
     now: Now,
@@ -68,6 +66,7 @@
     let (endpoint, entry) = (EndpointId(record.endpoint), request.entry);
     // The run is another request's: whatever becomes of this one, it can't be called not run.
     request.risked = true;
+    request.joined = true;
     request.repeatable = false;
     if let Some(draft) = &mut request.draft {
         draft.resume =
