--- a/crates/basilbank/src/callers/error.rs
+++ b/crates/basilbank/src/callers/error.rs
@@ -18,6 +18,9 @@
     headers::{X_OUTCOME, X_REQUEST_ID},
 };
 
+/// When a caller should come back that was turned away for a reason that passes.
+const COME_BACK: Duration = Duration::from_secs(1);
+
 /// Why a call was refused before the core heard of it, where no [`Refusal`] fits.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub enum EdgeRefusal {
@@ -74,6 +77,12 @@
             EdgeRefusal::Connections => "connections",
         }
     }
+
+    /// When another try may succeed; `None` when the call must be changed first.
+    #[must_use]
+    pub fn retry_after(self) -> Option<Duration> {
+        (self == EdgeRefusal::Connections).then_some(COME_BACK)
+    }
 }
 
 /// The `code` of an error.
@@ -110,14 +119,15 @@
 
     /// The value of `X-Outcome`.
     ///
-    /// A caller that repeats a call with its idempotency key while the first one still runs gets
-    /// `key_running`. Nothing was run for this repeat, but the work itself may well be done; a
-    /// client that retries by itself would report the last answer as that of the whole, so this one
-    /// must not read as "not run".
+    /// A call whose idempotency key is another's, or can't be claimed, was not run. But an earlier
+    /// call with the key may have been, and a client that retries by itself reports the last answer
+    /// as that of the whole: its user would read "not run" and place a running order again under a new
+    /// key. So these two must not say it.
     #[must_use]
     pub fn outcome(self) -> &'static str {
         match self {
-            ErrorCode::Unknown | ErrorCode::Refused(Refusal::KeyRunning) => "unknown",
+            ErrorCode::Unknown
+            | ErrorCode::Refused(Refusal::KeyRunning | Refusal::KeyUnclaimed) => "unknown",
             ErrorCode::Refused(_) | ErrorCode::Edge(_) => "not-run",
         }
     }
@@ -197,8 +207,13 @@
         Refusal::QueueFull => "too many requests wait",
         Refusal::NoEndpoint => "no endpoint serves this now",
         Refusal::RetriesSpent => "no endpoint took the request",
-        Refusal::KeyUnclaimed => "the idempotency key could not be claimed",
-        Refusal::KeyRunning => "a request with this idempotency key is still running",
+        Refusal::KeyUnclaimed => {
+            "the idempotency key could not be claimed: nothing was run for this call, but an earlier \
+             one with the key may have run"
+        }
+        Refusal::KeyRunning => {
+            "an earlier call with this idempotency key still runs; nothing was run for this one"
+        }
         Refusal::ShuttingDown => "this daemon is shutting down",
         Refusal::NotReady => "this daemon is starting",
     }
@@ -266,13 +281,15 @@
     /// A refusal by the callers' side.
     #[must_use]
     pub fn edge(refusal: EdgeRefusal) -> ApiError {
-        ApiError::new(ErrorCode::Edge(refusal), Origin::Edge)
+        let after = refusal.retry_after();
+        ApiError { after, ..ApiError::new(ErrorCode::Edge(refusal), Origin::Edge) }
     }
 
     /// A refusal by the callers' side for a reason that the core knows too.
     #[must_use]
     pub fn early(refusal: Refusal) -> ApiError {
-        ApiError::new(ErrorCode::Refused(refusal), Origin::Edge)
+        let after = refusal.is_temporary().then_some(COME_BACK);
+        ApiError { after, ..ApiError::new(ErrorCode::Refused(refusal), Origin::Edge) }
     }
 
     /// A refusal by the core.
@@ -313,13 +330,6 @@
         self
     }
 
-    /// Says when another try may succeed.
-    #[must_use]
-    pub fn with_after(mut self, after: Duration) -> ApiError {
-        self.after = Some(after);
-        self
-    }
-
     /// The JSON, in the OpenAI API's shape.
     #[must_use]
     pub fn json(&self, request_id: &str) -> String {
--- a/crates/basilbank/src/callers/server.rs
+++ b/crates/basilbank/src/callers/server.rs
@@ -141,7 +141,7 @@
     api.count(refusal.as_str(), &id);
     let Ok(permit) = Arc::clone(rejections).try_acquire_owned() else { return };
     tokio::spawn(async move {
-        let error = ApiError::edge(refusal).with_after(Duration::from_secs(1));
+        let error = ApiError::edge(refusal);
         reject(stream, &error.raw_response(&id)).await;
         drop(permit);
     });
--- a/crates/basilbank/tests/callers_http/main.rs
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limits;
 mod models;
+mod page;
 mod plain;
 mod refusals;
 mod shutdown;
--- a/crates/basilbank/tests/callers_http/refusals.rs
+++ b/crates/basilbank/tests/callers_http/refusals.rs
@@ -89,13 +89,15 @@
 }
 
 /// Symptom: a client that retries by itself reports a running order as not run, and it is ordered
-/// again. Sequence: the first call's answer is lost; the repeat with the same key finds it running.
-/// Cause: an outcome that speaks of the repeat only.
+/// again under a new key. Sequence: the first call's answer is lost; the repeat with the same key finds
+/// it running, or finds no majority. Cause: an outcome that speaks of the repeat only.
 #[test]
-fn a_key_that_is_running_does_not_read_as_not_run() {
-    assert_eq!(ErrorCode::Refused(Refusal::KeyRunning).outcome(), "unknown");
-    let others = Refusal::ALL.iter().filter(|r| **r != Refusal::KeyRunning);
-    assert!(others.copied().all(|r| ErrorCode::Refused(r).outcome() == "not-run"));
+fn a_key_in_doubt_does_not_read_as_not_run() {
+    let in_doubt = [Refusal::KeyUnclaimed, Refusal::KeyRunning];
+    for refusal in Refusal::ALL.iter().copied() {
+        let expected = if in_doubt.contains(&refusal) { "unknown" } else { "not-run" };
+        assert_eq!(ErrorCode::Refused(refusal).outcome(), expected, "{refusal:?}");
+    }
 }
 
 /// Symptom: a counter or a client takes one error for another. Cause: a name used twice.
@@ -117,6 +119,7 @@
     client.post("/v1/chat/completions", "", WHOLE);
     let head = client.head();
     assert_eq!((head.status, head.get("x-outcome")), (503, Some("not-run")));
+    assert_eq!(head.get("retry-after"), Some("1"));
     assert!(client.body(&head).contains(r#""code":"shutting_down""#));
     assert!(edge.callers.is_empty());
 }
