--- a/crates/basilbank_config/src/settings/read.rs
+++ b/crates/basilbank_config/src/settings/read.rs
@@ -120,6 +120,7 @@
         unread_limit: millis("unread_limit_ms", default.unread_limit),
         kv_life: millis("kv_life_ms", default.kv_life),
         stall: millis("stall_ms", default.stall),
+        ..default
     };
     check_tuning(report, fields, &tuning);
     tuning
