--- /dev/null
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -0,0 +1,328 @@
+//! Changes come into force everywhere, and never go back.
+
+mod world;
+
+use std::time::Duration;
+
+use basilbank_core::{
+    prelude::*,
+    state::{Applied, Store},
+};
+use basilbank_wire::Document;
+use test_case::test_case;
+use world::{Listing, Node, PlatformMode, Spec, Step, Who, World};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn in_force(world: &World) -> Vec<u64> {
+    let running = world.daemons.iter().filter(|d| d.brain.is_some());
+    running.map(|d| d.core().view.catalogue.revision).collect()
+}
+
+fn all_have(world: &World, revision: u64) -> bool {
+    in_force(world).iter().all(|r| *r == revision)
+}
+
+/// Nobody went back, and nobody mixed documents of different revisions.
+fn assert_sound(world: &World) {
+    assert_eq!(world.record.reverted, []);
+    assert_eq!(world.record.mixed, []);
+}
+
+fn publish(world: &mut World, at: Duration) {
+    let catalogue = world.spec.catalogue();
+    world.at(at, Step::Publish(Box::new(catalogue)));
+}
+
+fn started(count: usize) -> World {
+    let mut world = World::new(Spec::kitafuji().with_daemons(count));
+    world.run_until(SECOND * 5);
+    assert!(all_have(&world, 1) && world.daemons.iter().all(|d| d.is_ready()));
+    world
+}
+
+#[test_case(1)]
+#[test_case(8)]
+#[test_case(64)]
+fn a_change_is_in_force_everywhere_within_two_seconds(count: usize) {
+    let mut world = started(count);
+    publish(&mut world, SECOND * 6);
+    world.run_until(SECOND * 8);
+    assert!(all_have(&world, 2));
+    assert_sound(&world);
+}
+
+#[test]
+fn a_burst_is_read_and_checked_together() {
+    let mut world = started(16);
+    for i in 0..200 {
+        publish(&mut world, SECOND * 6 + SECOND * i / 200);
+    }
+    world.run_until(SECOND * 9);
+    assert!(all_have(&world, 201));
+    assert!(world.platform.peak() < 40, "{:?}", world.platform.calls);
+    assert!(world.record.notes["catalogue_in_force"] < 16 * 8);
+    assert_sound(&world);
+}
+
+#[test]
+fn reads_do_not_grow_with_the_fleet() {
+    let calls = |count| {
+        let mut world = started(count);
+        world.run_until(SECOND * 65);
+        world.platform.calls[5..65].iter().sum::<u32>()
+    };
+    assert!(calls(64) <= calls(8) + 10);
+}
+
+#[test]
+fn an_outage_does_not_set_the_fleet_on_the_platform() {
+    // Symptom: the platform comes back and is overrun at once.
+    // Sequence: it is down for minutes; each daemon notices that nobody confirms its catalogue.
+    // Cause: each tries by itself, and all together try more often the more they are.
+    let mut world = started(160);
+    let mode = PlatformMode::Down;
+    world.at(SECOND * 6, Step::Platform { mode, lasting: SECOND * 60 });
+    world.run_until(SECOND * 70);
+    let reads = &world.platform.calls;
+    assert!(reads.iter().skip(6).all(|c| *c < 45), "{reads:?}");
+}
+
+#[test]
+fn a_platform_that_only_watchers_cannot_reach_is_read_by_others() {
+    // Symptom: no change comes into force any more.
+    // Sequence: those that watch for all lose the platform, but not their peers.
+    // Cause: the others wait for them for ever.
+    let mut world = started(8);
+    let watchers =
+        world.daemons.iter().enumerate().filter(|(_, d)| d.core().documents.watch.open.is_some());
+    let watchers: Vec<_> = watchers.map(|(i, _)| i).collect();
+    assert_eq!(watchers.len(), 3);
+    let now = world.clock();
+    publish(&mut world, SECOND * 8);
+    // Their shells report failures however often they try.
+    for tenth in 50..500 {
+        world.run_until(SECOND * tenth / 10);
+        for watcher in &watchers {
+            let failed = Event::Platform(PlatformEvent::CatalogueFailed);
+            let at = Now { mono: world.now, ..now };
+            let brain = world.daemons[*watcher].brain.as_mut().expect("it runs");
+            if brain.state().is_some_and(|s| s.documents.watch.open.is_some()) {
+                brain.reduce(at, failed, &mut Vec::new());
+            }
+        }
+    }
+    assert!(all_have(&world, 2), "{:?}", in_force(&world));
+}
+
+#[test]
+fn a_rejected_change_leaves_the_last_good_one_in_force() {
+    let mut world = started(8);
+    publish(&mut world, SECOND * 6);
+    world.at(SECOND * 8, Step::PublishBad);
+    world.run_until(SECOND * 12);
+    assert!(all_have(&world, 2));
+    assert!(world.daemons.iter().all(|d| d.core().documents.store.revision == 3));
+    publish(&mut world, SECOND * 12);
+    world.run_until(SECOND * 15);
+    assert!(all_have(&world, 4));
+    assert_sound(&world);
+}
+
+#[test]
+fn a_process_that_starts_under_a_rejected_change_gets_the_last_good_one() {
+    // Symptom: restarted daemons stay without a catalogue until the operators mend theirs.
+    // Sequence: a bad change is published; processes are replaced.
+    // Cause: the platform has the bad documents only.
+    let mut world = started(8);
+    publish(&mut world, SECOND * 6);
+    world.at(SECOND * 8, Step::PublishBad);
+    for daemon in 1..8 {
+        let at = SECOND * (10 + daemon as u32);
+        world.at(at, Step::Kill { daemon: Who::Daemon(daemon), back: Some(SECOND / 2) });
+    }
+    world.run_until(SECOND * 25);
+    assert!(all_have(&world, 2));
+    assert!(world.daemons.iter().all(|d| d.is_ready()));
+    // What the restarted ones hold is the same again: the one that had it from the start goes.
+    world.at(SECOND * 25, Step::Kill { daemon: Who::Daemon(0), back: Some(SECOND) });
+    world.run_until(SECOND * 35);
+    assert!(all_have(&world, 2));
+    assert_sound(&world);
+}
+
+#[test_case(30)]
+#[test_case(110)]
+#[test_case(310)]
+fn daemons_that_skipped_different_revisions_agree(gap_ms: u32) {
+    // Symptom: a change is in force on some daemons only, for ever.
+    // Sequence: a good change is followed by a bad one within a moment; some daemons see both, some
+    // only the second.
+    // Cause: the second ones never had the first to compile.
+    for seed in 1..20 {
+        let mut world = World::new(Spec::kitafuji().with_daemons(12).with_seed(seed));
+        let gap = Duration::from_millis(u64::from(gap_ms));
+        for i in 0..6 {
+            publish(&mut world, SECOND * 6 + gap * 2 * i);
+            world.at(SECOND * 6 + gap * (2 * i + 1), Step::PublishBad);
+        }
+        world.run_until(SECOND * 20);
+        let revision = in_force(&world)[0];
+        assert!(all_have(&world, revision), "seed {seed}: {:?}", in_force(&world));
+        assert_sound(&world);
+    }
+}
+
+#[test]
+fn a_restart_during_an_outage_still_gets_the_catalogue_and_the_list() {
+    let mut world = started(8);
+    let mode = PlatformMode::Down;
+    world.at(SECOND * 6, Step::Platform { mode, lasting: SECOND * 60 });
+    world.at(SECOND * 8, Step::Kill { daemon: Who::Daemon(1), back: Some(SECOND) });
+    world.run_until(SECOND * 16);
+    let restarted = &world.daemons[1];
+    assert!(restarted.is_ready());
+    assert!(restarted.core().members.may_decide());
+    assert!(all_have(&world, 1));
+}
+
+#[test_case(1)]
+#[test_case(3)]
+fn a_stale_platform_takes_nobody_back_while_one_daemon_remembers(seed: u64) {
+    // Symptom: a withdrawn key works again.
+    // Sequence: the platform goes stale after a change; all daemons but one are replaced.
+    // Cause: the new ones believe the platform.
+    let mut world = World::new(Spec::kitafuji().with_seed(seed));
+    publish(&mut world, SECOND * 9);
+    world.run_until(SECOND * 8);
+    world.platform.set(PlatformMode::Stale, world.now);
+    world.run_until(SECOND * 9 + SECOND / 2);
+    // The change reaches one daemon past the stale replica.
+    let fresh =
+        PlatformEvent::Documents { after: 0, revision: 2, documents: world.platform.documents(2) };
+    let now = world.clock();
+    let brain = world.daemons[7].brain.as_mut().expect("it runs");
+    let mut out = Vec::new();
+    brain.reduce(now, Event::Platform(fresh), &mut out);
+    let compiled = world.platform.catalogues[&2].clone().expect("it passes the check");
+    let checked = PlatformEvent::Checked { revision: 2, result: Ok(compiled) };
+    brain.reduce(now, Event::Platform(checked), &mut out);
+    world.run_until(SECOND * 15);
+    assert!(all_have(&world, 2));
+    for daemon in 0..7 {
+        world.at(SECOND * 15, Step::Kill { daemon: Who::Daemon(daemon), back: Some(SECOND) });
+    }
+    world.run_until(SECOND * 30);
+    assert!(all_have(&world, 2), "{:?}", in_force(&world));
+    assert!(world.daemons.iter().all(|d| d.is_ready()));
+    let served = world.record.force.iter().map(|f| f.last().map(|(_, r)| *r));
+    assert!(served.into_iter().all(|r| r == Some(2)));
+    assert_sound(&world);
+}
+
+#[test]
+fn a_daemon_that_slept_serves_nobody_by_its_old_catalogue() {
+    let mut world = started(8);
+    world.at(SECOND * 6, Step::Freeze { daemon: Who::Daemon(3), lasting: SECOND * 30 });
+    publish(&mut world, SECOND * 10);
+    for tenth in 360..420 {
+        world.run_until(SECOND * tenth / 10);
+        let daemon = world.daemons[3].core();
+        assert!(!daemon.is_ready() || daemon.view.catalogue.revision == 2);
+    }
+    assert!(world.daemons[3].is_ready());
+}
+
+#[test]
+fn a_part_without_the_platform_keeps_its_catalogue_and_catches_up() {
+    let mut world = started(8);
+    let nodes = (4..8).map(Node::Daemon).collect();
+    world.at(SECOND * 6, Step::Partition { nodes, lasting: SECOND * 60 });
+    publish(&mut world, SECOND * 20);
+    world.run_until(SECOND * 65);
+    assert_eq!(in_force(&world), [2, 2, 2, 2, 1, 1, 1, 1]);
+    assert!(world.daemons[5].is_ready());
+    world.run_until(SECOND * 69);
+    assert!(all_have(&world, 2));
+    assert_sound(&world);
+}
+
+#[test]
+fn a_list_without_vms_is_not_believed() {
+    let mut world = started(8);
+    let vms = Event::Platform(PlatformEvent::Vms { revision: 99, vms: Vec::new() });
+    let now = world.clock();
+    let brain = world.daemons[0].brain.as_mut().expect("it runs");
+    brain.reduce(now, vms, &mut Vec::new());
+    assert_eq!(world.daemons[0].core().members.ring().len(), 8);
+}
+
+#[test]
+fn changes_of_the_list_reach_all() {
+    let mut world = started(32);
+    world.at(SECOND * 5, Step::List(9, Listing::Absent));
+    world.run_until(SECOND * 14);
+    assert!(world.daemons.iter().all(|d| d.core().members.ring().len() == 31));
+}
+
+fn document(key: &str, revision: u64) -> Document {
+    Document { key: key.into(), text: Some(format!("{key} at {revision}")), revision }
+}
+
+fn removed(key: &str, revision: u64) -> Document {
+    Document { key: key.into(), text: None, revision }
+}
+
+fn store() -> Store {
+    let mut store = Store::default();
+    let whole = vec![document("a", 3), document("b", 4)];
+    assert!(matches!(store.apply(0, 5, whole), Applied::Changed(_)));
+    store
+}
+
+#[test]
+fn what_is_older_is_dropped() {
+    let mut store = store();
+    assert_eq!(store.apply(0, 4, vec![document("a", 4)]), Applied::Stale);
+    assert_eq!(store.apply(5, 5, vec![]), Applied::Same);
+    assert_eq!(store.apply(7, 9, vec![document("a", 9)]), Applied::Gap);
+    assert_eq!(store.revision, 5);
+    assert_eq!(store.whole(), [document("a", 3), document("b", 4)]);
+}
+
+#[test]
+fn a_delta_that_starts_earlier_does_no_harm() {
+    let mut store = store();
+    let applied = store.apply(2, 6, vec![document("a", 3), document("b", 6)]);
+    let former = [("b".to_owned(), Some(document("b", 4)))];
+    assert_eq!(applied, Applied::Changed(former.into()));
+    assert_eq!(store.whole(), [document("a", 3), document("b", 6)]);
+}
+
+#[test]
+fn a_whole_removes_what_it_lacks_and_passes_that_on() {
+    let mut store = store();
+    store.apply(0, 8, vec![document("b", 4)]);
+    assert_eq!(store.whole(), [document("b", 4)]);
+    assert_eq!(store.since(5).documents, [removed("a", 8)]);
+    assert_eq!(store.since(5).after, 5);
+    // What was removed before revision 5 is not known.
+    assert_eq!(store.since(4).after, 0);
+}
+
+#[test]
+fn removals_are_forgotten_in_the_end() {
+    let mut store = store();
+    for i in 0..2000 {
+        let revision = 6 + 2 * i;
+        store.apply(revision - 1, revision, vec![document(&format!("k{i}"), revision)]);
+        store.apply(revision, revision + 1, vec![removed(&format!("k{i}"), revision + 1)]);
+    }
+    assert!(store.since(4000).documents.len() < 10);
+    assert_eq!(store.since(1000).after, 0);
+    assert_eq!(store.whole().len(), 2);
+    let mut late = self::store();
+    let delta = store.since(5);
+    late.apply(delta.after, delta.revision, delta.documents);
+    assert_eq!(late.whole(), store.whole());
+}
--- a/crates/basilbank_core/tests/membership.rs
+++ b/crates/basilbank_core/tests/membership.rs
@@ -12,8 +12,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 fn state(world: &World, daemon: usize) -> &State {
-    let brain = world.daemons[daemon].brain.as_ref().expect("the daemon runs");
-    brain.state().expect("the daemon is the product")
+    world.daemons[daemon].core()
 }
 
 fn daemons(world: &World) -> impl Iterator<Item = usize> {
--- a/crates/basilbank_core/tests/world/daemon.rs
+++ b/crates/basilbank_core/tests/world/daemon.rs
@@ -99,6 +99,15 @@
         Process { daemon, life: self.life }
     }
 
+    /// The product's state.
+    ///
+    /// # Panics
+    /// When no process runs, or it is not the product.
+    #[must_use]
+    pub fn core(&self) -> &State {
+        self.brain.as_ref().and_then(|b| b.state()).expect("the product runs here")
+    }
+
     /// Whether the balancer sends callers here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
