--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -1,11 +1,14 @@
 //! All that a daemon's decisions know.
 
+mod attempt;
 mod claims;
 mod documents;
 mod health;
+mod ledger;
 mod limits;
 mod members;
 mod orders;
+mod prefixes;
 mod reaper;
 mod requests;
 mod rng;
@@ -16,18 +19,21 @@
 use std::time::Duration;
 
 pub use self::{
+    attempt::{Attempt, AttemptStage, KvCache},
     claims::Claims,
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
-    health::Health,
+    health::{Health, Known},
+    ledger::{Learning, Lease, Ledger, Seen, Waiter},
     limits::LimitTable,
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
+    prefixes::Prefixes,
     reaper::Reaper,
-    requests::{Attempt, AttemptStage, Request, RequestStage, Requests},
+    requests::{Request, RequestStage, Requests},
     rng::Rng,
-    slots::Slots,
+    slots::{OwnSlot, SlotKey, Slots},
     timers::{Timer, Timers},
     view::View,
 };
@@ -139,7 +145,9 @@
     #[must_use]
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
-        timers.set(now.mono, Timer::Platform);
+        for timer in [Timer::Platform, Timer::Slots, Timer::Loads] {
+            timers.set(now.mono, timer);
+        }
         let mut rng = Rng::new(local.seed);
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
