Entries' limits shared by their stewards

Cause: each daemon let everything through. Change: daemons with frequent calls lease a part in proportion to demand; those with rare calls tell the steward of each, and it refuses what is too much before anything is sent; without a steward a daemon stays within the limit over the list's length; a steward leases the limit times the share of the list it hears.

--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -174,6 +174,6 @@
         Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
         Body::Vms(list) => catalogue::vms(state, now, list, out),
         Body::AskLimit(ask) => limit::asked(state, now, from, &ask, out),
-        Body::Lease(lease) => limit::leased(state, now, from, &lease),
+        Body::Lease(lease) => limit::leased(state, now, from, &lease, out),
     }
 }
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/limit/ask.rs
@@ -0,0 +1,141 @@
+//! What an entry's steward is asked and told, and when.
+
+use std::time::Duration;
+
+use basilbank_wire::{AskLimit, Body, Message};
+
+use super::{apply, limits, steward};
+use crate::{
+    catalogue::Limits,
+    effect::Effect,
+    ids::{EntryId, VmId},
+    reason::Refusal,
+    state::{LimitDemand, State, Timer, Usage},
+    time::Now,
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(250);
+/// A lease is renewed when it has this long to go.
+const RENEW: Duration = Duration::from_secs(1);
+/// A daemon without a lease asks again after this.
+const AGAIN: Duration = Duration::from_millis(250);
+/// Requests in progress without a lease are told again after this, so that a new steward learns of
+/// them.
+const TELL_AGAIN: Duration = Duration::from_secs(10);
+/// An entry that was not used for this long is forgotten.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// Renews leases, tells what is untold, and forgets what is idle.
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.timers.set(now.mono + TICK, Timer::Limits);
+    steward::forget(state, now);
+    let entries: Vec<_> = state.limits.used.keys().copied().collect();
+    for entry in entries {
+        let limits = limits(state, entry);
+        let Some(usage) = state.limits.used.get_mut(&entry) else { continue };
+        usage.expire(now.mono);
+        let Some(limits) = limits.filter(|l| !usage.is_idle(l, IDLE, now.mono)) else {
+            state.limits.used.remove(&entry);
+            continue;
+        };
+        if is_due(usage, &limits, now) {
+            ask(state, now, entry, out);
+        }
+    }
+}
+
+/// Asks before a call is taken: for the first lease, when calls begin to come often.
+pub fn before(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
+    let Some(usage) = state.limits.used.get(&entry) else { return };
+    let is_own = state.members.steward(entry.0) == Some(state.local.vm);
+    if is_own && usage.lease.is_none() && usage.is_dense(now.mono) {
+        ask(state, now, entry, out);
+    }
+}
+
+/// Asks after a call was refused, unless that was done a moment ago.
+pub fn after_refusal(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
+    let Some(usage) = state.limits.used.get(&entry) else { return };
+    if usage.lease.is_none() && usage.is_dense(now.mono) && is_past(usage.asked, AGAIN, now) {
+        ask(state, now, entry, out);
+    }
+}
+
+/// Tells the steward of a call that was taken without a lease.
+///
+/// # Errors
+/// This daemon is the steward, and the limit is used up; the call is given back.
+pub fn after_taking(
+    state: &mut State,
+    now: Now,
+    entry: EntryId,
+    tokens: u32,
+    out: &mut Vec<Effect>,
+) -> Result<(), Refusal> {
+    ask(state, now, entry, out);
+    let Some(usage) = state.limits.used.get_mut(&entry) else { return Ok(()) };
+    let is_own = usage.asked.is_some_and(|(vm, _)| vm == state.local.vm);
+    match usage.refused {
+        Some((refusal, _)) if is_own => {
+            usage.give_back(tokens);
+            usage.untold_tokens += i64::from(tokens);
+            Err(refusal)
+        }
+        _ => Ok(()),
+    }
+}
+
+fn is_due(usage: &Usage, limits: &Limits, now: Now) -> bool {
+    let is_dense = usage.is_dense(now.mono);
+    if let Some((_, until)) = usage.lease {
+        return is_dense && until <= now.mono + RENEW;
+    }
+    let is_wanted =
+        is_dense && now.mono < usage.touched + RENEW && is_past(usage.asked, AGAIN, now);
+    let is_running = 0 < usage.running && 0 < limits.concurrent;
+    is_wanted || usage.is_untold(limits) || (is_running && is_past(usage.asked, TELL_AGAIN, now))
+}
+
+fn is_past(asked: Option<(VmId, Duration)>, time: Duration, now: Now) -> bool {
+    asked.is_none_or(|(_, at)| at + time <= now.mono)
+}
+
+fn ask(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
+    let Some(to) = state.members.steward(entry.0) else { return };
+    let Some(usage) = state.limits.used.get_mut(&entry) else { return };
+    let message = message(usage, entry, now);
+    usage.asked = Some((to, now.mono));
+    usage.untold_requests = 0;
+    usage.untold_tokens = 0;
+    usage.told_running = usage.running;
+    if to != state.local.vm {
+        let message = Message::from(Body::AskLimit(message));
+        out.push(Effect::Send { to, message });
+        return;
+    }
+    let lease = steward::decide(state, now, to, &message);
+    if let (Some(lease), Some(usage)) = (lease, state.limits.used.get_mut(&entry)) {
+        apply(usage, now, &lease);
+    }
+}
+
+fn message(usage: &Usage, entry: EntryId, now: Now) -> AskLimit {
+    let mut ask = AskLimit {
+        entry: entry.0,
+        running: usage.running,
+        taken: usage.untold_requests,
+        taken_tokens: usage.untold_tokens,
+        ..AskLimit::default()
+    };
+    if !usage.is_dense(now.mono) {
+        return ask;
+    }
+    let demand: LimitDemand = usage.demand(now.mono);
+    demand.write(&mut ask);
+    if let Some((share, _)) = usage.lease {
+        ask.held = (share.requests * 1000.0) as u64;
+        ask.held_tokens = share.tokens as u64;
+    }
+    ask
+}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -26,7 +26,7 @@
     },
     health::{Health, Known},
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
-    limits::LimitTable,
+    limits::{Bucket, Holder, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit, Usage},
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
     prefixes::Prefixes,
@@ -151,6 +151,7 @@
         let mut rng = Rng::new(local.seed);
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
+        timers.set(now.mono + phase, Timer::Limits);
         State {
             view: View::default(),
             members: Members::new(&local, now.mono),
--- a/crates/basilbank_core/src/state/limits.rs
+++ b/crates/basilbank_core/src/state/limits.rs
@@ -1,5 +1,27 @@
-//! Entries' limits.
+//! Entries' limits, over all daemons.
 
-/// Entries' limits.
+mod bucket;
+mod lease;
+mod meter;
+mod shared;
+mod usage;
+
+use std::collections::HashMap;
+
+pub use self::{
+    bucket::Bucket,
+    lease::{LimitDemand, LimitShare},
+    meter::Meter,
+    shared::{Holder, SharedLimit},
+    usage::Usage,
+};
+use crate::ids::EntryId;
+
+/// Entries' limits: what this daemon uses of them, and what it gives away as their steward.
 #[derive(Debug, Default)]
-pub struct LimitTable {}
+pub struct LimitTable {
+    /// Entries that this daemon's callers used lately.
+    pub used: HashMap<EntryId, Usage>,
+    /// Entries that this daemon shares out among all.
+    pub shared: HashMap<EntryId, SharedLimit>,
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state/limits/lease.rs
@@ -0,0 +1,87 @@
+//! Parts of an entry's limit.
+
+use std::time::Duration;
+
+use basilbank_wire::{AskLimit, LimitLease};
+
+use crate::catalogue::Limits;
+
+/// Requests a second are told in thousandths.
+const MILLI: f64 = 1000.0;
+
+/// How much of an entry is wanted. All zero for a daemon that only tells what it took.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct LimitDemand {
+    /// Requests a second.
+    pub requests: f64,
+    /// Tokens a second.
+    pub tokens: f64,
+    /// Requests in progress, and those that wait to start.
+    pub concurrent: u32,
+}
+
+impl LimitDemand {
+    /// What a message says.
+    #[must_use]
+    pub fn of(ask: &AskLimit) -> LimitDemand {
+        LimitDemand {
+            requests: ask.requests as f64 / MILLI,
+            tokens: ask.tokens as f64,
+            concurrent: u32::try_from(ask.concurrent).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Writes it into a message.
+    pub fn write(&self, ask: &mut AskLimit) {
+        ask.requests = (self.requests * MILLI).ceil() as u64;
+        ask.tokens = self.tokens.ceil() as u64;
+        ask.concurrent = u64::from(self.concurrent);
+    }
+
+    /// Whether a lease is wanted.
+    #[must_use]
+    pub fn wants_lease(&self) -> bool {
+        0.0 < self.requests
+    }
+}
+
+/// A part of an entry's limits. Where the entry has no limit, the part is not used.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct LimitShare {
+    /// Requests a second.
+    pub requests: f64,
+    /// Tokens a second.
+    pub tokens: f64,
+    /// Requests in progress.
+    pub concurrent: u32,
+}
+
+impl LimitShare {
+    /// A fraction of an entry's whole limits; of requests in progress at least one.
+    #[must_use]
+    pub fn fraction(limits: &Limits, fraction: f64) -> LimitShare {
+        LimitShare {
+            requests: limits.requests * fraction,
+            tokens: limits.tokens * fraction,
+            concurrent: ((f64::from(limits.concurrent) * fraction) as u32).max(1),
+        }
+    }
+
+    /// What a message says.
+    #[must_use]
+    pub fn of(lease: &LimitLease) -> LimitShare {
+        LimitShare {
+            requests: lease.requests as f64 / MILLI,
+            tokens: lease.tokens as f64,
+            concurrent: u32::try_from(lease.concurrent).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Writes it into a message, rounded down so that all parts together stay within the whole.
+    pub fn write(&self, lease: &mut LimitLease, ttl: Duration) {
+        lease.requests = (self.requests * MILLI) as u64;
+        lease.tokens = self.tokens as u64;
+        lease.concurrent = u64::from(self.concurrent);
+        lease.ttl = u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX);
+    }
+}
--- /dev/null
+++ b/crates/basilbank_core/src/state/limits/usage.rs
@@ -0,0 +1,162 @@
+//! What this daemon uses of one entry.
+
+use std::time::Duration;
+
+use super::{Bucket, LimitDemand, LimitShare, Meter};
+use crate::{catalogue::Limits, ids::VmId, reason::Refusal};
+
+/// Calls within about ten seconds from which a daemon wants a lease. With fewer a lease would lie
+/// idle for most of its time, and 10,000 entries in sparse use would cost more messages in leases
+/// than in requests.
+const DENSE: f64 = 1.5;
+/// Bursts are what comes in this many seconds.
+const BURST: f64 = 1.0;
+
+/// What this daemon uses of one entry.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Usage {
+    /// Requests in progress.
+    pub running: u32,
+    /// Part of the limits that is leased to this daemon, and until when.
+    pub lease: Option<(LimitShare, Duration)>,
+    /// The steward said that the limit is used up, and until when it will be.
+    pub refused: Option<(Refusal, Duration)>,
+    /// The steward that was asked last, and when.
+    pub asked: Option<(VmId, Duration)>,
+    /// Requests taken without a lease that the steward does not know of.
+    pub untold_requests: u32,
+    /// Tokens taken, less those given back, without a lease, that it does not know of.
+    pub untold_tokens: i64,
+    /// The number of requests in progress that the steward was told.
+    pub told_running: u32,
+    /// When something last happened.
+    pub touched: Duration,
+    requests: Bucket,
+    tokens: Bucket,
+    calls: Meter<10>,
+    wanted_requests: Meter<2>,
+    wanted_tokens: Meter<2>,
+}
+
+impl Usage {
+    /// An entry that was not used lately.
+    #[must_use]
+    pub fn new(share: &LimitShare, mono: Duration) -> Usage {
+        Usage {
+            running: 0,
+            lease: None,
+            refused: None,
+            asked: None,
+            untold_requests: 0,
+            untold_tokens: 0,
+            told_running: 0,
+            touched: mono,
+            requests: Bucket::full(burst(share.requests), mono),
+            tokens: Bucket::full(burst(share.tokens), mono),
+            calls: Meter::default(),
+            wanted_requests: Meter::default(),
+            wanted_tokens: Meter::default(),
+        }
+    }
+
+    /// A call came, whatever becomes of it.
+    pub fn want(&mut self, tokens: u32, mono: Duration) {
+        self.touched = mono;
+        self.calls.add(1.0, mono);
+        self.wanted_requests.add(1.0, mono);
+        self.wanted_tokens.add(f64::from(tokens), mono);
+    }
+
+    /// Takes one request from a share. Nothing is taken when a part of it is used up.
+    ///
+    /// # Errors
+    /// What is used up.
+    pub fn take(
+        &mut self,
+        limits: &Limits,
+        share: &LimitShare,
+        tokens: u32,
+        mono: Duration,
+    ) -> Result<(), Refusal> {
+        self.fill(share, mono);
+        if 0 < limits.concurrent && share.concurrent <= self.running {
+            return Err(Refusal::ConcurrentLimit);
+        }
+        if 0.0 < limits.requests && self.requests.level < 1.0 {
+            return Err(Refusal::RequestLimit);
+        }
+        if 0.0 < limits.tokens && self.tokens.level <= 0.0 {
+            return Err(Refusal::TokenLimit);
+        }
+        self.requests.level -= 1.0;
+        self.tokens.level -= f64::from(tokens);
+        Ok(())
+    }
+
+    /// An ended request used fewer tokens than it took.
+    pub fn give_back(&mut self, unused: u32) {
+        self.running = self.running.saturating_sub(1);
+        if self.lease.is_some() {
+            self.tokens.level += f64::from(unused);
+        } else {
+            self.untold_tokens -= i64::from(unused);
+        }
+    }
+
+    /// A lease came. What was taken without one was told to the steward, so no debt is left.
+    pub fn set_lease(&mut self, share: LimitShare, until: Duration, mono: Duration) {
+        if self.lease.is_none() {
+            self.fill(&share, mono);
+            self.requests.level = self.requests.level.max(0.0);
+            self.tokens.level = self.tokens.level.max(0.0);
+        }
+        self.lease = Some((share, until));
+        self.refused = None;
+    }
+
+    /// Drops what has run out.
+    pub fn expire(&mut self, mono: Duration) {
+        self.lease = self.lease.filter(|(_, until)| mono < *until);
+        self.refused = self.refused.filter(|(_, until)| mono < *until);
+    }
+
+    /// Whether calls come often enough for a lease.
+    #[must_use]
+    pub fn is_dense(&self, mono: Duration) -> bool {
+        DENSE <= self.calls.sum(mono)
+    }
+
+    /// What this daemon's callers want of the entry.
+    #[must_use]
+    pub fn demand(&self, mono: Duration) -> LimitDemand {
+        let waiting = self.wanted_requests.rate(mono).ceil() as u32;
+        LimitDemand {
+            requests: self.wanted_requests.rate(mono).max(0.001),
+            tokens: self.wanted_tokens.rate(mono),
+            concurrent: self.running + waiting,
+        }
+    }
+
+    /// Whether the steward must be told of something that counts by the entry's limits.
+    #[must_use]
+    pub fn is_untold(&self, limits: &Limits) -> bool {
+        let requests = 0.0 < limits.requests && self.untold_requests != 0;
+        let tokens = 0.0 < limits.tokens && self.untold_tokens != 0;
+        requests || tokens || (0 < limits.concurrent && self.running != self.told_running)
+    }
+
+    /// Whether it can be forgotten.
+    #[must_use]
+    pub fn is_idle(&self, limits: &Limits, idle_for: Duration, mono: Duration) -> bool {
+        self.running == 0 && !self.is_untold(limits) && self.touched + idle_for < mono
+    }
+
+    fn fill(&mut self, share: &LimitShare, mono: Duration) {
+        self.requests.fill(share.requests, burst(share.requests), mono);
+        self.tokens.fill(share.tokens, burst(share.tokens), mono);
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    (rate * BURST).max(1.0)
+}
--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -34,6 +34,8 @@
     pub presence: Presence,
     /// Rises whenever a member comes, dies, restarts or starts to leave.
     pub epoch: u64,
+    /// When that was last.
+    pub changed_at: Duration,
     /// Heartbeats that this daemon has sent.
     pub counter: u64,
     ring: Vec<VmId>,
@@ -78,6 +80,7 @@
     /// Call it whenever a member came, died, restarted or started to leave.
     pub fn changed(&mut self) {
         self.epoch += 1;
+        self.changed_at = self.presence.last_event;
         let live = |stays: bool| {
             let members =
                 self.all.iter().filter(move |(_, m)| m.live && (stays || !m.is_leaving()));
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -438,13 +438,13 @@
     pub leaving: bool,
 }
 
-/// Asks for part of an entry's limit.
+/// Asks for part of an entry's limit, or tells what was taken without one.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AskLimit {
     /// The catalogue entry.
     #[prost(fixed64, tag = "1")]
     pub entry: u64,
-    /// Requests a second that the sender's callers want, in thousandths.
+    /// Requests a second that the sender's callers want, in thousandths; 0 when no lease is wanted.
     #[prost(uint64, tag = "2")]
     pub requests: u64,
     /// Tokens a second that they want.
@@ -453,9 +453,38 @@
     /// Requests that they have in progress or want to start.
     #[prost(uint64, tag = "4")]
     pub concurrent: u64,
+    /// Requests in progress.
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
+    /// Requests taken without a lease since the last message.
+    #[prost(uint32, tag = "6")]
+    pub taken: u32,
+    /// Tokens taken without a lease, less those given back.
+    #[prost(sint64, tag = "7")]
+    pub taken_tokens: i64,
+    /// Requests a second that are leased to the sender now, in thousandths.
+    #[prost(uint64, tag = "8")]
+    pub held: u64,
+    /// Tokens a second that are leased to it.
+    #[prost(uint64, tag = "9")]
+    pub held_tokens: u64,
+}
+
+/// What of an entry's limit is used up.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum LimitRefusal {
+    /// Nothing: this is a lease.
+    Nothing = 0,
+    /// Requests a second.
+    Requests = 1,
+    /// Tokens a second.
+    Tokens = 2,
+    /// Requests in progress.
+    Concurrent = 3,
 }
 
-/// A leased part of an entry's limit.
+/// A leased part of an entry's limit, or the refusal of what was taken without one.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LimitLease {
     /// The catalogue entry.
@@ -470,9 +499,12 @@
     /// Requests in progress.
     #[prost(uint64, tag = "4")]
     pub concurrent: u64,
-    /// The lease's length.
+    /// How long it holds, from now.
     #[prost(uint32, tag = "5")]
     pub ttl: u32,
+    /// What is used up.
+    #[prost(enumeration = "LimitRefusal", tag = "6")]
+    pub refused: i32,
 }
 
 /// Takes a slot back from its holder.
