--- a/crates/basilbank_core/tests/world/daemon.rs
+++ b/crates/basilbank_core/tests/world/daemon.rs
@@ -155,7 +155,7 @@
         local.seed ^= self.spec.seed.rotate_left(32);
         daemon.brain = Some((self.spec.brain)(local, clock));
         let process = daemon.process(number);
-        self.record.reach(number, self.now, true);
+        self.note_reach(number);
         self.schedule(process);
     }
 
@@ -176,14 +176,21 @@
         for number in open {
             self.after(self.spec.client_latency, Due::Ended(number, End::Broken));
         }
-        self.record.reach(number, self.now, false);
+        self.note_reach(number);
         self.readers_gone(process);
     }
 
+    /// Notes whether a daemon runs and hears the platform.
+    pub(super) fn note_reach(&mut self, number: usize) {
+        let daemon = &self.daemons[number];
+        let runs = daemon.brain.is_some() && !daemon.frozen && !daemon.leaving;
+        self.record.reach(number, self.now, runs && daemon.side == 0);
+    }
+
     /// Pauses a process.
     pub(super) fn freeze(&mut self, number: usize) {
         self.daemons[number].frozen = true;
-        self.record.reach(number, self.now, false);
+        self.note_reach(number);
     }
 
     /// Lets a paused process go on: what has reached it meanwhile, then a tick, or the tick first.
@@ -197,7 +204,7 @@
         daemon.tick_at = None;
         let inbox = std::mem::take(&mut daemon.inbox);
         self.record.calm = self.now;
-        self.record.reach(process.daemon, self.now, true);
+        self.note_reach(process.daemon);
         if self.rng.unit() < 0.5 {
             self.reduce(process, Event::Tick);
         }
@@ -295,7 +302,11 @@
     }
 
     fn exit(&mut self, number: usize) {
-        let cut = self.daemons[number].open.len();
+        let is_cut = |t: &&usize| {
+            let one = &self.callers.tries[**t];
+            one.request.is_some() && !one.closed
+        };
+        let cut = self.daemons[number].open.iter().filter(is_cut).count();
         if 0 < cut {
             self.record.cut.push((number, cut));
         }
--- a/crates/basilbank_core/tests/world/engine.rs
+++ b/crates/basilbank_core/tests/world/engine.rs
@@ -5,7 +5,7 @@
 use basilbank_core::prelude::*;
 
 use super::{
-    Due, FakeKind, Moment, Node, Power, World,
+    Due, EngineFault, FakeKind, Moment, Node, Power, World,
     daemon::{Connection, Process},
     endpoint::{EngineDue, Origin, Reader},
     record::LateWork,
@@ -193,8 +193,12 @@
     /// Whether an endpoint takes new work; if not, its refusal is on its way.
     fn is_welcome(&mut self, endpoint: usize, reader: Reader) -> bool {
         let one = &self.endpoints[endpoint];
-        if let Some(marked) = one.marked {
-            let calm = self.daemons[reader.process.daemon].calm;
+        let sender = &self.daemons[reader.process.daemon];
+        // What only the platform knows does not reach a daemon that is cut off; what only the
+        // endpoint knows is not told by one that stalls.
+        let is_known = if one.leaving { !one.has(EngineFault::Stall) } else { sender.side == 0 };
+        if let Some(marked) = one.marked.filter(|_| is_known) {
+            let calm = sender.calm.max(self.record.calm);
             self.record.late.push(LateWork { endpoint, marked, at: self.now, calm });
         }
         let failure = if one.leaving { Failure::Leaving } else { Failure::Refused };
@@ -283,7 +287,7 @@
         adapter: String,
     ) {
         let one = &mut self.endpoints[endpoint];
-        let fencing = one.fencing && !one.has(super::EngineFault::IgnoreFencing);
+        let fencing = one.fencing && !one.has(EngineFault::IgnoreFencing);
         if fencing && fence < one.fence {
             let report = EngineReport::Fenced { fence: one.fence };
             self.tell(endpoint, process, report);
--- a/crates/basilbank_core/tests/world/faults.rs
+++ b/crates/basilbank_core/tests/world/faults.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    Due, FakeKind, Node, Place, PlatformMode, Power, Step, Who, World, daemon::Process,
-    decode::Stream, step::Restore,
+    Due, Fake, FakeKind, Job, Listing, Node, Place, PlatformMode, Power, Step, Who, World,
+    daemon::Process, decode::Stream, step::Restore,
 };
 
 /// The number of the side that nodes are cut off to.
@@ -20,6 +20,13 @@
                     self.after(back, Due::Step(Step::Start(number)));
                 }
             }
+            Step::Replace { daemon, back } => {
+                let number = self.who(daemon);
+                self.kill(number);
+                self.list(number, Listing::Absent);
+                self.after(back, Due::Step(Step::List(number, Listing::Present)));
+                self.after(back, Due::Step(Step::Start(number)));
+            }
             Step::Start(number) => self.start(number),
             Step::Freeze { daemon, lasting } => {
                 let number = self.who(daemon);
@@ -30,7 +37,7 @@
             Step::Shutdown(daemon) => {
                 let number = self.who(daemon);
                 self.daemons[number].leaving = true;
-                self.record.reach(number, self.now, false);
+                self.note_reach(number);
                 let process = self.daemons[number].process(number);
                 self.deliver(process, basilbank_core::Event::Shutdown);
             }
@@ -38,7 +45,8 @@
                 let Some(number) = self.place(endpoint) else { return };
                 self.power_down(number, power);
                 if let Some(back) = back {
-                    self.later(back, Restore::Up(number));
+                    let life = self.endpoints[number].life;
+                    self.later(back, Restore::Up(number, life));
                 }
             }
             Step::Fault { endpoint, fault, lasting } => {
@@ -52,7 +60,7 @@
                 self.endpoints[number].marked.get_or_insert(self.now);
             }
             Step::Platform { mode, lasting } => {
-                self.platform.set(mode, self.now);
+                self.set_platform(mode);
                 self.record.platform(self.now, mode == PlatformMode::Well);
                 self.later(lasting, Restore::Platform);
             }
@@ -74,6 +82,7 @@
                     self.leave(latest);
                 }
             }
+            Step::Later(delay, step) => self.after(delay, Due::Step(*step)),
             Step::Restore(restore) => self.restore(restore),
         }
     }
@@ -86,10 +95,12 @@
         self.record.calm = self.now;
         match restore {
             Restore::Thaw(daemon, life) => self.thaw(Process { daemon, life }),
-            Restore::Up(number) => {
+            Restore::Up(number, life) => {
                 let one = &mut self.endpoints[number];
-                one.power = Power::On;
-                one.life += 1;
+                if one.life == life {
+                    one.power = Power::On;
+                    one.life += 1;
+                }
             }
             Restore::Fault(number, fault) => {
                 let faults = &mut self.endpoints[number].faults;
@@ -99,7 +110,7 @@
                 self.release();
             }
             Restore::Platform => {
-                self.platform.set(PlatformMode::Well, self.now);
+                self.set_platform(PlatformMode::Well);
                 self.record.platform(self.now, true);
                 self.mark_leaving();
             }
@@ -119,7 +130,7 @@
             Who::Home(ask) => self.home(ask),
             Who::Steward(ask) => {
                 let home = self.home(ask);
-                let endpoint = self.place(Place::Current(ask)).unwrap_or_else(|| self.decoder());
+                let Some(endpoint) = self.place(Place::Current(ask)) else { return home };
                 let subject = self.endpoints[endpoint].id.0;
                 let state = self.daemons[home].brain.as_ref().and_then(|b| b.state());
                 let steward = state.and_then(|s| s.members.steward(subject));
@@ -134,9 +145,12 @@
         latest.map_or(0, |l| self.callers.tries[l].process.daemon)
     }
 
-    fn decoder(&self) -> usize {
-        let is_decode = |e: &super::Fake| matches!(e.kind, FakeKind::Decode(_));
-        self.endpoints.iter().position(is_decode).unwrap_or(0)
+    /// Whether a request's answer could come from an endpoint.
+    fn may_use(&self, ask: usize, endpoint: &Fake) -> bool {
+        match self.callers.asks[ask].job {
+            Job::Draft { .. } => matches!(endpoint.kind, FakeKind::Decode(_)),
+            Job::Plain { .. } => matches!(endpoint.kind, FakeKind::Plain(_)),
+        }
     }
 
     /// Which endpoint is meant.
@@ -147,7 +161,10 @@
             Place::Prefill(ask) => of(ask).prefill,
             Place::Decode(ask) => of(ask).decode,
             Place::Plain(ask) => of(ask).plain,
-            Place::Current(ask) => of(ask).decode.or(of(ask).prefill).or(of(ask).plain),
+            Place::Current(ask) => {
+                let known = of(ask).decode.or(of(ask).prefill).or(of(ask).plain);
+                known.or_else(|| self.endpoints.iter().position(|e| self.may_use(ask, e)))
+            }
         }
     }
 
@@ -166,7 +183,7 @@
                 if side == 0 {
                     self.daemons[number].calm = self.now;
                 }
-                self.record.reach(number, self.now, side == 0);
+                self.note_reach(number);
             }
             Node::Endpoint(number) => self.endpoints[number].side = side,
             Node::Platform => {}
--- a/crates/basilbank_core/tests/world/mod.rs
+++ b/crates/basilbank_core/tests/world/mod.rs
@@ -16,6 +16,7 @@
 mod ask;
 mod brain;
 mod callers;
+mod check;
 mod daemon;
 mod decode;
 mod endpoint;
@@ -42,6 +43,7 @@
     ask::{Ask, End, Job},
     brain::Brain,
     callers::{Callers, Try},
+    check::{Bounds, Finding, Promise, check},
     daemon::{Daemon, Traffic},
     decode::Decode,
     endpoint::{EngineFault, Fake, FakeKind, Power},
@@ -209,6 +211,12 @@
         }
     }
 
+    /// Whether a request has reached a moment that something waited for.
+    #[must_use]
+    pub fn is_met(&self, ask: usize, moment: Moment) -> bool {
+        !self.moments.iter().any(|(a, m, _)| *a == ask && *m == moment)
+    }
+
     fn after(&mut self, delay: Duration, due: Due) {
         self.queue.push(self.now + delay, due);
     }
--- a/crates/basilbank_core/tests/world/platform.rs
+++ b/crates/basilbank_core/tests/world/platform.rs
@@ -88,15 +88,6 @@
         self.calls.iter().copied().max().unwrap_or(0)
     }
 
-    /// Goes over to a mode.
-    pub fn set(&mut self, mode: PlatformMode, now: Duration) {
-        if mode == PlatformMode::Stale {
-            self.stale_at = self.revision;
-            self.stale_list = self.list_at(now);
-        }
-        self.mode = mode;
-    }
-
     /// All documents as of a revision.
     #[must_use]
     pub fn documents(&self, revision: u64) -> Vec<Document> {
@@ -156,10 +147,40 @@
         let compiled = catalogue.map(|c| Arc::new(Catalogue { revision, ..c }));
         self.platform.catalogues.insert(revision, compiled);
         self.record.published(revision, self.now, accepted);
-        if self.platform.mode != PlatformMode::Well {
-            return;
+        if self.platform.mode == PlatformMode::Well {
+            self.answer_watches();
+        }
+    }
+
+    /// The platform goes over to a mode.
+    pub(super) fn set_platform(&mut self, mode: PlatformMode) {
+        let platform = &mut self.platform;
+        if mode == PlatformMode::Stale && platform.mode != PlatformMode::Stale {
+            platform.stale_at = platform.revision;
+            platform.stale_list = platform.list_at(self.now);
         }
-        for watch in std::mem::take(&mut self.platform.watches) {
+        platform.mode = mode;
+        match mode {
+            PlatformMode::Well => self.answer_watches(),
+            PlatformMode::Down => {
+                for watch in std::mem::take(&mut self.platform.watches) {
+                    let event = PlatformEvent::CatalogueFailed;
+                    self.platform_says(watch.process, event, Duration::ZERO);
+                }
+            }
+            PlatformMode::Silent | PlatformMode::Stale => {}
+        }
+    }
+
+    /// Tells those who wait what has changed.
+    fn answer_watches(&mut self) {
+        let revision = self.platform.revision;
+        let all = std::mem::take(&mut self.platform.watches);
+        for watch in all {
+            if revision <= watch.after {
+                self.platform.watches.push(watch);
+                continue;
+            }
             let event = self.platform.changes(watch.after);
             self.platform_says(watch.process, event, Duration::ZERO);
         }
--- a/crates/basilbank_core/tests/world/record.rs
+++ b/crates/basilbank_core/tests/world/record.rs
@@ -176,7 +176,10 @@
 
     /// A daemon can be reached from now on, or not.
     pub fn reach(&mut self, daemon: usize, at: Duration, reached: bool) {
-        self.reach[daemon].push((at, reached));
+        let last = self.reach[daemon].last().is_some_and(|(_, reached)| *reached);
+        if last != reached {
+            self.reach[daemon].push((at, reached));
+        }
     }
 
     /// The platform is well from now on, or not.
--- a/crates/basilbank_core/tests/world/step.rs
+++ b/crates/basilbank_core/tests/world/step.rs
@@ -12,6 +12,9 @@
     /// A daemon's process dies; its callers and endpoints see their connections break. Perhaps a new
     /// process starts after a while, with a new incarnation and nothing in memory.
     Kill { daemon: Who, back: Option<Duration> },
+    /// A daemon's VM is gone for good. The platform's list drops it, and lists and starts another one
+    /// of the same name after a while.
+    Replace { daemon: Who, back: Duration },
     /// A new process starts where none runs.
     Start(usize),
     /// A daemon's process is paused and goes on later: all that reached it meanwhile, then a tick.
@@ -38,6 +41,8 @@
     Isolate { daemon: Who, endpoints: Vec<usize>, lasting: Duration },
     /// Messages between daemons are lost, doubled or delayed from now on.
     Net(Net),
+    /// A step that comes after a while.
+    Later(Duration, Box<Step>),
     /// The caller of a request leaves.
     Cancel(usize),
     #[doc(hidden)]
@@ -48,7 +53,7 @@
 #[derive(Clone, Debug)]
 pub enum Restore {
     Thaw(usize, u32),
-    Up(usize),
+    Up(usize, u32),
     Fault(usize, EngineFault),
     Platform,
     Join(Vec<Node>),
@@ -76,7 +81,8 @@
     Decode(usize),
     /// The plain service's replica that a request was sent to.
     Plain(usize),
-    /// The one that a request uses now: decode, else prefill, else plain.
+    /// The one that a request uses now: decode, else prefill, else plain, else the first that it
+    /// could use.
     Current(usize),
 }
 
