--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -37,7 +37,9 @@
 
 /// Takes one event in and pushes what is to be done about it.
 pub fn reduce(state: &mut State, now: Now, event: Event, out: &mut Vec<Effect>) {
+    let first = out.len();
     member::awake(state, now, out);
+    claim::expire(state, now, out);
     match event {
         Event::Tick => {}
         Event::Caller(event) => on_caller(state, now, event, out),
@@ -58,7 +60,9 @@
         on_timer(state, now, timer, out);
         hear_self(state, now, out);
     }
-    if state.leaving && state.requests.arena.is_empty() {
+    claim::remember(state, &out[first..]);
+    reap::remember(state, now, &out[first..]);
+    if state.leaving && state.requests.arena.is_empty() && state.claims.own.is_empty() {
         out.push(Effect::Exit);
     }
 }
@@ -75,7 +79,7 @@
     match timer {
         Timer::Attempt(key) => retry::timed_out(state, now, key, out),
         Timer::Request(key) => place::start(state, now, key, out),
-        Timer::Claim(key) => claim::timed_out(state, now, key, out),
+        Timer::Claim(id) => claim::timed_out(state, now, id, out),
         Timer::Platform => catalogue::tick(state, now, out),
         Timer::Heartbeat => member::tick(state, now, out),
         Timer::Slots => slots::tick(state, now, out),
@@ -140,7 +144,7 @@
     out: &mut Vec<Effect>,
 ) {
     if let EngineReport::Streams(streams) = report {
-        reap::listed(state, now, endpoint, streams, out);
+        reap::listed(state, endpoint, streams, out);
     }
     load::reported(state, now, endpoint, report, out);
     order::reported(state, now, endpoint, report, out);
@@ -168,7 +172,7 @@
         Body::Preempt(preempt) => reserve::preempted(state, now, &preempt, out),
         Body::Claim(claim) => claim::asked(state, now, from, &claim, out),
         Body::Vote(vote) => claim::voted(state, now, from, &vote, out),
-        Body::Settle(settle) => claim::told(state, now, from, &settle),
+        Body::Settle(settle) => claim::told(state, now, from, &settle, out),
         Body::FetchCatalogue(fetch) => catalogue::fetched(state, now, from, &fetch, out),
         Body::Catalogue(delta) => catalogue::delta(state, now, delta, out),
         Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -20,7 +20,10 @@
 
 pub use self::{
     attempt::{Attempt, AttemptStage, KvCache},
-    claims::Claims,
+    claims::{
+        Ballot, ClaimKey, ClaimPhase, Claims, KeyEntry, KeyTable, OwnClaim, Standing, Tenure,
+        TenureSince, Waited, made_at,
+    },
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
@@ -30,7 +33,7 @@
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
     prefixes::Prefixes,
-    reaper::Reaper,
+    reaper::{Cancelled, Reaper, Watch},
     requests::{Request, RequestStage, Requests},
     rng::Rng,
     slots::{OwnSlot, SlotKey, Slots},
@@ -151,6 +154,8 @@
         let mut rng = Rng::new(local.seed);
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
+        let phase = local.tuning.reap_interval.mul_f64(rng.unit());
+        timers.set(now.mono + phase, Timer::Reap);
         State {
             view: View::default(),
             members: Members::new(&local, now.mono),
