--- a/crates/basilbank_core/tests/checker.rs
+++ b/crates/basilbank_core/tests/checker.rs
@@ -76,7 +76,9 @@
 fn nothing(_: &Event, _: &mut Vec<Effect>) {}
 
 fn forget_cancels(_: &Event, out: &mut Vec<Effect>) {
-    out.retain(|e| !matches!(e, Effect::Engine(EngineCall::Cancel { .. })));
+    out.retain(|e| {
+        !matches!(e, Effect::Engine(EngineCall::Cancel { .. } | EngineCall::Reap { .. }))
+    });
 }
 
 fn double_tokens(_: &Event, out: &mut Vec<Effect>) {
--- a/crates/basilbank_core/tests/world/platform.rs
+++ b/crates/basilbank_core/tests/world/platform.rs
@@ -153,7 +153,7 @@
     }
 
     /// The platform goes over to a mode.
-    pub(super) fn set_platform(&mut self, mode: PlatformMode) {
+    pub fn set_platform(&mut self, mode: PlatformMode) {
         let platform = &mut self.platform;
         if mode == PlatformMode::Stale && platform.mode != PlatformMode::Stale {
             platform.stale_at = platform.revision;
