End-to-end tests with several daemons: death, pause, repeated orders

Cause: resuming, claims and reaping were tested in virtual time only. Change: real daemons on loopback; one is killed or stopped during a stream, and an order is repeated through another daemon with its key.

--- a/crates/basilbank_standin/src/client.rs
+++ b/crates/basilbank_standin/src/client.rs
@@ -20,7 +20,7 @@
 pub struct Client {
     agent: Agent,
     base: String,
-    key: String,
+    headers: Vec<(&'static str, String)>,
 }
 
 /// A whole draft.
@@ -58,13 +58,14 @@
     pub fn new(callers: SocketAddr) -> Client {
         let config = Agent::config_builder().http_status_as_error(false);
         let agent = config.timeout_per_read(Some(PER_READ)).build().new_agent();
-        Client { agent, base: format!("http://{callers}"), key: CALLER_KEY.to_owned() }
+        let headers = vec![("authorization", format!("Bearer {CALLER_KEY}"))];
+        Client { agent, base: format!("http://{callers}"), headers }
     }
 
-    /// Sets the bearer key.
+    /// Adds a header to all calls.
     #[must_use]
-    pub fn with_key(mut self, key: &str) -> Client {
-        self.key = key.to_owned();
+    pub fn with_header(mut self, name: &'static str, value: &str) -> Client {
+        self.headers.push((name, value.to_owned()));
         self
     }
 
@@ -73,11 +74,11 @@
     /// # Errors
     /// No answer came.
     pub fn send(&self, method: &str, path: &str, body: &str) -> anyhow::Result<Response<Body>> {
-        let request = ureq::http::Request::builder()
-            .method(method)
-            .uri(format!("{}{path}", self.base))
-            .header("authorization", format!("Bearer {}", self.key))
-            .body(body.to_owned())?;
+        let mut request = ureq::http::Request::builder().method(method);
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let request = request.uri(format!("{}{path}", self.base)).body(body.to_owned())?;
         Ok(self.agent.run(request)?)
     }
 
--- a/crates/basilbankd/tests/e2e/harness.rs
+++ b/crates/basilbankd/tests/e2e/harness.rs
@@ -15,8 +15,9 @@
     time::{Duration, Instant},
 };
 
-use basilbank_standin::{Client, Engine, EngineSpec, Faults, Site, SiteSpec};
+use basilbank_standin::{ADMIN_KEY, Client, Engine, EngineSpec, Faults, Site, SiteSpec};
 use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
 
 /// A test that waits longer for a condition fails.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -48,6 +49,20 @@
     (site, daemon, client)
 }
 
+/// A site with some daemons that are ready and know each other.
+pub fn patient_daemons(count: usize) -> (Site, Vec<DaemonProcess>) {
+    let site = patient_site();
+    let names: Vec<String> = (1..=count).map(|i| format!("entry-{i}")).collect();
+    let daemons: Vec<_> = names.iter().map(|name| DaemonProcess::start(&site, name)).collect();
+    let vms: Vec<_> = names.into_iter().zip(daemons.iter().map(|d| d.peers)).collect();
+    site.list_vms(&vms);
+    for daemon in &daemons {
+        daemon.ready_client();
+        wait_until("the daemons know each other", || daemon.live_peers() == count);
+    }
+    (site, daemons)
+}
+
 impl DaemonProcess {
     /// Starts a daemon at a site and waits until it says where it listens.
     pub fn start(site: &Site, name: &str) -> DaemonProcess {
@@ -95,6 +110,17 @@
         self.log.lock().unwrap().iter().find(|line| line.contains(part)).cloned()
     }
 
+    /// How many daemons it knows to be alive, itself included.
+    pub fn live_peers(&self) -> usize {
+        let call = ureq::get(format!("http://{}/admin/peers", self.admin))
+            .header("authorization", format!("Bearer {ADMIN_KEY}"))
+            .call();
+        let Ok(mut answer) = call else { return 0 };
+        let Ok(text) = answer.body_mut().read_to_string() else { return 0 };
+        let peers: Value = serde_json::from_str(&text).unwrap();
+        peers["items"].as_array().unwrap().iter().filter(|peer| peer["live"] == true).count()
+    }
+
     /// Sends the process a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
--- a/crates/basilbankd/tests/e2e/main.rs
+++ b/crates/basilbankd/tests/e2e/main.rs
@@ -1,5 +1,6 @@
 //! The real daemon between a caller and stand-ins, over real sockets.
 
+mod daemons;
 mod drafts;
 mod faults;
 mod harness;
