The command meets the real daemon

Cause: the admin API is there; its fields' names and its reasons for refusing were not known before.

Tests run the command against a whole daemon between stand-ins.

--- a/crates/basilbank_cli/src/admin.rs
+++ b/crates/basilbank_cli/src/admin.rs
@@ -5,7 +5,7 @@
 use serde_json::Value;
 use ureq::{Agent, Body, http::Response};
 
-use crate::{args::Options, failure::Failure};
+use crate::{args::Options, failure::Failure, table::cell};
 
 /// A daemon that takes longer is as good as unreachable.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -13,6 +13,9 @@
 /// Most bytes of an answer: a list of 10,000 teams has some megabytes.
 const MAX_ANSWER: u64 = 64 << 20;
 
+/// Most bytes of an answer that says why not.
+const MAX_REASON: u64 = 64 << 10;
+
 /// A daemon's admin API.
 #[derive(Debug)]
 pub struct Admin {
@@ -81,13 +84,23 @@
         }
     }
 
+    /// The reason that an answer other than 200 gives, if it gives one.
+    fn reason(&self, answer: &mut Response<Body>) -> String {
+        let text = answer.body_mut().with_config().limit(MAX_REASON).read_to_string();
+        let body: Option<Value> = text.ok().and_then(|text| serde_json::from_str(&text).ok());
+        let reason = body.as_ref().and_then(|body| body.get("error")).map(cell);
+        format!("{} answers: {}", self.base, reason.unwrap_or("no reason".to_owned()))
+    }
+
     fn read(&self, mut answer: Response<Body>, what: &str) -> Result<Value, Failure> {
         match answer.status().as_u16() {
             200 => {}
+            400 => return Err(Failure::Usage(self.reason(&mut answer))),
             401 | 403 => return Err(Failure::Key),
             404 => return Err(Failure::NotFound(what.to_owned())),
             status => {
-                return Err(Failure::Unreachable(format!("{} answered {status}", self.base)));
+                let reason = self.reason(&mut answer);
+                return Err(Failure::Unreachable(format!("{reason} (status {status})")));
             }
         }
         let text = answer.body_mut().with_config().limit(MAX_ANSWER).read_to_string();
--- a/crates/basilbank_cli/src/args.rs
+++ b/crates/basilbank_cli/src/args.rs
@@ -32,6 +32,8 @@
 /// A list that the admin API has.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum List {
+    /// Entries of the catalogue in force.
+    Catalogue,
     /// Endpoints.
     Endpoints,
     /// Teams.
@@ -124,6 +126,7 @@
     /// Its name, on the command line and in the admin API.
     pub fn name(self) -> &'static str {
         match self {
+            List::Catalogue => "catalogue",
             List::Endpoints => "endpoints",
             List::Teams => "teams",
             List::Peers => "peers",
@@ -215,6 +218,7 @@
         "check" => Topic::Check,
         "diff" => Topic::Diff,
         "status" => Topic::Status,
+        "catalogue" => Topic::List(List::Catalogue),
         "endpoints" => Topic::List(List::Endpoints),
         "teams" => Topic::List(List::Teams),
         "peers" => Topic::List(List::Peers),
--- a/crates/basilbank_cli/src/help.rs
+++ b/crates/basilbank_cli/src/help.rs
@@ -9,6 +9,7 @@
         Topic::Check => CHECK,
         Topic::Diff => DIFF,
         Topic::Status => STATUS,
+        Topic::List(List::Catalogue) => CATALOGUE,
         Topic::List(List::Endpoints) => ENDPOINTS,
         Topic::List(List::Teams) => TEAMS,
         Topic::List(List::Peers) => PEERS,
@@ -33,12 +34,13 @@
 on a daemon:
   diff FILE…              what a catalogue would change, by the daemon's dry run
   status                  the daemon's state
-  endpoints               endpoints: load, slots, health
-  teams                   teams: use and charges
-  peers                   the other daemons
-  requests                requests, running and ended
+  catalogue               entries of the catalogue in force
+  endpoints               endpoints: slots held, steward, health
+  teams                   teams and their requests in progress
+  peers                   the VMs of the system, and which are heard
+  requests                requests in progress
   explain REQUEST_ID      why a request was placed, queued, retried or refused
-  orders                  orders to endpoints
+  orders                  what endpoints that take orders are to serve
   watch                   print changes until Ctrl-C
 
 options:
@@ -74,7 +76,17 @@
 const STATUS: &str = "\
 usage: basilbank status --admin URL [--key-file FILE] [--json]
 
-Shows the state of one daemon: revisions, members, requests, queue.
+Shows the state of one daemon: whether it is ready, the revisions of the catalogue in force, of the
+documents and of the VM list, how many VMs are listed and live, whether it decides as a steward,
+its requests in progress and how many of them wait.
+
+exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
+";
+
+const CATALOGUE: &str = "\
+usage: basilbank catalogue --admin URL [--key-file FILE] [--json]
+
+Lists the entries of the catalogue in force. A limit of 0 is no limit.
 
 exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
 ";
@@ -82,7 +94,9 @@
 const ENDPOINTS: &str = "\
 usage: basilbank endpoints --admin URL [--key-file FILE] [--json]
 
-Lists endpoints as the daemon sees them.
+Lists endpoints as the daemon sees them: the slots it holds there, the daemon that decides on the
+slots, whether the catalogue or the endpoint itself says that it is leaving, and whether it is set
+aside after failures.
 
 exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
 ";
@@ -90,7 +104,8 @@
 const TEAMS: &str = "\
 usage: basilbank teams --admin URL [--key-file FILE] [--json]
 
-Lists teams with their use and charges at this daemon.
+Lists teams with their requests in progress at this daemon. What they were charged is in the
+metrics.
 
 exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
 ";
@@ -98,7 +113,7 @@
 const PEERS: &str = "\
 usage: basilbank peers --admin URL [--key-file FILE] [--json]
 
-Lists the daemons that this one knows, and whether it hears them.
+Lists the VMs on the platform's list, and whether this daemon hears theirs.
 
 exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
 ";
@@ -106,7 +121,7 @@
 const REQUESTS: &str = "\
 usage: basilbank requests --admin URL [--key-file FILE] [--json]
 
-Lists the requests of this daemon. `basilbank explain` tells more about one.
+Lists the requests in progress at this daemon. `basilbank explain` tells more about one.
 
 exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
 ";
@@ -114,7 +129,7 @@
 const ORDERS: &str = "\
 usage: basilbank orders --admin URL [--key-file FILE] [--json]
 
-Lists the orders to endpoints that this daemon decides on.
+Lists what the endpoints that take orders are to serve, and the daemon that orders it.
 
 exit status: 0 well, 2 wrong use or key, 3 daemon unreachable
 ";
@@ -122,8 +137,8 @@
 const EXPLAIN: &str = "\
 usage: basilbank explain REQUEST_ID --admin URL [--key-file FILE] [--json]
 
-Tells step by step what became of a request. Ask the daemon that accepted it; the id is in the
-X-Request-Id header of each answer.
+Tells step by step what became of a request. Ask the daemon that accepted it: each remembers its
+latest 2,000. The id is in the X-Request-Id header of each answer.
 
 exit status: 0 well, 1 the daemon does not know the request, 2 wrong use or key, 3 daemon unreachable
 ";
--- a/crates/basilbank_cli/src/watch.rs
+++ b/crates/basilbank_cli/src/watch.rs
@@ -19,8 +19,11 @@
 /// Fields that tell one object of a list from the others; the first that it has counts.
 const KEYS: [&str; 4] = ["name", "id", "endpoint", "vm"];
 
-/// Fields that end like this move all the time.
-const RESTLESS: [&str; 2] = ["_ms", "_s"];
+/// Fields that move all the time, on a daemon that works as it should.
+const RESTLESS: [&str; 4] = ["heartbeat", "held", "queued", "requests"];
+
+/// Fields that end like this move too.
+const RESTLESS_ENDS: [&str; 2] = ["_ms", "_s"];
 
 /// Values by what they belong to: `endpoint writer-d1 running`.
 type Seen = BTreeMap<String, String>;
@@ -100,7 +103,8 @@
 }
 
 fn note(seen: &mut Seen, what: &str, field: &str, value: &Value) {
-    if !RESTLESS.iter().any(|end| field.ends_with(end)) {
+    let restless = RESTLESS.contains(&field) || RESTLESS_ENDS.iter().any(|e| field.ends_with(e));
+    if !restless {
         seen.insert(format!("{what} {field}"), cell(value));
     }
 }
--- a/crates/basilbank_cli/tests/commands/main.rs
+++ b/crates/basilbank_cli/tests/commands/main.rs
@@ -3,3 +3,4 @@
 mod common;
 mod daemon;
 mod files;
+mod real;
