--- a/crates/basilbank/tests/callers_http/main.rs
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod cursors;
+mod drafts;
 mod edge;
 mod leaving;
 mod limits;
