--- a/crates/basilbank/src/callers.rs
+++ b/crates/basilbank/src/callers.rs
@@ -6,6 +6,7 @@
 mod body;
 mod chunk;
 mod closing;
+mod code;
 mod config;
 mod connection;
 mod cursor;
@@ -24,8 +25,8 @@
 mod stream;
 mod whole;
 
+pub use code::{EdgeRefusal, ErrorCode};
 pub use config::{ModelLookup, RefusalHook, ServerConfig};
-pub use error::{EdgeRefusal, ErrorCode};
 pub use prompt::{BLOCK_TOKENS, block_hashes, count_tokens};
 pub use registry::{Callers, Delivery, HeldDraft, HeldPlain, PlainAnswer, Reply};
 pub use server::Server;
--- a/crates/basilbank/src/callers/body.rs
+++ b/crates/basilbank/src/callers/body.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody};
 use hyper::body::{Body, Incoming};
 
-use super::error::{ApiError, EdgeRefusal};
+use super::{code::EdgeRefusal, error::ApiError};
 
 /// A body that goes out.
 pub type Outgoing = UnsyncBoxBody<Bytes, Infallible>;
--- a/crates/basilbank/src/callers/connection.rs
+++ b/crates/basilbank/src/callers/connection.rs
@@ -18,7 +18,8 @@
 use super::{
     body::Outgoing,
     closing::{linger, reject},
-    error::{ApiError, EdgeRefusal},
+    code::EdgeRefusal,
+    error::ApiError,
     service::Api,
     socket::{Ahead, Socket, Watch, split},
 };
--- a/crates/basilbank/src/callers/draft.rs
+++ b/crates/basilbank/src/callers/draft.rs
@@ -15,7 +15,7 @@
     chunk::Envelope,
     cursor::CursorKey,
     error::ApiError,
-    form::{Delivery, Form, Shape},
+    form::{Form, Mode, Shape},
     headers::{LAST_EVENT_ID, bearer, idempotency, repeatable},
     open_call::OpenCall,
     prompt::{block_hashes, count_tokens},
@@ -51,13 +51,10 @@
         let (caller, replies) = self.callers.open_draft(held, self.config.limits.backlog);
         let call = Call { caller, key, idempotency, repeatable, work: Work::Draft(draft) };
         let open = OpenCall::begin(call, replies, &self.events, &self.callers)?;
-        match form.delivery {
-            Delivery::Whole => whole::answer(open, &envelope).await,
-            Delivery::Streamed => {
-                stream::answer(open, envelope, self.cursors.clone(), stream::Tail::Plain).await
-            }
-            Delivery::StreamedWithUsage => {
-                stream::answer(open, envelope, self.cursors.clone(), stream::Tail::Usage).await
+        match form.mode {
+            Mode::Whole => whole::answer(open, &envelope).await,
+            Mode::Streamed(tail) => {
+                stream::answer(open, envelope, self.cursors.clone(), tail).await
             }
         }
     }
@@ -73,7 +70,7 @@
     form: &Form,
 ) -> Result<Option<ResumePoint>, ApiError> {
     let Some(value) = headers.get(LAST_EVENT_ID) else { return Ok(None) };
-    if form.delivery == Delivery::Whole {
+    if form.mode == Mode::Whole {
         return Err(ApiError::early(Refusal::BadCursor)
             .with_message("Last-Event-ID needs \"stream\": true"));
     }
--- a/crates/basilbank/src/callers/form.rs
+++ b/crates/basilbank/src/callers/form.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use serde_json::{Value, error::Category};
 
-use super::error::{ApiError, EdgeRefusal};
+use super::{code::EdgeRefusal, error::ApiError};
 
 /// Tokens to generate when the caller does not say.
 const DEFAULT_TOKENS: u32 = 256;
@@ -25,13 +25,20 @@
 
 /// How the answer is wanted.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Delivery {
+pub enum Mode {
     /// In one piece.
     Whole,
     /// Token by token.
-    Streamed,
-    /// Token by token, then what was used.
-    StreamedWithUsage,
+    Streamed(Tail),
+}
+
+/// What follows a stream's last chunk.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Tail {
+    /// `[DONE]` only.
+    Plain,
+    /// A chunk with the usage, then `[DONE]`.
+    Usage,
 }
 
 /// A checked body.
@@ -46,7 +53,7 @@
     /// Most tokens to generate.
     pub max_tokens: u32,
     /// How the answer is wanted.
-    pub delivery: Delivery,
+    pub mode: Mode,
 }
 
 /// A body as it comes. Fields that are not here are ignored, as are sampling parameters: the engines
@@ -127,7 +134,7 @@
             shape,
             prompt,
             max_tokens: max_tokens(&fields)?,
-            delivery: delivery(&fields),
+            mode: mode(&fields),
             model: fields.model,
         })
     }
@@ -203,13 +210,12 @@
     Ok(wanted)
 }
 
-fn delivery(fields: &Fields) -> Delivery {
-    let usage = fields.stream_options.as_ref().and_then(|o| o.include_usage);
-    match (fields.stream.unwrap_or(false), usage.unwrap_or(false)) {
-        (false, _) => Delivery::Whole,
-        (true, false) => Delivery::Streamed,
-        (true, true) => Delivery::StreamedWithUsage,
+fn mode(fields: &Fields) -> Mode {
+    if !fields.stream.unwrap_or(false) {
+        return Mode::Whole;
     }
+    let usage = fields.stream_options.as_ref().and_then(|o| o.include_usage);
+    Mode::Streamed(if usage.unwrap_or(false) { Tail::Usage } else { Tail::Plain })
 }
 
 /// Joins a chat's messages: one `role: text` line each, then the assistant's turn. The next call of
--- a/crates/basilbank/src/callers/headers.rs
+++ b/crates/basilbank/src/callers/headers.rs
@@ -7,7 +7,7 @@
 };
 use sha2::{Digest, Sha256};
 
-use super::error::{ApiError, EdgeRefusal};
+use super::{code::EdgeRefusal, error::ApiError};
 
 /// A caller's name for a call, the same on each retry.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
--- a/crates/basilbank/src/callers/server.rs
+++ b/crates/basilbank/src/callers/server.rs
@@ -17,12 +17,8 @@
 };
 
 use super::{
-    closing::reject,
-    config::ServerConfig,
-    connection,
-    error::{ApiError, EdgeRefusal},
-    registry::Callers,
-    service::Api,
+    closing::reject, code::EdgeRefusal, config::ServerConfig, connection, error::ApiError,
+    registry::Callers, service::Api,
 };
 
 const THREADS: usize = 2;
--- a/crates/basilbank/src/callers/service.rs
+++ b/crates/basilbank/src/callers/service.rs
@@ -23,15 +23,18 @@
 
 use super::{
     body::{self, Outgoing},
+    code::EdgeRefusal,
     config::ServerConfig,
     cursor::CursorKey,
-    error::{ApiError, EdgeRefusal, Origin},
+    error::{ApiError, Origin},
     form::Shape,
     headers::{X_REQUEST_ID, bearer},
     registry::Callers,
 };
 
 const API_PREFIX: &str = "/v1/";
+/// What `Allow` says where any method but CONNECT is passed on.
+const PLAIN_METHODS: &str = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
 
 /// What all connections share.
 pub struct Api {
@@ -155,7 +158,7 @@
 
 fn route<'a>(method: &Method, path: &'a str) -> Result<Route<'a>, ApiError> {
     if *method == Method::CONNECT {
-        return Err(ApiError::edge(EdgeRefusal::WrongMethod));
+        return Err(ApiError::edge(EdgeRefusal::WrongMethod).with_allow(PLAIN_METHODS));
     }
     let Some(rest) = path.strip_prefix(API_PREFIX) else { return Ok(Route::Plain) };
     let (route, allow) = match rest {
--- a/crates/basilbank/src/callers/stream.rs
+++ b/crates/basilbank/src/callers/stream.rs
@@ -26,6 +26,7 @@
     chunk::{Envelope, Position, Usage},
     cursor::CursorKey,
     error::ApiError,
+    form::Tail,
     headers::X_REQUEST_ID,
     open_call::OpenCall,
     registry::Reply,
@@ -33,15 +34,6 @@
 
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
-/// What follows the last chunk.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Tail {
-    /// `[DONE]` only.
-    Plain,
-    /// A chunk with the usage, then `[DONE]`.
-    Usage,
-}
-
 /// Where the stream lives.
 #[derive(Clone, Debug)]
 struct Location {
--- a/crates/basilbank/tests/callers_http/page.rs
+++ b/crates/basilbank/tests/callers_http/page.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use basilbank::callers::{EdgeRefusal, ErrorCode};
+use basilbank_config::ApiLimits;
 use basilbank_core::prelude::*;
 use serde_json::Value;
 
@@ -62,6 +63,23 @@
     assert_eq!(json(&client.body(&head)), json(block("json error")));
 }
 
+#[test]
+fn the_default_limits_are_as_on_the_page() {
+    let limits = ApiLimits::default();
+    let expected = format!(
+        "{} MiB for a body, {} KiB for headers, {} seconds for headers to arrive and {} for a body, \
+         {} connections.",
+        limits.body >> 20,
+        limits.headers >> 10,
+        limits.header_timeout.as_secs(),
+        limits.body_timeout.as_secs(),
+        limits.connections
+    );
+    assert!(PAGE.contains(&expected), "{expected}");
+    let idle = format!("closed after {} seconds without", limits.header_timeout.as_secs());
+    assert!(PAGE.contains(&idle), "{idle}");
+}
+
 /// Symptom: a client is written for a code or status that never comes. Cause: a page that was not
 /// changed with the code.
 #[test]
--- a/crates/basilbank/tests/callers_http/refusals.rs
+++ b/crates/basilbank/tests/callers_http/refusals.rs
@@ -34,6 +34,7 @@
 #[test_case(CHAT, "Authorization: Bearer key-a\r\nLast-Event-ID: v1.00.00\r\n", WHOLE, 400, "bad_cursor"; "cursor for a whole answer")]
 #[test_case("GET /v1/chat/completions", KEY, "", 405, "wrong_method"; "GET of a chat")]
 #[test_case("OPTIONS /v1/models", KEY, "", 405, "wrong_method"; "OPTIONS")]
+#[test_case("CONNECT test:80", KEY, "", 405, "wrong_method"; "CONNECT")]
 #[test_case("GET /v1/embeddings", KEY, "", 404, "unknown_path"; "unknown path")]
 fn bad_input(target: &str, headers: &str, body: &str, status: u16, code: &str) {
     let edge = Edge::start(config());
