Rolls: endpoints drain by turns and are ordered by their stewards

Cause: the catalogue's versions, adapters and roles did not reach endpoints.

Change: an endpoint's steward compares its report with the catalogue. A model's endpoints change in the order of their ids; each steward reads those before its own, so the turn is agreed without a message and without anything written. As many are out of service at once as the owed shares and the weight store's rate allow. An order goes out once the endpoint's reports and the steward's ledger have been empty for two seconds; it states the end, carries the published revisions as its fencing number, and is sent again less and less often until the endpoint reports what it should. Load reports say model and role.

A roll of ten endpoints in the world harness under a draft each 150 ms: all answers whole, no retry of a cut stream, at most one endpoint of a pool out of service at once.

--- a/crates/basilbank_core/src/event.rs
+++ b/crates/basilbank_core/src/event.rs
@@ -5,7 +5,7 @@
 use basilbank_wire::{Document, Message, VmRecord};
 
 use crate::{
-    catalogue::{Catalogue, KeyHash},
+    catalogue::{Catalogue, KeyHash, Role},
     ids::{AttemptKey, CallerId, EndpointId, VmId},
 };
 
@@ -201,10 +201,14 @@
         age: Duration,
         /// It is leaving: no new work.
         leaving: bool,
+        /// The model's name; empty when the endpoint does not say.
+        model: String,
         /// The model version that it serves; empty while it loads.
         version: String,
         /// The adapter that it has loaded.
         adapter: String,
+        /// Its role; `None` when the endpoint does not say.
+        role: Option<Role>,
         /// The highest fencing number that it has taken; 0 when it keeps none.
         fence: u64,
     },
--- a/crates/basilbank_core/src/reduce/order.rs
+++ b/crates/basilbank_core/src/reduce/order.rs
@@ -1,22 +1,206 @@
 //! Orders to endpoints: models, adapters, versions and roles; and drains before them.
+//!
+//! The catalogue says what each endpoint should serve. An endpoint's steward, alone, compares that
+//! with what the endpoint reports. Where they differ it waits for the endpoint's turn, gives the
+//! endpoint no new work, lets it finish what it has, states what it should serve and reads back. An
+//! order states an end, not a step, so it may be sent twice and by two stewards.
 
-use crate::{effect::Effect, event::EngineReport, ids::EndpointId, state::State, time::Now};
+mod send;
+mod turn;
 
-/// Whether an endpoint gets no new work because an order waits until it is empty.
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    catalogue::Endpoint,
+    effect::{Effect, EngineCall, Progress},
+    event::EngineReport,
+    ids::EndpointId,
+    state::{Roll, RollStage, Serving, State, Target, Timer},
+    time::Now,
+};
+
+/// Time between two looks at what endpoints serve.
+const TICK: Duration = Duration::from_secs(1);
+/// An endpoint must be seen empty for this long. A KV cache that was handed over lives for less, and
+/// a request that another steward let in shows in the reports by then.
+const QUIET: Duration = Duration::from_secs(2);
+/// A drain that takes longer is noted, again and again.
+const SLOW_DRAIN: Duration = Duration::from_secs(60);
+
+/// Whether an endpoint gets no new work: an order waits until it is empty, or it has nothing loaded
+/// that work of its pool could use.
 #[must_use]
-pub fn is_draining(_state: &State, _endpoint: EndpointId) -> bool {
-    false
+pub fn is_draining(state: &State, endpoint: EndpointId) -> bool {
+    if state.orders.rolls.get(&endpoint).is_some_and(Roll::is_closed) {
+        return true;
+    }
+    let Some(serving) = state.orders.reports.get(&endpoint).filter(|s| !s.silent) else {
+        return false;
+    };
+    let target = state.view.endpoint(endpoint).and_then(|e| Target::new(&state.view, e));
+    target.is_some_and(|target| !serving.is_useful(&target))
 }
 
 /// A report came from an endpoint.
 pub fn reported(
-    _state: &mut State,
-    _now: Now,
-    _endpoint: EndpointId,
-    _report: &EngineReport,
-    _out: &mut Vec<Effect>,
+    state: &mut State,
+    now: Now,
+    endpoint: EndpointId,
+    report: &EngineReport,
+    out: &mut Vec<Effect>,
 ) {
+    match report {
+        EngineReport::Load {
+            running, queued, age, version, adapter, fence, model, role, ..
+        } => {
+            let serving = Serving {
+                model: model.clone(),
+                version: version.clone(),
+                adapter: adapter.clone(),
+                role: *role,
+                fence: *fence,
+                busy: running.saturating_add(*queued),
+                measured: now.mono.saturating_sub(*age),
+                read: now.mono,
+                silent: false,
+            };
+            state.orders.reports.insert(endpoint, serving);
+        }
+        EngineReport::Silent => {
+            let Some(serving) = state.orders.reports.get_mut(&endpoint) else { return };
+            serving.silent = true;
+            serving.read = now.mono;
+        }
+        EngineReport::Fenced { fence } => send::fenced(state, endpoint, *fence, out),
+        EngineReport::Ordered { .. } | EngineReport::Cache { .. } | EngineReport::Streams(_) => {}
+    }
 }
 
 /// Looks for orders that are due.
-pub fn tick(_state: &mut State, _now: Now, _out: &mut Vec<Effect>) {}
+pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    state.timers.set(now.mono + TICK, Timer::Orders);
+    turn::follow(state, now);
+    let mut wanted = Vec::new();
+    let ordered = stewarded(state).filter(|e| e.orders && !e.leaving);
+    let mine: BTreeMap<_, _> = ordered.map(|e| (e.id, e.clone())).collect();
+    for endpoint in mine.values() {
+        state.orders.since.entry(endpoint.id).or_insert(now.mono);
+        look(state, now, endpoint, &mut wanted, out);
+    }
+    let State { orders, view, .. } = state;
+    orders.since.retain(|id, _| mine.contains_key(id));
+    orders.rolls.retain(|id, _| mine.contains_key(id));
+    orders.reports.retain(|id, _| view.endpoint(*id).is_some());
+    turn::read(state, now, wanted, out);
+}
+
+/// The endpoints that this daemon decides on as steward; none while it may not decide.
+pub fn stewarded(state: &State) -> impl Iterator<Item = &Endpoint> {
+    let known = state.slots.ledgers.keys().filter(|_| state.members.may_decide());
+    known.filter_map(|id| state.view.endpoint(*id))
+}
+
+/// Compares what one endpoint serves with what it should.
+fn look(
+    state: &mut State,
+    now: Now,
+    endpoint: &Endpoint,
+    wanted: &mut Vec<EndpointId>,
+    out: &mut Vec<Effect>,
+) {
+    let Some(target) = Target::new(&state.view, endpoint) else { return };
+    let Some(serving) = state.orders.reports.get(&endpoint.id) else {
+        wanted.push(endpoint.id);
+        return;
+    };
+    if serving.is_done(&target) {
+        if state.orders.rolls.remove(&endpoint.id).is_some_and(|roll| roll.is_closed()) {
+            note("order_done", endpoint.id, &target.version, out);
+        }
+        return;
+    }
+    let serving = serving.clone();
+    if serving.silent || !send::is_allowed(state, now, endpoint, &serving) {
+        return;
+    }
+    let rolls = &mut state.orders.rolls;
+    let roll = rolls.entry(endpoint.id).or_insert_with(|| Roll::new(target.clone(), now.mono));
+    let is_other = roll.target != target;
+    roll.target = target;
+    match roll.stage {
+        RollStage::Ordered { .. } if is_other => send::order(state, now, endpoint, 0, out),
+        RollStage::Ordered { sent, due } if due <= now.mono => {
+            send::again(state, now, endpoint, &serving, sent, out);
+        }
+        RollStage::Ordered { .. } => {}
+        RollStage::Waiting => start(state, now, endpoint, &serving, wanted, out),
+        RollStage::Draining { empty } => drain(state, now, endpoint, &serving, empty, wanted, out),
+    }
+}
+
+/// Closes an endpoint whose turn has come.
+fn start(
+    state: &mut State,
+    now: Now,
+    endpoint: &Endpoint,
+    serving: &Serving,
+    wanted: &mut Vec<EndpointId>,
+    out: &mut Vec<Effect>,
+) {
+    if !turn::has_come(state, now, endpoint, serving, wanted) {
+        return;
+    }
+    let Some(roll) = state.orders.rolls.get_mut(&endpoint.id) else { return };
+    roll.enter(RollStage::Draining { empty: None }, now.mono);
+    note("order_drain", endpoint.id, &roll.target.version, out);
+}
+
+/// Orders an endpoint once it is empty; opens it again when its turn is over, as after a change of
+/// the catalogue that puts others first.
+fn drain(
+    state: &mut State,
+    now: Now,
+    endpoint: &Endpoint,
+    serving: &Serving,
+    empty: Option<Duration>,
+    wanted: &mut Vec<EndpointId>,
+    out: &mut Vec<Effect>,
+) {
+    let has_turn = turn::has_come(state, now, endpoint, serving, wanted);
+    let is_empty = is_empty(state, endpoint.id, serving);
+    let Some(roll) = state.orders.rolls.get_mut(&endpoint.id) else { return };
+    if !has_turn {
+        roll.enter(RollStage::Waiting, now.mono);
+        return;
+    }
+    let fresh = roll.since <= serving.measured;
+    let empty = (is_empty && fresh).then(|| empty.unwrap_or(serving.measured));
+    roll.stage = RollStage::Draining { empty };
+    if empty.is_some_and(|since| since + QUIET <= serving.measured) {
+        send::order(state, now, endpoint, 0, out);
+    } else if roll.since + SLOW_DRAIN <= now.mono {
+        roll.since = now.mono;
+        note("order_drain_slow", endpoint.id, &roll.target.version, out);
+    }
+}
+
+/// Whether nothing runs at an endpoint and nobody holds a slot there.
+///
+/// An order cuts off what runs. A steward that looked at the report alone would order while a request
+/// with a granted slot is on its way; one that looked at its own ledger alone would cut off what
+/// another steward let in.
+fn is_empty(state: &State, endpoint: EndpointId, serving: &Serving) -> bool {
+    let ledger = state.slots.ledgers.get(&endpoint);
+    let is_free =
+        ledger.is_none_or(|l| l.leases.is_empty() && l.waiting.is_empty() && l.learning.is_none());
+    is_free && serving.busy == 0
+}
+
+fn note(name: &'static str, endpoint: EndpointId, version: &str, out: &mut Vec<Effect>) {
+    let pairs = vec![("endpoint", endpoint.to_string()), ("version", version.to_owned())];
+    out.push(Effect::Progress(Progress::Note { name, pairs }));
+}
+
+fn read_load(endpoint: EndpointId) -> Effect {
+    Effect::Engine(EngineCall::ReadLoad { endpoint })
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/order/send.rs
@@ -0,0 +1,111 @@
+//! The order itself: its fencing number, and when it is sent again.
+
+use std::time::Duration;
+
+use super::{QUIET, is_empty, note};
+use crate::{
+    catalogue::{Endpoint, EntryTarget, Role},
+    effect::{Effect, EngineCall},
+    ids::EndpointId,
+    state::{RollStage, Serving, State},
+    time::Now,
+};
+
+/// An order that had no effect is sent again after this; twice as long each time.
+const RESEND: Duration = Duration::from_secs(5);
+/// Longest time between two orders.
+const MOST_RESEND: Duration = Duration::from_secs(300);
+/// How long a load may take on top of the transfer of its weights.
+const LOAD_MARGIN: Duration = Duration::from_secs(60);
+/// A load may take so many times as long as the transfer of its weights at the link's rate.
+const LOAD_FACTOR: f64 = 3.0;
+/// How long an order of the steward before may still be on its way, beyond the time after which that
+/// steward counts as dead.
+const IN_FLIGHT: Duration = Duration::from_secs(6);
+
+/// The fencing number: the catalogue's revision, then the VM list's.
+///
+/// Both are published and only rise, so the number of whoever has seen the newer catalogue is higher,
+/// and no daemon writes anything to get one.
+#[must_use]
+pub fn fence(state: &State) -> u64 {
+    let part = |revision: u64| revision.min(u32::MAX.into());
+    part(state.view.catalogue.revision) << 32 | part(state.documents.vms.revision)
+}
+
+/// Whether this daemon may order an endpoint now.
+///
+/// Where the endpoint checks fencing numbers, a higher one there means that a daemon with a newer
+/// catalogue or list is at work. Where it does not, an order of a former steward that was paused may
+/// still arrive and undo a newer one; a new steward lets that time pass, orders, and reads back.
+#[must_use]
+pub fn is_allowed(state: &State, now: Now, endpoint: &Endpoint, serving: &Serving) -> bool {
+    if endpoint.fencing {
+        return serving.fence <= fence(state);
+    }
+    let hold = state.local.tuning.dead_after + IN_FLIGHT;
+    state.orders.since.get(&endpoint.id).is_some_and(|since| *since + hold <= now.mono)
+}
+
+/// An endpoint refused an order: it has seen a higher number.
+pub fn fenced(state: &mut State, endpoint: EndpointId, fence: u64, out: &mut Vec<Effect>) {
+    if let Some(serving) = state.orders.reports.get_mut(&endpoint) {
+        serving.fence = serving.fence.max(fence);
+    }
+    if let Some(roll) = state.orders.rolls.remove(&endpoint) {
+        note("order_fenced", endpoint, &roll.target.version, out);
+    }
+}
+
+/// States what an endpoint should serve.
+pub fn order(state: &mut State, now: Now, endpoint: &Endpoint, sent: u32, out: &mut Vec<Effect>) {
+    let fence = fence(state);
+    let pause = RESEND.saturating_mul(2u32.saturating_pow(sent)).min(MOST_RESEND);
+    let Some(roll) = state.orders.rolls.get_mut(&endpoint.id) else { return };
+    let due = now.mono + pause;
+    roll.enter(RollStage::Ordered { sent: sent + 1, due }, now.mono);
+    let target = &roll.target;
+    let name = if sent == 0 { "order_sent" } else { "order_sent_again" };
+    note(name, endpoint.id, &target.version, out);
+    out.push(Effect::Engine(EngineCall::Order {
+        endpoint: endpoint.id,
+        fence,
+        model: target.model.clone(),
+        version: target.version.clone(),
+        adapter: target.adapter.clone(),
+        role: if target.role == Role::Prefill { "prefill" } else { "decode" },
+    }));
+}
+
+/// An order has had no effect so far: sends it again, unless the endpoint still loads or got work in
+/// the meantime.
+pub fn again(
+    state: &mut State,
+    now: Now,
+    endpoint: &Endpoint,
+    serving: &Serving,
+    sent: u32,
+    out: &mut Vec<Effect>,
+) {
+    let patience = load_time(state, endpoint).saturating_mul(2u32.saturating_pow(sent - 1));
+    let Some(roll) = state.orders.rolls.get(&endpoint.id) else { return };
+    if serving.version.is_empty() {
+        if now.mono < roll.since + patience {
+            return;
+        }
+        note("order_load_stuck", endpoint.id, &roll.target.version, out);
+    } else if !is_empty(state, endpoint.id, serving) || serving.measured < roll.since + QUIET {
+        return;
+    }
+    order(state, now, endpoint, sent, out);
+}
+
+/// How long an endpoint may take to load its model.
+fn load_time(state: &State, endpoint: &Endpoint) -> Duration {
+    let EntryTarget::Model(model) = endpoint.serves else { return LOAD_MARGIN };
+    let weights = state.view.model(model).map_or(0, |m| m.weights);
+    let rates = [endpoint.link_rate, state.view.catalogue.weight_rate];
+    let rate = rates.into_iter().filter(|rate| *rate != 0).min();
+    let transfer = rate.map_or(0.0, |rate| weights as f64 / rate as f64);
+    LOAD_MARGIN + Duration::try_from_secs_f64(LOAD_FACTOR * transfer).unwrap_or(MOST_RESEND)
+}
--- a/crates/basilbank_core/src/reduce/reap.rs
+++ b/crates/basilbank_core/src/reduce/reap.rs
@@ -11,6 +11,7 @@
     effect::{Effect, EngineCall, Progress},
     event::StreamInfo,
     ids::{EndpointId, RequestId},
+    reduce::order,
     state::{Cancelled, State, Timer, Watch},
     time::Now,
 };
@@ -56,7 +57,8 @@
     if state.reaper.due <= now.mono {
         state.reaper.due = now.mono + interval;
         state.timers.set(state.reaper.due, Timer::Reap);
-        listed.extend(stewarded(state));
+        let engines = order::stewarded(state).filter(|e| e.role != Role::Plain);
+        listed.extend(engines.map(|e| e.id));
     }
     for watch in state.reaper.watches.values_mut() {
         watch.cancelled.retain(|c| now.mono < c.at + CHECK_LIMIT);
@@ -100,15 +102,6 @@
     }
 }
 
-/// The endpoints that this daemon decides on as steward.
-fn stewarded(state: &State) -> impl Iterator<Item = EndpointId> {
-    let members = &state.members;
-    let endpoints = state.view.catalogue.endpoints.iter();
-    let engines = endpoints.filter(|e| e.role != Role::Plain).map(|e| e.id);
-    let may_decide = members.may_decide();
-    engines.filter(move |e| may_decide && members.steward(e.0) == Some(members.own))
-}
-
 /// Forgets the cancels that had time to arrive before the list was asked for, and of whose requests
 /// nothing is on it.
 fn forget_gone(state: &mut State, endpoint: EndpointId, streams: &[StreamInfo]) {
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -31,7 +31,7 @@
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
     limits::LimitTable,
     members::{Census, Member, Members, Presence, rank},
-    orders::Orders,
+    orders::{ModelChange, Orders, Roll, RollStage, Serving, Target},
     prefixes::Prefixes,
     reaper::{Cancelled, Reaper, Watch},
     requests::{Request, RequestStage, Requests},
@@ -148,7 +148,7 @@
     #[must_use]
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
-        for timer in [Timer::Platform, Timer::Slots, Timer::Loads] {
+        for timer in [Timer::Platform, Timer::Slots, Timer::Loads, Timer::Orders] {
             timers.set(now.mono, timer);
         }
         let mut rng = Rng::new(local.seed);
--- /dev/null
+++ b/crates/basilbank_core/src/state/orders/serving.rs
@@ -0,0 +1,77 @@
+//! What an endpoint serves, and what it should.
+
+use std::time::Duration;
+
+use crate::{
+    catalogue::{Endpoint, EntryTarget, Role},
+    state::View,
+};
+
+/// What an endpoint last reported.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Serving {
+    /// The model's name; empty when it does not say.
+    pub model: String,
+    /// The model version that it serves; empty while it loads.
+    pub version: String,
+    /// The adapter that it has loaded.
+    pub adapter: String,
+    /// Its role; `None` when it does not say.
+    pub role: Option<Role>,
+    /// The highest fencing number that it has taken.
+    pub fence: u64,
+    /// Requests that run or wait there.
+    pub busy: u32,
+    /// When that was so.
+    pub measured: Duration,
+    /// When the report came.
+    pub read: Duration,
+    /// It did not answer since.
+    pub silent: bool,
+}
+
+/// What an endpoint should serve.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Target {
+    /// The model's name.
+    pub model: String,
+    /// Its version.
+    pub version: String,
+    /// The adapter; empty for none.
+    pub adapter: String,
+    /// The role.
+    pub role: Role,
+}
+
+impl Target {
+    /// What the catalogue wants an endpoint to serve; `None` for a plain service's.
+    #[must_use]
+    pub fn new(view: &View, endpoint: &Endpoint) -> Option<Target> {
+        let EntryTarget::Model(model) = endpoint.serves else { return None };
+        let model = view.model(model)?;
+        Some(Target {
+            model: model.name.clone(),
+            version: model.version.clone(),
+            adapter: model.adapter.clone(),
+            role: endpoint.role,
+        })
+    }
+}
+
+impl Serving {
+    /// Whether it serves what it should.
+    #[must_use]
+    pub fn is_done(&self, target: &Target) -> bool {
+        let is_version = self.version == target.version && self.adapter == target.adapter;
+        is_version && self.is_useful(target)
+    }
+
+    /// Whether it takes work of its pool, be it with an old version: it has loaded something, of the
+    /// right model and in the right role.
+    #[must_use]
+    pub fn is_useful(&self, target: &Target) -> bool {
+        let is_model = self.model.is_empty() || self.model == target.model;
+        let is_role = self.role.is_none_or(|role| role == target.role);
+        !self.silent && !self.version.is_empty() && is_model && is_role
+    }
+}
--- a/crates/basilbank_core/tests/daemons/main.rs
+++ b/crates/basilbank_core/tests/daemons/main.rs
@@ -2,4 +2,7 @@
 
 mod claims;
 mod fleet;
+mod orders;
 mod reaping;
+#[path = "../world/mod.rs"]
+mod world;
--- /dev/null
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -0,0 +1,371 @@
+//! Rolls: every endpoint ends with what the catalogue says, and nobody is cut off on the way.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use basilbank_core::{effect::EngineCall, prelude::*, state::RollStage};
+use test_case::test_case;
+
+use crate::{
+    fleet::{Fleet, catalogue, draft, vm},
+    world::{Ask, End, Node, Place, Power, Spec, Step, Who, World},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// When the operators publish the new version.
+const ROLL: Duration = Duration::from_secs(20);
+const SAMPLE: Duration = Duration::from_millis(100);
+
+/// A catalogue with another version of the model.
+fn version(spec: &Spec, version: &str) -> Step {
+    let mut catalogue = spec.catalogue();
+    catalogue.models[0].version = version.into();
+    catalogue.models[0].adapter = "terms".into();
+    Step::Publish(Box::new(catalogue))
+}
+
+/// A world with a draft every 150 ms, about a third of what it can carry.
+fn busy(spec: Spec, seconds: u32) -> World {
+    let mut world = World::new(spec);
+    for i in 0..seconds * 1000 / 150 {
+        let at = SECOND * 3 + Duration::from_millis(150) * i;
+        world.ask(Ask::draft(i as usize % 2, 1500, 80).at(at));
+    }
+    world
+}
+
+/// What all endpoints of the model have loaded.
+fn versions(world: &World) -> Vec<&str> {
+    let models = world.endpoints.iter().filter(|e| !e.name.starts_with("plain"));
+    models.map(|e| e.version.as_str()).collect()
+}
+
+/// Endpoints of a pool that serve nobody: closed by their steward, or loading.
+fn out_of_service(world: &World, pool: &str) -> usize {
+    let states = || world.daemons.iter().filter_map(|d| d.brain.as_ref()?.state());
+    let closed = |id| states().any(|s| s.orders.rolls.get(&id).is_some_and(|r| r.is_closed()));
+    let of_pool = world.endpoints.iter().filter(|e| e.name.starts_with(pool));
+    of_pool.filter(|e| e.version.is_empty() || closed(e.id)).count()
+}
+
+/// Runs to the end, and gives the most endpoints of each pool that were out of service at once.
+fn watch(world: &mut World, end: Duration) -> BTreeMap<&'static str, usize> {
+    let mut most = BTreeMap::new();
+    while world.now < end {
+        let next = world.now + SAMPLE;
+        world.run_until(next);
+        for pool in ["prefill", "decode"] {
+            let out = out_of_service(world, pool);
+            let known: &mut usize = most.entry(pool).or_default();
+            *known = out.max(*known);
+        }
+    }
+    most
+}
+
+fn assert_nothing_cut(world: &World) {
+    let report = world.report();
+    let not_done: Vec<_> = report.asks.iter().filter(|a| a.end != Some(End::Done)).collect();
+    assert!(not_done.is_empty(), "{} of {}: {not_done:?}", not_done.len(), report.asks.len());
+    assert!(!report.retries.contains_key(&Retry::DecodeDied), "{:?}", report.retries);
+    assert!(!report.retries.contains_key(&Retry::PrefillFailed), "{:?}", report.retries);
+}
+
+/// Revisions of the orders that each endpoint took, in their order.
+fn revisions(world: &World) -> Vec<Vec<u64>> {
+    let orders = world.endpoints.iter().map(|e| &e.orders);
+    orders.map(|o| o.iter().map(|(_, fence)| fence >> 32).collect()).collect()
+}
+
+/// Symptom: callers' streams break while the operators roll a model. Cause would be an order to an
+/// endpoint that still works, or too many endpoints that load at once.
+#[test]
+fn a_roll_under_load_cuts_nobody_off_and_keeps_what_is_owed() {
+    let spec = Spec::kitafuji();
+    let mut world = busy(spec.clone(), 150);
+    world.at(ROLL, version(&spec, "v2"));
+    let most = watch(&mut world, SECOND * 180);
+    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_nothing_cut(&world);
+    // The weight store serves one load at a time here.
+    assert_eq!(most, BTreeMap::from([("prefill", 1), ("decode", 1)]));
+    let orders = revisions(&world);
+    assert!(orders.iter().all(|o| o.len() <= 1), "{orders:?}");
+}
+
+/// 140 decode slots of which 70% are owed: two of seven endpoints may be away, a third may not. Of
+/// three prefill endpoints with 12 slots none may be away, so they go one by one.
+#[test]
+fn a_fast_weight_store_is_used_as_far_as_shares_allow() {
+    let spec = Spec { link_rate: 1_000_000_000, ..Spec::kitafuji() };
+    let mut world = World::new(spec.clone());
+    world.at(ROLL, version(&spec, "v2"));
+    let most = watch(&mut world, SECOND * 90);
+    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_eq!(most, BTreeMap::from([("prefill", 1), ("decode", 2)]));
+}
+
+/// Symptom: a roll stops half way, or an endpoint is ordered while it works, because the daemon that
+/// saw to it died or was paused in the middle of it.
+#[test_case(Some(SECOND * 5), false; "steward replaced")]
+#[test_case(None, false; "steward gone")]
+#[test_case(Some(SECOND * 20), true; "steward paused")]
+fn a_roll_survives_its_steward(back: Option<Duration>, is_pause: bool) {
+    let spec = Spec::kitafuji();
+    let mut world = World::new(spec.clone());
+    world.at(ROLL, version(&spec, "v2"));
+    world.run_until(ROLL);
+    let draining = |world: &World| {
+        (0..world.daemons.len()).find(|d| {
+            let brain = world.daemons[*d].brain.as_ref();
+            let rolls = brain.and_then(|b| b.state()).map(|s| &s.orders.rolls);
+            rolls.is_some_and(|r| r.values().any(|r| r.is_closed()))
+        })
+    };
+    while draining(&world).is_none() {
+        let next = world.now + SAMPLE;
+        world.run_until(next);
+        assert!(world.now < ROLL * 2, "no roll began");
+    }
+    let daemon = Who::Daemon(draining(&world).unwrap());
+    let step = match (is_pause, back) {
+        (true, Some(lasting)) => Step::Freeze { daemon, lasting },
+        _ => Step::Kill { daemon, back },
+    };
+    world.at(world.now, step);
+    world.run_until(SECOND * 200);
+    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+}
+
+/// Symptom: an endpoint goes back to an old version. Sequence: its steward is paused while it rolls
+/// v2, the operators publish v3, another daemon takes over, the first one wakes up. Endpoints that
+/// ignore fencing numbers take whatever comes.
+#[test]
+fn a_paused_steward_does_not_undo_a_newer_order() {
+    let spec = Spec { unfenced: 1, ..Spec::kitafuji() };
+    for paused in 0..spec.daemons {
+        let mut world = World::new(spec.clone());
+        world.at(ROLL, version(&spec, "v2"));
+        let daemon = Who::Daemon(paused);
+        world.at(ROLL + SECOND * 9, Step::Freeze { daemon, lasting: SECOND * 30 });
+        world.at(ROLL + SECOND * 15, version(&spec, "v3"));
+        world.run_until(SECOND * 300);
+        assert!(versions(&world).iter().all(|v| *v == "v3"), "{paused}: {:?}", versions(&world));
+        let orders = revisions(&world);
+        assert!(orders.iter().all(|o| o.is_sorted()), "{paused}: {orders:?}");
+    }
+}
+
+/// Symptom: one endpoint never comes back from a roll, and the roll stops. Sequence: it dies while it
+/// loads and comes up with nothing loaded. The order is sent again when the load has taken too long.
+#[test]
+fn a_load_that_got_stuck_is_ordered_again() {
+    let spec = Spec::kitafuji();
+    let mut world = World::new(spec.clone());
+    world.at(ROLL, version(&spec, "v2"));
+    let loading = |world: &World| world.endpoints.iter().position(|e| e.version.is_empty());
+    while loading(&world).is_none() {
+        let next = world.now + SAMPLE;
+        world.run_until(next);
+        assert!(world.now < ROLL * 2, "no load began");
+    }
+    let endpoint = Place::Endpoint(loading(&world).unwrap());
+    let back = Some(SECOND * 2);
+    world.at(world.now, Step::Down { endpoint, power: Power::Dead, back });
+    world.run_until(SECOND * 300);
+    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert!(world.report().notes.contains_key("order_load_stuck"));
+}
+
+/// Symptom: a roll that met a partition never ends. Sequence: half of the daemons are cut off from the
+/// others and from all endpoints for a minute, among them stewards of endpoints that drain.
+#[test]
+fn a_roll_goes_on_after_a_partition() {
+    let spec = Spec::kitafuji();
+    let mut world = World::new(spec.clone());
+    let nodes: Vec<_> = (0..4).map(Node::Daemon).collect();
+    world.at(ROLL, version(&spec, "v2"));
+    world.at(ROLL + SECOND * 10, Step::Partition { nodes, lasting: SECOND * 60 });
+    world.run_until(SECOND * 250);
+    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    let orders = revisions(&world);
+    assert!(orders.iter().all(|o| o.is_sorted()), "{orders:?}");
+}
+
+/// A daemon alone, steward of everything, that reads what the test says.
+struct Alone(Fleet);
+
+impl Alone {
+    fn new(catalogue: Catalogue) -> Alone {
+        let mut fleet = Fleet::new(1, Tuning::default(), catalogue);
+        fleet.run(SECOND * 20);
+        Alone(fleet)
+    }
+
+    fn publish(&mut self, catalogue: Catalogue) {
+        let revision = catalogue.revision;
+        let result = Ok(catalogue.into());
+        self.0.feed(0, Event::Platform(PlatformEvent::Checked { revision, result }));
+    }
+
+    /// Lets time go on while an endpoint reports the same; gives the orders that it got.
+    fn run(&mut self, name: &str, report: &EngineReport, seconds: u32) -> Vec<EngineCall> {
+        self.0.calls.clear();
+        for _ in 0..seconds {
+            let endpoint = EndpointId::of(name);
+            let report = EngineEvent::Report { endpoint, report: report.clone() };
+            self.0.feed(0, Event::Engine(report));
+            self.0.run(SECOND);
+        }
+        let orders = self.0.calls.iter().map(|(_, call)| call);
+        orders.filter(|c| matches!(c, EngineCall::Order { .. })).cloned().collect()
+    }
+}
+
+fn load(version: &str, role: Role, fence: u64, running: u32) -> EngineReport {
+    EngineReport::Load {
+        running,
+        queued: 0,
+        age: Duration::ZERO,
+        leaving: false,
+        model: "writer".into(),
+        version: version.into(),
+        adapter: String::new(),
+        role: Some(role),
+        fence,
+    }
+}
+
+#[test]
+fn an_endpoint_that_serves_what_it_should_gets_no_order() {
+    let mut alone = Alone::new(catalogue());
+    assert_eq!(alone.run("decode-0", &load("v1", Role::Decode, 0, 0), 30), []);
+}
+
+#[test]
+fn a_busy_endpoint_is_not_ordered() {
+    let mut alone = Alone::new(catalogue());
+    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 1), 60), []);
+    let fleet = &alone.0;
+    let roll = &fleet.states[0].orders.rolls[&EndpointId::of("decode-0")];
+    assert_eq!(roll.stage, RollStage::Draining { empty: None });
+    assert_eq!(fleet.states[0].members.own, vm(0));
+}
+
+/// Symptom: a prefill is wasted and its request starts anew. Sequence: a decode slot is granted, the
+/// prefill runs, the decode endpoint's report says rightly that nothing runs there, and it is ordered.
+#[test]
+fn an_endpoint_with_a_granted_slot_is_not_ordered() {
+    let mut alone = Alone::new(catalogue());
+    alone.run("decode-0", &load("v1", Role::Decode, 0, 0), 1);
+    alone.0.call(0, None, draft());
+    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 6), []);
+    let closed = alone.0.states[0].orders.rolls.values().any(|r| r.is_closed());
+    assert!(closed, "it drains");
+}
+
+/// Symptom: a daemon that is cut off from its peers loads a version that the operators have replaced.
+/// It still reaches the endpoint and believes that it is its steward.
+#[test]
+fn a_daemon_that_is_cut_off_orders_nothing() {
+    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
+    fleet.run(SECOND * 20);
+    let endpoint = EndpointId::of("decode-0");
+    let steward = fleet.states[0].members.steward(endpoint.0).unwrap();
+    let steward = (0..8).find(|i| vm(*i) == steward).unwrap();
+    for alone in [false, true] {
+        fleet.holds = if alone { |_| true } else { |_| false };
+        fleet.run(SECOND * 10);
+        fleet.calls.clear();
+        for _ in 0..8 {
+            let report = load("v0", Role::Decode, 0, 0);
+            let report = EngineEvent::Report { endpoint, report };
+            fleet.feed(steward, Event::Engine(report));
+            fleet.run(SECOND);
+        }
+        let ordered = |call: &(usize, EngineCall)| matches!(call.1, EngineCall::Order { .. });
+        assert_eq!(fleet.calls.iter().any(ordered), !alone);
+    }
+}
+
+#[test]
+fn an_order_states_the_end_and_carries_the_published_revisions() {
+    let mut alone = Alone::new(catalogue());
+    let orders = alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 8);
+    let expected = EngineCall::Order {
+        endpoint: EndpointId::of("decode-0"),
+        fence: 1 << 32 | 1,
+        model: "writer".into(),
+        version: "v1".into(),
+        adapter: String::new(),
+        role: "decode",
+    };
+    assert_eq!(orders, [expected]);
+}
+
+/// Symptom: two daemons order an endpoint in turn, back and forth. One that meets a higher number has
+/// an old view; it stops until it has a newer catalogue.
+#[test]
+fn a_higher_fencing_number_stops_orders_until_a_newer_catalogue() {
+    let mut alone = Alone::new(catalogue());
+    let report = load("v0", Role::Decode, 2 << 32 | 1, 0);
+    assert_eq!(alone.run("decode-0", &report, 30), []);
+    alone.publish(Catalogue { revision: 3, ..catalogue() });
+    assert_eq!(alone.run("decode-0", &report, 8).len(), 1);
+}
+
+#[test]
+fn a_refused_order_is_not_sent_again() {
+    let mut alone = Alone::new(catalogue());
+    let report = load("v0", Role::Decode, 0, 0);
+    assert_eq!(alone.run("decode-0", &report, 8).len(), 1);
+    let fenced = EngineReport::Fenced { fence: 2 << 32 };
+    alone.run("decode-0", &fenced, 1);
+    assert!(!alone.0.states[0].orders.rolls.contains_key(&EndpointId::of("decode-0")));
+    let report = load("v0", Role::Decode, 2 << 32, 0);
+    assert_eq!(alone.run("decode-0", &report, 60), []);
+}
+
+#[test]
+fn an_order_without_effect_is_sent_again_less_and_less_often() {
+    let mut alone = Alone::new(catalogue());
+    let orders = alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 60);
+    // After 5, 10, 20 and 40 seconds.
+    assert!((3..=5).contains(&orders.len()), "{}", orders.len());
+}
+
+/// The endpoint does not check numbers, so a new steward waits out what its forerunner may have sent.
+#[test]
+fn an_endpoint_without_fencing_is_ordered_after_a_settling_time() {
+    let mut without = catalogue();
+    for endpoint in &mut without.endpoints {
+        endpoint.fencing = false;
+    }
+    let mut fleet = Fleet::new(1, Tuning::default(), without);
+    fleet.run(SECOND);
+    let mut alone = Alone(fleet);
+    let report = load("v0", Role::Decode, 0, 0);
+    assert_eq!(alone.run("decode-0", &report, 8), []);
+    assert_eq!(alone.run("decode-0", &report, 8).len(), 1);
+}
+
+#[test]
+fn an_endpoint_that_takes_no_orders_gets_none() {
+    let mut without = catalogue();
+    for endpoint in &mut without.endpoints {
+        endpoint.orders = false;
+    }
+    let mut alone = Alone::new(without);
+    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 60), []);
+}
+
+#[test]
+fn a_change_of_role_is_ordered_once_the_old_work_is_done() {
+    let mut turned = catalogue();
+    turned.revision = 2;
+    turned.endpoints[1].role = Role::Prefill;
+    let mut alone = Alone::new(catalogue());
+    alone.publish(turned);
+    assert_eq!(alone.run("decode-0", &load("v1", Role::Decode, 0, 1), 20), []);
+    let orders = alone.run("decode-0", &load("v1", Role::Decode, 0, 0), 6);
+    assert!(matches!(orders[..], [EngineCall::Order { role: "prefill", .. }]), "{orders:?}");
+}
--- a/crates/basilbank_core/tests/world/endpoint.rs
+++ b/crates/basilbank_core/tests/world/endpoint.rs
@@ -217,8 +217,10 @@
             queued: self.shown.queued,
             age: now - self.shown.at,
             leaving: self.leaving,
+            model: String::new(),
             version: self.version.clone(),
             adapter: self.adapter.clone(),
+            role: None,
             fence: self.fence,
         }
     }
--- a/crates/basilbank_core/tests/world/engine.rs
+++ b/crates/basilbank_core/tests/world/engine.rs
@@ -321,9 +321,12 @@
             }
             EngineDue::Called(job) => self.plain_done(endpoint, job),
             EngineDue::Loaded => {
+                // An order that came during the load began another.
                 let (version, adapter) = std::mem::take(&mut one.loading);
-                one.version = version;
-                one.adapter = adapter;
+                if !version.is_empty() {
+                    one.version = version;
+                    one.adapter = adapter;
+                }
             }
         }
     }
