--- a/crates/basilbank_core/tests/daemons/claims.rs
+++ b/crates/basilbank_core/tests/daemons/claims.rs
@@ -11,7 +11,10 @@
 use basilbank_wire::{KeyRecord, Settle, Verdict};
 use test_case::test_case;
 
-use crate::fleet::{EPOCH_MS, Fleet, catalogue, draft, stock_order, vm};
+use crate::{
+    fleet::{Fleet, catalogue, draft, draft_entry, stock_order, team, vm},
+    world::EPOCH_MS,
+};
 
 const WINDOW: Duration = Duration::from_secs(600);
 /// Long enough for a claim, and for a slot also when the endpoint's steward has just died.
@@ -28,7 +31,7 @@
 
 /// The daemons that vote on a key, by rank, and one that does not.
 fn voters(fleet: &Fleet, key: &str) -> (Vec<usize>, usize) {
-    let subject = ClaimKey::new(TeamId::of("fitters"), key).subject();
+    let subject = ClaimKey::new(team(), key).subject();
     let index = |v: VmId| (0..fleet.states.len()).find(|i| vm(*i) == v).unwrap();
     let voters: Vec<_> = fleet.states[0].members.voters(subject).into_iter().map(index).collect();
     let other = (0..fleet.states.len()).find(|i| !voters.contains(i)).unwrap();
@@ -275,7 +278,7 @@
 #[test]
 fn a_request_that_slept_through_the_window_is_not_sent() {
     let mut without = catalogue();
-    without.classes[0].wait = WINDOW * 2;
+    without.classes[1].wait = WINDOW * 2;
     for endpoint in &mut without.endpoints {
         endpoint.leaving = true;
     }
@@ -303,7 +306,7 @@
 fn a_request_that_was_not_run_frees_its_key() {
     let mut without = catalogue();
     without.endpoints.clear();
-    without.classes[0].wait = Duration::ZERO;
+    without.classes[1].wait = Duration::ZERO;
     let mut fleet = Fleet::new(8, Tuning::default(), without);
     fleet.run(WINDOW);
     let first = fleet.call(0, Some("order-1"), stock_order());
@@ -370,7 +373,7 @@
     fleet.import(0);
     fleet.stream(0, "s1");
     let endpoint = EndpointId::of("decode-0");
-    let entry = EntryId::of("writer");
+    let entry = draft_entry();
     let Work::Draft(mut again) = draft() else { panic!("a draft") };
     again.resume = Some(ResumePoint { endpoint, stream: "s1".to_owned(), offset: 7, entry });
     fleet.call(1, Some("draft-1"), Work::Draft(again));
--- a/crates/basilbank_core/tests/daemons/fleet.rs
+++ b/crates/basilbank_core/tests/daemons/fleet.rs
@@ -11,8 +11,7 @@
 };
 use basilbank_wire::VmRecord;
 
-/// Wall time at virtual time zero, in milliseconds since the Unix epoch.
-pub const EPOCH_MS: u64 = 1_700_000_000_000;
+use crate::world::{EPOCH_MS, Spec};
 
 /// One message on its way.
 #[derive(Clone, Debug)]
@@ -84,7 +83,7 @@
     /// The platform's list as one daemon sees it.
     pub fn list(&mut self, index: usize, names: &[usize]) {
         let record = |i: &usize| VmRecord {
-            name: name(*i),
+            name: Spec::vm_name(*i),
             address: format!("127.0.0.1:{}", 7000 + i),
             data_centre: "hall-a".to_owned(),
             leaving: false,
@@ -97,7 +96,7 @@
 
     fn fresh(&self, index: usize) -> State {
         let local = Local::default()
-            .with_name(&name(index))
+            .with_name(&Spec::vm_name(index))
             .with_incarnation(EPOCH_MS + self.mono.as_millis() as u64)
             .with_tuning(self.tuning.clone());
         State::new(local, self.now())
@@ -202,7 +201,7 @@
         let caller = CallerId(self.callers);
         let call = Call {
             caller,
-            key: TEAM_KEY,
+            key: Spec::key(TEAM),
             idempotency: key.map(str::to_owned),
             repeatable: None,
             work,
@@ -259,28 +258,20 @@
     }
 }
 
-/// The bearer key's hash of the only team.
-pub const TEAM_KEY: KeyHash = [7; 32];
-
-/// A daemon's name on the platform's list.
-pub fn name(index: usize) -> String {
-    format!("entry-{index}")
-}
-
 /// A daemon's VM.
 pub fn vm(index: usize) -> VmId {
-    VmId::of(&name(index))
+    VmId::of(&Spec::vm_name(index))
 }
 
-/// A call to the plain service.
+/// A call to the plain service that may not be repeated.
 pub fn stock_order() -> Work {
-    Work::Plain(Plain { method: "POST".to_owned(), path: "/desk/orders".to_owned() })
+    Work::Plain(Plain { method: "POST".to_owned(), path: format!("/{}/orders", spec().service) })
 }
 
 /// A draft.
 pub fn draft() -> Work {
     Work::Draft(Draft {
-        model: "writer".to_owned(),
+        model: spec().entry(TEAM),
         tokens: 100,
         blocks: Vec::new().into(),
         max_tokens: 50,
@@ -288,70 +279,33 @@
     })
 }
 
-/// One team with a model on two endpoints and a plain service on one.
-pub fn catalogue() -> Catalogue {
-    let team = TeamId::of("fitters");
-    let class = ClassId::of("steady");
-    let model = EntryTarget::Model(ModelId::of("writer"));
-    let service = EntryTarget::Service(ServiceId::of("desk"));
-    let entry = |name: &str, target| Entry {
-        id: EntryId::of(name),
-        name: name.to_owned(),
-        owner: team,
-        class,
-        target,
-        limits: Limits::default(),
-    };
-    Catalogue {
-        revision: 1,
-        teams: vec![Team { id: team, name: "fitters".to_owned(), keys: vec![TEAM_KEY] }],
-        classes: vec![Class {
-            id: class,
-            name: "steady".to_owned(),
-            ttft: Duration::from_secs(2),
-            tbt: Duration::from_millis(100),
-            wait: Duration::from_secs(30),
-            priority: 1,
-        }],
-        models: vec![ModelSpec {
-            id: ModelId::of("writer"),
-            name: "writer".to_owned(),
-            version: "v1".to_owned(),
-            adapter: String::new(),
-            weights: 1_000_000_000,
-            token_bytes: 1000,
-            block_tokens: 16,
-        }],
-        services: vec![Service {
-            id: ServiceId::of("desk"),
-            name: "desk".to_owned(),
-            prefix: "/desk/".to_owned(),
-            repeatable: vec!["GET".to_owned()],
-        }],
-        entries: vec![entry("writer", model), entry("desk", service)],
-        endpoints: vec![
-            endpoint("prefill-0", Role::Prefill, model),
-            endpoint("decode-0", Role::Decode, model),
-            endpoint("desk-0", Role::Plain, service),
-        ],
-        weight_rate: 0,
-    }
+/// The team that calls.
+const TEAM: usize = 0;
+
+/// Its id.
+pub fn team() -> TeamId {
+    TeamId::of(spec().teams[TEAM].name)
 }
 
-/// An endpoint that takes orders and checks fencing numbers.
-pub fn endpoint(name: &str, role: Role, serves: EntryTarget) -> Endpoint {
-    Endpoint {
-        id: EndpointId::of(name),
-        name: name.to_owned(),
-        address: "127.0.0.1:1".to_owned(),
-        data_centre: DataCentreId::of("hall-a"),
-        role,
-        serves,
-        slots: 20,
-        prefill_rate: 10_000.0,
-        link_rate: 1_000_000_000,
-        fencing: true,
-        orders: role != Role::Plain,
-        leaving: false,
+/// Its entry for drafts.
+pub fn draft_entry() -> EntryId {
+    EntryId::of(&spec().entry(TEAM))
+}
+
+/// One endpoint of each role, and classes that wait.
+pub fn spec() -> Spec {
+    let mut spec = Spec { unfenced: 0, ..Spec::kitafuji() };
+    for pool in [&mut spec.prefill, &mut spec.decode, &mut spec.plain] {
+        pool.count = 1;
+    }
+    for class in [&mut spec.drafts, &mut spec.calls] {
+        class.ttft = Duration::from_secs(2);
+        class.wait = Duration::from_secs(30);
     }
+    spec
+}
+
+/// The catalogue of that.
+pub fn catalogue() -> Catalogue {
+    spec().catalogue()
 }
--- a/crates/basilbank_core/tests/daemons/orders.rs
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -6,7 +6,7 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::{Fleet, catalogue, draft, vm},
+    fleet::{Fleet, catalogue, draft, spec, vm},
     world::{Ask, End, Node, Place, Power, Spec, Step, Who, World},
 };
 
@@ -227,7 +227,7 @@
         queued: 0,
         age: Duration::ZERO,
         leaving: false,
-        model: "writer".into(),
+        model: spec().model.into(),
         version: version.into(),
         adapter: String::new(),
         role: Some(role),
@@ -294,7 +294,7 @@
     let expected = EngineCall::Order {
         endpoint: EndpointId::of("decode-0"),
         fence: 1 << 32 | 1,
-        model: "writer".into(),
+        model: spec().model.into(),
         version: "v1".into(),
         adapter: String::new(),
         role: "decode",
