--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -29,7 +29,7 @@
     },
     health::{Health, Known},
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
-    limits::LimitTable,
+    limits::{Bucket, Holder, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit, Usage},
     members::{Census, Member, Members, Presence, rank},
     orders::{ModelChange, Orders, Roll, RollStage, Serving, Target},
     prefixes::Prefixes,
@@ -154,6 +154,7 @@
         let mut rng = Rng::new(local.seed);
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
+        timers.set(now.mono + phase, Timer::Limits);
         let phase = local.tuning.reap_interval.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Reap);
         State {
