A daemon that is told to stop lingers for a second

Cause: an idle daemon exited in the same event as SIGTERM. Calls on their way to it saw a broken connection, and the new stewards of its endpoints waited two seconds for its list of holds, in which they refused lookups.

--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -8,6 +8,7 @@
 mod decode;
 mod deliver;
 mod estimate;
+mod leave;
 mod limit;
 mod load;
 mod member;
@@ -50,10 +51,7 @@
             }
         }
         Event::Platform(event) => on_platform(state, now, event, out),
-        Event::Shutdown => {
-            state.leaving = true;
-            member::leaving(state, now, out);
-        }
+        Event::Shutdown => leave::begin(state, now, out),
     }
     hear_self(state, now, out);
     while let Some(timer) = state.timers.pop_due(now.mono) {
@@ -62,9 +60,7 @@
     }
     claim::remember(state, &out[first..]);
     reap::remember(state, now, &out[first..]);
-    if state.leaving && state.requests.arena.is_empty() && state.claims.own.is_empty() {
-        out.push(Effect::Exit);
-    }
+    leave::finish(state, now, out);
 }
 
 /// Takes in what this daemon said to itself.
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -139,6 +139,8 @@
     pub rng: Rng,
     /// SIGTERM came: no new work.
     pub leaving: bool,
+    /// The earliest moment to exit after that.
+    pub exit_at: Duration,
     /// When the daemon started, on the monotonic clock.
     pub started: Duration,
 }
@@ -171,6 +173,7 @@
             timers,
             rng,
             leaving: false,
+            exit_at: Duration::ZERO,
             started: now.mono,
             local,
         }
--- a/crates/basilbank_core/tests/daemons/main.rs
+++ b/crates/basilbank_core/tests/daemons/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod fleet;
+mod leaving;
 mod orders;
 mod reaping;
 #[path = "../world/mod.rs"]
