--- a/crates/basilbank/tests/callers_http/main.rs
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -4,6 +4,14 @@
 //! place of a hang.
 
 mod client;
+mod cursors;
 mod edge;
+mod leaving;
+mod limits;
+mod models;
+mod page;
+mod plain;
 mod refusals;
+mod shutdown;
 mod streams;
+mod whole;
