--- a/crates/basilbank_core/src/reduce/limit.rs
+++ b/crates/basilbank_core/src/reduce/limit.rs
@@ -8,7 +8,9 @@
 mod ask;
 mod steward;
 
-use basilbank_wire::{AskLimit, LimitLease, LimitRefusal, Message};
+use std::time::Duration;
+
+use basilbank_wire::{AskLimit, Body, LimitAnswer, LimitLease, Message};
 
 pub use self::ask::tick;
 use crate::{
@@ -41,25 +43,25 @@
     ask::before(state, now, entry, out);
     let can_tell = can_tell(state, entry);
     let Some(usage) = state.limits.used.get_mut(&entry) else { return Ok(()) };
-    if let Some((refusal, _)) = usage.refused {
-        ask::after_refusal(state, now, entry, out);
-        return Err(refusal);
-    }
-    let is_told = usage.lease.is_none() && can_tell && !usage.is_dense(now.mono);
+    let is_trusted = !usage.is_dense(now.mono) || now.mono < usage.trusted;
+    let is_told = usage.lease.is_none() && can_tell && is_trusted;
     if !is_told {
         let share = usage.lease.map_or(part, |(share, _)| share);
         if let Err(refusal) = usage.take(&limits, &share, tokens, now.mono) {
-            ask::after_refusal(state, now, entry, out);
+            ask::more(state, now, entry, out);
             return Err(refusal);
         }
     }
     usage.running += 1;
     if usage.lease.is_some() {
+        if usage.is_hungry(&limits) {
+            ask::more(state, now, entry, out);
+        }
         return Ok(());
     }
     usage.untold_requests += 1;
     usage.untold_tokens += i64::from(tokens);
-    ask::after_taking(state, now, entry, tokens, out)
+    ask::after_taking(state, now, entry, out)
 }
 
 /// Gives back what an ended request took but did not use.
@@ -73,7 +75,7 @@
 /// A daemon asks this one, as an entry's steward, for part of the limit.
 pub fn asked(state: &mut State, now: Now, from: VmId, ask: &AskLimit, out: &mut Vec<Effect>) {
     if let Some(lease) = steward::decide(state, now, from, ask) {
-        let message = Message::from(basilbank_wire::Body::Lease(lease));
+        let message = Message::from(Body::Lease(lease));
         out.push(Effect::Send { to: from, message });
     }
 }
@@ -81,32 +83,45 @@
 /// An entry's steward leases part of the limit to this daemon, or refuses what it took without.
 pub fn leased(state: &mut State, now: Now, from: VmId, lease: &LimitLease, out: &mut Vec<Effect>) {
     let entry = EntryId(lease.entry);
-    let Some(usage) = state.limits.used.get_mut(&entry) else { return };
-    if usage.asked.is_none_or(|(vm, _)| vm != from) {
+    let asked = state.limits.used.get(&entry).and_then(|usage| usage.asked);
+    if asked.is_none_or(|(vm, _)| vm != from) {
         return;
     }
-    if let Some(refusal) = apply(usage, now, lease) {
+    if let Some(refusal) = apply(state, now, lease) {
         refuse_waiting(state, now, entry, refusal, out);
     }
 }
 
 /// Takes a steward's answer over, and gives the refusal that it may be.
-fn apply(usage: &mut Usage, now: Now, lease: &LimitLease) -> Option<Refusal> {
-    let until = now.mono + std::time::Duration::from_millis(u64::from(lease.ttl));
-    let refusal = match lease.refused() {
-        LimitRefusal::Nothing => {
-            usage.set_lease(LimitShare::of(lease), until, now.mono);
+fn apply(state: &mut State, now: Now, lease: &LimitLease) -> Option<Refusal> {
+    let chance = state.rng.unit();
+    let usage = state.limits.used.get_mut(&EntryId(lease.entry))?;
+    let until = now.mono + Duration::from_millis(u64::from(lease.ttl));
+    let share = LimitShare::of(lease);
+    let refusal = match lease.answer() {
+        LimitAnswer::Leased => {
+            usage.set_lease(share, until, now.mono);
+            return None;
+        }
+        LimitAnswer::Trusted => {
+            usage.trusted = until;
+            usage.lease = None;
+            return None;
+        }
+        LimitAnswer::Rationed => {
+            usage.set_ration(share, until, chance, now.mono);
             return None;
         }
-        LimitRefusal::Requests => Refusal::RequestLimit,
-        LimitRefusal::Tokens => Refusal::TokenLimit,
-        LimitRefusal::Concurrent => Refusal::ConcurrentLimit,
+        LimitAnswer::NoRequests => Refusal::RequestLimit,
+        LimitAnswer::NoTokens => Refusal::TokenLimit,
+        LimitAnswer::NoSlots => Refusal::ConcurrentLimit,
     };
-    usage.refused = Some((refusal, until));
+    usage.set_ration(share, until, chance, now.mono);
     Some(refusal)
 }
 
-/// Refuses the calls that were taken on trust and of which nothing was sent yet.
+/// The steward refuses calls that were taken on trust: those of which nothing was sent yet are
+/// refused, the others run and are owed.
 fn refuse_waiting(
     state: &mut State,
     now: Now,
@@ -114,18 +129,20 @@
     refusal: Refusal,
     out: &mut Vec<Effect>,
 ) {
-    let fresh = state.local.tuning.peer_timeout * 4;
+    let fresh = state.local.tuning.peer_timeout;
     let recent = state.requests.arena.iter().filter(|(_, r)| {
-        r.entry == entry && !r.risked && now.mono.saturating_sub(r.accepted) <= fresh
+        r.entry == entry && now.mono.saturating_sub(r.accepted) <= fresh && !r.is_limited
     });
-    let unsent: Vec<_> = recent.map(|(key, _)| key).filter(|key| is_unsent(state, *key)).collect();
-    for key in unsent {
-        let taken = state.requests.arena[key].taken;
-        if let Some(usage) = state.limits.used.get_mut(&entry) {
-            // The steward did not count them, so giving them back must not either.
-            usage.untold_tokens += i64::from(taken);
+    let recent: Vec<_> = recent.map(|(key, request)| (key, request.taken)).collect();
+    for (key, tokens) in recent {
+        state.requests.arena[key].is_limited = true;
+        let is_unsent = is_unsent(state, key);
+        let Some(usage) = state.limits.used.get_mut(&entry) else { return };
+        if is_unsent {
+            settle::refuse(state, now, key, refusal, out);
+        } else {
+            usage.owe(tokens);
         }
-        settle::refuse(state, now, key, refusal, out);
     }
 }
 
--- a/crates/basilbank_core/src/reduce/limit/ask.rs
+++ b/crates/basilbank_core/src/reduce/limit/ask.rs
@@ -20,9 +20,15 @@
 const RENEW: Duration = Duration::from_secs(1);
 /// A daemon without a lease asks again after this.
 const AGAIN: Duration = Duration::from_millis(250);
+/// A daemon whose lease is nearly used up asks for more after this.
+const SOON: Duration = Duration::from_millis(100);
+/// One whose lease is a ration asks after this: nobody has more to give.
+const RATION_SOON: Duration = Duration::from_secs(2);
 /// Requests in progress without a lease are told again after this, so that a new steward learns of
 /// them.
 const TELL_AGAIN: Duration = Duration::from_secs(10);
+/// A lease is renewed if calls came within this time.
+const USED: Duration = Duration::from_secs(10);
 /// An entry that was not used for this long is forgotten.
 const IDLE: Duration = Duration::from_secs(60);
 
@@ -49,15 +55,17 @@
 pub fn before(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
     let Some(usage) = state.limits.used.get(&entry) else { return };
     let is_own = state.members.steward(entry.0) == Some(state.local.vm);
-    if is_own && usage.lease.is_none() && usage.is_dense(now.mono) {
+    let is_wanted = usage.lease.is_none() && usage.trusted <= now.mono;
+    if is_own && is_wanted && usage.is_dense(now.mono) {
         ask(state, now, entry, out);
     }
 }
 
-/// Asks after a call was refused, unless that was done a moment ago.
-pub fn after_refusal(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
+/// Asks for more, unless that was done a moment ago.
+pub fn more(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
     let Some(usage) = state.limits.used.get(&entry) else { return };
-    if usage.lease.is_none() && usage.is_dense(now.mono) && is_past(usage.asked, AGAIN, now) {
+    let wait = if usage.is_rationed() { RATION_SOON } else { SOON };
+    if usage.is_dense(now.mono) && is_past(usage.asked, wait, now) {
         ask(state, now, entry, out);
     }
 }
@@ -70,26 +78,20 @@
     state: &mut State,
     now: Now,
     entry: EntryId,
-    tokens: u32,
     out: &mut Vec<Effect>,
 ) -> Result<(), Refusal> {
-    ask(state, now, entry, out);
-    let Some(usage) = state.limits.used.get_mut(&entry) else { return Ok(()) };
-    let is_own = usage.asked.is_some_and(|(vm, _)| vm == state.local.vm);
-    match usage.refused {
-        Some((refusal, _)) if is_own => {
-            usage.give_back(tokens);
-            usage.untold_tokens += i64::from(tokens);
-            Err(refusal)
-        }
-        _ => Ok(()),
+    let Some(refusal) = ask(state, now, entry, out) else { return Ok(()) };
+    if let Some(usage) = state.limits.used.get_mut(&entry) {
+        usage.running -= 1;
     }
+    Err(refusal)
 }
 
 fn is_due(usage: &Usage, limits: &Limits, now: Now) -> bool {
     let is_dense = usage.is_dense(now.mono);
     if let Some((_, until)) = usage.lease {
-        return is_dense && until <= now.mono + RENEW;
+        let is_used = is_dense || now.mono < usage.touched + USED;
+        return is_used && until <= now.mono + RENEW && is_past(usage.asked, AGAIN, now);
     }
     let is_wanted =
         is_dense && now.mono < usage.touched + RENEW && is_past(usage.asked, AGAIN, now);
@@ -101,9 +103,10 @@
     asked.is_none_or(|(_, at)| at + time <= now.mono)
 }
 
-fn ask(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) {
-    let Some(to) = state.members.steward(entry.0) else { return };
-    let Some(usage) = state.limits.used.get_mut(&entry) else { return };
+/// Asks and tells; gives the refusal when this daemon is the steward itself.
+fn ask(state: &mut State, now: Now, entry: EntryId, out: &mut Vec<Effect>) -> Option<Refusal> {
+    let to = state.members.steward(entry.0)?;
+    let usage = state.limits.used.get_mut(&entry)?;
     let message = message(usage, entry, now);
     usage.asked = Some((to, now.mono));
     usage.untold_requests = 0;
@@ -112,12 +115,10 @@
     if to != state.local.vm {
         let message = Message::from(Body::AskLimit(message));
         out.push(Effect::Send { to, message });
-        return;
-    }
-    let lease = steward::decide(state, now, to, &message);
-    if let (Some(lease), Some(usage)) = (lease, state.limits.used.get_mut(&entry)) {
-        apply(usage, now, &lease);
+        return None;
     }
+    let lease = steward::decide(state, now, to, &message)?;
+    apply(state, now, &lease)
 }
 
 fn message(usage: &Usage, entry: EntryId, now: Now) -> AskLimit {
@@ -128,7 +129,7 @@
         taken_tokens: usage.untold_tokens,
         ..AskLimit::default()
     };
-    if !usage.is_dense(now.mono) {
+    if !usage.is_dense(now.mono) && usage.lease.is_none() {
         return ask;
     }
     let demand: LimitDemand = usage.demand(now.mono);
--- a/crates/basilbank_core/src/reduce/limit/steward.rs
+++ b/crates/basilbank_core/src/reduce/limit/steward.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use basilbank_wire::{AskLimit, LimitLease, LimitRefusal};
+use basilbank_wire::{AskLimit, LimitAnswer, LimitLease};
 
 use super::limits;
 use crate::{
     catalogue::Limits,
     ids::{EntryId, VmId},
     reason::Refusal,
-    state::{LimitDemand, LimitShare, SharedLimit, State},
+    state::{LeaseTerms, LimitDemand, LimitShare, SharedLimit, Shortage, State},
     time::Now,
 };
 
@@ -21,8 +21,15 @@
 const GRACE: Duration = Duration::from_millis(100);
 /// For this long after the live members changed, another daemon may still lease as steward.
 const CAUTION: Duration = Duration::from_secs(5);
-/// Shortest time for which calls are refused.
-const LEAST_REFUSAL: Duration = Duration::from_millis(200);
+/// Calls a second of a daemon that does not say.
+const RARE: f64 = 0.1;
+/// For this long a daemon may take frequent calls on trust. Each is told, so a steward that has to
+/// stop it can, and one that is gone is no steward any more.
+const TRUST: Duration = Duration::from_secs(30);
+/// Length of a ration: long enough for a rare call to come.
+const RATION_TTL: Duration = Duration::from_secs(10);
+/// Length of a ration when requests in progress are short: what it allows is soon another's.
+const SLOT_TTL: Duration = Duration::from_secs(1);
 
 /// Takes a report in, and gives the lease or refusal that answers it, if one is due.
 pub fn decide(state: &mut State, now: Now, from: VmId, ask: &AskLimit) -> Option<LimitLease> {
@@ -36,22 +43,44 @@
     let changed = state.members.changed_at;
     let listed = state.members.ring().len().max(1) as f64;
     let shared = state.limits.shared.entry(entry);
-    let shared = shared.or_insert_with(|| SharedLimit::new(&limits, now.mono));
+    let shared = shared.or_insert_with(|| SharedLimit::new(now.mono));
     let demand = LimitDemand::of(ask);
+    shared.fill(&limits, now.mono);
     shared.report(from, demand, ask.running, now.mono);
-    let taken = shared.take(&limits, ask.taken, ask.taken_tokens, now.mono);
+    let is_new = changed <= shared.since && now.mono < changed + CAUTION;
+    let part = LimitShare::fraction(&whole, 1.0 / listed);
+    let most = is_new.then(|| careful(ask, &part));
+    let most = most.as_ref();
+    let (vm, limits, part, mono) = (from, &limits, &part, now.mono);
+    let terms = |ttl| LeaseTerms { vm, limits, part, most, until: mono + ttl + GRACE, mono };
+    let taken = shared.take(limits, ask.taken, ask.taken_tokens, mono);
+    let lease = demand.wants_lease().then(|| shared.lease(&terms(TTL))).flatten();
+    if let Some(share) = lease {
+        let ttl = if shared.is_short(limits, mono) { SHORT } else { TTL };
+        return Some(answer(entry, &share, ttl, LimitAnswer::Leased));
+    }
+    let shortage = shared.shortage(limits, mono);
+    let kind = match (taken, shortage) {
+        (Err(refusal), _) => refused(refusal),
+        (Ok(()), _) if !demand.wants_lease() => return None,
+        (Ok(()), Some(_)) => LimitAnswer::Rationed,
+        (Ok(()), None) => {
+            return Some(answer(entry, &LimitShare::default(), TRUST, LimitAnswer::Trusted));
+        }
+    };
+    let is_slots = shortage == Some(Shortage::Slots) || kind == LimitAnswer::NoSlots;
+    let ttl = if is_slots { SLOT_TTL } else { RATION_TTL };
     if !demand.wants_lease() {
-        let (refusal, wait) = taken.err()?;
-        shared.uncount(from, ask.taken);
-        return Some(refused(entry, refusal, wait));
+        shared.report(from, rare(ask), ask.running, mono);
     }
-    let is_new = changed <= shared.since && now.mono < changed + CAUTION;
-    let most = is_new.then(|| careful(ask, &whole, listed));
-    let share = shared.lease(from, &limits, most.as_ref(), now.mono + TTL + GRACE, now.mono);
-    let ttl = if shared.is_short(from, &limits, now.mono) { SHORT } else { TTL };
-    let mut lease = LimitLease { entry: entry.0, ..LimitLease::default() };
+    let share = shared.ration(&terms(ttl));
+    Some(answer(entry, &share, ttl, kind))
+}
+
+fn answer(entry: EntryId, share: &LimitShare, ttl: Duration, answer: LimitAnswer) -> LimitLease {
+    let mut lease = LimitLease { entry: entry.0, answer: answer.into(), ..LimitLease::default() };
     share.write(&mut lease, ttl);
-    Some(lease)
+    lease
 }
 
 /// Forgets entries that nobody uses any more.
@@ -59,10 +88,16 @@
     state.limits.shared.retain(|_, shared| !shared.is_idle(now.mono));
 }
 
+/// The demand of a daemon whose calls are rare: about as many as one for which it would ask for a
+/// lease.
+fn rare(ask: &AskLimit) -> LimitDemand {
+    let tokens = ask.taken_tokens.max(0) as f64 * RARE;
+    LimitDemand { requests: RARE, tokens, concurrent: ask.running + 1 }
+}
+
 /// What a steward leases while another may still do so: what the asker has anyway, or its part by
 /// the length of the list. Without this, whatever the former steward leased would come on top.
-fn careful(ask: &AskLimit, whole: &Limits, listed: f64) -> LimitShare {
-    let part = LimitShare::fraction(whole, 1.0 / listed);
+fn careful(ask: &AskLimit, part: &LimitShare) -> LimitShare {
     LimitShare {
         requests: part.requests.max(ask.held as f64 / 1000.0),
         tokens: part.tokens.max(ask.held_tokens as f64),
@@ -83,12 +118,10 @@
     Limits { requests: share.requests, tokens: share.tokens, concurrent, ..*limits }
 }
 
-fn refused(entry: EntryId, refusal: Refusal, wait: Duration) -> LimitLease {
-    let refused = match refusal {
-        Refusal::ConcurrentLimit => LimitRefusal::Concurrent,
-        Refusal::TokenLimit => LimitRefusal::Tokens,
-        _ => LimitRefusal::Requests,
-    };
-    let ttl = wait.clamp(LEAST_REFUSAL, TTL).as_millis() as u32;
-    LimitLease { entry: entry.0, ttl, refused: refused.into(), ..LimitLease::default() }
+fn refused(refusal: Refusal) -> LimitAnswer {
+    match refusal {
+        Refusal::ConcurrentLimit => LimitAnswer::NoSlots,
+        Refusal::TokenLimit => LimitAnswer::NoTokens,
+        _ => LimitAnswer::NoRequests,
+    }
 }
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -26,7 +26,10 @@
     },
     health::{Health, Known},
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
-    limits::{Bucket, Holder, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit, Usage},
+    limits::{
+        Bucket, Holder, LeaseTerms, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit,
+        Shortage, Usage,
+    },
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
     prefixes::Prefixes,
--- a/crates/basilbank_core/src/state/limits.rs
+++ b/crates/basilbank_core/src/state/limits.rs
@@ -3,6 +3,7 @@
 mod bucket;
 mod lease;
 mod meter;
+mod portion;
 mod shared;
 mod usage;
 
@@ -12,7 +13,7 @@
     bucket::Bucket,
     lease::{LimitDemand, LimitShare},
     meter::Meter,
-    shared::{Holder, SharedLimit},
+    shared::{Holder, LeaseTerms, SharedLimit, Shortage},
     usage::Usage,
 };
 use crate::ids::EntryId;
--- a/crates/basilbank_core/src/state/limits/bucket.rs
+++ b/crates/basilbank_core/src/state/limits/bucket.rs
@@ -25,11 +25,4 @@
         self.at = mono;
         self.level = (self.level + rate * passed).min(burst);
     }
-
-    /// Time until it holds `amount`, at `rate` a second.
-    #[must_use]
-    pub fn wait(&self, amount: f64, rate: f64) -> Duration {
-        let missing = (amount - self.level).max(0.0);
-        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
-    }
 }
--- /dev/null
+++ b/crates/basilbank_core/src/state/limits/portion.rs
@@ -0,0 +1,67 @@
+//! One daemon's portion of one limit.
+
+/// Part of a limit that stays unleased, so that a daemon whose traffic begins gets a lease at once
+/// and not when the others' leases run out.
+pub const SPARE: f64 = 0.04;
+/// From this share of a limit on, it counts as short.
+pub const BUSY: f64 = 0.9;
+/// A lease is at most this many times what is wanted.
+const HEADROOM: f64 = 4.0;
+
+/// One limit, and one daemon's portion of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Portion {
+    /// The limit; 0 for none.
+    pub limit: f64,
+    /// What the daemon wants.
+    pub demand: f64,
+    /// What all want.
+    pub wanted: f64,
+    /// What is leased to others.
+    pub taken: f64,
+    /// The limit over the number of listed VMs.
+    pub part: f64,
+    /// Most that may be leased.
+    pub most: f64,
+}
+
+/// Its portions of all limits of an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Portions {
+    /// Of requests a second.
+    pub requests: Portion,
+    /// Of tokens a second.
+    pub tokens: Portion,
+    /// Of requests in progress.
+    pub slots: Portion,
+}
+
+impl Portion {
+    /// In proportion to demand, but not much more than is wanted, so that the next daemon whose
+    /// traffic begins finds something left; within what is not leased.
+    pub fn size(&self) -> f64 {
+        self.available(self.fair().min(self.demand * HEADROOM + self.part))
+    }
+
+    /// In proportion to demand, within what is not leased.
+    pub fn ration(&self) -> f64 {
+        self.available(self.fair() / (1.0 - SPARE))
+    }
+
+    /// Whether the portion is at least so much.
+    pub fn is_worth(&self, least: f64) -> bool {
+        self.limit <= 0.0 || least <= self.fair().min(self.most)
+    }
+
+    /// While there is enough for all, nobody gets less than the limit over the number of listed VMs,
+    /// for calls do not come evenly.
+    fn fair(&self) -> f64 {
+        let part = if self.wanted <= 0.0 { 1.0 } else { (self.demand / self.wanted).min(1.0) };
+        let fair = self.limit * (1.0 - SPARE) * part;
+        if self.wanted < self.limit * BUSY { fair.max(self.part) } else { fair }
+    }
+
+    fn available(&self, size: f64) -> f64 {
+        size.min(self.limit - self.taken).min(self.most).max(0.0)
+    }
+}
--- a/crates/basilbank_core/src/state/limits/shared.rs
+++ b/crates/basilbank_core/src/state/limits/shared.rs
@@ -2,16 +2,22 @@
 
 use std::time::Duration;
 
-use super::{Bucket, LimitDemand, LimitShare, Meter};
+use super::{
+    Bucket, LimitDemand, LimitShare, Meter,
+    portion::{BUSY, Portion, Portions, SPARE},
+};
 use crate::{catalogue::Limits, ids::VmId, reason::Refusal};
 
 /// A daemon's report is forgotten after this; those with requests in progress report more often.
 const FORGET: Duration = Duration::from_secs(25);
-/// Part of a limit that stays unleased, so that a daemon whose traffic begins gets a lease at once
-/// and not when the others' leases run out.
-const SPARE: f64 = 0.04;
+/// A lease is for at least this many requests while it lasts, or at once.
+const WORTH: f64 = 3.0;
+/// Seconds that a lease lasts.
+const LEASE: f64 = 2.0;
 /// Bursts are what comes in this many seconds, and at least two requests.
 const BURST: f64 = 1.0;
+/// Least burst, in requests.
+const LEAST_BURST: f64 = 2.0;
 
 /// One daemon's use of an entry.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -45,6 +51,32 @@
     sparse_tokens: Meter<2>,
 }
 
+/// What a steward goes by when it leases.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTerms<'a> {
+    /// The daemon.
+    pub vm: VmId,
+    /// The limits.
+    pub limits: &'a Limits,
+    /// The limits over the number of listed VMs.
+    pub part: &'a LimitShare,
+    /// Most that may be leased.
+    pub most: Option<&'a LimitShare>,
+    /// When the lease ends.
+    pub until: Duration,
+    /// The current moment.
+    pub mono: Duration,
+}
+
+/// What there is too little of.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Shortage {
+    /// Requests or tokens a second.
+    Rate,
+    /// Requests in progress.
+    Slots,
+}
+
 /// What is added up over all daemons.
 #[derive(Clone, Copy, Default)]
 struct Total {
@@ -56,12 +88,12 @@
 impl SharedLimit {
     /// An entry of which nothing is known to be used.
     #[must_use]
-    pub fn new(limits: &Limits, mono: Duration) -> SharedLimit {
+    pub fn new(mono: Duration) -> SharedLimit {
         SharedLimit {
             since: mono,
             holders: Vec::new(),
-            requests: Bucket::full(burst(limits.requests), mono),
-            tokens: Bucket::full(burst(limits.tokens), mono),
+            requests: Bucket::full(LEAST_BURST, mono),
+            tokens: Bucket::full(LEAST_BURST, mono),
             sparse_requests: Meter::default(),
             sparse_tokens: Meter::default(),
         }
@@ -85,115 +117,164 @@
         }
     }
 
+    /// Fills what is not leased.
+    pub fn fill(&mut self, limits: &Limits, mono: Duration) {
+        let leased = self.leased(None, mono);
+        let requests = (limits.requests - leased.requests).max(0.0);
+        let tokens = (limits.tokens - leased.tokens).max(0.0);
+        self.requests.fill(requests, burst(limits.requests), mono);
+        self.tokens.fill(tokens, burst(limits.tokens), mono);
+    }
+
     /// Takes what a daemon took without a lease; tokens given back are negative.
     ///
     /// # Errors
-    /// What is used up, and how long that will last. Nothing is taken then.
+    /// What is used up. Nothing is taken then.
     pub fn take(
         &mut self,
         limits: &Limits,
         requests: u32,
         tokens: i64,
         mono: Duration,
-    ) -> Result<(), (Refusal, Duration)> {
-        let leased = self.leased(None, mono);
-        let rates = (
-            (limits.requests - leased.requests).max(0.0),
-            (limits.tokens - leased.tokens).max(0.0),
-        );
-        self.requests.fill(rates.0, burst(limits.requests), mono);
-        self.tokens.fill(rates.1, burst(limits.tokens), mono);
+    ) -> Result<(), Refusal> {
         self.sparse_requests.add(f64::from(requests), mono);
         self.sparse_tokens.add(tokens.max(0) as f64, mono);
         if 0 < requests {
-            self.check(limits, rates, mono)?;
+            self.check(limits, mono)?;
         }
         self.requests.level -= f64::from(requests);
         self.tokens.level -= tokens as f64;
         Ok(())
     }
 
-    fn check(
-        &self,
-        limits: &Limits,
-        rates: (f64, f64),
-        mono: Duration,
-    ) -> Result<(), (Refusal, Duration)> {
+    fn check(&self, limits: &Limits, mono: Duration) -> Result<(), Refusal> {
         let committed = self.committed(None, mono);
         if 0 < limits.concurrent && f64::from(limits.concurrent) < committed {
-            return Err((Refusal::ConcurrentLimit, Duration::ZERO));
+            return Err(Refusal::ConcurrentLimit);
         }
         if 0.0 < limits.requests && self.requests.level < 1.0 {
-            return Err((Refusal::RequestLimit, self.requests.wait(1.0, rates.0)));
+            return Err(Refusal::RequestLimit);
         }
         if 0.0 < limits.tokens && self.tokens.level <= 0.0 {
-            return Err((Refusal::TokenLimit, self.tokens.wait(0.0, rates.1)));
+            return Err(Refusal::TokenLimit);
         }
         Ok(())
     }
 
-    /// Requests that were refused are not in progress after all.
-    pub fn uncount(&mut self, vm: VmId, requests: u32) {
-        if let Some(holder) = self.holders.iter_mut().find(|h| h.vm == vm) {
-            holder.running = holder.running.saturating_sub(requests);
+    /// Leases a daemon its part by what it wants, within what is not leased to others, and at most
+    /// `most`; `None` when that would be too little to be worth it: parts that are smaller than a few
+    /// requests lie idle at one daemon while another's callers are refused.
+    pub fn lease(&mut self, terms: &LeaseTerms<'_>) -> Option<LimitShare> {
+        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
+        let all = self.portions(vm, limits, part, most, mono)?;
+        let mean_tokens = all.tokens.demand / all.requests.demand.max(f64::MIN_POSITIVE);
+        let is_worth = all.requests.is_worth(WORTH / LEASE)
+            && all.tokens.is_worth(WORTH / LEASE * mean_tokens)
+            && all.slots.is_worth(WORTH);
+        if !is_worth {
+            return None;
         }
+        let slots = all.slots.size() as u32;
+        Some(self.grant(vm, all.requests.size(), all.tokens.size(), slots, until))
+    }
+
+    /// Leases a daemon its part however small, while more is wanted than there is. Its calls are
+    /// few, so the lease has to last until one of them comes.
+    pub fn ration(&mut self, terms: &LeaseTerms<'_>) -> LimitShare {
+        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
+        let Some(all) = self.portions(vm, limits, part, most, mono) else {
+            return LimitShare::default();
+        };
+        let running = self.running(vm);
+        let is_free = all.slots.taken + f64::from(running) < all.slots.limit;
+        let slots = running + u32::from(is_free);
+        self.grant(vm, all.requests.ration(), all.tokens.ration(), slots, until)
     }
 
-    /// Leases a daemon its part by what it wants, within what is not leased to others. `most` bounds
-    /// it further.
-    pub fn lease(
+    /// Whether more is wanted than there is.
+    #[must_use]
+    pub fn shortage(&self, limits: &Limits, mono: Duration) -> Option<Shortage> {
+        if 0 < limits.concurrent && f64::from(limits.concurrent) <= self.committed(None, mono) {
+            return Some(Shortage::Slots);
+        }
+        let wanted = self.wanted(None, mono);
+        let requests = 0.0 < limits.requests
+            && (self.requests.level < 1.0 || limits.requests * BUSY < wanted.requests);
+        let tokens = 0.0 < limits.tokens
+            && (self.tokens.level <= 0.0 || limits.tokens * BUSY < wanted.tokens);
+        (requests || tokens).then_some(Shortage::Rate)
+    }
+
+    fn grant(
         &mut self,
         vm: VmId,
-        limits: &Limits,
-        most: Option<&LimitShare>,
+        requests: f64,
+        tokens: f64,
+        slots: u32,
         until: Duration,
-        mono: Duration,
     ) -> LimitShare {
-        let wanted = self.wanted(mono);
-        let taken = self.leased(Some(vm), mono);
-        let committed = self.committed(Some(vm), mono);
         let Some(holder) = self.holders.iter_mut().find(|h| h.vm == vm) else {
             return LimitShare::default();
         };
-        let rate = |limit: f64, demand: f64, all: f64, taken: f64, most: Option<f64>| {
-            let target = limit * (1.0 - SPARE) * part(demand, all);
-            target.min(limit - taken).min(most.unwrap_or(f64::MAX)).max(0.0)
-        };
-        let demand = holder.demand;
-        let slots = f64::from(limits.concurrent);
-        let target = (slots * part(f64::from(demand.concurrent), wanted.concurrent)).ceil();
-        let concurrent =
-            target.min(slots - committed).min(most.map_or(f64::MAX, |m| f64::from(m.concurrent)));
-        let share = LimitShare {
-            requests: rate(
-                limits.requests,
-                demand.requests,
-                wanted.requests,
-                taken.requests,
-                most.map(|m| m.requests),
-            ),
-            tokens: rate(
-                limits.tokens,
-                demand.tokens,
-                wanted.tokens,
-                taken.tokens,
-                most.map(|m| m.tokens),
-            ),
-            concurrent: (concurrent.max(0.0) as u32).max(holder.running),
-        };
+        let share = LimitShare { requests, tokens, concurrent: slots.max(holder.running) };
         holder.share = share;
         holder.until = until;
         share
     }
 
-    /// Whether a share is much less than a daemon's part, so that it should ask again soon.
+    fn running(&self, vm: VmId) -> u32 {
+        self.holders.iter().find(|h| h.vm == vm).map_or(0, |h| h.running)
+    }
+
+    fn portions(
+        &mut self,
+        vm: VmId,
+        limits: &Limits,
+        part: &LimitShare,
+        most: Option<&LimitShare>,
+        mono: Duration,
+    ) -> Option<Portions> {
+        let wanted = self.wanted(Some(vm), mono);
+        let taken = self.leased(Some(vm), mono);
+        let committed = self.committed(Some(vm), mono);
+        let holder = self.holders.iter_mut().find(|h| h.vm == vm)?;
+        holder.until = Duration::ZERO;
+        let demand = holder.demand;
+        let most = |of: fn(&LimitShare) -> f64| most.map_or(f64::MAX, of);
+        Some(Portions {
+            requests: Portion {
+                limit: limits.requests,
+                demand: demand.requests,
+                wanted: wanted.requests,
+                taken: taken.requests,
+                part: part.requests,
+                most: most(|m| m.requests),
+            },
+            tokens: Portion {
+                limit: limits.tokens,
+                demand: demand.tokens,
+                wanted: wanted.tokens,
+                taken: taken.tokens,
+                part: part.tokens,
+                most: most(|m| m.tokens),
+            },
+            slots: Portion {
+                limit: f64::from(limits.concurrent),
+                demand: f64::from(demand.concurrent),
+                wanted: wanted.concurrent,
+                taken: committed,
+                part: f64::from(part.concurrent),
+                most: most(|m| f64::from(m.concurrent)),
+            },
+        })
+    }
+
+    /// Whether nearly all is leased, so that a daemon that wants more should ask again soon.
     #[must_use]
-    pub fn is_short(&self, vm: VmId, limits: &Limits, mono: Duration) -> bool {
-        let wanted = self.wanted(mono);
-        let Some(holder) = self.holders.iter().find(|h| h.vm == vm) else { return false };
-        let fair = limits.requests * part(holder.demand.requests, wanted.requests);
-        let fair_tokens = limits.tokens * part(holder.demand.tokens, wanted.tokens);
-        holder.share.requests < fair * 0.8 || holder.share.tokens < fair_tokens * 0.8
+    pub fn is_short(&self, limits: &Limits, mono: Duration) -> bool {
+        let leased = self.leased(None, mono);
+        let is_gone = |limit: f64, leased: f64| 0.0 < limit && limit * (1.0 - SPARE / 2.0) < leased;
+        is_gone(limits.requests, leased.requests) || is_gone(limits.tokens, leased.tokens)
     }
 
     /// Whether nobody uses it any more.
@@ -208,16 +289,20 @@
         &self.holders
     }
 
-    fn wanted(&self, mono: Duration) -> Total {
+    /// What is wanted by those with leases, by `but` without one perhaps, and by those whose calls
+    /// are taken one by one.
+    fn wanted(&self, but: Option<VmId>, mono: Duration) -> Total {
         let mut total = Total {
             requests: self.sparse_requests.rate(mono),
             tokens: self.sparse_tokens.rate(mono),
             concurrent: 0.0,
         };
-        for holder in self.holders.iter().filter(|h| mono < h.at + FORGET) {
-            total.requests += holder.demand.requests;
-            total.tokens += holder.demand.tokens;
-            total.concurrent += f64::from(holder.demand.concurrent.max(holder.running));
+        for holder in &self.holders {
+            let has_lease = mono < holder.until || Some(holder.vm) == but;
+            let demand = if has_lease { holder.demand } else { LimitDemand::default() };
+            total.requests += demand.requests;
+            total.tokens += demand.tokens;
+            total.concurrent += f64::from(demand.concurrent.max(holder.running));
         }
         total
     }
@@ -242,10 +327,6 @@
     }
 }
 
-fn part(demand: f64, all: f64) -> f64 {
-    if all <= 0.0 { 1.0 } else { (demand / all).min(1.0) }
-}
-
 fn burst(rate: f64) -> f64 {
-    (rate * BURST).max(2.0)
+    (rate * BURST).max(LEAST_BURST)
 }
--- a/crates/basilbank_core/src/state/limits/usage.rs
+++ b/crates/basilbank_core/src/state/limits/usage.rs
@@ -9,6 +9,13 @@
 /// idle for most of its time, and 10,000 entries in sparse use would cost more messages in leases
 /// than in requests.
 const DENSE: f64 = 1.5;
+/// With fewer calls than this within about two seconds, they are averaged over ten.
+const FEW: f64 = 3.0;
+/// What a ration saved up is kept for this long without one.
+const RATIONED: Duration = Duration::from_secs(60);
+/// Rations may save up this many requests, since a call comes only some time after the first one is
+/// saved up.
+const SAVED: f64 = 2.0;
 /// Bursts are what comes in this many seconds.
 const BURST: f64 = 1.0;
 
@@ -19,8 +26,9 @@
     pub running: u32,
     /// Part of the limits that is leased to this daemon, and until when.
     pub lease: Option<(LimitShare, Duration)>,
-    /// The steward said that the limit is used up, and until when it will be.
-    pub refused: Option<(Refusal, Duration)>,
+    /// Until when the steward takes this daemon's calls one by one, though they come often: no lease
+    /// is worth it.
+    pub trusted: Duration,
     /// The steward that was asked last, and when.
     pub asked: Option<(VmId, Duration)>,
     /// Requests taken without a lease that the steward does not know of.
@@ -31,6 +39,7 @@
     pub told_running: u32,
     /// When something last happened.
     pub touched: Duration,
+    rationed: Option<Duration>,
     requests: Bucket,
     tokens: Bucket,
     calls: Meter<10>,
@@ -45,12 +54,13 @@
         Usage {
             running: 0,
             lease: None,
-            refused: None,
+            trusted: Duration::ZERO,
             asked: None,
             untold_requests: 0,
             untold_tokens: 0,
             told_running: 0,
             touched: mono,
+            rationed: None,
             requests: Bucket::full(burst(share.requests), mono),
             tokens: Bucket::full(burst(share.tokens), mono),
             calls: Meter::default(),
@@ -105,19 +115,42 @@
 
     /// A lease came. What was taken without one was told to the steward, so no debt is left.
     pub fn set_lease(&mut self, share: LimitShare, until: Duration, mono: Duration) {
+        let former = self.lease.map_or(share, |(former, _)| former);
+        self.fill(&former, mono);
         if self.lease.is_none() {
-            self.fill(&share, mono);
             self.requests.level = self.requests.level.max(0.0);
             self.tokens.level = self.tokens.level.max(0.0);
         }
+        self.rationed = None;
         self.lease = Some((share, until));
-        self.refused = None;
+    }
+
+    /// What there is is rationed. Nothing is saved up from before the shortage but the fraction
+    /// `chance` of one request: it differs from daemon to daemon, so that they do not all wait for
+    /// their first request and then let it through together.
+    pub fn set_ration(&mut self, share: LimitShare, until: Duration, chance: f64, mono: Duration) {
+        let is_new = self.rationed.is_none_or(|at| at + RATIONED < mono);
+        self.rationed = Some(mono);
+        let former = self.lease.map_or(share, |(former, _)| former);
+        self.fill(&former, mono);
+        if is_new {
+            let recent = self.wanted_requests.rate(mono).max(f64::MIN_POSITIVE);
+            let mean_tokens = self.wanted_tokens.rate(mono) / recent;
+            self.requests.level = chance;
+            self.tokens.level = (chance - 1.0) * mean_tokens;
+        }
+        self.lease = Some((share, until));
+    }
+
+    /// A call that the steward refused runs all the same, since it was sent before.
+    pub fn owe(&mut self, tokens: u32) {
+        self.requests.level -= 1.0;
+        self.tokens.level -= f64::from(tokens);
     }
 
     /// Drops what has run out.
     pub fn expire(&mut self, mono: Duration) {
         self.lease = self.lease.filter(|(_, until)| mono < *until);
-        self.refused = self.refused.filter(|(_, until)| mono < *until);
     }
 
     /// Whether calls come often enough for a lease.
@@ -126,15 +159,30 @@
         DENSE <= self.calls.sum(mono)
     }
 
-    /// What this daemon's callers want of the entry.
+    /// What this daemon's callers want of the entry. Few calls are averaged over a longer time.
     #[must_use]
     pub fn demand(&self, mono: Duration) -> LimitDemand {
-        let waiting = self.wanted_requests.rate(mono).ceil() as u32;
-        LimitDemand {
-            requests: self.wanted_requests.rate(mono).max(0.001),
-            tokens: self.wanted_tokens.rate(mono),
-            concurrent: self.running + waiting,
-        }
+        let few = self.wanted_requests.sum(mono) < FEW;
+        let recent = self.wanted_requests.rate(mono);
+        let requests = if few { self.calls.rate(mono) } else { recent };
+        let tokens = self.wanted_tokens.rate(mono) * requests / recent.max(f64::MIN_POSITIVE);
+        let concurrent = self.running + requests.ceil() as u32;
+        LimitDemand { requests: requests.max(0.001), tokens, concurrent }
+    }
+
+    /// Whether calls come and the lease is nearly used up, so that more should be asked for.
+    #[must_use]
+    pub fn is_hungry(&self, limits: &Limits) -> bool {
+        let Some((share, _)) = self.lease else { return false };
+        let requests = 0.0 < limits.requests && self.requests.level < burst(share.requests) / 2.0;
+        let tokens = 0.0 < limits.tokens && self.tokens.level < burst(share.tokens) / 2.0;
+        requests || tokens || (0 < limits.concurrent && share.concurrent <= self.running)
+    }
+
+    /// Whether what it has is a ration.
+    #[must_use]
+    pub fn is_rationed(&self) -> bool {
+        self.lease.is_some() && self.rationed.is_some()
     }
 
     /// Whether the steward must be told of something that counts by the entry's limits.
@@ -152,7 +200,8 @@
     }
 
     fn fill(&mut self, share: &LimitShare, mono: Duration) {
-        self.requests.fill(share.requests, burst(share.requests), mono);
+        let least = if self.rationed.is_some() { SAVED } else { 1.0 };
+        self.requests.fill(share.requests, burst(share.requests).max(least), mono);
         self.tokens.fill(share.tokens, burst(share.tokens), mono);
     }
 }
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -51,6 +51,8 @@
     pub risked: bool,
     /// Tokens that were taken from the entry's limit.
     pub taken: u32,
+    /// The entry's steward refused it, perhaps too late.
+    pub is_limited: bool,
     /// It counts as waiting for capacity.
     pub queued: bool,
     /// What it is doing.
@@ -204,6 +206,7 @@
             attempts: 0,
             failures: 0,
             risked: false,
+            is_limited: false,
             taken: 0,
             queued: false,
             stage: RequestStage::Waiting,
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -470,18 +470,22 @@
     pub held_tokens: u64,
 }
 
-/// What of an entry's limit is used up.
+/// What an entry's steward answers.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
-pub enum LimitRefusal {
-    /// Nothing: this is a lease.
-    Nothing = 0,
-    /// Requests a second.
-    Requests = 1,
-    /// Tokens a second.
-    Tokens = 2,
-    /// Requests in progress.
-    Concurrent = 3,
+pub enum LimitAnswer {
+    /// A lease.
+    Leased = 0,
+    /// No lease is worth it: take calls and tell of each.
+    Trusted = 1,
+    /// More is wanted than there is: a small lease that lasts.
+    Rationed = 2,
+    /// The same, and what was taken is refused: too many requests a second.
+    NoRequests = 3,
+    /// The same: too many tokens a second.
+    NoTokens = 4,
+    /// The same: too many requests in progress.
+    NoSlots = 5,
 }
 
 /// A leased part of an entry's limit, or the refusal of what was taken without one.
@@ -502,9 +506,9 @@
     /// How long it holds, from now.
     #[prost(uint32, tag = "5")]
     pub ttl: u32,
-    /// What is used up.
-    #[prost(enumeration = "LimitRefusal", tag = "6")]
-    pub refused: i32,
+    /// What it is.
+    #[prost(enumeration = "LimitAnswer", tag = "6")]
+    pub answer: i32,
 }
 
 /// Takes a slot back from its holder.
