--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -35,7 +35,9 @@
     }
     let request = accept(state, now, call, team, entry, tokens);
     let (id, caller) = (request.id, request.caller);
-    let is_keyed = request.idempotency.is_some();
+    // A cursor names the stream that is wanted, so nothing is run and there is nothing to claim.
+    let is_resumed = request.draft.as_ref().is_some_and(|d| d.resume.is_some());
+    let is_keyed = request.idempotency.is_some() && !is_resumed;
     let key = state.requests.insert(request);
     out.push(Effect::Progress(Progress::Accepted { request: id, team, entry }));
     out.push(Effect::Answer { caller, answer: Answer::Accepted { request: id, entry } });
@@ -64,6 +66,7 @@
     let (endpoint, entry) = (EndpointId(record.endpoint), request.entry);
     // The run is another request's: whatever becomes of this one, it can't be called not run.
     request.risked = true;
+    request.joined = true;
     request.repeatable = false;
     if let Some(draft) = &mut request.draft {
         draft.resume =
--- a/crates/basilbank_core/src/reduce/member.rs
+++ b/crates/basilbank_core/src/reduce/member.rs
@@ -11,7 +11,7 @@
 use crate::{
     effect::{Effect, Progress},
     ids::VmId,
-    reduce::{catalogue, slots},
+    reduce::{catalogue, claim, slots},
     state::{State, Timer},
     time::Now,
 };
@@ -94,6 +94,7 @@
 
 /// The VM list changed.
 pub fn adopted(state: &mut State, now: Now, out: &mut Vec<Effect>) {
+    claim::list_changed(state, now);
     judge(state, now, out);
     slots::members_changed(state, now, out);
     push(state, now, out);
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -20,7 +20,10 @@
 
 pub use self::{
     attempt::{Attempt, AttemptStage, KvCache},
-    claims::Claims,
+    claims::{
+        Ballot, ClaimKey, ClaimPhase, Claims, KeyEntry, KeyTable, OwnClaim, Standing, Tenure,
+        TenureSince, Waited, made_at,
+    },
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
@@ -33,7 +36,7 @@
     members::{Census, Member, Members, Presence, rank},
     orders::Orders,
     prefixes::Prefixes,
-    reaper::Reaper,
+    reaper::{Cancelled, Reaper, Watch},
     requests::{Request, RequestStage, Requests},
     rng::Rng,
     slots::{OwnSlot, SlotKey, Slots},
@@ -155,6 +158,8 @@
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
         timers.set(now.mono + phase, Timer::Limits);
+        let phase = local.tuning.reap_interval.mul_f64(rng.unit());
+        timers.set(now.mono + phase, Timer::Reap);
         State {
             view: View::default(),
             members: Members::new(&local, now.mono),
