--- a/crates/basilbank_core/src/reduce/admit.rs
+++ b/crates/basilbank_core/src/reduce/admit.rs
@@ -93,7 +93,7 @@
         return Err(Refusal::ShuttingDown);
     }
     let view = &state.view;
-    if view.catalogue.revision == 0 {
+    if !state.documents.currency.current {
         return Err(Refusal::NotReady);
     }
     let team = view.team(&call.key).ok_or(Refusal::UnknownKey)?;
--- a/crates/basilbank_core/tests/catalogue.rs
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -229,6 +229,27 @@
     assert!(world.daemons[3].is_ready());
 }
 
+#[test]
+fn a_call_to_a_daemon_that_just_woke_is_refused() {
+    let mut world = started(8);
+    world.at(SECOND * 6, Step::Freeze { daemon: Who::Daemon(3), lasting: SECOND * 30 });
+    world.run_until(SECOND * 36);
+    let work = Work::Plain(Plain { method: "GET".into(), path: "/fitter-desk/item".into() });
+    let (caller, key) = (CallerId(1), Spec::key(0));
+    let call = Call { caller, key, idempotency: None, repeatable: None, work };
+    let now = world.clock();
+    let brain = world.daemons[3].brain.as_mut().expect("it runs");
+    let mut out = Vec::new();
+    brain.reduce(now, Event::Caller(CallerEvent::Arrived(Box::new(call))), &mut out);
+    let is_refused = |e: &Effect| {
+        let Effect::Answer { answer: Answer::Refused { refusal, .. }, .. } = e else {
+            return false;
+        };
+        *refusal == Refusal::NotReady
+    };
+    assert!(out.iter().any(is_refused), "{out:?}");
+}
+
 #[test]
 fn a_part_without_the_platform_keeps_its_catalogue_and_catches_up() {
     let mut world = started(8);
