--- a/crates/basilbank/src/engine/protocol.rs
+++ b/crates/basilbank/src/engine/protocol.rs
@@ -162,6 +162,10 @@
     pub age_ms: u64,
     /// No new work.
     pub leaving: bool,
+    /// The model's name; empty when the endpoint does not say.
+    pub model: String,
+    /// Its role: `prefill` or `decode`; empty when the endpoint does not say.
+    pub role: String,
     /// The version that it serves.
     pub version: String,
     /// The adapter that it has loaded.
--- a/crates/basilbank/src/engine/report.rs
+++ b/crates/basilbank/src/engine/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use basilbank_core::{
+    catalogue::Role,
     event::{EngineReport, StreamInfo},
     ids::{EndpointId, VmId},
 };
@@ -85,12 +86,22 @@
         queued: load.queued,
         age: Duration::from_millis(load.age_ms),
         leaving: load.leaving,
+        model: load.model,
         version: load.version,
         adapter: load.adapter,
+        role: role(&load.role),
         fence: load.fence,
     }
 }
 
+fn role(name: &str) -> Option<Role> {
+    match name {
+        "prefill" => Some(Role::Prefill),
+        "decode" => Some(Role::Decode),
+        _ => None,
+    }
+}
+
 fn cache_report(cache: &Cache) -> EngineReport {
     let blocks = |names: &[String]| names.iter().filter_map(|name| hex(name)).collect();
     EngineReport::Cache {
