A request prefers endpoints where it has not failed yet

Ruled out: the endpoint's health, which an eviction rightly leaves alone. Change: a request remembers where its attempts failed and counts those endpoints a second worse. The load report's test names model and role.

--- a/crates/basilbank/tests/shell/engine_report.rs
+++ b/crates/basilbank/tests/shell/engine_report.rs
@@ -22,7 +22,9 @@
 fn load_and_cache_events_are_read_on() {
     let endpoint = Responder::start(|seen, stream| {
         let body = match seen.line.as_str() {
-            "GET /load" => r#"{"running":3,"queued":1,"age_ms":40,"version":"v7","fence":2}"#,
+            "GET /load" => {
+                r#"{"running":3,"queued":1,"age_ms":40,"model":"m","version":"v7","role":"decode","fence":2}"#
+            }
             "GET /cache?after=0" => r#"{"seq":5,"added":["00000000000000ff"],"evicted":[]}"#,
             "GET /cache?after=5" => r#"{"seq":9,"gap":true,"evicted":["0000000000000010"]}"#,
             other => panic!("{other}"),
@@ -30,7 +32,7 @@
         stream.write_all(answer(200, body).as_bytes()).unwrap();
     });
     let rig = Rig::new(endpoint.address);
-    let load = "Load { running: 3, queued: 1, age: 40ms, leaving: false, version: \"v7\", adapter: \"\", fence: 2 }";
+    let load = "Load { running: 3, queued: 1, age: 40ms, leaving: false, model: \"m\", version: \"v7\", adapter: \"\", role: Some(Decode), fence: 2 }";
     rig.call(EngineCall::ReadLoad { endpoint: endpoint_id("p1") });
     assert_eq!(report(&rig), load);
     assert_eq!(report(&rig), "Cache { added: [255], evicted: [], gap: false }");
--- a/crates/basilbank_core/src/reduce/candidates.rs
+++ b/crates/basilbank_core/src/reduce/candidates.rs
@@ -18,6 +18,9 @@
 const FULL: Duration = Duration::from_millis(200);
 /// How much worse a full endpoint counts than an empty one, by the last grant's word.
 const LOADED: Duration = Duration::from_millis(50);
+/// How much worse an endpoint counts where the request has failed before. Without it a request whose
+/// attempts all fall on one bad endpoint of a small pool spends its retries there.
+const BLAMED: Duration = Duration::from_secs(1);
 /// How long a grant's word on free slots is worth something.
 const HINT_LIFE: Duration = Duration::from_secs(2);
 /// Random part, so that daemons that know the same do not choose the same.
@@ -83,8 +86,12 @@
     if endpoint.data_centre != near(state, want) {
         cost += ELSEWHERE;
     }
+    let request = &state.requests.arena[attempt.request];
+    if request.blamed.contains(&id) {
+        cost += BLAMED;
+    }
     if want.role == Role::Prefill {
-        cost += estimate::prefill_at(state, &state.requests.arena[attempt.request], id);
+        cost += estimate::prefill_at(state, request, id);
     }
     Some(cost)
 }
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -35,6 +35,9 @@
 ) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let stage = found.stage;
+    let cache = found.cache.as_ref().map(|c| c.endpoint);
+    let blamed = if failure == Failure::Evicted { cache } else { found.endpoint() };
+    state.requests.arena[found.request].blamed.extend(blamed);
     if let Some(endpoint) = found.endpoint() {
         load::blame(state, now, endpoint, failure, out);
     }
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -59,6 +59,8 @@
     pub queued: bool,
     /// What it is doing.
     pub stage: RequestStage,
+    /// Endpoints where attempts failed; others are preferred.
+    pub blamed: Vec<EndpointId>,
 }
 
 /// What a request is doing.
@@ -213,6 +215,7 @@
             taken: 0,
             queued: false,
             stage: RequestStage::Waiting,
+            blamed: Vec::new(),
         }
     }
 
