--- a/crates/basilbank_core/tests/daemons/main.rs
+++ b/crates/basilbank_core/tests/daemons/main.rs
@@ -2,4 +2,8 @@
 
 mod claims;
 mod fleet;
+mod leaving;
+mod orders;
 mod reaping;
+#[path = "../world/mod.rs"]
+mod world;
