--- a/crates/basilbank/tests/shell/main.rs
+++ b/crates/basilbank/tests/shell/main.rs
@@ -1,5 +1,6 @@
 //! The shell's parts, each against a few bytes of the other side.
 
+mod admin;
 mod engine_control;
 mod engine_draft;
 mod engine_plain;
