Cancels are delivered before the exit; findings and failures as key=value lines

Cause: the process could exit while a cancel was on its way, and an endpoint would hold memory until a peer found its owner gone. Change: the event loop drains the control pool after the core is done, for 5 s at most; an engine side that is dropped shuts its connections down.

--- a/crates/basilbank/src/engine.rs
+++ b/crates/basilbank/src/engine.rs
@@ -47,6 +47,9 @@
 /// Longest silence of an endpoint that is to answer or to stream.
 pub const SILENCE: Duration = Duration::from_secs(10);
 
+/// Longest wait for cancellations at the exit.
+const DRAIN: Duration = Duration::from_secs(5);
+
 /// Longest answer time of a control call or report.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -198,6 +201,16 @@
         }
     }
 
+    /// Waits until all cancellations have been delivered, but not for ever.
+    ///
+    /// A caller that leaves just before the exit would otherwise leave its stream behind, and the
+    /// endpoint hold its memory until a peer finds that its owner is gone.
+    pub fn drain(&self) {
+        if !self.worker.controls.wait_idle(DRAIN) {
+            log::warn!("event=cancels_unfinished");
+        }
+    }
+
     fn decode(&self, draft: DraftCall, source: EndpointId, handle: String) -> Option<EngineEvent> {
         let attempt = draft.attempt;
         let Some(source) = self.worker.published.address(source) else {
@@ -236,6 +249,14 @@
     }
 }
 
+impl Drop for Engine {
+    fn drop(&mut self) {
+        // Readers would go on reading for a core that is gone, and endpoints stream to them.
+        self.worker.agent.clone().shutdown();
+        self.worker.control.clone().shutdown();
+    }
+}
+
 impl Worker {
     /// Where an endpoint is, as a URL without a path.
     fn base(&self, endpoint: EndpointId) -> Option<String> {
--- a/crates/basilbank/src/engine/control.rs
+++ b/crates/basilbank/src/engine/control.rs
@@ -9,9 +9,12 @@
 };
 use ureq::{Body, http::Response};
 
-use crate::engine::{
-    CONTROL_TIMEOUT, Worker,
-    protocol::{OrderBody, Ordered, Owner},
+use crate::{
+    engine::{
+        CONTROL_TIMEOUT, Worker,
+        protocol::{OrderBody, Ordered, Owner},
+    },
+    logs::Line,
 };
 
 /// A cancellation that can't be delivered is tried so often.
@@ -129,7 +132,7 @@
     fn delete_now(&self, url: &str) {
         let done = (0..TRIES).any(|_| self.try_delete(url));
         if !done {
-            log::warn!("event=cancel_failed url={url}");
+            log::warn!("{}", Line::new("cancel_failed").with("url", url));
         }
     }
 
--- a/crates/basilbank/src/event_loop.rs
+++ b/crates/basilbank/src/event_loop.rs
@@ -66,6 +66,8 @@
     /// Events that carrying out an effect made. They can't go through the inbox: it may be full, and
     /// the loop is the one to empty it.
     made: VecDeque<Event>,
+    /// The core is done.
+    exited: bool,
 }
 
 /// How the loop's owner and the loop tell each other about the end.
@@ -91,7 +93,7 @@
         control: LoopControl,
     ) -> EventLoop {
         let (effects, made) = (Vec::new(), VecDeque::new());
-        EventLoop { state, clock, inbox, queries, parts, control, effects, made }
+        EventLoop { state, clock, inbox, queries, parts, control, effects, made, exited: false }
     }
 
     /// Runs until the owner tells it to end, or until nobody can send events any more.
@@ -115,6 +117,9 @@
                 query(&self.state);
             }
         }
+        if self.exited {
+            self.parts.engine.drain();
+        }
     }
 
     fn patience(&self) -> Duration {
@@ -150,11 +155,16 @@
                 self.parts.platform.check(revision, documents);
             }
             Effect::Progress(progress) => self.parts.observer.progress(self.clock.now(), &progress),
-            // A full channel holds the same word already.
-            Effect::Exit => drop(self.control.done.try_send(())),
+            Effect::Exit => self.exit(),
         }
     }
 
+    fn exit(&mut self) {
+        self.exited = true;
+        // A full channel holds the same word already.
+        let _ = self.control.done.try_send(());
+    }
+
     fn call(&mut self, call: EngineCall) {
         // The endpoint's address may stand in a catalogue that came into force just now.
         self.parts.published.publish(&self.state);
--- a/crates/basilbank/src/peers/address_book.rs
+++ b/crates/basilbank/src/peers/address_book.rs
@@ -5,6 +5,8 @@
 use basilbank_core::ids::VmId;
 use basilbank_wire::{VmList, VmRecord};
 
+use crate::logs::Line;
+
 /// Peers' addresses, from the VM list that the core goes by.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct AddressBook {
@@ -34,7 +36,8 @@
     match vm.address.parse() {
         Ok(address) => Some((VmId::of(&vm.name), address)),
         Err(_) => {
-            log::warn!("event=vm_address_invalid vm={:?} address={:?}", vm.name, vm.address);
+            let line = Line::new("vm_address_invalid");
+            log::warn!("{}", line.with("vm", &vm.name).with("address", &vm.address));
             None
         }
     }
--- a/crates/basilbank/src/platform.rs
+++ b/crates/basilbank/src/platform.rs
@@ -14,7 +14,7 @@
     time::Duration,
 };
 
-use basilbank_config::parse_catalogue;
+use basilbank_config::{Finding, parse_catalogue};
 use basilbank_core::{
     catalogue::Catalogue,
     event::{Event, PlatformEvent},
@@ -24,7 +24,7 @@
 use ureq::Agent;
 
 use self::protocol::{Changes, VmTable};
-use crate::{engine::agent, inbox::Feed, metrics::Metrics, sync::lock};
+use crate::{engine::agent, inbox::Feed, logs::Line, metrics::Metrics, sync::lock};
 
 /// How long the platform holds a watch back when nothing changes.
 const WATCH: Duration = Duration::from_secs(10);
@@ -217,7 +217,7 @@
             Err(findings) => findings,
         };
         for finding in &findings.items {
-            log::warn!("event=catalogue_finding revision={} finding={finding:?}", texts.revision);
+            log::warn!("{}", finding_line(texts.revision, finding));
         }
         Err(findings.errors())
     }
@@ -256,3 +256,14 @@
         let _ = self.feed.send(Event::Platform(event));
     }
 }
+
+fn finding_line(revision: u64, finding: &Finding) -> Line {
+    Line::new("catalogue_finding")
+        .with("revision", revision)
+        .with("severity", finding.severity.as_str())
+        .with("file", &finding.file)
+        .with("line", finding.line)
+        .with("column", finding.column)
+        .with("message", &finding.message)
+        .with("help", &finding.help)
+}
--- a/crates/basilbank/src/pool.rs
+++ b/crates/basilbank/src/pool.rs
@@ -34,7 +34,10 @@
     threads: usize,
     backlog: usize,
     queue: Mutex<Queue>,
+    /// There is work, or the pool was closed.
     wake: Condvar,
+    /// A worker has nothing to do.
+    idle: Condvar,
 }
 
 #[derive(Default)]
@@ -56,7 +59,8 @@
     #[must_use]
     pub fn new(name: &'static str, threads: usize, backlog: usize) -> Pool {
         let queue = Mutex::new(Queue::default());
-        let shared = Shared { name, threads, backlog, queue, wake: Condvar::new() };
+        let (wake, idle) = (Condvar::new(), Condvar::new());
+        let shared = Shared { name, threads, backlog, queue, wake, idle };
         Pool { shared: Arc::new(shared) }
     }
 
@@ -81,6 +85,15 @@
         Ok(())
     }
 
+    /// Waits until nothing waits or runs. `false` when that takes longer.
+    #[must_use]
+    pub fn wait_idle(&self, patience: Duration) -> bool {
+        let queue = lock(&self.shared.queue);
+        let busy = |queue: &mut Queue| !queue.jobs.is_empty() || queue.idle < queue.threads;
+        let waited = self.shared.idle.wait_timeout_while(queue, patience, busy);
+        !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
+    }
+
     fn grow(&self) -> bool {
         let shared = Arc::clone(&self.shared);
         let builder = thread::Builder::new().name(shared.name.to_owned()).stack_size(STACK);
@@ -112,9 +125,11 @@
             }
             if queue.closed {
                 queue.threads -= 1;
+                self.idle.notify_all();
                 return None;
             }
             queue.idle += 1;
+            self.idle.notify_all();
             let waited = self.wake.wait_timeout(queue, IDLE);
             let (guard, timeout) = waited.unwrap_or_else(PoisonError::into_inner);
             queue = guard;
--- a/crates/basilbank/tests/shell/engine_control.rs
+++ b/crates/basilbank/tests/shell/engine_control.rs
@@ -127,6 +127,24 @@
     }
 }
 
+/// Symptom: an endpoint's memory stays held after a router's restart. Sequence: a caller leaves, the
+/// shutdown's last request ends with that, and the process exits. Cause: nobody waits for the
+/// cancel, which is on its way.
+#[test]
+fn a_drained_engine_has_delivered_its_cancels() {
+    let (sender, delivered) = channel();
+    let sender = Mutex::new(sender);
+    let endpoint = Responder::start(move |_, stream| {
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        sender.lock().unwrap().send(()).unwrap();
+        stream.write_all(answer(200, "{}").as_bytes()).unwrap();
+    });
+    let rig = Rig::new(endpoint.address);
+    rig.call(cancel(1, "p1", Some("k1")));
+    rig.engine.drain();
+    assert_eq!(delivered.try_recv(), Ok(()));
+}
+
 #[test]
 fn a_reaped_stream_must_still_be_its_owners() {
     let endpoint = Responder::fixed(200, "{}");
--- a/crates/basilbank/tests/shell/pool.rs
+++ b/crates/basilbank/tests/shell/pool.rs
@@ -1,8 +1,11 @@
 //! Worker threads that come with demand and go when idle.
 
-use std::sync::{
-    Arc, Barrier,
-    mpsc::{channel, sync_channel},
+use std::{
+    sync::{
+        Arc, Barrier,
+        mpsc::{channel, sync_channel},
+    },
+    time::Duration,
 };
 
 use basilbank::pool::{Pool, PoolFull};
@@ -56,6 +59,16 @@
     assert_eq!(is_done.recv_timeout(PATIENCE), Ok(()));
 }
 
+#[test]
+fn an_idle_pool_has_done_all_its_jobs() {
+    let pool = Pool::new("test", 2, 8);
+    let (release, held) = sync_channel::<()>(0);
+    pool.run(move || held.recv().unwrap()).unwrap();
+    assert!(!pool.wait_idle(Duration::from_millis(10)));
+    release.send(()).unwrap();
+    assert!(pool.wait_idle(PATIENCE));
+}
+
 #[test]
 fn a_dropped_pool_does_its_waiting_jobs_and_ends() {
     let pool = Pool::new("test", 1, 8);
