Take back: a prefill endpoint that lost a KV cache is not the first choice

Cause: mends the same failure for the request alone and leaves the endpoint's health as it is. Change: the later of the two mends goes. Conclusion: one mechanism; the end-to-end case 'evicts at once' is its test.

--- a/crates/basilbank_core/src/reduce/load.rs
+++ b/crates/basilbank_core/src/reduce/load.rs
@@ -6,7 +6,7 @@
     catalogue::Role,
     effect::{Effect, EngineCall, Progress},
     event::{EngineReport, Failure},
-    ids::{AttemptKey, EndpointId},
+    ids::EndpointId,
     reduce::slots,
     state::{Seen, State, Timer},
     time::Now,
@@ -96,21 +96,6 @@
     note(endpoint, "endpoint_aside", out);
 }
 
-/// An attempt's KV cache was evicted before a decode endpoint could take it.
-///
-/// Its prefill endpoint is short of memory. The same endpoint still looks best, for it has just seen
-/// the prompt's prefix: without this the retries would all go there and be evicted again, until none
-/// is left and the caller gets an error beside idle endpoints.
-pub fn lost_cache(state: &mut State, now: Now, attempt: AttemptKey) {
-    let Some(found) = state.requests.attempts.get(attempt) else { return };
-    let Some(source) = found.cache.as_ref().map(|c| c.endpoint) else { return };
-    state.health.entry(source).full = Some(now.mono + FULL);
-    let draft = state.requests.arena.get(found.request).and_then(|r| r.draft.as_ref());
-    for block in draft.iter().flat_map(|d| d.blocks.iter()) {
-        state.health.prefixes.remove(*block, source);
-    }
-}
-
 fn note(endpoint: EndpointId, name: &'static str, out: &mut Vec<Effect>) {
     let pairs = vec![("endpoint", endpoint.to_string())];
     out.push(Effect::Progress(Progress::Note { name, pairs }));
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -151,7 +151,6 @@
     let key = state.requests.attempts[attempt].request;
     let is_repeatable = state.requests.arena[key].repeatable;
     if failure == Failure::Evicted {
-        load::lost_cache(state, now, attempt);
         charge::prefill(state, now, attempt, Waste::Evicted, out);
         if !is_repeatable {
             return settle::unknown(state, now, key, out);
