--- a/crates/basilbank_standin/src/demo.rs
+++ b/crates/basilbank_standin/src/demo.rs
@@ -57,11 +57,9 @@
             thread::park();
         }
     }
-    for daemon in daemons {
-        daemon.shutdown();
-        daemon.wait()?;
-    }
-    Ok(())
+    drop(clients);
+    daemons.iter().for_each(Daemon::shutdown);
+    daemons.into_iter().try_for_each(Daemon::wait)
 }
 
 fn start_daemons(site: &Site, port: u16, count: u16) -> anyhow::Result<Vec<Daemon>> {
