--- a/crates/basilbank/src/callers/closing.rs
+++ b/crates/basilbank/src/callers/closing.rs
@@ -9,7 +9,7 @@
 };
 
 /// How long a closing connection is read from, and how many bytes, until its caller closes it too.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_secs(2);
 const LINGER_BYTES: usize = 4 << 20;
 
 /// Writes a last message, then closes the connection.
