--- a/crates/basilbank_core/src/reduce/decode.rs
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -78,7 +78,7 @@
     let base = resumed_at(state, attempt) - i64::from(base);
     let answer = Answer::Located { endpoint: slot.endpoint, stream, base };
     out.push(Effect::Answer { caller, answer });
-    claim::located(state, request, out);
+    claim::located(state, request);
 }
 
 /// The stream's token at which this call started to read it; 0 unless a cursor said otherwise.
