A daemon without a catalogue does not call keys unknown

Cause: GET /v1/models answered 401 until the first catalogue came; clients give up on a 401. Change: the lookup says why names can't be had; the daemon says not_ready.

--- a/crates/basilbank/src/callers/config.rs
+++ b/crates/basilbank/src/callers/config.rs
@@ -3,13 +3,16 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use basilbank_config::ApiLimits;
-use basilbank_core::{catalogue::KeyHash, time::Clock};
+use basilbank_core::{catalogue::KeyHash, reason::Refusal, time::Clock};
 
 /// Called with the stable name of each refusal that was made before the core heard of the call.
 pub type RefusalHook = Arc<dyn Fn(&'static str) + Send + Sync>;
 
-/// The names that a key's team may use in `model`; `None` for a key that no team has.
-pub type ModelLookup = Arc<dyn Fn(&KeyHash) -> Option<Vec<String>> + Send + Sync>;
+/// The names that a key's team may use in `model`.
+///
+/// A refusal says why they can't be had. A daemon without a catalogue knows no key; were it to answer
+/// that the key is unknown, clients would give up for good.
+pub type ModelLookup = Arc<dyn Fn(&KeyHash) -> Result<Vec<String>, Refusal> + Send + Sync>;
 
 /// Settings and hooks of a [`Server`](super::Server).
 #[derive(Clone)]
@@ -31,7 +34,7 @@
 }
 
 impl ServerConfig {
-    /// A configuration with default limits that counts nothing and knows no team.
+    /// A configuration with default limits that counts nothing and has no catalogue.
     #[must_use]
     pub fn new(address: SocketAddr, peer_key: &[u8], clock: Arc<dyn Clock>) -> ServerConfig {
         ServerConfig {
@@ -39,7 +42,7 @@
             limits: ApiLimits::default(),
             peer_key: peer_key.to_vec(),
             refused: Arc::new(|_| {}),
-            models: Arc::new(|_| None),
+            models: Arc::new(|_| Err(Refusal::NotReady)),
             clock,
             write_timeout: Duration::from_secs(30),
         }
--- a/crates/basilbank/src/callers/models.rs
+++ b/crates/basilbank/src/callers/models.rs
@@ -33,7 +33,7 @@
     /// What the caller's team may use.
     ///
     /// # Errors
-    /// The key is missing or unknown.
+    /// The key is missing or unknown, or there is no catalogue yet.
     pub fn models(&self, headers: &HeaderMap) -> Result<Response<Outgoing>, ApiError> {
         let names = self.names(headers)?;
         let data = names.iter().map(|name| ModelBody::new(name)).collect();
@@ -55,7 +55,7 @@
 
     fn names(&self, headers: &HeaderMap) -> Result<Vec<String>, ApiError> {
         let key = bearer(headers)?;
-        (self.config.models)(&key).ok_or_else(|| ApiError::early(Refusal::UnknownKey))
+        (self.config.models)(&key).map_err(ApiError::early)
     }
 }
 
--- a/crates/basilbank/src/daemon.rs
+++ b/crates/basilbank/src/daemon.rs
@@ -15,6 +15,7 @@
 use basilbank_core::{
     catalogue::{EntryTarget, KeyHash},
     event::Event,
+    reason::Refusal,
     state::{Local, State},
     time::{Clock, Now},
 };
@@ -212,9 +213,12 @@
 }
 
 /// The names that a key's team may use in `model`.
-fn models(names: &Names, key: &KeyHash) -> Option<Vec<String>> {
-    let team = names.view.team(key)?;
+fn models(names: &Names, key: &KeyHash) -> Result<Vec<String>, Refusal> {
+    if names.catalogue().revision == 0 {
+        return Err(Refusal::NotReady);
+    }
+    let team = names.view.team(key).ok_or(Refusal::UnknownKey)?;
     let entries = names.catalogue().entries.iter().filter(|e| e.owner == team);
     let drafts = entries.filter(|e| matches!(e.target, EntryTarget::Model(_)));
-    Some(drafts.map(|e| e.name.clone()).collect())
+    Ok(drafts.map(|e| e.name.clone()).collect())
 }
--- a/crates/basilbank/tests/callers_http/models.rs
+++ b/crates/basilbank/tests/callers_http/models.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use basilbank_core::prelude::*;
 use sha2::{Digest, Sha256};
 use test_case::test_case;
 
@@ -17,7 +18,11 @@
 fn models_of_a_key(path: &str, key: &str, status: u16, expected: &str) {
     let known: [u8; 32] = Sha256::digest(b"key-a").into();
     let names = vec!["writer".to_owned(), "big one".to_owned()];
-    let lookup = Arc::new(move |key: &[u8; 32]| (*key == known).then(|| names.clone()));
+    let lookup = Arc::new(
+        move |key: &[u8; 32]| {
+            if *key == known { Ok(names.clone()) } else { Err(Refusal::UnknownKey) }
+        },
+    );
     let edge = Edge::start(config().with_models(lookup));
     let mut client = edge.client();
     client.send(&format!("GET {path} HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer {key}\r\n\r\n"));
@@ -26,3 +31,15 @@
     assert!(client.body(&head).contains(expected));
     assert!(head.get("x-request-id").is_some());
 }
+
+/// Symptom: clients give up on a good key after a restart. Sequence: a daemon has started and has no
+/// catalogue yet; a caller asks what it may use. Cause: "no such key" in place of "not yet".
+#[test]
+fn without_a_catalogue_no_key_is_called_unknown() {
+    let edge = Edge::start(config());
+    let mut client = edge.client();
+    client.send("GET /v1/models HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer key-a\r\n\r\n");
+    let head = client.head();
+    assert_eq!((head.status, head.get("retry-after")), (503, Some("1")));
+    assert!(client.body(&head).contains(r#""code":"not_ready""#));
+}
