--- a/crates/basilbank/tests/shell/main.rs
+++ b/crates/basilbank/tests/shell/main.rs
@@ -1,8 +1,14 @@
 //! The shell's parts, each against a few bytes of the other side.
 
+mod admin;
 mod engine_control;
 mod engine_draft;
 mod engine_plain;
 mod engine_report;
+mod inbox;
+mod observe;
+mod peers;
+mod platform;
+mod pool;
 mod responder;
 mod rig;
