--- a/crates/basilbank/src/engine/protocol.rs
+++ b/crates/basilbank/src/engine/protocol.rs
@@ -162,10 +162,14 @@
     pub age_ms: u64,
     /// No new work.
     pub leaving: bool,
+    /// The model's name.
+    pub model: String,
     /// The version that it serves.
     pub version: String,
     /// The adapter that it has loaded.
     pub adapter: String,
+    /// `prefill` or `decode`.
+    pub role: String,
     /// The highest fencing number taken.
     pub fence: u64,
 }
--- a/crates/basilbank/src/engine/report.rs
+++ b/crates/basilbank/src/engine/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use basilbank_core::{
+    catalogue::Role,
     event::{EngineReport, StreamInfo},
     ids::{EndpointId, VmId},
 };
@@ -85,8 +86,14 @@
         queued: load.queued,
         age: Duration::from_millis(load.age_ms),
         leaving: load.leaving,
+        model: load.model,
         version: load.version,
         adapter: load.adapter,
+        role: match load.role.as_str() {
+            "prefill" => Some(Role::Prefill),
+            "decode" => Some(Role::Decode),
+            _ => None,
+        },
         fence: load.fence,
     }
 }
