--- a/crates/basilbank_cli/tests/commands/real.rs
+++ b/crates/basilbank_cli/tests/commands/real.rs
@@ -8,7 +8,7 @@
 
 use basilbank::Daemon;
 use basilbank_cli::Status;
-use basilbank_standin::{ADMIN_KEY, CALLER_KEY, Client, ENTRY, Site, SiteSpec};
+use basilbank_standin::{ADMIN_KEY, Client, ENTRY, Site, SiteSpec};
 
 use crate::common::{Ran, command};
 
