--- a/crates/basilbank/src/platform.rs
+++ b/crates/basilbank/src/platform.rs
@@ -8,6 +8,7 @@
 use std::{
     sync::{
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
@@ -42,6 +43,7 @@
     vms: Latest<()>,
     checks: Latest<Texts>,
     agent: Agent,
+    closed: Arc<AtomicBool>,
 }
 
 /// A catalogue's texts.
@@ -64,6 +66,7 @@
     agent: Agent,
     feed: Feed,
     metrics: Arc<Metrics>,
+    closed: Arc<AtomicBool>,
 }
 
 /// How a read of the platform ended.
@@ -103,11 +106,13 @@
     /// No thread could be started.
     pub fn start(base: &str, feed: &Feed, metrics: &Arc<Metrics>) -> anyhow::Result<Platform> {
         let agent = agent::agent(WATCH + ANSWER_TIME);
+        let closed = Arc::new(AtomicBool::new(false));
         let reader = || Reader {
             base: base.trim_end_matches('/').to_owned(),
             agent: agent.clone(),
             feed: feed.clone(),
             metrics: Arc::clone(metrics),
+            closed: Arc::clone(&closed),
         };
         let (watching, listing, checking) = (reader(), reader(), reader());
         Ok(Platform {
@@ -115,6 +120,7 @@
             vms: Latest::start("platform-vms", move |()| listing.list())?,
             checks: Latest::start("catalogue-check", move |texts| checking.check(&texts))?,
             agent,
+            closed,
         })
     }
 
@@ -136,6 +142,7 @@
 
 impl Drop for Platform {
     fn drop(&mut self) {
+        self.closed.store(true, Ordering::Relaxed);
         // Otherwise a watch would hold its thread, and a call of the platform's budget, for seconds.
         self.agent.clone().shutdown();
     }
@@ -229,6 +236,10 @@
         timeout: Duration,
     ) -> Result<T, ReadResult> {
         let result = self.read(path, timeout);
+        if self.closed.load(Ordering::Relaxed) {
+            // The end of the daemon cut it off, which is no failure of the platform.
+            return result;
+        }
         let outcome = result.as_ref().map_or_else(|failed| *failed, |_| ReadResult::Done);
         self.metrics.platform(kind, outcome);
         if outcome != ReadResult::Done {
