A stuck event loop shows in health and readiness; one filter of headers

Cause: readiness kept its last word when the loop hung, and the filter of hop-by-hop headers stood twice. Change: /healthz and /readyz answer 503 when the loop has not published for 5 s; answers of plain services pass the callers' filter.

--- a/crates/basilbank/src/admin/access.rs
+++ b/crates/basilbank/src/admin/access.rs
@@ -54,8 +54,8 @@
     pub fn route(&self, request: &Request) -> Response {
         let path = request.url();
         match (request.method(), path.as_str()) {
-            ("GET", "/healthz") => Response::text("ok\n"),
-            ("GET", "/readyz") => self.ready(),
+            ("GET", "/healthz") => yes_or_no(self.published.is_alive(), "ok", "stuck"),
+            ("GET", "/readyz") => yes_or_no(self.published.is_ready(), "ready", "not ready"),
             ("GET", "/metrics") => Response::from_data(METRICS, self.metrics.text()),
             _ if !self.is_allowed(request) => {
                 problem(401, "the operators' key is needed: Authorization: Bearer KEY")
@@ -85,13 +85,6 @@
         }
     }
 
-    fn ready(&self) -> Response {
-        if self.published.is_ready() {
-            return Response::text("ready\n");
-        }
-        Response::text("not ready\n").with_status_code(503)
-    }
-
     fn is_allowed(&self, request: &Request) -> bool {
         let presented = request.header("Authorization").and_then(|v| v.strip_prefix("Bearer "));
         presented.is_some_and(|key| key_hash(key).ct_eq(&self.key).into())
@@ -116,6 +109,13 @@
     }
 }
 
+fn yes_or_no(holds: bool, yes: &str, no: &str) -> Response {
+    if holds {
+        return Response::text(format!("{yes}\n"));
+    }
+    Response::text(format!("{no}\n")).with_status_code(503)
+}
+
 /// An error's answer.
 #[must_use]
 pub fn problem(status: u16, message: &str) -> Response {
--- a/crates/basilbank/src/callers.rs
+++ b/crates/basilbank/src/callers.rs
@@ -25,6 +25,8 @@
 mod stream;
 mod whole;
 
+pub(crate) use headers::from_service;
+
 pub use code::{EdgeRefusal, ErrorCode};
 pub use config::{ModelLookup, RefusalHook, ServerConfig};
 pub use prompt::{BLOCK_TOKENS, block_hashes, count_tokens};
--- a/crates/basilbank/src/callers/headers.rs
+++ b/crates/basilbank/src/callers/headers.rs
@@ -87,6 +87,12 @@
     end_to_end(headers).filter(|(name, _)| !own.contains(name)).map(owned).collect()
 }
 
+/// The headers of a service's answer that its caller gets.
+#[must_use]
+pub fn from_service(headers: &HeaderMap) -> Vec<(String, Bytes)> {
+    end_to_end(headers).map(owned).collect()
+}
+
 /// The headers of a message that are not hop-by-hop ones.
 fn end_to_end(headers: &HeaderMap) -> impl Iterator<Item = (&HeaderName, &HeaderValue)> {
     let named: Vec<String> = headers
--- a/crates/basilbank/src/daemon.rs
+++ b/crates/basilbank/src/daemon.rs
@@ -99,10 +99,11 @@
         let server = server_config(&settings, &published, &observer.metrics, &clock);
         let server = Server::start(server, events.clone(), Arc::clone(&callers))?;
         let platform = Platform::start(&settings.platform, &feed, &observer.metrics)?;
+        let state = State::new(local.with_tuning(settings.tuning), now);
+        published.publish(&state);
         let handle = Shutdown { events, published: Arc::clone(&published) };
         let parts = Parts { callers, engine, peers, platform, observer, published };
         let (control, done, stop) = control();
-        let state = State::new(local.with_tuning(settings.tuning), now);
         let event_loop = EventLoop::new(state, clock, inbox, questions, parts, control);
         let builder = thread::Builder::new().name("event-loop".to_owned()).stack_size(LOOP_STACK);
         let event_loop = Some(builder.spawn(move || event_loop.run())?);
--- a/crates/basilbank/src/engine/plain.rs
+++ b/crates/basilbank/src/engine/plain.rs
@@ -9,29 +9,17 @@
 use bytes::Bytes;
 use ureq::{
     Body,
-    http::{HeaderMap, Method, Request, Response, header},
+    http::{HeaderMap, Method, Request, Response},
 };
 
 use crate::{
-    callers::{HeldPlain, PlainAnswer},
+    callers::{HeldPlain, PlainAnswer, from_service},
     engine::{Worker, agent},
 };
 
 /// The header by which a plain service proves that nothing was run.
 const NOT_RUN: &str = "x-not-run";
 
-/// Headers of one connection, which a proxy must not pass on.
-const HOP_BY_HOP: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A call to a plain service.
 #[derive(Clone, Copy, Debug)]
 pub struct PlainCall {
@@ -85,11 +73,7 @@
         let mut request =
             request.method(held.method.as_str()).uri(format!("{base}{}", held.target));
         for (name, value) in &held.headers {
-            // The length is the client's to say, and it must not wait for a `100 Continue`.
-            if !name.eq_ignore_ascii_case("content-length") && !name.eq_ignore_ascii_case("expect")
-            {
-                request = request.header(name, value.as_ref());
-            }
+            request = request.header(name, value.as_ref());
         }
         request = request.header("x-request-id", call.request.to_string());
         let request = request.body(()).ok()?;
@@ -116,19 +100,6 @@
 }
 
 fn answer(response: &Response<Body>, body: Vec<u8>) -> PlainAnswer {
-    let named = connection_headers(response.headers());
-    let passed = response.headers().iter().filter(|(name, _)| {
-        let name = name.as_str();
-        !HOP_BY_HOP.contains(&name) && !named.iter().any(|n| n == name)
-    });
-    let headers = passed
-        .map(|(name, value)| (name.as_str().to_owned(), Bytes::copy_from_slice(value.as_bytes())))
-        .collect();
+    let headers = from_service(response.headers());
     PlainAnswer { status: response.status().as_u16(), headers, body: body.into() }
 }
-
-/// Headers that the service named as its connection's own.
-fn connection_headers(headers: &HeaderMap) -> Vec<String> {
-    let values = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
-    values.flat_map(|v| v.split(',')).map(|name| name.trim().to_ascii_lowercase()).collect()
-}
--- a/crates/basilbank/src/published.rs
+++ b/crates/basilbank/src/published.rs
@@ -6,6 +6,7 @@
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use basilbank_core::{catalogue::Catalogue, ids::EndpointId, state::State};
@@ -17,6 +18,9 @@
 const ADDRESSES_KEPT: usize = 4;
 const ADDRESSES_MORE: usize = 1024;
 
+/// The event loop publishes at least every 100 ms; after this long without, it is stuck.
+const STUCK: Duration = Duration::from_secs(5);
+
 /// Snapshots of the state, taken by the event loop.
 #[derive(Debug, Default)]
 pub struct Published {
@@ -24,11 +28,14 @@
     addresses: Mutex<HashMap<EndpointId, Arc<str>>>,
     progress: AtomicUsize,
     ready: AtomicBool,
+    /// When the event loop last published.
+    beat: Mutex<Option<Instant>>,
 }
 
 impl Published {
     /// Takes over what changed.
     pub fn publish(&self, state: &State) {
+        *lock(&self.beat) = Some(Instant::now());
         self.progress.store(state.requests.arena.len(), Ordering::Relaxed);
         self.ready.store(state.is_ready(), Ordering::Relaxed);
         self.publish_catalogue(&state.view.catalogue);
@@ -66,7 +73,14 @@
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+        self.ready.load(Ordering::Relaxed) && self.is_alive()
+    }
+
+    /// Whether the event loop turns. One that is stuck would leave the last word standing, and the
+    /// platform's balancer would go on sending callers.
+    #[must_use]
+    pub fn is_alive(&self) -> bool {
+        lock(&self.beat).is_some_and(|beat| beat.elapsed() < STUCK)
     }
 
     fn learn_addresses(&self, catalogue: &Catalogue) {
