--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod documents;
 mod health;
+mod lag;
 mod ledger;
 mod limits;
 mod members;
@@ -27,11 +28,15 @@
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
-    health::{Health, Known},
+    health::{Health, Known, Lags},
+    lag::Lag,
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
-    limits::{Bucket, Holder, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit, Usage},
+    limits::{
+        Bucket, Holder, LeaseTerms, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit,
+        Shortage, Usage,
+    },
     members::{Census, Member, Members, Presence, rank},
-    orders::Orders,
+    orders::{ModelChange, Orders, Roll, RollStage, Serving, Target},
     prefixes::Prefixes,
     reaper::{Cancelled, Reaper, Watch},
     requests::{Request, RequestStage, Requests},
@@ -139,6 +144,8 @@
     pub rng: Rng,
     /// SIGTERM came: no new work.
     pub leaving: bool,
+    /// The earliest moment to exit after that.
+    pub exit_at: Duration,
     /// When the daemon started, on the monotonic clock.
     pub started: Duration,
 }
@@ -148,7 +155,7 @@
     #[must_use]
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
-        for timer in [Timer::Platform, Timer::Slots, Timer::Loads] {
+        for timer in [Timer::Platform, Timer::Slots, Timer::Loads, Timer::Orders] {
             timers.set(now.mono, timer);
         }
         let mut rng = Rng::new(local.seed);
@@ -171,6 +178,7 @@
             timers,
             rng,
             leaving: false,
+            exit_at: Duration::ZERO,
             started: now.mono,
             local,
         }
