Two voters are asked for a key first, the third when it is needed

Cause: all three voters were asked and told for each keyed call, though two votes win.

Change: this daemon's own vote and those of live voters come first; the third voter is asked as soon as one of the two does not grant, or after a timeout. Random schedules of claims, with messages held, lost and late, daemons stopped, replaced and taken off lists, check that a key runs once.

--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -36,13 +36,11 @@
     let made = made_at(text);
     let id = request.id;
     let voters = state.members.voters(name.subject());
-    let ballots =
-        voters.into_iter().map(|vm| Ballot { vm, verdict: None, record: None, told: false });
     let claim = OwnClaim {
         request: key,
         key: name,
         made,
-        ballots: ballots.collect(),
+        ballots: voters.into_iter().map(Ballot::new).collect(),
         phase: ClaimPhase::Asking,
         is_sent: false,
         record: KeyRecord { request: id.0, vm: state.local.vm.0, ..KeyRecord::default() },
@@ -170,15 +168,14 @@
     }
 }
 
-/// Asks the voters that have not granted the key. One that gave it to another request is asked
-/// again, for that request may give it back.
+/// Asks voters for the key. Live ones go first, and this daemon itself before all others.
 fn ask(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
     let Some(claim) = state.claims.own.get_mut(&id) else { return };
     if claim.phase != ClaimPhase::Asking {
         return;
     }
-    let may_grant = |b: &&Ballot| matches!(b.verdict, None | Some(Verdict::Running));
-    let voters: Vec<_> = claim.ballots.iter().filter(may_grant).map(|b| b.vm).collect();
+    let members = &state.members;
+    let voters = claim.next_voters(|vm| (vm != members.own, !members.is_live(vm)));
     let message = Claim { key: claim.key.0.to_vec(), request: id.0, made: claim.made };
     let own = state.local.vm;
     for vm in voters {
@@ -202,6 +199,10 @@
     }
     let key = claim.request;
     match claim.standing(waited) {
+        Standing::Open if claim.wants_more() => {
+            ask(state, now, id, out);
+            decide(state, now, id, waited, out);
+        }
         Standing::Open => {}
         Standing::Won => {
             claim.phase = ClaimPhase::Held;
@@ -286,7 +287,8 @@
     let message = Settle { key: claim.key.0.to_vec(), record: Some(claim.record.clone()) };
     let pause = state.local.tuning.peer_timeout * TELL_GROWTH.pow(claim.sent);
     claim.sent += 1;
-    let untold: Vec<_> = claim.ballots.iter().filter(|b| !b.told).map(|b| b.vm).collect();
+    let untold: Vec<_> =
+        claim.ballots.iter().filter(|b| b.asked && !b.told).map(|b| b.vm).collect();
     claim.note_told(own);
     for vm in untold {
         if vm == own {
--- a/crates/basilbank_core/src/state/claims/own_claim.rs
+++ b/crates/basilbank_core/src/state/claims/own_claim.rs
@@ -14,6 +14,8 @@
 pub struct Ballot {
     /// The voter.
     pub vm: VmId,
+    /// It was asked.
+    pub asked: bool,
     /// Its last answer.
     pub verdict: Option<Verdict>,
     /// What it knows of another request that has the key.
@@ -22,6 +24,20 @@
     pub told: bool,
 }
 
+impl Ballot {
+    /// A voter that was not asked yet.
+    #[must_use]
+    pub fn new(vm: VmId) -> Ballot {
+        Ballot { vm, asked: false, verdict: None, record: None, told: false }
+    }
+
+    /// Whether it may still grant the key.
+    #[must_use]
+    pub fn may_grant(&self) -> bool {
+        matches!(self.verdict, None | Some(Verdict::Running))
+    }
+}
+
 /// How far a claim is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum ClaimPhase {
@@ -86,7 +102,7 @@
     /// Whether all voters know the newest record.
     #[must_use]
     pub fn is_told(&self) -> bool {
-        self.ballots.iter().all(|b| b.told)
+        self.ballots.iter().all(|b| b.told || !b.asked)
     }
 
     /// Changes what the voters are told.
@@ -103,6 +119,33 @@
         self.ballots.len() / 2 + 1
     }
 
+    /// Marks the voters to be asked now, and gives them.
+    ///
+    /// Two votes win, so the two cheapest voters are asked first, and the third when one of them does
+    /// not grant.
+    /// After that all are asked that have not granted; one that gave the key to another request may
+    /// have got it back.
+    pub fn next_voters<C: Ord>(&mut self, cost: impl Fn(VmId) -> C) -> Vec<VmId> {
+        let needed = self.needed();
+        let is_first = !self.ballots.iter().any(|b| b.asked);
+        let mut open: Vec<_> = self.ballots.iter_mut().filter(|b| b.may_grant()).collect();
+        if is_first {
+            open.sort_by_key(|b| cost(b.vm));
+            open.truncate(needed);
+        }
+        for ballot in &mut open {
+            ballot.asked = true;
+        }
+        open.into_iter().map(|b| b.vm).collect()
+    }
+
+    /// Whether all voters that were asked have answered, and another has not been asked.
+    #[must_use]
+    pub fn wants_more(&self) -> bool {
+        let mut asked = self.ballots.iter().filter(|b| b.asked);
+        asked.all(|b| b.verdict.is_some()) && self.ballots.iter().any(|b| !b.asked)
+    }
+
     /// How the claim stands. `waited`: the voters that did not answer had the time to.
     ///
     /// Two daemons that claim one key at once may split the votes one to one while the third voter
--- a/crates/basilbank_core/tests/daemons/main.rs
+++ b/crates/basilbank_core/tests/daemons/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod leaving;
 mod orders;
+mod races;
 mod reaping;
 #[path = "../world/mod.rs"]
 mod world;
