--- a/crates/basilbank/src/engine/report.rs
+++ b/crates/basilbank/src/engine/report.rs
@@ -89,15 +89,19 @@
         model: load.model,
         version: load.version,
         adapter: load.adapter,
-        role: match load.role.as_str() {
-            "prefill" => Some(Role::Prefill),
-            "decode" => Some(Role::Decode),
-            _ => None,
-        },
+        role: role(&load.role),
         fence: load.fence,
     }
 }
 
+fn role(name: &str) -> Option<Role> {
+    match name {
+        "prefill" => Some(Role::Prefill),
+        "decode" => Some(Role::Decode),
+        _ => None,
+    }
+}
+
 fn cache_report(cache: &Cache) -> EngineReport {
     let blocks = |names: &[String]| names.iter().filter_map(|name| hex(name)).collect();
     EngineReport::Cache {
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -5,6 +5,7 @@
 use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Release, Reserve};
 
 use crate::{
+    catalogue::{Endpoint, Role},
     effect::{Effect, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
     reduce::{order, peer, queue, reserve},
@@ -36,7 +37,7 @@
     let waiter = waiter(now, key, from, ask);
     match ledger.waiting.iter_mut().find(|w| w.key == key) {
         Some(known) => *known = Waiter { since: known.since, ..waiter },
-        None => ledger.waiting.push(waiter),
+        None => ledger.wait(waiter, now.mono),
     }
     serve(state, now, endpoint, out);
     drop_hopeless(state, now, endpoint, out);
@@ -81,15 +82,15 @@
 /// prefills. So it asks all peers first.
 fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     let Some(known) = state.view.endpoint(endpoint) else { return };
-    let slots = if known.slots == 0 { u32::MAX } else { known.slots };
+    let slots = grantable(known);
     if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
-        ledger.slots = slots;
+        (ledger.slots, ledger.rate) = (slots, known.prefill_rate);
         return;
     }
     let own = state.local.vm;
     let live = state.members.all.keys().copied().filter(|vm| state.members.is_live(*vm));
     let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
-    let mut ledger = Ledger { slots, ..Ledger::default() };
+    let mut ledger = Ledger { slots, rate: known.prefill_rate, ..Ledger::default() };
     for vm in &missing {
         let ask = AskHolds { endpoint: endpoint.0 };
         out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
@@ -102,11 +103,24 @@
     adopt(state, now, own, &held, out);
 }
 
+/// Slots of an endpoint that may be leased at once; all that are asked for where it has no limit.
+///
+/// Between a plain call's end and the next one's start lie three messages. A call takes hardly longer
+/// than these, so a service whose slots were leased just once would often be idle. One in four more
+/// waits at the service's own door, which refuses provably what is too much for it.
+fn grantable(endpoint: &Endpoint) -> u32 {
+    match (endpoint.role, endpoint.slots) {
+        (_, 0) => u32::MAX,
+        (Role::Plain, slots) => slots + slots.div_ceil(4),
+        (_, slots) => slots,
+    }
+}
+
 /// Grants slots to those that wait, as far as there are any.
 pub fn serve(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     loop {
         let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
-        let Some(choice) = queue::next(ledger, &state.view, now) else { return };
+        let Some(choice) = queue::next(ledger, &state.view, now) else { break };
         let waiter = ledger.waiting.swap_remove(choice.index);
         let lease = Lease {
             vm: waiter.vm,
@@ -120,6 +134,12 @@
         ledger.lease(waiter.key, lease);
         grant(state, waiter.key, waiter.vm, choice.lent, out);
     }
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    let at = ledger.ready_at();
+    if !ledger.waiting.is_empty() && 0 < ledger.free() && ledger.alarm < at {
+        ledger.alarm = at;
+        state.timers.set(at, Timer::Serve(endpoint));
+    }
 }
 
 fn grant(state: &mut State, key: SlotKey, to: VmId, lent: bool, out: &mut Vec<Effect>) {
@@ -172,7 +192,9 @@
     ledger.waiting.retain(|w| w.key != key);
     let moved = ledger.waiting.len() < waited || ledger.end(key, now.mono).is_some();
     if moved {
-        ledger.note_move(now.mono);
+        if 0 < waited {
+            ledger.note_move(now.mono);
+        }
         serve(state, now, endpoint, out);
     }
 }
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod documents;
 mod health;
+mod lag;
 mod ledger;
 mod limits;
 mod members;
@@ -27,9 +28,13 @@
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
-    health::{Health, Known},
+    health::{Health, Known, Lags},
+    lag::Lag,
     ledger::{Learning, Lease, Ledger, Seen, Waiter},
-    limits::{Bucket, Holder, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit, Usage},
+    limits::{
+        Bucket, Holder, LeaseTerms, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit,
+        Shortage, Usage,
+    },
     members::{Census, Member, Members, Presence, rank},
     orders::{ModelChange, Orders, Roll, RollStage, Serving, Target},
     prefixes::Prefixes,
