--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -24,6 +24,8 @@
 const TELL_ROUNDS: u32 = 5;
 /// Each wait for a voter's confirmation is this many times the one before.
 const TELL_GROWTH: u32 = 4;
+/// When a caller should come back whose key the voters can't tell from a repeat.
+const COME_BACK: Duration = Duration::from_secs(5);
 /// A running request's key is renewed this many times in a key window.
 const RENEWALS: u32 = 4;
 
@@ -223,12 +225,14 @@
 fn give_up(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
     let Some(claim) = state.claims.own.get(&id) else { return };
     let key = claim.request;
-    let record = match claim.standing(Waited::Enough) {
-        Standing::Lost(record) => record,
-        Standing::Open | Standing::Won => None,
-    };
+    let standing = claim.standing(Waited::Enough);
     end(state, id, Outcome::NotRun);
-    repeat(state, now, key, record, out);
+    match standing {
+        Standing::Lost(record) => repeat(state, now, key, record, out),
+        Standing::Open | Standing::Won => {
+            settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
+        }
+    }
 }
 
 /// Another request has the key, or nobody can tell: answer without a run.
@@ -241,7 +245,7 @@
 ) {
     let Some(request) = state.requests.arena.get(key) else { return };
     let Some(record) = record else {
-        settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
+        settle::refuse_until(state, now, key, Refusal::KeyUnclaimed, Some(COME_BACK), out);
         return;
     };
     let pairs = vec![
--- a/crates/basilbank_core/tests/daemons/reaping.rs
+++ b/crates/basilbank_core/tests/daemons/reaping.rs
@@ -95,6 +95,22 @@
     fleet
 }
 
+/// A KV cache is of no use to a caller that comes back, so it goes as soon as its daemon counts as
+/// dead. Endpoints evict it by themselves; this is for one that does not.
+#[test]
+fn a_dead_daemons_kv_cache_goes_at_once() {
+    let mut fleet = ready();
+    let mut engine = Engine::new("prefill-0");
+    for (owner, request) in [(2, 1), (3, 2)] {
+        engine.hold(&fleet, owner, request, false);
+        engine.streams.last_mut().unwrap().info.kv = true;
+    }
+    fleet.down.insert(2);
+    engine.run(&mut fleet, 7);
+    assert!(!engine.holds(1));
+    assert!(engine.holds(2), "its daemon lives");
+}
+
 /// Symptom: a decode slot stays taken for minutes after a VM died. Sequence: the daemon dies, its
 /// stream goes on without a reader. Cause would be that nobody but the owner cancels streams. The
 /// grace lets a caller come back with its cursor first.
