--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -24,6 +24,8 @@
 const TELL_ROUNDS: u32 = 5;
 /// Each wait for a voter's confirmation is this many times the one before.
 const TELL_GROWTH: u32 = 4;
+/// When a caller should come back whose key the voters can't tell from a repeat.
+const COME_BACK: Duration = Duration::from_secs(5);
 /// A running request's key is renewed this many times in a key window.
 const RENEWALS: u32 = 4;
 
@@ -36,13 +38,11 @@
     let made = made_at(text);
     let id = request.id;
     let voters = state.members.voters(name.subject());
-    let ballots =
-        voters.into_iter().map(|vm| Ballot { vm, verdict: None, record: None, told: false });
     let claim = OwnClaim {
         request: key,
         key: name,
         made,
-        ballots: ballots.collect(),
+        ballots: voters.into_iter().map(Ballot::new).collect(),
         phase: ClaimPhase::Asking,
         is_sent: false,
         record: KeyRecord { request: id.0, vm: state.local.vm.0, ..KeyRecord::default() },
@@ -113,8 +113,11 @@
     if claim.phase != ClaimPhase::Held {
         return;
     }
-    claim.record.endpoint = endpoint.0;
-    claim.record.stream = stream.to_owned();
+    // A stream that continues another one lacks the answer's beginning. A repeat that joined it would
+    // take its first token for the answer's first: a text that starts in the middle of a sentence.
+    let is_whole = state.requests.current(key).is_some_and(|(_, attempt)| attempt.base == 0);
+    claim.record.endpoint = if is_whole { endpoint.0 } else { 0 };
+    claim.record.stream = if is_whole { stream.to_owned() } else { String::new() };
     let id = request.id;
     publish(state, id);
 }
@@ -170,15 +173,14 @@
     }
 }
 
-/// Asks the voters that have not granted the key. One that gave it to another request is asked
-/// again, for that request may give it back.
+/// Asks voters for the key. Live ones go first, and this daemon itself before all others.
 fn ask(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
     let Some(claim) = state.claims.own.get_mut(&id) else { return };
     if claim.phase != ClaimPhase::Asking {
         return;
     }
-    let may_grant = |b: &&Ballot| matches!(b.verdict, None | Some(Verdict::Running));
-    let voters: Vec<_> = claim.ballots.iter().filter(may_grant).map(|b| b.vm).collect();
+    let members = &state.members;
+    let voters = claim.next_voters(|vm| (vm != members.own, !members.is_live(vm)));
     let message = Claim { key: claim.key.0.to_vec(), request: id.0, made: claim.made };
     let own = state.local.vm;
     for vm in voters {
@@ -202,6 +204,10 @@
     }
     let key = claim.request;
     match claim.standing(waited) {
+        Standing::Open if claim.wants_more() => {
+            ask(state, now, id, out);
+            decide(state, now, id, waited, out);
+        }
         Standing::Open => {}
         Standing::Won => {
             claim.phase = ClaimPhase::Held;
@@ -222,12 +228,14 @@
 fn give_up(state: &mut State, now: Now, id: RequestId, out: &mut Vec<Effect>) {
     let Some(claim) = state.claims.own.get(&id) else { return };
     let key = claim.request;
-    let record = match claim.standing(Waited::Enough) {
-        Standing::Lost(record) => record,
-        Standing::Open | Standing::Won => None,
-    };
+    let standing = claim.standing(Waited::Enough);
     end(state, id, Outcome::NotRun);
-    repeat(state, now, key, record, out);
+    match standing {
+        Standing::Lost(record) => repeat(state, now, key, record, out),
+        Standing::Open | Standing::Won => {
+            settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
+        }
+    }
 }
 
 /// Another request has the key, or nobody can tell: answer without a run.
@@ -240,7 +248,7 @@
 ) {
     let Some(request) = state.requests.arena.get(key) else { return };
     let Some(record) = record else {
-        settle::refuse(state, now, key, Refusal::KeyUnclaimed, out);
+        settle::refuse_until(state, now, key, Refusal::KeyUnclaimed, Some(COME_BACK), out);
         return;
     };
     let pairs = vec![
@@ -286,7 +294,8 @@
     let message = Settle { key: claim.key.0.to_vec(), record: Some(claim.record.clone()) };
     let pause = state.local.tuning.peer_timeout * TELL_GROWTH.pow(claim.sent);
     claim.sent += 1;
-    let untold: Vec<_> = claim.ballots.iter().filter(|b| !b.told).map(|b| b.vm).collect();
+    let untold: Vec<_> =
+        claim.ballots.iter().filter(|b| b.asked && !b.told).map(|b| b.vm).collect();
     claim.note_told(own);
     for vm in untold {
         if vm == own {
