The rig for the real daemon is shared by test programs

Cause: tests of several daemons need the same process handling as the end-to-end tests: start, log, signals, end by id, also after a failed assertion. The stand-in site writes the tuning that tests of several daemons vary into settings files. Conclusion: no test of e2e changed.

--- a/crates/basilbank_standin/src/site.rs
+++ b/crates/basilbank_standin/src/site.rs
@@ -159,6 +159,7 @@
             "peer_key": settings.peer_key,
             "admin_key": settings.admin_key,
             "log": { "level": settings.log.level },
+            "tuning": tuning(settings),
         });
         format!("// Made by `basilbank_standin serve`.\n{file:#}\n")
     }
@@ -174,3 +175,15 @@
         self.platform.set_vms(daemons.iter().map(vm).collect());
     }
 }
+
+/// The tuning's times that matter among several daemons, as a settings file has them.
+fn tuning(settings: &Settings) -> Value {
+    let tuning = &settings.tuning;
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    json!({
+        "dead_after_ms": millis(tuning.dead_after),
+        "skew_ms": millis(tuning.skew),
+        "reap_interval_ms": millis(tuning.reap_interval),
+        "stream_grace_ms": millis(tuning.stream_grace),
+    })
+}
--- a/crates/basilbankd/tests/e2e/main.rs
+++ b/crates/basilbankd/tests/e2e/main.rs
@@ -1,5 +1,7 @@
 //! The real daemon between a caller and stand-ins, over real sockets.
 
+#[path = "../common/mod.rs"]
+mod common;
 mod daemons;
 mod drafts;
 mod faults;
