--- a/crates/basilbank/src/peers.rs
+++ b/crates/basilbank/src/peers.rs
@@ -8,6 +8,7 @@
 mod address_book;
 mod batch;
 mod bind;
+mod heard;
 mod receiver;
 mod stream;
 
@@ -24,7 +25,7 @@
 use basilbank_core::{ids::VmId, state::Local};
 use basilbank_wire::{Message, Packet, Sealer, VmList};
 
-use self::{address_book::AddressBook, receiver::Receiver};
+use self::{address_book::AddressBook, heard::Heard, receiver::Receiver};
 use crate::{inbox::Feed, metrics::Metrics, pool::Pool};
 
 /// Largest sealed datagram in bytes: below the smallest path MTU in use, so that none is fragmented.
@@ -81,6 +82,7 @@
     own: VmId,
     incarnation: u64,
     book: AddressBook,
+    heard: Arc<Heard>,
     /// Messages that wait for the flush.
     queued: BTreeMap<VmId, Vec<Message>>,
     /// The next sequence number for each peer.
@@ -104,8 +106,10 @@
         let address = socket.local_addr()?;
         let sealer = Sealer::new(key);
         let stop = Arc::new(AtomicBool::new(false));
+        let heard = Arc::new(Heard::default());
         let receiver =
-            Receiver::new(local.vm, sealer.clone(), feed, Arc::clone(metrics), Arc::clone(&stop));
+            Receiver::new(local.vm, sealer.clone(), feed, Arc::clone(metrics), Arc::clone(&stop))
+                .with_heard(Arc::clone(&heard));
         receiver.start(socket.try_clone()?, listener)?;
         Ok(Peers {
             address,
@@ -117,6 +121,7 @@
             own: local.vm,
             incarnation: local.incarnation,
             book: AddressBook::default(),
+            heard,
             queued: BTreeMap::new(),
             sequences: BTreeMap::new(),
         })
@@ -131,6 +136,7 @@
     /// Learns peers' addresses from the VM list that the core goes by.
     pub fn learn(&mut self, list: &VmList) {
         if self.book.learn(list) {
+            self.heard.close();
             let book = &self.book;
             self.sequences.retain(|vm, _| book.get(*vm).is_some());
         }
@@ -144,7 +150,7 @@
     /// Sends what is queued.
     pub fn flush(&mut self) {
         for (to, messages) in std::mem::take(&mut self.queued) {
-            let Some(address) = self.book.get(to) else {
+            let Some(address) = self.book.get(to).or_else(|| self.heard.get(to)) else {
                 self.metrics.unsent(Unsent::UnknownVm, messages.len());
                 continue;
             };
--- a/crates/basilbank/src/peers/receiver.rs
+++ b/crates/basilbank/src/peers/receiver.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{TcpListener, TcpStream, UdpSocket},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -17,7 +17,7 @@
 use crate::{
     inbox::Feed,
     metrics::Metrics,
-    peers::{DATAGRAM, stream},
+    peers::{DATAGRAM, heard::Heard, stream},
     pool::Pool,
     sync::lock,
 };
@@ -35,6 +35,7 @@
 #[derive(Clone, Debug)]
 pub struct Receiver {
     shared: Arc<Shared>,
+    heard: Arc<Heard>,
 }
 
 #[derive(Debug)]
@@ -61,7 +62,14 @@
         let guard = Mutex::new(ReplayGuard::default());
         let readers = Pool::new("peer-read", READERS, 0);
         let shared = Shared { own, sealer, guard, feed, metrics, stop, readers };
-        Receiver { shared: Arc::new(shared) }
+        Receiver { shared: Arc::new(shared), heard: Arc::default() }
+    }
+
+    /// Sets where the addresses of peers that are heard are noted.
+    #[must_use]
+    pub fn with_heard(mut self, heard: Arc<Heard>) -> Receiver {
+        self.heard = heard;
+        self
     }
 
     /// Starts listening.
@@ -69,14 +77,14 @@
     /// # Errors
     /// A thread can't be started.
     pub fn start(self, socket: UdpSocket, listener: TcpListener) -> io::Result<()> {
-        let shared = Arc::clone(&self.shared);
-        spawn("peer-udp", move || shared.listen(&socket))?;
+        let (shared, heard) = (Arc::clone(&self.shared), self.heard);
+        spawn("peer-udp", move || shared.listen(&socket, &heard))?;
         spawn("peer-tcp", move || Shared::accept(&self.shared, &listener))
     }
 }
 
 impl Shared {
-    fn listen(&self, socket: &UdpSocket) {
+    fn listen(&self, socket: &UdpSocket, heard: &Heard) {
         // One byte more than a datagram may have tells a longer one from the longest.
         let mut buffer = [0; DATAGRAM + 1];
         loop {
@@ -86,17 +94,18 @@
             }
             match received {
                 Ok((len, _)) if DATAGRAM < len => self.metrics.dropped(DropReason::TooLarge),
-                Ok((len, _)) => self.take_datagram(&buffer[..len]),
+                Ok((len, from)) => self.take_datagram(&buffer[..len], from, heard),
                 Err(_) => thread::sleep(PAUSE),
             }
         }
     }
 
-    fn take_datagram(&self, bytes: &[u8]) {
+    fn take_datagram(&self, bytes: &[u8], from: SocketAddr, heard: &Heard) {
         let packet = match self.open(bytes) {
             Ok(packet) => packet,
             Err(reason) => return self.metrics.dropped(reason),
         };
+        heard.note(VmId(packet.from), from);
         for event in events(packet) {
             // Waiting here would only fill the system's buffer, which drops without a counter.
             if self.feed.offer(event).is_err() {
