A daemon that the list drops and has again knows itself

Cause: after a VM was replaced, drafts at some endpoints waited for ever: the successor had adopted a lagging list without itself, forgot its own entry and took itself for dead, while its peers named it steward. Change: the own entry is kept while it is not listed.

--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -41,6 +41,7 @@
     ring: Vec<VmId>,
     candidates: Vec<VmId>,
     departed: Departed,
+    unlisted: Option<Member>,
 }
 
 impl Members {
@@ -63,12 +64,16 @@
         let mut old = std::mem::take(&mut self.all);
         for record in vms {
             let vm = VmId::of(&record.name);
-            let known = old.remove(&vm).or_else(|| self.departed.take(vm));
+            let own = if vm == self.own { self.unlisted.take() } else { None };
+            let known = old.remove(&vm).or(own).or_else(|| self.departed.take(vm));
             let mut member = known.unwrap_or_default();
             member.list(record);
             self.all.insert(vm, member);
         }
-        old.remove(&self.own);
+        // A VM that was replaced starts before the lagging list has it again. A daemon that forgot
+        // itself meanwhile would count as dead in its own eyes for ever: its peers would name it as
+        // a steward, and it would refuse to be one.
+        self.unlisted = old.remove(&self.own).or(self.unlisted.take());
         for (vm, member) in old {
             self.departed.put(vm, member);
         }
