A stream that is taken over is not taken back; new stewards read the load first

Cause: (1) a reader whose stream another call took over saw a broken connection and read it again, so both were answered, or one cancelled it under the other. (2) A repeat joined a stream that continues another one, and took its first token for the answer's. (3) A new steward granted slots at an endpoint that had been leaving for seconds, before it had read its load and on the very report. Change: Failure::Taken ends the earlier reader and cancels nothing; voters are not told streams that lack the beginning; a new ledger waits for the first report, and nothing is granted where work is barred. The shell and the stand-in engines still have to speak the line {"taken": true}.

--- a/crates/basilbank_core/src/event.rs
+++ b/crates/basilbank_core/src/event.rs
@@ -186,6 +186,8 @@
     Stalled,
     /// The connection broke or a time limit passed after something was sent.
     Broken,
+    /// Another reader took the stream over.
+    Taken,
 }
 
 /// What an endpoint reports of itself.
--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -113,12 +113,23 @@
     if claim.phase != ClaimPhase::Held {
         return;
     }
-    claim.record.endpoint = endpoint.0;
-    claim.record.stream = stream.to_owned();
+    // A stream that continues another one lacks the answer's beginning. A repeat that joined it would
+    // take its first token for the answer's first: a text that starts in the middle of a sentence.
+    let is_whole = state.requests.current(key).is_some_and(|(_, attempt)| attempt.base == 0);
+    claim.record.endpoint = if is_whole { endpoint.0 } else { 0 };
+    claim.record.stream = if is_whole { stream.to_owned() } else { String::new() };
     let id = request.id;
     publish(state, id);
 }
 
+/// A request's stream is read on by another one with the same key. The voters keep what they know, so
+/// that a later repeat still finds the stream.
+pub fn handed_on(state: &mut State, key: RequestKey) {
+    if let Some(request) = state.requests.arena.get(key) {
+        state.claims.own.remove(&request.id);
+    }
+}
+
 /// A request ended: its voters should know.
 ///
 /// A request of which nothing was run gives its key back, so that the caller's retry can run. So does
--- a/crates/basilbank_core/src/reduce/load.rs
+++ b/crates/basilbank_core/src/reduce/load.rs
@@ -60,6 +60,10 @@
     let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
     let at = now.mono.saturating_sub(age);
     ledger.seen = Some(Seen { running, at });
+    if let Some(learning) = &mut ledger.learning {
+        learning.unread = false;
+    }
+    ledger.learned();
     // Leases that ended since the measurement were running then, so they are no one else's.
     let held = ledger.leases.len() as u32 + ledger.ended_since(at);
     ledger.foreign = running.saturating_sub(held);
@@ -76,7 +80,7 @@
     let jitter = 0.5 + 0.5 * state.rng.unit();
     let known = state.health.entry(endpoint);
     match failure {
-        Failure::Evicted => return,
+        Failure::Evicted | Failure::Taken => return,
         Failure::Full => {
             known.full = Some(now.mono + FULL);
             return;
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -9,7 +9,7 @@
     event::Failure,
     ids::{AttemptKey, RequestKey},
     reason::{Refusal, Retry, Waste},
-    reduce::{charge, decode, deliver, load, place, prefill, reserve, resume, settle},
+    reduce::{charge, claim, decode, deliver, load, place, prefill, reserve, resume, settle},
     state::{AttemptStage, RequestStage, SlotKey, State, Timer},
     time::Now,
 };
@@ -31,6 +31,9 @@
 ) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let stage = found.stage;
+    if failure == Failure::Taken && stage == AttemptStage::Stream {
+        return taken(state, now, attempt, out);
+    }
     if let Some(endpoint) = found.endpoint() {
         load::blame(state, now, endpoint, failure, out);
     }
@@ -76,7 +79,7 @@
         Failure::Full | Failure::Leaving | Failure::Refused => Retry::Refused,
         Failure::Evicted => Retry::Evicted,
         Failure::Stalled => Retry::TransferStalled,
-        Failure::Broken => otherwise,
+        Failure::Broken | Failure::Taken => otherwise,
     }
 }
 
@@ -202,6 +205,20 @@
     stream_died(state, now, attempt, Waste::DecodeFailed, out);
 }
 
+/// The caller, or another one with its key, reads the stream on through another call.
+///
+/// To read it again here would take it back. The two readers would cut each other off, and the one
+/// whose caller has left would cancel the stream under the other: an answer that stops for no reason
+/// in the endpoint's log. So this side ends, and cancels nothing.
+fn taken(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let found = &mut state.requests.attempts[attempt];
+    let key = found.request;
+    found.stream = None;
+    found.enter(AttemptStage::Queue, now.mono);
+    claim::handed_on(state, key);
+    settle::unknown(state, now, key, out);
+}
+
 /// A stream is lost: its request goes on elsewhere from the text so far.
 pub fn stream_died(
     state: &mut State,
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -5,7 +5,8 @@
 use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Release, Reserve};
 
 use crate::{
-    effect::{Effect, Progress},
+    catalogue::Role,
+    effect::{Effect, EngineCall, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
     reduce::{order, peer, queue, reserve},
     state::{Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
@@ -78,7 +79,9 @@
 ///
 /// A steward that is new does not know what its predecessor granted. Granting all slots then would
 /// put up to twice as many requests on the endpoint as it has slots, seen as refusals after whole
-/// prefills. So it asks all peers first.
+/// prefills. So it asks all peers first. Nor does it know whether the endpoint is leaving: its
+/// predecessor alone read that, and work granted before the first report would reach an endpoint
+/// that was marked long ago. So it reads the endpoint's load too.
 fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     let Some(known) = state.view.endpoint(endpoint) else { return };
     let slots = if known.slots == 0 { u32::MAX } else { known.slots };
@@ -94,16 +97,23 @@
         let ask = AskHolds { endpoint: endpoint.0 };
         out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
     }
-    if !missing.is_empty() {
-        ledger.learning = Some(Learning { missing, until: now.mono + LEARN });
+    let unread = known.role != Role::Plain;
+    if unread {
+        out.push(Effect::Engine(EngineCall::ReadLoad { endpoint }));
     }
+    ledger.learning = Some(Learning { missing, unread, until: now.mono + LEARN });
+    ledger.learned();
     state.slots.ledgers.insert(endpoint, ledger);
     let held = reserve::holds_at(state, endpoint);
     adopt(state, now, own, &held, out);
 }
 
-/// Grants slots to those that wait, as far as there are any.
+/// Grants slots to those that wait, as far as there are any. Nothing is granted at an endpoint that
+/// has just been found to be leaving; the next tick denies those that wait.
 pub fn serve(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    if bar(state, endpoint).is_some() {
+        return;
+    }
     loop {
         let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
         let Some(choice) = queue::next(ledger, &state.view, now) else { return };
@@ -204,10 +214,8 @@
     }
     if let Some(learning) = &mut ledger.learning {
         learning.missing.remove(&from);
-        if learning.missing.is_empty() {
-            ledger.learning = None;
-        }
     }
+    ledger.learned();
     serve(state, now, endpoint, out);
 }
 
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -56,6 +56,8 @@
 pub struct Learning {
     /// Peers that have not told what they hold.
     pub missing: BTreeSet<VmId>,
+    /// The endpoint has not reported yet.
+    pub unread: bool,
     /// When it stops waiting for them.
     pub until: Duration,
 }
@@ -109,6 +111,13 @@
         self.slots.saturating_sub((seen.running + since).max(held))
     }
 
+    /// Ends the learning when all has been heard.
+    pub fn learned(&mut self) {
+        if self.learning.as_ref().is_some_and(|l| l.missing.is_empty() && !l.unread) {
+            self.learning = None;
+        }
+    }
+
     /// Adds or renews a lease.
     pub fn lease(&mut self, key: SlotKey, lease: Lease) {
         let entry = lease.entry;
--- a/crates/basilbank_core/tests/world/ask.rs
+++ b/crates/basilbank_core/tests/world/ask.rs
@@ -4,6 +4,8 @@
 
 use basilbank_core::prelude::*;
 
+use super::EPOCH_MS;
+
 /// What is asked for.
 #[derive(Clone, Debug)]
 pub enum Job {
@@ -34,7 +36,7 @@
     pub team: usize,
     /// What.
     pub job: Job,
-    /// The idempotency key, the same on all tries.
+    /// A name for the idempotency key, the same on all tries.
     pub key: Option<String>,
     /// What the caller says on repeating it.
     pub repeatable: Option<bool>,
@@ -104,6 +106,16 @@
         self
     }
 
+    /// The idempotency key: a UUIDv7 of the moment of the first try.
+    #[must_use]
+    pub fn idempotency(&self) -> Option<String> {
+        let random = EntryId::of(self.key.as_ref()?).0;
+        let made = EPOCH_MS + self.at.as_millis() as u64;
+        let (high, low) = (made >> 16, made & 0xffff);
+        let (a, b) = (random >> 52, random & 0xffff_ffff_ffff);
+        Some(format!("{high:08x}-{low:04x}-7{a:03x}-8000-{b:012x}"))
+    }
+
     /// Tokens of the whole answer.
     #[must_use]
     pub fn total(&self) -> u32 {
--- a/crates/basilbank_core/tests/world/record.rs
+++ b/crates/basilbank_core/tests/world/record.rs
@@ -90,6 +90,8 @@
     pub asks: BTreeMap<usize, AskRuns>,
     /// All prefills.
     pub prefills: Vec<PrefillUse>,
+    /// Tries that read a stream again after another one had taken it over.
+    pub taken_back: Vec<usize>,
     /// Memory held for nobody.
     pub held: Vec<HeldPast>,
     /// Work sent to endpoints that were leaving.
--- a/crates/basilbank_core/tests/world/step.rs
+++ b/crates/basilbank_core/tests/world/step.rs
@@ -12,10 +12,10 @@
     /// A daemon's process dies; its callers and endpoints see their connections break. Perhaps a new
     /// process starts after a while, with a new incarnation and nothing in memory.
     Kill { daemon: Who, back: Option<Duration> },
-    /// A daemon's VM is gone for good. The platform's list drops it, and lists and starts another one
-    /// of the same name after a while.
+    /// A daemon's VM is gone. The platform's list drops it; after a while another one of the same
+    /// name is started and listed.
     Replace { daemon: Who, back: Duration },
-    /// A new process starts where none runs.
+    /// A new process starts, as soon as none runs there any more.
     Start(usize),
     /// A daemon's process is paused and goes on later: all that reached it meanwhile, then a tick.
     Freeze { daemon: Who, lasting: Duration },
@@ -25,7 +25,7 @@
     Down { endpoint: Place, power: super::Power, back: Option<Duration> },
     /// An endpoint misbehaves for a while.
     Fault { endpoint: Place, fault: EngineFault, lasting: Duration },
-    /// An endpoint is leaving: it says so in its load reports and refuses new work.
+    /// An endpoint is leaving: it refuses new work, and says so in its load reports if it has any.
     Leave(Place),
     /// The platform changes.
     Platform { mode: PlatformMode, lasting: Duration },
