A pause is not silence of the streams

Cause: a daemon that woke up took the time it had slept for silence of its streams, and read them again before it read what had come meanwhile. Change: time limits of attempts move on by the pause; a gap right after a pause waits for the stall limit. Conclusion: found by schedules and Draft/Decoding(20)/DaemonFrozen+CallerCancels.

--- a/crates/basilbank_core/src/reduce/deliver.rs
+++ b/crates/basilbank_core/src/reduce/deliver.rs
@@ -98,7 +98,14 @@
 ///
 /// Passing on what came would leave a hole in the caller's text that nobody notices, so the stream
 /// is read again from the first token that is missing.
+///
+/// Not so right after a pause of this process: more that was sent meanwhile is still to be read,
+/// perhaps that another daemon has taken the stream over. If nothing comes, the silence has it read
+/// again.
 fn missing(state: &mut State, now: Now, key: AttemptKey, out: &mut Vec<Effect>) {
+    if state.members.presence.waiting.is_some() {
+        return;
+    }
     if state.requests.attempts[key].rereads < resume::REREADS {
         resume::again(state, now, key, out);
     } else {
--- a/crates/basilbank_core/src/reduce/member.rs
+++ b/crates/basilbank_core/src/reduce/member.rs
@@ -29,6 +29,7 @@
         return;
     }
     state.members.shift(gap);
+    state.requests.shift(gap);
     state.members.presence.waiting = Some(now.mono + state.local.tuning.heartbeat * SETTLE);
     note(out, "paused", vec![("gap_ms", gap.as_millis().to_string())]);
     judge(state, now, out);
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -168,6 +168,17 @@
         key
     }
 
+    /// Moves the attempts' time limits on by a pause of this process.
+    ///
+    /// What endpoints sent meanwhile is still to be read. Without this a stream that never stopped
+    /// would count as silent and be read again, perhaps away from a daemon that has taken it over.
+    pub fn shift(&mut self, gap: Duration) {
+        for attempt in self.attempts.values_mut() {
+            attempt.since += gap;
+            attempt.heard += gap;
+        }
+    }
+
     /// A request's current attempt.
     #[must_use]
     pub fn current(&self, key: RequestKey) -> Option<(AttemptKey, &Attempt)> {
