--- a/crates/basilbank_core/src/reduce/catalogue/platform.rs
+++ b/crates/basilbank_core/src/reduce/catalogue/platform.rs
@@ -25,8 +25,9 @@
 const LIST_GAP: Duration = Duration::from_secs(1);
 /// A read that was not answered for this long is lost.
 const LOST: Duration = Duration::from_secs(30);
-/// Longest time between two tries while the platform fails.
-const MAX_RETRY: Duration = Duration::from_secs(5);
+/// Longest time between two tries of a watcher while the platform fails, before jitter. A change
+/// that was published meanwhile is read this much and half as much again after the platform is back.
+const MAX_RETRY: Duration = Duration::from_secs(2);
 /// First time between two tries while the platform fails.
 const RETRY: Duration = Duration::from_millis(500);
 /// A fresh daemon asks its peers for this long before it reads the catalogue itself.
