--- a/crates/basilbank_config/src/schema.rs
+++ b/crates/basilbank_config/src/schema.rs
@@ -21,6 +21,8 @@
     pub kind: Kind,
     /// A value that it may have, as JSON.
     pub example: &'static str,
+    /// What it is for.
+    pub doc: &'static str,
 }
 
 /// Whether a field may be left out.
@@ -37,8 +39,10 @@
 pub enum Kind {
     /// Letters, digits, `.`, `_` and `-`: at most 100, the first a letter or digit.
     Name,
-    /// Text without control characters, of at least so many characters.
-    Text {
+    /// Text without control characters.
+    Text,
+    /// Text that findings don't repeat.
+    Secret {
         /// Least characters.
         min: usize,
     },
@@ -77,6 +81,22 @@
         self.fields.iter().find(|f| f.name == name)
     }
 
+    /// The fields as a Markdown table, for the operators' reference.
+    #[must_use]
+    pub fn table(&self) -> String {
+        let mut table =
+            "| field | holds | when left out | |\n| --- | --- | --- | --- |\n".to_owned();
+        for Field { name, need, kind, doc, .. } in self.fields {
+            let default = match need {
+                Need::Required => "must be there",
+                Need::Optional(default) => default,
+            };
+            let holds = kind.describe();
+            table.push_str(&format!("| `{name}` | {holds} | {default} | {doc} |\n"));
+        }
+        table
+    }
+
     /// This section and those within it, each with the path of fields that leads to it.
     #[must_use]
     pub fn walk(&'static self) -> Vec<(String, &'static Section)> {
@@ -98,7 +118,7 @@
 impl Field {
     /// A field that must be there.
     pub(crate) const fn required(name: &'static str, kind: Kind, example: &'static str) -> Field {
-        Field { name, need: Need::Required, kind, example }
+        Field { name, need: Need::Required, kind, example, doc: "" }
     }
 
     /// A field that may be left out.
@@ -108,7 +128,12 @@
         default: &'static str,
         example: &'static str,
     ) -> Field {
-        Field { name, need: Need::Optional(default), kind, example }
+        Field { name, need: Need::Optional(default), kind, example, doc: "" }
+    }
+
+    /// Says what it is for.
+    pub(crate) const fn doc(self, doc: &'static str) -> Field {
+        Field { doc, ..self }
     }
 }
 
@@ -123,8 +148,8 @@
     pub fn describe(&self) -> String {
         match self {
             Kind::Name => "a name of letters, digits, '.', '_' and '-'".to_owned(),
-            Kind::Text { min: 0 | 1 } => "a text".to_owned(),
-            Kind::Text { min } => format!("a text of at least {min} characters"),
+            Kind::Text => "a text".to_owned(),
+            Kind::Secret { min } => format!("a text of at least {min} characters"),
             Kind::Address => "an IP number with a port".to_owned(),
             Kind::Choice(all) => format!("one of {}", all.join(", ")),
             Kind::Flag => "true or false".to_owned(),
--- a/crates/basilbank_core/tests/checker.rs
+++ b/crates/basilbank_core/tests/checker.rs
@@ -78,9 +78,9 @@
 fn nothing(_: &Event, _: &mut Vec<Effect>) {}
 
 fn forget_cancels(_: &Event, out: &mut Vec<Effect>) {
-    let is_kept =
-        |call: &EngineCall| !matches!(call, EngineCall::Cancel { .. } | EngineCall::Reap { .. });
-    out.retain(|e| !matches!(e, Effect::Engine(call) if !is_kept(call)));
+    out.retain(|e| {
+        !matches!(e, Effect::Engine(EngineCall::Cancel { .. } | EngineCall::Reap { .. }))
+    });
 }
 
 fn double_tokens(_: &Event, out: &mut Vec<Effect>) {
--- /dev/null
+++ b/crates/basilbankd/tests/e2e/main.rs
@@ -0,0 +1,8 @@
+//! The real daemon between a caller and stand-ins, over real sockets.
+
+mod daemons;
+mod drafts;
+mod faults;
+mod harness;
+mod plain;
+mod shutdown;
