--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -122,6 +122,14 @@
     publish(state, id);
 }
 
+/// A request's stream is read on by another one with the same key. The voters keep what they know, so
+/// that a later repeat still finds the stream.
+pub fn handed_on(state: &mut State, key: RequestKey) {
+    if let Some(request) = state.requests.arena.get(key) {
+        state.claims.own.remove(&request.id);
+    }
+}
+
 /// A request ended: its voters should know.
 ///
 /// A request of which nothing was run gives its key back, so that the caller's retry can run. So does
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -60,6 +60,8 @@
 pub struct Learning {
     /// Peers that have not told what they hold.
     pub missing: BTreeSet<VmId>,
+    /// The endpoint has not reported yet.
+    pub unread: bool,
     /// When it stops waiting for them.
     pub until: Duration,
 }
@@ -119,6 +121,13 @@
         self.slots.saturating_sub((seen.running + since).max(held))
     }
 
+    /// Ends the learning when all has been heard.
+    pub fn learned(&mut self) {
+        if self.learning.as_ref().is_some_and(|l| l.missing.is_empty() && !l.unread) {
+            self.learning = None;
+        }
+    }
+
     /// When a prefill endpoint that has free slots may get its next prefill.
     ///
     /// It computes one prompt after the other however many it takes, so what it is given early waits
