--- a/crates/basilbank_core/tests/daemons/orders.rs
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -176,6 +176,18 @@
     assert!(world.report().notes.contains_key("order_load_stuck"));
 }
 
+#[test]
+fn a_roll_that_is_taken_back_changes_what_had_changed() {
+    let spec = Spec::kitafuji();
+    let mut world = World::new(spec.clone());
+    world.at(ROLL, version(&spec, "v2"));
+    world.at(ROLL + SECOND * 25, Step::Publish(Box::new(spec.catalogue())));
+    world.run_until(SECOND * 200);
+    assert!(versions(&world).iter().all(|v| *v == "v1"), "{:?}", versions(&world));
+    let untouched = revisions(&world).iter().filter(|o| o.is_empty()).count();
+    assert!(spec.plain.count < untouched, "some never changed");
+}
+
 /// Symptom: a roll that met a partition never ends. Sequence: half of the daemons are cut off from the
 /// others and from all endpoints for a minute, among them stewards of endpoints that drain.
 #[test]
