Orders show how far endpoints are, and what they serve

Cause: the list of orders showed the catalogue's wishes only. Change: stage, served version and adapter, and fencing number in /admin/orders; requests that an endpoint reports in /admin/endpoints. Conclusion: seen with the command against a demo; the tests of shell, daemon and command pass.

--- a/crates/basilbank/src/admin/lists.rs
+++ b/crates/basilbank/src/admin/lists.rs
@@ -5,7 +5,7 @@
 use basilbank_core::{
     catalogue::{Endpoint, Entry, Role, Team},
     ids::{DataCentreId, EndpointId, TeamId, VmId},
-    state::{Member, State},
+    state::{Member, RollStage, State, Target},
 };
 use basilbank_wire::VmRecord;
 use serde::Serialize;
@@ -52,6 +52,7 @@
     address: String,
     slots: u32,
     held: usize,
+    busy: Option<u32>,
     steward: String,
     leaving: bool,
     says_leaving: bool,
@@ -87,12 +88,17 @@
 #[derive(Clone, PartialEq, Serialize, Debug)]
 pub struct OrderRow {
     endpoint: String,
+    /// `served`, `waiting`, `draining`, `ordered`, or `unknown` to this daemon.
+    stage: &'static str,
     model: String,
     version: String,
     adapter: String,
     role: &'static str,
-    steward: String,
+    served_version: String,
+    served_adapter: String,
+    fence: u64,
     fencing: bool,
+    steward: String,
 }
 
 /// The daemon's state in short.
@@ -145,6 +151,7 @@
             address: endpoint.address.clone(),
             slots: endpoint.slots,
             held: held.get(&endpoint.id).copied().unwrap_or_default(),
+            busy: state.orders.reports.get(&endpoint.id).map(|s| s.busy),
             steward: vms.steward(state, endpoint.id),
             leaving: endpoint.leaving,
             says_leaving: known.is_some_and(|k| k.leaving),
@@ -200,20 +207,38 @@
     let vms = VmNames::new(state);
     let takers = state.view.catalogue.endpoints.iter().filter(|e| e.orders);
     let row = |endpoint: &Endpoint| {
-        let model = names.model_at(endpoint.id)?;
+        let target = Target::new(&names.view, endpoint)?;
+        let serving = state.orders.reports.get(&endpoint.id);
         Some(OrderRow {
             endpoint: endpoint.name.clone(),
-            model: model.name.clone(),
-            version: model.version.clone(),
-            adapter: model.adapter.clone(),
-            role: role_name(endpoint.role),
-            steward: vms.steward(state, endpoint.id),
+            stage: stage(state, endpoint.id, &target),
+            role: role_name(target.role),
+            model: target.model,
+            version: target.version,
+            adapter: target.adapter,
+            served_version: serving.map_or_else(String::new, |s| s.version.clone()),
+            served_adapter: serving.map_or_else(String::new, |s| s.adapter.clone()),
+            fence: serving.map_or(0, |s| s.fence),
             fencing: endpoint.fencing,
+            steward: vms.steward(state, endpoint.id),
         })
     };
     takers.filter_map(row).collect()
 }
 
+/// How far an endpoint is on its way to what it should serve. Only its steward knows of a roll.
+fn stage(state: &State, endpoint: EndpointId, target: &Target) -> &'static str {
+    if let Some(roll) = state.orders.rolls.get(&endpoint) {
+        return match roll.stage {
+            RollStage::Waiting => "waiting",
+            RollStage::Draining { .. } => "draining",
+            RollStage::Ordered { .. } => "ordered",
+        };
+    }
+    let serving = state.orders.reports.get(&endpoint);
+    if serving.is_some_and(|s| s.is_done(target)) { "served" } else { "unknown" }
+}
+
 fn role_name(role: Role) -> &'static str {
     match role {
         Role::Prefill => "prefill",
