--- a/crates/basilbankd/tests/e2e/faults.rs
+++ b/crates/basilbankd/tests/e2e/faults.rs
@@ -59,15 +59,39 @@
 #[test_case(None; "is dead")]
 fn drafts_succeed_beside_a_bad_prefill_engine(faults: Option<Faults>) {
     let (mut site, _daemon, client) = patient_daemon();
+    spoil(&mut site.prefills, faults);
+    check_drafts(&client);
+    wait_all_free(&site);
+}
+
+/// Symptom: drafts fail, or wait without end, while half of the engines could serve them. Sequence:
+/// one decode engine refuses, is dead, or makes no progress with the transfer. Cause: the KV cache
+/// is still at the prefill engine, so another decode engine may take it.
+#[test_case(Some(Faults { stall_import: true, ..Faults::default() }); "stalls the transfer")]
+#[test_case(Some(Faults { leaving: true, ..Faults::default() }); "leaves")]
+#[test_case(Some(Faults { full: true, ..Faults::default() }); "is full")]
+#[test_case(None; "is dead")]
+fn drafts_succeed_beside_a_bad_decode_engine(faults: Option<Faults>) {
+    let (mut site, _daemon, client) = patient_daemon();
+    spoil(&mut site.decodes, faults);
+    check_drafts(&client);
+    set_faults(&site.decodes, &Faults::default());
+    wait_all_free(&site);
+}
+
+/// Gives the first engine a fault, or takes it away.
+fn spoil(engines: &mut Vec<Engine>, faults: Option<Faults>) {
     match faults {
-        Some(faults) => site.prefills[0].set_faults(faults),
-        None => drop(site.prefills.remove(0)),
+        Some(faults) => engines[0].set_faults(faults),
+        None => drop(engines.remove(0)),
     }
+}
+
+fn check_drafts(client: &Client) {
     for _ in 0..4 {
         let draft = client.whole("two stools length=6", 50).unwrap();
         assert_eq!(draft.text, expected_answer("two stools length=6", 50).concat());
     }
-    wait_all_free(&site);
 }
 
 /// Symptom: callers are refused although all engines work. Sequence: the platform goes down after
