--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -9,7 +9,7 @@
     event::Failure,
     ids::{AttemptKey, RequestKey},
     reason::{Refusal, Retry, Waste},
-    reduce::{charge, decode, deliver, load, place, prefill, reserve, resume, settle},
+    reduce::{charge, claim, decode, deliver, load, place, prefill, reserve, resume, settle},
     state::{AttemptStage, RequestStage, SlotKey, State, Timer},
     time::Now,
 };
@@ -35,6 +35,9 @@
 ) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let stage = found.stage;
+    if failure == Failure::Taken && stage == AttemptStage::Stream {
+        return taken(state, now, attempt, out);
+    }
     let cache = found.cache.as_ref().map(|c| c.endpoint);
     let blamed = if failure == Failure::Evicted { cache } else { found.endpoint() };
     state.requests.arena[found.request].blamed.extend(blamed);
@@ -83,7 +86,7 @@
         Failure::Full | Failure::Leaving | Failure::Refused => Retry::Refused,
         Failure::Evicted => Retry::Evicted,
         Failure::Stalled => Retry::TransferStalled,
-        Failure::Broken => otherwise,
+        Failure::Broken | Failure::Taken => otherwise,
     }
 }
 
@@ -209,6 +212,20 @@
     stream_died(state, now, attempt, Waste::DecodeFailed, out);
 }
 
+/// The caller, or another one with its key, reads the stream on through another call.
+///
+/// To read it again here would take it back. The two readers would cut each other off, and the one
+/// whose caller has left would cancel the stream under the other: an answer that stops for no reason
+/// in the endpoint's log. So this side ends, and cancels nothing.
+fn taken(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let found = &mut state.requests.attempts[attempt];
+    let key = found.request;
+    found.stream = None;
+    found.enter(AttemptStage::Queue, now.mono);
+    claim::handed_on(state, key);
+    settle::unknown(state, now, key, out);
+}
+
 /// A stream is lost: its request goes on elsewhere from the text so far.
 pub fn stream_died(
     state: &mut State,
--- a/crates/basilbank_core/tests/world/platform.rs
+++ b/crates/basilbank_core/tests/world/platform.rs
@@ -202,7 +202,9 @@
                 }
             }
         }
-        self.platform.lists.push((self.now + self.spec.vm_lag, vms));
+        if vms != *last {
+            self.platform.lists.push((self.now + self.spec.vm_lag, vms));
+        }
     }
 
     /// A daemon watches the catalogue, or reads the whole.
