A steward that knows of a newer catalogue orders nothing

Cause: a steward that was paused in a roll may decide again once it has heard its peers; when the datagrams with the newer catalogue are lost then, it finished the roll of before and loaded a version that the operators had withdrawn, at an endpoint that checks no fencing numbers. Shown by orders::a_steward_that_knows_of_a_newer_catalogue_orders_nothing, which failed before. Change: orders wait while a peer has shown a newer catalogue than the one in force. Conclusion: an old order needs now a daemon that has heard nobody who knows better.

--- a/crates/basilbank_core/src/reduce/order.rs
+++ b/crates/basilbank_core/src/reduce/order.rs
@@ -80,6 +80,9 @@
 pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     state.timers.set(now.mono + TICK, Timer::Orders);
     turn::follow(state, now);
+    if is_behind(state) {
+        return;
+    }
     let mut wanted = Vec::new();
     let ordered = stewarded(state).filter(|e| e.orders && !e.leaving);
     let mine: BTreeMap<_, _> = ordered.map(|e| (e.id, e.clone())).collect();
@@ -94,6 +97,16 @@
     turn::read(state, now, wanted, out);
 }
 
+/// Whether a peer has shown a newer catalogue than the one in force here.
+///
+/// A steward that was paused in the middle of a roll may decide again as soon as it has heard its
+/// peers, and that is before the catalogue that came into force meanwhile has reached it, above all
+/// when a datagram is lost. Its order would load what the operators have replaced. One would see an
+/// endpoint without fencing numbers load an old version after the new one.
+fn is_behind(state: &State) -> bool {
+    state.view.catalogue.revision < state.documents.shown.catalogue.revision
+}
+
 /// The endpoints that this daemon decides on as steward; none while it may not decide.
 pub fn stewarded(state: &State) -> impl Iterator<Item = &Endpoint> {
     let known = state.slots.ledgers.keys().filter(|_| state.members.may_decide());
--- a/crates/basilbank_core/tests/daemons/orders.rs
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -287,6 +287,67 @@
     }
 }
 
+/// Three daemons; one of them, a steward, drains an idle endpoint and is paused before it orders. The
+/// endpoint's last report waits in its socket meanwhile, and looks fresh when it is read.
+fn paused_in_a_drain(meanwhile: impl Fn(&mut Fleet, usize)) -> (Fleet, usize) {
+    let mut without = catalogue();
+    without.endpoints.iter_mut().for_each(|e| e.fencing = false);
+    let mut fleet = Fleet::new(3, Tuning::default(), without);
+    fleet.run(SECOND * 20);
+    let steward = fleet.states[0].members.steward(EndpointId::of("decode-0").0);
+    let steward = (0..3).find(|i| Some(vm(*i)) == steward).unwrap();
+    let is_empty = |fleet: &Fleet| {
+        let roll = fleet.states[steward].orders.rolls.get(&EndpointId::of("decode-0"));
+        matches!(roll.map(|r| r.stage), Some(RollStage::Draining { empty: Some(_) }))
+    };
+    while !is_empty(&fleet) {
+        report(&mut fleet, steward, 0);
+        fleet.run(SAMPLE);
+    }
+    fleet.down.insert(steward);
+    meanwhile(&mut fleet, steward);
+    fleet.run(SECOND * 8);
+    fleet.down.remove(&steward);
+    fleet.calls.clear();
+    report(&mut fleet, steward, 0);
+    fleet.run(SECOND * 6 / 5);
+    (fleet, steward)
+}
+
+fn report(fleet: &mut Fleet, index: usize, running: u32) {
+    let (endpoint, report) = (EndpointId::of("decode-0"), load("v0", Role::Decode, 0, running));
+    fleet.feed(index, Event::Engine(EngineEvent::Report { endpoint, report }));
+}
+
+fn has_ordered(fleet: &Fleet, index: usize) -> bool {
+    fleet.calls.iter().any(|(i, call)| *i == index && matches!(call, EngineCall::Order { .. }))
+}
+
+/// Symptom: an endpoint loads a version that the operators have withdrawn. Sequence: a steward is
+/// paused while it drains an endpoint; the operators take the change back; it wakes up and hears that
+/// there is a newer catalogue, but the datagrams that would bring it are lost. Cause: it may decide
+/// again, and goes on with the order of before.
+#[test]
+fn a_steward_that_knows_of_a_newer_catalogue_orders_nothing() {
+    let (mut fleet, steward) = paused_in_a_drain(|fleet, steward| {
+        let mut back = catalogue();
+        back.revision = 2;
+        back.models[0].version = "v0".into();
+        for other in (0..3).filter(|i| *i != steward) {
+            let result = Ok(back.clone().into());
+            let event = PlatformEvent::Checked { revision: 2, result };
+            fleet.feed(other, Event::Platform(event));
+        }
+    });
+    for _ in 0..300 {
+        report(&mut fleet, steward, 0);
+        fleet.run(SAMPLE);
+    }
+    assert_eq!(fleet.states[steward].view.catalogue.revision, 1);
+    assert!(fleet.states[steward].members.may_decide());
+    assert!(!has_ordered(&fleet, steward));
+}
+
 #[test]
 fn an_order_states_the_end_and_carries_the_published_revisions() {
     let mut alone = Alone::new(catalogue());
