--- a/crates/basilbank/src/lib.rs
+++ b/crates/basilbank/src/lib.rs
@@ -2,3 +2,23 @@
 //! core's effects out.
 
 pub mod callers;
+pub mod clock;
+pub mod engine;
+pub mod logs;
+pub mod published;
+
+pub mod admin;
+mod daemon;
+mod event_loop;
+pub mod history;
+pub mod inbox;
+pub mod metrics;
+pub mod names;
+mod observer;
+pub mod peers;
+pub mod platform;
+pub mod pool;
+pub mod queries;
+mod sync;
+
+pub use daemon::{Daemon, Shutdown};
--- /dev/null
+++ b/crates/basilbank_cli/tests/commands/main.rs
@@ -0,0 +1,6 @@
+//! Commands, run as `main` runs them.
+
+mod common;
+mod daemon;
+mod files;
+mod real;
--- a/crates/basilbank_config/tests/settings_findings.rs
+++ b/crates/basilbank_config/tests/settings_findings.rs
@@ -62,6 +62,21 @@
     assert_eq!(Settings::parse("s", &text).unwrap(), plain);
 }
 
+/// Symptom: a constant can't be set. Sequence: the decisions gain one, the settings don't. Cause:
+/// each is named in both.
+#[test]
+fn every_constant_can_be_set() {
+    let tuning = SETTINGS.field("tuning").unwrap();
+    let Kind::Object(section) = tuning.kind else { panic!("tuning is an object") };
+    let shown = format!("{:?}", Tuning::default());
+    let inner = shown.trim_start_matches("Tuning { ").trim_end_matches(" }");
+    for constant in inner.split(", ").filter_map(|pair| pair.split(':').next()) {
+        let millis = format!("{constant}_ms");
+        let known = section.field(constant).or(section.field(&millis));
+        assert!(known.is_some(), "{constant} can't be set");
+    }
+}
+
 #[test_case("\"nme\": 1", "6:3", "the settings object has no field \"nme\"; did you mean \"name\"?"; "unknown field")]
 #[test_case("\"limits\": { \"body\": 1 }", "6:15", "did you mean"; "unknown limit")]
 #[test_case("\"limits\": { \"connections\": 0 }", "6:30", "can't be 0; write a whole number from 1"; "no connections")]
@@ -80,11 +95,13 @@
 #[test_case("10.0.0.1:9090", "localhost:80", "write an IP number with a port"; "host name")]
 #[test_case("http://10.0.0.9:2379/", "https://10.0.0.9:2379", "not a base URL"; "https")]
 #[test_case("http://10.0.0.9:2379/", "http://10.0.0.9:2379/x", "not a base URL"; "path")]
-#[test_case("fedcba9876543210", "short", "\"admin_key\" can't be"; "short key")]
+#[test_case("fedcba9876543210", "short", "\"admin_key\" can't be this; write a text of at least 16"; "short key")]
+#[test_case("fedcba9876543210", "0123456789abcdef", "\"admin_key\" is the same as \"peer_key\""; "one key for two")]
 fn a_wrong_value(right: &str, wrong: &str, part: &str) {
     let text = with("").replace(right, wrong);
     let findings = Settings::parse("s", &text).unwrap_err().to_string();
     assert!(findings.contains(part), "{findings}");
+    assert!(!findings.contains("0123456789abcdef") && !findings.contains("short"), "{findings}");
 }
 
 #[test]
--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -9,6 +9,7 @@
 mod decode;
 mod deliver;
 mod estimate;
+mod leave;
 mod limit;
 mod load;
 mod member;
@@ -51,10 +52,7 @@
             }
         }
         Event::Platform(event) => on_platform(state, now, event, out),
-        Event::Shutdown => {
-            state.leaving = true;
-            member::leaving(state, now, out);
-        }
+        Event::Shutdown => leave::begin(state, now, out),
     }
     hear_self(state, now, out);
     while let Some(timer) = state.timers.pop_due(now.mono) {
@@ -63,9 +61,7 @@
     }
     claim::remember(state, &out[first..]);
     reap::remember(state, now, &out[first..]);
-    if state.leaving && state.requests.arena.is_empty() && state.claims.own.is_empty() {
-        out.push(Effect::Exit);
-    }
+    leave::finish(state, now, out);
 }
 
 /// Takes in what this daemon said to itself.
@@ -180,6 +176,6 @@
         Body::FetchVms(fetch) => catalogue::vms_fetched(state, from, &fetch, out),
         Body::Vms(list) => catalogue::vms(state, now, list, out),
         Body::AskLimit(ask) => limit::asked(state, now, from, &ask, out),
-        Body::Lease(lease) => limit::leased(state, now, from, &lease),
+        Body::Lease(lease) => limit::leased(state, now, from, &lease, out),
     }
 }
--- a/crates/basilbank_core/src/reduce/limit.rs
+++ b/crates/basilbank_core/src/reduce/limit.rs
@@ -1,10 +1,25 @@
 //! Entries' limits, over all daemons.
+//!
+//! A daemon whose callers use an entry often leases part of its limits from the entry's steward. One
+//! whose callers use it now and then takes what they want and tells the steward of each call; when
+//! the limit is used up the steward refuses, and calls of which nothing was sent yet are refused.
+//! A daemon that can't reach a steward stays within the limit over the number of listed VMs.
 
+mod ask;
+mod steward;
+
+use std::time::Duration;
+
+use basilbank_wire::{AskLimit, Body, LimitAnswer, LimitLease, Message};
+
+pub use self::ask::tick;
 use crate::{
+    catalogue::Limits,
     effect::Effect,
-    ids::{EntryId, VmId},
+    ids::{EntryId, RequestKey, VmId},
     reason::Refusal,
-    state::State,
+    reduce::settle,
+    state::{AttemptStage, LimitShare, RequestStage, State, Usage},
     time::Now,
 };
 
@@ -13,30 +28,150 @@
 /// # Errors
 /// The limit that is used up; nothing is taken then.
 pub fn take(
-    _state: &mut State,
-    _now: Now,
-    _entry: EntryId,
-    _tokens: u32,
-    _out: &mut Vec<Effect>,
+    state: &mut State,
+    now: Now,
+    entry: EntryId,
+    tokens: u32,
+    out: &mut Vec<Effect>,
 ) -> Result<(), Refusal> {
-    Ok(())
+    let Some(limits) = limits(state, entry) else { return Ok(()) };
+    let part = own_part(state, &limits);
+    let usage = state.limits.used.entry(entry);
+    let usage = usage.or_insert_with(|| Usage::new(&part, now.mono));
+    usage.want(tokens, now.mono);
+    usage.expire(now.mono);
+    ask::before(state, now, entry, out);
+    let can_tell = can_tell(state, entry);
+    let Some(usage) = state.limits.used.get_mut(&entry) else { return Ok(()) };
+    let is_trusted = !usage.is_dense(now.mono) || now.mono < usage.trusted;
+    let is_told = usage.lease.is_none() && can_tell && is_trusted;
+    if !is_told {
+        let share = usage.lease.map_or(part, |(share, _)| share);
+        if let Err(refusal) = usage.take(&limits, &share, tokens, now.mono) {
+            ask::more(state, now, entry, out);
+            return Err(refusal);
+        }
+    }
+    usage.running += 1;
+    if usage.lease.is_some() {
+        if usage.is_hungry(&limits) {
+            ask::more(state, now, entry, out);
+        }
+        return Ok(());
+    }
+    usage.untold_requests += 1;
+    usage.untold_tokens += i64::from(tokens);
+    ask::after_taking(state, now, entry, out)
 }
 
 /// Gives back what an ended request took but did not use.
-pub fn give_back(_state: &mut State, _now: Now, _entry: EntryId, _unused: u32) {}
+pub fn give_back(state: &mut State, now: Now, entry: EntryId, unused: u32) {
+    if let Some(usage) = state.limits.used.get_mut(&entry) {
+        usage.give_back(unused);
+        usage.touched = now.mono;
+    }
+}
 
 /// A daemon asks this one, as an entry's steward, for part of the limit.
-pub fn asked(
-    _state: &mut State,
-    _now: Now,
-    _from: VmId,
-    _ask: &basilbank_wire::AskLimit,
-    _out: &mut Vec<Effect>,
+pub fn asked(state: &mut State, now: Now, from: VmId, ask: &AskLimit, out: &mut Vec<Effect>) {
+    if let Some(lease) = steward::decide(state, now, from, ask) {
+        let message = Message::from(Body::Lease(lease));
+        out.push(Effect::Send { to: from, message });
+    }
+}
+
+/// An entry's steward leases part of the limit to this daemon, or refuses what it took without.
+pub fn leased(state: &mut State, now: Now, from: VmId, lease: &LimitLease, out: &mut Vec<Effect>) {
+    let entry = EntryId(lease.entry);
+    let asked = state.limits.used.get(&entry).and_then(|usage| usage.asked);
+    if asked.is_none_or(|(vm, _)| vm != from) {
+        return;
+    }
+    if let Some(refusal) = apply(state, now, lease) {
+        refuse_waiting(state, now, entry, refusal, out);
+    }
+}
+
+/// Takes a steward's answer over, and gives the refusal that it may be.
+fn apply(state: &mut State, now: Now, lease: &LimitLease) -> Option<Refusal> {
+    let chance = state.rng.unit();
+    let usage = state.limits.used.get_mut(&EntryId(lease.entry))?;
+    let until = now.mono + Duration::from_millis(u64::from(lease.ttl));
+    let share = LimitShare::of(lease);
+    let refusal = match lease.answer() {
+        LimitAnswer::Leased => {
+            usage.set_lease(share, until, now.mono);
+            return None;
+        }
+        LimitAnswer::Trusted => {
+            usage.trusted = until;
+            usage.lease = None;
+            return None;
+        }
+        LimitAnswer::Rationed => {
+            usage.set_ration(share, until, chance, now.mono);
+            return None;
+        }
+        LimitAnswer::NoRequests => Refusal::RequestLimit,
+        LimitAnswer::NoTokens => Refusal::TokenLimit,
+        LimitAnswer::NoSlots => Refusal::ConcurrentLimit,
+    };
+    usage.set_ration(share, until, chance, now.mono);
+    Some(refusal)
+}
+
+/// The steward refuses calls that were taken on trust: those of which nothing was sent yet are
+/// refused, the others run and are owed.
+fn refuse_waiting(
+    state: &mut State,
+    now: Now,
+    entry: EntryId,
+    refusal: Refusal,
+    out: &mut Vec<Effect>,
 ) {
+    let fresh = state.local.tuning.peer_timeout;
+    let recent = state.requests.arena.iter().filter(|(_, r)| {
+        r.entry == entry && now.mono.saturating_sub(r.accepted) <= fresh && !r.is_limited
+    });
+    let recent: Vec<_> = recent.map(|(key, request)| (key, request.taken)).collect();
+    for (key, tokens) in recent {
+        state.requests.arena[key].is_limited = true;
+        let is_unsent = is_unsent(state, key);
+        let Some(usage) = state.limits.used.get_mut(&entry) else { return };
+        if is_unsent {
+            settle::refuse(state, now, key, refusal, out);
+        } else {
+            usage.owe(tokens);
+        }
+    }
+}
+
+fn is_unsent(state: &State, key: RequestKey) -> bool {
+    match state.requests.arena[key].stage {
+        RequestStage::Claiming => false,
+        RequestStage::Waiting => true,
+        RequestStage::Running(attempt) => {
+            let stage = state.requests.attempts.get(attempt).map(|a| a.stage);
+            matches!(stage, Some(AttemptStage::Slot | AttemptStage::Queue))
+        }
+    }
 }
 
-/// An entry's steward leases part of the limit to this daemon.
-pub fn leased(_state: &mut State, _now: Now, _from: VmId, _lease: &basilbank_wire::LimitLease) {}
+/// An entry's limits, if it has any.
+fn limits(state: &State, entry: EntryId) -> Option<Limits> {
+    let limits = state.view.entry(entry)?.limits;
+    let is_limited = 0.0 < limits.requests || 0.0 < limits.tokens || 0 < limits.concurrent;
+    is_limited.then_some(limits)
+}
+
+/// This daemon's part of an entry's limits when nobody can be asked.
+fn own_part(state: &State, limits: &Limits) -> LimitShare {
+    let listed = state.members.ring().len().max(1);
+    LimitShare::fraction(limits, 1.0 / listed as f64)
+}
 
-/// Renews leases.
-pub fn tick(_state: &mut State, _now: Now, _out: &mut Vec<Effect>) {}
+/// Whether there is a steward who would refuse if the limit were used up.
+fn can_tell(state: &State, entry: EntryId) -> bool {
+    let presence = &state.members.presence;
+    presence.listed && presence.waiting.is_none() && state.members.steward(entry.0).is_some()
+}
--- /dev/null
+++ b/crates/basilbank_core/src/reduce/limit/steward.rs
@@ -0,0 +1,127 @@
+//! An entry's steward shares its limits out.
+
+use std::time::Duration;
+
+use basilbank_wire::{AskLimit, LimitAnswer, LimitLease};
+
+use super::limits;
+use crate::{
+    catalogue::Limits,
+    ids::{EntryId, VmId},
+    reason::Refusal,
+    state::{LeaseTerms, LimitDemand, LimitShare, SharedLimit, Shortage, State},
+    time::Now,
+};
+
+/// Length of a lease.
+const TTL: Duration = Duration::from_secs(2);
+/// Length of a lease that is less than its holder's part: others' leases shrink meanwhile.
+const SHORT: Duration = Duration::from_millis(500);
+/// The steward counts a lease for this much longer than its holder, who hears of it later.
+const GRACE: Duration = Duration::from_millis(100);
+/// For this long after the live members changed, another daemon may still lease as steward.
+const CAUTION: Duration = Duration::from_secs(5);
+/// Calls a second of a daemon that does not say.
+const RARE: f64 = 0.1;
+/// For this long a daemon may take frequent calls on trust. Each is told, so a steward that has to
+/// stop it can, and one that is gone is no steward any more.
+const TRUST: Duration = Duration::from_secs(30);
+/// Length of a ration: long enough for a rare call to come.
+const RATION_TTL: Duration = Duration::from_secs(10);
+/// Length of a ration when requests in progress are short: what it allows is soon another's.
+const SLOT_TTL: Duration = Duration::from_secs(1);
+
+/// Takes a report in, and gives the lease or refusal that answers it, if one is due.
+pub fn decide(state: &mut State, now: Now, from: VmId, ask: &AskLimit) -> Option<LimitLease> {
+    let entry = EntryId(ask.entry);
+    let presence = &state.members.presence;
+    if !presence.listed || presence.waiting.is_some() {
+        return None;
+    }
+    let whole = limits(state, entry)?;
+    let limits = reachable_part(state, &whole);
+    let changed = state.members.changed_at;
+    let listed = state.members.ring().len().max(1) as f64;
+    let shared = state.limits.shared.entry(entry);
+    let shared = shared.or_insert_with(|| SharedLimit::new(now.mono));
+    let demand = LimitDemand::of(ask);
+    shared.fill(&limits, now.mono);
+    shared.report(from, demand, ask.running, now.mono);
+    let is_new = changed <= shared.since && now.mono < changed + CAUTION;
+    let part = LimitShare::fraction(&whole, 1.0 / listed);
+    let most = is_new.then(|| careful(ask, &part));
+    let most = most.as_ref();
+    let (vm, limits, part, mono) = (from, &limits, &part, now.mono);
+    let terms = |ttl| LeaseTerms { vm, limits, part, most, until: mono + ttl + GRACE, mono };
+    let taken = shared.take(limits, ask.taken, ask.taken_tokens, mono);
+    let lease = demand.wants_lease().then(|| shared.lease(&terms(TTL))).flatten();
+    if let Some(share) = lease {
+        let ttl = if shared.is_short(limits, mono) { SHORT } else { TTL };
+        return Some(answer(entry, &share, ttl, LimitAnswer::Leased));
+    }
+    let shortage = shared.shortage(limits, mono);
+    let kind = match (taken, shortage) {
+        (Err(refusal), _) => refused(refusal),
+        (Ok(()), _) if !demand.wants_lease() => return None,
+        (Ok(()), Some(_)) => LimitAnswer::Rationed,
+        (Ok(()), None) => {
+            return Some(answer(entry, &LimitShare::default(), TRUST, LimitAnswer::Trusted));
+        }
+    };
+    let is_slots = shortage == Some(Shortage::Slots) || kind == LimitAnswer::NoSlots;
+    let ttl = if is_slots { SLOT_TTL } else { RATION_TTL };
+    if !demand.wants_lease() {
+        shared.report(from, rare(ask), ask.running, mono);
+    }
+    let share = shared.ration(&terms(ttl));
+    Some(answer(entry, &share, ttl, kind))
+}
+
+fn answer(entry: EntryId, share: &LimitShare, ttl: Duration, answer: LimitAnswer) -> LimitLease {
+    let mut lease = LimitLease { entry: entry.0, answer: answer.into(), ..LimitLease::default() };
+    share.write(&mut lease, ttl);
+    lease
+}
+
+/// Forgets entries that nobody uses any more.
+pub fn forget(state: &mut State, now: Now) {
+    state.limits.shared.retain(|_, shared| !shared.is_idle(now.mono));
+}
+
+/// The demand of a daemon whose calls are rare: about as many as one for which it would ask for a
+/// lease.
+fn rare(ask: &AskLimit) -> LimitDemand {
+    let tokens = ask.taken_tokens.max(0) as f64 * RARE;
+    LimitDemand { requests: RARE, tokens, concurrent: ask.running + 1 }
+}
+
+/// What a steward leases while another may still do so: what the asker has anyway, or its part by
+/// the length of the list. Without this, whatever the former steward leased would come on top.
+fn careful(ask: &AskLimit, part: &LimitShare) -> LimitShare {
+    LimitShare {
+        requests: part.requests.max(ask.held as f64 / 1000.0),
+        tokens: part.tokens.max(ask.held_tokens as f64),
+        concurrent: part.concurrent.max(ask.running),
+    }
+}
+
+/// The limits by the share of the listed members that are heard: in a partition each side has its
+/// part, so that both together have no more than the whole.
+fn reachable_part(state: &State, limits: &Limits) -> Limits {
+    let census = state.members.census(|m| m.live);
+    if census.heard == census.of {
+        return *limits;
+    }
+    let part = census.heard as f64 / census.of.max(1) as f64;
+    let share = LimitShare::fraction(limits, part);
+    let concurrent = if 0 < limits.concurrent { share.concurrent } else { 0 };
+    Limits { requests: share.requests, tokens: share.tokens, concurrent, ..*limits }
+}
+
+fn refused(refusal: Refusal) -> LimitAnswer {
+    match refusal {
+        Refusal::ConcurrentLimit => LimitAnswer::NoSlots,
+        Refusal::TokenLimit => LimitAnswer::NoTokens,
+        _ => LimitAnswer::NoRequests,
+    }
+}
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -32,9 +32,12 @@
     health::{Health, Known, Lags},
     lag::Lag,
     ledger::{Learning, Lease, Ledger, Seen},
-    limits::LimitTable,
+    limits::{
+        Bucket, Holder, LeaseTerms, LimitDemand, LimitShare, LimitTable, Meter, SharedLimit,
+        Shortage, Usage,
+    },
     members::{Census, Member, Members, Presence, rank},
-    orders::Orders,
+    orders::{ModelChange, Orders, Roll, RollStage, Serving, Target},
     prefixes::Prefixes,
     reaper::{Cancelled, Reaper, Watch},
     requests::{Request, RequestStage, Requests},
@@ -143,6 +146,8 @@
     pub rng: Rng,
     /// SIGTERM came: no new work.
     pub leaving: bool,
+    /// The earliest moment to exit after that.
+    pub exit_at: Duration,
     /// When the daemon started, on the monotonic clock.
     pub started: Duration,
 }
@@ -152,12 +157,13 @@
     #[must_use]
     pub fn new(local: Local, now: Now) -> State {
         let mut timers = Timers::default();
-        for timer in [Timer::Platform, Timer::Slots, Timer::Loads] {
+        for timer in [Timer::Platform, Timer::Slots, Timer::Loads, Timer::Orders] {
             timers.set(now.mono, timer);
         }
         let mut rng = Rng::new(local.seed);
         let phase = local.tuning.heartbeat.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Heartbeat);
+        timers.set(now.mono + phase, Timer::Limits);
         let phase = local.tuning.reap_interval.mul_f64(rng.unit());
         timers.set(now.mono + phase, Timer::Reap);
         State {
@@ -174,6 +180,7 @@
             timers,
             rng,
             leaving: false,
+            exit_at: Duration::ZERO,
             started: now.mono,
             local,
         }
--- /dev/null
+++ b/crates/basilbank_core/src/state/limits/shared.rs
@@ -0,0 +1,332 @@
+//! One entry's limits, as its steward shares them out.
+
+use std::time::Duration;
+
+use super::{
+    Bucket, LimitDemand, LimitShare, Meter,
+    portion::{BUSY, Portion, Portions, SPARE},
+};
+use crate::{catalogue::Limits, ids::VmId, reason::Refusal};
+
+/// A daemon's report is forgotten after this; those with requests in progress report more often.
+const FORGET: Duration = Duration::from_secs(25);
+/// A lease is for at least this many requests while it lasts, or at once.
+const WORTH: f64 = 3.0;
+/// Seconds that a lease lasts.
+const LEASE: f64 = 2.0;
+/// Bursts are what comes in this many seconds, and at least two requests.
+const BURST: f64 = 1.0;
+/// Least burst, in requests.
+const LEAST_BURST: f64 = 2.0;
+
+/// One daemon's use of an entry.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Holder {
+    /// The daemon.
+    pub vm: VmId,
+    /// What it wants.
+    pub demand: LimitDemand,
+    /// What is leased to it.
+    pub share: LimitShare,
+    /// Until when; past for one without a lease.
+    pub until: Duration,
+    /// Requests that it has in progress.
+    pub running: u32,
+    /// When it reported last.
+    pub at: Duration,
+}
+
+/// One entry's limits, as its steward shares them out.
+///
+/// Daemons with frequent calls get leases; the rest of the limit is a bucket from which the calls of
+/// the others are taken one by one as they are told.
+#[derive(Clone, PartialEq, Debug)]
+pub struct SharedLimit {
+    /// When the first daemon asked.
+    pub since: Duration,
+    holders: Vec<Holder>,
+    requests: Bucket,
+    tokens: Bucket,
+    sparse_requests: Meter<2>,
+    sparse_tokens: Meter<2>,
+}
+
+/// What a steward goes by when it leases.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTerms<'a> {
+    /// The daemon.
+    pub vm: VmId,
+    /// The limits.
+    pub limits: &'a Limits,
+    /// The limits over the number of listed VMs.
+    pub part: &'a LimitShare,
+    /// Most that may be leased.
+    pub most: Option<&'a LimitShare>,
+    /// When the lease ends.
+    pub until: Duration,
+    /// The current moment.
+    pub mono: Duration,
+}
+
+/// What there is too little of.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Shortage {
+    /// Requests or tokens a second.
+    Rate,
+    /// Requests in progress.
+    Slots,
+}
+
+/// What is added up over all daemons.
+#[derive(Clone, Copy, Default)]
+struct Total {
+    requests: f64,
+    tokens: f64,
+    concurrent: f64,
+}
+
+impl SharedLimit {
+    /// An entry of which nothing is known to be used.
+    #[must_use]
+    pub fn new(mono: Duration) -> SharedLimit {
+        SharedLimit {
+            since: mono,
+            holders: Vec::new(),
+            requests: Bucket::full(LEAST_BURST, mono),
+            tokens: Bucket::full(LEAST_BURST, mono),
+            sparse_requests: Meter::default(),
+            sparse_tokens: Meter::default(),
+        }
+    }
+
+    /// Takes a daemon's report in.
+    pub fn report(&mut self, vm: VmId, demand: LimitDemand, running: u32, mono: Duration) {
+        self.holders.retain(|h| mono < h.at + FORGET && (0 < h.running || mono < h.until));
+        let place = self.holders.iter().position(|h| h.vm == vm).unwrap_or_else(|| {
+            let (share, until) = (LimitShare::default(), Duration::ZERO);
+            self.holders.push(Holder { vm, demand, share, until, running, at: mono });
+            self.holders.len() - 1
+        });
+        let holder = &mut self.holders[place];
+        holder.demand = demand;
+        holder.running = running;
+        holder.at = mono;
+        if !demand.wants_lease() {
+            holder.until = Duration::ZERO;
+            holder.share = LimitShare::default();
+        }
+    }
+
+    /// Fills what is not leased.
+    pub fn fill(&mut self, limits: &Limits, mono: Duration) {
+        let leased = self.leased(None, mono);
+        let requests = (limits.requests - leased.requests).max(0.0);
+        let tokens = (limits.tokens - leased.tokens).max(0.0);
+        self.requests.fill(requests, burst(limits.requests), mono);
+        self.tokens.fill(tokens, burst(limits.tokens), mono);
+    }
+
+    /// Takes what a daemon took without a lease; tokens given back are negative.
+    ///
+    /// # Errors
+    /// What is used up. Nothing is taken then.
+    pub fn take(
+        &mut self,
+        limits: &Limits,
+        requests: u32,
+        tokens: i64,
+        mono: Duration,
+    ) -> Result<(), Refusal> {
+        self.sparse_requests.add(f64::from(requests), mono);
+        self.sparse_tokens.add(tokens.max(0) as f64, mono);
+        if 0 < requests {
+            self.check(limits, mono)?;
+        }
+        self.requests.level -= f64::from(requests);
+        self.tokens.level -= tokens as f64;
+        Ok(())
+    }
+
+    fn check(&self, limits: &Limits, mono: Duration) -> Result<(), Refusal> {
+        let committed = self.committed(None, mono);
+        if 0 < limits.concurrent && f64::from(limits.concurrent) < committed {
+            return Err(Refusal::ConcurrentLimit);
+        }
+        if 0.0 < limits.requests && self.requests.level < 1.0 {
+            return Err(Refusal::RequestLimit);
+        }
+        if 0.0 < limits.tokens && self.tokens.level <= 0.0 {
+            return Err(Refusal::TokenLimit);
+        }
+        Ok(())
+    }
+
+    /// Leases a daemon its part by what it wants, within what is not leased to others, and at most
+    /// `most`; `None` when that would be too little to be worth it: parts that are smaller than a few
+    /// requests lie idle at one daemon while another's callers are refused.
+    pub fn lease(&mut self, terms: &LeaseTerms<'_>) -> Option<LimitShare> {
+        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
+        let all = self.portions(vm, limits, part, most, mono)?;
+        let mean_tokens = all.tokens.demand / all.requests.demand.max(f64::MIN_POSITIVE);
+        let is_worth = all.requests.is_worth(WORTH / LEASE)
+            && all.tokens.is_worth(WORTH / LEASE * mean_tokens)
+            && all.slots.is_worth(WORTH);
+        if !is_worth {
+            return None;
+        }
+        let slots = all.slots.size() as u32;
+        Some(self.grant(vm, all.requests.size(), all.tokens.size(), slots, until))
+    }
+
+    /// Leases a daemon its part however small, while more is wanted than there is. Its calls are
+    /// few, so the lease has to last until one of them comes.
+    pub fn ration(&mut self, terms: &LeaseTerms<'_>) -> LimitShare {
+        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
+        let Some(all) = self.portions(vm, limits, part, most, mono) else {
+            return LimitShare::default();
+        };
+        let running = self.running(vm);
+        let is_free = all.slots.taken + f64::from(running) < all.slots.limit;
+        let slots = running + u32::from(is_free);
+        self.grant(vm, all.requests.ration(), all.tokens.ration(), slots, until)
+    }
+
+    /// Whether more is wanted than there is.
+    #[must_use]
+    pub fn shortage(&self, limits: &Limits, mono: Duration) -> Option<Shortage> {
+        if 0 < limits.concurrent && f64::from(limits.concurrent) <= self.committed(None, mono) {
+            return Some(Shortage::Slots);
+        }
+        let wanted = self.wanted(None, mono);
+        let requests = 0.0 < limits.requests
+            && (self.requests.level < 1.0 || limits.requests * BUSY < wanted.requests);
+        let tokens = 0.0 < limits.tokens
+            && (self.tokens.level <= 0.0 || limits.tokens * BUSY < wanted.tokens);
+        (requests || tokens).then_some(Shortage::Rate)
+    }
+
+    fn grant(
+        &mut self,
+        vm: VmId,
+        requests: f64,
+        tokens: f64,
+        slots: u32,
+        until: Duration,
+    ) -> LimitShare {
+        let Some(holder) = self.holders.iter_mut().find(|h| h.vm == vm) else {
+            return LimitShare::default();
+        };
+        let share = LimitShare { requests, tokens, concurrent: slots.max(holder.running) };
+        holder.share = share;
+        holder.until = until;
+        share
+    }
+
+    fn running(&self, vm: VmId) -> u32 {
+        self.holders.iter().find(|h| h.vm == vm).map_or(0, |h| h.running)
+    }
+
+    fn portions(
+        &mut self,
+        vm: VmId,
+        limits: &Limits,
+        part: &LimitShare,
+        most: Option<&LimitShare>,
+        mono: Duration,
+    ) -> Option<Portions> {
+        let wanted = self.wanted(Some(vm), mono);
+        let taken = self.leased(Some(vm), mono);
+        let committed = self.committed(Some(vm), mono);
+        let holder = self.holders.iter_mut().find(|h| h.vm == vm)?;
+        holder.until = Duration::ZERO;
+        let demand = holder.demand;
+        let most = |of: fn(&LimitShare) -> f64| most.map_or(f64::MAX, of);
+        Some(Portions {
+            requests: Portion {
+                limit: limits.requests,
+                demand: demand.requests,
+                wanted: wanted.requests,
+                taken: taken.requests,
+                part: part.requests,
+                most: most(|m| m.requests),
+            },
+            tokens: Portion {
+                limit: limits.tokens,
+                demand: demand.tokens,
+                wanted: wanted.tokens,
+                taken: taken.tokens,
+                part: part.tokens,
+                most: most(|m| m.tokens),
+            },
+            slots: Portion {
+                limit: f64::from(limits.concurrent),
+                demand: f64::from(demand.concurrent),
+                wanted: wanted.concurrent,
+                taken: committed,
+                part: f64::from(part.concurrent),
+                most: most(|m| f64::from(m.concurrent)),
+            },
+        })
+    }
+
+    /// Whether nearly all is leased, so that a daemon that wants more should ask again soon.
+    #[must_use]
+    pub fn is_short(&self, limits: &Limits, mono: Duration) -> bool {
+        let leased = self.leased(None, mono);
+        let is_gone = |limit: f64, leased: f64| 0.0 < limit && limit * (1.0 - SPARE / 2.0) < leased;
+        is_gone(limits.requests, leased.requests) || is_gone(limits.tokens, leased.tokens)
+    }
+
+    /// Whether nobody uses it any more.
+    #[must_use]
+    pub fn is_idle(&self, mono: Duration) -> bool {
+        self.holders.iter().all(|h| h.at + FORGET < mono)
+    }
+
+    /// Daemons that use it.
+    #[must_use]
+    pub fn holders(&self) -> &[Holder] {
+        &self.holders
+    }
+
+    /// What is wanted by those with leases, by `but` without one perhaps, and by those whose calls
+    /// are taken one by one.
+    fn wanted(&self, but: Option<VmId>, mono: Duration) -> Total {
+        let mut total = Total {
+            requests: self.sparse_requests.rate(mono),
+            tokens: self.sparse_tokens.rate(mono),
+            concurrent: 0.0,
+        };
+        for holder in &self.holders {
+            let has_lease = mono < holder.until || Some(holder.vm) == but;
+            let demand = if has_lease { holder.demand } else { LimitDemand::default() };
+            total.requests += demand.requests;
+            total.tokens += demand.tokens;
+            total.concurrent += f64::from(demand.concurrent.max(holder.running));
+        }
+        total
+    }
+
+    fn leased(&self, but: Option<VmId>, mono: Duration) -> Total {
+        let mut total = Total::default();
+        for holder in self.holders.iter().filter(|h| Some(h.vm) != but && mono < h.until) {
+            total.requests += holder.share.requests;
+            total.tokens += holder.share.tokens;
+        }
+        total
+    }
+
+    /// Requests that are in progress or may be started by lease.
+    fn committed(&self, but: Option<VmId>, mono: Duration) -> f64 {
+        let others = self.holders.iter().filter(|h| Some(h.vm) != but);
+        let each = others.map(|h| {
+            let may_start = if mono < h.until { h.share.concurrent } else { 0 };
+            h.running.max(may_start)
+        });
+        f64::from(each.sum::<u32>())
+    }
+}
+
+fn burst(rate: f64) -> f64 {
+    (rate * BURST).max(LEAST_BURST)
+}
--- a/crates/basilbank_core/src/state/requests.rs
+++ b/crates/basilbank_core/src/state/requests.rs
@@ -53,10 +53,14 @@
     pub risked: bool,
     /// Tokens that were taken from the entry's limit.
     pub taken: u32,
+    /// The entry's steward refused it, perhaps too late.
+    pub is_limited: bool,
     /// It counts as waiting for capacity.
     pub queued: bool,
     /// What it is doing.
     pub stage: RequestStage,
+    /// Endpoints where attempts failed; others are preferred.
+    pub blamed: Vec<EndpointId>,
 }
 
 /// What a request is doing.
@@ -168,6 +172,17 @@
         key
     }
 
+    /// Moves the attempts' time limits on by a pause of this process.
+    ///
+    /// What endpoints sent meanwhile is still to be read. Without this a stream that never stopped
+    /// would count as silent and be read again, perhaps away from a daemon that has taken it over.
+    pub fn shift(&mut self, gap: Duration) {
+        for attempt in self.attempts.values_mut() {
+            attempt.since += gap;
+            attempt.heard += gap;
+        }
+    }
+
     /// A request's current attempt.
     #[must_use]
     pub fn current(&self, key: RequestKey) -> Option<(AttemptKey, &Attempt)> {
@@ -207,9 +222,11 @@
             attempts: 0,
             failures: 0,
             risked: false,
+            is_limited: false,
             taken: 0,
             queued: false,
             stage: RequestStage::Waiting,
+            blamed: Vec::new(),
         }
     }
 
--- a/crates/basilbank_core/tests/daemons/main.rs
+++ b/crates/basilbank_core/tests/daemons/main.rs
@@ -2,4 +2,10 @@
 
 mod claims;
 mod fleet;
+mod leaving;
+mod orders;
+mod races;
 mod reaping;
+mod voters;
+#[path = "../world/mod.rs"]
+mod world;
--- a/crates/basilbank_core/tests/daemons/reaping.rs
+++ b/crates/basilbank_core/tests/daemons/reaping.rs
@@ -95,6 +95,22 @@
     fleet
 }
 
+/// A KV cache is of no use to a caller that comes back, so it goes as soon as its daemon counts as
+/// dead. Endpoints evict it by themselves; this is for one that does not.
+#[test]
+fn a_dead_daemons_kv_cache_goes_at_once() {
+    let mut fleet = ready();
+    let mut engine = Engine::new("prefill-0");
+    for (owner, request) in [(2, 1), (3, 2)] {
+        engine.hold(&fleet, owner, request, false);
+        engine.streams.last_mut().unwrap().info.kv = true;
+    }
+    fleet.down.insert(2);
+    engine.run(&mut fleet, 7);
+    assert!(!engine.holds(1));
+    assert!(engine.holds(2), "its daemon lives");
+}
+
 /// Symptom: a decode slot stays taken for minutes after a VM died. Sequence: the daemon dies, its
 /// stream goes on without a reader. Cause would be that nobody but the owner cancels streams. The
 /// grace lets a caller come back with its cursor first.
@@ -214,6 +230,26 @@
     assert!(!fleet.states[0].reaper.watches.contains_key(&engine.id));
 }
 
+/// Symptom: as above. Sequence: a list is asked for, a cancel is lost, the list comes and does not yet
+/// show the stream that the cancel was for.
+#[test]
+fn a_list_from_before_a_cancel_says_nothing_of_it() {
+    let mut fleet = ready();
+    let callers = [0, 0].map(|index| fleet.call(index, None, draft()));
+    fleet.run(SECOND);
+    let endpoint = EndpointId::of("prefill-0");
+    fleet.feed(0, Event::Caller(CallerEvent::Left(callers[0])));
+    let is_list = |(_, call): &(usize, EngineCall)| *call == EngineCall::ListStreams { endpoint };
+    let lists = fleet.calls.iter().filter(|c| is_list(c)).count();
+    while fleet.calls.iter().filter(|c| is_list(c)).count() == lists {
+        fleet.run(Duration::from_millis(100));
+    }
+    fleet.feed(0, Event::Caller(CallerEvent::Left(callers[1])));
+    let report = EngineEvent::Report { endpoint, report: EngineReport::Streams(Vec::new()) };
+    fleet.feed(0, Event::Engine(report));
+    assert_eq!(fleet.states[0].reaper.watches[&endpoint].cancelled.len(), 1);
+}
+
 /// Symptom: as above, and the daemon can't reach the endpoint any more. The endpoint's steward, which
 /// still hears the daemon, cancels what nobody has read for a minute.
 #[test]
--- a/crates/basilbank_core/tests/world/record.rs
+++ b/crates/basilbank_core/tests/world/record.rs
@@ -90,6 +90,8 @@
     pub asks: BTreeMap<usize, AskRuns>,
     /// All prefills.
     pub prefills: Vec<PrefillUse>,
+    /// Tries that read a stream again after another one had taken it over.
+    pub taken_back: Vec<usize>,
     /// Memory held for nobody.
     pub held: Vec<HeldPast>,
     /// Work sent to endpoints that were leaving.
@@ -176,7 +178,10 @@
 
     /// A daemon can be reached from now on, or not.
     pub fn reach(&mut self, daemon: usize, at: Duration, reached: bool) {
-        self.reach[daemon].push((at, reached));
+        let last = self.reach[daemon].last().is_some_and(|(_, reached)| *reached);
+        if last != reached {
+            self.reach[daemon].push((at, reached));
+        }
     }
 
     /// The platform is well from now on, or not.
