One endpoint is asked first, another after 15 ms

Cause: two reservations for each slot, where the first is nearly always granted, cost three messages a request for nothing.

--- a/crates/basilbank_core/benches/policy/time.rs
+++ b/crates/basilbank_core/benches/policy/time.rs
@@ -13,7 +13,7 @@
 use crate::{
     mix::{Deployment, Maker, START, Stream},
     sweep,
-    world::{Ask, Brain, Pool, Spec, TeamSpec, World},
+    world::{Ask, Brain, Pool, Spec, TeamSpec, Traffic, World},
 };
 
 const LASTING: Duration = Duration::from_secs(10);
@@ -138,6 +138,10 @@
     for ask in asks {
         world.ask(ask);
     }
+    world.run_until(START);
+    for daemon in &mut world.daemons {
+        daemon.sent = Traffic::default();
+    }
     world.run_until(START + LASTING);
     (world, times)
 }
@@ -185,7 +189,7 @@
     }));
     let (world, times) = measured(spec, Spec::vm_name(0), asks);
     times.borrow_mut().print("planned");
-    let seconds = world.now.as_secs_f64();
+    let seconds = LASTING.as_secs_f64();
     let sent = world.daemons[0].sent;
     println!("planned.peer_bytes_a_second={:.0}", sent.bytes as f64 / seconds);
     println!("planned.peer_messages_a_second={:.1}", sent.messages as f64 / seconds);
--- a/crates/basilbank_core/src/reduce/place.rs
+++ b/crates/basilbank_core/src/reduce/place.rs
@@ -18,7 +18,11 @@
 };
 
 /// Endpoints that are asked at once for a slot.
-const FIRST_ASKS: usize = 2;
+const FIRST_ASKS: usize = 1;
+/// Further endpoints that are asked when these have not granted it.
+const MORE_ASKS: usize = 1;
+/// After this long.
+const WIDEN: Duration = Duration::from_millis(15);
 /// How long a late draft may hold a decode slot without a prefill slot.
 const LATE_HOLD: Duration = Duration::from_millis(500);
 /// Most endpoints at which one attempt waits.
@@ -42,6 +46,7 @@
     }
     let attempt = state.requests.begin(key, now.mono);
     seek(state, now, attempt, FIRST_ASKS, out);
+    state.timers.set(now.mono + WIDEN, Timer::Attempt(attempt));
     if state.requests.attempts.get(attempt).is_some_and(|a| a.asks.is_empty() && a.slot.is_none()) {
         retry::no_endpoint(state, now, attempt, out);
     }
@@ -51,7 +56,7 @@
 pub fn widen(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     if found.asks.len() < MOST_ASKS && found.stage != AttemptStage::Queue {
-        seek(state, now, attempt, FIRST_ASKS, out);
+        seek(state, now, attempt, MORE_ASKS, out);
     }
 }
 
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -58,7 +58,7 @@
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let stage = found.stage;
     let at = match stage {
-        AttemptStage::Slot => return,
+        AttemptStage::Slot => return place::widen(state, now, attempt, out),
         AttemptStage::Queue => return place::ask_planned(state, now, attempt, out),
         AttemptStage::Prefill => found.since + prefill::timeout(state, attempt),
         AttemptStage::Move => found.cache.as_ref().map_or(found.since, |c| c.until),
