A denial sends a request to another endpoint, and slow links are left alone

Cause: with one endpoint asked first, a steward that was just replaced had a call refused as if no endpoint were there (the test of replaced daemons). Change: a denial sends the request on, past a full endpoint once, past a steward that can't decide as often as there are others. How long transfers take is learned, and what is usual does not count as stalled.

--- a/crates/basilbank_core/src/reduce/candidates.rs
+++ b/crates/basilbank_core/src/reduce/candidates.rs
@@ -98,7 +98,7 @@
 fn cost(state: &State, now: Now, want: &Want, prefix: &Prefix, id: EndpointId) -> Option<Duration> {
     let endpoint = state.view.endpoint(id)?;
     let attempt = state.requests.attempts.get(want.attempt)?;
-    let is_asked = attempt.asks.iter().any(|a| a.endpoint == id);
+    let is_asked = attempt.asks.iter().any(|a| a.endpoint == id) || attempt.denied.contains(&id);
     if is_asked || !state.health.is_usable(id) || order::is_draining(state, id) {
         return None;
     }
--- a/crates/basilbank_core/src/reduce/decode.rs
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -30,19 +30,37 @@
 /// How long an import may take.
 ///
 /// A transfer that stalls is seen only by its silence. Waiting until the KV cache is evicted would
-/// waste the whole prefill, so the transfer is abandoned while there is time for another one.
+/// waste the whole prefill, so the transfer is abandoned while there is time for another one. Where
+/// transfers are slow lately the link is full, and a second transfer would only fill it further: there
+/// they get as long as they take.
 #[must_use]
 pub fn limit(state: &State, attempt: AttemptKey) -> Duration {
     let Some(found) = state.requests.attempts.get(attempt) else { return MARGIN };
     let (Some(slot), Some(cache)) = (found.slot, &found.cache) else { return MARGIN };
     let transfer = estimate::transfer_between(state, cache.bytes, cache.endpoint, slot.endpoint);
     let left = cache.until.saturating_sub(found.since);
-    left.saturating_sub(transfer + MARGIN).max(transfer * 3 / 2 + MARGIN)
+    let entry = state.requests.arena.get(found.request).map(|r| r.entry);
+    let lag = entry.map_or(Duration::ZERO, |e| estimate::lags(state, e).transfer.margin());
+    let usual = transfer * 3 / 2 + MARGIN + lag * 2;
+    left.saturating_sub(transfer + MARGIN).max(usual)
+}
+
+/// Learns how long a transfer took, or how long it was waited for.
+pub fn note_transfer(state: &mut State, now: Now, attempt: AttemptKey) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let (Some(slot), Some(cache)) = (found.slot, &found.cache) else { return };
+    if found.stage != AttemptStage::Import {
+        return;
+    }
+    let expected = estimate::transfer_between(state, cache.bytes, cache.endpoint, slot.endpoint);
+    let took = now.mono.saturating_sub(found.since);
+    let Some(entry) = state.view.entry(state.requests.arena[found.request].entry) else { return };
+    state.health.lags.entry(entry.target).or_default().transfer.add(expected, took);
 }
 
 /// The KV cache is still there but its decode endpoint is not: look for another.
 pub fn relocate(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
-    let attempt = state.requests.renew(attempt);
+    let attempt = reserve::renew(state, attempt);
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
     found.enter(AttemptStage::Move, now.mono);
     let until = found.cache.as_ref().map_or(now.mono, |c| c.until);
@@ -65,9 +83,11 @@
     if !matches!(found.stage, AttemptStage::Import | AttemptStage::Stream) {
         return;
     }
+    note_transfer(state, now, attempt);
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    found.cache = None;
     found.enter(AttemptStage::Stream, now.mono);
     found.stream = Some(stream.clone());
-    found.cache = None;
     found.heard = now.mono;
     let (request, base, slot) = (found.request, found.base, found.slot);
     // The prefill slot was kept until here: were it given back when the prefill was done, prompts with
--- a/crates/basilbank_core/src/reduce/place.rs
+++ b/crates/basilbank_core/src/reduce/place.rs
@@ -100,6 +100,23 @@
     ask_planned(state, now, attempt, out);
 }
 
+/// All that were asked have denied: asks the next one, unless so many have denied already.
+pub fn ask_others(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    most: usize,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    if let Some(next) = found.plan.last_mut() {
+        next.0 = now.mono;
+        ask_planned(state, now, attempt, out);
+    } else if found.stage != AttemptStage::Queue && found.denied.len() < most {
+        seek(state, now, attempt, FIRST_ASKS, out);
+    }
+}
+
 /// Asks the endpoints whose time has come.
 pub fn ask_planned(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
     let terms = terms(state, now, attempt, Role::Prefill);
--- a/crates/basilbank_core/src/reduce/reserve.rs
+++ b/crates/basilbank_core/src/reduce/reserve.rs
@@ -12,6 +12,8 @@
     time::Now,
 };
 
+/// Stewards without a slot in time after which no other is asked: the rest is as full.
+const FULL_DENIALS: usize = 2;
 /// A waiting reservation is sent again after this, in case it or its grant was lost.
 const RESEND: Duration = Duration::from_millis(200);
 
@@ -111,6 +113,18 @@
     }
 }
 
+/// Gives an attempt a new key and number; the slots that it holds go with it, under their old names.
+pub fn renew(state: &mut State, attempt: AttemptKey) -> AttemptKey {
+    let attempt = state.requests.renew(attempt);
+    let found = &state.requests.attempts[attempt];
+    for slot in [found.slot, found.prefill].into_iter().flatten() {
+        if let Some(own) = state.slots.own.get_mut(&slot) {
+            own.attempt = attempt;
+        }
+    }
+    attempt
+}
+
 /// Registers a slot that is in use without having been asked for: a stream that is read on.
 pub fn adopt(
     state: &mut State,
@@ -178,7 +192,8 @@
     };
     let retry = Duration::from_millis(deny.retry.into());
     let reason = deny.reason();
-    if matches!(reason, DenyReason::Full | DenyReason::Owed) {
+    let is_full = matches!(reason, DenyReason::Full | DenyReason::Owed);
+    if is_full {
         state.health.entry(key.endpoint).full = Some(now.mono + retry);
     }
     let waits = state.slots.own.get(&key).is_some_and(|own| !own.held);
@@ -188,13 +203,13 @@
     let Some(own) = state.slots.own.remove(&key) else { return };
     let Some(found) = state.requests.attempts.get_mut(own.attempt) else { return };
     found.asks.retain(|a| *a != key);
+    found.denied.push(key.endpoint);
     if !found.asks.is_empty() {
         return;
     }
-    if let Some(next) = found.plan.last_mut() {
-        next.0 = now.mono;
-        place::ask_planned(state, now, own.attempt, out);
-    } else {
+    let most = if is_full { FULL_DENIALS } else { usize::MAX };
+    place::ask_others(state, now, own.attempt, most, out);
+    if state.requests.attempts.get(own.attempt).is_some_and(|a| a.asks.is_empty()) {
         retry::unplaced(state, now, own.attempt, reason, retry, out);
     }
 }
--- a/crates/basilbank_core/src/reduce/resume.rs
+++ b/crates/basilbank_core/src/reduce/resume.rs
@@ -46,13 +46,8 @@
 
 /// Reads an attempt's stream again from the first token that is missing.
 pub fn again(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
-    // The slot goes on under its old number; only the answers of the earlier call are dropped.
-    let attempt = state.requests.renew(attempt);
-    let found = &mut state.requests.attempts[attempt];
-    found.rereads += 1;
-    if let Some(own) = found.slot.and_then(|slot| state.slots.own.get_mut(&slot)) {
-        own.attempt = attempt;
-    }
+    let attempt = reserve::renew(state, attempt);
+    state.requests.attempts[attempt].rereads += 1;
     read(state, now, attempt, out);
 }
 
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -132,19 +132,10 @@
     }
     note(state, key, retry, Duration::ZERO, out);
     state.requests.set_queued(key);
-    let attempt = renew(state, attempt);
+    let attempt = reserve::renew(state, attempt);
     prefill::seek(state, now, attempt, out);
 }
 
-fn renew(state: &mut State, attempt: AttemptKey) -> AttemptKey {
-    let attempt = state.requests.renew(attempt);
-    let slot = state.requests.attempts[attempt].slot;
-    if let Some(own) = slot.and_then(|s| state.slots.own.get_mut(&s)) {
-        own.attempt = attempt;
-    }
-    attempt
-}
-
 fn import_failed(
     state: &mut State,
     now: Now,
@@ -154,6 +145,9 @@
 ) {
     let key = state.requests.attempts[attempt].request;
     let is_repeatable = state.requests.arena[key].repeatable;
+    if failure == Failure::Stalled {
+        decode::note_transfer(state, now, attempt);
+    }
     if failure == Failure::Evicted {
         charge::prefill(state, now, attempt, Waste::Evicted, out);
         if !is_repeatable {
--- a/crates/basilbank_core/src/state/attempt.rs
+++ b/crates/basilbank_core/src/state/attempt.rs
@@ -20,6 +20,8 @@
     pub since: Duration,
     /// Prefill endpoints to be asked later, and when; the next one last.
     pub plan: Vec<(Duration, EndpointId)>,
+    /// Endpoints whose stewards denied the slot that it looks for.
+    pub denied: Vec<EndpointId>,
     /// Slots that were asked for and not granted yet.
     pub asks: Vec<SlotKey>,
     /// The slot at a decode endpoint or a plain service.
@@ -92,6 +94,7 @@
             stage: AttemptStage::Slot,
             since: now,
             plan: Vec::new(),
+            denied: Vec::new(),
             asks: Vec::new(),
             slot: None,
             prefill: None,
@@ -113,6 +116,7 @@
     pub fn enter(&mut self, stage: AttemptStage, now: Duration) {
         self.stage = stage;
         self.since = now;
+        self.denied.clear();
     }
 
     /// Where it runs now.
--- a/crates/basilbank_core/src/state/health.rs
+++ b/crates/basilbank_core/src/state/health.rs
@@ -33,6 +33,8 @@
     pub placed: Lag,
     /// Counted from the grant of its prefill slot.
     pub run: Lag,
+    /// The transfer alone.
+    pub transfer: Lag,
 }
 
 /// What is known of endpoints.
