--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -7,14 +7,19 @@
 use std::time::Duration;
 
 use crate::{
-    ids::EntryId,
-    state::{Group, Ledger, SlotKey, View, Waiter, Waiting},
+    ids::{EntryId, VmId},
+    state::{Group, Lease, Ledger, SlotKey, View, Waiter, Waiting},
     time::Now,
 };
 
 /// The weight of an entry that is owed nothing.
 const LEAST_SHARE: f64 = 0.02;
 
+/// A slot is taken back for a reservation that has waited for this part of the time it has.
+const PATIENCE: u32 = 4;
+/// A holder that has not given a slot back for this long can't: another one is asked.
+const GIVE_BACK: Duration = Duration::from_secs(1);
+
 /// The reservation to serve next.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Choice {
@@ -100,6 +105,56 @@
     (hopeless, behind)
 }
 
+/// Leases to be taken back, with their holders.
+///
+/// Slots come free all the time, and an entry below its owed share gets the next one. Only where that
+/// takes too long, because others hold them for long answers, they are taken back: from the entry that
+/// holds most of its share, and from those that were granted last, which have lost least.
+#[must_use]
+pub fn take_back(ledger: &mut Ledger, view: &View, now: Now) -> Vec<(SlotKey, VmId)> {
+    if !ledger.resumable || 0 < ledger.free() {
+        return Vec::new();
+    }
+    let urgent: usize = ledger
+        .waiting
+        .lines()
+        .map(|(e, line)| {
+            let share = Share::of(ledger, view, e);
+            let room = (share.owed - share.used).max(0.0) as usize;
+            line.iter().take(room).filter(|(group, w)| is_urgent(*group, w, now)).count()
+        })
+        .sum();
+    let asked = |lease: &Lease| lease.preempted.is_some_and(|at| now.mono < at + GIVE_BACK);
+    let coming = ledger.leases.values().filter(|lease| asked(lease)).count();
+    let mut taken = Vec::new();
+    for _ in coming..urgent {
+        let Some(key) = victim(ledger, view) else { break };
+        let Some(lease) = ledger.leases.get_mut(&key) else { break };
+        lease.preempted = Some(now.mono);
+        taken.push((key, lease.vm));
+    }
+    taken
+}
+
+/// Whether a reservation has used up so much of its time that a slot is taken back for it.
+fn is_urgent(group: Group, waiter: &Waiter, now: Now) -> bool {
+    let patience = waiter.due.saturating_sub(waiter.since) / PATIENCE;
+    group != Group::Late && waiter.first && waiter.since + patience <= now.mono
+}
+
+fn victim(ledger: &Ledger, view: &View) -> Option<SlotKey> {
+    let over = |entry: EntryId| {
+        let share = Share::of(ledger, view, entry);
+        let asked = ledger.leases.values().filter(|l| l.entry == entry && l.preempted.is_some());
+        let used = share.used - asked.count() as f64;
+        (share.owed + 1.0 <= used).then_some(used / share.weight)
+    };
+    let most = ledger.used.keys().filter_map(|entry| Some((over(*entry)?, *entry)));
+    let (_, entry) = most.max_by(|a, b| a.partial_cmp(b).expect("no NaN"))?;
+    let of_entry = ledger.leases.iter().filter(|(_, l)| l.entry == entry && l.preempted.is_none());
+    of_entry.max_by_key(|(key, l)| (l.since, **key)).map(|(key, _)| *key)
+}
+
 /// How many reservations are served before one that has `ahead` of its own entry before it.
 ///
 /// Entries take turns by what they hold of their shares, so of each other entry only as many count as
--- a/crates/basilbank_core/src/reduce/reserve.rs
+++ b/crates/basilbank_core/src/reduce/reserve.rs
@@ -53,8 +53,10 @@
         return;
     }
     found.asks.push(key);
+    let first = found.asks.len() == 1 && found.denied.is_empty();
     let own = OwnSlot {
         attempt,
+        first,
         entry: request.entry,
         tokens: terms.tokens.saturating_sub(cached),
         sent: terms.sent,
@@ -92,6 +94,8 @@
         sent: own.sent,
         block,
         cached,
+        begun: 0 < request.delivered,
+        first: own.first,
     };
     peer::say(state, steward, Body::Reserve(reserve), out);
 }
@@ -140,6 +144,7 @@
     found.slot = Some(key);
     let own = OwnSlot {
         attempt,
+        first: false,
         entry,
         tokens: 0,
         sent: 0,
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -15,7 +15,7 @@
 };
 
 /// How long an answer that has begun may wait for capacity elsewhere.
-const CONTINUE_WAIT: Duration = Duration::from_secs(30);
+const CONTINUE_WAIT: Duration = Duration::from_secs(300);
 /// An answer that has begun should go on within this.
 const CONTINUE_DUE: Duration = Duration::from_secs(1);
 /// Pause before a draft that found no prefill slot asks for a decode slot again.
@@ -244,7 +244,7 @@
     if !request.repeatable {
         return settle::unknown(state, now, key, out);
     }
-    request.failures += 1;
+    request.failures += u32::from(waste != Waste::Preempted);
     if state.local.tuning.attempts <= request.failures {
         return settle::unknown(state, now, key, out);
     }
@@ -276,9 +276,21 @@
 ) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let is_repeatable = state.requests.arena[found.request].repeatable;
-    let is_streaming = found.stage == AttemptStage::Stream && found.slot == Some(slot);
-    if is_streaming && is_repeatable && !found.resumed {
-        stream_died(state, now, attempt, Waste::Preempted, out);
+    if found.slot != Some(slot) {
+        return;
+    }
+    let key = found.request;
+    match found.stage {
+        AttemptStage::Stream if is_repeatable && !found.resumed => {
+            stream_died(state, now, attempt, Waste::Preempted, out);
+        }
+        AttemptStage::Queue => {
+            note(state, key, Retry::Preempted, GIVE_WAY, out);
+            later(state, now, key, GIVE_WAY, out);
+        }
+        // Its prefill runs or has just ended, so it is about to use the slot, or nobody else may
+        // finish it: the steward takes another one.
+        _ => {}
     }
 }
 
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Release, Reserve};
+use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Preempt, Release, Reserve};
 
 use crate::{
     catalogue::{Endpoint, Role},
@@ -70,6 +70,8 @@
         due,
         until: now.mono + Duration::from_millis(ask.wait.into()),
         since: now.mono,
+        begun: ask.begun,
+        first: ask.first,
     }
 }
 
@@ -109,7 +111,8 @@
     let live = state.members.all.keys().copied().filter(|vm| state.members.is_live(*vm));
     let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
     let rate = known.prefill_rate;
-    let mut ledger = Ledger { slots, rate, link_rate, ..Ledger::default() };
+    let resumable = known.role == Role::Decode;
+    let mut ledger = Ledger { slots, resumable, rate, link_rate, ..Ledger::default() };
     for vm in &missing {
         let ask = AskHolds { endpoint: endpoint.0 };
         out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
@@ -156,7 +159,7 @@
             since: now.mono,
             until: now.mono + state.local.tuning.slot_lease,
             lent: choice.lent,
-            preempted: false,
+            preempted: None,
         };
         ledger.lease(waiter.key, lease);
         grant(state, waiter.key, waiter.vm, choice.lent, out);
@@ -211,6 +214,16 @@
     }
 }
 
+/// Takes lent slots back for entries that are owed them and would miss their targets else.
+fn preempt(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    for (key, vm) in queue::take_back(ledger, &state.view, now) {
+        let (endpoint, request, attempt) = (key.endpoint.0, key.request.0, key.attempt);
+        let preempt = Preempt { endpoint, request, attempt };
+        peer::say(state, vm, Body::Preempt(preempt), out);
+    }
+}
+
 /// A holder gave a slot, or the wait for it, back.
 pub fn released(state: &mut State, now: Now, release: &Release, out: &mut Vec<Effect>) {
     let endpoint = EndpointId(release.endpoint);
@@ -279,7 +292,7 @@
             since: now.mono,
             until,
             lent: false,
-            preempted: false,
+            preempted: None,
         };
         ledger.lease(key, lease);
     }
@@ -327,6 +340,7 @@
         expire(state, now, endpoint, out);
         serve(state, now, endpoint, out);
         drop_hopeless(state, now, endpoint, out);
+        preempt(state, now, endpoint, out);
     }
     reserve::tick(state, now, out);
 }
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -37,8 +37,8 @@
     pub until: Duration,
     /// Its entry was above its owed share.
     pub lent: bool,
-    /// It is to be given back: the holder was told.
-    pub preempted: bool,
+    /// When the holder was last told to give it back.
+    pub preempted: Option<Duration>,
 }
 
 /// What a steward that is new to an endpoint still has to hear.
@@ -66,6 +66,8 @@
 pub struct Ledger {
     /// Slots that the endpoint has.
     pub slots: u32,
+    /// Its work can go on elsewhere, so that slots can be taken back: it is a decode endpoint.
+    pub resumable: bool,
     /// Tokens a second of a prefill endpoint; 0 elsewhere.
     pub rate: f64,
     /// Until when the prefills that were granted keep the endpoint busy.
--- a/crates/basilbank_core/src/state/slots.rs
+++ b/crates/basilbank_core/src/state/slots.rs
@@ -39,6 +39,8 @@
 pub struct OwnSlot {
     /// The attempt that it is for.
     pub attempt: AttemptKey,
+    /// Its steward was asked first.
+    pub first: bool,
     /// The entry whose share it uses.
     pub entry: EntryId,
     /// Tokens expected to be held or prefilled.
--- a/crates/basilbank_core/src/state/waiting.rs
+++ b/crates/basilbank_core/src/state/waiting.rs
@@ -32,11 +32,17 @@
     pub until: Duration,
     /// When it came.
     pub since: Duration,
+    /// Its caller has part of the answer.
+    pub begun: bool,
+    /// This steward may take a slot back for it.
+    pub first: bool,
 }
 
 /// Groups of one entry's reservations; earlier ones are served first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub enum Group {
+    /// The caller has part of the answer and waits for the rest.
+    Begun,
     /// In time, and most of the prompt is cached.
     Cached,
     /// In time.
@@ -45,13 +51,18 @@
     Late,
 }
 
+impl Group {
+    /// All of them, in order.
+    pub const ALL: [Group; 4] = [Group::Begun, Group::Cached, Group::InTime, Group::Late];
+}
+
 /// A reservation's place in its group: when it is due, or when it came if it is late; then by arrival.
 type Order = (Duration, u64);
 
 /// One entry's reservations.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Line {
-    groups: [BTreeMap<Order, Waiter>; 3],
+    groups: [BTreeMap<Order, Waiter>; Group::ALL.len()],
 }
 
 /// All reservations that wait at one endpoint.
@@ -74,7 +85,10 @@
     }
 
     fn put(&mut self, waiter: Waiter, group: Group, sequence: u64) {
-        let at = if group == Group::Late { waiter.since } else { waiter.due };
+        let at = match group {
+            Group::Begun | Group::Late => waiter.since,
+            Group::Cached | Group::InTime => waiter.due,
+        };
         let order = (at, sequence);
         self.places.insert(waiter.key, (waiter.entry, group, order));
         let line = self.lines.entry(waiter.entry).or_default();
@@ -163,16 +177,14 @@
 impl Line {
     /// All of them, in order.
     pub fn iter(&self) -> impl Iterator<Item = (Group, &Waiter)> {
-        let groups = [Group::Cached, Group::InTime, Group::Late];
-        let each = groups.into_iter().zip(&self.groups);
+        let each = Group::ALL.into_iter().zip(&self.groups);
         each.flat_map(|(group, waiters)| waiters.values().map(move |w| (group, w)))
     }
 
     /// The first one, and what it is ordered by within its group.
     #[must_use]
     pub fn first(&self) -> Option<(Group, Duration, &Waiter)> {
-        let groups = [Group::Cached, Group::InTime, Group::Late];
-        let mut firsts = groups.into_iter().zip(&self.groups);
+        let mut firsts = Group::ALL.into_iter().zip(&self.groups);
         firsts.find_map(|(group, w)| w.first_key_value().map(|(order, w)| (group, order.0, w)))
     }
 
@@ -188,7 +200,9 @@
 }
 
 fn group(waiter: &Waiter, now: Duration) -> Group {
-    if waiter.due < now {
+    if waiter.begun {
+        Group::Begun
+    } else if waiter.due < now {
         Group::Late
     } else if waiter.tokens.saturating_mul(CACHED) <= waiter.sent {
         Group::Cached
--- a/crates/basilbank_core/tests/world/ask.rs
+++ b/crates/basilbank_core/tests/world/ask.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Makes a draft's answer some times longer.
+    pub fn lengthen(&mut self, times: u32) {
+        if let Job::Draft { output, max_tokens, .. } = &mut self.job {
+            *output *= times;
+            *max_tokens *= times;
+        }
+    }
+
     /// Sets the moment.
     #[must_use]
     pub fn at(mut self, at: Duration) -> Ask {
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -181,6 +181,13 @@
     /// Tokens up to that block's end.
     #[prost(uint32, tag = "11")]
     pub cached: u32,
+    /// The caller has part of the answer: the request goes on from there.
+    #[prost(bool, tag = "12")]
+    pub begun: bool,
+    /// This steward was asked first. It alone may take a slot back for the request, else each of
+    /// those that were asked would.
+    #[prost(bool, tag = "13")]
+    pub first: bool,
 }
 
 /// A granted slot.
