--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -27,6 +27,8 @@
     pub key: SlotKey,
     /// Its entry holds its owed share already.
     pub lent: bool,
+    /// The group that it is in.
+    pub group: Group,
 }
 
 /// What a reservation is ordered by: less is served first.
@@ -78,7 +80,7 @@
             best = Some((rank, waiter.key));
         }
     }
-    best.map(|(rank, key)| Choice { key, lent: rank.lent })
+    best.map(|(rank, key)| Choice { key, lent: rank.lent, group: rank.group })
 }
 
 /// How long a reservation will wait, as far as can be told.
@@ -96,13 +98,21 @@
 pub fn take_hopeless(ledger: &mut Ledger, view: &View, now: Now) -> (Vec<Waiter>, Duration) {
     let Some(pace) = ledger.pace else { return Default::default() };
     let mut waiting = std::mem::take(&mut ledger.waiting);
+    if !waiting.lines().any(|(_, line)| line.has(Group::Late)) {
+        ledger.late_served = now.mono;
+    }
+    // Those in time go before those that are late and come all the time, so how many there are now
+    // says little about when a late one is served. How long none has been says more.
+    let drought = now.mono.saturating_sub(ledger.late_served);
     let hopeless = waiting.take(|waiting, waiter, group, ahead| {
         let before = before(ledger, waiting, view, waiter.entry, group, ahead);
-        waiter.until < now.mono + pace * (1 + before)
+        let wait = pace * (1 + before);
+        let wait = if group == Group::Late { wait.max(drought) } else { wait };
+        waiter.until < now.mono + wait
     });
     ledger.waiting = waiting;
     let behind = pace * (1 + ledger.waiting.len() as u32);
-    (hopeless, behind)
+    (hopeless, behind.max(drought))
 }
 
 /// Leases to be taken back, with their holders.
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -9,7 +9,7 @@
     effect::{Effect, EngineCall, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
     reduce::{estimate, order, peer, queue, reserve},
-    state::{Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
+    state::{Group, Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
     time::Now,
 };
 
@@ -161,6 +161,9 @@
             lent: choice.lent,
             preempted: None,
         };
+        if choice.group == Group::Late {
+            ledger.late_served = now.mono;
+        }
         ledger.lease(waiter.key, lease);
         grant(state, waiter.key, waiter.vm, choice.lent, out);
     }
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -94,6 +94,8 @@
     pub ended: VecDeque<Duration>,
     /// Mean time between two slots' coming free, while some wait.
     pub pace: Option<Duration>,
+    /// When a late reservation was last granted, or none was late.
+    pub late_served: Duration,
     /// When a slot last came free or a reservation was last withdrawn.
     pub moved: Duration,
 }
--- a/crates/basilbank_core/src/state/waiting.rs
+++ b/crates/basilbank_core/src/state/waiting.rs
@@ -194,6 +194,12 @@
         self.groups[..=group as usize].iter().map(BTreeMap::len).sum()
     }
 
+    /// Whether there are any in a group.
+    #[must_use]
+    pub fn has(&self, group: Group) -> bool {
+        !self.groups[group as usize].is_empty()
+    }
+
     fn is_empty(&self) -> bool {
         self.groups.iter().all(BTreeMap::is_empty)
     }
