--- a/crates/basilbank/src/daemon.rs
+++ b/crates/basilbank/src/daemon.rs
@@ -15,6 +15,7 @@
 use basilbank_core::{
     catalogue::{EntryTarget, KeyHash},
     event::Event,
+    reason::Refusal,
     state::{Local, State},
     time::{Clock, Now},
 };
@@ -98,10 +99,11 @@
         let server = server_config(&settings, &published, &observer.metrics, &clock);
         let server = Server::start(server, events.clone(), Arc::clone(&callers))?;
         let platform = Platform::start(&settings.platform, &feed, &observer.metrics)?;
+        let state = State::new(local.with_tuning(settings.tuning), now);
+        published.publish(&state);
         let handle = Shutdown { events, published: Arc::clone(&published) };
         let parts = Parts { callers, engine, peers, platform, observer, published };
         let (control, done, stop) = control();
-        let state = State::new(local.with_tuning(settings.tuning), now);
         let event_loop = EventLoop::new(state, clock, inbox, questions, parts, control);
         let builder = thread::Builder::new().name("event-loop".to_owned()).stack_size(LOOP_STACK);
         let event_loop = Some(builder.spawn(move || event_loop.run())?);
@@ -212,9 +214,12 @@
 }
 
 /// The names that a key's team may use in `model`.
-fn models(names: &Names, key: &KeyHash) -> Option<Vec<String>> {
-    let team = names.view.team(key)?;
+fn models(names: &Names, key: &KeyHash) -> Result<Vec<String>, Refusal> {
+    if names.catalogue().revision == 0 {
+        return Err(Refusal::NotReady);
+    }
+    let team = names.view.team(key).ok_or(Refusal::UnknownKey)?;
     let entries = names.catalogue().entries.iter().filter(|e| e.owner == team);
     let drafts = entries.filter(|e| matches!(e.target, EntryTarget::Model(_)));
-    Some(drafts.map(|e| e.name.clone()).collect())
+    Ok(drafts.map(|e| e.name.clone()).collect())
 }
--- a/crates/basilbank_core/src/reduce/deliver.rs
+++ b/crates/basilbank_core/src/reduce/deliver.rs
@@ -45,6 +45,12 @@
         let ttft = now.mono - request.accepted;
         let progress = Progress::FirstToken { request: request.id, entry: request.entry, ttft };
         out.push(Effect::Progress(progress));
+        let entry = state.view.entry(request.entry);
+        if let (Some(entry), false) = (entry, attempt.resumed) {
+            let lags = state.health.lags.entry(entry.target).or_default();
+            lags.placed.add(attempt.expected, now.mono - attempt.placed);
+            lags.run.add(attempt.expected, now.mono - attempt.run);
+        }
     }
     request.last = Some(now.mono);
     let answer = Answer::Tokens { offset: request.delivered, texts: fresh };
@@ -98,7 +104,14 @@
 ///
 /// Passing on what came would leave a hole in the caller's text that nobody notices, so the stream
 /// is read again from the first token that is missing.
+///
+/// Not so right after a pause of this process: more that was sent meanwhile is still to be read,
+/// perhaps that another daemon has taken the stream over. If nothing comes, the silence has it read
+/// again.
 fn missing(state: &mut State, now: Now, key: AttemptKey, out: &mut Vec<Effect>) {
+    if state.members.presence.waiting.is_some() {
+        return;
+    }
     if state.requests.attempts[key].rereads < resume::REREADS {
         resume::again(state, now, key, out);
     } else {
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -9,7 +9,7 @@
     event::Failure,
     ids::{AttemptKey, RequestKey},
     reason::{Refusal, Retry, Waste},
-    reduce::{charge, decode, deliver, load, place, prefill, reserve, resume, settle},
+    reduce::{charge, claim, decode, deliver, load, place, prefill, reserve, resume, settle},
     state::{AttemptStage, RequestStage, SlotKey, State, Timer},
     time::Now,
 };
@@ -18,6 +18,10 @@
 const CONTINUE_WAIT: Duration = Duration::from_secs(30);
 /// An answer that has begun should go on within this.
 const CONTINUE_DUE: Duration = Duration::from_secs(1);
+/// Pause before a draft that found no prefill slot asks for a decode slot again.
+const GIVE_WAY: Duration = Duration::from_millis(250);
+/// It grows with each time, up to this many times.
+const LONGEST_WAY: u32 = 8;
 /// Pause before a steward is asked again that could not decide.
 const STEWARD_PAUSE: Duration = Duration::from_millis(50);
 
@@ -31,6 +35,12 @@
 ) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let stage = found.stage;
+    if failure == Failure::Taken && stage == AttemptStage::Stream {
+        return taken(state, now, attempt, out);
+    }
+    let cache = found.cache.as_ref().map(|c| c.endpoint);
+    let blamed = if failure == Failure::Evicted { cache } else { found.endpoint() };
+    state.requests.arena[found.request].blamed.extend(blamed);
     if let Some(endpoint) = found.endpoint() {
         load::blame(state, now, endpoint, failure, out);
     }
@@ -76,7 +86,7 @@
         Failure::Full | Failure::Leaving | Failure::Refused => Retry::Refused,
         Failure::Evicted => Retry::Evicted,
         Failure::Stalled => Retry::TransferStalled,
-        Failure::Broken => otherwise,
+        Failure::Broken | Failure::Taken => otherwise,
     }
 }
 
@@ -202,6 +212,20 @@
     stream_died(state, now, attempt, Waste::DecodeFailed, out);
 }
 
+/// The caller, or another one with its key, reads the stream on through another call.
+///
+/// To read it again here would take it back. The two readers would cut each other off, and the one
+/// whose caller has left would cancel the stream under the other: an answer that stops for no reason
+/// in the endpoint's log. So this side ends, and cancels nothing.
+fn taken(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let found = &mut state.requests.attempts[attempt];
+    let key = found.request;
+    found.stream = None;
+    found.enter(AttemptStage::Queue, now.mono);
+    claim::handed_on(state, key);
+    settle::unknown(state, now, key, out);
+}
+
 /// A stream is lost: its request goes on elsewhere from the text so far.
 pub fn stream_died(
     state: &mut State,
@@ -301,6 +325,13 @@
         let pause = STEWARD_PAUSE.mul_f64(0.5 + state.rng.unit());
         return later(state, now, key, pause, out);
     }
+    if stage == AttemptStage::Queue && now.mono + GIVE_WAY < until {
+        // It held a decode slot in vain: others come first now, and it waits behind them.
+        let longer = GIVE_WAY * state.requests.arena[key].attempts.min(LONGEST_WAY);
+        let pause = longer.mul_f64(0.5 + state.rng.unit());
+        note(state, key, Retry::NoSlot, pause, out);
+        return later(state, now, key, pause, out);
+    }
     let refusal = if is_undecided { Refusal::NoEndpoint } else { place::refusal_of(state, key) };
     settle::give_up(state, now, key, refusal, Some(retry), out);
 }
