--- a/crates/basilbank_core/tests/daemons/orders.rs
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -176,6 +176,18 @@
     assert!(world.report().notes.contains_key("order_load_stuck"));
 }
 
+#[test]
+fn a_roll_that_is_taken_back_changes_what_had_changed() {
+    let spec = Spec::kitafuji();
+    let mut world = World::new(spec.clone());
+    world.at(ROLL, version(&spec, "v2"));
+    world.at(ROLL + SECOND * 25, Step::Publish(Box::new(spec.catalogue())));
+    world.run_until(SECOND * 200);
+    assert!(versions(&world).iter().all(|v| *v == "v1"), "{:?}", versions(&world));
+    let untouched = revisions(&world).iter().filter(|o| o.is_empty()).count();
+    assert!(spec.plain.count < untouched, "some never changed");
+}
+
 /// Symptom: a roll that met a partition never ends. Sequence: half of the daemons are cut off from the
 /// others and from all endpoints for a minute, among them stewards of endpoints that drain.
 #[test]
@@ -394,6 +406,19 @@
     assert!((3..=5).contains(&orders.len()), "{}", orders.len());
 }
 
+#[test]
+fn a_newer_version_is_ordered_while_the_older_one_loads() {
+    let mut newer = catalogue();
+    newer.revision = 2;
+    newer.models[0].version = "v2".into();
+    let mut alone = Alone::new(catalogue());
+    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 4).len(), 1);
+    assert_eq!(alone.run("decode-0", &load("", Role::Decode, 0, 0), 20), []);
+    alone.publish(newer);
+    let orders = alone.run("decode-0", &load("", Role::Decode, 0, 0), 3);
+    assert!(matches!(&orders[..], [EngineCall::Order { version, .. }] if version == "v2"));
+}
+
 /// The endpoint does not check numbers, so a new steward waits out what its forerunner may have sent.
 #[test]
 fn an_endpoint_without_fencing_is_ordered_after_a_settling_time() {
