The engines of a stopped steward get no order that is not due

Cause: an old order that was put right later would not have shown in the fleet test. Change: once all engines serve what they should, the number of orders that they took must not rise any more.

--- a/crates/basilbankd/tests/fleet/steward.rs
+++ b/crates/basilbankd/tests/fleet/steward.rs
@@ -35,6 +35,12 @@
     fleet.site.decodes.iter().map(|engine| engine.counters().refused).sum()
 }
 
+/// Orders that engines took.
+fn orders(fleet: &Fleet) -> u64 {
+    let engines = fleet.site.prefills.iter().chain(&fleet.site.decodes);
+    engines.map(|engine| engine.counters().orders).sum()
+}
+
 /// Sends a draft that a stopped daemon will find in its socket.
 fn send_draft(callers: SocketAddr, prompt: &str) -> TcpStream {
     let mut caller = TcpStream::connect(callers).unwrap();
@@ -83,6 +89,7 @@
         fleet.wait_live(&others);
         load.wait_served(3 * CALLERS);
         wait_until("the engines are rolled", || engines().all(|e| loaded(e)["version"] == "3"));
+        let before = orders(&fleet);
         let prompts: Vec<_> = (0..CALLERS).map(|i| format!("waited {i} length=10")).collect();
         let send = |prompt: &String| send_draft(fleet.daemons[steward].callers, prompt);
         let waited: Vec<_> = prompts.iter().map(send).collect();
@@ -98,6 +105,7 @@
         load.wait_served(3 * CALLERS);
         assert_eq!(fleet.steward(others[0], "decode-0"), steward);
         assert!(engines().all(|e| loaded(e)["version"] == "3"));
+        assert_eq!(orders(&fleet), before, "there was nothing left to order");
     });
     let cut: u64 = engines().map(|e| e.counters().cut).sum();
     assert_eq!((cut, refused(&fleet)), (0, 0), "requests cut off by orders, and refused");
