A repeat follows a repeatable request whose daemon is gone

Change: the repeat waits as long as its class may; when the first daemon is not heard or runs a later process it asks for the key in the first request's place (Claim.after), and voters give it over if both are repeatable. Votes that were not asked for are dropped: doubled ones had the voters asked without end. The matrix asserts that a draft survives every single fault.

--- a/crates/basilbank_core/benches/claims/main.rs
+++ b/crates/basilbank_core/benches/claims/main.rs
@@ -65,7 +65,14 @@
     let mut table = KeyTable::default();
     for i in 0..KEYS {
         let stream = format!("stream-{i}");
-        let record = KeyRecord { request: 1, vm: 2, endpoint: 3, stream, outcome: 1 };
+        let record = KeyRecord {
+            request: 1,
+            vm: 2,
+            endpoint: 3,
+            stream,
+            outcome: 1,
+            ..KeyRecord::default()
+        };
         table.put(key(i), record, WINDOW + Duration::from_millis(i.into()));
     }
     let used = resident().saturating_sub(before);
@@ -95,7 +102,8 @@
     let (from, incarnation) = (vm(1), 1);
     let events: Vec<_> = (0..VOTES)
         .map(|i| {
-            let claim = Claim { key: key(i).0.to_vec(), request: u64::from(i), made };
+            let key = key(i).0.to_vec();
+            let claim = Claim { key, request: u64::from(i), made, ..Claim::default() };
             Event::Peer { from, incarnation, message: Body::Claim(claim).into() }
         })
         .collect();
--- a/crates/basilbank_core/src/reduce/claim.rs
+++ b/crates/basilbank_core/src/reduce/claim.rs
@@ -1,5 +1,6 @@
 //! At most one run for an idempotency key: the side of the daemon that wants to run a request.
 
+mod succeed;
 mod vote;
 
 use std::time::Duration;
@@ -37,6 +38,13 @@
     let name = ClaimKey::new(request.team, text);
     let made = made_at(text);
     let id = request.id;
+    let record = KeyRecord {
+        request: id.0,
+        vm: state.local.vm.0,
+        incarnation: state.local.incarnation,
+        repeatable: request.repeatable,
+        ..KeyRecord::default()
+    };
     let voters = state.members.voters(name.subject());
     let claim = OwnClaim {
         request: key,
@@ -45,7 +53,8 @@
         ballots: voters.into_iter().map(Ballot::new).collect(),
         phase: ClaimPhase::Asking,
         is_sent: false,
-        record: KeyRecord { request: id.0, vm: state.local.vm.0, ..KeyRecord::default() },
+        record,
+        after: 0,
         deadline: now.mono + state.local.tuning.peer_timeout * ASK_ROUNDS,
         sent: 0,
         due: now.mono,
@@ -69,6 +78,9 @@
         }
         return;
     }
+    if !claim.awaits(from) {
+        return;
+    }
     claim.note_vote(from, vote.verdict(), vote.record.clone());
     // A process that was paused finds votes in its socket that are older than the claim's time
     // limit. By then voters that came up in between may have begun to grant the key to others, so
@@ -189,7 +201,14 @@
     }
     let members = &state.members;
     let voters = claim.next_voters(|vm| (vm != members.own, !members.is_live(vm)));
-    let message = Claim { key: claim.key.0.to_vec(), request: id.0, made: claim.made };
+    let message = Claim {
+        key: claim.key.0.to_vec(),
+        request: id.0,
+        made: claim.made,
+        incarnation: claim.record.incarnation,
+        repeatable: claim.record.repeatable,
+        after: claim.after,
+    };
     let own = state.local.vm;
     for vm in voters {
         if vm == own {
@@ -226,6 +245,9 @@
             admit::claimed(state, now, key, out);
         }
         Standing::Lost(record) => {
+            if succeed::goes_on(state, now, id, record.as_ref()) {
+                return;
+            }
             end(state, id, Outcome::NotRun);
             repeat(state, now, key, record, out);
         }
@@ -237,6 +259,13 @@
     let Some(claim) = state.claims.own.get(&id) else { return };
     let key = claim.request;
     let standing = claim.standing(Waited::Enough);
+    let rival = match &standing {
+        Standing::Lost(record) => record.clone(),
+        Standing::Open | Standing::Won => claim.rival(),
+    };
+    if succeed::goes_on(state, now, id, rival.as_ref()) {
+        return;
+    }
     end(state, id, Outcome::NotRun);
     match standing {
         Standing::Lost(record) => repeat(state, now, key, record, out),
--- a/crates/basilbank_core/src/reduce/claim/vote.rs
+++ b/crates/basilbank_core/src/reduce/claim/vote.rs
@@ -78,27 +78,42 @@
     claim: &Claim,
     out: &mut Vec<Effect>,
 ) -> (Verdict, Option<KeyRecord>) {
-    if let Some(entry) = state.claims.table.get(&key) {
-        let verdict = match entry.record.outcome {
-            0 if entry.record.request == claim.request => return (Verdict::Granted, None),
+    let known = state.claims.table.get(&key).map(|entry| &entry.record);
+    let follows = known.is_some_and(|record| may_follow(claim, record));
+    if let Some(record) = known.filter(|_| !follows) {
+        let verdict = match record.outcome {
+            0 if record.request == claim.request => return (Verdict::Granted, None),
             0 => Verdict::Running,
             _ => Verdict::Done,
         };
-        return (verdict, Some(entry.record.clone()));
+        return (verdict, Some(record.clone()));
     }
-    if !state.members.may_decide() || !would_know(state, now, key, claim.made) {
+    let may_grant = follows || would_know(state, now, key, claim.made);
+    if !state.members.may_decide() || !may_grant {
         return (Verdict::Abstain, None);
     }
-    if state.local.tuning.keys <= state.claims.table.len() {
+    if !follows && state.local.tuning.keys <= state.claims.table.len() {
         let pairs = vec![("keys", state.claims.table.len().to_string())];
         out.push(Effect::Progress(Progress::Note { name: "key_table_full", pairs }));
         return (Verdict::Overflow, None);
     }
-    let record = KeyRecord { request: claim.request, vm: from.0, ..KeyRecord::default() };
+    let record = KeyRecord {
+        request: claim.request,
+        vm: from.0,
+        incarnation: claim.incarnation,
+        repeatable: claim.repeatable,
+        ..KeyRecord::default()
+    };
     state.claims.table.put(key, record, now.mono + state.local.tuning.key_window);
     (Verdict::Granted, None)
 }
 
+/// Whether a claim's request may take the key over from the one that has it.
+fn may_follow(claim: &Claim, record: &KeyRecord) -> bool {
+    let is_meant = claim.after != 0 && claim.after == record.request;
+    is_meant && record.outcome == 0 && record.repeatable && claim.repeatable
+}
+
 /// Whether this daemon would remember the key if an earlier request had claimed it.
 ///
 /// It does when it has been a voter of the key for the whole window. A younger one does when the key
--- a/crates/basilbank_core/src/state/claims/own_claim.rs
+++ b/crates/basilbank_core/src/state/claims/own_claim.rs
@@ -77,6 +77,8 @@
     pub is_sent: bool,
     /// What the voters are told.
     pub record: KeyRecord,
+    /// The request whose key this one asks for, as its daemon is gone; 0 for none.
+    pub after: u64,
     /// When the votes must be there.
     pub deadline: Duration,
     /// Times that the voters were asked or told the current thing.
@@ -86,6 +88,13 @@
 }
 
 impl OwnClaim {
+    /// Whether a voter's answer is awaited. One that was not asked, or not since the votes were
+    /// forgotten, answers an earlier question.
+    #[must_use]
+    pub fn awaits(&self, vm: VmId) -> bool {
+        self.ballots.iter().any(|b| b.vm == vm && b.asked)
+    }
+
     /// Notes a voter's answer.
     pub fn note_vote(&mut self, vm: VmId, verdict: Verdict, record: Option<KeyRecord>) {
         let Some(ballot) = self.ballots.iter_mut().find(|b| b.vm == vm) else { return };
@@ -189,7 +198,17 @@
         ended.or_else(streamed).or_else(elected).cloned()
     }
 
-    fn rival(&self) -> Option<KeyRecord> {
+    /// Forgets all votes: the voters are to be asked anew.
+    pub fn reopen(&mut self) {
+        for ballot in &mut self.ballots {
+            *ballot = Ballot::new(ballot.vm);
+        }
+        self.sent = 0;
+    }
+
+    /// Another request that a voter names.
+    #[must_use]
+    pub fn rival(&self) -> Option<KeyRecord> {
         self.ballots.iter().find_map(|b| b.record.clone())
     }
 
--- a/crates/basilbank_core/tests/daemons/claims.rs
+++ b/crates/basilbank_core/tests/daemons/claims.rs
@@ -488,7 +488,8 @@
 #[test]
 fn messages_with_a_wrong_key_length_do_nothing() {
     let mut fleet = settled(3);
-    let claim = basilbank_wire::Claim { key: vec![1, 2], request: 1, made: 0 };
+    let claim =
+        basilbank_wire::Claim { key: vec![1, 2], request: 1, ..basilbank_wire::Claim::default() };
     let message = Body::Claim(claim).into();
     fleet.parcels.clear();
     fleet.say(1, 0, message);
--- a/crates/basilbank_core/tests/matrix.rs
+++ b/crates/basilbank_core/tests/matrix.rs
@@ -1,5 +1,6 @@
 //! Every fault at every step of a draft and of a plain call: singly, the same one twice, and in
-//! pairs. After each cell all promises are checked, and the fleet must serve again.
+//! pairs. After each cell all promises are checked, and the fleet must serve again; after a single
+//! fault the draft of a caller that repeats it must have been answered.
 
 mod script;
 mod world;
@@ -100,6 +101,10 @@
         wrong.push("the step was never reached".into());
     }
     let report = world.report();
+    let is_lost = report.asks[draft].end != Some(End::Done);
+    if is_lost && cell.second.is_none() {
+        wrong.push(format!("the draft ends as {:?}", report.asks[draft].end));
+    }
     for probe in probes {
         let end = report.asks[probe].end;
         if end != Some(End::Done) {
--- a/crates/basilbank_core/tests/regressions.rs
+++ b/crates/basilbank_core/tests/regressions.rs
@@ -5,7 +5,7 @@
 
 use script::{START, millis, probes, secs};
 use world::{
-    Ask, Bounds, End, EngineFault, Moment, Place, PlatformMode, Power, Spec, Step, Who, World,
+    Ask, Bounds, End, EngineFault, Moment, Net, Place, PlatformMode, Power, Spec, Step, Who, World,
     check,
 };
 
@@ -157,3 +157,38 @@
         assert_eq!(revisions, [2; 4], "seed {seed}");
     }
 }
+
+/// Symptom: after its daemon has died, a draft is refused as `key_running` for ten minutes.
+/// Sequence: a daemon dies before its draft has a stream; the caller repeats it with the same key.
+/// Cause: the voters kept the key for a request that nobody works on any more.
+#[test]
+fn repeat_follows_a_request_whose_daemon_died() {
+    for back in [None, Some(secs(1))] {
+        let mut world = World::new(Spec::small());
+        let mut ask = Ask::draft(0, 300, 30).at(START).with_key("draft", 1);
+        ask.daemon = Some(0);
+        let ask = world.ask(ask);
+        world.when(ask, Moment::Prefill, Step::Kill { daemon: Who::Home(ask), back });
+        world.run_until(secs(40));
+        assert_eq!(end(&world, ask), Some(End::Done));
+        assert_eq!(found(&world), Vec::<String>::new());
+    }
+}
+
+/// Symptom: two daemons fill the network with votes.
+/// Sequence: a repeat waits for the request that has its key, and votes come twice.
+/// Cause: each vote that came again had the voters asked again, and those answers came twice too.
+#[test]
+fn doubled_votes_ask_nothing() {
+    let mut world = World::new(Spec::small());
+    world.at(START, Step::Net(Net { doubled: 1.0, ..Net::default() }));
+    let mut ask = Ask::draft(0, 300, 30).at(START).with_key("draft", 1);
+    ask.daemon = Some(0);
+    let ask = world.ask(ask);
+    world.when(ask, Moment::Prefill, Step::Kill { daemon: Who::Home(ask), back: None });
+    world.run_until(START + millis(100));
+    let before: u64 = world.daemons.iter().map(|d| d.sent.messages).sum();
+    world.run_until(START + millis(3100));
+    let after: u64 = world.daemons.iter().map(|d| d.sent.messages).sum();
+    assert!(after - before < 300, "{}", after - before);
+}
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -296,6 +296,16 @@
     /// When the key says it was made, milliseconds since the Unix epoch; 0 when it says nothing.
     #[prost(uint64, tag = "3")]
     pub made: u64,
+    /// The sender's incarnation.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// The request may be run more than once.
+    #[prost(bool, tag = "5")]
+    pub repeatable: bool,
+    /// The request that has the key and whose daemon is gone, so that this one may follow it; 0 for
+    /// none.
+    #[prost(fixed64, tag = "6")]
+    pub after: u64,
 }
 
 /// What a voter says to a claim.
@@ -349,6 +359,12 @@
     /// How it ended; 0 while it runs, else a `basilbank_core` outcome code.
     #[prost(uint32, tag = "5")]
     pub outcome: u32,
+    /// The VM's incarnation when it was accepted.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    /// It may be run more than once.
+    #[prost(bool, tag = "7")]
+    pub repeatable: bool,
 }
 
 /// Tells the voters about a key.
