A steward that was paused starts anew at its endpoints

Cause: found by reading: after a pause a steward kept its ledgers and the start of its hold-off towards endpoints without fencing, though another may have granted and ordered there meanwhile. Change: a pause closes the ledgers, which open again by asking the holders and the endpoint, and starts the hold-off again. Before: the new test fails. After: it passes, and all tests of the core do.

--- a/crates/basilbank_core/src/reduce/member.rs
+++ b/crates/basilbank_core/src/reduce/member.rs
@@ -11,7 +11,7 @@
 use crate::{
     effect::{Effect, Progress},
     ids::VmId,
-    reduce::{catalogue, claim, slots},
+    reduce::{catalogue, claim, order, slots},
     state::{State, Timer},
     time::Now,
 };
@@ -32,6 +32,8 @@
     state.requests.shift(gap);
     state.members.presence.waiting = Some(now.mono + state.local.tuning.heartbeat * SETTLE);
     note(out, "paused", vec![("gap_ms", gap.as_millis().to_string())]);
+    slots::awake(state);
+    order::awake(state);
     judge(state, now, out);
     catalogue::awake(state, now, out);
 }
--- a/crates/basilbank_core/src/reduce/order.rs
+++ b/crates/basilbank_core/src/reduce/order.rs
@@ -76,6 +76,12 @@
     }
 }
 
+/// This daemon was paused: another may have been steward of its endpoints and may have ordered there,
+/// so the hold-off towards endpoints that ignore fencing starts again.
+pub fn awake(state: &mut State) {
+    state.orders.since.clear();
+}
+
 /// Looks for orders that are due.
 pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     state.timers.set(now.mono + TICK, Timer::Orders);
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -281,6 +281,17 @@
     }
 }
 
+/// This daemon was paused: it is as new to its endpoints as a steward that has just taken over.
+///
+/// Meanwhile another may have been their steward and have granted slots that these ledgers show
+/// free. Granting from them would over-commit endpoints until the holders' next lists come, seen as
+/// refusals after whole prefills; so the ledgers are opened anew, and ask. Those that waited here ask
+/// again when they hear nothing.
+pub fn awake(state: &mut State) {
+    state.slots.ledgers.clear();
+    state.slots.revision = 0;
+}
+
 /// The live members changed, so stewardships may have moved.
 pub fn members_changed(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     follow(state, now, out);
--- a/crates/basilbank_core/tests/daemons/main.rs
+++ b/crates/basilbank_core/tests/daemons/main.rs
@@ -1,5 +1,6 @@
 //! What several daemons agree on, in virtual time: idempotency keys, orders, reaping, leaving.
 
+mod awake;
 mod claims;
 mod fleet;
 mod leaving;
