--- a/crates/basilbank_core/benches/fleet/death.rs
+++ b/crates/basilbank_core/benches/fleet/death.rs
@@ -8,7 +8,7 @@
 };
 
 /// Drafts and plain calls a second.
-const RATE: u32 = 20;
+const RATE: u32 = 28;
 /// Seconds of traffic.
 const SPAN: u32 = 40;
 /// When the daemon dies.
--- a/crates/basilbank_core/benches/fleet/load.rs
+++ b/crates/basilbank_core/benches/fleet/load.rs
@@ -18,6 +18,8 @@
 const SPAN: u32 = 6;
 /// Client accounts.
 const TEAMS: usize = 2000;
+/// Tokens of a prompt: three quarters of what the prefill endpoints can do.
+const PROMPT: u32 = 580;
 /// Tokens of an answer. Real ones have about 230; a token that takes longer here makes streams last
 /// as long with fewer events, which are no control.
 const OUTPUT: u32 = 7;
@@ -29,11 +31,12 @@
     for i in 0..total {
         let at = SETTLED + SECOND * i / RATE;
         let team = (u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % TEAMS;
-        world.ask(Ask::draft(team, 1000, OUTPUT).at(at));
+        world.ask(Ask::draft(team, PROMPT, OUTPUT).at(at));
     }
     world.run_until(SETTLED + SECOND * FILL);
     let (bytes, messages) = (sent(&world, |t| t.bytes), sent(&world, |t| t.messages));
     timed::spent();
+    timed::sent();
     world.run_until(SETTLED + SECOND * (FILL + SPAN));
     let (spent, events) = timed::spent();
     let time = SECOND * SPAN;
@@ -43,6 +46,11 @@
     let (mean, most) = rates(&messages, &sent(&world, |t| t.messages), time);
     println!("load.320.sent_messages_s_mean={mean:.1}");
     println!("load.320.sent_messages_s_max={most:.1}");
+    for (kind, sent) in timed::sent() {
+        let each = |all: u64| all as f64 / time.as_secs_f64() / LARGEST as f64;
+        println!("load.320.{kind}.sent_bytes_s={:.0}", each(sent.bytes));
+        println!("load.320.{kind}.sent_messages_s={:.2}", each(sent.messages));
+    }
     let share = spent.as_secs_f64() / time.as_secs_f64() / LARGEST as f64;
     println!("load.320.wall_core_us_per_s={:.0}", share * 1e6);
     println!("load.320.wall_core_us_per_event={:.2}", spent.as_secs_f64() * 1e6 / events as f64);
--- a/crates/basilbank_core/benches/fleet/main.rs
+++ b/crates/basilbank_core/benches/fleet/main.rs
@@ -21,13 +21,13 @@
 fn main() {
     let word = std::env::args().skip(1).find(|a| !a.starts_with('-')).unwrap_or_default();
     let parts: [(&str, fn()); 7] = [
+        ("state", state::run),
         ("steady", steady::run),
         ("catalogue", catalogue::run),
         ("restart", restart::run),
         ("centre", centre::run),
         ("death", death::run),
         ("load", load::run),
-        ("state", state::run),
     ];
     for (name, run) in parts {
         if name.contains(&word) {
