--- a/crates/basilbank_core/src/reduce/limit/steward.rs
+++ b/crates/basilbank_core/src/reduce/limit/steward.rs
@@ -46,46 +46,67 @@
     let listed = state.members.ring().len().max(1) as f64;
     let shared = state.limits.shared.entry(entry);
     let shared = shared.or_insert_with(|| SharedLimit::new(now.mono));
-    let demand = LimitDemand::of(ask);
     shared.fill(&limits, now.mono);
-    shared.report(from, demand, ask.running, now.mono);
+    shared.report(from, LimitDemand::of(ask), ask.running, now.mono);
     let is_new = changed <= shared.since && now.mono < changed + CAUTION;
     let part = LimitShare::fraction(&whole, 1.0 / listed);
     let most = is_new.then(|| careful(ask, &part));
-    let most = most.as_ref();
-    let (vm, limits, part, mono) = (from, &limits, &part, now.mono);
-    let terms = |ttl| LeaseTerms { vm, limits, part, most, until: mono + ttl + GRACE, mono };
-    let taken = shared.take(limits, ask.taken, ask.taken_tokens, mono);
-    let lease = demand.wants_lease().then(|| shared.lease(&terms(TTL))).flatten();
-    if let Some(share) = lease {
+    let (limits, part, most) = (&limits, &part, most.as_ref());
+    let terms = LeaseTerms { vm: from, limits, part, most, mono: now.mono };
+    let taken = shared.take(limits, ask.taken, ask.taken_tokens, now.mono);
+    if LimitDemand::of(ask).wants_lease()
+        && let Some(share) = shared.lease(&terms, now.mono + TTL + GRACE)
+    {
         if taken.is_err() {
             shared.owe(ask.taken, ask.taken_tokens);
         }
-        let ttl = if shared.is_short(limits, mono) { SHORT } else { TTL };
-        let is_ample = shared.is_ample(limits, mono);
-        let kind = if is_ample { LimitAnswer::Ample } else { LimitAnswer::Leased };
-        return Some(answer(entry, &share, ttl, kind));
+        return Some(leased(shared, &terms, entry, &share));
     }
-    let shortage = shared.shortage(limits, mono);
+    without_lease(shared, &terms, ask, taken)
+}
+
+/// The answer that carries a lease.
+fn leased(
+    shared: &SharedLimit,
+    terms: &LeaseTerms<'_>,
+    entry: EntryId,
+    share: &LimitShare,
+) -> LimitLease {
+    let ttl = if shared.is_short(terms.limits, terms.mono) { SHORT } else { TTL };
+    let is_ample = shared.is_ample(terms.limits, terms.mono);
+    let kind = if is_ample { LimitAnswer::Ample } else { LimitAnswer::Leased };
+    answer(entry, share, ttl, kind)
+}
+
+/// The answer to a daemon for which no lease is worth it: trust while there is enough, a ration when
+/// there is not, nothing when it did not ask and all is well.
+fn without_lease(
+    shared: &mut SharedLimit,
+    terms: &LeaseTerms<'_>,
+    ask: &AskLimit,
+    taken: Result<(), Refusal>,
+) -> Option<LimitLease> {
+    let entry = EntryId(ask.entry);
+    let is_guess = !LimitDemand::of(ask).wants_lease();
+    let shortage = shared.shortage(terms.limits, terms.mono);
     let kind = match (taken, shortage) {
         (Err(refusal), _) => refused(refusal),
-        (Ok(()), _) if !demand.wants_lease() => return None,
+        (Ok(()), _) if is_guess => return None,
         (Ok(()), Some(_)) => LimitAnswer::Rationed,
         (Ok(()), None) => {
             return Some(answer(entry, &LimitShare::default(), TRUST, LimitAnswer::Trusted));
         }
     };
-    let is_slots = shortage == Some(Shortage::Slots) || kind == LimitAnswer::NoSlots;
-    let is_guess = !demand.wants_lease();
     if is_guess {
-        shared.report(from, rare(ask), ask.running, mono);
+        shared.report(terms.vm, rare(ask), ask.running, terms.mono);
     }
+    let is_slots = shortage == Some(Shortage::Slots) || kind == LimitAnswer::NoSlots;
     let ttl = match (is_slots, is_guess) {
         (true, _) => SLOT_TTL,
         (false, true) => GUESS_TTL,
         (false, false) => RATION_TTL,
     };
-    let share = shared.ration(&terms(ttl));
+    let share = shared.ration(terms, terms.mono + ttl + GRACE);
     Some(answer(entry, &share, ttl, kind))
 }
 
--- a/crates/basilbank_core/src/state/limits/shared.rs
+++ b/crates/basilbank_core/src/state/limits/shared.rs
@@ -64,8 +64,6 @@
     pub part: &'a LimitShare,
     /// Most that may be leased.
     pub most: Option<&'a LimitShare>,
-    /// When the lease ends.
-    pub until: Duration,
     /// The current moment.
     pub mono: Duration,
 }
@@ -184,9 +182,8 @@
     /// Leases a daemon its part by what it wants, within what is not leased to others, and at most
     /// `most`; `None` when that would be too little to be worth it: parts that are smaller than a few
     /// requests lie idle at one daemon while another's callers are refused.
-    pub fn lease(&mut self, terms: &LeaseTerms<'_>) -> Option<LimitShare> {
-        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
-        let all = self.portions(vm, limits, part, most, mono)?;
+    pub fn lease(&mut self, terms: &LeaseTerms<'_>, until: Duration) -> Option<LimitShare> {
+        let all = self.portions(terms)?;
         let mean_tokens = all.tokens.demand / all.requests.demand.max(f64::MIN_POSITIVE);
         let is_worth = all.requests.is_worth(WORTH / LEASE)
             && all.tokens.is_worth(WORTH / LEASE * mean_tokens)
@@ -195,20 +192,17 @@
             return None;
         }
         let slots = all.slots.size() as u32;
-        Some(self.grant(vm, all.requests.size(), all.tokens.size(), slots, until))
+        Some(self.grant(terms.vm, all.requests.size(), all.tokens.size(), slots, until))
     }
 
     /// Leases a daemon its part however small, while more is wanted than there is. Its calls are
     /// few, so the lease has to last until one of them comes.
-    pub fn ration(&mut self, terms: &LeaseTerms<'_>) -> LimitShare {
-        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
-        let Some(all) = self.portions(vm, limits, part, most, mono) else {
-            return LimitShare::default();
-        };
-        let running = self.running(vm);
+    pub fn ration(&mut self, terms: &LeaseTerms<'_>, until: Duration) -> LimitShare {
+        let Some(all) = self.portions(terms) else { return LimitShare::default() };
+        let running = self.running(terms.vm);
         let is_free = all.slots.taken + f64::from(running) < all.slots.limit;
         let slots = running + u32::from(is_free);
-        self.grant(vm, all.requests.ration(), all.tokens.ration(), slots, until)
+        self.grant(terms.vm, all.requests.ration(), all.tokens.ration(), slots, until)
     }
 
     /// Whether more is wanted than there is.
@@ -246,14 +240,8 @@
         self.holders.iter().find(|h| h.vm == vm).map_or(0, |h| h.running)
     }
 
-    fn portions(
-        &mut self,
-        vm: VmId,
-        limits: &Limits,
-        part: &LimitShare,
-        most: Option<&LimitShare>,
-        mono: Duration,
-    ) -> Option<Portions> {
+    fn portions(&mut self, terms: &LeaseTerms<'_>) -> Option<Portions> {
+        let LeaseTerms { vm, limits, part, most, mono } = *terms;
         let wanted = self.wanted(Some(vm), mono);
         let taken = self.leased(Some(vm), mono);
         let committed = self.committed(Some(vm), mono);
