--- a/crates/basilbank_core/tests/limits.rs
+++ b/crates/basilbank_core/tests/limits.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use basilbank_core::{prelude::*, state::Rng};
+use basilbank_wire::AskLimit;
 use test_case::test_case;
 use world::{Ask, End, Node, Spec, Step, TeamSpec, Who, World};
 
@@ -125,6 +126,63 @@
     assert!(80.0 * 16.0 * 0.8 <= after as f64, "{after}");
 }
 
+#[test]
+fn a_daemon_that_is_cut_off_keeps_no_more_than_its_part() {
+    // Symptom: a team gets twice its limit.
+    // Sequence: the daemon that serves most of its calls is cut off; others serve them instead, and
+    // the first one goes on.
+    // Cause: it still holds its lease, which the steward has given to others.
+    let mut world = world(8, requests(80.0));
+    let endpoints = (0..world.endpoints.len()).filter(|e| e % 2 == 0).map(Node::Endpoint);
+    let nodes = [Node::Daemon(0)].into_iter().chain(endpoints).collect();
+    world.at(START + SECOND * 5, Step::Partition { nodes, lasting: SECOND * 30 });
+    offer(&mut world, 160, 30, |i| if i < 800 || i % 2 == 0 { 0 } else { i as usize % 8 });
+    world.run_until(START + SECOND * 32);
+    let own = |from: Duration, to: Duration| {
+        let tries = world.callers.tries.iter().filter(|t| from <= t.sent && t.sent < to);
+        let own = tries.filter(|t| t.process.daemon == 0);
+        own.filter(|t| !t.end.is_some_and(|(_, end)| is_limited(end))).count()
+    };
+    // Before the death of its steward is noticed, the lease has run out.
+    let early = own(START + SECOND * 15 / 2, START + SECOND * 9);
+    assert!(early <= 30, "{early}");
+    let later = own(START + SECOND * 10, START + SECOND * 30);
+    assert!(later <= 20 * 10 * 11 / 10, "{later}");
+}
+
+#[test]
+fn a_new_steward_leases_little_while_the_former_ones_leases_run() {
+    // Symptom: a team gets twice its limit for a while.
+    // Sequence: a daemon joins and becomes an entry's steward; a daemon that has no lease asks it.
+    // Cause: it does not know what the steward before it has leased.
+    let mut world = world(8, requests(80.0));
+    let entry = EntryId::of(&format!("{}-sapporo", world.spec.service));
+    world.run_until(START);
+    let vm = world.daemons[0].core().members.steward(entry.0);
+    let steward = world.daemons.iter().position(|d| Some(d.vm) == vm).expect("it is a daemon");
+    world.at(START, Step::Kill { daemon: Who::Daemon(steward), back: Some(SECOND * 10) });
+    let other = world.daemons[(steward + 1) % 8].vm;
+    let mut lease = |at: Duration| {
+        world.run_until(at);
+        let now = world.clock();
+        let incarnation = world.daemons[(steward + 1) % 8].incarnation;
+        let ask = AskLimit { entry: entry.0, requests: 100_000, ..AskLimit::default() };
+        let message = Body::AskLimit(ask).into();
+        let event = Event::Peer { from: other, incarnation, message };
+        let brain = world.daemons[steward].brain.as_mut().expect("it runs");
+        let mut out = Vec::new();
+        brain.reduce(now, event, &mut out);
+        out.into_iter().find_map(|effect| match effect {
+            Effect::Send { message: Message { body: Some(Body::Lease(lease)) }, .. } => Some(lease),
+            _ => None,
+        })
+    };
+    let first = lease(START + SECOND * 12).expect("it decides");
+    assert!(first.requests <= 10_000, "{first:?}");
+    let later = lease(START + SECOND * 25).expect("it decides");
+    assert!(60_000 <= later.requests, "{later:?}");
+}
+
 #[test]
 fn a_dead_steward_does_not_lift_a_limit() {
     let mut world = world(8, requests(80.0));
--- a/crates/basilbank_core/tests/membership.rs
+++ b/crates/basilbank_core/tests/membership.rs
@@ -109,6 +109,36 @@
     }
 }
 
+#[test]
+fn a_beat_of_another_incarnation_makes_a_daemon_ask_for_records() {
+    // Symptom: after a mass restart the new processes count as dead for half a minute.
+    // Sequence: more processes restart at once than full records fit into heartbeats.
+    // Cause: beats of an unknown incarnation say nothing, and its record is far back in the queue.
+    let mut world = started(8);
+    let prefix = ((vm(1).0 >> 48) as u16).to_be_bytes();
+    let tags = (0..32_u8).map(|tag| [prefix[0], prefix[1], tag << 3, 0]).collect::<Vec<_>>();
+    let beat = Heartbeat { counter: 999, beats: tags.concat(), ..Heartbeat::default() };
+    let incarnation = world.daemons[2].incarnation;
+    let now = world.clock();
+    let brain = world.daemons[0].brain.as_mut().expect("the daemon runs");
+    let probes = |out: &[Effect]| {
+        let is_probe = |e: &Effect| match e {
+            Effect::Send { message: Message { body: Some(Body::Heartbeat(b)) }, .. } => b.probe,
+            _ => false,
+        };
+        out.iter().any(is_probe)
+    };
+    let later = Now { mono: now.mono + SECOND / 2, ..now };
+    let mut out = Vec::new();
+    brain.reduce(later, Event::Tick, &mut out);
+    assert!(!probes(&out));
+    let message = Body::Heartbeat(beat).into();
+    brain.reduce(later, Event::Peer { from: vm(2), incarnation, message }, &mut out);
+    let later = Now { mono: later.mono + SECOND / 2, ..now };
+    brain.reduce(later, Event::Tick, &mut out);
+    assert!(probes(&out));
+}
+
 #[test]
 fn a_message_of_an_old_process_is_dropped() {
     // Symptom: a slot is granted to a process that is gone, and stays held.
