--- a/crates/basilbank_core/benches/fleet/load.rs
+++ b/crates/basilbank_core/benches/fleet/load.rs
@@ -37,6 +37,7 @@
     let (bytes, messages) = (sent(&world, |t| t.bytes), sent(&world, |t| t.messages));
     timed::spent();
     timed::sent();
+    timed::packets();
     world.run_until(SETTLED + SECOND * (FILL + SPAN));
     let (spent, events) = timed::spent();
     let time = SECOND * SPAN;
@@ -46,8 +47,11 @@
     let (mean, most) = rates(&messages, &sent(&world, |t| t.messages), time);
     println!("load.320.sent_messages_s_mean={mean:.1}");
     println!("load.320.sent_messages_s_max={most:.1}");
+    let each = |all: u64| all as f64 / time.as_secs_f64() / LARGEST as f64;
+    let packets = timed::packets();
+    println!("load.320.packed_bytes_s_mean={:.0}", each(packets.bytes));
+    println!("load.320.packets_s_mean={:.1}", each(packets.messages));
     for (kind, sent) in timed::sent() {
-        let each = |all: u64| all as f64 / time.as_secs_f64() / LARGEST as f64;
         println!("load.320.{kind}.sent_bytes_s={:.0}", each(sent.bytes));
         println!("load.320.{kind}.sent_messages_s={:.2}", each(sent.messages));
     }
--- a/crates/basilbank_core/benches/fleet/timed.rs
+++ b/crates/basilbank_core/benches/fleet/timed.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -14,6 +14,7 @@
 thread_local! {
     static SPENT: Cell<Duration> = const { Cell::new(Duration::ZERO) };
     static EVENTS: Cell<u64> = const { Cell::new(0) };
+    static PACKETS: Cell<Sent> = const { Cell::new(Sent { messages: 0, bytes: 0 }) };
     static SENT: RefCell<BTreeMap<&'static str, Sent>> = const { RefCell::new(BTreeMap::new()) };
 }
 
@@ -43,16 +44,30 @@
     SENT.take()
 }
 
+/// Packets that all cores sent, if messages of one event to one peer share one as in the shell, since
+/// this was last asked.
+pub fn packets() -> Sent {
+    PACKETS.take()
+}
+
 fn count(out: &[Effect]) {
+    let mut peers = BTreeSet::new();
+    let mut packets = PACKETS.get();
     for effect in out {
-        let Effect::Send { message, .. } = effect else { continue };
+        let Effect::Send { to, message } = effect else { continue };
         let Some(body) = &message.body else { continue };
+        packets.bytes += message.encoded_len() as u64;
+        if peers.insert(*to) {
+            packets.messages += 1;
+            packets.bytes += PACKET_OVERHEAD;
+        }
         SENT.with_borrow_mut(|sent| {
             let of = sent.entry(kind(body)).or_default();
             of.messages += 1;
             of.bytes += message.encoded_len() as u64 + PACKET_OVERHEAD;
         });
     }
+    PACKETS.set(packets);
 }
 
 fn kind(body: &Body) -> &'static str {
