The earlier reader of a stream that is taken over is told so, over real sockets

Cause: the core tells a take-over from a broken connection; the engines' protocol has a last line for it that neither side spoke. Change: the stand-in engines send {"taken": true} to the earlier reader; the daemon's adapter takes it for Failure::Taken. Conclusion: a test on each side.

--- a/crates/basilbank/src/engine/draft.rs
+++ b/crates/basilbank/src/engine/draft.rs
@@ -207,6 +207,10 @@
             }
             return false;
         }
+        if line.taken {
+            self.fail(attempt, Failure::Taken);
+            return false;
+        }
         if let Some(offset) = line.offset {
             self.send(EngineEvent::Token { attempt, offset, texts: line.texts });
             return true;
--- a/crates/basilbank/src/engine/protocol.rs
+++ b/crates/basilbank/src/engine/protocol.rs
@@ -148,6 +148,8 @@
     pub done: Option<String>,
     /// Last line: all tokens of the stream.
     pub tokens: Option<u32>,
+    /// Last line: another reader took the stream over.
+    pub taken: bool,
 }
 
 /// `GET /load`
--- a/crates/basilbank/tests/shell/engine_draft.rs
+++ b/crates/basilbank/tests/shell/engine_draft.rs
@@ -138,6 +138,19 @@
     assert!(rig.is_quiet());
 }
 
+/// Symptom: two daemons cut each other off from one stream. Sequence: the caller comes back through
+/// another daemon, which takes its stream over. Cause: that looks like a broken connection.
+#[test]
+fn a_stream_that_is_taken_over_is_not_broken() {
+    let endpoint = stream(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#, r#"{"taken":true}"#]);
+    let rig = Rig::new(endpoint.address);
+    rig.call(rig.decode(1));
+    assert!(matches!(rig.next(), EngineEvent::Started { .. }));
+    assert!(matches!(rig.next(), EngineEvent::Token { .. }));
+    assert_eq!(rig.failure(), Failure::Taken);
+    assert!(rig.is_quiet());
+}
+
 #[test_case(&[r#"{"request":"0000000000000abd","attempt":3,"stream":"s1"}"#]; "another request")]
 #[test_case(&[r#"{"request":"0000000000000abc","attempt":4,"stream":"s1"}"#]; "another attempt")]
 #[test_case(&["nonsense"]; "nonsense")]
--- a/crates/basilbank_core/tests/world/decode.rs
+++ b/crates/basilbank_core/tests/world/decode.rs
@@ -345,7 +345,7 @@
         let now = self.now;
         let id = number_of(name).unwrap_or(0);
         let Some(stream) = self.endpoints[endpoint].decode().find(id) else {
-            self.fail_decode(endpoint, reader, Failure::Refused);
+            self.fail_decode(endpoint, reader, Failure::Evicted);
             return;
         };
         let earlier = stream.reader.replace(reader);
--- a/crates/basilbank_standin/src/engine/calls.rs
+++ b/crates/basilbank_standin/src/engine/calls.rs
@@ -281,8 +281,7 @@
                 let mut inner = shared.lock();
                 let Some(stream) = inner.streams.get_mut(&self.name) else { return };
                 let changed = Arc::clone(&stream.changed).notified_owned();
-                let Some(found) = stream.read(self.number, offset) else { return };
-                (found, changed)
+                (stream.read(self.number, offset), changed)
             };
             match found {
                 Found::Texts(texts) => {
@@ -302,6 +301,11 @@
                     return;
                 }
                 Found::Nothing => changed.await,
+                Found::Taken => {
+                    let _ = out.send(Line::Json(json!({ "taken": true }))).await;
+                    let _ = out.send(Line::End).await;
+                    return;
+                }
             }
         }
     }
--- a/crates/basilbank_standin/src/stream.rs
+++ b/crates/basilbank_standin/src/stream.rs
@@ -40,6 +40,8 @@
     Done { reason: &'static str, tokens: usize },
     /// Nothing yet.
     Nothing,
+    /// Another reader has the stream now.
+    Taken,
 }
 
 impl Stream {
@@ -54,17 +56,17 @@
         self.reader
     }
 
-    /// What there is from an offset; `None` for a reader that was cut off.
-    pub(crate) fn read(&mut self, reader: u64, offset: usize) -> Option<Found> {
+    /// What there is for a reader from an offset.
+    pub(crate) fn read(&mut self, reader: u64, offset: usize) -> Found {
         if reader != self.reader {
-            return None;
+            return Found::Taken;
         }
         if offset < self.texts.len() {
             self.read_at = Instant::now();
-            return Some(Found::Texts(self.texts[offset..].to_vec()));
+            return Found::Texts(self.texts[offset..].to_vec());
         }
         let tokens = self.texts.len();
-        Some(self.done.map_or(Found::Nothing, |reason| Found::Done { reason, tokens }))
+        self.done.map_or(Found::Nothing, |reason| Found::Done { reason, tokens })
     }
 }
 
--- a/crates/basilbank_standin/tests/standin/engine.rs
+++ b/crates/basilbank_standin/tests/standin/engine.rs
@@ -89,6 +89,7 @@
     let url = format!("{base}/{stream}?from=2&vm=00000000000000bb&incarnation=8");
     let mut later = lines(pair.agent.get(&url).call().unwrap());
     assert_eq!(later.next().unwrap()["stream"], stream.as_str());
+    assert_eq!(earlier.next(), Some(json!({ "taken": true })));
     assert_eq!(earlier.next(), None);
     let (_, list) = get(&pair.agent, &base);
     assert_eq!(list["streams"][0]["vm"], "00000000000000bb");
