Each test fleet has loopback addresses of its own

Cause: outage::a_change_outlives_replaced_daemons_and_an_old_platform failed once in the landing's run: a daemon that takes a dead one's place needs its port, and on 127.0.0.1 another process's connection held it for over 30 s. Ruled out: a daemon that hangs at its start; it never came to listen. Change: the daemons of a fleet get addresses of 127/8 that nobody else uses; ports are still the system's choice. Conclusion: kept; the same verdict each time matters more than one address.

--- a/crates/basilbankd/tests/fleet/rig.rs
+++ b/crates/basilbankd/tests/fleet/rig.rs
@@ -1,7 +1,8 @@
 //! A site with several daemons, each a process of its own.
 
 use std::{
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU8, Ordering},
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -48,8 +49,10 @@
     /// The same with other engines and settings.
     pub fn with(count: usize, spec: &SiteSpec, change: impl Fn(&mut Settings)) -> Fleet {
         let site = Site::start(spec).unwrap();
+        let net = new_net();
         let settings = (0..count).map(|i| {
             let mut settings = site.settings(&format!("entry-{i}"));
+            settings.peers = SocketAddr::new(net(i).into(), 0);
             // All have one clock, so a key made after the start is known to be new at once.
             settings.tuning.skew = Duration::ZERO;
             change(&mut settings);
@@ -152,6 +155,17 @@
     }
 }
 
+/// The peers' addresses of a new fleet's daemons, which no other fleet or process has.
+///
+/// A daemon that takes a dead one's place needs its port. On an address that others use too, any
+/// connection of theirs may have been given that port meanwhile.
+fn new_net() -> impl Fn(usize) -> Ipv4Addr {
+    static COUNTER: AtomicU8 = AtomicU8::new(1);
+    let fleet = COUNTER.fetch_add(1, Ordering::Relaxed);
+    let process = (std::process::id() % 250) as u8 + 2;
+    move |daemon| Ipv4Addr::new(127, process, fleet, daemon as u8 + 1)
+}
+
 /// A caller that may use several daemons, as the callers' page has it: it goes on to another one when
 /// one refuses or does not answer.
 pub fn draft_somewhere(callers: &[SocketAddr], prompt: &str) -> WholeDraft {
