Peers' sockets: the TCP port is chosen first

Cause: shell::peers::a_bad_packet_is_dropped_and_counted failed once with 'address in use': the port that the system chose for UDP was taken for TCP in all tries, after another test had ended thousands of connections. Change: the system chooses the TCP port, and UDP follows.

--- a/crates/basilbank/src/peers/bind.rs
+++ b/crates/basilbank/src/peers/bind.rs
@@ -8,8 +8,9 @@
 /// Ports that are tried when the system may choose.
 const TRIES: usize = 16;
 
-/// Binds both. With port 0 the system chooses a UDP port, which may be taken for TCP; another one is
-/// tried then.
+/// Binds both. With port 0 the system chooses a TCP port, which may be taken for UDP; another one is
+/// tried then. It is the TCP port that is chosen, since a busy machine has thousands of those taken by
+/// connections that have just ended, so that a free UDP port is often not free for TCP.
 ///
 /// # Errors
 /// The address can't be bound.
@@ -25,7 +26,7 @@
 }
 
 fn bind_once(address: SocketAddr) -> io::Result<(UdpSocket, TcpListener)> {
-    let socket = UdpSocket::bind(address)?;
-    let listener = TcpListener::bind(socket.local_addr()?)?;
+    let listener = TcpListener::bind(address)?;
+    let socket = UdpSocket::bind(listener.local_addr()?)?;
     Ok((socket, listener))
 }
