The fleet's limit test leaves fewer ended connections behind

Cause: 49,000 connections in TIME_WAIT after a test run; ports chosen by the system ran short for other tests. Change: a refused caller waits 5 ms. The bound on what is admitted stands; that more is refused than may be admitted is asserted in place of any refusal.

--- a/crates/basilbankd/tests/fleet/limits.rs
+++ b/crates/basilbankd/tests/fleet/limits.rs
@@ -12,6 +12,9 @@
 const LIMIT: f64 = 50.0;
 /// How long the callers try.
 const SPAN: Duration = Duration::from_secs(4);
+/// How long a refused caller waits. Together they still ask for over thirty times the limit; without
+/// it they would leave the machine a hundred thousand connections that have just ended.
+const PAUSE: Duration = Duration::from_millis(5);
 /// Callers at each daemon.
 const CALLERS: usize = 3;
 
@@ -38,10 +41,15 @@
                 while start.elapsed() < SPAN {
                     let answer = client.send("GET", "/desk/stock/1", "").unwrap();
                     match answer.status().as_u16() {
-                        200 => admitted.fetch_add(1, Ordering::Relaxed),
-                        429 => refused.fetch_add(1, Ordering::Relaxed),
+                        200 => {
+                            admitted.fetch_add(1, Ordering::Relaxed);
+                        }
+                        429 => {
+                            refused.fetch_add(1, Ordering::Relaxed);
+                            thread::sleep(PAUSE);
+                        }
                         status => panic!("{status}"),
-                    };
+                    }
                 }
             });
         }
@@ -51,5 +59,5 @@
     let most = 3.0 * LIMIT + 1.5 * LIMIT * seconds;
     let figures = format!("admitted={admitted} refused={refused} seconds={seconds:.1}");
     assert!(0 < admitted && (admitted as f64) < most, "{figures}");
-    assert!(0 < refused, "{figures}");
+    assert!(most < refused as f64, "{figures}");
 }
