--- a/crates/basilbank_core/src/state/limits/shared.rs
+++ b/crates/basilbank_core/src/state/limits/shared.rs
@@ -10,6 +10,8 @@
 
 /// A daemon's report is forgotten after this; those with requests in progress report more often.
 const FORGET: Duration = Duration::from_secs(25);
+/// With what comes in this many seconds left over, there is plenty.
+const LEFT: f64 = 0.1;
 /// A lease is for at least this many requests while it lasts, or at once.
 const WORTH: f64 = 3.0;
 /// Seconds that a lease lasts.
@@ -62,8 +64,6 @@
     pub part: &'a LimitShare,
     /// Most that may be leased.
     pub most: Option<&'a LimitShare>,
-    /// When the lease ends.
-    pub until: Duration,
     /// The current moment.
     pub mono: Duration,
 }
@@ -108,7 +108,9 @@
             self.holders.len() - 1
         });
         let holder = &mut self.holders[place];
-        holder.demand = demand;
+        // Daemons ask when they have just had more calls than usual, so what they say is too high.
+        let is_renewal = mono < holder.until && holder.demand.wants_lease();
+        holder.demand = if is_renewal { holder.demand.mean(&demand) } else { demand };
         holder.running = running;
         holder.at = mono;
         if !demand.wants_lease() {
@@ -126,6 +128,23 @@
         self.tokens.fill(tokens, burst(limits.tokens), mono);
     }
 
+    /// Takes what a daemon took beyond its lease, though it may be used up: it is owed.
+    pub fn owe(&mut self, requests: u32, tokens: i64) {
+        self.requests.level -= f64::from(requests);
+        self.tokens.level -= tokens as f64;
+    }
+
+    /// Whether there is so much that bursts need no lease.
+    #[must_use]
+    pub fn is_ample(&self, limits: &Limits, mono: Duration) -> bool {
+        let wanted = self.wanted(None, mono);
+        let requests = wanted.requests <= limits.requests * BUSY
+            && (limits.requests * LEFT).max(LEAST_BURST) <= self.requests.level;
+        let tokens =
+            wanted.tokens <= limits.tokens * BUSY && limits.tokens * LEFT <= self.tokens.level;
+        (limits.requests <= 0.0 || requests) && (limits.tokens <= 0.0 || tokens)
+    }
+
     /// Takes what a daemon took without a lease; tokens given back are negative.
     ///
     /// # Errors
@@ -142,8 +161,7 @@
         if 0 < requests {
             self.check(limits, mono)?;
         }
-        self.requests.level -= f64::from(requests);
-        self.tokens.level -= tokens as f64;
+        self.owe(requests, tokens);
         Ok(())
     }
 
@@ -164,9 +182,8 @@
     /// Leases a daemon its part by what it wants, within what is not leased to others, and at most
     /// `most`; `None` when that would be too little to be worth it: parts that are smaller than a few
     /// requests lie idle at one daemon while another's callers are refused.
-    pub fn lease(&mut self, terms: &LeaseTerms<'_>) -> Option<LimitShare> {
-        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
-        let all = self.portions(vm, limits, part, most, mono)?;
+    pub fn lease(&mut self, terms: &LeaseTerms<'_>, until: Duration) -> Option<LimitShare> {
+        let all = self.portions(terms)?;
         let mean_tokens = all.tokens.demand / all.requests.demand.max(f64::MIN_POSITIVE);
         let is_worth = all.requests.is_worth(WORTH / LEASE)
             && all.tokens.is_worth(WORTH / LEASE * mean_tokens)
@@ -175,20 +192,17 @@
             return None;
         }
         let slots = all.slots.size() as u32;
-        Some(self.grant(vm, all.requests.size(), all.tokens.size(), slots, until))
+        Some(self.grant(terms.vm, all.requests.size(), all.tokens.size(), slots, until))
     }
 
     /// Leases a daemon its part however small, while more is wanted than there is. Its calls are
     /// few, so the lease has to last until one of them comes.
-    pub fn ration(&mut self, terms: &LeaseTerms<'_>) -> LimitShare {
-        let LeaseTerms { vm, limits, part, most, until, mono } = *terms;
-        let Some(all) = self.portions(vm, limits, part, most, mono) else {
-            return LimitShare::default();
-        };
-        let running = self.running(vm);
+    pub fn ration(&mut self, terms: &LeaseTerms<'_>, until: Duration) -> LimitShare {
+        let Some(all) = self.portions(terms) else { return LimitShare::default() };
+        let running = self.running(terms.vm);
         let is_free = all.slots.taken + f64::from(running) < all.slots.limit;
         let slots = running + u32::from(is_free);
-        self.grant(vm, all.requests.ration(), all.tokens.ration(), slots, until)
+        self.grant(terms.vm, all.requests.ration(), all.tokens.ration(), slots, until)
     }
 
     /// Whether more is wanted than there is.
@@ -226,17 +240,12 @@
         self.holders.iter().find(|h| h.vm == vm).map_or(0, |h| h.running)
     }
 
-    fn portions(
-        &mut self,
-        vm: VmId,
-        limits: &Limits,
-        part: &LimitShare,
-        most: Option<&LimitShare>,
-        mono: Duration,
-    ) -> Option<Portions> {
+    fn portions(&mut self, terms: &LeaseTerms<'_>) -> Option<Portions> {
+        let LeaseTerms { vm, limits, part, most, mono } = *terms;
         let wanted = self.wanted(Some(vm), mono);
         let taken = self.leased(Some(vm), mono);
         let committed = self.committed(Some(vm), mono);
+        let even = 1.0 / (self.holders.len() + 1) as f64;
         let holder = self.holders.iter_mut().find(|h| h.vm == vm)?;
         holder.until = Duration::ZERO;
         let demand = holder.demand;
@@ -247,6 +256,7 @@
                 demand: demand.requests,
                 wanted: wanted.requests,
                 taken: taken.requests,
+                even,
                 part: part.requests,
                 most: most(|m| m.requests),
             },
@@ -255,6 +265,7 @@
                 demand: demand.tokens,
                 wanted: wanted.tokens,
                 taken: taken.tokens,
+                even,
                 part: part.tokens,
                 most: most(|m| m.tokens),
             },
@@ -263,6 +274,7 @@
                 demand: f64::from(demand.concurrent),
                 wanted: wanted.concurrent,
                 taken: committed,
+                even,
                 part: f64::from(part.concurrent),
                 most: most(|m| f64::from(m.concurrent)),
             },
