--- a/crates/basilbank_core/benches/fleet/steady.rs
+++ b/crates/basilbank_core/benches/fleet/steady.rs
@@ -1,8 +1,9 @@
 //! What membership and catalogue cost when nothing happens.
 
 use crate::{
-    fleet::{SECOND, SETTLED, SIZES, rates, sent, settled, spec},
+    fleet::{SECOND, SETTLED, SIZES, cores, print_time, rates, sent, settled, spec, until},
     timed,
+    world::{Step, Who, World},
 };
 
 /// Seconds that are measured.
@@ -29,9 +30,19 @@
         let share = spent.as_secs_f64() / f64::from(SPAN) / size as f64;
         println!("steady.{size}.wall_core_us_per_s={:.0}", share * 1e6);
         println!("steady.{size}.members_dead_wrongly={}", dead(&world) - wrong);
+        noticed(world, size);
     }
 }
 
-fn dead(world: &crate::world::World) -> u64 {
+/// A daemon dies: how long until nobody counts it as live.
+fn noticed(mut world: World, size: usize) {
+    let vm = world.daemons[size / 2].vm;
+    world.at(world.now, Step::Kill { daemon: Who::Daemon(size / 2), back: None });
+    world.run_until(world.now);
+    let time = until(&mut world, SECOND * 30, |w| cores(w).all(|s| !s.members.is_live(vm)));
+    print_time(&format!("steady.{size}.death_noticed_s_max"), time);
+}
+
+fn dead(world: &World) -> u64 {
     world.record.notes.get("member_dead").copied().unwrap_or(0)
 }
