--- a/crates/basilbank_core/tests/catalogue.rs
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -6,7 +6,7 @@
 
 use basilbank_core::{
     prelude::*,
-    state::{Applied, Store},
+    state::{Applied, Rng, Store},
 };
 use basilbank_wire::Document;
 use test_case::test_case;
@@ -264,6 +264,55 @@
     assert_sound(&world);
 }
 
+/// One fault, of a kind and at daemons that the random numbers give. Daemon 0 keeps its memory: when
+/// all lose it while the platform is stale, nobody can know better.
+fn fault(world: &World, rng: &mut Rng) -> Vec<Step> {
+    let some = |rng: &mut Rng| (1..8).filter(|_| rng.unit() < 0.5).collect::<Vec<usize>>();
+    let lasting = Duration::from_millis(200 + rng.next_u64() % 6000);
+    match rng.index(6) {
+        0 => some(rng)
+            .into_iter()
+            .map(|d| Step::Freeze { daemon: Who::Daemon(d), lasting })
+            .collect(),
+        1 => {
+            let kill = |d| Step::Kill { daemon: Who::Daemon(d), back: Some(lasting / 4) };
+            some(rng).into_iter().map(kill).collect()
+        }
+        2 => {
+            let nodes = some(rng).into_iter().map(Node::Daemon).collect();
+            vec![Step::Partition { nodes, lasting }]
+        }
+        3 => vec![Step::Platform { mode: PlatformMode::Down, lasting }],
+        4 => vec![Step::Platform { mode: PlatformMode::Stale, lasting }],
+        _ => vec![Step::Publish(Box::new(world.spec.catalogue())), Step::PublishBad],
+    }
+}
+
+#[test]
+fn random_faults_take_nobody_back_and_leave_all_with_the_same() {
+    for seed in 1..=60 {
+        let mut world = World::new(Spec::kitafuji().with_seed(seed));
+        let mut rng = Rng::new(seed);
+        for turn in 0..8 {
+            let start = SECOND * (5 + 7 * turn);
+            for step in fault(&world, &mut rng) {
+                world.at(start + Duration::from_millis(rng.next_u64() % 1000), step);
+            }
+            let at = start + Duration::from_millis(rng.next_u64() % 7000);
+            if rng.unit() < 0.3 {
+                world.at(at, Step::PublishBad);
+            } else {
+                publish(&mut world, at);
+            }
+        }
+        world.run_until(SECOND * 90);
+        let revision = in_force(&world)[0];
+        assert!(all_have(&world, revision), "seed {seed}: {:?}", in_force(&world));
+        assert!(world.daemons.iter().all(|d| d.is_ready()), "seed {seed}");
+        assert_sound(&world);
+    }
+}
+
 #[test]
 fn a_list_without_vms_is_not_believed() {
     let mut world = started(8);
