--- a/crates/basilbank_core/tests/catalogue.rs
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -313,6 +313,22 @@
     }
 }
 
+#[test]
+fn a_late_check_takes_nobody_back() {
+    // Symptom: a withdrawn key works again.
+    // Sequence: the check of a revision takes long; meanwhile a later one is in force.
+    // Cause: the first check's result comes last.
+    let mut world = started(8);
+    publish(&mut world, SECOND * 5);
+    world.run_until(SECOND * 8);
+    let older = world.platform.catalogues[&1].clone().expect("it passes the check");
+    let checked = PlatformEvent::Checked { revision: 1, result: Ok(older) };
+    let now = world.clock();
+    let brain = world.daemons[0].brain.as_mut().expect("it runs");
+    brain.reduce(now, Event::Platform(checked), &mut Vec::new());
+    assert!(all_have(&world, 2));
+}
+
 #[test]
 fn a_list_without_vms_is_not_believed() {
     let mut world = started(8);
