--- a/crates/basilbank_core/benches/fleet/main.rs
+++ b/crates/basilbank_core/benches/fleet/main.rs
@@ -3,13 +3,14 @@
 //!
 //! `cargo bench -p basilbank_core --bench fleet` prints one `name=value` line for each figure. A word
 //! after `--` keeps only the parts whose name contains it: `steady`, `catalogue`, `restart`, `centre`,
-//! `death`, `load`, `state`.
+//! `death`, `limit`, `load`, `state`.
 #![allow(clippy::print_stdout)]
 
 mod catalogue;
 mod centre;
 mod death;
 mod fleet;
+mod limit;
 mod load;
 mod restart;
 mod state;
@@ -20,13 +21,14 @@
 
 fn main() {
     let word = std::env::args().skip(1).find(|a| !a.starts_with('-')).unwrap_or_default();
-    let parts: [(&str, fn()); 7] = [
+    let parts: [(&str, fn()); 8] = [
         ("state", state::run),
         ("steady", steady::run),
         ("catalogue", catalogue::run),
         ("restart", restart::run),
         ("centre", centre::run),
         ("death", death::run),
+        ("limit", limit::run),
         ("load", load::run),
     ];
     for (name, run) in parts {
