--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -58,7 +58,7 @@
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let stage = found.stage;
     let at = match stage {
-        AttemptStage::Slot => return,
+        AttemptStage::Slot => return place::widen(state, now, attempt, out),
         AttemptStage::Queue => return place::ask_planned(state, now, attempt, out),
         AttemptStage::Prefill => found.since + prefill::timeout(state, attempt),
         AttemptStage::Move => found.cache.as_ref().map_or(found.since, |c| c.until),
@@ -132,19 +132,10 @@
     }
     note(state, key, retry, Duration::ZERO, out);
     state.requests.set_queued(key);
-    let attempt = renew(state, attempt);
+    let attempt = reserve::renew(state, attempt);
     prefill::seek(state, now, attempt, out);
 }
 
-fn renew(state: &mut State, attempt: AttemptKey) -> AttemptKey {
-    let attempt = state.requests.renew(attempt);
-    let slot = state.requests.attempts[attempt].slot;
-    if let Some(own) = slot.and_then(|s| state.slots.own.get_mut(&s)) {
-        own.attempt = attempt;
-    }
-    attempt
-}
-
 fn import_failed(
     state: &mut State,
     now: Now,
@@ -154,6 +145,9 @@
 ) {
     let key = state.requests.attempts[attempt].request;
     let is_repeatable = state.requests.arena[key].repeatable;
+    if failure == Failure::Stalled {
+        decode::note_transfer(state, now, attempt);
+    }
     if failure == Failure::Evicted {
         charge::prefill(state, now, attempt, Waste::Evicted, out);
         if !is_repeatable {
