A daemon that is not listed yet hears of peers and of changes

Cause: a cell of the fault matrix (a partition, then a killed daemon) left a new process without the catalogue for over five seconds: the list did not name its VM, so nobody sent it heartbeats, and its one question went to a VM that was cut off. Change: it asks for all records each second until it is listed and has heard a heartbeat; and whoever gets a heartbeat with older revisions answers with its own. Answers are not answered.

--- a/crates/basilbank_core/src/reduce/member.rs
+++ b/crates/basilbank_core/src/reduce/member.rs
@@ -64,6 +64,7 @@
 pub fn heard(state: &mut State, now: Now, from: VmId, beat: &Heartbeat, out: &mut Vec<Effect>) {
     let epoch = state.members.epoch;
     let rumours = spread::rumours(&state.members);
+    state.members.greeted = true;
     if let Some(member) = state.members.all.get_mut(&from) {
         member.counter = member.counter.max(beat.counter);
         if beat.leaving && !member.says_leaving {
@@ -83,6 +84,8 @@
     catalogue::shown(state, now, from, beat, out);
     if beat.probe {
         spread::answer(state, now, from, out);
+    } else {
+        spread::show(state, from, beat, out);
     }
 }
 
--- a/crates/basilbank_core/src/reduce/member/spread.rs
+++ b/crates/basilbank_core/src/reduce/member/spread.rs
@@ -59,11 +59,24 @@
     let own = state.local.vm;
     let known = state.members.all.iter().filter(|(vm, m)| **vm != own && m.live);
     let records: Vec<_> = known.filter_map(|(vm, m)| record(*vm, m, now)).collect();
+    let reply = Heartbeat { reply: true, ..heartbeat(state) };
     if records.is_empty() {
-        out.push(message(to, heartbeat(state)));
+        out.push(message(to, reply.clone()));
     }
     for chunk in records.chunks(ROOM / RECORD) {
-        out.push(message(to, Heartbeat { seen: chunk.to_vec(), ..heartbeat(state) }));
+        out.push(message(to, Heartbeat { seen: chunk.to_vec(), ..reply.clone() }));
+    }
+}
+
+/// Tells a peer that showed older revisions what is known here. A daemon that is not on others' lists
+/// yet gets no heartbeats, and would not hear of a change.
+pub fn show(state: &State, to: VmId, beat: &Heartbeat, out: &mut Vec<Effect>) {
+    let own = heartbeat(state);
+    let is_older =
+        beat.documents < own.documents || beat.catalogue < own.catalogue || beat.vms < own.vms;
+    // Two that are each behind in something would answer each other without end.
+    if is_older && !beat.reply {
+        out.push(message(to, Heartbeat { reply: true, ..own }));
     }
 }
 
@@ -186,7 +199,12 @@
     records.extend(alike.filter_map(|(vm, m)| record(*vm, m, now)).take(MOST_RECORDS));
 }
 
+/// Whether this daemon must ask for all records: it knows of members that it has no record of, it has
+/// just started, or it is not on others' lists yet, so that nobody sends it heartbeats.
 fn lacks_records(members: &Members) -> bool {
+    if !members.greeted || !members.is_listed(members.own) {
+        return true;
+    }
     members.all.values().any(|m| m.mismatched || (m.live && m.incarnation == 0))
         || members.candidates().iter().all(|vm| *vm == members.own)
 }
--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -40,6 +40,8 @@
     pub changed_at: Duration,
     /// Heartbeats that this daemon has sent.
     pub counter: u64,
+    /// A heartbeat has come since the process started.
+    pub greeted: bool,
     /// When a peer was last asked for all its records.
     pub probed: Option<Duration>,
     ring: Vec<VmId>,
--- a/crates/basilbank_core/tests/catalogue.rs
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -8,7 +8,7 @@
     prelude::*,
     state::{Applied, Rng, Store},
 };
-use basilbank_wire::Document;
+use basilbank_wire::{Document, Heartbeat};
 use test_case::test_case;
 use world::{Listing, Node, PlatformMode, Spec, Step, Who, World};
 
@@ -313,6 +313,50 @@
     }
 }
 
+#[test]
+fn a_daemon_that_is_not_listed_yet_hears_of_changes() {
+    // Symptom: a new VM's daemon has no catalogue, or an old one, for as long as the list lags.
+    // Sequence: a process starts on a VM that the platform's list does not name yet.
+    // Cause: its peers send heartbeats to listed VMs only, and nothing in those it sends asks them.
+    let spec = Spec { vm_lag: SECOND * 20, ..Spec::kitafuji().with_daemons(4) };
+    let mut world = World::new(spec);
+    world.at(SECOND * 5, Step::Kill { daemon: Who::Daemon(3), back: None });
+    world.at(SECOND * 5, Step::List(3, Listing::Absent));
+    world.at(SECOND * 30, Step::Start(3));
+    publish(&mut world, SECOND * 38);
+    world.run_until(SECOND * 34);
+    assert!(world.daemons[3].is_ready() && all_have(&world, 1));
+    world.run_until(SECOND * 40);
+    assert!(all_have(&world, 2));
+    // And it knows whom to ask for slots.
+    world.run_until(SECOND * 48);
+    let members = &world.daemons[3].core().members;
+    assert!(!members.is_listed(members.own));
+    assert_eq!(members.live().len(), 3);
+}
+
+#[test]
+fn two_that_are_each_behind_do_not_answer_each_other_without_end() {
+    let mut world = started(8);
+    let now = world.clock();
+    let vm = world.daemons[1].vm;
+    let incarnation = world.daemons[1].incarnation;
+    let brain = world.daemons[0].brain.as_mut().expect("it runs");
+    let mut replies = |reply| {
+        let beat = Heartbeat { counter: 999, vms: 99, reply, ..Heartbeat::default() };
+        let message = Body::Heartbeat(beat).into();
+        let mut out = Vec::new();
+        brain.reduce(now, Event::Peer { from: vm, incarnation, message }, &mut out);
+        let is_reply = |e: &&Effect| match e {
+            Effect::Send { message: Message { body: Some(Body::Heartbeat(b)) }, .. } => b.reply,
+            _ => false,
+        };
+        out.iter().filter(is_reply).count()
+    };
+    assert_eq!(replies(false), 1);
+    assert_eq!(replies(true), 0);
+}
+
 #[test]
 fn a_late_check_takes_nobody_back() {
     // Symptom: a withdrawn key works again.
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -126,6 +126,9 @@
     /// as the sender has heard; 0 when it never did.
     #[prost(uint32, tag = "9")]
     pub confirmed: u32,
+    /// It answers another heartbeat.
+    #[prost(bool, tag = "10")]
+    pub reply: bool,
 }
 
 /// What one daemon knows of another.
