--- a/crates/basilbank_core/tests/catalogue.rs
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -6,9 +6,9 @@
 
 use basilbank_core::{
     prelude::*,
-    state::{Applied, Store},
+    state::{Applied, Rng, Store},
 };
-use basilbank_wire::Document;
+use basilbank_wire::{Document, Heartbeat};
 use test_case::test_case;
 use world::{Listing, Node, PlatformMode, Spec, Step, Who, World};
 
@@ -264,6 +264,117 @@
     assert_sound(&world);
 }
 
+/// One fault, of a kind and at daemons that the random numbers give. Daemon 0 keeps its memory: when
+/// all lose it while the platform is stale, nobody can know better.
+fn fault(world: &World, rng: &mut Rng) -> Vec<Step> {
+    let some = |rng: &mut Rng| (1..8).filter(|_| rng.unit() < 0.5).collect::<Vec<usize>>();
+    let lasting = Duration::from_millis(200 + rng.next_u64() % 6000);
+    match rng.index(6) {
+        0 => some(rng)
+            .into_iter()
+            .map(|d| Step::Freeze { daemon: Who::Daemon(d), lasting })
+            .collect(),
+        1 => {
+            let kill = |d| Step::Kill { daemon: Who::Daemon(d), back: Some(lasting / 4) };
+            some(rng).into_iter().map(kill).collect()
+        }
+        2 => {
+            let nodes = some(rng).into_iter().map(Node::Daemon).collect();
+            vec![Step::Partition { nodes, lasting }]
+        }
+        3 => vec![Step::Platform { mode: PlatformMode::Down, lasting }],
+        4 => vec![Step::Platform { mode: PlatformMode::Stale, lasting }],
+        _ => vec![Step::Publish(Box::new(world.spec.catalogue())), Step::PublishBad],
+    }
+}
+
+#[test]
+fn random_faults_take_nobody_back_and_leave_all_with_the_same() {
+    for seed in 1..=60 {
+        let mut world = World::new(Spec::kitafuji().with_seed(seed));
+        let mut rng = Rng::new(seed);
+        for turn in 0..8 {
+            let start = SECOND * (5 + 7 * turn);
+            for step in fault(&world, &mut rng) {
+                world.at(start + Duration::from_millis(rng.next_u64() % 1000), step);
+            }
+            let at = start + Duration::from_millis(rng.next_u64() % 7000);
+            if rng.unit() < 0.3 {
+                world.at(at, Step::PublishBad);
+            } else {
+                publish(&mut world, at);
+            }
+        }
+        world.run_until(SECOND * 90);
+        let revision = in_force(&world)[0];
+        assert!(all_have(&world, revision), "seed {seed}: {:?}", in_force(&world));
+        assert!(world.daemons.iter().all(|d| d.is_ready()), "seed {seed}");
+        assert_sound(&world);
+    }
+}
+
+#[test]
+fn a_daemon_that_is_not_listed_yet_hears_of_changes() {
+    // Symptom: a new VM's daemon has no catalogue, or an old one, for as long as the list lags.
+    // Sequence: a process starts on a VM that the platform's list does not name yet.
+    // Cause: its peers send heartbeats to listed VMs only, and nothing in those it sends asks them.
+    let spec = Spec { vm_lag: SECOND * 20, ..Spec::kitafuji().with_daemons(4) };
+    let mut world = World::new(spec);
+    world.at(SECOND * 5, Step::Kill { daemon: Who::Daemon(3), back: None });
+    world.at(SECOND * 5, Step::List(3, Listing::Absent));
+    world.at(SECOND * 30, Step::Start(3));
+    publish(&mut world, SECOND * 38);
+    world.run_until(SECOND * 34);
+    assert!(world.daemons[3].is_ready() && all_have(&world, 1));
+    world.run_until(SECOND * 40);
+    assert!(all_have(&world, 2));
+    // And it knows whom to ask for slots.
+    for half in 80..96 {
+        world.run_until(SECOND * half / 2);
+        let members = &world.daemons[3].core().members;
+        assert!(!members.is_listed(members.own));
+        assert_eq!(members.live().len(), 3, "{:?}", world.now);
+    }
+}
+
+#[test]
+fn two_that_are_each_behind_do_not_answer_each_other_without_end() {
+    let mut world = started(8);
+    let now = world.clock();
+    let vm = world.daemons[1].vm;
+    let incarnation = world.daemons[1].incarnation;
+    let brain = world.daemons[0].brain.as_mut().expect("it runs");
+    let mut replies = |reply| {
+        let beat = Heartbeat { counter: 999, vms: 99, reply, ..Heartbeat::default() };
+        let message = Body::Heartbeat(beat).into();
+        let mut out = Vec::new();
+        brain.reduce(now, Event::Peer { from: vm, incarnation, message }, &mut out);
+        let is_reply = |e: &&Effect| match e {
+            Effect::Send { message: Message { body: Some(Body::Heartbeat(b)) }, .. } => b.reply,
+            _ => false,
+        };
+        out.iter().filter(is_reply).count()
+    };
+    assert_eq!(replies(false), 1);
+    assert_eq!(replies(true), 0);
+}
+
+#[test]
+fn a_late_check_takes_nobody_back() {
+    // Symptom: a withdrawn key works again.
+    // Sequence: the check of a revision takes long; meanwhile a later one is in force.
+    // Cause: the first check's result comes last.
+    let mut world = started(8);
+    publish(&mut world, SECOND * 5);
+    world.run_until(SECOND * 8);
+    let older = world.platform.catalogues[&1].clone().expect("it passes the check");
+    let checked = PlatformEvent::Checked { revision: 1, result: Ok(older) };
+    let now = world.clock();
+    let brain = world.daemons[0].brain.as_mut().expect("it runs");
+    brain.reduce(now, Event::Platform(checked), &mut Vec::new());
+    assert!(all_have(&world, 2));
+}
+
 #[test]
 fn a_list_without_vms_is_not_believed() {
     let mut world = started(8);
