Grants that were not used leave no work behind at a prefill endpoint

Cause: a request that two prefill endpoints granted used one of them. Change: what keeps an endpoint busy is worked out from the leases that are left whenever one ends.

--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -161,6 +161,7 @@
             sent: waiter.sent,
             since: now.mono,
             until: now.mono + state.local.tuning.slot_lease,
+            done: now.mono,
             lent: choice.lent,
             preempted: None,
         };
@@ -297,6 +298,7 @@
             sent: 0,
             since: now.mono,
             until,
+            done: now.mono,
             lent: false,
             preempted: None,
         };
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -38,6 +38,8 @@
     pub since: Duration,
     /// When it ends unless it is renewed.
     pub until: Duration,
+    /// When its prefill should be done.
+    pub done: Duration,
     /// Its entry was above its owed share.
     pub lent: bool,
     /// When the holder was last told to give it back.
@@ -140,16 +142,11 @@
     }
 
     /// Adds or renews a lease.
-    pub fn lease(&mut self, key: SlotKey, lease: Lease) {
+    pub fn lease(&mut self, key: SlotKey, mut lease: Lease) {
         let entry = lease.entry;
-        if 0.0 < self.rate {
-            let work = Duration::from_secs_f64(f64::from(lease.tokens) / self.rate);
-            self.busy = self.busy.max(lease.since) + work;
-        }
-        if 0.0 < self.link_rate {
-            let sending = Duration::from_secs_f64(f64::from(lease.sent) / self.link_rate);
-            self.link_busy = self.link_busy.max(self.busy) + sending;
-        }
+        self.busy = self.busy.max(lease.since) + self.work(&lease);
+        self.link_busy = self.link_busy.max(self.busy) + self.sending(&lease);
+        lease.done = self.busy;
         if self.leases.insert(key, lease).is_none() {
             *self.used.entry(entry).or_default() += 1;
         }
@@ -184,9 +181,7 @@
     pub fn end(&mut self, key: SlotKey, now: Duration) -> Option<Lease> {
         let lease = self.leases.remove(&key)?;
         self.ended.push_back(now);
-        if self.leases.is_empty() {
-            self.busy = now;
-        }
+        self.recount(now);
         while self.ended.front().is_some_and(|at| *at + REMEMBER < now) {
             self.ended.pop_front();
         }
@@ -199,6 +194,31 @@
         Some(lease)
     }
 
+    /// Computing that a prefill takes.
+    fn work(&self, lease: &Lease) -> Duration {
+        over(lease.tokens, self.rate)
+    }
+
+    /// Time that its KV cache takes on the link.
+    fn sending(&self, lease: &Lease) -> Duration {
+        over(lease.sent, self.link_rate)
+    }
+
+    /// Works out anew what the leases that are left keep busy.
+    ///
+    /// A lease may end unused, as its request got another slot first, or earlier than was thought.
+    /// Were its time still counted, the endpoint would be given nothing for as long and lie idle.
+    fn recount(&mut self, now: Duration) {
+        let mut left: Vec<_> = self.leases.values().map(|l| (l.since, l.done, l)).collect();
+        left.sort_unstable_by_key(|(since, done, _)| (*since, *done));
+        let (mut busy, mut link_busy) = (now, now);
+        for (_, done, lease) in left {
+            busy += self.work(lease).min(done.saturating_sub(now));
+            link_busy = link_busy.max(busy) + self.sending(lease);
+        }
+        (self.busy, self.link_busy) = (busy, link_busy);
+    }
+
     /// Leases that ended after a moment that is not long ago.
     #[must_use]
     pub fn ended_since(&self, at: Duration) -> u32 {
@@ -223,3 +243,8 @@
         });
     }
 }
+
+/// The time that tokens take at a rate; none where the rate is not known.
+fn over(tokens: u32, rate: f64) -> Duration {
+    if 0.0 < rate { Duration::from_secs_f64(f64::from(tokens) / rate) } else { Duration::ZERO }
+}
--- a/crates/basilbank_core/tests/policy/ledgers.rs
+++ b/crates/basilbank_core/tests/policy/ledgers.rs
@@ -38,6 +38,7 @@
         sent: 0,
         since: at(since),
         until: at(since + 6000),
+        done: at(since),
         lent: false,
         preempted: None,
     }
--- a/crates/basilbank_core/tests/policy/queues.rs
+++ b/crates/basilbank_core/tests/policy/queues.rs
@@ -5,10 +5,11 @@
 use super::{START, done, found, millis, secs};
 use crate::world::{Ask, AskReport, End, Pool, Spec, World};
 
-/// Two prefill endpoints that take half a second for each draft, and decode slots enough.
+/// Two prefill endpoints that take half a second for each draft, and twice as many decode slots as are
+/// needed.
 fn scarce_prefill() -> Spec {
     let base = Spec::small();
-    let decode = Pool { slots: 10, ..base.decode };
+    let decode = Pool { slots: 4, ..base.decode };
     Spec { prefill_rate: 2_000.0, decode, ..base }
 }
 
@@ -29,7 +30,7 @@
     }
     world.run_until(START + secs(60));
     let good = world.report().asks.iter().filter(|a| in_time(&spec, a)).count();
-    assert!(65 <= good, "{good} of 80 that can be");
+    assert!(70 <= good, "{good} of 80 that can be");
     assert_eq!(found(&world), Vec::<String>::new());
 }
 
@@ -77,18 +78,21 @@
     assert!(waits[waits.len() / 2] < wait / 2, "{:?}", waits[waits.len() / 2]);
 }
 
-/// Symptom: a draft waits behind three others at one prefill endpoint while another is idle.
-/// Sequence: four drafts come at once.
+/// Symptom: a short draft waits behind a long one at one prefill endpoint while another is idle.
+/// Sequence: a long draft, then some short ones.
 /// Cause: as many prompts were granted to an endpoint as it has slots, though it computes them one
 /// after the other.
 #[test]
 fn prompts_wait_at_the_steward_and_not_at_the_endpoint() {
     let mut world = World::new(scarce_prefill());
-    for _ in 0..4 {
-        world.ask(Ask::draft(0, 1000, 5).at(START));
+    let long = world.ask(Ask::draft(0, 5000, 5).at(START));
+    for i in 0..8 {
+        world.ask(Ask::draft(0, 200, 5).at(START + millis(50 + 10 * i)));
     }
     world.run_until(START + secs(10));
-    // Two prefills of half a second, one after the other at each endpoint, and what is around them.
-    let slowest = world.report().asks.iter().filter_map(|a| a.ttft).max();
-    assert!(slowest.is_some_and(|ttft| ttft < millis(1250)), "{slowest:?}");
+    let report = world.report();
+    let short = report.asks.iter().enumerate().filter(|(i, _)| *i != long);
+    let slowest = short.filter_map(|(_, a)| a.ttft).max();
+    // The long prefill takes 2.5 s, the eight short ones at the other endpoint 0.8 s.
+    assert!(slowest.is_some_and(|ttft| ttft < millis(1200)), "{slowest:?}");
 }
