Lookups do not wait for a new steward; operators' changes in the random schedules

Cause: a new steward of a plain service granted nothing for up to two seconds when one of its questions to the peers was lost, so lookups were refused. Change: no learning where the service itself refuses provably; elsewhere the question is asked again each tick. Schedules restart daemons, mark endpoints as leaving and publish rejected catalogues; the checker knows what nobody can have read (a revision followed by a rejected one, or by an outage, within a second).

--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -101,21 +101,26 @@
     let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
     let rate = known.prefill_rate;
     let mut ledger = Ledger { slots, rate, link_rate, ..Ledger::default() };
-    for vm in &missing {
-        let ask = AskHolds { endpoint: endpoint.0 };
-        out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
-    }
-    let unread = known.role != Role::Plain;
-    if unread {
+    ask_holds(endpoint, &missing, out);
+    // A plain service tells no load, and refuses provably what is too much for it. Learning there
+    // would refuse lookups for as long as it takes, to spare a few of them a second call.
+    if known.role != Role::Plain {
         out.push(Effect::Engine(EngineCall::ReadLoad { endpoint }));
+        let until = now.mono + LEARN;
+        ledger.learning = Some(Learning { missing, unread: true, until });
     }
-    ledger.learning = Some(Learning { missing, unread, until: now.mono + LEARN });
-    ledger.learned();
     state.slots.ledgers.insert(endpoint, ledger);
     let held = reserve::holds_at(state, endpoint);
     adopt(state, now, own, &held, out);
 }
 
+fn ask_holds(endpoint: EndpointId, peers: &BTreeSet<VmId>, out: &mut Vec<Effect>) {
+    for vm in peers {
+        let ask = AskHolds { endpoint: endpoint.0 };
+        out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
+    }
+}
+
 /// Slots of an endpoint that may be leased at once; all that are asked for where it has no limit.
 ///
 /// Between a plain call's end and the next one's start lie three messages. A call takes hardly longer
@@ -328,6 +333,10 @@
     if ledger.learning.as_ref().is_some_and(|l| l.until <= now.mono) {
         ledger.learning = None;
     }
+    if let Some(learning) = &ledger.learning {
+        // A question or its answer was lost, or is on its way: asking again harms nobody.
+        ask_holds(endpoint, &learning.missing, out);
+    }
     let over = ledger.leases.iter().filter(|(_, lease)| lease.until <= now.mono);
     let over: Vec<_> = over.map(|(key, _)| *key).collect();
     for key in &over {
--- a/crates/basilbank_core/tests/regressions.rs
+++ b/crates/basilbank_core/tests/regressions.rs
@@ -197,3 +197,25 @@
         assert!(more < 400, "{more} messages");
     }
 }
+
+/// Symptom: lookups are refused for two seconds after a daemon has died.
+/// Sequence: its successor as a plain service's steward asks the peers what they hold; a question is
+/// lost.
+/// Cause: it granted nothing before the last answer or the time limit, and asked only once.
+#[test]
+fn new_steward_of_a_plain_service_grants_at_once() {
+    for daemon in 0..4 {
+        let mut spec = Spec::small();
+        spec.plain.count = 1;
+        let mut world = World::new(spec);
+        let at = |after: u64| START + millis(after);
+        world.at(at(0), Step::Kill { daemon: Who::Daemon(daemon), back: None });
+        world.at(at(3900), Step::Net(Net { loss: 0.6, ..Net::default() }));
+        world.at(at(5200), Step::Net(Net::default()));
+        let asks: Vec<_> =
+            (0..20).map(|i| world.ask(Ask::plain(0, "GET").at(at(5250 + 40 * i)))).collect();
+        world.run_until(at(8000));
+        let done = asks.iter().filter(|ask| end(&world, **ask) == Some(End::Done)).count();
+        assert_eq!(done, asks.len(), "daemon {daemon} died");
+    }
+}
--- a/crates/basilbank_core/tests/world/faults.rs
+++ b/crates/basilbank_core/tests/world/faults.rs
@@ -9,6 +9,8 @@
 
 /// The number of the side that nodes are cut off to.
 const OTHER_SIDE: u8 = 1;
+/// What the platform shows for this long is read by the daemons that watch it.
+pub const READABLE: Duration = Duration::from_secs(1);
 
 impl World {
     pub(super) fn step(&mut self, step: Step) {
@@ -70,6 +72,7 @@
             }
             Step::Platform { mode, lasting } => {
                 self.set_platform(mode);
+                self.unmark();
                 self.record.platform(self.now, mode == PlatformMode::Well);
                 self.later(lasting, Restore::Platform);
             }
@@ -199,6 +202,14 @@
         }
     }
 
+    /// A platform that fails takes back what hardly anybody can have read.
+    fn unmark(&mut self) {
+        let now = self.now;
+        for one in self.endpoints.iter_mut().filter(|e| !e.leaving) {
+            one.marked = one.marked.filter(|at| *at + READABLE < now);
+        }
+    }
+
     /// Endpoints that the catalogue in force marks as leaving.
     fn mark_leaving(&mut self) {
         if self.platform.mode != PlatformMode::Well {
