--- a/crates/basilbank_core/tests/regressions.rs
+++ b/crates/basilbank_core/tests/regressions.rs
@@ -197,3 +197,58 @@
         assert!(more < 400, "{more} messages");
     }
 }
+
+/// Symptom: lookups are refused for two seconds after a daemon has died.
+/// Sequence: its successor as a plain service's steward asks the peers what they hold; a question is
+/// lost.
+/// Cause: it granted nothing before the last answer or the time limit, and asked only once.
+#[test]
+fn new_steward_of_a_plain_service_grants_at_once() {
+    for daemon in 0..4 {
+        let mut spec = Spec::small();
+        spec.plain.count = 1;
+        let mut world = World::new(spec);
+        let at = |after: u64| START + millis(after);
+        world.at(at(0), Step::Kill { daemon: Who::Daemon(daemon), back: None });
+        world.at(at(3900), Step::Net(Net { loss: 0.6, ..Net::default() }));
+        world.at(at(5200), Step::Net(Net::default()));
+        let asks: Vec<_> =
+            (0..20).map(|i| world.ask(Ask::plain(0, "GET").at(at(5250 + 40 * i)))).collect();
+        world.run_until(at(8000));
+        let done = asks.iter().filter(|ask| end(&world, **ask) == Some(End::Done)).count();
+        assert_eq!(done, asks.len(), "daemon {daemon} died");
+    }
+}
+
+/// Symptom: a stream that nobody wants holds its slot for as long as it runs.
+/// Sequence: a caller repeats its draft, which takes the stream over; it leaves while the second
+/// daemon is cut off from the endpoint.
+/// Cause: the lost cancel was remembered under the second request, and endpoints list a stream under
+/// the request that started it.
+#[test]
+fn lost_cancel_of_a_taken_stream_is_made_good() {
+    let mut world = World::new(Spec::small());
+    let mut ask = Ask::draft(0, 300, 2500).at(START).with_key("draft", 0);
+    ask.copy = Some(millis(500));
+    ask.patience = secs(3);
+    let ask = world.ask(ask);
+    let cut = Step::Isolate { daemon: Who::Home(ask), endpoints: vec![], lasting: secs(6) };
+    world.at(START + millis(1500), cut);
+    world.run_until(START + secs(30));
+    assert_eq!(found(&world), Vec::<String>::new());
+}
+
+/// Symptom: a daemon that has just started lacks a change for more than four seconds.
+/// Sequence: a VM is replaced; a change is published before the lagging list has the new one.
+/// Cause: its peers told it nothing, and it did not look itself.
+#[test]
+fn unlisted_daemon_looks_for_changes_itself() {
+    for seed in 0..20 {
+        let mut world = World::new(Spec::small().with_seed(seed));
+        let catalogue = Box::new(world.spec.catalogue());
+        world.at(START, Step::Replace { daemon: Who::Daemon(1), back: secs(8) });
+        world.at(START + millis(8050), Step::Publish(catalogue));
+        world.run_until(START + secs(11));
+        assert_eq!(world.record.force[1].last().map(|(_, revision)| *revision), Some(2));
+    }
+}
