--- a/crates/basilbank_core/tests/daemons/claims.rs
+++ b/crates/basilbank_core/tests/daemons/claims.rs
@@ -10,20 +10,9 @@
 };
 use test_case::test_case;
 
-use crate::fleet::{Fleet, catalogue, draft, draft_entry, stock_order, team, vm};
-
-pub const WINDOW: Duration = Duration::from_secs(600);
-/// Long enough for a claim, and for a slot also when the endpoint's steward has just died.
-pub const STEP: Duration = Duration::from_secs(8);
-/// Long enough for both when all is well.
-pub const SHORT: Duration = Duration::from_millis(400);
-
-/// Daemons that have all been voters for a whole key window.
-pub fn settled(count: usize) -> Fleet {
-    let mut fleet = Fleet::new(count, Tuning::default(), catalogue());
-    fleet.run(WINDOW);
-    fleet
-}
+use crate::fleet::{
+    Fleet, SHORT, STEP, WINDOW, catalogue, draft, draft_entry, stock_order, team, vm,
+};
 
 /// The daemons that vote on a key, by rank, and one that does not.
 pub fn voters(fleet: &Fleet, key: &str) -> (Vec<usize>, usize) {
@@ -34,13 +23,6 @@
     (voters, other)
 }
 
-pub fn refusal(answer: &Answer) -> Option<Refusal> {
-    match answer {
-        Answer::Refused { refusal, .. } => Some(*refusal),
-        _ => None,
-    }
-}
-
 /// How many daemons remember a key.
 fn remembering(fleet: &Fleet) -> usize {
     fleet.states.iter().filter(|s| !s.claims.table.is_empty()).count()
@@ -59,25 +41,28 @@
     (resume.offset == 0).then(|| resume.stream.clone())
 }
 
+/// Streams that are read on, with their offsets.
+fn resumes(fleet: &Fleet) -> Vec<(AttemptKey, u32)> {
+    let resumes = fleet.calls.iter().filter_map(|(_, call)| match call {
+        EngineCall::Resume { attempt, offset, .. } => Some((*attempt, *offset)),
+        _ => None,
+    });
+    resumes.collect()
+}
+
 #[test]
 fn a_claimed_request_runs_and_its_repeat_does_not() {
-    let mut fleet = settled(8);
-    let first = fleet.call(0, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    let mut fleet = Fleet::settled(8);
+    let first = fleet.order(0, "order-1");
     assert_eq!(fleet.runs().len(), 1);
-    let early = fleet.call(1, Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(early)), Some(Refusal::KeyRunning));
+    assert_eq!(fleet.refused(1, "order-1"), Some(Refusal::KeyRunning));
     finish_plain(&mut fleet, 0);
     fleet.run(STEP);
     assert!(matches!(fleet.last_answer(first), Answer::Plain { .. }));
-    let late = fleet.call(2, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    let late = fleet.order(2, "order-1");
     assert_eq!(fleet.last_answer(late), &Answer::Unknown);
     assert_eq!(fleet.runs().len(), 1);
-    let other = fleet.call(3, Some("order-2"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(other)), None);
+    assert_eq!(fleet.refused(3, "order-2"), None);
     assert_eq!(fleet.runs().len(), 2);
 }
 
@@ -88,18 +73,16 @@
 #[test_case(1)]
 #[test_case(2)]
 fn one_dead_voter_neither_stops_nor_doubles_a_request(dead: usize) {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (voters, other) = voters(&fleet, "order-1");
-    fleet.call(other, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    fleet.order(other, "order-1");
     assert_eq!(fleet.runs().len(), 1);
     fleet.down.insert(voters[dead]);
     let second = (0..8).find(|i| *i != other && !fleet.down.contains(i)).unwrap();
     let repeat = fleet.call(second, Some("order-1"), stock_order());
-    let fresh = fleet.call(second, Some("order-2"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyRunning));
-    assert_eq!(refusal(fleet.last_answer(fresh)), None);
+    let fresh = fleet.order(second, "order-2");
+    assert_eq!(fleet.refusal(repeat), Some(Refusal::KeyRunning));
+    assert_eq!(fleet.refusal(fresh), None);
     assert_eq!(fleet.runs().len(), 2);
 }
 
@@ -108,14 +91,13 @@
 /// picked from the live members, which differ from side to side.
 #[test]
 fn only_one_side_of_a_partition_runs_a_key() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let keys: Vec<_> = (0..40).map(|i| format!("order-{i}")).collect();
-    fleet.holds = |p| (p.from < 4) != (p.to < 4);
+    fleet.holds = Some(|p| (p.from < 4) != (p.to < 4));
     for key in &keys {
         let left = fleet.call(0, Some(key), stock_order());
-        let right = fleet.call(7, Some(key), stock_order());
-        fleet.run(STEP);
-        let ran = [left, right].map(|c| refusal(fleet.last_answer(c)).is_none());
+        let right = fleet.order(7, key);
+        let ran = [left, right].map(|c| fleet.refusal(c).is_none());
         assert_eq!(ran.iter().filter(|r| **r).count(), 1, "{key}: {ran:?}");
     }
     assert_eq!(fleet.runs().len(), keys.len());
@@ -127,16 +109,15 @@
 #[test]
 fn of_two_at_once_exactly_one_runs_also_with_a_dead_voter() {
     for dead in [None, Some(0), Some(1), Some(2)] {
-        let mut fleet = settled(8);
+        let mut fleet = Fleet::settled(8);
         let (voters, _) = voters(&fleet, "order-1");
         fleet.down.extend(dead.map(|d| voters[d]));
         let alive: Vec<_> = voters.iter().filter(|v| !fleet.down.contains(v)).copied().collect();
         // Each of the two takes its own vote before it hears of the other.
         let a = fleet.call(alive[0], Some("order-1"), stock_order());
-        let b = fleet.call(alive[1], Some("order-1"), stock_order());
-        fleet.run(STEP);
+        let b = fleet.order(alive[1], "order-1");
         assert_eq!(fleet.runs().len(), 1, "dead voter {dead:?}");
-        let refused = [a, b].iter().filter(|c| refusal(fleet.last_answer(**c)).is_some()).count();
+        let refused = [a, b].iter().filter(|c| fleet.refusal(**c).is_some()).count();
         assert_eq!(refused, 1, "dead voter {dead:?}");
     }
 }
@@ -146,19 +127,15 @@
 /// outlives its refusal.
 #[test]
 fn votes_that_come_after_the_refusal_run_nothing() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (_, other) = voters(&fleet, "order-1");
-    fleet.holds = |p| matches!(p.message.body, Some(Body::Vote(_)));
-    let caller = fleet.call(other, Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    fleet.holds = Some(|p| matches!(p.message.body, Some(Body::Vote(_))));
+    assert_eq!(fleet.refused(other, "order-1"), Some(Refusal::KeyUnclaimed));
     fleet.release();
     fleet.run(STEP);
     assert_eq!(fleet.runs().len(), 0);
     // What the voters had granted was given back, so the caller's retry runs.
-    let retry = fleet.call(other, Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(retry)), None);
+    assert_eq!(fleet.refused(other, "order-1"), None);
     assert_eq!(fleet.runs().len(), 1);
 }
 
@@ -166,15 +143,15 @@
 /// its time limit. Sequence: claim, pause, votes are read before the timer fires.
 #[test]
 fn a_daemon_that_was_paused_while_it_claimed_runs_nothing() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     // A voter that claims has its own vote, so the first that it reads would win the key.
     let (voters, _) = voters(&fleet, "order-1");
-    fleet.holds = |p| matches!(p.message.body, Some(Body::Vote(_)));
+    fleet.holds = Some(|p| matches!(p.message.body, Some(Body::Vote(_))));
     let caller = fleet.call(voters[0], Some("order-1"), stock_order());
     fleet.deliver();
     fleet.skip(Duration::from_secs(20));
     fleet.release();
-    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.refusal(caller), Some(Refusal::KeyUnclaimed));
     assert_eq!(fleet.runs().len(), 0);
 }
 
@@ -182,13 +159,11 @@
 /// votes back, and a voter takes that for the winner's. The key would be free while its order runs.
 #[test]
 fn a_loser_gives_back_only_its_own_votes() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (voters, other) = voters(&fleet, "order-1");
-    fleet.call(other, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    fleet.order(other, "order-1");
     for index in &voters {
-        fleet.call(*index, Some("order-1"), stock_order());
-        fleet.run(STEP);
+        fleet.order(*index, "order-1");
     }
     assert_eq!(fleet.runs().len(), 1);
     assert_eq!(remembering(&fleet), 2);
@@ -199,28 +174,18 @@
 /// an endpoint, the process is paused, the first that it reads afterwards lets the request run.
 #[test]
 fn a_request_that_slept_through_the_window_is_not_sent() {
-    let mut without = catalogue();
-    without.classes[1].wait = WINDOW * 2;
-    for endpoint in &mut without.endpoints {
-        endpoint.leaving = true;
-    }
-    let mut with = without.clone();
-    with.revision = 2;
-    for endpoint in &mut with.endpoints {
-        endpoint.leaving = false;
-    }
+    let mut with = Catalogue { revision: 2, ..catalogue() };
+    with.classes[1].wait = WINDOW * 2;
+    let mut without = Catalogue { revision: 1, ..with.clone() };
+    without.endpoints.iter_mut().for_each(|e| e.leaving = true);
     let mut fleet = Fleet::new(8, Tuning::default(), without);
     fleet.run(WINDOW);
-    let caller = fleet.call(0, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    let caller = fleet.order(0, "order-1");
     assert_eq!(fleet.states[0].requests.arena.len(), 1, "it waits");
     fleet.skip(WINDOW);
-    for index in 0..8 {
-        let result = Ok(with.clone().into());
-        fleet.feed(index, Event::Platform(PlatformEvent::Checked { revision: 2, result }));
-    }
+    (0..8).for_each(|index| fleet.publish(index, with.clone()));
     fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.refusal(caller), Some(Refusal::KeyUnclaimed));
     assert_eq!(fleet.runs().len(), 0);
 }
 
@@ -231,46 +196,39 @@
     without.classes[1].wait = Duration::ZERO;
     let mut fleet = Fleet::new(8, Tuning::default(), without);
     fleet.run(WINDOW);
-    let first = fleet.call(0, Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(first)), Some(Refusal::NoEndpoint));
-    let mut full = catalogue();
-    full.revision = 2;
-    for index in 0..8 {
-        let result = Ok(full.clone().into());
-        fleet.feed(index, Event::Platform(PlatformEvent::Checked { revision: 2, result }));
-    }
-    fleet.call(1, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    assert_eq!(fleet.refused(0, "order-1"), Some(Refusal::NoEndpoint));
+    let full = Catalogue { revision: 2, ..catalogue() };
+    (0..8).for_each(|index| fleet.publish(index, full.clone()));
+    fleet.order(1, "order-1");
     assert_eq!(fleet.runs().len(), 1);
 }
 
+/// The daemon of a draft that streams dies, and the draft is repeated at a voter on its key. Gives the
+/// voter and the caller.
+fn repeat_orphan(fleet: &mut Fleet) -> (usize, CallerId) {
+    let (voters, other) = voters(fleet, "draft-1");
+    fleet.stream_draft(other);
+    fleet.down.insert(other);
+    (voters[0], fleet.call(voters[0], Some("draft-1"), draft()))
+}
+
 /// Symptom: a draft whose VM died is run a second time for the caller that comes again with its key.
 /// The voters know where the stream lives, so the caller reads it from its start.
 #[test]
 fn a_repeat_of_a_draft_whose_vm_died_joins_its_stream() {
-    let mut fleet = settled(8);
-    let (voters, other) = voters(&fleet, "draft-1");
-    fleet.call(other, Some("draft-1"), draft());
-    fleet.run(SHORT);
-    fleet.import(0);
-    fleet.stream(0, "s1");
-    fleet.down.insert(other);
-    let repeat = fleet.call(voters[0], Some("draft-1"), draft());
+    let mut fleet = Fleet::settled(8);
+    let (voter, repeat) = repeat_orphan(&mut fleet);
     fleet.run(STEP);
-    assert_eq!(resumed_stream(&fleet, voters[0], repeat).as_deref(), Some("s1"));
+    assert_eq!(resumed_stream(&fleet, voter, repeat).as_deref(), Some("s1"));
 }
 
 /// Symptom: a caller gets a text that starts in the middle of a sentence. Sequence: a draft's decode
 /// endpoint dies, the draft goes on elsewhere from the text so far, its VM dies, a repeat joins.
 #[test]
 fn a_stream_that_continues_another_is_not_joined() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (voters, other) = voters(&fleet, "draft-1");
-    fleet.call(other, Some("draft-1"), draft());
-    fleet.run(SHORT);
-    fleet.import(0);
-    fleet.stream(0, "s1");
+    fleet.stream_draft(other);
     let attempt = fleet.decoding();
     let token = EngineEvent::Token { attempt, offset: 0, texts: vec!["Two".to_owned()] };
     fleet.feed(other, Event::Engine(token));
@@ -282,29 +240,19 @@
     fleet.down.insert(other);
     let repeat = fleet.call(voters[0], Some("draft-1"), draft());
     fleet.run(SHORT);
-    assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyRunning));
+    assert_eq!(fleet.refusal(repeat), Some(Refusal::KeyRunning));
 }
 
 /// Symptom: a caller whose draft was run is told that it was not, sends it under a new key and gets
 /// two. Sequence: the stream that the repeat wants to join is gone.
 #[test]
 fn a_repeat_whose_stream_is_gone_is_told_that_it_is_unknown() {
-    let mut fleet = settled(8);
-    let (voters, other) = voters(&fleet, "draft-1");
-    fleet.call(other, Some("draft-1"), draft());
-    fleet.run(SHORT);
-    fleet.import(0);
-    fleet.stream(0, "s1");
-    fleet.down.insert(other);
-    let repeat = fleet.call(voters[0], Some("draft-1"), draft());
+    let mut fleet = Fleet::settled(8);
+    let (voter, repeat) = repeat_orphan(&mut fleet);
     fleet.run(SHORT);
-    let mut resumes = fleet.calls.iter().filter_map(|(_, call)| match call {
-        EngineCall::Resume { attempt, .. } => Some(*attempt),
-        _ => None,
-    });
-    let attempt = resumes.next_back().expect("the repeat resumes");
+    let (attempt, _) = *resumes(&fleet).last().expect("the repeat resumes");
     let failed = EngineEvent::Failed { attempt, failure: Failure::Refused };
-    fleet.feed(voters[0], Event::Engine(failed));
+    fleet.feed(voter, Event::Engine(failed));
     assert_eq!(fleet.last_answer(repeat), &Answer::Unknown);
     assert_eq!(fleet.runs().len(), 1);
 }
@@ -313,38 +261,32 @@
 /// sends the cursor and the key of the first try together. A cursor names a stream, so nothing is run.
 #[test]
 fn a_cursor_goes_before_a_key() {
-    let mut fleet = settled(8);
-    fleet.call(0, Some("draft-1"), draft());
-    fleet.run(SHORT);
-    fleet.import(0);
-    fleet.stream(0, "s1");
+    let mut fleet = Fleet::settled(8);
+    fleet.stream_draft(0);
     let endpoint = EndpointId::of("decode-0");
     let entry = draft_entry();
     let Work::Draft(mut again) = draft() else { panic!("a draft") };
     again.resume = Some(ResumePoint { endpoint, stream: "s1".to_owned(), offset: 7, entry });
     fleet.call(1, Some("draft-1"), Work::Draft(again));
     fleet.run(SHORT);
-    let offsets = fleet.calls.iter().filter_map(|(_, call)| match call {
-        EngineCall::Resume { offset, .. } => Some(*offset),
-        _ => None,
-    });
-    assert_eq!(offsets.collect::<Vec<_>>(), [7]);
+    let offsets: Vec<_> = resumes(&fleet).iter().map(|(_, offset)| *offset).collect();
+    assert_eq!(offsets, [7]);
 }
 
 /// Symptom: a key stays taken for ten minutes though its request was never run, because the message
 /// that gives it back was lost.
 #[test]
 fn a_lost_withdrawal_is_sent_again() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (_, other) = voters(&fleet, "order-1");
     let caller = fleet.call(other, Some("order-1"), stock_order());
     // The caller leaves before a vote is back; the first messages are lost.
     fleet.feed(other, Event::Caller(CallerEvent::Left(caller)));
-    fleet.holds = |p| matches!(p.message.body, Some(Body::Settle(_)));
+    fleet.holds = Some(|p| matches!(p.message.body, Some(Body::Settle(_))));
     fleet.run(Duration::from_millis(30));
     assert_eq!(remembering(&fleet), 2);
     fleet.held.clear();
-    fleet.holds = |_| false;
+    fleet.holds = None;
     fleet.run(STEP);
     assert_eq!(remembering(&fleet), 0);
     assert!(fleet.states[other].claims.own.is_empty());
@@ -358,10 +300,7 @@
     let tuning = Tuning { stall: WINDOW * 10, ..Tuning::default() };
     let mut fleet = Fleet::new(4, tuning, catalogue());
     fleet.run(WINDOW);
-    fleet.call(0, Some("draft-1"), draft());
-    fleet.run(SHORT);
-    fleet.import(0);
-    fleet.stream(0, "s1");
+    fleet.stream_draft(0);
     for _ in 0..6 {
         fleet.run(WINDOW / 4);
         fleet.run(STEP);
--- a/crates/basilbank_core/tests/daemons/fleet.rs
+++ b/crates/basilbank_core/tests/daemons/fleet.rs
@@ -13,6 +13,14 @@
 
 use crate::world::{EPOCH_MS, Spec};
 
+pub const SECOND: Duration = Duration::from_secs(1);
+/// How long keys count.
+pub const WINDOW: Duration = Duration::from_secs(600);
+/// Long enough for a claim, and for a slot also when the endpoint's steward has just died.
+pub const STEP: Duration = Duration::from_secs(8);
+/// Long enough for both when all is well.
+pub const SHORT: Duration = Duration::from_millis(400);
+
 /// One message on its way.
 #[derive(Clone, Debug)]
 pub struct Parcel {
@@ -23,6 +31,7 @@
 }
 
 /// Daemons, and the messages between them.
+#[derive(Default)]
 pub struct Fleet {
     pub states: Vec<State>,
     pub mono: Duration,
@@ -30,14 +39,12 @@
     /// Daemons that neither send nor receive nor wake up.
     pub down: BTreeSet<usize>,
     /// Parcels for which this is true stay in `held`.
-    pub holds: fn(&Parcel) -> bool,
+    pub holds: Option<fn(&Parcel) -> bool>,
     pub held: Vec<Parcel>,
     pub answers: Vec<(usize, CallerId, Answer)>,
     pub calls: Vec<(usize, EngineCall)>,
     pub notes: Vec<(usize, &'static str)>,
     pub exits: Vec<usize>,
-    /// All messages that were sent.
-    pub traffic: Vec<Message>,
     tuning: Tuning,
     catalogue: Catalogue,
     callers: u64,
@@ -47,40 +54,42 @@
 impl Fleet {
     /// Daemons that have just come up, and know the VM list and the catalogue.
     pub fn new(count: usize, tuning: Tuning, catalogue: Catalogue) -> Fleet {
-        let mut fleet = Fleet {
-            states: Vec::new(),
-            mono: Duration::from_secs(1),
-            parcels: VecDeque::new(),
-            down: BTreeSet::new(),
-            holds: |_| false,
-            held: Vec::new(),
-            answers: Vec::new(),
-            calls: Vec::new(),
-            notes: Vec::new(),
-            exits: Vec::new(),
-            traffic: Vec::new(),
-            tuning,
-            catalogue,
-            callers: 0,
-            revision: 0,
-        };
-        for index in 0..count {
-            let state = fleet.fresh(index);
-            fleet.states.push(state);
-        }
-        let names: Vec<_> = (0..count).collect();
-        for index in 0..count {
-            fleet.start(index, &names);
-        }
+        let mono = Duration::from_secs(1);
+        let mut fleet = Fleet { mono, tuning, catalogue, ..Fleet::default() };
+        fleet.states = (0..count).map(|index| fleet.fresh(index)).collect();
+        (0..count).for_each(|index| fleet.start(index));
+        fleet
+    }
+
+    /// The same with the usual tuning and catalogue.
+    pub fn usual(count: usize) -> Fleet {
+        Fleet::new(count, Tuning::default(), catalogue())
+    }
+
+    /// Such daemons that have all been voters for a whole key window.
+    pub fn settled(count: usize) -> Fleet {
+        let mut fleet = Fleet::usual(count);
+        fleet.run(WINDOW);
         fleet
     }
 
     /// A daemon's process is replaced by a new one that knows the list and the catalogue.
     pub fn restart(&mut self, index: usize) {
         self.parcels.retain(|p| p.to != index);
-        let names: Vec<_> = (0..self.states.len()).collect();
         self.states[index] = self.fresh(index);
-        self.start(index, &names);
+        self.start(index);
+    }
+
+    /// The platform's list as all daemons see it.
+    pub fn list_all(&mut self, names: &[usize]) {
+        (0..self.states.len()).for_each(|index| self.list(index, names));
+    }
+
+    /// A daemon has checked a catalogue, which is sound.
+    pub fn publish(&mut self, index: usize, catalogue: Catalogue) {
+        let revision = catalogue.revision;
+        let result = Ok(catalogue.into());
+        self.feed(index, Event::Platform(PlatformEvent::Checked { revision, result }));
     }
 
     /// The platform's list as one daemon sees it.
@@ -105,11 +114,10 @@
         State::new(local, self.now())
     }
 
-    fn start(&mut self, index: usize, names: &[usize]) {
-        self.list(index, names);
-        let result = Ok(self.catalogue.clone().into());
-        let revision = self.catalogue.revision;
-        self.feed(index, Event::Platform(PlatformEvent::Checked { revision, result }));
+    fn start(&mut self, index: usize) {
+        let names: Vec<_> = (0..self.states.len()).collect();
+        self.list(index, &names);
+        self.publish(index, self.catalogue.clone());
     }
 
     pub fn now(&self) -> Now {
@@ -130,7 +138,6 @@
                 Effect::Send { to, message } => {
                     let to = (0..self.states.len()).find(|i| vm(*i) == to);
                     let Some(to) = to else { continue };
-                    self.traffic.push(message.clone());
                     self.parcels.push_back(Parcel { from: index, incarnation, to, message });
                 }
                 Effect::Progress(Progress::Note { name, .. }) => self.notes.push((index, name)),
@@ -146,7 +153,7 @@
             if self.down.contains(&parcel.from) || self.down.contains(&parcel.to) {
                 continue;
             }
-            if (self.holds)(&parcel) {
+            if self.holds.is_some_and(|holds| holds(&parcel)) {
                 self.held.push(parcel);
                 continue;
             }
@@ -156,7 +163,7 @@
 
     /// Delivers what was held back.
     pub fn release(&mut self) {
-        self.holds = |_| false;
+        self.holds = None;
         for parcel in std::mem::take(&mut self.held) {
             self.hand_over(parcel);
         }
@@ -201,34 +208,53 @@
     pub fn call(&mut self, index: usize, key: Option<&str>, work: Work) -> CallerId {
         self.callers += 1;
         let caller = CallerId(self.callers);
-        let call = Call {
-            caller,
-            key: Spec::key(TEAM),
-            idempotency: key.map(str::to_owned),
-            repeatable: None,
-            work,
-        };
+        let (key, idempotency) = (Spec::key(TEAM), key.map(str::to_owned));
+        let call = Call { caller, key, idempotency, repeatable: None, work };
         self.feed(index, Event::Caller(CallerEvent::Arrived(Box::new(call))));
         caller
     }
 
+    /// An order arrives at a daemon; time goes on until it runs or is answered.
+    pub fn order(&mut self, index: usize, key: &str) -> CallerId {
+        let caller = self.call(index, Some(key), stock_order());
+        self.run(STEP);
+        caller
+    }
+
+    /// The same; gives why it was refused.
+    pub fn refused(&mut self, index: usize, key: &str) -> Option<Refusal> {
+        let caller = self.order(index, key);
+        self.refusal(caller)
+    }
+
+    /// Why the last that a caller was told is a refusal.
+    pub fn refusal(&self, caller: CallerId) -> Option<Refusal> {
+        match self.last_answer(caller) {
+            Answer::Refused { refusal, .. } => Some(*refusal),
+            _ => None,
+        }
+    }
+
     /// The last that a caller was told.
     pub fn last_answer(&self, caller: CallerId) -> &Answer {
         let mut all = self.answers.iter().rev();
         &all.find(|(_, c, _)| *c == caller).expect("every call is answered").2
     }
 
+    /// The first draft, with the key `draft-1`, streams as `s1`.
+    pub fn stream_draft(&mut self, index: usize) {
+        self.call(index, Some("draft-1"), draft());
+        self.run(SHORT);
+        self.import(0);
+        self.stream(0, "s1");
+    }
+
     /// Ends the prefill of a draft's run, by its place in `runs`: the decode endpoint is called.
     pub fn import(&mut self, run: usize) {
         let (index, attempt) = self.runs()[run];
-        let prefilled = EngineEvent::Prefilled {
-            attempt,
-            handle: "kv1".to_owned(),
-            tokens: 100,
-            cached: 0,
-            bytes: 1000,
-            spent: Duration::from_millis(10),
-        };
+        let (handle, spent) = ("kv1".to_owned(), Duration::from_millis(10));
+        let prefilled =
+            EngineEvent::Prefilled { attempt, handle, tokens: 100, cached: 0, bytes: 1000, spent };
         self.feed(index, Event::Engine(prefilled));
     }
 
@@ -273,13 +299,8 @@
 
 /// A draft.
 pub fn draft() -> Work {
-    Work::Draft(Draft {
-        model: spec().entry(TEAM),
-        tokens: 100,
-        blocks: Vec::new().into(),
-        max_tokens: 50,
-        resume: None,
-    })
+    let (model, blocks) = (spec().entry(TEAM), Vec::new().into());
+    Work::Draft(Draft { model, tokens: 100, blocks, max_tokens: 50, resume: None })
 }
 
 /// The team that calls.
--- a/crates/basilbank_core/tests/daemons/leaving.rs
+++ b/crates/basilbank_core/tests/daemons/leaving.rs
@@ -6,11 +6,11 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::{Fleet, catalogue, stock_order},
-    world::{Ask, End, Job, Moment, Place, Spec, Step, Who, World},
+    claims::finish_plain,
+    fleet::{Fleet, SECOND, stock_order},
+    world::{Ask, End, Moment, Place, Spec, Step, Who, World},
 };
 
-const SECOND: Duration = Duration::from_secs(1);
 /// When something begins to leave.
 const LEAVE: Duration = Duration::from_secs(10);
 /// New work may still come for this long.
@@ -59,16 +59,14 @@
 
 /// Symptom: a caller's answer stops in the middle when its VM is replaced. SIGTERM finishes what is in
 /// progress, however long it takes, and then the process ends.
-#[test_case(Job::Draft { tokens: 4000, blocks: [].into(), output: 200, max_tokens: 200 }, Moment::Arrived; "draft arrived")]
-#[test_case(Job::Draft { tokens: 4000, blocks: [].into(), output: 200, max_tokens: 200 }, Moment::Prefill; "draft in prefill")]
-#[test_case(Job::Draft { tokens: 4000, blocks: [].into(), output: 200, max_tokens: 200 }, Moment::Transfer; "draft in transfer")]
-#[test_case(Job::Draft { tokens: 4000, blocks: [].into(), output: 200, max_tokens: 200 }, Moment::Decoding(20); "draft in decode")]
-#[test_case(Job::Plain { method: "POST" }, Moment::Sent; "plain call sent")]
-fn a_daemon_that_is_told_to_stop_finishes_what_it_has(job: Job, moment: Moment) {
+#[test_case(Ask::draft(0, 4000, 200), Moment::Arrived; "draft arrived")]
+#[test_case(Ask::draft(0, 4000, 200), Moment::Prefill; "draft in prefill")]
+#[test_case(Ask::draft(0, 4000, 200), Moment::Transfer; "draft in transfer")]
+#[test_case(Ask::draft(0, 4000, 200), Moment::Decoding(20); "draft in decode")]
+#[test_case(Ask::plain(0, "POST"), Moment::Sent; "plain call sent")]
+fn a_daemon_that_is_told_to_stop_finishes_what_it_has(ask: Ask, moment: Moment) {
     let mut world = World::new(Spec::kitafuji());
-    let mut ask = Ask::plain(0, "POST").at(LEAVE);
-    ask.job = job;
-    let ask = world.ask(ask);
+    let ask = world.ask(ask.at(LEAVE));
     world.when(ask, moment, Step::Shutdown(Who::Home(ask)));
     world.run_until(SECOND * 60);
     assert_eq!(ends(&world), [Some(End::Done)]);
@@ -81,7 +79,7 @@
 /// leaves ends, the word of it is lost, and there is nobody left to say it again.
 #[test]
 fn a_daemon_stays_until_voters_know_how_its_requests_ended() {
-    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
+    let mut fleet = Fleet::usual(8);
     fleet.skip(Tuning::default().key_window);
     fleet.run(SECOND * 3);
     fleet.call(0, Some("order-1"), stock_order());
@@ -89,9 +87,8 @@
     fleet.feed(0, Event::Shutdown);
     fleet.run(SECOND * 2);
     assert!(fleet.exits.is_empty(), "its request is in progress");
-    fleet.holds = |p| matches!(p.message.body, Some(Body::Settle(_)));
-    let (index, attempt) = fleet.runs()[0];
-    fleet.feed(index, Event::Engine(EngineEvent::Answered { attempt, status: 200 }));
+    fleet.holds = Some(|p| matches!(p.message.body, Some(Body::Settle(_))));
+    finish_plain(&mut fleet, 0);
     fleet.run(SECOND);
     assert!(fleet.exits.is_empty(), "the voters have not heard");
     fleet.release();
--- a/crates/basilbank_core/tests/daemons/orders.rs
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -1,16 +1,15 @@
 //! Rolls: every endpoint ends with what the catalogue says, and nobody is cut off on the way.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::RangeInclusive, time::Duration};
 
 use basilbank_core::{effect::EngineCall, prelude::*, state::RollStage};
 use test_case::test_case;
 
 use crate::{
-    fleet::{Fleet, catalogue, draft, spec, vm},
+    fleet::{Fleet, SECOND, catalogue, draft, spec, vm},
     world::{Ask, End, Node, Place, Power, Spec, Step, Who, World},
 };
 
-const SECOND: Duration = Duration::from_secs(1);
 /// When the operators publish the new version.
 const ROLL: Duration = Duration::from_secs(20);
 const SAMPLE: Duration = Duration::from_millis(100);
@@ -33,10 +32,29 @@
     world
 }
 
-/// What all endpoints of the model have loaded.
-fn versions(world: &World) -> Vec<&str> {
+/// A world in which the operators publish the second version.
+fn rolling(spec: &Spec) -> World {
+    let mut world = World::new(spec.clone());
+    world.at(ROLL, version(spec, "v2"));
+    world
+}
+
+/// All endpoints of the model have this version loaded.
+fn assert_versions(world: &World, expected: &str) {
     let models = world.endpoints.iter().filter(|e| !e.name.starts_with("plain"));
-    models.map(|e| e.version.as_str()).collect()
+    let versions: Vec<_> = models.map(|e| e.version.as_str()).collect();
+    assert!(versions.iter().all(|v| *v == expected), "{versions:?}");
+}
+
+/// Runs until there is what is looked for.
+fn run_until_some<T>(world: &mut World, look: impl Fn(&World) -> Option<T>) -> T {
+    loop {
+        if let Some(found) = look(world) {
+            return found;
+        }
+        world.run_until(world.now + SAMPLE);
+        assert!(world.now < ROLL * 2, "it never came");
+    }
 }
 
 /// Endpoints of a pool that serve nobody: closed by their steward, or loading.
@@ -84,7 +102,7 @@
     let mut world = busy(spec.clone(), 150);
     world.at(ROLL, version(&spec, "v2"));
     let most = watch(&mut world, SECOND * 180);
-    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_versions(&world, "v2");
     assert_nothing_cut(&world);
     // The weight store serves one load at a time here.
     assert_eq!(most, BTreeMap::from([("prefill", 1), ("decode", 1)]));
@@ -97,10 +115,9 @@
 #[test]
 fn a_fast_weight_store_is_used_as_far_as_shares_allow() {
     let spec = Spec { link_rate: 1_000_000_000, ..Spec::kitafuji() };
-    let mut world = World::new(spec.clone());
-    world.at(ROLL, version(&spec, "v2"));
+    let mut world = rolling(&spec);
     let most = watch(&mut world, SECOND * 90);
-    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_versions(&world, "v2");
     assert_eq!(most, BTreeMap::from([("prefill", 1), ("decode", 2)]));
 }
 
@@ -110,30 +127,22 @@
 #[test_case(None, false; "steward gone")]
 #[test_case(Some(SECOND * 20), true; "steward paused")]
 fn a_roll_survives_its_steward(back: Option<Duration>, is_pause: bool) {
-    let spec = Spec::kitafuji();
-    let mut world = World::new(spec.clone());
-    world.at(ROLL, version(&spec, "v2"));
+    let mut world = rolling(&Spec::kitafuji());
     world.run_until(ROLL);
-    let draining = |world: &World| {
-        (0..world.daemons.len()).find(|d| {
-            let brain = world.daemons[*d].brain.as_ref();
-            let rolls = brain.and_then(|b| b.state()).map(|s| &s.orders.rolls);
-            rolls.is_some_and(|r| r.values().any(|r| r.is_closed()))
+    let steward = run_until_some(&mut world, |world| {
+        world.daemons.iter().position(|daemon| {
+            let state = daemon.brain.as_ref().and_then(|b| b.state());
+            state.is_some_and(|s| s.orders.rolls.values().any(|r| r.is_closed()))
         })
-    };
-    while draining(&world).is_none() {
-        let next = world.now + SAMPLE;
-        world.run_until(next);
-        assert!(world.now < ROLL * 2, "no roll began");
-    }
-    let daemon = Who::Daemon(draining(&world).unwrap());
+    });
+    let daemon = Who::Daemon(steward);
     let step = match (is_pause, back) {
         (true, Some(lasting)) => Step::Freeze { daemon, lasting },
         _ => Step::Kill { daemon, back },
     };
     world.at(world.now, step);
     world.run_until(SECOND * 200);
-    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_versions(&world, "v2");
 }
 
 /// Symptom: an endpoint goes back to an old version. Sequence: its steward is paused while it rolls
@@ -143,13 +152,12 @@
 fn a_paused_steward_does_not_undo_a_newer_order() {
     let spec = Spec { unfenced: 1, ..Spec::kitafuji() };
     for paused in 0..spec.daemons {
-        let mut world = World::new(spec.clone());
-        world.at(ROLL, version(&spec, "v2"));
+        let mut world = rolling(&spec);
         let daemon = Who::Daemon(paused);
         world.at(ROLL + SECOND * 9, Step::Freeze { daemon, lasting: SECOND * 30 });
         world.at(ROLL + SECOND * 15, version(&spec, "v3"));
         world.run_until(SECOND * 300);
-        assert!(versions(&world).iter().all(|v| *v == "v3"), "{paused}: {:?}", versions(&world));
+        assert_versions(&world, "v3");
         let orders = revisions(&world);
         assert!(orders.iter().all(|o| o.is_sorted()), "{paused}: {orders:?}");
     }
@@ -159,31 +167,23 @@
 /// loads and comes up with nothing loaded. The order is sent again when the load has taken too long.
 #[test]
 fn a_load_that_got_stuck_is_ordered_again() {
-    let spec = Spec::kitafuji();
-    let mut world = World::new(spec.clone());
-    world.at(ROLL, version(&spec, "v2"));
+    let mut world = rolling(&Spec::kitafuji());
     let loading = |world: &World| world.endpoints.iter().position(|e| e.version.is_empty());
-    while loading(&world).is_none() {
-        let next = world.now + SAMPLE;
-        world.run_until(next);
-        assert!(world.now < ROLL * 2, "no load began");
-    }
-    let endpoint = Place::Endpoint(loading(&world).unwrap());
+    let endpoint = Place::Endpoint(run_until_some(&mut world, loading));
     let back = Some(SECOND * 2);
     world.at(world.now, Step::Down { endpoint, power: Power::Dead, back });
     world.run_until(SECOND * 300);
-    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_versions(&world, "v2");
     assert!(world.report().notes.contains_key("order_load_stuck"));
 }
 
 #[test]
 fn a_roll_that_is_taken_back_changes_what_had_changed() {
     let spec = Spec::kitafuji();
-    let mut world = World::new(spec.clone());
-    world.at(ROLL, version(&spec, "v2"));
+    let mut world = rolling(&spec);
     world.at(ROLL + SECOND * 25, Step::Publish(Box::new(spec.catalogue())));
     world.run_until(SECOND * 200);
-    assert!(versions(&world).iter().all(|v| *v == "v1"), "{:?}", versions(&world));
+    assert_versions(&world, "v1");
     let untouched = revisions(&world).iter().filter(|o| o.is_empty()).count();
     assert!(spec.plain.count < untouched, "some never changed");
 }
@@ -192,13 +192,11 @@
 /// others and from all endpoints for a minute, among them stewards of endpoints that drain.
 #[test]
 fn a_roll_goes_on_after_a_partition() {
-    let spec = Spec::kitafuji();
-    let mut world = World::new(spec.clone());
+    let mut world = rolling(&Spec::kitafuji());
     let nodes: Vec<_> = (0..4).map(Node::Daemon).collect();
-    world.at(ROLL, version(&spec, "v2"));
     world.at(ROLL + SECOND * 10, Step::Partition { nodes, lasting: SECOND * 60 });
     world.run_until(SECOND * 250);
-    assert!(versions(&world).iter().all(|v| *v == "v2"), "{:?}", versions(&world));
+    assert_versions(&world, "v2");
     let orders = revisions(&world);
     assert!(orders.iter().all(|o| o.is_sorted()), "{orders:?}");
 }
@@ -213,27 +211,34 @@
         Alone(fleet)
     }
 
-    fn publish(&mut self, catalogue: Catalogue) {
-        let revision = catalogue.revision;
-        let result = Ok(catalogue.into());
-        self.0.feed(0, Event::Platform(PlatformEvent::Checked { revision, result }));
+    /// Lets time go on while the decode endpoint reports the same; gives the orders that it got.
+    fn run(&mut self, report: &EngineReport, seconds: u32) -> Vec<EngineCall> {
+        orders_for(&mut self.0, 0, report, seconds)
     }
 
-    /// Lets time go on while an endpoint reports the same; gives the orders that it got.
-    fn run(&mut self, name: &str, report: &EngineReport, seconds: u32) -> Vec<EngineCall> {
-        self.0.calls.clear();
-        for _ in 0..seconds {
-            let endpoint = EndpointId::of(name);
-            let report = EngineEvent::Report { endpoint, report: report.clone() };
-            self.0.feed(0, Event::Engine(report));
-            self.0.run(SECOND);
-        }
-        let orders = self.0.calls.iter().map(|(_, call)| call);
-        orders.filter(|c| matches!(c, EngineCall::Order { .. })).cloned().collect()
+    fn roll(&self) -> Option<&RollStage> {
+        self.0.states[0].orders.rolls.get(&EndpointId::of("decode-0")).map(|r| &r.stage)
     }
 }
 
-fn load(version: &str, role: Role, fence: u64, running: u32) -> EngineReport {
+/// Lets time go on while a daemon reads the same report from the decode endpoint.
+fn orders_for(
+    fleet: &mut Fleet,
+    to: usize,
+    report: &EngineReport,
+    seconds: u32,
+) -> Vec<EngineCall> {
+    fleet.calls.clear();
+    for _ in 0..seconds {
+        let (endpoint, report) = (EndpointId::of("decode-0"), report.clone());
+        fleet.feed(to, Event::Engine(EngineEvent::Report { endpoint, report }));
+        fleet.run(SECOND);
+    }
+    let orders = fleet.calls.iter().map(|(_, call)| call);
+    orders.filter(|c| matches!(c, EngineCall::Order { .. })).cloned().collect()
+}
+
+fn load(version: &str, fence: u64, running: u32) -> EngineReport {
     EngineReport::Load {
         running,
         queued: 0,
@@ -242,25 +247,33 @@
         model: spec().model.into(),
         version: version.into(),
         adapter: String::new(),
-        role: Some(role),
+        role: Some(Role::Decode),
         fence,
     }
 }
 
-#[test]
-fn an_endpoint_that_serves_what_it_should_gets_no_order() {
-    let mut alone = Alone::new(catalogue());
-    assert_eq!(alone.run("decode-0", &load("v1", Role::Decode, 0, 0), 30), []);
+/// An order without effect is sent again after 5, 10, 20 and 40 seconds.
+#[test_case(|_| (), "v1", 30, 0..=0; "serves what it should")]
+#[test_case(|e| e.orders = false, "v0", 60, 0..=0; "takes no orders")]
+#[test_case(|_| (), "v0", 60, 3..=5; "does not follow")]
+fn orders_by_what_an_endpoint_serves(
+    change: fn(&mut Endpoint),
+    version: &str,
+    seconds: u32,
+    orders: RangeInclusive<usize>,
+) {
+    let mut catalogue = catalogue();
+    catalogue.endpoints.iter_mut().for_each(change);
+    let count = Alone::new(catalogue).run(&load(version, 0, 0), seconds).len();
+    assert!(orders.contains(&count), "{count}");
 }
 
 #[test]
 fn a_busy_endpoint_is_not_ordered() {
     let mut alone = Alone::new(catalogue());
-    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 1), 60), []);
-    let fleet = &alone.0;
-    let roll = &fleet.states[0].orders.rolls[&EndpointId::of("decode-0")];
-    assert_eq!(roll.stage, RollStage::Draining { empty: None });
-    assert_eq!(fleet.states[0].members.own, vm(0));
+    assert_eq!(alone.run(&load("v0", 0, 1), 60), []);
+    assert_eq!(alone.roll(), Some(&RollStage::Draining { empty: None }));
+    assert_eq!(alone.0.states[0].members.own, vm(0));
 }
 
 /// Symptom: a prefill is wasted and its request starts anew. Sequence: a decode slot is granted, the
@@ -268,9 +281,9 @@
 #[test]
 fn an_endpoint_with_a_granted_slot_is_not_ordered() {
     let mut alone = Alone::new(catalogue());
-    alone.run("decode-0", &load("v1", Role::Decode, 0, 0), 1);
+    alone.run(&load("v1", 0, 0), 1);
     alone.0.call(0, None, draft());
-    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 6), []);
+    assert_eq!(alone.run(&load("v0", 0, 0), 6), []);
     let closed = alone.0.states[0].orders.rolls.values().any(|r| r.is_closed());
     assert!(closed, "it drains");
 }
@@ -279,30 +292,23 @@
 /// It still reaches the endpoint and believes that it is its steward.
 #[test]
 fn a_daemon_that_is_cut_off_orders_nothing() {
-    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
+    let mut fleet = Fleet::usual(8);
     fleet.run(SECOND * 20);
     let endpoint = EndpointId::of("decode-0");
     let steward = fleet.states[0].members.steward(endpoint.0).unwrap();
     let steward = (0..8).find(|i| vm(*i) == steward).unwrap();
     for alone in [false, true] {
-        fleet.holds = if alone { |_| true } else { |_| false };
+        fleet.holds = alone.then_some(|_| true);
         fleet.run(SECOND * 10);
-        fleet.calls.clear();
-        for _ in 0..8 {
-            let report = load("v0", Role::Decode, 0, 0);
-            let report = EngineEvent::Report { endpoint, report };
-            fleet.feed(steward, Event::Engine(report));
-            fleet.run(SECOND);
-        }
-        let ordered = |call: &(usize, EngineCall)| matches!(call.1, EngineCall::Order { .. });
-        assert_eq!(fleet.calls.iter().any(ordered), !alone);
+        let orders = orders_for(&mut fleet, steward, &load("v0", 0, 0), 8);
+        assert_eq!(orders.is_empty(), alone);
     }
 }
 
 #[test]
 fn an_order_states_the_end_and_carries_the_published_revisions() {
     let mut alone = Alone::new(catalogue());
-    let orders = alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 8);
+    let orders = alone.run(&load("v0", 0, 0), 8);
     let expected = EngineCall::Order {
         endpoint: EndpointId::of("decode-0"),
         fence: 1 << 32 | 1,
@@ -319,42 +325,33 @@
 #[test]
 fn a_higher_fencing_number_stops_orders_until_a_newer_catalogue() {
     let mut alone = Alone::new(catalogue());
-    let report = load("v0", Role::Decode, 2 << 32 | 1, 0);
-    assert_eq!(alone.run("decode-0", &report, 30), []);
-    alone.publish(Catalogue { revision: 3, ..catalogue() });
-    assert_eq!(alone.run("decode-0", &report, 8).len(), 1);
+    let report = load("v0", 2 << 32 | 1, 0);
+    assert_eq!(alone.run(&report, 30), []);
+    alone.0.publish(0, Catalogue { revision: 3, ..catalogue() });
+    assert_eq!(alone.run(&report, 8).len(), 1);
 }
 
 #[test]
 fn a_refused_order_is_not_sent_again() {
     let mut alone = Alone::new(catalogue());
-    let report = load("v0", Role::Decode, 0, 0);
-    assert_eq!(alone.run("decode-0", &report, 8).len(), 1);
+    let report = load("v0", 0, 0);
+    assert_eq!(alone.run(&report, 8).len(), 1);
     let fenced = EngineReport::Fenced { fence: 2 << 32 };
-    alone.run("decode-0", &fenced, 1);
-    assert!(!alone.0.states[0].orders.rolls.contains_key(&EndpointId::of("decode-0")));
-    let report = load("v0", Role::Decode, 2 << 32, 0);
-    assert_eq!(alone.run("decode-0", &report, 60), []);
-}
-
-#[test]
-fn an_order_without_effect_is_sent_again_less_and_less_often() {
-    let mut alone = Alone::new(catalogue());
-    let orders = alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 60);
-    // After 5, 10, 20 and 40 seconds.
-    assert!((3..=5).contains(&orders.len()), "{}", orders.len());
+    alone.run(&fenced, 1);
+    assert_eq!(alone.roll(), None);
+    let report = load("v0", 2 << 32, 0);
+    assert_eq!(alone.run(&report, 60), []);
 }
 
 #[test]
 fn a_newer_version_is_ordered_while_the_older_one_loads() {
-    let mut newer = catalogue();
-    newer.revision = 2;
+    let mut newer = Catalogue { revision: 2, ..catalogue() };
     newer.models[0].version = "v2".into();
     let mut alone = Alone::new(catalogue());
-    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 4).len(), 1);
-    assert_eq!(alone.run("decode-0", &load("", Role::Decode, 0, 0), 20), []);
-    alone.publish(newer);
-    let orders = alone.run("decode-0", &load("", Role::Decode, 0, 0), 3);
+    assert_eq!(alone.run(&load("v0", 0, 0), 4).len(), 1);
+    assert_eq!(alone.run(&load("", 0, 0), 20), []);
+    alone.0.publish(0, newer);
+    let orders = alone.run(&load("", 0, 0), 3);
     assert!(matches!(&orders[..], [EngineCall::Order { version, .. }] if version == "v2"));
 }
 
@@ -362,35 +359,22 @@
 #[test]
 fn an_endpoint_without_fencing_is_ordered_after_a_settling_time() {
     let mut without = catalogue();
-    for endpoint in &mut without.endpoints {
-        endpoint.fencing = false;
-    }
+    without.endpoints.iter_mut().for_each(|e| e.fencing = false);
     let mut fleet = Fleet::new(1, Tuning::default(), without);
     fleet.run(SECOND);
     let mut alone = Alone(fleet);
-    let report = load("v0", Role::Decode, 0, 0);
-    assert_eq!(alone.run("decode-0", &report, 8), []);
-    assert_eq!(alone.run("decode-0", &report, 8).len(), 1);
-}
-
-#[test]
-fn an_endpoint_that_takes_no_orders_gets_none() {
-    let mut without = catalogue();
-    for endpoint in &mut without.endpoints {
-        endpoint.orders = false;
-    }
-    let mut alone = Alone::new(without);
-    assert_eq!(alone.run("decode-0", &load("v0", Role::Decode, 0, 0), 60), []);
+    let report = load("v0", 0, 0);
+    assert_eq!(alone.run(&report, 8), []);
+    assert_eq!(alone.run(&report, 8).len(), 1);
 }
 
 #[test]
 fn a_change_of_role_is_ordered_once_the_old_work_is_done() {
-    let mut turned = catalogue();
-    turned.revision = 2;
+    let mut turned = Catalogue { revision: 2, ..catalogue() };
     turned.endpoints[1].role = Role::Prefill;
     let mut alone = Alone::new(catalogue());
-    alone.publish(turned);
-    assert_eq!(alone.run("decode-0", &load("v1", Role::Decode, 0, 1), 20), []);
-    let orders = alone.run("decode-0", &load("v1", Role::Decode, 0, 0), 6);
+    alone.0.publish(0, turned);
+    assert_eq!(alone.run(&load("v1", 0, 1), 20), []);
+    let orders = alone.run(&load("v1", 0, 0), 6);
     assert!(matches!(orders[..], [EngineCall::Order { role: "prefill", .. }]), "{orders:?}");
 }
--- a/crates/basilbank_core/tests/daemons/races.rs
+++ b/crates/basilbank_core/tests/daemons/races.rs
@@ -8,7 +8,7 @@
     test_runner::{Config, RngSeed},
 };
 
-use crate::fleet::{Fleet, Parcel, catalogue, stock_order};
+use crate::fleet::{Fleet, Parcel, stock_order};
 
 const COUNT: usize = 5;
 const KEYS: [&str; 2] = ["order-1", "order-2"];
@@ -70,7 +70,7 @@
         Action::Call(..) => {}
         Action::Run(millis) => fleet.run(Duration::from_millis(millis)),
         Action::Sleep(millis) => fleet.skip(Duration::from_millis(millis)),
-        Action::Hold(kind) => fleet.holds = HOLDS[kind],
+        Action::Hold(kind) => fleet.holds = Some(HOLDS[kind]),
         Action::Release => fleet.release(),
         Action::Lose => fleet.held.clear(),
         Action::Toggle(daemon) => {
@@ -96,7 +96,7 @@
 
     #[test]
     fn a_key_runs_once(actions in prop::collection::vec(action(), 1..40)) {
-        let mut fleet = Fleet::new(COUNT, Tuning::default(), catalogue());
+        let mut fleet = Fleet::usual(COUNT);
         fleet.skip(Tuning::default().key_window);
         fleet.run(Duration::from_secs(3));
         let mut callers = BTreeMap::new();
--- a/crates/basilbank_core/tests/daemons/voters.rs
+++ b/crates/basilbank_core/tests/daemons/voters.rs
@@ -10,8 +10,8 @@
 use test_case::test_case;
 
 use crate::{
-    claims::{SHORT, STEP, WINDOW, finish_plain, refusal, settled, voters},
-    fleet::{Fleet, catalogue, stock_order},
+    claims::{finish_plain, voters},
+    fleet::{Fleet, SECOND, SHORT, STEP, WINDOW, catalogue, stock_order},
     world::EPOCH_MS,
 };
 
@@ -25,23 +25,21 @@
 /// by a newer one. The voters there hear too few of the list to be sure of it.
 #[test]
 fn voters_on_the_smaller_side_grant_nothing() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let is_small = |daemon: &usize| *daemon < 3;
     let mut keys = (0..).map(|i| format!("order-{i}"));
     let has_two = |key: &String| 2 <= voters(&fleet, key).0.iter().filter(|v| is_small(v)).count();
     let key = keys.find(has_two).unwrap();
-    fleet.holds = |p| (p.from < 3) != (p.to < 3);
+    fleet.holds = Some(|p| (p.from < 3) != (p.to < 3));
     fleet.run(STEP);
-    let caller = fleet.call(0, Some(&key), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.refused(0, &key), Some(Refusal::KeyUnclaimed));
 }
 
 /// Symptom: a keyed call takes a whole timeout longer than others whenever a VM was replaced lately.
 /// The third voter is asked as soon as one of the first two can't grant.
 #[test]
 fn the_third_voter_is_asked_without_waiting() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (voters, other) = voters(&fleet, "order-1");
     fleet.restart(voters[0]);
     fleet.run(STEP);
@@ -56,54 +54,41 @@
 /// votes. Cause would be a young voter that says 'never seen'.
 #[test]
 fn a_restarted_voter_abstains_until_a_window_has_passed() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let (voters, other) = voters(&fleet, "order-1");
     fleet.down.insert(voters[2]);
-    fleet.call(other, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    fleet.order(other, "order-1");
     assert_eq!(fleet.runs().len(), 1);
     fleet.down.clear();
     fleet.restart(voters[1]);
-    fleet.run(Duration::from_secs(5));
-    let repeat = fleet.call(voters[1], Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert!(refusal(fleet.last_answer(repeat)).is_some());
+    fleet.run(SECOND * 5);
+    assert!(fleet.refused(voters[1], "order-1").is_some());
     assert_eq!(fleet.runs().len(), 1);
 }
 
 /// Symptom: a change of the platform's list moves a key's voters, and a repeat runs at the new ones.
 #[test]
 fn a_voter_that_the_list_brought_in_abstains() {
-    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
-    let early = [0, 1, 2];
-    for index in 0..8 {
-        fleet.list(index, &early);
-    }
+    let mut fleet = Fleet::usual(8);
+    fleet.list_all(&[0, 1, 2]);
     fleet.run(WINDOW);
-    fleet.call(0, Some("order-1"), stock_order());
-    fleet.run(STEP);
+    fleet.order(0, "order-1");
     assert_eq!(fleet.runs().len(), 1);
-    for index in 0..8 {
-        fleet.list(index, &[3, 4, 5, 6, 7]);
-    }
-    fleet.run(Duration::from_secs(5));
-    let repeat = fleet.call(3, Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyUnclaimed));
+    fleet.list_all(&[3, 4, 5, 6, 7]);
+    fleet.run(SECOND * 5);
+    assert_eq!(fleet.refused(3, "order-1"), Some(Refusal::KeyUnclaimed));
     assert_eq!(fleet.runs().len(), 1);
 }
 
 #[test]
 fn a_key_with_its_time_is_claimed_from_young_voters_only_when_made_after_them() {
-    let mut fleet = Fleet::new(8, Tuning::default(), catalogue());
+    let mut fleet = Fleet::usual(8);
     let before = uuid_v7(fleet.mono, 1);
-    fleet.run(Duration::from_secs(20));
+    fleet.run(SECOND * 20);
     let after = uuid_v7(fleet.mono, 2);
-    let ahead = uuid_v7(fleet.mono + Duration::from_secs(60), 3);
+    let ahead = uuid_v7(fleet.mono + SECOND * 60, 3);
     for (key, runs) in [(&before, false), (&after, true), (&ahead, false)] {
-        let caller = fleet.call(0, Some(key), stock_order());
-        fleet.run(STEP);
-        assert_eq!(refusal(fleet.last_answer(caller)).is_none(), runs, "{key}");
+        assert_eq!(fleet.refused(0, key).is_none(), runs, "{key}");
     }
 }
 
@@ -111,16 +96,13 @@
 /// A key that carries its time is refused then; the voters can't have it in memory any more.
 #[test]
 fn a_key_older_than_the_window_is_refused() {
-    let mut fleet = settled(8);
+    let mut fleet = Fleet::settled(8);
     let key = uuid_v7(fleet.mono, 1);
-    fleet.call(0, Some(&key), stock_order());
-    fleet.run(STEP);
+    fleet.order(0, &key);
     finish_plain(&mut fleet, 0);
     fleet.run(STEP);
     fleet.run(WINDOW * 2);
-    let caller = fleet.call(1, Some(&key), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.refused(1, &key), Some(Refusal::KeyUnclaimed));
     assert_eq!(fleet.runs().len(), 1);
 }
 
@@ -137,7 +119,7 @@
     for key in &keys {
         let caller = fleet.call(0, Some(key), stock_order());
         fleet.run(SHORT);
-        match refusal(fleet.last_answer(caller)) {
+        match fleet.refusal(caller) {
             None => ran.push(key),
             Some(refusal) => assert_eq!(refusal, Refusal::KeyUnclaimed),
         }
@@ -148,24 +130,22 @@
     for key in &ran {
         let repeat = fleet.call(1, Some(key), stock_order());
         fleet.run(SHORT);
-        assert_eq!(refusal(fleet.last_answer(repeat)), Some(Refusal::KeyRunning));
+        assert_eq!(fleet.refusal(repeat), Some(Refusal::KeyRunning));
     }
     assert_eq!(fleet.runs().len(), ran.len());
 }
 
 #[test]
 fn a_daemon_without_a_vm_list_grants_nothing() {
-    let mut fleet = Fleet::new(1, Tuning::default(), catalogue());
+    let mut fleet = Fleet::usual(1);
     fleet.states[0].claims = Default::default();
     fleet.run(WINDOW);
-    let caller = fleet.call(0, Some("order-1"), stock_order());
-    fleet.run(STEP);
-    assert_eq!(refusal(fleet.last_answer(caller)), Some(Refusal::KeyUnclaimed));
+    assert_eq!(fleet.refused(0, "order-1"), Some(Refusal::KeyUnclaimed));
 }
 
 #[test]
 fn news_that_was_overtaken_does_not_open_an_ended_key() {
-    let mut fleet = settled(3);
+    let mut fleet = Fleet::settled(3);
     let key = ClaimKey([1; 16]);
     let settle = |outcome| {
         let record = KeyRecord { request: 9, outcome, ..KeyRecord::default() };
@@ -181,7 +161,7 @@
 
 #[test]
 fn messages_with_a_wrong_key_length_do_nothing() {
-    let mut fleet = settled(3);
+    let mut fleet = Fleet::settled(3);
     let claim = basilbank_wire::Claim { key: vec![1, 2], request: 1, made: 0 };
     let message = Body::Claim(claim).into();
     fleet.parcels.clear();
