--- a/crates/basilbank_core/tests/daemons/fleet.rs
+++ b/crates/basilbank_core/tests/daemons/fleet.rs
@@ -80,6 +80,12 @@
         self.start(index);
     }
 
+    /// The daemon that decides on an endpoint.
+    pub fn steward(&self, endpoint: &str) -> usize {
+        let steward = self.states[0].members.steward(EndpointId::of(endpoint).0);
+        (0..self.states.len()).find(|i| Some(vm(*i)) == steward).expect("it is a daemon")
+    }
+
     /// The platform's list as all daemons see it.
     pub fn list_all(&mut self, names: &[usize]) {
         (0..self.states.len()).for_each(|index| self.list(index, names));
--- a/crates/basilbank_core/tests/daemons/orders.rs
+++ b/crates/basilbank_core/tests/daemons/orders.rs
@@ -238,6 +238,12 @@
     orders.filter(|c| matches!(c, EngineCall::Order { .. })).cloned().collect()
 }
 
+fn without_fencing() -> Catalogue {
+    let mut catalogue = catalogue();
+    catalogue.endpoints.iter_mut().for_each(|e| e.fencing = false);
+    catalogue
+}
+
 fn load(version: &str, fence: u64, running: u32) -> EngineReport {
     EngineReport::Load {
         running,
@@ -294,9 +300,7 @@
 fn a_daemon_that_is_cut_off_orders_nothing() {
     let mut fleet = Fleet::usual(8);
     fleet.run(SECOND * 20);
-    let endpoint = EndpointId::of("decode-0");
-    let steward = fleet.states[0].members.steward(endpoint.0).unwrap();
-    let steward = (0..8).find(|i| vm(*i) == steward).unwrap();
+    let steward = fleet.steward("decode-0");
     for alone in [false, true] {
         fleet.holds = alone.then_some(|_| true);
         fleet.run(SECOND * 10);
@@ -308,12 +312,9 @@
 /// Three daemons; one of them, a steward, drains an idle endpoint and is paused before it orders. The
 /// endpoint's last report waits in its socket meanwhile, and looks fresh when it is read.
 fn paused_in_a_drain(meanwhile: impl Fn(&mut Fleet, usize)) -> (Fleet, usize) {
-    let mut without = catalogue();
-    without.endpoints.iter_mut().for_each(|e| e.fencing = false);
-    let mut fleet = Fleet::new(3, Tuning::default(), without);
+    let mut fleet = Fleet::new(3, Tuning::default(), without_fencing());
     fleet.run(SECOND * 20);
-    let steward = fleet.states[0].members.steward(EndpointId::of("decode-0").0);
-    let steward = (0..3).find(|i| Some(vm(*i)) == steward).unwrap();
+    let steward = fleet.steward("decode-0");
     let is_empty = |fleet: &Fleet| {
         let roll = fleet.states[steward].orders.rolls.get(&EndpointId::of("decode-0"));
         matches!(roll.map(|r| r.stage), Some(RollStage::Draining { empty: Some(_) }))
@@ -333,7 +334,7 @@
 }
 
 fn report(fleet: &mut Fleet, index: usize, running: u32) {
-    let (endpoint, report) = (EndpointId::of("decode-0"), load("v0", Role::Decode, 0, running));
+    let (endpoint, report) = (EndpointId::of("decode-0"), load("v0", 0, running));
     fleet.feed(index, Event::Engine(EngineEvent::Report { endpoint, report }));
 }
 
@@ -348,13 +349,10 @@
 #[test]
 fn a_steward_that_knows_of_a_newer_catalogue_orders_nothing() {
     let (mut fleet, steward) = paused_in_a_drain(|fleet, steward| {
-        let mut back = catalogue();
-        back.revision = 2;
+        let mut back = Catalogue { revision: 2, ..catalogue() };
         back.models[0].version = "v0".into();
         for other in (0..3).filter(|i| *i != steward) {
-            let result = Ok(back.clone().into());
-            let event = PlatformEvent::Checked { revision: 2, result };
-            fleet.feed(other, Event::Platform(event));
+            fleet.publish(other, back.clone());
         }
     });
     for _ in 0..300 {
@@ -419,9 +417,7 @@
 /// The endpoint does not check numbers, so a new steward waits out what its forerunner may have sent.
 #[test]
 fn an_endpoint_without_fencing_is_ordered_after_a_settling_time() {
-    let mut without = catalogue();
-    without.endpoints.iter_mut().for_each(|e| e.fencing = false);
-    let mut fleet = Fleet::new(1, Tuning::default(), without);
+    let mut fleet = Fleet::new(1, Tuning::default(), without_fencing());
     fleet.run(SECOND);
     let mut alone = Alone(fleet);
     let report = load("v0", 0, 0);
--- a/crates/basilbank_core/tests/daemons/reaping.rs
+++ b/crates/basilbank_core/tests/daemons/reaping.rs
@@ -55,12 +55,6 @@
         self.streams.push(Held { info, read: self.fleet.mono, reader });
     }
 
-    /// The daemon that decides on its slots.
-    fn steward(&self) -> usize {
-        let steward = self.fleet.states[0].members.steward(self.id.0).unwrap();
-        (0..COUNT).find(|i| vm(*i) == steward).unwrap()
-    }
-
     /// Lets time go on, second by second, and answers lists and cancels.
     fn run(&mut self, seconds: u32) {
         for _ in 0..seconds {
@@ -221,7 +215,7 @@
 #[test]
 fn an_unread_stream_of_a_live_daemon_goes_after_the_limit() {
     let mut engine = Engine::new("decode-0");
-    let owner = (0..COUNT).find(|i| *i != engine.steward()).unwrap();
+    let owner = (0..COUNT).find(|i| *i != engine.fleet.steward("decode-0")).unwrap();
     engine.cut.insert(owner);
     engine.hold(owner, 1, false);
     engine.run(50);
@@ -236,7 +230,7 @@
 #[test]
 fn a_daemon_that_woke_up_cancels_nothing_that_lives() {
     let mut engine = Engine::new("decode-0");
-    let asleep = engine.steward();
+    let asleep = engine.fleet.steward("decode-0");
     let owner = (0..COUNT).find(|i| *i != asleep).unwrap();
     engine.hold(owner, 1, false);
     engine.fleet.down.insert(asleep);
