The shell's tests: endpoints come with their rig

Cause: each test of the endpoints' side started a responder, made a rig for its address and wrote out how bytes go out; two cancels that overtake their calls were tested by the same twenty lines.

Change: `Rig::start`, `fixed` and `closing` make both; `seen`, `failure_of`, `say` and `close_after` take the steps in between; `ask` of the operators' side builds one request for all methods.

Where cases went: - engine_control: a_cancel_does_not_wait_for_the_reader and a_stream_that_starts_after_its_cancel_is_cancelled are the two cases of a_cancel_does_not_wait_and_what_comes_after_it_is_freed. - engine_draft: a_stream_that_is_gone_can_not_be_resumed and an_endpoint_that_left_the_catalogue_can_still_be_called are the two cases of the former. - engine_plain: an_answer_beyond_the_limit_is_broken is a case beside the cut answers in half_an_answer_or_too_much_is_broken; its second half is an_answer_up_to_the_limit_is_taken. - peers: a_frame_that_is_too_large_is_dropped_unread and a_cut_frame_is_dropped are the two cases of a_bad_frame_is_dropped.

--- a/crates/basilbank/tests/shell/admin.rs
+++ b/crates/basilbank/tests/shell/admin.rs
@@ -6,7 +6,7 @@
 use basilbank_config::Settings;
 use serde_json::{Value, json};
 use test_case::test_case;
-use ureq::{Agent, config::Config};
+use ureq::{Agent, config::Config, http::Request};
 
 const KEY: &str = "the operators' key";
 
@@ -37,19 +37,11 @@
 fn ask(admin: SocketAddr, method: &str, path: &str, key: Option<&str>, body: &str) -> Answer {
     let config = Config::builder().http_status_as_error(false).proxy(None).build();
     let agent = Agent::new_with_config(config);
-    let url = format!("http://{admin}{path}");
-    let bearer = key.map(|key| format!("Bearer {key}"));
-    let answer = match method {
-        "GET" => {
-            let request = agent.get(url);
-            bearer.iter().fold(request, |r, b| r.header("Authorization", b)).call()
-        }
-        _ => {
-            let request = agent.post(url);
-            bearer.iter().fold(request, |r, b| r.header("Authorization", b)).send(body)
-        }
-    };
-    let mut answer = answer.unwrap();
+    let mut request = Request::builder().method(method).uri(format!("http://{admin}{path}"));
+    if let Some(key) = key {
+        request = request.header("Authorization", format!("Bearer {key}"));
+    }
+    let mut answer = agent.run(request.body(body.to_owned()).unwrap()).unwrap();
     let status = answer.status().as_u16();
     Answer { status, text: answer.body_mut().read_to_string().unwrap() }
 }
--- a/crates/basilbank/tests/shell/engine_control.rs
+++ b/crates/basilbank/tests/shell/engine_control.rs
@@ -1,9 +1,6 @@
 //! Cancellations, reapings and orders.
 
-use std::{
-    io::Write,
-    sync::{Mutex, mpsc::channel},
-};
+use std::sync::{Mutex, mpsc::channel};
 
 use basilbank_core::{
     effect::EngineCall,
@@ -13,7 +10,7 @@
 use test_case::test_case;
 
 use crate::{
-    responder::{PATIENCE, Responder, STREAM_HEAD, answer},
+    responder::{PATIENCE, STREAM_HEAD, answer, close_after, say},
     rig::{OWNER, REQUEST, Rig, attempt, endpoint_id},
 };
 
@@ -24,56 +21,32 @@
     EngineCall::Cancel { attempt, endpoint, request: REQUEST, held: held.map(str::to_owned) }
 }
 
-/// Symptom: a caller leaves while its prefill runs; the endpoint's memory stays held until the
-/// reader's time limit. Sequence: the reader waits for the prefill's answer, the core cancels.
-/// Cause: the cancel waits for the reader, which nothing can wake. Here the endpoint answers the
-/// prefill only after it has seen the cancel. Then the answer comes for an attempt that is dead: the
-/// core must not hear of it, and its KV cache is freed too.
-#[test]
-fn a_cancel_does_not_wait_for_the_reader() {
-    let (release, held) = channel::<()>();
-    let (release, held) = (Mutex::new(release), Mutex::new(held));
-    let done = r#"{"request":"0000000000000abc","attempt":3,"handle":"k7","tokens":7}"#;
-    let endpoint = Responder::start(move |seen, stream| {
-        if seen.line == "POST /prefill" {
-            held.lock().unwrap().recv_timeout(PATIENCE).unwrap();
-            return stream.write_all(answer(200, done).as_bytes()).unwrap();
-        }
-        stream.write_all(answer(200, "{}").as_bytes()).unwrap();
-        let _ = release.lock().unwrap().send(());
-    });
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.prefill(1));
-    assert_eq!(endpoint.next().line, "POST /prefill");
-    rig.call(cancel(1, "p1", None));
-    assert_eq!(endpoint.next().line, "DELETE /requests/0000000000000abc/3");
-    assert_eq!(endpoint.next().line, "DELETE /kv/k7");
-    assert!(rig.is_quiet());
-}
+const PREFILLED: &str = r#"{"request":"0000000000000abc","attempt":3,"handle":"k7","tokens":7}"#;
 
-/// Symptom: a stream runs to its end for nobody. Sequence: the core cancels while the endpoint
-/// imports; the cancel overtakes the call, and the stream starts afterwards. Cause: nobody knows
-/// the stream's name but the reader, which just stops.
-#[test]
-fn a_stream_that_starts_after_its_cancel_is_cancelled() {
+/// Symptom: a caller leaves while its prefill runs; the endpoint's memory stays held until the
+/// reader's time limit. Or: a stream runs to its end for nobody. Sequence: the reader waits for the
+/// prefill's answer, or for the import; the core cancels; the cancel overtakes the call. Cause: the
+/// cancel waits for the reader, which nothing can wake; or the reader, which alone learns the name of
+/// what is held, just stops. Here the endpoint answers the call only after it has seen the cancel. The
+/// core must not hear of the answer, and what it names is freed too.
+#[test_case("p1", answer(200, PREFILLED), "/kv/k7"; "prefill")]
+#[test_case("d1", format!("{STREAM_HEAD}{FIRST}"), &format!("/streams/s1?{OWNER}"); "decode")]
+fn a_cancel_does_not_wait_and_what_comes_after_it_is_freed(at: &str, late: String, freed: &str) {
     let (release, held) = channel::<()>();
     let (release, held) = (Mutex::new(release), Mutex::new(held));
-    let endpoint = Responder::start(move |seen, stream| {
-        if seen.line == "POST /decode" {
+    let rig = Rig::start(move |seen, stream| {
+        if seen.line.starts_with("POST") {
             held.lock().unwrap().recv_timeout(PATIENCE).unwrap();
-            let lines = format!("{STREAM_HEAD}{FIRST}");
-            stream.write_all(lines.as_bytes()).unwrap();
-            return stream.shutdown(std::net::Shutdown::Both).unwrap();
+            return close_after(stream, &late);
         }
-        stream.write_all(answer(200, "{}").as_bytes()).unwrap();
+        say(stream, &answer(200, "{}"));
         let _ = release.lock().unwrap().send(());
     });
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.decode(1));
-    assert_eq!(endpoint.next().line, "POST /decode");
-    rig.call(cancel(1, "d1", None));
-    assert_eq!(endpoint.next().line, "DELETE /requests/0000000000000abc/3");
-    assert_eq!(endpoint.next().line, format!("DELETE /streams/s1?{OWNER}"));
+    rig.call(if at == "p1" { rig.prefill(1) } else { rig.decode(1) });
+    assert_eq!(rig.seen().line, if at == "p1" { "POST /prefill" } else { "POST /decode" });
+    rig.call(cancel(1, at, None));
+    assert_eq!(rig.seen().line, "DELETE /requests/0000000000000abc/3");
+    assert_eq!(rig.seen().line, format!("DELETE {freed}"));
     assert!(rig.is_quiet());
 }
 
@@ -82,18 +55,16 @@
 /// knows it, was forgotten with the failure.
 #[test]
 fn a_failed_attempt_can_still_be_cancelled() {
-    let endpoint = Responder::start(|seen, stream| {
+    let rig = Rig::start(|seen, stream| {
         if seen.line == "POST /prefill" {
-            return stream.shutdown(std::net::Shutdown::Both).unwrap();
+            return close_after(stream, "");
         }
-        stream.write_all(answer(200, "{}").as_bytes()).unwrap();
+        say(stream, &answer(200, "{}"));
     });
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.prefill(1));
-    assert_eq!(rig.failure(), Failure::Broken);
+    assert_eq!(rig.failure_of(rig.prefill(1)), Failure::Broken);
     rig.call(cancel(1, "p1", None));
-    assert_eq!(endpoint.next().line, "POST /prefill");
-    assert_eq!(endpoint.next().line, "DELETE /requests/0000000000000abc/3");
+    assert_eq!(rig.seen().line, "POST /prefill");
+    assert_eq!(rig.seen().line, "DELETE /requests/0000000000000abc/3");
 }
 
 /// Symptom: a caller who came back through another daemon is cut off. Sequence: that daemon takes
@@ -101,29 +72,27 @@
 /// not say whose stream it means.
 #[test]
 fn a_named_stream_is_cancelled_only_while_it_is_this_daemons() {
-    let endpoint = Responder::fixed(200, "{}");
-    let rig = Rig::new(endpoint.address);
+    let rig = Rig::fixed(200, "{}");
     rig.call(cancel(1, "d1", Some("s1")));
-    assert_eq!(endpoint.next().line, format!("DELETE /streams/s1?{OWNER}"));
+    assert_eq!(rig.seen().line, format!("DELETE /streams/s1?{OWNER}"));
     rig.call(cancel(1, "p1", Some("k1")));
-    assert_eq!(endpoint.next().line, "DELETE /kv/k1");
+    assert_eq!(rig.seen().line, "DELETE /kv/k1");
 }
 
 #[test]
 fn a_cancel_is_tried_again() {
     let failures = Mutex::new(2);
-    let endpoint = Responder::start(move |_, stream| {
+    let rig = Rig::start(move |_, stream| {
         let mut left = failures.lock().unwrap();
         if 0 < *left {
             *left -= 1;
-            return stream.shutdown(std::net::Shutdown::Both).unwrap();
+            return close_after(stream, "");
         }
-        stream.write_all(answer(200, "{}").as_bytes()).unwrap();
+        say(stream, &answer(200, "{}"));
     });
-    let rig = Rig::new(endpoint.address);
     rig.call(cancel(1, "p1", Some("k1")));
     for _ in 0..3 {
-        assert_eq!(endpoint.next().line, "DELETE /kv/k1");
+        assert_eq!(rig.seen().line, "DELETE /kv/k1");
     }
 }
 
@@ -134,12 +103,11 @@
 fn a_drained_engine_has_delivered_its_cancels() {
     let (sender, delivered) = channel();
     let sender = Mutex::new(sender);
-    let endpoint = Responder::start(move |_, stream| {
+    let rig = Rig::start(move |_, stream| {
         std::thread::sleep(std::time::Duration::from_millis(20));
         sender.lock().unwrap().send(()).unwrap();
-        stream.write_all(answer(200, "{}").as_bytes()).unwrap();
+        say(stream, &answer(200, "{}"));
     });
-    let rig = Rig::new(endpoint.address);
     rig.call(cancel(1, "p1", Some("k1")));
     rig.engine.drain();
     assert_eq!(delivered.try_recv(), Ok(()));
@@ -147,13 +115,12 @@
 
 #[test]
 fn a_reaped_stream_must_still_be_its_owners() {
-    let endpoint = Responder::fixed(200, "{}");
-    let rig = Rig::new(endpoint.address);
+    let rig = Rig::fixed(200, "{}");
     let (stream, vm) = ("s3".to_owned(), VmId(0x55));
     let reap = EngineCall::Reap { endpoint: endpoint_id("d1"), stream, vm, incarnation: 4 };
     rig.call(reap);
     let line = "DELETE /streams/s3?vm=0000000000000055&incarnation=4";
-    assert_eq!(endpoint.next().line, line);
+    assert_eq!(rig.seen().line, line);
 }
 
 #[test_case(200, r#"{"fence":8}"#, "Ordered { fence: 8 }"; "taken")]
@@ -161,8 +128,7 @@
 #[test_case(500, r#"{"fence":8}"#, "Silent"; "failed")]
 #[test_case(200, "{}", "Silent"; "nonsense")]
 fn an_order_ends_in_a_report(status: u16, body: &str, expected: &str) {
-    let endpoint = Responder::fixed(status, body);
-    let rig = Rig::new(endpoint.address);
+    let rig = Rig::fixed(status, body);
     rig.call(EngineCall::Order {
         endpoint: endpoint_id("d1"),
         fence: 8,
@@ -174,6 +140,6 @@
     let EngineEvent::Report { report, .. } = rig.next() else { panic!("no report") };
     assert_eq!(format!("{report:?}"), expected);
     assert!(!matches!(report, EngineReport::Load { .. }));
-    let sent: serde_json::Value = serde_json::from_str(&endpoint.next().body).unwrap();
+    let sent: serde_json::Value = serde_json::from_str(&rig.seen().body).unwrap();
     assert_eq!((sent["fence"].as_u64(), sent["version"].as_str()), (Some(8), Some("v8")));
 }
--- a/crates/basilbank/tests/shell/engine_draft.rs
+++ b/crates/basilbank/tests/shell/engine_draft.rs
@@ -1,6 +1,6 @@
 //! What prefill and decode endpoints do, and what the core hears of it.
 
-use std::{io::Write, net::SocketAddr, sync::mpsc::channel};
+use std::{net::SocketAddr, sync::mpsc::channel};
 
 use basilbank_core::{
     effect::EngineCall,
@@ -9,7 +9,7 @@
 use test_case::test_case;
 
 use crate::{
-    responder::{PATIENCE, Responder, STREAM_HEAD, answer},
+    responder::{PATIENCE, STREAM_HEAD, say},
     rig::{OWNER, REQUEST, Rig, attempt, endpoint_id},
 };
 
@@ -18,15 +18,14 @@
 #[test]
 fn a_prefill_that_succeeds() {
     let body = r#"{"request":"0000000000000abc","attempt":3,"handle":"k1","tokens":7,"cached":2,"bytes":900,"spent_ms":12}"#;
-    let endpoint = Responder::fixed(200, body);
-    let rig = Rig::new(endpoint.address);
+    let rig = Rig::fixed(200, body);
     rig.call(rig.prefill(1));
     let EngineEvent::Prefilled { handle, tokens, cached, bytes, spent, .. } = rig.next() else {
         panic!("no prefill");
     };
     assert_eq!((handle.as_str(), tokens, cached, bytes), ("k1", 7, 2, 900));
     assert_eq!(spent.as_millis(), 12);
-    let seen = endpoint.next();
+    let seen = rig.seen();
     assert_eq!(seen.line, "POST /prefill");
     let sent: serde_json::Value = serde_json::from_str(&seen.body).unwrap();
     assert_eq!(sent["prompt"], "two oak worktops");
@@ -39,11 +38,9 @@
 #[test]
 fn a_refused_connection_is_unreachable() {
     // Nothing can listen at port 0.
-    let rig = Rig::new(SocketAddr::from(([127, 0, 0, 1], 0)));
-    rig.call(rig.prefill(1));
-    assert_eq!(rig.failure(), Failure::Unreachable);
-    rig.call(rig.decode(2));
-    assert_eq!(rig.failure(), Failure::Unreachable);
+    let rig = Rig::at(SocketAddr::from(([127, 0, 0, 1], 0)));
+    assert_eq!(rig.failure_of(rig.prefill(1)), Failure::Unreachable);
+    assert_eq!(rig.failure_of(rig.decode(2)), Failure::Unreachable);
 }
 
 #[test_case(r#"{"not_run":true,"reason":"full"}"#, Failure::Full; "full")]
@@ -54,12 +51,9 @@
 #[test_case(r#"{"not_run":false,"reason":"full"}"#, Failure::Broken; "no proof")]
 #[test_case("busy", Failure::Broken; "no json")]
 fn a_503_counts_by_its_proof(body: &str, expected: Failure) {
-    let endpoint = Responder::fixed(503, body);
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.prefill(1));
-    assert_eq!(rig.failure(), expected);
-    rig.call(rig.decode(2));
-    assert_eq!(rig.failure(), expected);
+    let rig = Rig::fixed(503, body);
+    assert_eq!(rig.failure_of(rig.prefill(1)), expected);
+    assert_eq!(rig.failure_of(rig.decode(2)), expected);
 }
 
 /// Symptom: a caller gets another's answer. Sequence: an endpoint, or a proxy before it, mixes two
@@ -68,10 +62,8 @@
 #[test_case(r#"{"request":"0000000000000abc","attempt":2,"handle":"k","tokens":1}"#; "another attempt")]
 #[test_case(r#"{"handle":"k","tokens":1}"#; "nobody")]
 fn an_answer_to_another_prefill_is_dropped(body: &str) {
-    let endpoint = Responder::fixed(200, body);
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.prefill(1));
-    assert_eq!(rig.failure(), Failure::Broken);
+    let rig = Rig::fixed(200, body);
+    assert_eq!(rig.failure_of(rig.prefill(1)), Failure::Broken);
 }
 
 /// Anything that breaks after bytes went out may have run.
@@ -80,37 +72,24 @@
 #[test_case("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"; "status 500")]
 #[test_case("not HTTP at all"; "nonsense")]
 fn what_breaks_after_sending_is_broken(bytes: &'static str) {
-    let endpoint = Responder::start(move |_, stream| {
-        stream.write_all(bytes.as_bytes()).unwrap();
-        stream.shutdown(std::net::Shutdown::Both).unwrap();
-    });
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.prefill(1));
-    assert_eq!(rig.failure(), Failure::Broken);
-    rig.call(rig.decode(2));
-    assert_eq!(rig.failure(), Failure::Broken);
+    let rig = Rig::closing(bytes);
+    assert_eq!(rig.failure_of(rig.prefill(1)), Failure::Broken);
+    assert_eq!(rig.failure_of(rig.decode(2)), Failure::Broken);
 }
 
-fn stream(lines: &'static [&'static str]) -> Responder {
-    Responder::start(move |_, stream| {
-        stream.write_all(STREAM_HEAD.as_bytes()).unwrap();
-        for line in lines {
-            stream.write_all(line.as_bytes()).unwrap();
-            stream.write_all(b"\n").unwrap();
-        }
-        stream.shutdown(std::net::Shutdown::Both).unwrap();
-    })
+/// Endpoints that stream these lines to all.
+fn stream(lines: &[&str]) -> Rig {
+    Rig::closing(format!("{STREAM_HEAD}{}\n", lines.join("\n")))
 }
 
 #[test]
 fn a_decode_streams_its_lines() {
-    let endpoint = stream(&[
+    let rig = stream(&[
         FIRST,
         r#"{"offset":0,"texts":["oak"]}"#,
         r#"{"offset":1,"texts":[" at"," 40"]}"#,
         r#"{"done":"stop","tokens":3}"#,
     ]);
-    let rig = Rig::new(endpoint.address);
     rig.call(rig.decode(1));
     assert!(matches!(rig.next(), EngineEvent::Started { stream, .. } if stream == "s1"));
     assert!(matches!(rig.next(), EngineEvent::Token { offset: 0, texts, .. } if texts == ["oak"]));
@@ -119,8 +98,8 @@
     );
     let end = rig.next();
     assert!(matches!(end, EngineEvent::Finished { tokens: 3, reason, .. } if reason == "stop"));
-    let sent: serde_json::Value = serde_json::from_str(&endpoint.next().body).unwrap();
-    assert_eq!(sent["source"], endpoint.address.to_string());
+    let sent: serde_json::Value = serde_json::from_str(&rig.seen().body).unwrap();
+    assert_eq!(sent["source"], rig.address().to_string());
     assert_eq!((sent["handle"].as_str(), sent["max_tokens"].as_u64()), (Some("k1"), Some(16)));
 }
 
@@ -129,8 +108,7 @@
 /// taken for the end of the stream.
 #[test]
 fn a_stream_without_its_last_line_is_broken() {
-    let endpoint = stream(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#]);
-    let rig = Rig::new(endpoint.address);
+    let rig = stream(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#]);
     rig.call(rig.decode(1));
     assert!(matches!(rig.next(), EngineEvent::Started { .. }));
     assert!(matches!(rig.next(), EngineEvent::Token { .. }));
@@ -138,14 +116,12 @@
     assert!(rig.is_quiet());
 }
 
-#[test_case(&[r#"{"request":"0000000000000abd","attempt":3,"stream":"s1"}"#]; "another request")]
-#[test_case(&[r#"{"request":"0000000000000abc","attempt":4,"stream":"s1"}"#]; "another attempt")]
-#[test_case(&["nonsense"]; "nonsense")]
-fn a_stream_of_another_is_dropped(lines: &'static [&'static str]) {
-    let endpoint = stream(lines);
-    let rig = Rig::new(endpoint.address);
-    rig.call(rig.decode(1));
-    assert_eq!(rig.failure(), Failure::Broken);
+#[test_case(r#"{"request":"0000000000000abd","attempt":3,"stream":"s1"}"#; "another request")]
+#[test_case(r#"{"request":"0000000000000abc","attempt":4,"stream":"s1"}"#; "another attempt")]
+#[test_case("nonsense"; "nonsense")]
+fn a_stream_of_another_is_dropped(line: &str) {
+    let rig = stream(&[line]);
+    assert_eq!(rig.failure_of(rig.decode(1)), Failure::Broken);
     assert!(rig.is_quiet());
 }
 
@@ -156,12 +132,11 @@
 fn a_silent_endpoint_is_given_up(line: &'static str, expected: Failure) {
     let (release, held) = channel::<()>();
     let held = std::sync::Mutex::new(held);
-    let endpoint = Responder::start(move |_, stream| {
-        stream.write_all(STREAM_HEAD.as_bytes()).unwrap();
-        stream.write_all(line.as_bytes()).unwrap();
+    let rig = Rig::start(move |_, stream| {
+        say(stream, STREAM_HEAD);
+        say(stream, line);
         let _ = held.lock().unwrap().recv_timeout(PATIENCE);
     });
-    let rig = Rig::new(endpoint.address);
     rig.call(rig.decode(1));
     if !line.is_empty() {
         assert!(matches!(rig.next(), EngineEvent::Started { .. }));
@@ -172,21 +147,12 @@
 
 #[test]
 fn a_stream_is_resumed_under_this_daemons_name() {
-    let endpoint = stream(&[r#"{"offset":4,"texts":["x"]}"#, r#"{"done":"stop","tokens":5}"#]);
-    let rig = Rig::new(endpoint.address);
+    let rig = stream(&[r#"{"offset":4,"texts":["x"]}"#, r#"{"done":"stop","tokens":5}"#]);
     rig.call(resume(1));
     assert!(matches!(rig.next(), EngineEvent::Started { stream, .. } if stream == "s9"));
     assert!(matches!(rig.next(), EngineEvent::Token { offset: 4, .. }));
     assert!(matches!(rig.next(), EngineEvent::Finished { tokens: 5, .. }));
-    assert_eq!(endpoint.next().line, format!("GET /streams/s9?from=4&{OWNER}"));
-}
-
-#[test]
-fn a_stream_that_is_gone_can_not_be_resumed() {
-    let endpoint = Responder::fixed(404, "{}");
-    let rig = Rig::new(endpoint.address);
-    rig.call(resume(1));
-    assert_eq!(rig.failure(), Failure::Evicted);
+    assert_eq!(rig.seen().line, format!("GET /streams/s9?from=4&{OWNER}"));
 }
 
 fn resume(key: u64) -> EngineCall {
@@ -202,13 +168,12 @@
 
 /// Symptom: a caller's tokens stop. Sequence: its endpoint's entry is removed from the catalogue
 /// while the answer comes in. Cause: the address is looked up anew for each call.
-#[test]
-fn an_endpoint_that_left_the_catalogue_can_still_be_called() {
-    let endpoint = Responder::start(|_, stream| {
-        stream.write_all(answer(404, "{}").as_bytes()).unwrap();
-    });
-    let rig = Rig::new(endpoint.address);
-    rig.published.publish_catalogue(&Default::default());
-    rig.call(resume(1));
-    assert_eq!(rig.failure(), Failure::Evicted);
+#[test_case(false; "in the catalogue")]
+#[test_case(true; "out of it, and still called")]
+fn a_stream_that_is_gone_can_not_be_resumed(removed: bool) {
+    let rig = Rig::fixed(404, "{}");
+    if removed {
+        rig.published.publish_catalogue(&Default::default());
+    }
+    assert_eq!(rig.failure_of(resume(1)), Failure::Evicted);
 }
--- a/crates/basilbank/tests/shell/engine_plain.rs
+++ b/crates/basilbank/tests/shell/engine_plain.rs
@@ -1,7 +1,6 @@
 //! Calls to plain services.
 
 use std::{
-    io::Write,
     sync::{Arc, Mutex, mpsc::channel},
     thread,
     time::{Duration, Instant},
@@ -15,7 +14,7 @@
 use test_case::test_case;
 
 use crate::{
-    responder::{PATIENCE, Responder, answer},
+    responder::{PATIENCE, answer, say},
     rig::{REQUEST, Rig, attempt, endpoint_id},
 };
 
@@ -47,12 +46,11 @@
 #[test_case("PURGE", "all"; "a method of its own")]
 #[test_case("REPORT", ""; "a method of its own without a body")]
 fn a_call_is_passed_on_as_it_came(method: &str, body: &str) {
-    let service = Responder::fixed(200, "fine");
-    let rig = Rig::new(service.address);
+    let rig = Rig::fixed(200, "fine");
     rig.call(rig.plain(1, held(method, body)));
     let event = rig.next();
     assert!(matches!(event, EngineEvent::Answered { status: 200, .. }), "{event:?}");
-    let seen = service.next();
+    let seen = rig.seen();
     assert_eq!(seen.line, format!("{method} /desk/stock?sku=7"));
     assert_eq!(seen.body, body);
     assert!(seen.headers.contains(&"x-team: fitters".to_owned()));
@@ -70,8 +68,7 @@
 #[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200, "abc"; "chunked")]
 #[test_case("HTTP/1.1 204 X\r\n\r\n", 204, ""; "no content")]
 fn an_answer_is_passed_back_as_it_came(bytes: &'static str, status: u16, body: &str) {
-    let service = Responder::start(move |_, stream| stream.write_all(bytes.as_bytes()).unwrap());
-    let rig = Rig::new(service.address);
+    let rig = Rig::start(move |_, stream| say(stream, bytes));
     rig.call(rig.plain(1, held("GET", "")));
     let event = rig.next();
     assert!(matches!(event, EngineEvent::Answered { .. }), "{event:?}");
@@ -83,12 +80,11 @@
 
 #[test]
 fn headers_of_the_connection_stay_behind() {
-    let service = Responder::start(|_, stream| {
+    let rig = Rig::start(|_, stream| {
         let head = "HTTP/1.1 200 X\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n";
         let rest = "X-End: 2\r\nContent-Length: 2\r\n\r\nok";
-        stream.write_all(format!("{head}{rest}").as_bytes()).unwrap();
+        say(stream, &format!("{head}{rest}"));
     });
-    let rig = Rig::new(service.address);
     rig.call(rig.plain(1, held("GET", "")));
     assert!(matches!(rig.next(), EngineEvent::Answered { .. }));
     let headers = held_answer(&rig).headers;
@@ -103,40 +99,28 @@
 /// order, and the router sends it elsewhere. Cause: a 503 alone is taken for a proof.
 #[test]
 fn only_a_proof_counts_as_not_run() {
-    let service = Responder::start(|_, stream| {
+    let rig = Rig::start(|_, stream| {
         let bytes = "HTTP/1.1 503 X\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
-        stream.write_all(bytes.as_bytes()).unwrap();
+        say(stream, bytes);
     });
-    let rig = Rig::new(service.address);
-    rig.call(rig.plain(1, held("POST", "")));
-    assert_eq!(rig.failure(), Failure::Full);
-    let service = Responder::fixed(503, "");
-    let rig = Rig::new(service.address);
+    assert_eq!(rig.failure_of(rig.plain(1, held("POST", ""))), Failure::Full);
+    let rig = Rig::fixed(503, "");
     rig.call(rig.plain(1, held("POST", "")));
     assert!(matches!(rig.next(), EngineEvent::Answered { status: 503, .. }));
 }
 
 /// Half an answer, or more of it than the limit, is no answer.
-#[test_case("HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nhalf"; "cut")]
-#[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"; "cut chunks")]
-fn a_cut_answer_is_broken(bytes: &'static str) {
-    let service = Responder::start(move |_, stream| {
-        stream.write_all(bytes.as_bytes()).unwrap();
-        stream.shutdown(std::net::Shutdown::Both).unwrap();
-    });
-    let rig = Rig::new(service.address);
-    rig.call(rig.plain(1, held("GET", "")));
-    assert_eq!(rig.failure(), Failure::Broken);
+#[test_case("HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nhalf".to_owned(); "cut")]
+#[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned(); "cut chunks")]
+#[test_case(answer(200, &"x".repeat(1001)); "beyond the limit")]
+fn half_an_answer_or_too_much_is_broken(bytes: String) {
+    let rig = Rig::closing(bytes);
+    assert_eq!(rig.failure_of(rig.plain(1, held("GET", ""))), Failure::Broken);
 }
 
 #[test]
-fn an_answer_beyond_the_limit_is_broken() {
-    let service = Responder::fixed(200, &"x".repeat(1001));
-    let rig = Rig::new(service.address);
-    rig.call(rig.plain(1, held("GET", "")));
-    assert_eq!(rig.failure(), Failure::Broken);
-    let service = Responder::fixed(200, &"x".repeat(1000));
-    let rig = Rig::new(service.address);
+fn an_answer_up_to_the_limit_is_taken() {
+    let rig = Rig::fixed(200, &"x".repeat(1000));
     rig.call(rig.plain(1, held("GET", "")));
     assert!(matches!(rig.next(), EngineEvent::Answered { .. }));
 }
@@ -147,13 +131,12 @@
 fn an_answer_that_nobody_wants_is_dropped() {
     let (release, held_back) = channel::<()>();
     let held_back = Mutex::new(held_back);
-    let service = Responder::start(move |_, stream| {
+    let rig = Rig::start(move |_, stream| {
         held_back.lock().unwrap().recv_timeout(PATIENCE).unwrap();
-        stream.write_all(answer(200, "late").as_bytes()).unwrap();
+        say(stream, &answer(200, "late"));
     });
-    let rig = Rig::new(service.address);
     rig.call(rig.plain(1, held("GET", "")));
-    assert_eq!(service.next().line, "GET /desk/stock?sku=7");
+    assert_eq!(rig.seen().line, "GET /desk/stock?sku=7");
     let (attempt, endpoint) = (attempt(1), endpoint_id("f1"));
     rig.call(EngineCall::Cancel { attempt, endpoint, request: REQUEST, held: None });
     release.send(()).unwrap();
--- a/crates/basilbank/tests/shell/engine_report.rs
+++ b/crates/basilbank/tests/shell/engine_report.rs
@@ -1,14 +1,12 @@
 //! What endpoints say of themselves.
 
-use std::io::Write;
-
 use basilbank_core::{
     effect::EngineCall,
     event::{EngineEvent, EngineReport},
 };
 
 use crate::{
-    responder::{Responder, answer},
+    responder::{answer, say},
     rig::{Rig, endpoint_id},
 };
 
@@ -20,7 +18,7 @@
 /// Cache events are asked for from the last one seen, also after a failure between.
 #[test]
 fn load_and_cache_events_are_read_on() {
-    let endpoint = Responder::start(|seen, stream| {
+    let rig = Rig::start(|seen, stream| {
         let body = match seen.line.as_str() {
             "GET /load" => {
                 r#"{"running":3,"queued":1,"age_ms":40,"model":"m","version":"v7","role":"decode","fence":2}"#
@@ -29,9 +27,8 @@
             "GET /cache?after=5" => r#"{"seq":9,"gap":true,"evicted":["0000000000000010"]}"#,
             other => panic!("{other}"),
         };
-        stream.write_all(answer(200, body).as_bytes()).unwrap();
+        say(stream, &answer(200, body));
     });
-    let rig = Rig::new(endpoint.address);
     let load = "Load { running: 3, queued: 1, age: 40ms, leaving: false, model: \"m\", version: \"v7\", adapter: \"\", role: Some(Decode), fence: 2 }";
     rig.call(EngineCall::ReadLoad { endpoint: endpoint_id("p1") });
     assert_eq!(report(&rig), load);
@@ -43,8 +40,7 @@
 
 #[test]
 fn an_endpoint_that_does_not_report_is_silent() {
-    let endpoint = Responder::fixed(500, "{}");
-    let rig = Rig::new(endpoint.address);
+    let rig = Rig::fixed(500, "{}");
     rig.call(EngineCall::ReadLoad { endpoint: endpoint_id("p1") });
     assert_eq!(report(&rig), "Silent");
     rig.call(EngineCall::ListStreams { endpoint: endpoint_id("p1") });
@@ -54,13 +50,12 @@
 /// A row that can't be read is left out: better not to reap a stream than to reap another's.
 #[test]
 fn streams_are_listed_with_their_owners() {
-    let endpoint = Responder::fixed(
+    let rig = Rig::fixed(
         200,
         r#"{"streams":[
             {"stream":"s1","kv":false,"vm":"0000000000000007","incarnation":9,"request":"0000000000000abc","attempt":1,"offset":4,"idle_ms":50},
             {"stream":"s2","vm":"nobody","incarnation":9,"request":"0000000000000abc"}]}"#,
     );
-    let rig = Rig::new(endpoint.address);
     rig.call(EngineCall::ListStreams { endpoint: endpoint_id("d1") });
     let EngineEvent::Report { report: EngineReport::Streams(streams), .. } = rig.next() else {
         panic!("no list");
--- a/crates/basilbank/tests/shell/peers.rs
+++ b/crates/basilbank/tests/shell/peers.rs
@@ -203,21 +203,14 @@
     side.wait_for_drop("too_large");
 }
 
-#[test]
-fn a_frame_that_is_too_large_is_dropped_unread() {
-    let side = Side::new("a");
-    let mut stream = TcpStream::connect(side.peers.address()).unwrap();
-    stream.write_all(&[0xff; 4]).unwrap();
-    side.wait_for_drop("too_large");
-}
-
-#[test]
-fn a_cut_frame_is_dropped() {
+#[test_case(&[0xff; 4], "too_large"; "too large, dropped unread")]
+#[test_case(&[0, 0, 0, 9, 1, 2], "malformed"; "cut")]
+fn a_bad_frame_is_dropped(bytes: &[u8], reason: &str) {
     let side = Side::new("a");
     let mut stream = TcpStream::connect(side.peers.address()).unwrap();
-    stream.write_all(&[0, 0, 0, 9, 1, 2]).unwrap();
+    stream.write_all(bytes).unwrap();
     drop(stream);
-    side.wait_for_drop("malformed");
+    side.wait_for_drop(reason);
 }
 
 /// Symptom: a daemon that can't follow dies of its memory. Sequence: peers send faster than the
--- a/crates/basilbank/tests/shell/platform.rs
+++ b/crates/basilbank/tests/shell/platform.rs
@@ -1,6 +1,6 @@
 //! What the platform answers, and what the core hears of it.
 
-use std::{io::Write, sync::Arc};
+use std::sync::Arc;
 
 use basilbank::{
     inbox::{Inbox, inbox},
@@ -11,7 +11,7 @@
 use basilbank_wire::Document;
 use test_case::test_case;
 
-use crate::responder::{PATIENCE, Responder, answer};
+use crate::responder::{PATIENCE, Responder, answer, say};
 
 struct Rig {
     platform: Platform,
@@ -58,7 +58,7 @@
 fn the_whole_is_read_first_and_then_changes() {
     let responder = Responder::start(|seen, stream| {
         let body = if seen.line.contains("/v1/range") { WHOLE } else { CHANGE };
-        stream.write_all(answer(200, body).as_bytes()).unwrap();
+        say(stream, &answer(200, body));
     });
     let rig = Rig::new(&responder);
     rig.platform.watch(0);
@@ -77,7 +77,7 @@
     let responder = Responder::start(|seen, stream| {
         let is_range = seen.line.contains("/v1/range");
         let answer = if is_range { answer(200, WHOLE) } else { answer(410, "{}") };
-        stream.write_all(answer.as_bytes()).unwrap();
+        say(stream, &answer);
     });
     let rig = Rig::new(&responder);
     rig.platform.watch(3);
@@ -107,7 +107,7 @@
     let list = r#"{"revision":4,"vms":[{"name":"entry-1","address":"127.0.0.1:7001","data_centre":"hall-a","leaving":true}]}"#;
     let responder = Responder::start(move |seen, stream| {
         if seen.line.contains("/v1/vms") {
-            stream.write_all(answer(200, list).as_bytes()).unwrap();
+            say(stream, &answer(200, list));
         }
     });
     let rig = Rig::new(&responder);
--- a/crates/basilbank/tests/shell/responder.rs
+++ b/crates/basilbank/tests/shell/responder.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc,
         mpsc::{Receiver, Sender, channel},
@@ -60,6 +60,17 @@
     }
 }
 
+/// Says something and closes the connection.
+pub fn close_after(stream: &mut TcpStream, bytes: &str) {
+    say(stream, bytes);
+    stream.shutdown(Shutdown::Both).unwrap();
+}
+
+/// Writes all of it.
+pub fn say(stream: &mut TcpStream, bytes: &str) {
+    stream.write_all(bytes.as_bytes()).unwrap();
+}
+
 /// An answer with a length.
 pub fn answer(status: u16, body: &str) -> String {
     format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len())
--- a/crates/basilbank/tests/shell/rig.rs
+++ b/crates/basilbank/tests/shell/rig.rs
@@ -1,6 +1,10 @@
 //! An endpoints' side with one prefill, one decode and one plain endpoint.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    time::Duration,
+};
 
 use basilbank::{
     callers::{Callers, HeldDraft, HeldPlain},
@@ -17,7 +21,7 @@
 };
 use slotmap::KeyData;
 
-use crate::responder::PATIENCE;
+use crate::responder::{PATIENCE, Responder, Seen, close_after};
 
 /// Longest silence of an endpoint.
 pub const SILENCE: Duration = Duration::from_millis(300);
@@ -34,11 +38,33 @@
     pub callers: Arc<Callers>,
     pub published: Arc<Published>,
     inbox: Inbox,
+    responder: Option<Responder>,
 }
 
 impl Rig {
+    /// All endpoints answer by `answer`.
+    pub fn start(answer: impl Fn(&Seen, &mut TcpStream) + Send + Sync + 'static) -> Rig {
+        Rig::of(Responder::start(answer))
+    }
+
+    /// All endpoints give the same answer to all.
+    pub fn fixed(status: u16, body: &str) -> Rig {
+        Rig::of(Responder::fixed(status, body))
+    }
+
+    /// All endpoints say the same to all and close the connection.
+    pub fn closing(bytes: impl Into<String>) -> Rig {
+        let bytes = bytes.into();
+        Rig::start(move |_, stream| close_after(stream, &bytes))
+    }
+
+    fn of(responder: Responder) -> Rig {
+        let rig = Rig::at(responder.address);
+        Rig { responder: Some(responder), ..rig }
+    }
+
     /// All endpoints at one address.
-    pub fn new(address: SocketAddr) -> Rig {
+    pub fn at(address: SocketAddr) -> Rig {
         let (inbox, _, feed) = inbox();
         let callers = Arc::new(Callers::default());
         let published = Arc::new(Published::default());
@@ -46,7 +72,17 @@
         let local = Local { vm: basilbank_core::ids::VmId(7), incarnation: 9, ..Local::default() };
         let config = EngineConfig::new(&local).with_silence(SILENCE).with_answer(1000);
         let engine = Engine::new(config, Arc::clone(&callers), Arc::clone(&published), feed);
-        Rig { engine, callers, published, inbox }
+        Rig { engine, callers, published, inbox, responder: None }
+    }
+
+    /// The next request that came to an endpoint.
+    pub fn seen(&self) -> Seen {
+        self.responder.as_ref().expect("somebody listens").next()
+    }
+
+    /// Where all endpoints listen.
+    pub fn address(&self) -> SocketAddr {
+        self.responder.as_ref().expect("somebody listens").address
     }
 
     /// Makes a call that starts at once.
@@ -70,6 +106,12 @@
         }
     }
 
+    /// Makes a call that fails.
+    pub fn failure_of(&self, call: EngineCall) -> Failure {
+        self.call(call);
+        self.failure()
+    }
+
     /// Whether events wait.
     pub fn is_quiet(&self) -> bool {
         self.inbox.try_recv().is_none()
