The callers' tests share how a connection is opened, refused and streamed to

Cause: nearly every test of the callers' API began with the same two lines, and read a refusal by the same three.

Change: `Edge::open` and `Edge::stream`, `Client::answer` and `Client::refused`. A refusal's body is now compared together with its status everywhere; no case was merged or moved.

Conclusion: a small gain; what is left differs from test to test.

--- a/crates/basilbank/tests/callers_http/client.rs
+++ b/crates/basilbank/tests/callers_http/client.rs
@@ -77,6 +77,21 @@
         String::from_utf8(body).unwrap()
     }
 
+    /// A whole answer.
+    pub fn answer(&mut self) -> (Head, String) {
+        let head = self.head();
+        let body = self.body(&head);
+        (head, body)
+    }
+
+    /// An answer that is an error with this status and code.
+    pub fn refused(&mut self, status: u16, code: &str) -> Head {
+        let (head, body) = self.answer();
+        assert_eq!(head.status, status, "{body}");
+        assert!(body.contains(&format!(r#""code":"{code}""#)), "{body}");
+        head
+    }
+
     /// The next chunk; `None` at the body's end.
     pub fn chunk(&mut self) -> Option<String> {
         let size = usize::from_str_radix(&self.line(), 16).unwrap();
--- a/crates/basilbank/tests/callers_http/cursors.rs
+++ b/crates/basilbank/tests/callers_http/cursors.rs
@@ -47,8 +47,7 @@
 #[test_case(2, "s2", 1; "after the stream went on elsewhere")]
 fn any_daemon_resumes_a_stream(token: usize, stream: &str, offset: u32) {
     let cursors = cursors(config());
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let (caller, point) = resume(&edge, &mut client, &cursors[token]);
     let (endpoint, entry) = (EndpointId::of("decode-1"), EntryId::of("writer"));
     assert_eq!(point, ResumePoint { endpoint, stream: stream.to_owned(), offset, entry });
@@ -101,9 +100,7 @@
     let edge = Edge::start(config);
     let mut client = edge.client();
     client.post("/v1/chat/completions", &format!("Last-Event-ID: {cursor}\r\n"), body);
-    let head = client.head();
-    assert_eq!(head.status, 400);
-    assert!(client.body(&head).contains(r#""code":"bad_cursor""#));
+    client.refused(400, "bad_cursor");
     assert_eq!(edge.refused(), ["bad_cursor"]);
     assert!(edge.events.try_recv().is_err());
 }
--- a/crates/basilbank/tests/callers_http/edge.rs
+++ b/crates/basilbank/tests/callers_http/edge.rs
@@ -58,6 +58,13 @@
         Edge { server, callers, events, refused }
     }
 
+    /// A server with the default configuration, and one connection to it.
+    pub fn open() -> (Edge, Client) {
+        let edge = Edge::start(config());
+        let client = edge.client();
+        (edge, client)
+    }
+
     pub fn client(&self) -> Client {
         Client::connect(self.server.address())
     }
@@ -91,6 +98,15 @@
         caller
     }
 
+    /// Posts a chat and streams its first token.
+    pub fn stream(&self, client: &mut Client) -> CallerId {
+        let caller = self.begin(client, STREAM);
+        self.token(caller, 0, "Sure");
+        client.head();
+        client.chunk().unwrap();
+        caller
+    }
+
     pub fn say(&self, caller: CallerId, answer: Answer) {
         assert_eq!(self.callers.answer(caller, answer), Delivery::Sent);
     }
--- a/crates/basilbank/tests/callers_http/leaving.rs
+++ b/crates/basilbank/tests/callers_http/leaving.rs
@@ -19,8 +19,7 @@
 #[test_case(WHOLE, 0, "\r\n"; "with a line break after the body")]
 #[test_case(STREAM, 0, "GET /v1/models HTTP/1.1\r\n"; "with half a request after the first")]
 fn a_caller_that_leaves_before_its_answer_is_noticed(body: &str, tokens: u32, beyond: &str) {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.post_with("/v1/chat/completions", "", body, beyond);
     let caller = edge.arrived().caller;
     edge.accept(caller);
@@ -36,12 +35,8 @@
 /// token is slow; the caller disconnects. Cause: a departure that shows only at a failing write.
 #[test]
 fn a_caller_that_leaves_between_tokens_is_noticed() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
-    let caller = edge.begin(&mut client, STREAM);
-    edge.token(caller, 0, "Sure");
-    client.head();
-    client.chunk().unwrap();
+    let (edge, mut client) = Edge::open();
+    let caller = edge.stream(&mut client);
     drop(client);
     assert_eq!(edge.left(), caller);
     assert_eq!(edge.callers.answer(caller, Answer::Unknown), Delivery::Gone);
@@ -49,8 +44,7 @@
 
 #[test]
 fn a_caller_that_leaves_a_plain_call_is_noticed() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.post("/desk/orders", "X-Repeatable: false\r\n", "one worktop");
     let call = edge.arrived();
     assert_eq!(call.repeatable, Some(false));
@@ -65,8 +59,7 @@
 /// a body.
 #[test]
 fn a_caller_that_leaves_within_its_body_is_never_heard_of() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.send("POST /desk/orders HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n");
     client.send("Content-Length: 11\r\n\r\none w");
     drop(client);
--- a/crates/basilbank/tests/callers_http/limits.rs
+++ b/crates/basilbank/tests/callers_http/limits.rs
@@ -26,10 +26,9 @@
         edge.done(caller, 0);
         assert_eq!(client.head().status, 200);
     }
-    let head = slow.head();
-    assert_eq!((head.status, head.get("connection")), (408, Some("close")));
+    let head = slow.refused(408, "slow_header");
+    assert_eq!(head.get("connection"), Some("close"));
     assert_eq!(head.get("x-outcome"), Some("not-run"));
-    assert!(slow.body(&head).contains(r#""code":"slow_header""#));
     assert!(slow.is_closed());
     assert_eq!(edge.refused(), ["slow_header"]);
 }
@@ -40,8 +39,7 @@
     let mut client = edge.client();
     let caller = edge.begin(&mut client, WHOLE);
     edge.done(caller, 0);
-    let head = client.head();
-    client.body(&head);
+    client.answer();
     client.send("\r\n");
     assert!(client.is_closed());
     assert_eq!(edge.refused(), [""; 0]);
@@ -53,9 +51,7 @@
     let mut client = edge.client();
     client.send("POST /v1/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n");
     client.send("Content-Length: 50\r\n\r\n{");
-    let head = client.head();
-    assert_eq!(head.status, 408);
-    assert!(client.body(&head).contains(r#""code":"slow_body""#));
+    client.refused(408, "slow_body");
     assert!(client.is_closed());
     assert_eq!(edge.refused(), ["slow_body"]);
 }
@@ -68,9 +64,7 @@
     let edge = limited(|l| l.body = 1000);
     let mut client = edge.client();
     client.post("/v1/completions", "", &"x".repeat(2 << 20));
-    let head = client.head();
-    assert_eq!(head.status, 413);
-    assert!(client.body(&head).contains(r#""code":"too_large""#));
+    client.refused(413, "too_large");
     let mut client = edge.client();
     client.send("POST /v1/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n");
     client.send("Transfer-Encoding: chunked\r\n\r\n7d0\r\n");
@@ -84,9 +78,7 @@
     let edge = limited(|l| l.headers = 1000);
     let mut client = edge.client();
     client.post("/v1/completions", &format!("X-Long: {}\r\n", "x".repeat(1000)), "{}");
-    let head = client.head();
-    assert_eq!(head.status, 431);
-    assert!(client.body(&head).contains(r#""code":"headers_too_large""#));
+    client.refused(431, "headers_too_large");
     let mut client = edge.client();
     client.post("/v1/completions", &format!("X-Long: {}\r\n", "x".repeat(5000)), "{}");
     assert_eq!(client.head().status, 431);
@@ -100,9 +92,8 @@
     let mut first = edge.client();
     let caller = edge.begin(&mut first, WHOLE);
     let mut second = edge.client();
-    let head = second.head();
-    assert_eq!((head.status, head.get("retry-after")), (503, Some("1")));
-    assert!(second.body(&head).contains(r#""code":"connections""#));
+    let head = second.refused(503, "connections");
+    assert_eq!(head.get("retry-after"), Some("1"));
     assert!(second.is_closed());
     edge.done(caller, 0);
     assert_eq!(first.head().status, 200);
--- a/crates/basilbank/tests/callers_http/models.rs
+++ b/crates/basilbank/tests/callers_http/models.rs
@@ -26,9 +26,9 @@
     let edge = Edge::start(config().with_models(lookup));
     let mut client = edge.client();
     client.send(&format!("GET {path} HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer {key}\r\n\r\n"));
-    let head = client.head();
+    let (head, body) = client.answer();
     assert_eq!(head.status, status);
-    assert!(client.body(&head).contains(expected));
+    assert!(body.contains(expected));
     assert!(head.get("x-request-id").is_some());
 }
 
@@ -36,10 +36,8 @@
 /// catalogue yet; a caller asks what it may use. Cause: "no such key" in place of "not yet".
 #[test]
 fn without_a_catalogue_no_key_is_called_unknown() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (_edge, mut client) = Edge::open();
     client.send("GET /v1/models HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer key-a\r\n\r\n");
-    let head = client.head();
-    assert_eq!((head.status, head.get("retry-after")), (503, Some("1")));
-    assert!(client.body(&head).contains(r#""code":"not_ready""#));
+    let head = client.refused(503, "not_ready");
+    assert_eq!(head.get("retry-after"), Some("1"));
 }
--- a/crates/basilbank/tests/callers_http/page.rs
+++ b/crates/basilbank/tests/callers_http/page.rs
@@ -7,7 +7,7 @@
 use basilbank_core::prelude::*;
 use serde_json::Value;
 
-use crate::edge::{Edge, config};
+use crate::edge::Edge;
 
 const PAGE: &str = include_str!("../../../../docs/CALLERS.md");
 
@@ -23,19 +23,16 @@
 
 #[test]
 fn the_request_has_the_answer_of_the_page() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let caller = edge.begin(&mut client, block("json request"));
     edge.token(caller, 0, "Two tall cabinets");
     edge.done(caller, 3);
-    let head = client.head();
-    assert_eq!(json(&client.body(&head)), json(block("json answer")));
+    assert_eq!(json(&client.answer().1), json(block("json answer")));
 }
 
 #[test]
 fn the_stream_is_as_on_the_page() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let mut request = json(block("json request"));
     request["stream"] = Value::Bool(true);
     let caller = edge.begin(&mut client, &request.to_string());
@@ -55,12 +52,10 @@
 
 #[test]
 fn the_error_is_as_on_the_page() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let caller = edge.begin(&mut client, block("json request"));
     edge.say(caller, Answer::Refused { refusal: Refusal::WaitedOut, after: None });
-    let head = client.head();
-    assert_eq!(json(&client.body(&head)), json(block("json error")));
+    assert_eq!(json(&client.answer().1), json(block("json error")));
 }
 
 #[test]
--- a/crates/basilbank/tests/callers_http/plain.rs
+++ b/crates/basilbank/tests/callers_http/plain.rs
@@ -4,7 +4,7 @@
 use basilbank_core::prelude::*;
 use bytes::Bytes;
 
-use crate::edge::{Edge, REQUEST, config};
+use crate::edge::{Edge, REQUEST};
 
 fn pair(name: &str, value: &str) -> (String, Bytes) {
     (name.to_owned(), Bytes::copy_from_slice(value.as_bytes()))
@@ -18,8 +18,7 @@
 
 #[test]
 fn a_call_and_its_answer_are_passed_on() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.send(
         "PUT /desk/st%C3%B6d/a%2Fb?x=1&x=%20 HTTP/1.1\r\nHost: test\r\n\
          Authorization: Bearer key-a\r\nIdempotency-Key: k-1\r\nX-Repeatable: true\r\n\
@@ -53,17 +52,16 @@
         pair("X-Outcome", "not-run"),
     ];
     answer(&edge, call.caller, PlainAnswer { status: 418, headers, body: "pot".into() });
-    let head = client.head();
+    let (head, body) = client.answer();
     assert_eq!((head.status, head.get("x-request-id")), (418, Some(REQUEST)));
     assert_eq!(head.headers.iter().filter(|(name, _)| name == "set-cookie").count(), 2);
     assert_eq!((head.get("x-outcome"), head.get("transfer-encoding")), (None, None));
-    assert_eq!(client.body(&head), "pot");
+    assert_eq!(body, "pot");
 }
 
 #[test]
 fn head_keeps_the_length_of_what_get_would_give() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.send("HEAD /desk/export HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-a\r\n\r\n");
     let caller = edge.arrived().caller;
     let headers = vec![pair("Content-Length", "1234")];
@@ -77,8 +75,7 @@
 /// has a status that can't end a call. Cause: a status that is passed on unchecked.
 #[test]
 fn an_interim_status_is_no_answer() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.post("/desk/orders", "", "one worktop");
     let caller = edge.arrived().caller;
     answer(&edge, caller, PlainAnswer { status: 102, ..PlainAnswer::default() });
--- a/crates/basilbank/tests/callers_http/refusals.rs
+++ b/crates/basilbank/tests/callers_http/refusals.rs
@@ -37,14 +37,12 @@
 #[test_case("CONNECT test:80", KEY, "", 405, "wrong_method"; "CONNECT")]
 #[test_case("GET /v1/embeddings", KEY, "", 404, "unknown_path"; "unknown path")]
 fn bad_input(target: &str, headers: &str, body: &str, status: u16, code: &str) {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let length = body.len();
     client.send(&format!(
         "{target} HTTP/1.1\r\nHost: test\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
     ));
-    let head = client.head();
-    let json = client.body(&head);
+    let (head, json) = client.answer();
     assert_eq!((head.status, head.get("x-outcome")), (status, Some("not-run")), "{json}");
     let id = head.get("x-request-id").unwrap();
     assert!(json.contains(&format!(r#""code":"{code}","request_id":"{id}""#)), "{json}");
@@ -56,8 +54,7 @@
 
 #[test]
 fn what_is_not_http_is_counted() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.send("hello\r\n\r\n");
     assert_eq!(client.head().status, 400);
     assert!(client.is_closed());
@@ -67,16 +64,14 @@
 /// A call that the core refuses without accepting it gets an id of its own.
 #[test]
 fn refusals_of_the_core_are_passed_on_with_all_codes() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let mut ids = HashSet::new();
     for refusal in Refusal::ALL.iter().copied() {
         client.post("/v1/chat/completions", "", WHOLE);
         let caller = edge.arrived().caller;
         let after = refusal.is_temporary().then_some(Duration::from_secs(1));
         edge.say(caller, Answer::Refused { refusal, after });
-        let head = client.head();
-        let json = client.body(&head);
+        let (head, json) = client.answer();
         let code = ErrorCode::Refused(refusal);
         assert_eq!(head.status, code.status().as_u16());
         assert_eq!(head.get("x-outcome"), Some(code.outcome()));
@@ -118,9 +113,8 @@
     drop(std::mem::replace(&mut edge.events, none));
     let mut client = edge.client();
     client.post("/v1/chat/completions", "", WHOLE);
-    let head = client.head();
-    assert_eq!((head.status, head.get("x-outcome")), (503, Some("not-run")));
+    let head = client.refused(503, "shutting_down");
+    assert_eq!(head.get("x-outcome"), Some("not-run"));
     assert_eq!(head.get("retry-after"), Some("1"));
-    assert!(client.body(&head).contains(r#""code":"shutting_down""#));
     assert!(edge.callers.is_empty());
 }
--- a/crates/basilbank/tests/callers_http/shutdown.rs
+++ b/crates/basilbank/tests/callers_http/shutdown.rs
@@ -4,18 +4,14 @@
 
 use basilbank_core::prelude::*;
 
-use crate::edge::{Edge, STREAM, WHOLE, config};
+use crate::edge::{Edge, WHOLE};
 
 /// Symptom: a caller's answer is cut by an update. Sequence: a stream is open; the daemon is told to
 /// end; more tokens come. Cause: a server that closes its connections.
 #[test]
 fn an_open_stream_is_finished() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
-    let caller = edge.begin(&mut client, STREAM);
-    edge.token(caller, 0, "a");
-    client.head();
-    client.chunk().unwrap();
+    let (edge, mut client) = Edge::open();
+    let caller = edge.stream(&mut client);
     edge.server.shutdown();
     edge.token(caller, 1, "b");
     assert!(client.chunk().unwrap().contains("\"b\""));
@@ -34,21 +30,18 @@
 /// connection that has not been used yet.
 #[test]
 fn a_new_connection_still_gets_an_answer_that_closes_it() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let mut idle = edge.client();
     let caller = edge.begin(&mut idle, WHOLE);
     edge.done(caller, 0);
-    let head = idle.head();
-    idle.body(&head);
+    idle.answer();
     edge.server.shutdown();
     assert!(idle.is_closed());
     client.post("/v1/chat/completions", "", WHOLE);
     let refused = edge.arrived().caller;
     edge.say(refused, Answer::Refused { refusal: Refusal::ShuttingDown, after: None });
-    let head = client.head();
+    let (head, _) = client.answer();
     assert_eq!((head.status, head.get("connection")), (503, Some("close")));
-    client.body(&head);
     assert!(client.is_closed());
     edge.server.wait();
 }
--- a/crates/basilbank/tests/callers_http/streams.rs
+++ b/crates/basilbank/tests/callers_http/streams.rs
@@ -5,7 +5,7 @@
 use basilbank_core::prelude::*;
 use test_case::test_case;
 
-use crate::edge::{Edge, REQUEST, STREAM, config};
+use crate::edge::{Edge, REQUEST, STREAM};
 
 const WITH_USAGE: &str = r#"{"model": "writer", "stream": true, "prompt": "two tall cabinets",
     "stream_options": {"include_usage": true}, "max_tokens": 9, "temperature": 0.2}"#;
@@ -15,8 +15,7 @@
 /// collects chunks before it writes them; here the caller would wait for ever.
 #[test]
 fn tokens_arrive_one_by_one() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let caller = edge.begin(&mut client, STREAM);
     edge.token(caller, 0, "Sure");
     let head = client.head();
@@ -41,8 +40,7 @@
 
 #[test]
 fn tokens_that_come_together_are_events_of_their_own_and_usage_follows() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     client.post("/v1/completions", "", WITH_USAGE);
     let call = edge.arrived();
     let Work::Draft(draft) = &call.work else { panic!("expected a draft, got {call:?}") };
@@ -65,15 +63,14 @@
 /// queued and refused. Cause: a server that sends status 200 when it accepts.
 #[test]
 fn a_refusal_before_the_first_token_has_its_status() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let caller = edge.begin(&mut client, STREAM);
     let after = Some(Duration::from_millis(1200));
     edge.say(caller, Answer::Refused { refusal: Refusal::WaitedOut, after });
-    let head = client.head();
+    let (head, body) = client.answer();
     assert_eq!((head.status, head.get("retry-after")), (503, Some("2")));
     assert_eq!((head.get("x-outcome"), head.get("x-request-id")), (Some("not-run"), Some(REQUEST)));
-    assert!(client.body(&head).contains(r#""code":"waited_out","request_id":"0000000000000001""#));
+    assert!(body.contains(r#""code":"waited_out","request_id":"0000000000000001""#));
     assert_eq!(edge.refused(), [""; 0], "the core counts its refusals itself");
 }
 
@@ -82,12 +79,8 @@
 #[test_case(Some(Answer::Unknown); "the core says so")]
 #[test_case(None; "the call is forgotten")]
 fn a_stream_that_can_not_be_finished_ends_in_an_error_event(last: Option<Answer>) {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
-    let caller = edge.begin(&mut client, STREAM);
-    edge.token(caller, 0, "Sure");
-    client.head();
-    client.chunk().unwrap();
+    let (edge, mut client) = Edge::open();
+    let caller = edge.stream(&mut client);
     match last {
         Some(answer) => edge.say(caller, answer),
         None => edge.callers.close(caller),
--- a/crates/basilbank/tests/callers_http/whole.rs
+++ b/crates/basilbank/tests/callers_http/whole.rs
@@ -2,12 +2,11 @@
 
 use basilbank_core::prelude::*;
 
-use crate::edge::{Edge, REQUEST, WHOLE, config};
+use crate::edge::{Edge, REQUEST, WHOLE};
 
 #[test]
 fn a_whole_answer_has_its_text_and_usage() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let caller = edge.begin(&mut client, WHOLE);
     assert_eq!(edge.callers.draft(caller).unwrap().prompt, "user: hi\nassistant:");
     edge.locate(caller, "s1", 0);
@@ -26,20 +25,17 @@
 /// first token. A status of 502 proves that nothing was sent before.
 #[test]
 fn a_whole_answer_is_not_begun_before_its_outcome() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     let caller = edge.begin(&mut client, WHOLE);
     edge.token(caller, 0, "Good ");
     edge.say(caller, Answer::Unknown);
-    let head = client.head();
-    assert_eq!((head.status, head.get("x-outcome")), (502, Some("unknown")));
-    assert!(client.body(&head).contains(r#""code":"unknown""#));
+    let head = client.refused(502, "unknown");
+    assert_eq!(head.get("x-outcome"), Some("unknown"));
 }
 
 #[test]
 fn one_connection_carries_several_calls() {
-    let edge = Edge::start(config());
-    let mut client = edge.client();
+    let (edge, mut client) = Edge::open();
     for _ in 0..3 {
         let caller = edge.begin(&mut client, WHOLE);
         edge.done(caller, 0);
