Catalogue tests feed a daemon by one function

Change: `feed`. Failures of watchers now come with the wall clock of their moment, not of the test's start.

Conclusion: a trifle; the rest of these files repeats nothing that a function would shorten.

--- a/crates/basilbank_core/tests/catalogue.rs
+++ b/crates/basilbank_core/tests/catalogue.rs
@@ -34,6 +34,14 @@
     world.at(at, Step::Publish(Box::new(catalogue)));
 }
 
+/// A daemon hears of something now, past the world's network; gives what it does.
+fn feed(world: &mut World, daemon: usize, event: Event) -> Vec<Effect> {
+    let (now, mut out) = (world.clock(), Vec::new());
+    let brain = world.daemons[daemon].brain.as_mut().expect("it runs");
+    brain.reduce(now, event, &mut out);
+    out
+}
+
 fn started(count: usize) -> World {
     let mut world = World::new(Spec::kitafuji().with_daemons(count));
     world.run_until(SECOND * 5);
@@ -98,17 +106,13 @@
         world.daemons.iter().enumerate().filter(|(_, d)| d.core().documents.watch.open.is_some());
     let watchers: Vec<_> = watchers.map(|(i, _)| i).collect();
     assert_eq!(watchers.len(), 3);
-    let now = world.clock();
     publish(&mut world, SECOND * 8);
     // Their shells report failures however often they try.
     for tenth in 50..500 {
         world.run_until(SECOND * tenth / 10);
         for watcher in &watchers {
-            let failed = Event::Platform(PlatformEvent::CatalogueFailed);
-            let at = Now { mono: world.now, ..now };
-            let brain = world.daemons[*watcher].brain.as_mut().expect("it runs");
-            if brain.state().is_some_and(|s| s.documents.watch.open.is_some()) {
-                brain.reduce(at, failed, &mut Vec::new());
+            if world.daemons[*watcher].core().documents.watch.open.is_some() {
+                feed(&mut world, *watcher, Event::Platform(PlatformEvent::CatalogueFailed));
             }
         }
     }
@@ -196,13 +200,10 @@
     // The change reaches one daemon past the stale replica.
     let fresh =
         PlatformEvent::Documents { after: 0, revision: 2, documents: world.platform.documents(2) };
-    let now = world.clock();
-    let brain = world.daemons[7].brain.as_mut().expect("it runs");
-    let mut out = Vec::new();
-    brain.reduce(now, Event::Platform(fresh), &mut out);
+    feed(&mut world, 7, Event::Platform(fresh));
     let compiled = world.platform.catalogues[&2].clone().expect("it passes the check");
     let checked = PlatformEvent::Checked { revision: 2, result: Ok(compiled) };
-    brain.reduce(now, Event::Platform(checked), &mut out);
+    feed(&mut world, 7, Event::Platform(checked));
     world.run_until(SECOND * 15);
     assert!(all_have(&world, 2));
     for daemon in 0..7 {
@@ -237,10 +238,7 @@
     let work = Work::Plain(Plain { method: "GET".into(), path: "/fitter-desk/item".into() });
     let (caller, key) = (CallerId(1), Spec::key(0));
     let call = Call { caller, key, idempotency: None, repeatable: None, work };
-    let now = world.clock();
-    let brain = world.daemons[3].brain.as_mut().expect("it runs");
-    let mut out = Vec::new();
-    brain.reduce(now, Event::Caller(CallerEvent::Arrived(Box::new(call))), &mut out);
+    let out = feed(&mut world, 3, Event::Caller(CallerEvent::Arrived(Box::new(call))));
     let is_refused = |e: &Effect| {
         let Effect::Answer { answer: Answer::Refused { refusal, .. }, .. } = e else {
             return false;
@@ -268,9 +266,7 @@
 fn a_list_without_vms_is_not_believed() {
     let mut world = started(8);
     let vms = Event::Platform(PlatformEvent::Vms { revision: 99, vms: Vec::new() });
-    let now = world.clock();
-    let brain = world.daemons[0].brain.as_mut().expect("it runs");
-    brain.reduce(now, vms, &mut Vec::new());
+    feed(&mut world, 0, vms);
     assert_eq!(world.daemons[0].core().members.ring().len(), 8);
 }
 
