--- a/crates/basilbank_core/src/state/members.rs
+++ b/crates/basilbank_core/src/state/members.rs
@@ -5,6 +5,7 @@
 mod member;
 mod presence;
 mod rank;
+mod steward_cache;
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -14,6 +15,7 @@
 use self::{
     departed::Departed,
     rank::{highest, top},
+    steward_cache::StewardCache,
 };
 use crate::{ids::VmId, state::Local};
 
@@ -38,9 +40,13 @@
     pub changed_at: Duration,
     /// Heartbeats that this daemon has sent.
     pub counter: u64,
+    /// When a peer was last asked for all its records.
+    pub probed: Option<Duration>,
     ring: Vec<VmId>,
+    live: Vec<VmId>,
     candidates: Vec<VmId>,
     departed: Departed,
+    stewards: StewardCache,
     unlisted: Option<Member>,
 }
 
@@ -54,7 +60,9 @@
             all: BTreeMap::from([(local.vm, own)]),
             presence: Presence::new(mono),
             ring: vec![local.vm],
+            live: vec![local.vm],
             candidates: vec![local.vm],
+            epoch: 1,
             ..Members::default()
         }
     }
@@ -86,14 +94,11 @@
     pub fn changed(&mut self) {
         self.epoch += 1;
         self.changed_at = self.presence.last_event;
-        let live = |stays: bool| {
-            let members =
-                self.all.iter().filter(move |(_, m)| m.live && (stays || !m.is_leaving()));
-            members.map(|(vm, _)| *vm).collect::<Vec<_>>()
-        };
+        let live = self.all.iter().filter(|(_, m)| m.live);
+        self.live = live.clone().map(|(vm, _)| *vm).collect();
+        let staying: Vec<_> = live.filter(|(_, m)| !m.is_leaving()).map(|(vm, _)| *vm).collect();
         // When all are leaving, the last ones still decide for the requests they have in progress.
-        let staying = live(false);
-        self.candidates = if staying.is_empty() { live(true) } else { staying };
+        self.candidates = if staying.is_empty() { self.live.clone() } else { staying };
     }
 
     /// Whether this daemon may decide as a steward: it knows the VM list, was not paused lately and
@@ -145,7 +150,7 @@
     /// decide only when there are no others.
     #[must_use]
     pub fn steward(&self, subject: u64) -> Option<VmId> {
-        highest(&self.candidates, subject)
+        self.stewards.get(subject, self.epoch, || highest(&self.candidates, subject))
     }
 
     /// The live members that may be stewards, sorted.
@@ -154,6 +159,12 @@
         &self.candidates
     }
 
+    /// The live members, leaving or not, sorted.
+    #[must_use]
+    pub fn live(&self) -> &[VmId] {
+        &self.live
+    }
+
     /// The listed VMs, sorted.
     #[must_use]
     pub fn ring(&self) -> &[VmId] {
--- a/crates/basilbank_core/tests/daemons/fleet.rs
+++ b/crates/basilbank_core/tests/daemons/fleet.rs
@@ -45,6 +45,8 @@
     pub calls: Vec<(usize, EngineCall)>,
     pub notes: Vec<(usize, &'static str)>,
     pub exits: Vec<usize>,
+    /// All messages that were sent.
+    pub traffic: Vec<Message>,
     tuning: Tuning,
     catalogue: Catalogue,
     callers: u64,
@@ -144,6 +146,7 @@
                 Effect::Send { to, message } => {
                     let to = (0..self.states.len()).find(|i| vm(*i) == to);
                     let Some(to) = to else { continue };
+                    self.traffic.push(message.clone());
                     self.parcels.push_back(Parcel { from: index, incarnation, to, message });
                 }
                 Effect::Progress(Progress::Note { name, .. }) => self.notes.push((index, name)),
