The fault matrix lists its faults once; two regressions share their paused reader

Cause: the cells of a fault alone and those of it with each other one were two tests over the same list of fourteen cases; two regressions built the same paused reader.

Change: `single` and `with_each` are `alone_and_with_each`, which runs the cells of both. The regressions `pause_is_not_silence` and `gap_after_a_pause_is_no_reason_to_read_again` take their world from `paused_reader`; names and assertions stay.

Regressions keep their length, 9 cases. With tokens read again after a pause, the same regression fails before and after.

Conclusion: a fault's cells stand under one name; a failure still prints each cell.

--- a/crates/basilbank_core/tests/matrix.rs
+++ b/crates/basilbank_core/tests/matrix.rs
@@ -5,7 +5,7 @@
 mod script;
 mod world;
 
-use std::{fmt, time::Duration};
+use std::{fmt, iter, time::Duration};
 
 use script::{END, FAULTS, Fault, START, millis, probes, secs};
 use test_case::test_case;
@@ -144,28 +144,10 @@
 #[test_case(Fault::DoubledAnswers)]
 #[test_case(Fault::DisorderedAnswers)]
 #[test_case(Fault::VmRestart)]
-fn single(fault: Fault) {
-    run_all(cells(fault, None));
-}
-
-#[test_case(Fault::DaemonKilled)]
-#[test_case(Fault::DaemonFrozen)]
-#[test_case(Fault::StewardKilled)]
-#[test_case(Fault::EndpointDies)]
-#[test_case(Fault::EndpointLost)]
-#[test_case(Fault::TransferStalls)]
-#[test_case(Fault::CallerCancels)]
-#[test_case(Fault::PlatformDown)]
-#[test_case(Fault::PlatformStale)]
-#[test_case(Fault::Partition)]
-#[test_case(Fault::LateAnswers)]
-#[test_case(Fault::DoubledAnswers)]
-#[test_case(Fault::DisorderedAnswers)]
-#[test_case(Fault::VmRestart)]
-fn with_each(fault: Fault) {
-    let both = |second| [(second, Duration::ZERO), (second, millis(700))];
-    let pairs = FAULTS.into_iter().flat_map(both);
-    run_all(pairs.flat_map(|pair| cells(fault, Some(pair))));
+fn alone_and_with_each(fault: Fault) {
+    let both = |second| [Some((second, Duration::ZERO)), Some((second, millis(700)))];
+    let seconds = iter::once(None).chain(FAULTS.into_iter().flat_map(both));
+    run_all(seconds.flat_map(|second| cells(fault, second)));
 }
 
 #[test]
--- a/crates/basilbank_core/tests/regressions.rs
+++ b/crates/basilbank_core/tests/regressions.rs
@@ -100,6 +100,18 @@
     assert_eq!(found(&world), Vec::<String>::new());
 }
 
+/// A draft whose daemon is paused while it reads the stream; its caller leaves and repeats it elsewhere.
+fn paused_reader(seed: u64) -> (World, usize) {
+    let mut world = World::new(Spec::small().with_seed(seed));
+    let mut ask = Ask::draft(0, 300, 400).at(START).with_key("draft", 2);
+    ask.daemon = Some(0);
+    ask.patience = secs(3);
+    let ask = world.ask(ask);
+    let freeze = Step::Freeze { daemon: Who::Daemon(0), lasting: secs(5) };
+    world.when(ask, Moment::Decoding(20), freeze);
+    (world, ask)
+}
+
 /// Symptom: a daemon that wakes up takes a stream back and cancels it under its new reader.
 /// Sequence: a daemon is paused while it reads a stream; its caller leaves and repeats the draft
 /// elsewhere; the daemon wakes up.
@@ -107,13 +119,7 @@
 #[test]
 fn pause_is_not_silence() {
     for seed in 0..6 {
-        let mut world = World::new(Spec::small().with_seed(seed));
-        let mut ask = Ask::draft(0, 300, 400).at(START).with_key("draft", 2);
-        ask.daemon = Some(0);
-        ask.patience = secs(3);
-        let ask = world.ask(ask);
-        let freeze = Step::Freeze { daemon: Who::Daemon(0), lasting: secs(5) };
-        world.when(ask, Moment::Decoding(20), freeze);
+        let (mut world, _) = paused_reader(seed);
         world.run_until(secs(40));
         assert_eq!(world.record.taken_back, [0; 0]);
         assert_eq!(found(&world), Vec::<String>::new());
@@ -126,16 +132,10 @@
 #[test]
 fn gap_after_a_pause_is_no_reason_to_read_again() {
     for seed in 0..6 {
-        let mut world = World::new(Spec::small().with_seed(seed));
-        let mut ask = Ask::draft(0, 300, 400).at(START).with_key("draft", 2);
-        ask.daemon = Some(0);
-        ask.patience = secs(3);
-        let ask = world.ask(ask);
+        let (mut world, ask) = paused_reader(seed);
         let fault = EngineFault::Disorder(millis(30));
         let disorder = Step::Fault { endpoint: Place::Decode(ask), fault, lasting: secs(8) };
         world.when(ask, Moment::Decoding(10), disorder);
-        let freeze = Step::Freeze { daemon: Who::Daemon(0), lasting: secs(5) };
-        world.when(ask, Moment::Decoding(20), freeze);
         world.run_until(secs(40));
         assert_eq!(world.record.taken_back, [0; 0]);
     }
