--- a/crates/basilbank/tests/shell/engine_draft.rs
+++ b/crates/basilbank/tests/shell/engine_draft.rs
@@ -106,13 +106,17 @@
 /// Symptom: half a quote passes for a whole one. Sequence: the decode endpoint dies after some
 /// tokens, and its connection closes like after a whole answer. Cause: the end of the connection is
 /// taken for the end of the stream.
-#[test]
-fn a_stream_without_its_last_line_is_broken() {
-    let rig = stream(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#]);
+///
+/// Symptom: two daemons cut each other off from one stream. Sequence: the caller comes back through
+/// another daemon, which takes its stream over. Cause: that looks like a broken connection.
+#[test_case(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#], Failure::Broken; "broken")]
+#[test_case(&[FIRST, r#"{"offset":0,"texts":["oak"]}"#, r#"{"taken":true}"#], Failure::Taken; "taken over")]
+fn a_stream_without_its_last_line_has_not_ended(lines: &[&str], expected: Failure) {
+    let rig = stream(lines);
     rig.call(rig.decode(1));
     assert!(matches!(rig.next(), EngineEvent::Started { .. }));
     assert!(matches!(rig.next(), EngineEvent::Token { .. }));
-    assert_eq!(rig.failure(), Failure::Broken);
+    assert_eq!(rig.failure(), expected);
     assert!(rig.is_quiet());
 }
 
