--- a/crates/basilbank_core/benches/policy/figures.rs
+++ b/crates/basilbank_core/benches/policy/figures.rs
@@ -64,8 +64,14 @@
 
 /// Runs asks to their end.
 pub fn play(spec: Spec, asks: Vec<Ask>) -> (World, Report) {
+    play_with(spec, asks, |_| {})
+}
+
+/// Runs asks to their end in a world that was changed before.
+pub fn play_with(spec: Spec, asks: Vec<Ask>, change: impl FnOnce(&mut World)) -> (World, Report) {
     let end = asks.iter().map(|a| a.at).max().unwrap_or(START) + DRAIN;
     let mut world = World::new(spec);
+    change(&mut world);
     for ask in asks {
         world.ask(ask);
     }
--- a/crates/basilbank_core/benches/policy/main.rs
+++ b/crates/basilbank_core/benches/policy/main.rs
@@ -2,9 +2,10 @@
 //! for those named `wall_…`.
 //!
 //! `cargo bench -p basilbank_core --bench policy` prints one `name=value` line for each figure. A
-//! word after `--` keeps only the parts whose name contains it: `sweep`, `surge`, `time`.
+//! word after `--` keeps only the parts whose name contains it: `sweep`, `surge`, `faults`, `time`.
 #![allow(clippy::print_stdout)]
 
+mod faults;
 mod figures;
 mod mix;
 mod surge;
@@ -15,8 +16,12 @@
 
 fn main() {
     let word = std::env::args().skip(1).find(|a| !a.starts_with('-')).unwrap_or_default();
-    let parts: [(&str, fn()); 3] =
-        [("sweep", sweep::run), ("surge", surge::run), ("time", time::run)];
+    let parts: [(&str, fn()); 4] = [
+        ("sweep", sweep::run),
+        ("surge", surge::run),
+        ("faults", faults::run),
+        ("time", time::run),
+    ];
     for (name, run) in parts {
         if name.contains(&word) {
             run();
--- a/crates/basilbank_core/benches/policy/sweep.rs
+++ b/crates/basilbank_core/benches/policy/sweep.rs
@@ -15,7 +15,7 @@
 /// Asks before this find empty pools; they are not counted.
 const WARM: Duration = Duration::from_secs(10);
 /// The teams' parts of the load. The third is owed nothing.
-const PARTS: [f64; 3] = [0.4, 0.35, 0.25];
+pub const PARTS: [f64; 3] = [0.4, 0.35, 0.25];
 
 /// Prints all figures.
 pub fn run() {
