--- a/crates/basilbank_core/src/reduce.rs
+++ b/crates/basilbank_core/src/reduce.rs
@@ -164,7 +164,7 @@
         Body::Reserve(ask) => slots::asked(state, now, from, &ask, out),
         Body::Grant(grant) => reserve::granted(state, now, from, &grant, out),
         Body::Deny(deny) => reserve::denied(state, now, &deny, out),
-        Body::Release(release) => slots::released(state, now, &release, out),
+        Body::Release(release) => slots::released(state, now, from, &release, out),
         Body::AskHolds(ask) => slots::holds_asked(state, from, &ask, out),
         Body::Holds(holds) => slots::holds(state, now, from, &holds, out),
         Body::Preempt(preempt) => reserve::preempted(state, now, &preempt, out),
--- a/crates/basilbank_core/src/reduce/decode.rs
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     effect::{Answer, Effect, EngineCall},
+    event::Failure,
     ids::AttemptKey,
     reduce::{claim, estimate, place, prefill, reserve, retry},
     state::{AttemptStage, State, Timer},
@@ -45,7 +46,8 @@
     left.saturating_sub(transfer + MARGIN).max(usual)
 }
 
-/// Learns how long a transfer took, or how long it was waited for.
+/// Learns how long a transfer took. One that stalls teaches nothing: where links are full, those that
+/// come through late say so.
 pub fn note_transfer(state: &mut State, now: Now, attempt: AttemptKey) {
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let (Some(slot), Some(cache)) = (found.slot, &found.cache) else { return };
@@ -59,17 +61,32 @@
 }
 
 /// The KV cache is still there but its decode endpoint is not: look for another.
-pub fn relocate(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
-    let failed = state.requests.attempts.get_mut(attempt).and_then(|a| a.slot.take());
-    let failed = failed.map(|slot| {
+pub fn relocate(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    failure: Failure,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
+    let Some(slot) = found.slot.take() else { return };
+    let failed = slot.endpoint;
+    let source = found.cache.as_ref().map(|c| c.endpoint);
+    if let (Failure::Stalled, Some(source)) = (failure, source) {
+        // Both stewards are told, for only they see which of the two stalls with others as well.
+        let prefill = found.prefill.take();
+        reserve::release_stalled(state, slot, source, out);
+        if let Some(prefill) = prefill {
+            reserve::release_stalled(state, prefill, failed, out);
+        }
+    } else {
         reserve::release(state, slot, out);
-        slot.endpoint
-    });
+    }
     let attempt = reserve::renew(state, attempt);
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
     found.enter(AttemptStage::Move, now.mono);
     // Else the endpoint that has just failed, and so has a free slot, would be the first to grant one.
-    found.denied.extend(failed);
+    found.denied.push(failed);
     let until = found.cache.as_ref().map_or(now.mono, |c| c.until);
     state.timers.set(until, Timer::Attempt(attempt));
     place::seek(state, now, attempt, usize::MAX, out);
--- a/crates/basilbank_core/src/reduce/load.rs
+++ b/crates/basilbank_core/src/reduce/load.rs
@@ -6,9 +6,9 @@
     catalogue::Role,
     effect::{Effect, EngineCall, Progress},
     event::{EngineReport, Failure},
-    ids::EndpointId,
+    ids::{EndpointId, VmId},
     reduce::slots,
-    state::{Seen, State, Timer},
+    state::{Aside, Seen, State, Timer},
     time::Now,
 };
 
@@ -23,6 +23,13 @@
 /// How long an endpoint gets no work after it said that it is leaving, unless it says otherwise.
 const LEAVING: Duration = Duration::from_secs(10);
 
+/// How long an endpoint whose transfers stall gets no work for the first time.
+const REST: Duration = Duration::from_secs(1);
+/// After this long without another rest, the next one is a first one.
+const FORGIVEN: Duration = Duration::from_secs(60);
+/// It doubles so many times.
+const LONGEST_REST: u32 = 4;
+
 /// A report came from an endpoint.
 pub fn reported(
     state: &mut State,
@@ -35,7 +42,7 @@
         EngineReport::Load { running, age, leaving, .. } => {
             let known = state.health.entry(endpoint);
             known.leaving = *leaving;
-            if known.aside.take().is_some() {
+            if known.aside.take_if(|a| a.unreachable).is_some() {
                 known.failures = 0;
                 note(endpoint, "endpoint_back", out);
             }
@@ -86,17 +93,46 @@
             return;
         }
         Failure::Leaving => {
-            known.aside = Some(now.mono + LEAVING);
+            known.aside = Some(Aside { until: now.mono + LEAVING, unreachable: true });
             return;
         }
+        // One end of a transfer can't tell which of the two is at fault: see `stalled`.
+        Failure::Stalled => return,
         Failure::Unreachable => known.failures = (known.failures + 1).max(TOLERATED),
-        Failure::Refused | Failure::Stalled | Failure::Broken => known.failures += 1,
+        Failure::Refused | Failure::Broken => known.failures += 1,
     }
-    if known.failures < TOLERATED || known.aside.is_some() {
+    if known.failures < TOLERATED || known.aside.is_some_and(|a| now.mono < a.until) {
         return;
     }
     let doubled = ASIDE * 2u32.saturating_pow((known.failures - TOLERATED).min(16));
-    known.aside = Some(now.mono + doubled.min(MOST_ASIDE).mul_f64(jitter));
+    let until = now.mono + doubled.min(MOST_ASIDE).mul_f64(jitter);
+    known.aside = Some(Aside { until, unreachable: failure == Failure::Unreachable });
+    note(endpoint, "endpoint_aside", out);
+}
+
+/// A holder told this daemon, as an endpoint's steward, that a transfer from or to it stalled.
+///
+/// An endpoint is set aside when its transfers stall with several others and for several daemons: a
+/// single pair does not tell which end is at fault, and a daemon whose own way is cut would blame all.
+pub fn stalled(
+    state: &mut State,
+    now: Now,
+    endpoint: EndpointId,
+    from: VmId,
+    other: EndpointId,
+    out: &mut Vec<Effect>,
+) {
+    let few = state.members.candidates().len() < 2;
+    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
+    if !ledger.note_stall(now.mono, from, other, few) {
+        return;
+    }
+    let known = state.health.entry(endpoint);
+    let is_again = now.mono < known.rested + FORGIVEN;
+    known.stalls = if is_again { (known.stalls + 1).min(LONGEST_REST) } else { 1 };
+    let rest = REST * 2u32.pow(known.stalls - 1);
+    known.rested = now.mono + rest;
+    known.aside = Some(Aside { until: known.rested, unreachable: false });
     note(endpoint, "endpoint_aside", out);
 }
 
@@ -113,10 +149,8 @@
     let mut read: Vec<_> = state.slots.ledgers.keys().copied().filter(|e| reports(*e)).collect();
     let mut back = Vec::new();
     for (endpoint, known) in &state.health.known {
-        if known.aside.is_none_or(|at| now.mono < at) {
-            continue;
-        }
-        if reports(*endpoint) {
+        let Some(aside) = known.aside.filter(|a| a.until <= now.mono) else { continue };
+        if aside.unreachable && reports(*endpoint) {
             read.push(*endpoint);
         } else {
             back.push(*endpoint);
@@ -127,8 +161,8 @@
     for endpoint in read {
         out.push(Effect::Engine(EngineCall::ReadLoad { endpoint }));
     }
-    // Plain services tell no load: the next call is the probe, and its failure sets them aside for
-    // twice as long.
+    // Where a load report proves nothing, as plain services have none, the next call is the probe, and
+    // its failure sets the endpoint aside for twice as long.
     for endpoint in back {
         state.health.entry(endpoint).aside = None;
         note(endpoint, "endpoint_back", out);
--- a/crates/basilbank_core/src/reduce/reserve.rs
+++ b/crates/basilbank_core/src/reduce/reserve.rs
@@ -102,11 +102,21 @@
 
 /// Gives a slot, or the wait for it, back.
 pub fn release(state: &mut State, key: SlotKey, out: &mut Vec<Effect>) {
+    give_back(state, key, release_of(key), out);
+}
+
+/// Gives a slot back whose use ended in a stalled transfer from or to another endpoint.
+pub fn release_stalled(state: &mut State, key: SlotKey, other: EndpointId, out: &mut Vec<Effect>) {
+    let release = Release { stalled: other.0, ..release_of(key) };
+    give_back(state, key, release, out);
+}
+
+fn give_back(state: &mut State, key: SlotKey, release: Release, out: &mut Vec<Effect>) {
     if state.slots.own.remove(&key).is_none() {
         return;
     }
     let Some(steward) = state.members.steward(key.endpoint.0) else { return };
-    peer::say(state, steward, Body::Release(release_of(key)), out);
+    peer::say(state, steward, Body::Release(release), out);
 }
 
 /// Withdraws all that an attempt waits for.
@@ -304,7 +314,7 @@
 }
 
 fn release_of(key: SlotKey) -> Release {
-    Release { endpoint: key.endpoint.0, request: key.request.0, attempt: key.attempt }
+    Release { endpoint: key.endpoint.0, request: key.request.0, attempt: key.attempt, stalled: 0 }
 }
 
 fn millis(duration: Duration) -> u32 {
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -145,9 +145,6 @@
 ) {
     let key = state.requests.attempts[attempt].request;
     let is_repeatable = state.requests.arena[key].repeatable;
-    if failure == Failure::Stalled {
-        decode::note_transfer(state, now, attempt);
-    }
     if failure == Failure::Evicted {
         charge::prefill(state, now, attempt, Waste::Evicted, out);
         if !is_repeatable {
@@ -168,7 +165,7 @@
         return settle::give_up(state, now, key, Refusal::RetriesSpent, None, out);
     }
     note(state, key, retry_of(failure, Retry::DecodeDied), Duration::ZERO, out);
-    decode::relocate(state, now, attempt, out);
+    decode::relocate(state, now, attempt, failure, out);
 }
 
 fn cancel_decode(state: &mut State, attempt: AttemptKey, out: &mut Vec<Effect>) {
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -8,7 +8,7 @@
     catalogue::{Endpoint, Role},
     effect::{Effect, EngineCall, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
-    reduce::{estimate, order, peer, queue, reserve},
+    reduce::{estimate, load, order, peer, queue, reserve},
     state::{Group, Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
     time::Now,
 };
@@ -237,8 +237,11 @@
 }
 
 /// A holder gave a slot, or the wait for it, back.
-pub fn released(state: &mut State, now: Now, release: &Release, out: &mut Vec<Effect>) {
+pub fn released(state: &mut State, now: Now, from: VmId, release: &Release, out: &mut Vec<Effect>) {
     let endpoint = EndpointId(release.endpoint);
+    if release.stalled != 0 {
+        load::stalled(state, now, endpoint, from, EndpointId(release.stalled), out);
+    }
     let key = SlotKey { endpoint, request: RequestId(release.request), attempt: release.attempt };
     let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
     let waited = !ledger.waiting.is_empty();
--- a/crates/basilbank_core/src/state.rs
+++ b/crates/basilbank_core/src/state.rs
@@ -29,7 +29,7 @@
     documents::{
         Accepted, Applied, Check, Currency, Documents, Fetch, Offer, Reader, Shown, Store, Wholes,
     },
-    health::{Health, Known, Lags},
+    health::{Aside, Health, Known, Lags},
     lag::Lag,
     ledger::{Learning, Lease, Ledger, Seen},
     limits::{
--- a/crates/basilbank_core/src/state/health.rs
+++ b/crates/basilbank_core/src/state/health.rs
@@ -11,6 +11,15 @@
     state::{Lag, Prefixes},
 };
 
+/// Why and how long an endpoint gets no work.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Aside {
+    /// Until when at least.
+    pub until: Duration,
+    /// It could not be reached: its next load report ends it.
+    pub unreachable: bool,
+}
+
 /// What is known of one endpoint.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Known {
@@ -18,8 +27,12 @@
     pub leaving: bool,
     /// Failures since it last worked.
     pub failures: u32,
-    /// It gets no work before this, and is probed then.
-    pub aside: Option<Duration>,
+    /// It gets no work for now.
+    pub aside: Option<Aside>,
+    /// Times that its transfers stalled with several others, without a long time between.
+    pub stalls: u32,
+    /// When the last rest for that ends or ended.
+    pub rested: Duration,
     /// Free slots that its steward last told, and when.
     pub free: Option<(u32, Duration)>,
     /// Its steward had no slot, and none is expected before this.
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    ids::{EntryId, VmId},
+    ids::{EndpointId, EntryId, VmId},
     state::{SlotKey, Waiter, Waiting},
 };
 
@@ -16,6 +16,9 @@
 /// Without a late reservation for this long, it is not known any more how long one would wait.
 const LATE_PAUSE: Duration = Duration::from_secs(5);
 
+/// How long a stalled transfer speaks against an endpoint.
+const STALL_MEMORY: Duration = Duration::from_secs(5);
+
 /// How long before a prefill endpoint has done its work it is given more: the grant and the call
 /// take this long to reach it.
 const AHEAD: Duration = Duration::from_millis(20);
@@ -95,6 +98,8 @@
     pub seen: Option<Seen>,
     /// Slots in use that no daemon is known to hold.
     pub foreign: u32,
+    /// Transfers that stalled lately: when, for whom, and with which other endpoint.
+    pub stalls: Vec<(Duration, VmId, EndpointId)>,
     /// When leases ended lately, oldest first.
     pub ended: VecDeque<Duration>,
     /// Mean time between two slots' coming free, while some wait.
@@ -194,6 +199,19 @@
         Some(lease)
     }
 
+    /// Notes a stalled transfer. Whether the endpoint should rest: transfers have stalled with several
+    /// others, for several daemons unless there are few.
+    pub fn note_stall(&mut self, now: Duration, vm: VmId, other: EndpointId, few: bool) -> bool {
+        self.stalls.retain(|(at, _, _)| now < *at + STALL_MEMORY);
+        self.stalls.push((now, vm, other));
+        let rests = self.stalls.iter().any(|(_, _, o)| *o != other)
+            && (few || self.stalls.iter().any(|(_, v, _)| *v != vm));
+        if rests {
+            self.stalls.clear();
+        }
+        rests
+    }
+
     /// Computing that a prefill takes.
     fn work(&self, lease: &Lease) -> Duration {
         over(lease.tokens, self.rate)
--- a/crates/basilbank_core/tests/policy/retries.rs
+++ b/crates/basilbank_core/tests/policy/retries.rs
@@ -123,3 +123,26 @@
     assert_eq!(spent.len(), 3);
     assert!(spent[1] < spent[0] / 8 && spent[2] < spent[0] / 8, "{spent:?}");
 }
+
+/// Symptom: each daemon finds out for itself that an endpoint takes no KV cache, and forgets it with
+/// the next load report; drafts run out of attempts.
+/// Sequence: one decode endpoint's transfers stall for a while, under load.
+/// Cause: daemons did not tell each other, and a load report cleared any blame.
+#[test]
+fn an_endpoint_whose_transfers_stall_rests() {
+    let mut world = World::new(Spec::kitafuji());
+    let decode = world.spec.prefill.count;
+    let (fault, lasting) = (EngineFault::StallTransfer, secs(8));
+    let endpoint = Place::Endpoint(decode);
+    world.at(START + secs(2), Step::Fault { endpoint, fault, lasting });
+    for i in 0..400 {
+        world.ask(Ask::draft(i as usize % 2, 1500, 80).at(START + millis(30) * i));
+    }
+    world.run_until(START + secs(30));
+    let report = world.report();
+    assert_eq!(done(&world, |_| true), 400);
+    let stalled = report.retries.get(&Retry::TransferStalled).copied().unwrap_or_default();
+    assert!((1..=40).contains(&stalled), "{stalled}");
+    let wasted = report.prefill_spent.saturating_sub(report.prefill_used);
+    assert!(wasted * 50 < report.prefill_spent, "{wasted:?} of {:?}", report.prefill_spent);
+}
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -270,6 +270,9 @@
     /// The attempt.
     #[prost(uint32, tag = "3")]
     pub attempt: u32,
+    /// The transfer between the endpoint and this one made no progress; 0 when nothing stalled.
+    #[prost(fixed64, tag = "4")]
+    pub stalled: u64,
 }
 
 /// A new steward's question.
