One test a fault in the matrix; what the tests wrote twice is written once

Change: matrix::at_every_step runs a fault singly, twice and in pairs; the naive version's seam is in world/brain.rs; script::config; world/streams.rs split off.

--- a/crates/basilbank_core/benches/policy/figures.rs
+++ b/crates/basilbank_core/benches/policy/figures.rs
@@ -12,24 +12,6 @@
 /// After the last ask this much time is left for answers.
 pub const DRAIN: Duration = Duration::from_secs(40);
 
-impl Brain for Naive {
-    fn reduce(&mut self, now: Now, event: Event, out: &mut Vec<Effect>) {
-        Naive::reduce(self, now, event, out);
-    }
-
-    fn wake_at(&self) -> Option<Duration> {
-        self.timers.next()
-    }
-
-    fn is_ready(&self) -> bool {
-        Naive::is_ready(self)
-    }
-
-    fn revision(&self) -> u64 {
-        self.view.catalogue.revision
-    }
-}
-
 /// What decides.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Version {
--- a/crates/basilbank_core/tests/differential.rs
+++ b/crates/basilbank_core/tests/differential.rs
@@ -4,18 +4,12 @@
 mod script;
 mod world;
 
-use std::{collections::BTreeSet, time::Duration};
+use std::collections::BTreeSet;
 
-use basilbank_core::{naive::Naive, prelude::*};
-use proptest::{
-    prelude::*,
-    test_runner::{Config, FileFailurePersistence, RngSeed},
-};
-use script::{END, Script, scripts, secs};
-use world::{Ask, Bounds, Brain, End, EngineFault, Place, Promise, Spec, Step, World, check};
-
-/// Runs of each test.
-const CASES: u32 = 150;
+use basilbank_core::naive::Naive;
+use proptest::prelude::*;
+use script::{END, Script, config, scripts, secs};
+use world::{Ask, Bounds, End, EngineFault, Place, Promise, Spec, Step, World, check};
 
 /// What the naive version breaks, by design: it tries again after any failure, keeps no keys, reaps
 /// nothing of a dead daemon, believes an end that overtakes tokens, hears of a leaving endpoint from
@@ -31,36 +25,6 @@
     Promise::Catalogue,
 ];
 
-impl Brain for Naive {
-    fn reduce(&mut self, now: Now, event: Event, out: &mut Vec<Effect>) {
-        Naive::reduce(self, now, event, out);
-    }
-
-    fn wake_at(&self) -> Option<Duration> {
-        self.timers.next()
-    }
-
-    fn is_ready(&self) -> bool {
-        Naive::is_ready(self)
-    }
-
-    fn revision(&self) -> u64 {
-        self.view.catalogue.revision
-    }
-}
-
-fn config(seed: u64) -> Config {
-    Config {
-        cases: CASES,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(
-            "tests/differential.regressions",
-        ))),
-        max_shrink_iters: 400,
-        ..Config::default()
-    }
-}
-
 fn naive() -> Spec {
     roomy().with_brain(|local, now| Box::new(Naive::new(local, now)))
 }
@@ -101,7 +65,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(21))]
+    #![proptest_config(config(21, 150, "tests/differential.regressions"))]
 
     /// Without faults both give each caller the same.
     #[test]
@@ -113,7 +77,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(22))]
+    #![proptest_config(config(22, 150, "tests/differential.regressions"))]
 
     /// With faults, what both answer whole is the same, and only the naive version breaks promises,
     /// those that it is meant to break.
--- a/crates/basilbank_core/tests/matrix.rs
+++ b/crates/basilbank_core/tests/matrix.rs
@@ -149,34 +149,11 @@
 #[test_case(Fault::DoubledAnswers)]
 #[test_case(Fault::DisorderedAnswers)]
 #[test_case(Fault::VmRestart)]
-fn single(fault: Fault) {
-    run_all(cells(fault, None));
-}
-
-#[test_case(Fault::DaemonKilled)]
-#[test_case(Fault::DaemonFrozen)]
-#[test_case(Fault::StewardKilled)]
-#[test_case(Fault::EndpointDies)]
-#[test_case(Fault::EndpointLost)]
-#[test_case(Fault::TransferStalls)]
-#[test_case(Fault::CallerCancels)]
-#[test_case(Fault::PlatformDown)]
-#[test_case(Fault::PlatformStale)]
-#[test_case(Fault::Partition)]
-#[test_case(Fault::Split)]
-#[test_case(Fault::LateAnswers)]
-#[test_case(Fault::DoubledAnswers)]
-#[test_case(Fault::DisorderedAnswers)]
-#[test_case(Fault::VmRestart)]
-fn with_each(fault: Fault) {
+fn at_every_step(fault: Fault) {
     let both = |second| [(second, Duration::ZERO), (second, millis(700))];
-    let pairs = FAULTS.into_iter().flat_map(both);
-    run_all(pairs.flat_map(|pair| cells(fault, Some(pair))));
-}
-
-#[test]
-fn twice() {
-    run_all(FAULTS.into_iter().flat_map(|fault| cells(fault, Some((fault, secs(9))))));
+    let pairs = FAULTS.into_iter().flat_map(both).map(Some);
+    let seconds = [None, Some((fault, secs(9)))].into_iter().chain(pairs);
+    run_all(seconds.flat_map(|second| cells(fault, second)));
 }
 
 #[test]
--- a/crates/basilbank_core/tests/regressions.rs
+++ b/crates/basilbank_core/tests/regressions.rs
@@ -107,36 +107,36 @@
 #[test]
 fn pause_is_not_silence() {
     for seed in 0..6 {
-        let mut world = World::new(Spec::small().with_seed(seed));
-        let mut ask = Ask::draft(0, 300, 400).at(START).with_key("draft", 2);
-        ask.daemon = Some(0);
-        ask.patience = secs(3);
-        let ask = world.ask(ask);
-        let freeze = Step::Freeze { daemon: Who::Daemon(0), lasting: secs(5) };
-        world.when(ask, Moment::Decoding(20), freeze);
-        world.run_until(secs(40));
+        let world = paused_reader(seed, None);
         assert_eq!(world.record.taken_back, [0; 0]);
         assert_eq!(found(&world), Vec::<String>::new());
     }
 }
 
+/// A daemon is paused while it reads a stream; its caller leaves and repeats the draft elsewhere.
+fn paused_reader(seed: u64, fault: Option<EngineFault>) -> World {
+    let mut world = World::new(Spec::small().with_seed(seed));
+    let mut ask = Ask::draft(0, 300, 400).at(START).with_key("draft", 2);
+    ask.daemon = Some(0);
+    ask.patience = secs(3);
+    let ask = world.ask(ask);
+    if let Some(fault) = fault {
+        let step = Step::Fault { endpoint: Place::Decode(ask), fault, lasting: secs(8) };
+        world.when(ask, Moment::Decoding(10), step);
+    }
+    let freeze = Step::Freeze { daemon: Who::Daemon(0), lasting: secs(5) };
+    world.when(ask, Moment::Decoding(20), freeze);
+    world.run_until(secs(40));
+    world
+}
+
 /// Symptom: the same as above, while the endpoint's answers overtake each other.
 /// Sequence: among the tokens that wait for the paused daemon one is out of order.
 /// Cause: the gap had the stream read again at once, before the news of its take-over was read.
 #[test]
 fn gap_after_a_pause_is_no_reason_to_read_again() {
     for seed in 0..6 {
-        let mut world = World::new(Spec::small().with_seed(seed));
-        let mut ask = Ask::draft(0, 300, 400).at(START).with_key("draft", 2);
-        ask.daemon = Some(0);
-        ask.patience = secs(3);
-        let ask = world.ask(ask);
-        let fault = EngineFault::Disorder(millis(30));
-        let disorder = Step::Fault { endpoint: Place::Decode(ask), fault, lasting: secs(8) };
-        world.when(ask, Moment::Decoding(10), disorder);
-        let freeze = Step::Freeze { daemon: Who::Daemon(0), lasting: secs(5) };
-        world.when(ask, Moment::Decoding(20), freeze);
-        world.run_until(secs(40));
+        let world = paused_reader(seed, Some(EngineFault::Disorder(millis(30))));
         assert_eq!(world.record.taken_back, [0; 0]);
     }
 }
--- a/crates/basilbank_core/tests/schedules.rs
+++ b/crates/basilbank_core/tests/schedules.rs
@@ -3,29 +3,10 @@
 mod script;
 mod world;
 
-use proptest::{
-    prelude::*,
-    test_runner::{Config, FileFailurePersistence, RngSeed},
-};
-use script::{END, Script, scripts};
+use proptest::prelude::*;
+use script::{END, Script, config, scripts};
 use world::{Bounds, End, Spec, check};
 
-/// Runs of each test.
-const CASES: u32 = 300;
-
-/// The same runs each time, after those that have failed before.
-fn config(seed: u64) -> Config {
-    Config {
-        cases: CASES,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(
-            "tests/schedules.regressions",
-        ))),
-        max_shrink_iters: 400,
-        ..Config::default()
-    }
-}
-
 /// Runs a script and gives what is wrong.
 fn wrong(script: &Script) -> Vec<String> {
     let (mut world, probes) = script.world(Spec::small());
@@ -42,7 +23,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(11))]
+    #![proptest_config(config(11, 300, "tests/schedules.regressions"))]
 
     #[test]
     fn nothing_fails(script in scripts(0)) {
@@ -51,7 +32,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(12))]
+    #![proptest_config(config(12, 300, "tests/schedules.regressions"))]
 
     #[test]
     fn one_fault(script in scripts(1)) {
@@ -60,7 +41,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(13))]
+    #![proptest_config(config(13, 300, "tests/schedules.regressions"))]
 
     #[test]
     fn several_faults(script in scripts(5)) {
--- a/crates/basilbank_core/tests/script/mod.rs
+++ b/crates/basilbank_core/tests/script/mod.rs
@@ -6,7 +6,13 @@
 use std::time::Duration;
 
 use basilbank_core::prelude::Catalogue;
-use proptest::{collection::vec, option, prelude::*, sample::select};
+use proptest::{
+    collection::vec,
+    option,
+    prelude::*,
+    sample::select,
+    test_runner::{Config, FileFailurePersistence, RngSeed},
+};
 
 use crate::world::{
     Ask, EngineFault, Net, Node, Place, PlatformMode, Power, Spec, Step, Who, World,
@@ -73,6 +79,17 @@
 /// When a world with [`probes`] is over.
 pub const END: Duration = Duration::from_secs(64);
 
+/// So many runs, the same each time, after those that have failed before.
+pub fn config(seed: u64, cases: u32, failures: &'static str) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(failures))),
+        max_shrink_iters: 400,
+        ..Config::default()
+    }
+}
+
 /// Whole seconds.
 pub fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
--- a/crates/basilbank_core/tests/world/brain.rs
+++ b/crates/basilbank_core/tests/world/brain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use basilbank_core::{prelude::*, reduce};
+use basilbank_core::{naive::Naive, prelude::*, reduce};
 
 /// What decides in a daemon: the product's core, or a baseline with the same events and effects.
 pub trait Brain {
@@ -45,3 +45,21 @@
         Some(self)
     }
 }
+
+impl Brain for Naive {
+    fn reduce(&mut self, now: Now, event: Event, out: &mut Vec<Effect>) {
+        Naive::reduce(self, now, event, out);
+    }
+
+    fn wake_at(&self) -> Option<Duration> {
+        self.timers.next()
+    }
+
+    fn is_ready(&self) -> bool {
+        Naive::is_ready(self)
+    }
+
+    fn revision(&self) -> u64 {
+        self.view.catalogue.revision
+    }
+}
--- a/crates/basilbank_core/tests/world/callers.rs
+++ b/crates/basilbank_core/tests/world/callers.rs
@@ -69,7 +69,7 @@
 
 /// Where a request is.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Place {
+pub struct Route {
     /// Tries so far.
     pub tries: u32,
     /// The latest.
@@ -90,7 +90,7 @@
     /// What is asked.
     pub asks: Vec<Ask>,
     /// Where each of them is.
-    pub progress: Vec<Place>,
+    pub progress: Vec<Route>,
     /// All tries.
     pub tries: Vec<Try>,
 }
--- a/crates/basilbank_core/tests/world/decode.rs
+++ b/crates/basilbank_core/tests/world/decode.rs
@@ -104,7 +104,7 @@
         self.streams.iter().map(info).collect()
     }
 
-    fn find(&mut self, id: u64) -> Option<&mut Stream> {
+    pub(super) fn find(&mut self, id: u64) -> Option<&mut Stream> {
         match self.streams.get_mut(&id) {
             Some(stream) => Some(stream),
             None => self.finished.get_mut(&id),
@@ -122,7 +122,7 @@
     }
 }
 
-fn number_of(name: &str) -> Option<u64> {
+pub(super) fn number_of(name: &str) -> Option<u64> {
     name.get(1..)?.parse().ok()
 }
 
@@ -189,7 +189,7 @@
         u64::from(tokens) * self.spec.token_bytes
     }
 
-    fn fail_decode(&mut self, endpoint: usize, reader: Reader, failure: Failure) {
+    pub(super) fn fail_decode(&mut self, endpoint: usize, reader: Reader, failure: Failure) {
         self.reply(endpoint, reader, EngineEvent::Failed { attempt: reader.attempt, failure });
     }
 
@@ -292,7 +292,7 @@
     }
 
     /// Sends a stream's reader its tokens from an offset.
-    fn stream_tokens(&mut self, endpoint: usize, id: u64, from: u32) {
+    pub(super) fn stream_tokens(&mut self, endpoint: usize, id: u64, from: u32) {
         let checked = self.spec.texts;
         let Some(stream) = self.endpoints[endpoint].decode().find(id) else { return };
         let Some(reader) = stream.reader else { return };
@@ -325,95 +325,11 @@
         }
     }
 
-    fn tell_end(&mut self, endpoint: usize, id: u64, reader: Reader, tokens: u32) {
+    pub(super) fn tell_end(&mut self, endpoint: usize, id: u64, reader: Reader, tokens: u32) {
         if let Some(stream) = self.endpoints[endpoint].decode().finished.get(&id) {
             self.callers.tries[stream.holder].source = Some((endpoint, id));
         }
         let (attempt, reason) = (reader.attempt, "stop".into());
         self.reply(endpoint, reader, EngineEvent::Finished { attempt, reason, tokens });
     }
-
-    /// A reader takes a stream over.
-    pub(super) fn resume_call(
-        &mut self,
-        endpoint: usize,
-        reader: Reader,
-        caller: CallerId,
-        name: &str,
-        offset: u32,
-    ) {
-        let now = self.now;
-        let id = number_of(name).unwrap_or(0);
-        let Some(stream) = self.endpoints[endpoint].decode().find(id) else {
-            self.fail_decode(endpoint, reader, Failure::Evicted);
-            return;
-        };
-        let earlier = stream.reader.replace(reader);
-        let holder = Try::number(caller);
-        if stream.holder != holder {
-            if stream.past.contains(&holder) {
-                self.record.taken_back.push(holder);
-            }
-            stream.past.push(stream.holder);
-        }
-        stream.owner = reader.process;
-        stream.holder = holder;
-        stream.read = now;
-        let (made, ended) = (stream.made, stream.total <= stream.made);
-        let ask = self.callers.tries[Try::number(caller)].ask;
-        self.callers.progress[ask].decode = Some(endpoint);
-        if let Some(earlier) = earlier.filter(|e| *e != reader) {
-            self.fail_decode(endpoint, earlier, Failure::Taken);
-        }
-        let (attempt, stream) = (reader.attempt, name.into());
-        self.reply(endpoint, reader, EngineEvent::Started { attempt, stream });
-        self.stream_tokens(endpoint, id, offset);
-        if ended {
-            self.tell_end(endpoint, id, reader, made);
-        }
-    }
-
-    /// Cancels a stream that still belongs to the one who asks.
-    pub(super) fn decode_cancel(
-        &mut self,
-        endpoint: usize,
-        origin: Origin,
-        id: RequestId,
-        held: Option<&str>,
-    ) {
-        let named = held.filter(|h| h.starts_with('s')).and_then(number_of);
-        let decode = self.endpoints[endpoint].decode();
-        let is_it = |(number, stream): &(&u64, &Stream)| {
-            let meant = stream.request == id && stream.number == origin.number;
-            stream.owner == origin.process && (meant || Some(**number) == named)
-        };
-        let found = decode.streams.iter().find(is_it).map(|(number, _)| *number);
-        if let Some(number) = found {
-            self.drop_stream(endpoint, number);
-        }
-    }
-
-    /// Frees a stream's memory.
-    fn drop_stream(&mut self, endpoint: usize, id: u64) {
-        if let Some(stream) = self.endpoints[endpoint].decode().streams.remove(&id) {
-            self.released(stream.holder);
-        }
-    }
-
-    /// Frees a stream or KV cache by name.
-    pub(super) fn drop_held(&mut self, endpoint: usize, name: &str) {
-        let Some(id) = number_of(name) else { return };
-        match self.endpoints[endpoint].kind {
-            FakeKind::Prefill(_) => self.evict(endpoint, id),
-            FakeKind::Decode(_) => {
-                let streams = &self.endpoints[endpoint].decode().streams;
-                let reader = streams.get(&id).and_then(|s| s.reader);
-                self.drop_stream(endpoint, id);
-                if let Some(reader) = reader {
-                    self.fail_decode(endpoint, reader, Failure::Broken);
-                }
-            }
-            FakeKind::Plain(_) => {}
-        }
-    }
 }
--- a/crates/basilbank_core/tests/world/mod.rs
+++ b/crates/basilbank_core/tests/world/mod.rs
@@ -31,6 +31,7 @@
 mod report;
 mod spec;
 mod step;
+mod streams;
 
 use std::{
     collections::HashMap,
@@ -42,7 +43,7 @@
 pub use self::{
     ask::{Ask, End, Job},
     brain::Brain,
-    callers::{Callers, Try},
+    callers::{Callers, Route, Try},
     check::{Bounds, Finding, Promise, check},
     daemon::{Daemon, Traffic},
     decode::Decode,
@@ -162,7 +163,7 @@
         let number = self.callers.asks.len();
         self.queue.push(ask.at, Due::Send(number));
         self.callers.asks.push(ask);
-        self.callers.progress.push(callers::Place::default());
+        self.callers.progress.push(Route::default());
         number
     }
 
