A call whose daemon died on its way has no reader

Cause: in the harness such a stream counted as read for ever, and an old process's incarnation was worked out from its successor's. Change: both are what an engine would see.

--- a/crates/basilbank_core/tests/world/daemon.rs
+++ b/crates/basilbank_core/tests/world/daemon.rs
@@ -70,6 +70,8 @@
     pub life: u32,
     /// Its incarnation number.
     pub incarnation: u64,
+    /// The incarnation numbers of all its processes.
+    pub incarnations: Vec<u64>,
     /// It is paused.
     pub frozen: bool,
     /// It got SIGTERM.
@@ -124,6 +126,7 @@
         brain: None,
         life: 0,
         incarnation: 0,
+        incarnations: Vec::new(),
         frozen: false,
         leaving: false,
         calm: Duration::ZERO,
@@ -152,6 +155,7 @@
         daemon.life += 1;
         let millis = EPOCH_MS + self.now.as_millis() as u64;
         daemon.incarnation = millis.max(daemon.incarnation + 1);
+        daemon.incarnations.push(daemon.incarnation);
         daemon.frozen = false;
         daemon.leaving = false;
         daemon.calm = self.now;
--- a/crates/basilbank_core/tests/world/decode.rs
+++ b/crates/basilbank_core/tests/world/decode.rs
@@ -151,6 +151,7 @@
         };
         let left = self.callers.asks[ask].total().saturating_sub(draft.delivered);
         let (now, life) = (self.now, self.endpoints[endpoint].life);
+        let reads = self.runs(reader.process).then_some(reader);
         let decode = self.endpoints[endpoint].decode();
         if decode.slots <= decode.active() {
             self.refuse_full(endpoint, reader);
@@ -161,7 +162,7 @@
         let stream = Stream {
             request: draft.request,
             number: draft.number,
-            reader: Some(reader),
+            reader: reads,
             owner: reader.process,
             holder,
             past: Vec::new(),
--- a/crates/basilbank_core/tests/world/engine.rs
+++ b/crates/basilbank_core/tests/world/engine.rs
@@ -239,9 +239,7 @@
         let now = self.now;
         let identity = |p: Process| {
             let daemon = &self.daemons[p.daemon];
-            // A process that is gone had an incarnation below the current one.
-            let gone = u64::from(daemon.life - p.life);
-            (daemon.vm, daemon.incarnation - gone)
+            (daemon.vm, daemon.incarnations[p.life as usize - 1])
         };
         let mut list = match &self.endpoints[endpoint].kind {
             FakeKind::Prefill(prefill) => prefill.list(now, identity),
--- a/crates/basilbank_core/tests/world/streams.rs
+++ b/crates/basilbank_core/tests/world/streams.rs
@@ -19,12 +19,14 @@
         offset: u32,
     ) {
         let now = self.now;
+        let reads = self.runs(reader.process).then_some(reader);
         let id = number_of(name).unwrap_or(0);
         let Some(stream) = self.endpoints[endpoint].decode().find(id) else {
             self.fail_decode(endpoint, reader, Failure::Evicted);
             return;
         };
-        let earlier = stream.reader.replace(reader);
+        let earlier = stream.reader.take();
+        stream.reader = reads;
         let holder = Try::number(caller);
         if stream.holder != holder {
             if stream.past.contains(&holder) {
