--- a/crates/basilbank_core/benches/fleet/load.rs
+++ b/crates/basilbank_core/benches/fleet/load.rs
@@ -14,7 +14,7 @@
 const RATES: [u32; 2] = [3050, 6100];
 /// Seconds of traffic before those that are measured: as long as a stream lasts.
 const FILL: u32 = 8;
-/// Seconds that are measured.
+/// Seconds that are measured: a multiple of the time between two lists of holds.
 const SPAN: u32 = 4;
 /// Client accounts.
 const TEAMS: usize = 2000;
