--- a/crates/basilbank_core/tests/schedules.rs
+++ b/crates/basilbank_core/tests/schedules.rs
@@ -3,32 +3,13 @@
 mod script;
 mod world;
 
-use proptest::{
-    prelude::*,
-    test_runner::{Config, FileFailurePersistence, RngSeed},
-};
-use script::{END, Script, scripts};
+use proptest::prelude::*;
+use script::{END, Script, config, scripts};
 use world::{Bounds, End, Spec, check};
 
-/// Runs of each test.
-const CASES: u32 = 300;
-
-/// The same runs each time, after those that have failed before.
-fn config(seed: u64) -> Config {
-    Config {
-        cases: CASES,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: Some(Box::new(FileFailurePersistence::Direct(
-            "tests/schedules.regressions",
-        ))),
-        max_shrink_iters: 400,
-        ..Config::default()
-    }
-}
-
 /// Runs a script and gives what is wrong.
-fn wrong(script: &Script) -> Vec<String> {
-    let (mut world, probes) = script.world(Spec::small());
+fn wrong(script: &Script, daemons: usize) -> Vec<String> {
+    let (mut world, probes) = script.world(Spec::small().with_daemons(daemons));
     world.run_until(END);
     let found = check(&world, &Bounds::default());
     let mut wrong: Vec<_> = found.iter().map(ToString::to_string).collect();
@@ -42,28 +23,37 @@
 }
 
 proptest! {
-    #![proptest_config(config(11))]
+    #![proptest_config(config(11, 300, "tests/schedules.regressions"))]
 
     #[test]
     fn nothing_fails(script in scripts(0)) {
-        prop_assert_eq!(wrong(&script), Vec::<String>::new());
+        prop_assert_eq!(wrong(&script, 4), Vec::<String>::new());
     }
 }
 
 proptest! {
-    #![proptest_config(config(12))]
+    #![proptest_config(config(12, 300, "tests/schedules.regressions"))]
 
     #[test]
     fn one_fault(script in scripts(1)) {
-        prop_assert_eq!(wrong(&script), Vec::<String>::new());
+        prop_assert_eq!(wrong(&script, 4), Vec::<String>::new());
     }
 }
 
 proptest! {
-    #![proptest_config(config(13))]
+    #![proptest_config(config(13, 300, "tests/schedules.regressions"))]
 
     #[test]
     fn several_faults(script in scripts(5)) {
-        prop_assert_eq!(wrong(&script), Vec::<String>::new());
+        prop_assert_eq!(wrong(&script, 4), Vec::<String>::new());
+    }
+}
+
+proptest! {
+    #![proptest_config(config(14, 100, "tests/schedules.regressions"))]
+
+    #[test]
+    fn several_faults_on_eight_daemons(script in scripts(7)) {
+        prop_assert_eq!(wrong(&script, 8), Vec::<String>::new());
     }
 }
