--- a/crates/basilbank_core/src/reduce/decode.rs
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -21,9 +21,7 @@
     let Some(found) = state.requests.attempts.get(attempt) else { return };
     let (Some(slot), Some(cache)) = (found.slot, found.cache.clone()) else { return };
     if state.is_leaving(slot.endpoint) {
-        state.requests.attempts[attempt].slot = None;
-        reserve::release(state, slot, out);
-        return relocate(state, now, attempt, out);
+        return relocate(state, now, attempt, Failure::Leaving, out);
     }
     let found = &mut state.requests.attempts[attempt];
     found.enter(AttemptStage::Import, now.mono);
