Decisions at the planned size look at fewer endpoints

Cause: an arriving call took 21 us and a peer's message 17 us on average: the home of a prompt read 280 whole endpoints, and a choice looked at sixteen. Change: the view keeps endpoints' ids by what they serve; of pools larger than sixteen a sample of eight is looked at.

--- a/crates/basilbank_core/src/naive/call.rs
+++ b/crates/basilbank_core/src/naive/call.rs
@@ -48,10 +48,9 @@
     }
 
     fn next(&mut self, target: EntryTarget, role: Role) -> Option<EndpointId> {
-        let all = self.view.positions(target, role);
+        let all = self.view.serving(target, role);
         self.turn += 1;
-        let position = all.get(self.turn.checked_rem(all.len())?)?;
-        Some(self.view.catalogue.endpoints[*position].id)
+        all.get(self.turn.checked_rem(all.len())?).copied()
     }
 
     fn draft_call(&self, key: RequestKey, attempt: AttemptKey, endpoint: EndpointId) -> DraftCall {
--- a/crates/basilbank_core/src/reduce/affinity.rs
+++ b/crates/basilbank_core/src/reduce/affinity.rs
@@ -16,6 +16,6 @@
 #[must_use]
 pub fn home(state: &State, target: EntryTarget, draft: &Draft) -> Option<EndpointId> {
     let block = state.health.prefixes.first_own(&draft.blocks, SHARED)?;
-    let all = state.view.serving(target, Role::Prefill).map(|e| e.id);
+    let all = state.view.serving(target, Role::Prefill).iter().copied();
     all.max_by_key(|endpoint| rank(VmId(endpoint.0), block))
 }
--- a/crates/basilbank_core/src/reduce/candidates.rs
+++ b/crates/basilbank_core/src/reduce/candidates.rs
@@ -10,8 +10,10 @@
     time::Now,
 };
 
-/// Endpoints that are looked at for one choice; of larger pools a random sample this large.
-const SAMPLE: usize = 16;
+/// Of a pool of no more endpoints than this, all are looked at for a choice.
+const SMALL_POOL: usize = 16;
+/// Of larger pools a random sample this large.
+const SAMPLE: usize = 8;
 /// How much worse an endpoint in another data centre counts.
 const ELSEWHERE: Duration = Duration::from_millis(5);
 /// How much worse an endpoint counts whose steward had no slot.
@@ -79,13 +81,11 @@
 }
 
 fn sample(state: &mut State, want: &Want, prefix: &Prefix) -> Vec<EndpointId> {
-    let id = |i: usize| state.view.catalogue.endpoints[i].id;
-    let positions = state.view.positions(want.target, want.role);
-    if positions.len() <= SAMPLE {
-        return positions.iter().map(|i| id(*i)).collect();
+    let all = state.view.serving(want.target, want.role);
+    if all.len() <= SMALL_POOL {
+        return all.to_vec();
     }
-    let mut sample: Vec<_> =
-        (0..SAMPLE).map(|_| id(positions[state.rng.index(positions.len())])).collect();
+    let mut sample: Vec<_> = (0..SAMPLE).map(|_| all[state.rng.index(all.len())]).collect();
     let known = prefix.matches.iter().map(|(endpoint, _)| *endpoint).take(SAMPLE);
     let serves = |e: &EndpointId| state.view.endpoint(*e).is_some_and(|e| !e.leaving);
     sample.extend(known.filter(serves));
--- a/crates/basilbank_core/src/reduce/estimate.rs
+++ b/crates/basilbank_core/src/reduce/estimate.rs
@@ -103,7 +103,7 @@
 
 fn first_prefill(state: &State, entry: EntryId) -> Option<&Endpoint> {
     let target = state.view.entry(entry)?.target;
-    state.view.serving(target, Role::Prefill).next()
+    state.view.endpoint(*state.view.serving(target, Role::Prefill).first()?)
 }
 
 fn model(state: &State, entry: EntryId) -> Option<&ModelSpec> {
--- a/crates/basilbank_core/src/reduce/order/turn.rs
+++ b/crates/basilbank_core/src/reduce/order/turn.rs
@@ -54,11 +54,11 @@
     if !serving.is_useful(&target) {
         return true;
     }
-    let pool = state.view.positions(endpoint.serves, endpoint.role);
-    let pool = pool.iter().map(|i| &state.view.catalogue.endpoints[*i]);
-    let fresh = FRESH.max(Duration::from_secs(2 * (pool.len() / READS) as u64));
-    let old: Vec<_> = pool.clone().map(|e| e.id).collect();
-    let old: Vec<_> = old.into_iter().filter(|id| is_older(state, now, *id, fresh / 2)).collect();
+    let ids = state.view.serving(endpoint.serves, endpoint.role);
+    let pool = ids.iter().filter_map(|id| state.view.endpoint(*id));
+    let fresh = FRESH.max(Duration::from_secs(2 * (ids.len() / READS) as u64));
+    let is_old = |id: &EndpointId| is_older(state, now, *id, fresh / 2);
+    let old: Vec<_> = ids.iter().copied().filter(is_old).collect();
     let is_known = old.iter().all(|id| !is_older(state, now, *id, fresh));
     wanted.extend(old);
     if !is_known {
--- a/crates/basilbank_core/src/state/view.rs
+++ b/crates/basilbank_core/src/state/view.rs
@@ -24,7 +24,7 @@
     prefixes: HashMap<String, usize>,
     lengths: Vec<usize>,
     plain: HashMap<(TeamId, ServiceId), usize>,
-    serving: HashMap<(EntryTarget, Role), Vec<usize>>,
+    serving: HashMap<(EntryTarget, Role), Vec<EndpointId>>,
 }
 
 impl View {
@@ -40,8 +40,8 @@
         view.classes = catalogue.classes.iter().enumerate().map(|(i, c)| (c.id, i)).collect();
         view.models = catalogue.models.iter().enumerate().map(|(i, m)| (m.id, i)).collect();
         view.index_services(&catalogue);
-        for (i, endpoint) in catalogue.endpoints.iter().enumerate().filter(|(_, e)| !e.leaving) {
-            view.serving.entry((endpoint.serves, endpoint.role)).or_default().push(i);
+        for endpoint in catalogue.endpoints.iter().filter(|e| !e.leaving) {
+            view.serving.entry((endpoint.serves, endpoint.role)).or_default().push(endpoint.id);
         }
         view.catalogue = catalogue;
         view
@@ -120,13 +120,8 @@
     }
 
     /// The endpoints of one role for one target that the catalogue does not take away.
-    pub fn serving(&self, target: EntryTarget, role: Role) -> impl Iterator<Item = &Endpoint> {
-        self.positions(target, role).iter().map(|i| &self.catalogue.endpoints[*i])
-    }
-
-    /// Their positions in the catalogue, for a choice without a look at each.
     #[must_use]
-    pub fn positions(&self, target: EntryTarget, role: Role) -> &[usize] {
+    pub fn serving(&self, target: EntryTarget, role: Role) -> &[EndpointId] {
         self.serving.get(&(target, role)).map_or(&[], Vec::as_slice)
     }
 }
