--- /dev/null
+++ b/crates/basilbank_core/src/reduce/retry/wait.rs
@@ -0,0 +1,129 @@
+//! Requests that wait: for a slot that was denied, and before they are tried again.
+
+use std::time::Duration;
+
+use basilbank_wire::DenyReason;
+
+use super::evicted;
+use crate::{
+    effect::{Effect, Progress},
+    ids::{AttemptKey, RequestKey},
+    reason::{Refusal, Retry},
+    reduce::{place, settle},
+    state::{AttemptStage, RequestStage, State, Timer},
+    time::Now,
+};
+
+/// Pause before a draft that found no prefill slot asks for a decode slot again.
+pub(super) const GIVE_WAY: Duration = Duration::from_millis(250);
+/// It grows with each time, up to this many times.
+const LONGEST_WAY: u32 = 8;
+/// Pause before a steward is asked again that could not decide.
+const STEWARD_PAUSE: Duration = Duration::from_millis(50);
+
+/// Every steward that was asked has denied a slot.
+pub fn unplaced(
+    state: &mut State,
+    now: Now,
+    attempt: AttemptKey,
+    reason: DenyReason,
+    retry: Duration,
+    out: &mut Vec<Effect>,
+) {
+    let Some(found) = state.requests.attempts.get(attempt) else { return };
+    let (key, stage) = (found.request, found.stage);
+    if stage == AttemptStage::Move {
+        return evicted(state, now, attempt, out);
+    }
+    let until = state.requests.arena[key].until;
+    let is_undecided = !matches!(reason, DenyReason::Full | DenyReason::Owed);
+    if is_undecided && now.mono + STEWARD_PAUSE < until {
+        let pause = STEWARD_PAUSE.mul_f64(0.5 + state.rng.unit());
+        return later(state, now, key, pause, out);
+    }
+    if stage == AttemptStage::Queue && now.mono + retry.max(GIVE_WAY) < until {
+        // It held a decode slot in vain: others come first now, and it waits behind them.
+        let longer = GIVE_WAY * state.requests.arena[key].attempts.min(LONGEST_WAY);
+        let pause = longer.mul_f64(0.5 + state.rng.unit());
+        note(state, key, Retry::NoSlot, pause, out);
+        return later(state, now, key, pause, out);
+    }
+    let refusal = if is_undecided { Refusal::NoEndpoint } else { place::refusal_of(state, key) };
+    settle::give_up(state, now, key, refusal, Some(retry), out);
+}
+
+/// No endpoint can be asked now.
+pub fn no_endpoint(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let key = state.requests.attempts[attempt].request;
+    let request = &state.requests.arena[key];
+    let exists = state.view.entry(request.entry).is_some();
+    let pause = state.local.tuning.max_backoff.mul_f64(0.5 + 0.5 * state.rng.unit());
+    if exists && now.mono + pause < request.until {
+        return later(state, now, key, pause, out);
+    }
+    settle::give_up(state, now, key, Refusal::NoEndpoint, Some(pause), out);
+}
+
+/// Gives an attempt's slots back and looks for others, before anything was sent.
+pub fn anew(state: &mut State, now: Now, attempt: AttemptKey, out: &mut Vec<Effect>) {
+    let Some(key) = state.requests.attempts.get(attempt).map(|a| a.request) else { return };
+    settle::drop_attempt(state, attempt, out);
+    state.requests.set_queued(key);
+    place::start(state, now, key, out);
+}
+
+pub(super) fn later(
+    state: &mut State,
+    now: Now,
+    key: RequestKey,
+    pause: Duration,
+    out: &mut Vec<Effect>,
+) {
+    if let Some((attempt, _)) = state.requests.current(key) {
+        settle::drop_attempt(state, attempt, out);
+    }
+    state.requests.set_queued(key);
+    state.timers.set(now.mono + pause, Timer::Request(key));
+}
+
+/// Starts a request anew after a pause, if its attempts and the retry budget allow it.
+pub(super) fn again(
+    state: &mut State,
+    now: Now,
+    key: RequestKey,
+    retry: Retry,
+    out: &mut Vec<Effect>,
+) {
+    if !may_retry(state, key) {
+        return settle::give_up(state, now, key, Refusal::RetriesSpent, None, out);
+    }
+    let request = &state.requests.arena[key];
+    debug_assert_eq!(request.stage, RequestStage::Waiting);
+    let tuning = &state.local.tuning;
+    let doubled = tuning.backoff * 2u32.saturating_pow(request.failures.saturating_sub(1).min(16));
+    let backoff = doubled.min(tuning.max_backoff).mul_f64(0.5 + 0.5 * state.rng.unit());
+    note(state, key, retry, backoff, out);
+    later(state, now, key, backoff, out);
+}
+
+/// Takes one retry from the request's attempts and from the budget.
+pub(super) fn may_retry(state: &mut State, key: RequestKey) -> bool {
+    let request = &mut state.requests.arena[key];
+    request.failures += 1;
+    if state.local.tuning.attempts <= request.failures || state.requests.budget < 1.0 {
+        return false;
+    }
+    state.requests.budget -= 1.0;
+    true
+}
+
+pub(super) fn note(
+    state: &State,
+    key: RequestKey,
+    retry: Retry,
+    backoff: Duration,
+    out: &mut Vec<Effect>,
+) {
+    let request = state.requests.arena[key].id;
+    out.push(Effect::Progress(Progress::Retried { request, retry, backoff }));
+}
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -1,24 +1,23 @@
 //! The steward's side of slots: who gets one, and when.
 
-use std::{collections::BTreeSet, time::Duration};
+mod takeover;
 
-use basilbank_wire::{AskHolds, Body, Deny, DenyReason, Grant, Holds, Preempt, Release, Reserve};
+use std::time::Duration;
 
+use basilbank_wire::{Body, Deny, DenyReason, Grant, Preempt, Release, Reserve};
+
+use self::takeover::{ask_holds, follow, open};
+pub use self::takeover::{awake, holds, holds_asked, members_changed};
 use crate::{
-    catalogue::{Endpoint, Role},
-    effect::{Effect, EngineCall, Progress},
+    effect::{Effect, Progress},
     ids::{EndpointId, EntryId, RequestId, VmId},
-    reduce::{estimate, load, order, peer, queue, reserve},
-    state::{Group, Learning, Lease, Ledger, SlotKey, State, Timer, Waiter},
+    reduce::{load, order, peer, queue, reserve},
+    state::{Group, Lease, Ledger, SlotKey, State, Timer, Waiter},
     time::Now,
 };
 
 /// Time between two looks at leases and waiting reservations.
 const TICK: Duration = Duration::from_millis(100);
-/// A lease this young may be missing from its holder's list, which was made before the grant came.
-const GRACE: Duration = Duration::from_millis(500);
-/// How long a new steward waits for peers' lists.
-const LEARN: Duration = Duration::from_secs(2);
 
 /// A daemon asks this one, as an endpoint's steward, for a slot.
 pub fn asked(state: &mut State, now: Now, from: VmId, ask: &Reserve, out: &mut Vec<Effect>) {
@@ -94,61 +93,6 @@
     None
 }
 
-/// Opens an endpoint's ledger when this daemon has become its steward.
-///
-/// A steward that is new does not know what its predecessor granted. Granting all slots then would
-/// put up to twice as many requests on the endpoint as it has slots, seen as refusals after whole
-/// prefills. So it asks all peers first. Nor does it know whether the endpoint is leaving: its
-/// predecessor alone read that, and work granted before the first report would reach an endpoint
-/// that was marked long ago. So it reads the endpoint's load too.
-fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
-    let Some(known) = state.view.endpoint(endpoint) else { return };
-    let slots = grantable(known);
-    let link_rate = estimate::link_tokens(state, known);
-    if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
-        (ledger.slots, ledger.rate) = (slots, known.prefill_rate);
-        ledger.link_rate = link_rate;
-        return;
-    }
-    let own = state.local.vm;
-    let live = state.members.all.keys().copied().filter(|vm| state.members.is_live(*vm));
-    let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
-    let rate = known.prefill_rate;
-    let resumable = known.role == Role::Decode;
-    let mut ledger = Ledger { slots, resumable, rate, link_rate, ..Ledger::default() };
-    ask_holds(endpoint, &missing, out);
-    // A plain service tells no load, and refuses provably what is too much for it. Learning there
-    // would refuse lookups for as long as it takes, to spare a few of them a second call.
-    if known.role != Role::Plain {
-        out.push(Effect::Engine(EngineCall::ReadLoad { endpoint }));
-        let until = now.mono + LEARN;
-        ledger.learning = Some(Learning { missing, unread: true, until });
-    }
-    state.slots.ledgers.insert(endpoint, ledger);
-    let held = reserve::holds_at(state, endpoint);
-    adopt(state, now, own, &held, out);
-}
-
-fn ask_holds(endpoint: EndpointId, peers: &BTreeSet<VmId>, out: &mut Vec<Effect>) {
-    for vm in peers {
-        let ask = AskHolds { endpoint: endpoint.0 };
-        out.push(Effect::Send { to: *vm, message: Body::AskHolds(ask).into() });
-    }
-}
-
-/// Slots of an endpoint that may be leased at once; all that are asked for where it has no limit.
-///
-/// Between a plain call's end and the next one's start lie three messages. A call takes hardly longer
-/// than these, so a service whose slots were leased just once would often be idle. One in four more
-/// waits at the service's own door, which refuses provably what is too much for it.
-fn grantable(endpoint: &Endpoint) -> u32 {
-    match (endpoint.role, endpoint.slots) {
-        (_, 0) => u32::MAX,
-        (Role::Plain, slots) => slots + slots.div_ceil(4),
-        (_, slots) => slots,
-    }
-}
-
 /// Grants slots to those that wait, as far as there are any. Nothing is granted at an endpoint that
 /// has just been found to be leaving; the next tick denies those that wait.
 pub fn serve(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
@@ -254,108 +198,6 @@
     }
 }
 
-/// A new steward asks what this daemon holds.
-pub fn holds_asked(state: &mut State, from: VmId, ask: &AskHolds, out: &mut Vec<Effect>) {
-    let holds = reserve::holds_at(state, EndpointId(ask.endpoint));
-    peer::say(state, from, Body::Holds(holds), out);
-}
-
-/// A holder tells what it holds: its leases are renewed, and those it does not list are over.
-pub fn holds(state: &mut State, now: Now, from: VmId, holds: &Holds, out: &mut Vec<Effect>) {
-    let endpoint = EndpointId(holds.endpoint);
-    if bar(state, endpoint) == Some(DenyReason::NotSteward) {
-        return;
-    }
-    open(state, now, endpoint, out);
-    adopt(state, now, from, holds, out);
-    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
-    let listed: BTreeSet<_> = holds.holds.iter().map(|h| (h.request, h.attempt)).collect();
-    let is_over = |key: &SlotKey, lease: &Lease| {
-        let is_listed = listed.contains(&(key.request.0, key.attempt));
-        lease.vm == from && !is_listed && lease.since + GRACE < now.mono
-    };
-    let leases = ledger.leases.iter().filter(|(key, lease)| is_over(key, lease));
-    let over: Vec<_> = leases.map(|(key, _)| *key).collect();
-    for key in over {
-        ledger.end(key, now.mono);
-    }
-    if let Some(learning) = &mut ledger.learning {
-        learning.missing.remove(&from);
-    }
-    ledger.learned();
-    serve(state, now, endpoint, out);
-}
-
-fn adopt(state: &mut State, now: Now, from: VmId, holds: &Holds, out: &mut Vec<Effect>) {
-    let endpoint = EndpointId(holds.endpoint);
-    let until = now.mono + state.local.tuning.slot_lease;
-    let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
-    let before = ledger.leases.len();
-    for hold in &holds.holds {
-        let request = RequestId(hold.request);
-        let key = SlotKey { endpoint, request, attempt: hold.attempt };
-        if let Some(lease) = ledger.leases.get_mut(&key) {
-            lease.until = until;
-            continue;
-        }
-        let entry = EntryId(hold.entry);
-        let lease = Lease {
-            vm: from,
-            entry,
-            tokens: hold.tokens,
-            sent: 0,
-            since: now.mono,
-            until,
-            done: now.mono,
-            lent: false,
-            preempted: None,
-        };
-        ledger.lease(key, lease);
-    }
-    let over = ledger.leases.len().saturating_sub(ledger.slots as usize);
-    if before < ledger.leases.len() && 0 < over {
-        let pairs = vec![("endpoint", endpoint.to_string()), ("over", over.to_string())];
-        out.push(Effect::Progress(Progress::Note { name: "slot_over_commit", pairs }));
-    }
-}
-
-/// This daemon was paused: it is as new to its endpoints as a steward that has just taken over.
-///
-/// Meanwhile another may have been their steward and have granted slots that these ledgers show
-/// free. Granting from them would over-commit endpoints until the holders' next lists come, seen as
-/// refusals after whole prefills; so the ledgers are opened anew, and ask. Those that waited here ask
-/// again when they hear nothing.
-pub fn awake(state: &mut State) {
-    state.slots.ledgers.clear();
-    state.slots.revision = 0;
-}
-
-/// The live members changed, so stewardships may have moved.
-pub fn members_changed(state: &mut State, now: Now, out: &mut Vec<Effect>) {
-    follow(state, now, out);
-    reserve::members_changed(state, now, out);
-}
-
-/// Opens ledgers of endpoints that this daemon has become the steward of, and closes others.
-fn follow(state: &mut State, now: Now, out: &mut Vec<Effect>) {
-    state.slots.revision = state.view.catalogue.revision;
-    let own = state.local.vm;
-    let catalogue = state.view.catalogue.clone();
-    let mine = catalogue.endpoints.iter().map(|e| e.id);
-    let mine: BTreeSet<_> = mine.filter(|e| state.members.steward(e.0) == Some(own)).collect();
-    let closed: Vec<_> =
-        state.slots.ledgers.keys().filter(|e| !mine.contains(e)).copied().collect();
-    for endpoint in closed {
-        let Some(mut ledger) = state.slots.ledgers.remove(&endpoint) else { continue };
-        for waiter in ledger.waiting.take(|_, _, _, _| true) {
-            deny(state, waiter.key, waiter.vm, DenyReason::NotSteward, Duration::ZERO, out);
-        }
-    }
-    for endpoint in mine {
-        open(state, now, endpoint, out);
-    }
-}
-
 /// Expires leases and reservations, grants what waits, and does the holder's part.
 pub fn tick(state: &mut State, now: Now, out: &mut Vec<Effect>) {
     state.timers.set(now.mono + TICK, Timer::Slots);
