--- a/crates/basilbank_core/src/reduce/decode.rs
+++ b/crates/basilbank_core/src/reduce/decode.rs
@@ -84,7 +84,7 @@
             reserve::release_stalled(state, prefill, failed, out);
         }
     } else {
-        reserve::release(state, slot, out);
+        reserve::release_failed(state, slot, failure, out);
     }
     let attempt = reserve::renew(state, attempt);
     let Some(found) = state.requests.attempts.get_mut(attempt) else { return };
--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -17,6 +17,8 @@
 
 /// A slot is taken back for a reservation that has waited for this part of the time it has.
 const PATIENCE: u32 = 4;
+/// In so many times the time between two ends of leases one has most likely ended.
+const LIKELY: u32 = 2;
 /// A holder that has not given a slot back for this long can't: another one is asked.
 const GIVE_BACK: Duration = Duration::from_secs(1);
 
@@ -127,13 +129,14 @@
     if !ledger.resumable || 0 < ledger.free() {
         return Vec::new();
     }
+    let soon = now.mono + ledger.interval(now.mono) * LIKELY;
     let urgent: usize = ledger
         .waiting
         .lines()
         .map(|(e, line)| {
             let share = Share::of(ledger, view, e);
             let room = (share.owed - share.used).max(0.0) as usize;
-            line.iter().take(room).filter(|(group, w)| is_urgent(*group, w, now)).count()
+            line.iter().take(room).filter(|(group, w)| is_urgent(*group, w, now, soon)).count()
         })
         .sum();
     let asked = |lease: &Lease| lease.preempted.is_some_and(|at| now.mono < at + GIVE_BACK);
@@ -148,10 +151,12 @@
     taken
 }
 
-/// Whether a reservation has used up so much of its time that a slot is taken back for it.
-fn is_urgent(group: Group, waiter: &Waiter, now: Now) -> bool {
+/// Whether a slot is taken back for a reservation: it has used up much of its time, and is due before
+/// one will have come free by itself.
+fn is_urgent(group: Group, waiter: &Waiter, now: Now, soon: Duration) -> bool {
     let patience = waiter.due.saturating_sub(waiter.since) / PATIENCE;
-    group != Group::Late && waiter.first && waiter.since + patience <= now.mono
+    let has_waited = waiter.since + patience <= now.mono;
+    group != Group::Late && waiter.first && has_waited && waiter.due < soon
 }
 
 fn victim(ledger: &Ledger, view: &View) -> Option<SlotKey> {
--- a/crates/basilbank_core/src/reduce/reserve.rs
+++ b/crates/basilbank_core/src/reduce/reserve.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     effect::{Effect, Progress},
+    event::Failure,
     ids::{AttemptKey, EndpointId, EntryId, RequestId, VmId},
     reduce::{estimate, peer, place, retry},
     state::{AttemptStage, OwnSlot, SlotKey, State},
@@ -105,6 +106,13 @@
     give_back(state, key, release_of(key), out);
 }
 
+/// Gives a slot back after a call that failed. The steward hears of a refusal as full, for it granted a
+/// slot that was not there.
+pub fn release_failed(state: &mut State, key: SlotKey, failure: Failure, out: &mut Vec<Effect>) {
+    let release = Release { full: failure == Failure::Full, ..release_of(key) };
+    give_back(state, key, release, out);
+}
+
 /// Gives a slot back whose use ended in a stalled transfer from or to another endpoint.
 pub fn release_stalled(state: &mut State, key: SlotKey, other: EndpointId, out: &mut Vec<Effect>) {
     let release = Release { stalled: other.0, ..release_of(key) };
@@ -314,7 +322,12 @@
 }
 
 fn release_of(key: SlotKey) -> Release {
-    Release { endpoint: key.endpoint.0, request: key.request.0, attempt: key.attempt, stalled: 0 }
+    Release {
+        endpoint: key.endpoint.0,
+        request: key.request.0,
+        attempt: key.attempt,
+        ..Release::default()
+    }
 }
 
 fn millis(duration: Duration) -> u32 {
--- a/crates/basilbank_core/src/reduce/retry.rs
+++ b/crates/basilbank_core/src/reduce/retry.rs
@@ -104,6 +104,9 @@
             return settle::unknown(state, now, key, out);
         }
     }
+    if let Some(slot) = state.requests.attempts[attempt].prefill.take() {
+        reserve::release_failed(state, slot, failure, out);
+    }
     let retry = retry_of(failure, Retry::PrefillFailed);
     prefill_again(state, now, attempt, retry, out);
 }
@@ -298,6 +301,9 @@
             return settle::unknown(state, now, key, out);
         }
     }
+    if let Some(slot) = state.requests.attempts[attempt].slot {
+        reserve::release_failed(state, slot, failure, out);
+    }
     settle::drop_attempt(state, attempt, out);
     again(state, now, key, retry_of(failure, Retry::PlainFailed), out);
 }
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -189,7 +189,14 @@
     let key = SlotKey { endpoint, request: RequestId(release.request), attempt: release.attempt };
     let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) else { return };
     let waited = !ledger.waiting.is_empty();
-    let moved = ledger.waiting.remove(key).is_some() || ledger.end(key, now.mono).is_some();
+    let withdrawn = ledger.waiting.remove(key).is_some();
+    let ended = !withdrawn && ledger.end(key, now.mono).is_some();
+    if ended && release.full {
+        ledger.note_full();
+    } else if ended {
+        ledger.note_served();
+    }
+    let moved = withdrawn || ended;
     if moved {
         if waited {
             ledger.note_move(now.mono);
--- a/crates/basilbank_core/src/reduce/slots/takeover.rs
+++ b/crates/basilbank_core/src/reduce/slots/takeover.rs
@@ -28,10 +28,11 @@
 /// that was marked long ago. So it reads the endpoint's load too.
 pub(super) fn open(state: &mut State, now: Now, endpoint: EndpointId, out: &mut Vec<Effect>) {
     let Some(known) = state.view.endpoint(endpoint) else { return };
-    let slots = grantable(known);
+    let extra = extra(known);
+    let slots = if known.slots == 0 { u32::MAX } else { known.slots + extra };
     let link_rate = estimate::link_tokens(state, known);
     if let Some(ledger) = state.slots.ledgers.get_mut(&endpoint) {
-        (ledger.slots, ledger.rate) = (slots, known.prefill_rate);
+        (ledger.slots, ledger.extra, ledger.rate) = (slots, extra, known.prefill_rate);
         ledger.link_rate = link_rate;
         return;
     }
@@ -40,7 +41,7 @@
     let missing: BTreeSet<_> = live.filter(|vm| *vm != own).collect();
     let rate = known.prefill_rate;
     let resumable = known.role == Role::Decode;
-    let mut ledger = Ledger { slots, resumable, rate, link_rate, ..Ledger::default() };
+    let mut ledger = Ledger { slots, extra, resumable, rate, link_rate, ..Ledger::default() };
     ask_holds(endpoint, &missing, out);
     // A plain service tells no load, and refuses provably what is too much for it. Learning there
     // would refuse lookups for as long as it takes, to spare a few of them a second call.
@@ -61,16 +62,15 @@
     }
 }
 
-/// Slots of an endpoint that may be leased at once; all that are asked for where it has no limit.
+/// Slots that are leased beyond those that an endpoint has.
 ///
 /// Between a plain call's end and the next one's start lie three messages. A call takes hardly longer
-/// than these, so a service whose slots were leased just once would often be idle. One in four more
-/// waits at the service's own door, which refuses provably what is too much for it.
-fn grantable(endpoint: &Endpoint) -> u32 {
-    match (endpoint.role, endpoint.slots) {
-        (_, 0) => u32::MAX,
-        (Role::Plain, slots) => slots + slots.div_ceil(4),
-        (_, slots) => slots,
+/// than these, so a service whose slots were leased just once would often be idle. Half as many more
+/// wait at the service's own door. One that has no place there refuses them provably, and gets fewer.
+fn extra(endpoint: &Endpoint) -> u32 {
+    match endpoint.role {
+        Role::Plain => endpoint.slots.div_ceil(2),
+        Role::Prefill | Role::Decode => 0,
     }
 }
 
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -16,6 +16,9 @@
 /// Without a late reservation for this long, it is not known any more how long one would wait.
 const LATE_PAUSE: Duration = Duration::from_secs(5);
 
+/// Leases that end well before one more extra slot is tried again.
+const REGAIN: u32 = 200;
+
 /// How long a stalled transfer speaks against an endpoint.
 const STALL_MEMORY: Duration = Duration::from_secs(5);
 
@@ -74,6 +77,12 @@
 pub struct Ledger {
     /// Slots that the endpoint has.
     pub slots: u32,
+    /// Of these, slots that the endpoint does not have: what they are granted for waits at its door.
+    pub extra: u32,
+    /// Of the extra slots, those that are not granted because it refused work as full.
+    pub cut: u32,
+    /// Leases that ended since it last did, or since one was granted again.
+    pub served: u32,
     /// Its work can go on elsewhere, so that slots can be taken back: it is a decode endpoint.
     pub resumable: bool,
     /// Tokens a second of a prefill endpoint; 0 elsewhere.
@@ -118,7 +127,7 @@
     pub fn free(&self) -> u32 {
         let held = self.leases.len() as u32;
         if self.learning.is_none() {
-            return self.slots.saturating_sub(held + self.foreign);
+            return self.slots.saturating_sub(held + self.foreign + self.cut);
         }
         // What others hold is not known yet: only what the endpoint's own report proves free is
         // granted, less what was granted since then.
@@ -199,6 +208,28 @@
         Some(lease)
     }
 
+    /// The endpoint refused work as full for which a slot was granted.
+    ///
+    /// Either it has no place at its door for extra work, or it runs something that no daemon is known
+    /// to hold: then the next report says how much.
+    pub fn note_full(&mut self) {
+        if self.cut < self.extra {
+            self.cut += 1;
+            self.served = 0;
+        } else if self.extra == 0 {
+            self.foreign += 1;
+        }
+    }
+
+    /// A lease ended well.
+    pub fn note_served(&mut self) {
+        self.served += 1;
+        if REGAIN <= self.served {
+            self.cut = self.cut.saturating_sub(1);
+            self.served = 0;
+        }
+    }
+
     /// Notes a stalled transfer. Whether the endpoint should rest: transfers have stalled with several
     /// others, for several daemons unless there are few.
     pub fn note_stall(&mut self, now: Duration, vm: VmId, other: EndpointId, few: bool) -> bool {
@@ -243,6 +274,12 @@
         self.ended.iter().filter(|ended| at <= **ended).count() as u32
     }
 
+    /// Mean time between two ends of leases lately.
+    #[must_use]
+    pub fn interval(&self, now: Duration) -> Duration {
+        REMEMBER / self.ended_since(now.saturating_sub(REMEMBER)).max(1)
+    }
+
     /// Leases of an entry.
     #[must_use]
     pub fn used_by(&self, entry: EntryId) -> u32 {
--- a/crates/basilbank_core/tests/policy/ledgers.rs
+++ b/crates/basilbank_core/tests/policy/ledgers.rs
@@ -107,3 +107,29 @@
     assert_eq!(ledger.ended_since(at(400)), 1);
     assert_eq!(ledger.ended_since(at(600)), 0);
 }
+
+/// Symptom: a service without a queue refuses a third of all calls, however long it does.
+/// Sequence: slots are granted beyond those that it has, to keep it busy between two calls.
+/// Cause (guarded against): a refusal that only the refused call's daemon hears of.
+#[test]
+fn a_service_that_refuses_extra_calls_gets_fewer() {
+    let mut ledger = Ledger { slots: 6, extra: 2, ..Ledger::default() };
+    for _ in 0..5 {
+        ledger.note_full();
+    }
+    assert_eq!(ledger.free(), 4, "never below what it has");
+    for _ in 0..200 {
+        ledger.note_served();
+    }
+    assert_eq!(ledger.free(), 5, "one more is tried after a while");
+}
+
+/// Symptom: a decode endpoint is granted again and again though it is full.
+/// Sequence: it runs streams that no daemon is known to hold, and refuses.
+/// Cause (guarded against): waiting for the next load report to learn what the refusal says.
+#[test]
+fn a_refusal_as_full_counts_until_the_next_report() {
+    let mut ledger = Ledger { slots: 20, ..Ledger::default() };
+    ledger.note_full();
+    assert_eq!(ledger.free(), 19);
+}
--- a/crates/basilbank_wire/src/message.rs
+++ b/crates/basilbank_wire/src/message.rs
@@ -273,6 +273,9 @@
     /// The transfer between the endpoint and this one made no progress; 0 when nothing stalled.
     #[prost(fixed64, tag = "4")]
     pub stalled: u64,
+    /// The endpoint refused the work as full, though the slot was granted.
+    #[prost(bool, tag = "5")]
+    pub full: bool,
 }
 
 /// A new steward's question.
