A refused caller is told a time that is worth coming back at

Cause: a reservation that ran out of time was denied with the mean time between two free slots, a few milliseconds, and that went to the caller. Change: the wait behind all others, at least 250 ms and at most a minute.

--- a/crates/basilbank_core/src/reduce/queue.rs
+++ b/crates/basilbank_core/src/reduce/queue.rs
@@ -115,8 +115,7 @@
         waiter.until < now.mono + wait
     });
     ledger.waiting = waiting;
-    let behind = pace * (1 + ledger.waiting.len() as u32);
-    (hopeless, behind.max(drought))
+    (hopeless, ledger.behind(now.mono))
 }
 
 /// Leases to be taken back, with their holders.
--- a/crates/basilbank_core/src/reduce/retry/wait.rs
+++ b/crates/basilbank_core/src/reduce/retry/wait.rs
@@ -18,6 +18,11 @@
 pub(super) const GIVE_WAY: Duration = Duration::from_millis(250);
 /// It grows with each time, up to this many times.
 const LONGEST_WAY: u32 = 8;
+/// A refused caller is told to come back no sooner than after this: what is full now is full in a
+/// moment, and callers who come back at once keep it so.
+const SOONEST: Duration = Duration::from_millis(250);
+/// And no later.
+const LATEST: Duration = Duration::from_secs(60);
 /// Pause before a steward is asked again that could not decide.
 const STEWARD_PAUSE: Duration = Duration::from_millis(50);
 
@@ -49,7 +54,8 @@
         return later(state, now, key, pause, out);
     }
     let refusal = if is_undecided { Refusal::NoEndpoint } else { place::refusal_of(state, key) };
-    settle::give_up(state, now, key, refusal, Some(retry), out);
+    let after = retry.clamp(SOONEST, LATEST);
+    settle::give_up(state, now, key, refusal, Some(after), out);
 }
 
 /// No endpoint can be asked now.
--- a/crates/basilbank_core/src/reduce/slots.rs
+++ b/crates/basilbank_core/src/reduce/slots.rs
@@ -242,7 +242,7 @@
     }
     let is_over = |w: &Waiter| barred.is_some() || w.until <= now.mono;
     let ended = ledger.waiting.take(|_, waiter, _, _| is_over(waiter));
-    let retry = ledger.pace.unwrap_or_default();
+    let retry = ledger.behind(now.mono);
     let reason = barred.unwrap_or(DenyReason::Full);
     for waiter in ended {
         deny(state, waiter.key, waiter.vm, reason, retry, out);
--- a/crates/basilbank_core/src/state/ledger.rs
+++ b/crates/basilbank_core/src/state/ledger.rs
@@ -183,6 +183,13 @@
         now.saturating_sub(self.late_served)
     }
 
+    /// How long a new reservation would wait behind all others.
+    #[must_use]
+    pub fn behind(&self, now: Duration) -> Duration {
+        let pace = self.pace.unwrap_or_default();
+        (pace * (1 + self.waiting.len() as u32)).max(self.drought(now))
+    }
+
     /// Adds a reservation that waits.
     pub fn wait(&mut self, waiter: Waiter, now: Duration) {
         if self.waiting.is_empty() {
--- a/crates/basilbank_core/tests/policy/queues.rs
+++ b/crates/basilbank_core/tests/policy/queues.rs
@@ -1,5 +1,7 @@
 //! Who waits for how long, and who is told what when.
 
+use std::time::Duration;
+
 use basilbank_core::prelude::*;
 
 use super::{START, done, found, millis, secs};
@@ -52,6 +54,12 @@
         assert_eq!(refusal, Refusal::TargetMissed);
         assert!(at - one.sent <= target + millis(120), "{:?}", at - one.sent);
     }
+    let refused =
+        world.callers.tries.iter().filter(|t| matches!(t.end, Some((_, End::Refused(_)))));
+    let told: Vec<_> = refused.map(|t| t.after).collect();
+    let is_useful =
+        |after: &Option<Duration>| after.is_some_and(|a| (millis(250)..=secs(60)).contains(&a));
+    assert!(told.iter().all(is_useful), "{told:?}");
     let served = done(&world, |_| true);
     assert!((500..1500).contains(&served), "{served}");
 }
--- a/crates/basilbank_core/tests/world/callers.rs
+++ b/crates/basilbank_core/tests/world/callers.rs
@@ -40,6 +40,8 @@
     pub source: Option<(usize, u64)>,
     /// Where the stream lives.
     pub located: Option<ResumePoint>,
+    /// When it was told to come back after a refusal.
+    pub after: Option<Duration>,
     /// Tokens that came again.
     pub doubled: u32,
     /// Tokens that were missing before others, or at the end.
@@ -159,6 +161,7 @@
             closed: false,
             source: None,
             located: None,
+            after: None,
             doubled: 0,
             missing: 0,
             foreign: 0,
@@ -287,7 +290,10 @@
                     None => End::Unknown,
                 }
             }
-            Answer::Refused { refusal, .. } => End::Refused(refusal),
+            Answer::Refused { refusal, after } => {
+                one.after = after;
+                End::Refused(refusal)
+            }
             Answer::Unknown => End::Unknown,
         };
         one.closed = true;
