--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use basilbank_wire::LoadBeat;
+
 use crate::{
     call::RequestId,
     endpoint::{EndpointKey, Stage},
@@ -71,6 +73,13 @@
         /// The fencing number.
         fence: u64,
     },
+    /// Send a datagram to peers.
+    SendBeat {
+        /// To whom.
+        to: Vec<SocketAddr>,
+        /// What to say.
+        beat: LoadBeat,
+    },
     /// An endpoint is gone: close what is kept open to it once it is idle.
     Forget(EndpointKey),
     /// A line for the log, and a counter.
@@ -164,7 +173,7 @@
 
     /// With one more pair.
     #[must_use]
-    pub fn with(mut self, key: &'static str, value: impl ToString) -> Note {
+    pub fn with(mut self, key: &'static str, value: impl std::fmt::Display) -> Note {
         self.pairs.push((key, value.to_string()));
         self
     }
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -1,6 +1,8 @@
 //! All that can happen to the router of forwarded calls.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use basilbank_wire::LoadBeat;
 
 use crate::{
     call::{Call, RequestId},
@@ -53,6 +55,13 @@
         /// It was accepted.
         accepted: Acceptance,
     },
+    /// A peer's datagram.
+    Beat {
+        /// Where it came from.
+        from: SocketAddr,
+        /// What it says.
+        beat: LoadBeat,
+    },
     /// SIGTERM.
     Shutdown,
 }
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -4,12 +4,14 @@
 //! then on. After each event it asks `plain` or `draft` what comes next, and carries that out.
 
 mod arrive;
+mod beat;
 mod draft;
 mod endpoints;
 mod finish;
 mod outcome;
 mod pick;
 mod plain;
+mod queue;
 mod step;
 
 use std::time::Duration;
@@ -19,6 +21,7 @@
 use crate::{
     call::RequestId,
     effect::{Effect, Note},
+    endpoint::EndpointKey,
     event::Event,
     state::State,
 };
@@ -44,12 +47,27 @@
             turn.state.leaving = true;
             let running = turn.state.requests.len();
             turn.note(Note::new("shutdown").with("requests", running));
+            beat::leave(&mut turn);
         }
+        Event::Beat { from, beat } => beat::heard(&mut turn, from, &beat),
     }
     endpoints::expire(&mut turn);
     while let Some(id) = turn.state.due_timer(turn.now) {
         step::timer(&mut turn, id);
     }
+    beat::tick(&mut turn);
+}
+
+/// Counts a call at an endpoint, and lets peers know.
+fn begin(state: &mut State, endpoint: EndpointKey, tokens: u32) {
+    state.directory.begin(endpoint, tokens);
+    state.peers.changed = true;
+}
+
+/// Undoes [`begin`].
+fn end(state: &mut State, endpoint: EndpointKey, tokens: u32) {
+    state.directory.end(endpoint, tokens);
+    state.peers.changed = true;
 }
 
 /// One event's turn.
--- /dev/null
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -0,0 +1,165 @@
+//! Daemons tell each other what they have at endpoints.
+//!
+//! Without it each daemon fills decode endpoints that others have filled already: prompts are then
+//! read for drafts that wait for memory, and calls are refused while other endpoints have room.
+
+use std::{net::SocketAddr, time::Duration};
+
+use basilbank_wire::{EndpointLoad, LoadBeat};
+
+use super::{Turn, queue};
+use crate::{
+    effect::{Effect, Note},
+    state::peers::{Load, Peer, from_wire, to_wire},
+};
+
+/// Least time between two datagrams after a change, besides what the number of peers adds.
+const LEAST: Duration = Duration::from_millis(15);
+
+/// Added for each peer. It bounds what a daemon receives to one datagram a period at any size of
+/// fleet: about 500 a second, 20 KB with some entries each.
+const EACH_PEER: Duration = Duration::from_millis(2);
+
+/// Longest time between two datagrams: the heartbeat.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// A peer that was silent for this long is gone, and so is its work: five heartbeats.
+const GONE: Duration = Duration::from_millis(2500);
+
+/// How long an address is tried that a peer named.
+const HINT: Duration = Duration::from_secs(2);
+
+/// Peers that are named in a datagram.
+const NAMED: usize = 6;
+
+/// Takes a peer's datagram in.
+pub fn heard(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
+    let now = turn.now;
+    let peers = &mut turn.state.peers;
+    let before = peers.known.get(&from);
+    // Datagrams overtake each other; what an older one says is over.
+    let stale = before
+        .is_some_and(|peer| (beat.incarnation, beat.sequence) <= (peer.incarnation, peer.sequence));
+    if stale || beat.incarnation == peers.incarnation {
+        return;
+    }
+    let named: Vec<_> = beat.peers.iter().filter_map(|peer| from_wire(*peer)).collect();
+    for address in named {
+        if !peers.known.contains_key(&address) {
+            peers.hints.entry(address).or_insert(now + HINT);
+        }
+    }
+    peers.hints.remove(&from);
+    let fresh = before.is_none();
+    forget_loads(turn, from);
+    if beat.leaving {
+        return forget(turn, from, "leaving");
+    }
+    let loads = resolve(turn, &beat.loads);
+    for load in &loads {
+        turn.state.directory.others(load.endpoint, load.tokens, load.calls);
+    }
+    let peer = Peer { incarnation: beat.incarnation, sequence: beat.sequence, heard: now, loads };
+    let peers = &mut turn.state.peers;
+    peers.known.insert(from, peer);
+    peers.peak = peers.peak.max(peers.known.len());
+    if fresh {
+        turn.note(Note::new("peer").with("addr", from).with("state", "up"));
+    }
+    queue::serve(turn);
+}
+
+/// Sends what is due, and forgets peers that are silent.
+pub fn tick(turn: &mut Turn<'_>) {
+    let now = turn.now;
+    let silent: Vec<_> = turn
+        .state
+        .peers
+        .known
+        .iter()
+        .filter(|(_, peer)| peer.heard + GONE <= now)
+        .map(|(address, _)| *address)
+        .collect();
+    for address in silent {
+        forget_loads(turn, address);
+        forget(turn, address, "silent");
+    }
+    if turn.state.beat_due() <= now {
+        send(turn);
+    }
+}
+
+/// Tells peers that this daemon leaves.
+pub fn leave(turn: &mut Turn<'_>) {
+    send(turn);
+}
+
+impl crate::State {
+    /// When the next datagram is due.
+    pub(crate) fn beat_due(&self) -> Duration {
+        let peers = &self.peers;
+        if peers.sequence == 0 {
+            return Duration::ZERO;
+        }
+        let count = u32::try_from(peers.known.len()).unwrap_or(u32::MAX);
+        let pause = LEAST.max(EACH_PEER.saturating_mul(count));
+        let pause = if peers.changed { pause } else { HEARTBEAT };
+        peers.sent + pause
+    }
+}
+
+fn send(turn: &mut Turn<'_>) {
+    let now = turn.now;
+    let state = &mut *turn.state;
+    let loads = state.directory.own_loads();
+    let loads = loads.map(|(instance, tokens, calls)| EndpointLoad { instance, tokens, calls });
+    let loads: Vec<_> = loads.collect();
+    let peers = &mut state.peers;
+    peers.hints.retain(|_, until| now < *until);
+    peers.sequence += 1;
+    let quiet = !peers.changed;
+    peers.sent = now;
+    peers.changed = false;
+    let mut to: Vec<_> = peers.known.keys().copied().collect();
+    let skip = if to.is_empty() { 0 } else { state.rng.index(to.len()) };
+    let named = to.iter().cycle().skip(skip).take(NAMED.min(to.len())).filter_map(to_wire);
+    let beat = LoadBeat {
+        incarnation: peers.incarnation,
+        sequence: peers.sequence,
+        leaving: state.leaving,
+        loads,
+        peers: named.collect(),
+    };
+    // Addresses that may be nobody's are tried with heartbeats only.
+    if quiet || peers.known.is_empty() {
+        let unknown = peers.seeds.iter().chain(peers.hints.keys()).copied();
+        to.extend(unknown.filter(|address| !peers.known.contains_key(address)));
+    }
+    to.sort_unstable();
+    to.dedup();
+    if !to.is_empty() {
+        turn.push(Effect::SendBeat { to, beat });
+    }
+}
+
+fn resolve(turn: &Turn<'_>, loads: &[EndpointLoad]) -> Vec<Load> {
+    let directory = &turn.state.directory;
+    let known = loads.iter().filter_map(|load| {
+        let endpoint = directory.by_hash(load.instance)?;
+        Some(Load { endpoint, tokens: load.tokens, calls: load.calls })
+    });
+    known.collect()
+}
+
+fn forget_loads(turn: &mut Turn<'_>, from: SocketAddr) {
+    let Some(peer) = turn.state.peers.known.get_mut(&from) else { return };
+    for load in std::mem::take(&mut peer.loads) {
+        turn.state.directory.no_others(load.endpoint, load.tokens, load.calls);
+    }
+}
+
+fn forget(turn: &mut Turn<'_>, from: SocketAddr, why: &str) {
+    if turn.state.peers.known.remove(&from).is_some() {
+        turn.note(Note::new("peer").with("addr", from).with("state", why));
+    }
+}
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::{
-    pick,
+    pick::{self, Decode},
     step::{Next, Send},
 };
 use crate::{
@@ -55,8 +55,10 @@
     let longest = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.hold);
     let op = Op::Hold { tokens: tuning.hold_tokens, ttl: longest };
     let limit = tuning.hold_limit;
-    let Some(endpoint) = pick::decode(state, &service, &tried, None, now) else {
-        return Next::GiveUp(Refusal::NoEndpoint);
+    let endpoint = match pick::decode(state, &service, &tried, None, tokens, now) {
+        Decode::At(endpoint) => endpoint,
+        Decode::Full => return Next::WaitForRoom,
+        Decode::None => return Next::GiveUp(Refusal::NoEndpoint),
     };
     Next::Send(Send { endpoint, op, step: Step::Hold, tokens, limit, counted: false, extra: None })
 }
@@ -94,7 +96,10 @@
     };
     let endpoint = match &hold {
         Some(hold) => Some(hold.endpoint),
-        None => pick::decode(state, &service, &tried, Some(kv.endpoint), now),
+        None => match pick::decode(state, &service, &tried, Some(kv.endpoint), tokens, now) {
+            Decode::At(endpoint) => Some(endpoint),
+            Decode::Full | Decode::None => None,
+        },
     };
     let source = state.directory.get(kv.endpoint).map(|e| e.info.addr);
     let (Some(endpoint), Some(source)) = (endpoint, source) else {
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -1,6 +1,6 @@
 //! A call ends, and what is held for it is given back.
 
-use super::Turn;
+use super::{Turn, end as release, queue};
 use crate::{
     call::RequestId,
     effect::{Effect, Note},
@@ -29,7 +29,7 @@
     let Some(request) = turn.state.requests.get(&id) else { return };
     // A refusal promises that nothing was run. Once an endpoint may have begun, only a failure that
     // promises nothing is true.
-    let refusal = match refusal.not_run() && request.maybe_run {
+    let refusal = match refusal.not_run() && request.may_have_run() {
         true => Refusal::Broken,
         false => refusal,
     };
@@ -48,7 +48,7 @@
     let Some(hold) = request.draft.hold.take_if(|hold| hold.endpoint == live.endpoint) else {
         return;
     };
-    turn.state.directory.end(hold.endpoint, hold.tokens);
+    release(turn.state, hold.endpoint, hold.tokens);
     if let Some(target) = turn.state.directory.target(hold.endpoint) {
         turn.push(Effect::Drop { target, hold: hold.name });
     }
@@ -66,9 +66,10 @@
     turn.note(note);
     for live in std::mem::take(&mut request.live) {
         turn.push(Effect::Stop { request: id, attempt: live.number });
-        turn.state.directory.end(live.endpoint, live.tokens);
+        release(turn.state, live.endpoint, live.tokens);
     }
     give_back(turn, request);
+    queue::serve(turn);
 }
 
 fn give_back(turn: &mut Turn<'_>, request: Request) {
@@ -76,7 +77,7 @@
         if let Some(target) = turn.state.directory.target(hold.endpoint) {
             turn.push(Effect::Drop { target, hold: hold.name });
         }
-        turn.state.directory.end(hold.endpoint, hold.tokens);
+        release(turn.state, hold.endpoint, hold.tokens);
     }
     if let Some(kv) = request.draft.kv
         && let Some(target) = turn.state.directory.target(kv.endpoint)
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -1,6 +1,6 @@
 //! An attempt came to something.
 
-use super::{Turn, finish, step};
+use super::{Turn, end, finish, step};
 use crate::{
     call::RequestId,
     effect::{Effect, Note},
@@ -22,7 +22,7 @@
     log(turn, id, &live, &outcome);
     // A held slot keeps its tokens counted until the draft ends.
     if !streams_on && !matches!(outcome, Outcome::Held { .. }) {
-        turn.state.directory.end(live.endpoint, live.tokens);
+        end(turn.state, live.endpoint, live.tokens);
     }
     match outcome {
         Outcome::Held { hold } => held(turn, id, &live, hold),
@@ -111,7 +111,7 @@
     request.draft.kv = None;
     // The decode call took the hold; its tokens are counted with the call from here on.
     if let Some(hold) = request.draft.hold.take() {
-        turn.state.directory.end(hold.endpoint, hold.tokens);
+        end(turn.state, hold.endpoint, hold.tokens);
     }
     turn.push(Effect::Deliver { request: id, attempt: number });
 }
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -22,7 +22,7 @@
     let remote = state.tuning.remote_cost;
     let costs = state.directory.service(service).map(|(key, endpoint)| {
         let slots = f64::from(endpoint.info.slots.max(1));
-        let queue = 1.0 + f64::from(endpoint.calls) / slots;
+        let queue = 1.0 + f64::from(endpoint.all_calls()) / slots;
         let trip = if endpoint.info.data_centre == *local { Duration::ZERO } else { remote };
         let cost = endpoint.mean.as_secs_f64() * queue + trip.as_secs_f64();
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
@@ -37,19 +37,41 @@
     service: &str,
     tried: &[EndpointKey],
     near: Option<EndpointKey>,
+    need: u32,
     now: Duration,
-) -> Option<EndpointKey> {
-    let memory = f64::from(state.routes.engine(service)?.memory.max(1));
+) -> Decode {
+    let Some(engine) = state.routes.engine(service) else { return Decode::None };
+    let memory = f64::from(engine.memory.max(1));
+    let full = memory * state.tuning.memory_used - f64::from(need);
     let place = near.and_then(|key| state.directory.get(key)).map(|e| e.info.data_centre.clone());
     let place = place.unwrap_or_else(|| state.local.data_centre.clone());
-    let costs = state.directory.stage(service, Stage::Decode).map(|(key, endpoint)| {
-        let used = f64::from(endpoint.tokens) / memory;
+    let mut any = false;
+    let endpoints = state.directory.stage(service, Stage::Decode).inspect(|_| any = true);
+    // An endpoint that has nothing takes any draft, however large.
+    let open = endpoints.filter(|(_, e)| e.all_calls() == 0 || f64::from(e.all_tokens()) <= full);
+    let costs = open.map(|(key, endpoint)| {
+        let used = f64::from(endpoint.all_tokens()) / memory;
         let away = if endpoint.info.data_centre == place { 0.0 } else { REMOTE_MEMORY };
         let cost = used + away;
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
-    least(state, &costs)
+    match least(state, &costs) {
+        Some(key) => Decode::At(key),
+        None if any => Decode::Full,
+        None => Decode::None,
+    }
+}
+
+/// Where a draft is decoded.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Decode {
+    /// There.
+    At(EndpointKey),
+    /// Nowhere now: all endpoints' memory is taken.
+    Full,
+    /// There is no endpoint.
+    None,
 }
 
 /// A KV cache that crosses data centres takes twice the link's time; it is worth this part of a
@@ -70,7 +92,7 @@
     let remote = state.tuning.remote_cost.as_secs_f64();
     let costs = state.directory.stage(service, Stage::Prefill).map(|(key, endpoint)| {
         let away = if endpoint.info.data_centre == place { 0.0 } else { remote };
-        let cost = f64::from(endpoint.tokens) / rate + away;
+        let cost = f64::from(endpoint.all_tokens()) / rate + away;
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Turn, draft, finish, plain};
+use super::{Turn, begin, draft, finish, plain, queue};
 use crate::{
     call::RequestId,
     effect::{Attempt, Effect, Note, Op},
@@ -26,6 +26,8 @@
     Wait,
     /// Nothing until then.
     WaitUntil(Duration),
+    /// Nothing until there is room at a decode endpoint.
+    WaitForRoom,
     /// It is given up.
     GiveUp(Refusal),
 }
@@ -64,6 +66,7 @@
             }
             turn.wake(id, at);
         }
+        Next::WaitForRoom => queue::wait(turn, id),
         Next::GiveUp(refusal) => finish::give_up(turn, id, refusal),
         Next::Send(send) => start(turn, id, send),
     }
@@ -73,7 +76,7 @@
 pub fn timer(turn: &mut Turn<'_>, id: RequestId) {
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
     if request.deadline <= turn.now {
-        let refusal = if request.maybe_run { Refusal::TimedOut } else { Refusal::WaitedOut };
+        let refusal = if request.may_have_run() { Refusal::TimedOut } else { Refusal::WaitedOut };
         return finish::give_up(turn, id, refusal);
     }
     if request.resume_at.is_some_and(|at| at <= turn.now) {
@@ -101,8 +104,7 @@
 
 fn send_out(turn: &mut Turn<'_>, id: RequestId, send: Send) {
     let Some(target) = turn.state.directory.target(send.endpoint) else { return };
-    let State { requests, directory, .. } = &mut *turn.state;
-    let Some(request) = requests.get_mut(&id) else { return };
+    let Some(request) = turn.state.requests.get_mut(&id) else { return };
     let number = request.attempts;
     request.attempts += 1;
     request.counted += u32::from(send.counted);
@@ -115,7 +117,6 @@
         step: send.step,
     };
     request.live.push(live);
-    directory.begin(send.endpoint, send.tokens);
     let remaining = request.remaining(turn.now);
     let urgency = None;
     let note = Note::new("send")
@@ -125,6 +126,7 @@
         .with("left_ms", remaining.as_millis());
     let limit = send.limit.min(remaining);
     let attempt = Attempt { number, target, op: send.op, remaining, limit, urgency };
+    begin(turn.state, send.endpoint, send.tokens);
     turn.note_request(id, note);
     turn.push(Effect::Start { request: id, attempt });
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -2,10 +2,12 @@
 
 pub mod budget;
 pub mod directory;
+pub mod peers;
 pub mod requests;
 
 use std::{
     collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
@@ -15,6 +17,7 @@
 pub use self::{
     budget::Budget,
     directory::{Directory, Endpoint},
+    peers::Peers,
     requests::{Draft, Live, Request},
 };
 use crate::{call::RequestId, route::RouteTable, tuning::Tuning};
@@ -28,6 +31,10 @@
     pub data_centre: String,
     /// Seed of its random choices.
     pub seed: u64,
+    /// Its process's start, milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Addresses at which peers may be found.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Local {
@@ -39,6 +46,21 @@
         self
     }
 
+    /// With its process's start; random choices follow from it.
+    #[must_use]
+    pub fn with_incarnation(mut self, incarnation: u64) -> Local {
+        self.incarnation = incarnation;
+        self.seed = self.seed.wrapping_add(incarnation);
+        self
+    }
+
+    /// With addresses at which peers may be found.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Local {
+        self.seeds = seeds;
+        self
+    }
+
     /// With a data centre.
     #[must_use]
     pub fn with_data_centre(mut self, name: &str) -> Local {
@@ -62,6 +84,10 @@
     pub requests: HashMap<RequestId, Request>,
     /// Retry budgets by service.
     pub budgets: HashMap<String, Budget>,
+    /// The other daemons.
+    pub peers: Peers,
+    /// Drafts that wait for room.
+    pub waiting: Vec<RequestId>,
     /// SIGTERM came.
     pub leaving: bool,
     pub(crate) rng: Rng,
@@ -73,6 +99,11 @@
     #[must_use]
     pub fn new(local: Local, tuning: Tuning) -> State {
         let rng = Rng::new(local.seed);
+        let peers = Peers {
+            incarnation: local.incarnation,
+            seeds: local.seeds.clone(),
+            ..Peers::default()
+        };
         State {
             local,
             tuning,
@@ -80,6 +111,8 @@
             directory: Directory::default(),
             requests: HashMap::new(),
             budgets: HashMap::new(),
+            peers,
+            waiting: Vec::new(),
             leaving: false,
             rng,
             timers: BTreeSet::new(),
@@ -103,7 +136,7 @@
     pub fn wake_at(&self) -> Option<Duration> {
         let timer = self.timers.first().map(|(at, _)| *at);
         let expiry = self.directory.next_expiry();
-        timer.into_iter().chain(expiry).min()
+        timer.into_iter().chain(expiry).chain([self.beat_due()]).min()
     }
 
     pub(crate) fn set_timer(&mut self, at: Duration, id: RequestId) {
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     effect::Target,
@@ -27,6 +28,10 @@
     pub calls: u32,
     /// Tokens of own calls: to be read at a prefill endpoint, in memory at a decode endpoint.
     pub tokens: u32,
+    /// Tokens of peers' calls.
+    pub peer_tokens: u32,
+    /// Peers' calls in progress.
+    pub peer_calls: u32,
     /// Running mean of its answer times.
     pub mean: Duration,
     /// Not used before this, unless there is nothing else.
@@ -44,6 +49,8 @@
             gone: false,
             calls: 0,
             tokens: 0,
+            peer_tokens: 0,
+            peer_calls: 0,
             mean: FIRST_MEAN,
             avoided: Duration::ZERO,
             failures: 0,
@@ -57,6 +64,18 @@
         !self.gone && !self.info.draining
     }
 
+    /// Tokens of all daemons' calls, as far as they are known.
+    #[must_use]
+    pub fn all_tokens(&self) -> u32 {
+        self.tokens.saturating_add(self.peer_tokens)
+    }
+
+    /// Calls of all daemons, as far as they are known.
+    #[must_use]
+    pub fn all_calls(&self) -> u32 {
+        self.calls.saturating_add(self.peer_calls)
+    }
+
     /// It answered: it is there.
     pub fn answered(&mut self, took: Duration) {
         self.failures = 0;
@@ -87,6 +106,7 @@
     pub read_at: Duration,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     instances: HashMap<String, EndpointKey>,
+    hashes: HashMap<u64, EndpointKey>,
     services: HashMap<String, Vec<EndpointKey>>,
 }
 
@@ -146,6 +166,7 @@
         }
         let (instance, service) = (info.instance.clone(), info.service.clone());
         let key = self.endpoints.insert(Endpoint::new(info));
+        self.hashes.insert(xxh3_64(instance.as_bytes()), key);
         self.instances.insert(instance, key);
         self.services.entry(service).or_default().push(key);
         true
@@ -203,11 +224,40 @@
         self.remove_idle(key);
     }
 
+    /// The endpoint whose instance has this hash.
+    #[must_use]
+    pub fn by_hash(&self, hash: u64) -> Option<EndpointKey> {
+        self.hashes.get(&hash).copied()
+    }
+
+    /// What this daemon has at endpoints: the instance's hash, tokens, calls.
+    pub fn own_loads(&self) -> impl Iterator<Item = (u64, u32, u32)> {
+        let busy = self.endpoints.values().filter(|e| e.calls != 0);
+        busy.map(|e| (xxh3_64(e.info.instance.as_bytes()), e.tokens, e.calls))
+    }
+
+    /// Counts a peer's calls.
+    pub fn others(&mut self, key: EndpointKey, tokens: u32, calls: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.peer_tokens = endpoint.peer_tokens.saturating_add(tokens);
+            endpoint.peer_calls = endpoint.peer_calls.saturating_add(calls);
+        }
+    }
+
+    /// Undoes [`Directory::others`].
+    pub fn no_others(&mut self, key: EndpointKey, tokens: u32, calls: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.peer_tokens = endpoint.peer_tokens.saturating_sub(tokens);
+            endpoint.peer_calls = endpoint.peer_calls.saturating_sub(calls);
+        }
+    }
+
     fn remove_idle(&mut self, key: EndpointKey) {
         if !self.endpoints.get(key).is_some_and(|e| e.gone && e.calls == 0) {
             return;
         }
         let Some(endpoint) = self.endpoints.remove(key) else { return };
+        self.hashes.remove(&xxh3_64(endpoint.info.instance.as_bytes()));
         self.instances.remove(&endpoint.info.instance);
         if let Some(keys) = self.services.get_mut(&endpoint.info.service) {
             keys.retain(|other| *other != key);
--- /dev/null
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -0,0 +1,72 @@
+//! The other daemons, and what they have at endpoints.
+
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    time::Duration,
+};
+
+use basilbank_wire::PeerAddress;
+
+use crate::endpoint::EndpointKey;
+
+/// One other daemon.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its process's start.
+    pub incarnation: u64,
+    /// Its last datagram.
+    pub sequence: u64,
+    /// When that came.
+    pub heard: Duration,
+    /// What it has at endpoints.
+    pub loads: Vec<Load>,
+}
+
+/// What a peer has at an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Load {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Tokens there.
+    pub tokens: u32,
+    /// Calls there.
+    pub calls: u32,
+}
+
+/// All of them, and this daemon's own datagrams.
+#[derive(Debug, Default)]
+pub struct Peers {
+    /// By address.
+    pub known: HashMap<SocketAddr, Peer>,
+    /// Addresses that were named by settings or peers, and from which nothing has come yet; with
+    /// the time until which they are tried.
+    pub hints: HashMap<SocketAddr, Duration>,
+    /// Addresses of the settings. They are tried for ever: a daemon that was cut off finds the
+    /// others again through them.
+    pub seeds: Vec<SocketAddr>,
+    /// The most peers that were known at once.
+    pub peak: usize,
+    /// This process's start.
+    pub incarnation: u64,
+    /// The last datagram that was sent.
+    pub sequence: u64,
+    /// When it was sent.
+    pub sent: Duration,
+    /// What this daemon has at endpoints has changed since.
+    pub changed: bool,
+}
+
+/// The address as peers tell it to each other; `None` for anything but IPv4.
+#[must_use]
+pub fn to_wire(address: &SocketAddr) -> Option<PeerAddress> {
+    let SocketAddr::V4(v4) = address else { return None };
+    Some(PeerAddress { ip: v4.ip().to_bits(), port: u32::from(v4.port()) })
+}
+
+/// The address that a peer told; `None` for a port that there can't be.
+#[must_use]
+pub fn from_wire(address: PeerAddress) -> Option<SocketAddr> {
+    let port = u16::try_from(address.port).ok()?;
+    Some(SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::from_bits(address.ip), port)))
+}
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -113,6 +113,13 @@
         self.deadline.saturating_sub(now)
     }
 
+    /// An endpoint may have run it: one that has it now counts, for it may have begun.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        let runs = |live: &Live| matches!(live.step, Step::Whole | Step::Decode);
+        self.maybe_run || self.live.iter().any(runs)
+    }
+
     /// When its answer should begin to be on time.
     #[must_use]
     pub fn due(&self) -> Duration {
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -28,6 +28,9 @@
     /// Memory that is held with a slot. A slot with a token block is what makes the endpoint admit
     /// the call; holding the whole prompt keeps memory idle that running calls could use.
     pub hold_tokens: u32,
+    /// Part of a decode endpoint's memory that is given to drafts, by what they are expected to
+    /// need at their end.
+    pub memory_used: f64,
     /// Decode endpoints that are asked for a slot before a draft waits.
     pub hold_tries: u32,
     /// Pause before decode endpoints are asked again.
@@ -71,6 +74,7 @@
             avoid_replaced: Duration::from_secs(3),
             avoid_full: Duration::from_millis(60),
             hold_tokens: 16,
+            memory_used: 1.0,
             hold_tries: 4,
             hold_pause: Duration::from_millis(40),
             hold_limit: Duration::from_millis(250),
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use basilbank_forward::prelude::*;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     sync::watch,
     task::spawn_local,
     time::{Instant, sleep, sleep_until},
@@ -38,6 +38,8 @@
     pub callers: SocketAddr,
     /// The balancer's question, and metrics.
     pub ready: SocketAddr,
+    /// The daemons' datagrams.
+    pub peers: SocketAddr,
 }
 
 /// A running gateway, on the current thread's task set.
@@ -55,10 +57,11 @@
     ///
     /// # Errors
     /// An address can't be had.
-    pub fn start(router: Rc<Router>, addresses: Addresses) -> anyhow::Result<Gateway> {
+    pub async fn start(router: Rc<Router>, addresses: Addresses) -> anyhow::Result<Gateway> {
         let listener = listen(addresses.callers).context("callers' address")?;
         let side = listen(addresses.ready).context("ready address")?;
         let (callers, ready) = (listener.local_addr()?, side.local_addr()?);
+        router.talk(UdpSocket::bind(addresses.peers).await.context("peers' address")?);
         let (phase, phases) = watch::channel(Phase::Serving);
         let open: Open = Rc::new(Cell::new(0));
         spawn_local(edge::accept(Rc::clone(&router), listener, phases, Rc::clone(&open)));
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod links;
 mod metrics;
+mod peers;
 mod reader;
 mod relay;
 mod request;
--- a/crates/basilbank_gateway/src/links.rs
+++ b/crates/basilbank_gateway/src/links.rs
@@ -78,10 +78,8 @@
     /// # Errors
     /// The endpoint can't be reached in time.
     pub async fn connect(addr: SocketAddr, limit: Duration) -> Result<Link, CallError> {
-        let stream = match timeout(limit.min(CONNECT), TcpStream::connect(addr)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(CallError::Unreachable),
-        };
+        let connected = timeout(limit.min(CONNECT), TcpStream::connect(addr)).await;
+        let Ok(Ok(stream)) = connected else { return Err(CallError::Unreachable) };
         // Without the option the call works, but its last segment may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
         let handshake = http1::Builder::new()
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -1,7 +1,7 @@
 //! Owns the decisions' state, feeds events in and hands effects out.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::HashMap,
     fmt,
     rc::Rc,
@@ -11,9 +11,9 @@
 
 use basilbank::logs::Line;
 use basilbank_forward::{effect::Note, event::Acceptance, prelude::*};
-use tokio::{sync::Notify, sync::mpsc, task::spawn_local, time::sleep};
+use tokio::{net::UdpSocket, sync::Notify, sync::mpsc, task::spawn_local, time::sleep};
 
-use crate::{calls::send_off, dialect::Dialect, links::Links, metrics::Metrics};
+use crate::{calls::send_off, dialect::Dialect, links::Links, metrics::Metrics, peers};
 
 /// Longest sleep of the timer.
 const IDLE: Duration = Duration::from_millis(500);
@@ -52,6 +52,7 @@
     steps: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Step>>>,
     next: Cell<u64>,
     changed: Notify,
+    socket: OnceCell<Rc<UdpSocket>>,
 }
 
 impl fmt::Debug for Router {
@@ -78,9 +79,18 @@
             steps: RefCell::default(),
             next: Cell::new(0),
             changed: Notify::new(),
+            socket: OnceCell::new(),
         })
     }
 
+    /// Talks to peers over this socket from now on.
+    pub fn talk(self: &Rc<Self>, socket: UdpSocket) {
+        let socket = Rc::new(socket);
+        if self.socket.set(Rc::clone(&socket)).is_ok() {
+            spawn_local(peers::hear(Rc::clone(self), socket));
+        }
+    }
+
     /// A number for a request that comes in, and its effects.
     pub fn register(&self) -> (RequestId, mpsc::UnboundedReceiver<Step>) {
         let id = RequestId(self.next.get());
@@ -168,6 +178,11 @@
                 self.give_back("drop_hold", target, request);
             }
             Effect::Order { target, stage, fence } => self.order(target, stage, fence),
+            Effect::SendBeat { to, beat } => {
+                if let Some(socket) = self.socket.get() {
+                    peers::say(socket, &to, &beat);
+                }
+            }
             Effect::Forget(endpoint) => self.links.forget(endpoint),
             Effect::Note(note) => self.log(&note),
         }
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod codec;
 mod drop_reason;
+mod load;
 mod message;
 mod replay;
 mod seal;
 
 pub use codec::Frames;
 pub use drop_reason::DropReason;
+pub use load::{EndpointLoad, LoadBeat, PeerAddress};
 pub use message::*;
 pub use replay::{ReplayGuard, SENDERS, WINDOW};
 pub use seal::{SEAL_LEN, Sealer};
