One holder orders surplus prefill endpoints to decode

Cause: drafts hold a decode endpoint's memory for seconds and a prefill endpoint for a tenth of one; a third of the endpoints start as prefill.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -8,6 +8,7 @@
     call::{Call, RequestId},
     endpoint::{EndpointInfo, EndpointKey},
     route::RouteTable,
+    state::OrderRight,
 };
 
 /// One event.
@@ -62,6 +63,8 @@
         /// What it says.
         beat: LoadBeat,
     },
+    /// The settings say whether this daemon orders endpoints.
+    Right(OrderRight),
     /// SIGTERM.
     Shutdown,
 }
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -10,6 +10,6 @@
     reason::{Refusal, Retry},
     reduce::reduce,
     route::{Kind, Route, RouteTable, Service},
-    state::{Local, State},
+    state::{Local, OrderRight, State},
     tuning::Tuning,
 };
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -12,6 +12,7 @@
 mod pick;
 mod plain;
 mod queue;
+mod roles;
 mod step;
 
 use std::time::Duration;
@@ -42,7 +43,8 @@
             endpoints::change(&mut turn, revision, listed, &gone);
         }
         Event::StoreLost => turn.note(Note::new("store_lost")),
-        Event::Ordered { .. } => {}
+        Event::Ordered { endpoint, accepted } => roles::ordered(&mut turn, endpoint, accepted),
+        Event::Right(right) => roles::right(&mut turn, right),
         Event::Shutdown => {
             turn.state.leaving = true;
             let running = turn.state.requests.len();
@@ -56,6 +58,7 @@
         step::timer(&mut turn, id);
     }
     beat::tick(&mut turn);
+    roles::tick(&mut turn);
 }
 
 /// Counts a call at an endpoint, and lets peers know.
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -84,6 +84,10 @@
         .with("addr", info.addr)
         .with("draining", info.draining)
         .with("stage", info.stage.map_or("none", |stage| stage.as_str()));
+    let fresh = turn.state.directory.find(&info.instance).is_none();
+    if fresh {
+        turn.state.roles.grew = turn.now;
+    }
     if turn.state.directory.list(info) {
         turn.note(note);
     }
--- /dev/null
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -0,0 +1,140 @@
+//! How many endpoints read prompts and how many generate.
+//!
+//! A draft holds a decode endpoint's memory for seconds and a prefill endpoint for a tenth of one.
+//! With more prefill endpoints than prompts need, drafts wait for decode memory beside idle
+//! endpoints.
+
+use std::time::Duration;
+
+use super::Turn;
+use crate::{
+    effect::{Effect, Note},
+    endpoint::{EndpointKey, Stage},
+    event::Acceptance,
+    state::{State, roles::OrderRight},
+};
+
+/// Part of a service's endpoints that read prompts. A draft of 3,200 tokens keeps a prefill endpoint
+/// busy for 96 ms and a twelfth of a decode endpoint for 3 s, 250 ms of a whole one: 0.28 of the work.
+/// Prefill endpoints are better used when few, so a little less is enough.
+const PREFILL_PART: f64 = 0.25;
+
+/// Fewer prefill endpoints than this are never left: one may crash.
+const PREFILL_LEAST: usize = 2;
+
+/// The list of endpoints has been complete for this long before the first order: three heartbeats
+/// of 1.2 s would show an endpoint that is only slow to register.
+const SETTLED: Duration = Duration::from_millis(1500);
+
+/// Silence before a daemon orders that did not start with the whole system. An older holder orders
+/// only after a read of the store within [`FRESH`], so its last order is long over.
+const SILENCE: Duration = Duration::from_secs(10);
+
+/// A read of the store older than this gives no right to order: the daemon may be cut off or may
+/// just have been frozen.
+const FRESH: Duration = Duration::from_millis(2500);
+
+/// Pause between orders besides the time of the change itself.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// The settings say whether this daemon orders. A right that was lost and comes back begins anew.
+pub fn right(turn: &mut Turn<'_>, right: OrderRight) {
+    let roles = &mut turn.state.roles;
+    if roles.right != right {
+        roles.right = right;
+        roles.since = turn.now;
+    }
+}
+
+/// An endpoint answered an order. One that was refused is not repeated: without the right to know
+/// why, nothing is the safe choice.
+pub fn ordered(turn: &mut Turn<'_>, endpoint: EndpointKey, accepted: Acceptance) {
+    let switch = turn.state.directory.get(endpoint).and_then(|e| {
+        let engine = turn.state.routes.engine(&e.info.service)?;
+        Some(engine.switch)
+    });
+    let (Some(switch), true) = (switch, accepted != Acceptance::Refused) else { return };
+    let until = turn.now + switch;
+    if let Some(endpoint) = turn.state.directory.get_mut(endpoint) {
+        endpoint.avoid(until);
+    }
+}
+
+/// Looks whether an order is due.
+pub fn tick(turn: &mut Turn<'_>) {
+    if !may_order(turn.state, turn.now) {
+        return;
+    }
+    let services: Vec<_> = turn.state.routes.services.keys().cloned().collect();
+    for service in services {
+        let Some(engine) = turn.state.routes.engine(&service) else { continue };
+        if !idle_fleet(turn.state, &service)
+            && turn.now < turn.state.roles.last + engine.switch + PAUSE
+        {
+            continue;
+        }
+        if let Some(endpoint) = surplus(turn.state, &service) {
+            order(turn, endpoint, Stage::Decode);
+        }
+    }
+}
+
+fn may_order(state: &State, now: Duration) -> bool {
+    let roles = &state.roles;
+    let silent = match roles.right {
+        OrderRight::None => return false,
+        OrderRight::AtOnce => true,
+        OrderRight::AfterSilence => roles.since + SILENCE <= now,
+    };
+    let fresh = now < state.directory.read_at + FRESH;
+    let settled = roles.grew + SETTLED <= now;
+    silent && fresh && settled && state.ready()
+}
+
+/// Nothing runs yet: several changes at once cost nobody anything.
+fn idle_fleet(state: &State, service: &str) -> bool {
+    state.directory.service(service).all(|(_, endpoint)| endpoint.all_calls() == 0)
+}
+
+/// A prefill endpoint that isn't needed: of the data centre with the most, one that has least to do.
+fn surplus(state: &State, service: &str) -> Option<EndpointKey> {
+    let ordered = |key: &EndpointKey| state.roles.ordered.contains_key(key);
+    let prefill: Vec<_> =
+        state.directory.stage(service, Stage::Prefill).filter(|(key, _)| !ordered(key)).collect();
+    let decode = state.directory.stage(service, Stage::Decode).count();
+    let changing = state.directory.stage(service, Stage::Prefill).count() - prefill.len();
+    let all = prefill.len() + decode + changing;
+    let wanted = ((all as f64 * PREFILL_PART).round() as usize).max(PREFILL_LEAST);
+    if prefill.len() <= wanted {
+        return None;
+    }
+    let near = |place: &str| prefill.iter().filter(|(_, e)| e.info.data_centre == place).count();
+    let rank = |e: &crate::state::Endpoint| {
+        let many = near(&e.info.data_centre);
+        (std::cmp::Reverse(many), e.all_tokens(), e.info.instance.clone())
+    };
+    prefill.iter().min_by_key(|(_, endpoint)| rank(endpoint)).map(|(key, _)| *key)
+}
+
+/// The fencing number follows the store's revision, which only grows, so that it is higher than all
+/// that any daemon used before, also after a restart.
+fn order(turn: &mut Turn<'_>, endpoint: EndpointKey, stage: Stage) {
+    let Some(target) = turn.state.directory.target(endpoint) else { return };
+    let revision = turn.state.directory.revision;
+    let roles = &mut turn.state.roles;
+    roles.fence = (revision << FENCE_BITS).max(roles.fence + 1);
+    roles.orders += 1;
+    roles.last = turn.now;
+    roles.ordered.insert(endpoint, turn.now);
+    let fence = roles.fence;
+    let note = Note::new("order")
+        .with("instance", &target.instance)
+        .with("stage", stage.as_str())
+        .with("fence", fence)
+        .with("revision", revision);
+    turn.note(note);
+    turn.push(Effect::Order { target, stage, fence });
+}
+
+/// Orders between two revisions of the store: 256.
+const FENCE_BITS: u32 = 8;
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -4,6 +4,7 @@
 pub mod directory;
 pub mod peers;
 pub mod requests;
+pub mod roles;
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -19,6 +20,7 @@
     directory::{Directory, Endpoint},
     peers::Peers,
     requests::{Draft, Live, Request},
+    roles::{OrderRight, Roles},
 };
 use crate::{call::RequestId, route::RouteTable, tuning::Tuning};
 
@@ -88,6 +90,8 @@
     pub peers: Peers,
     /// Drafts that wait for room.
     pub waiting: Vec<RequestId>,
+    /// Orders to endpoints.
+    pub roles: Roles,
     /// SIGTERM came.
     pub leaving: bool,
     pub(crate) rng: Rng,
@@ -113,6 +117,7 @@
             budgets: HashMap::new(),
             peers,
             waiting: Vec::new(),
+            roles: Roles::default(),
             leaving: false,
             rng,
             timers: BTreeSet::new(),
