A decode endpoint reads the prompt itself when prefill queues are long

Cause: in surges and when prefill endpoints fail, their queues grow to seconds; a change of stage takes longer than the surge. Change: the draft goes whole to the decode endpoint whose slot is held, when that is sooner by 100 ms.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -119,8 +119,11 @@
 pub enum Op {
     /// Run the call and answer whole.
     Plain,
-    /// Run the call and answer with a stream; the prompt is read there as well.
-    Stream,
+    /// Run the call and answer with a stream; a prompt is read there as well.
+    Stream {
+        /// The slot that is held for it.
+        hold: Option<String>,
+    },
     /// Hold a slot and memory ahead of a call.
     Hold {
         /// Tokens of memory.
@@ -147,7 +150,7 @@
     pub fn as_str(&self) -> &'static str {
         match self {
             Op::Plain => "plain",
-            Op::Stream => "stream",
+            Op::Stream { .. } => "stream",
             Op::Hold { .. } => "hold",
             Op::Prefill => "prefill",
             Op::Decode { .. } => "decode",
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -74,17 +74,47 @@
     let again = request.draft.prefills != 0;
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let near = Some(hold.endpoint);
-    let Some(endpoint) = pick::prefill(state, &service, &tried, near, now) else {
-        return Next::GiveUp(Refusal::NoEndpoint);
+    let picked = pick::prefill(state, &service, &tried, near, now);
+    let Some(endpoint) = picked.filter(|at| !sooner_at_decode(state, *at, tokens, now)) else {
+        return whole(state, id, hold, now);
     };
-    let waiting = state.directory.get(endpoint).map_or(0, |e| e.tokens) + tokens;
-    let work = Duration::from_secs_f64(f64::from(waiting) / state.tuning.prefill_rate);
+    let work = reading(state, endpoint, tokens);
     let limit = state.tuning.prefill_limit + work * 3;
     let extra = again.then_some(Retry::NotRun);
     let step = Step::Prefill;
     Next::Send(Send { endpoint, op: Op::Prefill, step, tokens, limit, counted: again, extra })
 }
 
+/// When a prefill endpoint will have read the prompt, behind what it has.
+fn reading(state: &State, endpoint: EndpointKey, tokens: u32) -> Duration {
+    let waiting = state.directory.get(endpoint).map_or(0, |e| e.all_tokens()) + tokens;
+    Duration::from_secs_f64(f64::from(waiting) / state.tuning.prefill_rate)
+}
+
+/// The decode endpoint would have read the prompt sooner. It reads at a fraction of the rate, but
+/// in a surge, or when prefill endpoints fail, the queues before these grow to seconds within a
+/// second, and another endpoint's change of stage takes longer than the surge.
+fn sooner_at_decode(state: &State, endpoint: EndpointKey, tokens: u32, now: Duration) -> bool {
+    let avoided = state.directory.get(endpoint).is_none_or(|e| now < e.avoided);
+    let rate = state.tuning.prefill_rate * state.tuning.self_rate;
+    let alone = Duration::from_secs_f64(f64::from(tokens) / rate) + state.tuning.self_margin;
+    avoided || alone < reading(state, endpoint, tokens)
+}
+
+/// The decode endpoint reads the prompt itself.
+fn whole(state: &State, id: RequestId, hold: &Hold, now: Duration) -> Next {
+    let Some(request) = state.requests.get(&id) else { return Next::Wait };
+    let limit = match request.route.resumable {
+        true => state.tuning.stream_limit,
+        false => request.remaining(now),
+    };
+    let op = Op::Stream { hold: Some(hold.name.clone()) };
+    let again = request.draft.refusals != 0 || request.counted != 0;
+    let extra = again.then_some(Retry::NotRun);
+    let (endpoint, tokens) = (hold.endpoint, hold.tokens);
+    Next::Send(Send { endpoint, op, step: Step::Decode, tokens, limit, counted: true, extra })
+}
+
 fn decode(state: &mut State, id: RequestId, kv: Kv, hold: Option<Hold>, now: Duration) -> Next {
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
     let tokens = request.call.prompt.as_ref().map_or(0, |p| p.expected());
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -40,7 +40,7 @@
     let Some(endpoint) = pick::plain(state, &service, &tried, now) else {
         return Next::GiveUp(Refusal::NoEndpoint);
     };
-    let op = if streams { Op::Stream } else { Op::Plain };
+    let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
     Next::Send(Send { endpoint, op, step: Step::Whole, tokens: 0, limit, counted: true, extra })
 }
 
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -41,6 +41,11 @@
     pub prefill_limit: Duration,
     /// Prompt tokens that a prefill endpoint reads in a second, until it has been measured.
     pub prefill_rate: f64,
+    /// Part of the prefill rate at which a decode endpoint reads prompts between its tokens.
+    pub self_rate: f64,
+    /// How much sooner a decode endpoint must have read the prompt itself than the best prefill
+    /// endpoint: its reading slows the drafts that it decodes.
+    pub self_margin: Duration,
     /// Longest wait for a stream that may go on elsewhere.
     pub stream_limit: Duration,
     /// Added to a remote endpoint's expected time, so that equal ones in the own data centre win.
@@ -80,6 +85,8 @@
             hold_limit: Duration::from_millis(250),
             prefill_limit: Duration::from_millis(700),
             prefill_rate: 33_000.0,
+            self_rate: 0.4,
+            self_margin: Duration::from_millis(100),
             stream_limit: Duration::from_millis(3000),
             remote_cost: Duration::from_millis(4),
             kv_margin: Duration::from_millis(60),
--- a/crates/basilbank_gateway/src/calls.rs
+++ b/crates/basilbank_gateway/src/calls.rs
@@ -203,7 +203,7 @@
 }
 
 fn streams(op: &Op) -> bool {
-    matches!(op, Op::Stream | Op::Decode { .. })
+    matches!(op, Op::Stream { .. } | Op::Decode { .. })
 }
 
 fn split(response: Response<Incoming>) -> (Response<()>, Incoming) {
