Daemons tell each other which endpoints refuse work

Cause: a changing stage and lost KV caches were learned by each daemon for itself, at a refused call each, and the retry budget went for it.

--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -17,6 +17,13 @@
         .with("request", &call.trace)
         .with("version", turn.state.routes.version)
         .with("wait_ms", call.patience.map_or(0, |p| p.as_millis()));
+    let note = match &call.prompt {
+        None => note,
+        Some(prompt) => {
+            let hint = prompt.hint.unwrap_or_default();
+            note.with("tokens", prompt.tokens).with("most", prompt.most).with("hint", hint)
+        }
+    };
     match admit(turn, call) {
         Ok(request) => {
             let note = note.with("route", &request.route.name).with("service", &request.service);
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -5,7 +5,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use basilbank_wire::{EndpointLoad, LoadBeat};
+use basilbank_wire::{EndpointLoad, LoadBeat, Shunned};
 
 use super::{Turn, queue};
 use crate::{
@@ -29,6 +29,9 @@
 /// How long an address is tried that a peer named.
 const HINT: Duration = Duration::from_secs(2);
 
+/// Longest time for which a peer's word keeps an endpoint unused.
+const SHUNNED_MOST: Duration = Duration::from_secs(10);
+
 /// Peers that are named in a datagram.
 const NAMED: usize = 6;
 
@@ -59,6 +62,7 @@
     for load in &loads {
         turn.state.directory.others(load.endpoint, load.tokens, load.calls);
     }
+    shun(turn, &beat.shunned);
     let peer = Peer { incarnation: beat.incarnation, sequence: beat.sequence, heard: now, loads };
     let peers = &mut turn.state.peers;
     peers.known.insert(from, peer);
@@ -114,6 +118,11 @@
     let loads = state.directory.own_loads();
     let loads = loads.map(|(instance, tokens, calls)| EndpointLoad { instance, tokens, calls });
     let loads: Vec<_> = loads.collect();
+    let shunned = state.directory.shunned(now).map(|(instance, left)| {
+        let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+        Shunned { instance, left }
+    });
+    let shunned: Vec<_> = shunned.collect();
     let peers = &mut state.peers;
     peers.hints.retain(|_, until| now < *until);
     peers.sequence += 1;
@@ -129,6 +138,7 @@
         leaving: state.leaving,
         loads,
         peers: named.collect(),
+        shunned,
     };
     // Addresses that may be nobody's are tried with heartbeats only.
     if quiet || peers.known.is_empty() {
@@ -142,6 +152,19 @@
     }
 }
 
+/// Endpoints that a peer knows to refuse work are left alone. Only what a peer was told by an
+/// endpoint itself is passed on, and only once: a peer that can't reach an endpoint may be cut off.
+fn shun(turn: &mut Turn<'_>, shunned: &[Shunned]) {
+    let now = turn.now;
+    for entry in shunned {
+        let left = Duration::from_millis(u64::from(entry.left)).min(SHUNNED_MOST);
+        let key = turn.state.directory.by_hash(entry.instance);
+        if let Some(endpoint) = key.and_then(|key| turn.state.directory.get_mut(key)) {
+            endpoint.avoid(now + left);
+        }
+    }
+}
+
 fn resolve(turn: &Turn<'_>, loads: &[EndpointLoad]) -> Vec<Load> {
     let directory = &turn.state.directory;
     let known = loads.iter().filter_map(|load| {
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -9,9 +9,9 @@
     state::requests::{Hold, Kv, Live, Step},
 };
 
-/// Refusals after which a KV cache counts as gone: a refusal says that there is no room or no KV
-/// cache, but not which.
-const KV_REFUSALS: u32 = 1;
+/// Part of a decode endpoint's memory up to which a refusal of a KV cache isn't for want of room.
+/// The refusal itself doesn't say whether there was no room or no KV cache.
+const ROOMY: f64 = 0.85;
 
 /// Takes an attempt's outcome in.
 pub fn came(turn: &mut Turn<'_>, id: RequestId, number: u32, outcome: Outcome) {
@@ -139,8 +139,7 @@
             request.failure = Some(Refusal::Full);
             request.counted = request.counted.saturating_sub(1);
             request.draft.refused += 1;
-            request.draft.kv_refused += u32::from(busy);
-            if KV_REFUSALS <= request.draft.kv_refused {
+            if busy && has_room(turn, live) {
                 lost_kv(turn, id);
             }
         }
@@ -152,15 +151,24 @@
     step::go_on(turn, id);
 }
 
-/// The KV cache can't be had, though decode endpoints held slots for it. Its endpoint loses more of
-/// them, so it is avoided for a while: each prompt that it reads would be read in vain.
+/// The decode endpoint had room for the draft that it refused, by all that is known.
+fn has_room(turn: &Turn<'_>, live: &Live) -> bool {
+    let directory = &turn.state.directory;
+    let Some(endpoint) = directory.get(live.endpoint) else { return false };
+    let memory = turn.state.routes.engine(&endpoint.info.service).map_or(0, |e| e.memory);
+    f64::from(endpoint.all_tokens()) < f64::from(memory) * ROOMY
+}
+
+/// The KV cache can't be had, though a decode endpoint held a slot for it. Its endpoint loses more of
+/// them, so all daemons avoid it for a while: each prompt that it reads would be read in vain.
 fn lost_kv(turn: &mut Turn<'_>, id: RequestId) {
     let until = turn.now + turn.state.tuning.avoid_most;
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
     let Some(kv) = request.draft.kv.take() else { return };
     if let Some(endpoint) = turn.state.directory.get_mut(kv.endpoint) {
-        endpoint.avoid(until);
+        endpoint.shun(until);
     }
+    turn.state.peers.changed = true;
     turn.note_request(id, Note::new("kv_lost"));
 }
 
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -22,9 +22,9 @@
 /// Fewer prefill endpoints than this are never left: one may crash.
 const PREFILL_LEAST: usize = 2;
 
-/// The list of endpoints has been complete for this long before the first order: three heartbeats
-/// of 1.2 s would show an endpoint that is only slow to register.
-const SETTLED: Duration = Duration::from_millis(1500);
+/// The list of endpoints has been complete for this long before the first order: about a heartbeat,
+/// which shows an endpoint that is only slow to register.
+const SETTLED: Duration = Duration::from_millis(1000);
 
 /// Silence before a daemon orders that did not start with the whole system. An older holder orders
 /// only after a read of the store within [`FRESH`], so its last order is long over.
@@ -56,8 +56,9 @@
     let (Some(switch), true) = (switch, accepted != Acceptance::Refused) else { return };
     let until = turn.now + switch;
     if let Some(endpoint) = turn.state.directory.get_mut(endpoint) {
-        endpoint.avoid(until);
+        endpoint.shun(until);
     }
+    turn.state.peers.changed = true;
 }
 
 /// Looks whether an order is due.
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -47,6 +47,8 @@
     pub slowness: f64,
     /// Not used before this, unless there is nothing else.
     pub avoided: Duration,
+    /// This daemon knows that it refuses work until then, and tells its peers.
+    pub shunned: Duration,
     /// Failures in a row.
     failures: u32,
     /// Removed at this time unless it is listed again.
@@ -65,6 +67,7 @@
             mean: FIRST_MEAN,
             slowness: 1.0,
             avoided: Duration::ZERO,
+            shunned: Duration::ZERO,
             failures: 0,
             expires: None,
         }
@@ -111,6 +114,12 @@
         self.avoid(now + time.min(tuning.avoid_most));
     }
 
+    /// It refuses work until then, whoever asks.
+    pub fn shun(&mut self, until: Duration) {
+        self.avoid(until);
+        self.shunned = self.shunned.max(until);
+    }
+
     /// It isn't used before `until`, unless there is nothing else.
     pub fn avoid(&mut self, until: Duration) {
         self.avoided = self.avoided.max(until);
@@ -258,6 +267,12 @@
         busy.map(|e| (xxh3_64(e.info.instance.as_bytes()), e.tokens, e.calls))
     }
 
+    /// Endpoints that peers should leave alone: the instance's hash, and how much longer.
+    pub fn shunned(&self, now: Duration) -> impl Iterator<Item = (u64, Duration)> {
+        let shunned = self.endpoints.values().filter(move |e| now < e.shunned);
+        shunned.map(move |e| (xxh3_64(e.info.instance.as_bytes()), e.shunned - now))
+    }
+
     /// Counts a peer's calls.
     pub fn others(&mut self, key: EndpointKey, tokens: u32, calls: u32) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -82,8 +82,6 @@
     pub prefills: u32,
     /// Endpoints that refused to read the prompt or to decode: calls beyond the first of each.
     pub refused: u32,
-    /// Decode endpoints that refused the KV cache.
-    pub kv_refused: u32,
     /// Calls for a slot since the last pause.
     pub asked: u32,
 }
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -20,6 +20,20 @@
     /// Some peers that the sender knows.
     #[prost(message, repeated, tag = "5")]
     pub peers: Vec<PeerAddress>,
+    /// Endpoints that the sender knows to refuse work.
+    #[prost(message, repeated, tag = "6")]
+    pub shunned: Vec<Shunned>,
+}
+
+/// An endpoint that refuses work for some time: its stage is changing, or it loses KV caches.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Shunned {
+    /// Stable hash of the endpoint's instance.
+    #[prost(fixed64, tag = "1")]
+    pub instance: u64,
+    /// For how much longer, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub left: u32,
 }
 
 /// What a daemon has at one endpoint.
