--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -94,7 +94,7 @@
 fn reading(state: &State, endpoint: EndpointKey, tokens: u32) -> Duration {
     let Some(at) = state.directory.get(endpoint) else { return Duration::ZERO };
     let waiting = f64::from(at.all_tokens() + tokens);
-    Duration::from_secs_f64(waiting / state.tuning.prefill_rate * at.slowness)
+    Duration::from_secs_f64(at.base + waiting / state.tuning.prefill_rate * at.slowness)
 }
 
 /// The decode endpoint should read the prompt itself.
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -93,7 +93,9 @@
     let remote = state.tuning.remote_cost.as_secs_f64();
     let costs = state.directory.stage(service, Stage::Prefill).map(|(key, endpoint)| {
         let away = if endpoint.info.data_centre == place { 0.0 } else { remote };
-        let cost = f64::from(endpoint.all_tokens() + tokens) / rate * endpoint.slowness + away;
+        let cost = f64::from(endpoint.all_tokens() + tokens) / rate * endpoint.slowness
+            + endpoint.base
+            + away;
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -34,6 +34,9 @@
 /// just have been frozen.
 const FRESH: Duration = Duration::from_millis(2500);
 
+/// How long it takes until the list says what an endpoint's stage is: a heartbeat and a read.
+const LISTED: Duration = Duration::from_millis(2500);
+
 /// Pause between orders besides the time of the change itself.
 const PAUSE: Duration = Duration::from_secs(2);
 
@@ -54,7 +57,7 @@
         Some(engine.switch)
     });
     let (Some(switch), true) = (switch, accepted != Acceptance::Refused) else { return };
-    let until = turn.now + switch;
+    let until = turn.now + switch + LISTED;
     if let Some(endpoint) = turn.state.directory.get_mut(endpoint) {
         endpoint.shun(until);
     }
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -17,6 +17,16 @@
 /// Weight of a new measurement of the prefill rate: a slow endpoint is seen after some prompts.
 const READ_WEIGHT: f64 = 0.2;
 
+/// Base time that is assumed before the first prompt, in seconds.
+const FIRST_BASE: f64 = 0.05;
+
+/// Most that counts as base time, in seconds; what is beyond is slowness.
+const MOST_BASE: f64 = 0.2;
+
+/// Weight of a measurement that raises the base time: it follows the least, and forgets it after
+/// some tens of prompts.
+const BASE_WEIGHT: f64 = 0.03;
+
 /// Shorter readings say more about round trips than about the endpoint.
 const SHORT_READ: f64 = 0.08;
 
@@ -43,6 +53,8 @@
     pub peer_calls: u32,
     /// Running mean of its answer times.
     pub mean: Duration,
+    /// Seconds that reading a prompt takes at least, whatever its length.
+    pub base: f64,
     /// How many times longer it takes to read prompts than its rate says.
     pub slowness: f64,
     /// Not used before this, unless there is nothing else.
@@ -65,6 +77,7 @@
             peer_tokens: 0,
             peer_calls: 0,
             mean: FIRST_MEAN,
+            base: FIRST_BASE,
             slowness: 1.0,
             avoided: Duration::ZERO,
             shunned: Duration::ZERO,
@@ -99,9 +112,17 @@
     }
 
     /// It has read a prompt that it should have read in `expected` seconds.
+    ///
+    /// Part of that time passes also at an idle endpoint, whatever the prompt's length. It is not a
+    /// queue: without telling the two apart, every endpoint would look slow, and prompts would go to
+    /// decode endpoints for nothing.
     pub fn read(&mut self, took: Duration, expected: f64) {
         self.failures = 0;
-        let measured = took.as_secs_f64() / expected.max(SHORT_READ);
+        let took = took.as_secs_f64();
+        let beyond = (took - expected).clamp(0.0, MOST_BASE);
+        let weight = if beyond < self.base { 1.0 } else { BASE_WEIGHT };
+        self.base += weight * (beyond - self.base);
+        let measured = (took - self.base) / expected.max(SHORT_READ);
         let slowness = self.slowness + READ_WEIGHT * (measured - self.slowness);
         self.slowness = slowness.clamp(1.0, SLOWEST);
     }
