--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -46,16 +46,20 @@
 
 fn hold(state: &mut State, id: RequestId, now: Duration) -> Next {
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
-    let tuning = &state.tuning;
-    if tuning.hold_tries <= request.draft.asked {
-        return Next::WaitUntil(now + tuning.hold_pause);
+    let (hold_tokens, limit) = (state.tuning.hold_tokens, state.tuning.hold_limit);
+    if state.tuning.hold_tries <= request.draft.asked {
+        return Next::WaitUntil(now + state.tuning.hold_pause);
     }
     let (service, tried) = (request.service.clone(), asked(request));
     let tokens = request.call.prompt.as_ref().map_or(0, |p| p.expected());
-    let near = request.draft.kv.as_ref().map(|kv| kv.endpoint);
+    // A KV cache that crosses data centres costs twice the transfer, so the decode endpoint is
+    // looked for beside the one that will read the prompt, or has.
+    let near = match &request.draft.kv {
+        Some(kv) => Some(kv.endpoint),
+        None => pick::prefill(state, &service, &[], None, tokens, now),
+    };
     let longest = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.hold);
-    let op = Op::Hold { tokens: tuning.hold_tokens, ttl: longest };
-    let limit = tuning.hold_limit;
+    let op = Op::Hold { tokens: hold_tokens, ttl: longest };
     let endpoint = match pick::decode(state, &service, &tried, near, tokens, now) {
         Decode::At(endpoint) => endpoint,
         Decode::Full => return Next::WaitForRoom,
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -90,7 +90,10 @@
     let place = near.and_then(|key| state.directory.get(key)).map(|e| e.info.data_centre.clone());
     let place = place.unwrap_or_else(|| state.local.data_centre.clone());
     let rate = state.tuning.prefill_rate;
-    let remote = state.tuning.remote_cost.as_secs_f64();
+    let remote = match near {
+        Some(_) => state.tuning.remote_kv.as_secs_f64(),
+        None => state.tuning.remote_cost.as_secs_f64(),
+    };
     let costs = state.directory.stage(service, Stage::Prefill).map(|(key, endpoint)| {
         let away = if endpoint.info.data_centre == place { 0.0 } else { remote };
         let cost = f64::from(endpoint.all_tokens() + tokens) / rate * endpoint.slowness
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -53,6 +53,9 @@
     pub stall: Duration,
     /// Added to a remote endpoint's expected time, so that equal ones in the own data centre win.
     pub remote_cost: Duration,
+    /// The longer queue that is taken at a prefill endpoint in the decode endpoint's data centre: a
+    /// KV cache between data centres takes the links twice as long.
+    pub remote_kv: Duration,
     /// Kept between a KV cache's end and its use elsewhere: a transfer's start and a round trip.
     pub kv_margin: Duration,
     /// A second endpoint is asked when the first has not answered an idempotent call for this part
@@ -93,6 +96,7 @@
             stream_limit: Duration::from_millis(1500),
             stall: Duration::from_millis(1500),
             remote_cost: Duration::from_millis(4),
+            remote_kv: Duration::from_millis(60),
             kv_margin: Duration::from_millis(60),
             hedge_part: 0.8,
             answer_margin: Duration::from_millis(30),
