A silent endpoint is asked whether it lives before its work is given up

Cause: a decode that waited for memory was given up after 1.5 s like one at a dark endpoint, its prompt read again elsewhere. The daemons used a third of the retry budget. Change: after 0.7 s the endpoint is asked; the slack is shared by twice the daemons that are known.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -108,9 +108,11 @@
     pub op: Op,
     /// How long the caller still waits: the endpoint stops its work then.
     pub remaining: Duration,
-    /// How long to wait for an answer, or for a stream's first bytes.
+    /// How long to wait for an answer, or for a stream's first bytes, before the endpoint is asked
+    /// whether it lives. One that lives is waited for.
     pub limit: Duration,
-    /// A stream that is silent for this long counts as broken off; `None` when it can't go on
+    /// A stream that is silent for this long counts as broken off, unless its endpoint says that it
+    /// lives; `None` when it can't go on
     /// elsewhere, and its silence is no reason to end it.
     pub stall: Option<Duration>,
     /// Rank at a model endpoint: lower is more urgent.
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -89,7 +89,7 @@
     let Some(endpoint) = picked.filter(at_prefill) else {
         return whole(state, id, hold, now);
     };
-    let limit = state.tuning.prefill_limit + reading(state, endpoint, tokens) * 3;
+    let limit = state.tuning.prefill_limit + reading(state, endpoint, tokens) * 2;
     let step = Step::Prefill;
     Next::Send(Send { endpoint, op: Op::Prefill, step, tokens, limit, counted: false, extra })
 }
--- a/crates/basilbank_forward/src/state/budget.rs
+++ b/crates/basilbank_forward/src/state/budget.rs
@@ -7,9 +7,9 @@
 /// Width of a bucket. Bounds slide, so the sums always cover one bucket more than the window.
 const BUCKET: Duration = Duration::from_millis(500);
 
-/// Daemons per one that is known: some were never heard of, others restart within a window and
-/// begin with a share of their own.
-const UNSEEN: f64 = 1.5;
+/// Shares of the slack per daemon that is known: a daemon that restarts within a window begins with
+/// a share anew, and all of them may.
+const SHARES: f64 = 2.0;
 
 /// Counts of calls and of extra calls in the last window.
 ///
@@ -52,7 +52,7 @@
         let calls: u32 = self.buckets.iter().map(|b| b.calls).sum();
         let extras: u32 = self.buckets.iter().map(|b| b.extras).sum();
         let earned = f64::from(calls) * tuning.retry_ratio * tuning.ratio_used;
-        let sharers = tuning.assumed_daemons.max(daemons as f64 * UNSEEN);
+        let sharers = tuning.assumed_daemons.max(daemons as f64 * SHARES);
         earned + tuning.retry_slack / sharers - f64::from(extras)
     }
 
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -11,7 +11,7 @@
     pub retry_window: Duration,
     /// Extra calls in a window besides, for the whole fleet.
     pub retry_slack: f64,
-    /// Daemons that may share the slack when their number is not known: four times a small site's.
+    /// Shares of the slack when few daemons are known: twice a small site's.
     pub assumed_daemons: f64,
     /// The part of the ratio that is used. The rest covers calls that callers took back and windows
     /// that don't fall on the buckets' borders.
@@ -37,7 +37,8 @@
     pub hold_pause: Duration,
     /// Limit of one call for a slot: some round trips between data centres.
     pub hold_limit: Duration,
-    /// Limit of one prefill besides three times what the endpoint's work should take.
+    /// Limit of one prefill, before the endpoint is asked whether it lives, besides twice what its
+    /// work should take.
     pub prefill_limit: Duration,
     /// Prompt tokens that a prefill endpoint reads in a second, until it has been measured.
     pub prefill_rate: f64,
@@ -46,9 +47,9 @@
     /// How much sooner a decode endpoint must have read the prompt itself than the best prefill
     /// endpoint: its reading slows the drafts that it decodes.
     pub self_margin: Duration,
-    /// Longest wait for a stream that may go on elsewhere.
+    /// Wait for a stream that may go on elsewhere, before the endpoint is asked whether it lives.
     pub stream_limit: Duration,
-    /// Silence after which a stream that may go on elsewhere counts as broken off. Callers leave a
+    /// Silence of a stream that may go on elsewhere, before its endpoint is asked whether it lives. Callers leave a
     /// stream after two seconds and more, and reading the prompt again takes a quarter of one.
     pub stall: Duration,
     /// Added to a remote endpoint's expected time, so that equal ones in the own data centre win.
@@ -78,8 +79,8 @@
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 50.0,
-            assumed_daemons: 24.0,
-            ratio_used: 0.8,
+            assumed_daemons: 12.0,
+            ratio_used: 0.9,
             avoid: Duration::from_millis(500),
             avoid_most: Duration::from_secs(4),
             avoid_replaced: Duration::from_secs(3),
@@ -89,12 +90,12 @@
             hold_tries: 4,
             hold_pause: Duration::from_millis(40),
             hold_limit: Duration::from_millis(250),
-            prefill_limit: Duration::from_millis(400),
+            prefill_limit: Duration::from_millis(250),
             prefill_rate: 33_000.0,
             self_rate: 0.4,
             self_margin: Duration::from_millis(100),
-            stream_limit: Duration::from_millis(1500),
-            stall: Duration::from_millis(1500),
+            stream_limit: Duration::from_millis(700),
+            stall: Duration::from_millis(900),
             remote_cost: Duration::from_millis(4),
             remote_kv: Duration::from_millis(60),
             kv_margin: Duration::from_millis(60),
--- a/crates/basilbank_gateway/src/calls.rs
+++ b/crates/basilbank_gateway/src/calls.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use basilbank_forward::prelude::*;
+use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
@@ -68,8 +68,10 @@
     pub link: Link,
     /// How long the endpoint keeps the connection.
     pub kept: Option<Option<Duration>>,
-    /// Silence after which it counts as broken off.
+    /// Silence after which its endpoint is asked whether it lives.
     pub stall: Option<Duration>,
+    /// Where it comes from.
+    pub target: Target,
 }
 
 /// One caller's request, as it came.
@@ -108,7 +110,14 @@
 ) -> Came {
     let dialect = &router.dialect;
     let request = (dialect.request)(&original.head, &original.body, &attempt, last.as_deref());
-    let answer = router.links.call(&attempt.target, request, attempt.limit).await;
+    let alive = || (dialect.alive)(&attempt.target.instance);
+    let answer = match attempt.op {
+        Op::Hold { .. } => router.links.call(&attempt.target, request, attempt.limit).await,
+        Op::Plain | Op::Stream { .. } | Op::Prefill | Op::Decode { .. } => {
+            let (limit, longest) = (attempt.limit, attempt.remaining);
+            router.links.call_patiently(&attempt.target, request, limit, longest, alive).await
+        }
+    };
     let (response, link) = match answer {
         Ok(answer) => answer,
         Err(error) => return Came::bare(error.into()),
@@ -124,7 +133,15 @@
         Head::Answer if streams(&attempt.op) && head.status().is_success() => {
             let kept = kept(&head);
             let (status, headers) = (head.status(), end_to_end(head));
-            let stream = Stream { status, headers, body, link, kept, stall: attempt.stall };
+            let stream = Stream {
+                status,
+                headers,
+                body,
+                link,
+                kept,
+                stall: attempt.stall,
+                target: attempt.target,
+            };
             let parked = Some(Parked::Stream(Box::new(stream)));
             Came { outcome: Outcome::Streaming, parked }
         }
@@ -135,7 +152,7 @@
 /// Sends a request whose answer matters to nobody but the log.
 pub async fn send_off(
     router: &Router,
-    target: &basilbank_forward::effect::Target,
+    target: &Target,
     request: crate::dialect::OutRequest,
     limit: Duration,
 ) -> Result<StatusCode, CallError> {
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -24,6 +24,8 @@
     pub free: fn(&str) -> OutRequest,
     /// Writes the request that gives a held slot back.
     pub drop_hold: fn(&str) -> OutRequest,
+    /// Writes the request that asks an instance whether it lives.
+    pub alive: fn(&str) -> OutRequest,
     /// Writes the order to change the stage, for a holder with a fencing number.
     pub order: fn(Stage, &str, u64, &str) -> OutRequest,
     /// The status for an answer of the router's own.
--- a/crates/basilbank_gateway/src/links.rs
+++ b/crates/basilbank_gateway/src/links.rs
@@ -4,10 +4,11 @@
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
+    pin::pin,
     time::{Duration, Instant},
 };
 
-use basilbank_forward::prelude::*;
+use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, body::Incoming, client::conn::http1};
@@ -29,6 +30,9 @@
 /// Idle connections to one endpoint beyond this are closed.
 const IDLE_MOST: usize = 16;
 
+/// Limit of the question whether an endpoint lives.
+const ALIVE: Duration = Duration::from_millis(250);
+
 /// Largest response head in bytes.
 const HEAD_BYTES: usize = 32 << 10;
 
@@ -116,13 +120,50 @@
 }
 
 impl Links {
+    /// Calls an endpoint: over a kept connection if there is one, else over a new one.
+    ///
+    /// After `limit` the endpoint is asked by `alive` whether it lives; while it does, the answer is
+    /// waited for until `longest`. An endpoint that went dark says nothing on its open connections,
+    /// and one that is busy says nothing either: to give the second one up would waste its work.
+    ///
+    /// # Errors
+    /// There is no answer.
+    pub async fn call_patiently(
+        &self,
+        target: &Target,
+        request: OutRequest,
+        limit: Duration,
+        longest: Duration,
+        alive: impl Fn() -> OutRequest,
+    ) -> Result<(Response<Incoming>, Link), CallError> {
+        let end = Instant::now() + longest;
+        let mut call = pin!(self.call(target, request, longest));
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            match timeout(limit.min(left), &mut call).await {
+                Ok(answer) => return answer,
+                Err(_) if end <= Instant::now() => return Err(CallError::Silent),
+                Err(_) => {}
+            }
+            if !self.lives(target, alive()).await {
+                return Err(CallError::Silent);
+            }
+        }
+    }
+
+    /// The endpoint answers.
+    pub async fn lives(&self, target: &Target, request: OutRequest) -> bool {
+        let answer = self.call(target, request, ALIVE).await;
+        answer.is_ok_and(|(response, _)| response.status().is_success())
+    }
+
     /// Calls an endpoint: over a kept connection if there is one, else over a new one.
     ///
     /// # Errors
     /// There is no answer.
     pub async fn call(
         &self,
-        target: &basilbank_forward::effect::Target,
+        target: &Target,
         request: OutRequest,
         limit: Duration,
     ) -> Result<(Response<Incoming>, Link), CallError> {
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use basilbank_forward::prelude::*;
+use basilbank_forward::effect::Target;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -23,15 +23,10 @@
 }
 
 /// Passes whole events on, so that a stream can go on elsewhere without a torn event between.
-pub async fn relay(
-    router: Rc<Router>,
-    endpoint: EndpointKey,
-    stream: Stream,
-    pieces: mpsc::Sender<Piece>,
-) -> Ended {
-    let Stream { mut body, link, kept, stall, .. } = stream;
+pub async fn relay(router: Rc<Router>, stream: Stream, pieces: mpsc::Sender<Piece>) -> Ended {
+    let Stream { mut body, link, kept, stall, target, .. } = stream;
     let mut events = Events::default();
-    while let Some(frame) = next(&mut body, stall).await {
+    while let Some(frame) = next(&router, &target, &mut body, stall).await {
         let Ok(frame) = frame else { return Ended { whole: false, last: events.last } };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.take(&data);
@@ -43,26 +38,29 @@
         }
     }
     if let Some(kept) = kept {
-        router.links.keep(endpoint, link, kept);
+        router.links.keep(target.endpoint, link, kept);
     }
     let rest = events.partial.split().freeze();
     let whole = rest.is_empty() || pieces.send(Piece::Data(rest)).await.is_ok();
     Ended { whole, last: events.last }
 }
 
-/// The next frame; an error when the stream is silent for too long.
+/// The next frame; an error when the stream is silent and its endpoint too.
 async fn next(
+    router: &Router,
+    target: &Target,
     body: &mut Incoming,
     stall: Option<Duration>,
 ) -> Option<Result<Frame<Bytes>, Broken>> {
-    let frame = match stall {
-        None => body.frame().await,
-        Some(stall) => match timeout(stall, body.frame()).await {
-            Ok(frame) => frame,
-            Err(_) => return Some(Err(Broken)),
-        },
-    };
-    frame.map(|frame| frame.map_err(|_| Broken))
+    let Some(stall) = stall else { return body.frame().await.map(|f| f.map_err(|_| Broken)) };
+    loop {
+        if let Ok(frame) = timeout(stall, body.frame()).await {
+            return frame.map(|frame| frame.map_err(|_| Broken));
+        }
+        if !router.links.lives(target, (router.dialect.alive)(&target.instance)).await {
+            return Some(Err(Broken));
+        }
+    }
 }
 
 /// The stream broke off, or is silent.
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -122,7 +122,7 @@
     steps: mpsc::UnboundedReceiver<Step>,
     work: JoinSet<(u32, Worked)>,
     running: HashMap<u32, AbortHandle>,
-    parked: HashMap<u32, (EndpointKey, Option<Parked>)>,
+    parked: HashMap<u32, Option<Parked>>,
     front: Front,
     last: Option<String>,
 }
@@ -171,7 +171,7 @@
 
     fn start(&mut self, attempt: Attempt) -> Flow {
         let number = attempt.number;
-        self.parked.insert(number, (attempt.target.endpoint, None));
+        self.parked.insert(number, None);
         let (router, original) = (Rc::clone(&self.router), Rc::clone(&self.original));
         let last = self.last.clone();
         let work = async move {
@@ -195,7 +195,7 @@
         self.running.remove(&number);
         let outcome = match worked {
             Worked::Came(came) => {
-                if let Some((_, parked)) = self.parked.get_mut(&number) {
+                if let Some(parked) = self.parked.get_mut(&number) {
                     *parked = came.parked;
                 }
                 came.outcome
@@ -225,7 +225,7 @@
     }
 
     fn deliver(&mut self, number: u32) -> Flow {
-        let Some((endpoint, Some(parked))) = self.parked.remove(&number) else { return Flow::On };
+        let Some(Some(parked)) = self.parked.remove(&number) else { return Flow::On };
         match parked {
             Parked::Whole(answer) => {
                 let body = OutBody::Whole(Some(answer.body));
@@ -233,13 +233,13 @@
                 Flow::Over
             }
             Parked::Stream(stream) => {
-                self.stream(number, endpoint, *stream);
+                self.stream(number, *stream);
                 Flow::On
             }
         }
     }
 
-    fn stream(&mut self, number: u32, endpoint: EndpointKey, mut stream: crate::calls::Stream) {
+    fn stream(&mut self, number: u32, mut stream: crate::calls::Stream) {
         let pieces = match &self.front {
             Front::Streaming(pieces) => pieces.clone(),
             Front::Waiting(_) | Front::Done => {
@@ -255,7 +255,7 @@
         };
         let router = Rc::clone(&self.router);
         let work = async move {
-            let ended = relay(router, endpoint, stream, pieces).await;
+            let ended = relay(router, stream, pieces).await;
             (number, Worked::Ended(ended))
         };
         let handle = self.work.spawn_local(work);
