Daemons that are no seeds meet under load

Cause: addresses named by peers were tried with idle heartbeats only, and under load no heartbeat is idle: a daemon heard the three seeds and counted the others' work as free memory.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -126,7 +126,6 @@
     let peers = &mut state.peers;
     peers.hints.retain(|_, until| now < *until);
     peers.sequence += 1;
-    let quiet = !peers.changed;
     peers.sent = now;
     peers.changed = false;
     let mut to: Vec<_> = peers.known.keys().copied().collect();
@@ -140,8 +139,10 @@
         peers: named.collect(),
         shunned,
     };
-    // Addresses that may be nobody's are tried with heartbeats only.
-    if quiet || peers.known.is_empty() {
+    // Addresses that may be nobody's are tried once a heartbeat, also when there is much to tell:
+    // daemons that don't know each other count the same endpoint's room twice.
+    if peers.probed + HEARTBEAT <= now {
+        peers.probed = now;
         let unknown = peers.seeds.iter().chain(peers.hints.keys()).copied();
         to.extend(unknown.filter(|address| !peers.known.contains_key(address)));
     }
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -53,6 +53,8 @@
     pub sequence: u64,
     /// When it was sent.
     pub sent: Duration,
+    /// When addresses were last tried from which nothing has come.
+    pub probed: Duration,
     /// What this daemon has at endpoints has changed since.
     pub changed: bool,
 }
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod drafts;
 mod endpoints;
+mod peers;
 mod plain;
 mod rig;
 mod routes;
--- /dev/null
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -0,0 +1,131 @@
+//! Daemons tell each other what they have at endpoints.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use basilbank_forward::prelude::*;
+
+use crate::rig::{Rig, held, model, prompt};
+
+/// Some daemons, and a network that delivers at once.
+struct Fleet {
+    rigs: HashMap<SocketAddr, Rig>,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Daemons of which all know the first one only.
+    fn new(count: u8) -> Fleet {
+        let address = |n: u8| SocketAddr::from(([10, 0, 1, n], 7000));
+        let addresses: Vec<_> = (0..count).map(address).collect();
+        let mut rigs = HashMap::new();
+        for (n, at) in addresses.iter().enumerate() {
+            let seeds = if n == 0 { vec![] } else { vec![addresses[0]] };
+            let mut rig = Rig::as_daemon(n as u64 + 1, seeds);
+            rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 2, Stage::Decode)]);
+            rigs.insert(*at, rig);
+        }
+        Fleet { rigs, addresses }
+    }
+
+    fn rig(&mut self, n: usize) -> &mut Rig {
+        let at = self.addresses[n];
+        self.rigs.get_mut(&at).expect("a daemon")
+    }
+
+    /// Lets time pass in steps, each with a call that comes and leaves, so that there is always
+    /// something new to tell.
+    fn busy(&mut self, steps: u32) {
+        for _ in 0..steps {
+            for at in self.addresses.clone() {
+                let rig = self.rigs.get_mut(&at).expect("a daemon");
+                let id = rig.call("/draft/1", 14_000, Some(prompt(500)));
+                rig.pass(Duration::from_millis(10));
+                rig.feed(Event::Left(id));
+                let beats = rig.beats();
+                for (to, beat) in beats {
+                    if let Some(rig) = self.rigs.get_mut(&to) {
+                        rig.feed(Event::Beat { from: at, beat });
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Symptom: decode endpoints were overfilled, though daemons told each other what they had there.
+/// Sequence: all daemons start under load and know the seeds only.
+/// Cause: addresses that a peer had named were tried with idle heartbeats only, and under load no
+/// heartbeat is idle; so daemons that are no seeds never met.
+#[test]
+fn daemons_meet_through_a_seed_under_load() {
+    let mut fleet = Fleet::new(6);
+    fleet.busy(200);
+    for n in 0..6 {
+        assert_eq!(fleet.rig(n).state.peers.known.len(), 5, "daemon {n}");
+    }
+}
+
+#[test]
+fn a_daemon_counts_what_its_peers_have_until_they_are_silent() {
+    let mut fleet = Fleet::new(3);
+    fleet.busy(100);
+    let id = fleet.rig(1).call("/draft/1", 14_000, Some(prompt(3000)));
+    let hold = fleet.rig(1).start();
+    fleet.rig(1).came(id, hold.number, held());
+    fleet.busy(10);
+    let used = |rig: &Rig| rig.state.directory.get(hold.target.endpoint).map(|e| e.peer_tokens);
+    assert!(Some(3000) <= used(fleet.rig(2)));
+    fleet.rig(2).pass_ms(3000);
+    assert_eq!(used(fleet.rig(2)), Some(0));
+}
+
+/// Symptom: a daemon counted work of a peer that had been over for long.
+/// Sequence: two datagrams overtook each other.
+/// Cause: the one that came last won.
+#[test]
+fn an_older_datagram_changes_nothing() {
+    let mut fleet = Fleet::new(2);
+    fleet.busy(60);
+    fleet.rig(0).beats();
+    fleet.rig(0).call("/draft/1", 14_000, Some(prompt(3000)));
+    fleet.rig(0).pass_ms(600);
+    let old = fleet.rig(0).beats();
+    fleet.rig(0).pass_ms(600);
+    let new = fleet.rig(0).beats();
+    let from = fleet.addresses[0];
+    for (_, beat) in new.into_iter().chain(old) {
+        fleet.rig(1).feed(Event::Beat { from, beat });
+    }
+    let peer = fleet.rig(1).state.peers.known[&from].clone();
+    assert_eq!(peer.loads.iter().map(|load| load.tokens).sum::<u32>(), 3060);
+}
+
+#[test]
+fn a_daemon_that_leaves_is_forgotten_at_once() {
+    let mut fleet = Fleet::new(2);
+    fleet.busy(60);
+    fleet.rig(0).beats();
+    fleet.rig(0).feed(Event::Shutdown);
+    let from = fleet.addresses[0];
+    for (_, beat) in fleet.rig(0).beats() {
+        fleet.rig(1).feed(Event::Beat { from, beat });
+    }
+    assert!(fleet.rig(1).state.peers.known.is_empty());
+}
+
+/// Symptom: each daemon learned by a refused call of its own that an endpoint changes its stage.
+/// Sequence: the holder ordered it; the others still had the old stage from the list.
+/// Cause: nobody told them.
+#[test]
+fn peers_leave_an_endpoint_alone_that_changes_its_stage() {
+    let mut fleet = Fleet::new(2);
+    fleet.busy(60);
+    let key = fleet.rig(0).state.directory.find("p1").expect("listed");
+    let accepted = basilbank_forward::event::Acceptance::Accepted;
+    fleet.rig(0).feed(Event::Ordered { endpoint: key, accepted });
+    fleet.busy(10);
+    let key = fleet.rig(1).state.directory.find("p1").expect("listed");
+    let now = fleet.rig(1).now();
+    let endpoint = fleet.rig(1).state.directory.get(key).expect("known");
+    assert!(now + Duration::from_secs(4) < endpoint.avoided);
+}
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -7,6 +7,7 @@
 };
 
 use basilbank_forward::{prelude::*, route::EngineInfo};
+use basilbank_wire::LoadBeat;
 
 /// The plain service of the tests.
 pub const DESK: &str = "desk";
@@ -25,19 +26,39 @@
 impl Rig {
     /// A daemon that knows the routes and nothing else.
     pub fn new() -> Rig {
-        Rig::with_tuning(Tuning::default())
+        Rig::with_local(Local::default())
     }
 
-    /// The same with other constants.
-    pub fn with_tuning(tuning: Tuning) -> Rig {
-        let local = Local::default().with_name("vm-1").with_data_centre("hall-a");
-        let state = State::new(local, tuning);
+    /// One of several daemons.
+    pub fn as_daemon(incarnation: u64, seeds: Vec<SocketAddr>) -> Rig {
+        Rig::with_local(Local::default().with_incarnation(incarnation).with_seeds(seeds))
+    }
+
+    fn with_local(local: Local) -> Rig {
+        let local = local.with_name("vm-1").with_data_centre("hall-a");
+        let state = State::new(local, Tuning::default());
         let now = Duration::from_secs(100);
         let mut rig = Rig { state, effects: Vec::new(), now, revision: 10, next: 0 };
         rig.feed(Event::Routes(Arc::new(table(1))));
         rig
     }
 
+    /// The time.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The datagrams since the last look; all else is dropped.
+    pub fn beats(&mut self) -> Vec<(SocketAddr, LoadBeat)> {
+        let effects = std::mem::take(&mut self.effects);
+        let beats = effects.into_iter().filter_map(|effect| match effect {
+            Effect::SendBeat { to, beat } => Some((to, beat)),
+            _ => None,
+        });
+        let each = beats.flat_map(|(to, beat)| to.into_iter().map(move |to| (to, beat.clone())));
+        each.collect()
+    }
+
     /// Feeds an event.
     pub fn feed(&mut self, event: Event) {
         let now = Now { mono: self.now, wall: SystemTime::UNIX_EPOCH + self.now };
