Daemons that started in one millisecond hear each other

Cause: a datagram with the own incarnation was taken for the own one; daemons that a site starts together have the same. So most daemons knew three peers only. Change: the own address tells.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -43,12 +43,12 @@
     // Datagrams overtake each other; what an older one says is over.
     let stale = before
         .is_some_and(|peer| (beat.incarnation, beat.sequence) <= (peer.incarnation, peer.sequence));
-    if stale || beat.incarnation == peers.incarnation {
+    if stale || Some(from) == peers.own {
         return;
     }
     let named: Vec<_> = beat.peers.iter().filter_map(|peer| from_wire(*peer)).collect();
     for address in named {
-        if !peers.known.contains_key(&address) {
+        if !peers.known.contains_key(&address) && Some(address) != peers.own {
             peers.hints.entry(address).or_insert(now + HINT);
         }
     }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -35,6 +35,8 @@
     pub seed: u64,
     /// Its process's start, milliseconds since the Unix epoch.
     pub incarnation: u64,
+    /// Where its peers reach it.
+    pub address: Option<SocketAddr>,
     /// Addresses at which peers may be found.
     pub seeds: Vec<SocketAddr>,
 }
@@ -56,6 +58,13 @@
         self
     }
 
+    /// With the address at which its peers reach it.
+    #[must_use]
+    pub fn with_address(mut self, address: SocketAddr) -> Local {
+        self.address = Some(address);
+        self
+    }
+
     /// With addresses at which peers may be found.
     #[must_use]
     pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Local {
@@ -106,6 +115,7 @@
         let peers = Peers {
             incarnation: local.incarnation,
             seeds: local.seeds.clone(),
+            own: local.address,
             ..Peers::default()
         };
         State {
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -37,6 +37,8 @@
 /// All of them, and this daemon's own datagrams.
 #[derive(Debug, Default)]
 pub struct Peers {
+    /// This daemon's own address, which peers may name to it.
+    pub own: Option<SocketAddr>,
     /// By address.
     pub known: HashMap<SocketAddr, Peer>,
     /// Addresses that were named by settings or peers, and from which nothing has come yet; with
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -20,7 +20,7 @@
         let mut rigs = HashMap::new();
         for (n, at) in addresses.iter().enumerate() {
             let seeds = if n == 0 { vec![] } else { vec![addresses[0]] };
-            let mut rig = Rig::as_daemon(n as u64 + 1, seeds);
+            let mut rig = Rig::as_daemon(*at, seeds);
             rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 2, Stage::Decode)]);
             rigs.insert(*at, rig);
         }
@@ -55,7 +55,8 @@
 /// Symptom: decode endpoints were overfilled, though daemons told each other what they had there.
 /// Sequence: all daemons start under load and know the seeds only.
 /// Cause: addresses that a peer had named were tried with idle heartbeats only, and under load no
-/// heartbeat is idle; so daemons that are no seeds never met.
+/// heartbeat is idle; so daemons that are no seeds never met. Besides, daemons that had started in the
+/// same millisecond took each other's datagrams for their own: all here have one incarnation.
 #[test]
 fn daemons_meet_through_a_seed_under_load() {
     let mut fleet = Fleet::new(6);
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -30,8 +30,9 @@
     }
 
     /// One of several daemons.
-    pub fn as_daemon(incarnation: u64, seeds: Vec<SocketAddr>) -> Rig {
-        Rig::with_local(Local::default().with_incarnation(incarnation).with_seeds(seeds))
+    pub fn as_daemon(address: SocketAddr, seeds: Vec<SocketAddr>) -> Rig {
+        let local = Local::default().with_incarnation(1).with_address(address);
+        Rig::with_local(local.with_seeds(seeds))
     }
 
     fn with_local(local: Local) -> Rig {
