Watches wait long, each for another time; peers tell that there is news

Cause: every daemon read the store several times a second, at a price for each call. Change: a watch waits up to half a second for each daemon that is heard, at random; the first that reads a change tells the others, which give up a watch that stays silent. A pause of 60 ms after news made 4776 calls and was taken back.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -66,6 +66,7 @@
         turn.state.directory.others(load.endpoint, load.tokens, load.calls);
     }
     shun(turn, &beat.shunned);
+    turn.state.news = turn.state.news.max(beat.news);
     let peer = Peer { incarnation: beat.incarnation, sequence: beat.sequence, heard: now, loads };
     let peers = &mut turn.state.peers;
     peers.known.insert(from, peer);
@@ -142,6 +143,7 @@
         loads,
         peers: named.collect(),
         shunned,
+        news: state.news,
     };
     // Addresses that may be nobody's are tried once a heartbeat, also when there is much to tell:
     // daemons that don't know each other count the same endpoint's room twice.
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -21,6 +21,7 @@
         .with("routes", table.routes().len());
     turn.note(note);
     turn.state.routes = table;
+    turn.state.fresh = true;
 }
 
 /// Takes the whole list in.
@@ -53,6 +54,7 @@
     }
     for instance in gone {
         if let Some(key) = turn.state.directory.find(instance) {
+            turn.state.fresh = true;
             vanish(turn, key, away);
         }
     }
@@ -71,6 +73,10 @@
     directory.revision = directory.revision.max(revision);
     directory.read_at = turn.now;
     directory.lost = false;
+    if std::mem::take(&mut turn.state.fresh) {
+        turn.state.news = turn.state.news.max(revision);
+        turn.state.peers.changed = true;
+    }
 }
 
 /// The store was away until now: entries may have lapsed although their endpoints live.
@@ -95,6 +101,7 @@
         replace_at(turn, &info);
     }
     if turn.state.directory.list(info) {
+        turn.state.fresh = true;
         turn.note(note);
     }
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -24,6 +24,10 @@
 };
 use crate::{call::RequestId, route::RouteTable, tuning::Tuning};
 
+/// Part of the wait that a watch waits at least; the rest is random, since changes end all daemons'
+/// watches at the same time.
+const SHORTEST_WAIT: f64 = 0.4;
+
 /// Who this daemon is.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Local {
@@ -99,6 +103,10 @@
     pub peers: Peers,
     /// Drafts that wait for room.
     pub waiting: Vec<RequestId>,
+    /// The store's revision at which the last change that matters was seen, here or by a peer.
+    pub news: u64,
+    /// Something that matters was read, and its revision isn't known yet.
+    pub(crate) fresh: bool,
     /// Orders to endpoints.
     pub roles: Roles,
     /// SIGTERM came.
@@ -127,6 +135,8 @@
             budgets: HashMap::new(),
             peers,
             waiting: Vec::new(),
+            news: 0,
+            fresh: false,
             roles: Roles::default(),
             leaving: false,
             rng,
@@ -146,6 +156,27 @@
         self.routes.version != 0 && self.directory.revision != 0
     }
 
+    /// A peer has seen a change in the store that this daemon has not read.
+    #[must_use]
+    pub fn behind(&self) -> bool {
+        self.directory.revision != 0 && self.directory.revision < self.news
+    }
+
+    /// How long the next watch of the store waits for a change.
+    ///
+    /// Each call to the store is paid for, so a wait should be long. But an open connection can go
+    /// silent without a sign, and a watch on it would wait to its end while endpoints leave. Daemons
+    /// that hear each other wait long, each for another time: the first whose watch ends reads what
+    /// came, and tells the others, which then give up their own. A daemon that hears few relies on
+    /// itself.
+    pub fn read_wait(&mut self) -> Duration {
+        let tuning = &self.tuning;
+        let peers = u32::try_from(self.peers.known.len()).unwrap_or(u32::MAX);
+        let wait = tuning.read_each.saturating_mul(peers.saturating_add(1));
+        let wait = wait.clamp(tuning.read_alone, tuning.read_longest);
+        wait.mul_f64(SHORTEST_WAIT + (1.0 - SHORTEST_WAIT) * self.rng.unit())
+    }
+
     /// When the next `Tick` is due.
     #[must_use]
     pub fn wake_at(&self) -> Option<Duration> {
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -66,6 +66,14 @@
     pub answer_margin: Duration,
     /// What a caller that was refused for want of room is told to wait: some drafts' ends.
     pub come_back: Duration,
+    /// Longest wait of a watch by a daemon that hears nobody: an endpoint's leaving has to be known
+    /// within two seconds.
+    pub read_alone: Duration,
+    /// Added to the wait for each daemon that is heard: at six, half a second passes on average until
+    /// one of them reads anew.
+    pub read_each: Duration,
+    /// Longest wait of a watch.
+    pub read_longest: Duration,
     /// How long entries that vanished while the store was away are kept after its return, so that
     /// endpoints can register again.
     pub return_grace: Duration,
@@ -102,6 +110,9 @@
             hedge_part: 0.8,
             answer_margin: Duration::from_millis(30),
             come_back: Duration::from_millis(400),
+            read_alone: Duration::from_millis(1500),
+            read_each: Duration::from_millis(500),
+            read_longest: Duration::from_millis(8000),
             return_grace: Duration::from_millis(2500),
             store_silence: Duration::from_millis(1500),
         }
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -130,3 +130,40 @@
     let endpoint = fleet.rig(1).state.directory.get(key).expect("known");
     assert!(now + Duration::from_secs(4) < endpoint.avoided);
 }
+
+/// Symptom: each daemon read the store several times a second, and most readings had no news.
+/// Sequence: endpoints' heartbeats change the store all the time.
+/// Cause: each daemon had to find out about changes by itself.
+#[test]
+fn a_daemon_that_reads_a_change_makes_the_others_read() {
+    let mut fleet = Fleet::new(5);
+    fleet.busy(60);
+    let alone = fleet.rig(1).state.tuning.read_alone;
+    assert!((0..20).any(|_| alone < fleet.rig(1).state.read_wait()));
+    assert!(!fleet.rig(1).state.behind());
+    let draining = EndpointInfo { draining: true, ..model("d1", 2, Stage::Decode) };
+    fleet.rig(0).list(vec![draining.clone()]);
+    fleet.busy(2);
+    assert!(fleet.rig(1).state.behind());
+    fleet.rig(1).list(vec![draining]);
+    assert!(!fleet.rig(1).state.behind());
+}
+
+#[test]
+fn a_heartbeat_in_the_store_is_no_news() {
+    let mut fleet = Fleet::new(5);
+    fleet.busy(60);
+    fleet.rig(0).list(vec![model("d1", 2, Stage::Decode)]);
+    fleet.busy(2);
+    assert!(!fleet.rig(1).state.behind());
+}
+
+/// Symptom: a daemon's view of the endpoints was 17 s old.
+/// Sequence: its connection to the store went silent while a watch waited on it.
+/// Cause: the watch waited for as long as the store allows.
+#[test]
+fn a_daemon_that_hears_nobody_waits_shortly() {
+    let mut rig = Rig::new();
+    let longest = (0..100).map(|_| rig.state.read_wait()).max();
+    assert!(longest <= Some(rig.state.tuning.read_alone));
+}
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -8,17 +8,15 @@
 
 use crate::router::Router;
 
-/// How long one watch waits for changes. Shorter than a store's usual limit, so that a connection
-/// that went silent is noticed soon: its limit is this and [`MARGIN`].
-const WAIT: Duration = Duration::from_millis(1500);
-
 /// Longest time for an answer beyond what the store was asked to wait.
 const MARGIN: Duration = Duration::from_millis(700);
 
-/// Pause between two watches. Endpoints' heartbeats change the list many times a second; each watch
-/// would return at once with a single heartbeat, and each is paid for. A leaving endpoint must be
-/// known within two seconds, so this much lag is small.
-const PAUSE: Duration = Duration::from_millis(400);
+/// Pause after a read that had changes: they come in bursts, and each read is paid for.
+const BATCH: Duration = Duration::from_millis(250);
+
+/// How long a watch may be behind what a peer has seen. The change itself usually arrives within
+/// some milliseconds; a watch that is still silent then has a dead connection.
+const BEHIND: Duration = Duration::from_millis(300);
 
 /// First pause after a failure; doubled each time.
 const BACKOFF: Duration = Duration::from_millis(150);
@@ -90,18 +88,27 @@
     /// One read; returns how long to pause.
     async fn turn(&mut self) -> Duration {
         let begun = Instant::now();
-        let query = match self.after {
-            0 => Query::All,
-            after => Query::Changes { after, wait: WAIT },
+        let (query, limit) = match self.after {
+            0 => (Query::All, MARGIN),
+            after => {
+                let wait = self.router.read_wait();
+                (Query::Changes { after, wait }, wait + MARGIN)
+            }
+        };
+        let late = |_| Err(ReadError::Failed("no answer in time".to_owned()));
+        let read = tokio::select! {
+            read = timeout(limit, (self.source)(query)) => read.unwrap_or_else(late),
+            () = self.router.behind(BEHIND) => {
+                log::info!("{}", Line::new("store_watch_stale").with("after", self.after));
+                return Duration::ZERO;
+            }
         };
-        let limit = if self.after == 0 { MARGIN } else { WAIT + MARGIN };
-        let read = timeout(limit, (self.source)(query)).await;
-        let read = read.unwrap_or_else(|_| Err(ReadError::Failed("no answer in time".to_owned())));
         match read {
             Ok(reading) => {
                 self.router.metrics.store_call("read");
+                let changed = !(reading.listed.is_empty() && reading.gone.is_empty());
                 self.took(query, reading);
-                if query == Query::All { Duration::ZERO } else { PAUSE }
+                if changed && query != Query::All { BATCH } else { Duration::ZERO }
             }
             Err(ReadError::HistoryGone) => {
                 self.router.metrics.store_call("history_gone");
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -52,6 +52,7 @@
     steps: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Step>>>,
     next: Cell<u64>,
     changed: Notify,
+    news: Notify,
     socket: OnceCell<Rc<UdpSocket>>,
 }
 
@@ -79,6 +80,7 @@
             steps: RefCell::default(),
             next: Cell::new(0),
             changed: Notify::new(),
+            news: Notify::new(),
             socket: OnceCell::new(),
         })
     }
@@ -110,6 +112,22 @@
         read(&self.state.borrow())
     }
 
+    /// Waits until a peer has seen a change in the store that this daemon has not read for `grace`.
+    pub async fn behind(&self, grace: Duration) {
+        loop {
+            self.news.notified().await;
+            sleep(grace).await;
+            if self.read(State::behind) {
+                return;
+            }
+        }
+    }
+
+    /// How long the next watch of the store waits for a change.
+    pub fn read_wait(&self) -> Duration {
+        self.state.borrow_mut().read_wait()
+    }
+
     /// Changes constants when settings change.
     pub fn tune(&self, change: impl FnOnce(&mut Tuning)) {
         change(&mut self.state.borrow_mut().tuning);
@@ -128,6 +146,9 @@
         if wake {
             self.changed.notify_one();
         }
+        if self.read(State::behind) {
+            self.news.notify_one();
+        }
         for effect in effects {
             self.carry_out(effect);
         }
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -23,6 +23,10 @@
     /// Endpoints that the sender knows to refuse work.
     #[prost(message, repeated, tag = "6")]
     pub shunned: Vec<Shunned>,
+    /// The store's revision at which the last change was seen that matters: of the configuration, or
+    /// of an endpoint's entry other than its heartbeat.
+    #[prost(uint64, tag = "7")]
+    pub news: u64,
 }
 
 /// An endpoint that refuses work for some time: its stage is changing, or it loses KV caches.
