--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -26,11 +26,16 @@
 ) -> Option<EndpointKey> {
     let local = &state.local.data_centre;
     let remote = state.tuning.remote_cost;
+    // A new endpoint counts as the fastest of the others until it is measured: one that counted as
+    // slow would never be tried, and so never be measured.
+    let fastest = state.directory.service(service).filter_map(|(_, e)| e.mean).min();
+    let fastest = fastest.unwrap_or_default();
     let costs = state.directory.service(service).map(|(key, endpoint)| {
+        let mean = endpoint.mean.unwrap_or(fastest);
         let slots = f64::from(endpoint.info.slots.max(1));
         let queue = 1.0 + f64::from(endpoint.all_calls()) / slots;
         let trip = if endpoint.info.data_centre == *local { Duration::ZERO } else { remote };
-        let cost = endpoint.mean.as_secs_f64() * queue + trip.as_secs_f64();
+        let cost = mean.as_secs_f64() * queue + trip.as_secs_f64();
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -33,9 +33,6 @@
 /// Bound of the measured slowness: beyond it an endpoint counts as failed anyway.
 const SLOWEST: f64 = 10.0;
 
-/// Answer time that is assumed before the first measurement.
-const FIRST_MEAN: Duration = Duration::from_millis(30);
-
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -51,8 +48,8 @@
     pub peer_tokens: u32,
     /// Peers' calls in progress.
     pub peer_calls: u32,
-    /// Running mean of its answer times.
-    pub mean: Duration,
+    /// Running mean of its answer times; `None` before the first one.
+    pub mean: Option<Duration>,
     /// Seconds that reading a prompt takes at least, whatever its length.
     pub base: f64,
     /// How many times longer it takes to read prompts than its rate says.
@@ -76,7 +73,7 @@
             tokens: 0,
             peer_tokens: 0,
             peer_calls: 0,
-            mean: FIRST_MEAN,
+            mean: None,
             base: FIRST_BASE,
             slowness: 1.0,
             avoided: Duration::ZERO,
@@ -108,7 +105,8 @@
     pub fn answered(&mut self, took: Duration) {
         self.failures = 0;
         self.avoided = Duration::ZERO;
-        self.mean = self.mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT);
+        let mean = self.mean.unwrap_or(took);
+        self.mean = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
     }
 
     /// It has read a prompt that it should have read in `expected` seconds.
--- a/crates/basilbank_forward/tests/forward/endpoints.rs
+++ b/crates/basilbank_forward/tests/forward/endpoints.rs
@@ -79,3 +79,20 @@
     rig.feed(Event::Endpoints { revision: 99, list: vec![plain("b", 2)] });
     assert_eq!(targets(&mut rig), ["b"]);
 }
+
+/// Symptom: an endpoint that was added during a day got no calls.
+/// Sequence: the others answered within milliseconds; the new one had not answered anything yet.
+/// Cause: it counted as slower than all of them until its first answer, which it was never asked for.
+#[test]
+fn a_new_endpoint_beside_fast_ones_gets_calls() {
+    let mut rig = Rig::new();
+    rig.list(vec![plain("a", 1), plain("b", 2)]);
+    for _ in 0..20 {
+        let id = rig.call("/stock/1", 1000, None);
+        let attempt = rig.start();
+        rig.pass_ms(1);
+        rig.came(id, attempt.number, Outcome::Answered { status: 200 });
+    }
+    rig.list(vec![plain("c", 3)]);
+    assert!(targets(&mut rig).contains(&"c".to_owned()));
+}
--- a/crates/basilbank_gateway/src/edge.rs
+++ b/crates/basilbank_gateway/src/edge.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 
 use basilbank::callers::edge::{self, EdgeRefusal, Terms};
+use hyper::header::{CONNECTION, HeaderValue};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -18,6 +19,8 @@
 /// A caller that takes no byte for this long while there are bytes for it is cut off.
 const WRITE: Duration = Duration::from_secs(8);
 
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
 /// Open connections of callers.
 pub type Open = Rc<Cell<usize>>;
 
@@ -75,10 +78,17 @@
 async fn connection(router: Rc<Router>, stream: TcpStream, closing: watch::Receiver<bool>) {
     let bounds = router.read(|state| state.routes.bounds);
     let terms = Terms { write_time: WRITE, head_time: bounds.idle, head_bytes: bounds.head };
-    let serving = Rc::clone(&router);
+    let (serving, leaving) = (Rc::clone(&router), closing.clone());
     let handle = move |request| {
-        let router = Rc::clone(&serving);
-        Box::pin(async move { Ok::<_, Infallible>(request::serve(router, request).await) })
+        let (router, leaving) = (Rc::clone(&serving), leaving.clone());
+        Box::pin(async move {
+            let mut response = request::serve(router, request).await;
+            // A connection whose first request comes only now isn't told by hyper.
+            if *leaving.borrow() {
+                response.headers_mut().insert(CONNECTION, CLOSE);
+            }
+            Ok::<_, Infallible>(response)
+        })
     };
     let refuse = |refusal: EdgeRefusal| {
         router.metrics.refused_early(refusal.as_str());
--- a/crates/basilbank_standin/src/lib.rs
+++ b/crates/basilbank_standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod http;
 mod kv;
+pub mod managed;
 mod plain;
 mod platform;
 mod prefix;
--- /dev/null
+++ b/crates/basilbank_standin/src/managed.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for the users' platform: its store, its endpoints, and a daemon beside them.
+//!
+//! They speak plain sockets, so that they can also say what no HTTP library would: half an answer,
+//! two answers, bytes that are none.
+
+mod endpoint;
+mod http;
+mod store;
+mod world;
+
+pub use self::{
+    endpoint::{EndpointSpec, ManagedEndpoint, Misdeed, Served},
+    http::{Answer, Request, call, exchange},
+    store::{ManagedStore, StoreFault},
+    world::{World, WorldSpec},
+};
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -0,0 +1,341 @@
+//! A stand-in for the platform's endpoints: model engines with a stage, and plain services.
+
+use std::{
+    collections::{HashMap, HashSet},
+    io::{self, Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use serde_json::json;
+
+use super::http::{Listener, Request, answer_bytes, write_answer};
+
+/// Time between two events of a stream.
+const EVENT_TIME: Duration = Duration::from_millis(5);
+
+/// What an endpoint is.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointSpec {
+    /// The instance's id.
+    pub instance: String,
+    /// The port to listen on; 0 lets the system choose.
+    pub port: u16,
+    /// Its stage; `None` for a plain service.
+    pub stage: Option<&'static str>,
+}
+
+impl EndpointSpec {
+    /// A plain service.
+    #[must_use]
+    pub fn plain(instance: &str) -> EndpointSpec {
+        EndpointSpec { instance: instance.to_owned(), ..EndpointSpec::default() }
+    }
+
+    /// A model endpoint.
+    #[must_use]
+    pub fn model(instance: &str, stage: &'static str) -> EndpointSpec {
+        EndpointSpec { stage: Some(stage), ..EndpointSpec::plain(instance) }
+    }
+}
+
+/// How an endpoint misbehaves, for calls from now on.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Misdeed {
+    /// It does not.
+    #[default]
+    None,
+    /// It is full: it runs nothing, and says so.
+    Full,
+    /// It runs the call and fails.
+    Error,
+    /// It runs the call and closes the connection instead of an answer.
+    Lost,
+    /// It runs the call and breaks its answer off in the middle.
+    Torn,
+    /// It answers twice.
+    Doubled,
+    /// Its answer carries another call's id.
+    Mistaken,
+    /// Its answer is no HTTP.
+    Garbage,
+    /// It takes the call and says nothing.
+    Silent,
+    /// Its KV caches are gone at once.
+    Forgetful,
+}
+
+/// What an endpoint has served.
+#[derive(Clone, Debug, Default)]
+pub struct Served {
+    /// Calls that it ran, in order.
+    pub ran: Vec<Request>,
+    /// Prompts that it read for a later decode.
+    pub prefills: u32,
+    /// Slots that it held.
+    pub holds: u32,
+    /// Bodies of the orders that it got.
+    pub orders: Vec<serde_json::Value>,
+    /// Streams whose caller closed the connection before their end.
+    pub abandoned: u32,
+    /// Slots that were given back.
+    pub dropped: u32,
+    /// KV caches that were freed.
+    pub freed: u32,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Inside {
+    stage: Option<&'static str>,
+    misdeed: Misdeed,
+    handles: HashSet<String>,
+    next: u32,
+    served: Served,
+}
+
+/// KV caches of all endpoints, by address: an endpoint that decodes takes them from there.
+pub(super) type Caches = Arc<Mutex<HashMap<SocketAddr, Arc<Mutex<Inside>>>>>;
+
+/// An endpoint. Dropping it ends it.
+pub struct ManagedEndpoint {
+    spec: EndpointSpec,
+    inside: Arc<Mutex<Inside>>,
+    listener: Listener,
+}
+
+struct Serving {
+    instance: String,
+    inside: Arc<Mutex<Inside>>,
+    caches: Caches,
+}
+
+impl ManagedEndpoint {
+    pub(super) fn start(spec: EndpointSpec, caches: &Caches) -> io::Result<ManagedEndpoint> {
+        let inside = Arc::new(Mutex::new(Inside { stage: spec.stage, ..Inside::default() }));
+        let serving = Serving {
+            instance: spec.instance.clone(),
+            inside: Arc::clone(&inside),
+            caches: Arc::clone(caches),
+        };
+        let serve = move |stream: &TcpStream, request: &Request| serving.serve(stream, request);
+        let listener = Listener::start(spec.port, serve)?;
+        lock(caches).insert(listener.address(), Arc::clone(&inside));
+        Ok(ManagedEndpoint { spec, inside, listener })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Its instance's id.
+    #[must_use]
+    pub fn instance(&self) -> &str {
+        &self.spec.instance
+    }
+
+    /// Its entry in the store.
+    #[must_use]
+    pub fn entry(&self, service: &str, state: &str) -> serde_json::Value {
+        let mut entry = json!({
+            "service": service, "addr": self.address().to_string(), "zone": "hall-a",
+            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1,
+        });
+        if let Some(stage) = lock(&self.inside).stage {
+            entry["stage"] = json!(stage);
+        }
+        entry
+    }
+
+    /// Sets how it misbehaves.
+    pub fn misbehave(&self, misdeed: Misdeed) {
+        lock(&self.inside).misdeed = misdeed;
+    }
+
+    /// What it has served.
+    #[must_use]
+    pub fn served(&self) -> Served {
+        lock(&self.inside).served.clone()
+    }
+
+    /// Closes all connections, in the middle of whatever is sent.
+    pub fn cut(&self) {
+        self.listener.close_all();
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Serving {
+    fn serve(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        let expected = request.header("x-expect-instance");
+        if expected.is_some_and(|expected| expected != self.instance) {
+            return write_answer(stream, 421, &[("x-instance-id", &self.instance)], b"");
+        }
+        let misdeed = lock(&self.inside).misdeed;
+        if misdeed == Misdeed::Silent {
+            return Ok(());
+        }
+        match (request.method.as_str(), request.path()) {
+            ("GET", "/report") => write_answer(stream, 200, &[], b"{}"),
+            ("POST", "/hold-take") => self.hold(stream, misdeed),
+            ("POST", "/order") => self.order(stream, request),
+            ("DELETE", path) if path.starts_with("/hold-drop/") => {
+                lock(&self.inside).served.dropped += 1;
+                write_answer(stream, 200, &[], b"")
+            }
+            ("DELETE", path) if path.starts_with("/kv-handle/") => {
+                lock(&self.inside).served.freed += 1;
+                write_answer(stream, 200, &[], b"")
+            }
+            _ if misdeed == Misdeed::Full => self.refuse(stream, request),
+            _ if request.header("x-stage") == Some("prefill") => self.prefill(stream, request),
+            _ => self.run(stream, request, misdeed),
+        }
+    }
+
+    fn refuse(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        write_answer(stream, 503, &[("x-not-executed", "1"), ("x-attempt-id", id)], b"")
+    }
+
+    fn hold(&self, stream: &TcpStream, misdeed: Misdeed) -> io::Result<()> {
+        if misdeed == Misdeed::Full {
+            return write_answer(stream, 503, &[], b"");
+        }
+        let mut inside = lock(&self.inside);
+        inside.served.holds += 1;
+        let hold = json!({ "hold": format!("hold-{}", inside.served.holds) });
+        write_answer(stream, 200, &[], hold.to_string().as_bytes())
+    }
+
+    fn order(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        let Ok(order) = serde_json::from_slice(&request.body) else {
+            return write_answer(stream, 400, &[], b"");
+        };
+        let mut inside = lock(&self.inside);
+        inside.served.orders.push(order);
+        write_answer(stream, 202, &[], b"")
+    }
+
+    fn prefill(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        let mut inside = lock(&self.inside);
+        if inside.stage != Some("prefill") {
+            return write_answer(stream, 421, &[], b"");
+        }
+        inside.served.prefills += 1;
+        inside.next += 1;
+        let handle = format!("kv-{}", inside.next);
+        if inside.misdeed != Misdeed::Forgetful {
+            inside.handles.insert(handle.clone());
+        }
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let body = json!({ "kvHandle": handle, "tokens": 1000, "version": 1 });
+        write_answer(stream, 200, &[("x-attempt-id", id)], body.to_string().as_bytes())
+    }
+
+    fn run(&self, stream: &TcpStream, request: &Request, misdeed: Misdeed) -> io::Result<()> {
+        if let Some(source) = request.header("x-kv-source")
+            && !self.take(source)
+        {
+            return self.refuse(stream, request);
+        }
+        lock(&self.inside).served.ran.push(request.clone());
+        match request.header("x-token-counts") {
+            Some(_) => self.stream(stream, request, misdeed),
+            None => self.answer(stream, request, misdeed),
+        }
+    }
+
+    fn take(&self, source: &str) -> bool {
+        let Some((address, handle)) = source.split_once('/') else { return false };
+        let Ok(address) = address.parse::<SocketAddr>() else { return false };
+        let Some(inside) = lock(&self.caches).get(&address).cloned() else { return false };
+        lock(&inside).handles.remove(handle)
+    }
+
+    fn answer(
+        &self,
+        mut stream: &TcpStream,
+        request: &Request,
+        misdeed: Misdeed,
+    ) -> io::Result<()> {
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let id = if misdeed == Misdeed::Mistaken { "another" } else { id };
+        let status = if misdeed == Misdeed::Error { 500 } else { 200 };
+        let body = format!("{} {} by {}", request.method, request.target, self.instance);
+        let headers = [("x-attempt-id", id), ("x-server-seal", "seal")];
+        let bytes = answer_bytes(status, &headers, body.as_bytes());
+        match misdeed {
+            Misdeed::Lost => return Err(io::ErrorKind::ConnectionReset.into()),
+            Misdeed::Torn => stream.write_all(&bytes[..bytes.len() - 5])?,
+            Misdeed::Garbage => stream.write_all(b"\0\0 no answer\r\n\r\n")?,
+            Misdeed::Doubled => stream.write_all(&[bytes.clone(), bytes].concat())?,
+            _ => return stream.write_all(&bytes),
+        }
+        match misdeed {
+            Misdeed::Doubled => Ok(()),
+            _ => {
+                stream.shutdown(std::net::Shutdown::Both)?;
+                Err(io::ErrorKind::ConnectionReset.into())
+            }
+        }
+    }
+
+    fn stream(
+        &self,
+        mut stream: &TcpStream,
+        request: &Request,
+        misdeed: Misdeed,
+    ) -> io::Result<()> {
+        if misdeed == Misdeed::Lost {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: {id}\r\n\
+             x-server-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes())?;
+        let counts = request.header("x-token-counts").unwrap_or_default();
+        let last: u32 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
+        let had = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0u32);
+        for event in had + 1..=last {
+            if misdeed == Misdeed::Torn && event == had + 3 {
+                chunk(stream, &format!("id: {event}\ndata: to"))?;
+                stream.shutdown(std::net::Shutdown::Both)?;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            if chunk(stream, &format!("id: {event}\ndata: token {event}\n\n")).is_err()
+                || left(stream)
+            {
+                lock(&self.inside).served.abandoned += 1;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            thread::sleep(EVENT_TIME);
+        }
+        stream.write_all(b"0\r\n\r\n")
+    }
+}
+
+fn chunk(mut stream: &TcpStream, text: &str) -> io::Result<()> {
+    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+}
+
+/// The caller has closed the connection.
+fn left(mut stream: &TcpStream) -> bool {
+    if stream.set_nonblocking(true).is_err() {
+        return true;
+    }
+    let mut byte = [0];
+    let closed = match stream.read(&mut byte) {
+        Ok(read) => read == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    };
+    stream.set_nonblocking(false).is_err() || closed
+}
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -0,0 +1,282 @@
+//! Just enough HTTP/1.1 for stand-ins, by hand.
+
+use std::{
+    collections::HashMap,
+    io::{self, BufRead, BufReader, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+/// Longest wait of a test's own call.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One request, as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// The path, with the query.
+    pub target: String,
+    /// The headers; names in lowercase.
+    pub headers: HashMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// A header's value.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// The path, without the query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// A parameter of the query, unescaped.
+    #[must_use]
+    pub fn param(&self, name: &str) -> Option<String> {
+        let query = self.target.split_once('?')?.1;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let (_, value) = pairs.find(|(key, _)| *key == name)?;
+        let text = percent_encoding::percent_decode_str(value).decode_utf8_lossy();
+        Some(text.into_owned())
+    }
+}
+
+/// One answer, as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The headers; names in lowercase.
+    pub headers: HashMap<String, String>,
+    /// The body, as far as it came.
+    pub body: Vec<u8>,
+    /// It came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The body as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// A header's value.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// Calls over a new connection.
+///
+/// # Errors
+/// There is no answer.
+pub fn call(
+    to: SocketAddr,
+    line: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<Answer> {
+    let mut text = format!("{line} HTTP/1.1\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    if !body.is_empty() {
+        text += &format!("content-length: {}\r\n", body.len());
+    }
+    text += "\r\n";
+    let mut stream = TcpStream::connect(to)?;
+    stream.write_all(text.as_bytes())?;
+    stream.write_all(body)?;
+    read_answer(&mut BufReader::new(stream))
+}
+
+/// Sends bytes over a connection of one's own, and reads one answer.
+///
+/// # Errors
+/// There is no answer.
+pub fn exchange(stream: &TcpStream, bytes: &[u8]) -> io::Result<Answer> {
+    (&*stream).write_all(bytes)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    read_answer(&mut BufReader::new(stream.try_clone()?))
+}
+
+fn read_answer(from: &mut impl BufRead) -> io::Result<Answer> {
+    let (first, headers) = read_head(from)?;
+    let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
+    let status = status.ok_or_else(|| io::Error::other(format!("no answer: {first:?}")))?;
+    let mut answer = Answer { status, headers, ..Answer::default() };
+    answer.whole = read_body(from, &answer.headers, &mut answer.body).is_ok();
+    Ok(answer)
+}
+
+/// Reads the first line and the headers.
+pub(super) fn read_head(from: &mut impl BufRead) -> io::Result<(String, HashMap<String, String>)> {
+    let mut first = String::new();
+    if from.read_line(&mut first)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        if from.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            return Ok((first.trim_end().to_owned(), headers));
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+    }
+}
+
+/// Reads a body by its length or its chunks, else to the connection's end.
+pub(super) fn read_body(
+    from: &mut impl BufRead,
+    headers: &HashMap<String, String>,
+    body: &mut Vec<u8>,
+) -> io::Result<()> {
+    if headers.get("transfer-encoding").is_some_and(|v| v == "chunked") {
+        return read_chunks(from, body);
+    }
+    match headers.get("content-length").and_then(|v| v.parse::<usize>().ok()) {
+        Some(length) => {
+            body.resize(length, 0);
+            from.read_exact(body)
+        }
+        None => from.read_to_end(body).map(drop),
+    }
+}
+
+fn read_chunks(from: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<()> {
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line)?;
+        let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+        let begin = body.len();
+        body.resize(begin + size, 0);
+        from.read_exact(&mut body[begin..])?;
+        let mut end = String::new();
+        from.read_line(&mut end)?;
+        if size == 0 {
+            return Ok(());
+        }
+    }
+}
+
+/// A listener whose connections each have a thread. Dropping it closes all of them.
+pub(super) struct Listener {
+    address: SocketAddr,
+    ended: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Listener {
+    /// Listens on loopback; port 0 lets the system choose.
+    pub(super) fn start(
+        port: u16,
+        serve: impl Fn(&TcpStream, &Request) -> io::Result<()> + Send + Sync + 'static,
+    ) -> io::Result<Listener> {
+        let listener = TcpListener::bind(("127.0.0.1", port))?;
+        let address = listener.local_addr()?;
+        let (ended, open) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+        let (is_ended, streams, serve) = (Arc::clone(&ended), Arc::clone(&open), Arc::new(serve));
+        let thread = thread::spawn(move || {
+            for stream in listener.incoming() {
+                if is_ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                let Ok(kept) = stream.try_clone() else { continue };
+                streams.lock().unwrap_or_else(PoisonError::into_inner).push(kept);
+                let serve = Arc::clone(&serve);
+                // A connection ends when its caller closes it, or when serving it says so.
+                thread::spawn(move || {
+                    drop(converse(&stream, &*serve));
+                    // The list of open connections keeps it open otherwise; it may be closed already.
+                    let _ = stream.shutdown(Shutdown::Both);
+                });
+            }
+        });
+        Ok(Listener { address, ended, open, thread: Some(thread) })
+    }
+
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Resets nothing, but closes all connections.
+    pub(super) fn close_all(&self) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        for stream in open.drain(..) {
+            // It may have been closed before.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+        // The thread waits in accept; a connection wakes it.
+        let _ = TcpStream::connect(self.address);
+        if let Some(thread) = self.thread.take() {
+            // Its port is free once it has ended. A panic there leaves nothing to wait for.
+            let _ = thread.join();
+        }
+        self.close_all();
+    }
+}
+
+fn converse(
+    stream: &TcpStream,
+    serve: &dyn Fn(&TcpStream, &Request) -> io::Result<()>,
+) -> io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let (first, headers) = read_head(&mut reader)?;
+        let mut words = first.split(' ').map(str::to_owned);
+        let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        let mut request = Request { method, target, headers, body: Vec::new() };
+        let framed = ["content-length", "transfer-encoding"];
+        if framed.iter().any(|name| request.headers.contains_key(*name)) {
+            read_body(&mut reader, &request.headers, &mut request.body)?;
+        }
+        serve(stream, &request)?;
+    }
+}
+
+/// Writes a whole answer.
+pub(super) fn write_answer(
+    mut stream: &TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    stream.write_all(&answer_bytes(status, headers, body))
+}
+
+/// The bytes of a whole answer.
+pub(super) fn answer_bytes(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} x\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += "\r\n";
+    [text.as_bytes(), body].concat()
+}
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/store.rs
@@ -0,0 +1,212 @@
+//! A stand-in for the platform's store.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use serde_json::{Value, json};
+
+use super::http::{Listener, Request, write_answer};
+
+/// Items in one page.
+const PAGE: usize = 3;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It answers 429.
+    TooMany,
+    /// It closes each connection.
+    Closing,
+    /// It says nothing any more, on open connections and new ones.
+    Silent,
+    /// It serves, but its answers are lost: the connection stays open and silent.
+    Lost,
+}
+
+#[derive(Debug, Default)]
+struct Inside {
+    revision: u64,
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    /// Key, revision, and value unless it was deleted.
+    history: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    fault: StoreFault,
+    calls: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    inside: Mutex<Inside>,
+    changed: Condvar,
+}
+
+/// The store. Dropping it ends it.
+pub struct ManagedStore {
+    shared: Arc<Shared>,
+    listener: Listener,
+}
+
+impl ManagedStore {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn start() -> io::Result<ManagedStore> {
+        let shared = Arc::new(Shared::default());
+        shared.lock().revision = 1;
+        let serving = Arc::clone(&shared);
+        let listener = Listener::start(0, move |stream, request| serving.serve(stream, request))?;
+        Ok(ManagedStore { shared, listener })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &Value) {
+        self.shared.change(key, Some(value.to_string().into_bytes()));
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.shared.change(key, None);
+    }
+
+    /// Sets what is wrong. Connections that are open stay so.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.shared.lock().fault = fault;
+        if fault == StoreFault::Closing {
+            self.listener.close_all();
+        }
+    }
+
+    /// Forgets all changes so far.
+    pub fn compact(&self) {
+        let mut inside = self.shared.lock();
+        inside.forgotten = inside.revision;
+        inside.history.clear();
+        drop(inside);
+        self.listener.close_all();
+    }
+
+    /// Calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inside> {
+        self.inside.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, key: &str, value: Option<Vec<u8>>) {
+        let mut inside = self.lock();
+        inside.revision += 1;
+        let revision = inside.revision;
+        match &value {
+            Some(value) => drop(inside.items.insert(key.to_owned(), (revision, value.clone()))),
+            None => drop(inside.items.remove(key)),
+        }
+        inside.history.push((key.to_owned(), revision, value));
+        drop(inside);
+        self.changed.notify_all();
+    }
+
+    fn serve(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        let fault = {
+            let mut inside = self.lock();
+            inside.calls += 1;
+            inside.fault
+        };
+        match fault {
+            StoreFault::None => {}
+            StoreFault::Busy => return write_answer(stream, 503, &[], b"{}"),
+            StoreFault::TooMany => return write_answer(stream, 429, &[], b"{}"),
+            StoreFault::Closing => return Err(io::ErrorKind::ConnectionReset.into()),
+            StoreFault::Silent | StoreFault::Lost => return Ok(()),
+        }
+        let (status, body) = match request.path() {
+            "/kv-key" => self.one(&request.param("key").unwrap_or_default()),
+            "/kv-range" => self.range(request),
+            "/kv-watch" => self.watch(request),
+            _ => (404, json!({})),
+        };
+        if self.lock().fault != StoreFault::None {
+            return Ok(());
+        }
+        write_answer(stream, status, &[], body.to_string().as_bytes())
+    }
+
+    fn one(&self, key: &str) -> (u16, Value) {
+        let inside = self.lock();
+        let Some((rev, value)) = inside.items.get(key) else { return (404, json!({})) };
+        let mut item = item(key, *rev, value);
+        item["storeRevision"] = json!(inside.revision);
+        (200, item)
+    }
+
+    fn range(&self, request: &Request) -> (u16, Value) {
+        let prefix = request.param("prefix").unwrap_or_default();
+        let after = request.param("after").unwrap_or_default();
+        let inside = self.lock();
+        let found: Vec<_> = inside
+            .items
+            .iter()
+            .filter(|(key, _)| key.starts_with(&prefix) && after.as_str() < key.as_str())
+            .map(|(key, (rev, value))| item(key, *rev, value))
+            .collect();
+        let more = PAGE < found.len();
+        let items: Vec<_> = found.into_iter().take(PAGE).collect();
+        let revision = inside.revision;
+        (200, json!({ "items": items, "hasMore": more, "storeRevision": revision }))
+    }
+
+    fn watch(&self, request: &Request) -> (u16, Value) {
+        let number = |name| request.param(name).and_then(|v| v.parse().ok()).unwrap_or(0u64);
+        let prefix = request.param("prefix").unwrap_or_default();
+        let (after, end) =
+            (number("after"), Instant::now() + Duration::from_millis(number("waitMs")));
+        let mut inside = self.lock();
+        loop {
+            if after < inside.forgotten {
+                return (410, json!({}));
+            }
+            let events: Vec<_> = inside
+                .history
+                .iter()
+                .filter(|(key, rev, _)| after < *rev && key.starts_with(&prefix))
+                .map(|(key, rev, value)| match value {
+                    Some(value) => item(key, *rev, value),
+                    None => json!({ "key": key, "rev": rev, "tombstone": true }),
+                })
+                .collect();
+            let left = end.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                return (200, json!({ "events": events, "storeRevision": inside.revision }));
+            }
+            let waited = self.changed.wait_timeout(inside, left);
+            inside = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+fn item(key: &str, rev: u64, value: &[u8]) -> Value {
+    json!({ "key": key, "value": STANDARD.encode(value), "rev": rev, "created": rev, "lease": 0 })
+}
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -0,0 +1,254 @@
+//! A whole small platform with real daemons on it, in one process.
+
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use basilbank_platform::{daemon, settings::Settings};
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use super::{
+    endpoint::{Caches, EndpointSpec, ManagedEndpoint},
+    http::call,
+    store::ManagedStore,
+};
+
+/// The service of plain calls.
+const DESK: &str = "desk";
+/// The service of drafts.
+const WRITER: &str = "writer";
+/// The host of all routes.
+const HOST: &str = "shop.example";
+/// Longest wait for a daemon.
+const READY: Duration = Duration::from_secs(20);
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct WorldSpec {
+    /// Daemons.
+    pub daemons: usize,
+    /// Endpoints of plain services.
+    pub plain: usize,
+    /// Prefill endpoints.
+    pub prefill: usize,
+    /// Decode endpoints.
+    pub decode: usize,
+}
+
+impl Default for WorldSpec {
+    fn default() -> WorldSpec {
+        WorldSpec { daemons: 1, plain: 2, prefill: 1, decode: 2 }
+    }
+}
+
+/// A daemon of a world.
+struct Running {
+    callers: SocketAddr,
+    ready: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<anyhow::Result<()>>>,
+    settings: PathBuf,
+}
+
+/// A store, endpoints and daemons. Dropping it ends them.
+pub struct World {
+    /// The store.
+    pub store: ManagedStore,
+    /// The plain endpoints.
+    pub plain: Vec<ManagedEndpoint>,
+    /// The model endpoints: first those that read prompts.
+    pub model: Vec<ManagedEndpoint>,
+    caches: Caches,
+    daemons: Vec<Running>,
+}
+
+impl World {
+    /// Starts everything, and waits until the daemons are ready.
+    ///
+    /// # Errors
+    /// Something did not start.
+    pub fn start(spec: &WorldSpec) -> anyhow::Result<World> {
+        let store = ManagedStore::start()?;
+        store.put("op/config", &configuration(1, &[]));
+        let caches = Caches::default();
+        let mut world = World { store, plain: vec![], model: vec![], caches, daemons: vec![] };
+        for n in 0..spec.plain {
+            world.add_plain(EndpointSpec::plain(&format!("plain-{n}")))?;
+        }
+        for n in 0..spec.prefill {
+            world.add_model(EndpointSpec::model(&format!("prefill-{n}"), "prefill"))?;
+        }
+        for n in 0..spec.decode {
+            world.add_model(EndpointSpec::model(&format!("decode-{n}"), "decode"))?;
+        }
+        let control = free_address()?;
+        for _ in 0..spec.daemons {
+            world.add_daemon(control)?;
+        }
+        Ok(world)
+    }
+
+    /// Where callers connect to a daemon.
+    #[must_use]
+    pub fn callers(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].callers
+    }
+
+    /// Where a daemon says whether it is ready.
+    #[must_use]
+    pub fn ready(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].ready
+    }
+
+    /// Starts a plain endpoint, and lists it.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_plain(&mut self, spec: EndpointSpec) -> anyhow::Result<()> {
+        let endpoint = ManagedEndpoint::start(spec, &self.caches)?;
+        self.store.put(&key(endpoint.instance()), &endpoint.entry(DESK, "ready"));
+        self.plain.push(endpoint);
+        Ok(())
+    }
+
+    /// Starts a model endpoint, and lists it.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_model(&mut self, spec: EndpointSpec) -> anyhow::Result<()> {
+        let endpoint = ManagedEndpoint::start(spec, &self.caches)?;
+        self.store.put(&key(endpoint.instance()), &endpoint.entry(WRITER, "ready"));
+        self.model.push(endpoint);
+        Ok(())
+    }
+
+    /// Lists a plain endpoint as draining.
+    pub fn drain_plain(&self, n: usize) {
+        let endpoint = &self.plain[n];
+        self.store.put(&key(endpoint.instance()), &endpoint.entry(DESK, "draining"));
+    }
+
+    /// Takes an instance off the list.
+    pub fn unlist(&self, instance: &str) {
+        self.store.remove(&key(instance));
+    }
+
+    /// Writes a configuration with more routes to the plain service: their prefixes.
+    pub fn configure(&self, version: u64, more: &[&str]) {
+        self.store.put("op/config", &configuration(version, more));
+    }
+
+    /// Starts the shutdown of a daemon.
+    pub fn terminate(&mut self, daemon: usize) {
+        if let Some(stop) = self.daemons[daemon].stop.take() {
+            // A daemon that has ended hears nothing.
+            let _ = stop.send(());
+        }
+    }
+
+    /// Waits until a daemon that was terminated has ended.
+    ///
+    /// # Errors
+    /// It failed.
+    pub fn wait_ended(&mut self, daemon: usize) -> anyhow::Result<()> {
+        let Some(thread) = self.daemons[daemon].thread.take() else { return Ok(()) };
+        thread.join().map_err(|_| anyhow::anyhow!("the daemon panicked"))?
+    }
+
+    fn add_daemon(&mut self, control: SocketAddr) -> anyhow::Result<()> {
+        let first = self.daemons.is_empty();
+        let own = if first { control } else { free_address()? };
+        let (callers, ready, peers) = (free_address()?, free_address()?, free_udp()?);
+        let text = format!(
+            "node = \"vm-{n}\"\nzone = \"hall-a\"\nip = \"127.0.0.1\"\nportRange = [{peers}, {peers}]\n\
+             seeds = [\"{control}\"]\nbootstrap = true\n[listen]\nfront = \"{callers}\"\n\
+             ready = \"{ready}\"\ncontrol = \"{own}\"\n[platform]\naddr = \"{store}\"\n\
+             [bounds]\ngraceS = 8\nretryRatio = 0.2\nretrySlack = 400\nretryWindowS = 10\n",
+            n = self.daemons.len(),
+            store = self.store.address(),
+        );
+        static FILES: AtomicU32 = AtomicU32::new(0);
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let name = format!("basilbank-world-{}-{number}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, &text)?;
+        let (stop, stopped) = oneshot::channel();
+        let path = settings.clone();
+        let thread = thread::spawn(move || {
+            let parsed = Settings::read(&path)?;
+            daemon::run_until(&path, parsed, async { drop(stopped.await) })
+        });
+        let running = Running { callers, ready, stop: Some(stop), thread: Some(thread), settings };
+        self.daemons.push(running);
+        wait_ready(ready)
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.stop.take();
+            // The file may have been removed by the system's own cleaning.
+            let _ = fs::remove_file(&daemon.settings);
+        }
+    }
+}
+
+fn wait_ready(ready: SocketAddr) -> anyhow::Result<()> {
+    let end = Instant::now() + READY;
+    loop {
+        if call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 200) {
+            return Ok(());
+        }
+        ensure!(Instant::now() < end, "the daemon is not ready");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn key(instance: &str) -> String {
+    format!("servers/{instance}")
+}
+
+fn free_address() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn free_udp() -> anyhow::Result<u16> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).context("a UDP port")?;
+    Ok(socket.local_addr()?.port())
+}
+
+fn configuration(version: u64, more: &[&str]) -> serde_json::Value {
+    let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({
+            "name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix, "kind": kind,
+            "service": service, "timeoutMs": 5000, "targetLatencyMs": 300, "targetGapMs": 300,
+            "priority": 1, "maxAttempts": attempts, "resumable": resumable,
+        })
+    };
+    let mut routes = vec![
+        route("/stock/", "non_idempotent", DESK, 1, false),
+        route("/sheet/", "idempotent", DESK, 2, false),
+        route("/draft/", "streaming", WRITER, 2, true),
+        route("/once/", "streaming", WRITER, 1, false),
+    ];
+    routes.extend(more.iter().map(|prefix| route(prefix, "idempotent", DESK, 2, false)));
+    json!({
+        "version": version, "routes": routes,
+        "services": [
+            { "name": DESK, "healthPath": "/health", "maxConns": 50 },
+            { "name": WRITER, "healthPath": "/health", "maxConns": 50,
+              "engine": { "slots": 8, "kvTokens": 100_000, "kvHoldS": 2.0, "switchS": 1.0,
+                          "holdMs": 2000.0 } },
+        ],
+        "limits": { "maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 1000,
+                    "idleTimeoutMs": 2000 },
+    })
+}
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/leaving.rs
@@ -0,0 +1,40 @@
+//! A daemon is told to leave.
+
+use std::{net::TcpStream, thread, time::Duration};
+
+use basilbank_standin::managed::{call, exchange};
+
+use crate::support::{draft, plain, stream_of, world};
+
+/// Symptom: callers lost streams and got refused connections when a Vm was rolled.
+/// Sequence: SIGTERM came while a stream ran; the balancer noticed two seconds later.
+/// Cause: the listener closed at once, and the process ended with its streams.
+#[test]
+fn a_daemon_that_leaves_finishes_its_streams_and_serves_until_the_balancer_has_noticed() {
+    let mut world = world();
+    let callers = world.callers(0);
+    let streaming = thread::spawn(move || draft(callers, "/draft/1", 300));
+    thread::sleep(Duration::from_millis(300));
+    world.terminate(0);
+    let ready = world.ready(0);
+    let refused = || call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 503);
+    crate::support::eventually("it is not ready", refused);
+    let answer = plain(callers, "POST /stock/1", b"x");
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    let answer = streaming.join().expect("the stream's thread");
+    assert_eq!((answer.whole, answer.text()), (true, stream_of(300)));
+    world.wait_ended(0).expect("it ended");
+}
+
+#[test]
+fn a_kept_connection_is_told_to_close_with_its_next_answer() {
+    let mut world = world();
+    let stream = TcpStream::connect(world.callers(0)).expect("a connection");
+    world.terminate(0);
+    thread::sleep(Duration::from_millis(100));
+    let text = "GET /sheet/1 HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: a\r\n\r\n";
+    let answer = exchange(&stream, text.as_bytes()).expect("an answer");
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+    world.wait_ended(0).expect("it ended");
+}
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -0,0 +1,9 @@
+//! A daemon on a stand-in of the users' platform, over real sockets.
+
+mod bytes;
+mod callers;
+mod drafts;
+mod endpoints;
+mod leaving;
+mod store;
+mod support;
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/store.rs
@@ -0,0 +1,62 @@
+//! The platform's store fails in all its ways.
+
+use basilbank_standin::managed::{EndpointSpec, StoreFault};
+use test_case::test_case;
+
+use crate::support::{draft, eventually, plain, world};
+
+#[test]
+fn a_new_configuration_is_in_force_soon_and_an_older_one_is_not() {
+    let world = world();
+    assert_eq!(plain(world.callers(0), "GET /new/1", b"").status, 404);
+    world.configure(5, &["/new/"]);
+    eventually("it is served", || plain(world.callers(0), "GET /new/1", b"").status == 200);
+    world.configure(3, &[]);
+    world.configure(6, &["/new/", "/more/"]);
+    eventually("the newest is served", || {
+        plain(world.callers(0), "GET /more/1", b"").status == 200
+    });
+    assert_eq!(plain(world.callers(0), "GET /new/1", b"").status, 200);
+}
+
+/// Symptom: callers were refused, or a new endpoint never seen, after trouble with the store.
+/// Sequence: the store fails while calls come, changes are made, and it returns.
+/// Cause: a read without a limit, or a view that was dropped.
+#[test_case(StoreFault::Busy)]
+#[test_case(StoreFault::TooMany)]
+#[test_case(StoreFault::Closing)]
+#[test_case(StoreFault::Silent)]
+#[test_case(StoreFault::Lost)]
+fn calls_are_served_while_the_store_fails_and_changes_seen_after(fault: StoreFault) {
+    let mut world = world();
+    world.store.set_fault(fault);
+    for _ in 0..5 {
+        assert_eq!(plain(world.callers(0), "POST /stock/1", b"x").status, 200);
+    }
+    world.add_plain(EndpointSpec::plain("plain-9")).expect("an endpoint");
+    world.store.set_fault(StoreFault::None);
+    eventually("the new one serves", || {
+        plain(world.callers(0), "GET /sheet/1", b"").text().ends_with("plain-9")
+    });
+}
+
+#[test]
+fn a_store_that_forgot_its_history_is_read_anew() {
+    let mut world = world();
+    world.store.compact();
+    world.add_plain(EndpointSpec::plain("plain-9")).expect("an endpoint");
+    world.store.compact();
+    eventually("the new one serves", || {
+        plain(world.callers(0), "GET /sheet/1", b"").text().ends_with("plain-9")
+    });
+    assert_eq!(draft(world.callers(0), "/draft/1", 3).status, 200);
+}
+
+#[test]
+fn a_quiet_store_is_called_seldom() {
+    let world = world();
+    let before = world.store.calls();
+    std::thread::sleep(std::time::Duration::from_secs(3));
+    let calls = world.store.calls() - before;
+    assert!(calls <= 8, "{calls} calls in three seconds of a daemon that is alone");
+}
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/support.rs
@@ -0,0 +1,51 @@
+//! What the tests share.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use basilbank_standin::managed::{Answer, World, WorldSpec, call};
+
+/// Longest wait for a condition.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// A world with one daemon.
+pub fn world() -> World {
+    World::start(&WorldSpec::default()).expect("a world")
+}
+
+/// Waits for a condition.
+pub fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "{what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A plain call.
+pub fn plain(to: SocketAddr, line: &str, body: &[u8]) -> Answer {
+    let headers =
+        [("host", "shop.example"), ("x-attempt-id", "a1"), ("x-deadline-remaining", "4000")];
+    call(to, line, &headers, body).expect("an answer")
+}
+
+/// A draft of some events.
+pub fn draft(to: SocketAddr, path: &str, events: u32) -> Answer {
+    let counts = format!("1000,{events}");
+    let headers = [
+        ("host", "shop.example"),
+        ("x-attempt-id", "d1"),
+        ("x-deadline-remaining", "8000"),
+        ("x-token-counts", counts.as_str()),
+        ("x-prompt-prefix", "ab:1000"),
+    ];
+    call(to, &format!("POST {path}"), &headers, b"prompt").expect("an answer")
+}
+
+/// All events of a stream, each once and in order.
+pub fn stream_of(events: u32) -> String {
+    (1..=events).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect()
+}
