--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -28,8 +28,10 @@
     /// Memory that is held with a slot. A slot with a token block is what makes the endpoint admit
     /// the call; holding the whole prompt keeps memory idle that running calls could use.
     pub hold_tokens: u32,
-    /// Part of a decode endpoint's memory that is given to drafts, by what they are expected to
-    /// need at their end.
+    /// Part of a decode endpoint's memory that is given to drafts, by what they are expected to need
+    /// at their end. Drafts are at all stages, so they need less at any moment. Over 48 played days
+    /// of two sites 0.92 served 0.866 and 0.891 of the worth, 1.0 served 0.877 and 0.899, 1.12
+    /// 0.881 and 0.901, 1.25 0.879 and 0.899.
     pub memory_used: f64,
     /// Decode endpoints that are asked for a slot before a draft waits.
     pub hold_tries: u32,
@@ -94,7 +96,7 @@
             avoid_replaced: Duration::from_secs(3),
             avoid_full: Duration::from_millis(60),
             hold_tokens: 16,
-            memory_used: 1.0,
+            memory_used: 1.15,
             hold_tries: 4,
             hold_pause: Duration::from_millis(40),
             hold_limit: Duration::from_millis(250),
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -40,6 +40,8 @@
     pub ready: SocketAddr,
     /// The daemons' datagrams.
     pub peers: SocketAddr,
+    /// Metrics alone, besides the ready address.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// A running gateway, on the current thread's task set.
@@ -66,6 +68,10 @@
         let open: Open = Rc::new(Cell::new(0));
         spawn_local(edge::accept(Rc::clone(&router), listener, phases, Rc::clone(&open)));
         spawn_local(side::serve(Rc::clone(&router), side));
+        if let Some(address) = addresses.metrics {
+            let listener = listen(address).context("metrics' address")?;
+            spawn_local(side::serve(Rc::clone(&router), listener));
+        }
         spawn_local(Rc::clone(&router).run_timer());
         Ok(Gateway { router, phase, open, callers, ready })
     }
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -183,7 +183,7 @@
         let path = settings.clone();
         let thread = thread::spawn(move || {
             let parsed = Settings::read(&path)?;
-            daemon::run_until(&path, parsed, async { drop(stopped.await) })
+            daemon::run_until(&path, parsed, None, async { drop(stopped.await) })
         });
         let running = Running { callers, ready, stop: Some(stop), thread: Some(thread), settings };
         self.daemons.push(running);
--- a/crates/basilbankd/src/arguments.rs
+++ b/crates/basilbankd/src/arguments.rs
@@ -8,7 +8,7 @@
 /// What `--help` prints.
 pub const USAGE: &str = "\
 Usage: basilbankd --settings FILE [--check]
-       basilbankd --platform [--settings FILE] [--check] [--log LEVEL]
+       basilbankd --platform [--settings FILE] [--check] [--log LEVEL] [--metrics PORT]
 
 Runs one daemon of the router.
 
@@ -16,6 +16,7 @@
   --platform       run on the users' platform: the settings have its format, and without --settings
                    stand where the environment says
   --log LEVEL      lines to write with --platform: error, warn, info (default), debug
+  --metrics PORT   serve /metrics at this port too, with --platform; the ready address always does
   --check          check the settings, print all findings, and exit
   --help           print this
   --version        print the version
@@ -47,6 +48,8 @@
     pub check: bool,
     /// Lines to write.
     pub level: String,
+    /// A port for metrics alone.
+    pub metrics: Option<u16>,
 }
 
 /// How to run.
@@ -74,9 +77,12 @@
         let check = arguments.contains("--check");
         let platform = arguments.contains("--platform");
         let settings: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
-        let level = match platform {
-            true => arguments.opt_value_from_str("--log")?.unwrap_or_else(|| "info".to_owned()),
-            false => String::new(),
+        // Options of the platform's daemons stay unknown arguments elsewhere.
+        let (level, metrics) = match platform {
+            true => {
+                (arguments.opt_value_from_str("--log")?, arguments.opt_value_from_str("--metrics")?)
+            }
+            false => (None, None),
         };
         if let Some(rest) = arguments.finish().first() {
             bail!("unknown argument {}", rest.to_string_lossy());
@@ -85,7 +91,8 @@
             let settings = settings
                 .or_else(basilbank_platform::daemon::settings_path)
                 .with_context(|| format!("--settings FILE or {PATH_VARIABLE} is needed"))?;
-            return Ok(Command::Platform(PlatformArguments { settings, check, level }));
+            let level = level.unwrap_or_else(|| "info".to_owned());
+            return Ok(Command::Platform(PlatformArguments { settings, check, level, metrics }));
         }
         let settings = settings.context("--settings FILE is needed")?;
         Ok(Command::Run(Arguments { settings, check }))
--- a/crates/basilbankd/src/main.rs
+++ b/crates/basilbankd/src/main.rs
@@ -46,7 +46,7 @@
         Ok(log) => log,
         Err(error) => return complain(&format!("basilbankd: {error:#}\n"), WRONG),
     };
-    let ended = basilbank_platform::daemon::run(&arguments.settings);
+    let ended = basilbank_platform::daemon::run(&arguments.settings, arguments.metrics);
     log.flush();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
