An endpoint that goes on refusing is asked ever less, and others are told

Change: the time that an endpoint is left alone doubles with each refusal in a row, up to 2 s; from the fifth on peers are told. A watch that is behind its peers backs off like a failed read.

--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -45,7 +45,8 @@
     let (now, tuning) = (turn.now, turn.state.tuning.clone());
     let Some(endpoint) = turn.state.directory.get_mut(live.endpoint) else { return };
     match outcome {
-        Outcome::Held { .. } | Outcome::Finished => {}
+        Outcome::Held { .. } => endpoint.accepted(),
+        Outcome::Finished => {}
         Outcome::Prefilled { .. } => {
             let expected = f64::from(live.ahead) / tuning.prefill_rate;
             endpoint.read(now.saturating_sub(live.began), expected);
@@ -53,7 +54,7 @@
         Outcome::Answered { .. } | Outcome::Streaming => {
             endpoint.answered(now.saturating_sub(live.began));
         }
-        Outcome::NotRun(NotRun::Busy { .. }) => endpoint.avoid(now + tuning.avoid_full),
+        Outcome::NotRun(NotRun::Busy { .. }) => endpoint.refused(now, &tuning),
         // The list is behind: until it has caught up, the address belongs to somebody else.
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
         Outcome::NotRun(NotRun::Other { .. }) => {}
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -30,6 +30,9 @@
 /// Shorter readings say more about round trips than about the endpoint.
 const SHORT_READ: f64 = 0.08;
 
+/// Refusals in a row after which peers are told: about a second.
+const REFUSALS: u32 = 5;
+
 /// Bound of the measured slowness: beyond it an endpoint counts as failed anyway.
 const SLOWEST: f64 = 10.0;
 
@@ -58,6 +61,8 @@
     pub avoided: Duration,
     /// This daemon knows that it refuses work until then, and tells its peers.
     pub shunned: Duration,
+    /// Refusals in a row.
+    refusals: u32,
     /// Failures in a row.
     failures: u32,
     /// Removed at this time unless it is listed again.
@@ -78,6 +83,7 @@
             slowness: 1.0,
             avoided: Duration::ZERO,
             shunned: Duration::ZERO,
+            refusals: 0,
             failures: 0,
             expires: None,
         }
@@ -103,7 +109,7 @@
 
     /// It answered: it is there.
     pub fn answered(&mut self, took: Duration) {
-        self.failures = 0;
+        self.accepted();
         self.avoided = Duration::ZERO;
         let mean = self.mean.unwrap_or(took);
         self.mean = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
@@ -125,6 +131,25 @@
         self.slowness = slowness.clamp(1.0, SLOWEST);
     }
 
+    /// It took work.
+    pub fn accepted(&mut self) {
+        self.refusals = 0;
+        self.failures = 0;
+    }
+
+    /// It refused work. One that is full has room again soon. One that goes on refusing leaves, or is
+    /// ill, and while the list can't be read nothing else says so: having nothing to do, it would be
+    /// the first choice for each draft. Others are told of it then.
+    pub fn refused(&mut self, now: Duration, tuning: &Tuning) {
+        let time = tuning.avoid_full.saturating_mul(1 << self.refusals.min(8));
+        let until = now + time.min(tuning.avoid_refusing);
+        self.refusals += 1;
+        match self.refusals < REFUSALS {
+            true => self.avoid(until),
+            false => self.shun(until),
+        }
+    }
+
     /// It could not be reached, or did not answer in time. A dark endpoint stays listed for three
     /// heartbeats; without this each call in that time would wait for it anew.
     pub fn failed(&mut self, now: Duration, tuning: &Tuning) {
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -25,6 +25,8 @@
     pub avoid_replaced: Duration,
     /// How long an endpoint that was full is avoided: about one draft's end at a full endpoint.
     pub avoid_full: Duration,
+    /// The longest such time, for one that refuses again and again.
+    pub avoid_refusing: Duration,
     /// Memory that is held with a slot. A slot with a token block is what makes the endpoint admit
     /// the call; holding the whole prompt keeps memory idle that running calls could use.
     pub hold_tokens: u32,
@@ -95,6 +97,7 @@
             avoid_most: Duration::from_secs(4),
             avoid_replaced: Duration::from_secs(3),
             avoid_full: Duration::from_millis(60),
+            avoid_refusing: Duration::from_secs(2),
             hold_tokens: 16,
             memory_used: 1.15,
             hold_tries: 4,
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -191,3 +191,26 @@
     assert!(rig.effects.iter().any(|e| matches!(e, Effect::Free { .. })));
     assert!(rig.effects.iter().any(|e| matches!(e, Effect::Drop { .. })));
 }
+
+/// Symptom: four endpoints refused 1,700 calls in eight seconds, and the drafts went late to others.
+/// Sequence: they drained while the store was down. Having nothing to do, they were the first choice
+/// for each draft, again and again.
+/// Cause: a refusal kept an endpoint out for some milliseconds only, however often it came.
+#[test]
+fn an_endpoint_that_goes_on_refusing_is_asked_ever_less() {
+    let mut rig = rig();
+    let d1 = rig.state.directory.find("d1");
+    let mut asked = 0;
+    for _ in 0..100 {
+        let id = draft(&mut rig, "/draft/1", 500);
+        for hold in rig.starts() {
+            let refuses = Some(hold.target.endpoint) == d1;
+            asked += u32::from(refuses);
+            rig.came(id, hold.number, if refuses { BUSY } else { held() });
+        }
+        rig.starts();
+        rig.feed(Event::Left(id));
+        rig.pass_ms(40);
+    }
+    assert!(asked <= 10, "{asked} calls in four seconds");
+}
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -100,7 +100,7 @@
             read = timeout(limit, (self.source)(query)) => read.unwrap_or_else(late),
             () = self.router.behind(BEHIND) => {
                 log::info!("{}", Line::new("store_watch_stale").with("after", self.after));
-                return Duration::ZERO;
+                return self.failed("a peer has seen what the watch has not", begun.elapsed());
             }
         };
         match read {
