The retry budget is asked once for each refused call

Cause: after refused prefills the decode counted as one more extra call, and so did calls that were never sent; drafts were refused right after their prompt had been read.

--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -61,6 +61,7 @@
         live: Vec::new(),
         attempts: 0,
         counted: 0,
+        unpaid: 0,
         tried: Vec::new(),
         maybe_run: false,
         answering: false,
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -81,7 +81,7 @@
         return whole(state, id, hold, now);
     }
     let tokens = request.call.prompt.as_ref().map_or(0, |p| p.tokens);
-    let extra = (request.draft.refused != 0).then_some(Retry::NotRun);
+    let extra = (request.unpaid != 0).then_some(Retry::NotRun);
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let picked = pick::prefill(state, &service, &tried, Some(hold.endpoint), tokens, now);
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
@@ -134,16 +134,13 @@
         false => request.remaining(now),
     };
     let op = Op::Stream { hold: Some(hold.name.clone()) };
-    let draft = &request.draft;
-    let again = draft.refused != 0 || draft.prefills != 0 || request.counted != 0;
-    let extra = again.then_some(Retry::NotRun);
+    let extra = request.repeats().then_some(Retry::NotRun);
     let (endpoint, tokens) = (hold.endpoint, hold.tokens);
     Next::Send(Send { endpoint, op, step: Step::Decode, tokens, limit, counted: true, extra })
 }
 
 fn decode(state: &State, id: RequestId, kv: Kv, hold: Hold, now: Duration) -> Next {
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
-    let again = request.draft.refused != 0 || request.counted != 0;
     let limit = match request.route.resumable {
         true => state.tuning.stream_limit,
         false => request.remaining(now),
@@ -153,6 +150,6 @@
     };
     let (endpoint, tokens) = (hold.endpoint, hold.tokens);
     let op = Op::Decode { source, handle: kv.handle, hold: Some(hold.name) };
-    let extra = again.then_some(Retry::Full);
+    let extra = request.repeats().then_some(Retry::Full);
     Next::Send(Send { endpoint, op, step: Step::Decode, tokens, limit, counted: true, extra })
 }
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -34,8 +34,11 @@
         Outcome::Answered { status } => answered(turn, id, number, status),
         Outcome::Streaming => streaming(turn, id, number),
         Outcome::Finished => finish::finished(turn, id),
-        Outcome::NotRun(NotRun::Busy { .. }) => not_run(turn, id, &live, true),
-        Outcome::NotRun(_) | Outcome::Unreachable => not_run(turn, id, &live, false),
+        Outcome::NotRun(why) => {
+            refused(turn, id, &live);
+            not_run(turn, id, &live, matches!(why, NotRun::Busy { .. }));
+        }
+        Outcome::Unreachable => not_run(turn, id, &live, false),
         Outcome::Broken | Outcome::Silent => broken(turn, id, &live, outcome == Outcome::Silent),
     }
 }
@@ -126,6 +129,12 @@
     turn.push(Effect::Deliver { request: id, attempt: number });
 }
 
+/// A call reached an endpoint and was refused: the next one is beyond the first.
+fn refused(turn: &mut Turn<'_>, id: RequestId, live: &Live) {
+    let Some(request) = turn.state.requests.get_mut(&id) else { return };
+    request.unpaid += u32::from(live.step != Step::Hold);
+}
+
 /// The endpoint did not run it: it may be sent elsewhere, whatever its kind.
 fn not_run(turn: &mut Turn<'_>, id: RequestId, live: &Live, busy: bool) {
     finish::drop_hold_of(turn, id, live);
@@ -133,13 +142,11 @@
     match live.step {
         Step::Hold => request.draft.asked += 1,
         Step::Prefill => {
-            request.draft.refused += 1;
             request.failure = Some(Refusal::Full);
         }
         Step::Decode => {
             request.failure = Some(Refusal::Full);
             request.counted = request.counted.saturating_sub(1);
-            request.draft.refused += 1;
             if busy && has_room(turn, live) {
                 lost_kv(turn, id);
             }
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -18,7 +18,7 @@
 pub fn next(state: &mut State, id: RequestId, now: Duration) -> Next {
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
     let hedge_at = request.arrived + request.route.target.mul_f64(state.tuning.hedge_part);
-    let mut extra = request.failure.map(|_| Retry::NotRun);
+    let mut extra = request.repeats().then_some(Retry::NotRun);
     if !request.live.is_empty() {
         if request.route.kind != Kind::Idempotent || request.route.attempts <= request.counted {
             return Next::Wait;
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -103,6 +103,7 @@
             let refusal = request.failure.unwrap_or(Refusal::RetriesSpent);
             return finish::give_up(turn, id, refusal);
         }
+        request.unpaid = request.unpaid.saturating_sub(1);
         let note = Note::new("retry").with("reason", retry.as_str());
         turn.note_request(id, note);
         return send_out(turn, id, send);
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -25,6 +25,9 @@
     pub attempts: u32,
     /// Calls so far that count against the route's attempts.
     pub counted: u32,
+    /// Calls that were refused, and for which the retry budget has not been asked yet. The first call
+    /// that isn't refused is free, and so is a prefill; each refused one means one call more.
+    pub unpaid: u32,
     /// Endpoints that had it, in order.
     pub tried: Vec<EndpointKey>,
     /// An endpoint may have run it.
@@ -80,8 +83,6 @@
     pub kv: Option<Kv>,
     /// Prefill endpoints that have read the prompt, or may have.
     pub prefills: u32,
-    /// Endpoints that refused to read the prompt or to decode: calls beyond the first of each.
-    pub refused: u32,
     /// Calls for a slot since the last pause.
     pub asked: u32,
 }
@@ -122,6 +123,12 @@
         self.maybe_run || self.live.iter().any(runs)
     }
 
+    /// The next call is beyond the first: one was refused before, or may have run.
+    #[must_use]
+    pub fn repeats(&self) -> bool {
+        self.unpaid != 0 || self.counted != 0
+    }
+
     /// When its answer should begin to be on time.
     #[must_use]
     pub fn due(&self) -> Duration {
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -214,3 +214,50 @@
     }
     assert!(asked <= 10, "{asked} calls in four seconds");
 }
+
+/// Symptom: prompts were read and the drafts refused for want of retry budget right after it.
+/// Sequence: two prefill endpoints refused the prompt, the third one read it; the daemon's budget
+/// held two extra calls.
+/// Cause: the decode was taken for one more extra call, though it is the first that isn't refused.
+#[test]
+fn the_decode_after_refused_prefills_is_no_extra_call() {
+    let mut rig = Rig::new();
+    rig.state.tuning.retry_slack = 24.0;
+    rig.list(vec![
+        model("p1", 1, Stage::Prefill),
+        model("p2", 2, Stage::Prefill),
+        model("p3", 3, Stage::Prefill),
+        model("d1", 4, Stage::Decode),
+    ]);
+    let id = draft(&mut rig, "/draft/1", 1000);
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    for _ in 0..2 {
+        let prefill = rig.start();
+        assert_eq!(prefill.op, Op::Prefill);
+        rig.came(id, prefill.number, BUSY);
+    }
+    let prefill = rig.start();
+    rig.came(id, prefill.number, prefilled());
+    assert!(matches!(rig.start().op, Op::Decode { .. }));
+}
+
+/// Symptom: the retry budget was gone while endpoints were down, though none had had a call.
+/// Sequence: connections were refused one after the other.
+/// Cause: a call that was never sent counted like one that was refused.
+#[test]
+fn an_endpoint_that_was_not_reached_costs_no_budget() {
+    let mut rig = Rig::new();
+    rig.state.tuning.retry_slack = 0.0;
+    rig.list(vec![
+        model("p1", 1, Stage::Prefill),
+        model("p2", 2, Stage::Prefill),
+        model("d1", 4, Stage::Decode),
+    ]);
+    let id = draft(&mut rig, "/draft/1", 1000);
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    let first = rig.start();
+    rig.came(id, first.number, Outcome::Unreachable);
+    assert_eq!(rig.start().op, Op::Prefill);
+}
