--- a/crates/basilbank_standin/src/main.rs
+++ b/crates/basilbank_standin/src/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::print_stdout, clippy::print_stderr, reason = "a command speaks to its terminal")]
 
 mod demo;
+mod demo_platform;
 mod local;
 mod measure;
 mod serve;
@@ -15,11 +16,12 @@
 Stand-ins for the platform, model engines and plain services, all on loopback.
 
 USAGE:
-  basilbank_standin demo [--once] [--port N] [--daemons N]
+  basilbank_standin demo [--once] [--port N] [--daemons N] [--platform]
       Stand-ins and real daemons in one process; shows a streamed draft and serves until Ctrl-C.
       --once       end after one streamed draft, one whole answer and one plain call at each daemon
       --port N     callers' port; further daemons have the ports after it [default: any free one]
       --daemons N  number of daemons [default: 1]
+      --platform   on a stand-in of the users' platform; ports are any free ones
   basilbank_standin serve --settings FILE
       Stand-ins only; writes settings for one `basilbankd`.
   basilbank_standin measure [--settings FILE --pid FILE]
@@ -54,6 +56,7 @@
 
 enum Job {
     Demo { mode: demo::Mode, port: u16, daemons: u16 },
+    DemoOnPlatform { mode: demo::Mode, daemons: u16 },
     Serve { settings: PathBuf },
     Measure { separate: Option<measure::Separate> },
 }
@@ -61,6 +64,10 @@
 fn parse(mut args: Arguments) -> anyhow::Result<Job> {
     let name = args.subcommand()?.context("a subcommand is missing")?;
     let job = match name.as_str() {
+        "demo" if args.contains("--platform") => Job::DemoOnPlatform {
+            mode: if args.contains("--once") { demo::Mode::Once } else { demo::Mode::Serve },
+            daemons: args.opt_value_from_str("--daemons")?.unwrap_or(1),
+        },
         "demo" => Job::Demo {
             mode: if args.contains("--once") { demo::Mode::Once } else { demo::Mode::Serve },
             port: args.opt_value_from_str("--port")?.unwrap_or(0),
@@ -90,6 +97,7 @@
     fn run(self) -> anyhow::Result<()> {
         match self {
             Job::Demo { mode, port, daemons } => demo::run(mode, port, daemons.max(1)),
+            Job::DemoOnPlatform { mode, daemons } => demo_platform::run(mode, daemons.max(1)),
             Job::Serve { settings } => serve::run(&settings),
             Job::Measure { separate } => measure::run(separate.as_ref()),
         }
--- a/crates/basilbank_standin/tests/standin/command.rs
+++ b/crates/basilbank_standin/tests/standin/command.rs
@@ -30,3 +30,12 @@
     assert!(help.status.success());
     assert!(String::from_utf8(help.stdout).unwrap().contains("demo [--once]"));
 }
+
+#[test]
+fn the_demo_runs_on_the_users_platform_too() {
+    let output = run(&["demo", "--platform", "--once", "--daemons", "2"]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{text}\n{}", String::from_utf8_lossy(&output.stderr));
+    assert_eq!(text.matches("callers  http://127.0.0.1:").count(), 2, "{text}");
+    assert_eq!(text.matches("A draft of 30 events streamed").count(), 2, "{text}");
+}
--- a/crates/basilbankd/src/arguments.rs
+++ b/crates/basilbankd/src/arguments.rs
@@ -76,7 +76,8 @@
         }
         let check = arguments.contains("--check");
         let platform = arguments.contains("--platform");
-        let settings: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
+        let settings: Option<PathBuf> =
+            arguments.opt_value_from_str("--settings").context("--settings FILE is needed")?;
         // Options of the platform's daemons stay unknown arguments elsewhere.
         let (level, metrics) = match platform {
             true => {
--- a/crates/basilbankd/tests/command_line.rs
+++ b/crates/basilbankd/tests/command_line.rs
@@ -70,3 +70,23 @@
         assert!(stderr.contains(&place), "{place} is missing in\n{stderr}");
     }
 }
+
+#[test]
+fn settings_of_the_users_platform_are_checked() {
+    let folder = std::env::temp_dir();
+    let path = folder.join(format!("basilbankd-platform-{}.toml", std::process::id()));
+    let good = "node = \"a\"\nzone = \"z\"\nip = \"127.0.0.1\"\nportRange = [1, 2]\n[listen]\n\
+                front = \"127.0.0.1:1\"\nready = \"127.0.0.1:2\"\n[platform]\naddr = \"127.0.0.1:3\"\n";
+    let check = |text: &str| {
+        fs::write(&path, text).unwrap();
+        let arguments = ["--platform", "--settings", path.to_str().unwrap(), "--check"];
+        Command::new(env!("CARGO_BIN_EXE_basilbankd")).args(arguments).output().unwrap()
+    };
+    let output = check(good);
+    assert!(output.status.success(), "{output:?}");
+    let output = check(&good.replace("127.0.0.1:2", "nowhere"));
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(said.contains("line 7"), "{said}");
+    fs::remove_file(&path).unwrap();
+}
