Prefill endpoints by decode memory; fewer reads of the store in bursts

Cause: the smaller an endpoint's memory, the fewer drafts it decodes at once, and the more decode endpoints are needed; a quarter of all for prefill was too much at the grown sites.

--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -14,10 +14,14 @@
     state::{State, roles::OrderRight},
 };
 
-/// Part of a service's endpoints that read prompts. A draft of 3,200 tokens keeps a prefill endpoint
-/// busy for 96 ms and a twelfth of a decode endpoint for 3 s, 250 ms of a whole one: 0.28 of the work.
-/// Prefill endpoints are better used when few, so a little less is enough.
-const PREFILL_PART: f64 = 0.25;
+/// Seconds for which a usual draft keeps a prefill endpoint busy: 3,200 tokens at 33 a millisecond.
+const USUAL_READING: f64 = 0.1;
+
+/// Seconds for which a usual draft keeps decode memory: some 560 tokens of 5 to 6 ms.
+const USUAL_STAY: f64 = 3.0;
+
+/// Tokens of memory that a usual draft keeps meanwhile, on average.
+const USUAL_TOKENS: f64 = 3500.0;
 
 /// Fewer prefill endpoints than this are never left: one may crash.
 const PREFILL_LEAST: usize = 2;
@@ -108,7 +112,8 @@
     let decode = state.directory.stage(service, Stage::Decode).count();
     let changing = state.directory.stage(service, Stage::Prefill).count() - prefill.len();
     let all = prefill.len() + decode + changing;
-    let wanted = ((all as f64 * PREFILL_PART).round() as usize).max(PREFILL_LEAST);
+    let memory = state.routes.engine(service)?.memory;
+    let wanted = ((all as f64 * prefill_part(memory)).floor() as usize).max(PREFILL_LEAST);
     if prefill.len() <= wanted {
         return None;
     }
@@ -120,6 +125,14 @@
     prefill.iter().min_by_key(|(_, endpoint)| rank(endpoint)).map(|(key, _)| *key)
 }
 
+/// Part of a service's endpoints that should read prompts: a draft's share of a prefill endpoint's
+/// time against its share of a decode endpoint's memory. At the start nothing has been measured, so
+/// usual drafts are assumed; what is wrong with that, decode endpoints that read prompts make good.
+fn prefill_part(memory: u32) -> f64 {
+    let staying = USUAL_STAY * USUAL_TOKENS / f64::from(memory.max(1));
+    USUAL_READING / (USUAL_READING + staying)
+}
+
 /// The fencing number follows the store's revision, which only grows, so that it is higher than all
 /// that any daemon used before, also after a restart.
 fn order(turn: &mut Turn<'_>, endpoint: EndpointKey, stage: Stage) {
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -6,4 +6,5 @@
 mod peers;
 mod plain;
 mod rig;
+mod roles;
 mod routes;
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -154,8 +154,13 @@
 
 /// A route table with a route of each kind.
 pub fn table(version: u64) -> RouteTable {
+    table_with_memory(version, 10_000)
+}
+
+/// The same with decode endpoints of some tokens of memory.
+pub fn table_with_memory(version: u64, memory: u32) -> RouteTable {
     let engine = EngineInfo {
-        memory: 10_000,
+        memory,
         kept: Duration::from_millis(500),
         switch: Duration::from_secs(6),
         hold: Duration::from_secs(2),
--- /dev/null
+++ b/crates/basilbank_forward/tests/forward/roles.rs
@@ -0,0 +1,95 @@
+//! Orders to endpoints' stages.
+
+use basilbank_forward::{event::Acceptance, prelude::*};
+use test_case::test_case;
+
+use crate::rig::{Rig, model, table_with_memory};
+
+/// A daemon with the right, before some prefill and decode endpoints, for some seconds.
+fn orders(right: OrderRight, memory: u32, prefill: u16, decode: u16, seconds: u64) -> Vec<Effect> {
+    let mut rig = Rig::new();
+    rig.feed(Event::Routes(std::sync::Arc::new(table_with_memory(2, memory))));
+    rig.feed(Event::Right(right));
+    let stage = |n| if n < prefill { Stage::Prefill } else { Stage::Decode };
+    let list: Vec<_> =
+        (0..prefill + decode).map(|n| model(&format!("m{n}"), n + 1, stage(n))).collect();
+    rig.list(list.clone());
+    let mut orders = Vec::new();
+    for _ in 0..seconds * 2 {
+        rig.pass_ms(500);
+        rig.list(list[..1].to_vec());
+        let effects = std::mem::take(&mut rig.effects);
+        orders.extend(effects.into_iter().filter(|e| matches!(e, Effect::Order { .. })));
+    }
+    orders
+}
+
+#[test_case(40_718, 3, 6, 1; "roomy endpoints")]
+#[test_case(31_701, 7, 11, 3; "less memory")]
+#[test_case(22_800, 21, 39, 11; "little memory needs many decode endpoints")]
+#[test_case(40_718, 2, 7, 0; "two are always left")]
+fn surplus_prefill_endpoints_become_decode_endpoints(
+    memory: u32,
+    prefill: u16,
+    decode: u16,
+    count: usize,
+) {
+    let orders = orders(OrderRight::AtOnce, memory, prefill, decode, 5);
+    assert_eq!(orders.len(), count);
+    let mut fences: Vec<u64> = Vec::new();
+    let mut instances: Vec<String> = Vec::new();
+    for order in orders {
+        let Effect::Order { target, stage, fence } = order else { continue };
+        assert_eq!(stage, Stage::Decode);
+        fences.push(fence);
+        instances.push(target.instance);
+    }
+    assert!(fences.is_sorted_by(|a, b| a < b), "{fences:?}");
+    instances.sort();
+    instances.dedup();
+    assert_eq!(instances.len(), count, "each is ordered once");
+}
+
+/// Symptom: two Vms ordered one endpoint within a lease.
+/// Sequence: the Vm that orders was replaced; both acted.
+/// Cause: the new one began at once.
+#[test_case(OrderRight::None, 30, 0; "never")]
+#[test_case(OrderRight::AfterSilence, 9, 0; "not before the silence is over")]
+#[test_case(OrderRight::AfterSilence, 14, 1; "after it")]
+fn the_right_to_order_is_waited_for(right: OrderRight, seconds: u64, count: usize) {
+    assert_eq!(orders(right, 40_718, 3, 6, seconds).len(), count);
+}
+
+#[test]
+fn without_the_store_nothing_is_ordered() {
+    let mut rig = Rig::new();
+    rig.feed(Event::Right(OrderRight::AtOnce));
+    rig.list((0..9).map(|n| model(&format!("m{n}"), n + 1, Stage::Prefill)).collect());
+    rig.effects.clear();
+    // The list is not confirmed any more: the daemon may be cut off.
+    for _ in 0..10 {
+        rig.feed(Event::StoreLost);
+        rig.state.roles.grew += std::time::Duration::from_millis(500);
+        rig.pass_ms(500);
+    }
+    assert!(!rig.effects.iter().any(|e| matches!(e, Effect::Order { .. })));
+}
+
+#[test]
+fn a_refused_order_is_not_repeated() {
+    let mut rig = Rig::new();
+    rig.feed(Event::Right(OrderRight::AtOnce));
+    rig.list((0..4).map(|n| model(&format!("m{n}"), n + 1, Stage::Prefill)).collect());
+    rig.pass_ms(1500);
+    let count =
+        |rig: &Rig| rig.effects.iter().filter(|e| matches!(e, Effect::Order { .. })).count();
+    let first = count(&rig);
+    assert!(0 < first);
+    for n in 0..4 {
+        let endpoint = rig.state.directory.find(&format!("m{n}")).unwrap();
+        rig.feed(Event::Ordered { endpoint, accepted: Acceptance::Refused });
+    }
+    rig.list(vec![model("m0", 1, Stage::Prefill)]);
+    rig.pass_ms(2000);
+    assert_eq!(count(&rig), first);
+}
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -12,7 +12,7 @@
 const MARGIN: Duration = Duration::from_millis(700);
 
 /// Pause after a read that had changes: they come in bursts, and each read is paid for.
-const BATCH: Duration = Duration::from_millis(250);
+const BATCH: Duration = Duration::from_millis(500);
 
 /// How long a watch may be behind what a peer has seen. The change itself usually arrives within
 /// some milliseconds; a watch that is still silent then has a dead connection.
