--- a/crates/basilbank_core/src/reason.rs
+++ b/crates/basilbank_core/src/reason.rs
@@ -1,5 +1,7 @@
 //! Why a request was refused, retried or wasted, and how it ended. Each has a counter.
 
+/// Defines an enum of reasons: each has a stable name for logs, error codes and metric labels.
+#[macro_export]
 macro_rules! reasons {
     ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $text:literal),+ $(,)? }) => {
         $(#[$doc])*
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -1,27 +1,6 @@
 //! Why a call was refused, failed or sent again. Each has a counter and a stable name.
 
-macro_rules! reasons {
-    ($(#[$doc:meta])* $name:ident { $($(#[$vdoc:meta])* $variant:ident = $text:literal),+ $(,)? }) => {
-        $(#[$doc])*
-        #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
-        pub enum $name {
-            $($(#[$vdoc])* $variant),+
-        }
-
-        impl $name {
-            /// All of them, in order.
-            pub const ALL: &[$name] = &[$($name::$variant),+];
-
-            /// The stable name, for logs and metric labels.
-            #[must_use]
-            pub fn as_str(self) -> &'static str {
-                match self {
-                    $($name::$variant => $text),+
-                }
-            }
-        }
-    };
-}
+use basilbank_core::reasons;
 
 reasons!(
     /// Why a call gets an answer of the router's own.
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -25,6 +25,23 @@
     rig.call(path, 14_000, Some(prompt(tokens)))
 }
 
+/// A draft whose slot is held.
+fn held_draft(rig: &mut Rig, path: &str) -> (RequestId, Attempt) {
+    let id = draft(rig, path, 1000);
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    (id, hold)
+}
+
+/// A draft whose prompt has been read, and whose decode is under way.
+fn decoding_draft(rig: &mut Rig, path: &str) -> (RequestId, Attempt) {
+    let (id, _) = held_draft(rig, path);
+    let prefill = rig.start();
+    rig.came(id, prefill.number, prefilled());
+    let decode = rig.start();
+    (id, decode)
+}
+
 #[test]
 fn a_slot_comes_before_the_prefill_and_the_decode_uses_both() {
     let mut rig = rig();
@@ -53,9 +70,7 @@
 #[test]
 fn a_refused_prefill_leaves_the_attempt_to_the_decode() {
     let mut rig = rig();
-    let id = draft(&mut rig, "/once/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
+    let (id, _) = held_draft(&mut rig, "/once/1");
     let first = rig.start();
     rig.came(id, first.number, BUSY);
     let second = rig.start();
@@ -71,12 +86,7 @@
 #[test]
 fn a_broken_stream_goes_on_at_a_decode_endpoint_that_reads_the_prompt() {
     let mut rig = rig();
-    let id = draft(&mut rig, "/draft/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    rig.came(id, prefill.number, prefilled());
-    let decode = rig.start();
+    let (id, decode) = decoding_draft(&mut rig, "/draft/1");
     rig.came(id, decode.number, Outcome::Streaming);
     rig.came(id, decode.number, Outcome::Broken);
     let hold = rig.start();
@@ -88,12 +98,7 @@
 #[test]
 fn a_stream_that_may_not_be_resumed_is_cut_when_it_breaks() {
     let mut rig = rig();
-    let id = draft(&mut rig, "/once/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    rig.came(id, prefill.number, prefilled());
-    let decode = rig.start();
+    let (id, decode) = decoding_draft(&mut rig, "/once/1");
     rig.came(id, decode.number, Outcome::Streaming);
     rig.came(id, decode.number, Outcome::Broken);
     assert!(rig.starts().is_empty());
@@ -106,12 +111,7 @@
 #[test]
 fn a_refused_kv_cache_is_not_offered_again_and_again() {
     let mut rig = rig();
-    let id = draft(&mut rig, "/draft/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    rig.came(id, prefill.number, prefilled());
-    let decode = rig.start();
+    let (id, decode) = decoding_draft(&mut rig, "/draft/1");
     rig.came(id, decode.number, BUSY);
     let hold = rig.start();
     assert!(matches!(hold.op, Op::Hold { .. }));
@@ -182,9 +182,7 @@
 #[test]
 fn what_is_held_for_a_caller_that_left_is_given_back() {
     let mut rig = rig();
-    let id = draft(&mut rig, "/draft/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
+    let (id, _) = held_draft(&mut rig, "/draft/1");
     let prefill = rig.start();
     rig.came(id, prefill.number, prefilled());
     rig.feed(Event::Left(id));
@@ -229,9 +227,7 @@
         model("p3", 3, Stage::Prefill),
         model("d1", 4, Stage::Decode),
     ]);
-    let id = draft(&mut rig, "/draft/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
+    let (id, _) = held_draft(&mut rig, "/draft/1");
     for _ in 0..2 {
         let prefill = rig.start();
         assert_eq!(prefill.op, Op::Prefill);
@@ -254,9 +250,7 @@
         model("p2", 2, Stage::Prefill),
         model("d1", 4, Stage::Decode),
     ]);
-    let id = draft(&mut rig, "/draft/1", 1000);
-    let hold = rig.start();
-    rig.came(id, hold.number, held());
+    let (id, _) = held_draft(&mut rig, "/draft/1");
     let first = rig.start();
     rig.came(id, first.number, Outcome::Unreachable);
     assert_eq!(rig.start().op, Op::Prefill);
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -10,10 +10,25 @@
 };
 
 use basilbank::logs::Line;
-use basilbank_forward::{effect::Note, event::Acceptance, prelude::*};
-use tokio::{net::UdpSocket, sync::Notify, sync::mpsc, task::spawn_local, time::sleep};
+use basilbank_forward::{
+    effect::{Note, Target},
+    event::Acceptance,
+    prelude::*,
+};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, mpsc},
+    task::spawn_local,
+    time::sleep,
+};
 
-use crate::{calls::send_off, dialect::Dialect, links::Links, metrics::Metrics, peers};
+use crate::{
+    calls::send_off,
+    dialect::{Dialect, OutRequest},
+    links::{CallError, Links},
+    metrics::Metrics,
+    peers,
+};
 
 /// Longest sleep of the timer.
 const IDLE: Duration = Duration::from_millis(500);
@@ -216,12 +231,7 @@
         }
     }
 
-    fn give_back(
-        self: &Rc<Self>,
-        what: &'static str,
-        target: basilbank_forward::effect::Target,
-        request: crate::dialect::OutRequest,
-    ) {
+    fn give_back(self: &Rc<Self>, what: &'static str, target: Target, request: OutRequest) {
         let router = Rc::clone(self);
         spawn_local(async move {
             // It lapses by itself at the endpoint when this fails.
@@ -235,7 +245,7 @@
         });
     }
 
-    fn order(self: &Rc<Self>, target: basilbank_forward::effect::Target, stage: Stage, fence: u64) {
+    fn order(self: &Rc<Self>, target: Target, stage: Stage, fence: u64) {
         let router = Rc::clone(self);
         let holder = self.read(|state| state.local.name.clone());
         let request = (self.dialect.order)(stage, &holder, fence, &target.instance);
@@ -243,7 +253,7 @@
             let answer = send_off(&router, &target, request, ORDER).await;
             let accepted = match &answer {
                 Ok(status) if status.is_success() => Acceptance::Accepted,
-                Ok(_) | Err(crate::links::CallError::Unreachable) => Acceptance::Refused,
+                Ok(_) | Err(CallError::Unreachable) => Acceptance::Refused,
                 Err(_) => Acceptance::Unknown,
             };
             let line = Line::new("ordered")
