--- a/crates/basilbank_core/tests/promises_page.rs
+++ b/crates/basilbank_core/tests/promises_page.rs
@@ -29,7 +29,8 @@
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let page = fs::read_to_string(crates.join("../docs/PROMISES.md")).unwrap();
     let mut files = Vec::new();
-    for name in ["basilbank", "basilbank_core", "basilbankd"] {
+    let folders = ["basilbank", "basilbank_core", "basilbank_forward", "basilbank_standin"];
+    for name in folders.into_iter().chain(["basilbankd", "../platform"]) {
         test_files(&crates.join(name).join("tests"), &mut files);
     }
     let names = names(&page);
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use basilbank_core::time::Now;
+
 use super::Turn;
 use crate::{
     effect::{Effect, Note},
@@ -41,6 +43,10 @@
 /// How long it takes until the list says what an endpoint's stage is: a heartbeat and a read.
 const LISTED: Duration = Duration::from_millis(2500);
 
+/// Least jump between the clocks that is taken for a suspension: beyond what a clock's adjustment
+/// makes between two events.
+const STOOD_STILL: Duration = Duration::from_millis(500);
+
 /// Pause between orders besides the time of the change itself.
 const PAUSE: Duration = Duration::from_secs(2);
 
@@ -68,6 +74,27 @@
     turn.state.peers.changed = true;
 }
 
+/// Notices that the process stood still.
+///
+/// The steady clock doesn't count the time for which a Vm was suspended, so all that the daemon knows
+/// looks as fresh as before, and it would go on ordering while another one has the right by now. The
+/// time of day does count it. A time of day that was set looks the same; the silence costs nothing
+/// then.
+pub fn watch_clocks(turn: &mut Turn<'_>, now: Now) {
+    let offset = i128::from(now.unix_ms()) - now.mono.as_millis() as i128;
+    let before = turn.state.roles.offset.replace(offset);
+    let Some(jump) = before.map(|before| offset - before) else { return };
+    if jump.unsigned_abs() < STOOD_STILL.as_millis() {
+        return;
+    }
+    turn.note(Note::new("clock_jump").with("jump_ms", jump));
+    let roles = &mut turn.state.roles;
+    roles.since = turn.now;
+    if roles.right == OrderRight::AtOnce {
+        roles.right = OrderRight::AfterSilence;
+    }
+}
+
 /// Looks whether an order is due.
 pub fn tick(turn: &mut Turn<'_>) {
     if !may_order(turn.state, turn.now) {
--- a/crates/basilbank_forward/src/state/roles.rs
+++ b/crates/basilbank_forward/src/state/roles.rs
@@ -29,6 +29,8 @@
     pub right: OrderRight,
     /// When the right was gained.
     pub since: Duration,
+    /// The time of day less the steady clock, in milliseconds, when it was last looked at.
+    pub offset: Option<i128>,
     /// Orders so far.
     pub orders: u64,
     /// The last fencing number.
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod drafts;
 mod endpoints;
+mod order_schedules;
 mod peers;
 mod plain;
 mod rig;
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -19,6 +19,7 @@
     pub state: State,
     pub effects: Vec<Effect>,
     now: Duration,
+    frozen: Duration,
     revision: u64,
     next: u64,
 }
@@ -39,7 +40,8 @@
         let local = local.with_name("vm-1").with_data_centre("hall-a");
         let state = State::new(local, Tuning::default());
         let now = Duration::from_secs(100);
-        let mut rig = Rig { state, effects: Vec::new(), now, revision: 10, next: 0 };
+        let frozen = Duration::ZERO;
+        let mut rig = Rig { state, effects: Vec::new(), now, frozen, revision: 10, next: 0 };
         rig.feed(Event::Routes(Arc::new(table(1))));
         rig
     }
@@ -62,7 +64,8 @@
 
     /// Feeds an event.
     pub fn feed(&mut self, event: Event) {
-        let now = Now { mono: self.now, wall: SystemTime::UNIX_EPOCH + self.now };
+        let wall = SystemTime::UNIX_EPOCH + self.now + self.frozen;
+        let now = Now { mono: self.now, wall };
         reduce(&mut self.state, now, event, &mut self.effects);
     }
 
@@ -77,6 +80,16 @@
         self.feed(Event::Tick);
     }
 
+    /// The process stands still: the time of day goes on, the steady clock does not.
+    pub fn freeze(&mut self, time: Duration) {
+        self.frozen += time;
+    }
+
+    /// The store's revision goes on.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
     /// Lets milliseconds pass.
     pub fn pass_ms(&mut self, ms: u64) {
         self.pass(Duration::from_millis(ms));
--- a/crates/basilbank_forward/tests/forward/roles.rs
+++ b/crates/basilbank_forward/tests/forward/roles.rs
@@ -93,3 +93,28 @@
     rig.pass_ms(2000);
     assert_eq!(count(&rig), first);
 }
+
+/// Symptom: a Vm ordered an endpoint that its successor had just ordered.
+/// Sequence: it stood still for longer than the successor waits; when it woke, its first act was the
+/// order that had been next.
+/// Cause: its steady clock did not count the time, so all that it knew looked fresh.
+#[test]
+fn a_vm_that_stood_still_does_not_order_at_once() {
+    let mut rig = Rig::new();
+    rig.feed(Event::Right(OrderRight::AtOnce));
+    rig.pass_ms(500);
+    let list: Vec<_> = (0..9).map(|n| model(&format!("m{n}"), n + 1, Stage::Prefill)).collect();
+    rig.list(list.clone());
+    rig.freeze(std::time::Duration::from_secs(20));
+    let ordered = |rig: &Rig| rig.effects.iter().any(|e| matches!(e, Effect::Order { .. }));
+    for _ in 0..8 {
+        rig.pass_ms(1000);
+        rig.list(list.clone());
+        assert!(!ordered(&rig));
+    }
+    for _ in 0..4 {
+        rig.pass_ms(1000);
+        rig.list(list.clone());
+    }
+    assert!(ordered(&rig), "the right is not lost for ever");
+}
