--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -188,6 +188,8 @@
     match live.step {
         Step::Hold => request.draft.asked += 1,
         Step::Prefill => {
+            // Only a prefill that an endpoint accepted is free, and this one may not have been.
+            request.unpaid += 1;
             request.draft.prefills += 1;
             request.failure = Some(Refusal::Broken);
         }
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -255,3 +255,18 @@
     rig.came(id, first.number, Outcome::Unreachable);
     assert_eq!(rig.start().op, Op::Prefill);
 }
+
+/// Symptom: a model service got more repeats than its bound on a day of 71 Vms.
+/// Sequence: endpoints reset connections; prefills broke, and each draft went on to a decode endpoint.
+/// Cause: a broken prefill counted as the free one, though no endpoint had accepted it.
+#[test]
+fn a_broken_prefill_is_paid_for() {
+    let mut rig = Rig::new();
+    rig.state.tuning.retry_slack = 0.0;
+    rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 4, Stage::Decode)]);
+    let (id, _) = held_draft(&mut rig, "/draft/1");
+    let prefill = rig.start();
+    rig.came(id, prefill.number, Outcome::Broken);
+    assert!(rig.starts().is_empty(), "there is no budget for the call at the decode endpoint");
+    assert_eq!(rig.refusals().len(), 1);
+}
