--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -27,8 +27,6 @@
     pub patience: Option<Duration>,
     /// The prompt's sizes, for calls to model endpoints.
     pub prompt: Option<Prompt>,
-    /// The caller resumes a stream: it names the last event that it has.
-    pub resumes: bool,
 }
 
 /// The sizes of a prompt whose text is opaque.
@@ -40,8 +38,6 @@
     pub most: u32,
     /// The caller's estimate of the tokens to generate; right at the median, often far off.
     pub hint: Option<u32>,
-    /// The shared parts of the prompt in order, as a hash and tokens; the last one is its own.
-    pub parts: Vec<(u64, u32)>,
 }
 
 impl Prompt {
--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -115,8 +115,6 @@
     /// lives; `None` when it can't go on
     /// elsewhere, and its silence is no reason to end it.
     pub stall: Option<Duration>,
-    /// Rank at a model endpoint: lower is more urgent.
-    pub urgency: Option<u8>,
 }
 
 /// What an endpoint shall do.
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -129,7 +129,6 @@
     };
     request.live.push(live);
     let remaining = request.remaining(turn.now);
-    let urgency = None;
     let more = request.counted < request.route.attempts;
     let stall = (request.route.resumable && more).then_some(turn.state.tuning.stall);
     let note = Note::new("send")
@@ -138,7 +137,7 @@
         .with("instance", &target.instance)
         .with("left_ms", remaining.as_millis());
     let limit = send.limit.min(remaining);
-    let attempt = Attempt { number, target, op: send.op, remaining, limit, stall, urgency };
+    let attempt = Attempt { number, target, op: send.op, remaining, limit, stall };
     begin(turn.state, send.endpoint, send.tokens);
     turn.note_request(id, note);
     turn.push(Effect::Start { request: id, attempt });
--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -28,10 +28,6 @@
     pub timeout: Duration,
     /// The time within which an answer is on time.
     pub target: Duration,
-    /// The longest pause between a stream's events that is on time; zero when there is none.
-    pub pause: Duration,
-    /// Rank: 0 is the most urgent.
-    pub priority: u8,
     /// Services with their weights.
     pub split: Vec<(String, u32)>,
     /// Endpoints that one call may be sent to at the most.
@@ -69,8 +65,6 @@
 /// What is known of a service besides its endpoints.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Service {
-    /// Connections that one endpoint takes from all callers.
-    pub connections: u32,
     /// The model engine's figures; `None` for plain services.
     pub engine: Option<EngineInfo>,
 }
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -118,7 +118,6 @@
             path: path.to_owned(),
             patience: Some(Duration::from_millis(patience_ms)),
             prompt,
-            resumes: false,
         };
         self.feed(Event::Arrived(Box::new(call)));
         id
@@ -178,7 +177,7 @@
         switch: Duration::from_secs(6),
         hold: Duration::from_secs(2),
     };
-    let writer = Service { connections: 100, engine: Some(engine) };
+    let writer = Service { engine: Some(engine) };
     RouteTable::new(version)
         .with_service(DESK, Service::default())
         .with_service(WRITER, writer)
@@ -199,8 +198,6 @@
         kind,
         timeout: Duration::from_secs(14),
         target: Duration::from_millis(if service == WRITER { 900 } else { 150 }),
-        pause: Duration::from_millis(300),
-        priority: 1,
         split: vec![(service.to_owned(), 1)],
         attempts,
         resumable: prefix == "/draft/",
@@ -231,7 +228,7 @@
 
 /// A prompt of some tokens, with sixty more to generate.
 pub fn prompt(tokens: u32) -> Prompt {
-    Prompt { tokens, most: 100, hint: Some(60), parts: vec![(1, tokens)] }
+    Prompt { tokens, most: 100, hint: Some(60) }
 }
 
 /// The endpoint is full, or lacks the KV cache.
