A head that does not end is answered with 408; the stand-in's daemons start at other ports when one is taken

The second: bytes::a_damaged_answer... failed once with "the daemon is not ready"; a port found free had been taken by another test before the daemon listened, the daemon ended, and the rig waited.

--- a/crates/basilbank_gateway/src/edge.rs
+++ b/crates/basilbank_gateway/src/edge.rs
@@ -21,6 +21,10 @@
 
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
+/// The answer to a head that does not come to its end.
+const SLOW_HEADER: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 24\r\n\
+    connection: close\r\ncontent-type: application/json\r\n\r\n{\"error\":\"slow_header\"}\n";
+
 /// Open connections of callers.
 pub type Open = Rc<Cell<usize>>;
 
@@ -93,7 +97,8 @@
     let refuse = |refusal: EdgeRefusal| {
         router.metrics.refused_early(refusal.as_str());
         log::info!("event=refused_early reason={}", refusal.as_str());
-        None
+        // hyper answers what it can't parse by itself.
+        (refusal == EdgeRefusal::SlowHeader).then(|| SLOW_HEADER.to_vec())
     };
     edge::serve(stream, &terms, handle, refuse, closing).await;
 }
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -26,6 +26,8 @@
 const WRITER: &str = "writer";
 /// The host of all routes.
 const HOST: &str = "shop.example";
+/// Starts of a daemon at other ports before it counts as failed.
+const STARTS: u32 = 5;
 /// Longest wait for a daemon.
 const READY: Duration = Duration::from_secs(20);
 
@@ -162,7 +164,20 @@
         thread.join().map_err(|_| anyhow::anyhow!("the daemon panicked"))?
     }
 
+    /// Starts a daemon at free ports. Another process may take one of them between the search and the
+    /// daemon's own listening; the daemon ends then, and is started again at others.
     fn add_daemon(&mut self, control: SocketAddr) -> anyhow::Result<()> {
+        for _ in 1..STARTS {
+            if self.start_daemon(control)? {
+                return Ok(());
+            }
+        }
+        ensure!(self.start_daemon(control)?, "the daemon does not start");
+        Ok(())
+    }
+
+    /// True when the daemon is ready, false when it ended at once.
+    fn start_daemon(&mut self, control: SocketAddr) -> anyhow::Result<bool> {
         let first = self.daemons.is_empty();
         let own = if first { control } else { free_address()? };
         let (callers, ready, peers) = (free_address()?, free_address()?, free_udp()?);
@@ -185,9 +200,12 @@
             let parsed = Settings::read(&path)?;
             daemon::run_until(&path, parsed, None, async { drop(stopped.await) })
         });
+        if !wait_ready(ready, &thread)? {
+            return Ok(false);
+        }
         let running = Running { callers, ready, stop: Some(stop), thread: Some(thread), settings };
         self.daemons.push(running);
-        wait_ready(ready)
+        Ok(true)
     }
 }
 
@@ -201,11 +219,15 @@
     }
 }
 
-fn wait_ready(ready: SocketAddr) -> anyhow::Result<()> {
+/// False when the daemon ended before it was ready.
+fn wait_ready<T>(ready: SocketAddr, daemon: &JoinHandle<T>) -> anyhow::Result<bool> {
     let end = Instant::now() + READY;
     loop {
+        if daemon.is_finished() {
+            return Ok(false);
+        }
         if call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 200) {
-            return Ok(());
+            return Ok(true);
         }
         ensure!(Instant::now() < end, "the daemon is not ready");
         thread::sleep(Duration::from_millis(10));
--- a/crates/basilbank_standin/tests/managed/callers.rs
+++ b/crates/basilbank_standin/tests/managed/callers.rs
@@ -142,3 +142,14 @@
     let answer = call(world.callers(0), "POST /stock/1", &headers, b"x").expect("an answer");
     assert_eq!(answer.status, 504, "it may have run: nothing may promise that it has not");
 }
+
+#[test]
+fn a_head_that_does_not_end_is_answered_and_counted() {
+    let world = world();
+    let stream = TcpStream::connect(world.callers(0)).expect("a connection");
+    let answer = exchange(&stream, b"GET /sheet/1 HTTP/1.1\r\nhost: shop").expect("an answer");
+    assert_eq!((answer.status, answer.whole), (408, true));
+    assert_eq!(answer.text(), "{\"error\":\"slow_header\"}\n");
+    let metrics = call(world.ready(0), "GET /metrics", &[], b"").expect("metrics").text();
+    assert!(metrics.contains("refused_total{reason=\"slow_header\"} 1"), "{metrics}");
+}
