A daemon that has just started takes little of the retry budget's slack

Change: for one window after its start a daemon takes the fleet for one of 320. Test and change together; the test of refused prefills lets its daemon grow older first, as its budget needs.

--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -30,6 +30,7 @@
 /// Takes one event in and says what is to be done.
 pub fn reduce(state: &mut State, now: Now, event: Event, effects: &mut Vec<Effect>) {
     let mut turn = Turn { state, now: now.mono, effects };
+    turn.state.started.get_or_insert(now.mono);
     roles::watch_clocks(&mut turn, now);
     match event {
         Event::Tick => {}
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -94,7 +94,7 @@
 }
 
 fn start(turn: &mut Turn<'_>, id: RequestId, send: Send) {
-    let daemons = turn.state.peers.peak + 1;
+    let daemons = turn.state.sharers(turn.now);
     let State { requests, budgets, tuning, .. } = &mut *turn.state;
     let Some(request) = requests.get_mut(&id) else { return };
     if let Some(retry) = send.extra {
@@ -160,7 +160,7 @@
         }
         let (service, tried) = (request.service.clone(), request.tried.clone());
         let another = self.directory.service(&service).any(|(key, _)| !tried.contains(&key));
-        let daemons = self.peers.peak + 1;
+        let daemons = self.sharers(now);
         let budget = self.budgets.entry(service).or_default();
         another && 1.0 <= budget.left(now, &self.tuning, daemons)
     }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -24,6 +24,9 @@
 };
 use crate::{call::RequestId, route::RouteTable, tuning::Tuning};
 
+/// Daemons that a fleet may have: the size that the design aims at.
+const LARGE_FLEET: usize = 320;
+
 /// Part of the wait that a watch waits at least; the rest is random, since changes end all daemons'
 /// watches at the same time.
 const SHORTEST_WAIT: f64 = 0.4;
@@ -109,6 +112,8 @@
     pub(crate) fresh: bool,
     /// Orders to endpoints.
     pub roles: Roles,
+    /// When the first event came.
+    pub(crate) started: Option<Duration>,
     /// SIGTERM came.
     pub leaving: bool,
     pub(crate) rng: Rng,
@@ -138,12 +143,24 @@
             news: 0,
             fresh: false,
             roles: Roles::default(),
+            started: None,
             leaving: false,
             rng,
             timers: BTreeSet::new(),
         }
     }
 
+    /// Daemons among which the slack of the retry budgets is shared.
+    ///
+    /// A daemon that has just started knows few peers yet, and those that started with it may all have
+    /// used their shares a moment ago: for a window it takes the fleet for a large one.
+    #[must_use]
+    pub fn sharers(&self, now: Duration) -> usize {
+        let young = self.started.is_none_or(|at| now < at + self.tuning.retry_window);
+        let known = self.peers.peak + 1;
+        if young { known.max(LARGE_FLEET) } else { known }
+    }
+
     /// Calls can be served: configuration and endpoints are known, and the daemon stays.
     #[must_use]
     pub fn ready(&self) -> bool {
--- a/crates/basilbank_forward/tests/forward/budgets.rs
+++ b/crates/basilbank_forward/tests/forward/budgets.rs
@@ -5,6 +5,8 @@
 use basilbank_forward::{prelude::*, state::Budget};
 use proptest::prelude::*;
 
+use crate::rig::Rig;
+
 /// Symptom: a service got more repeats than its bound while most of its endpoints failed.
 /// Sequence: all daemons retried at once, some of them just restarted.
 /// Cause: each daemon took the whole bound for itself.
@@ -52,3 +54,17 @@
         }
     }
 }
+
+/// Symptom: a service got 1,199 repeats in ten seconds where 1,082 are allowed.
+/// Sequence: 71 daemons lost power at once and started again within the window.
+/// Cause: none knew its peers yet, so each took a twelfth of the slack.
+#[test]
+fn a_daemon_that_has_just_started_takes_little_of_the_slack() {
+    let mut rig = Rig::new();
+    let tuning = rig.state.tuning.clone();
+    let shares =
+        |rig: &Rig| 71.0 * tuning.retry_slack / (2.0 * rig.state.sharers(rig.now()) as f64);
+    assert!(shares(&rig) < tuning.retry_slack / 4.0);
+    rig.pass(tuning.retry_window);
+    assert_eq!(rig.state.sharers(rig.now()), 1);
+}
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -221,6 +221,8 @@
 fn the_decode_after_refused_prefills_is_no_extra_call() {
     let mut rig = Rig::new();
     rig.state.tuning.retry_slack = 24.0;
+    // A daemon that has just started would have less.
+    rig.pass_ms(10_500);
     rig.list(vec![
         model("p1", 1, Stage::Prefill),
         model("p2", 2, Stage::Prefill),
