A slow call goes on when there is no budget for a second endpoint

Found by reading: a hedge without budget gave up the call that was at work. The check that another attempt pays stood twice; one piece serves both now.

--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -26,7 +26,8 @@
         if now < hedge_at {
             return Next::WaitUntil(hedge_at);
         }
-        if 1 < request.live.len() || !another(state, id) {
+        // Without budget the first attempt goes on: to give it up would fail a call that runs.
+        if 1 < request.live.len() || !state.retry_pays(id, now) {
             return Next::Wait;
         }
         extra = Some(Retry::Hedge);
@@ -43,9 +44,3 @@
     let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
     Next::Send(Send { endpoint, op, step: Step::Whole, tokens: 0, limit, counted: true, extra })
 }
-
-/// There is an endpoint that hasn't had the call.
-fn another(state: &State, id: RequestId) -> bool {
-    let Some(request) = state.requests.get(&id) else { return false };
-    state.directory.service(&request.service).any(|(key, _)| !request.tried.contains(&key))
-}
--- a/crates/basilbank_forward/tests/forward/plain.rs
+++ b/crates/basilbank_forward/tests/forward/plain.rs
@@ -105,3 +105,19 @@
         assert_ne!(rig.start().target.endpoint, first.target.endpoint);
     }
 }
+
+/// Symptom: calls that were at work at an endpoint were failed by the router.
+/// Sequence: an idempotent call was slow, and the retry budget was used up.
+/// Cause: a second endpoint could not be asked, and the call was given up for it.
+#[test]
+fn a_slow_call_goes_on_when_there_is_no_budget_for_a_second_endpoint() {
+    let mut rig = Rig::new();
+    rig.state.tuning.retry_slack = 0.0;
+    rig.list(vec![plain("a", 1), plain("b", 2)]);
+    let id = rig.call("/sheet/1", 2500, None);
+    let first = rig.start();
+    rig.pass_ms(300);
+    assert!(rig.starts().is_empty());
+    rig.came(id, first.number, Outcome::Answered { status: 200 });
+    assert!(rig.delivered());
+}
