Dark endpoints are told to peers, and asked before they get work again

Cause: an endpoint that goes dark has the least to do, so it is everybody's first choice; each daemon found out by its own drafts, at a quarter of a second each, and again by the next draft whenever its patience was over. When the others were full, drafts tried dark ones on purpose. Change: the first daemon that meets one tells its peers (unless it reaches less than two thirds of all, when it is itself cut off), asks it every 0.25 to 1 s over a new connection, and nobody sends it work until it answers; drafts wait for a sound endpoint rather than try one that is avoided.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -64,6 +64,8 @@
         /// The hold's name.
         hold: String,
     },
+    /// Ask an endpoint whether it lives; `Event::Probed` is the answer.
+    Probe(Target),
     /// Order an endpoint to change its stage.
     Order {
         /// The endpoint.
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -49,6 +49,13 @@
     },
     /// The platform's store could not be read.
     StoreLost,
+    /// An endpoint was asked whether it lives.
+    Probed {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// What came of it.
+        life: Life,
+    },
     /// An order to an endpoint was answered.
     Ordered {
         /// The endpoint.
@@ -69,6 +76,15 @@
     Shutdown,
 }
 
+/// Whether an endpoint answered when it was asked.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Life {
+    /// It answered, whatever it said.
+    Alive,
+    /// No connection, or no answer in time.
+    Dark,
+}
+
 /// How an endpoint answered an order.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Acceptance {
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod roles;
 mod step;
+mod suspect;
 
 use std::time::Duration;
 
@@ -33,7 +34,7 @@
     turn.state.started.get_or_insert(now.mono);
     roles::watch_clocks(&mut turn, now);
     match event {
-        Event::Tick => {}
+        Event::Tick => queue::serve(&mut turn),
         Event::Arrived(call) => arrive::arrived(&mut turn, *call),
         Event::Left(id) => finish::left(&mut turn, id),
         Event::Came { request, attempt, outcome } => {
@@ -45,6 +46,7 @@
             endpoints::change(&mut turn, revision, listed, &gone);
         }
         Event::StoreLost => turn.state.directory.lost = true,
+        Event::Probed { endpoint, life } => suspect::probed(&mut turn, endpoint, life),
         Event::Ordered { endpoint, accepted } => roles::ordered(&mut turn, endpoint, accepted),
         Event::Right(right) => roles::right(&mut turn, right),
         Event::Shutdown => {
@@ -59,6 +61,7 @@
     while let Some(id) = turn.state.due_timer(turn.now) {
         step::timer(&mut turn, id);
     }
+    suspect::tick(&mut turn);
     beat::tick(&mut turn);
     roles::tick(&mut turn);
 }
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -159,8 +159,8 @@
     }
 }
 
-/// Endpoints that a peer knows to refuse work are left alone. Only what a peer was told by an
-/// endpoint itself is passed on, and only once: a peer that can't reach an endpoint may be cut off.
+/// Endpoints that a peer knows to refuse work, or to be dark, are left alone. Only what a peer met
+/// itself is passed on, and only once, so that a word dies with its cause.
 fn shun(turn: &mut Turn<'_>, shunned: &[Shunned]) {
     let now = turn.now;
     for entry in shunned {
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -1,6 +1,6 @@
 //! An attempt came to something.
 
-use super::{Turn, end, finish, step};
+use super::{Turn, end, finish, step, suspect};
 use crate::{
     call::RequestId,
     effect::{Effect, Note},
@@ -45,11 +45,16 @@
 
 /// What the outcome says of the endpoint.
 fn learn(turn: &mut Turn<'_>, live: &Live, outcome: &Outcome) {
+    match outcome {
+        Outcome::Unreachable | Outcome::Silent => return suspect::dark(turn, live.endpoint),
+        Outcome::Finished | Outcome::Broken => {}
+        _ => suspect::alive(turn, live.endpoint),
+    }
     let (now, tuning) = (turn.now, turn.state.tuning.clone());
     let Some(endpoint) = turn.state.directory.get_mut(live.endpoint) else { return };
     match outcome {
         Outcome::Held { .. } => endpoint.accepted(),
-        Outcome::Finished => {}
+        Outcome::Finished | Outcome::Unreachable | Outcome::Silent => {}
         Outcome::Prefilled { .. } => {
             let expected = f64::from(live.ahead) / tuning.prefill_rate;
             endpoint.read(now.saturating_sub(live.began), expected);
@@ -61,7 +66,7 @@
         // The list is behind: until it has caught up, the address belongs to somebody else.
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
         Outcome::NotRun(NotRun::Other { .. }) => {}
-        Outcome::Unreachable | Outcome::Broken | Outcome::Silent => endpoint.failed(now, &tuning),
+        Outcome::Broken => endpoint.failed(now, &tuning),
     }
 }
 
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -67,6 +67,12 @@
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
+    // Only endpoints that don't answer, or have just refused, have room: whoever waits for one of the
+    // others is served sooner.
+    let sound = state.directory.stage(service, Stage::Decode).any(|(_, e)| e.avoided <= now);
+    if sound && costs.iter().all(|cost| !cost.last.is_zero()) {
+        return Decode::Full;
+    }
     match least(state, &costs, NEAR_MEMORY) {
         Some(key) => Decode::At(key),
         None if any => Decode::Full,
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -5,6 +5,7 @@
 pub mod peers;
 pub mod requests;
 pub mod roles;
+pub mod suspects;
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -21,6 +22,7 @@
     peers::Peers,
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
+    suspects::Suspects,
 };
 use crate::{call::RequestId, route::RouteTable, tuning::Tuning};
 
@@ -104,6 +106,8 @@
     pub budgets: HashMap<String, Budget>,
     /// The other daemons.
     pub peers: Peers,
+    /// Endpoints that did not answer.
+    pub suspects: Suspects,
     /// Drafts that wait for room.
     pub waiting: Vec<RequestId>,
     /// The store's revision at which the last change that matters was seen, here or by a peer.
@@ -139,6 +143,7 @@
             requests: HashMap::new(),
             budgets: HashMap::new(),
             peers,
+            suspects: Suspects::default(),
             waiting: Vec::new(),
             news: 0,
             fresh: false,
@@ -199,7 +204,8 @@
     pub fn wake_at(&self) -> Option<Duration> {
         let timer = self.timers.first().map(|(at, _)| *at);
         let expiry = self.directory.next_expiry();
-        timer.into_iter().chain(expiry).chain([self.beat_due()]).min()
+        let probe = self.suspects.due();
+        timer.into_iter().chain(expiry).chain(probe).chain([self.beat_due()]).min()
     }
 
     pub(crate) fn set_timer(&mut self, at: Duration, id: RequestId) {
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -158,6 +158,13 @@
         self.avoid(now + time.min(tuning.avoid_most));
     }
 
+    /// It answers again.
+    pub fn came_back(&mut self) {
+        self.failures = 0;
+        self.avoided = Duration::ZERO;
+        self.shunned = Duration::ZERO;
+    }
+
     /// It refuses work until then, whoever asks.
     pub fn shun(&mut self, until: Duration) {
         self.avoid(until);
@@ -186,6 +193,18 @@
 }
 
 impl Directory {
+    /// How many endpoints there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// There are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
     /// The endpoint, unless it has been removed.
     #[must_use]
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -9,3 +9,4 @@
 mod rig;
 mod roles;
 mod routes;
+mod suspects;
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::atomic::AtomicU64, time::Duration};
 
-use basilbank_forward::{effect::Note, prelude::*};
+use basilbank_forward::{effect::Note, event::Life, prelude::*};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -30,6 +30,7 @@
     requests: Histogram,
     ready: Gauge<i64, std::sync::atomic::AtomicI64>,
     store: Family<Reason, Counter<u64, AtomicU64>>,
+    probes: Family<Reason, Counter>,
 }
 
 impl Default for Metrics {
@@ -45,6 +46,7 @@
             requests: Histogram::new(BOUNDS),
             ready: Gauge::default(),
             store: Family::default(),
+            probes: Family::default(),
             registry: Registry::default(),
         };
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
@@ -56,6 +58,7 @@
         registry.register("request_seconds", "Time of one call", metrics.requests.clone());
         registry.register("ready", "1 while calls are taken", metrics.ready.clone());
         registry.register("store_calls", "Calls to the platform's store", metrics.store.clone());
+        registry.register("probes", "Questions to dark endpoints", metrics.probes.clone());
         Metrics { registry, ..metrics }
     }
 }
@@ -81,6 +84,15 @@
         count(&self.store, outcome);
     }
 
+    /// A dark endpoint was asked whether it lives.
+    pub fn probed(&self, life: Life) {
+        let answer = match life {
+            Life::Alive => "alive",
+            Life::Dark => "dark",
+        };
+        count(&self.probes, answer);
+    }
+
     /// Whether calls are taken.
     pub fn set_ready(&self, ready: i64) {
         self.ready.set(ready);
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -213,6 +213,7 @@
                 let request = (self.dialect.drop_hold)(&hold);
                 self.give_back("drop_hold", target, request);
             }
+            Effect::Probe(target) => self.probe(target),
             Effect::Order { target, stage, fence } => self.order(target, stage, fence),
             Effect::SendBeat { to, beat } => {
                 if let Some(socket) = self.socket.get() {
@@ -245,6 +246,16 @@
         });
     }
 
+    fn probe(self: &Rc<Self>, target: Target) {
+        let router = Rc::clone(self);
+        spawn_local(async move {
+            let request = (router.dialect.alive)(&target.instance);
+            let life = router.links.probe(&target, request).await;
+            router.metrics.probed(life);
+            router.dispatch(Event::Probed { endpoint: target.endpoint, life });
+        });
+    }
+
     fn order(self: &Rc<Self>, target: Target, stage: Stage, fence: u64) {
         let router = Rc::clone(self);
         let holder = self.read(|state| state.local.name.clone());
