A soak of real daemons with faults from outside

A crate of its own: basilbankd as processes, the last daemon with an injected clock; a loopback proxy before each endpoint and before each daemon's store that delays, cuts one way, silences and resets; signals; endpoints that misbehave and are replaced at their address; store outages; configurations. A seed gives the plan. Checks from what callers and endpoints saw: TWICE, REFUSED, MIXED, ORDER, UNASKED, LOST, GONE, ONE, DRAIN, BUDGET, RECOVER, late and missing answers, ends by themselves, memory, panics. Each check has a test in which it fails.

--- /dev/null
+++ b/crates/basilbank_soak/src/callers.rs
@@ -0,0 +1,284 @@
+//! Callers that keep their connections, and what they saw.
+
+use std::{
+    collections::HashMap,
+    io::{self, BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use basilbank_core::state::Rng;
+use basilbank_standin::managed::read_answer;
+
+/// What callers say they wait.
+const PATIENCE: Duration = Duration::from_millis(4000);
+
+/// How much longer they listen, to see answers that come late.
+const MARGIN: Duration = Duration::from_millis(1500);
+
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Pause between two calls of one caller, on average.
+const PAUSE_MS: u64 = 25;
+
+/// Events of a draft, and of one that its caller leaves.
+const EVENTS: [u32; 2] = [40, 2000];
+
+/// A kind of call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Kind {
+    /// May run once.
+    Stock,
+    /// May run again.
+    Sheet,
+    /// A stream that may go on elsewhere.
+    Draft,
+    /// A stream that may run once.
+    Once,
+    /// A stream that its caller leaves.
+    Left,
+}
+
+/// What a caller saw.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Seen {
+    /// A whole answer of an endpoint.
+    Served,
+    /// An answer of the router's own, or an endpoint's failure.
+    Status(u16),
+    /// The stream broke off after it had begun.
+    Broken,
+    /// The connection ended without an answer.
+    Closed,
+    /// Nothing within patience and margin.
+    Nothing,
+    /// There was no connection.
+    Unreachable,
+    /// It left as it meant to.
+    Left,
+    /// What came can't be right.
+    Wrong(String),
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Its id.
+    pub id: String,
+    /// Its kind.
+    pub kind: Kind,
+    /// Which daemon had it.
+    pub daemon: usize,
+    /// Method and target.
+    pub line: String,
+    /// When it was sent.
+    pub begun: Instant,
+    /// When its answer was there.
+    pub ended: Instant,
+    /// What came.
+    pub seen: Seen,
+}
+
+/// All calls so far, by id.
+pub type Records = Arc<Mutex<HashMap<String, Record>>>;
+
+/// Callers, each a thread. Dropping it stops them.
+pub struct Callers {
+    /// What they saw.
+    pub records: Records,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts some.
+    #[must_use]
+    pub fn start(seed: u64, count: usize, daemons: &[SocketAddr]) -> Callers {
+        let records = Records::default();
+        let stop = Arc::new(AtomicBool::new(false));
+        let threads = (0..count).map(|number| {
+            let caller = Caller {
+                number,
+                daemons: daemons.to_vec(),
+                rng: Rng::new(seed ^ (number as u64) << 32),
+                at: number % daemons.len(),
+                calls: 0,
+                open: None,
+            };
+            let (records, stop) = (Arc::clone(&records), Arc::clone(&stop));
+            thread::spawn(move || caller.run(&records, &stop))
+        });
+        let threads = threads.collect();
+        Callers { records, stop, threads }
+    }
+
+    /// Waits until all have their last answer.
+    pub fn finish(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            // Its panic is on the terminal already.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Callers {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
+
+struct Caller {
+    number: usize,
+    daemons: Vec<SocketAddr>,
+    rng: Rng,
+    at: usize,
+    calls: u64,
+    open: Option<BufReader<TcpStream>>,
+}
+
+impl Caller {
+    fn run(mut self, records: &Records, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            let record = self.call();
+            if record.seen != Seen::Served {
+                // The open connection is kept as long as it works, the daemon only then.
+                self.at = (self.at + usize::from(self.open.is_none())) % self.daemons.len();
+            }
+            let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
+            records.insert(record.id.clone(), record);
+            drop(records);
+            thread::sleep(Duration::from_millis(self.rng.next_u64() % (2 * PAUSE_MS)));
+        }
+    }
+
+    fn call(&mut self) -> Record {
+        self.calls += 1;
+        let id = format!("c{}-{}", self.number, self.calls);
+        let kinds = [Kind::Stock, Kind::Sheet, Kind::Draft, Kind::Once, Kind::Left];
+        let kind = kinds[[0, 0, 0, 1, 1, 1, 2, 2, 3, 4][self.rng.index(10)]];
+        let line = line(kind, &id);
+        let (daemon, begun) = (self.at, Instant::now());
+        let seen = match self.exchange(kind, &id, &line) {
+            Ok(seen) => seen,
+            Err(error) => {
+                self.open = None;
+                unanswered(&error)
+            }
+        };
+        Record { id, kind, daemon, line, begun, ended: Instant::now(), seen }
+    }
+
+    fn exchange(&mut self, kind: Kind, id: &str, line: &str) -> io::Result<Seen> {
+        let mut reader = match self.open.take() {
+            Some(reader) => reader,
+            None => match TcpStream::connect_timeout(&self.daemons[self.at], CONNECT) {
+                Ok(stream) => BufReader::new(stream),
+                Err(_) => return Ok(Seen::Unreachable),
+            },
+        };
+        reader.get_ref().set_read_timeout(Some(PATIENCE + MARGIN))?;
+        reader.get_mut().write_all(request(kind, id, line).as_bytes())?;
+        if kind == Kind::Left {
+            return leave(&mut reader);
+        }
+        let answer = read_answer(&mut reader)?;
+        let closes = answer.header("connection").is_some_and(|value| value == "close");
+        let seen = judge(kind, id, line, &answer);
+        if answer.whole && !closes {
+            if let Some(more) = extra(&mut reader)? {
+                return Ok(Seen::Wrong(format!("bytes after the answer: {more:?}")));
+            }
+            self.open = Some(reader);
+        }
+        Ok(seen)
+    }
+}
+
+fn unanswered(error: &io::Error) -> Seen {
+    match error.kind() {
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Seen::Nothing,
+        _ => Seen::Closed,
+    }
+}
+
+fn line(kind: Kind, id: &str) -> String {
+    match kind {
+        Kind::Stock => format!("POST /stock/{id}"),
+        Kind::Sheet => format!("GET /sheet/{id}"),
+        Kind::Draft | Kind::Left => format!("POST /draft/{id}"),
+        Kind::Once => format!("POST /once/{id}"),
+    }
+}
+
+fn request(kind: Kind, id: &str, line: &str) -> String {
+    let events = if kind == Kind::Left { EVENTS[1] } else { EVENTS[0] };
+    let tokens = match kind {
+        Kind::Stock | Kind::Sheet => String::new(),
+        _ => format!("x-token-counts: 1000,{events}\r\nx-prompt-prefix: ab:1000\r\n"),
+    };
+    let body = if kind == Kind::Sheet { "" } else { id };
+    format!(
+        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {id}\r\n{tokens}\
+         x-deadline-remaining: {}\r\ncontent-length: {}\r\n\r\n{body}",
+        PATIENCE.as_millis(),
+        body.len(),
+    )
+}
+
+/// Reads the beginning of a stream, and closes the connection.
+fn leave(reader: &mut BufReader<TcpStream>) -> io::Result<Seen> {
+    let mut head = [0; 200];
+    match reader.read(&mut head)? {
+        0 => Ok(Seen::Closed),
+        _ => Ok(Seen::Left),
+    }
+}
+
+/// Bytes that nobody asked for.
+fn extra(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Vec<u8>>> {
+    if !reader.buffer().is_empty() {
+        return Ok(Some(reader.buffer().to_vec()));
+    }
+    reader.get_ref().set_nonblocking(true)?;
+    let more = match reader.fill_buf() {
+        Ok(bytes) if !bytes.is_empty() => Some(bytes.to_vec()),
+        // The connection has ended, or there is nothing.
+        _ => None,
+    };
+    reader.get_ref().set_nonblocking(false)?;
+    Ok(more)
+}
+
+fn judge(kind: Kind, id: &str, line: &str, answer: &basilbank_standin::managed::Answer) -> Seen {
+    let sealed = answer.header("x-server-seal").is_some();
+    if answer.status != 200 {
+        return Seen::Status(answer.status);
+    }
+    if answer.header("x-attempt-id") != Some(id) || !sealed {
+        return Seen::Wrong(format!("a success without its marks: {:?}", answer.headers));
+    }
+    let text = answer.text();
+    match kind {
+        Kind::Stock | Kind::Sheet if !answer.whole => Seen::Broken,
+        Kind::Stock | Kind::Sheet if text.starts_with(&format!("{line} by ")) => Seen::Served,
+        Kind::Stock | Kind::Sheet => Seen::Wrong(format!("another call's answer: {text:?}")),
+        _ => judge_stream(&text, answer.whole),
+    }
+}
+
+/// A stream has each event once and in order, and one that looks whole has all of them.
+fn judge_stream(text: &str, whole: bool) -> Seen {
+    let all: String = (1..=EVENTS[0]).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
+    match (all == text, whole) {
+        (true, true) => Seen::Served,
+        _ if !whole && all.starts_with(text) => Seen::Broken,
+        _ => Seen::Wrong(format!("a stream of {} bytes, whole {whole}: {text:?}", text.len())),
+    }
+}
--- /dev/null
+++ b/crates/basilbank_soak/src/checks.rs
@@ -0,0 +1,187 @@
+//! What must hold, by what callers and endpoints saw.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::{Duration, Instant},
+};
+
+use basilbank_standin::managed::{Request, Served};
+
+use crate::{
+    callers::{Kind, Record, Seen},
+    play::{Span, Trouble},
+    site::Site,
+};
+
+/// Statuses that say that a call has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Longest time of a call: what its caller waits, and the margin of the users' rules.
+const LONGEST: Duration = Duration::from_millis(4500);
+
+/// How long after trouble its effects may be seen.
+const AFTER: Duration = Duration::from_millis(1500);
+
+/// Connections that a daemon may close in one play as a call is on its way.
+const CROSSED: usize = 3;
+
+/// The settings' bound of calls beyond the first.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: f64 = 400.0;
+
+/// All that was seen in a play.
+pub struct Evidence<'a> {
+    /// Calls by id.
+    pub records: &'a HashMap<String, Record>,
+    /// What each instance of an endpoint served.
+    pub served: Vec<(String, Served)>,
+    /// Times of trouble.
+    pub spans: &'a [Span],
+}
+
+impl Evidence<'_> {
+    /// What is wrong: the rule's name first.
+    #[must_use]
+    pub fn findings(&self) -> Vec<String> {
+        let runs = self.runs();
+        let mut findings = Vec::new();
+        self.unasked(&mut findings);
+        self.orders(&mut findings);
+        self.budget(&runs, &mut findings);
+        for record in self.records.values() {
+            let ran = runs.get(record.id.as_str()).copied().unwrap_or(0);
+            findings.extend(self.call(record, ran));
+        }
+        self.crossed(&runs, &mut findings);
+        findings.sort();
+        findings
+    }
+
+    /// How often each call ran.
+    fn runs(&self) -> HashMap<&str, usize> {
+        let mut runs = HashMap::new();
+        for request in self.served.iter().flat_map(|(_, served)| &served.ran) {
+            *runs.entry(request.header("x-attempt-id").unwrap_or_default()).or_default() += 1;
+        }
+        runs
+    }
+
+    fn call(&self, record: &Record, ran: usize) -> Option<String> {
+        let most = if matches!(record.kind, Kind::Stock | Kind::Once) { 1 } else { 2 };
+        if most < ran {
+            return Some(format!("TWICE {} ran {ran} times", of(record)));
+        }
+        match &record.seen {
+            Seen::Wrong(what) => Some(format!("MIXED {}: {what}", of(record))),
+            Seen::Status(status) if PROMISES.contains(status) && ran != 0 => {
+                Some(format!("REFUSED {} got {status} and ran", of(record)))
+            }
+            Seen::Nothing if !self.excused(record) => {
+                Some(format!("ANSWER {} got none", of(record)))
+            }
+            Seen::Closed if ran != 0 && !self.excused(record) => {
+                Some(format!("LOST {} ran, and its connection ended without an answer", of(record)))
+            }
+            Seen::Status(_) if LONGEST < record.ended - record.begun && !self.excused(record) => {
+                Some(format!("LATE {} took {:?}", of(record), record.ended - record.begun))
+            }
+            _ => None,
+        }
+    }
+
+    /// Its daemon was down or stood still on the way.
+    fn excused(&self, record: &Record) -> bool {
+        self.spans.iter().any(|span| {
+            span.daemon == record.daemon
+                && matches!(span.trouble, Trouble::Down | Trouble::Paused)
+                && span.from <= record.ended
+                && span.to.is_none_or(|to| record.begun <= to + AFTER)
+        })
+    }
+
+    /// Connections that were closed as a call was on its way, without it being passed on.
+    fn crossed(&self, runs: &HashMap<&str, usize>, findings: &mut Vec<String>) {
+        let mut closed: HashMap<usize, usize> = HashMap::new();
+        let leaves = |record: &Record| {
+            self.spans.iter().any(|span| {
+                span.daemon == record.daemon
+                    && span.trouble == Trouble::Leaving
+                    && span.from <= record.ended
+                    && span.to.is_none_or(|to| record.begun <= to)
+            })
+        };
+        for record in self.records.values() {
+            let ran = runs.contains_key(record.id.as_str());
+            if record.seen == Seen::Closed && !ran && !self.excused(record) && !leaves(record) {
+                *closed.entry(record.daemon).or_default() += 1;
+            }
+        }
+        for (daemon, count) in closed.into_iter().filter(|(_, count)| CROSSED < *count) {
+            findings.push(format!("LOST daemon {daemon} closed {count} connections in use"));
+        }
+    }
+
+    fn unasked(&self, findings: &mut Vec<String>) {
+        for (instance, served) in &self.served {
+            for request in &served.ran {
+                let id = request.header("x-attempt-id").unwrap_or_default();
+                let asked = self.records.get(id).is_some_and(|record| is_asked(record, request));
+                if !asked {
+                    let line = format!("{} {}", request.method, request.target);
+                    findings.push(format!("UNASKED {instance} ran {line} as {id:?}"));
+                }
+            }
+        }
+    }
+
+    /// One holder gives orders, and its fencing numbers rise.
+    fn orders(&self, findings: &mut Vec<String>) {
+        let orders = |served: &Served| served.orders.clone();
+        let all = self.served.iter().flat_map(|(_, served)| orders(served));
+        let holders: HashSet<_> = all.map(|order| order["holder"].to_string()).collect();
+        if 1 < holders.len() {
+            findings.push(format!("ONE orders of {holders:?}"));
+        }
+        for (instance, served) in &self.served {
+            let fences: Vec<_> = served.orders.iter().map(|o| o["fence"].as_u64()).collect();
+            if fences.windows(2).any(|pair| pair[1] <= pair[0]) {
+                findings.push(format!("ONE {instance} saw fences {fences:?}"));
+            }
+        }
+    }
+
+    fn budget(&self, runs: &HashMap<&str, usize>, findings: &mut Vec<String>) {
+        let extra: usize = runs.values().map(|ran| ran - 1).sum();
+        let bound = RETRY_RATIO * self.records.len() as f64 + RETRY_SLACK;
+        if bound < extra as f64 {
+            findings.push(format!("BUDGET {extra} calls beyond the first of {bound}"));
+        }
+    }
+}
+
+fn of(record: &Record) -> String {
+    format!("{} ({:?}, daemon {}, {})", record.id, record.kind, record.daemon, record.line)
+}
+
+fn is_asked(record: &Record, request: &Request) -> bool {
+    let line = format!("{} {}", request.method, request.target);
+    let body = if record.kind == Kind::Sheet { "" } else { record.id.as_str() };
+    line == record.line && request.body == body.as_bytes()
+}
+
+/// Endpoints that still send streams although no caller is left.
+#[must_use]
+pub fn still_at_work(site: &Site, limit: Duration) -> Vec<String> {
+    let end = Instant::now() + limit;
+    loop {
+        let active = site.places.iter().map(|place| (place, place.endpoint.served().active));
+        let busy: Vec<_> = active.filter(|(_, active)| *active != 0).collect();
+        if busy.is_empty() || end <= Instant::now() {
+            let finding = |(place, active): &(&crate::site::Place, u32)| {
+                format!("GONE {} still sends {active} streams", place.endpoint.instance())
+            };
+            return busy.iter().map(finding).collect();
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/crates/basilbank_soak/src/site.rs
@@ -0,0 +1,266 @@
+//! A store, endpoints behind proxies, and daemons as processes, on one machine.
+
+use std::{
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    path::{Path, PathBuf},
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use basilbank_standin::managed::{
+    Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Served, WRITER, call, configuration,
+};
+
+use crate::{
+    process::{Process, Program},
+    proxy::Proxy,
+};
+
+/// Longest wait for a daemon's readiness.
+const READY: Duration = Duration::from_secs(15);
+
+/// Searches for a port that is free at all daemons' addresses.
+const SEARCHES: u32 = 20;
+
+/// Endpoints of the plain service, of those that read prompts, and of those that generate.
+const ENDPOINTS: [(&str, usize); 3] = [("plain", 3), ("prefill", 2), ("decode", 3)];
+
+/// Settings of a daemon. The bounds are those of a small site of the users.
+const SETTINGS: &str = include_str!("settings.toml");
+
+/// One endpoint with its proxy, and what earlier instances at its address served.
+pub struct Place {
+    /// The instance that is there now.
+    pub endpoint: ManagedEndpoint,
+    /// The way to it.
+    pub proxy: Proxy,
+    /// Its service.
+    pub service: &'static str,
+    /// Instances that were there.
+    pub before: Vec<(String, Served)>,
+    stage: Option<&'static str>,
+    instances: u32,
+}
+
+/// One daemon, running or not.
+pub struct Daemon {
+    /// The process; `None` while it is down.
+    pub process: Option<Process>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// The way to the store.
+    pub store: Proxy,
+    /// Its settings file.
+    pub settings: PathBuf,
+    /// Its log.
+    pub log: PathBuf,
+    program: Program,
+}
+
+/// All of it. Dropping it ends the daemons.
+pub struct Site {
+    /// The store.
+    pub store: ManagedStore,
+    /// The endpoints.
+    pub places: Vec<Place>,
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The configuration's version.
+    pub version: u64,
+    caches: Caches,
+    routes: Vec<String>,
+}
+
+impl Place {
+    fn start(stage: &'static str, number: usize, caches: &Caches) -> anyhow::Result<Place> {
+        let (service, stage) = match stage {
+            "plain" => (DESK, None),
+            stage => (WRITER, Some(stage)),
+        };
+        let instance = format!("{}-{number}-0", stage.unwrap_or("plain"));
+        let mut endpoint = ManagedEndpoint::start(spec(&instance, stage), caches)?;
+        let proxy = Proxy::start(endpoint.address())?;
+        endpoint.reach_at(proxy.address());
+        Ok(Place { endpoint, proxy, service, before: Vec::new(), stage, instances: 1 })
+    }
+
+    /// Another instance takes the address.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn replace(&mut self, caches: &Caches) -> anyhow::Result<()> {
+        let (name, _) = self.endpoint.instance().rsplit_once('-').context("an instance's name")?;
+        let instance = format!("{name}-{}", self.instances);
+        self.instances += 1;
+        let mut endpoint = ManagedEndpoint::start(spec(&instance, self.stage), caches)?;
+        endpoint.reach_at(self.proxy.address());
+        self.proxy.retarget(endpoint.address());
+        let before = std::mem::replace(&mut self.endpoint, endpoint);
+        self.before.push((before.instance().to_owned(), before.served()));
+        Ok(())
+    }
+
+    /// All instances that were here, with what they served.
+    #[must_use]
+    pub fn all_served(&self) -> Vec<(String, Served)> {
+        let now = (self.endpoint.instance().to_owned(), self.endpoint.served());
+        self.before.iter().cloned().chain([now]).collect()
+    }
+}
+
+fn spec(instance: &str, stage: Option<&'static str>) -> EndpointSpec {
+    match stage {
+        Some(stage) => EndpointSpec::model(instance, stage),
+        None => EndpointSpec::plain(instance),
+    }
+}
+
+impl Site {
+    /// Starts everything, and waits until the daemons are ready. Files go to `folder`.
+    ///
+    /// # Errors
+    /// Something did not start.
+    pub fn start(programs: &[Program], folder: &Path) -> anyhow::Result<Site> {
+        let caches = Caches::default();
+        let store = ManagedStore::start()?;
+        store.put("op/config", &configuration(1, &[]));
+        let mut places = Vec::new();
+        for (stage, count) in ENDPOINTS {
+            for number in 0..count {
+                places.push(Place::start(stage, number, &caches)?);
+            }
+        }
+        let daemons = daemons(programs, folder, store.address())?;
+        let routes = Vec::new();
+        let mut site = Site { store, places, daemons, version: 1, caches, routes };
+        (0..site.places.len()).for_each(|place| site.list(place, "ready"));
+        for daemon in &mut site.daemons {
+            daemon.start()?;
+        }
+        for daemon in 0..site.daemons.len() {
+            let ready = site.daemons[daemon].ready;
+            ensure!(wait_ready(ready, READY), "daemon {daemon} is not ready");
+        }
+        Ok(site)
+    }
+
+    /// Writes an endpoint's entry.
+    pub fn list(&self, place: usize, state: &str) {
+        let place = &self.places[place];
+        let key = format!("servers/{}", place.endpoint.instance());
+        self.store.put(&key, &place.endpoint.entry(place.service, state));
+    }
+
+    /// Removes an endpoint's entry.
+    pub fn unlist(&self, place: usize) {
+        self.store.remove(&format!("servers/{}", self.places[place].endpoint.instance()));
+    }
+
+    /// Another instance takes an endpoint's address, and is listed.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn replace(&mut self, place: usize) -> anyhow::Result<()> {
+        self.places[place].replace(&self.caches)?;
+        self.list(place, "ready");
+        Ok(())
+    }
+
+    /// Writes a configuration with one route more; returns the route's prefix.
+    pub fn configure(&mut self) -> String {
+        self.version += 1;
+        let prefix = format!("/added-{}/", self.version);
+        self.routes.push(prefix.clone());
+        let routes: Vec<_> = self.routes.iter().map(String::as_str).collect();
+        self.store.put("op/config", &configuration(self.version, &routes));
+        prefix
+    }
+}
+
+impl Daemon {
+    /// Starts its process.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn start(&mut self) -> anyhow::Result<()> {
+        let process = Process::start(&self.program, &self.settings, &self.log)?;
+        self.process = Some(process);
+        Ok(())
+    }
+
+    /// The file that moves its clock.
+    #[must_use]
+    pub fn clock_file(&self) -> PathBuf {
+        self.settings.with_extension("clock")
+    }
+}
+
+/// Waits until a daemon says that it is ready; false when it does not.
+#[must_use]
+pub fn wait_ready(address: SocketAddr, limit: Duration) -> bool {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        // Nothing listens there before the daemon has begun.
+        let connected = TcpStream::connect_timeout(&address, Duration::from_millis(200)).is_ok();
+        if connected && call(address, "GET /ready", &[], b"").is_ok_and(|a| a.status == 200) {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
+
+fn daemons(programs: &[Program], folder: &Path, store: SocketAddr) -> anyhow::Result<Vec<Daemon>> {
+    let ips: Vec<_> = (1..=programs.len()).map(|n| Ipv4Addr::new(127, 77, 0, n as u8)).collect();
+    let [callers, ready, control, peers] = common_ports(&ips)?;
+    let daemon = |(n, program): (usize, &Program)| {
+        let ip = ips[n];
+        let proxy = Proxy::start(store)?;
+        let settings = folder.join(format!("daemon-{n}.toml"));
+        let text = SETTINGS
+            .replace("{name}", &format!("vm-{n}"))
+            .replace("{ip}", &ip.to_string())
+            .replace("{seed}", &ips[0].to_string())
+            .replace("{callers}", &callers.to_string())
+            .replace("{ready}", &ready.to_string())
+            .replace("{control}", &control.to_string())
+            .replace("{peers}", &peers.to_string())
+            .replace("{store}", &proxy.address().to_string());
+        fs::write(&settings, text)?;
+        Ok(Daemon {
+            process: None,
+            callers: SocketAddr::from((ip, callers)),
+            ready: SocketAddr::from((ip, ready)),
+            store: proxy,
+            log: folder.join(format!("daemon-{n}.log")),
+            settings,
+            program: program.clone(),
+        })
+    };
+    programs.iter().enumerate().map(daemon).collect()
+}
+
+/// Ports that are free at all addresses: daemons have the same ones, as on the users' platform.
+fn common_ports(ips: &[Ipv4Addr]) -> anyhow::Result<[u16; 4]> {
+    for _ in 0..SEARCHES {
+        let sockets: Vec<_> =
+            (0..4).map(|_| TcpListener::bind((ips[0], 0))).collect::<Result<_, _>>()?;
+        let mut ports = [0; 4];
+        for (port, socket) in ports.iter_mut().zip(&sockets) {
+            *port = socket.local_addr()?.port();
+        }
+        drop(sockets);
+        let free = |ip: &Ipv4Addr| {
+            ports.iter().all(|port| TcpListener::bind((*ip, *port)).is_ok())
+                && UdpSocket::bind((*ip, ports[3])).is_ok()
+        };
+        if ips.iter().all(free) {
+            return Ok(ports);
+        }
+    }
+    anyhow::bail!("no free ports")
+}
--- /dev/null
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -0,0 +1,152 @@
+//! Each check finds what it is for, and nothing in a sound play.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use basilbank_soak::{
+    callers::{Kind, Record, Seen},
+    checks::Evidence,
+    play::{Span, Trouble},
+};
+use basilbank_standin::managed::{Request, Served};
+use serde_json::json;
+use test_case::test_case;
+
+fn record(id: &str, kind: Kind, seen: Seen) -> Record {
+    let line = match kind {
+        Kind::Sheet => format!("GET /sheet/{id}"),
+        _ => format!("POST /stock/{id}"),
+    };
+    let begun = Instant::now();
+    let ended = begun + Duration::from_millis(30);
+    Record { id: id.to_owned(), kind, daemon: 0, line, begun, ended, seen }
+}
+
+fn run_of(record: &Record) -> Request {
+    let (method, target) = record.line.split_once(' ').expect("a method");
+    let body = if record.kind == Kind::Sheet { "" } else { &record.id };
+    Request {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        headers: HashMap::from([("x-attempt-id".to_owned(), record.id.clone())]),
+        body: body.as_bytes().to_vec(),
+    }
+}
+
+fn findings(records: &[Record], runs: Vec<Request>, spans: &[Span]) -> Vec<String> {
+    let served = Served { ran: runs, ..Served::default() };
+    judge(records, vec![("e1".to_owned(), served)], spans)
+}
+
+fn judge(records: &[Record], served: Vec<(String, Served)>, spans: &[Span]) -> Vec<String> {
+    let records = records.iter().map(|record| (record.id.clone(), record.clone())).collect();
+    Evidence { records: &records, served, spans }.findings()
+}
+
+#[track_caller]
+fn assert_rule(findings: &[String], rule: &str) {
+    assert_eq!(findings.len(), 1, "{findings:?}");
+    assert!(findings[0].starts_with(rule), "{findings:?}");
+}
+
+fn span(trouble: Trouble, from: Instant) -> Span {
+    Span { daemon: 0, trouble, from, to: Some(from + Duration::from_millis(10)) }
+}
+
+#[test]
+fn a_sound_play_has_no_findings() {
+    let served = record("a", Kind::Stock, Seen::Served);
+    let refused = record("b", Kind::Stock, Seen::Status(503));
+    let retried = record("c", Kind::Sheet, Seen::Served);
+    let runs = vec![run_of(&served), run_of(&retried), run_of(&retried)];
+    assert!(findings(&[served, refused, retried], runs, &[]).is_empty());
+}
+
+#[test_case(Kind::Stock, 2)]
+#[test_case(Kind::Once, 2)]
+#[test_case(Kind::Sheet, 3)]
+#[test_case(Kind::Draft, 3)]
+fn more_runs_than_its_kind_allows(kind: Kind, runs: usize) {
+    let record = record("a", kind, Seen::Served);
+    let runs = vec![run_of(&record); runs];
+    assert_rule(&findings(&[record], runs, &[]), "TWICE");
+}
+
+#[test_case(Seen::Wrong("another's".to_owned()), 1, "MIXED")]
+#[test_case(Seen::Status(503), 1, "REFUSED")]
+#[test_case(Seen::Status(429), 1, "REFUSED")]
+#[test_case(Seen::Nothing, 0, "ANSWER")]
+#[test_case(Seen::Closed, 1, "LOST")]
+fn what_a_caller_must_not_see(seen: Seen, runs: usize, rule: &str) {
+    let record = record("a", Kind::Stock, seen);
+    let runs = vec![run_of(&record); runs];
+    assert_rule(&findings(&[record], runs, &[]), rule);
+}
+
+#[test]
+fn an_own_failure_may_have_run() {
+    let record = record("a", Kind::Stock, Seen::Status(502));
+    let runs = vec![run_of(&record)];
+    assert!(findings(&[record], runs, &[]).is_empty());
+}
+
+#[test]
+fn an_answer_that_comes_too_late() {
+    let mut record = record("a", Kind::Stock, Seen::Status(504));
+    record.ended = record.begun + Duration::from_secs(5);
+    assert_rule(&findings(&[record], vec![], &[]), "LATE");
+}
+
+#[test_case(Trouble::Down, 0; "its daemon was killed")]
+#[test_case(Trouble::Paused, 0; "its daemon stood still")]
+#[test_case(Trouble::Leaving, 1; "its daemon was told to end")]
+#[test_case(Trouble::NoStore, 1; "its daemon could not read the store")]
+fn who_may_lose_an_answer(trouble: Trouble, found: usize) {
+    let record = record("a", Kind::Stock, Seen::Closed);
+    let spans = [span(trouble, record.begun)];
+    let runs = vec![run_of(&record)];
+    assert_eq!(findings(&[record], runs, &spans).len(), found);
+}
+
+#[test]
+fn a_daemon_that_closes_connections_in_use() {
+    let records: Vec<_> =
+        (0..4).map(|n| record(&format!("a{n}"), Kind::Stock, Seen::Closed)).collect();
+    assert!(findings(&records[1..], vec![], &[]).is_empty(), "some may cross");
+    assert_rule(&findings(&records, vec![], &[]), "LOST");
+    let leaves = span(Trouble::Leaving, records[0].begun);
+    assert!(findings(&records, vec![], &[leaves]).is_empty(), "a daemon that leaves may");
+}
+
+#[test_case("x-attempt-id", "other"; "an id that nobody sent")]
+#[test_case("body", "x"; "another body")]
+#[test_case("target", "/stock/b"; "another path")]
+fn a_run_that_nobody_asked_for(what: &str, value: &str) {
+    let record = record("a", Kind::Stock, Seen::Served);
+    let mut run = run_of(&record);
+    match what {
+        "body" => run.body = value.as_bytes().to_vec(),
+        "target" => run.target = value.to_owned(),
+        name => drop(run.headers.insert(name.to_owned(), value.to_owned())),
+    }
+    assert_rule(&findings(&[record], vec![run], &[]), "UNASKED");
+}
+
+#[test_case(&[("vm-0", 5), ("vm-1", 6)]; "two holders")]
+#[test_case(&[("vm-0", 6), ("vm-0", 6)]; "one number twice")]
+#[test_case(&[("vm-0", 7), ("vm-0", 6)]; "a lower number after a higher one")]
+fn orders_that_exclude_each_other(orders: &[(&str, u64)]) {
+    let order = |(holder, fence): &(&str, u64)| json!({ "holder": holder, "fence": fence });
+    let served = Served { orders: orders.iter().map(order).collect(), ..Served::default() };
+    assert_rule(&judge(&[], vec![("e1".to_owned(), served)], &[]), "ONE");
+}
+
+#[test]
+fn more_repeats_than_the_budget_allows() {
+    let records: Vec<_> =
+        (0..600).map(|n| record(&format!("a{n}"), Kind::Sheet, Seen::Served)).collect();
+    let runs: Vec<_> = records.iter().flat_map(|record| vec![run_of(record); 2]).collect();
+    assert_rule(&findings(&records, runs, &[]), "BUDGET");
+}
--- /dev/null
+++ b/crates/basilbank_soak/tests/proxy.rs
@@ -0,0 +1,94 @@
+//! The proxy does to connections what it says.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use basilbank_soak::proxy::{Proxy, Weather};
+use test_case::test_case;
+
+/// Longest wait for bytes that should not come.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Says back whatever it is told.
+fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            thread::spawn(move || {
+                let mut byte = [0];
+                while matches!(stream.read(&mut byte), Ok(1)) && stream.write_all(&byte).is_ok() {}
+            });
+        }
+    });
+    address
+}
+
+fn connect(proxy: &Proxy) -> TcpStream {
+    let stream = TcpStream::connect(proxy.address()).expect("a connection");
+    stream.set_read_timeout(Some(QUIET)).expect("a limit");
+    stream
+}
+
+/// What comes back for a byte.
+fn say(mut stream: &TcpStream) -> Result<u8, ErrorKind> {
+    stream.write_all(b"x").map_err(|e| e.kind())?;
+    let mut byte = [0];
+    stream.read_exact(&mut byte).map(|()| byte[0]).map_err(|e| e.kind())
+}
+
+#[test]
+fn clear_weather_passes_bytes_and_a_delay_holds_them_up() {
+    let proxy = Proxy::start(echo()).expect("a proxy");
+    let stream = connect(&proxy);
+    assert_eq!(say(&stream), Ok(b'x'));
+    proxy.set(Weather::Delay(Duration::from_millis(40)));
+    let begun = Instant::now();
+    assert_eq!(say(&stream), Ok(b'x'));
+    assert!(Duration::from_millis(80) <= begun.elapsed(), "both ways");
+}
+
+#[test_case(Weather::Silent)]
+#[test_case(Weather::CutForth)]
+#[test_case(Weather::CutBack)]
+fn a_connection_that_was_cut_stays_silent_and_a_new_one_works(weather: Weather) {
+    let proxy = Proxy::start(echo()).expect("a proxy");
+    let stream = connect(&proxy);
+    assert_eq!(say(&stream), Ok(b'x'));
+    proxy.set(weather);
+    assert!(matches!(say(&stream), Err(ErrorKind::WouldBlock | ErrorKind::TimedOut)));
+    proxy.set(Weather::Clear);
+    assert!(matches!(say(&stream), Err(ErrorKind::WouldBlock | ErrorKind::TimedOut)));
+    assert_eq!(say(&connect(&proxy)), Ok(b'x'));
+}
+
+#[test]
+fn a_reset_ends_open_connections_and_no_others() {
+    let proxy = Proxy::start(echo()).expect("a proxy");
+    let stream = connect(&proxy);
+    assert_eq!(say(&stream), Ok(b'x'));
+    proxy.reset();
+    let mut seen = say(&stream);
+    // The write may still succeed.
+    if seen.is_ok() {
+        seen = say(&stream);
+    }
+    assert!(!matches!(seen, Ok(_) | Err(ErrorKind::WouldBlock | ErrorKind::TimedOut)), "{seen:?}");
+    assert_eq!(say(&connect(&proxy)), Ok(b'x'));
+}
+
+#[test]
+fn new_connections_lead_to_the_new_target() {
+    let (first, second) = (echo(), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let proxy = Proxy::start(first).expect("a proxy");
+    assert_eq!(say(&connect(&proxy)), Ok(b'x'));
+    proxy.retarget(second.local_addr().expect("an address"));
+    let _stream = connect(&proxy);
+    second.set_nonblocking(false).expect("blocking");
+    assert!(second.accept().is_ok());
+}
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -11,8 +11,8 @@
 
 pub use self::{
     configuration::{DESK, HOST, WRITER, configuration},
-    endpoint::{EndpointSpec, ManagedEndpoint, Misdeed, Served},
-    http::{Answer, Request, call, exchange},
+    endpoint::{Caches, EndpointSpec, ManagedEndpoint, Misdeed, Served},
+    http::{Answer, Request, call, exchange, read_answer},
     store::{ManagedStore, StoreFault},
     world::{World, WorldSpec},
 };
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -80,6 +80,8 @@
     pub orders: Vec<serde_json::Value>,
     /// Streams whose caller closed the connection before their end.
     pub abandoned: u32,
+    /// Streams that it is sending.
+    pub active: u32,
     /// Slots that were given back.
     pub dropped: u32,
     /// KV caches that were freed.
@@ -87,7 +89,7 @@
 }
 
 #[derive(Debug, Default)]
-pub(super) struct Inside {
+struct Inside {
     stage: Option<&'static str>,
     misdeed: Misdeed,
     handles: HashSet<String>,
@@ -96,13 +98,16 @@
 }
 
 /// KV caches of all endpoints, by address: an endpoint that decodes takes them from there.
-pub(super) type Caches = Arc<Mutex<HashMap<SocketAddr, Arc<Mutex<Inside>>>>>;
+#[derive(Clone, Debug, Default)]
+pub struct Caches(Arc<Mutex<HashMap<SocketAddr, Arc<Mutex<Inside>>>>>);
 
 /// An endpoint. Dropping it ends it.
 pub struct ManagedEndpoint {
     spec: EndpointSpec,
     inside: Arc<Mutex<Inside>>,
     listener: Listener,
+    caches: Caches,
+    listed: SocketAddr,
 }
 
 struct Serving {
@@ -112,17 +117,28 @@
 }
 
 impl ManagedEndpoint {
-    pub(super) fn start(spec: EndpointSpec, caches: &Caches) -> io::Result<ManagedEndpoint> {
+    /// Starts one that shares KV caches with others.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn start(spec: EndpointSpec, caches: &Caches) -> io::Result<ManagedEndpoint> {
         let inside = Arc::new(Mutex::new(Inside { stage: spec.stage, ..Inside::default() }));
         let serving = Serving {
             instance: spec.instance.clone(),
             inside: Arc::clone(&inside),
-            caches: Arc::clone(caches),
+            caches: caches.clone(),
         };
         let serve = move |stream: &TcpStream, request: &Request| serving.serve(stream, request);
         let listener = Listener::start(spec.port, serve)?;
-        lock(caches).insert(listener.address(), Arc::clone(&inside));
-        Ok(ManagedEndpoint { spec, inside, listener })
+        let listed = listener.address();
+        lock(&caches.0).insert(listed, Arc::clone(&inside));
+        Ok(ManagedEndpoint { spec, inside, listener, caches: caches.clone(), listed })
+    }
+
+    /// It is reached at another address, such as a proxy's, and listed with that.
+    pub fn reach_at(&mut self, address: SocketAddr) {
+        self.listed = address;
+        lock(&self.caches.0).insert(address, Arc::clone(&self.inside));
     }
 
     /// Where it listens.
@@ -141,7 +157,7 @@
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> serde_json::Value {
         let mut entry = json!({
-            "service": service, "addr": self.address().to_string(), "zone": "hall-a",
+            "service": service, "addr": self.listed.to_string(), "zone": "hall-a",
             "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1,
         });
         if let Some(stage) = lock(&self.inside).stage {
@@ -247,7 +263,12 @@
         }
         lock(&self.inside).served.ran.push(request.clone());
         match request.header("x-token-counts") {
-            Some(_) => self.stream(stream, request, misdeed),
+            Some(_) => {
+                lock(&self.inside).served.active += 1;
+                let streamed = self.stream(stream, request, misdeed);
+                lock(&self.inside).served.active -= 1;
+                streamed
+            }
             None => self.answer(stream, request, misdeed),
         }
     }
@@ -255,7 +276,7 @@
     fn take(&self, source: &str) -> bool {
         let Some((address, handle)) = source.split_once('/') else { return false };
         let Ok(address) = address.parse::<SocketAddr>() else { return false };
-        let Some(inside) = lock(&self.caches).get(&address).cloned() else { return false };
+        let Some(inside) = lock(&self.caches.0).get(&address).cloned() else { return false };
         lock(&inside).handles.remove(handle)
     }
 
--- a/crates/basilbank_standin/src/managed/http.rs
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -113,7 +113,11 @@
     read_answer(&mut BufReader::new(stream.try_clone()?))
 }
 
-fn read_answer(from: &mut impl BufRead) -> io::Result<Answer> {
+/// Reads one answer.
+///
+/// # Errors
+/// There is none. One that breaks off is no error: it isn't whole.
+pub fn read_answer(from: &mut impl BufRead) -> io::Result<Answer> {
     let (first, headers) = read_head(from)?;
     let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
     let status = status.ok_or_else(|| io::Error::other(format!("no answer: {first:?}")))?;
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -10,6 +10,7 @@
 };
 
 use anyhow::{Context, ensure};
+use basilbank::clock::SystemClock;
 use basilbank_platform::{daemon, settings::Settings};
 use tokio::sync::oneshot;
 
@@ -202,7 +203,8 @@
         let path = settings.clone();
         let thread = thread::spawn(move || {
             let parsed = Settings::read(&path)?;
-            daemon::run_until(&path, parsed, None, async { drop(stopped.await) })
+            let clock = Box::new(SystemClock::default());
+            daemon::run_until(&path, parsed, None, clock, async { drop(stopped.await) })
         });
         if !wait_ready(ready, &thread)? {
             return Ok(false);
