A request's way through many logs by one command, and lines that say what decided

Cause: on call, a draft's wait for room, the load that was known of the endpoint that was chosen, and the kind of damage of an answer stood in no line; joining logs was left to grep. The gateway's counters parsed the lines' text. Change: `basilbank trace ID LOG...` shows a request's lines by time among what explains them; `send` carries the calls and tokens known there and the list's age, `waits` is a line of its own, `came outcome=broken` says closed, garbled, foreign or cut_off; counters take typed measures from notes.

--- a/crates/basilbank_cli/src/args.rs
+++ b/crates/basilbank_cli/src/args.rs
@@ -70,6 +70,8 @@
     List(List),
     /// `explain`
     Explain,
+    /// `trace`
+    Trace,
     /// `watch`
     Watch,
     /// `hash-key`
@@ -107,6 +109,13 @@
         /// Its id.
         request: String,
     },
+    /// Show a request's way by logs.
+    Trace {
+        /// Its id at the caller.
+        request: String,
+        /// The logs.
+        files: Vec<String>,
+    },
     /// Show changes as they happen.
     Watch(Rounds),
     /// Hash a bearer key.
@@ -225,6 +234,7 @@
         "requests" => Topic::List(List::Requests),
         "orders" => Topic::List(List::Orders),
         "explain" => Topic::Explain,
+        "trace" => Topic::Trace,
         "watch" => Topic::Watch,
         "hash-key" => Topic::HashKey,
         _ => return Err(Failure::Usage(format!("there is no command {name:?}"))),
@@ -237,7 +247,7 @@
     second: Option<Vec<String>>,
     rounds: Rounds,
 ) -> Result<Command, Failure> {
-    if let Some(option) = rest.iter().find(|arg| arg.starts_with('-')) {
+    if let Some(option) = rest.iter().find(|arg| arg.starts_with('-') && *arg != "-") {
         return Err(Failure::Usage(format!("there is no option {option}")));
     }
     if second.is_some() && topic != Topic::Diff {
@@ -253,6 +263,13 @@
             Ok([request]) => Ok(Command::Explain { request }),
             Err(_) => Err(Failure::Usage("`explain` takes one request id".to_owned())),
         },
+        Topic::Trace => match rest.split_first() {
+            Some((request, files)) => {
+                let files = some_files(files.to_vec())?;
+                Ok(Command::Trace { request: request.clone(), files })
+            }
+            None => Err(Failure::Usage("`trace` takes a request id and logs".to_owned())),
+        },
         _ if !rest.is_empty() => Err(Failure::Usage(format!("{:?} is one too many", rest[0]))),
         Topic::Status => Ok(Command::Status),
         Topic::List(list) => Ok(Command::List(list)),
--- a/crates/basilbank_cli/src/help.rs
+++ b/crates/basilbank_cli/src/help.rs
@@ -16,6 +16,7 @@
         Topic::List(List::Requests) => REQUESTS,
         Topic::List(List::Orders) => ORDERS,
         Topic::Explain => EXPLAIN,
+        Topic::Trace => TRACE,
         Topic::Watch => WATCH,
         Topic::HashKey => HASH_KEY,
     }
@@ -29,6 +30,7 @@
 on files:
   check FILE…             check settings and catalogue documents
   diff OLD… -- NEW…       what a new catalogue changes
+  trace REQUEST_ID LOG…   a request's way, from the logs of many daemons
   hash-key                read a bearer key from standard input, print its hash
 
 on a daemon:
@@ -143,6 +145,18 @@
 exit status: 0 well, 1 the daemon does not know the request, 2 wrong use or key, 3 daemon unreachable
 ";
 
+const TRACE: &str = "\
+usage: basilbank trace REQUEST_ID LOG… [--json]
+
+Shows the lines of a request from the logs of any number of daemons, by time, marked with *. Among
+them stand the lines that explain them: what its daemon noted of the configuration, the store and
+itself from ten seconds before, and what happened to the endpoints that it was sent to. The id is
+the caller's own. A log that is - is read from standard input; what a collector puts before a line's
+time counts as the daemon's name.
+
+exit status: 0 well, 1 no line has the id, 2 wrong use, or a file can't be read
+";
+
 const WATCH: &str = "\
 usage: basilbank watch --admin URL [--key-file FILE] [--interval SECONDS] [--count N] [--json]
 
--- a/crates/basilbank_cli/src/lib.rs
+++ b/crates/basilbank_cli/src/lib.rs
@@ -26,6 +26,7 @@
 mod shell;
 mod show;
 mod table;
+mod trace;
 mod watch;
 
 pub use failure::{Failure, Status};
--- a/crates/basilbank_cli/src/shell.rs
+++ b/crates/basilbank_cli/src/shell.rs
@@ -11,7 +11,7 @@
     args::{Command, Invocation},
     check, compare,
     failure::{Failure, Status},
-    help, key, show, watch,
+    help, key, show, trace, watch,
 };
 
 /// What a command reads from and writes to.
@@ -62,6 +62,7 @@
         Command::List(list) => show::list(shell, options, *list),
         Command::Status => show::status(shell, options),
         Command::Explain { request } => show::explain(shell, options, request),
+        Command::Trace { request, files } => trace::run(shell, options, request, files),
         Command::Watch(rounds) => watch::run(shell, options, *rounds),
         Command::HashKey => key::run(shell, options),
     }
--- a/crates/basilbank_cli/tests/commands/main.rs
+++ b/crates/basilbank_cli/tests/commands/main.rs
@@ -4,3 +4,4 @@
 mod daemon;
 mod files;
 mod real;
+mod trace;
--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -7,6 +7,7 @@
 use crate::{
     call::RequestId,
     endpoint::{EndpointKey, Stage},
+    note::Note,
     reason::Refusal,
 };
 
@@ -162,27 +163,3 @@
         }
     }
 }
-
-/// A line of the log: a name, and pairs in order.
-#[derive(Clone, PartialEq, Debug)]
-pub struct Note {
-    /// A stable name.
-    pub name: &'static str,
-    /// Key=value pairs.
-    pub pairs: Vec<(&'static str, String)>,
-}
-
-impl Note {
-    /// A line without pairs.
-    #[must_use]
-    pub fn new(name: &'static str) -> Note {
-        Note { name, pairs: Vec::new() }
-    }
-
-    /// With one more pair.
-    #[must_use]
-    pub fn with(mut self, key: &'static str, value: impl std::fmt::Display) -> Note {
-        self.pairs.push((key, value.to_string()));
-        self
-    }
-}
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -125,11 +125,57 @@
     /// No connection could be made: nothing was sent.
     Unreachable,
     /// The connection broke after something was sent, or the answer was damaged.
-    Broken,
+    Broken(Damage),
     /// No answer within the limit.
     Silent,
 }
 
+impl Outcome {
+    /// The stable name, for logs and metric labels.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Outcome::Held { .. } => "held",
+            Outcome::Prefilled { .. } => "prefilled",
+            Outcome::Answered { .. } => "answered",
+            Outcome::Streaming => "streaming",
+            Outcome::Finished => "finished",
+            Outcome::NotRun(NotRun::Busy { .. }) => "busy",
+            Outcome::NotRun(NotRun::WrongInstance) => "wrong_instance",
+            Outcome::NotRun(NotRun::Other { .. }) => "not_run",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Broken(_) => "broken",
+            Outcome::Silent => "silent",
+        }
+    }
+}
+
+/// What was wrong with an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Damage {
+    /// The connection ended before the answer's head.
+    Closed,
+    /// What came is no HTTP.
+    Garbled,
+    /// It carries another call's id, or lacks what marks an endpoint's answer.
+    Foreign,
+    /// It broke off before its end, or fell silent.
+    CutOff,
+}
+
+impl Damage {
+    /// The stable name, for logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Damage::Closed => "closed",
+            Damage::Garbled => "garbled",
+            Damage::Foreign => "foreign",
+            Damage::CutOff => "cut_off",
+        }
+    }
+}
+
 /// Why an endpoint did not run a call.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum NotRun {
--- a/crates/basilbank_forward/src/lib.rs
+++ b/crates/basilbank_forward/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod effect;
 pub mod endpoint;
 pub mod event;
+pub mod note;
 pub mod prelude;
 pub mod reason;
 pub mod route;
--- /dev/null
+++ b/crates/basilbank_forward/src/note.rs
@@ -0,0 +1,65 @@
+//! A line of the log, and what counters take from it.
+
+use std::{fmt, time::Duration};
+
+use crate::reason::Retry;
+
+/// A line of the log: a name, and pairs in order.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Note {
+    /// A stable name.
+    pub name: &'static str,
+    /// Key=value pairs.
+    pub pairs: Vec<(&'static str, String)>,
+    /// What counters and histograms take from it.
+    pub measure: Option<Measure>,
+}
+
+/// What is counted and timed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Measure {
+    /// An attempt came to something.
+    Attempt {
+        /// The outcome's stable name.
+        outcome: &'static str,
+        /// How long it took.
+        took: Duration,
+    },
+    /// A request ended.
+    Request {
+        /// The outcome's stable name.
+        outcome: &'static str,
+        /// How long it took.
+        took: Duration,
+    },
+    /// A call beyond the first goes out.
+    Retry(Retry),
+}
+
+impl Note {
+    /// A line without pairs.
+    #[must_use]
+    pub fn new(name: &'static str) -> Note {
+        Note { name, pairs: Vec::new(), measure: None }
+    }
+
+    /// With one more pair.
+    #[must_use]
+    pub fn with(mut self, key: &'static str, value: impl fmt::Display) -> Note {
+        self.pairs.push((key, value.to_string()));
+        self
+    }
+
+    /// With a time in whole milliseconds.
+    #[must_use]
+    pub fn with_ms(self, key: &'static str, time: Duration) -> Note {
+        self.with(key, time.as_millis())
+    }
+
+    /// With what counters and histograms take from it.
+    #[must_use]
+    pub fn with_measure(mut self, measure: Measure) -> Note {
+        self.measure = Some(measure);
+        self
+    }
+}
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -21,11 +21,7 @@
 use basilbank_core::time::Now;
 
 use crate::{
-    call::RequestId,
-    effect::{Effect, Note},
-    endpoint::EndpointKey,
-    event::Event,
-    state::State,
+    call::RequestId, effect::Effect, endpoint::EndpointKey, event::Event, note::Note, state::State,
 };
 
 /// Takes one event in and says what is to be done.
@@ -100,7 +96,7 @@
         let Some(request) = self.state.requests.get(&id) else { return };
         let mut pairs = vec![("request", request.call.trace.clone())];
         pairs.extend(note.pairs);
-        self.note(Note { name: note.name, pairs });
+        self.note(Note { pairs, ..note });
     }
 
     /// Wakes the request at `at`.
--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -5,7 +5,8 @@
 use super::{Turn, step};
 use crate::{
     call::Call,
-    effect::{Effect, Note},
+    effect::Effect,
+    note::Note,
     reason::Refusal,
     state::{Draft, Request},
 };
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -9,7 +9,8 @@
 
 use super::{Turn, queue};
 use crate::{
-    effect::{Effect, Note},
+    effect::Effect,
+    note::Note,
     state::peers::{Load, Peer, from_wire, to_wire},
 };
 
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -4,8 +4,9 @@
 
 use super::Turn;
 use crate::{
-    effect::{Effect, Note},
+    effect::Effect,
     endpoint::{EndpointInfo, EndpointKey},
+    note::Note,
     route::RouteTable,
 };
 
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -3,7 +3,8 @@
 use super::{Turn, end as release, queue};
 use crate::{
     call::RequestId,
-    effect::{Effect, Note},
+    effect::Effect,
+    note::{Measure, Note},
     reason::Refusal,
     state::{Request, State, requests::Live},
 };
@@ -54,15 +55,16 @@
     }
 }
 
-fn end(turn: &mut Turn<'_>, id: RequestId, outcome: &str) {
+fn end(turn: &mut Turn<'_>, id: RequestId, outcome: &'static str) {
     let Some(mut request) = turn.state.requests.remove(&id) else { return };
     turn.state.drop_timers(id, &request.timers);
     let took = turn.now.saturating_sub(request.arrived);
     let note = Note::new("ended")
         .with("request", &request.call.trace)
         .with("outcome", outcome)
-        .with("took_ms", took.as_millis())
-        .with("attempts", request.attempts);
+        .with_ms("took_ms", took)
+        .with("attempts", request.attempts)
+        .with_measure(Measure::Request { outcome, took });
     turn.note(note);
     for live in std::mem::take(&mut request.live) {
         turn.push(Effect::Stop { request: id, attempt: live.number });
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -3,8 +3,9 @@
 use super::{Turn, end, finish, step, suspect};
 use crate::{
     call::RequestId,
-    effect::{Effect, Note},
+    effect::Effect,
     event::{NotRun, Outcome},
+    note::{Measure, Note},
     reason::Refusal,
     state::requests::{Hold, Kv, Live, Step},
 };
@@ -39,7 +40,7 @@
             not_run(turn, id, &live, matches!(why, NotRun::Busy { .. }));
         }
         Outcome::Unreachable => not_run(turn, id, &live, false),
-        Outcome::Broken | Outcome::Silent => broken(turn, id, &live, outcome == Outcome::Silent),
+        Outcome::Broken(_) | Outcome::Silent => broken(turn, id, &live, outcome == Outcome::Silent),
     }
 }
 
@@ -47,7 +48,7 @@
 fn learn(turn: &mut Turn<'_>, live: &Live, outcome: &Outcome) {
     match outcome {
         Outcome::Unreachable | Outcome::Silent => return suspect::dark(turn, live.endpoint),
-        Outcome::Finished | Outcome::Broken => {}
+        Outcome::Finished | Outcome::Broken(_) => {}
         _ => suspect::alive(turn, live.endpoint),
     }
     let (now, tuning) = (turn.now, turn.state.tuning.clone());
@@ -66,29 +67,26 @@
         // The list is behind: until it has caught up, the address belongs to somebody else.
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
         Outcome::NotRun(NotRun::Other { .. }) => {}
-        Outcome::Broken => endpoint.failed(now, &tuning),
+        Outcome::Broken(_) => endpoint.failed(now, &tuning),
     }
 }
 
 fn log(turn: &mut Turn<'_>, id: RequestId, live: &Live, outcome: &Outcome) {
     let took = turn.now.saturating_sub(live.began);
-    let note = Note::new("came").with("attempt", live.number).with("took_ms", took.as_millis());
+    let name = outcome.as_str();
+    let note = Note::new("came")
+        .with("attempt", live.number)
+        .with_ms("took_ms", took)
+        .with("outcome", name)
+        .with_measure(Measure::Attempt { outcome: name, took });
     let note = match outcome {
-        Outcome::Held { hold } => note.with("outcome", "held").with("hold", hold),
-        Outcome::Prefilled { tokens, .. } => {
-            note.with("outcome", "prefilled").with("tokens", tokens)
+        Outcome::Held { hold } => note.with("hold", hold),
+        Outcome::Prefilled { tokens, .. } => note.with("tokens", tokens),
+        Outcome::Answered { status } | Outcome::NotRun(NotRun::Other { status }) => {
+            note.with("status", status)
         }
-        Outcome::Answered { status } => note.with("outcome", "answered").with("status", status),
-        Outcome::Streaming => note.with("outcome", "streaming"),
-        Outcome::Finished => note.with("outcome", "finished"),
-        Outcome::NotRun(NotRun::Busy { .. }) => note.with("outcome", "busy"),
-        Outcome::NotRun(NotRun::WrongInstance) => note.with("outcome", "wrong_instance"),
-        Outcome::NotRun(NotRun::Other { status }) => {
-            note.with("outcome", "not_run").with("status", status)
-        }
-        Outcome::Unreachable => note.with("outcome", "unreachable"),
-        Outcome::Broken => note.with("outcome", "broken"),
-        Outcome::Silent => note.with("outcome", "silent"),
+        Outcome::Broken(damage) => note.with("damage", damage.as_str()),
+        _ => note,
     };
     turn.note_request(id, note);
 }
--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -7,11 +7,13 @@
 use super::{Turn, step};
 use crate::call::RequestId;
 
-/// Takes a draft in that found no room.
-pub fn wait(turn: &mut Turn<'_>, id: RequestId) {
+/// Takes a draft in that found no room; true when it has not waited before.
+pub fn wait(turn: &mut Turn<'_>, id: RequestId) -> bool {
     if !turn.state.waiting.contains(&id) {
         turn.state.waiting.push(id);
     }
+    let draft = turn.state.requests.get_mut(&id).map(|request| &mut request.draft);
+    draft.is_some_and(|draft| !std::mem::replace(&mut draft.waited, true))
 }
 
 /// Lets drafts go on for which there is room now.
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -10,9 +10,10 @@
 
 use super::Turn;
 use crate::{
-    effect::{Effect, Note},
+    effect::Effect,
     endpoint::{EndpointKey, Stage},
     event::Acceptance,
+    note::Note,
     state::{State, roles::OrderRight},
 };
 
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -5,8 +5,9 @@
 use super::{Turn, begin, draft, finish, plain, queue};
 use crate::{
     call::RequestId,
-    effect::{Attempt, Effect, Note, Op},
+    effect::{Attempt, Effect, Op},
     endpoint::EndpointKey,
+    note::{Measure, Note},
     reason::{Refusal, Retry},
     state::{
         Request, State,
@@ -66,7 +67,12 @@
             }
             turn.wake(id, at);
         }
-        Next::WaitForRoom => queue::wait(turn, id),
+        Next::WaitForRoom => {
+            let waiting = turn.state.waiting.len();
+            if queue::wait(turn, id) {
+                turn.note_request(id, Note::new("waits").with("ahead", waiting));
+            }
+        }
         Next::GiveUp(refusal) => finish::give_up(turn, id, refusal),
         Next::Send(send) => {
             let plain = send.step == Step::Whole;
@@ -105,6 +111,7 @@
         }
         request.unpaid = request.unpaid.saturating_sub(1);
         let note = Note::new("retry").with("reason", retry.as_str());
+        let note = note.with_measure(Measure::Retry(retry));
         turn.note_request(id, note);
         return send_out(turn, id, send);
     }
@@ -113,7 +120,10 @@
 
 fn send_out(turn: &mut Turn<'_>, id: RequestId, send: Send) {
     let Some(target) = turn.state.directory.target(send.endpoint) else { return };
-    let ahead = turn.state.directory.get(send.endpoint).map_or(0, |e| e.all_tokens()) + send.tokens;
+    let endpoint = turn.state.directory.get(send.endpoint);
+    let (calls, tokens) = endpoint.map_or((0, 0), |e| (e.all_calls(), e.all_tokens()));
+    let ahead = tokens + send.tokens;
+    let list_age = turn.now.saturating_sub(turn.state.directory.read_at);
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
     let number = request.attempts;
     request.attempts += 1;
@@ -135,7 +145,10 @@
         .with("attempt", number)
         .with("op", send.op.as_str())
         .with("instance", &target.instance)
-        .with("left_ms", remaining.as_millis());
+        .with_ms("left_ms", remaining)
+        .with("calls_there", calls)
+        .with("tokens_there", tokens)
+        .with_ms("list_ms", list_age);
     let limit = send.limit.min(remaining);
     let attempt = Attempt { number, target, op: send.op, remaining, limit, stall };
     begin(turn.state, send.endpoint, send.tokens);
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -10,11 +10,7 @@
 use std::time::Duration;
 
 use super::Turn;
-use crate::{
-    effect::{Effect, Note},
-    endpoint::EndpointKey,
-    event::Life,
-};
+use crate::{effect::Effect, endpoint::EndpointKey, event::Life, note::Note};
 
 /// Pause before an endpoint is asked, doubled each time that it does not answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -85,6 +85,8 @@
     pub prefills: u32,
     /// Calls for a slot since the last pause.
     pub asked: u32,
+    /// It has waited for room.
+    pub waited: bool,
 }
 
 /// A slot held at a decode endpoint.
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -88,7 +88,7 @@
     let mut rig = rig();
     let (id, decode) = decoding_draft(&mut rig, "/draft/1");
     rig.came(id, decode.number, Outcome::Streaming);
-    rig.came(id, decode.number, Outcome::Broken);
+    rig.came(id, decode.number, Outcome::Broken(Damage::CutOff));
     let hold = rig.start();
     assert_ne!(hold.target.endpoint, decode.target.endpoint);
     rig.came(id, hold.number, held());
@@ -100,7 +100,7 @@
     let mut rig = rig();
     let (id, decode) = decoding_draft(&mut rig, "/once/1");
     rig.came(id, decode.number, Outcome::Streaming);
-    rig.came(id, decode.number, Outcome::Broken);
+    rig.came(id, decode.number, Outcome::Broken(Damage::CutOff));
     assert!(rig.starts().is_empty());
     assert!(rig.effects.iter().any(|e| matches!(e, Effect::Cut { .. })));
 }
@@ -268,7 +268,7 @@
     rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 4, Stage::Decode)]);
     let (id, _) = held_draft(&mut rig, "/draft/1");
     let prefill = rig.start();
-    rig.came(id, prefill.number, Outcome::Broken);
+    rig.came(id, prefill.number, Outcome::Broken(Damage::CutOff));
     assert!(rig.starts().is_empty(), "there is no budget for the call at the decode endpoint");
     assert_eq!(rig.refusals().len(), 1);
 }
--- a/crates/basilbank_gateway/src/calls.rs
+++ b/crates/basilbank_gateway/src/calls.rs
@@ -95,7 +95,7 @@
     fn from(error: CallError) -> Outcome {
         match error {
             CallError::Unreachable => Outcome::Unreachable,
-            CallError::Broken => Outcome::Broken,
+            CallError::Broken(damage) => Outcome::Broken(damage),
             CallError::Silent => Outcome::Silent,
         }
     }
@@ -124,7 +124,7 @@
     };
     let (head, body) = split(response);
     match (dialect.head)(&original.call, &attempt.op, &head) {
-        Head::Unclear => Came::bare(Outcome::Broken),
+        Head::Unclear => Came::bare(Outcome::Broken(Damage::Foreign)),
         Head::NotRun(why) => {
             keep_after(&router, &attempt, &head, body, link).await;
             Came::bare(Outcome::NotRun(why))
@@ -174,13 +174,13 @@
     link: Link,
 ) -> Came {
     let Some(bytes) = read(body, OWN, attempt.limit).await else {
-        return Came::bare(Outcome::Broken);
+        return Came::bare(Outcome::Broken(Damage::CutOff));
     };
     if let Some(kept) = kept(head) {
         router.links.keep(attempt.target.endpoint, link, kept);
     }
     let outcome = (router.dialect.own_body)(&attempt.op, &bytes);
-    Came::bare(outcome.unwrap_or(Outcome::Broken))
+    Came::bare(outcome.unwrap_or(Outcome::Broken(Damage::Garbled)))
 }
 
 async fn whole(
@@ -192,7 +192,7 @@
 ) -> Came {
     // A body that breaks off must not look whole: it is read to its end before it is passed on.
     let Some(bytes) = read(body, WHOLE, attempt.limit).await else {
-        return Came::bare(Outcome::Broken);
+        return Came::bare(Outcome::Broken(Damage::CutOff));
     };
     if let Some(kept) = kept(&head) {
         router.links.keep(attempt.target.endpoint, link, kept);
--- a/crates/basilbank_gateway/src/links.rs
+++ b/crates/basilbank_gateway/src/links.rs
@@ -42,7 +42,7 @@
     /// No connection could be made: nothing was sent.
     Unreachable,
     /// The connection broke, or what came is no answer.
-    Broken,
+    Broken(Damage),
     /// No answer within the limit.
     Silent,
 }
@@ -113,7 +113,12 @@
     ) -> Result<Response<Incoming>, (CallError, Option<Box<OutRequest>>)> {
         match timeout(limit, self.sender.try_send_request(request)).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(mut error)) => Err((CallError::Broken, error.take_message().map(Box::new))),
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message().map(Box::new);
+                let damage =
+                    if error.error().is_parse() { Damage::Garbled } else { Damage::Closed };
+                Err((CallError::Broken(damage), unsent))
+            }
             Err(_) => Err((CallError::Silent, None)),
         }
     }
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms of forwarded calls.
 
-use std::{sync::atomic::AtomicU64, time::Duration};
+use std::sync::atomic::AtomicU64;
 
-use basilbank_forward::{effect::Note, event::Life, prelude::*};
+use basilbank_forward::{event::Life, prelude::*};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -98,22 +98,18 @@
         self.ready.set(ready);
     }
 
-    /// Counts a line of the log.
-    pub fn noted(&self, note: &Note) {
-        let value = |key: &str| note.pairs.iter().find(|(k, _)| *k == key).map(|(_, v)| v.as_str());
-        let took = value("took_ms").and_then(|text| text.parse().ok()).map(Duration::from_millis);
-        let outcome = value("outcome").unwrap_or("none");
-        match note.name {
-            "came" => {
+    /// Counts what a line of the log tells.
+    pub fn measured(&self, measure: Measure) {
+        match measure {
+            Measure::Attempt { outcome, took } => {
                 count(&self.outcomes, outcome);
-                self.attempts.observe(took.unwrap_or_default().as_secs_f64());
+                self.attempts.observe(took.as_secs_f64());
             }
-            "ended" => {
+            Measure::Request { outcome, took } => {
                 count(&self.ended, outcome);
-                self.requests.observe(took.unwrap_or_default().as_secs_f64());
+                self.requests.observe(took.as_secs_f64());
             }
-            "retry" => count(&self.retried, value("reason").unwrap_or("none")),
-            _ => {}
+            Measure::Retry(retry) => count(&self.retried, retry.as_str()),
         }
     }
 
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -204,7 +204,10 @@
                 if ended.last.is_some() {
                     self.last = ended.last;
                 }
-                if ended.whole { Outcome::Finished } else { Outcome::Broken }
+                match ended.whole {
+                    true => Outcome::Finished,
+                    false => Outcome::Broken(Damage::CutOff),
+                }
             }
         };
         let finished = outcome == Outcome::Finished;
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -10,11 +10,7 @@
 };
 
 use basilbank::logs::Line;
-use basilbank_forward::{
-    effect::{Note, Target},
-    event::Acceptance,
-    prelude::*,
-};
+use basilbank_forward::{effect::Target, event::Acceptance, prelude::*};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc},
@@ -278,7 +274,9 @@
     }
 
     fn log(&self, note: &Note) {
-        self.metrics.noted(note);
+        if let Some(measure) = note.measure {
+            self.metrics.measured(measure);
+        }
         if log::log_enabled!(log::Level::Info) {
             let line = Line::new(note.name);
             let line = note.pairs.iter().fold(line, |line, (key, value)| line.with(key, value));
