Prompts are spread by chance while no daemon knows the others' load

Cause: after a restart of all daemons each takes the prefill endpoints for idle. The callers whose streams were cut come back at once, and their prompts queue at the prefill endpoints for seconds, while the decode endpoints have nothing to do. Change: for 2.5 s after a start that is not the system's first, and until a peer is heard that has run before, prompts are shared out between prefill and decode endpoints by what they read in a second, at random.

--- a/crates/basilbank_forward/benches/load/main.rs
+++ b/crates/basilbank_forward/benches/load/main.rs
@@ -16,9 +16,9 @@
 
 /// Deployments by name, with the drafts a second that they just serve.
 const SITES: [(&str, Engines, f64); 3] = [
-    ("small", Engines { prefill: 2, decode: 7, memory: 40_718, dark: 0 }, 24.0),
-    ("medium", Engines { prefill: 4, decode: 14, memory: 31_701, dark: 0 }, 36.0),
-    ("tight", Engines { prefill: 4, decode: 12, memory: 22_800, dark: 0 }, 22.0),
+    ("small", Engines { prefill: 2, decode: 7, memory: 40_718, dark: 0, daemons: 1 }, 24.0),
+    ("medium", Engines { prefill: 4, decode: 14, memory: 31_701, dark: 0, daemons: 1 }, 36.0),
+    ("tight", Engines { prefill: 4, decode: 12, memory: 22_800, dark: 0, daemons: 1 }, 22.0),
 ];
 
 /// Parts of that load.
@@ -38,11 +38,19 @@
         let burst = [(0.5, 6), (1.3, 5), (0.5, 6), (1.3, 4), (0.5, 6)];
         let phase = |(part, s): (f64, u64)| Phase { rate: rate * part, time: TIME / 20 * s as u32 };
         show(&format!("{name}_bursts"), engines, &burst.map(phase));
+        let fresh = Engines { daemons: engines.decode, ..engines };
+        let all_back = Phase { rate: rate * 5.0, time: Duration::from_secs(1) };
+        show(&format!("{name}_restart"), fresh, &[all_back]);
     }
 }
 
 fn show(case: &str, engines: Engines, phases: &[Phase]) {
-    let all_alike = Tuning { memory_late: 1.07, lead: Duration::ZERO, ..Tuning::default() };
+    let all_alike = Tuning {
+        memory_late: 1.07,
+        lead: Duration::ZERO,
+        blind: Duration::ZERO,
+        ..Tuning::default()
+    };
     let placings = [
         ("in_turn", Placing::InTurn),
         ("all_alike", Placing::Router(Box::new(all_alike))),
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -11,6 +11,6 @@
     reason::{Refusal, Retry},
     reduce::reduce,
     route::{Kind, Route, RouteTable, Service},
-    state::{Local, OrderRight, State},
+    state::{Local, OrderRight, Start, State},
     tuning::Tuning,
 };
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -12,7 +12,7 @@
 use crate::{
     call::RequestId,
     effect::Op,
-    endpoint::EndpointKey,
+    endpoint::{EndpointKey, Stage},
     reason::{Refusal, Retry},
     state::{
         Request, State,
@@ -87,6 +87,9 @@
     let tokens = request.call.prompt.as_ref().map_or(0, |p| p.tokens);
     let extra = (request.unpaid != 0).then_some(Retry::NotRun);
     let (service, tried) = (request.service.clone(), request.tried.clone());
+    if state.is_blind(now) && falls_to_decode(state, &service) {
+        return whole(state, id, hold, now);
+    }
     let picked = pick::prefill(state, &service, &tried, Some(hold.endpoint), tokens, now);
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
     let at_prefill = |at: &EndpointKey| !sooner_at_decode(state, request, *at, tokens, now);
@@ -98,6 +101,19 @@
     Next::Send(Send { endpoint, op: Op::Prefill, step, tokens, limit, counted: false, extra })
 }
 
+/// Shares prompts out by what prefill and decode endpoints read in a second, at random.
+///
+/// When all daemons restart at once, each takes the prefill endpoints for idle, and all prompts of
+/// the callers that come back queue there for seconds, while the decode endpoints, whose streams
+/// were all cut, have nothing to do. Until the daemons know each other's load, chance alone can
+/// spread it.
+fn falls_to_decode(state: &mut State, service: &str) -> bool {
+    let prefill = state.directory.stage(service, Stage::Prefill).count() as f64;
+    let decode = state.directory.stage(service, Stage::Decode).count() as f64;
+    let idle = decode * state.tuning.idle_rate;
+    state.rng.unit() * (prefill + idle) < idle
+}
+
 /// When a prefill endpoint will have read the prompt, behind what it has.
 fn reading(state: &State, endpoint: EndpointKey, tokens: u32) -> Duration {
     let Some(at) = state.directory.get(endpoint) else { return Duration::ZERO };
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -19,7 +19,7 @@
 pub use self::{
     budget::Budget,
     directory::{Directory, Endpoint},
-    peers::Peers,
+    peers::{Peer, Peers},
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
     suspects::Suspects,
@@ -33,6 +33,20 @@
 /// watches at the same time.
 const SHORTEST_WAIT: f64 = 0.4;
 
+/// Milliseconds by which a peer's start lies before the own one when it has seen the load of the time
+/// before: more than a restart of all at the same moment spreads, clocks included.
+const STARTED_BEFORE: u64 = 3000;
+
+/// Which start of the system a daemon's start belongs to.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Start {
+    /// The whole system starts for the first time.
+    #[default]
+    First,
+    /// It has run before.
+    Again,
+}
+
 /// Who this daemon is.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Local {
@@ -44,6 +58,8 @@
     pub seed: u64,
     /// Its process's start, milliseconds since the Unix epoch.
     pub incarnation: u64,
+    /// Which start of the system this is.
+    pub start: Start,
     /// Where its peers reach it.
     pub address: Option<SocketAddr>,
     /// Addresses at which peers may be found.
@@ -67,6 +83,13 @@
         self
     }
 
+    /// With the start of the system that this one belongs to.
+    #[must_use]
+    pub fn with_start(mut self, start: Start) -> Local {
+        self.start = start;
+        self
+    }
+
     /// With the address at which its peers reach it.
     #[must_use]
     pub fn with_address(mut self, address: SocketAddr) -> Local {
@@ -166,6 +189,16 @@
         if young { known.max(LARGE_FLEET) } else { known }
     }
 
+    /// This daemon has just started again, and so have all that it hears: nobody's load is known, and
+    /// callers whose streams were cut come back all at once.
+    #[must_use]
+    pub fn is_blind(&self, now: Duration) -> bool {
+        let young = self.started.is_some_and(|at| now < at + self.tuning.blind);
+        let own = self.local.incarnation;
+        let old = |peer: &Peer| peer.incarnation + STARTED_BEFORE < own;
+        young && self.local.start == Start::Again && !self.peers.known.values().any(old)
+    }
+
     /// Calls can be served: configuration and endpoints are known, and the daemon stays.
     #[must_use]
     pub fn ready(&self) -> bool {
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -272,3 +272,40 @@
     assert!(rig.starts().is_empty(), "there is no budget for the call at the decode endpoint");
     assert_eq!(rig.refusals().len(), 1);
 }
+
+/// How many of some drafts' prompts a decode endpoint reads itself.
+fn read_at_decode(rig: &mut Rig) -> usize {
+    let mut whole = 0;
+    for _ in 0..100 {
+        let (id, _) = held_draft(rig, "/draft/1");
+        whole += usize::from(matches!(rig.start().op, Op::Stream { .. }));
+        rig.feed(Event::Left(id));
+    }
+    whole
+}
+
+#[test]
+fn a_daemon_that_started_with_all_others_spreads_prompts_for_some_seconds() {
+    let mut rig = Rig::restarted();
+    let list = [("p1", 1, Stage::Prefill), ("p2", 2, Stage::Prefill)].into_iter();
+    let list = list.chain([("d1", 3, Stage::Decode), ("d2", 4, Stage::Decode)]);
+    rig.list(list.map(|(name, port, stage)| model(name, port, stage)).collect());
+    let share = read_at_decode(&mut rig);
+    assert!((15..50).contains(&share), "two endpoints of each kind: a third, not {share}");
+    rig.pass_ms(3000);
+    assert_eq!(read_at_decode(&mut rig), 0);
+}
+
+#[test]
+fn a_daemon_that_hears_an_older_one_need_not_guess() {
+    let own = std::net::SocketAddr::from(([10, 0, 1, 1], 7000));
+    let from = std::net::SocketAddr::from(([10, 0, 1, 2], 7000));
+    let mut rig = Rig::as_daemon(own, vec![from]);
+    rig.state.local.start = Start::Again;
+    rig.state.local.incarnation = 100_000;
+    rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 3, Stage::Decode)]);
+    assert_ne!(read_at_decode(&mut rig), 0);
+    let beat = basilbank_wire::LoadBeat { incarnation: 50_000, sequence: 1, ..Default::default() };
+    rig.feed(Event::Beat { from, beat });
+    assert_eq!(read_at_decode(&mut rig), 0);
+}
--- a/crates/basilbank_forward/tests/forward/load.rs
+++ b/crates/basilbank_forward/tests/forward/load.rs
@@ -49,6 +49,8 @@
     pub memory: u32,
     /// The first so many of these are dark.
     pub dark: u16,
+    /// Daemons, which have just started and don't hear each other.
+    pub daemons: u16,
 }
 
 /// A share of the load that a site is made for, for some time.
@@ -153,7 +155,7 @@
 pub struct Play {
     engines: Engines,
     placing: Placing,
-    state: State,
+    states: Vec<State>,
     now: Duration,
     due: BinaryHeap<Reverse<(Duration, u64, Due)>>,
     order: u64,
@@ -173,11 +175,14 @@
             Placing::Router(tuning) => (**tuning).clone(),
             Placing::InTurn => Tuning::default(),
         };
-        let local = Local::default().with_name("vm-1").with_data_centre("hall-a");
+        let state = |n: u16| {
+            let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
+            State::new(local.with_start(Start::Again), tuning.clone())
+        };
         let mut play = Play {
             engines,
             placing,
-            state: State::new(local, tuning),
+            states: (0..engines.daemons).map(state).collect(),
             now: Duration::from_secs(100),
             due: BinaryHeap::new(),
             order: 0,
@@ -194,13 +199,13 @@
     }
 
     fn prepare(&mut self, phases: &[Phase]) {
-        self.feed(Event::Routes(Arc::new(table(self.engines.memory))));
+        self.feed_all(&Event::Routes(Arc::new(table(self.engines.memory))));
         let count = self.engines.prefill + self.engines.decode;
         let list = (0..count).map(|n| {
             let stage = if n < self.engines.prefill { Stage::Prefill } else { Stage::Decode };
             endpoint(n, stage)
         });
-        self.feed(Event::Changed { revision: 1, listed: list.collect(), gone: Vec::new() });
+        self.feed_all(&Event::Changed { revision: 1, listed: list.collect(), gone: Vec::new() });
         self.endpoints.resize_with(usize::from(count), Engine::default);
         let mut at = self.now;
         for phase in phases {
@@ -223,18 +228,18 @@
     fn play(&mut self) {
         loop {
             let next = self.due.peek().map(|Reverse((at, ..))| *at);
-            let tick = self.state.wake_at();
+            let tick = self.states.iter().filter_map(State::wake_at).min();
             let Some(at) = next else {
                 if self.drafts.is_empty() {
                     return;
                 }
                 self.now = tick.unwrap_or(self.now + PATIENCE).max(self.now);
-                self.feed(Event::Tick);
+                self.feed_all(&Event::Tick);
                 continue;
             };
             if tick.is_some_and(|tick| tick < at) {
                 self.now = tick.unwrap_or(at).max(self.now);
-                self.feed(Event::Tick);
+                self.feed_all(&Event::Tick);
                 continue;
             }
             self.now = at.max(self.now);
@@ -258,8 +263,11 @@
                 self.finish(draft, attempt);
             }
             Due::Probe { endpoint } => {
-                let Some(key) = self.state.directory.find(&name(endpoint)) else { return };
-                self.feed(Event::Probed { endpoint: key, life: Life::Dark });
+                for daemon in 0..self.states.len() {
+                    let key = self.states[daemon].directory.find(&name(endpoint));
+                    let Some(endpoint) = key else { continue };
+                    self.feed(daemon, Event::Probed { endpoint, life: Life::Dark });
+                }
             }
         }
     }
@@ -287,7 +295,7 @@
                     patience: Some(PATIENCE),
                     prompt: Some(prompt),
                 };
-                self.feed(Event::Arrived(Box::new(call)));
+                self.feed(self.daemon(id), Event::Arrived(Box::new(call)));
             }
         }
     }
@@ -304,10 +312,19 @@
         self.read(id, 0, prefill);
     }
 
-    fn feed(&mut self, event: Event) {
+    /// The daemon that has a draft.
+    fn daemon(&self, draft: u64) -> usize {
+        usize::try_from(draft).unwrap_or_default() % self.states.len()
+    }
+
+    fn feed_all(&mut self, event: &Event) {
+        (0..self.states.len()).for_each(|daemon| self.feed(daemon, event.clone()));
+    }
+
+    fn feed(&mut self, daemon: usize, event: Event) {
         let wall = SystemTime::UNIX_EPOCH + self.now;
         let mut effects = Vec::new();
-        reduce(&mut self.state, Now { mono: self.now, wall }, event, &mut effects);
+        reduce(&mut self.states[daemon], Now { mono: self.now, wall }, event, &mut effects);
         for effect in effects {
             match effect {
                 Effect::Start { request, attempt } => self.start(request.0, &attempt),
@@ -387,7 +404,7 @@
             Answer::Streaming => Outcome::Streaming,
             Answer::Unreachable => Outcome::Unreachable,
         };
-        self.feed(Event::Came { request: RequestId(draft), attempt, outcome });
+        self.feed(self.daemon(draft), Event::Came { request: RequestId(draft), attempt, outcome });
     }
 
     /// A draft waits at the engine until there is memory for its prompt. What is generated grows beyond
@@ -438,8 +455,9 @@
 
     /// The draft is over for the figures; the router may do with it what it likes.
     fn drop_draft(&mut self, draft: u64, attempt: u32, outcome: Outcome) {
-        self.feed(Event::Came { request: RequestId(draft), attempt, outcome });
-        self.feed(Event::Left(RequestId(draft)));
+        let daemon = self.daemon(draft);
+        self.feed(daemon, Event::Came { request: RequestId(draft), attempt, outcome });
+        self.feed(daemon, Event::Left(RequestId(draft)));
     }
 
     fn release(&mut self, endpoint: usize, draft: u64) {
@@ -455,7 +473,8 @@
         }
         if matches!(self.placing, Placing::Router(_)) {
             let request = RequestId(draft);
-            self.feed(Event::Came { request, attempt, outcome: Outcome::Finished });
+            let outcome = Outcome::Finished;
+            self.feed(self.daemon(draft), Event::Came { request, attempt, outcome });
         }
     }
 }
--- a/crates/basilbank_forward/tests/forward/overload.rs
+++ b/crates/basilbank_forward/tests/forward/overload.rs
@@ -7,8 +7,8 @@
 
 use crate::load::{Engines, Got, Phase, Placing, Play};
 
-const SMALL: Engines = Engines { prefill: 2, decode: 7, memory: 40_718, dark: 0 };
-const TIGHT: Engines = Engines { prefill: 4, decode: 12, memory: 22_800, dark: 0 };
+const SMALL: Engines = Engines { prefill: 2, decode: 7, memory: 40_718, dark: 0, daemons: 1 };
+const TIGHT: Engines = Engines { prefill: 4, decode: 12, memory: 22_800, dark: 0, daemons: 1 };
 
 /// Plays of one overload.
 const SEEDS: u64 = 6;
@@ -55,3 +55,20 @@
     let got = Play::run(SMALL, &phases, router(Tuning::default()), 1);
     assert_eq!(got, Got { timely: got.drafts, served: got.drafts, vain: 0, ..got });
 }
+
+/// Symptom: after all daemons were restarted at once nearly all drafts of the next two seconds were
+/// late, though most endpoints had nothing to do.
+/// Sequence: all streams are cut; their callers come back at once, to daemons that know nothing yet.
+/// Cause: each daemon took the prefill endpoints for idle and sent all its prompts there.
+#[test]
+fn prompts_are_spread_while_no_daemon_knows_the_others_load() {
+    let engines = Engines { prefill: 4, decode: 14, memory: 31_701, dark: 0, daemons: 8 };
+    let phases = [Phase { rate: 110.0, time: Duration::from_secs(1) }];
+    let timely = |tuning: Tuning| {
+        let got = (0..SEEDS).map(|seed| Play::run(engines, &phases, router(tuning.clone()), seed));
+        got.map(|got| got.timely_part()).sum::<f64>() / SEEDS as f64
+    };
+    let before = timely(Tuning { blind: Duration::ZERO, ..Tuning::default() });
+    let now = timely(Tuning::default());
+    assert!(before + 0.1 < now, "{before:.3} before, {now:.3} now");
+}
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -30,6 +30,11 @@
         Rig::with_local(Local::default())
     }
 
+    /// The same, started again.
+    pub fn restarted() -> Rig {
+        Rig::with_local(Local::default().with_start(Start::Again))
+    }
+
     /// One of several daemons.
     pub fn as_daemon(address: SocketAddr, seeds: Vec<SocketAddr>) -> Rig {
         let local = Local::default().with_incarnation(1).with_address(address);
