A session's drafts have a home; a repeated one finds its prompt there

Cause: a caller whose stream was cut asks again, mostly at another daemon, with the same prompt. Ruled out: nothing else says where a prompt is kept; asking endpoints for their lists costs their time. Change: a draft goes to the first of its session's two rendezvous homes, to the second when that has 0.15 of the memory more room, and elsewhere only when both are full or ill. While all daemons are new, decode endpoints read all prompts, instead of a share at random.

--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -38,6 +38,9 @@
     pub most: u32,
     /// The caller's estimate of the tokens to generate; right at the median, often far off.
     pub hint: Option<u32>,
+    /// Names the part of the prompt that belongs to this call or its session alone; a call that its
+    /// caller repeats has the same.
+    pub session: Option<u64>,
 }
 
 impl Prompt {
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use super::{
-    pick::{self, Decode},
+    pick::{self, Decode, Want},
     step::{Next, Send},
 };
 use crate::{
     call::RequestId,
     effect::Op,
-    endpoint::{EndpointKey, Stage},
+    endpoint::EndpointKey,
     reason::{Refusal, Retry},
     state::{
         Request, State,
@@ -51,7 +51,8 @@
         return Next::WaitUntil(now + state.tuning.hold_pause);
     }
     let (service, tried) = (request.service.clone(), asked(request));
-    let tokens = request.call.prompt.as_ref().map_or(0, |p| p.expected());
+    let prompt = request.call.prompt.clone().unwrap_or_default();
+    let tokens = prompt.expected();
     let part = match request.is_timely(now + state.tuning.lead) {
         true => state.tuning.memory_used,
         false => state.tuning.memory_late,
@@ -64,7 +65,8 @@
     };
     let longest = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.hold);
     let op = Op::Hold { tokens: hold_tokens, ttl: longest };
-    let endpoint = match pick::decode(state, &service, &tried, near, tokens, part, now) {
+    let want = Want { near, tokens, part, session: prompt.session };
+    let endpoint = match pick::decode(state, &service, &tried, &want, now) {
         Decode::At(endpoint) => endpoint,
         Decode::Full => return Next::WaitForRoom,
         Decode::None => return Next::GiveUp(Refusal::NoEndpoint),
@@ -87,7 +89,10 @@
     let tokens = request.call.prompt.as_ref().map_or(0, |p| p.tokens);
     let extra = (request.unpaid != 0).then_some(Retry::NotRun);
     let (service, tried) = (request.service.clone(), request.tried.clone());
-    if state.is_blind(now) && falls_to_decode(state, &service) {
+    // When all daemons restart at once, each takes the prefill endpoints for idle, and the prompts of
+    // all callers that come back would queue there for seconds. The decode endpoints, whose streams
+    // were all cut, have nothing to do, and have kept many of these prompts.
+    if state.is_blind(now) {
         return whole(state, id, hold, now);
     }
     let picked = pick::prefill(state, &service, &tried, Some(hold.endpoint), tokens, now);
@@ -101,19 +106,6 @@
     Next::Send(Send { endpoint, op: Op::Prefill, step, tokens, limit, counted: false, extra })
 }
 
-/// Shares prompts out by what prefill and decode endpoints read in a second, at random.
-///
-/// When all daemons restart at once, each takes the prefill endpoints for idle, and all prompts of
-/// the callers that come back queue there for seconds, while the decode endpoints, whose streams
-/// were all cut, have nothing to do. Until the daemons know each other's load, chance alone can
-/// spread it.
-fn falls_to_decode(state: &mut State, service: &str) -> bool {
-    let prefill = state.directory.stage(service, Stage::Prefill).count() as f64;
-    let decode = state.directory.stage(service, Stage::Decode).count() as f64;
-    let idle = decode * state.tuning.idle_rate;
-    state.rng.unit() * (prefill + idle) < idle
-}
-
 /// When a prefill endpoint will have read the prompt, behind what it has.
 fn reading(state: &State, endpoint: EndpointKey, tokens: u32) -> Duration {
     let Some(at) = state.directory.get(endpoint) else { return Duration::ZERO };
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -1,6 +1,8 @@
 //! Picks an endpoint for a call.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     endpoint::{EndpointKey, Stage},
@@ -42,21 +44,33 @@
     least(state, &costs, 0.0)
 }
 
-/// The decode endpoint with the most free memory, by what all daemons have there, of which `part` is
-/// given out.
+/// What a draft needs of a decode endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Want {
+    /// Where its prompt is, or will likely be read.
+    pub near: Option<EndpointKey>,
+    /// Tokens of memory at its end.
+    pub tokens: u32,
+    /// Part of an endpoint's memory that is given out to drafts like it.
+    pub part: f64,
+    /// The session that it belongs to.
+    pub session: Option<u64>,
+}
+
+/// The draft's home if there is room, else the decode endpoint with the most free memory, by what all
+/// daemons have there.
 pub fn decode(
     state: &mut State,
     service: &str,
     tried: &[EndpointKey],
-    near: Option<EndpointKey>,
-    need: u32,
-    part: f64,
+    want: &Want,
     now: Duration,
 ) -> Decode {
     let Some(engine) = state.routes.engine(service) else { return Decode::None };
     let memory = f64::from(engine.memory.max(1));
-    let full = memory * part - f64::from(need);
-    let place = near.and_then(|key| state.directory.get(key)).map(|e| e.info.data_centre.clone());
+    let full = memory * want.part - f64::from(want.tokens);
+    let place =
+        want.near.and_then(|key| state.directory.get(key)).map(|e| e.info.data_centre.clone());
     let place = place.unwrap_or_else(|| state.local.data_centre.clone());
     let mut any = false;
     let endpoints = state.directory.stage(service, Stage::Decode).inspect(|_| any = true);
@@ -75,13 +89,47 @@
     if sound && costs.iter().all(|cost| !cost.last.is_zero()) {
         return Decode::Full;
     }
-    match least(state, &costs, NEAR_MEMORY) {
+    let home = want.session.and_then(|session| home(state, service, session, &costs, now));
+    match home.or_else(|| least(state, &costs, NEAR_MEMORY)) {
         Some(key) => Decode::At(key),
         None if any => Decode::Full,
         None => Decode::None,
     }
 }
 
+/// One of the two endpoints to which all daemons give a session first.
+///
+/// A draft whose stream was cut comes back as another call, often to another daemon. At the endpoint
+/// that decoded it before, its prompt may still be kept, and need not be read again. The first home is
+/// taken unless the second has much more room: with one alone, some endpoints would be full beside
+/// idle ones. A daemon that knows nobody's load takes the first.
+fn home(
+    state: &State,
+    service: &str,
+    session: u64,
+    open: &[Cost],
+    now: Duration,
+) -> Option<EndpointKey> {
+    let weight =
+        |endpoint: &Endpoint| xxh3_64_with_seed(endpoint.info.instance.as_bytes(), session);
+    let endpoints = state.directory.stage(service, Stage::Decode);
+    let mut homes: Vec<_> = endpoints.map(|(key, e)| (Reverse(weight(e)), key)).collect();
+    homes.sort_unstable();
+    let sound = |cost: &&Cost| !cost.tried && cost.last.is_zero();
+    let find = |(_, key): &(_, EndpointKey)| open.iter().filter(sound).find(|c| c.key == *key);
+    match (homes.first().and_then(find), homes.get(1).and_then(find)) {
+        (Some(first), Some(second)) => {
+            let crowded = second.cost + HOME_MEMORY < first.cost && !state.is_blind(now);
+            Some(if crowded { second.key } else { first.key })
+        }
+        (first, second) => first.or(second).map(|cost| cost.key),
+    }
+}
+
+/// Part of a decode endpoint's memory by which a session's second home must be emptier than its first
+/// to be taken: about a draft and a half.
+const HOME_MEMORY: f64 = 0.15;
+
 /// Where a draft is decoded.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Decode {
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -59,8 +59,6 @@
     /// How much sooner a decode endpoint must have read the prompt itself than the best prefill
     /// endpoint: its reading slows the drafts that it decodes.
     pub self_margin: Duration,
-    /// Part of the prefill rate at which a decode endpoint that has nothing else to do reads prompts.
-    pub idle_rate: f64,
     /// How long a daemon that has started with all others knows nobody's load: a heartbeat or two until
     /// all have met, and the first prompts' reading.
     pub blind: Duration,
@@ -121,7 +119,6 @@
             prefill_limit: Duration::from_millis(250),
             prefill_rate: 33_000.0,
             self_rate: 0.4,
-            idle_rate: 0.5,
             blind: Duration::from_millis(2500),
             self_margin: Duration::from_millis(100),
             stream_limit: Duration::from_millis(700),
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -285,13 +285,12 @@
 }
 
 #[test]
-fn a_daemon_that_started_with_all_others_spreads_prompts_for_some_seconds() {
+fn a_daemon_that_started_with_all_others_leaves_prompts_to_decode_endpoints_for_some_seconds() {
     let mut rig = Rig::restarted();
     let list = [("p1", 1, Stage::Prefill), ("p2", 2, Stage::Prefill)].into_iter();
     let list = list.chain([("d1", 3, Stage::Decode), ("d2", 4, Stage::Decode)]);
     rig.list(list.map(|(name, port, stage)| model(name, port, stage)).collect());
-    let share = read_at_decode(&mut rig);
-    assert!((15..50).contains(&share), "two endpoints of each kind: a third, not {share}");
+    assert_eq!(read_at_decode(&mut rig), 100);
     rig.pass_ms(3000);
     assert_eq!(read_at_decode(&mut rig), 0);
 }
@@ -304,7 +303,7 @@
     rig.state.local.start = Start::Again;
     rig.state.local.incarnation = 100_000;
     rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 3, Stage::Decode)]);
-    assert_ne!(read_at_decode(&mut rig), 0);
+    assert_eq!(read_at_decode(&mut rig), 100);
     let beat = basilbank_wire::LoadBeat { incarnation: 50_000, sequence: 1, ..Default::default() };
     rig.feed(Event::Beat { from, beat });
     assert_eq!(read_at_decode(&mut rig), 0);
--- a/crates/basilbank_forward/tests/forward/load.rs
+++ b/crates/basilbank_forward/tests/forward/load.rs
@@ -281,7 +281,7 @@
         let tokens = (self.around(3000.0, 0.5)).clamp(200.0, 6600.0) as u32;
         let output = (self.around(400.0, 0.7)).clamp(10.0, 1000.0) as u32;
         let hint = (f64::from(output) * (0.5 + self.rng.unit())) as u32;
-        let prompt = Prompt { tokens, most: 1020, hint: Some(hint) };
+        let prompt = Prompt { tokens, most: 1020, hint: Some(hint), session: Some(id) };
         let draft = Draft { came: self.now, prompt: prompt.clone(), output, first: None };
         self.drafts.insert(id, draft);
         match self.placing {
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod drafts;
 mod endpoints;
+mod homes;
 mod load;
 mod order_schedules;
 mod overload;
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -233,7 +233,7 @@
 
 /// A prompt of some tokens, with sixty more to generate.
 pub fn prompt(tokens: u32) -> Prompt {
-    Prompt { tokens, most: 100, hint: Some(60) }
+    Prompt { tokens, most: 100, hint: Some(60), session: None }
 }
 
 /// The endpoint is full, or lacks the KV cache.
