--- a/crates/basilbank/src/metrics.rs
+++ b/crates/basilbank/src/metrics.rs
@@ -5,6 +5,7 @@
 
 mod families;
 mod labels;
+mod results;
 
 use std::{hash::Hash, time::Duration};
 
@@ -20,11 +21,12 @@
     registry::Registry,
 };
 
+pub use self::results::{ReadResult, Unsent};
 use self::{
     families::Families,
     labels::{Class, Direction, Note, PlatformCall, Reason, Role, Team},
 };
-use crate::{callers::EdgeRefusal, names::Names, peers::Unsent, platform::ReadResult};
+use crate::{callers::EdgeRefusal, names::Names};
 
 /// Roles whose queues are watched.
 const ROLES: [&str; 3] = ["prefill", "decode", "plain"];
--- a/crates/basilbank/src/peers.rs
+++ b/crates/basilbank/src/peers.rs
@@ -26,7 +26,11 @@
 use basilbank_wire::{Message, Packet, Sealer, VmList};
 
 use self::{address_book::AddressBook, heard::Heard, receiver::Receiver};
-use crate::{inbox::Feed, metrics::Metrics, pool::Pool};
+use crate::{
+    inbox::Feed,
+    metrics::{Metrics, Unsent},
+    pool::Pool,
+};
 
 /// Largest sealed datagram in bytes: below the smallest path MTU in use, so that none is fragmented.
 pub const DATAGRAM: usize = 1200;
@@ -44,32 +48,6 @@
 /// Longest wait for the own listener, when it is woken to end.
 const WAKE: Duration = Duration::from_millis(100);
 
-/// Why messages were not sent.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-pub enum Unsent {
-    /// The VM is not on the list.
-    UnknownVm,
-    /// Too many large packets wait.
-    Backlog,
-    /// The peer could not be reached, or the packet not be written.
-    Failed,
-}
-
-impl Unsent {
-    /// All of them.
-    pub const ALL: &[Unsent] = &[Unsent::UnknownVm, Unsent::Backlog, Unsent::Failed];
-
-    /// The stable name, used as metric label.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Unsent::UnknownVm => "unknown_vm",
-            Unsent::Backlog => "backlog",
-            Unsent::Failed => "failed",
-        }
-    }
-}
-
 /// The peers' side. Dropping it ends its threads.
 #[derive(Debug)]
 pub struct Peers {
--- a/crates/basilbank/src/platform.rs
+++ b/crates/basilbank/src/platform.rs
@@ -25,7 +25,13 @@
 use ureq::Agent;
 
 use self::protocol::{Changes, VmTable};
-use crate::{engine::agent, inbox::Feed, logs::Line, metrics::Metrics, sync::lock};
+use crate::{
+    engine::agent,
+    inbox::Feed,
+    logs::Line,
+    metrics::{Metrics, ReadResult},
+    sync::lock,
+};
 
 /// How long the platform holds a watch back when nothing changes.
 const WATCH: Duration = Duration::from_secs(10);
@@ -69,36 +75,6 @@
     closed: Arc<AtomicBool>,
 }
 
-/// How a read of the platform ended.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-pub enum ReadResult {
-    /// An answer came.
-    Done,
-    /// The platform forgot the changes since the revision asked for.
-    Compacted,
-    /// The platform's budget of calls is used up.
-    Limited,
-    /// It was not reached, or its answer could not be read.
-    Failed,
-}
-
-impl ReadResult {
-    /// All of them.
-    pub const ALL: &[ReadResult] =
-        &[ReadResult::Done, ReadResult::Compacted, ReadResult::Limited, ReadResult::Failed];
-
-    /// The stable name, used as metric label.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            ReadResult::Done => "done",
-            ReadResult::Compacted => "compacted",
-            ReadResult::Limited => "limited",
-            ReadResult::Failed => "failed",
-        }
-    }
-}
-
 impl Platform {
     /// Starts the threads for a platform's base URL.
     ///
--- a/crates/basilbank_cli/src/lib.rs
+++ b/crates/basilbank_cli/src/lib.rs
@@ -23,6 +23,7 @@
 mod failure;
 mod help;
 mod key;
+mod run;
 mod shell;
 mod show;
 mod table;
@@ -30,5 +31,6 @@
 mod watch;
 
 pub use failure::{Failure, Status};
-pub use shell::{Shell, run};
+pub use run::run;
+pub use shell::Shell;
 pub use table::{render_list, render_object};
