--- a/crates/basilbank_forward/benches/load/main.rs
+++ b/crates/basilbank_forward/benches/load/main.rs
@@ -2,7 +2,7 @@
 //! on each run.
 #![allow(clippy::print_stdout, reason = "a bench speaks to its terminal")]
 
-#[path = "../../tests/forward/load.rs"]
+#[path = "../../tests/forward/load/mod.rs"]
 mod load;
 
 use std::time::Duration;
--- /dev/null
+++ b/crates/basilbank_forward/tests/forward/load/engine.rs
@@ -0,0 +1,43 @@
+//! A simple engine: a queue of prompts, or memory that fills while it generates.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Time of one token.
+pub const TOKEN: Duration = Duration::from_millis(7);
+
+/// A draft that waits for memory.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    pub draft: u64,
+    pub attempt: u32,
+    pub tokens: u32,
+    pub since: Duration,
+    pub read: Duration,
+    pub has_kv: bool,
+}
+
+/// A draft that is generated.
+#[derive(Clone, Copy, Debug)]
+pub struct Running {
+    pub draft: u64,
+    pub tokens: u32,
+    pub first: Duration,
+}
+
+/// The engine.
+#[derive(Debug, Default)]
+pub struct Engine {
+    pub free_at: Duration,
+    pub running: Vec<Running>,
+    pub waiting: VecDeque<Waiting>,
+}
+
+impl Engine {
+    /// Tokens in memory: prompts, and what has been generated so far.
+    pub fn used(&self, now: Duration) -> u32 {
+        let made = |run: &Running| {
+            now.saturating_sub(run.first).div_duration_f64(TOKEN) as u32 + run.tokens
+        };
+        self.running.iter().map(made).sum()
+    }
+}
--- a/crates/basilbank_forward/tests/forward/load.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -1,24 +1,23 @@
 //! A load that is played in virtual time: drafts come, simple engines serve them.
 
+mod engine;
+mod site;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, VecDeque},
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime},
 };
 
 use basilbank_core::state::Rng;
-use basilbank_forward::{event::Life, prelude::*, route::EngineInfo};
-
-/// The service.
-const WRITER: &str = "writer";
-
-/// Time to the first token that counts as on time.
-const TARGET: Duration = Duration::from_millis(900);
+use basilbank_forward::{event::Life, prelude::*};
 
-/// How long callers wait.
-const PATIENCE: Duration = Duration::from_secs(14);
+pub use self::site::{Engines, Got, Phase, Placing};
+use self::{
+    engine::{Engine, Running, TOKEN, Waiting},
+    site::{KEPT, PATIENCE, TARGET, endpoint, name, number, table},
+};
 
 /// Prompt tokens that a prefill endpoint reads in a second.
 const RATE: f64 = 33_333.0;
@@ -26,72 +25,12 @@
 /// What an idle endpoint adds to the reading of a prompt.
 const BASE: Duration = Duration::from_millis(150);
 
-/// Time of one token.
-const TOKEN: Duration = Duration::from_millis(7);
-
 /// A round trip with an endpoint's answer.
 const TRIP: Duration = Duration::from_millis(5);
 
-/// How long a KV cache is kept that nobody takes.
-const KEPT: Duration = Duration::from_millis(500);
-
 /// How long a call to a dark endpoint is waited for.
 const DARK: Duration = Duration::from_millis(250);
 
-/// Engines of one deployment.
-#[derive(Clone, Copy, Debug)]
-pub struct Engines {
-    /// Endpoints that read prompts.
-    pub prefill: u16,
-    /// Endpoints that generate.
-    pub decode: u16,
-    /// Tokens that each of these holds.
-    pub memory: u32,
-    /// The first so many of these are dark.
-    pub dark: u16,
-    /// Daemons, which have just started and don't hear each other.
-    pub daemons: u16,
-}
-
-/// A share of the load that a site is made for, for some time.
-#[derive(Clone, Copy, Debug)]
-pub struct Phase {
-    /// Drafts a second.
-    pub rate: f64,
-    /// For how long.
-    pub time: Duration,
-}
-
-/// How drafts are placed.
-#[derive(Clone, Debug)]
-pub enum Placing {
-    /// By the reducer.
-    Router(Box<Tuning>),
-    /// In turn, without holds and without waiting: what a plain balancer does.
-    InTurn,
-}
-
-/// What callers got.
-#[derive(Clone, Copy, PartialEq, Debug, Default)]
-pub struct Got {
-    /// Drafts that came.
-    pub drafts: u32,
-    /// Those whose first token came in time, and that were finished.
-    pub timely: u32,
-    /// Those that were finished.
-    pub served: u32,
-    /// Prompts that were read, and whose KV cache lapsed.
-    pub vain: u32,
-}
-
-impl Got {
-    /// Part of the drafts that were on time.
-    #[must_use]
-    pub fn timely_part(&self) -> f64 {
-        f64::from(self.timely) / f64::from(self.drafts.max(1))
-    }
-}
-
 /// What happens to a draft at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -109,41 +48,7 @@
     Unreachable,
 }
 
-#[derive(Clone, Debug)]
-struct Waiting {
-    draft: u64,
-    attempt: u32,
-    tokens: u32,
-    since: Duration,
-    read: Duration,
-    has_kv: bool,
-}
-
-/// A draft that is generated.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    draft: u64,
-    tokens: u32,
-    first: Duration,
-}
-
-#[derive(Debug, Default)]
-struct Engine {
-    free_at: Duration,
-    running: Vec<Running>,
-    waiting: VecDeque<Waiting>,
-}
-
-impl Engine {
-    /// Tokens in memory: prompts, and what has been generated so far.
-    fn used(&self, now: Duration) -> u32 {
-        let made = |run: &Running| {
-            now.saturating_sub(run.first).div_duration_f64(TOKEN) as u32 + run.tokens
-        };
-        self.running.iter().map(made).sum()
-    }
-}
-
+/// A draft on its way.
 struct Draft {
     came: Duration,
     prompt: Prompt,
@@ -478,41 +383,3 @@
         }
     }
 }
-
-fn name(endpoint: usize) -> String {
-    format!("e{endpoint}")
-}
-
-fn number(instance: &str) -> usize {
-    instance[1..].parse().unwrap_or_default()
-}
-
-fn endpoint(n: u16, stage: Stage) -> EndpointInfo {
-    EndpointInfo {
-        instance: name(usize::from(n)),
-        service: WRITER.to_owned(),
-        addr: SocketAddr::from(([10, 0, 0, 1], 1000 + n)),
-        data_centre: "hall-a".to_owned(),
-        slots: 64,
-        draining: false,
-        stage: Some(stage),
-    }
-}
-
-fn table(memory: u32) -> RouteTable {
-    let engine = EngineInfo { memory, kept: KEPT, switch: Duration::from_secs(6), hold: PATIENCE };
-    let route = Route {
-        name: "draft".to_owned(),
-        host: "shop.example".to_owned(),
-        prefix: "/draft/".to_owned(),
-        kind: Kind::Streaming,
-        timeout: PATIENCE,
-        target: TARGET,
-        split: vec![(WRITER.to_owned(), 1)],
-        attempts: 2,
-        resumable: true,
-    };
-    RouteTable::new(1)
-        .with_service(WRITER, Service { engine: Some(engine) })
-        .with_routes(vec![route])
-}
