A daemon starts while the store is slow, and all of them after a restart of all

Cause: a call for a page of entries had 0.6 s, the whole reading 0.7 s, and neither grew. With a store that takes longer, or whose link is full because every daemon reads everything, the same pages were asked for again and again: 298 daemons served 8.5 s after all were killed, and one daemon before a store of 0.9 s an answer never did.

--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -24,11 +24,22 @@
 /// Longest pause after a failure: the store's return is noticed within it.
 const BACKOFF_MOST: Duration = Duration::from_millis(800);
 
+/// Limit of one call for everything at first, doubled after each failure: a silent connection is left
+/// soon, and a store that is slow, or busy with all daemons that restart at once, is not asked again
+/// and again for what it was about to answer.
+const PAGE: Duration = Duration::from_millis(600);
+
+/// Longest such limit.
+const PAGE_MOST: Duration = Duration::from_millis(4800);
+
 /// What is read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Query {
     /// Everything.
-    All,
+    All {
+        /// Limit of each call that it takes.
+        limit: Duration,
+    },
     /// What changed after a revision.
     Changes {
         /// The revision.
@@ -85,19 +96,32 @@
 }
 
 impl Reader {
+    fn next(&self) -> Query {
+        match self.after {
+            0 => {
+                Query::All { limit: PAGE.saturating_mul(1 << self.failures.min(8)).min(PAGE_MOST) }
+            }
+            after => Query::Changes { after, wait: self.router.read_wait() },
+        }
+    }
+
     /// One read; returns how long to pause.
     async fn turn(&mut self) -> Duration {
         let begun = Instant::now();
-        let (query, limit) = match self.after {
-            0 => (Query::All, MARGIN),
-            after => {
-                let wait = self.router.read_wait();
-                (Query::Changes { after, wait }, wait + MARGIN)
+        let query = self.next();
+        let late = |_| Err(ReadError::Failed("no answer in time".to_owned()));
+        let reading = (self.source)(query);
+        let read = async {
+            match query {
+                // Its calls have limits of their own, and there are as many as there are pages.
+                Query::All { .. } => reading.await,
+                Query::Changes { wait, .. } => {
+                    timeout(wait + MARGIN, reading).await.unwrap_or_else(late)
+                }
             }
         };
-        let late = |_| Err(ReadError::Failed("no answer in time".to_owned()));
         let read = tokio::select! {
-            read = timeout(limit, (self.source)(query)) => read.unwrap_or_else(late),
+            read = read => read,
             () = self.router.behind(BEHIND) => {
                 log::info!("{}", Line::new("store_watch_stale").with("after", self.after));
                 return self.failed("a peer has seen what the watch has not", begun.elapsed());
@@ -108,7 +132,8 @@
                 self.router.metrics.store_call("read");
                 let changed = !(reading.listed.is_empty() && reading.gone.is_empty());
                 self.took(query, reading);
-                if changed && query != Query::All { BATCH } else { Duration::ZERO }
+                let is_change = matches!(query, Query::Changes { .. });
+                if changed && is_change { BATCH } else { Duration::ZERO }
             }
             Err(ReadError::HistoryGone) => {
                 self.router.metrics.store_call("history_gone");
@@ -135,7 +160,7 @@
         }
         let revision = reading.revision;
         self.router.dispatch(match query {
-            Query::All => Event::Endpoints { revision, list: reading.listed },
+            Query::All { .. } => Event::Endpoints { revision, list: reading.listed },
             Query::Changes { .. } => {
                 Event::Changed { revision, listed: reading.listed, gone: reading.gone }
             }
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -142,6 +142,15 @@
         self.store.put("op/config", &configuration(version, more));
     }
 
+    /// Starts one more daemon, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_another(&mut self) -> anyhow::Result<()> {
+        let control = free_address()?;
+        self.add_daemon(control)
+    }
+
     /// Replaces a text in a daemon's settings file, and gives no signal.
     ///
     /// # Errors
--- a/crates/basilbank_standin/tests/managed/store.rs
+++ b/crates/basilbank_standin/tests/managed/store.rs
@@ -77,3 +77,17 @@
     eventually("only the other one serves", || (0..10).all(|_| other()));
     assert!((0..50).all(|_| other()), "an endpoint that leaves was used again");
 }
+
+/// Symptom: 298 daemons that were restarted at once took 8.5 s until they served, 100 took one.
+/// Sequence: each reads all entries; the store's link is full, so that pages take longer than a
+/// call's limit. A store that is slow by itself does the same to a single daemon.
+/// Cause: the limit never grew, so that the same pages were asked for again and again, and the whole
+/// reading had to fit into less than a second.
+#[test_case(900; "longer than the first limit")]
+#[test_case(2000; "longer than the second one")]
+fn a_daemon_starts_while_the_store_is_slow(delay_ms: u64) {
+    let mut world = world();
+    world.store.set_fault(StoreFault::Slow(Duration::from_millis(delay_ms)));
+    world.add_another().expect("it gets ready");
+    assert_eq!(plain(world.callers(1), "POST /stock/1", b"x").status, 200);
+}
