The limit of a watch's answer grows with failures, too

A watch's answer has 0.7 s beyond its wait, 2.8 s after failures in a row; the adapter takes the limit from the reader and has none of its own.

--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -8,9 +8,12 @@
 
 use crate::router::Router;
 
-/// Longest time for an answer beyond what the store was asked to wait.
+/// Time for an answer beyond what the store was asked to wait, at first; doubled after each failure.
 const MARGIN: Duration = Duration::from_millis(700);
 
+/// Longest such time.
+const MARGIN_MOST: Duration = Duration::from_millis(2800);
+
 /// Pause after a read that had changes: they come in bursts, and each read is paid for.
 const BATCH: Duration = Duration::from_millis(500);
 
@@ -46,6 +49,8 @@
         after: u64,
         /// How long the store waits for a change.
         wait: Duration,
+        /// When its answer counts as lost.
+        limit: Duration,
     },
 }
 
@@ -97,11 +102,13 @@
 
 impl Reader {
     fn next(&self) -> Query {
+        let grown = |first: Duration| first.saturating_mul(1 << self.failures.min(8));
         match self.after {
-            0 => {
-                Query::All { limit: PAGE.saturating_mul(1 << self.failures.min(8)).min(PAGE_MOST) }
+            0 => Query::All { limit: grown(PAGE).min(PAGE_MOST) },
+            after => {
+                let wait = self.router.read_wait();
+                Query::Changes { after, wait, limit: wait + grown(MARGIN).min(MARGIN_MOST) }
             }
-            after => Query::Changes { after, wait: self.router.read_wait() },
         }
     }
 
@@ -115,9 +122,7 @@
             match query {
                 // Its calls have limits of their own, and there are as many as there are pages.
                 Query::All { .. } => reading.await,
-                Query::Changes { wait, .. } => {
-                    timeout(wait + MARGIN, reading).await.unwrap_or_else(late)
-                }
+                Query::Changes { limit, .. } => timeout(limit, reading).await.unwrap_or_else(late),
             }
         };
         let read = tokio::select! {
