A draft that can't begin before its caller leaves is refused at once

Cause: drafts that found no room were kept until the deadline that they name, 14 s; callers of streams leave after four times the target, 3.6 s. Ruled out: a shorter wait by the gap between events (the same or less here). Change: a draft that has not begun is given up, as not run and with a time to come back, when what is left of four times the target (two seconds at least) is shorter than a prompt's reading.

--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -47,6 +47,9 @@
 fn hold(state: &mut State, id: RequestId, now: Duration) -> Next {
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
     let (hold_tokens, limit) = (state.tuning.hold_tokens, state.tuning.hold_limit);
+    if request.patience() < now + state.tuning.lead {
+        return Next::GiveUp(Refusal::WaitedOut);
+    }
     if state.tuning.hold_tries <= request.draft.asked {
         return Next::WaitUntil(now + state.tuning.hold_pause);
     }
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -71,6 +71,11 @@
             let waiting = turn.state.waiting.len();
             if queue::wait(turn, id) {
                 turn.note_request(id, Note::new("waits").with("ahead", waiting));
+                let lead = turn.state.tuning.lead;
+                let longest = turn.state.requests.get(&id).map(|r| r.patience());
+                if let Some(longest) = longest {
+                    turn.wake(id, longest.saturating_sub(lead));
+                }
             }
         }
         Next::GiveUp(refusal) => finish::give_up(turn, id, refusal),
@@ -92,6 +97,10 @@
         let refusal = if request.may_have_run() { Refusal::TimedOut } else { Refusal::WaitedOut };
         return finish::give_up(turn, id, refusal);
     }
+    let lead = turn.state.tuning.lead;
+    if turn.state.waiting.contains(&id) && request.patience() <= turn.now + lead {
+        return finish::give_up(turn, id, Refusal::WaitedOut);
+    }
     if request.resume_at.is_some_and(|at| at <= turn.now) {
         request.resume_at = None;
         request.draft.asked = 0;
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -4,6 +4,12 @@
 
 use crate::{call::Call, endpoint::EndpointKey, reason::Refusal, route::Route};
 
+/// Times the target that callers wait for a stream's first event.
+const PATIENCE: u32 = 4;
+
+/// What they wait at least.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+
 /// One call in progress.
 #[derive(Debug)]
 pub struct Request {
@@ -131,6 +137,17 @@
         self.unpaid != 0 || self.counted != 0
     }
 
+    /// When the caller of a stream leaves if nothing has come. A stream that has begun may go on until
+    /// its deadline.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        if self.answering {
+            return self.deadline;
+        }
+        let patience = self.route.target.saturating_mul(PATIENCE).max(LEAST_PATIENCE);
+        self.deadline.min(self.arrived + patience)
+    }
+
     /// Its answer is on time if it begins at `first`.
     #[must_use]
     pub fn is_timely(&self, first: Duration) -> bool {
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -308,3 +308,36 @@
     rig.feed(Event::Beat { from, beat });
     assert_eq!(read_at_decode(&mut rig), 0);
 }
+
+/// Symptom: drafts waited in the gateway until their callers left, a fifth of all in an overload; some
+/// had their prompts read a moment before.
+/// Sequence: decode memory was full for seconds; callers of streams leave after four times the target.
+/// Cause: drafts were kept until the deadline that they name, which is far later.
+#[test]
+fn a_draft_that_can_not_begin_before_its_caller_leaves_is_refused_at_once() {
+    let mut rig = rig();
+    let first = draft(&mut rig, "/draft/1", 9000);
+    let second = draft(&mut rig, "/draft/1", 9000);
+    rig.starts();
+    draft(&mut rig, "/draft/1", 9000);
+    rig.pass_ms(3000);
+    assert!(rig.refusals().is_empty(), "there is time to read its prompt and begin");
+    rig.pass_ms(400);
+    assert_eq!(rig.refusals(), [Refusal::WaitedOut]);
+    rig.feed(Event::Left(first));
+    rig.feed(Event::Left(second));
+    assert!(rig.starts().is_empty(), "it is over");
+}
+
+#[test]
+fn a_stream_that_has_begun_goes_on_however_old_it_is() {
+    let mut rig = rig();
+    let (id, decode) = decoding_draft(&mut rig, "/draft/1");
+    rig.came(id, decode.number, Outcome::Streaming);
+    rig.pass_ms(6000);
+    rig.came(id, decode.number, Outcome::Broken(Damage::CutOff));
+    let hold = rig.start();
+    assert_eq!(hold.op.as_str(), "hold");
+    rig.came(id, hold.number, held());
+    assert_eq!(rig.start().op.as_str(), "stream");
+}
