A long list of endpoints is taken in without a search for each entry

Cause: each new entry searched all others for its address, and a reading of the whole list compared each entry with each. Change: the directory knows its listed endpoints by address, and the missing are found by a set. An entry whose address was taken over is still found: endpoints::a_new_instance_at_an_address_ends_the_old_one.

--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -1,6 +1,6 @@
 //! The configuration and the list of endpoints change.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use super::Turn;
 use crate::{
@@ -30,11 +30,12 @@
     if revision < turn.state.directory.revision {
         return;
     }
+    let listed_now: HashSet<_> = list.iter().map(|info| info.instance.as_str()).collect();
     let missing: Vec<_> = turn
         .state
         .directory
         .listed()
-        .filter(|(_, e)| !list.iter().any(|info| info.instance == e.info.instance))
+        .filter(|(_, e)| !listed_now.contains(e.info.instance.as_str()))
         .map(|(key, _)| key)
         .collect();
     let away = store_was_away(turn);
@@ -109,9 +110,7 @@
 
 /// A new instance has the address: whoever had it before is gone, whatever the list says.
 fn replace_at(turn: &mut Turn<'_>, info: &EndpointInfo) {
-    let directory = &turn.state.directory;
-    let before = directory.listed().find(|(_, e)| e.info.addr == info.addr).map(|(key, _)| key);
-    if let Some(key) = before {
+    if let Some(key) = turn.state.directory.at(info.addr) {
         unlist(turn, key);
     }
 }
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -1,6 +1,6 @@
 //! The endpoints that were discovered, and what is known of each.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use basilbank_wire::EndpointLoad;
 use slotmap::SlotMap;
@@ -188,6 +188,8 @@
     pub lost: bool,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     instances: HashMap<String, EndpointKey>,
+    /// Listed endpoints by address.
+    addresses: HashMap<SocketAddr, EndpointKey>,
     hashes: HashMap<u32, EndpointKey>,
     services: HashMap<String, Vec<EndpointKey>>,
 }
@@ -254,12 +256,16 @@
         {
             endpoint.expires = None;
             let changed = endpoint.gone || endpoint.info != info;
+            self.addresses.remove(&endpoint.info.addr);
+            self.addresses.insert(info.addr, *key);
             endpoint.gone = false;
             endpoint.info = info;
             return changed;
         }
         let (instance, service) = (info.instance.clone(), info.service.clone());
+        let addr = info.addr;
         let key = self.endpoints.insert(Endpoint::new(info));
+        self.addresses.insert(addr, key);
         self.hashes.insert(instance_hash(&instance), key);
         self.instances.insert(instance, key);
         self.services.entry(service).or_default().push(key);
@@ -272,6 +278,12 @@
         self.instances.get(instance).copied()
     }
 
+    /// The listed endpoint at an address.
+    #[must_use]
+    pub fn at(&self, addr: SocketAddr) -> Option<EndpointKey> {
+        self.addresses.get(&addr).copied()
+    }
+
     /// Takes an endpoint off the list at `at` unless it is listed again before.
     pub fn expire(&mut self, key: EndpointKey, at: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
@@ -297,6 +309,9 @@
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.gone = true;
             endpoint.expires = None;
+            if self.addresses.get(&endpoint.info.addr) == Some(&key) {
+                self.addresses.remove(&endpoint.info.addr);
+            }
         }
         self.remove_idle(key);
     }
