--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -1,6 +1,6 @@
 //! Picks an endpoint for a call.
 
-use std::{cmp::Reverse, time::Duration};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -113,11 +113,12 @@
     let weight =
         |endpoint: &Endpoint| xxh3_64_with_seed(endpoint.info.instance.as_bytes(), session);
     let endpoints = state.directory.stage(service, Stage::Decode);
-    let mut homes: Vec<_> = endpoints.map(|(key, e)| (Reverse(weight(e)), key)).collect();
-    homes.sort_unstable();
+    let weights: Vec<_> = endpoints.map(|(key, e)| (weight(e), key)).collect();
+    let first = weights.iter().max()?;
+    let second = weights.iter().filter(|other| *other != first).max();
     let sound = |cost: &&Cost| !cost.tried && cost.last.is_zero();
     let find = |(_, key): &(_, EndpointKey)| open.iter().filter(sound).find(|c| c.key == *key);
-    match (homes.first().and_then(find), homes.get(1).and_then(find)) {
+    match (find(first), second.and_then(find)) {
         (Some(first), Some(second)) => {
             let crowded = second.cost + HOME_MEMORY < first.cost && !state.is_blind(now);
             Some(if crowded { second.key } else { first.key })
