The soak's plans use the stand-in's own kinds of failure

The plan had enums of its own for how the store and endpoints fail, and two functions that mapped them one to one onto the stand-in's. Random draws and their order are as before, so seeds give the same plans.

--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use basilbank_core::state::Rng;
+use basilbank_standin::managed::{Misdeed, StoreFault};
 
 use crate::proxy::Weather;
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
 
+/// How late the store answers when it is slow.
+const SLOW: Duration = Duration::from_millis(350);
+
 /// One thing that is done to a site.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Fault {
@@ -25,7 +29,7 @@
     /// The way from a daemon to the store.
     StoreLink(usize, Weather, Duration),
     /// The store itself.
-    Store(Outage, Duration),
+    Store(StoreFault, Duration),
     /// The store forgets its history.
     Compact,
     /// The way to an endpoint, from all daemons.
@@ -33,7 +37,7 @@
     /// All connections to an endpoint are reset.
     Reset(usize),
     /// An endpoint misbehaves.
-    Misbehave(usize, Bad, Duration),
+    Misbehave(usize, Misdeed, Duration),
     /// An endpoint drains, leaves, and another instance takes its address.
     Replace(usize),
     /// A new version of the configuration, with one route more.
@@ -42,42 +46,6 @@
     Step(Duration),
 }
 
-/// How the store fails.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Outage {
-    /// It answers 503.
-    Busy,
-    /// It closes each connection.
-    Closing,
-    /// It says nothing.
-    Silent,
-    /// Its answers are lost.
-    Lost,
-    /// Its answers are late.
-    Slow,
-}
-
-/// How an endpoint misbehaves.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Bad {
-    /// It refuses.
-    Full,
-    /// It fails.
-    Error,
-    /// Its answers are lost.
-    Lost,
-    /// Its answers break off.
-    Torn,
-    /// It answers twice.
-    Doubled,
-    /// Its answers belong to other calls.
-    Mistaken,
-    /// Its answers are no HTTP.
-    Garbage,
-    /// It loses KV caches.
-    Forgetful,
-}
-
 /// Sizes of the site that a plan is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
@@ -124,7 +92,7 @@
         9 => Fault::Compact,
         10 => Fault::Link(endpoint, weather(rng), time),
         11 => Fault::Reset(endpoint),
-        12 => Fault::Misbehave(endpoint, bad(rng), time),
+        12 => Fault::Misbehave(endpoint, misdeed(rng), time),
         13 => Fault::Replace(endpoint),
         14 => Fault::Configure,
         _ => Fault::Step(Duration::from_millis(rng.next_u64() % 6000)),
@@ -136,12 +104,12 @@
     [delay, Weather::CutForth, Weather::CutBack, Weather::Silent][rng.index(4)]
 }
 
-fn outage(rng: &mut Rng) -> Outage {
-    use Outage::{Busy, Closing, Lost, Silent, Slow};
-    [Busy, Closing, Silent, Lost, Slow][rng.index(5)]
+fn outage(rng: &mut Rng) -> StoreFault {
+    use StoreFault::{Busy, Closing, Lost, Silent, Slow};
+    [Busy, Closing, Silent, Lost, Slow(SLOW)][rng.index(5)]
 }
 
-fn bad(rng: &mut Rng) -> Bad {
-    use Bad::{Doubled, Error, Forgetful, Full, Garbage, Lost, Mistaken, Torn};
+fn misdeed(rng: &mut Rng) -> Misdeed {
+    use Misdeed::{Doubled, Error, Forgetful, Full, Garbage, Lost, Mistaken, Torn};
     [Full, Error, Lost, Torn, Doubled, Mistaken, Garbage, Forgetful][rng.index(8)]
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -10,11 +10,7 @@
 use basilbank_standin::managed::{Misdeed, StoreFault};
 use rustix::process::Signal;
 
-use crate::{
-    plan::{Bad, Fault, Outage},
-    proxy::Weather,
-    site::Site,
-};
+use crate::{plan::Fault, proxy::Weather, site::Site};
 
 /// The settings' grace, and a second for the process's end.
 const GRACE: Duration = Duration::from_secs(9);
@@ -28,9 +24,6 @@
 /// Pause before a daemon that was killed with all others is started again.
 const RESTART: Duration = Duration::from_millis(300);
 
-/// How late the store answers when it is slow.
-const SLOW: Duration = Duration::from_millis(350);
-
 /// How often a daemon that leaves is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -171,7 +164,7 @@
                 self.later(time, Step::ClearStoreLink(daemon));
             }
             Fault::Store(outage, time) => {
-                self.site.store.set_fault(store_fault(outage));
+                self.site.store.set_fault(outage);
                 (0..self.site.daemons.len()).for_each(|d| self.begin(d, Trouble::NoStore));
                 self.later(time, Step::ClearStore);
             }
@@ -181,8 +174,8 @@
                 self.later(time, Step::ClearLink(endpoint));
             }
             Fault::Reset(endpoint) => self.site.places[endpoint].proxy.reset(),
-            Fault::Misbehave(endpoint, bad, time) => {
-                self.site.places[endpoint].endpoint.misbehave(misdeed(bad));
+            Fault::Misbehave(endpoint, misdeed, time) => {
+                self.site.places[endpoint].endpoint.misbehave(misdeed);
                 self.later(time, Step::Behave(endpoint));
             }
             Fault::Replace(endpoint) => {
@@ -322,26 +315,3 @@
         self.spans.iter().filter(matches).any(|s| s.to.is_none_or(|to| since <= to))
     }
 }
-
-fn store_fault(outage: Outage) -> StoreFault {
-    match outage {
-        Outage::Busy => StoreFault::Busy,
-        Outage::Closing => StoreFault::Closing,
-        Outage::Silent => StoreFault::Silent,
-        Outage::Lost => StoreFault::Lost,
-        Outage::Slow => StoreFault::Slow(SLOW),
-    }
-}
-
-fn misdeed(bad: Bad) -> Misdeed {
-    match bad {
-        Bad::Full => Misdeed::Full,
-        Bad::Error => Misdeed::Error,
-        Bad::Lost => Misdeed::Lost,
-        Bad::Torn => Misdeed::Torn,
-        Bad::Doubled => Misdeed::Doubled,
-        Bad::Mistaken => Misdeed::Mistaken,
-        Bad::Garbage => Misdeed::Garbage,
-        Bad::Forgetful => Misdeed::Forgetful,
-    }
-}
