Lines of a failed read of the store say how much of the answer had come

Cause: store_watch_stale and store_lost looked alike for a connection that is silent, a store that turns the daemon away, and an answer that was on its way when it was dropped. Change: the source counts what arrives, the lines carry it as bytes. No decision uses it yet.

--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -6,7 +6,7 @@
 use basilbank_forward::prelude::*;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::router::Router;
+use crate::{progress::Progress, router::Router};
 
 /// Time for an answer beyond what the store was asked to wait, at first; doubled after each failure.
 const MARGIN: Duration = Duration::from_millis(700);
@@ -82,7 +82,7 @@
 pub type Read = Pin<Box<dyn Future<Output = Result<Reading, ReadError>>>>;
 
 /// How the platform's store is read.
-pub type Source = Box<dyn Fn(Query) -> Read>;
+pub type Source = Box<dyn Fn(Query, Progress) -> Read>;
 
 /// Reads until the task is dropped.
 pub async fn run(router: Rc<Router>, source: Source) {
@@ -117,7 +117,8 @@
         let begun = Instant::now();
         let query = self.next();
         let late = |_| Err(ReadError::Failed("no answer in time".to_owned()));
-        let reading = (self.source)(query);
+        let progress = Progress::default();
+        let reading = (self.source)(query, progress.clone());
         let read = async {
             match query {
                 // Its calls have limits of their own, and there are as many as there are pages.
@@ -128,8 +129,10 @@
         let read = tokio::select! {
             read = read => read,
             () = self.router.behind(BEHIND) => {
-                log::info!("{}", Line::new("store_watch_stale").with("after", self.after));
-                return self.failed("a peer has seen what the watch has not", begun.elapsed());
+                let line = Line::new("store_watch_stale").with("after", self.after);
+                log::info!("{}", line.with("bytes", progress.bytes()));
+                let error = "a peer has seen what the watch has not";
+                return self.failed(error, begun.elapsed(), &progress);
             }
         };
         match read {
@@ -146,7 +149,7 @@
                 self.after = 0;
                 Duration::ZERO
             }
-            Err(ReadError::Failed(error)) => self.failed(&error, begun.elapsed()),
+            Err(ReadError::Failed(error)) => self.failed(&error, begun.elapsed(), &progress),
         }
     }
 
@@ -172,11 +175,11 @@
         });
     }
 
-    fn failed(&mut self, error: &str, took: Duration) -> Duration {
+    fn failed(&mut self, error: &str, took: Duration, progress: &Progress) -> Duration {
         self.router.metrics.store_call("failed");
         if self.failures == 0 {
             let line = Line::new("store_lost").with("error", error).with_ms("took_ms", took);
-            log::warn!("{line}");
+            log::warn!("{}", line.with("bytes", progress.bytes()));
             self.router.dispatch(Event::StoreLost);
         }
         self.failures += 1;
