Failing tests: what the store says never arrives over a slow link

Cause: limits on the whole time of a read, and watches that bring all that was missed. The stand-in's store gets a second way over a narrow link, and its daemons hear each other.

--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -13,6 +13,6 @@
     configuration::{DESK, HOST, WRITER, configuration},
     endpoint::{Caches, EndpointSpec, ManagedEndpoint, Misdeed, Served},
     http::{Answer, Request, call, exchange, read_answer},
-    store::{ManagedStore, StoreFault},
+    store::{ManagedStore, NarrowWay, StoreFault},
     world::{World, WorldSpec},
 };
--- a/crates/basilbank_standin/src/managed/store.rs
+++ b/crates/basilbank_standin/src/managed/store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    io,
+    io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
@@ -12,7 +12,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use serde_json::{Value, json};
 
-use super::http::{Listener, Request, write_answer};
+use super::http::{Listener, Request, answer_bytes, write_answer};
 
 /// Items in one page.
 const PAGE: usize = 3;
@@ -37,6 +37,59 @@
     Slow(Duration),
 }
 
+/// Bytes that a narrow link passes on at a time: a few packets, so that connections share it.
+const PIECE: usize = 4096;
+
+/// How callers reach the store: each way has a link and faults of its own.
+#[derive(Debug, Default)]
+struct Entrance {
+    fault: Mutex<StoreFault>,
+    /// Bytes a second over all connections; no limit without.
+    rate: Option<usize>,
+    /// Held while a piece is on the link.
+    link: Mutex<()>,
+}
+
+impl Entrance {
+    fn fault(&self) -> StoreFault {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_fault(&self, fault: StoreFault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    fn write(&self, mut stream: &TcpStream, status: u16, body: &[u8]) -> io::Result<()> {
+        let Some(rate) = self.rate else { return write_answer(stream, status, &[], body) };
+        for piece in answer_bytes(status, &[], body).chunks(PIECE) {
+            let busy = self.link.lock().unwrap_or_else(PoisonError::into_inner);
+            thread::sleep(Duration::from_secs_f64(piece.len() as f64 / rate as f64));
+            drop(busy);
+            stream.write_all(piece)?;
+        }
+        Ok(())
+    }
+}
+
+/// A second way to the store, over a narrow link. Dropping it closes it.
+pub struct NarrowWay {
+    entrance: Arc<Entrance>,
+    listener: Listener,
+}
+
+impl NarrowWay {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Sets what is wrong for those who come this way. Connections that are open stay so.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.entrance.set_fault(fault);
+    }
+}
+
 #[derive(Debug, Default)]
 struct Inside {
     revision: u64,
@@ -45,7 +98,6 @@
     history: Vec<(String, u64, Option<Vec<u8>>)>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
-    fault: StoreFault,
     calls: u64,
 }
 
@@ -58,6 +110,7 @@
 /// The store. Dropping it ends it.
 pub struct ManagedStore {
     shared: Arc<Shared>,
+    entrance: Arc<Entrance>,
     listener: Listener,
 }
 
@@ -69,9 +122,19 @@
     pub fn start() -> io::Result<ManagedStore> {
         let shared = Arc::new(Shared::default());
         shared.lock().revision = 1;
-        let serving = Arc::clone(&shared);
-        let listener = Listener::start(0, move |stream, request| serving.serve(stream, request))?;
-        Ok(ManagedStore { shared, listener })
+        let entrance = Arc::new(Entrance::default());
+        let listener = Shared::listen(&shared, &entrance)?;
+        Ok(ManagedStore { shared, entrance, listener })
+    }
+
+    /// Opens a way to it over a link of so many bytes a second.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn narrow_way(&self, rate: usize) -> io::Result<NarrowWay> {
+        let entrance = Arc::new(Entrance { rate: Some(rate), ..Entrance::default() });
+        let listener = Shared::listen(&self.shared, &entrance)?;
+        Ok(NarrowWay { entrance, listener })
     }
 
     /// Where it listens.
@@ -92,7 +155,7 @@
 
     /// Sets what is wrong. Connections that are open stay so.
     pub fn set_fault(&self, fault: StoreFault) {
-        self.shared.lock().fault = fault;
+        self.entrance.set_fault(fault);
         if fault == StoreFault::Closing {
             self.listener.close_all();
         }
@@ -132,13 +195,14 @@
         self.changed.notify_all();
     }
 
-    fn serve(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
-        let fault = {
-            let mut inside = self.lock();
-            inside.calls += 1;
-            inside.fault
-        };
-        match fault {
+    fn listen(shared: &Arc<Shared>, entrance: &Arc<Entrance>) -> io::Result<Listener> {
+        let (serving, entrance) = (Arc::clone(shared), Arc::clone(entrance));
+        Listener::start(0, move |stream, request| serving.serve(stream, request, &entrance))
+    }
+
+    fn serve(&self, stream: &TcpStream, request: &Request, way: &Entrance) -> io::Result<()> {
+        self.lock().calls += 1;
+        match way.fault() {
             StoreFault::None | StoreFault::Slow(_) => {}
             StoreFault::Busy => return write_answer(stream, 503, &[], b"{}"),
             StoreFault::TooMany => return write_answer(stream, 429, &[], b"{}"),
@@ -151,13 +215,12 @@
             "/kv-watch" => self.watch(request),
             _ => (404, json!({})),
         };
-        let fault = self.lock().fault;
-        match fault {
+        match way.fault() {
             StoreFault::None => {}
             StoreFault::Slow(delay) => thread::sleep(delay),
             _ => return Ok(()),
         }
-        write_answer(stream, status, &[], body.to_string().as_bytes())
+        way.write(stream, status, body.to_string().as_bytes())
     }
 
     fn one(&self, key: &str) -> (u16, Value) {
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -18,7 +18,7 @@
     configuration::{DESK, WRITER, configuration},
     endpoint::{Caches, EndpointSpec, ManagedEndpoint},
     http::call,
-    store::ManagedStore,
+    store::{ManagedStore, NarrowWay},
 };
 
 /// Starts of a daemon at other ports before it counts as failed.
@@ -64,6 +64,10 @@
     pub model: Vec<ManagedEndpoint>,
     caches: Caches,
     daemons: Vec<Running>,
+    /// Where daemons meet: the control address of the first.
+    control: SocketAddr,
+    /// Their port for each other. Each has a loopback address of its own, as Vms do.
+    port: u16,
 }
 
 impl World {
@@ -75,7 +79,9 @@
         let store = ManagedStore::start()?;
         store.put("op/config", &configuration(1, &[]));
         let caches = Caches::default();
-        let mut world = World { store, plain: vec![], model: vec![], caches, daemons: vec![] };
+        let (plain, model, daemons) = (vec![], vec![], vec![]);
+        let (control, port) = (free_address()?, free_udp()?);
+        let mut world = World { store, plain, model, caches, daemons, control, port };
         for n in 0..spec.plain {
             world.add_plain(EndpointSpec::plain(&format!("plain-{n}")))?;
         }
@@ -85,9 +91,8 @@
         for n in 0..spec.decode {
             world.add_model(EndpointSpec::model(&format!("decode-{n}"), "decode"))?;
         }
-        let control = free_address()?;
         for _ in 0..spec.daemons {
-            world.add_daemon(control)?;
+            world.add_another()?;
         }
         Ok(world)
     }
@@ -147,8 +152,15 @@
     /// # Errors
     /// It did not start.
     pub fn add_another(&mut self) -> anyhow::Result<()> {
-        let control = free_address()?;
-        self.add_daemon(control)
+        self.add_daemon(self.store.address())
+    }
+
+    /// Starts one more daemon that reaches the store over a narrow link, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_behind(&mut self, way: &NarrowWay) -> anyhow::Result<()> {
+        self.add_daemon(way.address())
     }
 
     /// Replaces a text in a daemon's settings file, and gives no signal.
@@ -180,28 +192,29 @@
 
     /// Starts a daemon at free ports. Another process may take one of them between the search and the
     /// daemon's own listening; the daemon ends then, and is started again at others.
-    fn add_daemon(&mut self, control: SocketAddr) -> anyhow::Result<()> {
+    fn add_daemon(&mut self, store: SocketAddr) -> anyhow::Result<()> {
         for _ in 1..STARTS {
-            if self.start_daemon(control)? {
+            if self.start_daemon(store)? {
                 return Ok(());
             }
         }
-        ensure!(self.start_daemon(control)?, "the daemon does not start");
+        ensure!(self.start_daemon(store)?, "the daemon does not start");
         Ok(())
     }
 
     /// True when the daemon is ready, false when it ended at once.
-    fn start_daemon(&mut self, control: SocketAddr) -> anyhow::Result<bool> {
+    fn start_daemon(&mut self, store: SocketAddr) -> anyhow::Result<bool> {
         let first = self.daemons.is_empty();
+        let (control, port) = (self.control, self.port);
         let own = if first { control } else { free_address()? };
-        let (callers, ready, peers) = (free_address()?, free_address()?, free_udp()?);
+        let (callers, ready) = (free_address()?, free_address()?);
         let text = format!(
-            "node = \"vm-{n}\"\nzone = \"hall-a\"\nip = \"127.0.0.1\"\nportRange = [{peers}, {peers}]\n\
+            "node = \"vm-{n}\"\nzone = \"hall-a\"\nip = \"127.0.0.{last}\"\nportRange = [{port}, {port}]\n\
              seeds = [\"{control}\"]\nbootstrap = true\n[listen]\nfront = \"{callers}\"\n\
              ready = \"{ready}\"\ncontrol = \"{own}\"\n[platform]\naddr = \"{store}\"\n\
              [bounds]\ngraceS = 8\nretryRatio = 0.2\nretrySlack = 20000\nretryWindowS = 10\n",
             n = self.daemons.len(),
-            store = self.store.address(),
+            last = self.daemons.len() + 1,
         );
         static FILES: AtomicU32 = AtomicU32::new(0);
         let number = FILES.fetch_add(1, Ordering::Relaxed);
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -6,5 +6,6 @@
 mod endpoints;
 mod leaving;
 mod settings;
+mod slow_link;
 mod store;
 mod support;
