A read of the store that gets on is not given up, and its length has a bound

Cause: limits on the whole time of a read (0.3 s after a peer's word, wait + 0.7 s, 0.6 s a page) where only silence says that a connection is dead. Over ten megabits a second an answer of more than 375 KB never came whole; each watch began at its first byte, and had more to bring. Ruled out by the bytes received (420 to 442 KB a second, that is 0.3 of each 1.1 s at the link's rate): a silent connection, a store that turns the daemon away. Change: the source counts what arrives, the reader gives up what is silent. Each such limit grows with failures. Changes longer than twice everything are left, and everything is read: its size is bounded.

--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -25,6 +25,6 @@
 pub use gateway::{Addresses, Gateway};
 pub use links::{CallError, Link, Links};
 pub use metrics::Metrics;
-pub use progress::Progress;
-pub use reader::{Query, Read, ReadError, Reading, Source, run as run_reader};
+pub use progress::{Patience, Progress};
+pub use reader::{Query, Read, ReadError, Reading, Scope, Source, run as run_reader};
 pub use router::Router;
--- a/crates/basilbank_gateway/src/links.rs
+++ b/crates/basilbank_gateway/src/links.rs
@@ -77,12 +77,12 @@
 }
 
 impl Link {
-    /// Connects.
+    /// Connects within `limit`.
     ///
     /// # Errors
     /// The endpoint can't be reached in time.
     pub async fn connect(addr: SocketAddr, limit: Duration) -> Result<Link, CallError> {
-        let connected = timeout(limit.min(CONNECT), TcpStream::connect(addr)).await;
+        let connected = timeout(limit, TcpStream::connect(addr)).await;
         let Ok(Ok(stream)) = connected else { return Err(CallError::Unreachable) };
         // Without the option the call works, but its last segment may wait for an acknowledgement.
         let _ = stream.set_nodelay(true);
@@ -196,7 +196,7 @@
                 Err((error, None)) => return Err(error),
             }
         }
-        let mut link = Link::connect(target.addr, limit).await?;
+        let mut link = Link::connect(target.addr, limit.min(CONNECT)).await?;
         let left = limit.saturating_sub(begun.elapsed());
         match link.send(request, left).await {
             Ok(response) => Ok((response, link)),
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -4,21 +4,25 @@
 
 use basilbank::logs::Line;
 use basilbank_forward::prelude::*;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-use crate::{progress::Progress, router::Router};
+use crate::{
+    progress::{Patience, Progress},
+    router::Router,
+};
 
-/// Time for an answer beyond what the store was asked to wait, at first; doubled after each failure.
+/// Longest silence beyond what the store was asked to wait, at first; doubled after each failure.
 const MARGIN: Duration = Duration::from_millis(700);
 
-/// Longest such time.
+/// Longest such silence.
 const MARGIN_MOST: Duration = Duration::from_millis(2800);
 
 /// Pause after a read that had changes: they come in bursts, and each read is paid for.
 const BATCH: Duration = Duration::from_millis(500);
 
-/// How long a watch may be behind what a peer has seen. The change itself usually arrives within
-/// some milliseconds; a watch that is still silent then has a dead connection.
+/// How long a watch may be silent while a peer has seen a change, at first; doubled after each failure.
+/// The answer usually begins within some milliseconds; a watch that is still silent then has a dead
+/// connection, or the store is slow, and to ask it more often would never get its answer.
 const BEHIND: Duration = Duration::from_millis(300);
 
 /// First pause after a failure; doubled each time.
@@ -27,30 +31,51 @@
 /// Longest pause after a failure: the store's return is noticed within it.
 const BACKOFF_MOST: Duration = Duration::from_millis(800);
 
-/// Limit of one call for everything at first, doubled after each failure: a silent connection is left
-/// soon, and a store that is slow, or busy with all daemons that restart at once, is not asked again
-/// and again for what it was about to answer.
+/// Longest wait for a connection at first, some round trips; doubled after each failure, since an
+/// opening packet waits behind all that is under way on a slow link.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// Longest such wait.
+const CONNECT_MOST: Duration = Duration::from_secs(1);
+
+/// Longest silence while everything is read, at first, doubled after each failure: a silent connection
+/// is left soon, and a store that is slow, or busy with all daemons that restart at once, is not asked
+/// again and again for what it was about to answer.
 const PAGE: Duration = Duration::from_millis(600);
 
-/// Longest such limit.
+/// Longest such silence.
 const PAGE_MOST: Duration = Duration::from_millis(4800);
 
+/// Bytes of changes that are always taken: a twentieth of a second at ten megabits a second.
+const CHANGES_LEAST: usize = 64 << 10;
+
+/// Changes may be this many times as long as everything was. They bring each version that was written
+/// meanwhile, so after a time without the store they are longer than all that is in force now, without
+/// a bound: over a slow link they would take longer than their news is worth.
+const CHANGES_PART: usize = 2;
+
 /// What is read.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Query {
+pub struct Query {
+    /// How much of it.
+    pub scope: Scope,
+    /// Longest wait for a connection.
+    pub connect: Duration,
+    /// Most bytes of an answer.
+    pub most: usize,
+}
+
+/// How much is read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Scope {
     /// Everything.
-    All {
-        /// Limit of each call that it takes.
-        limit: Duration,
-    },
+    All,
     /// What changed after a revision.
     Changes {
         /// The revision.
         after: u64,
         /// How long the store waits for a change.
         wait: Duration,
-        /// When its answer counts as lost.
-        limit: Duration,
     },
 }
 
@@ -74,6 +99,8 @@
 pub enum ReadError {
     /// The store has dropped the changes after this revision: all must be read again.
     HistoryGone,
+    /// An answer is longer than the query allows.
+    TooLong,
     /// The store was not reached, or did not answer as it should.
     Failed(String),
 }
@@ -84,9 +111,12 @@
 /// How the platform's store is read.
 pub type Source = Box<dyn Fn(Query, Progress) -> Read>;
 
+/// Most bytes of an answer to a question for everything: a page holds about a megabyte, in base64.
+const PAGE_BYTES: usize = 8 << 20;
+
 /// Reads until the task is dropped.
 pub async fn run(router: Rc<Router>, source: Source) {
-    let mut reader = Reader { router, source, after: 0, failures: 0 };
+    let mut reader = Reader { router, source, after: 0, failures: 0, whole: 0 };
     loop {
         let pause = reader.turn().await;
         sleep(pause).await;
@@ -96,18 +126,52 @@
 struct Reader {
     router: Rc<Router>,
     source: Source,
+    /// Changes are read after this revision; 0 when everything has to be read.
     after: u64,
     failures: u32,
+    /// Bytes that everything took.
+    whole: usize,
 }
 
 impl Reader {
     fn next(&self) -> Query {
-        let grown = |first: Duration| first.saturating_mul(1 << self.failures.min(8));
+        let connect = self.grown(CONNECT, CONNECT_MOST);
         match self.after {
-            0 => Query::All { limit: grown(PAGE).min(PAGE_MOST) },
+            0 => Query { scope: Scope::All, connect, most: PAGE_BYTES },
             after => {
-                let wait = self.router.read_wait();
-                Query::Changes { after, wait, limit: wait + grown(MARGIN).min(MARGIN_MOST) }
+                let scope = Scope::Changes { after, wait: self.router.read_wait() };
+                let most = self.whole.saturating_mul(CHANGES_PART).max(CHANGES_LEAST);
+                Query { scope, connect, most }
+            }
+        }
+    }
+
+    /// A limit grows with each failure, so that something that is merely slow is met at last.
+    fn grown(&self, first: Duration, most: Duration) -> Duration {
+        first.saturating_mul(1 << self.failures.min(8)).min(most)
+    }
+
+    fn patience(&self, scope: Scope) -> Patience {
+        match scope {
+            Scope::All => {
+                let page = self.grown(PAGE, PAGE_MOST);
+                Patience { first: page, between: page }
+            }
+            Scope::Changes { wait, .. } => {
+                let margin = self.grown(MARGIN, MARGIN_MOST);
+                Patience { first: wait + margin, between: margin }
+            }
+        }
+    }
+
+    /// Waits until a peer has seen a change for which this read stays silent.
+    async fn overtaken(&self, scope: Scope, progress: &Progress) {
+        let grace = self.grown(BEHIND, MARGIN_MOST);
+        loop {
+            self.router.behind(grace).await;
+            // An answer that has begun is on its way, however long it takes.
+            if scope != Scope::All && !progress.has_begun() {
+                return;
             }
         }
     }
@@ -116,47 +180,44 @@
     async fn turn(&mut self) -> Duration {
         let begun = Instant::now();
         let query = self.next();
-        let late = |_| Err(ReadError::Failed("no answer in time".to_owned()));
         let progress = Progress::default();
-        let reading = (self.source)(query, progress.clone());
-        let read = async {
-            match query {
-                // Its calls have limits of their own, and there are as many as there are pages.
-                Query::All { .. } => reading.await,
-                Query::Changes { limit, .. } => timeout(limit, reading).await.unwrap_or_else(late),
-            }
-        };
         let read = tokio::select! {
-            read = read => read,
-            () = self.router.behind(BEHIND) => {
-                let line = Line::new("store_watch_stale").with("after", self.after);
-                log::info!("{}", line.with("bytes", progress.bytes()));
-                let error = "a peer has seen what the watch has not";
-                return self.failed(error, begun.elapsed(), &progress);
+            read = (self.source)(query, progress.clone()) => read,
+            () = progress.silent(self.patience(query.scope)) => {
+                Err(ReadError::Failed("no answer in time".to_owned()))
+            }
+            () = self.overtaken(query.scope, &progress) => {
+                log::info!("{}", Line::new("store_watch_stale").with("after", self.after));
+                Err(ReadError::Failed("a peer has seen what the watch has not".to_owned()))
             }
         };
         match read {
             Ok(reading) => {
                 self.router.metrics.store_call("read");
                 let changed = !(reading.listed.is_empty() && reading.gone.is_empty());
-                self.took(query, reading);
-                let is_change = matches!(query, Query::Changes { .. });
-                if changed && is_change { BATCH } else { Duration::ZERO }
-            }
-            Err(ReadError::HistoryGone) => {
-                self.router.metrics.store_call("history_gone");
-                log::info!("{}", Line::new("store_history_gone").with("after", self.after));
-                self.after = 0;
-                Duration::ZERO
+                self.took(query.scope, reading, progress.bytes());
+                if changed && query.scope != Scope::All { BATCH } else { Duration::ZERO }
             }
+            Err(ReadError::HistoryGone) => self.read_all("history_gone"),
+            Err(ReadError::TooLong) if query.scope != Scope::All => self.read_all("too_long"),
+            Err(ReadError::TooLong) => self.failed("too long", begun.elapsed(), &progress),
             Err(ReadError::Failed(error)) => self.failed(&error, begun.elapsed(), &progress),
         }
     }
 
-    fn took(&mut self, query: Query, reading: Reading) {
+    /// Changes can't be had, or cost more than they bring.
+    fn read_all(&mut self, why: &'static str) -> Duration {
+        self.router.metrics.store_call(why);
+        let line = Line::new("store_read_all").with("why", why).with("after", self.after);
+        log::info!("{line}");
+        self.after = 0;
+        Duration::ZERO
+    }
+
+    fn took(&mut self, scope: Scope, reading: Reading, bytes: usize) {
         if 0 < self.failures {
             let line = Line::new("store_regained").with("failures", self.failures);
-            log::info!("{line}");
+            log::info!("{}", line.with("bytes", bytes));
         }
         self.failures = 0;
         for finding in &reading.findings {
@@ -167,12 +228,16 @@
             self.router.dispatch(Event::Routes(Arc::new(table)));
         }
         let revision = reading.revision;
-        self.router.dispatch(match query {
-            Query::All { .. } => Event::Endpoints { revision, list: reading.listed },
-            Query::Changes { .. } => {
+        let event = match scope {
+            Scope::All => {
+                self.whole = bytes;
+                Event::Endpoints { revision, list: reading.listed }
+            }
+            Scope::Changes { .. } => {
                 Event::Changed { revision, listed: reading.listed, gone: reading.gone }
             }
-        });
+        };
+        self.router.dispatch(event);
     }
 
     fn failed(&mut self, error: &str, took: Duration, progress: &Progress) -> Duration {
