The configuration and the list of endpoints are read by a watch each

Cause: one watch for both: an endpoint's leaving, short and urgent, waited behind a configuration of a megabyte. Change: a topic, with a reader and a connection each; peers' news by topic, and by the revision of the change itself (the store's own revision may belong to the other topic).

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -9,6 +9,7 @@
     endpoint::{EndpointInfo, EndpointKey},
     route::RouteTable,
     state::OrderRight,
+    topic::Revisions,
 };
 
 /// One event.
@@ -29,25 +30,30 @@
         /// What came.
         outcome: Outcome,
     },
-    /// A version of the configuration.
-    Routes(Arc<RouteTable>),
-    /// The whole list of endpoints, at a revision of the store.
+    /// The configuration was read.
+    Routes {
+        /// Where.
+        read: Revisions,
+        /// It, unless it has not changed.
+        table: Option<Arc<RouteTable>>,
+    },
+    /// The whole list of endpoints was read.
     Endpoints {
-        /// The revision.
-        revision: u64,
+        /// Where.
+        read: Revisions,
         /// All that are listed.
         list: Vec<EndpointInfo>,
     },
-    /// Some entries of the list changed.
+    /// Changes of the list were read.
     Changed {
-        /// The revision.
-        revision: u64,
+        /// Where.
+        read: Revisions,
         /// New or changed entries.
         listed: Vec<EndpointInfo>,
         /// Instances that are no longer listed.
         gone: Vec<String>,
     },
-    /// The platform's store could not be read.
+    /// The list of endpoints could not be read.
     StoreLost,
     /// An endpoint was asked whether it lives.
     Probed {
--- a/crates/basilbank_forward/src/lib.rs
+++ b/crates/basilbank_forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod reason;
 pub mod route;
 pub mod state;
+pub mod topic;
 pub mod tuning;
 
 mod reduce;
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -12,5 +12,6 @@
     reduce::reduce,
     route::{Kind, Route, RouteTable, Service},
     state::{Local, OrderRight, Start, State},
+    topic::{PerTopic, Revisions, Topic},
     tuning::Tuning,
 };
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -36,10 +36,10 @@
         Event::Came { request, attempt, outcome } => {
             outcome::came(&mut turn, request, attempt, outcome);
         }
-        Event::Routes(table) => endpoints::routes(&mut turn, table),
-        Event::Endpoints { revision, list } => endpoints::replace(&mut turn, revision, list),
-        Event::Changed { revision, listed, gone } => {
-            endpoints::change(&mut turn, revision, listed, &gone);
+        Event::Routes { read, table } => endpoints::routes(&mut turn, read, table),
+        Event::Endpoints { read, list } => endpoints::replace(&mut turn, read, list),
+        Event::Changed { read, listed, gone } => {
+            endpoints::change(&mut turn, read, listed, &gone);
         }
         Event::StoreLost => turn.state.directory.lost = true,
         Event::Probed { endpoint, life } => suspect::probed(&mut turn, endpoint, life),
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -82,7 +82,9 @@
         turn.state.directory.others(load.endpoint, load.tokens, load.calls);
     }
     shun(turn, &beat.shunned);
-    turn.state.news = turn.state.news.max(beat.news);
+    let news = &mut turn.state.news;
+    news.endpoints = beat.news.max(news.endpoints);
+    news.routes = beat.routes_news.max(news.routes);
     let peer = Peer { incarnation: beat.incarnation, sequence: beat.sequence, heard: now, loads };
     let peers = &mut turn.state.peers;
     peers.known.insert(from, peer);
@@ -168,7 +170,8 @@
         leaving: state.leaving,
         peers: named.collect(),
         shunned,
-        news: state.news,
+        news: state.news.endpoints,
+        routes_news: state.news.routes,
         ..LoadBeat::default()
     };
     let beat = beat.with_loads(state.directory.own_loads());
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -8,11 +8,21 @@
     endpoint::{EndpointInfo, EndpointKey},
     note::Note,
     route::RouteTable,
+    topic::{Revisions, Topic},
 };
 
-/// Takes a version of the configuration in, unless a newer one is in force. An old version can
-/// arrive late, from a read that was under way when the store changed.
-pub fn routes(turn: &mut Turn<'_>, table: Arc<RouteTable>) {
+/// Takes a reading of the configuration in.
+pub fn routes(turn: &mut Turn<'_>, read: Revisions, table: Option<Arc<RouteTable>>) {
+    let known = &mut turn.state.routes_revision;
+    *known = read.store.max(*known);
+    if let Some(table) = table {
+        put_in_force(turn, read, table);
+    }
+}
+
+/// Puts a version in force, unless a newer one is. An old version can arrive late, from a read that
+/// was under way when the store changed.
+fn put_in_force(turn: &mut Turn<'_>, read: Revisions, table: Arc<RouteTable>) {
     if table.version <= turn.state.routes.version {
         return;
     }
@@ -22,12 +32,12 @@
         .with("routes", table.routes().len());
     turn.note(note);
     turn.state.routes = table;
-    turn.state.fresh = true;
+    tell(turn, Topic::Routes, read);
 }
 
 /// Takes the whole list in.
-pub fn replace(turn: &mut Turn<'_>, revision: u64, list: Vec<EndpointInfo>) {
-    if revision < turn.state.directory.revision {
+pub fn replace(turn: &mut Turn<'_>, read: Revisions, list: Vec<EndpointInfo>) {
+    if read.store < turn.state.directory.revision {
         return;
     }
     let listed_now: HashSet<_> = list.iter().map(|info| info.instance.as_str()).collect();
@@ -45,11 +55,11 @@
     for key in missing {
         vanish(turn, key, away);
     }
-    confirmed(turn, revision);
+    confirmed(turn, read);
 }
 
 /// Takes changes in.
-pub fn change(turn: &mut Turn<'_>, revision: u64, list: Vec<EndpointInfo>, gone: &[String]) {
+pub fn change(turn: &mut Turn<'_>, read: Revisions, list: Vec<EndpointInfo>, gone: &[String]) {
     let away = store_was_away(turn);
     for info in list {
         listed(turn, info);
@@ -60,7 +70,7 @@
             vanish(turn, key, away);
         }
     }
-    confirmed(turn, revision);
+    confirmed(turn, read);
 }
 
 /// Takes endpoints off whose grace is over.
@@ -70,17 +80,23 @@
     }
 }
 
-fn confirmed(turn: &mut Turn<'_>, revision: u64) {
+fn confirmed(turn: &mut Turn<'_>, read: Revisions) {
     let directory = &mut turn.state.directory;
-    directory.revision = directory.revision.max(revision);
+    directory.revision = directory.revision.max(read.store);
     directory.read_at = turn.now;
     directory.lost = false;
     if std::mem::take(&mut turn.state.fresh) {
-        turn.state.news = turn.state.news.max(revision);
-        turn.state.peers.changed = true;
+        tell(turn, Topic::Endpoints, read);
     }
 }
 
+/// Peers hear of a change that matters with the next datagram.
+fn tell(turn: &mut Turn<'_>, topic: Topic, read: Revisions) {
+    let news = turn.state.news.get_mut(topic);
+    *news = read.newest.max(*news);
+    turn.state.peers.changed = true;
+}
+
 /// The store was away until now: entries may have lapsed although their endpoints live.
 ///
 /// Reads that merely waited for a change don't count, however long: an entry that goes then says
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -24,7 +24,12 @@
     roles::{OrderRight, Roles},
     suspects::Suspects,
 };
-use crate::{call::RequestId, route::RouteTable, tuning::Tuning};
+use crate::{
+    call::RequestId,
+    route::RouteTable,
+    topic::{PerTopic, Topic},
+    tuning::Tuning,
+};
 
 /// Daemons that a fleet may have: the size that the design aims at.
 const LARGE_FLEET: usize = 320;
@@ -133,9 +138,11 @@
     pub suspects: Suspects,
     /// Drafts that wait for room.
     pub waiting: Vec<RequestId>,
-    /// The store's revision at which the last change that matters was seen, here or by a peer.
-    pub news: u64,
-    /// Something that matters was read, and its revision isn't known yet.
+    /// The store's revision at which the configuration was read; 0 for never.
+    pub routes_revision: u64,
+    /// The revision at which the last change that matters was seen, here or by a peer.
+    pub news: PerTopic<u64>,
+    /// Endpoints' entries that matter were read, and their revision isn't known yet.
     pub(crate) fresh: bool,
     /// Orders to endpoints.
     pub roles: Roles,
@@ -168,7 +175,8 @@
             peers,
             suspects: Suspects::default(),
             waiting: Vec::new(),
-            news: 0,
+            routes_revision: 0,
+            news: PerTopic::default(),
             fresh: false,
             roles: Roles::default(),
             started: None,
@@ -213,8 +221,12 @@
 
     /// A peer has seen a change in the store that this daemon has not read.
     #[must_use]
-    pub fn behind(&self) -> bool {
-        self.directory.revision != 0 && self.directory.revision < self.news
+    pub fn behind(&self, topic: Topic) -> bool {
+        let read = match topic {
+            Topic::Routes => self.routes_revision,
+            Topic::Endpoints => self.directory.revision,
+        };
+        read != 0 && read < *self.news.get(topic)
     }
 
     /// How long the next watch of the store waits for a change.
@@ -223,12 +235,17 @@
     /// silent without a sign, and a watch on it would wait to its end while endpoints leave. Daemons
     /// that hear each other wait long, each for another time: the first whose watch ends reads what
     /// came, and tells the others, which then give up their own. A daemon that hears few relies on
-    /// itself.
-    pub fn read_wait(&mut self) -> Duration {
+    /// itself. The configuration's watch waits longer: when connections go silent, the list's reader
+    /// notices, and the configuration is read anew, too.
+    pub fn read_wait(&mut self, topic: Topic) -> Duration {
         let tuning = &self.tuning;
         let peers = u32::try_from(self.peers.known.len()).unwrap_or(u32::MAX);
         let wait = tuning.read_each.saturating_mul(peers.saturating_add(1));
         let wait = wait.clamp(tuning.read_alone, tuning.read_longest);
+        let wait = match topic {
+            Topic::Routes if peers != 0 => tuning.read_routes,
+            Topic::Routes | Topic::Endpoints => wait,
+        };
         wait.mul_f64(SHORTEST_WAIT + (1.0 - SHORTEST_WAIT) * self.rng.unit())
     }
 
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -104,13 +104,15 @@
     }
 
     fn prepare(&mut self, phases: &[Phase]) {
-        self.feed_all(&Event::Routes(Arc::new(table(self.engines.memory))));
+        let read = Revisions::at(1);
+        let table = Some(Arc::new(table(self.engines.memory)));
+        self.feed_all(&Event::Routes { read, table });
         let count = self.engines.prefill + self.engines.decode;
         let list = (0..count).map(|n| {
             let stage = if n < self.engines.prefill { Stage::Prefill } else { Stage::Decode };
             endpoint(n, stage)
         });
-        self.feed_all(&Event::Changed { revision: 1, listed: list.collect(), gone: Vec::new() });
+        self.feed_all(&Event::Changed { read, listed: list.collect(), gone: Vec::new() });
         self.endpoints.resize_with(usize::from(count), Engine::default);
         let mut at = self.now;
         for phase in phases {
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -47,7 +47,7 @@
         let now = Duration::from_secs(100);
         let frozen = Duration::ZERO;
         let mut rig = Rig { state, effects: Vec::new(), now, frozen, revision: 10, next: 0 };
-        rig.feed(Event::Routes(Arc::new(table(1))));
+        rig.configure(table(1));
         rig
     }
 
@@ -100,6 +100,12 @@
         self.pass(Duration::from_millis(ms));
     }
 
+    /// A configuration is read.
+    pub fn configure(&mut self, table: RouteTable) {
+        let read = Revisions::at(self.revision);
+        self.feed(Event::Routes { read, table: Some(Arc::new(table)) });
+    }
+
     /// Lists endpoints, as a change.
     pub fn list(&mut self, listed: Vec<EndpointInfo>) {
         self.change(listed, &[]);
@@ -109,7 +115,8 @@
     pub fn change(&mut self, listed: Vec<EndpointInfo>, gone: &[&str]) {
         self.revision += 1;
         let gone = gone.iter().map(|name| (*name).to_owned()).collect();
-        self.feed(Event::Changed { revision: self.revision, listed, gone });
+        let read = Revisions::at(self.revision);
+        self.feed(Event::Changed { read, listed, gone });
     }
 
     /// A call comes in; returns its number.
--- a/crates/basilbank_forward/tests/forward/roles.rs
+++ b/crates/basilbank_forward/tests/forward/roles.rs
@@ -8,7 +8,7 @@
 /// A daemon with the right, before some prefill and decode endpoints, for some seconds.
 fn orders(right: OrderRight, memory: u32, prefill: u16, decode: u16, seconds: u64) -> Vec<Effect> {
     let mut rig = Rig::new();
-    rig.feed(Event::Routes(std::sync::Arc::new(table_with_memory(2, memory))));
+    rig.configure(table_with_memory(2, memory));
     rig.feed(Event::Right(right));
     let stage = |n| if n < prefill { Stage::Prefill } else { Stage::Decode };
     let list: Vec<_> =
--- a/crates/basilbank_forward/tests/forward/routes.rs
+++ b/crates/basilbank_forward/tests/forward/routes.rs
@@ -1,7 +1,5 @@
 //! Routes and readiness.
 
-use std::sync::Arc;
-
 use basilbank_forward::prelude::*;
 use test_case::test_case;
 
@@ -46,8 +44,8 @@
 #[test]
 fn an_older_configuration_does_not_come_back() {
     let mut rig = Rig::new();
-    rig.feed(Event::Routes(Arc::new(table(7))));
-    rig.feed(Event::Routes(Arc::new(table(5))));
+    rig.configure(table(7));
+    rig.configure(table(5));
     assert_eq!(rig.state.routes.version, 7);
 }
 
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -4,7 +4,7 @@
 
 use basilbank::logs::Line;
 use basilbank_forward::prelude::*;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
     progress::{Patience, Progress},
@@ -38,6 +38,9 @@
 /// Longest such wait.
 const CONNECT_MOST: Duration = Duration::from_secs(1);
 
+/// How long the configuration's reader lets the list's go first after the store was lost.
+const LOST_MOST: Duration = Duration::from_secs(2);
+
 /// Longest silence while everything is read, at first, doubled after each failure: a silent connection
 /// is left soon, and a store that is slow, or busy with all daemons that restart at once, is not asked
 /// again and again for what it was about to answer.
@@ -79,11 +82,11 @@
     },
 }
 
-/// What was read.
-#[derive(Clone, PartialEq, Debug)]
+/// What was read of a topic.
+#[derive(Clone, PartialEq, Debug, Default)]
 pub struct Reading {
-    /// The store's revision.
-    pub revision: u64,
+    /// Where.
+    pub at: Revisions,
     /// The configuration, if it was read.
     pub table: Option<RouteTable>,
     /// Entries of endpoints: all of them, or new and changed ones.
@@ -108,15 +111,15 @@
 /// A read in progress.
 pub type Read = Pin<Box<dyn Future<Output = Result<Reading, ReadError>>>>;
 
-/// How the platform's store is read.
+/// How a topic is read from the platform's store.
 pub type Source = Box<dyn Fn(Query, Progress) -> Read>;
 
 /// Most bytes of an answer to a question for everything: a page holds about a megabyte, in base64.
 const PAGE_BYTES: usize = 8 << 20;
 
-/// Reads until the task is dropped.
-pub async fn run(router: Rc<Router>, source: Source) {
-    let mut reader = Reader { router, source, after: 0, failures: 0, whole: 0 };
+/// Reads a topic until the task is dropped.
+pub async fn run(router: Rc<Router>, topic: Topic, source: Source) {
+    let mut reader = Reader { router, topic, source, after: 0, failures: 0, whole: 0 };
     loop {
         let pause = reader.turn().await;
         sleep(pause).await;
@@ -125,6 +128,7 @@
 
 struct Reader {
     router: Rc<Router>,
+    topic: Topic,
     source: Source,
     /// Changes are read after this revision; 0 when everything has to be read.
     after: u64,
@@ -139,7 +143,8 @@
         match self.after {
             0 => Query { scope: Scope::All, connect, most: PAGE_BYTES },
             after => {
-                let scope = Scope::Changes { after, wait: self.router.read_wait() };
+                let wait = self.router.read_wait(self.topic);
+                let scope = Scope::Changes { after, wait };
                 let most = self.whole.saturating_mul(CHANGES_PART).max(CHANGES_LEAST);
                 Query { scope, connect, most }
             }
@@ -168,7 +173,7 @@
     async fn overtaken(&self, scope: Scope, progress: &Progress) {
         let grace = self.grown(BEHIND, MARGIN_MOST);
         loop {
-            self.router.behind(grace).await;
+            self.router.behind(self.topic, grace).await;
             // An answer that has begun is on its way, however long it takes.
             if scope != Scope::All && !progress.has_begun() {
                 return;
@@ -176,8 +181,31 @@
         }
     }
 
+    /// Waits while the list of endpoints can't be read, but not for long: in an outage one reader is
+    /// enough to notice that the store is back, and each call is paid for.
+    async fn regained(&self) {
+        if self.topic == Topic::Routes {
+            let mut lost = self.router.lost();
+            // Both ways out mean the same: it is time to read.
+            let _ = timeout(LOST_MOST, lost.wait_for(|lost| !lost)).await;
+        }
+    }
+
+    /// Waits until the list's reader loses the store while this read is silent. That reader has news
+    /// more often; when its connection went silent, this one's probably did, too.
+    async fn doubted(&self, progress: &Progress) {
+        let mut lost = self.router.lost();
+        while lost.changed().await.is_ok() {
+            let lost = *lost.borrow_and_update();
+            if lost && self.topic == Topic::Routes && !progress.has_begun() {
+                return;
+            }
+        }
+    }
+
     /// One read; returns how long to pause.
     async fn turn(&mut self) -> Duration {
+        self.regained().await;
         let begun = Instant::now();
         let query = self.next();
         let progress = Progress::default();
@@ -187,14 +215,15 @@
                 Err(ReadError::Failed("no answer in time".to_owned()))
             }
             () = self.overtaken(query.scope, &progress) => {
-                log::info!("{}", Line::new("store_watch_stale").with("after", self.after));
+                log::info!("{}", self.line("store_watch_stale").with("after", self.after));
                 Err(ReadError::Failed("a peer has seen what the watch has not".to_owned()))
             }
+            () = self.doubted(&progress) => return Duration::ZERO,
         };
         match read {
             Ok(reading) => {
                 self.router.metrics.store_call("read");
-                let changed = !(reading.listed.is_empty() && reading.gone.is_empty());
+                let changed = reading.at.newest != 0;
                 self.took(query.scope, reading, progress.bytes());
                 if changed && query.scope != Scope::All { BATCH } else { Duration::ZERO }
             }
@@ -208,7 +237,7 @@
     /// Changes can't be had, or cost more than they bring.
     fn read_all(&mut self, why: &'static str) -> Duration {
         self.router.metrics.store_call(why);
-        let line = Line::new("store_read_all").with("why", why).with("after", self.after);
+        let line = self.line("store_read_all").with("why", why).with("after", self.after);
         log::info!("{line}");
         self.after = 0;
         Duration::ZERO
@@ -216,36 +245,41 @@
 
     fn took(&mut self, scope: Scope, reading: Reading, bytes: usize) {
         if 0 < self.failures {
-            let line = Line::new("store_regained").with("failures", self.failures);
+            let line = self.line("store_regained").with("failures", self.failures);
             log::info!("{}", line.with("bytes", bytes));
         }
         self.failures = 0;
+        if self.topic == Topic::Endpoints {
+            self.router.set_lost(false);
+        }
         for finding in &reading.findings {
-            log::warn!("{}", Line::new("store_finding").with("finding", finding));
+            log::warn!("{}", self.line("store_finding").with("finding", finding));
         }
-        self.after = reading.revision;
-        if let Some(table) = reading.table {
-            self.router.dispatch(Event::Routes(Arc::new(table)));
+        self.after = reading.at.store;
+        if scope == Scope::All {
+            self.whole = bytes;
         }
-        let revision = reading.revision;
-        let event = match scope {
-            Scope::All => {
-                self.whole = bytes;
-                Event::Endpoints { revision, list: reading.listed }
-            }
-            Scope::Changes { .. } => {
-                Event::Changed { revision, listed: reading.listed, gone: reading.gone }
-            }
-        };
-        self.router.dispatch(event);
+        let Reading { at: read, table, listed, gone, .. } = reading;
+        self.router.dispatch(match (self.topic, scope) {
+            (Topic::Routes, _) => Event::Routes { read, table: table.map(Arc::new) },
+            (Topic::Endpoints, Scope::All) => Event::Endpoints { read, list: listed },
+            (Topic::Endpoints, Scope::Changes { .. }) => Event::Changed { read, listed, gone },
+        });
+    }
+
+    fn line(&self, event: &'static str) -> Line {
+        Line::new(event).with("topic", self.topic.as_str())
     }
 
     fn failed(&mut self, error: &str, took: Duration, progress: &Progress) -> Duration {
         self.router.metrics.store_call("failed");
         if self.failures == 0 {
-            let line = Line::new("store_lost").with("error", error).with_ms("took_ms", took);
+            let line = self.line("store_lost").with("error", error).with_ms("took_ms", took);
             log::warn!("{}", line.with("bytes", progress.bytes()));
-            self.router.dispatch(Event::StoreLost);
+            if self.topic == Topic::Endpoints {
+                self.router.dispatch(Event::StoreLost);
+                self.router.set_lost(true);
+            }
         }
         self.failures += 1;
         BACKOFF.saturating_mul(1 << self.failures.min(6)).min(BACKOFF_MOST)
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -13,7 +13,7 @@
 use basilbank_forward::{effect::Target, event::Acceptance, prelude::*};
 use tokio::{
     net::UdpSocket,
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     task::spawn_local,
     time::sleep,
 };
@@ -63,7 +63,9 @@
     steps: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Step>>>,
     next: Cell<u64>,
     changed: Notify,
-    news: Notify,
+    news: PerTopic<Notify>,
+    /// The list of endpoints can't be read.
+    lost: watch::Sender<bool>,
     socket: OnceCell<Rc<UdpSocket>>,
 }
 
@@ -91,7 +93,8 @@
             steps: RefCell::default(),
             next: Cell::new(0),
             changed: Notify::new(),
-            news: Notify::new(),
+            news: PerTopic::default(),
+            lost: watch::Sender::new(false),
             socket: OnceCell::new(),
         })
     }
@@ -124,19 +127,29 @@
     }
 
     /// Waits until a peer has seen a change in the store that this daemon has not read for `grace`.
-    pub async fn behind(&self, grace: Duration) {
+    pub async fn behind(&self, topic: Topic, grace: Duration) {
         loop {
-            self.news.notified().await;
+            self.news.get(topic).notified().await;
             sleep(grace).await;
-            if self.read(State::behind) {
+            if self.read(|state| state.behind(topic)) {
                 return;
             }
         }
     }
 
     /// How long the next watch of the store waits for a change.
-    pub fn read_wait(&self) -> Duration {
-        self.state.borrow_mut().read_wait()
+    pub fn read_wait(&self, topic: Topic) -> Duration {
+        self.state.borrow_mut().read_wait(topic)
+    }
+
+    /// Says whether the list of endpoints can be read.
+    pub fn set_lost(&self, lost: bool) {
+        self.lost.send_if_modified(|known| std::mem::replace(known, lost) != lost);
+    }
+
+    /// Whether the list of endpoints can't be read, and each change of that.
+    pub fn lost(&self) -> watch::Receiver<bool> {
+        self.lost.subscribe()
     }
 
     /// Changes constants when settings change.
@@ -157,8 +170,10 @@
         if wake {
             self.changed.notify_one();
         }
-        if self.read(State::behind) {
-            self.news.notify_one();
+        for topic in Topic::ALL {
+            if self.read(|state| state.behind(topic)) {
+                self.news.get(topic).notify_one();
+            }
         }
         for effect in effects {
             self.carry_out(effect);
--- a/crates/basilbank_standin/tests/managed/slow_link.rs
+++ b/crates/basilbank_standin/tests/managed/slow_link.rs
@@ -41,7 +41,10 @@
 
 /// Lists the endpoint that a daemon uses as draining, and returns which it is.
 fn drain_used(world: &World, daemon: usize) -> usize {
-    let leaving = (0..SETTLING).map(|_| used(world, daemon)).last().expect("some calls");
+    for _ in 0..SETTLING {
+        used(world, daemon);
+    }
+    let leaving = used(world, daemon);
     world.drain_plain(leaving);
     leaving
 }
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -30,10 +30,13 @@
     /// Endpoints that the sender knows to refuse work.
     #[prost(message, repeated, tag = "6")]
     pub shunned: Vec<Shunned>,
-    /// The store's revision at which the last change was seen that matters: of the configuration, or
-    /// of an endpoint's entry other than its heartbeat.
+    /// The store's revision at which the last change of an endpoint's entry was seen, other than its
+    /// heartbeat.
     #[prost(uint64, tag = "7")]
     pub news: u64,
+    /// The same of the configuration.
+    #[prost(uint64, tag = "11")]
+    pub routes_news: u64,
 }
 
 impl LoadBeat {
