What a daemon knows to be out of date is no ground for a final answer

Cause: 404 and 413 by a configuration of which a peer had read a newer version. Callers don't try again after them. Change: 503 with a time to come back, reason outdated, while no configuration is known or a newer one is.

--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -7,6 +7,8 @@
     Refusal {
         /// No configuration or no list of endpoints is known yet.
         NotReady = "not_ready",
+        /// No route matches, but a peer has read a newer configuration, which may have it.
+        Outdated = "outdated",
         /// No route matches.
         UnknownRoute = "unknown_route",
         /// No endpoint of the service takes work.
--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -48,7 +48,9 @@
     if !state.knows() {
         return Err(Refusal::NotReady);
     }
-    let route = state.routes.find(&call.host, &call.path).ok_or(Refusal::UnknownRoute)?.clone();
+    // A 404 is final: callers don't try again, elsewhere or later.
+    let unknown = if state.outdated() { Refusal::Outdated } else { Refusal::UnknownRoute };
+    let route = state.routes.find(&call.host, &call.path).ok_or(unknown)?.clone();
     let unit = state.rng.unit();
     let service = route.service(unit).ok_or(Refusal::NoEndpoint)?.to_owned();
     let budget = state.budgets.entry(service.clone()).or_default();
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -229,6 +229,13 @@
         read != 0 && read < *self.news.get(topic)
     }
 
+    /// No configuration is known, or a peer has read a newer one: what it lacks or forbids may be there
+    /// or allowed by now, so no caller may be told so for good.
+    #[must_use]
+    pub fn outdated(&self) -> bool {
+        !self.knows() || self.behind(Topic::Routes)
+    }
+
     /// How long the next watch of the store waits for a change.
     ///
     /// Each call to the store is paid for, so a wait should be long. But an open connection can go
--- a/crates/basilbank_forward/tests/forward/routes.rs
+++ b/crates/basilbank_forward/tests/forward/routes.rs
@@ -1,6 +1,9 @@
 //! Routes and readiness.
 
+use std::net::SocketAddr;
+
 use basilbank_forward::prelude::*;
+use basilbank_wire::LoadBeat;
 use test_case::test_case;
 
 use crate::rig::{Rig, plain, route, table};
@@ -38,6 +41,27 @@
     assert_eq!(rig.refusals(), [Refusal::UnknownRoute]);
 }
 
+/// Symptom: callers got 404 for a route that was in force, and did not try again.
+/// Sequence: operators add a route; a peer reads it, and says so; this daemon's own reading is under
+/// way for a second, or can't be had; a call of the new route comes.
+/// Cause: what the daemon knew to be out of date was the ground of a final answer.
+#[test]
+fn a_daemon_that_knows_of_a_newer_configuration_does_not_deny_routes() {
+    let mut rig = Rig::new();
+    rig.list(vec![plain("a", 1)]);
+    let from = SocketAddr::from(([10, 0, 1, 2], 7000));
+    let beat = LoadBeat { incarnation: 1, sequence: 1, routes_news: 500, ..LoadBeat::default() };
+    rig.feed(Event::Beat { from, beat });
+    rig.call("/nowhere/", 1000, None);
+    assert_eq!(rig.refusals(), [Refusal::Outdated]);
+    rig.call("/sheet/1", 1000, None);
+    assert_eq!(rig.start().op, Op::Plain, "a route that it knows is served");
+    rig.set_revision(500);
+    rig.configure(table(2));
+    rig.call("/nowhere/", 1000, None);
+    assert_eq!(rig.refusals(), [Refusal::UnknownRoute]);
+}
+
 /// Symptom: a route that had been added was denied again.
 /// Sequence: an older reading of the store arrived after a newer one.
 /// Cause: the reading that came last won.
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -31,9 +31,14 @@
 /// Serves one request.
 pub async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<OutBody> {
     let (head, body) = request.into_parts();
-    let most = router.read(|state| state.routes.bounds.body);
+    let (most, outdated) = router.read(|state| (state.routes.bounds.body, state.outdated()));
     let body = match read_body(body, most).await {
         Ok(body) => body,
+        Err(answer) if outdated && answer.status == StatusCode::PAYLOAD_TOO_LARGE => {
+            let after = router.read(|state| state.tuning.come_back);
+            let answer = OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "outdated");
+            return refuse_early(&router, &answer.with_after(Some(after)), "");
+        }
         Err(answer) => return refuse_early(&router, &answer, ""),
     };
     let (id, steps) = router.register();
--- a/crates/basilbank_standin/tests/managed/slow_link.rs
+++ b/crates/basilbank_standin/tests/managed/slow_link.rs
@@ -1,6 +1,8 @@
 //! What the store says is long, and the link to it slow.
 
-use basilbank_standin::managed::{EndpointSpec, NarrowWay, StoreFault, World, WorldSpec};
+use basilbank_standin::managed::{
+    EndpointSpec, NarrowWay, StoreFault, World, WorldSpec, configuration,
+};
 use test_case::test_case;
 
 use crate::support::{eventually, plain};
@@ -122,3 +124,27 @@
     assert!(!serves(&world, 1, "/new/1"), "the configuration was there before");
     eventually("the configuration comes, too", || serves(&world, 1, "/new/1"));
 }
+
+/// Symptom: callers were told for good what had not been true for seconds.
+/// Sequence: a newer configuration has another route and allows longer bodies; a daemon that can't read
+/// it hears from a peer that there is one.
+/// Cause: 404 and 413 were answered by the configuration that the daemon had.
+#[test]
+fn a_daemon_that_can_not_read_the_newest_configuration_denies_nothing_for_good() {
+    let (world, way) = slow_world(SLOW);
+    let body = vec![b'x'; 100_000];
+    assert_eq!(plain(world.callers(1), "POST /stock/1", &body).status, 413);
+    way.set_fault(StoreFault::Silent);
+    let mut newer = configuration(2, &["/new/"]);
+    newer["limits"]["maxBodyBytes"] = body.len().into();
+    world.store.put("op/config", &newer);
+    eventually("the daemon that reaches the store serves it", || serves(&world, 0, "/new/1"));
+    eventually("the other one asks callers to come back", || {
+        let answer = plain(world.callers(1), "GET /new/1", b"");
+        answer.status == 503 && answer.header("retry-after").is_some()
+    });
+    assert_eq!(plain(world.callers(1), "POST /stock/1", &body).status, 503);
+    way.set_fault(StoreFault::None);
+    eventually("it reads it", || serves(&world, 1, "/new/1"));
+    assert_eq!(plain(world.callers(1), "POST /stock/1", &body).status, 200);
+}
