--- a/crates/basilbank_cli/src/trace.rs
+++ b/crates/basilbank_cli/src/trace.rs
@@ -23,7 +23,7 @@
     ["endpoint", "endpoint_gone", "endpoint_dark", "endpoint_back", "order", "ordered"];
 
 /// Events of one daemon that touch all its requests.
-const DAEMON: [&str; 11] = [
+const DAEMON: [&str; 12] = [
     "started",
     "stopped",
     "shutdown",
@@ -33,7 +33,8 @@
     "clock_jump",
     "store_lost",
     "store_regained",
-    "store_history_gone",
+    "store_read_all",
+    "store_watch_stale",
     "log_lines_dropped",
 ];
 
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -83,7 +83,7 @@
     }
     shun(turn, &beat.shunned);
     let news = &mut turn.state.news;
-    news.endpoints = beat.news.max(news.endpoints);
+    news.endpoints = beat.endpoints_news.max(news.endpoints);
     news.routes = beat.routes_news.max(news.routes);
     let peer = Peer { incarnation: beat.incarnation, sequence: beat.sequence, heard: now, loads };
     let peers = &mut turn.state.peers;
@@ -170,7 +170,7 @@
         leaving: state.leaving,
         peers: named.collect(),
         shunned,
-        news: state.news.endpoints,
+        endpoints_news: state.news.endpoints,
         routes_news: state.news.routes,
         ..LoadBeat::default()
     };
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -38,6 +38,9 @@
 /// watches at the same time.
 const SHORTEST_WAIT: f64 = 0.4;
 
+/// Times that the configuration's watch waits longer than the list's, at most 24 s: the store grants 30.
+const ROUTES_WAIT: u32 = 3;
+
 /// Milliseconds by which a peer's start lies before the own one when it has seen the load of the time
 /// before: more than a restart of all at the same moment spreads, clocks included.
 const STARTED_BEFORE: u64 = 3000;
@@ -250,7 +253,7 @@
         let wait = tuning.read_each.saturating_mul(peers.saturating_add(1));
         let wait = wait.clamp(tuning.read_alone, tuning.read_longest);
         let wait = match topic {
-            Topic::Routes if peers != 0 => tuning.read_routes,
+            Topic::Routes if peers != 0 => wait.saturating_mul(ROUTES_WAIT),
             Topic::Routes | Topic::Endpoints => wait,
         };
         wait.mul_f64(SHORTEST_WAIT + (1.0 - SHORTEST_WAIT) * self.rng.unit())
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -89,8 +89,6 @@
     pub read_each: Duration,
     /// Longest wait of a watch of endpoints.
     pub read_longest: Duration,
-    /// Wait of a watch of the configuration by a daemon that hears others; the store grants 30 s.
-    pub read_routes: Duration,
     /// How long entries that vanished while the store was away are kept after its return, so that
     /// endpoints can register again.
     pub return_grace: Duration,
@@ -134,7 +132,6 @@
             read_alone: Duration::from_millis(1500),
             read_each: Duration::from_millis(500),
             read_longest: Duration::from_millis(8000),
-            read_routes: Duration::from_secs(25),
             return_grace: Duration::from_millis(2500),
             store_silence: Duration::from_millis(1500),
         }
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -1,13 +1,14 @@
 //! Reads the configuration and the list of endpoints from the platform's store.
 
-use std::{future::Future, pin::Pin, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use basilbank::logs::Line;
 use basilbank_forward::prelude::*;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
-    progress::{Patience, Progress},
+    progress::{Patience, Progress, SETTLE},
+    reading::{Query, ReadError, Reading, Scope, Source},
     router::Router,
 };
 
@@ -57,69 +58,21 @@
 /// a bound: over a slow link they would take longer than their news is worth.
 const CHANGES_PART: usize = 2;
 
-/// What is read.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Query {
-    /// How much of it.
-    pub scope: Scope,
-    /// Longest wait for a connection.
-    pub connect: Duration,
-    /// Most bytes of an answer.
-    pub most: usize,
-}
-
-/// How much is read.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Scope {
-    /// Everything.
-    All,
-    /// What changed after a revision.
-    Changes {
-        /// The revision.
-        after: u64,
-        /// How long the store waits for a change.
-        wait: Duration,
-    },
-}
-
-/// What was read of a topic.
-#[derive(Clone, PartialEq, Debug, Default)]
-pub struct Reading {
-    /// Where.
-    pub at: Revisions,
-    /// The configuration, if it was read.
-    pub table: Option<RouteTable>,
-    /// Entries of endpoints: all of them, or new and changed ones.
-    pub listed: Vec<EndpointInfo>,
-    /// Instances whose entries went.
-    pub gone: Vec<String>,
-    /// What is wrong with entries that were left out.
-    pub findings: Vec<String>,
-}
-
-/// Why nothing was read.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub enum ReadError {
-    /// The store has dropped the changes after this revision: all must be read again.
-    HistoryGone,
-    /// An answer is longer than the query allows.
-    TooLong,
-    /// The store was not reached, or did not answer as it should.
-    Failed(String),
-}
-
-/// A read in progress.
-pub type Read = Pin<Box<dyn Future<Output = Result<Reading, ReadError>>>>;
-
-/// How a topic is read from the platform's store.
-pub type Source = Box<dyn Fn(Query, Progress) -> Read>;
-
 /// Most bytes of an answer to a question for everything: a page holds about a megabyte, in base64.
 const PAGE_BYTES: usize = 8 << 20;
 
 /// Reads a topic until the task is dropped.
 pub async fn run(router: Rc<Router>, topic: Topic, source: Source) {
-    let mut reader = Reader { router, topic, source, after: 0, failures: 0, whole: 0 };
+    let mut reader = Reader {
+        router,
+        topic,
+        source,
+        after: 0,
+        failures: 0,
+        pages: Reading::default(),
+        whole: 0,
+        just_read: false,
+    };
     loop {
         let pause = reader.turn().await;
         sleep(pause).await;
@@ -133,20 +86,37 @@
     /// Changes are read after this revision; 0 when everything has to be read.
     after: u64,
     failures: u32,
-    /// Bytes that everything took.
+    /// Pages of everything that were read so far. A page that fails is asked for again, and none before
+    /// it: the more there are, the less likely it is that all of them come in one go.
+    pages: Reading,
+    /// Bytes of everything.
     whole: usize,
+    /// Everything was read, and no changes since.
+    just_read: bool,
+}
+
+/// How a read ended.
+enum Ended {
+    /// With an answer, or without.
+    Came(Result<Box<Reading>, ReadError>),
+    /// A peer has seen a change for which it stayed silent.
+    Overtaken,
+    /// The list's reader lost the store while it was silent.
+    Doubted,
 }
 
 impl Reader {
     fn next(&self) -> Query {
         let connect = self.grown(CONNECT, CONNECT_MOST);
         match self.after {
-            0 => Query { scope: Scope::All, connect, most: PAGE_BYTES },
+            0 => {
+                let from = self.pages.next.clone().unwrap_or_default();
+                Query { scope: Scope::Page { from }, connect, most: PAGE_BYTES }
+            }
             after => {
                 let wait = self.router.read_wait(self.topic);
-                let scope = Scope::Changes { after, wait };
                 let most = self.whole.saturating_mul(CHANGES_PART).max(CHANGES_LEAST);
-                Query { scope, connect, most }
+                Query { scope: Scope::Changes { after, wait }, connect, most }
             }
         }
     }
@@ -156,42 +126,76 @@
         first.saturating_mul(1 << self.failures.min(8)).min(most)
     }
 
-    fn patience(&self, scope: Scope) -> Patience {
+    fn patience(&self, scope: &Scope) -> Patience {
         match scope {
-            Scope::All => {
+            Scope::Page { .. } => {
                 let page = self.grown(PAGE, PAGE_MOST);
                 Patience { first: page, between: page }
             }
             Scope::Changes { wait, .. } => {
                 let margin = self.grown(MARGIN, MARGIN_MOST);
-                Patience { first: wait + margin, between: margin }
+                Patience { first: *wait + margin, between: margin }
             }
         }
     }
 
-    /// Waits until a peer has seen a change for which this read stays silent.
-    async fn overtaken(&self, scope: Scope, progress: &Progress) {
+    /// One read; returns how long to pause.
+    async fn turn(&mut self) -> Duration {
+        self.regained().await;
+        let begun = Instant::now();
+        let query = self.next();
+        let progress = Progress::default();
+        let ended = self.read(&query, &progress).await;
+        match ended {
+            Ended::Came(Ok(reading)) => {
+                self.router.metrics.store_call("read");
+                self.took(&query.scope, *reading, progress.bytes())
+            }
+            Ended::Came(Err(ReadError::HistoryGone)) => self.read_all("history_gone"),
+            Ended::Came(Err(ReadError::TooLong)) if self.after != 0 => self.read_all("too_long"),
+            Ended::Came(Err(ReadError::TooLong)) => self.lost("too long", begun, &progress),
+            Ended::Came(Err(ReadError::Failed(error))) => self.lost(&error, begun, &progress),
+            Ended::Overtaken => {
+                self.router.metrics.store_call("stale");
+                log::info!("{}", self.line("store_watch_stale").with("after", self.after));
+                self.failed()
+            }
+            Ended::Doubted => Duration::ZERO,
+        }
+    }
+
+    async fn read(&self, query: &Query, progress: &Progress) -> Ended {
+        let read = (self.source)(query.clone(), progress.clone());
+        let silent = progress.silent(self.patience(&query.scope));
+        if matches!(query.scope, Scope::Page { .. }) {
+            return tokio::select! {
+                read = read => Ended::Came(read.map(Box::new)),
+                () = silent => no_answer(),
+            };
+        }
+        tokio::select! {
+            read = read => Ended::Came(read.map(Box::new)),
+            () = silent => no_answer(),
+            () = self.overtaken(progress) => Ended::Overtaken,
+            () = self.doubted(progress) => Ended::Doubted,
+        }
+    }
+
+    /// Waits until a peer has seen a change for which the watch stays silent.
+    async fn overtaken(&self, progress: &Progress) {
         let grace = self.grown(BEHIND, MARGIN_MOST);
         loop {
             self.router.behind(self.topic, grace).await;
+            sleep(SETTLE).await;
+            let behind = self.router.read(|state| state.behind(self.topic));
             // An answer that has begun is on its way, however long it takes.
-            if scope != Scope::All && !progress.has_begun() {
+            if behind && !progress.has_begun() {
                 return;
             }
         }
     }
 
-    /// Waits while the list of endpoints can't be read, but not for long: in an outage one reader is
-    /// enough to notice that the store is back, and each call is paid for.
-    async fn regained(&self) {
-        if self.topic == Topic::Routes {
-            let mut lost = self.router.lost();
-            // Both ways out mean the same: it is time to read.
-            let _ = timeout(LOST_MOST, lost.wait_for(|lost| !lost)).await;
-        }
-    }
-
-    /// Waits until the list's reader loses the store while this read is silent. That reader has news
+    /// Waits until the list's reader loses the store while the watch is silent. That reader has news
     /// more often; when its connection went silent, this one's probably did, too.
     async fn doubted(&self, progress: &Progress) {
         let mut lost = self.router.lost();
@@ -203,34 +207,13 @@
         }
     }
 
-    /// One read; returns how long to pause.
-    async fn turn(&mut self) -> Duration {
-        self.regained().await;
-        let begun = Instant::now();
-        let query = self.next();
-        let progress = Progress::default();
-        let read = tokio::select! {
-            read = (self.source)(query, progress.clone()) => read,
-            () = progress.silent(self.patience(query.scope)) => {
-                Err(ReadError::Failed("no answer in time".to_owned()))
-            }
-            () = self.overtaken(query.scope, &progress) => {
-                log::info!("{}", self.line("store_watch_stale").with("after", self.after));
-                Err(ReadError::Failed("a peer has seen what the watch has not".to_owned()))
-            }
-            () = self.doubted(&progress) => return Duration::ZERO,
-        };
-        match read {
-            Ok(reading) => {
-                self.router.metrics.store_call("read");
-                let changed = reading.at.newest != 0;
-                self.took(query.scope, reading, progress.bytes());
-                if changed && query.scope != Scope::All { BATCH } else { Duration::ZERO }
-            }
-            Err(ReadError::HistoryGone) => self.read_all("history_gone"),
-            Err(ReadError::TooLong) if query.scope != Scope::All => self.read_all("too_long"),
-            Err(ReadError::TooLong) => self.failed("too long", begun.elapsed(), &progress),
-            Err(ReadError::Failed(error)) => self.failed(&error, begun.elapsed(), &progress),
+    /// Waits while the list of endpoints can't be read, but not for long: in an outage one reader is
+    /// enough to notice that the store is back, and each call is paid for.
+    async fn regained(&self) {
+        if self.topic == Topic::Routes && self.after != 0 {
+            let mut lost = self.router.lost();
+            // Both ways out mean the same: it is time to read.
+            let _ = timeout(LOST_MOST, lost.wait_for(|lost| !lost)).await;
         }
     }
 
@@ -240,10 +223,13 @@
         let line = self.line("store_read_all").with("why", why).with("after", self.after);
         log::info!("{line}");
         self.after = 0;
-        Duration::ZERO
+        self.pages = Reading::default();
+        // A store that drops its history all the time, or changes more than all that it holds, isn't
+        // asked in a loop without a pause.
+        if std::mem::take(&mut self.just_read) { BATCH } else { Duration::ZERO }
     }
 
-    fn took(&mut self, scope: Scope, reading: Reading, bytes: usize) {
+    fn took(&mut self, scope: &Scope, mut reading: Reading, bytes: usize) -> Duration {
         if 0 < self.failures {
             let line = self.line("store_regained").with("failures", self.failures);
             log::info!("{}", line.with("bytes", bytes));
@@ -255,33 +241,54 @@
         for finding in &reading.findings {
             log::warn!("{}", self.line("store_finding").with("finding", finding));
         }
-        self.after = reading.at.store;
-        if scope == Scope::All {
-            self.whole = bytes;
+        let is_page = matches!(scope, Scope::Page { .. });
+        if is_page {
+            self.whole = if self.pages.next.is_some() { self.whole + bytes } else { bytes };
+            self.pages.append(reading);
+            if self.pages.next.is_some() {
+                return Duration::ZERO;
+            }
+            reading = std::mem::take(&mut self.pages);
         }
+        self.just_read = is_page;
+        let changed = !is_page && reading.at.newest != 0;
+        self.after = reading.at.store;
         let Reading { at: read, table, listed, gone, .. } = reading;
-        self.router.dispatch(match (self.topic, scope) {
-            (Topic::Routes, _) => Event::Routes { read, table: table.map(Arc::new) },
-            (Topic::Endpoints, Scope::All) => Event::Endpoints { read, list: listed },
-            (Topic::Endpoints, Scope::Changes { .. }) => Event::Changed { read, listed, gone },
+        self.router.dispatch(match self.topic {
+            Topic::Routes => Event::Routes { read, table: table.map(Arc::new) },
+            Topic::Endpoints if is_page => Event::Endpoints { read, list: listed },
+            Topic::Endpoints => Event::Changed { read, listed, gone },
         });
+        if changed { BATCH } else { Duration::ZERO }
     }
 
-    fn line(&self, event: &'static str) -> Line {
-        Line::new(event).with("topic", self.topic.as_str())
-    }
-
-    fn failed(&mut self, error: &str, took: Duration, progress: &Progress) -> Duration {
+    /// The store did not answer as it should.
+    fn lost(&mut self, error: &str, begun: Instant, progress: &Progress) -> Duration {
         self.router.metrics.store_call("failed");
         if self.failures == 0 {
-            let line = self.line("store_lost").with("error", error).with_ms("took_ms", took);
-            log::warn!("{}", line.with("bytes", progress.bytes()));
-            if self.topic == Topic::Endpoints {
-                self.router.dispatch(Event::StoreLost);
-                self.router.set_lost(true);
-            }
+            let line = self.line("store_lost").with("error", error);
+            let line = line.with_ms("took_ms", begun.elapsed()).with("bytes", progress.bytes());
+            log::warn!("{line}");
+        }
+        if self.topic == Topic::Endpoints {
+            self.router.dispatch(Event::StoreLost);
+            self.router.set_lost(true);
         }
+        self.failed()
+    }
+
+    /// A watch that was overtaken counts here alone: the store was not away, a peer has just read it,
+    /// and entries that went meanwhile are gone.
+    fn failed(&mut self) -> Duration {
         self.failures += 1;
         BACKOFF.saturating_mul(1 << self.failures.min(6)).min(BACKOFF_MOST)
     }
+
+    fn line(&self, event: &'static str) -> Line {
+        Line::new(event).with("topic", self.topic.as_str())
+    }
+}
+
+fn no_answer() -> Ended {
+    Ended::Came(Err(ReadError::Failed("no answer in time".to_owned())))
 }
--- /dev/null
+++ b/crates/basilbank_gateway/src/reading.rs
@@ -0,0 +1,84 @@
+//! What is asked of the platform's store, and what comes of it.
+
+use std::{future::Future, pin::Pin, time::Duration};
+
+use basilbank_forward::prelude::*;
+
+use crate::progress::Progress;
+
+/// What is read.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Query {
+    /// How much of the topic.
+    pub scope: Scope,
+    /// Longest wait for a connection.
+    pub connect: Duration,
+    /// Most bytes of an answer.
+    pub most: usize,
+}
+
+/// How much is read.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Scope {
+    /// A page of everything.
+    Page {
+        /// Where it begins, as the page before said; empty for the first.
+        from: String,
+    },
+    /// What changed after a revision.
+    Changes {
+        /// The revision.
+        after: u64,
+        /// How long the store waits for a change.
+        wait: Duration,
+    },
+}
+
+/// What was read of a topic.
+#[derive(Clone, PartialEq, Debug, Default)]
+pub struct Reading {
+    /// Where.
+    pub at: Revisions,
+    /// The configuration, if it was read.
+    pub table: Option<RouteTable>,
+    /// Entries of endpoints: those of a page, or new and changed ones.
+    pub listed: Vec<EndpointInfo>,
+    /// Instances whose entries went.
+    pub gone: Vec<String>,
+    /// What is wrong with entries that were left out.
+    pub findings: Vec<String>,
+    /// Where the next page begins; none after the last.
+    pub next: Option<String>,
+}
+
+impl Reading {
+    /// Takes the next page in. Pages are no snapshot: what changed since the first one is read as
+    /// changes after it, and what these repeat does no harm.
+    pub fn append(&mut self, page: Reading) {
+        if self.at.store == 0 {
+            self.at.store = page.at.store;
+        }
+        self.at.newest = self.at.newest.max(page.at.newest);
+        self.table = page.table.or(self.table.take());
+        self.listed.extend(page.listed);
+        self.findings.extend(page.findings);
+        self.next = page.next;
+    }
+}
+
+/// Why nothing was read.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum ReadError {
+    /// The changes after this revision can't be had any more: all must be read again.
+    HistoryGone,
+    /// An answer is longer than the query allows.
+    TooLong,
+    /// The store was not reached, or did not answer as it should.
+    Failed(String),
+}
+
+/// A read in progress.
+pub type Read = Pin<Box<dyn Future<Output = Result<Reading, ReadError>>>>;
+
+/// How a topic is read from the platform's store. What arrives is counted.
+pub type Source = Box<dyn Fn(Query, Progress) -> Read>;
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -31,15 +31,13 @@
 /// Serves one request.
 pub async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<OutBody> {
     let (head, body) = request.into_parts();
-    let (most, outdated) = router.read(|state| (state.routes.bounds.body, state.outdated()));
+    let most = router.read(|state| state.routes.bounds.body);
     let body = match read_body(body, most).await {
         Ok(body) => body,
-        Err(answer) if outdated && answer.status == StatusCode::PAYLOAD_TOO_LARGE => {
-            let after = router.read(|state| state.tuning.come_back);
-            let answer = OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "outdated");
-            return refuse_early(&router, &answer.with_after(Some(after)), "");
+        Err(answer) => {
+            let answer = router.read(|state| unless_outdated(answer, state));
+            return refuse_early(&router, &answer, "");
         }
-        Err(answer) => return refuse_early(&router, &answer, ""),
     };
     let (id, steps) = router.register();
     let call = match (router.dialect.call)(id, &head) {
@@ -82,6 +80,15 @@
     }
 }
 
+/// Too long by a configuration that is no longer in force may be allowed: the caller may come back.
+fn unless_outdated(answer: OwnAnswer, state: &State) -> OwnAnswer {
+    if answer.status != StatusCode::PAYLOAD_TOO_LARGE || !state.outdated() {
+        return answer;
+    }
+    let later = OwnAnswer::new(StatusCode::SERVICE_UNAVAILABLE, Refusal::Outdated.as_str());
+    later.with_after(Some(state.tuning.come_back))
+}
+
 /// Refuses a request that the decisions never heard of.
 fn refuse_early(router: &Router, answer: &OwnAnswer, trace: &str) -> Response<OutBody> {
     router.metrics.refused_early(answer.reason);
--- /dev/null
+++ b/crates/basilbank_gateway/tests/reader/limits.rs
@@ -0,0 +1,152 @@
+//! When a read is given up, and what is asked then.
+
+use std::{cell::Cell, time::Duration};
+
+use basilbank_forward::prelude::*;
+use basilbank_gateway::{ReadError, Reading, Scope};
+use tokio::time::sleep;
+
+use crate::rig::{Rig, after, at_once, configuration, in_pieces, in_virtual_time, list, silence};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Symptom: a route that had been confirmed was denied, for as long as the store kept its history.
+/// Sequence: a peer has read a change; this daemon's answer takes ten seconds over its link.
+/// Cause: the watch was dropped 0.3 s after the peer's word although its answer was coming.
+/// Evidence: the daemon's link was full for 0.3 s of each 1.1 s, and the watch's revision stood still.
+#[test]
+fn changes_that_come_slowly_are_kept_whatever_peers_have() {
+    in_virtual_time(|| async {
+        let rig = Rig::new();
+        rig.read(Topic::Endpoints, |_, _| at_once(Ok(list(10, &["a"]))));
+        rig.read(Topic::Routes, |query, progress| match query.scope {
+            Scope::Page { .. } => at_once(Ok(configuration(10, 1))),
+            Scope::Changes { after: 10, .. } => {
+                in_pieces(progress, 100, 1500, ms(100), Ok(configuration(20, 2)))
+            }
+            Scope::Changes { .. } => silence(),
+        });
+        rig.hear(Topic::Routes, 20, ms(11_000)).await;
+        assert_eq!(rig.router.read(|state| state.routes.version), 2);
+    });
+}
+
+/// Symptom: a daemon that had stood still threw an answer away, and asked again.
+/// Sequence: a peer has news; the process stands still beyond the limit; the answer, which is in its
+/// socket, is taken in just after it wakes.
+/// Cause: limits were looked at before what had come.
+#[test]
+fn an_answer_that_is_there_just_after_the_limit_counts() {
+    in_virtual_time(|| async {
+        let rig = Rig::new();
+        rig.read(Topic::Endpoints, |query, _| match query.scope {
+            Scope::Page { .. } => at_once(Ok(list(10, &["a"]))),
+            Scope::Changes { after: 10, .. } => after(ms(310), Ok(list(20, &["a", "b"]))),
+            Scope::Changes { .. } => silence(),
+        });
+        sleep(ms(1)).await;
+        rig.hear(Topic::Endpoints, 20, ms(500)).await;
+        assert_eq!((rig.watches(), rig.listed().len()), (1, 2));
+    });
+}
+
+/// Symptom: a watch would never have ended.
+/// Sequence: its answer drips, a byte at a time.
+/// Cause: each byte counted as getting on.
+#[test]
+fn an_answer_that_drips_is_given_up() {
+    in_virtual_time(|| async {
+        let rig = Rig::new();
+        rig.read(Topic::Endpoints, |query, progress| match query.scope {
+            Scope::Page { .. } => at_once(Ok(list(10, &["a"]))),
+            Scope::Changes { .. } => {
+                in_pieces(progress, usize::MAX, 1, ms(100), Ok(Reading::default()))
+            }
+        });
+        sleep(ms(10_000)).await;
+        assert!(3 <= rig.watches(), "{:?}", rig.asked());
+    });
+}
+
+/// Symptom: a store that was slow was asked again and again, and none of its answers was waited for.
+/// Sequence: a peer has news; the store needs two seconds for each answer.
+/// Cause: the limit after a peer's word never grew.
+#[test]
+fn a_slow_store_is_waited_for_at_last() {
+    in_virtual_time(|| async {
+        let rig = Rig::new();
+        rig.read(Topic::Endpoints, |query, _| match query.scope {
+            Scope::Page { .. } => at_once(Ok(list(10, &["a"]))),
+            Scope::Changes { after: 10, .. } => after(ms(2000), Ok(list(20, &["a", "b"]))),
+            Scope::Changes { .. } => silence(),
+        });
+        rig.hear(Topic::Endpoints, 20, ms(9000)).await;
+        assert_eq!(rig.listed(), ["a", "b"]);
+    });
+}
+
+/// Symptom: the list was never read whole, and the pages before the one that failed were paid for anew.
+/// Sequence: a page in the middle fails; everything is asked for again from the first.
+/// Cause: pages were one read, all or nothing; the longer the list, the less likely it was to end.
+#[test]
+fn a_page_that_fails_is_asked_for_again_and_none_before_it() {
+    in_virtual_time(|| async {
+        let rig = Rig::new();
+        let failed = Cell::new(false);
+        rig.read(Topic::Endpoints, move |query, _| match &query.scope {
+            Scope::Page { from } => at_once(match from.as_str() {
+                "" => Ok(Reading { next: Some("1".to_owned()), ..list(10, &["a"]) }),
+                "1" if !failed.replace(true) => Err(ReadError::Failed("status 503".to_owned())),
+                "1" => Ok(Reading { next: Some("2".to_owned()), ..list(10, &["a", "b"]) }),
+                _ => Ok(Reading {
+                    at: Revisions { store: 14, newest: 9 },
+                    ..list(0, &["a", "b", "c"])
+                }),
+            }),
+            Scope::Changes { after, .. } => {
+                assert_eq!(*after, 10, "what changed since the first page is read after it");
+                silence()
+            }
+        });
+        sleep(ms(1000)).await;
+        assert_eq!(rig.listed(), ["a", "b", "c"]);
+        assert_eq!(rig.asked().len(), 5, "{:?}", rig.asked());
+    });
+}
+
+/// Symptom: a daemon would have called the store without a pause.
+/// Sequence: it changes more at each moment than all that it holds, so that changes are too long; or it
+/// drops its history all the time.
+/// Cause: both lead to a reading of everything at once.
+#[test]
+fn changes_that_can_never_be_had_are_no_loop_without_a_pause() {
+    for error in [ReadError::TooLong, ReadError::HistoryGone] {
+        in_virtual_time(|| async move {
+            let rig = Rig::new();
+            rig.read(Topic::Endpoints, move |query, _| match query.scope {
+                Scope::Page { .. } => after(ms(5), Ok(list(10, &["a"]))),
+                Scope::Changes { .. } => after(ms(5), Err(error.clone())),
+            });
+            sleep(ms(10_000)).await;
+            let calls = rig.asked().len();
+            assert!((20..=42).contains(&calls), "{calls} calls in ten seconds");
+        });
+    }
+}
+
+/// What a watch may bring follows what everything took.
+#[test]
+fn changes_may_be_twice_as_long_as_everything() {
+    in_virtual_time(|| async {
+        let rig = Rig::new();
+        rig.read(Topic::Routes, |query, progress| match query.scope {
+            Scope::Page { .. } => in_pieces(progress, 10, 50_000, ms(1), Ok(configuration(10, 1))),
+            Scope::Changes { .. } => silence(),
+        });
+        sleep(ms(1000)).await;
+        let (_, watch) = rig.asked().pop().expect("a watch");
+        assert_eq!(watch.most, 1_000_000);
+    });
+}
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -31,9 +31,9 @@
     #[prost(message, repeated, tag = "6")]
     pub shunned: Vec<Shunned>,
     /// The store's revision at which the last change of an endpoint's entry was seen, other than its
-    /// heartbeat.
-    #[prost(uint64, tag = "7")]
-    pub news: u64,
+    /// heartbeat. Tag 7 was the revision for all that the store holds, and is not used again.
+    #[prost(uint64, tag = "12")]
+    pub endpoints_news: u64,
     /// The same of the configuration.
     #[prost(uint64, tag = "11")]
     pub routes_news: u64,
