--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -30,8 +30,10 @@
 /// One entry of the list of endpoints.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct EndpointInfo {
-    /// The instance's id: new at each start.
+    /// The instance's id. It may start again under it.
     pub instance: String,
+    /// Its start, milliseconds since the Unix epoch, if it says so.
+    pub born: Option<u64>,
     /// The service that it serves.
     pub service: String,
     /// Where it listens.
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -84,6 +84,7 @@
 pub fn endpoint(n: u16, stage: Stage) -> EndpointInfo {
     EndpointInfo {
         instance: name(usize::from(n)),
+        born: None,
         service: WRITER.to_owned(),
         addr: SocketAddr::from(([10, 0, 0, 1], 1000 + n)),
         data_centre: "hall-a".to_owned(),
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -229,6 +229,7 @@
 fn endpoint(instance: &str, port: u16, service: &str, stage: Option<Stage>) -> EndpointInfo {
     EndpointInfo {
         instance: instance.to_owned(),
+        born: None,
         service: service.to_owned(),
         addr: SocketAddr::from(([10, 0, 0, 1], port)),
         data_centre: "hall-a".to_owned(),
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -142,6 +142,7 @@
 pub fn list(revision: u64, instances: &[&str]) -> Reading {
     let listed = instances.iter().zip(1..).map(|(instance, n)| EndpointInfo {
         instance: (*instance).to_owned(),
+        born: None,
         service: "desk".to_owned(),
         addr: SocketAddr::from(([10, 0, 9, n], 8000)),
         data_centre: "hall-a".to_owned(),
