--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -79,7 +79,10 @@
     /// The settings say whether this daemon orders endpoints.
     Right(OrderRight),
     /// SIGTERM.
-    Shutdown,
+    Shutdown {
+        /// Time until what is still in progress is cut.
+        grace: Duration,
+    },
 }
 
 /// Whether an endpoint answered when it was asked.
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -7,6 +7,8 @@
     Refusal {
         /// No configuration or no list of endpoints is known yet.
         NotReady = "not_ready",
+        /// The daemon leaves, and the call may outlast it.
+        Leaving = "leaving",
         /// No route matches, but a peer has read a newer configuration, which may have it.
         Outdated = "outdated",
         /// No route matches.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -21,7 +21,12 @@
 use basilbank_core::time::Now;
 
 use crate::{
-    call::RequestId, effect::Effect, endpoint::EndpointKey, event::Event, note::Note, state::State,
+    call::RequestId,
+    effect::Effect,
+    endpoint::EndpointKey,
+    event::Event,
+    note::Note,
+    state::{Leaving, State},
 };
 
 /// Takes one event in and says what is to be done.
@@ -45,8 +50,8 @@
         Event::Probed { endpoint, life } => suspect::probed(&mut turn, endpoint, life),
         Event::Ordered { endpoint, accepted } => roles::ordered(&mut turn, endpoint, accepted),
         Event::Right(right) => roles::right(&mut turn, right),
-        Event::Shutdown => {
-            turn.state.leaving = true;
+        Event::Shutdown { grace } => {
+            turn.state.leaving = Some(Leaving { since: turn.now, until: turn.now + grace });
             let running = turn.state.requests.len();
             turn.note(Note::new("shutdown").with("requests", running));
             beat::leave(&mut turn);
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -167,7 +167,7 @@
     let beat = LoadBeat {
         incarnation: peers.incarnation,
         sequence: peers.sequence,
-        leaving: state.leaving,
+        leaving: state.leaving.is_some(),
         peers: named.collect(),
         shunned,
         endpoints_news: state.news.endpoints,
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -55,6 +55,15 @@
     Again,
 }
 
+/// The daemon shuts down.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Leaving {
+    /// When the signal came.
+    pub since: Duration,
+    /// When what is still in progress is cut.
+    pub until: Duration,
+}
+
 /// Who this daemon is.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Local {
@@ -152,7 +161,7 @@
     /// When the first event came.
     pub(crate) started: Option<Duration>,
     /// SIGTERM came.
-    pub leaving: bool,
+    pub leaving: Option<Leaving>,
     pub(crate) rng: Rng,
     timers: BTreeSet<(Duration, RequestId)>,
 }
@@ -183,7 +192,7 @@
             fresh: false,
             roles: Roles::default(),
             started: None,
-            leaving: false,
+            leaving: None,
             rng,
             timers: BTreeSet::new(),
         }
@@ -213,7 +222,7 @@
     /// Calls can be served: configuration and endpoints are known, and the daemon stays.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.knows() && !self.leaving
+        self.knows() && self.leaving.is_none()
     }
 
     /// Configuration and endpoints are known.
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -4,6 +4,7 @@
 mod drafts;
 mod endpoints;
 mod homes;
+mod leaving;
 mod load;
 mod order_schedules;
 mod overload;
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -107,7 +107,7 @@
     let mut fleet = Fleet::new(2);
     fleet.busy(60);
     fleet.rig(0).beats();
-    fleet.rig(0).feed(Event::Shutdown);
+    fleet.rig(0).feed(Event::Shutdown { grace: Duration::from_secs(8) });
     let from = fleet.addresses[0];
     for (_, beat) in fleet.rig(0).beats() {
         fleet.rig(1).feed(Event::Beat { from, beat });
--- a/crates/basilbank_forward/tests/forward/routes.rs
+++ b/crates/basilbank_forward/tests/forward/routes.rs
@@ -1,6 +1,6 @@
 //! Routes and readiness.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use basilbank_forward::prelude::*;
 use basilbank_wire::LoadBeat;
@@ -79,6 +79,6 @@
     assert!(!rig.state.ready());
     rig.list(vec![plain("a", 1)]);
     assert!(rig.state.ready());
-    rig.feed(Event::Shutdown);
+    rig.feed(Event::Shutdown { grace: Duration::from_secs(8) });
     assert!(!rig.state.ready());
 }
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -91,8 +91,9 @@
     /// Leaves within `grace`: not ready at once, callers are accepted until the balancer has
     /// noticed, then all in progress is finished.
     pub async fn leave(self, grace: Duration) {
-        let end = Instant::now() + grace.saturating_sub(END_MARGIN);
-        self.router.dispatch(Event::Shutdown);
+        let grace = grace.saturating_sub(END_MARGIN);
+        let end = Instant::now() + grace;
+        self.router.dispatch(Event::Shutdown { grace });
         self.phase.send_replace(Phase::Leaving);
         sleep_until(end.min(Instant::now() + ACCEPT_ON)).await;
         self.phase.send_replace(Phase::Closed);
