A daemon that leaves doesn't take what may outlast it once others take it

Cause: calls were taken until the listener closed, 3.3 s after the signal, whatever they would last; the balancer has sent callers elsewhere for a second by then, so what comes is over connections opened late. Change: from 2.5 s on a call whose deadline lies beyond the daemon's own end is refused, 503 leaving, with a time to come back. Before that all is taken: callers would come back to the same daemon, and most drafts end in time.

--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -51,16 +51,20 @@
     // A 404 is final: callers don't try again, elsewhere or later.
     let unknown = if state.outdated() { Refusal::Outdated } else { Refusal::UnknownRoute };
     let route = state.routes.find(&call.host, &call.path).ok_or(unknown)?.clone();
+    let patience = call.patience.map(|p| p.saturating_sub(state.tuning.answer_margin));
+    let wait = patience.unwrap_or(Duration::MAX).min(route.timeout);
+    let deadline = turn.now + wait;
+    if state.leaving.is_some_and(|leaving| leaving.refuses(turn.now, deadline)) {
+        return Err(Refusal::Leaving);
+    }
     let unit = state.rng.unit();
     let service = route.service(unit).ok_or(Refusal::NoEndpoint)?.to_owned();
     let budget = state.budgets.entry(service.clone()).or_default();
     budget.called(turn.now, &state.tuning);
-    let patience = call.patience.map(|p| p.saturating_sub(state.tuning.answer_margin));
-    let wait = patience.unwrap_or(Duration::MAX).min(route.timeout);
     Ok(Request {
         version: state.routes.version,
         arrived: turn.now,
-        deadline: turn.now + wait,
+        deadline,
         live: Vec::new(),
         attempts: 0,
         counted: 0,
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -64,6 +64,20 @@
     pub until: Duration,
 }
 
+/// Time after which callers no longer come to a daemon that leaves but over connections that were
+/// opened before: the balancer asks once a second, and takes it out after two answers other than 200.
+const NOTICED: Duration = Duration::from_millis(2500);
+
+impl Leaving {
+    /// A call that may last until `deadline` isn't taken: it may be cut, and another daemon takes it when
+    /// its caller comes back. While the balancer still sends callers here, they would probably come back
+    /// here; most calls end long before their deadline, so they are taken then.
+    #[must_use]
+    pub fn refuses(&self, now: Duration, deadline: Duration) -> bool {
+        self.since + NOTICED <= now && self.until < deadline
+    }
+}
+
 /// Who this daemon is.
 #[derive(Clone, PartialEq, Debug, Default)]
 pub struct Local {
