A caller's body may take as long as it gets on

Cause: the class of the incident at the callers' edge: ten seconds for the whole body, however much had come; its caller would begin again at the first byte. Found by looking for the same cause elsewhere.

--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! add wake-ups. How a platform spells things is not known here; a [`Dialect`] says it.
 
 mod answer;
+mod body;
 mod calls;
 mod dialect;
 mod edge;
@@ -21,6 +22,7 @@
 
 pub use answer::OwnAnswer;
 pub use basilbank::clock::SystemClock;
+pub use body::{BadBody, read_body};
 pub use calls::strip_hop_by_hop;
 pub use dialect::{BadCall, Dialect, Head, OutRequest};
 pub use gateway::{Addresses, Gateway};
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -3,20 +3,15 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use basilbank_forward::prelude::*;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{
-    Request, Response, StatusCode,
-    body::{Body, Incoming},
-    header::CONTENT_LENGTH,
-};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::CONTENT_LENGTH};
 use tokio::{
     sync::{mpsc, oneshot},
     task::{AbortHandle, JoinSet, spawn_local},
-    time::timeout,
 };
 
 use crate::{
     answer::{OutBody, OwnAnswer, Piece, passed_on},
+    body::{BadBody, read_body},
     calls::{Came, Original, Parked, carry_out},
     relay::{Ended, relay},
     router::{Router, Step},
@@ -25,17 +20,14 @@
 /// Pieces of a stream that may wait for a slow caller.
 const PIECES: usize = 32;
 
-/// Longest time for a request's body.
-const BODY: Duration = Duration::from_secs(10);
-
 /// Serves one request.
 pub async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<OutBody> {
     let (head, body) = request.into_parts();
     let most = router.read(|state| state.routes.bounds.body);
     let body = match read_body(body, most).await {
         Ok(body) => body,
-        Err(answer) => {
-            let answer = router.read(|state| unless_outdated(answer, state));
+        Err(bad) => {
+            let answer = router.read(|state| unless_outdated(bad_body(bad), state));
             return refuse_early(&router, &answer, "");
         }
     };
@@ -67,16 +59,12 @@
     answer.await.unwrap_or_else(|_| lost())
 }
 
-async fn read_body(body: Incoming, most: usize) -> Result<bytes::Bytes, OwnAnswer> {
-    let too_large = || OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large");
-    if (most as u64) < body.size_hint().lower() {
-        return Err(too_large());
-    }
-    match timeout(BODY, Limited::new(body, most).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => Err(OwnAnswer::new(StatusCode::BAD_REQUEST, "bad_body")),
-        Err(_) => Err(OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "slow_body")),
+/// The answer to a body that can't be used.
+fn bad_body(bad: BadBody) -> OwnAnswer {
+    match bad {
+        BadBody::TooLong => OwnAnswer::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
+        BadBody::Broken => OwnAnswer::new(StatusCode::BAD_REQUEST, "bad_body"),
+        BadBody::Slow => OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "slow_body"),
     }
 }
 
