Drafts of a service that is full don't hold up those of another

Sites with one service of drafts are not touched by it. Change: a round ends for the service that is full.

--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -4,6 +4,8 @@
 //! prompt has been read by then and its KV cache may lapse. Here it waits without costing anything,
 //! and the draft that can still be on time goes first.
 
+use std::collections::HashSet;
+
 use super::{Turn, step};
 use crate::call::RequestId;
 
@@ -34,14 +36,20 @@
         .collect();
     order.sort_unstable();
     turn.state.waiting.clear();
-    let mut order = order.into_iter().map(|(_, _, id)| id);
-    while let Some(id) = order.next() {
+    // Services have endpoints of their own: one that is full says nothing about the others.
+    let mut full = HashSet::new();
+    for (_, _, id) in order {
+        let Some(service) = turn.state.requests.get(&id).map(|r| r.service.clone()) else {
+            continue;
+        };
+        if full.contains(&service) {
+            turn.state.waiting.push(id);
+            continue;
+        }
         step::go_on(turn, id);
-        // It waits again: there is no room for the others either.
+        // It waits again: there is no room for the others of its service either.
         if turn.state.waiting.contains(&id) {
-            let rest: Vec<_> = order.collect();
-            turn.state.waiting.extend(rest);
-            return;
+            full.insert(service);
         }
     }
 }
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod overload;
 mod peers;
 mod plain;
+mod queue;
 mod rig;
 mod roles;
 mod routes;
