Transfers of the product's own interface may take as long as they get on

Cause: the class of the incident: three seconds for the catalogue, ten for all frames of a connection, then all over again. Change: one rule for these and callers' bodies: a first time, and a second more for each 16 KB that came.

--- a/crates/basilbank/src/lib.rs
+++ b/crates/basilbank/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod metrics;
 pub mod names;
 mod observer;
+pub mod pace;
 pub mod peers;
 pub mod platform;
 pub mod pool;
--- a/crates/basilbank/src/peers.rs
+++ b/crates/basilbank/src/peers.rs
@@ -10,7 +10,7 @@
 mod bind;
 mod heard;
 mod receiver;
-mod stream;
+pub mod stream;
 
 use std::{
     collections::BTreeMap,
--- a/crates/basilbank/src/peers/stream.rs
+++ b/crates/basilbank/src/peers/stream.rs
@@ -8,7 +8,7 @@
 
 use basilbank_wire::Frames;
 
-use crate::peers::FRAME;
+use crate::{pace::time_for, peers::FRAME};
 
 /// Time for a connection to be made.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -16,7 +16,7 @@
 /// Time for one piece of a frame to be written.
 const WRITE: Duration = Duration::from_secs(5);
 
-/// Time for all frames of one connection to arrive.
+/// Time for all frames of one connection to arrive, besides what their bytes earn.
 const RECEIVE: Duration = Duration::from_secs(10);
 
 /// Sends a sealed packet. Returns its size.
@@ -35,21 +35,31 @@
 /// otherwise hold a thread for ever, and no catalogue could come in.
 #[must_use]
 pub fn receive(stream: TcpStream) -> Frames<impl Read> {
-    Frames::new(Limited { stream, end: Instant::now() + RECEIVE }, FRAME)
+    receive_within(stream, RECEIVE)
+}
+
+/// The same with another time.
+#[must_use]
+pub fn receive_within(stream: TcpStream, first: Duration) -> Frames<impl Read> {
+    Frames::new(Limited { stream, first, begun: Instant::now(), bytes: 0 }, FRAME)
 }
 
 struct Limited {
     stream: TcpStream,
-    end: Instant,
+    first: Duration,
+    begun: Instant,
+    bytes: usize,
 }
 
 impl Read for Limited {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        let left = self.end.saturating_duration_since(Instant::now());
+        let left = time_for(self.first, self.bytes).saturating_sub(self.begun.elapsed());
         if left.is_zero() {
             return Err(io::ErrorKind::TimedOut.into());
         }
         self.stream.set_read_timeout(Some(left))?;
-        self.stream.read(buffer)
+        let read = self.stream.read(buffer)?;
+        self.bytes += read;
+        Ok(read)
     }
 }
--- a/crates/basilbank/src/platform.rs
+++ b/crates/basilbank/src/platform.rs
@@ -6,13 +6,14 @@
 mod protocol;
 
 use std::{
+    io::{self, Read},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use basilbank_config::{Finding, parse_catalogue};
@@ -30,18 +31,22 @@
     inbox::Feed,
     logs::Line,
     metrics::{Metrics, ReadResult},
+    pace::time_for,
     sync::lock,
 };
 
 /// How long the platform holds a watch back when nothing changes.
 const WATCH: Duration = Duration::from_secs(10);
 
-/// Longest answer time, beyond a watch's wait.
+/// Longest time for an answer's head, beyond a watch's wait, and for a body besides what its bytes earn.
 const ANSWER_TIME: Duration = Duration::from_secs(3);
 
 /// Longest answer in bytes: many documents of a megabyte.
 const ANSWER: u64 = 64 << 20;
 
+/// Bytes of a body that are read at a time.
+const PIECE: usize = 64 << 10;
+
 /// The platform's side. Dropping it ends its threads after the call that they are in.
 #[derive(Debug)]
 pub struct Platform {
@@ -226,16 +231,16 @@
 
     fn read<T: DeserializeOwned>(&self, path: &str, timeout: Duration) -> Result<T, ReadResult> {
         let request = self.agent.get(format!("{}{path}", self.base)).config();
-        let response = request.timeout_global(Some(timeout)).build().call();
-        let mut response = response.map_err(|_| ReadResult::Failed)?;
+        let request = request.timeout_recv_response(Some(timeout)).build();
+        let mut response = request.call().map_err(|_| ReadResult::Failed)?;
         match response.status().as_u16() {
             200 => {}
             410 => return Err(ReadResult::Compacted),
             429 => return Err(ReadResult::Limited),
             _ => return Err(ReadResult::Failed),
         }
-        let text = response.body_mut().with_config().limit(ANSWER).read_to_vec();
-        let text = text.map_err(|_| ReadResult::Failed)?;
+        let body = response.body_mut().with_config().limit(ANSWER).reader();
+        let text = read_paced(body, ANSWER_TIME).map_err(|_| ReadResult::Failed)?;
         serde_json::from_slice(&text).map_err(|_| ReadResult::Failed)
     }
 
@@ -244,6 +249,22 @@
     }
 }
 
+/// Reads to the end, as long as it gets on.
+fn read_paced(mut body: impl Read, first: Duration) -> io::Result<Vec<u8>> {
+    let begun = Instant::now();
+    let mut text = Vec::new();
+    let mut piece = vec![0; PIECE];
+    loop {
+        match body.read(&mut piece)? {
+            0 => return Ok(text),
+            read => text.extend_from_slice(&piece[..read]),
+        }
+        if time_for(first, text.len()) < begun.elapsed() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+    }
+}
+
 fn finding_line(revision: u64, finding: &Finding) -> Line {
     Line::new("catalogue_finding")
         .with("revision", revision)
--- a/crates/basilbank/tests/shell/platform.rs
+++ b/crates/basilbank/tests/shell/platform.rs
@@ -1,6 +1,6 @@
 //! What the platform answers, and what the core hears of it.
 
-use std::sync::Arc;
+use std::{io::Write, sync::Arc};
 
 use basilbank::{
     inbox::{Inbox, inbox},
@@ -70,6 +70,26 @@
     assert_eq!(responder.next().line, watch);
 }
 
+/// Symptom: a daemon never has a catalogue.
+/// Sequence: the whole takes five seconds over its link; at the limit it begins again at the first byte.
+/// Cause: the limit was on the whole time of a read, whatever had come.
+#[test]
+fn a_long_catalogue_may_come_slowly() {
+    let long = "x".repeat(200_000);
+    let whole = WHOLE.replace("{}", &long);
+    let responder = Responder::start(move |_, stream| {
+        for piece in answer(200, &whole).as_bytes().chunks(5_000) {
+            std::thread::sleep(std::time::Duration::from_millis(110));
+            if stream.write_all(piece).is_err() {
+                return;
+            }
+        }
+    });
+    let rig = Rig::new(&responder);
+    rig.platform.watch(0);
+    assert!(text(&rig.next()).contains(&long));
+}
+
 /// Symptom: a daemon keeps an old catalogue for ever. Sequence: it was cut off for long, and the
 /// platform does not remember the changes since. Cause: the refusal is taken for an outage.
 #[test]
--- a/crates/basilbank_gateway/src/body.rs
+++ b/crates/basilbank_gateway/src/body.rs
@@ -2,19 +2,15 @@
 
 use std::time::Duration;
 
+use basilbank::pace::time_for;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
-/// Time for a body that brings nothing, and for one of a few packets.
+/// Time for a body besides what its bytes earn.
 const TIME: Duration = Duration::from_secs(10);
 
-/// Bytes that earn a body another second: a bad mobile connection's. A limit on the whole time alone
-/// would end a long body that gets on, and its caller would send it again from its first byte; none at
-/// all would let a caller that drips hold its place for ever.
-const RATE: usize = 16 << 10;
-
 /// Why a body is not had.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum BadBody {
@@ -40,8 +36,8 @@
     let (mut body, mut bytes) = (body, BytesMut::new());
     let begun = Instant::now();
     loop {
-        let earned = Duration::from_secs_f64(bytes.len() as f64 / RATE as f64);
-        let frame = match timeout_at(begun + TIME + earned, body.frame()).await {
+        let end = begun + time_for(TIME, bytes.len());
+        let frame = match timeout_at(end, body.frame()).await {
             Err(_) => return Err(BadBody::Slow),
             Ok(None) => return Ok(bytes.freeze()),
             Ok(Some(Err(_))) => return Err(BadBody::Broken),
