An endpoint is one start of its instance, not the instance

Cause: all that is kept of an endpoint hung on the instance's id. An endpoint that starts again under its id kept its key, and with it kept connections, holds, KV caches, counts, avoidance and orders of a start that is over; peers named it by the id alone.

Change: a later `born` is a new endpoint with a key of its own; an older one changes nothing; an entry without `born` is of the known start unless its address differs; one that begins to say it is another start's. What the former start held is dropped by the drafts that had it, and neither used nor given back at its address. Peers name an endpoint by a hash of id and start; without a start the hash is as before.

Two instances at one address: the later start has it. An entry whose service no configuration has named takes no address of an endpoint whose service is named, and is judged again when the configuration or the list changes. An endpoint that left the list and whose address is used again is over as well: a hold there was given back at the new endpoint before.

`state/endpoint.rs` is `Endpoint`, moved out of `state/directory.rs` without change but for `over`.

--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -47,3 +47,36 @@
     /// Its stage; `None` for plain services.
     pub stage: Option<Stage>,
 }
+
+/// What an entry says of a known start of its instance.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Says {
+    /// It is of this start.
+    Same,
+    /// It is of a start before it.
+    Former,
+    /// It is of a later start.
+    Later,
+    /// It is of another start, and does not show which came first.
+    Other,
+}
+
+impl EndpointInfo {
+    /// What the entry `told` says of this start.
+    ///
+    /// A start has one service for its whole life, and says its time in all its entries or in none. So
+    /// an entry that begins to say it is another start's: taking it for the same one would keep holds
+    /// that may be another's by now, while the reverse mistake costs some prompts, once. An entry that
+    /// leaves it out says nothing about the start: it is the known one, unless the address differs.
+    #[must_use]
+    pub fn compare(&self, told: &EndpointInfo) -> Says {
+        match (self.born, told.born) {
+            (Some(known), Some(told)) if told < known => Says::Former,
+            (Some(known), Some(told)) if known < told => Says::Later,
+            (None, Some(_)) => Says::Other,
+            (Some(_), None) if self.addr != told.addr => Says::Other,
+            _ if self.service != told.service => Says::Other,
+            _ => Says::Same,
+        }
+    }
+}
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -7,6 +7,7 @@
 mod beat;
 mod draft;
 mod endpoints;
+mod entries;
 mod finish;
 mod outcome;
 mod pick;
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc};
 
-use super::Turn;
+use super::{Turn, entries};
 use crate::{
     effect::Effect,
     endpoint::{EndpointInfo, EndpointKey},
@@ -31,8 +31,11 @@
         .with("before", turn.state.routes.version)
         .with("routes", table.routes().len());
     turn.note(note);
+    turn.state.entries.learn(&table);
     turn.state.routes = table;
     tell(turn, Topic::Routes, read);
+    // Those read before it, or of a service that it is the first to name.
+    entries::judge_again(turn);
 }
 
 /// Takes the whole list in.
@@ -48,9 +51,10 @@
         .filter(|(_, e)| !listed_now.contains(e.info.instance.as_str()))
         .map(|(key, _)| key)
         .collect();
+    turn.state.entries.keep(&listed_now);
     let away = store_was_away(turn);
     for info in list {
-        listed(turn, info);
+        entries::listed(turn, info);
     }
     for key in missing {
         vanish(turn, key, away);
@@ -62,9 +66,10 @@
 pub fn change(turn: &mut Turn<'_>, read: Revisions, list: Vec<EndpointInfo>, gone: &[String]) {
     let away = store_was_away(turn);
     for info in list {
-        listed(turn, info);
+        entries::listed(turn, info);
     }
     for instance in gone {
+        turn.state.entries.forget(instance);
         if let Some(key) = turn.state.directory.find(instance) {
             turn.state.fresh = true;
             vanish(turn, key, away);
@@ -75,12 +80,18 @@
 
 /// Takes endpoints off whose grace is over.
 pub fn expire(turn: &mut Turn<'_>) {
-    for key in turn.state.directory.expired(turn.now) {
+    let expired = turn.state.directory.expired(turn.now);
+    if expired.is_empty() {
+        return;
+    }
+    for key in expired {
         unlist(turn, key);
     }
+    entries::judge_again(turn);
 }
 
 fn confirmed(turn: &mut Turn<'_>, read: Revisions) {
+    entries::judge_again(turn);
     let directory = &mut turn.state.directory;
     directory.revision = directory.revision.max(read.store);
     directory.read_at = turn.now;
@@ -107,30 +118,6 @@
     directory.lost && directory.revision != 0 && turn.state.tuning.store_silence < silence
 }
 
-fn listed(turn: &mut Turn<'_>, info: EndpointInfo) {
-    let note = Note::new("endpoint")
-        .with("instance", &info.instance)
-        .with("addr", info.addr)
-        .with("draining", info.draining)
-        .with("stage", info.stage.map_or("none", |stage| stage.as_str()));
-    let fresh = turn.state.directory.find(&info.instance).is_none();
-    if fresh {
-        turn.state.roles.grew = turn.now;
-        replace_at(turn, &info);
-    }
-    if turn.state.directory.list(info) {
-        turn.state.fresh = true;
-        turn.note(note);
-    }
-}
-
-/// A new instance has the address: whoever had it before is gone, whatever the list says.
-fn replace_at(turn: &mut Turn<'_>, info: &EndpointInfo) {
-    if let Some(key) = turn.state.directory.at(info.addr) {
-        unlist(turn, key);
-    }
-}
-
 /// An entry is missing. After the store was away, the endpoint gets time to register again: taking
 /// all of them off at once would refuse every call for want of endpoints that are alive.
 fn vanish(turn: &mut Turn<'_>, key: EndpointKey, away: bool) {
@@ -145,10 +132,12 @@
     unlist(turn, key);
 }
 
-fn unlist(turn: &mut Turn<'_>, key: EndpointKey) {
-    let Some(endpoint) = turn.state.directory.get(key) else { return };
+/// Takes an endpoint off the list, unless it is off already.
+pub fn unlist(turn: &mut Turn<'_>, key: EndpointKey) {
+    let Some(endpoint) = turn.state.directory.get(key).filter(|e| !e.gone) else { return };
     let note = Note::new("endpoint_gone").with("instance", &endpoint.info.instance);
-    turn.note(note);
+    turn.state.entries.ended(&endpoint.info, turn.now);
     turn.state.directory.unlist(key);
+    turn.note(note);
     turn.push(Effect::Forget(key));
 }
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -93,8 +93,14 @@
 
 fn held(turn: &mut Turn<'_>, id: RequestId, live: &Live, name: String) {
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
-    request.draft.asked = 0;
-    request.draft.hold = Some(Hold { endpoint: live.endpoint, name, tokens: live.tokens });
+    if turn.state.directory.keeps(live.endpoint) {
+        request.draft.asked = 0;
+        request.draft.hold = Some(Hold { endpoint: live.endpoint, name, tokens: live.tokens });
+    } else {
+        // It was the former start's, or can't be told from that.
+        request.draft.asked += 1;
+        end(turn.state, live.endpoint, live.tokens);
+    }
     step::go_on(turn, id);
 }
 
@@ -102,7 +108,9 @@
     let now = turn.now;
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
     request.draft.prefills += 1;
-    request.draft.kv = Some(Kv { endpoint: live.endpoint, handle, made: now });
+    if turn.state.directory.keeps(live.endpoint) {
+        request.draft.kv = Some(Kv { endpoint: live.endpoint, handle, made: now });
+    }
     step::go_on(turn, id);
 }
 
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -103,6 +103,10 @@
 /// that decoded it before, its prompt may still be kept, and need not be read again. The first home is
 /// taken unless the second has much more room: with one alone, some endpoints would be full beside
 /// idle ones. A daemon that knows nobody's load takes the first.
+///
+/// A home is an instance, not its start: an endpoint that starts again has lost its KV caches, but so
+/// would any other place be without them, and daemons that learn of the start at different times would
+/// place its sessions apart meanwhile.
 fn home(
     state: &State,
     service: &str,
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -28,6 +28,9 @@
 
 /// An endpoint could not be reached, or did not answer in time.
 pub fn dark(turn: &mut Turn<'_>, key: EndpointKey) {
+    if !turn.state.directory.keeps(key) {
+        return;
+    }
     let due = turn.now + FIRST_PAUSE;
     if turn.state.suspects.add(key, due)
         && let Some(endpoint) = turn.state.directory.get(key)
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -2,6 +2,8 @@
 
 pub mod budget;
 pub mod directory;
+pub mod endpoint;
+pub mod entries;
 pub mod peers;
 pub mod requests;
 pub mod roles;
@@ -18,7 +20,9 @@
 
 pub use self::{
     budget::Budget,
-    directory::{Directory, Endpoint},
+    directory::Directory,
+    endpoint::Endpoint,
+    entries::Entries,
     peers::{Peer, Peers},
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
@@ -131,6 +135,8 @@
     pub routes: Arc<RouteTable>,
     /// The endpoints.
     pub directory: Directory,
+    /// Endpoints' entries beside those that are in use.
+    pub entries: Entries,
     /// Calls in progress.
     pub requests: HashMap<RequestId, Request>,
     /// Retry budgets by service.
@@ -173,6 +179,7 @@
             tuning,
             routes: Arc::default(),
             directory: Directory::default(),
+            entries: Entries::default(),
             requests: HashMap::new(),
             budgets: HashMap::new(),
             peers,
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -1,182 +1,17 @@
-//! The endpoints that were discovered, and what is known of each.
+//! The endpoints that were discovered.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use basilbank_wire::EndpointLoad;
 use slotmap::SlotMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     effect::Target,
     endpoint::{EndpointInfo, EndpointKey, Stage},
-    tuning::Tuning,
+    state::Endpoint,
 };
 
-/// Weight of a new measurement in the running mean of answer times: some ten answers.
-const MEAN_WEIGHT: f64 = 0.1;
-
-/// Weight of a new measurement of the prefill rate: a slow endpoint is seen after some prompts.
-const READ_WEIGHT: f64 = 0.2;
-
-/// Base time that is assumed before the first prompt, in seconds.
-const FIRST_BASE: f64 = 0.05;
-
-/// Most that counts as base time, in seconds; what is beyond is slowness.
-const MOST_BASE: f64 = 0.2;
-
-/// Weight of a measurement that raises the base time: it follows the least, and forgets it after
-/// some tens of prompts.
-const BASE_WEIGHT: f64 = 0.03;
-
-/// Shorter readings say more about round trips than about the endpoint.
-const SHORT_READ: f64 = 0.08;
-
-/// Refusals in a row after which peers are told: about a second.
-const REFUSALS: u32 = 5;
-
-/// Bound of the measured slowness: beyond it an endpoint counts as failed anyway.
-const SLOWEST: f64 = 10.0;
-
-/// One endpoint.
-#[derive(Clone, Debug)]
-pub struct Endpoint {
-    /// What the list says.
-    pub info: EndpointInfo,
-    /// It is off the list; its calls in progress go on.
-    pub gone: bool,
-    /// Own calls in progress.
-    pub calls: u32,
-    /// Tokens of own calls: to be read at a prefill endpoint, in memory at a decode endpoint.
-    pub tokens: u32,
-    /// Tokens of peers' calls.
-    pub peer_tokens: u32,
-    /// Peers' calls in progress.
-    pub peer_calls: u32,
-    /// Running mean of its answer times; `None` before the first one.
-    pub mean: Option<Duration>,
-    /// Seconds that reading a prompt takes at least, whatever its length.
-    pub base: f64,
-    /// How many times longer it takes to read prompts than its rate says.
-    pub slowness: f64,
-    /// Not used before this, unless there is nothing else.
-    pub avoided: Duration,
-    /// This daemon knows that it refuses work until then, and tells its peers.
-    pub shunned: Duration,
-    /// Refusals in a row.
-    refusals: u32,
-    /// Failures in a row.
-    failures: u32,
-    /// Removed at this time unless it is listed again.
-    expires: Option<Duration>,
-}
-
-impl Endpoint {
-    fn new(info: EndpointInfo) -> Endpoint {
-        Endpoint {
-            info,
-            gone: false,
-            calls: 0,
-            tokens: 0,
-            peer_tokens: 0,
-            peer_calls: 0,
-            mean: None,
-            base: FIRST_BASE,
-            slowness: 1.0,
-            avoided: Duration::ZERO,
-            shunned: Duration::ZERO,
-            refusals: 0,
-            failures: 0,
-            expires: None,
-        }
-    }
-
-    /// It may be sent new work.
-    #[must_use]
-    pub fn takes_work(&self) -> bool {
-        !self.gone && !self.info.draining
-    }
-
-    /// Tokens of all daemons' calls, as far as they are known.
-    #[must_use]
-    pub fn all_tokens(&self) -> u32 {
-        self.tokens.saturating_add(self.peer_tokens)
-    }
-
-    /// Calls of all daemons, as far as they are known.
-    #[must_use]
-    pub fn all_calls(&self) -> u32 {
-        self.calls.saturating_add(self.peer_calls)
-    }
-
-    /// It answered: it is there.
-    pub fn answered(&mut self, took: Duration) {
-        self.accepted();
-        self.avoided = Duration::ZERO;
-        let mean = self.mean.unwrap_or(took);
-        self.mean = Some(mean.mul_f64(1.0 - MEAN_WEIGHT) + took.mul_f64(MEAN_WEIGHT));
-    }
-
-    /// It has read a prompt that it should have read in `expected` seconds.
-    ///
-    /// Part of that time passes also at an idle endpoint, whatever the prompt's length. It is not a
-    /// queue: without telling the two apart, every endpoint would look slow, and prompts would go to
-    /// decode endpoints for nothing.
-    pub fn read(&mut self, took: Duration, expected: f64) {
-        self.failures = 0;
-        let took = took.as_secs_f64();
-        let beyond = (took - expected).clamp(0.0, MOST_BASE);
-        let weight = if beyond < self.base { 1.0 } else { BASE_WEIGHT };
-        self.base += weight * (beyond - self.base);
-        let measured = (took - self.base) / expected.max(SHORT_READ);
-        let slowness = self.slowness + READ_WEIGHT * (measured - self.slowness);
-        self.slowness = slowness.clamp(1.0, SLOWEST);
-    }
-
-    /// It took work.
-    pub fn accepted(&mut self) {
-        self.refusals = 0;
-        self.failures = 0;
-    }
-
-    /// It refused work. One that is full has room again soon. One that goes on refusing leaves, or is
-    /// ill, and while the list can't be read nothing else says so: having nothing to do, it would be
-    /// the first choice for each draft. Others are told of it then.
-    pub fn refused(&mut self, now: Duration, tuning: &Tuning) {
-        let time = tuning.avoid_full.saturating_mul(1 << self.refusals.min(8));
-        let until = now + time.min(tuning.avoid_refusing);
-        self.refusals += 1;
-        match self.refusals < REFUSALS {
-            true => self.avoid(until),
-            false => self.shun(until),
-        }
-    }
-
-    /// It could not be reached, or did not answer in time. A dark endpoint stays listed for three
-    /// heartbeats; without this each call in that time would wait for it anew.
-    pub fn failed(&mut self, now: Duration, tuning: &Tuning) {
-        let time = tuning.avoid.saturating_mul(1 << self.failures.min(8));
-        self.failures += 1;
-        self.avoid(now + time.min(tuning.avoid_most));
-    }
-
-    /// It answers again.
-    pub fn came_back(&mut self) {
-        self.failures = 0;
-        self.avoided = Duration::ZERO;
-        self.shunned = Duration::ZERO;
-    }
-
-    /// It refuses work until then, whoever asks.
-    pub fn shun(&mut self, until: Duration) {
-        self.avoid(until);
-        self.shunned = self.shunned.max(until);
-    }
-
-    /// It isn't used before `until`, unless there is nothing else.
-    pub fn avoid(&mut self, until: Duration) {
-        self.avoided = self.avoided.max(until);
-    }
-}
-
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -187,9 +22,9 @@
     /// A read failed since.
     pub lost: bool,
     endpoints: SlotMap<EndpointKey, Endpoint>,
+    /// Each instance's present start.
     instances: HashMap<String, EndpointKey>,
-    /// Listed endpoints by address.
-    addresses: HashMap<SocketAddr, EndpointKey>,
+    /// All starts that there are, also former ones whose calls go on.
     hashes: HashMap<u32, EndpointKey>,
     services: HashMap<String, Vec<EndpointKey>>,
 }
@@ -242,51 +77,57 @@
         self.endpoints.iter().filter(|(_, endpoint)| !endpoint.gone)
     }
 
-    /// What a call to it needs.
+    /// What a call to it needs; `None` also when it is over, for another one may answer there: names of
+    /// holds and KV caches could be that one's own.
     #[must_use]
     pub fn target(&self, key: EndpointKey) -> Option<Target> {
-        let info = &self.endpoints.get(key)?.info;
+        let info = &self.endpoints.get(key).filter(|e| !e.over)?.info;
         Some(Target { endpoint: key, instance: info.instance.clone(), addr: info.addr })
     }
 
-    /// Takes an entry in; true when it is new or has changed.
-    pub fn list(&mut self, info: EndpointInfo) -> bool {
-        if let Some(key) = self.instances.get(&info.instance)
-            && let Some(endpoint) = self.endpoints.get_mut(*key)
-        {
-            endpoint.expires = None;
-            let changed = endpoint.gone || endpoint.info != info;
-            self.addresses.remove(&endpoint.info.addr);
-            self.addresses.insert(info.addr, *key);
-            endpoint.gone = false;
-            endpoint.info = info;
-            return changed;
-        }
+    /// What it held for calls may still be there.
+    #[must_use]
+    pub fn keeps(&self, key: EndpointKey) -> bool {
+        self.endpoints.get(key).is_some_and(|endpoint| !endpoint.over)
+    }
+
+    /// Takes an entry of a known start in; true when it has changed.
+    pub fn update(&mut self, key: EndpointKey, info: EndpointInfo) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return false };
+        endpoint.expires = None;
+        let changed = endpoint.gone || endpoint.info != info;
+        endpoint.gone = false;
+        endpoint.info = info;
+        changed
+    }
+
+    /// Takes a start in that is not known.
+    pub fn insert(&mut self, info: EndpointInfo) -> EndpointKey {
         let (instance, service) = (info.instance.clone(), info.service.clone());
-        let addr = info.addr;
+        let hash = start_hash(&info);
         let key = self.endpoints.insert(Endpoint::new(info));
-        self.addresses.insert(addr, key);
-        self.hashes.insert(instance_hash(&instance), key);
+        self.hashes.insert(hash, key);
         self.instances.insert(instance, key);
         self.services.entry(service).or_default().push(key);
-        true
+        key
     }
 
-    /// The key of an instance.
+    /// The present start of an instance.
     #[must_use]
     pub fn find(&self, instance: &str) -> Option<EndpointKey> {
         self.instances.get(instance).copied()
     }
 
-    /// The listed endpoint at an address.
+    /// The endpoints with an address that are not over, other than this instance's.
     #[must_use]
-    pub fn at(&self, addr: SocketAddr) -> Option<EndpointKey> {
-        self.addresses.get(&addr).copied()
+    pub fn others_at(&self, addr: SocketAddr, instance: &str) -> Vec<EndpointKey> {
+        let there = |e: &Endpoint| e.info.addr == addr && e.info.instance != instance && !e.over;
+        self.endpoints.iter().filter(|(_, e)| there(e)).map(|(key, _)| key).collect()
     }
 
     /// Takes an endpoint off the list at `at` unless it is listed again before.
     pub fn expire(&mut self, key: EndpointKey, at: Duration) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
+        if let Some(endpoint) = self.endpoints.get_mut(key).filter(|endpoint| !endpoint.gone) {
             endpoint.expires.get_or_insert(at);
         }
     }
@@ -309,9 +150,19 @@
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.gone = true;
             endpoint.expires = None;
-            if self.addresses.get(&endpoint.info.addr) == Some(&key) {
-                self.addresses.remove(&endpoint.info.addr);
-            }
+        }
+        self.remove_idle(key);
+    }
+
+    /// Ends an endpoint for good: it is not found by its instance any more, and an entry can't bring it
+    /// back. It is removed once it has no calls.
+    pub fn end_start(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else { return };
+        endpoint.gone = true;
+        endpoint.over = true;
+        endpoint.expires = None;
+        if self.instances.get(&endpoint.info.instance) == Some(&key) {
+            self.instances.remove(&endpoint.info.instance);
         }
         self.remove_idle(key);
     }
@@ -327,13 +178,14 @@
     /// Undoes [`Directory::begin`].
     pub fn end(&mut self, key: EndpointKey, tokens: u32) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
+            debug_assert!(endpoint.calls != 0 && tokens <= endpoint.tokens, "ended twice");
             endpoint.calls = endpoint.calls.saturating_sub(1);
             endpoint.tokens = endpoint.tokens.saturating_sub(tokens);
         }
         self.remove_idle(key);
     }
 
-    /// The endpoint whose instance has this hash.
+    /// The start that peers name by this hash.
     #[must_use]
     pub fn by_hash(&self, hash: u32) -> Option<EndpointKey> {
         self.hashes.get(&hash).copied()
@@ -343,16 +195,16 @@
     pub fn own_loads(&self) -> impl Iterator<Item = EndpointLoad> {
         let busy = self.endpoints.values().filter(|e| e.calls != 0);
         busy.map(|e| EndpointLoad {
-            endpoint: instance_hash(&e.info.instance),
+            endpoint: start_hash(&e.info),
             tokens: e.tokens,
             calls: e.calls,
         })
     }
 
-    /// Endpoints that peers should leave alone: the instance's hash, and how much longer.
+    /// Endpoints that peers should leave alone: the start's hash, and how much longer.
     pub fn shunned(&self, now: Duration) -> impl Iterator<Item = (u32, Duration)> {
         let shunned = self.endpoints.values().filter(move |e| now < e.shunned);
-        shunned.map(move |e| (instance_hash(&e.info.instance), e.shunned - now))
+        shunned.map(move |e| (start_hash(&e.info), e.shunned - now))
     }
 
     /// Counts a peer's calls.
@@ -376,16 +228,28 @@
             return;
         }
         let Some(endpoint) = self.endpoints.remove(key) else { return };
-        self.hashes.remove(&instance_hash(&endpoint.info.instance));
-        self.instances.remove(&endpoint.info.instance);
+        let (hash, instance) = (start_hash(&endpoint.info), &endpoint.info.instance);
+        // A later start has the instance's name by now.
+        if self.hashes.get(&hash) == Some(&key) {
+            self.hashes.remove(&hash);
+        }
+        if self.instances.get(instance) == Some(&key) {
+            self.instances.remove(instance);
+        }
         if let Some(keys) = self.services.get_mut(&endpoint.info.service) {
             keys.retain(|other| *other != key);
         }
     }
 }
 
-/// How peers name an instance to each other. Two that share a hash, one in ten thousand fleets of 840,
-/// count each other's load.
-fn instance_hash(instance: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(instance.as_bytes()) as u32
+/// How peers name a start of an instance to each other: daemons that learn of a new start at different
+/// times must not take the former one's load for its own. Two that share a hash, one in ten thousand
+/// fleets of 840, count each other's load.
+fn start_hash(info: &EndpointInfo) -> u32 {
+    let name = info.instance.as_bytes();
+    let hash = match info.born {
+        None => xxh3_64(name),
+        Some(born) => xxh3_64_with_seed(name, born),
+    };
+    hash as u32
 }
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about forwarded calls, in virtual time and without a network.
 
+mod addresses;
 mod budgets;
 mod drafts;
 mod endpoints;
@@ -9,6 +10,8 @@
 mod overload;
 mod peers;
 mod plain;
+mod restart_schedules;
+mod restarts;
 mod rig;
 mod roles;
 mod routes;
--- a/crates/basilbank_forward/tests/forward/order_schedules.rs
+++ b/crates/basilbank_forward/tests/forward/order_schedules.rs
@@ -1,4 +1,5 @@
-//! Random schedules of the Vm that orders: restarts, freezes, cuts, and a right that moves.
+//! Random schedules of the Vm that orders: restarts, freezes, cuts, and a right that moves; the
+//! endpoints start again as well.
 
 use std::time::Duration;
 
@@ -29,6 +30,8 @@
     Move,
     /// A prefill endpoint is added.
     Grow,
+    /// An endpoint starts again under its id.
+    StartAgain(usize),
 }
 
 fn happening() -> impl Strategy<Value = Happening> {
@@ -39,6 +42,7 @@
         2 => (0usize..2, 5u32..100).prop_map(|(vm, steps)| Happening::Cut(vm, steps)),
         1 => Just(Happening::Move),
         4 => Just(Happening::Grow),
+        3 => any::<usize>().prop_map(Happening::StartAgain),
     ]
 }
 
@@ -106,6 +110,11 @@
                 let n = self.endpoints.len() as u16;
                 self.endpoints.push(model(&format!("m{n}"), n + 1, Stage::Prefill));
             }
+            Happening::StartAgain(nth) => {
+                let nth = nth % self.endpoints.len();
+                let endpoint = &mut self.endpoints[nth];
+                endpoint.born = Some(endpoint.born.map_or(1, |born| born + 1));
+            }
         }
     }
 
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -14,8 +14,9 @@
     /// The sender is shutting down: it takes no new work, and is no longer a peer.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
-    /// Endpoints at which the sender has calls: hashes of their instances. What it has there stands
-    /// at the same places of the next two lists; so an entry takes seven bytes instead of eighteen.
+    /// Endpoints at which the sender has calls: hashes of their instances and starts, so that what it
+    /// has at a former start isn't taken for load of the new one. What it has there stands at the same
+    /// places of the next two lists; so an entry takes seven bytes instead of eighteen.
     #[prost(fixed32, repeated, tag = "8")]
     pub endpoints: Vec<u32>,
     /// Tokens there.
@@ -75,7 +76,7 @@
 /// An endpoint that refuses work for some time: its stage is changing, or it loses KV caches.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Shunned {
-    /// Hash of the endpoint's instance.
+    /// Hash of the endpoint's instance and start.
     #[prost(fixed32, tag = "1")]
     pub endpoint: u32,
     /// For how much longer, in milliseconds.
@@ -86,7 +87,7 @@
 /// What a daemon has at one endpoint.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct EndpointLoad {
-    /// Hash of the endpoint's instance.
+    /// Hash of the endpoint's instance and start.
     pub endpoint: u32,
     /// Tokens: to be read at a prefill endpoint, in memory at a decode endpoint.
     pub tokens: u32,
