--- a/crates/basilbank_forward/src/reduce/entries.rs
+++ b/crates/basilbank_forward/src/reduce/entries.rs
@@ -4,6 +4,8 @@
 //! The product's identity of an endpoint is its instance's id and its start. All that is kept of an
 //! endpoint hangs on its key, and each start has a key of its own.
 
+use std::net::SocketAddr;
+
 use super::{Turn, end as release, endpoints};
 use crate::{
     endpoint::{EndpointInfo, EndpointKey, Says},
@@ -40,35 +42,46 @@
     if turn.state.entries.is_former(&info, turn.now) {
         return set_aside(turn, info);
     }
-    let known = turn.state.directory.find(&info.instance);
-    let known = known.and_then(|key| Some((key, turn.state.directory.get(key)?.info.clone())));
     let named = turn.state.entries.names(&info.service);
-    let mut same = None;
-    if let Some((key, before)) = known {
-        match before.compare(&info) {
+    let known = known(turn.state, &info);
+    let same = known.filter(|known| known.says == Says::Same);
+    if let Some(Known { key, says, sound, .. }) = known {
+        match says {
             Says::Former => return set_aside(turn, info),
-            Says::Same => {
-                info.born = before.born;
-                same = Some((key, before.addr));
-            }
+            Says::Same => {}
             // It shows that the start before it has ended, whatever it serves now: the id, by which
             // endpoints check that a call is for them, is the same.
             Says::Later => over(turn, key),
             // Another writer's entry looks like this, too: a sound endpoint stays.
-            Says::Other if stranger(turn.state, &before, named) => return set_aside(turn, info),
+            Says::Other if sound && !named => return set_aside(turn, info),
             Says::Other => over(turn, key),
         }
     }
-    let stays = same.is_some_and(|(_, addr)| addr == info.addr);
+    info.born = same.map_or(info.born, |same| same.born);
+    let stays = same.is_some_and(|same| same.addr == info.addr);
     if !stays && !clear_address(turn, &info, named, from) {
         return set_aside(turn, info);
     }
-    take_in(turn, same.map(|(key, _)| key), info);
+    take_in(turn, same.map(|same| same.key), info);
+}
+
+/// The present start of an entry's instance.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    key: EndpointKey,
+    /// What the entry says of it.
+    says: Says,
+    born: Option<u64>,
+    addr: SocketAddr,
+    /// A configuration has named its service.
+    sound: bool,
 }
 
-/// The entry's service is named by no configuration that was known so far, and the endpoint's is.
-fn stranger(state: &State, endpoint: &EndpointInfo, named: bool) -> bool {
-    !named && state.entries.names(&endpoint.service)
+fn known(state: &State, info: &EndpointInfo) -> Option<Known> {
+    let key = state.directory.find(&info.instance)?;
+    let before = &state.directory.get(key)?.info;
+    let (says, sound) = (before.compare(info), state.entries.names(&before.service));
+    Some(Known { key, says, born: before.born, addr: before.addr, sound })
 }
 
 fn set_aside(turn: &mut Turn<'_>, info: EndpointInfo) {
