--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod plain;
 mod restart_schedules;
+mod restarted_drafts;
 mod restarts;
 mod rig;
 mod roles;
--- a/crates/basilbank_forward/tests/forward/restarts.rs
+++ b/crates/basilbank_forward/tests/forward/restarts.rs
@@ -8,10 +8,10 @@
 };
 use test_case::test_case;
 
-use crate::rig::{BUSY, Rig, held, model, plain, prefilled, prompt};
+use crate::rig::{BUSY, Rig, held, model, plain, prompt};
 
 /// An entry of the start at this time.
-fn born(at: u64, info: EndpointInfo) -> EndpointInfo {
+pub fn born(at: u64, info: EndpointInfo) -> EndpointInfo {
     EndpointInfo { born: Some(at), ..info }
 }
 
@@ -19,7 +19,7 @@
     EndpointInfo { addr: SocketAddr::from(([10, 0, 0, 1], port)), ..info }
 }
 
-fn key(rig: &Rig, instance: &str) -> EndpointKey {
+pub fn key(rig: &Rig, instance: &str) -> EndpointKey {
     rig.state.directory.find(instance).expect("listed")
 }
 
@@ -27,12 +27,6 @@
     rig.effects.contains(&Effect::Forget(key))
 }
 
-/// Nothing is given back anywhere.
-fn gives_nothing_back(rig: &Rig) -> bool {
-    let gives = |effect: &Effect| matches!(effect, Effect::Drop { .. } | Effect::Free { .. });
-    !rig.effects.iter().any(gives)
-}
-
 /// Where a plain call goes; it leaves at once.
 fn target(rig: &mut Rig) -> Option<EndpointKey> {
     let id = rig.call("/stock/1", 1000, None);
@@ -42,33 +36,26 @@
 }
 
 /// A daemon with a prefill endpoint and a decode endpoint, each in its first start.
-fn pair() -> Rig {
+pub fn pair() -> Rig {
     let mut rig = Rig::new();
     rig.list(vec![born(1, model("p1", 1, Stage::Prefill)), born(1, model("d1", 3, Stage::Decode))]);
     rig
 }
 
-fn restart_prefill(rig: &mut Rig) {
+pub fn restart_prefill(rig: &mut Rig) {
     rig.list(vec![born(2, model("p1", 1, Stage::Prefill))]);
 }
 
-fn restart_decode(rig: &mut Rig) {
+pub fn restart_decode(rig: &mut Rig) {
     rig.list(vec![born(2, model("d1", 3, Stage::Decode))]);
 }
 
-fn draft(rig: &mut Rig) -> (RequestId, Attempt) {
+pub fn draft(rig: &mut Rig) -> (RequestId, Attempt) {
     let id = rig.call("/draft/1", 14_000, Some(prompt(1000)));
     (id, rig.start())
 }
 
-/// Another draft whose prompt is being read, so that the prefill endpoint has a call.
-fn other_reading(rig: &mut Rig) {
-    let (id, hold) = draft(rig);
-    rig.came(id, hold.number, held());
-    assert_eq!(rig.start().op, Op::Prefill);
-}
-
-fn calls_at(rig: &Rig, instance: &str) -> (u32, u32) {
+pub fn calls_at(rig: &Rig, instance: &str) -> (u32, u32) {
     let endpoint = rig.state.directory.get(key(rig, instance)).expect("listed");
     (endpoint.all_calls(), endpoint.all_tokens())
 }
@@ -214,150 +201,6 @@
     assert_eq!(rig.refusals(), [Refusal::Broken]);
 }
 
-/// Symptom: a draft was sent with a hold that its endpoint did not know, or that was another's.
-/// Sequence: the decode endpoint started again while the prompt was read.
-/// Cause: the hold was kept by the instance.
-#[test]
-fn a_draft_whose_slot_was_at_the_former_start_places_itself_anew() {
-    let mut rig = pair();
-    let (id, hold) = draft(&mut rig);
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    restart_decode(&mut rig);
-    assert_eq!(calls_at(&rig, "d1"), (0, 0));
-    rig.came(id, prefill.number, prefilled());
-    let again = rig.start();
-    assert!(matches!(again.op, Op::Hold { .. }), "{:?}", again.op);
-    assert_eq!(again.target.endpoint, key(&rig, "d1"));
-    rig.came(id, again.number, Outcome::Held { hold: "hold-2".to_owned() });
-    let Op::Decode { hold, .. } = rig.start().op else { panic!("its KV cache is there") };
-    assert_eq!(hold.as_deref(), Some("hold-2"));
-    assert!(gives_nothing_back(&rig));
-}
-
-/// Symptom: as above.
-/// Sequence: the endpoint granted a slot; the entry of its new start was read before the answer.
-/// Cause: the answer was taken for the new start's.
-#[test]
-fn a_slot_that_was_granted_by_the_former_start_is_not_used() {
-    let mut rig = pair();
-    let (id, hold) = draft(&mut rig);
-    restart_decode(&mut rig);
-    rig.came(id, hold.number, held());
-    let again = rig.start();
-    assert!(matches!(again.op, Op::Hold { .. }), "{:?}", again.op);
-    assert_ne!(again.target.endpoint, hold.target.endpoint);
-    assert!(gives_nothing_back(&rig));
-    assert_eq!(calls_at(&rig, "d1"), (1, 1060), "the new one alone");
-    rig.feed(Event::Left(id));
-    assert_eq!(calls_at(&rig, "d1"), (0, 0));
-}
-
-/// Symptom: a draft could have gone on from another draft's KV cache.
-/// Sequence: the prompt was read, the draft waited for a slot, and the prefill endpoint started
-/// again meanwhile; names of KV caches may come again.
-/// Cause: the KV cache was kept by the instance.
-#[test]
-fn a_kv_cache_of_the_former_start_is_not_taken() {
-    let mut rig = pair();
-    other_reading(&mut rig);
-    let (id, hold) = draft(&mut rig);
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    restart_decode(&mut rig);
-    rig.came(id, prefill.number, prefilled());
-    let again = rig.start();
-    restart_prefill(&mut rig);
-    rig.came(id, again.number, held());
-    let op = rig.start().op;
-    assert!(matches!(op, Op::Stream { hold: Some(_) }), "the decode endpoint reads it: {op:?}");
-}
-
-/// Symptom: as above.
-/// Sequence: the answer to the reading came after the entry of the new start.
-/// Cause: the answer was taken for the new start's.
-#[test]
-fn a_prompt_that_the_former_start_has_read_is_read_anew() {
-    let mut rig = pair();
-    other_reading(&mut rig);
-    let (id, hold) = draft(&mut rig);
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    restart_prefill(&mut rig);
-    rig.came(id, prefill.number, prefilled());
-    let op = rig.start().op;
-    assert!(matches!(op, Op::Stream { hold: Some(_) }), "{op:?}");
-    assert_eq!(calls_at(&rig, "p1"), (0, 0));
-}
-
-/// Symptom: none yet: a hold or a KV cache of another draft could have been given back.
-/// Sequence: endpoints start again; then the caller of a draft that held both leaves.
-/// Cause: what is given back is named to the address.
-#[test]
-fn nothing_of_the_former_start_is_given_back_at_the_new_one() {
-    let mut rig = pair();
-    let (id, hold) = draft(&mut rig);
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    rig.came(id, prefill.number, prefilled());
-    assert!(matches!(rig.start().op, Op::Decode { .. }));
-    restart_decode(&mut rig);
-    restart_prefill(&mut rig);
-    rig.feed(Event::Left(id));
-    assert!(gives_nothing_back(&rig), "{:?}", rig.effects);
-    assert_eq!(rig.state.directory.len(), 2);
-}
-
-/// Symptom: as above.
-/// Sequence: a decode is refused after its endpoint and the prefill endpoint have started again.
-/// Cause: as above; besides, the new prefill endpoint must not be shunned for what the former lost.
-#[test]
-fn a_refusal_by_the_former_start_says_nothing_of_the_new_one() {
-    let mut rig = pair();
-    let (id, hold) = draft(&mut rig);
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    rig.came(id, prefill.number, prefilled());
-    let decode = rig.start();
-    restart_decode(&mut rig);
-    restart_prefill(&mut rig);
-    rig.came(id, decode.number, BUSY);
-    assert!(gives_nothing_back(&rig), "{:?}", rig.effects);
-    for instance in ["p1", "d1"] {
-        let endpoint = rig.state.directory.get(key(&rig, instance)).expect("listed");
-        assert_eq!((endpoint.avoided, endpoint.shunned), (Duration::ZERO, Duration::ZERO));
-    }
-}
-
-/// Symptom: a stream that could go on was cut.
-/// Sequence: its endpoint crashed and started again; there is no other one.
-/// Cause: the endpoint had been tried.
-#[test]
-fn a_stream_goes_on_at_the_new_start() {
-    let mut rig = pair();
-    // Calls enough for a retry.
-    for _ in 0..40 {
-        let (id, _) = draft(&mut rig);
-        rig.feed(Event::Left(id));
-    }
-    rig.effects.clear();
-    let (id, hold) = draft(&mut rig);
-    rig.came(id, hold.number, held());
-    let prefill = rig.start();
-    rig.came(id, prefill.number, prefilled());
-    let decode = rig.start();
-    rig.came(id, decode.number, Outcome::Streaming);
-    restart_decode(&mut rig);
-    assert_eq!(calls_at(&rig, "d1"), (0, 0));
-    rig.came(id, decode.number, Outcome::Broken(Damage::CutOff));
-    let again = rig.start();
-    assert!(matches!(again.op, Op::Hold { .. }));
-    assert_eq!(again.target.endpoint, key(&rig, "d1"));
-    rig.came(id, again.number, Outcome::Held { hold: "hold-2".to_owned() });
-    assert_eq!(rig.start().op, Op::Stream { hold: Some("hold-2".to_owned()) });
-    assert_eq!(rig.state.directory.len(), 2);
-}
-
 /// A daemon's datagram to the other, after all that it has to tell has changed.
 fn tell(from: &mut Rig, to: &mut Rig, address: SocketAddr) {
     from.beats();
