--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about forwarded calls, in virtual time and without a network.
 
+mod addresses;
 mod budgets;
 mod drafts;
 mod endpoints;
@@ -11,6 +12,9 @@
 mod peers;
 mod plain;
 mod queue;
+mod restart_schedules;
+mod restarted_drafts;
+mod restarts;
 mod rig;
 mod roles;
 mod routes;
