Entries of another writer name no endpoint, and the others hold

Cause: an answer was decoded as a whole, so that one item of another shape failed the read for ever; fields that were absent were guessed; any state but ready was taken for draining; an unusable version was left out, so that the one before it counted.

Now each item of an answer is read by itself, and an entry once, into a typed reason. An unusable version takes the entry off; a good one brings it back. Long values aren't decoded, keys that can't be a header aren't taken, the next page begins only after a key of the list, and a revision beyond the store's own is no news for peers.

Findings are typed, counted and told once for each version, 20 lines a reading at most.

--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -31,6 +31,7 @@
     ready: Gauge<i64, std::sync::atomic::AtomicI64>,
     store: Family<Reason, Counter<u64, AtomicU64>>,
     probes: Family<Reason, Counter>,
+    unusable: Family<Reason, Counter>,
 }
 
 impl Default for Metrics {
@@ -47,6 +48,7 @@
             ready: Gauge::default(),
             store: Family::default(),
             probes: Family::default(),
+            unusable: Family::default(),
             registry: Registry::default(),
         };
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
@@ -59,6 +61,8 @@
         registry.register("ready", "1 while calls are taken", metrics.ready.clone());
         registry.register("store_calls", "Calls to the platform's store", metrics.store.clone());
         registry.register("probes", "Questions to dark endpoints", metrics.probes.clone());
+        let unusable = metrics.unusable.clone();
+        registry.register("unusable_entries", "Entries of the store that can't be used", unusable);
         Metrics { registry, ..metrics }
     }
 }
@@ -84,6 +88,11 @@
         count(&self.store, outcome);
     }
 
+    /// A version of an entry of the store can't be used.
+    pub fn unusable_entry(&self, reason: &str) {
+        count(&self.unusable, reason);
+    }
+
     /// A dark endpoint was asked whether it lives.
     pub fn probed(&self, life: Life) {
         let answer = match life {
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::{
+    findings::{Finding, Findings},
     progress::{Patience, Progress, SETTLE},
     reading::{Query, ReadError, Reading, Scope, Source},
     router::Router,
@@ -72,6 +73,7 @@
         pages: Reading::default(),
         whole: 0,
         just_read: false,
+        findings: Findings::default(),
     };
     loop {
         let pause = reader.turn().await;
@@ -93,6 +95,8 @@
     whole: usize,
     /// Everything was read, and no changes since.
     just_read: bool,
+    /// Entries that can't be used.
+    findings: Findings,
 }
 
 /// How a read ended.
@@ -238,9 +242,8 @@
         if self.topic == Topic::Endpoints {
             self.router.set_lost(false);
         }
-        for finding in &reading.findings {
-            log::warn!("{}", self.line("store_finding").with("finding", finding));
-        }
+        let findings = std::mem::take(&mut reading.findings);
+        self.tell(&findings);
         let is_page = matches!(scope, Scope::Page { .. });
         if is_page {
             self.whole = if self.pages.next.is_some() { self.whole + bytes } else { bytes };
@@ -251,7 +254,11 @@
             reading = std::mem::take(&mut self.pages);
         }
         self.just_read = is_page;
-        let changed = !is_page && reading.at.newest != 0;
+        if let Some(line) = self.findings.end() {
+            log::warn!("{}", line.with("topic", self.topic.as_str()));
+        }
+        // A change that can't be used is one, too: it costs the same.
+        let changed = !is_page && (reading.at.newest != 0 || !findings.is_empty());
         self.after = reading.at.store;
         let Reading { at: read, table, listed, gone, .. } = reading;
         self.router.dispatch(match self.topic {
@@ -262,6 +269,19 @@
         if changed { BATCH } else { Duration::ZERO }
     }
 
+    /// Counts and tells what can't be used.
+    fn tell(&mut self, findings: &[Finding]) {
+        for finding in findings {
+            if !self.findings.is_new(finding) {
+                continue;
+            }
+            self.router.metrics.unusable_entry(finding.reason);
+            if let Some(line) = self.findings.line(finding) {
+                log::warn!("{}", line.with("topic", self.topic.as_str()));
+            }
+        }
+    }
+
     /// The store did not answer as it should.
     fn lost(&mut self, error: &str, begun: Instant, progress: &Progress) -> Duration {
         self.router.metrics.store_call("failed");
--- a/crates/basilbank_gateway/src/reading.rs
+++ b/crates/basilbank_gateway/src/reading.rs
@@ -4,7 +4,7 @@
 
 use basilbank_forward::prelude::*;
 
-use crate::progress::Progress;
+use crate::{findings::Finding, progress::Progress};
 
 /// What is read.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -45,8 +45,8 @@
     pub listed: Vec<EndpointInfo>,
     /// Instances whose entries went.
     pub gone: Vec<String>,
-    /// What is wrong with entries that were left out.
-    pub findings: Vec<String>,
+    /// Entries that were left out.
+    pub findings: Vec<Finding>,
     /// Where the next page begins; none after the last.
     pub next: Option<String>,
 }
