--- a/crates/basilbank_gateway/tests/reader/findings.rs
+++ b/crates/basilbank_gateway/tests/reader/findings.rs
@@ -6,7 +6,7 @@
 use basilbank_gateway::{Finding, Findings, ReadError, Reading, Scope};
 use tokio::time::sleep;
 
-use crate::rig::{Rig, at_once, in_virtual_time, list};
+use crate::rig::{Rig, at_once, in_virtual_time, list, silence};
 
 fn finding(key: &str, revision: u64) -> Finding {
     Finding::new(key, revision, "no_json", "")
@@ -57,6 +57,8 @@
         let rig = Rig::new();
         rig.read(Topic::Endpoints, |query, _| match query.scope {
             Scope::Page { .. } => at_once(Ok(list(10, &["a"]))),
+            // No time passes while a reader asks without a pause.
+            Scope::Changes { after: 1000.., .. } => silence(),
             Scope::Changes { after, .. } => {
                 let mut reading = Reading { findings: vec![finding("", 0)], ..Reading::default() };
                 reading.at.store = after + 1;
