The stand-in plays entries of other writers, and endpoints that start again

The platform may hold entries of other writers beside endpoints' own, and an endpoint may start again under the id that it had. The stand-in could write only entries that are objects, and an endpoint could only be replaced by another id.

`ManagedStore::put_raw` writes any bytes, `put_answer` a value that encodes none; `BadEntry` lists the kinds. `ManagedEndpoint::restart` ends an endpoint and starts it again with a later `born`, at its port or another; slots, KV caches, counts and calls in progress of the former start are gone. Entries count `seq` from each start on, and reports say `born`, too.

--- /dev/null
+++ b/crates/basilbank_standin/src/managed/bad_entry.rs
@@ -0,0 +1,95 @@
+//! Entries of other writers, that name no endpoint to use.
+
+use serde_json::Value;
+
+use super::store::ManagedStore;
+
+/// What is wrong with an entry under an endpoint's prefix.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum BadEntry {
+    /// Its bytes are these.
+    Bytes(&'static [u8]),
+    /// Its value in the store's answer is this JSON, which encodes no bytes.
+    Answer(&'static str),
+    /// A good one without a field.
+    Without(&'static str),
+    /// A good one with another JSON in a field.
+    With(&'static str, &'static str),
+}
+
+use BadEntry::{Answer, Bytes, With, Without};
+
+impl BadEntry {
+    /// Values that can't be read at all.
+    pub const UNREADABLE: [BadEntry; 12] = [
+        Bytes(b""),
+        Bytes(b"\xff\xfe\x00\x80"),
+        Bytes(b"{\"service\":"),
+        Bytes(b"[]"),
+        Bytes(b"null"),
+        Bytes(b"7"),
+        Answer("7"),
+        Answer("true"),
+        Answer("null"),
+        Answer("[\"a\"]"),
+        Answer("{\"a\":1}"),
+        Answer("\"%%%\""),
+    ];
+
+    /// A field that every endpoint writes is missing.
+    pub const MISSING: [BadEntry; 8] = [
+        Without("service"),
+        Without("addr"),
+        Without("zone"),
+        Without("version"),
+        Without("slots"),
+        Without("state"),
+        Without("coldLeftMs"),
+        Without("seq"),
+    ];
+
+    /// A field has another type.
+    pub const MISTYPED: [BadEntry; 15] = [
+        With("service", "7"),
+        With("addr", "7"),
+        With("addr", "\"nowhere\""),
+        With("zone", "7"),
+        With("version", "[]"),
+        With("slots", "\"many\""),
+        With("slots", "-1"),
+        With("state", "true"),
+        With("state", "null"),
+        With("coldLeftMs", "\"soon\""),
+        With("seq", "{}"),
+        With("stage", "7"),
+        With("born", "\"today\""),
+        With("born", "1.5"),
+        With("born", "-1"),
+    ];
+
+    /// A state that the platform has not.
+    pub const UNNAMED: [BadEntry; 3] =
+        [With("state", "\"resting\""), With("state", "\"\""), With("state", "\"READY\"")];
+
+    /// All of them.
+    #[must_use]
+    pub fn all() -> Vec<BadEntry> {
+        let mistyped = BadEntry::MISTYPED.iter().chain(&BadEntry::UNNAMED);
+        BadEntry::UNREADABLE.iter().chain(&BadEntry::MISSING).chain(mistyped).copied().collect()
+    }
+
+    /// Writes it. A good entry is what it would be without the fault.
+    pub fn put(self, store: &ManagedStore, key: &str, mut good: Value) {
+        match self {
+            Bytes(bytes) => return store.put_raw(key, bytes),
+            Answer(text) => return store.put_answer(key, json(text)),
+            Without(field) => drop(good.as_object_mut().and_then(|entry| entry.remove(field))),
+            With(field, text) => good[field] = json(text),
+        }
+        store.put(key, &good);
+    }
+}
+
+fn json(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_default()
+}
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -4,14 +4,21 @@
     collections::{HashMap, HashSet},
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::json;
 
-use super::http::{Listener, Request, answer_bytes, write_answer};
+use super::{
+    http::{Listener, Request, answer_bytes, write_answer},
+    misdeed::Misdeed,
+    served::Served,
+};
 
 /// Time between two events of a stream.
 const EVENT_TIME: Duration = Duration::from_millis(5);
@@ -41,55 +48,13 @@
     }
 }
 
-/// How an endpoint misbehaves, for calls from now on.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub enum Misdeed {
-    /// It does not.
-    #[default]
-    None,
-    /// It is full: it runs nothing, and says so.
-    Full,
-    /// It runs the call and fails.
-    Error,
-    /// It runs the call and closes the connection instead of an answer.
-    Lost,
-    /// It runs the call and breaks its answer off in the middle.
-    Torn,
-    /// It answers twice.
-    Doubled,
-    /// Its answer carries another call's id.
-    Mistaken,
-    /// Its answer is no HTTP.
-    Garbage,
-    /// It takes the call and says nothing.
-    Silent,
-    /// Its KV caches are gone at once.
-    Forgetful,
-}
-
-/// What an endpoint has served.
-#[derive(Clone, Debug, Default)]
-pub struct Served {
-    /// Calls that it ran, in order.
-    pub ran: Vec<Request>,
-    /// Prompts that it read for a later decode.
-    pub prefills: u32,
-    /// Slots that it held.
-    pub holds: u32,
-    /// Bodies of the orders that it got.
-    pub orders: Vec<serde_json::Value>,
-    /// Streams whose caller closed the connection before their end.
-    pub abandoned: u32,
-    /// Streams that it is sending.
-    pub active: u32,
-    /// Slots that were given back.
-    pub dropped: u32,
-    /// KV caches that were freed.
-    pub freed: u32,
-}
-
+/// What one start of an endpoint knows. The next start knows nothing of it.
 #[derive(Debug, Default)]
 struct Inside {
+    /// Its start, milliseconds since the Unix epoch.
+    born: u64,
+    /// Entries written so far.
+    written: u64,
     stage: Option<&'static str>,
     misdeed: Misdeed,
     handles: HashSet<String>,
@@ -122,19 +87,35 @@
     /// # Errors
     /// It can't listen.
     pub fn start(spec: EndpointSpec, caches: &Caches) -> io::Result<ManagedEndpoint> {
-        let inside = Arc::new(Mutex::new(Inside { stage: spec.stage, ..Inside::default() }));
-        let serving = Serving {
-            instance: spec.instance.clone(),
-            inside: Arc::clone(&inside),
-            caches: caches.clone(),
-        };
-        let serve = move |stream: &TcpStream, request: &Request| serving.serve(stream, request);
-        let listener = Listener::start(spec.port, serve)?;
+        let inside = begin(spec.stage);
+        let listener = listen(&spec, spec.port, &inside, caches)?;
         let listed = listener.address();
         lock(&caches.0).insert(listed, Arc::clone(&inside));
         Ok(ManagedEndpoint { spec, inside, listener, caches: caches.clone(), listed })
     }
 
+    /// It ends, and starts again under its id at a port, with a later `born` and nothing of before:
+    /// calls in progress break off, slots, KV caches and counts are gone. Port 0 lets the system
+    /// choose another address. Returns what the former start has served.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn restart(&mut self, port: u16) -> io::Result<Served> {
+        self.listener.close();
+        let (inside, before) = (begin(self.spec.stage), self.listener.address());
+        self.listener = listen(&self.spec, port, &inside, &self.caches)?;
+        let mut caches = lock(&self.caches.0);
+        caches.remove(&before);
+        if self.listed == before {
+            self.listed = self.listener.address();
+        }
+        caches.insert(self.listed, Arc::clone(&inside));
+        drop(caches);
+        let former = std::mem::replace(&mut self.inside, inside);
+        let served = lock(&former).served.clone();
+        Ok(served)
+    }
+
     /// It is reached at another address, such as a proxy's, and listed with that.
     pub fn reach_at(&mut self, address: SocketAddr) {
         self.listed = address;
@@ -153,14 +134,17 @@
         &self.spec.instance
     }
 
-    /// Its entry in the store.
+    /// Its next entry in the store.
     #[must_use]
     pub fn entry(&self, service: &str, state: &str) -> serde_json::Value {
+        let mut inside = lock(&self.inside);
+        inside.written += 1;
         let mut entry = json!({
             "service": service, "addr": self.listed.to_string(), "zone": "hall-a",
-            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1,
+            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": inside.written,
+            "born": inside.born,
         });
-        if let Some(stage) = lock(&self.inside).stage {
+        if let Some(stage) = inside.stage {
             entry["stage"] = json!(stage);
         }
         entry
@@ -183,6 +167,32 @@
     }
 }
 
+fn begin(stage: Option<&'static str>) -> Arc<Mutex<Inside>> {
+    Arc::new(Mutex::new(Inside { born: born(), stage, ..Inside::default() }))
+}
+
+/// Now, and later than any before: two starts in one millisecond would be the same one.
+fn born() -> u64 {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+    let before = LAST.fetch_max(now, Ordering::Relaxed);
+    match now <= before {
+        true => LAST.fetch_add(1, Ordering::Relaxed) + 1,
+        false => now,
+    }
+}
+
+fn listen(
+    spec: &EndpointSpec,
+    port: u16,
+    inside: &Arc<Mutex<Inside>>,
+    caches: &Caches,
+) -> io::Result<Listener> {
+    let (instance, inside) = (spec.instance.clone(), Arc::clone(inside));
+    let serving = Serving { instance, inside, caches: caches.clone() };
+    Listener::start(port, move |stream, request| serving.serve(stream, request))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -198,7 +208,7 @@
             return Ok(());
         }
         match (request.method.as_str(), request.path()) {
-            ("GET", "/report") => write_answer(stream, 200, &[], b"{}"),
+            ("GET", "/report") => self.report(stream),
             ("POST", "/hold-take") => self.hold(stream, misdeed),
             ("POST", "/order") => self.order(stream, request),
             ("DELETE", path) if path.starts_with("/hold-drop/") => {
@@ -215,6 +225,17 @@
         }
     }
 
+    fn report(&self, stream: &TcpStream) -> io::Result<()> {
+        let inside = lock(&self.inside);
+        let report = json!({
+            "stage": inside.stage, "models": [], "busy": false, "seq": inside.served.orders.len(),
+            "queued": 0, "active": inside.served.active, "kvUsed": 0, "kvTotal": 100_000,
+            "kvHandles": inside.handles.len(), "born": inside.born,
+        });
+        drop(inside);
+        write_answer(stream, 200, &[], report.to_string().as_bytes())
+    }
+
     fn refuse(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
         let id = request.header("x-attempt-id").unwrap_or_default();
         write_answer(stream, 503, &[("x-not-executed", "1"), ("x-attempt-id", id)], b"")
@@ -262,6 +283,9 @@
             return self.refuse(stream, request);
         }
         lock(&self.inside).served.ran.push(request.clone());
+        if misdeed == Misdeed::Hanging {
+            return Ok(());
+        }
         match request.header("x-token-counts") {
             Some(_) => {
                 lock(&self.inside).served.active += 1;
--- a/crates/basilbank_standin/src/managed/http.rs
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -232,21 +232,25 @@
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
-}
 
-impl Drop for Listener {
-    fn drop(&mut self) {
+    /// Ends it: nothing listens at its port any more, and all connections are closed.
+    pub(super) fn close(&mut self) {
+        let Some(thread) = self.thread.take() else { return };
         self.ended.store(true, Ordering::Relaxed);
         // The thread waits in accept; a connection wakes it.
         let _ = TcpStream::connect(self.address);
-        if let Some(thread) = self.thread.take() {
-            // Its port is free once it has ended. A panic there leaves nothing to wait for.
-            let _ = thread.join();
-        }
+        // Its port is free once it has ended. A panic there leaves nothing to wait for.
+        let _ = thread.join();
         self.close_all();
     }
 }
 
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
 fn converse(
     stream: &TcpStream,
     serve: &dyn Fn(&TcpStream, &Request) -> io::Result<()>,
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -0,0 +1,24 @@
+//! What an endpoint has served.
+
+use super::http::Request;
+
+/// What an endpoint has served.
+#[derive(Clone, Debug, Default)]
+pub struct Served {
+    /// Calls that it ran, in order.
+    pub ran: Vec<Request>,
+    /// Prompts that it read for a later decode.
+    pub prefills: u32,
+    /// Slots that it held.
+    pub holds: u32,
+    /// Bodies of the orders that it got.
+    pub orders: Vec<serde_json::Value>,
+    /// Streams whose caller closed the connection before their end.
+    pub abandoned: u32,
+    /// Streams that it is sending.
+    pub active: u32,
+    /// Slots that were given back.
+    pub dropped: u32,
+    /// KV caches that were freed.
+    pub freed: u32,
+}
--- a/crates/basilbank_standin/src/managed/store.rs
+++ b/crates/basilbank_standin/src/managed/store.rs
@@ -93,9 +93,10 @@
 #[derive(Debug, Default)]
 struct Inside {
     revision: u64,
-    items: BTreeMap<String, (u64, Vec<u8>)>,
+    /// Revision, and value as answers have it: base64 text unless it is another's entry.
+    items: BTreeMap<String, (u64, Value)>,
     /// Key, revision, and value unless it was deleted.
-    history: Vec<(String, u64, Option<Vec<u8>>)>,
+    history: Vec<(String, u64, Option<Value>)>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
     calls: u64,
@@ -145,7 +146,17 @@
 
     /// Writes an item.
     pub fn put(&self, key: &str, value: &Value) {
-        self.shared.change(key, Some(value.to_string().into_bytes()));
+        self.put_raw(key, value.to_string().as_bytes());
+    }
+
+    /// Writes an item of any bytes.
+    pub fn put_raw(&self, key: &str, bytes: &[u8]) {
+        self.put_answer(key, json!(STANDARD.encode(bytes)));
+    }
+
+    /// Writes an item whose value in answers is this JSON, of any type, and encodes no bytes.
+    pub fn put_answer(&self, key: &str, value: Value) {
+        self.shared.change(key, Some(value));
     }
 
     /// Removes an item.
@@ -182,7 +193,7 @@
         self.inside.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn change(&self, key: &str, value: Option<Vec<u8>>) {
+    fn change(&self, key: &str, value: Option<Value>) {
         let mut inside = self.lock();
         inside.revision += 1;
         let revision = inside.revision;
@@ -276,6 +287,6 @@
     }
 }
 
-fn item(key: &str, rev: u64, value: &[u8]) -> Value {
-    json!({ "key": key, "value": STANDARD.encode(value), "rev": rev, "created": rev, "lease": 0 })
+fn item(key: &str, rev: u64, value: &Value) -> Value {
+    json!({ "key": key, "value": value, "rev": rev, "created": rev, "lease": 0 })
 }
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -115,7 +115,7 @@
     /// It did not start.
     pub fn add_plain(&mut self, spec: EndpointSpec) -> anyhow::Result<()> {
         let endpoint = ManagedEndpoint::start(spec, &self.caches)?;
-        self.store.put(&key(endpoint.instance()), &endpoint.entry(DESK, "ready"));
+        self.list(&endpoint, DESK, "ready");
         self.plain.push(endpoint);
         Ok(())
     }
@@ -126,15 +126,28 @@
     /// It did not start.
     pub fn add_model(&mut self, spec: EndpointSpec) -> anyhow::Result<()> {
         let endpoint = ManagedEndpoint::start(spec, &self.caches)?;
-        self.store.put(&key(endpoint.instance()), &endpoint.entry(WRITER, "ready"));
+        self.list(&endpoint, WRITER, "ready");
         self.model.push(endpoint);
         Ok(())
     }
 
     /// Lists a plain endpoint as draining.
     pub fn drain_plain(&self, n: usize) {
-        let endpoint = &self.plain[n];
-        self.store.put(&key(endpoint.instance()), &endpoint.entry(DESK, "draining"));
+        self.list(&self.plain[n], DESK, "draining");
+    }
+
+    /// Lists a plain endpoint as ready.
+    pub fn list_plain(&self, n: usize) {
+        self.list(&self.plain[n], DESK, "ready");
+    }
+
+    /// Lists a model endpoint as ready.
+    pub fn list_model(&self, n: usize) {
+        self.list(&self.model[n], WRITER, "ready");
+    }
+
+    fn list(&self, endpoint: &ManagedEndpoint, service: &str, state: &str) {
+        self.store.put(&key(endpoint.instance()), &endpoint.entry(service, state));
     }
 
     /// Takes an instance off the list.
@@ -262,7 +275,9 @@
     }
 }
 
-fn key(instance: &str) -> String {
+/// The key of an instance's entry in the store.
+#[must_use]
+pub fn key(instance: &str) -> String {
     format!("servers/{instance}")
 }
 
