--- a/crates/basilbank_standin/tests/managed/support.rs
+++ b/crates/basilbank_standin/tests/managed/support.rs
@@ -34,13 +34,22 @@
 
 /// A draft of some events.
 pub fn draft(to: SocketAddr, path: &str, events: u32) -> Answer {
-    let counts = format!("1000,{events}");
+    draft_of(to, path, "d1", 1000, events)
+}
+
+/// A draft with an id, a prompt of some tokens, and some events.
+pub fn draft_of(to: SocketAddr, path: &str, id: &str, tokens: u32, events: u32) -> Answer {
+    let counts = format!("{tokens},{events}");
+    // Each has a session of its own.
+    let session =
+        id.bytes().fold(0, |sum: u32, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte)));
+    let prefix = format!("{session:x}:{tokens}");
     let headers = [
         ("host", "shop.example"),
-        ("x-attempt-id", "d1"),
+        ("x-attempt-id", id),
         ("x-deadline-remaining", "8000"),
         ("x-token-counts", counts.as_str()),
-        ("x-prompt-prefix", "ab:1000"),
+        ("x-prompt-prefix", prefix.as_str()),
     ];
     call(to, &format!("POST {path}"), &headers, b"prompt").expect("an answer")
 }
