--- a/crates/basilbank_standin/src/managed/bad_entry.rs
+++ b/crates/basilbank_standin/src/managed/bad_entry.rs
@@ -67,9 +67,13 @@
         With("born", "-1"),
     ];
 
-    /// A state that the platform has not.
-    pub const UNNAMED: [BadEntry; 3] =
-        [With("state", "\"resting\""), With("state", "\"\""), With("state", "\"READY\"")];
+    /// A state that the platform has not, or a service that no route names.
+    pub const UNNAMED: [BadEntry; 4] = [
+        With("state", "\"resting\""),
+        With("state", "\"\""),
+        With("state", "\"READY\""),
+        With("service", "\"harbour\""),
+    ];
 
     /// All of them.
     #[must_use]
--- a/crates/basilbank_standin/tests/managed/restarts.rs
+++ b/crates/basilbank_standin/tests/managed/restarts.rs
@@ -10,7 +10,8 @@
 };
 
 use basilbank_standin::managed::{
-    Answer, Misdeed, Request, Served, StoreFault, WRITER, World, WorldSpec, call,
+    Answer, DESK, EndpointSpec, Misdeed, Request, Served, StoreFault, WRITER, World, WorldSpec,
+    call, key,
 };
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -158,6 +159,52 @@
     });
 }
 
+/// Symptom: calls went to a start that had ended.
+/// Sequence: an endpoint starts again at another address; the entry of its former start is written once
+/// more, late, and the former start still listens.
+/// Cause: the entry that was read last was taken for the newest.
+#[test]
+fn an_older_entry_that_comes_late_does_not_bring_the_former_start_back() {
+    let mut world = narrow_world();
+    assert!(serves(&world));
+    world.add_plain(EndpointSpec::plain("plain-0")).expect("its next start");
+    let ran = |world: &World, n: usize| world.plain[n].served().ran.len();
+    eventually("the new start serves", || serves(&world) && 0 < ran(&world, 1));
+    world.list_plain(0);
+    // A third one is seen, so the late entry has been read; then only the new start is left.
+    world.add_plain(EndpointSpec::plain("marker")).expect("an endpoint");
+    eventually("the marker serves", || serves(&world) && 0 < ran(&world, 2));
+    world.drain_plain(2);
+    let former = ran(&world, 0);
+    eventually("the new start serves alone", || {
+        let before = ran(&world, 1);
+        (0..10).all(|_| serves(&world)) && ran(&world, 1) == before + 10
+    });
+    assert_eq!(ran(&world, 0), former, "the former start got work");
+}
+
+/// Symptom: a service lost the endpoint that it had.
+/// Sequence: an endpoint starts again at another address; the late entry of its former start says that
+/// it is draining.
+/// Cause: a late word of the former start was taken for the new one's.
+#[test]
+fn a_late_word_of_the_former_start_does_not_drain_the_new_one() {
+    let mut world = narrow_world();
+    let former = world.plain[0].entry(DESK, "draining");
+    restart_plain(&mut world, 0, At::Another);
+    world.list_plain(0);
+    eventually("the new start serves", || serves(&world));
+    world.store.put(&key("plain-0"), &former);
+    world.add_plain(EndpointSpec::plain("marker")).expect("an endpoint");
+    let ran = |world: &World, n: usize| world.plain[n].served().ran.len();
+    eventually("the marker serves", || serves(&world) && 0 < ran(&world, 1));
+    world.drain_plain(1);
+    eventually("the new start serves alone", || {
+        let before = ran(&world, 0);
+        (0..10).all(|_| serves(&world)) && ran(&world, 0) == before + 10
+    });
+}
+
 /// Symptom: an endpoint ran a call that it must not run twice, or a caller got another one's answer.
 /// Sequence: an endpoint starts again while calls come one after another.
 /// Cause: a call that a former start may have run was sent to the new one.
@@ -311,3 +358,25 @@
         open.into_iter().for_each(|(_, thread)| drop(thread.join().expect("its thread")));
     }
 }
+
+/// Symptom: drafts were sent to an endpoint for a KV cache that its former start had made.
+/// Sequence: the endpoint that reads prompts loses its KV caches and is left alone; it starts again.
+/// Cause: the former start's failure was held against the new one.
+#[test_case(At::Same)]
+#[test_case(At::Another)]
+fn a_prefill_endpoint_that_lost_kv_caches_reads_prompts_after_its_restart(at: At) {
+    let mut world = world();
+    let callers = world.callers(0);
+    world.model[0].misbehave(Misdeed::Forgetful);
+    assert_eq!(draft(callers, "/draft/1", 10).text(), stream_of(10));
+    assert_eq!(draft(callers, "/draft/1", 10).text(), stream_of(10));
+    assert_eq!(world.model[0].served().prefills, 1, "it is left alone");
+    world.model[0].misbehave(Misdeed::None);
+    restart_model(&mut world, 0, at);
+    world.list_model(0);
+    // They leave after it was listed, so that the daemon has read both once it refuses.
+    (0..2).for_each(|n| world.drain_plain(n));
+    eventually("plain endpoints leave", || !serves(&world));
+    assert_eq!(draft(callers, "/draft/1", 10).text(), stream_of(10));
+    assert_eq!(world.model[0].served().prefills, 1, "the new start reads the next prompt");
+}
