An endpoint whose entry another writer replaced gets no work until it writes again, whatever stands there

Cause: an entry of a good shape for a service that nobody names, under the key of a sound endpoint, was set aside and the endpoint used on, while every other unusable entry there takes it off. Change: it takes the endpoint off, too; one under another key still takes nothing. One test case expected the contrary; it is replaced by the stricter one, which also wants the endpoint back.

--- a/crates/basilbank_forward/src/reduce/entries.rs
+++ b/crates/basilbank_forward/src/reduce/entries.rs
@@ -52,8 +52,13 @@
             // It shows that the start before it has ended, whatever it serves now: the id, by which
             // endpoints check that a call is for them, is the same.
             Says::Later => over(turn, key),
-            // Another writer's entry looks like this, too: a sound endpoint stays.
-            Says::Other if sound && !named => return set_aside(turn, info),
+            // Another writer's entry stands in place of its own: nobody vouches for it until it writes
+            // again. Its calls in progress go on, as for any entry that went.
+            Says::Other if sound && !named => {
+                turn.state.fresh = true;
+                endpoints::unlist(turn, key);
+                return set_aside(turn, info);
+            }
             Says::Other => over(turn, key),
         }
     }
--- a/crates/basilbank_forward/tests/forward/addresses.rs
+++ b/crates/basilbank_forward/tests/forward/addresses.rs
@@ -166,13 +166,15 @@
 /// Sequence: an instance's entry names another service than before, without a start.
 /// Cause: it stayed on the list of the service that it had first.
 #[test_case(WRITER, false; "a service that is known")]
-#[test_case(STRANGE, true; "another writer's entry")]
+#[test_case(STRANGE, false; "another writer's entry in place of its own")]
 #[test_case(DESK, true; "the same")]
 fn an_instance_serves_what_its_entry_says(service: &str, stays: bool) {
     let mut rig = Rig::new();
     rig.list(vec![plain("a", 1)]);
     rig.list(vec![EndpointInfo { service: service.to_owned(), ..plain("a", 1) }]);
     assert_eq!(in_use(&mut rig), stays);
+    rig.list(vec![plain("a", 1)]);
+    assert!(in_use(&mut rig), "its own entry is back");
 }
 
 /// Symptom: none yet: a daemon would have woken without a pause for as long as a call ran.
