Values that encode no bytes are a kind of bad entry of their own

They fail in another way than bytes that can't be read: these are skipped by the code as it is, those make the whole answer of the store unreadable.

--- a/crates/basilbank_standin/src/managed/bad_entry.rs
+++ b/crates/basilbank_standin/src/managed/bad_entry.rs
@@ -20,14 +20,18 @@
 use BadEntry::{Answer, Bytes, With, Without};
 
 impl BadEntry {
-    /// Values that can't be read at all.
-    pub const UNREADABLE: [BadEntry; 12] = [
+    /// Bytes that can't be read.
+    pub const UNREADABLE: [BadEntry; 6] = [
         Bytes(b""),
         Bytes(b"\xff\xfe\x00\x80"),
         Bytes(b"{\"service\":"),
         Bytes(b"[]"),
         Bytes(b"null"),
         Bytes(b"7"),
+    ];
+
+    /// Values that encode no bytes.
+    pub const BYTELESS: [BadEntry; 6] = [
         Answer("7"),
         Answer("true"),
         Answer("null"),
@@ -75,12 +79,14 @@
         With("service", "\"harbour\""),
     ];
 
-    /// All of them.
-    #[must_use]
-    pub fn all() -> Vec<BadEntry> {
-        let mistyped = BadEntry::MISTYPED.iter().chain(&BadEntry::UNNAMED);
-        BadEntry::UNREADABLE.iter().chain(&BadEntry::MISSING).chain(mistyped).copied().collect()
-    }
+    /// All of them, by kind.
+    pub const KINDS: [&[BadEntry]; 5] = [
+        &BadEntry::UNREADABLE,
+        &BadEntry::BYTELESS,
+        &BadEntry::MISSING,
+        &BadEntry::MISTYPED,
+        &BadEntry::UNNAMED,
+    ];
 
     /// Writes it. A good entry is what it would be without the fault.
     pub fn put(self, store: &ManagedStore, key: &str, mut good: Value) {
--- a/crates/basilbank_standin/tests/managed/entries.rs
+++ b/crates/basilbank_standin/tests/managed/entries.rs
@@ -30,7 +30,7 @@
         bad.put(&world.store, &key(decoy.instance()), decoy.entry(DESK, "ready"));
         decoy
     };
-    BadEntry::all().into_iter().enumerate().map(write).collect()
+    BadEntry::KINDS.concat().into_iter().enumerate().map(write).collect()
 }
 
 fn got_no_work(decoys: &[ManagedEndpoint]) {
@@ -78,6 +78,7 @@
 /// Sequence: while a daemon watches, somebody writes an entry that isn't an endpoint's.
 /// Cause: one item that can't be read made the whole answer unreadable, or was taken for an endpoint.
 #[test_case(&BadEntry::UNREADABLE; "that can not be read")]
+#[test_case(&BadEntry::BYTELESS; "that encodes no bytes")]
 #[test_case(&BadEntry::MISSING; "with a field missing")]
 #[test_case(&BadEntry::MISTYPED; "with a field of another type")]
 #[test_case(&BadEntry::UNNAMED; "with another state or service")]
@@ -97,6 +98,7 @@
 /// Sequence: an entry of another writer, which names no endpoint to use, has a living one's address.
 /// Cause: whoever had the address before was taken for gone.
 #[test_case(&BadEntry::UNREADABLE; "that can not be read")]
+#[test_case(&BadEntry::BYTELESS; "that encodes no bytes")]
 #[test_case(&BadEntry::MISSING; "with a field missing")]
 #[test_case(&BadEntry::MISTYPED; "with a field of another type")]
 #[test_case(&BadEntry::UNNAMED; "with another state or service")]
@@ -177,6 +179,7 @@
 /// Sequence: an entry that can't be read replaces a good one under its key, and a good one follows.
 /// Cause: what can't be read was skipped, and the entry before it stayed.
 #[test_case(&BadEntry::UNREADABLE; "that can not be read")]
+#[test_case(&BadEntry::BYTELESS; "that encodes no bytes")]
 #[test_case(&BadEntry::MISSING; "with a field missing")]
 #[test_case(&BadEntry::MISTYPED; "with a field of another type")]
 #[test_case(&BadEntry::UNNAMED; "with another state or service")]
