The soak plays entries of other writers, restarts under one id, and a narrow link

Each plan gets six troubles more, of bad entries beside all endpoints' or in place of one, and of endpoints that start again under their id, and a long configuration; one daemon reaches the store over a narrow link to the end. At the end each daemon must serve the route that was added last.

--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -3,13 +3,26 @@
 use std::time::Duration;
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::{Misdeed, StoreFault};
+use basilbank_standin::managed::{BadEntry, Misdeed, StoreFault};
 
 use crate::proxy::Weather;
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
 
+/// Troubles from the second stream of random numbers.
+const MORE_FAULTS: usize = 6;
+
+/// Sets the second stream of random numbers apart from the first one: whatever it comes to draw, a
+/// seed keeps the faults of the first.
+const MORE: u64 = 0x6d6f_7265;
+
+/// Bytes a second of the narrow link to the store, from the least on.
+const NARROW: (u32, u64) = (400_000, 1_000_000);
+
+/// Routes that a long configuration has more than the one before, at most: half a megabyte.
+const LONG: usize = 1500;
+
 /// How late the store answers when it is slow.
 const SLOW: Duration = Duration::from_millis(350);
 
@@ -42,10 +55,30 @@
     Replace(usize),
     /// A new version of the configuration, with one route more.
     Configure,
+    /// The way from a daemon to the store has so many bytes a second, to the end.
+    Narrow(usize, u32),
+    /// A new version of the configuration, with so many routes more.
+    Lengthen(usize),
+    /// Entries of another writer name the addresses of all endpoints under other keys, for the time or
+    /// to the end: daemons that start meanwhile read them with all others.
+    Foreign(BadEntry, Option<Duration>),
+    /// An entry of another writer takes the place of an endpoint's.
+    Spoil(usize, BadEntry, Duration),
+    /// An endpoint starts again under its id, and writes its entry after the time.
+    Restart(usize, At, Duration),
     /// The time of day jumps at the daemon with the injected clock.
     Step(Duration),
 }
 
+/// Where an endpoint starts again.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum At {
+    /// At its address.
+    Same,
+    /// At another address.
+    Another,
+}
+
 /// Sizes of the site that a plan is for.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
@@ -73,10 +106,40 @@
             plan.push((soon.min(last), fault(&mut rng, sizes)));
         }
     }
+    plan.extend(more(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
 
+/// Troubles of entries, of endpoints that start again, and of long configurations over a narrow link.
+fn more(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = Rng::new(seed ^ MORE);
+    let last = sizes.traffic.mul_f64(0.7);
+    let rate = NARROW.0 + (rng.next_u64() % NARROW.1) as u32;
+    let narrow = Fault::Narrow(rng.index(sizes.daemons), rate);
+    let lengthen = Fault::Lengthen(1 + rng.index(LONG));
+    let mut plan = vec![(Duration::ZERO, narrow), (last.mul_f64(rng.unit()), lengthen)];
+    while plan.len() < 2 + MORE_FAULTS {
+        let at = last.mul_f64(rng.unit());
+        plan.push((at, trouble(&mut rng, sizes)));
+    }
+    plan
+}
+
+fn trouble(rng: &mut Rng, sizes: Sizes) -> Fault {
+    let endpoint = rng.index(sizes.endpoints);
+    let time = Duration::from_millis(300 + rng.next_u64() % 2500);
+    let soon = Duration::from_millis(rng.next_u64() % 300);
+    let kind = BadEntry::KINDS[rng.index(BadEntry::KINDS.len())];
+    let bad = kind[rng.index(kind.len())];
+    let at = [At::Same, At::Another][rng.index(2)];
+    match rng.index(4) {
+        0 => Fault::Foreign(bad, (rng.unit() < 0.5).then_some(time)),
+        1 => Fault::Spoil(endpoint, bad, time),
+        _ => Fault::Restart(endpoint, at, soon),
+    }
+}
+
 fn fault(rng: &mut Rng, sizes: Sizes) -> Fault {
     let daemon = rng.index(sizes.daemons);
     let endpoint = rng.index(sizes.endpoints);
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -10,7 +10,11 @@
 use basilbank_standin::managed::{Misdeed, StoreFault};
 use rustix::process::Signal;
 
-use crate::{plan::Fault, proxy::Weather, site::Site};
+use crate::{
+    plan::{At, Fault},
+    proxy::Weather,
+    site::Site,
+};
 
 /// The settings' grace, and a second for the process's end.
 const GRACE: Duration = Duration::from_secs(9);
@@ -66,6 +70,8 @@
     Behave(usize),
     Unlist { place: usize, runs: Option<usize> },
     Replace(usize),
+    List(usize),
+    UnlistForeign,
 }
 
 /// A play under way.
@@ -140,6 +146,10 @@
                 self.leaving.remove(&place);
                 self.site.replace(place)?;
             }
+            // One that leaves has said so since.
+            Step::List(place) if self.leaving.contains(&place) => {}
+            Step::List(place) => self.site.list(place, "ready"),
+            Step::UnlistForeign => self.site.unlist_foreign(),
         }
         Ok(())
     }
@@ -184,7 +194,25 @@
                     self.later(DRAIN, Step::Unlist { place: endpoint, runs: None });
                 }
             }
-            Fault::Configure => drop(self.site.configure()),
+            Fault::Configure => self.site.configure(1),
+            Fault::Lengthen(routes) => self.site.configure(routes),
+            Fault::Narrow(daemon, rate) => self.site.daemons[daemon].store.narrow(rate),
+            Fault::Foreign(bad, time) => {
+                (0..self.site.places.len()).for_each(|place| self.site.list_foreign(place, bad));
+                if let Some(time) = time {
+                    self.later(time, Step::UnlistForeign);
+                }
+            }
+            Fault::Spoil(place, _, _) | Fault::Restart(place, _, _)
+                if self.leaving.contains(&place) => {}
+            Fault::Spoil(place, bad, time) => {
+                self.site.spoil(place, bad);
+                self.later(time, Step::List(place));
+            }
+            Fault::Restart(place, at, time) => {
+                self.site.places[place].restart(at == At::Another)?;
+                self.later(time, Step::List(place));
+            }
             Fault::Step(ahead) => {
                 let last = self.site.daemons.last().context("a daemon")?;
                 fs::write(last.clock_file(), ahead.as_millis().to_string())?;
--- a/crates/basilbank_soak/src/proxy.rs
+++ b/crates/basilbank_soak/src/proxy.rs
@@ -19,6 +19,9 @@
 /// Longest wait for the real end.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Bytes that a narrow link passes on at a time: a few packets, so that connections share it.
+const PIECE: usize = 4096;
+
 /// What the proxy does.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Weather {
@@ -39,6 +42,10 @@
 struct Shared {
     target: Mutex<SocketAddr>,
     weather: Mutex<Weather>,
+    /// Bytes a second that come back, over all connections; no limit without.
+    rate: Mutex<Option<u32>>,
+    /// Held while a piece is on the narrow link.
+    link: Mutex<()>,
     open: Mutex<Vec<TcpStream>>,
     ended: AtomicBool,
 }
@@ -62,6 +69,8 @@
         let shared = Arc::new(Shared {
             target: Mutex::new(target),
             weather: Mutex::default(),
+            rate: Mutex::default(),
+            link: Mutex::default(),
             open: Mutex::default(),
             ended: AtomicBool::new(false),
         });
@@ -87,6 +96,11 @@
         *lock(&self.shared.weather) = weather;
     }
 
+    /// What comes back shares a link of so many bytes a second from now on, whatever the weather.
+    pub fn narrow(&self, rate: u32) {
+        *lock(&self.shared.rate) = Some(rate);
+    }
+
     /// Resets all open connections.
     pub fn reset(&self) {
         for stream in lock(&self.shared.open).drain(..) {
@@ -157,7 +171,8 @@
             if let Weather::Delay(delay) = weather {
                 thread::sleep(delay);
             }
-            if to.write_all(&buffer[..read]).is_err() {
+            let rate = lock(&self.rate).filter(|_| cut == Weather::CutBack);
+            if self.pass(&mut to, &buffer[..read], rate).is_err() {
                 break;
             }
         }
@@ -167,6 +182,17 @@
         }
         let _ = from.shutdown(Shutdown::Read);
     }
+
+    fn pass(&self, to: &mut TcpStream, bytes: &[u8], rate: Option<u32>) -> io::Result<()> {
+        let Some(rate) = rate else { return to.write_all(bytes) };
+        for piece in bytes.chunks(PIECE) {
+            let busy = lock(&self.link);
+            thread::sleep(Duration::from_secs_f64(piece.len() as f64 / f64::from(rate)));
+            drop(busy);
+            to.write_all(piece)?;
+        }
+        Ok(())
+    }
 }
 
 fn is_timeout(error: &io::Error) -> bool {
--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -10,7 +10,8 @@
 
 use anyhow::{Context, ensure};
 use basilbank_standin::managed::{
-    Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Served, WRITER, call, configuration,
+    BadEntry, Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Served, WRITER, call,
+    configuration, key,
 };
 
 use crate::{
@@ -104,6 +105,22 @@
         Ok(())
     }
 
+    /// The endpoint starts again under its id, at its address or at another one.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn restart(&mut self, elsewhere: bool) -> anyhow::Result<()> {
+        let served = self.endpoint.restart(0)?;
+        self.before.push((self.endpoint.instance().to_owned(), served));
+        if elsewhere {
+            self.proxy = Proxy::start(self.endpoint.address())?;
+            self.endpoint.reach_at(self.proxy.address());
+        } else {
+            self.proxy.retarget(self.endpoint.address());
+        }
+        Ok(())
+    }
+
     /// All instances that were here, with what they served.
     #[must_use]
     pub fn all_served(&self) -> Vec<(String, Served)> {
@@ -112,6 +129,11 @@
     }
 }
 
+/// The key of another writer's entry beside a place's.
+fn foreign(place: usize) -> String {
+    key(&format!("foreign-{place}"))
+}
+
 fn spec(instance: &str, stage: Option<&'static str>) -> EndpointSpec {
     match stage {
         Some(stage) => EndpointSpec::model(instance, stage),
@@ -151,13 +173,13 @@
     /// Writes an endpoint's entry.
     pub fn list(&self, place: usize, state: &str) {
         let place = &self.places[place];
-        let key = format!("servers/{}", place.endpoint.instance());
-        self.store.put(&key, &place.endpoint.entry(place.service, state));
+        let name = key(place.endpoint.instance());
+        self.store.put(&name, &place.endpoint.entry(place.service, state));
     }
 
     /// Removes an endpoint's entry.
     pub fn unlist(&self, place: usize) {
-        self.store.remove(&format!("servers/{}", self.places[place].endpoint.instance()));
+        self.store.remove(&key(self.places[place].endpoint.instance()));
     }
 
     /// Another instance takes an endpoint's address, and is listed.
@@ -170,14 +192,40 @@
         Ok(())
     }
 
-    /// Writes a configuration with one route more; returns the route's prefix.
-    pub fn configure(&mut self) -> String {
+    /// Writes an entry of another writer in place of an endpoint's.
+    pub fn spoil(&self, place: usize, bad: BadEntry) {
+        self.list_bad(place, &key(self.places[place].endpoint.instance()), bad);
+    }
+
+    /// Writes an entry of another writer beside an endpoint's, with its address.
+    pub fn list_foreign(&self, place: usize, bad: BadEntry) {
+        self.list_bad(place, &foreign(place), bad);
+    }
+
+    /// Removes what other writers wrote beside endpoints' entries.
+    pub fn unlist_foreign(&self) {
+        (0..self.places.len()).for_each(|place| self.store.remove(&foreign(place)));
+    }
+
+    fn list_bad(&self, place: usize, key: &str, bad: BadEntry) {
+        let place = &self.places[place];
+        bad.put(&self.store, key, place.endpoint.entry(place.service, "ready"));
+    }
+
+    /// Writes a configuration with some routes more.
+    pub fn configure(&mut self, more: usize) {
         self.version += 1;
-        let prefix = format!("/added-{}/", self.version);
-        self.routes.push(prefix.clone());
+        let version = self.version;
+        self.routes.extend((1..more).map(|n| format!("/added-{version}-{n}/")));
+        self.routes.push(format!("/added-{version}/"));
         let routes: Vec<_> = self.routes.iter().map(String::as_str).collect();
         self.store.put("op/config", &configuration(self.version, &routes));
-        prefix
+    }
+
+    /// The prefix of the route that was added last.
+    #[must_use]
+    pub fn newest_route(&self) -> Option<&str> {
+        self.routes.last().map(String::as_str)
     }
 }
 
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -120,7 +120,9 @@
     }
     thread::sleep(SETTLE);
     for (number, daemon) in site.daemons.iter().enumerate() {
-        for line in ["POST /stock/1", "GET /sheet/1", "POST /draft/1"] {
+        let newest = site.newest_route().map(|prefix| format!("GET {prefix}1"));
+        let lines = ["POST /stock/1", "GET /sheet/1", "POST /draft/1"];
+        for line in lines.into_iter().chain(newest.as_deref()) {
             for _ in 0..LAST_CALLS {
                 let status = last_call(daemon.callers, line);
                 if status != Some(200) {
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -25,7 +25,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 14] = [
+    let kinds: [fn(&Fault) -> bool; 19] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -40,8 +40,38 @@
         |f| matches!(f, Fault::Replace(_)),
         |f| matches!(f, Fault::Configure),
         |f| matches!(f, Fault::Step(_)),
+        |f| matches!(f, Fault::Narrow(..)),
+        |f| matches!(f, Fault::Lengthen(_)),
+        |f| matches!(f, Fault::Foreign(..)),
+        |f| matches!(f, Fault::Spoil(..)),
+        |f| matches!(f, Fault::Restart(..)),
     ];
     for (number, kind) in kinds.iter().enumerate() {
         assert!(faults.iter().any(kind), "kind {number}");
     }
 }
+
+/// A seed that is listed as having failed must go on meaning the same, whatever is drawn besides.
+#[test]
+fn a_seed_keeps_the_faults_of_the_first_stream() {
+    let of_first = |f: &Fault| {
+        use Fault::{Foreign, Lengthen, Narrow, Restart, Spoil};
+        !matches!(f, Foreign(..) | Lengthen(_) | Narrow(..) | Restart(..) | Spoil(..))
+    };
+    let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
+    let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
+    assert_eq!(lines, SEED_FIVE);
+}
+
+const SEED_FIVE: [&str; 10] = [
+    "1260 Reload(0)",
+    "1593 Step(4.99s)",
+    "2707 Pause(1, 1.009s)",
+    "4402 KillAll",
+    "4803 Store(Silent, 2.199s)",
+    "5386 Misbehave(5, Full, 1.725s)",
+    "5597 Reload(1)",
+    "6682 StoreLink(1, CutForth, 2.331s)",
+    "6795 Misbehave(6, Torn, 479ms)",
+    "6898 StoreLink(0, Silent, 995ms)",
+];
--- a/crates/basilbank_soak/tests/proxy.rs
+++ b/crates/basilbank_soak/tests/proxy.rs
@@ -53,6 +53,20 @@
     assert!(Duration::from_millis(80) <= begun.elapsed(), "both ways");
 }
 
+#[test]
+fn a_narrow_link_is_shared_by_what_comes_back() {
+    let proxy = Proxy::start(echo()).expect("a proxy");
+    proxy.narrow(20);
+    let begun = Instant::now();
+    let others: Vec<_> = (0..2).map(|_| connect(&proxy)).collect();
+    thread::scope(|scope| {
+        for stream in &others {
+            scope.spawn(|| assert_eq!(say(stream), Ok(b'x')));
+        }
+    });
+    assert!(Duration::from_millis(100) <= begun.elapsed(), "one after the other");
+}
+
 #[test_case(Weather::Silent)]
 #[test_case(Weather::CutForth)]
 #[test_case(Weather::CutBack)]
