No peer is always the last to be told; a store that is lost after a stale watch is said to be lost

Cause: datagrams went out in the same order each time, so what a full link doesn't take was always the same peers'; and store_lost was left out when a watch had been overtaken before. Change: the order turns with each datagram; a flag of its own says that the store is lost.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -186,6 +186,10 @@
     to.sort_unstable();
     to.dedup();
     if !to.is_empty() {
+        // What a full link doesn't take is lost: it must not be the same peers' each time, to whom this
+        // daemon would be gone.
+        let first = usize::try_from(beat.sequence).unwrap_or_default() % to.len();
+        to.rotate_left(first);
         turn.push(Effect::SendBeat { to, beat });
     }
 }
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -1,6 +1,10 @@
 //! Daemons tell each other what they have at endpoints.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use basilbank_forward::prelude::*;
 use basilbank_wire::LoadBeat;
@@ -81,6 +85,22 @@
     assert_eq!(used(fleet.rig(2)), Some(0));
 }
 
+/// Symptom: the same daemons of a large fleet heard little of a peer, and took it for gone.
+/// Sequence: its link takes a part of the datagrams that it sends at a time, the first ones.
+/// Cause: they went out in the same order each time.
+#[test]
+fn no_peer_is_always_the_last_to_be_told() {
+    let mut fleet = Fleet::new(5);
+    fleet.busy(60);
+    fleet.rig(0).beats();
+    let mut last = HashSet::new();
+    for _ in 0..8 {
+        fleet.rig(0).pass_ms(500);
+        last.extend(fleet.rig(0).beats().last().map(|(to, _)| *to));
+    }
+    assert_eq!(last.len(), 4);
+}
+
 /// Symptom: a daemon counted work of a peer that had been over for long.
 /// Sequence: two datagrams overtook each other.
 /// Cause: the one that came last won.
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -70,6 +70,7 @@
         source,
         after: 0,
         failures: 0,
+        is_lost: false,
         pages: Reading::default(),
         whole: 0,
         just_read: false,
@@ -88,6 +89,8 @@
     /// Changes are read after this revision; 0 when everything has to be read.
     after: u64,
     failures: u32,
+    /// The store did not answer as it should, and has not since.
+    is_lost: bool,
     /// Pages of everything that were read so far. A page that fails is asked for again, and none before
     /// it: the more there are, the less likely it is that all of them come in one go.
     pages: Reading,
@@ -234,7 +237,7 @@
     }
 
     fn took(&mut self, scope: &Scope, mut reading: Reading, bytes: usize) -> Duration {
-        if 0 < self.failures {
+        if std::mem::take(&mut self.is_lost) {
             let line = self.line("store_regained").with("failures", self.failures);
             log::info!("{}", line.with("bytes", bytes));
         }
@@ -285,7 +288,7 @@
     /// The store did not answer as it should.
     fn lost(&mut self, error: &str, begun: Instant, progress: &Progress) -> Duration {
         self.router.metrics.store_call("failed");
-        if self.failures == 0 {
+        if !std::mem::replace(&mut self.is_lost, true) {
             let line = self.line("store_lost").with("error", error);
             let line = line.with_ms("took_ms", begun.elapsed()).with("bytes", progress.bytes());
             log::warn!("{line}");
