--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -24,6 +24,8 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     /// Each instance's present start.
     instances: HashMap<String, EndpointKey>,
+    /// Starts that are not over, by address: a long list is taken in without a search for each entry.
+    addresses: HashMap<SocketAddr, Vec<EndpointKey>>,
     /// All starts that there are, also former ones whose calls go on.
     hashes: HashMap<u32, EndpointKey>,
     services: HashMap<String, Vec<EndpointKey>>,
@@ -97,15 +99,21 @@
         endpoint.expires = None;
         let changed = endpoint.gone || endpoint.info != info;
         endpoint.gone = false;
+        let (before, addr) = (endpoint.info.addr, info.addr);
         endpoint.info = info;
+        if before != addr {
+            self.leave_address(before, key);
+            self.addresses.entry(addr).or_default().push(key);
+        }
         changed
     }
 
     /// Takes a start in that is not known.
     pub fn insert(&mut self, info: EndpointInfo) -> EndpointKey {
         let (instance, service) = (info.instance.clone(), info.service.clone());
-        let hash = start_hash(&info);
+        let (hash, addr) = (start_hash(&info), info.addr);
         let key = self.endpoints.insert(Endpoint::new(info));
+        self.addresses.entry(addr).or_default().push(key);
         self.hashes.insert(hash, key);
         self.instances.insert(instance, key);
         self.services.entry(service).or_default().push(key);
@@ -121,8 +129,19 @@
     /// The endpoints with an address that are not over, other than this instance's.
     #[must_use]
     pub fn others_at(&self, addr: SocketAddr, instance: &str) -> Vec<EndpointKey> {
-        let there = |e: &Endpoint| e.info.addr == addr && e.info.instance != instance && !e.over;
-        self.endpoints.iter().filter(|(_, e)| there(e)).map(|(key, _)| key).collect()
+        let other = |key: &EndpointKey| {
+            self.endpoints.get(*key).is_some_and(|endpoint| endpoint.info.instance != instance)
+        };
+        let there = self.addresses.get(&addr).into_iter().flatten();
+        there.copied().filter(other).collect()
+    }
+
+    fn leave_address(&mut self, addr: SocketAddr, key: EndpointKey) {
+        let Some(there) = self.addresses.get_mut(&addr) else { return };
+        there.retain(|other| *other != key);
+        if there.is_empty() {
+            self.addresses.remove(&addr);
+        }
     }
 
     /// Takes an endpoint off the list at `at` unless it is listed again before.
@@ -161,9 +180,11 @@
         endpoint.gone = true;
         endpoint.over = true;
         endpoint.expires = None;
+        let addr = endpoint.info.addr;
         if self.instances.get(&endpoint.info.instance) == Some(&key) {
             self.instances.remove(&endpoint.info.instance);
         }
+        self.leave_address(addr, key);
         self.remove_idle(key);
     }
 
@@ -229,6 +250,7 @@
         }
         let Some(endpoint) = self.endpoints.remove(key) else { return };
         let (hash, instance) = (start_hash(&endpoint.info), &endpoint.info.instance);
+        self.leave_address(endpoint.info.addr, key);
         // A later start has the instance's name by now.
         if self.hashes.get(&hash) == Some(&key) {
             self.hashes.remove(&hash);
