An endpoint's slots count in the split of the stages

Cause: the first split took a draft's share of a decode endpoint by memory alone. Where slots are scarcer (12 for 87,000 tokens) a draft takes a twelfth of the endpoint, three times what its memory says; so 6 of 15 endpoints read prompts while drafts waited for room at the other nine.

Change: the scarcer of memory and slots counts.

The split of the four earlier deployments is the same as before (64, 32, 48 and 32 slots), as the test's first four cases show.

The usual draft that the first split assumes is still a guess; nothing is measured before the first call.

--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -141,7 +141,8 @@
     let changing = state.directory.stage(service, Stage::Prefill).count() - prefill.len();
     let all = prefill.len() + decode + changing;
     let memory = state.routes.engine(service)?.memory;
-    let wanted = ((all as f64 * prefill_part(memory)).floor() as usize).max(PREFILL_LEAST);
+    let slots = state.directory.service(service).map(|(_, e)| e.info.slots).min()?;
+    let wanted = ((all as f64 * prefill_part(memory, slots)).floor() as usize).max(PREFILL_LEAST);
     if prefill.len() <= wanted {
         return None;
     }
@@ -154,10 +155,12 @@
 }
 
 /// Part of a service's endpoints that should read prompts: a draft's share of a prefill endpoint's
-/// time against its share of a decode endpoint's memory. At the start nothing has been measured, so
-/// usual drafts are assumed; what is wrong with that, decode endpoints that read prompts make good.
-fn prefill_part(memory: u32) -> f64 {
-    let staying = USUAL_STAY * USUAL_TOKENS / f64::from(memory.max(1));
+/// time against its share of a decode endpoint's memory or slots, whichever is scarcer. At the start
+/// nothing has been measured, so usual drafts are assumed; what is wrong with that, decode endpoints
+/// that read prompts make good.
+fn prefill_part(memory: u32, slots: u32) -> f64 {
+    let share = (USUAL_TOKENS / f64::from(memory.max(1))).max(1.0 / f64::from(slots.max(1)));
+    let staying = USUAL_STAY * share;
     USUAL_READING / (USUAL_READING + staying)
 }
 
--- a/crates/basilbank_forward/tests/forward/roles.rs
+++ b/crates/basilbank_forward/tests/forward/roles.rs
@@ -6,13 +6,18 @@
 use crate::rig::{Rig, model, table_with_memory};
 
 /// A daemon with the right, before some prefill and decode endpoints, for some seconds.
-fn orders(right: OrderRight, memory: u32, prefill: u16, decode: u16, seconds: u64) -> Vec<Effect> {
+fn orders(
+    right: OrderRight,
+    (memory, slots): (u32, u32),
+    (prefill, decode): (u16, u16),
+    seconds: u64,
+) -> Vec<Effect> {
     let mut rig = Rig::new();
     rig.configure(table_with_memory(2, memory));
     rig.feed(Event::Right(right));
     let stage = |n| if n < prefill { Stage::Prefill } else { Stage::Decode };
-    let list: Vec<_> =
-        (0..prefill + decode).map(|n| model(&format!("m{n}"), n + 1, stage(n))).collect();
+    let endpoint = |n| EndpointInfo { slots, ..model(&format!("m{n}"), n + 1, stage(n)) };
+    let list: Vec<_> = (0..prefill + decode).map(endpoint).collect();
     rig.list(list.clone());
     let mut orders = Vec::new();
     for _ in 0..seconds * 2 {
@@ -24,17 +29,18 @@
     orders
 }
 
-#[test_case(40_718, 3, 6, 1; "roomy endpoints")]
-#[test_case(31_701, 7, 11, 3; "less memory")]
-#[test_case(22_800, 21, 39, 11; "little memory needs many decode endpoints")]
-#[test_case(40_718, 2, 7, 0; "two are always left")]
+#[test_case((40_718, 64), (3, 6), 1; "roomy endpoints")]
+#[test_case((31_701, 32), (7, 11), 3; "less memory")]
+#[test_case((22_800, 32), (21, 39), 11; "little memory needs many decode endpoints")]
+#[test_case((40_718, 64), (2, 7), 0; "two are always left")]
+#[test_case((81_945, 12), (6, 9), 2; "much memory, and few slots")]
+#[test_case((81_945, 0), (6, 9), 4; "a number of slots that makes no sense")]
 fn surplus_prefill_endpoints_become_decode_endpoints(
-    memory: u32,
-    prefill: u16,
-    decode: u16,
+    room: (u32, u32),
+    stages: (u16, u16),
     count: usize,
 ) {
-    let orders = orders(OrderRight::AtOnce, memory, prefill, decode, 5);
+    let orders = orders(OrderRight::AtOnce, room, stages, 5);
     assert_eq!(orders.len(), count);
     let mut fences: Vec<u64> = Vec::new();
     let mut instances: Vec<String> = Vec::new();
@@ -57,7 +63,7 @@
 #[test_case(OrderRight::AfterSilence, 9, 0; "not before the silence is over")]
 #[test_case(OrderRight::AfterSilence, 14, 1; "after it")]
 fn the_right_to_order_is_waited_for(right: OrderRight, seconds: u64, count: usize) {
-    assert_eq!(orders(right, 40_718, 3, 6, seconds).len(), count);
+    assert_eq!(orders(right, (40_718, 64), (3, 6), seconds).len(), count);
 }
 
 #[test]
