--- a/crates/basilbank_forward/benches/load/main.rs
+++ b/crates/basilbank_forward/benches/load/main.rs
@@ -16,9 +16,21 @@
 
 /// Deployments by name, with the drafts a second that they just serve.
 const SITES: [(&str, Engines, f64); 3] = [
-    ("small", Engines { prefill: 2, decode: 7, memory: 40_718, dark: 0, daemons: 1 }, 24.0),
-    ("medium", Engines { prefill: 4, decode: 14, memory: 31_701, dark: 0, daemons: 1 }, 36.0),
-    ("tight", Engines { prefill: 4, decode: 12, memory: 22_800, dark: 0, daemons: 1 }, 22.0),
+    (
+        "small",
+        Engines { prefill: 2, decode: 7, memory: 40_718, daemons: 1, ..Engines::USUAL },
+        24.0,
+    ),
+    (
+        "medium",
+        Engines { prefill: 4, decode: 14, memory: 31_701, daemons: 1, ..Engines::USUAL },
+        36.0,
+    ),
+    (
+        "tight",
+        Engines { prefill: 4, decode: 12, memory: 22_800, daemons: 1, ..Engines::USUAL },
+        22.0,
+    ),
 ];
 
 /// Parts of that load.
@@ -46,7 +58,7 @@
 
 fn show(case: &str, engines: Engines, phases: &[Phase]) {
     let all_alike = Tuning {
-        memory_late: 1.07,
+        memory_late: 1.0,
         lead: Duration::ZERO,
         blind: Duration::ZERO,
         ..Tuning::default()
--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -44,9 +44,9 @@
 }
 
 impl Prompt {
-    /// Tokens that the request is expected to hold at its end.
+    /// Tokens that are expected to be generated.
     #[must_use]
-    pub fn expected(&self) -> u32 {
-        self.tokens + self.hint.unwrap_or(self.most).min(self.most)
+    pub fn output(&self) -> u32 {
+        self.hint.unwrap_or(self.most).min(self.most)
     }
 }
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -11,7 +11,7 @@
     reason::{Refusal, Retry},
     reduce::reduce,
     route::{Kind, Route, RouteTable, Service},
-    state::{Local, OrderRight, Start, State},
+    state::{Local, OrderRight, Share, Start, State},
     topic::{PerTopic, Revisions, Topic},
     tuning::Tuning,
 };
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -27,7 +27,7 @@
     endpoint::EndpointKey,
     event::Event,
     note::Note,
-    state::{Leaving, State},
+    state::{Leaving, Share, State},
 };
 
 /// Takes one event in and says what is to be done.
@@ -70,15 +70,15 @@
 
 /// Counts a call at an endpoint, and lets peers know if it takes memory there. Plain calls are over
 /// before a peer could act on them; heartbeats tell of them.
-fn begin(state: &mut State, endpoint: EndpointKey, tokens: u32) {
-    state.directory.begin(endpoint, tokens);
-    state.peers.changed |= tokens != 0;
+fn begin(state: &mut State, endpoint: EndpointKey, share: Share) {
+    state.directory.begin(endpoint, share);
+    state.peers.changed |= share.tokens != 0;
 }
 
 /// Undoes [`begin`].
-fn end(state: &mut State, endpoint: EndpointKey, tokens: u32) {
-    state.directory.end(endpoint, tokens);
-    state.peers.changed |= tokens != 0;
+fn end(state: &mut State, endpoint: EndpointKey, share: Share) {
+    state.directory.end(endpoint, share);
+    state.peers.changed |= share.tokens != 0;
 }
 
 /// One event's turn.
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -3,15 +3,19 @@
 //! Without it each daemon fills decode endpoints that others have filled already: prompts are then
 //! read for drafts that wait for memory, and calls are refused while other endpoints have room.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use basilbank_wire::{LoadBeat, Shunned};
+use basilbank_wire::{LoadBeat, ServicePace, Shunned, WaitingDraft};
 
 use super::{Turn, queue};
 use crate::{
     effect::Effect,
     note::Note,
-    state::peers::{Load, Peer, Peers, from_wire, to_wire},
+    state::{
+        Pace, Place, Share, State,
+        peers::{Load, Peer, Peers, from_wire, to_wire},
+        service_hash,
+    },
 };
 
 /// Least time between two datagrams after a change, besides what the number of peers adds.
@@ -79,13 +83,20 @@
     }
     let loads = resolve(turn, beat);
     for load in &loads {
-        turn.state.directory.others(load.endpoint, load.tokens, load.calls);
+        turn.state.directory.others(load.endpoint, load.share);
     }
     shun(turn, &beat.shunned);
     let news = &mut turn.state.news;
     news.endpoints = beat.endpoints_news.max(news.endpoints);
     news.routes = beat.routes_news.max(news.routes);
-    let peer = Peer { incarnation: beat.incarnation, sequence: beat.sequence, heard: now, loads };
+    let peer = Peer {
+        incarnation: beat.incarnation,
+        sequence: beat.sequence,
+        heard: now,
+        loads,
+        waiting: beat.waiting.iter().map(|draft| waiting_from_wire(draft, now)).collect(),
+        paces: beat.paces.iter().map(pace_from_wire).collect(),
+    };
     let peers = &mut turn.state.peers;
     peers.known.insert(from, peer);
     peers.peak = peers.peak.max(peers.known.len());
@@ -121,7 +132,7 @@
     send(turn);
 }
 
-impl crate::State {
+impl State {
     /// When the next datagram is due.
     pub(crate) fn beat_due(&self) -> Duration {
         let peers = &self.peers;
@@ -130,7 +141,10 @@
         }
         let count = u32::try_from(peers.known.len()).unwrap_or(u32::MAX);
         let least = if self.is_blind(peers.sent) { LEAST_BLIND } else { LEAST };
-        let pause = least.max(EACH_PEER.saturating_mul(count));
+        let pause = match peers.urgent {
+            true => least,
+            false => least.max(EACH_PEER.saturating_mul(count)),
+        };
         let pause = if peers.changed { pause } else { HEARTBEAT };
         peers.sent + pause.max(peers.bounded())
     }
@@ -155,11 +169,16 @@
         Shunned { endpoint, left }
     });
     let shunned: Vec<_> = shunned.collect();
+    let loads: Vec<_> =
+        state.directory.own_loads(now, |service| state.growth(service).pace).collect();
+    let paces = paces(state);
+    let waiting = waiting(state, now);
     let peers = &mut state.peers;
     peers.hints.retain(|_, until| now < *until);
     peers.sequence += 1;
     peers.sent = now;
     peers.changed = false;
+    peers.urgent = false;
     let mut to: Vec<_> = peers.known.keys().copied().collect();
     let skip = if to.is_empty() { 0 } else { state.rng.index(to.len()) };
     let count = if MANY_PEERS < to.len() { NAMED_BY_MANY } else { NAMED };
@@ -172,9 +191,11 @@
         shunned,
         endpoints_news: state.news.endpoints,
         routes_news: state.news.routes,
+        paces,
+        waiting,
         ..LoadBeat::default()
     };
-    let beat = beat.with_loads(state.directory.own_loads());
+    let beat = beat.with_loads(loads);
     peers.bytes = beat.wire_bytes();
     // Addresses that may be nobody's are tried once a heartbeat, also when there is much to tell:
     // daemons that don't know each other count the same endpoint's room twice.
@@ -207,11 +228,61 @@
     }
 }
 
+/// The first of this daemon's waiting drafts, for each service.
+fn waiting(state: &State, now: Duration) -> Vec<WaitingDraft> {
+    let soonest = now + state.tuning.lead;
+    let mut first: HashMap<&str, Place> = HashMap::new();
+    for request in state.waiting.iter().filter_map(|id| state.requests.get(id)) {
+        let place = Place::new(request.due(), soonest);
+        let known = first.entry(&request.service).or_insert(place);
+        *known = place.min(*known);
+    }
+    let all = first.into_iter().map(|(service, place)| WaitingDraft {
+        service: service_hash(service),
+        due: (place.due.as_millis() as i128 - now.as_millis() as i128) as i32,
+    });
+    all.collect()
+}
+
+fn waiting_from_wire(wire: &WaitingDraft, now: Duration) -> (u32, Duration) {
+    let away = Duration::from_millis(u64::from(wire.due.unsigned_abs()));
+    let due = if wire.due < 0 { now.saturating_sub(away) } else { now.saturating_add(away) };
+    (wire.service, due)
+}
+
+/// How fast this daemon's own drafts were generated.
+fn paces(state: &State) -> Vec<ServicePace> {
+    let all = state.paces.iter().map(|(service, pace)| ServicePace {
+        service: service_hash(service),
+        tokens: pace.tokens as f32,
+        seconds: pace.seconds as f32,
+        squares: pace.squares as f32,
+        errors: pace.errors as f32,
+    });
+    all.collect()
+}
+
+fn pace_from_wire(wire: &ServicePace) -> (u32, Pace) {
+    let pace = Pace {
+        tokens: f64::from(wire.tokens),
+        seconds: f64::from(wire.seconds),
+        squares: f64::from(wire.squares),
+        errors: f64::from(wire.errors),
+    };
+    (wire.service, pace)
+}
+
 fn resolve(turn: &Turn<'_>, beat: &LoadBeat) -> Vec<Load> {
     let directory = &turn.state.directory;
     let known = beat.loads().filter_map(|load| {
         let endpoint = directory.by_hash(load.endpoint)?;
-        Some(Load { endpoint, tokens: load.tokens, calls: load.calls })
+        let share = Share {
+            calls: load.calls,
+            tokens: load.tokens,
+            left: load.left,
+            since: Some(turn.now),
+        };
+        Some(Load { endpoint, share })
     });
     known.collect()
 }
@@ -219,7 +290,7 @@
 fn forget_loads(turn: &mut Turn<'_>, from: SocketAddr) {
     let Some(peer) = turn.state.peers.known.get_mut(&from) else { return };
     for load in std::mem::take(&mut peer.loads) {
-        turn.state.directory.no_others(load.endpoint, load.tokens, load.calls);
+        turn.state.directory.no_others(load.endpoint, load.share);
     }
 }
 
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -15,7 +15,7 @@
     endpoint::EndpointKey,
     reason::{Refusal, Retry},
     state::{
-        Request, State,
+        Request, Share, State,
         requests::{Hold, Kv, Step},
     },
 };
@@ -53,9 +53,9 @@
     if state.tuning.hold_tries <= request.draft.asked {
         return Next::WaitUntil(now + state.tuning.hold_pause);
     }
-    let (service, tried) = (request.service.clone(), asked(request));
+    let (service, tried, due) = (request.service.clone(), asked(request), request.due());
     let prompt = request.call.prompt.clone().unwrap_or_default();
-    let tokens = prompt.expected();
+    let share = Share::draft(prompt.tokens, prompt.output());
     let part = match request.is_timely(now + state.tuning.lead) {
         true => state.tuning.memory_used,
         false => state.tuning.memory_late,
@@ -64,17 +64,27 @@
     // looked for beside the one that will read the prompt, or has.
     let near = match &request.draft.kv {
         Some(kv) => Some(kv.endpoint),
-        None => pick::prefill(state, &service, &[], None, tokens, now),
+        None => pick::prefill(state, &service, &[], None, prompt.tokens, now),
     };
     let longest = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.hold);
     let op = Op::Hold { tokens: hold_tokens, ttl: longest };
-    let want = Want { near, tokens, part, session: prompt.session };
+    let before = state.before(&service, due, now);
+    let want = Want { near, share, part, before, session: prompt.session };
     let endpoint = match pick::decode(state, &service, &tried, &want, now) {
         Decode::At(endpoint) => endpoint,
-        Decode::Full => return Next::WaitForRoom,
+        Decode::Full => {
+            state.line.taken(&service);
+            return Next::WaitForRoom;
+        }
         Decode::None => return Next::GiveUp(Refusal::NoEndpoint),
     };
-    Next::Send(Send { endpoint, op, step: Step::Hold, tokens, limit, counted: false, extra: None })
+    let wait = state.tuning.line_step.saturating_mul(u32::try_from(before).unwrap_or(u32::MAX));
+    let turn = state.line.turn_at(&service, wait, now);
+    if now < turn {
+        return Next::WaitForTurn(turn);
+    }
+    state.line.taken(&service);
+    Next::Send(Send { endpoint, op, step: Step::Hold, share, limit, counted: false, extra: None })
 }
 
 /// Decode endpoints that were asked since the last pause.
@@ -105,8 +115,8 @@
         return whole(state, id, hold, now);
     };
     let limit = state.tuning.prefill_limit + reading(state, endpoint, tokens) * 2;
-    let step = Step::Prefill;
-    Next::Send(Send { endpoint, op: Op::Prefill, step, tokens, limit, counted: false, extra })
+    let (step, share) = (Step::Prefill, Share::reading(tokens));
+    Next::Send(Send { endpoint, op: Op::Prefill, step, share, limit, counted: false, extra })
 }
 
 /// When a prefill endpoint will have read the prompt, behind what it has.
@@ -150,8 +160,8 @@
     };
     let op = Op::Stream { hold: Some(hold.name.clone()) };
     let extra = request.repeats().then_some(Retry::NotRun);
-    let (endpoint, tokens) = (hold.endpoint, hold.tokens);
-    Next::Send(Send { endpoint, op, step: Step::Decode, tokens, limit, counted: true, extra })
+    let (endpoint, share) = (hold.endpoint, hold.share.unwrap_or_default());
+    Next::Send(Send { endpoint, op, step: Step::Decode, share, limit, counted: true, extra })
 }
 
 fn decode(state: &State, id: RequestId, kv: Kv, hold: Hold, now: Duration) -> Next {
@@ -163,8 +173,8 @@
     let Some(source) = state.directory.get(kv.endpoint).map(|e| e.info.addr) else {
         return whole(state, id, &hold, now);
     };
-    let (endpoint, tokens) = (hold.endpoint, hold.tokens);
+    let (endpoint, share) = (hold.endpoint, hold.share.unwrap_or_default());
     let op = Op::Decode { source, handle: kv.handle, hold: Some(hold.name) };
     let extra = request.repeats().then_some(Retry::Full);
-    Next::Send(Send { endpoint, op, step: Step::Decode, tokens, limit, counted: true, extra })
+    Next::Send(Send { endpoint, op, step: Step::Decode, share, limit, counted: true, extra })
 }
--- a/crates/basilbank_forward/src/reduce/entries.rs
+++ b/crates/basilbank_forward/src/reduce/entries.rs
@@ -186,6 +186,8 @@
         draft.kv.take_if(|kv| kv.endpoint == key);
     }
     for hold in holds {
-        release(state, hold.endpoint, hold.tokens);
+        if let Some(share) = hold.share {
+            release(state, hold.endpoint, share);
+        }
     }
 }
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -49,7 +49,9 @@
     let Some(hold) = request.draft.hold.take_if(|hold| hold.endpoint == live.endpoint) else {
         return;
     };
-    release(turn.state, hold.endpoint, hold.tokens);
+    if let Some(share) = hold.share {
+        release(turn.state, hold.endpoint, share);
+    }
     if let Some(target) = turn.state.directory.target(hold.endpoint) {
         turn.push(Effect::Drop { target, hold: hold.name });
     }
@@ -58,6 +60,7 @@
 fn end(turn: &mut Turn<'_>, id: RequestId, outcome: &'static str) {
     let Some(mut request) = turn.state.requests.remove(&id) else { return };
     turn.state.drop_timers(id, &request.timers);
+    turn.state.peers.changed |= turn.state.waiting.contains(&id);
     let took = turn.now.saturating_sub(request.arrived);
     let note = Note::new("ended")
         .with("request", &request.call.trace)
@@ -68,7 +71,7 @@
     turn.note(note);
     for live in std::mem::take(&mut request.live) {
         turn.push(Effect::Stop { request: id, attempt: live.number });
-        release(turn.state, live.endpoint, live.tokens);
+        release(turn.state, live.endpoint, live.share);
     }
     give_back(turn, request);
     queue::serve(turn);
@@ -79,7 +82,9 @@
         if let Some(target) = turn.state.directory.target(hold.endpoint) {
             turn.push(Effect::Drop { target, hold: hold.name });
         }
-        release(turn.state, hold.endpoint, hold.tokens);
+        if let Some(share) = hold.share {
+            release(turn.state, hold.endpoint, share);
+        }
     }
     if let Some(kv) = request.draft.kv
         && let Some(target) = turn.state.directory.target(kv.endpoint)
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -7,7 +7,10 @@
     event::{NotRun, Outcome},
     note::{Measure, Note},
     reason::Refusal,
-    state::requests::{Hold, Kv, Live, Step},
+    state::{
+        Share,
+        requests::{Hold, Kv, Live, Step},
+    },
 };
 
 /// Part of a decode endpoint's memory up to which a refusal of a KV cache isn't for want of room.
@@ -27,14 +30,17 @@
     log(turn, id, &live, &outcome);
     // A held slot keeps its tokens counted until the draft ends.
     if !streams_on && !matches!(outcome, Outcome::Held { .. }) {
-        end(turn.state, live.endpoint, live.tokens);
+        end(turn.state, live.endpoint, live.share);
     }
     match outcome {
         Outcome::Held { hold } => held(turn, id, &live, hold),
         Outcome::Prefilled { handle, .. } => prefilled(turn, id, &live, handle),
         Outcome::Answered { status } => answered(turn, id, number, status),
         Outcome::Streaming => streaming(turn, id, number),
-        Outcome::Finished => finish::finished(turn, id),
+        Outcome::Finished => {
+            measure_pace(turn, id, &live);
+            finish::finished(turn, id);
+        }
         Outcome::NotRun(why) => {
             refused(turn, id, &live);
             not_run(turn, id, &live, matches!(why, NotRun::Busy { .. }));
@@ -91,15 +97,26 @@
     turn.note_request(id, note);
 }
 
+/// How fast a draft was generated that has ended whole.
+fn measure_pace(turn: &mut Turn<'_>, id: RequestId, live: &Live) {
+    let (Some(since), Some(request)) = (live.share.since, turn.state.requests.get(&id)) else {
+        return;
+    };
+    let took = turn.now.saturating_sub(since);
+    let service = request.service.clone();
+    let pace = turn.state.growth(&service).pace;
+    turn.state.paces.entry(service).or_default().add(live.share.left, took, pace);
+}
+
 fn held(turn: &mut Turn<'_>, id: RequestId, live: &Live, name: String) {
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
     if turn.state.directory.keeps(live.endpoint) {
         request.draft.asked = 0;
-        request.draft.hold = Some(Hold { endpoint: live.endpoint, name, tokens: live.tokens });
+        request.draft.hold = Some(Hold { endpoint: live.endpoint, name, share: Some(live.share) });
     } else {
         // It was the former start's, or can't be told from that.
         request.draft.asked += 1;
-        end(turn.state, live.endpoint, live.tokens);
+        end(turn.state, live.endpoint, live.share);
     }
     step::go_on(turn, id);
 }
@@ -133,9 +150,9 @@
     request.maybe_run = true;
     request.answering = true;
     request.draft.kv = None;
-    // The decode call took the hold; its tokens are counted with the call from here on.
-    if let Some(hold) = request.draft.hold.take() {
-        end(turn.state, hold.endpoint, hold.tokens);
+    request.draft.hold = None;
+    if let Some(live) = request.live.iter_mut().find(|live| live.number == number) {
+        live.share = turn.state.directory.started(live.endpoint, live.share, turn.now);
     }
     turn.push(Effect::Deliver { request: id, attempt: number });
 }
@@ -175,7 +192,8 @@
     let directory = &turn.state.directory;
     let Some(endpoint) = directory.get(live.endpoint) else { return false };
     let memory = turn.state.routes.engine(&endpoint.info.service).map_or(0, |e| e.memory);
-    f64::from(endpoint.all_tokens()) < f64::from(memory) * ROOMY
+    let growth = turn.state.growth(&endpoint.info.service);
+    endpoint.peak(Share::default(), turn.now, growth) < f64::from(memory) * ROOMY
 }
 
 /// The KV cache can't be had, though a decode endpoint held a slot for it. Its endpoint loses more of
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -1,12 +1,12 @@
 //! Picks an endpoint for a call.
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     endpoint::{EndpointKey, Stage},
-    state::{Endpoint, State},
+    state::{Endpoint, Share, State},
 };
 
 /// Part of the least cost within which endpoints count as equal, so that daemons with the same view
@@ -49,10 +49,12 @@
 pub struct Want {
     /// Where its prompt is, or will likely be read.
     pub near: Option<EndpointKey>,
-    /// Tokens of memory at its end.
-    pub tokens: u32,
+    /// What it takes there.
+    pub share: Share,
     /// Part of an endpoint's memory that is given out to drafts like it.
     pub part: f64,
+    /// Drafts of peers that go before it.
+    pub before: usize,
     /// The session that it belongs to.
     pub session: Option<u64>,
 }
@@ -68,21 +70,29 @@
 ) -> Decode {
     let Some(engine) = state.routes.engine(service) else { return Decode::None };
     let memory = f64::from(engine.memory.max(1));
-    let full = memory * want.part - f64::from(want.tokens);
+    let (full, growth) = (memory * want.part, state.growth(service));
     let place =
         want.near.and_then(|key| state.directory.get(key)).map(|e| e.info.data_centre.clone());
     let place = place.unwrap_or_else(|| state.local.data_centre.clone());
     let mut any = false;
     let endpoints = state.directory.stage(service, Stage::Decode).inspect(|_| any = true);
     // An endpoint that has nothing takes any draft, however large.
-    let open = endpoints.filter(|(_, e)| e.all_calls() == 0 || f64::from(e.all_tokens()) <= full);
-    let costs = open.map(|(key, endpoint)| {
-        let used = f64::from(endpoint.all_tokens()) / memory;
+    let peaks = endpoints.map(|(key, e)| (key, e, e.peak(want.share, now, growth)));
+    let fits = |e: &Endpoint, peak: f64| peak <= full && e.all_calls() < e.info.slots.max(1);
+    let open = peaks.filter(|(_, e, peak)| e.all_calls() == 0 || fits(e, *peak));
+    let costs = open.map(|(key, endpoint, peak)| {
+        let used = peak / memory;
         let away = if endpoint.info.data_centre == place { 0.0 } else { REMOTE_MEMORY };
         let cost = used + away;
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
-    let costs: Vec<_> = costs.collect();
+    let mut costs: Vec<_> = costs.collect();
+    if state.tuning.kept_for_others {
+        costs.sort_by(|a, b| {
+            (a.last, a.cost).partial_cmp(&(b.last, b.cost)).unwrap_or(Ordering::Equal)
+        });
+        costs.drain(..want.before.min(costs.len()));
+    }
     // Only endpoints that don't answer, or have just refused, have room: whoever waits for one of the
     // others is served sooner.
     let sound = state.directory.stage(service, Stage::Decode).any(|(_, e)| e.avoided <= now);
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -11,7 +11,7 @@
     effect::Op,
     reason::{Refusal, Retry},
     route::Kind,
-    state::{State, requests::Step},
+    state::{Share, State, requests::Step},
 };
 
 /// The next step: the first attempt, or another one after a failure that allows it.
@@ -41,6 +41,7 @@
     let Some(endpoint) = pick::plain(state, &service, &tried, now) else {
         return Next::GiveUp(Refusal::NoEndpoint);
     };
+    let share = Share::plain();
     let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
-    Next::Send(Send { endpoint, op, step: Step::Whole, tokens: 0, limit, counted: true, extra })
+    Next::Send(Send { endpoint, op, step: Step::Whole, share, limit, counted: true, extra })
 }
--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -15,7 +15,9 @@
         turn.state.waiting.push(id);
     }
     let draft = turn.state.requests.get_mut(&id).map(|request| &mut request.draft);
-    draft.is_some_and(|draft| !std::mem::replace(&mut draft.waited, true))
+    let first = draft.is_some_and(|draft| !std::mem::replace(&mut draft.waited, true));
+    turn.state.peers.changed |= first;
+    first
 }
 
 /// Lets drafts go on for which there is room now.
@@ -23,6 +25,7 @@
     if turn.state.waiting.is_empty() {
         return;
     }
+    turn.state.served = turn.now;
     let soonest = turn.now + turn.state.tuning.lead;
     let requests = &turn.state.requests;
     let mut order: Vec<_> = turn
@@ -36,6 +39,7 @@
         .collect();
     order.sort_unstable();
     turn.state.waiting.clear();
+    turn.state.line.turn = None;
     // Services have endpoints of their own: one that is full says nothing about the others.
     let mut full = HashSet::new();
     for (_, _, id) in order {
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Turn, begin, draft, finish, plain, queue};
+use super::{Turn, begin, draft, end as release, finish, plain, queue};
 use crate::{
     call::RequestId,
     effect::{Attempt, Effect, Op},
@@ -10,7 +10,7 @@
     note::{Measure, Note},
     reason::{Refusal, Retry},
     state::{
-        Request, State,
+        Request, Share, State,
         requests::{Live, Step},
     },
 };
@@ -29,6 +29,8 @@
     WaitUntil(Duration),
     /// Nothing until there is room at a decode endpoint.
     WaitForRoom,
+    /// Nothing until then: there is room, and drafts of peers go first.
+    WaitForTurn(Duration),
     /// It is given up.
     GiveUp(Refusal),
 }
@@ -42,8 +44,8 @@
     pub op: Op,
     /// Which step it is.
     pub step: Step,
-    /// Tokens to count there.
-    pub tokens: u32,
+    /// What to count there.
+    pub share: Share,
     /// How long to wait.
     pub limit: Duration,
     /// It counts against the route's attempts.
@@ -67,7 +69,11 @@
             }
             turn.wake(id, at);
         }
-        Next::WaitForRoom => {
+        Next::WaitForRoom | Next::WaitForTurn(_) => {
+            turn.state.line.turn = match next {
+                Next::WaitForTurn(at) => Some(at),
+                _ => None,
+            };
             let waiting = turn.state.waiting.len();
             if queue::wait(turn, id) {
                 turn.note_request(id, Note::new("waits").with("ahead", waiting));
@@ -131,7 +137,7 @@
     let Some(target) = turn.state.directory.target(send.endpoint) else { return };
     let endpoint = turn.state.directory.get(send.endpoint);
     let (calls, tokens) = endpoint.map_or((0, 0), |e| (e.all_calls(), e.all_tokens()));
-    let ahead = tokens + send.tokens;
+    let ahead = tokens.saturating_add(send.share.tokens);
     let list_age = turn.now.saturating_sub(turn.state.directory.read_at);
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
     let number = request.attempts;
@@ -141,7 +147,7 @@
     let live = Live {
         number,
         endpoint: send.endpoint,
-        tokens: send.tokens,
+        share: send.share,
         ahead,
         began: turn.now,
         step: send.step,
@@ -160,11 +166,25 @@
         .with_ms("list_ms", list_age);
     let limit = send.limit.min(remaining);
     let attempt = Attempt { number, target, op: send.op, remaining, limit, stall };
-    begin(turn.state, send.endpoint, send.tokens);
+    begin(turn.state, send.endpoint, send.share);
+    if send.step == Step::Decode {
+        count_once(turn.state, id);
+    }
+    turn.state.peers.urgent |= send.step == Step::Hold;
     turn.note_request(id, note);
     turn.push(Effect::Start { request: id, attempt });
 }
 
+/// The call that takes a hold counts in its place: to count both would show the endpoint fuller than
+/// it is to all daemons.
+fn count_once(state: &mut State, id: RequestId) {
+    let hold = state.requests.get_mut(&id).and_then(|request| request.draft.hold.as_mut());
+    if let Some((endpoint, share)) = hold.and_then(|hold| Some((hold.endpoint, hold.share.take()?)))
+    {
+        release(state, endpoint, share);
+    }
+}
+
 impl Request {
     /// It is a draft for a service whose endpoints have stages.
     fn is_draft(&self, state: &State) -> bool {
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -4,9 +4,12 @@
 pub mod directory;
 pub mod endpoint;
 pub mod entries;
+pub mod line;
+pub mod pace;
 pub mod peers;
 pub mod requests;
 pub mod roles;
+pub mod share;
 pub mod suspects;
 
 use std::{
@@ -23,9 +26,12 @@
     directory::Directory,
     endpoint::Endpoint,
     entries::Entries,
+    line::{Line, Place},
+    pace::Pace,
     peers::{Peer, Peers},
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
+    share::{Growth, Share},
     suspects::Suspects,
 };
 use crate::{
@@ -147,6 +153,12 @@
     }
 }
 
+/// How peers name a service to each other.
+#[must_use]
+pub fn service_hash(name: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
+}
+
 /// All of it.
 #[derive(Debug)]
 pub struct State {
@@ -168,8 +180,14 @@
     pub peers: Peers,
     /// Endpoints that did not answer.
     pub suspects: Suspects,
+    /// How fast drafts of a service are generated, by this daemon's own.
+    pub paces: HashMap<String, Pace>,
     /// Drafts that wait for room.
     pub waiting: Vec<RequestId>,
+    /// The line in which the drafts of all daemons wait.
+    pub line: Line,
+    /// When room was last looked for on their behalf.
+    pub(crate) served: Duration,
     /// The store's revision at which the configuration was read; 0 for never.
     pub routes_revision: u64,
     /// The revision at which the last change that matters was seen, here or by a peer.
@@ -207,7 +225,10 @@
             budgets: HashMap::new(),
             peers,
             suspects: Suspects::default(),
+            paces: HashMap::new(),
             waiting: Vec::new(),
+            line: Line::default(),
+            served: Duration::ZERO,
             routes_revision: 0,
             news: PerTopic::default(),
             fresh: false,
@@ -240,6 +261,34 @@
         young && self.local.start == Start::Again && !self.peers.known.values().any(old)
     }
 
+    /// How drafts of a service grow, by what all daemons have measured.
+    #[must_use]
+    pub fn growth(&self, service: &str) -> Growth {
+        let pace = self.pace(service);
+        Growth { pace: pace.per_second(), margin: pace.error() * self.tuning.growth_margin }
+    }
+
+    fn pace(&self, service: &str) -> Pace {
+        let own = self.paces.get(service).copied().unwrap_or_default();
+        let name = service_hash(service);
+        let told = self.peers.known.values().flat_map(|peer| &peer.paces);
+        let told = told.filter(|(service, _)| *service == name);
+        told.fold(own, |all, (_, pace)| all.with(*pace))
+    }
+
+    /// How many peers have a draft in the line that goes before one with this due time.
+    #[must_use]
+    pub fn before(&self, service: &str, due: Duration, now: Duration) -> usize {
+        let name = service_hash(service);
+        let soonest = now + self.tuning.lead;
+        let own = Place::new(due, soonest);
+        let first = |peer: &Peer| {
+            let told = peer.waiting.iter().find(|(service, _)| *service == name);
+            told.is_some_and(|(_, due)| Place::new(*due, soonest) < own)
+        };
+        self.peers.known.values().filter(|peer| first(peer)).count()
+    }
+
     /// Calls can be served: configuration and endpoints are known, and the daemon stays.
     #[must_use]
     pub fn ready(&self) -> bool {
@@ -295,7 +344,17 @@
         let timer = self.timers.first().map(|(at, _)| *at);
         let expiry = self.directory.next_expiry();
         let probe = self.suspects.due();
-        timer.into_iter().chain(expiry).chain(probe).chain([self.beat_due()]).min()
+        // Drafts that run need less from one moment to the next, also when nothing happens.
+        let room = (!self.waiting.is_empty()).then_some(self.served + self.tuning.hold_pause);
+        let turn = self.line.turn.filter(|_| !self.waiting.is_empty());
+        timer
+            .into_iter()
+            .chain(expiry)
+            .chain(probe)
+            .chain(room)
+            .chain(turn)
+            .chain([self.beat_due()])
+            .min()
     }
 
     pub(crate) fn set_timer(&mut self, at: Duration, id: RequestId) {
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -9,7 +9,7 @@
 use crate::{
     effect::Target,
     endpoint::{EndpointInfo, EndpointKey, Stage},
-    state::Endpoint,
+    state::{Endpoint, Share},
 };
 
 /// All endpoints.
@@ -189,19 +189,34 @@
     }
 
     /// Counts a call, and its tokens.
-    pub fn begin(&mut self, key: EndpointKey, tokens: u32) {
+    pub fn begin(&mut self, key: EndpointKey, share: Share) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.calls += 1;
-            endpoint.tokens += tokens;
+            endpoint.calls += share.calls;
+            endpoint.tokens = endpoint.tokens.saturating_add(share.tokens);
+            if share.tokens != 0 {
+                endpoint.own.push(share);
+            }
         }
     }
 
+    /// A draft begins to be generated; what it takes from then on.
+    pub fn started(&mut self, key: EndpointKey, share: Share, now: Duration) -> Share {
+        let running = Share { since: Some(now), ..share };
+        let own = self.endpoints.get_mut(key).map(|endpoint| &mut endpoint.own);
+        if let Some(known) = own.and_then(|own| own.iter_mut().find(|known| **known == share)) {
+            *known = running;
+        }
+        running
+    }
+
     /// Undoes [`Directory::begin`].
-    pub fn end(&mut self, key: EndpointKey, tokens: u32) {
+    pub fn end(&mut self, key: EndpointKey, share: Share) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            debug_assert!(endpoint.calls != 0 && tokens <= endpoint.tokens, "ended twice");
-            endpoint.calls = endpoint.calls.saturating_sub(1);
-            endpoint.tokens = endpoint.tokens.saturating_sub(tokens);
+            let counted = share.calls <= endpoint.calls && share.tokens <= endpoint.tokens;
+            debug_assert!(counted, "ended twice");
+            endpoint.calls = endpoint.calls.saturating_sub(share.calls);
+            endpoint.tokens = endpoint.tokens.saturating_sub(share.tokens);
+            remove(&mut endpoint.own, share);
         }
         self.remove_idle(key);
     }
@@ -213,12 +228,23 @@
     }
 
     /// What this daemon has at endpoints.
-    pub fn own_loads(&self) -> impl Iterator<Item = EndpointLoad> {
+    ///
+    /// `pace` says how fast drafts of a service are generated.
+    pub fn own_loads(
+        &self,
+        now: Duration,
+        pace: impl Fn(&str) -> f64,
+    ) -> impl Iterator<Item = EndpointLoad> {
         let busy = self.endpoints.values().filter(|e| e.calls != 0);
-        busy.map(|e| EndpointLoad {
-            endpoint: start_hash(&e.info),
-            tokens: e.tokens,
-            calls: e.calls,
+        busy.map(move |e| {
+            let pace = if e.own.is_empty() { 0.0 } else { pace(&e.info.service) };
+            let left: f64 = e.own.iter().map(|share| share.left(now, pace)).sum();
+            EndpointLoad {
+                endpoint: start_hash(&e.info),
+                tokens: e.tokens,
+                calls: e.calls,
+                left: left as u32,
+            }
         })
     }
 
@@ -229,18 +255,22 @@
     }
 
     /// Counts a peer's calls.
-    pub fn others(&mut self, key: EndpointKey, tokens: u32, calls: u32) {
+    pub fn others(&mut self, key: EndpointKey, share: Share) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.peer_tokens = endpoint.peer_tokens.saturating_add(tokens);
-            endpoint.peer_calls = endpoint.peer_calls.saturating_add(calls);
+            endpoint.peer_tokens = endpoint.peer_tokens.saturating_add(share.tokens);
+            endpoint.peer_calls = endpoint.peer_calls.saturating_add(share.calls);
+            if share.tokens != 0 {
+                endpoint.others.push(share);
+            }
         }
     }
 
     /// Undoes [`Directory::others`].
-    pub fn no_others(&mut self, key: EndpointKey, tokens: u32, calls: u32) {
+    pub fn no_others(&mut self, key: EndpointKey, share: Share) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.peer_tokens = endpoint.peer_tokens.saturating_sub(tokens);
-            endpoint.peer_calls = endpoint.peer_calls.saturating_sub(calls);
+            endpoint.peer_tokens = endpoint.peer_tokens.saturating_sub(share.tokens);
+            endpoint.peer_calls = endpoint.peer_calls.saturating_sub(share.calls);
+            remove(&mut endpoint.others, share);
         }
     }
 
@@ -264,6 +294,12 @@
     }
 }
 
+fn remove(shares: &mut Vec<Share>, share: Share) {
+    if let Some(at) = shares.iter().position(|known| *known == share) {
+        shares.swap_remove(at);
+    }
+}
+
 /// How peers name a start of an instance to each other: daemons that learn of a new start at different
 /// times must not take the former one's load for its own. Two that share a hash, one in ten thousand
 /// fleets of 840, count each other's load.
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::share::{self, Growth, Share};
 use crate::{endpoint::EndpointInfo, tuning::Tuning};
 
 /// Weight of a new measurement in the running mean of answer times: some ten answers.
@@ -47,6 +48,10 @@
     pub peer_tokens: u32,
     /// Peers' calls in progress.
     pub peer_calls: u32,
+    /// What own calls take here, those that take memory.
+    pub own: Vec<Share>,
+    /// What peers' calls take here.
+    pub others: Vec<Share>,
     /// Running mean of its answer times; `None` before the first one.
     pub mean: Option<Duration>,
     /// Seconds that reading a prompt takes at least, whatever its length.
@@ -75,6 +80,8 @@
             tokens: 0,
             peer_tokens: 0,
             peer_calls: 0,
+            own: Vec::new(),
+            others: Vec::new(),
             mean: None,
             base: FIRST_BASE,
             slowness: 1.0,
@@ -110,6 +117,13 @@
         self.calls.saturating_add(self.peer_calls)
     }
 
+    /// The most memory that the drafts here will take until `more` would have ended, and `more` too.
+    #[must_use]
+    pub fn peak(&self, more: Share, now: Duration, growth: Growth) -> f64 {
+        let all = self.own.iter().chain(&self.others).copied();
+        share::peak(all.chain([more]), more.left(now, growth.pace), now, growth)
+    }
+
     /// It answered: it is there.
     pub fn answered(&mut self, took: Duration) {
         self.accepted();
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -8,6 +8,7 @@
 
 use basilbank_wire::PeerAddress;
 
+use super::{Pace, Share};
 use crate::endpoint::EndpointKey;
 
 /// One other daemon.
@@ -21,17 +22,19 @@
     pub heard: Duration,
     /// What it has at endpoints.
     pub loads: Vec<Load>,
+    /// When the first of its waiting drafts is due, by hashes of the services' names.
+    pub waiting: Vec<(u32, Duration)>,
+    /// How fast its drafts were generated, by hashes of the services' names.
+    pub paces: Vec<(u32, Pace)>,
 }
 
 /// What a peer has at an endpoint.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Load {
     /// The endpoint.
     pub endpoint: EndpointKey,
-    /// Tokens there.
-    pub tokens: u32,
-    /// Calls there.
-    pub calls: u32,
+    /// What its calls take there.
+    pub share: Share,
 }
 
 /// All of them, and this daemon's own datagrams.
@@ -61,6 +64,8 @@
     pub probed: Duration,
     /// What this daemon has at endpoints has changed since.
     pub changed: bool,
+    /// It has taken room at an endpoint since.
+    pub urgent: bool,
 }
 
 /// The address as peers tell it to each other; `None` for anything but IPv4.
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Share;
 use crate::{call::Call, endpoint::EndpointKey, reason::Refusal, route::Route};
 
 /// Times the target that callers wait for a stream's first event.
@@ -57,8 +58,8 @@
     pub number: u32,
     /// Where it is.
     pub endpoint: EndpointKey,
-    /// Tokens that were counted for it there.
-    pub tokens: u32,
+    /// What was counted for it there.
+    pub share: Share,
     /// Tokens that were to be read at a prefill endpoint then, its own included.
     pub ahead: u32,
     /// When it began.
@@ -102,8 +103,8 @@
     pub endpoint: EndpointKey,
     /// The hold's name there.
     pub name: String,
-    /// Tokens that were counted there.
-    pub tokens: u32,
+    /// What is counted for it there; `None` once the call that takes it counts instead.
+    pub share: Option<Share>,
 }
 
 /// A KV cache at a prefill endpoint.
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -30,16 +30,23 @@
     /// Memory that is held with a slot. A slot with a token block is what makes the endpoint admit
     /// the call; holding the whole prompt keeps memory idle that running calls could use.
     pub hold_tokens: u32,
-    /// Part of a decode endpoint's memory that is given to drafts, by what they are expected to need
-    /// at their end. Drafts are at all stages, so they need less at any moment. Of drafts that come half
-    /// as fast again as they can be served, 1.0 brings 0.81 to 0.86 in time, 1.07 0.85 to 0.89, and 1.15
-    /// 0.82 to 0.86, with three to six in a hundred read in vain (benches/load, three deployments).
+    /// Part of a decode endpoint's memory that is given to drafts, by the most that they are expected to
+    /// need at one moment. Of drafts that come half as fast again as they can be served, 0.85 to 0.88 are
+    /// in time, and no prompt is read in vain (benches/load, three deployments).
     pub memory_used: f64,
     /// The same for drafts that can't be on time any more. While drafts come faster than they end, all
     /// of them would wait equally long and all be late; with a tenth of the memory kept from those that
     /// are late anyway, the others find room at once. Of drafts that come half as fast again as they can
-    /// be served, this brings 0.82 to 0.86 in time instead of 0.54 to 0.69 (benches/load).
+    /// be served, this brings 0.85 to 0.88 in time instead of 0.55 to 0.66 (benches/load).
     pub memory_late: f64,
+    /// Times the measured error of the callers' estimates that is kept free for drafts that grow longer:
+    /// with two, one moment in forty finds the memory short if errors fall like the bell curve.
+    pub growth_margin: f64,
+    /// How long room is left to each draft of a peer that goes before: a datagram between data centres,
+    /// and the turns of two daemons on a part of a core.
+    pub line_step: Duration,
+    /// Drafts leave the emptiest endpoints to those of peers that go before them.
+    pub kept_for_others: bool,
     /// From a slot to the first token: the usual prompt is read in 260 ms by an idle endpoint, and some
     /// wait for others'. 250 to 450 ms made no difference.
     pub lead: Duration,
@@ -110,8 +117,11 @@
             avoid_full: Duration::from_millis(60),
             avoid_refusing: Duration::from_secs(2),
             hold_tokens: 16,
-            memory_used: 1.07,
-            memory_late: 0.9,
+            memory_used: 1.0,
+            memory_late: 0.85,
+            growth_margin: 2.0,
+            line_step: Duration::from_millis(6),
+            kept_for_others: true,
             lead: Duration::from_millis(350),
             hold_tries: 4,
             hold_pause: Duration::from_millis(40),
--- a/crates/basilbank_forward/tests/forward/load/engine.rs
+++ b/crates/basilbank_forward/tests/forward/load/engine.rs
@@ -2,9 +2,6 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-/// Time of one token.
-pub const TOKEN: Duration = Duration::from_millis(7);
-
 /// A draft that waits for memory.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -27,6 +24,8 @@
 /// The engine.
 #[derive(Debug, Default)]
 pub struct Engine {
+    /// Time of one token.
+    pub token: Duration,
     pub free_at: Duration,
     pub running: Vec<Running>,
     pub waiting: VecDeque<Waiting>,
@@ -36,7 +35,7 @@
     /// Tokens in memory: prompts, and what has been generated so far.
     pub fn used(&self, now: Duration) -> u32 {
         let made = |run: &Running| {
-            now.saturating_sub(run.first).div_duration_f64(TOKEN) as u32 + run.tokens
+            now.saturating_sub(run.first).div_duration_f64(self.token) as u32 + run.tokens
         };
         self.running.iter().map(made).sum()
     }
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -12,11 +12,12 @@
 
 use basilbank_core::state::Rng;
 use basilbank_forward::{event::Life, prelude::*};
+use basilbank_wire::LoadBeat;
 
 pub use self::site::{Engines, Got, Phase, Placing};
 use self::{
-    engine::{Engine, Running, TOKEN, Waiting},
-    site::{KEPT, PATIENCE, TARGET, endpoint, name, number, table},
+    engine::{Engine, Running, Waiting},
+    site::{KEPT, PATIENCE, TARGET, address, daemon_at, endpoint, name, number, table},
 };
 
 /// Prompt tokens that a prefill endpoint reads in a second.
@@ -28,6 +29,9 @@
 /// A round trip with an endpoint's answer.
 const TRIP: Duration = Duration::from_millis(5);
 
+/// A datagram's way to a peer.
+const WAY: Duration = Duration::from_millis(1);
+
 /// How long a call to a dark endpoint is waited for.
 const DARK: Duration = Duration::from_millis(250);
 
@@ -38,6 +42,7 @@
     Answer { draft: u64, attempt: u32, what: Answer },
     End { draft: u64, attempt: u32, endpoint: usize },
     Probe { endpoint: usize },
+    Heard { from: u16, to: usize, beat: usize },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,6 +72,7 @@
     endpoints: Vec<Engine>,
     drafts: HashMap<u64, Draft>,
     arrivals: VecDeque<Duration>,
+    beats: Vec<LoadBeat>,
     rng: Rng,
     got: Got,
     turn: usize,
@@ -82,7 +88,15 @@
         };
         let state = |n: u16| {
             let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
-            State::new(local.with_start(Start::Again), tuning.clone())
+            let local = local.with_start(Start::Again);
+            let local = match engines.hearing {
+                true => local
+                    .with_incarnation(1)
+                    .with_address(address(n))
+                    .with_seeds((0..engines.daemons).map(address).collect()),
+                false => local,
+            };
+            State::new(local, tuning.clone())
         };
         let mut play = Play {
             engines,
@@ -94,6 +108,7 @@
             endpoints: Vec::new(),
             drafts: HashMap::new(),
             arrivals: VecDeque::new(),
+            beats: Vec::new(),
             rng: Rng::new(seed),
             got: Got::default(),
             turn: 0,
@@ -110,10 +125,11 @@
         let count = self.engines.prefill + self.engines.decode;
         let list = (0..count).map(|n| {
             let stage = if n < self.engines.prefill { Stage::Prefill } else { Stage::Decode };
-            endpoint(n, stage)
+            endpoint(n, stage, self.engines.slots)
         });
         self.feed_all(&Event::Changed { read, listed: list.collect(), gone: Vec::new() });
-        self.endpoints.resize_with(usize::from(count), Engine::default);
+        let engine = || Engine { token: self.engines.token, ..Engine::default() };
+        self.endpoints.resize_with(usize::from(count), engine);
         let mut at = self.now;
         for phase in phases {
             let end = at + phase.time;
@@ -169,6 +185,10 @@
                 self.release(endpoint, draft);
                 self.finish(draft, attempt);
             }
+            Due::Heard { from, to, beat } => {
+                let beat = self.beats[beat].clone();
+                self.feed(to, Event::Beat { from: address(from), beat });
+            }
             Due::Probe { endpoint } => {
                 for daemon in 0..self.states.len() {
                     let key = self.states[daemon].directory.find(&name(endpoint));
@@ -186,9 +206,15 @@
         self.got.drafts += 1;
         let id = u64::from(self.got.drafts);
         let tokens = (self.around(3000.0, 0.5)).clamp(200.0, 6600.0) as u32;
-        let output = (self.around(400.0, 0.7)).clamp(10.0, 1000.0) as u32;
+        let output =
+            (self.around(self.engines.output, 0.7)).clamp(10.0, self.engines.output * 2.5) as u32;
         let hint = (f64::from(output) * (0.5 + self.rng.unit())) as u32;
-        let prompt = Prompt { tokens, most: 1020, hint: Some(hint), session: Some(id) };
+        let prompt = Prompt {
+            tokens,
+            most: self.engines.output as u32 * 5 / 2 + 20,
+            hint: Some(hint),
+            session: Some(id),
+        };
         let draft = Draft { came: self.now, prompt: prompt.clone(), output, first: None };
         self.drafts.insert(id, draft);
         match self.placing {
@@ -238,6 +264,14 @@
                 Effect::Refuse { request, .. } | Effect::Cut { request, .. } => {
                     self.drafts.remove(&request.0);
                 }
+                Effect::SendBeat { to, beat } => {
+                    self.beats.push(beat);
+                    let beat = self.beats.len() - 1;
+                    for to in to.into_iter().map(daemon_at) {
+                        let from = u16::try_from(daemon).unwrap_or_default();
+                        self.push(self.now + WAY, Due::Heard { from, to, beat });
+                    }
+                }
                 Effect::Probe(target) => {
                     let at = self.now + DARK;
                     self.push(at, Due::Probe { endpoint: number(&target.instance) });
@@ -352,7 +386,7 @@
                 continue;
             }
             let first = self.now + next.read;
-            let end = first + TOKEN * draft.output;
+            let end = first + engine.token * draft.output;
             let (draft, attempt) = (next.draft, next.attempt);
             engine.running.push(Running { draft, tokens: next.tokens, first });
             self.push(first, Due::Answer { draft, attempt, what: Answer::Streaming });
@@ -368,6 +402,8 @@
     }
 
     fn release(&mut self, endpoint: usize, draft: u64) {
+        let engine = &self.endpoints[endpoint];
+        self.got.crowded += u32::from(self.engines.memory < engine.used(self.now));
         self.endpoints[endpoint].running.retain(|run| run.draft != draft);
         self.admit(endpoint);
     }
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -27,8 +27,31 @@
     pub memory: u32,
     /// The first so many of these are dark.
     pub dark: u16,
-    /// Daemons, which have just started and don't hear each other.
+    /// Daemons, which have just started.
     pub daemons: u16,
+    /// They hear each other.
+    pub hearing: bool,
+    /// Drafts that an endpoint generates at once.
+    pub slots: u32,
+    /// Time of one token.
+    pub token: Duration,
+    /// Tokens of a usual answer.
+    pub output: f64,
+}
+
+impl Engines {
+    /// Short answers, many slots, and daemons that don't hear each other.
+    pub const USUAL: Engines = Engines {
+        prefill: 2,
+        decode: 7,
+        memory: 40_718,
+        dark: 0,
+        daemons: 1,
+        hearing: false,
+        slots: 64,
+        token: Duration::from_millis(7),
+        output: 400.0,
+    };
 }
 
 /// A share of the load that a site is made for, for some time.
@@ -60,6 +83,9 @@
     pub served: u32,
     /// Prompts that were read, and whose KV cache lapsed.
     pub vain: u32,
+    /// Drafts at whose end their endpoint held more than its memory: a real engine puts one back by then,
+    /// and reads its prompt again.
+    pub crowded: u32,
 }
 
 impl Got {
@@ -70,6 +96,16 @@
     }
 }
 
+/// Where a daemon listens for its peers.
+pub fn address(daemon: u16) -> SocketAddr {
+    SocketAddr::from(([10, 9, 0, 1], 1000 + daemon))
+}
+
+/// The daemon that listens there.
+pub fn daemon_at(address: SocketAddr) -> usize {
+    usize::from(address.port() - 1000)
+}
+
 /// An endpoint's instance.
 pub fn name(endpoint: usize) -> String {
     format!("e{endpoint}")
@@ -81,14 +117,14 @@
 }
 
 /// An endpoint's entry.
-pub fn endpoint(n: u16, stage: Stage) -> EndpointInfo {
+pub fn endpoint(n: u16, stage: Stage, slots: u32) -> EndpointInfo {
     EndpointInfo {
         instance: name(usize::from(n)),
         born: None,
         service: WRITER.to_owned(),
         addr: SocketAddr::from(([10, 0, 0, 1], 1000 + n)),
         data_centre: "hall-a".to_owned(),
-        slots: 64,
+        slots,
         draining: false,
         stage: Some(stage),
     }
--- a/crates/basilbank_forward/tests/forward/overload.rs
+++ b/crates/basilbank_forward/tests/forward/overload.rs
@@ -7,8 +7,10 @@
 
 use crate::load::{Engines, Got, Phase, Placing, Play};
 
-const SMALL: Engines = Engines { prefill: 2, decode: 7, memory: 40_718, dark: 0, daemons: 1 };
-const TIGHT: Engines = Engines { prefill: 4, decode: 12, memory: 22_800, dark: 0, daemons: 1 };
+const SMALL: Engines =
+    Engines { prefill: 2, decode: 7, memory: 40_718, daemons: 1, ..Engines::USUAL };
+const TIGHT: Engines =
+    Engines { prefill: 4, decode: 12, memory: 22_800, daemons: 1, ..Engines::USUAL };
 
 /// Plays of one overload.
 const SEEDS: u64 = 6;
@@ -34,7 +36,7 @@
 #[test_case(SMALL, 24.0)]
 #[test_case(TIGHT, 26.0)]
 fn drafts_that_are_late_anyway_leave_room_for_others(engines: Engines, rate: f64) {
-    let all_alike = Tuning { memory_late: 1.07, lead: Duration::ZERO, ..Tuning::default() };
+    let all_alike = Tuning { memory_late: 1.0, lead: Duration::ZERO, ..Tuning::default() };
     let before = overload(engines, rate, &router(all_alike));
     let now = overload(engines, rate, &router(Tuning::default()));
     assert!(before + 0.05 < now, "{before:.3} before, {now:.3} now");
@@ -62,7 +64,7 @@
 /// Cause: each daemon took the prefill endpoints for idle and sent all its prompts there.
 #[test]
 fn prompts_are_spread_while_no_daemon_knows_the_others_load() {
-    let engines = Engines { prefill: 4, decode: 14, memory: 31_701, dark: 0, daemons: 8 };
+    let engines = Engines { prefill: 4, decode: 14, memory: 31_701, daemons: 8, ..Engines::USUAL };
     let phases = [Phase { rate: 110.0, time: Duration::from_secs(1) }];
     let timely = |tuning: Tuning| {
         let got = (0..SEEDS).map(|seed| Play::run(engines, &phases, router(tuning.clone()), seed));
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -119,7 +119,7 @@
         fleet.rig(1).feed(Event::Beat { from, beat });
     }
     let peer = fleet.rig(1).state.peers.known[&from].clone();
-    assert_eq!(peer.loads.iter().map(|load| load.tokens).sum::<u32>(), 3060);
+    assert_eq!(peer.loads.iter().map(|load| load.share.tokens).sum::<u32>(), 3060);
 }
 
 #[test]
--- a/crates/basilbank_forward/tests/forward/restart_schedules.rs
+++ b/crates/basilbank_forward/tests/forward/restart_schedules.rs
@@ -287,26 +287,32 @@
     fn check(&mut self, vm: usize) -> Result<(), TestCaseError> {
         let state = &self.vms[vm].1.state;
         let mut own: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
-        let mut count = |key: EndpointKey, tokens: u32| {
+        let mut count = |key: EndpointKey, share: Share| {
             let counted = own.entry(key).or_default();
-            *counted = (counted.0 + 1, counted.1 + tokens);
+            *counted = (counted.0 + share.calls, counted.1 + share.tokens);
         };
         for request in state.requests.values() {
-            request.live.iter().for_each(|live| count(live.endpoint, live.tokens));
-            request.draft.hold.iter().for_each(|hold| count(hold.endpoint, hold.tokens));
+            request.live.iter().for_each(|live| count(live.endpoint, live.share));
+            if let Some(hold) = &request.draft.hold {
+                hold.share.iter().for_each(|share| count(hold.endpoint, *share));
+            }
         }
         let mut others: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
         for (from, peer) in &state.peers.known {
             let beat = &self.told[&(*from, peer.sequence)];
             for load in &peer.loads {
                 let counted = others.entry(load.endpoint).or_default();
-                *counted = (counted.0 + load.calls, counted.1 + load.tokens);
+                *counted = (counted.0 + load.share.calls, counted.1 + load.share.tokens);
                 let Some(endpoint) = state.directory.get(load.endpoint) else { continue };
                 let name = start_name(&endpoint.info);
                 let hash = self.hashes.entry(name).or_insert_with(|| wire_name(&endpoint.info));
                 let told = beat.loads().find(|told| told.endpoint == *hash);
                 let told = told.map(|told| (told.calls, told.tokens));
-                prop_assert_eq!(told, Some((load.calls, load.tokens)), "told of another start");
+                prop_assert_eq!(
+                    told,
+                    Some((load.share.calls, load.share.tokens)),
+                    "told of another start"
+                );
             }
         }
         let keys: HashSet<_> = own.keys().chain(others.keys()).copied().collect();
@@ -320,6 +326,9 @@
             prop_assert_eq!(own.get(&key).copied().unwrap_or_default(), counted);
             let counted = (endpoint.peer_calls, endpoint.peer_tokens);
             prop_assert_eq!(others.get(&key).copied().unwrap_or_default(), counted);
+            let sum = |shares: &[Share]| shares.iter().map(|share| share.tokens).sum::<u32>();
+            prop_assert_eq!(sum(&endpoint.own), endpoint.tokens);
+            prop_assert_eq!(sum(&endpoint.others), endpoint.peer_tokens);
         }
         Ok(())
     }
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -239,6 +239,12 @@
     }
 }
 
+/// The daemon at `10.0.0.N:7000`, which knows the others by their word alone.
+pub fn numbered(n: u8) -> Rig {
+    let address = |n| SocketAddr::from(([10, 0, 0, n], 7000));
+    Rig::as_daemon(address(n), vec![address(1), address(2)])
+}
+
 /// A prompt of some tokens, with sixty more to generate.
 pub fn prompt(tokens: u32) -> Prompt {
     Prompt { tokens, most: 100, hint: Some(60), session: None }
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use codec::Frames;
 pub use drop_reason::DropReason;
-pub use load::{EndpointLoad, LoadBeat, PeerAddress, Shunned};
+pub use load::{EndpointLoad, LoadBeat, PeerAddress, ServicePace, Shunned, WaitingDraft};
 pub use message::*;
 pub use replay::{ReplayGuard, SENDERS, WINDOW};
 pub use seal::{SEAL_LEN, Sealer};
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -25,6 +25,15 @@
     /// Calls there.
     #[prost(uint32, repeated, tag = "10")]
     pub calls: Vec<u32>,
+    /// Those of the tokens there that are still to be generated.
+    #[prost(uint32, repeated, tag = "13")]
+    pub left: Vec<u32>,
+    /// How fast the sender's drafts were generated.
+    #[prost(message, repeated, tag = "14")]
+    pub paces: Vec<ServicePace>,
+    /// The first draft of each service that waits for room.
+    #[prost(message, repeated, tag = "15")]
+    pub waiting: Vec<WaitingDraft>,
     /// Some peers that the sender knows.
     #[prost(message, repeated, tag = "5")]
     pub peers: Vec<PeerAddress>,
@@ -48,18 +57,21 @@
             self.endpoints.push(load.endpoint);
             self.tokens.push(load.tokens);
             self.calls.push(load.calls);
+            self.left.push(load.left);
         }
         self
     }
 
     /// What the sender has at endpoints.
     pub fn loads(&self) -> impl Iterator<Item = EndpointLoad> {
-        let counts = self.tokens.iter().zip(&self.calls);
+        let left = self.left.iter().copied().chain(std::iter::repeat(0));
+        let counts = self.tokens.iter().zip(&self.calls).zip(left);
         let all = self.endpoints.iter().zip(counts);
-        all.map(|(endpoint, (tokens, calls))| EndpointLoad {
+        all.map(|(endpoint, ((tokens, calls), left))| EndpointLoad {
             endpoint: *endpoint,
             tokens: *tokens,
             calls: *calls,
+            left: left.min(*tokens),
         })
     }
 
@@ -93,6 +105,40 @@
     pub tokens: u32,
     /// Calls in progress.
     pub calls: u32,
+    /// Those of the tokens that are still to be generated.
+    pub left: u32,
+}
+
+/// A draft that waits for room.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct WaitingDraft {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Milliseconds until its first token is due; negative when it is late.
+    #[prost(sint32, tag = "2")]
+    pub due: i32,
+}
+
+/// How fast drafts of a service were generated: tokens, and the seconds that they took. Both count
+/// newer drafts more, so they also say how much the sender's word weighs.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ServicePace {
+    /// Hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Tokens.
+    #[prost(float, tag = "2")]
+    pub tokens: f32,
+    /// Seconds.
+    #[prost(float, tag = "3")]
+    pub seconds: f32,
+    /// Squares of the estimates that could be compared with what was generated.
+    #[prost(float, tag = "4")]
+    pub squares: f32,
+    /// Squares of what these were wrong by.
+    #[prost(float, tag = "5")]
+    pub errors: f32,
 }
 
 /// Where a daemon listens for its peers.
