What a leaving daemon still has at endpoints counts until it ends

Change: it stays a peer until it has nothing left or is silent.

Test: peers::what_a_leaving_daemon_still_has_counts fails without the change.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -78,7 +78,9 @@
     peers.hints.remove(&from);
     let fresh = before.is_none();
     forget_loads(turn, from);
-    if beat.leaving {
+    // Its streams go on for as long as it may take to leave: to drop them at once would give away
+    // memory that they have.
+    if beat.leaving && beat.endpoints.is_empty() {
         return forget(turn, from, "leaving");
     }
     let loads = resolve(turn, beat);
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -9,7 +9,7 @@
 use basilbank_forward::prelude::*;
 use basilbank_wire::LoadBeat;
 
-use crate::rig::{Rig, held, model, prompt};
+use crate::rig::{Rig, held, model, numbered, prompt};
 
 /// Some daemons, and a network that delivers at once.
 struct Fleet {
@@ -85,6 +85,37 @@
     assert_eq!(used(fleet.rig(2)), Some(0));
 }
 
+/// Symptom: endpoints put drafts back while daemons were replaced in turn.
+/// Sequence: a daemon is told to leave while its drafts stream for seconds yet; its peers place others on
+/// the memory that these have.
+/// Cause: its load was dropped with its first word that it leaves.
+#[test]
+fn what_a_leaving_daemon_still_has_counts() {
+    let mut fleet = Fleet::new(3);
+    fleet.busy(100);
+    let id = fleet.rig(1).call("/draft/1", 14_000, Some(prompt(3000)));
+    let hold = fleet.rig(1).start();
+    fleet.rig(1).came(id, hold.number, held());
+    fleet.rig(1).feed(Event::Shutdown { grace: std::time::Duration::from_secs(7) });
+    fleet.busy(10);
+    let used = |rig: &Rig| rig.state.directory.get(hold.target.endpoint).map(|e| e.peer_tokens);
+    assert!(Some(3000) <= used(fleet.rig(2)));
+    fleet.rig(1).feed(Event::Left(id));
+    fleet.busy(10);
+    assert!(used(fleet.rig(2)) < Some(3000));
+}
+
+#[test]
+fn a_leaving_daemon_with_nothing_left_is_no_peer() {
+    let mut rig = numbered(1);
+    let from = ([10, 0, 0, 2], 7000).into();
+    let beat = LoadBeat { incarnation: 2, sequence: 1, ..LoadBeat::default() };
+    rig.feed(Event::Beat { from, beat: beat.clone() });
+    assert_eq!(rig.state.peers.known.len(), 1);
+    rig.feed(Event::Beat { from, beat: LoadBeat { sequence: 2, leaving: true, ..beat } });
+    assert!(rig.state.peers.known.is_empty());
+}
+
 /// Symptom: the same daemons of a large fleet heard little of a peer, and took it for gone.
 /// Sequence: its link takes a part of the datagrams that it sends at a time, the first ones.
 /// Cause: they went out in the same order each time.
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -11,7 +11,8 @@
     /// Rises with each datagram of one incarnation; older ones are dropped.
     #[prost(uint64, tag = "2")]
     pub sequence: u64,
-    /// The sender is shutting down: it takes no new work, and is no longer a peer.
+    /// The sender is shutting down: it takes no new work, and is no longer a peer once it has nothing at
+    /// endpoints.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
     /// Endpoints at which the sender has calls: hashes of their instances and starts, so that what it
