Placement leaves the bound by slots to the endpoint

A hold at an endpoint whose slots are taken is refused at once, which is what binds then. So it is removed.

--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -1,6 +1,6 @@
 //! Picks an endpoint for a call.
 
-use std::{cmp::Ordering, time::Duration};
+use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -78,8 +78,7 @@
     let endpoints = state.directory.stage(service, Stage::Decode).inspect(|_| any = true);
     // An endpoint that has nothing takes any draft, however large.
     let peaks = endpoints.map(|(key, e)| (key, e, e.peak(want.share, now, growth)));
-    let fits = |e: &Endpoint, peak: f64| peak <= full && e.all_calls() < e.info.slots.max(1);
-    let open = peaks.filter(|(_, e, peak)| e.all_calls() == 0 || fits(e, *peak));
+    let open = peaks.filter(|(_, e, peak)| e.all_calls() == 0 || *peak <= full);
     let costs = open.map(|(key, endpoint, peak)| {
         let used = peak / memory;
         let away = if endpoint.info.data_centre == place { 0.0 } else { REMOTE_MEMORY };
@@ -88,10 +87,7 @@
     });
     let mut costs: Vec<_> = costs.collect();
     if state.tuning.kept_for_others {
-        costs.sort_by(|a, b| {
-            (a.last, a.cost).partial_cmp(&(b.last, b.cost)).unwrap_or(Ordering::Equal)
-        });
-        costs.drain(..want.before.min(costs.len()));
+        leave_to_others(&mut costs, want.before);
     }
     // Only endpoints that don't answer, or have just refused, have room: whoever waits for one of the
     // others is served sooner.
@@ -107,6 +103,15 @@
     }
 }
 
+/// Leaves an endpoint to each draft of a peer that goes before, the emptiest ones first.
+///
+/// Without it small drafts take the room as soon as there is enough for them, and a large one never
+/// finds any, however long it has waited: it is refused in the end, though less urgent ones ran.
+fn leave_to_others(costs: &mut Vec<Cost>, before: usize) {
+    costs.sort_by(|a, b| a.last.cmp(&b.last).then(a.cost.total_cmp(&b.cost)));
+    costs.drain(..before.min(costs.len()));
+}
+
 /// One of the two endpoints to which all daemons give a session first.
 ///
 /// A draft whose stream was cut comes back as another call, often to another daemon. At the endpoint
