--- a/crates/basilbank_forward/tests/forward/line.rs
+++ b/crates/basilbank_forward/tests/forward/line.rs
@@ -1,5 +1,7 @@
 //! The line in which drafts of all daemons wait for room.
 
+use std::time::Duration;
+
 use basilbank_forward::prelude::*;
 use basilbank_wire::{LoadBeat, WaitingDraft};
 
@@ -73,11 +75,11 @@
         daemons: 24,
         hearing: true,
         slots: 12,
-        token: std::time::Duration::from_micros(560),
+        token: Duration::from_micros(560),
         output: 6000.0,
         ..Engines::USUAL
     };
-    let phases = [Phase { rate: 30.0, time: std::time::Duration::from_secs(12) }];
+    let phases = [Phase { rate: 30.0, time: Duration::from_secs(12) }];
     let play = |tuning: Tuning| {
         let got = (0..3).map(|seed| {
             Play::run(engines, &phases, Placing::Router(Box::new(tuning.clone())), seed)
@@ -89,11 +91,7 @@
             ..all
         })
     };
-    let alone = Tuning {
-        kept_for_others: false,
-        line_step: std::time::Duration::ZERO,
-        ..Tuning::default()
-    };
+    let alone = Tuning { kept_for_others: false, line_step: Duration::ZERO, ..Tuning::default() };
     let (before, now) = (play(alone), play(Tuning::default()));
     assert!(now.crowded * 2 < before.crowded, "{before:?} before, {now:?} now");
 }
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -96,7 +96,7 @@
     let id = fleet.rig(1).call("/draft/1", 14_000, Some(prompt(3000)));
     let hold = fleet.rig(1).start();
     fleet.rig(1).came(id, hold.number, held());
-    fleet.rig(1).feed(Event::Shutdown { grace: std::time::Duration::from_secs(7) });
+    fleet.rig(1).feed(Event::Shutdown { grace: Duration::from_secs(7) });
     fleet.busy(10);
     let used = |rig: &Rig| rig.state.directory.get(hold.target.endpoint).map(|e| e.peer_tokens);
     assert!(Some(3000) <= used(fleet.rig(2)));
