Room isn't kept for drafts that go before, beyond a moment

Each draft left an endpoint to every peer's draft that goes before it. With 73 daemons before 60 endpoints, whose news of one another is some milliseconds old, so many endpoints were left to drafts that had found room already.

Change: it is gone; room is left for 6 ms to each draft that goes before.

--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -69,7 +69,7 @@
     let longest = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.hold);
     let op = Op::Hold { tokens: hold_tokens, ttl: longest };
     let before = state.before(&service, due, now);
-    let want = Want { near, share, part, before, session: prompt.session };
+    let want = Want { near, share, part, session: prompt.session };
     let endpoint = match pick::decode(state, &service, &tried, &want, now) {
         Decode::At(endpoint) => endpoint,
         Decode::Full => {
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -53,8 +53,6 @@
     pub share: Share,
     /// Part of an endpoint's memory that is given out to drafts like it.
     pub part: f64,
-    /// Drafts of peers that go before it.
-    pub before: usize,
     /// The session that it belongs to.
     pub session: Option<u64>,
 }
@@ -85,10 +83,7 @@
         let cost = used + away;
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
-    let mut costs: Vec<_> = costs.collect();
-    if state.tuning.kept_for_others {
-        leave_to_others(&mut costs, want.before);
-    }
+    let costs: Vec<_> = costs.collect();
     // Only endpoints that don't answer, or have just refused, have room: whoever waits for one of the
     // others is served sooner.
     let sound = state.directory.stage(service, Stage::Decode).any(|(_, e)| e.avoided <= now);
@@ -103,15 +98,6 @@
     }
 }
 
-/// Leaves an endpoint to each draft of a peer that goes before, the emptiest ones first.
-///
-/// Without it small drafts take the room as soon as there is enough for them, and a large one never
-/// finds any, however long it has waited: it is refused in the end, though less urgent ones ran.
-fn leave_to_others(costs: &mut Vec<Cost>, before: usize) {
-    costs.sort_by(|a, b| a.last.cmp(&b.last).then(a.cost.total_cmp(&b.cost)));
-    costs.drain(..before.min(costs.len()));
-}
-
 /// One of the two endpoints to which all daemons give a session first.
 ///
 /// A draft whose stream was cut comes back as another call, often to another daemon. At the endpoint
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -45,8 +45,6 @@
     /// How long room is left to each draft of a peer that goes before: a datagram between data centres,
     /// and the turns of two daemons on a part of a core.
     pub line_step: Duration,
-    /// Drafts leave the emptiest endpoints to those of peers that go before them.
-    pub kept_for_others: bool,
     /// From a slot to the first token: the usual prompt is read in 260 ms by an idle endpoint, and some
     /// wait for others'. 250 to 450 ms made no difference.
     pub lead: Duration,
@@ -121,7 +119,6 @@
             memory_late: 0.85,
             growth_margin: 2.0,
             line_step: Duration::from_millis(6),
-            kept_for_others: true,
             lead: Duration::from_millis(350),
             hold_tries: 4,
             hold_pause: Duration::from_millis(40),
