A hold ends in one place, and waiting drafts have one order

- What a hold counts was ended in three places, and given back in two: end_hold and give_hold_back serve all.
- The queue sorted by its own pair of lateness and due time beside Place, which the line uses: Request::place serves both.
- The pace of a service was put together from all peers' words for each endpoint of each datagram; now once a service.
- Two comments said what no longer holds.

--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -27,7 +27,7 @@
     endpoint::EndpointKey,
     event::Event,
     note::Note,
-    state::{Leaving, Share, State},
+    state::{Leaving, Share, State, requests::Hold},
 };
 
 /// Takes one event in and says what is to be done.
@@ -81,6 +81,13 @@
     state.peers.changed |= share.tokens != 0;
 }
 
+/// A hold is over: it counts no more at its endpoint, unless the call that takes it counts already.
+fn end_hold(state: &mut State, hold: &Hold) {
+    if let Some(share) = hold.share {
+        end(state, hold.endpoint, share);
+    }
+}
+
 /// One event's turn.
 struct Turn<'a> {
     state: &'a mut State,
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -171,8 +171,10 @@
         Shunned { endpoint, left }
     });
     let shunned: Vec<_> = shunned.collect();
-    let loads: Vec<_> =
-        state.directory.own_loads(now, |service| state.growth(service).pace).collect();
+    // Peers' words are put together once for each service, not for each endpoint.
+    let mut known = HashMap::new();
+    let pace = |service| *known.entry(service).or_insert_with(|| state.growth(service).pace);
+    let loads: Vec<_> = state.directory.own_loads(now, pace).collect();
     let paces = paces(state);
     let waiting = waiting(state, now);
     let peers = &mut state.peers;
@@ -235,7 +237,7 @@
     let soonest = now + state.tuning.lead;
     let mut first: HashMap<&str, Place> = HashMap::new();
     for request in state.waiting.iter().filter_map(|id| state.requests.get(id)) {
-        let place = Place::new(request.due(), soonest);
+        let place = request.place(soonest);
         let known = first.entry(&request.service).or_insert(place);
         *known = place.min(*known);
     }
--- a/crates/basilbank_forward/src/reduce/entries.rs
+++ b/crates/basilbank_forward/src/reduce/entries.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Turn, end as release, endpoints};
+use super::{Turn, end_hold, endpoints};
 use crate::{
     endpoint::{EndpointInfo, EndpointKey, Says},
     note::Note,
@@ -186,8 +186,6 @@
         draft.kv.take_if(|kv| kv.endpoint == key);
     }
     for hold in holds {
-        if let Some(share) = hold.share {
-            release(state, hold.endpoint, share);
-        }
+        end_hold(state, &hold);
     }
 }
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -1,12 +1,15 @@
 //! A call ends, and what is held for it is given back.
 
-use super::{Turn, end as release, queue};
+use super::{Turn, end as release, end_hold, queue};
 use crate::{
     call::RequestId,
     effect::Effect,
     note::{Measure, Note},
     reason::Refusal,
-    state::{Request, State, requests::Live},
+    state::{
+        Request, State,
+        requests::{Hold, Live},
+    },
 };
 
 /// Passes the answer on that the shell holds.
@@ -46,15 +49,17 @@
 /// Gives a hold back whose endpoint did not take the call.
 pub fn drop_hold_of(turn: &mut Turn<'_>, id: RequestId, live: &Live) {
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
-    let Some(hold) = request.draft.hold.take_if(|hold| hold.endpoint == live.endpoint) else {
-        return;
-    };
-    if let Some(share) = hold.share {
-        release(turn.state, hold.endpoint, share);
+    if let Some(hold) = request.draft.hold.take_if(|hold| hold.endpoint == live.endpoint) {
+        give_hold_back(turn, &hold);
     }
+}
+
+fn give_hold_back(turn: &mut Turn<'_>, hold: &Hold) {
+    // Before it is released: an endpoint that is gone is removed with its last call.
     if let Some(target) = turn.state.directory.target(hold.endpoint) {
-        turn.push(Effect::Drop { target, hold: hold.name });
+        turn.push(Effect::Drop { target, hold: hold.name.clone() });
     }
+    end_hold(turn.state, hold);
 }
 
 fn end(turn: &mut Turn<'_>, id: RequestId, outcome: &'static str) {
@@ -78,13 +83,8 @@
 }
 
 fn give_back(turn: &mut Turn<'_>, request: Request) {
-    if let Some(hold) = request.draft.hold {
-        if let Some(target) = turn.state.directory.target(hold.endpoint) {
-            turn.push(Effect::Drop { target, hold: hold.name });
-        }
-        if let Some(share) = hold.share {
-            release(turn.state, hold.endpoint, share);
-        }
+    if let Some(hold) = &request.draft.hold {
+        give_hold_back(turn, hold);
     }
     if let Some(kv) = request.draft.kv
         && let Some(target) = turn.state.directory.target(kv.endpoint)
--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -32,17 +32,14 @@
         .state
         .waiting
         .iter()
-        .filter_map(|id| {
-            let request = requests.get(id)?;
-            Some((!request.is_timely(soonest), request.due(), *id))
-        })
+        .filter_map(|id| Some((requests.get(id)?.place(soonest), *id)))
         .collect();
     order.sort_unstable();
     turn.state.waiting.clear();
     turn.state.line.turn = None;
     // Services have endpoints of their own: one that is full says nothing about the others.
     let mut full = HashSet::new();
-    for (_, _, id) in order {
+    for (_, id) in order {
         let Some(service) = turn.state.requests.get(&id).map(|r| r.service.clone()) else {
             continue;
         };
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Turn, begin, draft, end as release, finish, plain, queue};
+use super::{Turn, begin, draft, end, finish, plain, queue};
 use crate::{
     call::RequestId,
     effect::{Attempt, Effect, Op},
@@ -179,9 +179,9 @@
 /// it is to all daemons.
 fn count_once(state: &mut State, id: RequestId) {
     let hold = state.requests.get_mut(&id).and_then(|request| request.draft.hold.as_mut());
-    if let Some((endpoint, share)) = hold.and_then(|hold| Some((hold.endpoint, hold.share.take()?)))
-    {
-        release(state, endpoint, share);
+    let counted = hold.and_then(|hold| Some((hold.endpoint, hold.share.take()?)));
+    if let Some((endpoint, share)) = counted {
+        end(state, endpoint, share);
     }
 }
 
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -230,10 +230,10 @@
     /// What this daemon has at endpoints.
     ///
     /// `pace` says how fast drafts of a service are generated.
-    pub fn own_loads(
-        &self,
+    pub fn own_loads<'a>(
+        &'a self,
         now: Duration,
-        pace: impl Fn(&str) -> f64,
+        mut pace: impl FnMut(&'a str) -> f64,
     ) -> impl Iterator<Item = EndpointLoad> {
         let busy = self.endpoints.values().filter(|e| e.calls != 0);
         busy.map(move |e| {
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::Share;
+use super::{Place, Share};
 use crate::{call::Call, endpoint::EndpointKey, reason::Refusal, route::Route};
 
 /// Times the target that callers wait for a stream's first event.
@@ -155,6 +155,12 @@
         first <= self.due()
     }
 
+    /// Its place among the drafts that wait, if its first token can't come before `soonest`.
+    #[must_use]
+    pub fn place(&self, soonest: Duration) -> Place {
+        Place::new(self.due(), soonest)
+    }
+
     /// When its answer should begin to be on time.
     #[must_use]
     pub fn due(&self) -> Duration {
--- a/crates/basilbank_forward/src/state/share.rs
+++ b/crates/basilbank_forward/src/state/share.rs
@@ -68,8 +68,8 @@
 /// same memory to several when many have begun together. All generate equally fast, so time is
 /// counted in tokens: the memory is fullest just before one of them ends.
 ///
-/// Estimates are wrong either way, and for each draft by itself: the room that is kept for that is the
-/// root of the squares. Where prompts are long and answers short it is next to nothing.
+/// Estimates are wrong either way, and for each draft by itself, so the room that is kept for that is the
+/// root of the squares' sum. Where prompts are long and answers short it is next to nothing.
 #[must_use]
 pub fn peak(shares: impl Iterator<Item = Share>, until: f64, now: Duration, growth: Growth) -> f64 {
     let ends = shares.filter(|share| share.calls != 0).map(|share| {
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -35,7 +35,7 @@
     /// in time, and no prompt is read in vain (benches/load, three deployments).
     pub memory_used: f64,
     /// The same for drafts that can't be on time any more. While drafts come faster than they end, all
-    /// of them would wait equally long and all be late; with a tenth of the memory kept from those that
+    /// of them would wait equally long and all be late; with 0.15 of the memory kept from those that
     /// are late anyway, the others find room at once. Of drafts that come half as fast again as they can
     /// be served, this brings 0.85 to 0.88 in time instead of 0.55 to 0.66 (benches/load).
     pub memory_late: f64,
