--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -37,6 +37,15 @@
         self.rigs.get_mut(&at).expect("a daemon")
     }
 
+    /// Daemon `n` gets a slot for a draft, at this endpoint.
+    fn hold(&mut self, n: usize) -> (RequestId, EndpointKey) {
+        let rig = self.rig(n);
+        let id = rig.call("/draft/1", 14_000, Some(prompt(3000)));
+        let hold = rig.start();
+        rig.came(id, hold.number, held());
+        (id, hold.target.endpoint)
+    }
+
     /// Lets time pass in steps, each with a call that comes and leaves, so that there is always
     /// something new to tell.
     fn busy(&mut self, steps: u32) {
@@ -75,11 +84,9 @@
 fn a_daemon_counts_what_its_peers_have_until_they_are_silent() {
     let mut fleet = Fleet::new(3);
     fleet.busy(100);
-    let id = fleet.rig(1).call("/draft/1", 14_000, Some(prompt(3000)));
-    let hold = fleet.rig(1).start();
-    fleet.rig(1).came(id, hold.number, held());
+    let (_, endpoint) = fleet.hold(1);
     fleet.busy(10);
-    let used = |rig: &Rig| rig.state.directory.get(hold.target.endpoint).map(|e| e.peer_tokens);
+    let used = |rig: &Rig| rig.state.directory.get(endpoint).map(|e| e.peer_tokens);
     assert!(Some(3000) <= used(fleet.rig(2)));
     fleet.rig(2).pass_ms(3000);
     assert_eq!(used(fleet.rig(2)), Some(0));
@@ -93,12 +100,10 @@
 fn what_a_leaving_daemon_still_has_counts() {
     let mut fleet = Fleet::new(3);
     fleet.busy(100);
-    let id = fleet.rig(1).call("/draft/1", 14_000, Some(prompt(3000)));
-    let hold = fleet.rig(1).start();
-    fleet.rig(1).came(id, hold.number, held());
+    let (id, endpoint) = fleet.hold(1);
     fleet.rig(1).feed(Event::Shutdown { grace: Duration::from_secs(7) });
     fleet.busy(10);
-    let used = |rig: &Rig| rig.state.directory.get(hold.target.endpoint).map(|e| e.peer_tokens);
+    let used = |rig: &Rig| rig.state.directory.get(endpoint).map(|e| e.peer_tokens);
     assert!(Some(3000) <= used(fleet.rig(2)));
     fleet.rig(1).feed(Event::Left(id));
     fleet.busy(10);
