Failing tests: versions are late once a daemon reaches the store again

Symptom: routes that were confirmed are denied, or answered 503, for seconds after a cut or a silent store.

--- a/crates/basilbank_gateway/tests/reader/main.rs
+++ b/crates/basilbank_gateway/tests/reader/main.rs
@@ -2,5 +2,7 @@
 
 mod findings;
 mod limits;
+mod returns;
 mod rig;
+mod store;
 mod topics;
--- /dev/null
+++ b/crates/basilbank_gateway/tests/reader/returns.rs
@@ -0,0 +1,71 @@
+//! What is confirmed is in force in time once a daemon reaches the store again.
+
+use std::{rc::Rc, time::Duration};
+
+use basilbank_forward::prelude::*;
+use test_case::test_case;
+
+use crate::{
+    rig::{Rig, in_virtual_time},
+    store::{Outage, Span, Store},
+};
+
+/// How long after its confirmation, or after the store's return, a version may take: the operators'
+/// bound.
+const BOUND: Duration = Duration::from_secs(2);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A version each 800 ms; endpoints that come and go no more.
+fn store(outage: Outage, to: Duration) -> Rc<Store> {
+    Rc::new(Store {
+        versions: (1..40).map(|n| ms(800) * n).collect(),
+        spans: vec![Span { from: ms(4000), to, outage }],
+        trip: ms(5),
+        ..Store::default()
+    })
+}
+
+/// The first moment at which a version is not in force that has to be.
+async fn first_late(rig: &Rig, store: &Store, from: Duration, peer: bool) -> Option<String> {
+    for step in 1..=240 {
+        let now = ms(50) * step;
+        rig.go_on(store, now, peer).await;
+        let due = store.version(now.saturating_sub(BOUND));
+        if from + BOUND <= now && rig.version() < due {
+            return Some(format!("version {} instead of {due} at {now:?}", rig.version()));
+        }
+    }
+    None
+}
+
+/// Symptom: callers of a route that had been confirmed seconds ago were told that there is none.
+/// Sequence: a Vm loses its way to the store while versions follow each other, and finds it again; the
+/// list of endpoints doesn't change.
+#[test_case(Outage::Cut, true ; "cut off, with a peer")]
+#[test_case(Outage::Cut, false ; "cut off, alone")]
+#[test_case(Outage::Silent, true ; "silent, with a peer")]
+#[test_case(Outage::Silent, false ; "silent, alone")]
+#[test_case(Outage::Refused, true ; "refused, with a peer")]
+#[test_case(Outage::Refused, false ; "refused, alone")]
+fn a_confirmed_version_is_in_force_in_time_after(outage: Outage, peer: bool) {
+    let mut late = Vec::new();
+    // Where the outage's end falls among the reader's waits decides.
+    for step in 0..16 {
+        let to = ms(5500) + ms(130) * step;
+        in_virtual_time(|| async {
+            let rig = Rig::new();
+            let store = store(outage, to);
+            rig.read_both(&store);
+            let first = first_late(&rig, &store, to, peer).await;
+            late_push(&mut late, to, first);
+        });
+    }
+    assert!(late.is_empty(), "{} of 16 ends: {late:#?}", late.len());
+}
+
+fn late_push(late: &mut Vec<String>, to: Duration, first: Option<String>) {
+    late.extend(first.map(|first| format!("back at {to:?}: {first}")));
+}
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -51,6 +51,11 @@
         Rig { router, asked: Rc::default(), heard: Rc::default(), begun }
     }
 
+    /// When the daemon started.
+    pub fn begun(&self) -> Instant {
+        self.begun
+    }
+
     /// Starts a topic's reader before a store.
     pub fn read(&self, topic: Topic, answer: impl Fn(&Query, Progress) -> Read + 'static) {
         let (asked, begun) = (Rc::clone(&self.asked), self.begun);
--- /dev/null
+++ b/crates/basilbank_gateway/tests/reader/store.rs
@@ -0,0 +1,179 @@
+//! A store whose content follows a timetable, and whose way to the daemon is out of order at times.
+
+use std::{rc::Rc, time::Duration};
+
+use basilbank_forward::prelude::*;
+use basilbank_gateway::{Query, Read, ReadError, Reading, Scope};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::rig::{Rig, configuration, list};
+
+/// How a store that can't be read behaves.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Outage {
+    /// No connection can be made, and nothing comes over those that stand.
+    Cut,
+    /// Connections can be made, and nothing comes.
+    Silent,
+    /// Each question is refused at once, and so are those that wait.
+    Refused,
+    /// Answers take so long. They are true when they leave.
+    Slow(Duration),
+}
+
+/// An outage's time.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Span {
+    pub from: Duration,
+    pub to: Duration,
+    pub outage: Outage,
+}
+
+/// What the store holds, and when.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    /// When each version of the configuration is confirmed; the first one is there from the start.
+    pub versions: Vec<Duration>,
+    /// When the list of endpoints changes.
+    pub list: Vec<Duration>,
+    pub spans: Vec<Span>,
+    /// What a question and its answer take.
+    pub trip: Duration,
+}
+
+impl Store {
+    /// Versions that are confirmed at a time.
+    pub fn version(&self, at: Duration) -> u64 {
+        1 + count(&self.versions, at)
+    }
+
+    /// The store's revision. Those of both topics come from one counter.
+    fn revision(&self, at: Duration) -> u64 {
+        1 + count(&self.versions, at) + count(&self.list, at)
+    }
+
+    /// The revision of a topic's last change.
+    pub fn newest(&self, topic: Topic, at: Duration) -> u64 {
+        let times = self.times(topic);
+        let last = times.iter().filter(|time| **time <= at).max();
+        last.map_or(1, |last| self.revision(*last))
+    }
+
+    fn times(&self, topic: Topic) -> &[Duration] {
+        match topic {
+            Topic::Routes => &self.versions,
+            Topic::Endpoints => &self.list,
+        }
+    }
+
+    fn outage(&self, at: Duration) -> Option<Span> {
+        self.spans.iter().find(|span| span.from <= at && at < span.to).copied()
+    }
+
+    fn reading(&self, topic: Topic, at: Duration) -> Reading {
+        let reading = match topic {
+            Topic::Routes => configuration(1, self.version(at)),
+            Topic::Endpoints => list(1, &["a"]),
+        };
+        let at = Revisions { store: self.revision(at), newest: self.newest(topic, at) };
+        Reading { at, ..reading }
+    }
+
+    /// Answers a question.
+    async fn answer(
+        &self,
+        topic: Topic,
+        query: Query,
+        begun: Instant,
+    ) -> Result<Reading, ReadError> {
+        let slow = match self.outage(begun.elapsed()).map(|span| span.outage) {
+            Some(Outage::Cut) => {
+                sleep(query.connect).await;
+                return Err(failed("unreachable"));
+            }
+            Some(Outage::Silent) => std::future::pending().await,
+            Some(Outage::Refused) => {
+                sleep(self.trip).await;
+                return Err(failed("status 503"));
+            }
+            Some(Outage::Slow(time)) => time,
+            None => Duration::ZERO,
+        };
+        sleep(self.trip + slow).await;
+        if let Scope::Changes { after, wait } = query.scope {
+            let end = Instant::now() + wait;
+            while self.newest(topic, begun.elapsed()) <= after && Instant::now() < end {
+                let next = self.next(topic, begun.elapsed()).map_or(end, |next| begun + next);
+                self.wait(begun, next.min(end)).await?;
+            }
+            if self.newest(topic, begun.elapsed()) <= after {
+                let store = self.revision(begun.elapsed());
+                return Ok(Reading { at: Revisions { store, newest: 0 }, ..Reading::default() });
+            }
+        }
+        Ok(self.reading(topic, begun.elapsed()))
+    }
+
+    /// Waits, with the store's state at its side: connections that stand go down with it.
+    async fn wait(&self, begun: Instant, until: Instant) -> Result<(), ReadError> {
+        let now = begun.elapsed();
+        let next = self.spans.iter().filter(|span| now <= span.from && begun + span.from < until);
+        match next.min_by_key(|span| span.from) {
+            Some(span) => {
+                sleep_until(begun + span.from).await;
+                match span.outage {
+                    Outage::Cut | Outage::Silent => std::future::pending().await,
+                    Outage::Refused => Err(failed("reset")),
+                    Outage::Slow(_) => Ok(sleep(Duration::from_millis(1)).await),
+                }
+            }
+            None => Ok(sleep_until(until).await),
+        }
+    }
+
+    /// When the topic changes next.
+    fn next(&self, topic: Topic, after: Duration) -> Option<Duration> {
+        self.times(topic).iter().filter(|time| after < **time).min().copied()
+    }
+}
+
+fn count(times: &[Duration], at: Duration) -> u64 {
+    times.iter().filter(|time| **time <= at).count() as u64
+}
+
+fn failed(error: &str) -> ReadError {
+    ReadError::Failed(error.to_owned())
+}
+
+impl Rig {
+    /// Starts both readers before a store.
+    pub fn read_both(&self, store: &Rc<Store>) {
+        let begun = self.begun();
+        for topic in Topic::ALL {
+            let store = Rc::clone(store);
+            self.read(topic, move |query, _| -> Read {
+                let (store, query) = (Rc::clone(&store), query.clone());
+                Box::pin(async move { store.answer(topic, query, begun).await })
+            });
+        }
+    }
+
+    /// Goes on until then. A peer that reads the store without trouble tells what it has, if there is one.
+    pub async fn go_on(&self, store: &Store, until: Duration, peer: bool) {
+        let until = self.begun() + until;
+        while Instant::now() < until {
+            if peer {
+                let now = self.begun().elapsed();
+                self.hear(Topic::Routes, store.newest(Topic::Routes, now), Duration::ZERO).await;
+                self.hear(Topic::Endpoints, store.newest(Topic::Endpoints, now), Duration::ZERO)
+                    .await;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> u64 {
+        self.router.read(|state| state.routes.version)
+    }
+}
