A peer's word about a change that there is not is disproved by one question

Symptom: a daemon whose peer tells of a revision that the store doesn't have answers 503 for routes that there are not, for ever, and tells the word on, so that all daemons do. Cause: news of peers were believed until the store had reached them. Change: the store's counter only rises and its answers are as new as the question. So an answer whose revision is below a word that was heard before it was asked disproves the word: it is forgotten, logged (`news_disproved`), and not heard again.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -9,7 +9,7 @@
     endpoint::{EndpointInfo, EndpointKey},
     route::RouteTable,
     state::OrderRight,
-    topic::Revisions,
+    topic::{Revisions, Topic},
 };
 
 /// One event.
@@ -55,6 +55,13 @@
     },
     /// The list of endpoints could not be read.
     StoreLost,
+    /// The store has no change of a topic with this revision, though a peer has told of it.
+    Disproved {
+        /// The topic.
+        topic: Topic,
+        /// The revision.
+        revision: u64,
+    },
     /// An endpoint was asked whether it lives.
     Probed {
         /// The endpoint.
--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -121,6 +121,9 @@
     Drop(ReadId),
     /// The topic can't be read. It is said once, until it can be read again.
     Lost,
+    /// No change has this revision, though a peer has told of it: the store was asked after that, and
+    /// is not as far.
+    Disproved(u64),
     /// Log a line.
     Note(Note),
 }
--- a/crates/basilbank_forward/src/reading/asked.rs
+++ b/crates/basilbank_forward/src/reading/asked.rs
@@ -25,6 +25,8 @@
     pub page: bool,
     /// A peer's word was its cause.
     pub urged: bool,
+    /// The newest change that peers had told of when it went out.
+    pub news: u64,
 }
 
 impl Asked {
--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -223,6 +223,7 @@
             bytes: 0,
             page: matches!(scope, Scope::Page { .. }),
             urged,
+            news: around.news,
         });
         // Another question goes out long before a connection that can't be made is given up.
         effects.push(ReadEffect::Ask(id, Query { scope, connect: PATIENCE, most }));
@@ -235,7 +236,7 @@
                 if asked.page {
                     self.page(now, store, next, bytes);
                 } else {
-                    self.changes(now, store, changed);
+                    self.changes(now, asked, store, changed, effects);
                 }
             }
             Came::HistoryGone => self.read_all(now, "history_gone", effects),
@@ -281,7 +282,18 @@
         self.due = now;
     }
 
-    fn changes(&mut self, now: Duration, store: u64, changed: bool) {
+    fn changes(
+        &mut self,
+        now: Duration,
+        asked: &Asked,
+        store: u64,
+        changed: bool,
+        effects: &mut Vec<ReadEffect>,
+    ) {
+        // The store's counter only rises, and its answers are as new as the question.
+        if store < asked.news {
+            effects.push(ReadEffect::Disproved(asked.news));
+        }
         self.after = store;
         self.just_read = false;
         self.due = if changed { now + BATCH } else { now };
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -48,6 +48,7 @@
             endpoints::change(&mut turn, read, listed, &gone);
         }
         Event::StoreLost => turn.state.directory.lost = true,
+        Event::Disproved { topic, revision } => beat::disproved(&mut turn, topic, revision),
         Event::Probed { endpoint, life } => suspect::probed(&mut turn, endpoint, life),
         Event::Ordered { endpoint, accepted } => roles::ordered(&mut turn, endpoint, accepted),
         Event::Right(right) => roles::right(&mut turn, right),
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -16,6 +16,7 @@
         peers::{Load, Peer, Peers, from_wire, to_wire},
         service_hash,
     },
+    topic::Topic,
 };
 
 /// Least time between two datagrams after a change, besides what the number of peers adds.
@@ -88,9 +89,8 @@
         turn.state.directory.others(load.endpoint, load.share);
     }
     shun(turn, &beat.shunned);
-    let news = &mut turn.state.news;
-    news.endpoints = beat.endpoints_news.max(news.endpoints);
-    news.routes = beat.routes_news.max(news.routes);
+    hear_news(turn, Topic::Endpoints, beat.endpoints_news);
+    hear_news(turn, Topic::Routes, beat.routes_news);
     let peer = Peer {
         incarnation: beat.incarnation,
         sequence: beat.sequence,
@@ -108,6 +108,29 @@
     queue::serve(turn);
 }
 
+/// A peer has seen a change. Without the exception a revision that doesn't exist would be heard again
+/// and again: this daemon would ask the store for it all the time, and deny no route any more.
+fn hear_news(turn: &mut Turn<'_>, topic: Topic, revision: u64) {
+    if revision != *turn.state.disproved.get(topic) {
+        let news = turn.state.news.get_mut(topic);
+        *news = revision.max(*news);
+    }
+}
+
+/// The store has no change with this revision. Nobody's configuration changes by such a word; it costs
+/// one question.
+pub fn disproved(turn: &mut Turn<'_>, topic: Topic, revision: u64) {
+    let read = turn.state.revision(topic);
+    *turn.state.disproved.get_mut(topic) = revision;
+    let news = turn.state.news.get_mut(topic);
+    // What came since the question is not disproved.
+    if *news == revision {
+        *news = read;
+    }
+    let note = Note::new("news_disproved").with("topic", topic.as_str());
+    turn.note(note.with("revision", revision).with("store", read));
+}
+
 /// Sends what is due, and forgets peers that are silent.
 pub fn tick(turn: &mut Turn<'_>) {
     let now = turn.now;
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -193,6 +193,9 @@
     pub routes_revision: u64,
     /// The revision at which the last change that matters was seen, here or by a peer.
     pub news: PerTopic<u64>,
+    /// A revision that a peer told of and the store hasn't reached; 0 for none. It goes round among
+    /// daemons until all have asked the store.
+    pub disproved: PerTopic<u64>,
     /// Endpoints' entries that matter were read, and their revision isn't known yet.
     pub(crate) fresh: bool,
     /// Orders to endpoints.
@@ -232,6 +235,7 @@
             served: Duration::ZERO,
             routes_revision: 0,
             news: PerTopic::default(),
+            disproved: PerTopic::default(),
             fresh: false,
             roles: Roles::default(),
             started: None,
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -135,6 +135,9 @@
                 self.router.dispatch(Event::StoreLost);
             }
             ReadEffect::Lost => {}
+            ReadEffect::Disproved(revision) => {
+                self.router.dispatch(Event::Disproved { topic: self.topic, revision });
+            }
             ReadEffect::Note(note) => self.router.log(&note),
         }
     }
