What the checker finds worth nothing goes from the readers

In the checker a spell in which connections died again after they had died before counted from the first time: a plan with 10 ms of silence right after was taken for noticed.

--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -7,8 +7,7 @@
 //!
 //! - **An outage is noticed by looking.** Silence leads to another question beside the one that is
 //!   silent, at a steady pace and on a new connection. It asks the store not to wait for a change, so an
-//!   answer means that the store is back, also when nothing has changed. One reader's answer is the
-//!   other's reason to ask.
+//!   answer means that the store is back, also when nothing has changed.
 //! - **A question is left open for long.** An answer that is merely late counts: the first that comes is
 //!   taken, whichever question it belongs to. So no limit has to grow with failures for the sake of a
 //!   slow store or link, and no wait is the sum of others.
@@ -31,8 +30,6 @@
     pub scope: Scope,
     /// Longest wait for a connection.
     pub connect: Duration,
-    /// Over a new connection: a kept one may have died without a sign.
-    pub renew: bool,
     /// Most bytes of an answer.
     pub most: usize,
 }
@@ -120,7 +117,12 @@
     /// Ask the store. Questions that are open stay open.
     Ask(ReadId, Query),
     /// Close a question.
-    Drop(ReadId),
+    Drop {
+        /// Which one.
+        read: ReadId,
+        /// It was silent for too long. Otherwise another one has brought the answer.
+        silent: bool,
+    },
     /// The topic can't be read. It is said once, until it can be read again.
     Lost,
     /// No change has this revision, though a peer has told of it: the store was asked after that, and
--- a/crates/basilbank_forward/src/reading/asked.rs
+++ b/crates/basilbank_forward/src/reading/asked.rs
@@ -23,8 +23,6 @@
     pub bytes: usize,
     /// It is for a page of everything.
     pub page: bool,
-    /// The store was asked to answer at once.
-    pub at_once: bool,
     /// A peer's word was its cause.
     pub urged: bool,
     /// The newest change that peers had told of when it went out.
@@ -46,9 +44,9 @@
     }
 
     /// Another one goes out beside it earlier, but not before its answer had the time that one takes.
-    pub fn hurry(&mut self, at: Duration, slow: Duration) {
+    pub fn hurry(&mut self, at: Duration) {
         if !self.begun {
-            self.overdue = self.overdue.min(at.max(self.at + BEHIND.max(slow)));
+            self.overdue = self.overdue.min(at.max(self.at + BEHIND));
         }
     }
 }
--- a/crates/basilbank_forward/src/reading/limits.rs
+++ b/crates/basilbank_forward/src/reading/limits.rs
@@ -25,12 +25,6 @@
 /// return, and what was confirmed has to be in force two seconds later.
 const PACE_MOST: Duration = Duration::from_millis(800);
 
-/// How much longer than its last answer a store may take for the next one, before it counts as silent.
-const SLOWER: f64 = 1.5;
-
-/// Longest such time: a store that is slow and then silent has to be found again within two seconds.
-const SLOW_MOST: Duration = Duration::from_secs(1);
-
 /// Half the pause after a refusal; doubled each time.
 const BACKOFF: Duration = Duration::from_millis(150);
 
@@ -66,12 +60,6 @@
     PACE_EACH.saturating_mul(daemons).clamp(PACE_LEAST, PACE_MOST)
 }
 
-/// How long an answer may take, by what the last one took. Without this a slow store would get a second
-/// question for each one, and each topic would doubt the other's.
-pub fn slow(last: Duration) -> Duration {
-    last.mul_f64(SLOWER).min(SLOW_MOST)
-}
-
 /// Pause after so many refusals in a row.
 pub fn backoff(failures: u32) -> Duration {
     BACKOFF.saturating_mul(1 << failures.min(8)).min(PACE_MOST)
--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -7,7 +7,7 @@
     asked::Asked,
     limits::{
         BATCH, BEHIND, CHANGES_LEAST, CHANGES_PART, MARGIN, OTHER_FIRST, PAGE_BYTES, PATIENCE,
-        ROUTES_WAIT, WARY, backoff, pace, slow,
+        ROUTES_WAIT, WARY, backoff, pace,
     },
 };
 use crate::{note::Note, topic::Topic};
@@ -53,26 +53,12 @@
     alone: bool,
     /// When everything was read last.
     read: Option<Duration>,
-    /// What the store takes for an answer, at most, without the wait for a change.
-    took: Duration,
-    /// The next question goes out over a new connection.
-    renew: bool,
     /// A change of which peers told, and which there is not; 0 for none.
     disproved: u64,
     /// Until then the store is watched more closely.
     wary: Duration,
 }
 
-/// What an event has shown of the way to the store.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct Seen {
-    /// It has answered.
-    pub answered: bool,
-    /// A question that went out later was answered with what an earlier one should have been answered,
-    /// too: a connection has died without a sign, and so may others.
-    pub dead: bool,
-}
-
 impl Reader {
     pub fn new(topic: Topic) -> Reader {
         Reader {
@@ -94,22 +80,21 @@
             hurried: false,
             alone: false,
             read: None,
-            took: Duration::ZERO,
-            renew: false,
             disproved: 0,
             wary: Duration::ZERO,
         }
     }
 
-    /// Takes an event in.
+    /// Takes an event in. Returns whether a question that went out later was answered with what an earlier
+    /// one should have been answered, too: a connection has died without a sign, and so may others.
     pub fn step(
         &mut self,
         now: Duration,
         around: Around,
         event: ReadEvent,
         effects: &mut Vec<ReadEffect>,
-    ) -> Seen {
-        let mut seen = Seen::default();
+    ) -> bool {
+        let mut dead = false;
         let mut around = around;
         match event {
             ReadEvent::Tick => {}
@@ -121,11 +106,10 @@
             ReadEvent::Came { read, came } => {
                 if let Some(index) = self.asked.iter().position(|asked| asked.id == read) {
                     let asked = self.asked.remove(index);
-                    seen.answered = !matches!(came, Came::Failed(_));
                     let earlier = self.asked[..index].iter().any(|asked| !asked.begun);
                     let due =
                         matches!(came, Came::Answer { changed: true, .. } | Came::HistoryGone);
-                    seen.dead = earlier && due;
+                    dead = earlier && due;
                     self.came(now, &asked, came, effects);
                 }
             }
@@ -136,7 +120,7 @@
         self.heed(now, around.news);
         self.close(now, effects);
         self.ask_if_due(now, around, effects);
-        seen
+        dead
     }
 
     pub fn is_lost(&self) -> bool {
@@ -152,23 +136,8 @@
         ends.chain([self.ask_at()]).min().unwrap_or(self.due)
     }
 
-    /// The other reader had an answer: the store is back.
-    pub fn store_answered(&mut self, now: Duration) {
-        if self.is_lost() {
-            self.hurry(now);
-        }
-    }
-
-    /// The other reader had lost the store, and has an answer. A watch that went out meanwhile, or stood
-    /// all the while, may be dead, and would be waited for to its end.
-    pub fn store_returned(&mut self, now: Duration) {
-        self.store_answered(now);
-        self.doubt(now);
-    }
-
     /// The other reader's connection went silent, or has died.
     pub fn doubt(&mut self, now: Duration) {
-        self.renew = true;
         self.wary = now + WARY;
         if !self.asked.is_empty() && !self.is_lost() {
             self.hurry(now);
@@ -190,7 +159,7 @@
     /// The next question goes out earlier.
     fn hurry(&mut self, at: Duration) {
         for asked in &mut self.asked {
-            asked.hurry(at, slow(self.took));
+            asked.hurry(at);
         }
         self.hurried = true;
         self.due = self.due.min(at.max(self.last + BEHIND));
@@ -217,7 +186,7 @@
     /// Closes questions that were silent for too long.
     fn close(&mut self, now: Duration, effects: &mut Vec<ReadEffect>) {
         let closed = self.asked.extract_if(.., |asked| asked.end <= now);
-        effects.extend(closed.map(|asked| ReadEffect::Drop(asked.id)));
+        effects.extend(closed.map(|asked| ReadEffect::Drop { read: asked.id, silent: true }));
     }
 
     fn ask_if_due(&mut self, now: Duration, around: Around, effects: &mut Vec<ReadEffect>) {
@@ -255,7 +224,7 @@
             }
         };
         let margin = if wait.is_zero() { pace(around.peers) } else { MARGIN };
-        let silent = wait + margin.max(slow(self.took));
+        let silent = wait + margin;
         let id = ReadId(self.count);
         self.count += 1;
         self.last = now;
@@ -267,13 +236,11 @@
             begun: false,
             bytes: 0,
             page: matches!(scope, Scope::Page { .. }),
-            at_once: wait.is_zero(),
             urged,
             news: around.news,
         });
         // Another question goes out long before a connection that can't be made is given up.
-        let renew = std::mem::take(&mut self.renew) || self.failures != 0;
-        effects.push(ReadEffect::Ask(id, Query { scope, connect: PATIENCE, renew, most }));
+        effects.push(ReadEffect::Ask(id, Query { scope, connect: PATIENCE, most }));
     }
 
     /// How long a watch lets the store wait.
@@ -313,9 +280,6 @@
             let line = line.with_ms("lost_ms", now.saturating_sub(lost));
             effects.push(ReadEffect::Note(line));
         }
-        let took = now.saturating_sub(asked.at);
-        // One that waited for a change took no longer than that.
-        self.took = if asked.at_once { took } else { took.min(self.took) };
         if self.failures != 0 {
             self.wary = now + WARY;
         }
@@ -394,7 +358,8 @@
     }
 
     fn drop_all(&mut self, effects: &mut Vec<ReadEffect>) {
-        effects.extend(self.asked.drain(..).map(|asked| ReadEffect::Drop(asked.id)));
+        let others = self.asked.drain(..);
+        effects.extend(others.map(|asked| ReadEffect::Drop { read: asked.id, silent: false }));
     }
 
     fn note(&self, name: &'static str) -> Note {
--- a/crates/basilbank_forward/src/reading/readers.rs
+++ b/crates/basilbank_forward/src/reading/readers.rs
@@ -2,10 +2,7 @@
 
 use std::time::Duration;
 
-use super::{
-    Around, ReadEffect, ReadEvent,
-    reader::{Reader, Seen},
-};
+use super::{Around, ReadEffect, ReadEvent, reader::Reader};
 use crate::topic::{PerTopic, Topic};
 
 /// The readers of both topics. They ask the same store on the same way, so what one learns of it counts
@@ -35,16 +32,11 @@
     ) -> bool {
         let reader = self.0.get_mut(topic);
         let before = reader.is_lost();
-        let Seen { answered, dead } = reader.step(now, around, event, effects);
+        let dead = reader.step(now, around, event, effects);
         let lost = reader.is_lost();
         let other = self.0.get_mut(topic.other());
         let until = other.wake_at();
         other.other_lost = lost;
-        if answered && before && !lost {
-            other.store_returned(now);
-        } else if answered {
-            other.store_answered(now);
-        }
         // The list has news more often; when its connection went silent, the configuration's, whose
         // watch takes longer, probably did, too.
         if dead || lost && !before && topic == Topic::Endpoints {
--- a/crates/basilbank_forward/tests/reading/explore.rs
+++ b/crates/basilbank_forward/tests/reading/explore.rs
@@ -31,7 +31,7 @@
     let most = std::env::var("READING_STEPS").ok().and_then(|steps| steps.parse().ok());
     let mut worst = Duration::ZERO;
     let mut sum = Duration::ZERO;
-    let mut plays = 0;
+    let (mut plays, mut questions) = (0, 0);
     for steps in 1..=most.unwrap_or(2) {
         for plan in plans(steps) {
             let mut fleet = Fleet::new(plan);
@@ -41,12 +41,12 @@
             worst = worst.max(fleet.worst);
             sum += fleet.worst;
             plays += 1;
+            questions += fleet.questions;
         }
     }
     let mean = sum / plays;
-    println!(
-        "{plays} plays: the latest version of each {mean:?} late on average, at worst {worst:?}"
-    );
+    println!("{plays} plays, {questions} questions; the latest version of each play");
+    println!("was {mean:?} late on average, at worst {worst:?}");
 }
 
 fn plans(steps: u32) -> impl Iterator<Item = Plan> {
--- a/crates/basilbank_forward/tests/reading/fleet.rs
+++ b/crates/basilbank_forward/tests/reading/fleet.rs
@@ -115,6 +115,8 @@
     random: u64,
     /// Longest time from a version's confirmation, or the store's return, until it was in force.
     pub worst: Duration,
+    /// Questions that were asked.
+    pub questions: u32,
     /// What was asked and answered.
     pub trace: Vec<String>,
 }
@@ -144,6 +146,7 @@
             count: 0,
             random: plan.seed | 1,
             worst: Duration::ZERO,
+            questions: 0,
             trace: Vec::new(),
             plan,
         };
@@ -219,7 +222,7 @@
         let all = 0..self.daemons.len();
         for n in all.filter(|n| turn.daemon.is_none_or(|daemon| daemon == *n)) {
             let daemon = &mut self.daemons[n];
-            if turn.way.kills() && !daemon.way.kills() {
+            if turn.way.kills() && (daemon.way.answers() || !daemon.way.kills()) {
                 daemon.killed = self.now;
             }
             // Those whose answers were lost go on waiting for them, and slow ones are still on their way.
@@ -269,14 +272,14 @@
     fn ask(&mut self, n: usize, topic: Topic, id: ReadId, query: Query) {
         let way = self.daemons[n].way;
         let kept = std::mem::take(self.daemons[n].kept.get_mut(topic));
-        let Query { scope, connect, renew, .. } = query;
+        let Query { scope, connect, .. } = query;
         let wait = match scope {
             Scope::Changes { wait, .. } => wait,
             Scope::Page { .. } => Duration::ZERO,
         };
         let mut open = Open { at: self.now, scope, dead: way == Way::Silent, came: None };
         match way {
-            _ if kept == Kept::Dead && !renew => open.dead = true,
+            _ if kept == Kept::Dead => open.dead = true,
             Way::Silent => {}
             Way::Cut => {
                 open.came = Some(Came::Failed("unreachable".to_owned()));
@@ -295,6 +298,7 @@
         let daemon = &mut self.daemons[n];
         daemon.open.insert((topic, id), open);
         daemon.asked.push_back(self.now);
+        self.questions += 1;
     }
 
     /// The store answers a question, unless it has to wait for a change.
@@ -384,8 +388,8 @@
         for effect in effects {
             match effect {
                 ReadEffect::Ask(id, query) => self.ask(n, topic, id, query),
-                ReadEffect::Drop(id) => {
-                    self.daemons[n].open.remove(&(topic, id));
+                ReadEffect::Drop { read, .. } => {
+                    self.daemons[n].open.remove(&(topic, read));
                 }
                 ReadEffect::Disproved(revision) => panic!("revision {revision} was disproved"),
                 ReadEffect::Note(note) => self.tell(n, topic, format_args!("{}", note.name)),
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -127,9 +127,9 @@
                 let read = (self.source)(query, progress.clone());
                 self.open.push(Open { id, read, progress, told: None, is_page });
             }
-            ReadEffect::Drop(id) => {
-                self.router.metrics.store_call("dropped");
-                self.open.retain(|open| open.id != id);
+            ReadEffect::Drop { read, silent } => {
+                self.router.metrics.store_call(if silent { "failed" } else { "dropped" });
+                self.open.retain(|open| open.id != read);
             }
             ReadEffect::Lost if self.topic == Topic::Endpoints => {
                 self.router.dispatch(Event::StoreLost);
