--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -280,7 +280,8 @@
             let line = line.with_ms("lost_ms", now.saturating_sub(lost));
             effects.push(ReadEffect::Note(line));
         }
-        if self.failures != 0 {
+        // At a start there is no trouble, only nothing to read yet.
+        if self.failures != 0 && self.after != 0 {
             self.wary = now + WARY;
         }
         (self.failures, self.refusals) = (0, 0);
