--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -13,6 +13,9 @@
 use crate::{note::Note, topic::Topic};
 
 /// The reader of one topic.
+///
+/// Each turn goes the same way: what came is taken in, peers' words are heeded, questions that were
+/// silent for too long are closed, and the next one goes out if it is time.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Reader {
     topic: Topic,
@@ -24,8 +27,9 @@
     /// The store's revision at the first page. Pages are no snapshot: what changed since is read as
     /// changes.
     first: u64,
-    /// Bytes of everything, at the last reading, and of the pages so far.
+    /// Bytes of everything, at the last reading.
     whole: usize,
+    /// Bytes of the pages so far.
     pages: usize,
     /// Questions that are open, the oldest first.
     asked: Vec<Asked>,
@@ -127,10 +131,6 @@
         self.lost.is_some()
     }
 
-    pub fn open(&self) -> usize {
-        self.asked.len()
-    }
-
     pub fn wake_at(&self) -> Duration {
         let ends = self.asked.iter().map(|asked| asked.end);
         ends.chain([self.ask_at()]).min().unwrap_or(self.due)
--- a/crates/basilbank_forward/src/reading/readers.rs
+++ b/crates/basilbank_forward/src/reading/readers.rs
@@ -50,10 +50,4 @@
     pub fn wake_at(&self, topic: Topic) -> Duration {
         self.0.get(topic).wake_at()
     }
-
-    /// Questions of a topic that are open.
-    #[must_use]
-    pub fn open(&self, topic: Topic) -> usize {
-        self.0.get(topic).open()
-    }
 }
