--- a/crates/basilbank_forward/tests/reading/explore.rs
+++ b/crates/basilbank_forward/tests/reading/explore.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use crate::{
-    fleet::{Fleet, Plan, Turn},
+    fleet::Fleet,
+    plan::{Plan, Turn},
     store::{SLOW, Way},
 };
 
--- a/crates/basilbank_forward/tests/reading/fleet.rs
+++ b/crates/basilbank_forward/tests/reading/fleet.rs
@@ -1,26 +1,19 @@
 //! Daemons' readers in virtual time, the store, and the words between daemons.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, VecDeque},
-    time::Duration,
-};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use basilbank_forward::prelude::*;
 
-use crate::store::{SLOW, Store, TRIP, Way};
+use crate::{
+    daemon::{Daemon, Kept, Open},
+    plan::{Plan, Turn},
+    store::{Store, TRIP, Way},
+};
 
 /// How long after its confirmation, or after the store's return, a version may take: the operators'
 /// bound.
 pub const BOUND: Duration = Duration::from_secs(2);
 
-/// How long daemons may take besides to notice that connections died without a sign, over which answers
-/// are waited for. The operators count a daemon in touch again three seconds after that.
-const UNNOTICED: Duration = Duration::from_secs(1);
-
-/// A spell that lasts as long shows: the list's watch and its margin are over.
-const SHOWS: Duration = Duration::from_millis(2200);
-
 /// Most questions of a daemon in a second: 320 daemons share 6,000.
 const QUESTIONS: usize = 18;
 
@@ -30,28 +23,7 @@
 /// How often a daemon says what it has.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
-/// The way to the store of one daemon, or of all, changes.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Turn {
-    pub at: Duration,
-    pub daemon: Option<usize>,
-    pub way: Way,
-}
-
-/// What is played.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub struct Plan {
-    pub daemons: usize,
-    pub turns: Vec<Turn>,
-    /// A version is confirmed each time so much has passed.
-    pub versions: Duration,
-    /// The list changes each time so much has passed; `None` for never.
-    pub list: Option<Duration>,
-    pub end: Duration,
-    /// Decides how long watches wait, between their least and their longest.
-    pub seed: u64,
-}
-
+/// What happens next.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
 enum Step {
     Turn(usize),
@@ -67,43 +39,6 @@
     Check,
 }
 
-#[derive(Debug)]
-struct Daemon {
-    readers: Readers,
-    way: Way,
-    /// Connections that stood have died then.
-    killed: Duration,
-    /// The store answers since then.
-    sound: Duration,
-    open: BTreeMap<(Topic, ReadId), Open>,
-    /// The revision of the configuration in force.
-    in_force: u64,
-    news: PerTopic<u64>,
-    asked: VecDeque<Duration>,
-    answers: u64,
-    /// The connection that each topic keeps for its next question.
-    kept: PerTopic<Kept>,
-}
-
-/// A connection over which an answer came whole.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-enum Kept {
-    #[default]
-    None,
-    Live,
-    /// It has died, and shows no sign of it.
-    Dead,
-}
-
-#[derive(Clone, Debug)]
-struct Open {
-    at: Duration,
-    scope: Scope,
-    /// Its connection is dead.
-    dead: bool,
-    came: Option<Came>,
-}
-
 /// All of it.
 pub struct Fleet {
     plan: Plan,
@@ -123,25 +58,13 @@
 
 impl Fleet {
     pub fn new(plan: Plan) -> Fleet {
-        let daemon = |_| Daemon {
-            readers: Readers::default(),
-            way: Way::Sound,
-            killed: Duration::ZERO,
-            sound: Duration::ZERO,
-            open: BTreeMap::new(),
-            in_force: 0,
-            news: PerTopic::default(),
-            asked: VecDeque::new(),
-            answers: 0,
-            kept: PerTopic::default(),
-        };
         let mut store = Store::default();
         store.change(Topic::Endpoints, Duration::ZERO);
         store.change(Topic::Routes, Duration::ZERO);
         let mut fleet = Fleet {
             now: Duration::ZERO,
             store,
-            daemons: (0..plan.daemons).map(daemon).collect(),
+            daemons: (0..plan.daemons).map(|_| Daemon::default()).collect(),
             steps: BinaryHeap::new(),
             count: 0,
             random: plan.seed | 1,
@@ -221,37 +144,7 @@
         }
         let all = 0..self.daemons.len();
         for n in all.filter(|n| turn.daemon.is_none_or(|daemon| daemon == *n)) {
-            let daemon = &mut self.daemons[n];
-            if turn.way.kills() && (daemon.way.answers() || !daemon.way.kills()) {
-                daemon.killed = self.now;
-            }
-            // Those whose answers were lost go on waiting for them, and slow ones are still on their way.
-            let unnoticed = daemon.way == Way::Lossy
-                || turn.way == Way::Renewed
-                || matches!(daemon.way, Way::Slow(ms) if ms != SLOW)
-                || daemon.way.kills() && self.now < daemon.killed + SHOWS;
-            if unnoticed {
-                daemon.sound = self.now + UNNOTICED;
-            } else if !turn.way.answers() || !daemon.way.answers() {
-                daemon.sound = daemon.sound.max(self.now);
-            }
-            daemon.way = turn.way;
-            for topic in Topic::ALL {
-                let kept = daemon.kept.get_mut(topic);
-                match turn.way {
-                    Way::Refused => *kept = Kept::None,
-                    way if way.kills() && *kept == Kept::Live => *kept = Kept::Dead,
-                    _ => {}
-                }
-            }
-            let mut failed = Vec::new();
-            for (key, open) in &mut daemon.open {
-                open.dead |= turn.way.kills();
-                if turn.way == Way::Refused && !open.dead {
-                    open.came = Some(Came::Failed("reset".to_owned()));
-                    failed.push(*key);
-                }
-            }
+            let failed = self.daemons[n].turn(turn.way, self.now);
             for (topic, id) in failed {
                 self.after(TRIP, Step::Arrives(n, topic, id));
             }
--- a/crates/basilbank_forward/tests/reading/main.rs
+++ b/crates/basilbank_forward/tests/reading/main.rs
@@ -2,8 +2,10 @@
 //! other. Whatever comes, what is confirmed is in force in time from the moment on at which a daemon
 //! reaches a store that answers, and questions stay few.
 
+mod daemon;
 mod explore;
 mod fleet;
+mod plan;
 mod random;
 mod regressions;
 mod store;
--- /dev/null
+++ b/crates/basilbank_forward/tests/reading/plan.rs
@@ -0,0 +1,27 @@
+//! What is played.
+
+use std::time::Duration;
+
+use crate::store::Way;
+
+/// The way to the store of one daemon, or of all, changes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Turn {
+    pub at: Duration,
+    pub daemon: Option<usize>,
+    pub way: Way,
+}
+
+/// What is played.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Plan {
+    pub daemons: usize,
+    pub turns: Vec<Turn>,
+    /// A version is confirmed each time so much has passed.
+    pub versions: Duration,
+    /// The list changes each time so much has passed; `None` for never.
+    pub list: Option<Duration>,
+    pub end: Duration,
+    /// Decides how long watches wait, between their least and their longest.
+    pub seed: u64,
+}
--- a/crates/basilbank_forward/tests/reading/random.rs
+++ b/crates/basilbank_forward/tests/reading/random.rs
@@ -5,7 +5,8 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 
 use crate::{
-    fleet::{Fleet, Plan, Turn},
+    fleet::Fleet,
+    plan::{Plan, Turn},
     store::{SLOW, Way},
 };
 
--- a/crates/basilbank_forward/tests/reading/regressions.rs
+++ b/crates/basilbank_forward/tests/reading/regressions.rs
@@ -5,7 +5,8 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::{Fleet, Plan, Turn},
+    fleet::Fleet,
+    plan::{Plan, Turn},
     store::{SLOW, Way},
 };
 
--- a/crates/basilbank_forward/tests/reading/store.rs
+++ b/crates/basilbank_forward/tests/reading/store.rs
@@ -8,9 +8,10 @@
 pub const TRIP: Duration = Duration::from_millis(5);
 
 /// How the store is reached.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Way {
     /// It answers.
+    #[default]
     Sound,
     /// Connections can be made, nothing comes, and what waits gets no answer any more.
     Silent,
