--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -5,8 +5,8 @@
 //! ask. So that a change that the operators have been confirmed is in force in bounded time, two things
 //! hold at every moment:
 //!
-//! - **An outage is noticed by looking.** Silence leads to another question beside the one that is
-//!   silent, at a steady pace and on a new connection. It asks the store not to wait for a change, so an
+//! - **An outage is noticed by looking.** Silence leads to a hedged request: another question goes out
+//!   beside the one that is silent, at a steady pace and on a new connection. It asks the store not to wait for a change, so an
 //!   answer means that the store is back, also when nothing has changed.
 //! - **A question is left open for long.** An answer that is merely late counts: the first that comes is
 //!   taken, whichever question it belongs to. So no limit has to grow with failures for the sake of a
