--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -1,13 +1,13 @@
 //! When the platform's store is asked, and for what.
 //!
-//! The configuration and the list of endpoints are read by a [`Reader`] each, [`Readers`] are both of
-//! them. They know no sockets and no clock: they are told what came and how late it is, and say what to
-//! ask. So that a change that the operators have been confirmed is in force in bounded time, two things
-//! hold at every moment:
+//! The configuration and the list of endpoints have a reader each; [`Readers`] are both of them. They
+//! know no sockets and no clock: they are told what came and how late it is, and say what to ask. Two
+//! things hold at every moment, so that a change of which the operators have a confirmation is in force
+//! in bounded time:
 //!
 //! - **An outage is noticed by looking.** Silence leads to a hedged request: another question goes out
-//!   beside the one that is silent, at a steady pace and on a new connection. It asks the store not to wait for a change, so an
-//!   answer means that the store is back, also when nothing has changed.
+//!   beside the one that is silent, at a steady pace and on a new connection. It asks the store not to
+//!   wait for a change, so an answer means that the store is back, also when nothing has changed.
 //! - **A question is left open for long.** An answer that is merely late counts: the first that comes is
 //!   taken, whichever question it belongs to. So no limit has to grow with failures for the sake of a
 //!   slow store or link, and no wait is the sum of others.
