--- a/crates/basilbank_forward/src/reading/limits.rs
+++ b/crates/basilbank_forward/src/reading/limits.rs
@@ -61,6 +61,6 @@
 }
 
 /// Pause after so many refusals in a row.
-pub fn backoff(failures: u32) -> Duration {
-    BACKOFF.saturating_mul(1 << failures.min(8)).min(PACE_MOST)
+pub fn backoff(refusals: u32) -> Duration {
+    BACKOFF.saturating_mul(1 << refusals.min(8)).min(PACE_MOST)
 }
--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -94,12 +94,11 @@
     pub fn step(
         &mut self,
         now: Duration,
-        around: Around,
+        mut around: Around,
         event: ReadEvent,
         effects: &mut Vec<ReadEffect>,
     ) -> bool {
         let mut dead = false;
-        let mut around = around;
         match event {
             ReadEvent::Tick => {}
             ReadEvent::GotOn { read, at, bytes } => {
@@ -133,7 +132,7 @@
 
     pub fn wake_at(&self) -> Duration {
         let ends = self.asked.iter().map(|asked| asked.end);
-        ends.chain([self.ask_at()]).min().unwrap_or(self.due)
+        ends.fold(self.ask_at(), Duration::min)
     }
 
     /// The other reader's connection went silent, or has died.
@@ -350,12 +349,14 @@
     }
 
     fn lose(&mut self, now: Duration, asked: &Asked, error: &str, effects: &mut Vec<ReadEffect>) {
-        if self.lost.replace(self.lost.unwrap_or(now)).is_none() {
-            let line = self.note("store_lost").with("error", error);
-            let line = line.with_ms("took_ms", now.saturating_sub(asked.at));
-            effects.push(ReadEffect::Note(line.with("bytes", asked.bytes)));
-            effects.push(ReadEffect::Lost);
+        if self.is_lost() {
+            return;
         }
+        self.lost = Some(now);
+        let line = self.note("store_lost").with("error", error);
+        let line = line.with_ms("took_ms", now.saturating_sub(asked.at));
+        effects.push(ReadEffect::Note(line.with("bytes", asked.bytes)));
+        effects.push(ReadEffect::Lost);
     }
 
     fn drop_all(&mut self, effects: &mut Vec<ReadEffect>) {
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -158,20 +158,19 @@
     /// Runs the reducer for one event, and hands its effects out.
     pub fn dispatch(self: &Rc<Self>, event: Event) {
         let mut effects = Vec::new();
-        let (wake, news) = {
+        {
             let mut state = self.state.borrow_mut();
             let (before, news) = (state.wake_at(), state.news);
             reduce(&mut state, self.clock.now(), event, &mut effects);
             let after = state.wake_at();
-            let wake = after.is_some_and(|at| before.is_none_or(|before| at < before));
-            let newer = |topic| news.get(topic) < state.news.get(topic) && state.behind(topic);
-            (wake, Topic::ALL.map(|topic| (topic, newer(topic))))
-        };
-        if wake {
-            self.changed.notify_one();
-        }
-        for (topic, _) in news.into_iter().filter(|(_, newer)| *newer) {
-            self.nudges.get(topic).notify_one();
+            if after.is_some_and(|at| before.is_none_or(|before| at < before)) {
+                self.changed.notify_one();
+            }
+            for topic in Topic::ALL {
+                if news.get(topic) < state.news.get(topic) && state.behind(topic) {
+                    self.nudges.get(topic).notify_one();
+                }
+            }
         }
         for effect in effects {
             self.carry_out(effect);
--- a/crates/basilbank_gateway/tests/reader/returns.rs
+++ b/crates/basilbank_gateway/tests/reader/returns.rs
@@ -65,12 +65,8 @@
             let store = store(outage, to);
             rig.read_both(&store);
             let first = first_late(&rig, &store, to, peer).await;
-            late_push(&mut late, to, first);
+            late.extend(first.map(|first| format!("back at {to:?}: {first}")));
         });
     }
     assert!(late.is_empty(), "{} of 16 ends: {late:#?}", late.len());
 }
-
-fn late_push(late: &mut Vec<String>, to: Duration, first: Option<String>) {
-    late.extend(first.map(|first| format!("back at {to:?}: {first}")));
-}
