--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -341,3 +341,28 @@
     rig.came(id, hold.number, held());
     assert_eq!(rig.start().op.as_str(), "stream");
 }
+
+/// Symptom: an endpoint got a draft 2.5 s after it had said that it leaves.
+/// Sequence: a draft holds a slot there; the answer of its prefill is lost; the endpoint leaves, which
+/// the daemon knows at once; the prefill's connection is closed seconds later.
+/// Cause: a slot that is held is used whatever has become of its endpoint.
+/// Evidence: in the daemon's log the endpoint drains from 24.828 s on, and gets the draft at 27.174.
+#[test]
+fn a_slot_at_an_endpoint_that_has_left_meanwhile_is_not_used() {
+    let mut rig = Rig::new();
+    rig.state.tuning.retry_slack = 1000.0;
+    rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 2, Stage::Decode)]);
+    let id = rig.call("/draft/1", 14_000, Some(prompt(3000)));
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    let prefill = rig.start();
+    rig.list(vec![
+        EndpointInfo { draining: true, ..model("d1", 2, Stage::Decode) },
+        model("d2", 3, Stage::Decode),
+    ]);
+    rig.pass_ms(2300);
+    rig.came(id, prefill.number, Outcome::Broken(Damage::Closed));
+    let starts = rig.starts();
+    assert!(starts.iter().all(|next| next.target.instance != "d1"), "{starts:?}");
+    assert!(!starts.is_empty());
+}
