A held slot whose endpoint has begun to leave is given back, not used

Ruled out elsewhere: prefill endpoints, hedged calls, resumed streams and orders are picked in the turn that sends them; only holds are kept over a wait. Change: before each next step a hold at an endpoint that takes no work is given back; the KV cache stays, to be decoded elsewhere.

--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -54,6 +54,22 @@
     }
 }
 
+/// Gives a hold back whose endpoint has begun to leave meanwhile.
+///
+/// Between the hold and the call that takes it lies the prompt's reading, whose answer may be lost and
+/// waited for for seconds. The draft would then be new work for an endpoint that has said long ago that
+/// it takes none, and be cut when that endpoint exits. A KV cache that was read is kept: it can be
+/// decoded elsewhere.
+pub fn drop_hold_at_leaving(turn: &mut Turn<'_>, id: RequestId) {
+    let Some(request) = turn.state.requests.get_mut(&id) else { return };
+    let directory = &turn.state.directory;
+    let leaves = |hold: &mut Hold| directory.get(hold.endpoint).is_none_or(|e| !e.takes_work());
+    if let Some(hold) = request.draft.hold.take_if(leaves) {
+        give_hold_back(turn, &hold);
+        turn.note_request(id, Note::new("hold_dropped").with("hold", &hold.name));
+    }
+}
+
 fn give_hold_back(turn: &mut Turn<'_>, hold: &Hold) {
     // Before it is released: an endpoint that is gone is removed with its last call.
     if let Some(target) = turn.state.directory.target(hold.endpoint) {
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -56,6 +56,7 @@
 
 /// Takes the next step, once there is no attempt that must be waited for.
 pub fn go_on(turn: &mut Turn<'_>, id: RequestId) {
+    finish::drop_hold_at_leaving(turn, id);
     let Some(request) = turn.state.requests.get(&id) else { return };
     let next = match request.is_draft(turn.state) {
         true => draft::next(turn.state, id, turn.now),
