Prefill endpoints are picked by odds that level what is not seen yet

Cause: at 195 daemons the view of others' load is up to 2.4 s old, a prompt is read in 0.1 s. The endpoint that looks idle got the prompts of all daemons until they heard of each other, and then the next one: half of the prefill endpoints' time was used, and prompts queued for seconds at a few of them. Change: one policy, how a prefill endpoint is picked. Each daemon measures how long its own changes stay untold, takes its peers' for as late, and by Little's law what they have placed meanwhile; an endpoint's odds are what it may take of that until all are level (load interpretation for stale views). With nothing unseen the cheapest gets all, as before. Ruled out: memory at decode endpoints (a session's two homes are picked by hash, so old views don't herd there), the wait for slots (0.006 s).

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -147,6 +147,9 @@
         forget_loads(turn, address);
         forget(turn, address, "silent");
     }
+    if turn.state.peers.changed {
+        turn.state.peers.since.get_or_insert(now);
+    }
     if turn.state.beat_due() <= now {
         send(turn);
     }
@@ -204,8 +207,7 @@
     peers.hints.retain(|_, until| now < *until);
     peers.sequence += 1;
     peers.sent = now;
-    peers.changed = false;
-    peers.urgent = false;
+    peers.told(now);
     let mut to: Vec<_> = peers.known.keys().copied().collect();
     let skip = if to.is_empty() { 0 } else { state.rng.index(to.len()) };
     let count = if MANY_PEERS < to.len() { NAMED_BY_MANY } else { NAMED };
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -175,9 +175,25 @@
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
-    least(state, &costs, NEAR_READING)
+    let unseen = unseen(state, service, &costs);
+    level(state, &costs, NEAR_READING + unseen)
 }
 
+/// Seconds of reading that peers have given to the service's prefill endpoints without this daemon
+/// knowing of it yet.
+///
+/// By Little's law the work that is seen came within the time that a prompt takes; as much again comes
+/// in each such time, and what came since peers told is not seen.
+fn unseen(state: &State, service: &str, costs: &[Cost]) -> f64 {
+    let stay = costs.iter().map(|c| c.cost).sum::<f64>() / costs.len().max(1) as f64;
+    let told = state.directory.stage(service, Stage::Prefill).map(|(_, e)| e.peer_tokens);
+    let told: f64 = told.map(f64::from).sum::<f64>() / state.tuning.prefill_rate;
+    told * state.peers.untold.as_secs_f64() / stay.max(SHORTEST_STAY)
+}
+
+/// A prompt's shortest stay at a prefill endpoint, in seconds: the bound of a quotient.
+const SHORTEST_STAY: f64 = 0.01;
+
 struct Cost {
     key: EndpointKey,
     cost: f64,
@@ -189,6 +205,43 @@
     endpoint.avoided.saturating_sub(now)
 }
 
+/// One of the endpoints at random, such that `work` more, shared out by these odds, brings the cheapest
+/// to one level.
+///
+/// With views that are older than a call lasts, the endpoint that looks idle is no longer idle: all
+/// daemons would send to the same few until they hear of each other, and then to the next few, while
+/// others stand idle. Odds by what is not seen yet level the queues on average; with nothing unseen
+/// only the cheapest are left, and with old views all are nearly alike.
+fn level(state: &mut State, costs: &[Cost], work: f64) -> Option<EndpointKey> {
+    let rank = |c: &Cost| (c.tried, c.last);
+    let best = costs.iter().map(rank).min()?;
+    let mut open: Vec<_> = costs.iter().filter(|c| rank(c) == best).collect();
+    open.sort_unstable_by(|a, b| a.cost.total_cmp(&b.cost));
+    let level = water_level(open.iter().map(|c| c.cost), work);
+    let mut drawn = state.rng.unit() * work;
+    for cost in &open {
+        drawn -= (level - cost.cost).max(0.0);
+        if drawn < 0.0 {
+            return Some(cost.key);
+        }
+    }
+    open.first().map(|cost| cost.key)
+}
+
+/// How high `work` more brings the lowest of these, in rising order.
+fn water_level(sorted: impl Iterator<Item = f64>, work: f64) -> f64 {
+    let (mut sum, mut count, mut level) = (0.0, 0.0, f64::MAX);
+    for cost in sorted {
+        if level <= cost {
+            break;
+        }
+        sum += cost;
+        count += 1.0;
+        level = (work + sum) / count;
+    }
+    level
+}
+
 /// One of the cheapest at random. Endpoints that are avoided, and such that had the call before,
 /// come last.
 fn least(state: &mut State, costs: &[Cost], near: f64) -> Option<EndpointKey> {
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -64,8 +64,28 @@
     pub probed: Duration,
     /// What this daemon has at endpoints has changed since.
     pub changed: bool,
+    /// Since when, as far as a turn of the reducer tells.
+    pub since: Option<Duration>,
     /// It has taken room at an endpoint since.
     pub urgent: bool,
+    /// How long a change of this daemon's stays untold, on average; peers tell theirs as late.
+    pub untold: Duration,
+}
+
+/// Weight of a new delay in the mean of [`Peers::untold`]: some ten datagrams.
+const DELAY_WEIGHT: f64 = 0.1;
+
+impl Peers {
+    /// Changes that there are now are told.
+    pub fn told(&mut self, now: Duration) {
+        self.changed = false;
+        self.urgent = false;
+        if let Some(since) = self.since.take() {
+            // The first of them waited for all of that time, the last for none of it.
+            let delay = now.saturating_sub(since) / 2;
+            self.untold = self.untold.mul_f64(1.0 - DELAY_WEIGHT) + delay.mul_f64(DELAY_WEIGHT);
+        }
+    }
 }
 
 /// The address as peers tell it to each other; `None` for anything but IPv4.
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod line;
 mod load;
+mod old_views;
 mod order_schedules;
 mod overload;
 mod pace;
