Large fleets tell changes at once within the same bytes, heartbeats are rare

Cause: beyond 80 peers a least time between two datagrams, by the size of the last one, kept received bytes at 24 KB/s; at 195 daemons it was 0.7 to 2.4 s. At 0.37 drafts a second and daemon most datagrams said that nothing had changed, and the rare change waited for its time. Change: a token bucket of the same bytes in place of the least time. News of room that was taken waits only for the prompt's reading that follows a round trip later (12 ms at 195 daemons). Peers' addresses, measured paces and the store's news that were told already are in heartbeats alone, which are 1 to 3 s apart and take 0.4 of the bytes. Fleets of up to 80 peers: as before. Weighed against it: an owner for each endpoint's room (a round trip before each draft and its failures; not built), deltas against the last whole datagram (a daemon has 0.3 drafts on average: nothing to leave out). Tests: old_views::a_daemon_of_a_large_fleet_tells_of_a_rare_draft_at_once (82 ms of 30 allowed before); peers::control_stays_within_its_bytes_at_the_planned_size passes unchanged. basilbank_forward: 169 passed, 0 failed.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -16,7 +16,7 @@
         peers::{Load, Peer, Peers, from_wire, to_wire},
         service_hash,
     },
-    topic::Topic,
+    topic::{PerTopic, Topic},
 };
 
 /// Least time between two datagrams after a change, besides what the number of peers adds.
@@ -30,6 +30,10 @@
 /// Added for each peer, so that a daemon receives at most a thousand datagrams a second.
 const EACH_PEER: Duration = Duration::from_millis(1);
 
+/// Part of [`EACH_PEER`] for which news of room that was taken waits for company: the prompt's reading
+/// begins a round trip after the slot is held, and both go out together.
+const COMPANY_PART: u32 = 16;
+
 /// Beyond this many peers what a daemon receives a second is bounded, whatever there is to tell.
 const MANY_PEERS: usize = 80;
 
@@ -37,14 +41,21 @@
 /// one of them, and datagrams that grow from one to the next another.
 const RECEIVED: f64 = 24_000.0;
 
-/// Longest time between two datagrams by that bound: the view would be of no use beyond.
-const OLDEST: Duration = Duration::from_secs(3);
+/// Part of [`RECEIVED`] that heartbeats may take; the others tell of changes.
+const HEARTBEAT_PART: f64 = 0.4;
+
+/// Seconds of its part of [`RECEIVED`] that a daemon which had nothing to tell may use at once: the
+/// datagrams of some drafts.
+const SAVED: f64 = 4.0;
 
-/// Longest time between two datagrams: the heartbeat.
+/// The heartbeat of a small fleet.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
-/// A peer that was silent for this long is gone, and so is its work: five heartbeats, or three of the
-/// times between datagrams in a large fleet.
+/// The longest heartbeat.
+const HEARTBEAT_MOST: Duration = Duration::from_secs(3);
+
+/// A peer that was silent for this long is gone, and so is its work: five heartbeats, or three in a
+/// large fleet.
 const GONE: Duration = Duration::from_millis(2500);
 
 /// How long an address is tried that a peer named.
@@ -91,13 +102,19 @@
     shun(turn, &beat.shunned);
     hear_news(turn, Topic::Endpoints, beat.endpoints_news);
     hear_news(turn, Topic::Routes, beat.routes_news);
+    // Only heartbeats tell them.
+    let kept = turn.state.peers.known.get_mut(&from).filter(|_| beat.paces.is_empty());
+    let paces = match kept {
+        Some(peer) => std::mem::take(&mut peer.paces),
+        None => beat.paces.iter().map(pace_from_wire).collect(),
+    };
     let peer = Peer {
         incarnation: beat.incarnation,
         sequence: beat.sequence,
         heard: now,
         loads,
         waiting: beat.waiting.iter().map(|draft| waiting_from_wire(draft, now)).collect(),
-        paces: beat.paces.iter().map(pace_from_wire).collect(),
+        paces,
     };
     let peers = &mut turn.state.peers;
     peers.known.insert(from, peer);
@@ -134,7 +151,7 @@
 /// Sends what is due, and forgets peers that are silent.
 pub fn tick(turn: &mut Turn<'_>) {
     let now = turn.now;
-    let gone = GONE.max(turn.state.peers.bounded() * 3);
+    let gone = GONE.max(turn.state.peers.heartbeat() * 3);
     let silent: Vec<_> = turn
         .state
         .peers
@@ -167,25 +184,54 @@
         if peers.sequence == 0 {
             return Duration::ZERO;
         }
-        let count = u32::try_from(peers.known.len()).unwrap_or(u32::MAX);
+        let heartbeat = peers.whole + peers.heartbeat();
+        let Some(since) = peers.since.filter(|_| peers.changed) else { return heartbeat };
+        let each = EACH_PEER.saturating_mul(u32::try_from(peers.known.len()).unwrap_or(u32::MAX));
         let least = if self.is_blind(peers.sent) { LEAST_BLIND } else { LEAST };
-        let pause = match peers.urgent {
-            true => least,
-            false => least.max(EACH_PEER.saturating_mul(count)),
+        let due = match peers.urgent {
+            true => (peers.sent + least).max(since + each / COMPANY_PART),
+            false => peers.sent + least.max(each),
         };
-        let pause = if peers.changed { pause } else { HEARTBEAT };
-        peers.sent + pause.max(peers.bounded())
+        due.max(peers.affordable()).min(heartbeat)
     }
 }
 
 impl Peers {
-    /// The least time between two datagrams by what peers receive, if all send as much as this daemon.
-    fn bounded(&self) -> Duration {
+    /// Time between two heartbeats. All of them together keep within their part of what a daemon may
+    /// receive.
+    fn heartbeat(&self) -> Duration {
         if self.known.len() <= MANY_PEERS {
-            return Duration::ZERO;
+            return HEARTBEAT;
         }
         let bytes = (self.known.len() * self.bytes) as f64;
-        Duration::from_secs_f64(bytes / RECEIVED).min(OLDEST)
+        let time = Duration::from_secs_f64(bytes / (RECEIVED * HEARTBEAT_PART));
+        time.clamp(HEARTBEAT, HEARTBEAT_MOST)
+    }
+
+    /// The next datagram is a heartbeat. In a small fleet each of them is.
+    fn tells_all(&self, now: Duration) -> bool {
+        self.sequence == 0 || self.known.len() <= MANY_PEERS || self.whole + self.heartbeat() <= now
+    }
+
+    /// When the next datagram keeps what peers receive within its bound, if all send as much as this
+    /// daemon.
+    ///
+    /// A token bucket: a daemon that had nothing to tell for some seconds tells its next changes at once.
+    /// A least time between datagrams instead, long enough for the busiest moment, would keep back the
+    /// rare changes of a daemon that has one draft in some seconds, and these are most of what there is to
+    /// tell in a large fleet.
+    fn affordable(&self) -> Duration {
+        match self.known.len() <= MANY_PEERS {
+            true => Duration::ZERO,
+            false => self.spent,
+        }
+    }
+
+    /// Takes a datagram's bytes out of the bucket.
+    fn spend(&mut self, bytes: usize, now: Duration) {
+        let full = now.saturating_sub(Duration::from_secs_f64(SAVED));
+        let takes = (self.known.len() * bytes) as f64 / RECEIVED;
+        self.spent = self.spent.max(full) + Duration::from_secs_f64(takes);
     }
 }
 
@@ -201,7 +247,9 @@
     let mut known = HashMap::new();
     let pace = |service| *known.entry(service).or_insert_with(|| state.growth(service).pace);
     let loads: Vec<_> = state.directory.own_loads(now, pace).collect();
-    let paces = paces(state);
+    // What changes slowly is told with heartbeats only, so that the datagrams between them are short.
+    let whole = state.peers.tells_all(now) || state.leaving.is_some();
+    let paces = if whole { paces(state) } else { Vec::new() };
     let waiting = waiting(state, now);
     let peers = &mut state.peers;
     peers.hints.retain(|_, until| now < *until);
@@ -210,7 +258,11 @@
     peers.told(now);
     let mut to: Vec<_> = peers.known.keys().copied().collect();
     let skip = if to.is_empty() { 0 } else { state.rng.index(to.len()) };
-    let count = if MANY_PEERS < to.len() { NAMED_BY_MANY } else { NAMED };
+    let count = match (whole, MANY_PEERS < to.len()) {
+        (false, _) => 0,
+        (true, false) => NAMED,
+        (true, true) => NAMED_BY_MANY,
+    };
     let named = to.iter().cycle().skip(skip).take(count.min(to.len())).filter_map(to_wire);
     let beat = LoadBeat {
         incarnation: peers.incarnation,
@@ -218,14 +270,20 @@
         leaving: state.leaving.is_some(),
         peers: named.collect(),
         shunned,
-        endpoints_news: state.news.endpoints,
-        routes_news: state.news.routes,
+        endpoints_news: peers.news(Topic::Endpoints, &state.news, whole),
+        routes_news: peers.news(Topic::Routes, &state.news, whole),
         paces,
         waiting,
         ..LoadBeat::default()
     };
     let beat = beat.with_loads(loads);
-    peers.bytes = beat.wire_bytes();
+    let bytes = beat.wire_bytes();
+    peers.spend(bytes, now);
+    if whole {
+        peers.whole = now;
+        peers.bytes = bytes;
+        peers.told_news = state.news;
+    }
     // Addresses that may be nobody's are tried once a heartbeat, also when there is much to tell:
     // daemons that don't know each other count the same endpoint's room twice.
     if peers.probed + HEARTBEAT <= now {
@@ -244,6 +302,14 @@
     }
 }
 
+impl Peers {
+    /// A topic's news for a datagram; 0 when the last heartbeat has told them.
+    fn news(&self, topic: Topic, news: &PerTopic<u64>, whole: bool) -> u64 {
+        let newest = *news.get(topic);
+        if whole || *self.told_news.get(topic) != newest { newest } else { 0 }
+    }
+}
+
 /// Endpoints that a peer knows to refuse work, or to be dark, are left alone. Only what a peer met
 /// itself is passed on, and only once, so that a word dies with its cause.
 fn shun(turn: &mut Turn<'_>, shunned: &[Shunned]) {
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -9,7 +9,7 @@
 use basilbank_wire::PeerAddress;
 
 use super::{Pace, Share};
-use crate::endpoint::EndpointKey;
+use crate::{endpoint::EndpointKey, topic::PerTopic};
 
 /// One other daemon.
 #[derive(Clone, Debug)]
@@ -56,8 +56,14 @@
     pub incarnation: u64,
     /// The last datagram that was sent.
     pub sequence: u64,
+    /// When the last heartbeat was sent: a datagram that tells everything.
+    pub whole: Duration,
     /// Bytes that it took on the wire.
     pub bytes: usize,
+    /// The news that it told.
+    pub told_news: PerTopic<u64>,
+    /// Until then the bytes that were sent take what peers may receive.
+    pub spent: Duration,
     /// When it was sent.
     pub sent: Duration,
     /// When addresses were last tried from which nothing has come.
--- a/crates/basilbank_forward/tests/forward/old_views.rs
+++ b/crates/basilbank_forward/tests/forward/old_views.rs
@@ -1,8 +1,9 @@
 //! What daemons of a large fleet know of each other is old, and how they place by it.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use basilbank_forward::prelude::*;
+use basilbank_wire::LoadBeat;
 
 use crate::rig::{Rig, held, model, prompt};
 
@@ -60,3 +61,55 @@
     assert!(DRAFTS / 2 < placed["p0"], "{placed:?}");
     assert!(1 < placed.len(), "{placed:?}");
 }
+
+/// Symptom: the views of 195 daemons were 2.4 s old, and drafts last half a second, so that room was given
+/// several times over.
+/// Sequence: a daemon has a draft in some seconds, and its datagrams are far apart.
+/// Cause: a least time between datagrams bounded the bytes, long enough for a daemon that has much to tell;
+/// and each of them told all that there is to tell.
+#[test]
+fn a_daemon_of_a_large_fleet_tells_of_a_rare_draft_at_once() {
+    const FLEET: u16 = 195;
+    const ROUNDS: u64 = 20;
+    let address = |n: u16| SocketAddr::from(([10, 1, 0, n as u8], 7000));
+    let mut rig = Rig::as_daemon(address(0), vec![]);
+    rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 2, Stage::Decode)]);
+    let mut sequence = 0;
+    let mut hear_all = |rig: &mut Rig| {
+        sequence += 1;
+        for n in 1..FLEET {
+            let beat = LoadBeat { incarnation: 1, sequence, ..LoadBeat::default() };
+            rig.feed(Event::Beat { from: address(n), beat });
+        }
+    };
+    let (mut latest, mut bytes) = (Duration::ZERO, 0);
+    let mut told = |rig: &mut Rig| {
+        let beats = rig.beats();
+        let first = beats.iter().filter(|(to, _)| *to == address(1));
+        let sizes: Vec<_> = first.map(|(_, beat)| beat.wire_bytes()).collect();
+        bytes += sizes.iter().sum::<usize>();
+        !sizes.is_empty()
+    };
+    hear_all(&mut rig);
+    rig.pass_ms(5000);
+    rig.beats();
+    for _ in 0..ROUNDS {
+        hear_all(&mut rig);
+        told(&mut rig);
+        let id = rig.call("/draft/1", 14_000, Some(prompt(3000)));
+        let hold = rig.start();
+        rig.came(id, hold.number, held());
+        let began = rig.now();
+        while !told(&mut rig) && rig.now() < began + Duration::from_secs(3) {
+            rig.pass_ms(2);
+        }
+        latest = latest.max(rig.now() - began);
+        rig.pass_ms(600);
+        rig.feed(Event::Left(id));
+        rig.pass_ms(2000);
+    }
+    told(&mut rig);
+    let received = bytes as u64 * u64::from(FLEET - 1) * 10 / (ROUNDS * 26);
+    assert!(latest <= Duration::from_millis(30), "{latest:?}");
+    assert!(received <= 26_000, "{received} bytes a second");
+}
