The decisions about forwarded calls call each other in one direction

The circle of draft, finish, plain, queue and step is gone: what comes next is a type of its own (next), a call's end only says that there may be room, and the turn, which drives all, ends with the drafts that wait for it.

--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -1,7 +1,9 @@
 //! The reducer, and what all its steps share.
 //!
 //! A call's way reads top to bottom: `arrive` finds route and service, `step` drives the call from
-//! then on. After each event it asks `plain` or `draft` what comes next, and carries that out.
+//! then on. After each event it asks `plain` or `draft` what comes next, and carries that out. When that
+//! may have left room at endpoints, the turn ends with the drafts that wait for it (`queue`). No module
+//! calls one that stands before it on this way.
 
 mod arrive;
 mod beat;
@@ -9,6 +11,7 @@
 mod endpoints;
 mod entries;
 mod finish;
+mod next;
 mod outcome;
 mod pick;
 mod plain;
@@ -36,7 +39,7 @@
     turn.state.started.get_or_insert(now.mono);
     roles::watch_clocks(&mut turn, now);
     match event {
-        Event::Tick => queue::serve(&mut turn),
+        Event::Tick => turn.state.room = true,
         Event::Arrived(call) => arrive::arrived(&mut turn, *call),
         Event::Left(id) => finish::left(&mut turn, id),
         Event::Came { request, attempt, outcome } => {
@@ -60,9 +63,11 @@
         }
         Event::Beat { from, beat } => beat::heard(&mut turn, from, &beat),
     }
+    queue::settle(&mut turn);
     endpoints::expire(&mut turn);
     while let Some(id) = turn.state.due_timer(turn.now) {
         step::timer(&mut turn, id);
+        queue::settle(&mut turn);
     }
     suspect::tick(&mut turn);
     beat::tick(&mut turn);
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -7,7 +7,7 @@
 
 use basilbank_wire::{LoadBeat, ServicePace, Shunned, StoreRevision, WaitingDraft};
 
-use super::{Turn, queue};
+use super::Turn;
 use crate::{
     effect::Effect,
     note::Note,
@@ -132,7 +132,7 @@
     if fresh {
         turn.note(Note::new("peer").with("addr", from).with("state", "up"));
     }
-    queue::serve(turn);
+    turn.state.room = true;
 }
 
 /// A peer has seen a change. Without the exception a revision that doesn't exist would be heard again
--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::{
+    next::{Next, Send},
     pick::{self, Decode, Want},
-    step::{Next, Send},
 };
 use crate::{
     call::RequestId,
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -1,6 +1,6 @@
 //! A call ends, and what is held for it is given back.
 
-use super::{Turn, end as release, end_hold, queue};
+use super::{Turn, end as release, end_hold};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -95,7 +95,7 @@
         release(turn.state, live.endpoint, live.share);
     }
     give_back(turn, request);
-    queue::serve(turn);
+    turn.state.room = true;
 }
 
 fn give_back(turn: &mut Turn<'_>, request: Request) {
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{
+    next::{Next, Send},
     pick,
-    step::{Next, Send},
 };
 use crate::{
     call::RequestId,
--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -7,21 +7,16 @@
 use std::collections::HashSet;
 
 use super::{Turn, step};
-use crate::call::RequestId;
 
-/// Takes a draft in that found no room; true when it has not waited before.
-pub fn wait(turn: &mut Turn<'_>, id: RequestId) -> bool {
-    if !turn.state.waiting.contains(&id) {
-        turn.state.waiting.push(id);
+/// Lets drafts go on if room may have come free. A draft that is given up then may leave room to others.
+pub fn settle(turn: &mut Turn<'_>) {
+    while std::mem::take(&mut turn.state.room) {
+        serve(turn);
     }
-    let draft = turn.state.requests.get_mut(&id).map(|request| &mut request.draft);
-    let first = draft.is_some_and(|draft| !std::mem::replace(&mut draft.waited, true));
-    turn.state.peers.changed |= first;
-    first
 }
 
 /// Lets drafts go on for which there is room now.
-pub fn serve(turn: &mut Turn<'_>) {
+fn serve(turn: &mut Turn<'_>) {
     if turn.state.waiting.is_empty() {
         return;
     }
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -2,15 +2,18 @@
 
 use std::time::Duration;
 
-use super::{Turn, begin, draft, end, finish, plain, queue};
+use super::{
+    Turn, begin, draft, end, finish,
+    next::{Next, Send},
+    plain,
+};
 use crate::{
     call::RequestId,
-    effect::{Attempt, Effect, Op},
-    endpoint::EndpointKey,
+    effect::{Attempt, Effect},
     note::{Measure, Note},
-    reason::{Refusal, Retry},
+    reason::Refusal,
     state::{
-        Request, Share, State,
+        Request, State,
         requests::{Live, Step},
     },
 };
@@ -18,42 +21,6 @@
 /// A retry that has less time than this is not worth an endpoint's work: a connection and an answer.
 const MIN_TIME: Duration = Duration::from_millis(20);
 
-/// What comes next for a call.
-#[derive(Debug)]
-pub enum Next {
-    /// A call to an endpoint.
-    Send(Send),
-    /// Nothing until an attempt comes to something.
-    Wait,
-    /// Nothing until then.
-    WaitUntil(Duration),
-    /// Nothing until there is room at a decode endpoint.
-    WaitForRoom,
-    /// Nothing until then: there is room, and drafts of peers go first.
-    WaitForTurn(Duration),
-    /// It is given up.
-    GiveUp(Refusal),
-}
-
-/// A call to an endpoint.
-#[derive(Debug)]
-pub struct Send {
-    /// Where to.
-    pub endpoint: EndpointKey,
-    /// What to do.
-    pub op: Op,
-    /// Which step it is.
-    pub step: Step,
-    /// What to count there.
-    pub share: Share,
-    /// How long to wait.
-    pub limit: Duration,
-    /// It counts against the route's attempts.
-    pub counted: bool,
-    /// It is beyond the first of its call, for this reason, and draws on the retry budget.
-    pub extra: Option<Retry>,
-}
-
 /// Takes the next step, once there is no attempt that must be waited for.
 pub fn go_on(turn: &mut Turn<'_>, id: RequestId) {
     finish::drop_hold_at_leaving(turn, id);
@@ -76,7 +43,7 @@
                 _ => None,
             };
             let waiting = turn.state.waiting.len();
-            if queue::wait(turn, id) {
+            if wait_for_room(turn, id) {
                 turn.note_request(id, Note::new("waits").with("ahead", waiting));
                 let lead = turn.state.tuning.lead;
                 let longest = turn.state.requests.get(&id).map(|r| r.patience());
@@ -97,6 +64,17 @@
     }
 }
 
+/// Takes a draft in that found no room; true when it has not waited before.
+fn wait_for_room(turn: &mut Turn<'_>, id: RequestId) -> bool {
+    if !turn.state.waiting.contains(&id) {
+        turn.state.waiting.push(id);
+    }
+    let draft = turn.state.requests.get_mut(&id).map(|request| &mut request.draft);
+    let first = draft.is_some_and(|draft| !std::mem::replace(&mut draft.waited, true));
+    turn.state.peers.changed |= first;
+    first
+}
+
 /// A timer of the call is due: its deadline, or a pause that is over.
 pub fn timer(turn: &mut Turn<'_>, id: RequestId) {
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -215,6 +215,8 @@
     pub waiting: Vec<RequestId>,
     /// The line in which the drafts of all daemons wait.
     pub line: Line,
+    /// There may be room for them since it was last looked for.
+    pub(crate) room: bool,
     /// When room was last looked for on their behalf.
     pub(crate) served: Duration,
     /// The store's revision at which the configuration was read.
@@ -260,6 +262,7 @@
             paces: HashMap::new(),
             waiting: Vec::new(),
             line: Line::default(),
+            room: false,
             served: Duration::ZERO,
             routes_revision: Revision::NONE,
             news: PerTopic::default(),
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -31,13 +31,11 @@
     /// the call; holding the whole prompt keeps memory idle that running calls could use.
     pub hold_tokens: u32,
     /// Part of a decode endpoint's memory that is given to drafts, by the most that they are expected to
-    /// need at one moment. Of drafts that come half as fast again as they can be served, 0.85 to 0.88 are
-    /// in time, and no prompt is read in vain (benches/load, three deployments).
+    /// need at one moment.
     pub memory_used: f64,
     /// The same for drafts that can't be on time any more. While drafts come faster than they end, all
-    /// of them would wait equally long and all be late; with 0.15 of the memory kept from those that
-    /// are late anyway, the others find room at once. Of drafts that come half as fast again as they can
-    /// be served, this brings 0.85 to 0.88 in time instead of 0.55 to 0.66 (benches/load).
+    /// of them would wait equally long and all be late; with some of the memory kept from those that are
+    /// late anyway, the others find room at once.
     pub memory_late: f64,
     /// Times the measured error of the callers' estimates that is kept free for drafts that grow longer:
     /// with two, one moment in forty finds the memory short if errors fall like the bell curve.
@@ -45,8 +43,7 @@
     /// How long room is left to each draft of a peer that goes before: a datagram between data centres,
     /// and the turns of two daemons on a part of a core.
     pub line_step: Duration,
-    /// From a slot to the first token: the usual prompt is read in 260 ms by an idle endpoint, and some
-    /// wait for others'. 250 to 450 ms made no difference.
+    /// From a slot to the first token: a prompt's reading, and some wait for others'.
     pub lead: Duration,
     /// Decode endpoints that are asked for a slot before a draft waits.
     pub hold_tries: u32,
