Daemons that start are introduced to the others at once

Cause: in a large fleet heartbeats are 1 to 3 s apart and name two peers, so a daemon that started knew few others, and their loads, for seconds; the more daemons, the longer. Change: who hears of a new start answers it with all it has and 24 peers; named addresses are tried after 0.1 s, by datagrams to them alone.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -13,7 +13,7 @@
     note::Note,
     state::{
         Pace, Place, Share, State,
-        peers::{Load, Peer, Peers, from_wire, to_wire},
+        peers::{Load, MANY_PEERS, Peer, Peers, from_wire, to_wire},
         service_hash,
     },
     topic::{PerTopic, Revision, Topic},
@@ -34,11 +34,8 @@
 /// begins a round trip after the slot is held, and both go out together.
 const COMPANY_PART: u32 = 16;
 
-/// Beyond this many peers what a daemon receives a second is bounded, whatever there is to tell.
-const MANY_PEERS: usize = 80;
-
-/// That bound, in bytes a second: what a daemon may use for control is 26 KB; the store's changes take
-/// one of them, and datagrams that grow from one to the next another.
+/// Most that a daemon of a large fleet receives, in bytes a second: what it may use for control is 26 KB;
+/// the store's changes take one of them, and datagrams that grow from one to the next another.
 const RECEIVED: f64 = 24_000.0;
 
 /// Part of [`RECEIVED`] that heartbeats may take; the others tell of changes.
@@ -61,6 +58,9 @@
 /// How long an address is tried that a peer named.
 const HINT: Duration = Duration::from_secs(2);
 
+/// Time between two tries.
+const PROBE: Duration = Duration::from_millis(100);
+
 /// Longest time for which a peer's word keeps an endpoint unused.
 const SHUNNED_MOST: Duration = Duration::from_secs(10);
 
@@ -70,6 +70,9 @@
 /// The same in a large fleet, where each daemon hears more datagrams.
 const NAMED_BY_MANY: usize = 2;
 
+/// The same to a daemon that has just started: those that three seeds name know all the others.
+const NAMED_TO_NEW: usize = 24;
+
 /// Takes a peer's datagram in.
 pub fn heard(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
     let now = turn.now;
@@ -89,6 +92,7 @@
     }
     peers.hints.remove(&from);
     let fresh = before.is_none();
+    let started = before.is_none_or(|peer| peer.incarnation != beat.incarnation);
     forget_loads(turn, from);
     // Its streams go on for as long as it may take to leave: to drop them at once would give away
     // memory that they have.
@@ -132,6 +136,9 @@
     if fresh {
         turn.note(Note::new("peer").with("addr", from).with("state", "up"));
     }
+    if started && !beat.leaving {
+        introduce(turn, from);
+    }
     turn.state.room = true;
 }
 
@@ -180,6 +187,9 @@
     if turn.state.peers.changed {
         turn.state.peers.since.get_or_insert(now);
     }
+    if turn.state.peers.probe_due().is_some_and(|at| at <= now) {
+        probe(turn);
+    }
     if turn.state.beat_due() <= now {
         send(turn);
     }
@@ -210,6 +220,25 @@
 }
 
 impl Peers {
+    /// Addresses from which nothing has come yet.
+    fn unknown(&self) -> Vec<SocketAddr> {
+        let all = self.seeds.iter().chain(self.hints.keys()).copied();
+        let mut all: Vec<_> =
+            all.filter(|at| !self.known.contains_key(at) && Some(*at) != self.own).collect();
+        all.sort_unstable();
+        all.dedup();
+        all
+    }
+
+    /// When such addresses are tried next; none when there are none.
+    pub(crate) fn probe_due(&self) -> Option<Duration> {
+        if self.unknown().is_empty() {
+            return None;
+        }
+        let pause = if self.hints.is_empty() { HEARTBEAT } else { PROBE };
+        Some(if self.sequence == 0 { Duration::ZERO } else { self.probed + pause })
+    }
+
     /// Time between two heartbeats. All of them together keep within their part of what a daemon may
     /// receive.
     fn heartbeat(&self) -> Duration {
@@ -255,9 +284,88 @@
     }
 }
 
+/// Tells all peers.
 fn send(turn: &mut Turn<'_>) {
     let now = turn.now;
     let state = &mut *turn.state;
+    let scope = match state.peers.tells_all(now) || state.leaving.is_some() {
+        true => Scope::All,
+        false => Scope::Changes,
+    };
+    let beat = compose(state, now, scope);
+    let bytes = beat.wire_bytes();
+    let peers = &mut state.peers;
+    peers.sent = now;
+    peers.told(now);
+    peers.watching = beat.watching;
+    // Few watch, so their heartbeats are a small part of what peers receive; they must not take the
+    // place of what this daemon has to tell of its load.
+    if scope == Scope::Changes || !beat.watching {
+        peers.spend(bytes, now);
+    }
+    if scope == Scope::All {
+        peers.whole = now;
+        peers.bytes = bytes;
+        peers.told_news = state.news;
+    }
+    let mut to: Vec<_> = peers.known.keys().copied().collect();
+    to.sort_unstable();
+    if !to.is_empty() {
+        // What a full link doesn't take is lost: it must not be the same peers' each time, to whom this
+        // daemon would be gone.
+        let first = usize::try_from(beat.sequence).unwrap_or_default() % to.len();
+        to.rotate_left(first);
+        turn.push(Effect::SendBeat { to, beat });
+    }
+}
+
+/// Tries addresses that may be nobody's, also when there is much to tell: daemons that don't know each
+/// other count the same endpoint's room twice.
+fn probe(turn: &mut Turn<'_>) {
+    turn.state.peers.probed = turn.now;
+    turn.state.peers.hints.retain(|_, until| turn.now < *until);
+    let to = turn.state.peers.unknown();
+    if !to.is_empty() {
+        let beat = compose(turn.state, turn.now, Scope::All);
+        turn.push(Effect::SendBeat { to, beat });
+    }
+}
+
+/// Tells a daemon that has just started what this one has, and whom it knows.
+///
+/// In a large fleet heartbeats are seconds apart and name few. A daemon that learned of its peers by these
+/// alone would place drafts for as long by the loads of the few that it has met.
+fn introduce(turn: &mut Turn<'_>, to: SocketAddr) {
+    let beat = compose(turn.state, turn.now, Scope::Introduction);
+    turn.push(Effect::SendBeat { to: vec![to], beat });
+}
+
+/// How much a datagram tells.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Scope {
+    /// What changes fast. The rest is told with heartbeats only, so that the datagrams between them are
+    /// short.
+    Changes,
+    /// All there is.
+    All,
+    /// That, and many peers.
+    Introduction,
+}
+
+impl Scope {
+    /// Peers that are named, when so many are known.
+    fn named(self, known: usize) -> usize {
+        let most = match self {
+            Scope::Changes => 0,
+            Scope::All if MANY_PEERS < known => NAMED_BY_MANY,
+            Scope::All => NAMED,
+            Scope::Introduction => NAMED_TO_NEW,
+        };
+        most.min(known)
+    }
+}
+
+fn compose(state: &mut State, now: Duration, scope: Scope) -> LoadBeat {
     let shunned = state.directory.shunned(now).map(|(endpoint, left)| {
         let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
         Shunned { endpoint, left }
@@ -267,29 +375,20 @@
     let mut known = HashMap::new();
     let pace = |service| *known.entry(service).or_insert_with(|| state.growth(service).pace);
     let loads: Vec<_> = state.directory.own_loads(now, pace).collect();
-    // What changes slowly is told with heartbeats only, so that the datagrams between them are short.
-    let whole = state.peers.tells_all(now) || state.leaving.is_some();
+    let whole = scope != Scope::Changes;
     let paces = if whole { paces(state) } else { Vec::new() };
     let waiting = waiting(state, now);
     let watching = state.sees_store();
     let peers = &mut state.peers;
-    peers.hints.retain(|_, until| now < *until);
     peers.sequence += 1;
-    peers.sent = now;
-    peers.told(now);
-    let mut to: Vec<_> = peers.known.keys().copied().collect();
-    let skip = if to.is_empty() { 0 } else { state.rng.index(to.len()) };
-    let count = match (whole, MANY_PEERS < to.len()) {
-        (false, _) => 0,
-        (true, false) => NAMED,
-        (true, true) => NAMED_BY_MANY,
-    };
-    let named = to.iter().cycle().skip(skip).take(count.min(to.len())).filter_map(to_wire);
+    let count = peers.known.len();
+    let skip = if count == 0 { 0 } else { state.rng.index(count) };
+    let named = peers.known.keys().cycle().skip(skip).take(scope.named(count));
     let beat = LoadBeat {
         incarnation: peers.incarnation,
         sequence: peers.sequence,
         leaving: state.leaving.is_some(),
-        peers: named.collect(),
+        peers: named.filter_map(to_wire).collect(),
         shunned,
         endpoints_news: peers.news(Topic::Endpoints, &state.news, whole),
         routes_news: peers.news(Topic::Routes, &state.news, whole),
@@ -299,35 +398,7 @@
         waiting,
         ..LoadBeat::default()
     };
-    let beat = beat.with_loads(loads);
-    let bytes = beat.wire_bytes();
-    peers.watching = watching;
-    // Few watch, so their heartbeats are a small part of what peers receive; they must not take the
-    // place of what this daemon has to tell of its load.
-    if !(whole && watching) {
-        peers.spend(bytes, now);
-    }
-    if whole {
-        peers.whole = now;
-        peers.bytes = bytes;
-        peers.told_news = state.news;
-    }
-    // Addresses that may be nobody's are tried once a heartbeat, also when there is much to tell:
-    // daemons that don't know each other count the same endpoint's room twice.
-    if peers.probed + HEARTBEAT <= now {
-        peers.probed = now;
-        let unknown = peers.seeds.iter().chain(peers.hints.keys()).copied();
-        to.extend(unknown.filter(|address| !peers.known.contains_key(address)));
-    }
-    to.sort_unstable();
-    to.dedup();
-    if !to.is_empty() {
-        // What a full link doesn't take is lost: it must not be the same peers' each time, to whom this
-        // daemon would be gone.
-        let first = usize::try_from(beat.sequence).unwrap_or_default() % to.len();
-        to.rotate_left(first);
-        turn.push(Effect::SendBeat { to, beat });
-    }
+    beat.with_loads(loads)
 }
 
 impl Peers {
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -444,6 +444,7 @@
             .chain(probe)
             .chain(room)
             .chain(turn)
+            .chain(self.peers.probe_due())
             .chain([self.beat_due()])
             .min()
     }
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -93,6 +93,9 @@
     pub untold: Duration,
 }
 
+/// Beyond this many peers what a daemon receives a second is bounded, whatever there is to tell.
+pub const MANY_PEERS: usize = 80;
+
 /// Weight of a new delay in the mean of [`Peers::untold`]: some ten datagrams.
 const DELAY_WEIGHT: f64 = 0.1;
 
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod drafts;
 mod endpoints;
 mod homes;
+mod introductions;
 mod leaving;
 mod line;
 mod load;
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -41,6 +41,12 @@
         Rig::with_local(local.with_seeds(seeds))
     }
 
+    /// The same after its process was replaced.
+    pub fn as_next_daemon(address: SocketAddr, seeds: Vec<SocketAddr>) -> Rig {
+        let local = Local::default().with_incarnation(2).with_address(address);
+        Rig::with_local(local.with_seeds(seeds))
+    }
+
     fn with_local(local: Local) -> Rig {
         let local = local.with_name("vm-1").with_data_centre("hall-a");
         let state = State::new(local, Tuning::default());
