Large fleets hold slots with the prompt's memory

A slot with a token block was granted all the same, and drafts were put back in their streams. Change: there the slot is asked for with the prompt's tokens; the endpoint, which knows what it has, refuses what it can't hold, and the next one is asked.

--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -46,7 +46,7 @@
 
 fn hold(state: &mut State, id: RequestId, now: Duration) -> Next {
     let Some(request) = state.requests.get(&id) else { return Next::Wait };
-    let (hold_tokens, limit) = (state.tuning.hold_tokens, state.tuning.hold_limit);
+    let limit = state.tuning.hold_limit;
     if request.patience() < now + state.tuning.lead {
         return Next::GiveUp(Refusal::WaitedOut);
     }
@@ -67,7 +67,6 @@
         None => pick::prefill(state, &service, &[], None, prompt.tokens, now),
     };
     let longest = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.hold);
-    let op = Op::Hold { tokens: hold_tokens, ttl: longest };
     let before = state.before(&service, due, now);
     let want = Want { near, share, part, session: prompt.session };
     let endpoint = match pick::decode(state, &service, &tried, &want, now) {
@@ -84,9 +83,21 @@
         return Next::WaitForTurn(turn);
     }
     state.line.taken(&service);
+    let op = Op::Hold { tokens: hold_tokens(state, prompt.tokens), ttl: longest };
     Next::Send(Send { endpoint, op, step: Step::Hold, share, limit, counted: false, extra: None })
 }
 
+/// Memory that is held with a slot.
+///
+/// Where daemons hear of each other late, an endpoint that looks roomy is often full. It knows what it has,
+/// so it is asked for the prompt's memory; without this it takes the draft, and puts it or another one back
+/// in the middle of a stream, to read its prompt once more. Where views are true the room was judged
+/// already, and memory that is held while the prompt is read would only be idle.
+fn hold_tokens(state: &State, prompt: u32) -> u32 {
+    let least = state.tuning.hold_tokens;
+    if state.hears_late() { least.max(prompt) } else { least }
+}
+
 /// Decode endpoints that were asked since the last pause.
 fn asked(request: &Request) -> Vec<EndpointKey> {
     request.tried.iter().rev().take(request.draft.asked as usize).copied().collect()
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -29,7 +29,7 @@
     entries::Entries,
     line::{Line, Place},
     pace::Pace,
-    peers::{Peer, Peers},
+    peers::{MANY_PEERS, Peer, Peers},
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
     share::{Growth, Share},
@@ -362,6 +362,12 @@
         Around { wait, peers, shared, news: *self.news.get(topic), follows, doubts }
     }
 
+    /// The fleet is so large that what daemons hear of each other a second is bounded.
+    #[must_use]
+    pub fn hears_late(&self) -> bool {
+        MANY_PEERS < self.peers.known.len()
+    }
+
     /// The fleet is so large that few watch the store for all.
     fn is_large(&self) -> bool {
         FEW_PEERS <= self.peers.known.len()
--- a/crates/basilbank_forward/tests/forward/old_views.rs
+++ b/crates/basilbank_forward/tests/forward/old_views.rs
@@ -113,3 +113,33 @@
     assert!(latest <= Duration::from_millis(30), "{latest:?}");
     assert!(received <= 26_000, "{received} bytes a second");
 }
+
+/// Tokens that are held with a slot for a prompt of 3,000, when so many peers are heard.
+fn held_tokens(peers: u16) -> u32 {
+    let address = |n: u16| SocketAddr::from(([10, 1, 0, n as u8], 7000));
+    let mut rig = Rig::as_daemon(address(0), vec![]);
+    rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 2, Stage::Decode)]);
+    for n in 1..=peers {
+        let beat = LoadBeat { incarnation: 1, sequence: 1, ..LoadBeat::default() };
+        rig.feed(Event::beat(address(n), beat));
+    }
+    rig.call("/draft/1", 14_000, Some(prompt(3000)));
+    match rig.start().op {
+        Op::Hold { tokens, .. } => tokens,
+        op => panic!("{op:?}"),
+    }
+}
+
+/// Symptom: drafts were put back in the middle of their streams, and their prompts read once more.
+/// Sequence: daemons that hear of each other late place drafts at the same endpoint; each holds a slot
+/// there with a token block, which it grants.
+/// Cause: nobody asked whether there was memory, which the endpoint knows.
+#[test]
+fn an_endpoint_is_asked_for_the_memory_where_views_are_old() {
+    assert_eq!(held_tokens(100), 3000);
+}
+
+#[test]
+fn memory_is_not_held_while_a_prompt_is_read_where_views_are_true() {
+    assert_eq!(held_tokens(8), 16);
+}
