Readers, state and datagrams have files by job

Pure moves: eras and rests of the reader, who a daemon is, who watches, and when it tells its peers what.

--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -1,13 +1,16 @@
 //! The reader of one topic.
 
+mod eras;
+mod rest;
+
 use std::{cmp::Ordering, time::Duration};
 
 use super::{
     Around, Came, Query, ReadEffect, ReadEvent, ReadId, Scope, Why,
     asked::Asked,
     limits::{
-        BATCH, BATCH_MANY, BEHIND, CHANGES_LEAST, CHANGES_PART, LOOK, MARGIN, OLDER_ERA,
-        OTHER_FIRST, PAGE_BYTES, PATIENCE, ROUTES_WAIT, SPREAD, WARY, backoff, pace,
+        BATCH, BATCH_MANY, BEHIND, CHANGES_LEAST, CHANGES_PART, MARGIN, OTHER_FIRST, PAGE_BYTES,
+        PATIENCE, ROUTES_WAIT, WARY, backoff, pace,
     },
 };
 use crate::{
@@ -152,41 +155,6 @@
         dead
     }
 
-    /// The era in which an answer counts; `None` if it doesn't.
-    ///
-    /// An answer of an older era is late, or of a store that is behind: what it says is over. One of a
-    /// newer era counts when it is the beginning of everything: changes after a revision of the era before
-    /// leave out what the store gave the same numbers to.
-    pub fn counts(&self, read: ReadId, era: Option<u64>) -> Option<u64> {
-        let asked = self.asked.iter().find(|asked| asked.id == read && !self.outlived)?;
-        match self.compare(era) {
-            Ordering::Less => None,
-            Ordering::Equal => Some(self.era.or(era).unwrap_or_default()),
-            Ordering::Greater => era.filter(|_| asked.page && self.from.is_empty()),
-        }
-    }
-
-    /// An answer's era against the known one. An answer that doesn't say its era says nothing about it.
-    fn compare(&self, era: Option<u64>) -> Ordering {
-        let Some(era) = era else { return Ordering::Equal };
-        match self.era {
-            Some(known) => era.cmp(&known),
-            None if self.after.is_none() => Ordering::Equal,
-            None => Ordering::Greater,
-        }
-    }
-
-    pub fn era(&self) -> Option<u64> {
-        self.era
-    }
-
-    /// The other reader has seen another era: what is known of this topic is of the history before.
-    pub fn other_era(&mut self, now: Duration, era: u64) {
-        self.era = Some(era);
-        self.outlived = !self.asked.is_empty();
-        self.begin_anew(now);
-    }
-
     pub fn is_lost(&self) -> bool {
         self.lost.is_some()
     }
@@ -249,33 +217,6 @@
         self.hurry(if self.is_lost() { now } else { now + BEHIND });
     }
 
-    /// Peers don't watch the topic any more, or one of them was wrong to: the others may be, too.
-    fn wake(&mut self, now: Duration, around: Around) {
-        if self.resting && (!around.follows || around.doubts != self.doubts) {
-            self.due = self.due.min(now + around.wait.mul_f64(SPREAD));
-        }
-        self.doubts = around.doubts;
-    }
-
-    /// Leaves the topic to peers that watch it; true if there is nothing to ask.
-    ///
-    /// If each daemon of a large fleet watched, each change would end as many watches, all for the same
-    /// news, and these would be most of what the store is asked.
-    fn rest(&mut self, now: Duration, around: Around) -> bool {
-        let sound = !self.after.is_none() && self.asked.is_empty() && self.failures == 0;
-        self.rested = std::mem::take(&mut self.resting);
-        if self.rested || !(around.follows && sound) {
-            return false;
-        }
-        if self.after < around.news {
-            self.due = self.last + BATCH_MANY;
-            return now < self.due;
-        }
-        self.resting = true;
-        self.due = now + around.wait.saturating_mul(LOOK);
-        true
-    }
-
     /// Closes questions that were silent for too long.
     fn close(&mut self, now: Duration, effects: &mut Vec<ReadEffect>) {
         let closed = self.asked.extract_if(.., |asked| asked.end <= now);
@@ -471,38 +412,6 @@
         self.due = self.read.map_or(now, |read| now.max(read + BATCH));
     }
 
-    /// A revision of the known era.
-    fn at(&self, number: u64) -> Revision {
-        Revision { era: self.era.unwrap_or_default(), number }
-    }
-
-    /// The store has come back from a copy.
-    fn enter(&mut self, now: Duration, era: Option<u64>, effects: &mut Vec<ReadEffect>) {
-        let line = self.note("store_era").with("era", era.unwrap_or_default());
-        effects.push(ReadEffect::Note(line.with("before", self.era.unwrap_or_default())));
-        self.era = era;
-        self.older = None;
-        self.read_all(now, "era", effects);
-    }
-
-    /// An answer of an era that is over, by what is known. A late one is over soon; when nothing else
-    /// comes for longer than any answer is waited for, the known era was wrong: a damaged header would
-    /// otherwise keep this daemon from the store for good. The wait keeps a daemon between two stores of
-    /// different eras from reading everything again with each answer.
-    fn of_older_era(
-        &mut self,
-        now: Duration,
-        asked: &Asked,
-        era: Option<u64>,
-        effects: &mut Vec<ReadEffect>,
-    ) {
-        let since = *self.older.get_or_insert(now);
-        if now < since + OLDER_ERA {
-            return self.failed(now, asked, "older era", effects);
-        }
-        self.enter(now, era, effects);
-    }
-
     fn failed(&mut self, now: Duration, asked: &Asked, error: &str, effects: &mut Vec<ReadEffect>) {
         self.alone |= asked.urged;
         self.hurried = false;
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -19,6 +19,7 @@
 mod roles;
 mod step;
 mod suspect;
+mod tell;
 
 use std::time::Duration;
 
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -5,22 +5,22 @@
 pub mod endpoint;
 pub mod entries;
 pub mod line;
+pub mod local;
 pub mod pace;
 pub mod peers;
 pub mod requests;
 pub mod roles;
 pub mod share;
 pub mod suspects;
+pub mod watchers;
 
 use std::{
     collections::{BTreeSet, HashMap},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use basilbank_core::state::Rng;
-use basilbank_wire::PeerAddress;
 
 pub use self::{
     budget::Budget,
@@ -28,12 +28,14 @@
     endpoint::Endpoint,
     entries::Entries,
     line::{Line, Place},
+    local::{Leaving, Local, Start},
     pace::Pace,
     peers::{MANY_PEERS, Peer, Peers},
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
     share::{Growth, Share},
     suspects::Suspects,
+    watchers::Rest,
 };
 use crate::{
     call::RequestId,
@@ -54,140 +56,12 @@
 /// before: more than a restart of all at the same moment spreads, clocks included.
 const STARTED_BEFORE: u64 = 3000;
 
-/// Fewer peers than these each watch the store themselves: that costs little, and each has a look of its
-/// own.
-const FEW_PEERS: usize = 20;
-
-/// Daemons that watch the store for a large fleet.
-const WATCHERS: usize = 6;
-
-/// Daemons that have to watch it so that the others need not: half of them, so that the store's or the
-/// network's trouble with some leaves enough, and so that no single one is believed.
-const WATCHERS_LEAST: usize = 3;
-
-/// How old the word of a daemon that watches may be: three of its heartbeats, and a bit.
-const WATCHER_SILENCE: Duration = Duration::from_millis(1700);
-
-/// The place of a daemon among those that may watch, the same for all who hear it.
-fn watch_rank(address: &SocketAddr) -> Option<u64> {
-    let PeerAddress { ip, port } = peers::to_wire(address)?;
-    Some(xxhash_rust::xxh3::xxh3_64_with_seed(&ip.to_be_bytes(), port.into()))
-}
-
-/// Which start of the system a daemon's start belongs to.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub enum Start {
-    /// The whole system starts for the first time.
-    #[default]
-    First,
-    /// It has run before.
-    Again,
-}
-
-/// The daemon shuts down.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Leaving {
-    /// When the signal came.
-    pub since: Duration,
-    /// When what is still in progress is cut.
-    pub until: Duration,
-}
-
-/// Time after which callers no longer come to a daemon that leaves but over connections that were
-/// opened before: the balancer asks once a second, and takes it out after two answers other than 200.
-const NOTICED: Duration = Duration::from_millis(2500);
-
-impl Leaving {
-    /// A call that may last until `deadline` isn't taken: it may be cut, and another daemon takes it when
-    /// its caller comes back. While the balancer still sends callers here, they would probably come back
-    /// here; most calls end long before their deadline, so they are taken then.
-    #[must_use]
-    pub fn refuses(&self, now: Duration, deadline: Duration) -> bool {
-        self.since + NOTICED <= now && self.until < deadline
-    }
-}
-
-/// Who this daemon is.
-#[derive(Clone, PartialEq, Debug, Default)]
-pub struct Local {
-    /// Its name.
-    pub name: String,
-    /// Its data centre.
-    pub data_centre: String,
-    /// Seed of its random choices.
-    pub seed: u64,
-    /// Its process's start, milliseconds since the Unix epoch.
-    pub incarnation: u64,
-    /// Which start of the system this is.
-    pub start: Start,
-    /// Where its peers reach it.
-    pub address: Option<SocketAddr>,
-    /// Addresses at which peers may be found.
-    pub seeds: Vec<SocketAddr>,
-}
-
-impl Local {
-    /// With a name; the seed follows from it.
-    #[must_use]
-    pub fn with_name(mut self, name: &str) -> Local {
-        name.clone_into(&mut self.name);
-        self.seed ^= xxhash_rust::xxh3::xxh3_64(name.as_bytes());
-        self
-    }
-
-    /// With its process's start; random choices follow from it.
-    #[must_use]
-    pub fn with_incarnation(mut self, incarnation: u64) -> Local {
-        self.incarnation = incarnation;
-        self.seed = self.seed.wrapping_add(incarnation);
-        self
-    }
-
-    /// With the start of the system that this one belongs to.
-    #[must_use]
-    pub fn with_start(mut self, start: Start) -> Local {
-        self.start = start;
-        self
-    }
-
-    /// With the address at which its peers reach it.
-    #[must_use]
-    pub fn with_address(mut self, address: SocketAddr) -> Local {
-        self.address = Some(address);
-        self
-    }
-
-    /// With addresses at which peers may be found.
-    #[must_use]
-    pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Local {
-        self.seeds = seeds;
-        self
-    }
-
-    /// With a data centre.
-    #[must_use]
-    pub fn with_data_centre(mut self, name: &str) -> Local {
-        name.clone_into(&mut self.data_centre);
-        self
-    }
-}
-
 /// How peers name a service to each other.
 #[must_use]
 pub fn service_hash(name: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
 
-/// What the peers' word about the store is worth to this daemon.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct Rest {
-    /// Enough of them watch the store, and have said lately that it answers them: what they don't tell
-    /// isn't there.
-    pub follows: bool,
-    /// How often one of them has said that it doesn't see the store any more.
-    pub doubts: u32,
-}
-
 /// All of it.
 #[derive(Debug)]
 pub struct State {
@@ -368,43 +242,6 @@
         MANY_PEERS < self.peers.known.len()
     }
 
-    /// The fleet is so large that few watch the store for all.
-    fn is_large(&self) -> bool {
-        FEW_PEERS <= self.peers.known.len()
-    }
-
-    /// This daemon is one of the few that watch the store for a large fleet.
-    ///
-    /// Each takes itself for one by its place among all that it hears, so no one has to be asked; daemons
-    /// that hear different ones make it one watcher more or less.
-    #[must_use]
-    pub fn watches(&self) -> bool {
-        let peers = &self.peers;
-        let Some(own) = peers.own.filter(|_| self.is_large()) else { return false };
-        let Some(own) = watch_rank(&own) else { return false };
-        let before =
-            |(at, peer): &(&SocketAddr, &Peer)| !peer.leaving && watch_rank(at) < Some(own);
-        self.leaving.is_none()
-            && self.knows()
-            && peers.known.iter().filter(before).count() < WATCHERS
-    }
-
-    /// This daemon watches, and the store answers it.
-    #[must_use]
-    pub fn sees_store(&self) -> bool {
-        self.watches() && !self.directory.lost
-    }
-
-    /// Whether this daemon rests on the word of those that watch.
-    #[must_use]
-    pub fn rests(&self) -> Rest {
-        let Peers { known, heard, doubts, .. } = &self.peers;
-        let sound = |peer: &&Peer| peer.watching && *heard < peer.heard + WATCHER_SILENCE;
-        let enough = WATCHERS_LEAST <= known.values().filter(sound).count();
-        let follows = enough && self.is_large() && self.knows() && !self.watches();
-        Rest { follows, doubts: *doubts }
-    }
-
     /// No configuration is known, or a peer has read a newer one: what it lacks or forbids may be there
     /// or allowed by now, so no caller may be told so for good. The store itself may hold an older one
     /// than a peer has in force, when it has come back from a copy.
@@ -426,7 +263,7 @@
         // and can't, since these don't see the store, have none.
         let peers = match (self.is_large(), self.watches()) {
             (false, _) => self.peers.known.len(),
-            (true, true) => WATCHERS_LEAST,
+            (true, true) => watchers::WATCHERS_LEAST,
             (true, false) => 0,
         };
         let peers = u32::try_from(peers).unwrap_or(u32::MAX);
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -63,8 +63,8 @@
     pub peak: usize,
     /// How often one that watched the store has said that it doesn't see it any more.
     pub doubts: u32,
-    /// When something was last heard, or time went on.
-    pub heard: Duration,
+    /// The time of the last turn: the age of peers' words is counted until then.
+    pub now: Duration,
     /// This daemon has said that it watches the store for others.
     pub watching: bool,
     /// This process's start.
