A fleet that grows past 80 peers goes on telling of changes; any era fits a fence

The bytes of a small fleet, which are not bounded, were counted all the same, so that a daemon that had much to tell was silent but for heartbeats once the fleet had more than 80 peers; and an era from a damaged header could be shifted out of a fencing number. Test: old_views::a_fleet_that_grows_goes_on_telling_of_changes (fails without the mend). Fleets that don't cross that size, and eras below 2^19: as before.

--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -170,7 +170,7 @@
     let Some(target) = turn.state.directory.target(endpoint) else { return };
     let revision = turn.state.directory.revision;
     let roles = &mut turn.state.roles;
-    let number = (revision.era << ERA_BITS) + (revision.number << FENCE_BITS);
+    let number = (revision.era.min(ERA_MOST) << ERA_BITS) + (revision.number << FENCE_BITS);
     roles.fence = number.max(roles.fence + 1);
     roles.orders += 1;
     roles.last = turn.now;
@@ -191,3 +191,6 @@
 /// Where the era stands in a fencing number: above 2^36 revisions. With 2^9 eras before it the number is
 /// still exact where it is read as a floating-point one, as in JSON.
 const ERA_BITS: u32 = 44;
+
+/// The last era that fits: a damaged answer may name any.
+const ERA_MOST: u64 = (1 << (u64::BITS - 1 - ERA_BITS)) - 1;
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -254,6 +254,10 @@
 
     /// Takes a datagram's bytes out of the bucket.
     fn spend(&mut self, bytes: usize, now: Duration) {
+        // What a small fleet says is not bounded, and must not silence it once it has grown.
+        if self.known.len() <= MANY_PEERS {
+            return;
+        }
         let full = now.saturating_sub(Duration::from_secs_f64(SAVED));
         let takes = (self.known.len() * bytes) as f64 / RECEIVED;
         self.spent = self.spent.max(full) + Duration::from_secs_f64(takes);
--- a/crates/basilbank_forward/tests/forward/old_views.rs
+++ b/crates/basilbank_forward/tests/forward/old_views.rs
@@ -143,3 +143,36 @@
 fn memory_is_not_held_while_a_prompt_is_read_where_views_are_true() {
     assert_eq!(held_tokens(8), 16);
 }
+
+/// Symptom: a daemon said nothing but its heartbeats for minutes.
+/// Sequence: a fleet that may say what it likes has much to tell, and then grows beyond that size.
+/// Cause: what it had said before was held against it.
+#[test]
+fn a_fleet_that_grows_goes_on_telling_of_changes() {
+    let address = |n: u16| SocketAddr::from(([10, 1, 0, n as u8], 7000));
+    let mut rig = Rig::as_daemon(address(0), vec![]);
+    rig.list(vec![model("p1", 1, Stage::Prefill), model("d1", 2, Stage::Decode)]);
+    let mut sequence = 0;
+    let mut hear = |rig: &mut Rig, peers: u16| {
+        sequence += 1;
+        for n in 1..=peers {
+            let beat = LoadBeat { incarnation: 1, sequence, ..LoadBeat::default() };
+            rig.feed(Event::beat(address(n), beat));
+        }
+    };
+    for _ in 0..100 {
+        hear(&mut rig, 79);
+        let id = rig.call("/draft/1", 14_000, Some(prompt(500)));
+        rig.pass_ms(100);
+        rig.feed(Event::Left(id));
+        rig.pass_ms(100);
+    }
+    hear(&mut rig, 100);
+    rig.pass_ms(1500);
+    rig.beats();
+    let sent = rig.state.peers.sent;
+    rig.call("/draft/1", 14_000, Some(prompt(500)));
+    rig.pass_ms(30);
+    assert!(sent < rig.state.peers.sent);
+    assert!(!rig.beats().is_empty());
+}
