--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -187,8 +187,10 @@
         let Some(since) = peers.since.filter(|_| peers.changed) else { return heartbeat };
         let each = EACH_PEER.saturating_mul(u32::try_from(peers.known.len()).unwrap_or(u32::MAX));
         let least = if self.is_blind(peers.sent) { LEAST_BLIND } else { LEAST };
+        // In a smaller fleet drafts wait for each other by milliseconds, and such news must not be late.
+        let company = if self.hears_late() { each / COMPANY_PART } else { Duration::ZERO };
         let due = match peers.urgent {
-            true => (peers.sent + least).max(since + each / COMPANY_PART),
+            true => (peers.sent + least).max(since + company),
             false => peers.sent + least.max(each),
         };
         due.max(peers.affordable()).min(heartbeat)
--- a/crates/basilbank_forward/tests/forward/watchers.rs
+++ b/crates/basilbank_forward/tests/forward/watchers.rs
@@ -130,9 +130,13 @@
     rig.feed(Event::beat(from, LoadBeat { endpoints_news: told, ..beat }));
     assert!(rig.state.behind(Topic::Endpoints));
     rig.set_revision(39);
+    rig.beats();
     rig.list(vec![plain("a", 1), plain("b", 2)]);
-    assert!(!rig.state.peers.changed);
+    rig.pass_ms(20);
+    assert!(rig.beats().is_empty());
     rig.set_revision(49);
     rig.list(vec![plain("c", 3)]);
-    assert!(rig.state.peers.changed);
+    rig.pass_ms(20);
+    let told = rig.beats().pop().map(|(_, beat)| beat.endpoints_news);
+    assert_eq!(told, Some(Some(StoreRevision { era: 0, number: 50 })));
 }
