A datagram is taken in with one look at its sender; probes list nobody for a clock

Found on reading the change again: the sender was looked up three times, and the addresses that nobody answers from were collected and sorted at each question when to wake.

--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -60,18 +60,18 @@
     shun(turn, &beat.shunned);
     hear_news(turn, Topic::Endpoints, beat.endpoints_news);
     hear_news(turn, Topic::Routes, beat.routes_news);
-    let version = match beat.version {
-        0 => turn.state.peers.known.get(&from).map_or(0, |peer| peer.version),
-        version => version,
+    let before = turn.state.peers.known.remove(&from);
+    let watched = before.as_ref().is_some_and(|peer| peer.watching);
+    let blinded = watched && !beat.watching && !beat.leaving;
+    // Only heartbeats tell these.
+    let version = match (beat.version, &before) {
+        (0, Some(peer)) => peer.version,
+        (version, _) => version,
     };
-    // Only heartbeats tell them.
-    let kept = turn.state.peers.known.get_mut(&from).filter(|_| beat.paces.is_empty());
-    let paces = match kept {
-        Some(peer) => std::mem::take(&mut peer.paces),
-        None => beat.paces.iter().map(pace_from_wire).collect(),
+    let paces = match before {
+        Some(peer) if beat.paces.is_empty() => peer.paces,
+        _ => beat.paces.iter().map(pace_from_wire).collect(),
     };
-    let before = turn.state.peers.known.get(&from);
-    let blinded = before.is_some_and(|peer| peer.watching) && !beat.watching && !beat.leaving;
     turn.state.peers.doubts += u32::from(blinded);
     let peer = Peer {
         incarnation: beat.incarnation,
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -99,7 +99,9 @@
 pub fn probe(turn: &mut Turn<'_>) {
     turn.state.peers.probed = turn.now;
     turn.state.peers.hints.retain(|_, until| turn.now < *until);
-    let to = turn.state.peers.unknown();
+    let mut to: Vec<_> = turn.state.peers.unknown().collect();
+    to.sort_unstable();
+    to.dedup();
     if !to.is_empty() {
         let beat = compose(turn.state, turn.now, Scope::All);
         turn.push(Effect::SendBeat { to, beat });
@@ -199,20 +201,14 @@
 
 impl Peers {
     /// Addresses from which nothing has come yet.
-    fn unknown(&self) -> Vec<SocketAddr> {
+    fn unknown(&self) -> impl Iterator<Item = SocketAddr> {
         let all = self.seeds.iter().chain(self.hints.keys()).copied();
-        let mut all: Vec<_> =
-            all.filter(|at| !self.known.contains_key(at) && Some(*at) != self.own).collect();
-        all.sort_unstable();
-        all.dedup();
-        all
+        all.filter(|at| !self.known.contains_key(at) && Some(*at) != self.own)
     }
 
     /// When such addresses are tried next; none when there are none.
     pub(crate) fn probe_due(&self) -> Option<Duration> {
-        if self.unknown().is_empty() {
-            return None;
-        }
+        self.unknown().next()?;
         let pause = if self.hints.is_empty() { HEARTBEAT } else { PROBE };
         Some(if self.sequence == 0 { Duration::ZERO } else { self.probed + pause })
     }
