Lines of arriving requests name what all attempts of one request share

A digest of method, host, path, credentials and body stands in the line now, the same at all daemons.

--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -12,6 +12,17 @@
     }
 }
 
+/// Names what a call asks for: calls with the same digest have the same method, host, path, credentials
+/// and body. A caller that sends a call again gives each attempt another id, but not another digest.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Debug)]
+pub struct Digest(pub u64);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// One call of a caller. The shell keeps headers and body.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -19,6 +30,8 @@
     pub id: RequestId,
     /// The caller's own id of the attempt, for logs.
     pub trace: String,
+    /// What it asks for.
+    pub digest: Digest,
     /// The host that was asked for, in lowercase and without a port.
     pub host: String,
     /// The path, without the query.
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use basilbank_core::time::{Clock, Now};
 
 pub use crate::{
-    call::{Call, Prompt, RequestId},
+    call::{Call, Digest, Prompt, RequestId},
     effect::{Attempt, Effect, Op},
     endpoint::{EndpointInfo, EndpointKey, Stage},
     event::{Damage, Event, NotRun, Outcome},
--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -16,6 +16,7 @@
     let id = call.id;
     let note = Note::new("arrived")
         .with("request", &call.trace)
+        .with("digest", call.digest)
         .with("version", turn.state.routes.version)
         .with("wait_ms", call.patience.map_or(0, |p| p.as_millis()));
     let note = match &call.prompt {
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -223,6 +223,7 @@
                 let call = Call {
                     id: RequestId(id),
                     trace: id.to_string(),
+                    digest: Digest(id),
                     host: "shop.example".to_owned(),
                     path: "/draft/1".to_owned(),
                     patience: Some(PATIENCE),
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -132,6 +132,7 @@
         let call = Call {
             id,
             trace: format!("trace-{}", id.0),
+            digest: Digest(id.0),
             host: "shop.example".to_owned(),
             path: path.to_owned(),
             patience: Some(Duration::from_millis(patience_ms)),
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -11,7 +11,7 @@
 /// The platform's names, formats and calls, as functions. None of them decides anything.
 #[derive(Clone, Debug)]
 pub struct Dialect {
-    /// Reads what decisions need from a caller's request head.
+    /// Reads what decisions need from a caller's request head. The digest is the gateway's to fill in.
     pub call: fn(RequestId, &Parts) -> Result<Call, BadCall>,
     /// Writes the request of an attempt. The last argument is the last event that the caller has,
     /// when a stream goes on at this endpoint.
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -13,6 +13,7 @@
     answer::{OutBody, OwnAnswer, Piece, passed_on},
     body::{BadBody, read_body},
     calls::{Came, Original, Parked, carry_out},
+    digest::digest,
     relay::{Ended, relay},
     router::{Router, Step},
 };
@@ -33,7 +34,7 @@
     };
     let (id, steps) = router.register();
     let call = match (router.dialect.call)(id, &head) {
-        Ok(call) => call,
+        Ok(call) => Call { digest: digest(&head, &body), ..call },
         Err(bad) => {
             router.unregister(id);
             let answer = OwnAnswer::new(StatusCode::BAD_REQUEST, bad.finding);
