--- /dev/null
+++ b/crates/basilbank_forward/tests/forward/fleet.rs
@@ -0,0 +1,260 @@
+//! Daemons that talk to each other, in virtual time.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use basilbank_core::state::Rng;
+use basilbank_forward::prelude::*;
+use basilbank_wire::LoadBeat;
+
+/// A datagram's way to a peer, and an event's to a daemon.
+pub const WAY: Duration = Duration::from_millis(1);
+
+/// Milliseconds between a process's end and its next start.
+const RESTART: u64 = 500;
+
+/// Milliseconds since the Unix epoch when virtual time begins.
+const EPOCH: u64 = 1_000_000_000;
+
+/// What happens next.
+pub enum Step {
+    /// A daemon asks for something.
+    Asks { daemon: usize, effect: Box<Effect> },
+    /// A time that the play has set for itself.
+    Mark(u64),
+}
+
+enum Due {
+    Heard { from: usize, to: usize, beat: Arc<LoadBeat> },
+    Fed { daemon: usize, life: u32, event: Box<Event> },
+    Wake { daemon: usize, at: Duration },
+    Start { daemon: usize },
+    Mark(u64),
+}
+
+struct Daemon {
+    state: State,
+    life: u32,
+    runs: bool,
+    cut: bool,
+    wakes: Duration,
+    /// Bytes of the datagrams that it received.
+    heard: usize,
+}
+
+/// The daemons.
+pub struct Fleet {
+    daemons: Vec<Daemon>,
+    now: Duration,
+    due: BTreeMap<(Duration, u64), Due>,
+    order: u64,
+    asked: VecDeque<Step>,
+    table: Arc<RouteTable>,
+    listed: Vec<EndpointInfo>,
+    revision: u64,
+    loss: f64,
+    pub rng: Rng,
+}
+
+impl Fleet {
+    /// Daemons that have all just started.
+    pub fn new(count: usize, table: RouteTable, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            daemons: Vec::new(),
+            now: Duration::from_secs(100),
+            due: BTreeMap::new(),
+            order: 0,
+            asked: VecDeque::new(),
+            table: Arc::new(table),
+            listed: Vec::new(),
+            revision: 1,
+            loss: 0.0,
+            rng: Rng::new(seed),
+        };
+        for n in 0..count {
+            let state = fleet.fresh(n, Start::First);
+            let wakes = Duration::MAX;
+            fleet.daemons.push(Daemon { state, life: 0, runs: true, cut: false, wakes, heard: 0 });
+        }
+        (0..count).for_each(|n| fleet.boot(n));
+        fleet
+    }
+
+    /// Datagrams that are lost, as a part of all.
+    pub fn with_loss(mut self, loss: f64) -> Fleet {
+        self.loss = loss;
+        self
+    }
+
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    pub fn len(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// It runs, and peers hear it.
+    pub fn is_sound(&self, daemon: usize) -> bool {
+        self.daemons[daemon].runs && !self.daemons[daemon].cut
+    }
+
+    /// The most bytes that a daemon has received.
+    pub fn most_heard(&self) -> usize {
+        self.daemons.iter().map(|daemon| daemon.heard).max().unwrap_or_default()
+    }
+
+    /// Its process is killed, and starts again.
+    pub fn restart(&mut self, daemon: usize) {
+        self.daemons[daemon].runs = false;
+        self.daemons[daemon].life += 1;
+        self.push(self.now + Duration::from_millis(RESTART), Due::Start { daemon });
+    }
+
+    /// Its datagrams are lost, both ways.
+    pub fn cut(&mut self, daemon: usize, cut: bool) {
+        self.daemons[daemon].cut = cut;
+    }
+
+    /// All read the list.
+    pub fn list(&mut self, listed: &[EndpointInfo], gone: &[String]) {
+        self.revision += 1;
+        self.listed.retain(|info| !gone.contains(&info.instance));
+        self.listed.extend(listed.iter().cloned());
+        let read = Revisions::at(self.revision);
+        for daemon in 0..self.len() {
+            let (listed, gone) = (listed.to_vec(), gone.to_vec());
+            self.feed_later(daemon, WAY, Event::Changed { read, listed, gone });
+        }
+    }
+
+    /// An event comes to a daemon, unless its process ends before.
+    pub fn feed_later(&mut self, daemon: usize, after: Duration, event: Event) {
+        let life = self.daemons[daemon].life;
+        self.push(self.now + after, Due::Fed { daemon, life, event: Box::new(event) });
+    }
+
+    /// A time that the play wants to hear of.
+    pub fn mark(&mut self, after: Duration, mark: u64) {
+        self.push(self.now + after, Due::Mark(mark));
+    }
+
+    /// Goes on until something is asked for; none once `end` has come.
+    pub fn step(&mut self, end: Duration) -> Option<Step> {
+        loop {
+            if let Some(step) = self.asked.pop_front() {
+                return Some(step);
+            }
+            let next = self.due.first_entry().filter(|next| next.key().0 <= end)?;
+            let ((at, _), due) = next.remove_entry();
+            self.now = self.now.max(at);
+            match due {
+                Due::Heard { from, to, beat } => self.hear(from, to, &beat),
+                Due::Fed { daemon, life, event } => {
+                    if self.daemons[daemon].life == life {
+                        self.feed(daemon, *event);
+                    }
+                }
+                Due::Wake { daemon, at } => {
+                    if self.daemons[daemon].wakes == at {
+                        self.daemons[daemon].wakes = Duration::MAX;
+                        self.feed(daemon, Event::Tick);
+                    }
+                }
+                Due::Start { daemon } => {
+                    self.daemons[daemon].state = self.fresh(daemon, Start::Again);
+                    self.daemons[daemon].runs = true;
+                    self.daemons[daemon].heard = 0;
+                    self.boot(daemon);
+                }
+                Due::Mark(mark) => return Some(Step::Mark(mark)),
+            }
+        }
+    }
+
+    fn fresh(&mut self, n: usize, start: Start) -> State {
+        let incarnation = EPOCH + u64::try_from(self.now.as_millis()).unwrap_or(0);
+        let mut local = Local::default()
+            .with_name(&format!("vm-{n}"))
+            .with_data_centre("hall-a")
+            .with_start(start)
+            .with_incarnation(incarnation)
+            .with_address(address(n))
+            .with_seeds((0..3).map(address).collect());
+        local.seed = u64::from((self.rng.unit() * f64::from(u32::MAX)) as u32);
+        State::new(local, Tuning::default())
+    }
+
+    /// It reads configuration and list.
+    fn boot(&mut self, daemon: usize) {
+        let read = Revisions::at(self.revision);
+        self.feed(daemon, Event::Routes { read, table: Some(Arc::clone(&self.table)) });
+        let list = self.listed.clone();
+        self.feed(daemon, Event::Endpoints { read, list });
+    }
+
+    fn hear(&mut self, from: usize, to: usize, beat: &LoadBeat) {
+        let lost = self.rng.unit() < self.loss;
+        if lost || !self.is_sound(from) || !self.is_sound(to) {
+            return;
+        }
+        self.daemons[to].heard += beat.wire_bytes();
+        self.feed(to, Event::beat(address(from), beat.clone()));
+    }
+
+    fn feed(&mut self, daemon: usize, event: Event) {
+        if !self.daemons[daemon].runs {
+            return;
+        }
+        let wall = SystemTime::UNIX_EPOCH + Duration::from_millis(EPOCH) + self.now;
+        let now = Now { mono: self.now, wall };
+        let mut effects = Vec::new();
+        reduce(&mut self.daemons[daemon].state, now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::SendBeat { to, beat } => self.send(daemon, &to, beat),
+                Effect::Note(_) => {}
+                effect => {
+                    let effect = Box::new(effect);
+                    self.asked.push_back(Step::Asks { daemon, effect });
+                }
+            }
+        }
+        let Some(at) = self.daemons[daemon].state.wake_at() else { return };
+        let at = at.max(self.now);
+        if at < self.daemons[daemon].wakes {
+            self.daemons[daemon].wakes = at;
+            self.push(at, Due::Wake { daemon, at });
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &[SocketAddr], beat: LoadBeat) {
+        let beat = Arc::new(beat);
+        for to in to.iter().filter_map(number) {
+            if to < self.len() {
+                self.push(self.now + WAY, Due::Heard { from, to, beat: Arc::clone(&beat) });
+            }
+        }
+    }
+
+    fn push(&mut self, at: Duration, due: Due) {
+        self.order += 1;
+        self.due.insert((at, self.order), due);
+    }
+}
+
+fn address(n: usize) -> SocketAddr {
+    let n = u16::try_from(n).unwrap_or(u16::MAX);
+    let [high, low] = n.to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 7000))
+}
+
+fn number(address: &SocketAddr) -> Option<usize> {
+    let SocketAddr::V4(v4) = address else { return None };
+    let [_, _, high, low] = v4.ip().octets();
+    Some(usize::from(u16::from_be_bytes([high, low])))
+}
