Calls that crash the endpoints that run them are put in quarantine by all daemons

Cause: nothing was kept of a request beyond one attempt, so each of its attempts was a new request to every daemon, and a resumable one ended two endpoints.

Change: a call that breaks off leads to one question whether its endpoint lives. If it doesn't, or leaves the list without a word, the daemon reports digest and time at the endpoint of each of its calls there, in five datagrams over 4.5 s. All daemons draw the same conclusion half a second after the last report's crash: the call that ran at three or more crashes, of several the one at most of them, then the one with the least time there, is kept from endpoints for an hour after it came last, and explains its crashes, so that nobody else is blamed for them. A call that runs to its end anywhere is cleared. It is refused at once: 503, not run, with the time for which it stays out. Told with heartbeats and to daemons that start. Bounded: 128 crashes of 256 calls, 512 calls in quarantine; refused is one digest, not a caller.

--- a/crates/basilbank_forward/src/note.rs
+++ b/crates/basilbank_forward/src/note.rs
@@ -32,6 +32,8 @@
         /// How long it took.
         took: Duration,
     },
+    /// A call is in quarantine from now on.
+    Quarantined,
     /// A call beyond the first goes out.
     Retry(Retry),
 }
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -23,6 +23,8 @@
         WaitedOut = "waited_out",
         /// It waits behind too many others.
         QueueFull = "queue_full",
+        /// It has crashed the endpoints that ran it.
+        Quarantined = "quarantined",
         /// The time ran out while an endpoint was at work.
         TimedOut = "timed_out",
         /// An endpoint's answer was lost or damaged; it may have run.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -7,6 +7,7 @@
 
 mod arrive;
 mod beat;
+mod crash;
 mod draft;
 mod endpoints;
 mod entries;
@@ -71,6 +72,7 @@
         queue::settle(&mut turn);
     }
     suspect::tick(&mut turn);
+    crash::tick(&mut turn);
     beat::tick(&mut turn);
     roles::tick(&mut turn);
 }
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -7,7 +7,7 @@
 
 use basilbank_wire::{LoadBeat, ServicePace, Shunned, StoreRevision, WaitingDraft};
 
-use super::{Turn, tell};
+use super::{Turn, crash, tell};
 use crate::{
     note::Note,
     state::{
@@ -58,6 +58,7 @@
         turn.state.directory.others(load.endpoint, load.share);
     }
     shun(turn, &beat.shunned);
+    crash::heard(turn, beat);
     hear_news(turn, Topic::Endpoints, beat.endpoints_news);
     hear_news(turn, Topic::Routes, beat.routes_news);
     let before = turn.state.peers.known.remove(&from);
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use super::{Turn, entries};
+use super::{Turn, crash, entries};
 use crate::{
     effect::Effect,
     endpoint::{EndpointInfo, EndpointKey},
@@ -174,6 +174,10 @@
 /// Takes an endpoint off the list, unless it is off already.
 pub fn unlist(turn: &mut Turn<'_>, key: EndpointKey) {
     let Some(endpoint) = turn.state.directory.get(key).filter(|e| !e.gone) else { return };
+    if !endpoint.info.draining {
+        crash::crashed(turn, key);
+    }
+    let Some(endpoint) = turn.state.directory.get(key) else { return };
     let note = Note::new("endpoint_gone").with("instance", &endpoint.info.instance);
     turn.state.entries.ended(&endpoint.info, turn.now);
     turn.state.directory.unlist(key);
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -1,8 +1,10 @@
 //! A call ends, and what is held for it is given back.
 
+use std::time::Duration;
+
 use super::{Turn, end as release, end_hold};
 use crate::{
-    call::RequestId,
+    call::{Digest, RequestId},
     effect::Effect,
     note::{Measure, Note},
     reason::Refusal,
@@ -33,6 +35,7 @@
     let Some(request) = turn.state.requests.get(&id) else { return };
     // A refusal promises that nothing was run. Once an endpoint may have begun, only a failure that
     // promises nothing is true.
+    let digest = request.call.digest;
     let refusal = match refusal.not_run() && request.may_have_run() {
         true => Refusal::Broken,
         false => refusal,
@@ -40,7 +43,7 @@
     if request.answering {
         turn.push(Effect::Cut { request: id, refusal });
     } else {
-        let after = refusal.not_run().then(|| turn.state.come_back());
+        let after = refusal.not_run().then(|| turn.state.come_back(refusal, digest, turn.now));
         turn.push(Effect::Refuse { request: id, refusal, after });
     }
     end(turn, id, refusal.as_str());
@@ -111,7 +114,10 @@
 
 impl State {
     /// When a caller that was refused should come back.
-    fn come_back(&mut self) -> std::time::Duration {
+    fn come_back(&mut self, refusal: Refusal, digest: Digest, now: Duration) -> Duration {
+        if refusal == Refusal::Quarantined {
+            return self.quarantine.left(digest, now).unwrap_or_default();
+        }
         self.tuning.come_back.mul_f64(0.75 + 0.5 * self.rng.unit())
     }
 }
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -1,6 +1,6 @@
 //! An attempt came to something.
 
-use super::{Turn, end, finish, step, suspect};
+use super::{Turn, crash, end, finish, step, suspect};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -35,9 +35,13 @@
     match outcome {
         Outcome::Held { hold } => held(turn, id, &live, hold),
         Outcome::Prefilled { handle, .. } => prefilled(turn, id, &live, handle),
-        Outcome::Answered { status } => answered(turn, id, number, status),
+        Outcome::Answered { status } => {
+            crash::served(turn, id);
+            answered(turn, id, number, status);
+        }
         Outcome::Streaming => streaming(turn, id, number),
         Outcome::Finished => {
+            crash::served(turn, id);
             measure_pace(turn, id, &live);
             finish::finished(turn, id);
         }
@@ -46,7 +50,10 @@
             not_run(turn, id, &live, matches!(why, NotRun::Busy { .. }));
         }
         Outcome::Unreachable => not_run(turn, id, &live, false),
-        Outcome::Broken(_) | Outcome::Silent => broken(turn, id, &live, outcome == Outcome::Silent),
+        Outcome::Broken(_) | Outcome::Silent => {
+            crash::broke(turn, id, &live);
+            broken(turn, id, &live, outcome == Outcome::Silent);
+        }
     }
 }
 
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Turn, begin, draft, end, finish,
+    Turn, begin, crash, draft, end, finish,
     next::{Next, Send},
     plain,
 };
@@ -25,6 +25,10 @@
 pub fn go_on(turn: &mut Turn<'_>, id: RequestId) {
     finish::drop_hold_at_leaving(turn, id);
     let Some(request) = turn.state.requests.get(&id) else { return };
+    if request.live.is_empty() && crash::is_quarantined(turn, id) {
+        return finish::give_up(turn, id, Refusal::Quarantined);
+    }
+    let Some(request) = turn.state.requests.get(&id) else { return };
     let next = match request.is_draft(turn.state) {
         true => draft::next(turn.state, id, turn.now),
         false => plain::next(turn.state, id, turn.now),
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use super::Turn;
+use super::{Turn, crash};
 use crate::{effect::Effect, endpoint::EndpointKey, event::Life, note::Note};
 
 /// Pause before an endpoint is asked, doubled each time that it does not answer.
@@ -32,15 +32,19 @@
         return;
     }
     let due = turn.now + FIRST_PAUSE;
-    if turn.state.suspects.add(key, due)
-        && let Some(endpoint) = turn.state.directory.get(key)
-    {
-        let note = Note::new("endpoint_dark").with("instance", &endpoint.info.instance);
-        turn.note(note);
+    if turn.state.suspects.add(key, due) {
+        note_dark(turn, key);
         leave_alone(turn, key, due + MARGIN);
     }
 }
 
+/// Asks an endpoint at which something broke off, at once. It stays in use until it doesn't answer.
+pub fn ask(turn: &mut Turn<'_>, key: EndpointKey) {
+    if turn.state.directory.keeps(key) {
+        turn.state.suspects.doubt(key, turn.now);
+    }
+}
+
 /// An endpoint did what it was sent.
 pub fn alive(turn: &mut Turn<'_>, key: EndpointKey) {
     if !turn.state.suspects.clear(key) {
@@ -56,13 +60,19 @@
 /// An endpoint was asked.
 pub fn probed(turn: &mut Turn<'_>, key: EndpointKey, life: Life) {
     if life == Life::Alive {
+        turn.state.crashes.lives(key);
         return alive(turn, key);
     }
+    crash::crashed(turn, key);
     let now = turn.now;
     let Some(suspect) = turn.state.suspects.get_mut(key) else { return };
+    let fresh = !std::mem::replace(&mut suspect.dark, true);
     suspect.unanswered += 1;
     let pause = FIRST_PAUSE.saturating_mul(1 << suspect.unanswered.min(8)).min(LONGEST_PAUSE);
     suspect.due = Some(now + pause);
+    if fresh {
+        note_dark(turn, key);
+    }
     leave_alone(turn, key, now + pause + MARGIN);
 }
 
@@ -76,8 +86,15 @@
     }
 }
 
+fn note_dark(turn: &mut Turn<'_>, key: EndpointKey) {
+    if let Some(endpoint) = turn.state.directory.get(key) {
+        let note = Note::new("endpoint_dark").with("instance", &endpoint.info.instance);
+        turn.note(note);
+    }
+}
+
 fn leave_alone(turn: &mut Turn<'_>, key: EndpointKey, until: Duration) {
-    let believable = turn.state.suspects.len() * BELIEVABLE <= turn.state.directory.len();
+    let believable = turn.state.suspects.dark() * BELIEVABLE <= turn.state.directory.len();
     let Some(endpoint) = turn.state.directory.get_mut(key) else { return };
     match believable {
         true => endpoint.shun(until),
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -59,6 +59,15 @@
 /// The same to a daemon that has just started: those that three seeds name know all the others.
 const NAMED_TO_NEW: usize = 24;
 
+/// Calls in quarantine that a heartbeat tells of besides new ones.
+const QUARANTINED: usize = 8;
+
+/// The same in a large fleet, where each daemon hears more of them.
+const QUARANTINED_BY_MANY: usize = 2;
+
+/// The same to a daemon that has just started; what is left comes with heartbeats.
+const QUARANTINED_TO_NEW: usize = 64;
+
 /// Tells all peers.
 pub fn send(turn: &mut Turn<'_>) {
     let now = turn.now;
@@ -142,6 +151,18 @@
     }
 }
 
+impl Scope {
+    /// Calls in quarantine that are told though they aren't new, when so many peers are known.
+    fn quarantined(self, known: usize) -> usize {
+        match self {
+            Scope::Changes => 0,
+            Scope::All if MANY_PEERS < known => QUARANTINED_BY_MANY,
+            Scope::All => QUARANTINED,
+            Scope::Introduction => QUARANTINED_TO_NEW,
+        }
+    }
+}
+
 fn compose(state: &mut State, now: Duration, scope: Scope) -> LoadBeat {
     let shunned = state.directory.shunned(now).map(|(endpoint, left)| {
         let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
@@ -156,6 +177,9 @@
     let paces = if whole { paces(state) } else { Vec::new() };
     let waiting = waiting(state, now);
     let watching = state.sees_store();
+    let crashes = state.crashes.tell_reports(now);
+    let cleared = state.crashes.tell_cleared(now);
+    let quarantined = state.quarantine.tell(scope.quarantined(state.peers.known.len()), now);
     let peers = &mut state.peers;
     peers.sequence += 1;
     let count = peers.known.len();
@@ -173,6 +197,9 @@
         watching,
         paces,
         waiting,
+        crashes,
+        cleared,
+        quarantined,
         ..LoadBeat::default()
     };
     beat.with_loads(loads)
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -1,6 +1,7 @@
 //! What a daemon knows about forwarded calls.
 
 pub mod budget;
+pub mod crashes;
 pub mod directory;
 pub mod endpoint;
 pub mod entries;
@@ -8,6 +9,7 @@
 pub mod local;
 pub mod pace;
 pub mod peers;
+pub mod quarantine;
 pub mod requests;
 pub mod roles;
 pub mod share;
@@ -24,6 +26,7 @@
 
 pub use self::{
     budget::Budget,
+    crashes::Crashes,
     directory::Directory,
     endpoint::Endpoint,
     entries::Entries,
@@ -31,6 +34,7 @@
     local::{Leaving, Local, Start},
     pace::Pace,
     peers::{MANY_PEERS, Peer, Peers},
+    quarantine::Quarantine,
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
     share::{Growth, Share},
@@ -83,6 +87,10 @@
     pub peers: Peers,
     /// Endpoints that did not answer.
     pub suspects: Suspects,
+    /// Endpoints that crashed, and what ran there.
+    pub crashes: Crashes,
+    /// Calls that are not sent to endpoints.
+    pub quarantine: Quarantine,
     /// How fast drafts of a service are generated, by this daemon's own.
     pub paces: HashMap<String, Pace>,
     /// Drafts that wait for room.
@@ -133,6 +141,8 @@
             budgets: HashMap::new(),
             peers,
             suspects: Suspects::default(),
+            crashes: Crashes::default(),
+            quarantine: Quarantine::default(),
             paces: HashMap::new(),
             waiting: Vec::new(),
             line: Line::default(),
@@ -285,6 +295,7 @@
             .into_iter()
             .chain(expiry)
             .chain(probe)
+            .chain(self.crashes.due())
             .chain(room)
             .chain(turn)
             .chain(self.peers.probe_due())
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -230,6 +230,12 @@
         self.hashes.get(&hash).copied()
     }
 
+    /// How peers name an endpoint.
+    #[must_use]
+    pub fn hash(&self, key: EndpointKey) -> Option<u32> {
+        self.endpoints.get(key).map(|endpoint| start_hash(&endpoint.info))
+    }
+
     /// What this daemon has at endpoints.
     ///
     /// `pace` says how fast drafts of a service are generated.
--- a/crates/basilbank_forward/src/state/suspects.rs
+++ b/crates/basilbank_forward/src/state/suspects.rs
@@ -11,6 +11,8 @@
     pub due: Option<Duration>,
     /// Questions that it did not answer.
     pub unanswered: u32,
+    /// It is taken for dark, and not only asked.
+    pub dark: bool,
 }
 
 /// All of them that this daemon has met itself.
@@ -32,19 +34,27 @@
         self.list.is_empty()
     }
 
+    /// How many are taken for dark.
+    #[must_use]
+    pub fn dark(&self) -> usize {
+        self.list.values().filter(|suspect| suspect.dark).count()
+    }
+
     /// The endpoint is one of them.
     #[must_use]
     pub fn contains(&self, key: EndpointKey) -> bool {
         self.list.contains_key(&key)
     }
 
-    /// Adds one, to be asked at `due`; false when it is known.
+    /// Adds one that is taken for dark, to be asked at `due`; false when it is known for that.
     pub fn add(&mut self, key: EndpointKey, due: Duration) -> bool {
-        if self.contains(key) {
-            return false;
-        }
-        self.list.insert(key, Suspect { due: Some(due), unanswered: 0 });
-        true
+        let fresh = Suspect { due: Some(due), unanswered: 0, dark: false };
+        !std::mem::replace(&mut self.list.entry(key).or_insert(fresh).dark, true)
+    }
+
+    /// Adds one that may be sound, to be asked at `due`, unless it is known.
+    pub fn doubt(&mut self, key: EndpointKey, due: Duration) {
+        self.list.entry(key).or_insert(Suspect { due: Some(due), unanswered: 0, dark: false });
     }
 
     /// One of them, to change it.
@@ -52,9 +62,9 @@
         self.list.get_mut(&key)
     }
 
-    /// It answered, or is gone; false when it was none of them.
+    /// It answered, or is gone; true when it was taken for dark.
     pub fn clear(&mut self, key: EndpointKey) -> bool {
-        self.list.remove(&key).is_some()
+        self.list.remove(&key).is_some_and(|suspect| suspect.dark)
     }
 
     /// When the next one is to be asked.
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -39,6 +39,7 @@
     asked: Family<Asked, Counter>,
     probes: Family<Reason, Counter>,
     unusable: Family<Reason, Counter>,
+    quarantined: Counter,
 }
 
 impl Default for Metrics {
@@ -57,6 +58,7 @@
             asked: Family::default(),
             probes: Family::default(),
             unusable: Family::default(),
+            quarantined: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
@@ -75,6 +77,8 @@
             asked,
         );
         registry.register("probes", "Questions to dark endpoints", metrics.probes.clone());
+        let quarantined = metrics.quarantined.clone();
+        registry.register("quarantined", "Calls that were put in quarantine", quarantined);
         let unusable = metrics.unusable.clone();
         registry.register("unusable_entries", "Entries of the store that can't be used", unusable);
         Metrics { registry, ..metrics }
@@ -138,6 +142,7 @@
                 count(&self.ended, outcome);
                 self.requests.observe(took.as_secs_f64());
             }
+            Measure::Quarantined => drop(self.quarantined.inc()),
             Measure::Retry(retry) => count(&self.retried, retry.as_str()),
         }
     }
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -17,7 +17,8 @@
 pub use codec::Frames;
 pub use drop_reason::DropReason;
 pub use load::{
-    EndpointLoad, LoadBeat, PeerAddress, ServicePace, Shunned, StoreRevision, WaitingDraft,
+    CrashReport, EndpointLoad, LoadBeat, PeerAddress, Quarantined, ServicePace, Shunned,
+    StoreRevision, WaitingDraft,
 };
 pub use message::*;
 pub use replay::{ReplayGuard, SENDERS, WINDOW};
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -55,6 +55,15 @@
     /// The sender watches the store for others, and the store answers it.
     #[prost(bool, tag = "19")]
     pub watching: bool,
+    /// Calls that were running at endpoints when these crashed, as the sender has seen it lately.
+    #[prost(message, repeated, tag = "20")]
+    pub crashes: Vec<CrashReport>,
+    /// Digests of calls that have run to their end lately, though they were in such reports.
+    #[prost(fixed64, repeated, tag = "21")]
+    pub cleared: Vec<u64>,
+    /// Calls that are in quarantine.
+    #[prost(message, repeated, tag = "22")]
+    pub quarantined: Vec<Quarantined>,
 }
 
 /// A moment in the platform's store's history.
@@ -115,6 +124,31 @@
     pub left: u32,
 }
 
+/// A call was running at an endpoint when it crashed.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct CrashReport {
+    /// Hash of the endpoint's instance and start.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// The call's digest.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// How long it had been there, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub ran: u32,
+}
+
+/// A call that is not sent to endpoints.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Quarantined {
+    /// Its digest.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// For how much longer, in seconds.
+    #[prost(uint32, tag = "2")]
+    pub left: u32,
+}
+
 /// What a daemon has at one endpoint.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct EndpointLoad {
