Endpoints' limits are read from their answers, and told in the log

Nothing read the header by which an endpoint in need says how many calls a second it takes from all daemons together. It is decoded in the adapter, kept by endpoint, and a change has a line. No decision uses it yet.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -69,6 +69,13 @@
         /// What came of it.
         life: Life,
     },
+    /// An answer says how many calls a second its endpoint takes from all daemons together.
+    CallLimit {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// That many; `None` when it takes as many as come.
+        rate: Option<f64>,
+    },
     /// An order to an endpoint was answered.
     Ordered {
         /// The endpoint.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -12,6 +12,7 @@
 mod endpoints;
 mod entries;
 mod finish;
+mod limit;
 mod next;
 mod outcome;
 mod pick;
@@ -55,6 +56,7 @@
         Event::StoreLost => endpoints::store_lost(&mut turn),
         Event::Disproved { topic, revision } => beat::disproved(&mut turn, topic, revision),
         Event::Probed { endpoint, life } => suspect::probed(&mut turn, endpoint, life),
+        Event::CallLimit { endpoint, rate } => limit::named(&mut turn, endpoint, rate),
         Event::Ordered { endpoint, accepted } => roles::ordered(&mut turn, endpoint, accepted),
         Event::Right(right) => roles::right(&mut turn, right),
         Event::Shutdown { grace } => {
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -181,6 +181,7 @@
     let note = Note::new("endpoint_gone").with("instance", &endpoint.info.instance);
     turn.state.entries.ended(&endpoint.info, turn.now);
     turn.state.directory.unlist(key);
+    turn.state.call_limits.forget(key);
     turn.note(note);
     turn.push(Effect::Forget(key));
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -1,6 +1,7 @@
 //! What a daemon knows about forwarded calls.
 
 pub mod budget;
+pub mod call_limits;
 pub mod crashes;
 pub mod directory;
 pub mod endpoint;
@@ -26,6 +27,7 @@
 
 pub use self::{
     budget::Budget,
+    call_limits::CallLimits,
     crashes::Crashes,
     directory::Directory,
     endpoint::Endpoint,
@@ -87,6 +89,8 @@
     pub peers: Peers,
     /// Endpoints that did not answer.
     pub suspects: Suspects,
+    /// Endpoints that take so many calls a second only.
+    pub call_limits: CallLimits,
     /// Endpoints that crashed, and what ran there.
     pub crashes: Crashes,
     /// Calls that are not sent to endpoints.
@@ -141,6 +145,7 @@
             budgets: HashMap::new(),
             peers,
             suspects: Suspects::default(),
+            call_limits: CallLimits::default(),
             crashes: Crashes::default(),
             quarantine: Quarantine::default(),
             paces: HashMap::new(),
--- a/crates/basilbank_gateway/src/calls.rs
+++ b/crates/basilbank_gateway/src/calls.rs
@@ -123,6 +123,7 @@
         Err(error) => return Came::bare(error.into()),
     };
     let (head, body) = split(response);
+    learn_limit(&router, &attempt, &head);
     match (dialect.head)(&original.call, &attempt.op, &head) {
         Head::Unclear => Came::bare(Outcome::Broken(Damage::Foreign)),
         Head::NotRun(why) => {
@@ -149,6 +150,17 @@
     }
 }
 
+/// Tells the decisions what the answer says of the endpoint's limit. One that says nothing lifts it, if the
+/// endpoint has run the call: what refuses a call, or holds a slot, need not say it.
+fn learn_limit(router: &Rc<Router>, attempt: &Attempt, head: &Response<()>) {
+    let endpoint = attempt.target.endpoint;
+    let rate = (router.dialect.call_limit)(head);
+    let runs = head.status().is_success() && !matches!(attempt.op, Op::Hold { .. });
+    if rate.is_some() || runs && router.read(|state| state.call_limits.get(endpoint).is_some()) {
+        router.dispatch(Event::CallLimit { endpoint, rate });
+    }
+}
+
 /// Sends a request whose answer matters to nobody but the log.
 pub async fn send_off(
     router: &Router,
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -18,6 +18,8 @@
     pub request: fn(&Parts, &Bytes, &Attempt, Option<&str>) -> OutRequest,
     /// Reads an answer's head.
     pub head: fn(&Call, &Op, &Response<()>) -> Head,
+    /// Reads how many calls a second the endpoint takes from all daemons together, if it says so.
+    pub call_limit: fn(&Response<()>) -> Option<f64>,
     /// Reads the body of an answer that is meant for the router itself.
     pub own_body: fn(&Op, &[u8]) -> Option<Outcome>,
     /// Writes the request that frees a KV cache.
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -185,6 +185,7 @@
         call: |_, _| Err(BadCall { trace: String::new(), finding: "no call" }),
         request: |_, _, _, _| OutRequest::default(),
         head: |_, _, _: &Response<()>| Head::Unclear,
+        call_limit: |_| None,
         own_body: |_, _| None,
         free: |_| OutRequest::default(),
         drop_hold: |_| OutRequest::default(),
