Failing test: endpoints that name a limit get several times as much

Fleets of 8, 78 and 195 daemons in virtual time, with endpoints of which some or all take a few calls a second from all daemons together; beside restarts, cuts and lost datagrams; and when limits are lifted.

--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod budgets;
+mod call_limits;
 mod drafts;
 mod endpoints;
 mod fleet;
