Calls to endpoints that name a limit need a permit of one daemon for all

Endpoints in need saw: two to five times the calls that they had said they take, as before they said it.

Cause: the limit was read by nobody. Read by each daemon alone it would be kept by none: the bound is the whole fleet's, and an even share of 4 a second is a call in 80 s at 320 daemons, or all of them at once.

Change: what an endpoint names is told to all with the datagrams (the one that sees a change tells it, one more each 3 s). Each call there needs a permit. One daemon for each endpoint, the highest hash of all that are heard, gives out 0.9 of the limit in the order of the questions; a question names the longest wait that its call bears, and who would wait longer is told so and doesn't stand in line, so that permits go to daemons whose callers are still there. A lost datagram costs a permit, never one too many; a new giver waits a second; a permit lapses after a second. Calls go to endpoints without a limit as before; where all have one, a call waits for a third of its time at the most and is refused at once when there will be no permit (503 limited, with the time to come back). For decode endpoints a permit stands for two calls, since a slot is held by one and taken by another. An endpoint that takes none is asked each 4 s, or nobody would learn that it takes calls again.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -81,7 +81,7 @@
         /// To whom.
         to: Vec<SocketAddr>,
         /// What to say.
-        beat: LoadBeat,
+        beat: Box<LoadBeat>,
     },
     /// An endpoint is gone: close what is kept open to it once it is idle.
     Forget(EndpointKey),
--- a/crates/basilbank_forward/src/note.rs
+++ b/crates/basilbank_forward/src/note.rs
@@ -32,6 +32,8 @@
         /// How long it took.
         took: Duration,
     },
+    /// A permit came for a call to an endpoint with a limit.
+    Permit,
     /// A call is in quarantine from now on.
     Quarantined,
     /// A call beyond the first goes out.
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -23,6 +23,8 @@
         WaitedOut = "waited_out",
         /// It waits behind too many others.
         QueueFull = "queue_full",
+        /// All endpoints take so many calls only, and others go first.
+        Limited = "limited",
         /// It has crashed the endpoints that ran it.
         Quarantined = "quarantined",
         /// The time ran out while an endpoint was at work.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -75,6 +75,7 @@
     }
     suspect::tick(&mut turn);
     crash::tick(&mut turn);
+    limit::tick(&mut turn);
     beat::tick(&mut turn);
     roles::tick(&mut turn);
 }
--- a/crates/basilbank_forward/src/reduce/arrive.rs
+++ b/crates/basilbank_forward/src/reduce/arrive.rs
@@ -76,6 +76,7 @@
         failure: None,
         draft: Draft::default(),
         resume_at: None,
+        permit_by: None,
         timers: Vec::new(),
         call,
         route,
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -7,7 +7,7 @@
 
 use basilbank_wire::{LoadBeat, ServicePace, Shunned, StoreRevision, WaitingDraft};
 
-use super::{Turn, crash, tell};
+use super::{Turn, crash, limit, tell};
 use crate::{
     note::Note,
     state::{
@@ -29,6 +29,9 @@
 
 /// Takes a peer's datagram in.
 pub fn heard(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
+    if beat.sequence == 0 {
+        return limit::heard_permits(turn, from, &beat.permits);
+    }
     let now = turn.now;
     let peers = &mut turn.state.peers;
     let before = peers.known.get(&from);
@@ -59,6 +62,7 @@
     }
     shun(turn, &beat.shunned);
     crash::heard(turn, beat);
+    limit::heard_limits(turn, beat);
     hear_news(turn, Topic::Endpoints, beat.endpoints_news);
     hear_news(turn, Topic::Routes, beat.routes_news);
     let before = turn.state.peers.known.remove(&from);
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -182,6 +182,8 @@
     turn.state.entries.ended(&endpoint.info, turn.now);
     turn.state.directory.unlist(key);
     turn.state.call_limits.forget(key);
+    turn.state.permits.forget(key);
+    turn.state.grants.close(key);
     turn.note(note);
     turn.push(Effect::Forget(key));
 }
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -4,7 +4,7 @@
 
 use super::{Turn, end as release, end_hold};
 use crate::{
-    call::{Digest, RequestId},
+    call::RequestId,
     effect::Effect,
     note::{Measure, Note},
     reason::Refusal,
@@ -35,7 +35,6 @@
     let Some(request) = turn.state.requests.get(&id) else { return };
     // A refusal promises that nothing was run. Once an endpoint may have begun, only a failure that
     // promises nothing is true.
-    let digest = request.call.digest;
     let refusal = match refusal.not_run() && request.may_have_run() {
         true => Refusal::Broken,
         false => refusal,
@@ -43,7 +42,7 @@
     if request.answering {
         turn.push(Effect::Cut { request: id, refusal });
     } else {
-        let after = refusal.not_run().then(|| turn.state.come_back(refusal, digest, turn.now));
+        let after = refusal.not_run().then(|| turn.state.come_back(id, refusal, turn.now));
         turn.push(Effect::Refuse { request: id, refusal, after });
     }
     end(turn, id, refusal.as_str());
@@ -85,6 +84,7 @@
     let Some(mut request) = turn.state.requests.remove(&id) else { return };
     turn.state.drop_timers(id, &request.timers);
     turn.state.peers.changed |= turn.state.waiting.contains(&id);
+    turn.state.permits.waiting.retain(|other| *other != id);
     let took = turn.now.saturating_sub(request.arrived);
     let note = Note::new("ended")
         .with("request", &request.call.trace)
@@ -114,10 +114,17 @@
 
 impl State {
     /// When a caller that was refused should come back.
-    fn come_back(&mut self, refusal: Refusal, digest: Digest, now: Duration) -> Duration {
-        if refusal == Refusal::Quarantined {
-            return self.quarantine.left(digest, now).unwrap_or_default();
-        }
-        self.tuning.come_back.mul_f64(0.75 + 0.5 * self.rng.unit())
+    fn come_back(&mut self, id: RequestId, refusal: Refusal, now: Duration) -> Duration {
+        let request = self.requests.get(&id);
+        let least = match (refusal, request) {
+            (Refusal::Quarantined, Some(request)) => self.quarantine.left(request.call.digest, now),
+            (Refusal::Limited, Some(request)) => {
+                let lacking = self.lacking(&request.service, now);
+                Some(self.permits.opens(&lacking).saturating_sub(now))
+            }
+            _ => None,
+        };
+        let usual = self.tuning.come_back.mul_f64(0.75 + 0.5 * self.rng.unit());
+        usual.max(least.unwrap_or_default())
     }
 }
--- a/crates/basilbank_forward/src/reduce/next.rs
+++ b/crates/basilbank_forward/src/reduce/next.rs
@@ -22,6 +22,8 @@
     WaitForRoom,
     /// Nothing until then: there is room, and drafts of peers go first.
     WaitForTurn(Duration),
+    /// Nothing until there is a permit for an endpoint with a limit.
+    WaitForPermit,
     /// It is given up.
     GiveUp(Refusal),
 }
--- a/crates/basilbank_forward/src/reduce/pick.rs
+++ b/crates/basilbank_forward/src/reduce/pick.rs
@@ -20,19 +20,15 @@
 const NEAR_READING: f64 = 0.01;
 
 /// The endpoint of a plain service where the call should be answered soonest.
-pub fn plain(
-    state: &mut State,
-    service: &str,
-    tried: &[EndpointKey],
-    now: Duration,
-) -> Option<EndpointKey> {
+pub fn plain(state: &mut State, service: &str, tried: &[EndpointKey], now: Duration) -> Plain {
     let local = &state.local.data_centre;
     let remote = state.tuning.remote_cost;
     // A new endpoint counts as the fastest of the others until it is measured: one that counted as
     // slow would never be tried, and so never be measured.
     let fastest = state.directory.service(service).filter_map(|(_, e)| e.mean).min();
     let fastest = fastest.unwrap_or_default();
-    let costs = state.directory.service(service).map(|(key, endpoint)| {
+    let permitted = state.directory.service(service).filter(|(key, _)| state.permitted(*key, now));
+    let costs = permitted.map(|(key, endpoint)| {
         let mean = endpoint.mean.unwrap_or(fastest);
         let slots = f64::from(endpoint.info.slots.max(1));
         let queue = 1.0 + f64::from(endpoint.all_calls()) / slots;
@@ -41,7 +37,22 @@
         Cost { key, cost, last: avoided(endpoint, now), tried: tried.contains(&key) }
     });
     let costs: Vec<_> = costs.collect();
-    least(state, &costs, 0.0)
+    match least(state, &costs, 0.0) {
+        Some(key) => Plain::At(key),
+        None if state.directory.service(service).next().is_some() => Plain::Limited,
+        None => Plain::None,
+    }
+}
+
+/// Where a plain call goes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Plain {
+    /// There.
+    At(EndpointKey),
+    /// Nowhere now: all endpoints need a permit.
+    Limited,
+    /// There is no endpoint.
+    None,
 }
 
 /// What a draft needs of a decode endpoint.
@@ -75,7 +86,8 @@
     let mut any = false;
     let endpoints = state.directory.stage(service, Stage::Decode).inspect(|_| any = true);
     // An endpoint that has nothing takes any draft, however large.
-    let peaks = endpoints.map(|(key, e)| (key, e, e.peak(want.share, now, growth)));
+    let permitted = endpoints.filter(|(key, _)| state.permitted(*key, now));
+    let peaks = permitted.map(|(key, e)| (key, e, e.peak(want.share, now, growth)));
     let open = peaks.filter(|(_, e, peak)| e.all_calls() == 0 || *peak <= full);
     let costs = open.map(|(key, endpoint, peak)| {
         let used = peak / memory;
@@ -167,7 +179,8 @@
         Some(_) => state.tuning.remote_kv.as_secs_f64(),
         None => state.tuning.remote_cost.as_secs_f64(),
     };
-    let costs = state.directory.stage(service, Stage::Prefill).map(|(key, endpoint)| {
+    let readers = state.directory.stage(service, Stage::Prefill);
+    let costs = readers.filter(|(key, _)| state.permitted(*key, now)).map(|(key, endpoint)| {
         let away = if endpoint.info.data_centre == place { 0.0 } else { remote };
         let cost = f64::from(endpoint.all_tokens() + tokens) / rate * endpoint.slowness
             + endpoint.base
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -4,7 +4,7 @@
 
 use super::{
     next::{Next, Send},
-    pick,
+    pick::{self, Plain},
 };
 use crate::{
     call::RequestId,
@@ -38,8 +38,12 @@
     }
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let (limit, streams) = (request.remaining(now), request.route.kind == Kind::Streaming);
-    let Some(endpoint) = pick::plain(state, &service, &tried, now) else {
-        return Next::GiveUp(Refusal::NoEndpoint);
+    let waits = request.live.is_empty();
+    let endpoint = match pick::plain(state, &service, &tried, now) {
+        Plain::At(endpoint) => endpoint,
+        Plain::Limited if waits => return Next::WaitForPermit,
+        Plain::None if waits => return Next::GiveUp(Refusal::NoEndpoint),
+        Plain::Limited | Plain::None => return Next::Wait,
     };
     let share = Share::plain();
     let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    Turn, begin, crash, draft, end, finish,
+    Turn, begin, crash, draft, end, finish, limit,
     next::{Next, Send},
     plain,
 };
@@ -21,6 +21,10 @@
 /// A retry that has less time than this is not worth an endpoint's work: a connection and an answer.
 const MIN_TIME: Duration = Duration::from_millis(20);
 
+/// A call waits for a permit for this part of its time at the most: it may still be served elsewhere, and
+/// on time, when its caller comes back.
+const PERMIT_PART: u32 = 3;
+
 /// Takes the next step, once there is no attempt that must be waited for.
 pub fn go_on(turn: &mut Turn<'_>, id: RequestId) {
     finish::drop_hold_at_leaving(turn, id);
@@ -29,6 +33,11 @@
         return finish::give_up(turn, id, Refusal::Quarantined);
     }
     let Some(request) = turn.state.requests.get(&id) else { return };
+    if !turn.state.call_limits.is_empty() {
+        let service = request.service.clone();
+        limit::look_ahead(turn, &service);
+    }
+    let Some(request) = turn.state.requests.get(&id) else { return };
     let next = match request.is_draft(turn.state) {
         true => draft::next(turn.state, id, turn.now),
         false => plain::next(turn.state, id, turn.now),
@@ -56,6 +65,7 @@
                 }
             }
         }
+        Next::WaitForPermit => wait_for_permit(turn, id),
         Next::GiveUp(refusal) => finish::give_up(turn, id, refusal),
         Next::Send(send) => {
             let plain = send.step == Step::Whole;
@@ -79,6 +89,25 @@
     first
 }
 
+/// A call waits for a permit for some time, or is refused if there will be none in this time.
+fn wait_for_permit(turn: &mut Turn<'_>, id: RequestId) {
+    let now = turn.now;
+    let Some(request) = turn.state.requests.get_mut(&id) else { return };
+    let longest = request.remaining(now) / PERMIT_PART;
+    let first = request.permit_by.is_none();
+    let by = *request.permit_by.get_or_insert(now + longest);
+    if by <= now || !limit::line_up(turn, id, by - now) {
+        return finish::give_up(turn, id, Refusal::Limited);
+    }
+    if !turn.state.permits.waiting.contains(&id) {
+        turn.state.permits.waiting.push(id);
+    }
+    if first {
+        turn.note_request(id, Note::new("waits_for_permit").with_ms("most_ms", by - now));
+        turn.wake(id, by);
+    }
+}
+
 /// A timer of the call is due: its deadline, or a pause that is over.
 pub fn timer(turn: &mut Turn<'_>, id: RequestId) {
     let Some(request) = turn.state.requests.get_mut(&id) else { return };
@@ -90,6 +119,9 @@
     if turn.state.waiting.contains(&id) && request.patience() <= turn.now + lead {
         return finish::give_up(turn, id, Refusal::WaitedOut);
     }
+    if turn.state.permits.waiting.contains(&id) {
+        return go_on(turn, id);
+    }
     if request.resume_at.is_some_and(|at| at <= turn.now) {
         request.resume_at = None;
         request.draft.asked = 0;
@@ -149,6 +181,7 @@
         .with_ms("list_ms", list_age);
     let limit = send.limit.min(remaining);
     let attempt = Attempt { number, target, op: send.op, remaining, limit, stall };
+    turn.state.permits.take(send.endpoint);
     begin(turn.state, send.endpoint, send.share);
     if send.step == Step::Decode {
         count_once(turn.state, id);
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -4,7 +4,7 @@
 
 use basilbank_wire::{LoadBeat, ServicePace, Shunned, StoreRevision, WaitingDraft};
 
-use super::Turn;
+use super::{Turn, limit};
 use crate::{
     effect::Effect,
     state::{
@@ -99,7 +99,7 @@
         // daemon would be gone.
         let first = usize::try_from(beat.sequence).unwrap_or_default() % to.len();
         to.rotate_left(first);
-        turn.push(Effect::SendBeat { to, beat });
+        turn.push(Effect::SendBeat { to, beat: Box::new(beat) });
     }
 }
 
@@ -113,7 +113,7 @@
     to.dedup();
     if !to.is_empty() {
         let beat = compose(turn.state, turn.now, Scope::All);
-        turn.push(Effect::SendBeat { to, beat });
+        turn.push(Effect::SendBeat { to, beat: Box::new(beat) });
     }
 }
 
@@ -123,7 +123,7 @@
 /// alone would place drafts for as long by the loads of the few that it has met.
 pub fn introduce(turn: &mut Turn<'_>, to: SocketAddr) {
     let beat = compose(turn.state, turn.now, Scope::Introduction);
-    turn.push(Effect::SendBeat { to: vec![to], beat });
+    turn.push(Effect::SendBeat { to: vec![to], beat: Box::new(beat) });
 }
 
 /// How much a datagram tells.
@@ -177,6 +177,7 @@
     let paces = if whole { paces(state) } else { Vec::new() };
     let waiting = waiting(state, now);
     let watching = state.sees_store();
+    let limits = limit::seen(state, now);
     let crashes = state.crashes.tell_reports(now);
     let cleared = state.crashes.tell_cleared(now);
     let quarantined = state.quarantine.tell(scope.quarantined(state.peers.known.len()), now);
@@ -197,6 +198,7 @@
         watching,
         paces,
         waiting,
+        limits,
         crashes,
         cleared,
         quarantined,
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -6,10 +6,12 @@
 pub mod directory;
 pub mod endpoint;
 pub mod entries;
+pub mod grants;
 pub mod line;
 pub mod local;
 pub mod pace;
 pub mod peers;
+pub mod permits;
 pub mod quarantine;
 pub mod requests;
 pub mod roles;
@@ -32,10 +34,12 @@
     directory::Directory,
     endpoint::Endpoint,
     entries::Entries,
+    grants::Grants,
     line::{Line, Place},
     local::{Leaving, Local, Start},
     pace::Pace,
     peers::{MANY_PEERS, Peer, Peers},
+    permits::Permits,
     quarantine::Quarantine,
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
@@ -91,6 +95,10 @@
     pub suspects: Suspects,
     /// Endpoints that take so many calls a second only.
     pub call_limits: CallLimits,
+    /// Permits for them.
+    pub permits: Permits,
+    /// Permits that this daemon gives out.
+    pub grants: Grants,
     /// Endpoints that crashed, and what ran there.
     pub crashes: Crashes,
     /// Calls that are not sent to endpoints.
@@ -146,6 +154,8 @@
             peers,
             suspects: Suspects::default(),
             call_limits: CallLimits::default(),
+            permits: Permits::default(),
+            grants: Grants::default(),
             crashes: Crashes::default(),
             quarantine: Quarantine::default(),
             paces: HashMap::new(),
@@ -301,6 +311,7 @@
             .chain(expiry)
             .chain(probe)
             .chain(self.crashes.due())
+            .chain(self.grants.due())
             .chain(room)
             .chain(turn)
             .chain(self.peers.probe_due())
--- a/crates/basilbank_forward/src/state/call_limits.rs
+++ b/crates/basilbank_forward/src/state/call_limits.rs
@@ -8,6 +8,12 @@
 /// that came late.
 const CROSSES: Duration = Duration::from_secs(1);
 
+/// How long this daemon tells what it was the first to see: some datagrams, also in a large fleet.
+const TOLD: Duration = Duration::from_secs(6);
+
+/// What is known to all is told again after this, by the daemon that sees it next, for those that start.
+const AGAIN: Duration = Duration::from_secs(3);
+
 /// All of them.
 #[derive(Debug, Default)]
 pub struct CallLimits {
@@ -21,9 +27,19 @@
     pub rate: Option<f64>,
     /// When it said so.
     pub seen: Duration,
+    /// When it said what was told last, by this daemon or a peer.
+    pub told: Duration,
+    /// This daemon tells it.
+    pub own: bool,
 }
 
 impl CallLimits {
+    /// No endpoint has named a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     /// Calls a second that the endpoint takes, if it has a limit.
     #[must_use]
     pub fn get(&self, endpoint: EndpointKey) -> Option<f64> {
@@ -38,10 +54,29 @@
             return false;
         }
         let changed = before.and_then(|limit| limit.rate) != rate;
-        self.list.insert(endpoint, CallLimit { rate, seen: now });
+        let known = before.filter(|limit| !changed && now < limit.told + AGAIN);
+        let (told, own) = known.map_or((now, true), |limit| (limit.told, limit.own));
+        self.list.insert(endpoint, CallLimit { rate, seen: now, told, own });
         changed
     }
 
+    /// Takes a peer's word in of what it saw at `seen`; true when it is another one than before.
+    pub fn hear(&mut self, endpoint: EndpointKey, rate: Option<f64>, seen: Duration) -> bool {
+        let before = self.list.get(&endpoint).copied();
+        if before.is_some_and(|limit| seen <= limit.seen) {
+            return false;
+        }
+        self.list.insert(endpoint, CallLimit { rate, seen, told: seen, own: false });
+        before.and_then(|limit| limit.rate) != rate
+    }
+
+    /// What this daemon has seen lately itself.
+    pub fn told(&self, now: Duration) -> impl Iterator<Item = (EndpointKey, CallLimit)> {
+        let fresh = move |limit: &CallLimit| limit.own && now < limit.told + TOLD;
+        let all = self.list.iter().map(|(key, limit)| (*key, *limit));
+        all.filter(move |(_, limit)| fresh(limit))
+    }
+
     /// The endpoint is gone.
     pub fn forget(&mut self, endpoint: EndpointKey) {
         self.list.remove(&endpoint);
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -47,6 +47,8 @@
     pub draft: Draft,
     /// It waits and goes on then.
     pub resume_at: Option<Duration>,
+    /// It doesn't wait for a permit after this.
+    pub permit_by: Option<Duration>,
     /// Timers that were set for it.
     pub timers: Vec<Duration>,
 }
--- a/crates/basilbank_forward/tests/forward/call_limits.rs
+++ b/crates/basilbank_forward/tests/forward/call_limits.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     fleet::{Fleet, Step, WAY},
-    rig::{plain, table},
+    rig::{Rig, held, model, plain, prefilled, prompt, table},
 };
 
 /// The window in which an endpoint's calls are counted.
@@ -281,3 +281,39 @@
     let refused: usize = got.refused.values().sum();
     assert!(refused < 30 * 8, "refused after the limits were lifted: {got:?}");
 }
+
+/// A slot is held by one call and taken by another, and both reach the endpoint.
+#[test]
+fn drafts_keep_to_limits_of_prefill_and_decode_endpoints() {
+    let mut rig = Rig::new();
+    rig.list(vec![
+        model("p1", 1, Stage::Prefill),
+        model("d1", 2, Stage::Decode),
+        model("d2", 3, Stage::Decode),
+    ]);
+    let limits = BTreeMap::from([("p1", 2.0), ("d1", 4.0)]);
+    for (name, rate) in &limits {
+        let endpoint = rig.state.directory.find(name).expect("listed");
+        rig.feed(Event::CallLimit { endpoint, rate: Some(*rate) });
+    }
+    let mut calls: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..200 {
+        let id = rig.call("/draft/1", 14_000, Some(prompt(100)));
+        while let Some(attempt) = rig.starts().pop() {
+            *calls.entry(attempt.target.instance.clone()).or_default() += 1;
+            let outcome = match attempt.op {
+                Op::Hold { .. } => held(),
+                Op::Prefill => prefilled(),
+                _ => Outcome::Streaming,
+            };
+            rig.came(id, attempt.number, outcome);
+        }
+        rig.feed(Event::Left(id));
+        rig.effects.clear();
+        rig.pass_ms(50);
+    }
+    for (name, rate) in limits {
+        let got = calls[name] as f64 / 10.0;
+        assert!(rate / 3.0 < got && got <= rate, "{name}: {calls:?}");
+    }
+}
--- a/crates/basilbank_forward/tests/forward/fleet.rs
+++ b/crates/basilbank_forward/tests/forward/fleet.rs
@@ -216,7 +216,7 @@
         reduce(&mut self.daemons[daemon].state, now, event, &mut effects);
         for effect in effects {
             match effect {
-                Effect::SendBeat { to, beat } => self.send(daemon, &to, beat),
+                Effect::SendBeat { to, beat } => self.send(daemon, &to, *beat),
                 Effect::Note(_) => {}
                 effect => {
                     let effect = Box::new(effect);
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -266,7 +266,7 @@
                     self.drafts.remove(&request.0);
                 }
                 Effect::SendBeat { to, beat } => {
-                    self.beats.push(beat);
+                    self.beats.push(*beat);
                     let beat = self.beats.len() - 1;
                     for to in to.into_iter().map(daemon_at) {
                         let from = u16::try_from(daemon).unwrap_or_default();
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -66,7 +66,7 @@
     pub fn beats(&mut self) -> Vec<(SocketAddr, LoadBeat)> {
         let effects = std::mem::take(&mut self.effects);
         let beats = effects.into_iter().filter_map(|effect| match effect {
-            Effect::SendBeat { to, beat } => Some((to, beat)),
+            Effect::SendBeat { to, beat } => Some((to, *beat)),
             _ => None,
         });
         let each = beats.flat_map(|(to, beat)| to.into_iter().map(move |to| (to, beat.clone())));
--- a/crates/basilbank_forward/tests/forward/suspects.rs
+++ b/crates/basilbank_forward/tests/forward/suspects.rs
@@ -216,7 +216,7 @@
                 Effect::Probe(target) => {
                     self.questions.insert((n, target.endpoint), now + GIVEN_UP);
                 }
-                Effect::SendBeat { to, beat } => beats.push((to, beat)),
+                Effect::SendBeat { to, beat } => beats.push((to, *beat)),
                 _ => {}
             }
         }
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -40,6 +40,7 @@
     probes: Family<Reason, Counter>,
     unusable: Family<Reason, Counter>,
     quarantined: Counter,
+    permits: Counter,
 }
 
 impl Default for Metrics {
@@ -59,6 +60,7 @@
             probes: Family::default(),
             unusable: Family::default(),
             quarantined: Counter::default(),
+            permits: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
@@ -79,6 +81,8 @@
         registry.register("probes", "Questions to dark endpoints", metrics.probes.clone());
         let quarantined = metrics.quarantined.clone();
         registry.register("quarantined", "Calls that were put in quarantine", quarantined);
+        let permits = metrics.permits.clone();
+        registry.register("permits", "Permits for calls to endpoints with a limit", permits);
         let unusable = metrics.unusable.clone();
         registry.register("unusable_entries", "Entries of the store that can't be used", unusable);
         Metrics { registry, ..metrics }
@@ -143,6 +147,7 @@
                 self.requests.observe(took.as_secs_f64());
             }
             Measure::Quarantined => drop(self.quarantined.inc()),
+            Measure::Permit => drop(self.permits.inc()),
             Measure::Retry(retry) => count(&self.retried, retry.as_str()),
         }
     }
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -17,8 +17,8 @@
 pub use codec::Frames;
 pub use drop_reason::DropReason;
 pub use load::{
-    CrashReport, EndpointLoad, LoadBeat, PeerAddress, Quarantined, ServicePace, Shunned,
-    StoreRevision, WaitingDraft,
+    CallLimitSeen, CrashReport, EndpointLoad, LoadBeat, PeerAddress, Permit, PermitWord,
+    Quarantined, ServicePace, Shunned, StoreRevision, WaitingDraft,
 };
 pub use message::*;
 pub use replay::{ReplayGuard, SENDERS, WINDOW};
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -64,6 +64,13 @@
     /// Calls that are in quarantine.
     #[prost(message, repeated, tag = "22")]
     pub quarantined: Vec<Quarantined>,
+    /// What endpoints have lately said to the sender of the calls that they take.
+    #[prost(message, repeated, tag = "23")]
+    pub limits: Vec<CallLimitSeen>,
+    /// Words about single calls to endpoints with a limit. A datagram with such words has no sequence, and
+    /// tells nothing else.
+    #[prost(message, repeated, tag = "24")]
+    pub permits: Vec<Permit>,
 }
 
 /// A moment in the platform's store's history.
@@ -149,6 +156,47 @@
     pub left: u32,
 }
 
+/// What an endpoint has said of the calls that it takes.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct CallLimitSeen {
+    /// Hash of the endpoint's instance and start.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// Calls a second from all daemons; none when it takes as many as come.
+    #[prost(double, optional, tag = "2")]
+    pub rate: Option<f64>,
+    /// How long ago it said so, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub ago: u32,
+}
+
+/// A word about calls to an endpoint with a limit, between a daemon and the one that gives out permits.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Permit {
+    /// Hash of the endpoint's instance and start.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// What the word is.
+    #[prost(enumeration = "PermitWord", tag = "2")]
+    pub word: i32,
+    /// Milliseconds: how long the sender bears to wait, or how long the receiver will.
+    #[prost(uint32, tag = "3")]
+    pub wait: u32,
+}
+
+/// What is said of a permit.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, prost::Enumeration)]
+pub enum PermitWord {
+    /// Unknown.
+    Unspecified = 0,
+    /// The sender asks for one.
+    Ask = 1,
+    /// How long the receiver waits for one. If that is longer than it bears, it doesn't get it.
+    Wait = 2,
+    /// The receiver may send one call.
+    Grant = 3,
+}
+
 /// What a daemon has at one endpoint.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct EndpointLoad {
