Soak: a draft that crashes endpoints, and endpoints that name limits, beside all other faults

Neither trouble was played by anything of ours. The stand-in's endpoints crash under a path and name limits; a plan draws both, each in two plays of three, from a stream of random numbers of its own, so that seeds keep their other faults. Checked: no more than three crashes later than 3 s after the third, and no more than one and a half times the limit and five calls in any 4 s, by daemons without trouble of their own.

--- a/crates/basilbank_soak/src/callers.rs
+++ b/crates/basilbank_soak/src/callers.rs
@@ -13,7 +13,7 @@
 };
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::read_answer;
+use basilbank_standin::managed::{DEADLY, read_answer};
 
 /// What callers say they wait.
 const PATIENCE: Duration = Duration::from_millis(4000);
@@ -24,6 +24,9 @@
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Pause between two attempts of the call that crashes endpoints.
+const DEADLY_PAUSE: Duration = Duration::from_millis(250);
+
 /// Pause between two calls of one caller, on average.
 const PAUSE_MS: u64 = 25;
 
@@ -43,6 +46,8 @@
     Once,
     /// A stream that its caller leaves.
     Left,
+    /// A stream that crashes each endpoint that runs it, and comes again and again.
+    Deadly,
 }
 
 /// What a caller saw.
@@ -92,6 +97,8 @@
 pub struct Callers {
     /// What they saw.
     pub records: Records,
+    /// The call that crashes endpoints comes.
+    pub deadly: Arc<AtomicBool>,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -103,19 +110,16 @@
         let records = Records::default();
         let stop = Arc::new(AtomicBool::new(false));
         let threads = (0..count).map(|number| {
-            let caller = Caller {
-                number,
-                daemons: daemons.to_vec(),
-                rng: Rng::new(seed ^ (number as u64) << 32),
-                at: number % daemons.len(),
-                calls: 0,
-                open: None,
-            };
+            let caller = Caller::new(seed, number, daemons);
             let (records, stop) = (Arc::clone(&records), Arc::clone(&stop));
             thread::spawn(move || caller.run(&records, &stop))
         });
-        let threads = threads.collect();
-        Callers { records, stop, threads }
+        let mut threads: Vec<_> = threads.collect();
+        let deadly = Arc::new(AtomicBool::new(false));
+        let caller = Caller::new(seed, count, daemons);
+        let (all, stopped, comes) = (Arc::clone(&records), Arc::clone(&stop), Arc::clone(&deadly));
+        threads.push(thread::spawn(move || caller.run_deadly(&all, &stopped, &comes)));
+        Callers { records, deadly, stop, threads }
     }
 
     /// Waits until all have their last answer.
@@ -144,6 +148,31 @@
 }
 
 impl Caller {
+    fn new(seed: u64, number: usize, daemons: &[SocketAddr]) -> Caller {
+        Caller {
+            number,
+            daemons: daemons.to_vec(),
+            rng: Rng::new(seed ^ (number as u64) << 32),
+            at: number % daemons.len(),
+            calls: 0,
+            open: None,
+        }
+    }
+
+    /// Sends the call that crashes endpoints while it is to come, to the daemons in turn.
+    fn run_deadly(mut self, records: &Records, stop: &AtomicBool, comes: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            if comes.load(Ordering::Relaxed) {
+                let record = self.send(Kind::Deadly);
+                self.open = None;
+                self.at = (self.at + 1) % self.daemons.len();
+                let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
+                records.insert(record.id.clone(), record);
+            }
+            thread::sleep(DEADLY_PAUSE);
+        }
+    }
+
     fn run(mut self, records: &Records, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             let record = self.call();
@@ -159,10 +188,14 @@
     }
 
     fn call(&mut self) -> Record {
-        self.calls += 1;
-        let id = format!("c{}-{}", self.number, self.calls);
         let kinds = [Kind::Stock, Kind::Sheet, Kind::Draft, Kind::Once, Kind::Left];
         let kind = kinds[[0, 0, 0, 1, 1, 1, 2, 2, 3, 4][self.rng.index(10)]];
+        self.send(kind)
+    }
+
+    fn send(&mut self, kind: Kind) -> Record {
+        self.calls += 1;
+        let id = format!("c{}-{}", self.number, self.calls);
         let line = line(kind, &id);
         let (daemon, begun) = (self.at, Instant::now());
         let seen = match self.exchange(kind, &id, &line) {
@@ -212,18 +245,29 @@
     match kind {
         Kind::Stock => format!("POST /stock/{id}"),
         Kind::Sheet => format!("GET /sheet/{id}"),
+        Kind::Deadly => format!("POST /draft{DEADLY}"),
         Kind::Draft | Kind::Left => format!("POST /draft/{id}"),
         Kind::Once => format!("POST /once/{id}"),
     }
 }
 
+/// What a call sends. The one that crashes endpoints is the same each time.
+#[must_use]
+pub fn body(kind: Kind, id: &str) -> &str {
+    match kind {
+        Kind::Sheet => "",
+        Kind::Deadly => DEADLY,
+        _ => id,
+    }
+}
+
 fn request(kind: Kind, id: &str, line: &str) -> String {
     let events = if kind == Kind::Left { EVENTS[1] } else { EVENTS[0] };
     let tokens = match kind {
         Kind::Stock | Kind::Sheet => String::new(),
         _ => format!("x-token-counts: 1000,{events}\r\nx-prompt-prefix: ab:1000\r\n"),
     };
-    let body = if kind == Kind::Sheet { "" } else { id };
+    let body = body(kind, id);
     format!(
         "{line} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {id}\r\n{tokens}\
          x-deadline-remaining: {}\r\ncontent-length: {}\r\n\r\n{body}",
--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -8,7 +8,7 @@
 use basilbank_standin::managed::{Request, Served};
 
 use crate::{
-    callers::{Kind, Record, Seen},
+    callers::{Kind, Record, Seen, body},
     play::{Span, Trouble},
     site::Site,
 };
@@ -29,6 +29,18 @@
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_SLACK: f64 = 400.0;
 
+/// The settings' time in which daemons act on news.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Crashes after which a call is not sent on, and how often it may be all the same.
+const CRASHES: usize = 3;
+const RETRIES: usize = 3;
+
+/// The window in which an endpoint's calls are counted, and how many more than one and a half times its limit
+/// it bears in it.
+const WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_SLACK: f64 = 5.0;
+
 /// All that was seen in a play.
 pub struct Evidence<'a> {
     /// Calls by id.
@@ -48,6 +60,8 @@
         self.unasked(&mut findings);
         self.orders(&mut findings);
         self.budget(&runs, &mut findings);
+        self.crashes(&mut findings);
+        self.limits(&mut findings);
         for record in self.records.values() {
             let ran = runs.get(record.id.as_str()).copied().unwrap_or(0);
             findings.extend(self.call(record, ran));
@@ -159,14 +173,61 @@
     }
 }
 
+impl Evidence<'_> {
+    /// A call that has crashed endpoints is not sent on for ever.
+    fn crashes(&self, findings: &mut Vec<String>) {
+        let crashes = self.served.iter().filter_map(|(_, served)| served.crashed.as_ref());
+        let mut crashes: Vec<_> = crashes.collect();
+        crashes.sort();
+        let Some((third, _)) = crashes.get(CRASHES - 1) else { return };
+        let late =
+            |(at, id): &&&(Instant, String)| *third + CONTACT < *at && self.in_touch(id, *at);
+        let late = crashes.iter().filter(late).count();
+        if RETRIES < late {
+            findings.push(format!("CRASH a call crashed {late} endpoints more after its third"));
+        }
+    }
+
+    /// An endpoint's limit is for all daemons together.
+    fn limits(&self, findings: &mut Vec<String>) {
+        for (instance, served) in &self.served {
+            let Some(first) = served.limited.first().map(|(at, ..)| *at) else { continue };
+            let counts = |(at, _, id): &&(Instant, f64, String)| {
+                first + CONTACT < *at && self.in_touch(id, *at)
+            };
+            let calls: Vec<_> = served.limited.iter().filter(counts).collect();
+            for (n, (begin, rate, _)) in calls.iter().enumerate() {
+                let in_window = |call: &&&(Instant, f64, String)| call.0 < *begin + WINDOW;
+                let got = calls[n..].iter().take_while(in_window).count();
+                let allowed = rate * WINDOW.as_secs_f64() * 1.5 + LIMIT_SLACK;
+                if allowed < got as f64 {
+                    let what = format!("{got} calls in {WINDOW:?}, allowed {allowed}");
+                    findings.push(format!("LIMIT {instance} got {what}"));
+                    break;
+                }
+            }
+        }
+    }
+
+    /// The daemon that sent a call had no trouble of its own for some time before.
+    fn in_touch(&self, id: &str, at: Instant) -> bool {
+        let Some(record) = self.records.get(id) else { return false };
+        !self.spans.iter().any(|span| {
+            span.daemon == record.daemon
+                && span.trouble != Trouble::NoStore
+                && span.from <= at
+                && span.to.is_none_or(|to| at <= to + CONTACT)
+        })
+    }
+}
+
 fn of(record: &Record) -> String {
     format!("{} ({:?}, daemon {}, {})", record.id, record.kind, record.daemon, record.line)
 }
 
 fn is_asked(record: &Record, request: &Request) -> bool {
     let line = format!("{} {}", request.method, request.target);
-    let body = if record.kind == Kind::Sheet { "" } else { record.id.as_str() };
-    line == record.line && request.body == body.as_bytes()
+    line == record.line && request.body == body(record.kind, &record.id).as_bytes()
 }
 
 /// Endpoints that still send streams although no caller is left.
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -20,6 +20,9 @@
 /// The same for a third stream.
 const RESTORE: u64 = 0x636f_7079;
 
+/// The same for a fourth stream.
+const OVERLOAD: u64 = 0x6c6f_6164;
+
 /// Bytes a second of the narrow link to the store, from the least on.
 const NARROW: (u32, u64) = (400_000, 1_000_000);
 
@@ -71,6 +74,10 @@
     Spoil(usize, BadEntry, Duration),
     /// An endpoint starts again under its id, and writes its entry after the time.
     Restart(usize, At, Duration),
+    /// An endpoint says for the time that it takes so many calls a second only.
+    Limit(usize, u32, Duration),
+    /// A draft that crashes each endpoint that runs it comes again and again for the time.
+    Deadly(Duration),
     /// The time of day jumps at the daemon with the injected clock.
     Step(Duration),
 }
@@ -113,6 +120,7 @@
     }
     plan.extend(more(seed, sizes));
     plan.extend(restore(seed, sizes));
+    plan.extend(overload(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
@@ -141,6 +149,19 @@
     (rng.index(3) != 0).then_some((at, Fault::Restore(age, time)))
 }
 
+/// An endpoint that names a limit, and a draft that crashes endpoints, each in two plays of three. Both last
+/// longer than daemons may take to act on them.
+fn overload(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = Rng::new(seed ^ OVERLOAD);
+    let (begin, time) = (sizes.traffic.mul_f64(0.2 * rng.unit()), sizes.traffic.mul_f64(0.7));
+    let endpoint = rng.index(sizes.endpoints);
+    let rate = 1 + rng.index(4) as u32;
+    let limit = (rng.index(3) != 0).then_some((begin, Fault::Limit(endpoint, rate, time)));
+    let begin = sizes.traffic.mul_f64(0.3 * rng.unit());
+    let deadly = (rng.index(3) != 0).then_some((begin, Fault::Deadly(time)));
+    limit.into_iter().chain(deadly).collect()
+}
+
 fn trouble(rng: &mut Rng, sizes: Sizes) -> Fault {
     let endpoint = rng.index(sizes.endpoints);
     let time = Duration::from_millis(300 + rng.next_u64() % 2500);
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -3,6 +3,10 @@
 use std::{
     collections::HashSet,
     fs,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -28,6 +32,9 @@
 /// Pause before a daemon that was killed with all others is started again.
 const RESTART: Duration = Duration::from_millis(300);
 
+/// How long an endpoint that was crashed is away.
+const REVIVES: Duration = Duration::from_millis(700);
+
 /// How often a daemon that leaves is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -72,6 +79,9 @@
     Replace(usize),
     List(usize),
     UnlistForeign,
+    Unlimit(usize),
+    Spare,
+    Revive(usize),
     Rewrite(Vec<Lost>),
 }
 
@@ -81,6 +91,8 @@
     begun: Instant,
     steps: Vec<(Instant, Step)>,
     leaving: HashSet<usize>,
+    crashed: HashSet<usize>,
+    deadly: Arc<AtomicBool>,
     /// Times of trouble.
     pub spans: Vec<Span>,
     /// What went wrong on the way.
@@ -92,11 +104,16 @@
 impl<'a> Play<'a> {
     /// Begins now.
     #[must_use]
-    pub fn new(site: &'a mut Site, plan: &[(Duration, Fault)]) -> Play<'a> {
+    pub fn new(
+        site: &'a mut Site,
+        plan: &[(Duration, Fault)],
+        deadly: Arc<AtomicBool>,
+    ) -> Play<'a> {
         let begun = Instant::now();
         let steps = plan.iter().map(|(at, fault)| (begun + *at, Step::Fault(*fault))).collect();
         let (spans, findings, done) = (Vec::new(), Vec::new(), Vec::new());
-        Play { site, begun, steps, leaving: HashSet::new(), spans, findings, done }
+        let (leaving, crashed) = (HashSet::new(), HashSet::new());
+        Play { site, begun, steps, leaving, crashed, deadly, spans, findings, done }
     }
 
     /// Plays on until `end`, and then until all that follows from the plan is done.
@@ -113,6 +130,7 @@
                 continue;
             }
             self.look_for_ends();
+            self.look_for_crashes();
             std::thread::sleep(LOOK.min(Duration::from_millis(20)));
         }
         Ok(())
@@ -150,6 +168,9 @@
             // One that leaves has said so since.
             Step::List(place) if self.leaving.contains(&place) => {}
             Step::List(place) => self.site.list(place, "ready"),
+            Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
+            Step::Spare => self.deadly.store(false, Ordering::Relaxed),
+            Step::Revive(place) => self.revive(place)?,
             Step::Rewrite(lost) => self.site.store.rewrite(lost),
             Step::UnlistForeign => self.site.unlist_foreign(),
         }
@@ -219,6 +240,14 @@
                 self.site.places[place].restart(at == At::Another)?;
                 self.later(time, Step::List(place));
             }
+            Fault::Limit(place, rate, time) => {
+                self.site.places[place].endpoint.limit(Some(f64::from(rate)));
+                self.later(time, Step::Unlimit(place));
+            }
+            Fault::Deadly(time) => {
+                self.deadly.store(true, Ordering::Relaxed);
+                self.later(time, Step::Spare);
+            }
             Fault::Step(ahead) => {
                 let last = self.site.daemons.last().context("a daemon")?;
                 fs::write(last.clock_file(), ahead.as_millis().to_string())?;
@@ -334,6 +363,27 @@
         }
     }
 
+    /// Endpoints that were crashed start again some time later, under their ids.
+    fn look_for_crashes(&mut self) {
+        for place in 0..self.site.places.len() {
+            if self.site.places[place].endpoint.has_crashed() && self.crashed.insert(place) {
+                self.later(REVIVES, Step::Revive(place));
+            }
+        }
+    }
+
+    fn revive(&mut self, place: usize) -> anyhow::Result<()> {
+        self.crashed.remove(&place);
+        // Another fault may have started it by now.
+        if self.site.places[place].endpoint.has_crashed() {
+            self.site.places[place].restart(false)?;
+            if !self.leaving.contains(&place) {
+                self.site.list(place, "ready");
+            }
+        }
+        Ok(())
+    }
+
     fn begin(&mut self, daemon: usize, trouble: Trouble) {
         self.spans.push(Span { daemon, trouble, from: Instant::now(), to: None });
     }
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    sync::PoisonError,
+    sync::{Arc, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -77,7 +77,7 @@
         };
         let addresses: Vec<_> = site.daemons.iter().map(|daemon| daemon.callers).collect();
         let mut callers = Callers::start(seed, self.callers, &addresses);
-        let mut play = Play::new(&mut site, &plan(seed, sizes));
+        let mut play = Play::new(&mut site, &plan(seed, sizes), Arc::clone(&callers.deadly));
         let end = Instant::now() + self.traffic;
         play.run(end)?;
         callers.finish();
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -15,7 +15,7 @@
 pub use self::{
     bad_entry::BadEntry,
     configuration::{DESK, HOST, WRITER, configuration},
-    endpoint::{Caches, EndpointSpec, ManagedEndpoint},
+    endpoint::{Caches, DEADLY, EndpointSpec, ManagedEndpoint},
     http::{Answer, Request, call, exchange, read_answer},
     misdeed::Misdeed,
     served::Served,
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -9,7 +9,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::json;
@@ -20,6 +20,9 @@
     served::Served,
 };
 
+/// The end of the path of a call that crashes each endpoint that runs it.
+pub const DEADLY: &str = "/deadly";
+
 /// Time between two events of a stream.
 const EVENT_TIME: Duration = Duration::from_millis(5);
 
@@ -57,6 +60,8 @@
     written: u64,
     stage: Option<&'static str>,
     misdeed: Misdeed,
+    /// Calls a second that it says it takes.
+    limit: Option<f64>,
     handles: HashSet<String>,
     next: u32,
     served: Served,
@@ -155,6 +160,17 @@
         lock(&self.inside).misdeed = misdeed;
     }
 
+    /// Names a limit in its answers from now on, or none. It runs whatever comes all the same.
+    pub fn limit(&self, rate: Option<f64>) {
+        lock(&self.inside).limit = rate;
+    }
+
+    /// A call has crashed it: it answers nothing until it starts again.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        lock(&self.inside).served.crashed.is_some()
+    }
+
     /// What it has served.
     #[must_use]
     pub fn served(&self) -> Served {
@@ -203,7 +219,10 @@
         if expected.is_some_and(|expected| expected != self.instance) {
             return write_answer(stream, 421, &[("x-instance-id", &self.instance)], b"");
         }
-        let misdeed = lock(&self.inside).misdeed;
+        let (misdeed, crashed) = self.condition();
+        if crashed {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         if misdeed == Misdeed::Silent {
             return Ok(());
         }
@@ -225,6 +244,11 @@
         }
     }
 
+    fn condition(&self) -> (Misdeed, bool) {
+        let inside = lock(&self.inside);
+        (inside.misdeed, inside.served.crashed.is_some())
+    }
+
     fn report(&self, stream: &TcpStream) -> io::Result<()> {
         let inside = lock(&self.inside);
         let report = json!({
@@ -282,7 +306,10 @@
         {
             return self.refuse(stream, request);
         }
-        lock(&self.inside).served.ran.push(request.clone());
+        self.begin(request);
+        if request.path().ends_with(DEADLY) {
+            return self.crash(request);
+        }
         if misdeed == Misdeed::Hanging {
             return Ok(());
         }
@@ -297,6 +324,22 @@
         }
     }
 
+    fn begin(&self, request: &Request) {
+        let mut inside = lock(&self.inside);
+        inside.served.ran.push(request.clone());
+        if let Some(rate) = inside.limit {
+            let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+            inside.served.limited.push((Instant::now(), rate, id));
+        }
+    }
+
+    /// The call crashes the endpoint: it takes all down that runs beside it.
+    fn crash(&self, request: &Request) -> io::Result<()> {
+        let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
+        lock(&self.inside).served.crashed.get_or_insert((Instant::now(), id));
+        Err(io::ErrorKind::ConnectionReset.into())
+    }
+
     fn take(&self, source: &str) -> bool {
         let Some((address, handle)) = source.split_once('/') else { return false };
         let Ok(address) = address.parse::<SocketAddr>() else { return false };
@@ -314,7 +357,9 @@
         let id = if misdeed == Misdeed::Mistaken { "another" } else { id };
         let status = if misdeed == Misdeed::Error { 500 } else { 200 };
         let body = format!("{} {} by {}", request.method, request.target, self.instance);
-        let headers = [("x-attempt-id", id), ("x-server-seal", "seal")];
+        let limit = lock(&self.inside).limit.map(|rate| rate.to_string());
+        let mut headers = vec![("x-attempt-id", id), ("x-server-seal", "seal")];
+        headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
         let bytes = answer_bytes(status, &headers, body.as_bytes());
         match misdeed {
             Misdeed::Lost => return Err(io::ErrorKind::ConnectionReset.into()),
@@ -342,9 +387,11 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let id = request.header("x-attempt-id").unwrap_or_default();
+        let limit = lock(&self.inside).limit;
+        let limit = limit.map(|rate| format!("server-limit: {rate}\r\n")).unwrap_or_default();
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: {id}\r\n\
-             x-server-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n"
+             x-server-seal: seal\r\n{limit}transfer-encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
         let counts = request.header("x-token-counts").unwrap_or_default();
@@ -356,6 +403,9 @@
                 stream.shutdown(std::net::Shutdown::Both)?;
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
+            if self.condition().1 {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
             if chunk(stream, &format!("id: {event}\ndata: token {event}\n\n")).is_err()
                 || left(stream)
             {
--- a/crates/basilbank_standin/src/managed/served.rs
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -1,5 +1,7 @@
 //! What an endpoint has served.
 
+use std::time::Instant;
+
 use super::http::Request;
 
 /// What an endpoint has served.
@@ -21,4 +23,8 @@
     pub dropped: u32,
     /// KV caches that were freed.
     pub freed: u32,
+    /// When a call crashed it, and the call's id.
+    pub crashed: Option<(Instant, String)>,
+    /// Calls that it ran while it named a limit: when, the limit, and the call's id.
+    pub limited: Vec<(Instant, f64, String)>,
 }
