Causes of crashes are looked for 20 times a second at most

Each single report of a crash had all kept reports gone through: at 128 crashes of 256 calls that is up to 33 thousand entries for each of some tens of datagrams.

--- a/crates/basilbank_forward/src/state/crashes.rs
+++ b/crates/basilbank_forward/src/state/crashes.rs
@@ -20,6 +20,9 @@
 /// The first reports alone would put the blame on whoever they happen to name.
 const SETTLE: Duration = Duration::from_millis(500);
 
+/// Least time between two looks for a cause: reports come singly, and each look goes through all.
+const PAUSE: Duration = Duration::from_millis(50);
+
 /// How long a crash counts.
 const WINDOW: Duration = Duration::from_secs(600);
 
@@ -57,6 +60,8 @@
     cleared: VecDeque<Word<Digest>>,
     /// When a cause is looked for next.
     due: Option<Duration>,
+    /// When it was looked for last.
+    judged: Duration,
 }
 
 /// An own call that broke off at an endpoint that may have crashed.
@@ -148,7 +153,7 @@
             let ran = Duration::from_millis(u64::from(report.ran));
             crash.calls.insert(Digest(report.digest), ran);
         }
-        let settled = (crash.since + SETTLE).max(now);
+        let settled = (crash.since + SETTLE).max(self.judged + PAUSE);
         self.due = Some(self.due.map_or(settled, |due| due.min(settled)));
     }
 
@@ -184,6 +189,7 @@
         self.crashes.retain(|_, crash| now < crash.since + WINDOW);
         let settles = self.crashes.values().map(|crash| crash.since + SETTLE);
         self.due = settles.filter(|at| now < *at).min();
+        self.judged = now;
         let mut blame: BTreeMap<Digest, (usize, Duration)> = BTreeMap::new();
         let open = self.crashes.values().filter(|crash| !crash.explained);
         for (digest, ran) in open.filter(|c| c.since + SETTLE <= now).flat_map(|c| &c.calls) {
