--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -181,7 +181,10 @@
         .with_ms("list_ms", list_age);
     let limit = send.limit.min(remaining);
     let attempt = Attempt { number, target, op: send.op, remaining, limit, stall };
-    turn.state.permits.take(send.endpoint);
+    // The permit for the slot stands for the call that takes it, too.
+    if send.step != Step::Decode {
+        turn.state.permits.take(send.endpoint);
+    }
     begin(turn.state, send.endpoint, send.share);
     if send.step == Step::Decode {
         count_once(turn.state, id);
