Where all endpoints have limits, calls ask for permits of their own only

Traced: each call asked ahead for the next one, and at a third of a call in a second and daemon most of these permits lapsed; and after an answer that it takes too long a daemon paused for 10 ms for each peer, 2 s there.

Now calls ask ahead only while a service has an endpoint without a limit, and the pause is 4 ms for each peer.

The endpoint that is asked is drawn by the endpoints' limits: a lone caller before endpoints with 2 and 5 calls a second was served 6 to 9 times in 4 s, since the slow one was always asked first.

--- a/crates/basilbank_forward/src/reduce/limit.rs
+++ b/crates/basilbank_forward/src/reduce/limit.rs
@@ -82,21 +82,29 @@
         if place < coming {
             return true;
         }
-        match turn.state.permits.open(&lacking, turn.now) {
+        match turn.state.endpoint_to_ask(&lacking, turn.now) {
             Some(endpoint) => ask(turn, endpoint, bears),
             None => return coming != 0,
         }
     }
 }
 
-/// Asks for a permit for the next call to a service, if an endpoint may have one. Endpoints without a limit
-/// have no need of it; but only calls show when one with a limit has none any more.
-pub fn look_ahead(turn: &mut Turn<'_>, service: &str) {
-    if turn.state.call_limits.is_empty() {
+/// Asks for a permit for the next call to a call's service, if an endpoint may have one. Endpoints without a
+/// limit have no need of it; but only calls show when one with a limit has none any more.
+///
+/// Where all have limits each plain call asks for its own: what was asked for ahead would lapse at daemons that
+/// get few calls.
+pub fn look_ahead(turn: &mut Turn<'_>, id: RequestId) {
+    let Some(request) = turn.state.requests.get(&id) else { return };
+    let limits = &turn.state.call_limits;
+    let mut endpoints = turn.state.directory.service(&request.service);
+    let open = endpoints.any(|(key, _)| limits.get(key).is_none());
+    drop(endpoints);
+    if !open && !request.is_draft(turn.state) {
         return;
     }
-    let lacking = turn.state.lacking(service, turn.now);
-    if let Some(endpoint) = turn.state.permits.open(&lacking, turn.now) {
+    let lacking = turn.state.lacking(&request.service, turn.now);
+    if let Some(endpoint) = turn.state.endpoint_to_ask(&lacking, turn.now) {
         ask(turn, endpoint, LOOK_AHEAD);
     }
 }
@@ -154,7 +162,10 @@
         return;
     }
     turn.state.permits.granted(key, turn.now);
-    turn.note(Note::new("permit").with_measure(Measure::Permit));
+    if let Some(endpoint) = turn.state.directory.get(key) {
+        let note = Note::new("permit").with("instance", &endpoint.info.instance);
+        turn.note(note.with_measure(Measure::Permit));
+    }
     turn.state.room = true;
     go_on(turn);
 }
@@ -212,6 +223,19 @@
         keys.filter(|key| !self.permitted(*key, now)).collect()
     }
 
+    /// The one of these endpoints to ask for a permit: each as often as it has some.
+    fn endpoint_to_ask(&mut self, lacking: &[EndpointKey], now: Duration) -> Option<EndpointKey> {
+        let open = lacking.iter().filter(|key| self.permits.is_open(**key, now));
+        let rate = |key: &EndpointKey| self.call_limits.get(*key).unwrap_or_default();
+        let open: Vec<_> = open.map(|key| (*key, rate(key))).collect();
+        let mut drawn = self.rng.unit() * open.iter().map(|(_, rate)| rate).sum::<f64>();
+        let is_drawn = |(_, rate): &&(EndpointKey, f64)| {
+            drawn -= rate;
+            drawn < 0.0
+        };
+        open.iter().find(is_drawn).or(open.first()).map(|(key, _)| *key)
+    }
+
     /// The endpoint can be sent a call now, as far as its limit goes.
     pub(super) fn permitted(&self, key: EndpointKey, now: Duration) -> bool {
         self.call_limits.get(key).is_none() || self.permits.has(key, now)
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -32,10 +32,8 @@
     if request.live.is_empty() && crash::is_quarantined(turn, id) {
         return finish::give_up(turn, id, Refusal::Quarantined);
     }
-    let Some(request) = turn.state.requests.get(&id) else { return };
     if !turn.state.call_limits.is_empty() {
-        let service = request.service.clone();
-        limit::look_ahead(turn, &service);
+        limit::look_ahead(turn, id);
     }
     let Some(request) = turn.state.requests.get(&id) else { return };
     let next = match request.is_draft(turn.state) {
@@ -44,12 +42,7 @@
     };
     match next {
         Next::Wait => {}
-        Next::WaitUntil(at) => {
-            if let Some(request) = turn.state.requests.get_mut(&id) {
-                request.resume_at = Some(at);
-            }
-            turn.wake(id, at);
-        }
+        Next::WaitUntil(at) => wait_until(turn, id, at),
         Next::WaitForRoom | Next::WaitForTurn(_) => {
             turn.state.line.turn = match next {
                 Next::WaitForTurn(at) => Some(at),
@@ -78,6 +71,13 @@
     }
 }
 
+fn wait_until(turn: &mut Turn<'_>, id: RequestId, at: Duration) {
+    if let Some(request) = turn.state.requests.get_mut(&id) {
+        request.resume_at = Some(at);
+    }
+    turn.wake(id, at);
+}
+
 /// Takes a draft in that found no room; true when it has not waited before.
 fn wait_for_room(turn: &mut Turn<'_>, id: RequestId) -> bool {
     if !turn.state.waiting.contains(&id) {
@@ -206,7 +206,7 @@
 
 impl Request {
     /// It is a draft for a service whose endpoints have stages.
-    fn is_draft(&self, state: &State) -> bool {
+    pub(super) fn is_draft(&self, state: &State) -> bool {
         self.call.prompt.is_some() && state.routes.engine(&self.service).is_some()
     }
 }
--- a/crates/basilbank_forward/src/state/permits.rs
+++ b/crates/basilbank_forward/src/state/permits.rs
@@ -10,9 +10,9 @@
 /// A question that has no answer after this is lost: some round trips.
 const UNANSWERED: Duration = Duration::from_millis(150);
 
-/// Pause for each peer after a permit would take too long: the one who gives them out is asked a hundred
+/// Pause for each peer after a permit would take too long: the one who gives them out is asked 250
 /// times a second at the most, however many calls come to however many daemons.
-const EACH_PEER: Duration = Duration::from_millis(10);
+const EACH_PEER: Duration = Duration::from_millis(4);
 
 /// How much longer than expected a permit is waited for.
 const LATE: Duration = Duration::from_millis(200);
@@ -57,13 +57,10 @@
         endpoints.iter().filter(|key| self.get(**key).is_some_and(|s| now < s.asked)).count()
     }
 
-    /// The one of these endpoints to ask for a permit: one that may have some for whoever asks.
+    /// The endpoint may have a permit for whoever asks.
     #[must_use]
-    pub fn open(&self, endpoints: &[EndpointKey], now: Duration) -> Option<EndpointKey> {
-        let open = |key: &&EndpointKey| {
-            self.get(**key).is_none_or(|stock| stock.asked <= now && stock.closed <= now)
-        };
-        endpoints.iter().find(open).copied()
+    pub fn is_open(&self, endpoint: EndpointKey, now: Duration) -> bool {
+        self.get(endpoint).is_none_or(|stock| stock.asked <= now && stock.closed <= now)
     }
 
     /// One is asked for that may take so long.
