A call that may be the cause of crashes waits until that is settled; a quick restart is a crash

Found by a test over sockets with three daemons and endpoints that start again at once: 90 crashes by 48 attempts before the call was kept from endpoints. In the half second until all have reported, the call went on as fast as its caller sent it; it waits now once it has been part of three crashes, and isn't refused, since others may be to blame. And an endpoint that starts again at once answers the question whether it lives, so that the evidence was dropped; its later start, seen in the list, is evidence now.

--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -1,5 +1,7 @@
 //! Calls that crash the endpoints that run them.
 
+use std::time::Duration;
+
 use basilbank_wire::{CrashReport, LoadBeat};
 
 use super::{Turn, suspect};
@@ -7,7 +9,10 @@
     call::{Digest, RequestId},
     endpoint::EndpointKey,
     note::{Measure, Note},
-    state::requests::{Live, Step},
+    state::{
+        crashes::End,
+        requests::{Live, Step},
+    },
 };
 
 /// An attempt broke off. Whether its endpoint crashed is asked there: a connection alone can be reset, too.
@@ -26,9 +31,9 @@
 }
 
 /// An endpoint has crashed, or has gone without a word.
-pub fn crashed(turn: &mut Turn<'_>, key: EndpointKey) {
+pub fn crashed(turn: &mut Turn<'_>, key: EndpointKey, end: End) {
     let Some(hash) = turn.state.directory.hash(key) else { return };
-    let reports = turn.state.crashes.crashed(key, hash, turn.now);
+    let reports = turn.state.crashes.crashed(key, hash, end, turn.now);
     if reports.is_empty() {
         return;
     }
@@ -79,11 +84,10 @@
     }
 }
 
-/// The call is in quarantine. It stays there for longer since it came again.
+/// The call is in quarantine, and nowhere now. It stays there for longer since it came again.
 pub fn is_quarantined(turn: &mut Turn<'_>, id: RequestId) -> bool {
-    let Some(digest) = turn.state.requests.get(&id).map(|request| request.call.digest) else {
-        return false;
-    };
+    let request = turn.state.requests.get(&id).filter(|request| request.live.is_empty());
+    let Some(digest) = request.map(|request| request.call.digest) else { return false };
     let is_known = turn.state.quarantine.left(digest, turn.now).is_some();
     if is_known {
         turn.state.quarantine.add(digest, turn.now);
@@ -91,6 +95,12 @@
     is_known
 }
 
+/// Until when it is open whether a call that is nowhere now is the cause of crashes.
+pub fn open_until(turn: &Turn<'_>, id: RequestId) -> Option<Duration> {
+    let request = turn.state.requests.get(&id).filter(|request| request.live.is_empty())?;
+    turn.state.crashes.open_until(request.call.digest, turn.now)
+}
+
 fn take_in(turn: &mut Turn<'_>, report: &CrashReport) {
     let known = turn.state.quarantine.left(Digest(report.digest), turn.now).is_some();
     turn.state.crashes.reported(report, known, turn.now);
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -8,6 +8,7 @@
     endpoint::{EndpointInfo, EndpointKey},
     note::Note,
     route::RouteTable,
+    state::crashes::End,
     topic::{Revision, Revisions, Topic},
 };
 
@@ -175,7 +176,7 @@
 pub fn unlist(turn: &mut Turn<'_>, key: EndpointKey) {
     let Some(endpoint) = turn.state.directory.get(key).filter(|e| !e.gone) else { return };
     if !endpoint.info.draining {
-        crash::crashed(turn, key);
+        crash::crashed(turn, key, End::Unlisted);
     }
     let Some(endpoint) = turn.state.directory.get(key) else { return };
     let note = Note::new("endpoint_gone").with("instance", &endpoint.info.instance);
--- a/crates/basilbank_forward/src/reduce/entries.rs
+++ b/crates/basilbank_forward/src/reduce/entries.rs
@@ -6,11 +6,11 @@
 
 use std::net::SocketAddr;
 
-use super::{Turn, end_hold, endpoints};
+use super::{Turn, crash, end_hold, endpoints};
 use crate::{
     endpoint::{EndpointInfo, EndpointKey, Says},
     note::Note,
-    state::{Endpoint, State},
+    state::{Endpoint, State, crashes::End},
 };
 
 /// Where an entry comes from.
@@ -188,6 +188,9 @@
 /// given the same name to what it holds for somebody else. Its calls in progress end by their own
 /// connections.
 fn over(turn: &mut Turn<'_>, key: EndpointKey) {
+    if turn.state.directory.get(key).is_some_and(|endpoint| !endpoint.info.draining) {
+        crash::crashed(turn, key, End::Replaced);
+    }
     endpoints::unlist(turn, key);
     let state = &mut *turn.state;
     state.suspects.clear(key);
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -28,10 +28,13 @@
 /// Takes the next step, once there is no attempt that must be waited for.
 pub fn go_on(turn: &mut Turn<'_>, id: RequestId) {
     finish::drop_hold_at_leaving(turn, id);
-    let Some(request) = turn.state.requests.get(&id) else { return };
-    if request.live.is_empty() && crash::is_quarantined(turn, id) {
+    if crash::is_quarantined(turn, id) {
         return finish::give_up(turn, id, Refusal::Quarantined);
     }
+    // Others may be to blame, so it is not refused; but it must not crash one more meanwhile.
+    if let Some(until) = crash::open_until(turn, id) {
+        return wait_until(turn, id, until);
+    }
     if !turn.state.call_limits.is_empty() {
         limit::look_ahead(turn, id);
     }
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::{Turn, crash};
-use crate::{effect::Effect, endpoint::EndpointKey, event::Life, note::Note};
+use crate::{effect::Effect, endpoint::EndpointKey, event::Life, note::Note, state::crashes::End};
 
 /// Pause before an endpoint is asked, doubled each time that it does not answer.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -60,10 +60,10 @@
 /// An endpoint was asked.
 pub fn probed(turn: &mut Turn<'_>, key: EndpointKey, life: Life) {
     if life == Life::Alive {
-        turn.state.crashes.lives(key);
+        turn.state.crashes.answered(key);
         return alive(turn, key);
     }
-    crash::crashed(turn, key);
+    crash::crashed(turn, key, End::Dark);
     let now = turn.now;
     let Some(suspect) = turn.state.suspects.get_mut(key) else { return };
     let fresh = !std::mem::replace(&mut suspect.dark, true);
--- a/crates/basilbank_forward/src/state/crashes.rs
+++ b/crates/basilbank_forward/src/state/crashes.rs
@@ -71,6 +71,19 @@
     digest: Digest,
     ran: Duration,
     at: Duration,
+    /// The endpoint has answered since.
+    answered: bool,
+}
+
+/// How an endpoint's end is known.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum End {
+    /// It did not answer.
+    Dark,
+    /// It has gone from the list without having said that it leaves.
+    Unlisted,
+    /// It has started again, or another one has its address.
+    Replaced,
 }
 
 #[derive(Debug)]
@@ -115,24 +128,39 @@
         while self.unsure.front().is_some_and(|first| first.at + UNSURE <= now) {
             self.unsure.pop_front();
         }
-        push(&mut self.unsure, Unsure { endpoint, digest, ran, at: now }, MOST_UNSURE);
+        push(
+            &mut self.unsure,
+            Unsure { endpoint, digest, ran, at: now, answered: false },
+            MOST_UNSURE,
+        );
     }
 
-    /// The endpoint lives: calls broke off for another reason.
-    pub fn lives(&mut self, endpoint: EndpointKey) {
-        self.unsure.retain(|call| call.endpoint != endpoint);
+    /// The endpoint has answered: calls broke off for another reason, unless it is its next start that
+    /// answers.
+    pub fn answered(&mut self, endpoint: EndpointKey) {
+        let there = self.unsure.iter_mut().filter(|call| call.endpoint == endpoint);
+        there.for_each(|call| call.answered = true);
     }
 
     /// The endpoint, which peers know by `hash`, has crashed; the reports of own calls that ran there.
-    pub fn crashed(&mut self, endpoint: EndpointKey, hash: u32, now: Duration) -> Vec<CrashReport> {
-        let there = |call: &&Unsure| call.endpoint == endpoint && now < call.at + UNSURE;
+    pub fn crashed(
+        &mut self,
+        endpoint: EndpointKey,
+        hash: u32,
+        end: End,
+        now: Duration,
+    ) -> Vec<CrashReport> {
+        let there = |call: &&Unsure| {
+            let counts = end == End::Replaced || !call.answered;
+            counts && call.endpoint == endpoint && now < call.at + UNSURE
+        };
         let report = |call: &Unsure| CrashReport {
             endpoint: hash,
             digest: call.digest.0,
             ran: u32::try_from(call.ran.as_millis()).unwrap_or(u32::MAX),
         };
         let reports: Vec<_> = self.unsure.iter().filter(there).map(report).collect();
-        self.lives(endpoint);
+        self.unsure.retain(|call| call.endpoint != endpoint);
         for report in &reports {
             push(&mut self.reports, Word::new(*report), MOST_WORDS);
         }
@@ -163,6 +191,17 @@
         self.crashes.values().any(|crash| !crash.explained && crash.calls.contains_key(&digest))
     }
 
+    /// Until when it is open whether the call is the cause of crashes: it has been part of enough, and not all
+    /// who had calls there have reported.
+    #[must_use]
+    pub fn open_until(&self, digest: Digest, now: Duration) -> Option<Duration> {
+        let its = |crash: &&Crash| !crash.explained && crash.calls.contains_key(&digest);
+        let settles: Vec<_> =
+            self.crashes.values().filter(its).map(|crash| crash.since + SETTLE + PAUSE).collect();
+        let last = settles.iter().max().copied().filter(|last| now < *last);
+        last.filter(|_| CRASHES <= settles.len())
+    }
+
     /// The call has run to its end: it does not crash endpoints.
     pub fn clear(&mut self, digest: Digest) {
         for crash in self.crashes.values_mut() {
