--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -150,3 +150,46 @@
     let runs: Vec<_> = records.iter().flat_map(|record| vec![run_of(record); 2]).collect();
     assert_rule(&findings(&records, runs, &[]), "BUDGET");
 }
+
+fn deadly(id: &str) -> Record {
+    let line = "POST /draft/deadly".to_owned();
+    Record { line, ..record(id, Kind::Deadly, Seen::Status(502)) }
+}
+
+/// Crashes by one call, so many milliseconds after the first.
+fn crashes(times: &[u64]) -> (Vec<Record>, Vec<(String, Served)>) {
+    let first = Instant::now();
+    let ids: Vec<_> = (0..times.len()).map(|n| format!("d{n}")).collect();
+    let crash = |(id, ms): (&String, &u64)| {
+        let crashed = Some((first + Duration::from_millis(*ms), id.clone()));
+        ("e1".to_owned(), Served { crashed, ..Served::default() })
+    };
+    (ids.iter().map(|id| deadly(id)).collect(), ids.iter().zip(times).map(crash).collect())
+}
+
+#[test]
+fn a_call_that_goes_on_crashing_endpoints() {
+    let (records, served) = crashes(&[0, 100, 200, 2900, 3500, 4000, 4500]);
+    assert!(judge(&records, served, &[]).is_empty(), "three may come later");
+    let (records, served) = crashes(&[0, 100, 200, 3500, 4000, 4500, 5000]);
+    assert_rule(&judge(&records, served.clone(), &[]), "CRASH");
+    let restart = span(Trouble::Down, records[0].begun + Duration::from_secs(1));
+    assert!(judge(&records, served, &[restart]).is_empty(), "a daemon that starts knows nothing");
+}
+
+#[test_case(11, true; "what it takes, and a half, and five")]
+#[test_case(12, false; "more")]
+fn calls_to_an_endpoint_with_a_limit(calls: u64, borne: bool) {
+    let first = Instant::now();
+    let records: Vec<_> =
+        (0..=calls).map(|n| record(&format!("a{n}"), Kind::Stock, Seen::Served)).collect();
+    let at = |n: u64| first + if n == 0 { Duration::ZERO } else { Duration::from_millis(3100 + n) };
+    let limited = (0..=calls).map(|n| (at(n), 1.0, format!("a{n}"))).collect();
+    let ran = records.iter().map(run_of).collect();
+    let served = Served { limited, ran, ..Served::default() };
+    let findings = judge(&records, vec![("e1".to_owned(), served)], &[]);
+    match borne {
+        true => assert!(findings.is_empty(), "{findings:?}"),
+        false => assert_rule(&findings, "LIMIT"),
+    }
+}
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -25,7 +25,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 20] = [
+    let kinds: [fn(&Fault) -> bool; 22] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -46,6 +46,8 @@
         |f| matches!(f, Fault::Spoil(..)),
         |f| matches!(f, Fault::Restart(..)),
         |f| matches!(f, Fault::Restore(..)),
+        |f| matches!(f, Fault::Limit(..)),
+        |f| matches!(f, Fault::Deadly(_)),
     ];
     for (number, kind) in kinds.iter().enumerate() {
         assert!(faults.iter().any(kind), "kind {number}");
@@ -56,9 +58,9 @@
 #[test]
 fn a_seed_keeps_the_faults_of_the_first_stream() {
     let of_first = |f: &Fault| {
-        use Fault::{Foreign, Lengthen, Narrow, Restart, Restore, Spoil};
+        use Fault::{Deadly, Foreign, Lengthen, Limit, Narrow, Restart, Restore, Spoil};
         let second = matches!(f, Foreign(..) | Lengthen(_) | Narrow(..) | Restart(..) | Spoil(..));
-        !second && !matches!(f, Restore(..))
+        !second && !matches!(f, Restore(..) | Limit(..) | Deadly(_))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod entries;
 mod leaving;
+mod overload;
 mod restarts;
 mod restored;
 mod settings;
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/overload.rs
@@ -0,0 +1,95 @@
+//! Calls that crash endpoints, and endpoints that take so many calls a second only.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use basilbank_standin::managed::{DEADLY, World, WorldSpec};
+
+use crate::support::{draft_of, eventually, plain, stream_of};
+
+const DAEMONS: usize = 3;
+
+/// Three crashes, and those of attempts that come before all have heard of them.
+const CRASHES: usize = 12;
+
+/// Callers that call at once: more than can wait for endpoints with limits.
+const CALLERS: usize = 16;
+
+/// The window in which an endpoint's calls are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Starts endpoints again that were crashed, as a platform does; how many they were.
+fn revive(world: &mut World) -> usize {
+    let crashed: Vec<_> =
+        (0..world.model.len()).filter(|n| world.model[*n].has_crashed()).collect();
+    for n in &crashed {
+        let port = world.model[*n].address().port();
+        world.model[*n].restart(port).expect("it starts again");
+        world.list_model(*n);
+    }
+    crashed.len()
+}
+
+#[test]
+fn a_draft_that_crashes_endpoints_is_kept_from_them_by_all_daemons() {
+    let spec = WorldSpec { daemons: DAEMONS, plain: 1, prefill: 1, decode: 4 };
+    let mut world = World::start(&spec).expect("a world");
+    let (mut crashes, mut attempts) = (0, 0);
+    let path = format!("/draft{DEADLY}");
+    let mut kept = [false; DAEMONS];
+    eventually("kept from endpoints by all", || {
+        let daemon = attempts % DAEMONS;
+        attempts += 1;
+        let answer = draft_of(world.callers(daemon), &path, &format!("d{attempts}"), 1000, 5);
+        kept[daemon] = answer.status == 503 && answer.text().contains("quarantined");
+        crashes += revive(&mut world);
+        kept.iter().all(|kept| *kept)
+    });
+    assert!((3..=CRASHES).contains(&crashes), "{crashes} crashes by {attempts} attempts");
+    for daemon in 0..DAEMONS {
+        eventually("a draft of others is served", || {
+            draft_of(world.callers(daemon), "/draft/1", "other", 1000, 5).text() == stream_of(5)
+        });
+    }
+}
+
+#[test]
+fn endpoints_with_limits_get_no_more_of_all_daemons_together() {
+    let spec = WorldSpec { daemons: DAEMONS, plain: 2, prefill: 1, decode: 1 };
+    let world = World::start(&spec).expect("a world");
+    let rates = [2.0, 5.0];
+    for (endpoint, rate) in world.plain.iter().zip(rates) {
+        endpoint.limit(Some(rate));
+    }
+    let call = |n: usize| plain(world.callers(n % DAEMONS), "GET /sheet/1", b"").status;
+    let mut calls = 0;
+    eventually("some are refused", || {
+        calls += 1;
+        call(calls) == 503
+    });
+    // All daemons have heard of it some datagrams later.
+    thread::sleep(Duration::from_secs(1));
+    let begin = Instant::now();
+    let caller = |n: usize| {
+        let calls = (n..).map(call).take_while(|_| begin.elapsed() < WINDOW);
+        calls.partition::<Vec<_>, _>(|status| *status == 200)
+    };
+    let all: Vec<_> = thread::scope(|scope| {
+        let threads: Vec<_> = (0..CALLERS).map(|n| scope.spawn(move || caller(n))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("answers")).collect()
+    });
+    let served: usize = all.iter().map(|(served, _)| served.len()).sum();
+    let refused: usize = all.iter().map(|(_, refused)| refused.len()).sum();
+    let end = Instant::now();
+    for (endpoint, rate) in world.plain.iter().zip(rates) {
+        let limited = endpoint.served().limited;
+        let got = limited.iter().filter(|(at, ..)| begin <= *at && *at <= end).count();
+        let allowed = rate * (end - begin).as_secs_f64() * 1.5 + 5.0;
+        assert!(got as f64 <= allowed, "{} got {got}, allowed {allowed}", endpoint.instance());
+    }
+    assert!(8 < served && 0 < refused, "{served} served, {refused} refused");
+    world.plain.iter().for_each(|endpoint| endpoint.limit(None));
+    eventually("limits are lifted", || (0..30).all(|n| call(n) == 200));
+}
