Never back, as a property: random drills of the store, and no version in force gives way to an older one

256 plays of writes, reads (some of answers that left before), returns from copies of any age and writes again; the newest version is in force in the end.

--- a/crates/basilbank_forward/tests/forward/restored_store.rs
+++ b/crates/basilbank_forward/tests/forward/restored_store.rs
@@ -4,6 +4,10 @@
 
 use basilbank_forward::prelude::*;
 use basilbank_wire::{LoadBeat, StoreRevision};
+use proptest::{
+    prelude::{Just, ProptestConfig, Strategy, prop_assert, prop_assert_eq, prop_oneof, proptest},
+    test_runner::RngSeed,
+};
 
 use crate::rig::{Rig, model, numbered, plain, table};
 
@@ -227,3 +231,72 @@
     read_list(&mut rig, 2, 42, vec![plain("a", 1), plain("b", 2)]);
     assert_eq!(used(&rig), names(&["a", "b"]));
 }
+
+/// What happens around a store that may come back from copies of itself.
+#[derive(Clone, Copy, Debug)]
+enum Happens {
+    /// The operator writes the next version.
+    Write,
+    /// The daemon reads what the store holds, or has an answer that left so many states ago.
+    Read(usize),
+    /// The store comes back as it was so many states ago.
+    Return(usize),
+    /// The operator writes the newest version again.
+    Rewrite,
+}
+
+fn happens() -> impl Strategy<Value = Happens> {
+    prop_oneof![
+        3 => Just(Happens::Write),
+        4 => (0..4_usize).prop_map(Happens::Read),
+        2 => (1..8_usize).prop_map(Happens::Return),
+        1 => Just(Happens::Rewrite),
+    ]
+}
+
+/// The same cases on each run.
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_version_in_force_is_never_left_for_an_older_one(
+        play in proptest::collection::vec(happens(), 1..60),
+    ) {
+        let mut rig = Rig::new();
+        let before = rig.state.routes_revision;
+        // Era, revision and version of the store, state by state.
+        let mut states = vec![(1, before.number + 10, 2)];
+        let mut newest = 2;
+        let ago = |states: &[(u64, u64, u64)], n: usize| states[states.len().saturating_sub(n + 1)];
+        for event in play.into_iter().chain([Happens::Rewrite, Happens::Read(0)]) {
+            let (era, number, version) = ago(&states, 0);
+            match event {
+                Happens::Write => {
+                    newest += 1;
+                    states.push((era, number + 1, newest));
+                }
+                Happens::Rewrite => states.push((era, number + 1, newest)),
+                Happens::Return(n) => {
+                    let (_, number, version) = ago(&states, n);
+                    states.push((era + 1, number, version));
+                }
+                Happens::Read(n) => {
+                    let (era, number, read) = ago(&states, n);
+                    let in_force = rig.state.routes.version;
+                    read_routes(&mut rig, era, number, read);
+                    prop_assert!(in_force <= rig.state.routes.version);
+                    prop_assert!(n != 0 || version <= rig.state.routes.version);
+                }
+            }
+        }
+        prop_assert_eq!(rig.state.routes.version, newest);
+    }
+}
