--- a/crates/basilbank_forward/tests/forward/call_limits.rs
+++ b/crates/basilbank_forward/tests/forward/call_limits.rs
@@ -9,7 +9,7 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::{Fleet, Step, WAY},
+    fleet::{Fleet, Step, WAY, call_of},
     rig::{Rig, held, model, plain, prefilled, prompt, table},
 };
 
@@ -160,15 +160,7 @@
         }
         self.got.calls += 1;
         self.came.insert(id, self.fleet.now());
-        let call = Call {
-            id,
-            trace: id.to_string(),
-            digest: Digest(id.0),
-            host: "shop.example".to_owned(),
-            path: "/stock/1".to_owned(),
-            patience: Some(Duration::from_secs(1)),
-            prompt: None,
-        };
+        let call = call_of(id, Digest(id.0), "/stock/1");
         self.fleet.feed_later(daemon, WAY, Event::Arrived(Box::new(call)));
     }
 
--- a/crates/basilbank_forward/tests/forward/fleet.rs
+++ b/crates/basilbank_forward/tests/forward/fleet.rs
@@ -247,6 +247,19 @@
     }
 }
 
+/// A plain call whose caller waits for a second.
+pub fn call_of(id: RequestId, digest: Digest, path: &str) -> Call {
+    Call {
+        id,
+        trace: id.to_string(),
+        digest,
+        host: "shop.example".to_owned(),
+        path: path.to_owned(),
+        patience: Some(Duration::from_secs(1)),
+        prompt: None,
+    }
+}
+
 fn address(n: usize) -> SocketAddr {
     let n = u16::try_from(n).unwrap_or(u16::MAX);
     let [high, low] = n.to_be_bytes();
--- a/crates/basilbank_forward/tests/forward/quarantine.rs
+++ b/crates/basilbank_forward/tests/forward/quarantine.rs
@@ -11,7 +11,7 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::{Fleet, Step, WAY},
+    fleet::{Fleet, Step, WAY, call_of},
     rig::{Rig, model, numbered, plain, prompt, table_with_memory},
 };
 
@@ -204,13 +204,9 @@
         self.requests.insert(id, digest);
         let prompt = Prompt { session: Some(digest.0), ..prompt(1000) };
         let call = Call {
-            id,
-            trace: id.to_string(),
-            digest,
-            host: "shop.example".to_owned(),
-            path: "/draft/1".to_owned(),
             patience: Some(Duration::from_secs(14)),
             prompt: Some(prompt),
+            ..call_of(id, digest, "/draft/1")
         };
         let daemon = self.fleet.rng.index(self.load.daemons);
         self.fleet.feed_later(daemon, WAY, Event::Arrived(Box::new(call)));
