trace shows all attempts of one request by their digest

A call that crashes endpoints comes under another id each time, to any daemon: its lines could be joined by hand only. trace takes a digest as well as an id, and shows what is known of the digest beside its requests' lines.

--- a/crates/basilbank_cli/src/help.rs
+++ b/crates/basilbank_cli/src/help.rs
@@ -146,15 +146,15 @@
 ";
 
 const TRACE: &str = "\
-usage: basilbank trace REQUEST_ID LOG… [--json]
+usage: basilbank trace REQUEST_ID|DIGEST LOG… [--json]
 
-Shows the lines of a request from the logs of any number of daemons, by time, marked with *. Among
-them stand the lines that explain them: what its daemon noted of the configuration, the store and
-itself from ten seconds before, and what happened to the endpoints that it was sent to. The id is
-the caller's own. A log that is - is read from standard input; what a collector puts before a line's
-time counts as the daemon's name.
+Shows the lines of a request, or of all attempts that share a digest, from the logs of any number of
+daemons, by time, marked with *. Among them stand the lines that explain them: what its daemon noted
+of the configuration, the store and itself from ten seconds before, and what happened to the
+endpoints that it was sent to. The id is the caller's own. A log that is - is read from standard
+input; what a collector puts before a line's time counts as the daemon's name.
 
-exit status: 0 well, 1 no line has the id, 2 wrong use, or a file can't be read
+exit status: 0 well, 1 no line has the id or digest, 2 wrong use, or a file can't be read
 ";
 
 const WATCH: &str = "\
--- a/crates/basilbank_cli/src/trace.rs
+++ b/crates/basilbank_cli/src/trace.rs
@@ -19,8 +19,15 @@
 const BEFORE: Duration = Duration::from_secs(10);
 
 /// Events about an endpoint that say what happened to it.
-const ENDPOINT: [&str; 6] =
-    ["endpoint", "endpoint_gone", "endpoint_dark", "endpoint_back", "order", "ordered"];
+const ENDPOINT: [&str; 7] = [
+    "endpoint",
+    "endpoint_gone",
+    "endpoint_dark",
+    "endpoint_back",
+    "call_limit",
+    "order",
+    "ordered",
+];
 
 /// Events of one daemon that touch all its requests.
 const DAEMON: [&str; 12] = [
@@ -94,7 +101,35 @@
     pairs
 }
 
-/// Shows the lines of a request, and those that explain them.
+/// What is traced: one request, or all attempts that share a digest.
+struct Traced {
+    ids: BTreeSet<String>,
+    digests: BTreeSet<String>,
+}
+
+impl Traced {
+    /// `name` is a request's id or a digest. What is known of a request's digest belongs to it.
+    fn find(lines: &[Line], name: &str) -> Traced {
+        let named = |line: &&Line| {
+            line.value("request") == Some(name)
+                || line.value("request").is_some() && line.value("digest") == Some(name)
+        };
+        let all = |key| {
+            let values = lines.iter().filter(named).filter_map(|line| line.value(key));
+            values.map(str::to_owned).collect()
+        };
+        Traced { ids: all("request"), digests: all("digest") }
+    }
+
+    fn has(&self, line: &Line) -> bool {
+        match line.value("request") {
+            Some(request) => self.ids.contains(request),
+            None => line.value("digest").is_some_and(|digest| self.digests.contains(digest)),
+        }
+    }
+}
+
+/// Shows the lines of a request, or of all attempts of one, and those that explain them.
 pub fn run(
     shell: &mut Shell<'_>,
     options: &Options,
@@ -113,21 +148,22 @@
         };
         lines.extend(text.lines().filter_map(|line| Line::parse(line, file)));
     }
-    let shown = select(lines, request);
+    let traced = Traced::find(&lines, request);
+    let shown = select(lines, &traced);
     if shown.is_empty() {
         return Err(Failure::NotFound(format!("request {request:?} in these logs")));
     }
     match options.format {
         Format::Json => write_json(shell, &shown.iter().map(to_json).collect())?,
-        Format::Table => write_lines(shell, &shown, request)?,
+        Format::Table => write_lines(shell, &shown, &traced)?,
     }
     Ok(Status::Ok)
 }
 
 /// The request's lines and its circumstances, by time: its daemon's own, and what any daemon noted of
 /// the endpoints that it was sent to.
-fn select(lines: Vec<Line>, request: &str) -> Vec<Line> {
-    let is_own = |line: &Line| line.value("request") == Some(request);
+fn select(lines: Vec<Line>, traced: &Traced) -> Vec<Line> {
+    let is_own = |line: &Line| traced.has(line);
     let own: Vec<_> = lines.iter().filter(|line| is_own(line)).collect();
     let (Some(begin), Some(end)) = (own.iter().map(|l| l.at).min(), own.iter().map(|l| l.at).max())
     else {
@@ -151,8 +187,8 @@
     shown
 }
 
-fn write_lines(shell: &mut Shell<'_>, lines: &[Line], request: &str) -> Result<(), Failure> {
-    let first = lines.iter().find(|line| line.value("request") == Some(request));
+fn write_lines(shell: &mut Shell<'_>, lines: &[Line], traced: &Traced) -> Result<(), Failure> {
+    let first = lines.iter().find(|line| traced.has(line));
     let begin = first.map_or(SystemTime::UNIX_EPOCH, |line| line.at);
     let width = lines.iter().map(|line| line.source.len()).max().unwrap_or(0);
     for line in lines {
@@ -160,7 +196,7 @@
             Ok(after) => after.as_secs_f64() * 1000.0,
             Err(before) => -before.duration().as_secs_f64() * 1000.0,
         };
-        let mark = if line.value("request") == Some(request) { '*' } else { ' ' };
+        let mark = if traced.has(line) { '*' } else { ' ' };
         writeln!(shell.out, "{offset:>9.1} ms {mark} {:<width$}  {}", line.source, line.text)?;
     }
     Ok(())
--- a/crates/basilbank_cli/tests/commands/trace.rs
+++ b/crates/basilbank_cli/tests/commands/trace.rs
@@ -64,3 +64,25 @@
     assert_eq!((ran.status, ran.out.as_str()), (status, ""));
     assert!(!ran.err.is_empty());
 }
+
+/// A call that crashed endpoints, at two daemons.
+const DEADLY: &str = "\
+vm-1 2026-02-04T04:05:20.1Z [INFO] event=arrived request=b1 digest=00ab version=7
+vm-1 2026-02-04T04:05:20.2Z [INFO] event=send request=b1 attempt=0 op=decode instance=i-1
+vm-1 2026-02-04T04:05:20.3Z [INFO] event=crashed digest=00ab endpoint=0badf00d ran_ms=90
+vm-1 2026-02-04T04:05:20.3Z [INFO] event=crashed digest=00cd endpoint=0badf00d ran_ms=900
+vm-1 2026-02-04T04:05:20.4Z [INFO] event=arrived request=c1 digest=00cd version=7
+vm-2 2026-02-04T04:05:21.1Z [INFO] event=quarantined digest=00ab why=crashes_3
+vm-2 2026-02-04T04:05:22.1Z [INFO] event=arrived request=b2 digest=00ab version=7
+vm-2 2026-02-04T04:05:22.1Z [INFO] event=ended request=b2 outcome=quarantined took_ms=0
+";
+
+#[test_case("00ab", &["arrived", "send", "crashed", "quarantined", "arrived", "ended"]; "all attempts")]
+#[test_case("b2", &["crashed", "quarantined", "arrived", "ended"]; "one of them, with what is known of its digest")]
+fn attempts_of_one_request_are_found_by_their_digest(name: &str, events: &[&str]) {
+    let ran = command(&["trace", name, "-"], DEADLY, &[]);
+    let event = |line: &str| Some(line.split_once("event=")?.1.split(' ').next()?.to_owned());
+    let own = ran.out.lines().filter(|line| line.contains('*'));
+    assert_eq!(own.filter_map(event).collect::<Vec<_>>(), events, "{}", ran.out);
+    assert!(!ran.out.contains("00cd"), "another request's: {}", ran.out);
+}
