A gauge of how old a Vm's view of the list of endpoints is

Daemons of a large fleet rest on the word of six that watch the store; nothing showed whether that word is fresh but the lines of what went wrong.

--- a/crates/basilbank_forward/src/state/watchers.rs
+++ b/crates/basilbank_forward/src/state/watchers.rs
@@ -58,6 +58,17 @@
         self.watches() && !self.directory.lost
     }
 
+    /// How old this daemon's view of the list of endpoints is: the time since it read the store or, if it
+    /// rests on others, since as many of them as that takes have said that there is nothing new.
+    #[must_use]
+    pub fn view_age(&self, now: Duration) -> Duration {
+        let mut words: Vec<_> = self.peers.known.values().filter(|peer| peer.watching).collect();
+        words.sort_unstable_by_key(|peer| std::cmp::Reverse(peer.heard));
+        let word = words.get(WATCHERS_LEAST - 1).filter(|_| self.rests().follows);
+        let read = self.directory.read_at;
+        now.saturating_sub(word.map_or(read, |peer| peer.heard.max(read)))
+    }
+
     /// Whether this daemon rests on the word of those that watch.
     #[must_use]
     pub fn rests(&self) -> Rest {
--- a/crates/basilbank_forward/tests/forward/watchers.rs
+++ b/crates/basilbank_forward/tests/forward/watchers.rs
@@ -140,3 +140,19 @@
     let told = rig.beats().pop().map(|(_, beat)| beat.endpoints_news);
     assert_eq!(told, Some(Some(StoreRevision { era: 0, number: 50 })));
 }
+
+#[test]
+fn a_view_is_as_old_as_the_word_of_those_it_rests_on() {
+    let watchers = watchers();
+    let (n, mut rig) = follower(|n| watchers.contains(&n));
+    rig.pass_ms(1000);
+    say(&mut rig, n, FLEET, 2, |n| watchers.contains(&n));
+    rig.pass_ms(300);
+    assert_eq!(rig.state.view_age(rig.now()), Duration::from_millis(300));
+    rig.pass_ms(5000);
+    assert!(!rig.state.rests().follows);
+    assert!(
+        Duration::from_millis(6300) <= rig.state.view_age(rig.now()),
+        "it has read nothing since"
+    );
+}
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms of forwarded calls.
 
-use std::sync::atomic::AtomicU64;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use basilbank_forward::{event::Life, prelude::*};
 use prometheus_client::{
@@ -35,6 +35,7 @@
     attempts: Histogram,
     requests: Histogram,
     ready: Gauge<i64, std::sync::atomic::AtomicI64>,
+    view: Gauge<f64, AtomicU64>,
     store: Family<Reason, Counter<u64, AtomicU64>>,
     asked: Family<Asked, Counter>,
     probes: Family<Reason, Counter>,
@@ -55,6 +56,7 @@
             attempts: Histogram::new(BOUNDS),
             requests: Histogram::new(BOUNDS),
             ready: Gauge::default(),
+            view: Gauge::default(),
             store: Family::default(),
             asked: Family::default(),
             probes: Family::default(),
@@ -71,6 +73,8 @@
         registry.register("attempt_seconds", "Time of one attempt", metrics.attempts.clone());
         registry.register("request_seconds", "Time of one call", metrics.requests.clone());
         registry.register("ready", "1 while calls are taken", metrics.ready.clone());
+        let view = metrics.view.clone();
+        registry.register("view_age_seconds", "Age of the view of the list of endpoints", view);
         registry.register("store_calls", "Calls to the platform's store", metrics.store.clone());
         let asked = metrics.asked.clone();
         registry.register(
@@ -135,6 +139,11 @@
         self.ready.set(ready);
     }
 
+    /// How old the view of the list of endpoints is.
+    pub fn set_view_age(&self, age: Duration) {
+        self.view.set(age.as_secs_f64());
+    }
+
     /// Counts what a line of the log tells.
     pub fn measured(&self, measure: Measure) {
         match measure {
--- a/crates/basilbank_gateway/src/side.rs
+++ b/crates/basilbank_gateway/src/side.rs
@@ -49,7 +49,10 @@
 
 fn answer(router: &Router, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match request.uri().path() {
-        "/metrics" => (StatusCode::OK, router.metrics.text()),
+        "/metrics" => {
+            router.metrics.set_view_age(router.read(|state| state.view_age(router.now())));
+            (StatusCode::OK, router.metrics.text())
+        }
         "/ready" => {
             let ready = router.read(basilbank_forward::State::ready);
             router.metrics.set_ready(i64::from(ready));
