--- /dev/null
+++ b/crates/basilbank_forward/benches/fleet/main.rs
@@ -0,0 +1,79 @@
+//! Fleets before endpoints that a prompt crashes, and before such that take so many calls a second only, in
+//! virtual time: `name=value` lines.
+#![allow(clippy::print_stdout, reason = "a bench speaks to its terminal")]
+
+#[path = "../../tests/forward/fleet/mod.rs"]
+mod fleet;
+#[path = "../../tests/forward/rig.rs"]
+#[allow(dead_code, reason = "tests use more of it")]
+mod rig;
+
+use std::time::Duration;
+
+use fleet::{deadly, limited};
+
+/// Daemons, decode endpoints, other drafts a second, plays.
+const DEADLY: [(usize, usize, f64, u64); 4] =
+    [(8, 12, 24.0, 20), (78, 15, 30.0, 5), (195, 50, 60.0, 2), (320, 60, 100.0, 1)];
+
+/// Daemons, calls a second, plays.
+const LIMITED: [(usize, f64, u64); 4] =
+    [(8, 66.0, 20), (78, 240.0, 5), (195, 190.0, 2), (320, 400.0, 1)];
+
+/// What the endpoints of a service take.
+const LIMITS: [(&str, [Option<f64>; 4]); 2] = [
+    ("some", [Some(4.1), Some(2.8), None, None]),
+    ("all", [Some(5.4), Some(4.1), Some(9.0), Some(6.0)]),
+];
+
+/// Datagrams that are lost, as a part of all, and whether daemons are restarted and cut off.
+const TROUBLES: [(&str, f64, bool); 2] = [("calm", 0.001, false), ("trouble", 0.1, true)];
+
+const TIME: Duration = Duration::from_secs(20);
+
+fn main() {
+    for (trouble, loss, restarts) in TROUBLES {
+        for (daemons, decode, drafts, seeds) in DEADLY {
+            let load = deadly::Load {
+                drafts,
+                loss,
+                trouble: restarts,
+                lasts: TIME,
+                ..deadly::Load::new(daemons, decode)
+            };
+            let all: Vec<_> = (1..=seeds).map(|seed| deadly::Play::run(load, 100 + seed)).collect();
+            let late = all.iter().map(|got| got.late(deadly::contact(daemons))).max();
+            let ends = all.iter().map(|got| got.ends.len()).max();
+            let blamed: usize = all.iter().map(|got| got.blamed).sum();
+            let heard = all.iter().map(|got| got.heard).fold(0.0, f64::max);
+            let name = format!("deadly_{trouble}_{daemons}");
+            println!(
+                "{name}_retries_late={} {name}_crashes={}",
+                late.unwrap_or(0),
+                ends.unwrap_or(0)
+            );
+            println!("{name}_others_refused={blamed} {name}_heard_bytes_per_s={heard:.0}");
+        }
+        for (daemons, calls, seeds) in LIMITED {
+            for (which, limits) in LIMITS {
+                let load = limited::Load {
+                    calls,
+                    loss,
+                    trouble: restarts,
+                    lasts: TIME,
+                    ..limited::Load::new(daemons, &limits)
+                };
+                let all: Vec<_> =
+                    (1..=seeds).map(|seed| limited::Play::run(load.clone(), 100 + seed)).collect();
+                let counted = (TIME - limited::NAMES - limited::contact(daemons)).as_secs_f64();
+                let taken = limits.iter().flatten().sum::<f64>() * counted * seeds as f64;
+                let got: usize = all.iter().flat_map(|got| &got.each).sum();
+                let worst = all.iter().map(|got| got.worst).fold(0.0, f64::max);
+                let heard = all.iter().map(|got| got.heard).fold(0.0, f64::max);
+                let name = format!("limits_{trouble}_{daemons}_{which}");
+                println!("{name}_worst={worst:.2} {name}_used={:.2}", got as f64 / taken);
+                println!("{name}_heard_bytes_per_s={heard:.0}");
+            }
+        }
+    }
+}
--- a/crates/basilbank_forward/tests/forward/fleet.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Daemons that talk to each other, in virtual time.
 
+pub mod deadly;
+pub mod limited;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
