Permits are given to known peers only, and nobody stands in line for longer than 5 s

The line was as long as datagrams came from addresses, and a question could ask to stand in it for weeks: memory was bounded by nobody. Found by reading; the test gave a thousand unknown addresses answers before.

--- a/crates/basilbank_forward/src/reduce/limit.rs
+++ b/crates/basilbank_forward/src/reduce/limit.rs
@@ -21,6 +21,9 @@
 /// How long a permit may take that no call waits for yet.
 const LOOK_AHEAD: Duration = Duration::from_millis(300);
 
+/// Longest time for which a daemon stands in line: callers of drafts leave after it.
+const MOST_WAIT: Duration = Duration::from_secs(5);
+
 /// Calls that a permit for a decode endpoint stands for: one holds the slot, one takes it.
 const DRAFT_CALLS: f64 = 2.0;
 
@@ -56,13 +59,17 @@
     told.collect()
 }
 
-/// A peer's words about permits.
+/// A peer's words about permits. Who isn't known for a peer isn't heard: the line is as long as there are
+/// peers, and no longer.
 pub fn heard_permits(turn: &mut Turn<'_>, from: SocketAddr, permits: &[Permit]) {
+    if !turn.state.peers.known.contains_key(&from) {
+        return;
+    }
     for permit in permits {
         let Some(key) = turn.state.directory.by_hash(permit.endpoint) else { continue };
         let wait = Duration::from_millis(u64::from(permit.wait));
         match permit.word() {
-            PermitWord::Ask => asked(turn, key, Asker::Peer(from), wait),
+            PermitWord::Ask => asked(turn, key, Asker::Peer(from), wait.min(MOST_WAIT)),
             PermitWord::Wait => takes(turn, key, wait),
             PermitWord::Grant => granted(turn, key),
             PermitWord::Unspecified => {}
--- a/crates/basilbank_forward/tests/forward/call_limits.rs
+++ b/crates/basilbank_forward/tests/forward/call_limits.rs
@@ -1,13 +1,14 @@
 //! Endpoints that take so many calls a second from all daemons together.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use basilbank_forward::prelude::*;
+use basilbank_wire::{LoadBeat, Permit, PermitWord};
 use test_case::test_case;
 
 use crate::{
     fleet::limited::{Load, NAMES, Play, contact},
-    rig::{Rig, held, model, prefilled, prompt},
+    rig::{Rig, held, model, numbered, plain, prefilled, prompt},
 };
 
 /// An even share of such a limit is a call in two seconds at eight daemons, and one in a minute at 195.
@@ -95,3 +96,20 @@
         assert!(rate / 3.0 < got && got <= rate, "{name}: {calls:?}");
     }
 }
+
+#[test]
+fn questions_of_unknown_addresses_take_no_permits() {
+    let mut rig = numbered(1);
+    rig.list(vec![plain("e1", 1)]);
+    let endpoint = rig.state.directory.find("e1").expect("listed");
+    let hash = rig.state.directory.hash(endpoint).expect("listed");
+    rig.feed(Event::CallLimit { endpoint, rate: Some(4.0) });
+    let ask = Permit { endpoint: hash, word: PermitWord::Ask.into(), wait: u32::MAX };
+    for n in 1..1000_u16 {
+        let from = SocketAddr::from(([10, 9, 0, 1], n));
+        rig.feed(Event::beat(from, LoadBeat { permits: vec![ask], ..LoadBeat::default() }));
+    }
+    rig.pass_ms(3000);
+    let permits: usize = rig.beats().iter().map(|(_, beat)| beat.permits.len()).sum();
+    assert_eq!(permits, 0);
+}
