--- a/crates/basilbank_forward/benches/fleet/main.rs
+++ b/crates/basilbank_forward/benches/fleet/main.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use fleet::{deadly, limited};
+use fleet::{contact, deadly, limited};
 
 /// Daemons, decode endpoints, other drafts a second, plays.
 const DEADLY: [(usize, usize, f64, u64); 4] =
@@ -42,7 +42,7 @@
                 ..deadly::Load::new(daemons, decode)
             };
             let all: Vec<_> = (1..=seeds).map(|seed| deadly::Play::run(load, 100 + seed)).collect();
-            let late = all.iter().map(|got| got.late(deadly::contact(daemons))).max();
+            let late = all.iter().map(|got| got.late(contact(daemons))).max();
             let ends = all.iter().map(|got| got.ends.len()).max();
             let blamed: usize = all.iter().map(|got| got.blamed).sum();
             let heard = all.iter().map(|got| got.heard).fold(0.0, f64::max);
@@ -65,7 +65,7 @@
                 };
                 let all: Vec<_> =
                     (1..=seeds).map(|seed| limited::Play::run(load.clone(), 100 + seed)).collect();
-                let counted = (TIME - limited::NAMES - limited::contact(daemons)).as_secs_f64();
+                let counted = (TIME - limited::NAMES - contact(daemons)).as_secs_f64();
                 let taken = limits.iter().flatten().sum::<f64>() * counted * seeds as f64;
                 let got: usize = all.iter().flat_map(|got| &got.each).sum();
                 let worst = all.iter().map(|got| got.worst).fold(0.0, f64::max);
--- a/crates/basilbank_forward/tests/forward/call_limits.rs
+++ b/crates/basilbank_forward/tests/forward/call_limits.rs
@@ -7,7 +7,10 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::limited::{Load, NAMES, Play, contact},
+    fleet::{
+        contact,
+        limited::{Load, NAMES, Play},
+    },
     rig::{Rig, held, model, numbered, plain, prefilled, prompt},
 };
 
--- a/crates/basilbank_forward/tests/forward/fleet/deadly.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/deadly.rs
@@ -7,7 +7,7 @@
 
 use basilbank_forward::{event::Life, prelude::*};
 
-use super::{Fleet, Step, WAY, call_of};
+use super::{Fleet, Step, WAY, call_of, contact};
 use crate::rig::{model, prompt, table_with_memory};
 
 /// What the prompt that ends endpoints has for its digest.
@@ -26,11 +26,6 @@
 const READ: Duration = Duration::from_millis(150);
 const FIRST: Duration = Duration::from_millis(15);
 
-/// The time in which all daemons shall have heard.
-pub fn contact(daemons: usize) -> Duration {
-    Duration::from_secs(if daemons < 60 { 3 } else { 5 })
-}
-
 /// A load.
 #[derive(Clone, Copy)]
 pub struct Load {
@@ -178,14 +173,9 @@
     /// A daemon restarts, another one is cut off for two seconds.
     fn trouble(&mut self) {
         self.fleet.mark(Duration::from_millis(1500), TROUBLE);
-        let count = self.fleet.len();
-        let (restarts, cut) = (self.fleet.rng.index(count), self.fleet.rng.index(count));
-        for daemon in 0..count {
-            self.fleet.cut(daemon, daemon == cut);
-        }
-        self.fleet.restart(restarts);
+        let [restarts, cut] = self.fleet.trouble();
         // A daemon is in touch again so long after its trouble.
-        let until = self.fleet.now() + Duration::from_millis(1500) + contact(count);
+        let until = self.fleet.now() + Duration::from_millis(1500) + contact(self.load.daemons);
         self.out.insert(restarts, until);
         self.out.insert(cut, until);
     }
--- a/crates/basilbank_forward/tests/forward/fleet/limited.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/limited.rs
@@ -7,7 +7,7 @@
 
 use basilbank_forward::prelude::*;
 
-use super::{Fleet, Step, WAY, call_of};
+use super::{Fleet, Step, WAY, call_of, contact};
 use crate::rig::{plain, table};
 
 /// The window in which an endpoint's calls are counted.
@@ -25,10 +25,6 @@
 /// Calls in a window beyond one and a half times the limit that are borne.
 const SLACK: f64 = 5.0;
 
-pub fn contact(daemons: usize) -> Duration {
-    Duration::from_secs(if daemons < 60 { 3 } else { 5 })
-}
-
 /// A load.
 #[derive(Clone)]
 pub struct Load {
@@ -135,13 +131,8 @@
     /// A daemon restarts, another one is cut off for a second and a half.
     fn trouble(&mut self) {
         self.fleet.mark(Duration::from_millis(1500), TROUBLE);
-        let count = self.fleet.len();
-        let (restarts, cut) = (self.fleet.rng.index(count), self.fleet.rng.index(count));
-        for daemon in 0..count {
-            self.fleet.cut(daemon, daemon == cut);
-        }
-        self.fleet.restart(restarts);
-        let until = self.fleet.now() + Duration::from_millis(1500) + contact(count);
+        let [restarts, cut] = self.fleet.trouble();
+        let until = self.fleet.now() + Duration::from_millis(1500) + contact(self.load.daemons);
         self.out.extend([(restarts, until), (cut, until)]);
         self.told.retain(|(daemon, _), _| *daemon != restarts);
     }
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -112,17 +112,27 @@
     }
 
     /// Its process is killed, and starts again.
-    pub fn restart(&mut self, daemon: usize) {
+    fn restart(&mut self, daemon: usize) {
         self.daemons[daemon].runs = false;
         self.daemons[daemon].life += 1;
         self.push(self.now + Duration::from_millis(RESTART), Due::Start { daemon });
     }
 
     /// Its datagrams are lost, both ways.
-    pub fn cut(&mut self, daemon: usize, cut: bool) {
+    fn cut(&mut self, daemon: usize, cut: bool) {
         self.daemons[daemon].cut = cut;
     }
 
+    /// One daemon restarts, and another one is cut off in place of the one before; which they are.
+    pub fn trouble(&mut self) -> [usize; 2] {
+        let (restarts, cut) = (self.rng.index(self.len()), self.rng.index(self.len()));
+        for daemon in 0..self.len() {
+            self.cut(daemon, daemon == cut);
+        }
+        self.restart(restarts);
+        [restarts, cut]
+    }
+
     /// All read the list.
     pub fn list(&mut self, listed: &[EndpointInfo], gone: &[String]) {
         self.revision += 1;
@@ -250,6 +260,11 @@
     }
 }
 
+/// The time in which all daemons shall have heard of something.
+pub fn contact(daemons: usize) -> Duration {
+    Duration::from_secs(if daemons < 60 { 3 } else { 5 })
+}
+
 /// A plain call whose caller waits for a second.
 pub fn call_of(id: RequestId, digest: Digest, path: &str) -> Call {
     Call {
--- a/crates/basilbank_forward/tests/forward/quarantine.rs
+++ b/crates/basilbank_forward/tests/forward/quarantine.rs
@@ -7,7 +7,10 @@
 use test_case::test_case;
 
 use crate::{
-    fleet::deadly::{DEADLY, Load, Play, contact},
+    fleet::{
+        contact,
+        deadly::{DEADLY, Load, Play},
+    },
     rig::{Rig, numbered, plain},
 };
 
