--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -2,6 +2,10 @@
 
 use std::{fmt, time::Duration};
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::team::{Credential, TeamId};
+
 /// The shell's number for a call in progress; never used again within a process.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub struct RequestId(pub u64);
@@ -12,11 +16,18 @@
     }
 }
 
-/// Names what a call asks for: calls with the same digest have the same method, host, path, credentials
-/// and body. A caller that sends a call again gives each attempt another id, but not another digest.
+/// Names what a call asks for: calls with the same digest have the same method, host, path, team and body. A caller that sends a call again gives each attempt another id, but not another digest.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Debug)]
 pub struct Digest(pub u64);
 
+impl Digest {
+    /// The digest of the same call by a team: another team's call is another one.
+    #[must_use]
+    pub fn by(self, team: TeamId) -> Digest {
+        Digest(xxh3_64_with_seed(&team.0.to_le_bytes(), self.0))
+    }
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
@@ -36,6 +47,8 @@
     pub host: String,
     /// The path, without the query.
     pub path: String,
+    /// What the caller shows to be let in.
+    pub credential: Credential,
     /// How long the caller waits; `None` when it doesn't say.
     pub patience: Option<Duration>,
     /// The prompt's sizes, for calls to model endpoints.
--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -1,6 +1,6 @@
 //! All that the decisions ask of the shell.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use basilbank_wire::LoadBeat;
 
@@ -109,6 +109,8 @@
     pub target: Target,
     /// What to do.
     pub op: Op,
+    /// The team that calls, for the endpoint.
+    pub team: Option<Arc<str>>,
     /// How long the caller still waits: the endpoint stops its work then.
     pub remaining: Duration,
     /// How long to wait for an answer, or for a stream's first bytes, before the endpoint is asked
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -37,6 +37,11 @@
         /// It, unless it has not changed.
         table: Option<Arc<RouteTable>>,
     },
+    /// The store has answered a question about the configuration: the one in force was the newest then.
+    Confirmed {
+        /// When the question went out.
+        asked: Duration,
+    },
     /// The whole list of endpoints was read.
     Endpoints {
         /// Where.
--- a/crates/basilbank_forward/src/lib.rs
+++ b/crates/basilbank_forward/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod reason;
 pub mod route;
 pub mod state;
+pub mod team;
 pub mod topic;
 pub mod tuning;
 
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -13,6 +13,7 @@
     reduce::reduce,
     route::{Kind, Route, RouteTable, Service},
     state::{Local, OrderRight, Share, Start, State},
+    team::{Credential, KeyHash, Quota, QuotaUnit, Team, TeamId, Teams},
     topic::{PerTopic, Revision, Revisions, Topic},
     tuning::Tuning,
 };
--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -87,10 +87,12 @@
 pub struct ReadId(pub u64);
 
 /// What a reader has to know besides.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Around {
     /// How long a watch of the list that goes out now lets the store wait for a change.
     pub wait: Duration,
+    /// The longest that a watch may let the store wait, whoever else watches.
+    pub most: Duration,
     /// Daemons that are heard.
     pub peers: usize,
     /// Others watch the topic as well, and tell what they see.
@@ -103,6 +105,21 @@
     pub doubts: u32,
 }
 
+impl Default for Around {
+    /// Nobody is heard, and nothing bounds a watch.
+    fn default() -> Around {
+        Around {
+            wait: Duration::ZERO,
+            most: Duration::MAX,
+            peers: 0,
+            shared: false,
+            news: Revision::NONE,
+            follows: false,
+            doubts: 0,
+        }
+    }
+}
+
 /// Something has happened to a topic's questions.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum ReadEvent {
--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -294,7 +294,8 @@
     /// How long a watch lets the store wait.
     fn watch(&self, now: Duration, around: Around) -> Duration {
         let longer = self.topic == Topic::Routes && around.shared && self.wary <= now;
-        if longer { around.wait.saturating_mul(ROUTES_WAIT) } else { around.wait }
+        let wait = if longer { around.wait.saturating_mul(ROUTES_WAIT) } else { around.wait };
+        wait.min(around.most)
     }
 
     fn came(
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -13,6 +13,14 @@
         Outdated = "outdated",
         /// No route matches.
         UnknownRoute = "unknown_route",
+        /// The caller has no key, or more than one.
+        NoKey = "no_key",
+        /// No team has the caller's key.
+        UnknownKey = "unknown_key",
+        /// The configuration in force may not be the newest: the key may have been taken away.
+        KeysUnproved = "keys_unproved",
+        /// The team has used its quota up.
+        OverQuota = "over_quota",
         /// No endpoint of the service takes work.
         NoEndpoint = "no_endpoint",
         /// Every endpoint that was asked is full.
@@ -40,6 +48,12 @@
     pub fn not_run(self) -> bool {
         !matches!(self, Refusal::TimedOut | Refusal::Broken)
     }
+
+    /// Another try would end like this one.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Refusal::NoKey | Refusal::UnknownKey)
+    }
 }
 
 reasons!(
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -12,20 +12,23 @@
 mod endpoints;
 mod entries;
 mod finish;
+mod freshness;
 mod limit;
 mod next;
 mod outcome;
 mod pick;
 mod plain;
 mod queue;
+mod quota;
 mod roles;
 mod step;
 mod suspect;
 mod tell;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use basilbank_core::time::Now;
+use basilbank_wire::LoadBeat;
 
 use crate::{
     call::RequestId,
@@ -49,6 +52,7 @@
             outcome::came(&mut turn, request, attempt, outcome);
         }
         Event::Routes { read, table } => endpoints::routes(&mut turn, read, table),
+        Event::Confirmed { asked } => freshness::confirmed(&mut turn, asked),
         Event::Endpoints { read, list } => endpoints::replace(&mut turn, read, list),
         Event::Changed { read, listed, gone } => {
             endpoints::change(&mut turn, read, listed, &gone);
@@ -76,6 +80,8 @@
     suspect::tick(&mut turn);
     crash::tick(&mut turn);
     limit::tick(&mut turn);
+    freshness::tick(&mut turn);
+    quota::tick(&mut turn);
     beat::tick(&mut turn);
     roles::tick(&mut turn);
 }
@@ -112,6 +118,13 @@
         self.effects.push(effect);
     }
 
+    /// Says something to one peer, beside what all are told.
+    fn say(&mut self, to: SocketAddr, words: LoadBeat) {
+        let incarnation = self.state.peers.incarnation;
+        let beat = Box::new(LoadBeat { incarnation, ..words });
+        self.push(Effect::SendBeat { to: vec![to], beat });
+    }
+
     fn note(&mut self, note: Note) {
         self.effects.push(Effect::Note(note));
     }
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -7,7 +7,7 @@
 
 use basilbank_wire::{LoadBeat, ServicePace, Shunned, StoreRevision, WaitingDraft};
 
-use super::{Turn, crash, limit, tell};
+use super::{Turn, crash, freshness, limit, quota, tell};
 use crate::{
     note::Note,
     state::{
@@ -27,10 +27,13 @@
 /// Longest time for which a peer's word keeps an endpoint unused.
 const SHUNNED_MOST: Duration = Duration::from_secs(10);
 
+/// Why a peer is forgotten that has said so itself.
+const LEAVING: &str = "leaving";
+
 /// Takes a peer's datagram in.
 pub fn heard(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
     if beat.sequence == 0 {
-        return limit::heard_permits(turn, from, &beat.permits);
+        return words(turn, from, beat);
     }
     let now = turn.now;
     let peers = &mut turn.state.peers;
@@ -54,7 +57,7 @@
     // Its streams go on for as long as it may take to leave: to drop them at once would give away
     // memory that they have.
     if beat.leaving && beat.endpoints.is_empty() {
-        return forget(turn, from, "leaving");
+        return forget(turn, from, LEAVING);
     }
     let loads = resolve(turn, beat);
     for load in &loads {
@@ -89,9 +92,11 @@
         leaving: beat.leaving,
         paces,
     };
+    let is_older = turn.state.started_before(beat.incarnation);
     let peers = &mut turn.state.peers;
     peers.known.insert(from, peer);
     peers.peak = peers.peak.max(peers.known.len());
+    peers.met(beat.fleet, is_older);
     if fresh {
         turn.note(Note::new("peer").with("addr", from).with("state", "up"));
     }
@@ -101,6 +106,14 @@
     turn.state.room = true;
 }
 
+/// What a peer asks or answers, beside what it tells all. Who isn't known for a peer isn't heard.
+fn words(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
+    limit::heard_permits(turn, from, &beat.permits);
+    freshness::heard(turn, from, &beat.ages);
+    quota::heard_uses(turn, from, beat);
+    quota::heard_states(turn, from, &beat.quota_states);
+}
+
 /// A peer has seen a change. Without the exception a revision that doesn't exist would be heard again
 /// and again: this daemon would ask the store for it all the time, and deny no route any more.
 fn hear_news(turn: &mut Turn<'_>, topic: Topic, told: Option<StoreRevision>) {
@@ -212,6 +225,7 @@
 
 fn forget(turn: &mut Turn<'_>, from: SocketAddr, why: &str) {
     if turn.state.peers.known.remove(&from).is_some() {
+        turn.state.peers.fleet -= usize::from(why == LEAVING);
         turn.note(Note::new("peer").with("addr", from).with("state", why));
     }
 }
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Turn, end as release, end_hold};
+use super::{Turn, end as release, end_hold, quota};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -10,7 +10,7 @@
     reason::Refusal,
     state::{
         Request, State,
-        requests::{Hold, Live},
+        requests::{Hold, Live, QuotaStage},
     },
 };
 
@@ -97,6 +97,10 @@
         turn.push(Effect::Stop { request: id, attempt: live.number });
         release(turn.state, live.endpoint, live.share);
     }
+    let ran = request.may_have_run() || matches!(outcome, "delivered" | "finished");
+    if let (QuotaStage::Taken { amount }, Some(team), false) = (request.quota, &request.team, ran) {
+        quota::give_back(turn, team.id, amount);
+    }
     give_back(turn, request);
     turn.state.room = true;
 }
@@ -122,6 +126,7 @@
                 let lacking = self.lacking(&request.service, now);
                 Some(self.permits.opens(&lacking).saturating_sub(now))
             }
+            (_, Some(request)) => request.come_back,
             _ => None,
         };
         let usual = self.tuning.come_back.mul_f64(0.75 + 0.5 * self.rng.unit());
--- a/crates/basilbank_forward/src/reduce/limit.rs
+++ b/crates/basilbank_forward/src/reduce/limit.rs
@@ -7,15 +7,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use basilbank_wire::{CallLimitSeen, LoadBeat, Permit, PermitWord};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{Turn, step};
 use crate::{
     call::RequestId,
-    effect::Effect,
     endpoint::{EndpointKey, Stage},
     note::{Measure, Note},
-    state::{State, grants::Asker, peers::to_wire},
+    state::{State, grants::Asker},
 };
 
 /// How long a permit may take that no call waits for yet.
@@ -201,27 +199,13 @@
     let Some(endpoint) = turn.state.directory.hash(key) else { return };
     let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
     let permit = Permit { endpoint, word: word.into(), wait };
-    let incarnation = turn.state.peers.incarnation;
-    let beat = LoadBeat { incarnation, permits: vec![permit], ..LoadBeat::default() };
-    turn.push(Effect::SendBeat { to: vec![to], beat: Box::new(beat) });
+    turn.say(to, LoadBeat { permits: vec![permit], ..LoadBeat::default() });
 }
 
 impl State {
     /// The peer that gives out permits for an endpoint; `None` when this daemon does.
-    ///
-    /// It is the one with the highest hash of all that are heard, so nobody has to be asked, and a daemon that
-    /// comes or goes changes it for few endpoints.
     fn permit_giver(&self, key: EndpointKey) -> Option<SocketAddr> {
-        let endpoint = u64::from(self.directory.hash(key)?);
-        let weight = |address: &SocketAddr| {
-            let peer = to_wire(address)?;
-            let name = [peer.ip.to_be_bytes(), peer.port.to_be_bytes()].concat();
-            Some((xxh3_64_with_seed(&name, endpoint), *address))
-        };
-        let staying = self.peers.known.iter().filter(|(_, peer)| !peer.leaving);
-        let first = staying.filter_map(|(address, _)| weight(address)).max()?;
-        let own = self.peers.own.as_ref().and_then(weight).filter(|_| self.leaving.is_none());
-        (own < Some(first)).then_some(first.1)
+        self.elected(u64::from(self.directory.hash(key)?), |_| true)
     }
 
     /// The endpoints of a service for which a permit is needed, and isn't there.
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -1,11 +1,11 @@
 //! Drives a call: asks what comes next, and carries it out.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::{
     Turn, begin, crash, draft, end, finish, limit,
     next::{Next, Send},
-    plain,
+    plain, quota,
 };
 use crate::{
     call::RequestId,
@@ -14,7 +14,7 @@
     reason::Refusal,
     state::{
         Request, State,
-        requests::{Live, Step},
+        requests::{Live, QuotaStage, Step},
     },
 };
 
@@ -27,6 +27,9 @@
 
 /// Takes the next step, once there is no attempt that must be waited for.
 pub fn go_on(turn: &mut Turn<'_>, id: RequestId) {
+    if !quota::passes(turn, id) {
+        return;
+    }
     finish::drop_hold_at_leaving(turn, id);
     if crash::is_quarantined(turn, id) {
         return finish::give_up(turn, id, Refusal::Quarantined);
@@ -122,7 +125,8 @@
     if turn.state.waiting.contains(&id) && request.patience() <= turn.now + lead {
         return finish::give_up(turn, id, Refusal::WaitedOut);
     }
-    if turn.state.permits.waiting.contains(&id) {
+    let asks = matches!(request.quota, QuotaStage::Asked { .. });
+    if asks || turn.state.permits.waiting.contains(&id) {
         return go_on(turn, id);
     }
     if request.resume_at.is_some_and(|at| at <= turn.now) {
@@ -183,7 +187,8 @@
         .with("tokens_there", tokens)
         .with_ms("list_ms", list_age);
     let limit = send.limit.min(remaining);
-    let attempt = Attempt { number, target, op: send.op, remaining, limit, stall };
+    let team = request.team.as_ref().map(|team| Arc::clone(&team.name));
+    let attempt = Attempt { number, target, op: send.op, team, remaining, limit, stall };
     // The permit for the slot stands for the call that takes it, too.
     if send.step != Step::Decode {
         turn.state.permits.take(send.endpoint);
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -47,6 +47,12 @@
 /// The longest heartbeat.
 const HEARTBEAT_MOST: Duration = Duration::from_secs(3);
 
+/// Heartbeats without which a peer may be cut off: one of them may have been lost.
+const HEARTBEATS: f64 = 2.0;
+
+/// How late the last of them may be.
+const LATE: Duration = Duration::from_millis(200);
+
 /// Time between two tries.
 const PROBE: Duration = Duration::from_millis(100);
 
@@ -185,6 +191,7 @@
     peers.sequence += 1;
     let count = peers.known.len();
     let skip = if count == 0 { 0 } else { state.rng.index(count) };
+    let fleet = u32::try_from(peers.fleet).unwrap_or(u32::MAX);
     let named = peers.known.keys().cycle().skip(skip).take(scope.named(count));
     let beat = LoadBeat {
         incarnation: peers.incarnation,
@@ -195,6 +202,7 @@
         endpoints_news: peers.news(Topic::Endpoints, &state.news, whole),
         routes_news: peers.news(Topic::Routes, &state.news, whole),
         version: if whole { state.routes.version } else { 0 },
+        fleet: if whole { fleet } else { 0 },
         watching,
         paces,
         waiting,
@@ -253,6 +261,13 @@
         time.clamp(HEARTBEAT, HEARTBEAT_MOST)
     }
 
+    /// Peers from which something came so lately that they are not cut off.
+    #[must_use]
+    pub fn heard(&self, now: Duration) -> usize {
+        let lately = self.heartbeat().mul_f64(HEARTBEATS) + LATE;
+        self.known.values().filter(|peer| now < peer.heard + lately).count()
+    }
+
     /// The same of this daemon: others rest on the word of one that watches the store.
     fn own_heartbeat(&self) -> Duration {
         if self.watching { HEARTBEAT } else { self.heartbeat() }
--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use crate::team::Teams;
+
 /// What may be repeated.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Kind {
@@ -34,6 +36,8 @@
     pub attempts: u32,
     /// A stream may go on at another endpoint.
     pub resumable: bool,
+    /// Its callers need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -116,6 +120,8 @@
     pub services: HashMap<String, Service>,
     /// What callers may send.
     pub bounds: Bounds,
+    /// The teams; none where callers need no keys.
+    pub teams: Option<Teams>,
     routes: Vec<Route>,
     hosts: HashMap<String, Vec<usize>>,
 }
@@ -149,6 +155,13 @@
         self
     }
 
+    /// With teams: callers need keys.
+    #[must_use]
+    pub fn with_teams(mut self, teams: Teams) -> RouteTable {
+        self.teams = Some(teams);
+        self
+    }
+
     /// With what callers may send.
     #[must_use]
     pub fn with_bounds(mut self, bounds: Bounds) -> RouteTable {
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -2,10 +2,13 @@
 
 pub mod budget;
 pub mod call_limits;
+pub mod counters;
 pub mod crashes;
 pub mod directory;
+pub mod elect;
 pub mod endpoint;
 pub mod entries;
+pub mod freshness;
 pub mod grants;
 pub mod line;
 pub mod local;
@@ -13,6 +16,7 @@
 pub mod peers;
 pub mod permits;
 pub mod quarantine;
+pub mod quotas;
 pub mod requests;
 pub mod roles;
 pub mod share;
@@ -30,10 +34,12 @@
 pub use self::{
     budget::Budget,
     call_limits::CallLimits,
+    counters::Counters,
     crashes::Crashes,
     directory::Directory,
     endpoint::Endpoint,
     entries::Entries,
+    freshness::Freshness,
     grants::Grants,
     line::{Line, Place},
     local::{Leaving, Local, Start},
@@ -41,6 +47,7 @@
     peers::{MANY_PEERS, Peer, Peers},
     permits::Permits,
     quarantine::Quarantine,
+    quotas::Quotas,
     requests::{Draft, Live, Request},
     roles::{OrderRight, Roles},
     share::{Growth, Share},
@@ -101,6 +108,12 @@
     pub grants: Grants,
     /// Endpoints that crashed, and what ran there.
     pub crashes: Crashes,
+    /// How new the configuration in force is for certain.
+    pub freshness: Freshness,
+    /// What this daemon's callers have taken of the teams' quotas.
+    pub quotas: Quotas,
+    /// Quotas that this daemon counts for all.
+    pub counters: Counters,
     /// Calls that are not sent to endpoints.
     pub quarantine: Quarantine,
     /// How fast drafts of a service are generated, by this daemon's own.
@@ -141,6 +154,7 @@
             incarnation: local.incarnation,
             seeds: local.seeds.clone(),
             own: local.address,
+            fleet: 1,
             ..Peers::default()
         };
         State {
@@ -158,6 +172,9 @@
             grants: Grants::default(),
             crashes: Crashes::default(),
             quarantine: Quarantine::default(),
+            freshness: Freshness::default(),
+            quotas: Quotas::default(),
+            counters: Counters::default(),
             paces: HashMap::new(),
             waiting: Vec::new(),
             line: Line::default(),
@@ -190,10 +207,27 @@
     /// callers whose streams were cut come back all at once.
     #[must_use]
     pub fn is_blind(&self, now: Duration) -> bool {
+        let old = |peer: &Peer| self.started_before(peer.incarnation);
+        self.is_young(now) && !self.peers.known.values().any(old)
+    }
+
+    /// This daemon has just started again.
+    fn is_young(&self, now: Duration) -> bool {
         let young = self.started.is_some_and(|at| now < at + self.tuning.blind);
-        let own = self.local.incarnation;
-        let old = |peer: &Peer| peer.incarnation + STARTED_BEFORE < own;
-        young && self.local.start == Start::Again && !self.peers.known.values().any(old)
+        young && self.local.start == Start::Again
+    }
+
+    /// A peer with this incarnation has run for some time when this daemon started.
+    #[must_use]
+    pub fn started_before(&self, incarnation: u64) -> bool {
+        incarnation + STARTED_BEFORE < self.local.incarnation
+    }
+
+    /// Daemons that there may be. Right after a start that all may have made together nobody knows.
+    #[must_use]
+    pub fn fleet(&self, now: Duration) -> usize {
+        let unknown = self.is_young(now) && !self.peers.fleet_told;
+        if unknown { self.peers.fleet.max(LARGE_FLEET) } else { self.peers.fleet }
     }
 
     /// How drafts of a service grow, by what all daemons have measured.
@@ -224,10 +258,12 @@
         self.peers.known.values().filter(|peer| first(peer)).count()
     }
 
-    /// Calls can be served: configuration and endpoints are known, and the daemon stays.
+    /// Calls can be served: configuration and endpoints are known, no key may have been taken away, and the
+    /// daemon stays.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.knows() && self.leaving.is_none()
+        let trusted = !self.needs_proof() || self.trusts_keys(self.peers.now);
+        self.knows() && self.leaving.is_none() && trusted
     }
 
     /// Configuration and endpoints are known.
@@ -258,7 +294,11 @@
         let Rest { follows, doubts } = self.rests();
         let peers = self.peers.known.len();
         let shared = peers != 0 && (!self.is_large() || self.watches());
-        Around { wait, peers, shared, news: *self.news.get(topic), follows, doubts }
+        let news = *self.news.get(topic);
+        let proves = topic == Topic::Routes && self.needs_proof();
+        let most = if proves { freshness::WATCH_MOST } else { Duration::MAX };
+        let follows = follows && !(proves && self.proof_is_old(self.peers.now));
+        Around { wait, most, peers, shared, news, follows, doubts }
     }
 
     /// The fleet is so large that what daemons hear of each other a second is bounded.
@@ -315,6 +355,8 @@
             .chain(room)
             .chain(turn)
             .chain(self.peers.probe_due())
+            .chain(self.proof_due())
+            .chain(self.quotas.due())
             .chain([self.beat_due()])
             .min()
     }
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -61,6 +61,11 @@
     pub seeds: Vec<SocketAddr>,
     /// The most peers that were known at once.
     pub peak: usize,
+    /// Daemons that there are, this one included: the most that were known at once, less those that have left
+    /// by themselves. Those that fell silent may be cut off, and serve callers.
+    pub fleet: usize,
+    /// A daemon that started long before this one has told how many there are.
+    pub fleet_told: bool,
     /// How often one that watched the store has said that it doesn't see it any more.
     pub doubts: u32,
     /// The time of the last turn: the age of peers' words is counted until then.
@@ -100,6 +105,15 @@
 const DELAY_WEIGHT: f64 = 0.1;
 
 impl Peers {
+    /// A peer is heard, and tells how many daemons there are. One that has met them before knows better than
+    /// a daemon that has just started.
+    pub fn met(&mut self, fleet: u32, is_older: bool) {
+        if is_older && fleet != 0 && !std::mem::replace(&mut self.fleet_told, true) {
+            self.fleet = self.fleet.max(usize::try_from(fleet).unwrap_or_default());
+        }
+        self.fleet = self.fleet.max(self.known.len() + 1);
+    }
+
     /// Changes that there are now are told.
     pub fn told(&mut self, now: Duration) {
         self.changed = false;
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -1,9 +1,15 @@
 //! Calls in progress.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::{Place, Share};
-use crate::{call::Call, endpoint::EndpointKey, reason::Refusal, route::Route};
+use crate::{
+    call::Call,
+    endpoint::EndpointKey,
+    reason::Refusal,
+    route::Route,
+    team::{QuotaUnit, Team},
+};
 
 /// Times the target that callers wait for a stream's first event.
 const PATIENCE: u32 = 4;
@@ -22,6 +28,10 @@
     pub service: String,
     /// The configuration's version that chose them.
     pub version: u64,
+    /// The team that calls; none where no key is needed.
+    pub team: Option<Arc<Team>>,
+    /// Its part of the team's quota.
+    pub quota: QuotaStage,
     /// When it came.
     pub arrived: Duration,
     /// Its answer is given by then, whatever it is.
@@ -49,10 +59,34 @@
     pub resume_at: Option<Duration>,
     /// It doesn't wait for a permit after this.
     pub permit_by: Option<Duration>,
+    /// When its caller can be served, if that is known.
+    pub come_back: Option<Duration>,
     /// Timers that were set for it.
     pub timers: Vec<Duration>,
 }
 
+/// How far a request is with its part of its team's quota.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum QuotaStage {
+    /// Nothing was asked or taken.
+    #[default]
+    New,
+    /// The daemon that counts was asked.
+    Asked {
+        /// The question.
+        ticket: u64,
+        /// The answer isn't waited for any longer.
+        until: Duration,
+    },
+    /// It was taken.
+    Taken {
+        /// So much of it.
+        amount: u32,
+    },
+    /// The team has none.
+    Unlimited,
+}
+
 /// An attempt in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Live {
@@ -121,6 +155,16 @@
 }
 
 impl Request {
+    /// What it takes of its team's quota, if there is one.
+    #[must_use]
+    pub fn amount(&self, unit: QuotaUnit) -> u32 {
+        match (unit, &self.call.prompt) {
+            (QuotaUnit::Requests, _) => 1,
+            (QuotaUnit::Tokens { .. }, Some(prompt)) => prompt.tokens.saturating_add(prompt.most),
+            (QuotaUnit::Tokens { plain }, None) => plain,
+        }
+    }
+
     /// How long the caller still waits.
     #[must_use]
     pub fn remaining(&self, now: Duration) -> Duration {
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -7,7 +7,10 @@
 pub struct Tuning {
     /// Extra calls to a service, per call of its callers; the operator's bound for the whole fleet.
     pub retry_ratio: f64,
-    /// The window of that bound.
+    /// How old the proof may be that no key was taken away, for calls that need one; none where no bound is
+    /// set.
+    pub key_trust: Option<Duration>,
+    /// The window of the retries' bound.
     pub retry_window: Duration,
     /// Extra calls in a window besides, for the whole fleet.
     pub retry_slack: f64,
@@ -102,6 +105,7 @@
     fn default() -> Tuning {
         Tuning {
             retry_ratio: 0.2,
+            key_trust: None,
             retry_window: Duration::from_secs(10),
             retry_slack: 50.0,
             assumed_daemons: 12.0,
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod deadly;
 pub mod limited;
+pub mod quotas;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -60,6 +61,8 @@
     listed: Vec<EndpointInfo>,
     revision: u64,
     loss: f64,
+    /// Daemons before this number and the others don't hear each other.
+    half: Option<usize>,
     pub rng: Rng,
 }
 
@@ -76,6 +79,7 @@
             listed: Vec::new(),
             revision: 1,
             loss: 0.0,
+            half: None,
             rng: Rng::new(seed),
         };
         for n in 0..count {
@@ -211,7 +215,8 @@
     }
 
     fn hear(&mut self, from: usize, to: usize, beat: &LoadBeat) {
-        let lost = self.rng.unit() < self.loss;
+        let apart = self.half.is_some_and(|half| (from < half) != (to < half));
+        let lost = apart || self.rng.unit() < self.loss;
         if lost || !self.is_sound(from) || !self.is_sound(to) {
             return;
         }
@@ -273,6 +278,7 @@
         digest,
         host: "shop.example".to_owned(),
         path: path.to_owned(),
+        credential: Credential::None,
         patience: Some(Duration::from_secs(1)),
         prompt: None,
     }
--- /dev/null
+++ b/crates/basilbank_forward/tests/forward/keys.rs
@@ -0,0 +1,226 @@
+//! Callers' keys: who is let in, and how long a daemon trusts what it knows.
+
+use std::{net::SocketAddr, time::Duration};
+
+use basilbank_forward::prelude::*;
+use basilbank_wire::{ConfigurationAge, LoadBeat};
+use test_case::test_case;
+
+use crate::rig::{Rig, plain, route, table};
+
+const TRUST: Duration = Duration::from_millis(4800);
+const KEY: KeyHash = KeyHash([1; 16]);
+const OTHER: KeyHash = KeyHash([2; 16]);
+
+fn keyed(version: u64, keys: &[KeyHash]) -> RouteTable {
+    let teams = Teams::default().with_team(Team::new("team-1"), keys.iter().copied());
+    let mut routes = table(version).routes().to_vec();
+    let mut open = route("/open/", Kind::Idempotent, "desk", 2);
+    open.public = true;
+    routes.push(open);
+    table(version).with_routes(routes).with_teams(teams)
+}
+
+/// A daemon that knows one key, and must not trust it for longer than a bound.
+fn rig() -> Rig {
+    let mut rig = Rig::new();
+    rig.state.tuning.key_trust = Some(TRUST);
+    rig.configure(keyed(2, &[KEY]));
+    rig.list(vec![plain("a", 1)]);
+    confirm(&mut rig);
+    rig
+}
+
+/// The store answers a question that has just gone out.
+fn confirm(rig: &mut Rig) {
+    let asked = rig.now();
+    rig.feed(Event::Confirmed { asked });
+}
+
+fn refused(rig: &mut Rig, path: &str, credential: Credential) -> Vec<Refusal> {
+    rig.effects.clear();
+    rig.call_with(path, credential);
+    rig.refusals()
+}
+
+#[test]
+fn a_key_opens_and_names_the_team() {
+    let mut rig = rig();
+    rig.call_with("/sheet/1", Credential::Key(KEY));
+    assert_eq!(rig.start().team.as_deref(), Some("team-1"));
+}
+
+#[test_case(Credential::None, Refusal::NoKey)]
+#[test_case(Credential::Unusable, Refusal::NoKey)]
+#[test_case(Credential::Key(OTHER), Refusal::UnknownKey)]
+fn who_has_no_key_is_turned_away_for_good(credential: Credential, refusal: Refusal) {
+    let mut rig = rig();
+    rig.call_with("/sheet/1", credential);
+    let after = rig.effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, after, .. } => Some((*refusal, *after)),
+        _ => None,
+    });
+    assert_eq!(after, Some((refusal, None)));
+}
+
+#[test]
+fn a_public_route_needs_no_key_and_names_no_team() {
+    let mut rig = rig();
+    rig.call_with("/open/1", Credential::Key(KEY));
+    assert_eq!(rig.start().team, None);
+    rig.pass(TRUST * 2);
+    rig.effects.clear();
+    rig.call_with("/open/1", Credential::None);
+    assert_eq!(rig.start().team, None, "also while keys are not trusted");
+}
+
+#[test]
+fn a_key_that_was_taken_away_opens_nothing() {
+    let mut rig = rig();
+    rig.configure(keyed(3, &[OTHER]));
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), [Refusal::UnknownKey]);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(OTHER)), []);
+}
+
+/// Symptom: a key that had been taken away was served for as long as a daemon was cut off.
+/// Sequence: a daemon loses the store; a key is taken away.
+/// Cause: what was read last held for ever.
+#[test]
+fn keys_are_trusted_for_a_bound_and_then_callers_are_told_to_come_back() {
+    let mut rig = rig();
+    rig.pass(TRUST - Duration::from_millis(1));
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), [], "not a moment early");
+    assert!(rig.state.ready());
+    rig.pass_ms(1);
+    let all = [Credential::Key(KEY), Credential::Key(OTHER), Credential::None];
+    for credential in all {
+        let refusals = refused(&mut rig, "/sheet/1", credential);
+        assert_eq!(refusals, [Refusal::KeysUnproved], "nobody is turned away for good");
+    }
+    assert!(!rig.state.ready(), "the balancer sends callers elsewhere");
+    confirm(&mut rig);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), []);
+    assert!(rig.state.ready());
+}
+
+/// The answer of a slow store is as old as its question.
+#[test]
+fn a_proof_counts_from_its_question() {
+    let mut rig = rig();
+    let asked = rig.now();
+    rig.pass(TRUST - Duration::from_millis(100));
+    rig.feed(Event::Confirmed { asked });
+    rig.pass_ms(100);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), [Refusal::KeysUnproved]);
+}
+
+#[test]
+fn a_daemon_that_knows_of_a_newer_configuration_turns_no_key_away_for_good() {
+    let mut rig = rig();
+    let from = SocketAddr::from(([10, 0, 1, 2], 7000));
+    let beat = LoadBeat { incarnation: 1, sequence: 1, version: 3, ..LoadBeat::default() };
+    rig.feed(Event::beat(from, beat));
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(OTHER)), [Refusal::Outdated]);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), []);
+}
+
+#[test]
+fn without_a_bound_keys_are_trusted_for_ever() {
+    let mut rig = rig();
+    rig.state.tuning.key_trust = None;
+    rig.pass(TRUST * 10);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), []);
+}
+
+/// A call that one team repeats is another one than the same call by another team.
+#[test]
+fn quarantine_tells_teams_apart() {
+    let call = Digest(7);
+    assert_ne!(call.by(TeamId::of("a")), call.by(TeamId::of("b")));
+    assert_eq!(call.by(TeamId::of("a")), call.by(TeamId::of("a")));
+}
+
+/// A daemon of a large fleet, where six peers watch the store for all.
+fn follower() -> Rig {
+    let mut rig = rig();
+    for n in 2..=60 {
+        let watching = n <= 7;
+        rig.feed(Event::beat(peer(n), LoadBeat { watching, ..beat(1) }));
+    }
+    rig.effects.clear();
+    rig
+}
+
+fn beat(sequence: u64) -> LoadBeat {
+    LoadBeat { incarnation: 1, sequence, ..LoadBeat::default() }
+}
+
+fn peer(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, n], 7000))
+}
+
+/// Lets time pass while the watching peers go on saying that the store answers them.
+fn pass(rig: &mut Rig, ms: u64, sequence: &mut u64) {
+    for _ in 0..ms / 100 {
+        *sequence += 1;
+        for n in 2..=60 {
+            rig.feed(Event::beat(peer(n), LoadBeat { watching: n <= 7, ..beat(*sequence) }));
+        }
+        rig.pass_ms(100);
+    }
+}
+
+fn questions(rig: &mut Rig) -> Vec<(SocketAddr, ConfigurationAge)> {
+    let beats = rig.beats();
+    beats
+        .into_iter()
+        .flat_map(|(to, beat)| beat.ages.into_iter().map(move |age| (to, age)))
+        .collect()
+}
+
+#[test]
+fn a_daemon_that_rests_on_others_asks_them_for_a_proof() {
+    let (mut rig, mut sequence) = (follower(), 1);
+    pass(&mut rig, 900, &mut sequence);
+    assert_eq!(questions(&mut rig), [], "its own proof is new");
+    pass(&mut rig, 200, &mut sequence);
+    let asked = questions(&mut rig);
+    assert_eq!(asked.len(), 1, "{asked:?}");
+    let (to, question) = asked[0];
+    assert!((2..=7).map(peer).any(|watching| watching == to), "one that watches: {to}");
+    let word = ConfigurationAge { age: Some(300), version: 2, ..question };
+    rig.feed(Event::beat(to, LoadBeat { incarnation: 1, ages: vec![word], ..LoadBeat::default() }));
+    let age = rig.state.freshness.age(rig.now()).expect("a proof");
+    assert!(age < Duration::from_millis(500), "{age:?}");
+}
+
+#[test_case(ConfigurationAge { asked: 12345, age: Some(0), version: 2 }, false; "to no question of this start")]
+#[test_case(ConfigurationAge { asked: 0, age: Some(0), version: 3 }, true; "about a newer version")]
+fn a_peers_word_proves_nothing(word: ConfigurationAge, echo: bool) {
+    let (mut rig, mut sequence) = (follower(), 1);
+    pass(&mut rig, 1100, &mut sequence);
+    let asked = questions(&mut rig);
+    let (to, question) = asked[0];
+    let word = if echo { ConfigurationAge { asked: question.asked, ..word } } else { word };
+    let before = rig.state.freshness.proved;
+    rig.feed(Event::beat(to, LoadBeat { incarnation: 1, ages: vec![word], ..LoadBeat::default() }));
+    assert_eq!(rig.state.freshness.proved, before);
+}
+
+#[test]
+fn an_answer_tells_how_old_the_proof_is() {
+    let mut rig = rig();
+    rig.feed(Event::beat(peer(2), beat(1)));
+    rig.pass_ms(700);
+    rig.effects.clear();
+    let question = ConfigurationAge { asked: 5, age: None, version: 0 };
+    let words = LoadBeat { incarnation: 1, ages: vec![question], ..LoadBeat::default() };
+    rig.feed(Event::beat(peer(2), words.clone()));
+    let answers = questions(&mut rig);
+    assert_eq!(answers.len(), 1);
+    let (to, answer) = answers[0];
+    assert_eq!((to, answer.asked, answer.version), (peer(2), 5, 2));
+    assert!(answer.age.is_some_and(|age| (700..800).contains(&age)), "{answer:?}");
+    rig.feed(Event::beat(peer(3), words));
+    assert_eq!(questions(&mut rig), [], "who is no peer isn't heard");
+}
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -225,6 +225,7 @@
                     trace: id.to_string(),
                     digest: Digest(id),
                     host: "shop.example".to_owned(),
+                    credential: Credential::None,
                     path: "/draft/1".to_owned(),
                     patience: Some(PATIENCE),
                     prompt: Some(prompt),
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -143,6 +143,7 @@
         split: vec![(WRITER.to_owned(), 1)],
         attempts: 2,
         resumable: true,
+        public: false,
     };
     RouteTable::new(1)
         .with_service(WRITER, Service { engine: Some(engine) })
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -127,12 +127,17 @@
 
     /// A call comes in; returns its number.
     pub fn call(&mut self, path: &str, patience_ms: u64, prompt: Option<Prompt>) -> RequestId {
-        self.arrive(path, patience_ms, prompt, Digest(self.next))
+        self.arrive(path, patience_ms, prompt, Digest(self.next), Credential::None)
+    }
+
+    /// A call whose caller shows a key, or none.
+    pub fn call_with(&mut self, path: &str, credential: Credential) -> RequestId {
+        self.arrive(path, 2000, None, Digest(self.next), credential)
     }
 
     /// The same plain call comes again, under another number.
     pub fn call_again(&mut self, digest: Digest) -> RequestId {
-        self.arrive("/stock/1", 2000, None, digest)
+        self.arrive("/stock/1", 2000, None, digest, Credential::None)
     }
 
     fn arrive(
@@ -141,6 +146,7 @@
         patience_ms: u64,
         prompt: Option<Prompt>,
         digest: Digest,
+        credential: Credential,
     ) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
@@ -150,6 +156,7 @@
             digest,
             host: "shop.example".to_owned(),
             path: path.to_owned(),
+            credential,
             patience: Some(Duration::from_millis(patience_ms)),
             prompt,
         };
@@ -235,6 +242,7 @@
         split: vec![(service.to_owned(), 1)],
         attempts,
         resumable: prefix == "/draft/",
+        public: false,
     }
 }
 
--- a/crates/basilbank_forward/tests/reading/fleet.rs
+++ b/crates/basilbank_forward/tests/reading/fleet.rs
@@ -333,7 +333,15 @@
         let watchers = self.plan.watchers;
         let shared = peers != 0 && (watchers == 0 || n < watchers);
         let news = *self.daemons[n].news.get(topic);
-        let around = Around { wait: self.wait(n), peers, shared, news, follows, doubts };
+        let around = Around {
+            wait: self.wait(n),
+            most: Duration::MAX,
+            peers,
+            shared,
+            news,
+            follows,
+            doubts,
+        };
         let mut effects = Vec::new();
         let now = self.now;
         let other = self.daemons[n].readers.step(topic, now, around, event, &mut effects);
--- a/crates/basilbank_gateway/src/digest.rs
+++ b/crates/basilbank_gateway/src/digest.rs
@@ -10,6 +10,9 @@
 
 /// Hashes method, host, path with query, credentials and body.
 ///
+/// The key that names a caller's team is left out: the decisions add the team, so that nothing of a key is
+/// in what daemons tell each other and log.
+///
 /// Headers that callers change from one attempt to the next (ids, deadlines, estimates) are left out, and so
 /// is the caller's address: a caller that tries again comes by another connection, at times through another
 /// data centre.
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -32,6 +32,7 @@
         open: Vec::new(),
         pages: Reading::default(),
         findings: Findings::default(),
+        outrun: false,
     };
     reader.step(ReadEvent::Tick);
     loop {
@@ -51,6 +52,8 @@
     pages: Reading,
     /// Entries that can't be used.
     findings: Findings,
+    /// The newest configuration can't be used, so the one in force isn't the newest.
+    outrun: bool,
 }
 
 /// A question that is open.
@@ -58,6 +61,8 @@
     id: ReadId,
     read: Read,
     progress: Progress,
+    /// When it went out.
+    asked: Duration,
     /// The progress that was told.
     told: Option<Instant>,
     is_page: bool,
@@ -126,7 +131,8 @@
                 }
                 let progress = Progress::default();
                 let read = (self.source)(query, progress.clone());
-                self.open.push(Open { id, read, progress, told: None, is_page });
+                let asked = self.router.now();
+                self.open.push(Open { id, read, progress, asked, told: None, is_page });
             }
             ReadEffect::Drop { read, silent } => {
                 self.router.metrics.store_call(if silent { "failed" } else { "dropped" });
@@ -187,11 +193,15 @@
             log::warn!("{}", line.with("topic", self.topic.as_str()));
         }
         let Reading { at: read, table, listed, gone, .. } = reading;
+        self.outrun = table.is_none() && (self.outrun || !findings.is_empty());
         self.router.dispatch(match self.topic {
             Topic::Routes => Event::Routes { read, table: table.map(Arc::new) },
             Topic::Endpoints if open.is_page => Event::Endpoints { read, list: listed },
             Topic::Endpoints => Event::Changed { read, listed, gone },
         });
+        if self.topic == Topic::Routes && !self.outrun {
+            self.router.dispatch(Event::Confirmed { asked: open.asked });
+        }
         came
     }
 
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod message;
 mod replay;
 mod seal;
+mod words;
 
 pub use codec::Frames;
 pub use drop_reason::DropReason;
@@ -23,3 +24,4 @@
 pub use message::*;
 pub use replay::{ReplayGuard, SENDERS, WINDOW};
 pub use seal::{SEAL_LEN, Sealer};
+pub use words::{ConfigurationAge, QuotaAnswer, QuotaAsk, QuotaCounted, QuotaState, QuotaUse};
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -1,5 +1,7 @@
 //! The datagram by which daemons that forward calls share what they have at endpoints.
 
+use crate::words::{ConfigurationAge, QuotaState, QuotaUse};
+
 /// All that one daemon has at endpoints, and some peers that it knows.
 ///
 /// It is the whole state each time, so that a lost datagram is mended by the next one.
@@ -71,6 +73,19 @@
     /// tells nothing else.
     #[prost(message, repeated, tag = "24")]
     pub permits: Vec<Permit>,
+    /// Questions and answers about the configuration's age; in such a datagram, too.
+    #[prost(message, repeated, tag = "25")]
+    pub ages: Vec<ConfigurationAge>,
+    /// What was taken of quotas; in such a datagram, too.
+    #[prost(message, repeated, tag = "26")]
+    pub quota_uses: Vec<QuotaUse>,
+    /// What is said of quotas; in such a datagram, too.
+    #[prost(message, repeated, tag = "27")]
+    pub quota_states: Vec<QuotaState>,
+    /// The most daemons that the sender has known at once, less those that have left; 0 when it was told
+    /// before.
+    #[prost(uint32, tag = "28")]
+    pub fleet: u32,
 }
 
 /// A moment in the platform's store's history.
