--- a/crates/basilbank_cli/src/trace.rs
+++ b/crates/basilbank_cli/src/trace.rs
@@ -30,7 +30,7 @@
 ];
 
 /// Events of one daemon that touch all its requests.
-const DAEMON: [&str; 12] = [
+const DAEMON: [&str; 13] = [
     "started",
     "stopped",
     "shutdown",
@@ -38,6 +38,7 @@
     "reload_failed",
     "configuration",
     "clock_jump",
+    "quota_counter_silent",
     "store_lost",
     "store_regained",
     "store_read_all",
--- a/crates/basilbank_forward/benches/fleet/main.rs
+++ b/crates/basilbank_forward/benches/fleet/main.rs
@@ -3,14 +3,17 @@
 #![allow(clippy::print_stdout, reason = "a bench speaks to its terminal")]
 
 #[path = "../../tests/forward/fleet/mod.rs"]
+#[allow(dead_code, reason = "tests use more of it")]
 mod fleet;
 #[path = "../../tests/forward/rig.rs"]
 #[allow(dead_code, reason = "tests use more of it")]
 mod rig;
+mod ways;
 
 use std::time::Duration;
 
-use fleet::{contact, deadly, limited};
+use fleet::{contact, deadly, limited, quotas};
+use ways::Way;
 
 /// Daemons, decode endpoints, other drafts a second, plays.
 const DEADLY: [(usize, usize, f64, u64); 4] =
@@ -31,7 +34,37 @@
 
 const TIME: Duration = Duration::from_secs(20);
 
+/// Daemons, those by which callers come.
+const QUOTAS: [(usize, usize); 6] = [(8, 8), (8, 1), (71, 71), (71, 1), (195, 195), (320, 320)];
+
+/// What a team asks for, as a part of its quota.
+const ASKS: [f64; 2] = [0.8, 7.5];
+
+fn quotas_of_teams() {
+    for (daemons, by) in QUOTAS {
+        for asks in ASKS {
+            let surge = vec![(Duration::ZERO, asks.min(0.6)), (Duration::from_secs(11), asks)];
+            let load = quotas::Load { by, asks: surge, ..quotas::Load::new(daemons, asks) };
+            let got = quotas::Play::run(load, 101);
+            let below = got.refused_below as f64 / got.calls as f64;
+            let name = format!("quota_{daemons}_by_{by}_asks_{asks}");
+            println!("{name}_worst={:.2} {name}_used={:.2}", got.worst, got.used);
+            println!("{name}_refused_below={below:.4} {name}_heard_bytes={}", got.heard);
+            let heartbeat = Duration::from_millis(if daemons < 80 { 500 } else { 3000 });
+            for way in [Way::EvenShare, Way::Heartbeats(heartbeat)] {
+                let got = ways::play(way, daemons, by, asks, quotas::RATE, 101);
+                println!("{name}_{way:?}_worst={:.2} used={:.2}", got.worst, got.used);
+                println!("{name}_{way:?}_refused_below={:.4}", got.refused_below);
+            }
+        }
+    }
+}
+
 fn main() {
+    if std::env::args().any(|arg| arg == "quotas") {
+        return quotas_of_teams();
+    }
+    quotas_of_teams();
     for (trouble, loss, restarts) in TROUBLES {
         for (daemons, decode, drafts, seeds) in DEADLY {
             let load = deadly::Load {
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -82,6 +82,12 @@
         }
         _ => (Verdict::Passes, QuotaStage::Unlimited),
     };
+    if let (Some(team), QuotaStage::Taken { amount }) = (team, stage)
+        && verdict != Verdict::Waits
+    {
+        let passes = verdict == Verdict::Passes;
+        turn.state.quotas.used(team, turn.now).judged(amount, passes, turn.now);
+    }
     if verdict == Verdict::Passes
         && let Some(request) = turn.state.requests.get_mut(&id)
     {
@@ -263,6 +269,7 @@
     }
     let Some(asking) = turn.state.quotas.asking.remove(&answer.ticket) else { return };
     let Asking { request: id, amount, .. } = asking;
+    turn.state.quotas.used(team, turn.now).judged(amount, answer.granted, turn.now);
     match (turn.state.requests.get_mut(&id), answer.granted) {
         (Some(request), true) => {
             request.quota = QuotaStage::Taken { amount };
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -80,6 +80,10 @@
     pub ask_until: Duration,
     /// Until then there is no room.
     pub full_until: Duration,
+    /// Units that this daemon has let pass, for metrics.
+    pub passed: u64,
+    /// Calls that it has refused, for metrics.
+    pub refused: u64,
     /// This daemon's own share, for the time in which nobody answers.
     share: Bucket,
     touched: Duration,
@@ -97,6 +101,8 @@
             unheard: 0,
             ask_until: Duration::ZERO,
             full_until: Duration::ZERO,
+            passed: 0,
+            refused: 0,
             share: Bucket::full(0.0, now),
             touched: now,
         }
@@ -106,7 +112,13 @@
     pub fn take(&mut self, amount: i64, now: Duration) {
         self.taken += amount;
         self.untold.get_or_insert(now);
+    }
+
+    /// A call passes, or is refused.
+    pub fn judged(&mut self, amount: u32, passes: bool, now: Duration) {
         self.touched = now;
+        self.passed += if passes { u64::from(amount) } else { 0 };
+        self.refused += u64::from(!passes);
     }
 
     /// Takes from this daemon's own share of the quota; false when it is used up. It may be overdrawn once,
@@ -216,6 +228,15 @@
         self.left.get(counter).is_some_and(|until| now < *until)
     }
 
+    /// What teams use through this daemon, the most first.
+    #[must_use]
+    pub fn most_used(&self, count: usize) -> Vec<(TeamId, &Used)> {
+        let mut all: Vec<_> = self.used.iter().map(|(team, used)| (*team, used)).collect();
+        all.sort_unstable_by_key(|(team, used)| (std::cmp::Reverse(used.passed), *team));
+        all.truncate(count);
+        all
+    }
+
     /// Forgets what is over, now and then; true if it did.
     pub fn forget(&mut self, now: Duration) -> bool {
         if now < self.swept + SWEEP {
--- a/crates/basilbank_forward/src/team.rs
+++ b/crates/basilbank_forward/src/team.rs
@@ -121,6 +121,12 @@
         self.by_id.get(&id)?.quota
     }
 
+    /// A team.
+    #[must_use]
+    pub fn get(&self, id: TeamId) -> Option<&Arc<Team>> {
+        self.by_id.get(&id)
+    }
+
     /// How many there are.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod deadly;
 pub mod limited;
+pub mod proofs;
 pub mod quotas;
 
 use std::{
@@ -63,6 +64,10 @@
     loss: f64,
     /// Daemons before this number and the others don't hear each other.
     half: Option<usize>,
+    /// How long daemons trust keys.
+    trust: Option<Duration>,
+    /// Datagrams about proofs.
+    words: usize,
     pub rng: Rng,
 }
 
@@ -80,6 +85,8 @@
             revision: 1,
             loss: 0.0,
             half: None,
+            trust: None,
+            words: 0,
             rng: Rng::new(seed),
         };
         for n in 0..count {
@@ -203,7 +210,7 @@
             .with_address(address(n))
             .with_seeds((0..3).map(address).collect());
         local.seed = u64::from((self.rng.unit() * f64::from(u32::MAX)) as u32);
-        State::new(local, Tuning::default())
+        State::new(local, Tuning { key_trust: self.trust, ..Tuning::default() })
     }
 
     /// It reads configuration and list.
@@ -251,6 +258,7 @@
     }
 
     fn send(&mut self, from: usize, to: &[SocketAddr], beat: LoadBeat) {
+        self.words += beat.ages.len();
         let beat = Arc::new(beat);
         for to in to.iter().filter_map(number) {
             if to < self.len() {
--- a/crates/basilbank_forward/tests/forward/keys.rs
+++ b/crates/basilbank_forward/tests/forward/keys.rs
@@ -6,7 +6,10 @@
 use basilbank_wire::{ConfigurationAge, LoadBeat};
 use test_case::test_case;
 
-use crate::rig::{Rig, plain, route, table};
+use crate::{
+    fleet::proofs::Play,
+    rig::{Rig, plain, route, table},
+};
 
 const TRUST: Duration = Duration::from_millis(4800);
 const KEY: KeyHash = KeyHash([1; 16]);
@@ -224,3 +227,24 @@
     rig.feed(Event::beat(peer(3), words));
     assert_eq!(questions(&mut rig), [], "who is no peer isn't heard");
 }
+
+/// Nobody trusts a key for longer than the bound after it went, whatever a daemon can read and hear.
+#[test_case(8; "small fleet")]
+#[test_case(71; "grown fleet")]
+fn no_key_is_trusted_for_longer_than_the_bound(daemons: usize) {
+    for seed in 1..=4 {
+        let got = Play::run(daemons, true, seed);
+        assert_eq!(got.late, 0, "{seed}: {got:?}");
+        assert!(got.all / 2 < got.trusted, "{seed}: {got:?}");
+    }
+}
+
+/// While all is well no daemon closes, and those that rest on others ask about once a second.
+#[test_case(8; "small fleet")]
+#[test_case(71; "grown fleet")]
+#[test_case(195; "large fleet")]
+fn daemons_that_read_or_hear_trust_keys_all_the_time(daemons: usize) {
+    let got = Play::run(daemons, false, 1);
+    assert_eq!((got.late, got.trusted), (0, got.all), "{got:?}");
+    assert!(got.asked < daemons * 40 * 3, "{got:?}");
+}
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -23,6 +23,14 @@
     reason: String,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct OfTeam {
+    team: String,
+}
+
+/// Teams that have metrics of their own: those that use most through this daemon.
+const TEAMS: usize = 50;
+
 /// All of them. Names carry the prefix `basilbank_forward_`.
 #[derive(Debug)]
 pub struct Metrics {
@@ -36,6 +44,9 @@
     requests: Histogram,
     ready: Gauge<i64, std::sync::atomic::AtomicI64>,
     view: Gauge<f64, AtomicU64>,
+    proof: Gauge<f64, AtomicU64>,
+    passed: Family<OfTeam, Gauge<u64, AtomicU64>>,
+    over: Family<OfTeam, Gauge<u64, AtomicU64>>,
     store: Family<Reason, Counter<u64, AtomicU64>>,
     asked: Family<Asked, Counter>,
     probes: Family<Reason, Counter>,
@@ -57,6 +68,9 @@
             requests: Histogram::new(BOUNDS),
             ready: Gauge::default(),
             view: Gauge::default(),
+            proof: Gauge::default(),
+            passed: Family::default(),
+            over: Family::default(),
             store: Family::default(),
             asked: Family::default(),
             probes: Family::default(),
@@ -75,6 +89,13 @@
         registry.register("ready", "1 while calls are taken", metrics.ready.clone());
         let view = metrics.view.clone();
         registry.register("view_age_seconds", "Age of the view of the list of endpoints", view);
+        let proof = metrics.proof.clone();
+        let help = "Age of the proof that the configuration is the newest";
+        registry.register("proof_age_seconds", help, proof);
+        let passed = metrics.passed.clone();
+        registry.register("team_units", "Units of quotas that passed, by team", passed);
+        let over = metrics.over.clone();
+        registry.register("team_over_quota", "Calls beyond the team's quota", over);
         registry.register("store_calls", "Calls to the platform's store", metrics.store.clone());
         let asked = metrics.asked.clone();
         registry.register(
@@ -144,6 +165,23 @@
         self.view.set(age.as_secs_f64());
     }
 
+    /// How old the proof is that the configuration is the newest, and what teams use through this daemon.
+    pub fn set_teams(&self, state: &State, now: Duration) {
+        if let Some(age) = state.freshness.age(now) {
+            self.proof.set(age.as_secs_f64());
+        }
+        self.passed.clear();
+        self.over.clear();
+        for (id, used) in state.quotas.most_used(TEAMS) {
+            let Some(team) = state.routes.teams.as_ref().and_then(|teams| teams.get(id)) else {
+                continue;
+            };
+            let label = OfTeam { team: team.name.to_string() };
+            self.passed.get_or_create(&label).set(used.passed);
+            self.over.get_or_create(&label).set(used.refused);
+        }
+    }
+
     /// Counts what a line of the log tells.
     pub fn measured(&self, measure: Measure) {
         match measure {
--- a/crates/basilbank_gateway/src/side.rs
+++ b/crates/basilbank_gateway/src/side.rs
@@ -51,6 +51,7 @@
     let (status, text) = match request.uri().path() {
         "/metrics" => {
             router.metrics.set_view_age(router.read(|state| state.view_age(router.now())));
+            router.read(|state| router.metrics.set_teams(state, router.now()));
             (StatusCode::OK, router.metrics.text())
         }
         "/ready" => {
