--- a/crates/basilbank_forward/src/reduce/draft.rs
+++ b/crates/basilbank_forward/src/reduce/draft.rs
@@ -10,7 +10,7 @@
     pick::{self, Decode, Want},
 };
 use crate::{
-    call::RequestId,
+    call::{Prompt, RequestId},
     effect::Op,
     endpoint::EndpointKey,
     reason::{Refusal, Retry},
@@ -83,7 +83,7 @@
         return Next::WaitForTurn(turn);
     }
     state.line.taken(&service);
-    let op = Op::Hold { tokens: hold_tokens(state, prompt.tokens), ttl: longest };
+    let op = Op::Hold { tokens: hold_tokens(state, &prompt), ttl: longest };
     Next::Send(Send { endpoint, op, step: Step::Hold, share, limit, counted: false, extra: None })
 }
 
@@ -92,10 +92,13 @@
 /// Where daemons hear of each other late, an endpoint that looks roomy is often full. It knows what it has,
 /// so it is asked for the prompt's memory; without this it takes the draft, and puts it or another one back
 /// in the middle of a stream, to read its prompt once more. Where views are true the room was judged
-/// already, and memory that is held while the prompt is read would only be idle.
-fn hold_tokens(state: &State, prompt: u32) -> u32 {
+/// already, and memory that is held while the prompt is read would only be idle; and of a draft that is
+/// mostly answer the endpoint knows the smaller part.
+fn hold_tokens(state: &State, prompt: &Prompt) -> u32 {
     let least = state.tuning.hold_tokens;
-    if state.hears_late() { least.max(prompt) } else { least }
+    let late = state.tuning.true_views < state.peers.known.len();
+    let knows = prompt.output() < prompt.tokens;
+    if late && knows { least.max(prompt.tokens) } else { least }
 }
 
 /// Decode endpoints that were asked since the last pause.
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -33,6 +33,9 @@
     /// Memory that is held with a slot. A slot with a token block is what makes the endpoint admit
     /// the call; holding the whole prompt keeps memory idle that running calls could use.
     pub hold_tokens: u32,
+    /// Peers up to which the views of endpoints' room are true: each adds a millisecond to the time between two
+    /// datagrams, and beyond some tens of them others place drafts in that time.
+    pub true_views: usize,
     /// Part of a decode endpoint's memory that is given to drafts, by the most that they are expected to
     /// need at one moment.
     pub memory_used: f64,
@@ -116,6 +119,7 @@
             avoid_full: Duration::from_millis(60),
             avoid_refusing: Duration::from_secs(2),
             hold_tokens: 16,
+            true_views: 40,
             memory_used: 1.0,
             memory_late: 0.85,
             growth_margin: 2.0,
--- a/crates/basilbank_forward/tests/forward/fleet/quotas.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/quotas.rs
@@ -167,7 +167,7 @@
                 Step::Mark(_) => play.change(),
             }
         }
-        play.got.used = play.got.used / play.ideal.max(1.0);
+        play.got.used /= play.ideal.max(1.0);
         play.got.heard = play.fleet.most_heard();
         assert!(play.refusals.keys().all(|name| *name == "over_quota"), "{:?}", play.refusals);
         play.got
--- a/crates/basilbank_forward/tests/forward/old_views.rs
+++ b/crates/basilbank_forward/tests/forward/old_views.rs
@@ -4,6 +4,7 @@
 
 use basilbank_forward::prelude::*;
 use basilbank_wire::LoadBeat;
+use test_case::test_case;
 
 use crate::rig::{Rig, held, model, prompt};
 
@@ -176,3 +177,33 @@
     assert!(sent < rig.state.peers.sent);
     assert!(!rig.beats().is_empty());
 }
+
+/// Symptom: at 71 daemons, in bursts, drafts waited for memory at the endpoint that had granted them a slot.
+/// Sequence: several daemons hold slots at the endpoint that looks emptiest, each unheard by the others.
+/// Cause: the endpoint was asked for a slot alone, though it knows its memory and they didn't.
+#[test_case(30, 3000, 60, 16; "views are true")]
+#[test_case(60, 3000, 60, 3000; "views are late")]
+#[test_case(60, 3000, 6000, 16; "the draft is mostly answer")]
+fn where_views_are_late_an_endpoint_is_asked_for_the_prompts_memory(
+    peers: u8,
+    tokens: u32,
+    hint: u32,
+    held: u32,
+) {
+    let mut rig = Rig::new();
+    rig.list(vec![model("d", 1, Stage::Decode), model("p", 2, Stage::Prefill)]);
+    for n in 0..peers {
+        let from = SocketAddr::from(([10, 0, 2, n], 7000));
+        rig.feed(Event::beat(
+            from,
+            LoadBeat { incarnation: 1, sequence: 1, ..LoadBeat::default() },
+        ));
+    }
+    rig.effects.clear();
+    let prompt = Prompt { tokens, most: 7000, hint: Some(hint), session: None };
+    rig.call("/draft/1", 14_000, Some(prompt));
+    match rig.start().op {
+        Op::Hold { tokens, .. } => assert_eq!(tokens, held),
+        op => panic!("{op:?}"),
+    }
+}
