--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -5,6 +5,7 @@
 mod drafts;
 mod endpoints;
 mod entries;
+mod keys;
 mod leaving;
 mod overload;
 mod restarts;
