--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -286,7 +286,6 @@
 /// time is spread, since others were told the same.
 fn refuse(turn: &mut Turn<'_>, id: RequestId, after: Duration) {
     if let Some(request) = turn.state.requests.get_mut(&id) {
-        request.quota = QuotaStage::Unlimited;
         request.come_back = Some(after.min(COME_BACK_MOST));
     }
     finish::give_up(turn, id, Refusal::OverQuota);
--- a/crates/basilbank_forward/src/team.rs
+++ b/crates/basilbank_forward/src/team.rs
@@ -46,8 +46,6 @@
     pub name: Arc<str>,
     /// Its id.
     pub id: TeamId,
-    /// Its rank at endpoints, 0 first; none when the route's holds.
-    pub rank: Option<u8>,
     /// What it may use; none when it may use as much as there is.
     pub quota: Option<Quota>,
 }
@@ -56,7 +54,7 @@
     /// A team without a quota.
     #[must_use]
     pub fn new(name: &str) -> Team {
-        Team { name: name.into(), id: TeamId::of(name), rank: None, quota: None }
+        Team { name: name.into(), id: TeamId::of(name), quota: None }
     }
 
     /// With a quota.
@@ -126,16 +124,4 @@
     pub fn get(&self, id: TeamId) -> Option<&Arc<Team>> {
         self.by_id.get(&id)
     }
-
-    /// How many there are.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.by_id.len()
-    }
-
-    /// There are none: every key is unknown.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.by_id.is_empty()
-    }
 }
--- a/crates/basilbank_forward/tests/forward/quotas.rs
+++ b/crates/basilbank_forward/tests/forward/quotas.rs
@@ -57,6 +57,7 @@
 /// Each half has a daemon that counts the quota.
 #[test_case(8; "small fleet")]
 #[test_case(71; "grown fleet")]
+#[test_case(195; "large fleet")]
 fn two_halves_together_get_no_more_than_the_quota(daemons: usize) {
     for seed in 1..=2 {
         let split = Some(Duration::from_secs(10));
