--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -101,7 +101,7 @@
         turn.note(Note::new("peer").with("addr", from).with("state", "up"));
     }
     if started && !beat.leaving {
-        tell::introduce(turn, from);
+        tell::introduce(turn, from, beat.incarnation);
     }
     turn.state.room = true;
 }
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -127,8 +127,13 @@
 ///
 /// In a large fleet heartbeats are seconds apart and name few. A daemon that learned of its peers by these
 /// alone would place drafts for as long by the loads of the few that it has met.
-pub fn introduce(turn: &mut Turn<'_>, to: SocketAddr) {
-    let beat = compose(turn.state, turn.now, Scope::Introduction);
+pub fn introduce(turn: &mut Turn<'_>, to: SocketAddr, incarnation: u64) {
+    let mut beat = compose(turn.state, turn.now, Scope::Introduction);
+    let peers = &turn.state.peers;
+    // One that started with this daemon would learn nothing by it.
+    if peers.incarnation < incarnation {
+        beat.fleet = u32::try_from(peers.fleet).unwrap_or(u32::MAX);
+    }
     turn.push(Effect::SendBeat { to: vec![to], beat: Box::new(beat) });
 }
 
@@ -191,7 +196,6 @@
     peers.sequence += 1;
     let count = peers.known.len();
     let skip = if count == 0 { 0 } else { state.rng.index(count) };
-    let fleet = u32::try_from(peers.fleet).unwrap_or(u32::MAX);
     let named = peers.known.keys().cycle().skip(skip).take(scope.named(count));
     let beat = LoadBeat {
         incarnation: peers.incarnation,
@@ -202,7 +206,6 @@
         endpoints_news: peers.news(Topic::Endpoints, &state.news, whole),
         routes_news: peers.news(Topic::Routes, &state.news, whole),
         version: if whole { state.routes.version } else { 0 },
-        fleet: if whole { fleet } else { 0 },
         watching,
         paces,
         waiting,
