--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -16,7 +16,8 @@
     }
 }
 
-/// Names what a call asks for: calls with the same digest have the same method, host, path, team and body. A caller that sends a call again gives each attempt another id, but not another digest.
+/// Names what a call asks for: calls with the same digest have the same method, host, path, team and body. A
+/// caller that sends a call again gives each attempt another id, but not another digest.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Debug)]
 pub struct Digest(pub u64);
 
--- a/crates/basilbank_forward/src/reduce/beat.rs
+++ b/crates/basilbank_forward/src/reduce/beat.rs
@@ -108,6 +108,9 @@
 
 /// What a peer asks or answers, beside what it tells all. Who isn't known for a peer isn't heard.
 fn words(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
+    if !turn.state.peers.known.contains_key(&from) {
+        return;
+    }
     limit::heard_permits(turn, from, &beat.permits);
     freshness::heard(turn, from, &beat.ages);
     quota::heard_uses(turn, from, beat);
--- a/crates/basilbank_forward/src/reduce/freshness.rs
+++ b/crates/basilbank_forward/src/reduce/freshness.rs
@@ -13,9 +13,6 @@
 
 /// A peer asks, or answers.
 pub fn heard(turn: &mut Turn<'_>, from: SocketAddr, words: &[ConfigurationAge]) {
-    if !turn.state.peers.known.contains_key(&from) {
-        return;
-    }
     for word in words {
         match word.age {
             None => answer(turn, from, word.asked),
--- a/crates/basilbank_forward/src/reduce/limit.rs
+++ b/crates/basilbank_forward/src/reduce/limit.rs
@@ -57,12 +57,8 @@
     told.collect()
 }
 
-/// A peer's words about permits. Who isn't known for a peer isn't heard: the line is as long as there are
-/// peers, and no longer.
+/// A peer's words about permits. Only peers are heard: the line is as long as there are peers, and no longer.
 pub fn heard_permits(turn: &mut Turn<'_>, from: SocketAddr, permits: &[Permit]) {
-    if !turn.state.peers.known.contains_key(&from) {
-        return;
-    }
     for permit in permits {
         let Some(key) = turn.state.directory.by_hash(permit.endpoint) else { continue };
         let wait = Duration::from_millis(u64::from(permit.wait));
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -70,30 +70,34 @@
 }
 
 fn take(turn: &mut Turn<'_>, id: RequestId, way: fn(&mut Turn<'_>, Part) -> Verdict) -> Verdict {
-    let Some(request) = turn.state.requests.get(&id) else { return Verdict::Waits };
-    let team = request.team.as_ref().map(|team| team.id);
-    // The quota in force, not the one when the call came.
-    let quota = team.and_then(|team| turn.state.quota(team));
-    let (verdict, stage) = match (team, quota) {
-        (Some(team), Some(quota)) => {
-            let amount = request.amount(quota.unit);
-            let verdict = way(turn, Part { id, team, quota, amount });
-            (verdict, QuotaStage::Taken { amount })
-        }
-        _ => (Verdict::Passes, QuotaStage::Unlimited),
+    let Some(part) = part(turn.state, id) else {
+        set_stage(turn, id, QuotaStage::Unlimited);
+        return Verdict::Passes;
     };
-    if let (Some(team), QuotaStage::Taken { amount }) = (team, stage)
-        && verdict != Verdict::Waits
-    {
+    let Part { team, amount, .. } = part;
+    let verdict = way(turn, part);
+    if verdict == Verdict::Passes {
+        set_stage(turn, id, QuotaStage::Taken { amount });
+    }
+    if verdict != Verdict::Waits {
         let passes = verdict == Verdict::Passes;
         turn.state.quotas.used(team, turn.now).judged(amount, passes, turn.now);
     }
-    if verdict == Verdict::Passes
-        && let Some(request) = turn.state.requests.get_mut(&id)
-    {
+    verdict
+}
+
+/// A call's part of its team's quota in force, not of the one when it came; none if the team has none.
+fn part(state: &State, id: RequestId) -> Option<Part> {
+    let request = state.requests.get(&id)?;
+    let team = request.team.as_ref()?.id;
+    let quota = state.quota(team)?;
+    Some(Part { id, team, quota, amount: request.amount(quota.unit) })
+}
+
+fn set_stage(turn: &mut Turn<'_>, id: RequestId, stage: QuotaStage) {
+    if let Some(request) = turn.state.requests.get_mut(&id) {
         request.quota = stage;
     }
-    verdict
 }
 
 /// Takes a call's part, or asks the daemon that counts.
@@ -142,9 +146,7 @@
     let asking = Asking { request: part.id, amount: part.amount, at: turn.now };
     let ticket = turn.state.quotas.ticket(asking);
     let asks = QuotaAsk { ticket, amount: part.amount };
-    if let Some(request) = turn.state.requests.get_mut(&part.id) {
-        request.quota = QuotaStage::Asked { ticket, until };
-    }
+    set_stage(turn, part.id, QuotaStage::Asked { ticket, until });
     turn.wake(part.id, until);
     tell(turn, counter, part.team, Some(asks));
 }
@@ -194,9 +196,6 @@
 
 /// Peers tell what their callers took, or ask.
 pub fn heard_uses(turn: &mut Turn<'_>, from: SocketAddr, beat: &LoadBeat) {
-    if !turn.state.peers.known.contains_key(&from) {
-        return;
-    }
     for word in &beat.quota_uses {
         let team = TeamId(word.team);
         // One that takes another daemon for the one that counts doesn't: both would give the quota out.
@@ -320,7 +319,7 @@
     /// second to count it, so it gives out no more than the even shares of those who tell it.
     fn quota_terms(&self, team: TeamId, now: Duration) -> Option<Terms> {
         let quota = self.quota(team)?;
-        let stands_in = self.elected(team.0, |_| true).is_some();
+        let stands_in = self.quotas.leaves_any(now) && self.elected(team.0, |_| true).is_some();
         let heard = match stands_in {
             true => self.counters.tellers(team, now) + 1,
             false => self.peers.heard(now) + 1,
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -10,16 +10,16 @@
 };
 
 /// How long what was taken waits for company before it is told.
-pub const TELL_AFTER: Duration = Duration::from_millis(20);
+const TELL_AFTER: Duration = Duration::from_millis(20);
 
 /// Time after which it is told again if it isn't acknowledged.
-pub const TELL_AGAIN: Duration = Duration::from_millis(70);
+const TELL_AGAIN: Duration = Duration::from_millis(70);
 
 /// Words without an acknowledgement after which the daemon that counts is left.
 const MOST_UNHEARD: u32 = 3;
 
 /// How long it is left for.
-pub const LEFT_FOR: Duration = Duration::from_secs(3);
+const LEFT_FOR: Duration = Duration::from_secs(3);
 
 /// A team that nobody has used for this long is forgotten.
 const FORGET: Duration = Duration::from_secs(60);
@@ -228,6 +228,12 @@
         self.left.get(counter).is_some_and(|until| now < *until)
     }
 
+    /// Some daemon is left for not answering.
+    #[must_use]
+    pub fn leaves_any(&self, now: Duration) -> bool {
+        self.left.values().any(|until| now < *until)
+    }
+
     /// What teams use through this daemon, the most first.
     #[must_use]
     pub fn most_used(&self, count: usize) -> Vec<(TeamId, &Used)> {
