--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -118,11 +118,11 @@
         self.effects.push(effect);
     }
 
-    /// Says something to one peer, beside what all are told.
-    fn say(&mut self, to: SocketAddr, words: LoadBeat) {
+    /// Says something to some peers, beside what all are told of this daemon's load.
+    fn say(&mut self, to: Vec<SocketAddr>, words: LoadBeat) {
         let incarnation = self.state.peers.incarnation;
         let beat = Box::new(LoadBeat { incarnation, ..words });
-        self.push(Effect::SendBeat { to: vec![to], beat });
+        self.push(Effect::SendBeat { to, beat });
     }
 
     fn note(&mut self, note: Note) {
--- a/crates/basilbank_forward/src/reduce/freshness.rs
+++ b/crates/basilbank_forward/src/reduce/freshness.rs
@@ -47,5 +47,5 @@
 }
 
 fn say(turn: &mut Turn<'_>, to: SocketAddr, word: ConfigurationAge) {
-    turn.say(to, LoadBeat { ages: vec![word], ..LoadBeat::default() });
+    turn.say(vec![to], LoadBeat { ages: vec![word], ..LoadBeat::default() });
 }
--- a/crates/basilbank_forward/src/reduce/limit.rs
+++ b/crates/basilbank_forward/src/reduce/limit.rs
@@ -195,7 +195,7 @@
     let Some(endpoint) = turn.state.directory.hash(key) else { return };
     let wait = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
     let permit = Permit { endpoint, word: word.into(), wait };
-    turn.say(to, LoadBeat { permits: vec![permit], ..LoadBeat::default() });
+    turn.say(vec![to], LoadBeat { permits: vec![permit], ..LoadBeat::default() });
 }
 
 impl State {
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -11,7 +11,6 @@
 use super::{Turn, finish, step};
 use crate::{
     call::RequestId,
-    effect::Effect,
     note::Note,
     reason::Refusal,
     state::{
@@ -123,7 +122,9 @@
     let Some(terms) = turn.state.quota_terms(part.team, turn.now) else { return Verdict::Passes };
     let ask = QuotaAsk { ticket: 0, amount: part.amount };
     let answer = turn.state.counters.ask(part.team, &terms, &ask, turn.now);
-    warn_all(turn, part.team, &terms);
+    if turn.state.counters.is_low(part.team, &terms, turn.now) {
+        warn_all(turn, part.team);
+    }
     match answer {
         Answer::Granted => Verdict::Passes,
         Answer::Full(after) => Verdict::Refused(after),
@@ -157,7 +158,7 @@
     used.tell(turn.now);
     let (epoch, taken, acknowledged) = (used.epoch, used.taken, used.acknowledged);
     let word = QuotaUse { team: team.0, epoch, taken, acknowledged, ask };
-    turn.say(counter, LoadBeat { quota_uses: vec![word], ..LoadBeat::default() });
+    turn.say(vec![counter], LoadBeat { quota_uses: vec![word], ..LoadBeat::default() });
 }
 
 /// A call that nothing was run of gives its part back.
@@ -210,8 +211,10 @@
         let counted = Some(QuotaCounted { epoch: word.epoch, taken: word.taken });
         let low = counters.is_low(team, &terms, now);
         let state = QuotaState { team: team.0, counted, ask_for: ask_for(low), answer };
-        turn.say(from, LoadBeat { quota_states: vec![state], ..LoadBeat::default() });
-        warn_all(turn, team, &terms);
+        turn.say(vec![from], LoadBeat { quota_states: vec![state], ..LoadBeat::default() });
+        if low {
+            warn_all(turn, team);
+        }
     }
 }
 
@@ -229,17 +232,14 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-/// Tells all daemons that calls of a team have to ask, if its quota runs low and they don't know.
-fn warn_all(turn: &mut Turn<'_>, team: TeamId, terms: &Terms) {
-    if !turn.state.counters.says_low(team, terms, turn.now) {
+/// Tells all daemons that calls of a team have to ask, unless they were told lately.
+fn warn_all(turn: &mut Turn<'_>, team: TeamId) {
+    if !turn.state.counters.is_due_to_say(team, turn.now) {
         return;
     }
     let state = QuotaState { team: team.0, ask_for: ask_for(true), ..QuotaState::default() };
-    let incarnation = turn.state.peers.incarnation;
-    let beat = LoadBeat { incarnation, quota_states: vec![state], ..LoadBeat::default() };
-    let mut to: Vec<_> = turn.state.peers.known.keys().copied().collect();
-    to.sort_unstable();
-    turn.push(Effect::SendBeat { to, beat: Box::new(beat) });
+    let all = turn.state.peers.addresses();
+    turn.say(all, LoadBeat { quota_states: vec![state], ..LoadBeat::default() });
 }
 
 /// The daemon that counts says how it is with quotas.
--- a/crates/basilbank_forward/src/reduce/tell.rs
+++ b/crates/basilbank_forward/src/reduce/tell.rs
@@ -98,8 +98,7 @@
         peers.bytes = bytes;
         peers.told_news = state.news;
     }
-    let mut to: Vec<_> = peers.known.keys().copied().collect();
-    to.sort_unstable();
+    let mut to = peers.addresses();
     if !to.is_empty() {
         // What a full link doesn't take is lost: it must not be the same peers' each time, to whom this
         // daemon would be gone.
--- a/crates/basilbank_forward/src/state/counters.rs
+++ b/crates/basilbank_forward/src/state/counters.rs
@@ -145,12 +145,9 @@
         counter.low
     }
 
-    /// All daemons are to be told now that they have to ask.
-    pub fn says_low(&mut self, team: TeamId, terms: &Terms, now: Duration) -> bool {
-        if !self.is_low(team, terms, now) {
-            return false;
-        }
-        let counter = self.counter(team, terms, now);
+    /// All daemons are to be told now that requests of a team whose bucket is low have to ask.
+    pub fn is_due_to_say(&mut self, team: TeamId, now: Duration) -> bool {
+        let Some(counter) = self.list.get_mut(&team) else { return false };
         let due = counter.said + SAY_AGAIN <= now;
         if due {
             counter.said = now;
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -114,6 +114,14 @@
         self.fleet = self.fleet.max(self.known.len() + 1);
     }
 
+    /// All that are known, in order.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut all: Vec<_> = self.known.keys().copied().collect();
+        all.sort_unstable();
+        all
+    }
+
     /// Changes that there are now are told.
     pub fn told(&mut self, now: Duration) {
         self.changed = false;
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -1,6 +1,10 @@
 //! What this daemon's callers have taken of the teams' quotas.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use basilbank_core::state::Bucket;
 
@@ -36,8 +40,9 @@
 /// All teams that were used lately, and requests that wait for an answer.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    /// By team.
-    pub used: HashMap<TeamId, Used>,
+    used: HashMap<TeamId, Used>,
+    /// Teams of which something may be untold: each turn looks at these, and not at all that were used lately.
+    fresh: BTreeSet<TeamId>,
     /// Requests that have asked, by ticket.
     pub asking: HashMap<u64, Asking>,
     /// Tickets so far.
@@ -192,6 +197,7 @@
 impl Quotas {
     /// A team's use.
     pub fn used(&mut self, team: TeamId, now: Duration) -> &mut Used {
+        self.fresh.insert(team);
         self.used.entry(team).or_insert_with(|| Used::new(now))
     }
 
@@ -203,18 +209,17 @@
     }
 
     /// Teams of which something is to be told now.
-    #[must_use]
-    pub fn to_tell(&self, now: Duration) -> Vec<TeamId> {
-        let due = self.used.iter().filter(|(_, used)| used.due().is_some_and(|at| at <= now));
-        let mut due: Vec<_> = due.map(|(team, _)| *team).collect();
-        due.sort_unstable();
-        due
+    pub fn to_tell(&mut self, now: Duration) -> Vec<TeamId> {
+        let used = &self.used;
+        self.fresh.retain(|team| used.get(team).is_some_and(|used| used.untold.is_some()));
+        let due = |team: &&TeamId| used.get(team).and_then(Used::due).is_some_and(|at| at <= now);
+        self.fresh.iter().filter(due).copied().collect()
     }
 
     /// When something is to be told next.
     #[must_use]
     pub fn due(&self) -> Option<Duration> {
-        self.used.values().filter_map(Used::due).min()
+        self.fresh.iter().filter_map(|team| self.used.get(team)?.due()).min()
     }
 
     /// Leaves a daemon that doesn't answer.
