--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -93,11 +93,12 @@
         .with("attempts", request.attempts)
         .with_measure(Measure::Request { outcome, took });
     turn.note(note);
+    // Before its attempts are stopped: an endpoint that has it now may have begun.
+    let ran = request.may_have_run();
     for live in std::mem::take(&mut request.live) {
         turn.push(Effect::Stop { request: id, attempt: live.number });
         release(turn.state, live.endpoint, live.share);
     }
-    let ran = request.may_have_run() || matches!(outcome, "delivered" | "finished");
     if let (QuotaStage::Taken { amount }, Some(team), false) = (request.quota, &request.team, ran) {
         quota::give_back(turn, team.id, amount);
     }
--- a/crates/basilbank_forward/tests/forward/keys.rs
+++ b/crates/basilbank_forward/tests/forward/keys.rs
@@ -248,3 +248,32 @@
     assert_eq!((got.late, got.trusted), (0, got.all), "{got:?}");
     assert!(got.asked < daemons * 40 * 3, "{got:?}");
 }
+
+/// A daemon that counts a quota of one request a second, and has one left.
+fn quota_of_one() -> Rig {
+    let mut rig = rig();
+    let quota = Quota { rate: 1.0, burst: 1.0, unit: QuotaUnit::Requests };
+    let teams = Teams::default().with_team(Team::new("team-1").with_quota(quota), [KEY]);
+    rig.configure(keyed(3, &[]).with_teams(teams));
+    rig
+}
+
+/// Symptom: a team whose callers left early had more than its quota.
+/// Sequence: a call is at an endpoint, which may run it; its caller leaves.
+/// Cause: it was looked at after its attempts had been stopped, and counted as one that was nowhere.
+#[test]
+fn a_call_that_may_have_run_gives_nothing_of_its_quota_back() {
+    let mut rig = quota_of_one();
+    let id = rig.call_with("/sheet/1", Credential::Key(KEY));
+    assert_eq!(rig.start().op, Op::Plain);
+    rig.feed(Event::Left(id));
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), [Refusal::OverQuota]);
+}
+
+#[test]
+fn a_call_that_was_not_run_gives_its_quota_back() {
+    let mut rig = quota_of_one();
+    assert_eq!(refused(&mut rig, "/once/1", Credential::Key(KEY)), [Refusal::NoEndpoint]);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), []);
+    assert_eq!(refused(&mut rig, "/sheet/1", Credential::Key(KEY)), [Refusal::OverQuota]);
+}
