--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -43,7 +43,7 @@
         turn.note(note);
         take_in(turn, report);
     }
-    tell(turn);
+    turn.state.peers.tell_soon();
 }
 
 /// A call has run to its end.
@@ -53,7 +53,7 @@
     };
     if turn.state.crashes.suspects(digest) {
         turn.state.crashes.clear_for_all(digest);
-        tell(turn);
+        turn.state.peers.tell_soon();
     }
 }
 
@@ -80,7 +80,7 @@
     while let Some((digest, count)) = turn.state.crashes.cause(turn.now) {
         turn.state.quarantine.add(digest, turn.now);
         learned(turn, digest, &format!("crashes_{count}"));
-        tell(turn);
+        turn.state.peers.tell_soon();
     }
 }
 
@@ -111,9 +111,3 @@
     let note = Note::new("quarantined").with("digest", digest).with("why", why);
     turn.note(note.with_measure(Measure::Quarantined));
 }
-
-/// Peers hear of it with the next datagram.
-fn tell(turn: &mut Turn<'_>) {
-    turn.state.peers.changed = true;
-    turn.state.peers.urgent = true;
-}
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -136,16 +136,15 @@
         return;
     }
     *news = newest;
-    turn.state.peers.changed = true;
-    turn.state.peers.urgent = true;
+    turn.state.peers.tell_soon();
 }
 
 /// The store can't be read. Daemons that rest on this one's word hear of it at once.
 pub fn store_lost(turn: &mut Turn<'_>) {
     turn.state.directory.lost = true;
-    let told = turn.state.peers.watching;
-    turn.state.peers.changed |= told;
-    turn.state.peers.urgent |= told;
+    if turn.state.peers.watching {
+        turn.state.peers.tell_soon();
+    }
 }
 
 /// The store was away until now: entries may have lapsed although their endpoints live.
--- a/crates/basilbank_forward/src/reduce/limit.rs
+++ b/crates/basilbank_forward/src/reduce/limit.rs
@@ -30,8 +30,7 @@
     let known = turn.state.directory.get(key).is_some_and(|endpoint| !endpoint.gone);
     if known && turn.state.call_limits.see(key, rate, turn.now) {
         changed(turn, key, rate, "answer");
-        turn.state.peers.changed = true;
-        turn.state.peers.urgent = true;
+        turn.state.peers.tell_soon();
     }
 }
 
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -122,6 +122,12 @@
         all
     }
 
+    /// There is something that peers hear of with the next datagram.
+    pub fn tell_soon(&mut self) {
+        self.changed = true;
+        self.urgent = true;
+    }
+
     /// Changes that there are now are told.
     pub fn told(&mut self, now: Duration) {
         self.changed = false;
