Sight for the incidents: headers that nothing reads, version in force, a topic's lost store, the pause that a refusal asks for

What an endpoint states in a header that nothing reads left no trace at all; whether a Vm is behind with the configuration, or has lost the store for one topic, stood only in logs, which begin after the last restart.

No decision changes.

Measured: tests of forward, gateway and platform pass (known red passed over).

--- a/crates/basilbank_forward/src/reading/reader.rs
+++ b/crates/basilbank_forward/src/reading/reader.rs
@@ -168,6 +168,10 @@
         self.lost_since.is_some()
     }
 
+    pub fn lost_since(&self) -> Option<Duration> {
+        self.lost_since
+    }
+
     pub fn wake_at(&self) -> Duration {
         let close_times = self.pending.iter().map(|pending| pending.close_at);
         close_times.fold(self.next_start(), Duration::min)
--- a/crates/basilbank_forward/src/reading/readers.rs
+++ b/crates/basilbank_forward/src/reading/readers.rs
@@ -54,6 +54,12 @@
         self.0.get(topic).accepted_era(read, era)
     }
 
+    /// Returns since when the store hasn't answered a topic's reader; `None` while it answers.
+    #[must_use]
+    pub fn lost_since(&self, topic: Topic) -> Option<Duration> {
+        self.0.get(topic).lost_since()
+    }
+
     /// Returns when the topic needs a `Tick`.
     #[must_use]
     pub fn wake_at(&self, topic: Topic) -> Duration {
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -104,6 +104,9 @@
         Outcome::Answered { status } | Outcome::NotRun(NotRun::Other { status }) => {
             line.with("status", status)
         }
+        Outcome::NotRun(NotRun::Busy { retry_after: Some(pause) }) => {
+            line.with_ms("asks_pause_ms", *pause)
+        }
         Outcome::Broken(damage) => line.with("damage", damage.as_str()),
         _ => line,
     };
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::{
     connections::{CallError, Connection},
     dialect::AnswerKind,
+    metrics::Sender,
     router::Router,
 };
 
@@ -139,6 +140,7 @@
         Err(error) => return AttemptResult::without_answer(error.into()),
     };
     let (head, body) = split_head(response);
+    router.metrics.count_unread(Sender::Endpoint, (dialect.unread_from_endpoint)(head.headers()));
     report_call_limit(&router, &attempt, &head);
     match (dialect.classify_answer)(&caller_request.call, &attempt.op, &head) {
         AnswerKind::Unclear => AttemptResult::without_answer(Outcome::Broken(Damage::Foreign)),
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 use basilbank_forward::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, http::request::Parts};
+use hyper::{HeaderMap, Request, Response, StatusCode, header::HeaderName, http::request::Parts};
 
 /// A request to an endpoint.
 pub type OutRequest = Request<Full<Bytes>>;
@@ -21,6 +21,10 @@
     /// Reads how many calls per second the endpoint accepts from all daemons together, if the
     /// answer states it.
     pub call_limit: fn(&Response<()>) -> Option<f64>,
+    /// Returns the headers of an endpoint's answer that nothing reads.
+    pub unread_from_endpoint: fn(&HeaderMap) -> Vec<HeaderName>,
+    /// Returns the headers of a caller's request that nothing reads.
+    pub unread_from_caller: fn(&HeaderMap) -> Vec<HeaderName>,
     /// Parses the body of an answer that is meant for the router itself.
     pub parse_control_answer: fn(&Op, &[u8]) -> Option<Outcome>,
     /// Builds the request that frees a KV cache.
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -29,7 +29,7 @@
 pub use dialect::{AnswerKind, Dialect, InvalidCall, OutRequest};
 pub use digest::digest;
 pub use gateway::{Addresses, Gateway};
-pub use metrics::Metrics;
+pub use metrics::{Metrics, Sender};
 pub use progress::Progress;
 pub use reader::run as run_reader;
 pub use request_body::{BodyError, read_body};
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -1,6 +1,10 @@
 //! Counters and histograms of forwarded calls.
 
-use std::{sync::atomic::AtomicU64, time::Duration};
+use std::{
+    collections::HashSet,
+    sync::{Mutex, PoisonError, atomic::AtomicU64},
+    time::Duration,
+};
 
 use basilbank_forward::{event::Liveness, prelude::*};
 use prometheus_client::{
@@ -24,11 +28,50 @@
     reason: String,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct TopicLabel {
+    topic: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct TeamLabel {
     team: String,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct UnreadLabels {
+    sender: &'static str,
+    name: String,
+}
+
+/// Maximum number of unread names that are counted separately. Any sender can make up names, and
+/// each of them takes memory for good.
+const MAX_UNREAD_NAMES: usize = 32;
+
+/// Name under which all further unread names are counted.
+const OTHER_UNREAD: &str = "other";
+
+/// Who sent something that nothing reads.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Sender {
+    /// An endpoint, in an answer.
+    Endpoint,
+    /// The platform's store, in an answer.
+    Store,
+    /// A caller, in a request.
+    Caller,
+}
+
+impl Sender {
+    fn as_str(self) -> &'static str {
+        match self {
+            Sender::Endpoint => "endpoint",
+            Sender::Store => "store",
+            Sender::Caller => "caller",
+        }
+    }
+}
+
 /// Maximum number of teams that have metrics of their own: those with the highest usage through
 /// this daemon.
 const MAX_TEAMS: usize = 50;
@@ -53,6 +96,10 @@
     store_reads: Family<StoreReadLabels, Counter>,
     probes: Family<ReasonLabel, Counter>,
     unusable_records: Family<ReasonLabel, Counter>,
+    unread: Family<UnreadLabels, Counter>,
+    unread_names: Mutex<HashSet<(&'static str, String)>>,
+    configuration_version: Gauge<u64, AtomicU64>,
+    store_lost: Family<TopicLabel, Gauge<f64, AtomicU64>>,
     quarantined: Counter,
     permits: Counter,
 }
@@ -77,6 +124,10 @@
             store_reads: Family::default(),
             probes: Family::default(),
             unusable_records: Family::default(),
+            unread: Family::default(),
+            unread_names: Mutex::default(),
+            configuration_version: Gauge::default(),
+            store_lost: Family::default(),
             quarantined: Counter::default(),
             permits: Counter::default(),
             registry: Registry::default(),
@@ -124,6 +175,12 @@
             "Entries of the store that can't be used",
             unusable_records,
         );
+        let help = "Headers and fields that nothing reads, by sender and name";
+        registry.register("unread", help, metrics.unread.clone());
+        let version = metrics.configuration_version.clone();
+        registry.register("configuration_version", "Version in force", version);
+        let help = "Time since the store stopped answering a topic's reader; 0 while it answers";
+        registry.register("store_lost_seconds", help, metrics.store_lost.clone());
         Metrics { registry, ..metrics }
     }
 }
@@ -160,6 +217,37 @@
         count(&self.unusable_records, reason);
     }
 
+    /// Counts the names of headers or fields that nothing reads.
+    pub fn count_unread(&self, sender: Sender, names: impl IntoIterator<Item = impl AsRef<str>>) {
+        let sender = sender.as_str();
+        for name in names {
+            let name = self.unread_name(sender, name.as_ref());
+            self.unread.get_or_create(&UnreadLabels { sender, name }).inc();
+        }
+    }
+
+    /// Returns the name under which an unread name is counted.
+    fn unread_name(&self, sender: &'static str, name: &str) -> String {
+        let mut names = self.unread_names.lock().unwrap_or_else(PoisonError::into_inner);
+        let entry = (sender, name.to_owned());
+        if !names.contains(&entry) && MAX_UNREAD_NAMES <= names.len() {
+            return OTHER_UNREAD.to_owned();
+        }
+        names.insert(entry);
+        name.to_owned()
+    }
+
+    /// Sets the configuration's version that is in force.
+    pub fn set_configuration_version(&self, version: u64) {
+        self.configuration_version.set(version);
+    }
+
+    /// Sets for how long the store hasn't answered a topic's reader.
+    pub fn set_store_lost(&self, topic: Topic, lost_for: Duration) {
+        let topic = topic.as_str();
+        self.store_lost.get_or_create(&TopicLabel { topic }).set(lost_for.as_secs_f64());
+    }
+
     /// Counts a probe of an unreachable endpoint.
     pub fn count_probe(&self, liveness: Liveness) {
         let answer = match liveness {
--- a/crates/basilbank_gateway/src/progress.rs
+++ b/crates/basilbank_gateway/src/progress.rs
@@ -1,6 +1,9 @@
 //! Progress of an answer that is being received.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use tokio::time::Instant;
 
@@ -19,6 +22,8 @@
 struct ProgressState {
     /// The store's era, as stated in the answer's head.
     era: Cell<Option<u64>>,
+    /// Names of the head's headers that nothing reads.
+    unread: RefCell<Vec<String>>,
     bytes: Cell<usize>,
     /// Time of the last progress, and the number of bytes at that time.
     last_progress: Cell<Option<(Instant, usize)>>,
@@ -31,6 +36,17 @@
         self.0.last_progress.set(Some((Instant::now(), self.bytes())));
     }
 
+    /// Records the names of the head's headers that nothing reads.
+    pub fn record_unread(&self, names: Vec<String>) {
+        self.0.unread.replace(names);
+    }
+
+    /// Returns the names of the head's headers that nothing reads.
+    #[must_use]
+    pub fn unread(&self) -> Vec<String> {
+        self.0.unread.borrow().clone()
+    }
+
     /// Records bytes of the body.
     pub fn record_bytes(&self, bytes: usize) {
         let total = self.bytes() + bytes;
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
+    metrics::Sender,
     progress::Progress,
     router::Router,
     source::{ReadError, ReadFuture, Reading, Source},
@@ -159,6 +160,7 @@
     }
 
     fn handle_ended(&mut self, EndedRead { pending, result }: EndedRead) {
+        self.router.metrics.count_unread(Sender::Store, pending.progress.unread());
         let outcome = match result {
             Ok(reading) => {
                 let era = self.router.accepted_era(self.topic, pending.id, pending.progress.era());
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -12,6 +12,7 @@
 use crate::{
     attempt::{AttemptResult, CallerRequest, PendingAnswer, run_attempt},
     digest::digest,
+    metrics::Sender,
     relay::{RelayEnd, relay},
     request_body::{BodyError, read_body},
     response::{Chunk, ErrorResponse, ResponseBody, forwarded_response},
@@ -32,6 +33,7 @@
             return refuse_early(&router, &answer, "");
         }
     };
+    router.metrics.count_unread(Sender::Caller, (router.dialect.unread_from_caller)(&head.headers));
     let (id, effects) = router.register();
     let call = match (router.dialect.parse_call)(id, &head) {
         Ok(call) => Call { digest: digest(&head, &body), ..call },
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -150,6 +150,12 @@
         self.readers.borrow().wake_at(topic).saturating_sub(self.now())
     }
 
+    /// Returns for how long the store hasn't answered a topic's reader.
+    pub fn store_lost_for(&self, topic: Topic) -> Duration {
+        let lost_since = self.readers.borrow().lost_since(topic);
+        lost_since.map_or(Duration::ZERO, |since| self.now().saturating_sub(since))
+    }
+
     /// Waits until a topic's reader has to check for changes.
     pub async fn wait_for_wakeup(&self, topic: Topic) {
         self.reader_wakeups.get(topic).notified().await;
--- a/crates/basilbank_gateway/src/status_listener.rs
+++ b/crates/basilbank_gateway/src/status_listener.rs
@@ -2,6 +2,7 @@
 
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
+use basilbank_forward::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -51,11 +52,17 @@
     let (status, body) = match request.uri().path() {
         "/metrics" => {
             router.metrics.set_view_age(router.read(|state| state.view_age(router.now())));
-            router.read(|state| router.metrics.set_team_usage(state, router.now()));
+            router.read(|state| {
+                router.metrics.set_team_usage(state, router.now());
+                router.metrics.set_configuration_version(state.routes.version);
+            });
+            for topic in Topic::ALL {
+                router.metrics.set_store_lost(topic, router.store_lost_for(topic));
+            }
             (StatusCode::OK, router.metrics.encode_text())
         }
         "/ready" => {
-            let ready = router.read(basilbank_forward::State::is_ready);
+            let ready = router.read(State::is_ready);
             router.metrics.set_ready(i64::from(ready));
             match ready {
                 true => (StatusCode::OK, String::new()),
