Test of keys: look at the keyed call itself, not at the last run of the endpoint that is listed last

Seen: endpoints_get_the_team_and_never_the_key failed once in a run of all managed tests beside other work: the team of the last run was None.

Cause: the test's. keyed() calls without a key until keys are needed, and these calls run, without a team. The runs are joined by endpoint and not by time, so the last one may be such a call, at the second endpoint, when the keyed call ran at the first.

Change: the keyed call has a path of its own, and exactly one run of it is looked at; both headers are checked as before.

--- a/crates/basilbank_standin/tests/managed/keys.rs
+++ b/crates/basilbank_standin/tests/managed/keys.rs
@@ -55,12 +55,14 @@
 #[test]
 fn endpoints_get_the_team_and_never_the_key() {
     let world = keyed();
-    let answer = with(world.callers(0), "/sheet/1", &[key("k-1"), ("x-tenant", "team-2")]);
+    let answer = with(world.callers(0), "/sheet/2", &[key("k-1"), ("x-tenant", "team-2")]);
     assert_eq!(answer.status, 200);
-    let all: Vec<_> = world.plain.iter().flat_map(|endpoint| endpoint.served().ran).collect();
-    let last = all.last().expect("it ran");
-    assert_eq!(last.header("x-tenant"), Some("team-1"));
-    assert_eq!(last.header("x-credential"), None);
+    let all = world.plain.iter().flat_map(|endpoint| endpoint.served().ran);
+    // Calls before keys were needed ran without a team, perhaps at the endpoint that is listed last.
+    let of_team: Vec<_> = all.filter(|request| request.path() == "/sheet/2").collect();
+    assert_eq!(of_team.len(), 1);
+    assert_eq!(of_team[0].header("x-tenant"), Some("team-1"));
+    assert_eq!(of_team[0].header("x-credential"), None);
 }
 
 #[test_case(&[]; "no key")]
