--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -62,6 +62,10 @@
     misdeed: Misdeed,
     /// Calls a second that it says it takes.
     limit: Option<f64>,
+    /// Whether all its answers say that it leaves.
+    leaving: bool,
+    /// It turns all work away, and asks for this pause.
+    pause: Option<Duration>,
     handles: HashSet<String>,
     next: u32,
     served: Served,
@@ -165,6 +169,17 @@
         lock(&self.inside).limit = rate;
     }
 
+    /// Says in all its answers from now on that it leaves, or no longer. It runs whatever comes all
+    /// the same.
+    pub fn leave(&self, leaving: bool) {
+        lock(&self.inside).leaving = leaving;
+    }
+
+    /// Turns all work away from now on and asks for a pause, or no longer.
+    pub fn pause(&self, pause: Option<Duration>) {
+        lock(&self.inside).pause = pause;
+    }
+
     /// A call has crashed it: it answers nothing until it starts again.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -219,6 +234,7 @@
         if expected.is_some_and(|expected| expected != self.instance) {
             return write_answer(stream, 421, &[("x-instance-id", &self.instance)], b"");
         }
+        self.arrive(request);
         let (misdeed, crashed) = self.condition();
         if crashed {
             return Err(io::ErrorKind::ConnectionReset.into());
@@ -226,17 +242,21 @@
         if misdeed == Misdeed::Silent {
             return Ok(());
         }
+        let pause = lock(&self.inside).pause;
         match (request.method.as_str(), request.path()) {
             ("GET", "/report") => self.report(stream),
+            ("POST", _) | ("GET", _) if let Some(pause) = pause => {
+                self.ask_pause(stream, request, pause)
+            }
             ("POST", "/hold-take") => self.hold(stream, misdeed),
             ("POST", "/order") => self.order(stream, request),
             ("DELETE", path) if path.starts_with("/hold-drop/") => {
                 lock(&self.inside).served.dropped += 1;
-                write_answer(stream, 200, &[], b"")
+                self.reply(stream, 200, &[], b"")
             }
             ("DELETE", path) if path.starts_with("/kv-handle/") => {
                 lock(&self.inside).served.freed += 1;
-                write_answer(stream, 200, &[], b"")
+                self.reply(stream, 200, &[], b"")
             }
             _ if misdeed == Misdeed::Full => self.refuse(stream, request),
             _ if request.header("x-stage") == Some("prefill") => self.prefill(stream, request),
@@ -249,6 +269,43 @@
         (inside.misdeed, inside.served.crashed.is_some())
     }
 
+    fn arrive(&self, request: &Request) {
+        let line = format!("{} {}", request.method, request.path());
+        lock(&self.inside).served.arrived.push((Instant::now(), line));
+    }
+
+    /// Answers, with what the endpoint states in all its answers.
+    fn reply(
+        &self,
+        stream: &TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
+        let stated = self.stated();
+        let all: Vec<_> = headers.iter().copied().chain(stated).collect();
+        write_answer(stream, status, &all, body)
+    }
+
+    /// What the endpoint states in all its answers.
+    fn stated(&self) -> Option<(&'static str, &'static str)> {
+        let mut inside = lock(&self.inside);
+        if !inside.leaving {
+            return None;
+        }
+        inside.served.said_leaving.get_or_insert_with(Instant::now);
+        Some(("server-leaving", "1"))
+    }
+
+    fn ask_pause(&self, stream: &TcpStream, request: &Request, pause: Duration) -> io::Result<()> {
+        lock(&self.inside).served.asked_pauses.push((Instant::now(), pause));
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        let seconds = pause.as_secs_f64().to_string();
+        let headers =
+            [("x-not-executed", "1"), ("x-attempt-id", id), ("retry-after", seconds.as_str())];
+        self.reply(stream, 503, &headers, b"")
+    }
+
     fn report(&self, stream: &TcpStream) -> io::Result<()> {
         let inside = lock(&self.inside);
         let report = json!({
@@ -257,37 +314,38 @@
             "kvHandles": inside.handles.len(), "born": inside.born,
         });
         drop(inside);
-        write_answer(stream, 200, &[], report.to_string().as_bytes())
+        self.reply(stream, 200, &[], report.to_string().as_bytes())
     }
 
     fn refuse(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
         let id = request.header("x-attempt-id").unwrap_or_default();
-        write_answer(stream, 503, &[("x-not-executed", "1"), ("x-attempt-id", id)], b"")
+        self.reply(stream, 503, &[("x-not-executed", "1"), ("x-attempt-id", id)], b"")
     }
 
     fn hold(&self, stream: &TcpStream, misdeed: Misdeed) -> io::Result<()> {
         if misdeed == Misdeed::Full {
-            return write_answer(stream, 503, &[], b"");
+            return self.reply(stream, 503, &[], b"");
         }
         let mut inside = lock(&self.inside);
         inside.served.holds += 1;
         let hold = json!({ "hold": format!("hold-{}", inside.served.holds) });
-        write_answer(stream, 200, &[], hold.to_string().as_bytes())
+        drop(inside);
+        self.reply(stream, 200, &[], hold.to_string().as_bytes())
     }
 
     fn order(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
         let Ok(order) = serde_json::from_slice(&request.body) else {
-            return write_answer(stream, 400, &[], b"");
+            return self.reply(stream, 400, &[], b"");
         };
-        let mut inside = lock(&self.inside);
-        inside.served.orders.push(order);
-        write_answer(stream, 202, &[], b"")
+        lock(&self.inside).served.orders.push(order);
+        self.reply(stream, 202, &[], b"")
     }
 
     fn prefill(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
         let mut inside = lock(&self.inside);
         if inside.stage != Some("prefill") {
-            return write_answer(stream, 421, &[], b"");
+            drop(inside);
+            return self.reply(stream, 421, &[], b"");
         }
         inside.served.prefills += 1;
         inside.next += 1;
@@ -295,9 +353,10 @@
         if inside.misdeed != Misdeed::Forgetful {
             inside.handles.insert(handle.clone());
         }
+        drop(inside);
         let id = request.header("x-attempt-id").unwrap_or_default();
         let body = json!({ "kvHandle": handle, "tokens": 1000, "version": 1 });
-        write_answer(stream, 200, &[("x-attempt-id", id)], body.to_string().as_bytes())
+        self.reply(stream, 200, &[("x-attempt-id", id)], body.to_string().as_bytes())
     }
 
     fn run(&self, stream: &TcpStream, request: &Request, misdeed: Misdeed) -> io::Result<()> {
@@ -360,6 +419,7 @@
         let limit = lock(&self.inside).limit.map(|rate| rate.to_string());
         let mut headers = vec![("x-attempt-id", id), ("x-server-seal", "seal")];
         headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
+        headers.extend(self.stated());
         let bytes = answer_bytes(status, &headers, body.as_bytes());
         match misdeed {
             Misdeed::Lost => return Err(io::ErrorKind::ConnectionReset.into()),
@@ -389,9 +449,11 @@
         let id = request.header("x-attempt-id").unwrap_or_default();
         let limit = lock(&self.inside).limit;
         let limit = limit.map(|rate| format!("server-limit: {rate}\r\n")).unwrap_or_default();
+        let stated = self.stated().map(|(name, value)| format!("{name}: {value}\r\n"));
+        let stated = stated.unwrap_or_default();
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: {id}\r\n\
-             x-server-seal: seal\r\n{limit}transfer-encoding: chunked\r\n\r\n"
+             x-server-seal: seal\r\n{limit}{stated}transfer-encoding: chunked\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
         let counts = request.header("x-token-counts").unwrap_or_default();
--- a/crates/basilbank_standin/src/managed/served.rs
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -1,6 +1,6 @@
 //! What an endpoint has served.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::http::Request;
 
@@ -23,6 +23,12 @@
     pub dropped: u32,
     /// KV caches that were freed.
     pub freed: u32,
+    /// All requests that reached it: when, and the method and the path.
+    pub arrived: Vec<(Instant, String)>,
+    /// When an answer first said that it leaves.
+    pub said_leaving: Option<Instant>,
+    /// When it turned a request away and asked for a pause, and for how long.
+    pub asked_pauses: Vec<(Instant, Duration)>,
     /// When a call crashed it, and the call's id.
     pub crashed: Option<(Instant, String)>,
     /// Calls that it ran while it named a limit: when, the limit, and the call's id.
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -12,5 +12,6 @@
 mod restored;
 mod settings;
 mod slow_link;
+mod stated;
 mod store;
 mod support;
