DRAIN: what an endpoint says of its leaving in its answers is kept to

Cause: the header Server-Leaving was read by nothing; only the store's record counted.

Change: all that is sent to an endpoint, and every answer, passes one file of the gateway (endpoint_calls.rs), which reads what the answer states, whatever it answers (calls, slots, releases, orders, probes), unless another instance gave it (421). The reducer marks the endpoint as leaving for the life of its incarnation: no record takes it back, not even one that lapsed and came back, only a later start does. Such an endpoint gets no first tries, retries, second copies, slots, prompts or orders; a slot that is held there is not used; what was decided before is withheld as it is sent. An endpoint that said so is no crash when it goes.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -83,6 +83,8 @@
         /// Calls per second; `None` if the endpoint has no limit.
         rate: Option<f64>,
     },
+    /// An endpoint's answer said that the endpoint is leaving.
+    EndpointLeaving(EndpointKey),
     /// An order to an endpoint was answered.
     OrderAnswered {
         /// The endpoint.
@@ -162,6 +164,8 @@
     NotRun(NotRun),
     /// No connection could be made, so nothing was sent.
     Unreachable,
+    /// Nothing was sent: meanwhile the endpoint has said that it wants no work.
+    Withheld,
     /// The connection broke after something was sent, or the answer was damaged.
     Broken(Damage),
     /// No answer came within the answer timeout.
@@ -182,6 +186,7 @@
             Outcome::NotRun(NotRun::WrongInstance) => "wrong_instance",
             Outcome::NotRun(NotRun::Other { .. }) => "not_run",
             Outcome::Unreachable => "unreachable",
+            Outcome::Withheld => "withheld",
             Outcome::Broken(_) => "broken",
             Outcome::TimedOut => "silent",
         }
--- a/crates/basilbank_forward/src/lib.rs
+++ b/crates/basilbank_forward/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod log_line;
 pub mod prelude;
+pub mod purpose;
 pub mod reading;
 pub mod reason;
 pub mod route;
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -8,6 +8,7 @@
     endpoint::{EndpointInfo, EndpointKey, Stage},
     event::{Damage, Event, NotRun, Outcome},
     log_line::{LogLine, Measurement},
+    purpose::Purpose,
     reading::{
         Query, ReadEffect, ReadEvent, ReadId, ReadOutcome, ReadReason, ReaderContext, Readers,
         Scope,
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -23,6 +23,7 @@
 mod quota;
 mod records;
 mod roles;
+mod statement;
 mod step;
 mod suspect;
 
@@ -68,6 +69,7 @@
         }
         Event::Probed { endpoint, liveness } => suspect::handle_probe(&mut ctx, endpoint, liveness),
         Event::CallLimit { endpoint, rate } => call_limit::record_limit(&mut ctx, endpoint, rate),
+        Event::EndpointLeaving(key) => statement::mark_leaving(&mut ctx, key),
         Event::OrderAnswered { endpoint, acceptance } => {
             roles::handle_order_answer(&mut ctx, endpoint, acceptance);
         }
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -193,7 +193,7 @@
 /// Removes an endpoint from the list unless it was removed before.
 pub fn unlist(ctx: &mut Context<'_>, key: EndpointKey) {
     let Some(endpoint) = ctx.state.directory.get(key).filter(|e| !e.unlisted) else { return };
-    if !endpoint.info.draining {
+    if !endpoint.is_leaving() {
         crash::report_crash(ctx, key, CrashEvidence::Unlisted);
     }
     let Some(endpoint) = ctx.state.directory.get(key) else { return };
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -52,7 +52,7 @@
             count_refusal(ctx, id, &live);
             handle_not_run(ctx, id, &live, matches!(reason, NotRun::Busy { .. }));
         }
-        Outcome::Unreachable => handle_not_run(ctx, id, &live, false),
+        Outcome::Unreachable | Outcome::Withheld => handle_not_run(ctx, id, &live, false),
         Outcome::Broken(_) | Outcome::TimedOut => {
             crash::handle_broken_attempt(ctx, id, &live);
             handle_broken(ctx, id, &live, outcome == Outcome::TimedOut);
@@ -66,6 +66,7 @@
         Outcome::Unreachable | Outcome::TimedOut => {
             return suspect::mark_unreachable(ctx, live.endpoint);
         }
+        Outcome::Withheld => return,
         Outcome::Finished | Outcome::Broken(_) => {}
         _ => suspect::mark_reachable(ctx, live.endpoint),
     }
@@ -73,7 +74,7 @@
     let Some(endpoint) = ctx.state.directory.get_mut(live.endpoint) else { return };
     match outcome {
         Outcome::Held { .. } => endpoint.record_accepted(),
-        Outcome::Finished | Outcome::Unreachable | Outcome::TimedOut => {}
+        Outcome::Finished | Outcome::Unreachable | Outcome::Withheld | Outcome::TimedOut => {}
         Outcome::Prefilled { .. } => {
             let expected = f64::from(live.queued_tokens) / tuning.prefill_tokens_per_second;
             endpoint.record_prefill(now.saturating_sub(live.started), expected);
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -126,7 +126,11 @@
         Some(key) => ctx.state.directory.update(key, info),
         None => {
             ctx.state.roles.list_grew = ctx.now;
-            ctx.state.directory.insert(info);
+            let is_leaving = ctx.state.records.is_leaving(&info, ctx.now);
+            let key = ctx.state.directory.insert(info);
+            if let Some(endpoint) = ctx.state.directory.get_mut(key) {
+                endpoint.leaving = is_leaving;
+            }
             true
         }
     };
@@ -203,7 +207,7 @@
 /// may use the same name for what it holds for another call. Calls in progress end with their own
 /// connections.
 fn end_start(ctx: &mut Context<'_>, key: EndpointKey) {
-    if ctx.state.directory.get(key).is_some_and(|endpoint| !endpoint.info.draining) {
+    if ctx.state.directory.get(key).is_some_and(|endpoint| !endpoint.is_leaving()) {
         crash::report_crash(ctx, key, CrashEvidence::Replaced);
     }
     endpoints::unlist(ctx, key);
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -56,6 +56,8 @@
 };
 use crate::{
     call::RequestId,
+    endpoint::EndpointKey,
+    purpose::Purpose,
     reading::ReaderContext,
     route::RouteTable,
     topic::{PerTopic, Revision, Topic},
@@ -193,6 +195,18 @@
         }
     }
 
+    /// Returns whether something may be sent to an endpoint now, by what is known of the endpoint.
+    /// What was decided some milliseconds ago is checked again as it is sent.
+    #[must_use]
+    pub fn may_send(&self, key: EndpointKey, purpose: Purpose) -> bool {
+        let Some(endpoint) = self.directory.get(key) else { return false };
+        match purpose {
+            Purpose::Work | Purpose::Order => endpoint.accepts_work(),
+            // What is given back, and probes, are no work.
+            Purpose::Release | Purpose::Probe => true,
+        }
+    }
+
     /// Returns the number of daemons that share the slack of the retry budgets.
     ///
     /// A daemon that has just started knows few peers, and the daemons that started with it may all
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -40,6 +40,9 @@
     pub info: EndpointInfo,
     /// Whether it is off the list. Its calls in progress continue.
     pub unlisted: bool,
+    /// Whether an answer of the endpoint has said that it is leaving. Its record may say so much
+    /// later, or never: the store may be unreachable for it, or for this daemon.
+    pub leaving: bool,
     /// Whether the incarnation has ended and what it held is lost: its instance has restarted, or
     /// another one has its address. Its calls in progress end when their own connections do.
     pub ended: bool,
@@ -79,6 +82,7 @@
         Endpoint {
             info,
             unlisted: false,
+            leaving: false,
             ended: false,
             calls: 0,
             tokens: 0,
@@ -100,7 +104,13 @@
     /// Returns whether new work may be sent to it.
     #[must_use]
     pub fn accepts_work(&self) -> bool {
-        !self.unlisted && !self.info.draining
+        !self.unlisted && !self.is_leaving()
+    }
+
+    /// Returns whether it is leaving, by its record or by its own answers.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.info.draining || self.leaving
     }
 
     /// Returns whether its record is missing from the list and it is only kept for a grace period.
--- a/crates/basilbank_forward/src/state/endpoint_records.rs
+++ b/crates/basilbank_forward/src/state/endpoint_records.rs
@@ -12,6 +12,11 @@
 /// incarnation whose clock was set back has such a record.
 const ENDED_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which it is remembered that an incarnation is leaving, also if its record goes and comes
+/// back meanwhile, as records do that expire while the store is unreachable. Endpoints leave within
+/// a minute.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
 /// Records that were read but are not in use, and what is known of incarnations that have ended.
 #[derive(Debug, Default)]
 pub struct EndpointRecords {
@@ -23,6 +28,17 @@
     excluded: BTreeMap<String, EndpointInfo>,
     /// Incarnations that have ended, by instance.
     ended: HashMap<String, Ended>,
+    /// Incarnations whose answers have said that they are leaving, by instance.
+    leaving: HashMap<String, Leaver>,
+}
+
+/// An incarnation whose answers have said that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Leaver {
+    /// Its start time, if its record stated it.
+    start_time: Option<u64>,
+    /// When it said so first.
+    at: Duration,
 }
 
 /// The last incarnation of an instance that has ended.
@@ -81,6 +97,23 @@
         self.ended.insert(info.instance.clone(), ended);
     }
 
+    /// Records that an incarnation's answer has said that it is leaving.
+    pub fn record_leaving(&mut self, info: &EndpointInfo, now: Duration) {
+        self.leaving.retain(|_, leaver| now < leaver.at + LEAVING_RETENTION);
+        let leaver = Leaver { start_time: info.start_time, at: now };
+        self.leaving.insert(info.instance.clone(), leaver);
+    }
+
+    /// Returns whether the record is of an incarnation whose answers have said that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, info: &EndpointInfo, now: Duration) -> bool {
+        let leaver = self.leaving.get(&info.instance);
+        let leaver = leaver.filter(|leaver| now < leaver.at + LEAVING_RETENTION);
+        // A record without a start time says nothing about its incarnation.
+        leaver
+            .is_some_and(|leaver| info.start_time.is_none() || leaver.start_time == info.start_time)
+    }
+
     /// Returns whether the record is of an incarnation before one that has recently ended.
     #[must_use]
     pub fn is_before_ended(&self, info: &EndpointInfo, now: Duration) -> bool {
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -29,5 +29,6 @@
 mod roles;
 mod routes;
 mod share;
+mod statements;
 mod suspects;
 mod watchers;
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -16,7 +16,6 @@
 use crate::{
     connections::{CallError, Connection},
     dialect::AnswerKind,
-    metrics::Sender,
     router::Router,
 };
 
@@ -96,6 +95,7 @@
     fn from(error: CallError) -> Outcome {
         match error {
             CallError::Unreachable => Outcome::Unreachable,
+            CallError::Withheld => Outcome::Withheld,
             CallError::Broken(damage) => Outcome::Broken(damage),
             CallError::Silent => Outcome::TimedOut,
         }
@@ -119,12 +119,12 @@
     let liveness_request = || (dialect.liveness_request)(&attempt.target.instance);
     let answer = match attempt.op {
         Op::Hold { .. } => {
-            router.connections.call(&attempt.target, request, attempt.answer_timeout).await
+            let answer_timeout = attempt.answer_timeout;
+            router.call_endpoint(&attempt.target, request, answer_timeout, Purpose::Work).await
         }
         Op::Plain | Op::Stream { .. } | Op::Prefill | Op::Decode { .. } => {
             let (answer_timeout, max_wait) = (attempt.answer_timeout, attempt.remaining);
             router
-                .connections
                 .call_while_alive(
                     &attempt.target,
                     request,
@@ -140,7 +140,6 @@
         Err(error) => return AttemptResult::without_answer(error.into()),
     };
     let (head, body) = split_head(response);
-    router.metrics.count_unread(Sender::Endpoint, (dialect.unread_from_endpoint)(head.headers()));
     report_call_limit(&router, &attempt, &head);
     match (dialect.classify_answer)(&caller_request.call, &attempt.op, &head) {
         AnswerKind::Unclear => AttemptResult::without_answer(Outcome::Broken(Damage::Foreign)),
@@ -184,12 +183,14 @@
 
 /// Sends a request whose answer is only logged.
 pub async fn send_control(
-    router: &Router,
+    router: &Rc<Router>,
     target: &Target,
     request: crate::dialect::OutRequest,
     answer_timeout: Duration,
+    purpose: Purpose,
 ) -> Result<StatusCode, CallError> {
-    let (response, connection) = router.connections.call(target, request, answer_timeout).await?;
+    let (response, connection) =
+        router.call_endpoint(target, request, answer_timeout, purpose).await?;
     let (head, body) = split_head(response);
     if collect_body(body, MAX_CONTROL_ANSWER_BYTES, answer_timeout).await.is_some()
         && let Some(keep_alive) = parse_keep_alive(&head)
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -4,11 +4,10 @@
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
-    pin::pin,
     time::{Duration, Instant},
 };
 
-use basilbank_forward::{effect::Target, event::Liveness, prelude::*};
+use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, body::Incoming, client::conn::http1};
@@ -31,9 +30,6 @@
 /// Maximum number of idle connections to one endpoint; the oldest is closed beyond that.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
-/// Timeout of a liveness check.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Maximum size of a response head in bytes.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
@@ -42,6 +38,8 @@
 pub enum CallError {
     /// No connection could be made: nothing was sent.
     Unreachable,
+    /// Nothing was sent, since the endpoint wants nothing of this kind any more.
+    Withheld,
     /// The connection broke, or the answer was invalid.
     Broken(Damage),
     /// No answer came within the timeout.
@@ -130,58 +128,8 @@
 }
 
 impl ConnectionPool {
-    /// Calls an endpoint over an idle connection, or else over a new one.
-    ///
-    /// After `answer_timeout` the endpoint is asked by `liveness_request` whether it is alive;
-    /// while it is, the answer is awaited until `max_wait`. Neither an unreachable endpoint nor a
-    /// busy one sends anything on its open connections, and giving up the busy one would waste its
-    /// work.
-    ///
-    /// # Errors
-    /// Returns an error if there is no answer.
-    pub async fn call_while_alive(
-        &self,
-        target: &Target,
-        request: OutRequest,
-        answer_timeout: Duration,
-        max_wait: Duration,
-        liveness_request: impl Fn() -> OutRequest,
-    ) -> Result<(Response<Incoming>, Connection), CallError> {
-        let end = Instant::now() + max_wait;
-        let mut call = pin!(self.call(target, request, max_wait));
-        loop {
-            let left = end.saturating_duration_since(Instant::now());
-            match timeout(answer_timeout.min(left), &mut call).await {
-                Ok(answer) => return answer,
-                Err(_) if end <= Instant::now() => return Err(CallError::Silent),
-                Err(_) => {}
-            }
-            if !self.is_alive(target, liveness_request()).await {
-                return Err(CallError::Silent);
-            }
-        }
-    }
-
-    /// Checks whether the endpoint answers over a new connection, whatever the answer is. An idle
-    /// connection may have been cut off together with the process at its other end.
-    pub async fn probe(&self, target: &Target, request: OutRequest) -> Liveness {
-        let answer = async {
-            let mut connection = Connection::connect(target.addr, LIVENESS_TIMEOUT).await?;
-            connection.send(request, LIVENESS_TIMEOUT).await.map_err(|(error, _)| error)
-        };
-        match answer.await {
-            Ok(_) => Liveness::Alive,
-            Err(_) => Liveness::Unreachable,
-        }
-    }
-
-    /// Whether the endpoint answers a liveness request successfully.
-    pub async fn is_alive(&self, target: &Target, request: OutRequest) -> bool {
-        let answer = self.call(target, request, LIVENESS_TIMEOUT).await;
-        answer.is_ok_and(|(response, _)| response.status().is_success())
-    }
-
-    /// Calls an endpoint over an idle connection, or else over a new one.
+    /// Calls an endpoint over an idle connection, or else over a new one. Connecting takes time, so
+    /// `may_send` is asked right before the request is sent.
     ///
     /// # Errors
     /// Returns an error if there is no answer.
@@ -190,11 +138,15 @@
         target: &Target,
         request: OutRequest,
         answer_timeout: Duration,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         let start = Instant::now();
         let mut request = request;
         while let Some(mut connection) = self.take_idle(target.endpoint) {
             let left = answer_timeout.saturating_sub(start.elapsed());
+            if !may_send() {
+                return Err(CallError::Withheld);
+            }
             match connection.send(request, left).await {
                 Ok(response) => return Ok((response, connection)),
                 // The endpoint closed the connection before anything was sent.
@@ -204,6 +156,9 @@
         }
         let mut connection =
             Connection::connect(target.addr, answer_timeout.min(CONNECT_TIMEOUT)).await?;
+        if !may_send() {
+            return Err(CallError::Withheld);
+        }
         let left = answer_timeout.saturating_sub(start.elapsed());
         match connection.send(request, left).await {
             Ok(response) => Ok((response, connection)),
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -21,6 +21,8 @@
     /// Reads how many calls per second the endpoint accepts from all daemons together, if the
     /// answer states it.
     pub call_limit: fn(&Response<()>) -> Option<f64>,
+    /// Returns whether the headers of an endpoint's answer say that the endpoint is leaving.
+    pub is_leaving: fn(&HeaderMap) -> bool,
     /// Returns the headers of an endpoint's answer that nothing reads.
     pub unread_from_endpoint: fn(&HeaderMap) -> Vec<HeaderName>,
     /// Returns the headers of a caller's request that nothing reads.
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod dialect;
 mod digest;
+mod endpoint_calls;
 mod gateway;
 mod gossip;
 mod metrics;
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -54,7 +54,7 @@
 
 /// Returns the next frame, or an error if neither the stream nor its endpoint answers.
 async fn next_frame(
-    router: &Router,
+    router: &Rc<Router>,
     target: &Target,
     body: &mut Incoming,
     stall_timeout: Option<Duration>,
@@ -66,11 +66,7 @@
         if let Ok(frame) = timeout(stall_timeout, body.frame()).await {
             return frame.map(|frame| frame.map_err(|_| StreamBroken));
         }
-        if !router
-            .connections
-            .is_alive(target, (router.dialect.liveness_request)(&target.instance))
-            .await
-        {
+        if !router.is_alive(target, (router.dialect.liveness_request)(&target.instance)).await {
             return Some(Err(StreamBroken));
         }
     }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -264,7 +264,9 @@
         let router = Rc::clone(self);
         spawn_local(async move {
             // If the call fails, the resource expires at the endpoint.
-            if let Err(error) = send_control(&router, &target, request, RELEASE_TIMEOUT).await {
+            if let Err(error) =
+                send_control(&router, &target, request, RELEASE_TIMEOUT, Purpose::Release).await
+            {
                 let line = Line::new("not_given_back")
                     .with("what", resource)
                     .with("instance", target.instance)
@@ -278,7 +280,7 @@
         let router = Rc::clone(self);
         spawn_local(async move {
             let request = (router.dialect.liveness_request)(&target.instance);
-            let liveness = router.connections.probe(&target, request).await;
+            let liveness = router.probe_endpoint(&target, request).await;
             router.metrics.count_probe(liveness);
             router.dispatch(Event::Probed { endpoint: target.endpoint, liveness });
         });
@@ -289,10 +291,11 @@
         let holder = self.read(|state| state.local.name.clone());
         let request = (self.dialect.order_request)(stage, &holder, fence, &target.instance);
         spawn_local(async move {
-            let answer = send_control(&router, &target, request, ORDER_TIMEOUT).await;
+            let answer =
+                send_control(&router, &target, request, ORDER_TIMEOUT, Purpose::Order).await;
             let acceptance = match &answer {
                 Ok(status) if status.is_success() => Acceptance::Accepted,
-                Ok(_) | Err(CallError::Unreachable) => Acceptance::Refused,
+                Ok(_) | Err(CallError::Unreachable | CallError::Withheld) => Acceptance::Refused,
                 Err(_) => Acceptance::Unknown,
             };
             let line = Line::new("ordered")
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -195,6 +195,7 @@
         attempt_request: |_, _, _, _| OutRequest::default(),
         classify_answer: |_, _, _: &Response<()>| AnswerKind::Unclear,
         call_limit: |_| None,
+        is_leaving: |_| false,
         unread_from_endpoint: |_| Vec::new(),
         unread_from_caller: |_| Vec::new(),
         parse_control_answer: |_, _| None,
