--- a/crates/basilbank_standin/tests/managed/stated.rs
+++ b/crates/basilbank_standin/tests/managed/stated.rs
@@ -1,8 +1,13 @@
 //! Endpoints that say in their answers what callers have to keep to.
 
-use std::{ops::Range, thread, time::Instant};
+use std::{
+    ops::Range,
+    thread,
+    time::{Duration, Instant},
+};
 
 use basilbank_standin::managed::{ManagedEndpoint, World};
+use test_case::test_case;
 
 use crate::support::{draft_of, eventually, plain, stream_of, world};
 
@@ -65,3 +70,68 @@
     drafts(&world, sent..sent + CALLS * 4);
     assert_eq!(work_since(leaver, told), [""; 0]);
 }
+
+/// The pause that an endpoint asks for.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// Time between two rounds of calls. Backoff that doubles with each refusal takes most of the pause to
+/// become long.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// Requests that may still reach an endpoint that has asked for a pause, from half a second later on.
+const BORNE: usize = 2;
+
+/// The most requests of any kind that reached the endpoint in a pause that it asked for.
+fn most_in_pause(endpoint: &ManagedEndpoint) -> usize {
+    let served = endpoint.served();
+    let in_pause = |asked: &(Instant, Duration)| {
+        let (from, to) = (asked.0 + Duration::from_millis(500), asked.0 + asked.1);
+        served.arrived.iter().filter(|(at, _)| from < *at && *at < to).count()
+    };
+    served.asked_pauses.iter().map(in_pause).max().unwrap_or_default()
+}
+
+/// Guards against plain calls to an endpoint that turned one away and asked for a pause.
+#[test]
+fn a_pause_is_given_to_a_plain_endpoint_that_asks_for_it() {
+    let world = world();
+    let tired = &world.plain[0];
+    tired.pause(Some(PAUSE));
+    eventually("it has asked", || {
+        sheets(&world);
+        !tired.served().asked_pauses.is_empty()
+    });
+    let end = Instant::now() + PAUSE;
+    while Instant::now() < end {
+        thread::sleep(ROUND);
+        sheets(&world);
+    }
+    assert!(most_in_pause(tired) <= BORNE, "{:?}", tired.served().arrived);
+    tired.pause(None);
+    eventually("it gets calls again", || {
+        sheets(&world);
+        !tired.served().ran.is_empty()
+    });
+}
+
+/// Guards against slots, prompts and cancels at a model endpoint that asked for a pause.
+#[test_case(0; "prefill")]
+#[test_case(1; "decode")]
+fn a_pause_is_given_to_a_model_endpoint_that_asks_for_it(n: usize) {
+    let world = world();
+    let tired = &world.model[n];
+    tired.pause(Some(PAUSE));
+    let mut sent = 0;
+    eventually("it has asked", || {
+        drafts(&world, sent..sent + 1);
+        sent += 1;
+        !tired.served().asked_pauses.is_empty()
+    });
+    let end = Instant::now() + PAUSE;
+    while Instant::now() < end {
+        thread::sleep(ROUND);
+        drafts(&world, sent..sent + 4);
+        sent += 4;
+    }
+    assert!(most_in_pause(tired) <= BORNE, "{:?}", tired.served().arrived);
+}
