--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -85,6 +85,13 @@
     },
     /// An endpoint's answer said that the endpoint is leaving.
     EndpointLeaving(EndpointKey),
+    /// An endpoint turned something away and wants nothing from this daemon for this long.
+    PauseRequested {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// The time from the answer on.
+        pause: Duration,
+    },
     /// An order to an endpoint was answered.
     OrderAnswered {
         /// The endpoint.
@@ -123,6 +130,8 @@
     Alive,
     /// No connection could be made, or no answer came in time.
     Unreachable,
+    /// The probe was not sent, as the endpoint wants a pause.
+    Withheld,
 }
 
 /// An endpoint's answer to an order.
@@ -182,7 +191,7 @@
             Outcome::Answered { .. } => "answered",
             Outcome::Streaming => "streaming",
             Outcome::Finished => "finished",
-            Outcome::NotRun(NotRun::Busy { .. }) => "busy",
+            Outcome::NotRun(NotRun::Busy) => "busy",
             Outcome::NotRun(NotRun::WrongInstance) => "wrong_instance",
             Outcome::NotRun(NotRun::Other { .. }) => "not_run",
             Outcome::Unreachable => "unreachable",
@@ -224,10 +233,7 @@
 pub enum NotRun {
     /// The endpoint is full, is leaving, or doesn't have the KV cache; its answer doesn't say
     /// which.
-    Busy {
-        /// Time after which another try may succeed, according to the endpoint.
-        retry_after: Option<Duration>,
-    },
+    Busy,
     /// Another instance has the address now, or the endpoint's stage has changed.
     WrongInstance,
     /// The endpoint refused the call for another reason.
--- a/crates/basilbank_forward/src/log_line.rs
+++ b/crates/basilbank_forward/src/log_line.rs
@@ -34,6 +34,8 @@
     },
     /// A permit for a call to an endpoint with a call limit was received.
     Permit,
+    /// An endpoint has asked for a pause.
+    Pause,
     /// A call was put into quarantine.
     Quarantined,
     /// An extra call, beyond the first of its request, is sent.
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -33,6 +33,8 @@
         QueueFull = "queue_full",
         /// All endpoints have call limits, and other calls go first.
         RateLimited = "limited",
+        /// All endpoints of the service have asked this daemon for a pause.
+        EndpointsPaused = "paused",
         /// The call has crashed the endpoints that ran it.
         Quarantined = "quarantined",
         /// The call's time ran out while an endpoint was running it.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -70,6 +70,7 @@
         Event::Probed { endpoint, liveness } => suspect::handle_probe(&mut ctx, endpoint, liveness),
         Event::CallLimit { endpoint, rate } => call_limit::record_limit(&mut ctx, endpoint, rate),
         Event::EndpointLeaving(key) => statement::mark_leaving(&mut ctx, key),
+        Event::PauseRequested { endpoint, pause } => statement::pause(&mut ctx, endpoint, pause),
         Event::OrderAnswered { endpoint, acceptance } => {
             roles::handle_order_answer(&mut ctx, endpoint, acceptance);
         }
@@ -88,6 +89,7 @@
         step::handle_timer(&mut ctx, id);
         queue::resume_waiting(&mut ctx);
     }
+    statement::tick(&mut ctx);
     suspect::tick(&mut ctx);
     crash::tick(&mut ctx);
     call_limit::tick(&mut ctx);
--- a/crates/basilbank_forward/src/reduce/call_limit.rs
+++ b/crates/basilbank_forward/src/reduce/call_limit.rs
@@ -104,7 +104,7 @@
 pub fn prefetch_permit(ctx: &mut Context<'_>, id: RequestId) {
     let Some(request) = ctx.state.requests.get(&id) else { return };
     let limits = &ctx.state.call_limits;
-    let mut endpoints = ctx.state.directory.available(&request.service);
+    let mut endpoints = ctx.state.directory.available(&request.service, ctx.now);
     let has_unlimited = endpoints.any(|(key, _)| limits.get(key).is_none());
     drop(endpoints);
     if !has_unlimited && !request.is_completion(ctx.state) {
@@ -224,7 +224,7 @@
         service: &str,
         now: Duration,
     ) -> Vec<EndpointKey> {
-        let keys = self.directory.available(service).map(|(key, _)| key);
+        let keys = self.directory.available(service, now).map(|(key, _)| key);
         keys.filter(|key| !self.has_permit(*key, now)).collect()
     }
 
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -77,6 +77,7 @@
             state.queue.clear_capacity(&service);
             return NextStep::WaitForCapacity;
         }
+        DecodeChoice::Paused(until) => return NextStep::WaitForPause(until),
         DecodeChoice::None => return NextStep::GiveUp(Refusal::NoEndpoint),
     };
     let wait =
--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -24,7 +24,7 @@
     let Some(request) = ctx.state.requests.get(&id) else { return };
     let (digest, run_time) = (request.call.digest, ctx.now.saturating_sub(live.started));
     // An endpoint that leaves aborts its calls; they are not the cause of its end.
-    let is_serving = ctx.state.directory.get(live.endpoint).is_some_and(|e| e.accepts_work());
+    let is_serving = ctx.state.directory.get(live.endpoint).is_some_and(|e| e.is_in_service());
     if is_serving {
         ctx.state.crashes.record_broken_call(live.endpoint, digest, run_time, ctx.now);
         suspect::request_probe(ctx, live.endpoint);
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use super::{Context, quota, remove_hold_usage, remove_usage};
+use super::{Context, quota, remove_hold_usage, remove_usage, statement};
 use crate::{
     call::RequestId,
     effect::Effect,
+    endpoint::Stage,
     log_line::{LogLine, Measurement},
     reason::Refusal,
     state::{
@@ -56,18 +57,18 @@
     }
 }
 
-/// Releases a hold whose endpoint has begun to leave.
+/// Releases a hold whose endpoint has begun to leave, or wants a pause.
 ///
 /// Between the hold and the call that uses it the prompt is read, and a lost answer to this can
 /// take seconds to be noticed. The completion would then be new work for an endpoint that announced
 /// long ago that it accepts none, and would be cut off when that endpoint exits. A KV cache that
 /// was made is kept: another endpoint can decode it.
-pub fn release_hold_if_leaving(ctx: &mut Context<'_>, id: RequestId) {
+pub fn release_unusable_hold(ctx: &mut Context<'_>, id: RequestId) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
-    let directory = &ctx.state.directory;
-    let is_leaving =
-        |hold: &mut Hold| directory.get(hold.endpoint).is_none_or(|e| !e.accepts_work());
-    if let Some(hold) = request.completion.hold.take_if(is_leaving) {
+    let (directory, now) = (&ctx.state.directory, ctx.now);
+    let is_unusable =
+        |hold: &mut Hold| directory.get(hold.endpoint).is_none_or(|e| !e.accepts_work(now));
+    if let Some(hold) = request.completion.hold.take_if(is_unusable) {
         release_hold(ctx, &hold);
         ctx.log_request(id, LogLine::new("hold_dropped").with("hold", &hold.name));
     }
@@ -77,7 +78,11 @@
     // The target is needed before the usage is removed: an unlisted endpoint is dropped with its
     // last call.
     if let Some(target) = ctx.state.directory.target(hold.endpoint) {
-        ctx.push(Effect::ReleaseHold { target, hold: hold.name.clone() });
+        let service = ctx.state.directory.get(hold.endpoint).map(|e| e.info.service.as_str());
+        let engine = service.and_then(|service| ctx.state.routes.engine(service));
+        let ttl = engine.map_or(Duration::ZERO, |engine| engine.max_hold);
+        let effect = Effect::ReleaseHold { target, hold: hold.name.clone() };
+        statement::release(ctx, hold.endpoint, ttl, effect);
     }
     remove_hold_usage(ctx.state, hold);
 }
@@ -118,7 +123,10 @@
     if let Some(kv) = request.completion.kv
         && let Some(target) = ctx.state.directory.target(kv.endpoint)
     {
-        ctx.push(Effect::FreeKv { target, handle: kv.handle });
+        let engine = ctx.state.routes.engine(&request.service);
+        let expiry = kv.made + engine.map_or(Duration::ZERO, |engine| engine.kv_ttl);
+        let effect = Effect::FreeKv { target, handle: kv.handle };
+        statement::release(ctx, kv.endpoint, expiry.saturating_sub(ctx.now), effect);
     }
 }
 
@@ -134,6 +142,11 @@
                 let endpoints = self.endpoints_without_permit(&request.service, now);
                 Some(self.permit_holder.available_at(&endpoints).saturating_sub(now))
             }
+            (Refusal::EndpointsPaused, Some(request)) => {
+                let stage = request.is_completion(self).then_some(Stage::Decode);
+                let end = self.directory.first_pause_end(&request.service, stage);
+                end.map(|end| end.saturating_sub(now))
+            }
             (_, Some(request)) => request.retry_after,
             _ => None,
         };
--- a/crates/basilbank_forward/src/reduce/next_step.rs
+++ b/crates/basilbank_forward/src/reduce/next_step.rs
@@ -24,6 +24,8 @@
     WaitForTurn(Duration),
     /// Wait for a permit for an endpoint with a call limit.
     WaitForPermit,
+    /// Wait until the first endpoint of the service no longer wants a pause.
+    WaitForPause(Duration),
     /// End the request with a refusal or failure.
     GiveUp(Refusal),
 }
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -50,7 +50,7 @@
         }
         Outcome::NotRun(reason) => {
             count_refusal(ctx, id, &live);
-            handle_not_run(ctx, id, &live, matches!(reason, NotRun::Busy { .. }));
+            handle_not_run(ctx, id, &live, matches!(reason, NotRun::Busy));
         }
         Outcome::Unreachable | Outcome::Withheld => handle_not_run(ctx, id, &live, false),
         Outcome::Broken(_) | Outcome::TimedOut => {
@@ -82,7 +82,7 @@
         Outcome::Answered { .. } | Outcome::Streaming => {
             endpoint.record_answer(now.saturating_sub(live.started));
         }
-        Outcome::NotRun(NotRun::Busy { .. }) => endpoint.record_refusal(now, &tuning),
+        Outcome::NotRun(NotRun::Busy) => endpoint.record_refusal(now, &tuning),
         // The list of endpoints is stale: until it is up to date, the address belongs to another
         // instance.
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
@@ -105,9 +105,6 @@
         Outcome::Answered { status } | Outcome::NotRun(NotRun::Other { status }) => {
             line.with("status", status)
         }
-        Outcome::NotRun(NotRun::Busy { retry_after: Some(pause) }) => {
-            line.with_ms("asks_pause_ms", *pause)
-        }
         Outcome::Broken(damage) => line.with("damage", damage.as_str()),
         _ => line,
     };
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -32,10 +32,11 @@
     let remote = state.tuning.remote_cost;
     // A new endpoint counts as the fastest of the others until it is measured. If it counted as
     // slow, it would never be tried and so never be measured.
-    let fastest = state.directory.available(service).filter_map(|(_, e)| e.mean_answer_time).min();
+    let fastest =
+        state.directory.available(service, now).filter_map(|(_, e)| e.mean_answer_time).min();
     let fastest = fastest.unwrap_or_default();
     let permitted =
-        state.directory.available(service).filter(|(key, _)| state.has_permit(*key, now));
+        state.directory.available(service, now).filter(|(key, _)| state.has_permit(*key, now));
     let candidates = permitted.map(|(key, endpoint)| {
         let mean = endpoint.mean_answer_time.unwrap_or(fastest);
         let slots = f64::from(endpoint.info.slots.max(1));
@@ -52,8 +53,11 @@
     let candidates: Vec<_> = candidates.collect();
     match pick_cheapest(state, &candidates, 0.0) {
         Some(key) => PlainChoice::At(key),
-        None if state.directory.available(service).next().is_some() => PlainChoice::Limited,
-        None => PlainChoice::None,
+        None if state.directory.available(service, now).next().is_some() => PlainChoice::Limited,
+        None => match state.directory.first_pause_end(service, None) {
+            Some(until) => PlainChoice::Paused(until),
+            None => PlainChoice::None,
+        },
     }
 }
 
@@ -64,6 +68,8 @@
     At(EndpointKey),
     /// All endpoints need a permit that this daemon doesn't have.
     Limited,
+    /// All endpoints want a pause; the first one ends then.
+    Paused(Duration),
     /// The service has no endpoint.
     None,
 }
@@ -96,11 +102,7 @@
     let data_centre =
         criteria.near.and_then(|key| state.directory.get(key)).map(|e| e.info.data_centre.clone());
     let data_centre = data_centre.unwrap_or_else(|| state.local.data_centre.clone());
-    let mut has_endpoints = false;
-    let endpoints = state
-        .directory
-        .available_in_stage(service, Stage::Decode)
-        .inspect(|_| has_endpoints = true);
+    let endpoints = state.directory.available_in_stage(service, Stage::Decode, now);
     // An idle endpoint accepts any completion, however large.
     let permitted = endpoints.filter(|(key, _)| state.has_permit(*key, now));
     let peaks = permitted.map(|(key, e)| (key, e, e.peak_tokens(criteria.usage, now, growth)));
@@ -122,7 +124,7 @@
     // waits for one of the others is served sooner.
     let has_usable = state
         .directory
-        .available_in_stage(service, Stage::Decode)
+        .available_in_stage(service, Stage::Decode, now)
         .any(|(_, e)| e.avoided_until <= now);
     if has_usable && candidates.iter().all(|candidate| !candidate.avoided_for.is_zero()) {
         return DecodeChoice::Full;
@@ -131,8 +133,16 @@
         criteria.session.and_then(|session| pick_home(state, service, session, &candidates, now));
     match home.or_else(|| pick_cheapest(state, &candidates, MEMORY_FRACTION_TOLERANCE)) {
         Some(key) => DecodeChoice::At(key),
-        None if has_endpoints => DecodeChoice::Full,
+        None => no_decode_endpoint(state, service, now),
+    }
+}
+
+/// Returns why no decode endpoint can be picked.
+fn no_decode_endpoint(state: &State, service: &str, now: Duration) -> DecodeChoice {
+    match state.directory.first_pause_end(service, Some(Stage::Decode)) {
         None => DecodeChoice::None,
+        Some(until) if now < until => DecodeChoice::Paused(until),
+        Some(_) => DecodeChoice::Full,
     }
 }
 
@@ -156,7 +166,7 @@
 ) -> Option<EndpointKey> {
     let weight =
         |endpoint: &Endpoint| xxh3_64_with_seed(endpoint.info.instance.as_bytes(), session);
-    let endpoints = state.directory.available_in_stage(service, Stage::Decode);
+    let endpoints = state.directory.in_stage(service, Stage::Decode);
     let weights: Vec<_> = endpoints.map(|(key, e)| (weight(e), key)).collect();
     let first = weights.iter().max()?;
     let second = weights.iter().filter(|other| *other != first).max();
@@ -184,6 +194,8 @@
     At(EndpointKey),
     /// The memory of all endpoints is taken.
     Full,
+    /// All endpoints want a pause; the first one ends then.
+    Paused(Duration),
     /// The service has no decode endpoint.
     None,
 }
@@ -210,7 +222,7 @@
         Some(_) => state.tuning.remote_kv_cost.as_secs_f64(),
         None => state.tuning.remote_cost.as_secs_f64(),
     };
-    let endpoints = state.directory.available_in_stage(service, Stage::Prefill);
+    let endpoints = state.directory.available_in_stage(service, Stage::Prefill, now);
     let candidates =
         endpoints.filter(|(key, _)| state.has_permit(*key, now)).map(|(key, endpoint)| {
             let remote_cost = if endpoint.info.data_centre == data_centre { 0.0 } else { remote };
@@ -237,8 +249,7 @@
 /// unknown.
 fn unreported_seconds(state: &State, service: &str, candidates: &[Candidate]) -> f64 {
     let mean_stay = candidates.iter().map(|c| c.cost).sum::<f64>() / candidates.len().max(1) as f64;
-    let reported =
-        state.directory.available_in_stage(service, Stage::Prefill).map(|(_, e)| e.peer_tokens);
+    let reported = state.directory.in_stage(service, Stage::Prefill).map(|(_, e)| e.peer_tokens);
     let reported: f64 =
         reported.map(f64::from).sum::<f64>() / state.tuning.prefill_tokens_per_second;
     reported * state.peers.report_delay.as_secs_f64() / mean_stay.max(MIN_STAY_SECONDS)
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -45,8 +45,9 @@
     let endpoint = match placement::pick_plain(state, &service, &tried, now) {
         PlainChoice::At(endpoint) => endpoint,
         PlainChoice::Limited if waits => return NextStep::WaitForPermit,
+        PlainChoice::Paused(until) if waits => return NextStep::WaitForPause(until),
         PlainChoice::None if waits => return NextStep::GiveUp(Refusal::NoEndpoint),
-        PlainChoice::Limited | PlainChoice::None => return NextStep::Wait,
+        PlainChoice::Limited | PlainChoice::Paused(_) | PlainChoice::None => return NextStep::Wait,
     };
     let usage = Usage::plain();
     let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -126,10 +126,10 @@
         Some(key) => ctx.state.directory.update(key, info),
         None => {
             ctx.state.roles.list_grew = ctx.now;
-            let is_leaving = ctx.state.records.is_leaving(&info, ctx.now);
+            let statements = ctx.state.records.statements(&info, ctx.now);
             let key = ctx.state.directory.insert(info);
             if let Some(endpoint) = ctx.state.directory.get_mut(key) {
-                endpoint.leaving = is_leaving;
+                endpoint.statements = statements;
             }
             true
         }
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -112,7 +112,7 @@
         {
             continue;
         }
-        if let Some(endpoint) = pick_surplus(ctx.state, &service) {
+        if let Some(endpoint) = pick_surplus(ctx.state, &service, ctx.now) {
             send_order(ctx, endpoint, Stage::Decode);
         }
     }
@@ -132,24 +132,23 @@
 
 /// Returns whether no call is running, so that several stage changes at once cost nothing.
 fn is_service_idle(state: &State, service: &str) -> bool {
-    state.directory.available(service).all(|(_, endpoint)| endpoint.total_calls() == 0)
+    state.directory.in_service(service).all(|(_, endpoint)| endpoint.total_calls() == 0)
 }
 
 /// Picks a prefill endpoint that isn't needed: the one with the least work in the data centre with
 /// the most prefill endpoints.
-fn pick_surplus(state: &State, service: &str) -> Option<EndpointKey> {
+fn pick_surplus(state: &State, service: &str, now: Duration) -> Option<EndpointKey> {
     let is_ordered = |key: &EndpointKey| state.roles.ordered.contains_key(key);
     let prefill: Vec<_> = state
         .directory
-        .available_in_stage(service, Stage::Prefill)
+        .in_stage(service, Stage::Prefill)
         .filter(|(key, _)| !is_ordered(key))
         .collect();
-    let decode = state.directory.available_in_stage(service, Stage::Decode).count();
-    let changing =
-        state.directory.available_in_stage(service, Stage::Prefill).count() - prefill.len();
+    let decode = state.directory.in_stage(service, Stage::Decode).count();
+    let changing = state.directory.in_stage(service, Stage::Prefill).count() - prefill.len();
     let total = prefill.len() + decode + changing;
     let memory = state.routes.engine(service)?.memory_tokens;
-    let slots = state.directory.available(service).map(|(_, e)| e.info.slots).min()?;
+    let slots = state.directory.in_service(service).map(|(_, e)| e.info.slots).min()?;
     let required = ((total as f64 * prefill_fraction(memory, slots)).floor() as usize)
         .max(MIN_PREFILL_ENDPOINTS);
     if prefill.len() <= required {
@@ -161,7 +160,8 @@
         let count = count_in(&e.info.data_centre);
         (std::cmp::Reverse(count), e.total_tokens(), e.info.instance.clone())
     };
-    prefill.iter().min_by_key(|(_, endpoint)| rank(endpoint)).map(|(key, _)| *key)
+    let willing = prefill.iter().filter(|(_, endpoint)| endpoint.accepts_work(now));
+    willing.min_by_key(|(_, endpoint)| rank(endpoint)).map(|(key, _)| *key)
 }
 
 /// Returns the fraction of a service's endpoints that should be prefill endpoints. It compares a
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -22,8 +22,9 @@
 /// endpoint would work in vain.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 
-/// Divisor of a call's remaining time for the maximum time that it waits for a permit. After that
-/// it is refused, so that its caller can come back and still be served elsewhere on time.
+/// Divisor of a call's remaining time for the maximum time that it waits for a permit or the end of
+/// a pause. After that it is refused, so that its caller can come back and still be served elsewhere
+/// on time.
 const PERMIT_WAIT_DIVISOR: u32 = 3;
 
 /// Takes the next step of a request, unless an attempt in progress has to be waited for.
@@ -31,7 +32,7 @@
     if !quota::check_quota(ctx, id) {
         return;
     }
-    finish::release_hold_if_leaving(ctx, id);
+    finish::release_unusable_hold(ctx, id);
     if crash::check_quarantine(ctx, id) {
         return finish::give_up(ctx, id, Refusal::Quarantined);
     }
@@ -67,6 +68,7 @@
             }
         }
         NextStep::WaitForPermit => wait_for_permit(ctx, id),
+        NextStep::WaitForPause(until) => wait_for_pause(ctx, id, until),
         NextStep::GiveUp(refusal) => finish::give_up(ctx, id, refusal),
         NextStep::Dispatch(dispatch) => {
             let is_plain = dispatch.step == Step::Whole;
@@ -120,6 +122,17 @@
     }
 }
 
+/// Lets a call wait until the first endpoint no longer wants a pause, or refuses it at once if that
+/// takes too long.
+fn wait_for_pause(ctx: &mut Context<'_>, id: RequestId, until: Duration) {
+    let Some(request) = ctx.state.requests.get(&id) else { return };
+    let max_wait = request.remaining(ctx.now) / PERMIT_WAIT_DIVISOR;
+    if ctx.now + max_wait < until {
+        return finish::give_up(ctx, id, Refusal::EndpointsPaused);
+    }
+    wait_until(ctx, id, until);
+}
+
 /// Handles a timer of a request: its deadline has passed or a pause is over.
 pub fn handle_timer(ctx: &mut Context<'_>, id: RequestId) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
@@ -237,7 +250,8 @@
             return false;
         }
         let (service, tried) = (request.service.clone(), request.tried.clone());
-        let has_untried = self.directory.available(&service).any(|(key, _)| !tried.contains(&key));
+        let has_untried =
+            self.directory.available(&service, now).any(|(key, _)| !tried.contains(&key));
         let daemons = self.slack_sharers(now);
         let budget = self.retry_budgets.entry(service).or_default();
         has_untried && 1.0 <= budget.available(now, &self.tuning, daemons)
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -11,7 +11,7 @@
 
 use super::{Context, crash};
 use crate::{
-    effect::Effect, endpoint::EndpointKey, event::Liveness, log_line::LogLine,
+    effect::Effect, endpoint::EndpointKey, event::Liveness, log_line::LogLine, purpose::Purpose,
     state::crashes::CrashEvidence,
 };
 
@@ -63,9 +63,13 @@
 
 /// Handles the result of a probe.
 pub fn handle_probe(ctx: &mut Context<'_>, key: EndpointKey, liveness: Liveness) {
-    if liveness == Liveness::Alive {
-        ctx.state.crashes.record_answer(key);
-        return mark_reachable(ctx, key);
+    match liveness {
+        Liveness::Alive => {
+            ctx.state.crashes.record_answer(key);
+            return mark_reachable(ctx, key);
+        }
+        Liveness::Withheld => return postpone_probe(ctx, key),
+        Liveness::Unreachable => {}
     }
     crash::report_crash(ctx, key, CrashEvidence::Unreachable);
     let now = ctx.now;
@@ -84,12 +88,24 @@
 pub fn tick(ctx: &mut Context<'_>) {
     while let Some(key) = ctx.state.suspects.take_due(ctx.now) {
         match ctx.state.directory.target(key) {
+            Some(_) if !ctx.state.may_send(key, Purpose::Probe, ctx.now) => {
+                postpone_probe(ctx, key);
+            }
             Some(target) => ctx.push(Effect::Probe(target)),
             None => drop(ctx.state.suspects.remove(key)),
         }
     }
 }
 
+/// Schedules a probe for the end of the pause that the endpoint wants.
+fn postpone_probe(ctx: &mut Context<'_>, key: EndpointKey) {
+    let paused_until = ctx.state.directory.get(key).map(|e| e.statements.paused_until);
+    let due = paused_until.unwrap_or_default().max(ctx.now + MIN_PROBE_PAUSE);
+    if let Some(suspect) = ctx.state.suspects.get_mut(key) {
+        suspect.due = Some(due);
+    }
+}
+
 fn log_unreachable(ctx: &mut Context<'_>, key: EndpointKey) {
     if let Some(endpoint) = ctx.state.directory.get(key) {
         let line = LogLine::new("endpoint_dark").with("instance", &endpoint.info.instance);
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -19,6 +19,7 @@
 pub mod requests;
 pub mod retry_budget;
 pub mod roles;
+pub mod statements;
 pub mod suspects;
 pub mod usage;
 pub mod watchers;
@@ -50,12 +51,14 @@
     requests::{ActiveAttempt, Completion, Request},
     retry_budget::RetryBudget,
     roles::{OrderRight, Roles},
+    statements::Statements,
     suspects::Suspects,
     usage::{Growth, Usage},
     watchers::FollowState,
 };
 use crate::{
     call::RequestId,
+    effect::Effect,
     endpoint::EndpointKey,
     purpose::Purpose,
     reading::ReaderContext,
@@ -146,6 +149,8 @@
     pub leaving: Option<Leaving>,
     pub(crate) rng: Rng,
     timers: BTreeSet<(Duration, RequestId)>,
+    /// What is given back to endpoints once their pauses are over, with the times.
+    pub(crate) deferred_releases: Vec<(Duration, EndpointKey, Effect)>,
 }
 
 impl State {
@@ -192,19 +197,18 @@
             leaving: None,
             rng,
             timers: BTreeSet::new(),
+            deferred_releases: Vec::new(),
         }
     }
 
     /// Returns whether something may be sent to an endpoint now, by what is known of the endpoint.
     /// What was decided some milliseconds ago is checked again as it is sent.
     #[must_use]
-    pub fn may_send(&self, key: EndpointKey, purpose: Purpose) -> bool {
+    pub fn may_send(&self, key: EndpointKey, purpose: Purpose, now: Duration) -> bool {
         let Some(endpoint) = self.directory.get(key) else { return false };
-        match purpose {
-            Purpose::Work | Purpose::Order => endpoint.accepts_work(),
-            // What is given back, and probes, are no work.
-            Purpose::Release | Purpose::Probe => true,
-        }
+        let is_work = matches!(purpose, Purpose::Work | Purpose::Order);
+        let is_wanted = endpoint.is_in_service() || !is_work;
+        is_wanted && !endpoint.statements.is_paused(now)
     }
 
     /// Returns the number of daemons that share the slack of the retry budgets.
@@ -400,6 +404,7 @@
             .chain(self.peers.probe_due())
             .chain(self.confirmation_due())
             .chain(self.quotas.due())
+            .chain(self.deferred_releases.iter().map(|(until, ..)| *until).min())
             .chain([self.gossip_due()])
             .min()
     }
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -60,23 +60,51 @@
         self.endpoints.get_mut(key)
     }
 
-    /// Returns the endpoints of a service that accept new work.
-    pub fn available<'a>(
+    /// Returns the endpoints of a service that are in service.
+    pub fn in_service<'a>(
         &'a self,
         name: &str,
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + use<'a> {
         let keys = self.services.get(name).map(Vec::as_slice).unwrap_or_default();
         let all = keys.iter().filter_map(|key| Some((*key, self.endpoints.get(*key)?)));
-        all.filter(|(_, endpoint)| endpoint.accepts_work())
+        all.filter(|(_, endpoint)| endpoint.is_in_service())
+    }
+
+    /// Returns the endpoints of a service that accept new work now.
+    pub fn available<'a>(
+        &'a self,
+        name: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + use<'a> {
+        self.in_service(name).filter(move |(_, endpoint)| endpoint.accepts_work(now))
+    }
+
+    /// Returns when the first pause ends that endpoints of a service want, or of those with a stage;
+    /// zero if one of them wants none, `None` if there are no endpoints.
+    #[must_use]
+    pub fn first_pause_end(&self, name: &str, stage: Option<Stage>) -> Option<Duration> {
+        let has_stage = |e: &Endpoint| stage.is_none() || e.info.stage == stage;
+        let endpoints = self.in_service(name).filter(|(_, endpoint)| has_stage(endpoint));
+        endpoints.map(|(_, endpoint)| endpoint.statements.paused_until).min()
     }
 
-    /// Returns the endpoints of a service with this stage that accept new work.
+    /// Returns the endpoints of a service with this stage that are in service.
+    pub fn in_stage<'a>(
+        &'a self,
+        name: &str,
+        stage: Stage,
+    ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + use<'a> {
+        self.in_service(name).filter(move |(_, e)| e.info.stage == Some(stage))
+    }
+
+    /// Returns the endpoints of a service with this stage that accept new work now.
     pub fn available_in_stage<'a>(
         &'a self,
         name: &str,
         stage: Stage,
+        now: Duration,
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> + use<'a> {
-        self.available(name).filter(move |(_, e)| e.info.stage == Some(stage))
+        self.in_stage(name, stage).filter(move |(_, e)| e.accepts_work(now))
     }
 
     /// Returns the endpoints that are on the list.
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::usage::{self, Growth, Usage};
+use super::{
+    statements::Statements,
+    usage::{self, Growth, Usage},
+};
 use crate::{endpoint::EndpointInfo, tuning::Tuning};
 
 /// Weight of a new measurement in the running mean of answer times: the mean covers some ten
@@ -40,9 +43,8 @@
     pub info: EndpointInfo,
     /// Whether it is off the list. Its calls in progress continue.
     pub unlisted: bool,
-    /// Whether an answer of the endpoint has said that it is leaving. Its record may say so much
-    /// later, or never: the store may be unreachable for it, or for this daemon.
-    pub leaving: bool,
+    /// What its answers have stated about it.
+    pub statements: Statements,
     /// Whether the incarnation has ended and what it held is lost: its instance has restarted, or
     /// another one has its address. Its calls in progress end when their own connections do.
     pub ended: bool,
@@ -82,7 +84,7 @@
         Endpoint {
             info,
             unlisted: false,
-            leaving: false,
+            statements: Statements::default(),
             ended: false,
             calls: 0,
             tokens: 0,
@@ -101,16 +103,22 @@
         }
     }
 
-    /// Returns whether new work may be sent to it.
+    /// Returns whether it is in service: new work may be sent to it, unless it wants a pause.
     #[must_use]
-    pub fn accepts_work(&self) -> bool {
+    pub fn is_in_service(&self) -> bool {
         !self.unlisted && !self.is_leaving()
     }
 
+    /// Returns whether new work may be sent to it now.
+    #[must_use]
+    pub fn accepts_work(&self, now: Duration) -> bool {
+        self.is_in_service() && !self.statements.is_paused(now)
+    }
+
     /// Returns whether it is leaving, by its record or by its own answers.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
-        self.info.draining || self.leaving
+        self.info.draining || self.statements.leaving
     }
 
     /// Returns whether its record is missing from the list and it is only kept for a grace period.
--- a/crates/basilbank_forward/src/state/endpoint_records.rs
+++ b/crates/basilbank_forward/src/state/endpoint_records.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use super::statements::Statements;
 use crate::{endpoint::EndpointInfo, route::RouteTable};
 
 /// Time for which an ended incarnation is remembered. Records arrive late by seconds, over a slow
@@ -12,10 +13,10 @@
 /// incarnation whose clock was set back has such a record.
 const ENDED_RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which it is remembered that an incarnation is leaving, also if its record goes and comes
+/// Time for which the statements of an incarnation are remembered, also if its record goes and comes
 /// back meanwhile, as records do that expire while the store is unreachable. Endpoints leave within
 /// a minute.
-const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+const STATEMENT_RETENTION: Duration = Duration::from_secs(600);
 
 /// Records that were read but are not in use, and what is known of incarnations that have ended.
 #[derive(Debug, Default)]
@@ -28,17 +29,18 @@
     excluded: BTreeMap<String, EndpointInfo>,
     /// Incarnations that have ended, by instance.
     ended: HashMap<String, Ended>,
-    /// Incarnations whose answers have said that they are leaving, by instance.
-    leaving: HashMap<String, Leaver>,
+    /// What the answers of incarnations have stated, by instance.
+    stated: HashMap<String, Stated>,
 }
 
-/// An incarnation whose answers have said that it is leaving.
+/// What the answers of an incarnation have stated.
 #[derive(Clone, Copy, Debug)]
-struct Leaver {
+struct Stated {
     /// Its start time, if its record stated it.
     start_time: Option<u64>,
-    /// When it said so first.
+    /// When its last statement came.
     at: Duration,
+    statements: Statements,
 }
 
 /// The last incarnation of an instance that has ended.
@@ -50,6 +52,12 @@
     at: Duration,
 }
 
+impl Stated {
+    fn is_valid(&self, now: Duration) -> bool {
+        now < (self.at + STATEMENT_RETENTION).max(self.statements.paused_until)
+    }
+}
+
 impl EndpointRecords {
     /// Adds the services that a configuration names.
     pub fn add_services(&mut self, table: &RouteTable) {
@@ -97,21 +105,26 @@
         self.ended.insert(info.instance.clone(), ended);
     }
 
-    /// Records that an incarnation's answer has said that it is leaving.
-    pub fn record_leaving(&mut self, info: &EndpointInfo, now: Duration) {
-        self.leaving.retain(|_, leaver| now < leaver.at + LEAVING_RETENTION);
-        let leaver = Leaver { start_time: info.start_time, at: now };
-        self.leaving.insert(info.instance.clone(), leaver);
+    /// Records what the answers of an incarnation have stated.
+    pub fn record_statements(
+        &mut self,
+        info: &EndpointInfo,
+        statements: Statements,
+        now: Duration,
+    ) {
+        self.stated.retain(|_, stated| stated.is_valid(now));
+        let stated = Stated { start_time: info.start_time, at: now, statements };
+        self.stated.insert(info.instance.clone(), stated);
     }
 
-    /// Returns whether the record is of an incarnation whose answers have said that it is leaving.
+    /// Returns what the answers of the record's incarnation have stated.
     #[must_use]
-    pub fn is_leaving(&self, info: &EndpointInfo, now: Duration) -> bool {
-        let leaver = self.leaving.get(&info.instance);
-        let leaver = leaver.filter(|leaver| now < leaver.at + LEAVING_RETENTION);
+    pub fn statements(&self, info: &EndpointInfo, now: Duration) -> Statements {
+        let stated = self.stated.get(&info.instance).filter(|stated| stated.is_valid(now));
         // A record without a start time says nothing about its incarnation.
-        leaver
-            .is_some_and(|leaver| info.start_time.is_none() || leaver.start_time == info.start_time)
+        let is_same =
+            |stated: &&Stated| info.start_time.is_none() || stated.start_time == info.start_time;
+        stated.filter(is_same).map(|stated| stated.statements).unwrap_or_default()
     }
 
     /// Returns whether the record is of an incarnation before one that has recently ended.
--- a/crates/basilbank_forward/tests/forward/homes.rs
+++ b/crates/basilbank_forward/tests/forward/homes.rs
@@ -69,6 +69,6 @@
 fn a_home_that_had_the_draft_is_not_tried_again() {
     let mut rig = daemon(1);
     let (id, hold) = draft(&mut rig, 42, 1000);
-    rig.came(id, hold.number, Outcome::NotRun(NotRun::Busy { retry_after: None }));
+    rig.came(id, hold.number, Outcome::NotRun(NotRun::Busy));
     assert_ne!(rig.start().target, hold.target);
 }
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -388,7 +388,7 @@
             if lapsed {
                 self.got.vain += 1;
                 self.drafts.remove(&next.draft);
-                let outcome = Outcome::NotRun(NotRun::Busy { retry_after: None });
+                let outcome = Outcome::NotRun(NotRun::Busy);
                 if matches!(self.placing, Placing::Router(_)) {
                     self.drop_draft(next.draft, next.attempt, outcome);
                 }
--- a/crates/basilbank_forward/tests/forward/restored_store.rs
+++ b/crates/basilbank_forward/tests/forward/restored_store.rs
@@ -33,7 +33,7 @@
 
 /// The endpoints that get work.
 fn used(rig: &Rig) -> BTreeSet<String> {
-    rig.state.directory.available("desk").map(|(_, e)| e.info.instance.clone()).collect()
+    rig.state.directory.in_service("desk").map(|(_, e)| e.info.instance.clone()).collect()
 }
 
 fn names(names: &[&str]) -> BTreeSet<String> {
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -281,7 +281,7 @@
 }
 
 /// The endpoint is full, or lacks the KV cache.
-pub const BUSY: Outcome = Outcome::NotRun(NotRun::Busy { retry_after: None });
+pub const BUSY: Outcome = Outcome::NotRun(NotRun::Busy);
 
 /// A held slot.
 pub fn held() -> Outcome {
--- a/crates/basilbank_forward/tests/forward/statements.rs
+++ b/crates/basilbank_forward/tests/forward/statements.rs
@@ -1,6 +1,8 @@
 //! What endpoints state in their answers holds for every way to send them something.
 
-use basilbank_forward::prelude::*;
+use std::time::Duration;
+
+use basilbank_forward::{event::Liveness, prelude::*};
 use test_case::test_case;
 
 use crate::rig::{BUSY, Rig, held, model, plain, prefilled, prompt};
@@ -10,8 +12,7 @@
 }
 
 fn leave(rig: &mut Rig, instance: &str) {
-    let key = key(rig, instance);
-    rig.feed(Event::EndpointLeaving(key));
+    say(rig, instance, Said::Leaving);
 }
 
 /// Two plain endpoints, a prefill endpoint and two decode endpoints.
@@ -41,35 +42,58 @@
     seen
 }
 
-#[test]
-fn an_endpoint_that_says_it_leaves_gets_no_first_tries() {
+/// What an endpoint's answer states, and what its lack of work after that comes from.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Said {
+    Leaving,
+    Pause,
+}
+
+/// The pause that endpoints ask for.
+const PAUSE: Duration = Duration::from_secs(3);
+
+fn say(rig: &mut Rig, instance: &str, said: Said) {
+    let endpoint = key(rig, instance);
+    rig.feed(match said {
+        Said::Leaving => Event::EndpointLeaving(endpoint),
+        Said::Pause => Event::PauseRequested { endpoint, pause: PAUSE },
+    });
+}
+
+#[test_case(Said::Leaving)]
+#[test_case(Said::Pause)]
+fn an_endpoint_that_wants_no_work_gets_no_first_tries(said: Said) {
     let mut rig = rig();
     assert_eq!(first_tries(&mut rig, "/stock/1", None), ["a", "b"]);
-    leave(&mut rig, "a");
+    say(&mut rig, "a", said);
     assert_eq!(first_tries(&mut rig, "/stock/1", None), ["b"]);
 }
 
-#[test]
-fn an_endpoint_that_says_it_leaves_gets_no_slots() {
+#[test_case(Said::Leaving)]
+#[test_case(Said::Pause)]
+fn an_endpoint_that_wants_no_work_gets_no_slots(said: Said) {
     let mut rig = rig();
-    leave(&mut rig, "d1");
+    say(&mut rig, "d1", said);
     assert_eq!(first_tries(&mut rig, "/draft/1", Some(&prompt(500))), ["d2"]);
 }
 
-#[test_case(BUSY; "after a refusal")]
-#[test_case(Outcome::Answered { status: 500 }; "after an error")]
-fn an_endpoint_that_says_it_leaves_gets_no_retries(outcome: Outcome) {
+#[test_case(Said::Leaving, BUSY; "leaving after a refusal")]
+#[test_case(Said::Leaving, Outcome::Answered { status: 500 }; "leaving after an error")]
+#[test_case(Said::Pause, BUSY; "a pause after a refusal")]
+#[test_case(Said::Pause, Outcome::Answered { status: 500 }; "a pause after an error")]
+fn an_endpoint_that_wants_no_work_gets_no_retries(said: Said, outcome: Outcome) {
     let mut rig = rig();
     let id = rig.call("/sheet/1", 2000, None);
     let first = rig.start();
     let other = if first.target.instance == "a" { "b" } else { "a" };
-    leave(&mut rig, other);
+    say(&mut rig, other, said);
     rig.came(id, first.number, outcome);
     assert!(rig.starts().iter().all(|retry| retry.target.instance != other));
 }
 
-#[test]
-fn an_endpoint_that_says_it_leaves_gets_no_second_copy_of_a_slow_call() {
+#[test_case(Said::Leaving)]
+#[test_case(Said::Pause)]
+fn an_endpoint_that_wants_no_work_gets_no_second_copy_of_a_slow_call(said: Said) {
     let mut rig = rig();
     for _ in 0..40 {
         let id = rig.call("/sheet/1", 2500, None);
@@ -78,15 +102,16 @@
     }
     rig.call("/sheet/1", 2500, None);
     let first = rig.start();
-    leave(&mut rig, if first.target.instance == "a" { "b" } else { "a" });
+    say(&mut rig, if first.target.instance == "a" { "b" } else { "a" }, said);
     rig.pass_ms(1000);
     assert!(rig.starts().is_empty());
 }
 
-#[test]
-fn an_endpoint_that_says_it_leaves_reads_no_prompts() {
+#[test_case(Said::Leaving)]
+#[test_case(Said::Pause)]
+fn an_endpoint_that_wants_no_work_reads_no_prompts(said: Said) {
     let mut rig = rig();
-    leave(&mut rig, "p1");
+    say(&mut rig, "p1", said);
     let id = rig.call("/draft/1", 8000, Some(prompt(500)));
     let hold = rig.start();
     rig.came(id, hold.number, held());
@@ -95,16 +120,18 @@
 }
 
 /// The slot was held, or the prompt read, before the endpoint said so.
-#[test_case(false; "while the prompt is read")]
-#[test_case(true; "when the prompt has been read")]
-fn a_slot_at_an_endpoint_that_says_it_leaves_is_not_used(read: bool) {
+#[test_case(Said::Leaving, false; "leaving while the prompt is read")]
+#[test_case(Said::Leaving, true; "leaving when the prompt has been read")]
+#[test_case(Said::Pause, false; "a pause while the prompt is read")]
+#[test_case(Said::Pause, true; "a pause when the prompt has been read")]
+fn a_slot_at_an_endpoint_that_wants_no_work_is_not_used(said: Said, read: bool) {
     let mut rig = rig();
     let id = rig.call("/draft/1", 8000, Some(prompt(500)));
     let hold = rig.start();
     rig.came(id, hold.number, held());
     let prefill = rig.start();
     assert!(matches!(prefill.op, Op::Prefill));
-    leave(&mut rig, &hold.target.instance);
+    say(&mut rig, &hold.target.instance, said);
     rig.came(id, prefill.number, if read { prefilled() } else { BUSY });
     let next = rig.start();
     assert!(matches!(next.op, Op::Hold { .. }), "{next:?}");
@@ -112,25 +139,30 @@
 }
 
 /// A draft goes on elsewhere if it can't be sent any more.
-#[test]
-fn work_that_was_withheld_goes_elsewhere() {
+#[test_case(Said::Leaving)]
+#[test_case(Said::Pause)]
+fn work_that_was_withheld_goes_elsewhere(said: Said) {
     let mut rig = rig();
     let id = rig.call("/stock/1", 2000, None);
     let first = rig.start();
-    leave(&mut rig, &first.target.instance);
-    assert!(!rig.state.may_send(first.target.endpoint, Purpose::Work));
+    say(&mut rig, &first.target.instance, said);
+    assert!(!rig.state.may_send(first.target.endpoint, Purpose::Work, rig.now()));
     rig.came(id, first.number, Outcome::Withheld);
     assert_ne!(rig.start().target.instance, first.target.instance);
 }
 
-#[test_case(Purpose::Work, false)]
-#[test_case(Purpose::Order, false)]
-#[test_case(Purpose::Release, true)]
-#[test_case(Purpose::Probe, true)]
-fn what_may_be_sent_to_an_endpoint_that_says_it_leaves(purpose: Purpose, may_send: bool) {
+#[test_case(Said::Leaving, Purpose::Work, false)]
+#[test_case(Said::Leaving, Purpose::Order, false)]
+#[test_case(Said::Leaving, Purpose::Release, true)]
+#[test_case(Said::Leaving, Purpose::Probe, true)]
+#[test_case(Said::Pause, Purpose::Work, false)]
+#[test_case(Said::Pause, Purpose::Order, false)]
+#[test_case(Said::Pause, Purpose::Release, false)]
+#[test_case(Said::Pause, Purpose::Probe, false)]
+fn what_may_be_sent_to_an_endpoint(said: Said, purpose: Purpose, may_send: bool) {
     let mut rig = rig();
-    leave(&mut rig, "p1");
-    assert_eq!(rig.state.may_send(key(&rig, "p1"), purpose), may_send);
+    say(&mut rig, "p1", said);
+    assert_eq!(rig.state.may_send(key(&rig, "p1"), purpose, rig.now()), may_send);
 }
 
 /// Where the store can't be written, the record goes on saying ready; it may even lapse and come back.
@@ -182,3 +214,146 @@
     leave(&mut rig, "b");
     assert_eq!(rig.state.directory.avoided(rig.now()).count(), 1, "they read the record");
 }
+
+#[test]
+fn an_endpoint_gets_work_again_when_its_pause_is_over() {
+    let mut rig = rig();
+    say(&mut rig, "a", Said::Pause);
+    rig.pass(PAUSE - Duration::from_millis(1));
+    assert_eq!(first_tries(&mut rig, "/stock/1", None), ["b"]);
+    rig.pass_ms(1);
+    assert_eq!(first_tries(&mut rig, "/stock/1", None), ["a", "b"]);
+}
+
+#[test]
+fn a_shorter_pause_does_not_end_a_longer_one() {
+    let mut rig = rig();
+    say(&mut rig, "a", Said::Pause);
+    let (endpoint, pause) = (key(&rig, "a"), Duration::from_millis(100));
+    rig.feed(Event::PauseRequested { endpoint, pause });
+    rig.pass_ms(200);
+    assert_eq!(first_tries(&mut rig, "/stock/1", None), ["b"]);
+}
+
+#[test]
+fn a_pause_lasts_when_the_record_goes_and_comes_back() {
+    let mut rig = rig();
+    say(&mut rig, "a", Said::Pause);
+    rig.change(vec![], &["a"]);
+    rig.list(vec![plain("a", 1)]);
+    assert_eq!(first_tries(&mut rig, "/stock/1", None), ["b"]);
+}
+
+/// A pause longer than a third of the caller's time: it can come back and be served elsewhere.
+#[test]
+fn a_call_is_refused_at_once_while_all_endpoints_want_a_pause() {
+    let mut rig = rig();
+    say(&mut rig, "a", Said::Pause);
+    say(&mut rig, "b", Said::Pause);
+    rig.call("/stock/1", 2000, None);
+    let refusal = rig.effects.iter().find_map(|effect| match effect {
+        Effect::Refuse { refusal, retry_after, .. } => Some((*refusal, *retry_after)),
+        _ => None,
+    });
+    let (refusal, retry_after) = refusal.expect("refused");
+    assert_eq!(refusal, Refusal::EndpointsPaused);
+    assert!(refusal.is_not_run());
+    assert_eq!(retry_after, Some(PAUSE));
+}
+
+#[test_case("/stock/1", None, &["a", "b"]; "a plain call")]
+#[test_case("/draft/1", Some(prompt(500)), &["d1", "d2"]; "a draft")]
+fn a_call_waits_for_the_end_of_short_pauses(path: &str, prompt: Option<Prompt>, all: &[&str]) {
+    let mut rig = rig();
+    for instance in all {
+        say(&mut rig, instance, Said::Pause);
+    }
+    rig.call(path, 14_000, prompt);
+    rig.pass(PAUSE - Duration::from_millis(1));
+    assert!(rig.starts().is_empty());
+    rig.pass_ms(1);
+    assert_eq!(rig.starts().len(), 1);
+}
+
+/// How many releases were sent since the last look.
+fn releases(rig: &mut Rig) -> usize {
+    let is_release =
+        |effect: &Effect| matches!(effect, Effect::ReleaseHold { .. } | Effect::FreeKv { .. });
+    let count = rig.effects.iter().filter(|effect| is_release(effect)).count();
+    rig.effects.clear();
+    count
+}
+
+#[test_case(1000, 1; "it still holds the slot")]
+#[test_case(2500, 0; "the slot expires meanwhile")]
+fn a_slot_is_given_back_after_the_pause(pause_ms: u64, count: usize) {
+    let mut rig = rig();
+    let id = rig.call("/draft/1", 8000, Some(prompt(500)));
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    let (endpoint, pause) = (hold.target.endpoint, Duration::from_millis(pause_ms));
+    rig.feed(Event::PauseRequested { endpoint, pause });
+    rig.feed(Event::CallerLeft(id));
+    assert_eq!(releases(&mut rig), 0);
+    rig.pass_ms(pause_ms - 1);
+    assert_eq!(releases(&mut rig), 0);
+    rig.pass_ms(1);
+    assert_eq!(releases(&mut rig), count);
+}
+
+#[test]
+fn a_dark_endpoint_that_wants_a_pause_is_not_asked_until_its_end() {
+    let mut rig = rig();
+    let id = rig.call("/stock/1", 2000, None);
+    let first = rig.start();
+    let endpoint = first.target.endpoint;
+    rig.feed(Event::PauseRequested { endpoint, pause: PAUSE });
+    rig.came(id, first.number, Outcome::Unreachable);
+    let is_probe = |effect: &Effect| matches!(effect, Effect::Probe(_));
+    rig.pass(PAUSE - Duration::from_millis(1));
+    assert!(!rig.effects.iter().any(is_probe));
+    rig.pass_ms(1);
+    assert!(rig.effects.iter().any(is_probe));
+}
+
+/// A probe that was due as the endpoint asked is not counted as one without an answer.
+#[test]
+fn a_probe_that_was_withheld_comes_after_the_pause() {
+    let mut rig = rig();
+    let id = rig.call("/stock/1", 2000, None);
+    let first = rig.start();
+    let endpoint = first.target.endpoint;
+    rig.came(id, first.number, Outcome::Unreachable);
+    rig.pass_ms(300);
+    rig.feed(Event::PauseRequested { endpoint, pause: PAUSE });
+    rig.feed(Event::Probed { endpoint, liveness: Liveness::Withheld });
+    rig.effects.clear();
+    rig.pass(PAUSE);
+    assert!(rig.effects.iter().any(|effect| matches!(effect, Effect::Probe(_))));
+}
+
+#[test]
+fn an_endpoint_that_wants_a_pause_gets_no_orders() {
+    let orders = |pauses: &[&str]| {
+        let mut rig = Rig::new();
+        let prefill = (1..).zip(["p1", "p2", "p3", "p4"]);
+        let decode = (10..).zip(["d1", "d2"]);
+        let mut list: Vec<_> =
+            prefill.map(|(port, name)| model(name, port, Stage::Prefill)).collect();
+        list.extend(decode.map(|(port, name)| model(name, port, Stage::Decode)));
+        rig.list(list);
+        for instance in pauses {
+            say(&mut rig, instance, Said::Pause);
+        }
+        rig.feed(Event::OrderRight(OrderRight::AtOnce));
+        rig.pass_ms(1500);
+        let ordered = rig.effects.iter().filter_map(|effect| match effect {
+            Effect::Order { target, .. } => Some(target.instance.clone()),
+            _ => None,
+        });
+        ordered.collect::<Vec<_>>()
+    };
+    assert!(!orders(&[]).is_empty());
+    assert!(orders(&["p1", "p2", "p3", "p4"]).is_empty());
+    assert!(!orders(&["p1"]).contains(&"p1".to_owned()));
+}
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -1,5 +1,7 @@
 //! What the gateway has to know of a platform's requests and answers.
 
+use std::time::Duration;
+
 use basilbank_forward::prelude::*;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,8 +25,10 @@
     pub call_limit: fn(&Response<()>) -> Option<f64>,
     /// Returns whether the headers of an endpoint's answer say that the endpoint is leaving.
     pub is_leaving: fn(&HeaderMap) -> bool,
+    /// Reads for how long the endpoint wants nothing from this daemon, if the answer asks for that.
+    pub requested_pause: fn(StatusCode, &HeaderMap) -> Option<Duration>,
     /// Returns the headers of an endpoint's answer that nothing reads.
-    pub unread_from_endpoint: fn(&HeaderMap) -> Vec<HeaderName>,
+    pub unread_from_endpoint: fn(StatusCode, &HeaderMap) -> Vec<HeaderName>,
     /// Returns the headers of a caller's request that nothing reads.
     pub unread_from_caller: fn(&HeaderMap) -> Vec<HeaderName>,
     /// Parses the body of an answer that is meant for the router itself.
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -39,7 +39,7 @@
         answer_timeout: Duration,
         purpose: Purpose,
     ) -> Result<EndpointAnswer, CallError> {
-        let may_send = || self.read(|state| state.may_send(target.endpoint, purpose));
+        let may_send = || self.may_send(target, purpose);
         let (response, connection) =
             self.connections.call(target, request, answer_timeout, may_send).await?;
         self.read_statements(target, &response);
@@ -78,10 +78,17 @@
         }
     }
 
-    /// Returns whether the endpoint answers a liveness request successfully.
+    /// Returns whether the endpoint answers a liveness request successfully. One that wants a pause
+    /// is not asked, and counts as alive.
     pub async fn is_alive(self: &Rc<Self>, target: &Target, request: OutRequest) -> bool {
-        let answer = self.call_endpoint(target, request, LIVENESS_TIMEOUT, Purpose::Probe).await;
-        answer.is_ok_and(|(response, _)| response.status().is_success())
+        match self.call_endpoint(target, request, LIVENESS_TIMEOUT, Purpose::Probe).await {
+            Ok((response, _)) => response.status().is_success(),
+            Err(error) => error == CallError::Withheld,
+        }
+    }
+
+    fn may_send(&self, target: &Target, purpose: Purpose) -> bool {
+        self.read(|state| state.may_send(target.endpoint, purpose, self.now()))
     }
 
     /// Checks whether the endpoint answers over a new connection, whatever the answer is. An idle
@@ -89,6 +96,9 @@
     pub async fn probe_endpoint(self: &Rc<Self>, target: &Target, request: OutRequest) -> Liveness {
         let answer = async {
             let mut connection = Connection::connect(target.addr, LIVENESS_TIMEOUT).await?;
+            if !self.may_send(target, Purpose::Probe) {
+                return Err(CallError::Withheld);
+            }
             connection.send(request, LIVENESS_TIMEOUT).await.map_err(|(error, _)| error)
         };
         match answer.await {
@@ -96,20 +106,25 @@
                 self.read_statements(target, &response);
                 Liveness::Alive
             }
+            Err(CallError::Withheld) => Liveness::Withheld,
             Err(_) => Liveness::Unreachable,
         }
     }
 
     /// Reads what an answer states about its endpoint.
     fn read_statements<T>(self: &Rc<Self>, target: &Target, answer: &Response<T>) {
-        let headers = answer.headers();
-        self.metrics.count_unread(Sender::Endpoint, (self.dialect.unread_from_endpoint)(headers));
+        let (status, headers) = (answer.status(), answer.headers());
+        let unread = (self.dialect.unread_from_endpoint)(status, headers);
+        self.metrics.count_unread(Sender::Endpoint, unread);
         // Another instance has the address now, and says this of itself.
-        if answer.status() == StatusCode::MISDIRECTED_REQUEST {
+        if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
         if (self.dialect.is_leaving)(headers) {
             self.dispatch(Event::EndpointLeaving(target.endpoint));
         }
+        if let Some(pause) = (self.dialect.requested_pause)(status, headers) {
+            self.dispatch(Event::PauseRequested { endpoint: target.endpoint, pause });
+        }
     }
 }
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -102,6 +102,7 @@
     store_lost: Family<TopicLabel, Gauge<f64, AtomicU64>>,
     quarantined: Counter,
     permits: Counter,
+    pauses: Counter,
 }
 
 impl Default for Metrics {
@@ -130,6 +131,7 @@
             store_lost: Family::default(),
             quarantined: Counter::default(),
             permits: Counter::default(),
+            pauses: Counter::default(),
             registry: Registry::default(),
         };
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
@@ -169,6 +171,8 @@
         registry.register("quarantined", "Calls that were put in quarantine", quarantined);
         let permits = metrics.permits.clone();
         registry.register("permits", "Permits for calls to endpoints with a limit", permits);
+        let help = "Answers of endpoints that asked for a pause";
+        registry.register("pauses", help, metrics.pauses.clone());
         let unusable_records = metrics.unusable_records.clone();
         registry.register(
             "unusable_entries",
@@ -253,6 +257,7 @@
         let answer = match liveness {
             Liveness::Alive => "alive",
             Liveness::Unreachable => "dark",
+            Liveness::Withheld => "withheld",
         };
         count(&self.probes, answer);
     }
@@ -298,6 +303,7 @@
             }
             Measurement::Quarantined => drop(self.quarantined.inc()),
             Measurement::Permit => drop(self.permits.inc()),
+            Measurement::Pause => drop(self.pauses.inc()),
             Measurement::Retry(retry) => count(&self.retried, retry.as_str()),
         }
     }
