--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -60,6 +60,8 @@
         /// Instances that are no longer listed.
         removed: Vec<String>,
     },
+    /// The configuration could not be read.
+    RoutesReadFailed,
     /// The list of endpoints could not be read.
     EndpointsReadFailed,
     /// The store has no change of a topic with this revision, although a peer reported it.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -39,6 +39,7 @@
     event::Event,
     log_line::LogLine,
     state::{Leaving, State, Usage, requests::Hold},
+    topic::Topic,
 };
 
 /// Applies one event to the state and appends the resulting effects to `effects`.
@@ -63,7 +64,8 @@
         Event::EndpointsChanged { revisions, updated, removed } => {
             endpoints::apply_changes(&mut ctx, revisions, updated, &removed);
         }
-        Event::EndpointsReadFailed => endpoints::handle_read_failure(&mut ctx),
+        Event::RoutesReadFailed => endpoints::handle_read_failure(&mut ctx, Topic::Routes),
+        Event::EndpointsReadFailed => endpoints::handle_read_failure(&mut ctx, Topic::Endpoints),
         Event::RevisionNotFound { topic, revision } => {
             gossip::handle_missing_revision(&mut ctx, topic, revision);
         }
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -19,6 +19,7 @@
 
 /// Applies a read of the configuration.
 pub fn apply_routes(ctx: &mut Context<'_>, revisions: Revisions, table: Option<Arc<RouteTable>>) {
+    ctx.state.routes_lost = false;
     let previous = &mut ctx.state.routes_revision;
     let era_changed = has_era_changed(*previous, revisions);
     previous.advance(revisions.store);
@@ -154,8 +155,11 @@
 }
 
 /// Handles a failed read of the store. Followers that rely on this daemon are told at once.
-pub fn handle_read_failure(ctx: &mut Context<'_>) {
-    ctx.state.directory.store_lost = true;
+pub fn handle_read_failure(ctx: &mut Context<'_>, topic: Topic) {
+    match topic {
+        Topic::Routes => ctx.state.routes_lost = true,
+        Topic::Endpoints => ctx.state.directory.store_lost = true,
+    }
     if ctx.state.peers.watching {
         ctx.state.peers.report_soon();
     }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -134,6 +134,8 @@
     pub(crate) capacity_checked: Duration,
     /// The store's revision at which the configuration was read.
     pub routes_revision: Revision,
+    /// Whether a read of the configuration has failed since the last one that succeeded.
+    pub routes_lost: bool,
     /// The newest revision of each topic at which this daemon or a peer knows a relevant change.
     pub latest_changes: PerTopic<Revision>,
     /// The last revision of each topic that a peer reported and the store turned out not to have,
@@ -189,6 +191,7 @@
             capacity_changed: false,
             capacity_checked: Duration::ZERO,
             routes_revision: Revision::NONE,
+            routes_lost: false,
             latest_changes: PerTopic::default(),
             missing_revisions: PerTopic::default(),
             records_changed: false,
--- a/crates/basilbank_forward/src/state/watchers.rs
+++ b/crates/basilbank_forward/src/state/watchers.rs
@@ -53,10 +53,11 @@
             && peers.known.iter().filter(is_before).count() < WATCHERS
     }
 
-    /// Returns whether this daemon is a watcher and the store answers it.
+    /// Returns whether this daemon is a watcher and the store answers it on both topics: its
+    /// followers rely on it for both.
     #[must_use]
     pub fn is_active_watcher(&self) -> bool {
-        self.is_watcher() && !self.directory.store_lost
+        self.is_watcher() && !self.directory.store_lost && !self.routes_lost
     }
 
     /// Returns the age of this daemon's view of the list of endpoints: the time since it read the
--- a/crates/basilbank_forward/tests/reading/daemon.rs
+++ b/crates/basilbank_forward/tests/reading/daemon.rs
@@ -35,8 +35,8 @@
     pub last_era: PerTopic<u64>,
     pub read_times: VecDeque<Duration>,
     pub answer_count: u64,
-    /// Whether the list of endpoints can't be read.
-    pub endpoints_lost: bool,
+    /// Whether each topic can't be read.
+    pub lost: PerTopic<bool>,
     /// Last report of each peer: when it came, and whether the store answers that peer as a watcher.
     pub watcher_reports: BTreeMap<usize, (Duration, bool)>,
     /// Number of times that a watcher reported that it lost the store.
--- a/crates/basilbank_forward/tests/reading/fleet.rs
+++ b/crates/basilbank_forward/tests/reading/fleet.rs
@@ -295,7 +295,7 @@
         if let (ReadOutcome::Answer { store_revision: store, changed, .. }, Some(era)) =
             (&outcome, accepted_era)
         {
-            daemon.endpoints_lost &= topic != Topic::Endpoints;
+            *daemon.lost.get_mut(topic) = false;
             if *changed {
                 let in_force = daemon.in_force.get_mut(topic);
                 *in_force = read.version.max(*in_force);
@@ -320,8 +320,9 @@
     }
 
     fn send_gossip(&mut self, n: usize) {
-        let Daemon { latest_change, endpoints_lost, in_force, .. } = self.daemons[n];
-        let sees_store = n < self.scenario.watchers && !endpoints_lost && in_force.routes != 0;
+        let Daemon { latest_change, lost, in_force, .. } = self.daemons[n];
+        let is_lost = lost.routes || lost.endpoints;
+        let sees_store = n < self.scenario.watchers && !is_lost && in_force.routes != 0;
         for to in (0..self.daemons.len()).filter(|to| *to != n) {
             let changes = (latest_change.routes, latest_change.endpoints);
             self.schedule_after(
@@ -389,13 +390,12 @@
                     self.violation = Some(format!("revision {revision} was not found"));
                 }
                 ReadEffect::Log(note) => self.record(n, topic, format_args!("{}", note.name)),
-                ReadEffect::StoreLost if topic == Topic::Endpoints => {
-                    self.daemons[n].endpoints_lost = true;
+                ReadEffect::StoreLost => {
+                    *self.daemons[n].lost.get_mut(topic) = true;
                     if n < self.scenario.watchers {
                         self.send_gossip(n);
                     }
                 }
-                ReadEffect::StoreLost => {}
             }
         }
         let wake = self.daemons[n].readers.wake_at(topic);
@@ -437,7 +437,7 @@
         }
         // A follower is as late as the watchers: if their answers are slow, followers can't be faster.
         let watchers = &self.daemons[..self.scenario.watchers];
-        let slow = |d: &Daemon| matches!(d.condition, StoreCondition::Slow(_)) && !d.endpoints_lost;
+        let slow = |d: &Daemon| matches!(d.condition, StoreCondition::Slow(_)) && !d.lost.endpoints;
         if watchers.iter().any(slow) && !watchers.iter().any(|d| d.condition.answers_in_time()) {
             self.watchers_slow_at = self.now;
         }
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -148,10 +148,10 @@
                 self.router.metrics.count_store_call(if timed_out { "failed" } else { "dropped" });
                 self.pending.retain(|pending| pending.id != read);
             }
-            ReadEffect::StoreLost if self.topic == Topic::Endpoints => {
-                self.router.dispatch(Event::EndpointsReadFailed);
-            }
-            ReadEffect::StoreLost => {}
+            ReadEffect::StoreLost => self.router.dispatch(match self.topic {
+                Topic::Routes => Event::RoutesReadFailed,
+                Topic::Endpoints => Event::EndpointsReadFailed,
+            }),
             ReadEffect::RevisionNotFound(revision) => {
                 self.router.dispatch(Event::RevisionNotFound { topic: self.topic, revision });
             }
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -44,13 +44,42 @@
 
 impl Rig {
     pub fn new() -> Rig {
+        Rig::with_local(Local::default().with_name("vm-1"))
+    }
+
+    fn with_local(local: Local) -> Rig {
         let start = Instant::now();
-        let state = State::new(Local::default().with_name("vm-1"), Tuning::default());
+        let state = State::new(local, Tuning::default());
         let clock = Box::new(VirtualClock(start));
         let router = Router::new(state, dialect(), clock, Arc::new(Metrics::default()));
         Rig { router, queries: Rc::default(), gossip_sequence: Rc::default(), start }
     }
 
+    /// Creates a daemon that hears so many peers that it watches the store for them.
+    pub fn watcher() -> Rig {
+        (1..=u8::MAX).map(Rig::in_large_fleet).find(Rig::is_watcher).expect("a watcher")
+    }
+
+    fn in_large_fleet(number: u8) -> Rig {
+        let address = |n| SocketAddr::from(([10, 0, 0, n], 7000));
+        let local = Local::default().with_name("vm-1").with_address(address(number));
+        let rig = Rig::with_local(local);
+        rig.router.dispatch(Event::RoutesRead {
+            revisions: Revisions::at(1),
+            table: configuration(1, 1).table.map(Arc::new),
+        });
+        rig.router.dispatch(Event::EndpointsRead { revisions: Revisions::at(1), list: Vec::new() });
+        for peer in (1..=60).filter(|peer| *peer != number) {
+            let gossip = LoadGossip { incarnation: 1, sequence: 1, ..LoadGossip::default() };
+            rig.router.dispatch(Event::gossip(address(peer), gossip));
+        }
+        rig
+    }
+
+    fn is_watcher(&self) -> bool {
+        self.router.read(State::is_watcher)
+    }
+
     /// Returns when the daemon started.
     pub fn start(&self) -> Instant {
         self.start
--- a/crates/basilbank_gateway/tests/reader/topics.rs
+++ b/crates/basilbank_gateway/tests/reader/topics.rs
@@ -141,3 +141,45 @@
         assert_eq!(rig.watches(), 1);
     });
 }
+
+/// The answer if nothing has changed.
+fn unchanged() -> Reading {
+    Reading {
+        revisions: Revisions { store: 1.into(), ..Revisions::default() },
+        ..Reading::default()
+    }
+}
+
+/// Daemons of a large fleet relied on a peer that couldn't read the configuration, because it could
+/// read the list of endpoints.
+#[test]
+fn daemon_that_cannot_read_the_configuration_does_not_watch_for_others() {
+    in_virtual_time(|| async {
+        let rig = Rig::watcher();
+        let is_lost = Rc::new(Cell::new(false));
+        let lost = Rc::clone(&is_lost);
+        rig.start_reader(Topic::Routes, move |query, _| match query.scope {
+            _ if lost.get() => no_answer(),
+            Scope::Page { .. } => immediately(Ok(configuration(1, 1))),
+            Scope::Changes { wait, .. } => delayed(wait, Ok(unchanged())),
+        });
+        rig.start_reader(Topic::Endpoints, |query, _| match query.scope {
+            Scope::Page { .. } => immediately(Ok(list(1, &["a"]))),
+            Scope::Changes { wait, .. } => delayed(wait, Ok(unchanged())),
+        });
+        let watches = || rig.router.read(State::is_active_watcher);
+        sleep(ms(100)).await;
+        assert!(watches());
+        is_lost.set(true);
+        sleep(ms(1500)).await;
+        // The daemon's peers are silent, but it goes on watching.
+        for _ in 0..40 {
+            rig.send_gossip(Topic::Routes, 2, ms(10)).await;
+        }
+        sleep(ms(1500)).await;
+        assert!(!watches(), "{:?}", rig.queries());
+        is_lost.set(false);
+        sleep(ms(1000)).await;
+        assert!(watches());
+    });
+}
