Soak: endpoints that say in their answers that they leave, or ask for pauses

Two faults from a stream of random numbers of their own, so that known seeds keep theirs: an endpoint leaves while only its answers say so and starts again later, and one turns work away and asks for a pause each time. Checks of both rules by what callers and endpoints saw: no call two seconds after a daemon has passed on such an answer, and no more than two requests in a pause, but for daemons that were stopped meanwhile; tests of the checks.

--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use basilbank_standin::managed::{Request, Served};
+use basilbank_standin::managed::{Arrival, Request, Served};
 
 use crate::{
     callers::{Kind, Record, Seen, body},
@@ -41,6 +41,13 @@
 const WINDOW: Duration = Duration::from_secs(4);
 const LIMIT_SLACK: f64 = 5.0;
 
+/// How long a daemon may send calls to an endpoint after an answer said that it leaves.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// When an endpoint's pause begins, after it has asked for it, and the requests that it bears in it.
+const PAUSE_BEGINS: Duration = Duration::from_millis(500);
+const PAUSE_SLACK: usize = 2;
+
 /// All that was seen in a play.
 pub struct Evidence<'a> {
     /// Calls by id.
@@ -62,6 +69,8 @@
         self.budget(&runs, &mut findings);
         self.crashes(&mut findings);
         self.limits(&mut findings);
+        self.leaving(&mut findings);
+        self.pauses(&mut findings);
         for record in self.records.values() {
             let ran = runs.get(record.id.as_str()).copied().unwrap_or(0);
             findings.extend(self.call(record, ran));
@@ -209,6 +218,53 @@
         }
     }
 
+    /// A daemon that has passed on an answer which says that an endpoint leaves sends it nothing new.
+    fn leaving(&self, findings: &mut Vec<String>) {
+        for (instance, served) in &self.served {
+            let mut told = HashMap::new();
+            for (_, id) in &served.ran_leaving {
+                let Some(record) = self.records.get(id) else { continue };
+                let answered = *told.entry(record.daemon).or_insert(record.ended);
+                let is_late = answered + DRAIN < record.begun;
+                if is_late && !self.was_stopped(record.daemon, answered, record.begun) {
+                    let what = format!("{:?} after an answer had said so", record.begun - answered);
+                    findings.push(format!("DRAIN {instance} leaves and got {} {what}", of(record)));
+                }
+            }
+        }
+    }
+
+    /// A daemon that an endpoint has asked for a pause sends it hardly anything until its end.
+    fn pauses(&self, findings: &mut Vec<String>) {
+        for (instance, served) in &self.served {
+            for asked in &served.asked_pauses {
+                let Some(record) = self.records.get(&asked.id) else { continue };
+                let (from, to) = (asked.at + PAUSE_BEGINS, asked.at + asked.pause);
+                let is_of = |id: &str| {
+                    self.records.get(id).is_some_and(|other| other.daemon == record.daemon)
+                };
+                let in_pause =
+                    |arrival: &&Arrival| from < arrival.at && arrival.at < to && is_of(&arrival.id);
+                let got = served.arrived.iter().filter(in_pause).count();
+                if PAUSE_SLACK < got && !self.was_stopped(record.daemon, asked.at, to) {
+                    let what = format!("{got} requests in a pause of {:?}", asked.pause);
+                    findings.push(format!("BUDGET {instance} got {what}, asked by {}", of(record)));
+                    break;
+                }
+            }
+        }
+    }
+
+    /// The daemon was killed or stood still between two moments.
+    fn was_stopped(&self, daemon: usize, from: Instant, to: Instant) -> bool {
+        self.spans.iter().any(|span| {
+            span.daemon == daemon
+                && span.trouble != Trouble::NoStore
+                && span.from <= to
+                && span.to.is_none_or(|end| from <= end)
+        })
+    }
+
     /// The daemon that sent a call had no trouble of its own for some time before.
     fn in_touch(&self, id: &str, at: Instant) -> bool {
         let Some(record) = self.records.get(id) else { return false };
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -23,6 +23,9 @@
 /// The same for a fourth stream.
 const OVERLOAD: u64 = 0x6c6f_6164;
 
+/// The same for a fifth stream.
+const STATED: u64 = 0x7374_6174;
+
 /// Bytes a second of the narrow link to the store, from the least on.
 const NARROW: (u32, u64) = (400_000, 1_000_000);
 
@@ -76,6 +79,10 @@
     Restart(usize, At, Duration),
     /// An endpoint says for the time that it takes so many calls a second only.
     Limit(usize, u32, Duration),
+    /// An endpoint says in its answers alone that it leaves; after the time it has started again.
+    Leave(usize, Duration),
+    /// An endpoint turns work away for the time, and asks for a pause of this length each time.
+    Rest(usize, Duration, Duration),
     /// A draft that crashes each endpoint that runs it comes again and again for the time.
     Deadly(Duration),
     /// The time of day jumps at the daemon with the injected clock.
@@ -121,6 +128,7 @@
     plan.extend(more(seed, sizes));
     plan.extend(restore(seed, sizes));
     plan.extend(overload(seed, sizes));
+    plan.extend(stated(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
@@ -162,6 +170,20 @@
     limit.into_iter().chain(deadly).collect()
 }
 
+/// An endpoint that leaves while only its answers say so, and one that asks for pauses, each in two plays of
+/// three.
+fn stated(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = Rng::new(seed ^ STATED);
+    let begin = sizes.traffic.mul_f64(0.4 * rng.unit());
+    let (endpoint, time) = (rng.index(sizes.endpoints), sizes.traffic.mul_f64(0.6));
+    let leave = (rng.index(3) != 0).then_some((begin, Fault::Leave(endpoint, time)));
+    let begin = sizes.traffic.mul_f64(0.5 * rng.unit());
+    let pause = Duration::from_millis(500 + rng.next_u64() % 2500);
+    let (endpoint, time) = (rng.index(sizes.endpoints), sizes.traffic.mul_f64(0.3));
+    let rest = (rng.index(3) != 0).then_some((begin, Fault::Rest(endpoint, pause, time)));
+    leave.into_iter().chain(rest).collect()
+}
+
 fn trouble(rng: &mut Rng, sizes: Sizes) -> Fault {
     let endpoint = rng.index(sizes.endpoints);
     let time = Duration::from_millis(300 + rng.next_u64() % 2500);
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -80,6 +80,8 @@
     List(usize),
     UnlistForeign,
     Unlimit(usize),
+    Return(usize),
+    EndRest(usize),
     Spare,
     Revive(usize),
     Rewrite(Vec<Lost>),
@@ -168,6 +170,11 @@
             // One that leaves has said so since.
             Step::List(place) if self.leaving.contains(&place) => {}
             Step::List(place) => self.site.list(place, "ready"),
+            Step::Return(place) => {
+                self.site.places[place].restart(false)?;
+                self.later(Duration::ZERO, Step::List(place));
+            }
+            Step::EndRest(place) => self.site.places[place].endpoint.pause(None),
             Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
             Step::Spare => self.deadly.store(false, Ordering::Relaxed),
             Step::Revive(place) => self.revive(place)?,
@@ -244,6 +251,14 @@
                 self.site.places[place].endpoint.limit(Some(f64::from(rate)));
                 self.later(time, Step::Unlimit(place));
             }
+            Fault::Leave(place, time) => {
+                self.site.places[place].endpoint.leave(true);
+                self.later(time, Step::Return(place));
+            }
+            Fault::Rest(place, pause, time) => {
+                self.site.places[place].endpoint.pause(Some(pause));
+                self.later(time, Step::EndRest(place));
+            }
             Fault::Deadly(time) => {
                 self.deadly.store(true, Ordering::Relaxed);
                 self.later(time, Step::Spare);
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -10,7 +10,7 @@
     checks::Evidence,
     play::{Span, Trouble},
 };
-use basilbank_standin::managed::{Request, Served};
+use basilbank_standin::managed::{Arrival, PauseRequest, Request, Served};
 use serde_json::json;
 use test_case::test_case;
 
@@ -193,3 +193,43 @@
         false => assert_rule(&findings, "LIMIT"),
     }
 }
+
+/// A record of a call that began some time after the play's start.
+fn record_at(begun: Instant, n: usize, daemon: usize, ms: u64) -> Record {
+    let record = record(&format!("s{n}"), Kind::Sheet, Seen::Served);
+    let begun = begun + Duration::from_millis(ms);
+    Record { daemon, begun, ended: begun + Duration::from_millis(30), ..record }
+}
+
+fn judge_served(records: &[Record], served: Served, spans: &[Span]) -> Vec<String> {
+    let ran = records.iter().map(run_of).collect();
+    judge(records, vec![("e1".to_owned(), Served { ran, ..served })], spans)
+}
+
+#[test_case(0, 1900, 0; "within the drain time")]
+#[test_case(0, 2100, 1; "after the drain time")]
+#[test_case(1, 2100, 0; "by another daemon")]
+fn calls_to_an_endpoint_that_said_it_leaves_are_found(daemon: usize, ms: u64, found: usize) {
+    let begin = Instant::now();
+    let records = [record_at(begin, 0, 0, 0), record_at(begin, 1, daemon, ms)];
+    let ran_leaving = records.iter().map(|record| (record.begun, record.id.clone())).collect();
+    let served = Served { ran_leaving, ..Served::default() };
+    assert_eq!(judge_served(&records, served, &[]).len(), found);
+}
+
+#[test_case(2, 0; "as many as are borne")]
+#[test_case(3, 1; "more")]
+fn requests_in_a_pause_are_found(count: usize, found: usize) {
+    let begin = Instant::now();
+    let records: Vec<_> = (0..=count).map(|n| record_at(begin, n, 0, 600 * n as u64)).collect();
+    let arrived = records.iter().map(|record| Arrival {
+        at: record.begun,
+        line: record.line.clone(),
+        id: record.id.clone(),
+    });
+    let pause = Duration::from_secs(3);
+    let asked = PauseRequest { at: begin, pause, id: records[0].id.clone() };
+    let served =
+        Served { arrived: arrived.collect(), asked_pauses: vec![asked], ..Served::default() };
+    assert_eq!(judge_served(&records, served, &[]).len(), found);
+}
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -18,7 +18,7 @@
     endpoint::{Caches, DEADLY, EndpointSpec, ManagedEndpoint},
     http::{Answer, Request, call, exchange, read_answer},
     misdeed::Misdeed,
-    served::Served,
+    served::{Arrival, PauseRequest, Served},
     store::{Lost, ManagedStore, NarrowWay, StoreFault},
     world::{World, WorldSpec, key},
 };
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -17,7 +17,7 @@
 use super::{
     http::{Listener, Request, answer_bytes, write_answer},
     misdeed::Misdeed,
-    served::Served,
+    served::{Arrival, PauseRequest, Served},
 };
 
 /// The end of the path of a call that crashes each endpoint that runs it.
@@ -271,7 +271,8 @@
 
     fn arrive(&self, request: &Request) {
         let line = format!("{} {}", request.method, request.path());
-        lock(&self.inside).served.arrived.push((Instant::now(), line));
+        let arrival = Arrival { at: Instant::now(), line, id: attempt_id(request) };
+        lock(&self.inside).served.arrived.push(arrival);
     }
 
     /// Answers, with what the endpoint states in all its answers.
@@ -298,7 +299,8 @@
     }
 
     fn ask_pause(&self, stream: &TcpStream, request: &Request, pause: Duration) -> io::Result<()> {
-        lock(&self.inside).served.asked_pauses.push((Instant::now(), pause));
+        let asked = PauseRequest { at: Instant::now(), pause, id: attempt_id(request) };
+        lock(&self.inside).served.asked_pauses.push(asked);
         let id = request.header("x-attempt-id").unwrap_or_default();
         let seconds = pause.as_secs_f64().to_string();
         let headers =
@@ -386,16 +388,18 @@
     fn begin(&self, request: &Request) {
         let mut inside = lock(&self.inside);
         inside.served.ran.push(request.clone());
+        if inside.leaving {
+            inside.served.ran_leaving.push((Instant::now(), attempt_id(request)));
+        }
         if let Some(rate) = inside.limit {
-            let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
-            inside.served.limited.push((Instant::now(), rate, id));
+            inside.served.limited.push((Instant::now(), rate, attempt_id(request)));
         }
     }
 
     /// The call crashes the endpoint: it takes all down that runs beside it.
     fn crash(&self, request: &Request) -> io::Result<()> {
-        let id = request.header("x-attempt-id").unwrap_or_default().to_owned();
-        lock(&self.inside).served.crashed.get_or_insert((Instant::now(), id));
+        let crashed = (Instant::now(), attempt_id(request));
+        lock(&self.inside).served.crashed.get_or_insert(crashed);
         Err(io::ErrorKind::ConnectionReset.into())
     }
 
@@ -480,6 +484,10 @@
     }
 }
 
+fn attempt_id(request: &Request) -> String {
+    request.header("x-attempt-id").unwrap_or_default().to_owned()
+}
+
 fn chunk(mut stream: &TcpStream, text: &str) -> io::Result<()> {
     stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
 }
--- a/crates/basilbank_standin/src/managed/served.rs
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -23,14 +23,38 @@
     pub dropped: u32,
     /// KV caches that were freed.
     pub freed: u32,
-    /// All requests that reached it: when, and the method and the path.
-    pub arrived: Vec<(Instant, String)>,
+    /// All requests that reached it.
+    pub arrived: Vec<Arrival>,
     /// When an answer first said that it leaves.
     pub said_leaving: Option<Instant>,
-    /// When it turned a request away and asked for a pause, and for how long.
-    pub asked_pauses: Vec<(Instant, Duration)>,
+    /// Requests that it turned away and asked for a pause.
+    pub asked_pauses: Vec<PauseRequest>,
+    /// Calls that it ran while its answers said that it leaves: when, and the call's id.
+    pub ran_leaving: Vec<(Instant, String)>,
     /// When a call crashed it, and the call's id.
     pub crashed: Option<(Instant, String)>,
     /// Calls that it ran while it named a limit: when, the limit, and the call's id.
     pub limited: Vec<(Instant, f64, String)>,
 }
+
+/// A request that reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When.
+    pub at: Instant,
+    /// The method and the path.
+    pub line: String,
+    /// The call's id; empty for requests of the daemon's own.
+    pub id: String,
+}
+
+/// A request that an endpoint turned away and asked for a pause.
+#[derive(Clone, Debug)]
+pub struct PauseRequest {
+    /// When.
+    pub at: Instant,
+    /// How long the endpoint wants nothing.
+    pub pause: Duration,
+    /// The call's id; empty for requests of the daemon's own.
+    pub id: String,
+}
--- a/crates/basilbank_standin/tests/managed/stated.rs
+++ b/crates/basilbank_standin/tests/managed/stated.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use basilbank_standin::managed::{ManagedEndpoint, World};
+use basilbank_standin::managed::{ManagedEndpoint, PauseRequest, World};
 use test_case::test_case;
 
 use crate::support::{draft_of, eventually, plain, stream_of, world};
@@ -21,7 +21,7 @@
 fn work_since(endpoint: &ManagedEndpoint, since: Instant) -> Vec<String> {
     let is_work = |line: &str| line.starts_with("POST ") || line.starts_with("GET /s");
     let arrived = endpoint.served().arrived.into_iter();
-    arrived.filter(|(at, line)| since < *at && is_work(line)).map(|(_, line)| line).collect()
+    arrived.filter(|a| since < a.at && is_work(&a.line)).map(|a| a.line).collect()
 }
 
 /// Plain calls of several callers at once, which are all served.
@@ -84,9 +84,9 @@
 /// The most requests of any kind that reached the endpoint in a pause that it asked for.
 fn most_in_pause(endpoint: &ManagedEndpoint) -> usize {
     let served = endpoint.served();
-    let in_pause = |asked: &(Instant, Duration)| {
-        let (from, to) = (asked.0 + Duration::from_millis(500), asked.0 + asked.1);
-        served.arrived.iter().filter(|(at, _)| from < *at && *at < to).count()
+    let in_pause = |asked: &PauseRequest| {
+        let (from, to) = (asked.at + Duration::from_millis(500), asked.at + asked.pause);
+        served.arrived.iter().filter(|arrival| from < arrival.at && arrival.at < to).count()
     };
     served.asked_pauses.iter().map(in_pause).max().unwrap_or_default()
 }
