Test of the watcher without the configuration: its peers go on being heard

Seen: the test failed in one run of several beside other work (after the return the daemon didn't count as a watcher).

Cause: the test's. Its peers were heard once, and depending on how long the readers' random watches were, they were taken for gone before the last look; then no daemon of so small a fleet watches for others.

Change: peers are heard every 100 ms, and the waits cover the longest watch.

--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -69,13 +69,30 @@
             table: configuration(1, 1).table.map(Arc::new),
         });
         rig.router.dispatch(Event::EndpointsRead { revisions: Revisions::at(1), list: Vec::new() });
-        for peer in (1..=60).filter(|peer| *peer != number) {
-            let gossip = LoadGossip { incarnation: 1, sequence: 1, ..LoadGossip::default() };
-            rig.router.dispatch(Event::gossip(address(peer), gossip));
-        }
+        rig.hear_peers();
         rig
     }
 
+    /// Lets time pass in which the daemon hears its peers.
+    pub async fn pass_with_peers(&self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            self.hear_peers();
+        }
+    }
+
+    fn hear_peers(&self) {
+        let own = self.router.read(|state| state.local.address);
+        self.gossip_sequence.set(self.gossip_sequence.get() + 1);
+        let sequence = self.gossip_sequence.get();
+        let peers = (1..=60).map(|peer| SocketAddr::from(([10, 0, 0, peer], 7000)));
+        for peer in peers.filter(|peer| Some(*peer) != own) {
+            let gossip = LoadGossip { incarnation: 1, sequence, ..LoadGossip::default() };
+            self.router.dispatch(Event::gossip(peer, gossip));
+        }
+    }
+
     fn is_watcher(&self) -> bool {
         self.router.read(State::is_watcher)
     }
--- a/crates/basilbank_gateway/tests/reader/topics.rs
+++ b/crates/basilbank_gateway/tests/reader/topics.rs
@@ -168,18 +168,14 @@
             Scope::Changes { wait, .. } => delayed(wait, Ok(unchanged())),
         });
         let watches = || rig.router.read(State::is_active_watcher);
-        sleep(ms(100)).await;
+        rig.pass_with_peers(ms(500)).await;
         assert!(watches());
         is_lost.set(true);
-        sleep(ms(1500)).await;
-        // The daemon's peers are silent, but it goes on watching.
-        for _ in 0..40 {
-            rig.send_gossip(Topic::Routes, 2, ms(10)).await;
-        }
-        sleep(ms(1500)).await;
+        // The configuration's longest watch, and the time for its answer.
+        rig.pass_with_peers(ms(8000)).await;
         assert!(!watches(), "{:?}", rig.queries());
         is_lost.set(false);
-        sleep(ms(1000)).await;
+        rig.pass_with_peers(ms(2000)).await;
         assert!(watches());
     });
 }
