LIMIT: a limit is read from each answer of an endpoint, and not from another instance's

Change: it is read where each answer passes, like what an endpoint says of its leaving and its pauses; an answer to a call that ran still lifts it.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -140,7 +140,7 @@
         Err(error) => return AttemptResult::without_answer(error.into()),
     };
     let (head, body) = split_head(response);
-    report_call_limit(&router, &attempt, &head);
+    report_lifted_limit(&router, &attempt, &head);
     match (dialect.classify_answer)(&caller_request.call, &attempt.op, &head) {
         AnswerKind::Unclear => AttemptResult::without_answer(Outcome::Broken(Damage::Foreign)),
         AnswerKind::NotRun(why) => {
@@ -169,15 +169,15 @@
     }
 }
 
-/// Reports to the reducer which call limit the answer states. An answer without one lifts the limit
-/// if the endpoint has run the call: an answer that refuses a call or holds a slot need not state
-/// the limit.
-fn report_call_limit(router: &Rc<Router>, attempt: &Attempt, head: &Response<()>) {
+/// Reports to the reducer that the endpoint has no call limit any more: it has run the call and its
+/// answer states none. An answer that refuses a call or holds a slot need not state the limit.
+fn report_lifted_limit(router: &Rc<Router>, attempt: &Attempt, head: &Response<()>) {
     let endpoint = attempt.target.endpoint;
-    let rate = (router.dialect.call_limit)(head);
     let has_run = head.status().is_success() && !matches!(attempt.op, Op::Hold { .. });
-    if rate.is_some() || has_run && router.read(|state| state.call_limits.get(endpoint).is_some()) {
-        router.dispatch(Event::CallLimit { endpoint, rate });
+    let is_stated = (router.dialect.call_limit)(head.headers()).is_some();
+    let is_limited = || router.read(|state| state.call_limits.get(endpoint).is_some());
+    if has_run && !is_stated && is_limited() {
+        router.dispatch(Event::CallLimit { endpoint, rate: None });
     }
 }
 
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -22,7 +22,7 @@
     pub classify_answer: fn(&Call, &Op, &Response<()>) -> AnswerKind,
     /// Reads how many calls per second the endpoint accepts from all daemons together, if the
     /// answer states it.
-    pub call_limit: fn(&Response<()>) -> Option<f64>,
+    pub call_limit: fn(&HeaderMap) -> Option<f64>,
     /// Returns whether the headers of an endpoint's answer say that the endpoint is leaving.
     pub is_leaving: fn(&HeaderMap) -> bool,
     /// Reads for how long the endpoint wants nothing from this daemon, if the answer asks for that.
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -120,11 +120,15 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        let endpoint = target.endpoint;
+        if let Some(rate) = (self.dialect.call_limit)(headers) {
+            self.dispatch(Event::CallLimit { endpoint, rate: Some(rate) });
+        }
         if (self.dialect.is_leaving)(headers) {
-            self.dispatch(Event::EndpointLeaving(target.endpoint));
+            self.dispatch(Event::EndpointLeaving(endpoint));
         }
         if let Some(pause) = (self.dialect.requested_pause)(status, headers) {
-            self.dispatch(Event::PauseRequested { endpoint: target.endpoint, pause });
+            self.dispatch(Event::PauseRequested { endpoint, pause });
         }
     }
 }
