--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use basilbank::logs::Line;
 use basilbank_forward::{event::Liveness, prelude::*};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -48,6 +49,9 @@
 /// each of them takes memory for good.
 const MAX_UNREAD_NAMES: usize = 32;
 
+/// Maximum length of an unread name in characters; the rest is left out.
+const MAX_UNREAD_NAME_CHARS: usize = 64;
+
 /// Name under which all further unread names are counted.
 const OTHER_UNREAD: &str = "other";
 
@@ -232,13 +236,18 @@
 
     /// Returns the name under which an unread name is counted.
     fn unread_name(&self, sender: &'static str, name: &str) -> String {
+        let name: String = name.chars().take(MAX_UNREAD_NAME_CHARS).collect();
         let mut names = self.unread_names.lock().unwrap_or_else(PoisonError::into_inner);
-        let entry = (sender, name.to_owned());
-        if !names.contains(&entry) && MAX_UNREAD_NAMES <= names.len() {
+        let entry = (sender, name.clone());
+        if names.contains(&entry) {
+            return name;
+        }
+        if MAX_UNREAD_NAMES <= names.len() {
             return OTHER_UNREAD.to_owned();
         }
         names.insert(entry);
-        name.to_owned()
+        log::info!("{}", Line::new("unread").with("sender", sender).with("name", &name));
+        name
     }
 
     /// Sets the configuration's version that is in force.
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -191,6 +191,7 @@
         mut reading: Reading,
         era: Option<u64>,
     ) -> ReadOutcome {
+        self.router.metrics.count_unread(Sender::Store, std::mem::take(&mut reading.unread));
         let unusable = std::mem::take(&mut reading.unusable);
         self.report_unusable(&unusable);
         let outcome = ReadOutcome::Answer {
--- a/crates/basilbank_gateway/src/source.rs
+++ b/crates/basilbank_gateway/src/source.rs
@@ -1,6 +1,6 @@
 //! Reads of the platform's store and their results.
 
-use std::{future::Future, pin::Pin};
+use std::{collections::BTreeSet, future::Future, pin::Pin};
 
 use basilbank_forward::prelude::*;
 
@@ -19,6 +19,8 @@
     pub removed: Vec<String>,
     /// Records that were left out.
     pub unusable: Vec<UnusableRecord>,
+    /// Names of fields that nothing reads.
+    pub unread: BTreeSet<String>,
     /// Where the next page begins; none after the last.
     pub next_page: Option<String>,
 }
