--- a/crates/basilbank_forward/src/state/crashes.rs
+++ b/crates/basilbank_forward/src/state/crashes.rs
@@ -6,7 +6,7 @@
 //! all reports.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, VecDeque},
     time::Duration,
 };
 
@@ -61,7 +61,7 @@
 #[derive(Debug, Default)]
 pub struct Crashes {
     broken_calls: VecDeque<BrokenCall>,
-    crashes: HashMap<u32, Crash>,
+    crashes: BTreeMap<u32, Crash>,
     reports: VecDeque<Announcement<CrashReport>>,
     cleared: VecDeque<Announcement<Digest>>,
     /// When the next analysis is due.
--- a/crates/basilbank_forward/src/state/owned_quotas.rs
+++ b/crates/basilbank_forward/src/state/owned_quotas.rs
@@ -5,7 +5,7 @@
 //! filled, requests are let through first and reported within milliseconds. When it runs low, the
 //! owner tells all daemons to ask before they let requests through.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use basilbank_core::state::Bucket;
 use basilbank_wire::{QuotaCounted, QuotaRequest, QuotaUse};
@@ -42,7 +42,7 @@
 /// The quotas that this daemon owns.
 #[derive(Debug, Default)]
 pub struct OwnedQuotas {
-    quotas: HashMap<TeamId, OwnedQuota>,
+    quotas: BTreeMap<TeamId, OwnedQuota>,
 }
 
 /// One team's quota.
@@ -50,7 +50,7 @@
 struct OwnedQuota {
     bucket: Bucket,
     /// The last sum that was counted for each daemon.
-    reports: HashMap<SocketAddr, Report>,
+    reports: BTreeMap<SocketAddr, Report>,
     /// Whether requests have to ask.
     is_low: bool,
     /// When all daemons were last told to ask.
@@ -186,7 +186,7 @@
     ) -> &mut OwnedQuota {
         let owned = self.quotas.entry(team).or_insert_with(|| OwnedQuota {
             bucket: Bucket::full(allowance.bucket_size() * INITIAL_FRACTION, now),
-            reports: HashMap::new(),
+            reports: BTreeMap::new(),
             is_low: false,
             ask_sent: Duration::ZERO,
             last_used: now,
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -1,7 +1,7 @@
 //! The other daemons, and their load at endpoints.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
@@ -52,10 +52,10 @@
     /// This daemon's own address, which peers may include among the addresses that they send.
     pub own_address: Option<SocketAddr>,
     /// The known peers by address.
-    pub known: HashMap<SocketAddr, Peer>,
+    pub known: BTreeMap<SocketAddr, Peer>,
     /// Addresses that peers have sent and from which nothing has arrived yet, with the time until
     /// which they are tried.
-    pub candidates: HashMap<SocketAddr, Duration>,
+    pub candidates: BTreeMap<SocketAddr, Duration>,
     /// Addresses from the settings. They are tried forever, so that a daemon that lost contact
     /// finds the others again.
     pub seeds: Vec<SocketAddr>,
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -1,7 +1,7 @@
 //! What this daemon's callers have taken of the teams' quotas.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -43,16 +43,16 @@
 /// The teams that were used recently, and the requests that wait for an owner's answer.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    teams: HashMap<TeamId, TeamUsage>,
+    teams: BTreeMap<TeamId, TeamUsage>,
     /// Teams that may have unreported use. Each reducer step checks only these, and not all teams
     /// that were used recently.
     unreported: BTreeSet<TeamId>,
     /// Requests that have asked an owner, by ticket.
-    pub pending: HashMap<u64, PendingRequest>,
+    pub pending: BTreeMap<u64, PendingRequest>,
     /// Number of tickets given out so far.
     tickets: u64,
     /// Owners that did not acknowledge reports, and until when they are avoided.
-    avoided_owners: HashMap<SocketAddr, Duration>,
+    avoided_owners: BTreeMap<SocketAddr, Duration>,
     /// When expired entries were last removed.
     last_expiry: Duration,
 }
