Heartbeats name peers at random, now that peers are in a fixed order

Cause: a heartbeat names neighbours in the order of the peers' table. In a hash table each process had an order of its own, so that daemons named different peers; in sorted order they name the same ones more often. Besides, all daemons of these tests had one seed of random numbers, which the hash tables' order had hidden.

Change: the named peers are drawn at random, one by one; the tests' daemons get names, and so seeds, of their own, as real ones have.

--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use basilbank_core::state::Rng;
 use basilbank_wire::{
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
@@ -210,14 +211,13 @@
         state.quarantine.take_reports(scope.quarantined_calls(state.peers.known.len()), now);
     let peers = &mut state.peers;
     peers.sequence += 1;
-    let count = peers.known.len();
-    let skip = if count == 0 { 0 } else { state.rng.index(count) };
-    let named = peers.known.keys().cycle().skip(skip).take(scope.named_peers(count));
+    let count = scope.named_peers(peers.known.len());
+    let named = random_peers(peers, count, &mut state.rng);
     let gossip = LoadGossip {
         incarnation: peers.incarnation,
         sequence: peers.sequence,
         leaving: state.leaving.is_some(),
-        peers: named.filter_map(to_wire).collect(),
+        peers: named.iter().filter_map(to_wire).collect(),
         shunned,
         endpoints_news: peers.revision_to_send(Topic::Endpoints, &state.latest_changes, is_full),
         routes_news: peers.revision_to_send(Topic::Routes, &state.latest_changes, is_full),
@@ -234,6 +234,18 @@
     gossip.with_loads(loads)
 }
 
+/// Picks some of the peers at random. Each daemon names other ones, so that a daemon which hears a few
+/// of them soon knows nearly all.
+fn random_peers(peers: &Peers, count: usize, rng: &mut Rng) -> Vec<SocketAddr> {
+    let mut all: Vec<_> = peers.known.keys().copied().collect();
+    for picked in 0..count {
+        let other = picked + rng.index(all.len() - picked);
+        all.swap(picked, other);
+    }
+    all.truncate(count);
+    all
+}
+
 impl State {
     /// Returns when the next datagram is due.
     pub(crate) fn gossip_due(&self) -> Duration {
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -37,14 +37,12 @@
 
     /// One of several daemons.
     pub fn as_daemon(address: SocketAddr, seeds: Vec<SocketAddr>) -> Rig {
-        let local = Local::default().with_incarnation(1).with_address(address);
-        Rig::with_local(local.with_seeds(seeds))
+        Rig::with_local(local_at(address).with_incarnation(1).with_seeds(seeds))
     }
 
     /// The same after its process was replaced.
     pub fn as_next_daemon(address: SocketAddr, seeds: Vec<SocketAddr>) -> Rig {
-        let local = Local::default().with_incarnation(2).with_address(address);
-        Rig::with_local(local.with_seeds(seeds))
+        Rig::with_local(local_at(address).with_incarnation(2).with_seeds(seeds))
     }
 
     fn with_local(local: Local) -> Rig {
@@ -205,6 +203,11 @@
     }
 }
 
+/// Each daemon draws random numbers of its own.
+fn local_at(address: SocketAddr) -> Local {
+    Local::default().with_name(&address.to_string()).with_address(address)
+}
+
 /// A route table with a route of each kind.
 pub fn table(version: u64) -> RouteTable {
     table_with_memory(version, 10_000)
