QUOTA: a daemon that counts a quota and was cut off or started again gives out no more than the shares of those that tell it

Cause: when the daemon that counts a team's quota falls silent, the others have another one within 0.2 s and avoid the first for 3 s. The first one doesn't know: while it is cut off nobody tells it of use, so its bucket fills, and it lets all of its own callers through; a cut counts only after 1.2 s of silence of each peer. After the cut, and after its own restart, it goes on for those 3 s with the whole quota beside the one that stands in.

Change: a daemon that hears no peer at all for a heartbeat and 0.15 s takes itself for cut off: it gives out one even share. From then on, and after its own restart, it counts for 3 s as one that stands in: the even shares of those that tell it.

Why it works: in each of these times both counters together give out at most one even share for each daemon, and the margin of a tenth.

--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -62,6 +62,10 @@
 /// Maximum delay of the last of these heartbeats.
 const CONTACT_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time beyond a heartbeat interval without a datagram of any peer after which this daemon may be cut
+/// off from all of them.
+const ISOLATION_MARGIN: Duration = Duration::from_millis(150);
+
 /// Time between two attempts to reach addresses that peers named.
 const PEER_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -309,6 +313,16 @@
         self.known.values().filter(|peer| now < peer.last_seen + contact_timeout).count()
     }
 
+    /// Returns whether no peer was heard from for longer than their heartbeats explain, so that this
+    /// daemon may be cut off from all of them. That shows sooner than the silence of a single one.
+    #[must_use]
+    pub fn is_isolated(&self, now: Duration) -> bool {
+        let Some(heard) = self.known.values().map(|peer| peer.last_seen).max() else {
+            return false;
+        };
+        heard + self.heartbeat_interval() + ISOLATION_MARGIN < now
+    }
+
     /// Returns the time between two heartbeats of this daemon. It is short if this daemon watches
     /// the store, since followers rely on its reports.
     fn own_heartbeat_interval(&self) -> Duration {
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -17,7 +17,7 @@
     state::{
         State,
         owned_quotas::{self, Allowance, Answer},
-        quotas::{PendingRequest, SHARE_MARGIN},
+        quotas::{AVOID_OWNER_TIME, PendingRequest, SHARE_MARGIN},
         requests::QuotaStage,
     },
     team::{Quota, TeamId},
@@ -308,6 +308,10 @@
 
 /// Sends the reports that are due and drops expired state.
 pub fn tick(ctx: &mut Context<'_>) {
+    if ctx.state.peers.is_isolated(ctx.now) {
+        ctx.state.quotas.record_isolation(ctx.now);
+        ctx.state.owned_quotas.forget_reporters();
+    }
     for team in ctx.state.quotas.due_reports(ctx.now) {
         match update_owner(ctx, team) {
             Some(owner) => report_usage(ctx, owner, team, None),
@@ -338,7 +342,10 @@
         let quota = self.quota(team)?;
         let stands_in =
             self.quotas.avoids_any_owner(now) && self.remote_owner(team.0, |_| true).is_some();
-        let daemons = match stands_in {
+        let is_unsettled =
+            self.quotas.is_unsettled(now) || self.restarted_within(AVOID_OWNER_TIME, now);
+        let daemons = match stands_in || is_unsettled {
+            _ if self.peers.is_isolated(now) => 1,
             true => self.owned_quotas.active_daemons(team, now) + 1,
             false => self.peers.count_in_contact(now) + 1,
         };
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -236,7 +236,12 @@
 
     /// Returns whether this daemon has just restarted.
     fn is_recently_started(&self, now: Duration) -> bool {
-        let is_recent = self.started.is_some_and(|at| now < at + self.tuning.cold_start);
+        self.restarted_within(self.tuning.cold_start, now)
+    }
+
+    /// Returns whether this daemon has restarted at most this long ago.
+    pub(crate) fn restarted_within(&self, time: Duration, now: Duration) -> bool {
+        let is_recent = self.started.is_some_and(|at| now < at + time);
         is_recent && self.local.start == SystemStart::Restart
     }
 
--- a/crates/basilbank_forward/src/state/owned_quotas.rs
+++ b/crates/basilbank_forward/src/state/owned_quotas.rs
@@ -64,7 +64,8 @@
     /// The incarnation of the daemon.
     incarnation: u64,
     sum: QuotaCounted,
-    at: Duration,
+    /// When it came; `None` if this daemon has heard no peer since.
+    at: Option<Duration>,
 }
 
 /// The amount that this daemon may give out of a quota: all of it, or a fraction while it isn't in
@@ -118,7 +119,7 @@
         let before = sum.map_or(report.acknowledged, |sum| sum.taken);
         owned.bucket.level -= (report.taken - before) as f64;
         let sum = QuotaCounted { epoch: report.epoch, taken: report.taken };
-        owned.reports.insert(address, Report { incarnation, sum, at: now });
+        owned.reports.insert(address, Report { incarnation, sum, at: Some(now) });
     }
 
     /// Counts what this daemon's own callers have taken.
@@ -170,7 +171,17 @@
     #[must_use]
     pub fn active_daemons(&self, team: TeamId, now: Duration) -> usize {
         let Some(owned) = self.quotas.get(&team) else { return 0 };
-        owned.reports.values().filter(|report| now < report.at + ACTIVE_PERIOD).count()
+        let is_recent = |report: &&Report| report.at.is_some_and(|at| now < at + ACTIVE_PERIOD);
+        owned.reports.values().filter(is_recent).count()
+    }
+
+    /// Counts no daemon as using a quota until it reports again.
+    pub fn forget_reporters(&mut self) {
+        for owned in self.quotas.values_mut() {
+            for report in owned.reports.values_mut() {
+                report.at = None;
+            }
+        }
     }
 
     /// Forgets quotas that are no longer used.
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -24,7 +24,7 @@
 const MAX_UNACKNOWLEDGED_REPORTS: u32 = 3;
 
 /// Time for which an owner that doesn't acknowledge reports is avoided.
-const AVOID_OWNER_TIME: Duration = Duration::from_secs(3);
+pub const AVOID_OWNER_TIME: Duration = Duration::from_secs(3);
 
 /// Time without use after which a team is forgotten.
 const IDLE_EXPIRY: Duration = Duration::from_secs(60);
@@ -53,6 +53,9 @@
     tickets: u64,
     /// Owners that did not acknowledge reports, and until when they are avoided.
     avoided_owners: BTreeMap<SocketAddr, Duration>,
+    /// Until when this daemon, after it heard no peer at all, assumes that peers take another one for
+    /// the owner of what it owns.
+    unsettled_until: Duration,
     /// When expired entries were last removed.
     last_expiry: Duration,
 }
@@ -246,6 +249,18 @@
         self.avoided_owners.get(owner).is_some_and(|until| now < *until)
     }
 
+    /// Records that this daemon hears no peer: it may be cut off, and its peers then avoid it as an
+    /// owner for some time after they hear it again.
+    pub fn record_isolation(&mut self, now: Duration) {
+        self.unsettled_until = now + AVOID_OWNER_TIME;
+    }
+
+    /// Returns whether peers may avoid this daemon as an owner.
+    #[must_use]
+    pub fn is_unsettled(&self, now: Duration) -> bool {
+        now < self.unsettled_until
+    }
+
     /// Returns whether any daemon is avoided as an owner because it did not answer.
     #[must_use]
     pub fn avoids_any_owner(&self, now: Duration) -> bool {
