--- a/crates/basilbank_forward/tests/forward/quotas.rs
+++ b/crates/basilbank_forward/tests/forward/quotas.rs
@@ -59,7 +59,7 @@
 #[test_case(71; "grown fleet")]
 #[test_case(195; "large fleet")]
 fn two_halves_together_get_no_more_than_the_quota(daemons: usize) {
-    for seed in 1..=2 {
+    for seed in [1, 2, 10, 16, 17] {
         let split = Some(Duration::from_secs(10));
         let got = Play::run(Load { split, ..Load::new(daemons, 7.5) }, seed);
         assert!(got.worst <= 1.0, "{seed}: {got:?}");
