Emulator: fleets before endpoints that say that they leave and that ask for pauses

8, 78 and 195 daemons, with restarts, cuts and a tenth of the datagrams lost or without: no call reaches the leaver from a daemon that had its answer, and none an endpoint in a pause that it asked this daemon for; nine calls of ten are served.

--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod limited;
 pub mod proofs;
 pub mod quotas;
+pub mod stated;
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/crates/basilbank_forward/tests/forward/statements.rs
+++ b/crates/basilbank_forward/tests/forward/statements.rs
@@ -5,7 +5,10 @@
 use basilbank_forward::{event::Liveness, prelude::*};
 use test_case::test_case;
 
-use crate::rig::{BUSY, Rig, held, model, plain, prefilled, prompt};
+use crate::{
+    fleet::stated::{Load, Play},
+    rig::{BUSY, Rig, held, model, plain, prefilled, prompt},
+};
 
 fn key(rig: &Rig, instance: &str) -> EndpointKey {
     rig.state.directory.find(instance).expect("listed")
@@ -357,3 +360,20 @@
     assert!(orders(&["p1", "p2", "p3", "p4"]).is_empty());
     assert!(!orders(&["p1"]).contains(&"p1".to_owned()));
 }
+
+/// Daemons restart and are cut off from their peers meanwhile, and datagrams are lost.
+#[test_case(8, 66.0, 5; "small fleet")]
+#[test_case(78, 240.0, 3; "grown fleet")]
+#[test_case(195, 190.0, 1; "large fleet")]
+fn fleets_keep_to_what_endpoints_state(daemons: usize, calls: f64, seeds: u64) {
+    for seed in 1..=seeds {
+        for trouble in [false, true] {
+            let load = Load { daemons, calls, trouble, loss: if trouble { 0.1 } else { 0.001 } };
+            let got = Play::run(load, seed);
+            assert_eq!(got.to_leaver, 0, "{seed}: {got:?}");
+            assert_eq!(got.in_pause, 0, "{seed}: {got:?}");
+            assert!(0 < got.pauses, "{seed}: {got:?}");
+            assert!(got.calls * 9 / 10 <= got.served, "{seed}: {got:?}");
+        }
+    }
+}
