Give back what an endpoint off the list holds: a slip of the check before sending

Found by reading the diff: an endpoint that is off the list is forgotten with its last call, and the release of what it held is sent a moment later.

Change: only work and orders are withheld there. The new test failed before.

--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -208,8 +208,9 @@
     /// What was decided some milliseconds ago is checked again as it is sent.
     #[must_use]
     pub fn may_send(&self, key: EndpointKey, purpose: Purpose, now: Duration) -> bool {
-        let Some(endpoint) = self.directory.get(key) else { return false };
         let is_work = matches!(purpose, Purpose::Work | Purpose::Order);
+        // One that is off the list is forgotten with its last call, before what it held is released.
+        let Some(endpoint) = self.directory.get(key) else { return !is_work };
         let is_wanted = endpoint.is_in_service() || !is_work;
         is_wanted && !endpoint.statements.is_paused(now)
     }
--- a/crates/basilbank_forward/tests/forward/statements.rs
+++ b/crates/basilbank_forward/tests/forward/statements.rs
@@ -304,6 +304,21 @@
     assert_eq!(releases(&mut rig), count);
 }
 
+/// The endpoint is forgotten with its last call, before the release is sent.
+#[test]
+fn a_slot_at_an_endpoint_off_the_list_is_given_back() {
+    let mut rig = rig();
+    let id = rig.call("/draft/1", 8000, Some(prompt(500)));
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    rig.change(vec![], &[&hold.target.instance]);
+    rig.feed(Event::CallerLeft(id));
+    assert_eq!(releases(&mut rig), 1);
+    let endpoint = hold.target.endpoint;
+    assert!(rig.state.may_send(endpoint, Purpose::Release, rig.now()));
+    assert!(!rig.state.may_send(endpoint, Purpose::Work, rig.now()));
+}
+
 #[test]
 fn a_dark_endpoint_that_wants_a_pause_is_not_asked_until_its_end() {
     let mut rig = rig();
