Sight: a daemon that can't reach a service says so

The incident's logs show attempts that fail and nothing of whether the daemon takes itself for cut off; the metrics show nothing of unreachable endpoints at all.

Change: log lines service_unreached and service_reached, gauges unreachable_endpoints and unreached_services. No decision uses them.

--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -7,12 +7,16 @@
 //! the first daemon that meets one reports it to its peers. From then on a small probe takes the
 //! place of callers' work, and the endpoint gets work again only when it answers the probe.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use super::{Context, crash};
 use crate::{
-    effect::Effect, endpoint::EndpointKey, event::Liveness, log_line::LogLine, purpose::Purpose,
-    state::crashes::CrashEvidence,
+    effect::Effect,
+    endpoint::EndpointKey,
+    event::Liveness,
+    log_line::LogLine,
+    purpose::Purpose,
+    state::{State, crashes::CrashEvidence},
 };
 
 /// Pause before an endpoint is probed. It doubles with each probe without an answer.
@@ -86,6 +90,7 @@
 
 /// Sends the probes that are due.
 pub fn tick(ctx: &mut Context<'_>) {
+    update_unreached(ctx);
     while let Some(key) = ctx.state.suspects.take_due(ctx.now) {
         match ctx.state.directory.target(key) {
             Some(_) if !ctx.state.may_send(key, Purpose::Probe, ctx.now) => {
@@ -106,6 +111,32 @@
     }
 }
 
+/// Finds the services most of whose endpoints this daemon can't reach.
+fn update_unreached(ctx: &mut Context<'_>) {
+    let State { suspects, directory, .. } = &*ctx.state;
+    if suspects.is_empty() && suspects.unreached.is_empty() {
+        return;
+    }
+    let unreachable = suspects.unreachable().filter_map(|key| directory.get(key));
+    let mut services: BTreeSet<_> = unreachable.map(|e| e.info.service.clone()).collect();
+    services.retain(|service| {
+        let (mut total, mut lost) = (0, 0);
+        for (key, _) in directory.in_service(service) {
+            total += 1;
+            lost += usize::from(suspects.is_unreachable(key));
+        }
+        total < lost * 2
+    });
+    let before = std::mem::replace(&mut ctx.state.suspects.unreached, services);
+    let after = ctx.state.suspects.unreached.clone();
+    for service in after.difference(&before) {
+        ctx.log(LogLine::new("service_unreached").with("service", service));
+    }
+    for service in before.difference(&after) {
+        ctx.log(LogLine::new("service_reached").with("service", service));
+    }
+}
+
 fn log_unreachable(ctx: &mut Context<'_>, key: EndpointKey) {
     if let Some(endpoint) = ctx.state.directory.get(key) {
         let line = LogLine::new("endpoint_dark").with("instance", &endpoint.info.instance);
--- a/crates/basilbank_forward/src/state/suspects.rs
+++ b/crates/basilbank_forward/src/state/suspects.rs
@@ -1,6 +1,9 @@
 //! Endpoints that did not answer, until they do.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::endpoint::EndpointKey;
 
@@ -19,6 +22,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     suspects: BTreeMap<EndpointKey, Suspect>,
+    /// Services most of whose endpoints count as unreachable.
+    pub unreached: BTreeSet<String>,
 }
 
 impl Suspects {
@@ -37,7 +42,12 @@
     /// Returns the number of suspects that count as unreachable.
     #[must_use]
     pub fn count_unreachable(&self) -> usize {
-        self.suspects.values().filter(|suspect| suspect.unreachable).count()
+        self.unreachable().count()
+    }
+
+    /// Returns the suspects that count as unreachable.
+    pub fn unreachable(&self) -> impl Iterator<Item = EndpointKey> {
+        self.suspects.iter().filter(|(_, suspect)| suspect.unreachable).map(|(key, _)| *key)
     }
 
     /// Returns whether the endpoint is a suspect.
@@ -46,6 +56,12 @@
         self.suspects.contains_key(&key)
     }
 
+    /// Returns whether the endpoint counts as unreachable.
+    #[must_use]
+    pub fn is_unreachable(&self, key: EndpointKey) -> bool {
+        self.suspects.get(&key).is_some_and(|suspect| suspect.unreachable)
+    }
+
     /// Adds an unreachable endpoint, to be probed at `due`, and returns whether it didn't count as
     /// unreachable before.
     pub fn add_unreachable(&mut self, key: EndpointKey, due: Duration) -> bool {
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -7,7 +7,7 @@
 };
 
 use basilbank::logs::Line;
-use basilbank_forward::{event::Liveness, prelude::*};
+use basilbank_forward::{event::Liveness, prelude::*, state::Suspects};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -104,6 +104,8 @@
     unread_names: Mutex<HashSet<(&'static str, String)>>,
     configuration_version: Gauge<u64, AtomicU64>,
     store_lost: Family<TopicLabel, Gauge<f64, AtomicU64>>,
+    unreachable_endpoints: Gauge<u64, AtomicU64>,
+    unreached_services: Gauge<u64, AtomicU64>,
     quarantined: Counter,
     permits: Counter,
     pauses: Counter,
@@ -133,6 +135,8 @@
             unread_names: Mutex::default(),
             configuration_version: Gauge::default(),
             store_lost: Family::default(),
+            unreachable_endpoints: Gauge::default(),
+            unreached_services: Gauge::default(),
             quarantined: Counter::default(),
             permits: Counter::default(),
             pauses: Counter::default(),
@@ -189,6 +193,10 @@
         registry.register("configuration_version", "Version in force", version);
         let help = "Time since the store stopped answering a topic's reader; 0 while it answers";
         registry.register("store_lost_seconds", help, metrics.store_lost.clone());
+        let unreachable = metrics.unreachable_endpoints.clone();
+        registry.register("unreachable_endpoints", "Endpoints that don't answer here", unreachable);
+        let help = "Services most of whose endpoints don't answer here";
+        registry.register("unreached_services", help, metrics.unreached_services.clone());
         Metrics { registry, ..metrics }
     }
 }
@@ -255,6 +263,13 @@
         self.configuration_version.set(version);
     }
 
+    /// Sets how many endpoints and services this daemon can't reach.
+    pub fn set_unreachable(&self, suspects: &Suspects) {
+        let gauge_value = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+        self.unreachable_endpoints.set(gauge_value(suspects.count_unreachable()));
+        self.unreached_services.set(gauge_value(suspects.unreached.len()));
+    }
+
     /// Sets for how long the store hasn't answered a topic's reader.
     pub fn set_store_lost(&self, topic: Topic, lost_for: Duration) {
         let topic = topic.as_str();
