RECOVER: failing test of a daemon that is cut off from endpoints which its peers reach

Callers at Vms that have lost their paths to all endpoints get 504 after a second, while callers at other Vms are served (19 of 139 against 254 of 265).

The stand-in gets the fault: a daemon can have a path of its own to each endpoint (its view of the store names a proxy before each), and paths can be silent, one way, refused or reset. The proxy moves from the soak to the stand-in for that, and can refuse new connections while open ones live on.

--- a/crates/basilbank_soak/src/lib.rs
+++ b/crates/basilbank_soak/src/lib.rs
@@ -11,6 +11,5 @@
 pub mod plan;
 pub mod play;
 pub mod process;
-pub mod proxy;
 pub mod site;
 pub mod soak;
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::{BadEntry, Misdeed, StoreFault};
-
-use crate::proxy::Weather;
+use basilbank_standin::managed::{BadEntry, Misdeed, StoreFault, Weather};
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -11,12 +11,11 @@
 };
 
 use anyhow::Context;
-use basilbank_standin::managed::{Lost, Misdeed, StoreFault};
+use basilbank_standin::managed::{Lost, Misdeed, StoreFault, Weather};
 use rustix::process::Signal;
 
 use crate::{
     plan::{At, Fault},
-    proxy::Weather,
     site::Site,
 };
 
--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -10,14 +10,11 @@
 
 use anyhow::{Context, ensure};
 use basilbank_standin::managed::{
-    BadEntry, Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Served, WRITER, call,
-    configuration, key,
+    BadEntry, Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Proxy, Served, WRITER,
+    call, configuration, key,
 };
 
-use crate::{
-    process::{Process, Program},
-    proxy::Proxy,
-};
+use crate::process::{Process, Program};
 
 /// Longest wait for a daemon's readiness.
 const READY: Duration = Duration::from_secs(15);
--- a/crates/basilbank_soak/tests/proxy.rs
+++ b/crates/basilbank_soak/tests/proxy.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use basilbank_soak::proxy::{Proxy, Weather};
+use basilbank_standin::managed::{Proxy, Weather};
 use test_case::test_case;
 
 /// Longest wait for bytes that should not come.
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -8,6 +8,8 @@
 mod endpoint;
 mod http;
 mod misdeed;
+mod paths;
+mod proxy;
 mod served;
 mod store;
 mod world;
@@ -18,7 +20,9 @@
     endpoint::{Caches, DEADLY, EndpointSpec, ManagedEndpoint},
     http::{Answer, Request, call, exchange, read_answer},
     misdeed::Misdeed,
+    paths::Paths,
+    proxy::{Proxy, Weather},
     served::{Arrival, PauseRequest, Served},
-    store::{Lost, ManagedStore, NarrowWay, StoreFault},
+    store::{Lost, ManagedStore, NarrowWay, StoreFault, StoreView},
     world::{World, WorldSpec, key},
 };
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -73,7 +73,17 @@
 
 /// KV caches of all endpoints, by address: an endpoint that decodes takes them from there.
 #[derive(Clone, Debug, Default)]
-pub struct Caches(Arc<Mutex<HashMap<SocketAddr, Arc<Mutex<Inside>>>>>);
+pub struct Caches(
+    Arc<Mutex<HashMap<SocketAddr, Arc<Mutex<Inside>>>>>,
+    Arc<Mutex<HashMap<SocketAddr, SocketAddr>>>,
+);
+
+impl Caches {
+    /// The endpoint that is listed at an address is reached at another one, too.
+    pub fn alias(&self, other: SocketAddr, listed: SocketAddr) {
+        lock(&self.1).insert(other, listed);
+    }
+}
 
 /// An endpoint. Dropping it ends it.
 pub struct ManagedEndpoint {
@@ -131,6 +141,12 @@
         lock(&self.caches.0).insert(address, Arc::clone(&self.inside));
     }
 
+    /// Where its entries say that it is.
+    #[must_use]
+    pub fn listed_at(&self) -> SocketAddr {
+        self.listed
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -406,6 +422,7 @@
     fn take(&self, source: &str) -> bool {
         let Some((address, handle)) = source.split_once('/') else { return false };
         let Ok(address) = address.parse::<SocketAddr>() else { return false };
+        let address = lock(&self.caches.1).get(&address).copied().unwrap_or(address);
         let Some(inside) = lock(&self.caches.0).get(&address).cloned() else { return false };
         lock(&inside).handles.remove(handle)
     }
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/paths.rs
@@ -0,0 +1,61 @@
+//! One daemon's own paths to the endpoints.
+
+use std::{io, net::SocketAddr};
+
+use super::{
+    endpoint::Caches,
+    proxy::{Proxy, Weather},
+    store::{ManagedStore, StoreView},
+};
+
+/// A proxy before each endpoint for one daemon alone, and the way to the store on which that daemon
+/// finds them. So its paths can be cut while others reach the endpoints. Dropping it ends them.
+pub struct Paths {
+    view: StoreView,
+    caches: Caches,
+    proxies: Vec<Proxy>,
+}
+
+impl Paths {
+    /// Starts without endpoints.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn start(store: &ManagedStore, caches: &Caches) -> io::Result<Paths> {
+        Ok(Paths { view: store.view()?, caches: caches.clone(), proxies: Vec::new() })
+    }
+
+    /// Adds a path to the endpoint that is listed with an address.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn add(&mut self, listed: SocketAddr) -> io::Result<()> {
+        let proxy = Proxy::start(listed)?;
+        self.view.rename(listed, proxy.address());
+        self.caches.alias(proxy.address(), listed);
+        self.proxies.push(proxy);
+        Ok(())
+    }
+
+    /// Where the daemon reads the store.
+    #[must_use]
+    pub fn store(&self) -> SocketAddr {
+        self.view.address()
+    }
+
+    /// The paths, in the order in which they were added.
+    #[must_use]
+    pub fn proxies(&self) -> &[Proxy] {
+        &self.proxies
+    }
+
+    /// Sets what all paths do from now on.
+    pub fn set(&self, weather: Weather) {
+        self.proxies.iter().for_each(|proxy| proxy.set(weather));
+    }
+
+    /// Resets the open connections of all paths.
+    pub fn reset(&self) {
+        self.proxies.iter().for_each(Proxy::reset);
+    }
+}
--- a/crates/basilbank_soak/src/proxy.rs
+++ b/crates/basilbank_standin/src/managed/proxy.rs
@@ -36,6 +36,8 @@
     CutBack,
     /// Nothing passes. A connection that met this, or a cut, stays silent for good.
     Silent,
+    /// New connections are reset at once; those that are open live on.
+    Refuse,
 }
 
 #[derive(Debug)]
@@ -131,6 +133,11 @@
                 return;
             }
             let Ok(caller) = caller else { continue };
+            if *lock(&self.weather) == Weather::Refuse {
+                // One whose caller has left already can't be reset.
+                let _ = SockRef::from(&caller).set_linger(Some(Duration::ZERO));
+                continue;
+            }
             let shared = Arc::clone(self);
             // A connection whose other end can't be reached is closed, as a dead endpoint's would be.
             thread::spawn(move || drop(shared.join(&caller)));
--- a/crates/basilbank_standin/src/managed/store.rs
+++ b/crates/basilbank_standin/src/managed/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's store.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
@@ -94,6 +94,45 @@
     }
 }
 
+/// A way to the store whose answers name other addresses for some endpoints. Dropping it closes it.
+pub struct StoreView {
+    addresses: Addresses,
+    listener: Listener,
+}
+
+/// Addresses in place of those that endpoints are listed with.
+type Addresses = Arc<Mutex<HashMap<SocketAddr, SocketAddr>>>;
+
+impl StoreView {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.listener.address()
+    }
+
+    /// Entries of endpoints at one address say another one here.
+    pub fn rename(&self, listed: SocketAddr, shown: SocketAddr) {
+        self.addresses.lock().unwrap_or_else(PoisonError::into_inner).insert(listed, shown);
+    }
+}
+
+/// Replaces the addresses in the items of an answer.
+fn rename(body: &mut Value, addresses: &HashMap<SocketAddr, SocketAddr>) {
+    for list in ["items", "events"] {
+        for item in body[list].as_array_mut().into_iter().flatten() {
+            let text = item["value"].as_str().and_then(|text| STANDARD.decode(text).ok());
+            let entry = text.and_then(|bytes| serde_json::from_slice::<Value>(&bytes).ok());
+            let Some(mut entry) = entry else { continue };
+            let listed = entry["addr"].as_str().and_then(|addr| addr.parse().ok());
+            let Some(shown) = listed.and_then(|addr: SocketAddr| addresses.get(&addr)) else {
+                continue;
+            };
+            entry["addr"] = json!(shown.to_string());
+            item["value"] = json!(STANDARD.encode(entry.to_string()));
+        }
+    }
+}
+
 /// An answer, and the store's era when it was made.
 struct Answer {
     era: u64,
@@ -179,6 +218,23 @@
         Ok(NarrowWay { entrance, listener })
     }
 
+    /// Opens a way to it on which endpoints can be given other addresses. It has the store's faults.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn view(&self) -> io::Result<StoreView> {
+        let (shared, entrance) = (Arc::clone(&self.shared), Arc::clone(&self.entrance));
+        let addresses = Addresses::default();
+        let shown = Arc::clone(&addresses);
+        let listener = Listener::start(0, move |stream, request| {
+            let rename = |body: &mut Value| {
+                rename(body, &shown.lock().unwrap_or_else(PoisonError::into_inner));
+            };
+            shared.serve(stream, request, &entrance, rename)
+        })?;
+        Ok(StoreView { addresses, listener })
+    }
+
     /// Where it listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -292,10 +348,16 @@
 
     fn listen(shared: &Arc<Shared>, entrance: &Arc<Entrance>) -> io::Result<Listener> {
         let (serving, entrance) = (Arc::clone(shared), Arc::clone(entrance));
-        Listener::start(0, move |stream, request| serving.serve(stream, request, &entrance))
+        Listener::start(0, move |stream, request| serving.serve(stream, request, &entrance, |_| {}))
     }
 
-    fn serve(&self, stream: &TcpStream, request: &Request, way: &Entrance) -> io::Result<()> {
+    fn serve(
+        &self,
+        stream: &TcpStream,
+        request: &Request,
+        way: &Entrance,
+        rename: impl Fn(&mut Value),
+    ) -> io::Result<()> {
         self.lock().calls += 1;
         match way.fault() {
             StoreFault::None | StoreFault::Slow(_) => {}
@@ -304,7 +366,7 @@
             StoreFault::Closing => return Err(io::ErrorKind::ConnectionReset.into()),
             StoreFault::Silent | StoreFault::Lost => return Ok(()),
         }
-        let answer = self.look_up(request);
+        let answer = self.look_up(request, rename);
         match way.fault() {
             StoreFault::None => {}
             StoreFault::Slow(delay) => thread::sleep(delay),
@@ -313,15 +375,16 @@
         way.write(stream, &answer)
     }
 
-    fn look_up(&self, request: &Request) -> Answer {
+    fn look_up(&self, request: &Request, rename: impl Fn(&mut Value)) -> Answer {
         loop {
             let era = self.lock().era;
-            let (status, body) = match request.path() {
+            let (status, mut body) = match request.path() {
                 "/kv-key" => self.one(&request.param("key").unwrap_or_default()),
                 "/kv-range" => self.range(request),
                 "/kv-watch" => self.watch(request),
                 _ => (404, json!({})),
             };
+            rename(&mut body);
             let answer = self.answer(status, &body);
             // It came back from a copy meanwhile: what was found may be of either history.
             if answer.era == era {
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -18,6 +18,7 @@
     configuration::{DESK, WRITER, configuration},
     endpoint::{Caches, EndpointSpec, ManagedEndpoint},
     http::call,
+    paths::Paths,
     store::{ManagedStore, NarrowWay},
 };
 
@@ -80,7 +81,7 @@
         store.put("op/config", &configuration(1, &[]));
         let caches = Caches::default();
         let (plain, model, daemons) = (vec![], vec![], vec![]);
-        let (control, port) = (free_address()?, free_udp()?);
+        let (control, port) = (free_address()?, free_port()?);
         let mut world = World { store, plain, model, caches, daemons, control, port };
         for n in 0..spec.plain {
             world.add_plain(EndpointSpec::plain(&format!("plain-{n}")))?;
@@ -176,6 +177,20 @@
         self.add_daemon(way.address())
     }
 
+    /// Starts one more daemon that has a path of its own to each endpoint there is, and waits until it
+    /// is ready.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_with_paths(&mut self) -> anyhow::Result<Paths> {
+        let mut paths = Paths::start(&self.store, &self.caches)?;
+        for endpoint in self.plain.iter().chain(&self.model) {
+            paths.add(endpoint.listed_at())?;
+        }
+        self.add_daemon(paths.store())?;
+        Ok(paths)
+    }
+
     /// Replaces a text in a daemon's settings file, and gives no signal.
     ///
     /// # Errors
@@ -285,7 +300,10 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
 }
 
-fn free_udp() -> anyhow::Result<u16> {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).context("a UDP port")?;
-    Ok(socket.local_addr()?.port())
+/// A port that is free for datagrams and for connections.
+fn free_port() -> anyhow::Result<u16> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context("a TCP port")?;
+    let port = listener.local_addr()?.port();
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).context("a UDP port")?;
+    Ok(port)
 }
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -2,6 +2,7 @@
 
 mod bytes;
 mod callers;
+mod cut_off;
 mod drafts;
 mod endpoints;
 mod entries;
