--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -66,7 +66,8 @@
         /// The endpoint's name for the hold.
         hold: String,
     },
-    /// Probe whether an endpoint answers; the result arrives as `Event::Probed`.
+    /// Probe whether an endpoint answers; the result arrives as `Event::Probed`, or as
+    /// `Event::ProbedByPeer` if a peer makes the call.
     Probe(Target),
     /// Order an endpoint to change its stage.
     Order {
@@ -99,6 +100,8 @@
     pub instance: String,
     /// The address that the endpoint listens on.
     pub addr: SocketAddr,
+    /// The peer that makes the call for this daemon; `None` if this daemon makes it itself.
+    pub via: Option<SocketAddr>,
 }
 
 /// One try of a request at an endpoint.
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -5,7 +5,7 @@
 use basilbank_wire::LoadGossip;
 
 use crate::{
-    call::{Call, RequestId},
+    call::{Call, Digest, RequestId},
     endpoint::{EndpointInfo, EndpointKey},
     route::RouteTable,
     state::OrderRight,
@@ -78,6 +78,28 @@
         /// Whether the endpoint answered the probe.
         liveness: Liveness,
     },
+    /// A probe that a peer made for this daemon ended.
+    ProbedByPeer {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// The peer.
+        peer: SocketAddr,
+        /// Why there was no answer; `None` if the endpoint answered.
+        failure: Option<NotProxied>,
+    },
+    /// This daemon begins to make a call for a peer.
+    ProxiedCallStarted,
+    /// A call that this daemon made for a peer ended.
+    ProxiedCallEnded {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// The call's digest.
+        digest: Digest,
+        /// How long the call took.
+        duration: Duration,
+        /// How it ended.
+        end: ProxiedEnd,
+    },
     /// An answer stated how many calls per second its endpoint accepts from all daemons together.
     CallLimit {
         /// The endpoint.
@@ -136,6 +158,61 @@
     Withheld,
 }
 
+/// Why a peer did not make a call for this daemon.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum NotProxied {
+    /// The peer could not be reached.
+    NoPeer,
+    /// The peer makes no such calls now.
+    Declined,
+    /// The peer can't reach the endpoint either.
+    EndpointUnreachable,
+}
+
+impl NotProxied {
+    /// Returns the stable name for logs and metric labels.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NotProxied::NoPeer => "no_peer",
+            NotProxied::Declined => "declined",
+            NotProxied::EndpointUnreachable => "unreachable_by_peer",
+        }
+    }
+}
+
+/// How a call ended that this daemon made for a peer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ProxiedEnd {
+    /// The answer was passed on whole.
+    Answered,
+    /// The peer, or its caller, no longer wanted it.
+    Cancelled,
+    /// Nothing was sent, since the endpoint wants nothing of this kind.
+    Withheld,
+    /// The endpoint could not be reached.
+    Unreachable,
+    /// The connection broke, or the answer was damaged.
+    Broken,
+    /// No answer came in time.
+    Silent,
+}
+
+impl ProxiedEnd {
+    /// Returns the stable name for logs and metric labels.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ProxiedEnd::Answered => "answered",
+            ProxiedEnd::Cancelled => "cancelled",
+            ProxiedEnd::Withheld => "withheld",
+            ProxiedEnd::Unreachable => "unreachable",
+            ProxiedEnd::Broken => "broken",
+            ProxiedEnd::Silent => "silent",
+        }
+    }
+}
+
 /// An endpoint's answer to an order.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Acceptance {
@@ -175,6 +252,8 @@
     NotRun(NotRun),
     /// No connection could be made, so nothing was sent.
     Unreachable,
+    /// The peer that was asked to make the call did not make it.
+    NotProxied(NotProxied),
     /// Nothing was sent: meanwhile the endpoint has said that it wants no work.
     Withheld,
     /// The connection broke after something was sent, or the answer was damaged.
@@ -197,6 +276,7 @@
             Outcome::NotRun(NotRun::WrongInstance) => "wrong_instance",
             Outcome::NotRun(NotRun::Other { .. }) => "not_run",
             Outcome::Unreachable => "unreachable",
+            Outcome::NotProxied(failure) => failure.as_str(),
             Outcome::Withheld => "withheld",
             Outcome::Broken(_) => "broken",
             Outcome::TimedOut => "silent",
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -6,7 +6,7 @@
     call::{Call, Digest, Prompt, RequestId},
     effect::{Attempt, Effect, Op},
     endpoint::{EndpointInfo, EndpointKey, Stage},
-    event::{Damage, Event, NotRun, Outcome},
+    event::{Damage, Event, NotProxied, NotRun, Outcome},
     log_line::{LogLine, Measurement},
     purpose::Purpose,
     reading::{
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -70,6 +70,13 @@
             gossip::handle_missing_revision(&mut ctx, topic, revision);
         }
         Event::Probed { endpoint, liveness } => suspect::handle_probe(&mut ctx, endpoint, liveness),
+        Event::ProbedByPeer { endpoint, peer, failure } => {
+            suspect::handle_probe_by_peer(&mut ctx, endpoint, peer, failure);
+        }
+        Event::ProxiedCallStarted => ctx.state.proxies.serving += 1,
+        Event::ProxiedCallEnded { endpoint, digest, duration, end } => {
+            suspect::handle_proxied_end(&mut ctx, endpoint, digest, duration, end);
+        }
         Event::CallLimit { endpoint, rate } => call_limit::record_limit(&mut ctx, endpoint, rate),
         Event::EndpointLeaving(key) => statement::mark_leaving(&mut ctx, key),
         Event::PauseRequested { endpoint, pause } => statement::pause(&mut ctx, endpoint, pause),
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -94,6 +94,7 @@
         uncharged_refusals: 0,
         tried: Vec::new(),
         maybe_run: false,
+        proxy_failures: 0,
         answering: false,
         last_failure: None,
         completion: Completion::default(),
--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -18,16 +18,26 @@
 /// Handles an attempt that broke off. The endpoint is probed to find out whether it crashed, since
 /// a connection can also be reset for other reasons.
 pub fn handle_broken_attempt(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
-    if live.step == Step::Hold {
+    // A peer that makes a call sees for itself whether the endpoint crashed.
+    if live.step == Step::Hold || live.via.is_some() {
         return;
     }
     let Some(request) = ctx.state.requests.get(&id) else { return };
     let (digest, run_time) = (request.call.digest, ctx.now.saturating_sub(live.started));
+    record_broken_call(ctx, live.endpoint, digest, run_time);
+}
+
+/// Records a call that broke off at an endpoint, and probes the endpoint.
+pub fn record_broken_call(
+    ctx: &mut Context<'_>,
+    key: EndpointKey,
+    digest: Digest,
+    run_time: Duration,
+) {
     // An endpoint that leaves aborts its calls; they are not the cause of its end.
-    let is_serving = ctx.state.directory.get(live.endpoint).is_some_and(|e| e.is_in_service());
-    if is_serving {
-        ctx.state.crashes.record_broken_call(live.endpoint, digest, run_time, ctx.now);
-        suspect::request_probe(ctx, live.endpoint);
+    if ctx.state.directory.get(key).is_some_and(|e| e.is_in_service()) {
+        ctx.state.crashes.record_broken_call(key, digest, run_time, ctx.now);
+        suspect::request_probe(ctx, key);
     }
 }
 
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -77,7 +77,7 @@
 fn release_hold(ctx: &mut Context<'_>, hold: &Hold) {
     // The target is needed before the usage is removed: an unlisted endpoint is dropped with its
     // last call.
-    if let Some(target) = ctx.state.directory.target(hold.endpoint) {
+    if let Some(target) = ctx.state.route_to(hold.endpoint, ctx.now) {
         let service = ctx.state.directory.get(hold.endpoint).map(|e| e.info.service.as_str());
         let engine = service.and_then(|service| ctx.state.routes.engine(service));
         let ttl = engine.map_or(Duration::ZERO, |engine| engine.max_hold);
@@ -121,7 +121,7 @@
         release_hold(ctx, hold);
     }
     if let Some(kv) = request.completion.kv
-        && let Some(target) = ctx.state.directory.target(kv.endpoint)
+        && let Some(target) = ctx.state.route_to(kv.endpoint, ctx.now)
     {
         let engine = ctx.state.routes.engine(&request.service);
         let expiry = kv.made + engine.map_or(Duration::ZERO, |engine| engine.kv_ttl);
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -94,6 +94,7 @@
         version,
         watching: gossip.watching,
         leaving: gossip.leaving,
+        unreached: gossip.unreached.clone(),
         generation_stats,
     };
     let is_older = ctx.state.started_before(gossip.incarnation);
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -233,6 +233,7 @@
         crashes,
         cleared,
         quarantined,
+        unreached: state.suspects.unreached.iter().map(|service| service_hash(service)).collect(),
         ..LoadGossip::default()
     };
     gossip.with_loads(loads)
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -1,10 +1,12 @@
 //! Handles the outcomes of attempts.
 
+use std::net::SocketAddr;
+
 use super::{Context, crash, finish, remove_usage, step, suspect};
 use crate::{
     call::RequestId,
     effect::Effect,
-    event::{NotRun, Outcome},
+    event::{NotProxied, NotRun, Outcome},
     log_line::{LogLine, Measurement},
     reason::Refusal,
     state::{
@@ -18,6 +20,9 @@
 /// missing.
 const UNCROWDED_MEMORY_FRACTION: f64 = 0.85;
 
+/// Maximum number of attempts of a call that peers did not make for this daemon.
+const MAX_PROXY_FAILURES: u32 = 4;
+
 /// Handles the outcome of an attempt.
 pub fn handle_outcome(ctx: &mut Context<'_>, id: RequestId, number: u32, outcome: Outcome) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
@@ -53,6 +58,7 @@
             handle_not_run(ctx, id, &live, matches!(reason, NotRun::Busy));
         }
         Outcome::Unreachable | Outcome::Withheld => handle_not_run(ctx, id, &live, false),
+        Outcome::NotProxied(_) => handle_not_proxied(ctx, id, &live),
         Outcome::Broken(_) | Outcome::TimedOut => {
             crash::handle_broken_attempt(ctx, id, &live);
             handle_broken(ctx, id, &live, outcome == Outcome::TimedOut);
@@ -62,19 +68,26 @@
 
 /// Updates what is known about the endpoint from the outcome.
 fn update_endpoint(ctx: &mut Context<'_>, live: &ActiveAttempt, outcome: &Outcome) {
+    if let Some(peer) = live.via {
+        return update_proxied_endpoint(ctx, live, peer, outcome);
+    }
     match outcome {
         Outcome::Unreachable | Outcome::TimedOut => {
             return suspect::mark_unreachable(ctx, live.endpoint);
         }
-        Outcome::Withheld => return,
+        Outcome::Withheld | Outcome::NotProxied(_) => return,
         Outcome::Finished | Outcome::Broken(_) => {}
-        _ => suspect::mark_reachable(ctx, live.endpoint),
+        _ => suspect::record_answer(ctx, live.endpoint),
     }
     let (now, tuning) = (ctx.now, ctx.state.tuning.clone());
     let Some(endpoint) = ctx.state.directory.get_mut(live.endpoint) else { return };
     match outcome {
         Outcome::Held { .. } => endpoint.record_accepted(),
-        Outcome::Finished | Outcome::Unreachable | Outcome::Withheld | Outcome::TimedOut => {}
+        Outcome::Finished
+        | Outcome::Unreachable
+        | Outcome::NotProxied(_)
+        | Outcome::Withheld
+        | Outcome::TimedOut => {}
         Outcome::Prefilled { .. } => {
             let expected = f64::from(live.queued_tokens) / tuning.prefill_tokens_per_second;
             endpoint.record_prefill(now.saturating_sub(live.started), expected);
@@ -91,6 +104,37 @@
     }
 }
 
+/// Updates what is known about an endpoint that a peer called, and about the peer. How long the
+/// endpoint takes is not recorded, since the peer's part in it is unknown.
+fn update_proxied_endpoint(
+    ctx: &mut Context<'_>,
+    live: &ActiveAttempt,
+    peer: SocketAddr,
+    outcome: &Outcome,
+) {
+    let (key, now) = (live.endpoint, ctx.now);
+    match outcome {
+        Outcome::NotProxied(failure) => suspect::record_proxy_failure(ctx, key, peer, *failure),
+        // Either the peer or the endpoint was lost on the way.
+        Outcome::Broken(_) | Outcome::TimedOut | Outcome::Unreachable => {
+            let failure = NotProxied::EndpointUnreachable;
+            ctx.state.proxies.record_failure(key, peer, failure, now);
+        }
+        Outcome::Withheld | Outcome::Finished => {}
+        _ => suspect::record_reached_by_peer(ctx, key, peer),
+    }
+    let tuning = ctx.state.tuning.clone();
+    let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
+    match outcome {
+        Outcome::Held { .. } | Outcome::Answered { .. } | Outcome::Streaming => {
+            endpoint.record_accepted();
+        }
+        Outcome::NotRun(NotRun::Busy) => endpoint.record_refusal(now, &tuning),
+        Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
+        _ => {}
+    }
+}
+
 fn log_outcome(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt, outcome: &Outcome) {
     let duration = ctx.now.saturating_sub(live.started);
     let name = outcome.as_str();
@@ -210,6 +254,17 @@
     step::proceed(ctx, id);
 }
 
+/// Handles an attempt that the peer did not make: nothing was run. After some of these in a row the
+/// call is refused, since its time would only pass with asking further peers.
+fn handle_not_proxied(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
+    let Some(request) = ctx.state.requests.get_mut(&id) else { return };
+    request.proxy_failures += 1;
+    if MAX_PROXY_FAILURES <= request.proxy_failures && request.active_attempts.is_empty() {
+        return finish::give_up(ctx, id, Refusal::NoEndpoint);
+    }
+    handle_not_run(ctx, id, live, false);
+}
+
 /// Returns whether the decode endpoint, as far as is known, had capacity for the completion that it
 /// refused.
 fn had_capacity(ctx: &Context<'_>, live: &ActiveAttempt) -> bool {
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -1,12 +1,12 @@
 //! Picks an endpoint for an attempt.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     endpoint::{EndpointKey, Stage},
-    state::{Endpoint, State, Usage},
+    state::{Endpoint, Reach, State, Usage},
 };
 
 /// Fraction of the lowest cost within which endpoints count as equal, so that daemons with the same
@@ -35,25 +35,29 @@
     let fastest =
         state.directory.available(service, now).filter_map(|(_, e)| e.mean_answer_time).min();
     let fastest = fastest.unwrap_or_default();
+    let reached = Reached::of(state, service, now);
     let permitted =
         state.directory.available(service, now).filter(|(key, _)| state.has_permit(*key, now));
-    let candidates = permitted.map(|(key, endpoint)| {
+    let candidates = permitted.filter_map(|(key, endpoint)| {
+        let proxy_cost = reached.cost(key, tried.contains(&key))?;
         let mean = endpoint.mean_answer_time.unwrap_or(fastest);
         let slots = f64::from(endpoint.info.slots.max(1));
         let queue = 1.0 + f64::from(endpoint.total_calls()) / slots;
         let remote_cost = if endpoint.info.data_centre == *local { Duration::ZERO } else { remote };
-        let cost = mean.as_secs_f64() * queue + remote_cost.as_secs_f64();
-        Candidate {
+        let cost = mean.as_secs_f64() * queue + (remote_cost + proxy_cost).as_secs_f64();
+        Some(Candidate {
             key,
             cost,
             avoided_for: avoided_for(endpoint, now),
             tried: tried.contains(&key),
-        }
+        })
     });
     let candidates: Vec<_> = candidates.collect();
     match pick_cheapest(state, &candidates, 0.0) {
         Some(key) => PlainChoice::At(key),
-        None if state.directory.available(service, now).next().is_some() => PlainChoice::Limited,
+        None if reached.is_any(state.directory.available(service, now)) => PlainChoice::Limited,
+        // Those that accept work can't be reached, and those that want a pause don't count as down.
+        None if state.directory.available(service, now).next().is_some() => PlainChoice::None,
         None => match state.directory.first_pause_end(service, None) {
             Some(until) => PlainChoice::Paused(until),
             None => PlainChoice::None,
@@ -107,17 +111,19 @@
     let permitted = endpoints.filter(|(key, _)| state.has_permit(*key, now));
     let peaks = permitted.map(|(key, e)| (key, e, e.peak_tokens(criteria.usage, now, growth)));
     let fitting = peaks.filter(|(_, e, peak)| e.total_calls() == 0 || *peak <= max_tokens);
-    let candidates = fitting.map(|(key, endpoint, peak)| {
+    let reached = Reached::of(state, service, now);
+    let candidates = fitting.filter_map(|(key, endpoint, peak)| {
+        reached.cost(key, tried.contains(&key))?;
         let used = peak / memory;
         let remote_cost =
             if endpoint.info.data_centre == data_centre { 0.0 } else { REMOTE_MEMORY_FRACTION };
         let cost = used + remote_cost;
-        Candidate {
+        Some(Candidate {
             key,
             cost,
             avoided_for: avoided_for(endpoint, now),
             tried: tried.contains(&key),
-        }
+        })
     });
     let candidates: Vec<_> = candidates.collect();
     // Only endpoints that don't answer, or have just refused work, have capacity. A completion that
@@ -125,7 +131,7 @@
     let has_usable = state
         .directory
         .available_in_stage(service, Stage::Decode, now)
-        .any(|(_, e)| e.avoided_until <= now);
+        .any(|(key, e)| e.avoided_until <= now && reached.cost(key, false).is_some());
     if has_usable && candidates.iter().all(|candidate| !candidate.avoided_for.is_zero()) {
         return DecodeChoice::Full;
     }
@@ -139,7 +145,11 @@
 
 /// Returns why no decode endpoint can be picked.
 fn no_decode_endpoint(state: &State, service: &str, now: Duration) -> DecodeChoice {
+    let reached = Reached::of(state, service, now);
     match state.directory.first_pause_end(service, Some(Stage::Decode)) {
+        _ if !reached.is_any(state.directory.in_stage(service, Stage::Decode)) => {
+            DecodeChoice::None
+        }
         None => DecodeChoice::None,
         Some(until) if now < until => DecodeChoice::Paused(until),
         Some(_) => DecodeChoice::Full,
@@ -223,18 +233,21 @@
         None => state.tuning.remote_cost.as_secs_f64(),
     };
     let endpoints = state.directory.available_in_stage(service, Stage::Prefill, now);
+    let reached = Reached::of(state, service, now);
     let candidates =
-        endpoints.filter(|(key, _)| state.has_permit(*key, now)).map(|(key, endpoint)| {
+        endpoints.filter(|(key, _)| state.has_permit(*key, now)).filter_map(|(key, endpoint)| {
+            let proxy_cost = reached.cost(key, tried.contains(&key))?;
             let remote_cost = if endpoint.info.data_centre == data_centre { 0.0 } else { remote };
             let cost = f64::from(endpoint.total_tokens() + tokens) / rate * endpoint.slowness
                 + endpoint.base_seconds
-                + remote_cost;
-            Candidate {
+                + remote_cost
+                + proxy_cost.as_secs_f64();
+            Some(Candidate {
                 key,
                 cost,
                 avoided_for: avoided_for(endpoint, now),
                 tried: tried.contains(&key),
-            }
+            })
         });
     let candidates: Vec<_> = candidates.collect();
     let unreported = unreported_seconds(state, service, &candidates);
@@ -259,6 +272,55 @@
 /// divisor.
 const MIN_STAY_SECONDS: f64 = 0.01;
 
+/// Added to the expected time of an endpoint that a peer has to call: two more ways between daemons.
+const PROXY_COST: Duration = Duration::from_millis(8);
+
+/// How the endpoints of a service are reached that this daemon can't reach itself.
+struct Reached {
+    unreachable: BTreeMap<EndpointKey, Unreached>,
+}
+
+/// How an endpoint is reached that doesn't answer this daemon.
+#[derive(Clone, Copy)]
+enum Unreached {
+    /// A peer calls it.
+    ByPeer,
+    /// There is no peer to ask, but the endpoint has not failed a probe yet.
+    Unproved,
+    /// It is down.
+    Down,
+}
+
+impl Reached {
+    fn of(state: &State, service: &str, now: Duration) -> Reached {
+        let suspects = state.suspects.unreachable();
+        let in_service = suspects.filter(|key| {
+            state.directory.get(*key).is_some_and(|endpoint| endpoint.info.service == service)
+        });
+        let reach = |key| match state.reach(key, now) {
+            Reach::ByPeer => Unreached::ByPeer,
+            Reach::None if !state.suspects.has_failed_probe(key) => Unreached::Unproved,
+            Reach::Direct | Reach::None => Unreached::Down,
+        };
+        Reached { unreachable: in_service.map(|key| (key, reach(key))).collect() }
+    }
+
+    /// Returns the additional time that a call to an endpoint takes, or `None` if it can't get there.
+    fn cost(&self, key: EndpointKey, tried: bool) -> Option<Duration> {
+        match self.unreachable.get(&key) {
+            None => Some(Duration::ZERO),
+            Some(Unreached::ByPeer) => Some(PROXY_COST),
+            // A connection can fail for a lost packet; the same call doesn't try again.
+            Some(Unreached::Unproved) => (!tried).then_some(Duration::ZERO),
+            Some(Unreached::Down) => None,
+        }
+    }
+
+    fn is_any<'a>(&self, mut all: impl Iterator<Item = (EndpointKey, &'a Endpoint)>) -> bool {
+        all.any(|(key, _)| self.cost(key, false).is_some())
+    }
+}
+
 struct Candidate {
     key: EndpointKey,
     cost: f64,
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -176,7 +176,7 @@
 }
 
 fn send_attempt(ctx: &mut Context<'_>, id: RequestId, dispatch: Dispatch) {
-    let Some(target) = ctx.state.directory.target(dispatch.endpoint) else { return };
+    let Some(target) = ctx.state.route_to(dispatch.endpoint, ctx.now) else { return };
     let endpoint = ctx.state.directory.get(dispatch.endpoint);
     let (calls, tokens) = endpoint.map_or((0, 0), |e| (e.total_calls(), e.total_tokens()));
     let ahead = tokens.saturating_add(dispatch.usage.tokens);
@@ -193,6 +193,7 @@
         queued_tokens: ahead,
         started: ctx.now,
         step: dispatch.step,
+        via: target.via,
     };
     request.active_attempts.push(live);
     let remaining = request.remaining(ctx.now);
@@ -207,6 +208,10 @@
         .with("calls_there", calls)
         .with("tokens_there", tokens)
         .with_ms("list_ms", list_age);
+    let line = match target.via {
+        Some(peer) => line.with("via", peer),
+        None => line,
+    };
     let answer_timeout = dispatch.timeout.min(remaining);
     let team = request.team.as_ref().map(|team| Arc::clone(&team.name));
     let attempt =
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -6,17 +6,22 @@
 //! itself, and again whenever it has stopped avoiding them, half of all completions meet one. So
 //! the first daemon that meets one reports it to its peers. From then on a small probe takes the
 //! place of callers' work, and the endpoint gets work again only when it answers the probe.
+//!
+//! Or the endpoint is sound, and this daemon's path to it is cut. So a peer is asked to probe it as
+//! well. If it answers the peer, peers make this daemon's calls to it until its own probes are
+//! answered.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use super::{Context, crash};
 use crate::{
+    call::Digest,
     effect::Effect,
     endpoint::EndpointKey,
-    event::Liveness,
+    event::{Liveness, NotProxied, ProxiedEnd},
     log_line::LogLine,
     purpose::Purpose,
-    state::{State, crashes::CrashEvidence},
+    state::{Reach, State, crashes::CrashEvidence},
 };
 
 /// Pause before an endpoint is probed. It doubles with each probe without an answer.
@@ -29,8 +34,8 @@
 /// reducer step.
 const AVOID_MARGIN: Duration = Duration::from_millis(500);
 
-/// If more than one in this many endpoints are unreachable, this daemon is more likely cut off
-/// itself than all of them have failed, so it does not report them to peers.
+/// If more than one in this many endpoints, or endpoints of a service, are unreachable, this daemon
+/// is more likely cut off itself than all of them have failed, so it does not report them to peers.
 const CUT_OFF_DIVISOR: usize = 3;
 
 /// Marks an endpoint that could not be reached or did not answer in time as unreachable.
@@ -42,6 +47,7 @@
     if ctx.state.suspects.add_unreachable(key, due) {
         log_unreachable(ctx, key);
         avoid(ctx, key, due + AVOID_MARGIN);
+        probe_by_peer(ctx, key);
     }
 }
 
@@ -53,44 +59,150 @@
     }
 }
 
-/// Marks an endpoint that did what it was sent as reachable.
-pub fn mark_reachable(ctx: &mut Context<'_>, key: EndpointKey) {
+/// Handles an answer over a connection that may have been open before the endpoint became
+/// unreachable. It clears a doubt; otherwise it shows nothing of new connections, which a probe is
+/// sent over at once.
+pub fn record_answer(ctx: &mut Context<'_>, key: EndpointKey) {
+    match ctx.state.suspects.get_mut(key) {
+        Some(suspect) if suspect.unreachable => {
+            suspect.due = suspect.due.map(|_| ctx.now);
+        }
+        Some(_) => drop(ctx.state.suspects.remove(key)),
+        None => {}
+    }
+}
+
+fn mark_reachable(ctx: &mut Context<'_>, key: EndpointKey) {
     if !ctx.state.suspects.remove(key) {
         return;
     }
+    ctx.state.suspects.record_return(key, ctx.now);
     let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
     endpoint.record_recovery();
     let line = LogLine::new("endpoint_back").with("instance", &endpoint.info.instance);
     ctx.log(line);
     ctx.state.peers.changed = true;
+    ctx.state.capacity_changed = true;
 }
 
-/// Handles the result of a probe.
+/// Handles the result of a probe of this daemon itself.
 pub fn handle_probe(ctx: &mut Context<'_>, key: EndpointKey, liveness: Liveness) {
     match liveness {
-        Liveness::Alive => {
-            ctx.state.crashes.record_answer(key);
-            return mark_reachable(ctx, key);
-        }
+        Liveness::Alive => return handle_answered_probe(ctx, key),
         Liveness::Withheld => return postpone_probe(ctx, key),
         Liveness::Unreachable => {}
     }
-    crash::report_crash(ctx, key, CrashEvidence::Unreachable);
     let now = ctx.now;
     let Some(suspect) = ctx.state.suspects.get_mut(key) else { return };
     let is_new = !std::mem::replace(&mut suspect.unreachable, true);
     suspect.unanswered += 1;
+    suspect.answered = 0;
     let pause = MIN_PROBE_PAUSE.saturating_mul(1 << suspect.unanswered.min(8)).min(MAX_PROBE_PAUSE);
     suspect.due = Some(now + pause);
     if is_new {
         log_unreachable(ctx, key);
     }
     avoid(ctx, key, now + pause + AVOID_MARGIN);
+    if is_credible(ctx.state, key) {
+        crash::report_crash(ctx, key, CrashEvidence::Unreachable);
+    }
+    if !ctx.state.proxies.is_reached(key, now) {
+        probe_by_peer(ctx, key);
+    }
+}
+
+/// Handles a probe that the endpoint answered.
+fn handle_answered_probe(ctx: &mut Context<'_>, key: EndpointKey) {
+    ctx.state.crashes.record_answer(key);
+    let needed = ctx.state.suspects.needed_answers(key, ctx.now);
+    let is_reached = ctx.state.reach(key, ctx.now) == Reach::ByPeer;
+    let Some(suspect) = ctx.state.suspects.get_mut(key) else { return };
+    suspect.answered += 1;
+    // Without a peer that makes the calls, waiting for further answers would only refuse them.
+    if suspect.unreachable && is_reached && suspect.answered < needed {
+        suspect.due = Some(ctx.now + MIN_PROBE_PAUSE);
+        return;
+    }
+    mark_reachable(ctx, key);
+}
+
+/// Asks a peer to probe an endpoint that doesn't answer this daemon.
+fn probe_by_peer(ctx: &mut Context<'_>, key: EndpointKey) {
+    let target = ctx.state.route_to(key, ctx.now);
+    if let Some(target) = target.filter(|target| target.via.is_some()) {
+        ctx.push(Effect::Probe(target));
+    }
+}
+
+/// Handles the result of a probe that a peer made for this daemon.
+pub fn handle_probe_by_peer(
+    ctx: &mut Context<'_>,
+    key: EndpointKey,
+    peer: SocketAddr,
+    failure: Option<NotProxied>,
+) {
+    match failure {
+        None => record_reached_by_peer(ctx, key, peer),
+        Some(failure) => record_proxy_failure(ctx, key, peer, failure),
+    }
+}
+
+/// Records that a peer has reached an endpoint, so that this daemon's own path to it is cut.
+pub fn record_reached_by_peer(ctx: &mut Context<'_>, key: EndpointKey, peer: SocketAddr) {
+    let now = ctx.now;
+    let is_first = !ctx.state.proxies.is_reached(key, now);
+    ctx.state.proxies.record_success(key, peer, now);
+    if !is_first || !ctx.state.suspects.is_unreachable(key) {
+        return;
+    }
+    ctx.state.crashes.record_answer(key);
+    ctx.state.capacity_changed = true;
+    let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
+    // Peers may have been told to avoid it, but it answers them.
+    endpoint.avoided_until = now;
+    endpoint.reported_until = endpoint.reported_until.min(now);
+    let line = LogLine::new("endpoint_by_peer").with("instance", &endpoint.info.instance);
+    ctx.log(line.with("via", peer));
+    ctx.state.peers.changed = true;
+}
+
+/// Records that a peer did not make a call. When several peers can't reach the endpoint either, it is
+/// down for all.
+pub fn record_proxy_failure(
+    ctx: &mut Context<'_>,
+    key: EndpointKey,
+    peer: SocketAddr,
+    failure: NotProxied,
+) {
+    let now = ctx.now;
+    ctx.state.proxies.record_failure(key, peer, failure, now);
+    if ctx.state.proxies.is_down(key, now) {
+        crash::report_crash(ctx, key, CrashEvidence::Unreachable);
+    } else if failure == NotProxied::EndpointUnreachable && ctx.state.has_other_path(key, now) {
+        probe_by_peer(ctx, key);
+    }
+}
+
+/// Handles the end of a call that this daemon made for a peer: what it shows of the endpoint.
+pub fn handle_proxied_end(
+    ctx: &mut Context<'_>,
+    key: EndpointKey,
+    digest: Digest,
+    duration: Duration,
+    end: ProxiedEnd,
+) {
+    ctx.state.proxies.serving = ctx.state.proxies.serving.saturating_sub(1);
+    match end {
+        ProxiedEnd::Unreachable | ProxiedEnd::Silent => mark_unreachable(ctx, key),
+        ProxiedEnd::Broken => crash::record_broken_call(ctx, key, digest, duration),
+        ProxiedEnd::Answered | ProxiedEnd::Cancelled | ProxiedEnd::Withheld => {}
+    }
 }
 
 /// Sends the probes that are due.
 pub fn tick(ctx: &mut Context<'_>) {
     update_unreached(ctx);
+    ctx.state.proxies.expire(ctx.now);
     while let Some(key) = ctx.state.suspects.take_due(ctx.now) {
         match ctx.state.directory.target(key) {
             Some(_) if !ctx.state.may_send(key, Purpose::Probe, ctx.now) => {
@@ -129,6 +241,7 @@
     });
     let before = std::mem::replace(&mut ctx.state.suspects.unreached, services);
     let after = ctx.state.suspects.unreached.clone();
+    ctx.state.peers.changed |= before != after;
     for service in after.difference(&before) {
         ctx.log(LogLine::new("service_unreached").with("service", service));
     }
@@ -144,9 +257,13 @@
     }
 }
 
+/// Avoids an unreachable endpoint until `until`, unless a peer reaches it, and tells peers to do the
+/// same, unless this daemon is more likely cut off itself.
 fn avoid(ctx: &mut Context<'_>, key: EndpointKey, until: Duration) {
-    let is_credible =
-        ctx.state.suspects.count_unreachable() * CUT_OFF_DIVISOR <= ctx.state.directory.len();
+    if ctx.state.proxies.is_reached(key, ctx.now) {
+        return;
+    }
+    let is_credible = is_credible(ctx.state, key);
     let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
     match is_credible {
         true => endpoint.avoid_and_report(until),
@@ -154,3 +271,16 @@
     }
     ctx.state.peers.changed |= is_credible;
 }
+
+/// Returns whether an endpoint that doesn't answer this daemon is likely down for all: no peer has
+/// reached it, and most others answer.
+fn is_credible(state: &State, key: EndpointKey) -> bool {
+    let Some(endpoint) = state.directory.get(key) else { return false };
+    let is_lost = |key: &EndpointKey| state.suspects.is_unreachable(*key);
+    let service: Vec<_> =
+        state.directory.in_service(&endpoint.info.service).map(|(key, _)| key).collect();
+    let lost = service.iter().filter(|key| is_lost(key)).count();
+    let all_lost = state.suspects.count_unreachable() * CUT_OFF_DIVISOR;
+    let is_few = lost <= 1 || lost * CUT_OFF_DIVISOR <= service.len();
+    is_few && all_lost <= state.directory.len() && !state.proxies.is_reached(key, state.peers.now)
+}
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod permit_holder;
 pub mod permit_issuer;
+pub mod proxies;
 pub mod quarantine;
 pub mod quotas;
 pub mod requests;
@@ -46,6 +47,7 @@
     peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peer, Peers},
     permit_holder::PermitHolder,
     permit_issuer::PermitIssuer,
+    proxies::{Proxies, Reach},
     quarantine::Quarantine,
     quotas::Quotas,
     requests::{ActiveAttempt, Completion, Request},
@@ -106,6 +108,8 @@
     pub peers: Peers,
     /// Endpoints that did not answer.
     pub suspects: Suspects,
+    /// Peers as proxies, and this daemon as one.
+    pub proxies: Proxies,
     /// Endpoints that limit the number of calls per second.
     pub call_limits: CallLimits,
     /// Permits that this daemon holds or has requested, for endpoints with a call limit.
@@ -177,6 +181,7 @@
             retry_budgets: HashMap::new(),
             peers,
             suspects: Suspects::default(),
+            proxies: Proxies::default(),
             call_limits: CallLimits::default(),
             permit_holder: PermitHolder::default(),
             permit_issuer: PermitIssuer::default(),
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -33,6 +33,8 @@
     pub watching: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// Services most of whose endpoints it can't reach, as hashes of their names.
+    pub unreached: Vec<u32>,
     /// The generation speed of its completions, by the hash of the service's name.
     pub generation_stats: Vec<(u32, GenerationStats)>,
 }
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -1,6 +1,6 @@
 //! Calls in progress.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{QueuePosition, Usage};
 use crate::{
@@ -50,6 +50,8 @@
     pub tried: Vec<EndpointKey>,
     /// Whether an endpoint may have run it in an earlier attempt.
     pub maybe_run: bool,
+    /// Number of attempts that a peer was asked to make and did not make.
+    pub proxy_failures: u32,
     /// Whether its answer has begun.
     pub answering: bool,
     /// The last failure.
@@ -103,6 +105,8 @@
     pub started: Duration,
     /// The work that it does.
     pub step: Step,
+    /// The peer that makes the call, if this daemon doesn't make it itself.
+    pub via: Option<SocketAddr>,
 }
 
 /// The work that an attempt does.
--- a/crates/basilbank_forward/src/state/suspects.rs
+++ b/crates/basilbank_forward/src/state/suspects.rs
@@ -7,6 +7,13 @@
 
 use crate::endpoint::EndpointKey;
 
+/// Time after its return within which an endpoint that becomes unreachable again is on a path that
+/// loses packets.
+const FLAP_WINDOW: Duration = Duration::from_secs(10);
+
+/// Number of probes in a row that such an endpoint has to answer.
+const NEEDED_ANSWERS_AFTER_FLAP: u32 = 3;
+
 /// An endpoint that did not answer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Suspect {
@@ -16,12 +23,22 @@
     pub unanswered: u32,
     /// Whether it counts as unreachable, and isn't merely probed.
     pub unreachable: bool,
+    /// Number of probes in a row that it answered.
+    pub answered: u32,
+}
+
+impl Suspect {
+    fn new(due: Duration) -> Suspect {
+        Suspect { due: Some(due), unanswered: 0, unreachable: false, answered: 0 }
+    }
 }
 
 /// The endpoints that did not answer this daemon itself.
 #[derive(Debug, Default)]
 pub struct Suspects {
     suspects: BTreeMap<EndpointKey, Suspect>,
+    /// When endpoints became reachable again.
+    returned: BTreeMap<EndpointKey, Duration>,
     /// Services most of whose endpoints count as unreachable.
     pub unreached: BTreeSet<String>,
 }
@@ -62,20 +79,35 @@
         self.suspects.get(&key).is_some_and(|suspect| suspect.unreachable)
     }
 
+    /// Returns whether a suspect has failed a probe.
+    #[must_use]
+    pub fn has_failed_probe(&self, key: EndpointKey) -> bool {
+        self.suspects.get(&key).is_some_and(|suspect| suspect.unanswered != 0)
+    }
+
     /// Adds an unreachable endpoint, to be probed at `due`, and returns whether it didn't count as
     /// unreachable before.
     pub fn add_unreachable(&mut self, key: EndpointKey, due: Duration) -> bool {
-        let new = Suspect { due: Some(due), unanswered: 0, unreachable: false };
-        !std::mem::replace(&mut self.suspects.entry(key).or_insert(new).unreachable, true)
+        let suspect = self.suspects.entry(key).or_insert(Suspect::new(due));
+        !std::mem::replace(&mut suspect.unreachable, true)
     }
 
     /// Adds an endpoint that may be healthy, to be probed at `due`, unless it is a suspect already.
     pub fn add_doubtful(&mut self, key: EndpointKey, due: Duration) {
-        self.suspects.entry(key).or_insert(Suspect {
-            due: Some(due),
-            unanswered: 0,
-            unreachable: false,
-        });
+        self.suspects.entry(key).or_insert(Suspect::new(due));
+    }
+
+    /// Records that an endpoint has become reachable again.
+    pub fn record_return(&mut self, key: EndpointKey, now: Duration) {
+        self.returned.retain(|_, at| now < *at + FLAP_WINDOW);
+        self.returned.insert(key, now);
+    }
+
+    /// Returns the number of probes in a row that a suspect has to answer to count as reachable.
+    #[must_use]
+    pub fn needed_answers(&self, key: EndpointKey, now: Duration) -> u32 {
+        let has_flapped = self.returned.get(&key).is_some_and(|at| now < *at + FLAP_WINDOW);
+        if has_flapped { NEEDED_ANSWERS_AFTER_FLAP } else { 1 }
     }
 
     /// Returns a mutable reference to a suspect.
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Incoming,
     header::{CONNECTION, HeaderName},
     http::request::Parts,
 };
@@ -16,6 +15,8 @@
 use crate::{
     connections::{CallError, Connection},
     dialect::AnswerKind,
+    endpoint_body::EndpointBody,
+    endpoint_calls::EndpointCall,
     router::Router,
 };
 
@@ -63,9 +64,9 @@
     /// Headers, without hop-by-hop headers.
     pub headers: HeaderMap,
     /// Rest of the body.
-    pub body: Incoming,
-    /// Connection that carries the stream.
-    pub connection: Connection,
+    pub body: EndpointBody,
+    /// Connection that carries the stream; `None` if a peer passes it on.
+    pub connection: Option<Connection>,
     /// How long the endpoint keeps the connection open, as `parse_keep_alive` returns it.
     pub keep_alive: Option<Option<Duration>>,
     /// Time without data after which the endpoint is asked whether it is alive.
@@ -95,6 +96,7 @@
     fn from(error: CallError) -> Outcome {
         match error {
             CallError::Unreachable => Outcome::Unreachable,
+            CallError::NotProxied(failure) => Outcome::NotProxied(failure),
             CallError::Withheld => Outcome::Withheld,
             CallError::Broken(damage) => Outcome::Broken(damage),
             CallError::Silent => Outcome::TimedOut,
@@ -116,23 +118,21 @@
         &attempt,
         last_event_id.as_deref(),
     );
+    let call = |answer_timeout| EndpointCall {
+        target: &attempt.target,
+        request,
+        answer_timeout,
+        purpose: Purpose::Work,
+        remaining: Some(attempt.remaining),
+        call: Some(&caller_request.call),
+    };
     let liveness_request = || (dialect.liveness_request)(&attempt.target.instance);
     let answer = match attempt.op {
-        Op::Hold { .. } => {
-            let answer_timeout = attempt.answer_timeout;
-            router.call_endpoint(&attempt.target, request, answer_timeout, Purpose::Work).await
-        }
+        Op::Hold { .. } => router.call_endpoint(call(attempt.answer_timeout)).await,
         Op::Plain | Op::Stream { .. } | Op::Prefill | Op::Decode { .. } => {
-            let (answer_timeout, max_wait) = (attempt.answer_timeout, attempt.remaining);
-            router
-                .call_while_alive(
-                    &attempt.target,
-                    request,
-                    answer_timeout,
-                    max_wait,
-                    liveness_request,
-                )
-                .await
+            let max_wait = attempt.remaining;
+            let answer_timeout = attempt.answer_timeout;
+            router.call_while_alive(call(max_wait), answer_timeout, liveness_request).await
         }
     };
     let (response, connection) = match answer {
@@ -151,7 +151,7 @@
             read_control_answer(&router, &attempt, &head, body, connection).await
         }
         AnswerKind::Forward if is_streaming(&attempt.op) && head.status().is_success() => {
-            let keep_alive = parse_keep_alive(&head);
+            let keep_alive = parse_keep_alive(head.headers());
             let (status, headers) = (head.status(), end_to_end_headers(head));
             let stream = AnswerStream {
                 status,
@@ -189,13 +189,13 @@
     answer_timeout: Duration,
     purpose: Purpose,
 ) -> Result<StatusCode, CallError> {
-    let (response, connection) =
-        router.call_endpoint(target, request, answer_timeout, purpose).await?;
+    let call = EndpointCall::own(target, request, answer_timeout, purpose);
+    let (response, connection) = router.call_endpoint(call).await?;
     let (head, body) = split_head(response);
     if collect_body(body, MAX_CONTROL_ANSWER_BYTES, answer_timeout).await.is_some()
-        && let Some(keep_alive) = parse_keep_alive(&head)
+        && let Some(keep_alive) = parse_keep_alive(head.headers())
     {
-        router.connections.keep(target.endpoint, connection, keep_alive);
+        router.keep_connection(target.endpoint, connection, keep_alive);
     }
     Ok(head.status())
 }
@@ -204,15 +204,15 @@
     router: &Router,
     attempt: &Attempt,
     head: &Response<()>,
-    body: Incoming,
-    connection: Connection,
+    body: EndpointBody,
+    connection: Option<Connection>,
 ) -> AttemptResult {
     let Some(bytes) = collect_body(body, MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout).await
     else {
         return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
     };
-    if let Some(keep_alive) = parse_keep_alive(head) {
-        router.connections.keep(attempt.target.endpoint, connection, keep_alive);
+    if let Some(keep_alive) = parse_keep_alive(head.headers()) {
+        router.keep_connection(attempt.target.endpoint, connection, keep_alive);
     }
     let outcome = (router.dialect.parse_control_answer)(&attempt.op, &bytes);
     AttemptResult::without_answer(outcome.unwrap_or(Outcome::Broken(Damage::Garbled)))
@@ -222,16 +222,16 @@
     router: &Router,
     attempt: &Attempt,
     head: Response<()>,
-    body: Incoming,
-    connection: Connection,
+    body: EndpointBody,
+    connection: Option<Connection>,
 ) -> AttemptResult {
     // The body is read to its end before it is forwarded, so that one that breaks off doesn't look
     // complete.
     let Some(bytes) = collect_body(body, MAX_ANSWER_BYTES, attempt.answer_timeout).await else {
         return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
     };
-    if let Some(keep_alive) = parse_keep_alive(&head) {
-        router.connections.keep(attempt.target.endpoint, connection, keep_alive);
+    if let Some(keep_alive) = parse_keep_alive(head.headers()) {
+        router.keep_connection(attempt.target.endpoint, connection, keep_alive);
     }
     let status = head.status();
     let answer = FullAnswer { status, headers: end_to_end_headers(head), body: bytes };
@@ -243,16 +243,20 @@
     router: &Router,
     attempt: &Attempt,
     head: &Response<()>,
-    body: Incoming,
-    connection: Connection,
+    body: EndpointBody,
+    connection: Option<Connection>,
 ) {
     let drained = collect_body(body, MAX_CONTROL_ANSWER_BYTES, Duration::from_millis(50)).await;
-    if let (Some(_), Some(keep_alive)) = (drained, parse_keep_alive(head)) {
-        router.connections.keep(attempt.target.endpoint, connection, keep_alive);
+    if let (Some(_), Some(keep_alive)) = (drained, parse_keep_alive(head.headers())) {
+        router.keep_connection(attempt.target.endpoint, connection, keep_alive);
     }
 }
 
-async fn collect_body(body: Incoming, max_bytes: usize, read_timeout: Duration) -> Option<Bytes> {
+async fn collect_body(
+    body: EndpointBody,
+    max_bytes: usize,
+    read_timeout: Duration,
+) -> Option<Bytes> {
     let collected = timeout(read_timeout, Limited::new(body, max_bytes).collect()).await.ok()?;
     Some(collected.ok()?.to_bytes())
 }
@@ -261,21 +265,21 @@
     matches!(op, Op::Stream { .. } | Op::Decode { .. })
 }
 
-fn split_head(response: Response<Incoming>) -> (Response<()>, Incoming) {
+fn split_head(response: Response<EndpointBody>) -> (Response<()>, EndpointBody) {
     let (head, body) = response.into_parts();
     (Response::from_parts(head, ()), body)
 }
 
 /// Returns how long the endpoint keeps the connection open: `None` if it closes the connection,
 /// `Some(None)` if it doesn't say.
-fn parse_keep_alive(head: &Response<()>) -> Option<Option<Duration>> {
+pub fn parse_keep_alive(headers: &HeaderMap) -> Option<Option<Duration>> {
     let closes = |value: &hyper::header::HeaderValue| {
         value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
     };
-    if head.headers().get_all(CONNECTION).iter().any(closes) {
+    if headers.get_all(CONNECTION).iter().any(closes) {
         return None;
     }
-    let value = head.headers().get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
+    let value = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
     let seconds = value.and_then(|text| text.split("timeout=").nth(1));
     let digits =
         seconds.map(|text| text.chars().take_while(char::is_ascii_digit).collect::<String>());
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -38,6 +38,8 @@
 pub enum CallError {
     /// No connection could be made: nothing was sent.
     Unreachable,
+    /// The peer that was to make the call did not make it: nothing was sent to the endpoint.
+    NotProxied(NotProxied),
     /// Nothing was sent, since the endpoint wants nothing of this kind any more.
     Withheld,
     /// The connection broke, or the answer was invalid.
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -18,6 +18,8 @@
     /// Builds the request of an attempt. The last argument is the id of the last event that the
     /// caller has received, if a stream continues at this endpoint.
     pub attempt_request: fn(&Parts, &Bytes, &Attempt, Option<&str>) -> OutRequest,
+    /// Lowers the time that a request says its caller still waits; a request that says none stays.
+    pub shorten_deadline: fn(&mut HeaderMap, Duration),
     /// Classifies an answer by its head.
     pub classify_answer: fn(&Call, &Op, &Response<()>) -> AnswerKind,
     /// Reads how many calls per second the endpoint accepts from all daemons together, if the
--- /dev/null
+++ b/crates/basilbank_gateway/src/endpoint_body.rs
@@ -0,0 +1,52 @@
+//! The body of an endpoint's answer, whoever called the endpoint.
+
+use std::{
+    error::Error,
+    fmt,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming};
+
+use crate::proxy_client::ProxiedBody;
+
+/// The body of an endpoint's answer.
+#[derive(Debug)]
+pub enum EndpointBody {
+    /// This daemon called the endpoint.
+    Direct(Incoming),
+    /// A peer called the endpoint and passes the body on.
+    Proxied(Box<ProxiedBody>),
+}
+
+/// A body broke off before its end.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct BodyBroken;
+
+impl fmt::Display for BodyBroken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the body broke off")
+    }
+}
+
+impl Error for BodyBroken {}
+
+impl Body for EndpointBody {
+    type Data = Bytes;
+    type Error = BodyBroken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyBroken>>> {
+        match self.get_mut() {
+            EndpointBody::Direct(body) => {
+                let frame = Pin::new(body).poll_frame(context);
+                frame.map(|frame| frame.map(|frame| frame.map_err(|_| BodyBroken)))
+            }
+            EndpointBody::Proxied(body) => body.poll_frame(context),
+        }
+    }
+}
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -17,6 +17,7 @@
 use crate::{
     connections::{CallError, Connection},
     dialect::OutRequest,
+    endpoint_body::EndpointBody,
     metrics::Sender,
     router::Router,
 };
@@ -24,21 +25,83 @@
 /// Timeout of a liveness check.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// An answer's head and the rest of its body, with the connection that carries it.
-pub type EndpointAnswer = (Response<Incoming>, Connection);
+/// An answer's head and the rest of its body, with the connection that carries it; `None` if a peer
+/// passes it on.
+pub type EndpointAnswer = (Response<EndpointBody>, Option<Connection>);
+
+/// A call to an endpoint.
+#[derive(Debug)]
+pub struct EndpointCall<'a> {
+    /// The endpoint, and the peer that makes the call if this daemon doesn't.
+    pub target: &'a Target,
+    /// The request.
+    pub request: OutRequest,
+    /// Time to wait for the head of the answer.
+    pub answer_timeout: Duration,
+    /// What the call is for.
+    pub purpose: Purpose,
+    /// Time until the caller stops waiting, if the call is a caller's.
+    pub remaining: Option<Duration>,
+    /// The caller's call, if there is one.
+    pub call: Option<&'a Call>,
+}
+
+impl<'a> EndpointCall<'a> {
+    /// Creates a call that this daemon makes for itself.
+    #[must_use]
+    pub fn own(
+        target: &'a Target,
+        request: OutRequest,
+        answer_timeout: Duration,
+        purpose: Purpose,
+    ) -> EndpointCall<'a> {
+        EndpointCall { target, request, answer_timeout, purpose, remaining: None, call: None }
+    }
+}
 
 impl Router {
-    /// Calls an endpoint and waits for the head of its answer.
+    /// Calls an endpoint, by way of a peer if the target says so, and waits for the head of its
+    /// answer.
     ///
     /// # Errors
     /// Returns an error if there is no answer.
     pub async fn call_endpoint(
+        self: &Rc<Self>,
+        call: EndpointCall<'_>,
+    ) -> Result<EndpointAnswer, CallError> {
+        let target = call.target;
+        let Some(peer) = target.via else {
+            let EndpointCall { request, answer_timeout, purpose, .. } = call;
+            let answer = self.call_directly(target, request, answer_timeout, purpose).await?;
+            let (response, connection) = answer;
+            return Ok((response.map(EndpointBody::Direct), Some(connection)));
+        };
+        if !self.may_send(target, call.purpose) {
+            return Err(CallError::Withheld);
+        }
+        match self.proxy_client.call(peer, call).await {
+            Ok(response) => {
+                self.read_statements(target, &response);
+                Ok((response.map(|body| EndpointBody::Proxied(Box::new(body))), None))
+            }
+            Err(error) => {
+                self.metrics.count_proxy_failure(error);
+                Err(error)
+            }
+        }
+    }
+
+    /// Calls an endpoint over a connection of this daemon and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// Returns an error if there is no answer.
+    pub async fn call_directly(
         self: &Rc<Self>,
         target: &Target,
         request: OutRequest,
         answer_timeout: Duration,
         purpose: Purpose,
-    ) -> Result<EndpointAnswer, CallError> {
+    ) -> Result<(Response<Incoming>, Connection), CallError> {
         let may_send = || self.may_send(target, purpose);
         let (response, connection) =
             self.connections.call(target, request, answer_timeout, may_send).await?;
@@ -46,10 +109,22 @@
         Ok((response, connection))
     }
 
-    /// Calls an endpoint with work for a caller.
+    /// Keeps a connection for reuse after its answer was read to the end.
+    pub fn keep_connection(
+        &self,
+        endpoint: EndpointKey,
+        connection: Option<Connection>,
+        keep_alive: Option<Duration>,
+    ) {
+        if let Some(connection) = connection {
+            self.connections.keep(endpoint, connection, keep_alive);
+        }
+    }
+
+    /// Calls an endpoint with work for a caller, and waits for at most the call's `answer_timeout`.
     ///
-    /// After `answer_timeout` the endpoint is asked by `liveness_request` whether it is alive;
-    /// while it is, the answer is awaited until `max_wait`. Neither an unreachable endpoint nor a
+    /// After `probe_after` the endpoint is asked by `liveness_request` whether it is alive, and again
+    /// after the same time. While it is, the answer is awaited. Neither an unreachable endpoint nor a
     /// busy one sends anything on its open connections, and giving up the busy one would waste its
     /// work.
     ///
@@ -57,17 +132,15 @@
     /// Returns an error if there is no answer.
     pub async fn call_while_alive(
         self: &Rc<Self>,
-        target: &Target,
-        request: OutRequest,
-        answer_timeout: Duration,
-        max_wait: Duration,
+        call: EndpointCall<'_>,
+        probe_after: Duration,
         liveness_request: impl Fn() -> OutRequest,
     ) -> Result<EndpointAnswer, CallError> {
-        let end = Instant::now() + max_wait;
-        let mut call = pin!(self.call_endpoint(target, request, max_wait, Purpose::Work));
+        let (target, end) = (call.target, Instant::now() + call.answer_timeout);
+        let mut call = pin!(self.call_endpoint(call));
         loop {
             let left = end.saturating_duration_since(Instant::now());
-            match timeout(answer_timeout.min(left), &mut call).await {
+            match timeout(probe_after.min(left), &mut call).await {
                 Ok(answer) => return answer,
                 Err(_) if end <= Instant::now() => return Err(CallError::Silent),
                 Err(_) => {}
@@ -81,7 +154,8 @@
     /// Returns whether the endpoint answers a liveness request successfully. One that wants a pause
     /// is not asked, and counts as alive.
     pub async fn is_alive(self: &Rc<Self>, target: &Target, request: OutRequest) -> bool {
-        match self.call_endpoint(target, request, LIVENESS_TIMEOUT, Purpose::Probe).await {
+        let call = EndpointCall::own(target, request, LIVENESS_TIMEOUT, Purpose::Probe);
+        match self.call_endpoint(call).await {
             Ok((response, _)) => response.status().is_success(),
             Err(error) => error == CallError::Withheld,
         }
@@ -111,6 +185,21 @@
         }
     }
 
+    /// Lets a peer check whether the endpoint answers it, and returns why it doesn't.
+    pub async fn probe_by_peer(
+        self: &Rc<Self>,
+        target: &Target,
+        request: OutRequest,
+    ) -> Option<NotProxied> {
+        let call = EndpointCall::own(target, request, LIVENESS_TIMEOUT, Purpose::Probe);
+        match self.call_endpoint(call).await {
+            Ok(_) => None,
+            Err(CallError::NotProxied(failure)) => Some(failure),
+            Err(CallError::Withheld) => Some(NotProxied::Declined),
+            Err(_) => Some(NotProxied::EndpointUnreachable),
+        }
+    }
+
     /// Reads what an answer states about its endpoint.
     fn read_statements<T>(self: &Rc<Self>, target: &Target, answer: &Response<T>) {
         let (status, headers) = (answer.status(), answer.headers());
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     caller_listener::{self, OpenConnections, Phase},
+    proxy_listener,
     router::Router,
     status_listener,
 };
@@ -38,7 +39,7 @@
     pub callers: SocketAddr,
     /// Address for the balancer's health check, and for metrics.
     pub ready: SocketAddr,
-    /// Address for the daemons' datagrams.
+    /// Address for the daemons' datagrams, and for calls that they make for each other.
     pub peers: SocketAddr,
     /// Address for metrics alone, besides the ready address.
     pub metrics: Option<SocketAddr>,
@@ -63,7 +64,11 @@
         let listener = listen(addresses.callers).context("callers' address")?;
         let status_listener = listen(addresses.ready).context("ready address")?;
         let (callers, ready) = (listener.local_addr()?, status_listener.local_addr()?);
-        router.start_gossip(UdpSocket::bind(addresses.peers).await.context("peers' address")?);
+        let socket = UdpSocket::bind(addresses.peers).await.context("peers' address")?;
+        // The system chooses the port if none is given.
+        let peer_listener = listen(socket.local_addr()?).context("peers' connections")?;
+        router.start_gossip(socket);
+        spawn_local(proxy_listener::accept_peers(Rc::clone(&router), peer_listener));
         let (phase, phases) = watch::channel(Phase::Serving);
         let open: OpenConnections = Rc::new(Cell::new(0));
         spawn_local(caller_listener::accept_callers(
@@ -102,12 +107,19 @@
         self.phase.send_replace(Phase::Draining);
         sleep_until(end.min(Instant::now() + ACCEPT_AFTER_SHUTDOWN)).await;
         self.phase.send_replace(Phase::Closed);
-        while self.open_connections.get() != 0 && Instant::now() < end {
+        while self.is_busy() && Instant::now() < end {
             sleep(POLL_INTERVAL).await;
         }
     }
 }
 
+impl Gateway {
+    /// Returns whether callers are connected or calls for peers are in progress.
+    fn is_busy(&self) -> bool {
+        self.open_connections.get() != 0 || self.router.read(|state| state.proxies.serving != 0)
+    }
+}
+
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     // A restart must not wait for the connections of the previous process.
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use crate::connections::CallError;
 use basilbank::logs::Line;
 use basilbank_forward::{event::Liveness, prelude::*, state::Suspects};
 use prometheus_client::{
@@ -104,6 +105,9 @@
     unread_names: Mutex<HashSet<(&'static str, String)>>,
     configuration_version: Gauge<u64, AtomicU64>,
     store_lost: Family<TopicLabel, Gauge<f64, AtomicU64>>,
+    sent_by_peer: Family<ReasonLabel, Counter>,
+    proxy_failures: Family<ReasonLabel, Counter>,
+    proxied: Family<ReasonLabel, Counter>,
     unreachable_endpoints: Gauge<u64, AtomicU64>,
     unreached_services: Gauge<u64, AtomicU64>,
     quarantined: Counter,
@@ -135,6 +139,9 @@
             unread_names: Mutex::default(),
             configuration_version: Gauge::default(),
             store_lost: Family::default(),
+            sent_by_peer: Family::default(),
+            proxy_failures: Family::default(),
+            proxied: Family::default(),
             unreachable_endpoints: Gauge::default(),
             unreached_services: Gauge::default(),
             quarantined: Counter::default(),
@@ -193,6 +200,12 @@
         registry.register("configuration_version", "Version in force", version);
         let help = "Time since the store stopped answering a topic's reader; 0 while it answers";
         registry.register("store_lost_seconds", help, metrics.store_lost.clone());
+        let sent_by_peer = metrics.sent_by_peer.clone();
+        registry.register("sent_by_peer", "Calls that peers were asked to make", sent_by_peer);
+        let help = "Calls that peers were asked to make and that got no answer";
+        registry.register("proxy_failures", help, metrics.proxy_failures.clone());
+        let help = "Calls that were made for peers, by their end";
+        registry.register("proxied", help, metrics.proxied.clone());
         let unreachable = metrics.unreachable_endpoints.clone();
         registry.register("unreachable_endpoints", "Endpoints that don't answer here", unreachable);
         let help = "Services most of whose endpoints don't answer here";
@@ -207,6 +220,21 @@
         count(&self.sent, op);
     }
 
+    /// Counts a call that a peer is asked to make.
+    pub fn count_sent_by_peer(&self, op: &str) {
+        count(&self.sent_by_peer, op);
+    }
+
+    /// Counts a call that a peer was asked to make and that got no answer.
+    pub fn count_proxy_failure(&self, error: CallError) {
+        count(&self.proxy_failures, Outcome::from(error).as_str());
+    }
+
+    /// Counts a call that this daemon made, or refused to make, for a peer.
+    pub fn count_proxied(&self, end: &str) {
+        count(&self.proxied, end);
+    }
+
     /// Counts a refusal or failure that the router itself reports.
     pub fn count_refused(&self, refusal: Refusal) {
         count(&self.refused, refusal.as_str());
--- /dev/null
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -0,0 +1,255 @@
+//! Calls to endpoints for peers whose own path to them is cut.
+//!
+//! Such a call is made once, by this daemon itself, and never handed on to a further peer. Which
+//! endpoint it goes to, what it may cost and whether it is repeated is decided by the peer.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use basilbank::logs::Line;
+use basilbank_forward::{effect::Target, event::ProxiedEnd, prelude::*};
+use basilbank_wire::{
+    ProxyCodec, ProxyEnd, ProxyFailure, ProxyHead, ProxyMessage, ProxyPurpose, ProxyRequest,
+};
+use futures_util::{SinkExt, StreamExt};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Uri};
+use tokio::{
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::{
+    attempt::parse_keep_alive,
+    connections::CallError,
+    dialect::OutRequest,
+    peer_stream,
+    proxy_client::{read_headers, wire_headers},
+    router::Router,
+};
+
+/// How long a peer's idle connection is kept.
+const KEEP_IDLE: Duration = Duration::from_secs(10);
+
+/// Pause after the system can't accept a connection, for example for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+type Reader = FramedRead<OwnedReadHalf, ProxyCodec>;
+type Writer = FramedWrite<OwnedWriteHalf, ProxyCodec>;
+
+/// Accepts peers until the task is dropped.
+pub async fn accept_peers(router: Rc<Router>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                spawn_local(serve_peer(Rc::clone(&router), stream, peer));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves the calls on one connection, one after the other.
+async fn serve_peer(router: Rc<Router>, stream: TcpStream, peer: SocketAddr) {
+    peer_stream::set_options(&stream);
+    let (read, write) = stream.into_split();
+    let mut reader = FramedRead::new(read, ProxyCodec::default());
+    let mut writer = FramedWrite::new(write, ProxyCodec::default());
+    while let Ok(Some(Ok(ProxyMessage::Request(request)))) = timeout(KEEP_IDLE, reader.next()).await
+    {
+        if !serve_call(&router, request, peer, &mut reader, &mut writer).await {
+            return;
+        }
+    }
+}
+
+/// Makes one call. Returns whether the connection can carry another one.
+async fn serve_call(
+    router: &Rc<Router>,
+    request: ProxyRequest,
+    peer: SocketAddr,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> bool {
+    let received = Instant::now();
+    let purpose = match request.purpose() {
+        ProxyPurpose::Work => Purpose::Work,
+        ProxyPurpose::Release => Purpose::Release,
+        ProxyPurpose::Probe => Purpose::Probe,
+        ProxyPurpose::Unspecified => return fail(writer, ProxyFailure::Declined).await,
+    };
+    let now = router.now();
+    let admitted = router.read(|state| state.admit_proxied(&request.instance, purpose, now));
+    let target = match admitted {
+        Ok(target) => target,
+        Err(refusal) => {
+            router.metrics.count_proxied(refusal.as_str());
+            log_call(&request, peer, refusal.as_str(), received);
+            let failure = match refusal {
+                NotProxied::EndpointUnreachable => ProxyFailure::Unreachable,
+                NotProxied::NoPeer | NotProxied::Declined => ProxyFailure::Declined,
+            };
+            return fail(writer, failure).await;
+        }
+    };
+    let digest = Digest(request.digest);
+    let serving = Serving::start(router, &target, digest);
+    let call = Call { router, target: &target, request: &request, purpose, received };
+    // A peer that closes the connection, or sends anything before the answer's end, doesn't want the
+    // call any more. Dropping the call closes the connection to the endpoint.
+    let end = tokio::select! {
+        end = call.run(writer) => end,
+        _ = reader.next() => ProxiedEnd::Cancelled,
+    };
+    serving.end(end);
+    router.metrics.count_proxied(end.as_str());
+    log_call(&request, peer, end.as_str(), received);
+    end != ProxiedEnd::Cancelled
+}
+
+async fn fail(writer: &mut Writer, failure: ProxyFailure) -> bool {
+    writer.send(ProxyMessage::Failure(failure.into())).await.is_ok()
+}
+
+/// Logs a caller's call, with the caller's id of it.
+fn log_call(request: &ProxyRequest, peer: SocketAddr, outcome: &str, received: Instant) {
+    if request.trace_id.is_empty() {
+        return;
+    }
+    let line = Line::new("proxied")
+        .with("request", &request.trace_id)
+        .with("for", peer.ip())
+        .with("instance", &request.instance)
+        .with("took_ms", received.elapsed().as_millis())
+        .with("outcome", outcome);
+    log::info!("{line}");
+}
+
+/// A call in progress. It ends for the reducer also when the task is dropped.
+struct Serving {
+    router: Rc<Router>,
+    endpoint: EndpointKey,
+    digest: Digest,
+    started: Instant,
+    end: ProxiedEnd,
+}
+
+impl Serving {
+    fn start(router: &Rc<Router>, target: &Target, digest: Digest) -> Serving {
+        router.dispatch(Event::ProxiedCallStarted);
+        let (router, endpoint) = (Rc::clone(router), target.endpoint);
+        Serving { router, endpoint, digest, started: Instant::now(), end: ProxiedEnd::Cancelled }
+    }
+
+    fn end(mut self, end: ProxiedEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.router.dispatch(Event::ProxiedCallEnded {
+            endpoint: self.endpoint,
+            digest: self.digest,
+            duration: self.started.elapsed(),
+            end: self.end,
+        });
+    }
+}
+
+struct Call<'a> {
+    router: &'a Rc<Router>,
+    target: &'a Target,
+    request: &'a ProxyRequest,
+    purpose: Purpose,
+    received: Instant,
+}
+
+impl Call<'_> {
+    /// Calls the endpoint and passes its answer on.
+    async fn run(&self, writer: &mut Writer) -> ProxiedEnd {
+        let Some(request) = self.endpoint_request() else {
+            return self.fail(writer, ProxyFailure::Declined, ProxiedEnd::Withheld).await;
+        };
+        let answer_timeout = Duration::from_millis(u64::from(self.request.answer_timeout));
+        let answer =
+            self.router.call_directly(self.target, request, answer_timeout, self.purpose).await;
+        let (response, connection) = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                let (failure, end) = failure_of(error);
+                return self.fail(writer, failure, end).await;
+            }
+        };
+        let (head, mut body) = response.into_parts();
+        let status = u32::from(head.status.as_u16());
+        let wire_head = ProxyHead { status, headers: wire_headers(&head.headers) };
+        if writer.send(ProxyMessage::Head(wire_head)).await.is_err() {
+            return ProxiedEnd::Cancelled;
+        }
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return self.fail(writer, ProxyFailure::Broken, ProxiedEnd::Broken).await;
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if writer.send(ProxyMessage::Body(data)).await.is_err() {
+                return ProxiedEnd::Cancelled;
+            }
+        }
+        if let Some(keep_alive) = parse_keep_alive(&head.headers) {
+            self.router.connections.keep(self.target.endpoint, connection, keep_alive);
+        }
+        match writer.send(ProxyMessage::End(ProxyEnd {})).await {
+            Ok(()) => ProxiedEnd::Answered,
+            Err(_) => ProxiedEnd::Cancelled,
+        }
+    }
+
+    async fn fail(
+        &self,
+        writer: &mut Writer,
+        failure: ProxyFailure,
+        end: ProxiedEnd,
+    ) -> ProxiedEnd {
+        match fail(writer, failure).await {
+            true => end,
+            false => ProxiedEnd::Cancelled,
+        }
+    }
+
+    /// Returns the request to the endpoint, with the time that is left by now.
+    fn endpoint_request(&self) -> Option<OutRequest> {
+        let mut request = Request::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = self.request.method.parse::<Method>().ok()?;
+        *request.uri_mut() = self.request.path.parse::<Uri>().ok()?;
+        *request.headers_mut() = read_headers(&self.request.headers)?;
+        if let Some(remaining) = self.request.remaining {
+            let remaining = Duration::from_millis(u64::from(remaining));
+            let left = remaining.saturating_sub(self.received.elapsed());
+            (self.router.dialect.shorten_deadline)(request.headers_mut(), left);
+        }
+        Some(request)
+    }
+}
+
+fn failure_of(error: CallError) -> (ProxyFailure, ProxiedEnd) {
+    match error {
+        CallError::Unreachable => (ProxyFailure::Unreachable, ProxiedEnd::Unreachable),
+        CallError::Withheld | CallError::NotProxied(_) => {
+            (ProxyFailure::Declined, ProxiedEnd::Withheld)
+        }
+        CallError::Broken(_) => (ProxyFailure::Broken, ProxiedEnd::Broken),
+        CallError::Silent => (ProxyFailure::Silent, ProxiedEnd::Silent),
+    }
+}
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -5,10 +5,10 @@
 use basilbank_forward::effect::Target;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use tokio::{sync::mpsc, time::timeout};
 
-use crate::{attempt::AnswerStream, response::Chunk, router::Router};
+use crate::{attempt::AnswerStream, endpoint_body::EndpointBody, response::Chunk, router::Router};
 
 /// Maximum size of an event, which is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -45,7 +45,7 @@
         }
     }
     if let Some(keep_alive) = keep_alive {
-        router.connections.keep(target.endpoint, connection, keep_alive);
+        router.keep_connection(target.endpoint, connection, keep_alive);
     }
     let rest = events.partial.split().freeze();
     let is_complete = rest.is_empty() || chunks.send(Chunk::Data(rest)).await.is_ok();
@@ -56,7 +56,7 @@
 async fn next_frame(
     router: &Rc<Router>,
     target: &Target,
-    body: &mut Incoming,
+    body: &mut EndpointBody,
     stall_timeout: Option<Duration>,
 ) -> Option<Result<Frame<Bytes>, StreamBroken>> {
     let Some(stall_timeout) = stall_timeout else {
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -166,7 +166,7 @@
     fn handle_effect(&mut self, effect: Option<RequestEffect>) -> Flow {
         match effect {
             None => Flow::Stop,
-            Some(RequestEffect::Start(attempt)) => self.start(attempt),
+            Some(RequestEffect::Start(attempt)) => self.start(*attempt),
             Some(RequestEffect::Stop(number)) => self.stop(number),
             Some(RequestEffect::Deliver(number)) => self.deliver(number),
             Some(RequestEffect::Refuse(refusal, retry_after)) => self.refuse(refusal, retry_after),
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -24,6 +24,7 @@
     dialect::{Dialect, OutRequest},
     gossip,
     metrics::Metrics,
+    proxy_client::ProxyClient,
 };
 
 /// Maximum sleep of the timer.
@@ -39,7 +40,7 @@
 #[derive(Debug)]
 pub enum RequestEffect {
     /// Start an attempt.
-    Start(Attempt),
+    Start(Box<Attempt>),
     /// Stop an attempt.
     Stop(u32),
     /// Forward an attempt's answer.
@@ -56,6 +57,8 @@
     pub dialect: Dialect,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
+    /// Connections to peers that call endpoints for this daemon.
+    pub proxy_client: ProxyClient,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     state: RefCell<State>,
@@ -87,6 +90,7 @@
         Rc::new(Router {
             dialect,
             connections: ConnectionPool::default(),
+            proxy_client: ProxyClient::default(),
             metrics,
             state: RefCell::new(state),
             clock,
@@ -206,6 +210,7 @@
             tokio::select! {
                 () = sleep(pause) => {
                     self.connections.close_expired();
+                    self.proxy_client.close_expired();
                     self.dispatch(Event::Tick);
                 }
                 () = self.timer_changed.notified() => {}
@@ -217,7 +222,10 @@
         match effect {
             Effect::Start { request, attempt } => {
                 self.metrics.count_sent(attempt.op.as_str());
-                self.send_to_request(request, RequestEffect::Start(attempt));
+                if attempt.target.via.is_some() {
+                    self.metrics.count_sent_by_peer(attempt.op.as_str());
+                }
+                self.send_to_request(request, RequestEffect::Start(Box::new(attempt)));
             }
             Effect::Stop { request, attempt } => {
                 self.send_to_request(request, RequestEffect::Stop(attempt));
@@ -280,9 +288,14 @@
         let router = Rc::clone(self);
         spawn_local(async move {
             let request = (router.dialect.liveness_request)(&target.instance);
+            let endpoint = target.endpoint;
+            if let Some(peer) = target.via {
+                let failure = router.probe_by_peer(&target, request).await;
+                return router.dispatch(Event::ProbedByPeer { endpoint, peer, failure });
+            }
             let liveness = router.probe_endpoint(&target, request).await;
             router.metrics.count_probe(liveness);
-            router.dispatch(Event::Probed { endpoint: target.endpoint, liveness });
+            router.dispatch(Event::Probed { endpoint, liveness });
         });
     }
 
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod drop_reason;
 mod load;
 mod message;
+mod proxy;
 mod replay;
 
 pub use authenticator::{Authenticator, MAC_LEN};
@@ -24,4 +25,8 @@
     PermitKind, QuarantinedCall, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 pub use message::*;
+pub use proxy::{
+    ProxyCodec, ProxyEnd, ProxyFailure, ProxyHead, ProxyHeader, ProxyMessage, ProxyPurpose,
+    ProxyRequest,
+};
 pub use replay::{MAX_SENDERS, REPLAY_WINDOW, ReplayGuard};
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -91,6 +91,10 @@
     /// when an earlier datagram reported it.
     #[prost(uint32, tag = "28")]
     pub fleet: u32,
+    /// Hashes of the names of services most of whose endpoints the sender can't reach, so that it
+    /// can't call them for others.
+    #[prost(fixed32, repeated, tag = "29")]
+    pub unreached: Vec<u32>,
 }
 
 /// A point in the history of the platform's store.
