RECOVER: connections that went silent are found after half a second, not a call's whole time

What callers saw: after a silent cut, plain calls at the Vm wait until their time is over, one after the other, for as long as connections from before are left.

Cause: a plain call's answer timeout is all the time that it has, and only after it the endpoint is asked whether it lives. Each idle connection from before the cut took one call and kept it; a call that may have run can't be repeated.

Change: an attempt of this daemon that is without an answer for 250 ms makes it probe the endpoint over a new connection, at most every 500 ms. The call goes on, as its endpoint may only be slow; when the probe fails, the endpoint's idle connections are closed, and further calls go by peers or elsewhere.

Now most of the service, or a peer that reaches the endpoint, speaks for a cut. A probe that a peer makes for another was taken for a call with digest 0; it has none now.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -93,8 +93,8 @@
     ProxiedCallEnded {
         /// The endpoint.
         endpoint: EndpointKey,
-        /// The call's digest.
-        digest: Digest,
+        /// The call's digest; `None` if the peer called for itself, such as for a probe.
+        digest: Option<Digest>,
         /// How long the call took.
         duration: Duration,
         /// How it ended.
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -5,7 +5,7 @@
 use super::{
     Context, add_usage, call_limit, completion, crash, finish,
     next_step::{Dispatch, NextStep},
-    plain, quota, remove_usage,
+    plain, quota, remove_usage, suspect,
 };
 use crate::{
     call::RequestId,
@@ -141,6 +141,8 @@
             if request.may_have_run() { Refusal::TimedOut } else { Refusal::WaitTimedOut };
         return finish::give_up(ctx, id, refusal);
     }
+    suspect::probe_unanswered(ctx, id);
+    let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     let lead = ctx.state.tuning.first_token_delay;
     if ctx.state.waiting.contains(&id) && request.caller_deadline() <= ctx.now + lead {
         return finish::give_up(ctx, id, Refusal::WaitTimedOut);
@@ -224,6 +226,9 @@
     if dispatch.step == Step::Decode {
         replace_hold_usage(ctx.state, id);
     }
+    if live.via.is_none() && live.step != Step::Hold {
+        ctx.set_timer(id, ctx.now + suspect::DOUBT_AFTER);
+    }
     ctx.state.peers.urgent |= dispatch.step == Step::Hold;
     ctx.log_request(id, line);
     ctx.push(Effect::Start { request: id, attempt });
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -15,13 +15,17 @@
 
 use super::{Context, crash};
 use crate::{
-    call::Digest,
+    call::{Digest, RequestId},
     effect::Effect,
     endpoint::EndpointKey,
     event::{Liveness, NotProxied, ProxiedEnd},
     log_line::LogLine,
     purpose::Purpose,
-    state::{Reach, State, crashes::CrashEvidence},
+    state::{
+        Reach, State,
+        crashes::CrashEvidence,
+        requests::{ActiveAttempt, Step},
+    },
 };
 
 /// Pause before an endpoint is probed. It doubles with each probe without an answer.
@@ -34,6 +38,9 @@
 /// reducer step.
 const AVOID_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time without an answer after which an endpoint is probed.
+pub const DOUBT_AFTER: Duration = Duration::from_millis(250);
+
 /// If more than one in this many endpoints, or endpoints of a service, are unreachable, this daemon
 /// is more likely cut off itself than all of them have failed, so it does not report them to peers.
 const CUT_OFF_DIVISOR: usize = 3;
@@ -45,7 +52,7 @@
     }
     let due = ctx.now + MIN_PROBE_PAUSE;
     if ctx.state.suspects.add_unreachable(key, due) {
-        log_unreachable(ctx, key);
+        announce_unreachable(ctx, key);
         avoid(ctx, key, due + AVOID_MARGIN);
         probe_by_peer(ctx, key);
     }
@@ -59,6 +66,26 @@
     }
 }
 
+/// Probes the endpoints at which a request has waited for an answer for some time. Its connections may
+/// have gone silent together with the endpoint's machine, and so may those that further calls would
+/// be sent over. The request itself goes on: its endpoint may only be slow.
+pub fn probe_unanswered(ctx: &mut Context<'_>, id: RequestId) {
+    let Some(request) = ctx.state.requests.get(&id).filter(|request| !request.answering) else {
+        return;
+    };
+    let now = ctx.now;
+    let is_late = |attempt: &&ActiveAttempt| {
+        attempt.via.is_none() && attempt.step != Step::Hold && attempt.started + DOUBT_AFTER <= now
+    };
+    let late = request.active_attempts.iter().filter(is_late);
+    let keys: Vec<_> = late.map(|attempt| attempt.endpoint).collect();
+    for key in keys {
+        if ctx.state.suspects.doubt(key, now) {
+            request_probe(ctx, key);
+        }
+    }
+}
+
 /// Handles an answer over a connection that may have been open before the endpoint became
 /// unreachable. It clears a doubt; otherwise it shows nothing of new connections, which a probe is
 /// sent over at once.
@@ -100,10 +127,10 @@
     let pause = MIN_PROBE_PAUSE.saturating_mul(1 << suspect.unanswered.min(8)).min(MAX_PROBE_PAUSE);
     suspect.due = Some(now + pause);
     if is_new {
-        log_unreachable(ctx, key);
+        announce_unreachable(ctx, key);
     }
     avoid(ctx, key, now + pause + AVOID_MARGIN);
-    if is_credible(ctx.state, key) {
+    if !is_cut_off_from(ctx.state, key) {
         crash::report_crash(ctx, key, CrashEvidence::Unreachable);
     }
     if !ctx.state.proxies.is_reached(key, now) {
@@ -155,7 +182,6 @@
     if !is_first || !ctx.state.suspects.is_unreachable(key) {
         return;
     }
-    ctx.state.crashes.record_answer(key);
     ctx.state.capacity_changed = true;
     let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
     // Peers may have been told to avoid it, but it answers them.
@@ -187,14 +213,17 @@
 pub fn handle_proxied_end(
     ctx: &mut Context<'_>,
     key: EndpointKey,
-    digest: Digest,
+    digest: Option<Digest>,
     duration: Duration,
     end: ProxiedEnd,
 ) {
     ctx.state.proxies.serving = ctx.state.proxies.serving.saturating_sub(1);
     match end {
         ProxiedEnd::Unreachable | ProxiedEnd::Silent => mark_unreachable(ctx, key),
-        ProxiedEnd::Broken => crash::record_broken_call(ctx, key, digest, duration),
+        ProxiedEnd::Broken => match digest {
+            Some(digest) => crash::record_broken_call(ctx, key, digest, duration),
+            None => request_probe(ctx, key),
+        },
         ProxiedEnd::Answered | ProxiedEnd::Cancelled | ProxiedEnd::Withheld => {}
     }
 }
@@ -250,7 +279,10 @@
     }
 }
 
-fn log_unreachable(ctx: &mut Context<'_>, key: EndpointKey) {
+/// Logs that an endpoint is unreachable, and closes its idle connections: they were cut as well, and
+/// each would cost the call that is sent over it.
+fn announce_unreachable(ctx: &mut Context<'_>, key: EndpointKey) {
+    ctx.push(Effect::CloseConnections(key));
     if let Some(endpoint) = ctx.state.directory.get(key) {
         let line = LogLine::new("endpoint_dark").with("instance", &endpoint.info.instance);
         ctx.log(line);
@@ -272,6 +304,20 @@
     ctx.state.peers.changed |= is_credible;
 }
 
+/// Returns whether this daemon is likely cut off from an endpoint that doesn't answer it: a peer reaches
+/// the endpoint, or most of its service doesn't answer either.
+fn is_cut_off_from(state: &State, key: EndpointKey) -> bool {
+    let Some(endpoint) = state.directory.get(key) else { return false };
+    let service = state.directory.in_service(&endpoint.info.service);
+    let (mut total, mut lost) = (0, 0);
+    for (key, _) in service {
+        total += 1;
+        lost += usize::from(state.suspects.is_unreachable(key));
+    }
+    let is_reached = state.proxies.is_reached(key, state.peers.now);
+    is_reached || (1 < lost && total < lost * 2)
+}
+
 /// Returns whether an endpoint that doesn't answer this daemon is likely down for all: no peer has
 /// reached it, and most others answer.
 fn is_credible(state: &State, key: EndpointKey) -> bool {
--- a/crates/basilbank_forward/src/state/suspects.rs
+++ b/crates/basilbank_forward/src/state/suspects.rs
@@ -7,6 +7,10 @@
 
 use crate::endpoint::EndpointKey;
 
+/// Minimum time between two probes of an endpoint for calls without an answer: an overloaded endpoint
+/// has many of them.
+const MIN_DOUBT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time after its return within which an endpoint that becomes unreachable again is on a path that
 /// loses packets.
 const FLAP_WINDOW: Duration = Duration::from_secs(10);
@@ -37,6 +41,8 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     suspects: BTreeMap<EndpointKey, Suspect>,
+    /// When endpoints were last doubted for a call without an answer.
+    doubted: BTreeMap<EndpointKey, Duration>,
     /// When endpoints became reachable again.
     returned: BTreeMap<EndpointKey, Duration>,
     /// Services most of whose endpoints count as unreachable.
@@ -97,6 +103,12 @@
         self.suspects.entry(key).or_insert(Suspect::new(due));
     }
 
+    /// Records that a call is without an answer at an endpoint, and returns whether that is news.
+    pub fn doubt(&mut self, key: EndpointKey, now: Duration) -> bool {
+        self.doubted.retain(|_, at| now < *at + MIN_DOUBT_INTERVAL);
+        !self.contains(key) && self.doubted.insert(key, now).is_none()
+    }
+
     /// Records that an endpoint has become reachable again.
     pub fn record_return(&mut self, key: EndpointKey, now: Duration) {
         self.returned.retain(|_, at| now < *at + FLAP_WINDOW);
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -143,7 +143,7 @@
     let left = |time: Duration| to_millis(time.saturating_sub(started.elapsed()));
     Ok(ProxyRequest {
         trace_id: call.call.map(|call| call.trace_id.clone()).unwrap_or_default(),
-        digest: call.call.map_or(0, |call| call.digest.0),
+        digest: call.call.map(|call| call.digest.0),
         instance: call.target.instance.clone(),
         purpose: purpose.into(),
         answer_timeout: left(call.answer_timeout),
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -103,7 +103,7 @@
             return fail(writer, failure).await;
         }
     };
-    let digest = Digest(request.digest);
+    let digest = request.digest.map(Digest);
     let serving = Serving::start(router, &target, digest);
     let call = Call { router, target: &target, request: &request, purpose, received };
     // A peer that closes the connection, or sends anything before the answer's end, doesn't want the
@@ -140,13 +140,13 @@
 struct Serving {
     router: Rc<Router>,
     endpoint: EndpointKey,
-    digest: Digest,
+    digest: Option<Digest>,
     started: Instant,
     end: ProxiedEnd,
 }
 
 impl Serving {
-    fn start(router: &Rc<Router>, target: &Target, digest: Digest) -> Serving {
+    fn start(router: &Rc<Router>, target: &Target, digest: Option<Digest>) -> Serving {
         router.dispatch(Event::ProxiedCallStarted);
         let (router, endpoint) = (Rc::clone(router), target.endpoint);
         Serving { router, endpoint, digest, started: Instant::now(), end: ProxiedEnd::Cancelled }
--- a/crates/basilbank_wire/src/proxy.rs
+++ b/crates/basilbank_wire/src/proxy.rs
@@ -47,10 +47,10 @@
     /// The caller's id of the call, for the receiver's log; empty if the sender calls for itself.
     #[prost(string, tag = "1")]
     pub trace_id: String,
-    /// The call's digest, by which calls that crash endpoints are recognized; 0 if the sender calls
-    /// for itself.
-    #[prost(fixed64, tag = "10")]
-    pub digest: u64,
+    /// The call's digest, by which calls that crash endpoints are recognized; none if the sender
+    /// calls for itself.
+    #[prost(fixed64, optional, tag = "10")]
+    pub digest: Option<u64>,
     /// The endpoint's instance. The receiver sends to the address at which it knows the instance.
     #[prost(string, tag = "2")]
     pub instance: String,
