RECOVER: a row of tests for calls by peers; no reason 'limited' where nothing is reached

A call that had been sent to an endpoint which had failed no probe yet, and that no peer made, was refused as 'limited': endpoints that the call itself may not try again counted as waiting for a permit.

The tests say what holds whoever is cut: steps of a completion, at most once when the peer is lost, attempts and budget counted once, bounded calls for peers, no loop, pauses and leaving kept by the peer, refusal at once, the way back, a second's silence.

--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -55,7 +55,9 @@
     let candidates: Vec<_> = candidates.collect();
     match pick_cheapest(state, &candidates, 0.0) {
         Some(key) => PlainChoice::At(key),
-        None if reached.is_any(state.directory.available(service, now)) => PlainChoice::Limited,
+        None if reached.is_any(state.directory.available(service, now), tried) => {
+            PlainChoice::Limited
+        }
         // Those that accept work can't be reached, and those that want a pause don't count as down.
         None if state.directory.available(service, now).next().is_some() => PlainChoice::None,
         None => match state.directory.first_pause_end(service, None) {
@@ -147,7 +149,7 @@
 fn no_decode_endpoint(state: &State, service: &str, now: Duration) -> DecodeChoice {
     let reached = Reached::of(state, service, now);
     match state.directory.first_pause_end(service, Some(Stage::Decode)) {
-        _ if !reached.is_any(state.directory.in_stage(service, Stage::Decode)) => {
+        _ if !reached.is_any(state.directory.in_stage(service, Stage::Decode), &[]) => {
             DecodeChoice::None
         }
         None => DecodeChoice::None,
@@ -316,8 +318,13 @@
         }
     }
 
-    fn is_any<'a>(&self, mut all: impl Iterator<Item = (EndpointKey, &'a Endpoint)>) -> bool {
-        all.any(|(key, _)| self.cost(key, false).is_some())
+    /// Returns whether a call that was sent to `tried` before gets to any of these endpoints.
+    fn is_any<'a>(
+        &self,
+        mut all: impl Iterator<Item = (EndpointKey, &'a Endpoint)>,
+        tried: &[EndpointKey],
+    ) -> bool {
+        all.any(|(key, _)| self.cost(key, tried.contains(&key)).is_some())
     }
 }
 
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -18,6 +18,7 @@
 mod pace;
 mod peers;
 mod plain;
+mod proxies;
 mod quarantine;
 mod queue;
 mod quotas;
