--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Daemons that talk to each other, in virtual time.
 
+pub mod cut_off;
 pub mod deadly;
 pub mod limited;
 pub mod proofs;
@@ -113,6 +114,11 @@
         self.daemons.len()
     }
 
+    /// What a daemon knows.
+    pub fn state(&self, daemon: usize) -> &State {
+        &self.daemons[daemon].state
+    }
+
     /// It runs, and peers hear it.
     pub fn is_sound(&self, daemon: usize) -> bool {
         self.daemons[daemon].runs && !self.daemons[daemon].cut
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod budgets;
 mod call_limits;
+mod cut_off;
 mod drafts;
 mod endpoints;
 mod fleet;
--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -48,6 +48,10 @@
 const PAUSE_BEGINS: Duration = Duration::from_millis(500);
 const PAUSE_SLACK: usize = 2;
 
+/// Calls that may fail at daemons that are cut off, whatever others serve: a number, and one in so many.
+const CUT_SLACK: usize = 10;
+const CUT_SHARE: usize = 50;
+
 /// All that was seen in a play.
 pub struct Evidence<'a> {
     /// Calls by id.
@@ -71,6 +75,7 @@
         self.limits(&mut findings);
         self.leaving(&mut findings);
         self.pauses(&mut findings);
+        self.cut_off(&mut findings);
         for record in self.records.values() {
             let ran = runs.get(record.id.as_str()).copied().unwrap_or(0);
             findings.extend(self.call(record, ran));
@@ -255,11 +260,47 @@
         }
     }
 
+    /// Callers at daemons that are cut off from endpoints are served nearly as often as others.
+    fn cut_off(&self, findings: &mut Vec<String>) {
+        let is_cut = |record: &Record, after: Duration| {
+            self.spans.iter().any(|span| {
+                span.daemon == record.daemon
+                    && span.trouble == Trouble::NoPaths
+                    && span.from + after <= record.begun
+                    && span.to.is_none_or(|to| record.begun < to)
+            })
+        };
+        let in_cut = |at: Instant| {
+            let mut cuts = self.spans.iter().filter(|span| span.trouble == Trouble::NoPaths);
+            cuts.any(|span| span.from + CONTACT <= at && span.to.is_none_or(|to| at < to))
+        };
+        let (mut cut, mut others) = ((0, 0), (0, 0));
+        for record in self.records.values() {
+            let is_meant = !matches!(record.kind, Kind::Left | Kind::Deadly);
+            if !is_meant || !in_cut(record.begun) || !self.in_touch(&record.id, record.begun) {
+                continue;
+            }
+            let served = usize::from(record.seen == Seen::Served);
+            if is_cut(record, CONTACT) {
+                cut = (cut.0 + 1, cut.1 + served);
+            } else if !is_cut(record, Duration::ZERO) {
+                others = (others.0 + 1, others.1 + served);
+            }
+        }
+        let part = |(all, served): (usize, usize)| served as f64 / all.max(1) as f64;
+        let failed = cut.0 - cut.1;
+        let borne = CUT_SLACK + (cut.0 + others.0) / CUT_SHARE;
+        if borne < failed && part(cut) < part(others) * 2.0 / 3.0 {
+            let what = format!("{} of {} calls, others {} of {}", cut.1, cut.0, others.1, others.0);
+            findings.push(format!("RECOVER daemons that were cut off served {what}"));
+        }
+    }
+
     /// The daemon was killed or stood still between two moments.
     fn was_stopped(&self, daemon: usize, from: Instant, to: Instant) -> bool {
         self.spans.iter().any(|span| {
             span.daemon == daemon
-                && span.trouble != Trouble::NoStore
+                && span.trouble.stops()
                 && span.from <= to
                 && span.to.is_none_or(|end| from <= end)
         })
@@ -270,7 +311,7 @@
         let Some(record) = self.records.get(id) else { return false };
         !self.spans.iter().any(|span| {
             span.daemon == record.daemon
-                && span.trouble != Trouble::NoStore
+                && span.trouble.stops()
                 && span.from <= at
                 && span.to.is_none_or(|to| at <= to + CONTACT)
         })
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -24,6 +24,9 @@
 /// The same for a fifth stream.
 const STATED: u64 = 0x7374_6174;
 
+/// The same for a sixth stream.
+const PATHS: u64 = 0x7061_7468;
+
 /// Bytes a second of the narrow link to the store, from the least on.
 const NARROW: (u32, u64) = (400_000, 1_000_000);
 
@@ -83,10 +86,25 @@
     Rest(usize, Duration, Duration),
     /// A draft that crashes each endpoint that runs it comes again and again for the time.
     Deadly(Duration),
+    /// The paths from some daemons, the first ones from a number on, to endpoints.
+    Paths(PathCut, Weather, Duration),
     /// The time of day jumps at the daemon with the injected clock.
     Step(Duration),
 }
 
+/// Which paths from daemons to endpoints are cut.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PathCut {
+    /// The first daemon.
+    pub first: usize,
+    /// How many daemons, from the first on and around; at least one is spared.
+    pub daemons: usize,
+    /// Whether the plain service's endpoints alone are concerned.
+    pub plain: bool,
+    /// Whether open connections are reset as the cut begins.
+    pub reset: bool,
+}
+
 /// Where an endpoint starts again.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum At {
@@ -127,6 +145,7 @@
     plan.extend(restore(seed, sizes));
     plan.extend(overload(seed, sizes));
     plan.extend(stated(seed, sizes));
+    plan.extend(paths(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
@@ -182,6 +201,24 @@
     leave.into_iter().chain(rest).collect()
 }
 
+/// Daemons that are cut off from endpoints twice, in two plays of three.
+fn paths(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = Rng::new(seed ^ PATHS);
+    let mut cut = |begin: f64| {
+        let cut = PathCut {
+            first: rng.index(sizes.daemons),
+            daemons: 1 + rng.index(sizes.daemons.max(2) - 1),
+            plain: rng.index(3) == 0,
+            reset: rng.index(2) == 0,
+        };
+        let weathers = [Weather::Silent, Weather::CutForth, Weather::CutBack, Weather::Refuse];
+        let at = sizes.traffic.mul_f64(begin + 0.05 * rng.unit());
+        (at, Fault::Paths(cut, weathers[rng.index(4)], sizes.traffic.mul_f64(0.25)))
+    };
+    let cuts = vec![cut(0.05), cut(0.4)];
+    if rng.index(3) == 0 { Vec::new() } else { cuts }
+}
+
 fn trouble(rng: &mut Rng, sizes: Sizes) -> Fault {
     let endpoint = rng.index(sizes.endpoints);
     let time = Duration::from_millis(300 + rng.next_u64() % 2500);
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -11,11 +11,11 @@
 };
 
 use anyhow::Context;
-use basilbank_standin::managed::{Lost, Misdeed, StoreFault, Weather};
+use basilbank_standin::managed::{DESK, Lost, Misdeed, StoreFault, Weather};
 use rustix::process::Signal;
 
 use crate::{
-    plan::{At, Fault},
+    plan::{At, Fault, PathCut},
     site::Site,
 };
 
@@ -48,6 +48,16 @@
     Leaving,
     /// It can't read the store, or late.
     NoStore,
+    /// It can't reach endpoints that others reach.
+    NoPaths,
+}
+
+impl Trouble {
+    /// Its process does not run as it should.
+    #[must_use]
+    pub fn stops(self) -> bool {
+        !matches!(self, Trouble::NoStore | Trouble::NoPaths)
+    }
 }
 
 /// A time of trouble.
@@ -73,6 +83,7 @@
     ClearStoreLink(usize),
     ClearStore,
     ClearLink(usize),
+    ClearPaths(PathCut),
     Behave(usize),
     Unlist { place: usize, runs: Option<usize> },
     Replace(usize),
@@ -160,6 +171,7 @@
                 (0..self.site.daemons.len()).for_each(|d| self.over(d, Trouble::NoStore));
             }
             Step::ClearLink(place) => self.site.places[place].proxy.set(Weather::Clear),
+            Step::ClearPaths(cut) => self.cut_paths(cut, Weather::Clear),
             Step::Behave(place) => self.site.places[place].endpoint.misbehave(Misdeed::None),
             Step::Unlist { place, runs } => self.unlist(place, runs),
             Step::Replace(place) => {
@@ -216,6 +228,10 @@
                 self.site.places[endpoint].proxy.set(weather);
                 self.later(time, Step::ClearLink(endpoint));
             }
+            Fault::Paths(cut, weather, time) => {
+                self.cut_paths(cut, weather);
+                self.later(time, Step::ClearPaths(cut));
+            }
             Fault::Reset(endpoint) => self.site.places[endpoint].proxy.reset(),
             Fault::Misbehave(endpoint, misdeed, time) => {
                 self.site.places[endpoint].endpoint.misbehave(misdeed);
@@ -244,6 +260,7 @@
             }
             Fault::Restart(place, at, time) => {
                 self.site.places[place].restart(at == At::Another)?;
+                self.site.open_paths(place)?;
                 self.later(time, Step::List(place));
             }
             Fault::Limit(place, rate, time) => {
@@ -270,6 +287,27 @@
         Ok(())
     }
 
+    /// Cuts paths from daemons to endpoints, or clears them.
+    fn cut_paths(&mut self, cut: PathCut, weather: Weather) {
+        let count = self.site.daemons.len();
+        for daemon in (cut.first..cut.first + cut.daemons).map(|n| n % count) {
+            for place in &self.site.places {
+                let path = self.site.daemons[daemon].paths.to(place.proxy.address());
+                let Some(path) = path.filter(|_| !cut.plain || place.service == DESK) else {
+                    continue;
+                };
+                path.set(weather);
+                if cut.reset && weather != Weather::Clear {
+                    path.reset();
+                }
+            }
+            match weather {
+                Weather::Clear => self.over(daemon, Trouble::NoPaths),
+                _ => self.begin(daemon, Trouble::NoPaths),
+            }
+        }
+    }
+
     fn signal(&mut self, daemon: usize, signal: Signal) -> bool {
         let Some(process) = &mut self.site.daemons[daemon].process else { return false };
         process.signal(signal);
--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -10,8 +10,8 @@
 
 use anyhow::{Context, ensure};
 use basilbank_standin::managed::{
-    BadEntry, Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Proxy, Served, WRITER,
-    call, configuration, key,
+    BadEntry, Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Paths, Proxy, Served,
+    WRITER, call, configuration, key,
 };
 
 use crate::process::{Process, Program};
@@ -52,6 +52,8 @@
     pub ready: SocketAddr,
     /// The way to the store.
     pub store: Proxy,
+    /// Its ways to the endpoints.
+    pub paths: Paths,
     /// Its settings file.
     pub settings: PathBuf,
     /// Its log.
@@ -153,10 +155,13 @@
                 places.push(Place::start(stage, number, &caches)?);
             }
         }
-        let daemons = daemons(programs, folder, store.address())?;
+        let daemons = daemons(programs, folder, &store, &caches)?;
         let routes = Vec::new();
         let mut site = Site { store, places, daemons, version: 1, caches, routes };
-        (0..site.places.len()).for_each(|place| site.list(place, "ready"));
+        for place in 0..site.places.len() {
+            site.open_paths(place)?;
+            site.list(place, "ready");
+        }
         for daemon in &mut site.daemons {
             daemon.start()?;
         }
@@ -167,6 +172,20 @@
         Ok(site)
     }
 
+    /// Opens a path from each daemon to an endpoint, unless there is one.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn open_paths(&mut self, place: usize) -> std::io::Result<()> {
+        let listed = self.places[place].proxy.address();
+        for daemon in &mut self.daemons {
+            if daemon.paths.to(listed).is_none() {
+                daemon.paths.add(listed)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Writes an endpoint's entry.
     pub fn list(&self, place: usize, state: &str) {
         let place = &self.places[place];
@@ -259,12 +278,18 @@
     false
 }
 
-fn daemons(programs: &[Program], folder: &Path, store: SocketAddr) -> anyhow::Result<Vec<Daemon>> {
+fn daemons(
+    programs: &[Program],
+    folder: &Path,
+    store: &ManagedStore,
+    caches: &Caches,
+) -> anyhow::Result<Vec<Daemon>> {
     let ips: Vec<_> = (1..=programs.len()).map(|n| Ipv4Addr::new(127, 77, 0, n as u8)).collect();
     let [callers, ready, control, peers] = common_ports(&ips)?;
     let daemon = |(n, program): (usize, &Program)| {
         let ip = ips[n];
-        let proxy = Proxy::start(store)?;
+        let paths = Paths::start(store, caches)?;
+        let proxy = Proxy::start(paths.store())?;
         let settings = folder.join(format!("daemon-{n}.toml"));
         let text = SETTINGS
             .replace("{name}", &format!("vm-{n}"))
@@ -281,6 +306,7 @@
             callers: SocketAddr::from((ip, callers)),
             ready: SocketAddr::from((ip, ready)),
             store: proxy,
+            paths,
             log: folder.join(format!("daemon-{n}.log")),
             settings,
             program: program.clone(),
--- a/crates/basilbank_standin/src/managed/paths.rs
+++ b/crates/basilbank_standin/src/managed/paths.rs
@@ -13,7 +13,7 @@
 pub struct Paths {
     view: StoreView,
     caches: Caches,
-    proxies: Vec<Proxy>,
+    proxies: Vec<(SocketAddr, Proxy)>,
 }
 
 impl Paths {
@@ -33,7 +33,7 @@
         let proxy = Proxy::start(listed)?;
         self.view.rename(listed, proxy.address());
         self.caches.alias(proxy.address(), listed);
-        self.proxies.push(proxy);
+        self.proxies.push((listed, proxy));
         Ok(())
     }
 
@@ -44,18 +44,23 @@
     }
 
     /// The paths, in the order in which they were added.
+    pub fn proxies(&self) -> impl Iterator<Item = &Proxy> {
+        self.proxies.iter().map(|(_, proxy)| proxy)
+    }
+
+    /// The path to the endpoint that is listed with an address.
     #[must_use]
-    pub fn proxies(&self) -> &[Proxy] {
-        &self.proxies
+    pub fn to(&self, listed: SocketAddr) -> Option<&Proxy> {
+        self.proxies.iter().find(|(address, _)| *address == listed).map(|(_, proxy)| proxy)
     }
 
     /// Sets what all paths do from now on.
     pub fn set(&self, weather: Weather) {
-        self.proxies.iter().for_each(|proxy| proxy.set(weather));
+        self.proxies().for_each(|proxy| proxy.set(weather));
     }
 
     /// Resets the open connections of all paths.
     pub fn reset(&self) {
-        self.proxies.iter().for_each(Proxy::reset);
+        self.proxies().for_each(Proxy::reset);
     }
 }
--- a/crates/basilbank_standin/tests/managed/cut_off.rs
+++ b/crates/basilbank_standin/tests/managed/cut_off.rs
@@ -1,11 +1,16 @@
 //! Daemons whose paths to endpoints are cut while their peers reach the endpoints.
 
-use std::{thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
 
-use basilbank_standin::managed::{Paths, Weather, World, WorldSpec, call};
+use basilbank_standin::managed::{Paths, Request, Weather, World, WorldSpec, call};
 use test_case::test_case;
 
-use crate::support::stream_of;
+use crate::support::{eventually, stream_of};
 
 /// Time that a daemon has to get over a cut: the users' bound.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -53,7 +58,7 @@
 
     fn cut(&self, how: Cut, scope: Scope) {
         let plain = self.world.plain.len();
-        for (n, path) in self.paths.proxies().iter().enumerate() {
+        for (n, path) in self.paths.proxies().enumerate() {
             let concerned = match scope {
                 Scope::All => true,
                 Scope::Plain => n < plain,
@@ -72,6 +77,21 @@
         }
     }
 
+    /// Cuts all paths, and waits until the daemon has got over that.
+    fn start_cut() -> CutWorld {
+        let cut = CutWorld::start();
+        cut.cut(Cut::Reset, Scope::All);
+        cut.served(2, "meanwhile");
+        cut
+    }
+
+    /// The requests of an id that endpoints ran.
+    fn ran(&self, id: &str) -> Vec<Request> {
+        let endpoints = self.world.plain.iter().chain(&self.world.model);
+        let ran = endpoints.flat_map(|endpoint| endpoint.served().ran);
+        ran.filter(|request| request.header("x-attempt-id") == Some(id)).collect()
+    }
+
     /// Status of a call to a daemon; none without an answer.
     fn status(&self, daemon: usize, line: &str, id: &str, tokens: Option<&str>) -> Option<u16> {
         let prefix = format!("{:x}:1000", id.bytes().map(u32::from).sum::<u32>());
@@ -123,3 +143,62 @@
     thread::sleep(CONTACT);
     assert_eq!(cut.served(2, "after"), [CALLS; 3]);
 }
+
+/// Guards against work that goes on at an endpoint for a caller who has left.
+#[test]
+fn a_caller_who_leaves_ends_the_work_that_a_peer_has_begun() {
+    let cut = CutWorld::start_cut();
+    let head = "POST /draft/1 HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: leaves\r\n\
+                x-deadline-remaining: 8000\r\nx-token-counts: 1000,2000\r\n\
+                x-prompt-prefix: 7:1000\r\ncontent-length: 0\r\n\r\n";
+    let mut stream = TcpStream::connect(cut.world.callers(2)).expect("a connection");
+    stream.write_all(head.as_bytes()).expect("sent");
+    assert_ne!(stream.read(&mut [0; 512]).expect("the stream begins"), 0);
+    let active = || cut.world.model.iter().map(|e| e.served().active).sum::<u32>();
+    assert_eq!(active(), 1);
+    drop(stream);
+    eventually("the endpoint has stopped", || active() == 0);
+}
+
+/// Guards against endpoints that get more time than the caller has left, or another request than the caller
+/// sent.
+#[test]
+fn a_call_reaches_its_endpoint_unchanged_and_with_the_time_that_is_left() {
+    let cut = CutWorld::start_cut();
+    assert_eq!(cut.status(2, "POST /stock/1?a=b", "whole", None), Some(200));
+    let ran = cut.ran("whole");
+    let [request] = ran.as_slice() else { panic!("{ran:?}") };
+    assert_eq!((request.method.as_str(), request.target.as_str()), ("POST", "/stock/1?a=b"));
+    assert_eq!(request.body, b"body");
+    let left: u32 = request.header("x-deadline-remaining").expect("a time").parse().expect("ms");
+    assert!((1000..2000).contains(&left), "{left}");
+}
+
+/// Guards against a call that is tried until its time has passed when no peer reaches its endpoints either.
+#[test]
+fn a_call_that_nobody_reaches_is_refused_at_once() {
+    let mut world =
+        World::start(&WorldSpec { daemons: 0, ..WorldSpec::default() }).expect("a world");
+    let paths = [(); 3].map(|()| world.add_with_paths().expect("a daemon with paths"));
+    let cut = |weather| paths.iter().for_each(|paths| paths.set(weather));
+    cut(Weather::Refuse);
+    paths.iter().for_each(Paths::reset);
+    let headers =
+        [("host", "shop.example"), ("x-attempt-id", "a"), ("x-deadline-remaining", "4000")];
+    let refusal = |daemon: usize| {
+        let asked = std::time::Instant::now();
+        let answer = call(world.callers(daemon), "POST /stock/1", &headers, b"").ok()?;
+        let comes_back = answer.header("retry-after").is_some();
+        let is_soon = asked.elapsed() < Duration::from_millis(300);
+        (answer.status == 503 && comes_back && is_soon).then_some(())
+    };
+    eventually("all refuse at once", || (0..3).all(|daemon| refusal(daemon).is_some()));
+    assert!((0..12).all(|n| refusal(n % 3).is_some()), "and go on so");
+    cut(Weather::Clear);
+    eventually("all serve again", || {
+        (0..3).all(|daemon| {
+            let answer = call(world.callers(daemon), "POST /stock/1", &headers, b"");
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+    });
+}
