--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -254,20 +254,13 @@
 
 /// Finds the services most of whose endpoints this daemon can't reach.
 fn update_unreached(ctx: &mut Context<'_>) {
-    let State { suspects, directory, .. } = &*ctx.state;
-    if suspects.is_empty() && suspects.unreached.is_empty() {
+    let state = &*ctx.state;
+    if state.suspects.is_empty() && state.suspects.unreached.is_empty() {
         return;
     }
-    let unreachable = suspects.unreachable().filter_map(|key| directory.get(key));
+    let unreachable = state.suspects.unreachable().filter_map(|key| state.directory.get(key));
     let mut services: BTreeSet<_> = unreachable.map(|e| e.info.service.clone()).collect();
-    services.retain(|service| {
-        let (mut total, mut lost) = (0, 0);
-        for (key, _) in directory.in_service(service) {
-            total += 1;
-            lost += usize::from(suspects.is_unreachable(key));
-        }
-        total < lost * 2
-    });
+    services.retain(|service| ServiceCount::of(state, service).is_mostly_unreachable());
     let before = std::mem::replace(&mut ctx.state.suspects.unreached, services);
     let after = ctx.state.suspects.unreached.clone();
     ctx.state.peers.changed |= before != after;
@@ -308,25 +301,42 @@
 /// the endpoint, or most of its service doesn't answer either.
 fn is_cut_off_from(state: &State, key: EndpointKey) -> bool {
     let Some(endpoint) = state.directory.get(key) else { return false };
-    let service = state.directory.in_service(&endpoint.info.service);
-    let (mut total, mut lost) = (0, 0);
-    for (key, _) in service {
-        total += 1;
-        lost += usize::from(state.suspects.is_unreachable(key));
-    }
+    let service = ServiceCount::of(state, &endpoint.info.service);
     let is_reached = state.proxies.is_reached(key, state.peers.now);
-    is_reached || (1 < lost && total < lost * 2)
+    is_reached || (1 < service.unreachable && service.is_mostly_unreachable())
 }
 
 /// Returns whether an endpoint that doesn't answer this daemon is likely down for all: no peer has
 /// reached it, and most others answer.
 fn is_credible(state: &State, key: EndpointKey) -> bool {
     let Some(endpoint) = state.directory.get(key) else { return false };
-    let is_lost = |key: &EndpointKey| state.suspects.is_unreachable(*key);
-    let service: Vec<_> =
-        state.directory.in_service(&endpoint.info.service).map(|(key, _)| key).collect();
-    let lost = service.iter().filter(|key| is_lost(key)).count();
-    let all_lost = state.suspects.count_unreachable() * CUT_OFF_DIVISOR;
-    let is_few = lost <= 1 || lost * CUT_OFF_DIVISOR <= service.len();
-    is_few && all_lost <= state.directory.len() && !state.proxies.is_reached(key, state.peers.now)
+    let service = ServiceCount::of(state, &endpoint.info.service);
+    let is_few = service.unreachable <= 1 || service.unreachable * CUT_OFF_DIVISOR <= service.total;
+    let all_unreachable = state.suspects.count_unreachable();
+    is_few
+        && all_unreachable * CUT_OFF_DIVISOR <= state.directory.len()
+        && !state.proxies.is_reached(key, state.peers.now)
+}
+
+/// Numbers of a service's endpoints.
+struct ServiceCount {
+    /// Those in service.
+    total: usize,
+    /// Those of them that don't answer this daemon.
+    unreachable: usize,
+}
+
+impl ServiceCount {
+    fn of(state: &State, service: &str) -> ServiceCount {
+        let (mut total, mut unreachable) = (0, 0);
+        for (key, _) in state.directory.in_service(service) {
+            total += 1;
+            unreachable += usize::from(state.suspects.is_unreachable(key));
+        }
+        ServiceCount { total, unreachable }
+    }
+
+    fn is_mostly_unreachable(&self) -> bool {
+        self.total < self.unreachable * 2
+    }
 }
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -112,9 +112,9 @@
         self.endpoints.iter().filter(|(_, endpoint)| !endpoint.unlisted)
     }
 
-    /// Returns what a call of this daemon itself to the endpoint needs. It is `None` also for an incarnation that has
-    /// ended, because another one may answer at its address, and its holds and KV caches may have
-    /// the same names.
+    /// Returns what a call of this daemon itself to the endpoint needs. It is `None` also for an
+    /// incarnation that has ended, because another one may answer at its address, and its holds and
+    /// KV caches may have the same names.
     #[must_use]
     pub fn target(&self, key: EndpointKey) -> Option<Target> {
         let info = &self.endpoints.get(key).filter(|e| !e.ended)?.info;
