Emulator of loads: probes are answered as the endpoint is

The emulator answered each probe as if the endpoint were dark, and to all daemons, since only dark ones were probed.

Change: an endpoint that isn't dark answers, the daemon that asked alone, after a round trip.

--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -6,6 +6,7 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, SystemTime},
 };
@@ -41,7 +42,7 @@
     Arrive,
     Answer { draft: u64, attempt: u32, what: Answer },
     End { draft: u64, attempt: u32, endpoint: usize },
-    Probe { endpoint: usize },
+    Probe { daemon: usize, endpoint: usize, via: Option<SocketAddr> },
     Heard { from: u16, to: usize, beat: usize },
 }
 
@@ -193,16 +194,27 @@
                 let beat = self.beats[beat].clone();
                 self.feed(to, Event::gossip(address(from), beat));
             }
-            Due::Probe { endpoint } => {
-                for daemon in 0..self.states.len() {
-                    let key = self.states[daemon].directory.find(&name(endpoint));
-                    let Some(endpoint) = key else { continue };
-                    self.feed(daemon, Event::Probed { endpoint, liveness: Liveness::Unreachable });
-                }
-            }
+            Due::Probe { daemon, endpoint, via } => self.probed(daemon, endpoint, via),
         }
     }
 
+    /// A probe ends, of the daemon itself or by a peer: an endpoint that isn't dark answers.
+    fn probed(&mut self, daemon: usize, endpoint: usize, via: Option<SocketAddr>) {
+        let is_dark = self.is_dark(endpoint);
+        let Some(endpoint) = self.states[daemon].directory.find(&name(endpoint)) else { return };
+        let event = match via {
+            Some(peer) => {
+                let failure = is_dark.then_some(NotProxied::EndpointUnreachable);
+                Event::ProbedByPeer { endpoint, peer, failure }
+            }
+            None => {
+                let liveness = if is_dark { Liveness::Unreachable } else { Liveness::Alive };
+                Event::Probed { endpoint, liveness }
+            }
+        };
+        self.feed(daemon, event);
+    }
+
     fn arrive(&mut self) {
         if let Some(next) = self.arrivals.pop_front() {
             self.push(next, Due::Arrive);
@@ -279,8 +291,9 @@
                     }
                 }
                 Effect::Probe(target) => {
-                    let at = self.now + DARK;
-                    self.push(at, Due::Probe { endpoint: number(&target.instance) });
+                    let endpoint = number(&target.instance);
+                    let at = self.now + if self.is_dark(endpoint) { DARK } else { TRIP };
+                    self.push(at, Due::Probe { daemon, endpoint, via: target.via });
                 }
                 _ => {}
             }
