--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -277,20 +277,9 @@
 /// Added to the expected time of an endpoint that a peer has to call: two more ways between daemons.
 const PROXY_COST: Duration = Duration::from_millis(8);
 
-/// How the endpoints of a service are reached that this daemon can't reach itself.
+/// How the endpoints of a service are reached that don't answer this daemon.
 struct Reached {
-    unreachable: BTreeMap<EndpointKey, Unreached>,
-}
-
-/// How an endpoint is reached that doesn't answer this daemon.
-#[derive(Clone, Copy)]
-enum Unreached {
-    /// A peer calls it.
-    ByPeer,
-    /// There is no peer to ask, but the endpoint has not failed a probe yet.
-    Unproved,
-    /// It is down.
-    Down,
+    unreachable: BTreeMap<EndpointKey, Reach>,
 }
 
 impl Reached {
@@ -299,22 +288,17 @@
         let in_service = suspects.filter(|key| {
             state.directory.get(*key).is_some_and(|endpoint| endpoint.info.service == service)
         });
-        let reach = |key| match state.reach(key, now) {
-            Reach::ByPeer => Unreached::ByPeer,
-            Reach::None if !state.suspects.has_failed_probe(key) => Unreached::Unproved,
-            Reach::Direct | Reach::None => Unreached::Down,
-        };
-        Reached { unreachable: in_service.map(|key| (key, reach(key))).collect() }
+        Reached { unreachable: in_service.map(|key| (key, state.reach(key, now))).collect() }
     }
 
     /// Returns the additional time that a call to an endpoint takes, or `None` if it can't get there.
     fn cost(&self, key: EndpointKey, tried: bool) -> Option<Duration> {
         match self.unreachable.get(&key) {
-            None => Some(Duration::ZERO),
-            Some(Unreached::ByPeer) => Some(PROXY_COST),
+            None | Some(Reach::Direct) => Some(Duration::ZERO),
+            Some(Reach::ByPeer) => Some(PROXY_COST),
             // A connection can fail for a lost packet; the same call doesn't try again.
-            Some(Unreached::Unproved) => (!tried).then_some(Duration::ZERO),
-            Some(Unreached::Down) => None,
+            Some(Reach::Unproved) => (!tried).then_some(Duration::ZERO),
+            Some(Reach::None) => None,
         }
     }
 
--- a/crates/basilbank_forward/src/state/proxies.rs
+++ b/crates/basilbank_forward/src/state/proxies.rs
@@ -105,6 +105,8 @@
     Direct,
     /// A peer calls it for this daemon.
     ByPeer,
+    /// No peer calls it, but it has not failed a probe of this daemon yet.
+    Unproved,
     /// Neither this daemon nor its peers reach it, as far as is known.
     None,
 }
@@ -117,12 +119,12 @@
             return Reach::Direct;
         }
         let Some(endpoint) = self.directory.get(key) else { return Reach::None };
-        if self.proxies.is_down(key, now) {
-            return Reach::None;
+        if !self.proxies.is_down(key, now) && self.has_proxy(&endpoint.info.service, now) {
+            return Reach::ByPeer;
         }
-        match self.has_proxy(&endpoint.info.service, now) {
-            true => Reach::ByPeer,
-            false => Reach::None,
+        match self.suspects.has_failed_probe(key) {
+            true => Reach::None,
+            false => Reach::Unproved,
         }
     }
 
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -111,9 +111,7 @@
             sleep(POLL_INTERVAL).await;
         }
     }
-}
 
-impl Gateway {
     /// Returns whether callers are connected or calls for peers are in progress.
     fn is_busy(&self) -> bool {
         self.open_connections.get() != 0 || self.router.read(|state| state.proxies.serving != 0)
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -6,7 +6,6 @@
     time::Duration,
 };
 
-use crate::connections::CallError;
 use basilbank::logs::Line;
 use basilbank_forward::{event::Liveness, prelude::*, state::Suspects};
 use prometheus_client::{
@@ -15,6 +14,8 @@
     registry::Registry,
 };
 
+use crate::connections::CallError;
+
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 0.9, 2.0, 5.0, 14.0];
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -16,7 +16,11 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, StatusCode, body::Frame};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Frame,
+    header::{HeaderName, HeaderValue},
+};
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::codec::Framed;
 
@@ -161,7 +165,7 @@
 
 /// Returns headers as they are sent between daemons.
 pub fn wire_headers(headers: &HeaderMap) -> Vec<ProxyHeader> {
-    let header = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
         let value = Bytes::copy_from_slice(value.as_bytes());
         ProxyHeader { name: name.as_str().to_owned(), value }
     };
@@ -172,8 +176,8 @@
 pub fn read_headers(headers: &[ProxyHeader]) -> Option<HeaderMap> {
     let mut map = HeaderMap::with_capacity(headers.len());
     for ProxyHeader { name, value } in headers {
-        let name = hyper::header::HeaderName::from_bytes(name.as_bytes()).ok()?;
-        map.append(name, hyper::header::HeaderValue::from_bytes(value).ok()?);
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        map.append(name, HeaderValue::from_bytes(value).ok()?);
     }
     Some(map)
 }
