Sight: how streams are framed, and whether they end inside an event

A line 'stream_end' names the framing and the unfinished bytes of each end that doesn't prove completeness or came inside an event; stream_ends_total counts all ends.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -17,6 +17,7 @@
     dialect::AnswerKind,
     endpoint_body::EndpointBody,
     endpoint_calls::EndpointCall,
+    framing::Framing,
     router::Router,
 };
 
@@ -63,6 +64,10 @@
     pub status: StatusCode,
     /// Headers, without hop-by-hop headers.
     pub headers: HeaderMap,
+    /// How the end of the body is marked.
+    pub framing: Framing,
+    /// The caller's id of the call, for logs.
+    pub trace_id: String,
     /// Rest of the body.
     pub body: EndpointBody,
     /// Connection that carries the stream; `None` if a peer passes it on.
@@ -152,10 +157,13 @@
         }
         AnswerKind::Forward if is_streaming(&attempt.op) && head.status().is_success() => {
             let keep_alive = parse_keep_alive(head.headers());
+            let framing = Framing::of(head.headers());
             let (status, headers) = (head.status(), end_to_end_headers(head));
             let stream = AnswerStream {
                 status,
                 headers,
+                framing,
+                trace_id: caller_request.call.trace_id.clone(),
                 body,
                 connection,
                 keep_alive,
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -14,7 +14,7 @@
     registry::Registry,
 };
 
-use crate::connections::CallError;
+use crate::{connections::CallError, framing::Framing};
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -41,6 +41,12 @@
     team: String,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct StreamEndLabels {
+    framing: &'static str,
+    end: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct UnreadLabels {
     sender: &'static str,
@@ -109,6 +115,7 @@
     sent_by_peer: Family<ReasonLabel, Counter>,
     proxy_failures: Family<ReasonLabel, Counter>,
     proxied: Family<ReasonLabel, Counter>,
+    stream_ends: Family<StreamEndLabels, Counter>,
     unreachable_endpoints: Gauge<u64, AtomicU64>,
     unreached_services: Gauge<u64, AtomicU64>,
     quarantined: Counter,
@@ -143,6 +150,7 @@
             sent_by_peer: Family::default(),
             proxy_failures: Family::default(),
             proxied: Family::default(),
+            stream_ends: Family::default(),
             unreachable_endpoints: Gauge::default(),
             unreached_services: Gauge::default(),
             quarantined: Counter::default(),
@@ -187,6 +195,8 @@
         registry.register("quarantined", "Calls that were put in quarantine", quarantined);
         let permits = metrics.permits.clone();
         registry.register("permits", "Permits for calls to endpoints with a limit", permits);
+        let help = "Ends of streams' bodies by framing and place";
+        registry.register("stream_ends", help, metrics.stream_ends.clone());
         let help = "Answers of endpoints that asked for a pause";
         registry.register("pauses", help, metrics.pauses.clone());
         let unusable_records = metrics.unusable_records.clone();
@@ -231,6 +241,13 @@
         count(&self.proxy_failures, Outcome::from(error).as_str());
     }
 
+    /// Counts the end of a stream's body.
+    pub fn count_stream_end(&self, framing: Framing, is_unfinished: bool) {
+        let end = if is_unfinished { "inside_event" } else { "between_events" };
+        let labels = StreamEndLabels { framing: framing.as_str(), end };
+        self.stream_ends.get_or_create(&labels).inc();
+    }
+
     /// Counts a call that this daemon made, or refused to make, for a peer.
     pub fn count_proxied(&self, end: &str) {
         count(&self.proxied, end);
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -2,13 +2,17 @@
 
 use std::{rc::Rc, time::Duration};
 
+use basilbank::logs::Line;
 use basilbank_forward::effect::Target;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::{sync::mpsc, time::timeout};
 
-use crate::{attempt::AnswerStream, endpoint_body::EndpointBody, response::Chunk, router::Router};
+use crate::{
+    attempt::AnswerStream, endpoint_body::EndpointBody, framing::Framing, response::Chunk,
+    router::Router,
+};
 
 /// Maximum size of an event, which is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -30,6 +34,7 @@
     chunks: mpsc::Sender<Chunk>,
 ) -> RelayEnd {
     let AnswerStream { mut body, connection, keep_alive, stall_timeout, target, .. } = stream;
+    let (framing, trace_id) = (stream.framing, stream.trace_id);
     let mut events = EventSplitter::default();
     while let Some(frame) = next_frame(&router, &target, &mut body, stall_timeout).await {
         let Ok(frame) = frame else {
@@ -48,10 +53,25 @@
         router.keep_connection(target.endpoint, connection, keep_alive);
     }
     let rest = events.partial.split().freeze();
+    log_end(&router, &trace_id, framing, rest.len());
     let is_complete = rest.is_empty() || chunks.send(Chunk::Data(rest)).await.is_ok();
     RelayEnd { is_complete, last_event_id: events.last_event_id }
 }
 
+/// Counts the end of a stream's body, and logs an end whose framing doesn't prove that the stream is
+/// complete, or that came inside an event.
+fn log_end(router: &Router, trace_id: &str, framing: Framing, unfinished_bytes: usize) {
+    let is_unfinished = unfinished_bytes != 0;
+    router.metrics.count_stream_end(framing, is_unfinished);
+    if is_unfinished || framing == Framing::Connection {
+        let line = Line::new("stream_end")
+            .with("request", trace_id)
+            .with("framing", framing.as_str())
+            .with("unfinished_bytes", unfinished_bytes);
+        log::info!("{line}");
+    }
+}
+
 /// Returns the next frame, or an error if neither the stream nor its endpoint answers.
 async fn next_frame(
     router: &Rc<Router>,
