--- a/crates/basilbank/src/callers/closing.rs
+++ b/crates/basilbank/src/callers/closing.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -42,3 +43,11 @@
         }
     }
 }
+
+/// Resets the connection, so that a response which only the end of the connection marks as complete
+/// doesn't look so.
+pub fn reset(stream: TcpStream) {
+    // If the option can't be set, the connection has ended already.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    drop(stream);
+}
--- a/crates/basilbank/src/callers/edge.rs
+++ b/crates/basilbank/src/callers/edge.rs
@@ -6,14 +6,14 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
 };
 
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body, Incoming},
     server::conn::http1,
     service::Service,
@@ -23,7 +23,7 @@
 
 pub use super::code::EdgeRefusal;
 use super::{
-    closing::{linger, reject},
+    closing::{linger, reject, reset},
     socket::{Ahead, Socket, Watch, split},
 };
 
@@ -53,6 +53,9 @@
 struct Requests<H> {
     handle: H,
     begun: Arc<AtomicU64>,
+    /// Whether the latest caller knows no chunks, so that the end of the connection is all that marks
+    /// the end of a response of unknown length.
+    unchunked: Arc<AtomicBool>,
 }
 
 impl<H, F, B, E> Service<Request<Incoming>> for Requests<H>
@@ -66,6 +69,7 @@
 
     fn call(&self, request: Request<Incoming>) -> F {
         self.begun.fetch_add(1, Ordering::Relaxed);
+        self.unchunked.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         (self.handle)(request)
     }
 }
@@ -91,7 +95,9 @@
 {
     let (socket, watch) = split(stream, terms.write_time);
     let begun = Arc::new(AtomicU64::new(0));
-    let requests = Requests { handle, begun: Arc::clone(&begun) };
+    let unchunked = Arc::new(AtomicBool::new(false));
+    let requests =
+        Requests { handle, begun: Arc::clone(&begun), unchunked: Arc::clone(&unchunked) };
     let mut connection = builder(terms).serve_connection(TokioIo::new(socket), requests);
     let ended = run(&mut connection, &watch, &begun, closing).await;
     // Dropping the rest of the connection drops what still served a request: its caller has left.
@@ -99,6 +105,9 @@
     let Some(stream) = watch.into_stream() else { return };
     match ended {
         Ended::Served(Ok(())) => linger(stream).await,
+        Ended::Served(Err(error)) if error.is_user() && unchunked.load(Ordering::Relaxed) => {
+            reset(stream);
+        }
         Ended::Served(Err(error)) => fail(stream, refuse, &error, &rest).await,
         Ended::Left => {}
     }
