--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Response, StatusCode,
-    header::{CONNECTION, HeaderName},
+    header::{CONNECTION, CONTENT_TYPE, HeaderName},
     http::request::Parts,
 };
 use tokio::time::timeout;
@@ -66,6 +66,8 @@
     pub headers: HeaderMap,
     /// How the end of the body is marked.
     pub framing: Framing,
+    /// Whether the body consists of server-sent events.
+    pub is_events: bool,
     /// The caller's id of the call, for logs.
     pub trace_id: String,
     /// Rest of the body.
@@ -158,11 +160,13 @@
         AnswerKind::Forward if is_streaming(&attempt.op) && head.status().is_success() => {
             let keep_alive = parse_keep_alive(head.headers());
             let framing = Framing::of(head.headers());
+            let is_events = is_event_stream(head.headers());
             let (status, headers) = (head.status(), end_to_end_headers(head));
             let stream = AnswerStream {
                 status,
                 headers,
                 framing,
+                is_events,
                 trace_id: caller_request.call.trace_id.clone(),
                 body,
                 connection,
@@ -273,6 +277,14 @@
     matches!(op, Op::Stream { .. } | Op::Decode { .. })
 }
 
+/// Returns whether a stream consists of server-sent events. One that doesn't state its type does.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let is_events = |value: &hyper::header::HeaderValue| {
+        value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("text/event-stream"))
+    };
+    headers.get(CONTENT_TYPE).is_none_or(is_events)
+}
+
 fn split_head(response: Response<EndpointBody>) -> (Response<()>, EndpointBody) {
     let (head, body) = response.into_parts();
     (Response::from_parts(head, ()), body)
--- /dev/null
+++ b/crates/basilbank_gateway/src/events.rs
@@ -0,0 +1,77 @@
+//! Splits a stream of server-sent events into complete events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Splits a stream of bytes into complete events.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    /// Bytes of the event that is not complete yet.
+    partial: BytesMut,
+    last_event_id: Option<String>,
+}
+
+impl EventSplitter {
+    /// Adds bytes and returns all events that are complete by now. A blank line ends an event.
+    pub fn push(&mut self, data: &[u8]) -> Bytes {
+        let from = self.partial.len().saturating_sub(MAX_LINE_ENDS_BYTES - 1);
+        self.partial.extend_from_slice(data);
+        let Some(end) = last_event_end(&self.partial[from..]) else { return Bytes::new() };
+        let ready = self.partial.split_to(from + end).freeze();
+        if let Some(id) = last_event_id(&ready) {
+            self.last_event_id = Some(id);
+        }
+        ready
+    }
+
+    /// Returns the number of bytes of the event that is not complete.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Returns whether the stream would break off inside an event if it ended now. Line ends after
+    /// the last event belong to none.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.partial.iter().any(|byte| !is_line_end(*byte))
+    }
+
+    /// Takes the bytes after the last complete event.
+    pub fn take_partial(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
+    /// Returns the id of the last complete event that has one.
+    #[must_use]
+    pub fn last_event_id(&self) -> Option<&str> {
+        self.last_event_id.as_deref()
+    }
+}
+
+/// Maximum number of bytes of the two line ends that end an event.
+const MAX_LINE_ENDS_BYTES: usize = 4;
+
+fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\r' | b'\n')
+}
+
+/// Returns the position after the last blank line. A line ends with CR LF, LF or CR.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let (mut end, mut at, mut is_blank) = (None, 0, false);
+    while let Some(byte) = bytes.get(at) {
+        let is_pair = bytes[at..].starts_with(b"\r\n");
+        at += if is_pair { 2 } else { 1 };
+        if is_line_end(*byte) && is_blank {
+            end = Some(at);
+        }
+        is_blank = is_line_end(*byte);
+    }
+    end
+}
+
+/// Returns the id of the last event that has one.
+fn last_event_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| is_line_end(*byte)).rev();
+    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    Some(String::from_utf8_lossy(id.trim_ascii()).into_owned())
+}
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -4,14 +4,14 @@
 
 use basilbank::logs::Line;
 use basilbank_forward::effect::Target;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    attempt::AnswerStream, endpoint_body::EndpointBody, framing::Framing, response::Chunk,
-    router::Router,
+    attempt::AnswerStream, endpoint_body::EndpointBody, events::EventSplitter, framing::Framing,
+    response::Chunk, router::Router,
 };
 
 /// Maximum size of an event, which is buffered until it is complete.
@@ -26,36 +26,46 @@
     pub last_event_id: Option<String>,
 }
 
+impl RelayEnd {
+    fn new(is_complete: bool, events: &EventSplitter) -> RelayEnd {
+        let last_event_id = events.last_event_id().map(str::to_owned);
+        RelayEnd { is_complete, last_event_id }
+    }
+}
+
 /// Forwards complete events only, so that a stream can continue at another endpoint without a
-/// partial event in between.
+/// partial event in between. A stream that ends inside an event has broken off, whatever its framing
+/// says.
 pub async fn relay(
     router: Rc<Router>,
     stream: AnswerStream,
     chunks: mpsc::Sender<Chunk>,
 ) -> RelayEnd {
     let AnswerStream { mut body, connection, keep_alive, stall_timeout, target, .. } = stream;
-    let (framing, trace_id) = (stream.framing, stream.trace_id);
+    let (framing, trace_id, is_events) = (stream.framing, stream.trace_id, stream.is_events);
     let mut events = EventSplitter::default();
+    let broken = |events: &EventSplitter| RelayEnd::new(false, events);
     while let Some(frame) = next_frame(&router, &target, &mut body, stall_timeout).await {
-        let Ok(frame) = frame else {
-            return RelayEnd { is_complete: false, last_event_id: events.last_event_id };
-        };
+        let Ok(frame) = frame else { return broken(&events) };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.push(&data);
         if !ready.is_empty() && chunks.send(Chunk::Data(ready)).await.is_err() {
-            return RelayEnd { is_complete: false, last_event_id: events.last_event_id };
+            return broken(&events);
         }
-        if MAX_EVENT_BYTES < events.partial.len() {
-            return RelayEnd { is_complete: false, last_event_id: events.last_event_id };
+        if MAX_EVENT_BYTES < events.partial_bytes() {
+            return broken(&events);
         }
     }
+    log_end(&router, &trace_id, framing, events.partial_bytes());
+    if is_events && events.is_inside_event() {
+        return broken(&events);
+    }
     if let Some(keep_alive) = keep_alive {
         router.keep_connection(target.endpoint, connection, keep_alive);
     }
-    let rest = events.partial.split().freeze();
-    log_end(&router, &trace_id, framing, rest.len());
+    let rest = events.take_partial();
     let is_complete = rest.is_empty() || chunks.send(Chunk::Data(rest)).await.is_ok();
-    RelayEnd { is_complete, last_event_id: events.last_event_id }
+    RelayEnd::new(is_complete, &events)
 }
 
 /// Counts the end of a stream's body, and logs an end whose framing doesn't prove that the stream is
@@ -94,38 +104,3 @@
 
 /// The stream broke off or stalled.
 struct StreamBroken;
-
-/// Splits a stream of bytes into complete events.
-#[derive(Debug, Default)]
-struct EventSplitter {
-    partial: BytesMut,
-    last_event_id: Option<String>,
-}
-
-impl EventSplitter {
-    /// Adds bytes and returns all events that are complete by now. A blank line ends an event.
-    fn push(&mut self, data: &[u8]) -> Bytes {
-        let from = self.partial.len().saturating_sub(3);
-        self.partial.extend_from_slice(data);
-        let Some(end) = last_event_end(&self.partial[from..]) else { return Bytes::new() };
-        let ready = self.partial.split_to(from + end).freeze();
-        if let Some(id) = last_event_id(&ready) {
-            self.last_event_id = Some(id);
-        }
-        ready
-    }
-}
-
-/// Returns the position after the last blank line.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let plain = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    plain.max(crlf)
-}
-
-/// Returns the id of the last event that has one.
-fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    Some(String::from_utf8_lossy(id.trim_ascii()).into_owned())
-}
