--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    io,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -48,6 +49,15 @@
     Silent,
 }
 
+/// Why no connection could be made.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ConnectError {
+    /// Nothing listens at the address.
+    Refused,
+    /// No answer in time, or another error.
+    Other,
+}
+
 /// A connection to an endpoint. Dropping it closes the connection, so that the endpoint stops
 /// working on a call that nobody waits for.
 #[derive(Debug)]
@@ -86,8 +96,25 @@
         addr: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Connection, CallError> {
-        let connected = timeout(connect_timeout, TcpStream::connect(addr)).await;
-        let Ok(Ok(stream)) = connected else { return Err(CallError::Unreachable) };
+        let connected = Connection::connect_unless_refused(addr, connect_timeout).await;
+        connected.map_err(|_| CallError::Unreachable)
+    }
+
+    /// Connects within `connect_timeout`, and tells a refused connection from others.
+    ///
+    /// # Errors
+    /// Returns an error if the endpoint can't be reached in time.
+    pub async fn connect_unless_refused(
+        addr: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, ConnectError> {
+        let stream = match timeout(connect_timeout, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectError::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(ConnectError::Other),
+        };
         // The call works without the option, but its last segment may be delayed until an
         // acknowledgement.
         let _ = stream.set_nodelay(true);
@@ -95,7 +122,7 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
             .await;
-        let Ok((sender, connection)) = handshake else { return Err(CallError::Unreachable) };
+        let Ok((sender, connection)) = handshake else { return Err(ConnectError::Other) };
         // Errors of the connection are returned by the sender and the body.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
         Ok(Connection { sender, _task: ConnectionTask(task.abort_handle()) })
--- a/crates/basilbank_gateway/src/endpoint_body.rs
+++ b/crates/basilbank_gateway/src/endpoint_body.rs
@@ -8,15 +8,15 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 
-use crate::proxy_client::ProxiedBody;
+use crate::{direct_body::DirectBody, proxy_client::ProxiedBody};
 
 /// The body of an endpoint's answer.
 #[derive(Debug)]
 pub enum EndpointBody {
     /// This daemon called the endpoint.
-    Direct(Incoming),
+    Direct(DirectBody),
     /// A peer called the endpoint and passes the body on.
     Proxied(Box<ProxiedBody>),
 }
@@ -42,10 +42,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyBroken>>> {
         match self.get_mut() {
-            EndpointBody::Direct(body) => {
-                let frame = Pin::new(body).poll_frame(context);
-                frame.map(|frame| frame.map(|frame| frame.map_err(|_| BodyBroken)))
-            }
+            EndpointBody::Direct(body) => Pin::new(body).poll_frame(context),
             EndpointBody::Proxied(body) => body.poll_frame(context),
         }
     }
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -11,12 +11,13 @@
 };
 
 use basilbank_forward::{effect::Target, event::Liveness, prelude::*};
-use hyper::{Response, StatusCode, body::Incoming};
+use hyper::{Response, StatusCode};
 use tokio::time::timeout;
 
 use crate::{
-    connections::{CallError, Connection},
+    connections::{CallError, ConnectError, Connection},
     dialect::OutRequest,
+    direct_body::DirectBody,
     endpoint_body::EndpointBody,
     metrics::Sender,
     router::Router,
@@ -101,12 +102,36 @@
         request: OutRequest,
         answer_timeout: Duration,
         purpose: Purpose,
-    ) -> Result<(Response<Incoming>, Connection), CallError> {
+    ) -> Result<(Response<DirectBody>, Connection), CallError> {
         let may_send = || self.may_send(target, purpose);
         let (response, connection) =
             self.connections.call(target, request, answer_timeout, may_send).await?;
         self.read_statements(target, &response);
-        Ok((response, connection))
+        Ok((DirectBody::take(self, target, response), connection))
+    }
+
+    /// Returns whether the process of an endpoint lives on after an answer whose end only the end of
+    /// its connection marked. The new connection is kept for the next call.
+    ///
+    /// Only a refused connection shows that the process has ended: a machine that is gone, or behind
+    /// a partition, would not have closed the answer's connection. An endpoint that is leaving may
+    /// end right after its last answer, so that its end shows nothing.
+    pub async fn outlives_answer(&self, target: &Target) -> bool {
+        let key = target.endpoint;
+        let is_staying = self.read(|state| {
+            state.directory.get(key).is_some_and(|endpoint| endpoint.is_in_service())
+        });
+        if !is_staying {
+            return true;
+        }
+        match Connection::connect_unless_refused(target.addr, LIVENESS_TIMEOUT).await {
+            Ok(connection) => {
+                self.connections.keep(key, connection, None);
+                true
+            }
+            Err(ConnectError::Refused) => false,
+            Err(ConnectError::Other) => true,
+        }
     }
 
     /// Keeps a connection for reuse after its answer was read to the end.
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod connections;
 mod dialect;
 mod digest;
+mod direct_body;
 mod endpoint_body;
 mod endpoint_calls;
 mod events;
