Sight: versions of endpoints' software, and calls that continue a stream

Records keep the version of the endpoint's software now (it was checked and dropped), 'endpoint' and 'send' lines name it, 'arrived' lines say which attempt began the stream (Resumes), and a call carries that. Nothing is decided by it yet.

--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time::Duration};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::team::{Credential, TeamId};
 
@@ -55,6 +55,42 @@
     pub caller_timeout: Option<Duration>,
     /// The sizes of the prompt, for calls to model endpoints.
     pub prompt: Option<Prompt>,
+    /// The stream that the call continues; `None` if it begins one, or asks for another answer.
+    pub resumption: Option<Resumption>,
+}
+
+/// Identifies a stream over all tries of its caller: the caller's id of the attempt that brought the
+/// first event, as a hash.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Returns the id of the stream that an attempt began.
+    #[must_use]
+    pub fn of(trace_id: &str) -> StreamId {
+        StreamId(xxh3_64(trace_id.as_bytes()))
+    }
+}
+
+impl fmt::Display for StreamId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// What a caller says of a stream that broke off and that its call continues.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Resumption {
+    /// The attempt that brought the stream's first event; empty if the caller doesn't name it.
+    pub began_as: String,
+}
+
+impl Resumption {
+    /// Returns the id of the stream, if the caller names it.
+    #[must_use]
+    pub fn stream(&self) -> Option<StreamId> {
+        (!self.began_as.is_empty()).then(|| StreamId::of(&self.began_as))
+    }
 }
 
 /// The sizes of a prompt. The router doesn't see the prompt's text.
--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -1,7 +1,9 @@
 //! Endpoints as they are discovered. An endpoint is one incarnation of a server process, never an
 //! address.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr, num::NonZeroU32};
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 slotmap::new_key_type! {
     /// Identifies one endpoint. Keys are never reused: when an address is used again, the endpoint
@@ -49,6 +51,33 @@
     pub draining: bool,
     /// Its stage; `None` for plain services.
     pub stage: Option<Stage>,
+    /// The version of its software, not of the model's weights.
+    pub version: String,
+}
+
+/// Identifies a version of the software of a service's endpoints. What two versions write, events
+/// of one stream or KV caches, doesn't fit together.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct SoftwareVersion(NonZeroU32);
+
+impl SoftwareVersion {
+    /// Returns the version as it is sent between daemons.
+    #[must_use]
+    pub fn to_wire(self) -> u32 {
+        self.0.get()
+    }
+
+    /// Reads a version that a daemon sent; 0 is none.
+    #[must_use]
+    pub fn from_wire(wire: u32) -> Option<SoftwareVersion> {
+        NonZeroU32::new(wire).map(SoftwareVersion)
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
 }
 
 /// How the incarnation in a record relates to the known incarnation of the same instance.
@@ -65,6 +94,14 @@
 }
 
 impl EndpointInfo {
+    /// Returns the version of the endpoint's software. Equally named versions of two services differ.
+    #[must_use]
+    pub fn software(&self) -> SoftwareVersion {
+        let service = xxh3_64(self.service.as_bytes());
+        let hash = xxh3_64_with_seed(self.version.as_bytes(), service) as u32;
+        SoftwareVersion(NonZeroU32::new(hash).unwrap_or(NonZeroU32::MIN))
+    }
+
     /// Compares the incarnation in `record` with this one.
     ///
     /// An incarnation serves one service for its whole life, and states its start time in all of
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -3,9 +3,9 @@
 pub use basilbank_core::time::{Clock, Now};
 
 pub use crate::{
-    call::{Call, Digest, Prompt, RequestId},
+    call::{Call, Digest, Prompt, RequestId, Resumption, StreamId},
     effect::{Attempt, Effect, Op},
-    endpoint::{EndpointInfo, EndpointKey, Stage},
+    endpoint::{EndpointInfo, EndpointKey, SoftwareVersion, Stage},
     event::{Damage, Event, NotProxied, NotRun, Outcome},
     log_line::{LogLine, Measurement},
     purpose::Purpose,
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -34,6 +34,10 @@
             line.with("tokens", prompt.tokens).with("most", prompt.max_output).with("hint", hint)
         }
     };
+    let line = match &call.resumption {
+        None => line,
+        Some(resumption) => line.with("resumes", &resumption.began_as),
+    };
     let digest = call.digest;
     match admit(ctx, call) {
         Ok(request) => {
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -117,7 +117,8 @@
         .with("instance", &info.instance)
         .with("addr", info.addr)
         .with("draining", info.draining)
-        .with("stage", info.stage.map_or("none", |stage| stage.as_str()));
+        .with("stage", info.stage.map_or("none", |stage| stage.as_str()))
+        .with("version", &info.version);
     let line = match info.start_time {
         None => line,
         Some(born) => line.with("born", born),
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -181,6 +181,7 @@
     let Some(target) = ctx.state.route_to(dispatch.endpoint, ctx.now) else { return };
     let endpoint = ctx.state.directory.get(dispatch.endpoint);
     let (calls, tokens) = endpoint.map_or((0, 0), |e| (e.total_calls(), e.total_tokens()));
+    let version = endpoint.map_or_else(String::new, |e| e.info.version.clone());
     let ahead = tokens.saturating_add(dispatch.usage.tokens);
     let list_age = ctx.now.saturating_sub(ctx.state.directory.read_at);
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
@@ -206,6 +207,7 @@
         .with("attempt", number)
         .with("op", dispatch.op.as_str())
         .with("instance", &target.instance)
+        .with("version", version)
         .with_ms("left_ms", remaining)
         .with("calls_there", calls)
         .with("tokens_there", tokens)
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -303,6 +303,7 @@
         credential: Credential::None,
         caller_timeout: Some(Duration::from_secs(1)),
         prompt: None,
+        resumption: None,
     }
 }
 
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -245,6 +245,7 @@
                     path: "/draft/1".to_owned(),
                     caller_timeout: Some(PATIENCE),
                     prompt: Some(prompt),
+                    resumption: None,
                 };
                 self.feed(self.daemon(id), Event::Arrived(Box::new(call)));
             }
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -119,6 +119,7 @@
 /// An endpoint's entry.
 pub fn endpoint(n: u16, stage: Stage, slots: u32) -> EndpointInfo {
     EndpointInfo {
+        version: "v1".to_owned(),
         instance: name(usize::from(n)),
         start_time: None,
         service: WRITER.to_owned(),
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -157,6 +157,7 @@
             credential,
             caller_timeout: Some(Duration::from_millis(patience_ms)),
             prompt,
+            resumption: None,
         };
         self.feed(Event::Arrived(Box::new(call)));
         id
@@ -261,6 +262,7 @@
 
 fn endpoint(instance: &str, port: u16, service: &str, stage: Option<Stage>) -> EndpointInfo {
     EndpointInfo {
+        version: "v1".to_owned(),
         instance: instance.to_owned(),
         start_time: None,
         service: service.to_owned(),
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -203,6 +203,7 @@
 /// The result of a read of the list of endpoints.
 pub fn list(revision: u64, instances: &[&str]) -> Reading {
     let listed = instances.iter().zip(1..).map(|(instance, n)| EndpointInfo {
+        version: "v1".to_owned(),
         instance: (*instance).to_owned(),
         start_time: None,
         service: "desk".to_owned(),
