--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -33,4 +33,5 @@
 mod share;
 mod statements;
 mod suspects;
+mod versions;
 mod watchers;
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -138,6 +138,21 @@
         self.arrive("/stock/1", 2000, None, digest, Credential::None)
     }
 
+    /// A caller comes back with a part of a stream that another attempt began.
+    pub fn resume(&mut self, path: &str, trace_id: &str, began_as: &str) -> RequestId {
+        let prompt = Some(prompt(1000));
+        let call = self.new_call(path, 14_000, prompt, Digest(self.next), Credential::None);
+        let resumption = Some(Resumption { began_as: began_as.to_owned() });
+        self.arrive_as(Call { trace_id: trace_id.to_owned(), resumption, ..call })
+    }
+
+    /// A call whose attempt has this id.
+    pub fn call_as(&mut self, path: &str, trace_id: &str) -> RequestId {
+        let prompt = Some(prompt(1000));
+        let call = self.new_call(path, 14_000, prompt, Digest(self.next), Credential::None);
+        self.arrive_as(Call { trace_id: trace_id.to_owned(), ..call })
+    }
+
     fn arrive(
         &mut self,
         path: &str,
@@ -146,9 +161,27 @@
         digest: Digest,
         credential: Credential,
     ) -> RequestId {
+        let call = self.new_call(path, patience_ms, prompt, digest, credential);
+        self.arrive_as(call)
+    }
+
+    fn arrive_as(&mut self, call: Call) -> RequestId {
+        let id = call.id;
+        self.feed(Event::Arrived(Box::new(call)));
+        id
+    }
+
+    fn new_call(
+        &mut self,
+        path: &str,
+        patience_ms: u64,
+        prompt: Option<Prompt>,
+        digest: Digest,
+        credential: Credential,
+    ) -> Call {
         let id = RequestId(self.next);
         self.next += 1;
-        let call = Call {
+        Call {
             id,
             trace_id: format!("trace-{}", id.0),
             digest,
@@ -158,9 +191,7 @@
             caller_timeout: Some(Duration::from_millis(patience_ms)),
             prompt,
             resumption: None,
-        };
-        self.feed(Event::Arrived(Box::new(call)));
-        id
+        }
     }
 
     /// An attempt of a request comes to something.
