--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     call::RequestId,
-    endpoint::{EndpointKey, Stage},
+    endpoint::{EndpointKey, SoftwareVersion, Stage},
     log_line::LogLine,
     reason::Refusal,
 };
@@ -100,6 +100,8 @@
     pub instance: String,
     /// The address that the endpoint listens on.
     pub addr: SocketAddr,
+    /// The version of the endpoint's software, as this daemon knows it.
+    pub software: SoftwareVersion,
     /// The peer that makes the call for this daemon; `None` if this daemon makes it itself.
     pub via: Option<SocketAddr>,
 }
--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -104,7 +104,7 @@
 
     /// Compares the incarnation in `record` with this one.
     ///
-    /// An incarnation serves one service for its whole life, and states its start time in all of
+    /// An incarnation serves one service with one version for its whole life, and states its start time in all of
     /// its records or in none. So a record that newly states a start time belongs to another
     /// incarnation: taking it for the same one would keep holds that may belong to other calls by
     /// now, while the opposite mistake costs reading some prompts again, once. A record without a
@@ -118,6 +118,7 @@
             (None, Some(_)) => StartOrder::Different,
             (Some(_), None) if self.addr != record.addr => StartOrder::Different,
             _ if self.service != record.service => StartOrder::Different,
+            _ if self.version != record.version => StartOrder::Different,
             _ => StartOrder::Same,
         }
     }
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -295,6 +295,8 @@
     Foreign,
     /// The answer broke off before its end, or stalled.
     CutOff,
+    /// The stream broke off, or stalled, before its first event.
+    NoEvent,
 }
 
 impl Damage {
@@ -306,6 +308,7 @@
             Damage::Garbled => "garbled",
             Damage::Foreign => "foreign",
             Damage::CutOff => "cut_off",
+            Damage::NoEvent => "no_event",
         }
     }
 }
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -35,6 +35,11 @@
         RateLimited = "limited",
         /// All endpoints of the service have asked this daemon for a pause.
         EndpointsPaused = "paused",
+        /// The call continues a stream, and no daemon that answers knows which version of the
+        /// endpoints' software began it.
+        StreamUnknown = "stream_unknown",
+        /// No endpoint has the version that began the stream which the call continues.
+        VersionGone = "version_gone",
         /// The call has crashed the endpoints that ran it.
         Quarantined = "quarantined",
         /// The call's time ran out while an endpoint was running it.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -16,6 +16,7 @@
 mod gossip;
 mod gossip_send;
 mod next_step;
+mod origin;
 mod outcome;
 mod placement;
 mod plain;
@@ -38,7 +39,7 @@
     endpoint::EndpointKey,
     event::Event,
     log_line::LogLine,
-    state::{Leaving, State, Usage, requests::Hold},
+    state::{Leaving, State, SystemStart, Usage, requests::Hold},
     topic::Topic,
 };
 
@@ -94,6 +95,7 @@
     }
     queue::resume_waiting(&mut ctx);
     endpoints::remove_expired(&mut ctx);
+    update_versions(&mut ctx);
     while let Some(id) = ctx.state.pop_due_timer(ctx.now) {
         step::handle_timer(&mut ctx, id);
         queue::resume_waiting(&mut ctx);
@@ -108,6 +110,15 @@
     roles::tick(&mut ctx);
 }
 
+/// Looks at the versions of endpoints if the list has changed.
+fn update_versions(ctx: &mut Context<'_>) {
+    let is_first_start = ctx.state.local.start == SystemStart::First;
+    let State { versions, directory, .. } = &mut *ctx.state;
+    if versions.update(directory, is_first_start, ctx.now) {
+        origin::announce_all(ctx);
+    }
+}
+
 /// Adds a call's usage to an endpoint, and schedules a gossip datagram if the call takes memory
 /// there. Plain calls don't trigger a datagram: they end before a peer could react, and heartbeats
 /// report them.
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -9,7 +9,10 @@
     log_line::LogLine,
     reason::Refusal,
     route::Route,
-    state::{Completion, Request, State, requests::QuotaStage},
+    state::{
+        Completion, Request, State,
+        requests::{OriginStage, QuotaStage},
+    },
     team::{Credential, Team},
 };
 
@@ -100,6 +103,10 @@
         maybe_run: false,
         proxy_failures: 0,
         answering: false,
+        origin: OriginStage::New,
+        asked_peers: Vec::new(),
+        pinned: None,
+        origin_recorded: false,
         last_failure: None,
         completion: Completion::default(),
         resume_at: None,
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -32,8 +32,10 @@
         return NextStep::GiveUp(request.last_failure.unwrap_or(Refusal::RetriesExhausted));
     }
     match (usable_kv(state, request, now), request.completion.hold.clone()) {
-        (Some(kv), Some(hold)) => request_decode(state, id, kv, hold, now),
-        (None, Some(hold)) => request_prefill(state, id, &hold, now),
+        (Some(kv), Some(hold)) if state.have_same_version(kv.endpoint, hold.endpoint) => {
+            request_decode(state, id, kv, hold, now)
+        }
+        (_, Some(hold)) => request_prefill(state, id, &hold, now),
         (_, None) => request_hold(state, id, now),
     }
 }
@@ -64,13 +66,14 @@
     };
     // Transferring a KV cache between data centres takes twice as long, so the decode endpoint is
     // picked near the endpoint that will read the prompt or has read it.
+    let pinned = request.pinned;
     let near = match &request.completion.kv {
         Some(kv) => Some(kv.endpoint),
-        None => placement::pick_prefill(state, &service, &[], None, prompt.tokens, now),
+        None => placement::pick_prefill(state, &service, &[], None, pinned, prompt.tokens, now),
     };
     let hold_ttl = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.max_hold);
     let peers_ahead = state.peers_ahead(&service, due, now);
-    let criteria = Criteria { near, usage, memory_fraction, session: prompt.session };
+    let criteria = Criteria { near, usage, memory_fraction, session: prompt.session, pinned };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
         DecodeChoice::At(endpoint) => endpoint,
         DecodeChoice::Full => {
@@ -79,6 +82,7 @@
         }
         DecodeChoice::Paused(until) => return NextStep::WaitForPause(until),
         DecodeChoice::None => return NextStep::GiveUp(Refusal::NoEndpoint),
+        DecodeChoice::VersionGone => return NextStep::GiveUp(Refusal::VersionGone),
     };
     let wait =
         state.tuning.queue_step.saturating_mul(u32::try_from(peers_ahead).unwrap_or(u32::MAX));
@@ -135,7 +139,8 @@
     if state.is_cold_start(now) {
         return request_stream(state, id, hold, now);
     }
-    let picked = placement::pick_prefill(state, &service, &tried, Some(hold.endpoint), tokens, now);
+    let near = Some(hold.endpoint);
+    let picked = placement::pick_prefill(state, &service, &tried, near, None, tokens, now);
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
     let is_worthwhile = |at: &EndpointKey| !is_sooner_at_decode(state, request, *at, tokens, now);
     let Some(endpoint) = picked.filter(is_worthwhile) else {
@@ -238,3 +243,11 @@
         retry,
     })
 }
+
+impl State {
+    /// Returns whether two endpoints have the same version of their software.
+    fn have_same_version(&self, one: EndpointKey, other: EndpointKey) -> bool {
+        let version = |key| self.directory.get(key).map(|endpoint| endpoint.info.software());
+        version(one) == version(other)
+    }
+}
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -10,7 +10,7 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, crash, freshness, gossip_send, quota};
+use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota};
 use crate::{
     log_line::LogLine,
     state::{
@@ -106,6 +106,7 @@
         ctx.log(LogLine::new("peer").with("addr", from).with("state", "up"));
     }
     if is_new_start && !gossip.leaving {
+        origin::announce_to(ctx, from);
         gossip_send::introduce(ctx, from, gossip.incarnation);
     }
     ctx.state.capacity_changed = true;
@@ -121,6 +122,7 @@
     freshness::handle_messages(ctx, from, &gossip.ages);
     quota::handle_uses(ctx, from, gossip);
     quota::handle_states(ctx, from, &gossip.quota_states);
+    origin::handle_messages(ctx, from, gossip);
 }
 
 /// Records a change that a peer has seen. The revision that the store was found not to have is
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -351,6 +351,12 @@
         }
     }
 
+    /// Takes the bytes of messages to single peers out of the token bucket, so that all that peers
+    /// receive stays within their limit.
+    pub(super) fn spend_direct(&mut self, bytes: usize, now: Duration) {
+        self.spend(bytes.div_ceil(self.known.len().max(1)), now);
+    }
+
     /// Takes a datagram's bytes out of the token bucket.
     fn spend(&mut self, bytes: usize, now: Duration) {
         // The traffic of a small fleet is not limited, and must not block datagrams once the fleet
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    endpoint::{EndpointKey, Stage},
+    endpoint::{EndpointKey, SoftwareVersion, Stage},
     state::{Endpoint, Reach, State, Usage},
 };
 
@@ -21,11 +21,18 @@
 /// prompt.
 const PREFILL_SECONDS_TOLERANCE: f64 = 0.01;
 
-/// Picks the endpoint of a plain service that should answer soonest.
+/// Returns whether an endpoint has the version that a call needs.
+fn is_allowed(endpoint: &Endpoint, pinned: Option<SoftwareVersion>) -> bool {
+    pinned.is_none_or(|version| endpoint.info.software() == version)
+}
+
+/// Picks the endpoint of a plain service that should answer soonest. If `pinned` is given, it has
+/// that version.
 pub fn pick_plain(
     state: &mut State,
     service: &str,
     tried: &[EndpointKey],
+    pinned: Option<SoftwareVersion>,
     now: Duration,
 ) -> PlainChoice {
     let local = &state.local.data_centre;
@@ -36,8 +43,10 @@
         state.directory.available(service, now).filter_map(|(_, e)| e.mean_answer_time).min();
     let fastest = fastest.unwrap_or_default();
     let reached = Reached::of(state, service, now);
-    let permitted =
-        state.directory.available(service, now).filter(|(key, _)| state.has_permit(*key, now));
+    let permitted = state
+        .directory
+        .available(service, now)
+        .filter(|(key, e)| is_allowed(e, pinned) && state.has_permit(*key, now));
     let candidates = permitted.filter_map(|(key, endpoint)| {
         let proxy_cost = reached.cost(key, tried.contains(&key))?;
         let mean = endpoint.mean_answer_time.unwrap_or(fastest);
@@ -55,6 +64,7 @@
     let candidates: Vec<_> = candidates.collect();
     match pick_cheapest(state, &candidates, 0.0) {
         Some(key) => PlainChoice::At(key),
+        None if !state.has_version(service, None, pinned) => PlainChoice::VersionGone,
         None if reached.is_any(state.directory.available(service, now), tried) => {
             PlainChoice::Limited
         }
@@ -78,6 +88,8 @@
     Paused(Duration),
     /// The service has no endpoint.
     None,
+    /// No endpoint of the service has the version that the call needs.
+    VersionGone,
 }
 
 /// What a completion needs from a decode endpoint.
@@ -91,6 +103,8 @@
     pub memory_fraction: f64,
     /// The session that it belongs to.
     pub session: Option<u64>,
+    /// The version of endpoints that it needs, if not any will do.
+    pub pinned: Option<SoftwareVersion>,
 }
 
 /// Picks the completion's home endpoint if that has capacity, else the decode endpoint with the
@@ -110,7 +124,8 @@
     let data_centre = data_centre.unwrap_or_else(|| state.local.data_centre.clone());
     let endpoints = state.directory.available_in_stage(service, Stage::Decode, now);
     // An idle endpoint accepts any completion, however large.
-    let permitted = endpoints.filter(|(key, _)| state.has_permit(*key, now));
+    let permitted =
+        endpoints.filter(|(key, e)| is_allowed(e, criteria.pinned) && state.has_permit(*key, now));
     let peaks = permitted.map(|(key, e)| (key, e, e.peak_tokens(criteria.usage, now, growth)));
     let fitting = peaks.filter(|(_, e, peak)| e.total_calls() == 0 || *peak <= max_tokens);
     let reached = Reached::of(state, service, now);
@@ -133,6 +148,7 @@
     let has_usable = state
         .directory
         .available_in_stage(service, Stage::Decode, now)
+        .filter(|(_, e)| is_allowed(e, criteria.pinned))
         .any(|(key, e)| e.avoided_until <= now && reached.cost(key, false).is_some());
     if has_usable && candidates.iter().all(|candidate| !candidate.avoided_for.is_zero()) {
         return DecodeChoice::Full;
@@ -141,6 +157,9 @@
         criteria.session.and_then(|session| pick_home(state, service, session, &candidates, now));
     match home.or_else(|| pick_cheapest(state, &candidates, MEMORY_FRACTION_TOLERANCE)) {
         Some(key) => DecodeChoice::At(key),
+        None if !state.has_version(service, Some(Stage::Decode), criteria.pinned) => {
+            DecodeChoice::VersionGone
+        }
         None => no_decode_endpoint(state, service, now),
     }
 }
@@ -210,6 +229,8 @@
     Paused(Duration),
     /// The service has no decode endpoint.
     None,
+    /// No decode endpoint of the service has the version that the completion needs.
+    VersionGone,
 }
 
 /// Fraction of a decode endpoint's memory that counts as the cost of a remote data centre. A KV
@@ -217,12 +238,14 @@
 /// completions of twelve.
 const REMOTE_MEMORY_FRACTION: f64 = 0.15;
 
-/// Picks the prefill endpoint that should have read the prompt soonest.
+/// Picks the prefill endpoint that should have read the prompt soonest, for the decode endpoint
+/// `near` if that is known, or for any one of the version `pinned`.
 pub fn pick_prefill(
     state: &mut State,
     service: &str,
     tried: &[EndpointKey],
     near: Option<EndpointKey>,
+    pinned: Option<SoftwareVersion>,
     tokens: u32,
     now: Duration,
 ) -> Option<EndpointKey> {
@@ -234,7 +257,12 @@
         Some(_) => state.tuning.remote_kv_cost.as_secs_f64(),
         None => state.tuning.remote_cost.as_secs_f64(),
     };
-    let endpoints = state.directory.available_in_stage(service, Stage::Prefill, now);
+    // A KV cache of another version would be of no use to the decode endpoint.
+    let decoded_by = near.and_then(|key| state.directory.get(key)).map(|e| e.info.software());
+    let endpoints = state
+        .directory
+        .available_in_stage(service, Stage::Prefill, now)
+        .filter(|(_, e)| is_allowed(e, pinned.or(decoded_by)));
     let reached = Reached::of(state, service, now);
     let candidates =
         endpoints.filter(|(key, _)| state.has_permit(*key, now)).filter_map(|(key, endpoint)| {
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -42,12 +42,17 @@
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let (timeout, streams) = (request.remaining(now), request.route.kind == RouteKind::Streaming);
     let waits = request.active_attempts.is_empty();
-    let endpoint = match placement::pick_plain(state, &service, &tried, now) {
+    let pinned = request.pinned;
+    let endpoint = match placement::pick_plain(state, &service, &tried, pinned, now) {
         PlainChoice::At(endpoint) => endpoint,
         PlainChoice::Limited if waits => return NextStep::WaitForPermit,
         PlainChoice::Paused(until) if waits => return NextStep::WaitForPause(until),
         PlainChoice::None if waits => return NextStep::GiveUp(Refusal::NoEndpoint),
-        PlainChoice::Limited | PlainChoice::Paused(_) | PlainChoice::None => return NextStep::Wait,
+        PlainChoice::VersionGone if waits => return NextStep::GiveUp(Refusal::VersionGone),
+        PlainChoice::Limited
+        | PlainChoice::Paused(_)
+        | PlainChoice::None
+        | PlainChoice::VersionGone => return NextStep::Wait,
     };
     let usage = Usage::plain();
     let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -33,20 +33,20 @@
     order.sort_unstable();
     ctx.state.waiting.clear();
     ctx.state.queue.next_turn = None;
-    // Services have separate endpoints, so if one service is full, another may not be.
-    let mut full_services = HashSet::new();
+    // Services, and versions that streams must go on at, have separate endpoints: if one is full,
+    // another may not be. Where a completion waits that any version would do for, all are full.
+    let mut full = HashSet::new();
     for (_, id) in order {
-        let Some(service) = ctx.state.requests.get(&id).map(|r| r.service.clone()) else {
-            continue;
-        };
-        if full_services.contains(&service) {
+        let Some(request) = ctx.state.requests.get(&id) else { continue };
+        let (service, pinned) = (request.service.clone(), request.pinned);
+        if full.contains(&(service.clone(), None)) || full.contains(&(service.clone(), pinned)) {
             ctx.state.waiting.push(id);
             continue;
         }
         step::proceed(ctx, id);
-        // It waits again, so there is no capacity for the other completions of its service either.
+        // It waits again, so there is no capacity for the others that need the same endpoints either.
         if ctx.state.waiting.contains(&id) {
-            full_services.insert(service);
+            full.insert((service, pinned));
         }
     }
 }
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -5,7 +5,7 @@
 use super::{
     Context, add_usage, call_limit, completion, crash, finish,
     next_step::{Dispatch, NextStep},
-    plain, quota, remove_usage, suspect,
+    origin, plain, quota, remove_usage, suspect,
 };
 use crate::{
     call::RequestId,
@@ -14,7 +14,7 @@
     reason::Refusal,
     state::{
         Request, State,
-        requests::{ActiveAttempt, QuotaStage, Step},
+        requests::{ActiveAttempt, OriginStage, QuotaStage, Step},
     },
 };
 
@@ -29,7 +29,7 @@
 
 /// Takes the next step of a request, unless an attempt in progress has to be waited for.
 pub fn proceed(ctx: &mut Context<'_>, id: RequestId) {
-    if !quota::check_quota(ctx, id) {
+    if !origin::check_origin(ctx, id) || !quota::check_quota(ctx, id) {
         return;
     }
     finish::release_unusable_hold(ctx, id);
@@ -147,8 +147,9 @@
     if ctx.state.waiting.contains(&id) && request.caller_deadline() <= ctx.now + lead {
         return finish::give_up(ctx, id, Refusal::WaitTimedOut);
     }
-    let awaits_quota = matches!(request.quota, QuotaStage::Asked { .. });
-    if awaits_quota || ctx.state.permit_holder.waiting.contains(&id) {
+    let awaits_answer = matches!(request.quota, QuotaStage::Asked { .. })
+        || matches!(request.origin, OriginStage::Asked { .. });
+    if awaits_answer || ctx.state.permit_holder.waiting.contains(&id) {
         return proceed(ctx, id);
     }
     if request.resume_at.is_some_and(|at| at <= ctx.now) {
--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Returns the services that share its calls.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        let used = self.split.iter().filter(|(_, weight)| *weight != 0);
+        used.map(|(service, _)| service.as_str())
+    }
+
     /// Returns the service for `unit`, a random number from 0 up to but excluding 1, by the
     /// services' weights.
     #[must_use]
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -9,6 +9,7 @@
 pub mod freshness;
 pub mod generation;
 pub mod local;
+pub mod origins;
 pub mod owned_quotas;
 pub mod owner;
 pub mod peers;
@@ -23,6 +24,7 @@
 pub mod statements;
 pub mod suspects;
 pub mod usage;
+pub mod versions;
 pub mod watchers;
 
 use std::{
@@ -43,6 +45,7 @@
     freshness::Freshness,
     generation::GenerationStats,
     local::{Leaving, Local, SystemStart},
+    origins::Origins,
     owned_quotas::OwnedQuotas,
     peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peer, Peers},
     permit_holder::PermitHolder,
@@ -56,12 +59,13 @@
     statements::Statements,
     suspects::Suspects,
     usage::{Growth, Usage},
+    versions::Versions,
     watchers::FollowState,
 };
 use crate::{
     call::RequestId,
     effect::Effect,
-    endpoint::EndpointKey,
+    endpoint::{EndpointKey, SoftwareVersion, Stage},
     purpose::Purpose,
     reading::ReaderContext,
     route::RouteTable,
@@ -124,6 +128,10 @@
     pub quotas: Quotas,
     /// Quotas that this daemon owns, and so counts for all daemons.
     pub owned_quotas: OwnedQuotas,
+    /// Which versions of endpoints' software began streams.
+    pub origins: Origins,
+    /// The versions of endpoints' software.
+    pub versions: Versions,
     /// Calls that are not sent to endpoints.
     pub quarantine: Quarantine,
     /// Generation speed of completions by service, as measured by this daemon.
@@ -186,6 +194,8 @@
             permit_holder: PermitHolder::default(),
             permit_issuer: PermitIssuer::default(),
             crashes: Crashes::default(),
+            origins: Origins::default(),
+            versions: Versions::default(),
             quarantine: Quarantine::default(),
             freshness: Freshness::default(),
             quotas: Quotas::default(),
@@ -240,6 +250,44 @@
         self.is_recently_started(now) && !self.peers.known.values().any(is_older)
     }
 
+    /// Returns whether this daemon, or a peer that it knows, has known the versions of endpoints for as
+    /// long as a stream may last.
+    pub(crate) fn remembers_versions(&self, now: Duration) -> bool {
+        let lifetime = origins::STREAM_LIFETIME;
+        let oldest = self.unix_ms(now).saturating_sub(lifetime.as_millis() as u64);
+        let is_old = |peer: &Peer| peer.incarnation <= oldest;
+        self.versions.are_known_for(lifetime, now) || self.peers.known.values().any(is_old)
+    }
+
+    /// Returns the time of day in milliseconds since the Unix epoch, as the clock showed it when this
+    /// daemon started.
+    pub(crate) fn unix_ms(&self, now: Duration) -> u64 {
+        let age = now.saturating_sub(self.started.unwrap_or(now)).as_millis();
+        self.local.incarnation.saturating_add(u64::try_from(age).unwrap_or(u64::MAX))
+    }
+
+    /// Returns whether an endpoint of a service, with a stage if that is given, has a version and is
+    /// in service. Any will do if no version is given.
+    pub(crate) fn has_version(
+        &self,
+        service: &str,
+        stage: Option<Stage>,
+        version: Option<SoftwareVersion>,
+    ) -> bool {
+        let Some(version) = version else { return true };
+        let has_stage = |e: &Endpoint| stage.is_none() || e.info.stage == stage;
+        let mut endpoints = self.directory.in_service(service);
+        endpoints.any(|(_, e)| has_stage(e) && e.info.software() == version)
+    }
+
+    /// Returns whether a service has endpoints of several versions, or had a moment ago.
+    pub(crate) fn has_several_versions(&self, now: Duration) -> bool {
+        self.routes
+            .services
+            .keys()
+            .any(|service| self.versions.are_several(std::iter::once(service.as_str()), now))
+    }
+
     /// Returns whether this daemon has just restarted.
     fn is_recently_started(&self, now: Duration) -> bool {
         self.restarted_within(self.tuning.cold_start, now)
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -25,6 +25,8 @@
     pub restore_doubt_until: Duration,
     /// Whether a read of the list has failed since `read_at`.
     pub store_lost: bool,
+    /// Increases with each change of the endpoints.
+    pub generation: u64,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     /// The current incarnation of each instance.
     instances: HashMap<String, EndpointKey>,
@@ -118,7 +120,8 @@
     #[must_use]
     pub fn target(&self, key: EndpointKey) -> Option<Target> {
         let info = &self.endpoints.get(key).filter(|e| !e.ended)?.info;
-        Some(Target { endpoint: key, instance: info.instance.clone(), addr: info.addr, via: None })
+        let (instance, software) = (info.instance.clone(), info.software());
+        Some(Target { endpoint: key, instance, addr: info.addr, software, via: None })
     }
 
     /// Returns whether the endpoint may still have what it held for calls.
@@ -130,6 +133,7 @@
     /// Applies a record of a known incarnation, and returns whether the record has changed.
     pub fn update(&mut self, key: EndpointKey, info: EndpointInfo) -> bool {
         let Some(endpoint) = self.endpoints.get_mut(key) else { return false };
+        self.generation += 1;
         endpoint.expires_at = None;
         let changed = endpoint.unlisted || endpoint.info != info;
         endpoint.unlisted = false;
@@ -146,6 +150,7 @@
     pub fn insert(&mut self, info: EndpointInfo) -> EndpointKey {
         let (instance, service) = (info.instance.clone(), info.service.clone());
         let (hash, addr) = (incarnation_hash(&info), info.addr);
+        self.generation += 1;
         let key = self.endpoints.insert(Endpoint::new(info));
         self.addresses.entry(addr).or_default().push(key);
         self.hashes.insert(hash, key);
@@ -201,6 +206,7 @@
 
     /// Takes an endpoint off the list. It is removed once it has no calls.
     pub fn unlist(&mut self, key: EndpointKey) {
+        self.generation += 1;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.unlisted = true;
             endpoint.expires_at = None;
--- /dev/null
+++ b/crates/basilbank_forward/src/state/origins.rs
@@ -0,0 +1,97 @@
+//! Which version of an endpoint's software began a stream.
+//!
+//! A stream may go on only at the version that began it. Its caller may come back to any daemon, so
+//! the daemon that begins a stream tells some others. Records are kept for as long as a stream may
+//! last.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use crate::{call::StreamId, endpoint::SoftwareVersion};
+
+/// Maximum time from a stream's first event to the last try of its caller.
+pub const STREAM_LIFETIME: Duration = Duration::from_secs(20);
+
+/// Maximum number of records. Those that end first are dropped beyond that.
+const MAX_RECORDS: usize = 16_384;
+
+/// The version that began a stream.
+#[derive(Clone, Copy, Debug)]
+struct Origin {
+    version: SoftwareVersion,
+    until: Duration,
+    /// Whether an endpoint streamed to this daemon, so that this daemon tells others.
+    is_own: bool,
+}
+
+/// The versions that began streams, as far as this daemon knows.
+#[derive(Debug, Default)]
+pub struct Origins {
+    records: HashMap<StreamId, Origin>,
+    /// When records end, in order. A record that was made anew has an older entry as well.
+    ends: VecDeque<(Duration, StreamId)>,
+}
+
+impl Origins {
+    /// Records the version that began a stream. What this daemon has seen itself is not replaced by
+    /// what a peer says.
+    pub fn record(
+        &mut self,
+        stream: StreamId,
+        version: SoftwareVersion,
+        is_own: bool,
+        now: Duration,
+    ) {
+        self.expire(now);
+        let known = self.records.get(&stream);
+        if known.is_some_and(|known| known.is_own && !is_own) {
+            return;
+        }
+        let until = now + STREAM_LIFETIME;
+        self.records.insert(stream, Origin { version, until, is_own });
+        self.ends.push_back((until, stream));
+        while MAX_RECORDS < self.ends.len() {
+            self.remove_first();
+        }
+    }
+
+    /// Returns the version that began a stream.
+    #[must_use]
+    pub fn get(&self, stream: StreamId, now: Duration) -> Option<SoftwareVersion> {
+        self.records.get(&stream).filter(|origin| now < origin.until).map(|origin| origin.version)
+    }
+
+    /// Returns the streams that endpoints sent to this daemon.
+    pub fn own(&self, now: Duration) -> impl Iterator<Item = (StreamId, SoftwareVersion)> {
+        let own =
+            self.records.iter().filter(move |(_, origin)| origin.is_own && now < origin.until);
+        own.map(|(stream, origin)| (*stream, origin.version))
+    }
+
+    /// Returns the number of records.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no records.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while self.ends.front().is_some_and(|(until, _)| *until <= now) {
+            self.remove_first();
+        }
+    }
+
+    fn remove_first(&mut self) {
+        let Some((until, stream)) = self.ends.pop_front() else { return };
+        if self.records.get(&stream).is_some_and(|origin| origin.until <= until) {
+            self.records.remove(&stream);
+        }
+    }
+}
--- a/crates/basilbank_forward/src/state/owner.rs
+++ b/crates/basilbank_forward/src/state/owner.rs
@@ -7,6 +7,16 @@
 use super::{State, peers::to_wire};
 
 impl State {
+    /// Returns the `count` peers with the highest hashes for a subject, the highest first. Those that
+    /// are leaving are left out.
+    #[must_use]
+    pub fn peers_by_weight(&self, subject: u64, count: usize) -> Vec<SocketAddr> {
+        let staying = self.peers.known.iter().filter(|(_, peer)| !peer.leaving);
+        let mut all: Vec<_> = staying.filter_map(|(at, _)| weight(at, subject)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
     /// Returns the peer that owns a subject, or `None` when this daemon does. `subject` is a hash
     /// that identifies it.
     ///
@@ -19,11 +29,7 @@
         subject: u64,
         is_eligible: impl Fn(&SocketAddr) -> bool,
     ) -> Option<SocketAddr> {
-        let weight = |address: &SocketAddr| {
-            let peer = to_wire(address)?;
-            let name = [peer.ip.to_be_bytes(), peer.port.to_be_bytes()].concat();
-            Some((xxh3_64_with_seed(&name, subject), *address))
-        };
+        let weight = |address: &SocketAddr| weight(address, subject);
         let staying = self.peers.known.iter().filter(|(at, peer)| !peer.leaving && is_eligible(at));
         let first = staying.filter_map(|(address, _)| weight(address)).max()?;
         let own =
@@ -31,3 +37,10 @@
         (own < Some(first)).then_some(first.1)
     }
 }
+
+/// Returns a daemon's hash for a subject, with its address.
+fn weight(address: &SocketAddr, subject: u64) -> Option<(u64, SocketAddr)> {
+    let peer = to_wire(address)?;
+    let name = [peer.ip.to_be_bytes(), peer.port.to_be_bytes()].concat();
+    Some((xxh3_64_with_seed(&name, subject), *address))
+}
--- a/crates/basilbank_forward/src/state/proxies.rs
+++ b/crates/basilbank_forward/src/state/proxies.rs
@@ -4,7 +4,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use super::{State, service_hash};
-use crate::{effect::Target, endpoint::EndpointKey, event::NotProxied, purpose::Purpose};
+use crate::{
+    effect::Target,
+    endpoint::{EndpointKey, SoftwareVersion},
+    event::NotProxied,
+    purpose::Purpose,
+};
 
 /// Time for which a peer that could not reach an endpoint is not asked to call it.
 const AVOID_PATH: Duration = Duration::from_millis(1000);
@@ -170,10 +175,16 @@
     pub fn admit_proxied(
         &self,
         instance: &str,
+        software: Option<SoftwareVersion>,
         purpose: Purpose,
         now: Duration,
     ) -> Result<Target, NotProxied> {
         let key = self.directory.find(instance).ok_or(NotProxied::Declined)?;
+        // This daemon may know of a later start with another version, or not yet.
+        let known = self.directory.get(key).map(|endpoint| endpoint.info.software());
+        if software.is_some() && software != known {
+            return Err(NotProxied::Declined);
+        }
         let is_full = MAX_SERVED <= self.proxies.serving;
         if is_full || self.leaving.is_some() || !self.may_send(key, purpose, now) {
             return Err(NotProxied::Declined);
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -5,7 +5,7 @@
 use super::{QueuePosition, Usage};
 use crate::{
     call::Call,
-    endpoint::EndpointKey,
+    endpoint::{EndpointKey, SoftwareVersion},
     reason::Refusal,
     route::Route,
     team::{QuotaUnit, Team},
@@ -54,6 +54,15 @@
     pub proxy_failures: u32,
     /// Whether its answer has begun.
     pub answering: bool,
+    /// Whether the version that began the stream which it continues is known.
+    pub origin: OriginStage,
+    /// Peers that were asked for that version and have not answered.
+    pub asked_peers: Vec<SocketAddr>,
+    /// The version of the endpoints' software at which its stream must go on; `None` while any will
+    /// do.
+    pub pinned: Option<SoftwareVersion>,
+    /// Whether the version that began its stream was recorded.
+    pub origin_recorded: bool,
     /// The last failure.
     pub last_failure: Option<Refusal>,
     /// Its progress, if it is a completion.
@@ -68,6 +77,23 @@
     pub timers: Vec<Duration>,
 }
 
+/// Whether the version that began a continued stream is known.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum OriginStage {
+    /// Nothing was looked up.
+    #[default]
+    New,
+    /// Peers were asked.
+    Asked {
+        /// Until when answers are awaited.
+        until: Duration,
+        /// When the question is sent again, once.
+        resend_at: Option<Duration>,
+    },
+    /// It is known, or doesn't matter.
+    Settled,
+}
+
 /// The state of a request's part of its team's quota.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub enum QuotaStage {
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -90,7 +90,9 @@
         ProxyPurpose::Unspecified => return fail(writer, ProxyFailure::Declined).await,
     };
     let now = router.now();
-    let admitted = router.read(|state| state.admit_proxied(&request.instance, purpose, now));
+    let software = request.version.and_then(SoftwareVersion::from_wire);
+    let admitted =
+        router.read(|state| state.admit_proxied(&request.instance, software, purpose, now));
     let target = match admitted {
         Ok(target) => target,
         Err(refusal) => {
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -22,6 +22,8 @@
 pub struct RelayEnd {
     /// Whether the stream is complete.
     pub is_complete: bool,
+    /// Whether an event was forwarded.
+    pub has_events: bool,
     /// Id of the last event that was forwarded completely.
     pub last_event_id: Option<String>,
 }
@@ -29,7 +31,7 @@
 impl RelayEnd {
     fn new(is_complete: bool, events: &EventSplitter) -> RelayEnd {
         let last_event_id = events.last_event_id().map(str::to_owned);
-        RelayEnd { is_complete, last_event_id }
+        RelayEnd { is_complete, has_events: events.has_events(), last_event_id }
     }
 }
 
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -55,6 +55,7 @@
         pending: HashMap::new(),
         responder: Responder::Waiting(sender),
         last_event_id: None,
+        has_events: false,
     };
     spawn_local(task.run());
     // The task always answers; it is gone without an answer only after a panic.
@@ -130,6 +131,8 @@
     pending: HashMap<u32, Option<PendingAnswer>>,
     responder: Responder,
     last_event_id: Option<String>,
+    /// Whether an event was sent to the caller.
+    has_events: bool,
 }
 
 /// Whether the task continues.
@@ -209,9 +212,11 @@
                 if ended.last_event_id.is_some() {
                     self.last_event_id = ended.last_event_id;
                 }
+                self.has_events |= ended.has_events;
                 match ended.is_complete {
                     true => Outcome::Finished,
-                    false => Outcome::Broken(Damage::CutOff),
+                    false if self.has_events => Outcome::Broken(Damage::CutOff),
+                    false => Outcome::Broken(Damage::NoEvent),
                 }
             }
         };
--- a/crates/basilbank_wire/src/direct.rs
+++ b/crates/basilbank_wire/src/direct.rs
@@ -1,5 +1,5 @@
-//! Direct messages between two daemons: how new a configuration is, and how much of a team's quota
-//! is used.
+//! Direct messages between two daemons: how new a configuration is, how much of a team's quota is
+//! used, and which version of an endpoint's software began a stream.
 //!
 //! They travel in datagrams of their own, without the sender's load and without a sequence number.
 
@@ -96,3 +96,27 @@
     #[prost(uint32, tag = "3")]
     pub wait: u32,
 }
+
+/// Says which version of an endpoint's software began a stream: as an announcement, or as the answer
+/// to an [`OriginQuery`].
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct StreamOrigin {
+    /// Hash of the caller's id of the attempt that brought the stream's first event.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Hash of service and version; 0 in an answer if the sender doesn't know.
+    #[prost(fixed32, tag = "2")]
+    pub version: u32,
+}
+
+/// Asks which version began a stream.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct OriginQuery {
+    /// Hash of the caller's id of the attempt that brought the stream's first event.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Hash of the name of the service that the stream's route leads to; 0 if there are several. A
+    /// daemon that has seen one version of it for long needs no record of the stream.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+}
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -18,7 +18,10 @@
 
 pub use authenticator::{Authenticator, MAC_LEN};
 pub use codec::FramedStream;
-pub use direct::{ConfigurationAge, QuotaAnswer, QuotaCounted, QuotaRequest, QuotaState, QuotaUse};
+pub use direct::{
+    ConfigurationAge, OriginQuery, QuotaAnswer, QuotaCounted, QuotaRequest, QuotaState, QuotaUse,
+    StreamOrigin,
+};
 pub use drop_reason::DropReason;
 pub use load::{
     AvoidedEndpoint, CallLimitReport, CrashReport, EndpointLoad, LoadGossip, PeerAddress, Permit,
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -1,6 +1,6 @@
 //! The gossip datagram by which daemons that forward calls share their load at endpoints.
 
-use crate::direct::{ConfigurationAge, QuotaState, QuotaUse};
+use crate::direct::{ConfigurationAge, OriginQuery, QuotaState, QuotaUse, StreamOrigin};
 
 /// The load that one daemon has at endpoints, and some of the peers that it knows.
 ///
@@ -95,6 +95,15 @@
     /// can't call them for others.
     #[prost(fixed32, repeated, tag = "29")]
     pub unreached: Vec<u32>,
+    /// Direct messages: versions that began streams, for the daemons that keep them.
+    #[prost(message, repeated, tag = "30")]
+    pub origins: Vec<StreamOrigin>,
+    /// Direct messages: questions for versions that began streams.
+    #[prost(message, repeated, tag = "31")]
+    pub origin_queries: Vec<OriginQuery>,
+    /// Direct messages: answers to these questions.
+    #[prost(message, repeated, tag = "32")]
+    pub origin_answers: Vec<StreamOrigin>,
 }
 
 /// A point in the history of the platform's store.
--- a/crates/basilbank_wire/src/proxy.rs
+++ b/crates/basilbank_wire/src/proxy.rs
@@ -51,6 +51,10 @@
     /// calls for itself.
     #[prost(fixed64, optional, tag = "10")]
     pub digest: Option<u64>,
+    /// Hash of the version of the endpoint's software that the sender knows. The receiver declines the
+    /// call if it knows another one; none if the version doesn't matter.
+    #[prost(fixed32, optional, tag = "11")]
+    pub version: Option<u32>,
     /// The endpoint's instance. The receiver sends to the address at which it knows the instance.
     #[prost(string, tag = "2")]
     pub instance: String,
