A reset ends no answer of a plain service

Callers of the product's own interface got half a plain answer with status 200: a service that frames its answer by neither length nor chunks was reset in the middle, and the call counted as answered.

Cause: a body without length or chunks ends with its connection, and the HTTP client takes a reset for such an end as well as an orderly close; it tells them apart by the error's kind alone. Connections now take the kind off errors of reads, so a reset is an error of the body. One place decides that, below all readers (engines, plain services, platform). An orderly close still ends such an answer, since it has no other mark.

New rows play length, chunks and neither, broken off by a close, a reset or silence in the head, inside the last piece, before it and behind it, for prefill, decode, resumed stream, plain call, load, list of streams, order, and (without silence) the platform's reads.

--- a/crates/basilbank/src/engine.rs
+++ b/crates/basilbank/src/engine.rs
@@ -7,6 +7,7 @@
 pub(crate) mod agent;
 mod attempts;
 mod control;
+mod dial;
 mod draft;
 mod lines;
 mod plain;
--- a/crates/basilbank/src/engine/agent.rs
+++ b/crates/basilbank/src/engine/agent.rs
@@ -3,14 +3,9 @@
 use std::time::Duration;
 
 use basilbank_core::event::Failure;
-use ureq::{
-    Agent, Timeout,
-    config::Config,
-    unversioned::{
-        resolver::DefaultResolver,
-        transport::{ConnectionDetails, Connector, TcpConnector},
-    },
-};
+use ureq::{Agent, Timeout, config::Config, unversioned::resolver::DefaultResolver};
+
+use crate::engine::dial::Dial;
 
 /// Time for a connection to be made.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -57,26 +52,6 @@
     Agent::with_parts(config, Dial::default(), DefaultResolver::default())
 }
 
-/// Makes TCP connections, and tells a failure to make one from all later failures.
-///
-/// The error kinds of the operating system overlap: `HostUnreachable` may come from `connect`, but
-/// also from a read after the request was sent. Taken for 'nothing was sent' the latter would let
-/// a call that may not be repeated run twice. So every failure to connect gets an error of its own.
-#[derive(Debug, Default)]
-struct Dial(TcpConnector);
-
-impl Connector for Dial {
-    type Out = <TcpConnector as Connector>::Out;
-
-    fn connect(
-        &self,
-        details: &ConnectionDetails<'_>,
-        chained: Option<()>,
-    ) -> Result<Option<Self::Out>, ureq::Error> {
-        self.0.connect(details, chained).map_err(|_| ureq::Error::ConnectionFailed)
-    }
-}
-
 /// What an error proves. Everything but a failure to connect counts as sent.
 #[must_use]
 pub fn failure(error: &ureq::Error) -> Failure {
--- a/crates/basilbank/tests/shell/main.rs
+++ b/crates/basilbank/tests/shell/main.rs
@@ -1,6 +1,8 @@
 //! The shell's parts, each against a few bytes of the other side.
 
 mod admin;
+mod breaks;
+mod ends;
 mod engine_control;
 mod engine_draft;
 mod engine_plain;
