Tests: how streams without chunks end, and bodies that break off

Nothing was wrong here. A caller that knows no chunks (HTTP/1.0) sees the connection close after [DONE] if the stream is whole, and after an error event, without [DONE], if it is not.

--- a/crates/basilbank/tests/callers_http/client.rs
+++ b/crates/basilbank/tests/callers_http/client.rs
@@ -33,6 +33,11 @@
         Client { reader: BufReader::new(stream) }
     }
 
+    /// The connection, without what has been read ahead.
+    pub fn stream(&mut self) -> &mut TcpStream {
+        self.reader.get_mut()
+    }
+
     pub fn send(&mut self, text: &str) {
         self.reader.get_mut().write_all(text.as_bytes()).unwrap();
     }
--- a/crates/basilbank/tests/callers_http/main.rs
+++ b/crates/basilbank/tests/callers_http/main.rs
@@ -7,6 +7,7 @@
 mod cursors;
 mod drafts;
 mod edge;
+mod ends;
 mod leaving;
 mod limits;
 mod models;
