The tests' callers take only proved answers for whole

The reader of the tests' and the soak's callers called an answer whole that broke off inside its end mark: behind the last chunk's size, or inside it ("0" may be half of a size), inside the line break or the trailers behind it; and it took half a blank line for the end of the head. It also filled up what had not come with zero bytes, so a stream with a length or chunks that broke off read as one with wrong bytes ("the body, as far as it came"), and an answer that has no body (204, 304) as broken.

Now one function reads lines, and one without its line break has been broken off; one reads counted bytes and keeps what came. An orderly close still ends a body with neither length nor chunks, a reset or silence does not.

--- a/crates/basilbank_standin/src/managed/http.rs
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    io::{self, BufRead, BufReader, Write},
+    io::{self, BufRead, BufReader, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, PoisonError, Weak,
@@ -122,25 +122,19 @@
     let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
     let status = status.ok_or_else(|| io::Error::other(format!("no answer: {first:?}")))?;
     let mut answer = Answer { status, headers, ..Answer::default() };
-    answer.whole = read_body(from, &answer.headers, &mut answer.body).is_ok();
+    let has_no_body = matches!(status, 204 | 304);
+    answer.whole = has_no_body || read_body(from, &answer.headers, &mut answer.body).is_ok();
     Ok(answer)
 }
 
 /// Reads the first line and the headers.
 pub(super) fn read_head(from: &mut impl BufRead) -> io::Result<(String, HashMap<String, String>)> {
-    let mut first = String::new();
-    if from.read_line(&mut first)? == 0 {
-        return Err(io::ErrorKind::UnexpectedEof.into());
-    }
+    let first = read_line(from)?;
     let mut headers = HashMap::new();
     loop {
-        let mut line = String::new();
-        if from.read_line(&mut line)? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        let line = line.trim_end();
+        let line = read_line(from)?;
         if line.is_empty() {
-            return Ok((first.trim_end().to_owned(), headers));
+            return Ok((first, headers));
         }
         if let Some((name, value)) = line.split_once(':') {
             headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
@@ -148,38 +142,55 @@
     }
 }
 
-/// Reads a body by its length or its chunks, else to the connection's end.
+/// Reads a body by its length or its chunks, else to the connection's orderly end. What came before
+/// an error is in `body`.
 pub(super) fn read_body(
     from: &mut impl BufRead,
     headers: &HashMap<String, String>,
     body: &mut Vec<u8>,
 ) -> io::Result<()> {
-    if headers.get("transfer-encoding").is_some_and(|v| v == "chunked") {
+    if headers.get("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
         return read_chunks(from, body);
     }
-    match headers.get("content-length").and_then(|v| v.parse::<usize>().ok()) {
-        Some(length) => {
-            body.resize(length, 0);
-            from.read_exact(body)
-        }
+    match headers.get("content-length") {
+        Some(length) => read_bytes(from, length.parse().map_err(io::Error::other)?, body),
         None => from.read_to_end(body).map(drop),
     }
 }
 
 fn read_chunks(from: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<()> {
     loop {
-        let mut line = String::new();
-        from.read_line(&mut line)?;
-        let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
-        let begin = body.len();
-        body.resize(begin + size, 0);
-        from.read_exact(&mut body[begin..])?;
-        let mut end = String::new();
-        from.read_line(&mut end)?;
+        let line = read_line(from)?;
+        let size = line.split(';').next().unwrap_or_default().trim_end();
+        let size = u64::from_str_radix(size, 16).map_err(io::Error::other)?;
         if size == 0 {
-            return Ok(());
+            break;
+        }
+        read_bytes(from, size, body)?;
+        if !read_line(from)?.is_empty() {
+            return Err(io::Error::other("a chunk is longer than its size"));
         }
     }
+    // Trailers may come before the blank line.
+    while !read_line(from)?.is_empty() {}
+    Ok(())
+}
+
+/// Appends that many bytes.
+fn read_bytes(from: &mut impl BufRead, count: u64, body: &mut Vec<u8>) -> io::Result<()> {
+    let read = from.take(count).read_to_end(body)?;
+    if (read as u64) < count { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
+}
+
+/// Reads a line without its line break. A line that lacks it has been broken off.
+fn read_line(from: &mut impl BufRead) -> io::Result<String> {
+    let mut line = String::new();
+    from.read_line(&mut line)?;
+    if !line.ends_with('\n') {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    line.truncate(line.trim_end().len());
+    Ok(line)
 }
 
 /// A listener whose connections each have a thread. Dropping it closes all of them.
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod leaving;
 mod overload;
+mod readings;
 mod restarts;
 mod restored;
 mod settings;
