The demo's caller counts whole events only

The caller of the demo and of the daemons' tests took half an event for one: a cursor whose token never came (going on from it would skip that token), half a cursor, a token or [DONE] whose event had not ended. With [DONE] it called the draft whole.

Cause: it read lines, and a last one without a line break as well. Now one function reads an event up to its blank line; without that the draft has been cut off, and nothing of the event counts.

--- a/crates/basilbank_standin/src/client.rs
+++ b/crates/basilbank_standin/src/client.rs
@@ -1,7 +1,7 @@
 //! A caller of the daemon's API, as the demo and the tests need one.
 
 use std::{
-    io::{BufRead, BufReader, Lines},
+    io::{BufRead, BufReader},
     net::SocketAddr,
     time::Duration,
 };
@@ -42,10 +42,17 @@
     pub request: String,
     /// The cursor of the last token.
     pub cursor: Option<String>,
-    lines: Lines<BufReader<BodyReader<'static>>>,
+    reader: BufReader<BodyReader<'static>>,
     ended: bool,
 }
 
+/// One server-sent event.
+#[derive(Default)]
+struct ServerEvent {
+    id: Option<String>,
+    data: Option<String>,
+}
+
 /// What the engines are given for a chat of one message.
 #[must_use]
 pub fn chat_prompt(message: &str) -> String {
@@ -108,8 +115,8 @@
         }
         let request = answer.headers().get("x-request-id").and_then(|id| id.to_str().ok());
         let request = request.context("the answer has no request id")?.to_owned();
-        let lines = BufReader::new(answer.into_body().into_reader()).lines();
-        Ok(DraftStream { request, cursor: None, lines, ended: false })
+        let reader = BufReader::new(answer.into_body().into_reader());
+        Ok(DraftStream { request, cursor: None, reader, ended: false })
     }
 
     /// Asks for the whole continuation of a prompt.
@@ -145,21 +152,39 @@
 
     fn read(&mut self) -> anyhow::Result<Option<String>> {
         loop {
-            let line = self.lines.next().context("cut off before the end")??;
-            if let Some(cursor) = line.strip_prefix("id: ") {
-                self.cursor = Some(cursor.to_owned());
-            }
-            let Some(data) = line.strip_prefix("data: ") else { continue };
+            let event = self.read_event()?;
+            self.cursor = event.id.or(self.cursor.take());
+            let Some(data) = event.data else { continue };
             if data == "[DONE]" {
                 return Ok(None);
             }
-            let chunk: Value = serde_json::from_str(data)?;
+            let chunk: Value = serde_json::from_str(&data)?;
             ensure!(chunk["error"].is_null(), "{chunk}");
             if let Some(text) = chunk["choices"][0]["delta"]["content"].as_str() {
                 return Ok(Some(text.to_owned()));
             }
         }
     }
+
+    /// Reads an event to its blank line. Without that it has been broken off, and nothing of it
+    /// counts: the cursor of a token that did not come would skip it.
+    fn read_event(&mut self) -> anyhow::Result<ServerEvent> {
+        let mut event = ServerEvent::default();
+        loop {
+            let mut line = String::new();
+            self.reader.read_line(&mut line)?;
+            let line = line.strip_suffix('\n').context("cut off before the end")?;
+            if line.is_empty() {
+                return Ok(event);
+            }
+            if let Some(id) = line.strip_prefix("id: ") {
+                event.id = Some(id.to_owned());
+            }
+            if let Some(data) = line.strip_prefix("data: ") {
+                event.data = Some(data.to_owned());
+            }
+        }
+    }
 }
 
 impl Iterator for DraftStream {
