The measurement of direct drafts reads to their last line

A draft read straight from an engine counted as read when its connection ended, and half a line at that end counted as a token; the comparison of counts with the engine's own let such a draft pass if only the rest of its last lines was missing. It ends with its `done` line now, and a line without its line break is an error. No test reaches this command's inside; `basilbank_standin measure` ran through.

--- a/crates/basilbank_standin/src/measure.rs
+++ b/crates/basilbank_standin/src/measure.rs
@@ -138,13 +138,19 @@
             "source": prefill, "handle": kv["handle"], "max_tokens": TOKENS,
         });
         let answer = self.direct.post(format!("http://{decode}/decode")).send(body.to_string())?;
+        let mut reader = BufReader::new(answer.into_body().into_reader());
         let mut arrived = Vec::new();
-        for line in BufReader::new(answer.into_body().into_reader()).lines() {
-            if line?.starts_with("{\"offset\"") {
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line)?;
+            ensure!(line.ends_with('\n'), "a direct draft was cut off");
+            if line.starts_with("{\"done\"") {
+                return Ok((request, arrived));
+            }
+            if line.starts_with("{\"offset\"") {
                 arrived.push(Instant::now());
             }
         }
-        Ok((request, arrived))
     }
 
     fn measure_plain(&self) -> anyhow::Result<()> {
