--- a/crates/basilbank_cli/src/show.rs
+++ b/crates/basilbank_cli/src/show.rs
@@ -17,9 +17,10 @@
     list: List,
 ) -> Result<ExitStatus, Failure> {
     let answer = AdminClient::new(options)?.get(list.name(), list.name())?;
+    let items = list_items(&answer)?;
     match options.format {
         Format::Json => write_json(ctx, &answer)?,
-        Format::Table => ctx.out.write_all(render_list(&list_items(&answer)?).as_bytes())?,
+        Format::Table => ctx.out.write_all(render_list(&items).as_bytes())?,
     }
     Ok(ExitStatus::Ok)
 }
