A peers' stream that ends behind a frame's length is cut

A peer's connection that ended directly behind the four bytes of a frame's length counted as ended between two frames: the packet was lost, and no dropped packet was counted.

Cause: the codec takes the length out of the buffer before the frame is there, and an empty buffer was taken for the boundary between frames. The reader now knows that it is inside a frame from the length on, so only an end before the first byte of a length is an orderly one.

The test of a truncated frame cuts at all 10 places instead of the last, and failed behind the length; the row `cut behind its length` of shell's peers failed, too (nothing counted within 10 s). Both pass now. New rows that were right already: a cut inside the length, a frame before one that is closed or reset, ends between frames.

--- a/crates/basilbank/tests/shell/peers.rs
+++ b/crates/basilbank/tests/shell/peers.rs
@@ -18,6 +18,7 @@
     Authenticator, Body, Document, FetchCatalogue, FramedStream, Heartbeat, Message, Packet,
     VmList, VmRecord,
 };
+use socket2::SockRef;
 use test_case::test_case;
 
 use crate::responder::PATIENCE;
@@ -211,6 +212,8 @@
 }
 
 #[test_case(&[0xff; 4], "too_large"; "too large, dropped unread")]
+#[test_case(&[0, 0], "malformed"; "cut in its length")]
+#[test_case(&[0, 0, 0, 9], "malformed"; "cut behind its length")]
 #[test_case(&[0, 0, 0, 9, 1, 2], "malformed"; "cut")]
 fn a_bad_frame_is_dropped(bytes: &[u8], reason: &str) {
     let side = Side::new("a");
@@ -220,6 +223,28 @@
     side.wait_for_drop(reason);
 }
 
+/// Guards against a part of a frame that is taken for a frame, or that takes the one before along.
+#[test_case(false; "closed")]
+#[test_case(true; "reset")]
+fn a_frame_before_one_that_breaks_off_is_taken(is_reset: bool) {
+    let side = Side::new("a");
+    let sealer = Authenticator::new(KEY);
+    let stream = TcpStream::connect(side.peers.address()).unwrap();
+    if is_reset {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    let frame = |sequence| sealer.encode_with_mac(&side.packet(5, sequence));
+    FramedStream::new(&stream, FRAME).write(frame(8).into()).unwrap();
+    let mut bytes = Vec::new();
+    FramedStream::new(&mut bytes, FRAME).write(frame(9).into()).unwrap();
+    (&stream).write_all(&bytes[..bytes.len() - 1]).unwrap();
+    assert_eq!(side.next(), (VmId(STRANGER), 5, heartbeat(8)));
+    drop(stream);
+    side.wait_for_drop("malformed");
+    side.datagram(&frame(10));
+    assert_eq!(side.next(), (VmId(STRANGER), 5, heartbeat(10)));
+}
+
 /// Symptom: a daemon that can't follow dies of its memory. Sequence: peers send faster than the
 /// event loop takes. Cause: an inbox without a bound.
 #[test]
--- a/crates/basilbank_wire/src/codec.rs
+++ b/crates/basilbank_wire/src/codec.rs
@@ -26,13 +26,15 @@
     stream: S,
     codec: LengthDelimitedCodec,
     buffer: BytesMut,
+    /// The codec has taken a frame's length out of the buffer, but not its bytes.
+    in_frame: bool,
 }
 
 impl<S> FramedStream<S> {
     /// Wraps a stream; a frame may have at most `max_frame_len` bytes, without its length field.
     pub fn new(stream: S, max_frame_len: usize) -> FramedStream<S> {
         let codec = LengthDelimitedCodec::builder().max_frame_length(max_frame_len).new_codec();
-        FramedStream { stream, codec, buffer: BytesMut::new() }
+        FramedStream { stream, codec, buffer: BytesMut::new(), in_frame: false }
     }
 }
 
@@ -44,11 +46,14 @@
     /// within a frame, and errors of the stream.
     pub fn read(&mut self) -> io::Result<Option<BytesMut>> {
         loop {
+            let buffered = self.buffer.len();
             if let Some(frame) = self.codec.decode(&mut self.buffer)? {
+                self.in_frame = false;
                 return Ok(Some(frame));
             }
+            self.in_frame |= self.buffer.len() < buffered;
             if self.fill_buffer()? == 0 {
-                let at_boundary = self.buffer.is_empty();
+                let at_boundary = self.buffer.is_empty() && !self.in_frame;
                 return if at_boundary {
                     Ok(None)
                 } else {
--- a/crates/basilbank_wire/tests/codec.rs
+++ b/crates/basilbank_wire/tests/codec.rs
@@ -39,10 +39,26 @@
 /// and the end of the stream is mistaken for the end of the frame.
 #[test]
 fn truncated_frame_is_an_error() {
+    let whole = encode_frames(&[b"whole"]).len();
     let bytes = encode_frames(&[b"whole", b"cut off"]);
-    let mut reader = FramedStream::new(Cursor::new(&bytes[..bytes.len() - 1]), MAX_FRAME_LEN);
-    assert_eq!(reader.read().unwrap().as_deref(), Some(&b"whole"[..]));
-    assert_eq!(reader.read().unwrap_err().kind(), ErrorKind::UnexpectedEof);
+    for end in whole + 1..bytes.len() {
+        let mut reader = FramedStream::new(Cursor::new(&bytes[..end]), MAX_FRAME_LEN);
+        assert_eq!(reader.read().unwrap().as_deref(), Some(&b"whole"[..]));
+        let result = reader.read();
+        assert_eq!(result.map_err(|e| e.kind()), Err(ErrorKind::UnexpectedEof), "{end} bytes");
+    }
+}
+
+#[test]
+fn stream_may_end_between_frames() {
+    let sequences: [&[&[u8]]; 3] = [&[], &[b"whole"], &[b"whole", b""]];
+    for frames in sequences {
+        let mut reader = FramedStream::new(Cursor::new(encode_frames(frames)), MAX_FRAME_LEN);
+        for frame in frames {
+            assert_eq!(reader.read().unwrap().as_deref(), Some(*frame));
+        }
+        assert_eq!(reader.read().unwrap(), None);
+    }
 }
 
 /// Guards against a daemon that runs out of memory. An unauthenticated client connects and
