An unmarked plain answer counts only if its endpoint lives on

A plain service whose process ended in the middle of an answer with neither length nor chunks: the product's own interface passed what had come on as the whole answer, with its status 200.

Cause: a process that ends closes its connections in an orderly way, which is also the only end of such a body. After one, the endpoint is now connected to, as the gateway does: refused by all its addresses means that its process has ended, and the answer is broken (the call's outcome is unknown, or it may be repeated). Any other failure to connect proves nothing. An endpoint that is leaving or out of the catalogue may end after its last answer and isn't asked. Answers with a length or chunks are not affected, nor are those read as JSON or lines, which mark their own end.

--- a/crates/basilbank/src/engine.rs
+++ b/crates/basilbank/src/engine.rs
@@ -13,6 +13,7 @@
 mod plain;
 mod protocol;
 mod report;
+mod unmarked;
 
 use std::{
     collections::HashMap,
--- a/crates/basilbank/src/engine/agent.rs
+++ b/crates/basilbank/src/engine/agent.rs
@@ -8,7 +8,7 @@
 use crate::engine::dial::Dial;
 
 /// Time for a connection to be made.
-const CONNECT: Duration = Duration::from_secs(1);
+pub const CONNECT: Duration = Duration::from_secs(1);
 
 /// An idle connection is not used again after this. Short, so that a request seldom meets one that
 /// the endpoint is just closing: that would have to count as sent.
--- a/crates/basilbank/src/engine/plain.rs
+++ b/crates/basilbank/src/engine/plain.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     callers::{HeldPlain, PlainAnswer, from_service},
-    engine::{Worker, agent},
+    engine::{
+        Worker, agent,
+        unmarked::{is_deserted, is_unmarked},
+    },
 };
 
 /// The header by which a plain service proves that nothing was run.
@@ -58,6 +61,7 @@
         let held = self.callers.plain(call.caller).ok_or(Failure::Unreachable)?;
         let base = self.base(call.endpoint).ok_or(Failure::Unreachable)?;
         let request = self.request(&held, &base, call).ok_or(Failure::Unreachable)?;
+        let method = request.method().clone();
         let mut response = self.send_plain(request, &held.body).map_err(|e| agent::failure(&e))?;
         if response.status() == 503 && is_not_run(response.headers()) {
             return Err(Failure::Full);
@@ -65,9 +69,21 @@
         let limit = u64::try_from(self.config.answer).unwrap_or(u64::MAX);
         let body = response.body_mut().with_config().limit(limit).read_to_vec();
         let body = body.map_err(|_| Failure::Broken)?;
+        if is_unmarked(&method, &response) && self.has_ended(call.endpoint) {
+            return Err(Failure::Broken);
+        }
         Ok(answer(&response, body))
     }
 
+    /// Whether an endpoint's process has ended unexpectedly: its connections close in an orderly way
+    /// then, also in the middle of a body. One that is leaving, or out of the catalogue, may end
+    /// after its last answer.
+    fn has_ended(&self, endpoint: EndpointId) -> bool {
+        let names = self.published.names();
+        let is_expected = names.view.endpoint(endpoint).is_none_or(|e| e.leaving);
+        !is_expected && self.published.address(endpoint).is_some_and(|a| is_deserted(&a))
+    }
+
     fn request(&self, held: &HeldPlain, base: &str, call: &PlainCall) -> Option<Request<()>> {
         let request = Request::builder();
         let mut request =
--- a/crates/basilbank/tests/shell/ends.rs
+++ b/crates/basilbank/tests/shell/ends.rs
@@ -1,6 +1,11 @@
 //! How each reader of an answer tells a whole one from one that broke off.
 
-use std::sync::Arc;
+use std::{
+    io::{BufRead, BufReader},
+    net::{TcpListener, TcpStream},
+    sync::Arc,
+    thread,
+};
 
 use basilbank::{callers::HeldPlain, inbox::inbox, metrics::Metrics, platform::Platform};
 use basilbank_core::{
@@ -173,6 +178,38 @@
     }
 }
 
+/// Guards against half an answer, closed by the end of its endpoint's process, that counts as whole.
+#[test_case(Framing::Connection, false, false; "neither length nor chunks")]
+#[test_case(Framing::Connection, true, true; "neither, and it is leaving")]
+#[test_case(Framing::Length, false, true; "length")]
+#[test_case(Framing::Chunks, false, true; "chunks")]
+fn a_plain_answer_that_ends_with_its_process(framing: Framing, leaves: bool, is_whole: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let rig = Rig::at(listener.local_addr().unwrap());
+    if leaves {
+        rig.leave();
+    }
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        drop(listener);
+        skip_request(&stream);
+        say_whole(&mut stream, framing, SERVICE);
+    });
+    let event = outcome(Reader::Plain, &rig);
+    let (is_broken, is_answered) = match event {
+        EngineEvent::Failed { failure, .. } => (failure == Failure::Broken, false),
+        EngineEvent::Answered { .. } => (false, true),
+        _ => (false, false),
+    };
+    assert_eq!((is_broken, is_answered), (!is_whole, is_whole), "{event:?}");
+}
+
+/// Reads a request without a body.
+fn skip_request(stream: &TcpStream) {
+    let lines = BufReader::new(stream).lines();
+    lines.map_while(Result::ok).find(String::is_empty);
+}
+
 /// Guards against half a catalogue or VM list that comes into force.
 #[test]
 fn half_of_what_the_platform_says_is_a_failed_read() {
--- a/crates/basilbank/tests/shell/rig.rs
+++ b/crates/basilbank/tests/shell/rig.rs
@@ -75,6 +75,13 @@
         Rig { engine, callers, published, inbox, responder: None }
     }
 
+    /// All endpoints are leaving from now on.
+    pub fn leave(&self) {
+        let mut catalogue = Catalogue::clone(self.published.names().catalogue());
+        catalogue.endpoints.iter_mut().for_each(|e| e.leaving = true);
+        self.published.publish_catalogue(&Arc::new(catalogue));
+    }
+
     /// The next request that came to an endpoint.
     pub fn seen(&self) -> Seen {
         self.responder.as_ref().expect("somebody listens").next()
