--- a/crates/basilbank/src/engine.rs
+++ b/crates/basilbank/src/engine.rs
@@ -7,11 +7,13 @@
 pub(crate) mod agent;
 mod attempts;
 mod control;
+mod dial;
 mod draft;
 mod lines;
 mod plain;
 mod protocol;
 mod report;
+mod unmarked;
 
 use std::{
     collections::HashMap,
