Stand-in: a share of answers breaks off; proxies pass resets on and refuse connections

Cause: an endpoint broke off all its answers or none. A proxy turned a reset by its target, and its own resets, into an orderly end, so that no break by a reset showed behind one, and it accepted connections to a process that had ended. Change: ManagedEndpoint::end_some takes a BreakShare: one answer in so many, drawn by a seed. A proxy resets the other connection when one is reset. Proxy::close and open, and those of Paths, refuse connections as an ended process does. A crashed endpoint resets streams whose end only the connection's end marks.

--- a/crates/basilbank_soak/tests/proxy.rs
+++ b/crates/basilbank_soak/tests/proxy.rs
@@ -1,13 +1,14 @@
 //! The proxy does to connections what it says.
 
 use std::{
-    io::{ErrorKind, Read, Write},
+    io::{self, ErrorKind, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use basilbank_standin::managed::{Proxy, Weather};
+use socket2::SockRef;
 use test_case::test_case;
 
 /// Longest wait for bytes that should not come.
@@ -106,3 +107,46 @@
     second.set_nonblocking(false).expect("blocking");
     assert!(second.accept().is_ok());
 }
+
+/// How a connection to a proxy ends when the other end of it closes its own.
+fn end_of(end: impl Fn(TcpStream)) -> io::Result<usize> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let proxy = Proxy::start(listener.local_addr().expect("an address")).expect("a proxy");
+    let mut stream = TcpStream::connect(proxy.address()).expect("a connection");
+    stream.set_read_timeout(Some(10 * QUIET)).expect("a limit");
+    end(listener.accept().expect("a connection").0);
+    stream.read(&mut [0])
+}
+
+#[test]
+fn an_orderly_end_and_a_reset_are_passed_on_as_what_they_are() {
+    assert_eq!(end_of(drop).ok(), Some(0));
+    let reset = end_of(|stream| {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("the option");
+    });
+    assert_eq!(reset.map_err(|e| e.kind()), Err(ErrorKind::ConnectionReset));
+}
+
+#[test]
+fn a_reset_reaches_callers_as_a_reset() {
+    let proxy = Proxy::start(echo()).expect("a proxy");
+    let mut stream = connect(&proxy);
+    assert_eq!(say(&stream), Ok(b'x'));
+    proxy.reset();
+    stream.set_read_timeout(Some(10 * QUIET)).expect("a limit");
+    let end = stream.read(&mut [0]);
+    assert_eq!(end.map_err(|e| e.kind()), Err(ErrorKind::ConnectionReset));
+}
+
+#[test]
+fn a_closed_proxy_refuses_connections_until_it_is_opened() {
+    let mut proxy = Proxy::start(echo()).expect("a proxy");
+    let stream = connect(&proxy);
+    assert_eq!(say(&stream), Ok(b'x'));
+    proxy.close();
+    let refused = TcpStream::connect(proxy.address()).map_err(|e| e.kind());
+    assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+    assert_eq!(say(&stream), Ok(b'x'), "open connections live on");
+    proxy.open().expect("its port");
+    assert_eq!(say(&connect(&proxy)), Ok(b'x'));
+}
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -20,7 +20,7 @@
 pub use self::{
     bad_entry::BadEntry,
     configuration::{DESK, HOST, WRITER, configuration},
-    ending::{BreakKind, BreakPlace, Ending, Framing},
+    ending::{BreakKind, BreakPlace, BreakShare, Ending, Framing},
     endpoint::{EndpointSpec, ManagedEndpoint},
     http::{Answer, Request, call, exchange, read_answer},
     inside::Caches,
--- a/crates/basilbank_standin/src/managed/ending.rs
+++ b/crates/basilbank_standin/src/managed/ending.rs
@@ -7,6 +7,7 @@
 };
 
 use socket2::SockRef;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How the end of an answer's body is marked.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -51,6 +52,25 @@
     pub broken: Option<(BreakPlace, BreakKind)>,
 }
 
+/// Which answers break off, of those that an ending is for: drawn by a seed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct BreakShare {
+    /// One answer in so many, on average.
+    pub one_in: u64,
+    /// Seed of the draws.
+    pub seed: u64,
+}
+
+impl BreakShare {
+    /// All answers.
+    pub const ALL: BreakShare = BreakShare { one_in: 1, seed: 0 };
+
+    /// Whether the answer of this number breaks off.
+    pub(super) fn has(self, number: u64) -> bool {
+        xxh3_64_with_seed(&number.to_le_bytes(), self.seed).is_multiple_of(self.one_in.max(1))
+    }
+}
+
 /// Number of events of a stream before the break.
 const EVENTS_BEFORE_BREAK: usize = 2;
 
@@ -138,6 +158,15 @@
         }
     }
 
+    /// Ends the answer as the end of the process does. Without a mark of its end the answer would look
+    /// whole while others still reach the address, so that its connection is reset.
+    pub(super) fn crash(&self) -> io::Error {
+        match self.framing {
+            Framing::Connection => self.break_off(BreakKind::Reset),
+            Framing::Length | Framing::Chunks => io::ErrorKind::ConnectionReset.into(),
+        }
+    }
+
     /// Breaks the answer off. The error ends the connection.
     fn break_off(&self, kind: BreakKind) -> io::Error {
         let ended = match kind {
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 
 use super::{
-    ending::Ending,
+    ending::{BreakShare, Ending},
     http::Listener,
     inside::{Caches, Inside, lock},
     misdeed::Misdeed,
@@ -137,7 +137,13 @@
 
     /// Sets how its answers to callers are framed and break off from now on.
     pub fn end_answers(&self, ending: Ending) {
-        lock(&self.inside).ending = ending;
+        self.end_some(ending, BreakShare::ALL);
+    }
+
+    /// The same, but only a share of the answers breaks off.
+    pub fn end_some(&self, ending: Ending, share: BreakShare) {
+        let mut inside = lock(&self.inside);
+        (inside.ending, inside.share) = (ending, Some(share));
     }
 
     /// Ends its process: all connections are closed, and new ones are refused.
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -7,7 +7,11 @@
     time::Duration,
 };
 
-use super::{ending::Ending, misdeed::Misdeed, served::Served};
+use super::{
+    ending::{BreakShare, Ending},
+    misdeed::Misdeed,
+    served::Served,
+};
 
 /// What one start of an endpoint knows. The next start knows nothing of it.
 #[derive(Debug, Default)]
@@ -20,6 +24,10 @@
     pub(super) misdeed: Misdeed,
     /// How its answers are framed and break off.
     pub(super) ending: Ending,
+    /// Which of them break off; `None` for all.
+    pub(super) share: Option<BreakShare>,
+    /// Answers that an ending was asked for.
+    pub(super) endings: u64,
     /// Calls a second that it says it takes.
     pub(super) limit: Option<f64>,
     /// Whether all its answers say that it leaves.
@@ -31,6 +39,17 @@
     pub(super) served: Served,
 }
 
+impl Inside {
+    /// How the next answer is framed, and whether it breaks off.
+    pub(super) fn next_ending(&mut self) -> Ending {
+        self.endings += 1;
+        match self.share {
+            Some(share) if !share.has(self.endings) => Ending { broken: None, ..self.ending },
+            _ => self.ending,
+        }
+    }
+}
+
 /// KV caches of all endpoints, by address: an endpoint that decodes takes them from there.
 #[derive(Clone, Debug, Default)]
 pub struct Caches(
--- a/crates/basilbank_standin/src/managed/paths.rs
+++ b/crates/basilbank_standin/src/managed/paths.rs
@@ -54,6 +54,24 @@
         self.proxies.iter().find(|(address, _)| *address == listed).map(|(_, proxy)| proxy)
     }
 
+    /// Nothing listens any more on the path to an endpoint, as after the end of its process.
+    pub fn close(&mut self, listed: SocketAddr) {
+        self.of(listed).for_each(Proxy::close);
+    }
+
+    /// The path to an endpoint listens again.
+    ///
+    /// # Errors
+    /// Another socket has taken its port.
+    pub fn open(&mut self, listed: SocketAddr) -> io::Result<()> {
+        self.of(listed).try_for_each(Proxy::open)
+    }
+
+    fn of(&mut self, listed: SocketAddr) -> impl Iterator<Item = &mut Proxy> {
+        let proxies = self.proxies.iter_mut();
+        proxies.filter(move |(address, _)| *address == listed).map(|(_, proxy)| proxy)
+    }
+
     /// Sets what all paths do from now on.
     pub fn set(&self, weather: Weather) {
         self.proxies().for_each(|proxy| proxy.set(weather));
--- a/crates/basilbank_standin/src/managed/proxy.rs
+++ b/crates/basilbank_standin/src/managed/proxy.rs
@@ -4,11 +4,11 @@
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use socket2::SockRef;
@@ -19,6 +19,9 @@
 /// Longest wait for the real end.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Longest wait for the port of a proxy that listens again.
+const REOPEN: Duration = Duration::from_secs(1);
+
 /// Bytes that a narrow link passes on at a time: a few packets, so that connections share it.
 const PIECE: usize = 4096;
 
@@ -48,10 +51,37 @@
     rate: Mutex<Option<u32>>,
     /// Held while a piece is on the narrow link.
     link: Mutex<()>,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<Vec<Weak<Link>>>,
+    /// Nothing is accepted any more.
+    closed: AtomicBool,
     ended: AtomicBool,
 }
 
+/// A caller's connection and the one to the target. Both are closed as the last of its threads ends.
+#[derive(Debug)]
+struct Link {
+    caller: TcpStream,
+    target: TcpStream,
+    is_reset: AtomicBool,
+}
+
+impl Link {
+    /// Both connections are reset as soon as the threads have ended. A shutdown for writing would be an
+    /// orderly end.
+    fn reset(&self) {
+        self.is_reset.store(true, Ordering::Relaxed);
+        for stream in [&self.caller, &self.target] {
+            // One that has ended before can't be reset.
+            let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+    }
+
+    fn is_reset(&self) -> bool {
+        self.is_reset.load(Ordering::Relaxed)
+    }
+}
+
 /// A proxy before one address. Dropping it ends it.
 #[derive(Debug)]
 pub struct Proxy {
@@ -74,11 +104,48 @@
             rate: Mutex::default(),
             link: Mutex::default(),
             open: Mutex::default(),
+            closed: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         });
-        let serving = Arc::clone(&shared);
-        let thread = thread::spawn(move || serving.accept(&listener));
-        Ok(Proxy { address, shared, thread: Some(thread) })
+        let mut proxy = Proxy { address, shared, thread: None };
+        proxy.serve(listener);
+        Ok(proxy)
+    }
+
+    fn serve(&mut self, listener: TcpListener) {
+        let serving = Arc::clone(&self.shared);
+        self.thread = Some(thread::spawn(move || serving.accept(&listener)));
+    }
+
+    /// Nothing listens at the address any more, as after the end of a process. Open connections live on.
+    pub fn close(&mut self) {
+        self.shared.closed.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // The thread waits in accept; a connection wakes it.
+            let _ = TcpStream::connect(self.address);
+            // A panic there leaves nothing to wait for.
+            let _ = thread.join();
+        }
+    }
+
+    /// Listens again after `close`.
+    ///
+    /// # Errors
+    /// Another socket has taken the port meanwhile, and keeps it.
+    pub fn open(&mut self) -> io::Result<()> {
+        if self.thread.is_some() {
+            return Ok(());
+        }
+        let end = Instant::now() + REOPEN;
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Err(_) if Instant::now() < end => thread::sleep(REOPEN / 50),
+                bound => break bound?,
+            }
+        };
+        self.shared.closed.store(false, Ordering::Relaxed);
+        self.serve(listener);
+        Ok(())
     }
 
     /// Where it listens.
@@ -105,23 +172,15 @@
 
     /// Resets all open connections.
     pub fn reset(&self) {
-        for stream in lock(&self.shared.open).drain(..) {
-            // One that has ended before can't be reset.
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        let open = std::mem::take(&mut *lock(&self.shared.open));
+        open.iter().filter_map(Weak::upgrade).for_each(|link| link.reset());
     }
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
         self.shared.ended.store(true, Ordering::Relaxed);
-        // The thread waits in accept; a connection wakes it.
-        let _ = TcpStream::connect(self.address);
-        if let Some(thread) = self.thread.take() {
-            // A panic there leaves nothing to wait for.
-            let _ = thread.join();
-        }
+        self.close();
         self.reset();
     }
 }
@@ -129,7 +188,7 @@
 impl Shared {
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         for caller in listener.incoming() {
-            if self.ended.load(Ordering::Relaxed) {
+            if self.closed.load(Ordering::Relaxed) {
                 return;
             }
             let Ok(caller) = caller else { continue };
@@ -140,35 +199,44 @@
             }
             let shared = Arc::clone(self);
             // A connection whose other end can't be reached is closed, as a dead endpoint's would be.
-            thread::spawn(move || drop(shared.join(&caller)));
+            thread::spawn(move || drop(shared.join(caller)));
         }
     }
 
-    fn join(self: &Arc<Self>, caller: &TcpStream) -> io::Result<()> {
-        let target = *lock(&self.target);
-        let end = TcpStream::connect_timeout(&target, CONNECT)?;
-        for stream in [caller, &end] {
+    fn join(self: &Arc<Self>, caller: TcpStream) -> io::Result<()> {
+        let at = *lock(&self.target);
+        let target = TcpStream::connect_timeout(&at, CONNECT)?;
+        for stream in [&caller, &target] {
             stream.set_nodelay(true)?;
             stream.set_read_timeout(Some(LOOK))?;
-            lock(&self.open).push(stream.try_clone()?);
         }
-        let (shared, from, to) = (Arc::clone(self), end.try_clone()?, caller.try_clone()?);
-        thread::spawn(move || shared.copy(from, to, Weather::CutBack));
-        self.copy(caller.try_clone()?, end, Weather::CutForth);
+        let link = Arc::new(Link { caller, target, is_reset: AtomicBool::new(false) });
+        let mut open = lock(&self.open);
+        open.retain(|kept| kept.strong_count() != 0);
+        open.push(Arc::downgrade(&link));
+        drop(open);
+        let (shared, back) = (Arc::clone(self), Arc::clone(&link));
+        thread::spawn(move || shared.copy(&back, Weather::CutBack));
+        self.copy(&link, Weather::CutForth);
         Ok(())
     }
 
-    /// Copies until an end closes. Once bytes were lost none pass any more: a stream with a hole in it
-    /// is no network's doing.
-    fn copy(&self, mut from: TcpStream, mut to: TcpStream, cut: Weather) {
+    /// Copies one way until an end closes. Once bytes were lost none pass any more: a stream with a hole
+    /// in it is no network's doing.
+    fn copy(&self, link: &Link, cut: Weather) {
+        let (mut from, mut to) = match cut {
+            Weather::CutBack => (&link.target, &link.caller),
+            _ => (&link.caller, &link.target),
+        };
         let mut buffer = [0; 16 << 10];
         let mut lost = false;
-        while !self.ended.load(Ordering::Relaxed) {
+        while !self.ended.load(Ordering::Relaxed) && !link.is_reset() {
             let read = match from.read(&mut buffer) {
                 Ok(0) => break,
                 Ok(read) => read,
                 Err(error) if is_timeout(&error) => continue,
-                Err(_) => break,
+                Err(_) if lost => break,
+                Err(_) => return link.reset(),
             };
             let weather = *lock(&self.weather);
             lost |= weather == Weather::Silent || weather == cut;
@@ -183,6 +251,9 @@
                 break;
             }
         }
+        if link.is_reset() {
+            return;
+        }
         // Either may have closed already. After a loss the other end is not told.
         if !lost {
             let _ = to.shutdown(Shutdown::Write);
@@ -190,7 +261,7 @@
         let _ = from.shutdown(Shutdown::Read);
     }
 
-    fn pass(&self, to: &mut TcpStream, bytes: &[u8], rate: Option<u32>) -> io::Result<()> {
+    fn pass(&self, to: &mut &TcpStream, bytes: &[u8], rate: Option<u32>) -> io::Result<()> {
         let Some(rate) = rate else { return to.write_all(bytes) };
         for piece in bytes.chunks(PIECE) {
             let busy = lock(&self.link);
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -162,7 +162,7 @@
         drop(inside);
         let id = request.header("x-attempt-id").unwrap_or_default();
         let body = json!({ "kvHandle": handle, "tokens": 1000, "version": 1 });
-        let ending = lock(&self.inside).ending;
+        let ending = lock(&self.inside).next_ending();
         if let Some(framing) = ending.framing {
             let (head, body) = (head_text(200, &[("x-attempt-id", id)]), body.to_string());
             return BodyWriter::begin(stream, &head, body.len(), framing, ending.broken)?
@@ -235,7 +235,7 @@
         let mut headers = vec![("x-attempt-id", id), ("x-server-seal", "seal")];
         headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
         headers.extend(self.stated());
-        let ending = lock(&self.inside).ending;
+        let ending = lock(&self.inside).next_ending();
         if let Some(framing) = ending.framing {
             let head = head_text(status, &headers);
             return BodyWriter::begin(stream, &head, body.len(), framing, ending.broken)?
@@ -275,7 +275,7 @@
         let last: u32 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
         let had = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0u32);
         let events = || (had + 1..=last).map(|n| format!("id: {n}\ndata: token {n}\n\n"));
-        let Ending { framing, mut broken } = lock(&self.inside).ending;
+        let Ending { framing, mut broken } = lock(&self.inside).next_ending();
         if misdeed == Misdeed::Torn {
             broken = Some((BreakPlace::Inside, BreakKind::Close));
         }
@@ -285,7 +285,7 @@
         let mut writer = BodyWriter::begin(stream, &head, length, framing, broken)?;
         for event in events() {
             if self.condition().1 {
-                return Err(io::ErrorKind::ConnectionReset.into());
+                return Err(writer.crash());
             }
             let written = writer.event(&event);
             if writer.is_broken() {
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -14,6 +14,7 @@
 mod restarts;
 mod restored;
 mod settings;
+mod shares;
 mod slow_link;
 mod stated;
 mod store;
