Soak: answers of endpoints break off, and processes of endpoints end

Cause: the soak's endpoints always marked the end of their answers, and broke them off in two ways only (Torn, Lost), so that half an answer that is passed on as whole did not show. Change: a seeded part of the plan (endings): the endpoints of a stage, one after the other, frame their answers by length, chunks or the connection's end for some time, and break one in two to five off in the head, inside or between events by close, reset or silence. What nobody can tell from a whole answer is left out. Processes of decode and plain endpoints end in turn while the end of the connection alone marks their answers; connections to them are refused then. Callers take a plain answer as whole only with the whole name of the instance. What is done to daemons and to endpoints moved to modules of its own.

--- a/crates/basilbank_soak/src/callers.rs
+++ b/crates/basilbank_soak/src/callers.rs
@@ -13,7 +13,7 @@
 };
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::{DEADLY, read_answer};
+use basilbank_standin::managed::{Answer, DEADLY, read_answer};
 
 /// What callers say they wait.
 const PATIENCE: Duration = Duration::from_millis(4000);
@@ -300,7 +300,9 @@
     Ok(more)
 }
 
-fn judge(kind: Kind, id: &str, line: &str, answer: &basilbank_standin::managed::Answer) -> Seen {
+/// What an answer is to the caller of a call. One that isn't complete must not look whole.
+#[must_use]
+pub fn judge(kind: Kind, id: &str, line: &str, answer: &Answer) -> Seen {
     let sealed = answer.header("x-server-seal").is_some();
     if answer.status != 200 {
         return Seen::Status(answer.status);
@@ -311,12 +313,21 @@
     let text = answer.text();
     match kind {
         Kind::Stock | Kind::Sheet if !answer.whole => Seen::Broken,
-        Kind::Stock | Kind::Sheet if text.starts_with(&format!("{line} by ")) => Seen::Served,
-        Kind::Stock | Kind::Sheet => Seen::Wrong(format!("another call's answer: {text:?}")),
+        Kind::Stock | Kind::Sheet if is_complete(&text, line) => Seen::Served,
+        Kind::Stock | Kind::Sheet => Seen::Wrong(format!("half or another's answer: {text:?}")),
         _ => judge_stream(&text, answer.whole),
     }
 }
 
+/// A plain answer repeats the call, and ends with the name of an instance: its place and its number there.
+fn is_complete(text: &str, line: &str) -> bool {
+    let instance = text.strip_prefix(line).and_then(|rest| rest.strip_prefix(" by plain-"));
+    let numbers = instance.and_then(|name| name.split_once('-'));
+    numbers.is_some_and(|(place, number)| {
+        place.parse::<usize>().is_ok() && number.parse::<usize>().is_ok()
+    })
+}
+
 /// A stream has each event once and in order, and one that looks whole has all of them.
 fn judge_stream(text: &str, whole: bool) -> Seen {
     let all: String = (1..=EVENTS[0]).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -1,9 +1,13 @@
 //! What is done to a site, and when: the same for the same seed.
 
+mod endings;
+
 use std::time::Duration;
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::{BadEntry, Misdeed, StoreFault, Weather};
+use basilbank_standin::managed::{BadEntry, BreakShare, Ending, Misdeed, StoreFault, Weather};
+
+use self::endings::endings;
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
@@ -86,6 +90,10 @@
     Rest(usize, Duration, Duration),
     /// A draft that crashes each endpoint that runs it comes again and again for the time.
     Deadly(Duration),
+    /// An endpoint frames its answers in a way for the time, and breaks a share of them off.
+    EndAnswers(usize, Ending, BreakShare, Duration),
+    /// An endpoint's process ends, and starts again under its id after the time.
+    End(usize, Duration),
     /// The paths from some daemons, the first ones from a number on, to endpoints.
     Paths(PathCut, Weather, Duration),
     /// The time of day jumps at the daemon with the injected clock.
@@ -121,6 +129,10 @@
     pub daemons: usize,
     /// Endpoints.
     pub endpoints: usize,
+    /// How many of them, the first ones, serve plain calls.
+    pub plain: usize,
+    /// How many after those read prompts; the rest decode.
+    pub prefill: usize,
     /// How long callers call.
     pub traffic: Duration,
 }
@@ -146,6 +158,7 @@
     plan.extend(overload(seed, sizes));
     plan.extend(stated(seed, sizes));
     plan.extend(paths(seed, sizes));
+    plan.extend(endings(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -1,5 +1,8 @@
 //! Plays a plan on a site, and notes who was in trouble when.
 
+mod daemons;
+mod endpoints;
+
 use std::{
     collections::HashSet,
     fs,
@@ -11,29 +14,15 @@
 };
 
 use anyhow::Context;
-use basilbank_standin::managed::{DESK, Lost, Misdeed, StoreFault, Weather};
+use basilbank_standin::managed::{BreakShare, Ending, Lost, Misdeed, StoreFault, Weather};
 use rustix::process::Signal;
 
+use self::{daemons::RESTART, endpoints::DRAIN};
 use crate::{
     plan::{At, Fault, PathCut},
     site::Site,
 };
 
-/// The settings' grace, and a second for the process's end.
-const GRACE: Duration = Duration::from_secs(9);
-
-/// How long after it was listed as draining an endpoint may get work: the users' bound.
-const DRAIN: Duration = Duration::from_millis(2000);
-
-/// How long after its entry went an address may be taken by another instance: the users' bound.
-const REUSE: Duration = Duration::from_millis(2000);
-
-/// Pause before a daemon that was killed with all others is started again.
-const RESTART: Duration = Duration::from_millis(300);
-
-/// How long an endpoint that was crashed is away.
-const REVIVES: Duration = Duration::from_millis(700);
-
 /// How often a daemon that leaves is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -91,6 +80,7 @@
     UnlistForeign,
     Unlimit(usize),
     Return(usize),
+    EndWell(usize),
     EndRest(usize),
     Spare,
     Revive(usize),
@@ -183,8 +173,12 @@
             Step::List(place) => self.site.list(place, "ready"),
             Step::Return(place) => {
                 self.site.places[place].restart(false)?;
+                self.site.reopen(place)?;
                 self.later(Duration::ZERO, Step::List(place));
             }
+            Step::EndWell(place) => {
+                self.site.places[place].end_answers(Ending::default(), BreakShare::ALL);
+            }
             Step::EndRest(place) => self.site.places[place].endpoint.pause(None),
             Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
             Step::Spare => self.deadly.store(false, Ordering::Relaxed),
@@ -275,6 +269,11 @@
                 self.site.places[place].endpoint.pause(Some(pause));
                 self.later(time, Step::EndRest(place));
             }
+            Fault::EndAnswers(place, ending, share, time) => {
+                self.site.places[place].end_answers(ending, share);
+                self.later(time, Step::EndWell(place));
+            }
+            Fault::End(place, down) => self.end(place, down),
             Fault::Deadly(time) => {
                 self.deadly.store(true, Ordering::Relaxed);
                 self.later(time, Step::Spare);
@@ -287,155 +286,6 @@
         Ok(())
     }
 
-    /// Cuts paths from daemons to endpoints, or clears them.
-    fn cut_paths(&mut self, cut: PathCut, weather: Weather) {
-        let count = self.site.daemons.len();
-        for daemon in (cut.first..cut.first + cut.daemons).map(|n| n % count) {
-            for place in &self.site.places {
-                let path = self.site.daemons[daemon].paths.to(place.proxy.address());
-                let Some(path) = path.filter(|_| !cut.plain || place.service == DESK) else {
-                    continue;
-                };
-                path.set(weather);
-                if cut.reset && weather != Weather::Clear {
-                    path.reset();
-                }
-            }
-            match weather {
-                Weather::Clear => self.over(daemon, Trouble::NoPaths),
-                _ => self.begin(daemon, Trouble::NoPaths),
-            }
-        }
-    }
-
-    fn signal(&mut self, daemon: usize, signal: Signal) -> bool {
-        let Some(process) = &mut self.site.daemons[daemon].process else { return false };
-        process.signal(signal);
-        true
-    }
-
-    fn terminate(&mut self, daemon: usize) {
-        let leaving = |p: &crate::process::Process| p.leaving;
-        if self.site.daemons[daemon].process.as_ref().is_none_or(leaving) {
-            return;
-        }
-        self.signal(daemon, Signal::TERM);
-        self.begin(daemon, Trouble::Leaving);
-        self.later(LOOK, Step::Reap { daemon, since: Instant::now() });
-    }
-
-    fn kill(&mut self, daemon: usize, down: Duration) {
-        if let Some(process) = self.site.daemons[daemon].process.take() {
-            // Callers see it before the process's end is known here.
-            self.begin(daemon, Trouble::Down);
-            drop(process);
-            self.later(down, Step::Start(daemon));
-        }
-    }
-
-    fn start(&mut self, daemon: usize) -> anyhow::Result<()> {
-        if self.site.daemons[daemon].process.is_none() {
-            self.site.daemons[daemon].start()?;
-            for trouble in [Trouble::Down, Trouble::Paused, Trouble::Leaving] {
-                self.over(daemon, trouble);
-            }
-        }
-        Ok(())
-    }
-
-    /// Waits for the end of a daemon that was told to end. A pause doesn't count against its grace.
-    fn reap(&mut self, daemon: usize, since: Instant) -> anyhow::Result<()> {
-        let Some(process) = &mut self.site.daemons[daemon].process else { return Ok(()) };
-        if !process.leaving {
-            return Ok(());
-        }
-        match process.ended() {
-            Some(status) => {
-                if !status.success() {
-                    self.findings.push(format!("STOP daemon {daemon} ended with {status}"));
-                }
-                self.site.daemons[daemon].process = None;
-                self.start(daemon)?;
-            }
-            None if GRACE < since.elapsed() && !self.in_trouble(daemon, Trouble::Paused, since) => {
-                self.findings.push(format!("STOP daemon {daemon} still runs after {GRACE:?}"));
-                self.kill(daemon, RESTART);
-            }
-            None => self.later(LOOK, Step::Reap { daemon, since }),
-        }
-        Ok(())
-    }
-
-    fn proceed(&mut self, daemon: usize) {
-        self.signal(daemon, Signal::CONT);
-        self.over(daemon, Trouble::Paused);
-    }
-
-    fn reload(&mut self, daemon: usize) -> anyhow::Result<()> {
-        let path = self.site.daemons[daemon].settings.clone();
-        let text = fs::read_to_string(&path)?;
-        fs::write(&path, format!("{text}# changed\n"))?;
-        self.signal(daemon, Signal::HUP);
-        Ok(())
-    }
-
-    /// Takes an endpoint off the list, in two steps: what it ran by the end of its drain time, and
-    /// what it ran until its address is taken by another.
-    fn unlist(&mut self, place: usize, runs: Option<usize>) {
-        let ran = self.site.places[place].endpoint.served().ran.len();
-        let Some(before) = runs else {
-            self.site.unlist(place);
-            return self.later(REUSE, Step::Unlist { place, runs: Some(ran) });
-        };
-        let since = Instant::now() - DRAIN - REUSE;
-        let blind = |span: &Span| {
-            matches!(span.trouble, Trouble::NoStore | Trouble::Paused)
-                && span.to.is_none_or(|to| since < to + REUSE)
-        };
-        if before < ran && !self.spans.iter().any(blind) {
-            let instance = self.site.places[place].endpoint.instance().to_owned();
-            let count = ran - before;
-            self.findings.push(format!("DRAIN {instance} ran {count} calls after its drain time"));
-        }
-        self.later(Duration::ZERO, Step::Replace(place));
-    }
-
-    fn look_for_ends(&mut self) {
-        for daemon in 0..self.site.daemons.len() {
-            let Some(process) = &mut self.site.daemons[daemon].process else { continue };
-            if process.leaving {
-                continue;
-            }
-            if let Some(status) = process.ended() {
-                self.findings.push(format!("END daemon {daemon} ended by itself with {status}"));
-                self.site.daemons[daemon].process = None;
-                self.begin(daemon, Trouble::Down);
-                self.later(RESTART, Step::Start(daemon));
-            }
-        }
-    }
-
-    /// Endpoints that were crashed start again some time later, under their ids.
-    fn look_for_crashes(&mut self) {
-        for place in 0..self.site.places.len() {
-            if self.site.places[place].endpoint.has_crashed() && self.crashed.insert(place) {
-                self.later(REVIVES, Step::Revive(place));
-            }
-        }
-    }
-
-    fn revive(&mut self, place: usize) -> anyhow::Result<()> {
-        self.crashed.remove(&place);
-        // Another fault may have started it by now.
-        if self.site.places[place].endpoint.has_crashed() {
-            self.site.places[place].restart(false)?;
-            if !self.leaving.contains(&place) {
-                self.site.list(place, "ready");
-            }
-        }
-        Ok(())
-    }
-
     fn begin(&mut self, daemon: usize, trouble: Trouble) {
         self.spans.push(Span { daemon, trouble, from: Instant::now(), to: None });
     }
--- /dev/null
+++ b/crates/basilbank_soak/src/play/daemons.rs
@@ -0,0 +1,104 @@
+//! What is done to daemons' processes.
+
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+
+use super::{LOOK, Play, Step, Trouble};
+
+/// The settings' grace, and a second for the process's end.
+const GRACE: Duration = Duration::from_secs(9);
+
+/// Pause before a daemon that was killed with all others is started again.
+pub(super) const RESTART: Duration = Duration::from_millis(300);
+
+impl Play<'_> {
+    pub(super) fn signal(&mut self, daemon: usize, signal: Signal) -> bool {
+        let Some(process) = &mut self.site.daemons[daemon].process else { return false };
+        process.signal(signal);
+        true
+    }
+
+    pub(super) fn terminate(&mut self, daemon: usize) {
+        let leaving = |p: &crate::process::Process| p.leaving;
+        if self.site.daemons[daemon].process.as_ref().is_none_or(leaving) {
+            return;
+        }
+        self.signal(daemon, Signal::TERM);
+        self.begin(daemon, Trouble::Leaving);
+        self.later(LOOK, Step::Reap { daemon, since: Instant::now() });
+    }
+
+    pub(super) fn kill(&mut self, daemon: usize, down: Duration) {
+        if let Some(process) = self.site.daemons[daemon].process.take() {
+            // Callers see it before the process's end is known here.
+            self.begin(daemon, Trouble::Down);
+            drop(process);
+            self.later(down, Step::Start(daemon));
+        }
+    }
+
+    pub(super) fn start(&mut self, daemon: usize) -> anyhow::Result<()> {
+        if self.site.daemons[daemon].process.is_none() {
+            self.site.daemons[daemon].start()?;
+            for trouble in [Trouble::Down, Trouble::Paused, Trouble::Leaving] {
+                self.over(daemon, trouble);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits for the end of a daemon that was told to end. A pause doesn't count against its grace.
+    pub(super) fn reap(&mut self, daemon: usize, since: Instant) -> anyhow::Result<()> {
+        let Some(process) = &mut self.site.daemons[daemon].process else { return Ok(()) };
+        if !process.leaving {
+            return Ok(());
+        }
+        match process.ended() {
+            Some(status) => {
+                if !status.success() {
+                    self.findings.push(format!("STOP daemon {daemon} ended with {status}"));
+                }
+                self.site.daemons[daemon].process = None;
+                self.start(daemon)?;
+            }
+            None if GRACE < since.elapsed() && !self.in_trouble(daemon, Trouble::Paused, since) => {
+                self.findings.push(format!("STOP daemon {daemon} still runs after {GRACE:?}"));
+                self.kill(daemon, RESTART);
+            }
+            None => self.later(LOOK, Step::Reap { daemon, since }),
+        }
+        Ok(())
+    }
+
+    pub(super) fn proceed(&mut self, daemon: usize) {
+        self.signal(daemon, Signal::CONT);
+        self.over(daemon, Trouble::Paused);
+    }
+
+    pub(super) fn reload(&mut self, daemon: usize) -> anyhow::Result<()> {
+        let path = self.site.daemons[daemon].settings.clone();
+        let text = fs::read_to_string(&path)?;
+        fs::write(&path, format!("{text}# changed\n"))?;
+        self.signal(daemon, Signal::HUP);
+        Ok(())
+    }
+
+    pub(super) fn look_for_ends(&mut self) {
+        for daemon in 0..self.site.daemons.len() {
+            let Some(process) = &mut self.site.daemons[daemon].process else { continue };
+            if process.leaving {
+                continue;
+            }
+            if let Some(status) = process.ended() {
+                self.findings.push(format!("END daemon {daemon} ended by itself with {status}"));
+                self.site.daemons[daemon].process = None;
+                self.begin(daemon, Trouble::Down);
+                self.later(RESTART, Step::Start(daemon));
+            }
+        }
+    }
+}
--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -10,8 +10,8 @@
 
 use anyhow::{Context, ensure};
 use basilbank_standin::managed::{
-    BadEntry, Caches, DESK, EndpointSpec, ManagedEndpoint, ManagedStore, Paths, Proxy, Served,
-    WRITER, call, configuration, key,
+    BadEntry, BreakShare, Caches, DESK, Ending, EndpointSpec, Framing, ManagedEndpoint,
+    ManagedStore, Paths, Proxy, Served, WRITER, call, configuration, key,
 };
 
 use crate::process::{Process, Program};
@@ -23,7 +23,7 @@
 const SEARCHES: u32 = 20;
 
 /// Endpoints of the plain service, of those that read prompts, and of those that generate.
-const ENDPOINTS: [(&str, usize); 3] = [("plain", 3), ("prefill", 2), ("decode", 3)];
+pub const ENDPOINTS: [(&str, usize); 3] = [("plain", 3), ("prefill", 2), ("decode", 3)];
 
 /// Settings of a daemon. The bounds are those of a small site of the users.
 const SETTINGS: &str = include_str!("settings.toml");
@@ -40,6 +40,8 @@
     pub before: Vec<(String, Served)>,
     stage: Option<&'static str>,
     instances: u32,
+    /// Answers since its start were marked by the end of the connection alone.
+    is_unmarked: bool,
 }
 
 /// One daemon, running or not.
@@ -85,7 +87,8 @@
         let mut endpoint = ManagedEndpoint::start(spec(&instance, stage), caches)?;
         let proxy = Proxy::start(endpoint.address())?;
         endpoint.reach_at(proxy.address());
-        Ok(Place { endpoint, proxy, service, before: Vec::new(), stage, instances: 1 })
+        let before = Vec::new();
+        Ok(Place { endpoint, proxy, service, before, stage, instances: 1, is_unmarked: false })
     }
 
     /// Another instance takes the address.
@@ -99,6 +102,7 @@
         let mut endpoint = ManagedEndpoint::start(spec(&instance, self.stage), caches)?;
         endpoint.reach_at(self.proxy.address());
         self.proxy.retarget(endpoint.address());
+        self.is_unmarked = false;
         let before = std::mem::replace(&mut self.endpoint, endpoint);
         self.before.push((before.instance().to_owned(), before.served()));
         Ok(())
@@ -109,6 +113,10 @@
     /// # Errors
     /// It does not start.
     pub fn restart(&mut self, elsewhere: bool) -> anyhow::Result<()> {
+        if std::mem::take(&mut self.is_unmarked) {
+            // Its address answers again at once, so that what broke off would look whole.
+            self.proxy.reset();
+        }
         let served = self.endpoint.restart(0)?;
         self.before.push((self.endpoint.instance().to_owned(), served));
         if elsewhere {
@@ -120,6 +128,12 @@
         Ok(())
     }
 
+    /// The endpoint frames its answers in a way from now on, and breaks a share of them off.
+    pub fn end_answers(&mut self, ending: Ending, share: BreakShare) {
+        self.is_unmarked |= ending.framing == Some(Framing::Connection);
+        self.endpoint.end_some(ending, share);
+    }
+
     /// All instances that were here, with what they served.
     #[must_use]
     pub fn all_served(&self) -> Vec<(String, Served)> {
@@ -186,6 +200,24 @@
         Ok(())
     }
 
+    /// An endpoint's process ends: connections to it are refused, and open ones are closed.
+    pub fn end(&mut self, place: usize) {
+        let listed = self.places[place].proxy.address();
+        for daemon in &mut self.daemons {
+            daemon.paths.close(listed);
+        }
+        self.places[place].endpoint.end();
+    }
+
+    /// Connections to an endpoint are refused no more.
+    ///
+    /// # Errors
+    /// A path's port was taken.
+    pub fn reopen(&mut self, place: usize) -> std::io::Result<()> {
+        let listed = self.places[place].proxy.address();
+        self.daemons.iter_mut().try_for_each(|daemon| daemon.paths.open(listed))
+    }
+
     /// Writes an endpoint's entry.
     pub fn list(&self, place: usize, state: &str) {
         let place = &self.places[place];
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -17,7 +17,7 @@
     plan::{Sizes, plan},
     play::Play,
     process::Program,
-    site::{Site, wait_ready},
+    site::{ENDPOINTS, Site, wait_ready},
 };
 
 /// Longest time after the last fault until all daemons are ready.
@@ -73,6 +73,8 @@
         let sizes = Sizes {
             daemons: site.daemons.len(),
             endpoints: site.places.len(),
+            plain: ENDPOINTS[0].1,
+            prefill: ENDPOINTS[1].1,
             traffic: self.traffic,
         };
         let addresses: Vec<_> = site.daemons.iter().map(|daemon| daemon.callers).collect();
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -1,10 +1,12 @@
 //! Plans follow from their seeds.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use basilbank_soak::plan::{Fault, Sizes, plan};
+use basilbank_standin::managed::{BreakKind, BreakPlace, Framing};
 
-const SIZES: Sizes = Sizes { daemons: 3, endpoints: 8, traffic: Duration::from_secs(10) };
+const SIZES: Sizes =
+    Sizes { daemons: 3, endpoints: 8, plain: 3, prefill: 2, traffic: Duration::from_secs(10) };
 
 #[test]
 fn the_same_seed_gives_the_same_plan_and_another_one_another() {
@@ -25,7 +27,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 22] = [
+    let kinds: [fn(&Fault) -> bool; 24] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -48,19 +50,40 @@
         |f| matches!(f, Fault::Restore(..)),
         |f| matches!(f, Fault::Limit(..)),
         |f| matches!(f, Fault::Deadly(_)),
+        |f| matches!(f, Fault::EndAnswers(..)),
+        |f| matches!(f, Fault::End(..)),
     ];
     for (number, kind) in kinds.iter().enumerate() {
         assert!(faults.iter().any(kind), "kind {number}");
     }
 }
 
+#[test]
+fn answers_break_off_in_every_way_that_shows() {
+    let mut seen = HashSet::new();
+    for (_, fault) in (0..300).flat_map(|seed| plan(seed, SIZES)) {
+        let Fault::EndAnswers(endpoint, ending, share, _) = fault else { continue };
+        let Some((place, kind)) = ending.broken else { continue };
+        let framing = ending.framing.expect("a framing");
+        assert!(1 < share.one_in, "not all");
+        let is_unmarked = (framing, kind) == (Framing::Connection, BreakKind::Close);
+        let is_plain = endpoint < SIZES.plain;
+        assert!(!(is_unmarked && place == BreakPlace::Between), "{fault:?}");
+        assert!(!(is_unmarked && is_plain && place != BreakPlace::Head), "{fault:?}");
+        seen.insert(format!("{is_plain} {framing:?} {place:?} {kind:?}"));
+    }
+    assert_eq!(seen.len(), 26 + 25, "streams and plain answers");
+}
+
 /// A seed that is listed as having failed must go on meaning the same, whatever is drawn besides.
 #[test]
 fn a_seed_keeps_the_faults_of_the_first_stream() {
     let of_first = |f: &Fault| {
-        use Fault::{Deadly, Foreign, Lengthen, Limit, Narrow, Restart, Restore, Spoil};
+        use Fault::{
+            Deadly, End, EndAnswers, Foreign, Lengthen, Limit, Narrow, Restart, Restore, Spoil,
+        };
         let second = matches!(f, Foreign(..) | Lengthen(_) | Narrow(..) | Restart(..) | Spoil(..));
-        !second && !matches!(f, Restore(..) | Limit(..) | Deadly(_))
+        !second && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
