--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -212,7 +212,7 @@
     /// Connections to an endpoint are refused no more.
     ///
     /// # Errors
-    /// A path's port was taken.
+    /// A path can't listen.
     pub fn reopen(&mut self, place: usize) -> std::io::Result<()> {
         let listed = self.places[place].proxy.address();
         self.daemons.iter_mut().try_for_each(|daemon| daemon.paths.open(listed))
--- a/crates/basilbank_standin/src/managed/paths.rs
+++ b/crates/basilbank_standin/src/managed/paths.rs
@@ -62,7 +62,7 @@
     /// The path to an endpoint listens again.
     ///
     /// # Errors
-    /// Another socket has taken its port.
+    /// It can't listen.
     pub fn open(&mut self, listed: SocketAddr) -> io::Result<()> {
         self.of(listed).try_for_each(Proxy::open)
     }
--- a/crates/basilbank_standin/src/managed/proxy.rs
+++ b/crates/basilbank_standin/src/managed/proxy.rs
@@ -2,16 +2,16 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// How often a copying thread looks whether the proxy has ended.
 const LOOK: Duration = Duration::from_millis(200);
@@ -19,8 +19,8 @@
 /// Longest wait for the real end.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// Longest wait for the port of a proxy that listens again.
-const REOPEN: Duration = Duration::from_secs(1);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 128;
 
 /// Bytes that a narrow link passes on at a time: a few packets, so that connections share it.
 const PIECE: usize = 4096;
@@ -86,6 +86,8 @@
 #[derive(Debug)]
 pub struct Proxy {
     address: SocketAddr,
+    /// Keeps the port while nothing listens there.
+    _reserved: Socket,
     shared: Arc<Shared>,
     thread: Option<JoinHandle<()>>,
 }
@@ -96,8 +98,9 @@
     /// # Errors
     /// It can't listen.
     pub fn start(target: SocketAddr) -> io::Result<Proxy> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
-        let address = listener.local_addr()?;
+        let reserved = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = reserved.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let listener = listen(address)?;
         let shared = Arc::new(Shared {
             target: Mutex::new(target),
             weather: Mutex::default(),
@@ -107,7 +110,7 @@
             closed: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         });
-        let mut proxy = Proxy { address, shared, thread: None };
+        let mut proxy = Proxy { address, _reserved: reserved, shared, thread: None };
         proxy.serve(listener);
         Ok(proxy)
     }
@@ -131,18 +134,12 @@
     /// Listens again after `close`.
     ///
     /// # Errors
-    /// Another socket has taken the port meanwhile, and keeps it.
+    /// It can't listen.
     pub fn open(&mut self) -> io::Result<()> {
         if self.thread.is_some() {
             return Ok(());
         }
-        let end = Instant::now() + REOPEN;
-        let listener = loop {
-            match TcpListener::bind(self.address) {
-                Err(_) if Instant::now() < end => thread::sleep(REOPEN / 50),
-                bound => break bound?,
-            }
-        };
+        let listener = listen(self.address)?;
         self.shared.closed.store(false, Ordering::Relaxed);
         self.serve(listener);
         Ok(())
@@ -273,6 +270,21 @@
     }
 }
 
+/// Binds a socket to an address that others may be bound to as well.
+fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = bind(address)?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 fn is_timeout(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
 }
