Soak: endpoints of several versions, and callers that take streams up again

Cause: all endpoints were of one version, and no caller took a broken stream up again, so that neither streams of two versions nor KV caches that another version read could show. Change, stand-in: an endpoint has a version, which its entry states, and another one after restart_as. Events of versions other than v1 show theirs; Served keeps the version and whose KV caches were taken. Change, soak: a seeded part of the plan (versions) in which endpoints of v2 and v3 join, others are replaced one after the other by those of another version and back, one starts again under its id as another version, and the decode endpoints of a version crash but for one or all of them. Callers of drafts, a third of whom lose their connection, take broken streams up again at the next daemon, in one to three tries (Last-Event-Id, Resumes, the patience that remains), and keep all events. Checks: ORDER, events of two versions in one answer or over tries, and KV caches of another version; LOST, streams that go on less than half as often as new ones begin, where daemons are out of trouble and two decode endpoints of the version have served for 3 s. Left out: a start as another version beside a store that comes back from a copy, whose entry would name the former version; such a start waits for daemons that stand still or can't read the store, and is listed 0.5 s before calls reach it.

--- a/crates/basilbank_soak/src/callers.rs
+++ b/crates/basilbank_soak/src/callers.rs
@@ -15,6 +15,8 @@
 use basilbank_core::state::Rng;
 use basilbank_standin::managed::{Answer, DEADLY, read_answer};
 
+use crate::streams::{EVENTS, Events};
+
 /// What callers say they wait.
 const PATIENCE: Duration = Duration::from_millis(4000);
 
@@ -30,8 +32,16 @@
 /// Pause between two calls of one caller, on average.
 const PAUSE_MS: u64 = 25;
 
-/// Events of a draft, and of one that its caller leaves.
-const EVENTS: [u32; 2] = [40, 2000];
+/// Events of a draft that its caller leaves.
+const LEFT_EVENTS: u32 = 2000;
+
+/// Tries in which a stream is taken up again, at most, and the least patience that one is made with.
+const TRIES: usize = 3;
+const LEAST: Duration = Duration::from_millis(300);
+
+/// One draft in so many loses its caller's connection, some bytes after the head.
+const CUTS: usize = 3;
+const CUT_BYTES: (u64, u64) = (700, 800);
 
 /// A kind of call.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -67,10 +77,18 @@
     Unreachable,
     /// It left as it meant to.
     Left,
+    /// The stream holds events of two versions.
+    OtherVersion(String),
     /// What came can't be right.
     Wrong(String),
 }
 
+impl Seen {
+    fn is_wrong(&self) -> bool {
+        matches!(self, Seen::Wrong(_) | Seen::OtherVersion(_))
+    }
+}
+
 /// One call.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -88,6 +106,27 @@
     pub ended: Instant,
     /// What came.
     pub seen: Seen,
+    /// Events that came, if it is a stream.
+    pub events: u32,
+    /// The stream that it takes up again.
+    pub resumed: Option<Resumed>,
+}
+
+impl Record {
+    /// The id that its path and body are made of: that of the stream's first try.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        self.resumed.as_ref().map_or(&self.id, |resumed| &resumed.first)
+    }
+}
+
+/// A stream that a call takes up again.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Resumed {
+    /// The id of the call that brought its first event.
+    pub first: String,
+    /// The version that began it.
+    pub version: String,
 }
 
 /// All calls so far, by id.
@@ -163,11 +202,10 @@
     fn run_deadly(mut self, records: &Records, stop: &AtomicBool, comes: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             if comes.load(Ordering::Relaxed) {
-                let record = self.send(Kind::Deadly);
+                let record = self.send(Kind::Deadly, &mut Events::default(), None, PATIENCE);
                 self.open = None;
                 self.at = (self.at + 1) % self.daemons.len();
-                let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
-                records.insert(record.id.clone(), record);
+                keep(records, record);
             }
             thread::sleep(DEADLY_PAUSE);
         }
@@ -175,40 +213,76 @@
 
     fn run(mut self, records: &Records, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
-            let record = self.call();
+            let (record, events) = self.call();
             if record.seen != Seen::Served {
                 // The open connection is kept as long as it works, the daemon only then.
                 self.at = (self.at + usize::from(self.open.is_none())) % self.daemons.len();
             }
-            let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
-            records.insert(record.id.clone(), record);
-            drop(records);
+            if record.kind == Kind::Draft && events.is_begun() && !record.seen.is_wrong() {
+                self.resume(&record, events, records);
+            }
+            keep(records, record);
             thread::sleep(Duration::from_millis(self.rng.next_u64() % (2 * PAUSE_MS)));
         }
     }
 
-    fn call(&mut self) -> Record {
+    fn call(&mut self) -> (Record, Events) {
         let kinds = [Kind::Stock, Kind::Sheet, Kind::Draft, Kind::Once, Kind::Left];
         let kind = kinds[[0, 0, 0, 1, 1, 1, 2, 2, 3, 4][self.rng.index(10)]];
-        self.send(kind)
+        let mut events = Events::default();
+        let record = self.send(kind, &mut events, None, PATIENCE);
+        (record, events)
     }
 
-    fn send(&mut self, kind: Kind) -> Record {
+    /// Takes a stream up again at other daemons, a few times, within the patience that remains.
+    fn resume(&mut self, begun: &Record, mut events: Events, records: &Records) {
+        let mut daemon = begun.daemon;
+        for _ in 0..=self.rng.index(TRIES) {
+            thread::sleep(Duration::from_millis(self.rng.next_u64() % (2 * PAUSE_MS)));
+            let left = PATIENCE.saturating_sub(begun.begun.elapsed());
+            let Some(version) = events.version.clone().filter(|_| LEAST < left) else { return };
+            self.open = None;
+            daemon = (daemon + 1) % self.daemons.len();
+            self.at = daemon;
+            let resumed = Resumed { first: begun.id.clone(), version };
+            let record = self.send(Kind::Draft, &mut events, Some(resumed), left);
+            let is_over = !events.is_begun() || record.seen.is_wrong();
+            keep(records, record);
+            if is_over {
+                return;
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        kind: Kind,
+        events: &mut Events,
+        resumed: Option<Resumed>,
+        patience: Duration,
+    ) -> Record {
         self.calls += 1;
         let id = format!("c{}-{}", self.number, self.calls);
-        let line = line(kind, &id);
-        let (daemon, begun) = (self.at, Instant::now());
-        let seen = match self.exchange(kind, &id, &line) {
-            Ok(seen) => seen,
-            Err(error) => {
-                self.open = None;
-                unanswered(&error)
-            }
-        };
-        Record { id, kind, daemon, line, begun, ended: Instant::now(), seen }
+        let (daemon, begun, had) = (self.at, Instant::now(), events.count);
+        let line = line(kind, resumed.as_ref().map_or(&id, |resumed| &resumed.first));
+        let seen = Seen::Nothing;
+        let mut record =
+            Record { id, kind, daemon, line, begun, ended: begun, seen, events: 0, resumed };
+        record.seen = self.exchange(&record, events, patience).unwrap_or_else(|error| {
+            self.open = None;
+            unanswered(&error)
+        });
+        record.ended = Instant::now();
+        record.events = events.count - had;
+        record
     }
 
-    fn exchange(&mut self, kind: Kind, id: &str, line: &str) -> io::Result<Seen> {
+    fn exchange(
+        &mut self,
+        call: &Record,
+        events: &mut Events,
+        patience: Duration,
+    ) -> io::Result<Seen> {
         let mut reader = match self.open.take() {
             Some(reader) => reader,
             None => match TcpStream::connect_timeout(&self.daemons[self.at], CONNECT) {
@@ -216,14 +290,18 @@
                 Err(_) => return Ok(Seen::Unreachable),
             },
         };
-        reader.get_ref().set_read_timeout(Some(PATIENCE + MARGIN))?;
-        reader.get_mut().write_all(request(kind, id, line).as_bytes())?;
-        if kind == Kind::Left {
+        reader.get_ref().set_read_timeout(Some(patience + MARGIN))?;
+        reader.get_mut().write_all(request(call, events.count, patience).as_bytes())?;
+        if call.kind == Kind::Left {
             return leave(&mut reader);
         }
+        if call.kind == Kind::Draft && self.rng.index(CUTS) == 0 {
+            let bytes = CUT_BYTES.0 + self.rng.next_u64() % CUT_BYTES.1;
+            return lose(&mut reader, bytes, call, events);
+        }
         let answer = read_answer(&mut reader)?;
         let closes = answer.header("connection").is_some_and(|value| value == "close");
-        let seen = judge(kind, id, line, &answer);
+        let seen = judge(call.kind, &call.id, &call.line, &answer, events);
         if answer.whole && !closes {
             if let Some(more) = extra(&mut reader)? {
                 return Ok(Seen::Wrong(format!("bytes after the answer: {more:?}")));
@@ -234,6 +312,11 @@
     }
 }
 
+fn keep(records: &Records, record: Record) {
+    let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
+    records.insert(record.id.clone(), record);
+}
+
 fn unanswered(error: &io::Error) -> Seen {
     match error.kind() {
         io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => Seen::Nothing,
@@ -261,21 +344,40 @@
     }
 }
 
-fn request(kind: Kind, id: &str, line: &str) -> String {
-    let events = if kind == Kind::Left { EVENTS[1] } else { EVENTS[0] };
-    let tokens = match kind {
+fn request(call: &Record, had: u32, patience: Duration) -> String {
+    let events = if call.kind == Kind::Left { LEFT_EVENTS } else { EVENTS };
+    let mut more = match call.kind {
         Kind::Stock | Kind::Sheet => String::new(),
         _ => format!("x-token-counts: 1000,{events}\r\nx-prompt-prefix: ab:1000\r\n"),
     };
-    let body = body(kind, id);
+    if let Some(resumed) = &call.resumed {
+        more += &format!("last-event-id: {had}\r\nresumes: {}\r\n", resumed.first);
+    }
+    let body = body(call.kind, call.name());
     format!(
-        "{line} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {id}\r\n{tokens}\
+        "{} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {}\r\n{more}\
          x-deadline-remaining: {}\r\ncontent-length: {}\r\n\r\n{body}",
-        PATIENCE.as_millis(),
+        call.line,
+        call.id,
+        patience.as_millis(),
         body.len(),
     )
 }
 
+/// Reads some bytes of a stream, and loses the connection.
+fn lose(
+    reader: &mut BufReader<TcpStream>,
+    bytes: u64,
+    call: &Record,
+    events: &mut Events,
+) -> io::Result<Seen> {
+    let answer = read_answer(&mut reader.take(bytes))?;
+    match judge(call.kind, &call.id, &call.line, &answer, events) {
+        Seen::Broken => Ok(Seen::Left),
+        seen => Ok(seen),
+    }
+}
+
 /// Reads the beginning of a stream, and closes the connection.
 fn leave(reader: &mut BufReader<TcpStream>) -> io::Result<Seen> {
     let mut head = [0; 200];
@@ -300,9 +402,10 @@
     Ok(more)
 }
 
-/// What an answer is to the caller of a call. One that isn't complete must not look whole.
+/// What an answer is to the caller of a call, who has some events if it is a stream. One that isn't
+/// complete must not look whole.
 #[must_use]
-pub fn judge(kind: Kind, id: &str, line: &str, answer: &Answer) -> Seen {
+pub fn judge(kind: Kind, id: &str, line: &str, answer: &Answer, events: &mut Events) -> Seen {
     let sealed = answer.header("x-server-seal").is_some();
     if answer.status != 200 {
         return Seen::Status(answer.status);
@@ -315,7 +418,7 @@
         Kind::Stock | Kind::Sheet if !answer.whole => Seen::Broken,
         Kind::Stock | Kind::Sheet if is_complete(&text, line) => Seen::Served,
         Kind::Stock | Kind::Sheet => Seen::Wrong(format!("half or another's answer: {text:?}")),
-        _ => judge_stream(&text, answer.whole),
+        _ => events.take(&text, answer.whole),
     }
 }
 
@@ -327,13 +430,3 @@
         place.parse::<usize>().is_ok() && number.parse::<usize>().is_ok()
     })
 }
-
-/// A stream has each event once and in order, and one that looks whole has all of them.
-fn judge_stream(text: &str, whole: bool) -> Seen {
-    let all: String = (1..=EVENTS[0]).map(|n| format!("id: {n}\ndata: token {n}\n\n")).collect();
-    match (all == text, whole) {
-        (true, true) => Seen::Served,
-        _ if !whole && all.starts_with(text) => Seen::Broken,
-        _ => Seen::Wrong(format!("a stream of {} bytes, whole {whole}: {text:?}", text.len())),
-    }
-}
--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -1,5 +1,7 @@
 //! What must hold, by what callers and endpoints saw.
 
+mod versions;
+
 use std::{
     collections::{HashMap, HashSet},
     time::{Duration, Instant},
@@ -9,7 +11,7 @@
 
 use crate::{
     callers::{Kind, Record, Seen, body},
-    play::{Span, Trouble},
+    play::{Serving, Span, Trouble},
     site::Site,
 };
 
@@ -60,6 +62,8 @@
     pub served: Vec<(String, Served)>,
     /// Times of trouble.
     pub spans: &'a [Span],
+    /// Times in which decode endpoints served.
+    pub serving: &'a [Serving],
 }
 
 impl Evidence<'_> {
@@ -76,6 +80,8 @@
         self.leaving(&mut findings);
         self.pauses(&mut findings);
         self.cut_off(&mut findings);
+        self.kv_versions(&mut findings);
+        self.resumed(&mut findings);
         for record in self.records.values() {
             let ran = runs.get(record.id.as_str()).copied().unwrap_or(0);
             findings.extend(self.call(record, ran));
@@ -101,6 +107,7 @@
         }
         match &record.seen {
             Seen::Wrong(what) => Some(format!("MIXED {}: {what}", of(record))),
+            Seen::OtherVersion(what) => Some(format!("ORDER {}: {what}", of(record))),
             Seen::Status(status) if PROMISES.contains(status) && ran != 0 => {
                 Some(format!("REFUSED {} got {status} and ran", of(record)))
             }
@@ -276,7 +283,9 @@
         };
         let (mut cut, mut others) = ((0, 0), (0, 0));
         for record in self.records.values() {
-            let is_meant = !matches!(record.kind, Kind::Left | Kind::Deadly);
+            let is_meant = !matches!(record.kind, Kind::Left | Kind::Deadly)
+                && record.seen != Seen::Left
+                && record.resumed.is_none();
             if !is_meant || !in_cut(record.begun) || !self.in_touch(&record.id, record.begun) {
                 continue;
             }
@@ -324,7 +333,7 @@
 
 fn is_asked(record: &Record, request: &Request) -> bool {
     let line = format!("{} {}", request.method, request.target);
-    line == record.line && request.body == body(record.kind, &record.id).as_bytes()
+    line == record.line && request.body == body(record.kind, record.name()).as_bytes()
 }
 
 /// Endpoints that still send streams although no caller is left.
--- a/crates/basilbank_soak/src/lib.rs
+++ b/crates/basilbank_soak/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! A seed gives a plan of faults that come in series and overlap. Daemons are stopped, paused, killed
 //! and restarted by signals; a loopback proxy before each endpoint and before the store delays, cuts
-//! one way, silences and resets connections; answers of endpoints break off; the last daemon's time of day
-//! jumps.
+//! one way, silences and resets connections; answers of endpoints break off; endpoints of several versions
+//! serve side by side; the last daemon's time of day jumps.
 
 pub mod callers;
 pub mod checks;
@@ -14,3 +14,4 @@
 pub mod process;
 pub mod site;
 pub mod soak;
+pub mod streams;
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -1,13 +1,14 @@
 //! What is done to a site, and when: the same for the same seed.
 
 mod endings;
+mod versions;
 
 use std::time::Duration;
 
 use basilbank_core::state::Rng;
 use basilbank_standin::managed::{BadEntry, BreakShare, Ending, Misdeed, StoreFault, Weather};
 
-use self::endings::endings;
+use self::{endings::endings, versions::versions};
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
@@ -94,6 +95,14 @@
     EndAnswers(usize, Ending, BreakShare, Duration),
     /// An endpoint's process ends, and starts again under its id after the time.
     End(usize, Duration),
+    /// An endpoint of a stage and a version joins.
+    Join(&'static str, &'static str),
+    /// An endpoint drains, leaves, and another instance of a version takes its address.
+    Renew(usize, &'static str),
+    /// An endpoint's process ends, and starts again under its id with a version after the time.
+    RestartAs(usize, &'static str, Duration),
+    /// The processes of all decode endpoints of a version but so many end, and start again after the time.
+    CrashVersion(&'static str, usize, Duration),
     /// The paths from some daemons, the first ones from a number on, to endpoints.
     Paths(PathCut, Weather, Duration),
     /// The time of day jumps at the daemon with the injected clock.
@@ -159,6 +168,7 @@
     plan.extend(stated(seed, sizes));
     plan.extend(paths(seed, sizes));
     plan.extend(endings(seed, sizes));
+    plan.extend(versions(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -2,6 +2,7 @@
 
 mod daemons;
 mod endpoints;
+mod versions;
 
 use std::{
     collections::HashSet,
@@ -17,6 +18,7 @@
 use basilbank_standin::managed::{BreakShare, Ending, Lost, Misdeed, StoreFault, Weather};
 use rustix::process::Signal;
 
+pub use self::versions::Serving;
 use self::{daemons::RESTART, endpoints::DRAIN};
 use crate::{
     plan::{At, Fault, PathCut},
@@ -80,6 +82,8 @@
     UnlistForeign,
     Unlimit(usize),
     Return(usize),
+    ReturnAs(usize, &'static str),
+    Reopen(usize),
     EndWell(usize),
     EndRest(usize),
     Spare,
@@ -94,9 +98,15 @@
     steps: Vec<(Instant, Step)>,
     leaving: HashSet<usize>,
     crashed: HashSet<usize>,
+    /// Places whose entries are not theirs.
+    unlisted: HashSet<usize>,
+    /// The store came back from a copy, and its writers have not written again.
+    restoring: bool,
     deadly: Arc<AtomicBool>,
     /// Times of trouble.
     pub spans: Vec<Span>,
+    /// Times in which decode endpoints served.
+    pub serving: Vec<Serving>,
     /// What went wrong on the way.
     pub findings: Vec<String>,
     /// What was done, for the log.
@@ -114,8 +124,20 @@
         let begun = Instant::now();
         let steps = plan.iter().map(|(at, fault)| (begun + *at, Step::Fault(*fault))).collect();
         let (spans, findings, done) = (Vec::new(), Vec::new(), Vec::new());
-        let (leaving, crashed) = (HashSet::new(), HashSet::new());
-        Play { site, begun, steps, leaving, crashed, deadly, spans, findings, done }
+        Play {
+            site,
+            begun,
+            steps,
+            leaving: HashSet::new(),
+            crashed: HashSet::new(),
+            unlisted: HashSet::new(),
+            restoring: false,
+            deadly,
+            spans,
+            serving: Vec::new(),
+            findings,
+            done,
+        }
     }
 
     /// Plays on until `end`, and then until all that follows from the plan is done.
@@ -124,6 +146,7 @@
     /// A daemon can't be started.
     pub fn run(&mut self, end: Instant) -> anyhow::Result<()> {
         while Instant::now() < end || !self.steps.is_empty() {
+            self.note_serving();
             let now = Instant::now();
             let due = self.steps.iter().position(|(at, _)| *at <= now);
             if let Some(due) = due {
@@ -170,7 +193,12 @@
             }
             // One that leaves has said so since.
             Step::List(place) if self.leaving.contains(&place) => {}
-            Step::List(place) => self.site.list(place, "ready"),
+            Step::List(place) => {
+                self.unlisted.remove(&place);
+                self.site.list(place, "ready");
+            }
+            Step::ReturnAs(place, version) => self.return_as(place, version)?,
+            Step::Reopen(place) => self.site.reopen(place)?,
             Step::Return(place) => {
                 self.site.places[place].restart(false)?;
                 self.site.reopen(place)?;
@@ -183,7 +211,10 @@
             Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
             Step::Spare => self.deadly.store(false, Ordering::Relaxed),
             Step::Revive(place) => self.revive(place)?,
-            Step::Rewrite(lost) => self.site.store.rewrite(lost),
+            Step::Rewrite(lost) => {
+                self.restoring = false;
+                self.site.store.rewrite(lost);
+            }
             Step::UnlistForeign => self.site.unlist_foreign(),
         }
         Ok(())
@@ -215,6 +246,7 @@
             }
             Fault::Compact => self.site.store.compact(),
             Fault::Restore(age, time) => {
+                self.restoring = true;
                 let lost = self.site.store.restore(age);
                 self.later(time, Step::Rewrite(lost));
             }
@@ -249,10 +281,12 @@
             Fault::Spoil(place, _, _) | Fault::Restart(place, _, _)
                 if self.leaving.contains(&place) => {}
             Fault::Spoil(place, bad, time) => {
+                self.unlisted.insert(place);
                 self.site.spoil(place, bad);
                 self.later(time, Step::List(place));
             }
             Fault::Restart(place, at, time) => {
+                self.unlisted.insert(place);
                 self.site.places[place].restart(at == At::Another)?;
                 self.site.open_paths(place)?;
                 self.later(time, Step::List(place));
@@ -274,6 +308,12 @@
                 self.later(time, Step::EndWell(place));
             }
             Fault::End(place, down) => self.end(place, down),
+            Fault::Join(stage, version) => self.site.join(stage, version)?,
+            Fault::Renew(place, version) => self.renew(place, version),
+            Fault::RestartAs(place, version, down) => self.restart_as(place, version, down),
+            Fault::CrashVersion(version, spared, down) => {
+                self.crash_version(version, spared, down);
+            }
             Fault::Deadly(time) => {
                 self.deadly.store(true, Ordering::Relaxed);
                 self.later(time, Step::Spare);
--- a/crates/basilbank_soak/src/play/endpoints.rs
+++ b/crates/basilbank_soak/src/play/endpoints.rs
@@ -67,13 +67,18 @@
         {
             return self.later(LOOK, Step::Fault(Fault::End(place, down)));
         }
-        let says_leaving = self.site.places[place].endpoint.served().said_leaving.is_some();
-        if !self.leaving.contains(&place) && !says_leaving {
+        if self.stays(place) {
             self.site.end(place);
             self.later(down, Step::Return(place));
         }
     }
 
+    /// Neither its entry nor its answers say that an endpoint leaves.
+    pub(super) fn stays(&self, place: usize) -> bool {
+        let says_leaving = self.site.places[place].endpoint.served().said_leaving.is_some();
+        !self.leaving.contains(&place) && !says_leaving
+    }
+
     /// Endpoints that were crashed start again some time later, under their ids.
     pub(super) fn look_for_crashes(&mut self) {
         for place in 0..self.site.places.len() {
--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -10,8 +10,8 @@
 
 use anyhow::{Context, ensure};
 use basilbank_standin::managed::{
-    BadEntry, BreakShare, Caches, DESK, Ending, EndpointSpec, Framing, ManagedEndpoint,
-    ManagedStore, Paths, Proxy, Served, WRITER, call, configuration, key,
+    BadEntry, BreakShare, Caches, DESK, Ending, EndpointSpec, FIRST_VERSION, Framing,
+    ManagedEndpoint, ManagedStore, Paths, Proxy, Served, WRITER, call, configuration, key,
 };
 
 use crate::process::{Process, Program};
@@ -38,6 +38,8 @@
     pub service: &'static str,
     /// Instances that were there.
     pub before: Vec<(String, Served)>,
+    /// The version of the next instance there.
+    pub version: &'static str,
     stage: Option<&'static str>,
     instances: u32,
     /// Answers since its start were marked by the end of the connection alone.
@@ -78,17 +80,36 @@
 }
 
 impl Place {
-    fn start(stage: &'static str, number: usize, caches: &Caches) -> anyhow::Result<Place> {
+    fn start(
+        stage: &'static str,
+        version: &'static str,
+        number: usize,
+        caches: &Caches,
+    ) -> anyhow::Result<Place> {
         let (service, stage) = match stage {
             "plain" => (DESK, None),
             stage => (WRITER, Some(stage)),
         };
         let instance = format!("{}-{number}-0", stage.unwrap_or("plain"));
-        let mut endpoint = ManagedEndpoint::start(spec(&instance, stage), caches)?;
+        let mut endpoint = ManagedEndpoint::start(spec(&instance, stage, version), caches)?;
         let proxy = Proxy::start(endpoint.address())?;
         endpoint.reach_at(proxy.address());
-        let before = Vec::new();
-        Ok(Place { endpoint, proxy, service, before, stage, instances: 1, is_unmarked: false })
+        Ok(Place {
+            endpoint,
+            proxy,
+            service,
+            before: Vec::new(),
+            version,
+            stage,
+            instances: 1,
+            is_unmarked: false,
+        })
+    }
+
+    /// Whether the endpoint decodes, and is of a version.
+    #[must_use]
+    pub fn decodes(&self, version: &str) -> bool {
+        self.stage == Some("decode") && self.endpoint.version() == version
     }
 
     /// Another instance takes the address.
@@ -99,7 +120,8 @@
         let (name, _) = self.endpoint.instance().rsplit_once('-').context("an instance's name")?;
         let instance = format!("{name}-{}", self.instances);
         self.instances += 1;
-        let mut endpoint = ManagedEndpoint::start(spec(&instance, self.stage), caches)?;
+        let spec = spec(&instance, self.stage, self.version);
+        let mut endpoint = ManagedEndpoint::start(spec, caches)?;
         endpoint.reach_at(self.proxy.address());
         self.proxy.retarget(endpoint.address());
         self.is_unmarked = false;
@@ -134,6 +156,18 @@
         self.endpoint.end_some(ending, share);
     }
 
+    /// The endpoint starts again under its id, at its address, with another version.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn restart_as(&mut self, version: &'static str) -> anyhow::Result<()> {
+        self.version = version;
+        let served = self.endpoint.restart_as(0, version)?;
+        self.before.push((self.endpoint.instance().to_owned(), served));
+        self.proxy.retarget(self.endpoint.address());
+        Ok(())
+    }
+
     /// All instances that were here, with what they served.
     #[must_use]
     pub fn all_served(&self) -> Vec<(String, Served)> {
@@ -147,11 +181,8 @@
     key(&format!("foreign-{place}"))
 }
 
-fn spec(instance: &str, stage: Option<&'static str>) -> EndpointSpec {
-    match stage {
-        Some(stage) => EndpointSpec::model(instance, stage),
-        None => EndpointSpec::plain(instance),
-    }
+fn spec(instance: &str, stage: Option<&'static str>, version: &'static str) -> EndpointSpec {
+    EndpointSpec { stage, version, ..EndpointSpec::plain(instance) }
 }
 
 impl Site {
@@ -166,7 +197,7 @@
         let mut places = Vec::new();
         for (stage, count) in ENDPOINTS {
             for number in 0..count {
-                places.push(Place::start(stage, number, &caches)?);
+                places.push(Place::start(stage, FIRST_VERSION, number, &caches)?);
             }
         }
         let daemons = daemons(programs, folder, &store, &caches)?;
@@ -200,6 +231,18 @@
         Ok(())
     }
 
+    /// An endpoint more, of a version, is listed.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn join(&mut self, stage: &'static str, version: &'static str) -> anyhow::Result<()> {
+        let place = self.places.len();
+        self.places.push(Place::start(stage, version, place, &self.caches)?);
+        self.open_paths(place)?;
+        self.list(place, "ready");
+        Ok(())
+    }
+
     /// An endpoint's process ends: connections to it are refused, and open ones are closed.
     pub fn end(&mut self, place: usize) {
         let listed = self.places[place].proxy.address();
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -83,7 +83,7 @@
         let end = Instant::now() + self.traffic;
         play.run(end)?;
         callers.finish();
-        let Play { spans, mut findings, done, .. } = play;
+        let Play { spans, serving, mut findings, done, .. } = play;
         findings.extend(still_at_work(&site, STILL));
         findings.extend(recovered(&site));
         findings.extend(stopped(&mut site));
@@ -94,7 +94,8 @@
             served.ran.retain(|request| request.header("x-attempt-id") != Some(LAST_ID));
             (name, served)
         });
-        let evidence = Evidence { records: &records, served: served.collect(), spans: &spans };
+        let served = served.collect();
+        let evidence = Evidence { records: &records, served, spans: &spans, serving: &serving };
         findings.extend(evidence.findings());
         findings.extend(panics(&site));
         Ok(Verdict { calls: records.len(), findings, done })
--- a/crates/basilbank_soak/tests/callers.rs
+++ b/crates/basilbank_soak/tests/callers.rs
@@ -1,6 +1,9 @@
 //! Callers tell whole answers from those that broke off.
 
-use basilbank_soak::callers::{Kind, Seen, judge};
+use basilbank_soak::{
+    callers::{Kind, Seen, judge},
+    streams::Events,
+};
 use basilbank_standin::managed::Answer;
 use test_case::test_case;
 
@@ -13,7 +16,7 @@
 }
 
 fn seen(kind: Kind, text: &str, whole: bool) -> Seen {
-    judge(kind, "a", LINE, &answer(text, whole))
+    judge(kind, "a", LINE, &answer(text, whole), &mut Events::default())
 }
 
 fn stream(events: u32) -> String {
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -21,7 +21,17 @@
     };
     let begun = Instant::now();
     let ended = begun + Duration::from_millis(30);
-    Record { id: id.to_owned(), kind, daemon: 0, line, begun, ended, seen }
+    Record {
+        id: id.to_owned(),
+        kind,
+        daemon: 0,
+        line,
+        begun,
+        ended,
+        seen,
+        events: 0,
+        resumed: None,
+    }
 }
 
 fn run_of(record: &Record) -> Request {
@@ -42,7 +52,7 @@
 
 fn judge(records: &[Record], served: Vec<(String, Served)>, spans: &[Span]) -> Vec<String> {
     let records = records.iter().map(|record| (record.id.clone(), record.clone())).collect();
-    Evidence { records: &records, served, spans }.findings()
+    Evidence { records: &records, served, spans, serving: &[] }.findings()
 }
 
 #[track_caller]
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -27,7 +27,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 24] = [
+    let kinds: [fn(&Fault) -> bool; 28] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -52,6 +52,10 @@
         |f| matches!(f, Fault::Deadly(_)),
         |f| matches!(f, Fault::EndAnswers(..)),
         |f| matches!(f, Fault::End(..)),
+        |f| matches!(f, Fault::Join(..)),
+        |f| matches!(f, Fault::Renew(..)),
+        |f| matches!(f, Fault::RestartAs(..)),
+        |f| matches!(f, Fault::CrashVersion(..)),
     ];
     for (number, kind) in kinds.iter().enumerate() {
         assert!(faults.iter().any(kind), "kind {number}");
@@ -75,15 +79,30 @@
     assert_eq!(seen.len(), 26 + 25, "streams and plain answers");
 }
 
+/// Guards against a copy of the store that names the former version of an endpoint which started again.
+#[test]
+fn no_endpoint_starts_again_as_another_version_beside_a_restored_store() {
+    for seed in 0..200 {
+        let plan = plan(seed, SIZES);
+        let has = |kind: fn(&Fault) -> bool| plan.iter().any(|(_, fault)| kind(fault));
+        let restored = has(|f| matches!(f, Fault::Restore(..)));
+        assert!(!(restored && has(|f| matches!(f, Fault::RestartAs(..)))), "seed {seed}");
+    }
+}
+
 /// A seed that is listed as having failed must go on meaning the same, whatever is drawn besides.
 #[test]
 fn a_seed_keeps_the_faults_of_the_first_stream() {
     let of_first = |f: &Fault| {
         use Fault::{
-            Deadly, End, EndAnswers, Foreign, Lengthen, Limit, Narrow, Restart, Restore, Spoil,
+            CrashVersion, Deadly, End, EndAnswers, Foreign, Join, Lengthen, Limit, Narrow, Renew,
+            Restart, RestartAs, Restore, Spoil,
         };
         let second = matches!(f, Foreign(..) | Lengthen(_) | Narrow(..) | Restart(..) | Spoil(..));
-        !second && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
+        let of_versions = matches!(f, Join(..) | Renew(..) | RestartAs(..) | CrashVersion(..));
+        !second
+            && !of_versions
+            && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -21,8 +21,11 @@
     serving::Serving,
 };
 
+/// The version of software that endpoints have unless another one is given.
+pub const FIRST_VERSION: &str = "v1";
+
 /// What an endpoint is.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EndpointSpec {
     /// The instance's id.
     pub instance: String,
@@ -30,13 +33,15 @@
     pub port: u16,
     /// Its stage; `None` for a plain service.
     pub stage: Option<&'static str>,
+    /// The version of its software.
+    pub version: &'static str,
 }
 
 impl EndpointSpec {
     /// A plain service.
     #[must_use]
     pub fn plain(instance: &str) -> EndpointSpec {
-        EndpointSpec { instance: instance.to_owned(), ..EndpointSpec::default() }
+        EndpointSpec { instance: instance.to_owned(), port: 0, stage: None, version: FIRST_VERSION }
     }
 
     /// A model endpoint.
@@ -61,7 +66,7 @@
     /// # Errors
     /// It can't listen.
     pub fn start(spec: EndpointSpec, caches: &Caches) -> io::Result<ManagedEndpoint> {
-        let inside = begin(spec.stage);
+        let inside = begin(&spec);
         let listener = listen(&spec, spec.port, &inside, caches)?;
         let listed = listener.address();
         lock(&caches.0).insert(listed, Arc::clone(&inside));
@@ -76,7 +81,7 @@
     /// It can't listen.
     pub fn restart(&mut self, port: u16) -> io::Result<Served> {
         self.listener.close();
-        let (inside, before) = (begin(self.spec.stage), self.listener.address());
+        let (inside, before) = (begin(&self.spec), self.listener.address());
         self.listener = listen(&self.spec, port, &inside, &self.caches)?;
         let mut caches = lock(&self.caches.0);
         caches.remove(&before);
@@ -90,6 +95,27 @@
         Ok(served)
     }
 
+    /// The same, with software of another version from then on.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn restart_as(&mut self, port: u16, version: &'static str) -> io::Result<Served> {
+        self.spec.version = version;
+        self.restart(port)
+    }
+
+    /// The version of its software.
+    #[must_use]
+    pub fn version(&self) -> &'static str {
+        self.spec.version
+    }
+
+    /// Whether it serves whatever comes, and says nothing else.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        self.listener.is_open() && lock(&self.inside).is_sound()
+    }
+
     /// It is reached at another address, such as a proxy's, and listed with that.
     pub fn reach_at(&mut self, address: SocketAddr) {
         self.listed = address;
@@ -121,7 +147,7 @@
         inside.written += 1;
         let mut entry = json!({
             "service": service, "addr": self.listed.to_string(), "zone": "hall-a",
-            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": inside.written,
+            "version": inside.served.version, "slots": 8, "state": state, "coldLeftMs": 0, "seq": inside.written,
             "born": inside.born,
         });
         if let Some(stage) = inside.stage {
@@ -185,8 +211,9 @@
     }
 }
 
-fn begin(stage: Option<&'static str>) -> Arc<Mutex<Inside>> {
-    Arc::new(Mutex::new(Inside { born: born(), stage, ..Inside::default() }))
+fn begin(spec: &EndpointSpec) -> Arc<Mutex<Inside>> {
+    let served = Served { version: spec.version, ..Served::default() };
+    Arc::new(Mutex::new(Inside { born: born(), stage: spec.stage, served, ..Inside::default() }))
 }
 
 /// Now, and later than any before: two starts in one millisecond would be the same one.
--- a/crates/basilbank_standin/src/managed/http.rs
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -234,6 +234,11 @@
         self.address
     }
 
+    /// Whether it listens.
+    pub(super) fn is_open(&self) -> bool {
+        self.thread.is_some()
+    }
+
     /// Resets nothing, but closes all connections.
     pub(super) fn close_all(&self) {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -40,6 +40,16 @@
 }
 
 impl Inside {
+    /// Whether it serves whatever comes, and says nothing else.
+    pub(super) fn is_sound(&self) -> bool {
+        self.misdeed == Misdeed::None
+            && self.ending.broken.is_none()
+            && self.limit.is_none()
+            && self.pause.is_none()
+            && !self.leaving
+            && self.served.crashed.is_none()
+    }
+
     /// How the next answer is framed, and whether it breaks off.
     pub(super) fn next_ending(&mut self) -> Ending {
         self.endings += 1;
--- a/crates/basilbank_standin/src/managed/proxy.rs
+++ b/crates/basilbank_standin/src/managed/proxy.rs
@@ -162,6 +162,12 @@
         *lock(&self.shared.weather) = weather;
     }
 
+    /// What it does.
+    #[must_use]
+    pub fn weather(&self) -> Weather {
+        *lock(&self.shared.weather)
+    }
+
     /// What comes back shares a link of so many bytes a second from now on, whatever the weather.
     pub fn narrow(&self, rate: u32) {
         *lock(&self.shared.rate) = Some(rate);
--- a/crates/basilbank_standin/src/managed/served.rs
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -7,6 +7,10 @@
 /// What an endpoint has served.
 #[derive(Clone, Debug, Default)]
 pub struct Served {
+    /// The version of the endpoint's software.
+    pub version: &'static str,
+    /// KV caches that it took.
+    pub taken: Vec<TakenCache>,
     /// Calls that it ran, in order.
     pub ran: Vec<Request>,
     /// Prompts that it read for a later decode.
@@ -37,6 +41,15 @@
     pub limited: Vec<(Instant, f64, String)>,
 }
 
+/// A KV cache that an endpoint took from the one that had read the prompt.
+#[derive(Clone, Debug)]
+pub struct TakenCache {
+    /// The call's id.
+    pub id: String,
+    /// The version of the software that read the prompt.
+    pub read_by: &'static str,
+}
+
 /// A request that reached an endpoint.
 #[derive(Clone, Debug)]
 pub struct Arrival {
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -12,10 +12,11 @@
 
 use super::{
     ending::{BodyWriter, BreakKind, BreakPlace, Ending},
+    endpoint::FIRST_VERSION,
     http::{Request, answer_bytes, write_answer},
     inside::{Caches, Inside, lock},
     misdeed::Misdeed,
-    served::{Arrival, PauseRequest},
+    served::{Arrival, PauseRequest, TakenCache},
 };
 
 /// The end of the path of a call that crashes each endpoint that runs it.
@@ -173,7 +174,7 @@
 
     fn run(&self, stream: &TcpStream, request: &Request, misdeed: Misdeed) -> io::Result<()> {
         if let Some(source) = request.header("x-kv-source")
-            && !self.take(source)
+            && !self.take(source, request)
         {
             return self.refuse(stream, request);
         }
@@ -213,12 +214,20 @@
         Err(io::ErrorKind::ConnectionReset.into())
     }
 
-    fn take(&self, source: &str) -> bool {
+    fn take(&self, source: &str, request: &Request) -> bool {
         let Some((address, handle)) = source.split_once('/') else { return false };
         let Ok(address) = address.parse::<SocketAddr>() else { return false };
         let address = lock(&self.caches.1).get(&address).copied().unwrap_or(address);
         let Some(inside) = lock(&self.caches.0).get(&address).cloned() else { return false };
-        lock(&inside).handles.remove(handle)
+        let mut reader = lock(&inside);
+        if !reader.handles.remove(handle) {
+            return false;
+        }
+        let read_by = reader.served.version;
+        // It may have read the prompt itself.
+        drop(reader);
+        lock(&self.inside).served.taken.push(TakenCache { id: attempt_id(request), read_by });
+        true
     }
 
     fn answer(
@@ -274,7 +283,8 @@
         let counts = request.header("x-token-counts").unwrap_or_default();
         let last: u32 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
         let had = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0u32);
-        let events = || (had + 1..=last).map(|n| format!("id: {n}\ndata: token {n}\n\n"));
+        let version = lock(&self.inside).served.version;
+        let events = || (had + 1..=last).map(|n| event_text(n, version));
         let Ending { framing, mut broken } = lock(&self.inside).next_ending();
         if misdeed == Misdeed::Torn {
             broken = Some((BreakPlace::Inside, BreakKind::Close));
@@ -301,6 +311,15 @@
     }
 }
 
+/// An event of a stream. It shows the version that wrote it, unless that is the first one.
+#[must_use]
+pub fn event_text(number: u32, version: &str) -> String {
+    match version {
+        FIRST_VERSION => format!("id: {number}\ndata: token {number}\n\n"),
+        _ => format!("id: {number}\ndata: token {number} of {version}\n\n"),
+    }
+}
+
 fn attempt_id(request: &Request) -> String {
     request.header("x-attempt-id").unwrap_or_default().to_owned()
 }
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -19,3 +19,4 @@
 mod stated;
 mod store;
 mod support;
+mod versions;
