--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -19,4 +19,5 @@
 mod stated;
 mod store;
 mod support;
+mod take_ups;
 mod versions;
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -0,0 +1,157 @@
+//! Callers that come back with a part of a stream, before endpoints of two versions.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+};
+
+use basilbank_standin::managed::{
+    Answer, EndpointSpec, Weather, World, WorldSpec, call, event_text,
+};
+use test_case::test_case;
+
+use crate::support::eventually;
+
+/// Streams of each play.
+const STREAMS: usize = 12;
+
+/// Events of a stream, and those that its caller has before its connection breaks.
+const EVENTS: u32 = 60;
+const HAD: u32 = 3;
+
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// Three daemons before a prefill and two decode endpoints of each version.
+fn world() -> World {
+    let spec = WorldSpec { daemons: 3, plain: 1, prefill: 0, decode: 0 };
+    let mut world = World::start(&spec).expect("a world");
+    for version in VERSIONS {
+        for (name, stage) in [("p", "prefill"), ("a", "decode"), ("b", "decode")] {
+            let spec = EndpointSpec::model(&format!("{version}-{name}"), stage);
+            world.add_model(EndpointSpec { version, ..spec }).expect("an endpoint");
+        }
+    }
+    let streams = |to, n: usize| whole(to, &format!("w{n}")).status == 200;
+    eventually("all daemons have both versions", || {
+        (0..3).all(|daemon| (0..4).all(|n| streams(world.callers(daemon), 10 * daemon + n)))
+    });
+    world
+}
+
+fn head(id: &str, more: &str) -> String {
+    let session: u32 = id.bytes().map(u32::from).sum();
+    format!(
+        "POST /draft/1 HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: {id}\r\n\
+         x-deadline-remaining: 8000\r\nx-token-counts: 1000,{EVENTS}\r\n\
+         x-prompt-prefix: {session:x}:1000\r\n{more}content-length: 0\r\n\r\n"
+    )
+}
+
+fn whole(to: SocketAddr, id: &str) -> Answer {
+    let headers = [
+        ("host", "shop.example"),
+        ("x-attempt-id", id),
+        ("x-deadline-remaining", "8000"),
+        ("x-token-counts", "1000,2"),
+        ("x-prompt-prefix", "ab:1000"),
+    ];
+    call(to, "POST /draft/1", &headers, b"").expect("an answer")
+}
+
+/// Reads the first events of a stream, breaks the connection, and returns the version that wrote them.
+fn begin(to: SocketAddr, id: &str) -> &'static str {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    stream.write_all(head(id, "").as_bytes()).expect("a request");
+    let (mut text, mut buffer) = (String::new(), [0; 512]);
+    while text.matches("id: ").count() <= HAD as usize {
+        let read = stream.read(&mut buffer).expect("a stream");
+        assert_ne!(read, 0, "{text}");
+        text += &String::from_utf8_lossy(&buffer[..read]);
+    }
+    let wrote = |version: &&&str| text.contains(&event_text(1, version));
+    VERSIONS.iter().find(wrote).expect("a version")
+}
+
+/// Comes back for the rest of a stream.
+fn take_up(to: SocketAddr, id: &str, began_as: &str) -> Answer {
+    let had = HAD.to_string();
+    let counts = format!("1000,{EVENTS}");
+    let headers = [
+        ("host", "shop.example"),
+        ("x-attempt-id", id),
+        ("x-deadline-remaining", "8000"),
+        ("x-token-counts", counts.as_str()),
+        ("x-prompt-prefix", "ab:1000"),
+        ("last-event-id", had.as_str()),
+        ("resumes", began_as),
+    ];
+    call(to, "POST /draft/1", &headers, b"").expect("an answer")
+}
+
+fn rest_of(version: &str) -> String {
+    (HAD + 1..=EVENTS).map(|n| event_text(n, version)).collect()
+}
+
+/// Guards against a stream that goes on at another version after its caller came back.
+#[test_case(0; "to the daemon that began it")]
+#[test_case(1; "to another daemon")]
+fn a_stream_goes_on_at_its_version(daemon: usize) {
+    let world = world();
+    for n in 0..STREAMS {
+        let began_at = begin(world.callers(0), &format!("s{n}"));
+        let answer = take_up(world.callers(daemon), &format!("t{n}"), &format!("s{n}"));
+        assert_eq!((answer.status, answer.whole), (200, true), "{}", answer.text());
+        assert_eq!(answer.text(), rest_of(began_at));
+    }
+}
+
+/// Guards against a version that only the daemon knew which began the stream.
+#[test]
+fn a_stream_goes_on_at_its_version_after_its_daemon_has_ended() {
+    let mut world = world();
+    let began: Vec<_> = (0..STREAMS).map(|n| begin(world.callers(0), &format!("s{n}"))).collect();
+    world.terminate(0);
+    world.wait_ended(0).expect("its end");
+    for (n, began_at) in began.into_iter().enumerate() {
+        let answer = take_up(world.callers(1), &format!("t{n}"), &format!("s{n}"));
+        assert_eq!((answer.status, answer.text()), (200, rest_of(began_at)));
+    }
+}
+
+/// Guards against another version where a peer makes the calls.
+#[test]
+fn a_stream_goes_on_at_its_version_by_a_peer() {
+    let mut world = world();
+    let paths = world.add_with_paths().expect("a daemon with paths");
+    paths.proxies().for_each(|path| path.set(Weather::Silent));
+    let mut n = 0;
+    eventually("peers make the calls", || {
+        n += 1;
+        whole(world.callers(3), &format!("w{n}")).status == 200
+    });
+    let mut served = 0;
+    for n in 0..STREAMS {
+        let began_at = begin(world.callers(0), &format!("s{n}"));
+        let answer = take_up(world.callers(3), &format!("t{n}"), &format!("s{n}"));
+        if answer.status == 200 && answer.whole {
+            assert_eq!(answer.text(), rest_of(began_at));
+            served += 1;
+        }
+    }
+    assert!(STREAMS / 2 <= served, "{served}");
+}
+
+/// Guards against a guess, and against a wait, where the stream can't go on.
+#[test_case("nobody", false; "nobody knows it")]
+#[test_case("s", true; "its version is gone")]
+fn a_stream_that_cannot_go_on_is_refused(began_as: &str, is_gone: bool) {
+    let world = world();
+    let began_at = begin(world.callers(0), "s");
+    if is_gone {
+        ["p", "a", "b"].iter().for_each(|name| world.unlist(&format!("{began_at}-{name}")));
+        eventually("it is off the list", || take_up(world.callers(1), "t", "s").status == 503);
+    }
+    let answer = take_up(world.callers(1), "u", began_as);
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+}
