--- a/crates/basilbank_forward/tests/forward/fleet/cut_off.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/cut_off.rs
@@ -140,8 +140,7 @@
     }
 
     fn arrive(&mut self) {
-        let pause = -(1.0 - self.fleet.rng.unit()).ln() / self.cut.calls;
-        self.fleet.mark(Duration::from_secs_f64(pause), CALL);
+        self.fleet.mark_at_rate(self.cut.calls, CALL);
         let id = RequestId(self.next);
         self.next += 1;
         let daemon = self.fleet.rng.index(self.cut.daemons);
--- a/crates/basilbank_forward/tests/forward/fleet/deadly.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/deadly.rs
@@ -158,8 +158,7 @@
                 self.arrive(DEADLY);
             }
             DRAFT => {
-                let pause = -(1.0 - self.fleet.rng.unit()).ln() / self.load.drafts;
-                self.fleet.mark(Duration::from_secs_f64(pause), DRAFT);
+                self.fleet.mark_at_rate(self.load.drafts, DRAFT);
                 self.got.drafts += 1;
                 self.arrive(Digest(100_000 + self.got.drafts as u64));
             }
--- a/crates/basilbank_forward/tests/forward/fleet/limited.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/limited.rs
@@ -138,8 +138,7 @@
     }
 
     fn arrive(&mut self) {
-        let pause = -(1.0 - self.fleet.rng.unit()).ln() / self.load.calls;
-        self.fleet.mark(Duration::from_secs_f64(pause), CALL);
+        self.fleet.mark_at_rate(self.load.calls, CALL);
         let id = RequestId(self.next);
         self.next += 1;
         let daemon = self.fleet.rng.index(self.load.daemons);
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -178,6 +178,12 @@
         self.push(self.now + after, Due::Mark(mark));
     }
 
+    /// The next of the marks that come at random, so many a second.
+    pub fn mark_at_rate(&mut self, per_second: f64, mark: u64) {
+        let pause = -(1.0 - self.rng.unit()).ln() / per_second;
+        self.mark(Duration::from_secs_f64(pause), mark);
+    }
+
     /// Goes on until something is asked for; none once `end` has come.
     pub fn step(&mut self, end: Duration) -> Option<Step> {
         loop {
