Fleets with streams that go on at several versions, in virtual time

Decisions about versions were tested by hand, with up to 8 daemons. The new play lets streams begin, break off and come back to any daemon at 8, 71 and 320 daemons, while endpoints crash, are replaced or go, and daemons are killed, cut off, or learn late of records.

--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod proofs;
 pub mod quotas;
 pub mod stated;
+pub mod versions;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -53,6 +54,16 @@
     heard: usize,
 }
 
+/// Datagrams about the versions that began streams, as daemons receive them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    pub datagrams: usize,
+    pub bytes: usize,
+    pub origins: usize,
+    pub queries: usize,
+    pub answers: usize,
+}
+
 /// The daemons.
 pub struct Fleet {
     daemons: Vec<Daemon>,
@@ -70,6 +81,9 @@
     trust: Option<Duration>,
     /// Datagrams about proofs.
     words: usize,
+    /// How much later than the others each daemon learns of changes of the list.
+    lateness: Vec<Duration>,
+    told: Told,
     pub rng: Rng,
 }
 
@@ -89,6 +103,8 @@
             half: None,
             trust: None,
             words: 0,
+            lateness: vec![Duration::ZERO; count],
+            told: Told::default(),
             rng: Rng::new(seed),
         };
         for n in 0..count {
@@ -106,6 +122,12 @@
         self
     }
 
+    /// Every third daemon learns of changes of the list so much later.
+    pub fn with_late_lists(mut self, lateness: Duration) -> Fleet {
+        self.lateness.iter_mut().skip(1).step_by(3).for_each(|late| *late = lateness);
+        self
+    }
+
     pub fn now(&self) -> Duration {
         self.now
     }
@@ -161,7 +183,7 @@
             let (listed, gone) = (listed.to_vec(), gone.to_vec());
             self.feed_later(
                 daemon,
-                WAY,
+                WAY + self.lateness[daemon],
                 Event::EndpointsChanged { revisions: read, updated: listed, removed: gone },
             );
         }
@@ -279,6 +301,7 @@
 
     fn send(&mut self, from: usize, to: &[SocketAddr], beat: LoadGossip) {
         self.words += beat.ages.len();
+        self.told.count(to.len(), &beat);
         let beat = Arc::new(beat);
         for to in to.iter().filter_map(number) {
             if to < self.len() {
@@ -293,6 +316,21 @@
     }
 }
 
+impl Told {
+    fn count(&mut self, receivers: usize, beat: &LoadGossip) {
+        let (origins, queries) = (beat.origins.len(), beat.origin_queries.len());
+        let answers = beat.origin_answers.len();
+        if origins + queries + answers == 0 {
+            return;
+        }
+        self.datagrams += receivers;
+        self.bytes += receivers * beat.wire_bytes();
+        self.origins += receivers * origins;
+        self.queries += receivers * queries;
+        self.answers += receivers * answers;
+    }
+}
+
 /// The time in which all daemons shall have heard of something.
 pub fn contact(daemons: usize) -> Duration {
     Duration::from_secs(if daemons < 60 { 3 } else { 5 })
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -33,5 +33,6 @@
 mod share;
 mod statements;
 mod suspects;
+mod version_fleets;
 mod versions;
 mod watchers;
