A play in which peers that learn late of a version answer for it

A daemon that knows only the first version answers a peer's question with it, as the only one, also for a stream that began at the second. The peer believes the first answer, though it knows both versions and others have the record. The added case fails.

--- a/crates/basilbank_forward/tests/forward/version_fleets.rs
+++ b/crates/basilbank_forward/tests/forward/version_fleets.rs
@@ -103,12 +103,13 @@
 }
 
 /// Guards against a stream that goes on at a second version which daemons learn of late.
-#[test_case(300)]
-#[test_case(1500)]
-fn daemons_that_learn_late_of_a_second_version_mix_none(lateness_ms: u64) {
+#[test_case(300, Trouble::Nothing)]
+#[test_case(1500, Trouble::Nothing)]
+#[test_case(1500, Trouble::CutOff)]
+fn daemons_that_learn_late_of_a_second_version_mix_none(lateness_ms: u64, trouble: Trouble) {
     for seed in 1..=4 {
         let lateness = Duration::from_millis(lateness_ms);
-        let load = Load { begins: 200.0, lateness, ..replaced(8, Trouble::Nothing) };
+        let load = Load { begins: 200.0, lateness, loss: 0.05, ..replaced(8, trouble) };
         assert_one_version(&Play::run(load, seed), &load, seed);
     }
 }
