--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -172,7 +172,9 @@
     let began = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
     let stream = began.unwrap_or_else(|| StreamId::of(&request.call.trace_id));
     state.origins.record(stream, version, true, now);
-    if state.versions.are_several(request.route.services(), now) {
+    // A daemon that has just started can't tell later that there was only one version.
+    let is_remembered = state.versions.are_known_for(STREAM_LIFETIME, now);
+    if !is_remembered || state.versions.are_several(request.route.services(), now) {
         let keepers = state.peers_by_weight(stream.0, KEEPERS);
         send_origins(ctx, &keepers, &[to_wire(stream, version)]);
     }
@@ -194,7 +196,8 @@
 
 /// Tells a peer that has just started, or is back, of the streams that it is to keep.
 pub fn announce_to(ctx: &mut Context<'_>, peer: SocketAddr) {
-    if !ctx.state.has_several_versions(ctx.now) {
+    let is_remembered = ctx.state.versions.are_known_for(STREAM_LIFETIME, ctx.now);
+    if is_remembered && !ctx.state.has_several_versions(ctx.now) {
         return;
     }
     let state = &*ctx.state;
--- a/crates/basilbank_forward/tests/forward/versions.rs
+++ b/crates/basilbank_forward/tests/forward/versions.rs
@@ -436,6 +436,30 @@
     assert_eq!((!attempts.is_empty(), refusals.is_empty()), (goes_on, goes_on), "{refusals:?}");
 }
 
+/// Guards against a call that comes back beside one version and goes on at one that comes later.
+#[test_case(false; "known for long")]
+#[test_case(true; "after all daemons died")]
+fn a_stream_that_came_back_beside_one_version_stays_at_it(has_died: bool) {
+    let first = versioned("v1-a", 1, Stage::Decode);
+    let first = vec![EndpointInfo { start_time: Some(1), ..first }];
+    let mut net = Net::new(1, first.clone());
+    if has_died {
+        let mut rig = Rig::restarted();
+        rig.pass(net.rigs[0].now().saturating_sub(rig.now()));
+        rig.list(first);
+        net.rigs[0] = rig;
+    }
+    let id = net.rigs[0].resume("/draft/1", "again", "t");
+    net.rigs[0].pass(AT_ONCE);
+    let hold = net.rigs[0].start();
+    net.list(vec![versioned("v2-a", 2, Stage::Decode)]);
+    net.unlist(&["v1-a"]);
+    net.rigs[0].came(id, hold.number, Outcome::Unreachable);
+    let attempts = net.run(0, id);
+    assert!(attempts.is_empty(), "{attempts:?}");
+    assert_eq!(net.rigs[0].refusals(), [Refusal::VersionGone]);
+}
+
 /// Guards against a stream that goes on at another service, as its route is split.
 #[test]
 fn a_stream_goes_on_at_the_service_that_began_it() {
@@ -607,3 +631,20 @@
     assert!(attempts.is_empty(), "{attempts:?}");
     assert_eq!(refusals, [Refusal::EndpointsPaused]);
 }
+
+/// Guards against streams of a fleet that has just restarted, which only the daemon that began them knew.
+#[test]
+fn a_fleet_that_has_restarted_keeps_its_streams() {
+    let listed: Vec<_> = two_versions().into_iter().filter(|info| info.version == "v1").collect();
+    let mut net = Net::new(12, listed);
+    (0..12).for_each(|n| net.restart(n));
+    net.pass(Duration::from_secs(4));
+    for n in 0..10 {
+        let began = format!("t{n}");
+        let began_at = net.break_off(1, &began);
+        net.cut = vec![1];
+        let (attempts, refusals) = net.take_up(2, &format!("again{n}"), &began);
+        assert_eq!(versions(&attempts), [began_at.as_str()], "{refusals:?}");
+        net.cut.clear();
+    }
+}
