--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -140,9 +140,10 @@
     /// Applies a record of a known incarnation, and returns whether the record has changed.
     pub fn update(&mut self, key: EndpointKey, info: EndpointInfo) -> bool {
         let Some(endpoint) = self.endpoints.get_mut(key) else { return false };
-        self.generation += 1;
         endpoint.expires_at = None;
         let changed = endpoint.unlisted || endpoint.info != info;
+        // A heartbeat changes nothing.
+        self.generation += u64::from(changed);
         endpoint.unlisted = false;
         let (before, addr) = (endpoint.info.addr, info.addr);
         endpoint.info = info;
