Test of calls that nobody reaches: the paths refuse connections

The stand-in's 'refused' path accepts a connection and resets it, and a call that was sent before the reset arrives may have run, so that 502 is the truthful answer.

--- a/crates/basilbank_standin/tests/managed/cut_off.rs
+++ b/crates/basilbank_standin/tests/managed/cut_off.rs
@@ -179,10 +179,14 @@
 fn a_call_that_nobody_reaches_is_refused_at_once() {
     let mut world =
         World::start(&WorldSpec { daemons: 0, ..WorldSpec::default() }).expect("a world");
-    let paths = [(); 3].map(|()| world.add_with_paths().expect("a daemon with paths"));
-    let cut = |weather| paths.iter().for_each(|paths| paths.set(weather));
-    cut(Weather::Refuse);
-    paths.iter().for_each(Paths::reset);
+    let mut paths = [(); 3].map(|()| world.add_with_paths().expect("a daemon with paths"));
+    let endpoints = world.plain.iter().chain(&world.model);
+    let listed: Vec<_> = endpoints.map(|endpoint| endpoint.listed_at()).collect();
+    // A connection that is accepted and then reset may have carried a call.
+    for paths in &mut paths {
+        listed.iter().for_each(|address| paths.close(*address));
+        paths.reset();
+    }
     let headers =
         [("host", "shop.example"), ("x-attempt-id", "a"), ("x-deadline-remaining", "4000")];
     let refusal = |daemon: usize| {
@@ -194,7 +198,9 @@
     };
     eventually("all refuse at once", || (0..3).all(|daemon| refusal(daemon).is_some()));
     assert!((0..12).all(|n| refusal(n % 3).is_some()), "and go on so");
-    cut(Weather::Clear);
+    for paths in &mut paths {
+        listed.iter().for_each(|address| paths.open(*address).expect("its port"));
+    }
     eventually("all serve again", || {
         (0..3).all(|daemon| {
             let answer = call(world.callers(daemon), "POST /stock/1", &headers, b"");
