--- a/crates/basilbank_forward/tests/forward/version_fleets.rs
+++ b/crates/basilbank_forward/tests/forward/version_fleets.rs
@@ -109,7 +109,7 @@
 fn daemons_that_learn_late_of_a_second_version_mix_none(lateness_ms: u64, trouble: Trouble) {
     for seed in 1..=4 {
         let lateness = Duration::from_millis(lateness_ms);
-        let load = Load { begins: 200.0, lateness, loss: 0.05, ..replaced(8, trouble) };
+        let load = Load { begins: 200.0, lateness, loss: 0.1, ..replaced(8, trouble) };
         assert_one_version(&Play::run(load, seed), &load, seed);
     }
 }
