--- a/crates/basilbank_forward/tests/forward/fleet/versions.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/versions.rs
@@ -49,6 +49,8 @@
     Replaced,
     /// The endpoints of the first version go, one after the other.
     LastGoes,
+    /// All decode endpoints of the first version crash at once, for good.
+    AllCrash,
 }
 
 /// What befalls the daemons.
@@ -150,6 +152,8 @@
     /// Refusals and aborts later than at once, by whether the daemon lists endpoints of the version.
     pub late_gone: Vec<String>,
     pub late_listed: u32,
+    /// The longest time to a refusal or an abort by a daemon that lists such endpoints.
+    pub longest: Duration,
     /// Streams that were aborted.
     pub aborted: u32,
     /// Most bytes in a second that a daemon received of its peers.
@@ -352,7 +356,11 @@
                 let serving = self.serving(0, Stage::Decode);
                 serving.iter().skip(1).for_each(|instance| self.crash(instance));
             }
-            Change::AllButOne => {}
+            Change::AllCrash if n == 0 => {
+                let serving = self.serving(0, Stage::Decode);
+                serving.iter().for_each(|instance| self.crash(instance));
+            }
+            Change::AllButOne | Change::AllCrash => {}
             Change::Replaced => {
                 for stage in [Stage::Prefill, Stage::Decode] {
                     if self.leave(0, stage) {
@@ -535,6 +543,7 @@
         }
         if self.lists(call.daemon, *version) {
             self.got.late_listed += 1;
+            self.got.longest = self.got.longest.max(after);
         } else {
             let at = now.saturating_sub(self.start);
             let text = format!("{at:?}: {refusal:?} after {after:?} at {}", call.daemon);
--- a/crates/basilbank_forward/tests/forward/version_fleets.rs
+++ b/crates/basilbank_forward/tests/forward/version_fleets.rs
@@ -134,6 +134,18 @@
     }
 }
 
+/// Guards against callers who wait for a version until the records of its crashed endpoints lapse.
+#[test_case(Trouble::Nothing)]
+#[test_case(Trouble::CutOff)]
+fn callers_are_told_at_once_that_all_endpoints_of_their_version_crashed(trouble: Trouble) {
+    for seed in 1..=3 {
+        let load = Load::new(8, Change::AllCrash, trouble);
+        let got = Play::run(load, seed);
+        assert_go_on(&got, &load, seed);
+        assert_eq!(got.late_listed, 0, "seed {seed}: {:?}", got.longest);
+    }
+}
+
 /// Guards against messages about versions where there is one.
 #[test_case(8)]
 #[test_case(71)]
