Unreached services are counted when something has changed, not in each step

While there were suspects, each reducer step counted the endpoints of their services. Now it does so only after an endpoint has become unreachable or reachable, after the directory's generation has risen, or after an endpoint has stated that it is leaving: that takes it out of service without a change of the directory. Only Suspects sets whether a suspect counts as unreachable, so no change can be missed.

Two tests: the result follows endpoints that leave (it fails without the third cause), and a list that grows.

--- a/crates/basilbank_forward/src/reduce/statement.rs
+++ b/crates/basilbank_forward/src/reduce/statement.rs
@@ -30,6 +30,7 @@
     let line = LogLine::new("endpoint_leaving").with("instance", &endpoint.info.instance);
     ctx.log(line);
     remember(ctx, key);
+    ctx.state.suspects.record_leaving();
     ctx.state.peers.changed = true;
     ctx.state.capacity_changed = true;
 }
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -91,7 +91,7 @@
 /// sent over at once.
 pub fn record_answer(ctx: &mut Context<'_>, key: EndpointKey) {
     match ctx.state.suspects.get_mut(key) {
-        Some(suspect) if suspect.unreachable => {
+        Some(suspect) if suspect.is_unreachable() => {
             suspect.due = suspect.due.map(|_| ctx.now);
         }
         Some(_) => drop(ctx.state.suspects.remove(key)),
@@ -121,12 +121,11 @@
     }
     let now = ctx.now;
     let Some(suspect) = ctx.state.suspects.get_mut(key) else { return };
-    let is_new = !std::mem::replace(&mut suspect.unreachable, true);
     suspect.unanswered += 1;
     suspect.answered = 0;
     let pause = MIN_PROBE_PAUSE.saturating_mul(1 << suspect.unanswered.min(8)).min(MAX_PROBE_PAUSE);
     suspect.due = Some(now + pause);
-    if is_new {
+    if ctx.state.suspects.add_unreachable(key, now + pause) {
         announce_unreachable(ctx, key);
     }
     avoid(ctx, key, now + pause + AVOID_MARGIN);
@@ -146,7 +145,7 @@
     let Some(suspect) = ctx.state.suspects.get_mut(key) else { return };
     suspect.answered += 1;
     // Without a peer that makes the calls, waiting for further answers would only refuse them.
-    if suspect.unreachable && is_reached && suspect.answered < needed {
+    if suspect.is_unreachable() && is_reached && suspect.answered < needed {
         suspect.due = Some(ctx.now + MIN_PROBE_PAUSE);
         return;
     }
@@ -252,12 +251,13 @@
     }
 }
 
-/// Finds the services most of whose endpoints this daemon can't reach.
+/// Finds the services most of whose endpoints this daemon can't reach, if that may have changed.
 fn update_unreached(ctx: &mut Context<'_>) {
-    let state = &*ctx.state;
-    if state.suspects.is_empty() && state.suspects.unreached.is_empty() {
+    let State { suspects, directory, .. } = &mut *ctx.state;
+    if !suspects.take_outdated(directory.generation) {
         return;
     }
+    let state = &*ctx.state;
     let unreachable = state.suspects.unreachable().filter_map(|key| state.directory.get(key));
     let mut services: BTreeSet<_> = unreachable.map(|e| e.info.service.clone()).collect();
     services.retain(|service| ServiceCount::of(state, service).is_mostly_unreachable());
--- a/crates/basilbank_forward/src/state/suspects.rs
+++ b/crates/basilbank_forward/src/state/suspects.rs
@@ -26,7 +26,7 @@
     /// Number of probes that it did not answer.
     pub unanswered: u32,
     /// Whether it counts as unreachable, and isn't merely probed.
-    pub unreachable: bool,
+    unreachable: bool,
     /// Number of probes in a row that it answered.
     pub answered: u32,
 }
@@ -35,6 +35,12 @@
     fn new(due: Duration) -> Suspect {
         Suspect { due: Some(due), unanswered: 0, unreachable: false, answered: 0 }
     }
+
+    /// Returns whether it counts as unreachable.
+    #[must_use]
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
 }
 
 /// The endpoints that did not answer this daemon itself.
@@ -47,6 +53,10 @@
     returned: BTreeMap<EndpointKey, Duration>,
     /// Services most of whose endpoints count as unreachable.
     pub unreached: BTreeSet<String>,
+    /// Whether what these services depend on has changed since they were found.
+    is_outdated: bool,
+    /// The state of the directory for which they were found.
+    directory_generation: u64,
 }
 
 impl Suspects {
@@ -95,7 +105,9 @@
     /// unreachable before.
     pub fn add_unreachable(&mut self, key: EndpointKey, due: Duration) -> bool {
         let suspect = self.suspects.entry(key).or_insert(Suspect::new(due));
-        !std::mem::replace(&mut suspect.unreachable, true)
+        let is_new = !std::mem::replace(&mut suspect.unreachable, true);
+        self.is_outdated |= is_new;
+        is_new
     }
 
     /// Adds an endpoint that may be healthy, to be probed at `due`, unless it is a suspect already.
@@ -130,7 +142,20 @@
     /// Removes an endpoint that has answered or was removed, and returns whether it counted as
     /// unreachable.
     pub fn remove(&mut self, key: EndpointKey) -> bool {
-        self.suspects.remove(&key).is_some_and(|suspect| suspect.unreachable)
+        let was_unreachable = self.suspects.remove(&key).is_some_and(|suspect| suspect.unreachable);
+        self.is_outdated |= was_unreachable;
+        was_unreachable
+    }
+
+    /// Records that an endpoint has gone out of service without a change of the directory.
+    pub fn record_leaving(&mut self) {
+        self.is_outdated = true;
+    }
+
+    /// Returns whether the unreached services have to be found anew, and counts that as done.
+    pub fn take_outdated(&mut self, directory_generation: u64) -> bool {
+        let before = std::mem::replace(&mut self.directory_generation, directory_generation);
+        std::mem::take(&mut self.is_outdated) || before != directory_generation
     }
 
     /// Returns when the next probe is due.
--- a/crates/basilbank_forward/tests/forward/suspects.rs
+++ b/crates/basilbank_forward/tests/forward/suspects.rs
@@ -127,6 +127,36 @@
     assert!(rig.state.suspects.is_empty());
 }
 
+#[test]
+fn a_service_is_unreached_once_its_sound_endpoints_leave() {
+    let mut rig = decode_rig();
+    meet_dark(&mut rig, "d1");
+    let dark = meet_dark(&mut rig, "d2");
+    leave(&mut rig, "d3");
+    assert!(rig.state.suspects.unreached.is_empty());
+    leave(&mut rig, "d4");
+    assert_eq!(rig.state.suspects.unreached.len(), 1);
+    rig.feed(Event::Probed { endpoint: dark, liveness: Liveness::Alive });
+    assert!(rig.state.suspects.unreached.is_empty());
+}
+
+#[test]
+fn a_service_is_unreached_for_as_long_as_its_list_says_so() {
+    let mut rig = decode_rig();
+    for instance in ["d1", "d2", "d3"] {
+        assert!(rig.state.suspects.unreached.is_empty());
+        meet_dark(&mut rig, instance);
+    }
+    assert_eq!(rig.state.suspects.unreached.len(), 1);
+    rig.change(vec![model("d5", 20, Stage::Decode)], &[]);
+    assert!(rig.state.suspects.unreached.is_empty());
+}
+
+fn leave(rig: &mut Rig, instance: &str) {
+    let endpoint = rig.state.directory.find(instance).expect("listed");
+    rig.feed(Event::EndpointLeaving(endpoint));
+}
+
 fn peer() -> SocketAddr {
     SocketAddr::from(([10, 0, 1, 2], 7000))
 }
