Whether a daemon is isolated is known without a look at all peers

Peers::is_isolated searched all peers for the latest datagram, in each reducer step. Peers now keeps that time: it is set where a peer's datagram is taken in, and found anew when the peer that was heard last is removed, so that a removed peer doesn't count, as before.

A test for that; it passes with the former code as well.

--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -99,7 +99,7 @@
     };
     let is_older = ctx.state.started_before(gossip.incarnation);
     let peers = &mut ctx.state.peers;
-    peers.known.insert(from, peer);
+    peers.insert(from, peer);
     peers.peak_count = peers.peak_count.max(peers.known.len());
     peers.update_fleet_size(gossip.fleet, is_older);
     if is_new {
@@ -236,7 +236,7 @@
 }
 
 fn remove_peer(ctx: &mut Context<'_>, from: SocketAddr, state: &str) {
-    if ctx.state.peers.known.remove(&from).is_some() {
+    if ctx.state.peers.remove(from) {
         ctx.state.peers.fleet_size -= usize::from(state == STATE_LEAVING);
         ctx.log(LogLine::new("peer").with("addr", from).with("state", state));
     }
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -318,10 +318,8 @@
     /// daemon may be cut off from all of them. That shows sooner than the silence of a single one.
     #[must_use]
     pub fn is_isolated(&self, now: Duration) -> bool {
-        let Some(heard) = self.known.values().map(|peer| peer.last_seen).max() else {
-            return false;
-        };
-        heard + self.heartbeat_interval() + ISOLATION_MARGIN < now
+        let deadline = |heard| heard + self.heartbeat_interval() + ISOLATION_MARGIN;
+        self.last_heard.is_some_and(|heard| deadline(heard) < now)
     }
 
     /// Returns the time between two heartbeats of this daemon. It is short if this daemon watches
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -55,6 +55,8 @@
     pub own_address: Option<SocketAddr>,
     /// The known peers by address.
     pub known: BTreeMap<SocketAddr, Peer>,
+    /// When the last datagram of a known peer arrived; `None` if no peer is known.
+    pub last_heard: Option<Duration>,
     /// Addresses that peers have sent and from which nothing has arrived yet, with the time until
     /// which they are tried.
     pub candidates: BTreeMap<SocketAddr, Duration>,
@@ -111,6 +113,22 @@
 const DELAY_WEIGHT: f64 = 0.1;
 
 impl Peers {
+    /// Adds a peer whose datagram has arrived, or replaces what was known of it.
+    pub fn insert(&mut self, address: SocketAddr, peer: Peer) {
+        self.last_heard = self.last_heard.max(Some(peer.last_seen));
+        self.known.insert(address, peer);
+    }
+
+    /// Removes a peer, and returns whether it was known. From then on only the others count for
+    /// when a peer was last heard.
+    pub fn remove(&mut self, address: SocketAddr) -> bool {
+        let Some(peer) = self.known.remove(&address) else { return false };
+        if self.last_heard == Some(peer.last_seen) {
+            self.last_heard = self.known.values().map(|peer| peer.last_seen).max();
+        }
+        true
+    }
+
     /// Updates the fleet's size after a datagram from a peer, which reports its own count in
     /// `reported`. A peer that has met the others before knows the size better than a daemon that
     /// has just started.
--- a/crates/basilbank_forward/tests/forward/peers.rs
+++ b/crates/basilbank_forward/tests/forward/peers.rs
@@ -121,6 +121,28 @@
     assert!(rig.state.peers.known.is_empty());
 }
 
+#[test]
+fn a_peer_that_has_left_does_not_count_as_contact() {
+    let mut rig = numbered(1);
+    let (first, last) = (([10, 0, 0, 2], 7000).into(), ([10, 0, 0, 3], 7000).into());
+    let beat = |sequence, leaving| LoadGossip {
+        incarnation: 2,
+        sequence,
+        leaving,
+        ..LoadGossip::default()
+    };
+    let is_isolated = |rig: &Rig| rig.state.peers.is_isolated(rig.now());
+    rig.feed(Event::gossip(first, beat(1, false)));
+    rig.pass_ms(500);
+    rig.feed(Event::gossip(last, beat(1, false)));
+    rig.pass_ms(300);
+    assert!(!is_isolated(&rig), "the last one was heard a moment ago");
+    rig.feed(Event::gossip(last, beat(2, true)));
+    assert!(is_isolated(&rig), "the first one was not");
+    rig.feed(Event::gossip(first, beat(2, true)));
+    assert!(!is_isolated(&rig), "no peer is known");
+}
+
 /// Symptom: the same daemons of a large fleet heard little of a peer, and took it for gone.
 /// Sequence: its link takes a part of the datagrams that it sends at a time, the first ones.
 /// Cause: they went out in the same order each time.
