--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -70,8 +70,10 @@
         return settle(ctx, id, Some(version));
     }
     let Some(stream) = stream else { return conclude_unknown(ctx, id) };
-    // A daemon that has just started may not have met its peers yet.
-    let peers = state.peers_by_weight(stream.0, MAX_ASKED);
+    // A daemon that has just started may not have met its peers yet. In a large fleet the keepers are
+    // asked first, to spare bytes.
+    let is_small = state.peers.known.len() <= MAX_ASKED;
+    let peers = state.peers_by_weight(stream.0, if is_small { MAX_ASKED } else { KEEPERS });
     let (until, resend_at) = (now + ANSWER_TIMEOUT, now + RESEND_AFTER);
     if let Some(request) = ctx.state.requests.get_mut(&id) {
         request.origin = OriginStage::Asked { until, resend_at: Some(resend_at) };
@@ -98,6 +100,7 @@
     if let OriginStage::Asked { resend_at, .. } = &mut request.origin {
         *resend_at = None;
     }
+    request.inferred.clear();
     let stream = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
     let Some(stream) = stream else { return };
     let peers = ctx.state.peers_by_weight(stream.0, MAX_ASKED);
@@ -171,7 +174,12 @@
     request.pinned = Some(version);
     let began = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
     let stream = began.unwrap_or_else(|| StreamId::of(&request.call.trace_id));
+    // Whoever told this daemon of a stream that it continues keeps the record.
+    let is_kept = state.origins.get(stream, now) == Some(version);
     state.origins.record(stream, version, true, now);
+    if is_kept {
+        return;
+    }
     // A daemon that has just started can't tell later that there was only one version.
     let is_remembered = state.versions.are_known_for(STREAM_LIFETIME, now);
     if !is_remembered || state.versions.are_several(request.route.services(), now) {
@@ -299,6 +307,9 @@
     /// known yet.
     fn has_all_answers(&self, id: RequestId) -> bool {
         let is_met = KEEPERS.min(self.peers.fleet_size.saturating_sub(1)) <= self.peers.known.len();
-        is_met && self.requests.get(&id).is_some_and(|request| request.asked_peers.is_empty())
+        let Some(request) = self.requests.get(&id) else { return false };
+        let is_resent = matches!(request.origin, OriginStage::Asked { resend_at: None, .. });
+        let are_all_asked = is_resent || self.peers.known.len() <= MAX_ASKED;
+        is_met && are_all_asked && request.asked_peers.is_empty()
     }
 }
