The stand-in's daemons meet at a port below those of outgoing connections

Cause: the port at which a world's daemons listen for each other was one that the system gives out, and stayed the same over all five starts. The port comes from 10,000 to 29,999 now; the system gives out 32,768 to 60,999. That the start doesn't fail any more in a long series was not run.

--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use anyhow::{Context, ensure};
+use anyhow::ensure;
 use basilbank::clock::SystemClock;
 use basilbank_platform::{daemon, settings::Settings};
 use tokio::sync::oneshot;
@@ -25,6 +25,11 @@
 
 /// Starts of a daemon at other ports before it counts as failed.
 const STARTS: u32 = 5;
+/// Ports that daemons listen at for each other, and how many are tried.
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 20_000;
+const PORT_TRIES: u32 = 100;
+
 /// Longest wait for a daemon.
 const READY: Duration = Duration::from_secs(20);
 
@@ -301,10 +306,18 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
 }
 
-/// A port that is free for datagrams and for connections.
+/// A port that is free for datagrams and for connections. It is below the ports that the system gives to
+/// outgoing connections: one of these would take it before the daemon listens, and keep it for a minute.
 fn free_port() -> anyhow::Result<u16> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context("a TCP port")?;
-    let port = listener.local_addr()?.port();
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).context("a UDP port")?;
-    Ok(port)
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORT_TRIES {
+        let number =
+            NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(97));
+        let port = FIRST_PORT + u16::try_from(number % PORTS)?;
+        let address = (Ipv4Addr::LOCALHOST, port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return Ok(port);
+        }
+    }
+    anyhow::bail!("no port is free")
 }
