--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -110,12 +110,12 @@
 
     /// Compares the incarnation in `record` with this one.
     ///
-    /// An incarnation serves one service with one version for its whole life, and states its start time in all of
-    /// its records or in none. So a record that newly states a start time belongs to another
-    /// incarnation: taking it for the same one would keep holds that may belong to other calls by
-    /// now, while the opposite mistake costs reading some prompts again, once. A record without a
-    /// start time says nothing about the incarnation and counts as the known one, unless the
-    /// address differs.
+    /// An incarnation serves one service with one version for its whole life, and states its start time
+    /// in all of its records or in none. So a record that newly states a start time belongs to another
+    /// incarnation: taking it for the same one would keep holds that may belong to other calls by now,
+    /// while the opposite mistake costs reading some prompts again, once. A record without a start time
+    /// says nothing about the incarnation and counts as the known one, unless the address or the
+    /// version differs.
     #[must_use]
     pub fn compare_start(&self, record: &EndpointInfo) -> StartOrder {
         match (self.start_time, record.start_time) {
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -85,6 +85,7 @@
     false
 }
 
+/// Sends the question for a stream's version to peers.
 fn ask(ctx: &mut Context<'_>, id: RequestId, stream: StreamId, peers: Vec<SocketAddr>) {
     let Some(request) = ctx.state.requests.get(&id) else { return };
     let service = match request.route.services().collect::<Vec<_>>()[..] {
@@ -95,6 +96,7 @@
     ctx.send(peers, LoadGossip { origin_queries: vec![query], ..LoadGossip::default() });
 }
 
+/// Asks again, and more peers.
 fn resend(ctx: &mut Context<'_>, id: RequestId) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     if let OriginStage::Asked { resend_at, .. } = &mut request.origin {
@@ -110,7 +112,7 @@
     ask(ctx, id, stream, peers);
 }
 
-/// Lets a call proceed, at endpoints of this version if it continues a stream that can be told. The stream goes on at
+/// Lets a call proceed, at endpoints of this version if it continues a stream. The stream goes on at
 /// the service that began it, as long as its route leads there.
 fn settle(ctx: &mut Context<'_>, id: RequestId, version: Option<SoftwareVersion>) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
@@ -133,9 +135,8 @@
 
 /// Decides about a call whose stream nobody knows.
 ///
-/// A daemon that has run for long enough would know if there had been only one version. Where none has,
-/// only the endpoints can show that no other version
-/// has served lately: by their start times, if none of them is new.
+/// A peer that has seen one version for long says so. Where no daemon has run for that long, only the
+/// endpoints can show that no other version has served lately: by their start times, if all are old.
 fn conclude_unknown(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     let version = match request.inferred[..] {
@@ -261,6 +262,8 @@
     }
 }
 
+/// Settles calls that wait for an answer: with the version that it names, or, if it is the last one, by
+/// what all have inferred.
 fn handle_answer(ctx: &mut Context<'_>, from: SocketAddr, answer: StreamOrigin) {
     let stream = StreamId(answer.stream);
     let waits = |id: &RequestId| {
