--- a/crates/basilbank_forward/src/state/versions.rs
+++ b/crates/basilbank_forward/src/state/versions.rs
@@ -12,7 +12,8 @@
 #[derive(Debug, Default)]
 pub struct Versions {
     services: HashMap<String, BTreeMap<SoftwareVersion, Presence>>,
-    /// Since when the list of endpoints is known without a gap; `None` before it was read.
+    /// When the list of endpoints was first read. Zero if there were no streams before; `None` before it
+    /// was read.
     known_since: Option<Duration>,
     /// The state of the directory that was looked at last.
     generation: u64,
