--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -136,7 +136,7 @@
 /// Decides about a call whose stream nobody knows.
 ///
 /// A peer that has seen one version for long says so. Where no daemon has run for that long, only the
-/// endpoints can show that no other version has served lately: by their start times, if all are old.
+/// endpoints can show that no other version has served lately: by their start times, if none is new.
 fn conclude_unknown(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     let version = match request.inferred[..] {
@@ -153,12 +153,13 @@
     false
 }
 
-/// Returns the version of all endpoints of a route if each says that it started before any stream
-/// that may still be taken up.
+/// Returns the version of all endpoints of a route, unless one says that it started since a stream may
+/// have begun that is taken up now. Where starts aren't stated nothing speaks for a second version, and
+/// refusing would lose each stream that a restart of all daemons cuts off.
 fn version_by_starts(state: &State, route: &Route, now: Duration) -> Option<SoftwareVersion> {
     let oldest = state.unix_ms(now).saturating_sub(STREAM_LIFETIME.as_millis() as u64);
     let mut endpoints = route.services().flat_map(|service| state.directory.in_service(service));
-    let is_old = |start: Option<u64>| start.is_some_and(|start| start < oldest);
+    let is_old = |start: Option<u64>| start.is_none_or(|start| start < oldest);
     let are_old = endpoints.all(|(_, endpoint)| is_old(endpoint.info.start_time));
     state.versions.single(route.services(), now).filter(|_| are_old)
 }
