--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -106,9 +106,19 @@
     /// Identifies the part of the prompt that belongs only to this call or its session. A call that
     /// its caller repeats has the same value.
     pub session: Option<u64>,
+    /// Ids of the prompt's parts in order. Other prompts may share all but the last, which is the
+    /// session's.
+    pub parts: Vec<u64>,
 }
 
 impl Prompt {
+    /// Returns the ids of the parts, for logs.
+    #[must_use]
+    pub fn part_names(&self) -> String {
+        let names: Vec<_> = self.parts.iter().map(|part| format!("{part:x}")).collect();
+        names.join(",")
+    }
+
     /// Returns the expected number of generated tokens.
     #[must_use]
     pub fn expected_output(&self) -> u32 {
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -34,7 +34,8 @@
         None => line,
         Some(prompt) => {
             let hint = prompt.output_hint.unwrap_or_default();
-            line.with("tokens", prompt.tokens).with("most", prompt.max_output).with("hint", hint)
+            let line = line.with("tokens", prompt.tokens).with("most", prompt.max_output);
+            line.with("hint", hint).with("parts", prompt.part_names())
         }
     };
     let line = match &call.resumption {
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -129,7 +129,9 @@
         announce_unreachable(ctx, key);
     }
     avoid(ctx, key, now + pause + AVOID_MARGIN);
-    if !is_cut_off_from(ctx.state, key) {
+    if is_cut_off_from(ctx.state, key) {
+        log_doubted_crash(ctx, key);
+    } else {
         crash::report_crash(ctx, key, CrashEvidence::Unreachable);
     }
     if !ctx.state.proxies.is_reached(key, now) {
@@ -297,6 +299,14 @@
     ctx.state.peers.changed |= is_credible;
 }
 
+/// Logs that calls broke off at an endpoint that doesn't answer, and that nobody is told of a crash.
+fn log_doubted_crash(ctx: &mut Context<'_>, key: EndpointKey) {
+    let calls = ctx.state.crashes.count_broken_calls(key, ctx.now);
+    let Some(hash) = ctx.state.directory.hash(key).filter(|_| calls != 0) else { return };
+    let line = LogLine::new("crash_doubted").with("endpoint", format!("{hash:08x}"));
+    ctx.log(line.with("calls", calls));
+}
+
 /// Returns whether this daemon is likely cut off from an endpoint that doesn't answer it: a peer reaches
 /// the endpoint, or most of its service doesn't answer either.
 fn is_cut_off_from(state: &State, key: EndpointKey) -> bool {
--- a/crates/basilbank_forward/src/state/crashes.rs
+++ b/crates/basilbank_forward/src/state/crashes.rs
@@ -147,6 +147,15 @@
         );
     }
 
+    /// Returns the number of own calls that broke off at an endpoint without an answer since.
+    #[must_use]
+    pub fn count_broken_calls(&self, endpoint: EndpointKey, now: Duration) -> usize {
+        let counts = |call: &&BrokenCall| {
+            call.endpoint == endpoint && !call.answered && now < call.at + MAX_DETECTION_DELAY
+        };
+        self.broken_calls.iter().filter(counts).count()
+    }
+
     /// Records that the endpoint has answered. Its calls then broke off for another reason, unless
     /// it is the next incarnation that answers.
     pub fn record_answer(&mut self, endpoint: EndpointKey) {
--- a/crates/basilbank_forward/tests/forward/fleet/quotas.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/quotas.rs
@@ -198,7 +198,8 @@
         let within = self.take_ideal(amount);
         self.came.insert(id, (self.fleet.now(), amount, within));
         let tokens = amount as u32 - 100;
-        let prompt = Prompt { tokens, max_output: 100, output_hint: None, session: None };
+        let prompt =
+            Prompt { tokens, max_output: 100, output_hint: None, session: None, parts: Vec::new() };
         let call = Call {
             credential: Credential::Key(KEY),
             prompt: Some(prompt),
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -230,6 +230,7 @@
             max_output: self.engines.output as u32 * 5 / 2 + 20,
             output_hint: Some(hint),
             session: Some(id),
+            parts: Vec::new(),
         };
         let draft = Draft { came: self.now, prompt: prompt.clone(), output, first: None };
         self.drafts.insert(id, draft);
--- a/crates/basilbank_forward/tests/forward/old_views.rs
+++ b/crates/basilbank_forward/tests/forward/old_views.rs
@@ -200,7 +200,13 @@
         ));
     }
     rig.effects.clear();
-    let prompt = Prompt { tokens, max_output: 7000, output_hint: Some(hint), session: None };
+    let prompt = Prompt {
+        tokens,
+        max_output: 7000,
+        output_hint: Some(hint),
+        session: None,
+        parts: Vec::new(),
+    };
     rig.call("/draft/1", 14_000, Some(prompt));
     match rig.start().op {
         Op::Hold { tokens, .. } => assert_eq!(tokens, held),
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -313,7 +313,7 @@
 
 /// A prompt of some tokens, with sixty more to generate.
 pub fn prompt(tokens: u32) -> Prompt {
-    Prompt { tokens, max_output: 100, output_hint: Some(60), session: None }
+    Prompt { tokens, max_output: 100, output_hint: Some(60), session: None, parts: Vec::new() }
 }
 
 /// The endpoint is full, or lacks the KV cache.
