Test of calls that share a part which crashes endpoints, failing

What callers saw: one part of a prompt crashed each endpoint that began an answer on it; calls with it came to any daemon, no two alike, and were sent on for ever.

--- /dev/null
+++ b/crates/basilbank_forward/tests/forward/bad_parts.rs
@@ -0,0 +1,101 @@
+//! Calls that share a part of their prompts which crashes endpoints, beside calls that share all else.
+
+use std::time::Duration;
+
+use test_case::test_case;
+
+use crate::fleet::{
+    bad_parts::{Got, Load, Place, Play},
+    contact,
+};
+
+/// Calls with the part that may reach endpoints once the fifth has crashed, and daemons had time to hear of it.
+const CALLS: usize = 3;
+
+/// The share of sound calls that begin while bad ones come, as a part of the share before.
+const SHARE: f64 = 0.9;
+
+fn check(load: Load, seed: u64) -> Got {
+    let got = Play::run(load, seed);
+    let late = got.late(contact(load.daemons));
+    let ends = got.crashes();
+    assert!(late <= CALLS, "seed {seed}: {late} late, {ends} crashes, {load:?}");
+    assert_eq!(got.blamed, 0, "seed {seed}: sound calls blamed, {ends} crashes, {load:?}");
+    let share = got.share_while_bad(&load);
+    assert!(
+        SHARE <= share,
+        "seed {seed}: {share:.3} of sound calls begin, {ends} crashes, {load:?}"
+    );
+    got
+}
+
+#[test_case(8, 12, Place::AfterFirst; "small fleet, right after the first part")]
+#[test_case(8, 12, Place::Middle; "small fleet, in the middle")]
+#[test_case(8, 4, Place::Middle; "few endpoints")]
+#[test_case(78, 15, Place::AfterFirst; "grown fleet")]
+fn calls_with_a_part_that_crashed_five_endpoints_are_kept_from_them(
+    daemons: usize,
+    decode: usize,
+    place: Place,
+) {
+    for seed in 1..=5 {
+        let got = check(Load { place, ..Load::new(daemons, decode) }, seed);
+        assert!(3 <= got.crashes(), "seed {seed}: {}", got.crashes());
+    }
+}
+
+#[test_case(0.3; "rare calls")]
+#[test_case(6.0; "many calls")]
+fn however_often_calls_with_a_bad_part_come(bad: f64) {
+    for seed in 1..=5 {
+        check(Load { bad, ..Load::new(8, 12) }, seed);
+    }
+}
+
+#[test_case(8, 12; "small fleet")]
+#[test_case(78, 15; "grown fleet")]
+fn restarts_cuts_and_lost_datagrams_do_not_let_a_bad_part_through(daemons: usize, decode: usize) {
+    for seed in 1..=5 {
+        check(Load { loss: 0.1, trouble: true, ..Load::new(daemons, decode) }, seed);
+    }
+}
+
+#[test_case(Duration::from_millis(900), 1; "one after the other")]
+#[test_case(Duration::from_secs(3), 5; "in waves")]
+fn a_bad_part_is_found_beside_crashes_that_no_call_causes(pause: Duration, count: usize) {
+    for seed in 1..=5 {
+        check(Load { crashes: Some((pause, count)), ..Load::new(8, 12) }, seed);
+    }
+}
+
+#[test_case(Duration::from_millis(900), 1, 24.0; "one after the other")]
+#[test_case(Duration::from_secs(3), 10, 24.0; "in waves of nearly all")]
+#[test_case(Duration::from_secs(2), 4, 2.0; "few calls")]
+fn crashes_that_no_call_causes_blame_nobody(pause: Duration, count: usize, drafts: f64) {
+    for seed in 1..=5 {
+        let load = Load { bad: 0.001, drafts, crashes: Some((pause, count)), ..Load::new(8, 12) };
+        let got = Play::run(load, seed);
+        assert_eq!((got.blamed, got.quarantined), (0, 0), "seed {seed}: {load:?}");
+    }
+}
+
+#[test]
+fn two_bad_parts_at_once_are_both_found() {
+    for seed in 1..=5 {
+        check(Load { parts: 2, ..Load::new(8, 12) }, seed);
+    }
+}
+
+#[test]
+fn all_daemons_that_start_again_at_once_learn_of_a_bad_part_anew() {
+    for seed in 1..=5 {
+        check(Load { restart_all: Some(Duration::from_secs(12)), ..Load::new(8, 12) }, seed);
+    }
+}
+
+#[test]
+fn a_large_fleet_finds_a_bad_part_within_its_bytes() {
+    let load = Load { drafts: 60.0, lasts: Duration::from_secs(24), ..Load::new(195, 50) };
+    let got = check(load, 1);
+    assert!(3 <= got.crashes() && got.heard < 26_000.0, "{} bytes", got.heard);
+}
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Daemons that talk to each other, in virtual time.
 
+pub mod bad_parts;
 pub mod cut_off;
 pub mod deadly;
 pub mod limited;
@@ -158,6 +159,11 @@
         self.push(self.now + Duration::from_millis(RESTART), Due::Start { daemon });
     }
 
+    /// All processes are killed, and start again.
+    pub fn restart_all(&mut self) {
+        (0..self.len()).for_each(|daemon| self.restart(daemon));
+    }
+
     /// Its datagrams are lost, both ways.
     fn cut(&mut self, daemon: usize, cut: bool) {
         self.daemons[daemon].cut = cut;
--- a/crates/basilbank_forward/tests/forward/fleet/quotas.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/quotas.rs
@@ -277,11 +277,6 @@
         }
     }
 
-    /// All processes are killed at once.
-    fn restart_all(&mut self) {
-        (0..self.len()).for_each(|daemon| self.restart(daemon));
-    }
-
     /// The two halves don't hear each other any more.
     fn split(&mut self) {
         self.half = Some(self.len() / 2);
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions about forwarded calls, in virtual time and without a network.
 
 mod addresses;
+mod bad_parts;
 mod budgets;
 mod call_limits;
 mod cut_off;
