Calls that share a part which crashes endpoints are kept from them

Cause: blame fell on one identity, a digest of the whole call.

Change: a report of a crash names the parts of the prompts that had just begun, and daemons weigh what the crashes have in common, calls and parts alike. A part counts only as long as no answer on it has been written for a quarter of a second since (short answers: to the end, and the endpoint lives a second longer); such a proof clears it at all daemons and releases it from quarantine. Crashes within 60 ms count once for a part. Five crashes, not three, are needed for a part that was sound half a minute before, or that another equals so far, and a daemon that has just seen a part to be sound goes by its own evidence rather than a peer's verdict. The narrowest cause is blamed; the crashes of a repeated call count against its parts as well once another call crashes an endpoint. Calls by peers carry the parts. Calls that may well crash their endpoint go where the fewest others are. A waiting call is refused as soon as its cause is known, and one that runs gets no second copy.

--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -36,6 +36,46 @@
     }
 }
 
+/// What may cause crashes of endpoints: something that calls share.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub enum Cause {
+    /// All that a call asks for. Only its repetitions share it.
+    Call(Digest),
+    /// A part of prompts, by its id.
+    Part(u64),
+}
+
+impl Cause {
+    /// Returns whether it is a part of prompts.
+    #[must_use]
+    pub fn is_part(self) -> bool {
+        matches!(self, Cause::Part(_))
+    }
+}
+
+impl From<Digest> for Cause {
+    fn from(digest: Digest) -> Cause {
+        Cause::Call(digest)
+    }
+}
+
+/// What a call may share with others that crash endpoints.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct SharedTraits {
+    /// Digest of the whole call.
+    pub digest: Digest,
+    /// Ids of the parts of its prompt, in order.
+    pub parts: Vec<u64>,
+}
+
+impl SharedTraits {
+    /// Returns each of them as a possible cause of crashes.
+    pub fn causes(&self) -> impl Iterator<Item = Cause> {
+        let parts = self.parts.iter().map(|part| Cause::Part(*part));
+        std::iter::once(Cause::Call(self.digest)).chain(parts)
+    }
+}
+
 /// A caller's call. The I/O layer keeps its headers and body.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -59,6 +99,15 @@
     pub resumption: Option<Resumption>,
 }
 
+impl Call {
+    /// Returns what it may share with other calls.
+    #[must_use]
+    pub fn traits(&self) -> SharedTraits {
+        let parts = self.prompt.as_ref().map_or_else(Vec::new, |prompt| prompt.parts.clone());
+        SharedTraits { digest: self.digest, parts }
+    }
+}
+
 /// Identifies a stream over all tries of its caller: the caller's id of the attempt that brought the
 /// first event, as a hash.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -5,7 +5,7 @@
 use basilbank_wire::LoadGossip;
 
 use crate::{
-    call::{Call, Digest, RequestId},
+    call::{Call, RequestId, SharedTraits},
     endpoint::{EndpointInfo, EndpointKey},
     route::RouteTable,
     state::OrderRight,
@@ -38,6 +38,14 @@
         /// The attempt's number within the request.
         attempt: u32,
     },
+    /// An attempt's stream has brought events for some time, see
+    /// [`WRITING_TIME`](crate::tuning::WRITING_TIME).
+    WroteOn {
+        /// The request that the attempt belongs to.
+        request: RequestId,
+        /// The attempt's number within the request.
+        attempt: u32,
+    },
     /// The configuration was read from the store.
     RoutesRead {
         /// The store's revisions at the read.
@@ -100,8 +108,11 @@
     ProxiedCallEnded {
         /// The endpoint.
         endpoint: EndpointKey,
-        /// The call's digest; `None` if the peer called for itself, such as for a probe.
-        digest: Option<Digest>,
+        /// What the call may share with others; `None` if the peer called for itself, such as for a
+        /// probe.
+        traits: Option<SharedTraits>,
+        /// Whether the endpoint had been writing the answer for some time.
+        wrote_on: bool,
         /// How long the call took.
         duration: Duration,
         /// How it ended.
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use basilbank_core::time::{Clock, Now};
 
 pub use crate::{
-    call::{Call, Digest, Prompt, RequestId, Resumption, StreamId},
+    call::{Call, Cause, Digest, Prompt, RequestId, Resumption, SharedTraits, StreamId},
     effect::{Attempt, Effect, Op},
     endpoint::{EndpointInfo, EndpointKey, SoftwareVersion, Stage},
     event::{Damage, Event, NotProxied, NotRun, Outcome},
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -58,6 +58,7 @@
         Event::FirstEvent { request, attempt } => {
             origin::record_origin(&mut ctx, request, attempt);
         }
+        Event::WroteOn { request, attempt } => crash::handle_wrote_on(&mut ctx, request, attempt),
         Event::RoutesRead { revisions, table } => {
             endpoints::apply_routes(&mut ctx, revisions, table);
         }
@@ -78,8 +79,8 @@
             suspect::handle_probe_by_peer(&mut ctx, endpoint, peer, failure);
         }
         Event::ProxiedCallStarted => ctx.state.proxies.serving += 1,
-        Event::ProxiedCallEnded { endpoint, digest, duration, end } => {
-            suspect::handle_proxied_end(&mut ctx, endpoint, digest, duration, end);
+        Event::ProxiedCallEnded { endpoint, traits, wrote_on, duration, end } => {
+            suspect::handle_proxied_end(&mut ctx, endpoint, traits, wrote_on, duration, end);
         }
         Event::CallLimit { endpoint, rate } => call_limit::record_limit(&mut ctx, endpoint, rate),
         Event::EndpointLeaving(key) => statement::mark_leaving(&mut ctx, key),
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -58,6 +58,7 @@
         return NextStep::WaitUntil(now + state.tuning.hold_pause);
     }
     let (service, tried, due) = (request.service.clone(), recently_asked(request), request.due());
+    let risky = state.crashes.is_risky(&request.call.traits());
     let prompt = request.call.prompt.clone().unwrap_or_default();
     let usage = Usage::completion(prompt.tokens, prompt.expected_output());
     let memory_fraction = match request.is_on_time(now + state.tuning.first_token_delay) {
@@ -73,7 +74,8 @@
     };
     let hold_ttl = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.max_hold);
     let peers_ahead = state.peers_ahead(&service, due, now);
-    let criteria = Criteria { near, usage, memory_fraction, session: prompt.session, pinned };
+    let criteria =
+        Criteria { near, usage, memory_fraction, session: prompt.session, pinned, risky };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
         DecodeChoice::At(endpoint) => endpoint,
         DecodeChoice::Full => {
--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -1,20 +1,35 @@
-//! Detection of calls that crash the endpoints that run them.
+//! Detection of calls that crash the endpoints that run them, and of parts of prompts that do.
 
 use std::time::Duration;
 
-use basilbank_wire::{CrashReport, LoadGossip};
+use basilbank_wire::{CrashReport, LoadGossip, QuarantinedCall};
 
-use super::{Context, suspect};
+use super::{Context, step, suspect};
 use crate::{
-    call::{Digest, RequestId},
+    call::{Cause, Digest, RequestId, SharedTraits},
     endpoint::EndpointKey,
     log_line::{LogLine, Measurement},
     state::{
+        Request,
         crashes::CrashEvidence,
+        quarantine,
         requests::{ActiveAttempt, Step},
     },
 };
 
+/// Whether a request may be sent to an endpoint now, as far as crashes go.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Verdict {
+    /// It may.
+    Send,
+    /// It may not, since it is known to crash endpoints.
+    Refuse,
+    /// It goes on at the endpoint that has it, and to no second one.
+    Stay,
+    /// Until this time it is undecided whether it crashes endpoints.
+    WaitUntil(Duration),
+}
+
 /// Handles an attempt that broke off. The endpoint is probed to find out whether it crashed, since
 /// a connection can also be reset for other reasons.
 pub fn handle_broken_attempt(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
@@ -23,20 +38,24 @@
         return;
     }
     let Some(request) = ctx.state.requests.get(&id) else { return };
-    let (digest, run_time) = (request.call.digest, ctx.now.saturating_sub(live.started));
-    record_broken_call(ctx, live.endpoint, digest, run_time);
+    let (traits, run_time) = (request.call.traits(), ctx.now.saturating_sub(live.started));
+    record_broken_call(ctx, live.endpoint, traits, live.wrote_on, run_time);
 }
 
-/// Records a call that broke off at an endpoint, and probes the endpoint.
+/// Records a call that broke off at an endpoint, and probes the endpoint. If the endpoint had been
+/// writing the answer for some time, the parts of the prompt are not the cause.
 pub fn record_broken_call(
     ctx: &mut Context<'_>,
     key: EndpointKey,
-    digest: Digest,
+    traits: SharedTraits,
+    wrote_on: bool,
     run_time: Duration,
 ) {
     // An endpoint that leaves aborts its calls; they are not the cause of its end.
     if ctx.state.directory.get(key).is_some_and(|e| e.is_in_service()) {
-        ctx.state.crashes.record_broken_call(key, digest, run_time, ctx.now);
+        let parts = if wrote_on { Vec::new() } else { traits.parts };
+        let traits = SharedTraits { parts, ..traits };
+        ctx.state.crashes.record_broken_call(key, traits, run_time, ctx.now);
         suspect::request_probe(ctx, key);
     }
 }
@@ -51,77 +70,156 @@
     for report in &reports {
         let line = LogLine::new("crashed").with("digest", Digest(report.digest));
         let line = line.with("endpoint", format!("{hash:08x}")).with("ran_ms", report.ran);
-        ctx.log(line);
+        ctx.log(line.with("accused_parts", report.parts.len()));
         apply_report(ctx, report);
     }
     ctx.state.peers.report_soon();
 }
 
-/// Clears a call of suspicion after it has run to its end.
-pub fn handle_served(ctx: &mut Context<'_>, id: RequestId) {
-    let Some(digest) = ctx.state.requests.get(&id).map(|request| request.call.digest) else {
+/// Handles a stream that has been written for some time: none of the parts of its prompt crashes
+/// endpoints.
+pub fn handle_wrote_on(ctx: &mut Context<'_>, id: RequestId, number: u32) {
+    let Some(request) = ctx.state.requests.get_mut(&id) else { return };
+    let Some(live) = request.active_attempts.iter_mut().find(|live| live.number == number) else {
+        return;
+    };
+    live.wrote_on = true;
+    for part in request.call.traits().parts {
+        clear(ctx, Cause::Part(part));
+    }
+}
+
+/// Clears a call of suspicion after it has run to its end. Its answer may have been too short to
+/// show at once that the parts of its prompt don't crash endpoints.
+pub fn handle_served(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
+    let Some(traits) = ctx.state.requests.get(&id).map(|request| request.call.traits()) else {
         return;
     };
-    if ctx.state.crashes.is_suspect(digest) {
-        ctx.state.crashes.clear_and_announce(digest);
+    clear(ctx, Cause::Call(traits.digest));
+    if !live.wrote_on && !traits.parts.is_empty() {
+        ctx.state.crashes.record_short_answer(live.endpoint, traits.parts, ctx.now);
+    }
+}
+
+/// Clears something of suspicion and releases it from quarantine.
+fn clear(ctx: &mut Context<'_>, cause: Cause) {
+    let is_released = release(ctx, cause, "proof");
+    if is_released {
+        ctx.state.crashes.announce_cleared(cause);
+    }
+    let is_suspect = ctx.state.crashes.is_suspect(cause);
+    ctx.state.crashes.clear_and_announce(cause, ctx.now);
+    // Parts that many calls share are cleared with the next datagram that is sent anyway.
+    if is_released || (is_suspect && !cause.is_part()) {
         ctx.state.peers.report_soon();
     }
 }
 
+fn release(ctx: &mut Context<'_>, cause: Cause, reason: &str) -> bool {
+    let is_released = ctx.state.quarantine.remove(cause);
+    if is_released {
+        ctx.log(with_cause(LogLine::new("released"), cause).with("why", reason));
+    }
+    is_released
+}
+
 /// Applies what a peer reports about crashes and quarantined calls.
 pub fn handle_gossip(ctx: &mut Context<'_>, gossip: &LoadGossip) {
     for reported in &gossip.quarantined {
-        if ctx.state.quarantine.apply_report(reported, ctx.now) {
-            record_cause(ctx, Digest(reported.digest), "peer");
-        }
+        handle_quarantined(ctx, reported);
     }
-    for digest in &gossip.cleared {
-        ctx.state.crashes.clear(Digest(*digest));
+    let calls = gossip.cleared.iter().map(|digest| Cause::Call(Digest(*digest)));
+    let parts = gossip.cleared_parts.iter().map(|part| Cause::Part(*part));
+    for cause in calls.chain(parts) {
+        release(ctx, cause, "peer");
+        ctx.state.crashes.clear_by_peer(cause, ctx.now);
     }
     for report in &gossip.crashes {
         apply_report(ctx, report);
     }
 }
 
+/// Applies a peer's report of something in quarantine.
+///
+/// A daemon that has just seen a part of prompts to be sound goes by its own evidence. If the peer is
+/// wrong, the calls that are still sent show it, and the part is released everywhere.
+fn handle_quarantined(ctx: &mut Context<'_>, reported: &QuarantinedCall) {
+    let cause = quarantine::reported_cause(reported);
+    let found_at = quarantine::found_at(reported, ctx.now);
+    if cause.is_part() && ctx.state.crashes.is_refuted(cause, found_at) {
+        return ctx.state.crashes.announce_cleared(cause);
+    }
+    let is_known = ctx.state.quarantine.time_left(cause, ctx.now).is_some();
+    if cause.is_part() && !is_known && ctx.state.crashes.was_sound(cause, found_at) {
+        return;
+    }
+    if ctx.state.quarantine.apply_report(reported, ctx.now) {
+        record_cause(ctx, cause, "peer");
+    }
+}
+
 /// Looks for the cause of crashes once all daemons have had time to report them.
 pub fn tick(ctx: &mut Context<'_>) {
-    if ctx.state.crashes.due().is_none_or(|due| ctx.now < due) {
+    while let Some(parts) = ctx.state.crashes.take_proof(ctx.now) {
+        parts.into_iter().for_each(|part| clear(ctx, Cause::Part(part)));
+    }
+    if !ctx.state.crashes.is_analysis_due(ctx.now) {
         return;
     }
-    while let Some((digest, count)) = ctx.state.crashes.find_cause(ctx.now) {
-        ctx.state.quarantine.add(digest, ctx.now);
-        record_cause(ctx, digest, &format!("crashes_{count}"));
+    while let Some((cause, crashes)) = ctx.state.crashes.find_cause(ctx.now) {
+        ctx.state.quarantine.add(cause, ctx.now);
+        record_cause(ctx, cause, &format!("crashes_{crashes}"));
         ctx.state.peers.report_soon();
     }
 }
 
-/// Returns whether the call is quarantined and no endpoint is running it. Each such call prolongs
-/// its quarantine.
-pub fn check_quarantine(ctx: &mut Context<'_>, id: RequestId) -> bool {
-    let request = ctx.state.requests.get(&id).filter(|request| request.active_attempts.is_empty());
-    let Some(digest) = request.map(|request| request.call.digest) else { return false };
-    let is_known = ctx.state.quarantine.time_left(digest, ctx.now).is_some();
-    if is_known {
-        ctx.state.quarantine.add(digest, ctx.now);
+/// Returns whether a request may be sent to an endpoint. If not, since it is in quarantine, that
+/// prolongs its quarantine.
+pub fn check(ctx: &mut Context<'_>, id: RequestId) -> Verdict {
+    let Some(request) = ctx.state.requests.get(&id) else { return Verdict::Send };
+    let traits = request.call.traits();
+    let is_running = !request.active_attempts.is_empty();
+    if ctx.state.quarantine.extend(&traits, ctx.now) {
+        return if is_running { Verdict::Stay } else { Verdict::Refuse };
+    }
+    // Other calls may be the cause of the crashes, so this one is not refused. It waits, since it
+    // must not crash another endpoint meanwhile.
+    match ctx.state.crashes.undecided_until(&traits, ctx.now) {
+        None => Verdict::Send,
+        Some(_) if is_running => Verdict::Stay,
+        Some(until) => Verdict::WaitUntil(until),
     }
-    is_known
-}
-
-/// Returns the time until which it is undecided whether a call that no endpoint is running is the
-/// cause of crashes.
-pub fn undecided_until(ctx: &Context<'_>, id: RequestId) -> Option<Duration> {
-    let request =
-        ctx.state.requests.get(&id).filter(|request| request.active_attempts.is_empty())?;
-    ctx.state.crashes.undecided_until(request.call.digest, ctx.now)
 }
 
 fn apply_report(ctx: &mut Context<'_>, report: &CrashReport) {
-    let is_quarantined = ctx.state.quarantine.time_left(Digest(report.digest), ctx.now).is_some();
-    ctx.state.crashes.apply_report(report, is_quarantined, ctx.now);
+    let traits = SharedTraits { digest: Digest(report.digest), parts: report.parts.clone() };
+    let in_quarantine = |cause: &Cause| ctx.state.quarantine.time_left(*cause, ctx.now).is_some();
+    let cause = traits.causes().find(in_quarantine);
+    ctx.state.crashes.apply_report(report, cause, ctx.now);
 }
 
-fn record_cause(ctx: &mut Context<'_>, digest: Digest, reason: &str) {
-    ctx.state.crashes.mark_explained(digest);
-    let line = LogLine::new("quarantined").with("digest", digest).with("why", reason);
+fn record_cause(ctx: &mut Context<'_>, cause: Cause, reason: &str) {
+    ctx.state.crashes.mark_explained(cause);
+    let line = with_cause(LogLine::new("quarantined"), cause).with("why", reason);
     ctx.log(line.with_measurement(Measurement::Quarantined));
+    refuse_idle(ctx, cause);
+}
+
+/// Refuses the calls that wait here and can't be served any more.
+fn refuse_idle(ctx: &mut Context<'_>, cause: Cause) {
+    let is_idle = |request: &Request| {
+        request.active_attempts.is_empty() && request.call.traits().causes().any(|own| own == cause)
+    };
+    let idle = ctx.state.requests.iter().filter(|(_, request)| is_idle(request));
+    let mut ids: Vec<_> = idle.map(|(id, _)| *id).collect();
+    ids.sort_unstable();
+    ctx.state.waiting.retain(|id| !ids.contains(id));
+    ids.into_iter().for_each(|id| step::proceed(ctx, id));
+}
+
+fn with_cause(line: LogLine, cause: Cause) -> LogLine {
+    match cause {
+        Cause::Call(digest) => line.with("digest", digest),
+        Cause::Part(id) => line.with("part", format!("{id:x}")),
+    }
 }
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -136,7 +136,7 @@
         let request = self.requests.get(&id);
         let min_delay = match (refusal, request) {
             (Refusal::Quarantined, Some(request)) => {
-                self.quarantine.time_left(request.call.digest, now)
+                self.quarantine.call_time_left(&request.call.traits(), now)
             }
             (Refusal::RateLimited, Some(request)) => {
                 let endpoints = self.endpoints_without_permit(request, now);
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -9,6 +9,7 @@
 
 use super::{Context, call_limit};
 use crate::{
+    call::Cause,
     effect::Effect,
     state::{
         QueuePosition, State,
@@ -210,7 +211,13 @@
     let watching = state.is_active_watcher();
     let limits = call_limit::observed_limits(state, now);
     let crashes = state.crashes.take_reports(now);
-    let cleared = state.crashes.take_cleared(now);
+    let (mut cleared, mut cleared_parts) = (Vec::new(), Vec::new());
+    for cause in state.crashes.take_cleared(now) {
+        match cause {
+            Cause::Call(digest) => cleared.push(digest.0),
+            Cause::Part(id) => cleared_parts.push(id),
+        }
+    }
     let quarantined =
         state.quarantine.take_reports(scope.quarantined_calls(state.peers.known.len()), now);
     let peers = &mut state.peers;
@@ -232,6 +239,7 @@
         limits,
         crashes,
         cleared,
+        cleared_parts,
         quarantined,
         unreached: state.suspects.unreached.iter().map(|service| service_hash(service)).collect(),
         ..LoadGossip::default()
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -44,12 +44,12 @@
         Outcome::Held { hold } => handle_held(ctx, id, &live, hold),
         Outcome::Prefilled { handle, .. } => handle_prefilled(ctx, id, &live, handle),
         Outcome::Answered { status } => {
-            crash::handle_served(ctx, id);
+            crash::handle_served(ctx, id, &live);
             handle_answered(ctx, id, number, status);
         }
         Outcome::Streaming => handle_streaming(ctx, id, number),
         Outcome::Finished => {
-            crash::handle_served(ctx, id);
+            crash::handle_served(ctx, id, &live);
             record_generation(ctx, id, &live);
             finish::finish_stream(ctx, id);
         }
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -110,6 +110,8 @@
     pub session: Option<u64>,
     /// The version of endpoints that it needs, if not any will do.
     pub pinned: Option<SoftwareVersion>,
+    /// Whether it may well crash its endpoint, so that it should meet few others there.
+    pub risky: bool,
 }
 
 /// Picks the completion's home endpoint if that has capacity, else the decode endpoint with the
@@ -136,7 +138,10 @@
     let reached = Reached::of(state, service, now);
     let candidates = fitting.filter_map(|(key, endpoint, peak)| {
         reached.cost(key, tried.contains(&key))?;
-        let used = peak / memory;
+        let used = match criteria.risky {
+            true => f64::from(endpoint.total_calls()),
+            false => peak / memory,
+        };
         let remote_cost =
             if endpoint.info.data_centre == data_centre { 0.0 } else { REMOTE_MEMORY_FRACTION };
         let cost = used + remote_cost;
@@ -158,8 +163,8 @@
     if has_usable && candidates.iter().all(|candidate| !candidate.avoided_for.is_zero()) {
         return DecodeChoice::Full;
     }
-    let home =
-        criteria.session.and_then(|session| pick_home(state, service, session, &candidates, now));
+    let session = criteria.session.filter(|_| !criteria.risky);
+    let home = session.and_then(|session| pick_home(state, service, session, &candidates, now));
     match home.or_else(|| pick_cheapest(state, &candidates, MEMORY_FRACTION_TOLERANCE)) {
         Some(key) => DecodeChoice::At(key),
         None if !state.has_version(service, Some(Stage::Decode), criteria.pinned) => {
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Context, add_usage, call_limit, completion, crash, finish,
+    Context, add_usage, call_limit, completion,
+    crash::{self, Verdict},
+    finish,
     next_step::{Dispatch, NextStep},
     origin, plain, quota, remove_usage, suspect,
 };
@@ -33,13 +35,11 @@
         return;
     }
     finish::release_unusable_hold(ctx, id);
-    if crash::check_quarantine(ctx, id) {
-        return finish::give_up(ctx, id, Refusal::Quarantined);
-    }
-    // Other calls may be the cause of the crashes, so this one is not refused. It waits, since it
-    // must not crash another endpoint meanwhile.
-    if let Some(until) = crash::undecided_until(ctx, id) {
-        return wait_until(ctx, id, until);
+    match crash::check(ctx, id) {
+        Verdict::Send => {}
+        Verdict::Stay => return,
+        Verdict::Refuse => return finish::give_up(ctx, id, Refusal::Quarantined),
+        Verdict::WaitUntil(until) => return wait_until(ctx, id, until),
     }
     if !ctx.state.call_limits.is_empty() {
         call_limit::prefetch_permit(ctx, id);
@@ -198,6 +198,7 @@
         started: ctx.now,
         step: dispatch.step,
         via: target.via,
+        wrote_on: false,
     };
     request.active_attempts.push(live);
     let remaining = request.remaining(ctx.now);
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -15,7 +15,7 @@
 
 use super::{Context, crash};
 use crate::{
-    call::{Digest, RequestId},
+    call::{RequestId, SharedTraits},
     effect::Effect,
     endpoint::EndpointKey,
     event::{Liveness, NotProxied, ProxiedEnd},
@@ -214,15 +214,16 @@
 pub fn handle_proxied_end(
     ctx: &mut Context<'_>,
     key: EndpointKey,
-    digest: Option<Digest>,
+    traits: Option<SharedTraits>,
+    wrote_on: bool,
     duration: Duration,
     end: ProxiedEnd,
 ) {
     ctx.state.proxies.serving = ctx.state.proxies.serving.saturating_sub(1);
     match end {
         ProxiedEnd::Unreachable | ProxiedEnd::Silent => mark_unreachable(ctx, key),
-        ProxiedEnd::Broken => match digest {
-            Some(digest) => crash::record_broken_call(ctx, key, digest, duration),
+        ProxiedEnd::Broken => match traits {
+            Some(traits) => crash::record_broken_call(ctx, key, traits, wrote_on, duration),
             None => request_probe(ctx, key),
         },
         ProxiedEnd::Answered | ProxiedEnd::Cancelled | ProxiedEnd::Withheld => {}
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -1,11 +1,13 @@
 //! What a daemon knows about forwarded calls.
 
+pub mod announcements;
 pub mod call_limits;
 pub mod completion_queue;
 pub mod crashes;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_records;
+pub mod evidence;
 pub mod freshness;
 pub mod generation;
 pub mod local;
@@ -15,6 +17,7 @@
 pub mod peers;
 pub mod permit_holder;
 pub mod permit_issuer;
+pub mod proofs;
 pub mod proxies;
 pub mod quarantine;
 pub mod quotas;
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -133,6 +133,8 @@
     pub step: Step,
     /// The peer that makes the call, if this daemon doesn't make it itself.
     pub via: Option<SocketAddr>,
+    /// Whether its endpoint has been writing the answer for some time.
+    pub wrote_on: bool,
 }
 
 /// The work that an attempt does.
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+/// Time for which a stream brings events until it counts as being written: a call that crashes its
+/// endpoint does so sooner.
+pub const WRITING_TIME: Duration = Duration::from_millis(250);
+
 /// The constants of the decisions. Durations are measured on the monotonic clock.
 #[derive(Clone, PartialEq, Debug)]
 pub struct Tuning {
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -20,6 +20,7 @@
 mod pace;
 mod peers;
 mod plain;
+mod prompt_parts;
 mod proxies;
 mod quarantine;
 mod queue;
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -148,6 +148,7 @@
     Ok(ProxyRequest {
         trace_id: call.call.map(|call| call.trace_id.clone()).unwrap_or_default(),
         digest: call.call.map(|call| call.digest.0),
+        parts: call.call.map_or_else(Vec::new, |call| call.traits().parts),
         version: (call.purpose == Purpose::Work).then(|| call.target.software.to_wire()),
         instance: call.target.instance.clone(),
         purpose: purpose.into(),
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -4,6 +4,7 @@
 //! endpoint it goes to, what it may cost and whether it is repeated is decided by the peer.
 
 use std::{
+    cell::RefCell,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -33,6 +34,7 @@
     dialect::OutRequest,
     peer_stream,
     proxy_client::{read_headers, wire_headers},
+    relay::Writing,
     router::Router,
 };
 
@@ -105,16 +107,17 @@
             return fail(writer, failure).await;
         }
     };
-    let digest = request.digest.map(Digest);
-    let serving = Serving::start(router, &target, digest);
-    let call = Call { router, target: &target, request: &request, purpose, received };
+    let serving = Serving::start(router, &target, &request);
+    let writing = RefCell::default();
+    let call =
+        Call { router, target: &target, request: &request, purpose, received, writing: &writing };
     // A peer that closes the connection, or sends anything before the answer's end, doesn't want the
     // call any more. Dropping the call closes the connection to the endpoint.
     let end = tokio::select! {
         end = call.run(writer) => end,
         _ = reader.next() => ProxiedEnd::Cancelled,
     };
-    serving.end(end);
+    serving.end(end, writing.borrow().wrote_on());
     router.metrics.count_proxied(end.as_str());
     log_call(&request, peer, end.as_str(), received);
     end != ProxiedEnd::Cancelled
@@ -142,20 +145,30 @@
 struct Serving {
     router: Rc<Router>,
     endpoint: EndpointKey,
-    digest: Option<Digest>,
+    traits: Option<SharedTraits>,
     started: Instant,
+    wrote_on: bool,
     end: ProxiedEnd,
 }
 
 impl Serving {
-    fn start(router: &Rc<Router>, target: &Target, digest: Option<Digest>) -> Serving {
+    fn start(router: &Rc<Router>, target: &Target, request: &ProxyRequest) -> Serving {
         router.dispatch(Event::ProxiedCallStarted);
-        let (router, endpoint) = (Rc::clone(router), target.endpoint);
-        Serving { router, endpoint, digest, started: Instant::now(), end: ProxiedEnd::Cancelled }
+        let with_digest =
+            |digest| SharedTraits { digest: Digest(digest), parts: request.parts.clone() };
+        Serving {
+            router: Rc::clone(router),
+            endpoint: target.endpoint,
+            traits: request.digest.map(with_digest),
+            started: Instant::now(),
+            wrote_on: false,
+            end: ProxiedEnd::Cancelled,
+        }
     }
 
-    fn end(mut self, end: ProxiedEnd) {
+    fn end(mut self, end: ProxiedEnd, wrote_on: bool) {
         self.end = end;
+        self.wrote_on = wrote_on;
     }
 }
 
@@ -163,7 +176,8 @@
     fn drop(&mut self) {
         self.router.dispatch(Event::ProxiedCallEnded {
             endpoint: self.endpoint,
-            digest: self.digest,
+            traits: self.traits.take(),
+            wrote_on: self.wrote_on,
             duration: self.started.elapsed(),
             end: self.end,
         });
@@ -176,6 +190,7 @@
     request: &'a ProxyRequest,
     purpose: Purpose,
     received: Instant,
+    writing: &'a RefCell<Writing>,
 }
 
 impl Call<'_> {
@@ -205,6 +220,7 @@
                 return self.fail(writer, ProxyFailure::Broken, ProxiedEnd::Broken).await;
             };
             let Ok(data) = frame.into_data() else { continue };
+            self.writing.borrow_mut().record(Instant::now());
             if writer.send(ProxyMessage::Body(data)).await.is_err() {
                 return ProxiedEnd::Cancelled;
             }
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -1,9 +1,12 @@
 //! Forwards a stream's events as they arrive.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use basilbank::logs::Line;
-use basilbank_forward::effect::Target;
+use basilbank_forward::{effect::Target, tuning::WRITING_TIME};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
@@ -17,6 +20,42 @@
 /// Maximum size of an event, which is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Progress of a stream.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum StreamProgress {
+    /// The first event has come.
+    FirstEvent,
+    /// Events have come for [`WRITING_TIME`].
+    WroteOn,
+}
+
+/// For how long an endpoint has been writing an answer.
+#[derive(Debug, Default)]
+pub struct Writing {
+    since: Option<Instant>,
+    wrote_on: bool,
+}
+
+impl Writing {
+    /// Records that a piece of the answer has come, and returns the progress that it shows for the
+    /// first time.
+    pub fn record(&mut self, now: Instant) -> Option<StreamProgress> {
+        let Some(since) = self.since else {
+            self.since = Some(now);
+            return Some(StreamProgress::FirstEvent);
+        };
+        let is_new = !self.wrote_on && since + WRITING_TIME <= now;
+        self.wrote_on |= is_new;
+        is_new.then_some(StreamProgress::WroteOn)
+    }
+
+    /// Returns whether pieces have come for [`WRITING_TIME`].
+    #[must_use]
+    pub fn wrote_on(&self) -> bool {
+        self.wrote_on
+    }
+}
+
 /// How a stream ended.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct RelayEnd {
@@ -35,26 +74,26 @@
 
 /// Forwards complete events only, so that a stream can continue at another endpoint without a
 /// partial event in between. A stream that ends inside an event has broken off, whatever its framing
-/// says. `on_first_event` is called before the first event is forwarded.
+/// says. `on_progress` is called before the events are forwarded that show the progress.
 pub async fn relay(
     router: Rc<Router>,
     stream: AnswerStream,
     chunks: mpsc::Sender<Chunk>,
-    on_first_event: impl FnOnce(),
+    on_progress: impl Fn(StreamProgress),
 ) -> RelayEnd {
     let AnswerStream { mut body, connection, keep_alive, stall_timeout, target, .. } = stream;
     let (framing, trace_id, is_events) = (stream.framing, stream.trace_id, stream.is_events);
     let mut events = EventSplitter::default();
-    let mut on_first_event = Some(on_first_event);
+    let mut writing = Writing::default();
     let broken = |events: &EventSplitter| RelayEnd::new(false, events);
     while let Some(frame) = next_frame(&router, &target, &mut body, stall_timeout).await {
         let Ok(frame) = frame else { return broken(&events) };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.push(&data);
         if !ready.is_empty()
-            && let Some(on_first_event) = on_first_event.take()
+            && let Some(progress) = writing.record(Instant::now())
         {
-            on_first_event();
+            on_progress(progress);
         }
         if !ready.is_empty() && chunks.send(Chunk::Data(ready)).await.is_err() {
             return broken(&events);
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -13,7 +13,7 @@
     attempt::{AttemptResult, CallerRequest, PendingAnswer, run_attempt},
     digest::digest,
     metrics::Sender,
-    relay::{RelayEnd, relay},
+    relay::{RelayEnd, StreamProgress, relay},
     request_body::{BodyError, read_body},
     response::{Chunk, ErrorResponse, ResponseBody, forwarded_response},
     router::{RequestEffect, Router},
@@ -265,10 +265,14 @@
         };
         let (router, request) = (Rc::clone(&self.router), self.id);
         let dispatcher = Rc::clone(&router);
-        let on_first_event =
-            move || dispatcher.dispatch(Event::FirstEvent { request, attempt: number });
+        let on_progress = move |progress| {
+            dispatcher.dispatch(match progress {
+                StreamProgress::FirstEvent => Event::FirstEvent { request, attempt: number },
+                StreamProgress::WroteOn => Event::WroteOn { request, attempt: number },
+            });
+        };
         let task = async move {
-            let ended = relay(router, stream, chunks, on_first_event).await;
+            let ended = relay(router, stream, chunks, on_progress).await;
             (number, TaskResult::Relay(ended))
         };
         let handle = self.tasks.spawn_local(task);
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -28,7 +28,7 @@
     paths::Paths,
     proxy::{Proxy, Weather},
     served::{Arrival, PauseRequest, Served, TakenCache},
-    serving::{DEADLY, event_text},
+    serving::{DEADLY, DEADLY_PART, event_text},
     store::{Lost, ManagedStore, NarrowWay, StoreFault, StoreView},
     world::{World, WorldSpec, key},
 };
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -22,6 +22,12 @@
 /// The end of the path of a call that crashes each endpoint that runs it.
 pub const DEADLY: &str = "/deadly";
 
+/// A part of prompts that crashes each endpoint that begins an answer on it.
+pub const DEADLY_PART: &str = "deadbeef";
+
+/// Time from the beginning of such an answer to the endpoint's end.
+const PART_DELAY: Duration = Duration::from_millis(40);
+
 /// Time between two events of a stream.
 const EVENT_TIME: Duration = Duration::from_millis(5);
 
@@ -182,6 +188,10 @@
         if request.path().ends_with(DEADLY) {
             return self.crash(request);
         }
+        if has_deadly_part(request) {
+            thread::sleep(PART_DELAY);
+            return self.crash(request);
+        }
         if misdeed == Misdeed::Hanging {
             return Ok(());
         }
@@ -320,6 +330,11 @@
     }
 }
 
+fn has_deadly_part(request: &Request) -> bool {
+    let parts = request.header("x-prompt-prefix").unwrap_or_default().split(',');
+    parts.filter_map(|part| part.split_once(':')).any(|(id, _)| id == DEADLY_PART)
+}
+
 fn attempt_id(request: &Request) -> String {
     request.header("x-attempt-id").unwrap_or_default().to_owned()
 }
--- a/crates/basilbank_standin/tests/managed/overload.rs
+++ b/crates/basilbank_standin/tests/managed/overload.rs
@@ -5,9 +5,10 @@
     time::{Duration, Instant},
 };
 
-use basilbank_standin::managed::{DEADLY, World, WorldSpec};
+use basilbank_standin::managed::{DEADLY, DEADLY_PART, Weather, World, WorldSpec};
+use test_case::test_case;
 
-use crate::support::{draft_of, eventually, plain, stream_of};
+use crate::support::{draft_of, draft_on, eventually, plain, stream_of};
 
 const DAEMONS: usize = 3;
 
@@ -55,6 +56,47 @@
     }
 }
 
+/// Sound drafts that are written for longer than it takes to crash an endpoint, and short ones.
+#[test_case(false, 60; "by its own connections")]
+#[test_case(true, 60; "one daemon by its peers")]
+#[test_case(false, 5; "short drafts")]
+fn drafts_on_a_part_that_crashes_endpoints_are_kept_from_them_by_all_daemons(
+    cut: bool,
+    events: u32,
+) {
+    let spec = WorldSpec { daemons: DAEMONS - 1, plain: 1, prefill: 1, decode: 4 };
+    let mut world = World::start(&spec).expect("a world");
+    let paths = world.add_with_paths().expect("a daemon with paths");
+    if cut {
+        paths.proxies().for_each(|path| path.set(Weather::Refuse));
+    }
+    let (mut crashes, mut attempts) = (0, 0);
+    let mut kept = [false; DAEMONS];
+    let sound = |world: &World, n: usize| {
+        let (id, parts) = (format!("s{n}"), format!("f1:200,{:x}:300,{n:x}:500", 0x20 + n % 3));
+        draft_on(world.callers(n % DAEMONS), &format!("/draft/{n}"), &id, &parts, events)
+    };
+    eventually("kept from endpoints by all", || {
+        attempts += 1;
+        let daemon = attempts % DAEMONS;
+        let middle = 0x20 + attempts % 3;
+        let parts = format!("f1:200,{DEADLY_PART}:300,{middle:x}:100,{attempts:x}:400");
+        let path = format!("/draft/bad{attempts}");
+        let answer =
+            draft_on(world.callers(daemon), &path, &format!("d{attempts}"), &parts, events);
+        kept[daemon] = answer.status == 503 && answer.text().contains("quarantined");
+        crashes += revive(&mut world);
+        sound(&world, 1000 + attempts);
+        kept.iter().all(|kept| *kept)
+    });
+    assert!((3..=CRASHES).contains(&crashes), "{crashes} crashes by {attempts} attempts");
+    for n in 0..DAEMONS {
+        eventually("a draft that shares all other parts is served", || {
+            sound(&world, 2000 + n).text() == stream_of(events)
+        });
+    }
+}
+
 #[test]
 fn endpoints_with_limits_get_no_more_of_all_daemons_together() {
     let spec = WorldSpec { daemons: DAEMONS, plain: 2, prefill: 1, decode: 1 };
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -68,7 +68,10 @@
     /// Digests of calls that were in such reports but have recently run to completion.
     #[prost(fixed64, repeated, tag = "21")]
     pub cleared: Vec<u64>,
-    /// Calls that are in quarantine.
+    /// Parts of prompts that were in such reports but on which an answer has recently been written.
+    #[prost(fixed64, repeated, tag = "33")]
+    pub cleared_parts: Vec<u64>,
+    /// Calls and parts of prompts that are in quarantine.
     #[prost(message, repeated, tag = "22")]
     pub quarantined: Vec<QuarantinedCall>,
     /// Call limits that endpoints have recently stated to the sender.
@@ -167,7 +170,7 @@
 }
 
 /// Reports that a call was running at an endpoint when the endpoint crashed.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct CrashReport {
     /// Hash of the endpoint's instance and incarnation.
     #[prost(fixed32, tag = "1")]
@@ -178,17 +181,27 @@
     /// Milliseconds for which the call had been running there.
     #[prost(uint32, tag = "3")]
     pub ran: u32,
+    /// Ids of the parts of its prompt, in order; none if it had been writing its answer for some time,
+    /// which shows that they are not the cause.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub parts: Vec<u64>,
 }
 
-/// A call in quarantine, which is not sent to endpoints.
+/// A call that is not sent to endpoints, or a part of prompts whose calls are not.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct QuarantinedCall {
-    /// The call's digest.
+    /// The call's digest, or the part's id.
     #[prost(fixed64, tag = "1")]
     pub digest: u64,
     /// Seconds for which the call stays in quarantine.
     #[prost(uint32, tag = "2")]
     pub left: u32,
+    /// Whether `digest` is the id of a part.
+    #[prost(bool, tag = "3")]
+    pub is_part: bool,
+    /// Milliseconds since a daemon found it to be the cause of crashes.
+    #[prost(uint32, tag = "4")]
+    pub ago: u32,
 }
 
 /// The limit that an endpoint has stated for the calls that it takes.
--- a/crates/basilbank_wire/src/proxy.rs
+++ b/crates/basilbank_wire/src/proxy.rs
@@ -51,6 +51,9 @@
     /// calls for itself.
     #[prost(fixed64, optional, tag = "10")]
     pub digest: Option<u64>,
+    /// Ids of the parts of the call's prompt, which may crash endpoints as well.
+    #[prost(fixed64, repeated, tag = "12")]
+    pub parts: Vec<u64>,
     /// Hash of the version of the endpoint's software that the sender knows. The receiver declines the
     /// call if it knows another one; none if the version doesn't matter.
     #[prost(fixed32, optional, tag = "11")]
