A daemon reads no more new connections than it can serve

What callers saw, as the test plays it: most new connections of a data centre go to one daemon. It read each as it came, worked for all at once and finished for hardly any in time.

Cause: callers were accepted without bound; the only sign of too much work was that everything took longer.

Change: new connections wait in the daemon, unread.

Measured: the test's daemons now take a millisecond longer for each decision, and 600 callers come; a connection that isn't established counts as unread.

--- a/crates/basilbank/src/callers.rs
+++ b/crates/basilbank/src/callers.rs
@@ -5,7 +5,7 @@
 
 mod body;
 mod chunk;
-mod closing;
+pub mod closing;
 mod code;
 mod config;
 mod connection;
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod framing;
 mod gateway;
 mod gossip;
+pub mod intake;
 mod metrics;
 mod peer_stream;
 mod progress;
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -10,7 +10,6 @@
 };
 
 use anyhow::ensure;
-use basilbank::clock::SystemClock;
 use basilbank_platform::{daemon, settings::Settings};
 use tokio::sync::oneshot;
 
@@ -20,6 +19,7 @@
     http::call,
     inside::Caches,
     paths::Paths,
+    slow_clock::SlowClock,
     store::{ManagedStore, NarrowWay},
 };
 
@@ -75,6 +75,8 @@
     control: SocketAddr,
     /// Their port for each other. Each has a loopback address of its own, as Vms do.
     port: u16,
+    /// Time that each of their decisions takes on top.
+    decision_time: Duration,
 }
 
 impl World {
@@ -83,12 +85,21 @@
     /// # Errors
     /// Something did not start.
     pub fn start(spec: &WorldSpec) -> anyhow::Result<World> {
+        World::start_slow(spec, Duration::ZERO)
+    }
+
+    /// Starts everything, with daemons each of whose decisions takes so much longer.
+    ///
+    /// # Errors
+    /// Something did not start.
+    pub fn start_slow(spec: &WorldSpec, decision_time: Duration) -> anyhow::Result<World> {
         let store = ManagedStore::start()?;
         store.put("op/config", &configuration(1, &[]));
         let caches = Caches::default();
         let (plain, model, daemons) = (vec![], vec![], vec![]);
         let (control, port) = (free_address()?, free_port()?);
-        let mut world = World { store, plain, model, caches, daemons, control, port };
+        let mut world =
+            World { store, plain, model, caches, daemons, control, port, decision_time };
         for n in 0..spec.plain {
             world.add_plain(EndpointSpec::plain(&format!("plain-{n}")))?;
         }
@@ -256,10 +267,10 @@
         let settings = std::env::temp_dir().join(name);
         fs::write(&settings, &text)?;
         let (stop, stopped) = oneshot::channel();
-        let path = settings.clone();
+        let (path, decision_time) = (settings.clone(), self.decision_time);
         let thread = thread::spawn(move || {
             let parsed = Settings::read(&path)?;
-            let clock = Box::new(SystemClock::default());
+            let clock = Box::new(SlowClock::new(decision_time));
             daemon::run_until(&path, parsed, None, clock, async { drop(stopped.await) })
         });
         if !wait_ready(ready, &thread)? {
--- a/crates/basilbank_standin/tests/crowds.rs
+++ b/crates/basilbank_standin/tests/crowds.rs
@@ -10,11 +10,15 @@
 
 use basilbank_standin::managed::{World, WorldSpec, call};
 
+/// Time that each decision takes on top: the daemon serves some hundred calls a second.
+const DECISION: Duration = Duration::from_millis(1);
+
 /// What callers say they wait, and how long they listen.
 const PATIENCE: Duration = Duration::from_millis(800);
 
-/// Callers, each with one connection at a time; no call is on a kept connection.
-const CALLERS: usize = 4000;
+/// Callers, each with one connection at a time and a new one for each call: many times what the daemon
+/// can serve in their patience.
+const CALLERS: usize = 600;
 
 /// Time until a caller whose connection was closed unread comes back: its next try meets another
 /// daemon.
@@ -110,7 +114,7 @@
 #[test]
 fn what_a_crowded_daemon_reads_it_serves() {
     let spec = WorldSpec { plain: 4, ..WorldSpec::default() };
-    let world = World::start(&spec).expect("a world");
+    let world = World::start_slow(&spec, DECISION).expect("a world");
     let (to, ready) = (world.callers(0), world.ready(0));
     let quiet = crowd(to, QUIET);
     let mut kept = TcpStream::connect(to).expect("a connection");
@@ -128,7 +132,7 @@
         thread::sleep(LASTS / 4);
         let control = scope.spawn(|| {
             longest(|| {
-                assert_eq!(call(ready, "GET /ready", &[], b"").expect("an answer").status, 200)
+                assert_eq!(call(ready, "GET /ready", &[], b"").expect("an answer").status, 200);
             })
         });
         let old = longest(old_call);
