Parts that most prompts share are never taken for what crashes endpoints

The parts cd and ab were in all crashes, as they are in all prompts; no answer on them was written for long enough to clear them, since the endpoints crashed all the time, and the narrowest of several equal parts was blamed, cd rather than the bad one.

Change: a part in more than half of a daemon's last 64 prompts is neither a cause nor an equal of one; before eight prompts that holds for the first of several. A part that was sound half a minute before comes after one that wasn't. A peer's verdict on a common part isn't followed.

The row of a part that became bad names a first part before it now: without one it counted as the first itself.

--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -52,6 +52,9 @@
                 None => line,
             };
             let deadline = request.deadline;
+            if let Some(prompt) = &request.call.prompt {
+                ctx.state.common_parts.record(&prompt.parts);
+            }
             ctx.log(line);
             ctx.state.requests.insert(id, request);
             ctx.set_timer(id, deadline);
--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -10,7 +10,7 @@
     endpoint::EndpointKey,
     log_line::{LogLine, Measurement},
     state::{
-        Request,
+        Request, State,
         crashes::CrashEvidence,
         quarantine,
         requests::{ActiveAttempt, Step},
@@ -141,8 +141,9 @@
 
 /// Applies a peer's report of something in quarantine.
 ///
-/// A daemon that has just seen a part of prompts to be sound goes by its own evidence. If the peer is
-/// wrong, the calls that are still sent show it, and the part is released everywhere.
+/// A daemon that has just seen a part of prompts to be sound, or in most of them, goes by its own
+/// evidence. If the peer is wrong, the calls that are still sent show it, and the part is released
+/// everywhere.
 fn handle_quarantined(ctx: &mut Context<'_>, reported: &QuarantinedCall) {
     let cause = quarantine::reported_cause(reported);
     let found_at = quarantine::found_at(reported, ctx.now);
@@ -150,7 +151,9 @@
         return ctx.state.crashes.announce_cleared(cause);
     }
     let is_known = ctx.state.quarantine.time_left(cause, ctx.now).is_some();
-    if cause.is_part() && !is_known && ctx.state.crashes.was_sound(cause, found_at) {
+    let is_common = ctx.state.common_parts.is_common_cause(cause) == Some(true);
+    let is_doubted = is_common || ctx.state.crashes.was_sound(cause, found_at);
+    if cause.is_part() && !is_known && is_doubted {
         return;
     }
     if ctx.state.quarantine.apply_report(reported, ctx.now) {
@@ -166,13 +169,18 @@
     if !ctx.state.crashes.is_analysis_due(ctx.now) {
         return;
     }
-    while let Some((cause, crashes)) = ctx.state.crashes.find_cause(ctx.now) {
+    while let Some((cause, crashes)) = find_cause(ctx) {
         ctx.state.quarantine.add(cause, ctx.now);
         record_cause(ctx, cause, &format!("crashes_{crashes}"));
         ctx.state.peers.report_soon();
     }
 }
 
+fn find_cause(ctx: &mut Context<'_>) -> Option<(Cause, usize)> {
+    let State { crashes, common_parts, .. } = &mut *ctx.state;
+    crashes.find_cause(common_parts, ctx.now)
+}
+
 /// Returns whether a request may be sent to an endpoint. If not, since it is in quarantine, that
 /// prolongs its quarantine.
 pub fn check(ctx: &mut Context<'_>, id: RequestId) -> Verdict {
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -2,6 +2,7 @@
 
 pub mod announcements;
 pub mod call_limits;
+pub mod common_parts;
 pub mod completion_queue;
 pub mod crashes;
 pub mod directory;
@@ -40,6 +41,7 @@
 
 pub use self::{
     call_limits::CallLimits,
+    common_parts::CommonParts,
     completion_queue::{CompletionQueue, QueuePosition},
     crashes::Crashes,
     directory::Directory,
@@ -125,6 +127,8 @@
     pub permit_issuer: PermitIssuer,
     /// Endpoints that crashed, and the calls that were running there.
     pub crashes: Crashes,
+    /// Parts that most prompts have in common.
+    pub common_parts: CommonParts,
     /// How recently the configuration in force was confirmed to be the newest.
     pub freshness: Freshness,
     /// What this daemon's callers have taken of the teams' quotas.
@@ -197,6 +201,7 @@
             permit_holder: PermitHolder::default(),
             permit_issuer: PermitIssuer::default(),
             crashes: Crashes::default(),
+            common_parts: CommonParts::default(),
             origins: Origins::default(),
             versions: Versions::default(),
             quarantine: Quarantine::default(),
--- a/crates/basilbank_forward/src/state/crashes.rs
+++ b/crates/basilbank_forward/src/state/crashes.rs
@@ -15,6 +15,7 @@
 
 use super::{
     announcements::{Announcements, push_bounded},
+    common_parts::CommonParts,
     evidence::{self, Charges, MIN_CRASHES, WAVE_TIME},
     proofs::Proofs,
 };
@@ -112,6 +113,8 @@
     /// How much it is shared: 0 for a whole call, and more the nearer a part is to its prompt's
     /// beginning.
     pub breadth: u8,
+    /// Whether it is the first of several parts of its prompt.
+    pub is_first: bool,
 }
 
 impl Crashes {
@@ -317,7 +320,7 @@
     }
 
     /// Returns the cause of crashes and their number, if there is enough evidence for one.
-    pub fn find_cause(&mut self, now: Duration) -> Option<(Cause, usize)> {
+    pub fn find_cause(&mut self, common: &CommonParts, now: Duration) -> Option<(Cause, usize)> {
         self.crashes.retain(|_, crash| now < crash.since + CRASH_WINDOW);
         let settles = self.crashes.values().map(|crash| crash.since + SETTLE_TIME);
         self.due = settles.filter(|at| now < *at).min();
@@ -327,6 +330,7 @@
         let charges = Charges {
             accuses: &|crash, cause| crash.accuses(cause, proofs.time_of(cause)),
             was_sound: &|cause| proofs.was_sound(cause, now),
+            is_common: &|cause| common.is_common_cause(cause),
         };
         evidence::find_cause(settled, &charges)
     }
@@ -355,11 +359,14 @@
         let ran = Duration::from_millis(u64::from(report.ran));
         let parts = report.parts.iter().rev().map(|part| Cause::Part(*part));
         let causes = std::iter::once(Cause::Call(Digest(report.digest))).chain(parts);
+        let first = report.parts.first().filter(|_| 1 < report.parts.len());
+        let first = first.map(|part| Cause::Part(*part));
         for (breadth, cause) in (0..u8::MAX).zip(causes) {
+            let is_first = first == Some(cause);
             if let Some(known) = self.accused.get_mut(&cause) {
                 known.ran = known.ran.min(ran);
             } else if self.accused.len() < MAX_ACCUSED_PER_CRASH {
-                self.accused.insert(cause, Accusation { ran, breadth });
+                self.accused.insert(cause, Accusation { ran, breadth, is_first });
             }
         }
     }
--- a/crates/basilbank_forward/src/state/evidence.rs
+++ b/crates/basilbank_forward/src/state/evidence.rs
@@ -21,6 +21,8 @@
     pub accuses: &'a dyn Fn(&Crash, Cause) -> bool,
     /// Returns whether something was shown to be sound shortly before.
     pub was_sound: &'a dyn Fn(Cause) -> bool,
+    /// Returns whether most calls share something; `None` if that isn't known.
+    pub is_common: &'a dyn Fn(Cause) -> Option<bool>,
 }
 
 /// The crashes that something was part of.
@@ -29,6 +31,7 @@
     times: Vec<Duration>,
     run_time: Duration,
     breadth: u8,
+    is_first: bool,
 }
 
 impl Evidence {
@@ -36,6 +39,7 @@
         self.times.push(crash.since);
         self.run_time = self.run_time.saturating_add(accusation.ran);
         self.breadth = self.breadth.max(accusation.breadth);
+        self.is_first |= accusation.is_first;
     }
 }
 
@@ -58,25 +62,32 @@
 
 /// Returns the cause of crashes and their number, if there is enough evidence.
 ///
-/// Of several it is the one with the most crashes. Of those with equally many it is the one that had
+/// Of several it is one that wasn't sound shortly before, and of these the one with the most crashes: a
+/// part that was sound may just go with the cause in most prompts. Of those with equally many it is the one that had
 /// been running for the least time, since the cause crashes an endpoint shortly after it starts and
 /// the others had started earlier; then the narrowest, which keeps the fewest calls from endpoints.
 pub fn find_cause<'a>(
     crashes: impl Iterator<Item = &'a Crash> + Clone,
     charges: &Charges<'_>,
 ) -> Option<(Cause, usize)> {
-    let all = collect(crashes, charges);
+    let mut all = collect(crashes, charges);
+    // Unless this daemon knows better, prompts begin with what all calls of an application share.
+    all.retain(|cause, evidence| !(charges.is_common)(*cause).unwrap_or(evidence.is_first));
     let sufficient = all.iter().filter(|(cause, evidence)| {
         let needed = match cause.is_part() {
-            true if (charges.was_sound)(**cause) || has_equal(&all, **cause, evidence) => {
+            true if (charges.was_sound)(**cause)
+                || has_equal(&all, **cause, evidence, charges.was_sound) =>
+            {
                 MIN_DOUBTFUL_CRASHES
             }
             _ => MIN_CRASHES,
         };
         needed <= count_crashes(**cause, evidence.times.clone())
     });
-    let (cause, evidence) = sufficient.max_by_key(|(_, evidence)| {
-        (evidence.times.len(), Reverse(evidence.run_time), Reverse(evidence.breadth))
+    let (cause, evidence) = sufficient.max_by_key(|(cause, evidence)| {
+        let is_new = !(charges.was_sound)(**cause);
+        let (time, breadth) = (Reverse(evidence.run_time), Reverse(evidence.breadth));
+        (is_new, evidence.times.len(), time, breadth)
     })?;
     Some((*cause, evidence.times.len()))
 }
@@ -114,9 +125,15 @@
     all
 }
 
-/// Returns whether another part of prompts was part of the same crashes: the next one may tell them
-/// apart.
-fn has_equal(all: &BTreeMap<Cause, Evidence>, cause: Cause, evidence: &Evidence) -> bool {
-    let mut others = all.iter().filter(|(other, _)| other.is_part() && **other != cause);
-    others.any(|(_, other)| evidence.times.iter().all(|time| other.times.contains(time)))
+/// Returns whether another part of prompts, which wasn't sound shortly before, was part of the same
+/// crashes: the next one may tell them apart.
+fn has_equal(
+    all: &BTreeMap<Cause, Evidence>,
+    cause: Cause,
+    evidence: &Evidence,
+    was_sound: &dyn Fn(Cause) -> bool,
+) -> bool {
+    let is_rival = |other: Cause| other.is_part() && other != cause && !was_sound(other);
+    let mut rivals = all.iter().filter(|(other, _)| is_rival(**other));
+    rivals.any(|(_, other)| evidence.times.iter().all(|time| other.times.contains(time)))
 }
--- a/crates/basilbank_forward/tests/forward/prompt_parts.rs
+++ b/crates/basilbank_forward/tests/forward/prompt_parts.rs
@@ -120,6 +120,42 @@
     }
 }
 
+#[test]
+fn a_part_that_was_sound_is_not_blamed_in_place_of_one_that_goes_with_it() {
+    let mut rig = rig();
+    write_on(&mut rig, &[FIRST, 20]);
+    rig.pass_ms(1000);
+    for n in 1..=6 {
+        let parts: &[u64] = if n == 1 { &[FIRST, 20] } else { &[FIRST, BAD, 20] };
+        hear(&mut rig, crash(n, parts));
+    }
+    let kept = [FIRST, BAD, 20].map(|part| is_kept(&rig, part));
+    assert_eq!(kept, [false, true, false]);
+}
+
+#[test]
+fn a_part_of_most_prompts_is_not_blamed_where_nothing_shows_it_sound() {
+    let mut rig = rig();
+    for n in 0..8 {
+        let id = draft(&mut rig, "/draft/1", &[FIRST, 20, 900 + n]);
+        rig.feed(Event::CallerLeft(id));
+    }
+    for n in 1..=9 {
+        hear(&mut rig, crash(n, &[FIRST, 20, 100 + u64::from(n)]));
+    }
+    hear(&mut rig, verdict(20, 0));
+    assert!(!is_kept(&rig, FIRST) && !is_kept(&rig, 20));
+}
+
+#[test]
+fn a_daemon_that_has_seen_no_prompts_does_not_blame_the_first_part() {
+    let mut rig = rig();
+    for n in 1..=9 {
+        hear(&mut rig, crash(n, &[FIRST, BAD, 100 + u64::from(n)]));
+    }
+    assert!(!is_kept(&rig, FIRST) && is_kept(&rig, BAD));
+}
+
 #[test]
 fn a_repeated_call_that_is_kept_from_endpoints_does_not_hide_its_part() {
     let mut rig = rig();
@@ -218,7 +254,7 @@
     hear(&mut rig, verdict(21, 0));
     assert!(is_kept(&rig, 21));
     for n in 1..=5 {
-        hear(&mut rig, crash(n, &[20, 200 + u64::from(n)]));
+        hear(&mut rig, crash(n, &[FIRST, 20, 200 + u64::from(n)]));
     }
     assert!(is_kept(&rig, 20), "it has become bad");
 }
