--- a/crates/basilbank_soak/src/callers.rs
+++ b/crates/basilbank_soak/src/callers.rs
@@ -1,5 +1,7 @@
 //! Callers that keep their connections, and what they saw.
 
+mod special;
+
 use std::{
     collections::HashMap,
     io::{self, BufRead, BufReader, Read, Write},
@@ -13,8 +15,9 @@
 };
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::{Answer, DEADLY, read_answer};
+use basilbank_standin::managed::{Answer, DEADLY, DEADLY_PART, read_answer};
 
+pub use self::special::Switches;
 use crate::streams::{EVENTS, Events};
 
 /// What callers say they wait.
@@ -26,8 +29,8 @@
 /// Longest wait for a connection.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// Pause between two attempts of the call that crashes endpoints.
-const DEADLY_PAUSE: Duration = Duration::from_millis(250);
+/// Callers of the crowd.
+const CROWD: usize = 24;
 
 /// Pause between two calls of one caller, on average.
 const PAUSE_MS: u64 = 25;
@@ -58,6 +61,11 @@
     Left,
     /// A stream that crashes each endpoint that runs it, and comes again and again.
     Deadly,
+    /// A stream on a part of prompts that crashes each endpoint which begins to write on it. No two are
+    /// alike, and sound ones share all other parts.
+    DeadlyPart,
+    /// A call of the crowd at one daemon. It may run again.
+    Crowd,
 }
 
 /// What a caller saw.
@@ -136,8 +144,8 @@
 pub struct Callers {
     /// What they saw.
     pub records: Records,
-    /// The call that crashes endpoints comes.
-    pub deadly: Arc<AtomicBool>,
+    /// Which special callers come.
+    pub switches: Arc<Switches>,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
@@ -154,11 +162,19 @@
             thread::spawn(move || caller.run(&records, &stop))
         });
         let mut threads: Vec<_> = threads.collect();
-        let deadly = Arc::new(AtomicBool::new(false));
-        let caller = Caller::new(seed, count, daemons);
-        let (all, stopped, comes) = (Arc::clone(&records), Arc::clone(&stop), Arc::clone(&deadly));
-        threads.push(thread::spawn(move || caller.run_deadly(&all, &stopped, &comes)));
-        Callers { records, deadly, stop, threads }
+        let switches = Arc::new(Switches::default());
+        let special = [Some(Kind::Deadly), Some(Kind::DeadlyPart)].into_iter();
+        let special = special.chain((0..CROWD).map(|_| None));
+        for (kind, number) in special.zip(count..) {
+            let caller = Caller::new(seed, number, daemons);
+            let (all, stop, comes) =
+                (Arc::clone(&records), Arc::clone(&stop), Arc::clone(&switches));
+            threads.push(thread::spawn(move || match kind {
+                Some(kind) => caller.run_deadly(kind, &all, &stop, &comes),
+                None => caller.run_crowd(&all, &stop, &comes),
+            }));
+        }
+        Callers { records, switches, stop, threads }
     }
 
     /// Waits until all have their last answer.
@@ -198,19 +214,6 @@
         }
     }
 
-    /// Sends the call that crashes endpoints while it is to come, to the daemons in turn.
-    fn run_deadly(mut self, records: &Records, stop: &AtomicBool, comes: &AtomicBool) {
-        while !stop.load(Ordering::Relaxed) {
-            if comes.load(Ordering::Relaxed) {
-                let record = self.send(Kind::Deadly, &mut Events::default(), None, PATIENCE);
-                self.open = None;
-                self.at = (self.at + 1) % self.daemons.len();
-                keep(records, record);
-            }
-            thread::sleep(DEADLY_PAUSE);
-        }
-    }
-
     fn run(mut self, records: &Records, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             let (record, events) = self.call();
@@ -327,9 +330,9 @@
 fn line(kind: Kind, id: &str) -> String {
     match kind {
         Kind::Stock => format!("POST /stock/{id}"),
-        Kind::Sheet => format!("GET /sheet/{id}"),
+        Kind::Sheet | Kind::Crowd => format!("GET /sheet/{id}"),
         Kind::Deadly => format!("POST /draft{DEADLY}"),
-        Kind::Draft | Kind::Left => format!("POST /draft/{id}"),
+        Kind::Draft | Kind::Left | Kind::DeadlyPart => format!("POST /draft/{id}"),
         Kind::Once => format!("POST /once/{id}"),
     }
 }
@@ -338,17 +341,23 @@
 #[must_use]
 pub fn body(kind: Kind, id: &str) -> &str {
     match kind {
-        Kind::Sheet => "",
+        Kind::Sheet | Kind::Crowd => "",
         Kind::Deadly => DEADLY,
         _ => id,
     }
 }
 
+fn prompt_head(parts: &str, events: u32) -> String {
+    format!("x-token-counts: 1000,{events}\r\nx-prompt-prefix: {parts}\r\n")
+}
+
 fn request(call: &Record, had: u32, patience: Duration) -> String {
     let events = if call.kind == Kind::Left { LEFT_EVENTS } else { EVENTS };
     let mut more = match call.kind {
-        Kind::Stock | Kind::Sheet => String::new(),
-        _ => format!("x-token-counts: 1000,{events}\r\nx-prompt-prefix: ab:1000\r\n"),
+        Kind::Stock | Kind::Sheet | Kind::Crowd => String::new(),
+        Kind::DeadlyPart => prompt_head(&format!("ab:300,{DEADLY_PART}:300,cd:400"), events),
+        Kind::Draft | Kind::Once => prompt_head("ab:300,cd:700", events),
+        _ => prompt_head("ab:1000", events),
     };
     if let Some(resumed) = &call.resumed {
         more += &format!("last-event-id: {had}\r\nresumes: {}\r\n", resumed.first);
@@ -415,9 +424,11 @@
     }
     let text = answer.text();
     match kind {
-        Kind::Stock | Kind::Sheet if !answer.whole => Seen::Broken,
-        Kind::Stock | Kind::Sheet if is_complete(&text, line) => Seen::Served,
-        Kind::Stock | Kind::Sheet => Seen::Wrong(format!("half or another's answer: {text:?}")),
+        Kind::Stock | Kind::Sheet | Kind::Crowd if !answer.whole => Seen::Broken,
+        Kind::Stock | Kind::Sheet | Kind::Crowd if is_complete(&text, line) => Seen::Served,
+        Kind::Stock | Kind::Sheet | Kind::Crowd => {
+            Seen::Wrong(format!("half or another's answer: {text:?}"))
+        }
         _ => events.take(&text, answer.whole),
     }
 }
--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -1,5 +1,6 @@
 //! What must hold, by what callers and endpoints saw.
 
+mod overload;
 mod versions;
 
 use std::{
@@ -34,10 +35,6 @@
 /// The settings' time in which daemons act on news.
 const CONTACT: Duration = Duration::from_secs(3);
 
-/// Crashes after which a call is not sent on, and how often it may be all the same.
-const CRASHES: usize = 3;
-const RETRIES: usize = 3;
-
 /// The window in which an endpoint's calls are counted, and how many more than one and a half times its limit
 /// it bears in it.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -76,6 +73,8 @@
         self.orders(&mut findings);
         self.budget(&runs, &mut findings);
         self.crashes(&mut findings);
+        self.crashes_by_part(&mut findings);
+        self.crowds(&mut findings);
         self.limits(&mut findings);
         self.leaving(&mut findings);
         self.pauses(&mut findings);
@@ -195,20 +194,6 @@
 }
 
 impl Evidence<'_> {
-    /// A call that has crashed endpoints is not sent on for ever.
-    fn crashes(&self, findings: &mut Vec<String>) {
-        let crashes = self.served.iter().filter_map(|(_, served)| served.crashed.as_ref());
-        let mut crashes: Vec<_> = crashes.collect();
-        crashes.sort();
-        let Some((third, _)) = crashes.get(CRASHES - 1) else { return };
-        let late =
-            |(at, id): &&&(Instant, String)| *third + CONTACT < *at && self.in_touch(id, *at);
-        let late = crashes.iter().filter(late).count();
-        if RETRIES < late {
-            findings.push(format!("CRASH a call crashed {late} endpoints more after its third"));
-        }
-    }
-
     /// An endpoint's limit is for all daemons together.
     fn limits(&self, findings: &mut Vec<String>) {
         for (instance, served) in &self.served {
@@ -283,9 +268,10 @@
         };
         let (mut cut, mut others) = ((0, 0), (0, 0));
         for record in self.records.values() {
-            let is_meant = !matches!(record.kind, Kind::Left | Kind::Deadly)
-                && record.seen != Seen::Left
-                && record.resumed.is_none();
+            let is_meant =
+                !matches!(record.kind, Kind::Left | Kind::Deadly | Kind::DeadlyPart | Kind::Crowd)
+                    && record.seen != Seen::Left
+                    && record.resumed.is_none();
             if !is_meant || !in_cut(record.begun) || !self.in_touch(&record.id, record.begun) {
                 continue;
             }
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -32,6 +32,9 @@
 /// The same for a sixth stream.
 const PATHS: u64 = 0x7061_7468;
 
+/// The same for a further stream.
+const CROWDS: u64 = 0x6372_6f77;
+
 /// Bytes a second of the narrow link to the store, from the least on.
 const NARROW: (u32, u64) = (400_000, 1_000_000);
 
@@ -91,6 +94,10 @@
     Rest(usize, Duration, Duration),
     /// A draft that crashes each endpoint that runs it comes again and again for the time.
     Deadly(Duration),
+    /// Drafts that share a part which crashes each endpoint that writes on it come for the time.
+    DeadlyPart(Duration),
+    /// Most new connections go to a daemon for the time.
+    Crowd(usize, Duration),
     /// An endpoint frames its answers in a way for the time, and breaks a share of them off.
     EndAnswers(usize, Ending, BreakShare, Duration),
     /// An endpoint's process ends, and starts again under its id after the time.
@@ -167,6 +174,7 @@
     plan.extend(overload(seed, sizes));
     plan.extend(stated(seed, sizes));
     plan.extend(paths(seed, sizes));
+    plan.extend(crowds(seed, sizes));
     plan.extend(endings(seed, sizes));
     plan.extend(versions(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
@@ -224,6 +232,21 @@
     leave.into_iter().chain(rest).collect()
 }
 
+/// Drafts that share a bad part, in two plays of three, and a crowd at one daemon and then at another, in
+/// half of them.
+fn crowds(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
+    let mut rng = Rng::new(seed ^ CROWDS);
+    let (begin, time) = (sizes.traffic.mul_f64(0.3 * rng.unit()), sizes.traffic.mul_f64(0.7));
+    let part = (rng.index(3) != 0).then_some((begin, Fault::DeadlyPart(time)));
+    let (begin, time) = (sizes.traffic.mul_f64(0.1 + 0.2 * rng.unit()), sizes.traffic.mul_f64(0.3));
+    let crowd = |n: usize| {
+        let daemon = (seed as usize + n) % sizes.daemons;
+        (begin + time.mul_f64(1.1) * n as u32, Fault::Crowd(daemon, time))
+    };
+    let crowds = if rng.index(2) == 0 { Vec::new() } else { vec![crowd(0), crowd(1)] };
+    part.into_iter().chain(crowds).collect()
+}
+
 /// Daemons that are cut off from endpoints twice, in two plays of three.
 fn paths(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
     let mut rng = Rng::new(seed ^ PATHS);
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -7,10 +7,7 @@
 use std::{
     collections::HashSet,
     fs,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -21,6 +18,7 @@
 pub use self::versions::Serving;
 use self::{daemons::RESTART, endpoints::DRAIN};
 use crate::{
+    callers::Switches,
     plan::{At, Fault, PathCut},
     site::Site,
 };
@@ -41,13 +39,15 @@
     NoStore,
     /// It can't reach endpoints that others reach.
     NoPaths,
+    /// Most new connections go to it.
+    Crowd,
 }
 
 impl Trouble {
     /// Its process does not run as it should.
     #[must_use]
     pub fn stops(self) -> bool {
-        !matches!(self, Trouble::NoStore | Trouble::NoPaths)
+        !matches!(self, Trouble::NoStore | Trouble::NoPaths | Trouble::Crowd)
     }
 }
 
@@ -87,6 +87,8 @@
     EndWell(usize),
     EndRest(usize),
     Spare,
+    SpareParts,
+    Disperse(usize),
     Revive(usize),
     Rewrite(Vec<Lost>),
 }
@@ -102,7 +104,7 @@
     unlisted: HashSet<usize>,
     /// The store came back from a copy, and its writers have not written again.
     restoring: bool,
-    deadly: Arc<AtomicBool>,
+    switches: Arc<Switches>,
     /// Times of trouble.
     pub spans: Vec<Span>,
     /// Times in which decode endpoints served.
@@ -119,7 +121,7 @@
     pub fn new(
         site: &'a mut Site,
         plan: &[(Duration, Fault)],
-        deadly: Arc<AtomicBool>,
+        switches: Arc<Switches>,
     ) -> Play<'a> {
         let begun = Instant::now();
         let steps = plan.iter().map(|(at, fault)| (begun + *at, Step::Fault(*fault))).collect();
@@ -132,7 +134,7 @@
             crashed: HashSet::new(),
             unlisted: HashSet::new(),
             restoring: false,
-            deadly,
+            switches,
             spans,
             serving: Vec::new(),
             findings,
@@ -209,7 +211,12 @@
             }
             Step::EndRest(place) => self.site.places[place].endpoint.pause(None),
             Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
-            Step::Spare => self.deadly.store(false, Ordering::Relaxed),
+            Step::Spare => self.switches.deadly.store(false, Ordering::Relaxed),
+            Step::SpareParts => self.switches.deadly_part.store(false, Ordering::Relaxed),
+            Step::Disperse(daemon) => {
+                self.switches.crowd(None);
+                self.over(daemon, Trouble::Crowd);
+            }
             Step::Revive(place) => self.revive(place)?,
             Step::Rewrite(lost) => {
                 self.restoring = false;
@@ -315,9 +322,18 @@
                 self.crash_version(version, spared, down);
             }
             Fault::Deadly(time) => {
-                self.deadly.store(true, Ordering::Relaxed);
+                self.switches.deadly.store(true, Ordering::Relaxed);
                 self.later(time, Step::Spare);
             }
+            Fault::DeadlyPart(time) => {
+                self.switches.deadly_part.store(true, Ordering::Relaxed);
+                self.later(time, Step::SpareParts);
+            }
+            Fault::Crowd(daemon, time) => {
+                self.switches.crowd(Some(daemon));
+                self.begin(daemon, Trouble::Crowd);
+                self.later(time, Step::Disperse(daemon));
+            }
             Fault::Step(ahead) => {
                 let last = self.site.daemons.last().context("a daemon")?;
                 fs::write(last.clock_file(), ahead.as_millis().to_string())?;
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -79,7 +79,7 @@
         };
         let addresses: Vec<_> = site.daemons.iter().map(|daemon| daemon.callers).collect();
         let mut callers = Callers::start(seed, self.callers, &addresses);
-        let mut play = Play::new(&mut site, &plan(seed, sizes), Arc::clone(&callers.deadly));
+        let mut play = Play::new(&mut site, &plan(seed, sizes), Arc::clone(&callers.switches));
         let end = Instant::now() + self.traffic;
         play.run(end)?;
         callers.finish();
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -36,7 +36,7 @@
 
 fn run_of(record: &Record) -> Request {
     let (method, target) = record.line.split_once(' ').expect("a method");
-    let body = if record.kind == Kind::Sheet { "" } else { &record.id };
+    let body = if matches!(record.kind, Kind::Sheet | Kind::Crowd) { "" } else { &record.id };
     Request {
         method: method.to_owned(),
         target: target.to_owned(),
@@ -187,6 +187,89 @@
     assert!(judge(&records, served, &[restart]).is_empty(), "a daemon that starts knows nothing");
 }
 
+/// Crashes of five endpoints by calls with a bad part, and such calls at endpoints some seconds later.
+fn bad_part(late: u64) -> (Vec<Record>, Vec<(String, Served)>) {
+    let (mut records, mut served) = crashes(&[0, 100, 200, 300, 400]);
+    records.iter_mut().for_each(|record| record.kind = Kind::DeadlyPart);
+    let begin = records[0].begun;
+    let calls = (0..late).map(|n| Record {
+        kind: Kind::DeadlyPart,
+        seen: Seen::Status(502),
+        ..record_at(begin, 100 + usize::try_from(n).expect("small"), 0, 4000 + n)
+    });
+    let calls: Vec<_> = calls.collect();
+    let arrived = calls.iter().flat_map(|record| {
+        let (at, line, id) = (record.begun, record.line.clone(), record.id.clone());
+        let arrival = Arrival { at, line, id };
+        // A prompt is read at one endpoint, and written on at another.
+        [arrival.clone(), arrival]
+    });
+    served[0].1.arrived = arrived.collect();
+    records.extend(calls);
+    (records, served)
+}
+
+#[test_case(3, true; "as many as are borne")]
+#[test_case(4, false; "more")]
+fn calls_on_a_part_that_crashed_five_endpoints(late: u64, borne: bool) {
+    let (records, served) = bad_part(late);
+    let findings = judge(&records, served, &[]);
+    match borne {
+        true => assert!(findings.is_empty(), "{findings:?}"),
+        false => assert_rule(&findings, "CRASH"),
+    }
+}
+
+#[test_case(12, true; "half of them begin")]
+#[test_case(8, false; "fewer begin")]
+fn sound_drafts_beside_a_bad_part(begun: usize, borne: bool) {
+    let (mut records, served) = bad_part(1);
+    let begin = records[0].begun;
+    let last = Record { id: "last".to_owned(), ..record_at(begin, 0, 0, 9000) };
+    records.push(Record { kind: Kind::DeadlyPart, seen: Seen::Status(503), ..last });
+    let draft = |n: usize, ms: i64, begun: bool| {
+        let record = record_at(begin, 1000 + n, 0, 0);
+        let shift = Duration::from_millis(ms.unsigned_abs());
+        let begun_at = if ms < 0 { begin - shift } else { begin + shift };
+        let (events, seen) = if begun { (40, Seen::Served) } else { (0, Seen::Status(503)) };
+        let id = format!("x{n}");
+        Record { id, kind: Kind::Draft, begun: begun_at, ended: begun_at, events, seen, ..record }
+    };
+    records.extend((0..24).map(|n| draft(n, -500, true)));
+    records.extend((0..24).map(|n| draft(100 + n, 7000, n < begun)));
+    let findings = judge(&records, served, &[]);
+    match borne {
+        true => assert!(findings.is_empty(), "{findings:?}"),
+        false => assert_rule(&findings, "LOST"),
+    }
+}
+
+#[test_case(18, true; "three quarters are served")]
+#[test_case(17, false; "fewer are served")]
+fn calls_that_a_crowded_daemon_reads(served: usize, borne: bool) {
+    let begin = Instant::now();
+    let mut records: Vec<_> = (0..24).map(|n| record_at(begin, n, 0, 0)).collect();
+    let crowd = |n: usize| {
+        let record = record_at(begin, 100 + n, 1, 4000);
+        let seen = if n < served { Seen::Served } else { Seen::Status(503) };
+        Record { kind: Kind::Crowd, seen, ..record }
+    };
+    records.extend((0..24).map(crowd));
+    let unread = |n: usize| Record { seen: Seen::Closed, ..crowd(1000 + n) };
+    records.extend((0..3).map(unread));
+    let (from, to) = (begin + Duration::from_millis(500), begin + Duration::from_secs(5));
+    let span = Span { daemon: 1, trouble: Trouble::Crowd, from, to: Some(to) };
+    let served = Served {
+        ran: records.iter().filter(|r| r.seen == Seen::Served).map(run_of).collect(),
+        ..Served::default()
+    };
+    let findings = judge(&records, vec![("e1".to_owned(), served)], &[span]);
+    match borne {
+        true => assert!(findings.is_empty(), "{findings:?}"),
+        false => assert_rule(&findings, "RECOVER"),
+    }
+}
+
 #[test_case(11, true; "what it takes, and a half, and five")]
 #[test_case(12, false; "more")]
 fn calls_to_an_endpoint_with_a_limit(calls: u64, borne: bool) {
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -27,7 +27,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 28] = [
+    let kinds: [fn(&Fault) -> bool; 30] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -50,6 +50,8 @@
         |f| matches!(f, Fault::Restore(..)),
         |f| matches!(f, Fault::Limit(..)),
         |f| matches!(f, Fault::Deadly(_)),
+        |f| matches!(f, Fault::DeadlyPart(_)),
+        |f| matches!(f, Fault::Crowd(..)),
         |f| matches!(f, Fault::EndAnswers(..)),
         |f| matches!(f, Fault::End(..)),
         |f| matches!(f, Fault::Join(..)),
@@ -103,6 +105,7 @@
         !second
             && !of_versions
             && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
+            && !matches!(f, Fault::DeadlyPart(_) | Fault::Crowd(..))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
