--- a/crates/basilbank_forward/tests/forward/bad_parts.rs
+++ b/crates/basilbank_forward/tests/forward/bad_parts.rs
@@ -93,6 +93,26 @@
     }
 }
 
+/// Guards against calls that are refused or late for what a daemon may take as its share of the fleet's.
+#[test_case(8, 12, false; "small fleet")]
+#[test_case(8, 12, true; "small fleet, restarts and cuts")]
+#[test_case(78, 15, false; "grown fleet")]
+fn a_daemon_at_which_all_calls_come_serves_them_as_often(
+    daemons: usize,
+    decode: usize,
+    trouble: bool,
+) {
+    let (from, to) = (Duration::from_secs(8), Duration::from_secs(18));
+    for seed in 1..=3 {
+        let load = Load { crowd: Some((from, to)), trouble, ..Load::new(daemons, decode) };
+        let got = check(load, seed);
+        let start = Duration::from_secs(100);
+        let before = got.share(start + Duration::from_secs(1), start + from);
+        let during = got.share(start + from + contact(daemons), start + to);
+        assert!(SHARE * before <= during, "seed {seed}: {during:.3} of {before:.3}");
+    }
+}
+
 #[test]
 fn a_large_fleet_finds_a_bad_part_within_its_bytes() {
     let load = Load { drafts: 60.0, lasts: Duration::from_secs(24), ..Load::new(195, 50) };
--- a/crates/basilbank_forward/tests/forward/fleet/bad_parts.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/bad_parts.rs
@@ -72,6 +72,8 @@
     pub crashes: Option<(Duration, usize)>,
     /// When all daemons are killed and start again.
     pub restart_all: Option<Duration>,
+    /// When all calls come at one daemon, from and until.
+    pub crowd: Option<(Duration, Duration)>,
 }
 
 impl Load {
@@ -89,6 +91,7 @@
             trouble: false,
             crashes: None,
             restart_all: None,
+            crowd: None,
         }
     }
 }
@@ -324,7 +327,10 @@
             prompt: Some(prompt),
             ..call_of(id, Digest(own), "/draft/1")
         };
-        let daemon = self.fleet.rng.index(self.load.daemons);
+        let now = self.fleet.now() - START;
+        let is_crowded = self.load.crowd.is_some_and(|(from, to)| from <= now && now < to);
+        let drawn = self.fleet.rng.index(self.load.daemons);
+        let daemon = if is_crowded { 0 } else { drawn };
         self.calls.insert(id, Sent { at: self.fleet.now(), daemon, bad, begun: false });
         self.fleet.feed_later(daemon, WAY, Event::Arrived(Box::new(call)));
     }
--- a/crates/basilbank_gateway/tests/intake.rs
+++ b/crates/basilbank_gateway/tests/intake.rs
@@ -8,7 +8,7 @@
 const QUICK: Duration = Duration::from_millis(5);
 const SLOW: Duration = Duration::from_millis(80);
 
-fn ms(ms: u64) -> Duration {
+const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -53,3 +53,83 @@
     let closed = Some(Decision::Close(1, TurnedAway::Connections));
     assert_eq!(intake.add(1, most - 1, ms(0)), closed);
 }
+
+/// Steps in which an event loop carries out a call, and the time of each: it finishes two hundred in a second.
+const STEPS: u32 = 5;
+const STEP: Duration = ms(1);
+
+/// What callers wait.
+const PATIENCE: Duration = ms(1000);
+
+/// An event loop of which all time goes into calls, in virtual time.
+#[derive(Default)]
+struct Crowded {
+    now: Duration,
+    /// When calls under way came, and their steps that are left.
+    running: Vec<(Duration, u32)>,
+    arrived: u32,
+    read: u32,
+    served: u32,
+    closed: u32,
+    longest_wait: Duration,
+}
+
+impl Crowded {
+    /// So many new connections in a second, for ten seconds.
+    fn run(rate: f64) -> Crowded {
+        let mut play = Crowded::default();
+        let mut intake = Intake::new(20_000);
+        while play.now < Duration::from_secs(10) {
+            let round = play.round();
+            let open = play.running.len();
+            while f64::from(play.arrived) < play.now.as_secs_f64() * rate {
+                play.arrived += 1;
+                let decision = intake.add(play.now, open, play.now);
+                decision.into_iter().for_each(|decision| play.carry_out(decision));
+            }
+            let decisions = intake.decide(round, play.now);
+            decisions.into_iter().for_each(|decision| play.carry_out(decision));
+        }
+        play
+    }
+
+    /// Each call goes on by one step.
+    fn round(&mut self) -> Duration {
+        let round = STEP * u32::try_from(self.running.len()).expect("few") + ms(1) / 10;
+        self.now += round;
+        self.running.iter_mut().for_each(|(_, steps)| *steps -= 1);
+        let (done, running): (Vec<_>, Vec<_>) =
+            self.running.drain(..).partition(|(_, steps)| *steps == 0);
+        self.running = running;
+        let in_time = done.iter().filter(|(came, _)| self.now <= *came + PATIENCE);
+        self.served += u32::try_from(in_time.count()).expect("few");
+        round
+    }
+
+    fn carry_out(&mut self, decision: Decision<Duration>) {
+        match decision {
+            Decision::Read(came) => {
+                self.read += 1;
+                self.longest_wait = self.longest_wait.max(self.now - came);
+                self.running.push((came, STEPS));
+            }
+            Decision::Close(..) => self.closed += 1,
+        }
+    }
+}
+
+/// Guards against a daemon that reads a crowd and serves hardly any of it in time.
+#[test_case(100.0, 0.99; "half of what it can serve")]
+#[test_case(400.0, 0.9; "twice as much")]
+#[test_case(1600.0, 0.9; "eight times")]
+#[test_case(20_000.0, 0.9; "a hundred times")]
+fn what_is_read_of_a_crowd_is_served(rate: f64, used: f64) {
+    let got = Crowded::run(rate);
+    let unfinished = u32::try_from(got.running.len()).expect("few");
+    assert_eq!(got.served + unfinished, got.read, "all that is read is served in time");
+    let most = rate.min(200.0) * 10.0;
+    assert!(most * used <= f64::from(got.served), "{} of {most}", got.served);
+    assert!(got.longest_wait <= ms(250), "{:?}", got.longest_wait);
+    let waiting = got.arrived - got.read - got.closed;
+    assert!(f64::from(waiting) <= rate.min(14_000.0) * 0.3, "{waiting} wait");
+}
