The stand-in's proxy passes on a reset that comes as it connects

Cause: the target resets the connection before the proxy knows that it is connected; connecting then fails with ConnectionReset, and the caller's connection was dropped.

--- a/crates/basilbank_standin/src/managed/proxy.rs
+++ b/crates/basilbank_standin/src/managed/proxy.rs
@@ -208,7 +208,12 @@
 
     fn join(self: &Arc<Self>, caller: TcpStream) -> io::Result<()> {
         let at = *lock(&self.target);
-        let target = TcpStream::connect_timeout(&at, CONNECT)?;
+        let target = TcpStream::connect_timeout(&at, CONNECT).inspect_err(|error| {
+            // The other end may be reset before it is known here that it is connected.
+            if error.kind() == io::ErrorKind::ConnectionReset {
+                let _ = SockRef::from(&caller).set_linger(Some(Duration::ZERO));
+            }
+        })?;
         for stream in [&caller, &target] {
             stream.set_nodelay(true)?;
             stream.set_read_timeout(Some(LOOK))?;
