Priorities of teams and routes become ranks, which engines receive

Cause: the priorities in the configuration were read by nothing, so a premium stream was answered on time as seldom as an ordinary one, and was preempted as soon. Where all calls have the same pair nothing changes.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -8,6 +8,7 @@
     call::RequestId,
     endpoint::{EndpointKey, SoftwareVersion, Stage},
     log_line::LogLine,
+    rank::Rank,
     reason::Refusal,
 };
 
@@ -117,6 +118,8 @@
     pub op: Op,
     /// Name of the calling team, sent to the endpoint.
     pub team: Option<Arc<str>>,
+    /// Rank among the calls that compete for the endpoint, if they differ.
+    pub rank: Option<Rank>,
     /// Time until the caller stops waiting; the endpoint aborts its work then.
     pub remaining: Duration,
     /// Time to wait for an answer, or for a stream's first bytes, before the endpoint is probed. If
--- a/crates/basilbank_forward/src/lib.rs
+++ b/crates/basilbank_forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log_line;
 pub mod prelude;
 pub mod purpose;
+pub mod rank;
 pub mod reading;
 pub mod reason;
 pub mod route;
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -9,6 +9,7 @@
     event::{Damage, Event, NotProxied, NotRun, Outcome},
     log_line::{LogLine, Measurement},
     purpose::Purpose,
+    rank::Rank,
     reading::{
         Query, ReadEffect, ReadEvent, ReadId, ReadOutcome, ReadReason, ReaderContext, Readers,
         Scope,
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -51,6 +51,10 @@
                 Some(team) => line.with("team", &team.name),
                 None => line,
             };
+            let line = match request.rank {
+                Some(rank) => line.with("rank", rank),
+                None => line,
+            };
             let deadline = request.deadline;
             if let Some(prompt) = &request.call.prompt {
                 ctx.state.common_parts.record(&prompt.parts);
@@ -93,9 +97,11 @@
     let service = route.pick_service(unit).ok_or(Refusal::NoEndpoint)?.to_owned();
     let budget = state.retry_budgets.entry(service.clone()).or_default();
     budget.record_call(ctx.now, &state.tuning);
+    let rank = state.routes.rank(&service, &route, team.as_deref());
     Ok(Request {
         version: state.routes.version,
         team,
+        rank,
         quota: QuotaStage::New,
         arrived: ctx.now,
         deadline,
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -220,8 +220,11 @@
     };
     let answer_timeout = dispatch.timeout.min(remaining);
     let team = request.team.as_ref().map(|team| Arc::clone(&team.name));
+    // Only engines interrupt a running call for a more urgent one, and know no other order.
+    let rank = request.rank.filter(|_| request.call.prompt.is_some());
+    let op = dispatch.op;
     let attempt =
-        Attempt { number, target, op: dispatch.op, team, remaining, answer_timeout, stall_timeout };
+        Attempt { number, target, op, team, rank, remaining, answer_timeout, stall_timeout };
     // The permit for holding the slot also covers the call that uses it.
     if dispatch.step != Step::Decode {
         ctx.state.permit_holder.use_permit(dispatch.endpoint);
--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use crate::team::Teams;
+use crate::{
+    rank::{Rank, Ranks},
+    team::{Team, Teams},
+};
 
 /// Whether calls on a route may be repeated.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -39,6 +42,9 @@
     pub resumable: bool,
     /// Whether its callers need no key.
     pub public: bool,
+    /// How urgent its calls are, from 0, the most urgent, to
+    /// [`MAX_PRIORITY`](crate::rank::MAX_PRIORITY).
+    pub priority: u8,
 }
 
 impl Route {
@@ -132,6 +138,7 @@
     pub teams: Option<Teams>,
     routes: Vec<Route>,
     hosts: HashMap<String, Vec<usize>>,
+    ranks: Ranks,
 }
 
 impl RouteTable {
@@ -153,6 +160,7 @@
             list.sort_by_key(|at| std::cmp::Reverse(routes[*at].prefix.len()));
         }
         self.routes = routes;
+        self.ranks = Ranks::new(&self.routes, self.teams.as_ref());
         self
     }
 
@@ -167,6 +175,7 @@
     #[must_use]
     pub fn with_teams(mut self, teams: Teams) -> RouteTable {
         self.teams = Some(teams);
+        self.ranks = Ranks::new(&self.routes, self.teams.as_ref());
         self
     }
 
@@ -190,6 +199,13 @@
         &self.routes
     }
 
+    /// Returns the rank of a call, or `None` if all calls that compete with it at the service are
+    /// equally urgent.
+    #[must_use]
+    pub fn rank(&self, service: &str, route: &Route, team: Option<&Team>) -> Option<Rank> {
+        self.ranks.get(service, route, team)
+    }
+
     /// Returns the properties of a service's engine, if it has one.
     #[must_use]
     pub fn engine(&self, service: &str) -> Option<&EngineInfo> {
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -6,6 +6,7 @@
 use crate::{
     call::Call,
     endpoint::{EndpointKey, SoftwareVersion},
+    rank::Rank,
     reason::Refusal,
     route::Route,
     team::{QuotaUnit, Team},
@@ -30,6 +31,8 @@
     pub version: u64,
     /// The team that calls; `None` where no key is needed.
     pub team: Option<Arc<Team>>,
+    /// Its rank; `None` where all calls that compete with it are equally urgent.
+    pub rank: Option<Rank>,
     /// The state of its part of the team's quota.
     pub quota: QuotaStage,
     /// When it arrived.
--- a/crates/basilbank_forward/src/team.rs
+++ b/crates/basilbank_forward/src/team.rs
@@ -1,9 +1,15 @@
 //! Teams: who calls, with which key, and how much of the services they may use.
 
-use std::{collections::HashMap, fmt, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    fmt,
+    sync::Arc,
+};
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::rank::DEFAULT_PRIORITY;
+
 /// The credential that a caller presents. The key itself never reaches this crate: the shell hashes
 /// it with a secret of the process, so that neither a log nor the duration of a lookup reveals
 /// anything about it.
@@ -49,13 +55,16 @@
     pub id: TeamId,
     /// The team's quota; `None` when its use isn't limited.
     pub quota: Option<Quota>,
+    /// How urgent its calls are, from 0, the most urgent, to
+    /// [`MAX_PRIORITY`](crate::rank::MAX_PRIORITY); `None` where that isn't configured.
+    pub priority: Option<u8>,
 }
 
 impl Team {
     /// Creates a team without a quota.
     #[must_use]
     pub fn new(name: &str) -> Team {
-        Team { name: name.into(), id: TeamId::of(name), quota: None }
+        Team { name: name.into(), id: TeamId::of(name), quota: None, priority: None }
     }
 
     /// Sets the quota.
@@ -64,6 +73,26 @@
         self.quota = Some(quota);
         self
     }
+
+    /// Sets the priority.
+    #[must_use]
+    pub fn with_priority(mut self, priority: u8) -> Team {
+        self.priority = Some(priority);
+        self
+    }
+
+    /// Returns the priority, or the default where none is configured.
+    #[must_use]
+    pub fn priority_or_default(&self) -> u8 {
+        self.priority.unwrap_or(DEFAULT_PRIORITY)
+    }
+
+    /// Returns the team's weight where teams share something: its quota's rate, or 1 without a
+    /// quota.
+    #[must_use]
+    pub fn weight(&self) -> f64 {
+        self.quota.map_or(1.0, |quota| quota.rate)
+    }
 }
 
 /// How much a team may use, over all daemons together.
@@ -121,6 +150,12 @@
         self.by_id.get(&id)?.quota
     }
 
+    /// Returns the distinct priorities of all teams.
+    #[must_use]
+    pub fn priorities(&self) -> BTreeSet<u8> {
+        self.by_id.values().map(|team| team.priority_or_default()).collect()
+    }
+
     /// Returns the team with this id.
     #[must_use]
     pub fn get(&self, id: TeamId) -> Option<&Arc<Team>> {
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use basilbank_forward::{prelude::*, route::EngineInfo};
+use basilbank_forward::{prelude::*, rank::DEFAULT_PRIORITY, route::EngineInfo};
 
 /// The service.
 pub const WRITER: &str = "writer";
@@ -150,6 +150,7 @@
         max_attempts: 2,
         resumable: true,
         public: false,
+        priority: DEFAULT_PRIORITY,
     };
     RouteTable::new(1)
         .with_service(WRITER, Service { engine: Some(engine) })
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -25,6 +25,7 @@
 mod quarantine;
 mod queue;
 mod quotas;
+mod ranks;
 mod restart_schedules;
 mod restarted_drafts;
 mod restarts;
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -6,7 +6,7 @@
     time::{Duration, SystemTime},
 };
 
-use basilbank_forward::{prelude::*, route::EngineInfo};
+use basilbank_forward::{prelude::*, rank::DEFAULT_PRIORITY, route::EngineInfo};
 use basilbank_wire::LoadGossip;
 
 /// The plain service of the tests.
@@ -278,6 +278,7 @@
         max_attempts: attempts,
         resumable: prefix == "/draft/",
         public: false,
+        priority: DEFAULT_PRIORITY,
     }
 }
 
