Soak and stand-in: crowded and slow decode endpoints, priorities that change

Cause: no play had a shortage, endpoints of different speed or calls of different priority. Change: decode endpoints may take few streams at once, one may be slow, and every other version of the configuration gives drafts that may go on a higher priority.

--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! What is done to a site, and when: the same for the same seed.
 
 mod endings;
+mod shortage;
 mod versions;
 
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use basilbank_core::state::Rng;
 use basilbank_standin::managed::{BadEntry, BreakShare, Ending, Misdeed, StoreFault, Weather};
 
-use self::{endings::endings, versions::versions};
+use self::{endings::endings, shortage::shortage, versions::versions};
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
@@ -92,6 +93,10 @@
     Leave(usize, Duration),
     /// An endpoint turns work away for the time, and asks for a pause of this length each time.
     Rest(usize, Duration, Duration),
+    /// An endpoint writes so many streams at once for the time, and refuses others as full.
+    Crowded(usize, u32, Duration),
+    /// An endpoint takes so many times as long for streams for the time.
+    Slow(usize, u32, Duration),
     /// A draft that crashes each endpoint that runs it comes again and again for the time.
     Deadly(Duration),
     /// Drafts that share a part which crashes each endpoint that writes on it come for the time.
@@ -177,6 +182,7 @@
     plan.extend(crowds(seed, sizes));
     plan.extend(endings(seed, sizes));
     plan.extend(versions(seed, sizes));
+    plan.extend(shortage(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -81,6 +81,8 @@
     List(usize),
     UnlistForeign,
     Unlimit(usize),
+    Empty(usize),
+    SpeedUp(usize),
     Return(usize),
     ReturnAs(usize, &'static str),
     Reopen(usize),
@@ -211,6 +213,8 @@
             }
             Step::EndRest(place) => self.site.places[place].endpoint.pause(None),
             Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
+            Step::Empty(place) => self.site.places[place].endpoint.keep_slots(None),
+            Step::SpeedUp(place) => self.site.places[place].endpoint.slow_down(1),
             Step::Spare => self.switches.deadly.store(false, Ordering::Relaxed),
             Step::SpareParts => self.switches.deadly_part.store(false, Ordering::Relaxed),
             Step::Disperse(daemon) => {
@@ -302,6 +306,14 @@
                 self.site.places[place].endpoint.limit(Some(f64::from(rate)));
                 self.later(time, Step::Unlimit(place));
             }
+            Fault::Crowded(place, slots, time) => {
+                self.site.places[place].endpoint.keep_slots(Some(slots));
+                self.later(time, Step::Empty(place));
+            }
+            Fault::Slow(place, factor, time) => {
+                self.site.places[place].endpoint.slow_down(factor);
+                self.later(time, Step::SpeedUp(place));
+            }
             Fault::Leave(place, time) => {
                 self.site.places[place].endpoint.leave(true);
                 self.later(time, Step::Return(place));
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -27,7 +27,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 30] = [
+    let kinds: [fn(&Fault) -> bool; 32] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -49,6 +49,8 @@
         |f| matches!(f, Fault::Restart(..)),
         |f| matches!(f, Fault::Restore(..)),
         |f| matches!(f, Fault::Limit(..)),
+        |f| matches!(f, Fault::Crowded(..)),
+        |f| matches!(f, Fault::Slow(..)),
         |f| matches!(f, Fault::Deadly(_)),
         |f| matches!(f, Fault::DeadlyPart(_)),
         |f| matches!(f, Fault::Crowd(..)),
@@ -106,6 +108,7 @@
             && !of_versions
             && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
             && !matches!(f, Fault::DeadlyPart(_) | Fault::Crowd(..))
+            && !matches!(f, Fault::Crowded(..) | Fault::Slow(..))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
--- a/crates/basilbank_standin/src/managed/configuration.rs
+++ b/crates/basilbank_standin/src/managed/configuration.rs
@@ -10,14 +10,16 @@
 pub const HOST: &str = "shop.example";
 
 /// A configuration with the routes of all kinds, and `more` idempotent ones to the plain service:
-/// their prefixes.
+/// their prefixes. In every other version drafts that may go on are more urgent than those that may
+/// not.
 #[must_use]
 pub fn configuration(version: u64, more: &[&str]) -> Value {
+    let has_ranks = version.is_multiple_of(2);
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
         json!({
             "name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix, "kind": kind,
             "service": service, "timeoutMs": 5000, "targetLatencyMs": 300, "targetGapMs": 300,
-            "priority": 1, "maxAttempts": attempts, "resumable": resumable,
+            "priority": if has_ranks && resumable { 0 } else { 1 }, "maxAttempts": attempts, "resumable": resumable,
         })
     };
     let mut routes = vec![
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -188,6 +188,16 @@
         lock(&self.inside).leaving = leaving;
     }
 
+    /// Writes so many streams at once from now on and refuses others as full, or any number.
+    pub fn keep_slots(&self, slots: Option<u32>) {
+        lock(&self.inside).slots = slots;
+    }
+
+    /// Takes so many times as long for streams from now on.
+    pub fn slow_down(&self, factor: u32) {
+        lock(&self.inside).slowness = factor;
+    }
+
     /// Turns all work away from now on and asks for a pause, or no longer.
     pub fn pause(&self, pause: Option<Duration>) {
         lock(&self.inside).pause = pause;
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -34,6 +34,10 @@
     pub(super) leaving: bool,
     /// It turns all work away, and asks for this pause.
     pub(super) pause: Option<Duration>,
+    /// Streams that it writes at once; `None` where any number.
+    pub(super) slots: Option<u32>,
+    /// Factor by which its streams take longer; 0 is taken for 1.
+    pub(super) slowness: u32,
     pub(super) handles: HashSet<String>,
     pub(super) next: u32,
     pub(super) served: Served,
@@ -46,10 +50,16 @@
             && self.ending.broken.is_none()
             && self.limit.is_none()
             && self.pause.is_none()
+            && self.slots.is_none()
             && !self.leaving
             && self.served.crashed.is_none()
     }
 
+    /// Whether it writes as many streams as it can.
+    pub(super) fn is_full(&self) -> bool {
+        self.slots.is_some_and(|slots| slots <= self.served.active)
+    }
+
     /// How the next answer is framed, and whether it breaks off.
     pub(super) fn next_ending(&mut self) -> Ending {
         self.endings += 1;
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -136,10 +136,11 @@
     }
 
     fn hold(&self, stream: &TcpStream, misdeed: Misdeed) -> io::Result<()> {
-        if misdeed == Misdeed::Full {
+        let mut inside = lock(&self.inside);
+        if misdeed == Misdeed::Full || inside.is_full() {
+            drop(inside);
             return self.reply(stream, 503, &[], b"");
         }
-        let mut inside = lock(&self.inside);
         inside.served.holds += 1;
         let hold = json!({ "hold": format!("hold-{}", inside.served.holds) });
         drop(inside);
@@ -179,6 +180,10 @@
     }
 
     fn run(&self, stream: &TcpStream, request: &Request, misdeed: Misdeed) -> io::Result<()> {
+        let is_completion = request.header("x-token-counts").is_some();
+        if is_completion && lock(&self.inside).is_full() {
+            return self.refuse(stream, request);
+        }
         if let Some(source) = request.header("x-kv-source")
             && !self.take(source, request)
         {
@@ -195,15 +200,13 @@
         if misdeed == Misdeed::Hanging {
             return Ok(());
         }
-        match request.header("x-token-counts") {
-            Some(_) => {
-                lock(&self.inside).served.active += 1;
-                let streamed = self.stream(stream, request, misdeed);
-                lock(&self.inside).served.active -= 1;
-                streamed
-            }
-            None => self.answer(stream, request, misdeed),
+        if !is_completion {
+            return self.answer(stream, request, misdeed);
         }
+        lock(&self.inside).served.active += 1;
+        let streamed = self.stream(stream, request, misdeed);
+        lock(&self.inside).served.active -= 1;
+        streamed
     }
 
     fn begin(&self, request: &Request) {
@@ -315,7 +318,7 @@
                 lock(&self.inside).served.abandoned += 1;
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            thread::sleep(EVENT_TIME);
+            thread::sleep(EVENT_TIME * lock(&self.inside).slowness.max(1));
         }
         writer.end()
     }
