Heartbeats report the sender's data centre

Daemons know the data centre of endpoints only, so they can't tell which peers are behind an expensive link. A full datagram now carries the hash of the sender's data centre (tag 41), and Peer keeps it. Absent means unknown or reported before.

--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -75,11 +75,15 @@
     let previous = ctx.state.peers.known.remove(&from);
     let was_watching = previous.as_ref().is_some_and(|peer| peer.watching);
     let lost_store = was_watching && !gossip.watching && !gossip.leaving;
-    // Only heartbeats carry the version and the generation statistics.
+    // Only heartbeats carry the version, the data centre and the generation statistics.
     let version = match (gossip.version, &previous) {
         (0, Some(peer)) => peer.version,
         (version, _) => version,
     };
+    let data_centre = match (gossip.data_centre, &previous) {
+        (0, Some(peer)) => peer.data_centre,
+        (reported, _) => reported,
+    };
     let generation_stats = match previous {
         Some(peer) if gossip.paces.is_empty() => peer.generation_stats,
         _ => gossip.paces.iter().map(stats_from_wire).collect(),
@@ -96,6 +100,7 @@
         leaving: gossip.leaving,
         unreached: gossip.unreached.clone(),
         generation_stats,
+        data_centre,
     };
     let is_older = ctx.state.started_before(gossip.incarnation);
     let peers = &mut ctx.state.peers;
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -14,6 +14,7 @@
     state::{
         QueuePosition, State,
         peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peers, to_wire},
+        relays::data_centre_hash,
         service_hash,
     },
     topic::{PerTopic, Revision, Topic},
@@ -242,6 +243,7 @@
         cleared_parts,
         quarantined,
         unreached: state.suspects.unreached.iter().map(|service| service_hash(service)).collect(),
+        data_centre: if is_full { data_centre_hash(&state.local.data_centre) } else { 0 },
         ..LoadGossip::default()
     };
     gossip.with_loads(loads)
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -22,6 +22,7 @@
 pub mod proxies;
 pub mod quarantine;
 pub mod quotas;
+pub mod relays;
 pub mod requests;
 pub mod retry_budget;
 pub mod roles;
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -37,6 +37,8 @@
     pub unreached: Vec<u32>,
     /// The generation speed of its completions, by the hash of the service's name.
     pub generation_stats: Vec<(u32, GenerationStats)>,
+    /// Hash of the name of its data centre; 0 until it has reported one.
+    pub data_centre: u32,
 }
 
 /// A peer's load at an endpoint.
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -107,6 +107,10 @@
     /// Direct messages: answers to these questions.
     #[prost(message, repeated, tag = "32")]
     pub origin_answers: Vec<StreamOrigin>,
+    /// Hash of the name of the sender's data centre; 0 when it is unknown, or when an earlier
+    /// datagram reported it.
+    #[prost(fixed32, tag = "41")]
+    pub data_centre: u32,
 }
 
 /// A point in the history of the platform's store.
