Count the bytes that a daemon sends, by purpose and data centre

Nothing showed which traffic crosses data centres. sent_bytes and sent_messages count gossip, direct messages, messages about calls that daemons make for each other, requests to endpoints and to the store, by the receiver's data centre: own, by name, or unknown. Datagrams count with their IP and UDP headers, TCP by payload.

--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
@@ -141,6 +141,19 @@
         self.fleet_size = self.fleet_size.max(self.known.len() + 1);
     }
 
+    /// Returns the hash of the name of a peer's data centre; 0 if it is unknown.
+    #[must_use]
+    pub fn data_centre(&self, address: SocketAddr) -> u32 {
+        self.known.get(&address).map_or(0, |peer| peer.data_centre)
+    }
+
+    /// Returns the same for the peer at an IP address, whatever its port.
+    #[must_use]
+    pub fn data_centre_at(&self, ip: IpAddr) -> u32 {
+        let first = self.known.range(SocketAddr::new(ip, 0)..).next();
+        first.filter(|(at, _)| at.ip() == ip).map_or(0, |(_, peer)| peer.data_centre)
+    }
+
     /// Returns the addresses of all known peers, sorted.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -5,12 +5,15 @@
 //! to by all that is sent.
 
 use std::{
+    net::SocketAddr,
     pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use basilbank_forward::{effect::Target, event::Liveness, prelude::*};
+use basilbank_forward::{
+    effect::Target, event::Liveness, prelude::*, state::relays::data_centre_hash,
+};
 use hyper::{Response, StatusCode};
 use tokio::time::timeout;
 
@@ -21,6 +24,7 @@
     endpoint_body::EndpointBody,
     metrics::Sender,
     router::Router,
+    sent_bytes::{SentPurpose, request_bytes},
 };
 
 /// Timeout of a liveness check.
@@ -80,7 +84,7 @@
         if !self.may_send(target, call.purpose) {
             return Err(CallError::Withheld);
         }
-        match self.proxy_client.call(peer, call).await {
+        match self.proxy_client.call(peer, call, |bytes| self.count_proxied(peer, bytes)).await {
             Ok(response) => {
                 self.read_statements(target, &response);
                 Ok((response.map(|body| EndpointBody::Proxied(Box::new(body))), None))
@@ -104,8 +108,12 @@
         purpose: Purpose,
     ) -> Result<(Response<DirectBody>, Connection), CallError> {
         let may_send = || self.may_send(target, purpose);
-        let (response, connection) =
-            self.connections.call(target, request, answer_timeout, may_send).await?;
+        let bytes = request_bytes(&request);
+        let answer = self.connections.call(target, request, answer_timeout, may_send).await;
+        if !matches!(answer, Err(CallError::Unreachable | CallError::Withheld)) {
+            self.count_request(target, bytes);
+        }
+        let (response, connection) = answer?;
         self.read_statements(target, &response);
         Ok((DirectBody::take(self, target, response), connection))
     }
@@ -185,6 +193,22 @@
         }
     }
 
+    /// Counts the bytes of a message about a call that a daemon makes for another one. A peer that
+    /// has connected has another port than it has for datagrams.
+    pub fn count_proxied(&self, peer: SocketAddr, bytes: usize) {
+        let data_centre = self.read(|state| state.peers.data_centre_at(peer.ip()));
+        self.metrics.sent_bytes.count(SentPurpose::Proxied, data_centre, bytes);
+    }
+
+    /// Counts the bytes of a request that was sent to an endpoint.
+    fn count_request(&self, target: &Target, bytes: usize) {
+        let data_centre = self.read(|state| {
+            let endpoint = state.directory.get(target.endpoint);
+            endpoint.map_or(0, |endpoint| data_centre_hash(&endpoint.info.data_centre))
+        });
+        self.metrics.sent_bytes.count(SentPurpose::Endpoint, data_centre, bytes);
+    }
+
     fn may_send(&self, target: &Target, purpose: Purpose) -> bool {
         self.read(|state| state.may_send(target.endpoint, purpose, self.now()))
     }
@@ -197,6 +221,7 @@
             if !self.may_send(target, Purpose::Probe) {
                 return Err(CallError::Withheld);
             }
+            self.count_request(target, request_bytes(&request));
             connection.send(request, LIVENESS_TIMEOUT).await.map_err(|(error, _)| error)
         };
         match answer.await {
--- a/crates/basilbank_gateway/src/gossip.rs
+++ b/crates/basilbank_gateway/src/gossip.rs
@@ -4,11 +4,11 @@
 
 use basilbank::logs::Line;
 use basilbank_forward::Event;
-use basilbank_wire::LoadGossip;
+use basilbank_wire::{HEADER_BYTES, LoadGossip};
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::router::Router;
+use crate::{router::Router, sent_bytes::SentPurpose};
 
 /// Maximum size of a datagram that is read: it holds a thousand endpoints.
 const MAX_DATAGRAM_BYTES: usize = 32 << 10;
@@ -33,9 +33,16 @@
 
 /// Sends one datagram to each peer. What can't be sent at once is lost, as datagrams may be; the
 /// next one repeats the content.
-pub fn send(socket: &UdpSocket, to: &[SocketAddr], gossip: &LoadGossip) {
+pub fn send(router: &Router, socket: &UdpSocket, to: &[SocketAddr], gossip: &LoadGossip) {
     let bytes = gossip.encode_to_vec();
-    for address in to {
-        let _ = socket.try_send_to(&bytes, *address);
-    }
+    let purpose = if gossip.sequence == 0 { SentPurpose::Direct } else { SentPurpose::Gossip };
+    router.read(|state| {
+        for address in to {
+            if socket.try_send_to(&bytes, *address).is_ok() {
+                let data_centre = state.peers.data_centre(*address);
+                let length = bytes.len() + HEADER_BYTES;
+                router.metrics.sent_bytes.count(purpose, data_centre, length);
+            }
+        }
+    });
 }
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -14,7 +14,7 @@
     registry::Registry,
 };
 
-use crate::{connections::CallError, framing::Framing};
+use crate::{connections::CallError, framing::Framing, sent_bytes::SentBytes};
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -91,6 +91,8 @@
 /// The metrics of forwarded calls. Their names have the prefix `basilbank_forward_`.
 #[derive(Debug)]
 pub struct Metrics {
+    /// What this daemon sends.
+    pub sent_bytes: SentBytes,
     registry: Registry,
     sent: Family<ReasonLabel, Counter>,
     refused: Family<ReasonLabel, Counter>,
@@ -157,7 +159,9 @@
             permits: Counter::default(),
             pauses: Counter::default(),
             registry: Registry::default(),
+            sent_bytes: SentBytes::default(),
         };
+        metrics.sent_bytes.register(&mut registry);
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
         registry.register("refused", "Own refusals and failures", metrics.refused.clone());
         registry.register("retried", "Calls sent again by reason", metrics.retried.clone());
--- a/crates/basilbank_gateway/src/progress.rs
+++ b/crates/basilbank_gateway/src/progress.rs
@@ -25,6 +25,8 @@
     /// Names of the head's headers that nothing reads.
     unread: RefCell<Vec<String>>,
     bytes: Cell<usize>,
+    /// Bytes of the requests that were sent.
+    sent: Cell<usize>,
     /// Time of the last progress, and the number of bytes at that time.
     last_progress: Cell<Option<(Instant, usize)>>,
 }
@@ -57,6 +59,17 @@
         }
     }
 
+    /// Records the bytes of a request that is sent.
+    pub fn record_sent(&self, bytes: usize) {
+        self.0.sent.set(self.0.sent.get() + bytes);
+    }
+
+    /// Returns the number of bytes sent so far.
+    #[must_use]
+    pub fn sent(&self) -> usize {
+        self.0.sent.get()
+    }
+
     /// Returns the store's era, if the answer's head has arrived and states it.
     #[must_use]
     pub fn era(&self) -> Option<u64> {
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -52,7 +52,8 @@
 }
 
 impl ProxyClient {
-    /// Sends a call to a peer, and waits for the head of the endpoint's answer.
+    /// Sends a call to a peer, and waits for the head of the endpoint's answer. `count_bytes` gets
+    /// the length of what is sent.
     ///
     /// # Errors
     /// Returns an error if there is no answer.
@@ -60,6 +61,7 @@
         &self,
         peer: SocketAddr,
         call: EndpointCall<'_>,
+        count_bytes: impl Fn(usize),
     ) -> Result<Response<ProxiedBody>, CallError> {
         let started = Instant::now();
         let answer_timeout = call.answer_timeout;
@@ -67,10 +69,11 @@
             Some(stream) => stream,
             None => connect(peer, answer_timeout).await?,
         };
-        let request = wire_request(call, started).await?;
+        let request = ProxyMessage::Request(wire_request(call, started).await?);
+        count_bytes(request.wire_bytes());
         let answer = async {
             // The peer may have got the request, or a part of it, when sending fails.
-            let sent = stream.send(ProxyMessage::Request(request)).await;
+            let sent = stream.send(request).await;
             sent.map_err(|_| CallError::Broken(Damage::Closed))?;
             stream.next().await.and_then(Result::ok).ok_or(CallError::Broken(Damage::Closed))
         };
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -109,8 +109,15 @@
     };
     let serving = Serving::start(router, &target, &request);
     let writing = RefCell::default();
-    let call =
-        Call { router, target: &target, request: &request, purpose, received, writing: &writing };
+    let call = Call {
+        router,
+        peer,
+        target: &target,
+        request: &request,
+        purpose,
+        received,
+        writing: &writing,
+    };
     // A peer that closes the connection, or sends anything before the answer's end, doesn't want the
     // call any more. Dropping the call closes the connection to the endpoint.
     let end = tokio::select! {
@@ -186,6 +193,7 @@
 
 struct Call<'a> {
     router: &'a Rc<Router>,
+    peer: SocketAddr,
     target: &'a Target,
     request: &'a ProxyRequest,
     purpose: Purpose,
@@ -212,7 +220,9 @@
         let (head, mut body) = response.into_parts();
         let status = u32::from(head.status.as_u16());
         let wire_head = ProxyHead { status, headers: wire_headers(&head.headers) };
-        if writer.send(ProxyMessage::Head(wire_head)).await.is_err() {
+        let wire_head = ProxyMessage::Head(wire_head);
+        self.router.count_proxied(self.peer, wire_head.wire_bytes());
+        if writer.send(wire_head).await.is_err() {
             return ProxiedEnd::Cancelled;
         }
         while let Some(frame) = body.frame().await {
@@ -221,7 +231,9 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             self.writing.borrow_mut().record(Instant::now());
-            if writer.send(ProxyMessage::Body(data)).await.is_err() {
+            let data = ProxyMessage::Body(data);
+            self.router.count_proxied(self.peer, data.wire_bytes());
+            if writer.send(data).await.is_err() {
                 return ProxiedEnd::Cancelled;
             }
         }
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -16,6 +16,7 @@
     metrics::Sender,
     progress::Progress,
     router::Router,
+    sent_bytes::SentPurpose,
     source::{ReadError, ReadFuture, Reading, Source},
     unusable::{UnusableRecord, UnusableRecordLog},
 };
@@ -45,6 +46,15 @@
     }
 }
 
+impl Router {
+    /// Counts the bytes that a read has sent to the store.
+    fn count_store_request(&self, progress: &Progress) {
+        if progress.sent() != 0 {
+            self.metrics.sent_bytes.count(SentPurpose::Store, 0, progress.sent());
+        }
+    }
+}
+
 struct TopicReader {
     router: Rc<Router>,
     topic: Topic,
@@ -146,7 +156,9 @@
             }
             ReadEffect::Close { read, timed_out } => {
                 self.router.metrics.count_store_call(if timed_out { "failed" } else { "dropped" });
-                self.pending.retain(|pending| pending.id != read);
+                self.pending.extract_if(.., |pending| pending.id == read).for_each(|pending| {
+                    self.router.count_store_request(&pending.progress);
+                });
             }
             ReadEffect::StoreLost => self.router.dispatch(match self.topic {
                 Topic::Routes => Event::RoutesReadFailed,
@@ -160,6 +172,7 @@
     }
 
     fn handle_ended(&mut self, EndedRead { pending, result }: EndedRead) {
+        self.router.count_store_request(&pending.progress);
         self.router.metrics.count_unread(Sender::Store, pending.progress.unread());
         let outcome = match result {
             Ok(reading) => {
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -253,7 +253,7 @@
             Effect::Order { target, stage, fence } => self.send_order(target, stage, fence),
             Effect::SendGossip { to, gossip } => {
                 if let Some(socket) = self.socket.get() {
-                    gossip::send(socket, &to, &gossip);
+                    gossip::send(self, socket, &to, &gossip);
                 }
             }
             Effect::CloseConnections(endpoint) => self.connections.close_idle(endpoint),
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -159,7 +159,7 @@
 }
 
 /// Size of an IPv4 header and a UDP header.
-const HEADER_BYTES: usize = 28;
+pub const HEADER_BYTES: usize = 28;
 
 /// An endpoint that refuses work for some time, because its stage is changing or it loses KV
 /// caches.
--- a/crates/basilbank_wire/src/proxy.rs
+++ b/crates/basilbank_wire/src/proxy.rs
@@ -41,6 +41,17 @@
     Failure(i32),
 }
 
+impl ProxyMessage {
+    /// Returns the length of the message's frame in bytes.
+    #[must_use]
+    pub fn wire_bytes(&self) -> usize {
+        FRAME_LENGTH_BYTES + self.encoded_len()
+    }
+}
+
+/// Size of the length that precedes a frame.
+const FRAME_LENGTH_BYTES: usize = 4;
+
 /// A call to an endpoint.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct ProxyRequest {
