Gossip reaches other data centres through relays

Each datagram went to all peers, so that copies for the 44 peers in two other data centres made up most of the bytes on expensive links. Where another data centre has at least 12 peers in contact and at most 80 are known, a datagram now goes to one of them, picked anew each time, with hops = 1 (tag 42); it passes it on at once with the sender's address (tag 43). At least every 0.75 s, during the first 2 s after a start, on a shutdown, for news other than load and for crash reports all peers get it directly. Relayed datagrams don't count as contact: owners, contacts and proxies are chosen among peers whose direct datagrams arrive.

--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -23,6 +23,7 @@
 mod queue;
 mod quota;
 mod records;
+mod relays;
 mod roles;
 mod statement;
 mod step;
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -10,7 +10,7 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota};
+use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota, relays};
 use crate::{
     log_line::LogLine,
     state::{
@@ -39,6 +39,11 @@
         return handle_message(ctx, from, gossip);
     }
     let now = ctx.now;
+    let is_direct = gossip.origin.is_none();
+    let Some(from) = ctx.state.gossip_origin(from, gossip) else {
+        ctx.state.peers.relays.dropped += 1;
+        return;
+    };
     let peers = &mut ctx.state.peers;
     let previous = peers.known.get(&from);
     // Datagrams can be reordered; an older one is outdated.
@@ -75,13 +80,15 @@
     let previous = ctx.state.peers.known.remove(&from);
     let was_watching = previous.as_ref().is_some_and(|peer| peer.watching);
     let lost_store = was_watching && !gossip.watching && !gossip.leaving;
+    let previous_direct = previous.as_ref().map(|peer| peer.last_direct);
+    let previous_met = previous.as_ref().map(|peer| peer.met);
     // Only heartbeats carry the version, the data centre and the generation statistics.
     let version = match (gossip.version, &previous) {
         (0, Some(peer)) => peer.version,
         (version, _) => version,
     };
     let data_centre = match (gossip.data_centre, &previous) {
-        (0, Some(peer)) => peer.data_centre,
+        (0, Some(peer)) if !is_new_start => peer.data_centre,
         (reported, _) => reported,
     };
     let generation_stats = match previous {
@@ -89,10 +96,14 @@
         _ => gossip.paces.iter().map(stats_from_wire).collect(),
     };
     ctx.state.peers.watcher_losses += u32::from(lost_store);
+    let last_direct = previous_direct.filter(|_| !is_direct).unwrap_or(now);
+    let met = previous_met.filter(|_| !is_new_start).unwrap_or(now);
     let peer = Peer {
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
         last_seen: now,
+        last_direct,
+        met,
         loads,
         waiting: gossip.waiting.iter().map(|waiting| waiting_from_wire(waiting, now)).collect(),
         version,
@@ -114,6 +125,9 @@
         gossip_send::introduce(ctx, from, gossip.incarnation);
         origin::announce_to(ctx, from);
     }
+    if !is_new_start {
+        relays::pass_on(ctx, from, gossip);
+    }
     ctx.state.capacity_changed = true;
 }
 
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -7,12 +7,12 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit};
+use super::{Context, call_limit, relays};
 use crate::{
     call::Cause,
     effect::Effect,
     state::{
-        QueuePosition, State,
+        Peer, QueuePosition, State,
         peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peers, to_wire},
         relays::data_centre_hash,
         service_hash,
@@ -124,7 +124,7 @@
         // gone.
         let first = usize::try_from(gossip.sequence).unwrap_or_default() % to.len();
         to.rotate_left(first);
-        ctx.push(Effect::SendGossip { to, gossip: Box::new(gossip) });
+        relays::send(ctx, to, gossip);
     }
 }
 
@@ -319,9 +319,15 @@
     /// Returns the number of peers that were heard from recently enough not to be cut off.
     #[must_use]
     pub fn count_in_contact(&self, now: Duration) -> usize {
+        self.known.values().filter(|peer| self.is_in_contact(peer, now)).count()
+    }
+
+    /// Returns whether a peer was heard from recently enough not to be cut off. What arrives through
+    /// relays doesn't show that the path between the two works.
+    pub(crate) fn is_in_contact(&self, peer: &Peer, now: Duration) -> bool {
         let contact_timeout =
             self.heartbeat_interval().mul_f64(CONTACT_HEARTBEATS) + CONTACT_MARGIN;
-        self.known.values().filter(|peer| now < peer.last_seen + contact_timeout).count()
+        now < peer.last_direct + contact_timeout
     }
 
     /// Returns whether no peer was heard from for longer than their heartbeats explain, so that this
--- a/crates/basilbank_forward/src/state/freshness.rs
+++ b/crates/basilbank_forward/src/state/freshness.rs
@@ -106,7 +106,8 @@
     /// question. The watchers of the store are asked in turn.
     pub(crate) fn next_confirmation_request(&mut self, now: Duration) -> Option<(SocketAddr, u64)> {
         let watching = self.peers.known.iter().filter(|(_, peer)| peer.watching && !peer.leaving);
-        let mut watching: Vec<_> = watching.map(|(at, _)| *at).collect();
+        let mut watching: Vec<_> =
+            watching.filter(|(_, peer)| peer.is_reached(now)).map(|(at, _)| *at).collect();
         watching.sort_unstable();
         let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         let id = self.local.incarnation.wrapping_add(now_ms);
--- a/crates/basilbank_forward/src/state/owner.rs
+++ b/crates/basilbank_forward/src/state/owner.rs
@@ -4,14 +4,15 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{State, peers::to_wire};
+use super::{Peer, State, peers::to_wire};
 
 impl State {
     /// Returns the `count` peers with the highest hashes for a subject, the highest first. Those that
-    /// are leaving are left out.
+    /// are leaving or out of reach are left out.
     #[must_use]
     pub fn peers_by_weight(&self, subject: u64, count: usize) -> Vec<SocketAddr> {
-        let staying = self.peers.known.iter().filter(|(_, peer)| !peer.leaving);
+        let is_staying = |peer: &Peer| !peer.leaving && peer.is_reached(self.peers.now);
+        let staying = self.peers.known.iter().filter(|(_, peer)| is_staying(peer));
         let mut all: Vec<_> = staying.filter_map(|(at, _)| weight(at, subject)).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.into_iter().take(count).map(|(_, address)| address).collect()
@@ -30,7 +31,9 @@
         is_eligible: impl Fn(&SocketAddr) -> bool,
     ) -> Option<SocketAddr> {
         let weight = |address: &SocketAddr| weight(address, subject);
-        let staying = self.peers.known.iter().filter(|(at, peer)| !peer.leaving && is_eligible(at));
+        let is_staying = |peer: &Peer| !peer.leaving && peer.is_reached(self.peers.now);
+        let known = self.peers.known.iter();
+        let staying = known.filter(|(at, peer)| is_staying(peer) && is_eligible(at));
         let first = staying.filter_map(|(address, _)| weight(address)).max()?;
         let own =
             self.peers.own_address.as_ref().and_then(weight).filter(|_| self.leaving.is_none());
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -8,7 +8,7 @@
 
 use basilbank_wire::PeerAddress;
 
-use super::{GenerationStats, Usage};
+use super::{GenerationStats, Usage, relays::Relays};
 use crate::{
     endpoint::EndpointKey,
     topic::{PerTopic, Revision},
@@ -21,8 +21,12 @@
     pub incarnation: u64,
     /// The sequence number of its last datagram.
     pub sequence: u64,
-    /// When its last datagram arrived.
+    /// When its last datagram arrived, from itself or through a relay.
     pub last_seen: Duration,
+    /// When its last datagram arrived that came from itself.
+    pub last_direct: Duration,
+    /// When the first datagram of its incarnation arrived.
+    pub met: Duration,
     /// Its load at endpoints.
     pub loads: Vec<Load>,
     /// When the first of its waiting completions is due, by the hash of the service's name.
@@ -106,6 +110,8 @@
     /// Mean time for which a change of this daemon stays unreported. Peers report theirs with the
     /// same delay.
     pub report_delay: Duration,
+    /// The state of relaying.
+    pub relays: Relays,
 }
 
 /// Maximum number of peers with which the bytes per second that a daemon receives are not limited.
@@ -166,6 +172,7 @@
     pub fn report_soon(&mut self) {
         self.changed = true;
         self.urgent = true;
+        self.relays.needs_direct = true;
     }
 
     /// Records that a datagram reports all changes so far.
--- a/crates/basilbank_forward/src/state/proxies.rs
+++ b/crates/basilbank_forward/src/state/proxies.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use super::{State, service_hash};
+use super::{Peer, State, service_hash};
 use crate::{
     effect::Target,
     endpoint::{EndpointKey, SoftwareVersion},
@@ -204,7 +204,8 @@
     fn proxy_candidates(&self, service: u32, now: Duration) -> impl Iterator<Item = SocketAddr> {
         let reaches = move |address: &SocketAddr| {
             let peer = self.peers.known.get(address);
-            peer.is_some_and(|peer| !peer.leaving && !peer.unreached.contains(&service))
+            let is_usable = |peer: &Peer| !peer.leaving && peer.is_reached(now);
+            peer.is_some_and(|peer| is_usable(peer) && !peer.unreached.contains(&service))
                 && !self.proxies.is_resting(*address, now)
         };
         self.peers.known.keys().copied().filter(reaches)
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -26,6 +26,7 @@
 mod queue;
 mod quotas;
 mod ranks;
+mod relays;
 mod restart_schedules;
 mod restarted_drafts;
 mod restarts;
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -7,7 +7,11 @@
 };
 
 use basilbank::logs::Line;
-use basilbank_forward::{event::Liveness, prelude::*, state::Suspects};
+use basilbank_forward::{
+    event::Liveness,
+    prelude::*,
+    state::{Suspects, relays::Relays},
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -120,6 +124,8 @@
     stream_ends: Family<StreamEndLabels, Counter>,
     unreachable_endpoints: Gauge<u64, AtomicU64>,
     unreached_services: Gauge<u64, AtomicU64>,
+    gossip_passed_on: Gauge<u64, AtomicU64>,
+    gossip_dropped: Gauge<u64, AtomicU64>,
     quarantined: Counter,
     permits: Counter,
     pauses: Counter,
@@ -155,6 +161,8 @@
             stream_ends: Family::default(),
             unreachable_endpoints: Gauge::default(),
             unreached_services: Gauge::default(),
+            gossip_passed_on: Gauge::default(),
+            gossip_dropped: Gauge::default(),
             quarantined: Counter::default(),
             permits: Counter::default(),
             pauses: Counter::default(),
@@ -225,6 +233,10 @@
         registry.register("unreachable_endpoints", "Endpoints that don't answer here", unreachable);
         let help = "Services most of whose endpoints don't answer here";
         registry.register("unreached_services", help, metrics.unreached_services.clone());
+        let help = "Datagrams of peers that were passed on in this data centre";
+        registry.register("gossip_passed_on", help, metrics.gossip_passed_on.clone());
+        let help = "Datagrams that a peer passed on and that were dropped as invalid";
+        registry.register("gossip_dropped", help, metrics.gossip_dropped.clone());
         Metrics { registry, ..metrics }
     }
 }
@@ -320,6 +332,13 @@
         self.unreached_services.set(gauge_value(suspects.unreached.len()));
     }
 
+    /// Sets how many datagrams were passed on here, and how many of those passed on to this daemon
+    /// were dropped.
+    pub fn set_relays(&self, relays: &Relays) {
+        self.gossip_passed_on.set(relays.passed_on);
+        self.gossip_dropped.set(relays.dropped);
+    }
+
     /// Sets for how long the store hasn't answered a topic's reader.
     pub fn set_store_lost(&self, topic: Topic, lost_for: Duration) {
         let topic = topic.as_str();
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -111,6 +111,13 @@
     /// datagram reported it.
     #[prost(fixed32, tag = "41")]
     pub data_centre: u32,
+    /// Number of times that the datagram is still to be passed on, to the peers of the receiver's
+    /// data centre.
+    #[prost(uint32, tag = "42")]
+    pub hops: u32,
+    /// The peer that composed the datagram, if the sender only passes it on.
+    #[prost(message, optional, tag = "43")]
+    pub origin: Option<PeerAddress>,
 }
 
 /// A point in the history of the platform's store.
