Plain calls stay in their data centre unless another one is much faster

An endpoint elsewhere counted as equal within a tenth of the expected time, so that calls crossed expensive links for nothing. Where relays are used, a plain call leaves only if the time elsewhere is lower by more than the round trip and a tenth of the target time. With 50 ms here and 45 ms there, 0 of 40 calls leave; a smaller fleet places as before.

--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -28,10 +28,13 @@
     service: &str,
     tried: &[EndpointKey],
     pinned: Option<SoftwareVersion>,
+    target: Duration,
     now: Duration,
 ) -> PlainChoice {
     let local = &state.local.data_centre;
-    let remote = state.tuning.remote_cost;
+    let stays_near = state.has_relays(now);
+    let margin = if stays_near { target.mul_f64(NEAR_TARGET_FRACTION) } else { Duration::ZERO };
+    let remote = state.tuning.remote_cost + margin;
     // A new endpoint counts as the fastest of the others until it is measured. If it counted as
     // slow, it would never be tried and so never be measured.
     let fastest =
@@ -56,7 +59,10 @@
             tried: tried.contains(&key),
         })
     });
-    let candidates: Vec<_> = candidates.collect();
+    let mut candidates: Vec<_> = candidates.collect();
+    if stays_near {
+        remove_not_cheaper(&mut candidates, |key| is_local(state, key));
+    }
     match pick_cheapest(state, &candidates, 0.0) {
         Some(key) => PlainChoice::At(key),
         None if !state.has_version(service, None, pinned) => PlainChoice::VersionGone,
@@ -74,6 +80,25 @@
     }
 }
 
+/// Fraction of a route's target time by which an endpoint of another data centre must be faster, in
+/// addition to the round trip, if the links between data centres are expensive.
+const NEAR_TARGET_FRACTION: f64 = 0.1;
+
+/// Returns whether an endpoint is in this daemon's data centre.
+fn is_local(state: &State, key: EndpointKey) -> bool {
+    state.directory.get(key).is_some_and(|e| e.info.data_centre == state.local.data_centre)
+}
+
+/// Removes the remote candidates that are not cheaper than the cheapest local one. Of those that
+/// count as equal, one is picked at random, which would also send calls far for nothing.
+fn remove_not_cheaper(candidates: &mut Vec<Candidate>, is_local: impl Fn(EndpointKey) -> bool) {
+    let rank = |c: &Candidate| (c.tried, c.avoided_for);
+    let Some(best_rank) = candidates.iter().map(rank).min() else { return };
+    let local = candidates.iter().filter(|c| rank(c) == best_rank && is_local(c.key));
+    let min_local = local.map(|c| c.cost).fold(f64::MAX, f64::min);
+    candidates.retain(|c| is_local(c.key) || c.cost < min_local);
+}
+
 /// Returns those of some endpoints that have a version, or all if none is given.
 fn allowed<'a>(
     endpoints: impl Iterator<Item = (EndpointKey, &'a Endpoint)>,
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -42,8 +42,8 @@
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let (timeout, streams) = (request.remaining(now), request.route.kind == RouteKind::Streaming);
     let waits = request.active_attempts.is_empty();
-    let pinned = request.pinned;
-    let endpoint = match placement::pick_plain(state, &service, &tried, pinned, now) {
+    let (pinned, target) = (request.pinned, request.route.target);
+    let endpoint = match placement::pick_plain(state, &service, &tried, pinned, target, now) {
         PlainChoice::At(endpoint) => endpoint,
         PlainChoice::Limited if waits => return NextStep::WaitForPermit,
         PlainChoice::Paused(until) if waits => return NextStep::WaitForPause(until),
--- a/crates/basilbank_forward/src/state/relays.rs
+++ b/crates/basilbank_forward/src/state/relays.rs
@@ -116,6 +116,14 @@
             || relays.direct_sent + DIRECT_INTERVAL <= now
     }
 
+    /// Returns whether another data centre has enough peers for relays, so that links to it count as
+    /// expensive.
+    #[must_use]
+    pub fn has_relays(&self, now: Duration) -> bool {
+        self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP
+            && !self.relays_by_data_centre(now).is_empty()
+    }
+
     /// Returns the peers that may relay, for each data centre that has enough of them.
     fn relays_by_data_centre(&self, now: Duration) -> BTreeMap<u32, Vec<SocketAddr>> {
         let own = data_centre_hash(&self.local.data_centre);
--- a/crates/basilbank_forward/tests/forward/relays/mod.rs
+++ b/crates/basilbank_forward/tests/forward/relays/mod.rs
@@ -1,6 +1,7 @@
 //! Datagrams to other data centres, which one peer there passes on to the others.
 
 mod fleet;
+mod plain;
 mod plays;
 
 use std::{collections::HashSet, net::SocketAddr, time::Duration};
