--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -2,13 +2,13 @@
 
 use std::{
     collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
 use basilbank_wire::PeerAddress;
 
-use super::{GenerationStats, Usage};
+use super::{GenerationStats, Usage, relays::Relays};
 use crate::{
     endpoint::EndpointKey,
     topic::{PerTopic, Revision},
@@ -21,8 +21,12 @@
     pub incarnation: u64,
     /// The sequence number of its last datagram.
     pub sequence: u64,
-    /// When its last datagram arrived.
+    /// When its last datagram arrived, from itself or through a relay.
     pub last_seen: Duration,
+    /// When its last datagram arrived that came from itself.
+    pub last_direct: Duration,
+    /// When the first datagram of its incarnation arrived.
+    pub met: Duration,
     /// Its load at endpoints.
     pub loads: Vec<Load>,
     /// When the first of its waiting completions is due, by the hash of the service's name.
@@ -37,6 +41,8 @@
     pub unreached: Vec<u32>,
     /// The generation speed of its completions, by the hash of the service's name.
     pub generation_stats: Vec<(u32, GenerationStats)>,
+    /// Hash of the name of its data centre; 0 until it has reported one.
+    pub data_centre: u32,
 }
 
 /// A peer's load at an endpoint.
@@ -104,6 +110,8 @@
     /// Mean time for which a change of this daemon stays unreported. Peers report theirs with the
     /// same delay.
     pub report_delay: Duration,
+    /// The state of relaying.
+    pub relays: Relays,
 }
 
 /// Maximum number of peers with which the bytes per second that a daemon receives are not limited.
@@ -139,6 +147,19 @@
         self.fleet_size = self.fleet_size.max(self.known.len() + 1);
     }
 
+    /// Returns the hash of the name of a peer's data centre; 0 if it is unknown.
+    #[must_use]
+    pub fn data_centre(&self, address: SocketAddr) -> u32 {
+        self.known.get(&address).map_or(0, |peer| peer.data_centre)
+    }
+
+    /// Returns the same for the peer at an IP address, whatever its port.
+    #[must_use]
+    pub fn data_centre_at(&self, ip: IpAddr) -> u32 {
+        let first = self.known.range(SocketAddr::new(ip, 0)..).next();
+        first.filter(|(at, _)| at.ip() == ip).map_or(0, |(_, peer)| peer.data_centre)
+    }
+
     /// Returns the addresses of all known peers, sorted.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
@@ -151,6 +172,7 @@
     pub fn report_soon(&mut self) {
         self.changed = true;
         self.urgent = true;
+        self.relays.needs_direct = true;
     }
 
     /// Records that a datagram reports all changes so far.
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -107,6 +107,17 @@
     /// Direct messages: answers to these questions.
     #[prost(message, repeated, tag = "32")]
     pub origin_answers: Vec<StreamOrigin>,
+    /// Hash of the name of the sender's data centre; 0 when it is unknown, or when an earlier
+    /// datagram reported it.
+    #[prost(fixed32, tag = "41")]
+    pub data_centre: u32,
+    /// Number of times that the datagram is still to be passed on, to the peers of the receiver's
+    /// data centre.
+    #[prost(uint32, tag = "42")]
+    pub hops: u32,
+    /// The peer that composed the datagram, if the sender only passes it on.
+    #[prost(message, optional, tag = "43")]
+    pub origin: Option<PeerAddress>,
 }
 
 /// A point in the history of the platform's store.
@@ -155,7 +166,7 @@
 }
 
 /// Size of an IPv4 header and a UDP header.
-const HEADER_BYTES: usize = 28;
+pub const HEADER_BYTES: usize = 28;
 
 /// An endpoint that refuses work for some time, because its stage is changing or it loses KV
 /// caches.
