Waiting completions are ordered by rank and by the teams' use of memory

Completions waited in the order of their due times, whatever their rank and team. The order is now: on time, owed memory, rank, the team's tokens in use per weight, due time. Daemons report to each other what their completions need and use (LoadGossip tag 34) and the rank, team and lateness of the first waiting one (WaitingCompletion tags 3 to 5). Without ranks and teams the order is unchanged. The literal of WaitingCompletion in tests/forward/line.rs takes the new fields' defaults.

--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -10,6 +10,7 @@
 mod call_limit;
 mod completion;
 mod crash;
+mod demand;
 mod endpoints;
 mod finish;
 mod freshness;
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -17,7 +17,7 @@
     endpoint::EndpointKey,
     reason::{Refusal, Retry},
     state::{
-        Request, State, Usage,
+        QueuePosition, Request, State, Usage,
         requests::{Hold, KvCache, Step},
     },
 };
@@ -49,6 +49,7 @@
 }
 
 fn request_hold(state: &mut State, id: RequestId, now: Duration) -> NextStep {
+    state.refresh_order(now);
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
     let timeout = state.tuning.hold_timeout;
     if request.caller_deadline() < now + state.tuning.first_token_delay {
@@ -57,7 +58,11 @@
     if state.tuning.hold_tries <= request.completion.hold_attempts {
         return NextStep::WaitUntil(now + state.tuning.hold_pause);
     }
-    let (service, tried, due) = (request.service.clone(), recently_asked(request), request.due());
+    let (service, tried) = (request.service.clone(), recently_asked(request));
+    let position = state.queue_position(request, now + state.tuning.first_token_delay);
+    if let Some(turn_at) = state.own_turn_ahead(request, &position, now) {
+        return NextStep::WaitForTurn(turn_at);
+    }
     let risky = state.crashes.is_risky(&request.call.traits());
     let prompt = request.call.prompt.clone().unwrap_or_default();
     let usage = Usage::completion(prompt.tokens, prompt.expected_output());
@@ -73,7 +78,7 @@
         None => placement::pick_prefill(state, &service, &[], None, pinned, prompt.tokens, now),
     };
     let hold_ttl = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.max_hold);
-    let peers_ahead = state.peers_ahead(&service, due, now);
+    let peers_ahead = state.peers_ahead(&service, &position, now);
     let criteria =
         Criteria { near, usage, memory_fraction, session: prompt.session, pinned, risky };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
@@ -250,6 +255,31 @@
 }
 
 impl State {
+    /// Returns when the next waiting completion has its turn if one of this daemon's own blocks a
+    /// completion at this position, at a service with ranks or teams. A new completion would
+    /// otherwise take the capacity that a more urgent one waits for.
+    fn own_turn_ahead(
+        &self,
+        request: &Request,
+        position: &QueuePosition,
+        now: Duration,
+    ) -> Option<Duration> {
+        if request.rank.is_none() && request.team.is_none() {
+            return None;
+        }
+        let soonest = now + self.tuning.first_token_delay;
+        let mut waiting = self.waiting.iter().filter_map(|id| self.requests.get(id));
+        let is_ahead = |other: &Request| {
+            let is_same = other.pinned.is_none() || other.pinned == request.pinned;
+            other.call.id != request.call.id
+                && other.service == request.service
+                && is_same
+                && self.queue_position(other, soonest).blocks(position)
+        };
+        let next_check = self.capacity_checked + self.tuning.hold_pause;
+        waiting.any(is_ahead).then(|| self.queue.next_turn.unwrap_or(next_check.max(now)))
+    }
+
     /// Returns whether two endpoints have the same version of their software.
     fn have_same_version(&self, one: EndpointKey, other: EndpointKey) -> bool {
         let version =
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -10,13 +10,15 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota};
+use super::{Context, call_limit, crash, demand, freshness, gossip_send, origin, quota};
 use crate::{
     log_line::LogLine,
+    rank::{MAX_PRIORITY, Rank},
     state::{
         GenerationStats, Usage,
-        peers::{Load, Peer, from_wire},
+        peers::{FirstWaiting, Load, Peer, from_wire},
     },
+    team::TeamId,
     topic::{Revision, Topic},
 };
 
@@ -67,6 +69,8 @@
     for load in &loads {
         ctx.state.directory.add_peer_usage(load.endpoint, load.usage);
     }
+    let demand_rows = demand::from_wire(gossip);
+    demand::add_rows(ctx, &demand_rows);
     avoid_reported(ctx, &gossip.shunned);
     crash::handle_gossip(ctx, gossip);
     call_limit::handle_reported_limits(ctx, gossip);
@@ -91,6 +95,7 @@
         last_seen: now,
         loads,
         waiting: gossip.waiting.iter().map(|waiting| waiting_from_wire(waiting, now)).collect(),
+        demand: demand_rows,
         version,
         watching: gossip.watching,
         leaving: gossip.leaving,
@@ -197,10 +202,13 @@
     }
 }
 
-fn waiting_from_wire(wire: &WaitingCompletion, now: Duration) -> (u32, Duration) {
+fn waiting_from_wire(wire: &WaitingCompletion, now: Duration) -> FirstWaiting {
     let offset = Duration::from_millis(u64::from(wire.due.unsigned_abs()));
     let due = if wire.due < 0 { now.saturating_sub(offset) } else { now.saturating_add(offset) };
-    (wire.service, due)
+    // An impossible rank counts as the least urgent one.
+    let rank = demand::rank_from_wire(wire.rank).unwrap_or(Some(Rank(MAX_PRIORITY)));
+    let team = wire.team.map(TeamId);
+    FirstWaiting { service: wire.service, due, rank, team, late: wire.late }
 }
 
 fn stats_from_wire(wire: &ServiceGenerationStats) -> (u32, GenerationStats) {
@@ -229,6 +237,7 @@
 }
 
 fn remove_loads(ctx: &mut Context<'_>, from: SocketAddr) {
+    demand::remove_rows(ctx, from);
     let Some(peer) = ctx.state.peers.known.get_mut(&from) else { return };
     for load in std::mem::take(&mut peer.loads) {
         ctx.state.directory.remove_peer_usage(load.endpoint, load.usage);
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -7,12 +7,12 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit};
+use super::{Context, call_limit, demand};
 use crate::{
     call::Cause,
     effect::Effect,
     state::{
-        QueuePosition, State,
+        QueuePosition, Request, State,
         peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peers, to_wire},
         service_hash,
     },
@@ -208,6 +208,7 @@
     let is_full = scope != Scope::Changes;
     let paces = if is_full { generation_stats(state) } else { Vec::new() };
     let waiting = waiting_completions(state, now);
+    let demand = demand::report(state, now);
     let watching = state.is_active_watcher();
     let limits = call_limit::observed_limits(state, now);
     let crashes = state.crashes.take_reports(now);
@@ -236,6 +237,7 @@
         watching,
         paces,
         waiting,
+        demand,
         limits,
         crashes,
         cleared,
@@ -396,15 +398,21 @@
 /// Returns the first of this daemon's waiting completions for each service.
 fn waiting_completions(state: &State, now: Duration) -> Vec<WaitingCompletion> {
     let soonest = now + state.tuning.first_token_delay;
-    let mut first_positions: HashMap<&str, QueuePosition> = HashMap::new();
+    let mut first: HashMap<&str, (QueuePosition, &Request)> = HashMap::new();
     for request in state.waiting.iter().filter_map(|id| state.requests.get(id)) {
-        let position = request.queue_position(soonest);
-        let first = first_positions.entry(&request.service).or_insert(position);
-        *first = position.min(*first);
+        let position = state.queue_position(request, soonest);
+        let first = first.entry(&request.service).or_insert((position, request));
+        if position < first.0 {
+            *first = (position, request);
+        }
     }
-    let all = first_positions.into_iter().map(|(service, position)| WaitingCompletion {
+    let all = first.into_iter().map(|(service, (position, request))| WaitingCompletion {
         service: service_hash(service),
         due: (position.due.as_millis() as i128 - now.as_millis() as i128) as i32,
+        rank: request.rank.map(|rank| u32::from(rank.0)),
+        team: request.team_id().map(|team| team.0),
+        // Where there is no order, the due time says it.
+        late: position.late && (request.rank.is_some() || request.team.is_some()),
     });
     all.collect()
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -5,6 +5,7 @@
 pub mod common_parts;
 pub mod completion_queue;
 pub mod crashes;
+pub mod demand;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_records;
@@ -21,6 +22,7 @@
 pub mod proofs;
 pub mod proxies;
 pub mod quarantine;
+pub mod queue_order;
 pub mod quotas;
 pub mod requests;
 pub mod retry_budget;
@@ -42,8 +44,9 @@
 pub use self::{
     call_limits::CallLimits,
     common_parts::CommonParts,
-    completion_queue::{CompletionQueue, QueuePosition},
+    completion_queue::CompletionQueue,
     crashes::Crashes,
+    demand::{Demand, WorkAhead},
     directory::Directory,
     endpoint::Endpoint,
     endpoint_records::EndpointRecords,
@@ -57,6 +60,7 @@
     permit_issuer::PermitIssuer,
     proxies::{Proxies, Reach},
     quarantine::Quarantine,
+    queue_order::{QueuePosition, ServiceOrder},
     quotas::Quotas,
     requests::{ActiveAttempt, Completion, Request},
     retry_budget::RetryBudget,
@@ -147,6 +151,8 @@
     pub waiting: Vec<RequestId>,
     /// The queue in which the completions of all daemons wait.
     pub queue: CompletionQueue,
+    /// What the completions of all daemons need and use, which decides the order of the queue.
+    pub demand: Demand,
     /// Whether there may be new capacity for waiting completions since it was last checked.
     pub(crate) capacity_changed: bool,
     /// When capacity for waiting completions was last checked.
@@ -211,6 +217,7 @@
             generation_stats: HashMap::new(),
             waiting: Vec::new(),
             queue: CompletionQueue::default(),
+            demand: Demand::default(),
             capacity_changed: false,
             capacity_checked: Duration::ZERO,
             routes_revision: Revision::NONE,
@@ -343,16 +350,20 @@
         reported.fold(own, |all, (_, stats)| all.merge(*stats))
     }
 
-    /// Returns the number of peers with a queued completion that is ahead of one with this due
-    /// time.
+    /// Returns the number of peers with a queued completion that is ahead of one at this position.
+    /// The order of the peers' completions follows from this daemon's own view of the demand.
     #[must_use]
-    pub fn peers_ahead(&self, service: &str, due: Duration, now: Duration) -> usize {
+    pub fn peers_ahead(&self, service: &str, own: &QueuePosition, now: Duration) -> usize {
         let name = service_hash(service);
         let soonest = now + self.tuning.first_token_delay;
-        let own = QueuePosition::new(due, soonest);
+        let unknown = ServiceOrder::default();
+        let order = self.demand.order(name).unwrap_or(&unknown);
         let is_ahead = |peer: &Peer| {
-            let waiting = peer.waiting.iter().find(|(service, _)| *service == name);
-            waiting.is_some_and(|(_, due)| QueuePosition::new(*due, soonest) < own)
+            let waiting = peer.waiting.iter().find(|waiting| waiting.service == name);
+            waiting.is_some_and(|first| {
+                let late = first.late || first.due < soonest;
+                order.position(first.rank, first.team, late, first.due) < *own
+            })
         };
         self.peers.known.values().filter(|peer| is_ahead(peer)).count()
     }
--- a/crates/basilbank_forward/src/state/completion_queue.rs
+++ b/crates/basilbank_forward/src/state/completion_queue.rs
@@ -34,22 +34,3 @@
         self.capacity_since.remove(service);
     }
 }
-
-/// A position in the queue. Completions that can still be on time come first, ordered by their due
-/// times.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-pub struct QueuePosition {
-    /// Whether the completion can't be on time.
-    pub late: bool,
-    /// When its first token is due.
-    pub due: Duration,
-}
-
-impl QueuePosition {
-    /// Returns the position of a completion with this due time whose first token can't come before
-    /// `soonest`.
-    #[must_use]
-    pub fn new(due: Duration, soonest: Duration) -> QueuePosition {
-        QueuePosition { late: due < soonest, due }
-    }
-}
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -8,9 +8,14 @@
 
 use basilbank_wire::PeerAddress;
 
-use super::{GenerationStats, Usage};
+use super::{
+    GenerationStats, Usage,
+    demand::{DemandKey, DemandSums},
+};
 use crate::{
     endpoint::EndpointKey,
+    rank::Rank,
+    team::TeamId,
     topic::{PerTopic, Revision},
 };
 
@@ -25,8 +30,10 @@
     pub last_seen: Duration,
     /// Its load at endpoints.
     pub loads: Vec<Load>,
-    /// When the first of its waiting completions is due, by the hash of the service's name.
-    pub waiting: Vec<(u32, Duration)>,
+    /// The first of its waiting completions at each service.
+    pub waiting: Vec<FirstWaiting>,
+    /// What its completions need and use.
+    pub demand: Vec<(DemandKey, DemandSums)>,
     /// The version of the configuration that it has in force; 0 until it has reported one.
     pub version: u64,
     /// Whether it watches the store for other daemons and the store answers it.
@@ -39,6 +46,21 @@
     pub generation_stats: Vec<(u32, GenerationStats)>,
 }
 
+/// The first of a peer's waiting completions at a service.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct FirstWaiting {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// When its first token is due.
+    pub due: Duration,
+    /// Its rank; `None` where all completions are equally urgent.
+    pub rank: Option<Rank>,
+    /// Its team; `None` where no key is needed.
+    pub team: Option<TeamId>,
+    /// Whether the peer has found that it can't be on time.
+    pub late: bool,
+}
+
 /// A peer's load at an endpoint.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub struct Load {
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{QueuePosition, Usage};
+use super::Usage;
 use crate::{
     call::Call,
     endpoint::{EndpointKey, SoftwareVersion},
@@ -13,7 +13,7 @@
 };
 
 /// Time that callers wait for a stream's first event, as a multiple of the route's target time.
-const FIRST_EVENT_TARGETS: u32 = 4;
+pub(super) const FIRST_EVENT_TARGETS: u32 = 4;
 
 /// Minimum time that callers wait for a stream's first event.
 const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_secs(2);
@@ -242,13 +242,6 @@
         first <= self.due()
     }
 
-    /// Returns its position among the waiting completions, if its first token can't come before
-    /// `soonest`.
-    #[must_use]
-    pub fn queue_position(&self, soonest: Duration) -> QueuePosition {
-        QueuePosition::new(self.due(), soonest)
-    }
-
     /// Returns when its answer has to begin to be on time.
     #[must_use]
     pub fn due(&self) -> Duration {
--- a/crates/basilbank_forward/tests/forward/line.rs
+++ b/crates/basilbank_forward/tests/forward/line.rs
@@ -17,7 +17,7 @@
     let stage = |n| if n == 0 { Stage::Prefill } else { Stage::Decode };
     rig.list((0..=1).map(|n| model(&format!("m{n}"), n + 1, stage(n))).collect());
     let service = basilbank_forward::state::service_hash(WRITER);
-    let waiting = vec![WaitingCompletion { service, due }];
+    let waiting = vec![WaitingCompletion { service, due, ..Default::default() }];
     let beat = LoadGossip { incarnation: 2, sequence: 1, waiting, ..LoadGossip::default() };
     rig.feed(Event::gossip(([10, 0, 0, 2], 7000).into(), beat));
     rig.effects.clear();
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -24,8 +24,9 @@
 };
 pub use drop_reason::DropReason;
 pub use load::{
-    AvoidedEndpoint, CallLimitReport, CrashReport, EndpointLoad, LoadGossip, PeerAddress, Permit,
-    PermitKind, QuarantinedCall, ServiceGenerationStats, StoreRevision, WaitingCompletion,
+    AvoidedEndpoint, CallLimitReport, CrashReport, DemandReport, EndpointLoad, LoadGossip,
+    PeerAddress, Permit, PermitKind, QuarantinedCall, ServiceGenerationStats, StoreRevision,
+    WaitingCompletion,
 };
 pub use message::*;
 pub use proxy::{
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -107,6 +107,9 @@
     /// Direct messages: answers to these questions.
     #[prost(message, repeated, tag = "32")]
     pub origin_answers: Vec<StreamOrigin>,
+    /// The sender's demand at services where completions wait, grouped by service.
+    #[prost(message, repeated, tag = "34")]
+    pub demand: Vec<DemandReport>,
 }
 
 /// A point in the history of the platform's store.
@@ -269,6 +272,42 @@
     /// Milliseconds until its first token is due; negative when it is late.
     #[prost(sint32, tag = "2")]
     pub due: i32,
+    /// Its rank; none where all completions are equally urgent.
+    #[prost(uint32, optional, tag = "3")]
+    pub rank: Option<u32>,
+    /// The id of its team; none where no key is needed.
+    #[prost(fixed64, optional, tag = "4")]
+    pub team: Option<u64>,
+    /// Whether it can't be on time.
+    #[prost(bool, tag = "5")]
+    pub late: bool,
+}
+
+/// What the completions of one rank and team at a service need and use, as far as the sender has
+/// them.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct DemandReport {
+    /// Hash of the service's name; 0 if it is that of the row before.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Their rank; none where all completions are equally urgent.
+    #[prost(uint32, optional, tag = "2")]
+    pub rank: Option<u32>,
+    /// The id of their team; none where no key is needed, 0 if the row sums up several teams.
+    #[prost(fixed64, optional, tag = "3")]
+    pub team: Option<u64>,
+    /// Number of completions that wait for capacity.
+    #[prost(uint32, tag = "4")]
+    pub calls: u32,
+    /// Number of these that can't be on time.
+    #[prost(uint32, tag = "5")]
+    pub late: u32,
+    /// Tokens that the waiting ones need.
+    #[prost(uint32, tag = "6")]
+    pub tokens: u32,
+    /// Tokens of those that have a slot at a decode endpoint.
+    #[prost(uint32, tag = "7")]
+    pub used: u32,
 }
 
 /// Generation speed of a service's completions, and the error of their estimated lengths.
