--- a/crates/basilbank_forward/tests/forward/load/engine.rs
+++ b/crates/basilbank_forward/tests/forward/load/engine.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use basilbank_forward::prelude::*;
+
 /// A draft that waits for memory.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -11,6 +13,7 @@
     pub since: Duration,
     pub read: Duration,
     pub has_kv: bool,
+    pub rank: Option<Rank>,
 }
 
 /// A draft that is generated.
@@ -32,6 +35,12 @@
 }
 
 impl Engine {
+    /// A draft waits behind those that are as urgent or more.
+    pub fn push(&mut self, draft: Waiting) {
+        let at = self.waiting.partition_point(|other| other.rank <= draft.rank);
+        self.waiting.insert(at, draft);
+    }
+
     /// Tokens in memory: prompts, and what has been generated so far.
     pub fn used(&self, now: Duration) -> u32 {
         let made = |run: &Running| {
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -15,10 +15,10 @@
 use basilbank_forward::{event::Liveness, prelude::*};
 use basilbank_wire::LoadGossip;
 
-pub use self::site::{Engines, Got, Phase, Placing};
+pub use self::site::{Class, Engines, Got, Phase, Placing};
 use self::{
     engine::{Engine, Running, Waiting},
-    site::{KEPT, PATIENCE, TARGET, address, daemon_at, endpoint, name, number, table},
+    site::{KEPT, PATIENCE, address, daemon_at, endpoint, name, number, table},
 };
 
 /// Prompt tokens that a prefill endpoint reads in a second.
@@ -39,7 +39,7 @@
 /// What happens to a draft at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Arrive,
+    Arrive { class: usize },
     Answer { draft: u64, attempt: u32, what: Answer },
     End { draft: u64, attempt: u32, endpoint: usize },
     Probe { daemon: usize, endpoint: usize, via: Option<SocketAddr> },
@@ -56,6 +56,7 @@
 
 /// A draft on its way.
 struct Draft {
+    class: usize,
     came: Duration,
     prompt: Prompt,
     output: u32,
@@ -72,10 +73,13 @@
     order: u64,
     endpoints: Vec<Engine>,
     drafts: HashMap<u64, Draft>,
-    arrivals: VecDeque<Duration>,
+    arrivals: VecDeque<(Duration, usize)>,
     beats: Vec<LoadGossip>,
     rng: Rng,
     got: Got,
+    got_by_class: Vec<Got>,
+    classes: Vec<Class>,
+    cut: Option<(Duration, Duration)>,
     turn: usize,
 }
 
@@ -83,6 +87,38 @@
     /// Plays phases one after the other.
     #[must_use]
     pub fn run(engines: Engines, phases: &[Phase], placing: Placing, seed: u64) -> Got {
+        let classes = vec![Class::only(phases)];
+        let mut play = Play::new(engines, classes, placing, seed);
+        play.prepare();
+        play.play();
+        play.got
+    }
+
+    /// Plays the drafts of several classes, and returns what the callers of each got.
+    #[must_use]
+    pub fn run_classes(engines: Engines, classes: &[Class], seed: u64) -> Vec<Got> {
+        Play::run_cut(engines, classes, None, seed)
+    }
+
+    /// The same. The two halves of the fleet don't hear each other for some time, given as seconds
+    /// from the beginning.
+    #[must_use]
+    pub fn run_cut(
+        engines: Engines,
+        classes: &[Class],
+        cut: Option<(u64, u64)>,
+        seed: u64,
+    ) -> Vec<Got> {
+        let placing = Placing::Router(Box::default());
+        let mut play = Play::new(engines, classes.to_vec(), placing, seed);
+        let at = |seconds| play.now + Duration::from_secs(seconds);
+        play.cut = cut.map(|(from, to)| (at(from), at(to)));
+        play.prepare();
+        play.play();
+        play.got_by_class
+    }
+
+    fn new(engines: Engines, classes: Vec<Class>, placing: Placing, seed: u64) -> Play {
         let tuning = match &placing {
             Placing::Router(tuning) => (**tuning).clone(),
             Placing::InTurn => Tuning::default(),
@@ -99,7 +135,7 @@
             };
             State::new(local, tuning.clone())
         };
-        let mut play = Play {
+        Play {
             engines,
             placing,
             states: (0..engines.daemons).map(state).collect(),
@@ -112,16 +148,16 @@
             beats: Vec::new(),
             rng: Rng::new(seed),
             got: Got::default(),
+            got_by_class: vec![Got::default(); classes.len()],
+            classes,
+            cut: None,
             turn: 0,
-        };
-        play.prepare(phases);
-        play.play();
-        play.got
+        }
     }
 
-    fn prepare(&mut self, phases: &[Phase]) {
+    fn prepare(&mut self) {
         let read = Revisions::at(1);
-        let table = Some(Arc::new(table(self.engines.memory)));
+        let table = Some(Arc::new(table(self.engines.memory, &self.classes)));
         self.feed_all(&Event::RoutesRead { revisions: read, table });
         let count = self.engines.prefill + self.engines.decode;
         let list = (0..count).map(|n| {
@@ -135,21 +171,30 @@
         });
         let engine = || Engine { token: self.engines.token, ..Engine::default() };
         self.endpoints.resize_with(usize::from(count), engine);
-        let mut at = self.now;
-        for phase in phases {
-            let end = at + phase.time;
-            loop {
-                let pause = -(1.0 - self.rng.unit()).ln() / phase.rate;
-                at += Duration::from_secs_f64(pause);
-                if end <= at {
-                    break;
+        let mut arrivals = Vec::new();
+        for (class, Class { phases, .. }) in self.classes.iter().enumerate() {
+            let mut at = self.now;
+            for phase in phases {
+                let end = at + phase.time;
+                loop {
+                    let pause = -(1.0 - self.rng.unit()).ln() / phase.rate;
+                    at += Duration::from_secs_f64(pause);
+                    if end <= at {
+                        break;
+                    }
+                    arrivals.push((at, class));
                 }
-                self.arrivals.push_back(at);
+                at = end;
             }
-            at = end;
         }
-        if let Some(first) = self.arrivals.pop_front() {
-            self.push(first, Due::Arrive);
+        arrivals.sort_unstable();
+        self.arrivals = arrivals.into();
+        self.push_arrival();
+    }
+
+    fn push_arrival(&mut self) {
+        if let Some((first, class)) = self.arrivals.pop_front() {
+            self.push(first, Due::Arrive { class });
         }
     }
 
@@ -184,7 +229,7 @@
 
     fn happen(&mut self, due: Due) {
         match due {
-            Due::Arrive => self.arrive(),
+            Due::Arrive { class } => self.arrive(class),
             Due::Answer { draft, attempt, what } => self.answer(draft, attempt, what),
             Due::End { draft, attempt, endpoint } => {
                 self.release(endpoint, draft);
@@ -215,11 +260,10 @@
         self.feed(daemon, event);
     }
 
-    fn arrive(&mut self) {
-        if let Some(next) = self.arrivals.pop_front() {
-            self.push(next, Due::Arrive);
-        }
+    fn arrive(&mut self, class: usize) {
+        self.push_arrival();
         self.got.drafts += 1;
+        self.got_by_class[class].drafts += 1;
         let id = u64::from(self.got.drafts);
         let tokens = (self.around(3000.0, 0.5)).clamp(200.0, 6600.0) as u32;
         let output =
@@ -232,7 +276,7 @@
             session: Some(id),
             parts: Vec::new(),
         };
-        let draft = Draft { came: self.now, prompt: prompt.clone(), output, first: None };
+        let draft = Draft { class, came: self.now, prompt: prompt.clone(), output, first: None };
         self.drafts.insert(id, draft);
         match self.placing {
             Placing::InTurn => self.place_in_turn(id),
@@ -242,8 +286,8 @@
                     trace_id: id.to_string(),
                     digest: Digest(id),
                     host: "shop.example".to_owned(),
-                    credential: Credential::None,
-                    path: "/draft/1".to_owned(),
+                    credential: self.classes[class].credential(),
+                    path: format!("/draft/{class}/1"),
                     caller_timeout: Some(PATIENCE),
                     prompt: Some(prompt),
                     resumption: None,
@@ -265,6 +309,13 @@
         self.read(id, 0, prefill);
     }
 
+    /// Whether a daemon hears another one now.
+    fn hears(&self, from: usize, to: usize) -> bool {
+        let is_cut = self.cut.is_some_and(|(from, to)| (from..to).contains(&self.now));
+        let half = self.states.len() / 2;
+        !is_cut || (from < half) == (to < half)
+    }
+
     /// The daemon that has a draft.
     fn daemon(&self, draft: u64) -> usize {
         usize::try_from(draft).unwrap_or_default() % self.states.len()
@@ -289,7 +340,9 @@
                     let beat = self.beats.len() - 1;
                     for to in to.into_iter().map(daemon_at) {
                         let from = u16::try_from(daemon).unwrap_or_default();
-                        self.push(self.now + WAY, Due::Heard { from, to, beat });
+                        if self.hears(daemon, to) {
+                            self.push(self.now + WAY, Due::Heard { from, to, beat });
+                        }
                     }
                 }
                 Effect::Probe(target) => {
@@ -318,7 +371,7 @@
             Op::Prefill => self.read(draft, attempt.number, endpoint),
             _ => {
                 let has_kv = matches!(attempt.op, Op::Decode { .. });
-                self.generate(draft, attempt.number, endpoint, has_kv);
+                self.generate(draft, attempt.number, endpoint, has_kv, attempt.rank);
             }
         }
     }
@@ -348,7 +401,7 @@
                     self.got.vain += 1;
                     self.drafts.remove(&draft);
                 }
-                false => self.generate(draft, attempt, endpoint, true),
+                false => self.generate(draft, attempt, endpoint, true, None),
             };
         }
         if what == Answer::Streaming
@@ -374,15 +427,22 @@
 
     /// A draft waits at the engine until there is memory for its prompt. What is generated grows beyond
     /// that; real engines then put the newest one back, which this one does not.
-    fn generate(&mut self, draft: u64, attempt: u32, endpoint: usize, has_kv: bool) {
+    fn generate(
+        &mut self,
+        draft: u64,
+        attempt: u32,
+        endpoint: usize,
+        has_kv: bool,
+        rank: Option<Rank>,
+    ) {
         let Some(tokens) = self.drafts.get(&draft).map(|d| d.prompt.tokens) else { return };
         let read = match has_kv {
             true => TRIP,
             false => BASE + Duration::from_secs_f64(f64::from(tokens) / RATE * 2.0),
         };
         let since = self.now;
-        let waiting = Waiting { draft, attempt, tokens, since, read, has_kv };
-        self.endpoints[endpoint].waiting.push_back(waiting);
+        let waiting = Waiting { draft, attempt, tokens, since, read, has_kv, rank };
+        self.endpoints[endpoint].push(waiting);
         self.admit(endpoint);
     }
 
@@ -434,9 +494,13 @@
 
     fn finish(&mut self, draft: u64, attempt: u32) {
         if let Some(draft) = self.drafts.remove(&draft) {
-            self.got.served += 1;
             let first = draft.first.unwrap_or(self.now);
-            self.got.timely += u32::from(first <= draft.came + TARGET);
+            let target = self.classes[draft.class].target;
+            let is_timely = u32::from(first <= draft.came + target);
+            for got in [&mut self.got, &mut self.got_by_class[draft.class]] {
+                got.served += 1;
+                got.timely += is_timely;
+            }
         }
         if matches!(self.placing, Placing::Router(_)) {
             let request = RequestId(draft);
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -54,6 +54,38 @@
     };
 }
 
+/// Drafts that compete with those of other classes.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// The priority of their route.
+    pub priority: u8,
+    /// Time to the first token that counts as on time.
+    pub target: Duration,
+    /// Their team and its priority, if callers show keys.
+    pub team: Option<(&'static str, Option<u8>)>,
+    /// How many come, and when.
+    pub phases: Vec<Phase>,
+}
+
+impl Class {
+    /// Drafts of the only class.
+    pub fn only(phases: &[Phase]) -> Class {
+        Class { priority: DEFAULT_PRIORITY, target: TARGET, team: None, phases: phases.to_vec() }
+    }
+
+    /// What the callers of a team show.
+    pub fn credential(&self) -> Credential {
+        self.team.map_or(Credential::None, |(name, _)| Credential::Key(key(name)))
+    }
+}
+
+/// The hash of a team's key.
+fn key(team: &str) -> KeyHash {
+    let mut hash = [0; 16];
+    hash[..8].copy_from_slice(&TeamId::of(team).0.to_le_bytes());
+    KeyHash(hash)
+}
+
 /// A share of the load that a site is made for, for some time.
 #[derive(Clone, Copy, Debug)]
 pub struct Phase {
@@ -131,28 +163,36 @@
     }
 }
 
-/// The route to the endpoints.
-pub fn table(memory: u32) -> RouteTable {
+/// The routes of the classes to the endpoints.
+pub fn table(memory: u32, classes: &[Class]) -> RouteTable {
     let engine = EngineInfo {
         memory_tokens: memory,
         kv_ttl: KEPT,
         stage_change: Duration::from_secs(6),
         max_hold: PATIENCE,
     };
-    let route = Route {
+    let route = |(n, class): (usize, &Class)| Route {
         name: "draft".to_owned(),
         host: "shop.example".to_owned(),
-        prefix: "/draft/".to_owned(),
+        prefix: format!("/draft/{n}/"),
         kind: RouteKind::Streaming,
         timeout: PATIENCE,
-        target: TARGET,
+        target: class.target,
         split: vec![(WRITER.to_owned(), 1)],
         max_attempts: 2,
         resumable: true,
         public: false,
-        priority: DEFAULT_PRIORITY,
+        priority: class.priority,
     };
-    RouteTable::new(1)
+    let routes = classes.iter().enumerate().map(route).collect();
+    let table = RouteTable::new(1)
         .with_service(WRITER, Service { engine: Some(engine) })
-        .with_routes(vec![route])
+        .with_routes(routes);
+    let teams: Vec<_> = classes.iter().filter_map(|class| class.team).collect();
+    if teams.is_empty() {
+        return table;
+    }
+    let team = |name, priority| Team { priority, ..Team::new(name) };
+    let add = |all: Teams, (name, priority)| all.with_team(team(name, priority), [key(name)]);
+    table.with_teams(teams.into_iter().fold(Teams::default(), add))
 }
