Free capacity is left to peers' more urgent completions while these can be on time

Large urgent completions need what several others leave at one endpoint; less urgent ones of other daemons took it piece by piece.

--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -22,6 +22,10 @@
     },
 };
 
+/// Maximum time for which free capacity is left to more urgent completions of peers. It bounds the
+/// effect of false and outdated reports.
+const MAX_URGENT_WAIT: Duration = Duration::from_millis(400);
+
 /// Returns the next step of a completion.
 pub fn next_step(state: &mut State, id: RequestId, now: Duration) -> NextStep {
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
@@ -97,6 +101,9 @@
     let wait =
         state.tuning.queue_step.saturating_mul(u32::try_from(peers_ahead).unwrap_or(u32::MAX));
     let turn_at = state.queue.turn_at(&service, wait, now);
+    let since = turn_at.saturating_sub(wait);
+    let urgent_until = state.urgent_until(&service, &position, now).unwrap_or_default();
+    let turn_at = turn_at.max(urgent_until.min(since + MAX_URGENT_WAIT));
     if now < turn_at {
         return NextStep::WaitForTurn(turn_at);
     }
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -4,6 +4,7 @@
 
 use super::{
     demand::{DemandSums, OTHER_TEAMS},
+    peers::FirstWaiting,
     service_hash,
 };
 use crate::{
@@ -157,6 +158,31 @@
 }
 
 impl State {
+    /// Returns until when peers' more urgent completions that block one at this position can be on
+    /// time, if there are any.
+    ///
+    /// A large completion needs the capacity that several others leave at one endpoint, one after
+    /// the other. If less urgent ones took it piece by piece, the large one would never start.
+    #[must_use]
+    pub fn urgent_until(
+        &self,
+        service: &str,
+        own: &QueuePosition,
+        now: Duration,
+    ) -> Option<Duration> {
+        let name = service_hash(service);
+        let delay = self.tuning.first_token_delay;
+        let order = self.demand.order(name)?;
+        let first = self.peers.known.values().flat_map(|peer| &peer.waiting);
+        let first = first.filter(|first| first.service == name);
+        let blocks = |first: &&FirstWaiting| {
+            let late = first.late || first.due < now + delay;
+            let position = order.position(first.rank, first.team, late, first.due);
+            !late && position.rank < own.rank && position.blocks(own)
+        };
+        first.filter(blocks).map(|first| first.due.saturating_sub(delay)).max()
+    }
+
     /// Returns the position of a request among the waiting completions of all daemons, if its
     /// first token can't come before `soonest`.
     #[must_use]
