--- a/crates/basilbank_forward/src/reduce/demand.rs
+++ b/crates/basilbank_forward/src/reduce/demand.rs
@@ -18,8 +18,7 @@
 };
 
 /// Maximum number of rows, besides one for the rest, in a fleet that is so large that the bytes
-/// between daemons are limited. With three, daemons that send a
-/// heartbeat every three seconds exceed 26 KB per second in a fleet of 320.
+/// between daemons are limited. A row takes some 25 bytes of each datagram.
 const MAX_REPORTED_ROWS_LARGE_FLEET: usize = 1;
 
 /// Maximum number of waiting completions that a peer's row is taken to have. More would be false.
--- a/crates/basilbank_forward/tests/forward/demand.rs
+++ b/crates/basilbank_forward/tests/forward/demand.rs
@@ -116,7 +116,7 @@
         used: u32::MAX,
         ..row(Some(0), 0, 0)
     };
-    let demand = vec![row(Some(77), 5, 0), row(Some(0), 0, 9), most, most];
+    let demand = [row(Some(77), 5, 0), row(Some(0), 0, 9), most, most];
     hear(&mut rig, 2, LoadGossip { demand: demand.repeat(100), ..Default::default() });
     rig.call("/draft/1", 14_000, Some(prompt(9000)));
     rig.pass_ms(50);
@@ -166,7 +166,7 @@
     let list = (0..3).map(|n| model(&format!("d{n}"), 100 + n, Stage::Decode));
     rig.list(list.chain([model("p1", 1, Stage::Prefill)]).collect());
     let mut calls = VecDeque::new();
-    let (mut bytes, mut rows, seconds) = (0, 0, 10);
+    let (mut bytes, mut rows, seconds) = (0, 0, 20);
     for step in 0..(4 + seconds) * 20 {
         for n in 1..320 {
             let beat = LoadGossip { incarnation: 1, sequence: 1 + step, ..Default::default() };
