Forecast of waiting completions, early refusal and recognized returns

Completions that can't start before their callers stop waiting were held until these disconnected. They are refused by a forecast of the memory that becomes free, and told when to return; those that return as told go before new ones. Not measured yet.

--- a/crates/basilbank_forward/src/log_line.rs
+++ b/crates/basilbank_forward/src/log_line.rs
@@ -38,6 +38,10 @@
     Pause,
     /// A call was put into quarantine.
     Quarantined,
+    /// A completion that waited has found capacity, this far from the forecast time.
+    ForecastError(Duration),
+    /// What became of a call that returned as it was told.
+    Returned(&'static str),
     /// An extra call, beyond the first of its request, is sent.
     Retry(Retry),
 }
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -29,6 +29,8 @@
         RetriesExhausted = "retries_spent",
         /// The call's time ran out before anything was run.
         WaitTimedOut = "waited_out",
+        /// No memory becomes free before the caller stops waiting, according to the forecast.
+        NoRoom = "no_room",
         /// Too many other calls are ahead in the queue.
         QueueFull = "queue_full",
         /// All endpoints have call limits, and other calls go first.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -12,6 +12,7 @@
 mod crash;
 mod endpoints;
 mod finish;
+mod forecast;
 mod freshness;
 mod gossip;
 mod gossip_send;
@@ -23,6 +24,7 @@
 mod queue;
 mod quota;
 mod records;
+mod returns;
 mod roles;
 mod statement;
 mod step;
@@ -104,6 +106,7 @@
         step::handle_timer(&mut ctx, id);
         queue::resume_waiting(&mut ctx);
     }
+    forecast::tick(&mut ctx);
     statement::tick(&mut ctx);
     suspect::tick(&mut ctx);
     crash::tick(&mut ctx);
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Context, step};
+use super::{Context, forecast, step};
 use crate::{
     call::Call,
     effect::Effect,
@@ -11,7 +11,7 @@
     route::Route,
     state::{
         Completion, Request, State,
-        requests::{OriginStage, QuotaStage},
+        requests::{OriginStage, QuotaStage, ReturnStage},
     },
     team::{Credential, Team},
 };
@@ -62,6 +62,7 @@
             ctx.log(line);
             ctx.state.requests.insert(id, request);
             ctx.set_timer(id, deadline);
+            forecast::record_arrival(ctx, id);
             step::proceed(ctx, id);
         }
         Err(refusal) => {
@@ -122,6 +123,10 @@
         resume_at: None,
         permit_deadline: None,
         retry_after: None,
+        returned: false,
+        return_stage: ReturnStage::New,
+        first_arrived: ctx.now,
+        forecast: None,
         timers: Vec::new(),
         call,
         route,
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Context, quota, remove_hold_usage, remove_usage, statement};
+use super::{Context, forecast, quota, remove_hold_usage, remove_usage, returns, statement};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -44,6 +44,7 @@
         ctx.push(Effect::AbortStream { request: id, refusal });
     } else {
         let retry_after = refusal.is_not_run().then(|| ctx.state.retry_after(id, refusal, ctx.now));
+        returns::announce(ctx, id, refusal, retry_after);
         ctx.push(Effect::Refuse { request: id, refusal, retry_after });
     }
     end_request(ctx, id, refusal.as_str());
@@ -99,7 +100,7 @@
         .with_ms("took_ms", duration)
         .with("attempts", request.attempt_count)
         .with_measurement(Measurement::Request { outcome, duration });
-    ctx.log(line);
+    ctx.log(forecast::describe_request(&request, line));
     // This is determined before the attempts are stopped: an endpoint with a running attempt may
     // have begun the call.
     let may_have_run = request.may_have_run();
@@ -152,6 +153,7 @@
             _ => None,
         };
         let base_delay = self.tuning.retry_after.mul_f64(0.75 + 0.5 * self.rng.unit());
-        base_delay.max(min_delay.unwrap_or_default())
+        let delay = base_delay.max(min_delay.unwrap_or_default());
+        self.return_delay(id, refusal, delay, now)
     }
 }
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -10,7 +10,7 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota};
+use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota, returns};
 use crate::{
     log_line::LogLine,
     state::{
@@ -123,6 +123,7 @@
     quota::handle_uses(ctx, from, gossip);
     quota::handle_states(ctx, from, &gossip.quota_states);
     origin::handle_messages(ctx, from, gossip);
+    returns::handle_messages(ctx, from, gossip);
 }
 
 /// Records a change that a peer has seen. The revision that the store was found not to have is
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -164,6 +164,7 @@
     let duration = ctx.now.saturating_sub(since);
     let service = request.service.clone();
     let pace = ctx.state.growth(&service).rate;
+    ctx.state.forecasts.service(&service).residence.record(duration.as_secs_f64(), ctx.now);
     ctx.state.generation_stats.entry(service).or_default().record(
         live.usage.tokens_left,
         duration,
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -5,9 +5,9 @@
 use super::{
     Context, add_usage, call_limit, completion,
     crash::{self, Verdict},
-    finish,
+    finish, forecast,
     next_step::{Dispatch, NextStep},
-    origin, plain, quota, remove_usage, suspect,
+    origin, plain, quota, remove_usage, returns, suspect,
 };
 use crate::{
     call::RequestId,
@@ -59,7 +59,12 @@
             };
             let waiting = ctx.state.waiting.len();
             if wait_for_capacity(ctx, id) {
-                ctx.log_request(id, LogLine::new("waits").with("ahead", waiting));
+                let is_full = matches!(next, NextStep::WaitForCapacity);
+                let line = LogLine::new("waits").with("ahead", waiting);
+                if returns::look_up(ctx, id) && is_full && !forecast::admit_to_queue(ctx, id) {
+                    return;
+                }
+                ctx.log_request(id, forecast::describe(ctx.state, id, line));
                 let lead = ctx.state.tuning.first_token_delay;
                 let deadline = ctx.state.requests.get(&id).map(|r| r.caller_deadline());
                 if let Some(deadline) = deadline {
@@ -142,6 +147,7 @@
         return finish::give_up(ctx, id, refusal);
     }
     suspect::probe_unanswered(ctx, id);
+    returns::handle_timer(ctx, id);
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     let lead = ctx.state.tuning.first_token_delay;
     if ctx.state.waiting.contains(&id) && request.caller_deadline() <= ctx.now + lead {
@@ -230,6 +236,9 @@
         ctx.state.permit_holder.use_permit(dispatch.endpoint);
     }
     add_usage(ctx.state, dispatch.endpoint, dispatch.usage);
+    if dispatch.step != Step::Hold {
+        forecast::record_start(ctx, id);
+    }
     if dispatch.step == Step::Decode {
         replace_hold_usage(ctx.state, id);
     }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -5,10 +5,12 @@
 pub mod common_parts;
 pub mod completion_queue;
 pub mod crashes;
+pub mod demand;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_records;
 pub mod evidence;
+pub mod forecast;
 pub mod freshness;
 pub mod generation;
 pub mod local;
@@ -24,6 +26,7 @@
 pub mod quotas;
 pub mod requests;
 pub mod retry_budget;
+pub mod returns;
 pub mod roles;
 pub mod statements;
 pub mod suspects;
@@ -44,9 +47,11 @@
     common_parts::CommonParts,
     completion_queue::{CompletionQueue, QueuePosition},
     crashes::Crashes,
+    demand::WorkAhead,
     directory::Directory,
     endpoint::Endpoint,
     endpoint_records::EndpointRecords,
+    forecast::Forecasts,
     freshness::Freshness,
     generation::GenerationStats,
     local::{Leaving, Local, SystemStart},
@@ -60,6 +65,7 @@
     quotas::Quotas,
     requests::{ActiveAttempt, Completion, Request},
     retry_budget::RetryBudget,
+    returns::Returns,
     roles::{OrderRight, Roles},
     statements::Statements,
     suspects::Suspects,
@@ -147,6 +153,10 @@
     pub waiting: Vec<RequestId>,
     /// The queue in which the completions of all daemons wait.
     pub queue: CompletionQueue,
+    /// Forecasts of when waiting completions start.
+    pub forecasts: Forecasts,
+    /// Refused calls that return, and when they were told to.
+    pub returns: Returns,
     /// Whether there may be new capacity for waiting completions since it was last checked.
     pub(crate) capacity_changed: bool,
     /// When capacity for waiting completions was last checked.
@@ -211,6 +221,8 @@
             generation_stats: HashMap::new(),
             waiting: Vec::new(),
             queue: CompletionQueue::default(),
+            forecasts: Forecasts::default(),
+            returns: Returns::default(),
             capacity_changed: false,
             capacity_checked: Duration::ZERO,
             routes_revision: Revision::NONE,
--- a/crates/basilbank_forward/src/state/completion_queue.rs
+++ b/crates/basilbank_forward/src/state/completion_queue.rs
@@ -35,12 +35,14 @@
     }
 }
 
-/// A position in the queue. Completions that can still be on time come first, ordered by their due
-/// times.
+/// A position in the queue. Completions that can still be on time come first, those that return as
+/// they were told before new ones, and then by due time.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub struct QueuePosition {
     /// Whether the completion can't be on time.
     pub late: bool,
+    /// Whether it is new, rather than one that was refused and returns as it was told.
+    pub is_new: bool,
     /// When its first token is due.
     pub due: Duration,
 }
@@ -50,6 +52,6 @@
     /// `soonest`.
     #[must_use]
     pub fn new(due: Duration, soonest: Duration) -> QueuePosition {
-        QueuePosition { late: due < soonest, due }
+        QueuePosition { late: due < soonest, is_new: true, due }
     }
 }
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -172,6 +172,12 @@
         self.slowness = slowness.clamp(1.0, MAX_SLOWNESS);
     }
 
+    /// Returns whether it could not be reached lately and is avoided for that.
+    #[must_use]
+    pub fn is_failing(&self, now: Duration) -> bool {
+        self.failures != 0 && now < self.avoided_until
+    }
+
     /// Records that it has accepted work.
     pub fn record_accepted(&mut self) {
         self.refusals = 0;
--- a/crates/basilbank_forward/src/state/owner.rs
+++ b/crates/basilbank_forward/src/state/owner.rs
@@ -17,6 +17,17 @@
         all.into_iter().take(count).map(|(_, address)| address).collect()
     }
 
+    /// Returns the addresses of the `count` daemons with the highest hashes for a subject, which may
+    /// include this daemon's own address.
+    #[must_use]
+    pub fn daemons_by_weight(&self, subject: u64, count: usize) -> Vec<SocketAddr> {
+        let staying = self.peers.known.iter().filter(|(_, peer)| !peer.leaving);
+        let addresses = staying.map(|(at, _)| at).chain(&self.peers.own_address);
+        let mut all: Vec<_> = addresses.filter_map(|at| weight(at, subject)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
     /// Returns the peer that owns a subject, or `None` when this daemon does. `subject` is a hash
     /// that identifies it.
     ///
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{QueuePosition, Usage};
+use super::{QueuePosition, Usage, forecast::Forecast};
 use crate::{
     call::Call,
     endpoint::{EndpointKey, SoftwareVersion},
@@ -76,6 +76,14 @@
     pub permit_deadline: Option<Duration>,
     /// Time after which its caller can be served, if that is known.
     pub retry_after: Option<Duration>,
+    /// Whether it was refused before and returns as it was told.
+    pub returned: bool,
+    /// Whether it is known if it returns as it was told.
+    pub return_stage: ReturnStage,
+    /// When its caller's first try arrived.
+    pub first_arrived: Duration,
+    /// The first forecast of its start.
+    pub forecast: Option<Forecast>,
     /// Timers that were set for it.
     pub timers: Vec<Duration>,
 }
@@ -97,6 +105,25 @@
     Settled,
 }
 
+/// Whether it is known if a call returns as it was told.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum ReturnStage {
+    /// Nothing was looked up.
+    #[default]
+    New,
+    /// The keepers were asked.
+    Asked {
+        /// Until when answers are awaited.
+        until: Duration,
+        /// When the question is sent again, once.
+        resend_at: Option<Duration>,
+        /// Number of keepers that have not answered.
+        missing: usize,
+    },
+    /// It is known, or counts as new.
+    Settled,
+}
+
 /// The state of a request's part of its team's quota.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub enum QuotaStage {
@@ -246,7 +273,7 @@
     /// `soonest`.
     #[must_use]
     pub fn queue_position(&self, soonest: Duration) -> QueuePosition {
-        QueuePosition::new(self.due(), soonest)
+        QueuePosition { is_new: !self.returned, ..QueuePosition::new(self.due(), soonest) }
     }
 
     /// Returns when its answer has to begin to be on time.
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -113,6 +113,8 @@
     /// Time that a caller refused for lack of capacity is told to wait: the time in which some
     /// completions end.
     pub retry_after: Duration,
+    /// Whether completions that can't be served in time are refused early and told when to return.
+    pub refuse_early: bool,
     /// Maximum wait of a watch by a daemon without peers: the removal of an endpoint has to be
     /// known within two seconds.
     pub solo_watch_wait: Duration,
@@ -165,6 +167,7 @@
             hedge_fraction: 0.8,
             answer_margin: Duration::from_millis(30),
             retry_after: Duration::from_millis(400),
+            refuse_early: true,
             solo_watch_wait: Duration::from_millis(1500),
             watch_wait_per_peer: Duration::from_millis(500),
             max_watch_wait: Duration::from_millis(8000),
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -121,6 +121,8 @@
     quarantined: Counter,
     permits: Counter,
     pauses: Counter,
+    forecast_error: Histogram,
+    returned: Family<ReasonLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -156,6 +158,8 @@
             quarantined: Counter::default(),
             permits: Counter::default(),
             pauses: Counter::default(),
+            forecast_error: Histogram::new(LATENCY_BOUNDS_S),
+            returned: Family::default(),
             registry: Registry::default(),
         };
         registry.register("sent", "Calls to endpoints by step", metrics.sent.clone());
@@ -199,6 +203,11 @@
         registry.register("stream_ends", help, metrics.stream_ends.clone());
         let help = "Answers of endpoints that asked for a pause";
         registry.register("pauses", help, metrics.pauses.clone());
+        let help =
+            "Difference between the forecast and the actual start of completions that waited";
+        registry.register("forecast_error_seconds", help, metrics.forecast_error.clone());
+        let help = "Calls that returned as they were told, by what became of them";
+        registry.register("returned", help, metrics.returned.clone());
         let unusable_records = metrics.unusable_records.clone();
         registry.register(
             "unusable_entries",
@@ -374,6 +383,10 @@
             Measurement::Quarantined => drop(self.quarantined.inc()),
             Measurement::Permit => drop(self.permits.inc()),
             Measurement::Pause => drop(self.pauses.inc()),
+            Measurement::ForecastError(error) => {
+                self.forecast_error.observe(error.as_secs_f64());
+            }
+            Measurement::Returned(outcome) => count(&self.returned, outcome),
             Measurement::Retry(retry) => count(&self.retried, retry.as_str()),
         }
     }
--- a/crates/basilbank_wire/src/direct.rs
+++ b/crates/basilbank_wire/src/direct.rs
@@ -124,3 +124,42 @@
     #[prost(fixed32, tag = "2")]
     pub service: u32,
 }
+
+/// Reports a call that was refused for lack of capacity and told when to return.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct RefusedCall {
+    /// The call's digest.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Milliseconds that its caller was told to wait.
+    #[prost(uint32, tag = "2")]
+    pub wait: u32,
+    /// Milliseconds since the caller's first try arrived.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+}
+
+/// Asks whether a call returns as it was told.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ReturnQuery {
+    /// The call's digest.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Identifies the call at the sender. A repeated question has the same ticket.
+    #[prost(uint64, tag = "2")]
+    pub ticket: u64,
+}
+
+/// The answer to a [`ReturnQuery`].
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct ReturnAnswer {
+    /// The ticket of the question.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Whether the call returns as it was told.
+    #[prost(bool, tag = "2")]
+    pub returned: bool,
+    /// Milliseconds since the caller's first try arrived, if so.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
+}
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -20,7 +20,7 @@
 pub use codec::FramedStream;
 pub use direct::{
     ConfigurationAge, OriginQuery, QuotaAnswer, QuotaCounted, QuotaRequest, QuotaState, QuotaUse,
-    StreamOrigin,
+    RefusedCall, ReturnAnswer, ReturnQuery, StreamOrigin,
 };
 pub use drop_reason::DropReason;
 pub use load::{
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -1,6 +1,9 @@
 //! The gossip datagram by which daemons that forward calls share their load at endpoints.
 
-use crate::direct::{ConfigurationAge, OriginQuery, QuotaState, QuotaUse, StreamOrigin};
+use crate::direct::{
+    ConfigurationAge, OriginQuery, QuotaState, QuotaUse, RefusedCall, ReturnAnswer, ReturnQuery,
+    StreamOrigin,
+};
 
 /// The load that one daemon has at endpoints, and some of the peers that it knows.
 ///
@@ -107,6 +110,15 @@
     /// Direct messages: answers to these questions.
     #[prost(message, repeated, tag = "32")]
     pub origin_answers: Vec<StreamOrigin>,
+    /// Direct messages: refused calls, for the daemons that recognize their return.
+    #[prost(message, repeated, tag = "35")]
+    pub refused_calls: Vec<RefusedCall>,
+    /// Direct messages: questions whether calls return as they were told.
+    #[prost(message, repeated, tag = "36")]
+    pub return_queries: Vec<ReturnQuery>,
+    /// Direct messages: answers to these questions.
+    #[prost(message, repeated, tag = "37")]
+    pub return_answers: Vec<ReturnAnswer>,
 }
 
 /// A point in the history of the platform's store.
