--- a/crates/basilbank_forward/src/reduce/forecast.rs
+++ b/crates/basilbank_forward/src/reduce/forecast.rs
@@ -27,6 +27,10 @@
 /// that of the place before them, so that a long queue costs little.
 const REVIEW_PLACES: usize = 32;
 
+/// Factor by which the wait of a completion that can still be on time may exceed what makes it late
+/// before it counts as late. The queues of peers are estimated from this daemon's own.
+const QUEUE_DOUBT: f64 = 2.0;
+
 /// Work ahead of a completion, in tokens.
 #[derive(Clone, Copy)]
 struct Ahead {
@@ -149,9 +153,10 @@
     let forecast = |start| Some(Forecast { start, margin, report_age, error: None });
     let returns = if returned { 0.0 } else { known.returns.certain_rate(daemons, now) };
     let can_be_on_time = now + lead <= due;
+    let doubted = (due.saturating_sub(now + lead)).mul_f64(QUEUE_DOUBT) + margin;
     if can_be_on_time
         && let Some(start) = supply.free_at(own + ahead.on_time, returns)
-        && start + lead <= due + margin
+        && start <= now + doubted
     {
         return forecast(Some(start));
     }
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -1,5 +1,6 @@
 //! A load that is played in virtual time: drafts come, simple engines serve them.
 
+mod callers;
 mod engine;
 mod site;
 
@@ -15,7 +16,10 @@
 use basilbank_forward::{event::Liveness, prelude::*};
 use basilbank_wire::LoadGossip;
 
-pub use self::site::{Engines, Got, Phase, Placing};
+pub use self::{
+    callers::{Callers, Told, Trouble},
+    site::{Engines, Got, Phase, Placing},
+};
 use self::{
     engine::{Engine, Running, Waiting},
     site::{KEPT, PATIENCE, TARGET, address, daemon_at, endpoint, name, number, table},
@@ -36,6 +40,9 @@
 /// How long a call to a dark endpoint is waited for.
 const DARK: Duration = Duration::from_millis(250);
 
+/// Time after which a play ends whatever is still going on.
+const LONGEST: Duration = Duration::from_secs(120);
+
 /// What happens to a draft at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -44,6 +51,8 @@
     End { draft: u64, attempt: u32, endpoint: usize },
     Probe { daemon: usize, endpoint: usize, via: Option<SocketAddr> },
     Heard { from: u16, to: usize, beat: usize },
+    Return { draft: u64 },
+    Restart,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -60,6 +69,8 @@
     prompt: Prompt,
     output: u32,
     first: Option<Duration>,
+    caller: u64,
+    tries: u32,
 }
 
 /// One play.
@@ -77,33 +88,35 @@
     rng: Rng,
     got: Got,
     turn: usize,
+    callers: Callers,
+    told: Told,
+    again: u64,
+    restarts: u64,
+    began: Duration,
 }
 
 impl Play {
     /// Plays phases one after the other.
     #[must_use]
     pub fn run(engines: Engines, phases: &[Phase], placing: Placing, seed: u64) -> Got {
-        let tuning = match &placing {
-            Placing::Router(tuning) => (**tuning).clone(),
-            Placing::InTurn => Tuning::default(),
-        };
-        let state = |n: u16| {
-            let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
-            let local = local.with_start(SystemStart::Restart);
-            let local = match engines.hearing {
-                true => local
-                    .with_incarnation(1)
-                    .with_address(address(n))
-                    .with_seeds((0..engines.daemons).map(address).collect()),
-                false => local,
-            };
-            State::new(local, tuning.clone())
-        };
+        Play::run_with(engines, phases, placing, seed, Callers::default()).0
+    }
+
+    /// The same, with callers who come back.
+    #[must_use]
+    pub fn run_with(
+        engines: Engines,
+        phases: &[Phase],
+        placing: Placing,
+        seed: u64,
+        callers: Callers,
+    ) -> (Got, Told) {
+        let began = Duration::from_secs(100);
         let mut play = Play {
             engines,
             placing,
-            states: (0..engines.daemons).map(state).collect(),
-            now: Duration::from_secs(100),
+            states: Vec::new(),
+            now: began,
             due: BinaryHeap::new(),
             order: 0,
             endpoints: Vec::new(),
@@ -113,13 +126,39 @@
             rng: Rng::new(seed),
             got: Got::default(),
             turn: 0,
+            callers,
+            told: Told::default(),
+            again: 0,
+            restarts: 0,
+            began,
         };
+        play.states = (0..engines.daemons).map(|n| play.new_state(n)).collect();
+        if let Trouble::Restart(at) = callers.trouble {
+            play.push(began + at, Due::Restart);
+        }
         play.prepare(phases);
         play.play();
-        play.got
+        (play.got, play.told)
     }
 
-    fn prepare(&mut self, phases: &[Phase]) {
+    fn new_state(&self, n: u16) -> State {
+        let tuning = match &self.placing {
+            Placing::Router(tuning) => (**tuning).clone(),
+            Placing::InTurn => Tuning::default(),
+        };
+        let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
+        let local = local.with_start(SystemStart::Restart);
+        let local = match self.engines.hearing {
+            true => local
+                .with_incarnation(1 + self.restarts * 100_000)
+                .with_address(address(n))
+                .with_seeds((0..self.engines.daemons).map(address).collect()),
+            false => local,
+        };
+        State::new(local, tuning)
+    }
+
+    fn configure(&mut self) {
         let read = Revisions::at(1);
         let table = Some(Arc::new(table(self.engines.memory)));
         self.feed_all(&Event::RoutesRead { revisions: read, table });
@@ -133,6 +172,11 @@
             updated: list.collect(),
             removed: Vec::new(),
         });
+    }
+
+    fn prepare(&mut self, phases: &[Phase]) {
+        self.configure();
+        let count = self.engines.prefill + self.engines.decode;
         let engine = || Engine { token: self.engines.token, ..Engine::default() };
         self.endpoints.resize_with(usize::from(count), engine);
         let mut at = self.now;
@@ -155,6 +199,9 @@
 
     fn play(&mut self) {
         loop {
+            if self.began + LONGEST < self.now {
+                return;
+            }
             let next = self.due.peek().map(|Reverse((at, ..))| *at);
             let tick = self.states.iter().filter_map(State::wake_at).min();
             let Some(at) = next else {
@@ -195,6 +242,8 @@
                 self.feed(to, Event::gossip(address(from), beat));
             }
             Due::Probe { daemon, endpoint, via } => self.probed(daemon, endpoint, via),
+            Due::Return { draft } => self.call(draft),
+            Due::Restart => self.restart(),
         }
     }
 
@@ -232,15 +281,23 @@
             session: Some(id),
             parts: Vec::new(),
         };
-        let draft = Draft { came: self.now, prompt: prompt.clone(), output, first: None };
+        let draft = Draft { came: self.now, prompt, output, first: None, caller: id, tries: 0 };
         self.drafts.insert(id, draft);
+        self.count_caller(id);
+        self.call(id);
+    }
+
+    /// A draft comes to a daemon.
+    fn call(&mut self, id: u64) {
+        let Some(draft) = self.drafts.get(&id) else { return };
+        let (prompt, caller) = (draft.prompt.clone(), draft.caller);
         match self.placing {
             Placing::InTurn => self.place_in_turn(id),
             Placing::Router(_) => {
                 let call = Call {
                     id: RequestId(id),
                     trace_id: id.to_string(),
-                    digest: Digest(id),
+                    digest: Digest(caller),
                     host: "shop.example".to_owned(),
                     credential: Credential::None,
                     path: "/draft/1".to_owned(),
@@ -278,10 +335,15 @@
         let wall = SystemTime::UNIX_EPOCH + self.now;
         let mut effects = Vec::new();
         reduce(&mut self.states[daemon], Now { mono: self.now, wall }, event, &mut effects);
+        let records = self.states[daemon].returns.len();
+        self.told.most_records = self.told.most_records.max(records);
         for effect in effects {
             match effect {
                 Effect::Start { request, attempt } => self.start(request.0, &attempt),
-                Effect::Refuse { request, .. } | Effect::AbortStream { request, .. } => {
+                Effect::Refuse { request, refusal, retry_after } => {
+                    self.refused(request.0, refusal, retry_after);
+                }
+                Effect::AbortStream { request, .. } => {
                     self.drafts.remove(&request.0);
                 }
                 Effect::SendGossip { to, gossip } => {
@@ -325,7 +387,11 @@
 
     fn is_dark(&self, endpoint: usize) -> bool {
         let first = usize::from(self.engines.prefill);
-        (first..first + usize::from(self.engines.dark)).contains(&endpoint)
+        let dark = match self.callers.trouble {
+            Trouble::Dark(at, dark) if self.began + at <= self.now => dark,
+            _ => self.engines.dark,
+        };
+        (first..first + usize::from(dark)).contains(&endpoint)
     }
 
     /// Prompts are read one after the other.
@@ -433,10 +499,13 @@
     }
 
     fn finish(&mut self, draft: u64, attempt: u32) {
-        if let Some(draft) = self.drafts.remove(&draft) {
+        let ended = self.drafts.remove(&draft);
+        if let Some(draft) = ended {
             self.got.served += 1;
             let first = draft.first.unwrap_or(self.now);
-            self.got.timely += u32::from(first <= draft.came + TARGET);
+            let is_timely = first <= draft.came + TARGET;
+            self.got.timely += u32::from(is_timely);
+            self.count_served(&draft, is_timely);
         }
         if matches!(self.placing, Placing::Router(_)) {
             let request = RequestId(draft);
