--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -13,6 +13,7 @@
 mod demand;
 mod endpoints;
 mod finish;
+mod forecast;
 mod freshness;
 mod gossip;
 mod gossip_send;
@@ -25,6 +26,7 @@
 mod quota;
 mod records;
 mod relays;
+mod returns;
 mod roles;
 mod statement;
 mod step;
@@ -106,6 +108,7 @@
         step::handle_timer(&mut ctx, id);
         queue::resume_waiting(&mut ctx);
     }
+    forecast::tick(&mut ctx);
     statement::tick(&mut ctx);
     suspect::tick(&mut ctx);
     crash::tick(&mut ctx);
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -10,7 +10,9 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, crash, demand, freshness, gossip_send, origin, quota, relays};
+use super::{
+    Context, call_limit, crash, demand, freshness, gossip_send, origin, quota, relays, returns,
+};
 use crate::{
     log_line::LogLine,
     rank::{MAX_PRIORITY, Rank},
@@ -147,6 +149,7 @@
     quota::handle_uses(ctx, from, gossip);
     quota::handle_states(ctx, from, &gossip.quota_states);
     origin::handle_messages(ctx, from, gossip);
+    returns::handle_messages(ctx, from, gossip);
 }
 
 /// Records a change that a peer has seen. The revision that the store was found not to have is
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -10,6 +10,7 @@
 pub mod endpoint;
 pub mod endpoint_records;
 pub mod evidence;
+pub mod forecast;
 pub mod freshness;
 pub mod generation;
 pub mod local;
@@ -27,6 +28,7 @@
 pub mod relays;
 pub mod requests;
 pub mod retry_budget;
+pub mod returns;
 pub mod roles;
 pub mod statements;
 pub mod suspects;
@@ -51,6 +53,7 @@
     directory::Directory,
     endpoint::Endpoint,
     endpoint_records::EndpointRecords,
+    forecast::Forecasts,
     freshness::Freshness,
     generation::GenerationStats,
     local::{Leaving, Local, SystemStart},
@@ -65,6 +68,7 @@
     quotas::Quotas,
     requests::{ActiveAttempt, Completion, Request},
     retry_budget::RetryBudget,
+    returns::Returns,
     roles::{OrderRight, Roles},
     statements::Statements,
     suspects::Suspects,
@@ -154,6 +158,10 @@
     pub queue: CompletionQueue,
     /// What the completions of all daemons need and use, which decides the order of the queue.
     pub demand: Demand,
+    /// Forecasts of when waiting completions start.
+    pub forecasts: Forecasts,
+    /// Refused calls that return, and when they were told to.
+    pub returns: Returns,
     /// Whether there may be new capacity for waiting completions since it was last checked.
     pub(crate) capacity_changed: bool,
     /// When capacity for waiting completions was last checked.
@@ -219,6 +227,8 @@
             waiting: Vec::new(),
             queue: CompletionQueue::default(),
             demand: Demand::default(),
+            forecasts: Forecasts::default(),
+            returns: Returns::default(),
             capacity_changed: false,
             capacity_checked: Duration::ZERO,
             routes_revision: Revision::NONE,
--- a/crates/basilbank_forward/src/state/completion_queue.rs
+++ b/crates/basilbank_forward/src/state/completion_queue.rs
@@ -29,6 +29,12 @@
         since + wait
     }
 
+    /// Returns whether a service has free capacity, as far as this daemon knows.
+    #[must_use]
+    pub fn has_capacity(&self, service: &str) -> bool {
+        self.capacity_since.contains_key(service)
+    }
+
     /// Records that a service has no free capacity, or that a completion has taken it.
     pub fn clear_capacity(&mut self, service: &str) {
         self.capacity_since.remove(service);
--- a/crates/basilbank_forward/src/state/demand.rs
+++ b/crates/basilbank_forward/src/state/demand.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::{QueuePosition, Request, State, queue_order::ServiceOrder, service_hash};
+use super::{Peer, QueuePosition, Request, State, queue_order::ServiceOrder, service_hash};
 use crate::{
     rank::Rank,
     state::requests::{FIRST_EVENT_TARGETS, Step},
@@ -241,6 +241,14 @@
         ahead
     }
 
+    /// Returns the number of peers with completions waiting at a service.
+    #[must_use]
+    pub fn peers_waiting(&self, service: &str) -> u32 {
+        let name = service_hash(service);
+        let waits = |peer: &&Peer| peer.waiting.iter().any(|first| first.service == name);
+        u32::try_from(self.peers.known.values().filter(waits).count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns which part of a peer's row, of its late completions or of the others, is ahead of a
     /// position.
     fn part_ahead(
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -37,6 +37,8 @@
     pub yields: bool,
     /// Its rank; the first where all completions are equally urgent.
     pub rank: Rank,
+    /// Whether it is new, rather than one that was refused and returns as it was told.
+    pub is_new: bool,
     /// Its team's memory in use per weight, in steps.
     pub use_step: u16,
     /// When its first token is due.
@@ -48,7 +50,14 @@
     /// `soonest`, where there are neither ranks nor teams.
     #[must_use]
     pub fn new(due: Duration, soonest: Duration) -> QueuePosition {
-        QueuePosition { late: due < soonest, yields: false, rank: Rank(0), use_step: 0, due }
+        QueuePosition {
+            late: due < soonest,
+            yields: false,
+            rank: Rank(0),
+            is_new: true,
+            use_step: 0,
+            due,
+        }
     }
 
     /// Returns whether `later` waits while this one waits for capacity. A less urgent completion
@@ -127,7 +136,7 @@
         let owed = if late { self.owed_late } else { self.owed_timely };
         let yields = owed.is_some_and(|owed| owed != rank);
         let use_step = self.team_use(team).map_or(0, |team| team.step);
-        QueuePosition { late, yields, rank, use_step, due }
+        QueuePosition { late, yields, rank, is_new: true, use_step, due }
     }
 }
 
@@ -189,9 +198,9 @@
     #[must_use]
     pub fn queue_position(&self, request: &Request, soonest: Duration) -> QueuePosition {
         let (due, team) = (request.due(), request.team_id());
-        match self.demand.order(service_hash(&request.service)) {
-            Some(order) => order.position(request.rank, team, due < soonest, due),
-            None => ServiceOrder::default().position(request.rank, team, due < soonest, due),
-        }
+        let unknown = ServiceOrder::default();
+        let order = self.demand.order(service_hash(&request.service)).unwrap_or(&unknown);
+        let position = order.position(request.rank, team, due < soonest, due);
+        QueuePosition { is_new: !request.returned, ..position }
     }
 }
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::Usage;
+use super::{Usage, forecast::Forecast};
 use crate::{
     call::Call,
     endpoint::{EndpointKey, SoftwareVersion},
@@ -76,6 +76,16 @@
     pub permit_deadline: Option<Duration>,
     /// Time after which its caller can be served, if that is known.
     pub retry_after: Option<Duration>,
+    /// Whether it was refused before and returns as it was told.
+    pub returned: bool,
+    /// Whether it is known if it returns as it was told.
+    pub return_stage: ReturnStage,
+    /// Peers that were asked and have not answered.
+    pub asked_keepers: Vec<SocketAddr>,
+    /// When its caller's first try arrived.
+    pub first_arrived: Duration,
+    /// The first forecast of its start.
+    pub forecast: Option<Forecast>,
     /// Timers that were set for it.
     pub timers: Vec<Duration>,
 }
@@ -97,6 +107,23 @@
     Settled,
 }
 
+/// Whether it is known if a call returns as it was told.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum ReturnStage {
+    /// Nothing was looked up.
+    #[default]
+    New,
+    /// The keepers were asked.
+    Asked {
+        /// Until when answers are awaited.
+        until: Duration,
+        /// When the question is sent again, once.
+        resend_at: Option<Duration>,
+    },
+    /// It is known, or counts as new.
+    Settled,
+}
+
 /// The state of a request's part of its team's quota.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub enum QuotaStage {
@@ -245,6 +272,6 @@
     /// Returns when its answer has to begin to be on time.
     #[must_use]
     pub fn due(&self) -> Duration {
-        self.arrived + self.route.target
+        self.first_arrived + self.route.target
     }
 }
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -1,5 +1,6 @@
 //! A load that is played in virtual time: drafts come, simple engines serve them.
 
+mod callers;
 mod engine;
 mod site;
 
@@ -15,7 +16,10 @@
 use basilbank_forward::{event::Liveness, prelude::*};
 use basilbank_wire::LoadGossip;
 
-pub use self::site::{Class, Engines, Got, Phase, Placing};
+pub use self::{
+    callers::{Callers, Told},
+    site::{Class, Engines, Got, Phase, Placing},
+};
 use self::{
     engine::{Engine, Running, Waiting},
     site::{KEPT, PATIENCE, address, daemon_at, endpoint, name, number, table},
@@ -36,6 +40,9 @@
 /// How long a call to a dark endpoint is waited for.
 const DARK: Duration = Duration::from_millis(250);
 
+/// Time after which a play with callers who come back ends whatever is still going on.
+const LONGEST: Duration = Duration::from_secs(120);
+
 /// What happens to a draft at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -44,6 +51,8 @@
     End { draft: u64, attempt: u32, endpoint: usize },
     Probe { daemon: usize, endpoint: usize, via: Option<SocketAddr> },
     Heard { from: u16, to: usize, beat: usize },
+    Return { draft: u64 },
+    Restart,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,6 +70,8 @@
     prompt: Prompt,
     output: u32,
     first: Option<Duration>,
+    caller: u64,
+    tries: u32,
 }
 
 /// One play.
@@ -81,6 +92,11 @@
     classes: Vec<Class>,
     cut: Option<(Duration, Duration)>,
     turn: usize,
+    callers: Callers,
+    told: Told,
+    again: u64,
+    restarts: u64,
+    began: Duration,
 }
 
 impl Play {
@@ -109,28 +125,52 @@
         (play.got, play.got_by_class)
     }
 
-    fn new(engines: Engines, classes: Vec<Class>, placing: Placing, seed: u64) -> Play {
-        let tuning = match &placing {
+    /// Plays phases with callers who come back. A class without callers of its own gives the service
+    /// ranks.
+    #[must_use]
+    pub fn run_with(
+        engines: Engines,
+        phases: &[Phase],
+        placing: Placing,
+        seed: u64,
+        callers: Callers,
+    ) -> (Got, Told) {
+        let idle = Class { priority: 0, ..Class::only(&[]) };
+        let classes = vec![Class { priority: 2, ..Class::only(phases) }, idle];
+        let mut play = Play::new(engines, classes, placing, seed);
+        play.callers = callers;
+        if let Some(at) = callers.restart {
+            play.push(play.began + at, Due::Restart);
+        }
+        play.prepare();
+        play.play();
+        (play.got, play.told)
+    }
+
+    fn new_state(&self, n: u16) -> State {
+        let tuning = match &self.placing {
             Placing::Router(tuning) => (**tuning).clone(),
             Placing::InTurn => Tuning::default(),
         };
-        let state = |n: u16| {
-            let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
-            let local = local.with_start(SystemStart::Restart);
-            let local = match engines.hearing {
-                true => local
-                    .with_incarnation(1)
-                    .with_address(address(n))
-                    .with_seeds((0..engines.daemons).map(address).collect()),
-                false => local,
-            };
-            State::new(local, tuning.clone())
+        let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
+        let local = local.with_start(SystemStart::Restart);
+        let local = match self.engines.hearing {
+            true => local
+                .with_incarnation(1 + self.restarts * 100_000)
+                .with_address(address(n))
+                .with_seeds((0..self.engines.daemons).map(address).collect()),
+            false => local,
         };
-        Play {
+        State::new(local, tuning)
+    }
+
+    fn new(engines: Engines, classes: Vec<Class>, placing: Placing, seed: u64) -> Play {
+        let began = Duration::from_secs(100);
+        let mut play = Play {
             engines,
             placing,
-            states: (0..engines.daemons).map(state).collect(),
-            now: Duration::from_secs(100),
+            states: Vec::new(),
+            now: began,
             due: BinaryHeap::new(),
             order: 0,
             endpoints: Vec::new(),
@@ -143,10 +183,17 @@
             classes,
             cut: None,
             turn: 0,
-        }
+            callers: Callers::default(),
+            told: Told::default(),
+            again: 0,
+            restarts: 0,
+            began,
+        };
+        play.states = (0..engines.daemons).map(|n| play.new_state(n)).collect();
+        play
     }
 
-    fn prepare(&mut self) {
+    fn configure(&mut self) {
         let read = Revisions::at(1);
         let table = Some(Arc::new(table(self.engines.memory, &self.classes)));
         self.feed_all(&Event::RoutesRead { revisions: read, table });
@@ -160,6 +207,11 @@
             updated: list.collect(),
             removed: Vec::new(),
         });
+    }
+
+    fn prepare(&mut self) {
+        self.configure();
+        let count = self.engines.prefill + self.engines.decode;
         let engine = || Engine { token: self.engines.token, ..Engine::default() };
         self.endpoints.resize_with(usize::from(count), engine);
         let mut arrivals = Vec::new();
@@ -207,6 +259,9 @@
                 continue;
             }
             self.now = at.max(self.now);
+            if self.callers != Callers::default() && self.began + LONGEST < self.now {
+                return;
+            }
             if let Some(Reverse((_, _, due))) = self.due.pop() {
                 self.happen(due);
             }
@@ -231,6 +286,8 @@
                 self.feed(to, Event::gossip(address(from), beat));
             }
             Due::Probe { daemon, endpoint, via } => self.probed(daemon, endpoint, via),
+            Due::Return { draft } => self.call(draft),
+            Due::Restart => self.restart(),
         }
     }
 
@@ -267,15 +324,24 @@
             session: Some(id),
             parts: Vec::new(),
         };
-        let draft = Draft { class, came: self.now, prompt: prompt.clone(), output, first: None };
+        let (came, first) = (self.now, None);
+        let draft = Draft { class, came, prompt, output, first, caller: id, tries: 0 };
         self.drafts.insert(id, draft);
+        self.count_caller(id);
+        self.call(id);
+    }
+
+    /// A draft comes to a daemon.
+    fn call(&mut self, id: u64) {
+        let Some(draft) = self.drafts.get(&id) else { return };
+        let (class, prompt, caller) = (draft.class, draft.prompt.clone(), draft.caller);
         match self.placing {
             Placing::InTurn => self.place_in_turn(id),
             Placing::Router(_) => {
                 let call = Call {
                     id: RequestId(id),
                     trace_id: id.to_string(),
-                    digest: Digest(id),
+                    digest: Digest(caller),
                     host: "shop.example".to_owned(),
                     credential: self.classes[class].credential(),
                     path: format!("/draft/{class}/1"),
@@ -320,10 +386,15 @@
         let wall = SystemTime::UNIX_EPOCH + self.now;
         let mut effects = Vec::new();
         reduce(&mut self.states[daemon], Now { mono: self.now, wall }, event, &mut effects);
+        let records = self.states[daemon].returns.len();
+        self.told.most_records = self.told.most_records.max(records);
         for effect in effects {
             match effect {
                 Effect::Start { request, attempt } => self.start(request.0, &attempt),
-                Effect::Refuse { request, .. } | Effect::AbortStream { request, .. } => {
+                Effect::Refuse { request, refusal, retry_after } => {
+                    self.refused(request.0, refusal, retry_after);
+                }
+                Effect::AbortStream { request, .. } => {
                     self.drafts.remove(&request.0);
                 }
                 Effect::SendGossip { to, gossip } => {
@@ -369,7 +440,11 @@
 
     fn is_dark(&self, endpoint: usize) -> bool {
         let first = usize::from(self.engines.prefill);
-        (first..first + usize::from(self.engines.dark)).contains(&endpoint)
+        let dark = match self.callers.dark {
+            Some((at, dark)) if self.began + at <= self.now => dark,
+            _ => self.engines.dark,
+        };
+        (first..first + usize::from(dark)).contains(&endpoint)
     }
 
     /// Prompts are read one after the other.
@@ -488,6 +563,7 @@
             let first = draft.first.unwrap_or(self.now);
             let target = self.classes[draft.class].target;
             let is_timely = u32::from(first <= draft.came + target);
+            self.count_served(&draft, is_timely != 0);
             for got in [&mut self.got, &mut self.got_by_class[draft.class]] {
                 got.served += 1;
                 got.timely += is_timely;
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -1,6 +1,9 @@
 //! The gossip datagram by which daemons that forward calls share their load at endpoints.
 
-use crate::direct::{ConfigurationAge, OriginQuery, QuotaState, QuotaUse, StreamOrigin};
+use crate::direct::{
+    ConfigurationAge, OriginQuery, QuotaState, QuotaUse, RefusedCall, ReturnAnswer, ReturnQuery,
+    StreamOrigin,
+};
 
 /// The load that one daemon has at endpoints, and some of the peers that it knows.
 ///
@@ -110,6 +113,15 @@
     /// The sender's demand at services where completions wait, grouped by service.
     #[prost(message, repeated, tag = "34")]
     pub demand: Vec<DemandReport>,
+    /// Direct messages: refused calls, for the daemons that recognize their return.
+    #[prost(message, repeated, tag = "35")]
+    pub refused_calls: Vec<RefusedCall>,
+    /// Direct messages: questions whether calls return as they were told.
+    #[prost(message, repeated, tag = "36")]
+    pub return_queries: Vec<ReturnQuery>,
+    /// Direct messages: answers to these questions.
+    #[prost(message, repeated, tag = "37")]
+    pub return_answers: Vec<ReturnAnswer>,
     /// Hash of the name of the sender's data centre; 0 when it is unknown, or when an earlier
     /// datagram reported it.
     #[prost(fixed32, tag = "41")]
