Completions without a rank are not taken for the most urgent ones

A missing rank counted as rank 0. A peer of the previous release, which reports neither rank nor team, was therefore ahead of every completion at a service with ranks, and own completions without a rank went before those that have one. Such a peer's completion is now compared by lateness and due time alone and holds back no others; an own completion without a rank is the least urgent one.

--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -361,10 +361,7 @@
         let order = self.demand.order(name).unwrap_or(&unknown);
         let is_ahead = |peer: &Peer| {
             let waiting = peer.waiting.iter().find(|waiting| waiting.service == name);
-            waiting.is_some_and(|first| {
-                let late = first.late || first.due < soonest;
-                order.position(first.rank, first.team, late, first.due) < *own
-            })
+            waiting.is_some_and(|first| order.peer_position(first, soonest, own) < *own)
         };
         self.peers.known.values().filter(|peer| is_ahead(peer)).count()
     }
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -8,7 +8,7 @@
     service_hash,
 };
 use crate::{
-    rank::Rank,
+    rank::{MAX_PRIORITY, Rank},
     state::{Request, State},
     team::TeamId,
 };
@@ -25,6 +25,9 @@
 /// Step of a use per weight of 1. It is above 0 because teams with high weights use less than that.
 const UNIT_USE_STEP: f64 = 500.0;
 
+/// Rank of a completion without one where others have ranks.
+const LEAST_URGENT: Rank = Rank(MAX_PRIORITY);
+
 /// Least weight of a team, which keeps the use per weight finite.
 const MIN_WEIGHT: f64 = 1e-9;
 
@@ -35,7 +38,7 @@
     pub late: bool,
     /// Whether another rank goes before it because that rank is owed memory.
     pub yields: bool,
-    /// Its rank; the first where all completions are equally urgent.
+    /// Its rank; the same for all where they are equally urgent.
     pub rank: Rank,
     /// Its team's memory in use per weight, in steps.
     pub use_step: u16,
@@ -48,7 +51,7 @@
     /// `soonest`, where there are neither ranks nor teams.
     #[must_use]
     pub fn new(due: Duration, soonest: Duration) -> QueuePosition {
-        QueuePosition { late: due < soonest, yields: false, rank: Rank(0), use_step: 0, due }
+        QueuePosition { late: due < soonest, yields: false, rank: LEAST_URGENT, use_step: 0, due }
     }
 
     /// Returns whether `later` waits while this one waits for capacity. A less urgent completion
@@ -123,12 +126,28 @@
         late: bool,
         due: Duration,
     ) -> QueuePosition {
-        let rank = rank.unwrap_or_default();
+        let rank = rank.unwrap_or(LEAST_URGENT);
         let owed = if late { self.owed_late } else { self.owed_timely };
         let yields = owed.is_some_and(|owed| owed != rank);
         let use_step = self.team_use(team).map_or(0, |team| team.step);
         QueuePosition { late, yields, rank, use_step, due }
     }
+
+    /// Returns the position of a peer's first waiting completion, compared with an own one at
+    /// position `own`. Daemons of a release without ranks report neither a rank nor a team, so
+    /// only the due times decide there.
+    pub(super) fn peer_position(
+        &self,
+        first: &FirstWaiting,
+        soonest: Duration,
+        own: &QueuePosition,
+    ) -> QueuePosition {
+        let late = first.late || first.due < soonest;
+        if first.rank.is_none() && first.team.is_none() {
+            return QueuePosition { late, due: first.due, ..*own };
+        }
+        self.position(first.rank, first.team, late, first.due)
+    }
 }
 
 /// Returns the least urgent rank that waits, if the ranks below the most urgent waiting one hold
@@ -137,7 +156,7 @@
     demand: &[(Option<Rank>, Option<TeamId>, DemandSums)],
     waiting: impl Fn(&DemandSums) -> u64,
 ) -> Option<Rank> {
-    let rank = |rank: &Option<Rank>| rank.unwrap_or_default();
+    let rank = |rank: &Option<Rank>| rank.unwrap_or(LEAST_URGENT);
     let waiting_ranks =
         || demand.iter().filter(|(.., sums)| waiting(sums) != 0).map(|(of, ..)| rank(of));
     let (first, last) = (waiting_ranks().min()?, waiting_ranks().max()?);
@@ -177,9 +196,8 @@
         let first = self.peers.known.values().flat_map(|peer| &peer.waiting);
         let first = first.filter(|first| first.service == name);
         let blocks = |first: &&FirstWaiting| {
-            let late = first.late || first.due < now + delay;
-            let position = order.position(first.rank, first.team, late, first.due);
-            !late && position.rank < own.rank && position.blocks(own)
+            let position = order.peer_position(first, now + delay, own);
+            !position.late && position.rank < own.rank && position.blocks(own)
         };
         first.filter(blocks).map(|first| first.due.saturating_sub(delay)).max()
     }
--- a/crates/basilbank_forward/tests/forward/demand.rs
+++ b/crates/basilbank_forward/tests/forward/demand.rs
@@ -139,6 +139,22 @@
     assert_eq!(rig.starts().len(), 1);
 }
 
+/// Guards against daemons of the previous release whose every completion counts as the most urgent.
+#[test]
+fn a_peers_completion_without_rank_and_team_is_compared_by_its_due_time() {
+    let mut rig = rig(ranked());
+    let service = service_hash(WRITER);
+    let first = |due| WaitingCompletion { service, due, ..Default::default() };
+    hear(&mut rig, 2, LoadGossip { waiting: vec![first(2000)], ..Default::default() });
+    rig.call("/draft/1", 14_000, Some(prompt(1000)));
+    assert_eq!(rig.starts().len(), 1);
+    hear(&mut rig, 3, LoadGossip { waiting: vec![first(600)], ..Default::default() });
+    rig.call("/draft/2", 14_000, Some(prompt(1000)));
+    assert!(rig.starts().is_empty(), "the peer's completion is due first");
+    rig.pass_ms(20);
+    assert_eq!(rig.starts().len(), 1);
+}
+
 /// A new completion must not take the capacity that a more urgent one of the same daemon waits for.
 #[test]
 fn a_new_completion_waits_behind_more_urgent_ones() {
--- a/crates/basilbank_forward/tests/forward/urgency.rs
+++ b/crates/basilbank_forward/tests/forward/urgency.rs
@@ -100,6 +100,14 @@
     }
 }
 
+/// Guards against completions without a rank that go before all that have one.
+#[test]
+fn one_without_a_rank_goes_last_where_others_have_ranks() {
+    let unranked = DemandSums { calls: 1, late: 0, tokens: 1000, used: 1000 };
+    let order = order(&[of_rank(0, 1, 0, 5000), of_rank(1, 1, 0, 4000), (None, None, unranked)]);
+    assert!(at(&order, 1, false, 200) < order.position(None, None, false, ms(100)));
+}
+
 fn class(priority: u8, target: u64, rates: &[(f64, u32)]) -> Class {
     let phase = |(rate, seconds): &(f64, u32)| Phase { rate: *rate, time: SECOND * *seconds };
     Class { priority, target: ms(target), team: None, phases: rates.iter().map(phase).collect() }
