Peers' demand is bounded by the service's ranks and memory

A false or outdated report could bring ranks to a service that has none in this daemon's configuration, and with them an order and delays there. Rows also could claim more tokens than the endpoints have memory. Ranks of rows and of first waiting completions now count only at services with ranks. The waiting tokens of rows are limited to their calls times an endpoint's memory, the tokens in use to the memory of all endpoints in service. Both tests fail without the change.

--- a/crates/basilbank_forward/src/rank.rs
+++ b/crates/basilbank_forward/src/rank.rs
@@ -71,6 +71,15 @@
         let rank = if pairs.len() <= RANK_COUNT { index } else { index * RANK_COUNT / pairs.len() };
         Some(Rank(rank as u8))
     }
+
+    /// Returns whether any calls that compete at a service differ in urgency.
+    pub(crate) fn has_ranks(&self, service: &str) -> bool {
+        let is_ranked = |is_streaming| {
+            let group = Group { service: service.to_owned(), is_streaming };
+            self.pairs.get(&group).is_some_and(|pairs| 1 < pairs.len())
+        };
+        is_ranked(true) || is_ranked(false)
+    }
 }
 
 fn group(service: &str, route: &Route) -> Group {
--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -206,6 +206,12 @@
         self.ranks.get(service, route, team)
     }
 
+    /// Returns whether any calls that compete at a service differ in urgency.
+    #[must_use]
+    pub fn has_ranks(&self, service: &str) -> bool {
+        self.ranks.has_ranks(service)
+    }
+
     /// Returns the properties of a service's engine, if it has one.
     #[must_use]
     pub fn engine(&self, service: &str) -> Option<&EngineInfo> {
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -6,6 +6,7 @@
 pub mod completion_queue;
 pub mod crashes;
 pub mod demand;
+mod demand_bounds;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_records;
@@ -359,9 +360,10 @@
         let soonest = now + self.tuning.first_token_delay;
         let unknown = ServiceOrder::default();
         let order = self.demand.order(name).unwrap_or(&unknown);
+        let has_ranks = self.routes.has_ranks(service);
         let is_ahead = |peer: &Peer| {
             let waiting = peer.waiting.iter().find(|waiting| waiting.service == name);
-            waiting.is_some_and(|first| order.peer_position(first, soonest, own) < *own)
+            waiting.is_some_and(|first| order.peer_position(first, soonest, own, has_ranks) < *own)
         };
         self.peers.known.values().filter(|peer| is_ahead(peer)).count()
     }
--- a/crates/basilbank_forward/src/state/demand.rs
+++ b/crates/basilbank_forward/src/state/demand.rs
@@ -200,8 +200,11 @@
             return;
         }
         let mut rows = self.own_demand(now);
+        let bounds = self.all_demand_bounds();
         for (key, sums) in &self.demand.peers {
-            rows.entry(*key).or_default().add(*sums);
+            let Some(bounds) = bounds.get(&key.service) else { continue };
+            let (key, sums) = bounds.apply(*key, *sums);
+            rows.entry(key).or_default().add(sums);
         }
         let mut services: HashMap<u32, Vec<_>> = HashMap::new();
         for (DemandKey { service, rank, team }, sums) in rows {
@@ -229,7 +232,9 @@
             }
         }
         let due_parts = self.due_parts(service, position, soonest);
+        let Some(bounds) = self.demand_bounds(service) else { return ahead };
         for (key, sums) in self.demand.peer_rows(service_hash(service)) {
+            let (key, sums) = bounds.apply(key, sums);
             let mean_tokens = sums.tokens as f64 / sums.calls.max(1) as f64;
             for (late, calls) in [(false, sums.calls.saturating_sub(sums.late)), (true, sums.late)]
             {
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -134,19 +134,22 @@
     }
 
     /// Returns the position of a peer's first waiting completion, compared with an own one at
-    /// position `own`. Daemons of a release without ranks report neither a rank nor a team, so
-    /// only the due times decide there.
+    /// position `own`. Ranks count only where this daemon's configuration has some. Daemons of a
+    /// release without ranks report neither a rank nor a team, so only the due times decide there.
     pub(super) fn peer_position(
         &self,
         first: &FirstWaiting,
         soonest: Duration,
         own: &QueuePosition,
+        has_ranks: bool,
     ) -> QueuePosition {
         let late = first.late || first.due < soonest;
-        if first.rank.is_none() && first.team.is_none() {
+        let rank = first.rank.filter(|_| has_ranks);
+        let is_unknown = has_ranks || self.team_use(None).is_none();
+        if rank.is_none() && first.team.is_none() && is_unknown {
             return QueuePosition { late, due: first.due, ..*own };
         }
-        self.position(first.rank, first.team, late, first.due)
+        self.position(rank, first.team, late, first.due)
     }
 }
 
@@ -190,13 +193,16 @@
         now: Duration,
     ) -> Option<Duration> {
         let name = service_hash(service);
+        if !self.routes.has_ranks(service) {
+            return None;
+        }
         let delay = self.tuning.first_token_delay;
         let unknown = ServiceOrder::default();
         let order = self.demand.order(name).unwrap_or(&unknown);
         let first = self.peers.known.values().flat_map(|peer| &peer.waiting);
         let first = first.filter(|first| first.service == name);
         let blocks = |first: &&FirstWaiting| {
-            let position = order.peer_position(first, now + delay, own);
+            let position = order.peer_position(first, now + delay, own, true);
             !position.late && position.rank < own.rank && position.blocks(own)
         };
         first.filter(blocks).map(|first| first.due.saturating_sub(delay)).max()
--- a/crates/basilbank_forward/tests/forward/demand.rs
+++ b/crates/basilbank_forward/tests/forward/demand.rs
@@ -155,6 +155,32 @@
     assert_eq!(rig.starts().len(), 1);
 }
 
+/// Guards against false or outdated ranks that delay completions where there are none.
+#[test]
+fn ranks_of_peers_are_ignored_where_the_configuration_has_none() {
+    let mut rig = rig(table(2));
+    let service = service_hash(WRITER);
+    let first = WaitingCompletion { service, due: 5000, rank: Some(5), team: None, late: false };
+    let demand = vec![row(Some(0), 3, 0), DemandReport { used: 0, ..row(Some(5), 3, 0) }];
+    hear(&mut rig, 2, LoadGossip { waiting: vec![first], demand, ..Default::default() });
+    rig.call("/draft/1", 14_000, Some(prompt(1000)));
+    assert_eq!(rig.starts().len(), 1);
+}
+
+/// Guards against rows with more tokens than the endpoints have memory.
+#[test]
+fn the_tokens_of_rows_are_bounded_by_the_memory() {
+    let with_used = |used| {
+        let mut rig = rig(ranked());
+        let most = DemandReport { tokens: u32::MAX, used, ..row(Some(0), 3, 0) };
+        hear(&mut rig, 2, LoadGossip { demand: vec![most], ..Default::default() });
+        rig.call("/draft/1", 14_000, Some(prompt(1000)));
+        assert_eq!(ahead(&rig, 1), WorkAhead { calls: 3, tokens: 30_000 });
+        rig.state.demand.order(service_hash(WRITER)).and_then(|order| order.team_use(None))
+    };
+    assert_eq!(with_used(u32::MAX), with_used(20_000));
+}
+
 /// A new completion must not take the capacity that a more urgent one of the same daemon waits for.
 #[test]
 fn a_new_completion_waits_behind_more_urgent_ones() {
