Capacity is not forgotten when a rank that is owed memory can't use it

While a less urgent rank is owed memory its first completion goes first. If it was too large for any endpoint, the record of free capacity was cleared, and the wait of a more urgent completion that fits began anew with each check: with ten peers ahead it never started. The record now stays in that case. The test starts no urgent completion within 100 ms without the change.

--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -19,6 +19,7 @@
     state::{
         QueuePosition, Request, State, Usage,
         requests::{Hold, KvCache, Step},
+        service_hash,
     },
 };
 
@@ -88,8 +89,11 @@
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
         DecodeChoice::At(endpoint) => endpoint,
         DecodeChoice::Full => {
-            // Other versions of the endpoints may have capacity.
-            if pinned.is_none() {
+            // Other versions of the endpoints may have capacity, and so may the endpoints for more
+            // urgent completions than one that is first only because its rank is owed memory.
+            let order = state.demand.order(service_hash(&service));
+            let is_owed = order.is_some_and(|order| order.is_owed(&position));
+            if pinned.is_none() && !is_owed {
                 state.queue.clear_capacity(&service);
             }
             return NextStep::WaitForCapacity;
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -133,6 +133,13 @@
         QueuePosition { late, yields, rank, use_step, due }
     }
 
+    /// Returns whether a completion at this position is first only because its rank is owed memory.
+    #[must_use]
+    pub fn is_owed(&self, position: &QueuePosition) -> bool {
+        let owed = if position.late { self.owed_late } else { self.owed_timely };
+        owed == Some(position.rank)
+    }
+
     /// Returns the position of a peer's first waiting completion, compared with an own one at
     /// position `own`. Ranks count only where this daemon's configuration has some. Daemons of a
     /// release without ranks report neither a rank nor a team, so only the due times decide there.
--- a/crates/basilbank_forward/tests/forward/demand.rs
+++ b/crates/basilbank_forward/tests/forward/demand.rs
@@ -181,6 +181,30 @@
     assert_eq!(with_used(u32::MAX), with_used(20_000));
 }
 
+/// Guards against capacity that stays idle while the rank that is owed memory can't use it, since the
+/// wait of those that can begins anew each time.
+#[test]
+fn an_urgent_completion_starts_beside_a_large_one_that_is_owed_memory() {
+    let mut rig = rig(ranked());
+    rig.call("/urgent/1", 14_000, Some(prompt(6000)));
+    let service = service_hash(WRITER);
+    let first = WaitingCompletion { service, due: 2000, rank: Some(1), team: None, late: false };
+    for n in 2..12 {
+        let peer = SocketAddr::from(([10, 0, 0, n], 7000));
+        let ordinary = DemandReport { used: 0, ..row(Some(1), 1, 0) };
+        let demand = vec![row(Some(0), 1, 0), ordinary];
+        let gossip = LoadGossip { waiting: vec![first], demand, ..Default::default() };
+        rig.feed(Event::gossip(peer, LoadGossip { incarnation: 2, sequence: 2, ..gossip }));
+    }
+    rig.pass_ms(20);
+    rig.call("/draft/1", 14_000, Some(prompt(9000)));
+    rig.starts();
+    rig.call("/urgent/2", 14_000, Some(prompt(1000)));
+    assert!(rig.starts().is_empty(), "the peers' completions go first");
+    rig.pass_ms(100);
+    assert_eq!(rig.starts().len(), 1);
+}
+
 /// A new completion must not take the capacity that a more urgent one of the same daemon waits for.
 #[test]
 fn a_new_completion_waits_behind_more_urgent_ones() {
