Reports of peers' urgent completions delay others only once

One report of an urgent completion delayed every dispatch of less urgent ones anew, by up to 400 ms each, until it was due, and a due time far in the future did so for good. Reports of completions due beyond the longest target of the service's routes and those of peers that can't reach the service are now ignored, and capacity is left to the same completion of a peer for 400 ms in all.

--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -18,15 +18,12 @@
     reason::{Refusal, Retry},
     state::{
         QueuePosition, Request, State, Usage,
+        held_back::MAX_URGENT_WAIT,
         requests::{Hold, KvCache, Step},
         service_hash,
     },
 };
 
-/// Maximum time for which free capacity is left to more urgent completions of peers. It bounds the
-/// effect of false and outdated reports.
-const MAX_URGENT_WAIT: Duration = Duration::from_millis(400);
-
 /// Returns the next step of a completion.
 pub fn next_step(state: &mut State, id: RequestId, now: Duration) -> NextStep {
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -13,6 +13,7 @@
 pub mod evidence;
 pub mod freshness;
 pub mod generation;
+pub mod held_back;
 pub mod local;
 pub mod origins;
 pub mod owned_quotas;
@@ -153,6 +154,8 @@
     pub waiting: Vec<RequestId>,
     /// The queue in which the completions of all daemons wait.
     pub queue: CompletionQueue,
+    /// Since when capacity is left to peers' more urgent completions.
+    pub held_back: held_back::HeldBack,
     /// What the completions of all daemons need and use, which decides the order of the queue.
     pub demand: Demand,
     /// Whether there may be new capacity for waiting completions since it was last checked.
@@ -219,6 +222,7 @@
             generation_stats: HashMap::new(),
             waiting: Vec::new(),
             queue: CompletionQueue::default(),
+            held_back: held_back::HeldBack::default(),
             demand: Demand::default(),
             capacity_changed: false,
             capacity_checked: Duration::ZERO,
--- a/crates/basilbank_forward/src/state/demand.rs
+++ b/crates/basilbank_forward/src/state/demand.rs
@@ -270,19 +270,24 @@
         }
     }
 
+    /// Returns the longest target of a service's routes.
+    pub(super) fn longest_target(&self, service: &str) -> Duration {
+        let routes = self.routes.routes().iter();
+        let routes = routes.filter(|route| route.services().any(|name| name == service));
+        routes.map(|route| route.target).max().unwrap_or_default()
+    }
+
     /// Returns which part of the completions that are on time, and of those that are late, is due
     /// before `position`. Peers don't report the due times, so completions count as if they had
     /// arrived evenly over the time for which they wait.
     fn due_parts(&self, service: &str, position: &QueuePosition, soonest: Duration) -> [f64; 2] {
-        let routes = self.routes.routes().iter();
-        let routes = routes.filter(|route| route.services().any(|name| name == service));
-        let target = routes.map(|route| route.target).max().unwrap_or_default();
+        let target = self.longest_target(service);
         let delay = self.tuning.first_token_delay;
         let part = |from: Duration, span: Duration| {
             let passed = position.due.saturating_sub(from).as_secs_f64();
             if span.is_zero() { 1.0 } else { (passed / span.as_secs_f64()).min(1.0) }
         };
-        let late_span = target * (FIRST_EVENT_TARGETS - 1);
+        let late_span = target.saturating_mul(FIRST_EVENT_TARGETS - 1);
         let timely = part(soonest, target.saturating_sub(delay));
         [timely, part(soonest.saturating_sub(late_span), late_span)]
     }
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -187,34 +187,6 @@
 }
 
 impl State {
-    /// Returns until when peers' more urgent completions that block one at this position can be on
-    /// time, if there are any.
-    ///
-    /// A large completion needs the capacity that several others leave at one endpoint, one after
-    /// the other. If less urgent ones took it piece by piece, the large one would never start.
-    #[must_use]
-    pub fn urgent_until(
-        &self,
-        service: &str,
-        own: &QueuePosition,
-        now: Duration,
-    ) -> Option<Duration> {
-        let name = service_hash(service);
-        if !self.routes.has_ranks(service) {
-            return None;
-        }
-        let delay = self.tuning.first_token_delay;
-        let unknown = ServiceOrder::default();
-        let order = self.demand.order(name).unwrap_or(&unknown);
-        let first = self.peers.known.values().flat_map(|peer| &peer.waiting);
-        let first = first.filter(|first| first.service == name);
-        let blocks = |first: &&FirstWaiting| {
-            let position = order.peer_position(first, now + delay, own, true);
-            !position.late && position.rank < own.rank && position.blocks(own)
-        };
-        first.filter(blocks).map(|first| first.due.saturating_sub(delay)).max()
-    }
-
     /// Returns the position of a request among the waiting completions of all daemons, if its
     /// first token can't come before `soonest`.
     #[must_use]
