--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -18,14 +18,12 @@
     reason::{Refusal, Retry},
     state::{
         QueuePosition, Request, State, Usage,
+        held_back::MAX_URGENT_WAIT,
         requests::{Hold, KvCache, Step},
+        service_hash,
     },
 };
 
-/// Maximum time for which free capacity is left to more urgent completions of peers. It bounds the
-/// effect of false and outdated reports.
-const MAX_URGENT_WAIT: Duration = Duration::from_millis(400);
-
 /// Returns the next step of a completion.
 pub fn next_step(state: &mut State, id: RequestId, now: Duration) -> NextStep {
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
@@ -88,8 +86,11 @@
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
         DecodeChoice::At(endpoint) => endpoint,
         DecodeChoice::Full => {
-            // Other versions of the endpoints may have capacity.
-            if pinned.is_none() {
+            // Other versions of the endpoints may have capacity, and so may the endpoints for more
+            // urgent completions than one that is first only because its rank is owed memory.
+            let order = state.demand.order(service_hash(&service));
+            let is_owed = order.is_some_and(|order| order.is_owed(&position));
+            if pinned.is_none() && !is_owed {
                 state.queue.clear_capacity(&service);
             }
             return NextStep::WaitForCapacity;
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -6,6 +6,7 @@
 pub mod completion_queue;
 pub mod crashes;
 pub mod demand;
+mod demand_bounds;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_records;
@@ -13,6 +14,7 @@
 pub mod forecast;
 pub mod freshness;
 pub mod generation;
+pub mod held_back;
 pub mod local;
 pub mod origins;
 pub mod owned_quotas;
@@ -156,6 +158,8 @@
     pub waiting: Vec<RequestId>,
     /// The queue in which the completions of all daemons wait.
     pub queue: CompletionQueue,
+    /// Since when capacity is left to peers' more urgent completions.
+    pub held_back: held_back::HeldBack,
     /// What the completions of all daemons need and use, which decides the order of the queue.
     pub demand: Demand,
     /// Forecasts of when waiting completions start.
@@ -226,6 +230,7 @@
             generation_stats: HashMap::new(),
             waiting: Vec::new(),
             queue: CompletionQueue::default(),
+            held_back: held_back::HeldBack::default(),
             demand: Demand::default(),
             forecasts: Forecasts::default(),
             returns: Returns::default(),
@@ -369,12 +374,10 @@
         let soonest = now + self.tuning.first_token_delay;
         let unknown = ServiceOrder::default();
         let order = self.demand.order(name).unwrap_or(&unknown);
+        let has_ranks = self.routes.has_ranks(service);
         let is_ahead = |peer: &Peer| {
             let waiting = peer.waiting.iter().find(|waiting| waiting.service == name);
-            waiting.is_some_and(|first| {
-                let late = first.late || first.due < soonest;
-                order.position(first.rank, first.team, late, first.due) < *own
-            })
+            waiting.is_some_and(|first| order.peer_position(first, soonest, own, has_ranks) < *own)
         };
         self.peers.known.values().filter(|peer| is_ahead(peer)).count()
     }
--- a/crates/basilbank_forward/src/state/demand.rs
+++ b/crates/basilbank_forward/src/state/demand.rs
@@ -200,8 +200,11 @@
             return;
         }
         let mut rows = self.own_demand(now);
+        let bounds = self.all_demand_bounds();
         for (key, sums) in &self.demand.peers {
-            rows.entry(*key).or_default().add(*sums);
+            let Some(bounds) = bounds.get(&key.service) else { continue };
+            let (key, sums) = bounds.apply(*key, *sums);
+            rows.entry(key).or_default().add(sums);
         }
         let mut services: HashMap<u32, Vec<_>> = HashMap::new();
         for (DemandKey { service, rank, team }, sums) in rows {
@@ -229,7 +232,9 @@
             }
         }
         let due_parts = self.due_parts(service, position, soonest);
+        let Some(bounds) = self.demand_bounds(service) else { return ahead };
         for (key, sums) in self.demand.peer_rows(service_hash(service)) {
+            let (key, sums) = bounds.apply(key, sums);
             let mean_tokens = sums.tokens as f64 / sums.calls.max(1) as f64;
             for (late, calls) in [(false, sums.calls.saturating_sub(sums.late)), (true, sums.late)]
             {
@@ -273,19 +278,24 @@
         }
     }
 
+    /// Returns the longest target of a service's routes.
+    pub(super) fn longest_target(&self, service: &str) -> Duration {
+        let routes = self.routes.routes().iter();
+        let routes = routes.filter(|route| route.services().any(|name| name == service));
+        routes.map(|route| route.target).max().unwrap_or_default()
+    }
+
     /// Returns which part of the completions that are on time, and of those that are late, is due
     /// before `position`. Peers don't report the due times, so completions count as if they had
     /// arrived evenly over the time for which they wait.
     fn due_parts(&self, service: &str, position: &QueuePosition, soonest: Duration) -> [f64; 2] {
-        let routes = self.routes.routes().iter();
-        let routes = routes.filter(|route| route.services().any(|name| name == service));
-        let target = routes.map(|route| route.target).max().unwrap_or_default();
+        let target = self.longest_target(service);
         let delay = self.tuning.first_token_delay;
         let part = |from: Duration, span: Duration| {
             let passed = position.due.saturating_sub(from).as_secs_f64();
             if span.is_zero() { 1.0 } else { (passed / span.as_secs_f64()).min(1.0) }
         };
-        let late_span = target * (FIRST_EVENT_TARGETS - 1);
+        let late_span = target.saturating_mul(FIRST_EVENT_TARGETS - 1);
         let timely = part(soonest, target.saturating_sub(delay));
         [timely, part(soonest.saturating_sub(late_span), late_span)]
     }
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -8,7 +8,7 @@
     service_hash,
 };
 use crate::{
-    rank::Rank,
+    rank::{MAX_PRIORITY, Rank},
     state::{Request, State},
     team::TeamId,
 };
@@ -25,6 +25,9 @@
 /// Step of a use per weight of 1. It is above 0 because teams with high weights use less than that.
 const UNIT_USE_STEP: f64 = 500.0;
 
+/// Rank of a completion without one where others have ranks.
+const LEAST_URGENT: Rank = Rank(MAX_PRIORITY);
+
 /// Least weight of a team, which keeps the use per weight finite.
 const MIN_WEIGHT: f64 = 1e-9;
 
@@ -35,7 +38,7 @@
     pub late: bool,
     /// Whether another rank goes before it because that rank is owed memory.
     pub yields: bool,
-    /// Its rank; the first where all completions are equally urgent.
+    /// Its rank; the same for all where they are equally urgent.
     pub rank: Rank,
     /// Whether it is new, rather than one that was refused and returns as it was told.
     pub is_new: bool,
@@ -53,7 +56,7 @@
         QueuePosition {
             late: due < soonest,
             yields: false,
-            rank: Rank(0),
+            rank: LEAST_URGENT,
             is_new: true,
             use_step: 0,
             due,
@@ -132,12 +135,40 @@
         late: bool,
         due: Duration,
     ) -> QueuePosition {
-        let rank = rank.unwrap_or_default();
+        let rank = rank.unwrap_or(LEAST_URGENT);
         let owed = if late { self.owed_late } else { self.owed_timely };
         let yields = owed.is_some_and(|owed| owed != rank);
         let use_step = self.team_use(team).map_or(0, |team| team.step);
         QueuePosition { late, yields, rank, is_new: true, use_step, due }
     }
+
+    /// Returns whether a completion at this position is first only because its rank is owed memory.
+    #[must_use]
+    pub fn is_owed(&self, position: &QueuePosition) -> bool {
+        let owed = if position.late { self.owed_late } else { self.owed_timely };
+        owed == Some(position.rank)
+    }
+
+    /// Returns the position of a peer's first waiting completion, compared with an own one at
+    /// position `own`. Ranks count only where this daemon's configuration has some. Daemons of a
+    /// release without ranks report neither a rank nor a team, so only the due times decide there.
+    pub(super) fn peer_position(
+        &self,
+        first: &FirstWaiting,
+        soonest: Duration,
+        own: &QueuePosition,
+        has_ranks: bool,
+    ) -> QueuePosition {
+        let late = first.late || first.due < soonest;
+        let rank = first.rank.filter(|_| has_ranks);
+        let is_unknown = has_ranks || self.team_use(None).is_none();
+        if rank.is_none() && first.team.is_none() && is_unknown {
+            return QueuePosition { late, due: first.due, ..*own };
+        }
+        let position = self.position(rank, first.team, late, first.due);
+        // Peers don't report whether a completion returns.
+        QueuePosition { is_new: own.is_new, ..position }
+    }
 }
 
 /// Returns the least urgent rank that waits, if the ranks below the most urgent waiting one hold
@@ -146,7 +177,7 @@
     demand: &[(Option<Rank>, Option<TeamId>, DemandSums)],
     waiting: impl Fn(&DemandSums) -> u64,
 ) -> Option<Rank> {
-    let rank = |rank: &Option<Rank>| rank.unwrap_or_default();
+    let rank = |rank: &Option<Rank>| rank.unwrap_or(LEAST_URGENT);
     let waiting_ranks =
         || demand.iter().filter(|(.., sums)| waiting(sums) != 0).map(|(of, ..)| rank(of));
     let (first, last) = (waiting_ranks().min()?, waiting_ranks().max()?);
@@ -167,32 +198,6 @@
 }
 
 impl State {
-    /// Returns until when peers' more urgent completions that block one at this position can be on
-    /// time, if there are any.
-    ///
-    /// A large completion needs the capacity that several others leave at one endpoint, one after
-    /// the other. If less urgent ones took it piece by piece, the large one would never start.
-    #[must_use]
-    pub fn urgent_until(
-        &self,
-        service: &str,
-        own: &QueuePosition,
-        now: Duration,
-    ) -> Option<Duration> {
-        let name = service_hash(service);
-        let delay = self.tuning.first_token_delay;
-        let unknown = ServiceOrder::default();
-        let order = self.demand.order(name).unwrap_or(&unknown);
-        let first = self.peers.known.values().flat_map(|peer| &peer.waiting);
-        let first = first.filter(|first| first.service == name);
-        let blocks = |first: &&FirstWaiting| {
-            let late = first.late || first.due < now + delay;
-            let position = order.position(first.rank, first.team, late, first.due);
-            !late && position.rank < own.rank && position.blocks(own)
-        };
-        first.filter(blocks).map(|first| first.due.saturating_sub(delay)).max()
-    }
-
     /// Returns the position of a request among the waiting completions of all daemons, if its
     /// first token can't come before `soonest`.
     #[must_use]
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -71,6 +71,8 @@
     output: u32,
     first: Option<Duration>,
     caller: u64,
+    /// When its caller first came.
+    first_came: Duration,
     tries: u32,
 }
 
@@ -325,7 +327,8 @@
             parts: Vec::new(),
         };
         let (came, first) = (self.now, None);
-        let draft = Draft { class, came, prompt, output, first, caller: id, tries: 0 };
+        let (caller, first_came) = (id, came);
+        let draft = Draft { class, came, prompt, output, first, caller, first_came, tries: 0 };
         self.drafts.insert(id, draft);
         self.count_caller(id);
         self.call(id);
@@ -562,7 +565,7 @@
         if let Some(draft) = self.drafts.remove(&draft) {
             let first = draft.first.unwrap_or(self.now);
             let target = self.classes[draft.class].target;
-            let is_timely = u32::from(first <= draft.came + target);
+            let is_timely = u32::from(first <= draft.first_came + target);
             self.count_served(&draft, is_timely != 0);
             for got in [&mut self.got, &mut self.got_by_class[draft.class]] {
                 got.served += 1;
