A relay leaves the check of 80 peers to the sender and limits each origin

Cause: sender and relay compared their own number of known peers with 80. Where they differ, the sender used relays and the relay passed nothing on. And a peer could make a relay multiply any number of its datagrams.

Change: the relay no longer checks the number of peers. It passes on at most one datagram per origin within 10 ms and counts the others as dropped; daemons wait at least 15 ms between two datagrams.

Tests: a_relay_that_knows_more_peers_than_the_sender_passes_on and a_relay_limits_the_rate_of_each_origin failed before. relays:: passes, 39 tests.

--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -89,6 +89,7 @@
     let was_watching = previous.as_ref().is_some_and(|peer| peer.watching);
     let lost_store = was_watching && !gossip.watching && !gossip.leaving;
     let previous_direct = previous.as_ref().map(|peer| peer.last_direct);
+    let passed_on = previous.as_ref().and_then(|peer| peer.passed_on);
     let previous_met = previous.as_ref().map(|peer| peer.met);
     // Only heartbeats carry the version, the data centre and the generation statistics.
     let version = match (gossip.version, &previous) {
@@ -121,6 +122,7 @@
         unreached: gossip.unreached.clone(),
         generation_stats,
         data_centre,
+        passed_on,
     };
     let is_older = ctx.state.started_before(gossip.incarnation);
     let peers = &mut ctx.state.peers;
--- a/crates/basilbank_forward/src/reduce/relays.rs
+++ b/crates/basilbank_forward/src/reduce/relays.rs
@@ -32,6 +32,11 @@
     if to.is_empty() {
         return;
     }
+    let sender = ctx.state.peers.known.get_mut(&from);
+    if !sender.is_some_and(|peer| peer.take_pass_on(ctx.now)) {
+        ctx.state.peers.relays.dropped += 1;
+        return;
+    }
     ctx.state.peers.relays.passed_on += 1;
     let gossip = Box::new(LoadGossip { hops: 0, origin: to_wire(&from), ..gossip.clone() });
     ctx.push(Effect::SendGossip { to, gossip });
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -51,6 +51,8 @@
     pub generation_stats: Vec<(u32, GenerationStats)>,
     /// Hash of the name of its data centre; 0 until it has reported one.
     pub data_centre: u32,
+    /// When this daemon passed one of its datagrams on.
+    pub passed_on: Option<Duration>,
 }
 
 /// The first of a peer's waiting completions at a service.
--- a/crates/basilbank_forward/src/state/relays.rs
+++ b/crates/basilbank_forward/src/state/relays.rs
@@ -29,6 +29,10 @@
 /// from its sender works.
 const MAX_OVERTAKEN: u64 = 16;
 
+/// Minimum time between two datagrams of one origin that a relay passes on, so that a peer can't
+/// flood a data centre. Peers in working order wait longer between their datagrams.
+const MIN_PASS_ON_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The hops of a datagram that its receiver passes on.
 pub const HOPS_TO_RELAY: u32 = 1;
 
@@ -47,7 +51,8 @@
     pub needs_direct: bool,
     /// Number of peers' datagrams that this daemon has passed on.
     pub passed_on: u64,
-    /// Number of datagrams that were passed on to this daemon and that it dropped.
+    /// Number of datagrams that were passed on to this daemon and that it dropped, and of those that
+    /// it didn't pass on because their origin sends too often.
     pub dropped: u64,
 }
 
@@ -77,6 +82,15 @@
         }
     }
 
+    /// Returns whether its next datagram may be passed on, and counts it as passed on if so.
+    pub(crate) fn take_pass_on(&mut self, now: Duration) -> bool {
+        let may_pass_on = self.passed_on.is_none_or(|at| at + MIN_PASS_ON_INTERVAL <= now);
+        if may_pass_on {
+            self.passed_on = Some(now);
+        }
+        may_pass_on
+    }
+
     /// Returns whether it has had the time to meet the others since its start.
     fn is_settled(&self, now: Duration) -> bool {
         self.met + SETTLE_TIME <= now
@@ -195,8 +209,7 @@
             && own != 0
             && sender.data_centre != 0
             && sender.data_centre != own
-            && sender.incarnation == gossip.incarnation
-            && self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP;
+            && sender.incarnation == gossip.incarnation;
         if !is_to_relay {
             return Vec::new();
         }
--- a/crates/basilbank_forward/tests/forward/relays/mod.rs
+++ b/crates/basilbank_forward/tests/forward/relays/mod.rs
@@ -8,6 +8,7 @@
 
 use basilbank_forward::{
     prelude::*,
+    state::peers::MAX_PEERS_UNLIMITED_GOSSIP,
     state::relays::{DIRECT_INTERVAL, MIN_RELAYS, SETTLE_TIME, data_centre_hash},
 };
 use basilbank_wire::{LoadGossip, PeerAddress};
@@ -271,3 +272,33 @@
     assert_eq!(site.rig.state.peers.count_in_contact(site.rig.now()), all - out_of_contact);
     assert_eq!(site.sequence_of(origin), Some(site.sequence), "the newer report stays");
 }
+
+/// Guards against datagrams lost between a sender and a relay that know different numbers of peers.
+#[test]
+fn a_relay_that_knows_more_peers_than_the_sender_passes_on() {
+    let mut site = Site::new(3, MAX_PEERS_UNLIMITED_GOSSIP);
+    let from = site.far[0];
+    site.sequence += 1;
+    site.rig.beats();
+    site.feed(from, LoadGossip { hops: 1, ..site.beat(from) });
+    let passed_on = site.rig.beats().into_iter().filter(|(_, beat)| beat.origin == wire(from));
+    assert_eq!(passed_on.count(), 3);
+}
+
+/// Guards against one peer flooding a data centre by way of its relays.
+#[test]
+fn a_relay_limits_the_rate_of_each_origin() {
+    let mut site = Site::new(3, MIN_RELAYS);
+    let mut passed_on = |ms: u64, n: usize| {
+        site.rig.pass_ms(ms);
+        site.rig.beats();
+        site.sequence += 1;
+        let from = site.far[n];
+        site.feed(from, LoadGossip { hops: 1, ..site.beat(from) });
+        site.rig.beats().into_iter().filter(|(_, beat)| beat.origin == wire(from)).count()
+    };
+    let copies = [(0, 0), (9, 0), (0, 1), (1, 0)].map(|(ms, n)| passed_on(ms, n));
+    assert_eq!(copies, [3, 0, 3, 3]);
+    let relays = site.rig.state.peers.relays;
+    assert_eq!((relays.passed_on, relays.dropped), (3, 1));
+}
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -278,7 +278,8 @@
         registry.register("unreached_services", help, metrics.unreached_services.clone());
         let help = "Datagrams of peers that were passed on in this data centre";
         registry.register("gossip_passed_on", help, metrics.gossip_passed_on.clone());
-        let help = "Datagrams that a peer passed on and that were dropped as invalid";
+        let help =
+            "Relayed datagrams that were dropped as invalid, or not passed on as too frequent";
         registry.register("gossip_dropped", help, metrics.gossip_dropped.clone());
         Metrics { registry, ..metrics }
     }
