A full endpoint is not preferred to an idle one of another data centre

Cause: the margin of a tenth of the target, and the rule that a remote endpoint must be cheaper than each local one, applied to full local endpoints too, so that calls waited there next to idle endpoints elsewhere. Whether there are relays was computed from all peers for each plain call.

Change: both apply only while a local endpoint that the call can be sent to has fewer calls than slots. Whether there are relays is kept for 100 ms.

Tests: a_call_leaves_a_full_endpoint_for_any_gain and whether_there_are_relays_is_kept_for_a_while failed before. relays::, plain::, peers::, introductions::, call_limits:: and quotas:: pass, 99 tests.

--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -31,8 +31,17 @@
     target: Duration,
     now: Duration,
 ) -> PlainChoice {
+    let has_relays = state.has_relays(now);
     let local = &state.local.data_centre;
-    let stays_near = state.has_relays(now);
+    let reached = Reached::of(state, service, now);
+    // At a full endpoint a call would wait, while one elsewhere may be idle.
+    let stays_near = has_relays
+        && state.directory.available(service, now).any(|(key, e)| {
+            e.info.has_version(pinned)
+                && reached.cost(key, false).is_some()
+                && !tried.contains(&key)
+                && has_free_local_slot(state, key, e, now)
+        });
     let margin = if stays_near { target.mul_f64(NEAR_TARGET_FRACTION) } else { Duration::ZERO };
     let remote = state.tuning.remote_cost + margin;
     // A new endpoint counts as the fastest of the others until it is measured. If it counted as
@@ -40,7 +49,6 @@
     let fastest =
         state.directory.available(service, now).filter_map(|(_, e)| e.mean_answer_time).min();
     let fastest = fastest.unwrap_or_default();
-    let reached = Reached::of(state, service, now);
     let permitted = state
         .directory
         .available(service, now)
@@ -89,6 +97,19 @@
     state.directory.get(key).is_some_and(|e| e.info.data_centre == state.local.data_centre)
 }
 
+/// Returns whether a local endpoint can take a call that doesn't wait there.
+fn has_free_local_slot(
+    state: &State,
+    key: EndpointKey,
+    endpoint: &Endpoint,
+    now: Duration,
+) -> bool {
+    is_local(state, key)
+        && endpoint.total_calls() < endpoint.info.slots.max(1)
+        && endpoint.avoided_until <= now
+        && state.has_permit(key, now)
+}
+
 /// Removes the remote candidates that are not cheaper than the cheapest local one. Of those that
 /// count as equal, one is picked at random, which would also send calls far for nothing.
 fn remove_not_cheaper(candidates: &mut Vec<Candidate>, is_local: impl Fn(EndpointKey) -> bool) {
--- a/crates/basilbank_forward/src/state/relays.rs
+++ b/crates/basilbank_forward/src/state/relays.rs
@@ -33,6 +33,10 @@
 /// flood a data centre. Peers in working order wait longer between their datagrams.
 const MIN_PASS_ON_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time for which it is kept whether there are relays. Each plain call needs it, and it is computed
+/// from all peers.
+const HAS_RELAYS_LIFETIME: Duration = Duration::from_millis(100);
+
 /// The hops of a datagram that its receiver passes on.
 pub const HOPS_TO_RELAY: u32 = 1;
 
@@ -54,6 +58,8 @@
     /// Number of datagrams that were passed on to this daemon and that it dropped, and of those that
     /// it didn't pass on because their origin sends too often.
     pub dropped: u64,
+    /// Whether there were relays when that was computed last, and when.
+    pub computed: Option<(Duration, bool)>,
 }
 
 /// The receivers of a datagram.
@@ -144,11 +150,17 @@
     }
 
     /// Returns whether another data centre has enough peers for relays, so that links to it count as
-    /// expensive.
-    #[must_use]
-    pub fn has_relays(&self, now: Duration) -> bool {
-        self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP
-            && !self.relays_by_data_centre(now).is_empty()
+    /// expensive. The result is kept for a while.
+    pub fn has_relays(&mut self, now: Duration) -> bool {
+        if let Some((at, has_relays)) = self.peers.relays.computed
+            && now < at + HAS_RELAYS_LIFETIME
+        {
+            return has_relays;
+        }
+        let has_relays = self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP
+            && !self.relays_by_data_centre(now).is_empty();
+        self.peers.relays.computed = Some((now, has_relays));
+        has_relays
     }
 
     /// Returns the peers that may relay, for each data centre that has enough of them.
--- a/crates/basilbank_forward/tests/forward/relays/plain.rs
+++ b/crates/basilbank_forward/tests/forward/relays/plain.rs
@@ -62,3 +62,32 @@
     let far = site.rig.starts().iter().filter(|start| start.target.instance == "far").count();
     assert!((3..=6).contains(&far), "{far} of 12");
 }
+
+/// Guards against calls that queue at a full endpoint next to an idle one elsewhere.
+#[test]
+fn a_call_leaves_a_full_endpoint_for_any_gain() {
+    let mut site = Site::new(3, MIN_RELAYS);
+    let full = EndpointInfo { slots: 1, ..plain("near", 1) };
+    let elsewhere = EndpointInfo { data_centre: "hall-b".to_owned(), ..plain("far", 2) };
+    site.rig.list(vec![full, elsewhere]);
+    for (name, time) in [("near", NEAR), ("far", Duration::from_millis(85))] {
+        let key = site.rig.state.directory.find(name).expect("listed");
+        site.rig.state.directory.get_mut(key).expect("known").mean_answer_time = Some(time);
+    }
+    let mut picked = || {
+        site.rig.call("/stock/1", 2000, None);
+        site.rig.start().target.instance
+    };
+    assert_eq!([picked(), picked()], ["near", "far"]);
+}
+
+/// Guards against a search of all peers for each plain call.
+#[test]
+fn whether_there_are_relays_is_kept_for_a_while() {
+    let mut site = Site::new(3, MIN_RELAYS);
+    let now = site.rig.now();
+    assert!(site.rig.state.has_relays(now));
+    site.rig.state.peers.known.clear();
+    assert!(site.rig.state.has_relays(now + Duration::from_millis(99)));
+    assert!(!site.rig.state.has_relays(now + Duration::from_millis(100)));
+}
