--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -54,7 +54,13 @@
     let is_stale = previous.is_some_and(|peer| {
         (gossip.incarnation, gossip.sequence) <= (peer.incarnation, peer.sequence)
     });
-    if is_stale || Some(from) == peers.own_address {
+    let is_new = previous.is_none();
+    let is_new_start = previous.is_none_or(|peer| peer.incarnation != gossip.incarnation);
+    if is_stale && let Some(peer) = peers.known.get_mut(&from) {
+        peer.note_overtaken(gossip, now);
+        return;
+    }
+    if Some(from) == peers.own_address {
         return;
     }
     let addresses: Vec<_> = gossip.peers.iter().filter_map(|peer| from_wire(*peer)).collect();
@@ -64,8 +70,6 @@
         }
     }
     peers.candidates.remove(&from);
-    let is_new = previous.is_none();
-    let is_new_start = previous.is_none_or(|peer| peer.incarnation != gossip.incarnation);
     remove_loads(ctx, from);
     // The streams of a leaving peer continue as long as its shutdown may take. Dropping its load at
     // once would give away memory that they still use.
@@ -87,6 +91,7 @@
     let was_watching = previous.as_ref().is_some_and(|peer| peer.watching);
     let lost_store = was_watching && !gossip.watching && !gossip.leaving;
     let previous_direct = previous.as_ref().map(|peer| peer.last_direct);
+    let passed_on = previous.as_ref().and_then(|peer| peer.passed_on);
     let previous_met = previous.as_ref().map(|peer| peer.met);
     // Only heartbeats carry the version, the data centre and the generation statistics.
     let version = match (gossip.version, &previous) {
@@ -119,6 +124,7 @@
         unreached: gossip.unreached.clone(),
         generation_stats,
         data_centre,
+        passed_on,
     };
     let is_older = ctx.state.started_before(gossip.incarnation);
     let peers = &mut ctx.state.peers;
--- a/crates/basilbank_forward/src/state/relays.rs
+++ b/crates/basilbank_forward/src/state/relays.rs
@@ -12,9 +12,8 @@
 /// Minimum number of peers in contact in another data centre for which relays are used.
 pub const MIN_RELAYS: usize = 12;
 
-/// Maximum time between two datagrams that go directly to all peers. A peer counts as in contact
-/// for two heartbeats of 500 ms and a margin after a direct datagram; in an idle fleet every second
-/// heartbeat is direct.
+/// Time after a datagram that went directly to all peers from which the next one does too; in an
+/// idle fleet every second heartbeat is direct. A peer stays in contact if one of them is lost.
 pub const DIRECT_INTERVAL: Duration = Duration::from_millis(750);
 
 /// Time after a daemon's start in which it and its peers send to each other directly, so that a
@@ -22,8 +21,21 @@
 pub const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Time without a direct datagram after which a peer whose datagrams still arrive through relays
-/// counts as out of reach. Without relays a silent peer is removed after the same time.
-const REACH_TIMEOUT: Duration = Duration::from_millis(2500);
+/// counts as out of reach: at least three of its direct datagrams are missing. A shorter time would
+/// change owners because of ordinary loss.
+const REACH_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Maximum number of newer datagrams that may overtake a direct one that still shows that the path
+/// from its sender works.
+const MAX_OVERTAKEN: u64 = 16;
+
+/// Minimum time between two datagrams of one origin that a relay passes on, so that a peer can't
+/// flood a data centre. Peers in working order wait longer between their datagrams.
+const MIN_PASS_ON_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time for which it is kept whether there are relays. Each plain call needs it, and it is computed
+/// from all peers.
+const HAS_RELAYS_LIFETIME: Duration = Duration::from_millis(100);
 
 /// The hops of a datagram that its receiver passes on.
 pub const HOPS_TO_RELAY: u32 = 1;
@@ -43,8 +55,11 @@
     pub needs_direct: bool,
     /// Number of peers' datagrams that this daemon has passed on.
     pub passed_on: u64,
-    /// Number of datagrams that were passed on to this daemon and that it dropped.
+    /// Number of datagrams that were passed on to this daemon and that it dropped, and of those that
+    /// it didn't pass on because their origin sends too often.
     pub dropped: u64,
+    /// Whether there were relays when that was computed last, and when.
+    pub computed: Option<(Duration, bool)>,
 }
 
 /// The receivers of a datagram.
@@ -61,7 +76,25 @@
     /// last datagram was direct counts as reached until it is removed.
     #[must_use]
     pub fn is_reached(&self, now: Duration) -> bool {
-        self.last_direct == self.last_seen || now < self.last_direct + REACH_TIMEOUT
+        self.last_seen <= self.last_direct || now < self.last_direct + REACH_TIMEOUT
+    }
+
+    /// Records that a datagram, which is too old to be read, arrived directly.
+    pub(crate) fn note_overtaken(&mut self, gossip: &LoadGossip, now: Duration) {
+        let is_recent = gossip.incarnation == self.incarnation
+            && self.sequence.saturating_sub(gossip.sequence) <= MAX_OVERTAKEN;
+        if gossip.origin.is_none() && is_recent {
+            self.last_direct = now;
+        }
+    }
+
+    /// Returns whether its next datagram may be passed on, and counts it as passed on if so.
+    pub(crate) fn take_pass_on(&mut self, now: Duration) -> bool {
+        let may_pass_on = self.passed_on.is_none_or(|at| at + MIN_PASS_ON_INTERVAL <= now);
+        if may_pass_on {
+            self.passed_on = Some(now);
+        }
+        may_pass_on
     }
 
     /// Returns whether it has had the time to meet the others since its start.
@@ -117,11 +150,17 @@
     }
 
     /// Returns whether another data centre has enough peers for relays, so that links to it count as
-    /// expensive.
-    #[must_use]
-    pub fn has_relays(&self, now: Duration) -> bool {
-        self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP
-            && !self.relays_by_data_centre(now).is_empty()
+    /// expensive. The result is kept for a while.
+    pub fn has_relays(&mut self, now: Duration) -> bool {
+        if let Some((at, has_relays)) = self.peers.relays.computed
+            && now < at + HAS_RELAYS_LIFETIME
+        {
+            return has_relays;
+        }
+        let has_relays = self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP
+            && !self.relays_by_data_centre(now).is_empty();
+        self.peers.relays.computed = Some((now, has_relays));
+        has_relays
     }
 
     /// Returns the peers that may relay, for each data centre that has enough of them.
@@ -182,8 +221,7 @@
             && own != 0
             && sender.data_centre != 0
             && sender.data_centre != own
-            && sender.incarnation == gossip.incarnation
-            && self.peers.known.len() <= MAX_PEERS_UNLIMITED_GOSSIP;
+            && sender.incarnation == gossip.incarnation;
         if !is_to_relay {
             return Vec::new();
         }
