The load bench allows what only tests use of the shared play

Cause: plays with returning callers are used by tests alone, and the linter fails the bench. Change: the attribute that the fleet bench has.

--- a/crates/basilbank_forward/benches/load/main.rs
+++ b/crates/basilbank_forward/benches/load/main.rs
@@ -2,6 +2,7 @@
 //! on each run.
 #![allow(clippy::print_stdout, reason = "a bench speaks to its terminal")]
 
+#[allow(dead_code, unused_imports, reason = "tests use more of it")]
 #[path = "../../tests/forward/load/mod.rs"]
 mod load;
 
