--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -17,8 +17,10 @@
     endpoint::EndpointKey,
     reason::{Refusal, Retry},
     state::{
-        Request, State, Usage,
+        QueuePosition, Request, State, Usage,
+        held_back::MAX_URGENT_WAIT,
         requests::{Hold, KvCache, Step},
+        service_hash,
     },
 };
 
@@ -49,6 +51,7 @@
 }
 
 fn request_hold(state: &mut State, id: RequestId, now: Duration) -> NextStep {
+    state.refresh_order(now);
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
     let timeout = state.tuning.hold_timeout;
     if request.caller_deadline() < now + state.tuning.first_token_delay {
@@ -57,7 +60,11 @@
     if state.tuning.hold_tries <= request.completion.hold_attempts {
         return NextStep::WaitUntil(now + state.tuning.hold_pause);
     }
-    let (service, tried, due) = (request.service.clone(), recently_asked(request), request.due());
+    let (service, tried) = (request.service.clone(), recently_asked(request));
+    let position = state.queue_position(request, now + state.tuning.first_token_delay);
+    if let Some(turn_at) = state.own_turn_ahead(request, &position, now) {
+        return NextStep::WaitForTurn(turn_at);
+    }
     let risky = state.crashes.is_risky(&request.call.traits());
     let prompt = request.call.prompt.clone().unwrap_or_default();
     let usage = Usage::completion(prompt.tokens, prompt.expected_output());
@@ -73,14 +80,17 @@
         None => placement::pick_prefill(state, &service, &[], None, pinned, prompt.tokens, now),
     };
     let hold_ttl = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.max_hold);
-    let peers_ahead = state.peers_ahead(&service, due, now);
+    let peers_ahead = state.peers_ahead(&service, &position, now);
     let criteria =
         Criteria { near, usage, memory_fraction, session: prompt.session, pinned, risky };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
         DecodeChoice::At(endpoint) => endpoint,
         DecodeChoice::Full => {
-            // Other versions of the endpoints may have capacity.
-            if pinned.is_none() {
+            // Other versions of the endpoints may have capacity, and so may the endpoints for more
+            // urgent completions than one that is first only because its rank is owed memory.
+            let order = state.demand.order(service_hash(&service));
+            let is_owed = order.is_some_and(|order| order.is_owed(&position));
+            if pinned.is_none() && !is_owed {
                 state.queue.clear_capacity(&service);
             }
             return NextStep::WaitForCapacity;
@@ -92,6 +102,9 @@
     let wait =
         state.tuning.queue_step.saturating_mul(u32::try_from(peers_ahead).unwrap_or(u32::MAX));
     let turn_at = state.queue.turn_at(&service, wait, now);
+    let since = turn_at.saturating_sub(wait);
+    let urgent_until = state.urgent_until(&service, &position, now).unwrap_or_default();
+    let turn_at = turn_at.max(urgent_until.min(since + MAX_URGENT_WAIT));
     if now < turn_at {
         return NextStep::WaitForTurn(turn_at);
     }
@@ -250,6 +263,31 @@
 }
 
 impl State {
+    /// Returns when the next waiting completion has its turn if one of this daemon's own blocks a
+    /// completion at this position, at a service with ranks or teams. A new completion would
+    /// otherwise take the capacity that a more urgent one waits for.
+    fn own_turn_ahead(
+        &self,
+        request: &Request,
+        position: &QueuePosition,
+        now: Duration,
+    ) -> Option<Duration> {
+        if request.rank.is_none() && request.team.is_none() {
+            return None;
+        }
+        let soonest = now + self.tuning.first_token_delay;
+        let mut waiting = self.waiting.iter().filter_map(|id| self.requests.get(id));
+        let is_ahead = |other: &Request| {
+            let is_same = other.pinned.is_none() || other.pinned == request.pinned;
+            other.call.id != request.call.id
+                && other.service == request.service
+                && is_same
+                && self.queue_position(other, soonest).blocks(position)
+        };
+        let next_check = self.capacity_checked + self.tuning.hold_pause;
+        waiting.any(is_ahead).then(|| self.queue.next_turn.unwrap_or(next_check.max(now)))
+    }
+
     /// Returns whether two endpoints have the same version of their software.
     fn have_same_version(&self, one: EndpointKey, other: EndpointKey) -> bool {
         let version =
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -10,13 +10,17 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, crash, freshness, gossip_send, origin, quota};
+use super::{
+    Context, call_limit, crash, demand, freshness, gossip_send, origin, quota, relays, returns,
+};
 use crate::{
     log_line::LogLine,
+    rank::{MAX_PRIORITY, Rank},
     state::{
         GenerationStats, Usage,
-        peers::{Load, Peer, from_wire},
+        peers::{FirstWaiting, Load, Peer, from_wire},
     },
+    team::TeamId,
     topic::{Revision, Topic},
 };
 
@@ -39,13 +43,24 @@
         return handle_message(ctx, from, gossip);
     }
     let now = ctx.now;
+    let is_direct = gossip.origin.is_none();
+    let Some(from) = ctx.state.gossip_origin(from, gossip) else {
+        ctx.state.peers.relays.dropped += 1;
+        return;
+    };
     let peers = &mut ctx.state.peers;
     let previous = peers.known.get(&from);
     // Datagrams can be reordered; an older one is outdated.
     let is_stale = previous.is_some_and(|peer| {
         (gossip.incarnation, gossip.sequence) <= (peer.incarnation, peer.sequence)
     });
-    if is_stale || Some(from) == peers.own_address {
+    let is_new = previous.is_none();
+    let is_new_start = previous.is_none_or(|peer| peer.incarnation != gossip.incarnation);
+    if is_stale && let Some(peer) = peers.known.get_mut(&from) {
+        peer.note_overtaken(gossip, now);
+        return;
+    }
+    if Some(from) == peers.own_address {
         return;
     }
     let addresses: Vec<_> = gossip.peers.iter().filter_map(|peer| from_wire(*peer)).collect();
@@ -55,8 +70,6 @@
         }
     }
     peers.candidates.remove(&from);
-    let is_new = previous.is_none();
-    let is_new_start = previous.is_none_or(|peer| peer.incarnation != gossip.incarnation);
     remove_loads(ctx, from);
     // The streams of a leaving peer continue as long as its shutdown may take. Dropping its load at
     // once would give away memory that they still use.
@@ -67,6 +80,8 @@
     for load in &loads {
         ctx.state.directory.add_peer_usage(load.endpoint, load.usage);
     }
+    let demand_rows = demand::from_wire(gossip);
+    demand::add_rows(ctx, &demand_rows);
     avoid_reported(ctx, &gossip.shunned);
     crash::handle_gossip(ctx, gossip);
     call_limit::handle_reported_limits(ctx, gossip);
@@ -75,27 +90,41 @@
     let previous = ctx.state.peers.known.remove(&from);
     let was_watching = previous.as_ref().is_some_and(|peer| peer.watching);
     let lost_store = was_watching && !gossip.watching && !gossip.leaving;
-    // Only heartbeats carry the version and the generation statistics.
+    let previous_direct = previous.as_ref().map(|peer| peer.last_direct);
+    let passed_on = previous.as_ref().and_then(|peer| peer.passed_on);
+    let previous_met = previous.as_ref().map(|peer| peer.met);
+    // Only heartbeats carry the version, the data centre and the generation statistics.
     let version = match (gossip.version, &previous) {
         (0, Some(peer)) => peer.version,
         (version, _) => version,
     };
+    let data_centre = match (gossip.data_centre, &previous) {
+        (0, Some(peer)) if !is_new_start => peer.data_centre,
+        (reported, _) => reported,
+    };
     let generation_stats = match previous {
         Some(peer) if gossip.paces.is_empty() => peer.generation_stats,
         _ => gossip.paces.iter().map(stats_from_wire).collect(),
     };
     ctx.state.peers.watcher_losses += u32::from(lost_store);
+    let last_direct = previous_direct.filter(|_| !is_direct).unwrap_or(now);
+    let met = previous_met.filter(|_| !is_new_start).unwrap_or(now);
     let peer = Peer {
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
         last_seen: now,
+        last_direct,
+        met,
         loads,
         waiting: gossip.waiting.iter().map(|waiting| waiting_from_wire(waiting, now)).collect(),
+        demand: demand_rows,
         version,
         watching: gossip.watching,
         leaving: gossip.leaving,
         unreached: gossip.unreached.clone(),
         generation_stats,
+        data_centre,
+        passed_on,
     };
     let is_older = ctx.state.started_before(gossip.incarnation);
     let peers = &mut ctx.state.peers;
@@ -109,6 +138,9 @@
         gossip_send::introduce(ctx, from, gossip.incarnation);
         origin::announce_to(ctx, from);
     }
+    if !is_new_start {
+        relays::pass_on(ctx, from, gossip);
+    }
     ctx.state.capacity_changed = true;
 }
 
@@ -123,6 +155,7 @@
     quota::handle_uses(ctx, from, gossip);
     quota::handle_states(ctx, from, &gossip.quota_states);
     origin::handle_messages(ctx, from, gossip);
+    returns::handle_messages(ctx, from, gossip);
 }
 
 /// Records a change that a peer has seen. The revision that the store was found not to have is
@@ -197,10 +230,13 @@
     }
 }
 
-fn waiting_from_wire(wire: &WaitingCompletion, now: Duration) -> (u32, Duration) {
+fn waiting_from_wire(wire: &WaitingCompletion, now: Duration) -> FirstWaiting {
     let offset = Duration::from_millis(u64::from(wire.due.unsigned_abs()));
     let due = if wire.due < 0 { now.saturating_sub(offset) } else { now.saturating_add(offset) };
-    (wire.service, due)
+    // An impossible rank counts as the least urgent one.
+    let rank = demand::rank_from_wire(wire.rank).unwrap_or(Some(Rank(MAX_PRIORITY)));
+    let team = wire.team.map(TeamId);
+    FirstWaiting { service: wire.service, due, rank, team, late: wire.late }
 }
 
 fn stats_from_wire(wire: &ServiceGenerationStats) -> (u32, GenerationStats) {
@@ -229,6 +265,7 @@
 }
 
 fn remove_loads(ctx: &mut Context<'_>, from: SocketAddr) {
+    demand::remove_rows(ctx, from);
     let Some(peer) = ctx.state.peers.known.get_mut(&from) else { return };
     for load in std::mem::take(&mut peer.loads) {
         ctx.state.directory.remove_peer_usage(load.endpoint, load.usage);
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -7,13 +7,14 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit};
+use super::{Context, call_limit, demand, relays};
 use crate::{
     call::Cause,
     effect::Effect,
     state::{
-        QueuePosition, State,
+        Peer, QueuePosition, Request, State,
         peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peers, to_wire},
+        relays::{DIRECT_INTERVAL, data_centre_hash},
         service_hash,
     },
     topic::{PerTopic, Revision, Topic},
@@ -123,7 +124,7 @@
         // gone.
         let first = usize::try_from(gossip.sequence).unwrap_or_default() % to.len();
         to.rotate_left(first);
-        ctx.push(Effect::SendGossip { to, gossip: Box::new(gossip) });
+        relays::send(ctx, to, gossip);
     }
 }
 
@@ -208,7 +209,11 @@
     let is_full = scope != Scope::Changes;
     let paces = if is_full { generation_stats(state) } else { Vec::new() };
     let waiting = waiting_completions(state, now);
+    let demand = demand::report(state, now);
     let watching = state.is_active_watcher();
+    // An introduction is as short as possible, since daemons that start at the same time send many.
+    let data_centre =
+        if scope == Scope::Full { data_centre_hash(&state.local.data_centre) } else { 0 };
     let limits = call_limit::observed_limits(state, now);
     let crashes = state.crashes.take_reports(now);
     let (mut cleared, mut cleared_parts) = (Vec::new(), Vec::new());
@@ -236,12 +241,14 @@
         watching,
         paces,
         waiting,
+        demand,
         limits,
         crashes,
         cleared,
         cleared_parts,
         quarantined,
         unreached: state.suspects.unreached.iter().map(|service| service_hash(service)).collect(),
+        data_centre,
         ..LoadGossip::default()
     };
     gossip.with_loads(loads)
@@ -317,9 +324,17 @@
     /// Returns the number of peers that were heard from recently enough not to be cut off.
     #[must_use]
     pub fn count_in_contact(&self, now: Duration) -> usize {
-        let contact_timeout =
-            self.heartbeat_interval().mul_f64(CONTACT_HEARTBEATS) + CONTACT_MARGIN;
-        self.known.values().filter(|peer| now < peer.last_seen + contact_timeout).count()
+        self.known.values().filter(|peer| self.is_in_contact(peer, now)).count()
+    }
+
+    /// Returns whether a peer was heard from recently enough not to be cut off. What arrives through
+    /// relays doesn't show that the path between the two works, and not all of its datagrams are
+    /// direct.
+    pub(crate) fn is_in_contact(&self, peer: &Peer, now: Duration) -> bool {
+        let timeout = |interval: Duration| interval.mul_f64(CONTACT_HEARTBEATS) + CONTACT_MARGIN;
+        let heartbeat = self.heartbeat_interval();
+        now < peer.last_seen + timeout(heartbeat)
+            && now < peer.last_direct + timeout(DIRECT_INTERVAL + heartbeat)
     }
 
     /// Returns whether no peer was heard from for longer than their heartbeats explain, so that this
@@ -396,15 +411,21 @@
 /// Returns the first of this daemon's waiting completions for each service.
 fn waiting_completions(state: &State, now: Duration) -> Vec<WaitingCompletion> {
     let soonest = now + state.tuning.first_token_delay;
-    let mut first_positions: HashMap<&str, QueuePosition> = HashMap::new();
+    let mut first: HashMap<&str, (QueuePosition, &Request)> = HashMap::new();
     for request in state.waiting.iter().filter_map(|id| state.requests.get(id)) {
-        let position = request.queue_position(soonest);
-        let first = first_positions.entry(&request.service).or_insert(position);
-        *first = position.min(*first);
+        let position = state.queue_position(request, soonest);
+        let first = first.entry(&request.service).or_insert((position, request));
+        if position < first.0 {
+            *first = (position, request);
+        }
     }
-    let all = first_positions.into_iter().map(|(service, position)| WaitingCompletion {
+    let all = first.into_iter().map(|(service, (position, request))| WaitingCompletion {
         service: service_hash(service),
         due: (position.due.as_millis() as i128 - now.as_millis() as i128) as i32,
+        rank: request.rank.map(|rank| u32::from(rank.0)),
+        team: request.team_id().map(|team| team.0),
+        // Where there is no order, the due time says it.
+        late: position.late && (request.rank.is_some() || request.team.is_some()),
     });
     all.collect()
 }
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -28,16 +28,27 @@
     service: &str,
     tried: &[EndpointKey],
     pinned: Option<SoftwareVersion>,
+    target: Duration,
     now: Duration,
 ) -> PlainChoice {
+    let has_relays = state.has_relays(now);
     let local = &state.local.data_centre;
-    let remote = state.tuning.remote_cost;
+    let reached = Reached::of(state, service, now);
+    // At a full endpoint a call would wait, while one elsewhere may be idle.
+    let stays_near = has_relays
+        && state.directory.available(service, now).any(|(key, e)| {
+            e.info.has_version(pinned)
+                && reached.cost(key, false).is_some()
+                && !tried.contains(&key)
+                && has_free_local_slot(state, key, e, now)
+        });
+    let margin = if stays_near { target.mul_f64(NEAR_TARGET_FRACTION) } else { Duration::ZERO };
+    let remote = state.tuning.remote_cost + margin;
     // A new endpoint counts as the fastest of the others until it is measured. If it counted as
     // slow, it would never be tried and so never be measured.
     let fastest =
         state.directory.available(service, now).filter_map(|(_, e)| e.mean_answer_time).min();
     let fastest = fastest.unwrap_or_default();
-    let reached = Reached::of(state, service, now);
     let permitted = state
         .directory
         .available(service, now)
@@ -56,7 +67,10 @@
             tried: tried.contains(&key),
         })
     });
-    let candidates: Vec<_> = candidates.collect();
+    let mut candidates: Vec<_> = candidates.collect();
+    if stays_near {
+        remove_not_cheaper(&mut candidates, |key| is_local(state, key));
+    }
     match pick_cheapest(state, &candidates, 0.0) {
         Some(key) => PlainChoice::At(key),
         None if !state.has_version(service, None, pinned) => PlainChoice::VersionGone,
@@ -74,6 +88,38 @@
     }
 }
 
+/// Fraction of a route's target time by which an endpoint of another data centre must be faster, in
+/// addition to the round trip, if the links between data centres are expensive.
+const NEAR_TARGET_FRACTION: f64 = 0.1;
+
+/// Returns whether an endpoint is in this daemon's data centre.
+fn is_local(state: &State, key: EndpointKey) -> bool {
+    state.directory.get(key).is_some_and(|e| e.info.data_centre == state.local.data_centre)
+}
+
+/// Returns whether a local endpoint can take a call that doesn't wait there.
+fn has_free_local_slot(
+    state: &State,
+    key: EndpointKey,
+    endpoint: &Endpoint,
+    now: Duration,
+) -> bool {
+    is_local(state, key)
+        && endpoint.total_calls() < endpoint.info.slots.max(1)
+        && endpoint.avoided_until <= now
+        && state.has_permit(key, now)
+}
+
+/// Removes the remote candidates that are not cheaper than the cheapest local one. Of those that
+/// count as equal, one is picked at random, which would also send calls far for nothing.
+fn remove_not_cheaper(candidates: &mut Vec<Candidate>, is_local: impl Fn(EndpointKey) -> bool) {
+    let rank = |c: &Candidate| (c.tried, c.avoided_for);
+    let Some(best_rank) = candidates.iter().map(rank).min() else { return };
+    let local = candidates.iter().filter(|c| rank(c) == best_rank && is_local(c.key));
+    let min_local = local.map(|c| c.cost).fold(f64::MAX, f64::min);
+    candidates.retain(|c| is_local(c.key) || c.cost < min_local);
+}
+
 /// Returns those of some endpoints that have a version, or all if none is given.
 fn allowed<'a>(
     endpoints: impl Iterator<Item = (EndpointKey, &'a Endpoint)>,
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -5,12 +5,16 @@
 pub mod common_parts;
 pub mod completion_queue;
 pub mod crashes;
+pub mod demand;
+mod demand_bounds;
 pub mod directory;
 pub mod endpoint;
 pub mod endpoint_records;
 pub mod evidence;
+pub mod forecast;
 pub mod freshness;
 pub mod generation;
+pub mod held_back;
 pub mod local;
 pub mod origins;
 pub mod owned_quotas;
@@ -21,9 +25,12 @@
 pub mod proofs;
 pub mod proxies;
 pub mod quarantine;
+pub mod queue_order;
 pub mod quotas;
+pub mod relays;
 pub mod requests;
 pub mod retry_budget;
+pub mod returns;
 pub mod roles;
 pub mod statements;
 pub mod suspects;
@@ -42,11 +49,13 @@
 pub use self::{
     call_limits::CallLimits,
     common_parts::CommonParts,
-    completion_queue::{CompletionQueue, QueuePosition},
+    completion_queue::CompletionQueue,
     crashes::Crashes,
+    demand::{Demand, WorkAhead},
     directory::Directory,
     endpoint::Endpoint,
     endpoint_records::EndpointRecords,
+    forecast::Forecasts,
     freshness::Freshness,
     generation::GenerationStats,
     local::{Leaving, Local, SystemStart},
@@ -57,9 +66,11 @@
     permit_issuer::PermitIssuer,
     proxies::{Proxies, Reach},
     quarantine::Quarantine,
+    queue_order::{QueuePosition, ServiceOrder},
     quotas::Quotas,
     requests::{ActiveAttempt, Completion, Request},
     retry_budget::RetryBudget,
+    returns::Returns,
     roles::{OrderRight, Roles},
     statements::Statements,
     suspects::Suspects,
@@ -147,6 +158,14 @@
     pub waiting: Vec<RequestId>,
     /// The queue in which the completions of all daemons wait.
     pub queue: CompletionQueue,
+    /// Since when capacity is left to peers' more urgent completions.
+    pub held_back: held_back::HeldBack,
+    /// What the completions of all daemons need and use, which decides the order of the queue.
+    pub demand: Demand,
+    /// Forecasts of when waiting completions start.
+    pub forecasts: Forecasts,
+    /// Refused calls that return, and when they were told to.
+    pub returns: Returns,
     /// Whether there may be new capacity for waiting completions since it was last checked.
     pub(crate) capacity_changed: bool,
     /// When capacity for waiting completions was last checked.
@@ -211,6 +230,10 @@
             generation_stats: HashMap::new(),
             waiting: Vec::new(),
             queue: CompletionQueue::default(),
+            held_back: held_back::HeldBack::default(),
+            demand: Demand::default(),
+            forecasts: Forecasts::default(),
+            returns: Returns::default(),
             capacity_changed: false,
             capacity_checked: Duration::ZERO,
             routes_revision: Revision::NONE,
@@ -343,16 +366,18 @@
         reported.fold(own, |all, (_, stats)| all.merge(*stats))
     }
 
-    /// Returns the number of peers with a queued completion that is ahead of one with this due
-    /// time.
+    /// Returns the number of peers with a queued completion that is ahead of one at this position.
+    /// The order of the peers' completions follows from this daemon's own view of the demand.
     #[must_use]
-    pub fn peers_ahead(&self, service: &str, due: Duration, now: Duration) -> usize {
+    pub fn peers_ahead(&self, service: &str, own: &QueuePosition, now: Duration) -> usize {
         let name = service_hash(service);
         let soonest = now + self.tuning.first_token_delay;
-        let own = QueuePosition::new(due, soonest);
+        let unknown = ServiceOrder::default();
+        let order = self.demand.order(name).unwrap_or(&unknown);
+        let has_ranks = self.routes.has_ranks(service);
         let is_ahead = |peer: &Peer| {
-            let waiting = peer.waiting.iter().find(|(service, _)| *service == name);
-            waiting.is_some_and(|(_, due)| QueuePosition::new(*due, soonest) < own)
+            let waiting = peer.waiting.iter().find(|waiting| waiting.service == name);
+            waiting.is_some_and(|first| order.peer_position(first, soonest, own, has_ranks) < *own)
         };
         self.peers.known.values().filter(|peer| is_ahead(peer)).count()
     }
--- a/crates/basilbank_forward/src/state/completion_queue.rs
+++ b/crates/basilbank_forward/src/state/completion_queue.rs
@@ -29,27 +29,14 @@
         since + wait
     }
 
+    /// Returns whether a service has free capacity, as far as this daemon knows.
+    #[must_use]
+    pub fn has_capacity(&self, service: &str) -> bool {
+        self.capacity_since.contains_key(service)
+    }
+
     /// Records that a service has no free capacity, or that a completion has taken it.
     pub fn clear_capacity(&mut self, service: &str) {
         self.capacity_since.remove(service);
     }
 }
-
-/// A position in the queue. Completions that can still be on time come first, ordered by their due
-/// times.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-pub struct QueuePosition {
-    /// Whether the completion can't be on time.
-    pub late: bool,
-    /// When its first token is due.
-    pub due: Duration,
-}
-
-impl QueuePosition {
-    /// Returns the position of a completion with this due time whose first token can't come before
-    /// `soonest`.
-    #[must_use]
-    pub fn new(due: Duration, soonest: Duration) -> QueuePosition {
-        QueuePosition { late: due < soonest, due }
-    }
-}
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -2,15 +2,21 @@
 
 use std::{
     collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
 use basilbank_wire::PeerAddress;
 
-use super::{GenerationStats, Usage};
+use super::{
+    GenerationStats, Usage,
+    demand::{DemandKey, DemandSums},
+    relays::Relays,
+};
 use crate::{
     endpoint::EndpointKey,
+    rank::Rank,
+    team::TeamId,
     topic::{PerTopic, Revision},
 };
 
@@ -21,12 +27,18 @@
     pub incarnation: u64,
     /// The sequence number of its last datagram.
     pub sequence: u64,
-    /// When its last datagram arrived.
+    /// When its last datagram arrived, from itself or through a relay.
     pub last_seen: Duration,
+    /// When its last datagram arrived that came from itself.
+    pub last_direct: Duration,
+    /// When the first datagram of its incarnation arrived.
+    pub met: Duration,
     /// Its load at endpoints.
     pub loads: Vec<Load>,
-    /// When the first of its waiting completions is due, by the hash of the service's name.
-    pub waiting: Vec<(u32, Duration)>,
+    /// The first of its waiting completions at each service.
+    pub waiting: Vec<FirstWaiting>,
+    /// What its completions need and use.
+    pub demand: Vec<(DemandKey, DemandSums)>,
     /// The version of the configuration that it has in force; 0 until it has reported one.
     pub version: u64,
     /// Whether it watches the store for other daemons and the store answers it.
@@ -37,6 +49,25 @@
     pub unreached: Vec<u32>,
     /// The generation speed of its completions, by the hash of the service's name.
     pub generation_stats: Vec<(u32, GenerationStats)>,
+    /// Hash of the name of its data centre; 0 until it has reported one.
+    pub data_centre: u32,
+    /// When this daemon passed one of its datagrams on.
+    pub passed_on: Option<Duration>,
+}
+
+/// The first of a peer's waiting completions at a service.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct FirstWaiting {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// When its first token is due.
+    pub due: Duration,
+    /// Its rank; `None` where all completions are equally urgent.
+    pub rank: Option<Rank>,
+    /// Its team; `None` where no key is needed.
+    pub team: Option<TeamId>,
+    /// Whether the peer has found that it can't be on time.
+    pub late: bool,
 }
 
 /// A peer's load at an endpoint.
@@ -104,6 +135,8 @@
     /// Mean time for which a change of this daemon stays unreported. Peers report theirs with the
     /// same delay.
     pub report_delay: Duration,
+    /// The state of relaying.
+    pub relays: Relays,
 }
 
 /// Maximum number of peers with which the bytes per second that a daemon receives are not limited.
@@ -139,6 +172,19 @@
         self.fleet_size = self.fleet_size.max(self.known.len() + 1);
     }
 
+    /// Returns the hash of the name of a peer's data centre; 0 if it is unknown.
+    #[must_use]
+    pub fn data_centre(&self, address: SocketAddr) -> u32 {
+        self.known.get(&address).map_or(0, |peer| peer.data_centre)
+    }
+
+    /// Returns the same for the peer at an IP address, whatever its port.
+    #[must_use]
+    pub fn data_centre_at(&self, ip: IpAddr) -> u32 {
+        let first = self.known.range(SocketAddr::new(ip, 0)..).next();
+        first.filter(|(at, _)| at.ip() == ip).map_or(0, |(_, peer)| peer.data_centre)
+    }
+
     /// Returns the addresses of all known peers, sorted.
     #[must_use]
     pub fn addresses(&self) -> Vec<SocketAddr> {
@@ -151,6 +197,7 @@
     pub fn report_soon(&mut self) {
         self.changed = true;
         self.urgent = true;
+        self.relays.needs_direct = true;
     }
 
     /// Records that a datagram reports all changes so far.
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{QueuePosition, Usage};
+use super::{Usage, forecast::Forecast};
 use crate::{
     call::Call,
     endpoint::{EndpointKey, SoftwareVersion},
@@ -13,7 +13,7 @@
 };
 
 /// Time that callers wait for a stream's first event, as a multiple of the route's target time.
-const FIRST_EVENT_TARGETS: u32 = 4;
+pub(super) const FIRST_EVENT_TARGETS: u32 = 4;
 
 /// Minimum time that callers wait for a stream's first event.
 const MIN_FIRST_EVENT_WAIT: Duration = Duration::from_secs(2);
@@ -76,6 +76,16 @@
     pub permit_deadline: Option<Duration>,
     /// Time after which its caller can be served, if that is known.
     pub retry_after: Option<Duration>,
+    /// Whether it was refused before and returns as it was told.
+    pub returned: bool,
+    /// Whether it is known if it returns as it was told.
+    pub return_stage: ReturnStage,
+    /// Peers that were asked and have not answered.
+    pub asked_keepers: Vec<SocketAddr>,
+    /// When its caller's first try arrived.
+    pub first_arrived: Duration,
+    /// The first forecast of its start.
+    pub forecast: Option<Forecast>,
     /// Timers that were set for it.
     pub timers: Vec<Duration>,
 }
@@ -97,6 +107,23 @@
     Settled,
 }
 
+/// Whether it is known if a call returns as it was told.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum ReturnStage {
+    /// Nothing was looked up.
+    #[default]
+    New,
+    /// The keepers were asked.
+    Asked {
+        /// Until when answers are awaited.
+        until: Duration,
+        /// When the question is sent again, once.
+        resend_at: Option<Duration>,
+    },
+    /// It is known, or counts as new.
+    Settled,
+}
+
 /// The state of a request's part of its team's quota.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub enum QuotaStage {
@@ -242,16 +269,9 @@
         first <= self.due()
     }
 
-    /// Returns its position among the waiting completions, if its first token can't come before
-    /// `soonest`.
-    #[must_use]
-    pub fn queue_position(&self, soonest: Duration) -> QueuePosition {
-        QueuePosition::new(self.due(), soonest)
-    }
-
     /// Returns when its answer has to begin to be on time.
     #[must_use]
     pub fn due(&self) -> Duration {
-        self.arrived + self.route.target
+        self.first_arrived + self.route.target
     }
 }
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -1,5 +1,6 @@
 //! A load that is played in virtual time: drafts come, simple engines serve them.
 
+mod callers;
 mod engine;
 mod site;
 
@@ -15,10 +16,13 @@
 use basilbank_forward::{event::Liveness, prelude::*};
 use basilbank_wire::LoadGossip;
 
-pub use self::site::{Engines, Got, Phase, Placing};
+pub use self::{
+    callers::{Callers, Told},
+    site::{Class, Engines, Got, Phase, Placing},
+};
 use self::{
     engine::{Engine, Running, Waiting},
-    site::{KEPT, PATIENCE, TARGET, address, daemon_at, endpoint, name, number, table},
+    site::{KEPT, PATIENCE, address, daemon_at, endpoint, name, number, table},
 };
 
 /// Prompt tokens that a prefill endpoint reads in a second.
@@ -36,14 +40,19 @@
 /// How long a call to a dark endpoint is waited for.
 const DARK: Duration = Duration::from_millis(250);
 
+/// Time after which a play with callers who come back ends whatever is still going on.
+const LONGEST: Duration = Duration::from_secs(120);
+
 /// What happens to a draft at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Arrive,
+    Arrive { class: usize },
     Answer { draft: u64, attempt: u32, what: Answer },
     End { draft: u64, attempt: u32, endpoint: usize },
     Probe { daemon: usize, endpoint: usize, via: Option<SocketAddr> },
     Heard { from: u16, to: usize, beat: usize },
+    Return { draft: u64 },
+    Restart,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,10 +65,15 @@
 
 /// A draft on its way.
 struct Draft {
+    class: usize,
     came: Duration,
     prompt: Prompt,
     output: u32,
     first: Option<Duration>,
+    caller: u64,
+    /// When its caller first came.
+    first_came: Duration,
+    tries: u32,
 }
 
 /// One play.
@@ -72,38 +86,93 @@
     order: u64,
     endpoints: Vec<Engine>,
     drafts: HashMap<u64, Draft>,
-    arrivals: VecDeque<Duration>,
+    arrivals: VecDeque<(Duration, usize)>,
     beats: Vec<LoadGossip>,
     rng: Rng,
     got: Got,
+    got_by_class: Vec<Got>,
+    classes: Vec<Class>,
+    cut: Option<(Duration, Duration)>,
     turn: usize,
+    callers: Callers,
+    told: Told,
+    again: u64,
+    restarts: u64,
+    began: Duration,
 }
 
 impl Play {
     /// Plays phases one after the other.
     #[must_use]
     pub fn run(engines: Engines, phases: &[Phase], placing: Placing, seed: u64) -> Got {
-        let tuning = match &placing {
+        Play::run_classes(engines, &[Class::only(phases)], None, placing, seed).0
+    }
+
+    /// Plays the drafts of several classes. Returns what all callers got, and those of each class.
+    /// During `cut`, given as seconds from the beginning, the two halves of the fleet don't hear
+    /// each other.
+    #[must_use]
+    pub fn run_classes(
+        engines: Engines,
+        classes: &[Class],
+        cut: Option<(u64, u64)>,
+        placing: Placing,
+        seed: u64,
+    ) -> (Got, Vec<Got>) {
+        let mut play = Play::new(engines, classes.to_vec(), placing, seed);
+        let at = |seconds| play.now + Duration::from_secs(seconds);
+        play.cut = cut.map(|(from, to)| (at(from), at(to)));
+        play.prepare();
+        play.play();
+        (play.got, play.got_by_class)
+    }
+
+    /// Plays phases with callers who come back. A class without callers of its own gives the service
+    /// ranks.
+    #[must_use]
+    pub fn run_with(
+        engines: Engines,
+        phases: &[Phase],
+        placing: Placing,
+        seed: u64,
+        callers: Callers,
+    ) -> (Got, Told) {
+        let idle = Class { priority: 0, ..Class::only(&[]) };
+        let classes = vec![Class { priority: 2, ..Class::only(phases) }, idle];
+        let mut play = Play::new(engines, classes, placing, seed);
+        play.callers = callers;
+        if let Some(at) = callers.restart {
+            play.push(play.began + at, Due::Restart);
+        }
+        play.prepare();
+        play.play();
+        (play.got, play.told)
+    }
+
+    fn new_state(&self, n: u16) -> State {
+        let tuning = match &self.placing {
             Placing::Router(tuning) => (**tuning).clone(),
             Placing::InTurn => Tuning::default(),
         };
-        let state = |n: u16| {
-            let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
-            let local = local.with_start(SystemStart::Restart);
-            let local = match engines.hearing {
-                true => local
-                    .with_incarnation(1)
-                    .with_address(address(n))
-                    .with_seeds((0..engines.daemons).map(address).collect()),
-                false => local,
-            };
-            State::new(local, tuning.clone())
+        let local = Local::default().with_name(&format!("vm-{n}")).with_data_centre("hall-a");
+        let local = local.with_start(SystemStart::Restart);
+        let local = match self.engines.hearing {
+            true => local
+                .with_incarnation(1 + self.restarts * 100_000)
+                .with_address(address(n))
+                .with_seeds((0..self.engines.daemons).map(address).collect()),
+            false => local,
         };
+        State::new(local, tuning)
+    }
+
+    fn new(engines: Engines, classes: Vec<Class>, placing: Placing, seed: u64) -> Play {
+        let began = Duration::from_secs(100);
         let mut play = Play {
             engines,
             placing,
-            states: (0..engines.daemons).map(state).collect(),
-            now: Duration::from_secs(100),
+            states: Vec::new(),
+            now: began,
             due: BinaryHeap::new(),
             order: 0,
             endpoints: Vec::new(),
@@ -112,16 +181,23 @@
             beats: Vec::new(),
             rng: Rng::new(seed),
             got: Got::default(),
+            got_by_class: vec![Got::default(); classes.len()],
+            classes,
+            cut: None,
             turn: 0,
+            callers: Callers::default(),
+            told: Told::default(),
+            again: 0,
+            restarts: 0,
+            began,
         };
-        play.prepare(phases);
-        play.play();
-        play.got
+        play.states = (0..engines.daemons).map(|n| play.new_state(n)).collect();
+        play
     }
 
-    fn prepare(&mut self, phases: &[Phase]) {
+    fn configure(&mut self) {
         let read = Revisions::at(1);
-        let table = Some(Arc::new(table(self.engines.memory)));
+        let table = Some(Arc::new(table(self.engines.memory, &self.classes)));
         self.feed_all(&Event::RoutesRead { revisions: read, table });
         let count = self.engines.prefill + self.engines.decode;
         let list = (0..count).map(|n| {
@@ -133,23 +209,37 @@
             updated: list.collect(),
             removed: Vec::new(),
         });
+    }
+
+    fn prepare(&mut self) {
+        self.configure();
+        let count = self.engines.prefill + self.engines.decode;
         let engine = || Engine { token: self.engines.token, ..Engine::default() };
         self.endpoints.resize_with(usize::from(count), engine);
-        let mut at = self.now;
-        for phase in phases {
-            let end = at + phase.time;
-            loop {
-                let pause = -(1.0 - self.rng.unit()).ln() / phase.rate;
-                at += Duration::from_secs_f64(pause);
-                if end <= at {
-                    break;
+        let mut arrivals = Vec::new();
+        for (class, Class { phases, .. }) in self.classes.iter().enumerate() {
+            let mut at = self.now;
+            for phase in phases {
+                let end = at + phase.time;
+                loop {
+                    let pause = -(1.0 - self.rng.unit()).ln() / phase.rate;
+                    at += Duration::from_secs_f64(pause);
+                    if end <= at {
+                        break;
+                    }
+                    arrivals.push((at, class));
                 }
-                self.arrivals.push_back(at);
+                at = end;
             }
-            at = end;
         }
-        if let Some(first) = self.arrivals.pop_front() {
-            self.push(first, Due::Arrive);
+        arrivals.sort_unstable();
+        self.arrivals = arrivals.into();
+        self.push_arrival();
+    }
+
+    fn push_arrival(&mut self) {
+        if let Some((first, class)) = self.arrivals.pop_front() {
+            self.push(first, Due::Arrive { class });
         }
     }
 
@@ -171,6 +261,9 @@
                 continue;
             }
             self.now = at.max(self.now);
+            if self.callers != Callers::default() && self.began + LONGEST < self.now {
+                return;
+            }
             if let Some(Reverse((_, _, due))) = self.due.pop() {
                 self.happen(due);
             }
@@ -184,7 +277,7 @@
 
     fn happen(&mut self, due: Due) {
         match due {
-            Due::Arrive => self.arrive(),
+            Due::Arrive { class } => self.arrive(class),
             Due::Answer { draft, attempt, what } => self.answer(draft, attempt, what),
             Due::End { draft, attempt, endpoint } => {
                 self.release(endpoint, draft);
@@ -195,6 +288,8 @@
                 self.feed(to, Event::gossip(address(from), beat));
             }
             Due::Probe { daemon, endpoint, via } => self.probed(daemon, endpoint, via),
+            Due::Return { draft } => self.call(draft),
+            Due::Restart => self.restart(),
         }
     }
 
@@ -215,11 +310,10 @@
         self.feed(daemon, event);
     }
 
-    fn arrive(&mut self) {
-        if let Some(next) = self.arrivals.pop_front() {
-            self.push(next, Due::Arrive);
-        }
+    fn arrive(&mut self, class: usize) {
+        self.push_arrival();
         self.got.drafts += 1;
+        self.got_by_class[class].drafts += 1;
         let id = u64::from(self.got.drafts);
         let tokens = (self.around(3000.0, 0.5)).clamp(200.0, 6600.0) as u32;
         let output =
@@ -232,18 +326,28 @@
             session: Some(id),
             parts: Vec::new(),
         };
-        let draft = Draft { came: self.now, prompt: prompt.clone(), output, first: None };
+        let (came, first) = (self.now, None);
+        let (caller, first_came) = (id, came);
+        let draft = Draft { class, came, prompt, output, first, caller, first_came, tries: 0 };
         self.drafts.insert(id, draft);
+        self.count_caller(id);
+        self.call(id);
+    }
+
+    /// A draft comes to a daemon.
+    fn call(&mut self, id: u64) {
+        let Some(draft) = self.drafts.get(&id) else { return };
+        let (class, prompt, caller) = (draft.class, draft.prompt.clone(), draft.caller);
         match self.placing {
             Placing::InTurn => self.place_in_turn(id),
             Placing::Router(_) => {
                 let call = Call {
                     id: RequestId(id),
                     trace_id: id.to_string(),
-                    digest: Digest(id),
+                    digest: Digest(caller),
                     host: "shop.example".to_owned(),
-                    credential: Credential::None,
-                    path: "/draft/1".to_owned(),
+                    credential: self.classes[class].credential(),
+                    path: format!("/draft/{class}/1"),
                     caller_timeout: Some(PATIENCE),
                     prompt: Some(prompt),
                     resumption: None,
@@ -265,6 +369,13 @@
         self.read(id, 0, prefill);
     }
 
+    /// Whether a daemon hears another one now.
+    fn hears(&self, from: usize, to: usize) -> bool {
+        let is_cut = self.cut.is_some_and(|(from, to)| (from..to).contains(&self.now));
+        let half = self.states.len() / 2;
+        !is_cut || (from < half) == (to < half)
+    }
+
     /// The daemon that has a draft.
     fn daemon(&self, draft: u64) -> usize {
         usize::try_from(draft).unwrap_or_default() % self.states.len()
@@ -278,10 +389,15 @@
         let wall = SystemTime::UNIX_EPOCH + self.now;
         let mut effects = Vec::new();
         reduce(&mut self.states[daemon], Now { mono: self.now, wall }, event, &mut effects);
+        let records = self.states[daemon].returns.len();
+        self.told.most_records = self.told.most_records.max(records);
         for effect in effects {
             match effect {
                 Effect::Start { request, attempt } => self.start(request.0, &attempt),
-                Effect::Refuse { request, .. } | Effect::AbortStream { request, .. } => {
+                Effect::Refuse { request, refusal, retry_after } => {
+                    self.refused(request.0, refusal, retry_after);
+                }
+                Effect::AbortStream { request, .. } => {
                     self.drafts.remove(&request.0);
                 }
                 Effect::SendGossip { to, gossip } => {
@@ -289,7 +405,9 @@
                     let beat = self.beats.len() - 1;
                     for to in to.into_iter().map(daemon_at) {
                         let from = u16::try_from(daemon).unwrap_or_default();
-                        self.push(self.now + WAY, Due::Heard { from, to, beat });
+                        if self.hears(daemon, to) {
+                            self.push(self.now + WAY, Due::Heard { from, to, beat });
+                        }
                     }
                 }
                 Effect::Probe(target) => {
@@ -318,14 +436,18 @@
             Op::Prefill => self.read(draft, attempt.number, endpoint),
             _ => {
                 let has_kv = matches!(attempt.op, Op::Decode { .. });
-                self.generate(draft, attempt.number, endpoint, has_kv);
+                self.generate(draft, attempt.number, endpoint, has_kv, attempt.rank);
             }
         }
     }
 
     fn is_dark(&self, endpoint: usize) -> bool {
         let first = usize::from(self.engines.prefill);
-        (first..first + usize::from(self.engines.dark)).contains(&endpoint)
+        let dark = match self.callers.dark {
+            Some((at, dark)) if self.began + at <= self.now => dark,
+            _ => self.engines.dark,
+        };
+        (first..first + usize::from(dark)).contains(&endpoint)
     }
 
     /// Prompts are read one after the other.
@@ -348,7 +470,7 @@
                     self.got.vain += 1;
                     self.drafts.remove(&draft);
                 }
-                false => self.generate(draft, attempt, endpoint, true),
+                false => self.generate(draft, attempt, endpoint, true, None),
             };
         }
         if what == Answer::Streaming
@@ -374,15 +496,22 @@
 
     /// A draft waits at the engine until there is memory for its prompt. What is generated grows beyond
     /// that; real engines then put the newest one back, which this one does not.
-    fn generate(&mut self, draft: u64, attempt: u32, endpoint: usize, has_kv: bool) {
+    fn generate(
+        &mut self,
+        draft: u64,
+        attempt: u32,
+        endpoint: usize,
+        has_kv: bool,
+        rank: Option<Rank>,
+    ) {
         let Some(tokens) = self.drafts.get(&draft).map(|d| d.prompt.tokens) else { return };
         let read = match has_kv {
             true => TRIP,
             false => BASE + Duration::from_secs_f64(f64::from(tokens) / RATE * 2.0),
         };
         let since = self.now;
-        let waiting = Waiting { draft, attempt, tokens, since, read, has_kv };
-        self.endpoints[endpoint].waiting.push_back(waiting);
+        let waiting = Waiting { draft, attempt, tokens, since, read, has_kv, rank };
+        self.endpoints[endpoint].push(waiting);
         self.admit(endpoint);
     }
 
@@ -434,9 +563,14 @@
 
     fn finish(&mut self, draft: u64, attempt: u32) {
         if let Some(draft) = self.drafts.remove(&draft) {
-            self.got.served += 1;
             let first = draft.first.unwrap_or(self.now);
-            self.got.timely += u32::from(first <= draft.came + TARGET);
+            let target = self.classes[draft.class].target;
+            let is_timely = u32::from(first <= draft.first_came + target);
+            self.count_served(&draft, is_timely != 0);
+            for got in [&mut self.got, &mut self.got_by_class[draft.class]] {
+                got.served += 1;
+                got.timely += is_timely;
+            }
         }
         if matches!(self.placing, Placing::Router(_)) {
             let request = RequestId(draft);
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -20,12 +20,13 @@
 pub use codec::FramedStream;
 pub use direct::{
     ConfigurationAge, OriginQuery, QuotaAnswer, QuotaCounted, QuotaRequest, QuotaState, QuotaUse,
-    StreamOrigin,
+    RefusedCall, ReturnAnswer, ReturnQuery, StreamOrigin,
 };
 pub use drop_reason::DropReason;
 pub use load::{
-    AvoidedEndpoint, CallLimitReport, CrashReport, EndpointLoad, LoadGossip, PeerAddress, Permit,
-    PermitKind, QuarantinedCall, ServiceGenerationStats, StoreRevision, WaitingCompletion,
+    AvoidedEndpoint, CallLimitReport, CrashReport, DemandReport, EndpointLoad, HEADER_BYTES,
+    LoadGossip, PeerAddress, Permit, PermitKind, QuarantinedCall, ServiceGenerationStats,
+    StoreRevision, WaitingCompletion,
 };
 pub use message::*;
 pub use proxy::{
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -1,6 +1,9 @@
 //! The gossip datagram by which daemons that forward calls share their load at endpoints.
 
-use crate::direct::{ConfigurationAge, OriginQuery, QuotaState, QuotaUse, StreamOrigin};
+use crate::direct::{
+    ConfigurationAge, OriginQuery, QuotaState, QuotaUse, RefusedCall, ReturnAnswer, ReturnQuery,
+    StreamOrigin,
+};
 
 /// The load that one daemon has at endpoints, and some of the peers that it knows.
 ///
@@ -107,6 +110,29 @@
     /// Direct messages: answers to these questions.
     #[prost(message, repeated, tag = "32")]
     pub origin_answers: Vec<StreamOrigin>,
+    /// The sender's demand at services where completions wait, grouped by service.
+    #[prost(message, repeated, tag = "34")]
+    pub demand: Vec<DemandReport>,
+    /// Direct messages: refused calls, for the daemons that recognize their return.
+    #[prost(message, repeated, tag = "35")]
+    pub refused_calls: Vec<RefusedCall>,
+    /// Direct messages: questions whether calls return as they were told.
+    #[prost(message, repeated, tag = "36")]
+    pub return_queries: Vec<ReturnQuery>,
+    /// Direct messages: answers to these questions.
+    #[prost(message, repeated, tag = "37")]
+    pub return_answers: Vec<ReturnAnswer>,
+    /// Hash of the name of the sender's data centre; 0 when it is unknown, or when an earlier
+    /// datagram reported it.
+    #[prost(fixed32, tag = "41")]
+    pub data_centre: u32,
+    /// Number of times that the datagram is still to be passed on, to the peers of the receiver's
+    /// data centre.
+    #[prost(uint32, tag = "42")]
+    pub hops: u32,
+    /// The peer that composed the datagram, if the sender only passes it on.
+    #[prost(message, optional, tag = "43")]
+    pub origin: Option<PeerAddress>,
 }
 
 /// A point in the history of the platform's store.
@@ -155,7 +181,7 @@
 }
 
 /// Size of an IPv4 header and a UDP header.
-const HEADER_BYTES: usize = 28;
+pub const HEADER_BYTES: usize = 28;
 
 /// An endpoint that refuses work for some time, because its stage is changing or it loses KV
 /// caches.
@@ -269,6 +295,42 @@
     /// Milliseconds until its first token is due; negative when it is late.
     #[prost(sint32, tag = "2")]
     pub due: i32,
+    /// Its rank; none where all completions are equally urgent.
+    #[prost(uint32, optional, tag = "3")]
+    pub rank: Option<u32>,
+    /// The id of its team; none where no key is needed.
+    #[prost(fixed64, optional, tag = "4")]
+    pub team: Option<u64>,
+    /// Whether it can't be on time.
+    #[prost(bool, tag = "5")]
+    pub late: bool,
+}
+
+/// What the completions of one rank and team at a service need and use, as far as the sender has
+/// them.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct DemandReport {
+    /// Hash of the service's name; 0 if it is that of the row before.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Their rank; none where all completions are equally urgent.
+    #[prost(uint32, optional, tag = "2")]
+    pub rank: Option<u32>,
+    /// The id of their team; none where no key is needed, 0 if the row sums up several teams.
+    #[prost(fixed64, optional, tag = "3")]
+    pub team: Option<u64>,
+    /// Number of completions that wait for capacity.
+    #[prost(uint32, tag = "4")]
+    pub calls: u32,
+    /// Number of these that can't be on time.
+    #[prost(uint32, tag = "5")]
+    pub late: u32,
+    /// Tokens that the waiting ones need.
+    #[prost(uint32, tag = "6")]
+    pub tokens: u32,
+    /// Tokens of those that have a slot at a decode endpoint.
+    #[prost(uint32, tag = "7")]
+    pub used: u32,
 }
 
 /// Generation speed of a service's completions, and the error of their estimated lengths.
