Forecast: one function a step; plays of shortage share their endpoints

Cause: the forecast was one function of 40 lines with two models and a closure of its own name; two files of tests described the same endpoints. Change: the expected start is a function, the endpoints are one constant, plays with returning callers stand beside the callers. No decision changes. Measured: the tests of forecast, returns, shares, urgency and demand pass as before.

--- a/crates/basilbank_forward/src/reduce/forecast.rs
+++ b/crates/basilbank_forward/src/reduce/forecast.rs
@@ -31,7 +31,7 @@
 const REVIEW_PLACES: usize = 32;
 
 /// Factor by which the wait of a completion that can still be on time may exceed what makes it late
-/// before it counts as late. The queues of peers are estimated from this daemon's own.
+/// before it counts as late. Peers report the lengths of their queues late and without due times.
 const QUEUE_DOUBT: f64 = 2.0;
 
 /// Work ahead of a completion, in tokens.
@@ -145,32 +145,50 @@
     if !state.refuses_early(request) || is_limited || state.is_cold_start(now) {
         return None;
     }
+    let (service, pinned) = (request.service.clone(), request.pinned);
     let ahead = ahead.or_else(|| work_ahead(state, id, now))?;
+    let supply = supply(state, &service, pinned, now)?;
+    let start = expected_start(state, id, &supply, ahead, now)?;
+    let margin = state.forecasts.service(&service).margin(now);
+    let report_age = supply.report_age + now.saturating_sub(supply.made);
+    Some(Forecast { start: start.at, margin, report_age, error: None })
+}
+
+/// When a completion is expected to start.
+struct Start {
+    /// `None` if others take all memory that becomes free.
+    at: Option<Duration>,
+}
+
+/// Returns when a waiting completion is expected to start: in its place among those that can be on
+/// time, or else with what the arriving ones leave.
+fn expected_start(
+    state: &mut State,
+    id: RequestId,
+    supply: &Supply,
+    ahead: Ahead,
+    now: Duration,
+) -> Option<Start> {
     let request = state.requests.get(&id)?;
-    let (service, pinned) = (request.service.clone(), request.pinned);
-    let (due, returned) = (request.due(), request.returned);
+    let (service, due, returned) = (request.service.clone(), request.due(), request.returned);
     let own = request.needed_tokens() as f64;
-    let supply = supply(state, &service, pinned, now)?;
     let daemons = state.peers.count_in_contact(now) as f64 + 1.0;
     let lead = state.tuning.first_token_delay;
     let reserve = state.tuning.memory_fraction - state.tuning.late_memory_fraction;
     let known = state.forecasts.service(&service);
-    let margin = known.margin(now);
-    let report_age = supply.report_age + now.saturating_sub(supply.made);
-    let forecast = |start| Some(Forecast { start, margin, report_age, error: None });
-    let returns = if returned { 0.0 } else { known.returns.certain_rate(daemons, now) };
     let can_be_on_time = now + lead <= due;
-    let doubted = (due.saturating_sub(now + lead)).mul_f64(QUEUE_DOUBT) + margin;
-    if can_be_on_time
-        && let Some(start) = supply.free_at(own + ahead.on_time, returns)
-        && start <= now + doubted
-    {
-        return forecast(Some(start));
+    if can_be_on_time {
+        let returns = if returned { 0.0 } else { known.returns.certain_rate(daemons, now) };
+        let doubted = due.saturating_sub(now + lead).mul_f64(QUEUE_DOUBT) + known.margin(now);
+        let on_time = supply.free_at(own + ahead.on_time, returns);
+        if on_time.is_some_and(|start| start <= now + doubted) {
+            return Some(Start { at: on_time });
+        }
     }
     let arriving = known.arrivals.certain_rate(daemons, now);
     // Some memory is withheld from late completions.
     let withheld = if can_be_on_time { reserve.max(0.0) * supply.memory } else { 0.0 };
-    forecast(supply.free_at(own + ahead.late + withheld, arriving))
+    Some(Start { at: supply.free_at(own + ahead.late + withheld, arriving) })
 }
 
 /// Returns the work ahead of a waiting completion.
--- a/crates/basilbank_forward/tests/forward/load/callers.rs
+++ b/crates/basilbank_forward/tests/forward/load/callers.rs
@@ -4,7 +4,7 @@
 
 use basilbank_forward::prelude::*;
 
-use super::{Draft, Due, Play, TRIP, site::TARGET};
+use super::{Class, Draft, Due, Engines, Got, Phase, Placing, Play, TRIP, site::TARGET};
 
 /// First number of calls that come again.
 const FIRST_AGAIN: u64 = 1_000_000;
@@ -48,6 +48,28 @@
 }
 
 impl Play {
+    /// Plays phases with callers who come back. A class without callers of its own gives the service
+    /// ranks.
+    #[must_use]
+    pub fn run_with(
+        engines: Engines,
+        phases: &[Phase],
+        placing: Placing,
+        seed: u64,
+        callers: Callers,
+    ) -> (Got, Told) {
+        let idle = Class { priority: 0, ..Class::only(&[]) };
+        let classes = vec![Class { priority: 2, ..Class::only(phases) }, idle];
+        let mut play = Play::new(engines, classes, placing, seed);
+        play.callers = callers;
+        if let Some(at) = callers.restart {
+            play.push(play.began + at, Due::Restart);
+        }
+        play.prepare();
+        play.play();
+        (play.got, play.told)
+    }
+
     pub(super) fn refused(&mut self, id: u64, refusal: Refusal, retry_after: Option<Duration>) {
         let Some(draft) = self.drafts.remove(&id) else { return };
         let late = draft.came + TARGET < self.now;
--- a/crates/basilbank_forward/tests/forward/load/mod.rs
+++ b/crates/basilbank_forward/tests/forward/load/mod.rs
@@ -127,28 +127,6 @@
         (play.got, play.got_by_class)
     }
 
-    /// Plays phases with callers who come back. A class without callers of its own gives the service
-    /// ranks.
-    #[must_use]
-    pub fn run_with(
-        engines: Engines,
-        phases: &[Phase],
-        placing: Placing,
-        seed: u64,
-        callers: Callers,
-    ) -> (Got, Told) {
-        let idle = Class { priority: 0, ..Class::only(&[]) };
-        let classes = vec![Class { priority: 2, ..Class::only(phases) }, idle];
-        let mut play = Play::new(engines, classes, placing, seed);
-        play.callers = callers;
-        if let Some(at) = callers.restart {
-            play.push(play.began + at, Due::Restart);
-        }
-        play.prepare();
-        play.play();
-        (play.got, play.told)
-    }
-
     fn new_state(&self, n: u16) -> State {
         let tuning = match &self.placing {
             Placing::Router(tuning) => (**tuning).clone(),
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -52,6 +52,17 @@
         token: Duration::from_millis(7),
         output: 400.0,
     };
+
+    /// Four daemons that hear each other, and endpoints with room for some 34 drafts a second.
+    pub const SCARCE: Engines = Engines {
+        prefill: 6,
+        decode: 12,
+        memory: 28_159,
+        slots: 12,
+        daemons: 4,
+        hearing: true,
+        ..Engines::USUAL
+    };
 }
 
 /// Drafts that compete with those of other classes.
--- a/crates/basilbank_forward/tests/forward/shares.rs
+++ b/crates/basilbank_forward/tests/forward/shares.rs
@@ -13,16 +13,7 @@
 /// Plays of one load.
 const SEEDS: u64 = 4;
 
-/// Four daemons that hear each other, and endpoints with room for some 34 drafts a second.
-const SITE: Engines = Engines {
-    prefill: 6,
-    decode: 12,
-    memory: 28_159,
-    slots: 12,
-    daemons: 4,
-    hearing: true,
-    ..Engines::USUAL
-};
+const SITE: Engines = Engines::SCARCE;
 
 const NAMES: [&str; 4] = ["ash", "birch", "cedar", "elm"];
 
