Log which calls a shutdown cuts, and for how long each call was taken

Nothing told the incident's hypotheses apart: a call that a daemon's own end cuts had no line, and no line named the deadline that admission compares with that end. `arrived` names it (deadline_ms) and, at a daemon that leaves, the time since the signal and to the end; `cut_by_shutdown` names each call that is left then, with the moment at which it came. Nothing is decided differently.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -155,6 +155,8 @@
         /// Time until calls that are still in progress are aborted.
         grace: Duration,
     },
+    /// The shutdown's grace period is over: calls that are still in progress are aborted now.
+    ShutdownOver,
 }
 
 impl Event {
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -99,6 +99,7 @@
             ctx.log(LogLine::new("shutdown").with("requests", running));
             gossip::announce_shutdown(&mut ctx);
         }
+        Event::ShutdownOver => finish::end_all(&mut ctx),
         Event::Gossip { from, gossip } => gossip::handle(&mut ctx, from, &gossip),
     }
     queue::resume_waiting(&mut ctx);
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -30,6 +30,13 @@
             line.with("proof_ms", age.map_or(-1, |age| age.as_millis() as i64))
         }
     };
+    let line = match ctx.state.leaving {
+        None => line,
+        Some(leaving) => {
+            let left = leaving.until.saturating_sub(ctx.now);
+            line.with_ms("leaving_ms", leaving.age(ctx.now)).with_ms("end_ms", left)
+        }
+    };
     let line = match &call.prompt {
         None => line,
         Some(prompt) => {
@@ -47,6 +54,7 @@
         Ok(request) => {
             let line = line.with("digest", request.call.digest);
             let line = line.with("route", &request.route.name).with("service", &request.service);
+            let line = line.with_ms("deadline_ms", request.remaining(ctx.now));
             let line = match &request.team {
                 Some(team) => line.with("team", &team.name),
                 None => line,
--- a/crates/basilbank_forward/src/state/local.rs
+++ b/crates/basilbank_forward/src/state/local.rs
@@ -27,6 +27,12 @@
 const BALANCER_REACTION_TIME: Duration = Duration::from_millis(2500);
 
 impl Leaving {
+    /// Returns the time from the signal to `at`; zero if `at` was before it.
+    #[must_use]
+    pub fn age(&self, at: Duration) -> Duration {
+        at.saturating_sub(self.since)
+    }
+
     /// Returns whether a call that may last until `deadline` is refused. The call might be cut off,
     /// and another daemon serves it when its caller retries. While the load balancer still sends
     /// callers here, a retry would probably arrive here again; most calls end long before their
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -110,6 +110,7 @@
         while self.is_busy() && Instant::now() < end {
             sleep(POLL_INTERVAL).await;
         }
+        self.router.dispatch(Event::ShutdownOver);
     }
 
     /// Returns whether callers are connected or calls for peers are in progress.
