Failing tests: a shutdown's end gives calls neither an answer nor a refusal

A call that is in progress when a daemon's shutdown is over finds its connection closed: one that waits and has not run gets no refusal, one that may have run no failure.

--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -46,6 +46,8 @@
         Quarantined = "quarantined",
         /// The call's time ran out while an endpoint was running it.
         TimedOut = "timed_out",
+        /// The daemon's shutdown was over while an endpoint was running the call.
+        ShutDown = "shutdown",
         /// An endpoint's answer was lost or damaged; the call may have run.
         Broken = "broken",
     }
@@ -55,7 +57,7 @@
     /// Returns whether nothing was run and nothing will be.
     #[must_use]
     pub fn is_not_run(self) -> bool {
-        !matches!(self, Refusal::TimedOut | Refusal::Broken)
+        !matches!(self, Refusal::TimedOut | Refusal::ShutDown | Refusal::Broken)
     }
 
     /// Returns whether another try would be refused in the same way.
--- a/crates/basilbank_forward/tests/forward/leaving.rs
+++ b/crates/basilbank_forward/tests/forward/leaving.rs
@@ -5,7 +5,7 @@
 use basilbank_forward::prelude::*;
 use test_case::test_case;
 
-use crate::rig::{Rig, model, plain, prompt};
+use crate::rig::{Rig, held, model, plain, prefilled, prompt};
 
 /// From the signal to the end of the process.
 const GRACE: Duration = Duration::from_millis(7400);
@@ -59,3 +59,66 @@
     rig.call("/nowhere/", 14_000, None);
     assert_eq!(rig.refusals(), [Refusal::UnknownRoute]);
 }
+
+/// A daemon that has been leaving for some time, and whose only decode endpoint is full. A draft waits
+/// for room there.
+fn with_waiting_draft(ms: u64) -> Rig {
+    let mut rig = leaving_for(ms);
+    rig.call("/draft/1", 60_000, Some(prompt(9000)));
+    rig.call("/draft/2", 60_000, Some(prompt(9000)));
+    assert_eq!(rig.starts().len(), 1, "the second waits");
+    rig
+}
+
+#[test]
+fn a_waiting_draft_is_refused_when_it_would_outlast_the_daemon() {
+    let mut rig = with_waiting_draft(2000);
+    rig.pass_ms(1900);
+    assert_eq!(rig.refusals(), [], "it may still end in time");
+    rig.pass_ms(400);
+    assert_eq!(rig.refusals(), [Refusal::Leaving]);
+    assert!(rig.state.waiting.is_empty());
+}
+
+#[test]
+fn a_waiting_draft_stays_while_its_caller_would_come_back_here() {
+    let mut rig = with_waiting_draft(0);
+    rig.pass_ms(2400);
+    assert_eq!(rig.refusals(), []);
+    assert_eq!(rig.state.waiting.len(), 1);
+}
+
+#[test]
+fn what_waits_at_the_end_of_the_shutdown_is_refused_as_not_run() {
+    let mut rig = Rig::new();
+    rig.list(vec![model("p1", 2, Stage::Prefill), model("d1", 3, Stage::Decode)]);
+    rig.call("/draft/1", 60_000, Some(prompt(9000)));
+    rig.call("/draft/2", 60_000, Some(prompt(9000)));
+    rig.feed(Event::Shutdown { grace: GRACE });
+    rig.feed(Event::ShutdownOver);
+    assert_eq!(rig.refusals(), [Refusal::Leaving, Refusal::Leaving], "a held slot runs nothing");
+}
+
+#[test]
+fn what_may_have_run_at_the_end_of_the_shutdown_gets_a_failure() {
+    let mut rig = leaving_for(0);
+    rig.call("/stock/1", 60_000, None);
+    rig.feed(Event::ShutdownOver);
+    let refusals = rig.refusals();
+    assert_eq!(refusals, [Refusal::ShutDown]);
+    assert!(!refusals[0].is_not_run());
+}
+
+#[test]
+fn a_stream_at_the_end_of_the_shutdown_does_not_look_complete() {
+    let mut rig = leaving_for(0);
+    let id = rig.call("/draft/1", 60_000, Some(prompt(1000)));
+    rig.came(id, 0, held());
+    rig.came(id, 1, prefilled());
+    rig.came(id, 2, Outcome::Streaming);
+    rig.effects.clear();
+    rig.feed(Event::ShutdownOver);
+    let is_abort =
+        |effect: &Effect| matches!(effect, Effect::AbortStream { request, .. } if *request == id);
+    assert!(rig.effects.iter().any(is_abort), "{:?}", rig.effects);
+}
