--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -28,6 +28,7 @@
 mod relays;
 mod returns;
 mod roles;
+mod shutdown;
 mod statement;
 mod step;
 mod suspect;
@@ -43,7 +44,7 @@
     endpoint::EndpointKey,
     event::Event,
     log_line::LogLine,
-    state::{Leaving, State, SystemStart, Usage, requests::Hold},
+    state::{State, SystemStart, Usage, requests::Hold},
     topic::Topic,
 };
 
@@ -93,13 +94,8 @@
             roles::handle_order_answer(&mut ctx, endpoint, acceptance);
         }
         Event::OrderRight(right) => roles::set_order_right(&mut ctx, right),
-        Event::Shutdown { grace } => {
-            ctx.state.leaving = Some(Leaving { since: ctx.now, until: ctx.now + grace });
-            let running = ctx.state.requests.len();
-            ctx.log(LogLine::new("shutdown").with("requests", running));
-            gossip::announce_shutdown(&mut ctx);
-        }
-        Event::ShutdownOver => finish::end_all(&mut ctx),
+        Event::Shutdown { grace } => shutdown::begin(&mut ctx, grace),
+        Event::ShutdownOver => shutdown::complete(&mut ctx),
         Event::Gossip { from, gossip } => gossip::handle(&mut ctx, from, &gossip),
     }
     queue::resume_waiting(&mut ctx);
@@ -109,6 +105,7 @@
         step::handle_timer(&mut ctx, id);
         queue::resume_waiting(&mut ctx);
     }
+    shutdown::tick(&mut ctx);
     forecast::tick(&mut ctx);
     statement::tick(&mut ctx);
     suspect::tick(&mut ctx);
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -50,29 +50,6 @@
     end_request(ctx, id, refusal.as_str());
 }
 
-/// Ends all requests that are left when the daemon's shutdown is over.
-pub fn end_all(ctx: &mut Context<'_>) {
-    let mut left: Vec<_> = ctx.state.requests.keys().copied().collect();
-    left.sort_unstable();
-    for id in left {
-        log_shutdown_end(ctx, id);
-        end_request(ctx, id, "shutdown");
-    }
-}
-
-/// Logs that the end of the shutdown ends a request, and when the request had come.
-fn log_shutdown_end(ctx: &mut Context<'_>, id: RequestId) {
-    let (Some(request), Some(leaving)) = (ctx.state.requests.get(&id), ctx.state.leaving) else {
-        return;
-    };
-    let line = LogLine::new("cut_by_shutdown")
-        .with_ms("arrived_ms", leaving.age(request.arrived))
-        .with_ms("left_ms", request.remaining(ctx.now))
-        .with("answering", request.answering)
-        .with("may_have_run", request.may_have_run());
-    ctx.log_request(id, line);
-}
-
 /// Releases a hold whose endpoint did not accept the call.
 pub fn release_hold_at(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
--- /dev/null
+++ b/crates/basilbank_forward/src/reduce/shutdown.rs
@@ -0,0 +1,92 @@
+//! The daemon's shutdown: which calls are left to other daemons, and how the rest end.
+//!
+//! New calls are refused by `admission`. A call that was admitted and has not begun is refused as
+//! soon as it would probably be cut off, while its caller can still be served elsewhere.
+
+use std::time::Duration;
+
+use super::{Context, finish, gossip};
+use crate::{
+    call::RequestId,
+    log_line::LogLine,
+    reason::Refusal,
+    state::{Leaving, Request, State},
+};
+
+/// Mean duration of a completion while none has been measured.
+const TYPICAL_DURATION: Duration = Duration::from_millis(1500);
+
+/// Allowed duration of a completion that begins during the shutdown, as a multiple of the mean.
+const DURATION_FACTOR: u32 = 2;
+
+/// Begins the shutdown.
+pub fn begin(ctx: &mut Context<'_>, grace: Duration) {
+    ctx.state.leaving = Some(Leaving { since: ctx.now, until: ctx.now + grace });
+    let running = ctx.state.requests.len();
+    ctx.log(LogLine::new("shutdown").with("requests", running));
+    gossip::announce_shutdown(ctx);
+}
+
+/// Refuses waiting calls that would probably be cut off if they began now.
+pub fn tick(ctx: &mut Context<'_>) {
+    let Some(leaving) = ctx.state.leaving.filter(|leaving| leaving.has_left_balancer(ctx.now))
+    else {
+        return;
+    };
+    let waiting = ctx.state.waiting.iter().chain(&ctx.state.permit_holder.waiting);
+    let mut waiting: Vec<_> = waiting.copied().collect();
+    waiting.sort_unstable();
+    waiting.dedup();
+    for id in waiting {
+        if would_be_cut_off(ctx.state, leaving, id, ctx.now) {
+            finish::give_up(ctx, id, Refusal::Leaving);
+        }
+    }
+}
+
+/// Ends the calls that are still in progress when the grace period is over. Those that have not run
+/// are refused, so that their callers can try elsewhere.
+pub fn complete(ctx: &mut Context<'_>) {
+    let mut left: Vec<_> = ctx.state.requests.keys().copied().collect();
+    left.sort_unstable();
+    for id in left {
+        log_end(ctx, id);
+        let Some(request) = ctx.state.requests.get(&id) else { continue };
+        let refusal = if request.may_have_run() { Refusal::ShutDown } else { Refusal::Leaving };
+        finish::give_up(ctx, id, refusal);
+    }
+}
+
+fn would_be_cut_off(state: &mut State, leaving: Leaving, id: RequestId, now: Duration) -> bool {
+    let Some(request) = state.requests.get(&id).filter(|request| !has_begun(request)) else {
+        return false;
+    };
+    let (service, deadline) = (request.service.clone(), request.deadline);
+    let duration = match request.is_completion(state) {
+        true => {
+            let mean = state.forecasts.service(&service).residence.time(now);
+            let mean = mean.unwrap_or(TYPICAL_DURATION);
+            state.tuning.first_token_delay + mean * DURATION_FACTOR
+        }
+        false => request.route.target,
+    };
+    leaving.ends_before(deadline.min(now + duration))
+}
+
+/// Returns whether an endpoint has done work for the request: giving it up would waste that.
+fn has_begun(request: &Request) -> bool {
+    request.may_have_run() || request.completion.kv.is_some() || !request.active_attempts.is_empty()
+}
+
+/// Logs that the end of the shutdown ends a request, and when the request had come.
+fn log_end(ctx: &mut Context<'_>, id: RequestId) {
+    let (Some(request), Some(leaving)) = (ctx.state.requests.get(&id), ctx.state.leaving) else {
+        return;
+    };
+    let line = LogLine::new("cut_by_shutdown")
+        .with_ms("arrived_ms", leaving.age(request.arrived))
+        .with_ms("left_ms", request.remaining(ctx.now))
+        .with("answering", request.answering)
+        .with("may_have_run", request.may_have_run());
+    ctx.log_request(id, line);
+}
--- a/crates/basilbank_forward/src/state/local.rs
+++ b/crates/basilbank_forward/src/state/local.rs
@@ -33,13 +33,26 @@
         at.saturating_sub(self.since)
     }
 
+    /// Returns whether the load balancer sends callers elsewhere by now, so that those that are
+    /// refused don't come back here.
+    #[must_use]
+    pub fn has_left_balancer(&self, now: Duration) -> bool {
+        self.since + BALANCER_REACTION_TIME <= now
+    }
+
+    /// Returns whether a call that lasts until `end` is cut off.
+    #[must_use]
+    pub fn ends_before(&self, end: Duration) -> bool {
+        self.until < end
+    }
+
     /// Returns whether a call that may last until `deadline` is refused. The call might be cut off,
     /// and another daemon serves it when its caller retries. While the load balancer still sends
     /// callers here, a retry would probably arrive here again; most calls end long before their
     /// deadline, so they are accepted then.
     #[must_use]
     pub fn refuses(&self, now: Duration, deadline: Duration) -> bool {
-        self.since + BALANCER_REACTION_TIME <= now && self.until < deadline
+        self.has_left_balancer(now) && self.ends_before(deadline)
     }
 }
 
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -9,7 +9,7 @@
     net::{TcpListener, UdpSocket},
     sync::watch,
     task::spawn_local,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
 use crate::{
@@ -29,6 +29,9 @@
 /// Part of the grace period that is left for closing what remains.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time in which the last answers are sent, before the process ends.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+
 /// Interval between checks whether all connections are closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -107,10 +110,16 @@
         self.phase.send_replace(Phase::Draining);
         sleep_until(end.min(Instant::now() + ACCEPT_AFTER_SHUTDOWN)).await;
         self.phase.send_replace(Phase::Closed);
+        self.wait_until_idle(end).await;
+        self.router.dispatch(Event::ShutdownOver);
+        self.wait_until_idle(Instant::now() + LAST_ANSWERS_TIME).await;
+    }
+
+    /// Waits until no work is in progress, or until `end`.
+    async fn wait_until_idle(&self, end: Instant) {
         while self.is_busy() && Instant::now() < end {
-            sleep(POLL_INTERVAL).await;
+            sleep_until(end.min(Instant::now() + POLL_INTERVAL)).await;
         }
-        self.router.dispatch(Event::ShutdownOver);
     }
 
     /// Returns whether callers are connected or calls for peers are in progress.
