--- /dev/null
+++ b/crates/basilbankd/tests/platform_start.rs
@@ -0,0 +1,85 @@
+//! A SIGTERM to a daemon on the users' platform that has just started.
+
+use std::{
+    fs, hint,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Starts: the signal comes at another moment of each.
+const STARTS: usize = 40;
+
+/// Exit code of a daemon that could not start, for example because a port is taken.
+const FAILED: i32 = 1;
+
+const SETTINGS: &str = r#"
+node = "vm"
+zone = "hall-a"
+ip = "127.0.0.1"
+portRange = [{peers}, {peers}]
+seeds = []
+bootstrap = true
+
+[listen]
+front = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{control}"
+
+[platform]
+addr = "127.0.0.1:1"
+
+[bounds]
+graceS = 0.7
+retryRatio = 0.2
+retrySlack = 400
+retryWindowS = 10
+"#;
+
+fn free_ports() -> [u16; 4] {
+    let listeners = [(); 4].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap().port())
+}
+
+fn start(settings: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_basilbankd"));
+    command.args(["--platform", "--settings"]).arg(settings);
+    command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
+}
+
+/// Sends SIGTERM as soon as a daemon listens for callers. Returns how it ended; `None` if it could not
+/// listen.
+fn terminate_at_once(settings: &Path) -> Option<ExitStatus> {
+    let [callers, ready, control, peers] = free_ports();
+    let text = SETTINGS
+        .replace("{callers}", &callers.to_string())
+        .replace("{ready}", &ready.to_string())
+        .replace("{control}", &control.to_string())
+        .replace("{peers}", &peers.to_string());
+    fs::write(settings, text).unwrap();
+    let mut child = start(settings);
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, callers));
+    while TcpStream::connect(address).is_err() {
+        if let Some(status) = child.try_wait().unwrap() {
+            assert_eq!(status.code(), Some(FAILED), "a daemon ended before it listened");
+            return None;
+        }
+        hint::spin_loop();
+    }
+    let pid = Pid::from_raw(i32::try_from(child.id()).unwrap()).unwrap();
+    kill_process(pid, Signal::TERM).unwrap();
+    Some(child.wait().unwrap())
+}
+
+/// Guards against callers that are accepted and then reset: their daemon is killed by a SIGTERM for which
+/// no handler is registered yet.
+#[test]
+fn a_daemon_that_listens_shuts_down_on_sigterm() {
+    let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("platform-start.toml");
+    let ended: Vec<_> = (0..STARTS).filter_map(|_| terminate_at_once(&settings)).collect();
+    let killed = ended.iter().filter(|status| !status.success()).count();
+    assert!(!ended.is_empty());
+    assert_eq!(killed, 0, "of {} were killed: {ended:?}", ended.len());
+}
