Stand-in: an endpoint that falls silent for a moment and goes on

It sends nothing over any connection, answers to health checks included, and then goes on where it was. A plain call may say for how long the endpoint works on it.

--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -14,6 +14,7 @@
 mod proxy;
 mod served;
 mod serving;
+mod silence;
 mod slow_clock;
 mod store;
 mod world;
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -54,7 +54,7 @@
 /// An endpoint. Dropping it ends it.
 pub struct ManagedEndpoint {
     spec: EndpointSpec,
-    inside: Arc<Mutex<Inside>>,
+    pub(super) inside: Arc<Mutex<Inside>>,
     listener: Listener,
     caches: Caches,
     listed: SocketAddr,
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use super::{
@@ -38,6 +38,8 @@
     pub(super) slots: Option<u32>,
     /// Factor by which its streams take longer; 0 is taken for 1.
     pub(super) slowness: u32,
+    /// It sends nothing until then.
+    pub(super) silent_until: Option<Instant>,
     pub(super) handles: HashSet<String>,
     pub(super) next: u32,
     pub(super) served: Served,
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -46,6 +46,7 @@
             return write_answer(stream, 421, &[("x-instance-id", &self.instance)], b"");
         }
         self.arrive(request);
+        self.wait_out_silence();
         let (misdeed, crashed) = self.condition();
         if crashed {
             return Err(io::ErrorKind::ConnectionReset.into());
@@ -249,6 +250,7 @@
         request: &Request,
         misdeed: Misdeed,
     ) -> io::Result<()> {
+        self.work(request);
         let id = request.header("x-attempt-id").unwrap_or_default();
         let id = if misdeed == Misdeed::Mistaken { "another" } else { id };
         let status = if misdeed == Misdeed::Error { 500 } else { 200 };
@@ -318,6 +320,7 @@
                 lock(&self.inside).served.abandoned += 1;
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
+            self.wait_out_silence();
             thread::sleep(EVENT_TIME * lock(&self.inside).slowness.max(1));
         }
         writer.end()
