--- a/crates/basilbank_soak/src/callers.rs
+++ b/crates/basilbank_soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that keep their connections, and what they saw.
 
+mod planned;
 mod special;
 
 use std::{
@@ -18,7 +19,7 @@
 use basilbank_standin::managed::{Answer, DEADLY, DEADLY_PART, read_answer};
 
 pub use self::special::Switches;
-use crate::streams::{EVENTS, Events};
+use crate::streams::Events;
 
 /// What callers say they wait.
 const PATIENCE: Duration = Duration::from_millis(4000);
@@ -112,6 +113,8 @@
     pub line: String,
     /// When it was sent.
     pub begun: Instant,
+    /// How long its caller said that it waits.
+    pub patience: Duration,
     /// When its answer was there.
     pub ended: Instant,
     /// What came.
@@ -179,6 +182,19 @@
         Callers { records, switches, stop, threads }
     }
 
+    /// Starts some whose calls are long, and who never leave them.
+    #[must_use]
+    pub fn start_planned(seed: u64, count: usize, daemons: &[SocketAddr]) -> Callers {
+        let (records, stop) = (Records::default(), Arc::new(AtomicBool::new(false)));
+        let threads = (0..count).map(|number| {
+            let caller = Caller { stays: true, ..Caller::new(seed, number, daemons) };
+            let (records, stop) = (Arc::clone(&records), Arc::clone(&stop));
+            thread::spawn(move || caller.run_planned(&records, &stop))
+        });
+        let threads = threads.collect();
+        Callers { records, switches: Arc::default(), stop, threads }
+    }
+
     /// Waits until all have their last answer.
     pub fn finish(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
@@ -202,6 +218,10 @@
     at: usize,
     calls: u64,
     open: Option<BufReader<TcpStream>>,
+    /// It never leaves a stream.
+    stays: bool,
+    /// How long an endpoint is to work on a plain call.
+    work: Duration,
 }
 
 impl Caller {
@@ -213,12 +233,23 @@
             at: number % daemons.len(),
             calls: 0,
             open: None,
+            stays: false,
+            work: Duration::ZERO,
         }
     }
 
-    fn run(mut self, records: &Records, stop: &AtomicBool) {
+    fn run(self, records: &Records, stop: &AtomicBool) {
+        self.run_calls(Caller::call, records, stop);
+    }
+
+    fn run_calls(
+        mut self,
+        call: fn(&mut Caller) -> (Record, Events),
+        records: &Records,
+        stop: &AtomicBool,
+    ) {
         while !stop.load(Ordering::Relaxed) {
-            let (record, events) = self.call();
+            let (record, events) = call(&mut self);
             if record.seen != Seen::Served {
                 // The open connection is kept as long as it works, the daemon only then.
                 self.at = (self.at + usize::from(self.open.is_none())) % self.daemons.len();
@@ -244,7 +275,7 @@
         let mut daemon = begun.daemon;
         for _ in 0..=self.rng.index(TRIES) {
             thread::sleep(Duration::from_millis(self.rng.next_u64() % (2 * PAUSE_MS)));
-            let left = PATIENCE.saturating_sub(begun.begun.elapsed());
+            let left = begun.patience.saturating_sub(begun.begun.elapsed());
             let Some(version) = events.version.clone().filter(|_| LEAST < left) else { return };
             self.open = None;
             daemon = (daemon + 1) % self.daemons.len();
@@ -271,10 +302,20 @@
         let (daemon, begun, had) = (self.at, Instant::now(), events.count);
         let line = line(kind, resumed.as_ref().map_or(&id, |resumed| &resumed.first));
         let (seen, is_first) = (Seen::Nothing, self.open.is_none());
-        let ended = begun;
-        let mut record =
-            Record { id, kind, daemon, is_first, line, begun, ended, seen, events: 0, resumed };
-        record.seen = self.exchange(&record, events, patience).unwrap_or_else(|error| {
+        let mut record = Record {
+            id,
+            kind,
+            daemon,
+            is_first,
+            line,
+            begun,
+            patience,
+            ended: begun,
+            seen,
+            events: 0,
+            resumed,
+        };
+        record.seen = self.exchange(&record, events).unwrap_or_else(|error| {
             self.open = None;
             unanswered(&error)
         });
@@ -283,12 +324,7 @@
         record
     }
 
-    fn exchange(
-        &mut self,
-        call: &Record,
-        events: &mut Events,
-        patience: Duration,
-    ) -> io::Result<Seen> {
+    fn exchange(&mut self, call: &Record, events: &mut Events) -> io::Result<Seen> {
         let mut reader = match self.open.take() {
             Some(reader) => reader,
             None => match TcpStream::connect_timeout(&self.daemons[self.at], CONNECT) {
@@ -296,12 +332,12 @@
                 Err(_) => return Ok(Seen::Unreachable),
             },
         };
-        reader.get_ref().set_read_timeout(Some(patience + MARGIN))?;
-        reader.get_mut().write_all(request(call, events.count, patience).as_bytes())?;
+        reader.get_ref().set_read_timeout(Some(call.patience + MARGIN))?;
+        reader.get_mut().write_all(request(call, events, self.work).as_bytes())?;
         if call.kind == Kind::Left {
             return leave(&mut reader);
         }
-        if call.kind == Kind::Draft && self.rng.index(CUTS) == 0 {
+        if call.kind == Kind::Draft && !self.stays && self.rng.index(CUTS) == 0 {
             let bytes = CUT_BYTES.0 + self.rng.next_u64() % CUT_BYTES.1;
             return lose(&mut reader, bytes, call, events);
         }
@@ -354,16 +390,17 @@
     format!("x-token-counts: 1000,{events}\r\nx-prompt-prefix: {parts}\r\n")
 }
 
-fn request(call: &Record, had: u32, patience: Duration) -> String {
-    let events = if call.kind == Kind::Left { LEFT_EVENTS } else { EVENTS };
+fn request(call: &Record, had: &Events, work: Duration) -> String {
+    let events = if call.kind == Kind::Left { LEFT_EVENTS } else { had.last };
     let mut more = match call.kind {
-        Kind::Stock | Kind::Sheet | Kind::Crowd => String::new(),
+        Kind::Stock | Kind::Sheet | Kind::Crowd if work.is_zero() => String::new(),
+        Kind::Stock | Kind::Sheet | Kind::Crowd => format!("x-work-ms: {}\r\n", work.as_millis()),
         Kind::DeadlyPart => prompt_head(&format!("ab:300,{DEADLY_PART}:300,cd:400"), events),
         Kind::Draft | Kind::Once => prompt_head("ab:300,cd:700", events),
         _ => prompt_head("ab:1000", events),
     };
     if let Some(resumed) = &call.resumed {
-        more += &format!("last-event-id: {had}\r\nresumes: {}\r\n", resumed.first);
+        more += &format!("last-event-id: {}\r\nresumes: {}\r\n", had.count, resumed.first);
     }
     let body = body(call.kind, call.name());
     format!(
@@ -371,7 +408,7 @@
          x-deadline-remaining: {}\r\ncontent-length: {}\r\n\r\n{body}",
         call.line,
         call.id,
-        patience.as_millis(),
+        call.patience.as_millis(),
         body.len(),
     )
 }
--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! What must hold, by what callers and endpoints saw.
 
 mod overload;
+mod planned;
 mod versions;
 
 use std::{
@@ -10,6 +11,7 @@
 
 use basilbank_standin::managed::{Arrival, Request, Served};
 
+pub use self::planned::{Coverage, PlannedEvidence};
 use crate::{
     callers::{Kind, Record, Seen, body},
     play::{Serving, Span, Trouble},
@@ -22,6 +24,9 @@
 /// Longest time of a call: what its caller waits, and the margin of the users' rules.
 const LONGEST: Duration = Duration::from_millis(4500);
 
+/// How long after its caller's patience a call's answer is too late.
+const LATE: Duration = Duration::from_millis(500);
+
 /// How long after trouble its effects may be seen.
 const AFTER: Duration = Duration::from_millis(1500);
 
@@ -116,7 +121,10 @@
             Seen::Closed if ran != 0 && !self.excused(record) => {
                 Some(format!("LOST {} ran, and its connection ended without an answer", of(record)))
             }
-            Seen::Status(_) if LONGEST < record.ended - record.begun && !self.excused(record) => {
+            Seen::Status(_)
+                if LONGEST.max(record.patience + LATE) < record.ended - record.begun
+                    && !self.excused(record) =>
+            {
                 Some(format!("LATE {} took {:?}", of(record), record.ended - record.begun))
             }
             _ => None,
--- a/crates/basilbank_soak/src/lib.rs
+++ b/crates/basilbank_soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plan;
 pub mod play;
 pub mod process;
+pub mod routing;
 pub mod site;
 pub mod soak;
 pub mod streams;
--- a/crates/basilbank_soak/src/main.rs
+++ b/crates/basilbank_soak/src/main.rs
@@ -15,7 +15,7 @@
 use basilbank_soak::{
     clock::SteppedClock,
     process::{Program, kill_all},
-    soak::{Soak, Verdict},
+    soak::{PlayKind, Soak, Verdict},
 };
 use pico_args::Arguments;
 use signal_hook::{
@@ -28,12 +28,15 @@
 
 USAGE:
   basilbank_soak [--from SEED] [--seeds N] [--seconds S] [--daemons N] [--callers N] [--keep DIR]
+                [--planned] [--without-silence]
       --from SEED   first seed [default: 1]
       --seeds N     how many [default: 1]; those of seeds.txt come first with --regressions
       --seconds S   time of traffic for each [default: 10]
       --daemons N   daemons [default: 3]
       --callers N   callers [default: 12]
       --keep DIR    keep logs of seeds that fail there [default: the temporary directory]
+      --planned     play planned work alone, beside endpoints that fall silent: 20 s or more
+      --without-silence with --planned, no endpoint falls silent
       --regressions play the seeds that failed before, too
   basilbank_soak daemon --settings FILE
       A daemon of the platform whose time of day is ahead by the milliseconds in FILE's .clock file.
@@ -88,6 +91,12 @@
     let callers: usize = arguments.opt_value_from_str("--callers")?.unwrap_or(12);
     let keep: Option<PathBuf> = arguments.opt_value_from_str("--keep")?;
     let regressions = arguments.contains("--regressions");
+    let kind = match (arguments.contains("--planned"), arguments.contains("--without-silence")) {
+        (false, false) => PlayKind::Faults,
+        (true, false) => PlayKind::Planned,
+        (true, true) => PlayKind::PlannedWithoutSilence,
+        (false, true) => bail!("--without-silence needs --planned"),
+    };
     refuse_rest(arguments)?;
     let programs = programs(daemons)?;
     let traffic = Duration::try_from_secs_f64(seconds).context("--seconds")?;
@@ -100,9 +109,12 @@
     let (mut calls, mut failed) = (0, 0);
     for seed in &seeds {
         let folder = base.join(format!("basilbank-soak-{}-{seed}", std::process::id()));
-        let soak = Soak { programs: programs.clone(), callers, traffic, folder };
+        let soak = Soak { kind, programs: programs.clone(), callers, traffic, folder };
         let verdict = soak.play(*seed).with_context(|| format!("seed {seed}"))?;
         calls += verdict.calls;
+        if let Some(coverage) = verdict.coverage {
+            println!("seed={seed} calls={} {coverage:?}", verdict.calls);
+        }
         match verdict.findings.is_empty() {
             true => soak.clean()?,
             false => {
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! What is done to a site, and when: the same for the same seed.
 
 mod endings;
+mod planned;
 mod shortage;
 mod versions;
 
@@ -9,6 +10,7 @@
 use basilbank_core::state::Rng;
 use basilbank_standin::managed::{BadEntry, BreakShare, Ending, Misdeed, StoreFault, Weather};
 
+pub use self::planned::{Routing, planned};
 use self::{endings::endings, shortage::shortage, versions::versions};
 
 /// Faults in one play, with those that overlap.
@@ -117,6 +119,16 @@
     CrashVersion(&'static str, usize, Duration),
     /// The paths from some daemons, the first ones from a number on, to endpoints.
     Paths(PathCut, Weather, Duration),
+    /// A second SIGTERM to a daemon that leaves.
+    TerminateAgain(usize),
+    /// SIGTERM, and another one as soon as the daemon that is started again accepts callers.
+    TerminateTwice(usize),
+    /// A new version of the configuration, with what it says of the routes.
+    Reconfigure(Routing),
+    /// An endpoint drains until it has ended its streams, and another instance takes its address.
+    Retire(usize),
+    /// A sound endpoint sends nothing for the time, and goes on.
+    Silence(usize, Duration),
     /// The time of day jumps at the daemon with the injected clock.
     Step(Duration),
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -2,6 +2,7 @@
 
 mod daemons;
 mod endpoints;
+mod planned;
 mod versions;
 
 use std::{
@@ -15,8 +16,11 @@
 use basilbank_standin::managed::{BreakShare, Ending, Lost, Misdeed, StoreFault, Weather};
 use rustix::process::Signal;
 
-pub use self::versions::Serving;
 use self::{daemons::RESTART, endpoints::DRAIN};
+pub use self::{
+    planned::{Sent, Silence, Work},
+    versions::Serving,
+};
 use crate::{
     callers::Switches,
     plan::{At, Fault, PathCut},
@@ -26,6 +30,9 @@
 /// How often a daemon that leaves is looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Longest time from the site's first configuration to the play's beginning.
+const START: Duration = Duration::from_secs(20);
+
 /// What troubles a daemon.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Trouble {
@@ -93,6 +100,8 @@
     Disperse(usize),
     Revive(usize),
     Rewrite(Vec<Lost>),
+    TerminateEarly(usize),
+    Retire(usize),
 }
 
 /// A play under way.
@@ -107,6 +116,10 @@
     /// The store came back from a copy, and its writers have not written again.
     restoring: bool,
     switches: Arc<Switches>,
+    /// Daemons whose next process gets a SIGTERM as soon as it accepts callers.
+    early: HashSet<usize>,
+    /// What planned work was done.
+    pub work: Work,
     /// Times of trouble.
     pub spans: Vec<Span>,
     /// Times in which decode endpoints served.
@@ -137,6 +150,8 @@
             unlisted: HashSet::new(),
             restoring: false,
             switches,
+            early: HashSet::new(),
+            work: Work::begin(begun - START),
             spans,
             serving: Vec::new(),
             findings,
@@ -171,7 +186,7 @@
 
     fn step(&mut self, step: Step) -> anyhow::Result<()> {
         let at = self.begun.elapsed().as_millis();
-        if !matches!(step, Step::Reap { .. }) {
+        if !matches!(step, Step::Reap { .. } | Step::Retire(_)) {
             self.done.push(format!("{at:>6} ms  {step:?}"));
         }
         match step {
@@ -226,6 +241,8 @@
                 self.restoring = false;
                 self.site.store.rewrite(lost);
             }
+            Step::TerminateEarly(daemon) => self.terminate_early(daemon),
+            Step::Retire(place) => self.end_retired(place),
             Step::UnlistForeign => self.site.unlist_foreign(),
         }
         Ok(())
@@ -346,6 +363,14 @@
                 self.begin(daemon, Trouble::Crowd);
                 self.later(time, Step::Disperse(daemon));
             }
+            Fault::TerminateAgain(daemon) => self.terminate_again(daemon),
+            Fault::TerminateTwice(daemon) => {
+                self.early.insert(daemon);
+                self.terminate(daemon);
+            }
+            Fault::Reconfigure(routing) => self.reconfigure(routing),
+            Fault::Retire(place) => self.retire(place),
+            Fault::Silence(place, time) => self.fall_silent(place, time),
             Fault::Step(ahead) => {
                 let last = self.site.daemons.last().context("a daemon")?;
                 fs::write(last.clock_file(), ahead.as_millis().to_string())?;
--- a/crates/basilbank_soak/src/play/daemons.rs
+++ b/crates/basilbank_soak/src/play/daemons.rs
@@ -47,6 +47,9 @@
             for trouble in [Trouble::Down, Trouble::Paused, Trouble::Leaving] {
                 self.over(daemon, trouble);
             }
+            if self.early.remove(&daemon) {
+                self.later(Duration::ZERO, Step::TerminateEarly(daemon));
+            }
         }
         Ok(())
     }
--- a/crates/basilbank_soak/src/site.rs
+++ b/crates/basilbank_soak/src/site.rs
@@ -14,7 +14,11 @@
     ManagedEndpoint, ManagedStore, Paths, Proxy, Served, WRITER, call, configuration, key,
 };
 
-use crate::process::{Process, Program};
+use crate::{
+    plan::Routing,
+    process::{Process, Program},
+    routing::{self, SECOND_DESK, SECOND_WRITER},
+};
 
 /// Longest wait for a daemon's readiness.
 const READY: Duration = Duration::from_secs(15);
@@ -88,6 +92,9 @@
     ) -> anyhow::Result<Place> {
         let (service, stage) = match stage {
             "plain" => (DESK, None),
+            "second" => (SECOND_DESK, None),
+            "second-prefill" => (SECOND_WRITER, Some("prefill")),
+            "second-decode" => (SECOND_WRITER, Some("decode")),
             stage => (WRITER, Some(stage)),
         };
         let instance = format!("{}-{number}-0", stage.unwrap_or("plain"));
@@ -313,6 +320,12 @@
         self.store.put("op/config", &configuration(self.version, &routes));
     }
 
+    /// Writes a configuration in which routes are as planned work wants them.
+    pub fn reconfigure(&mut self, routing: Routing) {
+        self.version += 1;
+        self.store.put("op/config", &routing::configuration(self.version, routing));
+    }
+
     /// The prefix of the route that was added last.
     #[must_use]
     pub fn newest_route(&self) -> Option<&str> {
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     callers::Callers,
-    checks::{Evidence, still_at_work},
-    plan::{Sizes, plan},
+    checks::{Coverage, Evidence, PlannedEvidence, still_at_work},
+    plan::{Sizes, plan, planned},
     play::Play,
     process::Program,
     site::{ENDPOINTS, Site, wait_ready},
@@ -38,9 +38,23 @@
 /// How endpoints' streams may go on after the last caller has left.
 const STILL: Duration = Duration::from_millis(1500);
 
+/// What happens in a play.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum PlayKind {
+    /// Faults of all kinds.
+    #[default]
+    Faults,
+    /// Planned work alone, and silences of sound endpoints.
+    Planned,
+    /// Planned work alone.
+    PlannedWithoutSilence,
+}
+
 /// What to play.
 #[derive(Clone, Debug)]
 pub struct Soak {
+    /// What happens.
+    pub kind: PlayKind,
     /// How each daemon is started.
     pub programs: Vec<Program>,
     /// Callers.
@@ -60,6 +74,8 @@
     pub findings: Vec<String>,
     /// What was done.
     pub done: Vec<String>,
+    /// How often a play of planned work came to the cases that it is for.
+    pub coverage: Option<Coverage>,
 }
 
 impl Soak {
@@ -78,12 +94,19 @@
             traffic: self.traffic,
         };
         let addresses: Vec<_> = site.daemons.iter().map(|daemon| daemon.callers).collect();
-        let mut callers = Callers::start(seed, self.callers, &addresses);
-        let mut play = Play::new(&mut site, &plan(seed, sizes), Arc::clone(&callers.switches));
+        let (start, plan): (fn(_, _, &[_]) -> _, _) = match self.kind {
+            PlayKind::Faults => (Callers::start, plan(seed, sizes)),
+            PlayKind::Planned => (Callers::start_planned, planned(seed, sizes, true)),
+            PlayKind::PlannedWithoutSilence => {
+                (Callers::start_planned, planned(seed, sizes, false))
+            }
+        };
+        let mut callers = start(seed, self.callers, &addresses);
+        let mut play = Play::new(&mut site, &plan, Arc::clone(&callers.switches));
         let end = Instant::now() + self.traffic;
         play.run(end)?;
         callers.finish();
-        let Play { spans, serving, mut findings, done, .. } = play;
+        let Play { spans, serving, work, mut findings, done, .. } = play;
         findings.extend(still_at_work(&site, STILL));
         findings.extend(recovered(&site));
         findings.extend(stopped(&mut site));
@@ -96,9 +119,16 @@
         });
         let served = served.collect();
         let evidence = Evidence { records: &records, served, spans: &spans, serving: &serving };
-        findings.extend(evidence.findings());
+        let mut coverage = None;
+        if self.kind == PlayKind::Faults {
+            findings.extend(evidence.findings());
+        } else {
+            let planned = PlannedEvidence { seen: evidence, work: &work };
+            findings.extend(planned.findings());
+            coverage = Some(planned.coverage());
+        }
         findings.extend(panics(&site));
-        Ok(Verdict { calls: records.len(), findings, done })
+        Ok(Verdict { calls: records.len(), findings, done, coverage })
     }
 
     /// Removes settings and logs.
--- a/crates/basilbank_soak/src/streams.rs
+++ b/crates/basilbank_soak/src/streams.rs
@@ -8,15 +8,29 @@
 pub const EVENTS: u32 = 40;
 
 /// The whole events that a caller has of a stream. They come in order, each once.
-#[derive(Clone, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Events {
     /// How many.
     pub count: u32,
     /// The version that wrote the first one.
     pub version: Option<String>,
+    /// How many the whole stream has.
+    pub last: u32,
+}
+
+impl Default for Events {
+    fn default() -> Events {
+        Events::of(EVENTS)
+    }
 }
 
 impl Events {
+    /// None yet, of a stream with so many.
+    #[must_use]
+    pub fn of(last: u32) -> Events {
+        Events { count: 0, version: None, last }
+    }
+
     /// Takes what one try brought, and says what that is. A stream that looks whole has all events.
     pub fn take(&mut self, text: &str, whole: bool) -> Seen {
         let wrong = || Seen::Wrong(format!("{} bytes, whole {whole}: {text:?}", text.len()));
@@ -33,7 +47,7 @@
         if let Some(other) = other {
             return Seen::OtherVersion(other);
         }
-        match (whole, rest.is_empty() && self.count == EVENTS) {
+        match (whole, rest.is_empty() && self.count == self.last) {
             (true, true) => Seen::Served,
             (false, _) if self.begins_next(rest) => Seen::Broken,
             _ => wrong(),
@@ -43,14 +57,14 @@
     /// The stream can go on.
     #[must_use]
     pub fn is_begun(&self) -> bool {
-        (1..EVENTS).contains(&self.count)
+        (1..self.last).contains(&self.count)
     }
 
     /// An event that broke off is the beginning of the next one.
     fn begins_next(&self, rest: &str) -> bool {
         let version = self.version.as_deref().unwrap_or(FIRST_VERSION);
         let next = event_text(self.count + 1, version);
-        rest.is_empty() || self.count < EVENTS && next.starts_with(rest)
+        rest.is_empty() || self.count < self.last && next.starts_with(rest)
     }
 }
 
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -28,6 +28,7 @@
         is_first: false,
         line,
         begun,
+        patience: Duration::from_secs(4),
         ended,
         seen,
         events: 0,
--- a/crates/basilbank_soak/tests/versions.rs
+++ b/crates/basilbank_soak/tests/versions.rs
@@ -67,6 +67,7 @@
         is_first: false,
         line: "POST /draft/s0".to_owned(),
         begun,
+        patience: Duration::from_secs(4),
         ended: begun + Duration::from_millis(200),
         seen: if events == 0 { Seen::Status(503) } else { Seen::Broken },
         events,
