Soak: a SIGHUP of planned work changes the settings; kept seeds name their kind

A reload with the same settings has no effect, so SIGHUP now raises the bound of retries. A daemon that starts is looked at without pauses, so that its SIGTERM meets the moment at which it listens. Lines of seeds.txt that begin with `planned` are seeds of planned work.

--- a/crates/basilbank_soak/src/main.rs
+++ b/crates/basilbank_soak/src/main.rs
@@ -50,6 +50,9 @@
 /// Seeds that failed before, each with a line on the cause.
 const REGRESSIONS: &str = include_str!("../seeds.txt");
 
+/// What a line of seeds.txt begins with if its seed is one of planned work.
+const PLANNED: &str = "planned ";
+
 fn main() -> ExitCode {
     let mut arguments = Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
@@ -103,7 +106,7 @@
     let base = keep.unwrap_or_else(env::temp_dir);
     let mut seeds: BTreeSet<u64> = (from..from + count).collect();
     if regressions {
-        seeds.extend(failed_before()?);
+        seeds.extend(failed_before(kind)?);
     }
     let begun = Instant::now();
     let (mut calls, mut failed) = (0, 0);
@@ -161,10 +164,16 @@
     Ok(programs)
 }
 
-fn failed_before() -> anyhow::Result<Vec<u64>> {
+/// The seeds of a kind of play that failed before.
+fn failed_before(kind: PlayKind) -> anyhow::Result<Vec<u64>> {
     let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#') && !line.is_empty());
+    let of_kind = lines.filter_map(|line| match (kind, line.strip_prefix(PLANNED)) {
+        (PlayKind::Faults, None) => Some(line),
+        (PlayKind::Faults, Some(_)) => None,
+        (_, planned) => planned,
+    });
     let seed = |line: &str| line.split(' ').next().unwrap_or_default().parse().context("a seed");
-    lines.map(seed).collect()
+    of_kind.map(seed).collect()
 }
 
 fn report(seed: u64, verdict: &Verdict, folder: &Path) -> anyhow::Result<()> {
--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -123,6 +123,8 @@
     TerminateAgain(usize),
     /// SIGTERM, and another one as soon as the daemon that is started again accepts callers.
     TerminateTwice(usize),
+    /// SIGHUP with another bound of retries in the settings.
+    Retune(usize),
     /// A new version of the configuration, with what it says of the routes.
     Reconfigure(Routing),
     /// An endpoint drains until it has ended its streams, and another instance takes its address.
--- a/crates/basilbank_soak/src/plan/planned.rs
+++ b/crates/basilbank_soak/src/plan/planned.rs
@@ -94,7 +94,7 @@
     }
     for at in series(&mut rng, CHANGE_MS, last) {
         let change = match rng.index(4) {
-            0 => Fault::Reload(rng.index(sizes.daemons)),
+            0 => Fault::Retune(rng.index(sizes.daemons)),
             _ => Fault::Reconfigure(routing(&mut rng)),
         };
         plan.push((at, change));
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -368,6 +368,7 @@
                 self.early.insert(daemon);
                 self.terminate(daemon);
             }
+            Fault::Retune(daemon) => self.retune(daemon)?,
             Fault::Reconfigure(routing) => self.reconfigure(routing),
             Fault::Retire(place) => self.retire(place),
             Fault::Silence(place, time) => self.fall_silent(place, time),
--- a/crates/basilbank_soak/src/play/planned.rs
+++ b/crates/basilbank_soak/src/play/planned.rs
@@ -1,6 +1,7 @@
 //! What planned work does to daemons and endpoints.
 
 use std::{
+    fs, io,
     net::TcpStream,
     thread,
     time::{Duration, Instant},
@@ -11,8 +12,10 @@
 use super::{LOOK, Play, Step, endpoints::DRAIN};
 use crate::plan::Routing;
 
-/// How often a daemon that starts is looked at, and how long.
-const START_LOOK: Duration = Duration::from_millis(1);
+/// The line of the settings that bounds retries.
+const SLACK: &str = "retrySlack = ";
+
+/// How long a daemon that starts is waited for.
 const START_LIMIT: Duration = Duration::from_secs(2);
 
 /// A version of the configuration that was sent.
@@ -77,11 +80,25 @@
         let address = self.site.daemons[daemon].callers;
         let end = Instant::now() + START_LIMIT;
         while TcpStream::connect_timeout(&address, LOOK).is_err() && Instant::now() < end {
-            thread::sleep(START_LOOK);
+            thread::yield_now();
         }
         self.terminate(daemon);
     }
 
+    /// A SIGHUP with settings that allow more retries than before.
+    pub(super) fn retune(&mut self, daemon: usize) -> io::Result<()> {
+        let path = &self.site.daemons[daemon].settings;
+        let text = fs::read_to_string(path)?;
+        let raise = |line: &str| match line.strip_prefix(SLACK).and_then(|n| n.parse::<u32>().ok())
+        {
+            Some(slack) => format!("{SLACK}{}\n", slack + 1),
+            None => format!("{line}\n"),
+        };
+        fs::write(path, text.lines().map(raise).collect::<String>())?;
+        self.signal(daemon, Signal::HUP);
+        Ok(())
+    }
+
     /// An endpoint drains until it has ended its streams; then another instance takes its address.
     pub(super) fn retire(&mut self, place: usize) {
         if self.leaving.insert(place) {
--- a/crates/basilbank_soak/tests/planned.rs
+++ b/crates/basilbank_soak/tests/planned.rs
@@ -228,7 +228,7 @@
             Fault::Terminate(_) => 0,
             Fault::TerminateAgain(_) => 1,
             Fault::TerminateTwice(_) => 2,
-            Fault::Reload(_) => 3,
+            Fault::Retune(_) => 3,
             Fault::Reconfigure(_) => 4,
             Fault::Retire(_) => 5,
             Fault::Join(..) => 6,
