Soak: crowded daemons are judged only where the store was there

The check was wrong: the bound is one in time, from three seconds after the crowd's beginning on, and such bounds hold only for daemons in touch, which a daemon is not while the store has an outage or within three seconds of it. The check looked at daemons' processes alone.

The crowd at daemon 0 ended at 5.085 s and its last 42 ms are judged; the store was silent from 4.674 to 6.303 s, the processes of two of three plain endpoints were down, the third had started 158 ms before (event=endpoint_back at 5.4 s), and 131 of 134 calls in the tenth of a second before were ended with no_endpoint.

The former rows of the test stay.

--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -311,6 +311,16 @@
         })
     }
 
+    /// The daemon of a call could read the store for some time before.
+    fn had_store(&self, record: &Record, at: Instant) -> bool {
+        !self.spans.iter().any(|span| {
+            span.daemon == record.daemon
+                && span.trouble == Trouble::NoStore
+                && span.from <= at
+                && span.to.is_none_or(|to| at <= to + CONTACT)
+        })
+    }
+
     /// The daemon that sent a call had no trouble of its own for some time before.
     fn in_touch(&self, id: &str, at: Instant) -> bool {
         let Some(record) = self.records.get(id) else { return false };
--- a/crates/basilbank_soak/src/checks/overload.rs
+++ b/crates/basilbank_soak/src/checks/overload.rs
@@ -71,6 +71,7 @@
                 record.daemon == crowd.daemon
                     && crowd.from + CONTACT <= record.begun
                     && record.begun < end
+                    && self.had_store(record, record.ended)
             });
             let before = self.served_share(Kind::Sheet, |record| record.begun < crowd.from);
             if let (Some(during), Some(before)) = (during, before)
