Soak: calls after a drain time count only if a daemon in touch sent them

The check was wrong: it held a daemon that had just started to a draining entry which that daemon had never read. The bound is one on calls that were taken and sent on by daemons in touch, after these had acknowledged the entry. Daemons that could not read the store, or stood still, were excused before, and for all calls; that stays as it was.

The endpoint decode-0-0 drains from 4.575 s on, the store comes back at 6.295 s from a copy 4.163 s old, and daemon 0 starts at 6.127 s. The plan leaves 168 ms in between; where the start comes later, the daemon reads the copy alone (event=endpoint draining=false, with the time of a former start), and sends calls until a peer's news at 0.5 s (event=endpoint_gone).

--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -14,7 +14,7 @@
 pub use self::planned::{Coverage, PlannedEvidence};
 use crate::{
     callers::{Kind, Record, Seen, body},
-    play::{Serving, Span, Trouble},
+    play::{Drain, Serving, Span, Trouble},
     site::Site,
 };
 
@@ -241,6 +241,21 @@
         }
     }
 
+    /// An endpoint runs nothing after its drain time that a daemon in touch has sent it. One that has just
+    /// started may have read that it is ready in a store that came back from a copy.
+    #[must_use]
+    pub fn drained(&self, drains: &[Drain]) -> Vec<String> {
+        let is_late = |id: &&String| {
+            self.records.get(*id).is_none_or(|record| self.in_touch(&record.id, record.begun))
+        };
+        let late =
+            |drain: &Drain| (drain.instance.clone(), drain.late.iter().filter(is_late).count());
+        let found = drains.iter().map(late).filter(|(_, count)| *count != 0);
+        found
+            .map(|(name, count)| format!("DRAIN {name} ran {count} calls after its drain time"))
+            .collect()
+    }
+
     /// A daemon that an endpoint has asked for a pause sends it hardly anything until its end.
     fn pauses(&self, findings: &mut Vec<String>) {
         for (instance, served) in &self.served {
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -18,6 +18,7 @@
 
 use self::{daemons::RESTART, endpoints::DRAIN};
 pub use self::{
+    endpoints::Drain,
     planned::{Sent, Silence, Work},
     versions::Serving,
 };
@@ -118,6 +119,8 @@
     switches: Arc<Switches>,
     /// Daemons whose next process gets a SIGTERM as soon as it accepts callers.
     early: HashSet<usize>,
+    /// Endpoints that drained.
+    pub drains: Vec<Drain>,
     /// What planned work was done.
     pub work: Work,
     /// Times of trouble.
@@ -151,6 +154,7 @@
             restoring: false,
             switches,
             early: HashSet::new(),
+            drains: Vec::new(),
             work: Work::begin(begun - START),
             spans,
             serving: Vec::new(),
