--- a/crates/basilbank_soak/src/play/endpoints.rs
+++ b/crates/basilbank_soak/src/play/endpoints.rs
@@ -63,7 +63,8 @@
         if !self.spans.iter().any(blind) {
             let instance = self.site.places[place].endpoint.instance().to_owned();
             let id = |run: &Request| run.header("x-attempt-id").unwrap_or_default().to_owned();
-            let late = ran[before..].iter().map(id).collect();
+            // One that has started again since has forgotten what it ran.
+            let late = ran.get(before..).unwrap_or_default().iter().map(id).collect();
             self.drains.push(Drain { instance, late });
         }
         self.later(Duration::ZERO, Step::Replace(place));
