Soak: a connection that is reset unread is no lost call

The check of planned work was wrong: the bound is on requests that a process has read whole. It took each connection that was closed later than 0.2 s for one, also new ones that a daemon which is behind closes unread.

--- a/crates/basilbank_soak/src/callers.rs
+++ b/crates/basilbank_soak/src/callers.rs
@@ -119,6 +119,8 @@
     pub ended: Instant,
     /// What came.
     pub seen: Seen,
+    /// Its connection was reset before an answer: the daemon had not read all that was sent.
+    pub is_reset: bool,
     /// Events that came, if it is a stream.
     pub events: u32,
     /// The stream that it takes up again.
@@ -312,11 +314,13 @@
             patience,
             ended: begun,
             seen,
+            is_reset: false,
             events: 0,
             resumed,
         };
         record.seen = self.exchange(&record, events).unwrap_or_else(|error| {
             self.open = None;
+            record.is_reset = error.kind() == io::ErrorKind::ConnectionReset;
             unanswered(&error)
         });
         record.ended = Instant::now();
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -31,6 +31,7 @@
         patience: Duration::from_secs(4),
         ended,
         seen,
+        is_reset: false,
         events: 0,
         resumed: None,
     }
--- a/crates/basilbank_soak/tests/versions.rs
+++ b/crates/basilbank_soak/tests/versions.rs
@@ -70,6 +70,7 @@
         patience: Duration::from_secs(4),
         ended: begun + Duration::from_millis(200),
         seen: if events == 0 { Seen::Status(503) } else { Seen::Broken },
+        is_reset: false,
         events,
         resumed,
     }
