--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! What must hold, by what callers and endpoints saw.
 
 mod overload;
+mod planned;
 mod versions;
 
 use std::{
@@ -10,9 +11,10 @@
 
 use basilbank_standin::managed::{Arrival, Request, Served};
 
+pub use self::planned::{Coverage, PlannedEvidence};
 use crate::{
     callers::{Kind, Record, Seen, body},
-    play::{Serving, Span, Trouble},
+    play::{Drain, Serving, Span, Trouble},
     site::Site,
 };
 
@@ -22,6 +24,9 @@
 /// Longest time of a call: what its caller waits, and the margin of the users' rules.
 const LONGEST: Duration = Duration::from_millis(4500);
 
+/// How long after its caller's patience a call's answer is too late.
+const LATE: Duration = Duration::from_millis(500);
+
 /// How long after trouble its effects may be seen.
 const AFTER: Duration = Duration::from_millis(1500);
 
@@ -116,7 +121,10 @@
             Seen::Closed if ran != 0 && !self.excused(record) => {
                 Some(format!("LOST {} ran, and its connection ended without an answer", of(record)))
             }
-            Seen::Status(_) if LONGEST < record.ended - record.begun && !self.excused(record) => {
+            Seen::Status(_)
+                if LONGEST.max(record.patience + LATE) < record.ended - record.begun
+                    && !self.excused(record) =>
+            {
                 Some(format!("LATE {} took {:?}", of(record), record.ended - record.begun))
             }
             _ => None,
@@ -233,6 +241,21 @@
         }
     }
 
+    /// An endpoint runs nothing after its drain time that a daemon in touch has sent it. One that has just
+    /// started may have read that it is ready in a store that came back from a copy.
+    #[must_use]
+    pub fn drained(&self, drains: &[Drain]) -> Vec<String> {
+        let is_late = |id: &&String| {
+            self.records.get(*id).is_none_or(|record| self.in_touch(&record.id, record.begun))
+        };
+        let late =
+            |drain: &Drain| (drain.instance.clone(), drain.late.iter().filter(is_late).count());
+        let found = drains.iter().map(late).filter(|(_, count)| *count != 0);
+        found
+            .map(|(name, count)| format!("DRAIN {name} ran {count} calls after its drain time"))
+            .collect()
+    }
+
     /// A daemon that an endpoint has asked for a pause sends it hardly anything until its end.
     fn pauses(&self, findings: &mut Vec<String>) {
         for (instance, served) in &self.served {
@@ -303,6 +326,16 @@
         })
     }
 
+    /// The daemon of a call could read the store for some time before.
+    fn had_store(&self, record: &Record, at: Instant) -> bool {
+        !self.spans.iter().any(|span| {
+            span.daemon == record.daemon
+                && span.trouble == Trouble::NoStore
+                && span.from <= at
+                && span.to.is_none_or(|to| at <= to + CONTACT)
+        })
+    }
+
     /// The daemon that sent a call had no trouble of its own for some time before.
     fn in_touch(&self, id: &str, at: Instant) -> bool {
         let Some(record) = self.records.get(id) else { return false };
