Tests: answers of endpoints whose process is gone in their middle, leaving or not

Rows by framing, place, leaving or not, and by how the process is gone: before the answer's end, at it, started again, or replaced by another endpoint at its address before the answer's connection is seen to close; streams and plain answers, directly and by a peer. Besides: whole streams of a leaving endpoint that ends after them, at once or later, and whole streams while new connections are reset.

The stand-in's endpoints can refuse new connections while open ones live on, and be replaced by a later start that listens before their connections close.

--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -177,6 +177,27 @@
         self.listener.close();
     }
 
+    /// Refuses new connections from now on. Those that are open live on.
+    pub fn stop_listening(&mut self) {
+        self.listener.stop_listening();
+    }
+
+    /// It ends, and a later start has its address before its connections are seen to close: its own
+    /// if `instance` is its id, else that of another endpoint.
+    ///
+    /// # Errors
+    /// It can't listen.
+    pub fn be_replaced(&mut self, instance: &str) -> io::Result<()> {
+        self.listener.stop_listening();
+        self.spec.instance = instance.to_owned();
+        self.inside = begin(&self.spec);
+        let port = self.listener.address().port();
+        let later = listen(&self.spec, port, &self.inside, &self.caches)?;
+        let former = std::mem::replace(&mut self.listener, later);
+        former.close_all();
+        Ok(())
+    }
+
     /// Names a limit in its answers from now on, or none. It runs whatever comes all the same.
     pub fn limit(&self, rate: Option<f64>) {
         lock(&self.inside).limit = rate;
--- a/crates/basilbank_standin/src/managed/http.rs
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -248,14 +248,19 @@
         }
     }
 
-    /// Ends it: nothing listens at its port any more, and all connections are closed.
-    pub(super) fn close(&mut self) {
+    /// Nothing listens at its port any more. Open connections live on.
+    pub(super) fn stop_listening(&mut self) {
         let Some(thread) = self.thread.take() else { return };
         self.ended.store(true, Ordering::Relaxed);
         // The thread waits in accept; a connection wakes it.
         let _ = TcpStream::connect(self.address);
         // Its port is free once it has ended. A panic there leaves nothing to wait for.
         let _ = thread.join();
+    }
+
+    /// Ends it: nothing listens at its port any more, and all connections are closed.
+    pub(super) fn close(&mut self) {
+        self.stop_listening();
         self.close_all();
     }
 }
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -154,6 +154,11 @@
         self.list(&self.plain[n], DESK, "draining");
     }
 
+    /// Lists a model endpoint as draining.
+    pub fn drain_model(&self, n: usize) {
+        self.list(&self.model[n], WRITER, "draining");
+    }
+
     /// Lists a plain endpoint as ready.
     pub fn list_plain(&self, n: usize) {
         self.list(&self.plain[n], DESK, "ready");
--- a/crates/basilbank_standin/tests/managed/ends.rs
+++ b/crates/basilbank_standin/tests/managed/ends.rs
@@ -22,20 +22,20 @@
 
 /// Who calls the endpoints for the daemon that callers call.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Way {
+pub enum Way {
     Direct,
     ByPeer,
 }
 
-struct Ends {
-    world: World,
-    daemon: usize,
+pub struct Ends {
+    pub world: World,
+    pub daemon: usize,
     calls: u32,
     _paths: Option<Paths>,
 }
 
 impl Ends {
-    fn start(way: Way) -> Ends {
+    pub fn start(way: Way) -> Ends {
         if way == Way::Direct {
             let world = World::start(&WorldSpec::default()).expect("a world");
             return Ends { world, daemon: 0, calls: 0, _paths: None };
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -0,0 +1,282 @@
+//! What proves that an answer is whole, by the way in which its endpoint ends: while it leaves or not,
+//! by framing and place, before its answer's end, at it and after it.
+
+use std::{
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use basilbank_standin::managed::{
+    Answer, BreakKind, BreakPlace, Ending, Framing, ManagedEndpoint, Weather, World, WorldSpec,
+    call,
+};
+use test_case::test_case;
+
+use crate::{
+    ends::{Ends, Way},
+    support::{eventually, stream_of},
+};
+
+/// Events of a stream.
+const EVENTS: u32 = 8;
+
+/// Time in which a daemon reads the store, and answers on their way arrive.
+const SETTLE: Duration = Duration::from_millis(300);
+
+/// Worlds that are played at once.
+const AT_ONCE: usize = 6;
+
+/// How an endpoint's process is gone in the middle of its answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Gone {
+    /// It refuses connections for a while before its own close.
+    Before,
+    /// It ends, and its connections close.
+    AtTheEnd,
+    /// It has started again before its connections are seen to close.
+    Restarted,
+    /// Another endpoint has its address before its connections are seen to close.
+    Replaced,
+}
+
+/// One way to be gone in the middle of an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Row {
+    framing: Framing,
+    place: BreakPlace,
+    is_leaving: bool,
+    gone: Gone,
+}
+
+impl Row {
+    fn all() -> Vec<Row> {
+        let mut rows = Vec::new();
+        for framing in [Framing::Length, Framing::Chunks, Framing::Connection] {
+            for place in [BreakPlace::Inside, BreakPlace::Between] {
+                for is_leaving in [false, true] {
+                    for gone in [Gone::Before, Gone::AtTheEnd, Gone::Restarted, Gone::Replaced] {
+                        rows.push(Row { framing, place, is_leaving, gone });
+                    }
+                }
+            }
+        }
+        rows
+    }
+
+    /// The rows in which an orderly close is all that ends the answer.
+    fn unmarked() -> Vec<Row> {
+        let is_unmarked =
+            |row: &Row| row.framing == Framing::Connection && row.place == BreakPlace::Between;
+        Row::all().into_iter().filter(is_unmarked).collect()
+    }
+
+    /// The answer falls silent in its middle.
+    fn silence(self) -> Ending {
+        let broken = Some((self.place, BreakKind::Silence));
+        Ending { framing: Some(self.framing), broken }
+    }
+
+    fn whole(self) -> Ending {
+        Ending { framing: Some(self.framing), broken: None }
+    }
+
+    fn end(self, endpoint: &mut ManagedEndpoint) {
+        let own = endpoint.instance().to_owned();
+        match self.gone {
+            Gone::Before => {
+                endpoint.stop_listening();
+                thread::sleep(SETTLE);
+                endpoint.cut();
+            }
+            Gone::AtTheEnd => endpoint.end(),
+            Gone::Restarted => endpoint.be_replaced(&own).expect("a start"),
+            Gone::Replaced => endpoint.be_replaced("another").expect("a start"),
+        }
+    }
+}
+
+/// Plays rows, some at once, and returns what is wrong.
+fn play(rows: &[Row], one: impl Fn(Row) -> Option<String> + Sync) -> Vec<String> {
+    let one = &one;
+    let mut wrong = Vec::new();
+    for group in rows.chunks(AT_ONCE) {
+        let found: Vec<_> = thread::scope(|scope| {
+            let played: Vec<_> = group.iter().map(|row| scope.spawn(move || one(*row))).collect();
+            played.into_iter().map(|played| played.join().expect("a row")).collect()
+        });
+        wrong.extend(group.iter().zip(found).filter_map(|(row, found)| Some((row, found?))));
+    }
+    wrong.into_iter().map(|(row, found)| format!("{row:?}: {found}")).collect()
+}
+
+fn begin(world: &World, daemon: usize, line: &str, counts: Option<String>) -> JoinHandle<Answer> {
+    let (to, line) = (world.callers(daemon), line.to_owned());
+    thread::spawn(move || {
+        let id = line.replace(['/', ' '], "-");
+        let mut headers = vec![
+            ("host", "shop.example"),
+            ("x-attempt-id", id.as_str()),
+            ("x-deadline-remaining", "8000"),
+        ];
+        headers.extend(counts.as_deref().map(|counts| ("x-token-counts", counts)));
+        headers.extend(counts.as_deref().map(|_| ("x-prompt-prefix", "abc:1000")));
+        call(to, &line, &headers, b"body").expect("an answer")
+    })
+}
+
+fn begin_stream(world: &World, daemon: usize, path: &str, events: u32) -> JoinHandle<Answer> {
+    let counts = Some(format!("1000,{events}"));
+    begin(world, daemon, &format!("POST {path}/long"), counts)
+}
+
+/// The decode endpoint that streams.
+fn streaming(world: &World) -> usize {
+    let at = || world.model.iter().position(|e| e.served().active != 0);
+    eventually("it streams", || at().is_some());
+    at().expect("an endpoint that streams")
+}
+
+fn finding(answer: &Answer) -> String {
+    format!("status {}, whole {}, {:?}", answer.status, answer.whole, answer.text())
+}
+
+fn is_whole(answer: &Answer, events: u32) -> bool {
+    (answer.status, answer.whole) == (200, true) && answer.text() == stream_of(events)
+}
+
+/// Whether the answer shows that it broke off, with whole events only.
+fn is_cut(answer: &Answer, events: u32) -> bool {
+    let has_whole_events = (0..events).any(|some| answer.text() == stream_of(some));
+    (answer.status, answer.whole) == (200, false) && has_whole_events
+}
+
+/// Plays a stream whose endpoint is gone in its middle.
+fn play_stream(row: Row, path: &str, way: Way) -> Option<String> {
+    let mut ends = Ends::start(way);
+    ends.world.model.iter().skip(1).for_each(|e| e.end_answers(row.silence()));
+    let stream = begin_stream(&ends.world, ends.daemon, path, EVENTS);
+    let at = streaming(&ends.world);
+    ends.world.model.iter().for_each(|e| e.end_answers(row.whole()));
+    if row.is_leaving {
+        ends.world.drain_model(at);
+    }
+    thread::sleep(SETTLE);
+    row.end(&mut ends.world.model[at]);
+    let answer = stream.join().expect("a caller");
+    let may_go_on = path == "/draft";
+    let is_right = match way {
+        Way::Direct if may_go_on => is_whole(&answer, EVENTS),
+        _ => is_cut(&answer, EVENTS) || may_go_on && is_whole(&answer, EVENTS),
+    };
+    (!is_right).then(|| finding(&answer))
+}
+
+/// Guards against half a stream that looks whole because its endpoint had said that it leaves.
+#[test_case("/draft"; "resumable")]
+#[test_case("/once"; "may run once")]
+fn a_stream_whose_endpoint_is_gone_is_not_whole(path: &str) {
+    let wrong = play(&Row::all(), |row| play_stream(row, path, Way::Direct));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// The same, where a peer passes the stream on.
+#[test_case("/draft"; "resumable")]
+#[test_case("/once"; "may run once")]
+fn a_stream_by_a_peer_whose_endpoint_is_gone_is_not_whole(path: &str) {
+    let wrong = play(&Row::unmarked(), |row| play_stream(row, path, Way::ByPeer));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Plays a plain answer whose endpoint is gone in its middle.
+fn play_plain(row: Row, line: &str) -> Option<String> {
+    let mut ends = Ends::start(Way::Direct);
+    for endpoint in &ends.world.plain {
+        endpoint.end_answers(row.silence());
+        endpoint.leave(row.is_leaving);
+    }
+    let plain = begin(&ends.world, 0, line, None);
+    let at = || ends.world.plain.iter().position(|e| !e.served().ran.is_empty());
+    eventually("it runs", || at().is_some());
+    let at = at().expect("an endpoint that runs it");
+    for endpoint in &ends.world.plain {
+        endpoint.end_answers(row.whole());
+        endpoint.leave(false);
+    }
+    // The answer's head comes, and the daemon waits for its body.
+    thread::sleep(Duration::from_millis(30));
+    let instance = ends.world.plain[at].instance().to_owned();
+    row.end(&mut ends.world.plain[at]);
+    let answer = plain.join().expect("a caller");
+    let is_half = !answer.text().contains(" by plain-") || answer.text().ends_with(&instance);
+    let is_repeated = line.starts_with("GET") && !is_half;
+    let is_right = answer.status != 200 || answer.whole && is_repeated;
+    (!is_right).then(|| finding(&answer))
+}
+
+/// Guards against half a plain answer that is passed on because its endpoint had said that it leaves.
+#[test_case("GET /sheet/a"; "idempotent")]
+#[test_case("POST /stock/a"; "may run once")]
+fn a_plain_answer_whose_endpoint_is_gone_is_no_success(line: &str) {
+    let wrong = play(&Row::all(), |row| play_plain(row, line));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Streams that an endpoint finishes while it leaves, and when it ends after the last of them.
+fn play_drain(way: Way, path: &str, pause: Duration) -> (usize, Vec<Answer>) {
+    const STREAMS: u32 = 8;
+    let mut ends = Ends::start(way);
+    let unframed = Ending { framing: Some(Framing::Connection), broken: None };
+    ends.world.model.iter().for_each(|e| e.end_answers(unframed));
+    let streams: Vec<_> = (0..STREAMS)
+        .map(|n| begin_stream(&ends.world, ends.daemon, &format!("{path}/{n}"), 60 + 5 * n))
+        .collect();
+    let at = streaming(&ends.world);
+    ends.world.drain_model(at);
+    eventually("it has finished", || ends.world.model[at].served().active == 0);
+    thread::sleep(pause);
+    ends.world.model[at].end();
+    let ran = ends.world.model[at].served().ran.len();
+    (ran, streams.into_iter().map(|stream| stream.join().expect("a caller")).collect())
+}
+
+/// Guards against whole answers of a leaving endpoint that count as broken.
+#[test_case("/draft", Way::Direct; "resumable")]
+#[test_case("/once", Way::Direct; "may run once")]
+#[test_case("/draft", Way::ByPeer; "resumable by a peer")]
+#[test_case("/once", Way::ByPeer; "may run once by a peer")]
+fn a_leaving_endpoint_that_ends_after_its_streams_has_ended_them_whole(path: &str, way: Way) {
+    let (ran, answers) = play_drain(way, path, Duration::from_millis(500));
+    assert_ne!(ran, 0);
+    let lengths = (0..).map(|n| 60 + 5 * n);
+    let wrong: Vec<_> =
+        answers.iter().zip(lengths).filter(|(a, events)| !is_whole(a, *events)).collect();
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against streams that look whole and are not, and against resumable ones that aren't whole,
+/// where a leaving endpoint ends at once after its last answer.
+#[test_case("/draft"; "resumable")]
+#[test_case("/once"; "may run once")]
+fn a_leaving_endpoint_that_ends_at_once_leaves_no_doubt(path: &str) {
+    let (_, answers) = play_drain(Way::Direct, path, Duration::ZERO);
+    for (answer, events) in answers.iter().zip((0..).map(|n| 60 + 5 * n)) {
+        let is_cut = path == "/once" && answer.status == 200 && !answer.whole;
+        assert!(is_whole(answer, events) || is_cut, "{}", finding(answer));
+    }
+}
+
+/// Guards against whole answers that count as broken where new connections are reset and those that are
+/// open live on.
+#[test_case("/draft"; "resumable")]
+#[test_case("/once"; "may run once")]
+fn a_stream_is_whole_while_new_connections_are_reset(path: &str) {
+    let mut world = World::start(&WorldSpec::default()).expect("a world");
+    let paths = world.add_with_paths().expect("a daemon with paths");
+    let unframed = Ending { framing: Some(Framing::Connection), broken: None };
+    world.model.iter().for_each(|e| e.end_answers(unframed));
+    let stream = begin_stream(&world, 1, path, 60);
+    streaming(&world);
+    paths.set(Weather::Refuse);
+    let answer = stream.join().expect("a caller");
+    assert!(is_whole(&answer, 60), "{}", finding(&answer));
+}
