Answers that only a connection's end ends need their writer's word, whether it leaves or not

Cause: such an answer counted as whole if its endpoint had said that it leaves, without any check, and else if anything accepted a connection at its address. A leaving endpoint is just the one whose process ends, and another endpoint, or a later start of the same one, may have the address by then.

What callers saw: part of a stream or of a plain answer, with status 200 and a proper end. Resumable streams did not go on elsewhere.

Now one rule holds for all endpoints, directly and by a peer: the framing proves the end, or the process that wrote the answer does, which is asked for its report after the end. Refused means that it has ended, unless it answers over a connection that is open. The report's instance and start tell it from one that has its address by now; a start that the list doesn't show yet, but that began before the answer, is its writer. An accepted connection without an answer is tried again, and counts if none is refused after it. No connection in four tries is no proof. Without proof the answer has broken off.

stream_end lines and stream_ends_total name the proof, end_checks_total counts it for all answers.

--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -233,7 +233,7 @@
 
     /// Returns the connection that was used last, so that surplus connections become idle and
     /// close.
-    fn take_idle(&self, endpoint: EndpointKey) -> Option<Connection> {
+    pub fn take_idle(&self, endpoint: EndpointKey) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -41,6 +41,9 @@
     pub release_hold_request: fn(&str) -> OutRequest,
     /// Builds the request that asks an instance whether it is alive.
     pub liveness_request: fn(&str) -> OutRequest,
+    /// Reads when the process started, in milliseconds of Unix time, from its answer to a liveness
+    /// request.
+    pub parse_start_time: fn(&[u8]) -> Option<u64>,
     /// Builds the order to change the stage, for a holder with a fencing number.
     pub order_request: fn(Stage, &str, u64, &str) -> OutRequest,
     /// Returns the HTTP status of a refusal.
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -15,12 +15,12 @@
     body::{Body, Frame, Incoming},
 };
 
-use crate::{endpoint_body::BodyBroken, framing::Framing, router::Router};
+use crate::{end_proof::EndProof, endpoint_body::BodyBroken, framing::Framing, router::Router};
 
 /// The body of an answer that an endpoint sends to this daemon.
 ///
 /// A process that ends closes its connections in an orderly way, which looks like the end of a body
-/// that nothing else marks. So such an end counts only if the endpoint's process lives on.
+/// that nothing else marks. So such an end counts only if the process that wrote the body lives on.
 pub struct DirectBody {
     incoming: Incoming,
     end: End,
@@ -31,9 +31,27 @@
     /// The framing marks the end.
     Marked,
     /// The end of the connection is all that marks it.
-    Unmarked { router: Rc<Router>, target: Target },
-    /// The body has ended, and the endpoint is checked.
-    Checking(Pin<Box<dyn Future<Output = bool>>>),
+    Unmarked(Writer),
+    /// The body has ended, and its writer is checked.
+    Checking(Pin<Box<dyn Future<Output = EndProof>>>),
+    /// The body has ended.
+    Checked(EndProof),
+}
+
+/// The process that writes the body.
+struct Writer {
+    router: Rc<Router>,
+    target: Target,
+    /// When the answer's head came, in milliseconds of Unix time.
+    began_at: u64,
+}
+
+impl Writer {
+    async fn check(self) -> EndProof {
+        let proof = self.router.check_writer(&self.target, self.began_at).await;
+        self.router.metrics.count_end_check(proof);
+        proof
+    }
 }
 
 impl fmt::Debug for DirectBody {
@@ -53,12 +71,24 @@
         // The body of an answer that can't have one is at its end from the start.
         let is_marked =
             answer.body().is_end_stream() || Framing::of(answer.headers()) != Framing::Connection;
-        let end = match is_marked {
-            true => End::Marked,
-            false => End::Unmarked { router: Rc::clone(router), target: target.clone() },
+        let writer = || Writer {
+            router: Rc::clone(router),
+            target: target.clone(),
+            began_at: router.unix_ms(),
         };
+        let end = if is_marked { End::Marked } else { End::Unmarked(writer()) };
         answer.map(|incoming| DirectBody { incoming, end })
     }
+
+    /// Returns what proves that the body is whole, or why nothing does; `None` before its end, and if
+    /// its connection broke.
+    #[must_use]
+    pub fn proof(&self) -> Option<EndProof> {
+        match self.end {
+            End::Checked(proof) => Some(proof),
+            End::Marked | End::Unmarked(_) | End::Checking(_) => None,
+        }
+    }
 }
 
 impl Body for DirectBody {
@@ -71,20 +101,21 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyBroken>>> {
         let body = self.get_mut();
         loop {
-            if let End::Checking(check) = &mut body.end {
-                let is_alive = ready!(check.as_mut().poll(cx));
-                body.end = End::Marked;
-                return Poll::Ready((!is_alive).then_some(Err(BodyBroken)));
+            match &mut body.end {
+                End::Checking(check) => {
+                    let proof = ready!(check.as_mut().poll(cx));
+                    body.end = End::Checked(proof);
+                    return Poll::Ready((!proof.is_whole()).then_some(Err(BodyBroken)));
+                }
+                End::Checked(_) => return Poll::Ready(None),
+                End::Marked | End::Unmarked(_) => {}
             }
             if let Some(frame) = ready!(Pin::new(&mut body.incoming).poll_frame(cx)) {
                 return Poll::Ready(Some(frame.map_err(|_| BodyBroken)));
             }
-            match std::mem::replace(&mut body.end, End::Marked) {
-                End::Unmarked { router, target } => {
-                    let check = async move { router.outlives_answer(&target).await };
-                    body.end = End::Checking(Box::pin(check));
-                }
-                End::Marked | End::Checking(_) => return Poll::Ready(None),
+            let end = std::mem::replace(&mut body.end, End::Checked(EndProof::Framing));
+            if let End::Unmarked(writer) = end {
+                body.end = End::Checking(Box::pin(writer.check()));
             }
         }
     }
--- /dev/null
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -0,0 +1,169 @@
+//! What proves that the body of an endpoint's answer came whole.
+
+use std::{rc::Rc, time::Duration};
+
+use basilbank_forward::{effect::Target, prelude::*};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{Response, StatusCode, body::Incoming};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    attempt::parse_keep_alive,
+    connections::{CallError, ConnectError, Connection},
+    endpoint_calls::LIVENESS_TIMEOUT,
+    router::Router,
+    sent_bytes::request_bytes,
+};
+
+/// Maximum number of new connections by which the process is asked, as one of them may be lost.
+const MAX_ASKED: u32 = 4;
+
+/// Pause between two of them.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Maximum size of the process's answer.
+const MAX_REPORT_BYTES: usize = 256 << 10;
+
+/// What proves that a body is whole, or why nothing does.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum EndProof {
+    /// The framing: a length that was reached, or a last chunk.
+    Framing,
+    /// The process that wrote the body lives on after its end.
+    Process,
+    /// A peer that passes the body on has proof.
+    Peer,
+    /// Nothing: the process has ended.
+    Ended,
+    /// Nothing: another process has the address.
+    Replaced,
+    /// Nothing: the process can't be reached.
+    Unreachable,
+}
+
+impl EndProof {
+    /// Returns whether the body is whole.
+    #[must_use]
+    pub fn is_whole(self) -> bool {
+        matches!(self, EndProof::Framing | EndProof::Process | EndProof::Peer)
+    }
+
+    /// Returns the stable name for logs and metric labels.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            EndProof::Framing => "framing",
+            EndProof::Process => "process",
+            EndProof::Peer => "peer",
+            EndProof::Ended => "ended",
+            EndProof::Replaced => "replaced",
+            EndProof::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// What came of a question to the process over a new connection.
+enum Asked {
+    /// It is the writer, or it isn't.
+    Clear(EndProof),
+    /// Nothing listens at the address.
+    Refused,
+    /// The connection was accepted, and no answer came.
+    Accepted,
+    /// No connection was made.
+    Unreachable,
+}
+
+impl Router {
+    /// Returns the Unix time in milliseconds, to compare with the start of a process.
+    #[must_use]
+    pub fn unix_ms(&self) -> u64 {
+        self.clock.now().unix_ms()
+    }
+
+    /// Checks whether the process that wrote an answer lives on after it, leaving or not. `began_at`
+    /// is the Unix time in milliseconds at which the answer's head came.
+    ///
+    /// A process that ends closes its connections in the same way as one that has finished its answer.
+    /// A process that still answers would have left the connection open until the answer's end. Where
+    /// new connections are refused, it may still answer over one that is open.
+    pub async fn check_writer(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
+        let mut proof = EndProof::Unreachable;
+        for number in 0..MAX_ASKED {
+            if number != 0 {
+                sleep(ASK_PAUSE).await;
+            }
+            match self.ask_anew(target, began_at).await {
+                Asked::Clear(clear) => return clear,
+                Asked::Refused => return self.ask_over_idle(target, began_at).await,
+                Asked::Accepted => proof = EndProof::Process,
+                Asked::Unreachable => {}
+            }
+        }
+        proof
+    }
+
+    async fn ask_anew(self: &Rc<Self>, target: &Target, began_at: u64) -> Asked {
+        match Connection::connect_unless_refused(target.addr, LIVENESS_TIMEOUT).await {
+            Ok(connection) => match self.ask(target, connection, began_at).await {
+                Ok(proof) => Asked::Clear(proof),
+                Err(_) => Asked::Accepted,
+            },
+            Err(ConnectError::Refused) => Asked::Refused,
+            Err(ConnectError::Other) => Asked::Unreachable,
+        }
+    }
+
+    async fn ask_over_idle(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
+        let Some(connection) = self.connections.take_idle(target.endpoint) else {
+            return EndProof::Ended;
+        };
+        self.ask(target, connection, began_at).await.unwrap_or(EndProof::Ended)
+    }
+
+    /// Asks for the process's report. The connection is kept for the next call.
+    async fn ask(
+        self: &Rc<Self>,
+        target: &Target,
+        mut connection: Connection,
+        began_at: u64,
+    ) -> Result<EndProof, CallError> {
+        if !self.may_send(target, Purpose::Probe) {
+            self.connections.keep(target.endpoint, connection, None);
+            return Ok(EndProof::Process);
+        }
+        let request = (self.dialect.liveness_request)(&target.instance);
+        self.count_request(target, request_bytes(&request));
+        let answer = connection.send(request, LIVENESS_TIMEOUT).await;
+        let answer = answer.map_err(|(error, _)| error)?;
+        self.read_statements(target, &answer);
+        let (status, keep_alive) = (answer.status(), parse_keep_alive(answer.headers()));
+        let report = read_report(answer).await;
+        let started_at = report.as_ref().and_then(|report| (self.dialect.parse_start_time)(report));
+        let is_later =
+            started_at.is_some_and(|at| began_at < at && !self.is_known_start(target, at));
+        if status == StatusCode::MISDIRECTED_REQUEST || is_later {
+            return Ok(EndProof::Replaced);
+        }
+        if let (Some(_), Some(keep_alive)) = (report, keep_alive) {
+            self.connections.keep(target.endpoint, connection, keep_alive);
+        }
+        Ok(EndProof::Process)
+    }
+
+    /// Returns whether it is the start that the call was sent to. A later start that had begun before
+    /// the answer is its writer all the same: its record may not have been read yet.
+    fn is_known_start(&self, target: &Target, started_at: u64) -> bool {
+        self.read(|state| {
+            let endpoint = state.directory.get(target.endpoint);
+            endpoint.is_some_and(|endpoint| endpoint.info.start_time == Some(started_at))
+        })
+    }
+}
+
+/// Returns the report's body, if it comes to its end.
+async fn read_report(report: Response<Incoming>) -> Option<Bytes> {
+    let body = Limited::new(report.into_body(), MAX_REPORT_BYTES).collect();
+    Some(timeout(LIVENESS_TIMEOUT, body).await.ok()?.ok()?.to_bytes())
+}
--- a/crates/basilbank_gateway/src/endpoint_body.rs
+++ b/crates/basilbank_gateway/src/endpoint_body.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame};
 
-use crate::{direct_body::DirectBody, proxy_client::ProxiedBody};
+use crate::{direct_body::DirectBody, end_proof::EndProof, proxy_client::ProxiedBody};
 
 /// The body of an endpoint's answer.
 #[derive(Debug)]
@@ -21,7 +21,19 @@
     Proxied(Box<ProxiedBody>),
 }
 
-/// A body broke off before its end.
+impl EndpointBody {
+    /// Returns what proves that the body is whole, or why nothing does; `None` before its end, and if
+    /// its connection broke.
+    #[must_use]
+    pub fn proof(&self) -> Option<EndProof> {
+        match self {
+            EndpointBody::Direct(body) => body.proof(),
+            EndpointBody::Proxied(body) => body.is_whole().then_some(EndProof::Peer),
+        }
+    }
+}
+
+/// A body broke off before its end, or nothing proves that it is whole.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct BodyBroken;
 
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    connections::{CallError, ConnectError, Connection},
+    connections::{CallError, Connection},
     dialect::OutRequest,
     direct_body::DirectBody,
     endpoint_body::EndpointBody,
@@ -28,7 +28,7 @@
 };
 
 /// Timeout of a liveness check.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const LIVENESS_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// An answer's head and the rest of its body, with the connection that carries it; `None` if a peer
 /// passes it on.
@@ -118,29 +118,6 @@
         Ok((DirectBody::take(self, target, response), connection))
     }
 
-    /// Returns whether the process of an endpoint lives on after an answer whose end only the end of
-    /// its connection marked. The new connection is kept for the next call.
-    ///
-    /// Only a refused connection shows that the process has ended: a machine that is gone, or behind
-    /// a partition, would not have closed the answer's connection. An endpoint that has said that it
-    /// leaves may end right after its last answer, so that its end shows nothing.
-    pub async fn outlives_answer(&self, target: &Target) -> bool {
-        let key = target.endpoint;
-        let endpoint_leaves =
-            |state: &State| state.directory.get(key).is_some_and(|endpoint| endpoint.is_leaving());
-        if self.read(endpoint_leaves) {
-            return true;
-        }
-        match Connection::connect_unless_refused(target.addr, LIVENESS_TIMEOUT).await {
-            Ok(connection) => {
-                self.connections.keep(key, connection, None);
-                true
-            }
-            Err(ConnectError::Refused) => false,
-            Err(ConnectError::Other) => true,
-        }
-    }
-
     /// Keeps a connection for reuse after its answer was read to the end.
     pub fn keep_connection(
         &self,
@@ -201,7 +178,7 @@
     }
 
     /// Counts the bytes of a request that was sent to an endpoint.
-    fn count_request(&self, target: &Target, bytes: usize) {
+    pub(crate) fn count_request(&self, target: &Target, bytes: usize) {
         let data_centre = self.read(|state| {
             let endpoint = state.directory.get(target.endpoint);
             endpoint.map_or(0, |endpoint| data_centre_hash(&endpoint.info.data_centre))
@@ -209,7 +186,7 @@
         self.metrics.sent_bytes.count(SentPurpose::Endpoint, data_centre, bytes);
     }
 
-    fn may_send(&self, target: &Target, purpose: Purpose) -> bool {
+    pub(crate) fn may_send(&self, target: &Target, purpose: Purpose) -> bool {
         self.read(|state| state.may_send(target.endpoint, purpose, self.now()))
     }
 
@@ -250,7 +227,7 @@
     }
 
     /// Reads what an answer states about its endpoint.
-    fn read_statements<T>(self: &Rc<Self>, target: &Target, answer: &Response<T>) {
+    pub(crate) fn read_statements<T>(self: &Rc<Self>, target: &Target, answer: &Response<T>) {
         let (status, headers) = (answer.status(), answer.headers());
         let unread = (self.dialect.unread_from_endpoint)(status, headers);
         self.metrics.count_unread(Sender::Endpoint, unread);
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod dialect;
 mod digest;
 mod direct_body;
+mod end_proof;
 mod endpoint_body;
 mod endpoint_calls;
 mod events;
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -18,7 +18,7 @@
     registry::Registry,
 };
 
-use crate::{connections::CallError, framing::Framing, sent_bytes::SentBytes};
+use crate::{connections::CallError, end_proof::EndProof, framing::Framing, sent_bytes::SentBytes};
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -54,6 +54,7 @@
 struct StreamEndLabels {
     framing: &'static str,
     end: &'static str,
+    proof: &'static str,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
@@ -148,6 +149,7 @@
     proxy_failures: Family<ReasonLabel, Counter>,
     proxied: Family<ReasonLabel, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
+    end_checks: Family<ReasonLabel, Counter>,
     unreachable_endpoints: Gauge<u64, AtomicU64>,
     unreached_services: Gauge<u64, AtomicU64>,
     gossip_passed_on: Gauge<u64, AtomicU64>,
@@ -193,6 +195,7 @@
             proxy_failures: Family::default(),
             proxied: Family::default(),
             stream_ends: Family::default(),
+            end_checks: Family::default(),
             unreachable_endpoints: Gauge::default(),
             unreached_services: Gauge::default(),
             gossip_passed_on: Gauge::default(),
@@ -254,8 +257,11 @@
         registry.register("quarantined", "Calls that were put in quarantine", quarantined);
         let permits = metrics.permits.clone();
         registry.register("permits", "Permits for calls to endpoints with a limit", permits);
-        let help = "Ends of streams' bodies by framing and place";
+        let help = "Ends of streams' bodies by framing, place and proof";
         registry.register("stream_ends", help, metrics.stream_ends.clone());
+        let help =
+            "Answers that only the end of their connection ended, by proof that they are whole";
+        registry.register("end_checks", help, metrics.end_checks.clone());
         let help = "Answers of endpoints that asked for a pause";
         registry.register("pauses", help, metrics.pauses.clone());
         let help =
@@ -311,12 +317,17 @@
     }
 
     /// Counts the end of a stream's body.
-    pub fn count_stream_end(&self, framing: Framing, is_unfinished: bool) {
+    pub fn count_stream_end(&self, framing: Framing, proof: EndProof, is_unfinished: bool) {
         let end = if is_unfinished { "inside_event" } else { "between_events" };
-        let labels = StreamEndLabels { framing: framing.as_str(), end };
+        let labels = StreamEndLabels { framing: framing.as_str(), end, proof: proof.as_str() };
         self.stream_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer that only the end of its connection ended.
+    pub fn count_end_check(&self, proof: EndProof) {
+        count(&self.end_checks, proof.as_str());
+    }
+
     /// Counts a call that this daemon made, or refused to make, for a peer.
     pub fn count_proxied(&self, end: &str) {
         count(&self.proxied, end);
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -87,7 +87,8 @@
             }
             _ => return Err(CallError::Broken(Damage::Garbled)),
         };
-        let body = ProxiedBody { stream: Some(stream), peer, client: self.clone() };
+        let body =
+            ProxiedBody { stream: Some(stream), is_whole: false, peer, client: self.clone() };
         response(&head, body).ok_or(CallError::Broken(Damage::Garbled))
     }
 
@@ -211,11 +212,19 @@
 pub struct ProxiedBody {
     /// `None` after the end.
     stream: Option<PeerStream>,
+    /// Whether the peer has said that the body is whole.
+    is_whole: bool,
     peer: SocketAddr,
     client: ProxyClient,
 }
 
 impl ProxiedBody {
+    /// Returns whether the body has ended, and the peer has proof that it is whole.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
     /// Polls for the next piece of the body.
     pub fn poll_frame(
         &mut self,
@@ -226,6 +235,7 @@
         match message {
             Some(Ok(ProxyMessage::Body(data))) => Poll::Ready(Some(Ok(Frame::data(data)))),
             Some(Ok(ProxyMessage::End(_))) => {
+                self.is_whole = true;
                 if let Some(stream) = self.stream.take() {
                     self.client.keep(self.peer, stream);
                 }
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -13,8 +13,8 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    attempt::AnswerStream, endpoint_body::EndpointBody, events::EventSplitter, framing::Framing,
-    response::Chunk, router::Router,
+    attempt::AnswerStream, end_proof::EndProof, endpoint_body::EndpointBody, events::EventSplitter,
+    framing::Framing, response::Chunk, router::Router,
 };
 
 /// Maximum size of an event, which is buffered until it is complete.
@@ -87,7 +87,10 @@
     let mut writing = Writing::default();
     let broken = |events: &EventSplitter| RelayEnd::new(false, events);
     while let Some(frame) = next_frame(&router, &target, &mut body, stall_timeout).await {
-        let Ok(frame) = frame else { return broken(&events) };
+        let Ok(frame) = frame else {
+            log_end(&router, &trace_id, framing, body.proof(), events.partial_bytes());
+            return broken(&events);
+        };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.push(&data);
         if !ready.is_empty()
@@ -102,7 +105,7 @@
             return broken(&events);
         }
     }
-    log_end(&router, &trace_id, framing, events.partial_bytes());
+    log_end(&router, &trace_id, framing, body.proof(), events.partial_bytes());
     if is_events && events.is_inside_event() {
         return broken(&events);
     }
@@ -115,14 +118,22 @@
 }
 
 /// Counts the end of a stream's body, and logs an end whose framing doesn't prove that the stream is
-/// complete, or that came inside an event.
-fn log_end(router: &Router, trace_id: &str, framing: Framing, unfinished_bytes: usize) {
+/// complete, or that came inside an event. A body whose connection broke has no `proof` of either.
+fn log_end(
+    router: &Router,
+    trace_id: &str,
+    framing: Framing,
+    proof: Option<EndProof>,
+    unfinished_bytes: usize,
+) {
+    let Some(proof) = proof else { return };
     let is_unfinished = unfinished_bytes != 0;
-    router.metrics.count_stream_end(framing, is_unfinished);
+    router.metrics.count_stream_end(framing, proof, is_unfinished);
     if is_unfinished || framing == Framing::Connection {
         let line = Line::new("stream_end")
             .with("request", trace_id)
             .with("framing", framing.as_str())
+            .with("proof", proof.as_str())
             .with("unfinished_bytes", unfinished_bytes);
         log::info!("{line}");
     }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -62,7 +62,7 @@
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     state: RefCell<State>,
-    clock: Box<dyn Clock>,
+    pub(crate) clock: Box<dyn Clock>,
     request_effects: RefCell<HashMap<RequestId, mpsc::UnboundedSender<RequestEffect>>>,
     next_id: Cell<u64>,
     timer_changed: Notify,
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -251,6 +251,7 @@
         free_request: |_| OutRequest::default(),
         release_hold_request: |_| OutRequest::default(),
         liveness_request: |_| OutRequest::default(),
+        parse_start_time: |_| None,
         order_request: |_, _, _, _| OutRequest::default(),
         refusal_status: |_| StatusCode::OK,
     }
