A stream of as many events as the caller wants tokens is whole, though its writer has ended since

Cause: a leaving endpoint may end right after its last answer, and the daemon asks it only then. Its whole streams without length and chunks had no proof: resumable ones went on elsewhere for nothing, others broke off.

Now such a stream is whole after an orderly end if it has as many events with an id as its caller wants tokens at most: each event has at least one token. Shorter streams still need their writer's word.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -68,6 +68,8 @@
     pub framing: Framing,
     /// Whether the body consists of server-sent events.
     pub is_events: bool,
+    /// Maximum number of tokens of the whole stream, if the caller states it.
+    pub max_tokens: Option<u32>,
     /// The caller's id of the call, for logs.
     pub trace_id: String,
     /// Rest of the body.
@@ -167,6 +169,7 @@
                 headers,
                 framing,
                 is_events,
+                max_tokens: caller_request.call.prompt.as_ref().map(|prompt| prompt.max_output),
                 trace_id: caller_request.call.trace_id.clone(),
                 body,
                 connection,
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -32,6 +32,8 @@
     Framing,
     /// The process that wrote the body lives on after its end.
     Process,
+    /// The stream has as many events as the caller wants tokens.
+    Tokens,
     /// A peer that passes the body on has proof.
     Peer,
     /// Nothing: the process has ended.
@@ -46,7 +48,7 @@
     /// Returns whether the body is whole.
     #[must_use]
     pub fn is_whole(self) -> bool {
-        matches!(self, EndProof::Framing | EndProof::Process | EndProof::Peer)
+        matches!(self, EndProof::Framing | EndProof::Process | EndProof::Tokens | EndProof::Peer)
     }
 
     /// Returns the stable name for logs and metric labels.
@@ -55,6 +57,7 @@
         match self {
             EndProof::Framing => "framing",
             EndProof::Process => "process",
+            EndProof::Tokens => "tokens",
             EndProof::Peer => "peer",
             EndProof::Ended => "ended",
             EndProof::Replaced => "replaced",
--- a/crates/basilbank_gateway/src/events.rs
+++ b/crates/basilbank_gateway/src/events.rs
@@ -8,6 +8,8 @@
     /// Bytes of the event that is not complete yet.
     partial: BytesMut,
     last_event_id: Option<String>,
+    /// Number of complete events that have an id.
+    ids: usize,
 }
 
 impl EventSplitter {
@@ -17,12 +19,19 @@
         self.partial.extend_from_slice(data);
         let Some(end) = last_event_end(&self.partial[from..]) else { return Bytes::new() };
         let ready = self.partial.split_to(from + end).freeze();
+        self.ids += event_ids(&ready).count();
         if let Some(id) = last_event_id(&ready) {
             self.last_event_id = Some(id);
         }
         ready
     }
 
+    /// Returns the number of complete events that have an id.
+    #[must_use]
+    pub fn count_ids(&self) -> usize {
+        self.ids
+    }
+
     /// Returns the number of bytes of the event that is not complete.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
@@ -71,7 +80,11 @@
 
 /// Returns the id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| is_line_end(*byte)).rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let id = event_ids(events).next_back()?;
     Some(String::from_utf8_lossy(id.trim_ascii()).into_owned())
 }
+
+fn event_ids(events: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    let lines = events.split(|byte| is_line_end(*byte));
+    lines.filter_map(|line| line.strip_prefix(b"id:"))
+}
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -83,13 +83,14 @@
 ) -> RelayEnd {
     let AnswerStream { mut body, connection, keep_alive, stall_timeout, target, .. } = stream;
     let (framing, trace_id, is_events) = (stream.framing, stream.trace_id, stream.is_events);
+    let mut is_cut = false;
     let mut events = EventSplitter::default();
     let mut writing = Writing::default();
     let broken = |events: &EventSplitter| RelayEnd::new(false, events);
     while let Some(frame) = next_frame(&router, &target, &mut body, stall_timeout).await {
         let Ok(frame) = frame else {
-            log_end(&router, &trace_id, framing, body.proof(), events.partial_bytes());
-            return broken(&events);
+            is_cut = true;
+            break;
         };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.push(&data);
@@ -105,8 +106,12 @@
             return broken(&events);
         }
     }
-    log_end(&router, &trace_id, framing, body.proof(), events.partial_bytes());
-    if is_events && events.is_inside_event() {
+    let proof = end_proof(&body, &events, stream.max_tokens);
+    if let Some(proof) = proof {
+        log_end(&router, &trace_id, framing, proof, events.partial_bytes());
+    }
+    let is_whole = proof.map_or(!is_cut, EndProof::is_whole);
+    if !is_whole || is_events && events.is_inside_event() {
         return broken(&events);
     }
     if let Some(keep_alive) = keep_alive {
@@ -117,16 +122,30 @@
     RelayEnd::new(is_complete, &events)
 }
 
+/// Returns what proves that a stream is whole, or why nothing does; `None` if its connection broke.
+///
+/// Each event has at least one token. So a stream of as many events as the caller wants tokens is whole
+/// even if the process that wrote them has ended since.
+fn end_proof(
+    body: &EndpointBody,
+    events: &EventSplitter,
+    max_tokens: Option<u32>,
+) -> Option<EndProof> {
+    let proof = body.proof()?;
+    let count = u32::try_from(events.count_ids()).unwrap_or(u32::MAX);
+    let has_all = max_tokens.is_some_and(|max| 0 < max && max <= count);
+    Some(if has_all && !proof.is_whole() { EndProof::Tokens } else { proof })
+}
+
 /// Counts the end of a stream's body, and logs an end whose framing doesn't prove that the stream is
-/// complete, or that came inside an event. A body whose connection broke has no `proof` of either.
+/// complete, or that came inside an event.
 fn log_end(
     router: &Router,
     trace_id: &str,
     framing: Framing,
-    proof: Option<EndProof>,
+    proof: EndProof,
     unfinished_bytes: usize,
 ) {
-    let Some(proof) = proof else { return };
     let is_unfinished = unfinished_bytes != 0;
     router.metrics.count_stream_end(framing, proof, is_unfinished);
     if is_unfinished || framing == Framing::Connection {
--- a/crates/basilbank_gateway/tests/events.rs
+++ b/crates/basilbank_gateway/tests/events.rs
@@ -17,7 +17,7 @@
         let second = events.push(&all.as_bytes()[split..]);
         let passed = [first, second, events.take_partial()].concat();
         assert_eq!(passed, all.as_bytes(), "split at {split}");
-        assert_eq!(events.last_event_id(), Some("3"));
+        assert_eq!((events.last_event_id(), events.count_ids()), (Some("3"), 3));
         assert!(!events.is_inside_event());
     }
 }
@@ -28,6 +28,7 @@
     assert_eq!(&events.push(b"id: 1\ndata: a\n\nid: 2\nda")[..], b"id: 1\ndata: a\n\n");
     assert!(events.is_inside_event());
     assert_eq!((events.partial_bytes(), events.last_event_id()), (8, Some("1")));
+    assert_eq!(events.count_ids(), 1);
     assert_eq!(&events.push(b"ta: b\n\n")[..], b"id: 2\ndata: b\n\n");
     assert!(!events.is_inside_event());
 }
