--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -7,7 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use serde_json::json;
@@ -198,6 +198,17 @@
         lock(&self.inside).slowness = factor;
     }
 
+    /// Writes nothing on any connection for some time, as a stopped process. It goes on then where it
+    /// was.
+    pub fn fall_silent(&self, time: Duration) {
+        lock(&self.inside).silent_until = Some(Instant::now() + time);
+    }
+
+    /// The same, from the beginning of its next run on.
+    pub fn fall_silent_at_run(&self, time: Duration) {
+        lock(&self.inside).run_silence = Some(time);
+    }
+
     /// Turns all work away from now on and asks for a pause, or no longer.
     pub fn pause(&self, pause: Option<Duration>) {
         lock(&self.inside).pause = pause;
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use super::{
@@ -38,6 +38,10 @@
     pub(super) slots: Option<u32>,
     /// Factor by which its streams take longer; 0 is taken for 1.
     pub(super) slowness: u32,
+    /// Until when it writes nothing on any connection.
+    pub(super) silent_until: Option<Instant>,
+    /// It falls silent for this long as it begins its next run.
+    pub(super) run_silence: Option<Duration>,
     pub(super) handles: HashSet<String>,
     pub(super) next: u32,
     pub(super) served: Served,
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -31,6 +31,9 @@
 /// Time between two events of a stream.
 const EVENT_TIME: Duration = Duration::from_millis(5);
 
+/// Time between two looks whether a silence is over.
+const SILENCE_LOOK: Duration = Duration::from_millis(2);
+
 /// One start of an endpoint, as its connections see it.
 pub(super) struct Serving {
     pub(super) instance: String,
@@ -41,6 +44,7 @@
 impl Serving {
     /// Answers one request.
     pub(super) fn serve(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        self.wait_out_silence();
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != self.instance) {
             return write_answer(stream, 421, &[("x-instance-id", &self.instance)], b"");
@@ -75,6 +79,13 @@
         }
     }
 
+    fn wait_out_silence(&self) {
+        let is_silent = || lock(&self.inside).silent_until.is_some_and(|end| Instant::now() < end);
+        while is_silent() {
+            thread::sleep(SILENCE_LOOK);
+        }
+    }
+
     fn condition(&self) -> (Misdeed, bool) {
         let inside = lock(&self.inside);
         (inside.misdeed, inside.served.crashed.is_some())
@@ -190,6 +201,7 @@
             return self.refuse(stream, request);
         }
         self.begin(request);
+        self.wait_out_silence();
         if request.path().ends_with(DEADLY) {
             return self.crash(request);
         }
@@ -211,6 +223,9 @@
 
     fn begin(&self, request: &Request) {
         let mut inside = lock(&self.inside);
+        if let Some(silence) = inside.run_silence.take() {
+            inside.silent_until = Some(Instant::now() + silence);
+        }
         inside.served.ran.push(request.clone());
         if inside.leaving {
             inside.served.ran_leaving.push((Instant::now(), attempt_id(request)));
@@ -310,6 +325,7 @@
             if self.condition().1 {
                 return Err(writer.crash());
             }
+            self.wait_out_silence();
             let written = writer.event(&event);
             if writer.is_broken() {
                 return written;
@@ -318,7 +334,9 @@
                 lock(&self.inside).served.abandoned += 1;
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            thread::sleep(EVENT_TIME * lock(&self.inside).slowness.max(1));
+            // The lock is not held meanwhile: streams of an endpoint don't wait for each other.
+            let slowness = lock(&self.inside).slowness.max(1);
+            thread::sleep(EVENT_TIME * slowness);
         }
         writer.end()
     }
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -33,6 +33,9 @@
 /// Longest wait for a daemon.
 const READY: Duration = Duration::from_secs(20);
 
+/// Retry slack that a test doesn't use up.
+const RETRY_SLACK: u32 = 20_000;
+
 /// What a world is made of.
 #[derive(Clone, Debug)]
 pub struct WorldSpec {
@@ -44,11 +47,13 @@
     pub prefill: usize,
     /// Decode endpoints.
     pub decode: usize,
+    /// Extra calls that all daemons together may make in a window, beyond a part of the calls.
+    pub retry_slack: u32,
 }
 
 impl Default for WorldSpec {
     fn default() -> WorldSpec {
-        WorldSpec { daemons: 1, plain: 2, prefill: 1, decode: 2 }
+        WorldSpec { daemons: 1, plain: 2, prefill: 1, decode: 2, retry_slack: RETRY_SLACK }
     }
 }
 
@@ -77,6 +82,7 @@
     port: u16,
     /// Time that each of their decisions takes on top.
     decision_time: Duration,
+    retry_slack: u32,
 }
 
 impl World {
@@ -98,8 +104,18 @@
         let caches = Caches::default();
         let (plain, model, daemons) = (vec![], vec![], vec![]);
         let (control, port) = (free_address()?, free_port()?);
-        let mut world =
-            World { store, plain, model, caches, daemons, control, port, decision_time };
+        let retry_slack = spec.retry_slack;
+        let mut world = World {
+            store,
+            plain,
+            model,
+            caches,
+            daemons,
+            control,
+            port,
+            decision_time,
+            retry_slack,
+        };
         for n in 0..spec.plain {
             world.add_plain(EndpointSpec::plain(&format!("plain-{n}")))?;
         }
@@ -257,9 +273,10 @@
             "node = \"vm-{n}\"\nzone = \"hall-a\"\nip = \"127.0.0.{last}\"\nportRange = [{port}, {port}]\n\
              seeds = [\"{control}\"]\nbootstrap = true\n[listen]\nfront = \"{callers}\"\n\
              ready = \"{ready}\"\ncontrol = \"{own}\"\n[platform]\naddr = \"{store}\"\n\
-             [bounds]\ngraceS = 8\nretryRatio = 0.2\nretrySlack = 20000\nretryWindowS = 10\n",
+             [bounds]\ngraceS = 8\nretryRatio = 0.2\nretrySlack = {slack}\nretryWindowS = 10\n",
             n = self.daemons.len(),
             last = self.daemons.len() + 1,
+            slack = self.retry_slack,
         );
         static FILES: AtomicU32 = AtomicU32::new(0);
         let number = FILES.fetch_add(1, Ordering::Relaxed);
--- a/crates/basilbank_standin/tests/managed/entries.rs
+++ b/crates/basilbank_standin/tests/managed/entries.rs
@@ -12,7 +12,7 @@
 /// A world with one plain endpoint: calls have nowhere else to go, so that they show whether it is
 /// used. A daemon that may choose stays with one that answers soon.
 fn one_endpoint(daemons: usize) -> World {
-    let spec = WorldSpec { daemons, plain: 1, prefill: 0, decode: 0 };
+    let spec = WorldSpec { daemons, plain: 1, prefill: 0, decode: 0, ..WorldSpec::default() };
     World::start(&spec).expect("a world")
 }
 
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -15,6 +15,7 @@
 mod restored;
 mod settings;
 mod shares;
+mod silences;
 mod slow_link;
 mod stated;
 mod store;
--- a/crates/basilbank_standin/tests/managed/overload.rs
+++ b/crates/basilbank_standin/tests/managed/overload.rs
@@ -35,7 +35,8 @@
 
 #[test]
 fn a_draft_that_crashes_endpoints_is_kept_from_them_by_all_daemons() {
-    let spec = WorldSpec { daemons: DAEMONS, plain: 1, prefill: 1, decode: 4 };
+    let spec =
+        WorldSpec { daemons: DAEMONS, plain: 1, prefill: 1, decode: 4, ..WorldSpec::default() };
     let mut world = World::start(&spec).expect("a world");
     let (mut crashes, mut attempts) = (0, 0);
     let path = format!("/draft{DEADLY}");
@@ -64,7 +65,8 @@
     cut: bool,
     events: u32,
 ) {
-    let spec = WorldSpec { daemons: DAEMONS - 1, plain: 1, prefill: 1, decode: 4 };
+    let spec =
+        WorldSpec { daemons: DAEMONS - 1, plain: 1, prefill: 1, decode: 4, ..WorldSpec::default() };
     let mut world = World::start(&spec).expect("a world");
     let paths = world.add_with_paths().expect("a daemon with paths");
     if cut {
@@ -99,7 +101,8 @@
 
 #[test]
 fn endpoints_with_limits_get_no_more_of_all_daemons_together() {
-    let spec = WorldSpec { daemons: DAEMONS, plain: 2, prefill: 1, decode: 1 };
+    let spec =
+        WorldSpec { daemons: DAEMONS, plain: 2, prefill: 1, decode: 1, ..WorldSpec::default() };
     let world = World::start(&spec).expect("a world");
     let rates = [2.0, 5.0];
     for (endpoint, rate) in world.plain.iter().zip(rates) {
--- a/crates/basilbank_standin/tests/managed/restarts.rs
+++ b/crates/basilbank_standin/tests/managed/restarts.rs
@@ -48,7 +48,7 @@
 
 /// A world with one endpoint for each job: work has nowhere else to go.
 fn narrow_world() -> World {
-    let spec = WorldSpec { daemons: 1, plain: 1, prefill: 1, decode: 1 };
+    let spec = WorldSpec { daemons: 1, plain: 1, prefill: 1, decode: 1, ..WorldSpec::default() };
     World::start(&spec).expect("a world")
 }
 
--- a/crates/basilbank_standin/tests/managed/take_ups.rs
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -23,7 +23,7 @@
 
 /// Three daemons before a prefill and two decode endpoints of each version.
 fn world() -> World {
-    let spec = WorldSpec { daemons: 3, plain: 1, prefill: 0, decode: 0 };
+    let spec = WorldSpec { daemons: 3, plain: 1, prefill: 0, decode: 0, ..WorldSpec::default() };
     let mut world = World::start(&spec).expect("a world");
     for version in VERSIONS {
         for (name, stage) in [("p", "prefill"), ("a", "decode"), ("b", "decode")] {
