Events for silent attempts, and failing tests of what follows from them

AttemptSilent and AttemptResumed tell the reducer that an attempt's endpoint is silent and writes again.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -46,6 +46,23 @@
         /// The attempt's number within the request.
         attempt: u32,
     },
+    /// An attempt's endpoint has sent nothing for some time and doesn't answer a liveness request
+    /// either. The attempt goes on; while the silence lasts, the event comes again.
+    AttemptSilent {
+        /// The request that the attempt belongs to.
+        request: RequestId,
+        /// The attempt's number within the request.
+        attempt: u32,
+        /// Time since the attempt was sent, or since its endpoint last sent something.
+        silent_for: Duration,
+    },
+    /// The endpoint of a silent attempt has sent something again.
+    AttemptResumed {
+        /// The request that the attempt belongs to.
+        request: RequestId,
+        /// The attempt's number within the request.
+        attempt: u32,
+    },
     /// The configuration was read from the store.
     RoutesRead {
         /// The store's revisions at the read.
@@ -276,7 +293,7 @@
     Withheld,
     /// The connection broke after something was sent, or the answer was damaged.
     Broken(Damage),
-    /// No answer came within the answer timeout.
+    /// No answer came within the answer timeout. For work that is the caller's time.
     TimedOut,
 }
 
--- a/crates/basilbank_forward/src/log_line.rs
+++ b/crates/basilbank_forward/src/log_line.rs
@@ -45,6 +45,10 @@
         /// Time since the call arrived.
         duration: Duration,
     },
+    /// The endpoint of an attempt has fallen silent.
+    Silence,
+    /// What ended the silence of an attempt's endpoint.
+    SilenceEnded(&'static str),
     /// A permit for a call to an endpoint with a call limit was received.
     Permit,
     /// An endpoint has asked for a pause.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -28,6 +28,7 @@
 mod relays;
 mod returns;
 mod roles;
+mod silence;
 mod statement;
 mod step;
 mod suspect;
@@ -63,6 +64,12 @@
             origin::record_origin(&mut ctx, request, attempt);
         }
         Event::WroteOn { request, attempt } => crash::handle_wrote_on(&mut ctx, request, attempt),
+        Event::AttemptSilent { request, attempt, silent_for } => {
+            silence::handle_silent(&mut ctx, request, attempt, silent_for);
+        }
+        Event::AttemptResumed { request, attempt } => {
+            silence::handle_resumed(&mut ctx, request, attempt);
+        }
         Event::RoutesRead { revisions, table } => {
             endpoints::apply_routes(&mut ctx, revisions, table);
         }
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -205,6 +205,7 @@
         step: dispatch.step,
         via: target.via,
         wrote_on: false,
+        silent_since: None,
     };
     request.active_attempts.push(live);
     let remaining = request.remaining(ctx.now);
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -165,6 +165,16 @@
     pub via: Option<SocketAddr>,
     /// Whether its endpoint has been writing the answer for some time.
     pub wrote_on: bool,
+    /// Since when its endpoint has been silent, if it is.
+    pub silent_since: Option<Duration>,
+}
+
+impl ActiveAttempt {
+    /// Returns whether it runs the call.
+    #[must_use]
+    pub fn is_run(&self) -> bool {
+        matches!(self.step, Step::Whole | Step::Decode)
+    }
 }
 
 /// The work that an attempt does.
@@ -241,8 +251,30 @@
     /// have started.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
-        let runs = |attempt: &ActiveAttempt| matches!(attempt.step, Step::Whole | Step::Decode);
-        self.maybe_run || self.active_attempts.iter().any(runs)
+        self.maybe_run || self.active_attempts.iter().any(ActiveAttempt::is_run)
+    }
+
+    /// Returns whether an attempt in progress is at a silent endpoint.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.active_attempts.iter().any(|attempt| attempt.silent_since.is_some())
+    }
+
+    /// Returns whether an attempt is in progress whose endpoint isn't silent.
+    #[must_use]
+    pub fn has_live_attempt(&self) -> bool {
+        self.active_attempts.iter().any(|attempt| attempt.silent_since.is_none())
+    }
+
+    /// Returns whether its next attempt takes over from one at a silent endpoint, and a slot is held
+    /// or asked for.
+    #[must_use]
+    pub fn prepares_takeover(&self) -> bool {
+        let is_silent_run =
+            |attempt: &ActiveAttempt| attempt.silent_since.is_some() && attempt.is_run();
+        let asks = |attempt: &ActiveAttempt| attempt.step == Step::Hold;
+        self.active_attempts.iter().any(is_silent_run)
+            && (self.completion.hold.is_some() || self.active_attempts.iter().any(asks))
     }
 
     /// Returns whether the next attempt is an extra call: an earlier one was refused, or may have
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -39,6 +39,7 @@
 mod routes;
 mod share;
 mod shares;
+mod silences;
 mod statements;
 mod suspects;
 mod urgency;
