Keep attempts at silent endpoints until their successor is sent

The reducer marks an attempt whose endpoint is silent, avoids the endpoint as before, and first asks whether the request may go on elsewhere: a repeatable route, an attempt left, time, retry budget beyond what others are about to take, an endpoint that isn't silent itself. If so it holds a slot; only as the successor is sent, with the budget taken, is the silent attempt stopped. If the endpoint goes on before, the slot is released and no budget is taken.

--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -10,6 +10,7 @@
 use super::{
     next_step::{Dispatch, NextStep},
     placement::{self, Criteria, DecodeChoice},
+    silence::RECHECK_INTERVAL,
 };
 use crate::{
     call::{Prompt, RequestId},
@@ -27,13 +28,14 @@
 /// Returns the next step of a completion.
 pub fn next_step(state: &mut State, id: RequestId, now: Duration) -> NextStep {
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
-    if !request.active_attempts.is_empty() || request.resume_at.is_some() {
+    if request.has_live_attempt() || request.resume_at.is_some() {
         return NextStep::Wait;
     }
     if request.route.max_attempts <= request.counted_attempts {
         return NextStep::GiveUp(request.last_failure.unwrap_or(Refusal::RetriesExhausted));
     }
-    match (usable_kv(state, request, now), request.completion.hold.clone()) {
+    let kv = usable_kv(state, request, now).filter(|_| !request.is_silent());
+    match (kv, request.completion.hold.clone()) {
         (Some(kv), Some(hold)) if state.have_same_version(kv.endpoint, hold.endpoint) => {
             request_decode(state, id, kv, hold, now)
         }
@@ -84,6 +86,9 @@
     let criteria =
         Criteria { near, usage, memory_fraction, session: prompt.session, pinned, risky };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
+        DecodeChoice::At(endpoint) if !may_go_on_at(state, id, endpoint, now) => {
+            return NextStep::WaitUntil(now + RECHECK_INTERVAL);
+        }
         DecodeChoice::At(endpoint) => endpoint,
         DecodeChoice::Full => {
             // Other versions of the endpoints may have capacity, and so may the endpoints for more
@@ -136,6 +141,11 @@
     if has_late_views && knows_most { min_tokens.max(prompt.tokens) } else { min_tokens }
 }
 
+fn may_go_on_at(state: &State, id: RequestId, endpoint: EndpointKey, now: Duration) -> bool {
+    let request = state.requests.get(&id);
+    request.is_some_and(|request| state.may_go_on_at(request, endpoint, now))
+}
+
 /// Returns the decode endpoints that were asked for a slot since the last pause.
 fn recently_asked(request: &Request) -> Vec<EndpointKey> {
     request.tried.iter().rev().take(request.completion.hold_attempts as usize).copied().collect()
@@ -145,7 +155,8 @@
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
     // Once a prefill endpoint may have read the prompt, another prefill counts as an extra attempt,
     // and the decode after it as one more. The decode endpoint does both in one attempt.
-    if request.completion.prefills != 0 || request.counted_attempts != 0 {
+    let is_first = request.completion.prefills == 0 && request.counted_attempts == 0;
+    if !is_first || request.is_silent() {
         return request_stream(state, id, hold, now);
     }
     let tokens = request.call.prompt.as_ref().map_or(0, |p| p.tokens);
@@ -220,7 +231,10 @@
         false => request.remaining(now),
     };
     let op = Op::Stream { hold: Some(hold.name.clone()) };
-    let retry = request.is_repeat().then_some(Retry::NotRun);
+    let retry = match request.is_silent() {
+        true => Some(Retry::TimedOut),
+        false => request.is_repeat().then_some(Retry::NotRun),
+    };
     let (endpoint, usage) = (hold.endpoint, hold.usage.unwrap_or_default());
     NextStep::Dispatch(Dispatch {
         endpoint,
--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -187,6 +187,7 @@
     let Some(request) = ctx.state.requests.get(&id) else { return Verdict::Send };
     let traits = request.call.traits();
     let is_running = !request.active_attempts.is_empty();
+    let is_live = request.has_live_attempt();
     if ctx.state.quarantine.extend(&traits, ctx.now) {
         return if is_running { Verdict::Stay } else { Verdict::Refuse };
     }
@@ -194,7 +195,7 @@
     // must not crash another endpoint meanwhile.
     match ctx.state.crashes.undecided_until(&traits, ctx.now) {
         None => Verdict::Send,
-        Some(_) if is_running => Verdict::Stay,
+        Some(_) if is_live => Verdict::Stay,
         Some(until) => Verdict::WaitUntil(until),
     }
 }
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{Context, forecast, quota, remove_hold_usage, remove_usage, returns, statement};
+use super::{
+    Context, forecast, quota, remove_hold_usage, remove_usage, returns, silence, statement,
+};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -58,6 +60,14 @@
     }
 }
 
+/// Releases a hold that no call has taken.
+pub fn release_prepared_hold(ctx: &mut Context<'_>, id: RequestId) {
+    let Some(request) = ctx.state.requests.get_mut(&id) else { return };
+    if let Some(hold) = request.completion.hold.take_if(|hold| hold.usage.is_some()) {
+        release_hold(ctx, &hold);
+    }
+}
+
 /// Releases a hold whose endpoint has begun to leave, or wants a pause.
 ///
 /// Between the hold and the call that uses it the prompt is read, and a lost answer to this can
@@ -89,6 +99,7 @@
 }
 
 fn end_request(ctx: &mut Context<'_>, id: RequestId, outcome: &'static str) {
+    silence::record_request_end(ctx, id, outcome);
     let Some(mut request) = ctx.state.requests.remove(&id) else { return };
     ctx.state.cancel_timers(id, &request.timers);
     ctx.state.peers.changed |= ctx.state.waiting.contains(&id);
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Context, crash, demand, finish, remove_usage, step, suspect};
+use super::{Context, crash, demand, finish, remove_usage, silence, step, suspect};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -36,6 +36,9 @@
     }
     update_endpoint(ctx, &live, &outcome);
     log_outcome(ctx, id, &live, &outcome);
+    if live.silent_since.is_some() {
+        silence::record_outcome(ctx, id, &live, &outcome);
+    }
     // The usage of a held slot is counted until the completion ends.
     if !is_streaming && !matches!(outcome, Outcome::Held { .. }) {
         remove_usage(ctx.state, live.endpoint, live.usage);
@@ -60,7 +63,10 @@
         Outcome::Unreachable | Outcome::Withheld => handle_not_run(ctx, id, &live, false),
         Outcome::NotProxied(_) => handle_not_proxied(ctx, id, &live),
         Outcome::Broken(_) | Outcome::TimedOut => {
-            crash::handle_broken_attempt(ctx, id, &live);
+            // The end of a silent attempt was recorded when its endpoint fell silent.
+            if live.silent_since.is_none() {
+                crash::handle_broken_attempt(ctx, id, &live);
+            }
             handle_broken(ctx, id, &live, outcome == Outcome::TimedOut);
         }
     }
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -5,6 +5,7 @@
 use super::{
     next_step::{Dispatch, NextStep},
     placement::{self, PlainChoice},
+    silence::RECHECK_INTERVAL,
 };
 use crate::{
     call::RequestId,
@@ -19,7 +20,12 @@
     let Some(request) = state.requests.get(&id) else { return NextStep::Wait };
     let hedge_at = request.arrived + request.route.target.mul_f64(state.tuning.hedge_fraction);
     let mut retry = request.is_repeat().then_some(Retry::NotRun);
-    if !request.active_attempts.is_empty() {
+    let takes_over = request.is_silent()
+        && !request.has_live_attempt()
+        && request.route.kind == RouteKind::Streaming;
+    if takes_over {
+        retry = Some(Retry::TimedOut);
+    } else if !request.active_attempts.is_empty() {
         if request.route.kind != RouteKind::Idempotent
             || request.route.max_attempts <= request.counted_attempts
         {
@@ -41,7 +47,7 @@
     }
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let (timeout, streams) = (request.remaining(now), request.route.kind == RouteKind::Streaming);
-    let waits = request.active_attempts.is_empty();
+    let waits = request.active_attempts.is_empty() || takes_over;
     let (pinned, target) = (request.pinned, request.route.target);
     let endpoint = match placement::pick_plain(state, &service, &tried, pinned, target, now) {
         PlainChoice::At(endpoint) => endpoint,
@@ -54,6 +60,10 @@
         | PlainChoice::None
         | PlainChoice::VersionGone => return NextStep::Wait,
     };
+    let request = state.requests.get(&id);
+    if takes_over && !request.is_some_and(|request| state.may_go_on_at(request, endpoint, now)) {
+        return NextStep::WaitUntil(now + RECHECK_INTERVAL);
+    }
     let usage = Usage::plain();
     let op = if streams { Op::Stream { hold: None } } else { Op::Plain };
     NextStep::Dispatch(Dispatch {
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -7,7 +7,7 @@
     crash::{self, Verdict},
     demand, finish, forecast,
     next_step::{Dispatch, NextStep},
-    origin, plain, quota, remove_usage, returns, suspect,
+    origin, plain, quota, remove_usage, returns, silence, suspect,
 };
 use crate::{
     call::RequestId,
@@ -22,7 +22,7 @@
 
 /// Minimum remaining time for a retry, enough for a connection and an answer. With less time an
 /// endpoint would work in vain.
-const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
+pub const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 
 /// Divisor of a call's remaining time for the maximum time that it waits for a permit or the end of
 /// a pause. After that it is refused, so that its caller can come back and still be served elsewhere
@@ -35,10 +35,13 @@
         return;
     }
     finish::release_unusable_hold(ctx, id);
+    if !silence::may_proceed(ctx, id) {
+        return;
+    }
     match crash::check(ctx, id) {
         Verdict::Send => {}
         Verdict::Stay => return,
-        Verdict::Refuse => return finish::give_up(ctx, id, Refusal::Quarantined),
+        Verdict::Refuse => return give_up(ctx, id, Refusal::Quarantined),
         Verdict::WaitUntil(until) => return wait_until(ctx, id, until),
     }
     if !ctx.state.call_limits.is_empty() {
@@ -74,7 +77,7 @@
         }
         NextStep::WaitForPermit => wait_for_permit(ctx, id),
         NextStep::WaitForPause(until) => wait_for_pause(ctx, id, until),
-        NextStep::GiveUp(refusal) => finish::give_up(ctx, id, refusal),
+        NextStep::GiveUp(refusal) => give_up(ctx, id, refusal),
         NextStep::Dispatch(dispatch) => {
             let is_plain = dispatch.step == Step::Whole;
             start_attempt(ctx, id, dispatch);
@@ -86,7 +89,16 @@
     }
 }
 
-fn wait_until(ctx: &mut Context<'_>, id: RequestId, at: Duration) {
+/// Ends a request with a refusal or a failure, unless it has an attempt at a silent endpoint, which may
+/// go on.
+fn give_up(ctx: &mut Context<'_>, id: RequestId, refusal: Refusal) {
+    if !silence::wait(ctx, id) {
+        finish::give_up(ctx, id, refusal);
+    }
+}
+
+/// Lets a request wait until `at`.
+pub fn wait_until(ctx: &mut Context<'_>, id: RequestId, at: Duration) {
     if let Some(request) = ctx.state.requests.get_mut(&id) {
         request.resume_at = Some(at);
     }
@@ -113,7 +125,7 @@
     let is_first = request.permit_deadline.is_none();
     let permit_deadline = *request.permit_deadline.get_or_insert(now + max_wait);
     if permit_deadline <= now || !call_limit::request_permit(ctx, id, permit_deadline - now) {
-        return finish::give_up(ctx, id, Refusal::RateLimited);
+        return give_up(ctx, id, Refusal::RateLimited);
     }
     if !ctx.state.permit_holder.waiting.contains(&id) {
         ctx.state.permit_holder.waiting.push(id);
@@ -133,7 +145,7 @@
     let Some(request) = ctx.state.requests.get(&id) else { return };
     let max_wait = request.remaining(ctx.now) / PERMIT_WAIT_DIVISOR;
     if ctx.now + max_wait < until {
-        return finish::give_up(ctx, id, Refusal::EndpointsPaused);
+        return give_up(ctx, id, Refusal::EndpointsPaused);
     }
     wait_until(ctx, id, until);
 }
@@ -151,7 +163,7 @@
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     let lead = ctx.state.tuning.first_token_delay;
     if ctx.state.waiting.contains(&id) && request.caller_deadline() <= ctx.now + lead {
-        return finish::give_up(ctx, id, Refusal::WaitTimedOut);
+        return give_up(ctx, id, Refusal::WaitTimedOut);
     }
     let awaits_answer = matches!(request.quota, QuotaStage::Asked { .. })
         || matches!(request.origin, OriginStage::Asked { .. });
@@ -173,7 +185,7 @@
         let budget = budgets.entry(request.service.clone()).or_default();
         if !budget.try_take(ctx.now, tuning, daemons) {
             let refusal = request.last_failure.unwrap_or(Refusal::RetriesExhausted);
-            return finish::give_up(ctx, id, refusal);
+            return give_up(ctx, id, refusal);
         }
         request.uncharged_refusals = request.uncharged_refusals.saturating_sub(1);
         let line = LogLine::new("retry").with("reason", retry.as_str());
@@ -186,6 +198,9 @@
 
 fn send_attempt(ctx: &mut Context<'_>, id: RequestId, dispatch: Dispatch) {
     let Some(target) = ctx.state.route_to(dispatch.endpoint, ctx.now) else { return };
+    if dispatch.step != Step::Hold {
+        silence::take_over(ctx, id);
+    }
     let endpoint = ctx.state.directory.get(dispatch.endpoint);
     let (calls, tokens) = endpoint.map_or((0, 0), |e| (e.total_calls(), e.total_tokens()));
     let version = endpoint.map_or_else(String::new, |e| e.info.version.clone());
