--- a/crates/basilbank_standin/tests/managed/silences.rs
+++ b/crates/basilbank_standin/tests/managed/silences.rs
@@ -8,7 +8,7 @@
 };
 
 use basilbank_standin::managed::{
-    Answer, EndpointSpec, FIRST_VERSION, World, WorldSpec, event_text, read_answer,
+    Answer, EndpointSpec, FIRST_VERSION, Weather, World, WorldSpec, event_text, read_answer,
 };
 use test_case::test_case;
 
@@ -215,3 +215,27 @@
     assert_eq!(world.model[1].served().abandoned, before);
     assert!(faults(streams, &[stream_of(EVENTS)]).is_empty());
 }
+
+/// Guards against streams that a peer passes on and that are cut because their endpoint is silent.
+#[test_case(1200)]
+#[test_case(1500)]
+fn a_silence_cuts_no_stream_that_a_peer_passes_on(ms: u64) {
+    let spec = WorldSpec { daemons: 2, retry_slack: USERS_SLACK, ..WorldSpec::default() };
+    let mut world = World::start(&spec).expect("a world");
+    let paths = world.add_with_paths().expect("a daemon with paths");
+    paths.set(Weather::Silent);
+    let ran = |world: &World| world.model[1..].iter().all(|e| !e.served().ran.is_empty());
+    let to = world.callers(2);
+    let mut numbers = CALLERS + 1..;
+    eventually("peers make the calls", || {
+        let first = numbers.next().expect("a number");
+        let answer = begin(to, "POST /draft", first, Some("1000,2".to_owned())).join();
+        answer.is_ok() && ran(&world)
+    });
+    let begin = |n| begin(to, "POST /draft", n, Some(format!("1000,{EVENTS}")));
+    let streams = (1..=CALLERS).map(begin).collect();
+    wait_for_streams(&world);
+    world.model[1].fall_silent(Duration::from_millis(ms));
+    let faults = faults(streams, &[stream_of(EVENTS)]);
+    assert!(faults.is_empty(), "{} of {CALLERS}: {faults:#?}", faults.len());
+}
