Stop silent idempotent completions when their successor is sent

Plain idempotent calls keep a silent attempt beside its successor, since they may be at two endpoints. Idempotent completions did so, too: two endpoints would have generated one answer. Reducer row a_silent_idempotent_completion_is_stopped_as_its_successor_is_sent failed before.

--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -86,7 +86,7 @@
     let criteria =
         Criteria { near, usage, memory_fraction, session: prompt.session, pinned, risky };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
-        DecodeChoice::At(endpoint) if !may_go_on_at(state, id, endpoint, now) => {
+        DecodeChoice::At(endpoint) if !state.may_go_on_at(id, endpoint, now) => {
             return NextStep::WaitUntil(now + RECHECK_INTERVAL);
         }
         DecodeChoice::At(endpoint) => endpoint,
@@ -141,11 +141,6 @@
     if has_late_views && knows_most { min_tokens.max(prompt.tokens) } else { min_tokens }
 }
 
-fn may_go_on_at(state: &State, id: RequestId, endpoint: EndpointKey, now: Duration) -> bool {
-    let request = state.requests.get(&id);
-    request.is_some_and(|request| state.may_go_on_at(request, endpoint, now))
-}
-
 /// Returns the decode endpoints that were asked for a slot since the last pause.
 fn recently_asked(request: &Request) -> Vec<EndpointKey> {
     request.tried.iter().rev().take(request.completion.hold_attempts as usize).copied().collect()
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -60,8 +60,7 @@
         | PlainChoice::None
         | PlainChoice::VersionGone => return NextStep::Wait,
     };
-    let request = state.requests.get(&id);
-    if takes_over && !request.is_some_and(|request| state.may_go_on_at(request, endpoint, now)) {
+    if takes_over && !state.may_go_on_at(id, endpoint, now) {
         return NextStep::WaitUntil(now + RECHECK_INTERVAL);
     }
     let usage = Usage::plain();
--- a/crates/basilbank_forward/src/reduce/silence.rs
+++ b/crates/basilbank_forward/src/reduce/silence.rs
@@ -70,11 +70,11 @@
         _ => "resumed",
     };
     log_end(ctx, id, live, end);
+    let Some(request) = ctx.state.requests.get_mut(&id) else { return };
+    request.resume_at = None;
     if *outcome == Outcome::Streaming {
-        let Some(request) = ctx.state.requests.get_mut(&id) else { return };
         let answered = request.active_attempts.iter_mut().find(|other| other.number == live.number);
         answered.into_iter().for_each(|answered| answered.silent_since = None);
-        request.resume_at = None;
         ctx.state.waiting.retain(|other| *other != id);
         finish::release_prepared_hold(ctx, id);
     }
@@ -123,15 +123,15 @@
     true
 }
 
-/// Stops the silent attempts of a request, whose successor is about to be sent. Idempotent calls keep
-/// them, as they may be at two endpoints.
+/// Stops the silent attempts of a request, whose successor is about to be sent. Idempotent plain calls
+/// keep them, as they may be at two endpoints.
 pub fn take_over(ctx: &mut Context<'_>, id: RequestId) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
-    if request.route.kind == RouteKind::Idempotent {
-        return;
-    }
-    let is_silent = |live: &mut ActiveAttempt| live.silent_since.is_some();
-    let silent: Vec<_> = request.active_attempts.extract_if(.., is_silent).collect();
+    let is_idempotent = request.route.kind == RouteKind::Idempotent;
+    let ends = |live: &mut ActiveAttempt| {
+        live.silent_since.is_some() && !(is_idempotent && live.step == Step::Whole)
+    };
+    let silent: Vec<_> = request.active_attempts.extract_if(.., ends).collect();
     for live in &silent {
         if live.is_run() {
             request.maybe_run = true;
@@ -214,12 +214,8 @@
 
     /// Returns whether a request that has a silent attempt may go on at an endpoint: not at one that
     /// doesn't answer either.
-    pub(super) fn may_go_on_at(
-        &self,
-        request: &Request,
-        endpoint: EndpointKey,
-        now: Duration,
-    ) -> bool {
+    pub(super) fn may_go_on_at(&self, id: RequestId, endpoint: EndpointKey, now: Duration) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
         let is_silent_there =
             |live: &ActiveAttempt| live.silent_since.is_some() && live.endpoint == endpoint;
         let is_dark = self.suspects.is_unreachable(endpoint)
--- a/crates/basilbank_forward/tests/forward/silences.rs
+++ b/crates/basilbank_forward/tests/forward/silences.rs
@@ -5,7 +5,7 @@
 use basilbank_forward::prelude::*;
 use test_case::test_case;
 
-use crate::rig::{BUSY, Rig, held, model, plain, prefilled, prompt};
+use crate::rig::{BUSY, Rig, WRITER, held, model, plain, prefilled, prompt, route, table};
 
 /// Silence after which an attempt is reported for the first time.
 const NOTICED: Duration = Duration::from_millis(1150);
@@ -111,6 +111,20 @@
     assert!(matches!(rig.start().op, Op::Stream { hold: Some(_) }));
 }
 
+/// Guards against two endpoints that work on one completion, where two may answer a plain call.
+#[test]
+fn a_silent_idempotent_completion_is_stopped_as_its_successor_is_sent() {
+    let mut rig = decode_rig(2);
+    let pages = vec![route("/page/", RouteKind::Idempotent, WRITER, 2)];
+    rig.configure(table(2).with_routes(pages));
+    let (id, decode) = decoding(&mut rig, "/page/1");
+    fall_silent(&mut rig, id, decode.number);
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    assert!(is_stopped(&rig, decode.number));
+    assert_eq!(rig.starts().len(), 1);
+}
+
 /// Guards against a stream that is cut, or moved, although its endpoint writes on.
 #[test_case(true; "the slot is held")]
 #[test_case(false; "the slot is asked for")]
