--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -41,12 +41,12 @@
 impl Serving {
     /// Answers one request.
     pub(super) fn serve(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        self.wait_out_silence();
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != self.instance) {
             return write_answer(stream, 421, &[("x-instance-id", &self.instance)], b"");
         }
         self.arrive(request);
-        self.wait_out_silence();
         let (misdeed, crashed) = self.condition();
         if crashed {
             return Err(io::ErrorKind::ConnectionReset.into());
@@ -191,6 +191,7 @@
             return self.refuse(stream, request);
         }
         self.begin(request);
+        self.wait_out_silence();
         if request.path().ends_with(DEADLY) {
             return self.crash(request);
         }
@@ -212,6 +213,9 @@
 
     fn begin(&self, request: &Request) {
         let mut inside = lock(&self.inside);
+        if let Some(silence) = inside.run_silence.take() {
+            inside.silent_until = Some(Instant::now() + silence);
+        }
         inside.served.ran.push(request.clone());
         if inside.leaving {
             inside.served.ran_leaving.push((Instant::now(), attempt_id(request)));
@@ -312,6 +316,7 @@
             if self.condition().1 {
                 return Err(writer.crash());
             }
+            self.wait_out_silence();
             let written = writer.event(&event);
             if writer.is_broken() {
                 return written;
@@ -320,8 +325,9 @@
                 lock(&self.inside).served.abandoned += 1;
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            self.wait_out_silence();
-            thread::sleep(EVENT_TIME * lock(&self.inside).slowness.max(1));
+            // The lock is not held meanwhile: streams of an endpoint don't wait for each other.
+            let slowness = lock(&self.inside).slowness.max(1);
+            thread::sleep(EVENT_TIME * slowness);
         }
         writer.end()
     }
--- a/crates/basilbank_standin/src/managed/silence.rs
+++ b/crates/basilbank_standin/src/managed/silence.rs
@@ -15,6 +15,11 @@
     pub fn fall_silent(&self, time: Duration) {
         lock(&self.inside).silent_until = Some(Instant::now() + time);
     }
+
+    /// The same, from the beginning of its next run on.
+    pub fn fall_silent_at_run(&self, time: Duration) {
+        lock(&self.inside).run_silence = Some(time);
+    }
 }
 
 impl Serving {
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -16,6 +16,7 @@
 mod restored;
 mod settings;
 mod shares;
+mod silences;
 mod slow_link;
 mod stated;
 mod store;
