--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -28,6 +28,10 @@
 /// Maximum size of an answer that is meant for the router itself.
 const MAX_CONTROL_ANSWER_BYTES: usize = 64 << 10;
 
+/// Maximum time for which an idle connection is kept, whatever the endpoint says. Any time that is
+/// added to a clock needs a bound.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
+
 /// The outcome of an attempt, and the answer to forward.
 #[derive(Debug)]
 pub struct AttemptResult {
@@ -306,7 +310,8 @@
     let seconds = value.and_then(|text| text.split("timeout=").nth(1));
     let digits =
         seconds.map(|text| text.chars().take_while(char::is_ascii_digit).collect::<String>());
-    Some(digits.and_then(|digits| digits.parse().ok()).map(Duration::from_secs))
+    let keep_alive = digits.and_then(|digits| digits.parse().ok()).map(Duration::from_secs);
+    Some(keep_alive.map(|time| time.min(MAX_KEEP_ALIVE)))
 }
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -34,7 +34,7 @@
 mod status_listener;
 mod unusable;
 
-pub use attempt::strip_hop_by_hop;
+pub use attempt::{parse_keep_alive, strip_hop_by_hop};
 pub use basilbank::clock::SystemClock;
 pub use connections::{CallError, Connection, ConnectionPool};
 pub use dialect::{AnswerKind, Dialect, InvalidCall, OutRequest};
