--- a/crates/basilbank_standin/tests/managed/callers.rs
+++ b/crates/basilbank_standin/tests/managed/callers.rs
@@ -5,7 +5,7 @@
 use basilbank_standin::managed::{Misdeed, call, exchange};
 use test_case::test_case;
 
-use crate::support::{eventually, plain, world};
+use crate::support::{eventually, plain, stream_of, world};
 
 #[test]
 fn a_call_goes_on_unchanged_and_so_does_its_answer() {
@@ -153,3 +153,20 @@
     let metrics = call(world.ready(0), "GET /metrics", &[], b"").expect("metrics").text();
     assert!(metrics.contains("refused_total{reason=\"slow_header\"} 1"), "{metrics}");
 }
+
+/// Guards against a daemon that ends by the sum of a clock and a caller's time.
+#[test]
+fn the_longest_time_that_a_caller_can_name_is_no_fault() {
+    let world = world();
+    let headers = [
+        ("host", "shop.example"),
+        ("x-attempt-id", "long"),
+        ("x-deadline-remaining", "18446744073709551615"),
+        ("x-token-counts", "1000,8"),
+        ("x-prompt-prefix", "abc:1000"),
+    ];
+    let stream = call(world.callers(0), "POST /draft/long", &headers, b"x").expect("an answer");
+    assert_eq!((stream.status, stream.text()), (200, stream_of(8)));
+    let plain = call(world.callers(0), "GET /sheet/long", &headers[..3], b"").expect("an answer");
+    assert_eq!(plain.status, 200);
+}
