Test: request bodies beyond a daemon's memory

Sixty callers send a body of 4 MB each to one daemon whose settings give it 110 MB. The test fails: the daemon holds all of them.

--- /dev/null
+++ b/crates/basilbankd/tests/bodies.rs
@@ -0,0 +1,173 @@
+//! Request bodies that are longer together than a daemon's memory, over sockets.
+
+use std::{
+    fs,
+    io::{BufReader, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    process::{Child, Command, Stdio},
+    sync::{
+        Barrier,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use basilbank_standin::managed::{Answer, World, WorldSpec, call, configuration, read_answer};
+use serde_json::json;
+
+/// Memory that the settings give the daemon, in megabytes.
+const MEMORY_MB: usize = 110;
+
+const BODY: usize = 4_000_000;
+const CALLERS: usize = 60;
+
+/// Calls with small bodies, sent while the large ones are held.
+const SMALL_CALLS: usize = 40;
+
+/// Fewest large bodies that fit.
+const MIN_SERVED: usize = 5;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A daemon as a process of its own. Dropping it kills it.
+struct Daemon {
+    child: Child,
+    callers: SocketAddr,
+    metrics: SocketAddr,
+}
+
+impl Daemon {
+    fn start(world: &World) -> Daemon {
+        let free = || {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+            listener.local_addr().unwrap()
+        };
+        let (callers, ready, control, metrics) = (free(), free(), free(), free());
+        let port = free().port();
+        let store = world.store.address();
+        let text = format!(
+            "node = \"vm-0\"\nzone = \"hall-a\"\nip = \"127.0.0.1\"\nportRange = [{port}, {port}]\n\
+             seeds = [\"{control}\"]\nbootstrap = true\n[listen]\nfront = \"{callers}\"\n\
+             ready = \"{ready}\"\ncontrol = \"{control}\"\n[limits]\nmemoryMb = {MEMORY_MB}\n\
+             [platform]\naddr = \"{store}\"\n",
+        );
+        let settings = std::env::temp_dir().join(format!("basilbank-bodies-{port}.toml"));
+        fs::write(&settings, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_basilbankd"))
+            .args(["--platform", "--metrics", &metrics.port().to_string()])
+            .env("BASILBANK_BOOT", &settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let daemon = Daemon { child, callers, metrics };
+        let end = Instant::now() + PATIENCE;
+        while !call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 200) {
+            assert!(Instant::now() < end, "the daemon is not ready");
+            thread::sleep(Duration::from_millis(10));
+        }
+        fs::remove_file(settings).unwrap();
+        daemon
+    }
+
+    /// Peak of the resident size, in kilobytes.
+    fn peak_kb(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    fn metric(&self, name: &str) -> Option<u64> {
+        let text = call(self.metrics, "GET /metrics", &[], b"").unwrap().text();
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn head(id: usize, length: usize) -> String {
+    format!(
+        "POST /stock/{id} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: a{id}\r\n\
+         x-deadline-remaining: 15000\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    )
+}
+
+/// Sends all of a body but its last byte, which follows after `others` got as far.
+fn send_body(to: SocketAddr, id: usize, body: &[u8], others: &Barrier) -> Answer {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let (last, first) = body.split_last().unwrap();
+    // A daemon that refuses the call doesn't read all of it.
+    let _ = stream.write_all(head(id, body.len()).as_bytes());
+    let _ = stream.write_all(first);
+    others.wait();
+    others.wait();
+    let _ = stream.write_all(&[*last]);
+    read_answer(&mut BufReader::new(stream)).unwrap_or_default()
+}
+
+/// Guards against a daemon that holds more bodies than it has memory, and is killed with all its calls.
+#[test]
+fn large_bodies_beyond_the_memory_are_refused_and_small_ones_served() {
+    let spec = WorldSpec { daemons: 0, plain: 4, prefill: 1, decode: 1 };
+    let world = World::start(&spec).expect("a world");
+    let mut config = configuration(2, &[]);
+    config["limits"]["maxBodyBytes"] = json!(4 << 20);
+    world.store.put("op/config", &config);
+    let daemon = Daemon::start(&world);
+    let before = daemon.peak_kb();
+    let (body, small) = (vec![b'x'; BODY], vec![b'y'; 1000]);
+    let held = Barrier::new(CALLERS + 1);
+    let small_served = AtomicUsize::new(0);
+    let answers: Vec<_> = thread::scope(|scope| {
+        let (to, body, held) = (daemon.callers, &body, &held);
+        let senders: Vec<_> =
+            (0..CALLERS).map(|id| scope.spawn(move || send_body(to, id, body, held))).collect();
+        held.wait();
+        for id in 0..SMALL_CALLS {
+            let id = format!("s{id}");
+            let headers = [
+                ("host", "shop.example"),
+                ("x-attempt-id", id.as_str()),
+                ("x-deadline-remaining", "4000"),
+            ];
+            let answer = call(to, "POST /stock/small", &headers, &small);
+            let is_served = answer.is_ok_and(|answer| answer.status == 200);
+            small_served.fetch_add(usize::from(is_served), Ordering::Relaxed);
+        }
+        held.wait();
+        senders.into_iter().map(|sender| sender.join().expect("no panic")).collect()
+    });
+    let peak = daemon.peak_kb();
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    let refused: Vec<_> = answers.iter().filter(|answer| answer.status == 503).collect();
+    println!(
+        "{before} kB before, peak {peak} kB; {served} served, {} refused; {small_served:?} small",
+        refused.len()
+    );
+    assert!(peak < MEMORY_MB * 1000, "peak of {peak} kB");
+    assert_eq!(small_served.into_inner(), SMALL_CALLS);
+    assert_eq!(served + refused.len(), CALLERS, "each is served or told that it has not run");
+    assert!(MIN_SERVED <= served, "{served} served");
+    for answer in &refused {
+        assert!(answer.text().contains("body_memory"), "{}", answer.text());
+        let pause = answer.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+        assert!(pause.is_some_and(|pause| 0.0 < pause), "{:?}", answer.headers);
+    }
+    let ran: Vec<_> = world.plain.iter().flat_map(|endpoint| endpoint.served().ran).collect();
+    let large = ran.iter().filter(|request| request.body.len() == BODY).count();
+    assert_eq!((large, ran.len()), (served, served + SMALL_CALLS), "those refused have not run");
+    assert_eq!(daemon.metric("basilbank_forward_body_bytes "), Some(0), "all are let go");
+    let bound = daemon.metric("basilbank_forward_body_bound_bytes ").expect("a bound");
+    assert!((1..MEMORY_MB as u64 * 1_000_000).contains(&bound), "{bound}");
+    let counted = daemon.metric("basilbank_forward_refused_total{reason=\"body_memory\"}");
+    assert_eq!(counted, u64::try_from(refused.len()).ok());
+}
