Bound the memory of request bodies

Cause: a daemon read each body of up to maxBodyBytes whole, with no bound on all of them together. Sixty bodies of 4 MB took it to 248 MB, over its memory of 110 MB: it would be killed, with all calls in progress.

A body beyond it is refused with 503, body_memory and Retry-After, before it is read if its length is announced, else when the bound is met. It counts until the last clone of its bytes is dropped, wherever that is.

An announced length is reserved, as otherwise many bodies that begin together would all be refused halfway. A caller that sends less than 1 MB/s, after half a second, counts with what has arrived from then on, so that those who announce much and send little don't keep others out; it is refused midway only if the bound is met then. Bodies over 64 KiB leave an eighth of the bound to smaller ones.

Metrics: body_bytes, body_bound_bytes, bodies_refused (unread, midway), refused{reason=body_memory}.

tests/body.rs passes a budget to read_body, and is otherwise as strict as before.

--- /dev/null
+++ b/crates/basilbank_gateway/src/body_budget.rs
@@ -0,0 +1,203 @@
+//! Bounds the memory that request bodies take together.
+//!
+//! A process that exceeds its memory is killed with all its calls, so a body that doesn't fit is
+//! refused, before it is read if its length is announced. An announced length is reserved, so that a
+//! caller who sends at a usual pace is not refused halfway. A caller who sends more slowly than that
+//! counts with what has arrived: otherwise a few who announce much and send nothing would keep all
+//! others out. Large bodies leave a part of the bound to small ones.
+
+use std::{
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+
+/// Divisor of the process's memory for bodies; the rest is for connections, answers and state.
+const MEMORY_DIVISOR: usize = 3;
+
+/// Bound in bytes if the process's memory is unknown.
+const DEFAULT_BOUND: usize = 32 << 20;
+
+/// Minimum bound in bytes, so that a body of a usual maximum length fits into any process.
+const MIN_BOUND: usize = 8 << 20;
+
+/// Maximum size in bytes of a body that may use the whole bound.
+const MAX_SMALL_BODY: usize = 64 << 10;
+
+/// Divisor of the bound for the part that is left to small bodies.
+const SMALL_DIVISOR: usize = 8;
+
+/// Time for which an announced length is reserved although nothing arrives.
+const RESERVED_TIME: Duration = Duration::from_millis(500);
+
+/// Bytes per second that keep an announced length reserved.
+const RESERVED_RATE: f64 = 1e6;
+
+/// A body is refused because it doesn't fit into the bound.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct BudgetExceeded;
+
+/// The bytes that bodies take, and what was refused.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub struct BodyUsage {
+    /// Bytes that have arrived or are reserved.
+    pub bytes: usize,
+    /// Maximum number of bytes.
+    pub bound: usize,
+    /// Number of bodies that were refused unread.
+    pub refused_unread: u64,
+    /// Number of bodies that were refused while they were read.
+    pub refused_midway: u64,
+    /// The part of `bytes` that large bodies take.
+    large: usize,
+}
+
+impl BodyUsage {
+    /// Returns whether a body may take `to` bytes in place of `from`.
+    fn fits(&self, from: usize, to: usize) -> bool {
+        if to <= from {
+            return true;
+        }
+        let large = self.large - large_part(from) + large_part(to);
+        let max_large = self.bound - self.bound / SMALL_DIVISOR;
+        self.bytes - from + to <= self.bound && (large_part(to) == 0 || large <= max_large)
+    }
+
+    fn replace(&mut self, from: usize, to: usize) {
+        self.bytes = self.bytes - from + to;
+        self.large = self.large - large_part(from) + large_part(to);
+    }
+}
+
+fn large_part(size: usize) -> usize {
+    if MAX_SMALL_BODY < size { size } else { 0 }
+}
+
+/// Returns the bound for a process with this much memory in bytes, if that is known.
+#[must_use]
+pub fn bound_for_memory(memory: Option<usize>) -> usize {
+    memory.map_or(DEFAULT_BOUND, |memory| (memory / MEMORY_DIVISOR).max(MIN_BOUND))
+}
+
+/// The bound on all request bodies of a daemon together.
+#[derive(Clone, Debug)]
+pub struct BodyBudget(Arc<Mutex<BodyUsage>>);
+
+impl Default for BodyBudget {
+    fn default() -> BodyBudget {
+        BodyBudget::new(bound_for_memory(None))
+    }
+}
+
+impl BodyBudget {
+    /// Creates a budget with a bound in bytes.
+    #[must_use]
+    pub fn new(bound: usize) -> BodyBudget {
+        BodyBudget(Arc::new(Mutex::new(BodyUsage { bound, ..BodyUsage::default() })))
+    }
+
+    /// Changes the bound for bodies that are admitted from now on.
+    pub fn set_bound(&self, bound: usize) {
+        self.lock().bound = bound;
+    }
+
+    /// Returns the current usage.
+    #[must_use]
+    pub fn usage(&self) -> BodyUsage {
+        *self.lock()
+    }
+
+    /// Admits a body whose length was announced as `announced` bytes; 0 if it is unknown.
+    ///
+    /// # Errors
+    /// Returns an error if the body doesn't fit.
+    pub fn admit(&self, announced: usize) -> Result<BodyClaim, BudgetExceeded> {
+        let mut usage = self.lock();
+        if !usage.fits(0, announced) {
+            usage.refused_unread += 1;
+            return Err(BudgetExceeded);
+        }
+        usage.replace(0, announced);
+        drop(usage);
+        Ok(BodyClaim { budget: self.clone(), claimed: announced, arrived: 0 })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BodyUsage> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The part of the budget that one body takes. Dropping it gives the part back.
+pub struct BodyClaim {
+    budget: BodyBudget,
+    /// The bytes that count in the budget.
+    claimed: usize,
+    arrived: usize,
+}
+
+impl fmt::Debug for BodyClaim {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let BodyClaim { claimed, arrived, .. } = self;
+        f.debug_struct("BodyClaim").field("claimed", claimed).field("arrived", arrived).finish()
+    }
+}
+
+impl BodyClaim {
+    /// Records that further bytes have arrived.
+    ///
+    /// # Errors
+    /// Returns an error if they don't fit.
+    pub fn record_arrived(&mut self, bytes: usize) -> Result<(), BudgetExceeded> {
+        let arrived = self.arrived + bytes;
+        if self.claimed < arrived {
+            let mut usage = self.budget.lock();
+            if !usage.fits(self.claimed, arrived) {
+                usage.refused_midway += 1;
+                return Err(BudgetExceeded);
+            }
+            usage.replace(self.claimed, arrived);
+            self.claimed = arrived;
+        }
+        self.arrived = arrived;
+        Ok(())
+    }
+
+    /// Returns the time since the admission after which the reservation of what has not arrived ends;
+    /// `None` if nothing is reserved.
+    #[must_use]
+    pub fn reserved_for(&self) -> Option<Duration> {
+        let sent_time = Duration::from_secs_f64(self.arrived as f64 / RESERVED_RATE);
+        (self.arrived < self.claimed).then(|| RESERVED_TIME + sent_time)
+    }
+
+    /// Ends the reservation of what has not arrived.
+    pub fn release_unsent(&mut self) {
+        self.budget.lock().replace(self.claimed, self.arrived);
+        self.claimed = self.arrived;
+    }
+
+    /// Returns the body with this claim, which ends when the last clone of the body is dropped.
+    #[must_use]
+    pub fn attach(self, body: Bytes) -> Bytes {
+        Bytes::from_owner(ClaimedBody { body, _claim: self })
+    }
+}
+
+impl Drop for BodyClaim {
+    fn drop(&mut self) {
+        self.budget.lock().replace(self.claimed, 0);
+    }
+}
+
+struct ClaimedBody {
+    body: Bytes,
+    _claim: BodyClaim,
+}
+
+impl AsRef<[u8]> for ClaimedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! provides them.
 
 mod attempt;
+pub mod body_budget;
 mod caller_listener;
 mod connections;
 mod dialect;
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -18,7 +18,9 @@
     registry::Registry,
 };
 
-use crate::{connections::CallError, framing::Framing, sent_bytes::SentBytes};
+use crate::{
+    body_budget::BodyUsage, connections::CallError, framing::Framing, sent_bytes::SentBytes,
+};
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -152,6 +154,9 @@
     unreached_services: Gauge<u64, AtomicU64>,
     gossip_passed_on: Gauge<u64, AtomicU64>,
     gossip_dropped: Gauge<u64, AtomicU64>,
+    body_bytes: Gauge<u64, AtomicU64>,
+    body_bound: Gauge<u64, AtomicU64>,
+    bodies_refused: Family<ReasonLabel, Gauge<u64, AtomicU64>>,
     quarantined: Counter,
     permits: Counter,
     pauses: Counter,
@@ -197,6 +202,9 @@
             unreached_services: Gauge::default(),
             gossip_passed_on: Gauge::default(),
             gossip_dropped: Gauge::default(),
+            body_bytes: Gauge::default(),
+            body_bound: Gauge::default(),
+            bodies_refused: Family::default(),
             quarantined: Counter::default(),
             permits: Counter::default(),
             pauses: Counter::default(),
@@ -290,6 +298,12 @@
         let help =
             "Relayed datagrams that were dropped as invalid, or not passed on as too frequent";
         registry.register("gossip_dropped", help, metrics.gossip_dropped.clone());
+        let help = "Bytes of request bodies that have arrived or are reserved";
+        registry.register("body_bytes", help, metrics.body_bytes.clone());
+        let help = "Maximum number of bytes of request bodies";
+        registry.register("body_bound_bytes", help, metrics.body_bound.clone());
+        let help = "Request bodies that there was no memory for, by when they were refused";
+        registry.register("bodies_refused", help, metrics.bodies_refused.clone());
         Metrics { registry, ..metrics }
     }
 }
@@ -392,6 +406,18 @@
         self.gossip_dropped.set(relays.dropped);
     }
 
+    /// Sets the memory that request bodies take, and how many there was none for.
+    pub fn set_bodies(&self, usage: &BodyUsage) {
+        let gauge_value = |bytes: usize| u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.body_bytes.set(gauge_value(usage.bytes));
+        self.body_bound.set(gauge_value(usage.bound));
+        for (reason, count) in [("unread", usage.refused_unread), ("midway", usage.refused_midway)]
+        {
+            let label = ReasonLabel { reason: reason.to_owned() };
+            self.bodies_refused.get_or_create(&label).set(count);
+        }
+    }
+
     /// Sets for how long the store hasn't answered a topic's reader.
     pub fn set_store_lost(&self, topic: Topic, lost_for: Duration) {
         let topic = topic.as_str();
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -26,10 +26,10 @@
 pub async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (head, body) = request.into_parts();
     let max_bytes = router.read(|state| state.routes.limits.body_bytes);
-    let body = match read_body(body, max_bytes).await {
+    let body = match read_body(body, max_bytes, &router.bodies).await {
         Ok(body) => body,
         Err(error) => {
-            let answer = router.read(|state| retry_if_outdated(body_error_response(error), state));
+            let answer = router.read(|state| body_error_response(error, state));
             return refuse_early(&router, &answer, "");
         }
     };
@@ -64,18 +64,23 @@
 }
 
 /// Returns the response to a body that can't be used.
-fn body_error_response(error: BodyError) -> ErrorResponse {
+fn body_error_response(error: BodyError, state: &State) -> ErrorResponse {
     match error {
-        BodyError::TooLong => ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
+        BodyError::TooLong => {
+            let answer = ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large");
+            retry_if_outdated(answer, state)
+        }
         BodyError::Broken => ErrorResponse::new(StatusCode::BAD_REQUEST, "bad_body"),
         BodyError::TooSlow => ErrorResponse::new(StatusCode::REQUEST_TIMEOUT, "slow_body"),
+        BodyError::NoMemory => ErrorResponse::new(StatusCode::SERVICE_UNAVAILABLE, "body_memory")
+            .with_retry_after(Some(state.tuning.retry_after)),
     }
 }
 
 /// Tells the caller to retry if a body is too long by a configuration that is outdated: the current
 /// one may allow it.
 fn retry_if_outdated(answer: ErrorResponse, state: &State) -> ErrorResponse {
-    if answer.status != StatusCode::PAYLOAD_TOO_LARGE || !state.is_configuration_outdated() {
+    if !state.is_configuration_outdated() {
         return answer;
     }
     let response = ErrorResponse::new(StatusCode::SERVICE_UNAVAILABLE, Refusal::Outdated.as_str());
--- a/crates/basilbank_gateway/src/request_body.rs
+++ b/crates/basilbank_gateway/src/request_body.rs
@@ -8,6 +8,8 @@
 use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
+use crate::body_budget::{BodyBudget, BudgetExceeded};
+
 /// Time for a body before its bytes extend the deadline.
 const BASE_TIME: Duration = Duration::from_secs(10);
 
@@ -20,26 +22,47 @@
     Broken,
     /// It arrives too slowly.
     TooSlow,
+    /// There is no memory for it.
+    NoMemory,
+}
+
+impl From<BudgetExceeded> for BodyError {
+    fn from(_: BudgetExceeded) -> BodyError {
+        BodyError::NoMemory
+    }
 }
 
-/// Reads a body of at most `max_bytes`.
+/// Reads a body of at most `max_bytes`. It counts in the budget until its last clone is dropped.
 ///
 /// # Errors
-/// Returns why the body can't be used. A body whose announced length is too long is not read.
-pub async fn read_body<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
+/// Returns why the body can't be used. A body whose announced length is too long, or doesn't fit into
+/// the budget, is not read.
+pub async fn read_body<B>(
+    body: B,
+    max_bytes: usize,
+    budget: &BodyBudget,
+) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    if (max_bytes as u64) < body.size_hint().lower() {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if max_bytes < announced {
         return Err(BodyError::TooLong);
     }
-    let (mut body, mut bytes) = (body, BytesMut::new());
+    let mut claim = budget.admit(announced)?;
+    let (mut body, mut bytes) = (body, BytesMut::with_capacity(announced));
     let start = Instant::now();
     loop {
         let deadline = start + time_for(BASE_TIME, bytes.len());
-        let frame = match timeout_at(deadline, body.frame()).await {
+        let reserved_until = claim.reserved_for().map(|time| start + time);
+        let wake = reserved_until.map_or(deadline, |until| until.min(deadline));
+        let frame = match timeout_at(wake, body.frame()).await {
+            Err(_) if wake < deadline => {
+                claim.release_unsent();
+                continue;
+            }
             Err(_) => return Err(BodyError::TooSlow),
-            Ok(None) => return Ok(bytes.freeze()),
+            Ok(None) => break,
             Ok(Some(Err(_))) => return Err(BodyError::Broken),
             Ok(Some(Ok(frame))) => frame,
         };
@@ -47,6 +70,8 @@
         if max_bytes < bytes.len() + data.len() {
             return Err(BodyError::TooLong);
         }
+        claim.record_arrived(data.len())?;
         bytes.extend_from_slice(&data);
     }
+    Ok(if bytes.is_empty() { Bytes::new() } else { claim.attach(bytes.freeze()) })
 }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     attempt::send_control,
+    body_budget::BodyBudget,
     connections::{CallError, ConnectionPool},
     dialect::{Dialect, OutRequest},
     gossip,
@@ -59,6 +60,8 @@
     pub connections: ConnectionPool,
     /// Connections to peers that call endpoints for this daemon.
     pub proxy_client: ProxyClient,
+    /// Bound on the memory that request bodies take.
+    pub bodies: BodyBudget,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     state: RefCell<State>,
@@ -91,6 +94,7 @@
             dialect,
             connections: ConnectionPool::default(),
             proxy_client: ProxyClient::default(),
+            bodies: BodyBudget::default(),
             metrics,
             state: RefCell::new(state),
             clock,
--- a/crates/basilbank_gateway/src/status_listener.rs
+++ b/crates/basilbank_gateway/src/status_listener.rs
@@ -59,6 +59,7 @@
                 router.metrics.set_relays(&state.peers.relays);
                 router.metrics.sent_bytes.publish(state);
             });
+            router.metrics.set_bodies(&router.bodies.usage());
             for topic in Topic::ALL {
                 router.metrics.set_store_lost(topic, router.store_lost_for(topic));
             }
--- a/crates/basilbank_gateway/tests/body.rs
+++ b/crates/basilbank_gateway/tests/body.rs
@@ -2,22 +2,25 @@
 
 use std::{
     convert::Infallible,
+    future::Future,
     pin::Pin,
     task::{Context, Poll},
     time::Duration,
 };
 
-use basilbank_gateway::{BodyError, read_body};
+use basilbank_gateway::{BodyError, body_budget::BodyBudget, read_body};
 use bytes::Bytes;
-use hyper::body::{Body, Frame};
+use hyper::body::{Body, Frame, SizeHint};
 use test_case::test_case;
 use tokio::{
     runtime::Builder,
-    time::{Sleep, sleep},
+    time::{Sleep, sleep, timeout},
 };
 
 /// A body of equal chunks, each after a pause.
 struct PacedBody {
+    /// The announced length; 0 for none.
+    announced: u64,
     remaining_chunks: usize,
     chunk_bytes: usize,
     pause: Duration,
@@ -42,6 +45,26 @@
         self.next_chunk = Box::pin(sleep(self.pause));
         Poll::Ready(Some(Ok(Frame::data(Bytes::from(vec![b'x'; self.chunk_bytes])))))
     }
+
+    fn size_hint(&self) -> SizeHint {
+        let mut hint = SizeHint::new();
+        hint.set_lower(self.announced);
+        hint
+    }
+}
+
+fn paced(count: usize, bytes: usize, pause: Duration) -> PacedBody {
+    let next_chunk = Box::pin(sleep(pause));
+    PacedBody { announced: 0, remaining_chunks: count, chunk_bytes: bytes, pause, next_chunk }
+}
+
+fn announced(count: usize, bytes: usize, pause: Duration) -> PacedBody {
+    PacedBody { announced: (count * bytes) as u64, ..paced(count, bytes, pause) }
+}
+
+fn run<T>(future: impl Future<Output = T>) -> T {
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(future)
 }
 
 /// A caller with a slow connection could never send a long body: four megabytes at 300 KB per
@@ -59,16 +82,85 @@
     pause_ms: u64,
     expected: Result<usize, BodyError>,
 ) {
-    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
-    let read = runtime.expect("a runtime").block_on(async {
-        let pause = Duration::from_millis(pause_ms);
-        let body = PacedBody {
-            remaining_chunks: count,
-            chunk_bytes: bytes,
-            pause,
-            next_chunk: Box::pin(sleep(pause)),
-        };
-        read_body(body, 5_000_000).await
+    let read = run(async {
+        let body = paced(count, bytes, Duration::from_millis(pause_ms));
+        read_body(body, 5_000_000, &BodyBudget::default()).await
     });
     assert_eq!(read.map(|bytes| bytes.len()), expected);
 }
+
+const NO_PAUSE: Duration = Duration::from_millis(1);
+
+#[test]
+fn a_body_counts_until_its_last_clone_is_dropped() {
+    let budget = BodyBudget::new(10_000_000);
+    let read = run(async { read_body(announced(40, 100_000, NO_PAUSE), 5_000_000, &budget).await });
+    let body = read.expect("room");
+    assert_eq!(budget.usage().bytes, 4_000_000);
+    let clone = body.slice(5..10);
+    drop(body);
+    assert_eq!(budget.usage().bytes, 4_000_000);
+    drop(clone);
+    assert_eq!(budget.usage().bytes, 0);
+}
+
+#[test]
+fn an_announced_body_that_does_not_fit_is_not_read() {
+    let budget = BodyBudget::new(1_000_000);
+    // The body never comes.
+    let pause = Duration::from_secs(3600);
+    let read = run(async {
+        let body = announced(40, 100_000, pause);
+        timeout(NO_PAUSE, read_body(body, 5_000_000, &budget)).await
+    });
+    assert_eq!(read.expect("at once"), Err(BodyError::NoMemory));
+    assert_eq!((budget.usage().bytes, budget.usage().refused_unread), (0, 1));
+}
+
+#[test]
+fn a_body_without_a_length_is_refused_when_the_bound_is_met() {
+    let budget = BodyBudget::new(1_000_000);
+    let read = run(async { read_body(paced(40, 100_000, NO_PAUSE), 5_000_000, &budget).await });
+    assert_eq!(read, Err(BodyError::NoMemory));
+    assert_eq!((budget.usage().bytes, budget.usage().refused_midway), (0, 1));
+}
+
+/// Guards against callers who announce much and send little, and so keep all others out.
+#[test]
+fn a_slow_body_counts_with_what_has_arrived() {
+    let budget = BodyBudget::new(6_500_000);
+    run(async {
+        let slow = || read_body(announced(50, 20_000, Duration::from_secs(1)), 5_000_000, &budget);
+        let large = || read_body(announced(40, 100_000, NO_PAUSE), 5_000_000, &budget);
+        let others = async {
+            sleep(Duration::from_millis(400)).await;
+            assert_eq!(large().await, Err(BodyError::NoMemory), "2 MB are reserved");
+            sleep(Duration::from_millis(2400)).await;
+            assert_eq!(budget.usage().bytes, 80_000);
+            large().await.map(|bytes| bytes.len())
+        };
+        let (first, second, other) = tokio::join!(slow(), slow(), others);
+        assert_eq!(other, Ok(4_000_000));
+        for read in [first, second] {
+            assert_eq!(read.map(|bytes| bytes.len()), Ok(1_000_000), "slow ones are read as well");
+        }
+    });
+}
+
+/// Guards against bodies that are refused after a part of them was sent, though the room was free when
+/// they began.
+#[test]
+fn a_body_that_comes_at_a_usual_pace_keeps_its_reservation() {
+    let budget = BodyBudget::new(5_000_000);
+    run(async {
+        let body = announced(40, 100_000, Duration::from_millis(100));
+        let others = async {
+            for _ in 0..35 {
+                sleep(Duration::from_millis(100)).await;
+                assert!(budget.admit(2_000_000).is_err());
+            }
+        };
+        let (read, ()) = tokio::join!(read_body(body, 5_000_000, &budget), others);
+        assert_eq!(read.map(|bytes| bytes.len()), Ok(4_000_000));
+    });
+}
--- a/crates/basilbankd/tests/bodies.rs
+++ b/crates/basilbankd/tests/bodies.rs
@@ -149,11 +149,9 @@
     let peak = daemon.peak_kb();
     let served = answers.iter().filter(|answer| answer.status == 200).count();
     let refused: Vec<_> = answers.iter().filter(|answer| answer.status == 503).collect();
-    println!(
-        "{before} kB before, peak {peak} kB; {served} served, {} refused; {small_served:?} small",
-        refused.len()
-    );
-    assert!(peak < MEMORY_MB * 1000, "peak of {peak} kB");
+    let seen =
+        format!("{before} kB before, peak {peak} kB, {served} served, {small_served:?} small");
+    assert!(peak < MEMORY_MB * 1000, "{seen}");
     assert_eq!(small_served.into_inner(), SMALL_CALLS);
     assert_eq!(served + refused.len(), CALLERS, "each is served or told that it has not run");
     assert!(MIN_SERVED <= served, "{served} served");
