--- a/crates/basilbankd/tests/bodies.rs
+++ b/crates/basilbankd/tests/bodies.rs
@@ -15,6 +15,7 @@
 
 use basilbank_standin::managed::{Answer, World, WorldSpec, call, configuration, read_answer};
 use serde_json::json;
+use test_case::test_case;
 
 /// Memory that the settings give the daemon, in megabytes.
 const MEMORY_MB: usize = 110;
@@ -93,6 +94,16 @@
     }
 }
 
+/// A world whose configuration allows large bodies, without daemons.
+fn world() -> World {
+    let spec = WorldSpec { daemons: 0, plain: 4, prefill: 1, decode: 2 };
+    let world = World::start(&spec).expect("a world");
+    let mut config = configuration(2, &[]);
+    config["limits"]["maxBodyBytes"] = json!(4 << 20);
+    world.store.put("op/config", &config);
+    world
+}
+
 fn head(id: usize, length: usize) -> String {
     format!(
         "POST /stock/{id} HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: a{id}\r\n\
@@ -117,11 +128,7 @@
 /// Guards against a daemon that holds more bodies than it has memory, and is killed with all its calls.
 #[test]
 fn large_bodies_beyond_the_memory_are_refused_and_small_ones_served() {
-    let spec = WorldSpec { daemons: 0, plain: 4, prefill: 1, decode: 1 };
-    let world = World::start(&spec).expect("a world");
-    let mut config = configuration(2, &[]);
-    config["limits"]["maxBodyBytes"] = json!(4 << 20);
-    world.store.put("op/config", &config);
+    let world = world();
     let daemon = Daemon::start(&world);
     let before = daemon.peak_kb();
     let (body, small) = (vec![b'x'; BODY], vec![b'y'; 1000]);
@@ -169,3 +176,51 @@
     let counted = daemon.metric("basilbank_forward_refused_total{reason=\"body_memory\"}");
     assert_eq!(counted, u64::try_from(refused.len()).ok());
 }
+
+const STREAMS: u32 = 4;
+
+/// Events of a stream: it lasts for a second or more.
+const EVENTS: usize = 200;
+
+/// Guards against streams that hold their bodies, and so keep other calls out, though none of them can
+/// be sent again.
+#[test_case("/once/", false; "of streams that can not go on elsewhere")]
+#[test_case("/draft/", true; "of streams that can")]
+fn bodies_are_held_while_a_stream_may_need_them(path: &str, held: bool) {
+    let world = world();
+    let daemon = Daemon::start(&world);
+    let body = vec![b'x'; BODY];
+    thread::scope(|scope| {
+        let (to, body) = (daemon.callers, &body);
+        let stream = move |n: u32| {
+            let (id, counts) = (format!("d{n}"), format!("1000,{EVENTS}"));
+            let parts = format!("{n:x}:1000");
+            let headers = [
+                ("host", "shop.example"),
+                ("x-attempt-id", id.as_str()),
+                ("x-deadline-remaining", "15000"),
+                ("x-token-counts", counts.as_str()),
+                ("x-prompt-prefix", parts.as_str()),
+            ];
+            call(to, &format!("POST {path}{n}"), &headers, body).expect("an answer")
+        };
+        let streams: Vec<_> = (0..STREAMS).map(|n| scope.spawn(move || stream(n))).collect();
+        let is_running =
+            || world.model.iter().map(|endpoint| endpoint.served().active).sum::<u32>() == STREAMS;
+        let end = Instant::now() + PATIENCE;
+        while !is_running() {
+            assert!(Instant::now() < end, "the streams run");
+            thread::sleep(Duration::from_millis(10));
+        }
+        thread::sleep(Duration::from_millis(300));
+        let bytes = daemon.metric("basilbank_forward_body_bytes ").expect("the metric");
+        assert!(is_running(), "all streams run on");
+        let expected = if held { STREAMS as usize * BODY } else { 0 };
+        assert_eq!(usize::try_from(bytes), Ok(expected));
+        for stream in streams {
+            let answer = stream.join().expect("no panic");
+            assert_eq!(answer.text().matches("data: token").count(), EVENTS);
+        }
+    });
+    assert_eq!(daemon.metric("basilbank_forward_body_bytes "), Some(0));
+}
