Drop the body of a stream that can't be sent again

Cause: a request's task held its body until the end of the answer, also of a stream whose route has no attempt left or doesn't allow another one. Such streams last for seconds, and their bodies kept other calls out.

Change: the reducer tells with the begin of the last possible stream that the body is dropped (Effect::DropBody). Attempts clone the body for the request alone, so its bytes go when they are written. An attempt that would find no body counts as broken instead of being sent without one.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -36,6 +36,8 @@
         /// The attempt's number within the request.
         attempt: u32,
     },
+    /// Drop the request's body: no further attempt will send it.
+    DropBody(RequestId),
     /// Answer the caller immediately with a refusal or failure of the router itself.
     Refuse {
         /// The request to answer.
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -201,9 +201,7 @@
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     request.maybe_run = true;
     let server_error = 500 <= status;
-    let has_attempts_left =
-        request.counted_attempts < request.route.max_attempts && request.route.is_repeatable();
-    if server_error && has_attempts_left && !request.answering {
+    if server_error && request.may_repeat() && !request.answering {
         request.last_failure = Some(Refusal::Broken);
         if ctx.state.is_retry_useful(id, ctx.now) {
             return step::proceed(ctx, id);
@@ -218,10 +216,14 @@
     let is_first = !std::mem::replace(&mut request.answering, true);
     request.completion.kv = None;
     request.completion.hold = None;
+    let is_last = !request.may_repeat() && request.active_attempts.len() == 1;
     if let Some(live) = request.active_attempts.iter_mut().find(|live| live.number == number) {
         live.usage = ctx.state.directory.start_generation(live.endpoint, live.usage, ctx.now);
     }
     ctx.push(Effect::Deliver { request: id, attempt: number });
+    if is_last {
+        ctx.push(Effect::DropBody(id));
+    }
     if is_first {
         demand::log_first_token(ctx, id);
     }
@@ -313,9 +315,7 @@
             request.completion.kv = None;
             let refusal = if silent { Refusal::TimedOut } else { Refusal::Broken };
             request.last_failure = Some(refusal);
-            let has_attempts_left = request.counted_attempts < request.route.max_attempts
-                && request.route.is_repeatable();
-            if !has_attempts_left && request.active_attempts.is_empty() {
+            if !request.may_repeat() && request.active_attempts.is_empty() {
                 return finish::give_up(ctx, id, refusal);
             }
         }
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -252,6 +252,12 @@
         self.uncharged_refusals != 0 || self.counted_attempts != 0
     }
 
+    /// Returns whether another attempt may follow one that may have run.
+    #[must_use]
+    pub fn may_repeat(&self) -> bool {
+        self.counted_attempts < self.route.max_attempts && self.route.is_repeatable()
+    }
+
     /// Returns when the caller stops waiting: the caller of a stream leaves early if nothing has
     /// arrived, while a stream that has begun may last until its deadline.
     #[must_use]
--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -1,6 +1,7 @@
 //! Drafts: a slot, the prefill, the decode.
 
 use basilbank_forward::prelude::*;
+use test_case::test_case;
 
 use crate::rig::{BUSY, Rig, held, model, prefilled, prompt};
 
@@ -105,6 +106,29 @@
     assert!(rig.effects.iter().any(|e| matches!(e, Effect::AbortStream { .. })));
 }
 
+/// Guards against bodies that take memory though no attempt will send them, and against attempts
+/// without a body.
+#[test_case("/once/1", 0; "no attempt may follow the first stream")]
+#[test_case("/draft/1", 1; "one may")]
+fn the_body_is_dropped_with_the_last_stream(path: &str, resumptions: u32) {
+    let drops = |rig: &Rig| rig.effects.iter().any(|e| matches!(e, Effect::DropBody(_)));
+    let mut rig = rig();
+    let (id, mut attempt) = decoding_draft(&mut rig, path);
+    for _ in 0..resumptions {
+        rig.came(id, attempt.number, Outcome::Streaming);
+        assert!(!drops(&rig));
+        rig.came(id, attempt.number, Outcome::Broken(Damage::CutOff));
+        let hold = rig.start();
+        rig.came(id, hold.number, held());
+        attempt = rig.start();
+    }
+    assert!(!drops(&rig));
+    rig.came(id, attempt.number, Outcome::Streaming);
+    assert!(drops(&rig));
+    rig.came(id, attempt.number, Outcome::Broken(Damage::CutOff));
+    assert!(rig.starts().is_empty());
+}
+
 /// Symptom: decode endpoints refused one draft five times in a row, and the retry budget was gone.
 /// Sequence: the KV cache had lapsed at its prefill endpoint; each decode endpoint refused it.
 /// Cause: a refusal was taken for a full endpoint each time.
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Carries out one attempt at an endpoint.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
@@ -89,8 +89,8 @@
     pub call: Call,
     /// Request head.
     pub head: Parts,
-    /// Request body.
-    pub body: Bytes,
+    /// Request body; `None` once no further attempt will send it.
+    pub body: RefCell<Option<Bytes>>,
 }
 
 impl AttemptResult {
@@ -119,12 +119,13 @@
     last_event_id: Option<String>,
 ) -> AttemptResult {
     let dialect = &router.dialect;
-    let request = (dialect.attempt_request)(
-        &caller_request.head,
-        &caller_request.body,
-        &attempt,
-        last_event_id.as_deref(),
-    );
+    let Some(body) = caller_request.body.borrow().clone() else {
+        return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
+    };
+    let last_event_id = last_event_id.as_deref();
+    let request = (dialect.attempt_request)(&caller_request.head, &body, &attempt, last_event_id);
+    // The attempt may last for long after the body was sent.
+    drop(body);
     let call = |answer_timeout| EndpointCall {
         target: &attempt.target,
         request,
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Serves one caller's request, from its head to the end of the response.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use basilbank_forward::prelude::*;
 use hyper::{Request, Response, StatusCode, body::Incoming, header::CONTENT_LENGTH};
@@ -43,7 +43,7 @@
             return refuse_early(&router, &answer, &error.trace_id);
         }
     };
-    let caller_request = Rc::new(CallerRequest { call, head, body });
+    let caller_request = Rc::new(CallerRequest { call, head, body: RefCell::new(Some(body)) });
     let (sender, response) = oneshot::channel();
     let task = RequestTask {
         router: Rc::clone(&router),
@@ -174,6 +174,10 @@
             Some(RequestEffect::Start(attempt)) => self.start(*attempt),
             Some(RequestEffect::Stop(number)) => self.stop(number),
             Some(RequestEffect::Deliver(number)) => self.deliver(number),
+            Some(RequestEffect::DropBody) => {
+                self.caller_request.body.take();
+                Flow::Continue
+            }
             Some(RequestEffect::Refuse(refusal, retry_after)) => self.refuse(refusal, retry_after),
             Some(RequestEffect::AbortStream) => Flow::Stop,
         }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -46,6 +46,8 @@
     Stop(u32),
     /// Forward an attempt's answer.
     Deliver(u32),
+    /// Drop the body, which no further attempt will send.
+    DropBody,
     /// Respond with a refusal or failure.
     Refuse(Refusal, Option<Duration>),
     /// Abort a stream that can't be completed.
@@ -237,6 +239,7 @@
             Effect::Deliver { request, attempt } => {
                 self.send_to_request(request, RequestEffect::Deliver(attempt));
             }
+            Effect::DropBody(request) => self.send_to_request(request, RequestEffect::DropBody),
             Effect::Refuse { request, refusal, retry_after } => {
                 self.metrics.count_refused(refusal);
                 self.send_to_request(request, RequestEffect::Refuse(refusal, retry_after));
