--- a/crates/basilbankd/tests/bodies.rs
+++ b/crates/basilbankd/tests/bodies.rs
@@ -33,6 +33,8 @@
     child: Child,
     callers: SocketAddr,
     metrics: SocketAddr,
+    /// The address for other daemons.
+    peers: SocketAddr,
 }
 
 impl Daemon {
@@ -59,7 +61,8 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let daemon = Daemon { child, callers, metrics };
+        let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let daemon = Daemon { child, callers, metrics, peers };
         let end = Instant::now() + PATIENCE;
         while !call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 200) {
             assert!(Instant::now() < end, "the daemon is not ready");
@@ -226,3 +229,35 @@
     });
     assert_eq!(daemon.metric("basilbank_forward_body_bytes "), Some(0));
 }
+
+/// Guards against a daemon that is killed for the bodies of calls that it makes for its peers.
+#[test]
+fn bodies_of_peers_count_as_well() {
+    let world = world();
+    let daemon = Daemon::start(&world);
+    let before = daemon.peak_kb();
+    let frame = vec![0; BODY];
+    let connections: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(daemon.peers).unwrap();
+            let length = u32::try_from(BODY).unwrap();
+            stream.write_all(&length.to_be_bytes()).unwrap();
+            // The last byte doesn't come, so that nothing of it is used.
+            stream.write_all(&frame[1..]).unwrap();
+            stream
+        })
+        .collect();
+    let peak = daemon.peak_kb();
+    assert!(peak < MEMORY_MB * 1000, "{before} kB before, peak {peak} kB");
+    let refused = daemon.metric("basilbank_forward_bodies_refused{reason=\"unread\"}").unwrap();
+    let held = daemon.metric("basilbank_forward_body_bytes ").unwrap();
+    let admitted = u64::try_from(CALLERS).unwrap() - refused;
+    assert!(0 < admitted, "all are refused");
+    assert!((admitted * BODY as u64..admitted * BODY as u64 + 1000).contains(&held), "{held}");
+    drop(connections);
+    let end = Instant::now() + PATIENCE;
+    while daemon.metric("basilbank_forward_body_bytes ") != Some(0) {
+        assert!(Instant::now() < end, "the bodies are let go");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
