Count the bodies of calls for peers in the bound on bodies

Cause: a daemon read each frame of its peers whole, up to 16 MiB, with no bound on all of them, and held it until the end of the answer. The connection's buffer kept the memory beyond that.

Change: a frame is admitted by its length, before the rest of it arrives. One that doesn't fit is skipped, and the peer is told that the call is declined: nothing was sent. The body counts until it is written to the endpoint; headers are copied and the buffer is replaced, which would keep the frame's memory otherwise. Counter: proxied{reason=body_memory}.

--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod peer_stream;
 mod progress;
 mod proxy_client;
+pub mod proxy_intake;
 mod proxy_listener;
 mod reader;
 mod relay;
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -13,8 +13,10 @@
 use basilbank::logs::Line;
 use basilbank_forward::{effect::Target, event::ProxiedEnd, prelude::*};
 use basilbank_wire::{
-    ProxyCodec, ProxyEnd, ProxyFailure, ProxyHead, ProxyMessage, ProxyPurpose, ProxyRequest,
+    ProxyCodec, ProxyEnd, ProxyFailure, ProxyHead, ProxyHeader, ProxyMessage, ProxyPurpose,
+    ProxyRequest,
 };
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Uri};
@@ -30,10 +32,12 @@
 
 use crate::{
     attempt::parse_keep_alive,
+    body_budget::BodyClaim,
     connections::CallError,
     dialect::OutRequest,
     peer_stream,
     proxy_client::{read_headers, wire_headers},
+    proxy_intake::{BudgetedCodec, Received},
     relay::Writing,
     router::Router,
 };
@@ -44,7 +48,7 @@
 /// Pause after the system can't accept a connection, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-type Reader = FramedRead<OwnedReadHalf, ProxyCodec>;
+type Reader = FramedRead<OwnedReadHalf, BudgetedCodec>;
 type Writer = FramedWrite<OwnedWriteHalf, ProxyCodec>;
 
 /// Accepts peers until the task is dropped.
@@ -66,20 +70,44 @@
 async fn serve_peer(router: Rc<Router>, stream: TcpStream, peer: SocketAddr) {
     peer_stream::set_options(&stream);
     let (read, write) = stream.into_split();
-    let mut reader = FramedRead::new(read, ProxyCodec::default());
+    let mut reader = FramedRead::new(read, BudgetedCodec::new(router.bodies.clone()));
     let mut writer = FramedWrite::new(write, ProxyCodec::default());
-    while let Ok(Some(Ok(ProxyMessage::Request(request)))) = timeout(KEEP_IDLE, reader.next()).await
-    {
-        if !serve_call(&router, request, peer, &mut reader, &mut writer).await {
+    while let Ok(Some(Ok(received))) = timeout(KEEP_IDLE, reader.next()).await {
+        let is_usable = match received {
+            Received::Request(request, claim) => {
+                let request = claim_body(*request, claim);
+                serve_call(&router, request, peer, &mut reader, &mut writer).await
+            }
+            Received::Other => false,
+            Received::NoMemory => {
+                router.metrics.count_proxied("body_memory");
+                fail(&mut writer, ProxyFailure::Declined).await
+            }
+        };
+        if !is_usable {
             return;
         }
     }
 }
 
+/// Returns the request with a body that counts in the budget until it was sent. The headers are copied,
+/// since they would keep the memory of the whole frame.
+fn claim_body(request: ProxyRequest, claim: BodyClaim) -> ProxyRequest {
+    let copy = |header: ProxyHeader| {
+        let value = Bytes::copy_from_slice(&header.value);
+        ProxyHeader { value, ..header }
+    };
+    ProxyRequest {
+        headers: request.headers.into_iter().map(copy).collect(),
+        body: claim.attach(request.body),
+        ..request
+    }
+}
+
 /// Makes one call. Returns whether the connection can carry another one.
 async fn serve_call(
     router: &Rc<Router>,
-    request: ProxyRequest,
+    mut request: ProxyRequest,
     peer: SocketAddr,
     reader: &mut Reader,
     writer: &mut Writer,
@@ -109,11 +137,13 @@
     };
     let serving = Serving::start(router, &target, &request);
     let writing = RefCell::default();
+    let body = RefCell::new(std::mem::take(&mut request.body));
     let call = Call {
         router,
         peer,
         target: &target,
         request: &request,
+        body,
         purpose,
         received,
         writing: &writing,
@@ -196,6 +226,8 @@
     peer: SocketAddr,
     target: &'a Target,
     request: &'a ProxyRequest,
+    /// The request's body until it is sent.
+    body: RefCell<Bytes>,
     purpose: Purpose,
     received: Instant,
     writing: &'a RefCell<Writing>,
@@ -260,7 +292,7 @@
 
     /// Returns the request to the endpoint, with the time that is left by now.
     fn endpoint_request(&self) -> Option<OutRequest> {
-        let mut request = Request::new(Full::new(self.request.body.clone()));
+        let mut request = Request::new(Full::new(self.body.take()));
         *request.method_mut() = self.request.method.parse::<Method>().ok()?;
         *request.uri_mut() = self.request.path.parse::<Uri>().ok()?;
         *request.headers_mut() = read_headers(&self.request.headers)?;
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -30,7 +30,7 @@
 };
 pub use message::*;
 pub use proxy::{
-    ProxyCodec, ProxyEnd, ProxyFailure, ProxyHead, ProxyHeader, ProxyMessage, ProxyPurpose,
-    ProxyRequest,
+    MAX_PROXY_FRAME_BYTES, PROXY_LENGTH_BYTES, ProxyCodec, ProxyEnd, ProxyFailure, ProxyHead,
+    ProxyHeader, ProxyMessage, ProxyPurpose, ProxyRequest,
 };
 pub use replay::{MAX_SENDERS, REPLAY_WINDOW, ReplayGuard};
--- a/crates/basilbank_wire/src/proxy.rs
+++ b/crates/basilbank_wire/src/proxy.rs
@@ -11,7 +11,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 /// Maximum size of a frame in bytes: a caller's longest body and its head.
-const MAX_FRAME_BYTES: usize = 16 << 20;
+pub const MAX_PROXY_FRAME_BYTES: usize = 16 << 20;
 
 /// A message between two daemons on a connection for proxied calls.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -45,12 +45,12 @@
     /// Returns the length of the message's frame in bytes.
     #[must_use]
     pub fn wire_bytes(&self) -> usize {
-        FRAME_LENGTH_BYTES + self.encoded_len()
+        PROXY_LENGTH_BYTES + self.encoded_len()
     }
 }
 
-/// Size of the length that precedes a frame.
-const FRAME_LENGTH_BYTES: usize = 4;
+/// Size of the length that precedes a frame, in network byte order.
+pub const PROXY_LENGTH_BYTES: usize = 4;
 
 /// A call to an endpoint.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -155,7 +155,9 @@
 
 impl Default for ProxyCodec {
     fn default() -> ProxyCodec {
-        ProxyCodec(LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec())
+        ProxyCodec(
+            LengthDelimitedCodec::builder().max_frame_length(MAX_PROXY_FRAME_BYTES).new_codec(),
+        )
     }
 }
 
