--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -1,6 +1,10 @@
 //! Carries out one attempt at an endpoint.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
@@ -95,8 +99,8 @@
     pub call: Call,
     /// Request head.
     pub head: Parts,
-    /// Request body.
-    pub body: Bytes,
+    /// Request body; `None` once no further attempt will send it.
+    pub body: RefCell<Option<Bytes>>,
 }
 
 impl AttemptResult {
@@ -125,12 +129,13 @@
     last_event_id: Option<String>,
 ) -> AttemptResult {
     let dialect = &router.dialect;
-    let request = (dialect.attempt_request)(
-        &caller_request.head,
-        &caller_request.body,
-        &attempt,
-        last_event_id.as_deref(),
-    );
+    let Some(body) = caller_request.body.borrow().clone() else {
+        return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
+    };
+    let last_event_id = last_event_id.as_deref();
+    let request = (dialect.attempt_request)(&caller_request.head, &body, &attempt, last_event_id);
+    // The attempt may last for long after the body was sent.
+    drop(body);
     let call = |answer_timeout| EndpointCall {
         target: &attempt.target,
         request,
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! provides them.
 
 mod attempt;
+pub mod body_budget;
 mod caller_listener;
 mod connections;
 mod dialect;
@@ -22,6 +23,7 @@
 mod peer_stream;
 mod progress;
 mod proxy_client;
+pub mod proxy_intake;
 mod proxy_listener;
 mod reader;
 mod relay;
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Serves one caller's request, from its head to the end of the response.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 use basilbank_forward::prelude::*;
 use hyper::{Request, Response, StatusCode, body::Incoming, header::CONTENT_LENGTH};
@@ -26,10 +26,10 @@
 pub async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (head, body) = request.into_parts();
     let max_bytes = router.read(|state| state.routes.limits.body_bytes);
-    let body = match read_body(body, max_bytes).await {
+    let body = match read_body(body, max_bytes, &router.bodies).await {
         Ok(body) => body,
         Err(error) => {
-            let answer = router.read(|state| retry_if_outdated(body_error_response(error), state));
+            let answer = router.read(|state| body_error_response(error, state));
             return refuse_early(&router, &answer, "");
         }
     };
@@ -43,7 +43,7 @@
             return refuse_early(&router, &answer, &error.trace_id);
         }
     };
-    let caller_request = Rc::new(CallerRequest { call, head, body });
+    let caller_request = Rc::new(CallerRequest { call, head, body: RefCell::new(Some(body)) });
     let (sender, response) = oneshot::channel();
     let task = RequestTask {
         router: Rc::clone(&router),
@@ -64,18 +64,23 @@
 }
 
 /// Returns the response to a body that can't be used.
-fn body_error_response(error: BodyError) -> ErrorResponse {
+fn body_error_response(error: BodyError, state: &State) -> ErrorResponse {
     match error {
-        BodyError::TooLong => ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
+        BodyError::TooLong => {
+            let answer = ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large");
+            retry_if_outdated(answer, state)
+        }
         BodyError::Broken => ErrorResponse::new(StatusCode::BAD_REQUEST, "bad_body"),
         BodyError::TooSlow => ErrorResponse::new(StatusCode::REQUEST_TIMEOUT, "slow_body"),
+        BodyError::NoMemory => ErrorResponse::new(StatusCode::SERVICE_UNAVAILABLE, "body_memory")
+            .with_retry_after(Some(state.tuning.retry_after)),
     }
 }
 
 /// Tells the caller to retry if a body is too long by a configuration that is outdated: the current
 /// one may allow it.
 fn retry_if_outdated(answer: ErrorResponse, state: &State) -> ErrorResponse {
-    if answer.status != StatusCode::PAYLOAD_TOO_LARGE || !state.is_configuration_outdated() {
+    if !state.is_configuration_outdated() {
         return answer;
     }
     let response = ErrorResponse::new(StatusCode::SERVICE_UNAVAILABLE, Refusal::Outdated.as_str());
@@ -169,6 +174,10 @@
             Some(RequestEffect::Start(attempt)) => self.start(*attempt),
             Some(RequestEffect::Stop(number)) => self.stop(number),
             Some(RequestEffect::Deliver(number)) => self.deliver(number),
+            Some(RequestEffect::DropBody) => {
+                self.caller_request.body.take();
+                Flow::Continue
+            }
             Some(RequestEffect::Refuse(refusal, retry_after)) => self.refuse(refusal, retry_after),
             Some(RequestEffect::AbortStream) => Flow::Stop,
         }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     attempt::send_control,
+    body_budget::BodyBudget,
     connections::{CallError, ConnectionPool},
     dialect::{Dialect, OutRequest},
     gossip,
@@ -45,6 +46,8 @@
     Stop(u32),
     /// Forward an attempt's answer.
     Deliver(u32),
+    /// Drop the body, which no further attempt will send.
+    DropBody,
     /// Respond with a refusal or failure.
     Refuse(Refusal, Option<Duration>),
     /// Abort a stream that can't be completed.
@@ -59,6 +62,8 @@
     pub connections: ConnectionPool,
     /// Connections to peers that call endpoints for this daemon.
     pub proxy_client: ProxyClient,
+    /// Bound on the memory that request bodies take.
+    pub bodies: BodyBudget,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     state: RefCell<State>,
@@ -91,6 +96,7 @@
             dialect,
             connections: ConnectionPool::default(),
             proxy_client: ProxyClient::default(),
+            bodies: BodyBudget::default(),
             metrics,
             state: RefCell::new(state),
             clock,
@@ -233,6 +239,7 @@
             Effect::Deliver { request, attempt } => {
                 self.send_to_request(request, RequestEffect::Deliver(attempt));
             }
+            Effect::DropBody(request) => self.send_to_request(request, RequestEffect::DropBody),
             Effect::Refuse { request, refusal, retry_after } => {
                 self.metrics.count_refused(refusal);
                 self.send_to_request(request, RequestEffect::Refuse(refusal, retry_after));
