--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod line;
 mod load;
 mod old_views;
+mod order_claims;
 mod order_schedules;
 mod overload;
 mod pace;
