Test: seeds of one daemon stay behind, with real daemons

Two of three daemons get new seeds, the former first one keeps its file, two empty endpoints are added.

--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -56,6 +56,7 @@
 struct Running {
     callers: SocketAddr,
     ready: SocketAddr,
+    control: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<anyhow::Result<()>>>,
     settings: PathBuf,
@@ -127,6 +128,12 @@
         self.daemons[daemon].ready
     }
 
+    /// The address that identifies a daemon in the list of seeds.
+    #[must_use]
+    pub fn control(&self, daemon: usize) -> SocketAddr {
+        self.daemons[daemon].control
+    }
+
     /// Starts a plain endpoint, and lists it.
     ///
     /// # Errors
@@ -276,7 +283,8 @@
         if !wait_ready(ready, &thread)? {
             return Ok(false);
         }
-        let running = Running { callers, ready, stop: Some(stop), thread: Some(thread), settings };
+        let (stop, thread) = (Some(stop), Some(thread));
+        let running = Running { callers, ready, control: own, stop, thread, settings };
         self.daemons.push(running);
         Ok(true)
     }
--- a/crates/basilbank_standin/tests/managed/settings.rs
+++ b/crates/basilbank_standin/tests/managed/settings.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use basilbank_standin::managed::{ManagedStore, configuration};
+use basilbank_standin::managed::{EndpointSpec, ManagedStore, World, WorldSpec, configuration};
 
 use crate::support::{eventually, plain, world};
 
@@ -53,3 +53,32 @@
     world.change_settings(0, "[platform", "[platform]").expect("the file is written");
     assert_eq!(plain(world.callers(0), "GET /new/1", b"").status, 200);
 }
+
+/// Guards against two daemons that order one endpoint, while the settings file of one of them is behind.
+#[test]
+fn seeds_of_one_daemon_that_stay_behind_make_no_second_holder() {
+    let spec = WorldSpec { daemons: 3, prefill: 4, decode: 2, ..WorldSpec::default() };
+    let mut world = World::start(&spec).expect("a world");
+    let orders = |world: &World| {
+        world.model.iter().map(|e| (e.instance().to_owned(), e.served().orders)).collect::<Vec<_>>()
+    };
+    let count = |world: &World| orders(world).iter().map(|(_, orders)| orders.len()).sum::<usize>();
+    eventually("two are ordered at first", || count(&world) == 2);
+    let seeds = |n: usize| format!("seeds = [\"{}\"]", world.control(n));
+    for daemon in [1, 2] {
+        world.change_settings(daemon, &seeds(0), &seeds(1)).expect("the file is written");
+    }
+    thread::sleep(PERIOD * 2);
+    for n in 0..2 {
+        let spec = EndpointSpec::model(&format!("empty-{n}"), "prefill");
+        world.add_model(spec).expect("an endpoint");
+    }
+    eventually("those that are added are ordered", || count(&world) == 4);
+    // A second holder would give its orders within this.
+    thread::sleep(PERIOD * 3);
+    let holders = |orders: &[serde_json::Value]| -> Vec<_> {
+        orders.iter().map(|order| order["holder"].to_string()).collect()
+    };
+    let all: Vec<_> = orders(&world).iter().flat_map(|(_, orders)| holders(orders)).collect();
+    assert!(all.iter().all(|holder| *holder == all[0]), "{:?}", orders(&world));
+}
