Agree on who orders endpoints when settings differ

Cause: the right to order endpoints followed from the settings alone: the daemon whose address is the first seed has it. While one daemon's file is outdated, two have it, and both are made of the same revision: they order the same endpoints with equal fencing numbers.

Change: a daemon that claims the right says so in its datagrams (order_claim, tag 44, three bytes; others send nothing). Of two claimants the lower address goes first. The other yields from the first claim that it hears, and may order only 20 s after the last one: for 10 s it still yields, then it claims the right without using it, so that a daemon it could not hear stops. The first one orders only if the other has yielded, or was silent, for 10 s. A daemon that hears less than half of the fleet gives no orders until 10 s after it hears more than that, so one that is cut off or has just woken doesn't act before it knows the claims. A right that is gained after the start of the process is never used at once, also in the first run of the system; a change of the settings after a suspension gave it back at once before.

An old daemon ignores the field, and a new one takes an old one for no claimant: then it is as before. Log: order_right_disputed.

--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -12,6 +12,7 @@
 
 use super::{
     Context, call_limit, crash, demand, freshness, gossip_send, origin, quota, relays, returns,
+    roles,
 };
 use crate::{
     log_line::LogLine,
@@ -84,6 +85,7 @@
     demand::add_rows(ctx, &demand_rows);
     avoid_reported(ctx, &gossip.shunned);
     crash::handle_gossip(ctx, gossip);
+    roles::record_claim(ctx, from, gossip.order_claim);
     call_limit::handle_reported_limits(ctx, gossip);
     apply_reported_change(ctx, Topic::Endpoints, gossip.endpoints_news);
     apply_reported_change(ctx, Topic::Routes, gossip.routes_news);
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -7,7 +7,7 @@
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 
-use super::{Context, call_limit, demand, relays};
+use super::{Context, call_limit, demand, relays, roles};
 use crate::{
     call::Cause,
     effect::Effect,
@@ -225,6 +225,7 @@
     }
     let quarantined =
         state.quarantine.take_reports(scope.quarantined_calls(state.peers.known.len()), now);
+    let order_claim = roles::claim(state, now).into();
     let peers = &mut state.peers;
     peers.sequence += 1;
     let count = scope.named_peers(peers.known.len());
@@ -249,6 +250,7 @@
         quarantined,
         unreached: state.suspects.unreached.iter().map(|service| service_hash(service)).collect(),
         data_centre,
+        order_claim,
         ..LoadGossip::default()
     };
     gossip.with_loads(loads)
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -4,9 +4,10 @@
 //! second. With more prefill endpoints than prompts need, completions would wait for decode memory
 //! while endpoints are idle.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use basilbank_core::time::Now;
+use basilbank_wire::OrderClaim;
 
 use super::Context;
 use crate::{
@@ -54,15 +55,71 @@
 const ORDER_PAUSE: Duration = Duration::from_secs(2);
 
 /// Sets whether this daemon gives orders. If the right was lost and is regained, its time starts
-/// again.
+/// again. Orders at once are for the start of the whole system: a right that is gained later may
+/// still be used by another daemon.
 pub fn set_order_right(ctx: &mut Context<'_>, right: OrderRight) {
     let roles = &mut ctx.state.roles;
+    let is_later = std::mem::replace(&mut roles.is_right_set, true);
+    let right = match right {
+        OrderRight::AtOnce if is_later && roles.right != OrderRight::AtOnce => {
+            OrderRight::AfterSilence
+        }
+        right => right,
+    };
     if roles.right != right {
         roles.right = right;
         roles.right_since = ctx.now;
     }
 }
 
+/// Records whether a peer claims the right. Of two that claim it the lower address goes first.
+pub fn record_claim(ctx: &mut Context<'_>, from: SocketAddr, claim: i32) {
+    let claim = OrderClaim::try_from(claim).unwrap_or(OrderClaim::Held);
+    if claim == OrderClaim::None {
+        return;
+    }
+    let is_senior = ctx.state.peers.own_address.is_none_or(|own| from < own);
+    if !is_senior && claim == OrderClaim::Yielded {
+        return;
+    }
+    let roles = &mut ctx.state.roles;
+    let heard = if is_senior { &mut roles.senior_claim } else { &mut roles.junior_claim };
+    let previous = heard.replace(ctx.now);
+    let is_new = previous.is_none_or(|at| at + ORDER_SILENCE <= ctx.now);
+    if is_new && roles.right != OrderRight::None {
+        let line = LogLine::new("order_right_disputed").with("peer", from);
+        ctx.log(line.with("peer_goes_first", is_senior));
+    }
+}
+
+/// Returns this daemon's claim to the right, for its peers.
+pub fn claim(state: &State, now: Duration) -> OrderClaim {
+    let roles = &state.roles;
+    let yields = roles.senior_claim.is_some_and(|at| now < at + ORDER_SILENCE);
+    match (roles.right, yields) {
+        (OrderRight::None, _) => OrderClaim::None,
+        (_, true) => OrderClaim::Yielded,
+        (_, false) => OrderClaim::Held,
+    }
+}
+
+/// Returns whether no peer may give orders because it claims the right as well.
+///
+/// A senior peer's claim ends this daemon's orders, and for some time after it only the claim is made
+/// again, so that a senior peer which could not be heard hears it and stops. Juniors must have yielded
+/// for as long.
+fn is_undisputed(state: &State, now: Duration) -> bool {
+    let roles = &state.roles;
+    let is_senior_gone = roles.senior_claim.is_none_or(|at| at + ORDER_SILENCE * 2 <= now);
+    let has_junior_yielded = roles.junior_claim.is_none_or(|at| at + ORDER_SILENCE <= now);
+    is_senior_gone && has_junior_yielded
+}
+
+/// Returns whether this daemon hears most of the others. One that doesn't can't know their claims.
+fn hears_most(state: &State) -> bool {
+    state.peers.fleet_size < (state.peers.known.len() + 1) * 2
+}
+
 /// Handles an endpoint's answer to an order. A refused order is not repeated: the reason is
 /// unknown, so doing nothing is the safe choice.
 pub fn handle_order_answer(ctx: &mut Context<'_>, endpoint: EndpointKey, accepted: Acceptance) {
@@ -101,6 +158,9 @@
 
 /// Gives an order if one is due.
 pub fn tick(ctx: &mut Context<'_>) {
+    if !hears_most(ctx.state) {
+        ctx.state.roles.isolated_at = Some(ctx.now);
+    }
     if !can_order(ctx.state, ctx.now) {
         return;
     }
@@ -127,7 +187,10 @@
     };
     let is_read_recent = now < state.directory.read_at + MAX_READ_AGE;
     let is_list_stable = roles.list_grew + MIN_LIST_STABILITY <= now;
-    has_waited && is_read_recent && is_list_stable && state.is_ready()
+    // Those that claim the right may be the last to be heard again.
+    let is_informed = roles.isolated_at.is_none_or(|at| at + ORDER_SILENCE <= now);
+    let is_holder = has_waited && is_informed && is_undisputed(state, now);
+    is_holder && is_read_recent && is_list_stable && state.is_ready()
 }
 
 /// Returns whether no call is running, so that several stage changes at once cost nothing.
--- a/crates/basilbank_forward/src/state/roles.rs
+++ b/crates/basilbank_forward/src/state/roles.rs
@@ -9,7 +9,8 @@
 /// Two daemons that send orders to one endpoint within a lease would undo each other's work, and
 /// there is nothing to which they could write to exclude each other. So the right follows from
 /// settings that all daemons read alike: only the daemon whose own address is the first of the
-/// seeds has it. It has the right from its process's start, or only after a long silence. No other
+/// seeds has it. A daemon whose settings are outdated claims it as well, so a daemon with the right
+/// also takes account of its peers' claims. It has the right from its process's start, or only after a long silence. No other
 /// daemon takes over while it is down: the stages then stay as they are.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum OrderRight {
@@ -30,6 +31,14 @@
     pub right: OrderRight,
     /// When the right was gained.
     pub right_since: Duration,
+    /// When this daemon last heard less than most of the others.
+    pub isolated_at: Option<Duration>,
+    /// Whether the settings have been applied since the process started.
+    pub is_right_set: bool,
+    /// When a peer that goes first last claimed the right.
+    pub senior_claim: Option<Duration>,
+    /// When a peer that goes after this daemon last claimed the right without yielding it.
+    pub junior_claim: Option<Duration>,
     /// Offset of the wall clock from the monotonic clock, in milliseconds, when it was last
     /// compared.
     pub clock_offset_ms: Option<i128>,
--- a/crates/basilbank_forward/tests/forward/order_claims.rs
+++ b/crates/basilbank_forward/tests/forward/order_claims.rs
@@ -170,8 +170,8 @@
     assert_eq!(fleet.holders(cut + Duration::from_secs(10)), [next]);
     fleet.cut[holder] = false;
     for _ in 0..3 {
-        fleet.pass(15);
         fleet.grow();
+        fleet.pass(15);
     }
     fleet.check();
 }
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -25,8 +25,8 @@
 pub use drop_reason::DropReason;
 pub use load::{
     AvoidedEndpoint, CallLimitReport, CrashReport, DemandReport, EndpointLoad, HEADER_BYTES,
-    LoadGossip, PeerAddress, Permit, PermitKind, QuarantinedCall, ServiceGenerationStats,
-    StoreRevision, WaitingCompletion,
+    LoadGossip, OrderClaim, PeerAddress, Permit, PermitKind, QuarantinedCall,
+    ServiceGenerationStats, StoreRevision, WaitingCompletion,
 };
 pub use message::*;
 pub use proxy::{
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -133,6 +133,20 @@
     /// The peer that composed the datagram, if the sender only passes it on.
     #[prost(message, optional, tag = "43")]
     pub origin: Option<PeerAddress>,
+    /// Whether the sender's settings give it the right to order endpoints.
+    #[prost(enumeration = "OrderClaim", tag = "44")]
+    pub order_claim: i32,
+}
+
+/// Whether a daemon claims the right to order endpoints. The values are part of the wire format.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, prost::Enumeration)]
+pub enum OrderClaim {
+    /// It doesn't.
+    None = 0,
+    /// It does, and orders endpoints.
+    Held = 1,
+    /// It does, but leaves the right to another daemon that claims it as well.
+    Yielded = 2,
 }
 
 /// A point in the history of the platform's store.
