--- a/crates/basilbank_forward/src/state/roles.rs
+++ b/crates/basilbank_forward/src/state/roles.rs
@@ -10,8 +10,9 @@
 /// there is nothing to which they could write to exclude each other. So the right follows from
 /// settings that all daemons read alike: only the daemon whose own address is the first of the
 /// seeds has it. A daemon whose settings are outdated claims it as well, so a daemon with the right
-/// also takes account of its peers' claims. It has the right from its process's start, or only after a long silence. No other
-/// daemon takes over while it is down: the stages then stay as they are.
+/// also takes account of its peers' claims. It has the right from its process's start, or only
+/// after a long silence. No other daemon takes over while it is down: the stages then stay as they
+/// are.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum OrderRight {
     /// The daemon never sends orders.
