--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -65,19 +65,12 @@
 }
 
 /// How a stream ended.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub struct RelayEnd {
-    /// Whether the stream is complete.
-    pub is_complete: bool,
-    /// Id of the last event that was forwarded completely.
-    pub last_event_id: Option<String>,
-}
-
-impl RelayEnd {
-    fn new(is_complete: bool, events: &EventSplitter) -> RelayEnd {
-        let last_event_id = events.last_event_id().map(str::to_owned);
-        RelayEnd { is_complete, last_event_id }
-    }
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RelayEnd {
+    /// It is complete.
+    Complete,
+    /// It broke off, or nothing proves that it is complete.
+    Broken,
 }
 
 /// Forwards complete events only, so that a stream can continue at another endpoint without a
@@ -98,7 +91,6 @@
     let mut is_cut = false;
     let mut events = EventSplitter::default();
     let mut writing = Writing::default();
-    let broken = |events: &EventSplitter| RelayEnd::new(false, events);
     while let Some(frame) =
         next_frame(&router, &target, &mut body, stall_timeout, &on_progress).await
     {
@@ -108,19 +100,19 @@
         };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.push(&data);
-        if !ready.is_empty()
-            && let Some(progress) = writing.record(Instant::now())
-        {
-            on_progress(progress);
-        }
-        if !ready.is_empty() && chunks.send(Chunk::Data(ready)).await.is_err() {
-            return broken(&events);
-        }
-        if let Some(id) = events.last_event_id() {
-            last_forwarded.replace(Some(id.to_owned()));
+        if !ready.is_empty() {
+            if let Some(progress) = writing.record(Instant::now()) {
+                on_progress(progress);
+            }
+            if chunks.send(Chunk::Data(ready)).await.is_err() {
+                return RelayEnd::Broken;
+            }
+            if let Some(id) = events.last_event_id() {
+                last_forwarded.replace(Some(id.to_owned()));
+            }
         }
         if MAX_EVENT_BYTES < events.partial_bytes() {
-            return broken(&events);
+            return RelayEnd::Broken;
         }
     }
     let proof = end_proof(&body, &events, stream.max_tokens);
@@ -129,14 +121,16 @@
     }
     let is_whole = proof.map_or(!is_cut, EndProof::is_whole);
     if !is_whole || is_events && events.is_inside_event() {
-        return broken(&events);
+        return RelayEnd::Broken;
     }
     if let Some(keep_alive) = keep_alive {
         router.keep_connection(target.endpoint, connection, keep_alive);
     }
     let rest = events.take_partial();
-    let is_complete = rest.is_empty() || chunks.send(Chunk::Data(rest)).await.is_ok();
-    RelayEnd::new(is_complete, &events)
+    match rest.is_empty() || chunks.send(Chunk::Data(rest)).await.is_ok() {
+        true => RelayEnd::Complete,
+        false => RelayEnd::Broken,
+    }
 }
 
 /// Returns what proves that a stream is whole, or why nothing does; `None` if its connection broke.
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -217,10 +217,8 @@
                 }
                 result.outcome
             }
-            TaskResult::Relay(ended) => match ended.is_complete {
-                true => Outcome::Finished,
-                false => Outcome::Broken(Damage::CutOff),
-            },
+            TaskResult::Relay(RelayEnd::Complete) => Outcome::Finished,
+            TaskResult::Relay(RelayEnd::Broken) => Outcome::Broken(Damage::CutOff),
         };
         let finished = outcome == Outcome::Finished;
         let event = Event::AttemptOutcome { request: self.id, attempt: number, outcome };
