A hand-over after a silence doesn't cut the stream, and a request that is served doesn't wait

Callers saw streams cut: 1. The successor answered that it had not run the call (full, not reached, replaced) when the retry budget was used up: the silent attempt was stopped by then, so nothing was waited for. Such a request now waits for budget and room until its deadline, like one whose attempt is still silent. 2. A completion waits for capacity with a silent attempt; when that ends, it may be sent on at once, and stayed in the queue as well. 0.35 s before its deadline it was given up as waiting, with a live run. Sending takes it out. 3. A stream was handed over seconds before the daemon's own end. It stays now if its successor would be cut. 4. What waits for an endpoint's pause was refused only at the end of the pause, though it would outlast the daemon.

--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -120,6 +120,7 @@
         uncharged_refusals: 0,
         tried: Vec::new(),
         maybe_run: false,
+        awaits_successor: false,
         proxy_failures: 0,
         answering: false,
         origin: OriginStage::New,
--- a/crates/basilbank_forward/src/reduce/shutdown.rs
+++ b/crates/basilbank_forward/src/reduce/shutdown.rs
@@ -29,16 +29,15 @@
 
 /// Refuses waiting calls that would probably be cut off if they began now.
 pub fn tick(ctx: &mut Context<'_>) {
-    let Some(leaving) = ctx.state.leaving.filter(|leaving| leaving.has_left_balancer(ctx.now))
-    else {
+    if !ctx.state.leaving.is_some_and(|leaving| leaving.has_left_balancer(ctx.now)) {
         return;
-    };
-    let waiting = ctx.state.waiting.iter().chain(&ctx.state.permit_holder.waiting);
-    let mut waiting: Vec<_> = waiting.copied().collect();
+    }
+    let requests = ctx.state.requests.iter();
+    let mut waiting: Vec<_> =
+        requests.filter(|(_, request)| !has_begun(request)).map(|(id, _)| *id).collect();
     waiting.sort_unstable();
-    waiting.dedup();
     for id in waiting {
-        if would_be_cut_off(ctx.state, leaving, id, ctx.now) {
+        if would_cut(ctx.state, id, ctx.now) {
             finish::give_up(ctx, id, Refusal::Leaving);
         }
     }
@@ -57,8 +56,10 @@
     }
 }
 
-fn would_be_cut_off(state: &mut State, leaving: Leaving, id: RequestId, now: Duration) -> bool {
-    let Some(request) = state.requests.get(&id).filter(|request| !has_begun(request)) else {
+/// Returns whether the shutdown, if there is one, would probably cut a call off that an endpoint began
+/// now.
+pub fn would_cut(state: &mut State, id: RequestId, now: Duration) -> bool {
+    let (Some(leaving), Some(request)) = (state.leaving, state.requests.get(&id)) else {
         return false;
     };
     let (service, deadline) = (request.service.clone(), request.deadline);
--- a/crates/basilbank_forward/src/reduce/silence.rs
+++ b/crates/basilbank_forward/src/reduce/silence.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::{Context, crash, finish, remove_usage, step, suspect};
+use super::{Context, crash, finish, remove_usage, shutdown, step, suspect};
 use crate::{
     call::RequestId,
     effect::Effect,
@@ -92,7 +92,7 @@
 /// needed, or that can't be used, is released.
 pub fn may_proceed(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
-    if !request.is_silent() {
+    if !request.is_handed_over() {
         if request.active_attempts.iter().any(ActiveAttempt::is_run) {
             finish::release_prepared_hold(ctx, id);
         }
@@ -106,10 +106,10 @@
     false
 }
 
-/// Lets a request that has a silent attempt wait for it in place of being given up. Returns whether
-/// it has one.
+/// Lets a request that has a silent attempt, or had one and has no successor yet, wait in place of
+/// being given up. Returns whether it does.
 pub fn wait(ctx: &mut Context<'_>, id: RequestId) -> bool {
-    let Some(request) = ctx.state.requests.get_mut(&id).filter(|request| request.is_silent())
+    let Some(request) = ctx.state.requests.get_mut(&id).filter(|request| request.is_handed_over())
     else {
         return false;
     };
@@ -134,6 +134,7 @@
     let silent: Vec<_> = request.active_attempts.extract_if(.., ends).collect();
     for live in &silent {
         if live.is_run() {
+            request.awaits_successor = true;
             request.maybe_run = true;
             request.completion.kv = None;
             request.last_failure = Some(Refusal::TimedOut);
@@ -193,9 +194,12 @@
 
 impl State {
     /// Returns whether a request with a silent attempt may go on at another endpoint: it may run once
-    /// more, and there are attempts, time and retry budget left beyond what others of its service
-    /// are about to take.
+    /// more, it would end before a shutdown does, and there are attempts, time and retry budget left
+    /// beyond what others of its service are about to take.
     fn may_be_taken_over(&mut self, id: RequestId, now: Duration) -> bool {
+        if shutdown::would_cut(self, id, now) {
+            return false;
+        }
         let Some(request) = self.requests.get(&id) else { return false };
         let may_run = !request.may_have_run() || request.route.is_repeatable();
         let has_attempts_left = request.counted_attempts < request.route.max_attempts;
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -198,6 +198,8 @@
 
 fn send_attempt(ctx: &mut Context<'_>, id: RequestId, dispatch: Dispatch) {
     let Some(target) = ctx.state.route_to(dispatch.endpoint, ctx.now) else { return };
+    // A silent attempt that ended while its successor waited has resumed the request.
+    ctx.state.waiting.retain(|other| *other != id);
     if dispatch.step != Step::Hold {
         silence::take_over(ctx, id);
     }
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -53,6 +53,8 @@
     pub tried: Vec<EndpointKey>,
     /// Whether an endpoint may have run it in an earlier attempt.
     pub maybe_run: bool,
+    /// Whether its attempt was stopped because of a silence, and no other endpoint has run it since.
+    pub awaits_successor: bool,
     /// Number of attempts that a peer was asked to make and did not make.
     pub proxy_failures: u32,
     /// Whether its answer has begun.
@@ -260,6 +262,12 @@
         self.active_attempts.iter().any(|attempt| attempt.silent_since.is_some())
     }
 
+    /// Returns whether it goes on at another endpoint because of a silence, or may do so.
+    #[must_use]
+    pub fn is_handed_over(&self) -> bool {
+        self.awaits_successor || self.is_silent()
+    }
+
     /// Returns whether an attempt is in progress whose endpoint isn't silent.
     #[must_use]
     pub fn has_live_attempt(&self) -> bool {
@@ -273,7 +281,7 @@
         let is_silent_run =
             |attempt: &ActiveAttempt| attempt.silent_since.is_some() && attempt.is_run();
         let asks = |attempt: &ActiveAttempt| attempt.step == Step::Hold;
-        self.active_attempts.iter().any(is_silent_run)
+        (self.awaits_successor || self.active_attempts.iter().any(is_silent_run))
             && (self.completion.hold.is_some() || self.active_attempts.iter().any(asks))
     }
 
--- a/crates/basilbank_forward/tests/forward/leaving.rs
+++ b/crates/basilbank_forward/tests/forward/leaving.rs
@@ -122,3 +122,32 @@
         |effect: &Effect| matches!(effect, Effect::AbortStream { request, .. } if *request == id);
     assert!(rig.effects.iter().any(is_abort), "{:?}", rig.effects);
 }
+
+#[test]
+fn a_draft_that_waits_for_a_paused_endpoint_is_refused_when_it_would_outlast_the_daemon() {
+    let mut rig = leaving_for(2400);
+    let endpoint = rig.state.directory.find("d1").expect("it is listed");
+    rig.feed(Event::PauseRequested { endpoint, pause: Duration::from_millis(4400) });
+    rig.effects.clear();
+    rig.call("/draft/1", 14_000, Some(prompt(3000)));
+    rig.pass_ms(2000);
+    assert_eq!(rig.refusals(), [Refusal::Leaving]);
+}
+
+#[test]
+fn a_silent_stream_stays_where_it_is_when_its_successor_would_outlast_the_daemon() {
+    let mut rig = Rig::new();
+    let decode = (0..3).map(|n| model(&format!("d{n}"), 10 + n, Stage::Decode));
+    rig.list(decode.chain([model("p1", 1, Stage::Prefill)]).collect());
+    rig.state.tuning.retry_slack = 6400.0;
+    let id = rig.call("/draft/1", 14_000, Some(prompt(1000)));
+    rig.came(id, 0, held());
+    rig.came(id, 1, prefilled());
+    rig.came(id, 2, Outcome::Streaming);
+    rig.feed(Event::Shutdown { grace: GRACE });
+    rig.pass_ms(5800);
+    rig.effects.clear();
+    let silent_for = Duration::from_millis(1150);
+    rig.feed(Event::AttemptSilent { request: id, attempt: 2, silent_for });
+    assert!(rig.starts().is_empty(), "no slot is held elsewhere");
+}
--- a/crates/basilbank_forward/tests/forward/silences.rs
+++ b/crates/basilbank_forward/tests/forward/silences.rs
@@ -357,3 +357,119 @@
     rig.came(id, decode.number, Outcome::Finished);
     assert!(rig.state.requests.is_empty());
 }
+
+/// Leaves budget for one extra call.
+fn with_one_extra_call(rig: &mut Rig) {
+    rig.state.tuning.retry_ratio = 0.0;
+    let (now, mut tuning) = (rig.now(), rig.state.tuning.clone());
+    let sharers = rig.state.slack_sharers(now);
+    let budget = rig.state.retry_budgets.get_mut(WRITER).expect("calls came");
+    tuning.retry_slack = 0.0;
+    while budget.available(now, &tuning, sharers) < 1.0 {
+        tuning.retry_slack += 1.0;
+    }
+    rig.state.tuning.retry_slack = tuning.retry_slack;
+}
+
+#[test_case(BUSY; "it is full")]
+#[test_case(Outcome::Unreachable; "it is not reached")]
+#[test_case(Outcome::NotRun(NotRun::WrongInstance); "it was replaced")]
+fn a_stream_waits_when_its_successor_did_not_run_and_the_budget_is_used_up(outcome: Outcome) {
+    let mut rig = decode_rig(3);
+    let (id, decode) = streaming(&mut rig, "/draft/1");
+    with_one_extra_call(&mut rig);
+    fall_silent(&mut rig, id, decode.number);
+    let hold = rig.start();
+    rig.came(id, hold.number, held());
+    let successor = rig.start();
+    rig.came(id, successor.number, outcome);
+    for hold in rig.starts() {
+        rig.came(id, hold.number, held());
+    }
+    rig.pass_ms(NEXT_LOOK_MS);
+    assert!(!is_ended(&rig), "{:?}", rig.effects);
+    rig.state.tuning.retry_slack *= 10.0;
+    rig.pass_ms(2 * NEXT_LOOK_MS);
+    let hold = rig.starts().pop().expect("another endpoint is asked");
+    rig.came(id, hold.number, held());
+    assert!(rig.starts().iter().any(|attempt| matches!(attempt.op, Op::Stream { .. })));
+}
+
+/// A small generator of random numbers.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % n
+    }
+}
+
+/// Lets something happen to a random attempt. Returns whether the attempt has ended.
+fn happen(rig: &mut Rig, random: &mut Random, id: RequestId, attempt: &Attempt) -> bool {
+    let is_hold = matches!(attempt.op, Op::Hold { .. });
+    let outcome = match random.below(10) {
+        0..=2 if !is_hold => {
+            let (request, attempt) = (id, attempt.number);
+            rig.feed(Event::AttemptSilent { request, attempt, silent_for: NOTICED });
+            return false;
+        }
+        0 | 1 => BUSY,
+        3 => Outcome::Broken(Damage::CutOff),
+        4 => Outcome::Unreachable,
+        5 if !is_hold => {
+            resume(rig, id, attempt.number);
+            return false;
+        }
+        _ if is_hold => held(),
+        _ if matches!(attempt.op, Op::Prefill) => prefilled(),
+        _ => Outcome::Finished,
+    };
+    rig.came(id, attempt.number, outcome);
+    true
+}
+
+/// A request that an endpoint serves would be given up as one that waits too long.
+#[test_case(1, 150)]
+#[test_case(1001, 150)]
+fn a_request_that_an_endpoint_serves_does_not_wait(from: u64, seeds: u64) {
+    for seed in from..from + seeds {
+        let mut random = Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
+        let mut rig = decode_rig(4);
+        let mut running: Vec<(RequestId, Attempt)> = Vec::new();
+        for step in 0..400 {
+            match random.below(10) {
+                0 | 1 => {
+                    let tokens = 100 + u32::try_from(random.below(1500)).expect("it is small");
+                    let path = if random.below(2) == 0 { "/draft/1" } else { "/once/1" };
+                    rig.call(path, 3000 + random.below(9000), Some(prompt(tokens)));
+                }
+                2 => rig.pass_ms(random.below(300)),
+                _ if running.is_empty() => rig.pass_ms(50),
+                _ => {
+                    let index = random.below(running.len() as u64) as usize;
+                    let (id, attempt) = running[index].clone();
+                    if happen(&mut rig, &mut random, id, &attempt) {
+                        running.remove(index);
+                    }
+                }
+            }
+            for effect in std::mem::take(&mut rig.effects) {
+                match effect {
+                    Effect::Start { request, attempt } => running.push((request, attempt)),
+                    Effect::Stop { request, attempt } => {
+                        running.retain(|(id, known)| (*id, known.number) != (request, attempt));
+                    }
+                    _ => {}
+                }
+            }
+            for id in &rig.state.waiting {
+                let request = rig.state.requests.get(id);
+                let is_served = request.is_some_and(|request| request.has_live_attempt());
+                assert!(!is_served, "seed {seed}, step {step}: {id:?}");
+            }
+        }
+    }
+}
