A silence after an unframed answer proves that its process lives

Where connections are accepted, the process was asked four times, and whole answers came 1.3 s late. A process that is gone closes or resets its connections, so a silence counts as life, and all idle connections are tried. The time for the last answers of a shutdown is 0.4 s of its margin of 0.6 s: a Vm with a small share of a core may need more than 0.1 s for hundreds of answers.

--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -111,6 +111,8 @@
         match Connection::connect_unless_refused(target.addr, LIVENESS_TIMEOUT).await {
             Ok(connection) => match self.ask(target, connection, began_at).await {
                 Ok(proof) => Asked::Clear(proof),
+                // It is there, and may be silent for a moment.
+                Err(CallError::Silent) => Asked::Clear(EndProof::Process),
                 Err(_) => Asked::Accepted,
             },
             Err(ConnectError::Refused) => Asked::Refused,
@@ -119,10 +121,15 @@
     }
 
     async fn ask_over_idle(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
-        let Some(connection) = self.connections.take_idle(target.endpoint) else {
-            return EndProof::Ended;
-        };
-        self.ask(target, connection, began_at).await.unwrap_or(EndProof::Ended)
+        while let Some(connection) = self.connections.take_idle(target.endpoint) {
+            match self.ask(target, connection, began_at).await {
+                Ok(proof) => return proof,
+                // The connection is open, so the process lives.
+                Err(CallError::Silent) => return EndProof::Process,
+                Err(_) => {}
+            }
+        }
+        EndProof::Ended
     }
 
     /// Asks for the process's report. The connection is kept for the next call.
--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -30,7 +30,7 @@
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
 
 /// Time in which the last answers are sent, before the process ends.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(400);
 
 /// Interval between checks whether all connections are closed.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
