Stand-in: daemons of a world get ports that no outgoing connection takes

Callers' connections were refused in 3 of 9 runs of the proofs' tests, which start worlds beside each other: the address was searched among the ports that the system also gives to outgoing connections, and those of other worlds.

--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -343,8 +343,8 @@
     format!("servers/{instance}")
 }
 
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+fn free_address() -> anyhow::Result<SocketAddr> {
+    Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()?)))
 }
 
 /// A port that is free for datagrams and for connections. It is below the ports that the system gives to
