Tests of proofs: the endpoint that breaks off keeps its ending

Traced in the stand-in: a run counts as active before it has looked how its answer ends, and the test made all endpoints whole in between. The one that runs keeps its ending now; the checks are the same.

--- a/crates/basilbank_standin/tests/managed/proofs.rs
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -162,7 +162,9 @@
     ends.world.model.iter().skip(1).for_each(|e| e.end_answers(row.silence()));
     let stream = begin_stream(&ends.world, ends.daemon, path, EVENTS);
     let at = streaming(&ends.world);
-    ends.world.model.iter().for_each(|e| e.end_answers(row.whole()));
+    // The one that streams may not have looked yet how its answer ends.
+    let others = ends.world.model.iter().enumerate().filter(|(n, _)| *n != at);
+    others.for_each(|(_, e)| e.end_answers(row.whole()));
     if row.is_leaving {
         ends.world.drain_model(at);
     }
@@ -204,7 +206,8 @@
     let at = || ends.world.plain.iter().position(|e| !e.served().ran.is_empty());
     eventually("it runs", || at().is_some());
     let at = at().expect("an endpoint that runs it");
-    for endpoint in &ends.world.plain {
+    let others = ends.world.plain.iter().enumerate().filter(|(n, _)| *n != at);
+    for (_, endpoint) in others {
         endpoint.end_answers(row.whole());
         endpoint.leave(false);
     }
