--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -1,6 +1,9 @@
 //! What proves that the body of an endpoint's answer came whole.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
@@ -120,7 +123,20 @@
         }
     }
 
+    /// Asks twice: a process that is ending may close its connections one after the other, and answer
+    /// over those that it has not closed yet.
     async fn ask_over_idle(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
+        let asked = Instant::now();
+        let proof = self.ask_idle_once(target, began_at).await;
+        // A connection that was open for that long without an answer needs no second question.
+        if proof != EndProof::Process || ASK_PAUSE <= asked.elapsed() {
+            return proof;
+        }
+        sleep(ASK_PAUSE).await;
+        self.ask_idle_once(target, began_at).await
+    }
+
+    async fn ask_idle_once(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
         while let Some(connection) = self.connections.take_idle(target.endpoint) {
             match self.ask(target, connection, began_at).await {
                 Ok(proof) => return proof,
--- a/crates/basilbank_standin/tests/managed/proofs.rs
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -324,3 +324,26 @@
     let answer = calling.join().expect("the caller's thread");
     assert_eq!((answer.status, answer.whole), (200, true));
 }
+
+#[test]
+fn a_stream_whose_connection_an_ending_process_closes_first_is_not_whole() {
+    const LONG: u32 = 100;
+    let mut world = World::start(&WorldSpec::default()).expect("a world");
+    // Connections to both decode endpoints stay open.
+    let warm: Vec<_> =
+        (0..6).map(|n| begin_stream(&world, 0, &format!("/draft/warm-{n}"), EVENTS)).collect();
+    warm.into_iter().for_each(|stream| drop(stream.join().expect("a caller")));
+    let breaks_off = Ending {
+        framing: Some(Framing::Connection),
+        broken: Some((BreakPlace::Between, BreakKind::Close)),
+    };
+    world.model.iter().skip(1).for_each(|endpoint| endpoint.end_answers(breaks_off));
+    let stream = begin_stream(&world, 0, "/once", LONG);
+    let at = streaming(&world);
+    world.model[at].stop_listening();
+    eventually("its stream has ended", || world.model[at].served().active == 0);
+    thread::sleep(Duration::from_millis(40));
+    world.model[at].end();
+    let answer = stream.join().expect("a caller");
+    assert!(is_cut(&answer, LONG), "{}", finding(&answer));
+}
