Test fleets say which tries of a draft failed

A draft that found no daemon within 30 s told nothing but that. The failure now names the last tries: daemon, when each began and ended, and its error; the patience is as before.

--- a/crates/basilbankd/tests/common/mod.rs
+++ b/crates/basilbankd/tests/common/mod.rs
@@ -20,7 +20,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 /// A test that waits longer for a condition fails.
-const PATIENCE: Duration = Duration::from_secs(30);
+pub const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Exit code of a daemon that could not start, for example because a port is taken.
 const FAILED: i32 = 1;
--- a/crates/basilbankd/tests/fleet/rig.rs
+++ b/crates/basilbankd/tests/fleet/rig.rs
@@ -4,7 +4,7 @@
     net::{Ipv4Addr, SocketAddr},
     sync::atomic::{AtomicU8, Ordering},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use basilbank_config::Settings;
@@ -15,11 +15,16 @@
 use serde_json::Value;
 use ureq::Agent;
 
-use crate::common::{DaemonProcess, wait_until};
+use crate::common::{DaemonProcess, PATIENCE, wait_until};
 
 /// A stopped daemon answers no operator.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Pause of a caller between two tries.
+const RETRY_INTERVAL: Duration = Duration::from_millis(2);
+/// Failed tries that a caller reports.
+const SHOWN_FAILURES: usize = 8;
+
 /// A site and its daemons, named `entry-0` and so on.
 pub struct Fleet {
     /// The stand-ins.
@@ -169,15 +174,23 @@
 /// A caller that may use several daemons, as the callers' page has it: it goes on to another one when
 /// one refuses or does not answer.
 pub fn draft_somewhere(callers: &[SocketAddr], prompt: &str) -> WholeDraft {
-    let mut found = None;
-    let mut turn = 0;
-    wait_until("a draft is served", || {
-        let client = Client::new(callers[turn % callers.len()]);
-        turn += 1;
-        found = client.whole(prompt, 100).ok();
-        found.is_some()
-    });
-    found.unwrap()
+    let start = Instant::now();
+    let mut failures: Vec<String> = Vec::new();
+    for daemon in callers.iter().cycle() {
+        let tried = start.elapsed();
+        match Client::new(*daemon).whole(prompt, 100) {
+            Ok(draft) => return draft,
+            Err(error) => {
+                failures.push(format!("{tried:?} to {:?} at {daemon}: {error:#}", start.elapsed()))
+            }
+        }
+        if PATIENCE < start.elapsed() {
+            break;
+        }
+        thread::sleep(RETRY_INTERVAL);
+    }
+    let last = failures.split_off(failures.len().saturating_sub(SHOWN_FAILURES));
+    panic!("no draft of {prompt:?} within {PATIENCE:?}, the last tries: {last:#?}")
 }
 
 /// Drafts of several callers at once, each with its own prompt; all must be right.
