Callers of a test fleet look up a replaced daemon's new address

Cause, shown by the tries that a failure names now: a caller copied the four addresses when its draft began and tried only these. A draft that was refused or cut (a call that waits for a dead daemon's slots is refused after 4 to 6 s) until the last of the four had been replaced found all four addresses refuse connections for good. The daemons were not at fault: the other callers, which began later, were served.

The patience and all assertions are as before.

--- a/crates/basilbankd/tests/fleet/load.rs
+++ b/crates/basilbankd/tests/fleet/load.rs
@@ -11,7 +11,7 @@
 
 use basilbank_standin::expected_answer;
 
-use crate::{common::wait_until, rig::draft_somewhere};
+use crate::{common::wait_until, rig::draft_at};
 
 /// Callers of drafts.
 #[derive(Default)]
@@ -42,16 +42,20 @@
         let mut round = 0;
         while !self.stop.load(Ordering::Relaxed) {
             let prompt = format!("caller {caller} {round} length=10");
-            let mut callers = self.callers.lock().unwrap().clone();
-            let turn = (caller + round) % callers.len();
-            callers.rotate_left(turn);
+            let first = caller + round;
             round += 1;
-            let draft = draft_somewhere(&callers, &prompt);
+            let draft = draft_at(|turn| self.daemon(first + turn), &prompt);
             assert_eq!(draft.text, expected_answer(&prompt, 100).concat());
             self.served.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// The present address of the daemon whose turn it is. A replaced one has another than before.
+    fn daemon(&self, turn: usize) -> SocketAddr {
+        let callers = self.callers.lock().unwrap();
+        callers[turn % callers.len()]
+    }
+
     /// Answers so far.
     pub fn served(&self) -> usize {
         self.served.load(Ordering::Relaxed)
--- a/crates/basilbankd/tests/fleet/rig.rs
+++ b/crates/basilbankd/tests/fleet/rig.rs
@@ -174,14 +174,21 @@
 /// A caller that may use several daemons, as the callers' page has it: it goes on to another one when
 /// one refuses or does not answer.
 pub fn draft_somewhere(callers: &[SocketAddr], prompt: &str) -> WholeDraft {
+    draft_at(|turn| callers[turn % callers.len()], prompt)
+}
+
+/// The same; each try asks anew where to connect.
+pub fn draft_at(callers: impl Fn(usize) -> SocketAddr, prompt: &str) -> WholeDraft {
     let start = Instant::now();
-    let mut failures: Vec<String> = Vec::new();
-    for daemon in callers.iter().cycle() {
-        let tried = start.elapsed();
-        match Client::new(*daemon).whole(prompt, 100) {
+    let mut failures = Vec::new();
+    for turn in 0.. {
+        let daemon = callers(turn);
+        let began = start.elapsed();
+        match Client::new(daemon).whole(prompt, 100) {
             Ok(draft) => return draft,
             Err(error) => {
-                failures.push(format!("{tried:?} to {:?} at {daemon}: {error:#}", start.elapsed()))
+                let ended = start.elapsed();
+                failures.push(format!("{began:?} to {ended:?} at {daemon}: {error:#}"));
             }
         }
         if PATIENCE < start.elapsed() {
