Weights of a traffic split of any size keep their shares

Cause: weights were scaled and cut off at 32 bits one by one, and summed in 32 bits. Two large ones counted as equal, and their sum overflowed, which ends a process that checks it and otherwise leaves wrong shares.

--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -68,8 +68,8 @@
     /// services' weights.
     #[must_use]
     pub fn pick_service(&self, unit: f64) -> Option<&str> {
-        let total: u32 = self.split.iter().map(|(_, weight)| weight).sum();
-        let mut left = unit * f64::from(total);
+        let total: f64 = self.split.iter().map(|(_, weight)| f64::from(*weight)).sum();
+        let mut left = unit * total;
         for (service, weight) in &self.split {
             left -= f64::from(*weight);
             if left < 0.0 {
--- a/crates/basilbank_forward/tests/forward/routes.rs
+++ b/crates/basilbank_forward/tests/forward/routes.rs
@@ -6,7 +6,7 @@
 use basilbank_wire::{LoadGossip, StoreRevision};
 use test_case::test_case;
 
-use crate::rig::{Rig, plain, route, table};
+use crate::rig::{DESK, Rig, WRITER, plain, route, table};
 
 #[test_case("shop.example", "/sheet/1", Some("sheet"))]
 #[test_case("shop.example", "/sheet/deep/2", Some("deep"))]
@@ -88,3 +88,12 @@
     rig.feed(Event::Shutdown { grace: Duration::from_secs(8) });
     assert!(!rig.state.is_ready());
 }
+
+/// Guards against an overflow that ends the process.
+#[test]
+fn weights_of_any_size_are_summed() {
+    let split = vec![(DESK.to_owned(), u32::MAX), (WRITER.to_owned(), u32::MAX)];
+    let route = Route { split, ..route("/stock/", RouteKind::NonIdempotent, DESK, 1) };
+    assert_eq!(route.pick_service(0.49), Some(DESK));
+    assert_eq!(route.pick_service(0.51), Some(WRITER));
+}
