Values in peers' datagrams are bounded where the datagrams are decoded

Callers saw: after one false row of a peer, an endpoint with a call limit was not asked for 49 days, a team was refused for as long, or by a quota's owner until its level recovered from 2^62; a limit of NaN lifted the endpoint's limit; a start time or a sum at the end of 64 bits overflowed, which ends a process that checks it; one row of generation statistics decided the mean; a load of 2^32-1 tokens filled an endpoint, and its removal took other peers' load with it; a fleet of 2^32-1 daemons left no share of a quota.

Change: gossip_bounds.rs, applied by Event::gossip, ignores rows with what no daemon can have measured or counted, and shortens times. An impossible amount in a report counts as none for the quota, and an acknowledgement of a sum that was never reported is ignored. Sums of peers' loads have 64 bits. Limits out of headers have the same bound as those of peers.

Not bounded, as they can't be told from true ones: uses of a quota of up to 2^32-1 a report, loads of up to 2^28 tokens, versions of the configuration (unknown routes get 503 while a peer that reports a newer one is known).

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -7,6 +7,7 @@
 use crate::{
     call::{Call, RequestId, SharedTraits},
     endpoint::{EndpointInfo, EndpointKey},
+    gossip_bounds,
     route::RouteTable,
     state::OrderRight,
     topic::{Revision, Revisions, Topic},
@@ -177,9 +178,10 @@
 }
 
 impl Event {
-    /// Creates an event for a datagram of a peer.
+    /// Creates an event for a datagram of a peer, whose values are bounded.
     #[must_use]
-    pub fn gossip(from: SocketAddr, gossip: LoadGossip) -> Event {
+    pub fn gossip(from: SocketAddr, mut gossip: LoadGossip) -> Event {
+        gossip_bounds::bound(&mut gossip);
         Event::Gossip { from, gossip: Box::new(gossip) }
     }
 }
--- a/crates/basilbank_forward/src/lib.rs
+++ b/crates/basilbank_forward/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod topic;
 pub mod tuning;
 
+mod gossip_bounds;
 mod reduce;
 
 pub use call::Call;
--- a/crates/basilbank_forward/src/reduce/call_limit.rs
+++ b/crates/basilbank_forward/src/reduce/call_limit.rs
@@ -42,9 +42,8 @@
     for reported in &gossip.limits {
         let Some(key) = ctx.state.directory.find_by_hash(reported.endpoint) else { continue };
         let seen = ctx.now.saturating_sub(Duration::from_millis(u64::from(reported.ago)));
-        let rate = reported.rate.filter(|rate| rate.is_finite() && 0.0 <= *rate);
-        if ctx.state.call_limits.apply_report(key, rate, seen) {
-            handle_change(ctx, key, rate, "peer");
+        if ctx.state.call_limits.apply_report(key, reported.rate, seen) {
+            handle_change(ctx, key, reported.rate, "peer");
         }
     }
 }
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -354,8 +354,8 @@
 fn unreported_seconds(state: &State, service: &str, candidates: &[Candidate]) -> f64 {
     let mean_stay = candidates.iter().map(|c| c.cost).sum::<f64>() / candidates.len().max(1) as f64;
     let reported = state.directory.in_stage(service, Stage::Prefill).map(|(_, e)| e.peer_tokens);
-    let reported: f64 =
-        reported.map(f64::from).sum::<f64>() / state.tuning.prefill_tokens_per_second;
+    let reported = reported.map(|tokens| tokens as f64).sum::<f64>();
+    let reported = reported / state.tuning.prefill_tokens_per_second;
     reported * state.peers.report_delay.as_secs_f64() / mean_stay.max(MIN_STAY_SECONDS)
 }
 
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -12,6 +12,7 @@
 use super::{Context, finish, step};
 use crate::{
     call::RequestId,
+    gossip_bounds::MAX_QUOTA_WAIT,
     log_line::LogLine,
     reason::Refusal,
     state::{
@@ -26,9 +27,6 @@
 /// Time that a call waits for the quota owner's answer: some round trips between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Maximum time that a caller whose team has used up its quota is told to wait.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-
 /// Whether a call's quota allows it.
 #[derive(Clone, Copy, PartialEq, Debug)]
 enum Verdict {
@@ -200,7 +198,7 @@
         used.change_owner(owner);
     }
     if owner.is_none() && unacknowledged != 0 {
-        used.acknowledge(used.epoch, used.taken, ctx.now);
+        used.acknowledge_all(ctx.now);
         if let Some(terms) = ctx.state.quota_terms(team, ctx.now) {
             ctx.state.owned_quotas.take(team, &terms, unacknowledged, ctx.now);
         }
@@ -301,7 +299,7 @@
 /// has capacity for it. The times are spread, since other callers are told the same.
 fn refuse(ctx: &mut Context<'_>, id: RequestId, retry_after: Duration) {
     if let Some(request) = ctx.state.requests.get_mut(&id) {
-        request.retry_after = Some(retry_after.min(MAX_RETRY_AFTER));
+        request.retry_after = Some(retry_after.min(MAX_QUOTA_WAIT));
     }
     finish::give_up(ctx, id, Refusal::OverQuota);
 }
--- a/crates/basilbank_forward/src/state/call_limits.rs
+++ b/crates/basilbank_forward/src/state/call_limits.rs
@@ -17,6 +17,9 @@
 /// next, for daemons that have started since.
 const REPORT_AGAIN_AFTER: Duration = Duration::from_secs(3);
 
+/// Maximum number of calls per second that a limit is taken for. Sums of rates stay finite.
+pub const MAX_CALL_LIMIT: f64 = 1e9;
+
 /// The call limits of all endpoints.
 #[derive(Debug, Default)]
 pub struct CallLimits {
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -313,8 +313,8 @@
     /// Adds a peer's usage at an endpoint.
     pub fn add_peer_usage(&mut self, key: EndpointKey, usage: Usage) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.peer_tokens = endpoint.peer_tokens.saturating_add(usage.tokens);
-            endpoint.peer_calls = endpoint.peer_calls.saturating_add(usage.calls);
+            endpoint.peer_tokens = endpoint.peer_tokens.saturating_add(usage.tokens.into());
+            endpoint.peer_calls = endpoint.peer_calls.saturating_add(usage.calls.into());
             if usage.tokens != 0 {
                 endpoint.peer_usage.push(usage);
             }
@@ -324,8 +324,8 @@
     /// Removes usage that was added by [`Directory::add_peer_usage`].
     pub fn remove_peer_usage(&mut self, key: EndpointKey, usage: Usage) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.peer_tokens = endpoint.peer_tokens.saturating_sub(usage.tokens);
-            endpoint.peer_calls = endpoint.peer_calls.saturating_sub(usage.calls);
+            endpoint.peer_tokens = endpoint.peer_tokens.saturating_sub(usage.tokens.into());
+            endpoint.peer_calls = endpoint.peer_calls.saturating_sub(usage.calls.into());
             remove_from(&mut endpoint.peer_usage, usage);
         }
     }
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -53,10 +53,10 @@
     /// Tokens of own calls: those to be read at a prefill endpoint, those in memory at a decode
     /// endpoint.
     pub tokens: u32,
-    /// Tokens of peers' calls.
-    pub peer_tokens: u32,
+    /// Tokens of peers' calls. The sum over all peers may need more bits than one peer's.
+    pub peer_tokens: u64,
     /// Number of peers' calls in progress.
-    pub peer_calls: u32,
+    pub peer_calls: u64,
     /// Usage of each own call that takes memory.
     pub own_usage: Vec<Usage>,
     /// Usage of each peer's calls that take memory.
@@ -130,13 +130,13 @@
     /// Returns the number of tokens of all daemons' calls, as far as they are known.
     #[must_use]
     pub fn total_tokens(&self) -> u32 {
-        self.tokens.saturating_add(self.peer_tokens)
+        saturating_sum(self.tokens, self.peer_tokens)
     }
 
     /// Returns the number of calls of all daemons, as far as they are known.
     #[must_use]
     pub fn total_calls(&self) -> u32 {
-        self.calls.saturating_add(self.peer_calls)
+        saturating_sum(self.calls, self.peer_calls)
     }
 
     /// Returns the maximum memory, in tokens, that the completions here and an additional one,
@@ -227,3 +227,7 @@
         self.avoided_until = self.avoided_until.max(until);
     }
 }
+
+fn saturating_sum(own: u32, peers: u64) -> u32 {
+    u32::try_from(u64::from(own).saturating_add(peers)).unwrap_or(u32::MAX)
+}
--- a/crates/basilbank_forward/src/state/generation.rs
+++ b/crates/basilbank_forward/src/state/generation.rs
@@ -11,6 +11,24 @@
 /// are wrong.
 const PLAUSIBLE_TOKENS_PER_SECOND: (f64, f64) = (1.0, 100_000.0);
 
+/// Maximum number of tokens of one completion.
+const MAX_TOKENS: f64 = 1e6;
+
+/// Maximum time in seconds that the generation of one completion takes.
+const MAX_SECONDS: f64 = 3600.0;
+
+/// Maximum sum of the weights of all completions, the newest of which has a weight of 1.
+const MAX_WEIGHTS: f64 = 24.0;
+
+/// Maximum [`GenerationStats::tokens`].
+pub const MAX_SUM_TOKENS: f64 = MAX_WEIGHTS * MAX_TOKENS;
+
+/// Maximum [`GenerationStats::seconds`].
+pub const MAX_SUM_SECONDS: f64 = MAX_WEIGHTS * MAX_SECONDS;
+
+/// Maximum sum of the squares of estimates, or of their errors.
+pub const MAX_SQUARES: f64 = MAX_WEIGHTS * MAX_TOKENS * MAX_TOKENS;
+
 /// Relative error of the estimates that is assumed until completions have ended: estimates are
 /// often far off.
 const INITIAL_RELATIVE_ERROR: f64 = 0.5;
--- a/crates/basilbank_forward/src/state/owned_quotas.rs
+++ b/crates/basilbank_forward/src/state/owned_quotas.rs
@@ -39,6 +39,10 @@
 /// Time without reports after which a quota is forgotten.
 const IDLE_EXPIRY: Duration = Duration::from_secs(60);
 
+/// Maximum amount that one report can add to a sum, or take off it: that of the largest call. A
+/// report covers the calls of some milliseconds.
+const MAX_REPORTED_AMOUNT: u64 = u32::MAX as u64;
+
 /// The quotas that this daemon owns.
 #[derive(Debug, Default)]
 pub struct OwnedQuotas {
@@ -101,7 +105,8 @@
 
 impl OwnedQuotas {
     /// Counts the sum that a daemon reports for its callers. `from` is the daemon's address and
-    /// incarnation; the incarnation distinguishes its sum from that of the process before.
+    /// incarnation; the incarnation distinguishes its sum from that of the process before. An impossible
+    /// amount counts as none.
     pub fn apply_report(
         &mut self,
         team: TeamId,
@@ -117,7 +122,10 @@
         let known = known.filter(|known| known.incarnation == incarnation);
         let sum = known.map(|known| known.sum).filter(|sum| sum.epoch == report.epoch);
         let before = sum.map_or(report.acknowledged, |sum| sum.taken);
-        owned.bucket.level -= (report.taken - before) as f64;
+        let amount = report.taken.saturating_sub(before);
+        if amount.unsigned_abs() <= MAX_REPORTED_AMOUNT {
+            owned.bucket.level -= amount as f64;
+        }
         let sum = QuotaCounted { epoch: report.epoch, taken: report.taken };
         owned.reports.insert(address, Report { incarnation, sum, at: Some(now) });
     }
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -82,6 +82,8 @@
     pub taken: i64,
     /// The part of it that the owner has acknowledged.
     pub acknowledged: i64,
+    /// The least and the greatest sum that was reported in this epoch.
+    reported: (i64, i64),
     /// Since when there is use that has not been reported.
     pub unreported_since: Option<Duration>,
     /// When the last report was sent.
@@ -108,6 +110,7 @@
             epoch: 0,
             taken: 0,
             acknowledged: 0,
+            reported: (0, 0),
             unreported_since: None,
             last_report: Duration::ZERO,
             unacknowledged_reports: 0,
@@ -160,14 +163,16 @@
         self.epoch = self.epoch.wrapping_add(1);
         self.taken -= self.acknowledged;
         self.acknowledged = 0;
+        self.reported = (self.taken, self.taken);
         self.unacknowledged_reports = 0;
         self.last_report = Duration::ZERO;
         self.full_until = Duration::ZERO;
     }
 
-    /// Applies the owner's acknowledgement of a sum.
+    /// Applies the owner's acknowledgement of a sum. One that was never reported is ignored.
     pub fn acknowledge(&mut self, epoch: u32, taken: i64, now: Duration) {
-        if epoch != self.epoch {
+        let (least, greatest) = self.reported;
+        if epoch != self.epoch || !(least..=greatest).contains(&taken) {
             return;
         }
         self.unacknowledged_reports = 0;
@@ -175,8 +180,20 @@
         self.unreported_since = self.unreported_since.filter(|_| taken != self.taken).map(|_| now);
     }
 
+    /// Records that this daemon, as the owner, has counted all that was taken.
+    pub fn acknowledge_all(&mut self, now: Duration) {
+        self.note_reported();
+        self.acknowledge(self.epoch, self.taken, now);
+    }
+
+    fn note_reported(&mut self) {
+        let (least, greatest) = self.reported;
+        self.reported = (least.min(self.taken), greatest.max(self.taken));
+    }
+
     /// Records that a report is sent to the owner. Several at once count as one.
     pub fn record_report(&mut self, now: Duration) {
+        self.note_reported();
         if self.unacknowledged_reports == 0 || self.last_report + REPORT_REPEAT_DELAY <= now {
             self.unacknowledged_reports += 1;
             self.last_report = now;
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod forecast;
 mod homes;
+mod impossible_rows;
 mod introductions;
 mod keys;
 mod leaving;
--- a/crates/basilbank_forward/tests/forward/restart_schedules.rs
+++ b/crates/basilbank_forward/tests/forward/restart_schedules.rs
@@ -298,12 +298,13 @@
                 hold.usage.iter().for_each(|share| count(hold.endpoint, *share));
             }
         }
-        let mut others: HashMap<EndpointKey, (u32, u32)> = HashMap::new();
+        let mut others: HashMap<EndpointKey, (u64, u64)> = HashMap::new();
         for (from, peer) in &state.peers.known {
             let beat = &self.told[&(*from, peer.sequence)];
             for load in &peer.loads {
                 let counted = others.entry(load.endpoint).or_default();
-                *counted = (counted.0 + load.usage.calls, counted.1 + load.usage.tokens);
+                let (calls, tokens) = (load.usage.calls, load.usage.tokens);
+                *counted = (counted.0 + u64::from(calls), counted.1 + u64::from(tokens));
                 let Some(endpoint) = state.directory.get(load.endpoint) else { continue };
                 let name = start_name(&endpoint.info);
                 let hash = self.hashes.entry(name).or_insert_with(|| wire_name(&endpoint.info));
@@ -327,8 +328,8 @@
             prop_assert_eq!(own.get(&key).copied().unwrap_or_default(), counted);
             let counted = (endpoint.peer_calls, endpoint.peer_tokens);
             prop_assert_eq!(others.get(&key).copied().unwrap_or_default(), counted);
-            let sum = |shares: &[Usage]| shares.iter().map(|share| share.tokens).sum::<u32>();
-            prop_assert_eq!(sum(&endpoint.own_usage), endpoint.tokens);
+            let sum = |shares: &[Usage]| shares.iter().map(|s| u64::from(s.tokens)).sum::<u64>();
+            prop_assert_eq!(sum(&endpoint.own_usage), u64::from(endpoint.tokens));
             prop_assert_eq!(sum(&endpoint.peer_usage), endpoint.peer_tokens);
         }
         Ok(())
