A daemon handles signals before it reads its settings

Callers saw nothing: a SIGTERM or SIGHUP that came some milliseconds after a daemon's process was spawned killed it, before it listened, so that the process manager saw an end by a signal; for SIGHUP a daemon that nobody had told to end.

Cause: the handler of SIGTERM was set after the settings had been read twice and the log had been started, that of SIGHUP later still.

`Host` holds the runtime and both handlers, and the programs make it first. A daemon that was told to end by the time it has read its settings ends with 0 and doesn't listen. The settings are read once.

No rule of the platform asks for an exit code there.

--- a/crates/basilbank_soak/src/main.rs
+++ b/crates/basilbank_soak/src/main.rs
@@ -11,7 +11,7 @@
 };
 
 use anyhow::{Context, bail};
-use basilbank_platform::daemon;
+use basilbank_platform::{daemon::Host, settings::Settings};
 use basilbank_soak::{
     clock::SteppedClock,
     process::{Program, kill_all},
@@ -78,9 +78,11 @@
 fn run_daemon(mut arguments: Arguments) -> anyhow::Result<()> {
     let path: PathBuf = arguments.value_from_str("--settings")?;
     refuse_rest(arguments)?;
+    let host = Host::new()?;
+    let settings = Settings::read(&path)?;
     let log = basilbank::logs::start_to("info", Box::new(std::io::stdout()))?;
     let clock = Box::new(SteppedClock::new(path.with_extension("clock")));
-    let ended = daemon::run_with_clock(&path, None, clock);
+    let ended = host.run(&path, settings, None, clock);
     log.flush();
     ended
 }
--- a/crates/basilbankd/src/main.rs
+++ b/crates/basilbankd/src/main.rs
@@ -11,8 +11,9 @@
 };
 
 use anyhow::Context;
-use basilbank::{Daemon, logs};
+use basilbank::{Daemon, clock::SystemClock, logs};
 use basilbank_config::Settings;
+use basilbank_platform::{daemon::Host, settings::Settings as PlatformSettings};
 
 use crate::arguments::{Arguments, Command, PlatformArguments, USAGE};
 
@@ -38,18 +39,27 @@
 }
 
 fn run_on_platform(arguments: &PlatformArguments) -> ExitCode {
-    let settings = basilbank_platform::settings::Settings::read(&arguments.settings_path);
-    if let Err(error) = settings {
-        return print_error(&format!("basilbankd: {error:#}\n"), EXIT_INVALID_INPUT);
-    }
     if arguments.check_only {
-        return print(&format!("{}: no findings\n", arguments.settings_path.display()));
+        return match PlatformSettings::read(&arguments.settings_path) {
+            Ok(_) => print(&format!("{}: no findings\n", arguments.settings_path.display())),
+            Err(error) => print_error(&format!("basilbankd: {error:#}\n"), EXIT_INVALID_INPUT),
+        };
     }
+    // First of all: until then, a signal kills the process.
+    let host = match Host::new() {
+        Ok(host) => host,
+        Err(error) => return print_error(&format!("basilbankd: {error:#}\n"), EXIT_FAILURE),
+    };
+    let settings = match PlatformSettings::read(&arguments.settings_path) {
+        Ok(settings) => settings,
+        Err(error) => return print_error(&format!("basilbankd: {error:#}\n"), EXIT_INVALID_INPUT),
+    };
     let log = match logs::start_to(&arguments.log_level, Box::new(io::stdout())) {
         Ok(log) => log,
         Err(error) => return print_error(&format!("basilbankd: {error:#}\n"), EXIT_INVALID_INPUT),
     };
-    let result = basilbank_platform::daemon::run(&arguments.settings_path, arguments.metrics_port);
+    let clock = Box::new(SystemClock::default());
+    let result = host.run(&arguments.settings_path, settings, arguments.metrics_port, clock);
     log.flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/basilbankd/tests/platform_start.rs
+++ b/crates/basilbankd/tests/platform_start.rs
@@ -1,13 +1,16 @@
 //! A SIGTERM to a daemon on the users' platform that has just started.
 
 use std::{
-    fs, hint,
+    fs::{self, File},
+    hint,
+    io::{BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
 };
 
 use rustix::process::{Pid, Signal, kill_process};
+use test_case::test_case;
 
 /// Starts: the signal comes at another moment of each.
 const STARTS: usize = 40;
@@ -43,24 +46,33 @@
     listeners.map(|listener| listener.local_addr().unwrap().port())
 }
 
-fn start(settings: &Path) -> Child {
+fn settings() -> (SocketAddr, String) {
+    let [callers, ready, control, peers] = free_ports();
+    let text = SETTINGS
+        .replace("{callers}", &callers.to_string())
+        .replace("{ready}", &ready.to_string())
+        .replace("{control}", &control.to_string())
+        .replace("{peers}", &peers.to_string());
+    (SocketAddr::from((Ipv4Addr::LOCALHOST, callers)), text)
+}
+
+fn start(settings: &Path, log: Stdio) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_basilbankd"));
     command.args(["--platform", "--settings"]).arg(settings);
-    command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap()
+    command.stdout(log).stderr(Stdio::null()).spawn().unwrap()
+}
+
+fn send(child: &Child, signal: Signal) {
+    let pid = Pid::from_raw(i32::try_from(child.id()).unwrap()).unwrap();
+    kill_process(pid, signal).unwrap();
 }
 
 /// Sends SIGTERM as soon as a daemon listens for callers. Returns how it ended; `None` if it could not
 /// listen.
 fn terminate_at_once(settings: &Path) -> Option<ExitStatus> {
-    let [callers, ready, control, peers] = free_ports();
-    let text = SETTINGS
-        .replace("{callers}", &callers.to_string())
-        .replace("{ready}", &ready.to_string())
-        .replace("{control}", &control.to_string())
-        .replace("{peers}", &peers.to_string());
+    let (address, text) = self::settings();
     fs::write(settings, text).unwrap();
-    let mut child = start(settings);
-    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, callers));
+    let mut child = start(settings, Stdio::null());
     while TcpStream::connect(address).is_err() {
         if let Some(status) = child.try_wait().unwrap() {
             assert_eq!(status.code(), Some(FAILED), "a daemon ended before it listened");
@@ -68,8 +80,7 @@
         }
         hint::spin_loop();
     }
-    let pid = Pid::from_raw(i32::try_from(child.id()).unwrap()).unwrap();
-    kill_process(pid, Signal::TERM).unwrap();
+    send(&child, Signal::TERM);
     Some(child.wait().unwrap())
 }
 
@@ -83,3 +94,29 @@
     assert!(!ended.is_empty());
     assert_eq!(killed, 0, "of {} were killed: {ended:?}", ended.len());
 }
+
+#[test_case(Signal::TERM, false; "sigterm ends it before it listens")]
+#[test_case(Signal::HUP, true; "sighup leaves it alone")]
+fn a_signal_before_the_settings_are_read(signal: Signal, is_started: bool) {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{signal:?}.toml"));
+    // It may be there from an earlier run.
+    let _ = fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let (_, text) = settings();
+    let mut child = start(&path, Stdio::piped());
+    // This waits until the daemon reads its settings.
+    let mut pipe = File::options().write(true).open(&path).unwrap();
+    fs::remove_file(&path).unwrap();
+    fs::write(&path, &text).unwrap();
+    send(&child, signal);
+    // A daemon that the signal has killed doesn't read on.
+    let _ = pipe.write_all(text.as_bytes());
+    drop(pipe);
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let has_started = lines.any(|line| line.unwrap().contains("event=started"));
+    if has_started {
+        send(&child, Signal::TERM);
+    }
+    assert!(child.wait().unwrap().success());
+    assert_eq!(has_started, is_started);
+}
