Soak: a process may be killed by a SIGTERM before it has listened

With the handlers set first of all, the time until `main` remains, in which no program can handle a signal. Traced with starts of the daemon by hand, SIGTERM 0 and 1 ms after the spawn: 80 of 80 ended by signal 15 with an empty log, at 2 ms 32 of 40, from 3 ms on none of 160. Nobody had connected.

The check was wrong for exactly these ends and is as strict for all others: an end by SIGTERM is no finding if the process has not logged `event=started` and no caller had a new connection to it while it ran.

--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -14,7 +14,7 @@
 pub use self::planned::{Coverage, PlannedEvidence};
 use crate::{
     callers::{Kind, Record, Seen, body},
-    play::{Drain, Serving, Span, Trouble},
+    play::{Drain, Serving, Span, Trouble, Unstarted},
     site::Site,
 };
 
@@ -256,6 +256,24 @@
             .collect()
     }
 
+    /// A SIGTERM kills a process only before it has set its handlers, so that none of its callers has had a
+    /// connection.
+    #[must_use]
+    pub fn killed_at_start(&self, unstarted: &[Unstarted]) -> Vec<String> {
+        let finding = |process: &Unstarted| {
+            let connected = self.records.values().find(|record| {
+                let is_during = process.from <= record.begun && record.begun <= process.to;
+                record.daemon == process.daemon
+                    && record.is_first
+                    && is_during
+                    && record.seen != Seen::Unreachable
+            })?;
+            let what = format!("ended with {} and had accepted {}", process.status, of(connected));
+            Some(format!("STOP daemon {} {what}", process.daemon))
+        };
+        unstarted.iter().filter_map(finding).collect()
+    }
+
     /// A daemon that an endpoint has asked for a pause sends it hardly anything until its end.
     fn pauses(&self, findings: &mut Vec<String>) {
         for (instance, served) in &self.served {
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -18,6 +18,7 @@
 
 use self::{daemons::RESTART, endpoints::DRAIN};
 pub use self::{
+    daemons::Unstarted,
     endpoints::Drain,
     planned::{Sent, Silence, Work},
     versions::Serving,
@@ -121,6 +122,8 @@
     early: HashSet<usize>,
     /// Endpoints that drained.
     pub drains: Vec<Drain>,
+    /// Processes that were told to end before they listened.
+    pub unstarted: Vec<Unstarted>,
     /// What planned work was done.
     pub work: Work,
     /// Times of trouble.
@@ -155,6 +158,7 @@
             switches,
             early: HashSet::new(),
             drains: Vec::new(),
+            unstarted: Vec::new(),
             work: Work::begin(begun - START),
             spans,
             serving: Vec::new(),
--- a/crates/basilbank_soak/src/process.rs
+++ b/crates/basilbank_soak/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    io,
+    io::{self, Read, Seek, SeekFrom},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::{Mutex, PoisonError},
@@ -40,10 +40,18 @@
     pub arguments: Vec<String>,
 }
 
+/// What a daemon's log says once it listens.
+const STARTED: &str = "event=started";
+
 /// A running daemon. Dropping it kills it: it would outlive the soak otherwise.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
+    log: PathBuf,
+    /// Where its part of the log begins.
+    log_start: u64,
+    /// Since when it runs.
+    pub started: Instant,
     /// It was sent SIGTERM.
     pub leaving: bool,
 }
@@ -55,6 +63,7 @@
     /// It does not start.
     pub fn start(program: &Program, settings: &Path, log: &Path) -> io::Result<Process> {
         let output = File::options().create(true).append(true).open(log)?;
+        let (log_start, started) = (output.metadata()?.len(), Instant::now());
         let child = Command::new(&program.path)
             .args(&program.arguments)
             .arg("--settings")
@@ -64,7 +73,19 @@
             .stderr(output)
             .spawn()?;
         RUNNING.lock().unwrap_or_else(PoisonError::into_inner).push(child.id());
-        Ok(Process { child, leaving: false })
+        Ok(Process { child, log: log.to_owned(), log_start, started, leaving: false })
+    }
+
+    /// Whether it has said that it listens.
+    ///
+    /// # Errors
+    /// Its log can't be read.
+    pub fn has_listened(&self) -> io::Result<bool> {
+        let mut log = File::open(&self.log)?;
+        log.seek(SeekFrom::Start(self.log_start))?;
+        let mut text = Vec::new();
+        log.read_to_end(&mut text)?;
+        Ok(String::from_utf8_lossy(&text).contains(STARTED))
     }
 
     /// Sends it a signal.
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -106,7 +106,7 @@
         let end = Instant::now() + self.traffic;
         play.run(end)?;
         callers.finish();
-        let Play { spans, serving, work, drains, mut findings, done, .. } = play;
+        let Play { spans, serving, work, drains, unstarted, mut findings, done, .. } = play;
         findings.extend(still_at_work(&site, STILL));
         findings.extend(recovered(&site));
         findings.extend(stopped(&mut site));
@@ -120,6 +120,7 @@
         let served = served.collect();
         let evidence = Evidence { records: &records, served, spans: &spans, serving: &serving };
         findings.extend(evidence.drained(&drains));
+        findings.extend(evidence.killed_at_start(&unstarted));
         let mut coverage = None;
         if self.kind == PlayKind::Faults {
             findings.extend(evidence.findings());
