Soak: the callers' records of a failed play are kept

A finding that counts calls (RECOVER, LOST beside others) couldn't be traced to the calls: logs hold what daemons did, not what callers saw. `calls.txt` lies beside `verdict.txt` now, one line a call.

--- a/crates/basilbank_soak/src/main.rs
+++ b/crates/basilbank_soak/src/main.rs
@@ -182,6 +182,7 @@
     println!("seed {seed} failed, {} calls, logs in {}", verdict.calls, folder.display());
     let text = [verdict.findings.join("\n"), verdict.done.join("\n")].join("\n\n");
     fs::write(folder.join("verdict.txt"), &text)?;
+    fs::write(folder.join("calls.txt"), verdict.records.join("\n"))?;
     println!("{text}");
     Ok(())
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -109,7 +109,8 @@
 /// A play under way.
 pub struct Play<'a> {
     site: &'a mut Site,
-    begun: Instant,
+    /// When it began.
+    pub begun: Instant,
     steps: Vec<(Instant, Step)>,
     leaving: HashSet<usize>,
     crashed: HashSet<usize>,
--- a/crates/basilbank_soak/src/soak.rs
+++ b/crates/basilbank_soak/src/soak.rs
@@ -1,6 +1,7 @@
 //! One play of one seed, from start to verdict.
 
 use std::{
+    collections::HashMap,
     fs,
     path::{Path, PathBuf},
     sync::{Arc, PoisonError},
@@ -12,7 +13,7 @@
 use rustix::process::Signal;
 
 use crate::{
-    callers::Callers,
+    callers::{Callers, Record},
     checks::{Coverage, Evidence, PlannedEvidence, still_at_work},
     plan::{Sizes, plan, planned},
     play::Play,
@@ -74,6 +75,8 @@
     pub findings: Vec<String>,
     /// What was done.
     pub done: Vec<String>,
+    /// The callers' records, if something is wrong.
+    pub records: Vec<String>,
     /// How often a play of planned work came to the cases that it is for.
     pub coverage: Option<Coverage>,
 }
@@ -106,7 +109,7 @@
         let end = Instant::now() + self.traffic;
         play.run(end)?;
         callers.finish();
-        let Play { spans, serving, work, drains, unstarted, mut findings, done, .. } = play;
+        let Play { begun, spans, serving, work, drains, unstarted, mut findings, done, .. } = play;
         findings.extend(still_at_work(&site, STILL));
         findings.extend(recovered(&site));
         findings.extend(stopped(&mut site));
@@ -130,7 +133,8 @@
             coverage = Some(planned.coverage());
         }
         findings.extend(panics(&site));
-        Ok(Verdict { calls: records.len(), findings, done, coverage })
+        let lines = if findings.is_empty() { Vec::new() } else { lines(&records, begun) };
+        Ok(Verdict { calls: records.len(), findings, done, records: lines, coverage })
     }
 
     /// Removes settings and logs.
@@ -142,6 +146,19 @@
     }
 }
 
+/// One line for each call, in order, with times since the play's beginning.
+fn lines(records: &HashMap<String, Record>, begun: Instant) -> Vec<String> {
+    let mut records: Vec<_> = records.values().collect();
+    records.sort_by_key(|record| record.begun);
+    let line = |record: &Record| {
+        let at = record.begun.saturating_duration_since(begun).as_millis();
+        let took = (record.ended - record.begun).as_millis();
+        let Record { id, kind, daemon, seen, events, .. } = record;
+        format!("{at:>6} ms  {id} {kind:?} daemon {daemon} took {took} ms {seen:?} {events} events")
+    };
+    records.into_iter().map(line).collect()
+}
+
 /// The id of the last calls.
 const LAST_ID: &str = "last";
 
