Connections to an unreachable endpoint may still prove that its process lives

What callers saw: 502 in place of a whole unframed answer that took longer than 0.25 s, of an endpoint that accepts no new connections and finishes what it runs, as one that leaves does. Cause: after 0.25 s without an answer the endpoint is probed, the probe is refused, and the daemon closed its idle connections: nothing was left over which the process could be asked at the answer's end. Change: they are kept apart (`Effect::DoubtConnections`), carry no more calls, and serve to ask the process. That holds whether or not the daemon knows that the endpoint leaves: it may stop listening before its entry says so. A process that is gone has closed them, and one that answers over them is asked twice, as before.

Tests: the set-up of the test for silent endpoints became functions that the new ones use; the pause in `play_plain` is the same 30 ms, named.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -90,6 +90,9 @@
     },
     /// An endpoint was removed: close its connections once they are idle.
     CloseConnections(EndpointKey),
+    /// An endpoint became unreachable: send no more calls over its idle connections. Those that
+    /// live on may prove that its process does.
+    DoubtConnections(EndpointKey),
     /// Write a log line and update the metrics that it names.
     Log(LogLine),
 }
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -275,10 +275,10 @@
     }
 }
 
-/// Logs that an endpoint is unreachable, and closes its idle connections: they were cut as well, and
-/// each would cost the call that is sent over it.
+/// Logs that an endpoint is unreachable, and uses its idle connections for no more calls: they may have
+/// been cut as well, and each would cost the call that is sent over it.
 fn announce_unreachable(ctx: &mut Context<'_>, key: EndpointKey) {
-    ctx.push(Effect::CloseConnections(key));
+    ctx.push(Effect::DoubtConnections(key));
     if let Some(endpoint) = ctx.state.directory.get(key) {
         let line = LogLine::new("endpoint_dark").with("instance", &endpoint.info.instance);
         ctx.log(line);
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -85,6 +85,9 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    /// Those that were idle when their endpoint became unreachable. Each may have been cut, and would
+    /// cost the call that is sent over it, or may still prove that the endpoint's process lives.
+    doubtful: RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
 }
 
 impl Connection {
@@ -219,29 +222,51 @@
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointKey) {
         self.idle.borrow_mut().remove(&endpoint);
+        self.doubtful.borrow_mut().remove(&endpoint);
+    }
+
+    /// Sends no more calls over the idle connections to an endpoint.
+    pub fn doubt_idle(&self, endpoint: EndpointKey) {
+        if let Some(list) = self.idle.borrow_mut().remove(&endpoint) {
+            self.doubtful.borrow_mut().insert(endpoint, list);
+        }
     }
 
     /// Closes connections that have been idle for too long.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        for list in idle.values_mut() {
-            list.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
+        for lists in [&self.idle, &self.doubtful] {
+            let mut lists = lists.borrow_mut();
+            for list in lists.values_mut() {
+                list.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
+            }
+            lists.retain(|_, list| !list.is_empty());
         }
-        idle.retain(|_, list| !list.is_empty());
     }
 
     /// Returns the connection that was used last, so that surplus connections become idle and
     /// close.
     pub fn take_idle(&self, endpoint: EndpointKey) -> Option<Connection> {
-        let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        let list = idle.get_mut(&endpoint)?;
-        while let Some(entry) = list.pop() {
-            if now < entry.expires_at && entry.connection.is_ready() {
-                return Some(entry.connection);
-            }
+        take_last(&self.idle, endpoint)
+    }
+
+    /// Returns a connection over which only the process itself may be asked whether it lives.
+    pub fn take_idle_or_doubtful(&self, endpoint: EndpointKey) -> Option<Connection> {
+        self.take_idle(endpoint).or_else(|| take_last(&self.doubtful, endpoint))
+    }
+}
+
+fn take_last(
+    lists: &RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    endpoint: EndpointKey,
+) -> Option<Connection> {
+    let now = Instant::now();
+    let mut lists = lists.borrow_mut();
+    let list = lists.get_mut(&endpoint)?;
+    while let Some(entry) = list.pop() {
+        if now < entry.expires_at && entry.connection.is_ready() {
+            return Some(entry.connection);
         }
-        None
     }
+    None
 }
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -137,7 +137,7 @@
     }
 
     async fn ask_idle_once(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
-        while let Some(connection) = self.connections.take_idle(target.endpoint) {
+        while let Some(connection) = self.connections.take_idle_or_doubtful(target.endpoint) {
             match self.ask(target, connection, began_at).await {
                 Ok(proof) => return proof,
                 // The connection is open, so the process lives.
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -264,6 +264,7 @@
                 }
             }
             Effect::CloseConnections(endpoint) => self.connections.close_idle(endpoint),
+            Effect::DoubtConnections(endpoint) => self.connections.doubt_idle(endpoint),
             Effect::Log(entry) => self.log(&entry),
         }
     }
--- a/crates/basilbank_standin/tests/managed/proofs.rs
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -23,6 +23,12 @@
 /// Time in which a daemon reads the store, and answers on their way arrive.
 const SETTLE: Duration = Duration::from_millis(300);
 
+/// Time in which half an answer comes, and the daemon waits for its rest.
+const HALF_TIME: Duration = Duration::from_millis(30);
+
+/// Work that takes longer than the time after which an endpoint that doesn't answer is probed.
+const SLOW_WORK: Duration = Duration::from_millis(700);
+
 /// Longest time in which a leaving endpoint finishes its streams.
 const LONGEST_DRAIN: Duration = Duration::from_secs(15);
 
@@ -211,8 +217,7 @@
         endpoint.end_answers(row.whole());
         endpoint.leave(false);
     }
-    // The answer's head comes, and the daemon waits for its body.
-    thread::sleep(Duration::from_millis(30));
+    thread::sleep(HALF_TIME);
     let instance = ends.world.plain[at].instance().to_owned();
     row.end(&mut ends.world.plain[at]);
     let answer = plain.join().expect("a caller");
@@ -296,36 +301,85 @@
     assert!(is_whole(&answer, 60), "{}", finding(&answer));
 }
 
-#[test]
-fn a_whole_answer_of_an_endpoint_that_falls_silent_and_refuses_connections_is_passed_on() {
+/// Begins a plain call whose answer takes so long.
+fn begin_work(world: &World, line: &'static str, id: &str, work: Duration) -> JoinHandle<Answer> {
+    let (to, id, work) = (world.callers(0), id.to_owned(), work.as_millis().to_string());
+    thread::spawn(move || {
+        let headers = [
+            ("host", "shop.example"),
+            ("x-attempt-id", id.as_str()),
+            ("x-deadline-remaining", "4000"),
+            ("x-work-ms", work.as_str()),
+        ];
+        call(to, line, &headers, b"body").expect("an answer")
+    })
+}
+
+/// A world with one plain endpoint, to which several connections stay open.
+fn warm_world() -> World {
     let spec = WorldSpec { plain: 1, ..WorldSpec::default() };
-    let mut world = World::start(&spec).expect("a world");
-    let post = |world: &World, line: &'static str, id: String, work: &'static str| {
-        let to = world.callers(0);
-        thread::spawn(move || {
-            let headers = [
-                ("host", "shop.example"),
-                ("x-attempt-id", id.as_str()),
-                ("x-deadline-remaining", "4000"),
-                ("x-work-ms", work),
-            ];
-            call(to, line, &headers, b"body").expect("an answer")
-        })
-    };
-    // Several connections stay open.
+    let world = World::start(&spec).expect("a world");
+    let work = Duration::from_millis(50);
     let sheets: Vec<_> =
-        (0..3).map(|n| post(&world, "GET /sheet/1", format!("sheet-{n}"), "50")).collect();
+        (0..3).map(|n| begin_work(&world, "GET /sheet/1", &format!("sheet-{n}"), work)).collect();
     sheets.into_iter().for_each(|sheet| drop(sheet.join().expect("the caller's thread")));
-    world.plain[0].end_answers(Ending { framing: Some(Framing::Connection), broken: None });
+    world
+}
+
+/// Begins a call that may run once and whose answer takes so long, and waits until it runs.
+fn run_once(world: &World, ending: Ending, work: Duration) -> JoinHandle<Answer> {
+    world.plain[0].end_answers(ending);
     let before = world.plain[0].served().ran.len();
-    let calling = post(&world, "POST /stock/1", "stock".to_owned(), "150");
+    let calling = begin_work(world, "POST /stock/1", "stock", work);
     eventually("it runs", || before < world.plain[0].served().ran.len());
+    calling
+}
+
+#[test]
+fn a_whole_answer_of_an_endpoint_that_falls_silent_and_refuses_connections_is_passed_on() {
+    let mut world = warm_world();
+    let unframed = Ending { framing: Some(Framing::Connection), broken: None };
+    let calling = run_once(&world, unframed, Duration::from_millis(150));
     world.plain[0].stop_listening();
     world.plain[0].misbehave(Misdeed::Silent);
     let answer = calling.join().expect("the caller's thread");
     assert_eq!((answer.status, answer.whole), (200, true));
 }
 
+/// Guards against whole answers that count as broken because a probe was refused meanwhile.
+#[test_case(true; "leaving")]
+#[test_case(false; "before it says so")]
+fn a_slow_answer_of_an_endpoint_that_refuses_connections_is_passed_on(is_leaving: bool) {
+    let mut world = warm_world();
+    let unframed = Ending { framing: Some(Framing::Connection), broken: None };
+    let calling = run_once(&world, unframed, SLOW_WORK);
+    if is_leaving {
+        world.drain_plain(0);
+    }
+    world.plain[0].stop_listening();
+    let answer = calling.join().expect("the caller's thread");
+    assert_eq!((answer.status, answer.whole), (200, true), "{}", answer.text());
+}
+
+#[test_case(true; "leaving")]
+#[test_case(false; "before it says so")]
+fn half_a_slow_answer_of_an_endpoint_that_refused_connections_and_ended_is_no_success(
+    is_leaving: bool,
+) {
+    let mut world = warm_world();
+    let broken = Some((BreakPlace::Inside, BreakKind::Silence));
+    let ending = Ending { framing: Some(Framing::Connection), broken };
+    let calling = run_once(&world, ending, SLOW_WORK);
+    if is_leaving {
+        world.drain_plain(0);
+    }
+    world.plain[0].stop_listening();
+    thread::sleep(SLOW_WORK + HALF_TIME);
+    world.plain[0].end();
+    let answer = calling.join().expect("the caller's thread");
+    assert_ne!(answer.status, 200, "{}", answer.text());
+}
+
 #[test]
 fn a_stream_whose_connection_an_ending_process_closes_first_is_not_whole() {
     const LONG: u32 = 100;
