A silent process at the address of an unframed answer's writer is no proof

What callers saw: half a stream or plain answer as a whole one, with status 200, where the endpoint had ended and whoever had its address by then accepted a connection and was silent for 0.25 s (a later start that is busy starting, another endpoint). Cause: a silence over a new connection counted as the writer's life, and so did four connections that were accepted and closed. Both show that somebody listens, not who. Change: they prove nothing. The writer is looked for over connections that are open: an answer there is judged by its start as before, and a silence counts only if the connection was opened before the answer's head came, since its writer is at the other end then. Without any, new connections are tried four times in 1.3 s (no test plays a silence that ends in that time); after that there is no proof.

--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -63,6 +63,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    opened_at: Instant,
     _task: ConnectionTask,
 }
 
@@ -128,7 +129,14 @@
         let Ok((sender, connection)) = handshake else { return Err(ConnectError::Other) };
         // Errors of the connection are returned by the sender and the body.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { sender, _task: ConnectionTask(task.abort_handle()) })
+        let task = ConnectionTask(task.abort_handle());
+        Ok(Connection { sender, opened_at: Instant::now(), _task: task })
+    }
+
+    /// When the connection was made.
+    #[must_use]
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
     }
 
     /// Whether a request can be sent now.
@@ -159,6 +167,12 @@
     }
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires_at && self.connection.is_ready()
+    }
+}
+
 impl ConnectionPool {
     /// Calls an endpoint over an idle connection, or else over a new one. Connecting takes time, so
     /// `may_send` is asked right before the request is sent.
@@ -247,26 +261,30 @@
     /// Returns the connection that was used last, so that surplus connections become idle and
     /// close.
     pub fn take_idle(&self, endpoint: EndpointKey) -> Option<Connection> {
-        take_last(&self.idle, endpoint)
-    }
-
-    /// Returns a connection over which only the process itself may be asked whether it lives.
-    pub fn take_idle_or_doubtful(&self, endpoint: EndpointKey) -> Option<Connection> {
-        self.take_idle(endpoint).or_else(|| take_last(&self.doubtful, endpoint))
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&endpoint)?;
+        while let Some(entry) = list.pop() {
+            if entry.is_usable(now) {
+                return Some(entry.connection);
+            }
+        }
+        None
     }
-}
 
-fn take_last(
-    lists: &RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
-    endpoint: EndpointKey,
-) -> Option<Connection> {
-    let now = Instant::now();
-    let mut lists = lists.borrow_mut();
-    let list = lists.get_mut(&endpoint)?;
-    while let Some(entry) = list.pop() {
-        if now < entry.expires_at && entry.connection.is_ready() {
-            return Some(entry.connection);
-        }
+    /// Returns the connection that was opened first, over which only the process itself may be asked
+    /// whether it lives.
+    pub fn take_oldest(&self, endpoint: EndpointKey) -> Option<Connection> {
+        let now = Instant::now();
+        let (mut idle, mut doubtful) = (self.idle.borrow_mut(), self.doubtful.borrow_mut());
+        let lists = [idle.get_mut(&endpoint), doubtful.get_mut(&endpoint)];
+        let oldest = lists.into_iter().flatten().filter_map(|list| {
+            list.retain(|entry| entry.is_usable(now));
+            let opened = list.iter().map(|entry| entry.connection.opened_at);
+            let (index, opened_at) = opened.enumerate().min_by_key(|(_, at)| *at)?;
+            Some((opened_at, index, list))
+        });
+        let (_, index, list) = oldest.min_by_key(|(opened_at, ..)| *opened_at)?;
+        Some(list.remove(index).connection)
     }
-    None
 }
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -15,7 +15,12 @@
     body::{Body, Frame, Incoming},
 };
 
-use crate::{end_proof::EndProof, endpoint_body::BodyBroken, framing::Framing, router::Router};
+use crate::{
+    end_proof::{EndProof, HeadTime},
+    endpoint_body::BodyBroken,
+    framing::Framing,
+    router::Router,
+};
 
 /// The body of an answer that an endpoint sends to this daemon.
 ///
@@ -42,13 +47,12 @@
 struct Writer {
     router: Rc<Router>,
     target: Target,
-    /// When the answer's head came, in milliseconds of Unix time.
-    began_at: u64,
+    head: HeadTime,
 }
 
 impl Writer {
     async fn check(self) -> EndProof {
-        let proof = self.router.check_writer(&self.target, self.began_at).await;
+        let proof = self.router.check_writer(&self.target, self.head).await;
         self.router.metrics.count_end_check(proof);
         proof
     }
@@ -74,7 +78,7 @@
         let writer = || Writer {
             router: Rc::clone(router),
             target: target.clone(),
-            began_at: router.unix_ms(),
+            head: router.head_time(),
         };
         let end = if is_marked { End::Marked } else { End::Unmarked(writer()) };
         answer.map(|incoming| DirectBody { incoming, end })
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -43,7 +43,7 @@
     Ended,
     /// Nothing: another process has the address.
     Replaced,
-    /// Nothing: the process can't be reached.
+    /// Nothing: the process can't be reached, or whoever has the address doesn't answer.
     Unreachable,
 }
 
@@ -75,47 +75,54 @@
     Clear(EndProof),
     /// Nothing listens at the address.
     Refused,
-    /// The connection was accepted, and no answer came.
+    /// The connection was accepted, and no answer came. A later start may have the address.
     Accepted,
     /// No connection was made.
     Unreachable,
 }
 
+/// When the head of an answer came.
+#[derive(Clone, Copy, Debug)]
+pub struct HeadTime {
+    at: Instant,
+    /// The Unix time in milliseconds, to compare with the start of a process.
+    unix_ms: u64,
+}
+
 impl Router {
-    /// Returns the Unix time in milliseconds, to compare with the start of a process.
+    /// Returns the time of a head that has just come.
     #[must_use]
-    pub fn unix_ms(&self) -> u64 {
-        self.clock.now().unix_ms()
+    pub fn head_time(&self) -> HeadTime {
+        HeadTime { at: Instant::now(), unix_ms: self.clock.now().unix_ms() }
     }
 
-    /// Checks whether the process that wrote an answer lives on after it, leaving or not. `began_at`
-    /// is the Unix time in milliseconds at which the answer's head came.
+    /// Checks whether the process that wrote an answer lives on after it, leaving or not.
     ///
     /// A process that ends closes its connections in the same way as one that has finished its answer.
     /// A process that still answers would have left the connection open until the answer's end. Where
-    /// new connections are refused, it may still answer over one that is open.
-    pub async fn check_writer(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
-        let mut proof = EndProof::Unreachable;
+    /// new connections are refused or not answered, it may be there over one that is open.
+    pub async fn check_writer(self: &Rc<Self>, target: &Target, head: HeadTime) -> EndProof {
         for number in 0..MAX_ASKED {
             if number != 0 {
                 sleep(ASK_PAUSE).await;
             }
-            match self.ask_anew(target, began_at).await {
+            match self.ask_anew(target, head).await {
                 Asked::Clear(clear) => return clear,
-                Asked::Refused => return self.ask_over_idle(target, began_at).await,
-                Asked::Accepted => proof = EndProof::Process,
+                Asked::Refused => return self.ask_over_idle(target, head).await,
+                Asked::Accepted => match self.ask_over_idle(target, head).await {
+                    EndProof::Ended => {}
+                    clear => return clear,
+                },
                 Asked::Unreachable => {}
             }
         }
-        proof
+        EndProof::Unreachable
     }
 
-    async fn ask_anew(self: &Rc<Self>, target: &Target, began_at: u64) -> Asked {
+    async fn ask_anew(self: &Rc<Self>, target: &Target, head: HeadTime) -> Asked {
         match Connection::connect_unless_refused(target.addr, LIVENESS_TIMEOUT).await {
-            Ok(connection) => match self.ask(target, connection, began_at).await {
+            Ok(connection) => match self.ask(target, connection, head).await {
                 Ok(proof) => Asked::Clear(proof),
-                // It is there, and may be silent for a moment.
-                Err(CallError::Silent) => Asked::Clear(EndProof::Process),
                 Err(_) => Asked::Accepted,
             },
             Err(ConnectError::Refused) => Asked::Refused,
@@ -125,23 +132,26 @@
 
     /// Asks twice: a process that is ending may close its connections one after the other, and answer
     /// over those that it has not closed yet.
-    async fn ask_over_idle(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
+    async fn ask_over_idle(self: &Rc<Self>, target: &Target, head: HeadTime) -> EndProof {
         let asked = Instant::now();
-        let proof = self.ask_idle_once(target, began_at).await;
+        let proof = self.ask_idle_once(target, head).await;
         // A connection that was open for that long without an answer needs no second question.
         if proof != EndProof::Process || ASK_PAUSE <= asked.elapsed() {
             return proof;
         }
         sleep(ASK_PAUSE).await;
-        self.ask_idle_once(target, began_at).await
+        self.ask_idle_once(target, head).await
     }
 
-    async fn ask_idle_once(self: &Rc<Self>, target: &Target, began_at: u64) -> EndProof {
-        while let Some(connection) = self.connections.take_idle_or_doubtful(target.endpoint) {
-            match self.ask(target, connection, began_at).await {
+    async fn ask_idle_once(self: &Rc<Self>, target: &Target, head: HeadTime) -> EndProof {
+        while let Some(connection) = self.connections.take_oldest(target.endpoint) {
+            let is_writers = connection.opened_at() < head.at;
+            match self.ask(target, connection, head).await {
                 Ok(proof) => return proof,
                 // The connection is open, so the process lives.
-                Err(CallError::Silent) => return EndProof::Process,
+                Err(CallError::Silent) if is_writers => return EndProof::Process,
+                // A later start may be at its other end, and at that of all that were opened after it.
+                Err(CallError::Silent) => return EndProof::Ended,
                 Err(_) => {}
             }
         }
@@ -153,7 +163,7 @@
         self: &Rc<Self>,
         target: &Target,
         mut connection: Connection,
-        began_at: u64,
+        head: HeadTime,
     ) -> Result<EndProof, CallError> {
         if !self.may_send(target, Purpose::Probe) {
             self.connections.keep(target.endpoint, connection, None);
@@ -168,7 +178,7 @@
         let report = read_report(answer).await;
         let started_at = report.as_ref().and_then(|report| (self.dialect.parse_start_time)(report));
         let is_later =
-            started_at.is_some_and(|at| began_at < at && !self.is_known_start(target, at));
+            started_at.is_some_and(|at| head.unix_ms < at && !self.is_known_start(target, at));
         if status == StatusCode::MISDIRECTED_REQUEST || is_later {
             return Ok(EndProof::Replaced);
         }
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -183,14 +183,16 @@
     }
 
     /// It ends, and a later start has its address before its connections are seen to close: its own
-    /// if `instance` is its id, else that of another endpoint.
+    /// if `instance` is its id, else that of another endpoint. The later start accepts connections, and
+    /// is silent for a time at first.
     ///
     /// # Errors
     /// It can't listen.
-    pub fn be_replaced(&mut self, instance: &str) -> io::Result<()> {
+    pub fn be_replaced(&mut self, instance: &str, silence: Duration) -> io::Result<()> {
         self.listener.stop_listening();
         self.spec.instance = instance.to_owned();
         self.inside = begin(&self.spec);
+        self.fall_silent(silence);
         let port = self.listener.address().port();
         let later = listen(&self.spec, port, &self.inside, &self.caches)?;
         let former = std::mem::replace(&mut self.listener, later);
--- a/crates/basilbank_standin/tests/managed/proofs.rs
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -29,6 +29,9 @@
 /// Work that takes longer than the time after which an endpoint that doesn't answer is probed.
 const SLOW_WORK: Duration = Duration::from_millis(700);
 
+/// Silence of a later start, longer than the time in which an answer's writer is asked.
+const SLOW_START: Duration = Duration::from_secs(3);
+
 /// Longest time in which a leaving endpoint finishes its streams.
 const LONGEST_DRAIN: Duration = Duration::from_secs(15);
 
@@ -49,6 +52,10 @@
     Restarted,
     /// Another endpoint has its address before its connections are seen to close.
     Replaced,
+    /// It has started again, and the later start is silent at first.
+    RestartedSilent,
+    /// Another endpoint has its address, and is silent at first.
+    ReplacedSilent,
 }
 
 /// One way to be gone in the middle of an answer.
@@ -82,6 +89,14 @@
         Row::all().into_iter().filter(is_unmarked).collect()
     }
 
+    /// The rows in which whoever has the address accepts connections and answers nothing.
+    fn silent_starts() -> Vec<Row> {
+        let (framing, place) = (Framing::Connection, BreakPlace::Between);
+        let row = |is_leaving, gone| Row { framing, place, is_leaving, gone };
+        let of = |gone| [false, true].map(|is_leaving| row(is_leaving, gone));
+        [Gone::RestartedSilent, Gone::ReplacedSilent].into_iter().flat_map(of).collect()
+    }
+
     /// The answer falls silent in its middle.
     fn silence(self) -> Ending {
         let broken = Some((self.place, BreakKind::Silence));
@@ -101,8 +116,10 @@
                 endpoint.cut();
             }
             Gone::AtTheEnd => endpoint.end(),
-            Gone::Restarted => endpoint.be_replaced(&own).expect("a start"),
-            Gone::Replaced => endpoint.be_replaced("another").expect("a start"),
+            Gone::Restarted => endpoint.be_replaced(&own, Duration::ZERO).expect("a start"),
+            Gone::Replaced => endpoint.be_replaced("another", Duration::ZERO).expect("a start"),
+            Gone::RestartedSilent => endpoint.be_replaced(&own, SLOW_START).expect("a start"),
+            Gone::ReplacedSilent => endpoint.be_replaced("another", SLOW_START).expect("a start"),
         }
     }
 }
@@ -201,6 +218,20 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against half a stream that looks whole because something accepts connections at the address
+/// of its endpoint.
+#[test_case("/draft", Way::Direct; "resumable")]
+#[test_case("/once", Way::Direct; "may run once")]
+#[test_case("/draft", Way::ByPeer; "resumable by a peer")]
+#[test_case("/once", Way::ByPeer; "may run once by a peer")]
+fn a_stream_whose_endpoint_is_gone_is_not_whole_while_a_later_start_is_silent(
+    path: &str,
+    way: Way,
+) {
+    let wrong = play(&Row::silent_starts(), |row| play_stream(row, path, way));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Plays a plain answer whose endpoint is gone in its middle.
 fn play_plain(row: Row, line: &str) -> Option<String> {
     let mut ends = Ends::start(Way::Direct);
@@ -235,6 +266,13 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[test_case("GET /sheet/a"; "idempotent")]
+#[test_case("POST /stock/a"; "may run once")]
+fn a_plain_answer_whose_endpoint_is_gone_is_no_success_while_a_later_start_is_silent(line: &str) {
+    let wrong = play(&Row::silent_starts(), |row| play_plain(row, line));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Some streams ran at the endpoint that left, and all that `play_drain` began are whole.
 fn assert_drain_is_whole(ran: usize, answers: &[Answer]) {
     assert_ne!(ran, 0);
@@ -335,12 +373,15 @@
     calling
 }
 
-#[test]
-fn a_whole_answer_of_an_endpoint_that_falls_silent_and_refuses_connections_is_passed_on() {
+#[test_case(true; "and accepts connections")]
+#[test_case(false; "and refuses connections")]
+fn a_whole_answer_of_an_endpoint_that_falls_silent_is_passed_on(is_listening: bool) {
     let mut world = warm_world();
     let unframed = Ending { framing: Some(Framing::Connection), broken: None };
     let calling = run_once(&world, unframed, Duration::from_millis(150));
-    world.plain[0].stop_listening();
+    if !is_listening {
+        world.plain[0].stop_listening();
+    }
     world.plain[0].misbehave(Misdeed::Silent);
     let answer = calling.join().expect("the caller's thread");
     assert_eq!((answer.status, answer.whole), (200, true));
