--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -63,6 +63,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    opened_at: Instant,
     _task: ConnectionTask,
 }
 
@@ -85,6 +86,9 @@
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    /// Those that were idle when their endpoint became unreachable. Each may have been cut, and would
+    /// cost the call that is sent over it, or may still prove that the endpoint's process lives.
+    doubtful: RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
 }
 
 impl Connection {
@@ -125,7 +129,14 @@
         let Ok((sender, connection)) = handshake else { return Err(ConnectError::Other) };
         // Errors of the connection are returned by the sender and the body.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
-        Ok(Connection { sender, _task: ConnectionTask(task.abort_handle()) })
+        let task = ConnectionTask(task.abort_handle());
+        Ok(Connection { sender, opened_at: Instant::now(), _task: task })
+    }
+
+    /// When the connection was made.
+    #[must_use]
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
     }
 
     /// Whether a request can be sent now.
@@ -156,6 +167,12 @@
     }
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires_at && self.connection.is_ready()
+    }
+}
+
 impl ConnectionPool {
     /// Calls an endpoint over an idle connection, or else over a new one. Connecting takes time, so
     /// `may_send` is asked right before the request is sent.
@@ -219,16 +236,26 @@
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointKey) {
         self.idle.borrow_mut().remove(&endpoint);
+        self.doubtful.borrow_mut().remove(&endpoint);
+    }
+
+    /// Sends no more calls over the idle connections to an endpoint.
+    pub fn doubt_idle(&self, endpoint: EndpointKey) {
+        if let Some(list) = self.idle.borrow_mut().remove(&endpoint) {
+            self.doubtful.borrow_mut().insert(endpoint, list);
+        }
     }
 
     /// Closes connections that have been idle for too long.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        let mut idle = self.idle.borrow_mut();
-        for list in idle.values_mut() {
-            list.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
+        for lists in [&self.idle, &self.doubtful] {
+            let mut lists = lists.borrow_mut();
+            for list in lists.values_mut() {
+                list.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
+            }
+            lists.retain(|_, list| !list.is_empty());
         }
-        idle.retain(|_, list| !list.is_empty());
     }
 
     /// Returns the connection that was used last, so that surplus connections become idle and
@@ -238,10 +265,26 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
         while let Some(entry) = list.pop() {
-            if now < entry.expires_at && entry.connection.is_ready() {
+            if entry.is_usable(now) {
                 return Some(entry.connection);
             }
         }
         None
     }
+
+    /// Returns the connection that was opened first, over which only the process itself may be asked
+    /// whether it lives.
+    pub fn take_oldest(&self, endpoint: EndpointKey) -> Option<Connection> {
+        let now = Instant::now();
+        let (mut idle, mut doubtful) = (self.idle.borrow_mut(), self.doubtful.borrow_mut());
+        let lists = [idle.get_mut(&endpoint), doubtful.get_mut(&endpoint)];
+        let oldest = lists.into_iter().flatten().filter_map(|list| {
+            list.retain(|entry| entry.is_usable(now));
+            let opened = list.iter().map(|entry| entry.connection.opened_at);
+            let (index, opened_at) = opened.enumerate().min_by_key(|(_, at)| *at)?;
+            Some((opened_at, index, list))
+        });
+        let (_, index, list) = oldest.min_by_key(|(opened_at, ..)| *opened_at)?;
+        Some(list.remove(index).connection)
+    }
 }
--- a/crates/basilbank_standin/tests/managed/proofs.rs
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -23,6 +23,15 @@
 /// Time in which a daemon reads the store, and answers on their way arrive.
 const SETTLE: Duration = Duration::from_millis(300);
 
+/// Time in which half an answer comes, and the daemon waits for its rest.
+const HALF_TIME: Duration = Duration::from_millis(30);
+
+/// Work that takes longer than the time after which an endpoint that doesn't answer is probed.
+const SLOW_WORK: Duration = Duration::from_millis(700);
+
+/// Silence of a later start, longer than the time in which an answer's writer is asked.
+const SLOW_START: Duration = Duration::from_secs(3);
+
 /// Longest time in which a leaving endpoint finishes its streams.
 const LONGEST_DRAIN: Duration = Duration::from_secs(15);
 
@@ -43,6 +52,10 @@
     Restarted,
     /// Another endpoint has its address before its connections are seen to close.
     Replaced,
+    /// It has started again, and the later start is silent at first.
+    RestartedSilent,
+    /// Another endpoint has its address, and is silent at first.
+    ReplacedSilent,
 }
 
 /// One way to be gone in the middle of an answer.
@@ -76,6 +89,14 @@
         Row::all().into_iter().filter(is_unmarked).collect()
     }
 
+    /// The rows in which whoever has the address accepts connections and answers nothing.
+    fn silent_starts() -> Vec<Row> {
+        let (framing, place) = (Framing::Connection, BreakPlace::Between);
+        let row = |is_leaving, gone| Row { framing, place, is_leaving, gone };
+        let of = |gone| [false, true].map(|is_leaving| row(is_leaving, gone));
+        [Gone::RestartedSilent, Gone::ReplacedSilent].into_iter().flat_map(of).collect()
+    }
+
     /// The answer falls silent in its middle.
     fn silence(self) -> Ending {
         let broken = Some((self.place, BreakKind::Silence));
@@ -95,8 +116,10 @@
                 endpoint.cut();
             }
             Gone::AtTheEnd => endpoint.end(),
-            Gone::Restarted => endpoint.be_replaced(&own).expect("a start"),
-            Gone::Replaced => endpoint.be_replaced("another").expect("a start"),
+            Gone::Restarted => endpoint.be_replaced(&own, Duration::ZERO).expect("a start"),
+            Gone::Replaced => endpoint.be_replaced("another", Duration::ZERO).expect("a start"),
+            Gone::RestartedSilent => endpoint.be_replaced(&own, SLOW_START).expect("a start"),
+            Gone::ReplacedSilent => endpoint.be_replaced("another", SLOW_START).expect("a start"),
         }
     }
 }
@@ -135,9 +158,11 @@
     begin(world, daemon, &format!("POST {path}/long"), counts)
 }
 
-/// The decode endpoint that streams.
-fn streaming(world: &World) -> usize {
-    let at = || world.model.iter().position(|e| e.served().active != 0);
+/// The decode endpoint that a stream runs at. Others may still end streams of before.
+fn streaming(world: &World, path: &str) -> usize {
+    let target = format!("{path}/long");
+    let runs = |e: &ManagedEndpoint| e.served().ran.iter().any(|run| run.target == target);
+    let at = || world.model.iter().position(runs);
     eventually("it streams", || at().is_some());
     at().expect("an endpoint that streams")
 }
@@ -161,7 +186,7 @@
     let mut ends = Ends::start(way);
     ends.world.model.iter().skip(1).for_each(|e| e.end_answers(row.silence()));
     let stream = begin_stream(&ends.world, ends.daemon, path, EVENTS);
-    let at = streaming(&ends.world);
+    let at = streaming(&ends.world, path);
     // The one that streams may not have looked yet how its answer ends.
     let others = ends.world.model.iter().enumerate().filter(|(n, _)| *n != at);
     others.for_each(|(_, e)| e.end_answers(row.whole()));
@@ -195,6 +220,20 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against half a stream that looks whole because something accepts connections at the address
+/// of its endpoint.
+#[test_case("/draft", Way::Direct; "resumable")]
+#[test_case("/once", Way::Direct; "may run once")]
+#[test_case("/draft", Way::ByPeer; "resumable by a peer")]
+#[test_case("/once", Way::ByPeer; "may run once by a peer")]
+fn a_stream_whose_endpoint_is_gone_is_not_whole_while_a_later_start_is_silent(
+    path: &str,
+    way: Way,
+) {
+    let wrong = play(&Row::silent_starts(), |row| play_stream(row, path, way));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Plays a plain answer whose endpoint is gone in its middle.
 fn play_plain(row: Row, line: &str) -> Option<String> {
     let mut ends = Ends::start(Way::Direct);
@@ -211,8 +250,7 @@
         endpoint.end_answers(row.whole());
         endpoint.leave(false);
     }
-    // The answer's head comes, and the daemon waits for its body.
-    thread::sleep(Duration::from_millis(30));
+    thread::sleep(HALF_TIME);
     let instance = ends.world.plain[at].instance().to_owned();
     row.end(&mut ends.world.plain[at]);
     let answer = plain.join().expect("a caller");
@@ -230,15 +268,27 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+#[test_case("GET /sheet/a"; "idempotent")]
+#[test_case("POST /stock/a"; "may run once")]
+fn a_plain_answer_whose_endpoint_is_gone_is_no_success_while_a_later_start_is_silent(line: &str) {
+    let wrong = play(&Row::silent_starts(), |row| play_plain(row, line));
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Some streams ran at the endpoint that left, and all that `play_drain` began are whole.
 fn assert_drain_is_whole(ran: usize, answers: &[Answer]) {
     assert_ne!(ran, 0);
-    let lengths = (0..).map(|n| 60 + 5 * n);
+    let lengths = (0..).map(drain_events);
     let wrong: Vec<_> =
         answers.iter().zip(lengths).filter(|(a, events)| !is_whole(a, *events)).collect();
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Events of a stream that is begun before an endpoint leaves: they are written until after that.
+fn drain_events(number: u32) -> u32 {
+    200 + 5 * number
+}
+
 /// Streams that an endpoint finishes while it leaves, and when it ends after the last of them.
 fn play_drain(way: Way, path: &str, pause: Duration) -> (usize, Vec<Answer>) {
     const STREAMS: u32 = 8;
@@ -246,9 +296,15 @@
     let unframed = Ending { framing: Some(Framing::Connection), broken: None };
     ends.world.model.iter().for_each(|e| e.end_answers(unframed));
     let streams: Vec<_> = (0..STREAMS)
-        .map(|n| begin_stream(&ends.world, ends.daemon, &format!("{path}/{n}"), 60 + 5 * n))
+        .map(|n| begin_stream(&ends.world, ends.daemon, &format!("{path}/{n}"), drain_events(n)))
         .collect();
-    let at = streaming(&ends.world);
+    let active = |at: usize| ends.world.model[at].served().active;
+    let decode = 1..ends.world.model.len();
+    // A stream that begins later may find no endpoint if the other one is slow to answer. Where peers
+    // make the calls, it must find one all the same.
+    let needed = if way == Way::Direct { STREAMS } else { 1 };
+    eventually("they stream", || needed <= decode.clone().map(active).sum());
+    let at = decode.max_by_key(|at| active(*at)).expect("an endpoint that streams");
     ends.world.drain_model(at);
     // No pause between two looks: it is to end right after its last answer.
     let end = Instant::now() + LONGEST_DRAIN;
@@ -290,42 +346,94 @@
     let unframed = Ending { framing: Some(Framing::Connection), broken: None };
     world.model.iter().for_each(|e| e.end_answers(unframed));
     let stream = begin_stream(&world, 1, path, 60);
-    streaming(&world);
+    streaming(&world, path);
     paths.set(Weather::Refuse);
     let answer = stream.join().expect("a caller");
     assert!(is_whole(&answer, 60), "{}", finding(&answer));
 }
 
-#[test]
-fn a_whole_answer_of_an_endpoint_that_falls_silent_and_refuses_connections_is_passed_on() {
+/// Begins a plain call whose answer takes so long.
+fn begin_work(world: &World, line: &'static str, id: &str, work: Duration) -> JoinHandle<Answer> {
+    let (to, id, work) = (world.callers(0), id.to_owned(), work.as_millis().to_string());
+    thread::spawn(move || {
+        let headers = [
+            ("host", "shop.example"),
+            ("x-attempt-id", id.as_str()),
+            ("x-deadline-remaining", "4000"),
+            ("x-work-ms", work.as_str()),
+        ];
+        call(to, line, &headers, b"body").expect("an answer")
+    })
+}
+
+/// A world with one plain endpoint, to which several connections stay open.
+fn warm_world() -> World {
     let spec = WorldSpec { plain: 1, ..WorldSpec::default() };
-    let mut world = World::start(&spec).expect("a world");
-    let post = |world: &World, line: &'static str, id: String, work: &'static str| {
-        let to = world.callers(0);
-        thread::spawn(move || {
-            let headers = [
-                ("host", "shop.example"),
-                ("x-attempt-id", id.as_str()),
-                ("x-deadline-remaining", "4000"),
-                ("x-work-ms", work),
-            ];
-            call(to, line, &headers, b"body").expect("an answer")
-        })
-    };
-    // Several connections stay open.
+    let world = World::start(&spec).expect("a world");
+    let work = Duration::from_millis(50);
     let sheets: Vec<_> =
-        (0..3).map(|n| post(&world, "GET /sheet/1", format!("sheet-{n}"), "50")).collect();
+        (0..3).map(|n| begin_work(&world, "GET /sheet/1", &format!("sheet-{n}"), work)).collect();
     sheets.into_iter().for_each(|sheet| drop(sheet.join().expect("the caller's thread")));
-    world.plain[0].end_answers(Ending { framing: Some(Framing::Connection), broken: None });
+    world
+}
+
+/// Begins a call that may run once and whose answer takes so long, and waits until it runs.
+fn run_once(world: &World, ending: Ending, work: Duration) -> JoinHandle<Answer> {
+    world.plain[0].end_answers(ending);
     let before = world.plain[0].served().ran.len();
-    let calling = post(&world, "POST /stock/1", "stock".to_owned(), "150");
+    let calling = begin_work(world, "POST /stock/1", "stock", work);
     eventually("it runs", || before < world.plain[0].served().ran.len());
-    world.plain[0].stop_listening();
+    calling
+}
+
+#[test_case(true; "and accepts connections")]
+#[test_case(false; "and refuses connections")]
+fn a_whole_answer_of_an_endpoint_that_falls_silent_is_passed_on(is_listening: bool) {
+    let mut world = warm_world();
+    let unframed = Ending { framing: Some(Framing::Connection), broken: None };
+    let calling = run_once(&world, unframed, Duration::from_millis(150));
+    if !is_listening {
+        world.plain[0].stop_listening();
+    }
     world.plain[0].misbehave(Misdeed::Silent);
     let answer = calling.join().expect("the caller's thread");
     assert_eq!((answer.status, answer.whole), (200, true));
 }
 
+/// Guards against whole answers that count as broken because a probe was refused meanwhile.
+#[test_case(true; "leaving")]
+#[test_case(false; "before it says so")]
+fn a_slow_answer_of_an_endpoint_that_refuses_connections_is_passed_on(is_leaving: bool) {
+    let mut world = warm_world();
+    let unframed = Ending { framing: Some(Framing::Connection), broken: None };
+    let calling = run_once(&world, unframed, SLOW_WORK);
+    if is_leaving {
+        world.drain_plain(0);
+    }
+    world.plain[0].stop_listening();
+    let answer = calling.join().expect("the caller's thread");
+    assert_eq!((answer.status, answer.whole), (200, true), "{}", answer.text());
+}
+
+#[test_case(true; "leaving")]
+#[test_case(false; "before it says so")]
+fn half_a_slow_answer_of_an_endpoint_that_refused_connections_and_ended_is_no_success(
+    is_leaving: bool,
+) {
+    let mut world = warm_world();
+    let broken = Some((BreakPlace::Inside, BreakKind::Silence));
+    let ending = Ending { framing: Some(Framing::Connection), broken };
+    let calling = run_once(&world, ending, SLOW_WORK);
+    if is_leaving {
+        world.drain_plain(0);
+    }
+    world.plain[0].stop_listening();
+    thread::sleep(SLOW_WORK + HALF_TIME);
+    world.plain[0].end();
+    let answer = calling.join().expect("the caller's thread");
+    assert_ne!(answer.status, 200, "{}", answer.text());
+}
+
 #[test]
 fn a_stream_whose_connection_an_ending_process_closes_first_is_not_whole() {
     const LONG: u32 = 100;
@@ -340,7 +448,7 @@
     };
     world.model.iter().skip(1).for_each(|endpoint| endpoint.end_answers(breaks_off));
     let stream = begin_stream(&world, 0, "/once", LONG);
-    let at = streaming(&world);
+    let at = streaming(&world, "/once");
     world.model[at].stop_listening();
     eventually("its stream has ended", || world.model[at].served().active == 0);
     thread::sleep(Duration::from_millis(40));
