After all daemons restarted, the store's history tells which versions served

Cause: daemons guessed by what is listed and by endpoints' starts. The former version is neither listed nor remembered.

Change: a daemon to which a stream comes back that nobody knows, while no daemon is older than a stream may last, reads the changes of the list that the store still has (Effect::ReadHistory, reduce/history.rs). The store doesn't say where its history begins, so the distance is searched for, by at most 12 reads, once, beside the question to peers. A version that is named and not listed counts as gone now. An endpoint that was removed and whose entry is older than the history may have had any version: streams that nobody knows are refused then. A store that fails leaves the guess as it was; one that hasn't answered 60 ms after peers' time leaves a refusal.

The adapter passes on the records that a later change in the same answer replaced: a leaving endpoint's last entry stands there before its removal.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -72,6 +72,12 @@
     /// Probe whether an endpoint answers; the result arrives as `Event::Probed`, or as
     /// `Event::ProbedByPeer` if a peer makes the call.
     Probe(Target),
+    /// Read the changes of the list of endpoints after a revision, whether this daemon knows them or
+    /// not; the result arrives as `Event::HistoryRead`.
+    ReadHistory {
+        /// The revision.
+        after: u64,
+    },
     /// Order an endpoint to change its stage.
     Order {
         /// The endpoint.
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -8,7 +8,7 @@
     call::{Call, RequestId, SharedTraits},
     endpoint::{EndpointInfo, EndpointKey},
     route::RouteTable,
-    state::OrderRight,
+    state::{OrderRight, history::ListChange},
     topic::{Revision, Revisions, Topic},
 };
 
@@ -96,6 +96,13 @@
     RoutesReadFailed,
     /// The list of endpoints could not be read.
     EndpointsReadFailed,
+    /// The store answered [`Effect::ReadHistory`](crate::effect::Effect::ReadHistory), or didn't.
+    HistoryRead {
+        /// The store's era, if the answer states it.
+        era: Option<u64>,
+        /// What it answered.
+        answer: HistoryAnswer,
+    },
     /// The store has no change of a topic with this revision, although a peer reported it.
     RevisionNotFound {
         /// The topic.
@@ -184,6 +191,17 @@
     }
 }
 
+/// The store's answer to a read of old changes of the list of endpoints.
+#[derive(Clone, PartialEq, Debug)]
+pub enum HistoryAnswer {
+    /// All changes after the revision, those of one instance in their order.
+    Changes(Vec<ListChange>),
+    /// The store no longer has them.
+    Gone,
+    /// The store could not be reached, or returned an invalid answer or an error.
+    Failed,
+}
+
 /// Whether an endpoint answered a probe.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Liveness {
--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -49,6 +49,8 @@
     Poll,
     /// The topic is watched.
     Watch,
+    /// Changes from before this daemon's start are searched for.
+    History,
 }
 
 impl ReadReason {
@@ -61,6 +63,7 @@
             ReadReason::Change => "news",
             ReadReason::Poll => "look",
             ReadReason::Watch => "watch",
+            ReadReason::History => "history",
         }
     }
 }
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -17,6 +17,7 @@
 mod freshness;
 mod gossip;
 mod gossip_send;
+mod history;
 mod next_step;
 mod origin;
 mod outcome;
@@ -83,6 +84,7 @@
         }
         Event::RoutesReadFailed => endpoints::handle_read_failure(&mut ctx, Topic::Routes),
         Event::EndpointsReadFailed => endpoints::handle_read_failure(&mut ctx, Topic::Endpoints),
+        Event::HistoryRead { era, answer } => history::handle(&mut ctx, era, answer),
         Event::RevisionNotFound { topic, revision } => {
             gossip::handle_missing_revision(&mut ctx, topic, revision);
         }
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -10,7 +10,7 @@
 
 use basilbank_wire::{LoadGossip, OriginQuery, StreamOrigin};
 
-use super::{Context, finish, step};
+use super::{Context, finish, history, step};
 use crate::{
     call::{RequestId, StreamId},
     endpoint::SoftwareVersion,
@@ -33,7 +33,7 @@
 const RESEND_AFTER: Duration = Duration::from_millis(25);
 
 /// Time that a call waits for answers.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Maximum number of streams in one datagram.
 const MAX_PER_DATAGRAM: usize = 64;
@@ -51,6 +51,10 @@
             false
         }
         OriginStage::Asked { .. } => false,
+        OriginStage::Reading { until } => {
+            let is_over = until <= ctx.now || !ctx.state.history.is_open();
+            is_over && conclude_unknown(ctx, id)
+        }
     }
 }
 
@@ -82,6 +86,7 @@
     ctx.set_timer(id, resend_at);
     ctx.set_timer(id, until);
     ask(ctx, id, stream, peers);
+    history::begin(ctx);
     false
 }
 
@@ -135,16 +140,20 @@
 
 /// Decides about a call whose stream nobody knows.
 ///
-/// A peer that has seen one version for long says so. Where no daemon has run for that long, only the
-/// endpoints can show that no other version has served lately: by their start times, if none is new.
+/// A peer that has seen one version for long says so. Where no daemon has run for that long, the store
+/// says which versions have served lately, and the endpoints' start times whether one was replaced.
 fn conclude_unknown(ctx: &mut Context<'_>, id: RequestId) -> bool {
+    let is_remembered = ctx.state.remembers_versions(ctx.now);
+    let Some(request) = ctx.state.requests.get(&id) else { return false };
+    if request.inferred.is_empty() && !is_remembered && history::awaits(ctx, id) {
+        return false;
+    }
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     let version = match request.inferred[..] {
-        [] if !ctx.state.remembers_versions(ctx.now) => {
-            version_by_starts(ctx.state, &request.route, ctx.now)
-        }
+        // The store is too slow to wait for.
+        [] if is_remembered || ctx.state.history.is_open() => None,
+        [] => version_by_starts(ctx.state, &request.route, ctx.now),
         [first, ..] => Some(first).filter(|first| request.inferred.iter().all(|v| v == first)),
-        [] => None,
     };
     if version.is_some() {
         return settle(ctx, id, version);
@@ -153,6 +162,21 @@
     false
 }
 
+/// Lets calls go on that wait for the store's answers.
+pub fn conclude_reading(ctx: &mut Context<'_>) {
+    let waits = |id: &RequestId| {
+        let request = ctx.state.requests.get(id);
+        request.is_some_and(|request| matches!(request.origin, OriginStage::Reading { .. }))
+    };
+    let mut waiting: Vec<_> = ctx.state.requests.keys().copied().filter(waits).collect();
+    waiting.sort_unstable();
+    for id in waiting {
+        if conclude_unknown(ctx, id) {
+            step::proceed(ctx, id);
+        }
+    }
+}
+
 /// Returns the version of all endpoints of a route, unless one says that it started since a stream may
 /// have begun that is taken up now. Where starts aren't stated nothing speaks for a second version, and
 /// refusing would lose each stream that a restart of all daemons cuts off.
@@ -161,7 +185,8 @@
     let mut endpoints = route.services().flat_map(|service| state.directory.in_service(service));
     let is_old = |start: Option<u64>| start.is_none_or(|start| start < oldest);
     let are_old = endpoints.all(|(_, endpoint)| is_old(endpoint.info.start_time));
-    state.versions.single(route.services(), now).filter(|_| are_old)
+    let are_known = are_old && !state.versions.has_unknown(now);
+    state.versions.single(route.services(), now).filter(|_| are_known)
 }
 
 /// Pins a stream whose first event has come to its endpoint's version, and tells peers of it if it
@@ -271,7 +296,7 @@
         let request = ctx.state.requests.get(id);
         request.is_some_and(|request| {
             let resumption = request.call.resumption.as_ref();
-            matches!(request.origin, OriginStage::Asked { .. })
+            matches!(request.origin, OriginStage::Asked { .. } | OriginStage::Reading { .. })
                 && resumption.and_then(|resumption| resumption.stream()) == Some(stream)
         })
     };
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -15,6 +15,7 @@
 pub mod freshness;
 pub mod generation;
 pub mod held_back;
+pub mod history;
 pub mod local;
 pub mod origins;
 pub mod owned_quotas;
@@ -58,6 +59,7 @@
     forecast::Forecasts,
     freshness::Freshness,
     generation::GenerationStats,
+    history::History,
     local::{Leaving, Local, SystemStart},
     origins::Origins,
     owned_quotas::OwnedQuotas,
@@ -150,6 +152,8 @@
     pub origins: Origins,
     /// The versions of endpoints' software.
     pub versions: Versions,
+    /// What the store has said of the time before this daemon's start.
+    pub history: History,
     /// Calls that are not sent to endpoints.
     pub quarantine: Quarantine,
     /// Generation speed of completions by service, as measured by this daemon.
@@ -223,6 +227,7 @@
             common_parts: CommonParts::default(),
             origins: Origins::default(),
             versions: Versions::default(),
+            history: History::default(),
             quarantine: Quarantine::default(),
             freshness: Freshness::default(),
             quotas: Quotas::default(),
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -105,6 +105,11 @@
         /// When the question is sent again, once.
         resend_at: Option<Duration>,
     },
+    /// No peer knows it; the store is asked which versions have served.
+    Reading {
+        /// Until when the store's answers are awaited.
+        until: Duration,
+    },
     /// It is known, or doesn't matter.
     Settled,
 }
--- a/crates/basilbank_forward/src/state/versions.rs
+++ b/crates/basilbank_forward/src/state/versions.rs
@@ -1,7 +1,7 @@
 //! Which versions of their software the endpoints of each service have, and had a moment ago.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::Duration,
 };
 
@@ -15,6 +15,10 @@
     /// When the list of endpoints was first read. Zero if there were no streams before; `None` before it
     /// was read.
     known_since: Option<Duration>,
+    /// Instances that were listed since this daemon started, for as long as a stream may last.
+    seen: HashSet<String>,
+    /// When it was found that an endpoint of an unknown version had gone before this daemon started.
+    unknown_since: Option<Duration>,
     /// The state of the directory that was looked at last.
     generation: u64,
 }
@@ -52,6 +56,12 @@
                 is_recent(*presence, now)
             });
         }
+        if self.are_known_for(STREAM_LIFETIME, now) {
+            self.seen.clear();
+        } else {
+            let listed = directory.listed().map(|(_, endpoint)| endpoint.info.instance.clone());
+            self.seen.extend(listed);
+        }
         let mut has_more = false;
         for (_, endpoint) in directory.listed() {
             let (service, version) = (&endpoint.info.service, endpoint.info.software_version());
@@ -93,6 +103,31 @@
         recent.next().is_none().then_some(first)
     }
 
+    /// Records a version that served before this daemon started, as if its last endpoint had gone now
+    /// unless one is listed.
+    pub fn record_former(&mut self, service: &str, version: SoftwareVersion, now: Duration) {
+        let versions = self.services.entry(service.to_owned()).or_default();
+        versions.entry(version).or_insert(Presence::GoneSince(now));
+    }
+
+    /// Records that an endpoint of an unknown version went before this daemon started.
+    pub fn record_unknown(&mut self, now: Duration) {
+        self.unknown_since = Some(now);
+    }
+
+    /// Returns whether an endpoint of an unknown version has gone since a stream may have begun that is
+    /// taken up now.
+    #[must_use]
+    pub fn has_unknown(&self, now: Duration) -> bool {
+        self.unknown_since.is_some_and(|since| now < since + STREAM_LIFETIME)
+    }
+
+    /// Returns whether an instance was listed since this daemon started.
+    #[must_use]
+    pub fn has_seen(&self, instance: &str) -> bool {
+        self.seen.contains(instance)
+    }
+
     /// Returns whether the versions have been known for this long, or for as long as there are streams.
     #[must_use]
     pub fn are_known_for(&self, time: Duration, now: Duration) -> bool {
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -17,12 +17,18 @@
 };
 
 use basilbank_core::state::Rng;
-use basilbank_forward::prelude::*;
+use basilbank_forward::{prelude::*, state::history::ListChange};
 use basilbank_wire::LoadGossip;
 
 /// A datagram's way to a peer, and an event's to a daemon.
 pub const WAY: Duration = Duration::from_millis(1);
 
+/// A read of the store.
+const STORE: Duration = Duration::from_millis(6);
+
+/// How long the store keeps the list's changes.
+const HISTORY: Duration = Duration::from_secs(20);
+
 /// Milliseconds between a process's end and its next start.
 const RESTART: u64 = 500;
 
@@ -75,6 +81,8 @@
     table: Arc<RouteTable>,
     listed: Vec<EndpointInfo>,
     revision: u64,
+    /// What has changed in the list: when, its revision, and the changes.
+    changes: VecDeque<(Duration, u64, Vec<ListChange>)>,
     loss: f64,
     /// Daemons before this number and the others don't hear each other.
     half: Option<usize>,
@@ -85,6 +93,8 @@
     /// How much later than the others each daemon learns of changes of the list.
     lateness: Vec<Duration>,
     told: Told,
+    /// Reads of the list's history.
+    pub reads: usize,
     pub rng: Rng,
 }
 
@@ -100,12 +110,14 @@
             table: Arc::new(table),
             listed: Vec::new(),
             revision: 1,
+            changes: VecDeque::new(),
             loss: 0.0,
             half: None,
             trust: None,
             words: 0,
             lateness: vec![Duration::ZERO; count],
             told: Told::default(),
+            reads: 0,
             rng: Rng::new(seed),
         };
         for n in 0..count {
@@ -184,6 +196,12 @@
         self.revision += 1;
         self.listed.retain(|info| !gone.contains(&info.instance));
         self.listed.extend(listed.iter().cloned());
+        let updated = listed.iter().map(|info| (info.instance.clone(), Some(info.clone())));
+        let removed = gone.iter().map(|instance| (instance.clone(), None));
+        let changes = updated.chain(removed).collect();
+        // The endpoints of the first list have run for long.
+        let at = if self.changes.is_empty() { Duration::ZERO } else { self.now };
+        self.changes.push_back((at, self.revision, changes));
         let read = Revisions::at(self.revision);
         for daemon in 0..self.len() {
             let (listed, gone) = (listed.to_vec(), gone.to_vec());
@@ -195,6 +213,18 @@
         }
     }
 
+    /// The changes after a revision, unless the store has dropped some of them.
+    fn changes_after(&self, after: u64) -> HistoryAnswer {
+        let is_dropped = |at: Duration| at + HISTORY < self.now;
+        let (dropped, kept): (Vec<_>, Vec<_>) =
+            self.changes.iter().partition(|(at, ..)| is_dropped(*at));
+        if dropped.last().is_some_and(|(_, revision, _)| after < *revision) {
+            return HistoryAnswer::Gone;
+        }
+        let changes = kept.into_iter().filter(|(_, revision, _)| after < *revision);
+        HistoryAnswer::Changes(changes.flat_map(|(.., changes)| changes.clone()).collect())
+    }
+
     /// An event comes to a daemon, unless its process ends before.
     pub fn feed_later(&mut self, daemon: usize, after: Duration, event: Event) {
         let life = self.daemons[daemon].life;
@@ -291,6 +321,11 @@
             match effect {
                 Effect::SendGossip { to, gossip } => self.send(daemon, &to, *gossip),
                 Effect::Log(_) => {}
+                Effect::ReadHistory { after } => {
+                    self.reads += 1;
+                    let answer = self.changes_after(after);
+                    self.feed_later(daemon, STORE, Event::HistoryRead { era: None, answer });
+                }
                 effect => {
                     let effect = Box::new(effect);
                     self.asked.push_back(Step::Asks { daemon, effect });
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -18,6 +18,8 @@
 pub struct Rig {
     pub state: State,
     pub effects: Vec<Effect>,
+    /// What the store still has of the list's changes; without it the store doesn't answer.
+    pub history: Option<HistoryAnswer>,
     now: Duration,
     frozen: Duration,
     revision: u64,
@@ -50,7 +52,9 @@
         let state = State::new(local, Tuning::default());
         let now = Duration::from_secs(100);
         let frozen = Duration::ZERO;
-        let mut rig = Rig { state, effects: Vec::new(), now, frozen, revision: 10, next: 0 };
+        let history = Some(HistoryAnswer::Changes(Vec::new()));
+        let effects = Vec::new();
+        let mut rig = Rig { state, effects, history, now, frozen, revision: 10, next: 0 };
         rig.configure(table(1));
         rig
     }
@@ -76,6 +80,17 @@
         let wall = SystemTime::UNIX_EPOCH + self.now + self.frozen;
         let now = Now { mono: self.now, wall };
         reduce(&mut self.state, now, event, &mut self.effects);
+        self.read_history(now);
+    }
+
+    /// The store answers reads of the list's history at once.
+    fn read_history(&mut self, now: Now) {
+        let Some(answer) = self.history.clone() else { return };
+        let is_read = |effect: &mut Effect| matches!(effect, Effect::ReadHistory { .. });
+        while self.effects.extract_if(.., is_read).count() != 0 {
+            let event = Event::HistoryRead { era: None, answer: answer.clone() };
+            reduce(&mut self.state, now, event, &mut self.effects);
+        }
     }
 
     /// Lets time pass, with ticks when they are due.
--- a/crates/basilbank_forward/tests/forward/version_fleets.rs
+++ b/crates/basilbank_forward/tests/forward/version_fleets.rs
@@ -126,6 +126,19 @@
     }
 }
 
+/// Guards against refusals where there is one version, whose streams all come back after the restart.
+#[test]
+fn streams_of_one_version_go_on_after_all_daemons_died() {
+    for seed in 1..=4 {
+        let load = Load::new(8, Change::Nothing, Trouble::AllAtOnce);
+        let load = Load { versions: 1, ..load };
+        let got = Play::run(load, seed);
+        assert_go_on(&got, &load, seed);
+        assert!(ENOUGH <= got.back_others.calls, "{got:?}");
+        assert_eq!(got.refused.get("stream_unknown"), None, "seed {seed}: {got:?}");
+    }
+}
+
 /// Guards against the version of an attempt without an event, after the stream began at another one.
 #[test]
 fn a_stream_whose_first_attempt_had_no_event_goes_on_where_it_began() {
--- a/crates/basilbank_forward/tests/forward/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/versions/mod.rs
@@ -1,5 +1,6 @@
 //! Streams that go on, at endpoints of several versions of their software.
 
+mod history;
 mod old_views;
 mod one_answer;
 mod one_version;
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -48,7 +48,7 @@
 
 impl Router {
     /// Counts the bytes that a read has sent to the store.
-    fn count_store_request(&self, progress: &Progress) {
+    pub(crate) fn count_store_request(&self, progress: &Progress) {
         if progress.sent() != 0 {
             self.metrics.sent_bytes.count(SentPurpose::Store, 0, progress.sent());
         }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -15,7 +15,7 @@
     net::UdpSocket,
     sync::{Notify, mpsc},
     task::spawn_local,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -25,7 +25,9 @@
     dialect::{Dialect, OutRequest},
     gossip,
     metrics::Metrics,
+    progress::Progress,
     proxy_client::ProxyClient,
+    source::{ReadError, Source},
 };
 
 /// Maximum sleep of the timer.
@@ -37,6 +39,12 @@
 /// Timeout of an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Timeout of a read of old changes of the list: longer than a call waits for all of them.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Maximum size in bytes of old changes of the list: some thousand records.
+const MAX_HISTORY_BYTES: usize = 2 << 20;
+
 /// An effect for one request's task.
 #[derive(Debug)]
 pub enum RequestEffect {
@@ -75,6 +83,8 @@
     /// Notified when a topic's reader has to check for changes.
     reader_wakeups: PerTopic<Notify>,
     socket: OnceCell<Rc<UdpSocket>>,
+    /// Where old changes of the list of endpoints are read.
+    history_source: OnceCell<Source>,
 }
 
 impl fmt::Debug for Router {
@@ -106,6 +116,7 @@
             readers: RefCell::default(),
             reader_wakeups: PerTopic::default(),
             socket: OnceCell::new(),
+            history_source: OnceCell::new(),
         })
     }
 
@@ -117,6 +128,11 @@
         }
     }
 
+    /// Reads old changes of the list of endpoints from this source from now on.
+    pub fn set_history_source(&self, source: Source) {
+        let _ = self.history_source.set(source);
+    }
+
     /// Registers a new request. Returns its id and the receiver of its effects.
     pub fn register(&self) -> (RequestId, mpsc::UnboundedReceiver<RequestEffect>) {
         let id = RequestId(self.next_id.get());
@@ -258,6 +274,7 @@
             }
             Effect::Probe(target) => self.probe(target),
             Effect::Order { target, stage, fence } => self.send_order(target, stage, fence),
+            Effect::ReadHistory { after } => self.read_history(after),
             Effect::SendGossip { to, gossip } => {
                 if let Some(socket) = self.socket.get() {
                     gossip::send(self, socket, &to, &gossip);
@@ -291,6 +308,35 @@
         });
     }
 
+    /// Reads the changes of the list of endpoints after a revision, apart from the topic's reader.
+    fn read_history(self: &Rc<Self>, after: u64) {
+        let router = Rc::clone(self);
+        spawn_local(async move {
+            let Some(source) = router.history_source.get() else {
+                let answer = HistoryAnswer::Failed;
+                return router.dispatch(Event::HistoryRead { era: None, answer });
+            };
+            router.metrics.count_store_read(Topic::Endpoints, ReadReason::History);
+            let progress = Progress::default();
+            let query = Query {
+                scope: Scope::Changes { after, wait: Duration::ZERO },
+                reason: ReadReason::History,
+                connect_timeout: HISTORY_TIMEOUT,
+                max_bytes: MAX_HISTORY_BYTES,
+            };
+            let read = timeout(HISTORY_TIMEOUT, source(query, progress.clone())).await;
+            router.count_store_request(&progress);
+            let (name, answer) = match read {
+                Ok(Ok(reading)) => ("read", HistoryAnswer::Changes(reading.into_list_changes())),
+                Ok(Err(ReadError::HistoryGone)) => ("history_gone", HistoryAnswer::Gone),
+                Ok(Err(error)) => (error.as_str(), HistoryAnswer::Failed),
+                Err(_) => ("failed", HistoryAnswer::Failed),
+            };
+            router.metrics.count_store_call(name);
+            router.dispatch(Event::HistoryRead { era: progress.era(), answer });
+        });
+    }
+
     fn probe(self: &Rc<Self>, target: Target) {
         let router = Rc::clone(self);
         spawn_local(async move {
--- a/crates/basilbank_gateway/src/source.rs
+++ b/crates/basilbank_gateway/src/source.rs
@@ -17,6 +17,9 @@
     pub endpoints: Vec<EndpointInfo>,
     /// Instances whose records were removed.
     pub removed: Vec<String>,
+    /// Records and removals that a later change of the same instance in this answer replaced, in
+    /// their order.
+    pub replaced: Vec<(String, Option<EndpointInfo>)>,
     /// Records that were left out.
     pub unusable: Vec<UnusableRecord>,
     /// Names of fields that nothing reads.
@@ -39,6 +42,14 @@
         self.unusable.extend(page.unusable);
         self.next_page = page.next_page;
     }
+
+    /// Returns all changes of the list of endpoints, those of one instance in their order.
+    #[must_use]
+    pub fn into_list_changes(self) -> Vec<(String, Option<EndpointInfo>)> {
+        let records = self.endpoints.into_iter().map(|info| (info.instance.clone(), Some(info)));
+        let removed = self.removed.into_iter().map(|instance| (instance, None));
+        self.replaced.into_iter().chain(records).chain(removed).collect()
+    }
 }
 
 /// Why a read failed.
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -84,6 +84,8 @@
     /// Time that each of their decisions takes on top.
     decision_time: Duration,
     retry_slack: u32,
+    /// Whether daemons that start now are told that the whole system has run before.
+    is_restart: bool,
 }
 
 impl World {
@@ -116,6 +118,7 @@
             port,
             decision_time,
             retry_slack,
+            is_restart: false,
         };
         for n in 0..spec.plain {
             world.add_plain(EndpointSpec::plain(&format!("plain-{n}")))?;
@@ -214,6 +217,15 @@
         self.add_daemon(self.store.address())
     }
 
+    /// Starts one more daemon, as after a restart of the whole system, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_restarted(&mut self) -> anyhow::Result<()> {
+        self.is_restart = true;
+        self.add_daemon(self.store.address())
+    }
+
     /// Starts one more daemon that reaches the store over a narrow link, and waits until it is ready.
     ///
     /// # Errors
@@ -283,12 +295,13 @@
         let (callers, ready) = (free_address()?, free_address()?);
         let text = format!(
             "node = \"vm-{n}\"\nzone = \"hall-a\"\nip = \"127.0.0.{last}\"\nportRange = [{port}, {port}]\n\
-             seeds = [\"{control}\"]\nbootstrap = true\n[listen]\nfront = \"{callers}\"\n\
+             seeds = [\"{control}\"]\nbootstrap = {first_start}\n[listen]\nfront = \"{callers}\"\n\
              ready = \"{ready}\"\ncontrol = \"{own}\"\n[platform]\naddr = \"{store}\"\n\
              [bounds]\ngraceS = 8\nretryRatio = 0.2\nretrySlack = {slack}\nretryWindowS = 10\n",
             n = self.daemons.len(),
             last = self.daemons.len() + 1,
             slack = self.retry_slack,
+            first_start = !self.is_restart,
         );
         static FILES: AtomicU32 = AtomicU32::new(0);
         let number = FILES.fetch_add(1, Ordering::Relaxed);
--- a/crates/basilbank_standin/tests/managed/take_ups.rs
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -6,7 +6,7 @@
 };
 
 use basilbank_standin::managed::{
-    Answer, EndpointSpec, Weather, World, WorldSpec, call, event_text,
+    Answer, EndpointSpec, WRITER, Weather, World, WorldSpec, call, event_text, key,
 };
 use test_case::test_case;
 
@@ -23,16 +23,20 @@
 
 /// Three daemons before a prefill and two decode endpoints of each version.
 fn world() -> World {
+    world_of(&VERSIONS)
+}
+
+fn world_of(versions: &[&'static str]) -> World {
     let spec = WorldSpec { daemons: 3, plain: 1, prefill: 0, decode: 0, ..WorldSpec::default() };
     let mut world = World::start(&spec).expect("a world");
-    for version in VERSIONS {
+    for version in versions.iter().copied() {
         for (name, stage) in [("p", "prefill"), ("a", "decode"), ("b", "decode")] {
             let spec = EndpointSpec::model(&format!("{version}-{name}"), stage);
             world.add_model(EndpointSpec { version, ..spec }).expect("an endpoint");
         }
     }
     let streams = |to, n: usize| whole(to, &format!("w{n}")).status == 200;
-    eventually("all daemons have both versions", || {
+    eventually("all daemons have all versions", || {
         (0..3).all(|daemon| (0..4).all(|n| streams(world.callers(daemon), 10 * daemon + n)))
     });
     world
@@ -118,6 +122,49 @@
     }
 }
 
+/// Replaces all daemons with one that remembers nothing, before endpoints that have run for long.
+fn replace_daemons(world: &mut World) {
+    (0..3).for_each(|daemon| world.terminate(daemon));
+    (0..3).for_each(|daemon| world.wait_ended(daemon).expect("its end"));
+    for endpoint in &world.model {
+        let mut entry = endpoint.entry(WRITER, "ready");
+        entry["born"] = 1.into();
+        if entry["version"] != "v1" || world.model.len() == 3 {
+            world.store.put(&key(endpoint.instance()), &entry);
+        }
+    }
+    world.add_restarted().expect("a daemon");
+}
+
+/// Guards against a version that is forgotten as it went before all daemons ended.
+#[test]
+fn a_version_that_went_before_all_daemons_ended_is_remembered() {
+    let mut world = world();
+    let began: Vec<_> = (0..STREAMS).map(|n| begin(world.callers(0), &format!("s{n}"))).collect();
+    ["p", "a", "b"].iter().for_each(|name| world.unlist(&format!("v1-{name}")));
+    replace_daemons(&mut world);
+    eventually("it serves", || whole(world.callers(3), "w").status == 200);
+    for (n, began_at) in began.iter().enumerate() {
+        let answer = take_up(world.callers(3), &format!("t{n}"), &format!("s{n}"));
+        assert_eq!(answer.status, 503, "{began_at}: {}", answer.text());
+    }
+}
+
+/// Guards against refusals where there was one version before all daemons ended.
+#[test]
+fn streams_go_on_after_all_daemons_ended_beside_one_version() {
+    let mut world = world_of(&["v1"]);
+    for n in 0..STREAMS {
+        assert_eq!(begin(world.callers(0), &format!("s{n}")), "v1");
+    }
+    replace_daemons(&mut world);
+    eventually("it serves", || whole(world.callers(3), "w").status == 200);
+    for n in 0..STREAMS {
+        let answer = take_up(world.callers(3), &format!("t{n}"), &format!("s{n}"));
+        assert_eq!((answer.status, answer.text()), (200, rest_of("v1")));
+    }
+}
+
 /// Guards against another version where a peer makes the calls.
 #[test]
 fn a_stream_goes_on_at_its_version_by_a_peer() {
