A large fleet that falls into two halves keeps teams within their quotas

Cause: a peer counted as in contact for two heartbeats, up to 6 s, while the other half had an owner of its own; and after that each half gave out a tenth more than its part, which was meant for the callers of single daemons.

Change: for a quota a peer counts until its next heartbeat is 0.2 s late. While not more than a tenth of the fleet is missing, heartbeats were lost, and the whole quota is given out; otherwise the part in contact, with a margin that falls with the root of the number of daemons, over which callers are distributed the more evenly the more there are.

All of quotas:: passes, its bounds as they were.

--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -333,7 +333,16 @@
     /// relays doesn't show that the path between the two works, and not all of its datagrams are
     /// direct.
     pub(crate) fn is_in_contact(&self, peer: &Peer, now: Duration) -> bool {
-        let timeout = |interval: Duration| interval.mul_f64(CONTACT_HEARTBEATS) + CONTACT_MARGIN;
+        self.is_in_contact_within(peer, now, CONTACT_HEARTBEATS)
+    }
+
+    /// Returns the number of peers whose last heartbeat was heard.
+    pub(crate) fn count_on_time(&self, now: Duration) -> usize {
+        self.known.values().filter(|peer| self.is_in_contact_within(peer, now, 1.0)).count()
+    }
+
+    fn is_in_contact_within(&self, peer: &Peer, now: Duration, heartbeats: f64) -> bool {
+        let timeout = |interval: Duration| interval.mul_f64(heartbeats) + CONTACT_MARGIN;
         let heartbeat = self.heartbeat_interval();
         now < peer.last_seen + timeout(heartbeat)
             && now < peer.last_direct + timeout(DIRECT_INTERVAL + heartbeat)
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -344,15 +344,27 @@
             self.quotas.avoids_any_owner(now) && self.remote_owner(team.0, |_| true).is_some();
         let is_unsettled =
             self.quotas.is_unsettled(now) || self.restarted_within(AVOID_OWNER_TIME, now);
-        let daemons = match stands_in || is_unsettled {
-            _ if self.peers.is_isolated(now) => 1,
-            true => self.owned_quotas.active_daemons(team, now) + 1,
-            false => self.peers.count_in_contact(now) + 1,
+        let share = self.quota_share(now);
+        let fraction = match stands_in || is_unsettled {
+            _ if self.peers.is_isolated(now) => share,
+            true => share * (self.owned_quotas.active_daemons(team, now) + 1) as f64,
+            false => self.fleet_fraction(now),
         };
-        let fraction = daemons as f64 * self.quota_share(now);
         Some(Allowance { quota, fraction: fraction.min(1.0) })
     }
 
+    /// Returns the fraction of a quota that the daemons in contact may use. A few are missing because
+    /// a heartbeat was lost, many because of a cut, whose other side may count the quota as well.
+    /// Callers are the more evenly distributed the more daemons there are.
+    fn fleet_fraction(&self, now: Duration) -> f64 {
+        let daemons = (self.peers.count_on_time(now) + 1) as f64;
+        let fraction = daemons / self.fleet_size(now).max(1) as f64;
+        if 1.0 <= fraction * SHARE_MARGIN {
+            return 1.0;
+        }
+        fraction * (1.0 + (SHARE_MARGIN - 1.0) / daemons.sqrt())
+    }
+
     /// Returns the fraction of a quota that this daemon may use if the owner doesn't answer.
     fn quota_share(&self, now: Duration) -> f64 {
         (SHARE_MARGIN / self.fleet_size(now).max(1) as f64).min(1.0)
