Silent streams are counted as they come and go, not at each look

Callers saw: processor time that grew with the square of the silent streams: each of them is looked at ten times a second, and each look went through all requests of the daemon for those that are about to take over.

Change: State::takeovers keeps their number by service; each change that it depends on updates it. When a stream is taken over or waits is unchanged.

--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -56,6 +56,7 @@
 pub fn release_hold_at(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     if let Some(hold) = request.completion.hold.take_if(|hold| hold.endpoint == live.endpoint) {
+        ctx.state.update_takeover(id);
         release_hold(ctx, &hold);
     }
 }
@@ -64,6 +65,7 @@
 pub fn release_prepared_hold(ctx: &mut Context<'_>, id: RequestId) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     if let Some(hold) = request.completion.hold.take_if(|hold| hold.usage.is_some()) {
+        ctx.state.update_takeover(id);
         release_hold(ctx, &hold);
     }
 }
@@ -80,6 +82,7 @@
     let is_unusable =
         |hold: &mut Hold| directory.get(hold.endpoint).is_none_or(|e| !e.accepts_work(now));
     if let Some(hold) = request.completion.hold.take_if(is_unusable) {
+        ctx.state.update_takeover(id);
         release_hold(ctx, &hold);
         ctx.log_request(id, LogLine::new("hold_dropped").with("hold", &hold.name));
     }
@@ -101,6 +104,7 @@
 fn end_request(ctx: &mut Context<'_>, id: RequestId, outcome: &'static str) {
     silence::record_request_end(ctx, id, outcome);
     let Some(mut request) = ctx.state.requests.remove(&id) else { return };
+    ctx.state.update_takeover(id);
     ctx.state.cancel_timers(id, &request.timers);
     ctx.state.peers.changed |= ctx.state.waiting.contains(&id);
     ctx.state.permit_holder.waiting.retain(|other| *other != id);
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -43,6 +43,7 @@
             | Outcome::TimedOut
     );
     request.awaits_successor &= !(live.is_run() && may_have_run);
+    ctx.state.update_takeover(id);
     update_endpoint(ctx, &live, &outcome);
     log_outcome(ctx, id, &live, &outcome);
     if live.silent_since.is_some() {
@@ -193,6 +194,7 @@
         request.completion.hold_attempts = 0;
         request.completion.hold =
             Some(Hold { endpoint: live.endpoint, name, usage: Some(live.usage) });
+        ctx.state.update_takeover(id);
     } else {
         // The hold belonged to the endpoint's former start, or can't be told apart from such a
         // hold.
@@ -235,6 +237,7 @@
     if let Some(live) = request.active_attempts.iter_mut().find(|live| live.number == number) {
         live.usage = ctx.state.directory.start_generation(live.endpoint, live.usage, ctx.now);
     }
+    ctx.state.update_takeover(id);
     ctx.push(Effect::Deliver { request: id, attempt: number });
     if is_last {
         ctx.push(Effect::DropBody(id));
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -217,12 +217,14 @@
     state.roles.ordered.remove(&key);
     state.directory.end_incarnation(key);
     let mut holds = Vec::new();
-    for request in state.requests.values_mut() {
+    for (id, request) in &mut state.requests {
         let completion = &mut request.completion;
-        holds.extend(completion.hold.take_if(|hold| hold.endpoint == key));
+        let lost = completion.hold.take_if(|hold| hold.endpoint == key);
+        holds.extend(lost.map(|hold| (*id, hold)));
         completion.kv.take_if(|kv| kv.endpoint == key);
     }
-    for hold in holds {
+    for (id, hold) in holds {
+        state.update_takeover(id);
         remove_hold_usage(state, &hold);
     }
 }
--- a/crates/basilbank_forward/src/reduce/silence.rs
+++ b/crates/basilbank_forward/src/reduce/silence.rs
@@ -35,6 +35,7 @@
     let live = *live;
     if is_first {
         forget_used_hold(request);
+        ctx.state.update_takeover(id);
         log_silence(ctx, id, &live, silent_for);
         crash::handle_broken_attempt(ctx, id, &live);
     }
@@ -52,6 +53,7 @@
     let silent = *live;
     live.silent_since = None;
     request.resume_at = None;
+    ctx.state.update_takeover(id);
     ctx.state.waiting.retain(|other| *other != id);
     ctx.state.permit_holder.waiting.retain(|other| *other != id);
     log_end(ctx, id, &silent, "resumed");
@@ -75,6 +77,7 @@
     if *outcome == Outcome::Streaming {
         let answered = request.active_attempts.iter_mut().find(|other| other.number == live.number);
         answered.into_iter().for_each(|answered| answered.silent_since = None);
+        ctx.state.update_takeover(id);
         ctx.state.waiting.retain(|other| *other != id);
         finish::release_prepared_hold(ctx, id);
     }
@@ -143,6 +146,7 @@
             request.last_failure = Some(Refusal::Broken);
         }
     }
+    ctx.state.update_takeover(id);
     for live in &silent {
         ctx.push(Effect::Stop { request: id, attempt: live.number });
         remove_usage(ctx.state, live.endpoint, live.usage);
@@ -207,10 +211,7 @@
             return false;
         }
         let service = request.service.clone();
-        let is_prepared = |(other, request): &(&RequestId, &Request)| {
-            **other != id && request.service == service && request.prepares_takeover()
-        };
-        let prepared = self.requests.iter().filter(is_prepared).count();
+        let prepared = self.count_other_takeovers(&service, id);
         let daemons = self.slack_sharers(now);
         let budget = self.retry_budgets.entry(service).or_default();
         prepared as f64 + 1.0 <= budget.available(now, &self.tuning, daemons)
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -225,6 +225,8 @@
         silent_since: None,
     };
     request.active_attempts.push(live);
+    ctx.state.update_takeover(id);
+    let Some(request) = ctx.state.requests.get(&id) else { return };
     let remaining = request.remaining(ctx.now);
     let has_attempts_left = request.counted_attempts < request.route.max_attempts;
     let stall_timeout =
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -34,6 +34,7 @@
 pub mod roles;
 pub mod statements;
 pub mod suspects;
+pub mod takeovers;
 pub mod usage;
 pub mod versions;
 pub mod watchers;
@@ -74,6 +75,7 @@
     roles::{OrderRight, Roles},
     statements::Statements,
     suspects::Suspects,
+    takeovers::Takeovers,
     usage::{Growth, Usage},
     versions::Versions,
     watchers::FollowState,
@@ -122,6 +124,8 @@
     pub records: EndpointRecords,
     /// Calls in progress.
     pub requests: HashMap<RequestId, Request>,
+    /// Those of them that are about to take over from an attempt at a silent endpoint.
+    pub takeovers: Takeovers,
     /// Retry budgets by service.
     pub retry_budgets: HashMap<String, RetryBudget>,
     /// The other daemons.
@@ -212,6 +216,7 @@
             directory: Directory::default(),
             records: EndpointRecords::default(),
             requests: HashMap::new(),
+            takeovers: Takeovers::default(),
             retry_budgets: HashMap::new(),
             peers,
             suspects: Suspects::default(),
