Calls that wait at one endpoint share its liveness requests

Callers saw: each silent stream asked its endpoint for a sign of life by itself, each 0.9 s, over a connection that was closed after it. 800 streams at endpoints that rest asked some 890 times a second.

Change: Router::is_alive joins the request that is under way to the endpoint, or begins one that others can join, and none begins within 50 ms after an answer. An earlier request counts for a later call only if it is answered, so each call that is told of a silence has had its own 250 ms; only after an answer less than 50 ms old it is told up to 50 ms later. The request is a task of its own, as the call that began it may get an answer first.

--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -156,7 +156,7 @@
                 Err(_) if end <= Instant::now() => return Err(CallError::Silent),
                 Err(_) => {}
             }
-            let is_alive = self.is_alive(target, liveness_request());
+            let is_alive = self.is_alive(target, &liveness_request);
             let is_alive = tokio::select! {
                 biased;
                 answer = &mut call => return answer,
@@ -168,16 +168,6 @@
         }
     }
 
-    /// Returns whether the endpoint answers a liveness request successfully. One that wants a pause
-    /// is not asked, and counts as alive.
-    pub async fn is_alive(self: &Rc<Self>, target: &Target, request: OutRequest) -> bool {
-        let call = EndpointCall::own(target, request, LIVENESS_TIMEOUT, Purpose::Probe);
-        match self.call_endpoint(call).await {
-            Ok((response, _)) => response.status().is_success(),
-            Err(error) => error == CallError::Withheld,
-        }
-    }
-
     /// Counts the bytes of a message about a call that a daemon makes for another one. A peer that
     /// has connected has another port than it has for datagrams.
     pub fn count_proxied(&self, peer: SocketAddr, bytes: usize) {
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod gateway;
 mod gossip;
 pub mod intake;
+mod liveness;
 mod metrics;
 mod peer_stream;
 mod progress;
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -184,7 +184,8 @@
         if let Ok(frame) = timeout(stall_timeout, body.frame()).await {
             break frame;
         }
-        let is_alive = router.is_alive(target, (router.dialect.liveness_request)(&target.instance));
+        let request = || (router.dialect.liveness_request)(&target.instance);
+        let is_alive = router.is_alive(target, request);
         let is_alive = tokio::select! {
             biased;
             frame = body.frame() => break frame,
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -24,6 +24,7 @@
     connections::{CallError, ConnectionPool},
     dialect::{Dialect, OutRequest},
     gossip,
+    liveness::LivenessChecks,
     metrics::Metrics,
     proxy_client::ProxyClient,
 };
@@ -60,6 +61,8 @@
     pub dialect: Dialect,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
+    /// Liveness requests on behalf of calls that wait.
+    pub(crate) liveness: LivenessChecks,
     /// Connections to peers that call endpoints for this daemon.
     pub proxy_client: ProxyClient,
     /// Bound on the memory that request bodies take.
@@ -95,6 +98,7 @@
         Rc::new(Router {
             dialect,
             connections: ConnectionPool::default(),
+            liveness: LivenessChecks::default(),
             proxy_client: ProxyClient::default(),
             bodies: BodyBudget::default(),
             metrics,
