A silence between an answer's head and its body gives up no answer

Callers saw: 502 for a plain call that may run once whose endpoint sent the head of its answer and then nothing for the answer timeout, though it would have gone on; a prefill in that state was given up and its prompt read a second time. The timeout was on the whole body, so one that came slowly was given up as well.

Change: bodies of plain answers and prefills are read as streams are: a silence is reported to the reducer, which decides whether the call may go on elsewhere, and the attempt goes on until it is stopped; the deadline does so at the latest. A slot's answer keeps its timeout: nothing of the call has run, and another slot is asked for.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 };
 
 use basilbank_forward::{effect::Target, prelude::*};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Response, StatusCode,
@@ -22,6 +22,7 @@
     endpoint_body::EndpointBody,
     endpoint_calls::EndpointCall,
     framing::Framing,
+    relay::{StreamProgress, next_frame},
     router::Router,
 };
 
@@ -178,7 +179,8 @@
             AttemptResult::without_answer(Outcome::NotRun(why))
         }
         AnswerKind::Control => {
-            read_control_answer(&router, &attempt, &head, body, connection).await
+            let body = read_answer_body(&router, &caller_request, &attempt, body).await;
+            read_control_answer(&router, &attempt, &head, body, connection)
         }
         AnswerKind::Forward if is_streaming(&attempt.op) && head.status().is_success() => {
             let keep_alive = parse_keep_alive(head.headers());
@@ -201,7 +203,10 @@
             let pending = Some(PendingAnswer::Stream(Box::new(stream)));
             AttemptResult { outcome: Outcome::Streaming, pending }
         }
-        AnswerKind::Forward => read_full_answer(&router, &attempt, head, body, connection).await,
+        AnswerKind::Forward => {
+            let body = read_answer_body(&router, &caller_request, &attempt, body).await;
+            read_full_answer(&router, &attempt, head, body, connection)
+        }
     }
 }
 
@@ -236,15 +241,54 @@
     Ok(head.status())
 }
 
-async fn read_control_answer(
+/// Reads the body of an answer that is not a stream to its end before it is forwarded, so that one that
+/// breaks off doesn't look complete; `None` if it does. A silent endpoint may go on, so it is waited for
+/// until the attempt is stopped. Only a slot that is held is not worth it.
+async fn read_answer_body(
+    router: &Rc<Router>,
+    caller_request: &CallerRequest,
+    attempt: &Attempt,
+    mut body: EndpointBody,
+) -> Option<Bytes> {
+    let max_bytes = match attempt.op {
+        Op::Hold { .. } => {
+            return collect_body(body, MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout).await;
+        }
+        Op::Prefill => MAX_CONTROL_ANSWER_BYTES,
+        Op::Plain | Op::Stream { .. } | Op::Decode { .. } => MAX_ANSWER_BYTES,
+    };
+    let (request, number) = (caller_request.call.id, attempt.number);
+    let on_progress = |progress| match progress {
+        StreamProgress::Silent(silent_for) => {
+            router.dispatch(Event::AttemptSilent { request, attempt: number, silent_for });
+        }
+        StreamProgress::Resumed => {
+            router.dispatch(Event::AttemptResumed { request, attempt: number });
+        }
+        StreamProgress::FirstEvent | StreamProgress::WroteOn => {}
+    };
+    let stall_timeout = Some(attempt.answer_timeout);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) =
+        next_frame(router, &attempt.target, &mut body, stall_timeout, &on_progress).await
+    {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        if max_bytes < bytes.len() + data.len() {
+            return None;
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Some(bytes.freeze())
+}
+
+fn read_control_answer(
     router: &Router,
     attempt: &Attempt,
     head: &Response<()>,
-    body: EndpointBody,
+    body: Option<Bytes>,
     connection: Option<Connection>,
 ) -> AttemptResult {
-    let Some(bytes) = collect_body(body, MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout).await
-    else {
+    let Some(bytes) = body else {
         return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
     };
     if let Some(keep_alive) = parse_keep_alive(head.headers()) {
@@ -254,16 +298,14 @@
     AttemptResult::without_answer(outcome.unwrap_or(Outcome::Broken(Damage::Garbled)))
 }
 
-async fn read_full_answer(
+fn read_full_answer(
     router: &Router,
     attempt: &Attempt,
     head: Response<()>,
-    body: EndpointBody,
+    body: Option<Bytes>,
     connection: Option<Connection>,
 ) -> AttemptResult {
-    // The body is read to its end before it is forwarded, so that one that breaks off doesn't look
-    // complete.
-    let Some(bytes) = collect_body(body, MAX_ANSWER_BYTES, attempt.answer_timeout).await else {
+    let Some(bytes) = body else {
         return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
     };
     if let Some(keep_alive) = parse_keep_alive(head.headers()) {
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -37,7 +37,7 @@
 mod status_listener;
 mod unusable;
 
-pub use attempt::{parse_keep_alive, strip_hop_by_hop};
+pub use attempt::{AttemptResult, CallerRequest, parse_keep_alive, run_attempt, strip_hop_by_hop};
 pub use basilbank::clock::SystemClock;
 pub use connections::{CallError, Connection, ConnectionPool};
 pub use dialect::{AnswerKind, Dialect, InvalidCall, OutRequest};
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -169,8 +169,9 @@
     }
 }
 
-/// Returns the next frame, or an error if the stream breaks off.
-async fn next_frame(
+/// Returns the next frame, or an error if the body breaks off. A silent endpoint is reported, and
+/// waited for.
+pub async fn next_frame(
     router: &Rc<Router>,
     target: &Target,
     body: &mut EndpointBody,
@@ -202,5 +203,6 @@
     frame.map(|frame| frame.map_err(|_| StreamBroken))
 }
 
-/// The stream broke off.
-struct StreamBroken;
+/// The body broke off.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamBroken;
