--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -169,8 +169,9 @@
     }
 }
 
-/// Returns the next frame, or an error if the stream breaks off.
-async fn next_frame(
+/// Returns the next frame, or an error if the body breaks off. A silent endpoint is reported, and
+/// waited for.
+pub async fn next_frame(
     router: &Rc<Router>,
     target: &Target,
     body: &mut EndpointBody,
@@ -184,7 +185,8 @@
         if let Ok(frame) = timeout(stall_timeout, body.frame()).await {
             break frame;
         }
-        let is_alive = router.is_alive(target, (router.dialect.liveness_request)(&target.instance));
+        let request = || (router.dialect.liveness_request)(&target.instance);
+        let is_alive = router.is_alive(target, request);
         let is_alive = tokio::select! {
             biased;
             frame = body.frame() => break frame,
@@ -201,5 +203,6 @@
     frame.map(|frame| frame.map_err(|_| StreamBroken))
 }
 
-/// The stream broke off.
-struct StreamBroken;
+/// The body broke off.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamBroken;
