Soak: cut off daemons are compared only while another can make their calls

The check compared calls at cut daemons with calls that others had served before. Calls at a daemon that is cut off count now only while some daemon that isn't has run in touch. Six rows of a test, four of which must be found or must not as before; the two for a killed and a cut other daemon failed before the change.

--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -295,7 +295,8 @@
         }
     }
 
-    /// Callers at daemons that are cut off from endpoints are served nearly as often as others.
+    /// Callers at daemons that are cut off from endpoints are served nearly as often as others, while a daemon
+    /// that isn't cut off is there to make their calls.
     fn cut_off(&self, findings: &mut Vec<String>) {
         let is_cut = |record: &Record, after: Duration| {
             self.spans.iter().any(|span| {
@@ -315,6 +316,7 @@
                 !matches!(record.kind, Kind::Left | Kind::Deadly | Kind::DeadlyPart | Kind::Crowd)
                     && record.seen != Seen::Left
                     && record.resumed.is_none();
+            let is_meant = is_meant && self.has_path(record);
             if !is_meant || !in_cut(record.begun) || !self.in_touch(&record.id, record.begun) {
                 continue;
             }
@@ -334,6 +336,22 @@
         }
     }
 
+    /// The daemon of a call could reach the endpoints as the call came, by itself or by one in touch.
+    fn has_path(&self, record: &Record) -> bool {
+        let is_cut = |daemon: usize| {
+            self.spans.iter().any(|span| {
+                span.daemon == daemon
+                    && span.trouble == Trouble::NoPaths
+                    && span.from <= record.begun
+                    && span.to.is_none_or(|to| record.begun < to)
+            })
+        };
+        let is_there = |daemon: usize| {
+            !is_cut(daemon) && !self.was_stopped(daemon, record.begun - CONTACT, record.begun)
+        };
+        !is_cut(record.daemon) || self.records.values().any(|other| is_there(other.daemon))
+    }
+
     /// The daemon was killed or stood still between two moments.
     fn was_stopped(&self, daemon: usize, from: Instant, to: Instant) -> bool {
         self.spans.iter().any(|span| {
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -286,6 +286,38 @@
     }
 }
 
+/// Calls at a daemon that is cut off and at one that isn't, of which the first refuses some.
+#[test_case(13, None, 0; "few are refused")]
+#[test_case(14, None, 1; "many are refused")]
+#[test_case(14, Some((Trouble::Down, 3700, 3900)), 0; "after the other daemon was killed")]
+#[test_case(14, Some((Trouble::Down, 0, 500)), 1; "long after the other daemon was killed")]
+#[test_case(14, Some((Trouble::NoStore, 3700, 3900)), 1; "after the other daemon could not read the store")]
+#[test_case(14, Some((Trouble::NoPaths, 3700, 4500)), 0; "while the other daemon is cut off, too")]
+fn calls_at_a_daemon_that_is_cut_off(
+    refused: usize,
+    other: Option<(Trouble, u64, u64)>,
+    found: usize,
+) {
+    let begin = Instant::now();
+    let call = |n: usize| {
+        let seen = if n < refused { Seen::Status(503) } else { Seen::Served };
+        Record { seen, ..record_at(begin, n, 0, 4000) }
+    };
+    let mut records: Vec<_> = (0..40).map(call).collect();
+    records.extend((0..40).map(|n| record_at(begin, 100 + n, 1, 3600)));
+    let at = |ms: u64| begin + Duration::from_millis(ms);
+    let span =
+        |daemon, (trouble, from, to)| Span { daemon, trouble, from: at(from), to: Some(at(to)) };
+    let cut = span(0, (Trouble::NoPaths, 0, 5000));
+    let spans: Vec<_> = other.map(|other| span(1, other)).into_iter().chain([cut]).collect();
+    let served = Served {
+        ran: records.iter().filter(|r| r.seen == Seen::Served).map(run_of).collect(),
+        ..Served::default()
+    };
+    let findings = judge(&records, vec![("e1".to_owned(), served)], &spans);
+    assert_eq!(findings.len(), found, "{findings:?}");
+}
+
 #[test_case(11, true; "what it takes, and a half, and five")]
 #[test_case(12, false; "more")]
 fn calls_to_an_endpoint_with_a_limit(calls: u64, borne: bool) {
