A peer that declines calls to one endpoint is still asked for others

Cause: a daemon rested a peer that declined for 500 ms, whatever the reason. Most reasons are the endpoint's: it wants a pause, leaves, isn't known.

A peer that declined isn't asked to call that endpoint for 500 ms; one that can't be reached isn't asked at all, as before. A peer that is full is asked once for each endpoint in that time.

The new test failed on the code before (no call was started). Now `proxies::` 22 passed; `suspects:: cut_off:: silences::` passed.

--- a/crates/basilbank_forward/src/state/proxies.rs
+++ b/crates/basilbank_forward/src/state/proxies.rs
@@ -14,7 +14,8 @@
 /// Time for which a peer that could not reach an endpoint is not asked to call it.
 const AVOID_PATH: Duration = Duration::from_millis(1000);
 
-/// Time for which a peer that could not be reached, or that declined, is not asked.
+/// Time for which a peer that could not be reached is not asked, and one that declined is not asked to
+/// call that endpoint.
 const AVOID_PEER: Duration = Duration::from_millis(500);
 
 /// Time for which an endpoint that a peer has reached counts as up.
@@ -35,6 +36,8 @@
     broken_paths: BTreeMap<(EndpointKey, SocketAddr), Duration>,
     /// Until when peers are not asked at all.
     resting: BTreeMap<SocketAddr, Duration>,
+    /// Until when peers are not asked to call an endpoint, since they declined: it may want a pause or leave.
+    declined: BTreeMap<(EndpointKey, SocketAddr), Duration>,
     /// When a peer last reached an endpoint for this daemon.
     reached: BTreeMap<EndpointKey, Duration>,
     /// Number of calls that this daemon is making for peers.
@@ -51,9 +54,12 @@
         now: Duration,
     ) {
         match failure {
-            NotProxied::NoPeer | NotProxied::Declined => {
+            NotProxied::NoPeer => {
                 self.resting.insert(peer, now + AVOID_PEER);
             }
+            NotProxied::Declined => {
+                self.declined.insert((key, peer), now + AVOID_PEER);
+            }
             NotProxied::EndpointUnreachable => {
                 self.broken_paths.insert((key, peer), now + AVOID_PATH);
                 self.reached.remove(&key);
@@ -66,6 +72,7 @@
         self.reached.insert(key, now);
         self.broken_paths.retain(|(endpoint, _), _| *endpoint != key);
         self.resting.remove(&peer);
+        self.declined.remove(&(key, peer));
     }
 
     /// Returns whether a peer has recently reached an endpoint for this daemon, and none has failed to
@@ -87,11 +94,13 @@
     pub fn expire(&mut self, now: Duration) {
         self.broken_paths.retain(|_, until| now < *until);
         self.resting.retain(|_, until| now < *until);
+        self.declined.retain(|_, until| now < *until);
         self.reached.retain(|_, at| now < *at + REACHED_FOR);
     }
 
-    fn is_resting(&self, peer: SocketAddr, now: Duration) -> bool {
-        self.resting.get(&peer).is_some_and(|until| now < *until)
+    fn is_resting(&self, key: EndpointKey, peer: SocketAddr, now: Duration) -> bool {
+        let until = [self.resting.get(&peer), self.declined.get(&(key, peer))];
+        until.into_iter().flatten().any(|until| now < *until)
     }
 
     fn is_path_broken(&self, key: EndpointKey, peer: SocketAddr, now: Duration) -> bool {
@@ -124,7 +133,7 @@
             return Reach::Direct;
         }
         let Some(endpoint) = self.directory.get(key) else { return Reach::None };
-        if !self.proxies.is_down(key, now) && self.has_proxy(&endpoint.info.service, now) {
+        if !self.proxies.is_down(key, now) && self.has_proxy(key, &endpoint.info.service, now) {
             return Reach::ByPeer;
         }
         match self.suspects.has_failed_probe(key) {
@@ -147,7 +156,7 @@
     /// daemon. A peer that could not reach the endpoint is picked only if there is no other.
     pub(crate) fn pick_proxy(&mut self, key: EndpointKey, now: Duration) -> Option<SocketAddr> {
         let service = service_hash(&self.directory.get(key)?.info.service);
-        let mut candidates: Vec<_> = self.proxy_candidates(service, now).collect();
+        let mut candidates: Vec<_> = self.proxy_candidates(key, service, now).collect();
         let is_broken = |peer: &SocketAddr| self.proxies.is_path_broken(key, *peer, now);
         if !candidates.iter().all(is_broken) {
             candidates.retain(|peer| !is_broken(peer));
@@ -164,7 +173,8 @@
     /// Returns whether there is a peer that has not failed to reach an endpoint.
     pub(crate) fn has_other_path(&self, key: EndpointKey, now: Duration) -> bool {
         let Some(endpoint) = self.directory.get(key) else { return false };
-        let mut candidates = self.proxy_candidates(service_hash(&endpoint.info.service), now);
+        let service = service_hash(&endpoint.info.service);
+        let mut candidates = self.proxy_candidates(key, service, now);
         candidates.any(|peer| !self.proxies.is_path_broken(key, peer, now))
     }
 
@@ -196,17 +206,22 @@
         self.directory.target(key).ok_or(NotProxied::Declined)
     }
 
-    fn has_proxy(&self, service: &str, now: Duration) -> bool {
-        self.proxy_candidates(service_hash(service), now).next().is_some()
+    fn has_proxy(&self, key: EndpointKey, service: &str, now: Duration) -> bool {
+        self.proxy_candidates(key, service_hash(service), now).next().is_some()
     }
 
-    /// Returns the peers that may call endpoints of a service for this daemon.
-    fn proxy_candidates(&self, service: u32, now: Duration) -> impl Iterator<Item = SocketAddr> {
+    /// Returns the peers that may call an endpoint of a service for this daemon.
+    fn proxy_candidates(
+        &self,
+        key: EndpointKey,
+        service: u32,
+        now: Duration,
+    ) -> impl Iterator<Item = SocketAddr> {
         let reaches = move |address: &SocketAddr| {
             let peer = self.peers.known.get(address);
             let is_usable = |peer: &Peer| !peer.leaving && peer.is_reached(now);
             peer.is_some_and(|peer| is_usable(peer) && !peer.unreached.contains(&service))
-                && !self.proxies.is_resting(*address, now)
+                && !self.proxies.is_resting(key, *address, now)
         };
         self.peers.known.keys().copied().filter(reaches)
     }
--- a/crates/basilbank_forward/tests/forward/proxies.rs
+++ b/crates/basilbank_forward/tests/forward/proxies.rs
@@ -139,6 +139,26 @@
     assert!(rig.delivered());
 }
 
+/// Guards against calls that are refused because peers make none to another endpoint.
+#[test]
+fn peers_that_decline_calls_to_one_endpoint_make_those_to_others() {
+    let mut rig = cut_off();
+    let keys: Vec<_> = rig.state.directory.in_service(DESK).map(|(key, _)| key).collect();
+    for key in keys {
+        rig.feed(Event::Probed { endpoint: key, liveness: Liveness::Unreachable });
+    }
+    let key = rig.state.directory.find("a").expect("listed");
+    for n in PEERS {
+        let failure = Some(NotProxied::Declined);
+        rig.feed(Event::ProbedByPeer { endpoint: key, peer: address(n), failure });
+    }
+    rig.effects.clear();
+    rig.call("/stock/1", 2000, None);
+    let attempt = rig.start();
+    assert_eq!(rig.state.directory.find("b"), Some(attempt.target.endpoint));
+    assert!(attempt.target.via.is_some());
+}
+
 /// Guards against a call that is asked for over and over until its time has passed.
 #[test_case(NotProxied::NoPeer; "no peer")]
 #[test_case(NotProxied::Declined; "declined")]
