A process that began after an answer's connection was made hasn't written it

Cause: the later start is told from the writer by its start time, which was compared with the time at which the head was read. A daemon under load reads a head that came before the restart after it.

Change: the start is compared with the time at which the answer's connection was made. A process that has accepted a connection had begun by then, however late its head is read.

Measured: attempts.rs, a process that begins between the connection and the head: Answered 200 before, Broken now; all tests of basilbank_gateway pass. silent_bodies.rs became attempts.rs, since both kinds of test need the same set-up; its four rows are unchanged and pass.

--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -16,7 +16,8 @@
 };
 
 use crate::{
-    end_proof::{EndProof, HeadTime},
+    connections::Connection,
+    end_proof::{AnswerTimes, EndProof},
     endpoint_body::BodyBroken,
     framing::Framing,
     router::Router,
@@ -47,12 +48,12 @@
 struct Writer {
     router: Rc<Router>,
     target: Target,
-    head: HeadTime,
+    times: AnswerTimes,
 }
 
 impl Writer {
     async fn check(self) -> EndProof {
-        let proof = self.router.check_writer(&self.target, self.head).await;
+        let proof = self.router.check_writer(&self.target, self.times).await;
         self.router.metrics.count_end_check(proof);
         proof
     }
@@ -65,12 +66,13 @@
 }
 
 impl DirectBody {
-    /// Takes the body of an answer of the endpoint.
+    /// Takes the body of an answer that the endpoint sends over the connection.
     #[must_use]
     pub fn take(
         router: &Rc<Router>,
         target: &Target,
         answer: Response<Incoming>,
+        connection: &Connection,
     ) -> Response<DirectBody> {
         // The body of an answer that can't have one is at its end from the start.
         let is_marked =
@@ -78,7 +80,7 @@
         let writer = || Writer {
             router: Rc::clone(router),
             target: target.clone(),
-            head: router.head_time(),
+            times: router.answer_times(connection),
         };
         let end = if is_marked { End::Marked } else { End::Unmarked(writer()) };
         answer.map(|incoming| DirectBody { incoming, end })
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -81,19 +81,24 @@
     Unreachable,
 }
 
-/// When the head of an answer came.
+/// The times of an answer whose writer is to be told from a later process at its address.
 #[derive(Clone, Copy, Debug)]
-pub struct HeadTime {
-    at: Instant,
-    /// The Unix time in milliseconds, to compare with the start of a process.
-    unix_ms: u64,
+pub struct AnswerTimes {
+    /// When its head came.
+    head: Instant,
+    /// When its connection was made, as the Unix time in milliseconds. The writer had begun by then; the
+    /// head may be read late.
+    connected_ms: u64,
 }
 
 impl Router {
-    /// Returns the time of a head that has just come.
+    /// Returns the times of an answer whose head has just come over a connection.
     #[must_use]
-    pub fn head_time(&self) -> HeadTime {
-        HeadTime { at: Instant::now(), unix_ms: self.clock.now().unix_ms() }
+    pub fn answer_times(&self, connection: &Connection) -> AnswerTimes {
+        let head = Instant::now();
+        let age = head.saturating_duration_since(connection.opened_at());
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        AnswerTimes { head, connected_ms: self.clock.now().unix_ms().saturating_sub(age_ms) }
     }
 
     /// Checks whether the process that wrote an answer lives on after it, leaving or not.
@@ -101,15 +106,15 @@
     /// A process that ends closes its connections in the same way as one that has finished its answer.
     /// A process that still answers would have left the connection open until the answer's end. Where
     /// new connections are refused or not answered, it may be there over one that is open.
-    pub async fn check_writer(self: &Rc<Self>, target: &Target, head: HeadTime) -> EndProof {
+    pub async fn check_writer(self: &Rc<Self>, target: &Target, times: AnswerTimes) -> EndProof {
         for number in 0..MAX_ASKED {
             if number != 0 {
                 sleep(ASK_PAUSE).await;
             }
-            match self.ask_anew(target, head).await {
+            match self.ask_anew(target, times).await {
                 Asked::Clear(clear) => return clear,
-                Asked::Refused => return self.ask_over_idle(target, head).await,
-                Asked::Accepted => match self.ask_over_idle(target, head).await {
+                Asked::Refused => return self.ask_over_idle(target, times).await,
+                Asked::Accepted => match self.ask_over_idle(target, times).await {
                     EndProof::Ended => {}
                     clear => return clear,
                 },
@@ -119,9 +124,9 @@
         EndProof::Unreachable
     }
 
-    async fn ask_anew(self: &Rc<Self>, target: &Target, head: HeadTime) -> Asked {
+    async fn ask_anew(self: &Rc<Self>, target: &Target, times: AnswerTimes) -> Asked {
         match Connection::connect_unless_refused(target.addr, LIVENESS_TIMEOUT).await {
-            Ok(connection) => match self.ask(target, connection, head).await {
+            Ok(connection) => match self.ask(target, connection, times).await {
                 Ok(proof) => Asked::Clear(proof),
                 Err(_) => Asked::Accepted,
             },
@@ -132,21 +137,21 @@
 
     /// Asks twice: a process that is ending may close its connections one after the other, and answer
     /// over those that it has not closed yet.
-    async fn ask_over_idle(self: &Rc<Self>, target: &Target, head: HeadTime) -> EndProof {
+    async fn ask_over_idle(self: &Rc<Self>, target: &Target, times: AnswerTimes) -> EndProof {
         let asked = Instant::now();
-        let proof = self.ask_idle_once(target, head).await;
+        let proof = self.ask_idle_once(target, times).await;
         // A connection that was open for that long without an answer needs no second question.
         if proof != EndProof::Process || ASK_PAUSE <= asked.elapsed() {
             return proof;
         }
         sleep(ASK_PAUSE).await;
-        self.ask_idle_once(target, head).await
+        self.ask_idle_once(target, times).await
     }
 
-    async fn ask_idle_once(self: &Rc<Self>, target: &Target, head: HeadTime) -> EndProof {
+    async fn ask_idle_once(self: &Rc<Self>, target: &Target, times: AnswerTimes) -> EndProof {
         while let Some(connection) = self.connections.take_oldest(target.endpoint) {
-            let is_writers = connection.opened_at() < head.at;
-            match self.ask(target, connection, head).await {
+            let is_writers = connection.opened_at() < times.head;
+            match self.ask(target, connection, times).await {
                 Ok(proof) => return proof,
                 // The connection is open, so the process lives.
                 Err(CallError::Silent) if is_writers => return EndProof::Process,
@@ -163,7 +168,7 @@
         self: &Rc<Self>,
         target: &Target,
         mut connection: Connection,
-        head: HeadTime,
+        times: AnswerTimes,
     ) -> Result<EndProof, CallError> {
         if !self.may_send(target, Purpose::Probe) {
             self.connections.keep(target.endpoint, connection, None);
@@ -177,8 +182,8 @@
         let (status, keep_alive) = (answer.status(), parse_keep_alive(answer.headers()));
         let report = read_report(answer).await;
         let started_at = report.as_ref().and_then(|report| (self.dialect.parse_start_time)(report));
-        let is_later =
-            started_at.is_some_and(|at| head.unix_ms < at && !self.is_known_start(target, at));
+        let is_later = started_at
+            .is_some_and(|at| times.connected_ms < at && !self.is_known_start(target, at));
         if status == StatusCode::MISDIRECTED_REQUEST || is_later {
             return Ok(EndProof::Replaced);
         }
@@ -189,7 +194,7 @@
     }
 
     /// Returns whether it is the start that the call was sent to. A later start that had begun before
-    /// the answer is its writer all the same: its record may not have been read yet.
+    /// the connection is the writer all the same: its record may not have been read yet.
     fn is_known_start(&self, target: &Target, started_at: u64) -> bool {
         self.read(|state| {
             let endpoint = state.directory.get(target.endpoint);
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -115,7 +115,7 @@
         }
         let (response, connection) = answer?;
         self.read_statements(target, &response);
-        Ok((DirectBody::take(self, target, response), connection))
+        Ok((DirectBody::take(self, target, response, &connection), connection))
     }
 
     /// Keeps a connection for reuse after its answer was read to the end.
--- a/crates/basilbank_gateway/tests/silent_bodies.rs
+++ b/crates/basilbank_gateway/tests/attempts.rs
@@ -1,8 +1,8 @@
-//! Answers whose endpoint is silent between their head and their body.
+//! Attempts at an endpoint, over sockets.
 
 mod support;
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, future::Future, rc::Rc, sync::Arc, time::Duration};
 
 use basilbank_forward::{effect::Target, prelude::*};
 use basilbank_gateway::{
@@ -25,6 +25,9 @@
 /// Silence of a sound endpoint.
 const SILENCE: Duration = Duration::from_millis(1200);
 
+/// Time until the head of an answer.
+const HEAD_DELAY: Duration = Duration::from_millis(100);
+
 /// Answers the first call in two pieces, and others if it is not silent.
 async fn serve(mut stream: TcpStream, is_first: bool, answers_others: bool) {
     let mut buffer = [0; 4096];
@@ -52,17 +55,50 @@
         Op::Prefill => Outcome::Prefilled { handle: "done".to_owned(), tokens: 1 },
         _ => Outcome::Answered { status: 200 },
     };
+    let outcome = run(op, |listener| async move {
+        let mut is_first = true;
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve(stream, is_first, answers_others));
+            is_first = false;
+        }
+    });
+    assert_eq!(outcome, expected);
+}
+
+/// Ends its first answer in the middle. At its address there is a process from then on that had begun
+/// before the answer's head.
+async fn be_replaced(listener: TcpListener) {
+    let mut buffer = [0; 4096];
+    let (mut writer, _) = listener.accept().await.expect("a call");
+    let _ = writer.read(&mut buffer).await;
+    sleep(HEAD_DELAY / 2).await;
+    let started = SystemClock::default().now().unix_ms().to_string();
+    sleep(HEAD_DELAY / 2).await;
+    writer.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf").await.expect("a caller");
+    drop(writer);
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{started}", started.len());
+    while let Ok((mut later, _)) = listener.accept().await {
+        let _ = later.read(&mut buffer).await;
+        let _ = later.write_all(answer.as_bytes()).await;
+    }
+}
+
+/// Guards against half an answer as a whole one, because its head was read late.
+#[test]
+fn a_process_that_began_after_an_answers_connection_has_not_written_it() {
+    assert_eq!(run(Op::Plain, be_replaced), Outcome::Broken(Damage::CutOff));
+}
+
+/// Runs an attempt at an endpoint.
+fn run<F: Future<Output = ()> + 'static>(
+    op: Op,
+    endpoint: impl FnOnce(TcpListener) -> F,
+) -> Outcome {
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let outcome = LocalSet::new().block_on(&runtime, async {
+    LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let addr = listener.local_addr().expect("an address");
-        spawn_local(async move {
-            let mut is_first = true;
-            while let Ok((stream, _)) = listener.accept().await {
-                spawn_local(serve(stream, is_first, answers_others));
-                is_first = false;
-            }
-        });
+        spawn_local(endpoint(listener));
         let state = State::new(Local::default(), Tuning::default());
         let clock = Box::new(SystemClock::default());
         let router = Router::new(state, dialect(), clock, Arc::new(Metrics::default()));
@@ -72,8 +108,7 @@
         let body = RefCell::new(Some(Bytes::new()));
         let request = Rc::new(CallerRequest { call: call(), head, body });
         run_attempt(router, request, attempt, None).await.outcome
-    });
-    assert_eq!(outcome, expected);
+    })
 }
 
 /// Lists an endpoint: work is sent to no other.
@@ -138,6 +173,7 @@
             let handle = String::from_utf8_lossy(body).into_owned();
             Some(Outcome::Prefilled { handle, tokens: 1 })
         },
+        parse_start_time: |report| std::str::from_utf8(report).ok()?.parse().ok(),
         ..support::dialect()
     }
 }
