Test: no late call is in progress when a daemon ends, in random schedules

A check at arrival refuses such calls; it was tested with single calls, not beside changes of the configuration, resumed streams, silences, pauses, drains and freezes.

After each step each call that came later than 2.5 s after the signal has a deadline before the daemon's end, and none of them is left at the end.

--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -15,6 +15,7 @@
 mod introductions;
 mod keys;
 mod leaving;
+mod leaving_schedules;
 mod line;
 mod load;
 mod old_views;
