Test: a port that was chosen for a daemon accepts nothing before it listens

Cause, of the test: it takes a connection that is accepted for the daemon's word that it listens. The ports are chosen by opening and closing listeners. The other two tests of the file spawn processes at that time, and a child has copies of all descriptors until it runs its own program, so a closed listener goes on to accept; the signal then came before the daemon's `main`.

The test takes that lock now, for ports and for spawns, which return only when the child runs its own program.

--- a/crates/basilbankd/tests/platform_start.rs
+++ b/crates/basilbankd/tests/platform_start.rs
@@ -7,6 +7,7 @@
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -41,7 +42,15 @@
 retryWindowS = 10
 "#;
 
+/// Keeps processes from being spawned while a thread holds listeners. A child has copies of them until it
+/// runs its own program, so that their ports accept connections although they were closed here.
+fn lock_listeners() -> MutexGuard<'static, ()> {
+    static LISTENERS: Mutex<()> = Mutex::new(());
+    LISTENERS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn free_ports() -> [u16; 4] {
+    let _guard = lock_listeners();
     let listeners = [(); 4].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
     listeners.map(|listener| listener.local_addr().unwrap().port())
 }
@@ -59,6 +68,7 @@
 fn start(settings: &Path, log: Stdio) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_basilbankd"));
     command.args(["--platform", "--settings"]).arg(settings);
+    let _guard = lock_listeners();
     command.stdout(log).stderr(Stdio::null()).spawn().unwrap()
 }
 
@@ -67,6 +77,14 @@
     kill_process(pid, signal).unwrap();
 }
 
+fn make_pipe(path: &Path) {
+    let mut child = {
+        let _guard = lock_listeners();
+        Command::new("mkfifo").arg(path).spawn().unwrap()
+    };
+    assert!(child.wait().unwrap().success());
+}
+
 /// Sends SIGTERM as soon as a daemon listens for callers. Returns how it ended; `None` if it could not
 /// listen.
 fn terminate_at_once(settings: &Path) -> Option<ExitStatus> {
@@ -101,7 +119,7 @@
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{signal:?}.toml"));
     // It may be there from an earlier run.
     let _ = fs::remove_file(&path);
-    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    make_pipe(&path);
     let (_, text) = settings();
     let mut child = start(&path, Stdio::piped());
     // This waits until the daemon reads its settings.
