Stand-in: daemons of two test processes never choose the same port

What was seen: in proofs.rs, beside other test processes, `it streams` and `it runs` (no call came to an endpoint in 15 s) and worlds that didn't start. Cause: each process drew ports from one range, beginning at a number made of its id. A port was free when it was looked at, and two processes looked at the same one. The daemon that came second failed to bind, but the first one's answer at the ready port was taken for its own. The calls of one test then went to the daemon of another process, whose endpoints ran them. Change: ports are taken in blocks, and a block belongs to one process, which listens at the block's first port.

--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -11,6 +11,7 @@
 mod inside;
 mod misdeed;
 mod paths;
+mod ports;
 mod proxy;
 mod served;
 mod serving;
@@ -28,6 +29,7 @@
     inside::Caches,
     misdeed::Misdeed,
     paths::Paths,
+    ports::Ports,
     proxy::{Proxy, Weather},
     served::{Arrival, PauseRequest, Served, TakenCache},
     serving::{DEADLY, DEADLY_PART, event_text},
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::atomic::{AtomicU32, Ordering},
     thread::{self, JoinHandle},
@@ -19,16 +19,13 @@
     http::call,
     inside::Caches,
     paths::Paths,
+    ports::free_port,
     slow_clock::SlowClock,
     store::{ManagedStore, NarrowWay},
 };
 
 /// Starts of a daemon at other ports before it counts as failed.
 const STARTS: u32 = 5;
-/// Ports that daemons listen at for each other, and how many are tried.
-const FIRST_PORT: u16 = 10_000;
-const PORTS: u32 = 20_000;
-const PORT_TRIES: u32 = 100;
 
 /// Longest wait for a daemon.
 const READY: Duration = Duration::from_secs(20);
@@ -359,19 +356,3 @@
 fn free_address() -> anyhow::Result<SocketAddr> {
     Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, free_port()?)))
 }
-
-/// A port that is free for datagrams and for connections. It is below the ports that the system gives to
-/// outgoing connections: one of these would take it before the daemon listens, and keep it for a minute.
-fn free_port() -> anyhow::Result<u16> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    for _ in 0..PORT_TRIES {
-        let number =
-            NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(97));
-        let port = FIRST_PORT + u16::try_from(number % PORTS)?;
-        let address = (Ipv4Addr::LOCALHOST, port);
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return Ok(port);
-        }
-    }
-    anyhow::bail!("no port is free")
-}
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod leaving;
 mod overload;
+mod ports;
 mod proofs;
 mod readings;
 mod restarts;
