Tests of proofs: a test that waits for a drain doesn't slow it

What was seen: whole streams of a leaving endpoint that count as cut, after 193 of 200 events and the like. Cause: the test asked for the endpoint's counts without a pause until no stream was left. Each look copied all that the endpoint had served, under the lock that the streams need three times for an event. Streams of 1.1 s took 5 s, and the daemon ended them at their route's time (traced in test_case_1: `ended outcome=timed_out took_ms=5003`, and the endpoint's own streams broke off by that). Four such tests took four processors from all others as well. Change: the test waits, and is woken by the end of the last stream. It now fails if that doesn't come in time.

--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -238,6 +238,17 @@
         lock(&self.inside).served.clone()
     }
 
+    /// Waits until it sends no stream, and returns whether that came in time. Its streams don't wait
+    /// for the caller, as they would for one that asks again and again.
+    #[must_use]
+    pub fn wait_idle(&self, longest: Duration) -> bool {
+        let inside = lock(&self.inside);
+        let idle = Arc::clone(&inside.idle);
+        let is_sending = |inside: &mut Inside| inside.served.active != 0;
+        let waited = idle.wait_timeout_while(inside, longest, is_sending);
+        waited.is_ok_and(|(_, timeout)| !timeout.timed_out())
+    }
+
     /// Closes all connections, in the middle of whatever is sent.
     pub fn cut(&self) {
         self.listener.close_all();
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -45,6 +45,8 @@
     pub(super) handles: HashSet<String>,
     pub(super) next: u32,
     pub(super) served: Served,
+    /// Notified when it has ended the last of the streams that it was sending.
+    pub(super) idle: Arc<Condvar>,
 }
 
 impl Inside {
@@ -64,6 +66,14 @@
         self.slots.is_some_and(|slots| slots <= self.served.active)
     }
 
+    /// It has ended one of the streams that it was sending.
+    pub(super) fn end_stream(&mut self) {
+        self.served.active -= 1;
+        if self.served.active == 0 {
+            self.idle.notify_all();
+        }
+    }
+
     /// How the next answer is framed, and whether it breaks off.
     pub(super) fn next_ending(&mut self) -> Ending {
         self.endings += 1;
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -207,7 +207,7 @@
         }
         lock(&self.inside).served.active += 1;
         let streamed = self.stream(stream, request, misdeed);
-        lock(&self.inside).served.active -= 1;
+        lock(&self.inside).end_stream();
         streamed
     }
 
--- a/crates/basilbank_standin/tests/managed/proofs.rs
+++ b/crates/basilbank_standin/tests/managed/proofs.rs
@@ -3,7 +3,7 @@
 
 use std::{
     thread::{self, JoinHandle},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use basilbank_standin::managed::{
@@ -306,9 +306,8 @@
     eventually("they stream", || needed <= decode.clone().map(active).sum());
     let at = decode.max_by_key(|at| active(*at)).expect("an endpoint that streams");
     ends.world.drain_model(at);
-    // No pause between two looks: it is to end right after its last answer.
-    let end = Instant::now() + LONGEST_DRAIN;
-    while ends.world.model[at].served().active != 0 && Instant::now() < end {}
+    // It is to end right after its last answer.
+    assert!(ends.world.model[at].wait_idle(LONGEST_DRAIN), "it finishes its streams");
     thread::sleep(pause);
     ends.world.model[at].end();
     let ran = ends.world.model[at].served().ran.len();
