Stand-in: an endpoint's port stays its own while nothing listens there

What was seen: `a start: Address already in use` in rows in which a later start takes an endpoint's place, in 3 of 12 runs three at once beside 8 busy processes (load 77 to 115). Cause: between the two nothing held the port, and it is one of those that the system gives to outgoing connections. Change: a socket that doesn't listen keeps it, as before a proxy. And a world's first daemon that didn't start is started again at other ports, as the comment says.

There is no test of its own: the rows are it.

--- a/crates/basilbank_standin/src/managed/http.rs
+++ b/crates/basilbank_standin/src/managed/http.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     io::{self, BufRead, BufReader, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc, Mutex, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
@@ -12,6 +12,10 @@
     time::Duration,
 };
 
+use socket2::Socket;
+
+use super::proxy;
+
 /// Longest wait of a test's own call.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -196,6 +200,8 @@
 /// A listener whose connections each have a thread. Dropping it closes all of them.
 pub(super) struct Listener {
     address: SocketAddr,
+    /// Keeps the port while nothing listens there.
+    _reserved: Socket,
     ended: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<Weak<TcpStream>>>>,
     thread: Option<JoinHandle<()>>,
@@ -207,8 +213,9 @@
         port: u16,
         serve: impl Fn(&TcpStream, &Request) -> io::Result<()> + Send + Sync + 'static,
     ) -> io::Result<Listener> {
-        let listener = TcpListener::bind(("127.0.0.1", port))?;
-        let address = listener.local_addr()?;
+        let reserved = proxy::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, port)))?;
+        let address = reserved.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let listener = proxy::listen(address)?;
         let (ended, open) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
         let (is_ended, streams, serve) = (Arc::clone(&ended), Arc::clone(&open), Arc::new(serve));
         let thread = thread::spawn(move || {
@@ -227,7 +234,7 @@
                 thread::spawn(move || drop(converse(&stream, &*serve)));
             }
         });
-        Ok(Listener { address, ended, open, thread: Some(thread) })
+        Ok(Listener { address, _reserved: reserved, ended, open, thread: Some(thread) })
     }
 
     pub(super) fn address(&self) -> SocketAddr {
--- a/crates/basilbank_standin/src/managed/proxy.rs
+++ b/crates/basilbank_standin/src/managed/proxy.rs
@@ -281,8 +281,9 @@
     }
 }
 
-/// Binds a socket to an address that others may be bound to as well.
-fn bind(address: SocketAddr) -> io::Result<Socket> {
+/// Binds a socket to an address that others may be bound to as well. One that doesn't listen keeps the
+/// port for them.
+pub(super) fn bind(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
@@ -290,7 +291,7 @@
     Ok(socket)
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub(super) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = bind(address)?;
     socket.listen(BACKLOG)?;
     Ok(socket.into())
--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -279,6 +279,10 @@
             if self.start_daemon(store)? {
                 return Ok(());
             }
+            // Others meet at the first one's, and have the same port.
+            if self.daemons.is_empty() {
+                (self.control, self.port) = (free_address()?, free_port()?);
+            }
         }
         ensure!(self.start_daemon(store)?, "the daemon does not start");
         Ok(())
