Stand-in: a stream takes no byte of the call after it

Cause: the stand-in's endpoints look after each event whether the caller has left, and read a byte for that. After the last event of a stream with a length the answer is whole, so that the daemon may send its next call over the connection: its first byte was read there. The daemon's bytes were right.

Change: the byte is peeked at. A connection's end is seen as before.

--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -1,7 +1,7 @@
 //! How an endpoint answers.
 
 use std::{
-    io::{self, Read, Write},
+    io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{Arc, Mutex},
     thread,
@@ -357,13 +357,12 @@
     format!("HTTP/1.1 {status} x\r\n{}", headers.collect::<String>())
 }
 
-/// The caller has closed the connection.
-fn left(mut stream: &TcpStream) -> bool {
+/// The caller has closed the connection. What it has sent is the next call's.
+fn left(stream: &TcpStream) -> bool {
     if stream.set_nonblocking(true).is_err() {
         return true;
     }
-    let mut byte = [0];
-    let closed = match stream.read(&mut byte) {
+    let closed = match stream.peek(&mut [0]) {
         Ok(read) => read == 0,
         Err(error) => error.kind() != io::ErrorKind::WouldBlock,
     };
