Soak: sound drafts that no daemon can bring to endpoints don't count beside a bad part

Trace: daemons 0 and 1 are cut off from all endpoints from 8.8 to 13.8 s, and daemon 2, the only one that reaches them, is killed at 12.6 s and started at 13.5 s. Until then nobody can bring a call to an endpoint, the daemons refuse with 503, and callers come again at once: most of the drafts that count are of that second.

All else is as it was: a cut daemon's drafts count while another daemon is there.

--- a/crates/basilbank_soak/src/checks/overload.rs
+++ b/crates/basilbank_soak/src/checks/overload.rs
@@ -107,13 +107,15 @@
         late.map(|arrival| arrival.id.as_str()).collect::<BTreeSet<_>>().len()
     }
 
-    /// The share of the sound drafts of some time that begin, if there are enough.
+    /// The share of the sound drafts of some time that begin, of those that a daemon can bring to endpoints, if
+    /// there are enough.
     fn begun_drafts(&self, counts: impl Fn(Instant) -> bool) -> Option<f64> {
         let drafts = self.records.values().filter(|record| {
             matches!(record.kind, Kind::Draft | Kind::Once)
                 && record.resumed.is_none()
                 && counts(record.begun)
                 && self.in_touch(&record.id, record.begun)
+                && self.has_path(record)
         });
         let (begun, all): (Vec<_>, Vec<_>) = drafts.partition(|record| 0 < record.events);
         share(begun.len(), begun.len() + all.len())
