Soak: a late call has the timeout of a version that came as it was read

Trace: the caller sends at 7112 ms, and the version that sets the route's timeout to 1 s is sent at 7113 ms. The daemon reads the call with that version (`version=6 leaving_ms=3240 end_ms=4159 deadline_ms=1000`): it ends 3 s before the daemon does, so it is taken, and answered at its timeout since its endpoint is silent. The check knew the versions only that were sent before the call was.

The check now takes the versions in that were sent before the call arrived at an endpoint: the daemon had read it by then. When calls may end at their timeout is as it was.

--- a/crates/basilbank_soak/src/checks/planned.rs
+++ b/crates/basilbank_soak/src/checks/planned.rs
@@ -1,7 +1,7 @@
 //! What planned work may do to calls: each one that was read whole ends with a whole answer or a refusal.
 
 use std::{
-    collections::HashSet,
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
@@ -66,13 +66,13 @@
         let passed = self.passed();
         let mut findings = self.seen.findings();
         for record in self.seen.records.values() {
-            let was_passed = passed.contains(record.id.as_str());
-            if self.is_lost(record, was_passed) {
+            let arrived = passed.get(record.id.as_str()).copied();
+            if self.is_lost(record, arrived.is_some()) {
                 let took = record.ended - record.begun;
                 let what = format!("{:?} after {took:?}, {} events", record.seen, record.events);
                 findings.push(format!("CUT {} {what}, {}", of(record), self.beside(record)));
             }
-            if was_passed && self.is_too_late(record) {
+            if arrived.is_some_and(|at| self.is_too_late(record, at)) {
                 let beside = self.beside(record);
                 findings.push(format!("LATE_TAKEN {} {:?}, {beside}", of(record), record.seen));
             }
@@ -87,7 +87,7 @@
         let passed = self.passed();
         let mut coverage = Coverage::default();
         for record in self.seen.records.values() {
-            let was_passed = passed.contains(record.id.as_str());
+            let was_passed = passed.contains_key(record.id.as_str());
             let late = self.terminated(record).is_some_and(|at| at + REFUSES <= record.begun);
             let was_read = !matches!(record.seen, Seen::Unreachable | Seen::Closed);
             coverage.late += usize::from(late && was_read);
@@ -102,10 +102,14 @@
         coverage
     }
 
-    /// Ids of calls that reached an endpoint.
-    fn passed(&self) -> HashSet<&str> {
-        let arrived = self.seen.served.iter().flat_map(|(_, served)| &served.arrived);
-        arrived.map(|arrival| arrival.id.as_str()).collect()
+    /// When calls first reached an endpoint, by id.
+    fn passed(&self) -> HashMap<&str, Instant> {
+        let mut passed = HashMap::new();
+        for arrival in self.seen.served.iter().flat_map(|(_, served)| &served.arrived) {
+            let first = passed.entry(arrival.id.as_str()).or_insert(arrival.at);
+            *first = arrival.at.min(*first);
+        }
+        passed
     }
 
     /// It was read whole and ended without an answer, and nothing excuses that.
@@ -118,16 +122,17 @@
     }
 
     fn reached_deadline(&self, record: &Record) -> bool {
-        let least = self.timeouts(record).min().unwrap_or(Duration::MAX).min(record.patience);
+        let timeouts = self.timeouts(record, record.begun);
+        let least = timeouts.min().unwrap_or(Duration::MAX).min(record.patience);
         least.saturating_sub(MARGIN) <= record.ended - record.begun
     }
 
-    /// Timeouts of its route in versions that may have been in force as it was sent.
-    fn timeouts(&self, record: &Record) -> impl Iterator<Item = Duration> {
+    /// Timeouts of its route in versions that may have been in force between its sending and a later moment.
+    fn timeouts(&self, record: &Record, by: Instant) -> impl Iterator<Item = Duration> {
         let versions = &self.work.versions;
-        let in_force = |n: usize, sent: &Sent| {
+        let in_force = move |n: usize, sent: &Sent| {
             let next = versions.get(n + 1);
-            sent.at <= record.begun && next.is_none_or(|next| record.begun < next.at + APPLY)
+            sent.at <= by && next.is_none_or(|next| record.begun < next.at + APPLY)
         };
         let is_stream = matches!(record.kind, Kind::Draft | Kind::Once);
         versions
@@ -153,9 +158,11 @@
             .is_some_and(|at| record.begun <= at + SENT && at + LAST_SIXTH <= record.ended)
     }
 
-    /// It was sent to a daemon that leaves and may outlast it.
-    fn is_too_late(&self, record: &Record) -> bool {
-        let least = self.timeouts(record).min().unwrap_or(Duration::MAX).min(record.patience);
+    /// It was sent to a daemon that leaves and may outlast it. The daemon read it before it arrived at an
+    /// endpoint.
+    fn is_too_late(&self, record: &Record, arrived: Instant) -> bool {
+        let timeouts = self.timeouts(record, arrived);
+        let least = timeouts.min().unwrap_or(Duration::MAX).min(record.patience);
         let deadline = record.begun + least.saturating_sub(MARGIN);
         self.terminated(record)
             .is_some_and(|at| at + REFUSES + SIGNAL_SLACK < record.begun && at + ENDS < deadline)
