Soak: a call whose last path ends under it doesn't count against daemons that are cut off

The check asked only whether there was a path as a call came.

Calls that end before the last path does count as they did.

The new case failed before (`--test checks`, 61 passed, 1 failed), another guards that earlier calls count; all 62 pass now.

--- a/crates/basilbank_soak/src/checks.rs
+++ b/crates/basilbank_soak/src/checks.rs
@@ -336,20 +336,24 @@
         }
     }
 
-    /// The daemon of a call could reach the endpoints as the call came, by itself or by one in touch.
+    /// The daemon of a call could reach the endpoints as the call came and as it ended, by itself or by one in
+    /// touch.
     fn has_path(&self, record: &Record) -> bool {
+        [record.begun, record.ended].into_iter().all(|at| self.had_path(record.daemon, at))
+    }
+
+    fn had_path(&self, daemon: usize, at: Instant) -> bool {
         let is_cut = |daemon: usize| {
             self.spans.iter().any(|span| {
                 span.daemon == daemon
                     && span.trouble == Trouble::NoPaths
-                    && span.from <= record.begun
-                    && span.to.is_none_or(|to| record.begun < to)
+                    && span.from <= at
+                    && span.to.is_none_or(|to| at < to)
             })
         };
-        let is_there = |daemon: usize| {
-            !is_cut(daemon) && !self.was_stopped(daemon, record.begun - CONTACT, record.begun)
-        };
-        !is_cut(record.daemon) || self.records.values().any(|other| is_there(other.daemon))
+        let is_there =
+            |daemon: usize| !is_cut(daemon) && !self.was_stopped(daemon, at - CONTACT, at);
+        !is_cut(daemon) || self.records.values().any(|other| is_there(other.daemon))
     }
 
     /// The daemon was killed or stood still between two moments.
--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -314,6 +314,8 @@
 #[test_case(14, None, 1; "many are refused")]
 #[test_case(14, Some((Trouble::Down, 3700, 3900)), 0; "after the other daemon was killed")]
 #[test_case(14, Some((Trouble::Down, 0, 500)), 1; "long after the other daemon was killed")]
+#[test_case(14, Some((Trouble::Down, 4010, 4200)), 0; "the other daemon is killed before their end")]
+#[test_case(14, Some((Trouble::Down, 4040, 4200)), 1; "the other daemon is killed after their end")]
 #[test_case(14, Some((Trouble::NoStore, 3700, 3900)), 1; "after the other daemon could not read the store")]
 #[test_case(14, Some((Trouble::NoPaths, 3700, 4500)), 0; "while the other daemon is cut off, too")]
 fn calls_at_a_daemon_that_is_cut_off(
