--- a/crates/basilbank_soak/tests/checks.rs
+++ b/crates/basilbank_soak/tests/checks.rs
@@ -179,8 +179,9 @@
     let first = Instant::now();
     let ids: Vec<_> = (0..times.len()).map(|n| format!("d{n}")).collect();
     let crash = |(id, ms): (&String, &u64)| {
-        let crashed = Some((first + Duration::from_millis(*ms), id.clone()));
-        ("e1".to_owned(), Served { crashed, ..Served::default() })
+        let at = first + Duration::from_millis(*ms);
+        let arrived = vec![Arrival { at, line: deadly(id).line, id: id.clone() }];
+        ("e1".to_owned(), Served { arrived, crashed: Some((at, id.clone())), ..Served::default() })
     };
     (ids.iter().map(|id| deadly(id)).collect(), ids.iter().zip(times).map(crash).collect())
 }
@@ -195,6 +196,19 @@
     assert!(judge(&records, served, &[restart]).is_empty(), "a daemon that starts knows nothing");
 }
 
+#[test]
+fn retries_count_by_caller_and_whether_they_crash_an_endpoint_or_not() {
+    let (records, mut served) = crashes(&[0, 100, 200, 3500, 3510, 4000, 4010]);
+    for (second, first) in [(4, "d3"), (6, "d5")] {
+        served[second].1.arrived[0].id = first.to_owned();
+        served[second].1.crashed.as_mut().expect("a crash").1 = first.to_owned();
+    }
+    assert!(judge(&records, served, &[]).is_empty(), "two retries, each at two endpoints");
+    let (records, mut served) = crashes(&[0, 100, 200, 3500, 4000, 4500, 5000]);
+    served[3..].iter_mut().for_each(|(_, served)| served.crashed = None);
+    assert_rule(&judge(&records, served, &[]), "CRASH");
+}
+
 /// Crashes of five endpoints by calls with a bad part, and such calls at endpoints some seconds later.
 fn bad_part(late: u64) -> (Vec<Record>, Vec<(String, Served)>) {
     let (mut records, mut served) = crashes(&[0, 100, 200, 300, 400]);
@@ -228,9 +242,12 @@
     }
 }
 
-#[test_case(12, true; "half of them begin")]
-#[test_case(8, false; "fewer begin")]
-fn sound_drafts_beside_a_bad_part(begun: usize, borne: bool) {
+#[test_case(12, None, true; "half of them begin")]
+#[test_case(8, None, false; "fewer begin")]
+#[test_case(8, Some(Trouble::NoPaths), true; "fewer begin while no daemon reaches endpoints")]
+#[test_case(8, Some(Trouble::Down), true; "fewer begin while the daemon that reaches endpoints is down")]
+#[test_case(8, Some(Trouble::NoStore), false; "fewer begin while another daemon reaches endpoints")]
+fn sound_drafts_beside_a_bad_part(begun: usize, other: Option<Trouble>, borne: bool) {
     let (mut records, served) = bad_part(1);
     let begin = records[0].begun;
     let last = Record { id: "last".to_owned(), ..record_at(begin, 0, 0, 9000) };
@@ -245,7 +262,13 @@
     };
     records.extend((0..24).map(|n| draft(n, -500, true)));
     records.extend((0..24).map(|n| draft(100 + n, 7000, n < begun)));
-    let findings = judge(&records, served, &[]);
+    records.push(Record { daemon: 1, seen: Seen::Unreachable, ..draft(200, 10_000, false) });
+    let span = |daemon, trouble| {
+        let from = begin + Duration::from_millis(6500);
+        Span { daemon, trouble, from, to: Some(from + Duration::from_secs(1)) }
+    };
+    let spans = other.map(|other| [span(0, Trouble::NoPaths), span(1, other)]);
+    let findings = judge(&records, served, &spans.into_iter().flatten().collect::<Vec<_>>());
     match borne {
         true => assert!(findings.is_empty(), "{findings:?}"),
         false => assert_rule(&findings, "LOST"),
@@ -291,6 +314,8 @@
 #[test_case(14, None, 1; "many are refused")]
 #[test_case(14, Some((Trouble::Down, 3700, 3900)), 0; "after the other daemon was killed")]
 #[test_case(14, Some((Trouble::Down, 0, 500)), 1; "long after the other daemon was killed")]
+#[test_case(14, Some((Trouble::Down, 4010, 4200)), 0; "the other daemon is killed before their end")]
+#[test_case(14, Some((Trouble::Down, 4040, 4200)), 1; "the other daemon is killed after their end")]
 #[test_case(14, Some((Trouble::NoStore, 3700, 3900)), 1; "after the other daemon could not read the store")]
 #[test_case(14, Some((Trouble::NoPaths, 3700, 4500)), 0; "while the other daemon is cut off, too")]
 fn calls_at_a_daemon_that_is_cut_off(
