A stream that peers decline to take over waits

Callers' streams were cut although time and retry budget were left: a stream that was taken over after a silence and then declined four times by peers got AbortStream, and so did a broken one after any four declines since its call came, also those from before it began. Found by reading; no such stream has been recorded.

Cause: a call that peers did not make four times was given up past the wait for calls that go on because of a silence, and the count of declines was never reset, though its comment says "in a row".

Such a call is now handled as any other whose successor did not run. The count starts anew with a call that was made. A held slot doesn't reset it, or slots and declines could take turns without any charge to the retry budget.

Measured: both new tests fail before (AbortStream after the fourth decline) and pass now.

--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -43,6 +43,17 @@
             | Outcome::TimedOut
     );
     request.awaits_successor &= !(live.is_run() && may_have_run);
+    let was_made = matches!(
+        outcome,
+        Outcome::Prefilled { .. }
+            | Outcome::Answered { .. }
+            | Outcome::Streaming
+            | Outcome::NotRun(_)
+    );
+    // A slot that is held is not the call yet.
+    if was_made && live.step != Step::Hold {
+        request.proxy_failures = 0;
+    }
     ctx.state.update_takeover(id);
     update_endpoint(ctx, &live, &outcome);
     log_outcome(ctx, id, &live, &outcome);
@@ -279,11 +290,13 @@
 }
 
 /// Handles an attempt that the peer did not make: nothing was run. After some of these in a row the
-/// call is refused, since its time would only pass with asking further peers.
+/// call is refused, since its time would only pass with asking further peers. One that goes on because
+/// of a silence waits, as it does when an endpoint refuses it.
 fn handle_not_proxied(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     request.proxy_failures += 1;
-    if MAX_PROXY_FAILURES <= request.proxy_failures && request.active_attempts.is_empty() {
+    let is_idle = request.active_attempts.is_empty() && !request.is_handed_over();
+    if MAX_PROXY_FAILURES <= request.proxy_failures && is_idle {
         return finish::give_up(ctx, id, Refusal::NoEndpoint);
     }
     handle_not_run(ctx, id, live, false);
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -55,7 +55,7 @@
     pub maybe_run: bool,
     /// Whether its attempt was stopped because of a silence, and no other endpoint has run it since.
     pub awaits_successor: bool,
-    /// Number of attempts that a peer was asked to make and did not make.
+    /// Number of attempts in a row that a peer was asked to make and did not make.
     pub proxy_failures: u32,
     /// Whether its answer has begun.
     pub answering: bool,
--- a/crates/basilbank_forward/tests/forward/proxies.rs
+++ b/crates/basilbank_forward/tests/forward/proxies.rs
@@ -172,6 +172,32 @@
     assert!(Refusal::NoEndpoint.is_not_run());
 }
 
+/// Guards against a stream that is cut since peers had declined it before it began.
+#[test]
+fn what_peers_declined_before_a_stream_began_does_not_count_when_it_breaks() {
+    let mut rig = cut_off();
+    let id = rig.call("/draft/1", 14_000, Some(prompt(500)));
+    let declined = Outcome::NotProxied(NotProxied::Declined);
+    for _ in 0..3 {
+        let attempt = rig.start();
+        rig.came(id, attempt.number, declined.clone());
+    }
+    rig.pass_ms(600);
+    for outcome in [held(), prefilled(), Outcome::Streaming] {
+        let attempt = rig.start();
+        assert!(attempt.target.via.is_some(), "{attempt:?}");
+        rig.came(id, attempt.number, outcome);
+    }
+    let decode = rig.state.requests[&id].active_attempts[0].number;
+    rig.came(id, decode, Outcome::Broken(Damage::CutOff));
+    rig.pass_ms(2000);
+    let attempt = rig.start();
+    rig.effects.clear();
+    rig.came(id, attempt.number, declined);
+    let is_cut = |effect: &Effect| matches!(effect, Effect::AbortStream { .. });
+    assert!(!rig.effects.iter().any(is_cut), "{:?}", rig.effects);
+}
+
 /// Guards against calls that wait, or are sent, although nothing reaches their endpoints.
 #[test]
 fn a_call_is_refused_at_once_when_peers_are_cut_off_as_well() {
--- a/crates/basilbank_forward/tests/forward/silences.rs
+++ b/crates/basilbank_forward/tests/forward/silences.rs
@@ -395,6 +395,25 @@
     assert!(rig.starts().iter().any(|attempt| matches!(attempt.op, Op::Stream { .. })));
 }
 
+/// Symptom: a stream that could still be taken over is cut, since four peers declined to make the call.
+#[test]
+fn a_stream_waits_when_peers_decline_to_make_its_successor() {
+    let mut rig = decode_rig(3);
+    let (id, decode) = streaming(&mut rig, "/draft/1");
+    fall_silent(&mut rig, id, decode.number);
+    let mut declined = 0;
+    while declined < 6 {
+        for attempt in rig.starts() {
+            let is_hold = matches!(attempt.op, Op::Hold { .. });
+            declined += u32::from(!is_hold);
+            let failure = Outcome::NotProxied(NotProxied::Declined);
+            rig.came(id, attempt.number, if is_hold { held() } else { failure });
+        }
+        assert!(!is_ended(&rig), "declined {declined} times");
+        rig.pass_ms(10);
+    }
+}
+
 /// A small generator of random numbers.
 struct Random(u64);
 
