No call is sent again that the daemon's end would cut

A caller's stream could be cut although its work had begun seconds after the signal: a completion is admitted before the load balancer has noticed, its endpoint refuses it, or its slot or prompt comes back late, and the next step was begun whatever time the daemon had left. Found by reading; not seen in a record.

Cause: whether the end would cut a call was asked for calls that wait, and for those that are taken over after a silence, not for the next attempt.

A call that was sent before, and that nothing has run, is now refused as not run (503) in place of the next attempt, once the balancer sends callers elsewhere. A first attempt is left to the admission and the tick as before. One that may have run goes on as before. A prompt that was read for a refused call was read in vain.

Measured: six rows fail without the check in step.rs (an attempt is started 4.9 s after the signal, 2.5 s before the end) and pass with it.

--- a/crates/basilbank_forward/src/reduce/shutdown.rs
+++ b/crates/basilbank_forward/src/reduce/shutdown.rs
@@ -1,7 +1,8 @@
 //! The daemon's shutdown: which calls are left to other daemons, and how the rest end.
 //!
 //! New calls are refused by `admission`. A call that was admitted and has not begun is refused as
-//! soon as it would probably be cut off, while its caller can still be served elsewhere.
+//! soon as it would probably be cut off, while its caller can still be served elsewhere. So is one
+//! that would go on after an attempt that did not run it.
 
 use std::time::Duration;
 
@@ -29,7 +30,7 @@
 
 /// Refuses waiting calls that would probably be cut off if they began now.
 pub fn tick(ctx: &mut Context<'_>) {
-    if !ctx.state.leaving.is_some_and(|leaving| leaving.has_left_balancer(ctx.now)) {
+    if !has_left_balancer(ctx) {
         return;
     }
     let requests = ctx.state.requests.iter();
@@ -43,6 +44,19 @@
     }
 }
 
+/// Refuses a call that was sent before, and that nothing has run, if it would probably be cut off when
+/// it went on now. Returns whether it did.
+pub fn refuse_next_attempt(ctx: &mut Context<'_>, id: RequestId) -> bool {
+    let Some(request) = ctx.state.requests.get(&id) else { return false };
+    let is_first = request.attempt_count == 0;
+    let may_run = request.may_have_run() || !request.active_attempts.is_empty();
+    if is_first || may_run || !has_left_balancer(ctx) || !would_cut(ctx.state, id, ctx.now) {
+        return false;
+    }
+    finish::give_up(ctx, id, Refusal::Leaving);
+    true
+}
+
 /// Ends the calls that are still in progress when the grace period is over. Those that have not run
 /// are refused, so that their callers can try elsewhere.
 pub fn complete(ctx: &mut Context<'_>) {
@@ -74,6 +88,11 @@
     leaving.ends_before(deadline.min(now + duration))
 }
 
+/// Returns whether this daemon shuts down, and callers that it refuses reach others.
+fn has_left_balancer(ctx: &Context<'_>) -> bool {
+    ctx.state.leaving.is_some_and(|leaving| leaving.has_left_balancer(ctx.now))
+}
+
 /// Returns whether an endpoint has done work for the request: giving it up would waste that.
 fn has_begun(request: &Request) -> bool {
     request.may_have_run() || request.completion.kv.is_some() || !request.active_attempts.is_empty()
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -7,7 +7,7 @@
     crash::{self, Verdict},
     demand, finish, forecast,
     next_step::{Dispatch, NextStep},
-    origin, plain, quota, remove_usage, returns, silence, suspect,
+    origin, plain, quota, remove_usage, returns, shutdown, silence, suspect,
 };
 use crate::{
     call::RequestId,
@@ -78,6 +78,7 @@
         NextStep::WaitForPermit => wait_for_permit(ctx, id),
         NextStep::WaitForPause(until) => wait_for_pause(ctx, id, until),
         NextStep::GiveUp(refusal) => give_up(ctx, id, refusal),
+        NextStep::Dispatch(_) if shutdown::refuse_next_attempt(ctx, id) => {}
         NextStep::Dispatch(dispatch) => {
             let is_plain = dispatch.step == Step::Whole;
             start_attempt(ctx, id, dispatch);
--- a/crates/basilbank_forward/tests/forward/leaving.rs
+++ b/crates/basilbank_forward/tests/forward/leaving.rs
@@ -5,7 +5,7 @@
 use basilbank_forward::prelude::*;
 use test_case::test_case;
 
-use crate::rig::{Rig, held, model, plain, prefilled, prompt};
+use crate::rig::{BUSY, Rig, held, model, plain, prefilled, prompt};
 
 /// From the signal to the end of the process.
 const GRACE: Duration = Duration::from_millis(7400);
@@ -151,3 +151,73 @@
     rig.feed(Event::AttemptSilent { request: id, attempt: 2, silent_for });
     assert!(rig.starts().is_empty(), "no slot is held elsewhere");
 }
+
+/// A draft that came before the balancer had noticed, and whose steps until this one were answered. There
+/// is another decode endpoint.
+fn with_draft_at(step: usize) -> (Rig, RequestId, Attempt) {
+    let mut rig = leaving_for(2400);
+    rig.list(vec![model("d2", 4, Stage::Decode)]);
+    rig.state.tuning.retry_slack = 10_000.0;
+    let id = rig.call("/draft/1", 14_000, Some(prompt(1000)));
+    for outcome in [held(), prefilled()].into_iter().take(step) {
+        let attempt = rig.start();
+        rig.came(id, attempt.number, outcome);
+    }
+    let attempt = rig.start();
+    rig.effects.clear();
+    (rig, id, attempt)
+}
+
+/// Symptom: a stream was cut since an endpoint was given the draft shortly before the daemon ended.
+#[test_case(0, held(); "a slot is held")]
+#[test_case(0, BUSY; "no slot is held")]
+#[test_case(1, prefilled(); "the prompt is read")]
+#[test_case(1, BUSY; "the prompt is not read")]
+#[test_case(2, BUSY; "the decode endpoint is full")]
+#[test_case(2, Outcome::Unreachable; "the decode endpoint is not reached")]
+fn a_draft_that_nothing_has_run_goes_no_further_when_it_would_be_cut(
+    step: usize,
+    outcome: Outcome,
+) {
+    let (mut rig, id, attempt) = with_draft_at(step);
+    rig.pass_ms(2500);
+    rig.effects.clear();
+    rig.came(id, attempt.number, outcome);
+    assert!(rig.starts().is_empty(), "no work is begun");
+    assert_eq!(rig.refusals(), [Refusal::Leaving]);
+}
+
+#[test_case(0, held())]
+#[test_case(1, prefilled())]
+#[test_case(2, BUSY)]
+fn a_draft_goes_on_when_it_ends_in_time(step: usize, outcome: Outcome) {
+    let (mut rig, id, attempt) = with_draft_at(step);
+    rig.pass_ms(300);
+    rig.effects.clear();
+    rig.came(id, attempt.number, outcome);
+    assert_eq!(rig.starts().len(), 1);
+    assert_eq!(rig.refusals(), []);
+}
+
+/// Its caller would meet this daemon again.
+#[test]
+fn a_draft_goes_on_while_the_balancer_has_not_noticed() {
+    let mut rig = Rig::new();
+    rig.list(vec![model("p1", 2, Stage::Prefill), model("d1", 3, Stage::Decode)]);
+    rig.feed(Event::Shutdown { grace: Duration::from_millis(3000) });
+    let id = rig.call("/draft/1", 14_000, Some(prompt(1000)));
+    let hold = rig.start();
+    rig.pass_ms(100);
+    rig.came(id, hold.number, held());
+    assert!(matches!(rig.start().op, Op::Prefill));
+}
+
+#[test]
+fn a_draft_that_may_have_run_is_not_refused_as_not_run() {
+    let (mut rig, id, decode) = with_draft_at(2);
+    rig.pass_ms(2500);
+    rig.effects.clear();
+    rig.came(id, decode.number, Outcome::Broken(Damage::CutOff));
+    assert!(matches!(rig.start().op, Op::Hold { .. }));
+    assert_eq!(rig.refusals(), []);
+}
