Tests of the proxy wait long for bytes that should come

Found by reading: 300 ms were the longest wait for bytes that should not come as well as for those that should, which pass four threads. The first stays, the second is 20 s now.

--- a/crates/basilbank_soak/tests/proxy.rs
+++ b/crates/basilbank_soak/tests/proxy.rs
@@ -14,6 +14,9 @@
 /// Longest wait for bytes that should not come.
 const QUIET: Duration = Duration::from_millis(300);
 
+/// Longest wait for what should come.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 /// Says back whatever it is told.
 fn echo() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -32,7 +35,7 @@
 
 fn connect(proxy: &Proxy) -> TcpStream {
     let stream = TcpStream::connect(proxy.address()).expect("a connection");
-    stream.set_read_timeout(Some(QUIET)).expect("a limit");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
     stream
 }
 
@@ -43,6 +46,12 @@
     stream.read_exact(&mut byte).map(|()| byte[0]).map_err(|e| e.kind())
 }
 
+/// Whether nothing comes back for a byte.
+fn is_silent(stream: &TcpStream) -> bool {
+    stream.set_read_timeout(Some(QUIET)).expect("a limit");
+    matches!(say(stream), Err(ErrorKind::WouldBlock | ErrorKind::TimedOut))
+}
+
 #[test]
 fn clear_weather_passes_bytes_and_a_delay_holds_them_up() {
     let proxy = Proxy::start(echo()).expect("a proxy");
@@ -76,9 +85,9 @@
     let stream = connect(&proxy);
     assert_eq!(say(&stream), Ok(b'x'));
     proxy.set(weather);
-    assert!(matches!(say(&stream), Err(ErrorKind::WouldBlock | ErrorKind::TimedOut)));
+    assert!(is_silent(&stream));
     proxy.set(Weather::Clear);
-    assert!(matches!(say(&stream), Err(ErrorKind::WouldBlock | ErrorKind::TimedOut)));
+    assert!(is_silent(&stream));
     assert_eq!(say(&connect(&proxy)), Ok(b'x'));
 }
 
@@ -113,7 +122,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let proxy = Proxy::start(listener.local_addr().expect("an address")).expect("a proxy");
     let mut stream = TcpStream::connect(proxy.address()).expect("a connection");
-    stream.set_read_timeout(Some(10 * QUIET)).expect("a limit");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
     end(listener.accept().expect("a connection").0);
     stream.read(&mut [0])
 }
@@ -133,7 +142,6 @@
     let mut stream = connect(&proxy);
     assert_eq!(say(&stream), Ok(b'x'));
     proxy.reset();
-    stream.set_read_timeout(Some(10 * QUIET)).expect("a limit");
     let end = stream.read(&mut [0]);
     assert_eq!(end.map_err(|e| e.kind()), Err(ErrorKind::ConnectionReset));
 }
