A test of a kept connection waits until the daemon leaves, not for 100 ms

Found by reading: the daemon hears of its end in another thread, and an answer before that rightly lets the connection live. The test waits until the daemon says that it is not ready, as the one before it does.

--- a/crates/basilbank_standin/tests/managed/leaving.rs
+++ b/crates/basilbank_standin/tests/managed/leaving.rs
@@ -32,7 +32,9 @@
     let mut world = world();
     let stream = TcpStream::connect(world.callers(0)).expect("a connection");
     world.terminate(0);
-    thread::sleep(Duration::from_millis(100));
+    let ready = world.ready(0);
+    let refused = || call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 503);
+    eventually("it is not ready", refused);
     let text = "GET /sheet/1 HTTP/1.1\r\nhost: shop.example\r\nx-attempt-id: a\r\n\r\n";
     let answer = exchange(&stream, text.as_bytes()).expect("an answer");
     assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
