Stand-in: a world's first daemon is started again at another port for its peers

Cause, by elimination: a daemon that ends at once is started four times more, because another process may take a port between the search and the daemon's listening. Its callers' and ready addresses are searched anew each time; the port for its peers was chosen once for the world, so that all five starts met the same taken port. Now it is chosen anew as well while no other daemon knows it.

--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -282,6 +282,10 @@
             if self.start_daemon(store)? {
                 return Ok(());
             }
+            // The first daemon's are known to no other yet.
+            if self.daemons.is_empty() {
+                (self.control, self.port) = (free_address()?, free_port()?);
+            }
         }
         ensure!(self.start_daemon(store)?, "the daemon does not start");
         Ok(())
