Tests of large bodies know their own daemon, and hold their streams

Cause, concluded from that: five ports were searched one by one, each released before the next and before the daemon listens, so that another test's daemon took one of them, answered at it, and the test's own had ended. Now all five are held at once, the test waits until its daemon itself says that it has started, and one that could not listen is started again at other ports, five times at most. Found by reading: streams of one second had to be all in progress for 300 ms and a look at the metrics. Their endpoints are thirty times slower until the bodies are counted; that count is waited for.

--- a/crates/basilbankd/tests/bodies.rs
+++ b/crates/basilbankd/tests/bodies.rs
@@ -2,10 +2,13 @@
 
 use std::{
     fs,
-    io::{BufReader, Write},
+    io::{BufRead, BufReader, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
-    sync::Barrier,
+    sync::{
+        Barrier,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -28,6 +31,12 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Times that a daemon is started, each at other ports.
+const STARTS: usize = 5;
+
+/// Exit code of a daemon that could not start, for example because a port is taken.
+const FAILED: i32 = 1;
+
 /// A daemon as a process of its own. Dropping it kills it.
 struct Daemon {
     child: Child,
@@ -38,13 +47,18 @@
 }
 
 impl Daemon {
+    /// Starts a daemon at free ports. Another process may take one of them before the daemon listens.
     fn start(world: &World) -> Daemon {
-        let free = || {
-            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-            listener.local_addr().unwrap()
-        };
-        let (callers, ready, control, metrics) = (free(), free(), free(), free());
-        let port = free().port();
+        (0..STARTS).find_map(|_| Daemon::try_start(world)).expect("the daemon does not start")
+    }
+
+    /// `None` if the daemon could not start.
+    fn try_start(world: &World) -> Option<Daemon> {
+        // All are held at once, so that they differ.
+        let listeners = [(); 5].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
+        let [callers, ready, control, metrics, peers] =
+            listeners.map(|listener| listener.local_addr().unwrap());
+        let port = peers.port();
         let store = world.store.address();
         let text = format!(
             "node = \"vm-0\"\nzone = \"hall-a\"\nip = \"127.0.0.1\"\nportRange = [{port}, {port}]\n\
@@ -52,24 +66,35 @@
              ready = \"{ready}\"\ncontrol = \"{control}\"\n[limits]\nmemoryMb = {MEMORY_MB}\n\
              [platform]\naddr = \"{store}\"\n",
         );
-        let settings = std::env::temp_dir().join(format!("basilbank-bodies-{port}.toml"));
+        static FILES: AtomicU32 = AtomicU32::new(0);
+        let number = FILES.fetch_add(1, Ordering::Relaxed);
+        let name = format!("basilbank-bodies-{}-{number}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
         fs::write(&settings, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_basilbankd"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_basilbankd"))
             .args(["--platform", "--metrics", &metrics.port().to_string()])
             .env("BASILBANK_BOOT", &settings)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
-        let peers = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        let daemon = Daemon { child, callers, metrics, peers };
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
+        let mut daemon = Daemon { child, callers, metrics, peers };
+        // Before it listens, another process's daemon may answer at its ports.
+        if !lines.any(|line| line.contains("event=started")) {
+            let status = daemon.child.wait().unwrap();
+            assert_eq!(status.code(), Some(FAILED), "the daemon ended before it listened");
+            fs::remove_file(settings).unwrap();
+            return None;
+        }
+        thread::spawn(move || lines.for_each(drop));
         let end = Instant::now() + PATIENCE;
         while !call(ready, "GET /ready", &[], b"").is_ok_and(|answer| answer.status == 200) {
             assert!(Instant::now() < end, "the daemon is not ready");
             thread::sleep(Duration::from_millis(10));
         }
         fs::remove_file(settings).unwrap();
-        daemon
+        Some(daemon)
     }
 
     /// Peak of the resident size, in kilobytes.
@@ -187,12 +212,17 @@
 /// Events of a stream: it lasts for a second or more.
 const EVENTS: usize = 200;
 
+/// Factor by which endpoints are slower until bodies have been counted: streams last for half a minute.
+const SLOWNESS: u32 = 30;
+
 /// Guards against streams that hold their bodies, and so keep other calls out, though none of them can
 /// be sent again.
 #[test_case("/once/", false; "of streams that can not go on elsewhere")]
 #[test_case("/draft/", true; "of streams that can")]
 fn bodies_are_held_while_a_stream_may_need_them(path: &str, held: bool) {
     let world = world();
+    let slow_down = |factor| world.model.iter().for_each(|endpoint| endpoint.slow_down(factor));
+    slow_down(SLOWNESS);
     let daemon = Daemon::start(&world);
     let body = vec![b'x'; BODY];
     thread::scope(|scope| {
@@ -218,10 +248,15 @@
             thread::sleep(Duration::from_millis(10));
         }
         thread::sleep(Duration::from_millis(300));
-        let bytes = daemon.metric("basilbank_forward_body_bytes ").expect("the metric");
-        assert!(is_running(), "all streams run on");
         let expected = if held { STREAMS as usize * BODY } else { 0 };
-        assert_eq!(usize::try_from(bytes), Ok(expected));
+        let bytes = || daemon.metric("basilbank_forward_body_bytes ").expect("the metric");
+        let end = Instant::now() + PATIENCE;
+        while usize::try_from(bytes()) != Ok(expected) {
+            assert!(Instant::now() < end, "{} bytes are held, not {expected}", bytes());
+            thread::sleep(Duration::from_millis(10));
+        }
+        assert!(is_running(), "all streams run on");
+        slow_down(1);
         for stream in streams {
             let answer = stream.join().expect("no panic");
             assert_eq!(answer.text().matches("data: token").count(), EVENTS);
