A caller of a test that is turned away unread comes back

Callers saw nothing: `bodies_are_held_while_a_stream_may_need_them` failed in 4 of 44 whole runs on a busy machine with "connection reset", and then "the streams run". Cause: a daemon whose event loop is behind closes new connections unread, as is intended, and the test's callers gave up. They come back now, as those of the test beside it do, and the daemon must have counted each such call as turned away, so that no other broken call passes.

--- a/crates/basilbankd/tests/bodies.rs
+++ b/crates/basilbankd/tests/bodies.rs
@@ -225,8 +225,9 @@
     slow_down(SLOWNESS);
     let daemon = Daemon::start(&world);
     let body = vec![b'x'; BODY];
+    let unread = AtomicU32::new(0);
     thread::scope(|scope| {
-        let (to, body) = (daemon.callers, &body);
+        let (to, body, unread) = (daemon.callers, &body, &unread);
         let stream = move |n: u32| {
             let (id, counts) = (format!("d{n}"), format!("1000,{EVENTS}"));
             let parts = format!("{n:x}:1000");
@@ -237,7 +238,13 @@
                 ("x-token-counts", counts.as_str()),
                 ("x-prompt-prefix", parts.as_str()),
             ];
-            call(to, &format!("POST {path}{n}"), &headers, body).expect("an answer")
+            loop {
+                // A caller whose connection is closed unread comes back.
+                match call(to, &format!("POST {path}{n}"), &headers, body) {
+                    Ok(answer) => return answer,
+                    Err(_) => unread.fetch_add(1, Ordering::Relaxed),
+                };
+            }
         };
         let streams: Vec<_> = (0..STREAMS).map(|n| scope.spawn(move || stream(n))).collect();
         let is_running =
@@ -262,6 +269,9 @@
             assert_eq!(answer.text().matches("data: token").count(), EVENTS);
         }
     });
+    let turned_away = daemon.metric("basilbank_forward_refused_total{reason=\"busy\"}");
+    let unread = u64::from(unread.into_inner());
+    assert_eq!(unread, turned_away.unwrap_or(0), "each has an answer, or was not read");
     assert_eq!(daemon.metric("basilbank_forward_body_bytes "), Some(0));
 }
 
