A shutdown keeps to the grace period in force, not to that of the start

By reading: the settings' grace period was read once, at the start. A daemon whose grace period is shortened by a reload counted on the former one, and SIGKILL cut what was in progress with neither an answer nor a refusal.

--- a/crates/basilbankd/tests/platform_start.rs
+++ b/crates/basilbankd/tests/platform_start.rs
@@ -1,4 +1,4 @@
-//! A SIGTERM to a daemon on the users' platform that has just started.
+//! Signals to a daemon on the users' platform that has just started.
 
 use std::{
     fs::{self, File},
@@ -8,6 +8,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -113,6 +114,31 @@
     assert_eq!(killed, 0, "of {} were killed: {ended:?}", ended.len());
 }
 
+/// Guards against callers that are cut off by SIGKILL: their daemon counts on a grace period that has
+/// been shortened since its start.
+#[test]
+fn a_shutdown_ends_within_the_grace_period_in_force() {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("grace.toml");
+    let (address, text) = settings();
+    let with_grace =
+        |grace| text.replace("graceS = 0.7", &format!("graceS = {grace}")).into_bytes();
+    fs::write(&path, with_grace("60.0")).unwrap();
+    let mut child = start(&path, Stdio::piped());
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let mut wait_for = |event: &str| lines.any(|line| line.unwrap().contains(event));
+    assert!(wait_for("event=started"));
+    let caller = TcpStream::connect(address).unwrap();
+    fs::write(&path, with_grace("0.7")).unwrap();
+    send(&child, Signal::HUP);
+    assert!(wait_for("event=reloaded"));
+    let signalled = Instant::now();
+    send(&child, Signal::TERM);
+    assert!(child.wait().unwrap().success());
+    // After 15 s a caller without a request is disconnected.
+    assert!(signalled.elapsed() < Duration::from_secs(10), "{:?}", signalled.elapsed());
+    drop(caller);
+}
+
 #[test_case(Signal::TERM, false; "sigterm ends it before it listens")]
 #[test_case(Signal::HUP, true; "sighup leaves it alone")]
 fn a_signal_before_the_settings_are_read(signal: Signal, is_started: bool) {
