--- a/crates/basilbank_forward/src/state/proxies.rs
+++ b/crates/basilbank_forward/src/state/proxies.rs
@@ -32,8 +32,8 @@
 /// What this daemon knows of its peers as proxies, and what it does as one.
 #[derive(Debug, Default)]
 pub struct Proxies {
-    /// Peers that could not reach an endpoint.
-    broken_paths: BTreeMap<(EndpointKey, SocketAddr), BrokenPath>,
+    /// Until when peers are not asked to call an endpoint that they could not reach.
+    broken_paths: BTreeMap<(EndpointKey, SocketAddr), Duration>,
     /// Until when peers are not asked at all.
     resting: BTreeMap<SocketAddr, Duration>,
     /// Until when peers are not asked to call an endpoint, since they declined: it may want a pause or leave.
@@ -44,15 +44,6 @@
     pub serving: usize,
 }
 
-/// A peer's path to an endpoint that it could not reach.
-#[derive(Clone, Copy, Debug)]
-struct BrokenPath {
-    /// Until when the peer is not asked to call the endpoint.
-    until: Duration,
-    /// Whether another peer has reached the endpoint since, so that it is up.
-    is_refuted: bool,
-}
-
 impl Proxies {
     /// Records that a peer did not make a call to an endpoint.
     pub fn record_failure(
@@ -70,20 +61,16 @@
                 self.declined.insert((key, peer), now + AVOID_PEER);
             }
             NotProxied::EndpointUnreachable => {
-                let path = BrokenPath { until: now + AVOID_PATH, is_refuted: false };
-                self.broken_paths.insert((key, peer), path);
+                self.broken_paths.insert((key, peer), now + AVOID_PATH);
                 self.reached.remove(&key);
             }
         }
     }
 
     /// Records that a peer has reached an endpoint. So the endpoint is up, whatever other peers found.
-    /// Those that could not reach it still can't, and are not asked meanwhile.
     pub fn record_success(&mut self, key: EndpointKey, peer: SocketAddr, now: Duration) {
         self.reached.insert(key, now);
-        self.broken_paths.remove(&(key, peer));
-        let others = self.broken_paths.iter_mut().filter(|((endpoint, _), _)| *endpoint == key);
-        others.for_each(|(_, path)| path.is_refuted = true);
+        self.broken_paths.retain(|(endpoint, _), _| *endpoint != key);
         self.resting.remove(&peer);
         self.declined.remove(&(key, peer));
     }
@@ -100,13 +87,12 @@
     pub fn is_down(&self, key: EndpointKey, now: Duration) -> bool {
         let paths = self.broken_paths.range((key, MIN_ADDRESS)..);
         let paths = paths.take_while(|((endpoint, _), _)| *endpoint == key);
-        let counts = |path: &BrokenPath| now < path.until && !path.is_refuted;
-        MIN_FAILED_PEERS <= paths.filter(|(_, path)| counts(path)).count()
+        MIN_FAILED_PEERS <= paths.filter(|(_, until)| now < **until).count()
     }
 
     /// Forgets what is over.
     pub fn expire(&mut self, now: Duration) {
-        self.broken_paths.retain(|_, path| now < path.until);
+        self.broken_paths.retain(|_, until| now < *until);
         self.resting.retain(|_, until| now < *until);
         self.declined.retain(|_, until| now < *until);
         self.reached.retain(|_, at| now < *at + REACHED_FOR);
@@ -118,7 +104,7 @@
     }
 
     fn is_path_broken(&self, key: EndpointKey, peer: SocketAddr, now: Duration) -> bool {
-        self.broken_paths.get(&(key, peer)).is_some_and(|path| now < path.until)
+        self.broken_paths.get(&(key, peer)).is_some_and(|until| now < *until)
     }
 }
 
--- a/crates/basilbank_forward/tests/forward/proxies.rs
+++ b/crates/basilbank_forward/tests/forward/proxies.rs
@@ -159,23 +159,6 @@
     assert!(attempt.target.via.is_some());
 }
 
-/// Guards against completions that are refused because a peer that can't reach an endpoint is asked again.
-#[test]
-fn peers_that_can_not_reach_an_endpoint_are_not_asked_again_after_another_has_reached_it() {
-    let mut rig = cut_off();
-    let endpoint = rig.state.directory.find("d1").expect("listed");
-    for n in [3, 4] {
-        let failure = Some(NotProxied::EndpointUnreachable);
-        rig.feed(Event::ProbedByPeer { endpoint, peer: address(n), failure });
-        rig.feed(Event::ProbedByPeer { endpoint, peer: address(2), failure: None });
-    }
-    for n in 0..10 {
-        rig.effects.clear();
-        rig.call(&format!("/draft/{n}"), 14_000, Some(prompt(500)));
-        assert_eq!(rig.start().target.via, Some(address(2)));
-    }
-}
-
 /// Guards against a call that is asked for over and over until its time has passed.
 #[test_case(NotProxied::NoPeer; "no peer")]
 #[test_case(NotProxied::Declined; "declined")]
