After all daemons restarted, a stream goes on only where one version is proven

Streams of that version are taken up, status 200, and continued by another one.

Cause: what isn't known was guessed from what is listed now. The oldest change that the store has was taken for 20 s old, and a store that has nothing to tell looks like one that has dropped everything.

Change: the first list that a daemon reads is kept with the revisions at which each record was created and last changed. Each change has a revision of its own, so if every revision since a known moment belongs to a listed record, to the configuration or to the history, nothing has been removed since. The moment is the creation of the configuration, or the newest record that can't have changed within 20 s, by its endpoint's start and count of heartbeats. Without that proof the stream is refused (stream_unknown).

Changed tests: rigs of a daemon that has just started read the list (they got it as a change, which no daemon does), records have revisions, the stand-in's store names an item's creation truly, and an endpoint that claims a start long ago claims the heartbeats that go with it. No check is looser.

--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -5,6 +5,8 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::topic::ItemRevisions;
+
 slotmap::new_key_type! {
     /// Identifies one endpoint. Keys are never reused: when an address is used again, the endpoint
     /// there has another key.
@@ -53,6 +55,10 @@
     pub stage: Option<Stage>,
     /// The version of its software, not of the model's weights.
     pub version: String,
+    /// When the record was written, by the store's revisions.
+    pub revisions: ItemRevisions,
+    /// Number of heartbeats that the endpoint had sent by the record's last change.
+    pub heartbeats: u64,
 }
 
 /// Identifies a version of the software of a service's endpoints. What two versions write, events
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -19,6 +19,6 @@
     route::{Route, RouteKind, RouteTable, Service},
     state::{Local, OrderRight, State, SystemStart, Usage},
     team::{Credential, KeyHash, Quota, QuotaUnit, Team, TeamId, Teams},
-    topic::{PerTopic, Revision, Revisions, Topic},
+    topic::{ItemRevisions, PerTopic, Revision, Revisions, Topic},
     tuning::Tuning,
 };
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -46,7 +46,7 @@
     endpoint::EndpointKey,
     event::Event,
     log_line::LogLine,
-    state::{State, SystemStart, Usage, requests::Hold},
+    state::{State, SystemStart, Usage, origins::STREAM_LIFETIME, requests::Hold},
     topic::Topic,
 };
 
@@ -129,8 +129,12 @@
 /// Looks at the versions of endpoints if the list has changed.
 fn update_versions(ctx: &mut Context<'_>) {
     let is_first_start = ctx.state.local.start == SystemStart::First;
-    let State { versions, directory, .. } = &mut *ctx.state;
-    if versions.update(directory, is_first_start, ctx.now) {
+    let State { versions, directory, first_list, .. } = &mut *ctx.state;
+    let has_more = versions.update(directory, is_first_start, ctx.now);
+    if versions.are_known_for(STREAM_LIFETIME, ctx.now) {
+        *first_list = None;
+    }
+    if has_more {
         origin::announce_all(ctx);
     }
 }
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -8,7 +8,7 @@
     endpoint::{EndpointInfo, EndpointKey},
     log_line::LogLine,
     route::RouteTable,
-    state::crashes::CrashEvidence,
+    state::{crashes::CrashEvidence, first_list::FirstList},
     topic::{Revision, Revisions, Topic},
 };
 
@@ -75,6 +75,10 @@
             revisions.latest_change.with_era(revisions.store.era),
         );
     }
+    if previous.is_none() {
+        let heartbeat = ctx.state.tuning.endpoint_heartbeat;
+        ctx.state.first_list = Some(FirstList::new(revisions.store, &list, heartbeat));
+    }
     let listed_now: HashSet<_> = list.iter().map(|info| info.instance.as_str()).collect();
     let missing: Vec<_> = ctx
         .state
--- a/crates/basilbank_forward/src/reduce/history.rs
+++ b/crates/basilbank_forward/src/reduce/history.rs
@@ -69,7 +69,7 @@
         ctx.state.history = History::Searching(search);
         return;
     }
-    ctx.state.history = History::Read;
+    ctx.state.history = History::Read { after: search.known_after() };
     record(ctx, search);
     origin::conclude_reading(ctx);
 }
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -140,8 +140,8 @@
 
 /// Decides about a call whose stream nobody knows.
 ///
-/// A peer that has seen one version for long says so. Where no daemon has run for that long, the store
-/// says which versions have served lately, and the endpoints' start times whether one was replaced.
+/// A peer that has seen one version for long says so. Where no daemon has run for that long, the list
+/// of endpoints and the store's history may prove that there was only one.
 fn conclude_unknown(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let is_remembered = ctx.state.remembers_versions(ctx.now);
     let Some(request) = ctx.state.requests.get(&id) else { return false };
@@ -152,7 +152,7 @@
     let version = match request.inferred[..] {
         // The store is too slow to wait for.
         [] if is_remembered || ctx.state.history.is_open() => None,
-        [] => version_by_starts(ctx.state, &request.route, ctx.now),
+        [] => proven_version(ctx.state, &request.route, ctx.now),
         [first, ..] => Some(first).filter(|first| request.inferred.iter().all(|v| v == first)),
     };
     if version.is_some() {
@@ -177,18 +177,27 @@
     }
 }
 
-/// Returns the version of all endpoints of a route, unless one says that it started since a stream may
-/// have begun that is taken up now. Where starts aren't stated nothing speaks for a second version, and
-/// refusing would lose each stream that a restart of all daemons cuts off.
-fn version_by_starts(state: &State, route: &Route, now: Duration) -> Option<SoftwareVersion> {
+/// Returns the version of all endpoints of a route, if it is proven that there was no other one since
+/// a stream may have begun that is taken up now: none of them started since, no former version is
+/// known, and no endpoint was removed that nothing tells of.
+fn proven_version(state: &State, route: &Route, now: Duration) -> Option<SoftwareVersion> {
     let oldest = state.unix_ms(now).saturating_sub(STREAM_LIFETIME.as_millis() as u64);
     let mut endpoints = route.services().flat_map(|service| state.directory.in_service(service));
     let is_old = |start: Option<u64>| start.is_none_or(|start| start < oldest);
     let are_old = endpoints.all(|(_, endpoint)| is_old(endpoint.info.start_time));
-    let are_known = are_old && !state.versions.has_unknown(now);
+    let are_known = are_old && !state.versions.has_unknown(now) && is_list_complete(state, oldest);
     state.versions.single(route.services(), now).filter(|_| are_known)
 }
 
+/// Returns whether this daemon knows of all endpoints that have been removed since `oldest`, in
+/// milliseconds since the Unix epoch.
+fn is_list_complete(state: &State, oldest: u64) -> bool {
+    let Some(first) = &state.first_list else { return false };
+    let is_same_era = first.era() == state.directory.revision.era;
+    let configuration = state.routes.revisions;
+    is_same_era && first.is_complete(oldest, state.history.known_after(), configuration)
+}
+
 /// Pins a stream whose first event has come to its endpoint's version, and tells peers of it if it
 /// matters.
 pub fn record_origin(ctx: &mut Context<'_>, id: RequestId, attempt: u32) {
--- a/crates/basilbank_forward/src/route.rs
+++ b/crates/basilbank_forward/src/route.rs
@@ -5,6 +5,7 @@
 use crate::{
     rank::{Rank, Ranks},
     team::{Team, Teams},
+    topic::ItemRevisions,
 };
 
 /// Whether calls on a route may be repeated.
@@ -130,6 +131,8 @@
 pub struct RouteTable {
     /// The configuration's version; 0 before any is known.
     pub version: u64,
+    /// When the configuration was written, by the store's revisions.
+    pub revisions: ItemRevisions,
     /// Services by name.
     pub services: HashMap<String, Service>,
     /// Limits for callers.
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -11,6 +11,7 @@
 pub mod endpoint;
 pub mod endpoint_records;
 pub mod evidence;
+pub mod first_list;
 pub mod forecast;
 pub mod freshness;
 pub mod generation;
@@ -57,6 +58,7 @@
     directory::Directory,
     endpoint::Endpoint,
     endpoint_records::EndpointRecords,
+    first_list::FirstList,
     forecast::Forecasts,
     freshness::Freshness,
     generation::GenerationStats,
@@ -158,6 +160,8 @@
     pub versions: Versions,
     /// What the store has said of the time before this daemon's start.
     pub history: History,
+    /// The first list of endpoints, for as long as a stream may last.
+    pub first_list: Option<FirstList>,
     /// Calls that are not sent to endpoints.
     pub quarantine: Quarantine,
     /// Generation speed of completions by service, as measured by this daemon.
@@ -233,6 +237,7 @@
             origins: Origins::default(),
             versions: Versions::default(),
             history: History::default(),
+            first_list: None,
             quarantine: Quarantine::default(),
             freshness: Freshness::default(),
             quotas: Quotas::default(),
--- /dev/null
+++ b/crates/basilbank_forward/src/state/first_list.rs
@@ -0,0 +1,86 @@
+//! What the list of endpoints itself proves about the time before it was read.
+//!
+//! Each change in the store has a revision of its own, and an endpoint that was removed has no record
+//! any more. So if each revision since some moment is one at which a listed record or the
+//! configuration was written, no endpoint has been removed since.
+
+use std::time::Duration;
+
+use crate::{
+    endpoint::EndpointInfo,
+    topic::{ItemRevisions, Revision},
+};
+
+/// Factor by which endpoints' heartbeats may be slower than their interval.
+const HEARTBEAT_FACTOR: f64 = 1.5;
+
+/// Time for which heartbeats may have failed, so that an endpoint has counted too few.
+const MAX_HEARTBEAT_OUTAGE: Duration = Duration::from_secs(10);
+
+/// The first list of endpoints that this daemon read.
+#[derive(Debug)]
+pub struct FirstList {
+    /// The store's revision at which it was read.
+    revision: Revision,
+    records: Vec<Record>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    revisions: ItemRevisions,
+    /// The latest time at which its last change can have been made, in milliseconds since the Unix
+    /// epoch; `None` if the record doesn't state when its endpoint started.
+    changed_by: Option<u64>,
+}
+
+impl FirstList {
+    /// Records the list that was read at a revision. Endpoints send a heartbeat each `heartbeat`.
+    #[must_use]
+    pub fn new(revision: Revision, list: &[EndpointInfo], heartbeat: Duration) -> FirstList {
+        let record = |info: &EndpointInfo| Record {
+            revisions: info.revisions,
+            changed_by: changed_by(info, heartbeat),
+        };
+        FirstList { revision, records: list.iter().map(record).collect() }
+    }
+
+    /// Returns whether no endpoint was removed between `oldest`, in milliseconds since the Unix epoch,
+    /// and the read of the list, as far as the list doesn't show it.
+    ///
+    /// `known_after` is the revision after which all changes are known from elsewhere. Before the
+    /// first configuration was written there were no calls.
+    #[must_use]
+    pub fn is_complete(
+        &self,
+        oldest: u64,
+        known_after: Option<Revision>,
+        configuration: ItemRevisions,
+    ) -> bool {
+        let known_after = known_after.filter(|known| known.era == self.revision.era);
+        let end = known_after.map_or(self.revision.number, |r| r.number.min(self.revision.number));
+        let is_old = |record: &&Record| record.changed_by.is_some_and(|at| at <= oldest);
+        let old = self.records.iter().filter(is_old).map(|record| record.revisions.changed);
+        let begin = old.chain([configuration.created]).max().unwrap_or_default();
+        let items = self.records.iter().map(|record| record.revisions).chain([configuration]);
+        let mut written: Vec<_> = items
+            .flat_map(|item| [item.created, item.changed])
+            .filter(|revision| begin < *revision && *revision <= end)
+            .collect();
+        written.sort_unstable();
+        written.dedup();
+        written.len() as u64 == end.saturating_sub(begin)
+    }
+
+    /// Returns the era of the store in which the list was read.
+    #[must_use]
+    pub fn era(&self) -> u64 {
+        self.revision.era
+    }
+}
+
+fn changed_by(info: &EndpointInfo, heartbeat: Duration) -> Option<u64> {
+    let heartbeats = info.heartbeats.saturating_add(1) as f64;
+    let age = heartbeat.as_secs_f64() * HEARTBEAT_FACTOR * heartbeats;
+    let age = Duration::try_from_secs_f64(age).ok()?.checked_add(MAX_HEARTBEAT_OUTAGE)?;
+    info.start_time?.checked_add(u64::try_from(age.as_millis()).ok()?)
+}
--- a/crates/basilbank_forward/src/state/history.rs
+++ b/crates/basilbank_forward/src/state/history.rs
@@ -28,7 +28,10 @@
     /// The store is asked.
     Searching(Search),
     /// All changes that the store has were read.
-    Read,
+    Read {
+        /// The revision after which the store has all changes.
+        after: Revision,
+    },
     /// The store didn't say.
     Failed {
         /// When the search failed.
@@ -43,7 +46,16 @@
         match self {
             History::Unread => true,
             History::Failed { at } => *at + RETRY_PAUSE <= now,
-            History::Searching(_) | History::Read => false,
+            History::Searching(_) | History::Read { .. } => false,
+        }
+    }
+
+    /// Returns the revision after which all changes were read.
+    #[must_use]
+    pub fn known_after(&self) -> Option<Revision> {
+        match self {
+            History::Read { after } => Some(*after),
+            History::Unread | History::Searching(_) | History::Failed { .. } => None,
         }
     }
 
@@ -89,6 +101,12 @@
         self.newest.era
     }
 
+    /// Returns the revision after which the store has returned all changes so far.
+    #[must_use]
+    pub fn known_after(&self) -> Revision {
+        Revision { number: self.newest.number - self.reached, ..self.newest }
+    }
+
     /// Handles an answer; `None` if the changes are gone. Returns whether the store has to be asked
     /// again.
     pub fn handle(&mut self, changes: Option<Vec<ListChange>>) -> bool {
--- a/crates/basilbank_forward/src/topic.rs
+++ b/crates/basilbank_forward/src/topic.rs
@@ -127,6 +127,15 @@
     pub latest_change: Revision,
 }
 
+/// The store's revisions at which one item was written, as far as its latest version tells.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct ItemRevisions {
+    /// The item's creation; 0 if it isn't known.
+    pub created: u64,
+    /// Its last change, which may be its creation; 0 if it isn't known.
+    pub changed: u64,
+}
+
 impl Revisions {
     /// Creates the revisions of a read at which the topic itself has changed.
     #[must_use]
--- a/crates/basilbank_forward/src/tuning.rs
+++ b/crates/basilbank_forward/src/tuning.rs
@@ -31,6 +31,8 @@
     /// Maximum time for which an unreachable endpoint is avoided. A crashed endpoint is removed
     /// from the list after three missed heartbeats.
     pub max_avoid_unreachable: Duration,
+    /// Interval of endpoints' heartbeats to the store.
+    pub endpoint_heartbeat: Duration,
     /// Time for which an instance is avoided after another one answered at its address. The list
     /// has certainly caught up by then.
     pub avoid_replaced: Duration,
@@ -158,6 +160,7 @@
             prefill_tokens_per_second: 33_000.0,
             local_prefill_fraction: 0.4,
             cold_start: Duration::from_millis(2500),
+            endpoint_heartbeat: Duration::from_millis(1200),
             local_prefill_margin: Duration::from_millis(100),
             stream_timeout: Duration::from_millis(700),
             stall_timeout: Duration::from_millis(900),
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -26,8 +26,8 @@
 /// A read of the store.
 const STORE: Duration = Duration::from_millis(6);
 
-/// How long the store keeps the list's changes.
-const HISTORY: Duration = Duration::from_secs(20);
+/// How long the store keeps the list's changes, unless a play says otherwise.
+pub const HISTORY: Duration = Duration::from_secs(20);
 
 /// Milliseconds between a process's end and its next start.
 const RESTART: u64 = 500;
@@ -83,6 +83,8 @@
     revision: u64,
     /// What has changed in the list: when, its revision, and the changes.
     changes: VecDeque<(Duration, u64, Vec<ListChange>)>,
+    /// How long the store keeps them.
+    history: Duration,
     loss: f64,
     /// Daemons before this number and the others don't hear each other.
     half: Option<usize>,
@@ -100,7 +102,8 @@
 
 impl Fleet {
     /// Daemons that have all just started.
-    pub fn new(count: usize, table: RouteTable, seed: u64) -> Fleet {
+    pub fn new(count: usize, mut table: RouteTable, seed: u64) -> Fleet {
+        table.revisions = ItemRevisions { created: 1, changed: 1 };
         let mut fleet = Fleet {
             daemons: Vec::new(),
             now: Duration::from_secs(100),
@@ -111,6 +114,7 @@
             listed: Vec::new(),
             revision: 1,
             changes: VecDeque::new(),
+            history: HISTORY,
             loss: 0.0,
             half: None,
             trust: None,
@@ -135,6 +139,12 @@
         self
     }
 
+    /// How long the store keeps the list's changes.
+    pub fn with_history(mut self, history: Duration) -> Fleet {
+        self.history = history;
+        self
+    }
+
     /// Every third daemon learns of changes of the list so much later.
     pub fn with_late_lists(mut self, lateness: Duration) -> Fleet {
         self.lateness.iter_mut().skip(1).step_by(3).for_each(|late| *late = lateness);
@@ -193,7 +203,13 @@
 
     /// All read the list.
     pub fn list(&mut self, listed: &[EndpointInfo], gone: &[String]) {
-        self.revision += 1;
+        let first = self.revision + 1;
+        let stamp = |(revision, info): (u64, &EndpointInfo)| EndpointInfo {
+            revisions: ItemRevisions { created: revision, changed: revision },
+            ..info.clone()
+        };
+        let listed: Vec<_> = (first..).zip(listed).map(stamp).collect();
+        self.revision += (listed.len() + gone.len()) as u64;
         self.listed.retain(|info| !gone.contains(&info.instance));
         self.listed.extend(listed.iter().cloned());
         let updated = listed.iter().map(|info| (info.instance.clone(), Some(info.clone())));
@@ -215,7 +231,7 @@
 
     /// The changes after a revision, unless the store has dropped some of them.
     fn changes_after(&self, after: u64) -> HistoryAnswer {
-        let is_dropped = |at: Duration| at + HISTORY < self.now;
+        let is_dropped = |at: Duration| at + self.history < self.now;
         let (dropped, kept): (Vec<_>, Vec<_>) =
             self.changes.iter().partition(|(at, ..)| is_dropped(*at));
         if dropped.last().is_some_and(|(_, revision, _)| after < *revision) {
--- a/crates/basilbank_forward/tests/forward/fleet/versions/load.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/versions/load.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::super::Told;
+use super::super::{HISTORY, Told};
 
 /// What becomes of the endpoints.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -54,6 +54,8 @@
     pub loss: f64,
     /// How much later than the others some daemons learn of changes of the list.
     pub lateness: Duration,
+    /// How long the store keeps the list's changes.
+    pub history: Duration,
     /// Whether endpoints' records state no version.
     pub unstated: bool,
     pub change: Change,
@@ -75,6 +77,7 @@
             after: Duration::from_millis(600),
             loss: 0.001,
             lateness: Duration::ZERO,
+            history: HISTORY,
             unstated: false,
             change,
             trouble,
--- a/crates/basilbank_forward/tests/forward/fleet/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/versions/mod.rs
@@ -81,7 +81,8 @@
     pub fn run(load: Load, seed: u64) -> Got {
         let fleet = Fleet::new(load.daemons, table_with_memory(1, 10_000_000), seed)
             .with_loss(load.loss)
-            .with_late_lists(load.lateness);
+            .with_late_lists(load.lateness)
+            .with_history(load.history);
         let mut play = Play {
             start: fleet.now(),
             fleet,
--- a/crates/basilbank_forward/tests/forward/load/site.rs
+++ b/crates/basilbank_forward/tests/forward/load/site.rs
@@ -171,6 +171,8 @@
         slots,
         draining: false,
         stage: Some(stage),
+        revisions: ItemRevisions::default(),
+        heartbeats: 1,
     }
 }
 
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -20,6 +20,8 @@
     pub effects: Vec<Effect>,
     /// What the store still has of the list's changes; without it the store doesn't answer.
     pub history: Option<HistoryAnswer>,
+    /// The revision before which the store has dropped its changes.
+    pub forgotten: u64,
     now: Duration,
     frozen: Duration,
     revision: u64,
@@ -54,7 +56,8 @@
         let frozen = Duration::ZERO;
         let history = Some(HistoryAnswer::Changes(Vec::new()));
         let effects = Vec::new();
-        let mut rig = Rig { state, effects, history, now, frozen, revision: 10, next: 0 };
+        let mut rig =
+            Rig { state, effects, history, forgotten: 0, now, frozen, revision: 10, next: 0 };
         rig.configure(table(1));
         rig
     }
@@ -86,9 +89,14 @@
     /// The store answers reads of the list's history at once.
     fn read_history(&mut self, now: Now) {
         let Some(answer) = self.history.clone() else { return };
-        let is_read = |effect: &mut Effect| matches!(effect, Effect::ReadHistory { .. });
-        while self.effects.extract_if(.., is_read).count() != 0 {
-            let event = Event::HistoryRead { era: None, answer: answer.clone() };
+        let after = |effect: &Effect| match effect {
+            Effect::ReadHistory { after } => Some(*after),
+            _ => None,
+        };
+        while let Some(at) = self.effects.iter().position(|effect| after(effect).is_some()) {
+            let is_gone = after(&self.effects.remove(at)) < Some(self.forgotten);
+            let answer = if is_gone { HistoryAnswer::Gone } else { answer.clone() };
+            let event = Event::HistoryRead { era: None, answer };
             reduce(&mut self.state, now, event, &mut self.effects);
         }
     }
@@ -120,11 +128,24 @@
     }
 
     /// A configuration is read.
-    pub fn configure(&mut self, table: RouteTable) {
+    pub fn configure(&mut self, mut table: RouteTable) {
+        table.revisions = ItemRevisions { created: self.revision, changed: self.revision };
         let read = Revisions::at(self.revision);
         self.feed(Event::RoutesRead { revisions: read, table: Some(Arc::new(table)) });
     }
 
+    /// Reads the whole list; each record was written at a revision of its own.
+    pub fn read(&mut self, list: Vec<EndpointInfo>) {
+        let first = self.revision + 1;
+        let stamp = |(revision, info): (u64, EndpointInfo)| EndpointInfo {
+            revisions: ItemRevisions { created: revision, changed: revision },
+            ..info
+        };
+        let list: Vec<_> = (first..).zip(list).map(stamp).collect();
+        self.revision += list.len() as u64;
+        self.feed(Event::EndpointsRead { revisions: Revisions::at(self.revision), list });
+    }
+
     /// Lists endpoints, as a change.
     pub fn list(&mut self, listed: Vec<EndpointInfo>) {
         self.change(listed, &[]);
@@ -323,6 +344,8 @@
         slots: 6,
         draining: false,
         stage,
+        revisions: ItemRevisions::default(),
+        heartbeats: 1,
     }
 }
 
--- a/crates/basilbank_forward/tests/forward/version_fleets.rs
+++ b/crates/basilbank_forward/tests/forward/version_fleets.rs
@@ -126,12 +126,30 @@
     }
 }
 
+/// Guards against the same where the store has dropped its history by then.
+#[test_case(0)]
+#[test_case(500)]
+#[test_case(1000)]
+#[test_case(5000)]
+fn a_version_that_went_is_not_forgotten_with_the_history(history_ms: u64) {
+    for seed in 1..=4 {
+        let [after, history] = [50, history_ms].map(Duration::from_millis);
+        let load = Load::new(8, Change::LastGoes, Trouble::AllAtOnce);
+        let load = Load { after, history, ..load };
+        assert_one_version(&Play::run(load, seed), &load, seed);
+    }
+}
+
 /// Guards against refusals where there is one version, whose streams all come back after the restart.
-#[test]
-fn streams_of_one_version_go_on_after_all_daemons_died() {
+#[test_case(3, 20_000)]
+#[test_case(8, 20_000)]
+#[test_case(8, 0; "no history")]
+#[test_case(66, 20_000)]
+fn streams_of_one_version_go_on_after_all_daemons_died(daemons: usize, history_ms: u64) {
     for seed in 1..=4 {
-        let load = Load::new(8, Change::Nothing, Trouble::AllAtOnce);
-        let load = Load { versions: 1, ..load };
+        let load = Load::new(daemons, Change::Nothing, Trouble::AllAtOnce);
+        let history = Duration::from_millis(history_ms);
+        let load = Load { versions: 1, history, ..load };
         let got = Play::run(load, seed);
         assert_go_on(&got, &load, seed);
         assert!(ENOUGH <= got.back_others.calls, "{got:?}");
--- a/crates/basilbank_forward/tests/forward/versions/history.rs
+++ b/crates/basilbank_forward/tests/forward/versions/history.rs
@@ -1,6 +1,6 @@
 //! What the store still has of the list's changes from before all daemons started.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use basilbank_forward::{
     prelude::*,
@@ -9,7 +9,7 @@
 use test_case::test_case;
 
 use super::{AT_ONCE, LONG, Net, two_versions, versioned};
-use crate::rig::Rig;
+use crate::rig::{Rig, table};
 
 /// An endpoint that served before.
 fn record(name: &str) -> ListChange {
@@ -27,7 +27,7 @@
     let mut rig = Rig::restarted();
     rig.history = history;
     rig.pass(LONG);
-    rig.list(listed.collect());
+    rig.read(listed.collect());
     let mut net = Net::new(1, vec![]);
     net.rigs[0] = rig;
     net
@@ -58,6 +58,70 @@
     assert_eq!((!attempts.is_empty(), refusals.is_empty()), (goes_on, goes_on), "{refusals:?}");
 }
 
+/// What has happened at a revision before the list was read.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Past {
+    /// Something that nothing tells of: an endpoint that came or went, another configuration.
+    Unknown,
+    /// The first configuration was written.
+    Configured,
+    /// The record of an endpoint was written, which had sent so many heartbeats by then.
+    Listed { start: Option<u64>, heartbeats: u64 },
+}
+
+/// An endpoint that started long ago, and was listed at once.
+const OLD: Past = Past::Listed { start: Some(1), heartbeats: 1 };
+
+/// The same, whose record has changed lately.
+const CHANGED: Past = Past::Listed { start: Some(1), heartbeats: 60 };
+
+/// The same, that doesn't say when it started.
+const UNSTATED: Past = Past::Listed { start: None, heartbeats: 1 };
+
+/// Guards against a version that is forgotten as the store has dropped its history sooner than a
+/// stream may last, and against refusals where the list itself proves that none has gone.
+#[test_case(&[Past::Configured, UNSTATED, UNSTATED], 0, true; "all since the first configuration")]
+#[test_case(&[Past::Configured, Past::Unknown, UNSTATED], 0, false; "one is unknown")]
+#[test_case(&[Past::Configured, UNSTATED, Past::Unknown], 0, false; "the last one is unknown")]
+#[test_case(&[Past::Configured, Past::Unknown, UNSTATED], 2, true; "the store has it")]
+#[test_case(&[Past::Configured, Past::Unknown, UNSTATED], 1, false; "the store has the one after")]
+#[test_case(&[Past::Unknown, Past::Configured, UNSTATED], 0, true; "before the first configuration")]
+#[test_case(&[Past::Configured, Past::Unknown, OLD, UNSTATED], 0, true; "before an old record")]
+#[test_case(&[Past::Configured, OLD, Past::Unknown, UNSTATED], 0, false; "after an old record")]
+#[test_case(&[Past::Configured, Past::Unknown, CHANGED], 0, false; "before a recent change")]
+fn a_store_that_has_dropped_its_history(past: &[Past], kept: u64, goes_on: bool) {
+    let mut rig = Rig::restarted();
+    rig.history = Some(HistoryAnswer::Changes(Vec::new()));
+    rig.pass(2 * LONG);
+    let first = 100;
+    let at = |n: usize| ItemRevisions { created: first + n as u64, changed: first + n as u64 };
+    let newest = first + past.len() as u64 - 1;
+    rig.forgotten = newest - kept;
+    let mut list = Vec::new();
+    for (n, past) in past.iter().enumerate() {
+        match *past {
+            Past::Unknown => {}
+            Past::Configured => {
+                let mut table = table(2);
+                table.revisions = at(n);
+                let revisions = Revisions::at(newest);
+                rig.feed(Event::RoutesRead { revisions, table: Some(Arc::new(table)) });
+            }
+            Past::Listed { start, heartbeats } => {
+                let name = format!("v1-{n}");
+                let info = versioned(&name, n as u16, Stage::Decode);
+                let revisions = at(n);
+                list.push(EndpointInfo { start_time: start, heartbeats, revisions, ..info });
+            }
+        }
+    }
+    rig.feed(Event::EndpointsRead { revisions: Revisions::at(newest), list });
+    let mut net = Net::new(1, vec![]);
+    net.rigs[0] = rig;
+    let (attempts, refusals) = net.take_up(0, "again", "t");
+    assert_eq!((!attempts.is_empty(), refusals.is_empty()), (goes_on, goes_on), "{refusals:?}");
+}
+
 /// Guards against changes of another history.
 #[test]
 fn changes_of_another_era_say_nothing() {
--- a/crates/basilbank_forward/tests/forward/versions/one_version.rs
+++ b/crates/basilbank_forward/tests/forward/versions/one_version.rs
@@ -94,7 +94,7 @@
     for n in 0..2 {
         let mut rig = Rig::restarted();
         rig.pass(net.rigs[n].now().saturating_sub(rig.now()));
-        rig.list(listed.clone());
+        rig.read(listed.clone());
         net.rigs[n] = rig;
     }
     let (attempts, refusals) = net.take_up(0, "again", "t");
@@ -111,7 +111,7 @@
     if has_died {
         let mut rig = Rig::restarted();
         rig.pass(net.rigs[0].now().saturating_sub(rig.now()));
-        rig.list(first);
+        rig.read(first);
         net.rigs[0] = rig;
     }
     let id = net.rigs[0].resume("/draft/1", "again", "t");
--- a/crates/basilbank_gateway/tests/attempts.rs
+++ b/crates/basilbank_gateway/tests/attempts.rs
@@ -123,6 +123,8 @@
         slots: 6,
         draining: false,
         stage: Some(Stage::Prefill),
+        revisions: ItemRevisions::default(),
+        heartbeats: 1,
     };
     let (revisions, removed) = (Revisions::at(1), Vec::new());
     router.dispatch(Event::EndpointsChanged { revisions, updated: vec![info], removed });
--- a/crates/basilbank_gateway/tests/reader/rig.rs
+++ b/crates/basilbank_gateway/tests/reader/rig.rs
@@ -212,6 +212,8 @@
         slots: 4,
         draining: false,
         stage: None,
+        revisions: ItemRevisions::default(),
+        heartbeats: 1,
     });
     Reading {
         revisions: Revisions::at(revision),
--- a/crates/basilbank_standin/src/managed/store.rs
+++ b/crates/basilbank_standin/src/managed/store.rs
@@ -154,6 +154,7 @@
 struct Change {
     at: Instant,
     key: String,
+    created: u64,
     rev: u64,
     /// None when it was deleted.
     value: Option<Value>,
@@ -166,6 +167,14 @@
     value: Option<Value>,
 }
 
+#[derive(Clone, Debug)]
+struct Item {
+    created: u64,
+    rev: u64,
+    /// As answers have it: base64 text unless it is another's entry.
+    value: Value,
+}
+
 #[derive(Debug, Default)]
 struct Inside {
     /// How often it has come back from a copy.
@@ -173,8 +182,7 @@
     revision: u64,
     /// All changes that it has not lost, also those that watches can't have any more.
     log: Vec<Change>,
-    /// Revision, and value as answers have it: base64 text unless it is another's entry.
-    items: BTreeMap<String, (u64, Value)>,
+    items: BTreeMap<String, Item>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
     /// The revision of the copy that it came back from last.
@@ -307,11 +315,8 @@
         let kept = self.log.iter().take_while(|change| change.at.elapsed() >= age).count();
         let lost = self.log.split_off(kept);
         self.items.clear();
-        for Change { key, rev, value, .. } in &self.log {
-            match value {
-                Some(value) => drop(self.items.insert(key.clone(), (*rev, value.clone()))),
-                None => drop(self.items.remove(key)),
-            }
+        for change in self.log.clone() {
+            self.apply(&change);
         }
         self.era += 1;
         self.revision = self.log.last().map_or(FIRST_REVISION, |change| change.rev);
@@ -321,6 +326,14 @@
         newest.into_iter().map(|(key, value)| Lost { key, value }).collect()
     }
 
+    fn apply(&mut self, change: &Change) {
+        let Change { key, created, rev, value, .. } = change.clone();
+        match value {
+            Some(value) => drop(self.items.insert(key, Item { created, rev, value })),
+            None => drop(self.items.remove(&key)),
+        }
+    }
+
     /// The item was written since the store came back from a copy.
     fn changed_in_era(&self, key: &str) -> bool {
         self.log.iter().any(|change| self.copied < change.rev && change.key == key)
@@ -335,12 +348,10 @@
     fn change(&self, key: &str, value: Option<Value>) {
         let mut inside = self.lock();
         inside.revision += 1;
-        let revision = inside.revision;
-        match &value {
-            Some(value) => drop(inside.items.insert(key.to_owned(), (revision, value.clone()))),
-            None => drop(inside.items.remove(key)),
-        }
-        let change = Change { at: Instant::now(), key: key.to_owned(), rev: revision, value };
+        let rev = inside.revision;
+        let created = inside.items.get(key).map_or(rev, |item| item.created);
+        let change = Change { at: Instant::now(), key: key.to_owned(), created, rev, value };
+        inside.apply(&change);
         inside.log.push(change);
         drop(inside);
         self.changed.notify_all();
@@ -399,8 +410,8 @@
 
     fn one(&self, key: &str) -> (u16, Value) {
         let inside = self.lock();
-        let Some((rev, value)) = inside.items.get(key) else { return (404, json!({})) };
-        let mut item = item(key, *rev, value);
+        let Some(found) = inside.items.get(key) else { return (404, json!({})) };
+        let mut item = item(key, found.created, found.rev, &found.value);
         item["storeRevision"] = json!(inside.revision);
         (200, item)
     }
@@ -413,7 +424,7 @@
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(&prefix) && after.as_str() < key.as_str())
-            .map(|(key, (rev, value))| item(key, *rev, value))
+            .map(|(key, found)| item(key, found.created, found.rev, &found.value))
             .collect();
         let more = PAGE < found.len();
         let items: Vec<_> = found.into_iter().take(PAGE).collect();
@@ -435,8 +446,8 @@
                 .log
                 .iter()
                 .filter(|change| after < change.rev && change.key.starts_with(&prefix))
-                .map(|Change { key, rev, value, .. }| match value {
-                    Some(value) => item(key, *rev, value),
+                .map(|Change { key, created, rev, value, .. }| match value {
+                    Some(value) => item(key, *created, *rev, value),
                     None => json!({ "key": key, "rev": rev, "tombstone": true }),
                 })
                 .collect();
@@ -450,6 +461,6 @@
     }
 }
 
-fn item(key: &str, rev: u64, value: &Value) -> Value {
-    json!({ "key": key, "value": value, "rev": rev, "created": rev, "lease": 0 })
+fn item(key: &str, created: u64, rev: u64, value: &Value) -> Value {
+    json!({ "key": key, "value": value, "rev": rev, "created": created, "lease": 0 })
 }
--- a/crates/basilbank_standin/tests/managed/take_ups.rs
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use basilbank_standin::managed::{
@@ -19,6 +20,9 @@
 const EVENTS: u32 = 60;
 const HAD: u32 = 3;
 
+/// Interval of endpoints' heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
 /// Three daemons before a prefill and two decode endpoints of each version.
@@ -126,9 +130,12 @@
 fn replace_daemons(world: &mut World) {
     (0..3).for_each(|daemon| world.terminate(daemon));
     (0..3).for_each(|daemon| world.wait_ended(daemon).expect("its end"));
+    let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time");
+    let heartbeats = (unix_time.as_secs_f64() / HEARTBEAT.as_secs_f64()) as u64;
     for endpoint in &world.model {
         let mut entry = endpoint.entry(WRITER, "ready");
         entry["born"] = 1.into();
+        entry["seq"] = heartbeats.into();
         if entry["version"] != "v1" || world.model.len() == 3 {
             world.store.put(&key(endpoint.instance()), &entry);
         }
@@ -137,11 +144,15 @@
 }
 
 /// Guards against a version that is forgotten as it went before all daemons ended.
-#[test]
-fn a_version_that_went_before_all_daemons_ended_is_remembered() {
+#[test_case(false; "the store has its history")]
+#[test_case(true; "the store has dropped its history")]
+fn a_version_that_went_before_all_daemons_ended_is_remembered(is_dropped: bool) {
     let mut world = world();
     let began: Vec<_> = (0..STREAMS).map(|n| begin(world.callers(0), &format!("s{n}"))).collect();
     ["p", "a", "b"].iter().for_each(|name| world.unlist(&format!("v1-{name}")));
+    if is_dropped {
+        world.store.compact();
+    }
     replace_daemons(&mut world);
     eventually("it serves", || whole(world.callers(3), "w").status == 200);
     for (n, began_at) in began.iter().enumerate() {
@@ -151,12 +162,16 @@
 }
 
 /// Guards against refusals where there was one version before all daemons ended.
-#[test]
-fn streams_go_on_after_all_daemons_ended_beside_one_version() {
+#[test_case(false; "the store has its history")]
+#[test_case(true; "the store has dropped its history")]
+fn streams_go_on_after_all_daemons_ended_beside_one_version(is_dropped: bool) {
     let mut world = world_of(&["v1"]);
     for n in 0..STREAMS {
         assert_eq!(begin(world.callers(0), &format!("s{n}")), "v1");
     }
+    if is_dropped {
+        world.store.compact();
+    }
     replace_daemons(&mut world);
     eventually("it serves", || whole(world.callers(3), "w").status == 200);
     for n in 0..STREAMS {
