Calls wait for an endpoint that is only silent

What callers saw: calls that came while the only endpoint of their service was silent for a second or so got 503 no_endpoint, from half a second on.

Cause: one slot request or prompt and one probe of 0.25 s without an answer took the endpoint out of service, although nothing had failed.

Change: a probe tells an endpoint that accepts the connection and doesn't answer (Liveness::Silent) from one that can't be connected to. A call that no other endpoint can take waits for the former until 3 s after the first such probe, and is refused at once for the latter, as before. An endpoint that let an attempt time out is probed at once instead of after 0.25 s, and each 0.25 s while it is silent. Peers make no calls to it while it accepts this daemon's own connections.

Endpoints that never answer again hold a call for 4.2 s at most, dark ones for 1 s.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -209,8 +209,11 @@
 pub enum Liveness {
     /// The endpoint answered, whatever the answer was.
     Alive,
-    /// No connection could be made, or no answer came in time.
+    /// No connection could be made, or it broke.
     Unreachable,
+    /// A connection was made, and no answer came in time: the endpoint's machine answers and its
+    /// process doesn't.
+    Silent,
     /// The probe was not sent, as the endpoint wants a pause.
     Withheld,
 }
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -101,6 +101,7 @@
             return NextStep::WaitForCapacity;
         }
         DecodeChoice::Paused(until) => return NextStep::WaitForPause(until),
+        DecodeChoice::Silent => return NextStep::WaitUntil(now + RECHECK_INTERVAL),
         DecodeChoice::None => return NextStep::GiveUp(Refusal::NoEndpoint),
         DecodeChoice::VersionGone => return NextStep::GiveUp(Refusal::VersionGone),
     };
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -99,9 +99,8 @@
         return update_proxied_endpoint(ctx, live, peer, outcome);
     }
     match outcome {
-        Outcome::Unreachable | Outcome::TimedOut => {
-            return suspect::mark_unreachable(ctx, live.endpoint);
-        }
+        Outcome::Unreachable => return suspect::mark_unreachable(ctx, live.endpoint),
+        Outcome::TimedOut => return suspect::mark_silent(ctx, live.endpoint),
         Outcome::Withheld | Outcome::NotProxied(_) => return,
         Outcome::Finished | Outcome::Broken(_) => {}
         _ => suspect::record_answer(ctx, live.endpoint),
@@ -293,10 +292,11 @@
 /// call is refused, since its time would only pass with asking further peers. One that goes on because
 /// of a silence waits, as it does when an endpoint refuses it.
 fn handle_not_proxied(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt) {
+    let is_silent = ctx.state.awaits(live.endpoint, ctx.now);
     let Some(request) = ctx.state.requests.get_mut(&id) else { return };
     request.proxy_failures += 1;
     let is_idle = request.active_attempts.is_empty() && !request.is_handed_over();
-    if MAX_PROXY_FAILURES <= request.proxy_failures && is_idle {
+    if MAX_PROXY_FAILURES <= request.proxy_failures && is_idle && !is_silent {
         return finish::give_up(ctx, id, Refusal::NoEndpoint);
     }
     handle_not_run(ctx, id, live, false);
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -77,6 +77,9 @@
         None if reached.is_any(allowed(state.directory.available(service, now), pinned), tried) => {
             PlainChoice::Limited
         }
+        None if is_any_awaited(state, state.directory.available(service, now), pinned, now) => {
+            PlainChoice::Silent
+        }
         // Those that accept work can't be reached, and those that want a pause don't count as down.
         None if allowed(state.directory.available(service, now), pinned).next().is_some() => {
             PlainChoice::None
@@ -137,6 +140,8 @@
     Limited,
     /// All endpoints want a pause; the first one ends then.
     Paused(Duration),
+    /// Those that can be reached don't answer, and may go on soon.
+    Silent,
     /// The service has no endpoint.
     None,
     /// No endpoint of the service has the version that the call needs.
@@ -230,7 +235,13 @@
     let reached = Reached::of(state, service, now);
     let endpoints = allowed(state.directory.in_stage(service, Stage::Decode), pinned);
     match state.directory.first_pause_end(service, Some(Stage::Decode), pinned) {
-        _ if !reached.is_any(endpoints, &[]) => DecodeChoice::None,
+        _ if !reached.is_any(endpoints, &[]) => {
+            let endpoints = state.directory.available_in_stage(service, Stage::Decode, now);
+            match is_any_awaited(state, endpoints, pinned, now) {
+                true => DecodeChoice::Silent,
+                false => DecodeChoice::None,
+            }
+        }
         None => DecodeChoice::None,
         Some(until) if now < until => DecodeChoice::Paused(until),
         Some(_) => DecodeChoice::Full,
@@ -287,6 +298,8 @@
     Full,
     /// All endpoints want a pause; the first one ends then.
     Paused(Duration),
+    /// Those that can be reached don't answer, and may go on soon.
+    Silent,
     /// The service has no decode endpoint.
     None,
     /// No decode endpoint of the service has the version that the completion needs.
@@ -367,6 +380,16 @@
 const PROXY_COST: Duration = Duration::from_millis(8);
 
 /// How the endpoints of a service are reached that don't answer this daemon.
+/// Returns whether one of these endpoints is likely to answer soon.
+fn is_any_awaited<'a>(
+    state: &State,
+    endpoints: impl Iterator<Item = (EndpointKey, &'a Endpoint)>,
+    pinned: Option<SoftwareVersion>,
+    now: Duration,
+) -> bool {
+    allowed(endpoints, pinned).any(|(key, _)| state.awaits(key, now))
+}
+
 struct Reached {
     unreachable: BTreeMap<EndpointKey, Reach>,
 }
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -53,10 +53,12 @@
         PlainChoice::At(endpoint) => endpoint,
         PlainChoice::Limited if waits => return NextStep::WaitForPermit,
         PlainChoice::Paused(until) if waits => return NextStep::WaitForPause(until),
+        PlainChoice::Silent if waits => return NextStep::WaitUntil(now + RECHECK_INTERVAL),
         PlainChoice::None if waits => return NextStep::GiveUp(Refusal::NoEndpoint),
         PlainChoice::VersionGone if waits => return NextStep::GiveUp(Refusal::VersionGone),
         PlainChoice::Limited
         | PlainChoice::Paused(_)
+        | PlainChoice::Silent
         | PlainChoice::None
         | PlainChoice::VersionGone => return NextStep::Wait,
     };
--- a/crates/basilbank_forward/src/reduce/silence.rs
+++ b/crates/basilbank_forward/src/reduce/silence.rs
@@ -161,7 +161,7 @@
 
 fn record_unreachable(ctx: &mut Context<'_>, live: &ActiveAttempt) {
     match live.via {
-        None => suspect::mark_unreachable(ctx, live.endpoint),
+        None => suspect::mark_silent(ctx, live.endpoint),
         // Either the peer or the endpoint is silent.
         Some(peer) => {
             let failure = NotProxied::EndpointUnreachable;
--- a/crates/basilbank_forward/src/reduce/suspect.rs
+++ b/crates/basilbank_forward/src/reduce/suspect.rs
@@ -45,6 +45,14 @@
 /// is more likely cut off itself than all of them have failed, so it does not report them to peers.
 const CUT_OFF_DIVISOR: usize = 3;
 
+/// Marks an endpoint that did not answer in time as unreachable, and probes it at once.
+pub fn mark_silent(ctx: &mut Context<'_>, key: EndpointKey) {
+    mark_unreachable(ctx, key);
+    if let Some(suspect) = ctx.state.suspects.get_mut(key) {
+        suspect.record_silence(ctx.now);
+    }
+}
+
 /// Marks an endpoint that could not be reached or did not answer in time as unreachable.
 pub fn mark_unreachable(ctx: &mut Context<'_>, key: EndpointKey) {
     if !ctx.state.directory.may_keep_state(key) {
@@ -117,13 +125,14 @@
     match liveness {
         Liveness::Alive => return handle_answered_probe(ctx, key),
         Liveness::Withheld => return postpone_probe(ctx, key),
-        Liveness::Unreachable => {}
+        Liveness::Unreachable | Liveness::Silent => {}
     }
     let now = ctx.now;
     let Some(suspect) = ctx.state.suspects.get_mut(key) else { return };
-    suspect.unanswered += 1;
-    suspect.answered = 0;
-    let pause = MIN_PROBE_PAUSE.saturating_mul(1 << suspect.unanswered.min(8)).min(MAX_PROBE_PAUSE);
+    suspect.record_unanswered(liveness == Liveness::Silent, now);
+    // Calls wait for one that is only silent.
+    let doublings = if suspect.may_resume(now) { 0 } else { suspect.unanswered.min(8) };
+    let pause = MIN_PROBE_PAUSE.saturating_mul(1 << doublings).min(MAX_PROBE_PAUSE);
     suspect.due = Some(now + pause);
     if ctx.state.suspects.add_unreachable(key, now + pause) {
         announce_unreachable(ctx, key);
@@ -221,7 +230,8 @@
 ) {
     ctx.state.proxies.serving = ctx.state.proxies.serving.saturating_sub(1);
     match end {
-        ProxiedEnd::Unreachable | ProxiedEnd::Silent => mark_unreachable(ctx, key),
+        ProxiedEnd::Unreachable => mark_unreachable(ctx, key),
+        ProxiedEnd::Silent => mark_silent(ctx, key),
         ProxiedEnd::Broken => match traits {
             Some(traits) => crash::record_broken_call(ctx, key, traits, wrote_on, duration),
             None => request_probe(ctx, key),
--- a/crates/basilbank_forward/src/state/proxies.rs
+++ b/crates/basilbank_forward/src/state/proxies.rs
@@ -133,6 +133,10 @@
             return Reach::Direct;
         }
         let Some(endpoint) = self.directory.get(key) else { return Reach::None };
+        // Its machine accepts this daemon's connections, so a peer gets no answer either.
+        if self.suspects.has_failed_probe(key) && self.awaits(key, now) {
+            return Reach::None;
+        }
         if !self.proxies.is_down(key, now) && self.has_proxy(key, &endpoint.info.service, now) {
             return Reach::ByPeer;
         }
@@ -142,6 +146,13 @@
         }
     }
 
+    /// Returns whether an endpoint that doesn't answer may do so soon: it accepts this daemon's
+    /// connections, has been silent for a moment only, and answers no peer either.
+    #[must_use]
+    pub fn awaits(&self, key: EndpointKey, now: Duration) -> bool {
+        self.suspects.may_resume(key, now) && !self.proxies.is_reached(key, now)
+    }
+
     /// Returns what a call to an endpoint needs, and the peer that makes it if this daemon can't.
     pub(crate) fn route_to(&mut self, key: EndpointKey, now: Duration) -> Option<Target> {
         let target = self.directory.target(key)?;
--- a/crates/basilbank_forward/src/state/suspects.rs
+++ b/crates/basilbank_forward/src/state/suspects.rs
@@ -18,6 +18,10 @@
 /// Number of probes in a row that such an endpoint has to answer.
 const NEEDED_ANSWERS_AFTER_FLAP: u32 = 3;
 
+/// Time after which an endpoint that accepts connections and doesn't answer counts as down. A sound one
+/// is silent for a second or so.
+const MAX_SILENCE: Duration = Duration::from_secs(3);
+
 /// An endpoint that did not answer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct Suspect {
@@ -29,11 +33,41 @@
     unreachable: bool,
     /// Number of probes in a row that it answered.
     pub answered: u32,
+    /// Since when it has not answered over connections that it accepted.
+    silent_since: Option<Duration>,
 }
 
 impl Suspect {
     fn new(due: Duration) -> Suspect {
-        Suspect { due: Some(due), unanswered: 0, unreachable: false, answered: 0 }
+        Suspect {
+            due: Some(due),
+            unanswered: 0,
+            unreachable: false,
+            answered: 0,
+            silent_since: None,
+        }
+    }
+
+    /// Records that it hasn't answered a call in time. The connection may have been cut: whether the
+    /// endpoint is only silent shows with the next probe.
+    pub fn record_silence(&mut self, now: Duration) {
+        if self.unanswered == 0 {
+            self.silent_since.get_or_insert(now);
+            self.due = self.due.map(|due| due.min(now));
+        }
+    }
+
+    /// Records whether it has accepted the connection of a probe that it did not answer.
+    pub fn record_unanswered(&mut self, has_connected: bool, now: Duration) {
+        self.unanswered += 1;
+        self.answered = 0;
+        self.silent_since = has_connected.then(|| self.silent_since.unwrap_or(now));
+    }
+
+    /// Returns whether it may only be silent, and go on soon.
+    #[must_use]
+    pub fn may_resume(&self, now: Duration) -> bool {
+        self.unreachable && self.silent_since.is_some_and(|since| now < since + MAX_SILENCE)
     }
 
     /// Returns whether it counts as unreachable.
@@ -95,6 +129,12 @@
         self.suspects.get(&key).is_some_and(|suspect| suspect.unreachable)
     }
 
+    /// Returns whether the endpoint may only be silent, and go on soon.
+    #[must_use]
+    pub fn may_resume(&self, key: EndpointKey, now: Duration) -> bool {
+        self.suspects.get(&key).is_some_and(|suspect| suspect.may_resume(now))
+    }
+
     /// Returns whether a suspect has failed a probe.
     #[must_use]
     pub fn has_failed_probe(&self, key: EndpointKey) -> bool {
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -43,6 +43,7 @@
 mod share;
 mod shares;
 mod silences;
+mod silent_services;
 mod statements;
 mod suspects;
 mod urgency;
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -205,6 +205,7 @@
                 Liveness::Alive
             }
             Err(CallError::Withheld) => Liveness::Withheld,
+            Err(CallError::Silent) => Liveness::Silent,
             Err(_) => Liveness::Unreachable,
         }
     }
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -449,6 +449,7 @@
         let answer = match liveness {
             Liveness::Alive => "alive",
             Liveness::Unreachable => "dark",
+            Liveness::Silent => "silent",
             Liveness::Withheld => "withheld",
         };
         count(&self.probes, answer);
--- a/crates/basilbank_standin/tests/managed/silences.rs
+++ b/crates/basilbank_standin/tests/managed/silences.rs
@@ -184,6 +184,34 @@
     assert!(line.starts_with("GET") || ran == CALLERS, "{ran} runs");
 }
 
+/// Guards against calls that are refused because they come while the endpoints of their service are
+/// silent, also where peers could make them.
+#[test_case(1, "POST /stock", 1000)]
+#[test_case(1, "POST /stock", 2000)]
+#[test_case(1, "GET /sheet", 1500)]
+#[test_case(1, "POST /draft", 1000)]
+#[test_case(1, "POST /draft", 1500)]
+#[test_case(3, "POST /stock", 1500)]
+#[test_case(3, "GET /sheet", 1500)]
+#[test_case(3, "POST /draft", 1500)]
+fn calls_that_come_during_a_silence_are_served(daemons: usize, line: &'static str, ms: u64) {
+    let spec = WorldSpec { daemons, decode: 1, retry_slack: USERS_SLACK, ..WorldSpec::default() };
+    let world = World::start(&spec).expect("a world");
+    let silence = Duration::from_millis(ms);
+    world.plain.iter().chain(&world.model).for_each(|e| e.fall_silent(silence));
+    let (to, began) = (world.callers(0), Instant::now());
+    let mut calls = Vec::new();
+    while began.elapsed() < silence {
+        let counts = line.ends_with("draft").then(|| "1000,2".to_owned());
+        calls.push(begin(to, line, calls.len(), counts));
+        thread::sleep(Duration::from_millis(150));
+    }
+    let answers = calls.into_iter().map(|call| call.join().expect("a caller").0);
+    let refused = answers.filter(|answer| answer.status != 200);
+    let refused: Vec<_> = refused.map(|answer| (answer.status, answer.text())).collect();
+    assert!(refused.is_empty(), "{refused:?}");
+}
+
 /// Guards against a stream that stays at an endpoint which is dark for good while another one has room.
 #[test]
 fn a_stream_goes_on_elsewhere_when_its_endpoint_is_dark_for_good() {
