Bounds on answers without end, by what an answer to the call can be

Cause: readers went by what a sound endpoint sends. Each attempt gathered up to 8 MiB whatever the others held; heads were bounded one by one; a chunk's size may have any number of digits; comments counted as events; an answered probe ends avoidance.

Change: - Gathered answers and partial events count in the bound on bodies, up to half of it; one that doesn't fit isn't read on, but for one at a time, so that all end (AnswerClaim, GatheredAnswer). An announced length beyond 8 MiB is left at once. - HeadGuard bounds the bytes until a head or the next piece of a body, and the time of a head that comes in many pieces. - Events that hold no part of the answer are held until one follows that does: 64 KiB of them, or 2 s where the stream may go on elsewhere, end the attempt, and so do more events than the caller wants tokens (and 16). - Damage::Endless: the endpoint is avoided for 5 s to a minute whatever else it answers, and peers are told.

Rows of the budget in gateway/tests/body.rs.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -355,6 +355,8 @@
     Foreign,
     /// The answer broke off before its end, or stalled.
     CutOff,
+    /// What came is more than an answer to the call can be.
+    Endless,
 }
 
 impl Damage {
@@ -366,6 +368,7 @@
             Damage::Garbled => "garbled",
             Damage::Foreign => "foreign",
             Damage::CutOff => "cut_off",
+            Damage::Endless => "endless",
         }
     }
 }
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -6,7 +6,7 @@
 use crate::{
     call::RequestId,
     effect::Effect,
-    event::{NotProxied, NotRun, Outcome},
+    event::{Damage, NotProxied, NotRun, Outcome},
     log_line::{LogLine, Measurement},
     reason::Refusal,
     state::{
@@ -109,11 +109,8 @@
     let Some(endpoint) = ctx.state.directory.get_mut(live.endpoint) else { return };
     match outcome {
         Outcome::Held { .. } => endpoint.record_accepted(),
-        Outcome::Finished
-        | Outcome::Unreachable
-        | Outcome::NotProxied(_)
-        | Outcome::Withheld
-        | Outcome::TimedOut => {}
+        Outcome::Finished => endpoint.record_whole(now),
+        Outcome::Unreachable | Outcome::NotProxied(_) | Outcome::Withheld | Outcome::TimedOut => {}
         Outcome::Prefilled { .. } => {
             let expected = f64::from(live.queued_tokens) / tuning.prefill_tokens_per_second;
             endpoint.record_prefill(now.saturating_sub(live.started), expected);
@@ -126,8 +123,10 @@
         // instance.
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
         Outcome::NotRun(NotRun::Other { .. }) => {}
+        Outcome::Broken(Damage::Endless) => endpoint.record_endless(now),
         Outcome::Broken(_) => endpoint.record_failure(now, &tuning),
     }
+    ctx.state.peers.changed |= *outcome == Outcome::Broken(Damage::Endless);
 }
 
 /// Updates what is known about an endpoint that a peer called, and about the peer. How long the
@@ -141,6 +140,7 @@
     let (key, now) = (live.endpoint, ctx.now);
     match outcome {
         Outcome::NotProxied(failure) => suspect::record_proxy_failure(ctx, key, peer, *failure),
+        Outcome::Broken(Damage::Endless) => {}
         // Either the peer or the endpoint was lost on the way.
         Outcome::Broken(_) | Outcome::TimedOut | Outcome::Unreachable => {
             let failure = NotProxied::EndpointUnreachable;
@@ -157,8 +157,10 @@
         }
         Outcome::NotRun(NotRun::Busy) => endpoint.record_refusal(now, &tuning),
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
+        Outcome::Broken(Damage::Endless) => endpoint.record_endless(now),
         _ => {}
     }
+    ctx.state.peers.changed |= *outcome == Outcome::Broken(Damage::Endless);
 }
 
 fn log_outcome(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt, outcome: &Outcome) {
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -36,6 +36,13 @@
 /// Maximum slowness; a slower endpoint counts as failed anyway.
 const MAX_SLOWNESS: f64 = 10.0;
 
+/// Time for which an endpoint is avoided after an answer without end. It doubles with each call that
+/// meets another one after that.
+const MIN_FAULTY_TIME: Duration = Duration::from_secs(5);
+
+/// Maximum time for which such an endpoint is avoided.
+const MAX_FAULTY_TIME: Duration = Duration::from_secs(60);
+
 /// The state of one endpoint, that is of one incarnation of an instance.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -69,6 +76,10 @@
     pub slowness: f64,
     /// It isn't used before this time, unless there is no other endpoint.
     pub avoided_until: Duration,
+    /// Until when it isn't used because its answers had no end, whatever else it answers.
+    faulty_until: Duration,
+    /// Number of consecutive calls whose answers had no end.
+    endless: u32,
     /// Until when this daemon knows that it refuses work, and tells its peers to avoid it.
     pub reported_until: Duration,
     /// Number of consecutive refusals.
@@ -96,6 +107,8 @@
             base_seconds: INITIAL_BASE_SECONDS,
             slowness: 1.0,
             avoided_until: Duration::ZERO,
+            faulty_until: Duration::ZERO,
+            endless: 0,
             reported_until: Duration::ZERO,
             refusals: 0,
             failures: 0,
@@ -150,7 +163,7 @@
     /// Records an answer, which shows that it is reachable.
     pub fn record_answer(&mut self, took: Duration) {
         self.record_accepted();
-        self.avoided_until = Duration::ZERO;
+        self.avoided_until = self.faulty_until;
         let mean = self.mean_answer_time.unwrap_or(took);
         self.mean_answer_time =
             Some(mean.mul_f64(1.0 - ANSWER_TIME_WEIGHT) + took.mul_f64(ANSWER_TIME_WEIGHT));
@@ -212,8 +225,27 @@
     /// Records that it answers again after it was unreachable.
     pub fn record_recovery(&mut self) {
         self.failures = 0;
-        self.avoided_until = Duration::ZERO;
-        self.reported_until = Duration::ZERO;
+        self.avoided_until = self.faulty_until;
+        self.reported_until = self.faulty_until;
+    }
+
+    /// Records that an answer had no end, avoids it for some time, and tells peers. It may answer
+    /// liveness requests and others meanwhile.
+    pub fn record_endless(&mut self, now: Duration) {
+        // Calls that were in progress together show one fault.
+        if self.faulty_until <= now {
+            let time = MIN_FAULTY_TIME.saturating_mul(1 << self.endless.min(8));
+            self.faulty_until = now + time.min(MAX_FAULTY_TIME);
+            self.endless += 1;
+        }
+        self.avoid_and_report(self.faulty_until);
+    }
+
+    /// Records that a call was served to its end.
+    pub fn record_whole(&mut self, now: Duration) {
+        if self.faulty_until <= now {
+            self.endless = 0;
+        }
     }
 
     /// Avoids it until `until`, and tells peers to do the same: it refuses work whoever sends it.
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -7,10 +7,11 @@
 };
 
 use basilbank_forward::{effect::Target, prelude::*};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Response, StatusCode,
+    body::Body,
     header::{CONNECTION, CONTENT_TYPE, HeaderName},
     http::request::Parts,
 };
@@ -22,6 +23,7 @@
     endpoint_body::EndpointBody,
     endpoint_calls::EndpointCall,
     framing::Framing,
+    gathered_answer::GatheredAnswer,
     relay::{StreamProgress, next_frame},
     router::Router,
 };
@@ -242,17 +244,18 @@
 }
 
 /// Reads the body of an answer that is not a stream to its end before it is forwarded, so that one that
-/// breaks off doesn't look complete; `None` if it does. A silent endpoint may go on, so it is waited for
+/// breaks off doesn't look complete. A silent endpoint may go on, so it is waited for
 /// until the attempt is stopped. Only a slot that is held is not worth it.
 async fn read_answer_body(
     router: &Rc<Router>,
     caller_request: &CallerRequest,
     attempt: &Attempt,
     mut body: EndpointBody,
-) -> Option<Bytes> {
+) -> Result<Bytes, Damage> {
     let max_bytes = match attempt.op {
         Op::Hold { .. } => {
-            return collect_body(body, MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout).await;
+            let body = collect_body(body, MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout).await;
+            return body.ok_or(Damage::CutOff);
         }
         Op::Prefill => MAX_CONTROL_ANSWER_BYTES,
         Op::Plain | Op::Stream { .. } | Op::Decode { .. } => MAX_ANSWER_BYTES,
@@ -267,29 +270,30 @@
         }
         StreamProgress::FirstEvent | StreamProgress::WroteOn => {}
     };
+    if (max_bytes as u64) < body.size_hint().lower() {
+        return Err(Damage::Endless);
+    }
     let stall_timeout = Some(attempt.answer_timeout);
-    let mut bytes = BytesMut::new();
+    let mut answer = GatheredAnswer::new(router.bodies.claim_answer(), max_bytes);
     while let Some(frame) =
         next_frame(router, &attempt.target, &mut body, stall_timeout, &on_progress).await
     {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
-        if max_bytes < bytes.len() + data.len() {
-            return None;
-        }
-        bytes.extend_from_slice(&data);
+        let Ok(data) = frame.map_err(|_| body.damage())?.into_data() else { continue };
+        answer.push(&data).await?;
     }
-    Some(bytes.freeze())
+    Ok(answer.finish())
 }
 
 fn read_control_answer(
     router: &Router,
     attempt: &Attempt,
     head: &Response<()>,
-    body: Option<Bytes>,
+    body: Result<Bytes, Damage>,
     connection: Option<Connection>,
 ) -> AttemptResult {
-    let Some(bytes) = body else {
-        return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
+    let bytes = match body {
+        Ok(bytes) => bytes,
+        Err(damage) => return AttemptResult::without_answer(Outcome::Broken(damage)),
     };
     if let Some(keep_alive) = parse_keep_alive(head.headers()) {
         router.keep_connection(attempt.target.endpoint, connection, keep_alive);
@@ -302,11 +306,12 @@
     router: &Router,
     attempt: &Attempt,
     head: Response<()>,
-    body: Option<Bytes>,
+    body: Result<Bytes, Damage>,
     connection: Option<Connection>,
 ) -> AttemptResult {
-    let Some(bytes) = body else {
-        return AttemptResult::without_answer(Outcome::Broken(Damage::CutOff));
+    let bytes = match body {
+        Ok(bytes) => bytes,
+        Err(damage) => return AttemptResult::without_answer(Outcome::Broken(damage)),
     };
     if let Some(keep_alive) = parse_keep_alive(head.headers()) {
         router.keep_connection(attempt.target.endpoint, connection, keep_alive);
--- a/crates/basilbank_gateway/src/body_budget.rs
+++ b/crates/basilbank_gateway/src/body_budget.rs
@@ -1,10 +1,14 @@
-//! Bounds the memory that request bodies take together.
+//! Bounds the memory that bodies take together: those of requests, and of answers that are gathered
+//! before they are passed on.
 //!
 //! A process that exceeds its memory is killed with all its calls, so a body that doesn't fit is
 //! refused, before it is read if its length is announced. An announced length is reserved, so that a
 //! caller who sends at a usual pace is not refused halfway. A caller who sends more slowly than that
 //! counts with what has arrived: otherwise a few who announce much and send nothing would keep all
 //! others out. Large bodies leave a part of the bound to small ones.
+//!
+//! Answers may take half of the bound. One that doesn't fit isn't read on until others have ended. One
+//! at a time is read on nevertheless, so that those that wait for each other all end.
 
 use std::{
     fmt,
@@ -13,6 +17,10 @@
 };
 
 use bytes::Bytes;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::sleep,
+};
 
 /// Divisor of the process's memory for bodies; the rest is for connections, answers and state.
 const MEMORY_DIVISOR: usize = 3;
@@ -29,6 +37,15 @@
 /// Divisor of the bound for the part that is left to small bodies.
 const SMALL_DIVISOR: usize = 8;
 
+/// Divisor of the bound for the part that answers may take.
+const ANSWERS_DIVISOR: usize = 2;
+
+/// Maximum size in bytes of an answer that waits for no other.
+const MAX_SMALL_ANSWER: usize = 16 << 10;
+
+/// Time after which an answer that doesn't fit is looked at again.
+const ANSWER_RECHECK: Duration = Duration::from_millis(5);
+
 /// Time for which an announced length is reserved although nothing arrives.
 const RESERVED_TIME: Duration = Duration::from_millis(500);
 
@@ -50,6 +67,10 @@
     pub refused_unread: u64,
     /// Number of bodies that were refused while they were read.
     pub refused_midway: u64,
+    /// The part of `bytes` that answers take.
+    pub answers: usize,
+    /// Number of times that an answer was not read on as it didn't fit.
+    pub answers_paused: u64,
     /// The part of `bytes` that large bodies take.
     large: usize,
 }
@@ -65,6 +86,20 @@
         self.bytes - from + to <= self.bound && (large_part(to) == 0 || large <= max_large)
     }
 
+    /// Returns whether an answer may take `to` bytes in place of `from`.
+    fn fits_answer(&self, from: usize, to: usize) -> bool {
+        if to <= from.max(MAX_SMALL_ANSWER) {
+            return true;
+        }
+        let answers = self.answers - from + to;
+        self.fits(from, to) && answers <= self.bound / ANSWERS_DIVISOR
+    }
+
+    fn replace_answer(&mut self, from: usize, to: usize) {
+        self.replace(from, to);
+        self.answers = self.answers - from + to;
+    }
+
     fn replace(&mut self, from: usize, to: usize) {
         self.bytes = self.bytes - from + to;
         self.large = self.large - large_part(from) + large_part(to);
@@ -81,9 +116,13 @@
     memory.map_or(DEFAULT_BOUND, |memory| (memory / MEMORY_DIVISOR).max(MIN_BOUND))
 }
 
-/// The bound on all request bodies of a daemon together.
+/// The bound on all bodies of a daemon together.
 #[derive(Clone, Debug)]
-pub struct BodyBudget(Arc<Mutex<BodyUsage>>);
+pub struct BodyBudget {
+    usage: Arc<Mutex<BodyUsage>>,
+    /// Held by the answer that is read on although it doesn't fit.
+    beyond: Arc<Semaphore>,
+}
 
 impl Default for BodyBudget {
     fn default() -> BodyBudget {
@@ -95,7 +134,8 @@
     /// Creates a budget with a bound in bytes.
     #[must_use]
     pub fn new(bound: usize) -> BodyBudget {
-        BodyBudget(Arc::new(Mutex::new(BodyUsage { bound, ..BodyUsage::default() })))
+        let usage = BodyUsage { bound, ..BodyUsage::default() };
+        BodyBudget { usage: Arc::new(Mutex::new(usage)), beyond: Arc::new(Semaphore::new(1)) }
     }
 
     /// Changes the bound for bodies that are admitted from now on.
@@ -124,8 +164,14 @@
         Ok(BodyClaim { budget: self.clone(), claimed: announced, arrived: 0 })
     }
 
+    /// Returns a claim for an answer of which nothing was read.
+    #[must_use]
+    pub fn claim_answer(&self) -> AnswerClaim {
+        AnswerClaim { budget: self.clone(), claimed: 0, beyond: None }
+    }
+
     fn lock(&self) -> MutexGuard<'_, BodyUsage> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -191,13 +237,63 @@
     }
 }
 
-struct ClaimedBody {
+/// A body and the claim that counts it.
+struct ClaimedBody<C> {
     body: Bytes,
-    _claim: BodyClaim,
+    _claim: C,
 }
 
-impl AsRef<[u8]> for ClaimedBody {
+impl<C> AsRef<[u8]> for ClaimedBody<C> {
     fn as_ref(&self) -> &[u8] {
         &self.body
     }
 }
+
+/// The part of the budget that one answer takes. Dropping it gives the part back.
+#[derive(Debug)]
+pub struct AnswerClaim {
+    budget: BodyBudget,
+    claimed: usize,
+    /// Held while the answer takes more than fits.
+    beyond: Option<OwnedSemaphorePermit>,
+}
+
+impl AnswerClaim {
+    /// Waits until this many bytes of the answer fit, or until it is the one that may take more.
+    pub async fn resize(&mut self, bytes: usize) {
+        if self.try_resize(bytes) {
+            return;
+        }
+        self.budget.lock().answers_paused += 1;
+        while !self.try_resize(bytes) {
+            sleep(ANSWER_RECHECK).await;
+        }
+    }
+
+    /// Returns the answer with this claim, which ends when the last clone of the answer is dropped.
+    #[must_use]
+    pub fn attach(self, body: Bytes) -> Bytes {
+        Bytes::from_owner(ClaimedBody { body, _claim: self })
+    }
+
+    fn try_resize(&mut self, bytes: usize) -> bool {
+        let mut usage = self.budget.lock();
+        if !usage.fits_answer(self.claimed, bytes) {
+            if self.beyond.is_none() {
+                self.beyond = Arc::clone(&self.budget.beyond).try_acquire_owned().ok();
+            }
+            if self.beyond.is_none() {
+                return false;
+            }
+        }
+        usage.replace_answer(self.claimed, bytes);
+        self.claimed = bytes;
+        true
+    }
+}
+
+impl Drop for AnswerClaim {
+    fn drop(&mut self) {
+        self.budget.lock().replace_answer(self.claimed, 0);
+    }
+}
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -5,6 +5,7 @@
     collections::HashMap,
     io,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -15,7 +16,10 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::dialect::OutRequest;
+use crate::{
+    dialect::OutRequest,
+    head_guard::{GuardedStream, HeadGuard, MAX_HEAD_BYTES},
+};
 
 /// Maximum time to connect: some round trips between data centres. An endpoint behind a partition
 /// does not answer at all, and a lost SYN packet is sent again only after a second.
@@ -31,9 +35,6 @@
 /// Maximum number of idle connections to one endpoint; the oldest is closed beyond that.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
-/// Maximum size of a response head in bytes.
-const MAX_HEAD_BYTES: usize = 32 << 10;
-
 /// How a call failed without an answer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum CallError {
@@ -64,6 +65,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     opened_at: Instant,
+    guard: Rc<HeadGuard>,
     _task: ConnectionTask,
 }
 
@@ -122,6 +124,8 @@
         // The call works without the option, but its last segment may be delayed until an
         // acknowledgement.
         let _ = stream.set_nodelay(true);
+        let guard = Rc::new(HeadGuard::default());
+        let stream = GuardedStream::new(stream, Rc::clone(&guard));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
@@ -130,7 +134,7 @@
         // Errors of the connection are returned by the sender and the body.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
         let task = ConnectionTask(task.abort_handle());
-        Ok(Connection { sender, opened_at: Instant::now(), _task: task })
+        Ok(Connection { sender, opened_at: Instant::now(), guard, _task: task })
     }
 
     /// When the connection was made.
@@ -139,6 +143,12 @@
         self.opened_at
     }
 
+    /// What bounds the bytes that come over the connection.
+    #[must_use]
+    pub fn guard(&self) -> Rc<HeadGuard> {
+        Rc::clone(&self.guard)
+    }
+
     /// Whether a request can be sent now.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -154,12 +164,18 @@
         request: OutRequest,
         answer_timeout: Duration,
     ) -> Result<Response<Incoming>, (CallError, Option<Box<OutRequest>>)> {
-        match timeout(answer_timeout, self.sender.try_send_request(request)).await {
+        self.guard.await_head();
+        let answer = timeout(answer_timeout, self.sender.try_send_request(request)).await;
+        self.guard.end();
+        match answer {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().map(Box::new);
-                let damage =
-                    if error.error().is_parse() { Damage::Garbled } else { Damage::Closed };
+                let damage = match error.error().is_parse() {
+                    _ if self.guard.is_exceeded() => Damage::Endless,
+                    true => Damage::Garbled,
+                    false => Damage::Closed,
+                };
                 Err((CallError::Broken(damage), unsent))
             }
             Err(_) => Err((CallError::Silent, None)),
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hyper::{
     Response,
-    body::{Body, Frame, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
 };
 
 use crate::{
@@ -20,6 +20,7 @@
     end_proof::{AnswerTimes, EndProof},
     endpoint_body::BodyBroken,
     framing::Framing,
+    head_guard::HeadGuard,
     router::Router,
 };
 
@@ -30,6 +31,8 @@
 pub struct DirectBody {
     incoming: Incoming,
     end: End,
+    /// Bounds what comes without a piece of the body.
+    guard: Rc<HeadGuard>,
 }
 
 /// What the end of the body proves.
@@ -83,7 +86,15 @@
             times: router.answer_times(connection),
         };
         let end = if is_marked { End::Marked } else { End::Unmarked(writer()) };
-        answer.map(|incoming| DirectBody { incoming, end })
+        let guard = connection.guard();
+        guard.await_body();
+        answer.map(|incoming| DirectBody { incoming, end, guard })
+    }
+
+    /// Returns whether more has come than a body can have, so that it has been broken off.
+    #[must_use]
+    pub fn is_endless(&self) -> bool {
+        self.guard.is_exceeded()
     }
 
     /// Returns what proves that the body is whole, or why nothing does; `None` before its end, and if
@@ -117,12 +128,18 @@
                 End::Marked | End::Unmarked(_) => {}
             }
             if let Some(frame) = ready!(Pin::new(&mut body.incoming).poll_frame(cx)) {
+                body.guard.await_body();
                 return Poll::Ready(Some(frame.map_err(|_| BodyBroken)));
             }
+            body.guard.end();
             let end = std::mem::replace(&mut body.end, End::Checked(EndProof::Framing));
             if let End::Unmarked(writer) = end {
                 body.end = End::Checking(Box::pin(writer.check()));
             }
         }
     }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
 }
--- a/crates/basilbank_gateway/src/endpoint_body.rs
+++ b/crates/basilbank_gateway/src/endpoint_body.rs
@@ -7,8 +7,9 @@
     task::{Context, Poll},
 };
 
+use basilbank_forward::prelude::Damage;
 use bytes::Bytes;
-use hyper::body::{Body, Frame};
+use hyper::body::{Body, Frame, SizeHint};
 
 use crate::{direct_body::DirectBody, end_proof::EndProof, proxy_client::ProxiedBody};
 
@@ -22,6 +23,15 @@
 }
 
 impl EndpointBody {
+    /// Returns why the body broke off.
+    #[must_use]
+    pub fn damage(&self) -> Damage {
+        match self {
+            EndpointBody::Direct(body) if body.is_endless() => Damage::Endless,
+            EndpointBody::Direct(_) | EndpointBody::Proxied(_) => Damage::CutOff,
+        }
+    }
+
     /// Returns what proves that the body is whole, or why nothing does; `None` before its end, and if
     /// its connection broke.
     #[must_use]
@@ -58,4 +68,11 @@
             EndpointBody::Proxied(body) => body.poll_frame(context),
         }
     }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            EndpointBody::Direct(body) => body.size_hint(),
+            EndpointBody::Proxied(_) => SizeHint::default(),
+        }
+    }
 }
--- a/crates/basilbank_gateway/src/events.rs
+++ b/crates/basilbank_gateway/src/events.rs
@@ -10,6 +10,9 @@
     last_event_id: Option<String>,
     /// Number of complete events that have an id.
     ids: usize,
+    /// Number of complete events that have an id or data. Others, as comments, hold nothing of an
+    /// answer.
+    filled: usize,
 }
 
 impl EventSplitter {
@@ -20,6 +23,7 @@
         let Some(end) = last_event_end(&self.partial[from..]) else { return Bytes::new() };
         let ready = self.partial.split_to(from + end).freeze();
         self.ids += event_ids(&ready).count();
+        self.filled += count_filled(&ready);
         if let Some(id) = last_event_id(&ready) {
             self.last_event_id = Some(id);
         }
@@ -32,6 +36,12 @@
         self.ids
     }
 
+    /// Returns the number of complete events that have an id or data.
+    #[must_use]
+    pub fn count_filled(&self) -> usize {
+        self.filled
+    }
+
     /// Returns the number of bytes of the event that is not complete.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
@@ -88,3 +98,24 @@
     let lines = events.split(|byte| is_line_end(*byte));
     lines.filter_map(|line| line.strip_prefix(b"id:"))
 }
+
+/// Returns the number of events that have an id or data.
+fn count_filled(events: &[u8]) -> usize {
+    let (mut rest, mut count, mut is_filled) = (events, 0, false);
+    while !rest.is_empty() {
+        let line;
+        (line, rest) = split_line(rest);
+        if line.is_empty() {
+            count += usize::from(std::mem::take(&mut is_filled));
+        }
+        is_filled |= line.starts_with(b"id:") || line.starts_with(b"data:");
+    }
+    count + usize::from(is_filled)
+}
+
+/// Returns the first line without its end, and what follows it.
+fn split_line(bytes: &[u8]) -> (&[u8], &[u8]) {
+    let Some(end) = bytes.iter().position(|byte| is_line_end(*byte)) else { return (bytes, &[]) };
+    let (line, rest) = bytes.split_at(end);
+    (line, rest.strip_prefix(b"\r\n").unwrap_or(&rest[1..]))
+}
--- /dev/null
+++ b/crates/basilbank_gateway/src/head_guard.rs
@@ -0,0 +1,156 @@
+//! Bounds what an endpoint may send before the head of its answer, or the next piece of its body, is
+//! complete.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Maximum size of a response head in bytes.
+pub const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// Maximum number of bytes that are read until a head, or the next piece of a body, is complete: the
+/// head, what is read of the body with it, and informational heads before it.
+const MAX_READ_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
+/// Time after which a head that comes in many small pieces isn't waited for any more. One that a silence
+/// interrupts comes in few.
+const MAX_HEAD_TIME: Duration = Duration::from_secs(1);
+
+/// Maximum number of pieces in which a head may come for longer than that.
+const MAX_LATE_PIECES: u32 = 8;
+
+/// What is awaited on a connection.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+enum Awaited {
+    #[default]
+    Nothing,
+    Head,
+    Body,
+}
+
+/// What has come since a head, or the next piece of a body, is awaited on a connection.
+#[derive(Debug, Default)]
+pub struct HeadGuard {
+    awaited: Cell<Awaited>,
+    began_at: Cell<Option<Instant>>,
+    bytes: Cell<usize>,
+    pieces: Cell<u32>,
+    is_exceeded: Cell<bool>,
+}
+
+impl HeadGuard {
+    /// Starts to wait for a head.
+    pub fn await_head(&self) {
+        self.restart(Awaited::Head);
+    }
+
+    /// Starts to wait for the next piece of a body.
+    pub fn await_body(&self) {
+        self.restart(Awaited::Body);
+    }
+
+    /// Ends the wait.
+    pub fn end(&self) {
+        self.restart(Awaited::Nothing);
+    }
+
+    /// Returns whether more has come than was awaited.
+    #[must_use]
+    pub fn is_exceeded(&self) -> bool {
+        self.is_exceeded.get()
+    }
+
+    fn restart(&self, awaited: Awaited) {
+        self.awaited.set(awaited);
+        self.began_at.set(None);
+        self.bytes.set(0);
+        self.pieces.set(0);
+    }
+
+    fn record(&self, bytes: usize) {
+        if bytes == 0 || self.awaited.get() == Awaited::Nothing {
+            return;
+        }
+        let now = Instant::now();
+        let began_at = self.began_at.get().unwrap_or(now);
+        self.began_at.set(Some(began_at));
+        self.bytes.set(self.bytes.get().saturating_add(bytes));
+        self.pieces.set(self.pieces.get().saturating_add(1));
+        let is_slow = self.awaited.get() == Awaited::Head
+            && MAX_LATE_PIECES < self.pieces.get()
+            && began_at + MAX_HEAD_TIME < now;
+        if MAX_READ_BYTES < self.bytes.get() || is_slow {
+            self.is_exceeded.set(true);
+        }
+    }
+}
+
+/// A connection to an endpoint whose reads fail once more has come than was awaited.
+#[derive(Debug)]
+pub struct GuardedStream {
+    stream: TcpStream,
+    guard: Rc<HeadGuard>,
+}
+
+impl GuardedStream {
+    /// Creates a stream that counts what is read in the guard.
+    #[must_use]
+    pub fn new(stream: TcpStream, guard: Rc<HeadGuard>) -> GuardedStream {
+        GuardedStream { stream, guard }
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buffer))?;
+        this.guard.record(buffer.filled().len() - before);
+        let is_endless = this.guard.is_exceeded();
+        Poll::Ready(if is_endless { Err(io::ErrorKind::InvalidData.into()) } else { Ok(()) })
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -159,6 +159,8 @@
     gossip_dropped: Gauge<u64, AtomicU64>,
     body_bytes: Gauge<u64, AtomicU64>,
     body_bound: Gauge<u64, AtomicU64>,
+    answer_bytes: Gauge<u64, AtomicU64>,
+    answers_paused: Gauge<u64, AtomicU64>,
     bodies_refused: Family<ReasonLabel, Gauge<u64, AtomicU64>>,
     quarantined: Counter,
     silences: Counter,
@@ -210,6 +212,8 @@
             gossip_dropped: Gauge::default(),
             body_bytes: Gauge::default(),
             body_bound: Gauge::default(),
+            answer_bytes: Gauge::default(),
+            answers_paused: Gauge::default(),
             bodies_refused: Family::default(),
             quarantined: Counter::default(),
             silences: Counter::default(),
@@ -317,6 +321,10 @@
         registry.register("body_bytes", help, metrics.body_bytes.clone());
         let help = "Maximum number of bytes of request bodies";
         registry.register("body_bound_bytes", help, metrics.body_bound.clone());
+        let help = "Bytes of the bodies that are endpoints' answers";
+        registry.register("answer_bytes", help, metrics.answer_bytes.clone());
+        let help = "Times that an answer was not read on as there was no memory for it";
+        registry.register("answers_paused", help, metrics.answers_paused.clone());
         let help = "Request bodies that there was no memory for, by when they were refused";
         registry.register("bodies_refused", help, metrics.bodies_refused.clone());
         Metrics { registry, ..metrics }
@@ -431,6 +439,8 @@
         let gauge_value = |bytes: usize| u64::try_from(bytes).unwrap_or(u64::MAX);
         self.body_bytes.set(gauge_value(usage.bytes));
         self.body_bound.set(gauge_value(usage.bound));
+        self.answer_bytes.set(gauge_value(usage.answers));
+        self.answers_paused.set(usage.answers_paused);
         for (reason, count) in [("unread", usage.refused_unread), ("midway", usage.refused_midway)]
         {
             let label = ReasonLabel { reason: reason.to_owned() };
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -7,8 +7,8 @@
 };
 
 use basilbank::logs::Line;
-use basilbank_forward::{effect::Target, tuning::WRITING_TIME};
-use bytes::Bytes;
+use basilbank_forward::{effect::Target, prelude::Damage, tuning::WRITING_TIME};
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::{sync::mpsc, time::timeout};
@@ -21,6 +21,16 @@
 /// Maximum size of an event, which is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Maximum number of bytes without an event that holds a part of the answer.
+const MAX_UNFILLED_BYTES: usize = 64 << 10;
+
+/// Maximum time in which bytes come, and no event that holds a part of the answer. Callers wait no
+/// longer for the next one.
+const MAX_UNFILLED_TIME: Duration = Duration::from_secs(2);
+
+/// Number of events beyond the maximum number of tokens, for those that hold no token.
+const EXTRA_EVENTS: usize = 16;
+
 /// Progress of a stream.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum StreamProgress {
@@ -71,6 +81,8 @@
     Complete,
     /// It broke off, or nothing proves that it is complete.
     Broken,
+    /// What came is more than a stream for the call can be.
+    Endless,
 }
 
 /// Forwards complete events only, so that a stream can continue at another endpoint without a
@@ -86,11 +98,13 @@
     last_forwarded: LastEventId,
     on_progress: impl Fn(StreamProgress),
 ) -> RelayEnd {
+    let mut held = HeldEvents::new(&stream);
     let AnswerStream { mut body, connection, keep_alive, stall_timeout, target, .. } = stream;
     let (framing, trace_id, is_events) = (stream.framing, stream.trace_id, stream.is_events);
     let mut is_cut = false;
     let mut events = EventSplitter::default();
     let mut writing = Writing::default();
+    let mut claim = router.bodies.claim_answer();
     while let Some(frame) =
         next_frame(&router, &target, &mut body, stall_timeout, &on_progress).await
     {
@@ -100,6 +114,8 @@
         };
         let Ok(data) = frame.into_data() else { continue };
         let ready = events.push(&data);
+        let Some(ready) = held.pass(ready, &events) else { return RelayEnd::Endless };
+        claim.resize(held.bytes() + events.partial_bytes()).await;
         if !ready.is_empty() {
             if let Some(progress) = writing.record(Instant::now()) {
                 on_progress(progress);
@@ -112,7 +128,7 @@
             }
         }
         if MAX_EVENT_BYTES < events.partial_bytes() {
-            return RelayEnd::Broken;
+            return RelayEnd::Endless;
         }
     }
     let proof = end_proof(&body, &events, stream.max_tokens);
@@ -120,19 +136,84 @@
         log_end(&router, &trace_id, framing, proof, events.partial_bytes());
     }
     let is_whole = proof.map_or(!is_cut, EndProof::is_whole);
+    if is_cut && body.damage() == Damage::Endless {
+        return RelayEnd::Endless;
+    }
     if !is_whole || is_events && events.is_inside_event() {
         return RelayEnd::Broken;
     }
     if let Some(keep_alive) = keep_alive {
         router.keep_connection(target.endpoint, connection, keep_alive);
     }
-    let rest = events.take_partial();
+    let rest = held.take_with(&events.take_partial());
     match rest.is_empty() || chunks.send(Chunk::Data(rest)).await.is_ok() {
         true => RelayEnd::Complete,
         false => RelayEnd::Broken,
     }
 }
 
+/// Events without an id (or data, where the stream doesn't go on elsewhere), as comments, which are held until one follows that holds a part of
+/// the answer. So nothing is passed on of an endpoint that writes them for ever.
+#[derive(Debug)]
+struct HeldEvents {
+    events: BytesMut,
+    /// When an event last held a part of the answer.
+    filled_at: Instant,
+    /// Number of events with an id or data until then.
+    filled: usize,
+    /// Maximum number of these; `None` if the stream may hold any number, or no events at all.
+    max_filled: Option<usize>,
+    is_events: bool,
+    /// Whether the stream may go on at another endpoint.
+    is_resumable: bool,
+}
+
+impl HeldEvents {
+    fn new(stream: &AnswerStream) -> HeldEvents {
+        let max_tokens = stream.max_tokens.filter(|max| 0 < *max);
+        HeldEvents {
+            events: BytesMut::new(),
+            filled_at: Instant::now(),
+            filled: 0,
+            max_filled: max_tokens.map(|max| (max as usize).saturating_add(EXTRA_EVENTS)),
+            is_events: stream.is_events,
+            is_resumable: stream.stall_timeout.is_some(),
+        }
+    }
+
+    /// Returns what may be passed on now, or `None` if the stream can't be an answer any more.
+    fn pass(&mut self, ready: Bytes, events: &EventSplitter) -> Option<Bytes> {
+        if !self.is_events || ready.is_empty() {
+            return Some(ready);
+        }
+        // Only an id says where a stream may go on.
+        let filled = if self.is_resumable { events.count_ids() } else { events.count_filled() };
+        let now = Instant::now();
+        if self.filled < filled {
+            (self.filled, self.filled_at) = (filled, now);
+            let is_answer = self.max_filled.is_none_or(|max| filled <= max);
+            return is_answer.then(|| self.take_with(&ready));
+        }
+        self.events.extend_from_slice(&ready);
+        let is_late = self.is_resumable && self.filled_at + MAX_UNFILLED_TIME < now;
+        let is_answer = self.events.len() <= MAX_UNFILLED_BYTES && !is_late;
+        is_answer.then(Bytes::new)
+    }
+
+    fn bytes(&self) -> usize {
+        self.events.len()
+    }
+
+    /// Takes what is held, followed by more.
+    fn take_with(&mut self, more: &Bytes) -> Bytes {
+        if self.events.is_empty() {
+            return more.clone();
+        }
+        self.events.extend_from_slice(more);
+        self.events.split().freeze()
+    }
+}
+
 /// Returns what proves that a stream is whole, or why nothing does; `None` if its connection broke.
 ///
 /// Each event has at least one token. So a stream of as many events as the caller wants tokens is whole
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -219,6 +219,7 @@
             }
             TaskResult::Relay(RelayEnd::Complete) => Outcome::Finished,
             TaskResult::Relay(RelayEnd::Broken) => Outcome::Broken(Damage::CutOff),
+            TaskResult::Relay(RelayEnd::Endless) => Outcome::Broken(Damage::Endless),
         };
         let finished = outcome == Outcome::Finished;
         let event = Event::AttemptOutcome { request: self.id, attempt: number, outcome };
--- a/crates/basilbank_gateway/tests/body.rs
+++ b/crates/basilbank_gateway/tests/body.rs
@@ -14,6 +14,7 @@
 use test_case::test_case;
 use tokio::{
     runtime::Builder,
+    task::JoinSet,
     time::{Sleep, sleep, timeout},
 };
 
@@ -164,3 +165,49 @@
         assert_eq!(read.map(|bytes| bytes.len()), Ok(4_000_000));
     });
 }
+
+/// Guards against answers that wait for each other's memory for ever, and against one more than the
+/// bound allows.
+#[test]
+fn long_answers_that_do_not_fit_together_all_end() {
+    const PIECE: usize = 1 << 20;
+    const LENGTH: usize = 8 * PIECE;
+    let budget = BodyBudget::new(32 << 20);
+    run(async {
+        let mut answers = JoinSet::new();
+        for _ in 0..12 {
+            let budget = budget.clone();
+            answers.spawn(async move {
+                let mut claim = budget.claim_answer();
+                for bytes in (PIECE..=LENGTH).step_by(PIECE) {
+                    claim.resize(bytes).await;
+                    sleep(Duration::from_millis(1)).await;
+                    assert!(budget.usage().answers <= (16 << 20) + LENGTH, "{:?}", budget.usage());
+                }
+            });
+        }
+        let all = timeout(Duration::from_secs(10), answers.join_all());
+        assert_eq!(all.await.expect("an end").len(), 12);
+    });
+    assert_eq!((budget.usage().bytes, budget.usage().answers), (0, 0));
+}
+
+/// Guards against requests and short answers that wait for long ones.
+#[test]
+fn long_answers_leave_room_to_requests_and_to_short_answers() {
+    let budget = BodyBudget::new(32 << 20);
+    run(async {
+        let mut long = [budget.claim_answer(), budget.claim_answer(), budget.claim_answer()];
+        for claim in &mut long[..2] {
+            claim.resize(8 << 20).await;
+        }
+        let waits = timeout(Duration::from_millis(50), async {
+            long[2].resize(8 << 20).await;
+            budget.claim_answer().resize(8 << 20).await;
+        });
+        assert!(waits.await.is_err());
+        let mut short = budget.claim_answer();
+        timeout(Duration::from_millis(1), short.resize(1 << 10)).await.expect("no wait");
+        assert!(budget.admit(4 << 20).is_ok());
+    });
+}
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -6,6 +6,7 @@
 mod bad_entry;
 mod configuration;
 mod ending;
+mod endless;
 mod endpoint;
 mod http;
 mod inside;
@@ -24,6 +25,7 @@
     bad_entry::BadEntry,
     configuration::{DESK, HOST, WRITER, configuration},
     ending::{BreakKind, BreakPlace, BreakShare, Ending, Framing},
+    endless::Endless,
     endpoint::{EndpointSpec, FIRST_VERSION, ManagedEndpoint},
     http::{Answer, Request, call, exchange, read_answer},
     inside::Caches,
--- a/crates/basilbank_standin/src/managed/misdeed.rs
+++ b/crates/basilbank_standin/src/managed/misdeed.rs
@@ -1,5 +1,7 @@
 //! How an endpoint misbehaves.
 
+use super::endless::Endless;
+
 /// How an endpoint misbehaves, for calls from now on.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Misdeed {
@@ -26,4 +28,6 @@
     Hanging,
     /// Its KV caches are gone at once.
     Forgetful,
+    /// It runs the call, and writes until the caller closes the connection.
+    Endless(Endless),
 }
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -12,6 +12,7 @@
 
 use super::{
     ending::{BodyWriter, BreakKind, BreakPlace, Ending},
+    endless,
     endpoint::FIRST_VERSION,
     http::{Request, answer_bytes, write_answer},
     inside::{Caches, Inside, lock},
@@ -203,6 +204,11 @@
         if misdeed == Misdeed::Hanging {
             return Ok(());
         }
+        if let Misdeed::Endless(endless) = misdeed {
+            let bytes = endless::write(stream, request, endless);
+            lock(&self.inside).served.endless.push(bytes);
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         if !is_completion {
             return self.answer(stream, request, misdeed);
         }
