--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -152,8 +152,9 @@
     }
 }
 
-/// Events without an id (or data, where the stream doesn't go on elsewhere), as comments, which are held until one follows that holds a part of
-/// the answer. So nothing is passed on of an endpoint that writes them for ever.
+/// Events that hold no part of the answer, as comments: they have no id, and no data where the stream
+/// doesn't go on elsewhere. They are held until one follows that does, so that nothing is passed on of
+/// an endpoint that writes them for ever.
 #[derive(Debug)]
 struct HeldEvents {
     events: BytesMut,
