An answer without end is recorded in one place; a doc comment stands at its type again

The two updates of an endpoint, called directly or by a peer, did the same for Damage::Endless. Reached had lost its doc comment to the function before it. Tests stamp records by one function.

--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -6,6 +6,7 @@
 use crate::{
     call::RequestId,
     effect::Effect,
+    endpoint::EndpointKey,
     event::{Damage, NotProxied, NotRun, Outcome},
     log_line::{LogLine, Measurement},
     reason::Refusal,
@@ -95,6 +96,9 @@
 
 /// Updates what is known about the endpoint from the outcome.
 fn update_endpoint(ctx: &mut Context<'_>, live: &ActiveAttempt, outcome: &Outcome) {
+    if *outcome == Outcome::Broken(Damage::Endless) {
+        return record_endless(ctx, live.endpoint);
+    }
     if let Some(peer) = live.via {
         return update_proxied_endpoint(ctx, live, peer, outcome);
     }
@@ -123,10 +127,15 @@
         // instance.
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
         Outcome::NotRun(NotRun::Other { .. }) => {}
-        Outcome::Broken(Damage::Endless) => endpoint.record_endless(now),
         Outcome::Broken(_) => endpoint.record_failure(now, &tuning),
     }
-    ctx.state.peers.changed |= *outcome == Outcome::Broken(Damage::Endless);
+}
+
+/// Records an answer without end, which shows the same of the endpoint whoever called it.
+fn record_endless(ctx: &mut Context<'_>, key: EndpointKey) {
+    let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
+    endpoint.record_endless(ctx.now);
+    ctx.state.peers.changed = true;
 }
 
 /// Updates what is known about an endpoint that a peer called, and about the peer. How long the
@@ -140,7 +149,6 @@
     let (key, now) = (live.endpoint, ctx.now);
     match outcome {
         Outcome::NotProxied(failure) => suspect::record_proxy_failure(ctx, key, peer, *failure),
-        Outcome::Broken(Damage::Endless) => {}
         // Either the peer or the endpoint was lost on the way.
         Outcome::Broken(_) | Outcome::TimedOut | Outcome::Unreachable => {
             let failure = NotProxied::EndpointUnreachable;
@@ -157,10 +165,8 @@
         }
         Outcome::NotRun(NotRun::Busy) => endpoint.record_refusal(now, &tuning),
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
-        Outcome::Broken(Damage::Endless) => endpoint.record_endless(now),
         _ => {}
     }
-    ctx.state.peers.changed |= *outcome == Outcome::Broken(Damage::Endless);
 }
 
 fn log_outcome(ctx: &mut Context<'_>, id: RequestId, live: &ActiveAttempt, outcome: &Outcome) {
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -379,7 +379,6 @@
 /// Added to the expected time of an endpoint that a peer has to call: two more ways between daemons.
 const PROXY_COST: Duration = Duration::from_millis(8);
 
-/// How the endpoints of a service are reached that don't answer this daemon.
 /// Returns whether one of these endpoints is likely to answer soon.
 fn is_any_awaited<'a>(
     state: &State,
@@ -390,6 +389,7 @@
     allowed(endpoints, pinned).any(|(key, _)| state.awaits(key, now))
 }
 
+/// How the endpoints of a service are reached that don't answer this daemon.
 struct Reached {
     unreachable: BTreeMap<EndpointKey, Reach>,
 }
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -20,6 +20,8 @@
 use basilbank_forward::{prelude::*, state::history::ListChange};
 use basilbank_wire::LoadGossip;
 
+use crate::rig::written;
+
 /// A datagram's way to a peer, and an event's to a daemon.
 pub const WAY: Duration = Duration::from_millis(1);
 
@@ -203,12 +205,7 @@
 
     /// All read the list.
     pub fn list(&mut self, listed: &[EndpointInfo], gone: &[String]) {
-        let first = self.revision + 1;
-        let stamp = |(revision, info): (u64, &EndpointInfo)| EndpointInfo {
-            revisions: ItemRevisions { created: revision, changed: revision },
-            ..info.clone()
-        };
-        let listed: Vec<_> = (first..).zip(listed).map(stamp).collect();
+        let listed = written(listed.to_vec(), self.revision);
         self.revision += (listed.len() + gone.len()) as u64;
         self.listed.retain(|info| !gone.contains(&info.instance));
         self.listed.extend(listed.iter().cloned());
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -136,12 +136,7 @@
 
     /// Reads the whole list; each record was written at a revision of its own.
     pub fn read(&mut self, list: Vec<EndpointInfo>) {
-        let first = self.revision + 1;
-        let stamp = |(revision, info): (u64, EndpointInfo)| EndpointInfo {
-            revisions: ItemRevisions { created: revision, changed: revision },
-            ..info
-        };
-        let list: Vec<_> = (first..).zip(list).map(stamp).collect();
+        let list = written(list, self.revision);
         self.revision += list.len() as u64;
         self.feed(Event::EndpointsRead { revisions: Revisions::at(self.revision), list });
     }
@@ -333,6 +328,15 @@
     endpoint(instance, port, WRITER, Some(stage))
 }
 
+/// Records, each written at a revision of its own after this one.
+pub fn written(list: Vec<EndpointInfo>, after: u64) -> Vec<EndpointInfo> {
+    let write = |(revision, info): (u64, EndpointInfo)| EndpointInfo {
+        revisions: ItemRevisions { created: revision, changed: revision },
+        ..info
+    };
+    (after + 1..).zip(list).map(write).collect()
+}
+
 fn endpoint(instance: &str, port: u16, service: &str, stage: Option<Stage>) -> EndpointInfo {
     EndpointInfo {
         version: "v1".to_owned(),
