Guard of reads: named for what it guards, and less work for each piece of a body

HeadGuard guards bodies too, so it is ReadGuard. Each piece of a body took the time, which matters for heads only, and the lock of the budget where nothing changes; events with data were counted also where only ids count.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -244,8 +244,8 @@
 }
 
 /// Reads the body of an answer that is not a stream to its end before it is forwarded, so that one that
-/// breaks off doesn't look complete. A silent endpoint may go on, so it is waited for
-/// until the attempt is stopped. Only a slot that is held is not worth it.
+/// breaks off doesn't look complete. A silent endpoint may go on, so it is waited for until the attempt
+/// is stopped. Only a slot that is held is not worth it.
 async fn read_answer_body(
     router: &Rc<Router>,
     caller_request: &CallerRequest,
--- a/crates/basilbank_gateway/src/body_budget.rs
+++ b/crates/basilbank_gateway/src/body_budget.rs
@@ -261,7 +261,7 @@
 impl AnswerClaim {
     /// Waits until this many bytes of the answer fit, or until it is the one that may take more.
     pub async fn resize(&mut self, bytes: usize) {
-        if self.try_resize(bytes) {
+        if bytes == self.claimed || self.try_resize(bytes) {
             return;
         }
         self.budget.lock().answers_paused += 1;
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     dialect::OutRequest,
-    head_guard::{GuardedStream, HeadGuard, MAX_HEAD_BYTES},
+    read_guard::{GuardedStream, MAX_HEAD_BYTES, ReadGuard},
 };
 
 /// Maximum time to connect: some round trips between data centres. An endpoint behind a partition
@@ -65,7 +65,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     opened_at: Instant,
-    guard: Rc<HeadGuard>,
+    guard: Rc<ReadGuard>,
     _task: ConnectionTask,
 }
 
@@ -124,7 +124,7 @@
         // The call works without the option, but its last segment may be delayed until an
         // acknowledgement.
         let _ = stream.set_nodelay(true);
-        let guard = Rc::new(HeadGuard::default());
+        let guard = Rc::new(ReadGuard::default());
         let stream = GuardedStream::new(stream, Rc::clone(&guard));
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -145,7 +145,7 @@
 
     /// What bounds the bytes that come over the connection.
     #[must_use]
-    pub fn guard(&self) -> Rc<HeadGuard> {
+    pub fn guard(&self) -> Rc<ReadGuard> {
         Rc::clone(&self.guard)
     }
 
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -20,7 +20,7 @@
     end_proof::{AnswerTimes, EndProof},
     endpoint_body::BodyBroken,
     framing::Framing,
-    head_guard::HeadGuard,
+    read_guard::ReadGuard,
     router::Router,
 };
 
@@ -32,7 +32,7 @@
     incoming: Incoming,
     end: End,
     /// Bounds what comes without a piece of the body.
-    guard: Rc<HeadGuard>,
+    guard: Rc<ReadGuard>,
 }
 
 /// What the end of the body proves.
--- a/crates/basilbank_gateway/src/events.rs
+++ b/crates/basilbank_gateway/src/events.rs
@@ -10,9 +10,6 @@
     last_event_id: Option<String>,
     /// Number of complete events that have an id.
     ids: usize,
-    /// Number of complete events that have an id or data. Others, as comments, hold nothing of an
-    /// answer.
-    filled: usize,
 }
 
 impl EventSplitter {
@@ -23,7 +20,6 @@
         let Some(end) = last_event_end(&self.partial[from..]) else { return Bytes::new() };
         let ready = self.partial.split_to(from + end).freeze();
         self.ids += event_ids(&ready).count();
-        self.filled += count_filled(&ready);
         if let Some(id) = last_event_id(&ready) {
             self.last_event_id = Some(id);
         }
@@ -36,12 +32,6 @@
         self.ids
     }
 
-    /// Returns the number of complete events that have an id or data.
-    #[must_use]
-    pub fn count_filled(&self) -> usize {
-        self.filled
-    }
-
     /// Returns the number of bytes of the event that is not complete.
     #[must_use]
     pub fn partial_bytes(&self) -> usize {
@@ -99,8 +89,9 @@
     lines.filter_map(|line| line.strip_prefix(b"id:"))
 }
 
-/// Returns the number of events that have an id or data.
-fn count_filled(events: &[u8]) -> usize {
+/// Returns the number of events that have an id or data. Others, as comments, hold nothing of an answer.
+#[must_use]
+pub fn count_filled(events: &[u8]) -> usize {
     let (mut rest, mut count, mut is_filled) = (events, 0, false);
     while !rest.is_empty() {
         let line;
--- a/crates/basilbank_gateway/src/read_guard.rs
+++ b/crates/basilbank_gateway/src/read_guard.rs
@@ -40,7 +40,7 @@
 
 /// What has come since a head, or the next piece of a body, is awaited on a connection.
 #[derive(Debug, Default)]
-pub struct HeadGuard {
+pub struct ReadGuard {
     awaited: Cell<Awaited>,
     began_at: Cell<Option<Instant>>,
     bytes: Cell<usize>,
@@ -48,7 +48,7 @@
     is_exceeded: Cell<bool>,
 }
 
-impl HeadGuard {
+impl ReadGuard {
     /// Starts to wait for a head.
     pub fn await_head(&self) {
         self.restart(Awaited::Head);
@@ -81,31 +81,34 @@
         if bytes == 0 || self.awaited.get() == Awaited::Nothing {
             return;
         }
-        let now = Instant::now();
-        let began_at = self.began_at.get().unwrap_or(now);
-        self.began_at.set(Some(began_at));
         self.bytes.set(self.bytes.get().saturating_add(bytes));
-        self.pieces.set(self.pieces.get().saturating_add(1));
-        let is_slow = self.awaited.get() == Awaited::Head
-            && MAX_LATE_PIECES < self.pieces.get()
-            && began_at + MAX_HEAD_TIME < now;
+        let is_slow = self.awaited.get() == Awaited::Head && self.is_head_slow();
         if MAX_READ_BYTES < self.bytes.get() || is_slow {
             self.is_exceeded.set(true);
         }
     }
+
+    /// Counts a piece of a head, and returns whether the head takes too long.
+    fn is_head_slow(&self) -> bool {
+        let now = Instant::now();
+        let began_at = self.began_at.get().unwrap_or(now);
+        self.began_at.set(Some(began_at));
+        self.pieces.set(self.pieces.get().saturating_add(1));
+        MAX_LATE_PIECES < self.pieces.get() && began_at + MAX_HEAD_TIME < now
+    }
 }
 
 /// A connection to an endpoint whose reads fail once more has come than was awaited.
 #[derive(Debug)]
 pub struct GuardedStream {
     stream: TcpStream,
-    guard: Rc<HeadGuard>,
+    guard: Rc<ReadGuard>,
 }
 
 impl GuardedStream {
     /// Creates a stream that counts what is read in the guard.
     #[must_use]
-    pub fn new(stream: TcpStream, guard: Rc<HeadGuard>) -> GuardedStream {
+    pub fn new(stream: TcpStream, guard: Rc<ReadGuard>) -> GuardedStream {
         GuardedStream { stream, guard }
     }
 }
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -14,8 +14,13 @@
 use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
-    attempt::AnswerStream, end_proof::EndProof, endpoint_body::EndpointBody, events::EventSplitter,
-    framing::Framing, response::Chunk, router::Router,
+    attempt::AnswerStream,
+    end_proof::EndProof,
+    endpoint_body::EndpointBody,
+    events::{EventSplitter, count_filled},
+    framing::Framing,
+    response::Chunk,
+    router::Router,
 };
 
 /// Maximum size of an event, which is buffered until it is complete.
@@ -160,7 +165,7 @@
     events: BytesMut,
     /// When an event last held a part of the answer.
     filled_at: Instant,
-    /// Number of events with an id or data until then.
+    /// Number of such events until then.
     filled: usize,
     /// Maximum number of these; `None` if the stream may hold any number, or no events at all.
     max_filled: Option<usize>,
@@ -188,7 +193,10 @@
             return Some(ready);
         }
         // Only an id says where a stream may go on.
-        let filled = if self.is_resumable { events.count_ids() } else { events.count_filled() };
+        let filled = match self.is_resumable {
+            true => events.count_ids(),
+            false => self.filled + count_filled(&ready),
+        };
         let now = Instant::now();
         if self.filled < filled {
             (self.filled, self.filled_at) = (filled, now);
