--- a/crates/basilbank_standin/src/managed/endless.rs
+++ b/crates/basilbank_standin/src/managed/endless.rs
@@ -15,7 +15,7 @@
 /// Pause between two pieces of a slow answer.
 const SLOW_PIECE: Duration = Duration::from_millis(50);
 
-/// What an endpoint writes without end, in place of an answer or after one.
+/// What an endpoint writes without end in place of an answer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Endless {
     /// A body, with this status.
@@ -40,8 +40,6 @@
     SlowComments,
     /// One event.
     Event,
-    /// Events with ids, more than the caller wants tokens.
-    Events,
     /// Events with data and without ids.
     Data,
     /// Informational heads.
@@ -50,8 +48,6 @@
     Head,
     /// Headers, slowly.
     SlowHead,
-    /// Bytes after a whole answer.
-    After,
 }
 
 impl Endless {
@@ -78,30 +74,23 @@
             Endless::Comments => (head(200, events), chunk(&": x\n\n".repeat(1000)), fast),
             Endless::SlowComments => (head(200, events), chunk(": x\n\n"), SLOW_PIECE),
             Endless::Event => (head(200, events) + &chunk("data: "), chunk(&much), fast),
-            Endless::Events => (head(200, events), chunk("id: 1\ndata: token 1\n\n"), fast),
             Endless::Data => (head(200, events), chunk("data: token 1\n\n"), fast),
             Endless::Continue => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(100), fast),
             Endless::Head => (head(200, "a: "), much, fast),
             Endless::SlowHead => (head(200, ""), "a: b\r\n".to_owned(), SLOW_PIECE),
-            Endless::After => (head(200, "content-length: 2\r\n\r\nok"), much, fast),
         }
     }
 }
 
-/// Writes until the caller closes the connection. Returns the number of bytes.
-pub(super) fn write(mut stream: &TcpStream, request: &Request, endless: Endless) -> usize {
+/// Writes until the caller closes the connection.
+pub(super) fn write(mut stream: &TcpStream, request: &Request, endless: Endless) {
     let id = request.header("x-attempt-id").unwrap_or_default();
     let (first, piece, pause) = endless.pieces(id);
     let began = Instant::now();
-    if stream.set_write_timeout(Some(MAX_TIME)).is_err()
-        || stream.write_all(first.as_bytes()).is_err()
-    {
-        return 0;
-    }
-    let mut written = first.len();
-    while began.elapsed() < MAX_TIME && stream.write_all(piece.as_bytes()).is_ok() {
-        written += piece.len();
+    let mut is_open = stream.set_write_timeout(Some(MAX_TIME)).is_ok()
+        && stream.write_all(first.as_bytes()).is_ok();
+    while is_open && began.elapsed() < MAX_TIME {
+        is_open = stream.write_all(piece.as_bytes()).is_ok();
         thread::sleep(pause);
     }
-    written
 }
--- a/crates/basilbank_standin/src/managed/served.rs
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -29,8 +29,6 @@
     pub freed: u32,
     /// All requests that reached it.
     pub arrived: Vec<Arrival>,
-    /// Number of bytes of each answer that had no end.
-    pub endless: Vec<usize>,
     /// When an answer first said that it leaves.
     pub said_leaving: Option<Instant>,
     /// Requests that it turned away and asked for a pause.
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -205,8 +205,7 @@
             return Ok(());
         }
         if let Misdeed::Endless(endless) = misdeed {
-            let bytes = endless::write(stream, request, endless);
-            lock(&self.inside).served.endless.push(bytes);
+            endless::write(stream, request, endless);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         if !is_completion {
