Sight for REFUSED: which answer proved that an attempt was not run

The logs had the outcome of an attempt and nothing of the answer behind it, so an answer of another call that was taken for a refusal could not be told from the endpoint's own. Each refusal by an endpoint now has a line with the id in the answer, its connection and the how manieth answer it is there, each foreign answer a line and a counter. A peer's line of a call names the same. No decision changes.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -174,9 +174,15 @@
     };
     let (head, body) = split_head(response);
     report_lifted_limit(&router, &attempt, &head);
+    let place = connection.as_ref().map(Connection::answer_place);
     match (dialect.classify_answer)(&caller_request.call, &attempt.op, &head) {
-        AnswerKind::Unclear => AttemptResult::without_answer(Outcome::Broken(Damage::Foreign)),
+        AnswerKind::Unclear => {
+            let (op, due) = (attempt.op.as_str(), Some(caller_request.call.trace_id.as_str()));
+            router.log_foreign_answer(op, due, &attempt.target, &head, place);
+            AttemptResult::without_answer(Outcome::Broken(Damage::Foreign))
+        }
         AnswerKind::NotRun(why) => {
+            router.log_refusal(&caller_request, &attempt, &head, place);
             drain_and_keep(&router, &attempt, &head, body, connection).await;
             AttemptResult::without_answer(Outcome::NotRun(why))
         }
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -6,6 +6,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
@@ -35,6 +36,8 @@
 /// Maximum number of idle connections to one endpoint; the oldest is closed beyond that.
 const MAX_IDLE_PER_ENDPOINT: usize = 16;
 
+static NEXT_SERIAL: AtomicU64 = AtomicU64::new(1);
+
 /// How a call failed without an answer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum CallError {
@@ -64,11 +67,24 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Number of the connection in this process.
+    serial: u64,
+    /// Number of answers that it has carried.
+    answers: u32,
     opened_at: Instant,
     guard: Rc<ReadGuard>,
     _task: ConnectionTask,
 }
 
+/// Which answer an answer is: its connection's number, and the how manieth it is on that.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct AnswerPlace {
+    /// Number of the connection in this process.
+    pub connection: u64,
+    /// 1 for the first answer on it.
+    pub answer: u32,
+}
+
 #[derive(Debug)]
 struct ConnectionTask(AbortHandle);
 
@@ -134,7 +150,15 @@
         // Errors of the connection are returned by the sender and the body.
         let task = tokio::task::spawn_local(async move { drop(connection.await) });
         let task = ConnectionTask(task.abort_handle());
-        Ok(Connection { sender, opened_at: Instant::now(), guard, _task: task })
+        let serial = NEXT_SERIAL.fetch_add(1, Ordering::Relaxed);
+        let opened_at = Instant::now();
+        Ok(Connection { sender, serial, answers: 0, opened_at, guard, _task: task })
+    }
+
+    /// Returns which answer the last one is.
+    #[must_use]
+    pub fn answer_place(&self) -> AnswerPlace {
+        AnswerPlace { connection: self.serial, answer: self.answers }
     }
 
     /// When the connection was made.
@@ -168,7 +192,10 @@
         let answer = timeout(answer_timeout, self.sender.try_send_request(request)).await;
         self.guard.end();
         match answer {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                self.answers = self.answers.saturating_add(1);
+                Ok(response)
+            }
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().map(Box::new);
                 let damage = match error.error().is_parse() {
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -20,6 +20,9 @@
     pub attempt_request: fn(&Parts, &Bytes, &Attempt, Option<&str>) -> OutRequest,
     /// Lowers the time that a request says its caller still waits; a request that says none stays.
     pub shorten_deadline: fn(&mut HeaderMap, Duration),
+    /// Reads the id of the caller's attempt from a request to an endpoint, or from an answer that
+    /// echoes it.
+    pub attempt_id: fn(&HeaderMap) -> Option<&str>,
     /// Classifies an answer by its head.
     pub classify_answer: fn(&Call, &Op, &Response<()>) -> AnswerKind,
     /// Reads how many calls per second the endpoint accepts from all daemons together, if the
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! add wake-ups. The crate doesn't know the platform's header names and formats; a [`Dialect`]
 //! provides them.
 
+mod answer_log;
 mod attempt;
 pub mod body_budget;
 mod caller_listener;
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -153,6 +153,7 @@
     proxied: Family<ReasonLabel, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
     end_checks: Family<ReasonLabel, Counter>,
+    foreign_answers: Family<ReasonLabel, Counter>,
     unreachable_endpoints: Gauge<u64, AtomicU64>,
     unreached_services: Gauge<u64, AtomicU64>,
     gossip_passed_on: Gauge<u64, AtomicU64>,
@@ -206,6 +207,7 @@
             proxied: Family::default(),
             stream_ends: Family::default(),
             end_checks: Family::default(),
+            foreign_answers: Family::default(),
             unreachable_endpoints: Gauge::default(),
             unreached_services: Gauge::default(),
             gossip_passed_on: Gauge::default(),
@@ -283,6 +285,8 @@
         let help =
             "Answers that only the end of their connection ended, by proof that they are whole";
         registry.register("end_checks", help, metrics.end_checks.clone());
+        let help = "Answers that belong to no request on their connection, by what was asked";
+        registry.register("foreign_answers", help, metrics.foreign_answers.clone());
         let help = "Answers of endpoints that asked for a pause";
         registry.register("pauses", help, metrics.pauses.clone());
         let help =
@@ -359,6 +363,11 @@
         count(&self.end_checks, proof.as_str());
     }
 
+    /// Counts an answer that doesn't belong to the request that was sent.
+    pub fn count_foreign_answer(&self, asked: &str) {
+        count(&self.foreign_answers, asked);
+    }
+
     /// Counts a call that this daemon made, or refused to make, for a peer.
     pub fn count_proxied(&self, end: &str) {
         count(&self.proxied, end);
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -4,7 +4,7 @@
 //! endpoint it goes to, what it may cost and whether it is repeated is decided by the peer.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -33,7 +33,7 @@
 use crate::{
     attempt::parse_keep_alive,
     body_budget::BodyClaim,
-    connections::CallError,
+    connections::{AnswerPlace, CallError},
     dialect::OutRequest,
     peer_stream,
     proxy_client::{read_headers, wire_headers},
@@ -127,7 +127,7 @@
         Ok(target) => target,
         Err(refusal) => {
             router.metrics.count_proxied(refusal.as_str());
-            log_call(&request, peer, refusal.as_str(), received);
+            log_call(&request, peer, refusal.as_str(), received, None);
             let failure = match refusal {
                 NotProxied::EndpointUnreachable => ProxyFailure::Unreachable,
                 NotProxied::NoPeer | NotProxied::Declined => ProxyFailure::Declined,
@@ -136,7 +136,7 @@
         }
     };
     let serving = Serving::start(router, &target, &request);
-    let writing = RefCell::default();
+    let (writing, place) = (RefCell::default(), Cell::default());
     let body = RefCell::new(std::mem::take(&mut request.body));
     let call = Call {
         router,
@@ -147,6 +147,7 @@
         purpose,
         received,
         writing: &writing,
+        place: &place,
     };
     // A peer that closes the connection, or sends anything before the answer's end, doesn't want the
     // call any more. Dropping the call closes the connection to the endpoint.
@@ -156,7 +157,7 @@
     };
     serving.end(end, writing.borrow().wrote_on());
     router.metrics.count_proxied(end.as_str());
-    log_call(&request, peer, end.as_str(), received);
+    log_call(&request, peer, end.as_str(), received, place.get());
     end != ProxiedEnd::Cancelled
 }
 
@@ -165,7 +166,13 @@
 }
 
 /// Logs a caller's call, with the caller's id of it.
-fn log_call(request: &ProxyRequest, peer: SocketAddr, outcome: &str, received: Instant) {
+fn log_call(
+    request: &ProxyRequest,
+    peer: SocketAddr,
+    outcome: &str,
+    received: Instant,
+    place: Option<AnswerPlace>,
+) {
     if request.trace_id.is_empty() {
         return;
     }
@@ -175,6 +182,9 @@
         .with("instance", &request.instance)
         .with("took_ms", received.elapsed().as_millis())
         .with("outcome", outcome);
+    let line = place.into_iter().fold(line, |line, place| {
+        line.with("connection", place.connection).with("answer", place.answer)
+    });
     log::info!("{line}");
 }
 
@@ -231,6 +241,8 @@
     purpose: Purpose,
     received: Instant,
     writing: &'a RefCell<Writing>,
+    /// Which answer came, once one has.
+    place: &'a Cell<Option<AnswerPlace>>,
 }
 
 impl Call<'_> {
@@ -249,6 +261,7 @@
                 return self.fail(writer, failure, end).await;
             }
         };
+        self.place.set(Some(connection.answer_place()));
         let (head, mut body) = response.into_parts();
         let status = u32::from(head.status.as_u16());
         let wire_head = ProxyHead { status, headers: wire_headers(&head.headers) };
--- a/crates/basilbank_gateway/tests/support/mod.rs
+++ b/crates/basilbank_gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
         parse_call: |_, _| Err(InvalidCall { trace_id: String::new(), reason: "no call" }),
         attempt_request: |_, _, _, _| OutRequest::default(),
         shorten_deadline: |_, _| {},
+        attempt_id: |_| None,
         classify_answer: |_, _, _: &Response<()>| AnswerKind::Unclear,
         call_limit: |_| None,
         is_leaving: |_| false,
