An answer without the call's id is no answer to it

What callers saw: calls that may run once ran twice, or were refused though they ran, and callers got another call's 404 or 500, at an endpoint that answers a call again where the next answer over its connection is due.

Cause: an id was only looked at where the answer had one. An answer without any counted as that of whatever was asked, so a second refusal without an id was taken for the next call's.

Change: one rule of belonging for all answers of endpoints, directly and by peers, checked where they come in. Work needs the id that was sent; only a refusal may lack it, and only as the first answer on its connection, where nothing else can have been answered (an instance that a request isn't meant for may refuse it before it reads further). What the router asks for itself has no id, and an answer with one isn't taken for it, nor for a proof that a process lives. Others are foreign: the connection is closed, the call may have run.

Evidence: the first 11 of the new rows over sockets fail without it ("c1 has run 2 times", "c1: 404 second"), by a peer and for completions too.

--- a/crates/basilbank_forward/src/purpose.rs
+++ b/crates/basilbank_forward/src/purpose.rs
@@ -12,3 +12,16 @@
     /// Asks whether the endpoint is alive.
     Probe,
 }
+
+impl Purpose {
+    /// Returns the stable name for logs and metric labels.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Purpose::Work => "work",
+            Purpose::Order => "order",
+            Purpose::Release => "release",
+            Purpose::Probe => "probe",
+        }
+    }
+}
--- a/crates/basilbank_gateway/src/answer_log.rs
+++ b/crates/basilbank_gateway/src/answer_log.rs
@@ -4,23 +4,22 @@
 use basilbank_forward::{effect::Target, prelude::*};
 use hyper::Response;
 
-use crate::{attempt::CallerRequest, connections::AnswerPlace, router::Router};
+use crate::{attempt::CallerRequest, belonging::AnswerOrigin, router::Router};
 
 impl Router {
-    /// Logs the answer that proves that an endpoint has not run an attempt. `place` is `None` if a peer
-    /// has called the endpoint.
+    /// Logs the answer that proves that an endpoint has not run an attempt.
     pub(crate) fn log_refusal<T>(
         &self,
         caller_request: &CallerRequest,
         attempt: &Attempt,
         answer: &Response<T>,
-        place: Option<AnswerPlace>,
+        origin: AnswerOrigin,
     ) {
         let line = Line::new("endpoint_refused")
             .with("request", &caller_request.call.trace_id)
             .with("attempt", attempt.number)
             .with("op", attempt.op.as_str());
-        log::info!("{}", self.describe_answer(line, &attempt.target, answer, place));
+        log::info!("{}", self.describe_answer(line, &attempt.target, answer, origin));
     }
 
     /// Logs and counts an answer that doesn't belong to the request that was sent, whose id is `due`.
@@ -30,13 +29,13 @@
         due: Option<&str>,
         target: &Target,
         answer: &Response<T>,
-        place: Option<AnswerPlace>,
+        origin: AnswerOrigin,
     ) {
         self.metrics.count_foreign_answer(asked);
         let line = Line::new("foreign_answer")
             .with("request", due.unwrap_or_default())
             .with("asked", asked);
-        log::info!("{}", self.describe_answer(line, target, answer, place));
+        log::info!("{}", self.describe_answer(line, target, answer, origin));
     }
 
     fn describe_answer<T>(
@@ -44,19 +43,19 @@
         line: Line,
         target: &Target,
         answer: &Response<T>,
-        place: Option<AnswerPlace>,
+        origin: AnswerOrigin,
     ) -> Line {
         let came = (self.dialect.attempt_id)(answer.headers());
         let line = line
             .with("instance", &target.instance)
             .with("status", answer.status().as_u16())
             .with("came", came.unwrap_or_default());
-        match (place, target.via) {
-            (Some(place), _) => {
+        match (origin, target.via) {
+            (AnswerOrigin::Direct(place), _) => {
                 line.with("connection", place.connection).with("answer", place.answer)
             }
-            (None, Some(peer)) => line.with("via", peer),
-            (None, None) => line,
+            (AnswerOrigin::Peer, Some(peer)) => line.with("via", peer),
+            (AnswerOrigin::Peer, None) => line,
         }
     }
 }
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    belonging::AnswerOrigin,
     connections::{CallError, Connection},
     dialect::AnswerKind,
     endpoint_body::EndpointBody,
@@ -174,15 +175,15 @@
     };
     let (head, body) = split_head(response);
     report_lifted_limit(&router, &attempt, &head);
-    let place = connection.as_ref().map(Connection::answer_place);
-    match (dialect.classify_answer)(&caller_request.call, &attempt.op, &head) {
+    let origin = answer_origin(connection.as_ref());
+    match (dialect.classify_answer)(&attempt.op, &head) {
         AnswerKind::Unclear => {
             let (op, due) = (attempt.op.as_str(), Some(caller_request.call.trace_id.as_str()));
-            router.log_foreign_answer(op, due, &attempt.target, &head, place);
+            router.log_foreign_answer(op, due, &attempt.target, &head, origin);
             AttemptResult::without_answer(Outcome::Broken(Damage::Foreign))
         }
         AnswerKind::NotRun(why) => {
-            router.log_refusal(&caller_request, &attempt, &head, place);
+            router.log_refusal(&caller_request, &attempt, &head, origin);
             drain_and_keep(&router, &attempt, &head, body, connection).await;
             AttemptResult::without_answer(Outcome::NotRun(why))
         }
@@ -218,6 +219,11 @@
     }
 }
 
+fn answer_origin(connection: Option<&Connection>) -> AnswerOrigin {
+    let place = connection.map(Connection::answer_place);
+    place.map_or(AnswerOrigin::Peer, AnswerOrigin::Direct)
+}
+
 /// Reports to the reducer that the endpoint has no call limit any more: it has run the call and its
 /// answer states none. An answer that refuses a call or holds a slot need not state the limit.
 fn report_lifted_limit(router: &Rc<Router>, attempt: &Attempt, head: &Response<()>) {
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -23,8 +23,10 @@
     /// Reads the id of the caller's attempt from a request to an endpoint, or from an answer that
     /// echoes it.
     pub attempt_id: fn(&HeaderMap) -> Option<&str>,
-    /// Classifies an answer by its head.
-    pub classify_answer: fn(&Call, &Op, &Response<()>) -> AnswerKind,
+    /// Returns whether an answer says that its endpoint has not run the request.
+    pub is_refusal: fn(StatusCode, &HeaderMap) -> bool,
+    /// Classifies an answer that belongs to the request by its head.
+    pub classify_answer: fn(&Op, &Response<()>) -> AnswerKind,
     /// Reads how many calls per second the endpoint accepts from all daemons together, if the
     /// answer states it.
     pub call_limit: fn(&HeaderMap) -> Option<f64>,
@@ -62,8 +64,7 @@
     Forward,
     /// The answer is meant for the router itself.
     Control,
-    /// The answer belongs to another call, or lacks the mark of endpoints' answers: the call may
-    /// have run.
+    /// The answer lacks the mark of endpoints' answers: the call may have run.
     Unclear,
 }
 
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     attempt::parse_keep_alive,
+    belonging::AnswerOrigin,
     connections::{CallError, ConnectError, Connection},
     endpoint_calls::LIVENESS_TIMEOUT,
     router::Router,
@@ -179,6 +180,8 @@
         let answer = connection.send(request, LIVENESS_TIMEOUT).await;
         let answer = answer.map_err(|(error, _)| error)?;
         self.read_statements(target, &answer);
+        let origin = AnswerOrigin::Direct(connection.answer_place());
+        self.check_answer(Purpose::Probe.as_str(), None, target, &answer, origin)?;
         let (status, keep_alive) = (answer.status(), parse_keep_alive(answer.headers()));
         let report = read_report(answer).await;
         let started_at = report.as_ref().and_then(|report| (self.dialect.parse_start_time)(report));
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    belonging::AnswerOrigin,
     connections::{CallError, Connection},
     dialect::OutRequest,
     direct_body::DirectBody,
@@ -84,9 +85,13 @@
         if !self.may_send(target, call.purpose) {
             return Err(CallError::Withheld);
         }
+        let due = self.attempt_id(&call.request);
+        let purpose = call.purpose;
         match self.proxy_client.call(peer, call, |bytes| self.count_proxied(peer, bytes)).await {
             Ok(response) => {
                 self.read_statements(target, &response);
+                let due = due.as_deref();
+                self.check_answer(purpose.as_str(), due, target, &response, AnswerOrigin::Peer)?;
                 Ok((response.map(|body| EndpointBody::Proxied(Box::new(body))), None))
             }
             Err(error) => {
@@ -109,12 +114,15 @@
     ) -> Result<(Response<DirectBody>, Connection), CallError> {
         let may_send = || self.may_send(target, purpose);
         let bytes = request_bytes(&request);
+        let due = self.attempt_id(&request);
         let answer = self.connections.call(target, request, answer_timeout, may_send).await;
         if !matches!(answer, Err(CallError::Unreachable | CallError::Withheld)) {
             self.count_request(target, bytes);
         }
         let (response, connection) = answer?;
         self.read_statements(target, &response);
+        let origin = AnswerOrigin::Direct(connection.answer_place());
+        self.check_answer(purpose.as_str(), due.as_deref(), target, &response, origin)?;
         Ok((DirectBody::take(self, target, response, &connection), connection))
     }
 
@@ -184,6 +192,11 @@
         self.metrics.sent_bytes.count(SentPurpose::Endpoint, data_centre, bytes);
     }
 
+    /// Returns the id that the answer to a request must carry.
+    pub(crate) fn attempt_id(&self, request: &OutRequest) -> Option<String> {
+        (self.dialect.attempt_id)(request.headers()).map(str::to_owned)
+    }
+
     pub(crate) fn may_send(&self, target: &Target, purpose: Purpose) -> bool {
         self.read(|state| state.may_send(target.endpoint, purpose, self.now()))
     }
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer_log;
 mod attempt;
+pub mod belonging;
 pub mod body_budget;
 mod caller_listener;
 mod connections;
--- a/crates/basilbank_gateway/tests/attempts.rs
+++ b/crates/basilbank_gateway/tests/attempts.rs
@@ -167,7 +167,7 @@
 
 fn dialect() -> Dialect {
     Dialect {
-        classify_answer: |_, op, _| match op {
+        classify_answer: |op, _| match op {
             Op::Prefill => AnswerKind::Control,
             _ => AnswerKind::Forward,
         },
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -14,6 +14,7 @@
 mod paths;
 mod ports;
 mod proxy;
+mod second_answer;
 mod served;
 mod serving;
 mod silence;
@@ -33,6 +34,7 @@
     paths::Paths,
     ports::Ports,
     proxy::{Proxy, Weather},
+    second_answer::SecondAnswer,
     served::{Arrival, PauseRequest, Served, TakenCache},
     serving::{DEADLY, DEADLY_PART, event_text},
     store::{Lost, ManagedStore, NarrowWay, StoreFault, StoreView},
--- a/crates/basilbank_standin/src/managed/endpoint.rs
+++ b/crates/basilbank_standin/src/managed/endpoint.rs
@@ -17,6 +17,7 @@
     http::Listener,
     inside::{Caches, Inside, lock},
     misdeed::Misdeed,
+    second_answer::SecondAnswer,
     served::Served,
     serving::Serving,
 };
@@ -161,6 +162,16 @@
         lock(&self.inside).misdeed = misdeed;
     }
 
+    /// Writes a second answer after each answer to a call from now on, or no longer.
+    pub fn answer_twice(&self, second: Option<SecondAnswer>) {
+        lock(&self.inside).seconds.set(second);
+    }
+
+    /// Refuses each call as it first arrives from now on, and runs it when it comes again.
+    pub fn refuse_first(&self) {
+        lock(&self.inside).refuses_first = true;
+    }
+
     /// Sets how its answers to callers are framed and break off from now on.
     pub fn end_answers(&self, ending: Ending) {
         self.end_some(ending, BreakShare::ALL);
--- a/crates/basilbank_standin/src/managed/inside.rs
+++ b/crates/basilbank_standin/src/managed/inside.rs
@@ -10,6 +10,7 @@
 use super::{
     ending::{BreakShare, Ending},
     misdeed::Misdeed,
+    second_answer::SecondAnswers,
     served::Served,
 };
 
@@ -22,6 +23,10 @@
     pub(super) written: u64,
     pub(super) stage: Option<&'static str>,
     pub(super) misdeed: Misdeed,
+    /// What it writes a second time.
+    pub(super) seconds: SecondAnswers,
+    /// It refuses each call as it first arrives.
+    pub(super) refuses_first: bool,
     /// How its answers are framed and break off.
     pub(super) ending: Ending,
     /// Its streams that are to break off wait for that.
@@ -59,6 +64,7 @@
     /// Whether it serves whatever comes, and says nothing else.
     pub(super) fn is_sound(&self) -> bool {
         self.misdeed == Misdeed::None
+            && self.seconds.is_none()
             && self.ending.broken.is_none()
             && self.limit.is_none()
             && self.pause.is_none()
--- /dev/null
+++ b/crates/basilbank_standin/src/managed/second_answer.rs
@@ -0,0 +1,89 @@
+//! Second answers to requests that were answered before.
+
+use std::{
+    collections::HashMap,
+    io::{self, Write},
+    net::{SocketAddr, TcpStream},
+};
+
+use super::{
+    http::{Request, answer_bytes},
+    inside::lock,
+    serving::Serving,
+};
+
+/// What an endpoint writes a second time after each answer to a call. It comes late: right before the
+/// answer to the next call over the same connection.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct SecondAnswer {
+    /// Its status.
+    pub status: u16,
+    /// Whether it says that the call has not run.
+    pub not_executed: bool,
+    /// Whether it carries the id of the call that it is for.
+    pub has_id: bool,
+    /// Whether it carries the mark of an endpoint's own answers.
+    pub sealed: bool,
+}
+
+impl SecondAnswer {
+    /// A refusal without an id.
+    #[must_use]
+    pub fn refusal(status: u16) -> SecondAnswer {
+        SecondAnswer { status, not_executed: status != 421, has_id: false, sealed: false }
+    }
+
+    /// A failure without an id.
+    #[must_use]
+    pub fn failure(status: u16) -> SecondAnswer {
+        SecondAnswer { status, not_executed: false, has_id: false, sealed: false }
+    }
+
+    /// A refusal as an endpoint writes it.
+    pub const OWN_REFUSAL: SecondAnswer =
+        SecondAnswer { status: 503, not_executed: true, has_id: true, sealed: false };
+
+    fn bytes(self, id: &str) -> Vec<u8> {
+        let not_executed = self.not_executed.then_some(("x-not-executed", "1"));
+        let id = self.has_id.then_some(("x-attempt-id", id));
+        let seal = self.sealed.then_some(("x-server-seal", "seal"));
+        let headers: Vec<_> = not_executed.into_iter().chain(id).chain(seal).collect();
+        answer_bytes(self.status, &headers, b"second")
+    }
+}
+
+/// Second answers that are to be written.
+#[derive(Debug, Default)]
+pub(super) struct SecondAnswers {
+    kind: Option<SecondAnswer>,
+    /// By the address at the other end of the connection: their bytes.
+    held_back: HashMap<SocketAddr, Vec<u8>>,
+}
+
+impl SecondAnswers {
+    pub(super) fn is_none(&self) -> bool {
+        self.kind.is_none()
+    }
+
+    pub(super) fn set(&mut self, kind: Option<SecondAnswer>) {
+        self.kind = kind;
+    }
+}
+
+impl Serving {
+    /// Writes the second answer to the former call over the connection, if there is one.
+    pub(super) fn write_second(&self, mut stream: &TcpStream) -> io::Result<()> {
+        let bytes = lock(&self.inside).seconds.held_back.remove(&stream.peer_addr()?);
+        bytes.map_or(Ok(()), |bytes| stream.write_all(&bytes))
+    }
+
+    /// Holds back the second answer to a call that was just answered.
+    pub(super) fn hold_back_second(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+        let seconds = &mut lock(&self.inside).seconds;
+        if let Some(kind) = seconds.kind {
+            let id = request.header("x-attempt-id").unwrap_or_default();
+            seconds.held_back.insert(stream.peer_addr()?, kind.bytes(id));
+        }
+        Ok(())
+    }
+}
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -71,12 +71,37 @@
                 lock(&self.inside).served.freed += 1;
                 self.reply(stream, 200, &[], b"")
             }
-            _ if misdeed == Misdeed::Full => self.refuse(stream, request),
-            _ if request.header("x-stage") == Some("prefill") => self.prefill(stream, request),
+            _ => {
+                self.write_second(stream)?;
+                self.serve_call(stream, request, misdeed)?;
+                self.hold_back_second(stream, request)
+            }
+        }
+    }
+
+    fn serve_call(
+        &self,
+        stream: &TcpStream,
+        request: &Request,
+        misdeed: Misdeed,
+    ) -> io::Result<()> {
+        if misdeed == Misdeed::Full || self.refuses_now(request) {
+            return self.refuse(stream, request);
+        }
+        match request.header("x-stage") {
+            Some("prefill") => self.prefill(stream, request),
             _ => self.run(stream, request, misdeed),
         }
     }
 
+    /// Whether it refuses the call because that arrives for the first time.
+    fn refuses_now(&self, request: &Request) -> bool {
+        let inside = lock(&self.inside);
+        let id = attempt_id(request);
+        inside.refuses_first
+            && inside.served.arrived.iter().filter(|arrival| arrival.id == id).count() == 1
+    }
+
     fn condition(&self) -> (Misdeed, bool) {
         let inside = lock(&self.inside);
         (inside.misdeed, inside.has_ended || inside.served.crashed.is_some())
@@ -162,7 +187,7 @@
         let mut inside = lock(&self.inside);
         if inside.stage != Some("prefill") {
             drop(inside);
-            return self.reply(stream, 421, &[], b"");
+            return self.reply(stream, 421, &[("x-attempt-id", &attempt_id(request))], b"");
         }
         inside.served.prefills += 1;
         inside.next += 1;
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -15,6 +15,7 @@
 mod readings;
 mod restarts;
 mod restored;
+mod second_answers;
 mod settings;
 mod shares;
 mod silences;
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/second_answers.rs
@@ -0,0 +1,110 @@
+//! Endpoints that answer a call again, where the answer to the next call over the connection is due.
+
+use basilbank_standin::managed::{
+    Answer, ManagedEndpoint, Paths, SecondAnswer, Weather, World, WorldSpec, call,
+};
+use test_case::test_case;
+
+use crate::support::{draft_on, eventually};
+
+/// Calls of a row, one after the other.
+const CALLS: usize = 8;
+
+/// One endpoint of each kind, with or without a budget for calls that are sent again.
+fn one_of_each(may_retry: bool) -> World {
+    let default = WorldSpec::default();
+    let retry_slack = if may_retry { default.retry_slack } else { 0 };
+    let spec = WorldSpec { plain: 1, decode: 1, retry_slack, ..default };
+    World::start(&spec).expect("a world")
+}
+
+fn endpoints(world: &World) -> impl Iterator<Item = &ManagedEndpoint> {
+    world.plain.iter().chain(&world.model)
+}
+
+fn count_runs(world: &World, id: &str) -> usize {
+    let ran = endpoints(world).flat_map(|endpoint| endpoint.served().ran);
+    ran.filter(|request| request.header("x-attempt-id") == Some(id)).count()
+}
+
+fn order(world: &World, daemon: usize, id: &str) -> Answer {
+    let headers =
+        [("host", "shop.example"), ("x-attempt-id", id), ("x-deadline-remaining", "4000")];
+    call(world.callers(daemon), &format!("POST /stock/{id}"), &headers, b"x").expect("an answer")
+}
+
+/// Answers that promise that nothing has run are true, nothing runs twice, and no caller gets what
+/// isn't its own.
+fn check(world: &World, id: &str, answer: &Answer) {
+    assert!(answer.whole, "{id}: {answer:?}");
+    let runs = count_runs(world, id);
+    assert!(runs < 2, "{id} has run {runs} times");
+    match answer.status {
+        200 | 502 => {}
+        503 => assert_eq!(runs, 0, "{id}: {}", answer.text()),
+        _ => panic!("{id}: {} {}", answer.status, answer.text()),
+    }
+    assert!(!answer.text().contains("second"), "{id}: {}", answer.text());
+}
+
+fn order_some(world: &World, daemon: usize) {
+    for n in 0..CALLS {
+        let id = format!("c{n}");
+        check(world, &id, &order(world, daemon, &id));
+    }
+}
+
+/// The second daemon has no path to endpoints of its own.
+fn one_behind_a_peer(may_retry: bool) -> (World, Paths) {
+    let mut world = one_of_each(may_retry);
+    let paths = world.add_with_paths().expect("a daemon with paths");
+    paths.set(Weather::Refuse);
+    eventually("a call by a peer", || order(&world, 1, "first").status == 200);
+    (world, paths)
+}
+
+/// Guards against calls that are refused though they ran, or that get another call's failure.
+#[test_case(SecondAnswer::refusal(503); "a refusal")]
+#[test_case(SecondAnswer::refusal(429); "too many requests")]
+#[test_case(SecondAnswer::refusal(400); "a bad request that was not run")]
+#[test_case(SecondAnswer::refusal(421); "another instance")]
+#[test_case(SecondAnswer::failure(404); "not found")]
+#[test_case(SecondAnswer::failure(500); "a failure")]
+#[test_case(SecondAnswer { sealed: true, ..SecondAnswer::failure(200) }; "a success")]
+#[test_case(SecondAnswer { has_id: true, ..SecondAnswer::refusal(503) }; "the former call's refusal")]
+#[test_case(SecondAnswer { has_id: true, sealed: true, ..SecondAnswer::failure(500) }; "the former call's failure")]
+fn a_second_answer_is_not_the_next_calls(second: SecondAnswer) {
+    for may_retry in [true, false] {
+        let world = one_of_each(may_retry);
+        world.plain[0].answer_twice(Some(second));
+        order_some(&world, 0);
+    }
+}
+
+/// Guards against the same where a peer calls the endpoint for the daemon.
+#[test_case(SecondAnswer::refusal(503); "a refusal")]
+#[test_case(SecondAnswer::refusal(421); "another instance")]
+#[test_case(SecondAnswer::failure(404); "not found")]
+fn a_second_answer_by_a_peer_is_not_the_next_calls(second: SecondAnswer) {
+    for may_retry in [true, false] {
+        let (world, _paths) = one_behind_a_peer(may_retry);
+        world.plain[0].answer_twice(Some(second));
+        order_some(&world, 1);
+    }
+}
+
+/// Guards against completions that are refused though they ran.
+#[test_case(SecondAnswer::refusal(503); "a refusal")]
+#[test_case(SecondAnswer::refusal(421); "another instance")]
+#[test_case(SecondAnswer::failure(404); "not found")]
+fn a_second_answer_is_not_the_next_completions(second: SecondAnswer) {
+    for may_retry in [true, false] {
+        let world = one_of_each(may_retry);
+        world.model.iter().for_each(|endpoint| endpoint.answer_twice(Some(second)));
+        for n in 0..CALLS {
+            let id = format!("d{n}");
+            let answer = draft_on(world.callers(0), "/once/1", &id, &format!("{n:x}:1000"), 3);
+            check(&world, &id, &answer);
+        }
+    }
+}
