Two attempts of a call never share a connection

What callers saw: a call that may run once ran twice, or was refused though it ran, at an endpoint that writes its refusal twice.

Cause: the id in an answer is that of the caller's attempt, the same for all tries of the call. After a refusal the connection was kept, and the next try went over the connection that was used last; the second copy of the refusal came where its answer was due, with the right id.

Change: a connection remembers the ids of the requests it has carried, each until its call is over, and carries none of them again, whether this daemon or a peer sends it. Others go on over it.

--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -18,6 +18,7 @@
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{
+    carried_ids::{CarriedIds, SentId},
     dialect::OutRequest,
     read_guard::{GuardedStream, MAX_HEAD_BYTES, ReadGuard},
 };
@@ -71,6 +72,7 @@
     serial: u64,
     /// Number of answers that it has carried.
     answers: u32,
+    carried: CarriedIds,
     opened_at: Instant,
     guard: Rc<ReadGuard>,
     _task: ConnectionTask,
@@ -152,7 +154,8 @@
         let task = ConnectionTask(task.abort_handle());
         let serial = NEXT_SERIAL.fetch_add(1, Ordering::Relaxed);
         let opened_at = Instant::now();
-        Ok(Connection { sender, serial, answers: 0, opened_at, guard, _task: task })
+        let (answers, carried) = (0, CarriedIds::default());
+        Ok(Connection { sender, serial, answers, carried, opened_at, guard, _task: task })
     }
 
     /// Returns which answer the last one is.
@@ -179,6 +182,12 @@
         self.sender.is_ready()
     }
 
+    fn record(&mut self, sent: Option<SentId<'_>>) {
+        if let Some(sent) = sent {
+            self.carried.record(sent, Instant::now());
+        }
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -214,11 +223,16 @@
     fn is_usable(&self, now: Instant) -> bool {
         now < self.expires_at && self.connection.is_ready()
     }
+
+    fn has_carried(&self, sent: Option<SentId<'_>>) -> bool {
+        sent.is_some_and(|sent| self.connection.carried.contains(sent.id))
+    }
 }
 
 impl ConnectionPool {
-    /// Calls an endpoint over an idle connection, or else over a new one. Connecting takes time, so
-    /// `may_send` is asked right before the request is sent.
+    /// Calls an endpoint over an idle connection that has carried no request with the id of this one,
+    /// or else over a new one. Connecting takes time, so `may_send` is asked right before the request is
+    /// sent.
     ///
     /// # Errors
     /// Returns an error if there is no answer.
@@ -226,16 +240,18 @@
         &self,
         target: &Target,
         request: OutRequest,
+        sent: Option<SentId<'_>>,
         answer_timeout: Duration,
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         let start = Instant::now();
         let mut request = request;
-        while let Some(mut connection) = self.take_idle(target.endpoint) {
+        while let Some(mut connection) = self.take_idle(target.endpoint, sent) {
             let left = answer_timeout.saturating_sub(start.elapsed());
             if !may_send() {
                 return Err(CallError::Withheld);
             }
+            connection.record(sent);
             match connection.send(request, left).await {
                 Ok(response) => return Ok((response, connection)),
                 // The endpoint closed the connection before anything was sent.
@@ -248,6 +264,7 @@
         if !may_send() {
             return Err(CallError::Withheld);
         }
+        connection.record(sent);
         let left = answer_timeout.saturating_sub(start.elapsed());
         match connection.send(request, left).await {
             Ok(response) => Ok((response, connection)),
@@ -301,18 +318,15 @@
         }
     }
 
-    /// Returns the connection that was used last, so that surplus connections become idle and
-    /// close.
-    pub fn take_idle(&self, endpoint: EndpointKey) -> Option<Connection> {
+    /// Returns the connection that was used last of those that have carried no request with the id, so
+    /// that surplus connections become idle and close.
+    fn take_idle(&self, endpoint: EndpointKey, sent: Option<SentId<'_>>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
-        while let Some(entry) = list.pop() {
-            if entry.is_usable(now) {
-                return Some(entry.connection);
-            }
-        }
-        None
+        list.retain(|entry| entry.is_usable(now));
+        let index = list.iter().rposition(|entry| !entry.has_carried(sent))?;
+        Some(list.remove(index).connection)
     }
 
     /// Returns the connection that was opened first, over which only the process itself may be asked
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     belonging::AnswerOrigin,
+    carried_ids::SentId,
     connections::{CallError, Connection},
     dialect::OutRequest,
     direct_body::DirectBody,
@@ -77,9 +78,7 @@
     ) -> Result<EndpointAnswer, CallError> {
         let target = call.target;
         let Some(peer) = target.via else {
-            let EndpointCall { request, answer_timeout, purpose, .. } = call;
-            let answer = self.call_directly(target, request, answer_timeout, purpose).await?;
-            let (response, connection) = answer;
+            let (response, connection) = self.call_directly(call).await?;
             return Ok((response.map(EndpointBody::Direct), Some(connection)));
         };
         if !self.may_send(target, call.purpose) {
@@ -107,15 +106,15 @@
     /// Returns an error if there is no answer.
     pub async fn call_directly(
         self: &Rc<Self>,
-        target: &Target,
-        request: OutRequest,
-        answer_timeout: Duration,
-        purpose: Purpose,
+        call: EndpointCall<'_>,
     ) -> Result<(Response<DirectBody>, Connection), CallError> {
+        let EndpointCall { target, request, answer_timeout, purpose, remaining, .. } = call;
         let may_send = || self.may_send(target, purpose);
         let bytes = request_bytes(&request);
         let due = self.attempt_id(&request);
-        let answer = self.connections.call(target, request, answer_timeout, may_send).await;
+        let remaining = remaining.unwrap_or(Duration::MAX);
+        let sent = due.as_deref().map(|id| SentId { id, remaining });
+        let answer = self.connections.call(target, request, sent, answer_timeout, may_send).await;
         if !matches!(answer, Err(CallError::Unreachable | CallError::Withheld)) {
             self.count_request(target, bytes);
         }
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod belonging;
 pub mod body_budget;
 mod caller_listener;
+pub mod carried_ids;
 mod connections;
 mod dialect;
 mod digest;
--- a/crates/basilbank_gateway/src/proxy_listener.rs
+++ b/crates/basilbank_gateway/src/proxy_listener.rs
@@ -35,6 +35,7 @@
     body_budget::BodyClaim,
     connections::{AnswerPlace, CallError},
     dialect::OutRequest,
+    endpoint_calls::EndpointCall,
     peer_stream,
     proxy_client::{read_headers, wire_headers},
     proxy_intake::{BudgetedCodec, Received},
@@ -252,9 +253,10 @@
             return self.fail(writer, ProxyFailure::Declined, ProxiedEnd::Withheld).await;
         };
         let answer_timeout = Duration::from_millis(u64::from(self.request.answer_timeout));
-        let answer =
-            self.router.call_directly(self.target, request, answer_timeout, self.purpose).await;
-        let (response, connection) = match answer {
+        let (target, purpose) = (self.target, self.purpose);
+        let remaining = self.request.remaining.map(|ms| Duration::from_millis(u64::from(ms)));
+        let call = EndpointCall { target, request, answer_timeout, purpose, remaining, call: None };
+        let (response, connection) = match self.router.call_directly(call).await {
             Ok(answer) => answer,
             Err(error) => {
                 let (failure, end) = failure_of(error);
--- a/crates/basilbank_standin/tests/managed/second_answers.rs
+++ b/crates/basilbank_standin/tests/managed/second_answers.rs
@@ -93,6 +93,24 @@
     }
 }
 
+/// Guards against a refusal that is believed twice: the call goes on over its connection and runs.
+#[test]
+fn a_refusal_that_comes_twice_is_not_the_next_attempts() {
+    let world = one_of_each(true);
+    world.plain[0].refuse_first();
+    world.plain[0].answer_twice(Some(SecondAnswer::OWN_REFUSAL));
+    order_some(&world, 0);
+}
+
+/// Guards against the same where a peer calls the endpoint for the daemon.
+#[test]
+fn a_refusal_that_comes_twice_by_a_peer_is_not_the_next_attempts() {
+    let (world, _paths) = one_behind_a_peer(true);
+    world.plain[0].refuse_first();
+    world.plain[0].answer_twice(Some(SecondAnswer::OWN_REFUSAL));
+    order_some(&world, 1);
+}
+
 /// Guards against completions that are refused though they ran.
 #[test_case(SecondAnswer::refusal(503); "a refusal")]
 #[test_case(SecondAnswer::refusal(421); "another instance")]
