Soak: endpoints that answer calls a second time

In two plays of three some endpoints write a second answer after each, right before the next one over the connection or up to 10 ms later: of any status, with or without an id, a seal, a word that the call was not run. The soak's checks of REFUSED, TWICE and MIXED see what becomes of it. Drawn from a stream of random numbers of its own, so seeds keep their other faults.

--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -2,16 +2,21 @@
 
 mod endings;
 mod planned;
+mod second_answers;
 mod shortage;
 mod versions;
 
 use std::time::Duration;
 
 use basilbank_core::state::Rng;
-use basilbank_standin::managed::{BadEntry, BreakShare, Ending, Misdeed, StoreFault, Weather};
+use basilbank_standin::managed::{
+    BadEntry, BreakShare, Ending, Misdeed, SecondAnswer, StoreFault, Weather,
+};
 
 pub use self::planned::{Routing, planned};
-use self::{endings::endings, shortage::shortage, versions::versions};
+use self::{
+    endings::endings, second_answers::second_answers, shortage::shortage, versions::versions,
+};
 
 /// Faults in one play, with those that overlap.
 const FAULTS: usize = 9;
@@ -107,6 +112,8 @@
     Crowd(usize, Duration),
     /// An endpoint frames its answers in a way for the time, and breaks a share of them off.
     EndAnswers(usize, Ending, BreakShare, Duration),
+    /// An endpoint answers calls a second time for the time.
+    AnswerTwice(usize, SecondAnswer, Duration),
     /// An endpoint's process ends, and starts again under its id after the time.
     End(usize, Duration),
     /// An endpoint of a stage and a version joins.
@@ -197,6 +204,7 @@
     plan.extend(endings(seed, sizes));
     plan.extend(versions(seed, sizes));
     plan.extend(shortage(seed, sizes));
+    plan.extend(second_answers(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -96,6 +96,7 @@
     ReturnAs(usize, &'static str),
     Reopen(usize),
     EndWell(usize),
+    AnswerOnce(usize),
     EndRest(usize),
     Spare,
     SpareParts,
@@ -235,6 +236,7 @@
             Step::EndWell(place) => {
                 self.site.places[place].end_answers(Ending::default(), BreakShare::ALL);
             }
+            Step::AnswerOnce(place) => self.site.places[place].endpoint.answer_twice(None),
             Step::EndRest(place) => self.site.places[place].endpoint.pause(None),
             Step::Unlimit(place) => self.site.places[place].endpoint.limit(None),
             Step::Empty(place) => self.site.places[place].endpoint.keep_slots(None),
@@ -352,6 +354,10 @@
                 self.site.places[place].end_answers(ending, share);
                 self.later(time, Step::EndWell(place));
             }
+            Fault::AnswerTwice(place, second, time) => {
+                self.site.places[place].endpoint.answer_twice(Some(second));
+                self.later(time, Step::AnswerOnce(place));
+            }
             Fault::End(place, down) => self.end(place, down),
             Fault::Join(stage, version) => self.site.join(stage, version)?,
             Fault::Renew(place, version) => self.renew(place, version),
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -27,7 +27,7 @@
 #[test]
 fn fifty_seeds_have_every_kind_of_fault() {
     let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
-    let kinds: [fn(&Fault) -> bool; 32] = [
+    let kinds: [fn(&Fault) -> bool; 33] = [
         |f| matches!(f, Fault::Terminate(_)),
         |f| matches!(f, Fault::Kill(..)),
         |f| matches!(f, Fault::KillAll),
@@ -55,6 +55,7 @@
         |f| matches!(f, Fault::DeadlyPart(_)),
         |f| matches!(f, Fault::Crowd(..)),
         |f| matches!(f, Fault::EndAnswers(..)),
+        |f| matches!(f, Fault::AnswerTwice(..)),
         |f| matches!(f, Fault::End(..)),
         |f| matches!(f, Fault::Join(..)),
         |f| matches!(f, Fault::Renew(..)),
@@ -108,7 +109,7 @@
             && !of_versions
             && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
             && !matches!(f, Fault::DeadlyPart(_) | Fault::Crowd(..))
-            && !matches!(f, Fault::Crowded(..) | Fault::Slow(..))
+            && !matches!(f, Fault::Crowded(..) | Fault::Slow(..) | Fault::AnswerTwice(..))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
--- a/crates/basilbank_standin/src/managed/second_answer.rs
+++ b/crates/basilbank_standin/src/managed/second_answer.rs
@@ -4,6 +4,8 @@
     collections::HashMap,
     io::{self, Write},
     net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
 };
 
 use super::{
@@ -12,8 +14,7 @@
     serving::Serving,
 };
 
-/// What an endpoint writes a second time after each answer to a call. It comes late: right before the
-/// answer to the next call over the same connection.
+/// What an endpoint writes a second time after each answer to a call.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct SecondAnswer {
     /// Its status.
@@ -24,24 +25,29 @@
     pub has_id: bool,
     /// Whether it carries the mark of an endpoint's own answers.
     pub sealed: bool,
+    /// Time after the first answer; `None` if it is written right before the answer to the next call over
+    /// the same connection.
+    pub delay: Option<Duration>,
 }
 
 impl SecondAnswer {
     /// A refusal without an id.
     #[must_use]
     pub fn refusal(status: u16) -> SecondAnswer {
-        SecondAnswer { status, not_executed: status != 421, has_id: false, sealed: false }
+        SecondAnswer { status, not_executed: status != 421, ..SecondAnswer::failure(status) }
     }
 
     /// A failure without an id.
     #[must_use]
     pub fn failure(status: u16) -> SecondAnswer {
-        SecondAnswer { status, not_executed: false, has_id: false, sealed: false }
+        SecondAnswer { status, not_executed: false, has_id: false, sealed: false, delay: None }
     }
 
     /// A refusal as an endpoint writes it.
-    pub const OWN_REFUSAL: SecondAnswer =
-        SecondAnswer { status: 503, not_executed: true, has_id: true, sealed: false };
+    #[must_use]
+    pub fn own_refusal() -> SecondAnswer {
+        SecondAnswer { has_id: true, ..SecondAnswer::refusal(503) }
+    }
 
     fn bytes(self, id: &str) -> Vec<u8> {
         let not_executed = self.not_executed.then_some(("x-not-executed", "1"));
@@ -73,16 +79,25 @@
 impl Serving {
     /// Writes the second answer to the former call over the connection, if there is one.
     pub(super) fn write_second(&self, mut stream: &TcpStream) -> io::Result<()> {
-        let bytes = lock(&self.inside).seconds.held_back.remove(&stream.peer_addr()?);
+        // Whoever takes the bytes writes them before anything else is written.
+        let mut inside = lock(&self.inside);
+        let bytes = inside.seconds.held_back.remove(&stream.peer_addr()?);
         bytes.map_or(Ok(()), |bytes| stream.write_all(&bytes))
     }
 
     /// Holds back the second answer to a call that was just answered.
     pub(super) fn hold_back_second(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
         let seconds = &mut lock(&self.inside).seconds;
-        if let Some(kind) = seconds.kind {
-            let id = request.header("x-attempt-id").unwrap_or_default();
-            seconds.held_back.insert(stream.peer_addr()?, kind.bytes(id));
+        let Some(kind) = seconds.kind else { return Ok(()) };
+        let id = request.header("x-attempt-id").unwrap_or_default();
+        seconds.held_back.insert(stream.peer_addr()?, kind.bytes(id));
+        if let Some(delay) = kind.delay {
+            let (serving, stream) = (self.clone(), stream.try_clone()?);
+            thread::spawn(move || {
+                thread::sleep(delay);
+                // The caller may have closed the connection.
+                let _ = serving.write_second(&stream);
+            });
         }
         Ok(())
     }
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -33,6 +33,7 @@
 const EVENT_TIME: Duration = Duration::from_millis(5);
 
 /// One start of an endpoint, as its connections see it.
+#[derive(Clone)]
 pub(super) struct Serving {
     pub(super) instance: String,
     pub(super) inside: Arc<Mutex<Inside>>,
--- a/crates/basilbank_standin/tests/managed/second_answers.rs
+++ b/crates/basilbank_standin/tests/managed/second_answers.rs
@@ -105,7 +105,7 @@
 fn a_refusal_that_comes_twice_is_not_the_next_attempts() {
     let world = one_of_each(true);
     world.plain[0].refuse_first();
-    world.plain[0].answer_twice(Some(SecondAnswer::OWN_REFUSAL));
+    world.plain[0].answer_twice(Some(SecondAnswer::own_refusal()));
     order_some(&world, 0);
 }
 
@@ -114,7 +114,7 @@
 fn a_refusal_that_comes_twice_by_a_peer_is_not_the_next_attempts() {
     let (world, _paths) = one_behind_a_peer(true);
     world.plain[0].refuse_first();
-    world.plain[0].answer_twice(Some(SecondAnswer::OWN_REFUSAL));
+    world.plain[0].answer_twice(Some(SecondAnswer::own_refusal()));
     order_some(&world, 1);
 }
 
