The store's kept connections are looked at before they are used again, too

The twin of the connections to endpoints: a read over a connection that has something to read would get what was written for an earlier one. Fails before: the row of a connection with a second answer.

--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -184,12 +184,23 @@
         Rc::clone(&self.guard)
     }
 
-    /// Whether a request can be sent now.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
+    /// Returns whether a request can be sent now.
+    fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
 
+    /// Starts to wait for the next request: nothing may come until it is sent.
+    pub fn await_request(&self) {
+        self.guard.await_request();
+    }
+
+    /// Returns whether the next request can be sent, and its answer can't be taken for another one that
+    /// has come already.
+    #[must_use]
+    pub fn is_reusable(&self) -> bool {
+        self.is_ready() && !self.has_stray()
+    }
+
     /// Returns whether something has come although no answer is due.
     fn has_stray(&self) -> bool {
         self.guard.has_stray() || self.has_unread()
@@ -314,7 +325,7 @@
         if connection.sender.is_closed() || self.is_distrusted(endpoint) {
             return;
         }
-        connection.guard.await_request();
+        connection.await_request();
         let keep_alive = keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
         let expires_at = Instant::now() + keep_alive;
         let mut idle = self.idle.borrow_mut();
--- a/crates/basilbank_gateway/tests/connections.rs
+++ b/crates/basilbank_gateway/tests/connections.rs
@@ -9,8 +9,9 @@
 
 use basilbank_forward::{effect::Target, prelude::*};
 use basilbank_gateway::{
-    ConnectionPool, OutRequest, carried_ids::SentId, stray_answers::StrayAnswers,
+    Connection, ConnectionPool, OutRequest, carried_ids::SentId, stray_answers::StrayAnswers,
 };
+use test_case::test_case;
 use tokio::{runtime::Builder, task::LocalSet};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -95,6 +96,21 @@
     assert!(places.iter().all(|place| place.1 == 1), "{places:?}");
 }
 
+/// Guards against a read of the store that gets what was written for an earlier one.
+#[test_case(false => true; "nothing to read")]
+#[test_case(true => false; "a second answer")]
+fn a_kept_connection_is_reusable_unless_it_has_something_to_read(twice: bool) -> bool {
+    let addr = listen(twice);
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let mut connection = Connection::connect(addr, TIMEOUT).await.expect("a connection");
+        connection.send(OutRequest::default(), TIMEOUT).await.expect("an answer");
+        connection.await_request();
+        thread::sleep(4 * DELAY);
+        connection.is_reusable()
+    })
+}
+
 /// Guards against calls that are lost at an endpoint that goes on to write second answers, and against
 /// distrust that never ends.
 #[test]
