Tests of calls use an id of their own each, and rows of calls over kept connections

With one id for all calls of a test each went over a new connection since connections carry no id twice, so tests of second answers on kept connections checked less than before.

--- a/crates/basilbank_standin/tests/managed/bytes.rs
+++ b/crates/basilbank_standin/tests/managed/bytes.rs
@@ -1,6 +1,6 @@
 //! Endpoints that say what they should not.
 
-use basilbank_standin::managed::{Misdeed, World};
+use basilbank_standin::managed::{Misdeed, World, WorldSpec};
 use test_case::test_case;
 
 use crate::support::{plain, world};
@@ -28,6 +28,21 @@
     assert_eq!(ran(&world), 1);
 }
 
+/// Guards against calls that ran and are refused, as their connection had served others before.
+#[test_case(Misdeed::Lost => 502)]
+#[test_case(Misdeed::Torn => 502)]
+#[test_case(Misdeed::Mistaken => 502)]
+#[test_case(Misdeed::Garbage => 502)]
+#[test_case(Misdeed::Hanging => 504)]
+fn a_call_that_ran_over_a_kept_connection_is_not_refused(misdeed: Misdeed) -> u16 {
+    let world = World::start(&WorldSpec { plain: 1, ..WorldSpec::default() }).expect("a world");
+    assert_eq!(plain(world.callers(0), "POST /stock/1", b"x").status, 200);
+    misbehave(&world, 0, misdeed);
+    let answer = plain(world.callers(0), "POST /stock/2", b"x");
+    assert_eq!(ran(&world), 2);
+    answer.status
+}
+
 #[test_case(Misdeed::Lost)]
 #[test_case(Misdeed::Torn)]
 #[test_case(Misdeed::Mistaken)]
--- a/crates/basilbank_standin/tests/managed/keys.rs
+++ b/crates/basilbank_standin/tests/managed/keys.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use test_case::test_case;
 
-use crate::support::{eventually, world};
+use crate::support::{eventually, next_id, world};
 
 /// The bound after which a key that was taken away opens nothing, by the settings' default.
 const BOUND: Duration = Duration::from_secs(5);
@@ -37,8 +37,9 @@
 }
 
 fn with(to: SocketAddr, path: &str, more: &[(&str, &str)]) -> Answer {
+    let id = next_id();
     let headers =
-        [("host", "shop.example"), ("x-attempt-id", "a1"), ("x-deadline-remaining", "4000")];
+        [("host", "shop.example"), ("x-attempt-id", &id), ("x-deadline-remaining", "4000")];
     call(to, &format!("GET {path}"), &[&headers[..], more].concat(), b"").expect("an answer")
 }
 
--- a/crates/basilbank_standin/tests/managed/support.rs
+++ b/crates/basilbank_standin/tests/managed/support.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -25,16 +26,23 @@
     }
 }
 
+/// An id that no other call has: no connection carries an id twice.
+pub fn next_id() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    format!("a{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
 /// A plain call.
 pub fn plain(to: SocketAddr, line: &str, body: &[u8]) -> Answer {
+    let id = next_id();
     let headers =
-        [("host", "shop.example"), ("x-attempt-id", "a1"), ("x-deadline-remaining", "4000")];
+        [("host", "shop.example"), ("x-attempt-id", &id), ("x-deadline-remaining", "4000")];
     call(to, line, &headers, body).expect("an answer")
 }
 
-/// A draft of some events.
+/// A draft of some events, on the same prompt each time.
 pub fn draft(to: SocketAddr, path: &str, events: u32) -> Answer {
-    draft_of(to, path, "d1", 1000, events)
+    draft_on(to, path, &next_id(), "d1:1000", events)
 }
 
 /// A draft with an id, a prompt of some tokens, and some events.
