A gateway whose port the system chooses starts whatever others listen at

Cause: the system chooses the port for datagrams, and its number was taken for connections, too, where another process may listen. With 800 listeners beside it one of 200 starts fails in each run ("peers' connections: address in use").

Change: other ports are tried, where the system chooses. A port that is given is tried once, as before.

--- a/crates/basilbank_gateway/src/gateway.rs
+++ b/crates/basilbank_gateway/src/gateway.rs
@@ -22,6 +22,9 @@
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
 
+/// Maximum number of ports that are tried if the system chooses one.
+const MAX_CHOSEN_PORTS: u32 = 16;
+
 /// How long callers are accepted after SIGTERM. The balancer checks once a second and stops sending
 /// after two answers other than 200; closing earlier would refuse connections that it still sends.
 const ACCEPT_AFTER_SHUTDOWN: Duration = Duration::from_millis(3300);
@@ -67,9 +70,7 @@
         let listener = listen(addresses.callers).context("callers' address")?;
         let status_listener = listen(addresses.ready).context("ready address")?;
         let (callers, ready) = (listener.local_addr()?, status_listener.local_addr()?);
-        let socket = UdpSocket::bind(addresses.peers).await.context("peers' address")?;
-        // The system chooses the port if none is given.
-        let peer_listener = listen(socket.local_addr()?).context("peers' connections")?;
+        let (socket, peer_listener) = listen_for_peers(addresses.peers).await?;
         router.start_gossip(socket);
         spawn_local(proxy_listener::accept_peers(Rc::clone(&router), peer_listener));
         let (phase, phases) = watch::channel(Phase::Serving);
@@ -143,6 +144,21 @@
     }
 }
 
+/// Listens for peers' datagrams and connections at one port. If the system chooses that, the port which it
+/// chooses for datagrams may be taken for connections, so others are tried.
+async fn listen_for_peers(address: SocketAddr) -> anyhow::Result<(UdpSocket, TcpListener)> {
+    let mut tries = if address.port() == 0 { MAX_CHOSEN_PORTS } else { 1 };
+    loop {
+        let socket = UdpSocket::bind(address).await.context("peers' address")?;
+        tries -= 1;
+        match listen(socket.local_addr()?) {
+            Ok(listener) => return Ok((socket, listener)),
+            Err(error) if tries == 0 => return Err(error).context("peers' connections"),
+            Err(_) => {}
+        }
+    }
+}
+
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     // A restart must not wait for the connections of the previous process.
--- a/crates/basilbank_gateway/tests/shutdown.rs
+++ b/crates/basilbank_gateway/tests/shutdown.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    rc::Rc,
+    net::TcpListener,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -29,6 +29,12 @@
 /// without a request is disconnected.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Ports that other processes listen at.
+const OTHERS: usize = 800;
+
+/// Gateways that are started beside them.
+const STARTS: usize = 200;
+
 /// The system's clock, ahead by the seconds for which the Vm was suspended.
 struct SuspendedClock {
     system: SystemClock,
@@ -43,6 +49,29 @@
     }
 }
 
+/// Guards against a gateway that doesn't start, as another process has the port for connections that the
+/// system has chosen for datagrams.
+#[test]
+fn a_gateway_starts_at_ports_that_the_system_chooses() {
+    let any = "127.0.0.1:0";
+    let others: Vec<_> = (0..OTHERS).map(|_| TcpListener::bind(any).expect("a port")).collect();
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        for _ in 0..STARTS {
+            start(Box::new(SystemClock::default())).await;
+        }
+    });
+    drop(others);
+}
+
+async fn start(clock: Box<dyn Clock>) -> Gateway {
+    let state = State::new(Local::default(), Tuning::default());
+    let router = Router::new(state, dialect(), clock, Arc::new(Metrics::default()));
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let addresses = Addresses { callers: any, ready: any, peers: any, metrics: None };
+    Gateway::start(router, addresses).await.expect("a gateway")
+}
+
 /// Guards against calls that get neither an answer nor a refusal: the process is killed while it
 /// waits for the end of a shutdown, because its clock does not count a suspension of the Vm.
 #[test]
@@ -52,12 +81,7 @@
         let suspended = Arc::new(AtomicU64::new(0));
         let clock =
             SuspendedClock { system: SystemClock::default(), suspended: Arc::clone(&suspended) };
-        let state = State::new(Local::default(), Tuning::default());
-        let metrics = Arc::new(Metrics::default());
-        let router = Router::new(state, dialect(), Box::new(clock), metrics);
-        let any = "127.0.0.1:0".parse().expect("an address");
-        let addresses = Addresses { callers: any, ready: any, peers: any, metrics: None };
-        let gateway = Gateway::start(Rc::clone(&router), addresses).await.expect("a gateway");
+        let gateway = start(Box::new(clock)).await;
         let caller = TcpStream::connect(gateway.callers()).await.expect("a connection");
         // The gateway accepts the caller.
         sleep(Duration::from_millis(100)).await;
