--- a/crates/basilbank_gateway/src/answer_log.rs
+++ b/crates/basilbank_gateway/src/answer_log.rs
@@ -25,16 +25,16 @@
     /// Logs and counts an answer that doesn't belong to the request that was sent, whose id is `due`.
     pub(crate) fn log_foreign_answer<T>(
         &self,
-        asked: &str,
+        purpose: Purpose,
         due: Option<&str>,
         target: &Target,
         answer: &Response<T>,
         origin: AnswerOrigin,
     ) {
-        self.metrics.count_foreign_answer(asked);
+        self.metrics.count_foreign_answer(purpose);
         let line = Line::new("foreign_answer")
             .with("request", due.unwrap_or_default())
-            .with("asked", asked);
+            .with("purpose", purpose.as_str());
         log::info!("{}", self.describe_answer(line, target, answer, origin));
     }
 
--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -178,8 +178,8 @@
     let origin = answer_origin(connection.as_ref());
     match (dialect.classify_answer)(&attempt.op, &head) {
         AnswerKind::Unclear => {
-            let (op, due) = (attempt.op.as_str(), Some(caller_request.call.trace_id.as_str()));
-            router.log_foreign_answer(op, due, &attempt.target, &head, origin);
+            let due = Some(caller_request.call.trace_id.as_str());
+            router.log_foreign_answer(Purpose::Work, due, &attempt.target, &head, origin);
             AttemptResult::without_answer(Outcome::Broken(Damage::Foreign))
         }
         AnswerKind::NotRun(why) => {
--- a/crates/basilbank_gateway/src/belonging.rs
+++ b/crates/basilbank_gateway/src/belonging.rs
@@ -48,14 +48,13 @@
 }
 
 impl Router {
-    /// Checks that an answer belongs to the request with the id `due`. `asked` names the request in logs
-    /// and metrics.
+    /// Checks that an answer belongs to the request with the id `due`.
     ///
     /// # Errors
     /// Returns an error if it doesn't. It proves neither that the request was run nor that it wasn't.
     pub(crate) fn check_answer<T>(
         self: &Rc<Self>,
-        asked: &str,
+        purpose: Purpose,
         due: Option<&str>,
         target: &Target,
         answer: &Response<T>,
@@ -66,7 +65,7 @@
         if belongs(due, came, is_refusal, origin.is_first()) {
             return Ok(());
         }
-        self.log_foreign_answer(asked, due, target, answer, origin);
+        self.log_foreign_answer(purpose, due, target, answer, origin);
         Err(CallError::Broken(Damage::Foreign))
     }
 }
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -82,12 +82,12 @@
     _task: ConnectionTask,
 }
 
-/// Which answer an answer is: its connection's number, and the how manieth it is on that.
+/// Which answer an answer is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct AnswerPlace {
     /// Number of the connection in this process.
     pub connection: u64,
-    /// 1 for the first answer on it.
+    /// Its number among the answers on that connection, from 1 on.
     pub answer: u32,
 }
 
@@ -213,7 +213,7 @@
         peeked.is_ok_and(|(length, _)| length != 0)
     }
 
-    fn record(&mut self, sent: Option<SentId<'_>>) {
+    fn record_sent(&mut self, sent: Option<SentId<'_>>) {
         if let Some(sent) = sent {
             self.carried.record(sent, Instant::now());
         }
@@ -268,6 +268,12 @@
         self.close_idle(endpoint);
     }
 
+    /// Returns the number of endpoints to which calls get new connections.
+    #[must_use]
+    pub fn count_distrusted(&self) -> usize {
+        self.strays.borrow().count_distrusted(Instant::now())
+    }
+
     fn is_distrusted(&self, endpoint: EndpointKey) -> bool {
         self.strays.borrow().is_distrusted(endpoint, Instant::now())
     }
@@ -293,7 +299,7 @@
             if !may_send() {
                 return Err(CallError::Withheld);
             }
-            connection.record(sent);
+            connection.record_sent(sent);
             match connection.send(request, left).await {
                 Ok(response) => return Ok((response, connection)),
                 // The endpoint closed the connection before anything was sent.
@@ -306,7 +312,7 @@
         if !may_send() {
             return Err(CallError::Withheld);
         }
-        connection.record(sent);
+        connection.record_sent(sent);
         let left = answer_timeout.saturating_sub(start.elapsed());
         match connection.send(request, left).await {
             Ok(response) => Ok((response, connection)),
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -181,7 +181,7 @@
         let answer = answer.map_err(|(error, _)| error)?;
         self.read_statements(target, &answer);
         let origin = AnswerOrigin::Direct(connection.answer_place());
-        self.check_answer(Purpose::Probe.as_str(), None, target, &answer, origin)?;
+        self.check_answer(Purpose::Probe, None, target, &answer, origin)?;
         let (status, keep_alive) = (answer.status(), parse_keep_alive(answer.headers()));
         let report = read_report(answer).await;
         let started_at = report.as_ref().and_then(|report| (self.dialect.parse_start_time)(report));
--- a/crates/basilbank_gateway/src/endpoint_calls.rs
+++ b/crates/basilbank_gateway/src/endpoint_calls.rs
@@ -90,7 +90,7 @@
             Ok(response) => {
                 self.read_statements(target, &response);
                 let due = due.as_deref();
-                self.check_answer(purpose.as_str(), due, target, &response, AnswerOrigin::Peer)?;
+                self.check_answer(purpose, due, target, &response, AnswerOrigin::Peer)?;
                 Ok((response.map(|body| EndpointBody::Proxied(Box::new(body))), None))
             }
             Err(error) => {
@@ -122,7 +122,7 @@
         self.read_statements(target, &response);
         let origin = AnswerOrigin::Direct(connection.answer_place());
         let due = due.as_deref();
-        self.check_answer(purpose.as_str(), due, target, &response, origin).inspect_err(|_| {
+        self.check_answer(purpose, due, target, &response, origin).inspect_err(|_| {
             self.connections.record_stray(target.endpoint);
         })?;
         Ok((DirectBody::take(self, target, response, &connection), connection))
--- a/crates/basilbank_gateway/src/status_listener.rs
+++ b/crates/basilbank_gateway/src/status_listener.rs
@@ -56,6 +56,7 @@
                 router.metrics.set_team_usage(state, router.now());
                 router.metrics.set_configuration_version(state.routes.version);
                 router.metrics.set_unreachable(&state.suspects);
+                router.metrics.set_distrusted(router.connections.count_distrusted());
                 router.metrics.set_relays(&state.peers.relays);
                 router.metrics.sent_bytes.publish(state);
             });
--- a/crates/basilbank_gateway/src/stray_answers.rs
+++ b/crates/basilbank_gateway/src/stray_answers.rs
@@ -45,6 +45,12 @@
         self.distrusted.get(&endpoint).is_some_and(|known| now < known.until)
     }
 
+    /// Returns the number of such endpoints.
+    #[must_use]
+    pub fn count_distrusted(&self, now: Instant) -> usize {
+        self.distrusted.values().filter(|known| now < known.until).count()
+    }
+
     /// Forgets what is too old to matter.
     pub fn forget_old(&mut self, now: Instant) {
         self.distrusted.retain(|_, known| now < known.until + known.duration);
--- a/crates/basilbank_gateway/tests/connections.rs
+++ b/crates/basilbank_gateway/tests/connections.rs
@@ -46,7 +46,7 @@
 }
 
 /// Sends requests with these ids one after the other, and returns over which connection each went, and
-/// the how manieth answer there came. The HTTP library reads nothing between two of them.
+/// the number of its answer there. The HTTP library reads nothing between two of them.
 fn places(twice: bool, ids: &[&str]) -> Vec<(u64, u32)> {
     let addr = listen(twice);
     let target = Target {
