Stand-in: a second answer is written over its own connection

It was kept by the address at the other end, which a later connection may have soon after a reset; then it came as the first answer there.

--- a/crates/basilbank_standin/src/managed/second_answer.rs
+++ b/crates/basilbank_standin/src/managed/second_answer.rs
@@ -62,8 +62,15 @@
 #[derive(Debug, Default)]
 pub(super) struct SecondAnswers {
     kind: Option<SecondAnswer>,
-    /// By the address at the other end of the connection: their bytes.
-    held_back: HashMap<SocketAddr, Vec<u8>>,
+    /// By the address at the other end of their connection, which a later one may have, too.
+    held_back: HashMap<SocketAddr, HeldBack>,
+}
+
+/// A second answer that is to be written.
+#[derive(Debug)]
+struct HeldBack {
+    bytes: Vec<u8>,
+    stream: TcpStream,
 }
 
 impl SecondAnswers {
@@ -78,11 +85,14 @@
 
 impl Serving {
     /// Writes the second answer to the former call over the connection, if there is one.
-    pub(super) fn write_second(&self, mut stream: &TcpStream) -> io::Result<()> {
+    pub(super) fn write_second(&self, stream: &TcpStream) -> io::Result<()> {
         // Whoever takes the bytes writes them before anything else is written.
         let mut inside = lock(&self.inside);
-        let bytes = inside.seconds.held_back.remove(&stream.peer_addr()?);
-        bytes.map_or(Ok(()), |bytes| stream.write_all(&bytes))
+        if let Some(mut second) = inside.seconds.held_back.remove(&stream.peer_addr()?) {
+            // The caller may have closed the connection.
+            let _ = second.stream.write_all(&second.bytes);
+        }
+        Ok(())
     }
 
     /// Holds back the second answer to a call that was just answered.
@@ -90,12 +100,13 @@
         let seconds = &mut lock(&self.inside).seconds;
         let Some(kind) = seconds.kind else { return Ok(()) };
         let id = request.header("x-attempt-id").unwrap_or_default();
-        seconds.held_back.insert(stream.peer_addr()?, kind.bytes(id));
+        let second = HeldBack { bytes: kind.bytes(id), stream: stream.try_clone()? };
+        seconds.held_back.insert(stream.peer_addr()?, second);
         if let Some(delay) = kind.delay {
             let (serving, stream) = (self.clone(), stream.try_clone()?);
             thread::spawn(move || {
                 thread::sleep(delay);
-                // The caller may have closed the connection.
+                // It has no other end any more if the caller has closed it.
                 let _ = serving.write_second(&stream);
             });
         }
