An endpoint that others outpace counts as slow, also if it never answers

A plain call that may be repeated is sent to a second endpoint when the first is late; the first attempt is stopped as the second answers, and said nothing of its endpoint. One whose head never ends kept the mean of its earlier answers, or counted as unmeasured, and was asked first again and again. The time until it was stopped now counts as the least that its answer takes.

--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -13,16 +13,35 @@
     reason::Refusal,
     state::{
         Request, State,
-        requests::{ActiveAttempt, Hold, QuotaStage},
+        requests::{ActiveAttempt, Hold, QuotaStage, Step},
     },
 };
 
 /// Passes an attempt's answer, which the I/O layer keeps, on to the caller and ends the request.
 pub fn deliver(ctx: &mut Context<'_>, id: RequestId, number: u32) {
     ctx.push(Effect::Deliver { request: id, attempt: number });
+    record_outpaced(ctx, id, number);
     end_request(ctx, id, "delivered");
 }
 
+/// Records the attempts that have not answered as slower than the one that has.
+fn record_outpaced(ctx: &mut Context<'_>, id: RequestId, answered: u32) {
+    let Some(request) = ctx.state.requests.get(&id) else { return };
+    // What a peer's part in the time is isn't known, and a silence is recorded as such.
+    let is_outpaced = |live: &&ActiveAttempt| {
+        live.number != answered
+            && live.step == Step::Whole
+            && live.via.is_none()
+            && live.silent_since.is_none()
+    };
+    for live in request.active_attempts.iter().filter(is_outpaced) {
+        let waited = ctx.now.saturating_sub(live.started);
+        if let Some(endpoint) = ctx.state.directory.get_mut(live.endpoint) {
+            endpoint.record_outpaced(waited);
+        }
+    }
+}
+
 /// Ends a request whose stream is complete.
 pub fn finish_stream(ctx: &mut Context<'_>, id: RequestId) {
     end_request(ctx, id, "finished");
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -164,9 +164,22 @@
     pub fn record_answer(&mut self, took: Duration) {
         self.record_accepted();
         self.avoided_until = self.faulty_until;
-        let mean = self.mean_answer_time.unwrap_or(took);
+        self.record_answer_time(took);
+    }
+
+    /// Records that an attempt was stopped after `waited` without an answer, as another endpoint
+    /// answered first. Otherwise one that never answers would keep the mean of its last answers, or
+    /// count as unmeasured.
+    pub fn record_outpaced(&mut self, waited: Duration) {
+        if self.mean_answer_time.is_none_or(|mean| mean < waited) {
+            self.record_answer_time(waited);
+        }
+    }
+
+    fn record_answer_time(&mut self, time: Duration) {
+        let mean = self.mean_answer_time.unwrap_or(time);
         self.mean_answer_time =
-            Some(mean.mul_f64(1.0 - ANSWER_TIME_WEIGHT) + took.mul_f64(ANSWER_TIME_WEIGHT));
+            Some(mean.mul_f64(1.0 - ANSWER_TIME_WEIGHT) + time.mul_f64(ANSWER_TIME_WEIGHT));
     }
 
     /// Records that it has read a prompt, which should have taken `expected` seconds.
--- a/crates/basilbank_forward/tests/forward/plain.rs
+++ b/crates/basilbank_forward/tests/forward/plain.rs
@@ -83,6 +83,36 @@
     assert!(rig.effects.iter().any(stopped), "the first endpoint works for nobody now");
 }
 
+/// Guards against an endpoint that never answers in time, and is asked first again and again.
+#[test_case(true; "it has answered before")]
+#[test_case(false; "it has never answered")]
+fn an_endpoint_that_others_always_outpace_is_asked_last(has_answered: bool) {
+    let mut rig = Rig::new();
+    let all = vec![plain("a", 1), plain("b", 2), plain("c", 3)];
+    rig.list(if has_answered { all.clone() } else { all[1..].to_vec() });
+    for _ in 0..40 {
+        let id = rig.call("/sheet/1", 2500, None);
+        let attempt = rig.start();
+        rig.pass_ms(5);
+        rig.came(id, attempt.number, Outcome::Answered { status: 200 });
+    }
+    rig.list(all);
+    rig.effects.clear();
+    let mut met = 0;
+    for _ in 0..30 {
+        let id = rig.call("/sheet/1", 2500, None);
+        let mut attempt = rig.start();
+        if attempt.target.instance == "a" {
+            met += 1;
+            rig.pass_ms(150);
+            attempt = rig.start();
+        }
+        rig.pass_ms(5);
+        rig.came(id, attempt.number, Outcome::Answered { status: 200 });
+    }
+    assert!(met <= 2, "{met} of 30");
+}
+
 #[test]
 fn a_caller_that_leaves_stops_its_attempt() {
     let mut rig = rig();
