Streams: an event whose id doesn't follow ends the attempt

What callers saw: an endpoint that begins a stream anew, in the middle of its answer, after the stream has moved to it, or as a caller comes back with Last-Event-Id, was passed on: pieces twice and ids that go back, and an answer that ends as whole.

Cause: nothing looked at the ids of a stream's events.

Now numeric ids must rise over the whole answer, from the last one that was passed on, or the caller's Last-Event-Id where the route may be resumed. Of an event that doesn't, and of all after it, nothing is passed on. The attempt is broken: `out_of_order` if its own ids don't rise (the endpoint is avoided as one whose answer has no end, whoever called it), `not_resumed` if its first event isn't after the one it was asked to go on after (counted as any broken answer). A resumable stream goes on elsewhere. Gaps are only logged and counted: the protocol says that ids increase, not by how much.

Why this works: the check sits where events are split, before anything is forwarded or counted, for answers of endpoints and of peers alike, so the last forwarded id is one that was forwarded.

New: log lines stream_misplaced (damage, came, after), stream_gap (skipped) and resume (attempt, after); counter event_order by reason.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -357,6 +357,10 @@
     CutOff,
     /// What came is more than an answer to the call can be.
     Endless,
+    /// The ids of the stream's events don't rise.
+    OutOfOrder,
+    /// The stream doesn't go on after the last event that the caller has.
+    NotResumed,
 }
 
 impl Damage {
@@ -369,6 +373,8 @@
             Damage::Foreign => "foreign",
             Damage::CutOff => "cut_off",
             Damage::Endless => "endless",
+            Damage::OutOfOrder => "out_of_order",
+            Damage::NotResumed => "not_resumed",
         }
     }
 }
--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -96,7 +96,7 @@
 
 /// Updates what is known about the endpoint from the outcome.
 fn update_endpoint(ctx: &mut Context<'_>, live: &ActiveAttempt, outcome: &Outcome) {
-    if *outcome == Outcome::Broken(Damage::Endless) {
+    if let Outcome::Broken(Damage::Endless | Damage::OutOfOrder) = outcome {
         return record_endless(ctx, live.endpoint);
     }
     if let Some(peer) = live.via {
@@ -131,7 +131,8 @@
     }
 }
 
-/// Records an answer without end, which shows the same of the endpoint whoever called it.
+/// Records an answer without end, or whose events are out of order, which shows the same of the endpoint
+/// whoever called it.
 fn record_endless(ctx: &mut Context<'_>, key: EndpointKey) {
     let Some(endpoint) = ctx.state.directory.get_mut(key) else { return };
     endpoint.record_endless(ctx.now);
--- a/crates/basilbank_gateway/src/dialect.rs
+++ b/crates/basilbank_gateway/src/dialect.rs
@@ -18,6 +18,8 @@
     /// Builds the request of an attempt. The last argument is the id of the last event that the
     /// caller has received, if a stream continues at this endpoint.
     pub attempt_request: fn(&Parts, &Bytes, &Attempt, Option<&str>) -> OutRequest,
+    /// Reads the id of the last event that the caller of a request has received.
+    pub last_event_id: fn(&HeaderMap) -> Option<&str>,
     /// Lowers the time that a request says its caller still waits; a request that says none stays.
     pub shorten_deadline: fn(&mut HeaderMap, Duration),
     /// Reads the id of the caller's attempt from a request to an endpoint, or from an answer that
--- a/crates/basilbank_gateway/src/events.rs
+++ b/crates/basilbank_gateway/src/events.rs
@@ -2,9 +2,13 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Splits a stream of bytes into complete events.
+use crate::event_order::EventOrder;
+
+/// Splits a stream of bytes into complete events, up to one whose id doesn't follow those before it.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// What the ids are checked with; `None` if the bytes are no events.
+    order: Option<EventOrder>,
     /// Bytes of the event that is not complete yet.
     partial: BytesMut,
     last_event_id: Option<String>,
@@ -13,12 +17,26 @@
 }
 
 impl EventSplitter {
+    /// Creates a splitter that checks the ids of events.
+    #[must_use]
+    pub fn new(order: Option<EventOrder>) -> EventSplitter {
+        EventSplitter { order, ..EventSplitter::default() }
+    }
+
+    /// Returns the check of the events' ids.
+    pub fn order(&mut self) -> Option<&mut EventOrder> {
+        self.order.as_mut()
+    }
+
     /// Adds bytes and returns all events that are complete by now. A blank line ends an event.
     pub fn push(&mut self, data: &[u8]) -> Bytes {
         let from = self.partial.len().saturating_sub(MAX_LINE_ENDS_BYTES - 1);
         self.partial.extend_from_slice(data);
         let Some(end) = last_event_end(&self.partial[from..]) else { return Bytes::new() };
-        let ready = self.partial.split_to(from + end).freeze();
+        let mut ready = self.partial.split_to(from + end).freeze();
+        if let Some(order) = &mut self.order {
+            ready.truncate(ordered_bytes(order, &ready));
+        }
         self.ids += event_ids(&ready).count();
         if let Some(id) = last_event_id(&ready) {
             self.last_event_id = Some(id);
@@ -78,6 +96,43 @@
     end
 }
 
+/// Returns the number of bytes of the events before one that doesn't belong to the stream.
+fn ordered_bytes(order: &mut EventOrder, events: &[u8]) -> usize {
+    let mut rest = events;
+    while !rest.is_empty() {
+        let (event, after) = Event::split(rest);
+        if !order.check(&event) {
+            break;
+        }
+        rest = after;
+    }
+    events.len() - rest.len()
+}
+
+/// A server-sent event.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Event<'a> {
+    /// Its id, as it was written.
+    pub id: Option<&'a [u8]>,
+}
+
+impl Event<'_> {
+    /// Reads the first event, and returns what follows its blank line.
+    #[must_use]
+    pub fn split(events: &[u8]) -> (Event<'_>, &[u8]) {
+        let (mut event, mut rest) = (Event::default(), events);
+        while !rest.is_empty() {
+            let line;
+            (line, rest) = split_line(rest);
+            if line.is_empty() {
+                break;
+            }
+            event.id = line.strip_prefix(b"id:").or(event.id);
+        }
+        (event, rest)
+    }
+}
+
 /// Returns the id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<String> {
     let id = event_ids(events).next_back()?;
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -124,6 +124,7 @@
     proxied: Family<ReasonLabel, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
     end_checks: Family<ReasonLabel, Counter>,
+    event_order: Family<ReasonLabel, Counter>,
     foreign_answers: Family<ReasonLabel, Counter>,
     distrusted_endpoints: Gauge<u64, AtomicU64>,
     unreachable_endpoints: Gauge<u64, AtomicU64>,
@@ -179,6 +180,7 @@
             proxied: Family::default(),
             stream_ends: Family::default(),
             end_checks: Family::default(),
+            event_order: Family::default(),
             foreign_answers: Family::default(),
             distrusted_endpoints: Gauge::default(),
             unreachable_endpoints: Gauge::default(),
@@ -258,6 +260,8 @@
         let help =
             "Answers that only the end of their connection ended, by proof that they are whole";
         registry.register("end_checks", help, metrics.end_checks.clone());
+        let help = "Attempts whose events don't follow those before them, by how";
+        registry.register("event_order", help, metrics.event_order.clone());
         let help = "Answers that belong to no request on their connection, by the purpose of what was sent";
         registry.register("foreign_answers", help, metrics.foreign_answers.clone());
         let help = "Endpoints that get new connections, as they wrote what belongs to no request";
--- a/crates/basilbank_gateway/src/metrics/record.rs
+++ b/crates/basilbank_gateway/src/metrics/record.rs
@@ -66,6 +66,11 @@
         self.stream_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts a stream whose events don't follow those before, by how.
+    pub fn count_event_order(&self, damage: &'static str) {
+        count(&self.event_order, damage);
+    }
+
     /// Counts an answer that only the end of its connection ended.
     pub fn count_end_check(&self, proof: EndProof) {
         count(&self.end_checks, proof.as_str());
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -17,6 +17,7 @@
     attempt::AnswerStream,
     end_proof::EndProof,
     endpoint_body::EndpointBody,
+    event_order::EventOrder,
     events::{EventSplitter, count_filled},
     framing::Framing,
     response::Chunk,
@@ -88,11 +89,13 @@
     Broken,
     /// What came is more than a stream for the call can be.
     Endless,
+    /// An event came whose id doesn't follow the one before it.
+    Misplaced(Damage),
 }
 
 /// Forwards complete events only, so that a stream can continue at another endpoint without a
 /// partial event in between. A stream that ends inside an event has broken off, whatever its framing
-/// says. `on_progress` is called before the events are forwarded that show the progress. A relay that is
+/// says, and so has one whose events' ids don't rise from `resume_after` on. `on_progress` is called before the events are forwarded that show the progress. A relay that is
 /// stopped has forwarded all events up to `last_forwarded` and none after it.
 ///
 /// A silent endpoint doesn't end the relay, since it may write on.
@@ -100,6 +103,7 @@
     router: Rc<Router>,
     stream: AnswerStream,
     chunks: mpsc::Sender<Chunk>,
+    resume_after: Option<String>,
     last_forwarded: LastEventId,
     on_progress: impl Fn(StreamProgress),
 ) -> RelayEnd {
@@ -107,7 +111,8 @@
     let AnswerStream { mut body, connection, keep_alive, stall_timeout, target, .. } = stream;
     let (framing, trace_id, is_events) = (stream.framing, stream.trace_id, stream.is_events);
     let mut is_cut = false;
-    let mut events = EventSplitter::default();
+    let order = is_events.then(|| EventOrder::after(resume_after.as_deref()));
+    let mut events = EventSplitter::new(order);
     let mut writing = Writing::default();
     let mut claim = router.bodies.claim_answer();
     while let Some(frame) =
@@ -132,6 +137,9 @@
                 last_forwarded.replace(Some(id.to_owned()));
             }
         }
+        if let Some(damage) = check_order(&router, &trace_id, &target, &mut events) {
+            return RelayEnd::Misplaced(damage);
+        }
         if MAX_EVENT_BYTES < events.partial_bytes() {
             return RelayEnd::Endless;
         }
@@ -157,6 +165,31 @@
     }
 }
 
+/// Counts and logs what an attempt's events skipped, and one that doesn't belong to the stream. Returns
+/// what the latter shows.
+fn check_order(
+    router: &Router,
+    trace_id: &str,
+    target: &Target,
+    events: &mut EventSplitter,
+) -> Option<Damage> {
+    let order = events.order()?;
+    let line = |name| Line::new(name).with("request", trace_id).with("instance", &target.instance);
+    if let Some(gap) = order.take_gap() {
+        router.metrics.count_event_order("gap");
+        log::info!("{}", line("stream_gap").with("skipped", gap));
+    }
+    let misplaced = order.misplaced()?;
+    let damage = misplaced.damage();
+    router.metrics.count_event_order(damage.as_str());
+    let line = line("stream_misplaced")
+        .with("damage", damage.as_str())
+        .with("came", misplaced.id)
+        .with("after", misplaced.after);
+    log::info!("{line}");
+    Some(damage)
+}
+
 /// Events that hold no part of the answer, as comments: they have no id, and no data where the stream
 /// doesn't go on elsewhere. They are held until one follows that does, so that nothing is passed on of
 /// an endpoint that writes them for ever.
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -185,6 +185,7 @@
 
     fn start(&mut self, attempt: Attempt) -> Flow {
         let number = attempt.number;
+        self.log_resumption(&attempt);
         self.pending.insert(number, None);
         let (router, caller_request) = (Rc::clone(&self.router), Rc::clone(&self.caller_request));
         let last_event_id = self.last_event_id.borrow().clone();
@@ -197,6 +198,30 @@
         Flow::Continue
     }
 
+    /// Returns the id of the event after which the stream goes on, if it has begun and may be resumed.
+    fn resume_after(&self) -> Option<String> {
+        let forwarded = self.last_event_id.borrow().clone();
+        forwarded.or_else(|| {
+            let is_resumable = |state: &State| {
+                state.requests.get(&self.id).is_some_and(|request| request.route.resumable)
+            };
+            let received = (self.router.dialect.last_event_id)(&self.caller_request.head.headers);
+            received.filter(|_| self.router.read(is_resumable)).map(str::to_owned)
+        })
+    }
+
+    /// Logs the event after which an attempt goes on.
+    fn log_resumption(&self, attempt: &Attempt) {
+        let is_stream = matches!(attempt.op, Op::Stream { .. } | Op::Decode { .. });
+        if let Some(after) = self.resume_after().filter(|_| is_stream) {
+            let line = basilbank::logs::Line::new("resume")
+                .with("request", &self.caller_request.call.trace_id)
+                .with("attempt", attempt.number)
+                .with("after", after);
+            log::info!("{line}");
+        }
+    }
+
     fn stop(&mut self, number: u32) -> Flow {
         if let Some(handle) = self.running.remove(&number) {
             handle.abort();
@@ -220,6 +245,7 @@
             TaskResult::Relay(RelayEnd::Complete) => Outcome::Finished,
             TaskResult::Relay(RelayEnd::Broken) => Outcome::Broken(Damage::CutOff),
             TaskResult::Relay(RelayEnd::Endless) => Outcome::Broken(Damage::Endless),
+            TaskResult::Relay(RelayEnd::Misplaced(damage)) => Outcome::Broken(damage),
         };
         let finished = outcome == Outcome::Finished;
         let event = Event::AttemptOutcome { request: self.id, attempt: number, outcome };
@@ -282,8 +308,9 @@
             });
         };
         let last_forwarded = Rc::clone(&self.last_event_id);
+        let after = self.resume_after();
         let task = async move {
-            let ended = relay(router, stream, chunks, last_forwarded, on_progress).await;
+            let ended = relay(router, stream, chunks, after, last_forwarded, on_progress).await;
             (number, TaskResult::Relay(ended))
         };
         let handle = self.tasks.spawn_local(task);
--- a/crates/basilbank_gateway/tests/support/mod.rs
+++ b/crates/basilbank_gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
     Dialect {
         parse_call: |_, _| Err(InvalidCall { trace_id: String::new(), reason: "no call" }),
         attempt_request: |_, _, _, _| OutRequest::default(),
+        last_event_id: |_| None,
         shorten_deadline: |_, _| {},
         attempt_id: |_| None,
         is_refusal: |_, _| false,
--- a/crates/basilbank_standin/src/managed/endless.rs
+++ b/crates/basilbank_standin/src/managed/endless.rs
@@ -42,6 +42,8 @@
     Event,
     /// Events with data and without ids.
     Data,
+    /// Events with one id.
+    OneId,
     /// Informational heads.
     Continue,
     /// A header that has no end.
@@ -75,6 +77,7 @@
             Endless::SlowComments => (head(200, events), chunk(": x\n\n"), SLOW_PIECE),
             Endless::Event => (head(200, events) + &chunk("data: "), chunk(&much), fast),
             Endless::Data => (head(200, events), chunk("data: token 1\n\n"), fast),
+            Endless::OneId => (head(200, events), chunk("id: 1\ndata: token 1\n\n"), fast),
             Endless::Continue => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(100), fast),
             Endless::Head => (head(200, "a: "), much, fast),
             Endless::SlowHead => (head(200, ""), "a: b\r\n".to_owned(), SLOW_PIECE),
--- a/crates/basilbank_standin/src/managed/misdeed.rs
+++ b/crates/basilbank_standin/src/managed/misdeed.rs
@@ -2,6 +2,9 @@
 
 use super::endless::Endless;
 
+/// Events of a stream after which it begins again at an endpoint that does so.
+const EVENTS_BEFORE_REPEAT: u32 = 3;
+
 /// How an endpoint misbehaves, for calls from now on.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Misdeed {
@@ -28,6 +31,24 @@
     Hanging,
     /// Its KV caches are gone at once.
     Forgetful,
+    /// Its streams begin at their first event, whatever event they are to go on after.
+    Restarting,
+    /// Its streams begin again at their first event after some events.
+    Repeating,
     /// It runs the call, and writes until the caller closes the connection.
     Endless(Endless),
 }
+
+impl Misdeed {
+    /// The numbers of the events that an endpoint writes after those that the caller had.
+    pub(super) fn event_numbers(self, had: u32, last: u32) -> Vec<u32> {
+        let rest = had + 1..=last;
+        match self {
+            Misdeed::Restarting => (1..=last).collect(),
+            Misdeed::Repeating => {
+                rest.take(EVENTS_BEFORE_REPEAT as usize).chain(1..=last).collect()
+            }
+            _ => rest.collect(),
+        }
+    }
+}
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -342,7 +342,8 @@
         let last: u32 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
         let had = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0u32);
         let version = lock(&self.inside).served.version;
-        let events = || (had + 1..=last).map(|n| event_text(n, version));
+        let numbers = misdeed.event_numbers(had, last);
+        let events = || numbers.iter().map(|n| event_text(*n, version));
         let Ending { framing, mut broken } = lock(&self.inside).next_ending();
         if misdeed == Misdeed::Torn {
             broken = Some((BreakPlace::Inside, BreakKind::Close));
--- a/crates/basilbank_standin/tests/endless.rs
+++ b/crates/basilbank_standin/tests/endless.rs
@@ -179,6 +179,7 @@
 #[test_case(Endless::SlowComments)]
 #[test_case(Endless::Event)]
 #[test_case(Endless::Data)]
+#[test_case(Endless::OneId)]
 #[test_case(Endless::ChunkSize)]
 #[test_case(Endless::Extensions)]
 #[test_case(Endless::Trailers)]
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod ends;
 mod entries;
+mod event_ids;
 mod keys;
 mod leaving;
 mod overload;
