Versions count whose records were read and not used

Callers saw (by the reducer's tests): beside one version that a daemon had known for long, a stream that nobody remembered was taken up and went on at that version (a true refusal would be 503 stream_unknown), although an endpoint of another version had served meanwhile, at other daemons.

Cause: `Versions` looked at the directory after each event. A record that a later change in the same answer replaced (an endpoint that came and went, or started twice, while the daemon stood still or was cut off) never got there: the gateway dropped `Reading::replaced`. A record that is excluded, as its address is taken, isn't in the directory either, though other daemons may use it.

Now each record that is read names its version, replaced ones by an event of their own (`RecordsReplaced`), and an excluded record counts as listed for as long as the store lists it. A version that is found so also has this daemon tell keepers of its streams, as one that is listed does.

Evidence: with the three places taken out of the new code, three of the five new reducer rows fail (came and went; address taken, listed and gone). A record of a service that isn't configured yet was no fault: such a record is in the directory; the row stays. The order of removals and updates in one answer was none either: an instance is in one of the two lists only, and the versions are looked at after both.

--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -84,6 +84,9 @@
         /// All listed endpoints.
         list: Vec<EndpointInfo>,
     },
+    /// Endpoint records were read that a later change in the same answer replaces. They are never
+    /// used here, but other daemons may have used them.
+    RecordsReplaced(Vec<EndpointInfo>),
     /// Changes of the list of endpoints were read from the store.
     EndpointsChanged {
         /// The store's revisions at the read.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -79,6 +79,9 @@
         Event::EndpointsRead { revisions, list } => {
             endpoints::apply_list(&mut ctx, revisions, list);
         }
+        Event::RecordsReplaced(replaced) => {
+            replaced.iter().for_each(|info| ctx.state.versions.record_former(info, ctx.now));
+        }
         Event::EndpointsChanged { revisions, updated, removed } => {
             endpoints::apply_changes(&mut ctx, revisions, updated, &removed);
         }
@@ -129,8 +132,8 @@
 /// Looks at the versions of endpoints if the list has changed.
 fn update_versions(ctx: &mut Context<'_>) {
     let is_first_start = ctx.state.local.start == SystemStart::First;
-    let State { versions, directory, first_list, .. } = &mut *ctx.state;
-    let has_more = versions.update(directory, is_first_start, ctx.now);
+    let State { versions, directory, records, first_list, .. } = &mut *ctx.state;
+    let has_more = versions.update(directory, records, is_first_start, ctx.now);
     if versions.are_known_for(STREAM_LIFETIME, ctx.now) {
         *first_list = None;
     }
--- a/crates/basilbank_forward/src/reduce/history.rs
+++ b/crates/basilbank_forward/src/reduce/history.rs
@@ -86,7 +86,7 @@
         for change in changes {
             match change {
                 Some(info) => {
-                    versions.record_former(&info.service, info.software_version(), ctx.now);
+                    versions.record_former(&info, ctx.now);
                     (records, is_known) = (records + 1, true);
                 }
                 None if !std::mem::take(&mut is_known) => {
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -27,6 +27,7 @@
 
 /// Handles a record that was read from the store.
 pub fn handle_record(ctx: &mut Context<'_>, info: EndpointInfo, source: Source) {
+    ctx.state.versions.record_former(&info, ctx.now);
     evaluate(ctx, info, source);
 }
 
@@ -35,7 +36,8 @@
 pub fn reevaluate_excluded(ctx: &mut Context<'_>) {
     // These records were counted as changes when they were read.
     let has_news = ctx.state.records_changed;
-    for info in ctx.state.records.excluded() {
+    let excluded: Vec<_> = ctx.state.records.excluded().cloned().collect();
+    for info in excluded {
         evaluate(ctx, info, Source::Excluded);
     }
     ctx.state.records_changed = has_news;
--- a/crates/basilbank_forward/src/state/endpoint_records.rs
+++ b/crates/basilbank_forward/src/state/endpoint_records.rs
@@ -27,6 +27,8 @@
     /// Excluded records, by instance. They are checked again when the configuration or the list
     /// changes.
     excluded: BTreeMap<String, EndpointInfo>,
+    /// Increases with each change of the excluded records.
+    pub generation: u64,
     /// Incarnations that have ended, by instance.
     ended: HashMap<String, Ended>,
     /// What the answers of incarnations have stated, by instance.
@@ -76,6 +78,7 @@
         if self.excluded.get(&info.instance) == Some(&info) {
             return false;
         }
+        self.generation += 1;
         self.excluded.insert(info.instance.clone(), info);
         true
     }
@@ -83,18 +86,21 @@
     /// Removes an instance's excluded record, since the instance is in use or was removed from the
     /// list. Returns whether there was one.
     pub fn remove(&mut self, instance: &str) -> bool {
-        self.excluded.remove(instance).is_some()
+        let was_excluded = self.excluded.remove(instance).is_some();
+        self.generation += u64::from(was_excluded);
+        was_excluded
     }
 
     /// Removes the excluded records of all instances but the listed ones.
     pub fn retain_listed(&mut self, listed: &HashSet<&str>) {
+        let before = self.excluded.len();
         self.excluded.retain(|instance, _| listed.contains(instance.as_str()));
+        self.generation += u64::from(self.excluded.len() != before);
     }
 
     /// Returns the excluded records.
-    #[must_use]
-    pub fn excluded(&self) -> Vec<EndpointInfo> {
-        self.excluded.values().cloned().collect()
+    pub fn excluded(&self) -> impl Iterator<Item = &EndpointInfo> {
+        self.excluded.values()
     }
 
     /// Records that an incarnation has ended.
--- a/crates/basilbank_forward/src/state/versions.rs
+++ b/crates/basilbank_forward/src/state/versions.rs
@@ -5,8 +5,8 @@
     time::Duration,
 };
 
-use super::{Directory, origins::STREAM_LIFETIME};
-use crate::endpoint::SoftwareVersion;
+use super::{Directory, endpoint_records::EndpointRecords, origins::STREAM_LIFETIME};
+use crate::endpoint::{EndpointInfo, SoftwareVersion};
 
 /// The versions of each service's endpoints.
 #[derive(Debug, Default)]
@@ -19,8 +19,10 @@
     seen: HashSet<String>,
     /// When it was found that an endpoint of an unknown version had gone before this daemon started.
     unknown_since: Option<Duration>,
-    /// The state of the directory that was looked at last.
-    generation: u64,
+    /// The states of the directory and of the excluded records that were looked at last.
+    generations: (u64, u64),
+    /// Whether a service has had one more version since the last update.
+    has_more: bool,
 }
 
 /// Whether endpoints of a version are listed.
@@ -32,47 +34,70 @@
 }
 
 impl Versions {
-    /// Looks at the directory if it has changed. Returns whether a service has one more version than
-    /// before.
-    pub fn update(&mut self, directory: &Directory, is_first_start: bool, now: Duration) -> bool {
-        if self.generation == directory.generation || directory.revision.is_none() {
-            return false;
+    /// Looks at the records of endpoints if they have changed. Returns whether a service has had one
+    /// more version since the last update.
+    ///
+    /// An excluded record counts like a listed one, since other daemons may use it.
+    pub fn update(
+        &mut self,
+        directory: &Directory,
+        records: &EndpointRecords,
+        is_first_start: bool,
+        now: Duration,
+    ) -> bool {
+        let generations = (directory.generation, records.generation);
+        if self.generations == generations || directory.revision.is_none() {
+            return std::mem::take(&mut self.has_more);
         }
-        self.generation = directory.generation;
+        self.generations = generations;
         // Before the whole system first started there were no streams.
         let start = if is_first_start { Duration::ZERO } else { now };
         self.known_since.get_or_insert(start);
-        let mut listed: HashMap<&str, BTreeMap<SoftwareVersion, Presence>> = HashMap::new();
-        for (_, endpoint) in directory.listed() {
-            let versions = listed.entry(&endpoint.info.service).or_default();
-            versions.insert(endpoint.info.software_version(), Presence::Listed);
+        let in_use = directory.listed().map(|(_, endpoint)| &endpoint.info);
+        let present: Vec<_> = in_use.chain(records.excluded()).collect();
+        self.mark_gone(&present, now);
+        if self.are_known_for(STREAM_LIFETIME, now) {
+            self.seen.clear();
+        } else {
+            self.seen.extend(present.iter().map(|info| info.instance.clone()));
+        }
+        for info in present {
+            self.insert(&info.service, info.software_version(), Presence::Listed, now);
+        }
+        std::mem::take(&mut self.has_more)
+    }
+
+    /// Marks the versions that no record has any more, and drops those that are gone for long.
+    fn mark_gone(&mut self, present: &[&EndpointInfo], now: Duration) {
+        let mut listed: HashMap<&str, HashSet<SoftwareVersion>> = HashMap::new();
+        for info in present {
+            listed.entry(&info.service).or_default().insert(info.software_version());
         }
         for (service, versions) in &mut self.services {
             let present = listed.remove(service.as_str()).unwrap_or_default();
             versions.retain(|version, presence| {
-                if *presence == Presence::Listed && !present.contains_key(version) {
+                if *presence == Presence::Listed && !present.contains(version) {
                     *presence = Presence::GoneSince(now);
                 }
                 is_recent(*presence, now)
             });
         }
-        if self.are_known_for(STREAM_LIFETIME, now) {
-            self.seen.clear();
-        } else {
-            let listed = directory.listed().map(|(_, endpoint)| endpoint.info.instance.clone());
-            self.seen.extend(listed);
-        }
-        let mut has_more = false;
-        for (_, endpoint) in directory.listed() {
-            let (service, version) = (&endpoint.info.service, endpoint.info.software_version());
-            if !self.services.contains_key(service) {
-                self.services.insert(service.clone(), BTreeMap::new());
-            }
-            let Some(versions) = self.services.get_mut(service) else { continue };
-            let known = versions.insert(version, Presence::Listed);
-            has_more |= known.is_none() && 1 < versions.len();
+    }
+
+    fn insert(
+        &mut self,
+        service: &str,
+        version: SoftwareVersion,
+        presence: Presence,
+        now: Duration,
+    ) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), BTreeMap::new());
         }
-        has_more
+        let Some(versions) = self.services.get_mut(service) else { return };
+        let known = versions.insert(version, presence);
+        let is_known = known.is_some_and(|known| is_recent(known, now));
+        self.has_more |= !is_known && 1 < versions.len();
     }
 
     /// Returns whether endpoints of several versions are listed among these services, or were
@@ -103,11 +128,14 @@
         recent.next().is_none().then_some(first)
     }
 
-    /// Records a version that served before this daemon started, as if its last endpoint had gone now
+    /// Records a version that a record of an endpoint names, as if its last endpoint had gone now
     /// unless one is listed.
-    pub fn record_former(&mut self, service: &str, version: SoftwareVersion, now: Duration) {
-        let versions = self.services.entry(service.to_owned()).or_default();
-        versions.entry(version).or_insert(Presence::GoneSince(now));
+    pub fn record_former(&mut self, info: &EndpointInfo, now: Duration) {
+        let (service, version) = (&info.service, info.software_version());
+        let known = self.services.get(service).and_then(|versions| versions.get(&version));
+        if known != Some(&Presence::Listed) {
+            self.insert(service, version, Presence::GoneSince(now), now);
+        }
     }
 
     /// Records that an endpoint of an unknown version went before this daemon started.
--- a/crates/basilbank_forward/tests/forward/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/versions/mod.rs
@@ -6,6 +6,7 @@
 mod one_version;
 mod over_tries;
 mod services;
+mod unseen;
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/crates/basilbank_gateway/src/reader.rs
+++ b/crates/basilbank_gateway/src/reader.rs
@@ -226,7 +226,11 @@
         if let Some(line) = self.unusable.finish_read() {
             log::warn!("{}", line.with("topic", self.topic.as_str()));
         }
-        let Reading { revisions, table, endpoints, removed, .. } = reading;
+        let Reading { revisions, table, endpoints, removed, replaced, .. } = reading;
+        let replaced: Vec<_> = replaced.into_iter().filter_map(|(_, record)| record).collect();
+        if !replaced.is_empty() {
+            self.router.dispatch(Event::RecordsReplaced(replaced));
+        }
         self.is_newest_unusable =
             table.is_none() && (self.is_newest_unusable || !unusable.is_empty());
         self.router.dispatch(match self.topic {
--- a/crates/basilbank_gateway/src/source.rs
+++ b/crates/basilbank_gateway/src/source.rs
@@ -39,6 +39,7 @@
             self.revisions.latest_change.max(page.revisions.latest_change);
         self.table = page.table.or(self.table.take());
         self.endpoints.extend(page.endpoints);
+        self.replaced.extend(page.replaced);
         self.unusable.extend(page.unusable);
         self.next_page = page.next_page;
     }
--- a/crates/basilbank_gateway/tests/reader/main.rs
+++ b/crates/basilbank_gateway/tests/reader/main.rs
@@ -3,6 +3,7 @@
 mod false_gossip;
 mod recovery;
 mod relays;
+mod replaced;
 mod rig;
 mod store;
 mod timeouts;
