Streams that are taken up go first at the endpoints of their version

Cause: a stream that goes on is pinned to a version, and waits in the same queue as new completions, which may go to any version. (a) A waiting completion without a version blocked it, but not the other way round: a new completion took the room of a version for which a pinned one waited, though another version had room. (b) Once late, which is soon, it came after all new ones that can still be on time, and got only the memory for late ones. (c) The turn to use free capacity was kept by service, so each completion that took capacity of any version put a pinned one back to the end of its turn. (d) It was refused only when its caller's time was up, where routes have no ranks; where they have, its forecast counted all arriving completions against the memory of one version.

Now a completion that has to go on at one of several versions ("bound", state/bound.rs) goes before those that any version would do for, at that version's endpoints, here and as reported by peers (LoadGossip.bound, tag 46). Others use the other versions meanwhile. Its turn, its forecast and the time that its caller is told count only its version's endpoints and what waits for these. Where one version serves nothing is bound, and nothing is sent.

New play in virtual time, fleet/scarce: 8 daemons, 18 decode endpoints, two versions in halves, a burst of two times, a third of the decode endpoints crash for 3 s, three daemons are killed, callers come back up to 3 times.

--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -67,10 +67,12 @@
     if let Some(turn_at) = state.own_turn_ahead(request, &position, now) {
         return NextStep::WaitForTurn(turn_at);
     }
+    let pool = state.pool(request);
     let risky = state.crashes.is_risky(&request.call.traits());
     let prompt = request.call.prompt.clone().unwrap_or_default();
     let usage = Usage::completion(prompt.tokens, prompt.expected_output());
-    let memory_fraction = match request.is_on_time(now + state.tuning.first_token_delay) {
+    let is_on_time = request.is_on_time(now + state.tuning.first_token_delay);
+    let memory_fraction = match is_on_time || pool.version.is_some() {
         true => state.tuning.memory_fraction,
         false => state.tuning.late_memory_fraction,
     };
@@ -82,9 +84,15 @@
         None => placement::pick_prefill(state, &service, &[], None, pinned, prompt.tokens, now),
     };
     let hold_ttl = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.max_hold);
-    let peers_ahead = state.peers_ahead(&service, &position, now);
+    let (peers_ahead, awaited) = match pool.version {
+        Some(version) => (state.peers_ahead_at(version, &position, now), Vec::new()),
+        None => {
+            (state.peers_ahead(&service, &position, now), state.awaited_versions(&service, now))
+        }
+    };
+    let session = prompt.session;
     let criteria =
-        Criteria { near, usage, memory_fraction, session: prompt.session, pinned, risky };
+        Criteria { near, usage, memory_fraction, session, pinned, awaited: &awaited, risky };
     let endpoint = match placement::pick_decode(state, &service, &tried, &criteria, now) {
         DecodeChoice::At(endpoint) if !state.may_go_on_at(id, endpoint, now) => {
             return NextStep::WaitUntil(now + RECHECK_INTERVAL);
@@ -95,8 +103,8 @@
             // urgent completions than one that is first only because its rank is owed memory.
             let order = state.demand.order(service_hash(&service));
             let is_owed = order.is_some_and(|order| order.is_owed(&position));
-            if pinned.is_none() && !is_owed {
-                state.queue.clear_capacity(&service);
+            if pool.version.is_some() || (pinned.is_none() && !is_owed) {
+                state.queue.clear_capacity(&pool);
             }
             return NextStep::WaitForCapacity;
         }
@@ -107,14 +115,14 @@
     };
     let wait =
         state.tuning.queue_step.saturating_mul(u32::try_from(peers_ahead).unwrap_or(u32::MAX));
-    let turn_at = state.queue.turn_at(&service, wait, now);
+    let turn_at = state.queue.turn_at(&pool, wait, now);
     let since = turn_at.saturating_sub(wait);
     let urgent_until = state.urgent_until(&service, &position, now).unwrap_or_default();
     let turn_at = turn_at.max(urgent_until.min(since + MAX_URGENT_WAIT));
     if now < turn_at {
         return NextStep::WaitForTurn(turn_at);
     }
-    state.queue.clear_capacity(&service);
+    state.queue.clear_capacity(&pool);
     let op = Op::Hold { tokens: hold_tokens(state, &prompt), ttl: hold_ttl };
     NextStep::Dispatch(Dispatch {
         endpoint,
--- a/crates/basilbank_forward/src/reduce/demand.rs
+++ b/crates/basilbank_forward/src/reduce/demand.rs
@@ -132,7 +132,11 @@
     let line = LogLine::new("waits");
     let Some(request) = state.requests.get(&id) else { return line };
     let position = state.queue_position(request, now + state.tuning.first_token_delay);
-    let ahead = state.work_ahead(&request.service, &position, now).calls;
+    let version = state.bound_version(request);
+    let ahead = match version {
+        Some(version) => state.work_ahead_at(version, &position, now).calls,
+        None => state.work_ahead(&request.service, &position, now).calls,
+    };
     let line = match request.rank {
         Some(rank) => line.with("rank", rank),
         None => line,
@@ -143,7 +147,14 @@
         Some(team) => line.with("share", format_args!("{:.2}", team.share)),
         None => line,
     };
-    line.with("calls_ahead", ahead)
+    let line = line.with("calls_ahead", ahead);
+    match version {
+        Some(version) => line.with("software", version),
+        None => match state.awaited_versions(&request.service, now).len() {
+            0 => line,
+            count => line.with("left_versions", count),
+        },
+    }
 }
 
 /// Logs that the answer of a call with a rank or a team begins.
--- a/crates/basilbank_forward/src/reduce/forecast.rs
+++ b/crates/basilbank_forward/src/reduce/forecast.rs
@@ -12,6 +12,7 @@
     reason::Refusal,
     state::{
         Endpoint, QueuePosition, Request, State,
+        bound::Pool,
         forecast::{Forecast, Supply},
         requests::ReturnStage,
     },
@@ -83,18 +84,15 @@
     }
     ctx.state.forecasts.review_at = ctx.now + REVIEW_INTERVAL;
     let soonest = ctx.now + ctx.state.tuning.first_token_delay;
-    let mut services: BTreeMap<String, Vec<(QueuePosition, RequestId)>> = BTreeMap::new();
+    let mut pools: BTreeMap<Pool, Vec<(QueuePosition, RequestId)>> = BTreeMap::new();
     for id in &ctx.state.waiting {
         let Some(request) = ctx.state.requests.get(id) else { continue };
         let place = (ctx.state.queue_position(request, soonest), *id);
-        match services.get_mut(&request.service) {
-            Some(places) => places.push(place),
-            None => drop(services.insert(request.service.clone(), vec![place])),
-        }
+        pools.entry(ctx.state.pool(request)).or_default().push(place);
     }
-    for (service, mut places) in services {
+    for (pool, mut places) in pools {
         // Free capacity may be left to peers' completions for a moment.
-        if ctx.state.queue.has_capacity(&service) {
+        if ctx.state.queue.has_capacity(&pool) {
             ctx.state.forecasts.review_at = ctx.now + BUSY_REVIEW_INTERVAL;
         } else {
             places.sort_unstable();
@@ -175,6 +173,10 @@
     let daemons = state.peers.count_in_contact(now) as f64 + 1.0;
     let lead = state.tuning.first_token_delay;
     let reserve = state.tuning.memory_fraction - state.tuning.late_memory_fraction;
+    // New completions don't take what those that need one version wait for.
+    if state.requests.get(&id).is_some_and(|request| state.bound_version(request).is_some()) {
+        return Some(Start { at: supply.free_at(own + ahead.late, 0.0) });
+    }
     let known = state.forecasts.service(&service);
     let can_be_on_time = now + lead <= due;
     if can_be_on_time {
@@ -195,6 +197,10 @@
 fn work_ahead(state: &State, id: RequestId, now: Duration) -> Option<Ahead> {
     let request = state.requests.get(&id)?;
     let position = state.queue_position(request, now + state.tuning.first_token_delay);
+    if let Some(version) = state.bound_version(request) {
+        let tokens = state.work_ahead_at(version, &position, now).tokens as f64;
+        return Some(Ahead { on_time: tokens, late: tokens });
+    }
     let late = QueuePosition { late: true, ..position };
     let tokens = |position| state.work_ahead(&request.service, &position, now).tokens as f64;
     // While it is on time, it is itself ahead of where it will be once it is late.
@@ -204,7 +210,7 @@
 
 /// Returns the memory that becomes free at the decode endpoints of a service that a completion may
 /// use.
-fn supply(
+pub(super) fn supply(
     state: &mut State,
     service: &str,
     pinned: Option<SoftwareVersion>,
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -8,6 +8,7 @@
 
 use basilbank_wire::{
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
+    WaitingForVersion,
 };
 
 use super::{
@@ -15,10 +16,12 @@
     roles,
 };
 use crate::{
+    endpoint::SoftwareVersion,
     log_line::LogLine,
     rank::{MAX_PRIORITY, Rank},
     state::{
         GenerationStats, Usage,
+        bound::{BoundDemand, MAX_REPORTED_VERSIONS},
         peers::{FirstWaiting, Load, Peer, from_wire},
     },
     team::TeamId,
@@ -119,6 +122,12 @@
         met,
         loads,
         waiting: gossip.waiting.iter().map(|waiting| waiting_from_wire(waiting, now)).collect(),
+        bound: gossip
+            .bound
+            .iter()
+            .take(MAX_REPORTED_VERSIONS)
+            .filter_map(|b| bound_from_wire(b, now))
+            .collect(),
         demand: demand_rows,
         version,
         watching: gossip.watching,
@@ -232,9 +241,20 @@
     }
 }
 
+/// Returns the time that is so many milliseconds from now, which may be negative.
+fn time_from_wire(ms: i32, now: Duration) -> Duration {
+    let offset = Duration::from_millis(u64::from(ms.unsigned_abs()));
+    if ms < 0 { now.saturating_sub(offset) } else { now.saturating_add(offset) }
+}
+
+fn bound_from_wire(wire: &WaitingForVersion, now: Duration) -> Option<BoundDemand> {
+    let version = SoftwareVersion::from_wire(wire.version)?;
+    let due = time_from_wire(wire.due, now);
+    Some(BoundDemand { version, due, calls: wire.calls, tokens: wire.tokens.into() })
+}
+
 fn waiting_from_wire(wire: &WaitingCompletion, now: Duration) -> FirstWaiting {
-    let offset = Duration::from_millis(u64::from(wire.due.unsigned_abs()));
-    let due = if wire.due < 0 { now.saturating_sub(offset) } else { now.saturating_add(offset) };
+    let due = time_from_wire(wire.due, now);
     // An impossible rank counts as the least urgent one.
     let rank = demand::rank_from_wire(wire.rank).unwrap_or(Some(Rank(MAX_PRIORITY)));
     let team = wire.team.map(TeamId);
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -5,6 +5,7 @@
 use basilbank_core::state::Rng;
 use basilbank_wire::{
     AvoidedEndpoint, LoadGossip, ServiceGenerationStats, StoreRevision, WaitingCompletion,
+    WaitingForVersion,
 };
 
 use super::{Context, call_limit, demand, relays, roles};
@@ -13,6 +14,7 @@
     effect::Effect,
     state::{
         Peer, QueuePosition, Request, State,
+        bound::BoundDemand,
         peers::{MAX_PEERS_UNLIMITED_GOSSIP, Peers, to_wire},
         relays::{DIRECT_INTERVAL, data_centre_hash},
         service_hash,
@@ -209,6 +211,7 @@
     let is_full = scope != Scope::Changes;
     let paces = if is_full { generation_stats(state) } else { Vec::new() };
     let waiting = waiting_completions(state, now);
+    let bound = waiting_for_versions(state, now);
     let demand = demand::report(state, now);
     let watching = state.is_active_watcher();
     // An introduction is as short as possible, since daemons that start at the same time send many.
@@ -242,6 +245,7 @@
         watching,
         paces,
         waiting,
+        bound,
         demand,
         limits,
         crashes,
@@ -419,12 +423,16 @@
     }
 }
 
-/// Returns the first of this daemon's waiting completions for each service.
+/// Returns the first of this daemon's waiting completions for each service, of those that any version
+/// of its endpoints would do for.
 fn waiting_completions(state: &State, now: Duration) -> Vec<WaitingCompletion> {
     let soonest = now + state.tuning.first_token_delay;
     let mut first: HashMap<&str, (QueuePosition, &Request)> = HashMap::new();
     for request in state.waiting.iter().filter_map(|id| state.requests.get(id)) {
         let position = state.queue_position(request, soonest);
+        if !position.any_version {
+            continue;
+        }
         let first = first.entry(&request.service).or_insert((position, request));
         if position < first.0 {
             *first = (position, request);
@@ -432,7 +440,7 @@
     }
     let all = first.into_iter().map(|(service, (position, request))| WaitingCompletion {
         service: service_hash(service),
-        due: (position.due.as_millis() as i128 - now.as_millis() as i128) as i32,
+        due: ms_until(position.due, now),
         rank: request.rank.map(|rank| u32::from(rank.0)),
         team: request.team_id().map(|team| team.0),
         // Where there is no order, the due time says it.
@@ -441,6 +449,22 @@
     all.collect()
 }
 
+/// Returns what waits here for the endpoints of one of several versions.
+fn waiting_for_versions(state: &State, now: Duration) -> Vec<WaitingForVersion> {
+    let to_wire = |demand: BoundDemand| WaitingForVersion {
+        version: demand.version.to_wire(),
+        due: ms_until(demand.due, now),
+        calls: demand.calls,
+        tokens: u32::try_from(demand.tokens).unwrap_or(u32::MAX),
+    };
+    state.own_bound_demand().into_iter().map(to_wire).collect()
+}
+
+/// Returns the milliseconds until a time, or since it as a negative number.
+fn ms_until(time: Duration, now: Duration) -> i32 {
+    (time.as_millis() as i128 - now.as_millis() as i128) as i32
+}
+
 /// Returns the generation statistics of this daemon's own completions.
 fn generation_stats(state: &State) -> Vec<ServiceGenerationStats> {
     let all = state.generation_stats.iter().map(|(service, stats)| ServiceGenerationStats {
--- a/crates/basilbank_forward/src/reduce/placement.rs
+++ b/crates/basilbank_forward/src/reduce/placement.rs
@@ -150,7 +150,7 @@
 
 /// What a completion needs from a decode endpoint.
 #[derive(Clone, Copy, Debug)]
-pub struct Criteria {
+pub struct Criteria<'a> {
     /// The endpoint that keeps its KV cache or will likely read its prompt.
     pub near: Option<EndpointKey>,
     /// The usage that it adds to the endpoint.
@@ -161,17 +161,25 @@
     pub session: Option<u64>,
     /// The version of endpoints that it needs, if not any will do.
     pub pinned: Option<SoftwareVersion>,
+    /// Versions that are left to completions that need them.
+    pub awaited: &'a [SoftwareVersion],
     /// Whether it may well crash its endpoint, so that it should meet few others there.
     pub risky: bool,
 }
 
+impl Criteria<'_> {
+    fn is_awaited(&self, endpoint: &Endpoint) -> bool {
+        !self.awaited.is_empty() && self.awaited.contains(&endpoint.info.software_version())
+    }
+}
+
 /// Picks the completion's home endpoint if that has capacity, else the decode endpoint with the
 /// most free memory, given the load of all daemons.
 pub fn pick_decode(
     state: &mut State,
     service: &str,
     tried: &[EndpointKey],
-    criteria: &Criteria,
+    criteria: &Criteria<'_>,
     now: Duration,
 ) -> DecodeChoice {
     let Some(engine) = state.routes.engine(service) else { return DecodeChoice::None };
@@ -183,7 +191,8 @@
     let endpoints = state.directory.available_in_stage(service, Stage::Decode, now);
     // An idle endpoint accepts any completion, however large.
     let permitted = endpoints
-        .filter(|(key, e)| e.info.has_version(criteria.pinned) && state.has_permit(*key, now));
+        .filter(|(key, e)| e.info.has_version(criteria.pinned) && state.has_permit(*key, now))
+        .filter(|(_, e)| !criteria.is_awaited(e));
     let peaks = permitted.map(|(key, e)| (key, e, e.peak_tokens(criteria.usage, now, growth)));
     let fitting = peaks.filter(|(_, e, peak)| e.total_calls() == 0 || *peak <= max_tokens);
     let reached = Reached::of(state, service, now);
--- a/crates/basilbank_forward/src/reduce/returns.rs
+++ b/crates/basilbank_forward/src/reduce/returns.rs
@@ -94,7 +94,7 @@
 fn conclude(ctx: &mut Context<'_>, id: RequestId, first_arrived: Option<Duration>) {
     settle(ctx, id, first_arrived);
     let Some(request) = ctx.state.requests.get(&id) else { return };
-    let has_capacity = ctx.state.queue.has_capacity(&request.service);
+    let has_capacity = ctx.state.queue.has_capacity(&ctx.state.pool(request));
     if !has_capacity && ctx.state.waiting.contains(&id) {
         forecast::admit_to_queue(ctx, id);
     }
@@ -201,9 +201,11 @@
 
 impl State {
     /// Returns whether a completion is refused as soon as it can't start in time. That is so where
-    /// the configuration says which of the competing calls are more urgent.
+    /// the configuration says which of the competing calls are more urgent, and for one that may use
+    /// only a part of the endpoints.
     pub(super) fn refuses_early(&self, request: &Request) -> bool {
-        self.tuning.refuse_early && request.rank.is_some()
+        let is_bound = || self.bound_version(request).is_some();
+        self.tuning.refuse_early && (request.rank.is_some() || is_bound())
     }
 
     /// Returns the keepers of a call other than this daemon.
@@ -240,7 +242,7 @@
         if !self.returns_later(request, refusal) {
             return delay;
         }
-        let (service, remaining) = (request.service.clone(), request.remaining(now));
+        let (pool, remaining) = (self.pool(request), request.remaining(now));
         let latest = now + remaining / MAX_WAIT_DIVISOR;
         let jitter = self.rng.unit();
         // Callers for whom no capacity is expected are spread over the later half of their time.
@@ -248,15 +250,24 @@
         let start = request.forecast.map(|forecast| forecast.start.unwrap_or(late_half));
         let earliest = (now + delay).max(start.unwrap_or_default()).min(latest);
         let own_tokens = request.needed_tokens() as f64;
-        let daemons = f64::from(self.peers_waiting(&service).saturating_add(1));
-        let known = self.forecasts.service(&service);
+        let service = &pool.service;
+        let peers = match pool.version {
+            Some(version) => self.peers_waiting_at(version, now),
+            None => self.peers_waiting(service),
+        };
+        let daemons = f64::from(peers.saturating_add(1));
+        let supply = match pool.version {
+            Some(version) => forecast::supply(self, service, Some(version), now),
+            None => self.forecasts.service(service).supply.clone(),
+        };
+        let known = self.forecasts.service(service);
         let tokens = known.arrivals.mean_tokens(now).unwrap_or(own_tokens);
-        let Some(rate) = known.supply.as_ref().map(|supply| supply.steady_rate()) else {
+        let Some(rate) = supply.map(|supply| supply.steady_rate()) else {
             return delay;
         };
         let spacing = Duration::try_from_secs_f64(tokens * daemons / rate).unwrap_or_default();
         let spacing = spacing.min(MAX_SPACING);
         let limits = (earliest, latest);
-        self.returns.take_place(&service, limits, spacing, jitter).saturating_sub(now)
+        self.returns.take_place(&pool.to_string(), limits, spacing, jitter).saturating_sub(now)
     }
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -1,6 +1,7 @@
 //! What a daemon knows about forwarded calls.
 
 pub mod announcements;
+pub mod bound;
 pub mod call_limits;
 pub mod common_parts;
 pub mod completion_queue;
--- a/crates/basilbank_forward/src/state/completion_queue.rs
+++ b/crates/basilbank_forward/src/state/completion_queue.rs
@@ -9,34 +9,36 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use super::bound::Pool;
+
 /// What a daemon knows about the queue.
 #[derive(Debug, Default)]
 pub struct CompletionQueue {
-    /// Since when a service has free capacity, as far as this daemon knows.
-    capacity_since: HashMap<String, Duration>,
+    /// Since when a pool has free capacity, as far as this daemon knows.
+    capacity_since: HashMap<Pool, Duration>,
     /// When it is the next completion's turn to use free capacity.
     pub(crate) next_turn: Option<Duration>,
 }
 
 impl CompletionQueue {
-    /// Returns when this daemon may use a service's free capacity, which it leaves to the
+    /// Returns when this daemon may use a pool's free capacity, which it leaves to the
     /// completions of peers for `wait`.
-    pub fn turn_at(&mut self, service: &str, wait: Duration, now: Duration) -> Duration {
-        let since = match self.capacity_since.get(service) {
+    pub fn turn_at(&mut self, pool: &Pool, wait: Duration, now: Duration) -> Duration {
+        let since = match self.capacity_since.get(pool) {
             Some(since) => *since,
-            None => *self.capacity_since.entry(service.to_owned()).or_insert(now),
+            None => *self.capacity_since.entry(pool.clone()).or_insert(now),
         };
         since + wait
     }
 
-    /// Returns whether a service has free capacity, as far as this daemon knows.
+    /// Returns whether a pool has free capacity, as far as this daemon knows.
     #[must_use]
-    pub fn has_capacity(&self, service: &str) -> bool {
-        self.capacity_since.contains_key(service)
+    pub fn has_capacity(&self, pool: &Pool) -> bool {
+        self.capacity_since.contains_key(pool)
     }
 
-    /// Records that a service has no free capacity, or that a completion has taken it.
-    pub fn clear_capacity(&mut self, service: &str) {
-        self.capacity_since.remove(service);
+    /// Records that a pool has no free capacity, or that a completion has taken it.
+    pub fn clear_capacity(&mut self, pool: &Pool) {
+        self.capacity_since.remove(pool);
     }
 }
--- a/crates/basilbank_forward/src/state/demand.rs
+++ b/crates/basilbank_forward/src/state/demand.rs
@@ -77,7 +77,7 @@
 }
 
 impl WorkAhead {
-    fn add(&mut self, calls: u64, tokens: u64) {
+    pub(super) fn add(&mut self, calls: u64, tokens: u64) {
         self.calls = self.calls.saturating_add(u32::try_from(calls).unwrap_or(u32::MAX));
         self.tokens = self.tokens.saturating_add(tokens);
     }
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -10,6 +10,7 @@
 
 use super::{
     GenerationStats, Usage,
+    bound::BoundDemand,
     demand::{DemandKey, DemandSums},
     relays::Relays,
 };
@@ -37,6 +38,8 @@
     pub loads: Vec<Load>,
     /// The first of its waiting completions at each service.
     pub waiting: Vec<FirstWaiting>,
+    /// What waits there for the endpoints of one of several versions.
+    pub bound: Vec<BoundDemand>,
     /// What its completions need and use.
     pub demand: Vec<(DemandKey, DemandSums)>,
     /// The version of the configuration that it has in force; 0 until it has reported one.
--- a/crates/basilbank_forward/src/state/queue_order.rs
+++ b/crates/basilbank_forward/src/state/queue_order.rs
@@ -34,6 +34,9 @@
 /// A position in the queue. The fields are compared in their order, and the lowest goes first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub struct QueuePosition {
+    /// Whether any version of the endpoints would do, although there are several or the completion
+    /// is new.
+    pub any_version: bool,
     /// Whether the completion can't be on time.
     pub late: bool,
     /// Whether another rank goes before it because that rank is owed memory.
@@ -54,6 +57,7 @@
     #[must_use]
     pub fn new(due: Duration, soonest: Duration) -> QueuePosition {
         QueuePosition {
+            any_version: true,
             late: due < soonest,
             yields: false,
             rank: LEAST_URGENT,
@@ -139,7 +143,7 @@
         let owed = if late { self.owed_late } else { self.owed_timely };
         let yields = owed.is_some_and(|owed| owed != rank);
         let use_step = self.team_use(team).map_or(0, |team| team.step);
-        QueuePosition { late, yields, rank, is_new: true, use_step, due }
+        QueuePosition { any_version: true, late, yields, rank, is_new: true, use_step, due }
     }
 
     /// Returns whether a completion at this position is first only because its rank is owed memory.
@@ -163,7 +167,7 @@
         let rank = first.rank.filter(|_| has_ranks);
         let is_unknown = has_ranks || self.team_use(None).is_none();
         if rank.is_none() && first.team.is_none() && is_unknown {
-            return QueuePosition { late, due: first.due, ..*own };
+            return QueuePosition { any_version: true, late, due: first.due, ..*own };
         }
         let position = self.position(rank, first.team, late, first.due);
         // Peers don't report whether a completion returns.
@@ -206,6 +210,7 @@
         let unknown = ServiceOrder::default();
         let order = self.demand.order(service_hash(&request.service)).unwrap_or(&unknown);
         let position = order.position(request.rank, team, due < soonest, due);
-        QueuePosition { is_new: !request.returned, ..position }
+        let any_version = self.bound_version(request).is_none();
+        QueuePosition { any_version, is_new: !request.returned, ..position }
     }
 }
--- a/crates/basilbank_forward/src/state/returns.rs
+++ b/crates/basilbank_forward/src/state/returns.rs
@@ -36,7 +36,8 @@
     records: HashMap<Digest, Record>,
     /// When records end, in order. A record that was made anew has an older entry as well.
     ends: VecDeque<(Duration, Digest)>,
-    /// When the next refused caller of a service is told to return at the earliest.
+    /// When the next refused caller is told to return at the earliest, by the pool that it competes
+    /// for.
     next_places: HashMap<String, Duration>,
 }
 
@@ -80,16 +81,16 @@
     /// are `spacing` apart. `jitter`, from 0 to 1, is the fraction of it that is added.
     pub fn take_place(
         &mut self,
-        service: &str,
+        pool: &str,
         (earliest, latest): (Duration, Duration),
         spacing: Duration,
         jitter: f64,
     ) -> Duration {
-        let next = self.next_places.get(service).copied().unwrap_or_default();
+        let next = self.next_places.get(pool).copied().unwrap_or_default();
         let place = next.max(earliest);
         // Places that no caller can be told don't delay those who are refused later.
         let following = (place + spacing).min(latest.max(earliest) + spacing);
-        self.next_places.insert(service.to_owned(), following);
+        self.next_places.insert(pool.to_owned(), following);
         (place + spacing.mul_f64(jitter)).min(latest.max(earliest))
     }
 
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod limited;
 pub mod proofs;
 pub mod quotas;
+pub mod scarce;
 pub mod stated;
 pub mod versions;
 
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -48,5 +48,6 @@
 mod suspects;
 mod urgency;
 mod version_fleets;
+mod version_queue;
 mod versions;
 mod watchers;
--- a/crates/basilbank_wire/src/lib.rs
+++ b/crates/basilbank_wire/src/lib.rs
@@ -26,7 +26,7 @@
 pub use load::{
     AvoidedEndpoint, CallLimitReport, CrashReport, DemandReport, EndpointLoad, HEADER_BYTES,
     LoadGossip, OrderClaim, PeerAddress, Permit, PermitKind, QuarantinedCall,
-    ServiceGenerationStats, StoreRevision, WaitingCompletion,
+    ServiceGenerationStats, StoreRevision, WaitingCompletion, WaitingForVersion,
 };
 pub use message::*;
 pub use proxy::{
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -136,6 +136,9 @@
     /// Whether the sender's settings give it the right to order endpoints.
     #[prost(enumeration = "OrderClaim", tag = "44")]
     pub order_claim: i32,
+    /// What waits at the sender for the endpoints of one version while their service has several.
+    #[prost(message, repeated, tag = "46")]
+    pub bound: Vec<WaitingForVersion>,
 }
 
 /// Whether a daemon claims the right to order endpoints. The values are part of the wire format.
@@ -320,6 +323,23 @@
     pub late: bool,
 }
 
+/// Completions that wait for capacity and have to go on at one version of the endpoints' software.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct WaitingForVersion {
+    /// Hash of service and version.
+    #[prost(fixed32, tag = "1")]
+    pub version: u32,
+    /// Milliseconds until the first token of the first one is due; negative when it is late.
+    #[prost(sint32, tag = "2")]
+    pub due: i32,
+    /// Number of completions.
+    #[prost(uint32, tag = "3")]
+    pub calls: u32,
+    /// Tokens that they need.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
+}
+
 /// What the completions of one rank and team at a service need and use, as far as the sender has
 /// them.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
