--- a/crates/basilbank_standin/tests/managed/take_ups.rs
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -217,3 +217,21 @@
     assert_eq!(answer.status, 503);
     assert!(answer.header("retry-after").is_some());
 }
+
+/// Guards against streams that are lost with all daemons, though endpoints of their versions serve.
+#[test]
+fn streams_go_on_after_all_daemons_ended_beside_two_versions() {
+    let mut world = world();
+    let began: Vec<_> = (0..STREAMS).map(|n| begin(world.callers(0), &format!("s{n}"))).collect();
+    replace_daemons(&mut world);
+    eventually("it serves", || whole(world.callers(3), "w").status == 200);
+    let mut went_on = 0;
+    for (n, began_at) in began.iter().enumerate() {
+        let answer = take_up(world.callers(3), &format!("t{n}"), &format!("s{n}"));
+        if answer.status == 200 {
+            assert_eq!((answer.whole, answer.text()), (true, rest_of(began_at)));
+            went_on += 1;
+        }
+    }
+    assert!(STREAMS / 2 <= went_on, "{went_on} of {STREAMS}");
+}
