Origins: the only version needs a read of the list that began after the call came

What callers saw: a stream that began at a new version of the endpoints' software broke off and was taken up at a daemon that was cut off from the store and from the daemon that began it.

Cause: `State::only_version` took the list for current unless the store was known to be lost and the daemon was isolated, or a peer had told of a newer revision. So daemons that are cut off together vouched for each other's old list, and one alone did until it noticed that its read of the store hangs.

Now an only version is inferred from one of these, never from the absence of news: - list: this daemon has known one version for as long as a stream may last, and a read of the changes that it didn't know, sent after the call came, names no other. Calls that wait share the read. Without an answer within 50 ms peers are asked for records, the read is waited for up to 300 ms. - peer_list: a peer has known one version for as long, up to a revision at which this daemon's own list begins, and this daemon has such a read (`StreamOrigin.known_to` and `.era`, new; an old daemon's word proves nothing). - fleet: without the store, if every daemon there is says so, all seeds are known and none left or fell silent within the time. - history: as before, after a restart of all, with such a read as well. What the read names counts as listed at once, whatever the topic's reader has read. A revision that the configuration was written at is known to be no endpoint's, so the list stays known up to it.

Why it works: the store is linearizable, and a stream that is taken up began at an endpoint that some daemon had read of before the call came.

Also: `stream_pinned` says `by`, `revision` and `age_ms`, `stream_unknown` says `why`; both are counted (`streams_pinned`, `streams_unknown`); `list_unconfirmed` as a read brings no proof.

The tests' daemons answer the new read (`rig.rs`, `fleet/mod.rs`); no existing test was changed.

--- a/crates/basilbank_forward/src/effect.rs
+++ b/crates/basilbank_forward/src/effect.rs
@@ -78,6 +78,14 @@
         /// The revision.
         after: u64,
     },
+    /// Read the changes of the list of endpoints that this daemon doesn't know yet, without waiting for
+    /// one; the result arrives as `Event::ListConfirmed`.
+    ConfirmList {
+        /// The revision up to which the list is known.
+        after: u64,
+        /// The time now, which the event states.
+        asked_at: Duration,
+    },
     /// Order an endpoint to change its stage.
     Order {
         /// The endpoint.
--- a/crates/basilbank_forward/src/event.rs
+++ b/crates/basilbank_forward/src/event.rs
@@ -104,6 +104,15 @@
         /// What it answered.
         answer: HistoryAnswer,
     },
+    /// The store answered [`Effect::ConfirmList`](crate::effect::Effect::ConfirmList), or didn't.
+    ListConfirmed {
+        /// When the read was asked for.
+        asked_at: Duration,
+        /// The store's era, if the answer states it.
+        era: Option<u64>,
+        /// The changes; `None` if there was no valid answer, or the store no longer has them all.
+        unread: Option<UnreadChanges>,
+    },
     /// The store has no change of a topic with this revision, although a peer reported it.
     RevisionNotFound {
         /// The topic.
@@ -193,6 +202,15 @@
     }
 }
 
+/// Changes of the list of endpoints that weren't known.
+#[derive(Clone, PartialEq, Debug)]
+pub struct UnreadChanges {
+    /// The number of the store's revision at the read.
+    pub revision: u64,
+    /// The changes, those of one instance in their order.
+    pub changes: Vec<ListChange>,
+}
+
 /// The store's answer to a read of old changes of the list of endpoints.
 #[derive(Clone, PartialEq, Debug)]
 pub enum HistoryAnswer {
--- a/crates/basilbank_forward/src/log_line.rs
+++ b/crates/basilbank_forward/src/log_line.rs
@@ -2,7 +2,11 @@
 
 use std::{fmt, time::Duration};
 
-use crate::{rank::Rank, reason::Retry, team::TeamId};
+use crate::{
+    rank::Rank,
+    reason::{Retry, UnknownVersion, VersionSource},
+    team::TeamId,
+};
 
 /// A log line: a name followed by ordered key-value pairs.
 #[derive(Clone, PartialEq, Debug)]
@@ -59,6 +63,10 @@
     ForecastError(Duration),
     /// What became of a call that returned as it was told.
     Returned(&'static str),
+    /// It is known which version began a stream that a call continues.
+    StreamPinned(VersionSource),
+    /// It isn't known.
+    StreamUnknown(UnknownVersion),
     /// An extra call, beyond the first of its request, is sent.
     Retry(Retry),
 }
--- a/crates/basilbank_forward/src/prelude.rs
+++ b/crates/basilbank_forward/src/prelude.rs
@@ -6,7 +6,7 @@
     call::{Call, Cause, Digest, Prompt, RequestId, Resumption, SharedTraits, StreamId},
     effect::{Attempt, Effect, Op},
     endpoint::{EndpointInfo, EndpointKey, SoftwareVersion, Stage},
-    event::{Damage, Event, HistoryAnswer, NotProxied, NotRun, Outcome},
+    event::{Damage, Event, HistoryAnswer, NotProxied, NotRun, Outcome, UnreadChanges},
     log_line::{LogLine, Measurement},
     purpose::Purpose,
     rank::Rank,
--- a/crates/basilbank_forward/src/reading.rs
+++ b/crates/basilbank_forward/src/reading.rs
@@ -51,6 +51,8 @@
     Watch,
     /// Changes from before this daemon's start are searched for.
     History,
+    /// A call needs to know whether the list of endpoints is current.
+    Confirmation,
 }
 
 impl ReadReason {
@@ -64,6 +66,7 @@
             ReadReason::Poll => "look",
             ReadReason::Watch => "watch",
             ReadReason::History => "history",
+            ReadReason::Confirmation => "confirmation",
         }
     }
 }
--- a/crates/basilbank_forward/src/reading/reader/start.rs
+++ b/crates/basilbank_forward/src/reading/reader/start.rs
@@ -55,9 +55,11 @@
             ReadReason::Full => Scope::Page { page_token: self.page_token.clone() },
             // After a failure the store must not wait for a change: its answer shows that it is
             // back. If there is a change to read, lack of an answer is conclusive at once.
-            ReadReason::Failure | ReadReason::Change | ReadReason::Poll | ReadReason::History => {
-                Scope::Changes { after, wait: Duration::ZERO }
-            }
+            ReadReason::Failure
+            | ReadReason::Change
+            | ReadReason::Poll
+            | ReadReason::History
+            | ReadReason::Confirmation => Scope::Changes { after, wait: Duration::ZERO },
             ReadReason::Watch => Scope::Changes { after, wait: self.watch_wait(now, context) },
         };
         let (wait, max_bytes) = match scope {
--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -67,6 +67,44 @@
     }
 }
 
+reasons!(
+    /// How it is known which version of the endpoints' software began a stream.
+    VersionSource {
+        /// This daemon has a record of the stream.
+        Record = "record",
+        /// A peer has a record of the stream.
+        PeerRecord = "peer_record",
+        /// This daemon has known one version for long, and its list is current.
+        List = "list",
+        /// A peer has known one version for long, and this daemon all changes since.
+        PeerList = "peer_list",
+        /// All daemons have known one version for long.
+        Fleet = "fleet",
+        /// The list and the store's history account for all endpoints.
+        History = "history",
+    }
+);
+
+reasons!(
+    /// Why it isn't known which version of the endpoints' software began a stream.
+    UnknownVersion {
+        /// The caller doesn't say which attempt began the stream.
+        NotNamed = "not_named",
+        /// No endpoint is known.
+        NoVersion = "no_version",
+        /// Several versions may have begun it.
+        SeveralVersions = "several_versions",
+        /// The store didn't confirm in time that the list of endpoints is current.
+        Unconfirmed = "unconfirmed",
+        /// No peer has told which versions there were before this daemon started.
+        NoPeer = "no_peer",
+        /// The store hasn't told in time which versions there were.
+        NoHistory = "no_history",
+        /// An endpoint may have gone unseen.
+        UnknownPast = "unknown_past",
+    }
+);
+
 reasons!(
     /// Why an extra call is sent for a request.
     Retry {
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -18,7 +18,9 @@
 mod gossip;
 mod gossip_send;
 mod history;
+mod list_reads;
 mod next_step;
+mod only_version;
 mod origin;
 mod outcome;
 mod placement;
@@ -85,6 +87,9 @@
         Event::RoutesReadFailed => endpoints::handle_read_failure(&mut ctx, Topic::Routes),
         Event::EndpointsReadFailed => endpoints::handle_read_failure(&mut ctx, Topic::Endpoints),
         Event::HistoryRead { era, answer } => history::handle(&mut ctx, era, answer),
+        Event::ListConfirmed { asked_at, era, unread } => {
+            list_reads::handle(&mut ctx, asked_at, era, unread);
+        }
         Event::RevisionNotFound { topic, revision } => {
             gossip::handle_missing_revision(&mut ctx, topic, revision);
         }
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -24,6 +24,7 @@
     let era_changed = has_era_changed(*previous, revisions);
     previous.advance(revisions.store);
     if let Some(table) = table {
+        ctx.state.list_reads.record_configuration(revisions.store.era, table.revisions);
         activate(ctx, revisions, table);
     }
     if era_changed {
@@ -139,6 +140,7 @@
     records::reevaluate_excluded(ctx);
     let directory = &mut ctx.state.directory;
     directory.revision.advance(revisions.store);
+    ctx.state.list_reads.record_read(revisions.store);
     directory.read_at = ctx.now;
     directory.store_lost = false;
     if std::mem::take(&mut ctx.state.records_changed) {
--- a/crates/basilbank_forward/src/reduce/history.rs
+++ b/crates/basilbank_forward/src/reduce/history.rs
@@ -44,7 +44,9 @@
     let until = match request.origin {
         OriginStage::Reading { until } => return ctx.now < until,
         OriginStage::Asked { until, .. } => until + TIMEOUT,
-        OriginStage::New | OriginStage::Settled => ctx.now + origin::ANSWER_TIMEOUT + TIMEOUT,
+        OriginStage::New | OriginStage::Confirming { .. } | OriginStage::Settled => {
+            ctx.now + origin::ANSWER_TIMEOUT + TIMEOUT
+        }
     };
     request.origin = OriginStage::Reading { until };
     ctx.set_timer(id, until);
--- /dev/null
+++ b/crates/basilbank_forward/src/reduce/list_reads.rs
@@ -0,0 +1,56 @@
+//! Confirms for calls that come back that the list of endpoints is current.
+
+use std::time::Duration;
+
+use super::{Context, origin};
+use crate::{
+    effect::Effect,
+    event::UnreadChanges,
+    log_line::LogLine,
+    state::{history::ListChange, list_reads::Confirmation},
+    topic::{Revision, Topic},
+};
+
+/// Reads the changes that aren't known yet, unless such a read is open.
+pub fn begin(ctx: &mut Context<'_>) {
+    let after = ctx.state.list_reads.known_to();
+    if after.is_none() || !ctx.state.list_reads.is_due(ctx.now) {
+        return;
+    }
+    let latest_change = *ctx.state.latest_changes.get(Topic::Endpoints);
+    ctx.state.list_reads.record_sent(latest_change, ctx.now);
+    ctx.push(Effect::ConfirmList { after: after.number, asked_at: ctx.now });
+}
+
+/// Handles the store's answer to a read that was sent at `asked_at`.
+pub fn handle(
+    ctx: &mut Context<'_>,
+    asked_at: Duration,
+    era: Option<u64>,
+    unread: Option<UnreadChanges>,
+) {
+    ctx.state.list_reads.record_end(asked_at);
+    let known_to = ctx.state.list_reads.known_to();
+    let is_same_era = era.is_none_or(|era| era == known_to.era);
+    let is_confirmed = unread.filter(|_| is_same_era).is_some_and(|unread| {
+        record_versions(ctx, &unread.changes);
+        let revision = Revision { era: known_to.era, number: unread.revision };
+        ctx.state.list_reads.confirm(Confirmation { asked_at, revision })
+    });
+    if !is_confirmed {
+        ctx.log(LogLine::new("list_unconfirmed").with("after", known_to));
+    }
+    origin::conclude_confirming(ctx, asked_at);
+}
+
+/// Records the versions that the changes name. The topic's reader will read the changes themselves.
+fn record_versions(ctx: &mut Context<'_>, changes: &[ListChange]) {
+    let were_several = ctx.state.has_several_versions(ctx.now);
+    for info in changes.iter().filter_map(|(_, info)| info.as_ref()) {
+        let version = info.software_version();
+        ctx.state.versions.record_current(&info.service, version, ctx.now);
+    }
+    if !were_several && ctx.state.has_several_versions(ctx.now) {
+        origin::announce_all(ctx);
+    }
+}
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -10,15 +10,19 @@
 
 use basilbank_wire::{LoadGossip, OriginQuery, StreamOrigin};
 
-use super::{Context, finish, history, step};
+use super::{Context, finish, history, list_reads, only_version, step};
 use crate::{
     call::{RequestId, StreamId},
     endpoint::SoftwareVersion,
-    log_line::LogLine,
-    reason::Refusal,
-    route::Route,
-    state::{State, origins::STREAM_LIFETIME, requests::OriginStage, service_hash},
-    topic::Topic,
+    log_line::{LogLine, Measurement},
+    reason::{Refusal, UnknownVersion, VersionSource},
+    state::{
+        State,
+        origins::STREAM_LIFETIME,
+        requests::{OriginStage, PeerVersion},
+        service_hash,
+    },
+    topic::Revision,
 };
 
 /// Number of peers that are told which version began a stream.
@@ -35,16 +39,23 @@
 /// Time that a call waits for answers.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
+/// Time that a call waits for the store alone before it asks peers: a sound store is faster.
+const CONFIRMATION_TIME: Duration = Duration::from_millis(50);
+
+/// Time that a call waits for the store at all. Now and then a sound store takes 200 ms.
+const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum number of streams in one datagram.
 const MAX_PER_DATAGRAM: usize = 64;
 
 /// Returns whether a call may proceed. If it continues a stream whose version isn't known, it waits
-/// for peers' answers or was refused.
+/// for the store's or for peers' answers or was refused.
 pub fn check_origin(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     match request.origin {
         OriginStage::Settled => true,
         OriginStage::New => look_up(ctx, id),
+        OriginStage::Confirming { until } => until <= ctx.now && ask_peers(ctx, id),
         OriginStage::Asked { until, .. } if until <= ctx.now => conclude_unknown(ctx, id),
         OriginStage::Asked { resend_at: Some(at), .. } if at <= ctx.now => {
             resend(ctx, id);
@@ -52,13 +63,14 @@
         }
         OriginStage::Asked { .. } => false,
         OriginStage::Reading { until } => {
-            let is_over = until <= ctx.now || !ctx.state.history.is_open();
+            let is_open = ctx.state.history.is_open() || ctx.state.list_reads.is_open();
+            let is_over = until <= ctx.now || !is_open;
             is_over && conclude_unknown(ctx, id)
         }
     }
 }
 
-/// Finds the version that began the stream, or asks peers for it.
+/// Finds the version that began the stream, or asks the store or peers for it.
 fn look_up(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let (state, now) = (&*ctx.state, ctx.now);
     let Some(request) = state.requests.get(&id) else { return false };
@@ -68,11 +80,30 @@
     };
     let stream = resumption.stream();
     if let Some(version) = stream.and_then(|stream| state.origins.get(stream, now)) {
-        return settle(ctx, id, Some(version));
+        return settle(ctx, id, Some((version, VersionSource::Record)));
+    }
+    let services = || request.route.services();
+    let is_single = state.versions.single(services(), now).is_some();
+    let is_only = state.versions.only(services(), now).is_some();
+    if is_single {
+        list_reads::begin(ctx);
     }
-    if let Some(version) = state.only_version(request.route.services(), now) {
-        return settle(ctx, id, Some(version));
+    if !is_only {
+        return ask_peers(ctx, id);
     }
+    let until = now + CONFIRMATION_TIME;
+    if let Some(request) = ctx.state.requests.get_mut(&id) {
+        request.origin = OriginStage::Confirming { until };
+    }
+    ctx.set_timer(id, until);
+    false
+}
+
+/// Asks peers for the version that began a stream.
+fn ask_peers(ctx: &mut Context<'_>, id: RequestId) -> bool {
+    let (state, now) = (&*ctx.state, ctx.now);
+    let Some(request) = state.requests.get(&id) else { return false };
+    let stream = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
     let Some(stream) = stream else { return conclude_unknown(ctx, id) };
     // A daemon that has just started may not have met its peers yet. In a large fleet the keepers are
     // asked first, to spare bytes.
@@ -107,7 +138,6 @@
     if let OriginStage::Asked { resend_at, .. } = &mut request.origin {
         *resend_at = None;
     }
-    request.inferred.clear();
     let stream = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
     let Some(stream) = stream else { return };
     let peers = ctx.state.peers_by_weight(stream.0, MAX_ASKED);
@@ -119,8 +149,13 @@
 
 /// Lets a call proceed, at endpoints of this version if it continues a stream. The stream goes on at
 /// the service that began it, as long as its route leads there.
-fn settle(ctx: &mut Context<'_>, id: RequestId, version: Option<SoftwareVersion>) -> bool {
+fn settle(
+    ctx: &mut Context<'_>,
+    id: RequestId,
+    known: Option<(SoftwareVersion, VersionSource)>,
+) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
+    let version = known.map(|(version, _)| version);
     let has_version = |service: &&str| {
         let mut endpoints = ctx.state.directory.in_service(service);
         endpoints.any(|(_, endpoint)| Some(endpoint.info.software_version()) == version)
@@ -132,70 +167,107 @@
     if let Some(service) = service {
         request.service = service;
     }
-    if let Some(version) = version {
-        ctx.log_request(id, LogLine::new("stream_pinned").with("software", version));
+    if let Some((version, source)) = known {
+        let line = pinned_line(ctx, version, source);
+        ctx.log_request(id, line);
     }
     true
 }
 
-/// Decides about a call whose stream nobody knows.
-///
-/// A peer that has seen one version for long says so. Where no daemon has run for that long, the list
-/// of endpoints and the store's history may prove that there was only one.
+/// Says at which version a stream goes on and how that is known, with the revision up to which the list
+/// of endpoints is known and how long ago the store confirmed it.
+fn pinned_line(ctx: &Context<'_>, version: SoftwareVersion, source: VersionSource) -> LogLine {
+    let reads = &ctx.state.list_reads;
+    let line = LogLine::new("stream_pinned").with("software", version).with("by", source.as_str());
+    let line = line.with_measurement(Measurement::StreamPinned(source));
+    match reads.confirmed_since(Duration::ZERO) {
+        Some(confirmed) => {
+            let age = ctx.now.saturating_sub(confirmed.asked_at);
+            line.with("revision", confirmed.revision).with_ms("age_ms", age)
+        }
+        None => line.with("revision", reads.known_to()),
+    }
+}
+
+/// Decides about a call whose stream nobody knows: it goes on if only one version can have begun it.
 fn conclude_unknown(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let is_remembered = ctx.state.remembers_versions(ctx.now);
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     if request.inferred.is_empty() && !is_remembered && history::awaits(ctx, id) {
         return false;
     }
-    let Some(request) = ctx.state.requests.get(&id) else { return false };
-    let version = match request.inferred[..] {
-        // The store is too slow to wait for.
-        [] if is_remembered || ctx.state.history.is_open() => None,
-        [] => proven_version(ctx.state, &request.route, ctx.now),
-        [first, ..] => Some(first).filter(|first| request.inferred.iter().all(|v| v == first)),
+    let why = match only_version::prove(ctx.state, id, ctx.now) {
+        Ok(known) => return settle(ctx, id, Some(known)),
+        Err(UnknownVersion::Unconfirmed) if awaits_confirmation(ctx, id) => return false,
+        Err(why) => why,
     };
-    if version.is_some() {
-        return settle(ctx, id, version);
-    }
+    let line = LogLine::new("stream_unknown").with("why", why.as_str());
+    let line = line.with("revision", ctx.state.list_reads.known_to());
+    ctx.log_request(id, line.with_measurement(Measurement::StreamUnknown(why)));
     finish::give_up(ctx, id, Refusal::StreamUnknown);
     false
 }
 
-/// Lets calls go on that wait for the store's answers.
+/// Returns whether a call waits for the store to confirm that the list of endpoints is current.
+fn awaits_confirmation(ctx: &mut Context<'_>, id: RequestId) -> bool {
+    if !ctx.state.list_reads.is_open() {
+        return false;
+    }
+    let Some(request) = ctx.state.requests.get_mut(&id) else { return false };
+    let until = request.arrived + MAX_CONFIRMATION_TIME;
+    if until <= ctx.now {
+        return false;
+    }
+    request.origin = OriginStage::Reading { until };
+    ctx.set_timer(id, until);
+    true
+}
+
+/// Lets calls go on that wait for the store's history.
 pub fn conclude_reading(ctx: &mut Context<'_>) {
-    let waits = |id: &RequestId| {
-        let request = ctx.state.requests.get(id);
-        request.is_some_and(|request| matches!(request.origin, OriginStage::Reading { .. }))
-    };
-    let mut waiting: Vec<_> = ctx.state.requests.keys().copied().filter(waits).collect();
-    waiting.sort_unstable();
-    for id in waiting {
+    for id in waiting(ctx, |origin| matches!(origin, OriginStage::Reading { .. })) {
         if conclude_unknown(ctx, id) {
             step::proceed(ctx, id);
         }
     }
 }
 
-/// Returns the version of all endpoints of a route, if it is proven that there was no other one since
-/// a stream may have begun that is taken up now: none of them started since, no former version is
-/// known, and no endpoint was removed that nothing tells of.
-fn proven_version(state: &State, route: &Route, now: Duration) -> Option<SoftwareVersion> {
-    let oldest = state.unix_ms(now).saturating_sub(STREAM_LIFETIME.as_millis() as u64);
-    let mut endpoints = route.services().flat_map(|service| state.directory.in_service(service));
-    let is_old = |start: Option<u64>| start.is_none_or(|start| start < oldest);
-    let are_old = endpoints.all(|(_, endpoint)| is_old(endpoint.info.start_time));
-    let are_known = are_old && !state.versions.has_unknown(now) && is_list_complete(state, oldest);
-    state.versions.single(route.services(), now).filter(|_| are_known)
+/// Lets calls go on after a read of the list that was sent at `asked_at`, and reads again for those that
+/// came later.
+pub fn conclude_confirming(ctx: &mut Context<'_>, asked_at: Duration) {
+    let waits = |origin: &OriginStage| !matches!(origin, OriginStage::New | OriginStage::Settled);
+    for id in waiting(ctx, waits) {
+        if conclude_confirmation(ctx, id, asked_at) {
+            step::proceed(ctx, id);
+        }
+    }
+}
+
+/// Returns whether a call may proceed after a read of the list.
+fn conclude_confirmation(ctx: &mut Context<'_>, id: RequestId, asked_at: Duration) -> bool {
+    let Some(request) = ctx.state.requests.get(&id) else { return false };
+    let (origin, arrived) = (request.origin, request.arrived);
+    match only_version::prove(ctx.state, id, ctx.now) {
+        Ok(known) if known.1 != VersionSource::History => return settle(ctx, id, Some(known)),
+        Err(UnknownVersion::Unconfirmed) if asked_at < arrived => {
+            list_reads::begin(ctx);
+            return false;
+        }
+        _ => {}
+    }
+    match origin {
+        OriginStage::Confirming { .. } => ask_peers(ctx, id),
+        OriginStage::Reading { .. } => conclude_unknown(ctx, id),
+        OriginStage::New | OriginStage::Asked { .. } | OriginStage::Settled => false,
+    }
 }
 
-/// Returns whether this daemon knows of all endpoints that have been removed since `oldest`, in
-/// milliseconds since the Unix epoch.
-fn is_list_complete(state: &State, oldest: u64) -> bool {
-    let Some(first) = &state.first_list else { return false };
-    let is_same_era = first.era() == state.directory.revision.era;
-    let configuration = state.routes.revisions;
-    is_same_era && first.is_complete(oldest, state.history.known_after(), configuration)
+/// Returns the calls in some stage, in their order.
+fn waiting(ctx: &Context<'_>, is_in: impl Fn(&OriginStage) -> bool) -> Vec<RequestId> {
+    let requests = ctx.state.requests.iter().filter(|(_, request)| is_in(&request.origin));
+    let mut waiting: Vec<_> = requests.map(|(id, _)| *id).collect();
+    waiting.sort_unstable();
+    waiting
 }
 
 /// Pins a stream whose first event has come to its endpoint's version, and tells peers of it if it
@@ -263,7 +335,7 @@
 }
 
 fn to_wire(stream: StreamId, version: SoftwareVersion) -> StreamOrigin {
-    StreamOrigin { stream: stream.0, version: version.to_wire(), only: 0 }
+    StreamOrigin { stream: stream.0, version: version.to_wire(), ..StreamOrigin::default() }
 }
 
 /// Handles a peer's announcements, questions and answers.
@@ -290,15 +362,16 @@
         Some(_) => None,
         None => state.only_version(state.versions.service(query.service), now),
     };
-    StreamOrigin {
-        stream: query.stream,
-        version: version.map_or(0, SoftwareVersion::to_wire),
-        only: only.map_or(0, SoftwareVersion::to_wire),
-    }
+    let Some(only) = only else {
+        let version = version.map_or(0, SoftwareVersion::to_wire);
+        return StreamOrigin { stream: query.stream, version, ..StreamOrigin::default() };
+    };
+    let Revision { era, number } = state.list_reads.known_to();
+    StreamOrigin { stream: query.stream, version: 0, only: only.to_wire(), known_to: number, era }
 }
 
-/// Settles calls that wait for an answer: with the version that it names, or, if it is the last one, by
-/// what all have inferred.
+/// Settles calls that wait for an answer: with the version that it names, or, if it completes a proof,
+/// with the only version.
 fn handle_answer(ctx: &mut Context<'_>, from: SocketAddr, answer: StreamOrigin) {
     let stream = StreamId(answer.stream);
     let waits = |id: &RequestId| {
@@ -314,10 +387,17 @@
     for id in waiting {
         let Some(request) = ctx.state.requests.get_mut(&id) else { continue };
         request.asked_peers.retain(|peer| *peer != from);
-        request.inferred.extend(SoftwareVersion::from_wire(answer.only));
+        request.inferred.retain(|known| known.peer != from);
+        request.inferred.extend(SoftwareVersion::from_wire(answer.only).map(|version| {
+            let known_to = Revision { era: answer.era, number: answer.known_to };
+            PeerVersion { peer: from, version, known_to }
+        }));
         let may_proceed = match SoftwareVersion::from_wire(answer.version) {
-            Some(version) => settle(ctx, id, Some(version)),
-            None => ctx.state.has_all_answers(id) && conclude_unknown(ctx, id),
+            Some(version) => settle(ctx, id, Some((version, VersionSource::PeerRecord))),
+            None => match only_version::prove(ctx.state, id, ctx.now) {
+                Ok(known) if known.1 != VersionSource::History => settle(ctx, id, Some(known)),
+                _ => ctx.state.has_all_answers(id) && conclude_unknown(ctx, id),
+            },
         };
         if may_proceed {
             step::proceed(ctx, id);
@@ -326,21 +406,6 @@
 }
 
 impl State {
-    /// Returns the only version that endpoints of these services have had for as long as a stream may
-    /// last, as far as this daemon can tell: with an outdated list it can't.
-    fn only_version<'a>(
-        &self,
-        services: impl IntoIterator<Item = &'a str>,
-        now: Duration,
-    ) -> Option<SoftwareVersion> {
-        let is_cut_off = self.directory.store_lost
-            && (self.peers.known.is_empty() || self.peers.is_isolated(now));
-        if is_cut_off || self.is_stale(Topic::Endpoints) {
-            return None;
-        }
-        self.versions.only(services.into_iter(), now)
-    }
-
     /// Returns whether all peers that were asked have answered, and none was left out for not being
     /// known yet.
     fn has_all_answers(&self, id: RequestId) -> bool {
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -167,7 +167,7 @@
         return give_up(ctx, id, Refusal::WaitTimedOut);
     }
     let awaits_answer = matches!(request.quota, QuotaStage::Asked { .. })
-        || matches!(request.origin, OriginStage::Asked { .. } | OriginStage::Reading { .. });
+        || !matches!(request.origin, OriginStage::New | OriginStage::Settled);
     if awaits_answer || ctx.state.permit_holder.waiting.contains(&id) {
         return proceed(ctx, id);
     }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -17,6 +17,7 @@
 pub mod generation;
 pub mod held_back;
 pub mod history;
+pub mod list_reads;
 pub mod local;
 pub mod origins;
 pub mod owned_quotas;
@@ -63,6 +64,7 @@
     freshness::Freshness,
     generation::GenerationStats,
     history::History,
+    list_reads::ListReads,
     local::{Leaving, Local, SystemStart},
     origins::Origins,
     owned_quotas::OwnedQuotas,
@@ -160,6 +162,8 @@
     pub versions: Versions,
     /// What the store has said of the time before this daemon's start.
     pub history: History,
+    /// How current the list of endpoints is known to be.
+    pub list_reads: ListReads,
     /// The first list of endpoints, for as long as a stream may last.
     pub first_list: Option<FirstList>,
     /// Calls that are not sent to endpoints.
@@ -237,6 +241,7 @@
             origins: Origins::default(),
             versions: Versions::default(),
             history: History::default(),
+            list_reads: ListReads::default(),
             first_list: None,
             quarantine: Quarantine::default(),
             freshness: Freshness::default(),
--- a/crates/basilbank_forward/src/state/first_list.rs
+++ b/crates/basilbank_forward/src/state/first_list.rs
@@ -71,10 +71,10 @@
         written.len() as u64 == end.saturating_sub(begin)
     }
 
-    /// Returns the era of the store in which the list was read.
+    /// Returns the store's revision at which the list was read.
     #[must_use]
-    pub fn era(&self) -> u64 {
-        self.revision.era
+    pub fn revision(&self) -> Revision {
+        self.revision
     }
 }
 
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -10,6 +10,7 @@
     reason::Refusal,
     route::Route,
     team::{QuotaUnit, Team},
+    topic::Revision,
 };
 
 /// Time that callers wait for a stream's first event, as a multiple of the route's target time.
@@ -63,8 +64,8 @@
     pub origin: OriginStage,
     /// Peers that were asked for that version and have not answered.
     pub asked_peers: Vec<SocketAddr>,
-    /// Versions that peers take for the only ones that can have begun the stream.
-    pub inferred: Vec<SoftwareVersion>,
+    /// What peers that don't know that version take for the only one.
+    pub inferred: Vec<PeerVersion>,
     /// The version of the endpoints' software at which its stream must go on; `None` while any will
     /// do.
     pub pinned: Option<SoftwareVersion>,
@@ -92,12 +93,28 @@
     pub timers: Vec<Duration>,
 }
 
+/// The only version of a service that a peer has known for as long as a stream may last.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PeerVersion {
+    /// The peer.
+    pub peer: SocketAddr,
+    /// The version.
+    pub version: SoftwareVersion,
+    /// The revision up to which the peer knows the list of endpoints; none if it didn't say.
+    pub known_to: Revision,
+}
+
 /// Whether the version that began a continued stream is known.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
 pub enum OriginStage {
     /// Nothing was looked up.
     #[default]
     New,
+    /// The store is asked whether the list of endpoints, which names one version, is current.
+    Confirming {
+        /// When peers are asked.
+        until: Duration,
+    },
     /// Peers were asked.
     Asked {
         /// Until when answers are awaited.
@@ -105,7 +122,7 @@
         /// When the question is sent again, once.
         resend_at: Option<Duration>,
     },
-    /// No peer knows it; the store is asked which versions have served.
+    /// No peer knows it; the store is asked which versions serve or have served.
     Reading {
         /// Until when the store's answers are awaited.
         until: Duration,
--- a/crates/basilbank_forward/src/state/versions.rs
+++ b/crates/basilbank_forward/src/state/versions.rs
@@ -110,6 +110,15 @@
         versions.entry(version).or_insert(Presence::GoneSince(now));
     }
 
+    /// Records a version that the store has listed a moment ago, whether the directory has it or not.
+    pub fn record_current(&mut self, service: &str, version: SoftwareVersion, now: Duration) {
+        let versions = self.services.entry(service.to_owned()).or_default();
+        let presence = versions.entry(version).or_insert(Presence::GoneSince(now));
+        if *presence != Presence::Listed {
+            *presence = Presence::GoneSince(now);
+        }
+    }
+
     /// Records that an endpoint of an unknown version went before this daemon started.
     pub fn record_unknown(&mut self, now: Duration) {
         self.unknown_since = Some(now);
--- a/crates/basilbank_forward/tests/forward/fleet/mod.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/mod.rs
@@ -99,6 +99,8 @@
     told: Told,
     /// Reads of the list's history.
     pub reads: usize,
+    /// Reads that confirm the list.
+    pub confirmations: usize,
     pub rng: Rng,
 }
 
@@ -124,6 +126,7 @@
             lateness: vec![Duration::ZERO; count],
             told: Told::default(),
             reads: 0,
+            confirmations: 0,
             rng: Rng::new(seed),
         };
         for n in 0..count {
@@ -339,6 +342,17 @@
                     let answer = self.changes_after(after);
                     self.feed_later(daemon, STORE, Event::HistoryRead { era: None, answer });
                 }
+                Effect::ConfirmList { after, asked_at } => {
+                    self.confirmations += 1;
+                    let unread = match self.changes_after(after) {
+                        HistoryAnswer::Changes(changes) => {
+                            Some(UnreadChanges { revision: self.revision, changes })
+                        }
+                        HistoryAnswer::Gone | HistoryAnswer::Failed => None,
+                    };
+                    let event = Event::ListConfirmed { asked_at, era: None, unread };
+                    self.feed_later(daemon, STORE, event);
+                }
                 effect => {
                     let effect = Box::new(effect);
                     self.asked.push_back(Step::Asks { daemon, effect });
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -6,7 +6,9 @@
     time::{Duration, SystemTime},
 };
 
-use basilbank_forward::{prelude::*, rank::DEFAULT_PRIORITY, route::EngineInfo};
+use basilbank_forward::{
+    prelude::*, rank::DEFAULT_PRIORITY, route::EngineInfo, state::history::ListChange,
+};
 use basilbank_wire::LoadGossip;
 
 /// The plain service of the tests.
@@ -20,6 +22,8 @@
     pub effects: Vec<Effect>,
     /// What the store still has of the list's changes; without it the store doesn't answer.
     pub history: Option<HistoryAnswer>,
+    /// The list's changes after what this daemon has read; without them the store doesn't answer.
+    pub unread: Option<Vec<ListChange>>,
     /// The revision before which the store has dropped its changes.
     pub forgotten: u64,
     now: Duration,
@@ -56,8 +60,17 @@
         let frozen = Duration::ZERO;
         let history = Some(HistoryAnswer::Changes(Vec::new()));
         let effects = Vec::new();
-        let mut rig =
-            Rig { state, effects, history, forgotten: 0, now, frozen, revision: 10, next: 0 };
+        let mut rig = Rig {
+            state,
+            effects,
+            history,
+            unread: Some(Vec::new()),
+            forgotten: 0,
+            now,
+            frozen,
+            revision: 10,
+            next: 0,
+        };
         rig.configure(table(1));
         rig
     }
@@ -83,6 +96,7 @@
         let wall = SystemTime::UNIX_EPOCH + self.now + self.frozen;
         let now = Now { mono: self.now, wall };
         reduce(&mut self.state, now, event, &mut self.effects);
+        self.confirm_list(now);
         self.read_history(now);
     }
 
@@ -101,6 +115,23 @@
         }
     }
 
+    /// The store answers reads of the list's new changes at once.
+    fn confirm_list(&mut self, now: Now) {
+        let read = |effect: &Effect| match effect {
+            Effect::ConfirmList { after, asked_at } => Some((*after, *asked_at)),
+            _ => None,
+        };
+        while let Some(changes) = self.unread.clone()
+            && let Some(at) = self.effects.iter().position(|effect| read(effect).is_some())
+        {
+            let (after, asked_at) = read(&self.effects.remove(at)).expect("a read");
+            let revision = self.revision.max(after);
+            let unread = Some(UnreadChanges { revision, changes });
+            let event = Event::ListConfirmed { asked_at, era: None, unread };
+            reduce(&mut self.state, now, event, &mut self.effects);
+        }
+    }
+
     /// Lets time pass, with ticks when they are due.
     pub fn pass(&mut self, time: Duration) {
         let end = self.now + time;
--- a/crates/basilbank_forward/tests/forward/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/versions/mod.rs
@@ -1,5 +1,6 @@
 //! Streams that go on, at endpoints of several versions of their software.
 
+mod cut_off;
 mod history;
 mod old_views;
 mod one_answer;
@@ -24,6 +25,8 @@
     rigs: Vec<Rig>,
     /// Daemons that neither hear nor are heard.
     cut: Vec<usize>,
+    /// Daemons that hear each other, and none of the rest.
+    apart: Vec<usize>,
     listed: Vec<EndpointInfo>,
 }
 
@@ -58,7 +61,7 @@
     fn new(daemons: usize, listed: Vec<EndpointInfo>) -> Net {
         let seeds = |n: usize| if n == 0 { vec![] } else { vec![address(0)] };
         let rigs = (0..daemons).map(|n| Rig::as_daemon(address(n), seeds(n))).collect();
-        let mut net = Net { rigs, cut: Vec::new(), listed: Vec::new() };
+        let mut net = Net { rigs, cut: Vec::new(), apart: Vec::new(), listed: Vec::new() };
         net.list(listed);
         net.pass(LONG);
         net
@@ -94,7 +97,8 @@
             }
             for (from, to, gossip) in sent {
                 for (n, rig) in self.rigs.iter_mut().enumerate() {
-                    let is_cut = self.cut.contains(&n) || self.cut.contains(&from);
+                    let is_apart = self.apart.contains(&n) != self.apart.contains(&from);
+                    let is_cut = is_apart || self.cut.contains(&n) || self.cut.contains(&from);
                     if to.contains(&address(n)) && !is_cut {
                         rig.feed(Event::Gossip { from: address(from), gossip: gossip.clone() });
                     }
@@ -172,13 +176,21 @@
         n: usize,
         trace_id: &str,
         began_as: &str,
+    ) -> (Vec<Attempt>, Vec<Refusal>) {
+        self.take_up_within(AT_ONCE, n, trace_id, began_as)
+    }
+
+    fn take_up_within(
+        &mut self,
+        time: Duration,
+        n: usize,
+        trace_id: &str,
+        began_as: &str,
     ) -> (Vec<Attempt>, Vec<Refusal>) {
         let id = self.rigs[n].resume("/draft/1", trace_id, began_as);
         let mut attempts = self.run(n, id);
         let mut waited = Duration::ZERO;
-        while attempts.is_empty()
-            && waited < AT_ONCE
-            && self.rigs[n].state.requests.contains_key(&id)
+        while attempts.is_empty() && waited < time && self.rigs[n].state.requests.contains_key(&id)
         {
             self.pass(Duration::from_millis(10));
             waited += Duration::from_millis(10);
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -142,6 +142,8 @@
     pauses: Counter,
     forecast_error: Histogram,
     returned: Family<ReasonLabel, Counter>,
+    streams_pinned: Family<ReasonLabel, Counter>,
+    streams_unknown: Family<ReasonLabel, Counter>,
 }
 
 impl Default for Metrics {
@@ -197,6 +199,8 @@
             pauses: Counter::default(),
             forecast_error: Histogram::new(LATENCY_BOUNDS_S),
             returned: Family::default(),
+            streams_pinned: Family::default(),
+            streams_unknown: Family::default(),
             registry: Registry::default(),
             sent_bytes: SentBytes::default(),
         };
@@ -269,6 +273,10 @@
         registry.register("forecast_error_seconds", help, metrics.forecast_error.clone());
         let help = "Calls that returned as they were told, by what became of them";
         registry.register("returned", help, metrics.returned.clone());
+        let help = "Streams taken up at their version, by how it is known";
+        registry.register("streams_pinned", help, metrics.streams_pinned.clone());
+        let help = "Streams that can't be taken up, by why their version isn't known";
+        registry.register("streams_unknown", help, metrics.streams_unknown.clone());
         let unusable_records = metrics.unusable_records.clone();
         registry.register(
             "unusable_entries",
--- a/crates/basilbank_gateway/src/metrics/record.rs
+++ b/crates/basilbank_gateway/src/metrics/record.rs
@@ -280,6 +280,8 @@
                 self.forecast_error.observe(error.as_secs_f64());
             }
             Measurement::Returned(outcome) => count(&self.returned, outcome),
+            Measurement::StreamPinned(source) => count(&self.streams_pinned, source.as_str()),
+            Measurement::StreamUnknown(why) => count(&self.streams_unknown, why.as_str()),
             Measurement::Retry(retry) => count(&self.retried, retry.as_str()),
         }
     }
--- a/crates/basilbank_gateway/src/router.rs
+++ b/crates/basilbank_gateway/src/router.rs
@@ -28,7 +28,7 @@
     metrics::Metrics,
     progress::Progress,
     proxy_client::ProxyClient,
-    source::{ReadError, Source},
+    source::{ReadError, Reading, Source},
 };
 
 /// Maximum sleep of the timer.
@@ -279,6 +279,7 @@
             Effect::Probe(target) => self.probe(target),
             Effect::Order { target, stage, fence } => self.send_order(target, stage, fence),
             Effect::ReadHistory { after } => self.read_history(after),
+            Effect::ConfirmList { after, asked_at } => self.confirm_list(after, asked_at),
             Effect::SendGossip { to, gossip } => {
                 if let Some(socket) = self.socket.get() {
                     gossip::send(self, socket, &to, &gossip);
@@ -313,35 +314,58 @@
         });
     }
 
-    /// Reads the changes of the list of endpoints after a revision, apart from the topic's reader.
+    /// Reads the changes of the list of endpoints after a revision for the search of old ones.
     fn read_history(self: &Rc<Self>, after: u64) {
         let router = Rc::clone(self);
         spawn_local(async move {
-            let Some(source) = router.history_source.get() else {
-                let answer = HistoryAnswer::Failed;
-                return router.dispatch(Event::HistoryRead { era: None, answer });
+            let (era, read) = router.read_changes(after, ReadReason::History).await;
+            let answer = match read {
+                Ok(reading) => HistoryAnswer::Changes(reading.into_list_changes()),
+                Err(ReadError::HistoryGone) => HistoryAnswer::Gone,
+                Err(_) => HistoryAnswer::Failed,
             };
-            router.metrics.count_store_read(Topic::Endpoints, ReadReason::History);
-            let progress = Progress::default();
-            let query = Query {
-                scope: Scope::Changes { after, wait: Duration::ZERO },
-                reason: ReadReason::History,
-                connect_timeout: HISTORY_TIMEOUT,
-                max_bytes: MAX_HISTORY_BYTES,
-            };
-            let read = timeout(HISTORY_TIMEOUT, source(query, progress.clone())).await;
-            router.count_store_request(&progress);
-            let (name, answer) = match read {
-                Ok(Ok(reading)) => ("read", HistoryAnswer::Changes(reading.into_list_changes())),
-                Ok(Err(ReadError::HistoryGone)) => ("history_gone", HistoryAnswer::Gone),
-                Ok(Err(error)) => (error.as_str(), HistoryAnswer::Failed),
-                Err(_) => ("failed", HistoryAnswer::Failed),
-            };
-            router.metrics.count_store_call(name);
-            router.dispatch(Event::HistoryRead { era: progress.era(), answer });
+            router.dispatch(Event::HistoryRead { era, answer });
         });
     }
 
+    /// Reads the changes of the list of endpoints that aren't known yet.
+    fn confirm_list(self: &Rc<Self>, after: u64, asked_at: Duration) {
+        let router = Rc::clone(self);
+        spawn_local(async move {
+            let (era, read) = router.read_changes(after, ReadReason::Confirmation).await;
+            let unread = read.ok().map(|reading| UnreadChanges {
+                revision: reading.revisions.store.number,
+                changes: reading.into_list_changes(),
+            });
+            router.dispatch(Event::ListConfirmed { asked_at, era, unread });
+        });
+    }
+
+    /// Reads the changes of the list of endpoints after a revision, apart from the topic's reader. Returns
+    /// the store's era, if the answer states it, and the changes.
+    async fn read_changes(
+        &self,
+        after: u64,
+        reason: ReadReason,
+    ) -> (Option<u64>, Result<Reading, ReadError>) {
+        let Some(source) = self.history_source.get() else {
+            return (None, Err(ReadError::Failed("no store".to_owned())));
+        };
+        self.metrics.count_store_read(Topic::Endpoints, reason);
+        let progress = Progress::default();
+        let query = Query {
+            scope: Scope::Changes { after, wait: Duration::ZERO },
+            reason,
+            connect_timeout: HISTORY_TIMEOUT,
+            max_bytes: MAX_HISTORY_BYTES,
+        };
+        let read = timeout(HISTORY_TIMEOUT, source(query, progress.clone())).await;
+        self.count_store_request(&progress);
+        let read = read.unwrap_or_else(|_| Err(ReadError::Failed("timeout".to_owned())));
+        self.metrics.count_store_call(read.as_ref().map_or_else(ReadError::as_str, |_| "read"));
+        (progress.era(), read)
+    }
+
     fn probe(self: &Rc<Self>, target: Target) {
         let router = Rc::clone(self);
         spawn_local(async move {
--- a/crates/basilbank_wire/src/direct.rs
+++ b/crates/basilbank_wire/src/direct.rs
@@ -111,6 +111,13 @@
     /// had no other for as long as a stream may last, as far as the sender knows.
     #[prost(fixed32, tag = "3")]
     pub only: u32,
+    /// The revision up to which the sender knows the list of endpoints, beside `only`; 0 if it doesn't
+    /// say.
+    #[prost(uint64, tag = "4")]
+    pub known_to: u64,
+    /// The store's era of `known_to`.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// Asks which version began a stream.
