A gap in the list's changes is bridged by proof, or the versions are unknown

Callers saw (by the reducer's tests): beside one version that a daemon had known for long, a stream that nobody remembered went on at that version, although an endpoint of another one may have come and gone while the daemon's reads were answered 410.

Cause: when the store has dropped the changes since the daemon's last read, its answer is too long or its address changes, the whole list is read anew. `Versions` kept claiming that it had known all versions all the while.

Now such a list has to account for each revision since the last read: by the last change of a listed record, or by the configuration. An earlier change of a record doesn't count, since its endpoint may have started again in between. Then nothing changes, and streams go on at once. Else the daemon is as one that has just started, except that it knows all until the gap: for as long as a stream may last it infers a version only where the list and the store's history prove it (state/first_list.rs from the gap on), tells keepers of streams that begin, and once of those that it has begun before. Since a store drops changes for all daemons at once, a peer's age proves nothing then.

Each gap is logged: list_gap after=REVISION until=REVISION proven=BOOL.

--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -8,7 +8,10 @@
     endpoint::{EndpointInfo, EndpointKey},
     log_line::LogLine,
     route::RouteTable,
-    state::{crashes::CrashEvidence, first_list::FirstList},
+    state::{
+        State, crashes::CrashEvidence, first_list::FirstList, history::History,
+        origins::STREAM_LIFETIME,
+    },
     topic::{Revision, Revisions, Topic},
 };
 
@@ -75,9 +78,12 @@
             revisions.latest_change.with_era(revisions.store.era),
         );
     }
+    let heartbeat = ctx.state.tuning.endpoint_heartbeat;
+    let whole = FirstList::new(revisions.store, &list, heartbeat);
     if previous.is_none() {
-        let heartbeat = ctx.state.tuning.endpoint_heartbeat;
-        ctx.state.first_list = Some(FirstList::new(revisions.store, &list, heartbeat));
+        ctx.state.first_list = Some(whole);
+    } else if !era_changed {
+        bridge_gap(ctx, previous, whole);
     }
     let listed_now: HashSet<_> = list.iter().map(|info| info.instance.as_str()).collect();
     let missing: Vec<_> = ctx
@@ -102,6 +108,29 @@
     complete_read(ctx, revisions);
 }
 
+/// Checks what may have come and gone since the last read of the list, as the changes since then
+/// can't be read.
+fn bridge_gap(ctx: &mut Context<'_>, previous: Revision, whole: FirstList) {
+    let State { versions, directory, routes, first_list, history, .. } = &mut *ctx.state;
+    let was_known = versions.are_known_for(STREAM_LIFETIME, ctx.now);
+    let until = whole.revision();
+    let whole = whole.with_known_until(previous.number);
+    let is_proven = whole.accounts_for_gap(routes.revisions);
+    if !is_proven {
+        // What was unknown before the gap still is.
+        let former = first_list.take().map(|first| first.known_until());
+        let known_until = if was_known { Some(previous.number) } else { former };
+        *first_list = known_until.map(|known_until| whole.with_known_until(known_until));
+        *history = History::default();
+        versions.record_gap(directory, ctx.now);
+    }
+    let line = LogLine::new("list_gap")
+        .with("after", previous)
+        .with("until", until)
+        .with("proven", is_proven);
+    ctx.log(line);
+}
+
 /// Applies changes of the list of endpoints.
 pub fn apply_changes(
     ctx: &mut Context<'_>,
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -193,7 +193,7 @@
 /// milliseconds since the Unix epoch.
 fn is_list_complete(state: &State, oldest: u64) -> bool {
     let Some(first) = &state.first_list else { return false };
-    let is_same_era = first.era() == state.directory.revision.era;
+    let is_same_era = first.revision().era == state.directory.revision.era;
     let configuration = state.routes.revisions;
     is_same_era && first.is_complete(oldest, state.history.known_after(), configuration)
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -158,9 +158,10 @@
     pub origins: Origins,
     /// The versions of endpoints' software.
     pub versions: Versions,
-    /// What the store has said of the time before this daemon's start.
+    /// What the store has said of the time before this daemon's first list.
     pub history: History,
-    /// The first list of endpoints, for as long as a stream may last.
+    /// The first list of endpoints, or the first one after changes that are unknown, for as long as a
+    /// stream may last.
     pub first_list: Option<FirstList>,
     /// Calls that are not sent to endpoints.
     pub quarantine: Quarantine,
@@ -297,12 +298,15 @@
     }
 
     /// Returns whether this daemon, or a peer that it knows, has known the versions of endpoints for as
-    /// long as a stream may last.
+    /// long as a stream may last. What one daemon couldn't read of the store's changes, as they were
+    /// dropped, its peers may have missed as well.
     pub(crate) fn remembers_versions(&self, now: Duration) -> bool {
         let lifetime = origins::STREAM_LIFETIME;
         let oldest = self.unix_ms(now).saturating_sub(lifetime.as_millis() as u64);
         let is_old = |peer: &Peer| peer.incarnation <= oldest;
-        self.versions.are_known_for(lifetime, now) || self.peers.known.values().any(is_old)
+        let has_gap = self.first_list.as_ref().is_some_and(|first| first.known_until() != 0);
+        let is_known_to_peer = !has_gap && self.peers.known.values().any(is_old);
+        self.versions.are_known_for(lifetime, now) || is_known_to_peer
     }
 
     /// Returns the time of day in milliseconds since the Unix epoch, as the clock showed it when this
--- a/crates/basilbank_forward/src/state/first_list.rs
+++ b/crates/basilbank_forward/src/state/first_list.rs
@@ -1,4 +1,5 @@
-//! What the list of endpoints itself proves about the time before it was read.
+//! What the list of endpoints itself proves about the time before it was read: before this daemon
+//! started, or while it couldn't read all changes.
 //!
 //! Each change in the store has a revision of its own, and an endpoint that was removed has no record
 //! any more. So if each revision since some moment is one at which a listed record or the
@@ -17,11 +18,14 @@
 /// Time for which heartbeats may have failed, so that an endpoint has counted too few.
 const MAX_HEARTBEAT_OUTAGE: Duration = Duration::from_secs(10);
 
-/// The first list of endpoints that this daemon read.
+/// The first list of endpoints that this daemon read, or the first one after changes that it couldn't
+/// read.
 #[derive(Debug)]
 pub struct FirstList {
     /// The store's revision at which it was read.
     revision: Revision,
+    /// The number of the revision up to which this daemon knows all changes; 0 for none.
+    known_until: u64,
     records: Vec<Record>,
 }
 
@@ -41,7 +45,30 @@
             revisions: info.revisions,
             changed_by: changed_by(info, heartbeat),
         };
-        FirstList { revision, records: list.iter().map(record).collect() }
+        FirstList { revision, known_until: 0, records: list.iter().map(record).collect() }
+    }
+
+    /// Sets the revision up to which this daemon knows all changes, in the same era.
+    #[must_use]
+    pub fn with_known_until(self, known_until: u64) -> FirstList {
+        FirstList { known_until, ..self }
+    }
+
+    /// Returns the number of the revision up to which this daemon knows all changes; 0 for none.
+    #[must_use]
+    pub fn known_until(&self) -> u64 {
+        self.known_until
+    }
+
+    /// Returns whether no version can have come and gone since the changes that this daemon knows:
+    /// each revision is that of a record's last change or of the configuration.
+    ///
+    /// An earlier change of a record says nothing: its endpoint may have started again since.
+    #[must_use]
+    pub fn accounts_for_gap(&self, configuration: ItemRevisions) -> bool {
+        let changed = self.records.iter().map(|record| record.revisions.changed);
+        let written = changed.chain([configuration.created, configuration.changed]);
+        FirstList::accounts_for(written, self.known_until, self.revision.number)
     }
 
     /// Returns whether no endpoint was removed between `oldest`, in milliseconds since the Unix epoch,
@@ -60,21 +87,25 @@
         let end = known_after.map_or(self.revision.number, |r| r.number.min(self.revision.number));
         let is_old = |record: &&Record| record.changed_by.is_some_and(|at| at <= oldest);
         let old = self.records.iter().filter(is_old).map(|record| record.revisions.changed);
-        let begin = old.chain([configuration.created]).max().unwrap_or_default();
+        let begin = old.chain([configuration.created, self.known_until]).max().unwrap_or_default();
         let items = self.records.iter().map(|record| record.revisions).chain([configuration]);
-        let mut written: Vec<_> = items
-            .flat_map(|item| [item.created, item.changed])
-            .filter(|revision| begin < *revision && *revision <= end)
-            .collect();
+        let written = items.flat_map(|item| [item.created, item.changed]);
+        FirstList::accounts_for(written, begin, end)
+    }
+
+    /// Returns whether each revision after `begin` up to `end` is among these.
+    fn accounts_for(written: impl Iterator<Item = u64>, begin: u64, end: u64) -> bool {
+        let mut written: Vec<_> =
+            written.filter(|revision| begin < *revision && *revision <= end).collect();
         written.sort_unstable();
         written.dedup();
         written.len() as u64 == end.saturating_sub(begin)
     }
 
-    /// Returns the era of the store in which the list was read.
+    /// Returns the store's revision at which the list was read.
     #[must_use]
-    pub fn era(&self) -> u64 {
-        self.revision.era
+    pub fn revision(&self) -> Revision {
+        self.revision
     }
 }
 
--- a/crates/basilbank_forward/src/state/versions.rs
+++ b/crates/basilbank_forward/src/state/versions.rs
@@ -12,10 +12,10 @@
 #[derive(Debug, Default)]
 pub struct Versions {
     services: HashMap<String, BTreeMap<SoftwareVersion, Presence>>,
-    /// When the list of endpoints was first read. Zero if there were no streams before; `None` before it
-    /// was read.
+    /// When the list of endpoints was first read, or read anew after changes that are unknown. Zero if
+    /// there were no streams before; `None` before it was read.
     known_since: Option<Duration>,
-    /// Instances that were listed since this daemon started, for as long as a stream may last.
+    /// Instances that were listed since then or just before, for as long as a stream may last.
     seen: HashSet<String>,
     /// When it was found that an endpoint of an unknown version had gone before this daemon started.
     unknown_since: Option<Duration>,
@@ -138,6 +138,14 @@
         }
     }
 
+    /// Records that endpoints of unknown versions may have come and gone until now. Streams that this
+    /// daemon has begun are told to others, which can't infer their versions either.
+    pub fn record_gap(&mut self, directory: &Directory, now: Duration) {
+        self.known_since = Some(now);
+        self.seen.extend(directory.listed().map(|(_, endpoint)| endpoint.info.instance.clone()));
+        self.has_more = true;
+    }
+
     /// Records that an endpoint of an unknown version went before this daemon started.
     pub fn record_unknown(&mut self, now: Duration) {
         self.unknown_since = Some(now);
