A restored store's list proves nothing of the changes that the store has lost

Callers saw (by the reducer's test): after the store came back from a copy of itself, a stream that nobody remembered went on at the one version that the daemon had listed, although a version that only the lost changes named may have begun it.

Cause: the same as of a gap in the list's changes. What the store has taken between this daemon's last read and its loss is in no list, and revisions are given out twice.

Evidence: without this, the test's first take-up goes on.

--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -82,7 +82,7 @@
     let whole = FirstList::new(revisions.store, &list, heartbeat);
     if previous.is_none() {
         ctx.state.first_list = Some(whole);
-    } else if !era_changed {
+    } else {
         bridge_gap(ctx, previous, whole);
     }
     let listed_now: HashSet<_> = list.iter().map(|info| info.instance.as_str()).collect();
@@ -109,17 +109,19 @@
 }
 
 /// Checks what may have come and gone since the last read of the list, as the changes since then
-/// can't be read.
+/// can't be read. Of the changes that a restored store has lost there is no proof.
 fn bridge_gap(ctx: &mut Context<'_>, previous: Revision, whole: FirstList) {
     let State { versions, directory, routes, first_list, history, .. } = &mut *ctx.state;
     let was_known = versions.are_known_for(STREAM_LIFETIME, ctx.now);
     let until = whole.revision();
+    let is_same_era = previous.era == until.era;
     let whole = whole.with_known_until(previous.number);
-    let is_proven = whole.accounts_for_gap(routes.revisions);
+    let is_proven = is_same_era && whole.accounts_for_gap(routes.revisions);
     if !is_proven {
         // What was unknown before the gap still is.
         let former = first_list.take().map(|first| first.known_until());
         let known_until = if was_known { Some(previous.number) } else { former };
+        let known_until = known_until.filter(|_| is_same_era);
         *first_list = known_until.map(|known_until| whole.with_known_until(known_until));
         *history = History::default();
         versions.record_gap(directory, ctx.now);
--- a/crates/basilbank_forward/tests/forward/versions/unseen.rs
+++ b/crates/basilbank_forward/tests/forward/versions/unseen.rs
@@ -171,3 +171,23 @@
         assert_eq!(versions(&attempts), ["v1"], "{refusals:?}");
     }
 }
+
+/// Guards against a version that only the lost changes of a restored store named.
+#[test]
+fn a_restored_store_has_lost_changes() {
+    let mut net = beside_one_version();
+    let restored = |net: &Net, number| Event::EndpointsRead {
+        revisions: Revisions::at(Revision { era: 1, number }),
+        list: net.listed.clone(),
+    };
+    let number = net.rigs[0].state.directory.revision.number;
+    let event = restored(&net, number);
+    net.rigs[0].feed(event);
+    let (attempts, refusals) = net.take_up(0, "again", "t");
+    assert_eq!((attempts.len(), refusals), (0, vec![Refusal::StreamUnknown]));
+    net.pass(Duration::from_secs(20));
+    let event = restored(&net, number);
+    net.rigs[0].feed(event);
+    let (attempts, refusals) = net.take_up(0, "later", "t");
+    assert!(!attempts.is_empty(), "{refusals:?}");
+}
