--- a/crates/basilbank_forward/src/reduce/list_reads.rs
+++ b/crates/basilbank_forward/src/reduce/list_reads.rs
@@ -45,12 +45,7 @@
 
 /// Records the versions that the changes name. The topic's reader will read the changes themselves.
 fn record_versions(ctx: &mut Context<'_>, changes: &[ListChange]) {
-    let were_several = ctx.state.has_several_versions(ctx.now);
     for info in changes.iter().filter_map(|(_, info)| info.as_ref()) {
-        let version = info.software_version();
-        ctx.state.versions.record_current(&info.service, version, ctx.now);
-    }
-    if !were_several && ctx.state.has_several_versions(ctx.now) {
-        origin::announce_all(ctx);
+        ctx.state.versions.record_former(info, ctx.now);
     }
 }
