Sums of tokens at an endpoint don't overflow, whatever sizes callers state

A caller may state any number of tokens up to 2^32 - 1, and an idle endpoint takes a completion of any size. With two such prompts the sum of the tokens that wait at a prefill endpoint went beyond 32 bits: a debug build ended, a release build took the endpoint with endless prompts for an idle one. Sizes count up to 2^24 tokens, beyond what any model takes; the sum at an endpoint counts up to 2^31, so that those of one more call can be added; and what a daemon tells of its load is bounded as its peers bound it, for they ignore a row beyond that.

What callers are charged of a quota of tokens is bounded by the same sizes.

--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -160,7 +160,20 @@
     pub parts: Vec<u64>,
 }
 
+/// Maximum number of tokens of a prompt or an answer that is counted. It is beyond what any model takes,
+/// and the tokens of a hundred such calls fit into 32 bits.
+const MAX_COUNTED_TOKENS: u32 = 1 << 24;
+
 impl Prompt {
+    /// Bounds the sizes, which a caller may state as it likes, so that sums of them don't overflow.
+    #[must_use]
+    pub fn bounded(mut self) -> Prompt {
+        for size in [&mut self.tokens, &mut self.max_output] {
+            *size = MAX_COUNTED_TOKENS.min(*size);
+        }
+        self
+    }
+
     /// Returns the ids of the parts, for logs.
     #[must_use]
     pub fn part_names(&self) -> String {
--- a/crates/basilbank_forward/src/gossip_bounds.rs
+++ b/crates/basilbank_forward/src/gossip_bounds.rs
@@ -23,7 +23,7 @@
 const MAX_FLEET: u32 = 4096;
 
 /// Maximum number of tokens that one daemon's calls have at an endpoint.
-const MAX_LOAD_TOKENS: u32 = 1 << 28;
+pub const MAX_LOAD_TOKENS: u32 = 1 << 28;
 
 /// Maximum number of calls that one daemon has at an endpoint.
 const MAX_LOAD_CALLS: u32 = 1 << 16;
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -4,7 +4,7 @@
 
 use super::{Context, forecast, step};
 use crate::{
-    call::Call,
+    call::{Call, Prompt},
     effect::Effect,
     log_line::LogLine,
     reason::Refusal,
@@ -84,6 +84,7 @@
 
 fn admit(ctx: &mut Context<'_>, mut call: Call) -> Result<Request, Refusal> {
     let state = &mut *ctx.state;
+    call.prompt = call.prompt.map(Prompt::bounded);
     // Without a configuration it is unknown whether the route exists, so 404 could be wrong.
     if !state.is_initialized() {
         return Err(Refusal::NotReady);
--- a/crates/basilbank_forward/src/state/directory.rs
+++ b/crates/basilbank_forward/src/state/directory.rs
@@ -9,6 +9,7 @@
 use crate::{
     effect::Target,
     endpoint::{EndpointInfo, EndpointKey, SoftwareVersion, Stage},
+    gossip_bounds::MAX_LOAD_TOKENS,
     state::{Endpoint, Usage},
     topic::Revision,
 };
@@ -296,7 +297,7 @@
             let left: f64 = e.own_usage.iter().map(|usage| usage.tokens_left(now, rate)).sum();
             EndpointLoad {
                 endpoint: incarnation_hash(&e.info),
-                tokens: e.tokens,
+                tokens: e.tokens.min(MAX_LOAD_TOKENS),
                 calls: e.calls,
                 tokens_left: left as u32,
             }
--- a/crates/basilbank_forward/src/state/endpoint.rs
+++ b/crates/basilbank_forward/src/state/endpoint.rs
@@ -43,6 +43,9 @@
 /// Maximum time for which such an endpoint is avoided.
 const MAX_FAULTY_TIME: Duration = Duration::from_secs(60);
 
+/// Maximum number of tokens that counts at an endpoint. That of one more call can be added to it.
+const MAX_TOTAL_TOKENS: u32 = 1 << 31;
+
 /// The state of one endpoint, that is of one incarnation of an instance.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -140,10 +143,11 @@
         self.expires_at.is_some()
     }
 
-    /// Returns the number of tokens of all daemons' calls, as far as they are known.
+    /// Returns the number of tokens of all daemons' calls, as far as they are known. There is room for
+    /// those of one more call.
     #[must_use]
     pub fn total_tokens(&self) -> u32 {
-        saturating_sum(self.tokens, self.peer_tokens)
+        saturating_sum(self.tokens, self.peer_tokens).min(MAX_TOTAL_TOKENS)
     }
 
     /// Returns the number of calls of all daemons, as far as they are known.
