Fencing numbers don't overflow behind a revision that is too large

The number of an order joins the store's era and revision. With an era and a revision near 2^64, as a damaged answer may state them, the sum overflowed: a debug build ended, a release build gave a low number, which endpoints refuse as an old one.

tests/forward/absurd_sizes.rs: fencing_numbers_rise_whatever_the_revision failed before in two of four rows (reduce/roles.rs:248, attempt to add with overflow).

--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -245,7 +245,8 @@
     let Some(target) = ctx.state.directory.target(endpoint) else { return };
     let revision = ctx.state.directory.revision;
     let roles = &mut ctx.state.roles;
-    let number = (revision.era.min(MAX_ERA) << ERA_SHIFT) + (revision.number << ORDER_BITS);
+    let number =
+        (revision.era.min(MAX_ERA) << ERA_SHIFT) + (revision.number.min(MAX_NUMBER) << ORDER_BITS);
     roles.last_fence = number.max(roles.last_fence + 1);
     roles.order_count += 1;
     roles.last_order = ctx.now;
@@ -269,3 +270,7 @@
 
 /// The last era that fits into a fencing number. A damaged answer of the store may contain any era.
 const MAX_ERA: u64 = (1 << (u64::BITS - 1 - ERA_SHIFT)) - 1;
+
+/// The last revision that a fencing number can follow. A damaged answer may contain any, and the numbers
+/// must still rise behind it.
+const MAX_NUMBER: u64 = u64::MAX >> (ORDER_BITS + 1);
--- a/crates/basilbank_forward/tests/forward/absurd_sizes.rs
+++ b/crates/basilbank_forward/tests/forward/absurd_sizes.rs
@@ -3,7 +3,7 @@
 use basilbank_forward::prelude::*;
 use test_case::test_case;
 
-use crate::rig::{Rig, held, model, prefilled, prompt};
+use crate::rig::{Rig, held, model, numbered, prefilled, prompt};
 
 /// Decode endpoints: an idle one takes a completion of any size.
 const DECODE: u16 = 40;
@@ -50,3 +50,28 @@
     assert!(rig.refusals().is_empty());
     rig.pass_ms(20_000);
 }
+
+/// Guards against an order whose fencing number overflows: a daemon that ends, or orders that
+/// endpoints take for old ones.
+#[test_case(0, u64::MAX; "the last revision")]
+#[test_case(1, u64::MAX; "the last revision of another era")]
+#[test_case(u64::MAX, u64::MAX; "the last revision of the last era")]
+#[test_case(u64::MAX, 1 << 56; "a large revision of the last era")]
+fn fencing_numbers_rise_whatever_the_revision(era: u64, number: u64) {
+    let mut rig = numbered(1);
+    rig.feed(Event::OrderRight(OrderRight::AtOnce));
+    let list: Vec<_> = (0..9).map(|n| model(&format!("p{n}"), 10 + n, Stage::Prefill)).collect();
+    let revision = Revision { era, number };
+    let revisions = Revisions { store: revision, latest_change: revision };
+    rig.feed(Event::EndpointsRead { revisions, list });
+    let mut last = 0;
+    for _ in 0..60 {
+        rig.pass_ms(1000);
+        for effect in std::mem::take(&mut rig.effects) {
+            let Effect::Order { fence, .. } = effect else { continue };
+            assert!(last < fence, "{fence} after {last}");
+            last = fence;
+        }
+    }
+    assert_ne!(last, 0, "no order");
+}
