--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions about forwarded calls, in virtual time and without a network.
 
+mod absurd_datagrams;
 mod absurd_sizes;
 mod addresses;
 mod bad_parts;
