Soak: daemons that are blind beside versions, streams that begin anew

Plays over processes had no daemons that lose the store together while the others stand still and versions change, and no endpoint that begins a stream anew in place of its rest; what was wrong with a stream wasn't named.

Misplace (half of the plays): decode endpoints begin streams at their first event, or again after some. A finding on a stream says which: an event that is missing, comes twice, broke off, or an early end.

Tests changed: a_seed_keeps_the_faults_of_the_first_stream lists the two new kinds among those that aren't of the first stream, as for each kind before; what it compares is the same. New: every kind is drawn in fifty seeds, and what is wrong with a stream is named.

--- a/crates/basilbank_soak/src/plan.rs
+++ b/crates/basilbank_soak/src/plan.rs
@@ -1,6 +1,8 @@
 //! What is done to a site, and when: the same for the same seed.
 
+mod blind;
 mod endings;
+mod misplaced;
 mod planned;
 mod second_answers;
 mod shortage;
@@ -13,9 +15,13 @@
     BadEntry, BreakShare, Ending, Misdeed, SecondAnswer, StoreFault, Weather,
 };
 
-pub use self::planned::{Routing, planned};
+pub use self::{
+    blind::Blindness,
+    planned::{Routing, planned},
+};
 use self::{
-    endings::endings, second_answers::second_answers, shortage::shortage, versions::versions,
+    blind::blind, endings::endings, misplaced::misplaced, second_answers::second_answers,
+    shortage::shortage, versions::versions,
 };
 
 /// Faults in one play, with those that overlap.
@@ -126,6 +132,10 @@
     CrashVersion(&'static str, usize, Duration),
     /// The paths from some daemons, the first ones from a number on, to endpoints.
     Paths(PathCut, Weather, Duration),
+    /// Several daemons read no entries.
+    Blind(Blindness),
+    /// An endpoint begins streams anew in place of their rest for the time.
+    Misplace(usize, Misdeed, Duration),
     /// A second SIGTERM to a daemon that leaves.
     TerminateAgain(usize),
     /// SIGTERM, and another one as soon as the daemon that is started again accepts callers.
@@ -205,6 +215,8 @@
     plan.extend(versions(seed, sizes));
     plan.extend(shortage(seed, sizes));
     plan.extend(second_answers(seed, sizes));
+    plan.extend(blind(seed, sizes));
+    plan.extend(misplaced(seed, sizes));
     plan.sort_by_key(|(at, _)| *at);
     plan
 }
--- a/crates/basilbank_soak/src/play.rs
+++ b/crates/basilbank_soak/src/play.rs
@@ -298,7 +298,9 @@
                 self.later(time, Step::ClearPaths(cut));
             }
             Fault::Reset(endpoint) => self.site.places[endpoint].proxy.reset(),
-            Fault::Misbehave(endpoint, misdeed, time) => {
+            Fault::Blind(blindness) => self.blind(blindness),
+            Fault::Misbehave(endpoint, misdeed, time)
+            | Fault::Misplace(endpoint, misdeed, time) => {
                 self.site.places[endpoint].endpoint.misbehave(misdeed);
                 self.later(time, Step::Behave(endpoint));
             }
--- a/crates/basilbank_soak/src/play/daemons.rs
+++ b/crates/basilbank_soak/src/play/daemons.rs
@@ -10,6 +10,7 @@
 use rustix::process::Signal;
 
 use super::{LOOK, Play, Step, Trouble};
+use crate::plan::{Blindness, Fault};
 
 /// The settings' grace, and a second for the process's end.
 const GRACE: Duration = Duration::from_secs(9);
@@ -96,6 +97,28 @@
         Ok(())
     }
 
+    /// Some daemons lose the store, the others stand still for a while, and what else is to happen then.
+    pub(super) fn blind(&mut self, blindness: Blindness) {
+        let Blindness { first, daemons, weather, time, stop, kill, compact } = blindness;
+        let all = self.site.daemons.len();
+        for n in 0..all {
+            let daemon = (first + n) % all;
+            match n < daemons {
+                true => {
+                    let lose = Fault::StoreLink(daemon, weather, time);
+                    self.later(Duration::ZERO, Step::Fault(lose));
+                }
+                false => self.later(stop.0, Step::Fault(Fault::Pause(daemon, stop.1))),
+            }
+        }
+        if let Some(at) = kill {
+            self.later(at, Step::Fault(Fault::KillAll));
+        }
+        if let Some(at) = compact {
+            self.later(at, Step::Fault(Fault::Compact));
+        }
+    }
+
     pub(super) fn proceed(&mut self, daemon: usize) {
         self.signal(daemon, Signal::CONT);
         self.over(daemon, Trouble::Paused);
--- a/crates/basilbank_soak/src/streams.rs
+++ b/crates/basilbank_soak/src/streams.rs
@@ -33,11 +33,15 @@
 
     /// Takes what one try brought, and says what that is. A stream that looks whole has all events.
     pub fn take(&mut self, text: &str, whole: bool) -> Seen {
-        let wrong = || Seen::Wrong(format!("{} bytes, whole {whole}: {text:?}", text.len()));
+        let wrong = |part: &str| {
+            Seen::Wrong(format!("{part}, {} bytes, whole {whole}: {text:?}", text.len()))
+        };
         let (mut rest, mut other) = (text, None);
         while let Some(end) = rest.find("\n\n") {
             let (event, after) = rest.split_at(end + 2);
-            let Some(version) = version_of(event, self.count + 1) else { return wrong() };
+            let Some(version) = version_of(event, self.count + 1) else {
+                return wrong(&misplaced(event, self.count + 1));
+            };
             let first = self.version.get_or_insert_with(|| version.to_owned());
             if first != version {
                 other.get_or_insert(format!("event {} of {version} after {first}", self.count + 1));
@@ -50,7 +54,8 @@
         match (whole, rest.is_empty() && self.count == self.last) {
             (true, true) => Seen::Served,
             (false, _) if self.begins_next(rest) => Seen::Broken,
-            _ => wrong(),
+            (true, _) if rest.is_empty() => wrong(&format!("ended after {}", self.count)),
+            _ => wrong("an event that broke off"),
         }
     }
 
@@ -68,6 +73,17 @@
     }
 }
 
+/// What is wrong with an event in place of the expected one.
+fn misplaced(event: &str, expected: u32) -> String {
+    let id = event.lines().find_map(|line| line.strip_prefix("id: ")?.parse::<u32>().ok());
+    match id {
+        Some(id) if expected < id => format!("event {expected} is missing before {id}"),
+        Some(id) if id < expected => format!("event {id} came twice, after {}", expected - 1),
+        Some(_) => format!("event {expected} is not its endpoint's"),
+        None => "an event without an id".to_owned(),
+    }
+}
+
 /// The version that wrote an event, if it is the one of this number.
 fn version_of(event: &str, number: u32) -> Option<&str> {
     if event == event_text(number, FIRST_VERSION) {
--- a/crates/basilbank_soak/tests/plan.rs
+++ b/crates/basilbank_soak/tests/plan.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use basilbank_soak::plan::{Fault, Sizes, plan};
-use basilbank_standin::managed::{BreakKind, BreakPlace, Framing};
+use basilbank_standin::managed::{BreakKind, BreakPlace, Framing, Misdeed};
 
 const SIZES: Sizes =
     Sizes { daemons: 3, endpoints: 8, plain: 3, prefill: 2, traffic: Duration::from_secs(10) };
@@ -67,6 +67,23 @@
     }
 }
 
+/// Guards against plays in which daemons are never blind, or streams never misplaced.
+#[test]
+fn fifty_seeds_have_blind_daemons_and_misplaced_streams() {
+    let faults: Vec<_> = (0..50).flat_map(|seed| plan(seed, SIZES)).map(|(_, f)| f).collect();
+    let blind = |all: bool, is_killed: bool| {
+        faults.iter().any(|fault| {
+            matches!(fault, Fault::Blind(b) if (b.daemons == SIZES.daemons) == all
+                && b.kill.is_some() == is_killed)
+        })
+    };
+    assert!(blind(true, true) && blind(true, false) && blind(false, true) && blind(false, false));
+    for meant in [Misdeed::Restarting, Misdeed::Repeating] {
+        let is_meant = |f: &Fault| matches!(f, Fault::Misplace(_, misdeed, _) if *misdeed == meant);
+        assert!(faults.iter().any(is_meant), "{meant:?}");
+    }
+}
+
 #[test]
 fn answers_break_off_in_every_way_that_shows() {
     let mut seen = HashSet::new();
@@ -110,6 +127,7 @@
             && !matches!(f, Restore(..) | Limit(..) | Deadly(_) | EndAnswers(..) | End(..))
             && !matches!(f, Fault::DeadlyPart(_) | Fault::Crowd(..))
             && !matches!(f, Fault::Crowded(..) | Fault::Slow(..) | Fault::AnswerTwice(..))
+            && !matches!(f, Fault::Blind(_) | Fault::Misplace(..))
     };
     let plan = plan(5, SIZES).into_iter().filter(|(_, fault)| of_first(fault));
     let lines: Vec<_> = plan.map(|(at, f)| format!("{} {f:?}", at.as_millis())).collect();
--- a/crates/basilbank_soak/tests/versions.rs
+++ b/crates/basilbank_soak/tests/versions.rs
@@ -31,6 +31,19 @@
     assert!(!events.is_begun());
 }
 
+/// Guards against a finding that doesn't say what is wrong with a stream.
+#[test_case(&text(7..=EVENTS, "v1"), "event 6 is missing before 7"; "missing")]
+#[test_case(&text(5..=EVENTS, "v1"), "event 5 came twice, after 5"; "twice")]
+#[test_case(&(text(6..=8, "v1") + &text(7..=EVENTS, "v1")), "event 7 came twice, after 8"; "going back")]
+#[test_case(&text(6..=EVENTS - 1, "v1"), "ended after 39"; "an early end")]
+#[test_case(&(text(6..=EVENTS, "v1") + "id"), "an event that broke off"; "torn")]
+fn what_is_wrong_with_a_stream_is_named(rest: &str, expected: &str) {
+    let mut events = Events::default();
+    assert_eq!(events.take(&text(1..=5, "v1"), false), Seen::Broken);
+    let Seen::Wrong(what) = events.take(rest, true) else { panic!("it is taken for sound") };
+    assert!(what.starts_with(expected), "{what}");
+}
+
 #[test_case(&text(7..=EVENTS, "v1"); "an event is missing")]
 #[test_case(&text(5..=EVENTS, "v1"); "an event comes twice")]
 #[test_case(&text(6..=EVENTS - 1, "v1"); "the last event is missing")]
