A new start's record corrects the versions of streams that it began unnoticed

Callers saw (by the reducer's tests): a stream that an endpoint began after it had started again under its id with another version went on at the former version, over tries and within one answer: joined from two versions.

Cause: until the new record is read, the endpoint counts as of its former version, and so did for good what it had begun meanwhile.

Now the record of a later start corrects, by `born`, the streams that the endpoint began at this daemon. A first event that came surely after the start (beyond 0.5 s for clocks) has the new version; one that came about then may have either, so the stream has `SoftwareVersion::UNKNOWN`, which no endpoint has, and is refused (version_gone); one before stays. Without `born` all streams of the endpoint are unknown. Running requests' pins and the keepers' records are corrected too. At another address the new start got no call of this daemon, so nothing changes.

The log line: stream_versions_corrected instance= software= streams=.

Left: a stream that is taken up before the record is read still goes to the former version; so does one that a start in between began, whose record this daemon never read.

Evidence: without the correction 6 of the 8 new rows fail; the two that pass are streams from before the start.

--- a/crates/basilbank_forward/src/endpoint.rs
+++ b/crates/basilbank_forward/src/endpoint.rs
@@ -67,6 +67,9 @@
 pub struct SoftwareVersion(NonZeroU32);
 
 impl SoftwareVersion {
+    /// Stands for one of several versions. No endpoint has it.
+    pub const UNKNOWN: SoftwareVersion = SoftwareVersion(NonZeroU32::MAX);
+
     /// Returns the version as it is sent between daemons.
     #[must_use]
     pub fn to_wire(self) -> u32 {
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -27,6 +27,7 @@
 mod quota;
 mod records;
 mod relays;
+mod restart;
 mod returns;
 mod roles;
 mod shutdown;
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -204,15 +204,19 @@
     let (now, state) = (ctx.now, &mut *ctx.state);
     let Some(request) = state.requests.get_mut(&id).filter(|r| r.route.resumable) else { return };
     let mut attempts = request.active_attempts.iter();
-    let endpoint = attempts.find(|live| live.number == attempt).map(|live| live.endpoint);
-    let endpoint = endpoint.and_then(|key| state.directory.get(key));
+    let endpoint_key = attempts.find(|live| live.number == attempt).map(|live| live.endpoint);
+    let endpoint = endpoint_key.and_then(|key| state.directory.get(key));
     let Some(version) = endpoint.map(|endpoint| endpoint.info.software_version()) else { return };
     request.pinned = Some(version);
     let began = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
     let stream = began.unwrap_or_else(|| StreamId::of(&request.call.trace_id));
     // Whoever told this daemon of a stream that it continues keeps the record.
     let is_kept = state.origins.get(stream, now) == Some(version);
+    let is_new = state.origins.get(stream, now).is_none();
     state.origins.record(stream, version, true, now);
+    if let Some(endpoint) = endpoint_key.filter(|_| is_new) {
+        state.origins.record_endpoint(stream, endpoint, now);
+    }
     if is_kept {
         return;
     }
@@ -227,6 +231,11 @@
 /// Tells peers of all streams that go on while a further version comes.
 pub fn announce_all(ctx: &mut Context<'_>) {
     let own: Vec<_> = ctx.state.origins.own(ctx.now).collect();
+    announce(ctx, own);
+}
+
+/// Tells the keepers of these streams their versions.
+pub fn announce(ctx: &mut Context<'_>, own: Vec<(StreamId, SoftwareVersion)>) {
     let mut by_keeper: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
     for (stream, version) in own {
         for keeper in ctx.state.peers_by_weight(stream.0, KEEPERS) {
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Context, crash, endpoints, remove_hold_usage};
+use super::{Context, crash, endpoints, remove_hold_usage, restart};
 use crate::{
     endpoint::{EndpointInfo, EndpointKey, StartOrder},
     log_line::LogLine,
@@ -56,7 +56,10 @@
             StartOrder::Same => {}
             // A later start shows that the previous start has ended, whatever service it has now:
             // both have the same id, by which endpoints check that a call is meant for them.
-            StartOrder::Later => end_start(ctx, key),
+            StartOrder::Later => {
+                restart::correct_versions(ctx, key, &info);
+                end_start(ctx, key);
+            }
             // A record written by something else has replaced the endpoint's own. The endpoint
             // isn't used until it writes its record again. Its calls in progress continue, as after
             // any removed record.
@@ -65,7 +68,10 @@
                 endpoints::unlist(ctx, key);
                 return exclude(ctx, info);
             }
-            StartOrder::Different => end_start(ctx, key),
+            StartOrder::Different => {
+                restart::correct_versions(ctx, key, &info);
+                end_start(ctx, key);
+            }
         }
     }
     info.start_time = same_start.map_or(info.start_time, |same_start| same_start.born);
--- a/crates/basilbank_forward/src/state/origins.rs
+++ b/crates/basilbank_forward/src/state/origins.rs
@@ -9,7 +9,10 @@
     time::Duration,
 };
 
-use crate::{call::StreamId, endpoint::SoftwareVersion};
+use crate::{
+    call::StreamId,
+    endpoint::{EndpointKey, SoftwareVersion},
+};
 
 /// Maximum time from a stream's first event to the last try of its caller.
 pub const STREAM_LIFETIME: Duration = Duration::from_secs(20);
@@ -27,6 +30,8 @@
     until: Duration,
     /// Whether an endpoint streamed to this daemon, so that this daemon tells others.
     is_own: bool,
+    /// The endpoint that sent its first event to this daemon, and when.
+    began: Option<(EndpointKey, Duration)>,
 }
 
 /// The versions that began streams, as far as this daemon knows.
@@ -59,13 +64,42 @@
             return;
         }
         let until = now + STREAM_LIFETIME;
-        self.records.insert(stream, Origin { version, until, is_own });
+        let began = known.and_then(|known| known.began);
+        self.records.insert(stream, Origin { version, until, is_own, began });
         self.ends.push_back((until, stream));
         while MAX_RECORDS < self.ends.len() {
             self.remove_first();
         }
     }
 
+    /// Records which endpoint began a stream, unless it had begun before.
+    pub fn record_endpoint(&mut self, stream: StreamId, endpoint: EndpointKey, now: Duration) {
+        if let Some(origin) = self.records.get_mut(&stream) {
+            origin.began.get_or_insert((endpoint, now));
+        }
+    }
+
+    /// Corrects the versions of the streams that an endpoint began. `version` returns the version by
+    /// the time of the first event, or `None` if it stays. Returns the streams with their new versions.
+    pub fn correct(
+        &mut self,
+        endpoint: EndpointKey,
+        version: impl Fn(Duration) -> Option<SoftwareVersion>,
+    ) -> Vec<(StreamId, SoftwareVersion)> {
+        let mut corrected = Vec::new();
+        for (stream, origin) in &mut self.records {
+            let Some((_, at)) = origin.began.filter(|(began_by, _)| *began_by == endpoint) else {
+                continue;
+            };
+            if let Some(version) = version(at) {
+                origin.version = version;
+                corrected.push((*stream, version));
+            }
+        }
+        corrected.sort_unstable_by_key(|(stream, _)| stream.0);
+        corrected
+    }
+
     /// Returns the version that began a stream.
     #[must_use]
     pub fn get(&self, stream: StreamId, now: Duration) -> Option<SoftwareVersion> {
--- a/crates/basilbank_forward/tests/forward/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/versions/mod.rs
@@ -5,6 +5,7 @@
 mod one_answer;
 mod one_version;
 mod over_tries;
+mod replaced_endpoints;
 mod services;
 mod unseen;
 
