Peers' reports of waiting streams keep no new completion out

Beside the rule that new completions leave a version to those that have to go on there: as long as a peer reported such completions of all versions that a daemon lists, or of the only one, its new completions got nothing. A daemon that learns late of a second version, or a false report, would do that.

--- a/crates/basilbank_forward/src/gossip_bounds.rs
+++ b/crates/basilbank_forward/src/gossip_bounds.rs
@@ -7,7 +7,7 @@
 
 use basilbank_wire::{
     CallLimitReport, EndpointLoad, LoadGossip, QuotaCounted, QuotaState, QuotaUse,
-    ServiceGenerationStats,
+    ServiceGenerationStats, WaitingForVersion,
 };
 
 use crate::state::{
@@ -47,6 +47,7 @@
     if !gossip.loads().all(|load| is_possible_load(&load)) {
         retain_possible_loads(gossip);
     }
+    gossip.bound.retain(is_possible_demand);
     gossip.paces.retain(is_possible_pace);
     gossip.limits.retain_mut(bound_limit);
     for permit in &mut gossip.permits {
@@ -56,6 +57,10 @@
     gossip.quota_states.iter_mut().for_each(bound_quota_state);
 }
 
+fn is_possible_demand(demand: &WaitingForVersion) -> bool {
+    (1..=MAX_LOAD_CALLS).contains(&demand.calls) && demand.tokens <= MAX_LOAD_TOKENS
+}
+
 fn is_possible_load(load: &EndpointLoad) -> bool {
     load.tokens <= MAX_LOAD_TOKENS && load.calls <= MAX_LOAD_CALLS
 }
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -68,6 +68,7 @@
         return NextStep::WaitForTurn(turn_at);
     }
     let pool = state.pool(request);
+    let awaited = state.awaited_versions(request, now);
     let risky = state.crashes.is_risky(&request.call.traits());
     let prompt = request.call.prompt.clone().unwrap_or_default();
     let usage = Usage::completion(prompt.tokens, prompt.expected_output());
@@ -84,11 +85,9 @@
         None => placement::pick_prefill(state, &service, &[], None, pinned, prompt.tokens, now),
     };
     let hold_ttl = state.routes.engine(&service).map_or(Duration::ZERO, |e| e.max_hold);
-    let (peers_ahead, awaited) = match pool.version {
-        Some(version) => (state.peers_ahead_at(version, &position, now), Vec::new()),
-        None => {
-            (state.peers_ahead(&service, &position, now), state.awaited_versions(&service, now))
-        }
+    let peers_ahead = match pool.version {
+        Some(_) => state.peers_ahead_in(&pool, &position, now),
+        None => state.peers_ahead(&service, &position, now),
     };
     let session = prompt.session;
     let criteria =
--- a/crates/basilbank_forward/src/reduce/demand.rs
+++ b/crates/basilbank_forward/src/reduce/demand.rs
@@ -132,9 +132,9 @@
     let line = LogLine::new("waits");
     let Some(request) = state.requests.get(&id) else { return line };
     let position = state.queue_position(request, now + state.tuning.first_token_delay);
-    let version = state.bound_version(request);
-    let ahead = match version {
-        Some(version) => state.work_ahead_at(version, &position, now).calls,
+    let pool = state.pool(request);
+    let ahead = match pool.version {
+        Some(_) => state.work_ahead_in(&pool, &position, now).calls,
         None => state.work_ahead(&request.service, &position, now).calls,
     };
     let line = match request.rank {
@@ -148,12 +148,10 @@
         None => line,
     };
     let line = line.with("calls_ahead", ahead);
-    match version {
-        Some(version) => line.with("software", version),
-        None => match state.awaited_versions(&request.service, now).len() {
-            0 => line,
-            count => line.with("left_versions", count),
-        },
+    match (pool.version, &state.awaited_versions(request, now)[..]) {
+        (Some(version), _) => line.with("software", version),
+        (None, [first, ..]) => line.with("leaves", first),
+        (None, []) => line,
     }
 }
 
--- a/crates/basilbank_forward/src/reduce/forecast.rs
+++ b/crates/basilbank_forward/src/reduce/forecast.rs
@@ -197,8 +197,9 @@
 fn work_ahead(state: &State, id: RequestId, now: Duration) -> Option<Ahead> {
     let request = state.requests.get(&id)?;
     let position = state.queue_position(request, now + state.tuning.first_token_delay);
-    if let Some(version) = state.bound_version(request) {
-        let tokens = state.work_ahead_at(version, &position, now).tokens as f64;
+    let pool = state.pool(request);
+    if pool.version.is_some() {
+        let tokens = state.work_ahead_in(&pool, &position, now).tokens as f64;
         return Some(Ahead { on_time: tokens, late: tokens });
     }
     let late = QueuePosition { late: true, ..position };
--- a/crates/basilbank_forward/src/reduce/returns.rs
+++ b/crates/basilbank_forward/src/reduce/returns.rs
@@ -252,7 +252,7 @@
         let own_tokens = request.needed_tokens() as f64;
         let service = &pool.service;
         let peers = match pool.version {
-            Some(version) => self.peers_waiting_at(version, now),
+            Some(_) => self.peers_waiting_in(&pool, now),
             None => self.peers_waiting(service),
         };
         let daemons = f64::from(peers.saturating_add(1));
--- a/crates/basilbank_forward/src/state/bound.rs
+++ b/crates/basilbank_forward/src/state/bound.rs
@@ -7,7 +7,10 @@
 
 use std::{fmt, time::Duration};
 
-use super::{Peer, QueuePosition, Request, State, demand::WorkAhead, held_back::MAX_URGENT_WAIT};
+use super::{
+    Peer, QueuePosition, Request, State, demand::WorkAhead, held_back::MAX_URGENT_WAIT,
+    service_hash,
+};
 use crate::endpoint::{SoftwareVersion, Stage};
 
 /// Maximum number of versions that a daemon reports, or is taken to report.
@@ -60,61 +63,56 @@
         Pool { service: request.service.clone(), version: self.bound_version(request) }
     }
 
-    /// Returns the versions whose endpoints a completion that may use any leaves to those that wait
-    /// for them, here or at peers.
+    /// Returns the versions whose endpoints a completion leaves to those that wait for them, here or
+    /// at peers. Peers count only as long as that leaves a version, since their reports may be false.
     #[must_use]
-    pub fn awaited_versions(&self, service: &str, now: Duration) -> Vec<SoftwareVersion> {
-        let own = self.waiting.iter().filter_map(|id| self.requests.get(id));
-        let own = own.filter(|request| request.service == service);
-        let own = own.filter_map(|request| self.bound_version(request));
-        let peers = self.bound_at_peers(now).map(|(_, demand)| demand.version);
-        let mut versions: Vec<_> = own.chain(peers).collect();
-        versions.sort_unstable();
-        versions.dedup();
-        versions
+    pub fn awaited_versions(&self, request: &Request, now: Duration) -> Vec<SoftwareVersion> {
+        if request.pinned.is_some() {
+            return Vec::new();
+        }
+        let service = &request.service;
+        let waiting = self.waiting.iter().filter_map(|id| self.requests.get(id));
+        let waiting = waiting.filter(|other| other.service == *service);
+        let own: Vec<_> = waiting.filter_map(|other| self.bound_version(other)).collect();
+        let at_peers = self.bound_at_peers(service, now).map(|demand| demand.version);
+        let all: Vec<_> = own.iter().copied().chain(at_peers).collect();
+        let mut decode = self.directory.in_stage(service, Stage::Decode);
+        match decode.any(|(_, e)| !all.contains(&e.info.software_version())) {
+            true => all,
+            false => own,
+        }
     }
 
-    /// Returns the number of peers with a completion that waits for a version and is ahead of one at
-    /// this position.
+    /// Returns the number of peers with a completion that waits for the pool's version and is ahead
+    /// of one at this position.
     #[must_use]
-    pub fn peers_ahead_at(
-        &self,
-        version: SoftwareVersion,
-        own: &QueuePosition,
-        now: Duration,
-    ) -> usize {
-        let is_ahead = |demand: &BoundDemand| demand.version == version && demand.due < own.due;
-        self.bound_at_peers(now).filter(|(_, demand)| is_ahead(demand)).count()
+    pub fn peers_ahead_in(&self, pool: &Pool, own: &QueuePosition, now: Duration) -> usize {
+        self.bound_in(pool, now).filter(|demand| demand.due < own.due).count()
     }
 
-    /// Returns the number of peers with completions that wait for a version.
+    /// Returns the number of peers with completions that wait for the pool's version.
     #[must_use]
-    pub fn peers_waiting_at(&self, version: SoftwareVersion, now: Duration) -> u32 {
-        let at_peers = self.bound_at_peers(now).filter(|(_, demand)| demand.version == version);
-        u32::try_from(at_peers.count()).unwrap_or(u32::MAX)
+    pub fn peers_waiting_in(&self, pool: &Pool, now: Duration) -> u32 {
+        u32::try_from(self.bound_in(pool, now).count()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the work of all daemons that waits for a version ahead of a completion at this
-    /// position. Of what a peer reports, all counts or nothing.
+    /// Returns the work of all daemons that waits for the pool's version ahead of a completion at
+    /// this position. Of what a peer reports, all counts or nothing.
     #[must_use]
-    pub fn work_ahead_at(
-        &self,
-        version: SoftwareVersion,
-        position: &QueuePosition,
-        now: Duration,
-    ) -> WorkAhead {
+    pub fn work_ahead_in(&self, pool: &Pool, position: &QueuePosition, now: Duration) -> WorkAhead {
         let soonest = now + self.tuning.first_token_delay;
         let mut ahead = WorkAhead::default();
         for request in self.waiting.iter().filter_map(|id| self.requests.get(id)) {
-            let is_same = self.bound_version(request) == Some(version);
-            if is_same && self.queue_position(request, soonest) < *position {
+            let is_same = self.bound_version(request) == pool.version;
+            let is_ahead = || self.queue_position(request, soonest) < *position;
+            if request.service == pool.service && is_same && is_ahead() {
                 ahead.add(1, request.needed_tokens());
             }
         }
-        let is_ahead =
-            |demand: &BoundDemand| demand.version == version && demand.due < position.due;
-        for (_, demand) in self.bound_at_peers(now).filter(|(_, demand)| is_ahead(demand)) {
-            ahead.add(demand.calls.into(), demand.tokens);
+        let memory = self.routes.engine(&pool.service).map_or(0, |e| u64::from(e.memory_tokens));
+        for demand in self.bound_in(pool, now).filter(|demand| demand.due < position.due) {
+            let calls = u64::from(demand.calls);
+            ahead.add(calls, demand.tokens.min(calls.saturating_mul(memory)));
         }
         ahead
     }
@@ -139,11 +137,23 @@
         all
     }
 
-    /// Returns what waits at peers that have reported lately. The age bounds the effect of reports
-    /// that are false or outdated.
-    fn bound_at_peers(&self, now: Duration) -> impl Iterator<Item = (&Peer, &BoundDemand)> {
-        let is_recent = move |peer: &&Peer| now <= peer.last_seen.saturating_add(MAX_URGENT_WAIT);
-        let recent = self.peers.known.values().filter(is_recent);
-        recent.flat_map(|peer| peer.bound.iter().map(move |demand| (peer, demand)))
+    /// Returns what waits for the pool's version at peers.
+    fn bound_in(&self, pool: &Pool, now: Duration) -> impl Iterator<Item = &BoundDemand> {
+        let version = pool.version;
+        let all = self.bound_at_peers(&pool.service, now);
+        all.filter(move |demand| Some(demand.version) == version)
+    }
+
+    /// Returns what waits at peers that have reported lately and can reach a service's endpoints.
+    /// The limits on age and due time bound the effect of reports that are outdated or false.
+    fn bound_at_peers(&self, service: &str, now: Duration) -> impl Iterator<Item = &BoundDemand> {
+        let name = service_hash(service);
+        let latest_due = now.saturating_add(self.longest_target(service));
+        let counts = move |peer: &&Peer| {
+            let is_recent = now <= peer.last_seen.saturating_add(MAX_URGENT_WAIT);
+            is_recent && !peer.unreached.contains(&name)
+        };
+        let all = self.peers.known.values().filter(counts).flat_map(|peer| &peer.bound);
+        all.filter(move |demand| demand.due <= latest_due)
     }
 }
