--- a/crates/basilbank_forward/tests/forward/absurd_datagrams.rs
+++ b/crates/basilbank_forward/tests/forward/absurd_datagrams.rs
@@ -7,7 +7,7 @@
     AvoidedEndpoint, CallLimitReport, ConfigurationAge, CrashReport, DemandReport, EndpointLoad,
     LoadGossip, OriginQuery, PeerAddress, Permit, QuarantinedCall, QuotaAnswer, QuotaCounted,
     QuotaRequest, QuotaState, QuotaUse, RefusedCall, ReturnAnswer, ReturnQuery,
-    ServiceGenerationStats, StoreRevision, StreamOrigin, WaitingCompletion,
+    ServiceGenerationStats, StoreRevision, StreamOrigin, WaitingCompletion, WaitingForVersion,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -140,6 +140,12 @@
                 team: n.some(|n| n.next(&self.teams)),
                 late: n.flag(),
             }),
+            bound: n.rows(|n| WaitingForVersion {
+                version: n.small(),
+                due: n.small().cast_signed(),
+                calls: n.small(),
+                tokens: n.small(),
+            }),
             peers: n.rows(|n| PeerAddress { ip: n.small(), port: n.small() }),
             shunned: n.rows(|n| AvoidedEndpoint { endpoint: endpoint(n), left: n.small() }),
             endpoints_news: n.some(revision),
@@ -233,7 +239,13 @@
 }
 
 fn origin(n: &mut Numbers) -> StreamOrigin {
-    StreamOrigin { stream: n.any(), version: n.small(), only: n.small() }
+    StreamOrigin {
+        stream: n.any(),
+        version: n.small(),
+        only: n.small(),
+        known_to: n.any(),
+        era: n.any(),
+    }
 }
 
 /// Calls come while peers say such things.
--- a/crates/basilbank_wire/tests/absurd_messages.rs
+++ b/crates/basilbank_wire/tests/absurd_messages.rs
@@ -22,7 +22,7 @@
         tokens: vec![1000, 2000],
         peers: vec![address; 3],
         endpoints_news: Some(StoreRevision { era: 1, number: 90 }),
-        origins: vec![StreamOrigin { stream: 5, version: 6, only: 0 }],
+        origins: vec![StreamOrigin { stream: 5, version: 6, only: 0, known_to: 0, era: 0 }],
         origin: Some(address),
         ..LoadGossip::default()
     }
