Test: entries with absurd values, over sockets and by the thousand

18 kinds of entries that no endpoint writes (nested 100,000 deep, open without an end, 1e400, 26 digits, port 70000, 0 and -1, an unpaired surrogate, an empty name, start times that are too large), beside an endpoint's, at its address and in its place: daemons go on reading, use no other endpoint, and take the endpoint's own entry in again. 5,000 entries of other writers beside one endpoint: daemons follow it, and a daemon that starts gets ready. The kinds that soak plays draw from are as they were.

--- a/crates/basilbank_standin/src/managed/bad_entry.rs
+++ b/crates/basilbank_standin/src/managed/bad_entry.rs
@@ -1,6 +1,6 @@
 //! Entries of other writers, that name no endpoint to use.
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::store::ManagedStore;
 
@@ -15,9 +15,16 @@
     Without(&'static str),
     /// A good one with another JSON in a field.
     With(&'static str, &'static str),
+    /// A good one with this text in a field, which need not be a JSON that this process can hold.
+    Text(&'static str, &'static str),
+    /// A good one with lists in a field, one within the other.
+    Nested(&'static str),
 }
 
-use BadEntry::{Answer, Bytes, With, Without};
+use BadEntry::{Answer, Bytes, Nested, Text, With, Without};
+
+/// Levels at which a parser that calls itself has no stack left.
+const LEVELS: usize = 100_000;
 
 impl BadEntry {
     /// Bytes that can't be read.
@@ -79,7 +86,29 @@
         With("service", "\"harbour\""),
     ];
 
-    /// All of them, by kind.
+    /// Values that no endpoint writes: nested very deeply, too large or out of range.
+    pub const ABSURD: [BadEntry; 18] = [
+        Bytes(&[b'['; LEVELS]),
+        Nested("service"),
+        Nested("addr"),
+        Nested("slots"),
+        Nested("born"),
+        Text("slots", "1e400"),
+        Text("slots", "99999999999999999999999999"),
+        Text("slots", "0"),
+        Text("seq", "1e400"),
+        Text("coldLeftMs", "1e400"),
+        Text("addr", "\"127.0.0.1:70000\""),
+        Text("addr", "\"127.0.0.1:0\""),
+        Text("addr", "\"127.0.0.1:-1\""),
+        Text("service", "\"\\ud800\""),
+        Text("service", "\"\""),
+        Text("born", "1e400"),
+        Text("born", "99999999999999999999999999"),
+        Text("born", "18446744073709551615"),
+    ];
+
+    /// All but the absurd ones, by kind.
     pub const KINDS: [&[BadEntry]; 5] = [
         &BadEntry::UNREADABLE,
         &BadEntry::BYTELESS,
@@ -95,6 +124,13 @@
             Answer(text) => return store.put_answer(key, json(text)),
             Without(field) => drop(good.as_object_mut().and_then(|entry| entry.remove(field))),
             With(field, text) => good[field] = json(text),
+            Text(field, text) => {
+                return store.put_raw(key, with_text(good, field, text).as_bytes());
+            }
+            Nested(field) => {
+                let text = "[".repeat(LEVELS) + &"]".repeat(LEVELS);
+                return store.put_raw(key, with_text(good, field, &text).as_bytes());
+            }
         }
         store.put(key, &good);
     }
@@ -103,3 +139,10 @@
 fn json(text: &str) -> Value {
     serde_json::from_str(text).unwrap_or_default()
 }
+
+/// Returns the text of an entry with this text in a field.
+fn with_text(mut entry: Value, field: &str, text: &str) -> String {
+    const PLACE: &str = "its place";
+    entry[field] = json!(PLACE);
+    entry.to_string().replace(&json!(PLACE).to_string(), text)
+}
--- a/crates/basilbank_standin/tests/managed/entries.rs
+++ b/crates/basilbank_standin/tests/managed/entries.rs
@@ -30,7 +30,8 @@
         bad.put(&world.store, &key(decoy.instance()), decoy.entry(DESK, "ready"));
         decoy
     };
-    BadEntry::KINDS.concat().into_iter().enumerate().map(write).collect()
+    let kinds = BadEntry::KINDS.concat().into_iter().chain(BadEntry::ABSURD);
+    kinds.enumerate().map(write).collect()
 }
 
 fn got_no_work(decoys: &[ManagedEndpoint]) {
@@ -82,6 +83,7 @@
 #[test_case(&BadEntry::MISSING; "with a field missing")]
 #[test_case(&BadEntry::MISTYPED; "with a field of another type")]
 #[test_case(&BadEntry::UNNAMED; "with another state or service")]
+#[test_case(&BadEntry::ABSURD; "with a value that no endpoint writes")]
 fn an_entry_of_another_writer_names_no_endpoint(bad: &[BadEntry]) {
     let (world, decoy) = (one_endpoint(1), decoy("another"));
     let calls = StoreCalls::begin(&world);
@@ -102,6 +104,7 @@
 #[test_case(&BadEntry::MISSING; "with a field missing")]
 #[test_case(&BadEntry::MISTYPED; "with a field of another type")]
 #[test_case(&BadEntry::UNNAMED; "with another state or service")]
+#[test_case(&BadEntry::ABSURD; "with a value that no endpoint writes")]
 fn an_entry_of_another_writer_does_not_take_an_address(bad: &[BadEntry]) {
     let mut world = one_endpoint(1);
     for bad in bad {
@@ -183,6 +186,7 @@
 #[test_case(&BadEntry::MISSING; "with a field missing")]
 #[test_case(&BadEntry::MISTYPED; "with a field of another type")]
 #[test_case(&BadEntry::UNNAMED; "with another state or service")]
+#[test_case(&BadEntry::ABSURD; "with a value that no endpoint writes")]
 fn an_endpoint_whose_entry_is_replaced_is_left_alone_until_it_writes_again(bad: &[BadEntry]) {
     let world = one_endpoint(1);
     let name = key(world.plain[0].instance());
@@ -233,3 +237,29 @@
     let answer = streaming.join().expect("the stream's thread");
     assert_eq!((answer.status, answer.whole, answer.text()), (200, true, stream_of(600)));
 }
+
+/// How many entries of other writers are many.
+const MANY: usize = 5000;
+
+/// Guards against a list that isn't followed any more, or endpoints that are lost, among many entries
+/// of other writers.
+#[test]
+fn endpoints_are_followed_among_many_entries_of_other_writers() {
+    let mut world = one_endpoint(1);
+    let rows: Vec<_> = BadEntry::KINDS.concat().into_iter().chain(BadEntry::ABSURD).collect();
+    for (number, bad) in (0..MANY).zip(rows.iter().filter(|bad| is_short(bad)).cycle()) {
+        let side = if number % 2 == 0 { "another" } else { "the-last" };
+        let good = world.plain[0].entry("harbour", "ready");
+        bad.put(&world.store, &key(&format!("{side}-{number}")), good);
+    }
+    reads_on(&world, 0, "many entries");
+    world.add_another().expect("it gets ready");
+    reads_on(&world, 1, "its start");
+    assert!((0..20).all(|_| serves(&world, 0) && serves(&world, 1)));
+}
+
+/// Whether thousands of it fit into a store.
+fn is_short(bad: &BadEntry) -> bool {
+    !matches!(bad, BadEntry::Nested(_))
+        && !matches!(bad, BadEntry::Bytes(bytes) if 100 < bytes.len())
+}
