Test: second answers to slots, to orders and of the store

The stand-in's endpoints write second answers to requests for slots and to orders as well, and its store writes each of its answers twice, at once or later. Behind them no call is refused that ran, none runs twice, none gets what isn't its own, orders are given once, and daemons go on following the list. Each row checks that endpoints have written second answers. Those to orders come 3 ms after the first: an ordered endpoint gets no request over the order's connection while its stage changes, so that one which waits for the next request was never written.

--- a/crates/basilbank_soak/src/plan/second_answers.rs
+++ b/crates/basilbank_soak/src/plan/second_answers.rs
@@ -42,5 +42,6 @@
         has_id: rng.index(2) == 0,
         sealed: rng.index(2) == 0,
         delay: (rng.index(2) == 0).then_some(delay),
+        ..SecondAnswer::failure(200)
     }
 }
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -34,7 +34,7 @@
     paths::Paths,
     ports::Ports,
     proxy::{Proxy, Weather},
-    second_answer::SecondAnswer,
+    second_answer::{AnsweredTwice, SecondAnswer},
     served::{Arrival, PauseRequest, Served, TakenCache},
     serving::{DEADLY, DEADLY_PART, event_text},
     store::{Lost, ManagedStore, NarrowWay, StoreFault, StoreView},
--- a/crates/basilbank_standin/src/managed/second_answer.rs
+++ b/crates/basilbank_standin/src/managed/second_answer.rs
@@ -14,7 +14,19 @@
     serving::Serving,
 };
 
-/// What an endpoint writes a second time after each answer to a call.
+/// Kind of a request that is answered twice.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum AnsweredTwice {
+    /// A call.
+    #[default]
+    Call,
+    /// A request to hold a slot.
+    Slot,
+    /// An order.
+    Order,
+}
+
+/// What an endpoint writes a second time after each answer to a request of a kind.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct SecondAnswer {
     /// Its status.
@@ -25,6 +37,10 @@
     pub has_id: bool,
     /// Whether it carries the mark of an endpoint's own answers.
     pub sealed: bool,
+    /// Which requests it answers twice.
+    pub to: AnsweredTwice,
+    /// Its body.
+    pub body: &'static str,
     /// Time after the first answer; `None` if it is written right before the answer to the next call over
     /// the same connection.
     pub delay: Option<Duration>,
@@ -40,7 +56,21 @@
     /// A failure without an id.
     #[must_use]
     pub fn failure(status: u16) -> SecondAnswer {
-        SecondAnswer { status, not_executed: false, has_id: false, sealed: false, delay: None }
+        SecondAnswer {
+            status,
+            not_executed: false,
+            has_id: false,
+            sealed: false,
+            to: AnsweredTwice::Call,
+            body: "second",
+            delay: None,
+        }
+    }
+
+    /// An answer that names a slot.
+    #[must_use]
+    pub fn slot() -> SecondAnswer {
+        SecondAnswer { body: r#"{"hold":"second"}"#, ..SecondAnswer::failure(200) }
     }
 
     /// A refusal as an endpoint writes it.
@@ -54,7 +84,7 @@
         let id = self.has_id.then_some(("x-attempt-id", id));
         let seal = self.sealed.then_some(("x-server-seal", "seal"));
         let headers: Vec<_> = not_executed.into_iter().chain(id).chain(seal).collect();
-        answer_bytes(self.status, &headers, b"second")
+        answer_bytes(self.status, &headers, self.body.as_bytes())
     }
 }
 
@@ -84,19 +114,37 @@
 }
 
 impl Serving {
-    /// Writes the second answer to the former call over the connection, if there is one.
-    pub(super) fn write_second(&self, stream: &TcpStream) -> io::Result<()> {
+    /// Answers a request of a kind, and those of the kind that are answered twice a second time.
+    pub(super) fn serve_twice(
+        &self,
+        stream: &TcpStream,
+        request: &Request,
+        kind: AnsweredTwice,
+        answer: impl FnOnce() -> io::Result<()>,
+    ) -> io::Result<()> {
+        let twice = lock(&self.inside).seconds.kind.map_or(AnsweredTwice::Call, |second| second.to);
+        // Second answers to other requests than calls stand before any answer.
+        if kind == AnsweredTwice::Call || twice != AnsweredTwice::Call {
+            self.write_second(stream)?;
+        }
+        answer()?;
+        if kind == twice { self.hold_back_second(stream, request) } else { Ok(()) }
+    }
+
+    /// Writes the second answer to the former request over the connection, if there is one.
+    fn write_second(&self, stream: &TcpStream) -> io::Result<()> {
         // Whoever takes the bytes writes them before anything else is written.
         let mut inside = lock(&self.inside);
         if let Some(mut second) = inside.seconds.held_back.remove(&stream.peer_addr()?) {
+            inside.served.seconds += 1;
             // The caller may have closed the connection.
             let _ = second.stream.write_all(&second.bytes);
         }
         Ok(())
     }
 
-    /// Holds back the second answer to a call that was just answered.
-    pub(super) fn hold_back_second(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
+    /// Holds back the second answer to a request that was just answered.
+    fn hold_back_second(&self, stream: &TcpStream, request: &Request) -> io::Result<()> {
         let seconds = &mut lock(&self.inside).seconds;
         let Some(kind) = seconds.kind else { return Ok(()) };
         let id = request.header("x-attempt-id").unwrap_or_default();
--- a/crates/basilbank_standin/src/managed/served.rs
+++ b/crates/basilbank_standin/src/managed/served.rs
@@ -27,6 +27,8 @@
     pub dropped: u32,
     /// KV caches that were freed.
     pub freed: u32,
+    /// Second answers that it has written.
+    pub seconds: usize,
     /// All requests that reached it.
     pub arrived: Vec<Arrival>,
     /// When an answer first said that it leaves.
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -17,6 +17,7 @@
     http::{Request, answer_bytes, write_answer},
     inside::{Caches, Inside, lock},
     misdeed::Misdeed,
+    second_answer::AnsweredTwice,
     served::{Arrival, PauseRequest, TakenCache},
 };
 
@@ -62,8 +63,13 @@
             ("POST", _) | ("GET", _) if let Some(pause) = pause => {
                 self.ask_pause(stream, request, pause)
             }
-            ("POST", "/hold-take") => self.hold(stream, misdeed),
-            ("POST", "/order") => self.order(stream, request),
+            ("POST", "/hold-take") => {
+                self.serve_twice(stream, request, AnsweredTwice::Slot, || {
+                    self.hold(stream, misdeed)
+                })
+            }
+            ("POST", "/order") => self
+                .serve_twice(stream, request, AnsweredTwice::Order, || self.order(stream, request)),
             ("DELETE", path) if path.starts_with("/hold-drop/") => {
                 lock(&self.inside).served.dropped += 1;
                 self.reply(stream, 200, &[], b"")
@@ -72,11 +78,9 @@
                 lock(&self.inside).served.freed += 1;
                 self.reply(stream, 200, &[], b"")
             }
-            _ => {
-                self.write_second(stream)?;
-                self.serve_call(stream, request, misdeed)?;
-                self.hold_back_second(stream, request)
-            }
+            _ => self.serve_twice(stream, request, AnsweredTwice::Call, || {
+                self.serve_call(stream, request, misdeed)
+            }),
         }
     }
 
--- a/crates/basilbank_standin/src/managed/store.rs
+++ b/crates/basilbank_standin/src/managed/store.rs
@@ -38,6 +38,8 @@
     Lost,
     /// It serves, and each answer comes this much later than it was made.
     Slow(Duration),
+    /// It serves, and writes each answer a second time, this much later.
+    Twice(Duration),
 }
 
 /// Bytes that a narrow link passes on at a time: a few packets, so that connections share it.
@@ -371,7 +373,7 @@
     ) -> io::Result<()> {
         self.lock().calls += 1;
         match way.fault() {
-            StoreFault::None | StoreFault::Slow(_) => {}
+            StoreFault::None | StoreFault::Slow(_) | StoreFault::Twice(_) => {}
             StoreFault::Busy => return way.write(stream, &self.answer(503, &json!({}))),
             StoreFault::TooMany => return way.write(stream, &self.answer(429, &json!({}))),
             StoreFault::Closing => return Err(io::ErrorKind::ConnectionReset.into()),
@@ -381,6 +383,10 @@
         match way.fault() {
             StoreFault::None => {}
             StoreFault::Slow(delay) => thread::sleep(delay),
+            StoreFault::Twice(delay) => {
+                way.write(stream, &answer)?;
+                thread::sleep(delay);
+            }
             _ => return Ok(()),
         }
         way.write(stream, &answer)
--- a/crates/basilbank_standin/tests/managed/second_answers.rs
+++ b/crates/basilbank_standin/tests/managed/second_answers.rs
@@ -1,7 +1,10 @@
 //! Endpoints that answer a call again, where the answer to the next call over the connection is due.
 
+use std::time::Duration;
+
 use basilbank_standin::managed::{
-    Answer, ManagedEndpoint, Paths, SecondAnswer, Weather, World, WorldSpec, call,
+    Answer, AnsweredTwice, ManagedEndpoint, Paths, SecondAnswer, StoreFault, Weather, World,
+    WorldSpec, call,
 };
 use test_case::test_case;
 
@@ -148,3 +151,83 @@
     let answers: Vec<_> = (0..CALLS).map(|n| order(&world, 0, &format!("c{n}"))).collect();
     assert!(lost(&answers) <= MAX_LOST, "{} of {}", lost(&answers), answers.len());
 }
+
+fn draft_some(world: &World, name: &str) {
+    for n in 0..CALLS {
+        let id = format!("{name}{n}");
+        let answer = draft_on(world.callers(0), "/once/1", &id, &format!("{n:x}:1000"), 3);
+        check(world, &id, &answer);
+    }
+}
+
+fn count_seconds(world: &World) -> usize {
+    endpoints(world).map(|endpoint| endpoint.served().seconds).sum()
+}
+
+fn is_drafted(world: &World, id: &str) -> bool {
+    draft_on(world.callers(0), "/once/1", id, "f00d:1000", 3).status == 200
+}
+
+/// Guards against completions that are refused though they ran, or that get what isn't their own, behind
+/// a slot's second answer.
+#[test_case(SecondAnswer::refusal(503); "a refusal")]
+#[test_case(SecondAnswer::refusal(429); "too many requests")]
+#[test_case(SecondAnswer::refusal(421); "another instance")]
+#[test_case(SecondAnswer::failure(404); "not found")]
+#[test_case(SecondAnswer::failure(500); "a failure")]
+#[test_case(SecondAnswer::failure(200); "a success without a slot")]
+#[test_case(SecondAnswer::slot(); "another slot")]
+#[test_case(SecondAnswer { sealed: true, ..SecondAnswer::slot() }; "another slot with a mark")]
+fn a_slots_second_answer_is_not_the_next_calls(second: SecondAnswer) {
+    for may_retry in [true, false] {
+        let world = one_of_each(may_retry);
+        let second = SecondAnswer { to: AnsweredTwice::Slot, ..second };
+        world.model.iter().for_each(|endpoint| endpoint.answer_twice(Some(second)));
+        draft_some(&world, "d");
+        assert_ne!(count_seconds(&world), 0);
+        world.model.iter().for_each(|endpoint| endpoint.answer_twice(None));
+        eventually("completions are served again", || is_drafted(&world, "after"));
+    }
+}
+
+/// Guards against the same behind an order's second answer, and against orders that are given again.
+#[test_case(SecondAnswer::failure(202); "accepted")]
+#[test_case(SecondAnswer::refusal(503); "a refusal")]
+#[test_case(SecondAnswer::refusal(421); "another instance")]
+#[test_case(SecondAnswer::failure(409); "an older fencing number")]
+#[test_case(SecondAnswer { sealed: true, ..SecondAnswer::failure(200) }; "a success")]
+fn an_orders_second_answer_is_not_the_next_calls(second: SecondAnswer) {
+    let spec = WorldSpec { prefill: 4, decode: 2, ..WorldSpec::default() };
+    let world = World::start(&spec).expect("a world");
+    // Nothing is asked of the endpoint over the order's connection while its stage changes.
+    let delay = Some(Duration::from_millis(3));
+    let second = SecondAnswer { to: AnsweredTwice::Order, delay, ..second };
+    world.model.iter().for_each(|endpoint| endpoint.answer_twice(Some(second)));
+    let orders = || world.model.iter().map(|e| e.served().orders.len()).sum::<usize>();
+    eventually("orders are given", || orders() != 0);
+    draft_some(&world, "d");
+    eventually("two are ordered", || orders() == 2);
+    draft_some(&world, "e");
+    assert_eq!(orders(), 2);
+    assert_ne!(count_seconds(&world), 0);
+}
+
+/// Guards against a list or a configuration that isn't followed any more, or goes back, behind the
+/// store's second answers.
+#[test_case(Duration::ZERO; "at once")]
+#[test_case(Duration::from_millis(3); "a little later")]
+#[test_case(Duration::from_millis(700); "while the next one is awaited")]
+fn the_stores_second_answers_are_not_the_next_ones(delay: Duration) {
+    let mut world = one_of_each(true);
+    world.store.set_fault(StoreFault::Twice(delay));
+    for n in 0..4 {
+        world.drain_plain(0);
+        eventually("the endpoint leaves", || order(&world, 0, &format!("l{n}")).status != 200);
+        assert!((0..10).all(|m| order(&world, 0, &format!("l{n}-{m}")).status == 503));
+        world.list_plain(0);
+        eventually("the endpoint returns", || order(&world, 0, &format!("r{n}")).status == 200);
+        assert!((0..10).all(|m| order(&world, 0, &format!("r{n}-{m}")).status == 200));
+    }
+    world.add_another().expect("it gets ready");
+    eventually("the new daemon serves", || order(&world, 1, "new").status == 200);
+}
