--- a/crates/basilbank_soak/src/plan/blind.rs
+++ b/crates/basilbank_soak/src/plan/blind.rs
@@ -5,7 +5,7 @@
 use basilbank_core::state::Rng;
 use basilbank_standin::managed::{FIRST_VERSION, Weather};
 
-use super::{Fault, Sizes};
+use super::{Fault, Sizes, crowds};
 
 /// Sets this stream of random numbers apart from the others.
 const BLIND: u64 = 0x626c_696e;
@@ -33,10 +33,11 @@
     pub compact: Option<Duration>,
 }
 
-/// Several daemons are blind while endpoints of another version come, crash and go: in two plays of three.
+/// Several daemons are blind while endpoints of another version come, crash and go, in plays without a crowd:
+/// a daemon that starts while it is blind can't serve one.
 pub(super) fn blind(seed: u64, sizes: Sizes) -> Vec<(Duration, Fault)> {
     let mut rng = Rng::new(seed ^ BLIND);
-    if rng.index(3) == 0 {
+    if crowds(seed, sizes).iter().any(|(_, fault)| matches!(fault, Fault::Crowd(..))) {
         return Vec::new();
     }
     let begin = sizes.traffic.mul_f64(0.1 + 0.2 * rng.unit());
