--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -95,7 +95,9 @@
 
 /// Forwards complete events only, so that a stream can continue at another endpoint without a
 /// partial event in between. A stream that ends inside an event has broken off, whatever its framing
-/// says, and so has one whose events' ids don't rise from `resume_after` on. `on_progress` is called before the events are forwarded that show the progress. A relay that is
+/// says, and so has one whose events' ids don't rise, from `resume_after` on.
+///
+/// `on_progress` is called before the events are forwarded that show the progress. A relay that is
 /// stopped has forwarded all events up to `last_forwarded` and none after it.
 ///
 /// A silent endpoint doesn't end the relay, since it may write on.
