Test: each way to a refusal that the reducer takes, and that nothing runs

A row for each of not_ready, outdated, leaving, paused, limited, no_endpoint (none listed; none reached), full, waited_out, over_quota, keys_unproved, quarantined and stream_unknown: the call is refused with it, no attempt at work was answered otherwise than by a refusal or no connection before, and none begins within 20 s after it. A call whose attempt broke off isn't refused.

--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -33,6 +33,7 @@
 mod queue;
 mod quotas;
 mod ranks;
+mod refusal_proofs;
 mod relays;
 mod restart_schedules;
 mod restarted_drafts;
