Test: what streams that are out of order show of an endpoint

An endpoint whose own ids don't rise is avoided and told to peers although it answers probes; one that began a stream anew is treated as after any broken answer.

--- a/crates/basilbank_forward/tests/forward/drafts.rs
+++ b/crates/basilbank_forward/tests/forward/drafts.rs
@@ -1,6 +1,6 @@
 //! Drafts: a slot, the prefill, the decode.
 
-use basilbank_forward::prelude::*;
+use basilbank_forward::{event::Liveness, prelude::*};
 use test_case::test_case;
 
 use crate::rig::{BUSY, Rig, held, model, prefilled, prompt};
@@ -391,3 +391,18 @@
     assert!(starts.iter().all(|next| next.target.instance != "d1"), "{starts:?}");
     assert!(!starts.is_empty());
 }
+
+/// Guards against calls that are lost at an endpoint whose streams are out of order and whose probes are
+/// answered, and against a sound one that is avoided since it began one stream anew.
+#[test_case(Damage::OutOfOrder => true; "out of order")]
+#[test_case(Damage::NotResumed => false; "begun anew")]
+fn an_endpoint_whose_streams_are_out_of_order_is_avoided(damage: Damage) -> bool {
+    let mut rig = rig();
+    let (id, decode) = decoding_draft(&mut rig, "/draft/1");
+    rig.came(id, decode.number, Outcome::Streaming);
+    rig.came(id, decode.number, Outcome::Broken(damage));
+    assert_ne!(rig.start().target.endpoint, decode.target.endpoint, "it goes on elsewhere");
+    rig.feed(Event::Probed { endpoint: decode.target.endpoint, liveness: Liveness::Alive });
+    let endpoint = rig.state.directory.get(decode.target.endpoint).expect("listed");
+    rig.now() < endpoint.avoided_until.min(endpoint.reported_until)
+}
