A record that states no start counts once in the proof from the list

Callers saw (by the reducer's test): after all daemons had restarted, a stream that nobody remembered went on at the listed version, although its only endpoint may have begun it with another one: the record had been written twice and stated no start.

Cause: the proof took both revisions of a record for its listed version's. Where a record states its start, one that is too young leaves no version; without, an endpoint that has started again under its id with another version can't be told.

Where the endpoints state their start nothing changes.

Evidence: the row without a start fails before, the one with passes before and after.

--- a/crates/basilbank_forward/src/state/first_list.rs
+++ b/crates/basilbank_forward/src/state/first_list.rs
@@ -88,8 +88,11 @@
         let is_old = |record: &&Record| record.changed_by.is_some_and(|at| at <= oldest);
         let old = self.records.iter().filter(is_old).map(|record| record.revisions.changed);
         let begin = old.chain([configuration.created, self.known_until]).max().unwrap_or_default();
-        let items = self.records.iter().map(|record| record.revisions).chain([configuration]);
-        let written = items.flat_map(|item| [item.created, item.changed]);
+        let changed = self.records.iter().map(|record| record.revisions.changed);
+        // Without a start, an earlier change may be another start's, of another version.
+        let dated = self.records.iter().filter(|record| record.changed_by.is_some());
+        let created = dated.map(|record| record.revisions.created);
+        let written = changed.chain(created).chain([configuration.created, configuration.changed]);
         FirstList::accounts_for(written, begin, end)
     }
 
--- a/crates/basilbank_forward/tests/forward/versions/history.rs
+++ b/crates/basilbank_forward/tests/forward/versions/history.rs
@@ -182,3 +182,26 @@
     net.rigs[0].pass(Duration::from_secs(1));
     assert_eq!(reads(&mut net, "d"), 1);
 }
+
+/// Guards against an endpoint that has started again under its id with another version, and doesn't
+/// say when.
+#[test_case(Some(50_000), true; "that states its start")]
+#[test_case(None, false; "that states none")]
+fn a_record_that_was_written_twice(start_time: Option<u64>, goes_on: bool) {
+    let mut rig = Rig::restarted();
+    rig.history = Some(HistoryAnswer::Changes(Vec::new()));
+    rig.pass(4 * LONG);
+    let mut table = table(2);
+    table.revisions = ItemRevisions { created: 100, changed: 100 };
+    let read = Revisions::at(102);
+    rig.feed(Event::RoutesRead { revisions: read, table: Some(Arc::new(table)) });
+    rig.forgotten = 102;
+    let revisions = ItemRevisions { created: 101, changed: 102 };
+    let info = versioned("v1-a", 1, Stage::Decode);
+    let info = EndpointInfo { start_time, heartbeats: 60, revisions, ..info };
+    rig.feed(Event::EndpointsRead { revisions: read, list: vec![info] });
+    let mut net = Net::new(1, vec![]);
+    net.rigs[0] = rig;
+    let (attempts, refusals) = net.take_up(0, "again", "t");
+    assert_eq!((!attempts.is_empty(), refusals.is_empty()), (goes_on, goes_on), "{refusals:?}");
+}
