While the store can't be read, peers keep the versions of streams beside one version, too

In fleets of more than nine daemons a stream that comes back to another daemon while the store is away for all was to be refused, since the list can't be confirmed and not all daemons are asked. Now streams that begin then, and those of the last 20 s as the store is lost, are told to their keepers, whose records need no proof.

--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use super::{Context, crash, records};
+use super::{Context, crash, origin, records};
 use crate::{
     effect::Effect,
     endpoint::{EndpointInfo, EndpointKey},
@@ -195,7 +195,12 @@
 pub fn handle_read_failure(ctx: &mut Context<'_>, topic: Topic) {
     match topic {
         Topic::Routes => ctx.state.routes_lost = true,
-        Topic::Endpoints => ctx.state.directory.store_lost = true,
+        Topic::Endpoints => {
+            let was_lost = std::mem::replace(&mut ctx.state.directory.store_lost, true);
+            if !was_lost {
+                origin::announce_all(ctx);
+            }
+        }
     }
     if ctx.state.peers.watching {
         ctx.state.peers.report_soon();
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -292,15 +292,17 @@
     if is_kept {
         return;
     }
-    // A daemon that has just started can't tell later that there was only one version.
-    let is_remembered = state.versions.are_known_for(STREAM_LIFETIME, now);
-    if !is_remembered || state.versions.are_several(request.route.services(), now) {
+    // Later nobody can tell that there was only one version: a daemon that has just started, or any
+    // while the store doesn't confirm the list.
+    let is_known =
+        state.versions.are_known_for(STREAM_LIFETIME, now) && !state.directory.store_lost;
+    if !is_known || state.versions.are_several(request.route.services(), now) {
         let keepers = state.peers_by_weight(stream.0, KEEPERS);
         send_origins(ctx, &keepers, &[to_wire(stream, version)]);
     }
 }
 
-/// Tells peers of all streams that go on while a further version comes.
+/// Tells peers of all streams that go on, as it can't be inferred any more which version began them.
 pub fn announce_all(ctx: &mut Context<'_>) {
     let own: Vec<_> = ctx.state.origins.own(ctx.now).collect();
     announce(ctx, own);
--- a/crates/basilbank_forward/tests/forward/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/versions/mod.rs
@@ -2,6 +2,7 @@
 
 mod cut_off;
 mod history;
+mod keepers;
 mod old_views;
 mod one_answer;
 mod one_version;
