Streams of a start that has gone by the time its record is read are corrected, too

Found by the review: an endpoint starts again under its id with another version, begins streams that are taken for its former version's, and goes; the daemon reads both changes in one answer, or in a read that confirms the list. The record in between corrects the streams now.

The correction compares the endpoint's clock with this daemon's: 5 s are allowed for, in place of 0.5 s, since daemons' clocks may have been set back before they started.

--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -83,7 +83,7 @@
             endpoints::apply_list(&mut ctx, revisions, list);
         }
         Event::RecordsReplaced(replaced) => {
-            replaced.iter().for_each(|info| ctx.state.versions.record_former(info, ctx.now));
+            replaced.iter().for_each(|info| records::record_former(&mut ctx, info));
         }
         Event::EndpointsChanged { revisions, updated, removed } => {
             endpoints::apply_changes(&mut ctx, revisions, updated, &removed);
--- a/crates/basilbank_forward/src/reduce/list_reads.rs
+++ b/crates/basilbank_forward/src/reduce/list_reads.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use super::{Context, origin};
+use super::{Context, origin, records};
 use crate::{
     effect::Effect,
     event::UnreadChanges,
     log_line::LogLine,
-    state::{history::ListChange, list_reads::Confirmation},
+    state::list_reads::Confirmation,
     topic::{Revision, Topic},
 };
 
@@ -33,8 +33,14 @@
     let known_to = ctx.state.list_reads.known_to();
     let is_same_era = era.is_none_or(|era| era == known_to.era);
     let is_confirmed = unread.filter(|_| is_same_era).is_some_and(|unread| {
-        record_versions(ctx, &unread.changes);
+        for info in unread.changes.iter().filter_map(|(_, info)| info.as_ref()) {
+            records::record_former(ctx, info);
+        }
         let revision = Revision { era: known_to.era, number: unread.revision };
+        if unread.changes.is_empty() {
+            // The next read need not begin before that: the store drops old changes.
+            ctx.state.list_reads.record_read(revision);
+        }
         ctx.state.list_reads.confirm(Confirmation { asked_at, revision })
     });
     if !is_confirmed {
@@ -42,10 +48,3 @@
     }
     origin::conclude_confirming(ctx, asked_at);
 }
-
-/// Records the versions that the changes name. The topic's reader will read the changes themselves.
-fn record_versions(ctx: &mut Context<'_>, changes: &[ListChange]) {
-    for info in changes.iter().filter_map(|(_, info)| info.as_ref()) {
-        ctx.state.versions.record_former(info, ctx.now);
-    }
-}
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -25,6 +25,18 @@
     Excluded,
 }
 
+/// Handles a record that is not used, since a later change replaces it or it is read by the topic's
+/// reader as well: its version has served.
+pub fn record_former(ctx: &mut Context<'_>, info: &EndpointInfo) {
+    ctx.state.versions.record_former(info, ctx.now);
+    let current = current_start(ctx.state, info);
+    let is_new_start =
+        |current: &CurrentStart| matches!(current.says, StartOrder::Later | StartOrder::Different);
+    if let Some(current) = current.filter(is_new_start) {
+        restart::correct_versions(ctx, current.key, info);
+    }
+}
+
 /// Handles a record that was read from the store.
 pub fn handle_record(ctx: &mut Context<'_>, info: EndpointInfo, source: Source) {
     ctx.state.versions.record_former(&info, ctx.now);
--- a/crates/basilbank_forward/src/reduce/restart.rs
+++ b/crates/basilbank_forward/src/reduce/restart.rs
@@ -12,7 +12,7 @@
 };
 
 /// Maximum time by which the clocks of an endpoint and of this daemon may differ.
-const CLOCK_SLACK: Duration = Duration::from_millis(500);
+const CLOCK_SLACK: Duration = Duration::from_secs(5);
 
 /// Corrects the versions of the streams that a record's endpoint has begun since it started again with
 /// another version.
