An answer to a search of the history that was given up is not taken for the next one's

Found by the review, by reading: a gap in the list began the search anew while a read was open, and its late answer counted for the new search, whose changes then seemed to reach farther back than they did. The search now pauses for longer than a read lasts.

--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -124,7 +124,11 @@
         let known_until = if was_known { Some(previous.number) } else { former };
         let known_until = known_until.filter(|_| is_same_era);
         *first_list = known_until.map(|known_until| whole.with_known_until(known_until));
-        *history = History::default();
+        // The answer to a search that goes on must not be taken for one to the next search.
+        *history = match history.is_open() {
+            true => History::Failed { at: ctx.now },
+            false => History::default(),
+        };
         versions.record_gap(directory, ctx.now);
     }
     let line = LogLine::new("list_gap")
--- a/crates/basilbank_forward/src/reduce/history.rs
+++ b/crates/basilbank_forward/src/reduce/history.rs
@@ -55,7 +55,11 @@
 
 /// Handles the store's answer, and asks for older changes if there may be some.
 pub fn handle(ctx: &mut Context<'_>, era: Option<u64>, answer: HistoryAnswer) {
-    let History::Searching(mut search) = std::mem::take(&mut ctx.state.history) else { return };
+    let mut search = match std::mem::take(&mut ctx.state.history) {
+        History::Searching(search) => search,
+        // An answer to a search that was given up.
+        other => return ctx.state.history = other,
+    };
     let is_same_era = era.is_none_or(|era| era == search.era());
     let changes = match answer {
         HistoryAnswer::Changes(changes) if is_same_era => Some(changes),
