Each call that comes back gets a read of the list that began after it, also from a slow store

Found by the review: a read that was open for less than 50 ms as a call came was shared, though it proves nothing for that call, and the next one began only when the store had answered, too late for the call's 300 ms.

Rows: a_slow_store_answers_for_calls_that_come_one_after_the_other.

--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -117,10 +117,22 @@
     ctx.set_timer(id, resend_at);
     ctx.set_timer(id, until);
     ask(ctx, id, stream, peers);
+    confirm_single(ctx, id);
     history::begin(ctx);
     false
 }
 
+/// Reads the list again for a call that came after the last read was sent, if its route's services have
+/// one version. An open read is shared for a while, and proves nothing for calls that came later.
+fn confirm_single(ctx: &mut Context<'_>, id: RequestId) {
+    let (state, now) = (&*ctx.state, ctx.now);
+    let Some(request) = state.requests.get(&id) else { return };
+    let is_covered = state.list_reads.is_sent_since(request.arrived);
+    if !is_covered && state.versions.single(request.route.services(), now).is_some() {
+        list_reads::begin(ctx);
+    }
+}
+
 /// Sends the question for a stream's version to peers.
 fn ask(ctx: &mut Context<'_>, id: RequestId, stream: StreamId, peers: Vec<SocketAddr>) {
     let Some(request) = ctx.state.requests.get(&id) else { return };
@@ -145,6 +157,7 @@
         request.asked_peers.clone_from(&peers);
     }
     ask(ctx, id, stream, peers);
+    confirm_single(ctx, id);
 }
 
 /// Lets a call proceed, at endpoints of this version if it continues a stream. The stream goes on at
--- a/crates/basilbank_forward/src/state/list_reads.rs
+++ b/crates/basilbank_forward/src/state/list_reads.rs
@@ -60,6 +60,12 @@
         self.open_since.is_none_or(|since| since + MAX_SHARED_AGE <= now)
     }
 
+    /// Returns whether a read was sent at `time` or later and has no answer yet, or has one.
+    #[must_use]
+    pub fn is_sent_since(&self, time: Duration) -> bool {
+        self.open_since.is_some_and(|since| time <= since) || self.confirmed_since(time).is_some()
+    }
+
     /// Returns whether a read has no answer yet.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/crates/basilbank_forward/tests/forward/versions/cut_off.rs
+++ b/crates/basilbank_forward/tests/forward/versions/cut_off.rs
@@ -1,6 +1,6 @@
 //! Daemons whose list of endpoints is old without their knowledge.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use basilbank_forward::{call::StreamId, prelude::*};
 use basilbank_wire::{LoadGossip, StreamOrigin};
@@ -131,6 +131,47 @@
     assert!(reads(rig).is_empty());
 }
 
+/// Guards against calls that are refused where the store is slow, as the read that was open when they
+/// came proves nothing for them.
+#[test]
+fn a_slow_store_answers_for_calls_that_come_one_after_the_other() {
+    const ANSWER_TIME: Duration = Duration::from_millis(200);
+    let daemons: Vec<_> = (0..14).collect();
+    let mut net = cut_off(daemons.len(), &daemons);
+    let (mut asked, mut went_on) = (Vec::new(), HashSet::new());
+    for step in 0..60 {
+        if step < 5 {
+            let _ = net.rigs[0].resume("/draft/1", &format!("again{step}"), "t");
+        }
+        net.pass(Duration::from_millis(10));
+        let rig = &mut net.rigs[0];
+        for effect in std::mem::take(&mut rig.effects) {
+            match effect {
+                Effect::ConfirmList { asked_at, .. } => asked.push(asked_at),
+                Effect::Start { request, .. } => drop(went_on.insert(request)),
+                _ => {}
+            }
+        }
+        let now = rig.now();
+        for asked_at in asked.extract_if(.., |asked_at| *asked_at + ANSWER_TIME <= now) {
+            rig.feed(unchanged(asked_at));
+        }
+    }
+    assert_eq!(went_on.len(), 5);
+}
+
+/// Guards against reads that begin before the changes that the store still has, where nothing changes.
+#[test]
+fn an_answer_without_changes_moves_the_next_read() {
+    let mut net = cut_off(2, &[0, 1]);
+    let rig = &mut net.rigs[0];
+    rig.effects.clear();
+    let _ = rig.resume("/draft/1", "again", "t");
+    let asked = reads(rig);
+    rig.feed(unchanged(asked[0]));
+    assert_eq!(rig.state.list_reads.known_to().number, 100);
+}
+
 /// Guards against reads on days without calls that come back.
 #[test]
 fn other_calls_need_no_read() {
