The word of all known daemons doesn't prove which version began a stream

Found by a row over sockets: two daemons lost the store together, the third ended before they had met it, and a fourth that they never heard of began streams at another version; the two agreed on the only version that they knew, and streams went on there. Who isn't known can't be asked, so agreement proves nothing.

--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -78,8 +78,6 @@
         List = "list",
         /// A peer has known one version for long, and this daemon all changes since.
         PeerList = "peer_list",
-        /// All daemons have known one version for long.
-        Fleet = "fleet",
         /// The list and the store's history account for all endpoints.
         History = "history",
     }
--- a/crates/basilbank_forward/src/reduce/only_version.rs
+++ b/crates/basilbank_forward/src/reduce/only_version.rs
@@ -7,11 +7,7 @@
     endpoint::SoftwareVersion,
     reason::{UnknownVersion, VersionSource},
     route::Route,
-    state::{
-        State,
-        origins::STREAM_LIFETIME,
-        requests::{PeerVersion, Request},
-    },
+    state::{State, origins::STREAM_LIFETIME, requests::PeerVersion},
     topic::Topic,
 };
 
@@ -32,9 +28,6 @@
     if is_remembered && is_confirmed {
         return Ok((only, VersionSource::List));
     }
-    if is_remembered && is_fleet_unanimous(state, request, only, now) {
-        return Ok((only, VersionSource::Fleet));
-    }
     if !is_confirmed {
         return Err(UnknownVersion::Unconfirmed);
     }
@@ -61,28 +54,6 @@
     first.era == peer.known_to.era && first.number <= peer.known_to.number
 }
 
-/// Returns whether every daemon that can have begun a stream that is taken up now has answered that it
-/// has known this version alone.
-fn is_fleet_unanimous(
-    state: &State,
-    request: &Request,
-    only: SoftwareVersion,
-    now: Duration,
-) -> bool {
-    let peers = &state.peers;
-    let own = peers.own_address;
-    let are_met = peers.fleet_size <= peers.known.len() + 1
-        && peers.candidates.is_empty()
-        && peers.seeds.iter().all(|seed| Some(*seed) == own || peers.known.contains_key(seed));
-    let has_lost_one = peers.last_removal.is_some_and(|at| now < at + STREAM_LIFETIME);
-    let says_so = |at| {
-        let mut answers = request.inferred.iter().filter(|peer| peer.peer == at);
-        answers.any(|peer| peer.version == only && !peer.known_to.is_none())
-    };
-    let is_single = request.inferred.iter().all(|peer| peer.version == only);
-    are_met && !has_lost_one && is_single && peers.known.keys().all(|at| says_so(*at))
-}
-
 /// Returns the version of all endpoints of a route, if it is proven that there was no other one since
 /// a stream may have begun that is taken up now: none of them started since, no former version is
 /// known, and no endpoint was removed that nothing tells of.
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -99,8 +99,6 @@
     pub seeds: Vec<SocketAddr>,
     /// Maximum number of peers that were known at once.
     pub peak_count: usize,
-    /// When a peer was last removed, for having left or fallen silent.
-    pub last_removal: Option<Duration>,
     /// Number of daemons in the fleet, including this one: the maximum number that were known at
     /// once, less those that have shut down. Daemons that fell silent may only be disconnected and
     /// still serve callers.
@@ -161,7 +159,6 @@
     /// when a peer was last heard.
     pub fn remove(&mut self, address: SocketAddr) -> bool {
         let Some(peer) = self.known.remove(&address) else { return false };
-        self.last_removal = Some(self.now);
         if self.last_heard == Some(peer.last_seen) {
             self.last_heard = self.known.values().map(|peer| peer.last_seen).max();
         }
