--- a/crates/basilbank_standin/src/managed/world.rs
+++ b/crates/basilbank_standin/src/managed/world.rs
@@ -20,6 +20,7 @@
     inside::Caches,
     paths::Paths,
     ports::free_port,
+    proxy::Proxy,
     slow_clock::SlowClock,
     store::{ManagedStore, NarrowWay},
 };
@@ -231,6 +232,25 @@
         self.add_daemon(way.address())
     }
 
+    /// Starts one more daemon that reaches the store through a proxy, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_through(&mut self, way: &Proxy) -> anyhow::Result<()> {
+        self.add_daemon(way.address())
+    }
+
+    /// Starts one more daemon that the others never hear of, nor it of them, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub fn add_apart(&mut self) -> anyhow::Result<()> {
+        let control = std::mem::replace(&mut self.control, free_address()?);
+        let started = self.add_daemon(self.store.address());
+        self.control = control;
+        started
+    }
+
     /// Starts one more daemon that has a path of its own to each endpoint there is, and waits until it
     /// is ready.
     ///
--- a/crates/basilbank_standin/tests/managed/take_ups.rs
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -7,7 +7,7 @@
 };
 
 use basilbank_standin::managed::{
-    Answer, EndpointSpec, WRITER, Weather, World, WorldSpec, call, event_text, key,
+    Answer, EndpointSpec, Proxy, WRITER, Weather, World, WorldSpec, call, event_text, key,
 };
 use test_case::test_case;
 
@@ -33,12 +33,7 @@
 fn world_of(versions: &[&'static str]) -> World {
     let spec = WorldSpec { daemons: 3, plain: 1, prefill: 0, decode: 0, ..WorldSpec::default() };
     let mut world = World::start(&spec).expect("a world");
-    for version in versions.iter().copied() {
-        for (name, stage) in [("p", "prefill"), ("a", "decode"), ("b", "decode")] {
-            let spec = EndpointSpec::model(&format!("{version}-{name}"), stage);
-            world.add_model(EndpointSpec { version, ..spec }).expect("an endpoint");
-        }
-    }
+    versions.iter().for_each(|version| add_version(&mut world, version));
     let streams = |to, n: usize| whole(to, &format!("w{n}")).status == 200;
     eventually("all daemons have all versions", || {
         (0..3).all(|daemon| (0..4).all(|n| streams(world.callers(daemon), 10 * daemon + n)))
@@ -46,6 +41,13 @@
     world
 }
 
+fn add_version(world: &mut World, version: &'static str) {
+    for (name, stage) in [("p", "prefill"), ("a", "decode"), ("b", "decode")] {
+        let spec = EndpointSpec::model(&format!("{version}-{name}"), stage);
+        world.add_model(EndpointSpec { version, ..spec }).expect("an endpoint");
+    }
+}
+
 fn head(id: &str, more: &str) -> String {
     let session: u32 = id.bytes().map(u32::from).sum();
     format!(
@@ -126,6 +128,33 @@
     }
 }
 
+/// Guards against daemons that lose the store together and take the only version that they know for the
+/// stream's.
+#[test]
+fn daemons_without_the_store_guess_nothing() {
+    let spec = WorldSpec { daemons: 0, plain: 1, prefill: 0, decode: 0, ..WorldSpec::default() };
+    let mut world = World::start(&spec).expect("a world");
+    add_version(&mut world, "v1");
+    let ways = [0, 1].map(|_| Proxy::start(world.store.address()).expect("a way to the store"));
+    ways.iter().for_each(|way| world.add_through(way).expect("a daemon"));
+    world.add_another().expect("a daemon");
+    eventually("they serve", || {
+        (0..3).all(|daemon| whole(world.callers(daemon), &format!("w{daemon}")).status == 200)
+    });
+    ways.iter().for_each(|way| way.set(Weather::Silent));
+    world.terminate(2);
+    world.wait_ended(2).expect("its end");
+    add_version(&mut world, "v2");
+    (0..3).for_each(|n| world.drain_model(n));
+    world.add_apart().expect("a daemon");
+    eventually("it serves", || whole(world.callers(3), "w").status == 200);
+    for n in 0..STREAMS {
+        assert_eq!(begin(world.callers(3), &format!("s{n}")), "v2");
+        let answer = take_up(world.callers(n % 2), &format!("t{n}"), &format!("s{n}"));
+        assert_eq!(answer.status, 503, "{}", answer.text());
+    }
+}
+
 /// Replaces all daemons with one that remembers nothing, before endpoints that have run for long.
 fn replace_daemons(world: &mut World) {
     (0..3).for_each(|daemon| world.terminate(daemon));
