--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -18,6 +18,7 @@
 mod gossip;
 mod gossip_send;
 mod history;
+mod keepers;
 mod list_reads;
 mod next_step;
 mod only_version;
@@ -66,7 +67,7 @@
             outcome::handle_outcome(&mut ctx, request, attempt, outcome);
         }
         Event::FirstEvent { request, attempt } => {
-            origin::record_origin(&mut ctx, request, attempt);
+            keepers::record_origin(&mut ctx, request, attempt);
         }
         Event::WroteOn { request, attempt } => crash::handle_wrote_on(&mut ctx, request, attempt),
         Event::AttemptSilent { request, attempt, silent_for } => {
@@ -144,7 +145,7 @@
         *first_list = None;
     }
     if has_more {
-        origin::announce_all(ctx);
+        keepers::announce_all(ctx);
     }
 }
 
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use super::{Context, crash, origin, records};
+use super::{Context, crash, keepers, records};
 use crate::{
     effect::Effect,
     endpoint::{EndpointInfo, EndpointKey},
@@ -202,7 +202,7 @@
         Topic::Endpoints => {
             let was_lost = std::mem::replace(&mut ctx.state.directory.store_lost, true);
             if !was_lost {
-                origin::announce_all(ctx);
+                keepers::announce_all(ctx);
             }
         }
     }
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -12,8 +12,8 @@
 };
 
 use super::{
-    Context, call_limit, crash, demand, freshness, gossip_send, origin, quota, relays, returns,
-    roles,
+    Context, call_limit, crash, demand, freshness, gossip_send, keepers, origin, quota, relays,
+    returns, roles,
 };
 use crate::{
     endpoint::SoftwareVersion,
@@ -147,7 +147,7 @@
     }
     if is_new_start && !gossip.leaving {
         gossip_send::introduce(ctx, from, gossip.incarnation);
-        origin::announce_to(ctx, from);
+        keepers::announce_to(ctx, from);
     }
     if !is_new_start {
         relays::pass_on(ctx, from, gossip);
--- a/crates/basilbank_forward/src/reduce/restart.rs
+++ b/crates/basilbank_forward/src/reduce/restart.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use super::{Context, origin};
+use super::{Context, keepers};
 use crate::{
     call::StreamId,
     endpoint::{EndpointInfo, EndpointKey, SoftwareVersion},
@@ -54,5 +54,5 @@
         .with("software", after)
         .with("streams", corrected.len());
     ctx.log(line);
-    origin::announce(ctx, corrected);
+    keepers::announce(ctx, corrected);
 }
