An answer whose head says wrongly how long its body is, is no answer

What callers saw: an endpoint in trouble sent an answer whose head was spoilt where it tells the length of the body, and callers got it as a complete answer with a body that was not the endpoint's: "transfer-encoding: chunkd", or any other coding that is unknown, empty or follows the chunks, came as 200 with the chunks' sizes in the body; a length beside chunks came with the length of the head and another body behind it (in builds with assertions the caller's connection ends in a panic); codings before the chunks, chunks twice and 204 with chunks or a length came as complete.

Cause: the HTTP library takes what RFC 9112 6.3 lets a recipient accept. With a coding that it doesn't know it reads to the connection's end, beside chunks it ignores a length, and the length of a 204 it doesn't look at. Nothing behind it looked at the head again, and the endpoint's length was passed on as it came.

Change: check_head decides once, from the head alone, whether what the endpoint says about the length is valid, stated once, not contradictory and known: a length of digits, or chunks alone, or neither. Connection::send asks it, so each call to an endpoint, for callers and for peers, slots, orders, reports, liveness requests, and each read of the store goes through it; what a peer passes on is checked again. What fails counts as garbled, its connection is closed, and the call goes on by the usual rules.

Evidence: real sockets, the stand-in writes the given bytes at one endpoint beside a sound one.

--- a/crates/basilbank/src/lib.rs
+++ b/crates/basilbank/src/lib.rs
@@ -1,6 +1,7 @@
 //! The shell of basilbank: threads that turn sockets, timers and watches into events, and carry the
 //! core's effects out.
 
+pub mod answer_head;
 pub mod callers;
 pub mod clock;
 pub mod engine;
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use basilbank::answer_head::check_head;
 use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -222,7 +223,8 @@
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
-    /// Returns an error if there is no answer, together with the request if it was not sent.
+    /// Returns an error if there is no answer, or an invalid one, together with the request if it was not
+    /// sent.
     pub async fn send(
         &mut self,
         request: OutRequest,
@@ -234,6 +236,9 @@
         match answer {
             Ok(Ok(response)) => {
                 self.answers = self.answers.saturating_add(1);
+                let (status, version) = (response.status(), response.version());
+                let checked = check_head(status, version, response.headers());
+                checked.map_err(|_| (CallError::Broken(Damage::Garbled), None))?;
                 Ok(response)
             }
             Ok(Err(mut error)) => {
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use basilbank::answer_head::check_head;
 use basilbank_forward::prelude::*;
 use basilbank_wire::{
     ProxyCodec, ProxyFailure, ProxyHead, ProxyHeader, ProxyMessage, ProxyPurpose, ProxyRequest,
@@ -192,6 +193,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(u16::try_from(head.status).ok()?).ok()?;
     *response.headers_mut() = read_headers(&head.headers)?;
+    check_head(response.status(), response.version(), response.headers()).ok()?;
     Some(response)
 }
 
--- a/crates/basilbank_standin/src/managed.rs
+++ b/crates/basilbank_standin/src/managed.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod endless;
 mod endpoint;
+mod given_answer;
 mod http;
 mod inside;
 mod misdeed;
@@ -28,6 +29,7 @@
     ending::{BreakKind, BreakPlace, BreakShare, Ending, Framing},
     endless::Endless,
     endpoint::{EndpointSpec, FIRST_VERSION, ManagedEndpoint},
+    given_answer::GivenAnswer,
     http::{Answer, Request, call, exchange, read_answer},
     inside::Caches,
     misdeed::Misdeed,
--- a/crates/basilbank_standin/src/managed/misdeed.rs
+++ b/crates/basilbank_standin/src/managed/misdeed.rs
@@ -1,6 +1,6 @@
 //! How an endpoint misbehaves.
 
-use super::endless::Endless;
+use super::{endless::Endless, given_answer::GivenAnswer};
 
 /// Events of a stream after which it begins again at an endpoint that does so.
 const EVENTS_BEFORE_REPEAT: u32 = 3;
@@ -37,6 +37,8 @@
     Repeating,
     /// It runs the call, and writes until the caller closes the connection.
     Endless(Endless),
+    /// It runs the call, and the head of its answer is this.
+    Given(GivenAnswer),
 }
 
 impl Misdeed {
--- a/crates/basilbank_standin/src/managed/serving.rs
+++ b/crates/basilbank_standin/src/managed/serving.rs
@@ -238,6 +238,9 @@
             endless::write(stream, request, endless);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
+        if let Misdeed::Given(given) = misdeed {
+            return given.write(stream, request, &self.sound_body(request));
+        }
         if !is_completion {
             return self.answer(stream, request, misdeed);
         }
@@ -291,6 +294,20 @@
         true
     }
 
+    fn plain_body(&self, request: &Request) -> String {
+        format!("{} {} by {}", request.method, request.target, self.instance)
+    }
+
+    /// The whole body of a sound answer.
+    fn sound_body(&self, request: &Request) -> String {
+        if request.header("x-token-counts").is_none() {
+            return self.plain_body(request);
+        }
+        let version = lock(&self.inside).served.version;
+        let (had, last) = asked_events(request);
+        (had + 1..=last).map(|n| event_text(n, version)).collect()
+    }
+
     fn answer(
         &self,
         mut stream: &TcpStream,
@@ -301,7 +318,7 @@
         let id = request.header("x-attempt-id").unwrap_or_default();
         let id = if misdeed == Misdeed::Mistaken { "another" } else { id };
         let status = if misdeed == Misdeed::Error { 500 } else { 200 };
-        let body = format!("{} {} by {}", request.method, request.target, self.instance);
+        let body = self.plain_body(request);
         let limit = lock(&self.inside).limit.map(|rate| rate.to_string());
         let mut headers = vec![("x-attempt-id", id), ("x-server-seal", "seal")];
         headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
@@ -342,10 +359,8 @@
         ];
         headers.extend(limit.as_deref().map(|limit| ("server-limit", limit)));
         headers.extend(self.stated());
-        let counts = request.header("x-token-counts").unwrap_or_default();
-        let last: u32 = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
-        let had = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0u32);
         let version = lock(&self.inside).served.version;
+        let (had, last) = asked_events(request);
         let numbers = misdeed.event_numbers(had, last);
         let events = || numbers.iter().map(|n| event_text(*n, version));
         let Ending { framing, mut broken } = lock(&self.inside).next_ending();
@@ -389,6 +404,14 @@
     }
 }
 
+/// The number of the event after which a stream is to go on, and that of its last one.
+fn asked_events(request: &Request) -> (u32, u32) {
+    let counts = request.header("x-token-counts").unwrap_or_default();
+    let last = counts.split(',').nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0);
+    let had = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
+    (had, last)
+}
+
 fn has_deadly_part(request: &Request) -> bool {
     let parts = request.header("x-prompt-prefix").unwrap_or_default().split(',');
     parts.filter_map(|part| part.split_once(':')).any(|(id, _)| id == DEADLY_PART)
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -21,6 +21,7 @@
 mod shares;
 mod silences;
 mod slow_link;
+mod spoilt_heads;
 mod stated;
 mod store;
 mod support;
--- /dev/null
+++ b/crates/basilbank_standin/tests/managed/spoilt_heads.rs
@@ -0,0 +1,187 @@
+//! Endpoints that spoil the heads of their answers.
+
+use std::{thread, time::Duration};
+
+use basilbank_standin::managed::{
+    Answer, BreakKind, Framing, GivenAnswer, ManagedEndpoint, Misdeed, World, call,
+};
+use test_case::test_case;
+
+use crate::{
+    ends::{Ends, Way},
+    support::{next_id, stream_of},
+};
+
+/// Events of a stream.
+const EVENTS: u32 = 8;
+
+/// Calls of which one surely comes to each of two endpoints.
+const TRIES: u32 = 240;
+
+/// Pause between them, in which an endpoint that failed is forgiven.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A kind of call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Kind {
+    /// A plain call that may run once.
+    Order,
+    /// A plain call that may be repeated.
+    Sheet,
+    /// A stream that may go on elsewhere.
+    Draft,
+    /// A stream that may run once.
+    Once,
+}
+
+impl Kind {
+    fn line(self) -> &'static str {
+        match self {
+            Kind::Order => "POST /stock/1",
+            Kind::Sheet => "GET /sheet/1",
+            Kind::Draft => "POST /draft/1",
+            Kind::Once => "POST /once/1",
+        }
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Kind::Draft | Kind::Once)
+    }
+
+    fn may_repeat(self) -> bool {
+        matches!(self, Kind::Sheet | Kind::Draft)
+    }
+
+    /// The endpoints that run such calls.
+    fn endpoints(self, world: &World) -> [&ManagedEndpoint; 2] {
+        match self.is_stream() {
+            true => [&world.model[1], &world.model[2]],
+            false => [&world.plain[0], &world.plain[1]],
+        }
+    }
+
+    fn call(self, ends: &Ends) -> Answer {
+        let (id, counts) = (next_id(), format!("1000,{EVENTS}"));
+        let prefix = format!("{}:1000", &id[1..]);
+        let mut headers =
+            vec![("host", "shop.example"), ("x-attempt-id", &id), ("x-deadline-remaining", "3000")];
+        if self.is_stream() {
+            headers.extend([("x-token-counts", counts.as_str()), ("x-prompt-prefix", &prefix)]);
+        }
+        call(ends.world.callers(ends.daemon), self.line(), &headers, b"").expect("an answer")
+    }
+
+    /// Calls until an answer of the faulty endpoint was given. Its answer is the last.
+    fn call_at(self, ends: &Ends, faulty: &ManagedEndpoint) -> Answer {
+        let before = faulty.served().ran.len();
+        for _ in 0..TRIES {
+            let answer = self.call(ends);
+            if faulty.served().ran.len() != before {
+                return answer;
+            }
+            thread::sleep(PAUSE);
+        }
+        panic!("no call came to the endpoint");
+    }
+
+    /// Whether the answer is a sound endpoint's whole one.
+    fn is_sound(self, answer: &Answer, sound: &ManagedEndpoint) -> bool {
+        let text = match self.is_stream() {
+            true => stream_of(EVENTS),
+            false => format!("{} by {}", self.line(), sound.instance()),
+        };
+        (answer.status, answer.whole, answer.text()) == (200, true, text)
+    }
+
+    /// Whether the answer is a stream that shows that it was broken off between two events.
+    fn is_cut(self, answer: &Answer) -> bool {
+        let is_part = (0..=EVENTS).any(|events| answer.text() == stream_of(events));
+        self.is_stream() && (answer.status, answer.whole) == (200, false) && is_part
+    }
+}
+
+fn given(status: &'static str, lines: &'static str, body: Framing) -> GivenAnswer {
+    GivenAnswer { status, lines, body: Some(body), end: BreakKind::Close }
+}
+
+/// Lines that spoil the length of a body, and how that is written.
+const LENGTHS: [(&str, Framing); 20] = [
+    ("content-length 14\r\n\r\n", Framing::Length),
+    ("content-length: \r\n\r\n", Framing::Length),
+    ("content-length: fourteen\r\n\r\n", Framing::Length),
+    ("content-length: 1x4\r\n\r\n", Framing::Length),
+    ("content-length: -14\r\n\r\n", Framing::Length),
+    ("content-length: +14\r\n\r\n", Framing::Length),
+    ("content-length: 0x1f\r\n\r\n", Framing::Length),
+    ("content-length: 14, 15\r\n\r\n", Framing::Length),
+    ("content-length: 14\r\ncontent-length: 15\r\n\r\n", Framing::Length),
+    ("content-length: 99999999999999999999\r\n\r\n", Framing::Length),
+    ("content-length: 9999\r\n\r\n", Framing::Length),
+    ("content-length: 14\r\ntransfer-encoding: chunkd\r\n\r\n", Framing::Chunks),
+    ("content-length: 14\r\ntransfer-encoding: chunked\r\n\r\n", Framing::Chunks),
+    ("transfer-encoding: chunkd\r\n\r\n", Framing::Chunks),
+    ("transfer-encoding: \r\n\r\n", Framing::Chunks),
+    ("transfer-encoding: identity\r\n\r\n", Framing::Connection),
+    ("transfer-encoding: chunked, identity\r\n\r\n", Framing::Chunks),
+    ("transfer-encoding: gzip, chunked\r\n\r\n", Framing::Chunks),
+    ("transfer-encoding: chunked, chunked\r\n\r\n", Framing::Chunks),
+    ("transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n", Framing::Chunks),
+];
+
+/// One of so many of them is played by a peer.
+const LENGTHS_BY_PEER: usize = 4;
+
+/// Plays each answer at one endpoint beside a sound one, and for calls that may run once at both.
+fn check(kind: Kind, way: Way, answers: impl IntoIterator<Item = GivenAnswer>) {
+    let mut wrong = Vec::new();
+    for given in answers {
+        let ends = Ends::start(way);
+        let [faulty, other] = kind.endpoints(&ends.world);
+        faulty.misbehave(Misdeed::Given(given));
+        if !kind.may_repeat() {
+            other.misbehave(Misdeed::Given(given));
+        }
+        let answer = kind.call_at(&ends, faulty);
+        let is_right = match kind.may_repeat() {
+            true => kind.is_sound(&answer, other),
+            false => answer.status == 502 && answer.whole || kind.is_cut(&answer),
+        };
+        if !is_right {
+            wrong.push(format!(
+                "{given:?}: {} {} {:?}",
+                answer.status,
+                answer.whole,
+                answer.text()
+            ));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against answers whose head says wrongly how long their body is.
+#[test_case(Kind::Order, Way::Direct; "order")]
+#[test_case(Kind::Sheet, Way::Direct; "sheet")]
+#[test_case(Kind::Draft, Way::Direct; "draft")]
+#[test_case(Kind::Once, Way::Direct; "once")]
+#[test_case(Kind::Order, Way::ByPeer; "order by a peer")]
+#[test_case(Kind::Sheet, Way::ByPeer; "sheet by a peer")]
+#[test_case(Kind::Once, Way::ByPeer; "once by a peer")]
+fn an_answer_whose_length_is_spoilt_is_no_answer(kind: Kind, way: Way) {
+    // A daemon without paths takes long to start.
+    let step = if way == Way::Direct { 1 } else { LENGTHS_BY_PEER };
+    let lengths = LENGTHS.iter().step_by(step);
+    check(kind, way, lengths.map(|(lines, body)| given("200", lines, *body)));
+}
+
+/// Guards against an answer without content in place of one whose status was spoilt.
+#[test_case(Kind::Order; "order")]
+#[test_case(Kind::Sheet; "sheet")]
+#[test_case(Kind::Draft; "draft")]
+#[test_case(Kind::Once; "once")]
+fn no_content_that_has_a_body_is_no_answer(kind: Kind) {
+    let answers = [
+        given("204", "transfer-encoding: chunked\r\n\r\n", Framing::Chunks),
+        given("204", "content-length: 14\r\n\r\n", Framing::Length),
+    ];
+    check(kind, Way::Direct, answers);
+}
