The first part of a body does not pass for the whole one

What callers saw: an endpoint sent a head whose length was spoilt into a smaller number, or whose status was spoilt into 204, and its whole body behind it. Callers got 14 bytes, two events or nothing as a complete answer.

Cause: a body counted as complete once its length was reached, whatever came behind it. The HTTP library notices the rest only as it gets to the next request, and not at all where the connection closes.

Change: the task of a connection keeps what the library leaves unread as it ends (into_parts), which it does in the same step as the body's end where bytes follow or the connection closes. At the body's end that and the socket are looked at: a rest makes the answer broken, before a gathered one is passed on, and before the last chunk of a stream is. A 204 in place of a stream is read like other answers, as its head alone would be a complete one. Bytes that begin as an answer does are no rest: PROTOCOL.md has endpoints that answer twice, and the first of these is whole (second_answers, unchanged).

Evidence: 6 tests of 8 rows each (length too short or 0, 204; with and without Connection: close; closed and kept) fail in every row before, and pass now.

Left, as nothing shows it in time: a rest that comes later than the body's end, and one behind an answer that came before its request was written whole.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -191,7 +191,7 @@
             let body = read_answer_body(&router, &caller_request, &attempt, body).await;
             read_control_answer(&router, &attempt, &head, body, connection)
         }
-        AnswerKind::Forward if is_streaming(&attempt.op) && head.status().is_success() => {
+        AnswerKind::Forward if is_streaming(&attempt.op) && is_stream(head.status()) => {
             let keep_alive = parse_keep_alive(head.headers());
             let framing = Framing::of(head.headers());
             let is_events = is_event_stream(head.headers());
@@ -360,6 +360,12 @@
     matches!(op, Op::Stream { .. } | Op::Decode { .. })
 }
 
+/// Returns whether an answer to a call for a stream is one. An answer without content is read like other
+/// answers, since its head alone would be a complete one.
+fn is_stream(status: StatusCode) -> bool {
+    status.is_success() && status != StatusCode::NO_CONTENT
+}
+
 /// Returns whether a stream consists of server-sent events. One that doesn't state its type does.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let is_events = |value: &hyper::header::HeaderValue| {
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
+    future::poll_fn,
     io,
     net::SocketAddr,
     rc::{Rc, Weak},
@@ -22,7 +23,7 @@
 use crate::{
     carried_ids::{CarriedIds, SentId},
     dialect::OutRequest,
-    read_guard::{GuardedStream, MAX_HEAD_BYTES, ReadGuard},
+    read_guard::{EXCESS_BYTES, GuardedStream, MAX_HEAD_BYTES, ReadGuard, is_excess},
     stray_answers::StrayAnswers,
 };
 
@@ -77,10 +78,39 @@
     answers: u32,
     carried: CarriedIds,
     opened_at: Instant,
-    guard: Rc<ReadGuard>,
+    inbound: Inbound,
+    _task: ConnectionTask,
+}
+
+/// What comes over a connection.
+#[derive(Clone, Debug)]
+pub struct Inbound {
+    /// Bounds the bytes that come.
+    pub guard: Rc<ReadGuard>,
     /// The socket, until the HTTP library has closed it.
     stream: Weak<RefCell<TcpStream>>,
-    _task: ConnectionTask,
+}
+
+impl Inbound {
+    /// Returns whether more of the body has come behind an answer whose length was reached.
+    #[must_use]
+    pub fn has_excess(&self) -> bool {
+        let mut unread = [0; EXCESS_BYTES];
+        self.guard.has_excess() || is_excess(self.peek(&mut unread))
+    }
+
+    /// Returns whether the socket has bytes that the HTTP library hasn't read yet.
+    fn has_unread(&self) -> bool {
+        !self.peek(&mut [0]).is_empty()
+    }
+
+    /// Returns the bytes in the socket that the HTTP library hasn't read yet, as far as there is room.
+    fn peek<'a>(&self, buffer: &'a mut [u8]) -> &'a [u8] {
+        let Some(stream) = self.stream.upgrade() else { return &[] };
+        let peeked = rustix::net::recv(&*stream.borrow(), &mut *buffer, RecvFlags::PEEK);
+        let count = peeked.map_or(0, |(count, _)| count);
+        &buffer[..count.min(buffer.len())]
+    }
 }
 
 /// Which answer an answer is.
@@ -92,6 +122,9 @@
     pub answer: u32,
 }
 
+/// The HTTP library's side of a connection.
+type HttpConnection = http1::Connection<TokioIo<GuardedStream>, Full<Bytes>>;
+
 #[derive(Debug)]
 struct ConnectionTask(AbortHandle);
 
@@ -157,14 +190,13 @@
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
             .await;
         let Ok((sender, connection)) = handshake else { return Err(ConnectError::Other) };
-        // Errors of the connection are returned by the sender and the body.
-        let task = tokio::task::spawn_local(async move { drop(connection.await) });
+        let task = tokio::task::spawn_local(run_connection(connection, Rc::clone(&guard)));
         let task = ConnectionTask(task.abort_handle());
         let serial = NEXT_SERIAL.fetch_add(1, Ordering::Relaxed);
         let opened_at = Instant::now();
         let (answers, carried) = (0, CarriedIds::default());
-        let stream = shared;
-        Ok(Connection { sender, serial, answers, carried, opened_at, guard, stream, _task: task })
+        let inbound = Inbound { guard, stream: shared };
+        Ok(Connection { sender, serial, answers, carried, opened_at, inbound, _task: task })
     }
 
     /// Returns which answer the last one is.
@@ -179,10 +211,10 @@
         self.opened_at
     }
 
-    /// What bounds the bytes that come over the connection.
+    /// What comes over the connection.
     #[must_use]
-    pub fn guard(&self) -> Rc<ReadGuard> {
-        Rc::clone(&self.guard)
+    pub fn inbound(&self) -> Inbound {
+        self.inbound.clone()
     }
 
     /// Returns whether a request can be sent now.
@@ -192,7 +224,7 @@
 
     /// Starts to wait for the next request: nothing may come until it is sent.
     pub fn await_request(&self) {
-        self.guard.await_request();
+        self.inbound.guard.await_request();
     }
 
     /// Returns whether the next request can be sent, and its answer can't be taken for another one that
@@ -204,14 +236,7 @@
 
     /// Returns whether something has come although no answer is due.
     fn has_stray(&self) -> bool {
-        self.guard.has_stray() || self.has_unread()
-    }
-
-    /// Returns whether the socket has bytes that the HTTP library hasn't read yet.
-    fn has_unread(&self) -> bool {
-        let Some(stream) = self.stream.upgrade() else { return false };
-        let peeked = rustix::net::recv(&*stream.borrow(), &mut [0], RecvFlags::PEEK);
-        peeked.is_ok_and(|(length, _)| length != 0)
+        self.inbound.guard.has_stray() || self.inbound.has_unread()
     }
 
     fn record_sent(&mut self, sent: Option<SentId<'_>>) {
@@ -230,9 +255,9 @@
         request: OutRequest,
         answer_timeout: Duration,
     ) -> Result<Response<Incoming>, (CallError, Option<Box<OutRequest>>)> {
-        self.guard.await_head();
+        self.inbound.guard.await_head();
         let answer = timeout(answer_timeout, self.sender.try_send_request(request)).await;
-        self.guard.end();
+        self.inbound.guard.end();
         match answer {
             Ok(Ok(response)) => {
                 self.answers = self.answers.saturating_add(1);
@@ -244,7 +269,7 @@
             Ok(Err(mut error)) => {
                 let unsent = error.take_message().map(Box::new);
                 let damage = match error.error().is_parse() {
-                    _ if self.guard.is_exceeded() => Damage::Endless,
+                    _ if self.inbound.guard.is_exceeded() => Damage::Endless,
                     true => Damage::Garbled,
                     false => Damage::Closed,
                 };
@@ -255,6 +280,13 @@
     }
 }
 
+/// Carries requests and answers until the connection ends. Its errors are returned by the sender and the
+/// body.
+async fn run_connection(mut connection: HttpConnection, guard: Rc<ReadGuard>) {
+    let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    guard.record_left(&connection.into_parts().read_buf);
+}
+
 impl IdleConnection {
     fn is_usable(&self, now: Instant) -> bool {
         now < self.expires_at && self.connection.is_ready()
@@ -367,7 +399,7 @@
         for lists in [&self.idle, &self.doubtful] {
             let mut lists = lists.borrow_mut();
             for (endpoint, list) in lists.iter_mut() {
-                if list.iter().any(|entry| entry.connection.guard.has_stray()) {
+                if list.iter().any(|entry| entry.connection.inbound.guard.has_stray()) {
                     strays.push(*endpoint);
                 }
                 list.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
@@ -384,7 +416,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
-        if list.iter().any(|entry| entry.connection.guard.has_stray()) {
+        if list.iter().any(|entry| entry.connection.inbound.guard.has_stray()) {
             drop(idle);
             self.record_stray(endpoint);
             return None;
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -8,7 +8,7 @@
     task::{Context, Poll, ready},
 };
 
-use basilbank_forward::effect::Target;
+use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use hyper::{
     Response,
@@ -16,11 +16,10 @@
 };
 
 use crate::{
-    connections::Connection,
+    connections::{Connection, Inbound},
     end_proof::{AnswerTimes, EndProof},
     endpoint_body::BodyBroken,
     framing::Framing,
-    read_guard::ReadGuard,
     router::Router,
 };
 
@@ -31,8 +30,8 @@
 pub struct DirectBody {
     incoming: Incoming,
     end: End,
-    /// Bounds what comes without a piece of the body.
-    guard: Rc<ReadGuard>,
+    /// Bounds what comes without a piece of the body, and shows what comes behind it.
+    inbound: Inbound,
 }
 
 /// What the end of the body proves.
@@ -45,6 +44,8 @@
     Checking(Pin<Box<dyn Future<Output = EndProof>>>),
     /// The body has ended.
     Checked(EndProof),
+    /// More has come behind the body: its length was spoilt, and what came of it is not the whole.
+    Excess,
 }
 
 /// The process that writes the body.
@@ -86,15 +87,19 @@
             times: router.answer_times(connection),
         };
         let end = if is_marked { End::Marked } else { End::Unmarked(writer()) };
-        let guard = connection.guard();
-        guard.await_body();
-        answer.map(|incoming| DirectBody { incoming, end, guard })
+        let inbound = connection.inbound();
+        inbound.guard.await_body();
+        answer.map(|incoming| DirectBody { incoming, end, inbound })
     }
 
-    /// Returns whether more has come than a body can have, so that it has been broken off.
+    /// Returns why the body broke off.
     #[must_use]
-    pub fn is_endless(&self) -> bool {
-        self.guard.is_exceeded()
+    pub fn damage(&self) -> Damage {
+        match self.inbound.guard.is_exceeded() {
+            true => Damage::Endless,
+            false if matches!(self.end, End::Excess) => Damage::Garbled,
+            false => Damage::CutOff,
+        }
     }
 
     /// Returns what proves that the body is whole, or why nothing does; `None` before its end, and if
@@ -103,7 +108,7 @@
     pub fn proof(&self) -> Option<EndProof> {
         match self.end {
             End::Checked(proof) => Some(proof),
-            End::Marked | End::Unmarked(_) | End::Checking(_) => None,
+            End::Marked | End::Unmarked(_) | End::Checking(_) | End::Excess => None,
         }
     }
 }
@@ -124,14 +129,18 @@
                     body.end = End::Checked(proof);
                     return Poll::Ready((!proof.is_whole()).then_some(Err(BodyBroken)));
                 }
-                End::Checked(_) => return Poll::Ready(None),
+                End::Checked(_) | End::Excess => return Poll::Ready(None),
                 End::Marked | End::Unmarked(_) => {}
             }
             if let Some(frame) = ready!(Pin::new(&mut body.incoming).poll_frame(cx)) {
-                body.guard.await_body();
+                body.inbound.guard.await_body();
                 return Poll::Ready(Some(frame.map_err(|_| BodyBroken)));
             }
-            body.guard.end();
+            body.inbound.guard.end();
+            if body.inbound.has_excess() {
+                body.end = End::Excess;
+                return Poll::Ready(Some(Err(BodyBroken)));
+            }
             let end = std::mem::replace(&mut body.end, End::Checked(EndProof::Framing));
             if let End::Unmarked(writer) = end {
                 body.end = End::Checking(Box::pin(writer.check()));
--- a/crates/basilbank_gateway/src/endpoint_body.rs
+++ b/crates/basilbank_gateway/src/endpoint_body.rs
@@ -27,8 +27,8 @@
     #[must_use]
     pub fn damage(&self) -> Damage {
         match self {
-            EndpointBody::Direct(body) if body.is_endless() => Damage::Endless,
-            EndpointBody::Direct(_) | EndpointBody::Proxied(_) => Damage::CutOff,
+            EndpointBody::Direct(body) => body.damage(),
+            EndpointBody::Proxied(_) => Damage::CutOff,
         }
     }
 
--- a/crates/basilbank_gateway/src/read_guard.rs
+++ b/crates/basilbank_gateway/src/read_guard.rs
@@ -29,6 +29,19 @@
 /// Maximum number of pieces in which a head may come for longer than that.
 const MAX_LATE_PIECES: u32 = 8;
 
+/// Beginning of an answer.
+const ANSWER_START: &[u8] = b"HTTP/1.";
+
+/// Number of the bytes behind an answer that tell whether they are the rest of its body.
+pub const EXCESS_BYTES: usize = ANSWER_START.len();
+
+/// Returns whether these bytes, which follow a complete answer, are the rest of its body, so that the
+/// length of the body was spoilt. An answer to no request may follow as well, and spoils nothing.
+#[must_use]
+pub fn is_excess(bytes: &[u8]) -> bool {
+    !bytes.is_empty() && !bytes.starts_with(ANSWER_START)
+}
+
 /// What is awaited on a connection.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 enum Awaited {
@@ -50,6 +63,8 @@
     is_exceeded: Cell<bool>,
     /// Whether anything came while no answer was due.
     has_stray: Cell<bool>,
+    /// Whether the rest of a body was left unread when the connection was given up.
+    has_excess: Cell<bool>,
 }
 
 impl ReadGuard {
@@ -74,6 +89,17 @@
         self.has_stray.get()
     }
 
+    /// Records the bytes that were left unread when the connection was given up.
+    pub fn record_left(&self, bytes: &[u8]) {
+        self.has_excess.set(is_excess(bytes));
+    }
+
+    /// Returns whether the rest of a body was left unread when the connection was given up.
+    #[must_use]
+    pub fn has_excess(&self) -> bool {
+        self.has_excess.get()
+    }
+
     /// Ends the wait.
     pub fn end(&self) {
         self.restart(Awaited::Nothing);
--- a/crates/basilbank_standin/tests/managed/spoilt_heads.rs
+++ b/crates/basilbank_standin/tests/managed/spoilt_heads.rs
@@ -173,6 +173,32 @@
     check(kind, way, lengths.map(|(lines, body)| given("200", lines, *body)));
 }
 
+/// Guards against the first part of a body that passes for the whole one.
+#[test_case(Kind::Order, Way::Direct; "order")]
+#[test_case(Kind::Sheet, Way::Direct; "sheet")]
+#[test_case(Kind::Draft, Way::Direct; "draft")]
+#[test_case(Kind::Once, Way::Direct; "once")]
+#[test_case(Kind::Order, Way::ByPeer; "order by a peer")]
+#[test_case(Kind::Once, Way::ByPeer; "once by a peer")]
+fn an_answer_whose_length_is_too_short_is_no_answer(kind: Kind, way: Way) {
+    let kept = |given| GivenAnswer { end: BreakKind::Silence, ..given };
+    // Two of the events.
+    let short =
+        if kind.is_stream() { "content-length: 42\r\n\r\n" } else { "content-length: 14\r\n\r\n" };
+    let closing = if kind.is_stream() {
+        "content-length: 42\r\nconnection: close\r\n\r\n"
+    } else {
+        "content-length: 14\r\nconnection: close\r\n\r\n"
+    };
+    let answers = [
+        given("200", short, Framing::Length),
+        given("200", closing, Framing::Length),
+        given("200", "content-length: 0\r\n\r\n", Framing::Length),
+        given("204", "\r\n", Framing::Length),
+    ];
+    check(kind, way, answers.into_iter().flat_map(|given| [given, kept(given)]));
+}
+
 /// Guards against an answer without content in place of one whose status was spoilt.
 #[test_case(Kind::Order; "order")]
 #[test_case(Kind::Sheet; "sheet")]
