An answer with a status that no final answer has, is no answer

What callers saw: an endpoint's answer with the status 600 or 999 came to them with that status, and one with 101, which nobody asked for, as a complete answer without a body. Reported was 000, which the HTTP library refuses, as it does all others that aren't three digits from 100 on.

Cause: the HTTP library takes any status from 100 to 999, and ends an answer with 101 at its head.

Change: check_head refuses what isn't 200 to 599. Such an answer counts as garbled, and the call goes on by the usual rules.

--- a/crates/basilbank/src/answer_head.rs
+++ b/crates/basilbank/src/answer_head.rs
@@ -12,10 +12,18 @@
 /// What is wrong with the head of an answer.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum HeadFault {
+    /// Its status is none that a final answer can have.
+    Status,
     /// What it says about the length of the body is invalid, ambiguous or contradictory.
     Framing,
 }
 
+/// Lowest status of a final answer: those below are informational, and this program asks for no upgrade.
+const MIN_FINAL_STATUS: u16 = 200;
+
+/// Highest status that is defined.
+const MAX_STATUS: u16 = 599;
+
 /// Checks the head of a final answer.
 ///
 /// # Errors
@@ -25,6 +33,9 @@
     version: Version,
     headers: &HeaderMap,
 ) -> Result<(), HeadFault> {
+    if !(MIN_FINAL_STATUS..=MAX_STATUS).contains(&status.as_u16()) {
+        return Err(HeadFault::Status);
+    }
     let length = single(headers, &CONTENT_LENGTH)?;
     let coding = single(headers, &TRANSFER_ENCODING)?;
     let is_sound = match (length, coding) {
--- a/crates/basilbank/tests/answer_head.rs
+++ b/crates/basilbank/tests/answer_head.rs
@@ -53,3 +53,13 @@
     let lines = [("transfer-encoding", "chunked")];
     assert_eq!(check(200, Version::HTTP_10, &lines), Err(HeadFault::Framing));
 }
+
+/// Guards against a status that was spoilt and is passed on.
+#[test_case(100)]
+#[test_case(101)]
+#[test_case(199)]
+#[test_case(600)]
+#[test_case(999)]
+fn a_status_that_is_none_of_a_final_answer_is_a_fault(status: u16) {
+    assert_eq!(check(status, Version::HTTP_11, &[]), Err(HeadFault::Status));
+}
--- a/crates/basilbank_standin/tests/managed/spoilt_heads.rs
+++ b/crates/basilbank_standin/tests/managed/spoilt_heads.rs
@@ -211,3 +211,20 @@
     ];
     check(kind, Way::Direct, answers);
 }
+
+/// What may stand in place of a status.
+const STATUSES: [&str; 14] =
+    ["000", "001", "099", "100", "101", "199", "600", "999", "20", "2000", "2x0", "", "-20", "0x2"];
+
+/// Guards against an answer whose status was spoilt and that is passed on.
+#[test_case(Kind::Order; "order")]
+#[test_case(Kind::Sheet; "sheet")]
+#[test_case(Kind::Draft; "draft")]
+#[test_case(Kind::Once; "once")]
+fn an_answer_whose_status_is_spoilt_is_no_answer(kind: Kind) {
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let with_body = STATUSES.map(|status| given(status, chunked, Framing::Chunks));
+    let without =
+        STATUSES.map(|status| GivenAnswer { body: None, ..given(status, "\r\n", Framing::Length) });
+    check(kind, Way::Direct, with_body.into_iter().chain(without));
+}
