Tests: lines that are no fields, and heads that are broken off, are no answers

Reported from other systems: a head in which the name of a field holds a blank or a control byte came to callers as an answer, and so did one that its endpoint broke off half-way, with an empty or short body. No change of the product.

--- a/crates/basilbank_standin/src/managed/given_answer.rs
+++ b/crates/basilbank_standin/src/managed/given_answer.rs
@@ -22,6 +22,8 @@
 pub struct GivenAnswer {
     /// What stands for the status.
     pub status: &'static str,
+    /// Lines before those with the call's id and the seal, each with its line end.
+    pub first: &'static str,
     /// Lines after those with the call's id and the seal, each with its line end, and the blank line.
     pub lines: &'static str,
     /// How the sound body that follows is written; `None` if nothing follows.
@@ -33,8 +35,9 @@
 impl GivenAnswer {
     /// The bytes of the answer to the call with the id, whose body this is.
     fn bytes(&self, id: &str, body: &str) -> String {
-        let GivenAnswer { status, lines, .. } = self;
-        let head = format!("HTTP/1.1 {status} x\r\nx-attempt-id: {id}\r\nx-server-seal: seal\r\n");
+        let GivenAnswer { status, first, lines, .. } = self;
+        let own = format!("x-attempt-id: {id}\r\nx-server-seal: seal\r\n");
+        let head = format!("HTTP/1.1 {status} x\r\n{first}{own}");
         let body = match self.body {
             None => String::new(),
             Some(Framing::Length | Framing::Connection) => body.to_owned(),
--- a/crates/basilbank_standin/tests/managed/spoilt_heads.rs
+++ b/crates/basilbank_standin/tests/managed/spoilt_heads.rs
@@ -101,11 +101,11 @@
 }
 
 fn given(status: &'static str, lines: &'static str, body: Framing) -> GivenAnswer {
-    GivenAnswer { status, lines, body: Some(body), end: BreakKind::Close }
+    GivenAnswer { status, first: "", lines, body: Some(body), end: BreakKind::Close }
 }
 
 /// Lines that spoil the length of a body, and how that is written.
-const LENGTHS: [(&str, Framing); 20] = [
+const LENGTHS: [(&str, Framing); 21] = [
     ("content-length 14\r\n\r\n", Framing::Length),
     ("content-length: \r\n\r\n", Framing::Length),
     ("content-length: fourteen\r\n\r\n", Framing::Length),
@@ -116,6 +116,7 @@
     ("content-length: 14, 15\r\n\r\n", Framing::Length),
     ("content-length: 14\r\ncontent-length: 15\r\n\r\n", Framing::Length),
     ("content-length: 99999999999999999999\r\n\r\n", Framing::Length),
+    ("content-length: 1\r\n 4\r\n\r\n", Framing::Length),
     ("content-length: 9999\r\n\r\n", Framing::Length),
     ("content-length: 14\r\ntransfer-encoding: chunkd\r\n\r\n", Framing::Chunks),
     ("content-length: 14\r\ntransfer-encoding: chunked\r\n\r\n", Framing::Chunks),
@@ -228,3 +229,57 @@
         STATUSES.map(|status| GivenAnswer { body: None, ..given(status, "\r\n", Framing::Length) });
     check(kind, Way::Direct, with_body.into_iter().chain(without));
 }
+
+/// Lines that are no fields, before those of a sound head.
+const LINES: [&str; 16] = [
+    "x bad: 1\r\n",
+    "x-bad : 1\r\n",
+    " x-bad: 1\r\n",
+    "\tfolded\r\n",
+    "x\tbad: 1\r\n",
+    "x\x01bad: 1\r\n",
+    "x\0bad: 1\r\n",
+    "x\x7fbad: 1\r\n",
+    "x\u{e9}bad: 1\r\n",
+    "x(bad): 1\r\n",
+    "x-bad: 1\x01\r\n",
+    "x-bad: 1\0\r\n",
+    "x-bad: 1\r2\r\n",
+    ": 1\r\n",
+    "no field at all\r\n",
+    "HTTP/1.1 200 x\r\n",
+];
+
+/// Guards against lines that are no fields, and that are passed on or hide what follows them.
+#[test_case(Kind::Order; "order")]
+#[test_case(Kind::Sheet; "sheet")]
+#[test_case(Kind::Draft; "draft")]
+#[test_case(Kind::Once; "once")]
+fn an_answer_with_a_line_that_is_no_field_is_no_answer(kind: Kind) {
+    let chunked = "transfer-encoding: chunked\r\n\r\n";
+    let answers =
+        LINES.map(|line| GivenAnswer { first: line, ..given("200", chunked, Framing::Chunks) });
+    check(kind, Way::Direct, answers);
+}
+
+/// Ends of heads that were broken off.
+const BROKEN_OFF: [&str; 7] = [
+    "",
+    "conte",
+    "content-length: ",
+    "content-length: 1",
+    "content-length: 14\r\n",
+    "transfer-encoding: chunked\r\n",
+    "content-length: 0\r\n\r",
+];
+
+/// Guards against the beginning of a head that passes for an answer without a body.
+#[test_case(Kind::Order; "order")]
+#[test_case(Kind::Sheet; "sheet")]
+#[test_case(Kind::Draft; "draft")]
+#[test_case(Kind::Once; "once")]
+fn a_head_that_is_broken_off_is_no_answer(kind: Kind) {
+    let cut = |lines, end| GivenAnswer { body: None, end, ..given("200", lines, Framing::Length) };
+    let ends = [BreakKind::Close, BreakKind::Reset];
+    check(kind, Way::Direct, BROKEN_OFF.iter().flat_map(|lines| ends.map(|end| cut(*lines, end))));
+}
