An early answer whose connection ends beside an unwritten upload is not whole

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and closed the connection while the upload was still being written. Callers got that part as a complete answer. The same with a reset, as reported, was broken off already (5 other tests, which pass before and after).

Cause: an end that only the connection marks counted as proven if the endpoint's process lives on. It does, but it can't be done with a call that it has not read.

Change: the connection knows whether the HTTP library has written all that it was to write (it flushes once nothing is left). If a success ends with its connection before that, nothing proves that it is whole (proof=early). A failure is passed on as before: endpoints refuse long uploads early.

Evidence: 4 MiB to an endpoint that reads 4 KiB; the row "unmarked and closed" fails before with a 200 of the first part, and passes now.

--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -53,11 +53,18 @@
     router: Rc<Router>,
     target: Target,
     times: AnswerTimes,
+    /// Whether the answer is a success, for which the whole request had to be read.
+    is_success: bool,
 }
 
 impl Writer {
-    async fn check(self) -> EndProof {
-        let proof = self.router.check_writer(&self.target, self.times).await;
+    /// Checks whether the body is whole, which that of a success isn't if its connection has ended before
+    /// the request was written.
+    async fn check(self, is_written: bool) -> EndProof {
+        let proof = match is_written || !self.is_success {
+            true => self.router.check_writer(&self.target, self.times).await,
+            false => EndProof::Early,
+        };
         self.router.metrics.count_end_check(proof);
         proof
     }
@@ -85,6 +92,7 @@
             router: Rc::clone(router),
             target: target.clone(),
             times: router.answer_times(connection),
+            is_success: answer.status().is_success(),
         };
         let end = if is_marked { End::Marked } else { End::Unmarked(writer()) };
         let inbound = connection.inbound();
@@ -143,7 +151,8 @@
             }
             let end = std::mem::replace(&mut body.end, End::Checked(EndProof::Framing));
             if let End::Unmarked(writer) = end {
-                body.end = End::Checking(Box::pin(writer.check()));
+                let is_written = body.inbound.guard.is_written();
+                body.end = End::Checking(Box::pin(writer.check(is_written)));
             }
         }
     }
--- a/crates/basilbank_gateway/src/end_proof.rs
+++ b/crates/basilbank_gateway/src/end_proof.rs
@@ -44,6 +44,8 @@
     Ended,
     /// Nothing: another process has the address.
     Replaced,
+    /// Nothing: the connection has ended before the request was written whole.
+    Early,
     /// Nothing: the process can't be reached, or whoever has the address doesn't answer.
     Unreachable,
 }
@@ -65,6 +67,7 @@
             EndProof::Peer => "peer",
             EndProof::Ended => "ended",
             EndProof::Replaced => "replaced",
+            EndProof::Early => "early",
             EndProof::Unreachable => "unreachable",
         }
     }
--- a/crates/basilbank_gateway/src/read_guard.rs
+++ b/crates/basilbank_gateway/src/read_guard.rs
@@ -63,6 +63,8 @@
     is_exceeded: Cell<bool>,
     /// Whether anything came while no answer was due.
     has_stray: Cell<bool>,
+    /// Whether all that was to be sent has been written.
+    is_written: Cell<bool>,
     /// Whether the rest of a body was left unread when the connection was given up.
     has_excess: Cell<bool>,
 }
@@ -89,6 +91,12 @@
         self.has_stray.get()
     }
 
+    /// Returns whether all that was to be sent has been written.
+    #[must_use]
+    pub fn is_written(&self) -> bool {
+        self.is_written.get()
+    }
+
     /// Records the bytes that were left unread when the connection was given up.
     pub fn record_left(&self, bytes: &[u8]) {
         self.has_excess.set(is_excess(bytes));
@@ -182,6 +190,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.guard.is_written.set(false);
         Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes)
     }
 
@@ -190,6 +199,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.guard.is_written.set(false);
         Pin::new(&mut *self.stream.borrow_mut()).poll_write_vectored(cx, slices)
     }
 
@@ -198,6 +208,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library flushes once it has nothing left to write.
+        self.guard.is_written.set(true);
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod cut_off;
 mod drafts;
+mod early_answers;
 mod endpoints;
 mod ends;
 mod entries;
