Our own interface: an answer whose head is spoilt is no answer

A plain service's answer with the status 101, 600 or 999 reached its caller, and so did 204 with a body, a length twice or beside chunks, and any coding that is unknown, beside others or after the chunks, as complete answers with other bodies. Prefills with 6 of these heads counted as done.

Cause: its HTTP library takes any status, looks for "chunked" anywhere among the codings, and reads to the connection's end where there is none.

Change: the HTTP client asks check_head about each answer (a middleware), so drafts, plain calls, orders, releases, reports and the catalogue go through the same rules as the platform's interface. What fails counts as broken: the call may have run.

Evidence: 26 heads, plain and prefill; before, 11 and 6 of them pass for answers, now none.

--- a/crates/basilbank/src/answer_head.rs
+++ b/crates/basilbank/src/answer_head.rs
@@ -4,6 +4,8 @@
 //! lengths that are stated twice, and any status of three digits. An endpoint in trouble may have spoilt
 //! such a head, and its body would then be cut or extended without a sign.
 
+use std::{error::Error, fmt};
+
 use hyper::{
     HeaderMap, StatusCode, Version,
     header::{CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING},
@@ -18,6 +20,17 @@
     Framing,
 }
 
+impl fmt::Display for HeadFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            HeadFault::Status => "the answer's status is none of a final answer",
+            HeadFault::Framing => "the answer's head says wrongly how long its body is",
+        })
+    }
+}
+
+impl Error for HeadFault {}
+
 /// Lowest status of a final answer: those below are informational, and this program asks for no upgrade.
 const MIN_FINAL_STATUS: u16 = 200;
 
--- a/crates/basilbank/src/engine/agent.rs
+++ b/crates/basilbank/src/engine/agent.rs
@@ -3,9 +3,15 @@
 use std::time::Duration;
 
 use basilbank_core::event::Failure;
-use ureq::{Agent, Timeout, config::Config, unversioned::resolver::DefaultResolver};
+use ureq::{
+    Agent, Body, SendBody, Timeout,
+    config::Config,
+    http::{Request, Response},
+    middleware::MiddlewareNext,
+    unversioned::resolver::DefaultResolver,
+};
 
-use crate::engine::dial::Dial;
+use crate::{answer_head::check_head, engine::dial::Dial};
 
 /// Time for a connection to be made.
 pub const CONNECT: Duration = Duration::from_secs(1);
@@ -25,8 +31,8 @@
 const IDLE_PER_HOST: usize = 32;
 const IDLE_TOTAL: usize = 512;
 
-/// An HTTP client that passes on what comes: it follows no redirects, treats no status as an error,
-/// decompresses nothing and adds no headers. Reading one piece of an answer takes `per_read` at
+/// An HTTP client that passes on what comes: it follows no redirects, treats no status of a final answer
+/// as an error, decompresses nothing and adds no headers. An answer whose head is spoilt is an error. Reading one piece of an answer takes `per_read` at
 /// most.
 #[must_use]
 pub fn agent(per_read: Duration) -> Agent {
@@ -35,6 +41,7 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .proxy(None)
+        .middleware(check_answer)
         .user_agent("")
         .accept("")
         .accept_encoding("")
@@ -52,6 +59,16 @@
     Agent::with_parts(config, Dial::default(), DefaultResolver::default())
 }
 
+fn check_answer(
+    request: Request<SendBody<'_>>,
+    next: MiddlewareNext<'_>,
+) -> Result<Response<Body>, ureq::Error> {
+    let response = next.handle(request)?;
+    let checked = check_head(response.status(), response.version(), response.headers());
+    checked.map_err(|fault| ureq::Error::Other(Box::new(fault)))?;
+    Ok(response)
+}
+
 /// What an error proves. Everything but a failure to connect counts as sent.
 #[must_use]
 pub fn failure(error: &ureq::Error) -> Failure {
--- a/crates/basilbank/src/lib.rs
+++ b/crates/basilbank/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod callers;
 pub mod clock;
 pub mod engine;
+pub mod excess;
 pub mod logs;
 pub mod published;
 
--- a/crates/basilbank/tests/shell/main.rs
+++ b/crates/basilbank/tests/shell/main.rs
@@ -14,3 +14,4 @@
 mod pool;
 mod responder;
 mod rig;
+mod spoilt_heads;
--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -11,7 +11,10 @@
     time::{Duration, Instant},
 };
 
-use basilbank::answer_head::check_head;
+use basilbank::{
+    answer_head::check_head,
+    excess::{EXCESS_BYTES, is_excess},
+};
 use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,7 +26,7 @@
 use crate::{
     carried_ids::{CarriedIds, SentId},
     dialect::OutRequest,
-    read_guard::{EXCESS_BYTES, GuardedStream, MAX_HEAD_BYTES, ReadGuard, is_excess},
+    read_guard::{GuardedStream, MAX_HEAD_BYTES, ReadGuard},
     stray_answers::StrayAnswers,
 };
 
--- a/crates/basilbank_gateway/src/read_guard.rs
+++ b/crates/basilbank_gateway/src/read_guard.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use basilbank::excess::is_excess;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -29,19 +30,6 @@
 /// Maximum number of pieces in which a head may come for longer than that.
 const MAX_LATE_PIECES: u32 = 8;
 
-/// Beginning of an answer.
-const ANSWER_START: &[u8] = b"HTTP/1.";
-
-/// Number of the bytes behind an answer that tell whether they are the rest of its body.
-pub const EXCESS_BYTES: usize = ANSWER_START.len();
-
-/// Returns whether these bytes, which follow a complete answer, are the rest of its body, so that the
-/// length of the body was spoilt. An answer to no request may follow as well, and spoils nothing.
-#[must_use]
-pub fn is_excess(bytes: &[u8]) -> bool {
-    !bytes.is_empty() && !bytes.starts_with(ANSWER_START)
-}
-
 /// What is awaited on a connection.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 enum Awaited {
