Our own interface: the first part of a body does not pass for the whole one

What callers saw: a plain service stated a length that was too short, or 204, and wrote its whole body behind it. Callers got the first part, or nothing, as a complete answer. Drafts, reports and the catalogue are safe from it: their JSON and lines don't parse without their end.

Cause: the HTTP client counts such a body as complete and drops its connection without a word.

Change: a connection that is given up with the rest of a body unread notes that for its thread, which is the one that reads the answer; a plain call asks for it at the body's end. Bytes that begin as an answer does are no rest, as on the platform's interface.

Evidence: 4 tests (too short, 0, closing, 204; closed and kept) fail before and pass now; an answer before another one is passed on as before.

--- a/crates/basilbank/src/engine/dial.rs
+++ b/crates/basilbank/src/engine/dial.rs
@@ -1,11 +1,32 @@
 //! TCP connections of the HTTP client, and what their errors mean.
 
-use std::io;
+use std::{cell::Cell, io};
 
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
 };
 
+use crate::excess::is_excess;
+
+thread_local! {
+    /// Whether a connection that this thread gave up had the rest of a body left.
+    static HAS_EXCESS: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Forgets what connections had left that this thread gave up.
+pub fn forget_excess() {
+    HAS_EXCESS.set(false);
+}
+
+/// Returns whether a connection that this thread gave up since then had the rest of a body left.
+///
+/// The HTTP client gives a connection up, or keeps it for the next call, on the thread that reads the end
+/// of the answer, and keeps none that has anything left.
+#[must_use]
+pub fn has_excess() -> bool {
+    HAS_EXCESS.get()
+}
+
 /// Makes TCP connections, and tells a failure to make one from all later failures.
 ///
 /// The error kinds of the operating system overlap: `HostUnreachable` may come from `connect`, but
@@ -33,7 +54,15 @@
 /// end as well, by the error's kind, and half a body would pass for a whole one. So errors of reads
 /// lose their kind here.
 #[derive(Debug)]
-pub struct Connection<T>(T);
+pub struct Connection<T: Transport>(T);
+
+impl<T: Transport> Drop for Connection<T> {
+    fn drop(&mut self) {
+        if is_excess(self.0.buffers().input()) {
+            HAS_EXCESS.set(true);
+        }
+    }
+}
 
 impl<T: Transport> Transport for Connection<T> {
     fn buffers(&mut self) -> &mut dyn Buffers {
--- a/crates/basilbank/src/engine/plain.rs
+++ b/crates/basilbank/src/engine/plain.rs
@@ -18,7 +18,7 @@
 use crate::{
     callers::{HeldPlain, PlainAnswer, from_service, segments::Segments},
     engine::{
-        Worker, agent,
+        Worker, agent, dial,
         unmarked::{is_deserted, is_unmarked},
     },
 };
@@ -68,11 +68,15 @@
         let base = self.base(call.endpoint).ok_or(Failure::Unreachable)?;
         let request = self.request(&held, &base, call).ok_or(Failure::Unreachable)?;
         let method = request.method().clone();
+        dial::forget_excess();
         let mut response = self.send_plain(request, &held.body).map_err(|e| agent::failure(&e))?;
         if response.status() == 503 && is_not_run(response.headers()) {
             return Err(Failure::Full);
         }
         let body = self.read_answer(&mut response, Instant::now() + call.timeout)?;
+        if dial::has_excess() {
+            return Err(Failure::Broken);
+        }
         if is_unmarked(&method, &response) && self.has_ended(call.endpoint) {
             return Err(Failure::Broken);
         }
--- a/crates/basilbank/tests/shell/spoilt_heads.rs
+++ b/crates/basilbank/tests/shell/spoilt_heads.rs
@@ -1,10 +1,13 @@
 //! Endpoints that spoil the heads of their answers.
 
 use basilbank::callers::HeldPlain;
-use basilbank_core::{effect::EngineCall, event::Failure};
+use basilbank_core::{
+    effect::EngineCall,
+    event::{EngineEvent, Failure},
+};
 use test_case::test_case;
 
-use crate::rig::Rig;
+use crate::{responder::say, rig::Rig};
 
 /// How a sound body is written.
 #[derive(Clone, Copy)]
@@ -82,6 +85,20 @@
 #[test_case("200", "content-length: 9\r\nconnection: close\r\n"; "closing")]
 #[test_case("204", ""; "no content")]
 fn an_answer_whose_length_is_too_short_is_broken(status: &str, lines: &str) {
-    let rig = Rig::closing(bytes_of((status, lines, AsItIs), ORDER));
+    let bytes = bytes_of((status, lines, AsItIs), ORDER);
+    let rig = Rig::closing(bytes.clone());
     assert_eq!(rig.failure_of(order(&rig)), Failure::Broken);
+    let rig = Rig::start(move |_, stream| say(stream, &bytes));
+    assert_eq!(rig.failure_of(order(&rig)), Failure::Broken);
+}
+
+/// Guards against a whole answer that is lost because another one follows it.
+#[test]
+fn an_answer_before_another_one_is_whole() {
+    let lines = format!("content-length: {}\r\n", ORDER.len());
+    let bytes = bytes_of(("200", &lines, AsItIs), ORDER).repeat(2);
+    let rig = Rig::closing(bytes);
+    rig.call(order(&rig));
+    let event = rig.next();
+    assert!(matches!(event, EngineEvent::Answered { status: 200, .. }), "{event:?}");
 }
