Tests: a planned stop in calm cuts no call that came late

Reported from other systems: in a planned stop of one entry Vm, in calm, calls that came late in the grace period were taken, passed on, and cut at its end without an answer, among them ones that may not be repeated. It doesn't happen here: once the load balancer has had time to notice, a call is taken only if its deadline lies before the end of the grace period, and what is still at work then gets an answer.

No change of the product.

--- a/crates/basilbank_standin/tests/managed/main.rs
+++ b/crates/basilbank_standin/tests/managed/main.rs
@@ -12,6 +12,7 @@
 mod keys;
 mod leaving;
 mod overload;
+mod planned_stop;
 mod ports;
 mod proofs;
 mod readings;
