Our own interface: an answer whose trailers have no end is given up

What happened: an endpoint of our own interface wrote trailers without end behind its last chunk. The thread that read the answer went on for as long as bytes came, at a full core: a draft's call never ended (its limits begin anew with each byte), a plain call at its deadline. Informational heads without end were read as long as the call's time allowed.

Cause: the HTTP client reads on within one call until it has a piece of the body or the end, and bounds neither trailers nor informational heads.

Change: the connection counts what comes until a piece of the body was read, and fails beyond 128 KiB, as on the platform's interface. All bodies, the catalogue's too, are read by Pieces, which begins the count anew.

Evidence: 10 kinds of bytes without end for plain calls, prefills and decodes; before, trailers and informational heads fail, now none.

--- a/crates/basilbank/src/engine.rs
+++ b/crates/basilbank/src/engine.rs
@@ -12,6 +12,7 @@
 mod lines;
 mod plain;
 mod protocol;
+pub(crate) mod received;
 mod report;
 mod unmarked;
 
--- a/crates/basilbank/src/engine/control.rs
+++ b/crates/basilbank/src/engine/control.rs
@@ -13,6 +13,7 @@
     engine::{
         CONTROL_TIMEOUT, Worker,
         protocol::{OrderBody, Ordered, Owner},
+        received::read_whole,
     },
     logs::Line,
 };
@@ -143,6 +144,6 @@
 }
 
 fn ordered(response: &mut Response<Body>) -> Option<Ordered> {
-    let text = response.body_mut().with_config().limit(ANSWER).read_to_vec().ok()?;
+    let text = read_whole(response, ANSWER).ok()?;
     serde_json::from_slice(&text).ok()
 }
--- a/crates/basilbank/src/engine/dial.rs
+++ b/crates/basilbank/src/engine/dial.rs
@@ -1,31 +1,12 @@
 //! TCP connections of the HTTP client, and what their errors mean.
 
-use std::{cell::Cell, io};
+use std::io;
 
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, NextTimeout, TcpConnector, Transport,
 };
 
-use crate::excess::is_excess;
-
-thread_local! {
-    /// Whether a connection that this thread gave up had the rest of a body left.
-    static HAS_EXCESS: Cell<bool> = const { Cell::new(false) };
-}
-
-/// Forgets what connections had left that this thread gave up.
-pub fn forget_excess() {
-    HAS_EXCESS.set(false);
-}
-
-/// Returns whether a connection that this thread gave up since then had the rest of a body left.
-///
-/// The HTTP client gives a connection up, or keeps it for the next call, on the thread that reads the end
-/// of the answer, and keeps none that has anything left.
-#[must_use]
-pub fn has_excess() -> bool {
-    HAS_EXCESS.get()
-}
+use crate::engine::received;
 
 /// Makes TCP connections, and tells a failure to make one from all later failures.
 ///
@@ -48,7 +29,7 @@
     }
 }
 
-/// A connection that ends only by an orderly close.
+/// A connection that ends only by an orderly close, or with an answer that has no end.
 ///
 /// A body with neither length nor chunks ends with its connection. ureq takes a reset for such an
 /// end as well, by the error's kind, and half a body would pass for a whole one. So errors of reads
@@ -58,9 +39,7 @@
 
 impl<T: Transport> Drop for Connection<T> {
     fn drop(&mut self) {
-        if is_excess(self.0.buffers().input()) {
-            HAS_EXCESS.set(true);
-        }
+        received::record_left(self.0.buffers().input());
     }
 }
 
@@ -70,14 +49,19 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), ureq::Error> {
+        received::await_piece();
         self.0.transmit_output(amount, timeout)
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
-        self.0.await_input(timeout).map_err(|error| match error {
+        let before = self.0.buffers().input().len();
+        let has_come = self.0.await_input(timeout).map_err(|error| match error {
             ureq::Error::Io(error) => ureq::Error::Io(io::Error::other(error)),
             error => error,
-        })
+        })?;
+        let after = self.0.buffers().input().len();
+        received::record_bytes(after.saturating_sub(before))?;
+        Ok(has_come)
     }
 
     fn is_open(&mut self) -> bool {
--- a/crates/basilbank/src/engine/draft.rs
+++ b/crates/basilbank/src/engine/draft.rs
@@ -16,6 +16,7 @@
         attempts::Phase,
         lines::{Lines, NoLine},
         protocol::{DecodeBody, NotRun, PrefillBody, Prefilled, StreamLine},
+        received::{Pieces, read_whole},
     },
     sync::lock,
 };
@@ -167,7 +168,7 @@
         expected: Option<&Expected>,
         body: Body,
     ) {
-        let mut lines = Lines::new(body.into_reader());
+        let mut lines = Lines::new(Pieces(body.into_reader()));
         loop {
             let line = match lines.next::<StreamLine>() {
                 Ok(line) => line,
@@ -267,8 +268,7 @@
 }
 
 fn read_small(response: &mut Response<Body>) -> Result<Vec<u8>, Failure> {
-    let body = response.body_mut().with_config().limit(SMALL_ANSWER);
-    body.read_to_vec().map_err(|_| Failure::Broken)
+    read_whole(response, SMALL_ANSWER).map_err(|_| Failure::Broken)
 }
 
 /// These bodies have string keys and plain values only, which always encode.
--- a/crates/basilbank/src/engine/plain.rs
+++ b/crates/basilbank/src/engine/plain.rs
@@ -18,7 +18,8 @@
 use crate::{
     callers::{HeldPlain, PlainAnswer, from_service, segments::Segments},
     engine::{
-        Worker, agent, dial,
+        Worker, agent,
+        received::{self, Pieces},
         unmarked::{is_deserted, is_unmarked},
     },
 };
@@ -68,13 +69,13 @@
         let base = self.base(call.endpoint).ok_or(Failure::Unreachable)?;
         let request = self.request(&held, &base, call).ok_or(Failure::Unreachable)?;
         let method = request.method().clone();
-        dial::forget_excess();
+        received::forget_excess();
         let mut response = self.send_plain(request, &held.body).map_err(|e| agent::failure(&e))?;
         if response.status() == 503 && is_not_run(response.headers()) {
             return Err(Failure::Full);
         }
         let body = self.read_answer(&mut response, Instant::now() + call.timeout)?;
-        if dial::has_excess() {
+        if received::has_excess() {
             return Err(Failure::Broken);
         }
         if is_unmarked(&method, &response) && self.has_ended(call.endpoint) {
@@ -86,7 +87,7 @@
     /// Reads an answer's body, each part once there is memory for it.
     fn read_answer(&self, response: &mut Response<Body>, end: Instant) -> Result<Bytes, Failure> {
         let limit = u64::try_from(self.config.answer).unwrap_or(u64::MAX);
-        let mut reader = response.body_mut().with_config().limit(limit).reader();
+        let mut reader = Pieces(response.body_mut().with_config().limit(limit).reader());
         let mut claim = self.callers.bodies.claim_answer();
         let (mut body, mut part) = (Segments::new(0), [0; READ_BYTES]);
         loop {
--- a/crates/basilbank/src/engine/report.rs
+++ b/crates/basilbank/src/engine/report.rs
@@ -13,6 +13,7 @@
     engine::{
         CONTROL_TIMEOUT, Worker,
         protocol::{Cache, Load, StreamRow, Streams, hex},
+        received::read_whole,
     },
     sync::lock,
 };
@@ -75,7 +76,7 @@
         if response.status() != 200 {
             return None;
         }
-        let text = response.body_mut().with_config().limit(REPORT).read_to_vec().ok()?;
+        let text = read_whole(&mut response, REPORT).ok()?;
         serde_json::from_slice(&text).ok()
     }
 }
--- a/crates/basilbank/src/platform.rs
+++ b/crates/basilbank/src/platform.rs
@@ -27,7 +27,7 @@
 
 use self::protocol::{Changes, VmTable};
 use crate::{
-    engine::agent,
+    engine::{agent, received::Pieces},
     inbox::Feed,
     logs::Line,
     metrics::{Metrics, ReadResult},
@@ -239,7 +239,7 @@
             429 => return Err(ReadResult::Limited),
             _ => return Err(ReadResult::Failed),
         }
-        let body = response.body_mut().with_config().limit(ANSWER).reader();
+        let body = Pieces(response.body_mut().with_config().limit(ANSWER).reader());
         let text = read_paced(body, ANSWER_TIME).map_err(|_| ReadResult::Failed)?;
         serde_json::from_slice(&text).map_err(|_| ReadResult::Failed)
     }
--- a/crates/basilbank/tests/shell/main.rs
+++ b/crates/basilbank/tests/shell/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod breaks;
+mod endless;
 mod ends;
 mod engine_control;
 mod engine_draft;
