Tests: a spoilt head is an answer to nothing that the gateway sends

Slots, orders, releases, reports, liveness requests and the store's reads share Connection::send with the calls of callers. No change of the product.

--- a/crates/basilbank_gateway/tests/connections.rs
+++ b/crates/basilbank_gateway/tests/connections.rs
@@ -9,7 +9,8 @@
 
 use basilbank_forward::{effect::Target, prelude::*};
 use basilbank_gateway::{
-    Connection, ConnectionPool, OutRequest, carried_ids::SentId, stray_answers::StrayAnswers,
+    CallError, Connection, ConnectionPool, OutRequest, carried_ids::SentId,
+    stray_answers::StrayAnswers,
 };
 use test_case::test_case;
 use tokio::{runtime::Builder, task::LocalSet};
@@ -131,3 +132,28 @@
     strays.record(endpoint, now);
     assert!(!strays.is_distrusted(endpoint, now + Duration::from_secs(5)));
 }
+
+/// Guards against a spoilt head that is taken for an answer to a slot, an order, a report or a read of the
+/// store: all of them are sent by this.
+#[test_case("HTTP/1.1 000 x\r\ncontent-length: 0\r\n\r\n"; "no status")]
+#[test_case("HTTP/1.1 600 x\r\ncontent-length: 0\r\n\r\n"; "an unknown status")]
+#[test_case("HTTP/1.1 202 x\r\ncontent-length: 0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"; "a length and chunks")]
+#[test_case("HTTP/1.1 202 x\r\ntransfer-encoding: chunkd\r\n\r\n0\r\n\r\n"; "an unknown coding")]
+#[test_case("HTTP/1.1 202 x\r\ncontent-length: 0\r\nno field\r\n\r\n"; "no field")]
+#[test_case("HTTP/1.1 202 x\r\ncontent-length: 0\r\nx bad: 1\r\n\r\n"; "a blank in a name")]
+fn a_spoilt_head_is_an_answer_to_nothing(bytes: &'static str) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 4096]).expect("a request");
+        stream.write_all(bytes.as_bytes()).expect("written");
+    });
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let mut connection = Connection::connect(addr, TIMEOUT).await.expect("a connection");
+        let answer = connection.send(OutRequest::default(), TIMEOUT).await;
+        let error = answer.map(|answer| answer.status()).expect_err("no answer").0;
+        assert_eq!(error, CallError::Broken(Damage::Garbled));
+    });
+}
