An answer's framing is read from its checked head alone

Our own interface looked for "chunked" among the codings of an answer once more, by rules of its own, to find out whether anything marks the body's end. The head has been checked by then, so a length or a coding marks it. No change of what the daemon does: shell, 171 tests pass.

--- a/crates/basilbank/src/engine/unmarked.rs
+++ b/crates/basilbank/src/engine/unmarked.rs
@@ -8,24 +8,21 @@
 use ureq::{
     Body,
     http::{
-        HeaderMap, Method, Response, Version,
+        Method, Response,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
 };
 
 use crate::engine::agent::CONNECT;
 
-/// Whether an answer has a body with neither length nor chunks.
+/// Whether an answer has a body with neither length nor chunks. Its head has been checked, so that chunks
+/// are its only transfer coding.
 #[must_use]
 pub fn is_unmarked(method: &Method, response: &Response<Body>) -> bool {
     let has_body = *method != Method::HEAD && !matches!(response.status().as_u16(), 204 | 304);
-    let is_chunked = response.version() != Version::HTTP_10 && is_chunked(response.headers());
-    has_body && !is_chunked && !response.headers().contains_key(CONTENT_LENGTH)
-}
-
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|v| v.to_str().ok());
-    values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("chunked"))
+    let headers = response.headers();
+    let is_marked = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    has_body && !is_marked
 }
 
 /// Whether nothing listens at an address. A connection that can't be made for another reason than
