--- a/crates/basilbank_gateway/src/connections.rs
+++ b/crates/basilbank_gateway/src/connections.rs
@@ -6,26 +6,23 @@
     future::poll_fn,
     io,
     net::SocketAddr,
-    rc::{Rc, Weak},
+    rc::Rc,
     sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
-use basilbank::{
-    answer_head::check_head,
-    excess::{EXCESS_BYTES, is_excess},
-};
+use basilbank::answer_head::check_head;
 use basilbank_forward::{effect::Target, prelude::*};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use rustix::net::RecvFlags;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{
     carried_ids::{CarriedIds, SentId},
     dialect::OutRequest,
+    inbound::Inbound,
     read_guard::{GuardedStream, MAX_HEAD_BYTES, ReadGuard},
     stray_answers::StrayAnswers,
 };
@@ -85,37 +82,6 @@
     _task: ConnectionTask,
 }
 
-/// What comes over a connection.
-#[derive(Clone, Debug)]
-pub struct Inbound {
-    /// Bounds the bytes that come.
-    pub guard: Rc<ReadGuard>,
-    /// The socket, until the HTTP library has closed it.
-    stream: Weak<RefCell<TcpStream>>,
-}
-
-impl Inbound {
-    /// Returns whether more of the body has come behind an answer whose length was reached.
-    #[must_use]
-    pub fn has_excess(&self) -> bool {
-        let mut unread = [0; EXCESS_BYTES];
-        self.guard.has_excess() || is_excess(self.peek(&mut unread))
-    }
-
-    /// Returns whether the socket has bytes that the HTTP library hasn't read yet.
-    fn has_unread(&self) -> bool {
-        !self.peek(&mut [0]).is_empty()
-    }
-
-    /// Returns the bytes in the socket that the HTTP library hasn't read yet, as far as there is room.
-    fn peek<'a>(&self, buffer: &'a mut [u8]) -> &'a [u8] {
-        let Some(stream) = self.stream.upgrade() else { return &[] };
-        let peeked = rustix::net::recv(&*stream.borrow(), &mut *buffer, RecvFlags::PEEK);
-        let count = peeked.map_or(0, |(count, _)| count);
-        &buffer[..count.min(buffer.len())]
-    }
-}
-
 /// Which answer an answer is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct AnswerPlace {
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -16,10 +16,11 @@
 };
 
 use crate::{
-    connections::{Connection, Inbound},
+    connections::Connection,
     end_proof::{AnswerTimes, EndProof},
     endpoint_body::BodyBroken,
     framing::Framing,
+    inbound::Inbound,
     router::Router,
 };
 
--- a/crates/basilbank_gateway/src/lib.rs
+++ b/crates/basilbank_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod gateway;
 mod gathered_answer;
 mod gossip;
+mod inbound;
 pub mod intake;
 mod liveness;
 mod metrics;
--- a/crates/basilbank_gateway/src/read_guard.rs
+++ b/crates/basilbank_gateway/src/read_guard.rs
@@ -1,5 +1,5 @@
 //! Bounds what an endpoint may send before the head of its answer, or the next piece of its body, is
-//! complete.
+//! complete, and notes what shows whether an answer that has ended is whole.
 
 use std::{
     cell::{Cell, RefCell},
@@ -196,7 +196,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // The HTTP library flushes once it has nothing left to write.
+        // The HTTP library flushes once it has nothing left to write; a request's body is one piece.
         self.guard.is_written.set(true);
         Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
