--- a/crates/basilbank/src/answer_head.rs
+++ b/crates/basilbank/src/answer_head.rs
@@ -1,7 +1,7 @@
 //! Checks the head of an endpoint's answer before anything of the answer is used.
 //!
 //! HTTP libraries take what RFC 9112 lets a recipient accept: transfer codings that they don't know,
-//! lengths that are stated twice, and any status of three digits. An endpoint in trouble may have spoilt
+//! lengths that are stated twice, and any status of three digits. An endpoint in trouble may have corrupted
 //! such a head, and its body would then be cut or extended without a sign.
 
 use std::{error::Error, fmt};
@@ -51,13 +51,13 @@
     }
     let length = single(headers, &CONTENT_LENGTH)?;
     let coding = single(headers, &TRANSFER_ENCODING)?;
-    let is_sound = match (length, coding) {
+    let is_valid = match (length, coding) {
         (None, None) => true,
         (Some(length), None) => is_length(length) && (has_body(status) || is_zero(length)),
         (None, Some(coding)) => is_chunked(coding) && is_coded(version) && has_body(status),
         (Some(_), Some(_)) => false,
     };
-    if is_sound { Ok(()) } else { Err(HeadFault::Framing) }
+    if is_valid { Ok(()) } else { Err(HeadFault::Framing) }
 }
 
 /// Returns the value of a header that may come once at most.
--- a/crates/basilbank/src/engine/agent.rs
+++ b/crates/basilbank/src/engine/agent.rs
@@ -32,7 +32,7 @@
 const IDLE_TOTAL: usize = 512;
 
 /// An HTTP client that passes on what comes: it follows no redirects, treats no status of a final answer
-/// as an error, decompresses nothing and adds no headers. An answer whose head is spoilt is an error.
+/// as an error, decompresses nothing and adds no headers. An answer whose head is malformed is an error.
 /// Reading one piece of an answer takes `per_read` at most.
 #[must_use]
 pub fn agent(per_read: Duration) -> Agent {
--- a/crates/basilbank/tests/answer_head.rs
+++ b/crates/basilbank/tests/answer_head.rs
@@ -1,4 +1,4 @@
-//! Which heads of answers are sound.
+//! Which heads of answers are valid.
 
 use basilbank::answer_head::{HeadFault, check_head};
 use hyper::{
@@ -16,7 +16,7 @@
     check_head(StatusCode::from_u16(status).expect("a status"), version, &headers)
 }
 
-/// Guards against sound answers that are taken for broken ones.
+/// Guards against valid answers that are taken for broken ones.
 #[test_case(200, &[]; "neither length nor chunks")]
 #[test_case(200, &[("content-length", "0")]; "an empty body")]
 #[test_case(500, &[("content-length", "14")]; "a length")]
@@ -25,11 +25,11 @@
 #[test_case(204, &[("content-length", "0")]; "no content of no length")]
 #[test_case(304, &[("content-length", "14")]; "the length of what was not modified")]
 #[test_case(200, &[("set-cookie", "a"), ("set-cookie", "b")]; "another header twice")]
-fn a_sound_head_passes(status: u16, lines: &[(&str, &str)]) {
+fn a_valid_head_passes(status: u16, lines: &[(&str, &str)]) {
     assert_eq!(check(status, Version::HTTP_11, lines), Ok(()));
 }
 
-/// Guards against bodies that are cut or extended, as their head was spoilt.
+/// Guards against bodies that are cut or extended, as their head was malformed.
 #[test_case(200, &[("content-length", "")]; "an empty length")]
 #[test_case(200, &[("content-length", "1x4")]; "no number")]
 #[test_case(200, &[("content-length", "+14")]; "a signed length")]
@@ -43,7 +43,7 @@
 #[test_case(200, &[("transfer-encoding", "gzip"), ("transfer-encoding", "chunked")]; "codings in two lines")]
 #[test_case(204, &[("transfer-encoding", "chunked")]; "no content in chunks")]
 #[test_case(204, &[("content-length", "14")]; "no content of a length")]
-fn a_head_with_a_spoilt_framing_is_a_fault(status: u16, lines: &[(&str, &str)]) {
+fn a_head_with_an_invalid_framing_is_a_fault(status: u16, lines: &[(&str, &str)]) {
     assert_eq!(check(status, Version::HTTP_11, lines), Err(HeadFault::Framing));
 }
 
@@ -54,7 +54,7 @@
     assert_eq!(check(200, Version::HTTP_10, &lines), Err(HeadFault::Framing));
 }
 
-/// Guards against a status that was spoilt and is passed on.
+/// Guards against an invalid status that is passed on.
 #[test_case(100)]
 #[test_case(101)]
 #[test_case(199)]
--- a/crates/basilbank/tests/shell/spoilt_heads.rs
+++ b/crates/basilbank/tests/shell/malformed_heads.rs
@@ -1,4 +1,4 @@
-//! Endpoints that spoil the heads of their answers.
+//! Endpoints whose answers have malformed heads.
 
 use basilbank::callers::HeldPlain;
 use basilbank_core::{
@@ -21,7 +21,7 @@
 const PREFILLED: &str = r#"{"request":"0000000000000abc","attempt":3,"handle":"k1","tokens":7}"#;
 
 /// Statuses, lines of heads, and how the body behind them is written.
-const SPOILT: [(&str, &str, Written); 26] = [
+const MALFORMED: [(&str, &str, Written); 26] = [
     ("000", "", AsItIs),
     ("099", "", AsItIs),
     ("101", "", AsItIs),
@@ -65,14 +65,14 @@
     )
 }
 
-/// Guards against spoilt answers that are taken for whole ones.
+/// Guards against malformed answers that are taken for whole ones.
 #[test_case(ORDER, order; "plain")]
 #[test_case(PREFILLED, |rig| rig.prefill(1); "prefill")]
-fn an_answer_whose_head_is_spoilt_is_broken(body: &str, call: impl Fn(&Rig) -> EngineCall) {
-    let failures = SPOILT.map(|spoilt| {
-        let rig = Rig::closing(bytes_of(spoilt, body));
+fn an_answer_whose_head_is_malformed_is_broken(body: &str, call: impl Fn(&Rig) -> EngineCall) {
+    let failures = MALFORMED.map(|malformed| {
+        let rig = Rig::closing(bytes_of(malformed, body));
         rig.call(call(&rig));
-        (spoilt.0, spoilt.1, format!("{:?}", rig.next()))
+        (malformed.0, malformed.1, format!("{:?}", rig.next()))
     });
     let is_broken = |event: &str| event.starts_with("Failed") && event.contains("Broken");
     let wrong: Vec<_> = failures.iter().filter(|(.., event)| !is_broken(event)).collect();
--- a/crates/basilbank_gateway/src/direct_body.rs
+++ b/crates/basilbank_gateway/src/direct_body.rs
@@ -45,7 +45,7 @@
     Checking(Pin<Box<dyn Future<Output = EndProof>>>),
     /// The body has ended.
     Checked(EndProof),
-    /// More has come behind the body: its length was spoilt, and what came of it is not the whole.
+    /// More has come behind the body: its length was corrupted, and what came of it is not the whole.
     Excess,
 }
 
--- a/crates/basilbank_gateway/tests/connections.rs
+++ b/crates/basilbank_gateway/tests/connections.rs
@@ -133,7 +133,7 @@
     assert!(!strays.is_distrusted(endpoint, now + Duration::from_secs(5)));
 }
 
-/// Guards against a spoilt head that is taken for an answer to a slot, an order, a report or a read of the
+/// Guards against a malformed head that is taken for an answer to a slot, an order, a report or a read of the
 /// store: all of them are sent by this.
 #[test_case("HTTP/1.1 000 x\r\ncontent-length: 0\r\n\r\n"; "no status")]
 #[test_case("HTTP/1.1 600 x\r\ncontent-length: 0\r\n\r\n"; "an unknown status")]
@@ -141,7 +141,7 @@
 #[test_case("HTTP/1.1 202 x\r\ntransfer-encoding: chunkd\r\n\r\n0\r\n\r\n"; "an unknown coding")]
 #[test_case("HTTP/1.1 202 x\r\ncontent-length: 0\r\nno field\r\n\r\n"; "no field")]
 #[test_case("HTTP/1.1 202 x\r\ncontent-length: 0\r\nx bad: 1\r\n\r\n"; "a blank in a name")]
-fn a_spoilt_head_is_an_answer_to_nothing(bytes: &'static str) {
+fn a_malformed_head_is_an_answer_to_nothing(bytes: &'static str) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let addr = listener.local_addr().expect("an address");
     thread::spawn(move || {
--- a/crates/basilbank_standin/tests/managed/spoilt_heads.rs
+++ b/crates/basilbank_standin/tests/managed/malformed_heads.rs
@@ -1,4 +1,4 @@
-//! Endpoints that spoil the heads of their answers.
+//! Endpoints whose answers have malformed heads.
 
 use std::{thread, time::Duration};
 
@@ -104,7 +104,7 @@
     GivenAnswer { status, first: "", lines, body: Some(body), end: BreakKind::Close }
 }
 
-/// Lines that spoil the length of a body, and how that is written.
+/// Lines that state the length of a body wrongly, and how that is written.
 const LENGTHS: [(&str, Framing); 21] = [
     ("content-length 14\r\n\r\n", Framing::Length),
     ("content-length: \r\n\r\n", Framing::Length),
@@ -167,7 +167,7 @@
 #[test_case(Kind::Order, Way::ByPeer; "order by a peer")]
 #[test_case(Kind::Sheet, Way::ByPeer; "sheet by a peer")]
 #[test_case(Kind::Once, Way::ByPeer; "once by a peer")]
-fn an_answer_whose_length_is_spoilt_is_no_answer(kind: Kind, way: Way) {
+fn an_answer_whose_length_is_malformed_is_no_answer(kind: Kind, way: Way) {
     // A daemon without paths takes long to start.
     let step = if way == Way::Direct { 1 } else { LENGTHS_BY_PEER };
     let lengths = LENGTHS.iter().step_by(step);
@@ -200,7 +200,7 @@
     check(kind, way, answers.into_iter().flat_map(|given| [given, kept(given)]));
 }
 
-/// Guards against an answer without content in place of one whose status was spoilt.
+/// Guards against an answer without content in place of one whose status was corrupted.
 #[test_case(Kind::Order; "order")]
 #[test_case(Kind::Sheet; "sheet")]
 #[test_case(Kind::Draft; "draft")]
@@ -217,12 +217,12 @@
 const STATUSES: [&str; 14] =
     ["000", "001", "099", "100", "101", "199", "600", "999", "20", "2000", "2x0", "", "-20", "0x2"];
 
-/// Guards against an answer whose status was spoilt and that is passed on.
+/// Guards against an answer whose status is invalid and that is passed on.
 #[test_case(Kind::Order; "order")]
 #[test_case(Kind::Sheet; "sheet")]
 #[test_case(Kind::Draft; "draft")]
 #[test_case(Kind::Once; "once")]
-fn an_answer_whose_status_is_spoilt_is_no_answer(kind: Kind) {
+fn an_answer_whose_status_is_invalid_is_no_answer(kind: Kind) {
     let chunked = "transfer-encoding: chunked\r\n\r\n";
     let with_body = STATUSES.map(|status| given(status, chunked, Framing::Chunks));
     let without =
