A peer that passes a broken answer on has reached the endpoint

Cause: the endpoints broke answers off, and each answer that a peer passed on broken counted as if the peer could not reach the endpoint. Two such peers, and the endpoint counted as down for all, for a second each time.

Change: what a peer says is broken counts against the endpoint, as without a peer, and proves that the peer reaches it. Only where the way to the peer is lost does its path count as failed; the body and the relay now tell the two apart.

Evidence: a row of three damages in the reducer: refused at the fifth call before, none of 20 now.

--- a/crates/basilbank_forward/src/reduce/outcome.rs
+++ b/crates/basilbank_forward/src/reduce/outcome.rs
@@ -151,7 +151,7 @@
     match outcome {
         Outcome::NotProxied(failure) => suspect::record_proxy_failure(ctx, key, peer, *failure),
         // Either the peer or the endpoint was lost on the way.
-        Outcome::Broken(_) | Outcome::TimedOut | Outcome::Unreachable => {
+        Outcome::Broken(Damage::Closed) | Outcome::TimedOut | Outcome::Unreachable => {
             let failure = NotProxied::EndpointUnreachable;
             ctx.state.proxies.record_failure(key, peer, failure, now);
         }
@@ -166,6 +166,10 @@
         }
         Outcome::NotRun(NotRun::Busy) => endpoint.record_refusal(now, &tuning),
         Outcome::NotRun(NotRun::WrongInstance) => endpoint.avoid(now + tuning.avoid_replaced),
+        // Its answer was broken, but the peer has reached it.
+        Outcome::Broken(damage) if *damage != Damage::Closed => {
+            endpoint.record_failure(now, &tuning);
+        }
         _ => {}
     }
 }
--- a/crates/basilbank_forward/tests/forward/proxies.rs
+++ b/crates/basilbank_forward/tests/forward/proxies.rs
@@ -121,6 +121,26 @@
     assert_eq!(rig.refusals(), [refusal]);
 }
 
+/// Guards against calls that are refused though peers reach the endpoints, which break their answers off.
+#[test_case(Damage::CutOff)]
+#[test_case(Damage::Garbled)]
+#[test_case(Damage::Foreign)]
+fn endpoints_that_break_answers_off_are_called_by_peers_all_the_same(damage: Damage) {
+    let mut rig = cut_off();
+    let keys: Vec<_> = rig.state.directory.in_service(DESK).map(|(key, _)| key).collect();
+    for key in keys {
+        rig.feed(Event::Probed { endpoint: key, liveness: Liveness::Unreachable });
+    }
+    for n in 0..20 {
+        let id = rig.call("/stock/1", 2000, None);
+        let attempt = rig.starts().pop().unwrap_or_else(|| panic!("call {n} is refused"));
+        assert!(attempt.target.via.is_some());
+        rig.came(id, attempt.number, Outcome::Broken(damage));
+        assert_eq!(rig.refusals(), [Refusal::Broken]);
+        rig.effects.clear();
+    }
+}
+
 /// Guards against calls that aren't repeated although the peer has sent nothing to an endpoint.
 #[test_case(NotProxied::NoPeer; "no peer")]
 #[test_case(NotProxied::Declined; "declined")]
--- a/crates/basilbank_gateway/src/endpoint_body.rs
+++ b/crates/basilbank_gateway/src/endpoint_body.rs
@@ -28,7 +28,7 @@
     pub fn damage(&self) -> Damage {
         match self {
             EndpointBody::Direct(body) => body.damage(),
-            EndpointBody::Proxied(_) => Damage::CutOff,
+            EndpointBody::Proxied(body) => body.damage(),
         }
     }
 
--- a/crates/basilbank_gateway/src/proxy_client.rs
+++ b/crates/basilbank_gateway/src/proxy_client.rs
@@ -88,8 +88,9 @@
             }
             _ => return Err(CallError::Broken(Damage::Garbled)),
         };
-        let body =
-            ProxiedBody { stream: Some(stream), is_whole: false, peer, client: self.clone() };
+        let (is_whole, is_broken_off) = (false, false);
+        let (stream, client) = (Some(stream), self.clone());
+        let body = ProxiedBody { stream, is_whole, is_broken_off, peer, client };
         response(&head, body).ok_or(CallError::Broken(Damage::Garbled))
     }
 
@@ -216,6 +217,8 @@
     stream: Option<PeerStream>,
     /// Whether the peer has said that the body is whole.
     is_whole: bool,
+    /// Whether the peer has said that the endpoint broke it off.
+    is_broken_off: bool,
     peer: SocketAddr,
     client: ProxyClient,
 }
@@ -227,6 +230,12 @@
         self.is_whole
     }
 
+    /// Returns why the body broke off: the endpoint's answer, as the peer says, or the way to the peer.
+    #[must_use]
+    pub fn damage(&self) -> Damage {
+        if self.is_broken_off { Damage::CutOff } else { Damage::Closed }
+    }
+
     /// Polls for the next piece of the body.
     pub fn poll_frame(
         &mut self,
@@ -243,7 +252,8 @@
                 }
                 Poll::Ready(None)
             }
-            _ => {
+            message => {
+                self.is_broken_off = matches!(message, Some(Ok(ProxyMessage::Failure(_))));
                 self.stream = None;
                 Poll::Ready(Some(Err(BodyBroken)))
             }
--- a/crates/basilbank_gateway/src/relay.rs
+++ b/crates/basilbank_gateway/src/relay.rs
@@ -87,6 +87,8 @@
     Complete,
     /// It broke off, or nothing proves that it is complete.
     Broken,
+    /// The way to the peer that passed it on was lost.
+    Closed,
     /// What came is more than a stream for the call can be.
     Endless,
     /// An event came whose id doesn't follow the one before it.
@@ -151,8 +153,10 @@
         log_end(&router, &trace_id, framing, proof, events.partial_bytes());
     }
     let is_whole = proof.map_or(!is_cut, EndProof::is_whole);
-    if is_cut && body.damage() == Damage::Endless {
-        return RelayEnd::Endless;
+    match body.damage() {
+        Damage::Endless if is_cut => return RelayEnd::Endless,
+        Damage::Closed if is_cut => return RelayEnd::Closed,
+        _ => {}
     }
     if !is_whole || is_events && events.is_inside_event() {
         return RelayEnd::Broken;
--- a/crates/basilbank_gateway/src/request.rs
+++ b/crates/basilbank_gateway/src/request.rs
@@ -265,6 +265,7 @@
             }
             TaskResult::Relay(RelayEnd::Complete) => Outcome::Finished,
             TaskResult::Relay(RelayEnd::Broken) => Outcome::Broken(Damage::CutOff),
+            TaskResult::Relay(RelayEnd::Closed) => Outcome::Broken(Damage::Closed),
             TaskResult::Relay(RelayEnd::Endless) => Outcome::Broken(Damage::Endless),
             TaskResult::Relay(RelayEnd::Misplaced(damage)) => Outcome::Broken(damage),
         };
