A slot's answer that breaks off has the reason that its body has

Found on reading the change: a slot's answer that broke off counted as cut_off whatever its body said, so since "A peer that passes a broken answer on has reached the endpoint" a peer that was lost between head and body counted against the endpoint and not against the way to the peer. collect_body borrows the body, and its reason is asked as for all other answers.

--- a/crates/basilbank_gateway/src/attempt.rs
+++ b/crates/basilbank_gateway/src/attempt.rs
@@ -246,8 +246,8 @@
 ) -> Result<StatusCode, CallError> {
     let call = EndpointCall::own(target, request, answer_timeout, purpose);
     let (response, connection) = router.call_endpoint(call).await?;
-    let (head, body) = split_head(response);
-    if collect_body(body, MAX_CONTROL_ANSWER_BYTES, answer_timeout).await.is_some()
+    let (head, mut body) = split_head(response);
+    if collect_body(&mut body, MAX_CONTROL_ANSWER_BYTES, answer_timeout).await.is_some()
         && let Some(keep_alive) = parse_keep_alive(head.headers())
     {
         router.keep_connection(target.endpoint, connection, keep_alive);
@@ -266,8 +266,9 @@
 ) -> Result<Bytes, Damage> {
     let max_bytes = match attempt.op {
         Op::Hold { .. } => {
-            let body = collect_body(body, MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout).await;
-            return body.ok_or(Damage::CutOff);
+            let (max_bytes, read_timeout) = (MAX_CONTROL_ANSWER_BYTES, attempt.answer_timeout);
+            let collected = collect_body(&mut body, max_bytes, read_timeout).await;
+            return collected.ok_or_else(|| body.damage());
         }
         Op::Prefill => MAX_CONTROL_ANSWER_BYTES,
         Op::Plain | Op::Stream { .. } | Op::Decode { .. } => MAX_ANSWER_BYTES,
@@ -338,17 +339,18 @@
     router: &Router,
     attempt: &Attempt,
     head: &Response<()>,
-    body: EndpointBody,
+    mut body: EndpointBody,
     connection: Option<Connection>,
 ) {
-    let drained = collect_body(body, MAX_CONTROL_ANSWER_BYTES, Duration::from_millis(50)).await;
+    let drained =
+        collect_body(&mut body, MAX_CONTROL_ANSWER_BYTES, Duration::from_millis(50)).await;
     if let (Some(_), Some(keep_alive)) = (drained, parse_keep_alive(head.headers())) {
         router.keep_connection(attempt.target.endpoint, connection, keep_alive);
     }
 }
 
 async fn collect_body(
-    body: EndpointBody,
+    body: &mut EndpointBody,
     max_bytes: usize,
     read_timeout: Duration,
 ) -> Option<Bytes> {
