--- a/crates/basilbank/tests/shell/endless.rs
+++ b/crates/basilbank/tests/shell/endless.rs
@@ -9,8 +9,7 @@
     },
 };
 
-use basilbank::callers::HeldPlain;
-use basilbank_core::{effect::EngineCall, event::Failure};
+use basilbank_core::event::Failure;
 use test_case::test_case;
 
 use crate::rig::Rig;
@@ -33,11 +32,6 @@
     }
 }
 
-fn order(rig: &Rig) -> EngineCall {
-    let (method, target) = ("POST".to_owned(), "/".to_owned());
-    rig.plain(1, HeldPlain { method, target, ..HeldPlain::default() })
-}
-
 /// Guards against a daemon that keeps all that comes, and ends for lack of memory.
 #[test_case("", "\0"; "zeros")]
 #[test_case("HTTP/1.1 200 X\r\na: ", "x"; "a header")]
@@ -50,11 +44,11 @@
 #[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x"; "extensions")]
 #[test_case("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"; "trailers")]
 fn an_answer_without_end_is_given_up(first: &'static str, piece: &'static str) {
-    for call in [order, |rig: &Rig| rig.prefill(1), |rig: &Rig| rig.decode(1)] {
+    for call in [Rig::order, Rig::prefill, Rig::decode] {
         let written = Arc::new(AtomicUsize::new(0));
         let counted = Arc::clone(&written);
         let rig = Rig::patient(move |_, stream| write_on(stream, first, piece, &counted));
-        assert_eq!(rig.failure_of(call(&rig)), Failure::Broken);
+        assert_eq!(rig.failure_of(call(&rig, 1)), Failure::Broken);
         let written = written.load(Ordering::SeqCst);
         assert!(written < MAX_WRITTEN, "{written} bytes");
     }
--- a/crates/basilbank/tests/shell/malformed_heads.rs
+++ b/crates/basilbank/tests/shell/malformed_heads.rs
@@ -1,6 +1,5 @@
 //! Endpoints whose answers have malformed heads.
 
-use basilbank::callers::HeldPlain;
 use basilbank_core::{
     effect::EngineCall,
     event::{EngineEvent, Failure},
@@ -58,20 +57,13 @@
     format!("HTTP/1.1 {status} X\r\n{lines}\r\n{body}")
 }
 
-fn order(rig: &Rig) -> EngineCall {
-    rig.plain(
-        1,
-        HeldPlain { method: "POST".to_owned(), target: "/".to_owned(), ..HeldPlain::default() },
-    )
-}
-
 /// Guards against malformed answers that are taken for whole ones.
-#[test_case(ORDER, order; "plain")]
-#[test_case(PREFILLED, |rig| rig.prefill(1); "prefill")]
-fn an_answer_whose_head_is_malformed_is_broken(body: &str, call: impl Fn(&Rig) -> EngineCall) {
+#[test_case(ORDER, Rig::order; "plain")]
+#[test_case(PREFILLED, Rig::prefill; "prefill")]
+fn an_answer_whose_head_is_malformed_is_broken(body: &str, call: impl Fn(&Rig, u64) -> EngineCall) {
     let failures = MALFORMED.map(|malformed| {
         let rig = Rig::closing(bytes_of(malformed, body));
-        rig.call(call(&rig));
+        rig.call(call(&rig, 1));
         (malformed.0, malformed.1, format!("{:?}", rig.next()))
     });
     let is_broken = |event: &str| event.starts_with("Failed") && event.contains("Broken");
@@ -87,9 +79,9 @@
 fn an_answer_whose_length_is_too_short_is_broken(status: &str, lines: &str) {
     let bytes = bytes_of((status, lines, AsItIs), ORDER);
     let rig = Rig::closing(bytes.clone());
-    assert_eq!(rig.failure_of(order(&rig)), Failure::Broken);
+    assert_eq!(rig.failure_of(rig.order(1)), Failure::Broken);
     let rig = Rig::start(move |_, stream| say(stream, &bytes));
-    assert_eq!(rig.failure_of(order(&rig)), Failure::Broken);
+    assert_eq!(rig.failure_of(rig.order(1)), Failure::Broken);
 }
 
 /// Guards against a whole answer that is lost because another one follows it.
@@ -98,7 +90,7 @@
     let lines = format!("content-length: {}\r\n", ORDER.len());
     let bytes = bytes_of(("200", &lines, AsItIs), ORDER).repeat(2);
     let rig = Rig::closing(bytes);
-    rig.call(order(&rig));
+    rig.call(rig.order(1));
     let event = rig.next();
     assert!(matches!(event, EngineEvent::Answered { status: 200, .. }), "{event:?}");
 }
--- a/crates/basilbank/tests/shell/rig.rs
+++ b/crates/basilbank/tests/shell/rig.rs
@@ -160,6 +160,12 @@
         EngineCall::Plain { attempt, caller, request: REQUEST, endpoint, timeout }
     }
 
+    /// Opens a plain call that may run once, and prepares it as attempt `key`.
+    pub fn order(&self, key: u64) -> EngineCall {
+        let (method, target) = ("POST".to_owned(), "/".to_owned());
+        self.plain(key, HeldPlain { method, target, ..HeldPlain::default() })
+    }
+
     fn draft(&self, key: u64, endpoint: EndpointId) -> CompletionCall {
         let prompt = "two oak worktops".to_owned();
         let held = HeldDraft { prompt, ..HeldDraft::default() };
