Tests: valid answers in all framings pass unchanged beside malformed ones

Ten rows over sockets: a length, padded; chunks, with extensions, leading zeros and trailers; neither, with and without Connection: close; several fields of one name, an obsolete date, an empty value; 1xx before; HTTP/1.0. No change of the product.

--- a/crates/basilbank_standin/tests/managed/malformed_heads.rs
+++ b/crates/basilbank_standin/tests/managed/malformed_heads.rs
@@ -283,3 +283,42 @@
     let ends = [BreakKind::Close, BreakKind::Reset];
     check(kind, Way::Direct, BROKEN_OFF.iter().flat_map(|lines| ends.map(|end| cut(*lines, end))));
 }
+
+/// The body of each of these.
+const ORDER: &str = "POST /stock/1 by plain-0";
+
+/// Answers that RFC 9112 allows: what stands in place of the status, and all that follows the seal.
+const VALID: [(&str, &str); 10] = [
+    ("200", "content-length: 24\r\n\r\nPOST /stock/1 by plain-0"),
+    ("200", "Content-Length: \t 24 \t\r\n\r\nPOST /stock/1 by plain-0"),
+    ("200", "Transfer-Encoding: Chunked\r\n\r\n18\r\nPOST /stock/1 by plain-0\r\n0\r\n\r\n"),
+    (
+        "200",
+        "transfer-encoding: chunked\r\n\r\n0004;a=\"b\"\r\nPOST\r\n14\r\n /stock/1 by plain-0\r\n\
+         0\r\nx-sum: 1\r\n\r\n",
+    ),
+    ("200", "\r\nPOST /stock/1 by plain-0"),
+    ("200", "connection: close\r\n\r\nPOST /stock/1 by plain-0"),
+    (
+        "200",
+        "set-cookie: a\r\nset-cookie: b\r\nexpires: Sunday, 06-Nov-94 08:49:37 GMT\r\nx-empty:\r\n\
+         content-length: 24\r\n\r\nPOST /stock/1 by plain-0",
+    ),
+    ("100 x\r\n\r\nHTTP/1.1 200", "content-length: 24\r\n\r\nPOST /stock/1 by plain-0"),
+    ("103 x\r\nlink: a\r\n\r\nHTTP/1.1 200", "content-length: 24\r\n\r\nPOST /stock/1 by plain-0"),
+    ("100 x\r\n\r\nHTTP/1.0 200", "content-length: 24\r\n\r\nPOST /stock/1 by plain-0"),
+];
+
+/// Guards against valid answers that are taken for malformed ones.
+#[test]
+fn a_valid_answer_passes_unchanged() {
+    let ends = Ends::start(Way::Direct);
+    for (status, lines) in VALID {
+        let valid = GivenAnswer { body: None, ..given(status, lines, Framing::Length) };
+        let endpoints = Kind::Order.endpoints(&ends.world);
+        endpoints.iter().for_each(|endpoint| endpoint.misbehave(Misdeed::Given(valid)));
+        let answer = Kind::Order.call(&ends);
+        let seen = (answer.status, answer.whole, answer.text());
+        assert_eq!(seen, (200, true, ORDER.to_owned()), "{valid:?}");
+    }
+}
