--- a/review/lab/src/cases/mod.rs
+++ b/review/lab/src/cases/mod.rs
@@ -3,6 +3,7 @@
 pub mod framing;
 pub mod holders;
 pub mod parts;
+pub mod rejoined;
 pub mod versions;
 
 use std::sync::Arc;
--- a/review/lab/src/http.rs
+++ b/review/lab/src/http.rs
@@ -56,6 +56,11 @@
         Ok(count)
     }
 
+    /// What was read and not taken.
+    pub fn read(&self) -> &[u8] {
+        &self.buffer
+    }
+
     /// Reads a head; `None` if the connection ends before its first byte.
     pub fn head(&mut self) -> io::Result<Option<Head>> {
         loop {
--- a/review/lab/src/main.rs
+++ b/review/lab/src/main.rs
@@ -28,6 +28,7 @@
         "holders" => cases::holders::play(&site, trouble),
         "framing" => cases::framing::play(&site, trouble),
         "parts" => cases::parts::play(&site, trouble),
+        "rejoined" => cases::rejoined::play(&site, trouble),
         "versions" => cases::versions::play(&site, trouble),
         _ => cannot_run("no such case"),
     };
