--- a/review/lab/src/cases/framing.rs
+++ b/review/lab/src/cases/framing.rs
@@ -42,18 +42,22 @@
             let prefix = if number % 2 == 0 { "/lohu930/" } else { "/pufi791/" };
             record.note(&format!("client sends {id} to {prefix}"));
             let head = stream_head(prefix, &id, number as usize, EVENTS, "");
-            let seen = ask(front, &head, &stream_body(&parts_of(number as usize)), Duration::from_secs(3));
+            let seen =
+                ask(front, &head, &stream_body(&parts_of(number as usize)), Duration::from_secs(3));
             let body = String::from_utf8_lossy(&seen.body).into_owned();
             let expected: String = (1..=EVENTS).map(|n| event("v1", n, &id)).collect();
             let shown: String = body.chars().take(60).collect();
             record.note(&format!(
                 "client gets {} for {id}, whole {}, {} bytes: {shown:?}",
-                seen.status, seen.whole, seen.body.len()
+                seen.status,
+                seen.whole,
+                seen.body.len()
             ));
             // A part of the runner's body that ends early is no fault here: it doesn't look complete.
             let is_sound = if seen.whole { body == expected } else { expected.starts_with(&body) };
             if seen.status == 200 && !is_sound {
-                let fault = format!("MIXED: {id} gets 200 with bytes that are not of the body: {shown:?}");
+                let fault =
+                    format!("MIXED: {id} gets 200 with bytes that are not of the body: {shown:?}");
                 if let Ok(mut faults) = faults.lock() {
                     faults.push(fault);
                 }
--- a/review/lab/src/cases/holders.rs
+++ b/review/lab/src/cases/holders.rs
@@ -96,12 +96,14 @@
                 if first.fence == second.fence {
                     let fence = first.fence;
                     faults.push(format!(
-                        "ONE: {} gets fence {fence} from {a} and from {b}", first.runner
+                        "ONE: {} gets fence {fence} from {a} and from {b}",
+                        first.runner
                     ));
                 }
                 if pause < LEASE_S {
                     faults.push(format!(
-                        "ONE: {} gets orders from {a} and {b} within {pause:.3} s", first.runner
+                        "ONE: {} gets orders from {a} and {b} within {pause:.3} s",
+                        first.runner
                     ));
                 }
             }
--- a/review/lab/src/cases/mod.rs
+++ b/review/lab/src/cases/mod.rs
@@ -20,7 +20,12 @@
 
 /// The configuration: streams that may be resumed and that may not, and plain routes of both kinds.
 pub fn configuration() -> String {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str, most: u32, resumable: bool| {
+    let route = |name: &str,
+                 prefix: &str,
+                 kind: &str,
+                 service: &str,
+                 most: u32,
+                 resumable: bool| {
         let (timeout, target) = if kind == "streaming" { (14000, 900) } else { (1200, 150) };
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"prefix\":\"{prefix}\",\"kind\":\"{kind}\",\
--- a/review/lab/src/cases/parts.rs
+++ b/review/lab/src/cases/parts.rs
@@ -63,7 +63,8 @@
                 let head = prompt_head("/pufi791/", &id, &parts, 20, "");
                 let seen = ask(net.front(to), &head, &stream_body(&parts), Duration::from_secs(3));
                 whole = seen.whole && seen.status == 200;
-                record.note(&format!("client gets {} for {id}, {kind}, whole {whole}", seen.status));
+                record
+                    .note(&format!("client gets {} for {id}, {kind}, whole {whole}", seen.status));
                 if whole {
                     break;
                 }
@@ -92,13 +93,15 @@
     late.sort();
     late.dedup();
     let (whole, sent) = served.lock().map(|served| *served).unwrap_or_default();
-    site.record.note(&format!("{} crashes; {whole} of {sent} sound requests served whole", crashes.len()));
+    site.record
+        .note(&format!("{} crashes; {whole} of {sent} sound requests served whole", crashes.len()));
     println!("{} crashes; {whole} of {sent} sound requests served whole", crashes.len());
     match late.len() {
         ..=ALLOWED => Vec::new(),
         count => vec![format!(
             "BUDGET: {count} requests with the part reach runners later than {CONTACT_S} s after the \
-             fifth of {} crashes", crashes.len()
+             fifth of {} crashes",
+            crashes.len()
         )],
     }
 }
--- a/review/lab/src/cases/rejoined.rs
+++ b/review/lab/src/cases/rejoined.rs
@@ -109,7 +109,8 @@
             site.record.note("all machines are killed");
             daemons.clear();
             site.record.wait_until(CUT_AT + DOWN_S);
-            daemons = DAEMONS.iter().map(|host| site.start(*host, "hall-a", &DAEMONS, false)).collect();
+            daemons =
+                DAEMONS.iter().map(|host| site.start(*host, "hall-a", &DAEMONS, false)).collect();
         }
     });
     let new: Arc<Mutex<Vec<bool>>> = Arc::default();
@@ -138,7 +139,9 @@
         (all.iter().filter(|yes| **yes).count(), all.len())
     };
     let ((go_on, taken), (begin, new)) = (count(&taken), count(&new));
-    let text = format!("{go_on} of {taken} streams that are taken up in touch go on, {begin} of {new} new ones begin");
+    let text = format!(
+        "{go_on} of {taken} streams that are taken up in touch go on, {begin} of {new} new ones begin"
+    );
     site.record.note(&text);
     println!("{text}");
     let share = |part: usize, all: usize| part as f64 / all.max(1) as f64;
--- a/review/lab/src/cases/versions.rs
+++ b/review/lab/src/cases/versions.rs
@@ -32,8 +32,9 @@
 
 pub fn play(site: &Site, trouble: bool) -> Vec<String> {
     let store = start_store(site);
-    let others = [(21, "prefill", "v1"), (22, "prefill", "v2"), (25, "decode", "v2"), (26, "decode", "v2")]
-        .map(|(host, stage, version)| start_runner(site, &store, host, stage, version));
+    let others =
+        [(21, "prefill", "v1"), (22, "prefill", "v2"), (25, "decode", "v2"), (26, "decode", "v2")]
+            .map(|(host, stage, version)| start_runner(site, &store, host, stage, version));
     // Those that are released: they start again under their ids, one after the other.
     let released = [23, 24].map(|host| start_runner(site, &store, host, "decode", "v1"));
     let daemons = DAEMONS.map(|host| site.start(host, "hall-a", &DAEMONS, true));
@@ -54,7 +55,12 @@
                 let to = DAEMONS[((number + attempt) % 2) as usize];
                 record.note(&format!("client {number} sends {id} to daemon {to} after {last}"));
                 let head = stream_head("/pufi791/", &id, number as usize, EVENTS, &more);
-                let seen = ask(net.front(to), &head, &stream_body(&parts_of(number as usize)), Duration::from_secs(3));
+                let seen = ask(
+                    net.front(to),
+                    &head,
+                    &stream_body(&parts_of(number as usize)),
+                    Duration::from_secs(3),
+                );
                 let came = if seen.status == 200 { events(&seen) } else { Vec::new() };
                 if began.is_empty() && !came.is_empty() {
                     began = id.clone();
@@ -63,7 +69,10 @@
                 let whole = seen.whole && seen.status == 200;
                 record.note(&format!(
                     "client {number} gets {} for {id}, whole {whole}, {} events, {:?} {}",
-                    seen.status, came.len(), versions, seen.error
+                    seen.status,
+                    came.len(),
+                    versions,
+                    seen.error
                 ));
                 all.extend(came);
                 if whole {
--- a/review/lab/src/runner.rs
+++ b/review/lab/src/runner.rs
@@ -117,9 +117,11 @@
         });
         runner.listen();
         let beating = Arc::clone(&runner);
-        thread::spawn(move || loop {
-            sleep(Duration::from_millis(1200));
-            beating.beat();
+        thread::spawn(move || {
+            loop {
+                sleep(Duration::from_millis(1200));
+                beating.beat();
+            }
         });
         runner
     }
@@ -237,7 +239,13 @@
         Ok(())
     }
 
-    fn handle(self: &Arc<Self>, out: &mut TcpStream, head: &Head, body: &[u8], start: u64) -> io::Result<()> {
+    fn handle(
+        self: &Arc<Self>,
+        out: &mut TcpStream,
+        head: &Head,
+        body: &[u8],
+        start: u64,
+    ) -> io::Result<()> {
         let expected = head.get("x-expect-instance");
         if expected.is_some_and(|id| id != self.spec.id) {
             let id = head.get("x-attempt-id").unwrap_or("");
@@ -349,7 +357,8 @@
 
     fn stream(self: &Arc<Self>, out: &mut TcpStream, head: &Head, start: u64) -> io::Result<()> {
         let id = head.get("x-attempt-id").unwrap_or("").to_owned();
-        let after = head.get("last-event-id").and_then(|text| text.trim().parse().ok()).unwrap_or(0);
+        let after =
+            head.get("last-event-id").and_then(|text| text.trim().parse().ok()).unwrap_or(0);
         let most = head.get("x-token-counts").and_then(|text| text.split(',').nth(1));
         let most: u64 = most.and_then(|text| text.trim().parse().ok()).unwrap_or(1);
         let version = self.state.lock().map(|state| state.version.clone()).unwrap_or_default();
--- a/review/lab/src/store.rs
+++ b/review/lab/src/store.rs
@@ -44,7 +44,8 @@
 impl Store {
     pub fn start(at: SocketAddr) -> Store {
         let inner = Inner { rev: 100, ..Inner::default() };
-        let store = Store { inner: Arc::new((Mutex::new(inner), Condvar::new())), mode: Arc::default() };
+        let store =
+            Store { inner: Arc::new((Mutex::new(inner), Condvar::new())), mode: Arc::default() };
         let listener = TcpListener::bind(at).unwrap_or_else(|_| cannot_run("the store's address"));
         let served = store.clone();
         thread::spawn(move || {
@@ -54,9 +55,11 @@
             }
         });
         let reaped = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(100));
-            reaped.reap();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(100));
+                reaped.reap();
+            }
         });
         store
     }
@@ -177,7 +180,8 @@
                         return (410, "{}".to_owned());
                     }
                     let news = inner.log.iter();
-                    let news = news.filter(|(_, rev, key, _)| after < *rev && key.starts_with(&prefix));
+                    let news =
+                        news.filter(|(_, rev, key, _)| after < *rev && key.starts_with(&prefix));
                     let news = news.map(|(_, rev, key, item)| match item {
                         Some(item) => item_json(key, item),
                         None => format!("{{\"key\":\"{key}\",\"rev\":{rev},\"tombstone\":true}}"),
@@ -205,7 +209,9 @@
 fn item_json(key: &str, item: &Item) -> String {
     let value = base64(&item.value);
     let (rev, created) = (item.rev, item.created);
-    format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"created\":{created},\"lease\":0}}")
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"created\":{created},\"lease\":0}}"
+    )
 }
 
 pub fn answer(stream: &mut TcpStream, status: u16, body: &str) -> io::Result<()> {
--- a/review/lab/src/world.rs
+++ b/review/lab/src/world.rs
@@ -23,7 +23,8 @@
 
 impl Record {
     pub fn new(path: &Path) -> Record {
-        let file = File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
+        let file =
+            File::create(path).unwrap_or_else(|error| cannot_run(&format!("record: {error}")));
         Record(Arc::new(Mutex::new(file)), Instant::now())
     }
 
@@ -68,7 +69,8 @@
 
 impl Net {
     pub fn free() -> Net {
-        let mut random = unix_ms() ^ u64::from(std::process::id());
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut random = (u64::from(std::process::id()) << 32) ^ since.as_nanos() as u64;
         for _ in 0..200 {
             random = random.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
             let net = Net {
@@ -77,7 +79,9 @@
                 base: 20000 + ((random >> 24) % 8000) as u16,
             };
             let ports = [net.base, net.base + 4, net.base + 6, net.base + 10, 9100, 8080];
-            if ports.iter().all(|port| TcpListener::bind(net.at(11, *port)).is_ok()) {
+            let is_free =
+                |host: u8| ports.iter().all(|port| TcpListener::bind(net.at(host, *port)).is_ok());
+            if [1, 11, 12, 13].into_iter().all(is_free) {
                 return net;
             }
         }
@@ -127,7 +131,8 @@
     /// Settings as those of a machine of kitafuji-quotes.
     pub fn settings(&self, host: u8, zone: &str, seeds: &[u8], bootstrap: bool) -> String {
         let net = self.net;
-        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{}\"", net.control(*seed))).collect();
+        let seeds: Vec<_> =
+            seeds.iter().map(|seed| format!("\"{}\"", net.control(*seed))).collect();
         format!(
             "node = \"front-{host}\"\nrole = \"router\"\nmachineClass = \"front\"\n\
              serves = [\"front\",\"control\"]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"sapporo\"\n\
