--- a/review/lab/src/cases/parts.rs
+++ b/review/lab/src/cases/parts.rs
@@ -1,4 +1,4 @@
-//! Requests that share a part which crashes runners, and that are most of what comes.
+//! Requests that share a part which crashes runners, the 17th of their prompts.
 
 use std::{
     sync::{Arc, Mutex, atomic::Ordering},
@@ -16,9 +16,11 @@
 /// Crashes after which the part has to be kept from runners, and what may reach them later.
 const CRASHES: usize = 5;
 const ALLOWED: usize = 3;
+/// Parts that all prompts have in common, before the one that crashes runners or its sound neighbour.
+const COMMON: u64 = 16;
 /// Seconds between two sound requests, and between two with the part.
-const SOUND_EVERY: f64 = 0.5;
-const BAD_EVERY: f64 = 0.0667;
+const SOUND_EVERY: f64 = 0.25;
+const BAD_EVERY: f64 = 1.0 / 3.0;
 /// How often a client repeats at once what failed.
 const REPEATS: u64 = 1;
 
@@ -53,7 +55,9 @@
         callers.push(thread::spawn(move || {
             // They share their caller and all other parts.
             let second = if is_bad { BAD } else { 0x4e21_7c55 };
-            let parts = format!("5c1e07a2:100,{second:x}:100,{number:08x}:260");
+            let common: Vec<String> =
+                (0..COMMON).map(|n| format!("{:08x}:10", 0x5c1e_07a0 + n)).collect();
+            let parts = format!("{},{second:x}:40,{number:08x}:260", common.join(","));
             let kind = if is_bad { "with the part" } else { "sound" };
             let mut whole = false;
             for attempt in 0..=REPEATS {
