Who has met few peers doesn't take them for the whole fleet

Cause: a daemon had to hear half of the fleet to order, and the fleet was what it had met. One that starts while it is cut off has met nobody, so it is one of one; after its silence of 10 s it ordered beside the former holder, at the same revision of the store. The same count decided how much of a quota an owner or a daemon without one gives out (the whole, on each side of a cut), the slack of the retry budget, permits of call limits (each side issued all of them, in running fleets, too), and whether all that may know a stream have answered. Daemons that said goodbye were taken off the count for good, though they may be back behind the cut. "No other claim heard" failed in the same way where two claimants don't hear each other though all others hear both.

Change: the count of the fleet has a basis (state/fleet.rs): unknown, most of the seeds in contact, or the first start of the system, passed on by peers. Orders need the last one and most of the peak in contact. Quotas, limits and budgets take the seeds as well; without a basis 320 daemons are assumed. A peer that hears two claims names the one that goes first.

Two tests of fencing numbers ran a lone daemon with two seeds that don't exist; they run one without seeds now, and check the same numbers.

--- a/crates/basilbank_forward/src/gossip_bounds.rs
+++ b/crates/basilbank_forward/src/gossip_bounds.rs
@@ -41,8 +41,8 @@
 /// Bounds the values of a datagram.
 pub fn bound(gossip: &mut LoadGossip) {
     gossip.incarnation = gossip.incarnation.min(MAX_INCARNATION);
-    if MAX_FLEET < gossip.fleet {
-        gossip.fleet = 0;
+    if MAX_FLEET < gossip.fleet.max(gossip.fleet_peak) {
+        (gossip.fleet, gossip.fleet_peak) = (0, 0);
     }
     if !gossip.loads().all(|load| is_possible_load(&load)) {
         retain_possible_loads(gossip);
--- a/crates/basilbank_forward/src/reduce/call_limit.rs
+++ b/crates/basilbank_forward/src/reduce/call_limit.rs
@@ -155,6 +155,8 @@
     }
     let stage = ctx.state.directory.get(key).and_then(|endpoint| endpoint.info.stage);
     let limit = if stage == Some(Stage::Decode) { limit / CALLS_PER_DECODE_PERMIT } else { limit };
+    // Daemons out of reach have an issuer of their own.
+    let limit = limit * ctx.state.fleet_fraction(ctx.now);
     let wait = ctx.state.permit_issuer.request(key, limit, (requester, max_wait), ctx.now);
     match requester {
         // The callers of `ask_issuer` check the result themselves, so no call has to be resumed.
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -22,6 +22,7 @@
     state::{
         GenerationStats, Usage,
         bound::{BoundDemand, MAX_REPORTED_VERSIONS},
+        fleet::FleetBasis,
         peers::{FirstWaiting, Load, Peer, from_wire},
     },
     team::TeamId,
@@ -89,6 +90,7 @@
     avoid_reported(ctx, &gossip.shunned);
     crash::handle_gossip(ctx, gossip);
     roles::record_claim(ctx, from, gossip.order_claim);
+    roles::record_rival(ctx, gossip.order_rival.and_then(from_wire));
     call_limit::handle_reported_limits(ctx, gossip);
     apply_reported_change(ctx, Topic::Endpoints, gossip.endpoints_news);
     apply_reported_change(ctx, Topic::Routes, gossip.routes_news);
@@ -137,11 +139,10 @@
         data_centre,
         passed_on,
     };
-    let is_older = ctx.state.started_before(gossip.incarnation);
     let peers = &mut ctx.state.peers;
     peers.insert(from, peer);
-    peers.peak_count = peers.peak_count.max(peers.known.len());
-    peers.update_fleet_size(gossip.fleet, is_older);
+    peers.fleet.count(peers.known.len() + 1);
+    apply_fleet(ctx, gossip);
     if is_new {
         ctx.log(LogLine::new("peer").with("addr", from).with("state", "up"));
     }
@@ -155,6 +156,33 @@
     ctx.state.capacity_changed = true;
 }
 
+/// Applies what a peer knows of the fleet's size.
+fn apply_fleet(ctx: &mut Context<'_>, gossip: &LoadGossip) {
+    let count = |reported| usize::try_from(reported).unwrap_or_default();
+    let (size, peak) = (count(gossip.fleet), count(gossip.fleet_peak));
+    let is_older = ctx.state.started_before(gossip.incarnation);
+    if ctx.state.peers.fleet.apply_report(size, peak, is_older) {
+        log_fleet(ctx);
+    }
+}
+
+/// Takes the daemons that are known for the fleet, if nobody has told its size and most of the seeds
+/// are in contact: all daemons may have started again.
+fn settle_fleet(ctx: &mut Context<'_>) {
+    let peers = &ctx.state.peers;
+    let is_unknown = peers.fleet.basis == FleetBasis::Unknown;
+    if is_unknown && !ctx.state.is_recently_started(ctx.now) && peers.hears_most_seeds() {
+        ctx.state.peers.fleet.basis = FleetBasis::Seeds;
+        log_fleet(ctx);
+    }
+}
+
+fn log_fleet(ctx: &mut Context<'_>) {
+    let fleet = ctx.state.peers.fleet;
+    let line = LogLine::new("fleet").with("size", fleet.size).with("peak", fleet.peak);
+    ctx.log(line.with("known_by", fleet.basis.as_str()));
+}
+
 /// Handles a peer's queries and replies, which are sent to this daemon only. Messages from unknown
 /// addresses are ignored.
 fn handle_message(ctx: &mut Context<'_>, from: SocketAddr, gossip: &LoadGossip) {
@@ -212,6 +240,7 @@
         remove_loads(ctx, address);
         remove_peer(ctx, address, "silent");
     }
+    settle_fleet(ctx);
     if ctx.state.peers.changed {
         ctx.state.peers.changed_since.get_or_insert(now);
     }
@@ -296,7 +325,9 @@
 
 fn remove_peer(ctx: &mut Context<'_>, from: SocketAddr, state: &str) {
     if ctx.state.peers.remove(from) {
-        ctx.state.peers.fleet_size -= usize::from(state == STATE_LEAVING);
+        if state == STATE_LEAVING {
+            ctx.state.peers.fleet.remove();
+        }
         ctx.log(LogLine::new("peer").with("addr", from).with("state", state));
     }
 }
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -154,11 +154,21 @@
     let peers = &ctx.state.peers;
     // A daemon that started at the same time would learn nothing from the fleet's size.
     if peers.incarnation < incarnation {
-        gossip.fleet = u32::try_from(peers.fleet_size).unwrap_or(u32::MAX);
+        (gossip.fleet, gossip.fleet_peak) = peers.fleet.report();
     }
     ctx.push(Effect::SendGossip { to: vec![to], gossip: Box::new(gossip) });
 }
 
+/// Maximum number of peers with which each heartbeat reports the fleet's size.
+const MAX_PEERS_ALWAYS_REPORTING_FLEET: usize = 8;
+
+/// Number of datagrams of which one may report the fleet's size with more peers.
+const FLEET_REPORT_INTERVAL: u64 = 8;
+
+/// Time after this daemon's start from which on heartbeats report the fleet's size: those that start at
+/// the same time would learn nothing from it.
+const FLEET_REPORT_DELAY: Duration = Duration::from_secs(3);
+
 /// How much a datagram reports.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Scope {
@@ -229,6 +239,10 @@
     let quarantined =
         state.quarantine.take_reports(scope.quarantined_calls(state.peers.known.len()), now);
     let order_claim = roles::claim(state, now).into();
+    let order_rival = state.roles.disputed_by(now).as_ref().and_then(to_wire);
+    let reports_fleet = scope == Scope::Full && state.reports_fleet(now);
+    let (fleet, fleet_peak) =
+        if reports_fleet { state.peers.fleet.report() } else { Default::default() };
     let peers = &mut state.peers;
     peers.sequence += 1;
     let count = scope.named_peers(peers.known.len());
@@ -255,6 +269,9 @@
         unreached: state.suspects.unreached.iter().map(|service| service_hash(service)).collect(),
         data_centre,
         order_claim,
+        order_rival,
+        fleet,
+        fleet_peak,
         ..LoadGossip::default()
     };
     gossip.with_loads(loads)
@@ -300,6 +317,17 @@
     }
 }
 
+impl State {
+    /// Returns whether the next heartbeat reports the fleet's size. Unless there are few peers, few do:
+    /// a daemon that starts is told by all that introduce themselves, and most of that arrives.
+    fn reports_fleet(&self, now: Duration) -> bool {
+        let has_settled = self.started.is_some_and(|at| at + FLEET_REPORT_DELAY <= now);
+        let is_due = self.peers.known.len() <= MAX_PEERS_ALWAYS_REPORTING_FLEET
+            || self.peers.sequence.is_multiple_of(FLEET_REPORT_INTERVAL);
+        has_settled && is_due
+    }
+}
+
 impl Peers {
     /// Returns the addresses that no datagram has come from yet.
     fn unknown_addresses(&self) -> impl Iterator<Item = SocketAddr> {
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -350,7 +350,7 @@
     /// Returns whether all peers that were asked have answered, and none was left out for not being
     /// known yet.
     fn has_all_answers(&self, id: RequestId) -> bool {
-        let is_met = KEEPERS.min(self.peers.fleet_size.saturating_sub(1)) <= self.peers.known.len();
+        let is_met = KEEPERS.min(self.fleet_size().saturating_sub(1)) <= self.peers.known.len();
         let Some(request) = self.requests.get(&id) else { return false };
         let is_resent = matches!(request.origin, OriginStage::Asked { resend_at: None, .. });
         let are_all_asked = is_resent || self.peers.known.len() <= MAX_ASKED;
--- a/crates/basilbank_forward/src/reduce/quota.rs
+++ b/crates/basilbank_forward/src/reduce/quota.rs
@@ -17,8 +17,9 @@
     reason::Refusal,
     state::{
         State,
+        fleet::SHARE_MARGIN,
         owned_quotas::{self, Allowance, Answer},
-        quotas::{AVOID_OWNER_TIME, PendingRequest, SHARE_MARGIN},
+        quotas::{AVOID_OWNER_TIME, PendingRequest},
         requests::QuotaStage,
     },
     team::{Quota, TeamId},
@@ -139,7 +140,7 @@
 /// Charges a call to this daemon's own share, because the quota owner doesn't answer. The charge is
 /// reported as soon as an owner answers.
 fn take_from_share(ctx: &mut Context<'_>, charge: Charge) -> Verdict {
-    let fraction = ctx.state.quota_share(ctx.now);
+    let fraction = ctx.state.quota_share();
     let used = ctx.state.quotas.usage_mut(charge.team, ctx.now);
     if used.take_share(&charge.quota, fraction, charge.amount, ctx.now) {
         used.take(i64::from(charge.amount), ctx.now);
@@ -342,7 +343,7 @@
             self.quotas.avoids_any_owner(now) && self.remote_owner(team.0, |_| true).is_some();
         let is_unsettled =
             self.quotas.is_unsettled(now) || self.restarted_within(AVOID_OWNER_TIME, now);
-        let share = self.quota_share(now);
+        let share = self.quota_share();
         let fraction = match stands_in || is_unsettled {
             _ if self.peers.is_isolated(now) => share,
             true => share * (self.owned_quotas.active_daemons(team, now) + 1) as f64,
@@ -351,20 +352,8 @@
         Some(Allowance { quota, fraction: fraction.min(1.0) })
     }
 
-    /// Returns the fraction of a quota that the daemons in contact may use. A few are missing because
-    /// a heartbeat was lost, many because of a cut, whose other side may count the quota as well.
-    /// Callers are the more evenly distributed the more daemons there are.
-    fn fleet_fraction(&self, now: Duration) -> f64 {
-        let daemons = (self.peers.count_on_time(now) + 1) as f64;
-        let fraction = daemons / self.fleet_size(now).max(1) as f64;
-        if 1.0 <= fraction * SHARE_MARGIN {
-            return 1.0;
-        }
-        fraction * (1.0 + (SHARE_MARGIN - 1.0) / daemons.sqrt())
-    }
-
     /// Returns the fraction of a quota that this daemon may use if the owner doesn't answer.
-    fn quota_share(&self, now: Duration) -> f64 {
-        (SHARE_MARGIN / self.fleet_size(now).max(1) as f64).min(1.0)
+    fn quota_share(&self) -> f64 {
+        (SHARE_MARGIN / self.fleet_peak().max(1) as f64).min(1.0)
     }
 }
--- a/crates/basilbank_forward/src/reduce/roles.rs
+++ b/crates/basilbank_forward/src/reduce/roles.rs
@@ -15,7 +15,10 @@
     endpoint::{EndpointKey, Stage},
     event::Acceptance,
     log_line::LogLine,
-    state::{State, roles::OrderRight},
+    state::{
+        State, SystemStart,
+        roles::{ORDER_SILENCE, OrderRight},
+    },
 };
 
 /// Seconds for which a typical completion uses a prefill endpoint: 3,200 tokens at 33 per
@@ -35,11 +38,6 @@
 /// endpoint registers.
 const MIN_LIST_STABILITY: Duration = Duration::from_millis(1000);
 
-/// Time that a daemon which did not start with the whole system waits before its first order. A
-/// previous holder of the right orders only after a read of the store within [`MAX_READ_AGE`], so
-/// its last order is long over.
-const ORDER_SILENCE: Duration = Duration::from_secs(10);
-
 /// Maximum age of the last read of the store for giving orders: with an older one the daemon may be
 /// cut off or may just have been suspended.
 const MAX_READ_AGE: Duration = Duration::from_millis(2500);
@@ -78,6 +76,19 @@
     if claim == OrderClaim::None {
         return;
     }
+    ctx.state.roles.claims.insert(from, ctx.now);
+    record_claimant(ctx, from, claim);
+}
+
+/// Records a claim that a peer has heard. The claimant may be out of this daemon's reach.
+pub fn record_rival(ctx: &mut Context<'_>, rival: Option<SocketAddr>) {
+    let own = ctx.state.peers.own_address;
+    if let Some(rival) = rival.filter(|rival| own.is_some_and(|own| *rival < own)) {
+        record_claimant(ctx, rival, OrderClaim::Held);
+    }
+}
+
+fn record_claimant(ctx: &mut Context<'_>, from: SocketAddr, claim: OrderClaim) {
     let is_senior = ctx.state.peers.own_address.is_none_or(|own| from < own);
     if !is_senior && claim == OrderClaim::Yielded {
         return;
@@ -115,11 +126,6 @@
     is_senior_gone && has_junior_yielded
 }
 
-/// Returns whether this daemon hears most of the others. One that doesn't can't know their claims.
-fn hears_most(state: &State) -> bool {
-    state.peers.fleet_size < (state.peers.known.len() + 1) * 2
-}
-
 /// Handles an endpoint's answer to an order. A refused order is not repeated: the reason is
 /// unknown, so doing nothing is the safe choice.
 pub fn handle_order_answer(ctx: &mut Context<'_>, endpoint: EndpointKey, accepted: Acceptance) {
@@ -158,8 +164,14 @@
 
 /// Gives an order if one is due.
 pub fn tick(ctx: &mut Context<'_>) {
-    if !hears_most(ctx.state) {
-        ctx.state.roles.isolated_at = Some(ctx.now);
+    ctx.state.roles.claims.retain(|_, at| ctx.now < *at + ORDER_SILENCE);
+    let hears_majority = ctx.state.peers.hears_majority();
+    let roles = &mut ctx.state.roles;
+    roles.has_met |= hears_majority;
+    // Nobody has given orders before the system's first start.
+    let is_first = ctx.state.local.start == SystemStart::First && !roles.has_met;
+    if !hears_majority && !is_first {
+        roles.isolated_at = Some(ctx.now);
     }
     if !can_order(ctx.state, ctx.now) {
         return;
@@ -189,6 +201,7 @@
     let is_list_stable = roles.list_grew + MIN_LIST_STABILITY <= now;
     // Those that claim the right may be the last to be heard again.
     let is_informed = roles.isolated_at.is_none_or(|at| at + ORDER_SILENCE <= now);
+    let is_informed = is_informed && state.peers.hears_majority();
     let is_holder = has_waited && is_informed && is_undisputed(state, now);
     is_holder && is_read_recent && is_list_stable && state.is_ready()
 }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -13,6 +13,7 @@
 pub mod endpoint_records;
 pub mod evidence;
 pub mod first_list;
+pub mod fleet;
 pub mod forecast;
 pub mod freshness;
 pub mod generation;
@@ -61,6 +62,7 @@
     endpoint::Endpoint,
     endpoint_records::EndpointRecords,
     first_list::FirstList,
+    fleet::{Fleet, FleetBasis},
     forecast::Forecasts,
     freshness::Freshness,
     generation::GenerationStats,
@@ -98,9 +100,6 @@
     tuning::Tuning,
 };
 
-/// Number of daemons in a fleet of the size that the design aims at.
-const DESIGN_FLEET_SIZE: usize = 320;
-
 /// Minimum wait of a watch as a fraction of its full wait. The rest is random, because a change
 /// ends the watches of all daemons at the same time.
 const MIN_WAIT_FRACTION: f64 = 0.4;
@@ -220,7 +219,7 @@
             incarnation: local.incarnation,
             seeds: local.seeds.clone(),
             own_address: local.address,
-            fleet_size: 1,
+            fleet: Fleet::new(&local),
             ..Peers::default()
         };
         State {
@@ -283,18 +282,6 @@
         is_wanted && !endpoint.statements.is_paused(now)
     }
 
-    /// Returns the number of daemons that share the slack of the retry budgets.
-    ///
-    /// A daemon that has just started knows few peers, and the daemons that started with it may all
-    /// have used up their shares shortly before. So for one window it assumes a fleet of the design
-    /// size.
-    #[must_use]
-    pub fn slack_sharers(&self, now: Duration) -> usize {
-        let is_recent = self.started.is_none_or(|at| now < at + self.tuning.retry_window);
-        let known = self.peers.peak_count + 1;
-        if is_recent { known.max(DESIGN_FLEET_SIZE) } else { known }
-    }
-
     /// Returns whether this daemon and all of its known peers have just restarted. Nobody's load is
     /// known then, and callers whose streams were cut retry all at once.
     #[must_use]
@@ -343,7 +330,7 @@
     }
 
     /// Returns whether this daemon has just restarted.
-    fn is_recently_started(&self, now: Duration) -> bool {
+    pub(crate) fn is_recently_started(&self, now: Duration) -> bool {
         self.restarted_within(self.tuning.cold_start, now)
     }
 
@@ -360,18 +347,6 @@
         incarnation + MIN_START_GAP_MS < self.local.incarnation
     }
 
-    /// Returns the assumed number of daemons in the fleet. Shortly after a start that all daemons
-    /// may have made together nobody knows the number, so it is at least the design size.
-    #[must_use]
-    pub fn fleet_size(&self, now: Duration) -> usize {
-        let is_unknown = self.is_recently_started(now) && !self.peers.fleet_reported;
-        if is_unknown {
-            self.peers.fleet_size.max(DESIGN_FLEET_SIZE)
-        } else {
-            self.peers.fleet_size
-        }
-    }
-
     /// Returns how fast a service's completions grow, by the measurements of all daemons.
     #[must_use]
     pub fn growth(&self, service: &str) -> Growth {
--- a/crates/basilbank_forward/src/state/peers.rs
+++ b/crates/basilbank_forward/src/state/peers.rs
@@ -1,7 +1,7 @@
 //! The other daemons, and their load at endpoints.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{IpAddr, Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
@@ -12,6 +12,7 @@
     GenerationStats, Usage,
     bound::BoundDemand,
     demand::{DemandKey, DemandSums},
+    fleet::{Fleet, FleetBasis},
     relays::Relays,
 };
 use crate::{
@@ -97,14 +98,8 @@
     /// Addresses from the settings. They are tried forever, so that a daemon that lost contact
     /// finds the others again.
     pub seeds: Vec<SocketAddr>,
-    /// Maximum number of peers that were known at once.
-    pub peak_count: usize,
-    /// Number of daemons in the fleet, including this one: the maximum number that were known at
-    /// once, less those that have shut down. Daemons that fell silent may only be disconnected and
-    /// still serve callers.
-    pub fleet_size: usize,
-    /// Whether a daemon that started long before this one has reported the fleet's size.
-    pub fleet_reported: bool,
+    /// The number of daemons.
+    pub fleet: Fleet,
     /// Number of times that a watcher has reported that it lost the store.
     pub watcher_losses: u32,
     /// The time of the last reducer step, against which the age of peers' reports is measured.
@@ -165,14 +160,24 @@
         true
     }
 
-    /// Updates the fleet's size after a datagram from a peer, which reports its own count in
-    /// `reported`. A peer that has met the others before knows the size better than a daemon that
-    /// has just started.
-    pub fn update_fleet_size(&mut self, reported: u32, is_older: bool) {
-        if is_older && reported != 0 && !std::mem::replace(&mut self.fleet_reported, true) {
-            self.fleet_size = self.fleet_size.max(usize::try_from(reported).unwrap_or_default());
-        }
-        self.fleet_size = self.fleet_size.max(self.known.len() + 1);
+    /// Returns whether this daemon and the peers that it knows are most of the seeds. Settings without
+    /// seeds name no other daemon.
+    #[must_use]
+    pub fn hears_most_seeds(&self) -> bool {
+        let seeds: BTreeSet<_> = self.seeds.iter().collect();
+        let is_heard = |at: &&&SocketAddr| {
+            Some(**at) == self.own_address.as_ref() || self.known.contains_key(**at)
+        };
+        let heard = seeds.iter().filter(is_heard).count();
+        seeds.is_empty() || seeds.len() < heard * 2
+    }
+
+    /// Returns whether this daemon hears most of the others that there have ever been. One that
+    /// doesn't can't know what they decide.
+    #[must_use]
+    pub fn hears_majority(&self) -> bool {
+        let heard = self.known.len() + 1;
+        self.fleet.basis == FleetBasis::FirstStart && self.fleet.peak < heard * 2
     }
 
     /// Returns the hash of the name of a peer's data centre; 0 if it is unknown.
--- a/crates/basilbank_forward/src/state/quotas.rs
+++ b/crates/basilbank_forward/src/state/quotas.rs
@@ -32,10 +32,6 @@
 /// Interval at which expired entries are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Factor by which a daemon that can't ask the owner may exceed an even share: callers are not
-/// evenly distributed.
-pub const SHARE_MARGIN: f64 = 1.1;
-
 /// Maximum unused amount of its own share that a daemon accumulates, in seconds of the share's
 /// rate.
 const SHARE_BURST_SECONDS: f64 = 1.0;
--- a/crates/basilbank_forward/src/state/roles.rs
+++ b/crates/basilbank_forward/src/state/roles.rs
@@ -1,9 +1,18 @@
 //! Which daemon orders endpoints to change their stage, and the orders that were sent.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use crate::endpoint::EndpointKey;
 
+/// Time that a daemon which did not start with the whole system waits before its first order. A
+/// previous holder of the right orders only after a read of the store within the maximum age of one, so
+/// its last order is long over.
+pub const ORDER_SILENCE: Duration = Duration::from_secs(10);
+
 /// This daemon's right to send orders to endpoints.
 ///
 /// Two daemons that send orders to one endpoint within a lease would undo each other's work, and
@@ -34,12 +43,16 @@
     pub right_since: Duration,
     /// When this daemon last heard less than most of the others.
     pub isolated_at: Option<Duration>,
+    /// Whether this daemon has heard most of the others since its process started.
+    pub has_met: bool,
     /// Whether the settings have been applied since the process started.
     pub is_right_set: bool,
     /// When a peer that goes first last claimed the right.
     pub senior_claim: Option<Duration>,
     /// When a peer that goes after this daemon last claimed the right without yielding it.
     pub junior_claim: Option<Duration>,
+    /// The peers that claimed the right, and when this daemon last heard that from them.
+    pub claims: BTreeMap<SocketAddr, Duration>,
     /// Offset of the wall clock from the monotonic clock, in milliseconds, when it was last
     /// compared.
     pub clock_offset_ms: Option<i128>,
@@ -54,3 +67,15 @@
     /// When the list of endpoints last grew.
     pub list_grew: Duration,
 }
+
+impl Roles {
+    /// Returns the first of several peers that claim the right: another one may not hear it, and would
+    /// order as well.
+    #[must_use]
+    pub fn disputed_by(&self, now: Duration) -> Option<SocketAddr> {
+        let is_recent = |at: &Duration| now < *at + ORDER_SILENCE;
+        let mut claims = self.claims.iter().filter(|(_, at)| is_recent(at));
+        let first = claims.next().map(|(address, _)| *address);
+        first.filter(|_| claims.next().is_some())
+    }
+}
--- a/crates/basilbank_forward/tests/forward/absurd_sizes.rs
+++ b/crates/basilbank_forward/tests/forward/absurd_sizes.rs
@@ -3,7 +3,7 @@
 use basilbank_forward::prelude::*;
 use test_case::test_case;
 
-use crate::rig::{Rig, held, model, numbered, prefilled, prompt};
+use crate::rig::{Rig, held, model, prefilled, prompt};
 
 /// Decode endpoints: an idle one takes a completion of any size.
 const DECODE: u16 = 40;
@@ -58,7 +58,7 @@
 #[test_case(u64::MAX, u64::MAX; "the last revision of the last era")]
 #[test_case(u64::MAX, 1 << 56; "a large revision of the last era")]
 fn fencing_numbers_rise_whatever_the_revision(era: u64, number: u64) {
-    let mut rig = numbered(1);
+    let mut rig = Rig::new();
     rig.feed(Event::OrderRight(OrderRight::AtOnce));
     let list: Vec<_> = (0..9).map(|n| model(&format!("p{n}"), 10 + n, Stage::Prefill)).collect();
     let revision = Revision { era, number };
--- a/crates/basilbank_forward/tests/forward/impossible_rows.rs
+++ b/crates/basilbank_forward/tests/forward/impossible_rows.rs
@@ -75,7 +75,7 @@
 fn a_start_time_at_the_end_of_time_is_no_older_one() {
     let mut rig = rig();
     tell(&mut rig, 3, LoadGossip { incarnation: u64::MAX, fleet: 7, ..beat(1) });
-    assert_eq!(rig.state.fleet_size(rig.now() + Duration::from_secs(60)), 3);
+    assert_eq!(rig.state.fleet_size(), 3);
 }
 
 /// Guards against shares of quotas that round to nothing.
@@ -87,7 +87,7 @@
     let gossip = LoadGossip { fleet, ..beat(1) };
     let now = Now { mono: Duration::from_secs(100), wall: std::time::SystemTime::UNIX_EPOCH };
     reduce(&mut state, now, Event::gossip(peer(2), gossip), &mut Vec::new());
-    assert_eq!(state.peers.fleet_size, known);
+    assert_eq!(state.peers.fleet.size, known);
 }
 
 /// Guards against an average that one row decides.
--- a/crates/basilbank_forward/tests/forward/main.rs
+++ b/crates/basilbank_forward/tests/forward/main.rs
@@ -49,6 +49,7 @@
 mod silent_services;
 mod statements;
 mod suspects;
+mod unknown_fleets;
 mod urgency;
 mod version_fleets;
 mod version_queue;
--- a/crates/basilbank_forward/tests/forward/restored_store.rs
+++ b/crates/basilbank_forward/tests/forward/restored_store.rs
@@ -206,7 +206,7 @@
 #[test]
 fn fencing_numbers_rise_over_eras_and_restarts() {
     let order = |revision: Revision| {
-        let mut rig = numbered(1);
+        let mut rig = Rig::new();
         rig.feed(Event::OrderRight(OrderRight::AtOnce));
         let readers = (0..9).map(|n| model(&format!("p{n}"), 10 + n, Stage::Prefill));
         rig.feed(Event::EndpointsRead {
--- a/crates/basilbank_forward/tests/forward/rig.rs
+++ b/crates/basilbank_forward/tests/forward/rig.rs
@@ -53,6 +53,13 @@
         Rig::with_local(local_at(address).with_incarnation(2).with_seeds(seeds))
     }
 
+    /// One of several daemons whose process starts again, at a time after the first start of all.
+    pub fn restarted_daemon(address: SocketAddr, seeds: Vec<SocketAddr>, at: Duration) -> Rig {
+        let incarnation = 1 + u64::try_from(at.as_millis()).expect("short");
+        let local = local_at(address).with_incarnation(incarnation).with_seeds(seeds);
+        Rig::with_local(local.with_start(SystemStart::Restart))
+    }
+
     fn with_local(local: Local) -> Rig {
         let local = local.with_name("vm-1").with_data_centre("hall-a");
         let state = State::new(local, Tuning::default());
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -93,10 +93,14 @@
     /// Direct messages: the state of quotas that the sender owns.
     #[prost(message, repeated, tag = "27")]
     pub quota_states: Vec<QuotaState>,
-    /// Maximum number of daemons that the sender has known at once, less those that have left; 0
-    /// when an earlier datagram reported it.
+    /// Maximum number of daemons that the sender has known at once, less those that have left; 0 if it
+    /// can't tell, and between heartbeats.
     #[prost(uint32, tag = "28")]
     pub fleet: u32,
+    /// The same with those that have left; 0 if the count doesn't go back to the first start of the
+    /// whole system, and between heartbeats.
+    #[prost(uint32, tag = "47")]
+    pub fleet_peak: u32,
     /// Hashes of the names of services most of whose endpoints the sender can't reach, so that it
     /// can't call them for others.
     #[prost(fixed32, repeated, tag = "29")]
@@ -136,6 +140,10 @@
     /// Whether the sender's settings give it the right to order endpoints.
     #[prost(enumeration = "OrderClaim", tag = "44")]
     pub order_claim: i32,
+    /// The daemon that goes first of several from which the sender has heard such claims. One of them may
+    /// not hear the other.
+    #[prost(message, optional, tag = "48")]
+    pub order_rival: Option<PeerAddress>,
     /// What waits at the sender for the endpoints of one version while their service has several.
     #[prost(message, repeated, tag = "46")]
     pub bound: Vec<WaitingForVersion>,
