All parts of a prompt may be the cause of crashes, at any rate of calls

Cause: a prompt's first 16 parts were kept, and the 17th was the cause. More bounds dropped the rest without a word: 256 accusations a crash, 255 numbered causes, 256 announcements, 2,048 proofs, eight versions that peers wait for, one datagram for all reports; a second field of the header and ids of more than 64 bits weren't read. Another way to the same rule: a part of more than half of the last 64 prompts was never a cause, and crashes within 60 ms counted once, so calls that come often were never found.

Change: all parts count. Never a cause is what no prompt has lacked for a minute, which the last prompt's parts tell exactly at any rate. Of several causes with equally many crashes it is the one that fewest prompts have. Five crashes at once are enough for a part that nobody saw to be sound and that has no equal. Reports name each part once a crash, in pieces of 64, 8 KB a datagram. Evidence is kept by cause. What is dropped is counted and logged.

--- a/crates/basilbank_forward/src/call.rs
+++ b/crates/basilbank_forward/src/call.rs
@@ -164,6 +164,9 @@
 /// and the tokens of a hundred such calls fit into 32 bits.
 const MAX_COUNTED_TOKENS: u32 = 1 << 24;
 
+/// Maximum number of parts of a prompt whose ids are logged.
+const MAX_LOGGED_PARTS: usize = 16;
+
 impl Prompt {
     /// Bounds the sizes, which a caller may state as it likes, so that sums of them don't overflow.
     #[must_use]
@@ -174,11 +177,22 @@
         self
     }
 
-    /// Returns the ids of the parts, for logs.
+    /// Returns the ids of the parts, for logs: the first and the last ones of many, and how many there
+    /// are between them.
     #[must_use]
     pub fn part_names(&self) -> String {
-        let names: Vec<_> = self.parts.iter().map(|part| format!("{part:x}")).collect();
-        names.join(",")
+        let names = |parts: &[u64]| {
+            let names: Vec<_> = parts.iter().map(|part| format!("{part:x}")).collect();
+            names.join(",")
+        };
+        let few = MAX_LOGGED_PARTS / 2;
+        match self.parts.len().saturating_sub(MAX_LOGGED_PARTS) {
+            0 => names(&self.parts),
+            left_out => {
+                let last = self.parts.len() - few;
+                format!("{},({left_out}),{}", names(&self.parts[..few]), names(&self.parts[last..]))
+            }
+        }
     }
 
     /// Returns the expected number of generated tokens.
--- a/crates/basilbank_forward/src/log_line.rs
+++ b/crates/basilbank_forward/src/log_line.rs
@@ -59,6 +59,10 @@
     Pause,
     /// A call was put into quarantine.
     Quarantined,
+    /// So much of the evidence about crashes was dropped, as there was too much.
+    EvidenceDropped(usize),
+    /// So many records of versions of streams were dropped before their end, as there were too many.
+    StreamRecordsDropped(usize),
     /// A completion that waited has found capacity, this far from the forecast time.
     ForecastError(Duration),
     /// What became of a call that returned as it was told.
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -129,6 +129,7 @@
     statement::tick(&mut ctx);
     suspect::tick(&mut ctx);
     crash::tick(&mut ctx);
+    keepers::log_dropped(&mut ctx);
     call_limit::tick(&mut ctx);
     freshness::tick(&mut ctx);
     quota::tick(&mut ctx);
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -65,7 +65,7 @@
             };
             let deadline = request.deadline;
             if let Some(prompt) = &request.call.prompt {
-                ctx.state.common_parts.record(&prompt.parts);
+                ctx.state.common_parts.record(&prompt.parts, ctx.now);
             }
             ctx.log(line);
             ctx.state.requests.insert(id, request);
--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -67,12 +67,13 @@
     if reports.is_empty() {
         return;
     }
-    for report in &reports {
-        let line = LogLine::new("crashed").with("digest", Digest(report.digest));
-        let line = line.with("endpoint", format!("{hash:08x}")).with("ran_ms", report.ran);
-        ctx.log(line.with("accused_parts", report.parts.len()));
-        apply_report(ctx, report);
+    for call in reports.chunk_by(|a, b| a.digest == b.digest) {
+        let line = LogLine::new("crashed").with("digest", Digest(call[0].digest));
+        let line = line.with("endpoint", format!("{hash:08x}")).with("ran_ms", call[0].ran);
+        let parts: usize = call.iter().map(|report| report.parts.len()).sum();
+        ctx.log(line.with("accused_parts", parts));
     }
+    reports.iter().for_each(|report| apply_report(ctx, report, true));
     ctx.state.peers.report_soon();
 }
 
@@ -135,14 +136,14 @@
         ctx.state.crashes.clear_by_peer(cause, ctx.now);
     }
     for report in &gossip.crashes {
-        apply_report(ctx, report);
+        apply_report(ctx, report, false);
     }
 }
 
 /// Applies a peer's report of something in quarantine.
 ///
-/// A daemon that has just seen a part of prompts to be sound, or in most of them, goes by its own
-/// evidence. If the peer is wrong, the calls that are still sent show it, and the part is released
+/// A daemon that has just seen a part of prompts to be sound goes by its own evidence, and so does one
+/// that has seen it in all of them, unless its own calls with it were at crashes. If the peer is wrong, the calls that are still sent show it, and the part is released
 /// everywhere.
 fn handle_quarantined(ctx: &mut Context<'_>, reported: &QuarantinedCall) {
     let cause = quarantine::reported_cause(reported);
@@ -151,8 +152,9 @@
         return ctx.state.crashes.announce_cleared(cause);
     }
     let is_known = ctx.state.quarantine.time_left(cause, ctx.now).is_some();
-    let is_common = ctx.state.common_parts.is_common_cause(cause) == Some(true);
-    let is_doubted = is_common || ctx.state.crashes.was_sound(cause, found_at);
+    let is_in_all = ctx.state.common_parts.is_in_all(cause, ctx.now) == Some(true)
+        && !ctx.state.crashes.is_own_suspect(cause);
+    let is_doubted = is_in_all || ctx.state.crashes.was_sound(cause, found_at);
     if cause.is_part() && !is_known && is_doubted {
         return;
     }
@@ -163,6 +165,11 @@
 
 /// Looks for the cause of crashes once all daemons have had time to report them.
 pub fn tick(ctx: &mut Context<'_>) {
+    let dropped = ctx.state.crashes.take_dropped() + ctx.state.quarantine.take_dropped();
+    if dropped != 0 {
+        let line = LogLine::new("crash_evidence_dropped").with("count", dropped);
+        ctx.log(line.with_measurement(Measurement::EvidenceDropped(dropped)));
+    }
     while let Some(parts) = ctx.state.crashes.take_proof(ctx.now) {
         parts.into_iter().for_each(|part| clear(ctx, Cause::Part(part)));
     }
@@ -200,11 +207,11 @@
     }
 }
 
-fn apply_report(ctx: &mut Context<'_>, report: &CrashReport) {
+fn apply_report(ctx: &mut Context<'_>, report: &CrashReport, is_own: bool) {
     let traits = SharedTraits { digest: Digest(report.digest), parts: report.parts.clone() };
     let in_quarantine = |cause: &Cause| ctx.state.quarantine.time_left(*cause, ctx.now).is_some();
     let cause = traits.causes().find(in_quarantine);
-    ctx.state.crashes.apply_report(report, cause, ctx.now);
+    ctx.state.crashes.apply_report(report, cause, is_own, ctx.now);
 }
 
 fn record_cause(ctx: &mut Context<'_>, cause: Cause, reason: &str) {
--- a/crates/basilbank_forward/src/reduce/gossip.rs
+++ b/crates/basilbank_forward/src/reduce/gossip.rs
@@ -21,7 +21,7 @@
     rank::{MAX_PRIORITY, Rank},
     state::{
         GenerationStats, Usage,
-        bound::{BoundDemand, MAX_REPORTED_VERSIONS},
+        bound::BoundDemand,
         fleet::FleetBasis,
         peers::{FirstWaiting, Load, Peer, from_wire},
     },
@@ -124,12 +124,7 @@
         met,
         loads,
         waiting: gossip.waiting.iter().map(|waiting| waiting_from_wire(waiting, now)).collect(),
-        bound: gossip
-            .bound
-            .iter()
-            .take(MAX_REPORTED_VERSIONS)
-            .filter_map(|b| bound_from_wire(b, now))
-            .collect(),
+        bound: gossip.bound.iter().filter_map(|b| bound_from_wire(b, now)).collect(),
         demand: demand_rows,
         version,
         watching: gossip.watching,
--- a/crates/basilbank_forward/src/reduce/gossip_send.rs
+++ b/crates/basilbank_forward/src/reduce/gossip_send.rs
@@ -119,7 +119,10 @@
         peers.heartbeat_bytes = bytes;
         peers.sent_changes = state.latest_changes;
     }
-    let mut to = peers.addresses();
+    if state.crashes.has_unsent() {
+        state.peers.report_soon();
+    }
+    let mut to = state.peers.addresses();
     if !to.is_empty() {
         // Datagrams that a full network link can't take are lost. The order changes with each
         // datagram, so that it isn't always the same peers that lose them and take this daemon for
--- a/crates/basilbank_forward/src/reduce/keepers.rs
+++ b/crates/basilbank_forward/src/reduce/keepers.rs
@@ -11,6 +11,7 @@
 use crate::{
     call::{RequestId, StreamId},
     endpoint::SoftwareVersion,
+    log_line::{LogLine, Measurement},
     state::origins::STREAM_LIFETIME,
 };
 
@@ -52,6 +53,15 @@
     }
 }
 
+/// Says that records were dropped before their end. Their streams may be refused when they come back.
+pub fn log_dropped(ctx: &mut Context<'_>) {
+    let dropped = ctx.state.origins.take_dropped();
+    if dropped != 0 {
+        let line = LogLine::new("stream_records_dropped").with("count", dropped);
+        ctx.log(line.with_measurement(Measurement::StreamRecordsDropped(dropped)));
+    }
+}
+
 /// Tells peers of all streams that go on, as it can't be inferred any more which version began them.
 pub fn announce_all(ctx: &mut Context<'_>) {
     let own: Vec<_> = ctx.state.origins.own(ctx.now).collect();
--- a/crates/basilbank_forward/src/state/announcements.rs
+++ b/crates/basilbank_forward/src/state/announcements.rs
@@ -3,10 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 /// Maximum number of items that are kept until all repetitions have been sent.
-const MAX_ITEMS: usize = 256;
-
-/// Maximum number of items in one datagram.
-const MAX_PER_DATAGRAM: usize = 48;
+const MAX_ITEMS: usize = 1024;
 
 /// Number of datagrams that carry each item.
 const REPETITIONS: u8 = 5;
@@ -33,12 +30,19 @@
 }
 
 impl<T: Clone + PartialEq> Announcements<T> {
-    /// Adds an item, unless it is being announced.
-    pub fn push(&mut self, item: T) {
+    /// Adds an item, unless it is being announced. Returns `false` if another one was dropped for it.
+    #[must_use]
+    pub fn push(&mut self, item: T) -> bool {
         if self.0.iter().any(|announcement| announcement.item == item) {
-            return;
+            return true;
         }
-        push_bounded(&mut self.0, Announcement { item, sent: 0, due: Duration::ZERO }, MAX_ITEMS);
+        push_bounded(&mut self.0, Announcement { item, sent: 0, due: Duration::ZERO }, MAX_ITEMS)
+    }
+
+    /// Returns whether an item hasn't been sent at all.
+    #[must_use]
+    pub fn has_unsent(&self) -> bool {
+        self.0.iter().any(|announcement| announcement.sent == 0)
     }
 
     /// Removes an item that a peer announces.
@@ -46,24 +50,37 @@
         self.0.retain(|announcement| announcement.item != *item);
     }
 
-    /// Returns the items for the next datagram, and counts them as sent.
-    pub fn take_due(&mut self, now: Duration) -> Vec<T> {
-        let due = self.0.iter_mut().filter(|announcement| announcement.due <= now);
-        let taken = due.take(MAX_PER_DATAGRAM).map(|announcement| {
+    /// Returns the items for the next datagram, and counts them as sent. They have `max_bytes` at most
+    /// in all, unless the first one alone has more.
+    pub fn take_due(
+        &mut self,
+        now: Duration,
+        max_bytes: usize,
+        bytes: impl Fn(&T) -> usize,
+    ) -> Vec<T> {
+        let mut taken = Vec::new();
+        let mut total = 0;
+        for announcement in self.0.iter_mut().filter(|announcement| announcement.due <= now) {
+            total += bytes(&announcement.item);
+            if max_bytes < total && !taken.is_empty() {
+                break;
+            }
             announcement.due = now + FIRST_REPEAT_DELAY.saturating_mul(1 << announcement.sent);
             announcement.sent += 1;
-            announcement.item.clone()
-        });
-        let taken = taken.collect();
+            taken.push(announcement.item.clone());
+        }
         self.0.retain(|announcement| announcement.sent < REPETITIONS);
         taken
     }
 }
 
-/// Appends an item, and removes the first one if the list already has `max` items.
-pub fn push_bounded<T>(list: &mut VecDeque<T>, item: T, max: usize) {
-    if list.len() == max {
+/// Appends an item, and removes the first one if the list already has `max` items. Returns `false` if it
+/// did.
+pub fn push_bounded<T>(list: &mut VecDeque<T>, item: T, max: usize) -> bool {
+    let is_full = list.len() == max;
+    if is_full {
         list.pop_front();
     }
     list.push_back(item);
+    !is_full
 }
--- a/crates/basilbank_forward/src/state/bound.rs
+++ b/crates/basilbank_forward/src/state/bound.rs
@@ -13,9 +13,6 @@
 };
 use crate::endpoint::{SoftwareVersion, Stage};
 
-/// Maximum number of versions that a daemon reports, or is taken to report.
-pub const MAX_REPORTED_VERSIONS: usize = 8;
-
 /// The endpoints that a completion competes for.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub struct Pool {
@@ -133,7 +130,6 @@
                 None => all.push(BoundDemand { version, due, calls: 1, tokens }),
             }
         }
-        all.truncate(MAX_REPORTED_VERSIONS);
         all
     }
 
--- a/crates/basilbank_forward/src/state/origins.rs
+++ b/crates/basilbank_forward/src/state/origins.rs
@@ -40,6 +40,8 @@
     records: HashMap<StreamId, Origin>,
     /// When records end, in order. A record that was made anew has an older entry as well.
     ends: VecDeque<(Duration, StreamId)>,
+    /// Number of records that were dropped before their end, as there were too many.
+    dropped: usize,
 }
 
 impl Origins {
@@ -68,7 +70,9 @@
         self.records.insert(stream, Origin { version, until, is_own, began });
         self.ends.push_back((until, stream));
         while MAX_RECORDS < self.ends.len() {
+            let count = self.records.len();
             self.remove_first();
+            self.dropped += count - self.records.len();
         }
     }
 
@@ -113,6 +117,11 @@
         own.map(|(stream, origin)| (*stream, origin.version))
     }
 
+    /// Returns the number of records that were dropped since the last call.
+    pub fn take_dropped(&mut self) -> usize {
+        std::mem::take(&mut self.dropped)
+    }
+
     /// Returns the number of records.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/basilbank_forward/src/state/proofs.rs
+++ b/crates/basilbank_forward/src/state/proofs.rs
@@ -5,15 +5,16 @@
 //! is the cause of the crashes before.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{HashMap, VecDeque},
     time::Duration,
 };
 
 use super::announcements::push_bounded;
 use crate::{call::Cause, endpoint::EndpointKey};
 
-/// Maximum number of proofs that are kept; the latest ones are.
-const MAX_PROOFS: usize = 2048;
+/// Maximum number of proofs that are kept, some megabytes; the latest ones are. Without one, what is
+/// sound may be suspected in the place of what it comes with.
+const MAX_PROOFS: usize = 1 << 16;
 
 /// Maximum number of short answers whose proof is not certain yet.
 const MAX_PENDING: usize = 256;
@@ -27,7 +28,9 @@
 /// What has been shown not to crash endpoints, and when that was last shown.
 #[derive(Debug, Default)]
 pub struct Proofs {
-    proven: BTreeMap<Cause, Duration>,
+    proven: HashMap<Cause, Duration>,
+    /// All proofs in order. Something that was shown anew has an older entry as well.
+    order: VecDeque<(Duration, Cause)>,
     pending: VecDeque<PendingProof>,
 }
 
@@ -54,11 +57,20 @@
 
     /// Records that this doesn't crash endpoints.
     pub fn record(&mut self, cause: Cause, now: Duration) {
-        if self.proven.len() == MAX_PROOFS && !self.proven.contains_key(&cause) {
-            let oldest = self.proven.iter().min_by_key(|(_, at)| **at).map(|(cause, _)| *cause);
-            oldest.map(|cause| self.proven.remove(&cause));
-        }
         self.proven.insert(cause, now);
+        self.order.push_back((now, cause));
+        // The order also has what was shown anew; it is made short again now and then.
+        if 2 * MAX_PROOFS < self.order.len() {
+            let proven = &self.proven;
+            self.order.retain(|(at, cause)| proven.get(cause) == Some(at));
+        }
+        while MAX_PROOFS < self.proven.len()
+            && let Some((at, cause)) = self.order.pop_front()
+        {
+            if self.proven.get(&cause) == Some(&at) {
+                self.proven.remove(&cause);
+            }
+        }
     }
 
     /// Records the end of a short answer on these parts.
--- a/crates/basilbank_forward/src/state/quarantine.rs
+++ b/crates/basilbank_forward/src/state/quarantine.rs
@@ -23,6 +23,8 @@
     entries: BTreeMap<Cause, Entry>,
     /// What a heartbeat reported last; heartbeats report all entries in turn.
     last_reported: Option<Cause>,
+    /// Number of entries that were dropped, as there were too many.
+    dropped: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -97,6 +99,7 @@
             let first = self.entries.iter().min_by_key(|(_, entry)| entry.until);
             let first = first.map(|(cause, _)| *cause);
             first.map(|cause| self.entries.remove(&cause));
+            self.dropped += 1;
         }
         let new_entry = Entry { until, found_at, report_count: 0 };
         let entry = self.entries.entry(cause).or_insert(new_entry);
@@ -104,6 +107,11 @@
         entry.found_at = entry.found_at.max(found_at);
     }
 
+    /// Returns the number of entries that were dropped since the last call.
+    pub fn take_dropped(&mut self) -> usize {
+        std::mem::take(&mut self.dropped)
+    }
+
     /// Returns the entries to report in the next datagram: the new ones, and `others` of the rest in
     /// turn.
     pub fn take_reports(&mut self, others: usize, now: Duration) -> Vec<QuarantinedCall> {
--- a/crates/basilbank_forward/tests/forward/absurd_datagrams.rs
+++ b/crates/basilbank_forward/tests/forward/absurd_datagrams.rs
@@ -156,6 +156,8 @@
                 digest: n.any(),
                 ran: n.small(),
                 parts: n.rows(Numbers::any),
+                before: n.small(),
+                behind: n.small(),
             }),
             cleared: n.rows(Numbers::any),
             cleared_parts: n.rows(Numbers::any),
--- a/crates/basilbank_forward/tests/forward/bad_parts.rs
+++ b/crates/basilbank_forward/tests/forward/bad_parts.rs
@@ -52,6 +52,37 @@
     }
 }
 
+/// Guards against a part that nobody knows, as it stands behind many others that all prompts share.
+#[test_case(2, 6, 16; "behind sixteen")]
+#[test_case(8, 12, 300; "behind hundreds")]
+#[test_case(3, 6, 3000; "behind as many as fit into a head")]
+fn however_many_parts_prompts_have(daemons: usize, decode: usize, shared: u64) {
+    for seed in 1..=3 {
+        for place in [Place::AfterFirst, Place::Middle] {
+            let lasts = Duration::from_secs(20);
+            let comes = (Duration::from_secs(4), Duration::from_secs(16));
+            let load = Load { shared, place, comes, lasts, ..Load::new(daemons, decode) };
+            check(Load { drafts: 8.0, ..load }, seed);
+        }
+    }
+}
+
+/// Guards against a part that counts as one of all calls, since most calls that come have it.
+#[test_case(4.0, 8.0; "two of three")]
+#[test_case(4.0, 20.0; "five of six")]
+#[test_case(2.0, 30.0; "nearly all")]
+#[test_case(0.5, 50.0; "all but one of a hundred")]
+#[test_case(10.0, 250.0; "many at once")]
+fn however_many_of_the_calls_have_a_bad_part(drafts: f64, bad: f64) {
+    for daemons in [2, 8] {
+        for seed in 1..=5 {
+            let load = Load { drafts, bad, shared: 3, ..Load::new(daemons, 6) };
+            let got = check(load, seed);
+            assert!(3 <= got.crashes(), "seed {seed}: {}", got.crashes());
+        }
+    }
+}
+
 #[test_case(8, 12; "small fleet")]
 #[test_case(78, 15; "grown fleet")]
 fn restarts_cuts_and_lost_datagrams_do_not_let_a_bad_part_through(daemons: usize, decode: usize) {
--- a/crates/basilbank_forward/tests/forward/fleet/bad_parts.rs
+++ b/crates/basilbank_forward/tests/forward/fleet/bad_parts.rs
@@ -17,6 +17,9 @@
 /// The first of the parts that crash endpoints.
 pub const BAD: u64 = 0xbad0;
 
+/// The first of the parts that all prompts share besides.
+const SHARED: u64 = 0x5000_0000;
+
 /// The first of the parts in the middle of sound prompts, and their number.
 const MIDDLE: u64 = 0x3140;
 const MIDDLES: usize = 6;
@@ -62,6 +65,8 @@
     /// Number of bad parts.
     pub parts: u64,
     pub place: Place,
+    /// Number of parts behind the first that all prompts have in common as well.
+    pub shared: u64,
     /// When bad calls begin and end to come.
     pub comes: (Duration, Duration),
     pub lasts: Duration,
@@ -85,6 +90,7 @@
             bad: 1.5,
             parts: 1,
             place: Place::AfterFirst,
+            shared: 0,
             comes: (Duration::from_secs(4), Duration::from_secs(22)),
             lasts: Duration::from_secs(26),
             loss: 0.001,
@@ -316,11 +322,13 @@
         self.next += 1;
         let middle = MIDDLE + self.fleet.rng.index(MIDDLES) as u64;
         let own = 0x1_0000 + id.0;
-        let parts = match (bad, self.load.place) {
-            (None, _) => vec![FIRST, middle, own],
-            (Some(bad), Place::AfterFirst) => vec![FIRST, bad, middle, own],
-            (Some(bad), Place::Middle) => vec![FIRST, middle, bad, own],
+        let (front, back) = match (bad, self.load.place) {
+            (None, _) => (vec![FIRST], vec![middle, own]),
+            (Some(bad), Place::AfterFirst) => (vec![FIRST, bad], vec![middle, own]),
+            (Some(bad), Place::Middle) => (vec![FIRST], vec![middle, bad, own]),
         };
+        let shared = (0..self.load.shared).map(|n| SHARED + n);
+        let parts = front.into_iter().chain(shared).chain(back).collect();
         let prompt = Prompt { session: Some(own), parts, ..prompt(1000) };
         let call = Call {
             caller_timeout: Some(Duration::from_secs(14)),
--- a/crates/basilbank_forward/tests/forward/prompt_parts.rs
+++ b/crates/basilbank_forward/tests/forward/prompt_parts.rs
@@ -46,7 +46,8 @@
 
 fn crash(endpoint: u32, parts: &[u64]) -> LoadGossip {
     let digest = 1000 + u64::from(endpoint);
-    let report = CrashReport { endpoint, digest, ran: 60, parts: parts.to_vec() };
+    let report =
+        CrashReport { endpoint, digest, ran: 60, parts: parts.to_vec(), ..CrashReport::default() };
     LoadGossip { crashes: vec![report], ..LoadGossip::default() }
 }
 
@@ -160,7 +161,13 @@
 fn a_repeated_call_that_is_kept_from_endpoints_does_not_hide_its_part() {
     let mut rig = rig();
     for endpoint in 1..=3 {
-        let report = CrashReport { endpoint, digest: 7, ran: 60, parts: vec![FIRST, BAD, 20] };
+        let report = CrashReport {
+            endpoint,
+            digest: 7,
+            ran: 60,
+            parts: vec![FIRST, BAD, 20],
+            ..CrashReport::default()
+        };
         hear(&mut rig, LoadGossip { crashes: vec![report], ..LoadGossip::default() });
         write_on(&mut rig, &[FIRST, 30]);
     }
--- a/crates/basilbank_forward/tests/forward/quarantine.rs
+++ b/crates/basilbank_forward/tests/forward/quarantine.rs
@@ -83,7 +83,13 @@
 fn a_call_that_ran_to_its_end_is_not_blamed_for_crashes_before_and_after() {
     let mut rig = numbered(1);
     rig.list(vec![plain("e1", 1)]);
-    let report = |endpoint, digest| CrashReport { endpoint, digest, ran: 30, parts: Vec::new() };
+    let report = |endpoint, digest| CrashReport {
+        endpoint,
+        digest,
+        ran: 30,
+        parts: Vec::new(),
+        ..CrashReport::default()
+    };
     let tell = |rig: &mut Rig, sequence, crashes| {
         let beat = LoadGossip { incarnation: 1, sequence, crashes, ..LoadGossip::default() };
         rig.feed(Event::gossip(peer(2), beat));
@@ -104,7 +110,13 @@
 fn what_ran_beside_the_cause_is_not_blamed() {
     let mut rig = numbered(1);
     for (sequence, endpoint) in (1..).zip(1..=4) {
-        let report = |digest, ran| CrashReport { endpoint, digest, ran, parts: Vec::new() };
+        let report = |digest, ran| CrashReport {
+            endpoint,
+            digest,
+            ran,
+            parts: Vec::new(),
+            ..CrashReport::default()
+        };
         let crashes = vec![report(50, 4000), report(DEADLY.0, 60), report(51, 90 * endpoint)];
         let beat = LoadGossip { incarnation: 1, sequence, crashes, ..LoadGossip::default() };
         rig.feed(Event::gossip(peer(2), beat));
@@ -148,6 +160,7 @@
             digest: sequence * 1000 + n,
             ran: 1,
             parts: vec![n, 2, 3, 4],
+            ..CrashReport::default()
         };
         let calls = (0..300).map(report);
         let crashes = calls.collect();
--- a/crates/basilbank_gateway/src/metrics.rs
+++ b/crates/basilbank_gateway/src/metrics.rs
@@ -145,6 +145,8 @@
     answers_paused: Gauge<u64, AtomicU64>,
     bodies_refused: Family<ReasonLabel, Gauge<u64, AtomicU64>>,
     quarantined: Counter,
+    evidence_dropped: Counter,
+    stream_records_dropped: Counter,
     silences: Counter,
     silence_ends: Family<ReasonLabel, Counter>,
     permits: Counter,
@@ -205,6 +207,8 @@
             answers_paused: Gauge::default(),
             bodies_refused: Family::default(),
             quarantined: Counter::default(),
+            evidence_dropped: Counter::default(),
+            stream_records_dropped: Counter::default(),
             silences: Counter::default(),
             silence_ends: Family::default(),
             permits: Counter::default(),
@@ -263,6 +267,16 @@
         registry.register("probes", "Questions to dark endpoints", metrics.probes.clone());
         let quarantined = metrics.quarantined.clone();
         registry.register("quarantined", "Calls that were put in quarantine", quarantined);
+        registry.register(
+            "crash_evidence_dropped",
+            "Evidence about crashes that was dropped, as there was too much",
+            metrics.evidence_dropped.clone(),
+        );
+        registry.register(
+            "stream_records_dropped",
+            "Versions of streams that were forgotten early, as there were too many",
+            metrics.stream_records_dropped.clone(),
+        );
         let permits = metrics.permits.clone();
         registry.register("permits", "Permits for calls to endpoints with a limit", permits);
         let silences = metrics.silences.clone();
--- a/crates/basilbank_gateway/src/metrics/record.rs
+++ b/crates/basilbank_gateway/src/metrics/record.rs
@@ -291,6 +291,12 @@
                 }
             }
             Measurement::Quarantined => drop(self.quarantined.inc()),
+            Measurement::StreamRecordsDropped(count) => {
+                self.stream_records_dropped.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+            }
+            Measurement::EvidenceDropped(count) => {
+                self.evidence_dropped.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+            }
             Measurement::Silence => drop(self.silences.inc()),
             Measurement::SilenceEnded(end) => count(&self.silence_ends, end),
             Measurement::Permit => drop(self.permits.inc()),
--- a/crates/basilbank_wire/src/load.rs
+++ b/crates/basilbank_wire/src/load.rs
@@ -236,6 +236,13 @@
     /// which shows that they are not the cause.
     #[prost(fixed64, repeated, tag = "4")]
     pub parts: Vec<u64>,
+    /// Number of parts of its prompt before these. They are reported in others, or in those of other
+    /// calls at the same endpoint.
+    #[prost(uint32, tag = "5")]
+    pub before: u32,
+    /// Number of parts behind these.
+    #[prost(uint32, tag = "6")]
+    pub behind: u32,
 }
 
 /// A call that is not sent to endpoints, or a part of prompts whose calls are not.
