A stream that nobody remembers goes on at the version that its id assigns it to

Cause: which version began a stream was known to daemons alone, and a new stream went wherever there was room, so nothing could tell it after a restart of all.

Change: beside several versions a new resumable stream is assigned to one by its id, by weighted rendezvous hashing over the list, and begins there or nowhere (state/assignments.rs). A take-up that nobody knows goes on if each list that a daemon may have used in the last 35 s assigns it alike; what came, went or changed counts against. It is proven by the daemon's own list, the store's history, the revisions and the endpoints' starts, and a read after the call came. Peers' records go first. A service whose endpoints have all just started begins no such stream for half a second.

--- a/crates/basilbank_forward/src/reason.rs
+++ b/crates/basilbank_forward/src/reason.rs
@@ -80,9 +80,19 @@
         PeerList = "peer_list",
         /// The list and the store's history account for all endpoints.
         History = "history",
+        /// Each list that a daemon may have used assigns the stream to the version.
+        Assignment = "assignment",
     }
 );
 
+impl VersionSource {
+    /// Returns whether it counts only if no peer knows better.
+    #[must_use]
+    pub fn is_last_resort(self) -> bool {
+        matches!(self, VersionSource::History | VersionSource::Assignment)
+    }
+}
+
 reasons!(
     /// Why it isn't known which version of the endpoints' software began a stream.
     UnknownVersion {
--- a/crates/basilbank_forward/src/reduce.rs
+++ b/crates/basilbank_forward/src/reduce.rs
@@ -50,7 +50,7 @@
     endpoint::EndpointKey,
     event::Event,
     log_line::LogLine,
-    state::{State, SystemStart, Usage, origins::STREAM_LIFETIME, requests::Hold},
+    state::{State, SystemStart, Usage, requests::Hold},
     topic::Topic,
 };
 
@@ -140,9 +140,10 @@
 /// Looks at the versions of endpoints if the list has changed.
 fn update_versions(ctx: &mut Context<'_>) {
     let is_first_start = ctx.state.local.start == SystemStart::First;
-    let State { versions, directory, records, first_list, .. } = &mut *ctx.state;
+    let State { versions, assignments, directory, records, first_list, .. } = &mut *ctx.state;
     let has_more = versions.update(directory, records, is_first_start, ctx.now);
-    if versions.are_known_for(STREAM_LIFETIME, ctx.now) {
+    assignments.update(directory, records, is_first_start, ctx.now);
+    if assignments.is_known(ctx.now) {
         *first_list = None;
     }
     if has_more {
--- a/crates/basilbank_forward/src/reduce/admission.rs
+++ b/crates/basilbank_forward/src/reduce/admission.rs
@@ -128,6 +128,7 @@
         asked_peers: Vec::new(),
         inferred: Vec::new(),
         pinned: None,
+        assigned: None,
         last_failure: None,
         completion: Completion::default(),
         resume_at: None,
--- a/crates/basilbank_forward/src/reduce/call_limit.rs
+++ b/crates/basilbank_forward/src/reduce/call_limit.rs
@@ -226,7 +226,7 @@
         now: Duration,
     ) -> Vec<EndpointKey> {
         let available = self.directory.available(&request.service, now);
-        let allowed = available.filter(|(_, e)| e.info.has_version(request.pinned));
+        let allowed = available.filter(|(_, e)| e.info.has_version(request.needed_version()));
         let keys = allowed.map(|(key, _)| key);
         keys.filter(|key| !self.has_permit(*key, now)).collect()
     }
--- a/crates/basilbank_forward/src/reduce/completion.rs
+++ b/crates/basilbank_forward/src/reduce/completion.rs
@@ -79,7 +79,7 @@
     };
     // Transferring a KV cache between data centres takes twice as long, so the decode endpoint is
     // picked near the endpoint that will read the prompt or has read it.
-    let pinned = request.pinned;
+    let pinned = request.needed_version();
     let near = match &request.completion.kv {
         Some(kv) => Some(kv.endpoint),
         None => placement::pick_prefill(state, &service, &[], None, pinned, prompt.tokens, now),
@@ -295,7 +295,8 @@
         let soonest = now + self.tuning.first_token_delay;
         let mut waiting = self.waiting.iter().filter_map(|id| self.requests.get(id));
         let is_ahead = |other: &Request| {
-            let is_same = other.pinned.is_none() || other.pinned == request.pinned;
+            let needed = other.needed_version();
+            let is_same = needed.is_none() || needed == request.needed_version();
             other.call.id != request.call.id
                 && other.service == request.service
                 && is_same
--- a/crates/basilbank_forward/src/reduce/endpoints.rs
+++ b/crates/basilbank_forward/src/reduce/endpoints.rs
@@ -112,7 +112,8 @@
 /// Checks what may have come and gone since the last read of the list, as the changes since then
 /// can't be read. Of the changes that a restored store has lost there is no proof.
 fn bridge_gap(ctx: &mut Context<'_>, previous: Revision, whole: FirstList) {
-    let State { versions, directory, routes, first_list, history, .. } = &mut *ctx.state;
+    let State { versions, assignments, directory, routes, first_list, history, .. } =
+        &mut *ctx.state;
     let was_known = versions.are_known_for(STREAM_LIFETIME, ctx.now);
     let until = whole.revision();
     let is_same_era = previous.era == until.era;
@@ -130,6 +131,7 @@
             false => History::default(),
         };
         versions.record_gap(directory, ctx.now);
+        assignments.record_gap(ctx.now);
     }
     let line = LogLine::new("list_gap")
         .with("after", previous)
--- a/crates/basilbank_forward/src/reduce/finish.rs
+++ b/crates/basilbank_forward/src/reduce/finish.rs
@@ -179,7 +179,7 @@
             }
             (Refusal::EndpointsPaused, Some(request)) => {
                 let stage = request.is_completion(self).then_some(Stage::Decode);
-                let pinned = request.pinned;
+                let pinned = request.needed_version();
                 let end = self.directory.first_pause_end(&request.service, stage, pinned);
                 end.map(|end| end.saturating_sub(now))
             }
--- a/crates/basilbank_forward/src/reduce/only_version.rs
+++ b/crates/basilbank_forward/src/reduce/only_version.rs
@@ -20,7 +20,13 @@
     let request = state.requests.get(&id).ok_or(UnknownVersion::NoVersion)?;
     let versions = &state.versions;
     if versions.are_several(request.route.services(), now) {
-        return Err(UnknownVersion::SeveralVersions);
+        let stream = request.call.resumption.as_ref().and_then(|resumption| resumption.stream());
+        let assigned = stream.and_then(|at| state.proven_assignment(&request.route, at, now));
+        let assigned = assigned.ok_or(UnknownVersion::SeveralVersions)?;
+        return match state.list_reads.confirmed_since(request.arrived) {
+            Some(_) => Ok((assigned, VersionSource::Assignment)),
+            None => Err(UnknownVersion::Unconfirmed),
+        };
     }
     let only = versions.single(request.route.services(), now).ok_or(UnknownVersion::NoVersion)?;
     let is_remembered = versions.are_known_for(STREAM_LIFETIME, now);
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -41,12 +41,18 @@
 /// Time that a call waits for the store at all. Now and then a sound store takes 200 ms.
 const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 
+/// Minimum time that a caller waits for a stream for it to come back after all daemons were replaced.
+const MIN_RETURN_TIME: Duration = Duration::from_secs(2);
+
 /// Returns whether a call may proceed. If it continues a stream whose version isn't known, it waits
 /// for the store's or for peers' answers or was refused.
 pub fn check_origin(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     match request.origin {
-        OriginStage::Settled => true,
+        OriginStage::Settled => {
+            assign_anew(ctx, id);
+            true
+        }
         OriginStage::New => look_up(ctx, id),
         OriginStage::Confirming { until } => until <= ctx.now && ask_peers(ctx, id),
         OriginStage::Asked { until, .. } if until <= ctx.now => conclude_unknown(ctx, id),
@@ -69,7 +75,7 @@
     let Some(request) = state.requests.get(&id) else { return false };
     let Some(resumption) = request.call.resumption.as_ref().filter(|_| request.route.resumable)
     else {
-        return settle(ctx, id, None);
+        return assign(ctx, id);
     };
     let stream = resumption.stream();
     if let Some(version) = stream.and_then(|stream| state.origins.get(stream, now)) {
@@ -92,6 +98,39 @@
     false
 }
 
+/// Assigns a stream that may be taken up later to one of several versions, and lets its call proceed
+/// unless its service has just started.
+fn assign(ctx: &mut Context<'_>, id: RequestId) -> bool {
+    let (state, now) = (&*ctx.state, ctx.now);
+    let Some(request) = state.requests.get(&id) else { return false };
+    let [service] = request.route.services().collect::<Vec<_>>()[..] else {
+        return settle(ctx, id, None);
+    };
+    if !request.route.resumable || request.call.resumption.is_some() {
+        return settle(ctx, id, None);
+    }
+    let may_come_back = now + MIN_RETURN_TIME <= request.deadline;
+    let settles_at = state.assignments.settles_at(service, state.unix_ms(now), now);
+    if let Some(until) = settles_at.filter(|_| may_come_back) {
+        ctx.set_timer(id, until);
+        return false;
+    }
+    settle(ctx, id, None);
+    assign_anew(ctx, id);
+    true
+}
+
+/// Assigns a call's stream by the list as it is now, until the stream begins.
+fn assign_anew(ctx: &mut Context<'_>, id: RequestId) {
+    let State { requests, assignments, .. } = &mut *ctx.state;
+    let Some(request) = requests.get_mut(&id) else { return };
+    let may_come_back = request.route.resumable && request.call.resumption.is_none();
+    if request.pinned.is_none() && may_come_back && request.route.services().count() == 1 {
+        let stream = StreamId::of(&request.call.trace_id);
+        request.assigned = assignments.assign(&request.service, stream);
+    }
+}
+
 /// Asks peers for the version that began a stream.
 fn ask_peers(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let (state, now) = (&*ctx.state, ctx.now);
@@ -121,7 +160,8 @@
     let (state, now) = (&*ctx.state, ctx.now);
     let Some(request) = state.requests.get(&id) else { return };
     let is_covered = state.list_reads.is_sent_since(request.arrived);
-    if !is_covered && state.versions.single(request.route.services(), now).is_some() {
+    let is_single = state.versions.single(request.route.services(), now).is_some();
+    if !is_covered && (is_single || state.versions.are_several(request.route.services(), now)) {
         list_reads::begin(ctx);
     }
 }
@@ -199,7 +239,9 @@
 fn conclude_unknown(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let is_remembered = ctx.state.remembers_versions(ctx.now);
     let Some(request) = ctx.state.requests.get(&id) else { return false };
-    if request.inferred.is_empty() && !is_remembered && history::awaits(ctx, id) {
+    let is_several = ctx.state.versions.are_several(request.route.services(), ctx.now);
+    let is_open = request.inferred.is_empty() && !is_remembered;
+    if (is_open || is_several) && history::awaits(ctx, id) {
         return false;
     }
     let why = match only_version::prove(ctx.state, id, ctx.now) {
@@ -257,7 +299,7 @@
     let Some(request) = ctx.state.requests.get(&id) else { return false };
     let (origin, arrived) = (request.origin, request.arrived);
     match only_version::prove(ctx.state, id, ctx.now) {
-        Ok(known) if known.1 != VersionSource::History => return settle(ctx, id, Some(known)),
+        Ok(known) if !known.1.is_last_resort() => return settle(ctx, id, Some(known)),
         Err(UnknownVersion::Unconfirmed) if asked_at < arrived => {
             list_reads::begin(ctx);
             return false;
@@ -336,7 +378,7 @@
         let may_proceed = match SoftwareVersion::from_wire(answer.version) {
             Some(version) => settle(ctx, id, Some((version, VersionSource::PeerRecord))),
             None => match only_version::prove(ctx.state, id, ctx.now) {
-                Ok(known) if known.1 != VersionSource::History => settle(ctx, id, Some(known)),
+                Ok(known) if !known.1.is_last_resort() => settle(ctx, id, Some(known)),
                 _ => ctx.state.has_all_answers(id) && conclude_unknown(ctx, id),
             },
         };
--- a/crates/basilbank_forward/src/reduce/plain.rs
+++ b/crates/basilbank_forward/src/reduce/plain.rs
@@ -48,7 +48,7 @@
     let (service, tried) = (request.service.clone(), request.tried.clone());
     let (timeout, streams) = (request.remaining(now), request.route.kind == RouteKind::Streaming);
     let waits = request.active_attempts.is_empty() || takes_over;
-    let (pinned, target) = (request.pinned, request.route.target);
+    let (pinned, target) = (request.needed_version(), request.route.target);
     let endpoint = match placement::pick_plain(state, &service, &tried, pinned, target, now) {
         PlainChoice::At(endpoint) => endpoint,
         PlainChoice::Limited if waits => return NextStep::WaitForPermit,
--- a/crates/basilbank_forward/src/reduce/queue.rs
+++ b/crates/basilbank_forward/src/reduce/queue.rs
@@ -37,9 +37,9 @@
     let mut full: Vec<(String, Option<SoftwareVersion>, QueuePosition)> = Vec::new();
     for (position, id) in order {
         let Some(request) = ctx.state.requests.get(&id) else { continue };
-        let (service, pinned) = (request.service.clone(), request.pinned);
+        let (service, version) = (request.service.clone(), request.needed_version());
         let is_blocked = full.iter().any(|(full_service, full_version, first)| {
-            let is_same = full_version.is_none() || *full_version == pinned;
+            let is_same = full_version.is_none() || *full_version == version;
             *full_service == service && is_same && first.blocks(&position)
         });
         if is_blocked {
@@ -49,7 +49,7 @@
         step::proceed(ctx, id);
         // It waits again, so there is no capacity for the others that need the same endpoints either.
         if ctx.state.waiting.contains(&id) {
-            full.push((service, pinned, position));
+            full.push((service, version, position));
         }
     }
 }
--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -29,6 +29,7 @@
 /// reader as well: its version has served.
 pub fn record_former(ctx: &mut Context<'_>, info: &EndpointInfo) {
     ctx.state.versions.record_former(info, ctx.now);
+    ctx.state.assignments.record_unlisted(info, ctx.now);
     let current = current_start(ctx.state, info);
     let is_new_start =
         |current: &CurrentStart| matches!(current.says, StartOrder::Later | StartOrder::Different);
@@ -40,6 +41,7 @@
 /// Handles a record that was read from the store.
 pub fn handle_record(ctx: &mut Context<'_>, info: EndpointInfo, source: Source) {
     ctx.state.versions.record_former(&info, ctx.now);
+    ctx.state.assignments.record_unlisted(&info, ctx.now);
     evaluate(ctx, info, source);
 }
 
--- a/crates/basilbank_forward/src/reduce/step.rs
+++ b/crates/basilbank_forward/src/reduce/step.rs
@@ -166,8 +166,8 @@
     if ctx.state.waiting.contains(&id) && request.caller_deadline() <= ctx.now + lead {
         return give_up(ctx, id, Refusal::WaitTimedOut);
     }
-    let awaits_answer = matches!(request.quota, QuotaStage::Asked { .. })
-        || !matches!(request.origin, OriginStage::New | OriginStage::Settled);
+    let awaits_answer =
+        matches!(request.quota, QuotaStage::Asked { .. }) || request.origin != OriginStage::Settled;
     if awaits_answer || ctx.state.permit_holder.waiting.contains(&id) {
         return proceed(ctx, id);
     }
--- a/crates/basilbank_forward/src/state.rs
+++ b/crates/basilbank_forward/src/state.rs
@@ -1,6 +1,7 @@
 //! What a daemon knows about forwarded calls.
 
 pub mod announcements;
+pub mod assignments;
 pub mod bound;
 pub mod call_limits;
 pub mod common_parts;
@@ -53,6 +54,7 @@
 use basilbank_core::state::Rng;
 
 pub use self::{
+    assignments::Assignments,
     call_limits::CallLimits,
     common_parts::CommonParts,
     completion_queue::CompletionQueue,
@@ -160,6 +162,8 @@
     pub origins: Origins,
     /// The versions of endpoints' software.
     pub versions: Versions,
+    /// To which version streams are assigned, and were.
+    pub assignments: Assignments,
     /// What the store has said of the time before this daemon's first list.
     pub history: History,
     /// How current the list of endpoints is known to be.
@@ -241,6 +245,7 @@
             common_parts: CommonParts::default(),
             origins: Origins::default(),
             versions: Versions::default(),
+            assignments: Assignments::default(),
             history: History::default(),
             list_reads: ListReads::default(),
             first_list: None,
--- a/crates/basilbank_forward/src/state/first_list.rs
+++ b/crates/basilbank_forward/src/state/first_list.rs
@@ -85,9 +85,7 @@
     ) -> bool {
         let known_after = known_after.filter(|known| known.era == self.revision.era);
         let end = known_after.map_or(self.revision.number, |r| r.number.min(self.revision.number));
-        let is_old = |record: &&Record| record.changed_by.is_some_and(|at| at <= oldest);
-        let old = self.records.iter().filter(is_old).map(|record| record.revisions.changed);
-        let begin = old.chain([configuration.created, self.known_until]).max().unwrap_or_default();
+        let begin = self.begin(oldest, configuration);
         let changed = self.records.iter().map(|record| record.revisions.changed);
         // Without a start, an earlier change may be another start's, of another version.
         let dated = self.records.iter().filter(|record| record.changed_by.is_some());
@@ -96,6 +94,15 @@
         FirstList::accounts_for(written, begin, end)
     }
 
+    /// Returns the last revision that was certainly written before `oldest`, in milliseconds since the
+    /// Unix epoch, or before there were calls, or up to which this daemon knows all changes.
+    #[must_use]
+    pub fn begin(&self, oldest: u64, configuration: ItemRevisions) -> u64 {
+        let is_old = |record: &&Record| record.changed_by.is_some_and(|at| at <= oldest);
+        let old = self.records.iter().filter(is_old).map(|record| record.revisions.changed);
+        old.chain([configuration.created, self.known_until]).max().unwrap_or_default()
+    }
+
     /// Returns whether each revision after `begin` up to `end` is among these.
     fn accounts_for(written: impl Iterator<Item = u64>, begin: u64, end: u64) -> bool {
         let mut written: Vec<_> =
--- a/crates/basilbank_forward/src/state/requests.rs
+++ b/crates/basilbank_forward/src/state/requests.rs
@@ -69,6 +69,9 @@
     /// The version of the endpoints' software at which its stream must go on; `None` while any will
     /// do.
     pub pinned: Option<SoftwareVersion>,
+    /// The version at which its stream begins, if the service has several: the version can be computed
+    /// again when nobody remembers the stream.
+    pub assigned: Option<SoftwareVersion>,
     /// The last failure.
     pub last_failure: Option<Refusal>,
     /// Its progress, if it is a completion.
@@ -253,6 +256,12 @@
 }
 
 impl Request {
+    /// Returns the version of the endpoints' software that it can be sent to; `None` if any will do.
+    #[must_use]
+    pub fn needed_version(&self) -> Option<SoftwareVersion> {
+        self.pinned.or(self.assigned)
+    }
+
     /// Returns the amount that it takes of its team's quota, if there is one.
     #[must_use]
     pub fn quota_amount(&self, unit: QuotaUnit) -> u32 {
--- a/crates/basilbank_forward/tests/forward/restart_schedules.rs
+++ b/crates/basilbank_forward/tests/forward/restart_schedules.rs
@@ -112,6 +112,7 @@
     let peer = SocketAddr::from(([10, 0, 9, 9], 7000));
     let mut rig = Rig::as_daemon(SocketAddr::from(([10, 0, 9, 8], 7000)), vec![peer]);
     rig.list(vec![EndpointInfo { stage: Some(Stage::Decode), ..info.clone() }]);
+    rig.pass_ms(3000);
     rig.beats();
     rig.call("/draft/1", 14_000, Some(prompt(100)));
     rig.pass_ms(600);
@@ -126,6 +127,7 @@
         let vms = all.iter().map(|at| {
             let mut rig = Rig::as_daemon(*at, all.clone());
             rig.list((0..ENDPOINTS.len()).map(|n| entry(n, 1)).collect());
+            rig.pass_ms(3000);
             (*at, rig)
         });
         Schedule {
--- a/crates/basilbank_forward/tests/forward/restarts.rs
+++ b/crates/basilbank_forward/tests/forward/restarts.rs
@@ -220,6 +220,7 @@
             born(1, model("p1", 1, Stage::Prefill)),
             born(1, model("d1", 3, Stage::Decode)),
         ]);
+        rig.pass_ms(1000);
     }
     (one, address(1), other)
 }
--- a/crates/basilbank_forward/tests/forward/versions/mod.rs
+++ b/crates/basilbank_forward/tests/forward/versions/mod.rs
@@ -1,5 +1,6 @@
 //! Streams that go on, at endpoints of several versions of their software.
 
+mod assignments;
 mod cut_off;
 mod history;
 mod keepers;
--- a/crates/basilbank_standin/tests/managed/take_ups.rs
+++ b/crates/basilbank_standin/tests/managed/take_ups.rs
@@ -264,3 +264,19 @@
     }
     assert!(STREAMS / 2 <= went_on, "{went_on} of {STREAMS}");
 }
+
+/// Guards against streams that are lost with all daemons, though their ids tell which version began them.
+#[test]
+fn streams_go_on_at_their_assigned_version_after_all_daemons_ended() {
+    let mut world = world();
+    let began: Vec<_> = (0..STREAMS).map(|n| begin(world.callers(0), &format!("s{n}"))).collect();
+    (0..3).for_each(|daemon| world.terminate(daemon));
+    (0..3).for_each(|daemon| world.wait_ended(daemon).expect("its end"));
+    world.add_restarted().expect("a daemon");
+    eventually("it serves", || whole(world.callers(3), "w").status == 200);
+    for (n, began_at) in began.iter().enumerate() {
+        let answer = take_up(world.callers(3), &format!("t{n}"), &format!("s{n}"));
+        assert_eq!((answer.status, answer.whole), (200, true), "{n}: {}", answer.text());
+        assert_eq!(answer.text(), rest_of(began_at));
+    }
+}
