Assigned versions: one function says which service a stream is bound to

Names and comments only, and the conditions of two functions in one place. No change of behaviour: the rows of versions, version_queue, order_claims, unknown_fleets and prompt_parts pass.

--- a/crates/basilbank_forward/src/reduce/crash.rs
+++ b/crates/basilbank_forward/src/reduce/crash.rs
@@ -143,8 +143,8 @@
 /// Applies a peer's report of something in quarantine.
 ///
 /// A daemon that has just seen a part of prompts to be sound goes by its own evidence, and so does one
-/// that has seen it in all of them, unless its own calls with it were at crashes. If the peer is wrong, the calls that are still sent show it, and the part is released
-/// everywhere.
+/// that has seen it in all of them, unless its own calls with it were at crashes. If the peer is wrong,
+/// the calls that are still sent show it, and the part is released everywhere.
 fn handle_quarantined(ctx: &mut Context<'_>, reported: &QuarantinedCall) {
     let cause = quarantine::reported_cause(reported);
     let found_at = quarantine::found_at(reported, ctx.now);
--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -17,7 +17,7 @@
     log_line::{LogLine, Measurement},
     reason::{Refusal, UnknownVersion, VersionSource},
     state::{
-        State,
+        Request, State,
         requests::{OriginStage, PeerVersion},
         service_hash,
     },
@@ -103,15 +103,11 @@
 fn assign(ctx: &mut Context<'_>, id: RequestId) -> bool {
     let (state, now) = (&*ctx.state, ctx.now);
     let Some(request) = state.requests.get(&id) else { return false };
-    let [service] = request.route.services().collect::<Vec<_>>()[..] else {
-        return settle(ctx, id, None);
-    };
-    if !request.route.resumable || request.call.resumption.is_some() {
-        return settle(ctx, id, None);
-    }
     let may_come_back = now + MIN_RETURN_TIME <= request.deadline;
-    let settles_at = state.assignments.settles_at(service, state.unix_ms(now), now);
-    if let Some(until) = settles_at.filter(|_| may_come_back) {
+    let settles_at = assigned_service(request)
+        .filter(|_| may_come_back)
+        .and_then(|service| state.assignments.settles_at(service, state.unix_ms(now), now));
+    if let Some(until) = settles_at {
         ctx.set_timer(id, until);
         return false;
     }
@@ -123,11 +119,21 @@
 /// Assigns a call's stream by the list as it is now, until the stream begins.
 fn assign_anew(ctx: &mut Context<'_>, id: RequestId) {
     let State { requests, assignments, .. } = &mut *ctx.state;
-    let Some(request) = requests.get_mut(&id) else { return };
-    let may_come_back = request.route.resumable && request.call.resumption.is_none();
-    if request.pinned.is_none() && may_come_back && request.route.services().count() == 1 {
-        let stream = StreamId::of(&request.call.trace_id);
-        request.assigned = assignments.assign(&request.service, stream);
+    let Some(request) = requests.get_mut(&id).filter(|request| request.pinned.is_none()) else {
+        return;
+    };
+    let stream = StreamId::of(&request.call.trace_id);
+    request.assigned =
+        assigned_service(request).and_then(|service| assignments.assign(service, stream));
+}
+
+/// Returns the service at one of whose versions a call's stream has to begin; `None` if any will do.
+fn assigned_service(request: &Request) -> Option<&str> {
+    let may_be_resumed = request.route.resumable && request.call.resumption.is_none();
+    let services: Vec<_> = request.route.services().filter(|_| may_be_resumed).collect();
+    match services[..] {
+        [only] => Some(only),
+        _ => None,
     }
 }
 
