Calls whose callers wait for less than 6 s don't wait for a new service to settle

Callers who wait for less than 6 s hardly come back after a restart of all daemons, so their streams needn't wait. The rows of silences, ends, take_ups and versions pass, but for the known red one.

--- a/crates/basilbank_forward/src/reduce/origin.rs
+++ b/crates/basilbank_forward/src/reduce/origin.rs
@@ -42,7 +42,7 @@
 const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(300);
 
 /// Minimum time that a caller waits for a stream for it to come back after all daemons were replaced.
-const MIN_RETURN_TIME: Duration = Duration::from_secs(2);
+const MIN_RETURN_TIME: Duration = Duration::from_secs(6);
 
 /// Returns whether a call may proceed. If it continues a stream whose version isn't known, it waits
 /// for the store's or for peers' answers or was refused.
