One function records that a version has served; a report's place is computed once

The two lines that told versions and assignments of a record stood twice, and the pieces of a call's report were numbered in a loop of their own behind the one that made them.

--- a/crates/basilbank_forward/src/reduce/records.rs
+++ b/crates/basilbank_forward/src/reduce/records.rs
@@ -28,8 +28,7 @@
 /// Handles a record that is not used, since a later change replaces it or it is read by the topic's
 /// reader as well: its version has served.
 pub fn record_former(ctx: &mut Context<'_>, info: &EndpointInfo) {
-    ctx.state.versions.record_former(info, ctx.now);
-    ctx.state.assignments.record_unlisted(info, ctx.now);
+    record_version(ctx, info);
     let current = current_start(ctx.state, info);
     let is_new_start =
         |current: &CurrentStart| matches!(current.says, StartOrder::Later | StartOrder::Different);
@@ -38,10 +37,15 @@
     }
 }
 
+/// Records that a version has served, whether or not its record is used.
+fn record_version(ctx: &mut Context<'_>, info: &EndpointInfo) {
+    ctx.state.versions.record_former(info, ctx.now);
+    ctx.state.assignments.record_unlisted(info, ctx.now);
+}
+
 /// Handles a record that was read from the store.
 pub fn handle_record(ctx: &mut Context<'_>, info: EndpointInfo, source: Source) {
-    ctx.state.versions.record_former(&info, ctx.now);
-    ctx.state.assignments.record_unlisted(&info, ctx.now);
+    record_version(ctx, &info);
     evaluate(ctx, info, source);
 }
 
--- a/crates/basilbank_forward/src/state/crashes.rs
+++ b/crates/basilbank_forward/src/state/crashes.rs
@@ -506,12 +506,11 @@
             let is_over = !is_new || run.len() == MAX_PARTS_PER_REPORT || at + 1 == parts.len();
             if is_over && !run.is_empty() {
                 let end = at + usize::from(is_new);
-                reports.push(report(std::mem::take(&mut run), end, parts.len() - end));
+                let run = std::mem::take(&mut run);
+                let before = end - run.len();
+                reports.push(report(run, before, parts.len() - end));
             }
         }
-        for report in &mut reports {
-            report.before -= u32::try_from(report.parts.len()).unwrap_or_default();
-        }
         if reports.is_empty() {
             reports.push(report(Vec::new(), parts.len(), 0));
         }
